--- /dev/null
+++ b/cmd/irisrill/main.go
@@ -0,0 +1,109 @@
+// Command irisrill is the sidecar: it takes callers' requests on one address and sends them to the endpoints that
+// discovery names, as package decide decides. Its configuration is the file named by LB_CONFIG.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"maplepulley/decide"
+	"maplepulley/internal/config"
+	"maplepulley/internal/frontend"
+	"maplepulley/internal/host"
+	"maplepulley/internal/registry"
+	"maplepulley/internal/upstream"
+)
+
+const (
+	ownSockets = 32   // listener, discovery, standard streams, the runtime's own
+	heapPart   = 0.75 // of the memory limit, for the runtime's; the rest is headroom
+	bodyPart   = 0.35 // for request bodies
+	idlePart   = 0.6  // of the time after which endpoints close an idle connection
+	firstList  = time.Second
+
+	// SIGKILL comes no sooner than the longest deadline, of which at most longest counts, and killIn after SIGTERM.
+	longest = 3 * time.Second
+	killIn  = 700 * time.Millisecond
+	spare   = 400 * time.Millisecond
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "irisrill:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	c, err := config.Load(os.Getenv("LB_CONFIG"))
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)))
+	debug.SetMemoryLimit(int64(heapPart * float64(c.Limits.MemoryMB<<20)))
+	log := newLog(os.Stderr).With("name", c.Name)
+
+	sockets := c.Limits.Sockets - ownSockets
+	client := upstream.NewClient(c.DialTimeout, time.Duration(idlePart*float64(c.Decide.ConnIdle)), sockets/2)
+	var discovery *registry.Client
+	h, err := host.New(c, client, func() { discovery.Watch() }, log)
+	if err != nil {
+		return err
+	}
+	known, err := registry.ParseList(c.Known)
+	if err != nil && c.Known != nil {
+		log.Warn("config: known: " + err.Error())
+	}
+	listed := make(chan struct{}, 1)
+	discovery = registry.New(c.Discovery, c.Decide.Pull, known.Index, func(kind decide.ListKind, e []registry.Endpoint) {
+		h.Members(kind, e)
+		select {
+		case listed <- struct{}{}:
+		default:
+		}
+	}, log)
+	h.Members(decide.Cached, known.Entries)
+
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := frontend.New(c, h, listener, sockets/2, int64(bodyPart*float64(c.Limits.MemoryMB<<20)),
+		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
+	go discovery.Run(ctx)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve() }()
+
+	// Ready once the list is that of now and not of some time ago, if discovery answers.
+	select {
+	case <-listed:
+	case <-time.After(firstList):
+	case err := <-failed:
+		return err
+	case <-stop:
+		return nil
+	}
+	server.Ready()
+	log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
+	select {
+	case err := <-failed:
+		return err
+	case <-stop:
+	}
+	server.End(time.Now().Add(min(c.Longest(), longest) + killIn - spare))
+	log.Info("ended", "held", h.Held())
+	return nil
+}
--- /dev/null
+++ b/decide/api.go
@@ -0,0 +1,183 @@
+// Package decide makes a load balancer's decisions for services that call
+// services: which requests to refuse at once, which server gets each of the
+// others, and what to do when an attempt fails.
+//
+// Admission is a cursor table (Villen-Altamirano, ITC 11, 1985): a call is
+// refused when the calls in flight reach the threshold under a cursor that
+// moves one step each period, right while pool load is above its target and
+// left otherwise; low rows of the table shed low-worth calls first.
+//
+// A Balancer is driven by its host: one method for each event, actions through
+// Host. It has no clock, goroutine or global of its own, and the same seed and
+// events give the same actions. It is not safe for concurrent use.
+//
+// The types stand in api.go, every decision in decide.go.
+package decide
+
+import "time"
+
+// ServerID and RequestID are opaque numbers given by the host.
+type (
+	ServerID  uint32
+	RequestID uint64
+)
+
+// Effect says how often a class's effect may happen.
+type Effect uint8
+
+// The effects a class may have.
+const (
+	Safe   Effect = iota // may be repeated freely
+	Keyed                // servers of one group drop repeats for a window
+	Unsafe               // never again once it may have run
+)
+
+// Scope is the group of servers that drop repeats of a Keyed request.
+type Scope uint8
+
+// The groups.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Aim, Deadline time.Duration // wanted within; given up after
+	Worth         float64
+	Effect        Effect
+	Scope         Scope         // for Keyed
+	Window        time.Duration // for Keyed: from the first send that may have run
+}
+
+// Tenant is a customer with an agreed rate over all balancers; zero means no agreed rate.
+type Tenant struct {
+	QuotaPerSecond float64
+}
+
+// Field is one value of a load report.
+type Field uint8
+
+// The fields: utilisation is used, others are passed over.
+const (
+	FieldOther Field = iota
+	FieldUtil
+)
+
+// Settings is all that a balancer is told at its start.
+type Settings struct {
+	Balancers int // balancers of this tier
+	Me        int // this one's number, from 0
+	Zone      int
+	Tier      int // the tier it sends to; 0 is the one clients reach
+	Classes   []Class
+	Tenants   []Tenant
+
+	MarksRetries  bool // clients mark their retries
+	Pull          bool // discovery answers only when asked
+	MustAskIn     time.Duration
+	MaxAttempts   int
+	MayCancel     bool
+	MayDuplicate  bool // two attempts of one request may be outstanding
+	RetryAfter    bool // clients are told how long to stay away
+	MaxRetryAfter time.Duration
+	ConnIdle      time.Duration
+
+	StartCapacity float64 // a started server's capacity, as a share of its full one
+	WarmUp        time.Duration
+	FallMultiple  float64 // more than this multiple of its capacity
+	FallWindow    time.Duration
+
+	CrossZonePrice, HandshakePrice float64
+
+	Report []Field // the values of a load report, in order
+}
+
+// State is what discovery says of a server.
+type State uint8
+
+// The states.
+const (
+	Gone State = iota
+	Ready
+	Draining
+)
+
+// Server is one entry of a list.
+type Server struct {
+	ID        ServerID
+	Zone      int
+	Cell      int
+	StartedAt time.Duration // zero: long ago
+	State     State
+}
+
+// ListKind says what a list event brings.
+type ListKind uint8
+
+// The kinds of list.
+const (
+	Delta  ListKind = iota // changed entries
+	Full                   // the whole list
+	Cached                 // the whole list as last held, maybe stale
+	Failed                 // a discovery call failed; no entries
+)
+
+// Request is an arriving call.
+type Request struct {
+	ID     RequestID
+	Class  int
+	Tenant int
+	Left   time.Duration // until the client gives up
+	Retry  bool          // marked by the client
+}
+
+// Verdict is how an attempt ended.
+type Verdict uint8
+
+// The verdicts. Full, ConnectFailed and Moot prove that it never ran.
+const (
+	OK Verdict = iota
+	Error
+	ServerFull
+	Timeout
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// NeverRan reports whether the verdict proves that the attempt was not executed.
+func (v Verdict) NeverRan() bool { return v == ServerFull || v == ConnectFailed || v == Moot }
+
+// Outcome ends one attempt.
+type Outcome struct {
+	ID      RequestID
+	Attempt int
+	Server  ServerID
+	Verdict Verdict
+	Latency time.Duration
+	Final   bool      // the request is finished
+	Load    []float32 // a load report, as Settings.Report; empty if none
+}
+
+// Host carries out a balancer's actions, in order, at the time of the event in hand.
+type Host interface {
+	// Send starts the request's next attempt; it ends at the client's deadline at the latest.
+	Send(RequestID, ServerID)
+	// Refuse is a final answer that tells the client a retry is harmless.
+	Refuse(id RequestID, retryAfter time.Duration)
+	// Fail is a final answer that promises nothing.
+	Fail(RequestID)
+	// Cancel stops waiting for an attempt.
+	Cancel(id RequestID, attempt int)
+	// CloseIdle closes the connections to a server that carry no attempt.
+	CloseIdle(ServerID)
+	// Watch asks discovery for changes from now on.
+	Watch()
+	// SetTimer asks for a Timer event at or after the given time.
+	SetTimer(at time.Duration, token uint64)
+	// Log adds a line for on-call staff.
+	Log(string)
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,902 @@
+// All decisions of the balancer. The types are in api.go; read that file first.
+//
+// Order: cursor table, pool load, ranking, pacing, health, attempts, discovery.
+package decide
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Constants of the mechanism. None is a measured figure of a deployment: each is a share, a
+// count of steps, or a multiple of something that is read from the settings or learnt.
+const (
+	homeSlots  = 2    // n: slots of T1; a load peak shorter than n·P sheds nothing
+	fallSlots  = 5    // steps in which one worth level is shed from all to nothing
+	homeDrop   = 0.3  // how much lower the lowest row stands at home: bursts too shed low worth first
+	shedTop    = 0.95 // T2 over T1: the queue allowed once load is over its target
+	ownTop     = 0.6  // and where a row's own fall begins
+	headroom   = 2.0  // T1 over the calls carried in quiet times, at the least
+	queuePart  = 0.75 // T1 lets calls in until they take this share of the aim
+	stepPart   = 0.2  // P as a share of the aim: an action must bite before the next step
+	floorCalls = 4.0  // added to T1: a balancer with few calls sees mostly chance
+	targetUtil = 0.92 // target utilisation
+	fullWeight = 2.0  // load added by a share of answers refused as full
+	fewServers = 6    // least servers of a subset
+	coverage   = 2.0  // balancers that should know each server
+	sampleSize = 20   // servers ranked for one pick on large tiers
+	retryShare = 0.15 // further attempts for each request: the retry budget
+	silentMult = 5.0  // times the usual latency without any answer: the server is silent
+	fleetPart  = 0.5  // more of the pool than this out at once is no matter of outliers
+	errorCost  = 4.0  // ranking: how many times slower a server that only errs counts
+	reportAge  = 2 * time.Second
+	memoryPart = 0.35 // smoothing of latency and failures, as a share of the aim
+)
+
+const discoveryToken = 1 << 63
+
+// level of low-worth calls: retries that clients mark, and traffic over a tenant's share.
+const lowWorth = 0
+
+type server struct {
+	Server
+	inFlight  int
+	lat       float64 // smoothed latency, s; 0: no answer yet
+	util      float64
+	reported  time.Duration
+	waitSince time.Duration // start of the present wait for any answer
+	answered  time.Duration
+	noConn    time.Duration // last connection that failed
+	lastSend  time.Duration
+	conns     int     // connections in use at once lately
+	bad       float64 // share of error answers, smoothed
+	out       bool
+	outUntil  time.Duration
+	outs      int
+	window    time.Duration // cold budget: start of the window in hand, and sends in it
+	windowed  int
+}
+
+type attempt struct {
+	s        *server
+	sent     time.Duration
+	ended    bool
+	neverRan bool
+}
+
+type request struct {
+	id       RequestID
+	class    *Class
+	deadline time.Duration
+	attempts []attempt
+	done     bool
+}
+
+type tenant struct{ quota, tokens float64 }
+
+// Balancer decides for one balancer instance. It is not safe for concurrent use.
+type Balancer struct {
+	cfg  Settings
+	host Host
+	rng  *rand.Rand
+
+	// Cursor table.
+	table     [][]float64 // [level][slot], as a share of T1
+	levels    []int       // of each class
+	aims      []float64   // least aim of the classes of each level and over it, s
+	cursor    int
+	period    time.Duration
+	nextStep  time.Duration
+	lastStep  time.Duration
+	started   time.Duration
+	inFlight  int
+	stuck     int     // of inFlight, with servers that are out
+	done      int     // calls answered in this period
+	asked     int     // arrivals in this period
+	asking    float64 // arrivals a second, smoothed
+	quotas    float64 // of all tenants together
+	fast, avg float64 // calls answered a second, smoothed over one and ten seconds
+	tenants   []tenant
+	shedding  bool
+	outOfTurn bool // in this period a call was refused while lower worth was let in
+
+	// Pool load.
+	answers, latSum, fulls, errs float64 // decaying sums
+	base                         float64 // quiet latency, s
+	aim                          float64 // mean of the classes, s
+
+	servers map[ServerID]*server
+	all     []*server // by hash: the order is that of no zone or age
+	use     []*server // the subset
+	want    int
+	outs    int     // of use, servers that are out
+	able    float64 // of use, least capacity of all together, in warm servers
+
+	requests map[RequestID]*request
+	budget   float64
+
+	crowded  time.Duration // last time that a server that answers took no connection
+	watching bool
+	fails    int
+}
+
+// New returns a balancer with no servers; the first list brings them. The error names the setting at fault.
+func New(cfg Settings, seed uint64, host Host) (*Balancer, error) {
+	if err := validate(&cfg); err != nil {
+		return nil, err
+	}
+	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[ServerID]*server{},
+		requests: map[RequestID]*request{}, budget: 3, nextStep: -1}
+	for _, c := range cfg.Classes {
+		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
+	}
+	b.base = b.aim / 4
+	period := time.Duration(b.aim * stepPart * float64(time.Second))
+	b.period = min(max(period, 50*time.Millisecond), time.Second)
+	for _, t := range cfg.Tenants {
+		b.tenants = append(b.tenants, tenant{quota: t.QuotaPerSecond})
+		b.quotas += t.QuotaPerSecond
+	}
+	b.buildTable()
+	return b, nil
+}
+
+func validate(cfg *Settings) error {
+	switch {
+	case len(cfg.Classes) == 0:
+		return errors.New("decide: Classes: none")
+	case cfg.Balancers < 1:
+		return errors.New("decide: Balancers: must be at least 1")
+	case cfg.Me < 0 || cfg.Tier < 0 || cfg.Zone < 0:
+		return errors.New("decide: Me, Tier, Zone: must not be negative")
+	case cfg.MaxAttempts < 1:
+		return errors.New("decide: MaxAttempts: must be at least 1")
+	case min(cfg.StartCapacity, cfg.FallMultiple, cfg.CrossZonePrice, cfg.HandshakePrice) < 0:
+		return errors.New("decide: StartCapacity, FallMultiple and prices: must not be negative")
+	case min(cfg.WarmUp, cfg.FallWindow, cfg.MustAskIn, cfg.MaxRetryAfter, cfg.ConnIdle) < 0:
+		return errors.New("decide: WarmUp, FallWindow, MustAskIn, MaxRetryAfter or ConnIdle is negative")
+	}
+	for i, c := range cfg.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 || min(c.Worth, c.Window.Seconds()) < 0 ||
+			c.Effect > Unsafe || c.Scope > ScopeCell {
+			return fmt.Errorf("decide: Classes[%d]: aim and deadline must be positive, the rest known", i)
+		}
+	}
+	for i, t := range cfg.Tenants {
+		if t.QuotaPerSecond < 0 {
+			return fmt.Errorf("decide: Tenants[%d].QuotaPerSecond: negative", i)
+		}
+	}
+	return nil
+}
+
+// ---- Cursor table ----
+
+// buildTable lays out a row for each worth level, lowest first. All rows stand at T1 in the n home slots.
+// To the right the lowest row falls to nothing first, then the next: a call of higher worth is refused
+// only when shedding all below it falls short (paper 3.3). The main row, that of the highest worth, falls
+// at every slot.
+func (b *Balancer) buildTable() {
+	var worths []float64
+	for _, c := range b.cfg.Classes {
+		worths = append(worths, c.Worth)
+	}
+	slices.Sort(worths)
+	worths = slices.Compact(worths)
+	for _, c := range b.cfg.Classes {
+		b.levels = append(b.levels, 1+slices.Index(worths, c.Worth))
+	}
+	rows := len(worths) + 1
+	slots := homeSlots + rows*fallSlots
+	for level := range rows {
+		row := make([]float64, slots)
+		for slot := range row {
+			past := float64(slot - homeSlots + 1)
+			own := past - float64(level*fallSlots)
+			switch {
+			case past <= 0:
+				row[slot] = 1 - homeDrop*float64(rows-1-level)/float64(rows-1)
+			case own <= 0:
+				row[slot] = min(row[0], shedTop-(shedTop-ownTop)*past/float64(slots))
+			default:
+				row[slot] = max(0, ownTop*(1-own/fallSlots))
+			}
+		}
+		if level == rows-1 {
+			row[slots-1] = 0.05 // the highest worth is never shut out whole
+		}
+		b.table = append(b.table, row)
+		aim := math.Inf(1)
+		for i, c := range b.cfg.Classes {
+			if b.levels[i] >= level {
+				aim = min(aim, c.Aim.Seconds())
+			}
+		}
+		b.aims = append(b.aims, aim)
+	}
+}
+
+// quiet is what this balancer carries in quiet times: rate x quiet latency. The faster of two smoothed
+// rates counts, so that one that suddenly carries a large slice of the traffic doesn't refuse it for being
+// new.
+func (b *Balancer) quiet() float64 { return max(b.fast, b.avg) * b.base }
+
+// threshold is what the cursor holds for a level. A balancer that has just started knows no rate: until it
+// has seen traffic for one aim it lets all in at the home slots, or each start and restart would refuse
+// what it could serve.
+func (b *Balancer) threshold(now time.Duration, level int) float64 {
+	if b.cursor < homeSlots && (now-b.started).Seconds() < b.aim {
+		return math.Inf(1)
+	}
+	top := max(b.fast, b.avg)*max(headroom*b.base, queuePart*b.aims[level]) + floorCalls
+	return b.table[level][b.cursor] * top
+}
+
+// level is the row of a request. Shares of tenants are taken at the front alone: deeper calls have passed
+// there.
+func (b *Balancer) level(r Request) int {
+	if r.Retry && b.cfg.MarksRetries {
+		return lowWorth
+	}
+	if b.cfg.Tier == 0 && r.Tenant >= 0 && r.Tenant < len(b.tenants) && b.tenants[r.Tenant].quota > 0 {
+		t := &b.tenants[r.Tenant]
+		t.tokens = max(t.tokens-1, -t.quota*b.slice())
+		if t.tokens < 0 {
+			return lowWorth
+		}
+	}
+	return b.levels[r.Class]
+}
+
+// advance steps the cursor for the periods that have passed; the phase is drawn from the seed, so that
+// balancers do not step together.
+func (b *Balancer) advance(now time.Duration) {
+	if b.nextStep < 0 {
+		b.started, b.lastStep = now, now
+		b.nextStep = now + time.Duration(b.rng.Float64()*float64(b.period))
+	}
+	if now < b.nextStep {
+		return
+	}
+	missed := int((now - b.nextStep) / b.period)
+	b.nextStep += time.Duration(missed+1) * b.period
+	dt := (now - b.lastStep).Seconds()
+	b.lastStep = now
+	b.learnRate(now, dt)
+	b.checkHealth(now)
+	load := b.poolLoad(now, dt)
+	// A lasting overload that T1 holds back keeps load under its target: then calls refused out of turn move
+	// the cursor, until the rows under them are shut.
+	if load > 1 || b.outOfTurn {
+		b.cursor = min(b.cursor+1, len(b.table[0])-1)
+	} else {
+		b.cursor--
+	}
+	b.outOfTurn = false
+	b.cursor = max(b.cursor-missed, 0)
+	if on := b.cursor >= homeSlots; on != b.shedding && (on || b.cursor == 0) {
+		b.shedding = on
+		b.host.Log(fmt.Sprintf("cursor %d load %.2f in flight %d shedding %t",
+			b.cursor, load, b.inFlight, on))
+	}
+}
+
+func (b *Balancer) learnRate(now time.Duration, dt float64) {
+	r, age := float64(b.done)/dt, (now - b.started).Seconds()
+	b.asking += (float64(b.asked)/dt - b.asking) * weight(dt, min(2, age))
+	b.done, b.asked = 0, 0
+	b.fast += (r - b.fast) * weight(dt, min(1, age))
+	b.avg += (r - b.avg) * weight(dt, min(10, age))
+	for i := range b.tenants {
+		t := &b.tenants[i]
+		rate := t.quota * b.slice()
+		t.tokens = min(t.tokens+rate*dt, 2*rate+2)
+	}
+}
+
+// slice is the part of all traffic that tenants' shares are measured against here: an even part, or more
+// where more comes. A balancer can't tell a large slice from an overload, and to take the first for the
+// second would refuse tenants within their share.
+func (b *Balancer) slice() float64 {
+	return max(1/float64(b.cfg.Balancers), b.asking/max(b.quotas, 1))
+}
+
+// weight of a sample that stands for dt in a smoothing over tau.
+func weight(dt, tau float64) float64 { return 1 - math.Exp(-dt/tau) }
+
+// ---- Pool load ----
+
+// poolLoad is the load over its target: above 1 the cursor steps right.
+func (b *Balancer) poolLoad(now time.Duration, dt float64) float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.use {
+		if !s.out && s.reported > 0 && now-s.reported < reportAge {
+			sum += s.util
+			n++
+		}
+	}
+	keep := math.Exp(-dt / (memoryPart * b.aim))
+	b.answers, b.latSum, b.fulls, b.errs = b.answers*keep, b.latSum*keep, b.fulls*keep, b.errs*keep
+	load := 0.0
+	if b.answers >= 0.5 {
+		lat := b.latSum / b.answers
+		b.learnBase(lat, dt)
+		target := max(b.aim, 1.5*b.base)
+		// Answers tell of calls let in some time ago. Calls in flight over answers a second is the latency of
+		// one let in now (Little): both must be high.
+		soon := float64(b.inFlight-b.stuck) * memoryPart * b.aim / max(b.answers-b.fulls, 0.5)
+		load = min(lat, soon)/target + fullWeight*b.fulls/b.answers
+	}
+	if !slices.Contains(b.cfg.Report, FieldUtil) {
+		return load
+	}
+	util := sum / float64(n) / targetUtil
+	switch {
+	case n == 0:
+		return load
+	case b.cfg.Tier > 0: // calls that still finish in time are not refused where others have worked on them
+		return min(load, util)
+	}
+	return max(load, util)
+}
+
+// learnBase follows the quiet latency: down at once, up slowly and only while nothing is shed, never past
+// what the aim allows; so a balancer started in overload does not learn it as normal.
+func (b *Balancer) learnBase(lat, dt float64) {
+	switch {
+	case lat < b.base:
+		b.base += (lat - b.base) * weight(dt, 0.5)
+	case b.cursor == 0:
+		b.base += (min(lat, b.aim/3) - b.base) * weight(dt, 20)
+	}
+	b.base = max(b.base, 1e-4)
+}
+
+func (b *Balancer) usual() float64 {
+	if b.answers < 0.5 {
+		return b.base
+	}
+	return max(b.base, b.latSum/b.answers)
+}
+
+// ---- Ranking ----
+
+// score ranks a server for the next call: smoothed latency x queue. A crossing or a new connection costs
+// time in proportion to its price.
+func (b *Balancer) score(now time.Duration, s *server) float64 {
+	lat := s.lat
+	if lat == 0 {
+		lat = b.usual()
+	}
+	v := lat * float64(1+s.inFlight) * (1 + errorCost*s.bad)
+	if s.Zone != b.cfg.Zone {
+		v *= 1 + 70*b.cfg.CrossZonePrice
+	}
+	if b.cfg.HandshakePrice > 0 && (s.conns <= s.inFlight || now-s.lastSend > b.cfg.ConnIdle) {
+		v *= 1 + 5*b.cfg.HandshakePrice
+	}
+	return v
+}
+
+// pick chooses the server of the request's next attempt, or nil.
+func (b *Balancer) pick(now time.Duration, r *request) *server {
+	n := len(b.use)
+	if n == 0 {
+		return nil
+	}
+	start := b.rng.IntN(n)
+	if s := b.use[start]; b.maySend(now, r, s) && (b.takesCold(now, s) || b.takesTrial(now, r, s)) {
+		return s
+	}
+	fleet := float64(b.outs) > fleetPart*float64(n) // most of a fleet failing is no matter of outliers
+	var best *server
+	bestScore := math.Inf(1)
+	for i := range min(n, sampleSize) {
+		at := (start + i) % n
+		if n > sampleSize {
+			at = b.rng.IntN(n)
+		}
+		s := b.use[at]
+		if s.out && !fleet || b.capacity(now, s) < 1 || !b.maySend(now, r, s) {
+			continue
+		}
+		if v := b.score(now, s); v < bestScore {
+			best, bestScore = s, v
+		}
+	}
+	if best == nil {
+		best = b.fallback(now, r)
+	}
+	return best
+}
+
+// fallback looks beyond the sample and the subset, cold servers last.
+func (b *Balancer) fallback(now time.Duration, r *request) *server {
+	n := len(b.all)
+	start := b.rng.IntN(n)
+	for pass := range 2 {
+		for i := range n {
+			s := b.all[(start+i)%n]
+			if s.out || !b.maySend(now, r, s) {
+				continue
+			}
+			if cold := b.capacity(now, s) < 1; !cold || pass == 1 && b.takesCold(now, s) {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
+// ---- Pacing ----
+
+// capacity is a server's least capacity as a share of its full one, by its age.
+func (b *Balancer) capacity(now time.Duration, s *server) float64 {
+	if s.StartedAt <= 0 || b.cfg.WarmUp <= 0 {
+		return 1
+	}
+	age := (now - s.StartedAt).Seconds() / b.cfg.WarmUp.Seconds()
+	return min(1, b.cfg.StartCapacity+(1-b.cfg.StartCapacity)*max(age, 0))
+}
+
+// takesCold draws whether a cold server takes the call that came upon it by an even draw over the pool.
+// Its part is then to a warm server's as its capacity is, whatever the other balancers do: each gives the
+// same part of its own traffic, with no bursts saved up. Where much of the pool is cold, a plain draw leaves
+// it idle while the warm rest is overloaded: it is drawn more often, within half the fall multiple. On top
+// stands this balancer's part of the budget for each window.
+func (b *Balancer) takesCold(now time.Duration, s *server) bool {
+	c := b.capacity(now, s)
+	boost := min(float64(len(b.use))/b.able, b.cfg.FallMultiple/2)
+	if c >= 1 || s.out || b.rng.Float64() >= c*max(1, boost) {
+		return false
+	}
+	w := b.cfg.FallWindow
+	if now-s.window >= w {
+		s.window, s.windowed = now, 0
+	}
+	each := max(b.fast, b.avg) / float64(len(b.use))
+	return s.windowed == 0 || float64(s.windowed+1) <= b.cfg.FallMultiple*c*each*w.Seconds()
+}
+
+// ---- Health ----
+
+// checkHealth finds silent servers: calls out and no answer for many times the usual latency. Their calls
+// do not count as queue. Where most of the pool is slow the usual latency rises with it and nobody is
+// silent.
+func (b *Balancer) checkHealth(now time.Duration) {
+	limit := time.Duration(silentMult * b.usual() * float64(time.Second))
+	b.outs, b.stuck, b.able = 0, 0, 0
+	for _, s := range b.use {
+		b.able += b.capacity(now, s)
+		if s.inFlight > 0 && now-s.waitSince > limit && (!s.out || now >= s.outUntil) {
+			b.eject(now, s, "silent")
+		}
+		if s.out {
+			b.outs++
+			b.stuck += s.inFlight
+		}
+	}
+	if w := b.wanted(); w > b.want {
+		b.subset()
+	}
+}
+
+func (b *Balancer) eject(now time.Duration, s *server, why string) {
+	if !s.out {
+		b.host.Log(fmt.Sprintf("server %d out: %s", s.ID, why))
+	}
+	s.out = true
+	s.outs = min(s.outs+1, 4)
+	s.outUntil = now + time.Duration((0.5+b.rng.Float64())*float64(time.Second<<(s.outs-1)))
+}
+
+// failing puts a server out that answers with errors where the others do not: quick errors would make it
+// the best ranked of all. Errors that come from deeper in the chain come from all servers alike.
+func (b *Balancer) failing(now time.Duration, s *server) {
+	if s.bad > 0.5 && s.bad*b.answers > 2*b.errs && !s.out {
+		b.eject(now, s, "errors")
+	}
+}
+
+// takesTrial lets a server that is out have one call at a time, of those that may be sent again.
+func (b *Balancer) takesTrial(now time.Duration, r *request, s *server) bool {
+	return s.out && now >= s.outUntil && s.inFlight == 0 && r.class.Effect != Unsafe
+}
+
+// learn takes an attempt's end into the server's and the pool's figures.
+func (b *Balancer) learn(now time.Duration, s *server, o Outcome) {
+	s.waitSince = now
+	lat := o.Latency.Seconds()
+	// Short of time is not failing: only a server that answered nothing since is out.
+	if o.Verdict == Timeout && s.answered < now-o.Latency {
+		b.eject(now, s, "silent")
+	}
+	switch {
+	case s.out && o.Verdict != OK: // tells of the server, not of the load of those in use (weakness 3)
+	case o.Verdict == OK || o.Verdict == Error || o.Verdict == Timeout:
+		b.done++
+		b.answers++
+		b.latSum += lat
+		if o.Verdict != OK {
+			b.errs++
+		}
+	case o.Verdict == ServerFull || o.Verdict == ConnectFailed:
+		b.answers++
+		b.fulls++
+	}
+	switch o.Verdict {
+	case OK:
+		s.answered = now
+		if s.lat == 0 {
+			s.lat = (lat + b.usual()) / 2
+		}
+		s.lat += (lat - s.lat) * 0.2
+		s.bad *= 0.7
+		s.out, s.outs = false, 0
+	case Error:
+		s.answered = now
+		s.bad += (1 - s.bad) * 0.3
+		b.failing(now, s)
+	case ServerFull:
+		s.answered = now
+	case ConnectFailed: // a server that answers between two of them is full of connections, not gone
+		if s.answered < s.noConn {
+			b.eject(now, s, "failing")
+		} else {
+			b.crowded = now
+		}
+		s.noConn = now
+	case Reset:
+		b.eject(now, s, "failing")
+	}
+	b.report(now, s, o.Load)
+}
+
+func (b *Balancer) report(now time.Duration, s *server, load []float32) {
+	for i, v := range load[:min(len(load), len(b.cfg.Report))] {
+		if b.cfg.Report[i] == FieldUtil {
+			s.util, s.reported = float64(v), now
+		}
+	}
+}
+
+// ---- Attempts ----
+
+// Request decides a new request: it is refused at once or sent.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	b.advance(now)
+	if _, held := b.requests[q.ID]; held || q.Class < 0 || q.Class >= len(b.cfg.Classes) {
+		return
+	}
+	b.budget = min(b.budget+retryShare, 20)
+	if !q.Retry {
+		b.asked++
+	}
+	r := &request{id: q.ID, class: &b.cfg.Classes[q.Class], deadline: now + q.Left}
+	b.requests[q.ID] = r
+	level := b.level(q)
+	met := float64(b.inFlight-b.stuck) >= b.threshold(now, level)
+	if met || q.Left.Seconds() < b.base/2 {
+		b.outOfTurn = b.outOfTurn || met && level > 0 && b.table[level-1][b.cursor] > 0
+		b.end(r) // meets the cursor's threshold, or could not finish in the time left
+		return
+	}
+	s := b.pick(now, r)
+	if s == nil {
+		b.end(r)
+		return
+	}
+	b.send(now, r, s)
+	if r.class.Effect != Unsafe && b.cfg.MaxAttempts > 1 {
+		patience := min(silentMult*b.usual(), q.Left.Seconds()/2)
+		b.host.SetTimer(now+time.Duration(patience*float64(time.Second)), uint64(q.ID))
+	}
+}
+
+// maySend is rules 1 to 3 for one more attempt.
+func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
+	if r.done || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts || s.State != Ready {
+		return false
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.s == s || !a.ended && !b.cfg.MayDuplicate {
+			return false
+		}
+		if a.neverRan || r.class.Effect == Safe {
+			continue
+		}
+		if r.class.Effect == Unsafe || now-a.sent >= r.class.Window ||
+			r.class.Scope == ScopeZone && a.s.Zone != s.Zone ||
+			r.class.Scope == ScopeCell && a.s.Cell != s.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+// send is the one gate for attempts.
+func (b *Balancer) send(now time.Duration, r *request, s *server) {
+	if !b.maySend(now, r, s) {
+		return
+	}
+	r.attempts = append(r.attempts, attempt{s: s, sent: now})
+	if s.inFlight == 0 {
+		s.waitSince = now
+	}
+	if now-s.lastSend > b.cfg.ConnIdle {
+		s.conns = 0
+	}
+	s.inFlight++
+	b.inFlight++
+	s.conns, s.lastSend = max(s.conns, s.inFlight), now
+	s.windowed++
+	b.host.Send(r.id, s.ID)
+}
+
+// end is the one gate for final answers: a refusal where a retry is harmless, else a failure.
+func (b *Balancer) end(r *request) {
+	if r.done {
+		return
+	}
+	r.done = true
+	if !mayRefuse(r) {
+		b.host.Fail(r.id)
+	} else {
+		b.host.Refuse(r.id, b.retryAfter())
+	}
+	b.drop(r)
+}
+
+func mayRefuse(r *request) bool {
+	if r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll {
+		return true
+	}
+	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
+}
+
+// retryAfter is the time in which the cursor could come home.
+func (b *Balancer) retryAfter() time.Duration {
+	if !b.cfg.RetryAfter || b.cfg.Tier > 0 {
+		return 0
+	}
+	d := float64(b.period) * float64(b.cursor) * (0.5 + b.rng.Float64())
+	return min(time.Duration(d), b.cfg.MaxRetryAfter)
+}
+
+// drop forgets a finished request once nothing of it is out; what is out is cancelled where that is
+// allowed.
+func (b *Balancer) drop(r *request) {
+	for i := range r.attempts {
+		if !r.attempts[i].ended && b.cfg.MayCancel {
+			b.host.Cancel(r.id, i)
+		}
+	}
+	if r.allEnded() {
+		delete(b.requests, r.id)
+	}
+}
+
+// Started tells that the answer of a streamed request has begun: it belongs to the client, and takes no
+// further attempt.
+func (b *Balancer) Started(now time.Duration, id RequestID) {
+	b.advance(now)
+	if r := b.requests[id]; r != nil {
+		r.done = true
+	}
+}
+
+// Outcome takes the end of an attempt. One of a request no longer held is passed over.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	b.advance(now)
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].ended {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.ended, a.neverRan = true, o.Verdict.NeverRan()
+	a.s.inFlight--
+	b.inFlight--
+	b.learn(now, a.s, o)
+	b.tidy(now, a.s)
+	if o.Final || r.done {
+		first := !r.done
+		r.done = true
+		if first || r.allEnded() {
+			b.drop(r)
+		}
+		return
+	}
+	if r.allEnded() {
+		b.again(now, r)
+	}
+}
+
+// tidy closes connections left idle by peaks while servers are full of connections: each is a place
+// that another balancer's call can't have.
+func (b *Balancer) tidy(now time.Duration, s *server) {
+	scarce := b.crowded > 0 && now-b.crowded < b.cfg.ConnIdle
+	if scarce && b.cfg.HandshakePrice == 0 && s.conns > s.inFlight {
+		b.host.CloseIdle(s.ID)
+		s.conns = s.inFlight
+	}
+}
+
+func (r *request) allEnded() bool {
+	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.ended })
+}
+
+// again sends a request whose attempts have all failed once more, or ends it. While calls are shed only
+// those that never ran go again.
+func (b *Balancer) again(now time.Duration, r *request) {
+	ran := !r.attempts[len(r.attempts)-1].neverRan
+	late := (r.deadline - now).Seconds() < b.base/2
+	if b.budget >= 1 && !late && !(ran && b.shedding) {
+		if s := b.pick(now, r); s != nil {
+			b.budget--
+			b.send(now, r, s)
+			return
+		}
+	}
+	b.end(r)
+}
+
+// Gone tells that the client has left: nothing more is owed.
+func (b *Balancer) Gone(now time.Duration, id RequestID) {
+	b.advance(now)
+	if r := b.requests[id]; r != nil && !r.done {
+		r.done = true
+		b.drop(r)
+	}
+}
+
+// Timer takes a timer of this balancer; one for a request no longer held is passed over.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	b.advance(now)
+	if token == discoveryToken {
+		b.host.Watch()
+		return
+	}
+	r := b.requests[RequestID(token)]
+	if r == nil || r.done || len(r.attempts) != 1 || r.attempts[0].ended || b.shedding || b.budget < 1 {
+		return
+	}
+	// A second copy goes out only where the server has answered nothing since: it hangs or is gone.
+	a := &r.attempts[0]
+	if a.s.answered >= a.sent {
+		return
+	}
+	if !b.cfg.MayDuplicate {
+		if b.cfg.MayCancel {
+			b.host.Cancel(r.id, 0)
+		}
+		return
+	}
+	if s := b.pick(now, r); s != nil {
+		b.budget--
+		b.send(now, r, s)
+	}
+}
+
+// ---- Discovery ----
+
+// Members takes a list event. Servers that leave it get nothing new from now on.
+func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Server) {
+	b.advance(now)
+	b.follow(now, kind)
+	if kind == Failed {
+		return
+	}
+	if kind != Delta {
+		named := make(map[ServerID]bool, len(entries))
+		for _, e := range entries {
+			named[e.ID] = true
+		}
+		for _, s := range b.all {
+			if !named[s.ID] {
+				s.State = Gone
+			}
+		}
+	}
+	for _, e := range entries {
+		b.enlist(e)
+	}
+	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
+		if s.State == Gone {
+			delete(b.servers, s.ID)
+		}
+		return s.State == Gone
+	})
+	slices.SortFunc(b.all, func(x, y *server) int {
+		return cmp.Compare(mix(x.ID), mix(y.ID))
+	})
+	b.subset()
+}
+
+func (b *Balancer) enlist(e Server) {
+	s := b.servers[e.ID]
+	if s == nil {
+		if e.State == Gone {
+			return
+		}
+		s = &server{Server: e}
+		b.servers[e.ID] = s
+		b.all = append(b.all, s)
+	}
+	if s.StartedAt != e.StartedAt { // a new process: what was known of the old one is void
+		s.lat, s.out, s.outs, s.reported = 0, false, 0, 0
+	}
+	s.Server = e
+}
+
+// mix spreads ids over 64 bits (the finaliser of splitmix64).
+func mix(id ServerID) uint64 {
+	x := uint64(id) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// wanted is the size of the subset: enough that each server is known to a few balancers, and room for what
+// this one carries and for servers that are out.
+func (b *Balancer) wanted() int {
+	per := coverage * float64(len(b.all)) / float64(b.cfg.Balancers)
+	return max(fewServers, int(math.Ceil(per)), int(2*b.quiet())) + b.outs
+}
+
+// subset picks the servers this balancer uses: the same number in a row from the hashed order, starting at
+// its own place, so that all servers are covered evenly and each balancer meets few of them often enough
+// to know them.
+func (b *Balancer) subset() {
+	b.want = max(b.want, b.wanted())
+	b.use = b.use[:0]
+	ready := make([]*server, 0, len(b.all))
+	local := make([]*server, 0, len(b.all))
+	for _, s := range b.all {
+		if s.State != Ready {
+			continue
+		}
+		if b.cfg.CrossZonePrice > 0 && s.Zone == b.cfg.Zone {
+			local = append(local, s)
+		} else {
+			ready = append(ready, s)
+		}
+	}
+	near := min(len(local), max(b.want*2/3, b.want-len(ready)))
+	b.take(local, near)
+	b.take(ready, b.want-near)
+}
+
+func (b *Balancer) take(from []*server, count int) {
+	n := len(from)
+	start := b.cfg.Me * n / b.cfg.Balancers
+	for i := range min(n, count) {
+		b.use = append(b.use, from[(start+i)%n])
+	}
+}
+
+// follow keeps the watch on discovery where it must be asked for: again after a failure, later each time
+// and never in step with the others.
+func (b *Balancer) follow(now time.Duration, kind ListKind) {
+	if !b.cfg.Pull {
+		return
+	}
+	var wait float64
+	switch {
+	case kind == Failed:
+		b.fails = min(b.fails+1, 5)
+		wait = min(0.5*float64(int(1)<<b.fails), b.cfg.MustAskIn.Seconds()/2)
+	case !b.watching:
+		wait = b.cfg.MustAskIn.Seconds() / 8
+	default:
+		b.fails = 0
+		return
+	}
+	b.watching = true
+	b.host.SetTimer(now+time.Duration(wait*(0.5+b.rng.Float64())*float64(time.Second)), discoveryToken)
+}
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,737 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
+
+// recorder is a Host that keeps what a balancer did, in order.
+type recorder struct {
+	acts   []string
+	sends  []ServerID
+	timers map[uint64]time.Duration
+}
+
+func (h *recorder) add(format string, a ...any) { h.acts = append(h.acts, fmt.Sprintf(format, a...)) }
+func (h *recorder) Send(id RequestID, s ServerID) {
+	h.add("send %d %d", id, s)
+	h.sends = append(h.sends, s)
+}
+func (h *recorder) Refuse(id RequestID, _ time.Duration) { h.add("refuse %d", id) }
+func (h *recorder) Fail(id RequestID)                    { h.add("fail %d", id) }
+func (h *recorder) Cancel(id RequestID, n int)           { h.add("cancel %d %d", id, n) }
+func (h *recorder) CloseIdle(s ServerID)                 { h.add("close %d", s) }
+func (h *recorder) Watch()                               { h.add("watch") }
+func (h *recorder) Log(text string)                      {}
+func (h *recorder) SetTimer(at time.Duration, token uint64) {
+	if h.timers == nil {
+		h.timers = map[uint64]time.Duration{}
+	}
+	h.timers[token] = at
+}
+
+func (h *recorder) count(prefix string) (n int) {
+	for _, a := range h.acts {
+		if strings.HasPrefix(a, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *recorder) last() string {
+	if len(h.acts) == 0 {
+		return ""
+	}
+	return h.acts[len(h.acts)-1]
+}
+
+func testSettings() Settings {
+	class := func(worth float64, e Effect, sc Scope) Class {
+		return Class{Aim: sec, Deadline: 3 * sec, Worth: worth, Effect: e, Scope: sc, Window: 2 * sec}
+	}
+	return Settings{Balancers: 1, Classes: []Class{class(1, Safe, 0), class(3, Keyed, ScopeAll),
+		class(5, Keyed, ScopeZone), class(5, Keyed, ScopeCell), class(10, Unsafe, 0)},
+		MaxAttempts: 3, MayCancel: true, MayDuplicate: true, StartCapacity: 0.2, WarmUp: 10 * sec,
+		FallMultiple: 3, FallWindow: 2 * sec, MustAskIn: 8 * sec,
+		Report: []Field{FieldUtil}}
+}
+
+func newBalancer(t *testing.T, cfg Settings, list ...Server) (*Balancer, *recorder) {
+	t.Helper()
+	h := &recorder{}
+	b, err := New(cfg, 7, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Members(sec, Cached, list)
+	return b, h
+}
+
+func ready(n int) (list []Server) {
+	for i := range n {
+		list = append(list, Server{ID: ServerID(i + 1), Zone: i % 2, Cell: i % 4, State: Ready})
+	}
+	return list
+}
+
+// The table: n slots of T1, then falling; the lowest row reaches nothing before the next one leaves the upper part.
+func TestTableRows(t *testing.T) {
+	b, _ := newBalancer(t, testSettings(), ready(4)...)
+	top := b.table[len(b.table)-1]
+	for slot := range top {
+		if slot < homeSlots && (top[slot] != 1 || b.table[0][slot] != 1-homeDrop) {
+			t.Errorf("slot %d: %v and %v, want T1 and its low row", slot, top[slot], b.table[0][slot])
+		}
+		if slot >= homeSlots && top[slot] >= top[slot-1] {
+			t.Errorf("slot %d does not fall: %v after %v", slot, top[slot], top[slot-1])
+		}
+		for level := 1; level < len(b.table); level++ {
+			if b.table[level-1][slot] > b.table[level][slot] {
+				t.Errorf("slot %d: level %d over level %d", slot, level-1, level)
+			}
+			if v := b.table[level][slot]; v < ownTop && b.table[level-1][slot] != 0 {
+				t.Errorf("slot %d: level %d shed to %v before level %d was shed whole", slot, level, v, level-1)
+			}
+		}
+	}
+	if top[len(top)-1] <= 0 {
+		t.Error("highest worth is shut out whole")
+	}
+}
+
+// Guards against long-waiting calls of low worth holding the queue of short ones of high worth, and against one mean
+// aim for classes of unlike aims: a row lets in what the least aim of its worth or more allows.
+func TestRowsByAim(t *testing.T) {
+	cfg := testSettings()
+	cfg.Classes = []Class{{Aim: 3 * sec, Deadline: 6 * sec, Worth: 1}, {Aim: sec, Deadline: 6 * sec, Worth: 2},
+		{Aim: 2 * sec, Deadline: 6 * sec, Worth: 3}}
+	b, _ := newBalancer(t, cfg, ready(4)...)
+	if want := []float64{1, 1, 1, 2}; !slices.Equal(b.aims, want) {
+		t.Fatalf("aims %v, want %v", b.aims, want)
+	}
+	b.avg, b.base, b.started = 100, 0.01, -60*sec
+	if low, top := b.threshold(sec, 2), b.threshold(sec, 3); top < 1.5*low {
+		t.Fatalf("thresholds %v and %v do not follow the aims", low, top)
+	}
+}
+
+// Guards against T1 growing in an overload: calls that servers refuse as full are not carried, however many are let in.
+func TestRefusedAsFullNotCarried(t *testing.T) {
+	for verdict, carried := range map[Verdict]bool{OK: true, ConnectFailed: false} {
+		b, _ := newBalancer(t, testSettings(), ready(4)...)
+		for i := range 400 {
+			now := 2*sec + time.Duration(i)*10*ms
+			b.Request(now, Request{ID: RequestID(i), Class: 4, Left: 3 * sec})
+			for n := range 3 {
+				b.Outcome(now, Outcome{ID: RequestID(i), Attempt: n, Verdict: verdict, Latency: ms, Final: verdict == OK})
+			}
+		}
+		if got := b.avg > 50; got != carried {
+			t.Errorf("verdict %d: %.0f a second taken for carried", verdict, b.avg)
+		}
+	}
+}
+
+// Guards against herds: a late report that all balancers read shows them the same idle server, so what is reported
+// must not rank servers; own calls do.
+func TestReportsDoNotRank(t *testing.T) {
+	b, _ := newBalancer(t, testSettings(), ready(2)...)
+	b.learn(2*sec, b.use[0], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{0.1}})
+	b.learn(2*sec, b.use[1], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{0.9}})
+	b.use[0].inFlight = 1
+	if x, y := b.score(2*sec, b.use[0]), b.score(2*sec, b.use[1]); x <= y {
+		t.Fatalf("scores %v and %v: the busier report ranks behind though it has none of our calls", x, y)
+	}
+}
+
+// Guards weakness 3: what servers that are out answer, late or full, is no measure of the load of those in use.
+func TestServersOutAreNoLoad(t *testing.T) {
+	for _, out := range []bool{false, true} {
+		b, _ := newBalancer(t, testSettings(), ready(4)...)
+		b.use[0].out = out
+		b.learn(2*sec, b.use[0], Outcome{Verdict: ServerFull})
+		b.learn(2*sec, b.use[0], Outcome{Verdict: Timeout, Latency: 3 * sec})
+		if got := b.fulls > 0 && b.latSum > 0; got == out {
+			t.Errorf("out %t: counted %t", out, got)
+		}
+	}
+}
+
+// Guards against a release that leaves half the pool idle: cold servers get their part of the pool's capacity.
+func TestHalfColdPool(t *testing.T) {
+	list := ready(8)
+	for i := range 4 {
+		list[i].StartedAt = 100 * sec
+	}
+	b, h := newBalancer(t, testSettings(), list...)
+	for i := range 2000 {
+		now := 105*sec + time.Duration(i)*ms
+		b.Request(now, Request{ID: RequestID(i), Left: 3 * sec})
+		b.Outcome(now, Outcome{ID: RequestID(i), Latency: 50 * ms, Final: true})
+	}
+	cold := 0
+	for _, s := range h.sends {
+		if s <= 4 {
+			cold++
+		}
+	}
+	c := b.capacity(106*sec, b.servers[1])
+	part, fair := float64(cold)/float64(len(h.sends)), c/(1+c)
+	if part < 0.8*fair || part > 1.2*fair {
+		t.Fatalf("cold half got %.2f of the calls, its part of the capacity is %.2f", part, fair)
+	}
+}
+
+// One step each period, right over the target and left under it, clamped at both ends.
+func TestCursorSteps(t *testing.T) {
+	b, _ := newBalancer(t, testSettings(), ready(4)...)
+	b.inFlight = 1000 // a queue that the figures can speak of
+	step := func(util float64) int {
+		for _, s := range b.use {
+			s.util, s.reported = util, b.nextStep
+		}
+		before := b.cursor
+		b.advance(b.nextStep)
+		return b.cursor - before
+	}
+	if d := step(0.5); d != 0 || b.cursor != 0 {
+		t.Fatalf("left of home: moved %d to %d", d, b.cursor)
+	}
+	for range 3 {
+		if d := step(1); d != 1 {
+			t.Fatalf("over the target: moved %d", d)
+		}
+	}
+	if d := step(0.5); d != -1 {
+		t.Fatalf("under the target: moved %d", d)
+	}
+	for range 100 {
+		step(1)
+	}
+	if b.cursor != len(b.table[0])-1 {
+		t.Fatalf("cursor %d, want the last slot", b.cursor)
+	}
+	before := b.cursor
+	b.advance(b.nextStep + 3*b.period)
+	if b.cursor >= before {
+		t.Fatal("periods without events did not step left")
+	}
+}
+
+// Guards against the lockout: once little is in flight, late answers of calls let in before must not keep all shut
+// out; with much in flight they step the cursor on.
+func TestLateAnswersWhileDrained(t *testing.T) {
+	for inFlight, want := range map[int]int{2: 9, 200: 11} {
+		b, _ := newBalancer(t, testSettings(), ready(4)...)
+		b.cursor, b.inFlight = 10, inFlight
+		for range 50 {
+			b.learn(b.nextStep, b.use[0], Outcome{Verdict: OK, Latency: 2 * sec})
+		}
+		b.advance(b.nextStep)
+		if b.cursor != want {
+			t.Errorf("in flight %d: cursor %d, want %d", inFlight, b.cursor, want)
+		}
+	}
+}
+
+// Guards against tables of connections filled by idle ones: a server that answers between two failed connections is
+// full, not gone, and idle connections are closed while such servers are met, unless handshakes have a price.
+func TestFullOfConnections(t *testing.T) {
+	for _, price := range []float64{0, 0.1} {
+		cfg := testSettings()
+		cfg.HandshakePrice, cfg.ConnIdle = price, 15*sec
+		b, h := newBalancer(t, cfg, ready(1)...)
+		end := func(id RequestID, n int, v Verdict) {
+			b.Outcome(2*sec, Outcome{ID: id, Attempt: n, Server: 1, Verdict: v, Latency: 50 * ms, Final: v == OK})
+		}
+		for id := range RequestID(3) {
+			b.Request(2*sec, Request{ID: id, Left: 3 * sec})
+		}
+		end(0, 0, OK)
+		if h.count("close") > 0 {
+			t.Fatal("closed with no shortage seen")
+		}
+		end(1, 0, ConnectFailed)
+		if b.use[0].out {
+			t.Fatal("a server that answers was put out for one failed connection")
+		}
+		end(2, 0, OK)
+		if closed := h.count("close 1"); (closed > 0) != (price == 0) {
+			t.Fatalf("price %v: closed %d times", price, closed)
+		}
+		for id := RequestID(3); id < 6; id++ {
+			b.Request(3*sec, Request{ID: id, Left: 3 * sec})
+		}
+		b.Outcome(3*sec, Outcome{ID: 3, Verdict: ConnectFailed})
+		b.Outcome(3*sec, Outcome{ID: 4, Verdict: ConnectFailed})
+		if !b.use[0].out {
+			t.Fatal("two failed connections and no answer between: still in use")
+		}
+	}
+}
+
+// Low worth is refused first; marked retries and traffic over a tenant's share count as low, but only at the front
+// for shares.
+func TestWorthOrder(t *testing.T) {
+	cfg := testSettings()
+	cfg.MarksRetries = true
+	cfg.Tenants = []Tenant{{QuotaPerSecond: 1}}
+	b, h := newBalancer(t, cfg, ready(4)...)
+	b.cursor = homeSlots + fallSlots - 1 // the low row is shed whole, the others are not
+	b.Request(sec, Request{ID: 1, Class: 4, Left: 3 * sec, Retry: true, Tenant: -1})
+	b.Request(sec, Request{ID: 2, Class: 0, Left: 3 * sec, Tenant: -1})
+	if got := fmt.Sprint(h.count("refuse 1"), h.count("send 2")); got != "1 1" {
+		t.Fatalf("acts %v", h.acts)
+	}
+	for id := RequestID(10); id < 20; id++ {
+		b.Request(sec, Request{ID: id, Class: 4, Left: 3 * sec})
+	}
+	if h.count("refuse") < 6 {
+		t.Fatalf("traffic over the share was let in: %v", h.acts)
+	}
+	cfg.Tier = 1
+	b, h = newBalancer(t, cfg, ready(4)...)
+	b.cursor = homeSlots + fallSlots - 1
+	for id := RequestID(10); id < 13; id++ {
+		b.Request(sec, Request{ID: id, Class: 4, Left: 3 * sec})
+	}
+	if h.count("refuse") > 0 {
+		t.Fatalf("shares were taken again deeper in the chain: %v", h.acts)
+	}
+}
+
+// T1 has a floor for a balancer with a few calls and grows with what it carries.
+func TestThresholdScales(t *testing.T) {
+	b, _ := newBalancer(t, testSettings(), ready(4)...)
+	small := b.threshold(9*sec, 4)
+	b.avg = 300
+	if large := b.threshold(9*sec, 4); small < floorCalls || large < 300*queuePart {
+		t.Fatalf("T1 %v at rest, %v at 300 calls a second", small, large)
+	}
+}
+
+// Guards against refusals at every start: with no rate known yet, T1 would stand at its floor.
+func TestStartRefusesNothing(t *testing.T) {
+	b, h := newBalancer(t, testSettings(), ready(40)...)
+	for id := RequestID(1); id <= 100; id++ {
+		b.Request(sec+time.Duration(id)*ms, Request{ID: id, Class: 4, Left: 3 * sec})
+	}
+	if h.count("refuse") > 0 {
+		t.Fatalf("%d of 100 refused at the start", h.count("refuse"))
+	}
+	for id := RequestID(1001); id <= 2000; id++ {
+		b.Request(9*sec, Request{ID: id, Class: 4, Left: 3 * sec})
+	}
+	if h.count("refuse") == 0 {
+		t.Fatal("no limit once the rate is known")
+	}
+}
+
+// A balancer started in overload must not learn it as normal.
+func TestBaselineGuard(t *testing.T) {
+	b, _ := newBalancer(t, testSettings(), ready(4)...)
+	for range 100000 {
+		b.learnBase(0.95, 0.1)
+	}
+	if b.base > b.aim/3+1e-9 {
+		t.Fatalf("baseline %v, aim %v", b.base, b.aim)
+	}
+	b.base, b.cursor = 0.1, 5
+	b.learnBase(0.9, 1)
+	if b.base != 0.1 {
+		t.Fatal("baseline rose while calls are shed")
+	}
+}
+
+// Rule 2 at its boundary: each effect and scope against each kind of ending.
+func TestFurtherAttempts(t *testing.T) {
+	first := Server{ID: 1, Zone: 0, Cell: 0, State: Ready}
+	zone := Server{ID: 2, Zone: 0, Cell: 1, State: Ready}
+	cell := Server{ID: 3, Zone: 0, Cell: 0, State: Ready}
+	far := Server{ID: 4, Zone: 1, Cell: 2, State: Ready}
+	for _, c := range []struct {
+		name                  string
+		class                 int
+		ended, never          bool
+		after                 time.Duration
+		far, zone, cell, deny bool
+	}{
+		{"safe, out", 0, false, false, sec, true, true, true, true},
+		{"keyed all, may have run", 1, true, false, sec, true, true, true, true},
+		{"keyed all, window over", 1, true, false, 2 * sec, false, false, false, true},
+		{"keyed zone, may have run", 2, true, false, sec, false, true, true, false},
+		{"keyed zone, out", 2, false, false, sec, false, true, true, false},
+		{"keyed zone, window over", 2, true, false, 2 * sec, false, false, false, false},
+		{"keyed zone, never ran", 2, true, true, sec, true, true, true, true},
+		{"keyed cell, may have run", 3, true, false, sec, false, false, true, false},
+		{"keyed cell, never ran", 3, true, true, sec, true, true, true, true},
+		{"unsafe, may have run", 4, true, false, sec, false, false, false, false},
+		{"unsafe, out", 4, false, false, sec, false, false, false, false},
+		{"unsafe, never ran", 4, true, true, sec, true, true, true, true},
+	} {
+		b, _ := newBalancer(t, testSettings(), first, zone, cell, far)
+		r := &request{class: &b.cfg.Classes[c.class], deadline: 10 * sec,
+			attempts: []attempt{{s: b.servers[1], sent: sec, ended: c.ended, neverRan: c.never}}}
+		now := sec + c.after
+		got := []bool{b.maySend(now, r, b.servers[4]), b.maySend(now, r, b.servers[2]),
+			b.maySend(now, r, b.servers[3]), mayRefuse(r)}
+		if want := []bool{c.far, c.zone, c.cell, c.deny}; fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%s: far, zone, cell, refuse %v, want %v", c.name, got, want)
+		}
+	}
+}
+
+// Each ending that proves nothing ran lets an unsafe request go again; each other one ends it in a failure.
+func TestUnsafeEndings(t *testing.T) {
+	for v := OK + 1; v <= Moot; v++ {
+		b, h := newBalancer(t, testSettings(), ready(8)...)
+		b.Request(sec, Request{ID: 1, Class: 4, Left: 3 * sec})
+		b.Outcome(sec+ms, Outcome{ID: 1, Server: h.sends[0], Verdict: v, Latency: ms})
+		want := "fail 1"
+		if v.NeverRan() {
+			want = "send 1"
+		}
+		if !strings.HasPrefix(h.last(), want) {
+			t.Errorf("verdict %d: %v, want %s", v, h.acts, want)
+		}
+	}
+}
+
+// Rule 1: a time-out at the deadline is answered, once, and nothing is sent after the end.
+func TestOneFinalAnswer(t *testing.T) {
+	for class := range testSettings().Classes {
+		b, h := newBalancer(t, testSettings(), ready(8)...)
+		b.Request(sec, Request{ID: 1, Class: class, Left: sec})
+		b.Outcome(2*sec, Outcome{ID: 1, Server: h.sends[0], Verdict: Timeout, Latency: sec})
+		b.Outcome(2*sec, Outcome{ID: 1, Server: h.sends[0], Verdict: Timeout, Latency: sec})
+		b.Timer(3*sec, 1)
+		b.Gone(3*sec, 1)
+		if n := h.count("fail") + h.count("refuse"); n != 1 || h.count("send") != 1 || len(b.requests) != 0 {
+			t.Errorf("class %d: %v, %d held", class, h.acts, len(b.requests))
+		}
+	}
+}
+
+// A silent server's request gets a second copy where it may; without leave for two at once, a cancel comes first.
+func TestSecondCopy(t *testing.T) {
+	for _, duplicate := range []bool{true, false} {
+		cfg := testSettings()
+		cfg.MayDuplicate = duplicate
+		b, h := newBalancer(t, cfg, ready(8)...)
+		b.Request(sec, Request{ID: 1, Class: 1, Left: 3 * sec})
+		b.Timer(h.timers[1], 1)
+		if !duplicate {
+			if h.last() != "cancel 1 0" {
+				t.Fatalf("acts %v", h.acts)
+			}
+			b.Outcome(h.timers[1]+ms, Outcome{ID: 1, Server: h.sends[0], Verdict: Cancelled, Latency: sec})
+		}
+		if len(h.sends) != 2 || h.sends[0] == h.sends[1] {
+			t.Fatalf("duplicate %t: acts %v", duplicate, h.acts)
+		}
+	}
+}
+
+// Rule 3: nothing new to servers that drain or are gone, by delta or by a list that lacks them.
+func TestDrain(t *testing.T) {
+	list := ready(3)
+	b, h := newBalancer(t, testSettings(), list...)
+	list[0].State = Draining
+	b.Members(sec, Delta, list[:1])
+	list[1].State = Ready
+	b.Members(sec, Full, []Server{list[0], list[1]})
+	for id := RequestID(1); id < 50; id++ {
+		b.Request(sec, Request{ID: id, Class: 0, Left: 3 * sec})
+	}
+	for _, s := range h.sends {
+		if s != list[1].ID {
+			t.Fatalf("sent to server %d, which drains or is gone", s)
+		}
+	}
+}
+
+// An empty or fully draining pool: an immediate answer for each class.
+func TestNoServers(t *testing.T) {
+	drained := Server{ID: 1, State: Draining}
+	for _, list := range [][]Server{nil, {drained}} {
+		b, h := newBalancer(t, testSettings(), list...)
+		for class := range b.cfg.Classes {
+			b.Request(sec, Request{ID: RequestID(class), Class: class, Left: sec})
+		}
+		if h.count("refuse") != len(b.cfg.Classes) {
+			t.Errorf("acts %v", h.acts)
+		}
+	}
+}
+
+// Rule 4: with many balancers and one cold server, what all send it in any window stays within the multiple of
+// what it can do, taking warm servers to be fully loaded.
+func TestColdBudget(t *testing.T) {
+	const balancers, servers, perSecond = 20, 10, 10.0
+	cfg := testSettings()
+	cfg.Balancers = balancers
+	list := ready(servers)
+	list[0].StartedAt = sec
+	var at []time.Duration
+	for i := range balancers {
+		cfg.Me = i
+		h := &recorder{}
+		b, err := New(cfg, uint64(i), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Members(sec, Full, list)
+		rng := rand.New(rand.NewPCG(uint64(i), 9))
+		id := RequestID(0)
+		for now := sec; now < 12*sec; now += time.Duration(rng.ExpFloat64() / perSecond * float64(sec)) {
+			id++
+			b.Request(now, Request{ID: id, Class: 0, Left: 3 * sec})
+			if n := len(h.sends); n > 0 && h.last() == fmt.Sprintf("send %d %d", id, list[0].ID) {
+				at = append(at, now)
+			}
+			if n := len(h.sends); n > 0 {
+				b.Outcome(now, Outcome{ID: id, Server: h.sends[n-1], Latency: 50 * ms, Final: true})
+			}
+		}
+	}
+	full := balancers * perSecond / servers // a warm server's calls a second
+	for from := sec; from < 10*sec; from += 100 * ms {
+		n := 0
+		for _, a := range at {
+			if a >= from && a < from+cfg.FallWindow {
+				n++
+			}
+		}
+		c := cfg.StartCapacity + (1-cfg.StartCapacity)*(from-sec).Seconds()/cfg.WarmUp.Seconds()
+		if limit := cfg.FallMultiple * c * full * cfg.FallWindow.Seconds(); float64(n) > limit {
+			t.Fatalf("%d calls within the window at %v, budget %.1f", n, from, limit)
+		}
+	}
+	if len(at) == 0 {
+		t.Fatal("the cold server never got a call")
+	}
+}
+
+// A silent server leaves the pool, takes one trial of a request that may be repeated, and comes back on its answer.
+func TestSilentServer(t *testing.T) {
+	b, h := newBalancer(t, testSettings(), ready(6)...)
+	b.Request(sec, Request{ID: 1, Class: 4, Left: 30 * sec})
+	s := b.servers[h.sends[0]]
+	b.checkHealth(sec + 10*sec)
+	if !s.out || b.stuck != 1 {
+		t.Fatalf("out %t, stuck %d", s.out, b.stuck)
+	}
+	b.Outcome(12*sec, Outcome{ID: 1, Server: s.ID, Verdict: Timeout, Latency: 11 * sec})
+	safe, unsafe := &request{class: &b.cfg.Classes[0]}, &request{class: &b.cfg.Classes[4]}
+	if b.takesTrial(s.outUntil-1, safe, s) || b.takesTrial(s.outUntil, unsafe, s) || !b.takesTrial(s.outUntil, safe, s) {
+		t.Fatal("trial not as due")
+	}
+	b.learn(20*sec, s, Outcome{Verdict: OK, Latency: ms})
+	if s.out {
+		t.Fatal("still out after an answer")
+	}
+}
+
+// Most of a fleet out at once is no matter of outliers: calls still go to it.
+func TestFleetOut(t *testing.T) {
+	b, h := newBalancer(t, testSettings(), ready(6)...)
+	for _, s := range b.use {
+		b.eject(sec, s, "silent")
+	}
+	b.outs = len(b.use)
+	b.Request(sec, Request{ID: 1, Class: 4, Left: 3 * sec})
+	if h.count("send 1") != 1 {
+		t.Fatalf("acts %v", h.acts)
+	}
+}
+
+// Asked discovery: one watch in time, again after a failure and never in step; pushed: none.
+func TestDiscovery(t *testing.T) {
+	cfg := testSettings()
+	b, h := newBalancer(t, cfg, ready(2)...)
+	if len(h.timers) != 0 {
+		t.Fatal("asked although pushed")
+	}
+	cfg.Pull = true
+	b, h = newBalancer(t, cfg, ready(2)...)
+	at, ok := h.timers[discoveryToken]
+	if !ok || at-sec > cfg.MustAskIn {
+		t.Fatalf("first watch at %v", at)
+	}
+	for range 8 {
+		b.Timer(at, discoveryToken)
+		b.Members(at, Failed, nil)
+		next := h.timers[discoveryToken]
+		if next <= at || next-at > cfg.MustAskIn {
+			t.Fatalf("watch again %v after a failure", next-at)
+		}
+		at = next
+	}
+	asked := h.count("watch")
+	b.Members(at, Delta, ready(2))
+	if asked != 8 || h.timers[discoveryToken] != at {
+		t.Fatal("asked again while subscribed")
+	}
+	if len(b.all) != 2 {
+		t.Fatalf("%d servers after a failed call, want the list kept", len(b.all))
+	}
+}
+
+// Misuse and bad information are passed over.
+func TestOddEvents(t *testing.T) {
+	b, h := newBalancer(t, testSettings(), ready(2)...)
+	b.Outcome(sec, Outcome{ID: 99})
+	b.Timer(sec, 99)
+	b.Gone(sec, 99)
+	b.Started(sec, 99)
+	b.Request(sec, Request{ID: 1, Class: 77, Left: sec})
+	b.Request(sec, Request{ID: 2, Class: 0, Left: sec, Tenant: 1 << 30})
+	b.Request(sec, Request{ID: 2, Class: 0, Left: sec})
+	b.Outcome(sec, Outcome{ID: 2, Attempt: 9})
+	b.Members(sec, Delta, []Server{{ID: 50, State: Gone}})
+	b.Outcome(sec, Outcome{ID: 2, Server: h.sends[0], Latency: ms, Final: true, Load: []float32{1, 2, 3}})
+	if len(h.acts) != 1 || b.inFlight != 0 {
+		t.Fatalf("acts %v, %d in flight", h.acts, b.inFlight)
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for want, spoil := range map[string]func(*Settings){
+		"Classes: none":   func(s *Settings) { s.Classes = nil },
+		"Classes[0]":      func(s *Settings) { s.Classes[0].Aim = 0 },
+		"Balancers":       func(s *Settings) { s.Balancers = 0 },
+		"MaxAttempts":     func(s *Settings) { s.MaxAttempts = 0 },
+		"FallMultiple":    func(s *Settings) { s.FallMultiple = -1 },
+		"WarmUp":          func(s *Settings) { s.WarmUp = -1 },
+		"QuotaPerSecond":  func(s *Settings) { s.Tenants = []Tenant{{-1}} },
+		"must not be neg": func(s *Settings) { s.Me = -1 },
+	} {
+		cfg := testSettings()
+		spoil(&cfg)
+		if _, err := New(cfg, 1, &recorder{}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v, want one that names %s", err, want)
+		}
+	}
+}
+
+// The same seed and events give the same actions.
+func TestDeterminism(t *testing.T) {
+	play := func() string {
+		b, h := newBalancer(t, testSettings(), ready(40)...)
+		for i := range 3000 {
+			now := sec + time.Duration(i)*ms
+			b.Request(now, Request{ID: RequestID(i), Class: i % 5, Left: sec})
+			if i%3 > 0 && i > 50 {
+				b.Outcome(now, Outcome{ID: RequestID(i - 50), Server: 1, Verdict: Verdict(i % 8), Latency: 50 * ms,
+					Load: []float32{float32(i%100) / 100}})
+			}
+		}
+		return strings.Join(h.acts, "\n")
+	}
+	if first := play(); first != play() || len(first) < 10000 {
+		t.Fatal("two runs differ or did nothing")
+	}
+}
+
+// The module's size: two engineers read every change within an hour.
+func TestModuleLimits(t *testing.T) {
+	text, err := os.ReadFile("decide.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if n := len([]rune(strings.ReplaceAll(line, "\t", "    "))); n > 110 {
+			t.Errorf("decide.go:%d: %d columns", i+1, n)
+		}
+	}
+	if lines > 850 {
+		t.Errorf("%d lines that are not blank, 850 at most", lines)
+	}
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil || !strings.Contains(string(deploy), `policy = ["decide/decide.go"]`) {
+		t.Errorf("deploy file names another policy: %v", err)
+	}
+}
+
+// Guards against the black hole: a server that errs at once would look the fastest of all. Errors that all servers
+// give come from deeper in the chain and put nobody out.
+func TestQuickErrors(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		b, _ := newBalancer(t, testSettings(), ready(6)...)
+		for range 5 {
+			for _, s := range b.use {
+				v := OK
+				if all || s == b.use[0] {
+					v = Error
+				}
+				b.learn(2*sec, s, Outcome{Verdict: v, Latency: 50 * ms})
+			}
+		}
+		if bad := b.use[0]; bad.out == all || !all && b.score(2*sec, bad) <= b.score(2*sec, b.use[1]) {
+			t.Errorf("all err %t: out %t", all, bad.out)
+		}
+		if b.use[1].out {
+			t.Errorf("all err %t: a server was put out for no fault of its own", all)
+		}
+	}
+}
+
+// Guards against an uneven front: traffic of a tenant within its part of the whole is not low worth at a balancer
+// that gets more than an even slice, and marked retries use up nobody's share.
+func TestSharesFollowTheSlice(t *testing.T) {
+	cfg := testSettings()
+	cfg.Balancers, cfg.MarksRetries = 10, true
+	cfg.Tenants = []Tenant{{QuotaPerSecond: 100}, {QuotaPerSecond: 100}}
+	b, _ := newBalancer(t, cfg, ready(8)...)
+	low := [2]int{}
+	for i := range 5000 { // 50 a second where an even slice is 20; the first tenant asks for four times the second
+		now := 2*sec + time.Duration(i)*20*ms
+		tenant := 0
+		if i%5 == 0 {
+			tenant = 1
+		}
+		b.Request(now, Request{ID: RequestID(i), Class: 4, Tenant: tenant, Left: 3 * sec})
+		if i > 1000 && b.level(Request{Tenant: tenant, Class: 4}) == lowWorth {
+			low[tenant]++
+		}
+		before := b.tenants[tenant].tokens
+		if b.level(Request{Tenant: tenant, Class: 4, Retry: true}) != lowWorth || b.tenants[tenant].tokens != before {
+			t.Fatal("a marked retry is not low worth, or uses up a share")
+		}
+	}
+	if low[0] < 1000 || low[1] > 0 {
+		t.Fatalf("counted as over its share: %v", low)
+	}
+}
+
+// Guards worth order where T1 alone holds an overload back: a call refused while lower worth is let in moves the
+// cursor, also with load under its target.
+func TestRefusedOutOfTurn(t *testing.T) {
+	b, _ := newBalancer(t, testSettings(), ready(4)...)
+	b.advance(9 * sec)
+	b.inFlight = 1000
+	b.Request(9*sec, Request{ID: 1, Class: 4, Left: 3 * sec})
+	b.advance(b.nextStep)
+	if b.cursor != 1 {
+		t.Fatalf("cursor %d, want 1", b.cursor)
+	}
+	b.advance(b.nextStep)
+	if b.cursor != 0 {
+		t.Fatalf("cursor %d, want home", b.cursor)
+	}
+}
--- /dev/null
+++ b/decide/rules_test.go
@@ -0,0 +1,261 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// world drives a Balancer through a long legal sequence of events and checks the four rules at every action.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	cfg     Settings
+	b       *Balancer
+	now     time.Duration
+	reqs    map[RequestID]*tracked
+	open    []RequestID // not yet forgotten, in order of arrival
+	timers  []timer
+	state   map[ServerID]Server
+	sends   map[ServerID][]time.Duration // to servers that are cold
+	actions int
+	tardy   bool // timers ring late and some servers hang
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+type tracked struct {
+	class    Class
+	deadline time.Duration
+	finals   int
+	tries    []try
+	gone     bool
+}
+
+type try struct {
+	server   Server
+	at       time.Duration
+	ended    bool
+	neverRan bool
+}
+
+func (w *world) check(ok bool, rule string, id RequestID) {
+	w.t.Helper()
+	w.actions++
+	if !ok {
+		w.t.Fatalf("at %v, request %d: %s", w.now, id, rule)
+	}
+}
+
+func (w *world) Send(id RequestID, to ServerID) {
+	r, s := w.reqs[id], w.state[to]
+	w.check(r.finals == 0 && !r.gone && w.now < r.deadline, "rule 1: sent after its end", id)
+	w.check(len(r.tries) < w.cfg.MaxAttempts, "rule 1: too many attempts", id)
+	w.check(s.State == Ready, "rule 3: sent to a server that drains or is gone", id)
+	for _, a := range r.tries {
+		w.check(a.ended || w.cfg.MayDuplicate, "rule 2: a second copy where none is allowed", id)
+		w.check(a.neverRan || w.mayRepeat(r, a, s), "rule 2: may have an effect twice", id)
+	}
+	r.tries = append(r.tries, try{server: s, at: w.now})
+	w.cold(id, s)
+}
+
+func (w *world) mayRepeat(r *tracked, a try, s Server) bool {
+	same := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && a.server.Zone == s.Zone ||
+		r.class.Scope == ScopeCell && a.server.Cell == s.Cell
+	return r.class.Effect == Safe || r.class.Effect == Keyed && same && w.now-a.at < r.class.Window
+}
+
+// cold holds the sends of any window to a cold server against what it could do, were it as large as the even share
+// of the most that arrives.
+func (w *world) cold(id RequestID, s Server) {
+	c := w.b.capacity(w.now, w.b.servers[s.ID])
+	if c >= 1 {
+		return
+	}
+	recent := append(w.sends[s.ID], w.now)
+	for recent[0] <= w.now-w.cfg.FallWindow {
+		recent = recent[1:]
+	}
+	w.sends[s.ID] = recent
+	even := 1.5 * arrivals * w.cfg.FallWindow.Seconds() / float64(len(w.b.use))
+	w.check(float64(len(recent)) <= 2+w.cfg.FallMultiple*c*even, "rule 4: a cold server pushed over", id)
+}
+
+func (w *world) final(id RequestID, refusal bool) {
+	r := w.reqs[id]
+	w.check(r.finals == 0 && !r.gone, "rule 1: a second final answer", id)
+	r.finals++
+	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll
+	for _, a := range r.tries {
+		w.check(!refusal || harmless || a.neverRan, "rule 2: refused where a retry may do harm", id)
+	}
+}
+
+func (w *world) Refuse(id RequestID, _ time.Duration) { w.final(id, true) }
+func (w *world) Fail(id RequestID)                    { w.final(id, false) }
+func (w *world) Watch()                               {}
+func (w *world) CloseIdle(ServerID)                   {}
+func (w *world) Log(string)                           {}
+func (w *world) Cancel(id RequestID, n int) {
+	w.check(w.cfg.MayCancel && !w.reqs[id].tries[n].ended, "cancelled what is not out", id)
+}
+func (w *world) SetTimer(at time.Duration, token uint64) {
+	w.timers = append(w.timers, timer{at, token})
+}
+
+const arrivals = 100.0 // a second
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 2)), now: sec, reqs: map[RequestID]*tracked{},
+		state: map[ServerID]Server{}, sends: map[ServerID][]time.Duration{}}
+	w.cfg = testSettings()
+	w.cfg.MaxAttempts = 1 + int(seed)%3
+	w.cfg.MayDuplicate, w.cfg.MayCancel, w.cfg.Pull = seed%2 == 0, seed%3 > 0, seed%4 < 2
+	w.cfg.Tier, w.cfg.Balancers = int(seed)%2, 1+int(seed)%5
+	w.tardy = seed%6 > 2
+	w.cfg.MarksRetries, w.cfg.RetryAfter = seed%2 == 1, true
+	w.cfg.Tenants = []Tenant{{QuotaPerSecond: 20}, {}}
+	b, err := New(w.cfg, seed, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.b = b
+	w.list(Cached, 12)
+	return w
+}
+
+// list tells of changes: servers that start, drain, restart and go.
+func (w *world) list(kind ListKind, changes int) {
+	var entries []Server
+	for range changes {
+		id := ServerID(1 + w.rng.IntN(15))
+		e := Server{ID: id, Zone: int(id) % 2, Cell: int(id) % 4, State: Ready}
+		switch w.rng.IntN(6) {
+		case 0:
+			e.State = Draining
+		case 1:
+			e.State = Gone
+		case 2:
+			e.StartedAt = w.now
+		}
+		entries = append(entries, e)
+	}
+	if kind == Full || kind == Cached {
+		clear(w.state)
+	}
+	for _, e := range entries {
+		if e.StartedAt != w.state[e.ID].StartedAt {
+			delete(w.sends, e.ID) // a new process: the old one's calls weigh on nobody
+		}
+		w.state[e.ID] = e
+	}
+	w.b.Members(w.now, kind, entries)
+}
+
+func (w *world) arrive(id RequestID) {
+	class := w.rng.IntN(len(w.cfg.Classes))
+	left := w.cfg.Classes[class].Deadline * time.Duration(1+w.rng.IntN(10)) / 10
+	w.reqs[id] = &tracked{class: w.cfg.Classes[class], deadline: w.now + left}
+	w.open = append(w.open, id)
+	w.b.Request(w.now, Request{ID: id, Class: class, Tenant: w.rng.IntN(3) - 1, Left: left, Retry: w.rng.IntN(5) == 0})
+}
+
+// end ends an attempt, by the clock or by chance.
+func (w *world) end(id RequestID, n int, v Verdict) {
+	r := w.reqs[id]
+	a := &r.tries[n]
+	a.ended, a.neverRan = true, v.NeverRan()
+	final := v == OK && r.finals == 0 && !r.gone
+	if final {
+		r.finals++
+	}
+	o := Outcome{ID: id, Attempt: n, Server: a.server.ID, Verdict: v, Latency: w.now - a.at, Final: final}
+	if w.rng.IntN(2) == 0 {
+		o.Load = []float32{w.rng.Float32() * 1.2}
+	}
+	w.b.Outcome(w.now, o)
+}
+
+// round gives each attempt that is out a chance to end and forgets requests with nothing out.
+func (w *world) round() {
+	verdicts := []Verdict{OK, OK, OK, OK, Error, ServerFull, ConnectFailed, Reset, Cancelled}
+	keep := w.open[:0:0]
+	for _, id := range w.open {
+		r := w.reqs[id]
+		for n := 0; n < len(r.tries); n++ {
+			hung := w.tardy && r.tries[n].server.ID%4 == 0
+			switch {
+			case r.tries[n].ended:
+			case w.now >= r.deadline:
+				w.end(id, n, Timeout)
+			case hung && w.rng.IntN(200) == 0:
+				w.end(id, n, Reset)
+			case !hung && w.rng.IntN(12) == 0:
+				w.end(id, n, verdicts[w.rng.IntN(len(verdicts))])
+			}
+		}
+		out := false
+		for _, a := range r.tries {
+			out = out || !a.ended
+		}
+		if out {
+			keep = append(keep, id)
+			continue
+		}
+		w.check(r.finals == 1 || r.gone, "rule 1: nothing out and no final answer", id)
+	}
+	w.open = keep
+}
+
+func (w *world) ring() {
+	due := w.timers
+	w.timers = nil
+	for _, at := range due {
+		if at.at > w.now || w.rng.IntN(200) > 0 && w.tardy {
+			w.timers = append(w.timers, at)
+			continue
+		}
+		w.b.Timer(w.now, at.token)
+	}
+}
+
+func (w *world) leave() {
+	if len(w.open) == 0 {
+		return
+	}
+	id := w.open[w.rng.IntN(len(w.open))]
+	if r := w.reqs[id]; r.finals == 0 && !r.gone {
+		r.gone = true
+		w.b.Gone(w.now, id)
+	}
+}
+
+// The four rules hold through long random sequences of legal events under varied settings.
+func TestRules(t *testing.T) {
+	for seed := range uint64(24) {
+		w := newWorld(t, seed)
+		for i := range 6000 {
+			w.now += time.Duration(w.rng.Float64() * 2 / arrivals * float64(time.Second))
+			switch w.rng.IntN(60) {
+			case 0:
+				w.list(Delta, 1+w.rng.IntN(3))
+			case 1:
+				w.leave()
+			case 2:
+				w.list([]ListKind{Full, Cached}[w.rng.IntN(2)], 8*w.rng.IntN(2))
+			case 3:
+				w.b.Members(w.now, Failed, nil)
+			}
+			w.arrive(RequestID(i + 1))
+			w.round()
+			w.ring()
+		}
+		if w.actions < 6000 {
+			t.Fatalf("seed %d: only %d checks", seed, w.actions)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,158 @@
+// Package config reads the file named by LB_CONFIG into typed settings.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"maplepulley/decide"
+	"maplepulley/wire"
+)
+
+// Limits are what the process may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // address callers connect to
+	Discovery string // address of discovery
+	Seed      uint64
+	Limits    Limits
+	Known     json.RawMessage // the last list of endpoints, in discovery's form; nil if none
+
+	Decide      decide.Settings
+	Classes     []string // names, in the order of Decide.Classes
+	Tenants     []string // names, in the order of Decide.Tenants
+	Zones       []string
+	Report      []string // fields of a load report, in the order of Decide.Report
+	DialTimeout time.Duration
+}
+
+// Longest returns the longest deadline of a class.
+func (c *Config) Longest() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Decide.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// names are the settings that only a real sidecar needs: a decision knows positions, sockets know names.
+type names struct {
+	Classes []struct {
+		Name string `json:"name"`
+	} `json:"classes"`
+	Customers []struct {
+		Name string `json:"name"`
+	} `json:"customers"`
+	Zones     []string `json:"zones"`
+	Telemetry struct {
+		Fields []string `json:"fields"`
+	} `json:"telemetry"`
+	Limits struct {
+		DialTimeout float64 `json:"dial_timeout"`
+	} `json:"limits"`
+}
+
+// Load reads the configuration; an error names the file and the key at fault. Unknown keys are ignored.
+func Load(path string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("config: LB_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c, err := parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("config %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(text []byte) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	for _, a := range []struct{ key, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %q is not an address and port", a.key, a.value)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %q is not a hexadecimal number", f.Seed)
+	}
+	switch l := f.Limits; {
+	case !(l.Cores > 0):
+		return nil, errors.New("limits.cores: must be over 0")
+	case l.MemoryMB < 32:
+		return nil, errors.New("limits.memory_mb: must be at least 32")
+	case l.Sockets < 64:
+		return nil, errors.New("limits.sockets: must be at least 64")
+	case len(f.Settings) == 0:
+		return nil, errors.New("settings: missing")
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Limits: f.Limits, Known: f.Known}
+	if err := c.settings(f.Settings); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Config) settings(text []byte) error {
+	var err error
+	if c.Decide, err = wire.ParseSettings(text); err != nil {
+		return err
+	}
+	if _, err = decide.New(c.Decide, 0, nil); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	var n names
+	if err := json.Unmarshal(text, &n); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	for i, class := range n.Classes {
+		if class.Name == "" || slices.Contains(c.Classes, class.Name) {
+			return fmt.Errorf("settings: classes[%d].name: %q is empty or stands twice", i, class.Name)
+		}
+		c.Classes = append(c.Classes, class.Name)
+	}
+	for _, tenant := range n.Customers {
+		c.Tenants = append(c.Tenants, tenant.Name)
+	}
+	if len(n.Zones) == 0 {
+		return errors.New("settings: zones: none")
+	}
+	c.Zones = n.Zones
+	if len(c.Decide.Report) > 0 {
+		c.Report = n.Telemetry.Fields
+	}
+	if !(n.Limits.DialTimeout > 0 && n.Limits.DialTimeout < 60) {
+		return errors.New("settings: limits.dial_timeout: must be over 0 s and under 60 s")
+	}
+	c.DialTimeout = time.Duration(n.Limits.DialTimeout * float64(time.Second))
+	return nil
+}
--- /dev/null
+++ b/internal/frontend/conns.go
@@ -0,0 +1,133 @@
+package frontend
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// headGrace is how long a connection that has brought no request yet is left alone where room is short.
+const headGrace = 500 * time.Millisecond
+
+// callerConn is a caller's connection.
+type callerConn struct {
+	net.Conn
+	conns *callerConns
+	state http.ConnState
+	since time.Time
+	shed  bool
+}
+
+// callerConns bounds the connections of callers. When all are taken, the one that has stood idle longest is closed
+// in favour of a new one.
+type callerConns struct {
+	net.Listener
+	room chan struct{} // one for each connection
+
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+func newCallerConns(l net.Listener, limit int) *callerConns {
+	return &callerConns{Listener: l, room: make(chan struct{}, limit), open: map[*callerConn]struct{}{}}
+}
+
+// Accept waits for room before it takes a connection, so that the descriptors are never used up.
+func (l *callerConns) Accept() (net.Conn, error) {
+	for full := true; full; {
+		select {
+		case l.room <- struct{}{}:
+			full = false
+		default:
+			if !l.closeIdle(1) {
+				time.Sleep(5 * time.Millisecond) // all are at work
+			}
+		}
+	}
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		<-l.room
+		return nil, err
+	}
+	c := &callerConn{Conn: nc, conns: l, state: http.StateNew, since: time.Now()}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+func (c *callerConn) Close() error {
+	c.conns.mu.Lock()
+	_, open := c.conns.open[c]
+	delete(c.conns.open, c)
+	c.conns.mu.Unlock()
+	err := c.Conn.Close()
+	if open {
+		<-c.conns.room
+	}
+	return err
+}
+
+// changed is the server's ConnState hook.
+func changed(nc net.Conn, state http.ConnState) {
+	if c, ok := nc.(*callerConn); ok {
+		c.conns.mu.Lock()
+		c.state, c.since = state, time.Now()
+		c.conns.mu.Unlock()
+	}
+}
+
+// claim marks the connection as at work. It returns false where the connection was closed as idle just before its
+// request was read: the caller sends that request again elsewhere, so that it must not be sent on from here.
+func (c *callerConn) claim() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.state = http.StateActive
+	return !c.shed
+}
+
+// closeIdle closes the n connections that have stood idle longest, then those that have brought no request for some
+// time. It returns false if there are none.
+func (l *callerConns) closeIdle(n int) bool {
+	any := false
+	for range n {
+		c := l.oldest()
+		if c == nil {
+			break
+		}
+		c.Close()
+		any = true
+	}
+	return any
+}
+
+func (l *callerConns) oldest() *callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var idle, silent *callerConn
+	for c := range l.open {
+		switch {
+		case c.shed:
+		case c.state == http.StateIdle && (idle == nil || c.since.Before(idle.since)):
+			idle = c
+		case c.state == http.StateNew && time.Since(c.since) > headGrace &&
+			(silent == nil || c.since.Before(silent.since)):
+			silent = c
+		}
+	}
+	if idle == nil {
+		idle = silent
+	}
+	if idle != nil {
+		idle.shed = true
+	}
+	return idle
+}
+
+// count returns the number of open connections.
+func (l *callerConns) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,314 @@
+// Package host runs a decide.Balancer on real sockets and a real clock. It translates between the two and decides
+// nothing: callers' requests, attempts' ends, lists and timers become events, one at a time, and the balancer's
+// actions become attempts and answers.
+package host
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"maplepulley/decide"
+	"maplepulley/internal/config"
+	"maplepulley/internal/upstream"
+)
+
+// Host owns the balancer. All its methods may be called from any goroutine.
+type Host struct {
+	log    *slog.Logger
+	client *upstream.Client
+	clock  clock
+	zones  []string
+	report []string
+	watch  func() // asks discovery for changes
+
+	mu        sync.Mutex
+	balancer  *decide.Balancer
+	raised    []func(now time.Duration) // events that actions have raised; they follow the one in hand
+	lastID    decide.RequestID
+	calls     map[decide.RequestID]*Call
+	endpoints map[decide.ServerID]*endpoint
+	ending    time.Time // when all that is held must have its answer; zero: not ending
+}
+
+// New returns a host with no endpoints. Watch is called where the decisions ask discovery for changes; it must not
+// block.
+func New(c *config.Config, client *upstream.Client, watch func(), log *slog.Logger) (*Host, error) {
+	h := &Host{log: log, client: client, clock: clock{time.Now()}, zones: c.Zones, report: c.Report, watch: watch,
+		calls: map[decide.RequestID]*Call{}, endpoints: map[decide.ServerID]*endpoint{}}
+	var err error
+	h.balancer, err = decide.New(c.Decide, c.Seed, actions{h})
+	return h, err
+}
+
+// event runs f, and after it the events that its actions raise. No I/O is done under the lock.
+func (h *Host) event(f func(now time.Duration)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f(h.clock.now())
+	for len(h.raised) > 0 {
+		next := h.raised[0]
+		h.raised = h.raised[1:]
+		next(h.clock.now())
+	}
+	h.raised = nil
+}
+
+// Call is one caller's request, from its last byte to its final answer and the end of its last attempt.
+type Call struct {
+	id       decide.RequestID
+	request  upstream.Request
+	answer   chan Answer
+	done     bool // answered, or its caller has gone
+	attempts []*attempt
+	deadline *time.Timer
+	patience *time.Timer // set by the decisions
+}
+
+// Answer is the one final answer to a call: Reply if it was served.
+type Answer struct {
+	Reply      *upstream.Answer
+	Refused    bool
+	RetryAfter time.Duration
+	ended      func(decide.Verdict) // of a long answer
+}
+
+// Ended must be called when a long answer has been passed on, or can't be.
+func (a Answer) Ended(whole bool) {
+	a.Reply.Close()
+	if whole {
+		a.ended(decide.OK)
+	} else {
+		a.ended(decide.Reset)
+	}
+}
+
+type attempt struct {
+	number    int
+	server    *endpoint
+	sent      time.Duration
+	cancel    context.CancelFunc
+	wrote     bool // its first byte may be out
+	streaming bool
+	ended     bool
+}
+
+// Begin hands a request to the decisions. Left counts from the request's last byte.
+func (h *Host) Begin(r upstream.Request, q decide.Request) *Call {
+	c := &Call{request: r, answer: make(chan Answer, 1)}
+	h.event(func(now time.Duration) {
+		h.lastID++
+		c.id, q.ID = h.lastID, h.lastID
+		if !h.ending.IsZero() {
+			q.Left = min(q.Left, max(time.Until(h.ending), 0))
+		}
+		c.request.Deadline = time.Now().Add(q.Left)
+		h.calls[c.id] = c
+		c.deadline = time.AfterFunc(q.Left, func() { h.expire(c) })
+		h.balancer.Request(now, q)
+		h.forget(c)
+	})
+	return c
+}
+
+// Answer returns the channel on which the final answer comes.
+func (c *Call) Answer() <-chan Answer { return c.answer }
+
+// Gone tells that the caller has left. An answer that was on its way is on the channel.
+func (h *Host) Gone(c *Call) {
+	h.event(func(now time.Duration) {
+		if c.done {
+			return
+		}
+		c.done = true
+		h.balancer.Gone(now, c.id)
+		h.forget(c)
+	})
+}
+
+// End sets the time at which all that is held, and all that still comes, must have its answer.
+func (h *Host) End(at time.Time) {
+	h.event(func(time.Duration) {
+		h.ending = at
+		for _, c := range h.calls {
+			if c.request.Deadline.After(at) {
+				c.deadline.Reset(time.Until(at))
+			}
+		}
+	})
+}
+
+// Held returns the number of calls that wait for their answer or an attempt's end.
+func (h *Host) Held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.calls)
+}
+
+// expire ends the attempts of a call whose time is over.
+func (h *Host) expire(c *Call) {
+	h.event(func(now time.Duration) {
+		for _, a := range c.attempts {
+			if !a.streaming {
+				h.abandon(now, c, a, decide.Timeout)
+			}
+		}
+	})
+}
+
+// abandon ends an attempt before its answer. One whose first byte is not out never will run.
+func (h *Host) abandon(now time.Duration, c *Call, a *attempt, v decide.Verdict) {
+	if a.ended {
+		return
+	}
+	if !a.wrote {
+		v = decide.Moot
+	}
+	a.cancel()
+	h.outcome(now, c, a, v, nil)
+}
+
+// outcome ends an attempt for the decisions. The first served answer goes to the caller.
+func (h *Host) outcome(now time.Duration, c *Call, a *attempt, v decide.Verdict, reply *upstream.Answer) {
+	a.ended = true
+	o := decide.Outcome{ID: c.id, Attempt: a.number, Server: a.server.ID, Verdict: v, Latency: now - a.sent, Final: c.done}
+	if reply != nil {
+		o.Load = parseLoad(reply.Header.Get("X-Server-Load"), h.report)
+	}
+	if v == decide.OK && !c.done {
+		o.Final = true
+		h.finish(c, Answer{Reply: reply})
+	}
+	h.balancer.Outcome(now, o)
+	h.forget(c)
+}
+
+// finish gives the caller its answer. The first one counts.
+func (h *Host) finish(c *Call, a Answer) {
+	if !c.done {
+		c.done = true
+		c.answer <- a
+	}
+}
+
+// forget drops a call that has its answer and no attempt out.
+func (h *Host) forget(c *Call) {
+	if !c.done {
+		return
+	}
+	for _, a := range c.attempts {
+		if !a.ended {
+			return
+		}
+	}
+	c.deadline.Stop()
+	if c.patience != nil {
+		c.patience.Stop()
+	}
+	delete(h.calls, c.id)
+}
+
+// run carries an attempt out.
+func (h *Host) run(ctx context.Context, c *Call, a *attempt, pool *upstream.Pool) {
+	verdict, reply := pool.Do(ctx, &c.request, func() bool { return h.claim(a) })
+	a.cancel()
+	h.event(func(now time.Duration) {
+		switch {
+		case a.ended:
+		case reply != nil && reply.Long && verdict == decide.OK && !c.done:
+			a.streaming = true
+			h.balancer.Started(now, c.id)
+			latency := now - a.sent
+			h.finish(c, Answer{Reply: reply, ended: func(v decide.Verdict) { h.streamed(c, a, v, latency) }})
+			reply = nil
+		default:
+			h.outcome(now, c, a, verdict, reply)
+		}
+	})
+	if reply != nil {
+		reply.Close()
+	}
+}
+
+// streamed ends the attempt behind a long answer. Its latency is that of the answer's beginning: what follows goes
+// at the caller's pace.
+func (h *Host) streamed(c *Call, a *attempt, v decide.Verdict, latency time.Duration) {
+	h.event(func(now time.Duration) {
+		a.sent = now - latency
+		h.outcome(now, c, a, v, nil)
+	})
+}
+
+// claim is asked just before an attempt's first byte. It may no longer go out: while the connection was made the
+// attempt can have been given up, or its endpoint told to be draining or gone.
+func (h *Host) claim(a *attempt) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.wrote = !a.ended && a.server.State == decide.Ready
+	return a.wrote
+}
+
+// actions is the balancer's view of the host. It is called within event, with the lock held.
+type actions struct{ *Host }
+
+func (h actions) Send(id decide.RequestID, s decide.ServerID) {
+	c, e := h.calls[id], h.endpoints[s]
+	if c == nil {
+		return
+	}
+	a := &attempt{number: len(c.attempts), server: e, sent: h.clock.now(), cancel: func() {}}
+	c.attempts = append(c.attempts, a)
+	over := !h.ending.IsZero() && !time.Now().Before(h.ending)
+	if e == nil || c.done || over { // moot
+		if e == nil {
+			a.server = &endpoint{Server: decide.Server{ID: s}}
+		}
+		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, decide.Moot) })
+		return
+	}
+	var ctx context.Context
+	ctx, a.cancel = context.WithCancel(context.Background())
+	go h.run(ctx, c, a, e.pool)
+}
+
+func (h actions) Refuse(id decide.RequestID, retryAfter time.Duration) {
+	if c := h.calls[id]; c != nil {
+		h.finish(c, Answer{Refused: true, RetryAfter: retryAfter})
+	}
+}
+
+func (h actions) Fail(id decide.RequestID) {
+	if c := h.calls[id]; c != nil {
+		h.finish(c, Answer{})
+	}
+}
+
+func (h actions) Cancel(id decide.RequestID, n int) {
+	c := h.calls[id]
+	if c == nil || n < 0 || n >= len(c.attempts) || c.attempts[n].streaming {
+		return
+	}
+	h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, c.attempts[n], decide.Cancelled) })
+}
+
+func (h actions) CloseIdle(s decide.ServerID) {
+	if e := h.endpoints[s]; e != nil {
+		e.pool.CloseIdle()
+	}
+}
+
+func (h actions) Watch() { h.watch() }
+
+// SetTimer keeps a call's timer with the call, so that it goes with it; other tokens are the decisions' own, one
+// timer at a time.
+func (h actions) SetTimer(at time.Duration, token uint64) {
+	timer := time.AfterFunc(at-h.clock.now(), func() {
+		h.event(func(now time.Duration) { h.balancer.Timer(now, token) })
+	})
+	if c := h.calls[decide.RequestID(token)]; c != nil {
+		c.patience = timer
+	}
+}
+
+func (h actions) Log(line string) { h.log.Info(line) }
--- /dev/null
+++ b/internal/host/list.go
@@ -0,0 +1,115 @@
+package host
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"time"
+
+	"maplepulley/decide"
+	"maplepulley/internal/registry"
+	"maplepulley/internal/upstream"
+)
+
+// endpoint is an entry of discovery's list and the connections to it.
+type endpoint struct {
+	decide.Server
+	name, address string
+	pool          *upstream.Pool
+}
+
+var states = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+// Members takes a list from discovery. An entry that can't be used is passed over; the others count.
+func (h *Host) Members(kind decide.ListKind, entries []registry.Endpoint) {
+	h.event(func(now time.Duration) {
+		servers := make([]decide.Server, 0, len(entries))
+		named := make(map[decide.ServerID]bool, len(entries))
+		for _, e := range entries {
+			s, err := h.enlist(e)
+			if err != nil {
+				h.log.Warn("discovery: entry passed over", "error", err)
+				continue
+			}
+			servers = append(servers, s)
+			named[s.ID] = true
+		}
+		for id, e := range h.endpoints {
+			if e.State == decide.Gone || (kind == decide.Full || kind == decide.Cached) && !named[id] {
+				h.delist(e)
+			}
+		}
+		h.balancer.Members(now, kind, servers)
+	})
+}
+
+// enlist takes one entry into the table of endpoints.
+func (h *Host) enlist(e registry.Endpoint) (decide.Server, error) {
+	state, known := states[e.Status]
+	if !known || e.Name == "" {
+		return decide.Server{}, fmt.Errorf("endpoint %q: status %q", e.Name, e.Status)
+	}
+	s := decide.Server{ID: h.idOf(e.Name), State: state, Cell: e.Group, StartedAt: h.clock.at(e.SinceMS)}
+	old := h.endpoints[s.ID]
+	if state == decide.Gone { // of one that is gone nothing but the name is needed
+		if old != nil {
+			old.State = state
+		}
+		return s, nil
+	}
+	s.Zone = slices.Index(h.zones, e.Zone)
+	if _, err := netip.ParseAddrPort(e.Address); err != nil || s.Zone < 0 {
+		return s, fmt.Errorf("endpoint %q: address %q, zone %q", e.Name, e.Address, e.Zone)
+	}
+	switch {
+	case old == nil:
+		old = &endpoint{name: e.Name, address: e.Address, pool: h.client.Pool(e.Address)}
+		h.endpoints[s.ID] = old
+	case old.address != e.Address:
+		old.pool.Close()
+		old.address, old.pool = e.Address, h.client.Pool(e.Address)
+	case old.StartedAt != s.StartedAt || state == decide.Draining:
+		old.pool.CloseIdle() // to a process that has ended, or is about to
+	}
+	old.Server = s
+	return s, nil
+}
+
+func (h *Host) delist(e *endpoint) {
+	e.State = decide.Gone // attempts that still hold it must not write to it
+	e.pool.Close()
+	delete(h.endpoints, e.ID)
+}
+
+// idOf gives an endpoint's number: a hash of its name, so that it is the same at every sidecar (the decisions on
+// who uses which endpoints rest on that). Where two names meet, the later one takes the next free number.
+func (h *Host) idOf(name string) decide.ServerID {
+	sum := fnv.New32a()
+	sum.Write([]byte(name))
+	id := decide.ServerID(sum.Sum32())
+	for {
+		e := h.endpoints[id]
+		if e == nil || e.name == name {
+			return id
+		}
+		id++
+	}
+}
+
+// clock counts from a start far enough back that what started lately has a positive time: to the decisions zero
+// means long ago.
+type clock struct{ start time.Time }
+
+const origin = 24 * time.Hour
+
+func (c clock) now() time.Duration { return origin + time.Since(c.start) }
+
+// at converts a Unix time in milliseconds. It uses the clock's start alone: the same start of an endpoint gives the
+// same time whenever it is told, also where the wall clock is set meanwhile.
+func (c clock) at(ms int64) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	return max(origin+time.Duration(ms-c.start.UnixMilli())*time.Millisecond, 0)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,210 @@
+// Package registry follows discovery's list of endpoints.
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"maplepulley/decide"
+)
+
+const (
+	path    = "http://%s/registry/instances"
+	maxList = 16 << 20
+
+	// What an agent on the same machine has to tell it tells at once, so a short wait costs nothing and shows soon
+	// that an agent's connection is dead. Where discovery is asked each call is work to it.
+	pushedWait = 2 * time.Second
+	askedWait  = 20 * time.Second
+	answerIn   = 1 * time.Second // an agent's answer, past the wait
+	askedIn    = 3 * time.Second // discovery's, which works through calls in turn
+	backoffMin = 50 * time.Millisecond
+	backoffMax = 1 * time.Second
+	spacing    = 20 * time.Millisecond // of watches that are answered at once; past 200 ms a watch would lapse
+
+	restarted = 4 // answers older than the list in hand, one after the other
+)
+
+// Endpoint is one entry of a list.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Group   int    `json:"group"`
+	Status  string `json:"status"`
+	SinceMS int64  `json:"since_ms"`
+}
+
+// List is an answer of discovery. An entry that is not in its form is left out.
+type List struct {
+	Index    int64
+	Snapshot bool
+	Entries  []Endpoint
+}
+
+// ParseList reads a list in discovery's form.
+func ParseList(text []byte) (List, error) {
+	var raw struct {
+		Index     *int64            `json:"index"`
+		Snapshot  bool              `json:"snapshot"`
+		Endpoints []json.RawMessage `json:"endpoints"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return List{}, fmt.Errorf("list: %w", err)
+	}
+	if raw.Index == nil {
+		return List{}, errors.New("list: no index")
+	}
+	l := List{Index: *raw.Index, Snapshot: raw.Snapshot}
+	for _, entry := range raw.Endpoints {
+		var e Endpoint
+		if json.Unmarshal(entry, &e) != nil {
+			e = Endpoint{} // the host passes over what has no name
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return l, nil
+}
+
+// Client watches discovery.
+type Client struct {
+	base    string
+	asked   bool // discovery answers only when asked to
+	members func(decide.ListKind, []Endpoint)
+	log     *slog.Logger
+	http    *http.Client
+	ask     chan struct{}
+	index   int64
+	older   int // answers in a row older than index
+}
+
+// New returns a client that hands lists to members. Index is the version of the list in hand.
+func New(addr string, asked bool, index int64, members func(decide.ListKind, []Endpoint), log *slog.Logger) *Client {
+	transport := &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression:     true,
+		MaxConnsPerHost:        2,
+		MaxIdleConnsPerHost:    1,
+		MaxResponseHeaderBytes: 16 << 10,
+	}
+	return &Client{base: fmt.Sprintf(path, addr), asked: asked, members: members, log: log, index: index,
+		http: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		}},
+		ask: make(chan struct{}, 1)}
+}
+
+// Watch asks for changes from now on, where discovery must be asked. It does not block.
+func (c *Client) Watch() {
+	select {
+	case c.ask <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the list until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	backoff := backoffMin
+	whole := !c.asked // an agent's whole list costs nothing
+	for ctx.Err() == nil {
+		if c.asked {
+			select {
+			case <-c.ask:
+			case <-ctx.Done():
+				return
+			}
+		}
+		for {
+			err := c.call(ctx, whole)
+			if err != nil {
+				c.log.Warn("discovery: " + err.Error())
+				break
+			}
+			backoff, whole = backoffMin, false
+			pause(ctx, spacing)
+		}
+		if c.asked { // the decisions say when to ask again
+			c.members(decide.Failed, nil)
+			continue
+		}
+		whole = true
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, backoffMax)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// call makes one call and hands on what it brings: the whole list, or what has changed since the one in hand.
+func (c *Client) call(ctx context.Context, whole bool) error {
+	wait, grace := pushedWait, answerIn
+	if c.asked {
+		wait, grace = askedWait, askedIn
+	}
+	url := c.base
+	if whole {
+		wait = 0
+	} else {
+		url += fmt.Sprintf("?index=%d&wait=%d", c.index, wait.Milliseconds())
+	}
+	// Silence past the wait means that the other side has gone without a word: the connection is given up.
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
+	defer cancel()
+	list, err := c.get(ctx, url)
+	if err != nil {
+		return err
+	}
+	if list.Index < c.index {
+		// Late or repeated: it says less than the list in hand, and could bring back what has drained. One that
+		// stays behind has begun to count anew.
+		if c.older++; c.older < restarted {
+			return fmt.Errorf("list %d after list %d", list.Index, c.index)
+		}
+	}
+	c.older = 0
+	kind := decide.Delta
+	if list.Snapshot {
+		kind = decide.Full
+	} else if whole {
+		return errors.New("changes in place of the whole list")
+	}
+	repeated := list.Index == c.index && kind == decide.Delta
+	c.index = list.Index
+	if !repeated || c.asked {
+		c.members(kind, list.Entries)
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, url string) (List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return List{}, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return List{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return List{}, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return List{}, err
+	}
+	return ParseList(text)
+}
--- /dev/null
+++ b/wire/settings.go
@@ -0,0 +1,101 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"maplepulley/decide"
+)
+
+type profile struct {
+	Balancers int `json:"balancers"`
+	Classes   []struct {
+		Deadline float64 `json:"deadline"`
+		Effect   string  `json:"effect"`
+		Aim      float64 `json:"goal_time"`
+		Scope    string  `json:"key_scope"`
+		Window   float64 `json:"window"`
+		Worth    float64 `json:"worth"`
+	} `json:"classes"`
+	Clients struct {
+		MarksRetry bool `json:"marks_retry"`
+	} `json:"clients"`
+	Customers []struct {
+		Quota float64 `json:"quota_per_s"`
+	} `json:"customers"`
+	Limits struct {
+		Cancelling    bool    `json:"cancelling"`
+		ConnIdle      float64 `json:"conn_idle"`
+		MaxAttempts   int     `json:"max_attempts"`
+		MaxRetryAfter float64 `json:"max_retry_after"`
+		MayDuplicate  bool    `json:"may_duplicate"`
+		RetryAfter    bool    `json:"retry_after"`
+	} `json:"limits"`
+	Me          int `json:"me"`
+	Obligations struct {
+		Cold          float64 `json:"cold"`
+		Fall          float64 `json:"fall"`
+		FallMultiple  float64 `json:"fall_multiple"`
+		MustAskIn     float64 `json:"must_ask_in"`
+		StartCapacity float64 `json:"start_capacity"`
+	} `json:"obligations"`
+	Registry string `json:"registry_mode"`
+	Tariffs  struct {
+		CrossZone float64 `json:"cross_zone"`
+		Handshake float64 `json:"handshake"`
+	} `json:"tariffs"`
+	Telemetry struct {
+		Fields []string `json:"fields"`
+		Via    string   `json:"via"`
+	} `json:"telemetry"`
+	Tier int `json:"tier"`
+	Zone int `json:"zone"`
+}
+
+var (
+	effects = map[string]decide.Effect{"free": decide.Safe, "guarded": decide.Keyed, "single_shot": decide.Unsafe}
+	scopes  = map[string]decide.Scope{"": decide.ScopeAll, "all": decide.ScopeAll,
+		"zone": decide.ScopeZone, "cell": decide.ScopeCell}
+	fields = map[string]decide.Field{"util": decide.FieldUtil}
+)
+
+// ParseSettings reads an instance's settings; an error names the key that can't be used.
+func ParseSettings(text []byte) (decide.Settings, error) {
+	var p profile
+	if err := json.Unmarshal(text, &p); err != nil {
+		return decide.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	s := decide.Settings{
+		Balancers: p.Balancers, Me: p.Me, Zone: p.Zone, Tier: p.Tier,
+		MarksRetries: p.Clients.MarksRetry,
+		Pull:         p.Registry == "on_request", MustAskIn: seconds(p.Obligations.MustAskIn),
+		MaxAttempts: p.Limits.MaxAttempts, MayCancel: p.Limits.Cancelling, MayDuplicate: p.Limits.MayDuplicate,
+		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: seconds(p.Limits.MaxRetryAfter),
+		ConnIdle:      seconds(p.Limits.ConnIdle),
+		StartCapacity: p.Obligations.StartCapacity,
+		WarmUp:        seconds(p.Obligations.Cold), FallMultiple: p.Obligations.FallMultiple,
+		FallWindow:     seconds(p.Obligations.Fall),
+		CrossZonePrice: p.Tariffs.CrossZone, HandshakePrice: p.Tariffs.Handshake,
+	}
+	for i, c := range p.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return s, fmt.Errorf("settings: classes[%d].effect: unknown %q", i, c.Effect)
+		}
+		scope, ok := scopes[c.Scope]
+		if !ok {
+			return s, fmt.Errorf("settings: classes[%d].key_scope: unknown %q", i, c.Scope)
+		}
+		s.Classes = append(s.Classes, decide.Class{Aim: seconds(c.Aim), Deadline: seconds(c.Deadline),
+			Worth: c.Worth, Effect: effect, Scope: scope, Window: seconds(c.Window)})
+	}
+	for _, c := range p.Customers {
+		s.Tenants = append(s.Tenants, decide.Tenant{QuotaPerSecond: c.Quota})
+	}
+	if p.Telemetry.Via == "inline" {
+		for _, f := range p.Telemetry.Fields {
+			s.Report = append(s.Report, fields[f])
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,180 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"maplepulley/decide"
+)
+
+// note writes down what a Handler is told.
+type note struct{ strings.Builder }
+
+func (n *note) Open(i uint32, seed uint64, s []byte) { fmt.Fprintf(n, "open %d %d %s;", i, seed, s) }
+func (n *note) Halt(i uint32)                        { fmt.Fprintf(n, "halt %d;", i) }
+func (n *note) Members(i uint32, k decide.ListKind, e []decide.Server) {
+	fmt.Fprintf(n, "members %d %d %v;", i, k, e)
+}
+func (n *note) Request(i uint32, r decide.Request)    { fmt.Fprintf(n, "request %d %v;", i, r) }
+func (n *note) Started(i uint32, id decide.RequestID) { fmt.Fprintf(n, "started %d %d;", i, id) }
+func (n *note) Outcome(i uint32, o decide.Outcome)    { fmt.Fprintf(n, "outcome %d %v;", i, o) }
+func (n *note) Gone(i uint32, id decide.RequestID)    { fmt.Fprintf(n, "gone %d %d;", i, id) }
+func (n *note) Timer(i uint32, token uint64)          { fmt.Fprintf(n, "timer %d %d;", i, token) }
+func unhex(t testing.TB, s string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.Join(strings.Fields(s), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// frame puts a batch header before records.
+func frame(t testing.TB, records string) []byte {
+	body := unhex(t, records)
+	return append(unhex(t, fmt.Sprintf("%02x%02x0000 508d976e12d32040", (len(body)+12)&255, (len(body)+12)>>8)), body...)
+}
+
+func decode(b []byte) (string, error) {
+	d, n := NewDecoder(bytes.NewReader(b)), &note{}
+	for {
+		_, body, err := d.Next()
+		if err == io.EOF {
+			return n.String(), nil
+		} else if err != nil {
+			return n.String(), err
+		}
+		if err := d.Dispatch(body, n); err != nil {
+			return n.String(), err
+		}
+	}
+}
+
+// The examples printed in the protocol's description.
+func TestExamples(t *testing.T) {
+	const inbound = "0300 03000000 c4913a5d00660000 00 00000000 640ad2557c3bf091 b81e85eb51b8ce3f fa7e6abc7493883f 01"
+	for _, c := range []struct{ hex, want string }{
+		{"", ""},
+		{inbound + "0700 03000000 4d00000000000000 0600 05000000 192b6f0ee27e0300",
+			"request 3 {112151750152644 0 0 240ms false};timer 3 77;gone 5 983934300007193;"},
+		{"0a00 03000000", "halt 3;"},
+		{"0b00 00 02000000 00 0000000000000000 0000 074a1203 00 01 0000803f " +
+			"01 6666666666661840 0000 f211902c 00 01 0000c03f 0200 03000000 02 00 2900000000000000",
+			"members 3 2 [{51530247 0 0 0s 1} {747639282 1 0 6.1s 1}];"},
+		{"0400 03000000 c4913a5d00660000 8b6ce7fba9f1823f 00 074a1203", "started 3 112151750152644;"},
+		{"0500 03000000 c4913a5d00660000 00 8b6ce7fba9f1923f 00 074a1203 01 02 52b81e3f00000c43",
+			"outcome 3 {112151750152644 0 51530247 0 18.5ms true [0.62 140]};"},
+		{"0800 03000000 f211902c 00 c7bab88d06f0563f 02 52b81e3f00000c43", ""},
+		{"0900 03000000 0200 0400 68692037", ""},
+		{"0100 03000000 0700000000000000 02000000 7b7d", "open 3 7 {};"},
+	} {
+		got, err := decode(frame(t, c.hex))
+		if err != nil || got != c.want {
+			t.Errorf("%s: %q, %v; want %q", c.hex, got, err, c.want)
+		}
+	}
+}
+
+func TestActions(t *testing.T) {
+	var p Reply
+	p.Reset()
+	if got := hex.EncodeToString(p.Bytes()); got != "0800000000000000" {
+		t.Fatalf("empty reply %s", got)
+	}
+	h, h5 := p.Host(3), p.Host(5)
+	for _, c := range []struct {
+		act  func()
+		want string
+	}{
+		{func() { h5.Log("two servers unknown") }, "0600 05000000 1300 74776f207365727665727320756e6b6e6f776e"},
+		{func() { p.Exception(3, "index out of range") }, "0100 03000000 1200 696e646578206f7574206f662072616e6765"},
+		{func() { h.Watch() }, "0800 03000000 01"},
+		{func() { h.Send(112151750152644, 51530247) }, "0400 03000000 c4913a5d00660000 074a1203 0000000000000000"},
+		{func() { h.Cancel(112151750152644, 0) }, "0700 03000000 c4913a5d00660000 00"},
+		{func() { h.Refuse(983934300007193, 250*time.Millisecond) }, "0200 03000000 192b6f0ee27e0300 000000000000d03f"},
+		{func() { h.Fail(112151750152644) }, "0c00 03000000 c4913a5d00660000"},
+		{func() { h.CloseIdle(0x2c9011f2) }, "0300 03000000 f211902c"},
+		{func() { h.SetTimer(8*time.Second, 77) }, "0a00 03000000 0000000000002040 4d00000000000000"},
+	} {
+		p.Reset()
+		c.act()
+		want := unhex(t, c.want)
+		want = append([]byte{byte(len(want) + 8), 0, 0, 0, 1, 0, 0, 0}, want...)
+		if !bytes.Equal(p.Bytes(), want) {
+			t.Errorf("%x, want %x", p.Bytes(), want)
+		}
+	}
+}
+
+// Frames that can't be read are told with the record and its place.
+func TestBadFrames(t *testing.T) {
+	for _, c := range []struct {
+		frame []byte
+		want  string
+	}{
+		{unhex(t, "0c0000"), "batch header at byte 0: cut off after 3 bytes"},
+		{unhex(t, "05000000 508d976e12d32040"), "length 5 out of range"},
+		{unhex(t, "ffffffff 508d976e12d32040"), "out of range"},
+		{unhex(t, "20000000 508d976e12d32040 0a00"), "32 bytes announced, cut off after 14"},
+		{frame(t, "6300 03000000"), "record code 99 at byte 12: unknown event code"},
+		{frame(t, "0a00 03000000 0700 03000000 4d00"), "WAKEUP at byte 18: needs 8 bytes, 2 left"},
+		{frame(t, "0b00 00 ffffff0f 00"), "POOL at byte 12: count 268435455 past the frame's end"},
+		{frame(t, "0b00 10 00000000"), "list number 16"},
+		{frame(t, "0200 03000000 09 00 2900000000000000"), "MEMBERSHIP at byte 12: unknown list kind 9"},
+		{frame(t, "0100 03000000 0700000000000000 ffffffff 7b7d"), "OPEN_INSTANCE at byte 12: needs"},
+		{frame(t, "0500 03000000 c4913a5d00660000 63 8b6ce7fba9f1923f 00 074a1203 01 00"), "unknown outcome 99"},
+	} {
+		if _, err := decode(c.frame); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("error %v, want %s", err, c.want)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(frame(f, "0a00 03000000"))
+	f.Add(frame(f, "0b00 00 01000000 00 0000000000000000 0000 074a1203 00 01 0000803f 0200 03000000 02 00 2900000000000000"))
+	f.Add(frame(f, "0500 03000000 c4913a5d00660000 00 8b6ce7fba9f1923f 00 074a1203 01 02 52b81e3f00000c43"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		first, err := decode(b)
+		again, err2 := decode(b)
+		if first != again || (err == nil) != (err2 == nil) {
+			t.Fatal("the same bytes were read in two ways")
+		}
+	})
+}
+
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings([]byte(`{"balancers": 8, "me": 2, "zone": 1, "tier": 1, "new key": [1],
+		"classes": [{"deadline": 5.0, "effect": "guarded", "goal_time": 2.0, "key_scope": "cell", "window": 7.5, "worth": 10}],
+		"clients": {"marks_retry": true}, "customers": [{"quota_per_s": 16}], "registry_mode": "on_request",
+		"limits": {"cancelling": true, "max_attempts": 3, "may_duplicate": true, "max_retry_after": 2, "retry_after": true},
+		"obligations": {"cold": 22, "drain_grace": 0.25, "fall": 2, "fall_multiple": 2.5, "must_ask_in": 10,
+		"start_capacity": 0.15}, "tariffs": {"cross_zone": 0.01}, "weight_kind": "rough",
+		"telemetry": {"fields": ["util", "qps"], "via": "inline"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Classes[0]
+	if c.Effect != decide.Keyed || c.Scope != decide.ScopeCell || c.Window != 7500*time.Millisecond || c.Worth != 10 ||
+		c.Aim != 2*time.Second || c.Deadline != 5*time.Second {
+		t.Errorf("class %+v", c)
+	}
+	if !s.Pull || !s.MarksRetries || s.WarmUp != 22*time.Second || s.Tenants[0].QuotaPerSecond != 16 ||
+		fmt.Sprint(s.Report) != fmt.Sprint([]decide.Field{decide.FieldUtil, decide.FieldOther}) || s.Me != 2 ||
+		s.MaxRetryAfter != 2*time.Second || s.FallMultiple != 2.5 || s.CrossZonePrice != 0.01 {
+		t.Errorf("settings %+v", s)
+	}
+	for text, want := range map[string]string{
+		`{`: "JSON", `{"classes": [{"effect": "odd"}]}`: "classes[0].effect",
+		`{"classes": [{"effect": "free", "key_scope": "rack"}]}`: "key_scope", `{"balancers": "x"}`: "balancers",
+	} {
+		if _, err := ParseSettings([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want %s", text, err, want)
+		}
+	}
+}
