Take a new configuration on SIGHUP and follow discovery where it moves

Change: handlers stand from the first line of run; on SIGHUP the file is read and checked again, and registry.Client moves: calls to the old address end, the new one is asked for its whole list, whose versions may count anew. A file that can't be used is logged and changes nothing. Lists over 2 MiB are refused (16 MiB did not fit the limits).

--- a/cmd/irisrill/main.go
+++ b/cmd/irisrill/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -44,7 +45,14 @@
 }
 
 func run() error {
-	c, err := config.Load(os.Getenv("LB_CONFIG"))
+	path := os.Getenv("LB_CONFIG")
+	// Both from the first moment: a signal that finds no handler ends the process.
+	stop, hangup := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(stop)
+	defer signal.Stop(hangup)
+	c, err := config.Load(path)
 	if err != nil {
 		return err
 	}
@@ -77,13 +85,21 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	server := frontend.New(c, h, listener, sockets/2, int64(bodyPart*float64(c.Limits.MemoryMB<<20)),
 		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
 	go discovery.Run(ctx)
+	go func() {
+		for {
+			select {
+			case <-hangup:
+				reload(path, c, discovery, log)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve() }()
 
@@ -107,3 +123,18 @@
 	log.Info("ended", "held", h.Held())
 	return nil
 }
+
+// reload takes up the configuration as the file has it now. Discovery's address is the one setting that can change
+// while calls are held; the others are what running decisions and limits rest on, and wait for a restart. A file that
+// can't be used changes nothing.
+func reload(path string, running *config.Config, discovery *registry.Client, log *slog.Logger) {
+	next, err := config.Load(path)
+	if err != nil {
+		log.Warn("reload: the running configuration is kept", "error", err)
+		return
+	}
+	discovery.Move(next.Discovery)
+	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
+		!reflect.DeepEqual(next.Decide, running.Decide)
+	log.Info("reload: taken", "discovery", next.Discovery, "restart_needed_for_the_rest", later)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"maplepulley/decide"
@@ -18,7 +19,7 @@
 
 const (
 	path    = "http://%s/registry/instances"
-	maxList = 16 << 20
+	maxList = 2 << 20 // some 10,000 endpoints; read whole, so it must fit the memory limit several times over
 
 	// What an agent on the same machine has to tell it tells at once, so a short wait costs nothing and shows soon
 	// that an agent's connection is dead. Where discovery is asked each call is work to it.
@@ -76,7 +77,6 @@
 
 // Client watches discovery.
 type Client struct {
-	base    string
 	asked   bool // discovery answers only when asked to
 	members func(decide.ListKind, []Endpoint)
 	log     *slog.Logger
@@ -84,6 +84,10 @@
 	ask     chan struct{}
 	index   int64
 	older   int // answers in a row older than index
+
+	mu    sync.Mutex
+	addr  string
+	moved context.CancelFunc // ends the calls to the address in hand; nil where none has been made to it
 }
 
 // New returns a client that hands lists to members. Index is the version of the list in hand.
@@ -95,7 +99,7 @@
 		MaxIdleConnsPerHost:    1,
 		MaxResponseHeaderBytes: 16 << 10,
 	}
-	return &Client{base: fmt.Sprintf(path, addr), asked: asked, members: members, log: log, index: index,
+	return &Client{addr: addr, asked: asked, members: members, log: log, index: index,
 		http: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}},
@@ -110,33 +114,71 @@
 	}
 }
 
+// Move follows discovery at another address from now on. It does not block. What the old one had told stays in
+// force until the new one has told its whole list; the two may count versions differently. An address that does not
+// answer is tried again and again, as a discovery that is down is: the list in hand is kept meanwhile.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.addr {
+		return
+	}
+	c.addr = addr
+	if c.moved != nil {
+		c.moved()
+		c.moved = nil
+	}
+}
+
+// target returns the address in hand and the context of calls to it; first tells that none has been made yet.
+func (c *Client) target(ctx, calls context.Context) (context.Context, string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.moved != nil {
+		return calls, c.addr, false
+	}
+	calls, c.moved = context.WithCancel(ctx)
+	return calls, c.addr, true
+}
+
 // Run follows the list until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	backoff := backoffMin
 	whole := !c.asked // an agent's whole list costs nothing
+	started := false
+	var calls context.Context
 	for ctx.Err() == nil {
-		if c.asked {
+		var addr string
+		var first bool
+		if calls, addr, first = c.target(ctx, calls); first && started {
+			c.http.CloseIdleConnections() // those to the old address
+			backoff, whole, c.index, c.older = backoffMin, true, 0, 0
+			c.log.Info("discovery: follows another address", "address", addr)
+		}
+		if started = true; c.asked && !(first && whole) {
 			select {
 			case <-c.ask:
-			case <-ctx.Done():
-				return
+			case <-calls.Done(): // moved, or at an end
+				continue
 			}
 		}
 		for {
-			err := c.call(ctx, whole)
+			err := c.call(calls, addr, whole)
 			if err != nil {
-				c.log.Warn("discovery: " + err.Error())
+				if calls.Err() == nil {
+					c.log.Warn("discovery: "+err.Error(), "address", addr)
+				}
 				break
 			}
 			backoff, whole = backoffMin, false
-			pause(ctx, spacing)
+			pause(calls, spacing)
 		}
 		if c.asked { // the decisions say when to ask again
 			c.members(decide.Failed, nil)
 			continue
 		}
 		whole = true
-		pause(ctx, backoff/2+rand.N(backoff))
+		pause(calls, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
 }
@@ -149,12 +191,12 @@
 }
 
 // call makes one call and hands on what it brings: the whole list, or what has changed since the one in hand.
-func (c *Client) call(ctx context.Context, whole bool) error {
+func (c *Client) call(ctx context.Context, addr string, whole bool) error {
 	wait, grace := pushedWait, answerIn
 	if c.asked {
 		wait, grace = askedWait, askedIn
 	}
-	url := c.base
+	url := fmt.Sprintf(path, addr)
 	if whole {
 		wait = 0
 	} else {
@@ -167,6 +209,9 @@
 	if err != nil {
 		return err
 	}
+	if ctx.Err() != nil { // moved meanwhile: what comes from the old address must not follow what the new one tells
+		return ctx.Err()
+	}
 	if list.Index < c.index {
 		// Late or repeated: it says less than the list in hand, and could bring back what has drained. One that
 		// stays behind has begun to count anew.
@@ -202,9 +247,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return List{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
 	if err != nil {
 		return List{}, err
 	}
+	if len(text) > maxList {
+		return List{}, fmt.Errorf("a list of over %d bytes", maxList)
+	}
 	return ParseList(text)
 }
