--- a/decide/api.go
+++ b/decide/api.go
@@ -146,6 +146,7 @@
 	Reset
 	Cancelled
 	Moot
+	Rejected // the server found the request itself at fault, as any other would
 )
 
 // NeverRan reports whether the verdict proves that the attempt was not executed.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -542,7 +542,7 @@
 		s.answered = now
 		s.bad += (1 - s.bad) * 0.3
 		b.failing(now, s)
-	case ServerFull:
+	case ServerFull, Rejected: // a caller's mistake says nothing of the server
 		s.answered = now
 	case ConnectFailed: // a server that answers between two of them is full of connections, not gone
 		if s.answered < s.noConn {
@@ -639,17 +639,24 @@
 	b.host.Send(r.id, s.ID)
 }
 
-// end is the one gate for final answers: a refusal where a retry is harmless, else a failure.
+// end and fail are the gates for final answers: a refusal where a retry is harmless, else a failure. What a
+// server has rejected is never refused: to send it again would serve nobody.
 func (b *Balancer) end(r *request) {
 	if r.done {
 		return
 	}
-	r.done = true
 	if !mayRefuse(r) {
-		b.host.Fail(r.id)
-	} else {
-		b.host.Refuse(r.id, b.retryAfter())
+		b.fail(r)
+		return
 	}
+	r.done = true
+	b.host.Refuse(r.id, b.retryAfter())
+	b.drop(r)
+}
+
+func (b *Balancer) fail(r *request) {
+	r.done = true
+	b.host.Fail(r.id)
 	b.drop(r)
 }
 
@@ -712,7 +719,10 @@
 		}
 		return
 	}
-	if r.allEnded() {
+	switch {
+	case o.Verdict == Rejected:
+		b.fail(r)
+	case r.allEnded():
 		b.again(now, r)
 	}
 }
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -11,12 +11,11 @@
 )
 
 const (
-	maxBody   = 32 << 20
-	smallBody = 16 << 10        // within what each connection may take anyway
-	step      = 256 << 10       // by which the memory of a body of untold length grows
-	minRate   = 32 << 10        // bytes a second, half of what a slow caller writes
-	bodyGrace = 5 * time.Second // on top of that
-	bodyWait  = 5 * time.Second // for memory
+	maxBody   = 64 << 10
+	smallBody = 4 << 10 // within what each connection may take anyway
+	// wholeIn is how long a request may take from its connection's beginning, or from its head, to its last byte.
+	// Bad clients are owed an answer or a close 3 s after connecting.
+	wholeIn = 2600 * time.Millisecond
 )
 
 var (
@@ -37,8 +36,8 @@
 }
 
 // reserve takes memory before it is filled. To wait costs the caller nothing: its time runs from its last byte.
-func (b *body) reserve(ctx context.Context, n int64) error {
-	ctx, cancel := context.WithTimeout(ctx, bodyWait)
+func (b *body) reserve(ctx context.Context, n int64, by time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	if b.budget.Acquire(ctx, n) != nil {
 		return errNoMemory
@@ -47,38 +46,34 @@
 	return nil
 }
 
-// read takes the whole body in. Many large bodies at once wait for each other rather than for the memory limit.
-func (b *body) read(w http.ResponseWriter, r *http.Request) error {
+// read takes the whole body in, by the given time. Many large bodies at once wait for each other rather than for the
+// memory limit.
+func (b *body) read(w http.ResponseWriter, r *http.Request, by time.Time) error {
 	size := r.ContentLength
-	if size == 0 {
+	switch {
+	case size == 0:
 		return nil
-	}
-	if size > maxBody {
+	case size > maxBody:
 		return errTooLarge
+	case size < 0: // untold
+		size = maxBody + 1
 	}
 	if size > smallBody {
-		if err := b.reserve(r.Context(), size); err != nil {
+		if err := b.reserve(r.Context(), size, by); err != nil {
 			return err
 		}
 	}
 	conn := http.NewResponseController(w)
-	conn.SetReadDeadline(time.Now().Add(bodyGrace + time.Duration(max(size, step))*time.Second/minRate))
-	defer conn.SetReadDeadline(time.Time{})
-	if size > 0 {
+	conn.SetReadDeadline(by)
+	var err error
+	if r.ContentLength > 0 {
 		b.bytes = make([]byte, size)
-		_, err := io.ReadFull(r.Body, b.bytes)
-		return err
+		_, err = io.ReadFull(r.Body, b.bytes)
+	} else if b.bytes, err = io.ReadAll(io.LimitReader(r.Body, size)); len(b.bytes) > maxBody {
+		err = errTooLarge
 	}
-	for len(b.bytes) <= maxBody {
-		if err := b.reserve(r.Context(), step); err != nil {
-			return err
-		}
-		conn.SetReadDeadline(time.Now().Add(bodyGrace + step*time.Second/minRate))
-		piece, err := io.ReadAll(io.LimitReader(r.Body, step))
-		b.bytes = append(b.bytes, piece...)
-		if err != nil || len(piece) < step {
-			return err
-		}
+	if err == nil {
+		conn.SetReadDeadline(time.Time{})
 	}
-	return errTooLarge
+	return err
 }
--- a/internal/frontend/conns.go
+++ b/internal/frontend/conns.go
@@ -8,19 +8,23 @@
 )
 
 // headGrace is how long a connection that has brought no request yet is left alone where room is short.
-const headGrace = 500 * time.Millisecond
+const headGrace = 300 * time.Millisecond
 
 // callerConn is a caller's connection.
 type callerConn struct {
-	net.Conn
-	conns *callerConns
+	gate
+	conns    *callerConns
+	accepted time.Time
+	handled  int64 // requests that the handler has got
+
+	// Under conns.mu.
 	state http.ConnState
 	since time.Time
 	shed  bool
 }
 
-// callerConns bounds the connections of callers. When all are taken, the one that has stood idle longest is closed
-// in favour of a new one.
+// callerConns bounds the connections of callers. When all are taken, one that has brought no request for some time
+// is closed in favour of a new one, else the one that has stood idle longest.
 type callerConns struct {
 	net.Listener
 	room chan struct{} // one for each connection
@@ -50,7 +54,8 @@
 		<-l.room
 		return nil, err
 	}
-	c := &callerConn{Conn: nc, conns: l, state: http.StateNew, since: time.Now()}
+	now := time.Now()
+	c := &callerConn{gate: gate{Conn: nc}, conns: l, accepted: now, state: http.StateNew, since: now}
 	l.mu.Lock()
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
@@ -84,11 +89,16 @@
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
 	c.state = http.StateActive
+	c.handled++
 	return !c.shed
 }
 
-// closeIdle closes the n connections that have stood idle longest, then those that have brought no request for some
-// time. It returns false if there are none.
+// refused tells whether the request in hand must be refused for how it was written. It is asked once the body has
+// been read.
+func (c *callerConn) refused() bool { return c.gate.refused.Load() == c.handled }
+
+// closeIdle closes n connections: those that have brought no request for some time, then those that have stood idle
+// longest. It returns false if there are none.
 func (l *callerConns) closeIdle(n int) bool {
 	any := false
 	for range n {
@@ -116,13 +126,13 @@
 			silent = c
 		}
 	}
-	if idle == nil {
-		idle = silent
+	if silent == nil {
+		silent = idle
 	}
-	if idle != nil {
-		idle.shed = true
+	if silent != nil {
+		silent.shed = true
 	}
-	return idle
+	return silent
 }
 
 // count returns the number of open connections.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -4,10 +4,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -20,9 +20,8 @@
 )
 
 const (
-	headTimeout  = 4 * time.Second // a slow caller takes 2 s for its head
-	idleTimeout  = 60 * time.Second
-	writeTimeout = 10 * time.Second // for a piece of an answer: a caller that reads nothing holds up no more
+	idleTimeout  = 8 * time.Second // callers keep connections; 2 s is what they may count on
+	writeTimeout = 3 * time.Second // a caller that reads nothing holds up no more
 	maxHead      = 16 << 10
 )
 
@@ -35,22 +34,25 @@
 	bodies   *semaphore.Weighted
 	ready    atomic.Bool
 	ending   atomic.Bool
+	ids      *requestIDs
 	requests atomic.Int64 // in work
 }
 
 // New returns a server on l with at most maxConns connections and maxBodies bytes of request bodies.
 func New(c *config.Config, h *host.Host, l net.Listener, maxConns int, maxBodies int64, errorLog *log.Logger) *Server {
-	s := &Server{config: c, host: h, conns: newCallerConns(l, maxConns), bodies: semaphore.NewWeighted(maxBodies)}
+	s := &Server{config: c, host: h, conns: newCallerConns(l, maxConns), bodies: semaphore.NewWeighted(maxBodies),
+		ids: newRequestIDs()}
 	s.http = &http.Server{
 		Handler:           s,
-		ReadHeaderTimeout: headTimeout,
+		ReadHeaderTimeout: wholeIn,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHead,
 		ConnState:         changed,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
-		ErrorLog: errorLog,
+		ErrorLog:                     errorLog,
+		DisableGeneralOptionsHandler: true, // each head that is read comes to the handler
 	}
 	return s
 }
@@ -96,35 +98,54 @@
 const flush = 100 * time.Millisecond
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.claim() {
+	c := r.Context().Value(connKey{}).(*callerConn)
+	by := time.Now().Add(wholeIn)
+	if !c.claim() {
 		panic(http.ErrAbortHandler)
 	}
+	if c.handled == 1 {
+		by = c.accepted.Add(wholeIn)
+	}
 	s.requests.Add(1)
 	defer s.requests.Add(-1)
-	if s.ending.Load() {
+	if s.ending.Load() || len(r.TransferEncoding) > 0 { // the gate follows no bodies of untold length
 		w.Header().Set("Connection", "close")
 	}
-	if r.URL.Path == "/health/ready" {
+	if r.URL.Path == "/health/ready" && r.ContentLength == 0 && !c.refused() {
 		s.health(w)
 		return
 	}
-	up, q, status := s.parse(r)
+	up, q, id, status := s.parse(r)
+	if status == 0 && c.refused() {
+		status = http.StatusBadRequest
+	}
 	if status != 0 {
-		reply(w, status)
+		turnAway(w, status)
 		return
 	}
 	b := &body{budget: s.bodies}
 	defer b.release()
-	switch err := b.read(w, r); {
+	err := b.read(w, r, by)
+	switch {
 	case errors.Is(err, errTooLarge):
-		reply(w, http.StatusRequestEntityTooLarge)
+		turnAway(w, http.StatusRequestEntityTooLarge)
 		return
-	case errors.Is(err, errNoMemory):
-		reply(w, http.StatusServiceUnavailable)
+	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
+		turnAway(w, http.StatusServiceUnavailable)
+		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		turnAway(w, http.StatusRequestTimeout)
+		return
+	case err != nil, c.refused(): // broken off, unreadable, or more than its length told
+		turnAway(w, http.StatusBadRequest)
+		return
+	}
+	key, fresh := s.ids.begin(id)
+	if !fresh { // never 429 or 503: those would speak of the request that has the id
+		turnAway(w, http.StatusConflict)
 		return
-	case err != nil: // broken off, or too slow
-		panic(http.ErrAbortHandler)
 	}
+	defer s.ids.end(key)
 	up.Body = b.bytes
 	call := s.host.Begin(up, q)
 	select {
@@ -141,6 +162,14 @@
 	}
 }
 
+// turnAway answers a request that can't be served, and ends its connection: what else stands on it is not to be
+// trusted. Package http reads on for some time to let the answer arrive; that time is short.
+func turnAway(w http.ResponseWriter, status int) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	w.Header().Set("Connection", "close")
+	reply(w, status)
+}
+
 func (s *Server) health(w http.ResponseWriter) {
 	if s.ready.Load() && !s.ending.Load() {
 		reply(w, http.StatusOK)
@@ -159,7 +188,7 @@
 func (s *Server) answer(w http.ResponseWriter, a host.Answer) {
 	switch {
 	case a.Reply != nil:
-		pass(w, a)
+		pass(w, a.Reply)
 	case a.Refused:
 		if a.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
@@ -171,55 +200,22 @@
 }
 
 // pass gives the caller an endpoint's answer.
-func pass(w http.ResponseWriter, a host.Answer) {
-	conn := http.NewResponseController(w)
+func pass(w http.ResponseWriter, from *upstream.Answer) {
 	h := w.Header()
-	for name, values := range endToEnd(a.Reply.Header) {
+	closing := h.Get("Connection")
+	for name, values := range endToEnd(from.Header) {
 		h[name] = values
 	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // package http would guess one
 	}
-	h.Del("Content-Length")
-	if !a.Reply.Long {
-		h.Set("Content-Length", strconv.Itoa(len(a.Reply.Body)))
-	} else if a.Reply.Length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(a.Reply.Length, 10))
-	}
-	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	h.Set("Content-Length", strconv.Itoa(len(from.Body)))
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(http.StatusOK)
-	_, err := w.Write(a.Reply.Body)
-	if !a.Reply.Long {
-		return
-	}
-	if err == nil {
-		err = stream(w, conn, a.Reply)
-	}
-	a.Ended(err == nil)
-	if err != nil {
+	if _, err := w.Write(from.Body); err != nil {
 		panic(http.ErrAbortHandler) // cuts the answer off, for all to see
 	}
 }
-
-// stream passes on the rest of a long answer as it comes.
-func stream(w http.ResponseWriter, conn *http.ResponseController, from *upstream.Answer) error {
-	buf := make([]byte, 32<<10)
-	for {
-		if err := conn.Flush(); err != nil {
-			return err
-		}
-		n, err := from.Read(buf)
-		conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
--- /dev/null
+++ b/internal/frontend/frontend_test.go
@@ -0,0 +1,189 @@
+package frontend
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"maplepulley/decide"
+	"maplepulley/internal/config"
+	"maplepulley/internal/host"
+	"maplepulley/internal/lbtest"
+	"maplepulley/internal/registry"
+	"maplepulley/internal/upstream"
+)
+
+// serve runs a sidecar without discovery in front of one endpoint and returns its address.
+func serve(t *testing.T, endpoint string, maxConns int) (*Server, string) {
+	t.Helper()
+	l := lbtest.Listen(t)
+	c, err := config.Load(lbtest.WriteConfig(t, "", l.Addr().String(), "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	h, err := host.New(c, upstream.NewClient(c.DialTimeout, time.Second, 64), func() {}, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Members(decide.Full, []registry.Endpoint{{Name: "s", Address: endpoint, Zone: "a", Status: "ready"}})
+	s := New(c, h, l, maxConns, 1<<20, log.New(io.Discard, "", 0))
+	s.Ready()
+	go s.Serve()
+	t.Cleanup(func() { s.http.Close() })
+	return s, l.Addr().String()
+}
+
+// Each of these is owed an error or a close within 3 s of connecting, keeps no connection, and never comes to an
+// endpoint, nor does anything behind it.
+func TestBadCallers(t *testing.T) {
+	hidden := lbtest.Get("hidden")
+	both := lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Content-Length: 200", "Transfer-Encoding: chunked")
+	bad := map[string]string{
+		"silent":                "",
+		"noise":                 "\x00\x01\x02\r\n\r\n",
+		"half a head":           "GET /read HTTP/1.1\r\nHost: x\r\nX-Requ",
+		"endless head":          "GET /read HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("X-Pad: pppppppp\r\n", 4<<10),
+		"half a body":           lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Content-Length: 200") + "half",
+		"60 MB":                 lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Content-Length: 60000000") + strings.Repeat("x", 1<<20),
+		"over 64 KiB":           lbtest.Post("b", strings.Repeat("x", 64<<10+1)),
+		"over 64 KiB in chunks": lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Transfer-Encoding: chunked") + "20000\r\n" + strings.Repeat("x", 0x20000) + "\r\n0\r\n\r\n",
+		"bad chunk":             lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Transfer-Encoding: chunked") + "zz\r\n",
+		"length and chunks":     both + "0\r\n\r\n" + hidden,
+		"the same in HTTP/1.0":  strings.Replace(both, "HTTP/1.1", "HTTP/1.0", 1) + "0\r\n\r\n" + hidden,
+		"two lengths":           lbtest.Post("b", "ok", "Content-Length: 2"),
+		"negative length":       lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Content-Length: -4") + "abcd",
+		"huge length":           lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Content-Length: 99999999999999999999"),
+		"length too short":      strings.Replace(lbtest.Post("b", "12345"), "Length: 5", "Length: 2", 1),
+		"folded":                lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Content-Length: 2", "Transfer-Encoding:", " chunked") + "ok",
+		"line feeds":            strings.ReplaceAll(lbtest.Get("b"), "\r\n", "\n"),
+		"no id":                 "GET /read HTTP/1.1\r\nHost: x\r\n\r\n",
+		"two ids":               lbtest.Get("b", "X-Request-ID: c"),
+		"an id stripped":        lbtest.Get("b", "Connection: X-Request-ID"),
+		"no class":              "GET /reader HTTP/1.1\r\nHost: x\r\nX-Request-ID: b\r\n\r\n",
+		"another class":         lbtest.Get("b", "X-Priority-Class: write"),
+		"a deadline of words":   lbtest.Get("b", "X-Timeout-Ms: soon"),
+		"a negative deadline":   lbtest.Get("b", "X-Timeout-Ms: -5"),
+		"a body where none is":  lbtest.Head("GET", "read", "b", "Content-Length: 2") + "ok",
+		"no key":                lbtest.Head("POST", "write", "b", "Content-Length: 0"),
+	}
+	e := lbtest.NewEndpoint(t, nil)
+	s, addr := serve(t, e.Addr, 64)
+	t.Run("all", func(t *testing.T) {
+		for name, text := range bad {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				c := lbtest.Dial(t, addr)
+				go c.Send(text)
+				status, _ := c.Answer()
+				if status != 0 && status < 400 || status == 503 || status == 429 {
+					t.Errorf("status %d", status)
+				}
+				c.Ended()
+			})
+		}
+	})
+	lbtest.Until(t, "no connection is kept", func() bool { return s.Conns() == 0 })
+	select {
+	case a := <-e.Got:
+		t.Errorf("%s came to the endpoint", a.Request.Header.Get("X-Request-Id"))
+	default:
+	}
+	c := lbtest.Dial(t, addr)
+	c.Send(lbtest.Get("good"))
+	(<-e.Got).OK()
+	if status, body := c.Answer(); status != 200 || body != "answer to good" {
+		t.Errorf("a good caller: %d %q", status, body)
+	}
+}
+
+// What is good passes unchanged, also in chunks, with the largest body, and one behind the other on a connection.
+func TestGoodCallers(t *testing.T) {
+	large := strings.Repeat("x", 64<<10)
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+		if a.Body == large { // back as it came: the largest answer too
+			a.Write([]byte(lbtest.OK(a.Body)))
+			return
+		}
+		a.Write([]byte(lbtest.OK(a.Request.Method + a.Request.RequestURI + a.Request.Header.Get("Idempotency-Key") + a.Body)))
+	})
+	_, addr := serve(t, e.Addr, 8)
+	c := lbtest.Dial(t, addr)
+	for i, want := range []string{"GET/read", large, "GET/read?a=%20b", "POST/writek-3two",
+		"POST/writekchunks"} {
+		id := fmt.Sprint(i)
+		c.Send([]string{lbtest.Get(id), lbtest.Post(id, large),
+			strings.Replace(lbtest.Get(id), "/read", "/read?a=%20b", 1), lbtest.Post(id, "two"),
+			lbtest.Head("POST", "write", id, "Idempotency-Key: k", "Transfer-Encoding: chunked") + "6\r\nchunks\r\n0\r\n\r\n"}[i])
+		if status, body := c.Answer(); status != 200 || body != want {
+			t.Fatalf("request %d: %d %.60q", i, status, body)
+		}
+	}
+}
+
+// An id that is in use, or was lately, is another's: it is neither passed on nor refused.
+func TestIDInUse(t *testing.T) {
+	e := lbtest.NewEndpoint(t, nil)
+	_, addr := serve(t, e.Addr, 8)
+	owner := lbtest.Dial(t, addr)
+	owner.Send(lbtest.Get("one"))
+	a := <-e.Got
+	for range 2 {
+		thief := lbtest.Dial(t, addr)
+		thief.Send(lbtest.Get("one"))
+		if status, _ := thief.Answer(); status != 409 {
+			t.Errorf("status %d", status)
+		}
+		if a != nil {
+			a.OK()
+			if status, body := owner.Answer(); status != 200 || body != "answer to one" {
+				t.Errorf("the owner: %d %q", status, body)
+			}
+		}
+		a = nil
+	}
+	if len(e.Got) > 0 {
+		t.Error("passed on")
+	}
+}
+
+func TestRequestIDs(t *testing.T) {
+	ids := newRequestIDs()
+	ids.begin("open")
+	for i := range 3 * remembered {
+		key, fresh := ids.begin(fmt.Sprint(i))
+		if !fresh {
+			t.Fatal("taken for known")
+		}
+		ids.end(key)
+	}
+	if _, fresh := ids.begin("open"); fresh {
+		t.Error("an open id was forgotten")
+	}
+	if n := len(ids.known); n > remembered+1 {
+		t.Errorf("%d ids are kept", n)
+	}
+}
+
+// Connections that say nothing never keep a caller out, however many.
+func TestSilentCrowd(t *testing.T) {
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
+	_, addr := serve(t, e.Addr, 8)
+	for range 40 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	c := lbtest.Dial(t, addr)
+	c.Send(lbtest.Get("one"))
+	if status, _ := c.Answer(); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -11,9 +11,6 @@
 	"maplepulley/internal/upstream"
 )
 
-// maxTimeout bounds what a caller may ask for; it keeps the arithmetic sound.
-const maxTimeout = time.Hour
-
 // hopByHop are the headers that hold for one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding",
 	"Upgrade", "Expect", "Proxy-Authenticate", "Proxy-Authorization"}
@@ -32,35 +29,59 @@
 	return out
 }
 
+// single returns the value of a header that may stand once at most.
+func single(h http.Header, name string) (value string, ok bool) {
+	values := h[http.CanonicalHeaderKey(name)]
+	if len(values) == 1 {
+		value = values[0]
+	}
+	return value, len(values) <= 1
+}
+
+const maxID = 128
+
 // parse reads a request's head. The status is 0 if it can be served.
-func (s *Server) parse(r *http.Request) (up upstream.Request, q decide.Request, status int) {
-	header := r.Header.Get("X-Priority-Class")
+func (s *Server) parse(r *http.Request) (up upstream.Request, q decide.Request, id string, status int) {
+	id, one := single(r.Header, "X-Request-ID")
+	header, oneClass := single(r.Header, "X-Priority-Class")
+	_, oneKey := single(r.Header, "Idempotency-Key")
+	_, oneTenant := single(r.Header, "X-Tenant-Id")
+	timeout, oneTimeout := single(r.Header, "X-Timeout-Ms")
 	class := slices.Index(s.config.Classes, header)
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	named := slices.Index(s.config.Classes, first)
 	switch {
-	case header != "" && class < 0:
-		return up, q, http.StatusBadRequest
+	case !one || !oneClass || !oneKey || !oneTenant || !oneTimeout, id == "", len(id) > maxID,
+		!strings.HasPrefix(r.RequestURI, "/"), header != "" && class < 0:
+		return up, q, id, http.StatusBadRequest
 	case named < 0:
-		return up, q, http.StatusNotFound
-	case header != "" && class != named, r.Header.Get("X-Request-ID") == "":
-		return up, q, http.StatusBadRequest
+		return up, q, id, http.StatusNotFound
+	case header != "" && class != named:
+		return up, q, id, http.StatusBadRequest
 	}
 	c := s.config.Decide.Classes[named]
 	if !fits(r, c.Effect) {
-		return up, q, http.StatusBadRequest
+		return up, q, id, http.StatusBadRequest
 	}
 	q = decide.Request{Class: named, Left: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
 		// An unknown tenant is -1: to the decisions it has no share of its own.
 		Tenant: slices.Index(s.config.Tenants, r.Header.Get("X-Tenant-Id"))}
-	if text, given := r.Header["X-Timeout-Ms"]; given {
-		ms, err := strconv.ParseUint(text[0], 10, 63)
-		if err != nil || len(text) > 1 {
-			return up, q, http.StatusBadRequest
+	if _, given := r.Header["X-Timeout-Ms"]; given {
+		ms, err := strconv.ParseUint(timeout, 10, 63)
+		if err != nil {
+			return up, q, id, http.StatusBadRequest
+		}
+		// No client waits longer than its class's deadline; one that says so would hold a connection for nothing.
+		q.Left = time.Duration(min(ms, uint64(c.Deadline.Milliseconds()))) * time.Millisecond
+	}
+	up = upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header)}
+	// A caller's Connection header must not strip what endpoints go by.
+	for _, name := range []string{"X-Request-Id", "Idempotency-Key"} {
+		if len(up.Header[name]) != len(r.Header[name]) {
+			return up, q, id, http.StatusBadRequest
 		}
-		q.Left = min(time.Duration(min(ms, uint64(maxTimeout.Milliseconds())))*time.Millisecond, maxTimeout)
 	}
-	return upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header)}, q, 0
+	return up, q, id, 0
 }
 
 // fits tells whether the method and key are those of the class's effect.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,27 +71,17 @@
 	Reply      *upstream.Answer
 	Refused    bool
 	RetryAfter time.Duration
-	ended      func(decide.Verdict) // of a long answer
-}
-
-// Ended must be called when a long answer has been passed on, or can't be.
-func (a Answer) Ended(whole bool) {
-	a.Reply.Close()
-	if whole {
-		a.ended(decide.OK)
-	} else {
-		a.ended(decide.Reset)
-	}
 }
 
 type attempt struct {
-	number    int
-	server    *endpoint
-	sent      time.Duration
-	cancel    context.CancelFunc
-	wrote     bool // its first byte may be out
-	streaming bool
-	ended     bool
+	number int
+	server *endpoint
+	pool   *upstream.Pool // to the server's address when it was sent
+	sent   time.Duration
+	cancel context.CancelFunc
+	wrote  bool          // its first byte may be out
+	ended  bool          // for the decisions
+	closed chan struct{} // closed once nothing of it is out on a connection
 }
 
 // Begin hands a request to the decisions. Left counts from the request's last byte.
@@ -150,9 +140,7 @@
 func (h *Host) expire(c *Call) {
 	h.event(func(now time.Duration) {
 		for _, a := range c.attempts {
-			if !a.streaming {
-				h.abandon(now, c, a, decide.Timeout)
-			}
+			h.abandon(now, c, a, decide.Timeout)
 		}
 	})
 }
@@ -209,43 +197,31 @@
 	delete(h.calls, c.id)
 }
 
-// run carries an attempt out.
-func (h *Host) run(ctx context.Context, c *Call, a *attempt, pool *upstream.Pool) {
-	verdict, reply := pool.Do(ctx, &c.request, func() bool { return h.claim(a) })
-	a.cancel()
+// run carries an attempt out, once those before it that were given up are off their connections: endpoints count a
+// copy as out for as long as its connection is open.
+func (h *Host) run(ctx context.Context, c *Call, a *attempt, before []chan struct{}) {
+	for _, closed := range before {
+		<-closed
+	}
+	verdict, reply, err := a.pool.Do(ctx, &c.request, func() bool { return h.claim(a) })
+	close(a.closed)
 	h.event(func(now time.Duration) {
-		switch {
-		case a.ended:
-		case reply != nil && reply.Long && verdict == decide.OK && !c.done:
-			a.streaming = true
-			h.balancer.Started(now, c.id)
-			latency := now - a.sent
-			h.finish(c, Answer{Reply: reply, ended: func(v decide.Verdict) { h.streamed(c, a, v, latency) }})
-			reply = nil
-		default:
+		if !a.ended {
+			if err != nil {
+				h.log.Info("attempt failed", "endpoint", a.server.name, "error", err)
+			}
 			h.outcome(now, c, a, verdict, reply)
 		}
 	})
-	if reply != nil {
-		reply.Close()
-	}
-}
-
-// streamed ends the attempt behind a long answer. Its latency is that of the answer's beginning: what follows goes
-// at the caller's pace.
-func (h *Host) streamed(c *Call, a *attempt, v decide.Verdict, latency time.Duration) {
-	h.event(func(now time.Duration) {
-		a.sent = now - latency
-		h.outcome(now, c, a, v, nil)
-	})
+	a.cancel()
 }
 
 // claim is asked just before an attempt's first byte. It may no longer go out: while the connection was made the
-// attempt can have been given up, or its endpoint told to be draining or gone.
+// attempt can have been given up, or its endpoint told to be draining, gone or elsewhere.
 func (h *Host) claim(a *attempt) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a.wrote = !a.ended && a.server.State == decide.Ready
+	a.wrote = !a.ended && a.server.State == decide.Ready && a.server.pool == a.pool
 	return a.wrote
 }
 
@@ -257,19 +233,27 @@
 	if c == nil {
 		return
 	}
-	a := &attempt{number: len(c.attempts), server: e, sent: h.clock.now(), cancel: func() {}}
+	a := &attempt{number: len(c.attempts), server: e, sent: h.clock.now(), cancel: func() {}, closed: make(chan struct{})}
+	var before []chan struct{}
+	for _, earlier := range c.attempts {
+		if earlier.ended {
+			before = append(before, earlier.closed)
+		}
+	}
 	c.attempts = append(c.attempts, a)
 	over := !h.ending.IsZero() && !time.Now().Before(h.ending)
 	if e == nil || c.done || over { // moot
 		if e == nil {
 			a.server = &endpoint{Server: decide.Server{ID: s}}
 		}
+		close(a.closed)
 		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, decide.Moot) })
 		return
 	}
 	var ctx context.Context
 	ctx, a.cancel = context.WithCancel(context.Background())
-	go h.run(ctx, c, a, e.pool)
+	a.pool = e.pool
+	go h.run(ctx, c, a, before)
 }
 
 func (h actions) Refuse(id decide.RequestID, retryAfter time.Duration) {
@@ -286,7 +270,7 @@
 
 func (h actions) Cancel(id decide.RequestID, n int) {
 	c := h.calls[id]
-	if c == nil || n < 0 || n >= len(c.attempts) || c.attempts[n].streaming {
+	if c == nil || n < 0 || n >= len(c.attempts) {
 		return
 	}
 	h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, c.attempts[n], decide.Cancelled) })
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -60,6 +60,10 @@
 	}
 	s.Zone = slices.Index(h.zones, e.Zone)
 	if _, err := netip.ParseAddrPort(e.Address); err != nil || s.Zone < 0 {
+		if old != nil && state == decide.Draining { // that it drains counts, whatever else can't be read
+			old.State = state
+			return old.Server, nil
+		}
 		return s, fmt.Errorf("endpoint %q: address %q, zone %q", e.Name, e.Address, e.Zone)
 	}
 	switch {
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,104 @@
+// Package httphead reads the head of an HTTP/1.1 message strictly. What two readers could understand differently is
+// an error here: a length that stands twice or beside a transfer coding (such a message can hide another in its
+// body), folded lines, bare line feeds, names with spaces, control characters. Package net/http repairs some of that
+// before a handler sees it. It errs on the side of refusing: an old peer that ends its lines with a line feed alone,
+// or says the same length twice, is turned away too.
+package httphead
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Head is a message's head.
+type Head struct {
+	Start   string // the request or status line
+	Header  http.Header
+	Length  int64 // -1: none told
+	Chunked bool
+}
+
+// End returns the length of the head that text begins with, its empty line included, or -1 where that is still to
+// come.
+func End(text []byte) int {
+	for at := 0; ; {
+		i := bytes.IndexByte(text[at:], '\n')
+		if i < 0 {
+			return -1
+		}
+		line := text[at : at+i]
+		at += i + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return at
+		}
+	}
+}
+
+// Parse reads a whole head.
+func Parse(text []byte) (Head, error) {
+	body, ok := strings.CutSuffix(string(text), "\r\n\r\n")
+	if !ok {
+		return Head{}, errors.New("head: no empty line at its end")
+	}
+	start, fields, more := strings.Cut(body, "\r\n")
+	h := Head{Start: start, Header: http.Header{}, Length: -1}
+	if !printable(start) {
+		return h, errors.New("head: the first line can't be read")
+	}
+	for more {
+		var line string
+		line, fields, more = strings.Cut(fields, "\r\n")
+		name, value, colon := strings.Cut(line, ":")
+		if !colon || !token(name) || !printable(value) {
+			return h, fmt.Errorf("head: line %.40q", line)
+		}
+		h.Header.Add(name, strings.Trim(value, " \t"))
+	}
+	return h, h.frame()
+}
+
+func (h *Head) frame() error {
+	lengths, codings := h.Header["Content-Length"], h.Header["Transfer-Encoding"]
+	switch {
+	case len(lengths)+len(codings) > 1:
+		return errors.New("head: several lengths, or a length and a transfer coding")
+	case len(codings) == 1:
+		h.Chunked = strings.EqualFold(codings[0], "chunked")
+		if !h.Chunked {
+			return fmt.Errorf("head: transfer coding %.40q", codings[0])
+		}
+	case len(lengths) == 1:
+		n, err := strconv.ParseUint(lengths[0], 10, 63) // digits alone
+		if err != nil {
+			return fmt.Errorf("head: length %.40q", lengths[0])
+		}
+		h.Length = int64(n)
+	}
+	return nil
+}
+
+// Closes tells whether the message ends its connection.
+func (h *Head) Closes() bool {
+	for _, line := range h.Header["Connection"] {
+		for option := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(option), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func printable(s string) bool {
+	return !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+}
+
+func token(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
+	})
+}
--- /dev/null
+++ b/internal/httphead/httphead_test.go
@@ -0,0 +1,44 @@
+package httphead
+
+import "testing"
+
+func TestParse(t *testing.T) {
+	good := map[string]int64{
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n":                                       -1,
+		"GET / HTTP/1.1\r\n\r\n":                                                  -1,
+		"POST / HTTP/1.1\r\ncontent-length: 12\r\n\r\n":                           12,
+		"HTTP/1.1 200 OK\r\nContent-Length:0 \r\nX: \r\n\r\n":                     0,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\nY: caf\xc3\xa9\r\n\r\n": -1,
+	}
+	for text, length := range good {
+		h, err := Parse([]byte(text))
+		if err != nil || h.Length != length {
+			t.Errorf("%q: length %d, %v", text, h.Length, err)
+		}
+		if End([]byte(text+"more")) != len(text) || End([]byte(text[:len(text)-1])) >= 0 {
+			t.Errorf("%q: its end is not found", text)
+		}
+	}
+	for _, text := range []string{
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3,3\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding:\r\n chunked\r\n\r\n",
+		"POST / HTTP/1.1\nContent-Length: 3\n\n",
+		"POST / HTTP/1.1\r\nX: a\nTransfer-Encoding: chunked\r\n\r\n",
+		"POST / HTTP/1.1\r\nX: a\rb\r\n\r\n",
+		"POST / HTTP/1.1\r\nno colon\r\n\r\n",
+		"POST / HTTP/1.1\r\n: no name\r\n\r\n",
+		"noise\x00\r\n\r\n",
+	} {
+		if h, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%q: read as %+v", text, h)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,48 +6,67 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"strconv"
+	"strings"
+	"syscall"
 	"time"
+
+	"maplepulley/internal/httphead"
 )
 
 const (
-	maxHead      = 64 << 10 // an answer's head
-	maxAnswer    = 32 << 20 // an answer's body
-	maxInterim   = 8        // 1xx answers before the final one
-	stallTimeout = 3 * time.Second
+	maxHead    = 16 << 10 // an answer's head, and its trailers
+	maxAnswer  = 64 << 10 // an answer's body: the protocol's limit
+	maxInterim = 8        // 1xx answers before the final one
+	// answerIn is how long an answer may take from its first byte to its last. It is in the endpoint's hands whole
+	// by then, so one that stalls is spoilt: a head without end, a length that does not fit, noise that ends in no
+	// line. The time saved is the request's next attempt. A link that carries less than 64 KiB in this time would
+	// be harmed.
+	answerIn = 750 * time.Millisecond
+	writeIn  = time.Second // for a whole request, likewise
 )
 
+// errSpoilt is what an endpoint wrote that is no answer. The request may have run, and the endpoint goes on working.
+var errSpoilt = errors.New("spoilt answer")
+
+// Answer is an endpoint's answer, whole.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // conn is one connection to an endpoint. It carries one attempt at a time.
 type conn struct {
 	net.Conn
-	pool  *Pool
-	in    limitedReader
-	br    *bufio.Reader
-	first chan error // one value for each use: the answer's first byte is there, or never will be
+	raw       syscall.RawConn
+	br        *bufio.Reader
+	idleSince time.Time
 }
 
-func newConn(nc net.Conn, p *Pool) *conn {
-	c := &conn{Conn: nc, pool: p, first: make(chan error, 1)}
-	c.in = limitedReader{r: nc, left: maxHead}
-	c.br = bufio.NewReaderSize(&c.in, 4<<10)
-	return c
+func newConn(nc net.Conn) (*conn, error) {
+	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10)}
+	var err error
+	c.raw, err = nc.(syscall.Conn).SyscallConn()
+	return c, err
 }
 
-// watch waits for the first byte of the next answer. While the connection stands idle such a byte was not asked
-// for, and an end means that the endpoint has closed: either way it is not used again.
-func (c *conn) watch() {
-	_, err := c.br.Peek(1)
-	if err == nil {
-		// An endpoint that answers before it has read the whole request (turned away, say) may never read the
-		// rest: a write that still waits for it ends here.
-		c.SetWriteDeadline(time.Now())
-	}
-	c.pool.drop(c)
-	c.first <- err // last: from here on the connection may be in its next use
+// quiet tells whether nothing has come on a connection that carries no request: no byte and no end. What stands on
+// it before a request is written is not that request's answer. It guards against second copies, noise and late
+// answers of any kind, and against connections that the endpoint has closed; what comes later than this look is
+// beyond it.
+func (c *conn) quiet() bool {
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return err == nil && quiet && c.br.Buffered() == 0
 }
 
 // send writes the request and reports whether its last byte is written. An endpoint cannot have begun a request
@@ -64,126 +83,99 @@
 	head.WriteString("\r\n")
 	size := int64(head.Len() + len(r.Body))
 	message := net.Buffers{head.Bytes(), r.Body}
+	c.SetWriteDeadline(time.Now().Add(min(timeout, writeIn)))
 	n, _ := message.WriteTo(c.Conn)
 	return n == size
 }
 
-// receive reads an answer up to its end, or of a long one its beginning. It returns an error where the answer is
-// not whole or not HTTP.
-func (c *conn) receive(method string, soon func() bool) (*Answer, error) {
-	err := <-c.first
-	if errors.Is(err, os.ErrDeadlineExceeded) { // the idle limit ran out just as the connection was taken
-		_, err = c.br.Peek(1)
+// receive reads an answer to its end and tells whether the connection can be used again. An error is errSpoilt, or
+// the connection's.
+func (c *conn) receive() (a *Answer, keep bool, err error) {
+	for range maxInterim {
+		c.SetReadDeadline(time.Time{}) // the attempt's end closes the connection
+		if _, err := c.br.Peek(1); err != nil {
+			return nil, false, err
+		}
+		c.SetReadDeadline(time.Now().Add(answerIn))
+		a, keep, err = c.answer()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = fmt.Errorf("%w: stalled", errSpoilt)
+		}
+		if err != nil || a.Status >= 200 || a.Status == http.StatusSwitchingProtocols {
+			return a, keep, err
+		}
 	}
+	return nil, false, fmt.Errorf("%w: too many interim answers", errSpoilt)
+}
+
+// answer reads one answer of any status.
+func (c *conn) answer() (a *Answer, keep bool, err error) {
+	text, err := c.head()
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	resp, err := c.head(method)
+	head, err := httphead.Parse(text)
 	if err != nil {
-		return nil, err
+		return nil, false, fmt.Errorf("%w: %w", errSpoilt, err)
 	}
-	if resp.ContentLength > maxAnswer {
-		return nil, fmt.Errorf("an answer of %d bytes", resp.ContentLength)
+	a = &Answer{Header: head.Header}
+	proto, rest, _ := strings.Cut(head.Start, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if a.Status, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.Status < 100 ||
+		proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+		return nil, false, fmt.Errorf("%w: status line %.40q", errSpoilt, head.Start)
 	}
-	c.in.left = math.MaxInt64
-	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: c, keep: !resp.Close}
-	a.rest = io.LimitReader(resp.Body, maxAnswer+1)
-	return a, a.buffer(soon)
+	keep = proto == "HTTP/1.1" && !head.Closes() && a.Status != http.StatusSwitchingProtocols
+	switch {
+	case a.Status < 200 || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+	case head.Chunked:
+		a.Body, err = c.chunks()
+	case head.Length > maxAnswer:
+		err = fmt.Errorf("%w: %d bytes", errSpoilt, head.Length)
+	case head.Length >= 0:
+		a.Body = make([]byte, head.Length)
+		_, err = io.ReadFull(c.br, a.Body)
+	default: // up to the connection's end
+		keep = false
+		a.Body, err = readAll(c.br)
+	}
+	// More than the answer: it is good, but nobody can tell where the next one would begin.
+	keep = keep && (a.Status < 200 || c.br.Buffered() == 0)
+	return a, keep, err
 }
 
-func (c *conn) head(method string) (*http.Response, error) {
-	for range maxInterim {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		if err != nil {
+// head reads a head up to its empty line.
+func (c *conn) head() ([]byte, error) {
+	var text []byte
+	for {
+		line, err := c.br.ReadSlice('\n')
+		text = append(text, line...)
+		switch {
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return nil, err
+		case len(text) > maxHead:
+			return nil, fmt.Errorf("%w: a head of over %d bytes", errSpoilt, maxHead)
+		case err == nil && len(bytes.TrimRight(line, "\r\n")) == 0:
+			return text, nil
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-	return nil, errors.New("too many interim answers")
-}
-
-// limitedReader bounds what an answer's head may take: package http sets no limit of its own.
-type limitedReader struct {
-	r    io.Reader
-	left int64
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errors.New("the answer's head is too large")
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
-// Answer is an endpoint's answer. Close must be called once it is no longer needed.
-type Answer struct {
-	Status int
-	Header http.Header
-	Length int64  // -1: not told
-	Body   []byte // all of a short answer, the beginning of a long one
-	Long   bool   // Read gives the rest
-
-	rest  io.Reader
-	conn  *conn
-	keep  bool // the endpoint lets the connection live on
-	ended bool // read to its true end
 }
 
-// soonest is how long the beginning of a long answer may be held back to be able to try elsewhere should it break.
-const soonest = 250 * time.Millisecond
-
-// buffer reads up to Buffered bytes. A break in them is a reset like any other, as nothing has been passed on.
-// What is known to be long is held back only for a short time: its time is that of its first bytes.
-func (a *Answer) buffer(soon func() bool) error {
-	size := int64(Buffered)
-	if a.Length >= 0 {
-		size = min(size, a.Length)
-	}
-	var body bytes.Buffer
-	if a.Length >= 0 {
-		body.Grow(int(size))
-	}
-	start := time.Now()
-	for int64(body.Len()) < size {
-		n, err := io.CopyN(&body, a.rest, min(8<<10, size-int64(body.Len())))
-		if err == io.EOF && a.Length < 0 {
-			a.Body, a.ended = body.Bytes(), true
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("answer cut off after %d bytes: %w", int64(body.Len())+n, err)
-		}
-		if a.Length > Buffered && (time.Since(start) > soonest || soon()) {
-			break
-		}
+func (c *conn) chunks() ([]byte, error) {
+	body, err := readAll(httputil.NewChunkedReader(c.br))
+	if err == nil {
+		_, err = c.head() // trailers, which are not passed on
 	}
-	a.Body = body.Bytes()
-	a.ended = int64(len(a.Body)) == a.Length
-	a.Long = !a.ended
-	return nil
-}
-
-// Read gives the rest of a long answer. io.EOF is its true end; an endpoint that pauses for too long or ends early
-// gives another error.
-func (a *Answer) Read(p []byte) (int, error) {
-	a.conn.SetReadDeadline(time.Now().Add(stallTimeout))
-	n, err := a.rest.Read(p)
-	if limit := a.rest.(*io.LimitedReader); limit.N == 0 {
-		return 0, errors.New("the answer is too large")
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		err = fmt.Errorf("%w: chunks: %w", errSpoilt, err)
 	}
-	a.ended = err == io.EOF
-	return n, err
+	return body, err
 }
 
-// Close gives the connection back, or closes it where the answer was not read to its end.
-func (a *Answer) Close() {
-	if a.conn == nil {
-		return
+func readAll(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = fmt.Errorf("%w: over %d bytes", errSpoilt, maxAnswer)
 	}
-	a.conn.pool.release(a.conn, a.keep && a.ended)
-	a.conn = nil
+	return body, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -15,9 +16,6 @@
 	"maplepulley/decide"
 )
 
-// Buffered is how much of an answer is held before any of it is passed on.
-const Buffered = 64 << 10
-
 const notProcessed = "X-Not-Processed"
 
 // Request is what goes to an endpoint, the same with each attempt.
@@ -34,13 +32,18 @@
 	idle        time.Duration
 	max         int
 
-	mu    sync.Mutex
-	open  int
-	pools map[*Pool]struct{}
+	mu       sync.Mutex
+	open     int
+	pools    map[*Pool]struct{}
+	sweeping bool
 }
 
+// sweepEvery is how often connections that stand idle are looked at.
+const sweepEvery = 500 * time.Millisecond
+
 // NewClient returns a client with at most max connections. A connection that has stood idle for the given time is
-// closed: before the endpoint does, or a request would be written to it in vain.
+// closed: before the endpoint does, or a request would be written to it in vain. What is held for an answer is
+// bounded by the connections too: 64 KiB for each.
 func NewClient(dialTimeout, idle time.Duration, max int) *Client {
 	return &Client{dialTimeout: dialTimeout, idle: idle, max: max, pools: map[*Pool]struct{}{}}
 }
@@ -71,87 +74,89 @@
 }
 
 // Do sends the request once. Claim is called just before the first byte is written: where it returns false nothing
-// is written. The answer is not nil only where the verdict is OK, Error or ServerFull.
-func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (decide.Verdict, *Answer) {
-	c, verdict := p.take(ctx)
+// is written. The answer is not nil only where one has come whole: the verdict is OK, Error, Rejected or ServerFull.
+// When Do returns the attempt's connection is closed or stands idle.
+func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (decide.Verdict, *Answer, error) {
+	c, verdict, err := p.take(ctx)
 	if c == nil {
-		return verdict, nil
+		return verdict, nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	verdict, answer := p.attempt(c, r, claim)
-	if !stop() && answer != nil {
-		answer.keep = false // given up meanwhile
-	}
-	if answer == nil {
-		p.release(c, false)
-	}
-	return verdict, answer
+	verdict, answer, keep, err := attempt(c, r, claim)
+	p.release(c, stop() && keep)
+	return verdict, answer, err
 }
 
-func (p *Pool) attempt(c *conn, r *Request, claim func() bool) (decide.Verdict, *Answer) {
+func attempt(c *conn, r *Request, claim func() bool) (v decide.Verdict, a *Answer, keep bool, err error) {
 	if !claim() {
-		return decide.Moot, nil
-	}
-	whole := c.send(r, time.Until(r.Deadline))
-	if !whole && len(c.first) == 0 {
-		return decide.ConnectFailed, nil
+		return decide.Moot, nil, true, nil
 	}
-	answer, err := c.receive(r.Method, func() bool { return time.Until(r.Deadline) < 2*soonest })
-	if err != nil && !whole {
-		return decide.ConnectFailed, nil
+	if !c.send(r, time.Until(r.Deadline)) {
+		return decide.ConnectFailed, nil, false, errors.New("broken before the request was written")
 	}
-	if err != nil {
-		return decide.Reset, nil
-	}
-	answer.keep = answer.keep && whole
+	a, keep, err = c.receive()
 	switch {
-	case answer.Status == http.StatusOK && whole:
-		return decide.OK, answer
-	case (answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusGatewayTimeout) &&
-		answer.Header.Get(notProcessed) == "1":
-		return decide.ServerFull, answer
-	}
-	return decide.Error, answer
+	case errors.Is(err, errSpoilt): // the endpoint has answered, if badly: no break of its connections or process
+		return decide.Error, nil, false, err
+	case err != nil:
+		return decide.Reset, nil, false, err
+	case a.Status == http.StatusOK:
+		return decide.OK, a, keep, nil
+	case (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusGatewayTimeout) &&
+		a.Header.Get(notProcessed) == "1":
+		return decide.ServerFull, a, keep, nil
+	case a.Status >= 400 && a.Status < 500 && a.Status != http.StatusRequestTimeout &&
+		a.Status != http.StatusTooManyRequests:
+		return decide.Rejected, a, keep, nil
+	}
+	return decide.Error, a, keep, nil
 }
 
 // take returns an idle connection or a new one. Where it returns none, the verdict says why.
-func (p *Pool) take(ctx context.Context) (*conn, decide.Verdict) {
+func (p *Pool) take(ctx context.Context) (*conn, decide.Verdict, error) {
 	for {
 		c, ok := p.reserve()
 		if c == nil && !ok {
-			return nil, decide.Moot // out of descriptors: says nothing of the endpoint
+			return nil, decide.Moot, errors.New("no descriptor to spare") // says nothing of the endpoint
 		}
 		if c == nil {
 			break
 		}
-		// The order matters: with the deadline cleared, what watch has found by now is the endpoint's doing.
-		c.SetReadDeadline(time.Time{})
-		if len(c.first) == 0 {
-			return c, decide.OK
+		if c.quiet() {
+			return c, decide.OK, nil
 		}
 		p.release(c, false)
 	}
 	d := net.Dialer{Timeout: p.client.dialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", p.addr)
+	var c *conn
+	if err == nil {
+		if c, err = newConn(nc); err != nil {
+			nc.Close()
+		}
+	}
 	if err != nil {
 		p.client.mu.Lock()
 		p.freed()
 		p.client.mu.Unlock()
-		return nil, decide.ConnectFailed
+		return nil, decide.ConnectFailed, err
 	}
-	c := newConn(nc, p)
-	go c.watch()
-	return c, decide.OK
+	return c, decide.OK, nil
 }
 
 // reserve takes the newest idle connection, or room for a new one; ok is false where there is neither. Connections
 // that stand idle elsewhere make room.
-func (p *Pool) reserve() (c *conn, ok bool) {
+func (p *Pool) reserve() (*conn, bool) {
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
-	if n := len(p.idle); n > 0 {
-		c, p.idle = p.idle[n-1], p.idle[:n-1]
-		return c, true
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		c := p.idle[n]
+		p.idle[n] = nil
+		p.idle = p.idle[:n]
+		if time.Since(c.idleSince) <= p.client.idle {
+			return c, true
+		}
+		p.discard(c)
 	}
 	// One endpoint that hangs must not hold the connections of all.
 	if p.open >= max(p.client.max/4, 1) || p.client.open >= p.client.max && !p.client.shed() {
@@ -191,24 +196,36 @@
 func (p *Pool) release(c *conn, keep bool) {
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
-	if keep && !p.closed && c.br.Buffered() == 0 {
-		c.in.left = maxHead
-		c.SetReadDeadline(time.Now().Add(p.client.idle))
-		c.SetWriteDeadline(time.Time{})
-		p.idle = append(p.idle, c)
-		go c.watch()
+	if !keep || p.closed {
+		p.discard(c)
 		return
 	}
-	p.discard(c)
+	c.idleSince = time.Now()
+	p.idle = append(p.idle, c)
+	if !p.client.sweeping {
+		p.client.sweeping = true
+		time.AfterFunc(sweepEvery, p.client.sweep)
+	}
 }
 
-// drop closes a connection that stands idle; one in use is left to its attempt.
-func (p *Pool) drop(c *conn) {
-	p.client.mu.Lock()
-	defer p.client.mu.Unlock()
-	if i := slices.Index(p.idle, c); i >= 0 {
-		p.idle = slices.Delete(p.idle, i, i+1)
-		p.discard(c)
+// sweep closes the idle connections that have stood too long, that the endpoint has closed, or on which something has
+// come that nobody asked for. It goes on while there are idle connections.
+func (c *Client) sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweeping = false
+	for p := range c.pools {
+		p.idle = slices.DeleteFunc(p.idle, func(ic *conn) bool {
+			over := time.Since(ic.idleSince) > c.idle || !ic.quiet()
+			if over {
+				p.discard(ic)
+			}
+			return over
+		})
+		c.sweeping = c.sweeping || len(p.idle) > 0
+	}
+	if c.sweeping {
+		time.AfterFunc(sweepEvery, c.sweep)
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,182 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"maplepulley/decide"
+	"maplepulley/internal/lbtest"
+)
+
+func request(id string) *Request {
+	return &Request{Method: "GET", Target: "/read", Host: "app.svc", Deadline: time.Now().Add(lbtest.Wait),
+		Header: http.Header{"X-Request-Id": {id}}}
+}
+
+func yes() bool { return true }
+
+func do(t *testing.T, p *Pool, id string) (decide.Verdict, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
+	defer cancel()
+	v, a, _ := p.Do(ctx, request(id), yes)
+	if ctx.Err() != nil {
+		t.Fatal("the attempt did not end by itself")
+	}
+	if a == nil {
+		return v, ""
+	}
+	return v, string(a.Body)
+}
+
+// Spoilt answers end the attempt by themselves, as errors that may have run, and their connections are closed though
+// the endpoint keeps them open. Good answers are good whatever comes before or behind them.
+func TestAnswers(t *testing.T) {
+	spoilt := map[string]string{
+		"noise":             "\x01\x02\xff\r\n\r\n",
+		"noise, no end":     "\x01\x02\xff",
+		"other protocol":    "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"status":            "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
+		"no colon":          "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nok",
+		"two lengths":       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+		"length and chunks": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"negative length":   "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok",
+		"endless head":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: pppppppp\r\n", 8<<10),
+		"half a head":       "HTTP/1.1 200 OK\r\nContent-Le",
+		"short body":        "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok",
+		"3 GB":              "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"over 64 KiB":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", 0x20000),
+		"bad chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n",
+		"no end of chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"interim for ever":  strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100),
+	}
+	good := map[string]string{
+		"plain":       lbtest.OK("ok"),
+		"chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\nX: y\r\n\r\n",
+		"interim":     "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + lbtest.OK("ok"),
+		"a copy more": lbtest.OK("ok") + lbtest.OK("xx"),
+		"noise more":  lbtest.OK("ok") + "\x01\x02",
+	}
+	for name, text := range spoilt {
+		t.Run(name, func(t *testing.T) { t.Parallel(); answers(t, text, decide.Error, "") })
+	}
+	for name, text := range good {
+		t.Run(name, func(t *testing.T) { t.Parallel(); answers(t, text, decide.OK, "ok") })
+	}
+}
+
+func answers(t *testing.T, text string, verdict decide.Verdict, body string) {
+	odd := verdict != decide.OK || strings.Contains(text, "xx") || strings.HasSuffix(text, "\x02")
+	first := true
+	var second int
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+		if first {
+			first = false
+			a.Write([]byte(text))
+			return
+		}
+		second = a.Nth
+		a.OK()
+	})
+	c := NewClient(lbtest.Wait, lbtest.Wait, 4)
+	p := c.Pool(e.Addr)
+	defer p.Close()
+	if v, got := do(t, p, "one"); v != verdict || got != body {
+		t.Errorf("verdict %d, body %q", v, got)
+	}
+	if v, got := do(t, p, "two"); v != decide.OK || got != "answer to two" {
+		t.Errorf("the next request: verdict %d, body %q", v, got)
+	}
+	if odd && second != 0 {
+		t.Error("the next request went out on the same connection")
+	}
+	if n := c.Open(); n != 1 {
+		t.Errorf("%d connections are open", n)
+	}
+}
+
+// What stands on a connection before its request is written is not the answer: it is never used again.
+func TestStale(t *testing.T) {
+	late := make(chan *lbtest.Arrival, 1)
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+		if a.Request.Header.Get("X-Request-Id") == "one" {
+			late <- a
+		}
+		a.OK()
+	})
+	c := NewClient(lbtest.Wait, lbtest.Wait, 4)
+	p := c.Pool(e.Addr)
+	defer p.Close()
+	if v, _ := do(t, p, "one"); v != decide.OK {
+		t.Fatal(v)
+	}
+	a := <-late
+	a.Write([]byte(lbtest.OK("a stranger's")))
+	// Loopback hands the bytes over within the write.
+	if v, body := do(t, p, "two"); v != decide.OK || body != "answer to two" {
+		t.Errorf("verdict %d, body %q", v, body)
+	}
+}
+
+// Outcomes that prove that a request never ran are told from those that don't.
+func TestOutcomes(t *testing.T) {
+	for text, verdict := range map[string]decide.Verdict{
+		"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n": decide.ServerFull,
+		"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n": decide.ServerFull,
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                       decide.Error,
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n":                       decide.Error,
+		"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n":                       decide.Rejected,
+		"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n":                       decide.Error,
+		"HTTP/1.1 101 No\r\n\r\n":                                            decide.Error,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbroken":                 decide.Reset,
+		"": decide.Reset,
+	} {
+		t.Run(fmt.Sprintf("%.30q", text), func(t *testing.T) {
+			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+				a.Write([]byte(text))
+				if verdict == decide.Reset {
+					a.Close()
+				}
+			})
+			p := NewClient(lbtest.Wait, lbtest.Wait, 4).Pool(e.Addr)
+			defer p.Close()
+			if v, _ := do(t, p, "one"); v != verdict {
+				t.Errorf("verdict %d, not %d", v, verdict)
+			}
+		})
+	}
+	l := lbtest.Listen(t)
+	l.Close()
+	if v, _ := do(t, NewClient(lbtest.Wait, lbtest.Wait, 4).Pool(l.Addr().String()), "one"); v != decide.ConnectFailed {
+		t.Errorf("refused: verdict %d", v)
+	}
+}
+
+// An idle connection ends by itself: when the endpoint closes it, when something comes on it, and after its time.
+func TestIdleEnds(t *testing.T) {
+	for name, idle := range map[string]time.Duration{"close": lbtest.Wait, "noise": lbtest.Wait, "time": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+				a.OK()
+				switch name {
+				case "close":
+					a.Close()
+				case "noise":
+					a.Write([]byte("x"))
+				}
+			})
+			c := NewClient(lbtest.Wait, idle, 4)
+			p := c.Pool(e.Addr)
+			defer p.Close()
+			if v, _ := do(t, p, "one"); v != decide.OK {
+				t.Fatal(v)
+			}
+			lbtest.Until(t, "no connection open", func() bool { return c.Open() == 0 })
+		})
+	}
+}
