Put out a server that turns calls away where the others serve

With the words of each failed attempt logged, 108 of them were 503 with X-Not-Processed from four endpoints of the last tier, from 8 to 17 s, with every sidecar coming back to the same four several times a second. Ruled out: connection caps (82 open in all), draining (not listed so), our own queue there (one or two in flight).

Cause: decide.learn took ServerFull for a sign of life and no more. A server that turns everything away is idle and quick, so score() ranks it first; an ejected one that failed its trial was tried again with the next call, as failing asked for !s.out.

Change: ServerFull counts towards a server's failures; failing puts out who turns away more than the pool does, and puts it out again, for longer, where the trial fails. In an overload of all nobody is put out.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -495,11 +495,13 @@
 	s.outUntil = now + time.Duration((0.5+b.rng.Float64())*float64(time.Second<<(s.outs-1)))
 }
 
-// failing puts a server out that answers with errors where the others do not: quick errors would make it
-// the best ranked of all. Errors that come from deeper in the chain come from all servers alike.
-func (b *Balancer) failing(now time.Duration, s *server) {
-	if s.bad > 0.5 && s.bad*b.answers > 2*b.errs && !s.out {
-		b.eject(now, s, "errors")
+// failing puts a server out that answers with errors, or turns calls away, where the others do not: it is
+// quick and idle, which would make it the best ranked of all and draw every retry. It guards against all that
+// fails at once (a broken release, a rate limit, a server that drains and hasn't said so). Errors from deeper
+// in the chain, and an overload, come from all servers alike: others is what the pool has of them.
+func (b *Balancer) failing(now time.Duration, s *server, others float64, why string) {
+	if s.bad > 0.5 && s.bad*b.answers > others && (!s.out || now >= s.outUntil) {
+		b.eject(now, s, why)
 	}
 }
 
@@ -541,8 +543,12 @@
 	case Error:
 		s.answered = now
 		s.bad += (1 - s.bad) * 0.3
-		b.failing(now, s)
-	case ServerFull, Rejected: // a caller's mistake says nothing of the server
+		b.failing(now, s, 2*b.errs, "errors")
+	case ServerFull:
+		s.answered = now
+		s.bad += (1 - s.bad) * 0.3
+		b.failing(now, s, b.errs+b.fulls, "full")
+	case Rejected: // a caller's mistake says nothing of the server
 		s.answered = now
 	case ConnectFailed: // a server that answers between two of them is full of connections, not gone
 		if s.broke(now) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -763,3 +763,50 @@
 		t.Error("not put out")
 	}
 }
+
+// A server that turns all calls away, where others serve, is put out, and again after a trial that it turns away.
+func TestTurnsAway(t *testing.T) {
+	h := &recorder{}
+	b, err := New(testSettings(), 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Server
+	for id := range ServerID(6) {
+		list = append(list, Server{ID: id + 1, State: Ready})
+	}
+	now := sec
+	b.Members(now, Full, list)
+	// Two calls a server are out at all times, so that none of the six is left aside.
+	type call struct {
+		id RequestID
+		n  int
+	}
+	var out []call
+	turned, late := 0, 0
+	for id := range RequestID(2000) {
+		now += 10 * ms
+		b.Request(now, Request{ID: id + 1, Left: 5 * sec})
+		out = append(out, call{id + 1, 0})
+		for len(out) > 12 {
+			c := out[0]
+			out = out[1:]
+			r := b.requests[c.id]
+			if r == nil {
+				continue
+			}
+			o := Outcome{ID: c.id, Attempt: c.n, Server: r.attempts[c.n].s.ID, Latency: 120 * ms, Final: true}
+			if o.Server == 1 && id >= 200 {
+				o.Verdict, o.Final = ServerFull, false
+				out = append([]call{{c.id, c.n + 1}}, out...)
+				if turned++; id >= 1000 {
+					late++
+				}
+			}
+			b.Outcome(now, o)
+		}
+	}
+	if turned == 0 || turned > 100 || late == 0 || late > 20 {
+		t.Errorf("%d calls sent to be turned away, %d of them late", turned, late)
+	}
+}
