Rename the program to silvertrail and put routing behind an interface of the front

A gateway needs the front and the host without the platform's configuration. The front now asks a Router what is to be done with a request; internal/sidecar is the platform's. The host takes options in place of a configuration, tells whether a call that was not served may have run, and lets no attempt out for a call that has its answer. Settings are read by a package of their own, not by that of the simulator's frames.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -10,8 +10,9 @@
 	"os"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/wire"
+	"silvertrail/decide"
+	"silvertrail/internal/settings"
+	"silvertrail/wire"
 )
 
 func main() {
@@ -65,9 +66,9 @@
 	f(b)
 }
 
-func (l *link) Open(inst uint32, seed uint64, settings []byte) {
+func (l *link) Open(inst uint32, seed uint64, text []byte) {
 	delete(l.instances, inst)
-	s, err := wire.ParseSettings(settings)
+	s, err := settings.Parse(text)
 	if err == nil {
 		l.instances[inst], err = decide.New(s, seed, l.reply.Host(inst))
 	}
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-const settings = `{"balancers": 1, "classes": [{"deadline": 5, "effect": "free", "goal_time": 2, "worth": 1}],
+const profile = `{"balancers": 1, "classes": [{"deadline": 5, "effect": "free", "goal_time": 2, "worth": 1}],
 	"limits": {"max_attempts": 3}}`
 
 func le[T uint16 | uint32 | uint64 | float64 | uint8](v T) []byte {
@@ -29,11 +29,11 @@
 	return bytes.Join([][]byte{le(uint16(3)), le(inst), le(id), make([]byte, 13), le(2.0), make([]byte, 9)}, nil)
 }
 
-// Each instance's settings and state are its own; one whose settings are bad is an exception, the others go on.
+// Each instance's profile and state are its own; one whose profile are bad is an exception, the others go on.
 func TestInstances(t *testing.T) {
 	var out bytes.Buffer
 	in := bytes.Join([][]byte{
-		batch(1, open(1, settings), open(2, `{"classes": []}`)),
+		batch(1, open(1, profile), open(2, `{"classes": []}`)),
 		batch(2, inbound(1, 5), inbound(2, 6)),
 	}, nil)
 	if err := run(bytes.NewReader(in), &out); err != nil {
@@ -49,7 +49,7 @@
 }
 
 func TestInputEnds(t *testing.T) {
-	whole := batch(1, open(1, settings))
+	whole := batch(1, open(1, profile))
 	if err := run(bytes.NewReader(whole), &bytes.Buffer{}); err != nil {
 		t.Errorf("end between frames: %v", err)
 	}
--- a/cmd/irisrill/main.go
+++ b/cmd/silvertrail/main.go
@@ -1,4 +1,4 @@
-// Command irisrill is the sidecar: it takes callers' requests on one address and sends them to the endpoints that
+// Command silvertrail is the sidecar: it takes callers' requests on one address and sends them to the endpoints that
 // discovery names, as package decide decides. Its configuration is the file named by LB_CONFIG.
 package main
 
@@ -16,12 +16,13 @@
 	"syscall"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/internal/config"
-	"maplepulley/internal/frontend"
-	"maplepulley/internal/host"
-	"maplepulley/internal/registry"
-	"maplepulley/internal/upstream"
+	"silvertrail/decide"
+	"silvertrail/internal/config"
+	"silvertrail/internal/frontend"
+	"silvertrail/internal/host"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/sidecar"
+	"silvertrail/internal/upstream"
 )
 
 const (
@@ -41,7 +42,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "irisrill:", err)
+		fmt.Fprintln(os.Stderr, "silvertrail:", err)
 		os.Exit(1)
 	}
 }
@@ -65,7 +66,8 @@
 	sockets := c.Limits.Sockets - ownSockets
 	client := upstream.NewClient(c.DialTimeout, time.Duration(idlePart*float64(c.Decide.ConnIdle)), sockets/2)
 	var discovery *registry.Client
-	h, err := host.New(c, client, func() { discovery.Watch() }, log)
+	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Client: client,
+		Watch: func() { discovery.Watch() }, Log: log})
 	if err != nil {
 		return err
 	}
@@ -89,7 +91,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server := frontend.New(c, h, listener, sockets/2, int64(bodyPart*float64(c.Limits.MemoryMB<<20)),
+	router := sidecar.NewRouter(c, h, int64(bodyPart*float64(c.Limits.MemoryMB<<20)))
+	server := frontend.New(router, listener, sockets/2,
 		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
 	go discovery.Run(ctx)
 	go func() {
@@ -123,6 +126,7 @@
 	}
 	rest := min(c.Longest(), longest) + killIn - spare
 	now := time.Now()
+	h.End(now.Add(rest))
 	server.End(now.Add(max(rest/2, acceptOn)), now.Add(rest))
 	log.Info("ended", "held", h.Held())
 	return nil
--- a/cmd/irisrill/main_test.go
+++ b/cmd/silvertrail/main_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"maplepulley/internal/lbtest"
+	"silvertrail/internal/lbtest"
 )
 
 // start runs the sidecar in this process and returns its address and the channel of its end.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"maplepulley/decide"
+	"silvertrail/decide"
 )
 
 // printer is a small host: it prints what the balancer decides.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/wire"
+	"silvertrail/decide"
+	"silvertrail/internal/settings"
 )
 
 // Limits are what the process may use.
@@ -124,7 +124,7 @@
 
 func (c *Config) settings(text []byte) error {
 	var err error
-	if c.Decide, err = wire.ParseSettings(text); err != nil {
+	if c.Decide, err = settings.Parse(text); err != nil {
 		return err
 	}
 	if _, err = decide.New(c.Decide, 0, nil); err != nil {
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"time"
-
-	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -26,7 +24,7 @@
 // body is a request's body and what it holds of the memory that all bodies share.
 type body struct {
 	bytes  []byte
-	budget *semaphore.Weighted
+	budget Budget
 	held   int64
 }
 
--- a/internal/frontend/conns.go
+++ b/internal/frontend/conns.go
@@ -95,6 +95,18 @@
 // been read.
 func (c *callerConn) refused() bool { return c.gate.refused.Load() == c.handled }
 
+// unfit returns the status for a request that must be refused for how its head was written, or 0.
+func (c *callerConn) unfit() int {
+	switch {
+	case !c.refused():
+		return 0
+	case c.gate.large.Load():
+		return http.StatusRequestHeaderFieldsTooLarge
+	default:
+		return http.StatusBadRequest
+	}
+}
+
 // closeIdle closes n connections: those that have brought no request for some time, then those that have stood idle
 // longest. It returns false if there are none.
 func (l *callerConns) closeIdle(n int) bool {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -12,11 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
-	"maplepulley/internal/config"
-	"maplepulley/internal/host"
-	"maplepulley/internal/upstream"
+	"silvertrail/internal/host"
+	"silvertrail/internal/upstream"
 )
 
 const (
@@ -25,24 +22,54 @@
 	maxHead      = 16 << 10
 )
 
+// Budget is memory that request bodies share. Acquire waits for n bytes until ctx ends; *semaphore.Weighted is one.
+type Budget interface {
+	Acquire(ctx context.Context, n int64) error
+	Release(n int64)
+}
+
+// Router finds what is to be done with a request whose head has been read.
+type Router interface {
+	// Route returns the exchange that serves the request, or the answer that the front gives at once.
+	Route(r *http.Request) (Exchange, *Reply)
+}
+
+// Exchange is one request on its way.
+type Exchange interface {
+	Bodies() Budget
+	// Do gives the request, now whole, its one final answer. Where ctx ends the caller has gone: what comes back then
+	// is read by nobody unless it is a reply.
+	Do(ctx context.Context, body []byte) host.Answer
+	// Reply gives the answer in place of the front's own wording; nil where the front's is right.
+	Reply(a host.Answer) *Reply
+	// End follows every exchange, also one whose body never came.
+	End()
+}
+
+// Reply is an answer of the program's own.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Close ends the connection: what else stands on it is not to be trusted.
+	Close bool
+}
+
 // Server takes callers' requests and gives each one final answer.
 type Server struct {
-	config   *config.Config
-	host     *host.Host
+	router   Router
+	health   string // path of the readiness check; empty: none
 	conns    *callerConns
 	http     *http.Server
-	bodies   *semaphore.Weighted
 	ready    atomic.Bool
-	ending   atomic.Bool // not ready any more
-	closing  atomic.Bool // connections end
-	ids      *requestIDs
+	ending   atomic.Bool  // not ready any more
+	closing  atomic.Bool  // connections end
 	requests atomic.Int64 // in work
 }
 
-// New returns a server on l with at most maxConns connections and maxBodies bytes of request bodies.
-func New(c *config.Config, h *host.Host, l net.Listener, maxConns int, maxBodies int64, errorLog *log.Logger) *Server {
-	s := &Server{config: c, host: h, conns: newCallerConns(l, maxConns), bodies: semaphore.NewWeighted(maxBodies),
-		ids: newRequestIDs()}
+// New returns a server on l with at most maxConns connections.
+func New(router Router, l net.Listener, maxConns int, errorLog *log.Logger) *Server {
+	s := &Server{router: router, health: "/health/ready", conns: newCallerConns(l, maxConns)}
 	s.http = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: wholeIn,
@@ -72,10 +99,17 @@
 // Ready lets the readiness check pass.
 func (s *Server) Ready() { s.ready.Store(true) }
 
+// Close ends everything at once.
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	return s.http.Close()
+}
+
 // Conns returns the number of callers' connections.
 func (s *Server) Conns() int { return s.conns.count() }
 
-// End finishes what is held and returns when all is answered, or at the time by. From now on the readiness check fails.
+// End finishes what is held and returns when all is answered, or at the time by, which the hosts must have been told
+// beforehand. From now on the readiness check fails.
 // Until the time given first, callers are served as ever, on the connections that they have and on new ones; then
 // connections are closed, each after the answer that it waits for.
 //
@@ -84,7 +118,6 @@
 // shortly before the end has less time here than elsewhere, so that the decisions refuse what is too short.
 func (s *Server) End(serveUntil, by time.Time) {
 	s.ending.Store(true)
-	s.host.End(by)
 	time.Sleep(time.Until(serveUntil))
 	s.closing.Store(true)
 	s.conns.Listener.Close()
@@ -110,19 +143,21 @@
 	if s.closing.Load() || len(r.TransferEncoding) > 0 { // the gate follows no bodies of untold length
 		w.Header().Set("Connection", "close")
 	}
-	if r.URL.Path == "/health/ready" && r.ContentLength == 0 && !c.refused() {
-		s.health(w)
+	if s.health != "" && r.URL.Path == s.health && r.ContentLength == 0 && !c.refused() {
+		s.readiness(w)
 		return
 	}
-	up, q, id, status := s.parse(r)
-	if status == 0 && c.refused() {
-		status = http.StatusBadRequest
-	}
-	if status != 0 {
+	if status := c.unfit(); status != 0 {
 		turnAway(w, status)
 		return
 	}
-	b := &body{budget: s.bodies}
+	x, local := s.router.Route(r)
+	if local != nil {
+		s.local(w, r, local)
+		return
+	}
+	defer x.End()
+	b := &body{budget: x.Bodies()}
 	defer b.release()
 	err := b.read(w, r, time.Now().Add(wholeIn))
 	switch {
@@ -139,26 +174,25 @@
 		turnAway(w, http.StatusBadRequest)
 		return
 	}
-	key, fresh := s.ids.begin(id)
-	if !fresh { // never 429 or 503: those would speak of the request that has the id
-		turnAway(w, http.StatusConflict)
+	a := x.Do(r.Context(), b.bytes)
+	if own := x.Reply(a); own != nil {
+		s.local(w, r, own)
 		return
 	}
-	defer s.ids.end(key)
-	up.Body = b.bytes
-	call := s.host.Begin(up, q)
-	select {
-	case a := <-call.Answer():
-		s.answer(w, a)
-	case <-r.Context().Done():
-		s.host.Gone(call)
-		select {
-		case a := <-call.Answer(): // it came first
-			s.answer(w, a)
-		default: // nobody reads this, unless the caller has closed its sending side alone
-			reply(w, http.StatusBadGateway)
-		}
+	s.answer(w, a)
+}
+
+// local gives an answer of the program's own. Where the request's body has not been read its connection ends.
+func (s *Server) local(w http.ResponseWriter, r *http.Request, from *Reply) {
+	for name, values := range from.Header {
+		w.Header()[name] = values
 	}
+	unread := r.ContentLength != 0 && r.Body != nil
+	if from.Close || unread && from.Body == nil {
+		turnAway(w, from.Status)
+		return
+	}
+	write(w, from.Status, from.Body)
 }
 
 // turnAway answers a request that can't be served, and ends its connection: what else stands on it is not to be
@@ -169,7 +203,7 @@
 	reply(w, status)
 }
 
-func (s *Server) health(w http.ResponseWriter) {
+func (s *Server) readiness(w http.ResponseWriter) {
 	if s.ready.Load() && !s.ending.Load() {
 		reply(w, http.StatusOK)
 	} else {
@@ -179,9 +213,20 @@
 
 // reply writes an answer of the sidecar's own.
 func reply(w http.ResponseWriter, status int) {
+	write(w, status, nil)
+}
+
+func write(w http.ResponseWriter, status int, body []byte) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
-	w.Header().Set("Content-Length", "0")
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
+	if len(body) > 0 {
+		if _, err := w.Write(body); err != nil {
+			panic(http.ErrAbortHandler) // cuts the answer off, for all to see
+		}
+	}
 }
 
 func (s *Server) answer(w http.ResponseWriter, a host.Answer) {
@@ -202,7 +247,7 @@
 func pass(w http.ResponseWriter, from *upstream.Answer) {
 	h := w.Header()
 	closing := h.Get("Connection")
-	for name, values := range endToEnd(from.Header) {
+	for name, values := range EndToEnd(from.Header) {
 		h[name] = values
 	}
 	if closing != "" {
@@ -211,10 +256,5 @@
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // package http would guess one
 	}
-	h.Set("Content-Length", strconv.Itoa(len(from.Body)))
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
-	w.WriteHeader(http.StatusOK)
-	if _, err := w.Write(from.Body); err != nil {
-		panic(http.ErrAbortHandler) // cuts the answer off, for all to see
-	}
+	write(w, from.Status, from.Body)
 }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -1,4 +1,4 @@
-package frontend
+package frontend_test
 
 import (
 	"fmt"
@@ -10,16 +10,18 @@
 	"testing"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/internal/config"
-	"maplepulley/internal/host"
-	"maplepulley/internal/lbtest"
-	"maplepulley/internal/registry"
-	"maplepulley/internal/upstream"
+	"silvertrail/decide"
+	"silvertrail/internal/config"
+	"silvertrail/internal/frontend"
+	"silvertrail/internal/host"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/sidecar"
+	"silvertrail/internal/upstream"
 )
 
 // serve runs a sidecar without discovery in front of one endpoint and returns its address.
-func serve(t *testing.T, endpoint string, maxConns int) (*Server, string) {
+func serve(t *testing.T, endpoint string, maxConns int) (*frontend.Server, string) {
 	t.Helper()
 	l := lbtest.Listen(t)
 	c, err := config.Load(lbtest.WriteConfig(t, "", l.Addr().String(), "127.0.0.1:1"))
@@ -27,15 +29,16 @@
 		t.Fatal(err)
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	h, err := host.New(c, upstream.NewClient(c.DialTimeout, time.Second, 64), func() {}, quiet)
+	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
+		Client: upstream.NewClient(c.DialTimeout, time.Second, 64), Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
 	h.Members(decide.Full, []registry.Endpoint{{Name: "s", Address: endpoint, Zone: "a", Status: "ready"}})
-	s := New(c, h, l, maxConns, 1<<20, log.New(io.Discard, "", 0))
+	s := frontend.New(sidecar.NewRouter(c, h, 1<<20), l, maxConns, log.New(io.Discard, "", 0))
 	s.Ready()
 	go s.Serve()
-	t.Cleanup(func() { s.http.Close() })
+	t.Cleanup(func() { s.Close() })
 	return s, l.Addr().String()
 }
 
@@ -54,6 +57,8 @@
 		"over 64 KiB":           lbtest.Post("b", strings.Repeat("x", 64<<10+1)),
 		"over 64 KiB in chunks": lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Transfer-Encoding: chunked") + "20000\r\n" + strings.Repeat("x", 0x20000) + "\r\n0\r\n\r\n",
 		"bad chunk":             lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Transfer-Encoding: chunked") + "zz\r\n",
+		"head over 16 KiB":      lbtest.Get("b", "X-Pad: "+strings.Repeat("p", 17<<10)),
+		"chunks in HTTP/1.0":    strings.Replace(lbtest.Head("POST", "write", "b", "Idempotency-Key: k", "Transfer-Encoding: chunked"), "HTTP/1.1", "HTTP/1.0", 1) + "2\r\nok\r\n0\r\n\r\n",
 		"length and chunks":     both + "0\r\n\r\n" + hidden,
 		"the same in HTTP/1.0":  strings.Replace(both, "HTTP/1.1", "HTTP/1.0", 1) + "0\r\n\r\n" + hidden,
 		"two lengths":           lbtest.Post("b", "ok", "Content-Length: 2"),
@@ -152,24 +157,6 @@
 	}
 }
 
-func TestRequestIDs(t *testing.T) {
-	ids := newRequestIDs()
-	ids.begin("open")
-	for i := range 3 * remembered {
-		key, fresh := ids.begin(fmt.Sprint(i))
-		if !fresh {
-			t.Fatal("taken for known")
-		}
-		ids.end(key)
-	}
-	if _, fresh := ids.begin("open"); fresh {
-		t.Error("an open id was forgotten")
-	}
-	if n := len(ids.known); n > remembered+1 {
-		t.Errorf("%d ids are kept", n)
-	}
-}
-
 // Connections that say nothing never keep a caller out, however many.
 func TestSilentCrowd(t *testing.T) {
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
--- a/internal/frontend/gate.go
+++ b/internal/frontend/gate.go
@@ -5,7 +5,7 @@
 	"net"
 	"sync/atomic"
 
-	"maplepulley/internal/httphead"
+	"silvertrail/internal/httphead"
 )
 
 // gate stands between a caller's connection and package net/http and sees every head as it was written. Package http
@@ -25,6 +25,7 @@
 	ended   bool   // nothing more is handed on
 	heads   int64
 	refused atomic.Int64 // number of the first head that must be refused, from 1
+	large   atomic.Bool  // for its size alone
 }
 
 const gateBuffer = 1 << 10
@@ -97,6 +98,11 @@
 	}
 	g.heads++
 	g.ready = end
+	if end > maxHead { // package http allows for some more
+		g.large.Store(true)
+		g.refuse()
+		return
+	}
 	head, err := httphead.Parse(g.buf[:end])
 	switch {
 	case err != nil:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,9 +10,8 @@
 	"sync"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/internal/config"
-	"maplepulley/internal/upstream"
+	"silvertrail/decide"
+	"silvertrail/internal/upstream"
 )
 
 // Host owns the balancer. All its methods may be called from any goroutine.
@@ -33,13 +32,23 @@
 	ending    time.Time // when all that is held must have its answer; zero: not ending
 }
 
-// New returns a host with no endpoints. Watch is called where the decisions ask discovery for changes; it must not
-// block.
-func New(c *config.Config, client *upstream.Client, watch func(), log *slog.Logger) (*Host, error) {
-	h := &Host{log: log, client: client, clock: clock{time.Now()}, zones: c.Zones, report: c.Report, watch: watch,
+// Options are what a host is told.
+type Options struct {
+	Decide decide.Settings
+	Seed   uint64
+	Zones  []string // by name, in the order of the decisions' numbers
+	Report []string // fields of a load report, in the order of Decide.Report
+	Client *upstream.Client
+	Watch  func() // called where the decisions ask discovery for changes; must not block
+	Log    *slog.Logger
+}
+
+// New returns a host with no endpoints.
+func New(o Options) (*Host, error) {
+	h := &Host{log: o.Log, client: o.Client, clock: clock{time.Now()}, zones: o.Zones, report: o.Report, watch: o.Watch,
 		calls: map[decide.RequestID]*Call{}, endpoints: map[decide.ServerID]*endpoint{}}
 	var err error
-	h.balancer, err = decide.New(c.Decide, c.Seed, actions{h})
+	h.balancer, err = decide.New(o.Decide, o.Seed, actions{h})
 	return h, err
 }
 
@@ -79,13 +88,19 @@
 	attempts []*attempt
 	deadline *time.Timer
 	patience *time.Timer // set by the decisions
+	last     *upstream.Answer
 }
 
-// Answer is the one final answer to a call: Reply if it was served.
+// Answer is the one final answer to a call.
 type Answer struct {
-	Reply      *upstream.Answer
+	Reply      *upstream.Answer // if it was served
 	Refused    bool
 	RetryAfter time.Duration
+	// MayHaveRun tells of a call that was not served whether an attempt of it may have run, or may yet. Where it is
+	// false another cluster may be given the call, whatever its class.
+	MayHaveRun bool
+	// Last is the last answer of an endpoint to a call that failed; nil if none came whole.
+	Last *upstream.Answer
 }
 
 type attempt struct {
@@ -96,6 +111,7 @@
 	cancel context.CancelFunc
 	wrote  bool          // its first byte may be out
 	ended  bool          // for the decisions
+	never  bool          // ended with proof that it never ran
 	closed chan struct{} // closed once nothing of it is out on a connection
 }
 
@@ -120,6 +136,24 @@
 // Answer returns the channel on which the final answer comes.
 func (c *Call) Answer() <-chan Answer { return c.answer }
 
+// Do hands a request to the decisions and waits for its answer. Where ctx ends first the caller has gone: ok is false
+// unless an answer was on its way.
+func (h *Host) Do(ctx context.Context, r upstream.Request, q decide.Request) (a Answer, ok bool) {
+	c := h.Begin(r, q)
+	select {
+	case a = <-c.answer:
+		return a, true
+	case <-ctx.Done():
+	}
+	h.Gone(c)
+	select {
+	case a = <-c.answer: // it came first
+		return a, true
+	default:
+		return Answer{}, false
+	}
+}
+
 // Gone tells that the caller has left. An answer that was on its way is on the channel.
 func (h *Host) Gone(c *Call) {
 	h.event(func(now time.Duration) {
@@ -184,7 +218,10 @@
 
 // outcome ends an attempt for the decisions. The first served answer goes to the caller.
 func (h *Host) outcome(now time.Duration, c *Call, a *attempt, v decide.Verdict, reply *upstream.Answer) {
-	a.ended = true
+	a.ended, a.never = true, v.NeverRan()
+	if reply != nil {
+		c.last = reply
+	}
 	o := decide.Outcome{ID: c.id, Attempt: a.number, Server: a.server.ID, Verdict: v, Latency: now - a.sent, Final: c.done}
 	if reply != nil {
 		o.Load = parseLoad(reply.Header.Get("X-Server-Load"), h.report)
@@ -199,10 +236,17 @@
 
 // finish gives the caller its answer. The first one counts.
 func (h *Host) finish(c *Call, a Answer) {
-	if !c.done {
-		c.done = true
-		c.answer <- a
+	if c.done {
+		return
+	}
+	c.done = true
+	if a.Reply == nil {
+		a.Last = c.last
+		for _, t := range c.attempts {
+			a.MayHaveRun = a.MayHaveRun || t.wrote && !t.never
+		}
 	}
+	c.answer <- a
 }
 
 // forget drops a call that has its answer and no attempt out.
@@ -228,7 +272,7 @@
 	for _, closed := range before {
 		<-closed
 	}
-	verdict, reply, err := a.pool.Do(ctx, &c.request, func() bool { return h.claim(a) })
+	verdict, reply, err := a.pool.Do(ctx, &c.request, func() bool { return h.claim(c, a) })
 	close(a.closed)
 	h.event(func(now time.Duration) {
 		if !a.ended {
@@ -242,11 +286,11 @@
 }
 
 // claim is asked just before an attempt's first byte. It may no longer go out: while the connection was made the
-// attempt can have been given up, or its endpoint told to be draining, gone or elsewhere.
-func (h *Host) claim(a *attempt) bool {
+// attempt can have been given up, its call answered, or its endpoint told to be draining, gone or elsewhere.
+func (h *Host) claim(c *Call, a *attempt) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a.wrote = !a.ended && a.server.State == decide.Ready && a.server.pool == a.pool
+	a.wrote = !a.ended && !c.done && a.server.State == decide.Ready && a.server.pool == a.pool
 	return a.wrote
 }
 
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/internal/config"
-	"maplepulley/internal/lbtest"
-	"maplepulley/internal/registry"
-	"maplepulley/internal/upstream"
+	"silvertrail/decide"
+	"silvertrail/internal/config"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/upstream"
 )
 
 func newHost(t *testing.T) *Host { return newLoggedHost(t, io.Discard) }
@@ -24,7 +24,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := New(c, upstream.NewClient(c.DialTimeout, time.Second, 64), func() {}, slog.New(slog.NewTextHandler(log, nil)))
+	h, err := New(Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
+		Client: upstream.NewClient(c.DialTimeout, time.Second, 64), Log: slog.New(slog.NewTextHandler(log, nil))})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,11 +88,14 @@
 	}
 	stale := &attempt{server: s, pool: s.pool}
 	h.mu.Unlock()
-	if !h.claim(stale) {
+	if !h.claim(&Call{}, stale) {
 		t.Error("a ready endpoint's attempt may not go out")
 	}
+	if h.claim(&Call{done: true}, stale) {
+		t.Error("an attempt may go out for a call that has its answer")
+	}
 	h.Members(decide.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
-	if h.claim(stale) {
+	if h.claim(&Call{}, stale) {
 		t.Error("an attempt may go out to the old address")
 	}
 	h.Members(decide.Delta, []registry.Endpoint{entry("nowhere", "draining")})
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/internal/registry"
-	"maplepulley/internal/upstream"
+	"silvertrail/decide"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/upstream"
 )
 
 // endpoint is an entry of discovery's list and the connections to it.
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -66,6 +66,8 @@
 	switch {
 	case len(lengths)+len(codings) > 1:
 		return errors.New("head: several lengths, or a length and a transfer coding")
+	case len(codings) == 1 && (strings.HasSuffix(h.Start, " HTTP/1.0") || strings.HasPrefix(h.Start, "HTTP/1.0 ")):
+		return errors.New("head: a transfer coding in HTTP/1.0") // faulty framing: RFC 9112, 6.1
 	case len(codings) == 1:
 		h.Chunked = strings.EqualFold(codings[0], "chunked")
 		if !h.Chunked {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"maplepulley/decide"
+	"silvertrail/decide"
 )
 
 const (
--- a/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,10 +1,14 @@
-package wire
+// Package settings reads the object that tells an instance its classes, customers, limits and obligations: the same in
+// the simulator's first message and in the configuration of a real sidecar.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
-	"maplepulley/decide"
+	"silvertrail/decide"
 )
 
 type profile struct {
@@ -59,8 +63,8 @@
 	fields = map[string]decide.Field{"util": decide.FieldUtil}
 )
 
-// ParseSettings reads an instance's settings; an error names the key that can't be used.
-func ParseSettings(text []byte) (decide.Settings, error) {
+// Parse reads an instance's settings; an error names the key that can't be used.
+func Parse(text []byte) (decide.Settings, error) {
 	var p profile
 	if err := json.Unmarshal(text, &p); err != nil {
 		return decide.Settings{}, fmt.Errorf("settings: %w", err)
@@ -99,3 +103,5 @@
 	}
 	return s, nil
 }
+
+func seconds(s float64) time.Duration { return time.Duration(math.Round(s*1e6)) * time.Microsecond }
--- a/internal/frontend/ids.go
+++ b/internal/sidecar/ids.go
@@ -1,4 +1,4 @@
-package frontend
+package sidecar
 
 import (
 	"hash/maphash"
--- /dev/null
+++ b/internal/sidecar/router.go
@@ -0,0 +1,137 @@
+// Package sidecar is the platform's front: one tier, one balancer, classes named by the first part of the path. It
+// reads what the platform's protocol says of a request and hands it to the decisions.
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"silvertrail/decide"
+	"silvertrail/internal/config"
+	"silvertrail/internal/frontend"
+	"silvertrail/internal/host"
+	"silvertrail/internal/upstream"
+)
+
+// Router reads requests as the platform's protocol words them.
+type Router struct {
+	config *config.Config
+	host   *host.Host
+	bodies *semaphore.Weighted
+	ids    *requestIDs
+}
+
+// NewRouter returns a router that holds at most maxBodies bytes of request bodies.
+func NewRouter(c *config.Config, h *host.Host, maxBodies int64) *Router {
+	return &Router{config: c, host: h, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs()}
+}
+
+// Route implements frontend.Router.
+func (s *Router) Route(r *http.Request) (frontend.Exchange, *frontend.Reply) {
+	up, q, id, status := s.parse(r)
+	if status != 0 {
+		return nil, &frontend.Reply{Status: status, Close: true}
+	}
+	return &exchange{router: s, up: up, q: q, id: id}, nil
+}
+
+type exchange struct {
+	router *Router
+	up     upstream.Request
+	q      decide.Request
+	id     string
+	key    uint64 // of the id, once it has begun
+	begun  bool
+	clash  bool // another request has the id
+}
+
+func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
+
+func (x *exchange) Do(ctx context.Context, body []byte) host.Answer {
+	if x.key, x.begun = x.router.ids.begin(x.id); !x.begun {
+		x.clash = true
+		return host.Answer{}
+	}
+	x.up.Body = body
+	a, _ := x.router.host.Do(ctx, x.up, x.q)
+	return a
+}
+
+// Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id.
+func (x *exchange) Reply(host.Answer) *frontend.Reply {
+	if x.clash {
+		return &frontend.Reply{Status: http.StatusConflict, Close: true}
+	}
+	return nil
+}
+
+func (x *exchange) End() {
+	if x.begun {
+		x.router.ids.end(x.key)
+	}
+}
+
+const maxID = 128
+
+// parse reads a request's head. The status is 0 if it can be served.
+func (s *Router) parse(r *http.Request) (up upstream.Request, q decide.Request, id string, status int) {
+	id, one := frontend.Single(r.Header, "X-Request-ID")
+	header, oneClass := frontend.Single(r.Header, "X-Priority-Class")
+	_, oneKey := frontend.Single(r.Header, "Idempotency-Key")
+	_, oneTenant := frontend.Single(r.Header, "X-Tenant-Id")
+	timeout, oneTimeout := frontend.Single(r.Header, "X-Timeout-Ms")
+	class := slices.Index(s.config.Classes, header)
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	named := slices.Index(s.config.Classes, first)
+	switch {
+	case !one || !oneClass || !oneKey || !oneTenant || !oneTimeout, id == "", len(id) > maxID,
+		!strings.HasPrefix(r.RequestURI, "/"), header != "" && class < 0:
+		return up, q, id, http.StatusBadRequest
+	case named < 0:
+		return up, q, id, http.StatusNotFound
+	case header != "" && class != named:
+		return up, q, id, http.StatusBadRequest
+	}
+	c := s.config.Decide.Classes[named]
+	if !fits(r, c.Effect) {
+		return up, q, id, http.StatusBadRequest
+	}
+	q = decide.Request{Class: named, Left: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
+		// An unknown tenant is -1: to the decisions it has no share of its own.
+		Tenant: slices.Index(s.config.Tenants, r.Header.Get("X-Tenant-Id"))}
+	if _, given := r.Header["X-Timeout-Ms"]; given {
+		ms, err := strconv.ParseUint(timeout, 10, 63)
+		if err != nil {
+			return up, q, id, http.StatusBadRequest
+		}
+		// No client waits longer than its class's deadline; one that says so would hold a connection for nothing.
+		q.Left = time.Duration(min(ms, uint64(c.Deadline.Milliseconds()))) * time.Millisecond
+	}
+	up = upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: frontend.EndToEnd(r.Header)}
+	// A caller's Connection header must not strip what endpoints go by.
+	for _, name := range []string{"X-Request-Id", "Idempotency-Key"} {
+		if len(up.Header[name]) != len(r.Header[name]) {
+			return up, q, id, http.StatusBadRequest
+		}
+	}
+	return up, q, id, 0
+}
+
+// fits tells whether the method and key are those of the class's effect.
+func fits(r *http.Request, e decide.Effect) bool {
+	keyed := r.Header.Get("Idempotency-Key") != ""
+	switch e {
+	case decide.Safe:
+		return r.Method == http.MethodGet && r.ContentLength == 0
+	case decide.Keyed:
+		return r.Method == http.MethodPost && keyed
+	default:
+		return r.Method == http.MethodPost && !keyed
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"maplepulley/internal/httphead"
+	"silvertrail/internal/httphead"
 )
 
 const (
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"maplepulley/decide"
+	"silvertrail/decide"
 )
 
 const notProcessed = "X-Not-Processed"
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"maplepulley/decide"
-	"maplepulley/internal/lbtest"
+	"silvertrail/decide"
+	"silvertrail/internal/lbtest"
 )
 
 func request(id string) *Request {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"maplepulley/decide"
+	"silvertrail/decide"
 )
 
 // Event codes.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"maplepulley/decide"
+	"silvertrail/decide"
 )
 
 // note writes down what a Handler is told.
@@ -147,34 +147,3 @@
 		}
 	})
 }
-
-func TestSettings(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"balancers": 8, "me": 2, "zone": 1, "tier": 1, "new key": [1],
-		"classes": [{"deadline": 5.0, "effect": "guarded", "goal_time": 2.0, "key_scope": "cell", "window": 7.5, "worth": 10}],
-		"clients": {"marks_retry": true}, "customers": [{"quota_per_s": 16}], "registry_mode": "on_request",
-		"limits": {"cancelling": true, "max_attempts": 3, "may_duplicate": true, "max_retry_after": 2, "retry_after": true},
-		"obligations": {"cold": 22, "drain_grace": 0.25, "fall": 2, "fall_multiple": 2.5, "must_ask_in": 10,
-		"start_capacity": 0.15}, "tariffs": {"cross_zone": 0.01}, "weight_kind": "rough",
-		"telemetry": {"fields": ["util", "qps"], "via": "inline"}}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := s.Classes[0]
-	if c.Effect != decide.Keyed || c.Scope != decide.ScopeCell || c.Window != 7500*time.Millisecond || c.Worth != 10 ||
-		c.Aim != 2*time.Second || c.Deadline != 5*time.Second {
-		t.Errorf("class %+v", c)
-	}
-	if !s.Pull || !s.MarksRetries || s.WarmUp != 22*time.Second || s.Tenants[0].QuotaPerSecond != 16 ||
-		fmt.Sprint(s.Report) != fmt.Sprint([]decide.Field{decide.FieldUtil, decide.FieldOther}) || s.Me != 2 ||
-		s.MaxRetryAfter != 2*time.Second || s.FallMultiple != 2.5 || s.CrossZonePrice != 0.01 {
-		t.Errorf("settings %+v", s)
-	}
-	for text, want := range map[string]string{
-		`{`: "JSON", `{"classes": [{"effect": "odd"}]}`: "classes[0].effect",
-		`{"classes": [{"effect": "free", "key_scope": "rack"}]}`: "key_scope", `{"balancers": "x"}`: "balancers",
-	} {
-		if _, err := ParseSettings([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: error %v, want %s", text, err, want)
-		}
-	}
-}
