--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,396 @@
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Table holds the compiled rules. It never changes.
+type Table struct {
+	listeners map[string]*hosts
+	rules     int
+}
+
+// hosts is what one listener knows.
+type hosts struct {
+	exact  map[string]*paths
+	suffix map[string]*paths // by what follows "*."
+	any    *paths
+}
+
+// paths is what one host knows. Exact paths are found by one look-up; the other kinds by walking segments.
+type paths struct {
+	exact     map[string][]*entry
+	templates *node
+	prefixes  *node
+}
+
+// node stands for a path so far.
+type node struct {
+	literal  map[string]*node
+	variable *node
+	entries  []*entry // that end here, best first
+}
+
+// entry is one match of a rule.
+type entry struct {
+	rule  *Rule
+	match *Match
+	index int
+	named bool // names its listener
+}
+
+// Found is what a look-up finds.
+type Found struct {
+	Rule *Rule
+	Path Path // of the match that was found
+}
+
+// Compile builds a table for the named listeners. It takes rules over: the caller must not change them later. The
+// errors are all that it finds; with any there is no table.
+func Compile(listeners []string, rules []Rule) (*Table, []error) {
+	t := &Table{listeners: make(map[string]*hosts, len(listeners)), rules: len(rules)}
+	for _, name := range listeners {
+		t.listeners[name] = &hosts{exact: map[string]*paths{}, suffix: map[string]*paths{}}
+	}
+	var errs []error
+	names := make(map[string]bool, len(rules))
+	for i := range rules {
+		r := &rules[i]
+		if r.Name == "" || names[r.Name] {
+			errs = append(errs, fmt.Errorf("route %q: without a name, or named twice", r.Name))
+			continue
+		}
+		names[r.Name] = true
+		if err := r.check(); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		for j := range r.Matches {
+			if err := t.add(r, j, listeners); err != nil {
+				errs = append(errs, err)
+			}
+		}
+	}
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	for _, h := range t.listeners {
+		if errs = append(errs, h.sort()...); len(errs) > 0 {
+			return nil, errs // the other listeners would mostly say the same
+		}
+	}
+	return t, nil
+}
+
+// Len returns the number of rules.
+func (t *Table) Len() int { return t.rules }
+
+func (t *Table) add(r *Rule, j int, all []string) error {
+	m := &r.Matches[j]
+	e := &entry{rule: r, match: m, index: j, named: len(m.Listeners) > 0}
+	on := all
+	if e.named {
+		on = slices.Compact(slices.Sorted(slices.Values(m.Listeners)))
+	}
+	for _, listener := range on {
+		h := t.listeners[listener]
+		if h == nil {
+			return fmt.Errorf("route %q: no listener is named %q", r.Name, listener)
+		}
+		for _, name := range m.Hosts {
+			h.of(name).add(e)
+		}
+	}
+	return nil
+}
+
+func (h *hosts) of(name string) *paths {
+	if name == "*" {
+		if h.any == nil {
+			h.any = &paths{}
+		}
+		return h.any
+	}
+	by, name, key := h.exact, name, name
+	if suffix, wild := strings.CutPrefix(name, "*."); wild {
+		by, key = h.suffix, suffix
+	}
+	if by[key] == nil {
+		by[key] = &paths{}
+	}
+	return by[key]
+}
+
+func (p *paths) add(e *entry) {
+	pattern := e.match.Path.Pattern
+	switch e.match.Path.Kind {
+	case Exact:
+		if p.exact == nil {
+			p.exact = map[string][]*entry{}
+		}
+		p.exact[pattern] = append(p.exact[pattern], e)
+	case Template:
+		if p.templates == nil {
+			p.templates = &node{}
+		}
+		p.templates.grow(pattern[1:], true, e)
+	default:
+		if p.prefixes == nil {
+			p.prefixes = &node{}
+		}
+		if pattern == "/" {
+			p.prefixes.entries = append(p.prefixes.entries, e)
+			return
+		}
+		p.prefixes.grow(pattern[1:], false, e)
+	}
+}
+
+func (n *node) grow(path string, variables bool, e *entry) {
+	for more := true; more; {
+		var segment string
+		segment, path, more = strings.Cut(path, "/")
+		if variables && variable(segment) {
+			if n.variable == nil {
+				n.variable = &node{}
+			}
+			n = n.variable
+			continue
+		}
+		next := n.literal[segment]
+		if next == nil {
+			next = &node{}
+			if n.literal == nil {
+				n.literal = map[string]*node{}
+			}
+			n.literal[segment] = next
+		}
+		n = next
+	}
+	n.entries = append(n.entries, e)
+}
+
+// sort brings the entries of each place into their order and reports those that are alike.
+func (h *hosts) sort() (errs []error) {
+	all := make([]*paths, 0, len(h.exact)+len(h.suffix)+1)
+	for _, by := range []map[string]*paths{h.exact, h.suffix} {
+		for _, p := range by {
+			all = append(all, p)
+		}
+	}
+	if h.any != nil {
+		all = append(all, h.any)
+	}
+	for _, p := range all {
+		for _, entries := range p.exact {
+			errs = append(errs, order(entries)...)
+		}
+		errs = append(errs, p.templates.sort()...)
+		errs = append(errs, p.prefixes.sort()...)
+	}
+	return errs
+}
+
+func (n *node) sort() (errs []error) {
+	if n == nil {
+		return nil
+	}
+	errs = append(order(n.entries), n.variable.sort()...)
+	for _, next := range n.literal {
+		errs = append(errs, next.sort()...)
+	}
+	return errs
+}
+
+// order sorts entries that have host and path in common, best first.
+func order(entries []*entry) (errs []error) {
+	slices.SortFunc(entries, func(a, b *entry) int {
+		return cmp.Or(a.compare(b), cmp.Compare(a.rule.Name, b.rule.Name), cmp.Compare(a.index, b.index))
+	})
+	if len(entries) < 2 {
+		return nil
+	}
+	seen := make(map[string]*entry, len(entries))
+	for _, e := range entries {
+		criteria := e.criteria()
+		if a := seen[criteria]; a != nil {
+			errs = append(errs, fmt.Errorf("route %q matches exactly what route %q does (%s): it would never be found",
+				e.rule.Name, a.rule.Name, e.match.Path.Pattern))
+			continue
+		}
+		seen[criteria] = e
+	}
+	return errs
+}
+
+// criteria is all that a match looks at beside host and path.
+func (e *entry) criteria() string {
+	m := e.match
+	return fmt.Sprintf("%q %q %q %q %q %t", m.Methods, quoted(m.Headers), quoted(m.Query), m.Class, m.Tenant, e.named)
+}
+
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// compare ranks two entries at one place: negative where e is better.
+func (e *entry) compare(o *entry) int {
+	a, b := e.match, o.match
+	return cmp.Or(
+		flag(len(b.Methods) > 0)-flag(len(a.Methods) > 0),
+		len(b.Headers)-len(a.Headers),
+		len(b.Query)-len(a.Query),
+		flag(b.Class != "")-flag(a.Class != ""),
+		flag(b.Tenant != "")-flag(a.Tenant != ""),
+		flag(o.named)-flag(e.named),
+	)
+}
+
+// Find returns the best rule for a request; ok is false where none matches.
+func (t *Table) Find(q *Request) (f Found, ok bool) {
+	h := t.listeners[q.Listener]
+	if h == nil {
+		return f, false
+	}
+	e := h.exact[q.Host].find(q)
+	if e == nil && len(h.suffix) > 0 {
+		for rest := q.Host; e == nil; { // longest suffix first
+			i := strings.IndexByte(rest, '.')
+			if i < 0 {
+				break
+			}
+			rest = rest[i+1:]
+			e = h.suffix[rest].find(q)
+		}
+	}
+	if e == nil {
+		e = h.any.find(q)
+	}
+	if e == nil {
+		return f, false
+	}
+	return Found{e.rule, e.match.Path}, true
+}
+
+func (p *paths) find(q *Request) *entry {
+	if p == nil {
+		return nil
+	}
+	if p.exact != nil {
+		if e := first(p.exact[q.Path], q); e != nil {
+			return e
+		}
+	}
+	rest := q.Path[1:]
+	if p.templates != nil {
+		if e := p.templates.template(rest, true, q); e != nil {
+			return e
+		}
+	}
+	if p.prefixes != nil {
+		return p.prefixes.prefix(rest, len(rest) > 0, q)
+	}
+	return nil
+}
+
+// template looks for entries that match all segments. A literal is tried before a variable. Each node has one way to
+// it, so that a look-up visits none twice.
+func (n *node) template(rest string, more bool, q *Request) *entry {
+	if !more {
+		return first(n.entries, q)
+	}
+	segment, rest, more := strings.Cut(rest, "/")
+	if next := n.literal[segment]; next != nil {
+		if e := next.template(rest, more, q); e != nil {
+			return e
+		}
+	}
+	if n.variable != nil && segment != "" {
+		return n.variable.template(rest, more, q)
+	}
+	return nil
+}
+
+// prefix looks for the entries that match most segments.
+func (n *node) prefix(rest string, more bool, q *Request) *entry {
+	if more && n.literal != nil {
+		segment, rest, more := strings.Cut(rest, "/")
+		if next := n.literal[segment]; next != nil {
+			if e := next.prefix(rest, more, q); e != nil {
+				return e
+			}
+		}
+	}
+	return first(n.entries, q)
+}
+
+func first(entries []*entry, q *Request) *entry {
+	for _, e := range entries {
+		if e.match.fits(q) {
+			return e
+		}
+	}
+	return nil
+}
+
+// fits looks at all but listener, host and path.
+func (m *Match) fits(q *Request) bool {
+	if len(m.Methods) > 0 && !slices.Contains(m.Methods, q.Method) ||
+		m.Class != "" && m.Class != q.Class || m.Tenant != "" && m.Tenant != q.Tenant {
+		return false
+	}
+	for i := range m.Headers {
+		want := &m.Headers[i]
+		values := q.Header[want.Name]
+		if len(values) == 0 || !want.Any && (len(values) > 1 || values[0] != want.Value) {
+			return false
+		}
+	}
+	for i := range m.Query {
+		want := &m.Query[i]
+		value, there := parameter(q.Query, want.Name)
+		if !there || !want.Any && value != want.Value {
+			return false
+		}
+	}
+	return true
+}
+
+// parameter returns the first value of a parameter in a raw query. It allocates only for what is encoded.
+func parameter(query, name string) (value string, there bool) {
+	for query != "" {
+		var pair string
+		pair, query, _ = strings.Cut(query, "&")
+		key, value, _ := strings.Cut(pair, "=")
+		if plainQuery(key) != name {
+			continue
+		}
+		return plainQuery(value), true
+	}
+	return "", false
+}
+
+func plainQuery(s string) string {
+	if strings.IndexByte(s, '%') < 0 && strings.IndexByte(s, '+') < 0 {
+		return s
+	}
+	if decoded, err := url.QueryUnescape(s); err == nil {
+		return decoded
+	}
+	return s
+}
+
+func quoted(values []Value) (out []string) {
+	for _, v := range values {
+		out = append(out, v.Name, v.Value, strconv.FormatBool(v.Any))
+	}
+	return out
+}
