--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -1,148 +1,123 @@
-// Command silvertrail is the sidecar: it takes callers' requests on one address and sends them to the endpoints that
-// discovery names, as package decide decides. Its configuration is the file named by LB_CONFIG.
+// Command silvertrail is a load-balancing gateway. With no arguments and LB_CONFIG set it is the platform's sidecar;
+// with a command it is the product.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"log/slog"
-	"math"
-	"net"
 	"os"
 	"os/signal"
-	"reflect"
-	"runtime"
-	"runtime/debug"
 	"syscall"
-	"time"
 
-	"silvertrail/decide"
-	"silvertrail/internal/config"
-	"silvertrail/internal/frontend"
-	"silvertrail/internal/host"
-	"silvertrail/internal/registry"
-	"silvertrail/internal/sidecar"
-	"silvertrail/internal/upstream"
-)
-
-const (
-	ownSockets = 32   // listener, discovery, standard streams, the runtime's own
-	heapPart   = 0.75 // of the memory limit, for the runtime's; the rest is headroom
-	bodyPart   = 0.35 // for request bodies
-	idlePart   = 0.6  // of the time after which endpoints close an idle connection
-	firstList  = time.Second
-
-	// SIGKILL comes no sooner than the longest deadline, of which at most longest counts, and killIn after SIGTERM.
-	longest = 3 * time.Second
-	killIn  = 700 * time.Millisecond
-	spare   = 400 * time.Millisecond
+	"github.com/alecthomas/kong"
 
-	acceptOn = 500 * time.Millisecond // new connections go on coming this long after SIGTERM
+	"silvertrail/internal/conf"
+	"silvertrail/internal/demo"
+	"silvertrail/internal/gateway"
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := start(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "silvertrail:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	path := os.Getenv("LB_CONFIG")
-	// Both from the first moment: a signal that finds no handler ends the process.
-	stop, hangup := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(stop)
-	defer signal.Stop(hangup)
-	c, err := config.Load(path)
+func start(args []string) error {
+	if len(args) == 0 && os.Getenv("LB_CONFIG") != "" {
+		return sidecar()
+	}
+	if len(args) == 0 {
+		args = []string{"--help"}
+	}
+	var commands commands
+	parser, err := kong.New(&commands, kong.Name("silvertrail"), kong.Description(description), kong.UsageOnError())
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)))
-	debug.SetMemoryLimit(int64(heapPart * float64(c.Limits.MemoryMB<<20)))
-	log := newLog(os.Stderr).With("name", c.Name)
-
-	sockets := c.Limits.Sockets - ownSockets
-	client := upstream.NewClient(c.DialTimeout, time.Duration(idlePart*float64(c.Decide.ConnIdle)), sockets/2)
-	var discovery *registry.Client
-	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Client: client,
-		Watch: func() { discovery.Watch() }, Log: log})
+	chosen, err := parser.Parse(args)
 	if err != nil {
 		return err
 	}
-	known, err := registry.ParseList(c.Known)
-	if err != nil && c.Known != nil {
-		log.Warn("config: known: " + err.Error())
-	}
-	listed := make(chan struct{}, 1)
-	discovery = registry.New(c.Discovery, c.Decide.Pull, known.Index, func(kind decide.ListKind, e []registry.Endpoint) {
-		h.Members(kind, e)
-		select {
-		case listed <- struct{}{}:
-		default:
-		}
-	}, log)
-	h.Members(decide.Cached, known.Entries)
+	return chosen.Run()
+}
+
+const description = `A load-balancing gateway: nothing dropped, nothing done twice, the worthiest served first when there is too
+little. With no command and LB_CONFIG set it is the sidecar of the platform, which that file describes.`
 
-	listener, err := net.Listen("tcp", c.Listen)
+type commands struct {
+	Serve serve `cmd:"" help:"Run a configuration. SIGHUP reads it again, SIGTERM or Ctrl-C ends the work in hand and then the program."`
+	Check check `cmd:"" help:"Tell all that is wrong with a configuration, and whether it can be used."`
+	Demo  show  `cmd:"" help:"Run the gateway with stand-in nodos in three salas on loopback, until Ctrl-C."`
+}
+
+type serve struct {
+	Config string `required:"" type:"existingfile" placeholder:"FILE" help:"The configuration."`
+}
+
+// Run serves until a signal. A second one ends at once.
+func (c *serve) Run() error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	file, err := conf.Load(c.Config)
+	if err != nil {
+		return told(err)
+	}
+	g, err := gateway.Start(file, newLog(os.Stderr))
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	router := sidecar.NewRouter(c, h, int64(bodyPart*float64(c.Limits.MemoryMB<<20)))
-	server := frontend.New(router, listener, sockets/2,
-		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
-	go discovery.Run(ctx)
+	reload := make(chan struct{}, 1)
 	go func() {
-		for {
+		for range hangup {
 			select {
-			case <-hangup:
-				reload(path, c, discovery, log)
-			case <-ctx.Done():
-				return
+			case reload <- struct{}{}:
+			default: // one that waits reads the file as it is then
 			}
 		}
 	}()
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve() }()
-
-	// Ready once the list is that of now and not of some time ago, if discovery answers.
-	select {
-	case <-listed:
-	case <-time.After(firstList):
-	case err := <-failed:
-		return err
-	case <-stop:
-		return nil
+	for _, l := range file.Listeners {
+		fmt.Printf("listener %s on %s\n", l.Name, g.Addr(l.Name))
 	}
-	server.Ready()
-	log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
-	select {
-	case err := <-failed:
-		return err
-	case <-stop:
-	}
-	rest := min(c.Longest(), longest) + killIn - spare
-	now := time.Now()
-	h.End(now.Add(rest))
-	server.End(now.Add(max(rest/2, acceptOn)), now.Add(rest))
-	log.Info("ended", "held", h.Held())
+	context.AfterFunc(ctx, cancel) // from now on a signal ends the process
+	g.Run(ctx, c.Config, reload)
 	return nil
 }
 
-// reload takes up the configuration as the file has it now. Discovery's address is the one setting that can change
-// while calls are held; the others are what running decisions and limits rest on, and wait for a restart. A file that
-// can't be used changes nothing.
-func reload(path string, running *config.Config, discovery *registry.Client, log *slog.Logger) {
-	next, err := config.Load(path)
+type check struct {
+	File string `arg:"" help:"The configuration."`
+}
+
+func (c *check) Run() error {
+	file, err := conf.Load(c.File)
 	if err != nil {
-		log.Warn("reload: the running configuration is kept", "error", err)
-		return
+		return told(err)
 	}
-	discovery.Move(next.Discovery)
-	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
-		!reflect.DeepEqual(next.Decide, running.Decide)
-	log.Info("reload: taken", "discovery", next.Discovery, "restart_needed_for_the_rest", later)
+	fmt.Printf("%s can be used: %d listeners, %d classes, %d clusters, %d routes\n", c.File, len(file.Listeners), len(file.Classes),
+		len(file.Clusters), file.Routes.Len())
+	return nil
+}
+
+// told prints a file's faults with their lines.
+func told(err error) error {
+	var faults *conf.Error
+	if errors.As(err, &faults) {
+		fmt.Fprint(os.Stderr, faults.Text())
+		return fmt.Errorf("%d faults: the configuration can't be used", len(faults.Diagnostics))
+	}
+	return err
+}
+
+type show struct {
+	Listen string `default:"127.0.0.1:8480" help:"Address of the front; port 0 takes a free one."`
+}
+
+func (c *show) Run() error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return demo.Run(ctx, demo.Options{Listen: c.Listen, Out: os.Stdout, Log: newLog(os.Stderr)})
 }
--- a/cmd/silvertrail/main_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -10,8 +10,8 @@
 	"silvertrail/internal/lbtest"
 )
 
-// start runs the sidecar in this process and returns its address and the channel of its end.
-func start(t *testing.T, discovery string) (config, addr string, ended chan error) {
+// startSidecar runs the sidecar in this process and returns its address and the channel of its end.
+func startSidecar(t *testing.T, discovery string) (config, addr string, ended chan error) {
 	t.Helper()
 	l := lbtest.Listen(t)
 	addr = l.Addr().String()
@@ -19,7 +19,7 @@
 	config = lbtest.WriteConfig(t, "", addr, discovery)
 	t.Setenv("LB_CONFIG", config)
 	ended = make(chan error, 1)
-	go func() { ended <- run() }()
+	go func() { ended <- sidecar() }()
 	lbtest.Until(t, "listening", func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -63,7 +63,7 @@
 	second := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	before := lbtest.NewDiscovery(t, 90, first.Addr)
 	after := lbtest.NewDiscovery(t, 3, second.Addr) // counts its versions anew
-	path, addr, ended := start(t, before.Addr)
+	path, addr, ended := startSidecar(t, before.Addr)
 
 	held := lbtest.Dial(t, addr)
 	held.Send(lbtest.Get("held"))
--- a/decide/api.go
+++ b/decide/api.go
@@ -131,6 +131,8 @@
 	Tenant int
 	Left   time.Duration // until the client gives up
 	Retry  bool          // marked by the client
+	// MaxAttempts bounds the request's attempts further than the settings do; 0: it does not.
+	MaxAttempts int
 }
 
 // Verdict is how an attempt ended.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,6 +82,7 @@
 	deadline time.Duration
 	lookAt   time.Duration // when the newest attempt is to be looked at
 	attempts []attempt
+	most     int // of attempts, by the request's own bound; 0: it has none
 	done     bool
 }
 
@@ -664,7 +665,8 @@
 	if !q.Retry {
 		b.asked++
 	}
-	r := &request{id: q.ID, kind: q.Class, class: &b.cfg.Classes[q.Class], deadline: now + q.Left}
+	r := &request{id: q.ID, kind: q.Class, class: &b.cfg.Classes[q.Class], deadline: now + q.Left,
+		most: q.MaxAttempts}
 	b.requests[q.ID] = r
 	level := b.level(q)
 	if b.hopeless(now, q.Class, q.Left.Seconds()) {
@@ -687,16 +689,21 @@
 // look sets the time at which a request's newest attempt is looked at.
 func (b *Balancer) look(now time.Duration, r *request) {
 	left := (r.deadline - now).Seconds()
-	if r.class.Effect == Unsafe || len(r.attempts) >= b.cfg.MaxAttempts || left < b.base/2 {
+	if r.class.Effect == Unsafe || b.spent(r) || left < b.base/2 {
 		return
 	}
 	r.lookAt = now + time.Duration(min(silentMult*b.usual(), left/2)*float64(time.Second))
 	b.host.SetTimer(r.lookAt, uint64(r.id))
 }
 
+// spent tells that a request has had all its attempts.
+func (b *Balancer) spent(r *request) bool {
+	return len(r.attempts) >= b.cfg.MaxAttempts || r.most > 0 && len(r.attempts) >= r.most
+}
+
 // maySend is rules 1 to 3 for one more attempt.
 func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
-	if r.done || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts || s.State != Ready {
+	if r.done || now >= r.deadline || b.spent(r) || s.State != Ready {
 		return false
 	}
 	for i := range r.attempts {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -393,6 +393,20 @@
 }
 
 // Each ending that proves nothing ran lets an unsafe request go again; each other one ends it in a failure.
+// A request's own bound on attempts holds beside the settings', the lesser of the two.
+func TestOwnAttempts(t *testing.T) {
+	for own, want := range map[int]int{0: 3, 1: 1, 2: 2, 9: 3} {
+		b, h := newBalancer(t, testSettings(), ready(4)...)
+		b.Request(sec, Request{ID: 1, Left: 3 * sec, MaxAttempts: own})
+		for n := 0; n < len(h.sends); n++ {
+			b.Outcome(sec, Outcome{ID: 1, Attempt: n, Server: h.sends[n], Verdict: ServerFull})
+		}
+		if len(h.sends) != want || h.count("refuse") != 1 {
+			t.Errorf("own bound %d: %v", own, h.acts)
+		}
+	}
+}
+
 func TestUnsafeEndings(t *testing.T) {
 	for v := OK + 1; v <= Moot; v++ {
 		b, h := newBalancer(t, testSettings(), ready(8)...)
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,284 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/host"
+	"silvertrail/internal/limit"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/upstream"
+)
+
+// Config is what a cluster is told.
+type Config struct {
+	Name string
+	Core
+	Sources []Source
+	Reserve float64 // of each of the process's resources, the part that is this cluster's alone
+	Most    float64 // and the most that it may take
+	// EmptyHold is how long an empty list after one that was not is taken for a fault.
+	EmptyHold time.Duration
+}
+
+// Core is what a running balancer rests on. A change of it makes a new one, which has to learn anew; all the rest of a
+// Config can change under a balancer that runs on.
+type Core struct {
+	Decide         decide.Settings
+	Zones          []string
+	Report         []string
+	ConnectTimeout time.Duration
+	Idle           time.Duration
+}
+
+// Resources are what the process's clusters share.
+type Resources struct {
+	Connections, Calls, Bodies *limit.Pool
+	// Totals of the three, by which a cluster's parts are measured.
+	MaxConnections, MaxCalls, MaxBodies int64
+}
+
+// NewResources returns the shared resources.
+func NewResources(connections, calls, bodies int64) *Resources {
+	return &Resources{limit.NewPool(connections), limit.NewPool(calls), limit.NewPool(bodies), connections, calls, bodies}
+}
+
+// Resize changes the totals; clusters take their parts of them at their next Update.
+func (r *Resources) Resize(connections, calls, bodies int64) {
+	r.Connections.Resize(connections)
+	r.Calls.Resize(calls)
+	r.Bodies.Resize(bodies)
+	r.MaxConnections, r.MaxCalls, r.MaxBodies = connections, calls, bodies
+}
+
+// settleIn is how long the sources have for their first words.
+const settleIn = 2 * time.Second
+
+// busyRetry is when a caller is told to come back that met a cluster's bound on calls in work.
+const busyRetry = time.Second
+
+// Cluster is a running cluster: its sources, its members, its balancer and its connections. Close ends it.
+type Cluster struct {
+	log    *slog.Logger
+	host   *host.Host
+	client *upstream.Client
+	bodies *limit.Share
+	calls  *limit.Share
+	conns  *limit.Share
+
+	mu      sync.Mutex
+	config  Config
+	merger  *merger
+	turn    int // of Follow; what sources of an earlier one still say is passed over
+	members []registry.Endpoint
+	timer   *time.Timer
+	stop    context.CancelFunc
+	settled chan struct{}
+	closed  bool
+}
+
+// New starts a cluster.
+func New(c Config, r *Resources, seed uint64, log *slog.Logger) (*Cluster, error) {
+	cl := &Cluster{log: log.With("cluster", c.Name), stop: func() {}}
+	cl.conns = r.Connections.Share(part(c, r.MaxConnections))
+	cl.calls = r.Calls.Share(part(c, r.MaxCalls))
+	cl.bodies = r.Bodies.Share(part(c, r.MaxBodies))
+	cl.client = upstream.NewClient(upstream.Options{DialTimeout: c.ConnectTimeout, Idle: c.Idle, Max: int(r.MaxConnections),
+		Share: cl.conns, AnyStatus: true})
+	var err error
+	cl.host, err = host.New(host.Options{Decide: c.Decide, Seed: seed, Zones: c.Zones, Report: c.Report, Client: cl.client,
+		Watch: func() {}, Log: cl.log})
+	if err != nil {
+		return nil, fmt.Errorf("cluster %q: %w", c.Name, err)
+	}
+	cl.follow(c)
+	return cl, nil
+}
+
+// part returns a cluster's reserve and cap of a total. A cap is at least one unit.
+func part(c Config, total int64) (reserve, most int64) {
+	return int64(c.Reserve * float64(total)), max(int64(c.Most*float64(total)), 1)
+}
+
+// Fits tells whether the running balancer can go on under another configuration.
+func (c *Cluster) Fits(next Config) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Name == next.Name && reflect.DeepEqual(c.config.Core, next.Core)
+}
+
+// Update takes up a configuration that fits. The balancer keeps its connections and all that it has learnt.
+func (c *Cluster) Update(next Config, r *Resources) {
+	c.mu.Lock()
+	old := c.config
+	c.mu.Unlock()
+	c.conns.Resize(part(next, r.MaxConnections))
+	c.calls.Resize(part(next, r.MaxCalls))
+	c.bodies.Resize(part(next, r.MaxBodies))
+	if !reflect.DeepEqual(old.Sources, next.Sources) || old.EmptyHold != next.EmptyHold {
+		c.follow(next)
+		return
+	}
+	c.mu.Lock()
+	c.config = next
+	c.mu.Unlock()
+}
+
+// follow starts a configuration's sources in place of those before. Until each has told a list the members from before
+// stay too: a source that takes its time, or is out of reach, must not empty the cluster.
+func (c *Cluster) follow(next Config) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.stop()
+	ctx, stop := context.WithCancel(context.Background())
+	c.config, c.stop = next, stop
+	c.turn++
+	var traits []trait
+	for _, s := range next.Sources {
+		traits = append(traits, s.trait())
+	}
+	c.merger = newMerger(next.EmptyHold, traits...)
+	c.settled = make(chan struct{})
+	turn := c.turn
+	for i, s := range next.Sources {
+		go s.run(ctx, func(w word, entries []registry.Endpoint) { c.say(turn, i, w, entries) }, c.log)
+	}
+	time.AfterFunc(settleIn, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.turn == turn {
+			c.settle()
+		}
+	})
+}
+
+// settle tells that the sources have had their time. The caller holds the lock.
+func (c *Cluster) settle() {
+	select {
+	case <-c.settled:
+	default:
+		close(c.settled)
+	}
+}
+
+// Settled is closed once the sources have had their first words, or time for them.
+func (c *Cluster) Settled() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled
+}
+
+// say takes a source's word.
+func (c *Cluster) say(turn, source int, w word, entries []registry.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.turn != turn || c.closed {
+		return
+	}
+	now := time.Now()
+	c.merger.take(now, source, w, entries)
+	c.publish(now)
+	if c.merger.spoken() {
+		c.settle()
+	}
+}
+
+// publish hands the merged list to the host where it has changed. The caller holds the lock.
+func (c *Cluster) publish(now time.Time) {
+	if c.closed {
+		return
+	}
+	list := c.merger.members(now)
+	if !c.merger.complete() {
+		list = c.keep(list)
+	}
+	if c.merger.dropped > 0 {
+		c.log.Warn("cluster: members over the bound are left out", "most", maxMembers, "left_out", c.merger.dropped)
+	}
+	if !slices.Equal(list, c.members) {
+		c.members = list
+		c.host.Members(decide.Full, list)
+	}
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if at := c.merger.next(); !at.IsZero() {
+		turn := c.turn
+		c.timer = time.AfterFunc(time.Until(at), func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.turn == turn {
+				c.publish(time.Now())
+			}
+		})
+	}
+}
+
+// keep adds the members from before to a list that is not complete yet, as they were, but for those that a source has
+// already said to be gone.
+func (c *Cluster) keep(list []registry.Endpoint) []registry.Endpoint {
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.Address] = true
+	}
+	for _, e := range c.members {
+		if !listed[e.Address] && !c.merger.departed(e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Members returns the members as they were published last.
+func (c *Cluster) Members() []registry.Endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.members)
+}
+
+// Bodies is the cluster's part of the memory for request bodies.
+func (c *Cluster) Bodies() *limit.Share { return c.bodies }
+
+// Held returns the number of calls that wait for their answer or an attempt's end.
+func (c *Cluster) Held() int { return c.host.Held() }
+
+// End sets the time at which all that is held, and all that still comes, must have its answer.
+func (c *Cluster) End(at time.Time) { c.host.End(at) }
+
+// Do hands a request to the cluster's decisions and waits for its answer; ok is false where the caller has gone. Over
+// the bound on calls in work it is refused at once: nothing of it ran.
+func (c *Cluster) Do(ctx context.Context, r upstream.Request, q decide.Request) (a host.Answer, ok bool) {
+	if !c.calls.TryAcquire(1) {
+		return host.Answer{Refused: true, RetryAfter: busyRetry}, true
+	}
+	defer c.calls.Release(1)
+	return c.host.Do(ctx, r, q)
+}
+
+// Close ends the sources and takes all members off the list; what is out ends by itself.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.stop()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.host.Close()
+	c.conns.Close()
+	c.calls.Close()
+	c.bodies.Close()
+}
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,202 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/host"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/upstream"
+)
+
+// start runs a cluster with classes of each kind.
+func start(t *testing.T, c Config) *Cluster {
+	t.Helper()
+	class := func(e decide.Effect) decide.Class {
+		return decide.Class{Aim: 5 * time.Second, Deadline: lbtest.Wait, Worth: 1, Effect: e, Window: time.Minute}
+	}
+	c.Core = Core{Zones: []string{"a"}, ConnectTimeout: lbtest.Wait, Idle: lbtest.Wait, Decide: decide.Settings{Balancers: 1,
+		Classes: []decide.Class{class(decide.Safe), class(decide.Keyed)}, MaxAttempts: 3, MayCancel: true, MayDuplicate: true,
+		ConnIdle: lbtest.Wait, FallMultiple: 2.5, FallWindow: time.Second}}
+	if c.Most == 0 {
+		c.Most = 1
+	}
+	cl, err := New(c, NewResources(64, 64, 1<<20), 7, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cl.Close)
+	select {
+	case <-cl.Settled():
+	case <-time.After(lbtest.Wait):
+		t.Fatal("never settled")
+	}
+	return cl
+}
+
+func get(t *testing.T, c *Cluster, id string) host.Answer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
+	defer cancel()
+	a, _ := c.Do(ctx, upstream.Request{Method: "GET", Target: "/", Host: "x", Header: http.Header{"X-Request-Id": {id}}},
+		decide.Request{Left: lbtest.Wait})
+	return a
+}
+
+func static(addrs ...string) Source {
+	s := &Static{}
+	for _, a := range addrs {
+		s.Endpoints = append(s.Endpoints, registry.Endpoint{Name: "at-" + a, Address: a, Zone: "a", Status: ready})
+	}
+	return Source{Static: s}
+}
+
+func writeFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A file that is replaced is followed; one that can't be read, or is broken, takes nothing away; a drain that it tells
+// stands against the other sources.
+func TestFileAndStatic(t *testing.T) {
+	t.Parallel()
+	one := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.Write([]byte(lbtest.OK("one"))) })
+	two := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.Write([]byte(lbtest.OK("two"))) })
+	path := filepath.Join(t.TempDir(), "list.json")
+	writeFile(t, path, `{"endpoints": [{"address": "`+two.Addr+`"}]}`)
+	c := start(t, Config{Name: "c", EmptyHold: time.Hour, Sources: []Source{static(one.Addr), {File: &File{Path: path, Poll: time.Millisecond, Zone: "a"}}}})
+	if n := len(c.Members()); n != 2 {
+		t.Fatalf("%d members", n)
+	}
+	for _, broken := range []string{`{"endpoints": [{"address": "nowhere"}]}`, `{"endp`, `{}`, `{"endpoints": []}`} {
+		writeFile(t, path, broken)
+		time.Sleep(20 * time.Millisecond) // more does no harm
+		if n := len(c.Members()); n != 2 {
+			t.Fatalf("%s: %d members", broken, n)
+		}
+	}
+	os.Remove(path)
+	writeFile(t, path, `{"endpoints": [{"address": "`+one.Addr+`", "status": "draining"}, {"address": "`+two.Addr+`"}]}`)
+	lbtest.Until(t, "draining", func() bool {
+		return slices.ContainsFunc(c.Members(), func(e registry.Endpoint) bool { return e.Status == draining })
+	})
+	for range 20 {
+		if a := get(t, c, "x"); a.Reply == nil || string(a.Reply.Body) != "two" {
+			t.Fatalf("sent to one that drains: %+v", a)
+		}
+	}
+}
+
+func TestParseFile(t *testing.T) {
+	for text, want := range map[string]string{
+		`{`: "JSON", `{}`: "no \"endpoints\"", `{"endpoints": [{"address": "a:1"}]}`: "endpoints[0]: address",
+		`{"endpoints": [{"address": "127.0.0.1:1"}, {"address": "127.0.0.1:1", "status": "up"}]}`: "endpoints[1]: status",
+	} {
+		if _, err := ParseFile([]byte(text), "a"); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	got, err := ParseFile([]byte(`{"endpoints": [{"address": "127.0.0.1:1", "group": 3, "since_ms": 5}]}`), "a")
+	if want := (registry.Endpoint{Address: "127.0.0.1:1", Zone: "a", Group: 3, Status: ready, SinceMS: 5}); err != nil || got[0] != want {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+func FuzzParseFile(f *testing.F) {
+	f.Add([]byte(`{"endpoints": [{"address": "127.0.0.1:1", "status": "draining"}]}`))
+	f.Add([]byte(`{"endpoints": null}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		entries, err := ParseFile(text, "a")
+		for _, e := range entries {
+			if err != nil || e.Zone == "" || e.Status == "" {
+				t.Fatalf("%+v, %v", e, err)
+			}
+		}
+	})
+}
+
+// The registry's drains and departures stand against a list in the configuration.
+func TestRegistrySource(t *testing.T) {
+	t.Parallel()
+	one := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
+	two := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
+	d := lbtest.NewDiscovery(t, 5, one.Addr, two.Addr)
+	c := start(t, Config{Name: "c", EmptyHold: time.Hour, Sources: []Source{{Registry: &Registry{Address: d.Addr}}, static(one.Addr)}})
+	lbtest.Until(t, "both", func() bool { return len(c.Members()) >= 2 })
+	d.Set(two.Addr)
+	lbtest.Until(t, "one gone", func() bool {
+		m := c.Members()
+		return len(m) == 1 && m[0].Address == two.Addr
+	})
+}
+
+// Other sources under a running balancer: what it knows stays until they have spoken, and its connections too.
+func TestUpdate(t *testing.T) {
+	t.Parallel()
+	var conns atomic.Int64
+	one := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+		if a.Nth == 0 {
+			conns.Add(1)
+		}
+		a.OK()
+	})
+	c := start(t, Config{Name: "c", EmptyHold: time.Hour, Sources: []Source{static(one.Addr)}})
+	get(t, c, "first")
+	next := c.config
+	path := filepath.Join(t.TempDir(), "list.json") // not there yet
+	next.Sources = []Source{{File: &File{Path: path, Poll: time.Millisecond, Zone: "a"}}, static()}
+	if !c.Fits(next) {
+		t.Fatal("other sources need no other balancer")
+	}
+	c.Update(next, NewResources(64, 64, 1<<20))
+	if a := get(t, c, "between"); a.Reply == nil {
+		t.Fatalf("between the sources: %+v", a)
+	}
+	writeFile(t, path, `{"endpoints": [{"name": "at-`+one.Addr+`", "address": "`+one.Addr+`"}]}`)
+	<-c.Settled()
+	lbtest.Until(t, "a member", func() bool { return len(c.Members()) == 1 })
+	if a := get(t, c, "after"); a.Reply == nil || conns.Load() != 1 {
+		t.Errorf("after: %+v, %d connections", a, conns.Load())
+	}
+	other := next
+	other.Idle++
+	if c.Fits(other) {
+		t.Error("another core fits")
+	}
+	c.Close()
+	if a := get(t, c, "closed"); !a.Refused {
+		t.Errorf("a closed cluster: %+v", a)
+	}
+}
+
+// Over its bound on calls a cluster refuses at once, and tells when to come back.
+func TestBusy(t *testing.T) {
+	t.Parallel()
+	e := lbtest.NewEndpoint(t, nil)
+	c := start(t, Config{Name: "c", Most: 1.0 / 64, Sources: []Source{static(e.Addr)}})
+	first := make(chan host.Answer, 1)
+	go func() { first <- get(t, c, "first") }()
+	held := <-e.Got
+	if a := get(t, c, "second"); !a.Refused || a.RetryAfter == 0 || a.MayHaveRun {
+		t.Errorf("over the bound: %+v", a)
+	}
+	held.OK()
+	if a := <-first; a.Reply == nil {
+		t.Errorf("the first: %+v", a)
+	}
+	lbtest.Until(t, "room", func() bool { return c.calls.Used() == 0 })
+}
--- /dev/null
+++ b/internal/cluster/merge.go
@@ -0,0 +1,270 @@
+// Package cluster keeps the members of a cluster from several sources, and runs the cluster's balancer over them.
+//
+// What the sources say is merged by rules that merge.go states; who of the members gets a request is for package
+// decide alone.
+package cluster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"silvertrail/internal/registry"
+)
+
+// The kinds of word that a source has.
+type word uint8
+
+const (
+	whole   word = iota // all that the source lists
+	changes             // entries that changed
+	lost                // it is out of reach
+)
+
+// trait is how a source's words are to be taken.
+type trait struct {
+	// partial: what it leaves out may still be there (a name server rotates and cuts its answers). Else leaving out
+	// what it listed means gone.
+	partial bool
+	// deliberate: an empty list is meant (a configuration that was just loaded).
+	deliberate bool
+}
+
+const (
+	maxMembers = 10_000
+	// goneFor is how long "gone" from one source stands against another that goes on listing the endpoint: long past
+	// any cache between the two, and not for ever, as the teller may have lost sight of it only.
+	goneFor = 5 * time.Minute
+)
+
+const (
+	ready    = "ready"
+	draining = "draining"
+	gone     = "gone"
+)
+
+// merger makes one list out of what several sources say. The rules:
+//
+//  1. A member is there while any source lists it.
+//  2. A drain told by any source holds until that source says ready, no longer lists the member, or lists it with a
+//     later start.
+//  3. Gone told by any source (in so many words, or by leaving out what it listed, where it is no name server) holds
+//     against all others for goneFor, until that source lists it again, or until the member's start is later.
+//  4. A source out of reach changes nothing: its last words stand.
+//  5. An empty list after one that was not is taken for a fault and held back until it has stood for the hold.
+//  6. A member is known by its address: what sources call by several names at one address is one member, under the name
+//     of the latest start, else of the first source in the configuration's order that names it. A drain told of a name
+//     holds at every address of that name.
+//  7. Zone and group are those of the first source that tells them; the start is the latest told.
+//
+// A merger has no clock and does no I/O. It is not safe for concurrent use.
+type merger struct {
+	hold    time.Duration
+	sources []told
+	dropped int // members over maxMembers at the last merge
+}
+
+// told is what one source has said last.
+type told struct {
+	trait
+	heard   bool // has told a list
+	spoke   bool // or that it is out of reach
+	entries map[string]registry.Endpoint
+	gone    map[string]departure
+	empty   time.Time // since when it lists nothing, held back; zero: not
+}
+
+// departure is a word of "gone".
+type departure struct {
+	at      time.Time
+	address string
+}
+
+func newMerger(hold time.Duration, traits ...trait) *merger {
+	m := &merger{hold: hold}
+	for _, t := range traits {
+		m.sources = append(m.sources, told{trait: t, entries: map[string]registry.Endpoint{}, gone: map[string]departure{}})
+	}
+	return m
+}
+
+// key is what a source knows an entry by.
+func key(e registry.Endpoint) string { return cmp.Or(e.Name, e.Address) }
+
+// take takes a source's word.
+func (m *merger) take(now time.Time, source int, w word, entries []registry.Endpoint) {
+	s := &m.sources[source]
+	s.spoke = true
+	m.expire(now)
+	switch w {
+	case lost:
+		return
+	case whole:
+		s.heard = true
+		if len(entries) == 0 && len(s.entries) > 0 && !s.deliberate {
+			if s.empty.IsZero() {
+				s.empty = now
+			}
+			m.expire(now)
+			return
+		}
+		named := make(map[string]bool, len(entries))
+		for _, e := range entries {
+			named[key(e)] = true
+		}
+		for k := range s.entries {
+			if !named[k] {
+				s.drop(k, now)
+			}
+		}
+	}
+	for _, e := range entries {
+		k := key(e)
+		switch e.Status {
+		case gone:
+			if k != "" {
+				s.gone[k] = departure{now, cmp.Or(s.entries[k].Address, e.Address)}
+			}
+			delete(s.entries, k)
+		case ready, draining:
+			if k == "" {
+				continue
+			}
+			if was, listed := s.entries[k]; listed && was.Address != e.Address && !s.partial {
+				s.gone["@"+was.Address] = departure{now, was.Address} // it has moved
+			}
+			s.entries[k] = e
+			delete(s.gone, k)
+		}
+	}
+	if len(s.entries) > 0 {
+		s.empty = time.Time{}
+	}
+}
+
+func (s *told) drop(k string, now time.Time) {
+	if !s.partial {
+		s.gone[k] = departure{now, s.entries[k].Address}
+	}
+	delete(s.entries, k)
+}
+
+// expire lets what was held back take effect, and forgets what is over.
+func (m *merger) expire(now time.Time) {
+	for i := range m.sources {
+		s := &m.sources[i]
+		if !s.empty.IsZero() && now.Sub(s.empty) >= m.hold {
+			for k := range s.entries {
+				s.drop(k, now)
+			}
+			s.empty = time.Time{}
+		}
+		maps.DeleteFunc(s.gone, func(_ string, g departure) bool { return now.Sub(g.at) >= goneFor })
+	}
+}
+
+// next returns the time at which expire has something to do; zero: none.
+func (m *merger) next() (at time.Time) {
+	for i := range m.sources {
+		s := &m.sources[i]
+		if !s.empty.IsZero() {
+			at = sooner(at, s.empty.Add(m.hold))
+		}
+		for _, g := range s.gone {
+			at = sooner(at, g.at.Add(goneFor))
+		}
+	}
+	return at
+}
+
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// spoken tells whether each source has had a word, if only that it is out of reach.
+func (m *merger) spoken() bool {
+	return !slices.ContainsFunc(m.sources, func(s told) bool { return !s.spoke })
+}
+
+// complete tells whether each source has told a list.
+func (m *merger) complete() bool {
+	return !slices.ContainsFunc(m.sources, func(s told) bool { return !s.heard })
+}
+
+// members returns the merged list, by name.
+func (m *merger) members(now time.Time) []registry.Endpoint {
+	m.expire(now)
+	words := map[string][]registry.Endpoint{} // by address, in the order of the sources
+	var drains []registry.Endpoint
+	for i := range m.sources {
+		entries := m.sources[i].entries
+		for _, k := range slices.Sorted(maps.Keys(entries)) {
+			e := entries[k]
+			if e.Address != "" {
+				words[e.Address] = append(words[e.Address], e)
+			}
+			if e.Status == draining {
+				drains = append(drains, e)
+			}
+		}
+	}
+	list := make(map[string]registry.Endpoint, len(words))
+	for _, address := range slices.Sorted(maps.Keys(words)) {
+		e := fold(address, words[address])
+		if m.departed(e) {
+			continue
+		}
+		for _, d := range drains {
+			if (d.Address == e.Address || d.Name != "" && d.Name == e.Name) && (d.SinceMS <= 0 || d.SinceMS >= e.SinceMS) {
+				e.Status = draining
+			}
+		}
+		if _, taken := list[e.Name]; taken { // sources that differ in where it is
+			e.Name += "@" + address
+		}
+		list[e.Name] = e
+	}
+	out := slices.SortedFunc(maps.Values(list), func(a, b registry.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	m.dropped = max(len(out)-maxMembers, 0)
+	return out[:len(out)-m.dropped]
+}
+
+// departed tells of a member that a source has said to be gone, and does not list again.
+func (m *merger) departed(e registry.Endpoint) bool {
+	for i := range m.sources {
+		s := &m.sources[i]
+		for k, g := range s.gone {
+			if k != e.Name && g.address != e.Address || e.SinceMS >= g.at.UnixMilli() {
+				continue
+			}
+			// The source may list another process at the address of the one that has gone.
+			again := false
+			for _, other := range s.entries {
+				again = again || other.Address == e.Address
+			}
+			if !again {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fold makes one member of all that is said of an address.
+func fold(address string, words []registry.Endpoint) registry.Endpoint {
+	out := registry.Endpoint{Address: address, Status: ready}
+	for _, e := range words {
+		out.Zone = cmp.Or(out.Zone, e.Zone)
+		out.Group = cmp.Or(out.Group, e.Group)
+		if e.Name != "" && (out.Name == "" || e.SinceMS > out.SinceMS) {
+			out.Name = e.Name
+		}
+		out.SinceMS = max(out.SinceMS, e.SinceMS)
+	}
+	out.Name = cmp.Or(out.Name, address)
+	return out
+}
--- /dev/null
+++ b/internal/cluster/merge_test.go
@@ -0,0 +1,237 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"silvertrail/internal/registry"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func named(name, status string) registry.Endpoint {
+	return registry.Endpoint{Name: name, Address: "10.0.0." + name + ":1", Zone: "a", Status: status}
+}
+
+func nameless(name, status string) registry.Endpoint {
+	return registry.Endpoint{Address: "10.0.0." + name + ":1", Status: status}
+}
+
+// shown writes a list as "name status".
+func shown(list []registry.Endpoint) (out []string) {
+	for _, e := range list {
+		out = append(out, e.Name+" "+e.Status)
+	}
+	return out
+}
+
+func wants(t *testing.T, m *merger, now time.Time, want ...string) {
+	t.Helper()
+	if got := shown(m.members(now)); !slices.Equal(got, want) {
+		t.Errorf("members %q, want %q", got, want)
+	}
+}
+
+func TestDrainHolds(t *testing.T) {
+	m := newMerger(time.Minute, trait{}, trait{})
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", ready)})
+	m.take(t0, 1, whole, []registry.Endpoint{named("1", draining), named("2", ready)})
+	wants(t, m, t0, "1 draining", "2 ready")
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", ready)}) // once more: no news
+	m.take(t0, 1, lost, nil)
+	wants(t, m, t0.Add(time.Hour), "1 draining", "2 ready")
+	m.take(t0, 1, changes, []registry.Endpoint{named("1", ready)})
+	wants(t, m, t0, "1 ready", "2 ready")
+
+	// A later process at the same name is not the one that drained.
+	m.take(t0, 1, changes, []registry.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: draining, SinceMS: 100}})
+	wants(t, m, t0, "1 draining", "2 ready")
+	m.take(t0, 0, changes, []registry.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: ready, SinceMS: 200}})
+	wants(t, m, t0, "1 ready", "2 ready")
+}
+
+func TestGone(t *testing.T) {
+	m := newMerger(time.Minute, trait{}, trait{}, trait{partial: true})
+	all := []registry.Endpoint{named("1", ready), named("2", ready)}
+	m.take(t0, 0, whole, all)
+	m.take(t0, 1, whole, all)
+	m.take(t0, 1, changes, []registry.Endpoint{named("1", gone)})
+	wants(t, m, t0, "2 ready") // in so many words
+	m.take(t0, 1, whole, nil)  // held back: empty
+	wants(t, m, t0, "2 ready")
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)}) // by leaving out
+	wants(t, m, t0)
+	m.take(t0, 2, whole, []registry.Endpoint{nameless("2", ready), nameless("3", ready)})
+	wants(t, m, t0, "10.0.0.3:1 ready") // another source's word does not bring it back, and 3 is new
+	m.take(t0, 2, whole, []registry.Endpoint{nameless("3", ready), nameless("4", ready)})
+	m.take(t0, 2, whole, []registry.Endpoint{nameless("4", ready)}) // a name server leaves out what is there
+	m.take(t0, 2, whole, []registry.Endpoint{nameless("3", ready), nameless("4", ready)})
+	wants(t, m, t0, "10.0.0.3:1 ready", "10.0.0.4:1 ready")
+	m.take(t0, 0, changes, []registry.Endpoint{named("2", ready)}) // the teller lists it again
+	if got := m.members(t0); len(got) != 3 || got[2].Name != "2" {
+		t.Errorf("members %q", shown(got))
+	}
+	// What one source goes on listing is back when the other's word is old.
+	m = newMerger(time.Minute, trait{}, trait{})
+	m.take(t0, 0, whole, all)
+	m.take(t0, 1, whole, all)
+	m.take(t0, 1, changes, []registry.Endpoint{named("1", gone)})
+	wants(t, m, t0.Add(goneFor-time.Second), "2 ready")
+	if at := m.next(); !at.Equal(t0.Add(goneFor)) {
+		t.Errorf("next %v", at)
+	}
+	wants(t, m, t0.Add(goneFor), "1 ready", "2 ready")
+	// And at once where it has started since.
+	m.take(t0, 1, changes, []registry.Endpoint{named("2", gone)})
+	later := named("2", ready)
+	later.SinceMS = t0.Add(time.Second).UnixMilli()
+	m.take(t0, 0, changes, []registry.Endpoint{later})
+	wants(t, m, t0, "1 ready", "2 ready")
+}
+
+func TestEmptyIsHeld(t *testing.T) {
+	m := newMerger(30*time.Second, trait{}, trait{deliberate: true})
+	m.take(t0, 0, whole, nil) // from the start: nothing to hold
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", draining)})
+	m.take(t0.Add(time.Second), 0, whole, nil)
+	m.take(t0.Add(20*time.Second), 0, whole, nil) // does not begin the wait anew
+	wants(t, m, t0.Add(30*time.Second), "1 ready", "2 draining")
+	if at := m.next(); !at.Equal(t0.Add(31 * time.Second)) {
+		t.Errorf("next %v", at)
+	}
+	wants(t, m, t0.Add(31*time.Second))
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)})
+	m.take(t0, 0, whole, nil)
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)}) // it was a fault
+	wants(t, m, t0.Add(time.Hour), "1 ready")
+	m.take(t0, 1, whole, []registry.Endpoint{named("7", ready)})
+	m.take(t0, 1, whole, nil) // a configuration means it
+	wants(t, m, t0, "1 ready")
+}
+
+func TestNames(t *testing.T) {
+	m := newMerger(time.Minute, trait{partial: true}, trait{})
+	m.take(t0, 0, whole, []registry.Endpoint{nameless("1", ready)})
+	wants(t, m, t0, "10.0.0.1:1 ready")
+	first := named("1", ready)
+	first.Group, first.Zone = 4, "b"
+	m.take(t0, 1, whole, []registry.Endpoint{first})
+	if got := m.members(t0); len(got) != 1 || got[0] != first {
+		t.Errorf("members %+v", got)
+	}
+	// Gone, told by name, goes for the address too: nobody else knows it under another name.
+	m.take(t0, 1, changes, []registry.Endpoint{{Name: "1", Status: gone}})
+	wants(t, m, t0)
+	m.take(t0, 0, whole, []registry.Endpoint{nameless("1", ready)}) // gone stands against the other's word
+	wants(t, m, t0)
+	m.take(t0, 0, whole, []registry.Endpoint{nameless("2", draining)}) // told of an address: goes for who is there
+	m.take(t0, 1, changes, []registry.Endpoint{named("2", ready)})
+	wants(t, m, t0, "2 draining")
+}
+
+// Names that differ do not make two members of one address, and don't hide a drain; another process at the address of
+// one that has gone is no dead one.
+func TestOneAddress(t *testing.T) {
+	m := newMerger(time.Minute, trait{}, trait{})
+	at := func(name, status string, since int64) registry.Endpoint {
+		return registry.Endpoint{Name: name, Address: "10.0.0.9:1", Status: status, SinceMS: since}
+	}
+	m.take(t0, 0, whole, []registry.Endpoint{at("ours", ready, 0)})
+	m.take(t0, 1, whole, []registry.Endpoint{at("theirs", draining, 0)})
+	wants(t, m, t0, "ours draining")
+	m.take(t0, 1, whole, []registry.Endpoint{at("next", ready, 50)})
+	wants(t, m, t0, "next ready")
+	m.take(t0, 1, whole, []registry.Endpoint{at("old", draining, 50), at("new", ready, 60)})
+	wants(t, m, t0, "new ready")
+	m.take(t0, 1, whole, []registry.Endpoint{{Name: "elsewhere", Address: "10.0.0.8:1", Status: ready}})
+	wants(t, m, t0, "elsewhere ready")
+	// A name at two addresses: as sources differ, both count, and a drain goes for both.
+	m = newMerger(time.Minute, trait{}, trait{})
+	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)})
+	m.take(t0, 1, whole, []registry.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: ready}})
+	wants(t, m, t0, "1 ready", "1@10.0.1.1:1 ready")
+	m.take(t0, 1, whole, []registry.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: draining}})
+	wants(t, m, t0, "1 draining", "1@10.0.1.1:1 draining")
+}
+
+func TestMemberBound(t *testing.T) {
+	m := newMerger(time.Minute, trait{})
+	var many []registry.Endpoint
+	for i := range maxMembers + 5 {
+		many = append(many, registry.Endpoint{Name: fmt.Sprintf("%06d", i), Address: fmt.Sprint(i), Status: ready})
+	}
+	m.take(t0, 0, whole, many)
+	if n := len(m.members(t0)); n != maxMembers || m.dropped != 5 {
+		t.Errorf("%d members, %d left out", n, m.dropped)
+	}
+}
+
+// Against a plain model, over drawn words: no member is ready that some source's last word has draining or gone, none is
+// listed that no source lists, and a source out of reach changes nothing.
+func TestMergeModel(t *testing.T) {
+	d := rand.New(rand.NewPCG(4, 2))
+	for round := range 300 {
+		const sources = 3
+		traits := []trait{{}, {partial: d.IntN(2) == 0}, {deliberate: d.IntN(2) == 0}}
+		m := newMerger(10*time.Second, traits...)
+		last := make([]map[string]string, sources) // status by name, as told last
+		for i := range last {
+			last[i] = map[string]string{}
+		}
+		now := t0
+		for step := range 60 {
+			now = now.Add(time.Duration(d.IntN(3000)) * time.Millisecond)
+			i := d.IntN(sources)
+			before := shown(m.members(now))
+			switch d.IntN(4) {
+			case 0:
+				m.take(now, i, lost, nil)
+				if after := shown(m.members(now)); !slices.Equal(before, after) {
+					t.Fatalf("out of reach changed %q to %q", before, after)
+				}
+			case 1:
+				e := named(fmt.Sprint(d.IntN(6)), []string{ready, draining, gone}[d.IntN(3)])
+				m.take(now, i, changes, []registry.Endpoint{e})
+				last[i][e.Name] = e.Status
+			default:
+				var list []registry.Endpoint
+				for n := range 6 {
+					if d.IntN(2) == 0 {
+						list = append(list, named(fmt.Sprint(n), []string{ready, ready, draining}[d.IntN(3)]))
+					}
+				}
+				m.take(now, i, whole, list)
+				if len(list) == 0 {
+					continue // may be held back; the next word settles it
+				}
+				for name, status := range last[i] {
+					if status != gone && !slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.Name == name }) {
+						last[i][name] = gone
+						if traits[i].partial {
+							delete(last[i], name)
+						}
+					}
+				}
+				for _, e := range list {
+					last[i][e.Name] = e.Status
+				}
+			}
+			for _, e := range m.members(now) {
+				listed := false
+				for j := range last {
+					status := last[j][e.Name]
+					listed = listed || status == ready || status == draining
+					if e.Status == ready && (status == draining || status == gone && now.Sub(t0) < goneFor) {
+						t.Fatalf("round %d step %d: %s is ready, source %d said %s", round, step, e.Name, j, status)
+					}
+				}
+				if !listed {
+					t.Fatalf("round %d step %d: %s is listed by nobody", round, step, e.Name)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/cluster/source.go
@@ -0,0 +1,173 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/registry"
+)
+
+// tell takes a source's words, one at a time.
+type tell func(w word, entries []registry.Endpoint)
+
+// Source follows one list of members until its context ends. Just one of its fields is set. It is comparable by
+// reflect.DeepEqual, by which a reload tells whether it has changed.
+type Source struct {
+	Static   *Static
+	File     *File
+	DNS      *DNS
+	Registry *Registry
+}
+
+func (s Source) trait() trait {
+	return trait{partial: s.DNS != nil, deliberate: s.Static != nil}
+}
+
+func (s Source) run(ctx context.Context, say tell, log *slog.Logger) {
+	switch {
+	case s.Static != nil:
+		say(whole, s.Static.Endpoints)
+	case s.File != nil:
+		s.File.run(ctx, say, log)
+	case s.DNS != nil:
+		s.DNS.run(ctx, say, log)
+	case s.Registry != nil:
+		s.Registry.run(ctx, say, log)
+	}
+}
+
+// Static is a list in the configuration itself.
+type Static struct{ Endpoints []registry.Endpoint }
+
+// File is a list in a file that is replaced atomically (written beside and renamed).
+type File struct {
+	Path string
+	Poll time.Duration // how often its change is looked for
+	Zone string        // of entries that name none
+}
+
+const maxFile = 4 << 20
+
+// run reads the file when it has changed. One that can't be read or used is out of reach: what it said last stands.
+func (f *File) run(ctx context.Context, say tell, log *slog.Logger) {
+	var last os.FileInfo
+	failed := ""
+	for {
+		info, err := os.Stat(f.Path)
+		if err == nil && (last == nil || !os.SameFile(info, last) || info.ModTime() != last.ModTime() || info.Size() != last.Size()) {
+			var entries []registry.Endpoint
+			if entries, err = f.read(); err == nil {
+				say(whole, entries)
+				failed = ""
+			}
+			last = info
+		}
+		if err != nil && err.Error() != failed { // a fault is told once
+			failed = err.Error()
+			log.Warn("cluster file: what it said last stands", "error", err)
+			say(lost, nil)
+		}
+		if !sleep(ctx, f.Poll) {
+			return
+		}
+	}
+}
+
+func (f *File) read() ([]registry.Endpoint, error) {
+	file, err := os.Open(f.Path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, maxFile+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > maxFile {
+		return nil, fmt.Errorf("%s: over %d bytes", f.Path, maxFile)
+	}
+	entries, err := ParseFile(text, f.Zone)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", f.Path, err)
+	}
+	return entries, nil
+}
+
+// ParseFile reads a file of endpoints: {"endpoints": [{"name", "address", "zone", "group", "status", "since_ms"}]}, all
+// but the address optional. Unlike a list that a peer sends it is wholly good or wholly refused: somebody wrote it.
+func ParseFile(text []byte, zone string) ([]registry.Endpoint, error) {
+	var raw struct {
+		Endpoints *[]registry.Endpoint `json:"endpoints"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, err
+	}
+	if raw.Endpoints == nil {
+		return nil, errors.New("no \"endpoints\"")
+	}
+	for i := range *raw.Endpoints {
+		e := &(*raw.Endpoints)[i]
+		if err := Check(e, zone); err != nil {
+			return nil, fmt.Errorf("endpoints[%d]: %w", i, err)
+		}
+	}
+	return *raw.Endpoints, nil
+}
+
+// Check brings an entry that somebody wrote into its form, or tells what is wrong with it.
+func Check(e *registry.Endpoint, zone string) error {
+	if _, err := netip.ParseAddrPort(e.Address); err != nil {
+		return fmt.Errorf("address %q is no IP address and port", e.Address)
+	}
+	if e.Zone == "" {
+		e.Zone = zone
+	}
+	if e.Status == "" {
+		e.Status = ready
+	}
+	if !slices.Contains([]string{ready, draining, gone}, e.Status) {
+		return fmt.Errorf("status %q is none of ready, draining, gone", e.Status)
+	}
+	return nil
+}
+
+// Registry is the platform's discovery, which pushes changes.
+type Registry struct{ Address string }
+
+func (r *Registry) run(ctx context.Context, say tell, log *slog.Logger) {
+	registry.New(r.Address, false, 0, func(kind decide.ListKind, entries []registry.Endpoint) {
+		switch kind {
+		case decide.Full, decide.Cached:
+			say(whole, entries)
+		case decide.Delta:
+			say(changes, entries)
+		default:
+			say(lost, nil)
+		}
+	}, log).Run(ctx)
+}
+
+// sleep waits and tells whether ctx still holds.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// spread draws a time about d, so that many processes don't ask in step.
+func spread(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,414 @@
+// Package conf reads the configuration file of the product: listeners, classes, tenants, clusters and routes, in HCL.
+//
+// A file is wholly good or wholly refused, and all that is wrong with it is told at once, each fault with its file,
+// line and column. The package opens the file and nothing else.
+package conf
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"silvertrail/decide"
+	"silvertrail/internal/cluster"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/route"
+)
+
+// File is a configuration that can be used.
+type File struct {
+	Process   Process
+	Classes   []Class
+	Tenants   []string // in the order of the decisions' numbers
+	Listeners []Listener
+	Clusters  []cluster.Config
+	Routes    *route.Table
+}
+
+// Process is what concerns the whole program.
+type Process struct {
+	Zones        []string
+	Sockets      int // descriptors
+	Calls        int64
+	BodyMemory   int64
+	Stop         time.Duration // from SIGTERM to the last answer
+	DefaultClass string        // of requests that name none, on routes that give none
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name    string
+	Methods []string
+	decide.Class
+}
+
+// Listener is an address on which callers connect.
+type Listener struct {
+	Name        string
+	Address     string
+	Connections int
+	// Trusted takes X-Forwarded-For from its callers and adds to it; else what they say of it is dropped.
+	Trusted bool
+}
+
+// Error is all that is wrong with a file.
+type Error struct {
+	Diagnostics hcl.Diagnostics
+	files       map[string]*hcl.File
+}
+
+// Error tells each fault on a line of its own.
+func (e *Error) Error() string {
+	var b strings.Builder
+	for i, d := range e.Diagnostics {
+		if i > 0 {
+			b.WriteByte('\n')
+		}
+		if d.Subject != nil {
+			fmt.Fprintf(&b, "%s:%d:%d: ", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column)
+		}
+		fmt.Fprintf(&b, "%s: %s", d.Summary, d.Detail)
+	}
+	return b.String()
+}
+
+// Text tells each fault with the lines that it is about.
+func (e *Error) Text() string {
+	var b bytes.Buffer
+	hcl.NewDiagnosticTextWriter(&b, e.files, 100, false).WriteDiagnostics(e.Diagnostics)
+	return b.String()
+}
+
+const maxFile = 64 << 20
+
+// Load reads a file. An *Error tells what is wrong with what it says.
+func Load(path string) (*File, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if info.Size() > maxFile {
+		return nil, fmt.Errorf("config: %s: over %d bytes", path, maxFile)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return Parse(text, path)
+}
+
+// Parse reads a file's text. Name is the file's, for errors; paths in the text are taken from its folder.
+func Parse(text []byte, name string) (*File, error) {
+	parsed, diags := hclsyntax.ParseConfig(text, name, hcl.InitialPos)
+	if diags.HasErrors() {
+		return nil, &Error{diags, map[string]*hcl.File{name: parsed}}
+	}
+	p := &parser{folder: filepath.Dir(name), names: map[string]map[string]hcl.Range{}}
+	f := p.file(parsed.Body)
+	if p.diags.HasErrors() {
+		sort.SliceStable(p.diags, func(i, j int) bool {
+			a, b := p.diags[i].Subject, p.diags[j].Subject
+			return a != nil && b != nil && a.Start.Byte < b.Start.Byte
+		})
+		return nil, &Error{p.diags, map[string]*hcl.File{name: parsed}}
+	}
+	return f, nil
+}
+
+type parser struct {
+	reader
+	folder string
+	names  map[string]map[string]hcl.Range // by kind
+}
+
+// name takes a block's label, which must be new among its kind.
+func (p *parser) name(b *hcl.Block) string {
+	name := b.Labels[0]
+	if p.names[b.Type] == nil {
+		p.names[b.Type] = map[string]hcl.Range{}
+	}
+	first, twice := p.names[b.Type][name]
+	switch {
+	case name == "" || len(name) > 100 || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f }):
+		p.fault(b.LabelRanges[0], "Unusable name", "The name of a %s has 1 to 100 characters and no spaces.", b.Type)
+	case twice:
+		p.fault(b.LabelRanges[0], "Named twice", "A %s named %q stands on line %d already.", b.Type, name, first.Start.Line)
+	default:
+		p.names[b.Type][name] = b.LabelRanges[0]
+	}
+	return name
+}
+
+func (p *parser) file(body hcl.Body) *File {
+	top := p.open("the file", hcl.Range{}, body, nil,
+		map[string]int{"process": 0, "class": 1, "tenant": 1, "listener": 1, "cluster": 1, "route": 1})
+	by := map[string]hcl.Blocks{}
+	for _, b := range top.blocks {
+		by[b.Type] = append(by[b.Type], b)
+		if len(b.Labels) > 0 {
+			p.name(b)
+		}
+	}
+	f := &File{}
+	for _, b := range by["class"] {
+		f.Classes = append(f.Classes, p.class(b))
+	}
+	var process *scope
+	f.Process, process = p.process(by["process"])
+	if len(f.Classes) == 0 {
+		p.fault(body.MissingItemRange(), "No class", "At least one class is needed: what requests are worth and how long they may take.")
+	}
+	if name := f.Process.DefaultClass; name != "" {
+		p.known("class", located{name, process.where("default_class")}, p.all("class"))
+	}
+	var settings decide.Settings
+	for _, c := range f.Classes {
+		settings.Classes = append(settings.Classes, c.Class)
+	}
+	for _, b := range by["tenant"] {
+		s := p.open("tenant "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"rate"}, nil)
+		f.Tenants = append(f.Tenants, b.Labels[0])
+		settings.Tenants = append(settings.Tenants, decide.Tenant{QuotaPerSecond: s.number("rate", 0, 0, 1e9)})
+	}
+	for _, b := range by["listener"] {
+		f.Listeners = append(f.Listeners, p.listener(b, f.Process.Sockets/2/len(by["listener"])))
+	}
+	if len(f.Listeners) == 0 {
+		p.fault(body.MissingItemRange(), "No listener", "At least one listener is needed.")
+	}
+	sum := 0
+	addresses := map[string]string{}
+	for i, l := range f.Listeners {
+		sum += l.Connections
+		other, taken := addresses[l.Address]
+		if taken {
+			p.fault(by["listener"][i].DefRange, "Address taken", "Listener %q already listens on %s.", other, l.Address)
+		}
+		if _, port, _ := net.SplitHostPort(l.Address); port != "0" { // 0: the system picks one for each
+			addresses[l.Address] = l.Name
+		}
+	}
+	if most := f.Process.Sockets / 2; sum > most {
+		p.fault(by["listener"][len(by["listener"])-1].DefRange, "Too many connections", "The listeners take %d connections; half of \"sockets\" is %d.", sum, most)
+	}
+	settings.Balancers = process.whole("fleet", 1, 1, 10000)
+	settings.Me = process.whole("member", 0, 0, settings.Balancers-1)
+	settings.Zone = max(slices.Index(f.Process.Zones, process.text("zone", "")), 0)
+	reserved := 0.0
+	for _, b := range by["cluster"] {
+		c := p.cluster(b, settings, f.Process.Zones, len(by["cluster"]))
+		reserved += c.Reserve
+		f.Clusters = append(f.Clusters, c)
+	}
+	if reserved > 1+1e-9 {
+		p.fault(by["cluster"][0].DefRange, "Reserves over the whole", "The clusters' reserves add up to %.0f%%.", reserved*100)
+	}
+	f.Routes = p.routes(by["route"], f)
+	return f
+}
+
+func (p *parser) all(kind string) (names []string) {
+	for name := range p.names[kind] {
+		names = append(names, name)
+	}
+	return names
+}
+
+func quote(name string) string { return fmt.Sprintf("%q", name) }
+
+func (p *parser) process(blocks hcl.Blocks) (out Process, s *scope) {
+	s = &scope{reader: &p.reader, what: "process"}
+	if len(blocks) > 0 {
+		s = p.open("process", blocks[0].DefRange, blocks[0].Body, []string{"zones", "zone", "sockets", "calls", "body_memory", "stop",
+			"default_class", "fleet", "member"}, nil)
+	}
+	for _, b := range blocks[min(len(blocks), 1):] {
+		p.fault(b.DefRange, "Twice", "There is one process block at most.")
+	}
+	zones := s.list("zones")
+	out.Zones = texts(zones)
+	if len(zones) == 0 {
+		out.Zones = []string{s.text("zone", "local")}
+	} else if !s.has("zone") {
+		s.need("zone")
+	} else {
+		p.known("zone", located{s.text("zone", ""), s.where("zone")}, out.Zones)
+	}
+	out.Sockets = s.whole("sockets", 1024, 64, 1<<20)
+	out.Calls = int64(s.whole("calls", 4096, 1, 1<<20))
+	out.BodyMemory = s.size("body_memory", 32<<20, 64<<10, 1<<40)
+	out.Stop = s.duration("stop", 5*time.Second, 100*time.Millisecond, time.Hour)
+	out.DefaultClass = s.text("default_class", "")
+	return out, s
+}
+
+var (
+	effects = map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
+	scopes  = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
+	methods = map[decide.Effect][]string{
+		decide.Safe:   {"GET", "HEAD", "OPTIONS"},
+		decide.Keyed:  {"POST", "PUT", "PATCH", "DELETE"},
+		decide.Unsafe: {"POST", "PUT", "PATCH", "DELETE"},
+	}
+)
+
+func (p *parser) class(b *hcl.Block) Class {
+	s := p.open("class "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"aim", "deadline", "worth", "effect", "scope", "window", "methods"}, nil)
+	s.need("aim", "deadline", "effect")
+	c := Class{Name: b.Labels[0]}
+	c.Deadline = s.duration("deadline", time.Second, time.Millisecond, time.Hour)
+	c.Aim = s.duration("aim", c.Deadline, time.Millisecond, c.Deadline)
+	c.Worth = s.number("worth", 1, 0, 1e6)
+	c.Effect = effects[s.word("effect", "unsafe", "safe", "keyed", "unsafe")]
+	c.Scope = scopes[s.word("scope", "all", "all", "zone", "cell")]
+	c.Window = s.duration("window", 0, 0, 24*time.Hour)
+	c.Methods = methods[c.Effect]
+	if s.has("methods") {
+		c.Methods = p.methods(s.list("methods"))
+	}
+	for _, name := range []string{"scope", "window"} {
+		if s.has(name) && c.Effect != decide.Keyed {
+			s.fault(s.where(name), "Without a meaning", "%q goes with effect = \"keyed\" alone.", name)
+		}
+	}
+	if c.Effect == decide.Keyed {
+		s.need("window")
+	}
+	return c
+}
+
+func (p *parser) methods(list []located) []string {
+	for _, l := range list {
+		if l.text == "" || strings.ContainsFunc(l.text, func(r rune) bool { return r < 'A' || r > 'Z' }) || l.text == "CONNECT" || l.text == "TRACE" {
+			p.fault(l.at, "Unusable method", "%q is no method that is passed on.", l.text)
+		}
+	}
+	return texts(list)
+}
+
+func (p *parser) listener(b *hcl.Block, connections int) Listener {
+	s := p.open("listener "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "connections", "trusted"}, nil)
+	s.need("address")
+	l := Listener{Name: b.Labels[0], Address: s.text("address", "127.0.0.1:0"), Trusted: s.flag("trusted"),
+		Connections: s.whole("connections", connections, 1, 1<<20)}
+	if _, err := netip.ParseAddrPort(l.Address); err != nil {
+		s.fault(s.where("address"), "Not an address", "%q is no IP address and port, such as \"127.0.0.1:8080\".", l.Address)
+	}
+	return l
+}
+
+func (p *parser) cluster(b *hcl.Block, settings decide.Settings, zones []string, n int) cluster.Config {
+	s := p.open("cluster "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"connect_timeout", "idle", "max_attempts", "hedge",
+		"warm_up", "start_capacity", "fall_multiple", "fall_window", "crossing_price", "load_report", "reserve", "most", "empty_hold"},
+		map[string]int{"endpoint": 1, "file": 0, "dns": 0, "registry": 0})
+	c := cluster.Config{Name: b.Labels[0]}
+	settings.MaxAttempts = s.whole("max_attempts", 3, 1, 10)
+	settings.MayCancel, settings.RetryAfter = true, true
+	settings.MaxRetryAfter = 5 * time.Second
+	settings.MayDuplicate = !s.has("hedge") || s.flag("hedge")
+	settings.StartCapacity = s.number("start_capacity", 0.2, 0, 1)
+	settings.WarmUp = s.duration("warm_up", 0, 0, time.Hour)
+	settings.FallMultiple = s.number("fall_multiple", 2.5, 1, 100)
+	settings.FallWindow = s.duration("fall_window", 2*time.Second, 100*time.Millisecond, time.Minute)
+	settings.CrossZonePrice = s.number("crossing_price", 0.01, 0, 1)
+	c.Idle = s.duration("idle", 5*time.Second, 50*time.Millisecond, time.Hour)
+	settings.ConnIdle = c.Idle
+	c.ConnectTimeout = s.duration("connect_timeout", time.Second, time.Millisecond, time.Minute)
+	for _, l := range s.list("load_report") {
+		c.Report = append(c.Report, l.text)
+		field := decide.FieldOther
+		if l.text == "util" {
+			field = decide.FieldUtil
+		}
+		settings.Report = append(settings.Report, field)
+	}
+	c.Decide, c.Zones = settings, zones
+	c.Reserve = s.share("reserve", 0.5/float64(max(n, 1)))
+	c.Most = s.share("most", max(0.5, 1/float64(max(n, 1))))
+	if c.Reserve > c.Most {
+		s.fault(s.where("reserve"), "Reserve over the most", "%s reserves %.0f%% and may take %.0f%%.", s.what, c.Reserve*100, c.Most*100)
+	}
+	c.EmptyHold = s.duration("empty_hold", 30*time.Second, 0, time.Hour)
+	p.sources(s, &c, zones)
+	if len(c.Sources) == 0 {
+		s.fault(s.at, "No source", "%s needs an endpoint, file, dns or registry block.", s.what)
+	}
+	return c
+}
+
+func (p *parser) sources(s *scope, c *cluster.Config, zones []string) {
+	var static *cluster.Static
+	for _, b := range s.blocks {
+		switch b.Type {
+		case "endpoint":
+			e := p.open("endpoint "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "zone", "group", "status"}, nil)
+			e.need("address")
+			entry := registry.Endpoint{Name: b.Labels[0], Address: e.text("address", ""), Zone: p.zone(e, zones),
+				Group: e.whole("group", 0, 0, 1<<30), Status: e.word("status", "ready", "ready", "draining")}
+			if err := cluster.Check(&entry, zones[0]); err != nil && e.has("address") {
+				e.fault(e.where("address"), "Not an address", "%s.", err)
+			}
+			if static == nil {
+				static = &cluster.Static{}
+				c.Sources = append(c.Sources, cluster.Source{Static: static})
+			}
+			if slices.ContainsFunc(static.Endpoints, func(o registry.Endpoint) bool { return o.Name == entry.Name }) {
+				p.fault(b.LabelRanges[0], "Named twice", "%s has an endpoint named %q already.", s.what, entry.Name)
+			}
+			static.Endpoints = append(static.Endpoints, entry)
+		case "file":
+			e := p.open("a file of "+s.what, b.DefRange, b.Body, []string{"path", "poll", "zone"}, nil)
+			e.need("path")
+			path := e.text("path", "")
+			if !filepath.IsAbs(path) {
+				path = filepath.Join(p.folder, path)
+			}
+			c.Sources = append(c.Sources, cluster.Source{File: &cluster.File{Path: path,
+				Poll: e.duration("poll", 200*time.Millisecond, 10*time.Millisecond, time.Hour), Zone: p.zone(e, zones)}})
+		case "dns":
+			e := p.open("dns of "+s.what, b.DefRange, b.Body, []string{"name", "type", "port", "zone", "server"}, nil)
+			e.need("name")
+			d := &cluster.DNS{Name: e.text("name", ""), SRV: e.word("type", "A", "A", "SRV") == "SRV",
+				Port: uint16(e.whole("port", 0, 1, 65535)), Zone: p.zone(e, zones), Server: e.text("server", "")}
+			if d.SRV == e.has("port") {
+				e.fault(e.where("port"), "Port", "Type \"A\" needs a \"port\"; \"SRV\" brings its own.")
+			}
+			if !e.has("server") {
+				var err error
+				if d.Server, err = cluster.SystemServer(); err != nil {
+					e.fault(e.at, "No name server", "No \"server\" is told, and the system has none: %s.", err)
+				}
+			} else if _, port, err := net.SplitHostPort(d.Server); err != nil || port == "" {
+				e.fault(e.where("server"), "Not an address", "%q is no address and port.", d.Server)
+			}
+			c.Sources = append(c.Sources, cluster.Source{DNS: d})
+		case "registry":
+			e := p.open("a registry of "+s.what, b.DefRange, b.Body, []string{"address"}, nil)
+			e.need("address")
+			addr := e.text("address", "")
+			if _, err := netip.ParseAddrPort(addr); err != nil && e.has("address") {
+				e.fault(e.where("address"), "Not an address", "%q is no IP address and port.", addr)
+			}
+			c.Sources = append(c.Sources, cluster.Source{Registry: &cluster.Registry{Address: addr}})
+		}
+	}
+}
+
+// zone reads a zone, which is the first one where none is told.
+func (p *parser) zone(s *scope, zones []string) string {
+	name := s.text("zone", zones[0])
+	if s.has("zone") {
+		p.known("zone", located{name, s.where("zone")}, zones)
+	}
+	return name
+}
--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,210 @@
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/route"
+)
+
+const base = `
+class "read" {
+  aim      = "1s"
+  deadline = "2s"
+  effect   = "safe"
+}
+listener "l" {
+  address = "127.0.0.1:0"
+}
+cluster "c" {
+  endpoint "e" {
+    address = "127.0.0.1:1"
+  }
+}
+`
+
+func parse(t *testing.T, text string) *File {
+	t.Helper()
+	f, err := Parse([]byte(text), "test.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestSample(t *testing.T) {
+	f, err := Load("../../deploy/silvertrail.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(f.Clusters) != 3 || f.Routes.Len() != 5 || len(f.Listeners) != 2 || f.Process.Stop != 5*time.Second {
+		t.Errorf("%+v", f)
+	}
+	c, ok := f.Cluster("portal")
+	if !ok || len(c.Sources) != 2 || c.Reserve != 0.3 || c.Most != 0.6 || c.Decide.WarmUp != 20*time.Second ||
+		c.Decide.Balancers != 3 || c.ConnectTimeout != 250*time.Millisecond || len(c.Decide.Report) != 1 {
+		t.Errorf("%+v", c)
+	}
+	reserva := f.Classes[1]
+	if reserva.Effect != decide.Keyed || reserva.Scope != decide.ScopeZone || reserva.Window != 7500*time.Millisecond || reserva.Worth != 10 {
+		t.Errorf("%+v", reserva)
+	}
+	found, ok := f.Routes.Find(&route.Request{Listener: "public", Host: "a.inscripciones.example", Path: "/schools/9/seats", Method: "GET"})
+	if !ok || found.Rule.Name != "seats" || found.Rule.Timeout != 1500*time.Millisecond || found.Rule.Failover != "portal-sur" {
+		t.Errorf("%+v", found)
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	f := parse(t, base)
+	c := f.Clusters[0]
+	if f.Process.Sockets != 1024 || c.Decide.MaxAttempts != 3 || c.Most != 1 || c.Reserve != 0.5 || f.Listeners[0].Connections != 512 ||
+		c.Sources[0].Static.Endpoints[0].Zone != "local" {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Each fault is told where it stands and what is the matter; the nearest known name is told with one that is not known.
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		`proces {}`:                                            `test.hcl:15:1: Unsupported block type`,
+		`clutser "x" {}`:                                       `"cluster"`,
+		"process {\n sokets = 5\n}":                            `"sockets"`,
+		"process {\n sockets = 5\n}":                           `from 64 to`,
+		"process {\n sockets = \"many\"\n}":                    `must be a number`,
+		"process {\n sockets = 64.5\n}":                        `Not a whole number`,
+		"process {\n stop = 5\n}":                              `test.hcl:16:9: A time without a unit`,
+		"process {\n stop = \"5 sec\"\n}":                      `Not a time`,
+		"process {\n stop = \"-1s\"\n}":                        `Out of range`,
+		"process {\n body_memory = 64\n}":                      `A size without a unit`,
+		"process {\n body_memory = \"64 Kib\"\n}":              `Not a size`,
+		"process {\n zones = [\"a\", \"b\"]\n}":                `needs "zone"`,
+		"process {\n zones = [\"a\", \"b\"]\n zone = \"c\"\n}": `no zone named "c"`,
+		"process {\n default_class = \"raed\"\n}":              `Did you mean "read"?`,
+		"process {}\nprocess {}":                               `Twice`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"keyed\"\n}":                               `needs "window"`,
+		"class \"w\" {\n aim = \"3s\"\n deadline = \"2s\"\n effect = \"safe\"\n}":                                `from 1ms to 2s`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"safe\"\n window = \"1s\"\n}":              `Without a meaning`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"save\"\n}":                                `Did you mean "safe"?`,
+		"class \"w\" {\n effect = \"safe\"\n methods = [\"get\"]\n}":                                             `"get" is no method`,
+		"class \"read\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"safe\"\n}":                             `Named twice`,
+		"listener \"m\" {\n address = \"localhost:80\"\n}":                                                       `Not an address`,
+		"listener \"m\" {\n address = \"127.0.0.1:0\"\n connections = 513\n}":                                    `Too many connections`,
+		"listener \"m\" {\n address = \"127.0.0.1:8080\"\n}\nlistener \"n\" {\n address = \"127.0.0.1:8080\"\n}": `already listens`,
+		"cluster \"d\" {}": `No source`,
+		"cluster \"d\" {\n reserve = \"80%\"\n endpoint \"x\" {\n address = \"127.0.0.1:1\"\n }\n}":                  `Reserve over the most`,
+		"cluster \"d\" {\n reserve = \"90%\"\n most = \"90%\"\n endpoint \"x\" {\n address = \"127.0.0.1:1\"\n }\n}": `Reserves over the whole`,
+		"cluster \"d\" {\n reserve = \"0.5\"\n file {\n path = \"x\"\n }\n}":                                         `Not a share`,
+		"cluster \"d\" {\n endpoint \"x\" {\n adress = \"127.0.0.1:1\"\n }\n}":                                       `"address"`,
+		"cluster \"d\" {\n endpoint \"x\" {\n address = \"127.0.0.1\"\n }\n}":                                        `Not an address`,
+		"cluster \"d\" {\n endpoint \"x\" {\n address = \"127.0.0.1:1\"\n zone = \"q\"\n }\n}":                       `no zone named "q"`,
+		"cluster \"d\" {\n dns {\n name = \"x\"\n server = \"127.0.0.1:53\"\n }\n}":                                  `needs a "port"`,
+		"cluster \"d\" {\n dns {\n name = \"x\"\n type = \"MX\"\n port = 1\n server = \"127.0.0.1:53\"\n }\n}":       `none of A, SRV`,
+		"cluster \"d\" {\n registry {\n address = \"x\"\n }\n}":                                                      `Not an address`,
+		"route \"r\" {\n cluster = \"cc\"\n}":                                                                        `Did you mean "c"?`,
+		"route \"r\" {\n clustre = \"c\"\n}":                                                                         `"cluster"`,
+		"route \"r\" {\n}":                                                                                           `just one of them`,
+		"route \"r\" {\n cluster = \"c\"\n class = \"write\"\n}":                                                     `no class named "write"`,
+		"route \"r\" {\n cluster = \"c\"\n failover = \"c\"\n}":                                                      `Failover to itself`,
+		"route \"r\" {\n cluster = \"c\"\n to \"c\" {\n }\n}":                                                        `goes to cluster "c" already`,
+		"route \"r\" {\n to \"c\" {\n weight = 0\n }\n}":                                                             `all 0`,
+		"route \"r\" {\n cluster = \"c\"\n split_by = \"luck\"\n}":                                                   `none of request`,
+		"route \"r\" {\n cluster = \"c\"\n set_headers = { \"X Y\" = \"1\" }\n}":                                     `no header's name`,
+		"route \"r\" {\n cluster = \"c\"\n remove_headers = [\"idempotency-key\"]\n}":                                `Not a route's to change`,
+		"route \"r\" {\n cluster = \"c\"\n match {\n path = \"/a\"\n prefix = \"/b\"\n }\n}":                         `Several paths`,
+		"route \"r\" {\n cluster = \"c\"\n match {\n listeners = [\"m\"]\n }\n}":                                     `no listener named "m"`,
+		"route \"r\" {\n cluster = \"c\"\n match {\n path = \"/a/../b\"\n }\n}":                                      `which is "/b"`,
+		"route \"r\" {\n cluster = \"c\"\n match {\n hosts = [\"a b\"]\n }\n}":                                       `host "a b"`,
+		"route \"r\" {\n cluster = \"c\"\n}\nroute \"s\" {\n cluster = \"c\"\n}":                                     `test.hcl:18:1: Unusable route: Route "s": matches exactly what route "r" does`,
+		"route \"r\" {\n redirect {\n status = 304\n }\n}":                                                           `Not a redirect`,
+		"route \"r\" {\n respond {\n }\n}":                                                                           `needs "status"`,
+		"route \"r\" {":                                                                                              `test.hcl:15:`,
+	} {
+		f, err := Parse([]byte(base+text), "test.hcl")
+		var faults *Error
+		if f != nil || !errors.As(err, &faults) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\nwant %s, got: %v", text, want, err)
+		} else if !strings.Contains(faults.Text(), "on test.hcl line ") {
+			t.Errorf("no lines in: %s", faults.Text())
+		}
+	}
+	if _, err := Parse([]byte("\n"), "test.hcl"); err == nil || !strings.Contains(err.Error(), "No class") || !strings.Contains(err.Error(), "No listener") {
+		t.Errorf("an empty file: %v", err)
+	}
+}
+
+// All faults of a file are told at once, in its order.
+func TestAllFaults(t *testing.T) {
+	_, err := Parse([]byte(base+"route \"r\" {\n cluster = \"x\"\n timeout = 5\n class = \"q\"\n}\nprocess {\n stop = \"x\"\n}\n"), "test.hcl")
+	var faults *Error
+	if !errors.As(err, &faults) || len(faults.Diagnostics) != 4 {
+		t.Fatalf("%v", err)
+	}
+	line := 0
+	for _, d := range faults.Diagnostics {
+		if d.Subject.Start.Line < line {
+			t.Errorf("out of order: %v", err)
+		}
+		line = d.Subject.Start.Line
+	}
+}
+
+func TestSizes(t *testing.T) {
+	for text, want := range map[string]int64{"64KiB": 64 << 10, "1.5MiB": 3 << 19, "2GB": 2e9, "10 kB": 10e3, "7B": 7} {
+		if n, err := parseSize(text); err != nil || n != want {
+			t.Errorf("%s: %d, %v", text, n, err)
+		}
+	}
+	for _, text := range []string{"", "5", "KiB", "-1KiB", "NaNKiB", "1e300GiB", "5 apples"} {
+		if n, err := parseSize(text); err == nil {
+			t.Errorf("%s: %d", text, n)
+		}
+	}
+}
+
+// Whatever the text: no panic, and an error that tells something, or a file whose routes can be searched.
+func FuzzParse(f *testing.F) {
+	f.Add(base)
+	if text, err := os.ReadFile("../../deploy/silvertrail.hcl"); err == nil {
+		f.Add(string(text))
+	}
+	f.Add("route \"r\" {\n match {\n headers = { a = null }\n }\n}")
+	f.Fuzz(func(t *testing.T, text string) {
+		file, err := Parse([]byte(text), "fuzz.hcl")
+		if err != nil {
+			if err.Error() == "" || file != nil {
+				t.Fatal("an error that tells nothing")
+			}
+			return
+		}
+		file.Routes.Find(&route.Request{Listener: file.Listeners[0].Name, Path: "/"})
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(n, "routes"), func(b *testing.B) {
+			text := Many(n)
+			for b.Loop() {
+				if _, err := Parse([]byte(text), "many.hcl"); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// Many returns a configuration of n routes.
+func Many(n int) string {
+	var b strings.Builder
+	b.WriteString(base)
+	for i := range n {
+		fmt.Fprintf(&b, "route \"r%d\" {\n  match {\n    prefix = \"/p%d\"\n  }\n  class = \"read\"\n  cluster = \"c\"\n}\n", i, i)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/conf/reader.go
@@ -0,0 +1,325 @@
+package conf
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/agext/levenshtein"
+	"github.com/hashicorp/hcl/v2"
+	"github.com/zclconf/go-cty/cty"
+	"github.com/zclconf/go-cty/cty/convert"
+)
+
+// reader collects all that is wrong with a file, in the order in which it is met.
+type reader struct{ diags hcl.Diagnostics }
+
+func (r *reader) fault(at hcl.Range, summary, detail string, args ...any) {
+	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: summary, Detail: fmt.Sprintf(detail, args...),
+		Subject: at.Ptr()})
+}
+
+// scope is one block in hand.
+type scope struct {
+	*reader
+	what   string // for errors
+	at     hcl.Range
+	attrs  hcl.Attributes
+	blocks hcl.Blocks
+}
+
+// open reads a body that may hold the named attributes, and blocks with as many labels as told. What else it holds is
+// an error that tells the nearest known name.
+func (r *reader) open(what string, at hcl.Range, body hcl.Body, attrs []string, blocks map[string]int) *scope {
+	var schema hcl.BodySchema
+	for _, name := range attrs {
+		schema.Attributes = append(schema.Attributes, hcl.AttributeSchema{Name: name})
+	}
+	for _, name := range slices.Sorted(keys(blocks)) {
+		b := hcl.BlockHeaderSchema{Type: name}
+		for range blocks[name] {
+			b.LabelNames = append(b.LabelNames, "name")
+		}
+		schema.Blocks = append(schema.Blocks, b)
+	}
+	content, diags := body.Content(&schema)
+	for _, d := range diags {
+		// The library suggests names that are very near. One that is a little further off is still help.
+		if d.Subject != nil && !strings.Contains(d.Detail, "Did you mean") && strings.HasPrefix(d.Summary, "Unsupported") {
+			known := append(slices.Clone(attrs), slices.Collect(keys(blocks))...)
+			if _, name, quoted := strings.Cut(d.Detail, `"`); quoted {
+				name, _, _ = strings.Cut(name, `"`)
+				d.Detail += suggestion(name, known)
+			}
+		}
+	}
+	r.diags = append(r.diags, diags...)
+	s := &scope{reader: r, what: what, at: at}
+	if content != nil {
+		s.attrs, s.blocks = content.Attributes, content.Blocks
+	}
+	return s
+}
+
+func keys(m map[string]int) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// nearest returns the known name that is nearest to one that is not known, or "" where none is near.
+func nearest(name string, known []string) string {
+	best, most := "", max(1, (len(name)+1)/2)+1
+	slices.Sort(known)
+	for _, k := range known {
+		if d := levenshtein.Distance(strings.ToLower(name), strings.ToLower(k), nil); d < most {
+			best, most = k, d
+		}
+	}
+	return best
+}
+
+func suggestion(name string, known []string) string {
+	if n := nearest(name, known); n != "" {
+		return fmt.Sprintf(" Did you mean %q?", n)
+	}
+	return ""
+}
+
+// value evaluates an attribute and brings it to a type; ok is false where it is not there or has been reported.
+func (s *scope) value(name string, to cty.Type, kind string) (cty.Value, hcl.Range, bool) {
+	a := s.attrs[name]
+	if a == nil {
+		return cty.NilVal, s.at, false
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() {
+		s.diags = append(s.diags, diags...)
+		return cty.NilVal, a.Expr.Range(), false
+	}
+	got, err := convert.Convert(v, to)
+	if err != nil || got.IsNull() || !got.IsWhollyKnown() || to == cty.String && v.Type() != cty.String || to == cty.Number && v.Type() != cty.Number {
+		s.fault(a.Expr.Range(), "Wrong kind of value", "%q in %s must be %s.", name, s.what, kind)
+		return cty.NilVal, a.Expr.Range(), false
+	}
+	return got, a.Expr.Range(), true
+}
+
+// has tells whether an attribute is there.
+func (s *scope) has(name string) bool { return s.attrs[name] != nil }
+
+// where returns an attribute's place, or the block's where it is not there.
+func (s *scope) where(name string) hcl.Range {
+	if a := s.attrs[name]; a != nil {
+		return a.Expr.Range()
+	}
+	return s.at
+}
+
+// need reports an attribute that is missing.
+func (s *scope) need(names ...string) {
+	for _, name := range names {
+		if !s.has(name) {
+			s.fault(s.at, "Missing value", "%s needs %q.", s.what, name)
+		}
+	}
+}
+
+func (s *scope) text(name, otherwise string) string {
+	v, _, ok := s.value(name, cty.String, "a text in quotes")
+	if !ok {
+		return otherwise
+	}
+	return v.AsString()
+}
+
+// word is a text out of a few.
+func (s *scope) word(name, otherwise string, known ...string) string {
+	text := s.text(name, otherwise)
+	if s.has(name) && !slices.Contains(known, text) {
+		s.fault(s.where(name), "Unknown word", "%q in %s is none of %s.%s", text, s.what, strings.Join(known, ", "), suggestion(text, slices.Clone(known)))
+		return otherwise
+	}
+	return text
+}
+
+func (s *scope) flag(name string) bool {
+	v, _, ok := s.value(name, cty.Bool, "true or false")
+	return ok && v.True()
+}
+
+func (s *scope) number(name string, otherwise, least, most float64) float64 {
+	v, at, ok := s.value(name, cty.Number, "a number")
+	if !ok {
+		return otherwise
+	}
+	f, _ := v.AsBigFloat().Float64()
+	if !(f >= least && f <= most) {
+		s.fault(at, "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.what, f, least, most)
+		return otherwise
+	}
+	return f
+}
+
+func (s *scope) whole(name string, otherwise, least, most int) int {
+	f := s.number(name, float64(otherwise), float64(least), float64(most))
+	if f != math.Trunc(f) {
+		s.fault(s.where(name), "Not a whole number", "%q in %s is %v.", name, s.what, f)
+		return otherwise
+	}
+	return int(f)
+}
+
+// duration reads a time with its unit, "250ms". A bare number is an error: nobody can tell its unit.
+func (s *scope) duration(name string, otherwise, least, most time.Duration) time.Duration {
+	a := s.attrs[name]
+	if a == nil {
+		return otherwise
+	}
+	v, diags := a.Expr.Value(nil)
+	if !diags.HasErrors() && v.Type() == cty.Number {
+		s.fault(a.Expr.Range(), "A time without a unit", "%q in %s needs a unit: \"250ms\", \"2.5s\", \"1m\".", name, s.what)
+		return otherwise
+	}
+	text := s.text(name, "")
+	d, err := time.ParseDuration(text)
+	switch {
+	case text == "" && len(s.diags) > 0:
+	case err != nil:
+		s.fault(a.Expr.Range(), "Not a time", "%q in %s is no time: write \"250ms\", \"2.5s\", \"1m\".", text, s.what)
+	case d < least || d > most:
+		s.fault(a.Expr.Range(), "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.what, d, least, most)
+	default:
+		return d
+	}
+	return otherwise
+}
+
+var sizes = []struct {
+	unit string
+	of   int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"kB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1}}
+
+// parseSize reads "64KiB".
+func parseSize(text string) (int64, error) {
+	for _, u := range sizes {
+		figure, is := strings.CutSuffix(text, u.unit)
+		if !is {
+			continue
+		}
+		f, err := strconv.ParseFloat(strings.TrimSpace(figure), 64)
+		if err != nil || !(f >= 0 && f*float64(u.of) <= 1<<50) {
+			break
+		}
+		return int64(f * float64(u.of)), nil
+	}
+	return 0, fmt.Errorf("%q is no size: write \"64KiB\", \"32MiB\", \"1.5GB\"", text)
+}
+
+// size reads a number of bytes with its unit.
+func (s *scope) size(name string, otherwise, least, most int64) int64 {
+	a := s.attrs[name]
+	if a == nil {
+		return otherwise
+	}
+	v, diags := a.Expr.Value(nil)
+	if !diags.HasErrors() && v.Type() == cty.Number {
+		s.fault(a.Expr.Range(), "A size without a unit", "%q in %s needs a unit: \"64KiB\", \"32MiB\".", name, s.what)
+		return otherwise
+	}
+	text := s.text(name, "")
+	n, err := parseSize(text)
+	switch {
+	case text == "" && len(s.diags) > 0:
+	case err != nil:
+		s.fault(a.Expr.Range(), "Not a size", "%s.", err)
+	case n < least || n > most:
+		s.fault(a.Expr.Range(), "Out of range", "%q in %s is %d bytes; it must be from %d to %d.", name, s.what, n, least, most)
+	default:
+		return n
+	}
+	return otherwise
+}
+
+// share reads "25%".
+func (s *scope) share(name string, otherwise float64) float64 {
+	if !s.has(name) {
+		return otherwise
+	}
+	text := s.text(name, "")
+	figure, is := strings.CutSuffix(text, "%")
+	f, err := strconv.ParseFloat(figure, 64)
+	if !is || err != nil || !(f >= 0 && f <= 100) {
+		s.fault(s.where(name), "Not a share", "%q in %s must be a share from \"0%%\" to \"100%%\".", name, s.what)
+		return otherwise
+	}
+	return f / 100
+}
+
+// located is a text and its place.
+type located struct {
+	text string
+	at   hcl.Range
+}
+
+// list reads a list of texts, with the place of each.
+func (s *scope) list(name string) (out []located) {
+	a := s.attrs[name]
+	if a == nil {
+		return nil
+	}
+	exprs, diags := hcl.ExprList(a.Expr)
+	if diags.HasErrors() {
+		s.fault(a.Expr.Range(), "Wrong kind of value", "%q in %s must be a list of texts: [\"a\", \"b\"].", name, s.what)
+		return nil
+	}
+	for _, e := range exprs {
+		v, diags := e.Value(nil)
+		if diags.HasErrors() || v.Type() != cty.String || v.IsNull() {
+			s.fault(e.Range(), "Wrong kind of value", "%q in %s must be a list of texts: [\"a\", \"b\"].", name, s.what)
+			continue
+		}
+		out = append(out, located{v.AsString(), e.Range()})
+	}
+	return out
+}
+
+func texts(list []located) (out []string) {
+	for _, l := range list {
+		out = append(out, l.text)
+	}
+	return out
+}
+
+// table reads names and texts.
+func (s *scope) table(name string) map[string]string {
+	v, _, ok := s.value(name, cty.Map(cty.String), "names and texts: { \"X-Name\" = \"value\" }")
+	if !ok {
+		return nil
+	}
+	out := map[string]string{}
+	for k, e := range v.AsValueMap() {
+		if e.IsNull() {
+			s.fault(s.where(name), "Wrong kind of value", "%q of %q in %s must be a text.", k, name, s.what)
+			continue
+		}
+		out[k] = e.AsString()
+	}
+	return out
+}
+
+// known checks a name against those that there are.
+func (r *reader) known(kind string, l located, names []string) bool {
+	if slices.Contains(names, l.text) {
+		return true
+	}
+	r.fault(l.at, "Unknown "+kind, "There is no %s named %q.%s", kind, l.text, suggestion(l.text, slices.Clone(names)))
+	return false
+}
--- /dev/null
+++ b/internal/conf/routes.go
@@ -0,0 +1,165 @@
+package conf
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"silvertrail/internal/cluster"
+	"silvertrail/internal/route"
+)
+
+func (p *parser) routes(blocks hcl.Blocks, f *File) *route.Table {
+	var rules []route.Rule
+	places := map[string]hcl.Range{}
+	sound := true
+	for _, b := range blocks {
+		before := len(p.diags)
+		rules = append(rules, p.route(b, f))
+		places[b.Labels[0]] = b.DefRange
+		sound = sound && len(p.diags) == before
+	}
+	if !sound || len(p.names["listener"]) != len(f.Listeners) || len(places) != len(blocks) {
+		return nil // compiled, they would be told to be wrong in other words again
+	}
+	table, errs := route.Compile(p.all("listener"), rules)
+	for _, err := range errs {
+		p.fault(places[err.Rule], "Unusable route", "Route %q: %s.", err.Rule, err.Err)
+	}
+	return table
+}
+
+func (p *parser) route(b *hcl.Block, f *File) route.Rule {
+	s := p.open("route "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"cluster", "class", "timeout", "max_attempts", "failover",
+		"split_by", "rewrite", "set_headers", "remove_headers"}, map[string]int{"match": 0, "to": 1, "respond": 0, "redirect": 0})
+	r := route.Rule{Name: b.Labels[0], Class: s.text("class", ""), MaxAttempts: s.whole("max_attempts", 0, 1, 10),
+		Failover: s.text("failover", ""), Set: s.table("set_headers"), Remove: texts(s.list("remove_headers")),
+		Timeout: s.duration("timeout", 0, time.Millisecond, time.Hour)}
+	clusters := p.all("cluster")
+	if s.has("class") {
+		p.known("class", located{r.Class, s.where("class")}, p.all("class"))
+	}
+	if s.has("cluster") {
+		name := s.text("cluster", "")
+		p.known("cluster", located{name, s.where("cluster")}, clusters)
+		r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: 1})
+	}
+	if s.has("rewrite") {
+		to := s.text("rewrite", "/")
+		r.Rewrite = &to
+	}
+	r.SplitBy, r.SplitHeader = p.splitBy(s)
+	for _, inner := range s.blocks {
+		switch inner.Type {
+		case "match":
+			r.Matches = append(r.Matches, p.match(inner))
+		case "to":
+			t := p.open("to", inner.DefRange, inner.Body, []string{"weight"}, nil)
+			name := inner.Labels[0]
+			if p.known("cluster", located{name, inner.LabelRanges[0]}, clusters) &&
+				slices.ContainsFunc(r.Targets, func(o route.Target) bool { return o.Cluster == name }) {
+				p.fault(inner.LabelRanges[0], "Named twice", "%s goes to cluster %q already.", s.what, name)
+			}
+			r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: uint32(t.whole("weight", 1, 0, 1_000_000))})
+		case "respond":
+			a := p.open("respond", inner.DefRange, inner.Body, []string{"status", "body", "headers"}, nil)
+			a.need("status")
+			r.Respond = &route.Response{Status: a.whole("status", 404, 200, 599), Body: a.text("body", ""), Header: a.table("headers")}
+		case "redirect":
+			a := p.open("redirect", inner.DefRange, inner.Body, []string{"status", "scheme", "host", "path"}, nil)
+			r.Redirect = &route.Redirect{Status: a.whole("status", http.StatusFound, 301, 308), Scheme: a.word("scheme", "", "http", "https"),
+				Host: a.text("host", ""), Path: a.text("path", "")}
+			if !slices.Contains([]int{301, 302, 303, 307, 308}, r.Redirect.Status) {
+				a.fault(a.where("status"), "Not a redirect", "%d is none of 301, 302, 303, 307, 308.", r.Redirect.Status)
+			}
+		}
+	}
+	if r.Failover != "" && p.known("cluster", located{r.Failover, s.where("failover")}, clusters) &&
+		len(r.Targets) == 1 && r.Targets[0].Cluster == r.Failover {
+		s.fault(s.where("failover"), "Failover to itself", "%s goes to cluster %q alone anyway.", s.what, r.Failover)
+	}
+	for name := range r.Set {
+		p.header(s, "set_headers", name)
+	}
+	for _, name := range r.Remove {
+		p.header(s, "remove_headers", name)
+	}
+	return r
+}
+
+// own are the headers that the program itself goes by and writes; a route must not speak in their place.
+var own = []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", "X-Request-Id", "Idempotency-Key", "X-Timeout-Ms"}
+
+func (p *parser) header(s *scope, attr, name string) {
+	canonical := http.CanonicalHeaderKey(name)
+	if slices.Contains(own, canonical) {
+		s.fault(s.where(attr), "Not a route's to change", "%q in %s is written by the program itself.", name, s.what)
+	}
+	if name == "" || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r) }) {
+		s.fault(s.where(attr), "Not a header", "%q in %s is no header's name.", name, s.what)
+	}
+}
+
+func (p *parser) splitBy(s *scope) (route.SplitKind, string) {
+	text := s.text("split_by", "request")
+	if name, is := strings.CutPrefix(text, "header:"); is && name != "" {
+		return route.SplitHeader, http.CanonicalHeaderKey(name)
+	}
+	kinds := map[string]route.SplitKind{"request": route.SplitRequest, "tenant": route.SplitTenant, "path": route.SplitPath,
+		"client": route.SplitClient}
+	kind, known := kinds[text]
+	if !known {
+		s.fault(s.where("split_by"), "Unknown word", "%q in %s is none of request, tenant, path, client, header:NAME.", text, s.what)
+	}
+	return kind, ""
+}
+
+func (p *parser) match(b *hcl.Block) (m route.Match) {
+	s := p.open("match", b.DefRange, b.Body, []string{"listeners", "hosts", "path", "prefix", "template", "methods", "headers", "query",
+		"class", "tenant"}, nil)
+	for _, l := range s.list("listeners") {
+		p.known("listener", l, p.all("listener"))
+		m.Listeners = append(m.Listeners, l.text)
+	}
+	m.Hosts = texts(s.list("hosts"))
+	paths := 0
+	for name, kind := range map[string]route.PathKind{"path": route.Exact, "prefix": route.Prefix, "template": route.Template} {
+		if s.has(name) {
+			paths++
+			m.Path = route.Path{Kind: kind, Pattern: s.text(name, "/")}
+			if m.Path.Pattern == "" {
+				s.fault(s.where(name), "Empty path", "A path begins with a slash.")
+			}
+		}
+	}
+	if paths > 1 {
+		s.fault(s.at, "Several paths", "A match has one of path, prefix and template.")
+	}
+	m.Methods = p.methods(s.list("methods"))
+	for name, value := range s.table("headers") {
+		m.Headers = append(m.Headers, route.Value{Name: name, Value: value, Any: value == "*"})
+	}
+	for name, value := range s.table("query") {
+		m.Query = append(m.Query, route.Value{Name: name, Value: value, Any: value == "*"})
+	}
+	m.Class, m.Tenant = s.text("class", ""), s.text("tenant", "")
+	if s.has("class") {
+		p.known("class", located{m.Class, s.where("class")}, p.all("class"))
+	}
+	if s.has("tenant") {
+		p.known("tenant", located{m.Tenant, s.where("tenant")}, p.all("tenant"))
+	}
+	return m
+}
+
+// Cluster returns the configuration of a cluster.
+func (f *File) Cluster(name string) (c cluster.Config, ok bool) {
+	i := slices.IndexFunc(f.Clusters, func(c cluster.Config) bool { return c.Name == name })
+	if i < 0 {
+		return c, false
+	}
+	return f.Clusters[i], true
+}
--- a/internal/frontend/conns.go
+++ b/internal/frontend/conns.go
@@ -26,31 +26,50 @@
 // is closed in favour of a new one, else the one that has stood idle longest.
 type callerConns struct {
 	net.Listener
-	room chan struct{} // one for each connection
 
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	mu    sync.Mutex
+	limit int
+	taken int // places, one for each connection and one for that to come
+	open  map[*callerConn]struct{}
 }
 
 func newCallerConns(l net.Listener, limit int) *callerConns {
-	return &callerConns{Listener: l, room: make(chan struct{}, limit), open: map[*callerConn]struct{}{}}
+	return &callerConns{Listener: l, limit: limit, open: map[*callerConn]struct{}{}}
+}
+
+// resize changes the bound. Connections over it end as idle ones do where room is short.
+func (l *callerConns) resize(limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
+func (l *callerConns) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.taken >= l.limit {
+		return false
+	}
+	l.taken++
+	return true
+}
+
+func (l *callerConns) give() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.taken--
 }
 
 // Accept waits for room before it takes a connection, so that the descriptors are never used up.
 func (l *callerConns) Accept() (net.Conn, error) {
-	for full := true; full; {
-		select {
-		case l.room <- struct{}{}:
-			full = false
-		default:
-			if !l.closeIdle(1) {
-				time.Sleep(5 * time.Millisecond) // all are at work
-			}
+	for !l.take() {
+		if !l.closeIdle(1) {
+			time.Sleep(5 * time.Millisecond) // all are at work
 		}
 	}
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		<-l.room
+		l.give()
 		return nil, err
 	}
 	c := &callerConn{gate: gate{Conn: nc}, conns: l, state: http.StateNew, since: time.Now()}
@@ -67,7 +86,7 @@
 	c.conns.mu.Unlock()
 	err := c.Conn.Close()
 	if open {
-		<-c.conns.room
+		c.conns.give()
 	}
 	return err
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -96,6 +96,9 @@
 	return err
 }
 
+// Resize changes the bound on connections.
+func (s *Server) Resize(maxConns int) { s.conns.resize(maxConns) }
+
 // Ready lets the readiness check pass.
 func (s *Server) Ready() { s.ready.Store(true) }
 
@@ -122,7 +125,7 @@
 	s.closing.Store(true)
 	s.conns.Listener.Close()
 	for time.Now().Before(by.Add(flush)) {
-		s.conns.closeIdle(cap(s.conns.room))
+		s.conns.closeIdle(s.conns.count())
 		if s.requests.Load() == 0 && s.conns.count() == 0 {
 			return
 		}
@@ -148,12 +151,12 @@
 		return
 	}
 	if status := c.unfit(); status != 0 {
-		turnAway(w, status)
+		s.turnAway(w, status)
 		return
 	}
 	x, local := s.router.Route(r)
 	if local != nil {
-		s.local(w, r, local)
+		s.local(w, local, r.ContentLength != 0)
 		return
 	}
 	defer x.End()
@@ -162,45 +165,44 @@
 	err := b.read(w, r, time.Now().Add(wholeIn))
 	switch {
 	case errors.Is(err, errTooLarge):
-		turnAway(w, http.StatusRequestEntityTooLarge)
+		s.turnAway(w, http.StatusRequestEntityTooLarge)
 		return
 	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
-		turnAway(w, http.StatusServiceUnavailable)
+		s.turnAway(w, http.StatusServiceUnavailable)
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		turnAway(w, http.StatusRequestTimeout)
+		s.turnAway(w, http.StatusRequestTimeout)
 		return
 	case err != nil, c.refused(): // broken off, unreadable, or more than its length told
-		turnAway(w, http.StatusBadRequest)
+		s.turnAway(w, http.StatusBadRequest)
 		return
 	}
 	a := x.Do(r.Context(), b.bytes)
 	if own := x.Reply(a); own != nil {
-		s.local(w, r, own)
+		s.local(w, own, false)
 		return
 	}
-	s.answer(w, a)
+	s.answer(w, r, a)
 }
 
-// local gives an answer of the program's own. Where the request's body has not been read its connection ends.
-func (s *Server) local(w http.ResponseWriter, r *http.Request, from *Reply) {
+// local gives an answer of the program's own. Unread tells that the request's body may still be on its way: then the
+// connection ends too.
+func (s *Server) local(w http.ResponseWriter, from *Reply, unread bool) {
 	for name, values := range from.Header {
 		w.Header()[name] = values
 	}
-	unread := r.ContentLength != 0 && r.Body != nil
-	if from.Close || unread && from.Body == nil {
-		turnAway(w, from.Status)
-		return
+	if from.Close || unread {
+		// Package http reads on for some time to let the answer arrive; that time is short.
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		w.Header().Set("Connection", "close")
 	}
 	write(w, from.Status, from.Body)
 }
 
 // turnAway answers a request that can't be served, and ends its connection: what else stands on it is not to be
-// trusted. Package http reads on for some time to let the answer arrive; that time is short.
-func turnAway(w http.ResponseWriter, status int) {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-	w.Header().Set("Connection", "close")
-	reply(w, status)
+// trusted.
+func (s *Server) turnAway(w http.ResponseWriter, status int) {
+	s.local(w, &Reply{Status: status, Close: true}, true)
 }
 
 func (s *Server) readiness(w http.ResponseWriter) {
@@ -229,10 +231,10 @@
 	}
 }
 
-func (s *Server) answer(w http.ResponseWriter, a host.Answer) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, a host.Answer) {
 	switch {
 	case a.Reply != nil:
-		pass(w, a.Reply)
+		pass(w, a.Reply, r.Method == http.MethodHead)
 	case a.Refused:
 		if a.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
@@ -244,7 +246,7 @@
 }
 
 // pass gives the caller an endpoint's answer.
-func pass(w http.ResponseWriter, from *upstream.Answer) {
+func pass(w http.ResponseWriter, from *upstream.Answer, head bool) {
 	h := w.Header()
 	closing := h.Get("Connection")
 	for name, values := range EndToEnd(from.Header) {
@@ -256,5 +258,10 @@
 	if _, typed := h["Content-Type"]; !typed {
 		h["Content-Type"] = nil // package http would guess one
 	}
+	if head { // the length told is that of a GET's answer
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+		w.WriteHeader(from.Status)
+		return
+	}
 	write(w, from.Status, from.Body)
 }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -30,7 +30,7 @@
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
-		Client: upstream.NewClient(c.DialTimeout, time.Second, 64), Log: quiet})
+		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64}), Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,353 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/affinity"
+	"silvertrail/internal/conf"
+	"silvertrail/internal/frontend"
+	"silvertrail/internal/host"
+	"silvertrail/internal/route"
+	"silvertrail/internal/upstream"
+)
+
+const (
+	maxID     = 128
+	maxKey    = 256
+	keysRetry = time.Second // when a caller is told to come back that met a full table of keys
+)
+
+// router reads the requests of one listener.
+type router struct {
+	gateway  *Gateway
+	listener atomic.Pointer[conf.Listener]
+}
+
+// exchange is one request under one state.
+type exchange struct {
+	gateway *Gateway
+	state   *state
+	rule    *route.Rule
+	class   *conf.Class
+	up      upstream.Request
+	q       decide.Request
+	key     string // idempotency key of a keyed request
+	tenant  string
+	split   string // what a split goes by
+
+	hold     *affinity.Hold
+	began    time.Time
+	ran      bool // it was served, or may have run
+	deadline time.Time
+}
+
+// Route implements frontend.Router.
+func (ro *router) Route(r *http.Request) (frontend.Exchange, *frontend.Reply) {
+	s := ro.gateway.acquire()
+	x, reply := ro.route(s, r)
+	if reply != nil {
+		ro.gateway.release(s)
+		return nil, reply
+	}
+	return x, nil
+}
+
+// bad turns a request away that can be read in two ways, or in none.
+func bad(status int) *frontend.Reply { return &frontend.Reply{Status: status, Close: true} }
+
+func (ro *router) route(s *state, r *http.Request) (*exchange, *frontend.Reply) {
+	listener := ro.listener.Load()
+	path, query, ok := target(r)
+	if !ok {
+		return nil, bad(http.StatusBadRequest)
+	}
+	path, err := route.NormalisePath(path)
+	if err != nil {
+		return nil, bad(http.StatusBadRequest)
+	}
+	name, err := route.NormaliseHost(r.Host)
+	if err != nil {
+		return nil, bad(http.StatusBadRequest)
+	}
+	class, oneClass := frontend.Single(r.Header, "X-Priority-Class")
+	tenant, oneTenant := frontend.Single(r.Header, "X-Tenant-Id")
+	if !oneClass || !oneTenant {
+		return nil, bad(http.StatusBadRequest)
+	}
+	found, ok := s.file.Routes.Find(&route.Request{Listener: listener.Name, Host: name, Path: path, Method: r.Method, Class: class,
+		Tenant: tenant, Header: r.Header, Query: query})
+	if !ok {
+		return nil, &frontend.Reply{Status: http.StatusNotFound}
+	}
+	rule := found.Rule
+	switch {
+	case rule.Respond != nil:
+		return nil, respond(rule.Respond)
+	case rule.Redirect != nil:
+		return nil, redirect(rule.Redirect, r, path, query)
+	}
+	x := &exchange{gateway: ro.gateway, state: s, rule: rule, tenant: tenant}
+	if reply := x.read(r, class); reply != nil {
+		return nil, reply
+	}
+	sent := rule.Path(path, found.Path)
+	if query != "" {
+		sent += "?" + query
+	}
+	x.up.Method, x.up.Target, x.up.Host = r.Method, sent, r.Host
+	x.headers(r, listener)
+	x.split = splitKey(rule, r, x, path)
+	return x, nil
+}
+
+// target returns path and raw query as they were written. The absolute form is taken too (RFC 9112, 3.2.2); its host is
+// r.Host already.
+func target(r *http.Request) (path, query string, ok bool) {
+	text := r.RequestURI
+	if !strings.HasPrefix(text, "/") {
+		scheme, rest, absolute := strings.Cut(text, "://")
+		if !absolute || !strings.EqualFold(scheme, "http") {
+			return "", "", false
+		}
+		i := strings.IndexAny(rest, "/?")
+		switch {
+		case i < 0:
+			text = "/"
+		case rest[i] == '?':
+			text = "/" + rest[i:]
+		default:
+			text = rest[i:]
+		}
+	}
+	path, query, _ = strings.Cut(text, "?")
+	// What follows a "#" would never reach an endpoint's own look at the query.
+	return path, query, !strings.ContainsFunc(query, func(c rune) bool { return c <= ' ' || c == 0x7f || c == '#' })
+}
+
+func respond(a *route.Response) *frontend.Reply {
+	h := http.Header{}
+	for name, value := range a.Header {
+		h.Set(name, value)
+	}
+	if h.Get("Content-Type") == "" && a.Body != "" {
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+	}
+	return &frontend.Reply{Status: a.Status, Header: h, Body: []byte(a.Body)}
+}
+
+func redirect(d *route.Redirect, r *http.Request, path, query string) *frontend.Reply {
+	scheme, host := d.Scheme, d.Host
+	if scheme == "" {
+		scheme = "http"
+	}
+	if host == "" {
+		host = r.Host
+	}
+	if d.Path != "" {
+		path = d.Path
+	}
+	to := scheme + "://" + host + path
+	if query != "" {
+		to += "?" + query
+	}
+	return &frontend.Reply{Status: d.Status, Header: http.Header{"Location": {to}}}
+}
+
+// read finds a request's class, time, key and id.
+func (x *exchange) read(r *http.Request, told string) *frontend.Reply {
+	name := x.rule.Class
+	if name == "" {
+		name = told
+	}
+	if name == "" {
+		name = x.state.file.Process.DefaultClass
+	}
+	number, known := x.state.classes[name]
+	if !known {
+		return bad(http.StatusBadRequest)
+	}
+	x.class = &x.state.file.Classes[number]
+	if !slices.Contains(x.class.Methods, r.Method) {
+		return &frontend.Reply{Status: http.StatusMethodNotAllowed, Close: true,
+			Header: http.Header{"Allow": {strings.Join(x.class.Methods, ", ")}}}
+	}
+	if x.class.Effect == decide.Safe && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		return bad(http.StatusBadRequest) // RFC 9110, 9.3.1: a body there has no meaning, and hides requests
+	}
+	key, oneKey := frontend.Single(r.Header, "Idempotency-Key")
+	id, oneID := frontend.Single(r.Header, "X-Request-Id")
+	timeout, oneTimeout := frontend.Single(r.Header, "X-Timeout-Ms")
+	if !oneKey || !oneID || !oneTimeout || len(key) > maxKey || len(id) > maxID {
+		return bad(http.StatusBadRequest)
+	}
+	if x.class.Effect == decide.Keyed {
+		if key == "" {
+			return bad(http.StatusBadRequest)
+		}
+		x.key = key
+	}
+	left := x.class.Deadline
+	if x.rule.Timeout > 0 {
+		left = min(left, x.rule.Timeout)
+	}
+	if timeout != "" {
+		ms, err := strconv.ParseUint(timeout, 10, 63)
+		if err != nil {
+			return bad(http.StatusBadRequest)
+		}
+		left = min(left, time.Duration(min(ms, uint64(left.Milliseconds())+1))*time.Millisecond)
+	}
+	tenant, isTenant := x.state.tenants[x.tenant]
+	if !isTenant {
+		tenant = -1 // to the decisions it has no share of its own
+	}
+	x.q = decide.Request{Class: number, Tenant: tenant, Left: left, Retry: r.Header.Get("X-Retried") == "1",
+		MaxAttempts: x.rule.MaxAttempts}
+	return nil
+}
+
+// headers makes the headers that go on.
+func (x *exchange) headers(r *http.Request, l *conf.Listener) {
+	h := frontend.EndToEnd(r.Header)
+	for _, name := range []string{"X-Request-Id", "Idempotency-Key"} { // a Connection header must not strip these
+		if v, told := r.Header[name]; told {
+			h[name] = v
+		}
+	}
+	if h.Get("X-Request-Id") == "" {
+		h["X-Request-Id"] = []string{fmt.Sprintf("%016x", rand.Uint64())}
+	}
+	client, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if before := h["X-Forwarded-For"]; l.Trusted && len(before) > 0 {
+		h["X-Forwarded-For"] = []string{strings.Join(before, ", ") + ", " + client}
+	} else {
+		h["X-Forwarded-For"] = []string{client}
+		h["X-Forwarded-Host"] = []string{r.Host}
+		h["X-Forwarded-Proto"] = []string{"http"}
+	}
+	for _, name := range x.rule.Remove {
+		delete(h, name)
+	}
+	for name, value := range x.rule.Set {
+		h[name] = []string{value}
+	}
+	x.up.Header = h
+}
+
+// splitKey is what a split goes by. A keyed request goes by its key whatever the route says, so that its repeat comes
+// to the same cluster.
+func splitKey(rule *route.Rule, r *http.Request, x *exchange, path string) string {
+	if len(rule.Targets) == 1 {
+		return ""
+	}
+	if x.key != "" {
+		return x.key
+	}
+	text := ""
+	switch rule.SplitBy {
+	case route.SplitHeader:
+		text = r.Header.Get(rule.SplitHeader)
+	case route.SplitTenant:
+		text = x.tenant
+	case route.SplitPath:
+		text = path
+	case route.SplitClient:
+		text, _, _ = net.SplitHostPort(r.RemoteAddr)
+	}
+	if text == "" {
+		text = x.up.Header.Get("X-Request-Id")
+	}
+	return text
+}
+
+// Bodies implements frontend.Exchange: the memory is that of the cluster that the rule names first, or of the split's.
+func (x *exchange) Bodies() frontend.Budget {
+	return x.state.clusters[x.rule.Pick(x.split)].Bodies()
+}
+
+// Do implements frontend.Exchange.
+func (x *exchange) Do(ctx context.Context, body []byte) host.Answer {
+	x.began = time.Now()
+	x.deadline = x.began.Add(x.q.Left)
+	x.up.Body = body
+	to := x.rule.Pick(x.split)
+	if x.key != "" {
+		hold, err := x.gateway.keys.Begin(x.began, x.class.Name, x.tenant, x.key, to)
+		if errors.Is(err, affinity.ErrFull) { // nothing was sent
+			return host.Answer{Refused: true, RetryAfter: keysRetry}
+		}
+		x.hold = hold
+		to = hold.Cluster()
+	}
+	c := x.state.clusters[to]
+	if c == nil { // it may have run at a cluster that is gone: nothing can be promised
+		x.ran = true
+		return host.Answer{MayHaveRun: true}
+	}
+	a, ok := c.Do(ctx, x.up, x.q)
+	x.ran = !ok || a.Reply != nil || a.MayHaveRun
+	if !ok || !x.failsOver(a, to) {
+		return a
+	}
+	x.q.Left = time.Until(x.deadline)
+	if x.q.MaxAttempts > 0 {
+		x.q.MaxAttempts -= a.Attempts
+	}
+	second, ok := x.state.clusters[x.rule.Failover].Do(ctx, x.up, x.q)
+	x.ran = x.ran || !ok || second.Reply != nil || second.MayHaveRun
+	if second.Reply == nil && second.Last == nil {
+		second.Last = a.Last
+	}
+	return second
+}
+
+// failsOver tells whether a request that its own cluster has not served goes to the rule's failover cluster: what is
+// safe to repeat, and what is known never to have run, with time and attempts left.
+func (x *exchange) failsOver(a host.Answer, from string) bool {
+	if x.rule.Failover == "" || x.rule.Failover == from || a.Reply != nil || !time.Now().Before(x.deadline) ||
+		x.rule.MaxAttempts > 0 && a.Attempts >= x.rule.MaxAttempts {
+		return false
+	}
+	if x.class.Effect == decide.Safe {
+		return true
+	}
+	if a.MayHaveRun {
+		return false
+	}
+	return x.hold == nil || x.hold.Move(x.rule.Failover)
+}
+
+// Reply implements frontend.Exchange: what an endpoint said of a failure is passed on, but for 503 and 429, which would
+// promise that a repeat is harmless.
+func (x *exchange) Reply(a host.Answer) *frontend.Reply {
+	switch {
+	case a.Reply != nil || a.Refused:
+		return nil
+	case a.Last != nil && a.Last.Status >= 500 && a.Last.Status != http.StatusServiceUnavailable:
+		h := frontend.EndToEnd(a.Last.Header)
+		h.Del("Retry-After")
+		return &frontend.Reply{Status: a.Last.Status, Header: h, Body: a.Last.Body}
+	case !x.deadline.IsZero() && !time.Now().Before(x.deadline):
+		return &frontend.Reply{Status: http.StatusGatewayTimeout}
+	}
+	return nil
+}
+
+// End implements frontend.Exchange.
+func (x *exchange) End() {
+	if x.hold != nil {
+		x.hold.End(x.ran, x.began.Add(x.class.Deadline+x.class.Window))
+	}
+	x.gateway.release(x.state)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,300 @@
+// Package gateway is the product: listeners, routes and clusters in one process, under one configuration file that can
+// be replaced while requests are in work.
+//
+// A request is served from its head to its last byte under the state that it met. A reload makes a new state beside the
+// one in force, all or nothing; the old one goes when its last request has ended.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"silvertrail/internal/affinity"
+	"silvertrail/internal/cluster"
+	"silvertrail/internal/conf"
+	"silvertrail/internal/frontend"
+)
+
+const (
+	ownSockets = 32      // standard streams, listeners, sources, the runtime's own
+	maxKeys    = 1 << 16 // idempotency keys remembered, some 7 MB
+)
+
+// Gateway runs a configuration. All its methods may be called from any goroutine.
+type Gateway struct {
+	log       *slog.Logger
+	keys      *affinity.Table
+	resources *cluster.Resources
+	state     atomic.Pointer[state]
+
+	mu     sync.Mutex // one reload, or the end, at a time
+	fronts map[string]*front
+	ended  bool
+	retire sync.WaitGroup // fronts that are ending
+}
+
+// front is a listener in use.
+type front struct {
+	*frontend.Server
+	listener net.Listener
+	router   *router
+}
+
+// state is what a request is served under. It never changes.
+type state struct {
+	file     *conf.File
+	classes  map[string]int
+	tenants  map[string]int
+	clusters map[string]*shared
+	refs     atomic.Int64 // one for being in force, one for each request
+}
+
+// shared is a cluster and the number of states that know it.
+type shared struct {
+	*cluster.Cluster
+	states atomic.Int64
+}
+
+// Start runs a configuration.
+func Start(file *conf.File, log *slog.Logger) (*Gateway, error) {
+	g := &Gateway{log: log, keys: affinity.New(maxKeys), fronts: map[string]*front{},
+		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
+	if err := g.Reload(file); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// endpointConns is what is left of the descriptors when callers have their half.
+func endpointConns(file *conf.File) int64 { return int64(max(file.Process.Sockets/2-ownSockets, 8)) }
+
+// Reload puts a configuration in force. An error means that nothing has changed.
+//
+// What is new is made first (listeners bound, balancers started, their sources heard), then the states change places,
+// then what is no longer named ends: connections of callers after the answers that they wait for, clusters with the
+// last request that knows them.
+func (g *Gateway) Reload(file *conf.File) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return errors.New("gateway: has ended")
+	}
+	old := g.state.Load()
+	opened, err := g.open(file)
+	if err != nil {
+		return err
+	}
+	next := &state{file: file, classes: map[string]int{}, tenants: map[string]int{}, clusters: map[string]*shared{}}
+	next.refs.Store(1)
+	for i, c := range file.Classes {
+		next.classes[c.Name] = i
+	}
+	for i, name := range file.Tenants {
+		next.tenants[name] = i
+	}
+	var fresh []*shared
+	for _, c := range file.Clusters {
+		if old != nil {
+			if is := old.clusters[c.Name]; is != nil && is.Fits(c) {
+				next.clusters[c.Name] = is
+				continue
+			}
+		}
+		made, err := cluster.New(c, g.resources, rand.Uint64(), g.log)
+		if err != nil {
+			for _, l := range opened {
+				l.Close()
+			}
+			for _, s := range fresh {
+				s.Close()
+			}
+			return err
+		}
+		s := &shared{Cluster: made}
+		fresh = append(fresh, s)
+		next.clusters[c.Name] = s
+	}
+	for _, s := range fresh {
+		<-s.Settled()
+	}
+	// Nothing fails from here on.
+	g.resources.Resize(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)
+	for _, c := range file.Clusters {
+		s := next.clusters[c.Name]
+		s.states.Add(1)
+		s.Update(c, g.resources)
+	}
+	g.state.Store(next)
+	g.serve(file, opened)
+	if old != nil {
+		g.release(old)
+	}
+	g.log.Info("configuration in force", "listeners", len(file.Listeners), "clusters", len(file.Clusters),
+		"routes", file.Routes.Len(), "new_clusters", len(fresh))
+	return nil
+}
+
+// place is what a listener is known by over reloads: its address, and its name too where the system picks the port.
+func place(l conf.Listener) string {
+	if _, port, _ := net.SplitHostPort(l.Address); port == "0" {
+		return l.Name + "@" + l.Address
+	}
+	return l.Address
+}
+
+// open binds the listeners that are new, all or none.
+func (g *Gateway) open(file *conf.File) (map[string]net.Listener, error) {
+	opened := map[string]net.Listener{}
+	for _, l := range file.Listeners {
+		if g.fronts[place(l)] != nil {
+			continue
+		}
+		nl, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			for _, o := range opened {
+				o.Close()
+			}
+			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
+		}
+		opened[place(l)] = nl
+	}
+	return opened, nil
+}
+
+// serve starts the new listeners' fronts, and ends those of listeners that the file no longer names.
+func (g *Gateway) serve(file *conf.File, opened map[string]net.Listener) {
+	named := map[string]bool{}
+	for _, l := range file.Listeners {
+		at := place(l)
+		named[at] = true
+		f := g.fronts[at]
+		if f != nil {
+			f.router.listener.Store(&l)
+			f.Resize(l.Connections)
+			continue
+		}
+		f = &front{listener: opened[at], router: &router{gateway: g}}
+		f.router.listener.Store(&l)
+		f.Server = frontend.New(f.router, f.listener, l.Connections, slog.NewLogLogger(g.log.Handler(), slog.LevelWarn))
+		f.Ready()
+		g.fronts[at] = f
+		go func() {
+			if err := f.Serve(); err != nil {
+				g.log.Error("listener ended", "listener", l.Name, "error", err)
+			}
+		}()
+	}
+	for at, f := range g.fronts {
+		if !named[at] {
+			delete(g.fronts, at)
+			now := time.Now()
+			g.retire.Go(func() { f.End(now, now.Add(file.Process.Stop)) })
+		}
+	}
+}
+
+// acquire returns the state in force, held for a request.
+func (g *Gateway) acquire() *state {
+	for {
+		s := g.state.Load()
+		if n := s.refs.Load(); n > 0 && s.refs.CompareAndSwap(n, n+1) {
+			return s
+		}
+	}
+}
+
+// release lets go of a state. With its last holder go the clusters that no other state knows.
+func (g *Gateway) release(s *state) {
+	if s.refs.Add(-1) > 0 {
+		return
+	}
+	for _, c := range s.clusters {
+		if c.states.Add(-1) == 0 {
+			c.Close()
+		}
+	}
+}
+
+// Addr returns the address of a listener, or nil.
+func (g *Gateway) Addr(name string) net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, f := range g.fronts {
+		if f.router.listener.Load().Name == name {
+			return f.listener.Addr()
+		}
+	}
+	return nil
+}
+
+// Members returns how many members each cluster has.
+func (g *Gateway) Members() map[string]int {
+	s := g.acquire()
+	defer g.release(s)
+	out := map[string]int{}
+	for name, c := range s.clusters {
+		out[name] = len(c.Members())
+	}
+	return out
+}
+
+// End ends the program's work: callers are served on for half of the time to stop, connections are closed after the
+// answers that they wait for, and all has its answer when the time is over.
+func (g *Gateway) End() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended = true
+	s := g.state.Load()
+	now := time.Now()
+	by := now.Add(s.file.Process.Stop)
+	for _, c := range s.clusters {
+		c.End(by)
+	}
+	for _, f := range g.fronts {
+		g.retire.Go(func() { f.End(now.Add(s.file.Process.Stop/2), by) })
+	}
+	g.retire.Wait()
+	g.release(s)
+}
+
+// Close ends everything at once: for tests and for a second signal.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	fronts := slices.Collect(maps.Values(g.fronts))
+	g.mu.Unlock()
+	for _, f := range fronts {
+		f.Close()
+	}
+}
+
+// Run serves until ctx ends, then ends. Each value on reload has the file read again: one that can't be used changes
+// nothing, and the log says why.
+func (g *Gateway) Run(ctx context.Context, path string, reload <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			g.End()
+			return
+		case <-reload:
+			file, err := conf.Load(path)
+			if err == nil {
+				err = g.Reload(file)
+			}
+			if err != nil {
+				g.log.Error("reload: the configuration in force is kept", "error", err)
+			}
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -99,6 +99,7 @@
 	// MayHaveRun tells of a call that was not served whether an attempt of it may have run, or may yet. Where it is
 	// false another cluster may be given the call, whatever its class.
 	MayHaveRun bool
+	Attempts   int // that were made
 	// Last is the last answer of an endpoint to a call that failed; nil if none came whole.
 	Last *upstream.Answer
 }
@@ -240,6 +241,7 @@
 		return
 	}
 	c.done = true
+	a.Attempts = len(c.attempts)
 	if a.Reply == nil {
 		a.Last = c.last
 		for _, t := range c.attempts {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	h, err := New(Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
-		Client: upstream.NewClient(c.DialTimeout, time.Second, 64), Log: slog.New(slog.NewTextHandler(log, nil))})
+		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64}), Log: slog.New(slog.NewTextHandler(log, nil))})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -80,6 +80,9 @@
 	return s, nil
 }
 
+// Close takes all endpoints off the list: nothing new goes out, and their connections end with the attempts on them.
+func (h *Host) Close() { h.Members(decide.Full, nil) }
+
 func (h *Host) delist(e *endpoint) {
 	e.State = decide.Gone // attempts that still hold it must not write to it
 	e.pool.Close()
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -27,6 +27,13 @@
 // NewPool returns a pool of total units.
 func NewPool(total int64) *Pool { return &Pool{total: total} }
 
+// Resize changes the total. What is in use stays in use.
+func (p *Pool) Resize(total int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.total = total
+}
+
 // Used returns the units in use.
 func (p *Pool) Used() int64 {
 	p.mu.Lock()
--- a/internal/route/rule.go
+++ b/internal/route/rule.go
@@ -20,6 +20,7 @@
 package route
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/bits"
@@ -174,24 +175,24 @@
 		}
 	}
 	if set != 1 {
-		return fmt.Errorf("route %q: wants clusters, an answer or a redirect, and just one of them", r.Name)
+		return errors.New("wants clusters, an answer or a redirect, and just one of them")
 	}
 	if len(r.Targets) > 0 {
 		for _, t := range r.Targets {
 			r.total += uint64(t.Weight)
 		}
 		if r.total == 0 {
-			return fmt.Errorf("route %q: its weights are all 0", r.Name)
+			return errors.New("its weights are all 0")
 		}
 	}
 	if r.Rewrite != nil {
 		normal, err := NormalisePath(*r.Rewrite)
 		if err != nil || normal != *r.Rewrite {
-			return fmt.Errorf("route %q: rewrite %q is not in normal form", r.Name, *r.Rewrite)
+			return fmt.Errorf("rewrite %q is not in normal form", *r.Rewrite)
 		}
 		for _, m := range r.Matches {
 			if m.Path.Kind == Template {
-				return fmt.Errorf("route %q: a template can't be rewritten", r.Name)
+				return errors.New("a template can't be rewritten")
 			}
 		}
 	}
@@ -206,7 +207,7 @@
 	}
 	for i := range r.Matches {
 		if err := r.Matches[i].check(); err != nil {
-			return fmt.Errorf("route %q: %w", r.Name, err)
+			return err
 		}
 	}
 	return nil
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net/url"
 	"slices"
@@ -50,29 +51,39 @@
 	Path Path // of the match that was found
 }
 
+// Error is what is wrong with one rule.
+type Error struct {
+	Rule string
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("route %q: %v", e.Rule, e.Err) }
+
+func (e *Error) Unwrap() error { return e.Err }
+
 // Compile builds a table for the named listeners. It takes rules over: the caller must not change them later. The
 // errors are all that it finds; with any there is no table.
-func Compile(listeners []string, rules []Rule) (*Table, []error) {
+func Compile(listeners []string, rules []Rule) (*Table, []*Error) {
 	t := &Table{listeners: make(map[string]*hosts, len(listeners)), rules: len(rules)}
 	for _, name := range listeners {
 		t.listeners[name] = &hosts{exact: map[string]*paths{}, suffix: map[string]*paths{}}
 	}
-	var errs []error
+	var errs []*Error
 	names := make(map[string]bool, len(rules))
 	for i := range rules {
 		r := &rules[i]
 		if r.Name == "" || names[r.Name] {
-			errs = append(errs, fmt.Errorf("route %q: without a name, or named twice", r.Name))
+			errs = append(errs, &Error{r.Name, errors.New("without a name, or named twice")})
 			continue
 		}
 		names[r.Name] = true
 		if err := r.check(); err != nil {
-			errs = append(errs, err)
+			errs = append(errs, &Error{r.Name, err})
 			continue
 		}
 		for j := range r.Matches {
 			if err := t.add(r, j, listeners); err != nil {
-				errs = append(errs, err)
+				errs = append(errs, &Error{r.Name, err})
 			}
 		}
 	}
@@ -100,7 +111,7 @@
 	for _, listener := range on {
 		h := t.listeners[listener]
 		if h == nil {
-			return fmt.Errorf("route %q: no listener is named %q", r.Name, listener)
+			return fmt.Errorf("no listener is named %q", listener)
 		}
 		for _, name := range m.Hosts {
 			h.of(name).add(e)
@@ -176,7 +187,7 @@
 }
 
 // sort brings the entries of each place into their order and reports those that are alike.
-func (h *hosts) sort() (errs []error) {
+func (h *hosts) sort() (errs []*Error) {
 	all := make([]*paths, 0, len(h.exact)+len(h.suffix)+1)
 	for _, by := range []map[string]*paths{h.exact, h.suffix} {
 		for _, p := range by {
@@ -196,7 +207,7 @@
 	return errs
 }
 
-func (n *node) sort() (errs []error) {
+func (n *node) sort() (errs []*Error) {
 	if n == nil {
 		return nil
 	}
@@ -208,7 +219,7 @@
 }
 
 // order sorts entries that have host and path in common, best first.
-func order(entries []*entry) (errs []error) {
+func order(entries []*entry) (errs []*Error) {
 	slices.SortFunc(entries, func(a, b *entry) int {
 		return cmp.Or(a.compare(b), cmp.Compare(a.rule.Name, b.rule.Name), cmp.Compare(a.index, b.index))
 	})
@@ -219,8 +230,8 @@
 	for _, e := range entries {
 		criteria := e.criteria()
 		if a := seen[criteria]; a != nil {
-			errs = append(errs, fmt.Errorf("route %q matches exactly what route %q does (%s): it would never be found",
-				e.rule.Name, a.rule.Name, e.match.Path.Pattern))
+			errs = append(errs, &Error{e.rule.Name, fmt.Errorf("matches exactly what route %q does (%s): it would never be found",
+				a.rule.Name, e.match.Path.Pattern)})
 			continue
 		}
 		seen[criteria] = e
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -253,7 +253,7 @@
 	ok := &Response{Status: 204}
 	for want, rules := range map[string][]Rule{
 		"never be found":       {{Name: "a", Respond: ok}, {Name: "b", Respond: ok, Matches: []Match{{Path: Path{Prefix, "/"}}}}},
-		"\"b\" matches exac":   {{Name: "b", Respond: ok, Matches: []Match{{Hosts: []string{"A.x"}}}}, {Name: "a", Respond: ok, Matches: []Match{{Hosts: []string{"a.X."}}}}},
+		"\"b\": matches exac":  {{Name: "b", Respond: ok, Matches: []Match{{Hosts: []string{"A.x"}}}}, {Name: "a", Respond: ok, Matches: []Match{{Hosts: []string{"a.X."}}}}},
 		"named twice":          {{Name: "a", Respond: ok}, {Name: "a", Respond: ok}},
 		"just one":             {{Name: "a"}},
 		"just one of":          {{Name: "a", Respond: ok, Targets: []Target{{"c", 1}}}},
--- /dev/null
+++ b/internal/standin/nodo.go
@@ -0,0 +1,145 @@
+// Package standin holds stand-ins for what stands round the program: nodos and a name server, on loopback, for its demo,
+// tests and measurements.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// NodoOptions describe a nodo.
+type NodoOptions struct {
+	Name, Sala string
+	Slots      int           // requests at work at once; 0: any number
+	Queue      int           // requests that wait; beyond that they are turned away
+	Work       time.Duration // for each request
+}
+
+// Nodo is a server that works through requests in slots, turns away what it has no room for, and counts effects by key.
+type Nodo struct {
+	Addr string
+	o    NodoOptions
+
+	server   *http.Server
+	slots    chan struct{}
+	waiting  atomic.Int64
+	draining atomic.Bool
+	hung     atomic.Bool
+	requests atomic.Int64
+	done     chan struct{}
+
+	mu      sync.Mutex
+	effects map[string]int // by idempotency key
+	late    int            // requests that began after it was told to drain
+}
+
+// NewNodo starts a nodo on a free loopback port. Close ends it.
+func NewNodo(o NodoOptions) (*Nodo, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("standin: %w", err)
+	}
+	n := &Nodo{Addr: l.Addr().String(), o: o, effects: map[string]int{}, done: make(chan struct{})}
+	if o.Slots > 0 {
+		n.slots = make(chan struct{}, o.Slots)
+	}
+	n.server = &http.Server{Handler: n, ReadHeaderTimeout: 10 * time.Second}
+	go n.server.Serve(l)
+	return n, nil
+}
+
+// Close ends the nodo and all that it holds.
+func (n *Nodo) Close() {
+	select {
+	case <-n.done:
+	default:
+		close(n.done)
+	}
+	n.server.Close()
+}
+
+// Drain has the nodo count what still comes, and turn it away.
+func (n *Nodo) Drain() { n.draining.Store(true) }
+
+// Hang has the nodo take requests and answer none.
+func (n *Nodo) Hang(on bool) { n.hung.Store(on) }
+
+// Requests returns the number of requests that have come.
+func (n *Nodo) Requests() int64 { return n.requests.Load() }
+
+// Late returns the number of requests that came after Drain.
+func (n *Nodo) Late() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.late
+}
+
+// Effects returns how often each key took effect.
+func (n *Nodo) Effects() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]int, len(n.effects))
+	for k, v := range n.effects {
+		out[k] = v
+	}
+	return out
+}
+
+func (n *Nodo) turnAway(w http.ResponseWriter) {
+	w.Header().Set("X-Not-Processed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (n *Nodo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		return
+	}
+	n.requests.Add(1)
+	if n.hung.Load() {
+		select {
+		case <-r.Context().Done():
+		case <-n.done:
+		}
+		return
+	}
+	if n.draining.Load() {
+		n.mu.Lock()
+		n.late++
+		n.mu.Unlock()
+		n.turnAway(w)
+		return
+	}
+	if n.slots != nil {
+		select {
+		case n.slots <- struct{}{}:
+		default:
+			if n.waiting.Add(1) > int64(n.o.Queue) {
+				n.waiting.Add(-1)
+				n.turnAway(w)
+				return
+			}
+			n.slots <- struct{}{} // those at work end in their time
+			n.waiting.Add(-1)
+		}
+		defer func() { <-n.slots }()
+	}
+	if n.o.Work > 0 {
+		time.Sleep(n.o.Work)
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		n.mu.Lock()
+		n.effects[key]++
+		n.mu.Unlock()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Nodo", n.o.Name)
+	json.NewEncoder(w).Encode(map[string]any{"nodo": n.o.Name, "sala": n.o.Sala, "method": r.Method, "path": r.URL.RequestURI(),
+		"id": r.Header.Get("X-Request-Id"), "body": string(body)})
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -90,15 +90,15 @@
 }
 
 // receive reads an answer to its end and tells whether the connection can be used again. An error is errSpoilt, or
-// the connection's.
-func (c *conn) receive() (a *Answer, keep bool, err error) {
+// the connection's. bodiless says that none follows the head, whatever that tells: an answer to HEAD.
+func (c *conn) receive(bodiless bool) (a *Answer, keep bool, err error) {
 	for range maxInterim {
 		c.SetReadDeadline(time.Time{}) // the attempt's end closes the connection
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, false, err
 		}
 		c.SetReadDeadline(time.Now().Add(answerIn))
-		a, keep, err = c.answer()
+		a, keep, err = c.answer(bodiless)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = fmt.Errorf("%w: stalled", errSpoilt)
 		}
@@ -110,7 +110,7 @@
 }
 
 // answer reads one answer of any status.
-func (c *conn) answer() (a *Answer, keep bool, err error) {
+func (c *conn) answer(bodiless bool) (a *Answer, keep bool, err error) {
 	text, err := c.head()
 	if err != nil {
 		return nil, false, err
@@ -128,7 +128,7 @@
 	}
 	keep = proto == "HTTP/1.1" && !head.Closes() && a.Status != http.StatusSwitchingProtocols
 	switch {
-	case a.Status < 200 || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+	case bodiless || a.Status < 200 || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
 	case head.Chunked:
 		a.Body, err = c.chunks()
 	case head.Length > maxAnswer:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"silvertrail/decide"
+	"silvertrail/internal/limit"
 )
 
 const notProcessed = "X-Not-Processed"
@@ -28,10 +29,23 @@
 	Deadline             time.Time
 }
 
+// Options bound a client.
+type Options struct {
+	DialTimeout time.Duration
+	// Idle is for how long a connection may have stood idle to be used again: for less than endpoints keep it, or a
+	// request would be written to it in vain.
+	Idle time.Duration
+	Max  int // connections
+	// Share is the client's part of what the process may open, one unit for each connection; nil: no bound but Max.
+	Share *limit.Share
+	// AnyStatus takes every answer that an endpoint means for the caller as served (2xx, 3xx and 4xx but 408 and 429).
+	// Without it 200 alone is.
+	AnyStatus bool
+}
+
 // Client holds what the pools of all endpoints share.
 type Client struct {
-	dialTimeout time.Duration
-	max         int
+	Options
 
 	mu       sync.Mutex
 	limit    idleLimit
@@ -43,12 +57,9 @@
 // sweepEvery is how often connections that stand idle are looked at.
 const sweepEvery = 500 * time.Millisecond
 
-// NewClient returns a client with at most max connections. A connection that has stood idle for the given time is
-// closed: before the endpoint does, or a request would be written to it in vain. What is held for an answer is
-// bounded by the connections too: 64 KiB for each.
-func NewClient(dialTimeout, idle time.Duration, max int) *Client {
-	return &Client{dialTimeout: dialTimeout, limit: idleLimit{most: idle, found: idle}, max: max,
-		pools: map[*Pool]struct{}{}}
+// NewClient returns a client. What is held for answers is bounded by the connections too: 64 KiB for each.
+func NewClient(o Options) *Client {
+	return &Client{Options: o, limit: idleLimit{most: o.Idle, found: o.Idle}, pools: map[*Pool]struct{}{}}
 }
 
 // idleLimit is how long a connection may have stood idle to be used again. It starts at what the settings allow. When
@@ -116,7 +127,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
-	verdict, answer, keep, err := attempt(c, r, claim)
+	verdict, answer, keep, err := attempt(c, r, claim, p.client.AnyStatus)
 	if verdict == decide.Reset && !c.idleSince.IsZero() && time.Since(began) < staleIn && ctx.Err() == nil {
 		p.client.mu.Lock()
 		p.client.limit.broke(c.stood)
@@ -126,17 +137,14 @@
 	return verdict, answer, err
 }
 
-func attempt(c *conn, r *Request, claim func() bool) (v decide.Verdict, a *Answer, keep bool, err error) {
+func attempt(c *conn, r *Request, claim func() bool, any bool) (v decide.Verdict, a *Answer, keep bool, err error) {
 	if !claim() {
 		return decide.Moot, nil, true, nil
 	}
 	if !c.send(r, time.Until(r.Deadline)) {
 		return decide.ConnectFailed, nil, false, errors.New("broken before the request was written")
 	}
-	a, keep, err = c.receive()
-	if err == nil && a.Status != http.StatusOK {
-		defer func() { err = fmt.Errorf("status %d: %.60q", a.Status, a.Body) }()
-	}
+	a, keep, err = c.receive(r.Method == http.MethodHead)
 	switch {
 	case errors.Is(err, errSpoilt): // the endpoint has answered, if badly: no break of its connections or process
 		return decide.Error, nil, false, err
@@ -144,16 +152,30 @@
 		return decide.Reset, nil, false, fmt.Errorf("used again after %v: %w", c.stood.Round(time.Millisecond), err)
 	case err != nil:
 		return decide.Reset, nil, false, err
+	}
+	if v = verdict(a, any); v != decide.OK {
+		err = fmt.Errorf("status %d: %.60q", a.Status, a.Body)
+	}
+	return v, a, keep, err
+}
+
+// verdict tells what an endpoint's answer means.
+func verdict(a *Answer, any bool) decide.Verdict {
+	unseen := a.Header.Get(notProcessed) == "1"
+	switch {
 	case a.Status == http.StatusOK:
-		return decide.OK, a, keep, nil
-	case (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusGatewayTimeout) &&
-		a.Header.Get(notProcessed) == "1":
-		return decide.ServerFull, a, keep, nil
-	case a.Status >= 400 && a.Status < 500 && a.Status != http.StatusRequestTimeout &&
-		a.Status != http.StatusTooManyRequests:
-		return decide.Rejected, a, keep, nil
+		return decide.OK
+	case unseen && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusGatewayTimeout ||
+		any && a.Status == http.StatusTooManyRequests):
+		return decide.ServerFull
+	case a.Status == http.StatusRequestTimeout || a.Status == http.StatusTooManyRequests:
+		return decide.Error
+	case any && a.Status >= 200 && a.Status < 500:
+		return decide.OK
+	case a.Status >= 400 && a.Status < 500:
+		return decide.Rejected
 	}
-	return decide.Error, a, keep, nil
+	return decide.Error
 }
 
 // take returns an idle connection or a new one. Where it returns none, the verdict says why.
@@ -171,7 +193,7 @@
 		}
 		p.release(c, false)
 	}
-	d := net.Dialer{Timeout: p.client.dialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: p.client.DialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", p.addr)
 	var c *conn
 	if err == nil {
@@ -204,7 +226,10 @@
 		p.discard(c)
 	}
 	// One endpoint that hangs must not hold the connections of all.
-	if p.open >= max(p.client.max/4, 1) || p.client.open >= p.client.max && !p.client.shed() {
+	if p.open >= max(p.client.Max/4, 1) || p.client.open >= p.client.Max && !p.client.shed() {
+		return nil, false
+	}
+	if s := p.client.Share; s != nil && !s.TryAcquire(1) && !(p.client.shed() && s.TryAcquire(1)) {
 		return nil, false
 	}
 	p.open++
@@ -240,6 +265,9 @@
 func (p *Pool) freed() {
 	p.open--
 	p.client.open--
+	if p.client.Share != nil {
+		p.client.Share.Release(1)
+	}
 }
 
 // release ends a connection's use: it stands idle from now on, or is closed.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"silvertrail/decide"
 	"silvertrail/internal/lbtest"
+	"silvertrail/internal/limit"
 )
 
 func request(id string) *Request {
@@ -19,6 +21,10 @@
 		Header: http.Header{"X-Request-Id": {id}}}
 }
 
+func newClient(idle time.Duration) *Client {
+	return NewClient(Options{DialTimeout: lbtest.Wait, Idle: idle, Max: 4})
+}
+
 func yes() bool { return true }
 
 func do(t *testing.T, p *Pool, id string) (decide.Verdict, string) {
@@ -84,7 +90,7 @@
 		second = a.Nth
 		a.OK()
 	})
-	c := NewClient(lbtest.Wait, lbtest.Wait, 4)
+	c := newClient(lbtest.Wait)
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	if v, got := do(t, p, "one"); v != verdict || got != body {
@@ -110,7 +116,7 @@
 		}
 		a.OK()
 	})
-	c := NewClient(lbtest.Wait, lbtest.Wait, 4)
+	c := newClient(lbtest.Wait)
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	if v, _ := do(t, p, "one"); v != decide.OK {
@@ -144,7 +150,7 @@
 					a.Close()
 				}
 			})
-			p := NewClient(lbtest.Wait, lbtest.Wait, 4).Pool(e.Addr)
+			p := newClient(lbtest.Wait).Pool(e.Addr)
 			defer p.Close()
 			if v, _ := do(t, p, "one"); v != verdict {
 				t.Errorf("verdict %d, not %d", v, verdict)
@@ -153,7 +159,7 @@
 	}
 	l := lbtest.Listen(t)
 	l.Close()
-	if v, _ := do(t, NewClient(lbtest.Wait, lbtest.Wait, 4).Pool(l.Addr().String()), "one"); v != decide.ConnectFailed {
+	if v, _ := do(t, newClient(lbtest.Wait).Pool(l.Addr().String()), "one"); v != decide.ConnectFailed {
 		t.Errorf("refused: verdict %d", v)
 	}
 }
@@ -172,7 +178,7 @@
 					a.Write([]byte("x"))
 				}
 			})
-			c := NewClient(lbtest.Wait, idle, 4)
+			c := newClient(idle)
 			p := c.Pool(e.Addr)
 			defer p.Close()
 			if v, _ := do(t, p, "one"); v != decide.OK {
@@ -196,7 +202,7 @@
 		}
 		a.OK()
 	})
-	c := NewClient(lbtest.Wait, lbtest.Wait, 4)
+	c := newClient(lbtest.Wait)
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	do(t, p, "one")
@@ -215,3 +221,61 @@
 		t.Errorf("%d of six requests went out on connections that had been lost", resets)
 	}
 }
+
+// Where any status may be meant for the caller, an answer is served as it came; what proves that nothing ran, and what
+// speaks of the endpoint, stay what they are. An answer to HEAD has no body, whatever length it tells.
+func TestAnyStatus(t *testing.T) {
+	var answer atomic.Value
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.Write([]byte(answer.Load().(string))) })
+	p := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 4, AnyStatus: true}).Pool(e.Addr)
+	for head, want := range map[string]decide.Verdict{
+		"201 Created": decide.OK, "204 No Content": decide.OK, "302 Found": decide.OK, "404 Not Found": decide.OK,
+		"408 Request Timeout": decide.Error, "429 Too Many Requests": decide.Error, "500 Oops": decide.Error,
+		"503 Busy": decide.Error, "503 Busy\r\nX-Not-Processed: 1": decide.ServerFull,
+		"429 Busy\r\nX-Not-Processed: 1": decide.ServerFull, "101 Switching Protocols": decide.Error,
+	} {
+		answer.Store("HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n")
+		if v, _ := do(t, p, head); v != want {
+			t.Errorf("%s: verdict %d, want %d", head, v, want)
+		}
+	}
+	for range 2 { // the second on the same connection
+		answer.Store("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n")
+		r := request("head")
+		r.Method = "HEAD"
+		v, a, err := p.Do(t.Context(), r, yes)
+		if v != decide.OK || len(a.Body) > 0 || a.Header.Get("Content-Length") != "500" {
+			t.Errorf("HEAD: verdict %d, %+v, %v", v, a, err)
+		}
+	}
+}
+
+// The process's bound holds over the clients of all clusters, and every place is given back.
+func TestShare(t *testing.T) {
+	hung := lbtest.NewEndpoint(t, nil)
+	total := limit.NewPool(3)
+	share := func() *limit.Share { return total.Share(1, 2) }
+	a := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 8, Share: share()})
+	b := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 8, Share: share()})
+	ctx, cancel := context.WithCancel(t.Context())
+	var held sync.WaitGroup
+	for range 2 {
+		held.Go(func() { a.Pool(hung.Addr).Do(ctx, request("held"), yes) })
+		<-hung.Got
+	}
+	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != decide.Moot {
+		t.Errorf("over its cap: verdict %d", v)
+	}
+	quick := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
+	other := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
+	for _, addr := range []string{quick.Addr, other.Addr} { // what stands idle makes room
+		if v, body := do(t, b.Pool(addr), "free"); v != decide.OK {
+			t.Errorf("within its reserve: verdict %d %s", v, body)
+		}
+	}
+	cancel()
+	held.Wait()
+	if n := total.Used(); n != 1 {
+		t.Errorf("%d places held, where one connection stands idle", n)
+	}
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -20,7 +20,9 @@
 func (n *note) Members(i uint32, k decide.ListKind, e []decide.Server) {
 	fmt.Fprintf(n, "members %d %d %v;", i, k, e)
 }
-func (n *note) Request(i uint32, r decide.Request)    { fmt.Fprintf(n, "request %d %v;", i, r) }
+func (n *note) Request(i uint32, r decide.Request) {
+	fmt.Fprintf(n, "request %d {%d %d %d %v %t};", i, r.ID, r.Class, r.Tenant, r.Left, r.Retry)
+}
 func (n *note) Started(i uint32, id decide.RequestID) { fmt.Fprintf(n, "started %d %d;", i, id) }
 func (n *note) Outcome(i uint32, o decide.Outcome)    { fmt.Fprintf(n, "outcome %d %v;", i, o) }
 func (n *note) Gone(i uint32, id decide.RequestID)    { fmt.Fprintf(n, "gone %d %d;", i, id) }
