--- a/decide/decide.go
+++ b/decide/decide.go
@@ -107,6 +107,7 @@
 	stuck     int     // of inFlight, with servers that are out
 	done      int     // calls answered in this period
 	asked     int     // arrivals in this period
+	askedAt   time.Duration
 	asking    float64 // arrivals a second, smoothed
 	quotas    float64 // of all tenants together
 	fast, avg float64 // calls answered a second, smoothed over one and ten seconds
@@ -662,6 +663,11 @@
 		return
 	}
 	b.budget = min(b.budget+retryShare, 20)
+	// After a pause what was learnt of a rate is void: calls come like those after a start.
+	if b.inFlight == 0 && (now-b.askedAt).Seconds() > b.aim {
+		b.started = now
+	}
+	b.askedAt = now
 	if !q.Retry {
 		b.asked++
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -339,6 +339,30 @@
 }
 
 // A balancer started in overload must not learn it as normal.
+// A burst after a pause, or long after the first list, is no overload: nothing is known of the rate any more.
+func TestPauseIsAStart(t *testing.T) {
+	b, h := newBalancer(t, testSettings(), ready(2)...)
+	for _, at := range []time.Duration{30 * sec, 90 * sec} {
+		*h = recorder{}
+		for i := range RequestID(40) {
+			b.Request(at, Request{ID: i, Left: 3 * sec})
+		}
+		if n := h.count("refuse"); n > 0 {
+			t.Errorf("%d of 40 refused after a pause", n)
+		}
+		for i, s := range h.sends {
+			b.Outcome(at+sec/10, Outcome{ID: RequestID(i), Server: s, Verdict: OK, Latency: sec / 10, Final: true})
+		}
+	}
+	*h = recorder{} // no pause: what is known counts
+	for i := range RequestID(400) {
+		b.Request(91*sec, Request{ID: i, Left: 3 * sec})
+	}
+	if h.count("refuse") == 0 {
+		t.Error("a crowd of ten times the rate is let in")
+	}
+}
+
 func TestBaselineGuard(t *testing.T) {
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
 	for range 100000 {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/lbtest"
+)
+
+func TestLoad(t *testing.T) {
+	c, err := Load(lbtest.WriteConfig(t, "", "127.0.0.1:5000", "127.0.0.1:8500"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n0" || c.Listen != "127.0.0.1:5000" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x1f || c.DialTimeout != 5*time.Second ||
+		strings.Join(c.Classes, " ") != "read write" || strings.Join(c.Tenants, " ") != "acme" || strings.Join(c.Zones, " ") != "a b" ||
+		strings.Join(c.Report, " ") != "util" || c.Longest() != 10*time.Second || c.Decide.Classes[1].Effect != decide.Keyed ||
+		c.Limits != (Limits{Cores: 1, MemoryMB: 64, Sockets: 256}) {
+		t.Errorf("%+v", c)
+	}
+}
+
+// What can't be used is told by the key at fault, and by the file.
+func TestLoadFaults(t *testing.T) {
+	good, err := os.ReadFile(lbtest.WriteConfig(t, "", "127.0.0.1:5000", "127.0.0.1:8500"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(""); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Error(err)
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); !os.IsNotExist(unwrap(err)) {
+		t.Error(err)
+	}
+	for want, change := range map[string][2]string{
+		"listen":                {`"127.0.0.1:5000"`, `"localhost:5000"`},
+		"discovery":             {`"127.0.0.1:8500"`, `""`},
+		"seed":                  {`"1f"`, `"xyz"`},
+		"limits.cores":          {`"cores": 1`, `"cores": 0`},
+		"limits.memory_mb":      {`"memory_mb": 64`, `"memory_mb": 8`},
+		"limits.sockets":        {`"sockets": 256`, `"sockets": 8`},
+		"settings: missing":     {`"settings"`, `"setings"`},
+		"zones":                 {`"zones": ["a", "b"]`, `"zones": []`},
+		"classes[1].name":       {`"name": "write"`, `"name": "read"`},
+		"dial_timeout":          {`"dial_timeout": 5`, `"dial_timeout": 0`},
+		"classes[0].effect":     {`"free"`, `"odd"`},
+		"MaxAttempts":           {`"max_attempts": 3`, `"max_attempts": 0`},
+		"unexpected end of JSO": {`}}`, `}`},
+	} {
+		text := strings.Replace(string(good), change[0], change[1], 1)
+		if want == "unexpected end of JSO" {
+			text = text[:len(text)-1]
+		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), path) {
+			t.Errorf("want %s: %v", want, err)
+		}
+	}
+}
+
+func unwrap(err error) error {
+	for {
+		u, ok := err.(interface{ Unwrap() error })
+		if !ok {
+			return err
+		}
+		if _, is := err.(*os.PathError); is {
+			return err
+		}
+		err = u.Unwrap()
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	if text, err := os.ReadFile(lbtest.WriteConfig(f, "", "127.0.0.1:5000", "127.0.0.1:8500")); err == nil {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := parse(text)
+		if err == nil && (c.Limits.Sockets < 64 || len(c.Classes) == 0 || len(c.Classes) != len(c.Decide.Classes) || len(c.Zones) == 0) {
+			t.Fatalf("%+v", c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,86 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"silvertrail/internal/lbtest"
+)
+
+type screen struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (s *screen) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *screen) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// The demo starts, serves what it tells to try, drains a nodo, and ends cleanly when it is told to.
+func TestDemo(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	out := &screen{}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- Run(ctx, Options{Listen: "127.0.0.1:0", DrainAfter: 50 * time.Millisecond, Out: out, Log: slog.New(slog.DiscardHandler)})
+	}()
+	front := regexp.MustCompile(`front +(http://\S+)`)
+	lbtest.Until(t, "a front", func() bool { return front.MatchString(out.String()) })
+	url := front.FindStringSubmatch(out.String())[1]
+	client := &http.Client{Timeout: lbtest.Wait, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	defer client.CloseIdleConnections()
+	for _, c := range []struct {
+		method, path string
+		header       string
+		status       int
+		holds        string
+	}{
+		{"GET", "/consulta/seats", "", 200, `"sala":"sala-`}, {"POST", "/reserva/seat-7", "Idempotency-Key: k1", 200, `"nodo":"`},
+		{"GET", "/consulta/seats", "X-Sala: sur", 200, `"sala":"sala-sur"`}, {"GET", "/old", "", 302, ""},
+		{"GET", "/consulta/..%2fadmin", "", 400, ""}, {"GET", "/nowhere", "", 404, ""}, {"GET", "/consulta/hurry", "X-Timeout-Ms: 1", 503, ""},
+	} {
+		r, err := http.NewRequestWithContext(ctx, c.method, url+c.path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if name, value, told := strings.Cut(c.header, ": "); told {
+			r.Header.Set(name, value)
+		}
+		resp, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != c.status || !strings.Contains(string(body), c.holds) {
+			t.Errorf("%s %s %s: %d %s, %v", c.method, c.path, c.header, resp.StatusCode, body, err)
+		}
+	}
+	lbtest.Until(t, "a drain", func() bool { return strings.Contains(out.String(), "sur-1 is told to drain") })
+	client.CloseIdleConnections()
+	cancel()
+	select {
+	case err := <-ended:
+		if err != nil || !strings.Contains(out.String(), "ended") {
+			t.Errorf("%v: %s", err, out)
+		}
+	case <-time.After(lbtest.Wait):
+		t.Fatal("did not end")
+	}
+}
--- a/internal/lbtest/lbtest.go
+++ b/internal/lbtest/lbtest.go
@@ -214,6 +214,15 @@
 	return &Client{Conn: c, br: bufio.NewReader(c), t: t}
 }
 
+// TryDial connects, or returns nil where nobody listens.
+func TryDial(addr string) net.Conn {
+	c, err := net.DialTimeout("tcp", addr, Wait)
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
 // Send writes text as it is. An error is not told: the other side may have closed, which Answer shows.
 func (c *Client) Send(text string) { io.WriteString(c, text) }
 
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,183 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/lbtest"
+)
+
+func TestParseList(t *testing.T) {
+	l, err := ParseList([]byte(`{"index": 4, "snapshot": true, "endpoints": [
+		{"name": "a", "address": "127.0.0.1:1", "zone": "z", "group": 2, "status": "ready", "since_ms": 9},
+		{"name": 5}, "noise", {"name": "b", "status": "gone"}]}`))
+	if err != nil || l.Index != 4 || !l.Snapshot || len(l.Entries) != 4 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	if want := (Endpoint{"a", "127.0.0.1:1", "z", 2, "ready", 9}); l.Entries[0] != want || l.Entries[1].Name != "" || l.Entries[2].Name != "" || l.Entries[3].Status != "gone" {
+		t.Errorf("%+v", l.Entries)
+	}
+	for _, text := range []string{"", "{", "[]", `{"endpoints": []}`, `{"index": "4"}`, `{"index": 4.5}`, `{"index": 4, "endpoints": 5}`} {
+		if l, err := ParseList([]byte(text)); err == nil {
+			t.Errorf("%s: %+v", text, l)
+		}
+	}
+}
+
+func FuzzParseList(f *testing.F) {
+	f.Add([]byte(`{"index": 4, "endpoints": [{"name": "a"}, 5]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, err := ParseList(text)
+		if err != nil && len(l.Entries) > 0 {
+			t.Fatal("an error and a list")
+		}
+	})
+}
+
+// told is what a client has been told, as text.
+type told struct {
+	mu    sync.Mutex
+	words []string
+}
+
+func (w *told) members(kind decide.ListKind, entries []Endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	text := fmt.Sprint([]string{"changes", "whole", "cached", "failed"}[kind])
+	for _, e := range entries {
+		text += " " + e.Name
+	}
+	w.words = append(w.words, text)
+}
+
+func (w *told) holds(want ...string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return strings.Contains(strings.Join(w.words, "|")+"|", strings.Join(want, "|")+"|")
+}
+
+// script answers the calls one after the other, the last answer for ever.
+func script(t *testing.T, answers ...string) (addr string, queries func() []string) {
+	t.Helper()
+	l := lbtest.Listen(t)
+	var mu sync.Mutex
+	var asked []string
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		n := len(asked)
+		asked = append(asked, r.URL.RawQuery)
+		mu.Unlock()
+		answer := answers[min(n, len(answers)-1)]
+		if answer == "down" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if n >= len(answers) {
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		fmt.Fprint(w, answer)
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String(), func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), asked...)
+	}
+}
+
+func list(index int, snapshot bool, names ...string) string {
+	var entries []string
+	for _, n := range names {
+		entries = append(entries, fmt.Sprintf(`{"name": %q}`, n))
+	}
+	return fmt.Sprintf(`{"index": %d, "snapshot": %t, "endpoints": [%s]}`, index, snapshot, strings.Join(entries, ","))
+}
+
+func follow(t *testing.T, addr string, asked bool, index int64) (*Client, *told) {
+	t.Helper()
+	w := &told{}
+	c := New(addr, asked, index, w.members, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return c, w
+}
+
+// The whole list first, then what changes; a list older than the one in hand, an answer that is none and a discovery
+// that is down are passed over, and the whole list is asked for after a failure.
+func TestFollow(t *testing.T) {
+	t.Parallel()
+	addr, queries := script(t, list(5, true, "a", "b"), list(6, false, "b"), list(4, true, "old"), "down", "noise", list(7, true, "c"))
+	_, w := follow(t, addr, false, 0)
+	lbtest.Until(t, "the last list", func() bool { return w.holds("whole c") })
+	if !w.holds("whole a b", "changes b", "whole c") {
+		t.Errorf("told %q", w.words)
+	}
+	asked := queries()
+	if asked[0] != "" || !strings.HasPrefix(asked[1], "index=5&") || !strings.HasPrefix(asked[2], "index=6&") || asked[3] != "" {
+		t.Errorf("asked %q", asked)
+	}
+}
+
+// A discovery that stays behind has begun to count anew.
+func TestBeganAnew(t *testing.T) {
+	t.Parallel()
+	addr, _ := script(t, list(90, true, "a"), list(2, true, "b"))
+	_, w := follow(t, addr, false, 0)
+	lbtest.Until(t, "the list of the new count", func() bool { return w.holds("whole a", "whole b") })
+}
+
+// Another address tells its whole list, whatever the versions; the old one is asked no more.
+func TestMove(t *testing.T) {
+	t.Parallel()
+	first, _ := script(t, list(90, true, "a"))
+	second, queries := script(t, list(3, true, "b"))
+	c, w := follow(t, first, false, 0)
+	lbtest.Until(t, "the first list", func() bool { return w.holds("whole a") })
+	c.Move(first) // no move
+	c.Move(second)
+	lbtest.Until(t, "the second list", func() bool { return w.holds("whole a", "whole b") })
+	if asked := queries(); asked[0] != "" {
+		t.Errorf("asked %q", asked)
+	}
+}
+
+// Where discovery has to be asked nothing is asked before it is time, and a failure is told.
+func TestAsked(t *testing.T) {
+	t.Parallel()
+	addr, queries := script(t, "down", list(8, false, "a"), list(9, false))
+	c, w := follow(t, addr, true, 7)
+	c.Watch()
+	lbtest.Until(t, "a failure", func() bool { return w.holds("failed") })
+	if n := len(queries()); n != 1 {
+		t.Errorf("asked %d times", n)
+	}
+	c.Watch()
+	c.Watch() // no more than one waits
+	lbtest.Until(t, "changes", func() bool { return w.holds("changes a") })
+	if asked := queries(); !strings.HasPrefix(asked[1], "index=7&wait=20000") {
+		t.Errorf("asked %q", asked)
+	}
+}
+
+func TestTooLong(t *testing.T) {
+	t.Parallel()
+	addr, queries := script(t, `{"index": 1, "snapshot": true, "endpoints": [{"name": "`+strings.Repeat("x", maxList)+`"}]}`, list(2, true, "a"))
+	_, w := follow(t, addr, false, 0)
+	lbtest.Until(t, "a list that fits", func() bool { return w.holds("whole a") })
+	if w.holds("whole "+strings.Repeat("x", maxList)) || len(queries()) < 2 {
+		t.Error("a list over the bound was taken")
+	}
+}
