--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -1,10 +1,11 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net/http"
+	"net/http/httputil"
 	"time"
 )
 
@@ -45,9 +46,9 @@
 }
 
 // read takes the whole body in, by the given time. Many large bodies at once wait for each other rather than for the
-// memory limit.
-func (b *body) read(w http.ResponseWriter, r *http.Request, by time.Time) error {
-	size := r.ContentLength
+// memory limit, where the budget lets them.
+func (b *body) read(c *callerConn, by time.Time) error {
+	size := c.request.ContentLength
 	switch {
 	case size == 0:
 		return nil
@@ -57,21 +58,35 @@
 		size = maxBody + 1
 	}
 	if size > smallBody {
-		if err := b.reserve(r.Context(), size, by); err != nil {
+		if err := b.reserve(c.ctx, size, by); err != nil {
 			return err
 		}
 	}
-	conn := http.NewResponseController(w)
-	conn.SetReadDeadline(by)
-	var err error
-	if r.ContentLength > 0 {
-		b.bytes = make([]byte, size)
-		_, err = io.ReadFull(r.Body, b.bytes)
-	} else if b.bytes, err = io.ReadAll(io.LimitReader(r.Body, size)); len(b.bytes) > maxBody {
-		err = errTooLarge
+	if c.expects { // and holds the body back until it is asked for (RFC 9110, 10.1.1)
+		c.expects = false
+		if len(c.in) == 0 {
+			if err := c.continues(); err != nil {
+				return err
+			}
+		}
+	}
+	if c.request.ContentLength < 0 {
+		c.readBy(by)
+		var err error
+		chunks := httputil.NewChunkedReader(io.MultiReader(bytes.NewReader(c.in), c.Conn))
+		c.in = c.in[:0] // the connection ends with this request: what stands behind it is never looked at
+		if b.bytes, err = io.ReadAll(io.LimitReader(chunks, size)); len(b.bytes) > maxBody {
+			err = errTooLarge
+		}
+		return err
 	}
-	if err == nil {
-		conn.SetReadDeadline(time.Time{})
+	b.bytes = make([]byte, size)
+	n := copy(b.bytes, c.in)
+	c.in = c.in[n:]
+	if n == len(b.bytes) {
+		return nil
 	}
+	c.readBy(by)
+	_, err := io.ReadFull(c.Conn, b.bytes[n:])
 	return err
 }
--- a/internal/frontend/conns.go
+++ b/internal/frontend/conns.go
@@ -1,8 +1,9 @@
 package frontend
 
 import (
+	"maps"
 	"net"
-	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,22 +11,10 @@
 // headGrace is how long a connection that has brought no request yet is left alone where room is short.
 const headGrace = 300 * time.Millisecond
 
-// callerConn is a caller's connection.
-type callerConn struct {
-	gate
-	conns   *callerConns
-	handled int64 // requests that the handler has got
-
-	// Under conns.mu.
-	state http.ConnState
-	since time.Time
-	shed  bool
-}
-
 // callerConns bounds the connections of callers. When all are taken, one that has brought no request for some time
 // is closed in favour of a new one, else the one that has stood idle longest.
 type callerConns struct {
-	net.Listener
+	listener net.Listener
 
 	mu    sync.Mutex
 	limit int
@@ -34,7 +23,7 @@
 }
 
 func newCallerConns(l net.Listener, limit int) *callerConns {
-	return &callerConns{Listener: l, limit: limit, open: map[*callerConn]struct{}{}}
+	return &callerConns{listener: l, limit: limit, open: map[*callerConn]struct{}{}}
 }
 
 // resize changes the bound. Connections over it end as idle ones do where room is short.
@@ -60,25 +49,29 @@
 	l.taken--
 }
 
-// Accept waits for room before it takes a connection, so that the descriptors are never used up.
-func (l *callerConns) Accept() (net.Conn, error) {
+// accept waits for room before it takes a connection, so that the descriptors are never used up.
+func (l *callerConns) accept() (*callerConn, error) {
 	for !l.take() {
 		if !l.closeIdle(1) {
 			time.Sleep(5 * time.Millisecond) // all are at work
 		}
 	}
-	nc, err := l.Listener.Accept()
+	nc, err := l.listener.Accept()
+	var c *callerConn
+	if err == nil {
+		c, err = newCallerConn(nc, l)
+	}
 	if err != nil {
 		l.give()
 		return nil, err
 	}
-	c := &callerConn{gate: gate{Conn: nc}, conns: l, state: http.StateNew, since: time.Now()}
 	l.mu.Lock()
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
 	return c, nil
 }
 
+// Close ends the connection and gives its place back.
 func (c *callerConn) Close() error {
 	c.conns.mu.Lock()
 	_, open := c.conns.open[c]
@@ -86,17 +79,19 @@
 	c.conns.mu.Unlock()
 	err := c.Conn.Close()
 	if open {
+		c.cancel()
 		c.conns.give()
 	}
 	return err
 }
 
-// changed is the server's ConnState hook.
-func changed(nc net.Conn, state http.ConnState) {
-	if c, ok := nc.(*callerConn); ok {
-		c.conns.mu.Lock()
-		c.state, c.since = state, time.Now()
-		c.conns.mu.Unlock()
+// closeAll closes all connections.
+func (l *callerConns) closeAll() {
+	l.mu.Lock()
+	all := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range all {
+		c.Close()
 	}
 }
 
@@ -105,25 +100,15 @@
 func (c *callerConn) claim() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	c.state = http.StateActive
-	c.handled++
+	c.state = atWork
 	return !c.shed
 }
 
-// refused tells whether the request in hand must be refused for how it was written. It is asked once the body has
-// been read.
-func (c *callerConn) refused() bool { return c.gate.refused.Load() == c.handled }
-
-// unfit returns the status for a request that must be refused for how its head was written, or 0.
-func (c *callerConn) unfit() int {
-	switch {
-	case !c.refused():
-		return 0
-	case c.gate.large.Load():
-		return http.StatusRequestHeaderFieldsTooLarge
-	default:
-		return http.StatusBadRequest
-	}
+// rest marks the connection as idle.
+func (c *callerConn) rest() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.state, c.since = idle, time.Now()
 }
 
 // closeIdle closes n connections: those that have brought no request for some time, then those that have stood idle
@@ -144,19 +129,19 @@
 func (l *callerConns) oldest() *callerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var idle, silent *callerConn
+	var oldest, silent *callerConn
 	for c := range l.open {
 		switch {
 		case c.shed:
-		case c.state == http.StateIdle && (idle == nil || c.since.Before(idle.since)):
-			idle = c
-		case c.state == http.StateNew && time.Since(c.since) > headGrace &&
+		case c.state == idle && (oldest == nil || c.since.Before(oldest.since)):
+			oldest = c
+		case c.state == fresh && time.Since(c.since) > headGrace &&
 			(silent == nil || c.since.Before(silent.since)):
 			silent = c
 		}
 	}
 	if silent == nil {
-		silent = idle
+		silent = oldest
 	}
 	if silent != nil {
 		silent.shed = true
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,17 +8,19 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
+	"runtime/debug"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"silvertrail/internal/host"
-	"silvertrail/internal/upstream"
 )
 
 const (
 	idleTimeout  = 8 * time.Second // callers keep connections; 2 s is what they may count on
 	writeTimeout = 3 * time.Second // a caller that reads nothing holds up no more
+	renewal      = time.Second     // a deadline that has more left than its time less this is left as it is
 	maxHead      = 16 << 10
 )
 
@@ -30,7 +32,9 @@
 
 // Router finds what is to be done with a request whose head has been read.
 type Router interface {
-	// Route returns the exchange that serves the request, or the answer that the front gives at once.
+	// Route returns the exchange that serves the request, or the answer that the front gives at once. Of the request
+	// Method, RequestURI, Host, Header, ContentLength, TransferEncoding and RemoteAddr are set; it is the front's
+	// again when Route returns, but for the header's values.
 	Route(r *http.Request) (Exchange, *Reply)
 }
 
@@ -55,12 +59,15 @@
 	Close bool
 }
 
-// Server takes callers' requests and gives each one final answer.
+// Server takes callers' requests, HTTP/1.1 over plain connections, and gives each one final answer.
+//
+// It reads messages itself rather than through package net/http: what is read in one way there and in another by an
+// endpoint is refused here, and each request costs one look at its head.
 type Server struct {
 	router   Router
-	health   string // path of the readiness check; empty: none
+	health   string // path of the readiness check
 	conns    *callerConns
-	http     *http.Server
+	errors   *log.Logger
 	ready    atomic.Bool
 	ending   atomic.Bool  // not ready any more
 	closing  atomic.Bool  // connections end
@@ -69,31 +76,33 @@
 
 // New returns a server on l with at most maxConns connections.
 func New(router Router, l net.Listener, maxConns int, errorLog *log.Logger) *Server {
-	s := &Server{router: router, health: "/health/ready", conns: newCallerConns(l, maxConns)}
-	s.http = &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: wholeIn,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHead,
-		ConnState:         changed,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
-		ErrorLog:                     errorLog,
-		DisableGeneralOptionsHandler: true, // each head that is read comes to the handler
-	}
-	return s
+	return &Server{router: router, health: "/health/ready", conns: newCallerConns(l, maxConns), errors: errorLog}
 }
 
-type connKey struct{}
+const (
+	acceptWait    = 5 * time.Millisecond // after a connection that could not be taken, doubled up to
+	acceptWaitMax = time.Second
+)
 
 // Serve takes connections until End closes the listener.
 func (s *Server) Serve() error {
-	err := s.http.Serve(s.conns)
-	if s.closing.Load() {
-		return nil
+	wait := acceptWait
+	for {
+		c, err := s.conns.accept()
+		switch {
+		case err == nil:
+			wait = acceptWait
+			go s.serve(c)
+		case s.closing.Load():
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		default: // descriptors or memory are short for the moment: what is open is served on
+			s.errors.Printf("accept: %v", err)
+			time.Sleep(wait)
+			wait = min(2*wait, acceptWaitMax)
+		}
 	}
-	return err
 }
 
 // Resize changes the bound on connections.
@@ -105,7 +114,9 @@
 // Close ends everything at once.
 func (s *Server) Close() error {
 	s.closing.Store(true)
-	return s.http.Close()
+	err := s.conns.listener.Close()
+	s.conns.closeAll()
+	return err
 }
 
 // Conns returns the number of callers' connections.
@@ -123,7 +134,7 @@
 	s.ending.Store(true)
 	time.Sleep(time.Until(serveUntil))
 	s.closing.Store(true)
-	s.conns.Listener.Close()
+	s.conns.listener.Close()
 	for time.Now().Before(by.Add(flush)) {
 		s.conns.closeIdle(s.conns.count())
 		if s.requests.Load() == 0 && s.conns.count() == 0 {
@@ -136,132 +147,109 @@
 // flush is what the last answers take to be written.
 const flush = 100 * time.Millisecond
 
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := r.Context().Value(connKey{}).(*callerConn)
-	if !c.claim() {
-		panic(http.ErrAbortHandler)
+// serve serves one connection to its end.
+func (s *Server) serve(c *callerConn) {
+	defer c.Close()
+	defer func() {
+		if p := recover(); p != nil { // one request's fault ends one connection
+			s.errors.Printf("serving %s: %v\n%s", c.addr, p, debug.Stack())
+		}
+	}()
+	for {
+		status, err := c.readHead()
+		if err != nil {
+			return
+		}
+		if !c.claim() { // closed as idle: the caller sends the request again elsewhere
+			return
+		}
+		s.requests.Add(1)
+		if status != 0 {
+			c.turnAway(status)
+		} else {
+			s.request(c)
+		}
+		s.requests.Add(-1)
+		if c.ends || s.closing.Load() {
+			c.linger()
+			return
+		}
+		c.rest()
 	}
-	s.requests.Add(1)
-	defer s.requests.Add(-1)
-	if s.closing.Load() || len(r.TransferEncoding) > 0 { // the gate follows no bodies of untold length
-		w.Header().Set("Connection", "close")
+}
+
+// request serves the request whose head has been read.
+func (s *Server) request(c *callerConn) {
+	r := &c.request
+	if s.closing.Load() || len(r.TransferEncoding) > 0 { // where a body of untold length ends is its sender's word alone
+		c.ends = true
 	}
-	if s.health != "" && r.URL.Path == s.health && r.ContentLength == 0 && !c.refused() {
-		s.readiness(w)
+	if r.ContentLength == 0 && c.behind() {
+		c.turnAway(http.StatusBadRequest)
 		return
 	}
-	if status := c.unfit(); status != 0 {
-		s.turnAway(w, status)
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == s.health && r.ContentLength == 0 {
+		c.write(&Reply{Status: s.readiness()})
 		return
 	}
 	x, local := s.router.Route(r)
 	if local != nil {
-		s.local(w, local, r.ContentLength != 0)
+		if c.skip(); local.Close {
+			c.unread()
+		}
+		c.write(local)
 		return
 	}
 	defer x.End()
 	b := &body{budget: x.Bodies()}
 	defer b.release()
-	err := b.read(w, r, time.Now().Add(wholeIn))
+	err := b.read(c, time.Now().Add(wholeIn))
 	switch {
 	case errors.Is(err, errTooLarge):
-		s.turnAway(w, http.StatusRequestEntityTooLarge)
+		c.turnAway(http.StatusRequestEntityTooLarge)
 		return
 	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
-		s.turnAway(w, http.StatusServiceUnavailable)
+		c.turnAway(http.StatusServiceUnavailable)
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		s.turnAway(w, http.StatusRequestTimeout)
+		c.turnAway(http.StatusRequestTimeout)
 		return
-	case err != nil, c.refused(): // broken off, unreadable, or more than its length told
-		s.turnAway(w, http.StatusBadRequest)
+	case err != nil, c.behind(): // broken off, unreadable, or more than its length told
+		c.turnAway(http.StatusBadRequest)
 		return
 	}
-	a := x.Do(r.Context(), b.bytes)
+	c.watch()
+	a := x.Do(c.ctx, b.bytes)
+	c.unwatch()
+	if c.ctx.Err() != nil {
+		c.ends = true
+	}
 	if own := x.Reply(a); own != nil {
-		s.local(w, own, false)
+		if own.Close {
+			c.unread()
+		}
+		c.write(own)
 		return
 	}
-	s.answer(w, r, a)
+	c.answer(a)
 }
 
-// local gives an answer of the program's own. Unread tells that the request's body may still be on its way: then the
-// connection ends too.
-func (s *Server) local(w http.ResponseWriter, from *Reply, unread bool) {
-	for name, values := range from.Header {
-		w.Header()[name] = values
-	}
-	if from.Close || unread {
-		// Package http reads on for some time to let the answer arrive; that time is short.
-		http.NewResponseController(w).SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-		w.Header().Set("Connection", "close")
-	}
-	write(w, from.Status, from.Body)
-}
-
-// turnAway answers a request that can't be served, and ends its connection: what else stands on it is not to be
-// trusted.
-func (s *Server) turnAway(w http.ResponseWriter, status int) {
-	s.local(w, &Reply{Status: status, Close: true}, true)
-}
-
-func (s *Server) readiness(w http.ResponseWriter) {
+func (s *Server) readiness() int {
 	if s.ready.Load() && !s.ending.Load() {
-		reply(w, http.StatusOK)
-	} else {
-		reply(w, http.StatusServiceUnavailable)
-	}
-}
-
-// reply writes an answer of the sidecar's own.
-func reply(w http.ResponseWriter, status int) {
-	write(w, status, nil)
-}
-
-func write(w http.ResponseWriter, status int, body []byte) {
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
-	if status != http.StatusNoContent && status != http.StatusNotModified {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	w.WriteHeader(status)
-	if len(body) > 0 {
-		if _, err := w.Write(body); err != nil {
-			panic(http.ErrAbortHandler) // cuts the answer off, for all to see
-		}
+		return http.StatusOK
 	}
+	return http.StatusServiceUnavailable
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, a host.Answer) {
+// peek tells what stands on a connection without taking it: more, nothing yet, or its end.
+func peek(fd uintptr) (more, end bool) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
-	case a.Reply != nil:
-		pass(w, a.Reply, r.Method == http.MethodHead)
-	case a.Refused:
-		if a.RetryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
-		}
-		reply(w, http.StatusServiceUnavailable)
-	default: // never 429 or 503: those promise that trying again is harmless
-		reply(w, http.StatusBadGateway)
-	}
-}
-
-// pass gives the caller an endpoint's answer.
-func pass(w http.ResponseWriter, from *upstream.Answer, head bool) {
-	h := w.Header()
-	closing := h.Get("Connection")
-	for name, values := range EndToEnd(from.Header) {
-		h[name] = values
-	}
-	if closing != "" {
-		h.Set("Connection", closing)
-	}
-	if _, typed := h["Content-Type"]; !typed {
-		h["Content-Type"] = nil // package http would guess one
-	}
-	if head { // the length told is that of a GET's answer
-		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
-		w.WriteHeader(from.Status)
-		return
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		return false, false
+	case err != nil || n == 0:
+		return false, true
 	}
-	write(w, from.Status, from.Body)
+	return true, false
 }
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -5,27 +5,43 @@
 	"strings"
 )
 
-// hopByHop are the headers that hold for one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Expect", "Proxy-Authenticate", "Proxy-Authorization"}
+// hop tells of the headers that hold for one connection only (RFC 9110, 7.6.1).
+func hop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+		"Proxy-Authenticate", "Proxy-Authorization":
+		return true
+	}
+	return false
+}
 
-// EndToEnd returns the headers that are passed on.
-func EndToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, named := range h["Connection"] {
-		for name := range strings.SplitSeq(named, ",") {
-			out.Del(strings.TrimSpace(name))
+// names tells whether Connection headers name a header.
+func names(connection []string, header string) bool {
+	for _, line := range connection {
+		for name := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(name), header) {
+				return true
+			}
 		}
 	}
-	for _, name := range hopByHop {
-		out.Del(name)
+	return false
+}
+
+// EndToEnd returns the headers that are passed on. The values are shared with h, the map is not.
+func EndToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h)+4)
+	connection := h["Connection"]
+	for name, values := range h {
+		if !hop(name) && (len(connection) == 0 || !names(connection, name)) {
+			out[name] = values
+		}
 	}
 	return out
 }
 
-// Single returns the value of a header that may stand once at most.
+// Single returns the value of a header that may stand once at most. The name is in canonical form.
 func Single(h http.Header, name string) (value string, ok bool) {
-	values := h[http.CanonicalHeaderKey(name)]
+	values := h[name]
 	if len(values) == 1 {
 		value = values[0]
 	}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 )
@@ -45,7 +46,9 @@
 		return Head{}, errors.New("head: no empty line at its end")
 	}
 	start, fields, more := strings.Cut(body, "\r\n")
-	h := Head{Start: start, Header: http.Header{}, Length: -1}
+	lines := strings.Count(fields, "\r\n") + 1
+	h := Head{Start: start, Header: make(http.Header, lines), Length: -1}
+	values := make([]string, 0, lines) // one for most names: they share an array
 	if !printable(start) {
 		return h, errors.New("head: the first line can't be read")
 	}
@@ -53,10 +56,16 @@
 		var line string
 		line, fields, more = strings.Cut(fields, "\r\n")
 		name, value, colon := strings.Cut(line, ":")
-		if !colon || !token(name) || !printable(value) {
+		if !colon || !Token(name) || !printable(value) {
 			return h, fmt.Errorf("head: line %.40q", line)
 		}
-		h.Header.Add(name, strings.Trim(value, " \t"))
+		name, value = textproto.CanonicalMIMEHeaderKey(name), strings.Trim(value, " \t")
+		if before, twice := h.Header[name]; twice {
+			h.Header[name] = append(before, value)
+			continue
+		}
+		values = append(values, value)
+		h.Header[name] = values[len(values)-1 : len(values) : len(values)]
 	}
 	return h, h.frame()
 }
@@ -96,11 +105,27 @@
 }
 
 func printable(s string) bool {
-	return !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
 }
 
-func token(s string) bool {
-	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
-		return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
-	})
+// Token tells whether s is a token (RFC 9110, 5.6.2), as names and methods are.
+func Token(s string) bool {
+	for i := range len(s) {
+		if !tokens[s[i]] {
+			return false
+		}
+	}
+	return s != ""
 }
+
+var tokens = func() (t [256]bool) {
+	for c := range t {
+		t[c] = c > ' ' && c < 0x7f && !strings.ContainsRune(`"(),/:;<=>?@[\]{}`, rune(c))
+	}
+	return t
+}()
--- a/internal/sidecar/router.go
+++ b/internal/sidecar/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -81,13 +82,20 @@
 
 // parse reads a request's head. The status is 0 if it can be served.
 func (s *Router) parse(r *http.Request) (up upstream.Request, q decide.Request, id string, status int) {
-	id, one := frontend.Single(r.Header, "X-Request-ID")
+	id, one := frontend.Single(r.Header, "X-Request-Id")
 	header, oneClass := frontend.Single(r.Header, "X-Priority-Class")
 	_, oneKey := frontend.Single(r.Header, "Idempotency-Key")
 	_, oneTenant := frontend.Single(r.Header, "X-Tenant-Id")
 	timeout, oneTimeout := frontend.Single(r.Header, "X-Timeout-Ms")
 	class := slices.Index(s.config.Classes, header)
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if strings.IndexByte(path, '%') >= 0 {
+		var err error
+		if path, err = url.PathUnescape(path); err != nil {
+			return up, q, id, http.StatusBadRequest
+		}
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	named := slices.Index(s.config.Classes, first)
 	switch {
 	case !one || !oneClass || !oneKey || !oneTenant || !oneTimeout, id == "", len(id) > maxID,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -47,6 +48,7 @@
 	br        *bufio.Reader
 	idleSince time.Time     // zero: not used yet
 	stood     time.Duration // idle before its present use
+	limited   bool          // a deadline for reading is set
 }
 
 func newConn(nc net.Conn) (*conn, error) {
@@ -70,22 +72,56 @@
 	return err == nil && quiet && c.br.Buffered() == 0
 }
 
+// small is what a connection that stood idle takes at once: the system's buffer for it is empty, and larger.
+const small = 4 << 10
+
+var messages = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
+
 // send writes the request and reports whether its last byte is written. An endpoint cannot have begun a request
 // that it was not sent whole.
 func (c *conn) send(r *Request, timeout time.Duration) (whole bool) {
-	var head bytes.Buffer
-	// The target is written byte for byte as the caller wrote it.
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	r.Header.WriteSubset(&head, map[string]bool{"Content-Length": true, "X-Timeout-Ms": true})
-	fmt.Fprintf(&head, "X-Timeout-Ms: %d\r\n", max(timeout.Milliseconds(), 1))
+	pooled := messages.Get().(*[]byte)
+	b := (*pooled)[:0]
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...) // byte for byte as the caller wrote it, or the product's normal form
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		if name == "Content-Length" || name == "X-Timeout-Ms" {
+			continue
+		}
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...) // heads are read strictly: no line ends
+			b = append(b, "\r\n"...)
+		}
+	}
+	b = append(b, "X-Timeout-Ms: "...)
+	b = strconv.AppendInt(b, max(timeout.Milliseconds(), 1), 10)
 	if r.Method != http.MethodGet {
-		fmt.Fprintf(&head, "Content-Length: %s\r\n", strconv.Itoa(len(r.Body)))
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	size := int64(len(b) + len(r.Body))
+	var n int64
+	if size <= small {
+		b = append(b, r.Body...)
+		m, _ := c.Conn.Write(b)
+		n = int64(m)
+	} else {
+		c.SetWriteDeadline(time.Now().Add(min(timeout, writeIn)))
+		message := net.Buffers{b, r.Body}
+		n, _ = message.WriteTo(c.Conn)
+		c.SetWriteDeadline(time.Time{})
+	}
+	if cap(b) <= maxHead {
+		*pooled = b[:0]
+		messages.Put(pooled)
 	}
-	head.WriteString("\r\n")
-	size := int64(head.Len() + len(r.Body))
-	message := net.Buffers{head.Bytes(), r.Body}
-	c.SetWriteDeadline(time.Now().Add(min(timeout, writeIn)))
-	n, _ := message.WriteTo(c.Conn)
 	return n == size
 }
 
@@ -93,11 +129,13 @@
 // the connection's. bodiless says that none follows the head, whatever that tells: an answer to HEAD.
 func (c *conn) receive(bodiless bool) (a *Answer, keep bool, err error) {
 	for range maxInterim {
-		c.SetReadDeadline(time.Time{}) // the attempt's end closes the connection
+		c.deadline(time.Time{}) // the attempt's end closes the connection
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, false, err
 		}
-		c.SetReadDeadline(time.Now().Add(answerIn))
+		if !c.hasAll() {
+			c.deadline(time.Now().Add(answerIn))
+		}
 		a, keep, err = c.answer(bodiless)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = fmt.Errorf("%w: stalled", errSpoilt)
@@ -109,6 +147,36 @@
 	return nil, false, fmt.Errorf("%w: too many interim answers", errSpoilt)
 }
 
+// deadline sets the deadline for reading, where it is not that already.
+func (c *conn) deadline(t time.Time) {
+	if c.limited || !t.IsZero() {
+		c.SetReadDeadline(t)
+		c.limited = !t.IsZero()
+	}
+}
+
+// hasAll tells whether a whole answer with a told length stands in the buffer, as small ones mostly do: then nothing is
+// waited for. Where it is not sure it says no.
+func (c *conn) hasAll() bool {
+	text, _ := c.br.Peek(c.br.Buffered())
+	end := httphead.End(text)
+	if end < 0 {
+		return false
+	}
+	at := bytes.Index(text[:end], []byte("\r\nContent-Length: "))
+	if at < 0 {
+		return false
+	}
+	n := 0
+	for _, d := range text[at+len("\r\nContent-Length: ") : end] {
+		if d < '0' || d > '9' || n > maxAnswer {
+			break
+		}
+		n = n*10 + int(d-'0')
+	}
+	return n <= len(text)-end
+}
+
 // answer reads one answer of any status.
 func (c *conn) answer(bodiless bool) (a *Answer, keep bool, err error) {
 	text, err := c.head()
