Take calls as after a start after a pause at the front alone, with rates as learnt

It also covers the first calls after a start, which come long after the first list. Tests of the front's protocol and a fuzz target for heads against net/http come with it.

--- a/bench/proxies/main.go
+++ b/bench/proxies/main.go
@@ -3,6 +3,7 @@
 // one core, the endpoints one and the callers what is left.
 //
 //	go build -o bin/ ./cmd/... && go run ./bench/proxies -rounds 7
+//	go run ./bench/proxies -role scale
 //
 // It is no test: machines are noisy, so that ratios of one run alone mean something.
 package main
@@ -30,7 +31,7 @@
 )
 
 var (
-	role    = flag.String("role", "", "what this process is: empty (the measurement), endpoint or reverse")
+	role    = flag.String("role", "", "empty: compare proxies; scale: memory and reloads of the product; endpoint, reverse: a process of the measurement")
 	target  = flag.String("target", "", "for -role reverse: the endpoint")
 	rounds  = flag.Int("rounds", 5, "rounds")
 	seconds = flag.Float64("seconds", 2, "of each round and proxy")
@@ -138,6 +139,9 @@
 		return err
 	}
 	defer stop()
+	if *role == "scale" {
+		return scale(folder, back)
+	}
 	proxies := []*proxy{{name: "reverse"}, {name: "sidecar"}, {name: "product"}}
 	if *only != "" {
 		proxies = slices.DeleteFunc(proxies, func(p *proxy) bool { return !slices.Contains(strings.Split(*only, ","), p.name) })
--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -52,6 +53,10 @@
 	Demo  show  `cmd:"" help:"Run the gateway with stand-in nodos in three salas on loopback, until Ctrl-C."`
 }
 
+// gcPercent has the collector run less often than by default: what lives long is small, and each run is felt in the 99th
+// percentile. GOGC and GOMEMLIMIT hold where they are set.
+const gcPercent = 400
+
 type serve struct {
 	Config string `required:"" type:"existingfile" placeholder:"FILE" help:"The configuration."`
 }
@@ -71,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	reload := make(chan struct{}, 1)
 	go func() {
 		for range hangup {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,13 +104,14 @@
 	lastStep  time.Duration
 	started   time.Duration
 	inFlight  int
-	stuck     int     // of inFlight, with servers that are out
-	done      int     // calls answered in this period
-	asked     int     // arrivals in this period
+	stuck     int // of inFlight, with servers that are out
+	done      int // calls answered in this period
+	asked     int // arrivals in this period
 	askedAt   time.Duration
-	asking    float64 // arrivals a second, smoothed
-	quotas    float64 // of all tenants together
-	fast, avg float64 // calls answered a second, smoothed over one and ten seconds
+	resumed   time.Duration // first call after a start or a pause
+	asking    float64       // arrivals a second, smoothed
+	quotas    float64       // of all tenants together
+	fast, avg float64       // calls answered a second, smoothed over one and ten seconds
 	tenants   []tenant
 	shedding  bool
 	outOfTurn bool // in this period a call was refused while lower worth was let in
@@ -241,7 +242,7 @@
 // has seen traffic for one aim it lets all in at the home slots, or each start and restart would refuse
 // what it could serve.
 func (b *Balancer) threshold(now time.Duration, level int) float64 {
-	if b.cursor < homeSlots && (now-b.started).Seconds() < b.aim {
+	if b.cursor < homeSlots && (now-max(b.started, b.resumed)).Seconds() < b.aim {
 		return math.Inf(1)
 	}
 	top := max(b.fast, b.avg)*max(headroom*b.base, queuePart*b.aims[level]) + floorCalls
@@ -663,9 +664,10 @@
 		return
 	}
 	b.budget = min(b.budget+retryShare, 20)
-	// After a pause what was learnt of a rate is void: calls come like those after a start.
-	if b.inFlight == 0 && (now-b.askedAt).Seconds() > b.aim {
-		b.started = now
+	// After a pause what was learnt of a rate is void: calls come like those after a start. A tier behind
+	// gets its calls from one endpoint, whose own bounds hold.
+	if b.cfg.Tier == 0 && b.inFlight == 0 && (now-b.askedAt).Seconds() > b.aim {
+		b.resumed = now
 	}
 	b.askedAt = now
 	if !q.Retry {
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -115,6 +115,8 @@
 		"route \"r\" {\n to \"c\" {\n weight = 0\n }\n}":                                                             `all 0`,
 		"route \"r\" {\n cluster = \"c\"\n split_by = \"luck\"\n}":                                                   `none of request`,
 		"route \"r\" {\n cluster = \"c\"\n set_headers = { \"X Y\" = \"1\" }\n}":                                     `no header's name`,
+		"route \"r\" {\n cluster = \"c\"\n set_headers = { \"X-Y\" = \"1\\r\\nX-Z: 2\" }\n}":                         `control character`,
+		"route \"r\" {\n respond {\n status = 200\n headers = { \"Content-Length\" = \"9\" }\n }\n}":                 `written by the program`,
 		"route \"r\" {\n cluster = \"c\"\n remove_headers = [\"idempotency-key\"]\n}":                                `Not a route's to change`,
 		"route \"r\" {\n cluster = \"c\"\n match {\n path = \"/a\"\n prefix = \"/b\"\n }\n}":                         `Several paths`,
 		"route \"r\" {\n cluster = \"c\"\n match {\n listeners = [\"m\"]\n }\n}":                                     `no listener named "m"`,
--- a/internal/conf/routes.go
+++ b/internal/conf/routes.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -67,6 +68,7 @@
 		case "respond":
 			a := p.open("respond", inner.DefRange, inner.Body, []string{"status", "body", "headers"}, nil)
 			a.need("status")
+			p.headers(a, "headers", a.table("headers"))
 			r.Respond = &route.Response{Status: a.whole("status", 404, 200, 599), Body: a.text("body", ""), Header: a.table("headers")}
 		case "redirect":
 			a := p.open("redirect", inner.DefRange, inner.Body, []string{"status", "scheme", "host", "path"}, nil)
@@ -81,9 +83,7 @@
 		len(r.Targets) == 1 && r.Targets[0].Cluster == r.Failover {
 		s.fault(s.where("failover"), "Failover to itself", "%s goes to cluster %q alone anyway.", s.what, r.Failover)
 	}
-	for name := range r.Set {
-		p.header(s, "set_headers", name)
-	}
+	p.headers(s, "set_headers", r.Set)
 	for _, name := range r.Remove {
 		p.header(s, "remove_headers", name)
 	}
@@ -103,6 +103,16 @@
 	}
 }
 
+// headers checks headers that are to be written.
+func (p *parser) headers(s *scope, attr string, h map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(h)) {
+		p.header(s, attr, name)
+		if strings.ContainsFunc(h[name], func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+			s.fault(s.where(attr), "Not a header's value", "The value of %q in %s holds a control character.", name, s.what)
+		}
+	}
+}
+
 func (p *parser) splitBy(s *scope) (route.SplitKind, string) {
 	text := s.text("split_by", "request")
 	if name, is := strings.CutPrefix(text, "header:"); is && name != "" {
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,6 +1,12 @@
 package httphead
 
-import "testing"
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"slices"
+	"testing"
+)
 
 func TestParse(t *testing.T) {
 	good := map[string]int64{
@@ -42,3 +48,38 @@
 		}
 	}
 }
+
+// What is accepted here package net/http reads in the same way: no other reader may see another request.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n",
+		"GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "GET / HTTP/1.1\r\nA : b\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: +5\r\n\r\n", "GET / HTTP/1.1\r\nhost: x\r\nTransfer-Encoding: Chunked\r\n\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		end := End(text)
+		if end < 0 {
+			return
+		}
+		h, err := Parse(text[:end])
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text[:end])))
+		if err != nil {
+			return // stricter in what concerns the first line, which is not looked at here
+		}
+		length := h.Length
+		if h.Chunked || length < 0 && r.ContentLength == 0 {
+			length = r.ContentLength
+		}
+		if r.ContentLength != length || h.Chunked != (len(r.TransferEncoding) > 0) {
+			t.Fatalf("%q: length %d, chunked %t; net/http: %d, %v", text, h.Length, h.Chunked, r.ContentLength, r.TransferEncoding)
+		}
+		for name, values := range r.Header {
+			if name != "Host" && name != "Transfer-Encoding" && name != "Content-Length" && !slices.Equal(values, h.Header[name]) {
+				t.Fatalf("%q: %s is %q; net/http: %q", text, name, h.Header[name], values)
+			}
+		}
+	})
+}
