Send calls with little time while the usual latency is a guess; bounds of a route tested

A balancer refuses calls with less than half of its quiet latency. Before any answer that is a quarter of the mean aim, a guess: a route whose time-out is shorter was refused for ever, as nothing was ever sent to learn from. Until an answer has come only what has been seen counts now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -119,6 +119,7 @@
 	// Pool load.
 	answers, latSum, fulls, errs float64 // decaying sums
 	base                         float64 // quiet latency, s
+	learnt                       bool    // base, from answers; until then it is a guess
 	hopes                        []hope  // of each class
 	aim                          float64 // mean of the classes, s
 
@@ -360,6 +361,7 @@
 // learnBase follows the quiet latency: down at once, up slowly and only while nothing is shed, never past
 // what the aim allows; so a balancer started in overload does not learn it as normal.
 func (b *Balancer) learnBase(lat, dt float64) {
+	b.learnt = true
 	switch {
 	case lat < b.base:
 		b.base += (lat - b.base) * weight(dt, 0.5)
@@ -414,7 +416,10 @@
 	if b.cfg.Tier > 0 {
 		in /= 2
 	}
-	return left < max(in, b.base/2)
+	if b.learnt { // by a guess alone callers who never have more time would never be served
+		in = max(in, b.base/2)
+	}
+	return left < in
 }
 
 // ---- Ranking ----
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -163,13 +163,7 @@
 		if !c.claim() { // closed as idle: the caller sends the request again elsewhere
 			return
 		}
-		s.requests.Add(1)
-		if status != 0 {
-			c.turnAway(status)
-		} else {
-			s.request(c)
-		}
-		s.requests.Add(-1)
+		s.request(c, status)
 		if c.ends || s.closing.Load() {
 			c.linger()
 			return
@@ -178,8 +172,14 @@
 	}
 }
 
-// request serves the request whose head has been read.
-func (s *Server) request(c *callerConn) {
+// request serves the request whose head has been read, or turns it away where the status is not 0.
+func (s *Server) request(c *callerConn, status int) {
+	s.requests.Add(1)
+	defer s.requests.Add(-1)
+	if status != 0 {
+		c.turnAway(status)
+		return
+	}
 	r := &c.request
 	if s.closing.Load() || len(r.TransferEncoding) > 0 { // where a body of untold length ends is its sender's word alone
 		c.ends = true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -207,6 +207,100 @@
 	}
 }
 
+// Each writing of a host is matched in one form.
+func TestHosts(t *testing.T) {
+	t.Parallel()
+	e := says(t, "e")
+	g := run(t, listener("l", "127.0.0.1:0")+pool("c", "", e.Addr)+`
+route "exact" {
+  match {
+    hosts = ["portal.example"]
+  }
+  respond {
+    status = 200
+    body   = "exact"
+  }
+}
+route "suffix" {
+  match {
+    hosts = ["*.example"]
+  }
+  respond {
+    status = 200
+    body   = "suffix"
+  }
+}
+route "six" {
+  match {
+    hosts = ["[::1]"]
+  }
+  respond {
+    status = 200
+    body   = "six"
+  }
+}
+`)
+	for host, want := range map[string]string{"portal.example": "exact", "PORTAL.Example:8080": "exact", "portal.example.": "exact",
+		"portal.example.:1": "exact", "a.portal.example": "suffix", "other.EXAMPLE": "suffix", "[::1]:80": "six", "[0:0::1]": "six",
+		"example": "404", "portal.example.org": "404", "portal..example": "400", "a@portal.example": "400", "portal.example:x": "400"} {
+		c := lbtest.Dial(t, g.Addr("l").String())
+		c.Send("GET / HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n\r\n")
+		status, body := c.Answer()
+		if got := body; got != want && fmt.Sprint(status) != want {
+			t.Errorf("%s: %d %q, want %s", host, status, body, want)
+		}
+	}
+}
+
+// A route's own bounds: attempts, over both clusters, and time.
+func TestRouteBounds(t *testing.T) {
+	t.Parallel()
+	var tries atomic.Int64
+	fail := func(a *lbtest.Arrival) {
+		tries.Add(1)
+		a.Write([]byte("HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"))
+	}
+	one, two, three := lbtest.NewEndpoint(t, fail), lbtest.NewEndpoint(t, fail), lbtest.NewEndpoint(t, fail)
+	hung := lbtest.NewEndpoint(t, func(*lbtest.Arrival) {})
+	g := run(t, listener("l", "127.0.0.1:0")+pool("c", "", one.Addr, two.Addr, three.Addr)+pool("d", "", one.Addr)+pool("hung", "", hung.Addr)+`
+route "once" {
+  match {
+    path = "/once"
+  }
+  class        = "read"
+  max_attempts = 1
+  cluster      = "c"
+  failover     = "d"
+}
+route "thrice" {
+  match {
+    path = "/thrice"
+  }
+  class        = "read"
+  max_attempts = 3
+  cluster      = "c"
+  failover     = "d"
+}
+route "short" {
+  match {
+    path = "/short"
+  }
+  class   = "once"
+  timeout = "100ms"
+  cluster = "hung"
+}
+`)
+	for path, most := range map[string]int64{"/once": 1, "/thrice": 3} {
+		tries.Store(0)
+		if status, _, h := ask(t, g, "GET", path); status != 503 || tries.Load() > most || tries.Load() < 1 {
+			t.Errorf("%s: %d after %d tries %v", path, status, tries.Load(), h)
+		}
+	}
+	if status, _, _ := ask(t, g, "POST", "/short"); status != 504 {
+		t.Errorf("out of time: %d", status)
+	}
+}
+
 // Other statuses than 200 are the endpoint's to say; what would promise that a repeat is harmless is not.
 func TestStatuses(t *testing.T) {
 	t.Parallel()
