Test the stand-ins, bound what a source may hold, tell all faults of routes at once

A source of members could make the merge hold entries and departures without bound, and the merge looked through all departures for each member: both are bounded now and looked up by name and address. A file with one faulty route told nothing of faults that only compiling finds in the others. The rig starts its processes in one way.

--- a/bench/proxies/main.go
+++ b/bench/proxies/main.go
@@ -33,6 +33,7 @@
 var (
 	role    = flag.String("role", "", "empty: compare proxies; scale: memory and reloads of the product; endpoint, reverse: a process of the measurement")
 	target  = flag.String("target", "", "for -role reverse: the endpoint")
+	address = flag.String("listen", "", "for -role endpoint and reverse: the address")
 	rounds  = flag.Int("rounds", 5, "rounds")
 	seconds = flag.Float64("seconds", 2, "of each round and proxy")
 	conns   = flag.Int("conns", 16, "callers, each on a connection that is kept")
@@ -59,22 +60,9 @@
 	}
 }
 
-// listen takes a free loopback port and tells it on standard output.
-func listen() (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err == nil {
-		fmt.Println(l.Addr())
-	}
-	return l, err
-}
-
 func endpoint() error {
-	l, err := listen()
-	if err != nil {
-		return err
-	}
 	body := bytes.Repeat([]byte("x"), 512)
-	return http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.ListenAndServe(*address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		w.Header().Set("Content-Type", "text/plain")
 		w.Header().Set("Content-Length", "512")
@@ -83,39 +71,36 @@
 }
 
 func reverse() error {
-	l, err := listen()
-	if err != nil {
-		return err
-	}
 	to := &url.URL{Scheme: "http", Host: *target}
 	p := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(to); r.SetXForwarded() },
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 64}}
-	return http.Serve(l, p)
+	return http.ListenAndServe(*address, p)
 }
 
-// child starts a process on one core and returns the first line that it prints.
-func child(core string, env []string, name string, args ...string) (first string, stop func(), err error) {
+// child starts a process on one core.
+func child(core string, env []string, name string, args ...string) (cmd *exec.Cmd, stop func(), err error) {
 	if set, err := exec.LookPath("taskset"); err == nil {
 		args = append([]string{"-c", core, name}, args...)
 		name = set
 	}
-	cmd := exec.Command(name, args...)
+	cmd = exec.Command(name, args...)
 	cmd.Env = append(append(os.Environ(), "GOMAXPROCS=1"), env...)
 	cmd.Stderr = os.Stderr
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		return "", nil, err
-	}
 	if err := cmd.Start(); err != nil {
-		return "", nil, err
+		return nil, nil, err
 	}
-	stop = func() { cmd.Process.Kill(); cmd.Wait() }
-	first, err = bufio.NewReader(out).ReadString('\n')
-	if err != nil && len(env) == 0 {
-		stop()
-		return "", nil, fmt.Errorf("%s: %w", name, err)
+	return cmd, func() { cmd.Process.Kill(); cmd.Wait() }, nil
+}
+
+// own starts this program in another role, on an address that it returns.
+func own(core string, args ...string) (addr string, stop func(), err error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", nil, err
 	}
-	return strings.TrimSpace(first), stop, nil
+	addr = free()
+	_, stop, err = child(core, nil, self, append(args, "-listen", addr)...)
+	return addr, stop, err
 }
 
 type proxy struct {
@@ -125,20 +110,19 @@
 }
 
 func measure() error {
-	self, err := os.Executable()
-	if err != nil {
-		return err
-	}
 	folder, err := os.MkdirTemp("", "proxies-")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(folder)
-	back, stop, err := child("1", nil, self, "-role", "endpoint")
+	back, stop, err := own("1", "-role", "endpoint")
 	if err != nil {
 		return err
 	}
 	defer stop()
+	if err := up(back); err != nil {
+		return fmt.Errorf("endpoint: %w", err)
+	}
 	if *role == "scale" {
 		return scale(folder, back)
 	}
@@ -150,7 +134,7 @@
 		var stop func()
 		switch p.name {
 		case "reverse":
-			p.addr, stop, err = child("0", nil, self, "-role", "reverse", "-target", back)
+			p.addr, stop, err = own("0", "-role", "reverse", "-target", back)
 		case "sidecar":
 			p.addr, stop, err = sidecar(folder, back)
 		default:
@@ -237,33 +221,10 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return "", nil, err
 	}
-	cmdEnv := []string{"LB_CONFIG=" + path}
-	done := make(chan error, 1)
-	var stop func()
-	go func() {
-		var err error
-		_, stop, err = childQuiet("0", cmdEnv, *binary)
-		done <- err
-	}()
-	err = <-done
+	_, stop, err := child("0", []string{"LB_CONFIG=" + path}, *binary)
 	return addr, stop, err
 }
 
-// childQuiet starts a process that prints nothing.
-func childQuiet(core string, env []string, name string, args ...string) (string, func(), error) {
-	if set, err := exec.LookPath("taskset"); err == nil {
-		args = append([]string{"-c", core, name}, args...)
-		name = set
-	}
-	cmd := exec.Command(name, args...)
-	cmd.Env = append(append(os.Environ(), "GOMAXPROCS=1"), env...)
-	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
-		return "", nil, err
-	}
-	return "", func() { cmd.Process.Kill(); cmd.Wait() }, nil
-}
-
 func product(folder, back string) (string, func(), error) {
 	addr := free()
 	var b strings.Builder
@@ -276,7 +237,7 @@
 	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
 		return "", nil, err
 	}
-	_, stop, err := childQuiet("0", nil, *binary, "serve", "--config", path)
+	_, stop, err := child("0", nil, *binary, "serve", "--config", path)
 	return addr, stop, err
 }
 
--- a/bench/proxies/scale.go
+++ b/bench/proxies/scale.go
@@ -47,6 +47,7 @@
 	cmd  *exec.Cmd
 	addr string
 	path string
+	stop func()
 }
 
 func startMany(folder, back string, clusters, routes int) (*running, error) {
@@ -54,22 +55,13 @@
 	if err := os.WriteFile(r.path, []byte(many(r.addr, back, clusters, routes, 0)), 0o600); err != nil {
 		return nil, err
 	}
-	r.cmd = exec.Command(*binary, "serve", "--config", r.path)
-	if set, err := exec.LookPath("taskset"); err == nil {
-		r.cmd = exec.Command(set, "-c", "0", *binary, "serve", "--config", r.path)
-	}
-	r.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
-	if err := r.cmd.Start(); err != nil {
+	var err error
+	if r.cmd, r.stop, err = child("0", nil, *binary, "serve", "--config", r.path); err != nil {
 		return nil, err
 	}
 	return r, up(r.addr)
 }
 
-func (r *running) stop() {
-	r.cmd.Process.Kill()
-	r.cmd.Wait()
-}
-
 // resident returns the resident memory in MB.
 func (r *running) resident() (float64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -231,8 +231,9 @@
 	for _, e := range list {
 		listed[e.Address] = true
 	}
+	departed := c.merger.departures()
 	for _, e := range c.members {
-		if !listed[e.Address] && !c.merger.departed(e) {
+		if !listed[e.Address] && !departed.hold(e) {
 			list = append(list, e)
 		}
 	}
--- a/internal/cluster/merge.go
+++ b/internal/cluster/merge.go
@@ -32,7 +32,7 @@
 }
 
 const (
-	maxMembers = 10_000
+	maxMembers = 10_000 // of a cluster; a source may hold twice as many entries, and as many departures
 	// goneFor is how long "gone" from one source stands against another that goes on listing the endpoint: long past
 	// any cache between the two, and not for ever, as the teller may have lost sight of it only.
 	goneFor = 5 * time.Minute
@@ -124,7 +124,7 @@
 		switch e.Status {
 		case gone:
 			if k != "" {
-				s.gone[k] = departure{now, cmp.Or(s.entries[k].Address, e.Address)}
+				s.depart(k, departure{now, cmp.Or(s.entries[k].Address, e.Address)})
 			}
 			delete(s.entries, k)
 		case ready, draining:
@@ -132,7 +132,9 @@
 				continue
 			}
 			if was, listed := s.entries[k]; listed && was.Address != e.Address && !s.partial {
-				s.gone["@"+was.Address] = departure{now, was.Address} // it has moved
+				s.depart("@"+was.Address, departure{now, was.Address}) // it has moved
+			} else if !listed && len(s.entries) >= 2*maxMembers {
+				continue
 			}
 			s.entries[k] = e
 			delete(s.gone, k)
@@ -145,11 +147,18 @@
 
 func (s *told) drop(k string, now time.Time) {
 	if !s.partial {
-		s.gone[k] = departure{now, s.entries[k].Address}
+		s.depart(k, departure{now, s.entries[k].Address})
 	}
 	delete(s.entries, k)
 }
 
+// depart keeps a word of "gone", within the bound: past it the word counts for its own source alone.
+func (s *told) depart(k string, d departure) {
+	if len(s.gone) < 2*maxMembers {
+		s.gone[k] = d
+	}
+}
+
 // expire lets what was held back take effect, and forgets what is over.
 func (m *merger) expire(now time.Time) {
 	for i := range m.sources {
@@ -213,9 +222,10 @@
 		}
 	}
 	list := make(map[string]registry.Endpoint, len(words))
+	departed := m.departures()
 	for _, address := range slices.Sorted(maps.Keys(words)) {
 		e := fold(address, words[address])
-		if m.departed(e) {
+		if departed.hold(e) {
 			continue
 		}
 		for _, d := range drains {
@@ -229,24 +239,45 @@
 		list[e.Name] = e
 	}
 	out := slices.SortedFunc(maps.Values(list), func(a, b registry.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
-	m.dropped = max(len(out)-maxMembers, 0)
-	return out[:len(out)-m.dropped]
+	over := max(len(out)-maxMembers, 0)
+	m.dropped = over
+	return out[:len(out)-over]
+}
+
+// departures are the words of "gone" that hold, of each source: by name and by address.
+type departures []struct {
+	names, addresses map[string]departure
+	listed           map[string]bool // addresses that the source lists: another process may stand there now
 }
 
-// departed tells of a member that a source has said to be gone, and does not list again.
-func (m *merger) departed(e registry.Endpoint) bool {
+func (m *merger) departures() departures {
+	out := make(departures, len(m.sources))
 	for i := range m.sources {
-		s := &m.sources[i]
-		for k, g := range s.gone {
-			if k != e.Name && g.address != e.Address || e.SinceMS >= g.at.UnixMilli() {
-				continue
-			}
-			// The source may list another process at the address of the one that has gone.
-			again := false
-			for _, other := range s.entries {
-				again = again || other.Address == e.Address
+		s, d := &m.sources[i], &out[i]
+		if len(s.gone) == 0 {
+			continue
+		}
+		d.names, d.addresses, d.listed = s.gone, make(map[string]departure, len(s.gone)), make(map[string]bool, len(s.entries))
+		for _, g := range s.gone {
+			if g.at.After(d.addresses[g.address].at) {
+				d.addresses[g.address] = g
 			}
-			if !again {
+		}
+		for _, e := range s.entries {
+			d.listed[e.Address] = true
+		}
+	}
+	return out
+}
+
+// hold tells of a member that a source has said to be gone, and does not list again.
+func (d departures) hold(e registry.Endpoint) bool {
+	for i := range d {
+		if d[i].listed[e.Address] {
+			continue
+		}
+		for _, g := range []departure{d[i].names[e.Name], d[i].addresses[e.Address]} {
+			if !g.at.IsZero() && e.SinceMS < g.at.UnixMilli() {
 				return true
 			}
 		}
--- a/internal/cluster/merge_test.go
+++ b/internal/cluster/merge_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// What one source makes a merger hold is bounded, whatever it tells.
+func TestSourceBound(t *testing.T) {
+	m := newMerger(time.Minute, trait{})
+	for i := range 5 {
+		var list []registry.Endpoint
+		for j := range maxMembers {
+			n := i*maxMembers + j
+			list = append(list, registry.Endpoint{Name: fmt.Sprint("in", n), Address: fmt.Sprint(n), Status: ready},
+				registry.Endpoint{Name: fmt.Sprint("out", n), Status: gone})
+		}
+		m.take(t0, 0, changes, list)
+	}
+	if s := m.sources[0]; len(s.entries) != 2*maxMembers || len(s.gone) != 2*maxMembers {
+		t.Errorf("%d entries, %d departures", len(s.entries), len(s.gone))
+	}
+}
+
 // Against a plain model, over drawn words: no member is ready that some source's last word has draining or gone, none is
 // listed that no source lists, and a source out of reach changes nothing.
 func TestMergeModel(t *testing.T) {
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -142,9 +142,9 @@
 
 // All faults of a file are told at once, in its order.
 func TestAllFaults(t *testing.T) {
-	_, err := Parse([]byte(base+"route \"r\" {\n cluster = \"x\"\n timeout = 5\n class = \"q\"\n}\nprocess {\n stop = \"x\"\n}\n"), "test.hcl")
+	_, err := Parse([]byte(base+"route \"s\" {\n match {\n path = \"/a//b\"\n }\n cluster = \"c\"\n}\nroute \"r\" {\n cluster = \"x\"\n timeout = 5\n class = \"q\"\n}\nprocess {\n stop = \"x\"\n}\n"), "test.hcl")
 	var faults *Error
-	if !errors.As(err, &faults) || len(faults.Diagnostics) != 4 {
+	if !errors.As(err, &faults) || len(faults.Diagnostics) != 5 {
 		t.Fatalf("%v", err)
 	}
 	line := 0
--- a/internal/conf/routes.go
+++ b/internal/conf/routes.go
@@ -16,15 +16,14 @@
 func (p *parser) routes(blocks hcl.Blocks, f *File) *route.Table {
 	var rules []route.Rule
 	places := map[string]hcl.Range{}
-	sound := true
 	for _, b := range blocks {
 		before := len(p.diags)
-		rules = append(rules, p.route(b, f))
-		places[b.Labels[0]] = b.DefRange
-		sound = sound && len(p.diags) == before
-	}
-	if !sound || len(p.names["listener"]) != len(f.Listeners) || len(places) != len(blocks) {
-		return nil // compiled, they would be told to be wrong in other words again
+		r := p.route(b, f)
+		// What is wrong already is not compiled: it would be told again, in other words.
+		if _, twice := places[r.Name]; len(p.diags) == before && !twice {
+			rules = append(rules, r)
+			places[r.Name] = b.DefRange
+		}
 	}
 	table, errs := route.Compile(p.all("listener"), rules)
 	for _, err := range errs {
