--- a/internal/standin/nodo.go
+++ b/internal/standin/nodo.go
@@ -107,7 +107,7 @@
 		case <-r.Context().Done():
 		case <-n.done:
 		}
-		return
+		panic(http.ErrAbortHandler) // a handler that returns has answered 200
 	}
 	if n.draining.Load() {
 		n.mu.Lock()
