--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -253,11 +253,11 @@
 	for _, z := range out.Zones {
 		p.names["zone"][z] = s.where("zones")
 	}
-	if !named {
-	} else if !s.has("zone") {
-		s.need("zone")
-	} else {
+	switch {
+	case named && s.has("zone"):
 		p.known("zone", located{s.text("zone", ""), s.where("zone")})
+	case named:
+		s.need("zone")
 	}
 	out.Sockets = s.whole("sockets", 1024, 64, 1<<20)
 	out.Calls = int64(s.whole("calls", 4096, 1, 1<<20))
