Read figures with units in one place, and pick a request's cluster once

Times and sizes had the same check of a missing unit twice, and an empty text passed unreported behind any earlier fault of the file; it is told now. A request's split was hashed for its body and again for its call. The headers of a direct answer were read twice, so that a fault in them was told twice. File.Cluster served a test alone and is gone.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -45,8 +45,8 @@
 	if len(f.Clusters) != 3 || f.Routes.Len() != 5 || len(f.Listeners) != 2 || f.Process.Stop != 5*time.Second {
 		t.Errorf("%+v", f)
 	}
-	c, ok := f.Cluster("portal")
-	if !ok || len(c.Sources) != 2 || c.Reserve != 0.3 || c.Most != 0.6 || c.Decide.WarmUp != 20*time.Second ||
+	c := f.Clusters[0]
+	if c.Name != "portal" || len(c.Sources) != 2 || c.Reserve != 0.3 || c.Most != 0.6 || c.Decide.WarmUp != 20*time.Second ||
 		c.Decide.Balancers != 3 || c.ConnectTimeout != 250*time.Millisecond || len(c.Decide.Report) != 1 {
 		t.Errorf("%+v", c)
 	}
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -177,25 +177,35 @@
 	return int(f)
 }
 
-// duration reads a time with its unit, "250ms". A bare number is an error: nobody can tell its unit.
-func (s *scope) duration(name string, otherwise, least, most time.Duration) time.Duration {
+// measured reads the text of a figure with its unit; ok is false where it is not there or has been reported. A bare
+// number is an error: nobody can tell its unit.
+func (s *scope) measured(name, what, examples string) (text string, at hcl.Range, ok bool) {
 	a := s.attrs[name]
 	if a == nil {
-		return otherwise
+		return "", s.at, false
 	}
 	v, diags := a.Expr.Value(nil)
 	if !diags.HasErrors() && v.Type() == cty.Number {
-		s.fault(a.Expr.Range(), "A time without a unit", "%q in %s needs a unit: \"250ms\", \"2.5s\", \"1m\".", name, s.what)
+		s.fault(a.Expr.Range(), "A "+what+" without a unit", "%q in %s needs a unit: %s.", name, s.what, examples)
+		return "", a.Expr.Range(), false
+	}
+	before := len(s.diags)
+	text = s.text(name, "")
+	return text, a.Expr.Range(), len(s.diags) == before
+}
+
+// duration reads a time with its unit, "250ms".
+func (s *scope) duration(name string, otherwise, least, most time.Duration) time.Duration {
+	text, at, ok := s.measured(name, "time", `"250ms", "2.5s", "1m"`)
+	if !ok {
 		return otherwise
 	}
-	text := s.text(name, "")
 	d, err := time.ParseDuration(text)
 	switch {
-	case text == "" && len(s.diags) > 0:
 	case err != nil:
-		s.fault(a.Expr.Range(), "Not a time", "%q in %s is no time: write \"250ms\", \"2.5s\", \"1m\".", text, s.what)
+		s.fault(at, "Not a time", "%q in %s is no time: write \"250ms\", \"2.5s\", \"1m\".", text, s.what)
 	case d < least || d > most:
-		s.fault(a.Expr.Range(), "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.what, d, least, most)
+		s.fault(at, "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.what, d, least, most)
 	default:
 		return d
 	}
@@ -225,23 +235,16 @@
 
 // size reads a number of bytes with its unit.
 func (s *scope) size(name string, otherwise, least, most int64) int64 {
-	a := s.attrs[name]
-	if a == nil {
-		return otherwise
-	}
-	v, diags := a.Expr.Value(nil)
-	if !diags.HasErrors() && v.Type() == cty.Number {
-		s.fault(a.Expr.Range(), "A size without a unit", "%q in %s needs a unit: \"64KiB\", \"32MiB\".", name, s.what)
+	text, at, ok := s.measured(name, "size", `"64KiB", "32MiB"`)
+	if !ok {
 		return otherwise
 	}
-	text := s.text(name, "")
 	n, err := parseSize(text)
 	switch {
-	case text == "" && len(s.diags) > 0:
 	case err != nil:
-		s.fault(a.Expr.Range(), "Not a size", "%s.", err)
+		s.fault(at, "Not a size", "%s.", err)
 	case n < least || n > most:
-		s.fault(a.Expr.Range(), "Out of range", "%q in %s is %d bytes; it must be from %d to %d.", name, s.what, n, least, most)
+		s.fault(at, "Out of range", "%q in %s is %d bytes; it must be from %d to %d.", name, s.what, n, least, most)
 	default:
 		return n
 	}
--- a/internal/conf/routes.go
+++ b/internal/conf/routes.go
@@ -9,7 +9,6 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"silvertrail/internal/cluster"
 	"silvertrail/internal/route"
 )
 
@@ -66,8 +65,8 @@
 		case "respond":
 			a := p.open("respond", inner.DefRange, inner.Body, []string{"status", "body", "headers"}, nil)
 			a.need("status")
-			p.headers(a, "headers", a.table("headers"))
 			r.Respond = &route.Response{Status: a.whole("status", 404, 200, 599), Body: a.text("body", ""), Header: a.table("headers")}
+			p.headers(a, "headers", r.Respond.Header)
 		case "redirect":
 			a := p.open("redirect", inner.DefRange, inner.Body, []string{"status", "scheme", "host", "path"}, nil)
 			r.Redirect = &route.Redirect{Status: a.whole("status", http.StatusFound, 301, 308), Scheme: a.word("scheme", "", "http", "https"),
@@ -162,12 +161,3 @@
 	}
 	return m
 }
-
-// Cluster returns the configuration of a cluster.
-func (f *File) Cluster(name string) (c cluster.Config, ok bool) {
-	i := slices.IndexFunc(f.Clusters, func(c cluster.Config) bool { return c.Name == name })
-	if i < 0 {
-		return c, false
-	}
-	return f.Clusters[i], true
-}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,7 +44,7 @@
 	q       decide.Request
 	key     string // idempotency key of a keyed request
 	tenant  string
-	split   string // what a split goes by
+	to      string // cluster that the rule names, or its split
 
 	hold     *affinity.Hold
 	began    time.Time
@@ -107,7 +107,7 @@
 	}
 	x.up.Method, x.up.Target, x.up.Host = r.Method, sent, r.Host
 	x.headers(r, listener)
-	x.split = splitKey(rule, r, x, path)
+	x.to = rule.Pick(splitKey(rule, r, x, path))
 	return x, nil
 }
 
@@ -273,7 +273,7 @@
 
 // Bodies implements frontend.Exchange: the memory is that of the cluster that the rule names first, or of the split's.
 func (x *exchange) Bodies() frontend.Budget {
-	return x.state.clusters[x.rule.Pick(x.split)].Bodies()
+	return x.state.clusters[x.to].Bodies()
 }
 
 // Do implements frontend.Exchange.
@@ -281,7 +281,7 @@
 	x.began = time.Now()
 	x.deadline = x.began.Add(x.q.Left)
 	x.up.Body = body
-	to := x.rule.Pick(x.split)
+	to := x.to
 	if x.key != "" {
 		hold, err := x.gateway.keys.Begin(x.began, x.class.Name, x.tenant, x.key, to)
 		if errors.Is(err, affinity.ErrFull) { // nothing was sent
