Keep a key's repeats in the group of endpoints that may have run it, while it remembers

One cluster of nodos in two salas, a class with scope "zone" and callers that repeat by the same key after 502 and 504: keys took effect in both salas, as only the cluster of a key was remembered and not the group that drops its repeats.

history (in place of affinity) records for each key the places where attempts may have run or run now, told by each attempt as it is decided on, started and ended. It reaches the decisions with the request (decide.Past): they pick within the group alone, while its window lasts, and fail what can't be sent, without a promise. failover holds the choice of clusters, out of the gateway. A key is known for "keep" after its window; "check_repeats" tells another target or body with 422, "concurrent" what a repeat gets while the first is in work; "keys" bounds the table. The sidecar goes by the same history.

In passing: 503 for want of body memory tells Retry-After, and no refusal is given to a key that may have run; a setting measured against an unreadable one is not told a second time; a class with a short aim is no longer refused at the start for the guess that other classes' aims make.

--- a/decide/api.go
+++ b/decide/api.go
@@ -124,6 +124,15 @@
 	Failed                 // a discovery call failed; no entries
 )
 
+// Past is what is known of other attempts with a Keyed request's key, made for earlier requests with it or
+// for ones that are still in work.
+type Past struct {
+	Known      bool          // one may have run, or runs: the request stays in its group
+	Nowhere    bool          // that group is none of this balancer's servers
+	Zone, Cell int           // of the group, where the class's scope is one of these
+	Until      time.Duration // the group drops a repeat that is sent before
+}
+
 // Request is an arriving call.
 type Request struct {
 	ID     RequestID
@@ -133,6 +142,7 @@
 	Retry  bool          // marked by the client
 	// MaxAttempts bounds the request's attempts further than the settings do; 0: it does not.
 	MaxAttempts int
+	Past        Past
 }
 
 // Verdict is how an attempt ended.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -70,6 +70,8 @@
 
 type attempt struct {
 	s        *server
+	zone     int // the server's when it was sent there
+	cell     int
 	sent     time.Duration
 	ended    bool
 	neverRan bool
@@ -83,6 +85,7 @@
 	lookAt   time.Duration // when the newest attempt is to be looked at
 	attempts []attempt
 	most     int // of attempts, by the request's own bound; 0: it has none
+	past     Past
 	done     bool
 }
 
@@ -418,6 +421,7 @@
 	}
 	floor := b.base / 2
 	if !b.learnt { // a guess: forgotten too, or callers who never have more time would never be served
+		floor = min(b.base, b.cfg.Classes[class].Aim.Seconds()/4) / 2 // nor is it other classes' guess
 		floor *= math.Exp(-(now - b.started).Seconds() / hopeMemory.Seconds())
 	}
 	return left < max(in, floor)
@@ -680,21 +684,21 @@
 		b.asked++
 	}
 	r := &request{id: q.ID, kind: q.Class, class: &b.cfg.Classes[q.Class], deadline: now + q.Left,
-		most: q.MaxAttempts}
+		most: q.MaxAttempts, past: q.Past}
 	b.requests[q.ID] = r
 	level := b.level(q)
 	if b.hopeless(now, q.Class, q.Left.Seconds()) {
-		b.end(r, 0)
+		b.end(now, r, 0)
 		return
 	}
 	if float64(b.inFlight-b.stuck) >= b.threshold(now, level) {
 		b.outOfTurn = b.outOfTurn || level > 0 && b.table[level-1][b.cursor] > 0
-		b.end(r, 1+b.cursor)
+		b.end(now, r, 1+b.cursor)
 		return
 	}
 	s := b.pick(now, r)
 	if s == nil {
-		b.end(r, b.cursor)
+		b.end(now, r, b.cursor)
 		return
 	}
 	b.send(now, r, s)
@@ -717,7 +721,8 @@
 
 // maySend is rules 1 to 3 for one more attempt.
 func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
-	if r.done || now >= r.deadline || b.spent(r) || s.State != Ready {
+	if r.done || now >= r.deadline || b.spent(r) || s.State != Ready ||
+		!r.past.allows(now, r.class.Scope, s) {
 		return false
 	}
 	for i := range r.attempts {
@@ -729,20 +734,27 @@
 			continue
 		}
 		if r.class.Effect == Unsafe || now-a.sent >= r.class.Window ||
-			r.class.Scope == ScopeZone && a.s.Zone != s.Zone ||
-			r.class.Scope == ScopeCell && a.s.Cell != s.Cell {
+			r.class.Scope == ScopeZone && a.zone != s.Zone ||
+			r.class.Scope == ScopeCell && a.cell != s.Cell {
 			return false
 		}
 	}
 	return true
 }
 
+// allows is rule 2 over requests with the same key: a repeat goes to the group that may have run the first
+// try, while that group remembers it.
+func (p *Past) allows(now time.Duration, scope Scope, s *server) bool {
+	return !p.Known || !p.Nowhere && now < p.Until &&
+		(scope != ScopeZone || p.Zone == s.Zone) && (scope != ScopeCell || p.Cell == s.Cell)
+}
+
 // send is the one gate for attempts.
 func (b *Balancer) send(now time.Duration, r *request, s *server) {
 	if !b.maySend(now, r, s) {
 		return
 	}
-	r.attempts = append(r.attempts, attempt{s: s, sent: now})
+	r.attempts = append(r.attempts, attempt{s: s, zone: s.Zone, cell: s.Cell, sent: now})
 	s.wait(now)
 	if now-s.lastSend > b.cfg.ConnIdle {
 		s.conns = 0
@@ -758,11 +770,11 @@
 // end and fail are the gates for final answers: a refusal where a retry is harmless, else a failure. What a
 // server has rejected is never refused: to send it again would serve nobody. Who is refused is told to come
 // back after so many periods.
-func (b *Balancer) end(r *request, periods int) {
+func (b *Balancer) end(now time.Duration, r *request, periods int) {
 	if r.done {
 		return
 	}
-	if !mayRefuse(r) {
+	if !mayRefuse(now, r) {
 		b.fail(r)
 		return
 	}
@@ -777,7 +789,10 @@
 	b.drop(r)
 }
 
-func mayRefuse(r *request) bool {
+func mayRefuse(now time.Duration, r *request) bool {
+	if r.past.Known && (r.class.Scope != ScopeAll || now >= r.past.Until) {
+		return false
+	}
 	if r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll {
 		return true
 	}
@@ -817,6 +832,14 @@
 	}
 }
 
+// Past takes what has become known of a request's key since it came.
+func (b *Balancer) Past(now time.Duration, id RequestID, p Past) {
+	b.advance(now)
+	if r := b.requests[id]; r != nil {
+		r.past = p
+	}
+}
+
 // Outcome takes the end of an attempt. One of a request no longer held is passed over.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	b.advance(now)
@@ -869,7 +892,7 @@
 func (b *Balancer) again(now time.Duration, r *request) {
 	ran := !r.attempts[len(r.attempts)-1].neverRan
 	left := (r.deadline - now).Seconds()
-	late := left < b.base/2 || mayRefuse(r) && b.hopeless(now, r.kind, left)
+	late := left < b.base/2 || mayRefuse(now, r) && b.hopeless(now, r.kind, left)
 	if b.budget >= 1 && !late && !(ran && b.shedding) {
 		if s := b.pick(now, r); s != nil {
 			b.budget--
@@ -877,7 +900,7 @@
 			return
 		}
 	}
-	b.end(r, b.cursor)
+	b.end(now, r, b.cursor)
 }
 
 // Gone tells that the client has left: nothing more is owed.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -429,7 +429,7 @@
 			attempts: []attempt{{s: b.servers[1], sent: sec, ended: c.ended, neverRan: c.never}}}
 		now := sec + c.after
 		got := []bool{b.maySend(now, r, b.servers[4]), b.maySend(now, r, b.servers[2]),
-			b.maySend(now, r, b.servers[3]), mayRefuse(r)}
+			b.maySend(now, r, b.servers[3]), mayRefuse(now, r)}
 		if want := []bool{c.far, c.zone, c.cell, c.deny}; fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%s: far, zone, cell, refuse %v, want %v", c.name, got, want)
 		}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -32,6 +32,7 @@
 	deadline time.Duration
 	finals   int
 	tries    []try
+	past     Past
 	gone     bool
 }
 
@@ -59,6 +60,11 @@
 		w.check(a.ended || w.cfg.MayDuplicate, "rule 2: a second copy where none is allowed", id)
 		w.check(a.neverRan || w.mayRepeat(r, a, s), "rule 2: may have an effect twice", id)
 	}
+	if p := r.past; p.Known {
+		group := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && p.Zone == s.Zone ||
+			r.class.Scope == ScopeCell && p.Cell == s.Cell
+		w.check(!p.Nowhere && group && w.now < p.Until, "rule 2: a repeat outside its group or window", id)
+	}
 	r.tries = append(r.tries, try{server: s, at: w.now})
 	w.cold(id, s)
 }
@@ -90,6 +96,8 @@
 	w.check(r.finals == 0 && !r.gone, "rule 1: a second final answer", id)
 	r.finals++
 	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll
+	p := r.past
+	w.check(!refusal || !p.Known || harmless && w.now < p.Until, "rule 2: refused though an earlier try may have run", id)
 	for _, a := range r.tries {
 		w.check(!refusal || harmless || a.neverRan, "rule 2: refused where a retry may do harm", id)
 	}
@@ -159,9 +167,31 @@
 func (w *world) arrive(id RequestID) {
 	class := w.rng.IntN(len(w.cfg.Classes))
 	left := w.cfg.Classes[class].Deadline * time.Duration(1+w.rng.IntN(10)) / 10
-	w.reqs[id] = &tracked{class: w.cfg.Classes[class], deadline: w.now + left}
+	r := &tracked{class: w.cfg.Classes[class], deadline: w.now + left}
+	if r.class.Effect == Keyed && w.rng.IntN(3) == 0 {
+		r.past = w.past()
+	}
+	w.reqs[id] = r
 	w.open = append(w.open, id)
-	w.b.Request(w.now, Request{ID: id, Class: class, Tenant: w.rng.IntN(3) - 1, Left: left, Retry: w.rng.IntN(5) == 0})
+	w.b.Request(w.now, Request{ID: id, Class: class, Tenant: w.rng.IntN(3) - 1, Left: left, Retry: w.rng.IntN(5) == 0, Past: r.past})
+}
+
+// past draws what other requests with a key have done.
+func (w *world) past() Past {
+	return Past{Known: true, Nowhere: w.rng.IntN(10) == 0, Zone: w.rng.IntN(3), Cell: w.rng.IntN(4),
+		Until: w.now + time.Duration(w.rng.Float64()*float64(3*time.Second))}
+}
+
+// learn has a request's key bound by another request, as its own attempts allow.
+func (w *world) learn() {
+	if len(w.open) == 0 {
+		return
+	}
+	id := w.open[w.rng.IntN(len(w.open))]
+	if r := w.reqs[id]; r.class.Effect == Keyed && r.finals == 0 && !r.gone {
+		r.past = w.past()
+		w.b.Past(w.now, id, r.past)
+	}
 }
 
 // end ends an attempt, by the clock or by chance.
@@ -249,6 +279,8 @@
 				w.list([]ListKind{Full, Cached}[w.rng.IntN(2)], 8*w.rng.IntN(2))
 			case 3:
 				w.b.Members(w.now, Failed, nil)
+			case 4, 5, 6:
+				w.learn()
 			}
 			w.arrive(RequestID(i + 1))
 			w.round()
--- a/deploy/silvertrail.hcl
+++ b/deploy/silvertrail.hcl
@@ -9,6 +9,7 @@
   sockets     = 1024    # descriptors; half for callers, half for endpoints
   calls       = 4096    # requests in work, of all clusters together
   body_memory = "32MiB" # of requests' bodies, likewise
+  keys        = 65536   # of keyed requests, remembered at most
   stop        = "5s"    # from SIGTERM to the last answer
 
   default_class = "consulta" # of requests that name none, on routes that give none
@@ -32,6 +33,10 @@
   effect   = "keyed" # carries an Idempotency-Key, by which endpoints drop repeats
   scope    = "zone"  # the endpoints of one zone know each other's keys
   window   = "7.5s"  # for so long
+
+  keep          = "30s"  # after its window a key is known for so long: its repeats fail and are not taken for new
+  check_repeats = true   # a key that comes with another target or body is told so (422)
+  concurrent    = "send" # what repeats get while the first is in work; "conflict" turns them away (409)
 }
 
 class "aviso" {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -257,13 +257,13 @@
 func (c *Cluster) End(at time.Time) { c.host.End(at) }
 
 // Do hands a request to the cluster's decisions and waits for its answer; ok is false where the caller has gone. Over
-// the bound on calls in work it is refused at once: nothing of it ran.
-func (c *Cluster) Do(ctx context.Context, r upstream.Request, q decide.Request) (a host.Answer, ok bool) {
+// the bound on calls in work it is refused at once: nothing of it ran. The key is nil where the request has none.
+func (c *Cluster) Do(ctx context.Context, r upstream.Request, q decide.Request, key *host.Key) (a host.Answer, ok bool) {
 	if !c.calls.TryAcquire(1) {
 		return host.Answer{Refused: true, RetryAfter: busyRetry}, true
 	}
 	defer c.calls.Release(1)
-	return c.host.Do(ctx, r, q)
+	return c.host.Do(ctx, r, q, key)
 }
 
 // Close ends the sources and takes all members off the list; what is out ends by itself.
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
 	a, _ := c.Do(ctx, upstream.Request{Method: "GET", Target: "/", Host: "x", Header: http.Header{"X-Request-Id": {id}}},
-		decide.Request{Left: lbtest.Wait})
+		decide.Request{Left: lbtest.Wait}, nil)
 	return a
 }
 
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -43,6 +43,7 @@
 	BodyMemory   int64
 	Stop         time.Duration // from SIGTERM to the last answer
 	DefaultClass string        // of requests that name none, on routes that give none
+	Keys         int           // of keyed requests, that are remembered at most
 }
 
 // Class is a class of requests.
@@ -50,8 +51,23 @@
 	Name    string
 	Methods []string
 	decide.Class
+
+	// Of keyed classes:
+
+	Keep         time.Duration // for which a key is known after its window, so that no repeat of it is taken for new
+	CheckRepeats bool          // a key that comes with another target or body is turned away
+	Concurrent   Concurrent
 }
 
+// Concurrent is what becomes of a request while another one with its key is in work.
+type Concurrent uint8
+
+// It is sent to the group of endpoints that drops it as a repeat, or is turned away with 409.
+const (
+	Send Concurrent = iota
+	Conflict
+)
+
 // Listener is an address on which callers connect.
 type Listener struct {
 	Name        string
@@ -202,7 +218,11 @@
 		p.fault(by["listener"][len(by["listener"])-1].DefRange, "Too many connections", "The listeners take %d connections; half of \"sockets\" is %d.", sum, most)
 	}
 	settings.Balancers = process.whole("fleet", 1, 1, 10000)
-	settings.Me = process.whole("member", 0, 0, settings.Balancers-1)
+	most := settings.Balancers - 1
+	if !process.told("fleet") && process.has("fleet") {
+		most = 9999
+	}
+	settings.Me = process.whole("member", 0, 0, most)
 	settings.Zone = max(slices.Index(f.Process.Zones, process.text("zone", "")), 0)
 	reserved := 0.0
 	for _, b := range by["cluster"] {
@@ -239,7 +259,7 @@
 	s = &scope{reader: &p.reader, what: "process"}
 	if len(blocks) > 0 {
 		s = p.open("process", blocks[0].DefRange, blocks[0].Body, []string{"zones", "zone", "sockets", "calls", "body_memory", "stop",
-			"default_class", "fleet", "member"}, nil)
+			"default_class", "fleet", "member", "keys"}, nil)
 	}
 	for _, b := range blocks[min(len(blocks), 1):] {
 		p.fault(b.DefRange, "Twice", "There is one process block at most.")
@@ -264,6 +284,7 @@
 	out.BodyMemory = s.size("body_memory", 32<<20, 64<<10, 1<<40)
 	out.Stop = s.duration("stop", 5*time.Second, 100*time.Millisecond, time.Hour)
 	out.DefaultClass = s.text("default_class", "")
+	out.Keys = s.whole("keys", 1<<16, 16, 1<<24)
 	return out, s
 }
 
@@ -278,20 +299,30 @@
 )
 
 func (p *parser) class(b *hcl.Block) Class {
-	s := p.open("class "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"aim", "deadline", "worth", "effect", "scope", "window", "methods"}, nil)
+	s := p.open("class "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"aim", "deadline", "worth", "effect", "scope", "window", "methods",
+		"keep", "check_repeats", "concurrent"}, nil)
 	s.need("aim", "deadline", "effect")
 	c := Class{Name: b.Labels[0]}
 	c.Deadline = s.duration("deadline", time.Second, time.Millisecond, time.Hour)
-	c.Aim = s.duration("aim", c.Deadline, time.Millisecond, c.Deadline)
+	if s.told("deadline") {
+		c.Aim = s.duration("aim", c.Deadline, time.Millisecond, c.Deadline)
+	} else { // what is unreadable is told once, not again by what is measured against it
+		c.Aim = s.duration("aim", c.Deadline, time.Millisecond, time.Hour)
+	}
 	c.Worth = s.number("worth", 1, 0, 1e6)
 	c.Effect = effects[s.word("effect", "unsafe", "safe", "keyed", "unsafe")]
 	c.Scope = scopes[s.word("scope", "all", "all", "zone", "cell")]
 	c.Window = s.duration("window", 0, 0, 24*time.Hour)
+	c.Keep = s.duration("keep", c.Window, 0, 24*time.Hour)
+	c.CheckRepeats = s.flag("check_repeats")
+	if s.word("concurrent", "send", "send", "conflict") == "conflict" {
+		c.Concurrent = Conflict
+	}
 	c.Methods = methods[c.Effect]
 	if s.has("methods") {
 		c.Methods = p.methods(s.list("methods"))
 	}
-	for _, name := range []string{"scope", "window"} {
+	for _, name := range []string{"scope", "window", "keep", "check_repeats", "concurrent"} {
 		if s.has(name) && c.Effect != decide.Keyed {
 			s.fault(s.where(name), "Without a meaning", "%q goes with effect = \"keyed\" alone.", name)
 		}
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -87,10 +87,13 @@
 		"process {\n zones = [\"a\", \"b\"]\n zone = \"c\"\n}": `no zone named "c"`,
 		"process {\n default_class = \"raed\"\n}":              `Did you mean "read"?`,
 		"process {}\nprocess {}":                               `Twice`,
-		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"keyed\"\n}":                               `needs "window"`,
-		"class \"w\" {\n aim = \"3s\"\n deadline = \"2s\"\n effect = \"safe\"\n}":                                `from 1ms to 2s`,
-		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"safe\"\n window = \"1s\"\n}":              `Without a meaning`,
-		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"save\"\n}":                                `Did you mean "safe"?`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"keyed\"\n}":                                              `needs "window"`,
+		"class \"w\" {\n aim = \"3s\"\n deadline = \"2s\"\n effect = \"safe\"\n}":                                               `from 1ms to 2s`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"safe\"\n window = \"1s\"\n}":                             `Without a meaning`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"save\"\n}":                                               `Did you mean "safe"?`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"keyed\"\n window = \"1s\"\n concurrent = \"conflic\"\n}": `Did you mean "conflict"?`,
+		"class \"w\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"unsafe\"\n keep = \"1s\"\n}":                             `Without a meaning`,
+		"process {\n keys = 3\n}":                                                                                `from 16 to`,
 		"class \"w\" {\n effect = \"safe\"\n methods = [\"get\"]\n}":                                             `"get" is no method`,
 		"class \"read\" {\n aim = \"1s\"\n deadline = \"2s\"\n effect = \"safe\"\n}":                             `Named twice`,
 		"listener \"m\" {\n address = \"localhost:80\"\n}":                                                       `Not an address`,
@@ -140,6 +143,20 @@
 	}
 }
 
+// What is unreadable is told once, and not again by what is measured against it.
+func TestToldOnce(t *testing.T) {
+	for _, text := range []string{
+		"class \"w\" {\n aim = \"3s\"\n deadline = \"5 parsecs\"\n effect = \"safe\"\n}",
+		"process {\n fleet = \"many\"\n member = 3\n}",
+	} {
+		_, err := Parse([]byte(base+text), "test.hcl")
+		var faults *Error
+		if !errors.As(err, &faults) || len(faults.Diagnostics) != 1 {
+			t.Errorf("%s\n%v", text, err)
+		}
+	}
+}
+
 // All faults of a file are told at once, in its order.
 func TestAllFaults(t *testing.T) {
 	_, err := Parse([]byte(base+"route \"s\" {\n match {\n path = \"/a//b\"\n }\n cluster = \"c\"\n}\nroute \"r\" {\n cluster = \"x\"\n timeout = 5\n class = \"q\"\n}\nprocess {\n stop = \"x\"\n}\n"), "test.hcl")
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -115,6 +115,14 @@
 // has tells whether an attribute is there.
 func (s *scope) has(name string) bool { return s.attrs[name] != nil }
 
+// told tells whether an attribute is there and nothing was found wrong with it so far.
+func (s *scope) told(name string) bool {
+	a := s.attrs[name]
+	return a != nil && !slices.ContainsFunc(s.diags, func(d *hcl.Diagnostic) bool {
+		return d.Subject != nil && a.Expr.Range().Overlaps(*d.Subject)
+	})
+}
+
 // where returns an attribute's place, or the block's where it is not there.
 func (s *scope) where(name string) hcl.Range {
 	if a := s.attrs[name]; a != nil {
--- /dev/null
+++ b/internal/failover/failover.go
@@ -0,0 +1,91 @@
+// Package failover decides which clusters a request is given to, one after the other: its own, the one where its key may
+// have run, the one that its route names for failures. It does no I/O and has no clock. Which endpoint of a cluster gets
+// the request, and whether it is tried again there, is for the decisions (package decide).
+package failover
+
+import (
+	"slices"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/history"
+)
+
+// Request is what a plan is made for.
+type Request struct {
+	To          string // the cluster that its route names, or its split
+	Failover    string // the one for failures; empty: none
+	Effect      decide.Effect
+	MaxAttempts int // over all clusters; 0: no bound of its own
+	Deadline    time.Time
+}
+
+// Result is how a cluster has ended a request.
+type Result struct {
+	Served     bool
+	MayHaveRun bool // an attempt may have run, or may yet
+	Attempts   int  // that were made
+}
+
+// Plan is one request's way over clusters.
+type Plan struct {
+	request Request
+	been    []string // clusters that it was given to
+	made    int      // attempts
+}
+
+// New returns the plan of a request that has been nowhere yet.
+func New(r Request) *Plan { return &Plan{request: r} }
+
+// First returns the cluster that the request is given to first. Past is what is known of its key.
+func (p *Plan) First(past history.Past) (cluster string) {
+	cluster = p.request.To
+	if past.Known {
+		cluster = past.Place.Cluster
+	}
+	p.been = append(p.been, cluster)
+	return cluster
+}
+
+// Next returns the cluster that the request is given to after the one before has ended it; ok is false where that is the
+// end of it. Each cluster gets it once, while time and attempts are left:
+//
+//   - what is safe to repeat, and what is known never to have run, goes to the failover cluster;
+//   - a keyed request goes where its key may have run: another request with the key can have bound it meanwhile.
+func (p *Plan) Next(now time.Time, r Result, past history.Past) (cluster string, ok bool) {
+	p.made += r.Attempts
+	if r.Served || !now.Before(p.request.Deadline) || p.request.MaxAttempts > 0 && p.made >= p.request.MaxAttempts {
+		return "", false
+	}
+	cluster = p.request.Failover
+	switch p.request.Effect {
+	case decide.Safe:
+	case decide.Keyed:
+		if past.Known {
+			cluster = past.Place.Cluster
+		}
+	default:
+		if r.MayHaveRun {
+			return "", false
+		}
+	}
+	if cluster == "" || slices.Contains(p.been, cluster) {
+		return "", false
+	}
+	p.been = append(p.been, cluster)
+	return cluster, true
+}
+
+// Attempts returns the bound on the attempts that are left to the request; 0: it has none of its own.
+func (p *Plan) Attempts() int {
+	if p.request.MaxAttempts == 0 {
+		return 0
+	}
+	return p.request.MaxAttempts - p.made
+}
+
+// MayRefuse tells whether a request that was not served may be refused, which tells its caller that a repeat is harmless.
+// It may not where the key may have run: unless all endpoints drop its repeats, and still do.
+func MayRefuse(now time.Time, past history.Past, scope decide.Scope) bool {
+	return !past.Known || scope == decide.ScopeAll && now.Before(past.Until)
+}
--- /dev/null
+++ b/internal/failover/failover_test.go
@@ -0,0 +1,97 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silvertrail/decide"
+	"silvertrail/internal/history"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func at(cluster string) history.Past {
+	return history.Past{Known: true, Place: history.Place{Cluster: cluster}, Until: t0.Add(time.Second)}
+}
+
+// What may be sent where, for each effect and each way in which the first cluster can end a request.
+func TestNext(t *testing.T) {
+	none := history.Past{}
+	for _, c := range []struct {
+		name   string
+		effect decide.Effect
+		r      Result
+		past   history.Past
+		want   string
+	}{
+		{"safe, may have run", decide.Safe, Result{MayHaveRun: true, Attempts: 1}, none, "spare"},
+		{"served", decide.Safe, Result{Served: true, Attempts: 1}, none, ""},
+		{"attempts spent", decide.Safe, Result{Attempts: 3}, none, ""},
+		{"unsafe, never ran", decide.Unsafe, Result{Attempts: 1}, none, "spare"},
+		{"unsafe, may have run", decide.Unsafe, Result{MayHaveRun: true, Attempts: 1}, none, ""},
+		{"keyed, never ran", decide.Keyed, Result{Attempts: 1}, none, "spare"},
+		{"keyed, may have run here", decide.Keyed, Result{MayHaveRun: true, Attempts: 1}, at("own"), ""},
+		{"keyed, bound elsewhere meanwhile", decide.Keyed, Result{Attempts: 1}, at("third"), "third"},
+	} {
+		p := New(Request{To: "own", Failover: "spare", Effect: c.effect, MaxAttempts: 3, Deadline: t0.Add(time.Second)})
+		if first := p.First(none); first != "own" {
+			t.Errorf("%s: first to %q", c.name, first)
+		}
+		to, ok := p.Next(t0, c.r, c.past)
+		if to != c.want || ok != (c.want != "") {
+			t.Errorf("%s: to %q", c.name, to)
+		}
+		if to, ok := p.Next(t0.Add(time.Second), Result{}, none); ok {
+			t.Errorf("%s: to %q after the deadline", c.name, to)
+		}
+	}
+	if to := New(Request{To: "own"}).First(at("third")); to != "third" {
+		t.Errorf("a repeat goes to %q", to)
+	}
+	if MayRefuse(t0, at("c"), decide.ScopeZone) || !MayRefuse(t0, at("c"), decide.ScopeAll) ||
+		MayRefuse(t0.Add(time.Second), at("c"), decide.ScopeAll) || !MayRefuse(t0, none, decide.ScopeCell) {
+		t.Error("refusals")
+	}
+}
+
+// Whatever happens at the clusters, a plan ends, gives no cluster the request twice, and never takes one that may have run
+// to another cluster unless it is safe.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.SampledFrom([]string{"a", "b", "c"})
+		r := Request{To: name.Draw(t, "to"), Failover: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "failover"),
+			Effect:      rapid.SampledFrom([]decide.Effect{decide.Safe, decide.Keyed, decide.Unsafe}).Draw(t, "effect"),
+			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "most"), Deadline: t0.Add(time.Second)}
+		past := history.Past{}
+		if r.Effect == decide.Keyed && rapid.Bool().Draw(t, "repeat") {
+			past = at(name.Draw(t, "past"))
+		}
+		p := New(r)
+		to, made := p.First(past), 0
+		been := map[string]bool{to: true}
+		for {
+			res := Result{MayHaveRun: rapid.Bool().Draw(t, "ran"), Attempts: rapid.IntRange(0, 2).Draw(t, "attempts")}
+			made += res.Attempts
+			switch {
+			case r.Effect != decide.Keyed:
+			case res.MayHaveRun:
+				past = at(to)
+			case !past.Known && rapid.Bool().Draw(t, "meanwhile"):
+				past = at(name.Draw(t, "by another"))
+			}
+			next, ok := p.Next(t0, res, past)
+			if !ok {
+				return
+			}
+			if been[next] || r.MaxAttempts > 0 && made >= r.MaxAttempts {
+				t.Fatalf("to %s again, or over its attempts", next)
+			}
+			if res.MayHaveRun && r.Effect != decide.Safe || past.Known && next != past.Place.Cluster {
+				t.Fatalf("from %s to %s: it may have run", to, next)
+			}
+			been[next], to = true, next
+		}
+	})
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -209,7 +209,8 @@
 		c.turnAway(http.StatusRequestEntityTooLarge)
 		return
 	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
-		c.turnAway(http.StatusServiceUnavailable)
+		c.unread()
+		c.final(x, host.Answer{Refused: true, RetryAfter: memoryRetry})
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.turnAway(http.StatusRequestTimeout)
@@ -224,14 +225,23 @@
 	if c.ctx.Err() != nil {
 		c.ends = true
 	}
-	if own := x.Reply(a); own != nil {
-		if own.Close {
-			c.unread()
-		}
-		c.write(own)
+	c.final(x, a)
+}
+
+// memoryRetry is when a caller is told to come back for whose body there was no memory.
+const memoryRetry = time.Second
+
+// final gives the caller its answer, in the exchange's words where it has some.
+func (c *callerConn) final(x Exchange, a host.Answer) {
+	own := x.Reply(a)
+	if own == nil {
+		c.answer(a)
 		return
 	}
-	c.answer(a)
+	if own.Close {
+		c.unread()
+	}
+	c.write(own)
 }
 
 func (s *Server) readiness() int {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,9 +14,10 @@
 	"time"
 
 	"silvertrail/decide"
-	"silvertrail/internal/affinity"
 	"silvertrail/internal/conf"
+	"silvertrail/internal/failover"
 	"silvertrail/internal/frontend"
+	"silvertrail/internal/history"
 	"silvertrail/internal/host"
 	"silvertrail/internal/route"
 	"silvertrail/internal/upstream"
@@ -46,9 +47,9 @@
 	tenant  string
 	to      string // cluster that the rule names, or its split
 
-	hold     *affinity.Hold
-	began    time.Time
-	ran      bool // it was served, or may have run
+	id       history.ID       // of the key
+	hold     *history.Request // on the key, once the request is whole
+	turned   *frontend.Reply  // the answer to a repeat that goes nowhere
 	deadline time.Time
 }
 
@@ -195,7 +196,7 @@
 		if key == "" {
 			return bad(http.StatusBadRequest)
 		}
-		x.key = key
+		x.key, x.id = key, history.IDOf(x.tenant, key)
 	}
 	left := x.class.Deadline
 	if x.rule.Timeout > 0 {
@@ -278,60 +279,100 @@
 
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte) host.Answer {
-	x.began = time.Now()
-	x.deadline = x.began.Add(x.q.Left)
+	now := time.Now()
+	x.deadline = now.Add(x.q.Left)
 	x.up.Body = body
-	to := x.to
-	if x.key != "" {
-		hold, err := x.gateway.keys.Begin(x.began, x.class.Name, x.tenant, x.key, to)
-		if errors.Is(err, affinity.ErrFull) { // nothing was sent
-			return host.Answer{Refused: true, RetryAfter: keysRetry}
+	if reply, ok := x.begin(now, body); !ok {
+		return reply
+	}
+	plan := failover.New(failover.Request{To: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.rule.MaxAttempts,
+		Deadline: x.deadline})
+	to := plan.First(x.past())
+	var last *upstream.Answer
+	for {
+		a, here := x.try(ctx, to, plan)
+		if a.Reply == nil && a.Last == nil {
+			a.Last = last
+		}
+		if !here {
+			return a
+		}
+		last = a.Last
+		var again bool
+		to, again = plan.Next(time.Now(), failover.Result{Served: a.Reply != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.past())
+		if !again {
+			return a
 		}
-		x.hold = hold
-		to = hold.Cluster()
-	}
-	c := x.state.clusters[to]
-	if c == nil { // it may have run at a cluster that is gone: nothing can be promised
-		x.ran = true
-		return host.Answer{MayHaveRun: true}
-	}
-	a, ok := c.Do(ctx, x.up, x.q)
-	x.ran = !ok || a.Reply != nil || a.MayHaveRun
-	if !ok || !x.failsOver(a, to) {
-		return a
 	}
-	x.q.Left = time.Until(x.deadline)
-	if x.q.MaxAttempts > 0 {
-		x.q.MaxAttempts -= a.Attempts
+}
+
+// begin takes hold of a keyed request's key. Where it can't be had the answer is final.
+func (x *exchange) begin(now time.Time, body []byte) (a host.Answer, ok bool) {
+	if x.key == "" {
+		return a, true
 	}
-	second, ok := x.state.clusters[x.rule.Failover].Do(ctx, x.up, x.q)
-	x.ran = x.ran || !ok || second.Reply != nil || second.MayHaveRun
-	if second.Reply == nil && second.Last == nil {
-		second.Last = a.Last
+	var print history.Print
+	if x.class.CheckRepeats {
+		print = history.PrintOf(x.up.Method, x.up.Target, body)
 	}
-	return second
+	hold, err := x.gateway.keys.Begin(now, x.id, print)
+	switch {
+	case errors.Is(err, history.ErrFull): // nothing was sent
+		return host.Answer{Refused: true, RetryAfter: keysRetry}, false
+	case errors.Is(err, history.ErrOther):
+		x.turned = problem(http.StatusUnprocessableEntity, "The key belongs to another request.")
+		return a, false
+	}
+	x.hold = hold
+	if hold.Repeat && x.class.Concurrent == conf.Conflict {
+		x.turned = problem(http.StatusConflict, "A request with the key is in work.")
+		x.turned.Header.Set("Retry-After", "1")
+		return a, false
+	}
+	return a, true
 }
 
-// failsOver tells whether a request that its own cluster has not served goes to the rule's failover cluster: what is
-// safe to repeat, and what is known never to have run, with time and attempts left.
-func (x *exchange) failsOver(a host.Answer, from string) bool {
-	if x.rule.Failover == "" || x.rule.Failover == from || a.Reply != nil || !time.Now().Before(x.deadline) ||
-		x.rule.MaxAttempts > 0 && a.Attempts >= x.rule.MaxAttempts {
-		return false
+// problem is an answer to a repeat that goes nowhere (draft-ietf-httpapi-idempotency-key-header, 2.7; RFC 9457).
+func problem(status int, title string) *frontend.Reply {
+	return &frontend.Reply{Status: status, Header: http.Header{"Content-Type": {"application/problem+json"}},
+		Body: fmt.Appendf(nil, `{"status":%d,"title":%q}`, status, title)}
+}
+
+// past is what is known of the request's key.
+func (x *exchange) past() history.Past {
+	if x.hold == nil {
+		return history.Past{}
 	}
-	if x.class.Effect == decide.Safe {
-		return true
+	return x.hold.Past(x.class.Scope)
+}
+
+// try gives the request to one cluster; here is false where its caller has gone.
+func (x *exchange) try(ctx context.Context, to string, plan *failover.Plan) (a host.Answer, here bool) {
+	c := x.state.clusters[to]
+	if c == nil { // the key may have run at a cluster that is gone: nothing can be promised
+		return host.Answer{MayHaveRun: true}, true
 	}
-	if a.MayHaveRun {
-		return false
+	x.q.Left, x.q.MaxAttempts = time.Until(x.deadline), plan.Attempts()
+	var key *host.Key
+	if x.hold != nil {
+		key = &host.Key{History: x.hold, Cluster: to,
+			Terms: history.Terms{Scope: x.class.Scope, Window: x.class.Window, Keep: x.class.Keep}}
 	}
-	return x.hold == nil || x.hold.Move(x.rule.Failover)
+	return c.Do(ctx, x.up, x.q, key)
 }
 
 // Reply implements frontend.Exchange: what an endpoint said of a failure is passed on, but for 503 and 429, which would
-// promise that a repeat is harmless.
+// promise that a repeat is harmless. Neither is a request refused whose key may have run, whoever refuses it.
 func (x *exchange) Reply(a host.Answer) *frontend.Reply {
 	switch {
+	case x.turned != nil:
+		return x.turned
+	case a.Refused && x.key != "":
+		now := time.Now()
+		if !failover.MayRefuse(now, x.gateway.keys.Past(now, x.id, x.class.Scope), x.class.Scope) {
+			return &frontend.Reply{Status: http.StatusBadGateway}
+		}
+		return nil
 	case a.Reply != nil || a.Refused:
 		return nil
 	case a.Last != nil && a.Last.Status >= 500 && a.Last.Status != http.StatusServiceUnavailable:
@@ -347,7 +388,7 @@
 // End implements frontend.Exchange.
 func (x *exchange) End() {
 	if x.hold != nil {
-		x.hold.End(x.ran, x.began.Add(x.class.Deadline+x.class.Window))
+		x.hold.End()
 	}
 	x.gateway.release(x.state)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,21 +18,18 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/internal/affinity"
 	"silvertrail/internal/cluster"
 	"silvertrail/internal/conf"
 	"silvertrail/internal/frontend"
+	"silvertrail/internal/history"
 )
 
-const (
-	ownSockets = 32      // standard streams, listeners, sources, the runtime's own
-	maxKeys    = 1 << 16 // idempotency keys remembered, some 7 MB
-)
+const ownSockets = 32 // standard streams, listeners, sources, the runtime's own
 
 // Gateway runs a configuration. All its methods may be called from any goroutine.
 type Gateway struct {
 	log       *slog.Logger
-	keys      *affinity.Table
+	keys      *history.Table
 	resources *cluster.Resources
 	state     atomic.Pointer[state]
 
@@ -66,7 +63,7 @@
 
 // Start runs a configuration.
 func Start(file *conf.File, log *slog.Logger) (*Gateway, error) {
-	g := &Gateway{log: log, keys: affinity.New(maxKeys), fronts: map[string]*front{},
+	g := &Gateway{log: log, keys: history.New(file.Process.Keys), fronts: map[string]*front{},
 		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
 	if err := g.Reload(file); err != nil {
 		return nil, err
@@ -128,6 +125,7 @@
 	}
 	// Nothing fails from here on.
 	g.resources.Resize(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)
+	g.keys.Resize(file.Process.Keys)
 	for _, c := range file.Clusters {
 		s := next.clusters[c.Name]
 		s.states.Add(1)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -759,22 +759,21 @@
 	caller.Ended()
 }
 
-// With no more keys to be remembered nothing is sent: a refusal, which tells when to come back.
+// With no more keys to be remembered nothing is sent: a refusal, which tells when to come back. Keys that are remembered
+// are served on.
 func TestKeysFull(t *testing.T) {
 	t.Parallel()
 	e := says(t, "e")
-	g := run(t, listener("l", "127.0.0.1:0")+pool("c", "", e.Addr)+"route \"r\" {\n class = \"write\"\n cluster = \"c\"\n}\n")
-	for i := range maxKeys {
-		h, err := g.keys.Begin(time.Now(), "write", "", fmt.Sprint("other-", i), "c")
-		if err != nil {
-			t.Fatal(err)
+	g := run(t, "process {\n keys = 16\n}\n"+listener("l", "127.0.0.1:0")+pool("c", "", e.Addr)+"route \"r\" {\n class = \"write\"\n cluster = \"c\"\n}\n")
+	for i := range 16 {
+		if status, _, _ := ask(t, g, "POST", "/", fmt.Sprint("Idempotency-Key: ", i)); status != 200 {
+			t.Fatal(status)
 		}
-		h.End(true, time.Now().Add(time.Hour))
 	}
 	if status, _, h := ask(t, g, "POST", "/", "Idempotency-Key: new"); status != 503 || h.Get("Retry-After") == "" {
 		t.Errorf("%d %v", status, h)
 	}
-	if status, _, _ := ask(t, g, "POST", "/", "Idempotency-Key: other-5"); status != 200 {
+	if status, _, _ := ask(t, g, "POST", "/", "Idempotency-Key: 5"); status != 200 {
 		t.Errorf("a key that is remembered: %d", status)
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"silvertrail/decide"
+	"silvertrail/internal/history"
 	"silvertrail/internal/upstream"
 )
 
@@ -83,6 +84,7 @@
 	id       decide.RequestID
 	request  upstream.Request
 	class    int
+	key      *Key // nil: the request has none
 	answer   chan Answer
 	done     bool // answered, or its caller has gone
 	attempts []*attempt
@@ -114,11 +116,13 @@
 	ended  bool          // for the decisions
 	never  bool          // ended with proof that it never ran
 	closed chan struct{} // closed once nothing of it is out on a connection
+	key    *history.Try  // nil: the request has no key
 }
 
-// Begin hands a request to the decisions. Left counts from the request's last byte.
-func (h *Host) Begin(r upstream.Request, q decide.Request) *Call {
-	c := &Call{request: r, class: q.Class, answer: make(chan Answer, 1)}
+// Begin hands a request to the decisions. Left counts from the request's last byte. The key is nil where it has none;
+// the hold on it must last until the answer.
+func (h *Host) Begin(r upstream.Request, q decide.Request, key *Key) *Call {
+	c := &Call{request: r, class: q.Class, key: key, answer: make(chan Answer, 1)}
 	h.event(func(now time.Duration) {
 		h.lastID++
 		c.id, q.ID = h.lastID, h.lastID
@@ -128,6 +132,9 @@
 		c.request.Deadline = time.Now().Add(q.Left)
 		h.calls[c.id] = c
 		c.deadline = time.AfterFunc(q.Left, func() { h.expire(c) })
+		if key != nil {
+			q.Past = h.past(c)
+		}
 		h.balancer.Request(now, q)
 		h.forget(c)
 	})
@@ -139,8 +146,8 @@
 
 // Do hands a request to the decisions and waits for its answer. Where ctx ends first the caller has gone: ok is false
 // unless an answer was on its way.
-func (h *Host) Do(ctx context.Context, r upstream.Request, q decide.Request) (a Answer, ok bool) {
-	c := h.Begin(r, q)
+func (h *Host) Do(ctx context.Context, r upstream.Request, q decide.Request, key *Key) (a Answer, ok bool) {
+	c := h.Begin(r, q, key)
 	select {
 	case a = <-c.answer:
 		return a, true
@@ -220,6 +227,9 @@
 // outcome ends an attempt for the decisions. The first served answer goes to the caller.
 func (h *Host) outcome(now time.Duration, c *Call, a *attempt, v decide.Verdict, reply *upstream.Answer) {
 	a.ended, a.never = true, v.NeverRan()
+	if a.key != nil {
+		a.key.End(time.Now(), a.never)
+	}
 	if reply != nil {
 		c.last = reply
 	}
@@ -231,6 +241,7 @@
 		o.Final = true
 		h.finish(c, Answer{Reply: reply})
 	}
+	h.learnPast(now, c)
 	h.balancer.Outcome(now, o)
 	h.forget(c)
 }
@@ -288,11 +299,13 @@
 }
 
 // claim is asked just before an attempt's first byte. It may no longer go out: while the connection was made the
-// attempt can have been given up, its call answered, or its endpoint told to be draining, gone or elsewhere.
+// attempt can have been given up, its call answered, its endpoint told to be draining, gone or elsewhere, or the window of
+// its key have ended.
 func (h *Host) claim(c *Call, a *attempt) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a.wrote = !a.ended && !c.done && a.server.State == decide.Ready && a.server.pool == a.pool
+	a.wrote = !a.ended && !c.done && a.server.State == decide.Ready && a.server.pool == a.pool &&
+		(a.key == nil || a.key.Starts(time.Now(), h.place(c, a.server)))
 	return a.wrote
 }
 
@@ -313,7 +326,7 @@
 	}
 	c.attempts = append(c.attempts, a)
 	over := !h.ending.IsZero() && !time.Now().Before(h.ending)
-	if e == nil || c.done || over { // moot
+	if e == nil || c.done || over || !h.bind(c, a) { // moot
 		if e == nil {
 			a.server = &endpoint{Server: decide.Server{ID: s}}
 		}
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -38,7 +38,7 @@
 
 func get(h *Host, id string, left time.Duration) *Call {
 	return h.Begin(upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {id}}},
-		decide.Request{Class: 0, Left: left})
+		decide.Request{Class: 0, Left: left}, nil)
 }
 
 func answer(t *testing.T, c *Call) Answer {
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -112,6 +112,9 @@
 
 func (c clock) now() time.Duration { return origin + time.Since(c.start) }
 
+// of converts a time of this process.
+func (c clock) of(t time.Time) time.Duration { return origin + t.Sub(c.start) }
+
 // at converts a Unix time in milliseconds. It uses the clock's start alone: the same start of an endpoint gives the
 // same time whenever it is told, also where the wall clock is set meanwhile.
 func (c clock) at(ms int64) time.Duration {
--- a/internal/sidecar/router.go
+++ b/internal/sidecar/router.go
@@ -15,7 +15,9 @@
 
 	"silvertrail/decide"
 	"silvertrail/internal/config"
+	"silvertrail/internal/failover"
 	"silvertrail/internal/frontend"
+	"silvertrail/internal/history"
 	"silvertrail/internal/host"
 	"silvertrail/internal/upstream"
 )
@@ -26,11 +28,18 @@
 	host   *host.Host
 	bodies *semaphore.Weighted
 	ids    *requestIDs
+	keys   *history.Table
 }
 
+const (
+	maxKeys   = 1 << 15 // remembered, some 6 MB; 10 to 15 s of 2,000 keyed requests a second
+	keysRetry = time.Second
+)
+
 // NewRouter returns a router that holds at most maxBodies bytes of request bodies.
 func NewRouter(c *config.Config, h *host.Host, maxBodies int64) *Router {
-	return &Router{config: c, host: h, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs()}
+	return &Router{config: c, host: h, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs(),
+		keys: history.New(maxKeys)}
 }
 
 // Route implements frontend.Router.
@@ -39,7 +48,11 @@
 	if status != 0 {
 		return nil, &frontend.Reply{Status: status, Close: true}
 	}
-	return &exchange{router: s, up: up, q: q, id: id}, nil
+	x := &exchange{router: s, up: up, q: q, id: id}
+	if x.keyed = s.config.Decide.Classes[q.Class].Effect == decide.Keyed; x.keyed {
+		x.keyID = history.IDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
+	}
+	return x, nil
 }
 
 type exchange struct {
@@ -50,6 +63,10 @@
 	key    uint64 // of the id, once it has begun
 	begun  bool
 	clash  bool // another request has the id
+
+	keyed bool
+	keyID history.ID
+	hold  *history.Request
 }
 
 func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
@@ -60,19 +77,44 @@
 		return host.Answer{}
 	}
 	x.up.Body = body
-	a, _ := x.router.host.Do(ctx, x.up, x.q)
+	var key *host.Key
+	if x.keyed {
+		var err error
+		if x.hold, err = x.router.keys.Begin(time.Now(), x.keyID, history.Print{}); err != nil { // too many keys: nothing was sent
+			return host.Answer{Refused: true, RetryAfter: keysRetry}
+		}
+		c := x.class()
+		key = &host.Key{History: x.hold, Terms: history.Terms{Scope: c.Scope, Window: c.Window, Keep: c.Deadline}}
+	}
+	a, _ := x.router.host.Do(ctx, x.up, x.q, key)
 	return a
 }
 
-// Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id.
-func (x *exchange) Reply(host.Answer) *frontend.Reply {
+func (x *exchange) class() *decide.Class { return &x.router.config.Decide.Classes[x.q.Class] }
+
+// Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id. Neither
+// is a request refused whose key may have run.
+func (x *exchange) Reply(a host.Answer) *frontend.Reply {
 	if x.clash {
 		return &frontend.Reply{Status: http.StatusConflict, Close: true}
 	}
+	if !a.Refused {
+		return nil
+	}
+	if now, scope := time.Now(), x.class().Scope; x.keyed &&
+		!failover.MayRefuse(now, x.router.keys.Past(now, x.keyID, scope), scope) {
+		return &frontend.Reply{Status: http.StatusBadGateway}
+	}
+	if d := &x.router.config.Decide; !d.RetryAfter || d.Tier > 0 {
+		return &frontend.Reply{Status: http.StatusServiceUnavailable}
+	}
 	return nil
 }
 
 func (x *exchange) End() {
+	if x.hold != nil {
+		x.hold.End()
+	}
 	if x.begun {
 		x.router.ids.end(x.key)
 	}
--- a/internal/standin/nodo.go
+++ b/internal/standin/nodo.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,53 @@
 	Slots      int           // requests at work at once; 0: any number
 	Queue      int           // requests that wait; beyond that they are turned away
 	Work       time.Duration // for each request
+	// Group is whom the nodo shares its memory of keys with; nil: it has none, and each request with a key takes effect.
+	Group *Group
+	// Trouble is asked for each request that has been worked through; nil: none.
+	Trouble func(*http.Request) Trouble
+}
+
+// Trouble is what becomes of an answer whose request has taken effect.
+type Trouble uint8
+
+// The troubles.
+const (
+	None   Trouble = iota
+	Silent         // it never comes
+	Reset          // the connection is reset in its place
+)
+
+// Group is a set of nodos that drop repeats of a key that came to any of them.
+type Group struct {
+	Name   string
+	Window time.Duration // for which a key is remembered, from the first request on
+
+	mu      sync.Mutex
+	seen    map[string]time.Time
+	effects map[string]int
+}
+
+// NewGroup returns a group that remembers nothing yet.
+func NewGroup(name string, window time.Duration) *Group {
+	return &Group{Name: name, Window: window, seen: map[string]time.Time{}, effects: map[string]int{}}
+}
+
+// take notes a request with a key. It takes effect unless the key is remembered.
+func (g *Group) take(key string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at, seen := g.seen[key]; seen && now.Sub(at) < g.Window {
+		return
+	}
+	g.seen[key] = now
+	g.effects[key]++
+}
+
+// Effects returns how often each key took effect in the group.
+func (g *Group) Effects() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.effects)
 }
 
 // Nodo is a server that works through requests in slots, turns away what it has no room for, and counts effects by key.
@@ -80,15 +128,11 @@
 	return n.late
 }
 
-// Effects returns how often each key took effect.
+// Effects returns how often each key came to the nodo and was worked through.
 func (n *Nodo) Effects() map[string]int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := make(map[string]int, len(n.effects))
-	for k, v := range n.effects {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(n.effects)
 }
 
 func (n *Nodo) turnAway(w http.ResponseWriter) {
@@ -134,10 +178,25 @@
 		time.Sleep(n.o.Work)
 	}
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		if n.o.Group != nil {
+			n.o.Group.take(key, time.Now())
+		}
 		n.mu.Lock()
 		n.effects[key]++
 		n.mu.Unlock()
 	}
+	if n.o.Trouble != nil {
+		switch n.o.Trouble(r) {
+		case Silent:
+			select {
+			case <-r.Context().Done():
+			case <-n.done:
+			}
+			panic(http.ErrAbortHandler)
+		case Reset:
+			panic(http.ErrAbortHandler)
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Nodo", n.o.Name)
 	json.NewEncoder(w).Encode(map[string]any{"nodo": n.o.Name, "sala": n.o.Sala, "method": r.Method, "path": r.URL.RequestURI(),
