Add binding, by which several processes agree on a key's group, and search its orders

A repeat through another process knows nothing of the first try. binding is the part of the answer without I/O: named voters remember the places that they have agreed to for a key, an attempt goes out when a majority agrees, and a voter that has just started is silent until all that it may have agreed to is over, or until copies from enough others have told it again. The memory is history's own table; due, a queue by time, serves both.

The model in the tests drives that code through every order of votes, answers, ends, lost and doubled messages, deaths and waits up to a depth, from six beginnings, and through random walks of 80 moves.

--- /dev/null
+++ b/internal/binding/model_test.go
@@ -0,0 +1,404 @@
+package binding
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"silvertrail/decide"
+	"silvertrail/internal/history"
+)
+
+var deep = flag.Int("deep", 2, "depth of the exhaustive search")
+
+// The model drives the voters and askers that run in service through every order of events up to a depth: three processes,
+// each of them a voter, that ask for two keys in two zones, while messages are lost, doubled and overtaken, processes die
+// and come back without a memory, and time passes anywhere, which is what a paused process is. A message that was sent
+// once can come at any time from then on, any number of times, or never.
+const (
+	life   = 2 * time.Second
+	window = 4 * time.Second
+	keep   = 2 * time.Second
+	mute   = life + window + keep // of a voter that has started
+)
+
+var (
+	m0    = time.Unix(1_800_000_000, 0)
+	north = history.Place{Cluster: "c", Zone: "north"}
+	south = history.Place{Cluster: "c", Zone: "south"}
+)
+
+// wish is a request of a script.
+type wish struct {
+	process int
+	key     string
+	place   history.Place
+}
+
+// run is one process's request under way.
+type run struct {
+	asker   *Asker
+	asks    []Ask       // of all turns
+	answers [3][]Answer // that each voter has given
+	came    [3][2]int   // how often each ask has come to each voter
+	end     *End
+	place   history.Place
+	done    bool
+	began   bool
+	adopted bool
+}
+
+// start is an attempt that has gone out.
+type start struct {
+	key   string
+	place history.Place
+	at    time.Time
+}
+
+type world struct {
+	script   []wish
+	now      time.Time
+	voters   [3]*Voter
+	born     [3]int // lives of each process
+	requests []*run
+	starts   []start
+	crashes  int
+	waits    int
+	careless bool // processes that start anew are not silent: the fault that the model must find
+}
+
+func newWorld(script []wish) *world {
+	w := &world{script: script, now: m0, requests: make([]*run, len(script))}
+	for i := range w.voters {
+		w.voters[i] = NewVoter(m0, Start{Max: 16, Voters: 3, Life: life})
+	}
+	return w
+}
+
+// moves lists what can happen now, by names that replay the same.
+func (w *world) moves() (out []string) {
+	add := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	for i, r := range w.requests {
+		if r == nil {
+			add("ask %d", i)
+			continue
+		}
+		for v := range w.voters {
+			for n := range r.asks {
+				if r.came[v][n] < 2 {
+					add("vote %d %d %d", i, v, n)
+				}
+			}
+			if r.end != nil {
+				add("end %d %d", i, v)
+			}
+			for n := range r.answers[v] {
+				if !r.done {
+					add("hear %d %d %d", i, v, n)
+				}
+			}
+		}
+		if r.done {
+			continue
+		}
+		switch state, past := r.asker.State(); {
+		case r.began:
+			add("ended %d", i)
+		case state == Bound && r.asker.Lives(w.now) && w.now.Before(past.Until):
+			add("start %d", i)
+		case state == Elsewhere && !r.adopted:
+			add("adopt %d", i)
+		case state == Elsewhere || state == Unknown:
+			add("fail %d", i)
+		}
+	}
+	if w.crashes < 1 {
+		for i := range w.voters {
+			add("crash %d", i)
+		}
+	}
+	for i, v := range w.voters {
+		for from, other := range w.voters {
+			if _, speaks := other.Copy(w.now); speaks && i != from && v.Wants(w.now) && !v.copied[from] {
+				add("copy %d %d", i, from)
+			}
+		}
+	}
+	if w.waits < 3 {
+		add("wait 1")
+		add("wait 2")
+		add("wait 8")
+	}
+	return out
+}
+
+func (w *world) ask(i int, place history.Place) {
+	r := w.requests[i]
+	r.place = place
+	a := Ask{Try: Try{uint64(10*w.script[i].process + w.born[w.script[i].process]), uint64(i)}, Turn: uint32(len(r.asks)),
+		Key: history.IDOf("", w.script[i].key), Place: place, Scope: decide.ScopeZone, Window: window, Keep: keep, Life: life}
+	r.asker = NewAsker(w.now, a, 3)
+	r.asks = append(r.asks, a)
+}
+
+func (w *world) do(move string) {
+	var what string
+	var n, v, k int
+	fmt.Sscan(move, &what, &n, &v, &k)
+	var r *run
+	if what != "crash" && what != "wait" && what != "copy" {
+		r = w.requests[n]
+	}
+	switch what {
+	case "ask":
+		w.requests[n] = &run{}
+		w.ask(n, w.script[n].place)
+	case "vote":
+		r.came[v][k]++
+		if a, ok := w.voters[v].Ask(w.now, r.asks[k]); ok && !slices.Contains(r.answers[v], a) {
+			r.answers[v] = append(r.answers[v], a)
+		}
+	case "hear":
+		r.asker.Answer(v, r.answers[v][k])
+	case "end":
+		w.voters[v].End(w.now, *r.end, life)
+	case "start":
+		r.began = true
+		w.starts = append(w.starts, start{w.script[n].key, r.place, w.now})
+	case "adopt":
+		_, past := r.asker.State()
+		r.adopted = true
+		w.ask(n, past.Place)
+	case "fail", "ended":
+		r.done = true
+		r.end = &End{r.asker.Ask().Try, what == "fail"}
+	case "crash":
+		w.crashes++
+		w.born[n]++
+		silent := mute
+		if w.careless {
+			silent = 0
+		}
+		w.voters[n] = NewVoter(w.now, Start{Max: 16, Voters: 3, Silent: silent, Life: life})
+		for i, r := range w.requests {
+			if r != nil && w.script[i].process == n {
+				r.done = true
+			}
+		}
+	case "copy":
+		all, _ := w.voters[v].Copy(w.now)
+		w.voters[n].Learn(w.now, all)
+		w.voters[n].Copied(w.now, v)
+	case "wait":
+		w.waits++
+		w.now = w.now.Add(time.Duration(n) * time.Second)
+	}
+}
+
+// broken tells where a key has gone to two groups, or again when its window was over, while it was to be known.
+func (w *world) broken() string {
+	could := slices.Clone(w.starts) // and each attempt that could go out now
+	for i, r := range w.requests {
+		if r == nil || r.done || r.began {
+			continue
+		}
+		if state, past := r.asker.State(); state == Bound && r.asker.Lives(w.now) && w.now.Before(past.Until) {
+			could = append(could, start{w.script[i].key, r.place, w.now})
+		}
+	}
+	for i, a := range could {
+		for _, b := range could[i+1:] {
+			if a.key != b.key || !b.at.Before(a.at.Add(window+keep)) {
+				continue
+			}
+			if a.place != b.place || !b.at.Before(a.at.Add(window)) {
+				return fmt.Sprintf("%s in %s after %v and in %s after %v", a.key, a.place.Zone, a.at.Sub(m0), b.place.Zone, b.at.Sub(m0))
+			}
+		}
+	}
+	return ""
+}
+
+// state writes all that decides what can come, with times from now on.
+func (w *world) state() string {
+	var b strings.Builder
+	at := func(t time.Time) int { return max(int(t.Sub(w.now)/(time.Second/8)), -80) }
+	for i, v := range w.voters {
+		fmt.Fprint(&b, "|", i, w.born[i], max(at(v.silent), 0), max(at(v.copies), 0), len(v.copied))
+		var lines []string
+		for _, h := range v.holds {
+			lines = append(lines, fmt.Sprint(h.try, h.turn, h.place.Zone, h.ended))
+		}
+		v.table.Each(w.now, func(k history.Key) bool {
+			lines = append(lines, fmt.Sprintf("%x %v %d %d %t %d %d", k.ID[:2], k.Past.Place.Zone, at(k.Past.Until), at(k.Expire), k.Zones, k.InWork, k.Out))
+			return true
+		})
+		slices.Sort(lines)
+		fmt.Fprint(&b, lines)
+		if next, ok := v.due.Next(); ok {
+			fmt.Fprint(&b, at(next))
+		}
+	}
+	for _, r := range w.requests {
+		if r == nil {
+			b.WriteString("|-")
+			continue
+		}
+		state, past := r.asker.State()
+		fmt.Fprint(&b, "|", len(r.asks), r.place.Zone, r.done, r.began, r.adopted, r.end, state, at(past.Until), at(r.asker.made), r.asker.told)
+		for v := range w.voters {
+			fmt.Fprint(&b, r.asker.votes[v].Vote, r.asker.votes[v].Place.Zone, len(r.answers[v]), r.came[v])
+			for _, a := range r.answers[v] {
+				fmt.Fprint(&b, a.Turn, a.Vote, a.Place.Zone, a.Until)
+			}
+		}
+	}
+	fmt.Fprint(&b, w.crashes, w.waits)
+	for _, s := range w.starts {
+		fmt.Fprint(&b, s.key, s.place.Zone, at(s.at))
+	}
+	return b.String()
+}
+
+// explore tries every order of moves up to a depth, from a beginning. It returns the shortest one that breaks the promise.
+func explore(script []wish, beginning []string, depth int, careless bool) (states int, trace []string, broken string) {
+	play := func(moves []string) *world {
+		w := newWorld(script)
+		w.careless = careless
+		for _, m := range moves {
+			w.do(m)
+		}
+		return w
+	}
+	seen := map[[16]byte]bool{}
+	level := [][]string{beginning}
+	for d := 0; d <= depth; d++ {
+		var next [][]string
+		for _, moves := range level {
+			w := play(moves)
+			if why := w.broken(); why != "" {
+				return len(seen), moves, why
+			}
+			sum := sha256.Sum256([]byte(w.state()))
+			if s := [16]byte(sum[:16]); seen[s] {
+				continue
+			} else {
+				seen[s] = true
+			}
+			for _, m := range w.moves() {
+				next = append(next, append(slices.Clip(slices.Clone(moves)), m))
+			}
+		}
+		level = next
+	}
+	return len(seen), nil, ""
+}
+
+var (
+	one = []wish{{0, "a", north}, {2, "a", south}}
+	two = []wish{{0, "a", north}, {1, "a", south}, {2, "b", south}}
+)
+
+// Beginnings of the search: what has been done, and how much deeper than the others it is gone into.
+var beginnings = []struct {
+	name   string
+	script []wish
+	done   []string
+	deeper int
+}{
+	{"nothing has been asked", two, nil, 1},
+	{"a vote each, the third is free", one, []string{"ask 0", "ask 1", "vote 0 0 0", "vote 1 2 0", "hear 0 0 0", "hear 1 2 0"}, 1},
+	{"north has its majority", one, []string{"ask 0", "vote 0 0 0", "vote 0 1 0", "hear 0 0 0", "hear 0 1 0", "ask 1"}, 1},
+	{"north has started", one, []string{"ask 0", "vote 0 0 0", "vote 0 1 0", "hear 0 0 0", "hear 0 1 0", "start 0", "ask 1"}, 1},
+	{"a voter of the majority has died", one, []string{"ask 0", "vote 0 0 0", "vote 0 1 0", "hear 0 0 0", "hear 0 1 0", "ask 1", "start 0",
+		"vote 1 2 0", "hear 1 2 0", "crash 1", "wait 2"}, 2},
+	{"two keys", two, []string{"ask 0", "vote 0 0 0", "ask 2", "vote 2 1 0", "vote 2 2 0", "ask 1"}, 0},
+}
+
+// Every order of events up to a depth, from several beginnings: no key is ever in two groups.
+func TestExhaustive(t *testing.T) {
+	for _, b := range beginnings {
+		t.Run(b.name, func(t *testing.T) {
+			t.Parallel()
+			states, trace, broken := explore(b.script, b.done, *deep+b.deeper, false)
+			if broken != "" {
+				t.Errorf("%s:\n%s", broken, strings.Join(trace, "\n"))
+			}
+			t.Logf("%d states", states)
+		})
+	}
+}
+
+// The search finds the fault that the voters' silence guards against: a voter that has lost its memory and agrees anew.
+func TestSearchFindsForgetfulVoters(t *testing.T) {
+	states, trace, broken := explore(one, append(slices.Clone(beginnings[2].done), "crash 1"), 4, true)
+	if broken == "" {
+		t.Errorf("not found in %d states", states)
+	}
+	t.Logf("%s after %d states:\n%s", broken, states, strings.Join(trace, "\n"))
+}
+
+// Long walks, drawn at random, through the same model.
+func TestWalks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld([]wish{{0, "a", north}, {1, "a", south}, {2, "a", south}, {1, "b", north}, {2, "b", south}})
+		var trace []string
+		for range 80 {
+			move := rapid.SampledFrom(w.moves()).Draw(t, "move")
+			trace = append(trace, move)
+			w.do(move)
+			if why := w.broken(); why != "" {
+				t.Fatalf("%s:\n%s", why, strings.Join(trace, "\n"))
+			}
+		}
+	})
+}
+
+// What a voter may forget and must not: a try that moved to another place, an end that overtook its ask, a list of voters
+// that follows another.
+func TestVoter(t *testing.T) {
+	ask := func(number uint64, turn uint32, place history.Place) Ask {
+		return Ask{Try: Try{1, number}, Turn: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Keep: keep, Life: life}
+	}
+	v := NewVoter(m0, Start{Max: 4, Voters: 3, Life: life})
+	vote := func(a Ask) Vote {
+		t.Helper()
+		out, _ := v.Ask(m0, a)
+		return out.Vote
+	}
+	if vote(ask(1, 0, north)) != Yes || vote(ask(2, 0, south)) != Held || vote(ask(1, 1, south)) != Yes || vote(ask(2, 0, south)) != Yes {
+		t.Error("a try that moves takes its place with it")
+	}
+	if _, ok := v.Ask(m0, ask(1, 0, north)); ok {
+		t.Error("an ask of an earlier turn was answered")
+	}
+	v.End(m0, End{Try{1, 3}, true}, life)
+	if _, ok := v.Ask(m0, ask(3, 0, south)); ok {
+		t.Error("an ask that its end has overtaken was answered")
+	}
+	v.End(m0, End{Try{1, 1}, true}, life)
+	if vote(ask(4, 0, north)) != Held {
+		t.Error("free though another try is there")
+	}
+	v.End(m0, End{Try{1, 2}, true}, life)
+	if vote(ask(4, 0, north)) != Yes {
+		t.Error("held though nothing ran")
+	}
+	for i := range uint64(4) {
+		a := ask(10+i, 0, north)
+		a.Key = history.IDOf("", fmt.Sprint(i))
+		if got, want := vote(a), []Vote{Yes, Yes, Yes, Silent}[i]; got != want {
+			t.Errorf("key %d: %d", i, got)
+		}
+	}
+	if Follows([]string{"a", "b", "c"}, []string{"a", "b", "d"}) || !Follows([]string{"a", "b", "c"}, []string{"a", "b", "c", "d"}) ||
+		!Follows([]string{"a", "b", "c", "d"}, []string{"b", "c", "d"}) || !Follows(nil, []string{"a"}) {
+		t.Error("lists of voters")
+	}
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -13,7 +13,6 @@
 package history
 
 import (
-	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
@@ -21,6 +20,7 @@
 	"time"
 
 	"silvertrail/decide"
+	"silvertrail/internal/due"
 )
 
 var (
@@ -109,7 +109,7 @@
 
 	mu   sync.Mutex
 	keys map[ID]*entry
-	due  dues
+	due  due.Queue[*entry] // what is to be forgotten
 }
 
 type entry struct {
@@ -131,19 +131,22 @@
 }
 
 func (s *span) add(t *Try) {
-	until := t.sent.Add(t.terms.Window - t.terms.travel())
-	expire := t.sent.Add(t.terms.Window + t.terms.Keep)
+	s.join(span{any: true, place: t.place, until: t.sent.Add(t.terms.Window - t.terms.travel()),
+		expire: t.sent.Add(t.terms.Window + t.terms.Keep)})
+}
+
+func (s *span) join(o span) {
 	if !s.any {
-		*s = span{any: true, place: t.place, until: until, expire: expire}
+		*s = o
 		return
 	}
-	s.zones = s.zones || s.place.Zone != t.place.Zone
-	s.cells = s.cells || s.place.Cell != t.place.Cell
-	if until.Before(s.until) {
-		s.until = until
+	s.zones = s.zones || o.zones || s.place.Zone != o.place.Zone
+	s.cells = s.cells || o.cells || s.place.Cell != o.place.Cell
+	if o.until.Before(s.until) {
+		s.until = o.until
 	}
-	if expire.After(s.expire) {
-		s.expire = expire
+	if o.expire.After(s.expire) {
+		s.expire = o.expire
 	}
 }
 
@@ -163,6 +166,8 @@
 	entry *entry
 	// Repeat tells that another request with the key was in work as this one came.
 	Repeat bool
+	out    int  // its attempts that are out
+	ran    bool // one of its attempts may have run
 }
 
 // Begin takes hold of a key for a request.
@@ -177,7 +182,7 @@
 	}
 	if e == nil {
 		if len(t.keys) >= t.max {
-			t.forget(now, len(t.due))
+			t.forget(now, t.due.Len())
 		}
 		if len(t.keys) >= t.max {
 			return nil, ErrFull
@@ -192,7 +197,7 @@
 		return nil, ErrOther
 	}
 	e.open++
-	return &Request{t, e, e.open > 1 || len(e.out) > 0}, nil
+	return &Request{table: t, entry: e, Repeat: e.open > 1 || len(e.out) > 0}, nil
 }
 
 // Past returns what is known of a key, for a request that takes no hold of it.
@@ -206,6 +211,48 @@
 	return e.past(scope, nil)
 }
 
+// Key is what is remembered of one key.
+type Key struct {
+	ID     ID
+	Past   Past      // under the scope of all
+	Zones  bool      // attempts have been in several zones,
+	Cells  bool      // in several cells
+	Expire time.Time // when it is forgotten; with attempts out the earliest time for that
+	InWork int       // requests
+	Out    int       // attempts
+}
+
+// Each tells of every key that something may have run with, or that is in work, until f returns false.
+func (t *Table) Each(now time.Time, f func(Key) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.keys {
+		s := e.span(nil)
+		if e.over(now) && e.ran.any {
+			continue
+		}
+		if !f(Key{ID: id, Past: e.past(decide.ScopeAll, nil), Zones: s.zones, Cells: s.cells, Expire: s.expire, InWork: e.open, Out: len(e.out)}) {
+			return
+		}
+	}
+}
+
+// Learn takes what another table has told of a key: attempts that this one has not seen may have run.
+func (t *Table) Learn(now time.Time, k Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !k.Past.Known || !now.Before(k.Expire) {
+		return
+	}
+	e := t.keys[k.ID]
+	if e == nil { // the bound is not held to: the other table's holds, and what is not known could run twice
+		e = &entry{id: k.ID}
+		t.keys[k.ID] = e
+	}
+	e.ran.join(span{any: true, place: k.Past.Place, zones: k.Zones, cells: k.Cells, until: k.Past.Until, expire: k.Expire})
+	t.settle(e)
+}
+
 // Len returns the number of keys remembered.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -213,13 +260,19 @@
 	return len(t.keys)
 }
 
-func (e *entry) past(scope decide.Scope, but *Try) Past {
+// span sums up all attempts but one.
+func (e *entry) span(but *Try) span {
 	s := e.ran
 	for _, t := range e.out {
 		if t != but {
 			s.add(t)
 		}
 	}
+	return s
+}
+
+func (e *entry) past(scope decide.Scope, but *Try) Past {
+	s := e.span(but)
 	return Past{Known: s.any, Place: s.place, Until: s.until,
 		Split: scope != decide.ScopeAll && s.zones || scope == decide.ScopeCell && s.cells}
 }
@@ -231,10 +284,18 @@
 	return r.entry.past(scope, nil)
 }
 
+// MayHaveRun tells whether an attempt of this request may have run, or runs.
+func (r *Request) MayHaveRun() bool {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	return r.ran || r.out > 0
+}
+
 // Try is one attempt. It must be ended, which may be after its request has.
 type Try struct {
 	table *Table
 	entry *entry
+	of    *Request
 	place Place
 	terms Terms
 	sent  time.Time
@@ -251,7 +312,8 @@
 	case p.Known && !now.Before(p.Until):
 		return nil, ErrLate
 	}
-	t := &Try{r.table, r.entry, to, terms, now}
+	t := &Try{r.table, r.entry, r, to, terms, now}
+	r.out++
 	r.entry.out = append(r.entry.out, t)
 	return t, nil
 }
@@ -273,7 +335,9 @@
 	for i, o := range e.out {
 		if o == t {
 			e.out = append(e.out[:i], e.out[i+1:]...)
+			t.of.out--
 			if !neverRan {
+				t.of.ran = true
 				e.ran.add(t)
 			}
 			break
@@ -298,7 +362,7 @@
 		t.drop(e)
 	case !e.due:
 		e.due = true
-		heap.Push(&t.due, due{e.ran.expire, e})
+		t.due.Push(e.ran.expire, e)
 	}
 }
 
@@ -316,10 +380,10 @@
 // forget drops keys whose time has come, at most as many as told.
 func (t *Table) forget(now time.Time, most int) {
 	for range most {
-		if len(t.due) == 0 || now.Before(t.due[0].at) {
+		e, ok := t.due.Pop(now)
+		if !ok {
 			return
 		}
-		e := heap.Pop(&t.due).(due).entry
 		e.due = false
 		if e.over(now) {
 			t.drop(e)
@@ -328,23 +392,3 @@
 		}
 	}
 }
-
-// due is a time at which a key can be forgotten, unless it has been used again.
-type due struct {
-	at    time.Time
-	entry *entry
-}
-
-type dues []due
-
-func (d dues) Len() int           { return len(d) }
-func (d dues) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
-func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	last := len(*d) - 1
-	x := (*d)[last]
-	(*d)[last] = due{}
-	*d = (*d)[:last]
-	return x
-}
