Add fleet, the members of several instances and their votes on keys, and share

fleet carries the messages of binding over memberlist: packets encrypted by a keyring that rotates without a stop, a label with the protocol's version and the fleet's name that keeps strangers out, bounds on members and on what they may say. A voter that starts anew asks the others for copies. share decides how many instances count and which one this is: who is lost counts on while this instance may be the one cut off.

decide takes a change of the number of balancers while it runs, and takes nothing from the retry budget for an attempt that its key's history held back.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -869,7 +869,7 @@
 	case o.Verdict == Rejected:
 		b.fail(r)
 	case r.allEnded():
-		b.again(now, r)
+		b.again(now, r, o.Verdict)
 	}
 }
 
@@ -888,14 +888,19 @@
 }
 
 // again sends a request whose attempts have all failed once more, or ends it. While calls are shed only
-// those that never ran go again.
-func (b *Balancer) again(now time.Duration, r *request) {
-	ran := !r.attempts[len(r.attempts)-1].neverRan
+// those that never ran go again. One that was held back, as its key turned out to be held by another group,
+// is no further attempt: it takes nothing from the budget.
+func (b *Balancer) again(now time.Duration, r *request, v Verdict) {
+	last := &r.attempts[len(r.attempts)-1]
+	ran, cost := !last.neverRan, 1.0
+	if v == Moot && !r.past.allows(now, r.class.Scope, last.s) {
+		cost = 0
+	}
 	left := (r.deadline - now).Seconds()
 	late := left < b.base/2 || mayRefuse(now, r) && b.hopeless(now, r.kind, left)
-	if b.budget >= 1 && !late && !(ran && b.shedding) {
+	if b.budget >= cost && !late && !(ran && b.shedding) {
 		if s := b.pick(now, r); s != nil {
-			b.budget--
+			b.budget -= cost
 			b.send(now, r, s)
 			return
 		}
@@ -981,6 +986,16 @@
 	b.subset()
 }
 
+// Fleet tells how many balancers there are now, and which of them this one is.
+func (b *Balancer) Fleet(now time.Duration, balancers, me int) {
+	b.advance(now)
+	if balancers < 1 || me < 0 || balancers == b.cfg.Balancers && me == b.cfg.Me {
+		return
+	}
+	b.cfg.Balancers, b.cfg.Me = balancers, me
+	b.subset()
+}
+
 func (b *Balancer) enlist(e Server) {
 	s := b.servers[e.ID]
 	if s == nil {
--- a/internal/binding/binding.go
+++ b/internal/binding/binding.go
@@ -85,8 +85,7 @@
 	due    due.Queue[*hold]
 	silent time.Time // it says nothing before
 	copies time.Time // what other voters copy from then on counts
-	copied map[int]bool
-	need   int // of copies
+	copied map[string]bool
 }
 
 // hold is a try that was agreed to, or one that is known to be over.
@@ -101,8 +100,7 @@
 
 // Start tells what a voter begins with.
 type Start struct {
-	Max    int // keys that are remembered at most
-	Voters int // how many there are, itself among them
+	Max int // keys that are remembered at most
 	// Silent is for how long it says nothing: as long as anything is remembered of an attempt that it may have agreed to
 	// before it was started. 0: nothing was.
 	Silent time.Duration
@@ -113,7 +111,7 @@
 // NewVoter returns a voter that is started now.
 func NewVoter(now time.Time, s Start) *Voter {
 	return &Voter{table: history.New(s.Max), max: s.Max, holds: map[Try]*hold{}, silent: now.Add(s.Silent), copies: now.Add(s.Life),
-		copied: map[int]bool{}, need: s.Voters - Majority(s.Voters) + 1}
+		copied: map[string]bool{}}
 }
 
 // Known is what one voter tells another of a key. Times count from the telling on.
@@ -151,10 +149,10 @@
 	}
 }
 
-// Copied tells that a voter's whole copy has been learnt. With so many that none of the majorities that this voter can
-// have been one of is left out, it speaks again.
-func (v *Voter) Copied(now time.Time, from int) {
-	if v.copied[from] = true; len(v.copied) >= v.need && v.Wants(now) {
+// Copied tells that the whole copy of another one of so many voters has been learnt. With so many copies that none of the
+// majorities that this voter can have been one of is left out, it speaks again.
+func (v *Voter) Copied(now time.Time, from string, voters int) {
+	if v.copied[from] = true; len(v.copied) >= voters-Majority(voters)+1 && v.Wants(now) {
 		v.silent = now
 	}
 }
--- a/internal/binding/model_test.go
+++ b/internal/binding/model_test.go
@@ -76,7 +76,7 @@
 func newWorld(script []wish) *world {
 	w := &world{script: script, now: m0, requests: make([]*run, len(script))}
 	for i := range w.voters {
-		w.voters[i] = NewVoter(m0, Start{Max: 16, Voters: 3, Life: life})
+		w.voters[i] = NewVoter(m0, Start{Max: 16, Life: life})
 	}
 	return w
 }
@@ -125,7 +125,7 @@
 	}
 	for i, v := range w.voters {
 		for from, other := range w.voters {
-			if _, speaks := other.Copy(w.now); speaks && i != from && v.Wants(w.now) && !v.copied[from] {
+			if _, speaks := other.Copy(w.now); speaks && i != from && v.Wants(w.now) && !v.copied[fmt.Sprint(from)] {
 				add("copy %d %d", i, from)
 			}
 		}
@@ -185,7 +185,7 @@
 		if w.careless {
 			silent = 0
 		}
-		w.voters[n] = NewVoter(w.now, Start{Max: 16, Voters: 3, Silent: silent, Life: life})
+		w.voters[n] = NewVoter(w.now, Start{Max: 16, Silent: silent, Life: life})
 		for i, r := range w.requests {
 			if r != nil && w.script[i].process == n {
 				r.done = true
@@ -194,7 +194,7 @@
 	case "copy":
 		all, _ := w.voters[v].Copy(w.now)
 		w.voters[n].Learn(w.now, all)
-		w.voters[n].Copied(w.now, v)
+		w.voters[n].Copied(w.now, fmt.Sprint(v), 3)
 	case "wait":
 		w.waits++
 		w.now = w.now.Add(time.Duration(n) * time.Second)
@@ -366,7 +366,7 @@
 	ask := func(number uint64, turn uint32, place history.Place) Ask {
 		return Ask{Try: Try{1, number}, Turn: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Keep: keep, Life: life}
 	}
-	v := NewVoter(m0, Start{Max: 4, Voters: 3, Life: life})
+	v := NewVoter(m0, Start{Max: 4, Life: life})
 	vote := func(a Ask) Vote {
 		t.Helper()
 		out, _ := v.Ask(m0, a)
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,411 @@
+// Package fleet runs several instances as one: who they are, what part of the endpoints each of them takes, and which
+// group of endpoints a key is bound to (package binding decides that, package share the parts). It is the host of both:
+// it carries their messages over memberlist (SWIM: Das, Gupta and Motivala, DSN 2002), which encrypts them.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"silvertrail/decide"
+	"silvertrail/internal/binding"
+	"silvertrail/internal/history"
+	"silvertrail/internal/share"
+)
+
+// Options tell what an instance needs to know of its fleet.
+type Options struct {
+	Fleet     string // its name
+	Name      string // this instance's
+	Listen    string
+	Advertise string // where others reach it; empty: Listen
+	Seeds     []string
+	Keyring   [][]byte // of 32 bytes each; the first one encrypts
+	Voters    []string // names of those that agree on keys; empty: keys are bound here alone
+	Members   int      // at most
+	Keys      int      // that a voter remembers at most
+	New       bool     // nothing of the fleet ran before: its voters need not be silent at first
+
+	Life   time.Duration // the longest deadline of a keyed class
+	Silent time.Duration // for how long anything is remembered of an attempt, at the most
+
+	Probe time.Duration // how often a member is probed; 0: a second
+	Log   *slog.Logger
+	// Shares is called where this instance's part of the whole changes. It must not block.
+	Shares func(instances, place int)
+	// Transport carries the packets; nil: UDP and TCP on Listen.
+	Transport memberlist.Transport
+}
+
+// TakeOver is how long a lost member's part is left to it: at the least until its suspicion has come round.
+const takeOver = 15 * time.Second
+
+// Fleet is a running instance's view of its fleet. All its methods may be called from any goroutine.
+type Fleet struct {
+	o       Options
+	log     *slog.Logger
+	process uint64 // drawn at the start: an instance that is started again is another one
+	ring    *memberlist.Keyring
+	list    *memberlist.Memberlist
+	ready   chan struct{} // closed when list is there
+	done    chan struct{}
+	wait    sync.WaitGroup
+
+	mu      sync.Mutex // of members, shares and keys
+	nodes   map[string]*node
+	tracker *share.Tracker
+	shares  [2]int
+	timer   *time.Timer
+	voters  []string
+	changed time.Time // the voters were changed last
+
+	keys
+}
+
+// node is a member as it was last known.
+type node struct {
+	memberlist.Node
+	state   share.State
+	leaving bool
+	since   time.Time
+	out     *outbox
+	copied  time.Time // when it was sent a copy last
+}
+
+// Member is a member of the fleet as this instance knows it.
+type Member struct {
+	Name    string    `json:"name"`
+	Address string    `json:"address"`
+	State   string    `json:"state"`
+	Since   time.Time `json:"since"`
+	Voter   bool      `json:"voter"`
+	Me      bool      `json:"me"`
+}
+
+// Start brings an instance up and joins its fleet. Seeds that can't be reached are tried again for as long as it runs.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{o: o, log: o.Log.With("fleet", o.Fleet), process: rand.Uint64(), ready: make(chan struct{}), done: make(chan struct{}), nodes: map[string]*node{},
+		tracker: share.New(o.Name, takeOver, o.Members), voters: o.Voters, shares: [2]int{1, 0}}
+	now := time.Now()
+	f.keys.start(f, now)
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label = o.Name, fmt.Sprintf("silvertrail/%d/%s", protocol, o.Fleet)
+	c.Delegate, c.Events, c.Alive, c.Merge = delegate{f}, delegate{f}, delegate{f}, delegate{f}
+	c.Logger = slog.NewLogLogger(f.log.With("part", "memberlist").Handler(), slog.LevelDebug)
+	c.HandoffQueueDepth = 8192
+	c.EnableCompression = false // messages are short
+	c.DeadNodeReclaimTime = time.Second
+	if o.Probe > 0 {
+		c.ProbeInterval, c.ProbeTimeout, c.GossipInterval = o.Probe, o.Probe/2, o.Probe/5
+		c.PushPullInterval = 10 * o.Probe
+	}
+	var err error
+	if c.BindAddr, c.BindPort, err = split(o.Listen); err != nil {
+		return nil, fmt.Errorf("fleet: listen: %w", err)
+	}
+	c.AdvertisePort = c.BindPort
+	if o.Advertise != "" {
+		if c.AdvertiseAddr, c.AdvertisePort, err = split(o.Advertise); err != nil {
+			return nil, fmt.Errorf("fleet: advertise: %w", err)
+		}
+	}
+	c.Transport = o.Transport
+	if len(o.Keyring) == 0 {
+		return nil, errors.New("fleet: no key: packets are always encrypted")
+	}
+	if f.ring, err = memberlist.NewKeyring(o.Keyring, o.Keyring[0]); err != nil {
+		return nil, fmt.Errorf("fleet: keyring: %w", err)
+	}
+	c.Keyring = f.ring
+	if f.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	close(f.ready)
+	f.wait.Go(f.join)
+	f.wait.Go(f.catchUp)
+	return f, nil
+}
+
+func split(address string) (host string, port int, err error) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, err
+	}
+	port, err = strconv.Atoi(text)
+	return host, port, err
+}
+
+// Addr returns the address that others reach this instance at.
+func (f *Fleet) Addr() string { return f.list.LocalNode().Address() }
+
+// rejoin is how often an instance that sees nobody asks its seeds again.
+const rejoin = 2 * time.Second
+
+// join asks the seeds, again and again until one has answered, and whenever nobody is left.
+func (f *Fleet) join() {
+	for {
+		if len(f.o.Seeds) > 0 && f.list.NumMembers() < 2 {
+			if _, err := f.list.Join(f.o.Seeds); err != nil {
+				f.log.Info("no seed reached", "error", err)
+			} else {
+				f.log.Info("joined", "members", f.list.NumMembers())
+			}
+		}
+		select {
+		case <-f.done:
+			return
+		case <-time.After(rejoin/2 + rand.N(rejoin)):
+		}
+	}
+}
+
+// Rekey takes a new keyring: to rotate a key without a stop, it is first added behind the one in use everywhere, then
+// put before it, then left alone.
+func (f *Fleet) Rekey(keys [][]byte) error {
+	if len(keys) == 0 {
+		return errors.New("fleet: no key")
+	}
+	for _, k := range keys {
+		if err := f.ring.AddKey(k); err != nil {
+			return fmt.Errorf("fleet: key: %w", err)
+		}
+	}
+	if err := f.ring.UseKey(keys[0]); err != nil {
+		return fmt.Errorf("fleet: key: %w", err)
+	}
+	for _, k := range f.ring.GetKeys() {
+		if !slices.ContainsFunc(keys, func(kept []byte) bool { return string(kept) == string(k) }) {
+			if err := f.ring.RemoveKey(k); err != nil {
+				return fmt.Errorf("fleet: key: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+// Revote takes a new list of voters. It is refused where the majorities of the old and the new list need not meet, and
+// while something may be remembered that was agreed to under the list before the old one.
+func (f *Fleet) Revote(voters []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	switch {
+	case slices.Equal(voters, f.voters):
+		return nil
+	case !binding.Follows(f.voters, voters):
+		return fmt.Errorf("fleet: the voters %q can't follow %q at once: add or take away one at a time", voters, f.voters)
+	case now.Before(f.changed.Add(f.o.Silent)):
+		return fmt.Errorf("fleet: the voters were changed %v ago; the next change can come %v after that", now.Sub(f.changed).Round(time.Second), f.o.Silent)
+	}
+	f.voters, f.changed = voters, now
+	f.log.Info("voters changed", "voters", voters)
+	return nil
+}
+
+// Members returns the members that are known, by name.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Member
+	for name, n := range f.nodes {
+		out = append(out, Member{Name: name, Address: n.Address(), State: n.state.String(), Since: n.since,
+			Voter: slices.Contains(f.voters, name), Me: name == f.o.Name})
+	}
+	slices.SortFunc(out, func(a, b Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Leave tells the others that this instance goes, and ends. It returns within the time told.
+func (f *Fleet) Leave(within time.Duration) {
+	f.mu.Lock()
+	leaving := f.nodes[f.o.Name]
+	if leaving != nil {
+		leaving.leaving = true
+	}
+	f.mu.Unlock()
+	if err := f.list.UpdateNode(within / 2); err != nil {
+		f.log.Info("leaving untold", "error", err)
+	}
+	if err := f.list.Leave(within / 2); err != nil {
+		f.log.Info("leaving untold", "error", err)
+	}
+	f.Close()
+}
+
+// Close ends at once: to the others this instance is lost.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	if f.over() {
+		f.mu.Unlock()
+		return
+	}
+	close(f.done)
+	if f.timer != nil {
+		f.timer.Stop()
+	}
+	f.mu.Unlock()
+	if err := f.list.Shutdown(); err != nil {
+		f.log.Info("ending", "error", err)
+	}
+	f.wait.Wait()
+}
+
+// over tells whether the instance has ended.
+func (f *Fleet) over() bool {
+	select {
+	case <-f.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// leavingMeta is what a member's meta says that goes in so many words.
+const leavingMeta = "leaving"
+
+// delegate is memberlist's view of the fleet. It is called with memberlist's own locks held: none of it calls back.
+type delegate struct{ *Fleet }
+
+func (d delegate) NodeMeta(int) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := d.nodes[d.o.Name]; n != nil && n.leaving {
+		return []byte(leavingMeta)
+	}
+	return nil
+}
+
+func (d delegate) NotifyMsg(text []byte)           { d.receive(text) }
+func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (d delegate) LocalState(bool) []byte          { return nil }
+func (d delegate) MergeRemoteState([]byte, bool)   {}
+func (d delegate) NotifyJoin(n *memberlist.Node)   { d.set(n, share.Alive) }
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.set(n, share.Alive) }
+func (d delegate) NotifyLeave(n *memberlist.Node)  { d.set(n, share.Dead) }
+
+// NotifyAlive turns away members over the bound, whoever tells of them.
+func (d delegate) NotifyAlive(n *memberlist.Node) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.nodes[n.Name] == nil && len(d.nodes) >= d.o.Members {
+		return fmt.Errorf("fleet: over %d members", d.o.Members)
+	}
+	if len(n.Name) > maxName || len(n.Meta) > len(leavingMeta) {
+		return errors.New("fleet: not a member's name or meta")
+	}
+	return nil
+}
+
+// NotifyMerge turns away a peer that tells of more members than there may be.
+func (d delegate) NotifyMerge(peers []*memberlist.Node) error {
+	if len(peers) > d.o.Members {
+		d.log.Warn("a peer tells of too many members", "told", len(peers), "most", d.o.Members)
+		return fmt.Errorf("fleet: %d members told, over %d", len(peers), d.o.Members)
+	}
+	return nil
+}
+
+// set takes what memberlist says of a member.
+func (f *Fleet) set(m *memberlist.Node, s share.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.over() { // what comes while this instance ends is its own doing
+		return
+	}
+	now := time.Now()
+	n := f.nodes[m.Name]
+	if n == nil {
+		if len(f.nodes) >= f.o.Members {
+			f.reap(now)
+		}
+		if len(f.nodes) >= f.o.Members {
+			return
+		}
+		n = &node{since: now, state: share.Left, out: f.outbox(m.Name)}
+		f.nodes[m.Name] = n
+	}
+	n.Node = *m
+	if m.Name != f.o.Name {
+		n.leaving = string(m.Meta) == leavingMeta
+	}
+	if s == share.Dead && n.leaving {
+		s = share.Left
+	}
+	if n.state != s {
+		n.state, n.since = s, now
+		f.log.Info("member", "name", m.Name, "state", s.String(), "address", m.Address())
+	}
+	f.tracker.Set(now, m.Name, s)
+	f.share(now)
+}
+
+// reap forgets the member that has been gone longest. The caller holds the lock.
+func (f *Fleet) reap(now time.Time) {
+	var oldest string
+	for name, n := range f.nodes {
+		if n.state != share.Alive && (oldest == "" || n.since.Before(f.nodes[oldest].since)) {
+			oldest = name
+		}
+	}
+	if oldest != "" {
+		f.nodes[oldest].out.close()
+		delete(f.nodes, oldest)
+	}
+}
+
+// share tells of this instance's part where it has changed, and looks again when time alone may change it. The caller
+// holds the lock.
+func (f *Fleet) share(now time.Time) {
+	n, place, next := f.tracker.Shares(now)
+	if f.timer != nil {
+		f.timer.Stop()
+		f.timer = nil
+	}
+	if !next.IsZero() {
+		f.timer = time.AfterFunc(time.Until(next), func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.share(time.Now())
+		})
+	}
+	if is := [2]int{n, place}; is != f.shares {
+		f.shares = is
+		f.log.Info("shares", "instances", n, "place", place)
+		if f.o.Shares != nil {
+			f.o.Shares(n, place)
+		}
+	}
+}
+
+// Shares returns how many instances there are for the sharing of endpoints, and which of them this is.
+func (f *Fleet) Shares() (n, place int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shares[0], f.shares[1]
+}
+
+// Voter tells what the voter of this instance knows of a key; ok is false where it is none.
+func (f *Fleet) Voter(key history.ID, scope decide.Scope) (p history.Past, silent time.Duration, ok bool) {
+	return f.keys.look(key, scope)
+}
+
+// Bind has the voters agree that a key's attempts go to a place. It returns when that is certain one way or the other,
+// or when ctx ends or the time for it is over, which is Unknown.
+func (f *Fleet) Bind(ctx context.Context, a binding.Ask) (binding.State, history.Past) {
+	return f.keys.bind(ctx, a)
+}
--- /dev/null
+++ b/internal/fleet/keys.go
@@ -0,0 +1,278 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/binding"
+	"silvertrail/internal/history"
+)
+
+const (
+	bindWait = 500 * time.Millisecond // for the voters, at the most; half of the time left where that is less
+	askAgain = 40 * time.Millisecond  // those that have not answered
+	wantWait = 500 * time.Millisecond // between two asks for a copy
+)
+
+// keys is the part of a fleet that binds keys: this instance's voter, if it is one, and the asks that are under way.
+type keys struct {
+	f *Fleet
+
+	voteMu  sync.Mutex
+	voter   *binding.Voter // of every instance: it may become one of the voters by a reload
+	catches map[string]*catch
+
+	askMu sync.Mutex
+	asks  map[binding.Try]*asking
+	next  uint64
+}
+
+// asking is an ask under way.
+type asking struct {
+	asker  *binding.Asker
+	voters []string
+	moved  chan struct{} // holds a token when an answer has come
+}
+
+// catch is a copy that is being received from one voter.
+type catch struct {
+	want uint64
+	got  map[int]bool
+	done bool
+}
+
+func (k *keys) start(f *Fleet, now time.Time) {
+	k.f, k.asks, k.catches = f, map[binding.Try]*asking{}, map[string]*catch{}
+	silent := f.o.Silent
+	if f.o.New {
+		silent = 0
+	}
+	k.voter = binding.NewVoter(now, binding.Start{Max: f.o.Keys, Silent: silent, Life: f.o.Life})
+}
+
+// Number returns a number for a request's asks that no other request of this process has.
+func (k *keys) Number() binding.Try {
+	k.askMu.Lock()
+	defer k.askMu.Unlock()
+	k.next++
+	return binding.Try{Process: k.f.process, Number: k.next}
+}
+
+func (f *Fleet) voterNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.voters
+}
+
+func (k *keys) bind(ctx context.Context, a binding.Ask) (binding.State, history.Past) {
+	now := time.Now()
+	voters := k.f.voterNames()
+	p := &asking{asker: binding.NewAsker(now, a, len(voters)), voters: voters, moved: make(chan struct{}, 1)}
+	k.askMu.Lock()
+	k.asks[a.Try] = p
+	k.askMu.Unlock()
+	defer func() {
+		k.askMu.Lock()
+		defer k.askMu.Unlock()
+		if k.asks[a.Try] == p {
+			delete(k.asks, a.Try)
+		}
+	}()
+	wait := time.NewTimer(min(bindWait, a.Life/2))
+	defer wait.Stop()
+	again := time.NewTicker(askAgain)
+	defer again.Stop()
+	for {
+		k.ask(p)
+		for asked := true; asked; {
+			k.askMu.Lock()
+			state, past := p.asker.State()
+			k.askMu.Unlock()
+			if state != binding.Pending {
+				return state, past
+			}
+			select {
+			case <-p.moved:
+			case <-again.C:
+				asked = false
+			case <-ctx.Done():
+				return binding.Unknown, history.Past{}
+			case <-wait.C:
+				return binding.Unknown, history.Past{}
+			case <-k.f.done:
+				return binding.Unknown, history.Past{}
+			}
+		}
+	}
+}
+
+// ask puts an ask to the voters that have not answered it.
+func (k *keys) ask(p *asking) {
+	k.askMu.Lock()
+	a := p.asker.Ask()
+	var to []int
+	for i := range p.voters {
+		if p.asker.Waits(i) {
+			to = append(to, i)
+		}
+	}
+	k.askMu.Unlock()
+	for _, i := range to {
+		if p.voters[i] != k.f.o.Name {
+			k.f.send(p.voters[i], item{Ask: &a})
+			continue
+		}
+		k.voteMu.Lock()
+		answer, ok := k.voter.Ask(time.Now(), a)
+		k.voteMu.Unlock()
+		if ok {
+			k.answer(k.f.o.Name, &answer)
+		}
+	}
+}
+
+func (k *keys) answer(from string, a *binding.Answer) {
+	k.askMu.Lock()
+	defer k.askMu.Unlock()
+	p := k.asks[a.Try]
+	if p == nil {
+		return
+	}
+	p.asker.Answer(slices.Index(p.voters, from), *a)
+	select {
+	case p.moved <- struct{}{}:
+	default:
+	}
+}
+
+// End tells the voters that a request is over. A word that is lost costs no more than a key that is held for longer.
+func (f *Fleet) End(e binding.End) {
+	for _, name := range f.voterNames() {
+		if name != f.o.Name {
+			f.send(name, item{End: &e})
+			continue
+		}
+		f.voteMu.Lock()
+		f.voter.End(time.Now(), e, f.o.Life)
+		f.voteMu.Unlock()
+	}
+}
+
+// receive takes what another instance has said.
+func (f *Fleet) receive(text []byte) {
+	p, err := decode(text)
+	if err != nil {
+		f.log.Warn("packet passed over", "error", err)
+		return
+	}
+	var back []item
+	for _, i := range p.Items {
+		switch {
+		case i.Ask != nil:
+			f.voteMu.Lock()
+			a, ok := f.voter.Ask(time.Now(), *i.Ask)
+			f.voteMu.Unlock()
+			if ok {
+				back = append(back, item{Answer: &a})
+			}
+		case i.Answer != nil:
+			f.answer(p.From, i.Answer)
+		case i.End != nil:
+			f.voteMu.Lock()
+			f.voter.End(time.Now(), *i.End, f.o.Life)
+			f.voteMu.Unlock()
+		case i.Want != 0:
+			f.sendCopy(p.From, i.Want)
+		case i.Copy != nil:
+			f.learn(p.From, i.Copy)
+		}
+	}
+	if len(back) > 0 {
+		f.send(p.From, back...)
+	}
+}
+
+func (k *keys) look(key history.ID, scope decide.Scope) (p history.Past, silent time.Duration, ok bool) {
+	voting := slices.Contains(k.f.voterNames(), k.f.o.Name)
+	k.voteMu.Lock()
+	defer k.voteMu.Unlock()
+	now := time.Now()
+	return k.voter.Past(now, key, scope), max(k.voter.Silent().Sub(now), 0), voting
+}
+
+// catchUp has this instance's voter, where it was started anew, learn from the others what it may have agreed to before.
+func (f *Fleet) catchUp() {
+	for {
+		select {
+		case <-f.done:
+			return
+		case <-time.After(wantWait/2 + rand.N(wantWait)):
+		}
+		f.voteMu.Lock()
+		now := time.Now()
+		silent := now.Before(f.voter.Silent())
+		wants := f.voter.Wants(now)
+		f.voteMu.Unlock()
+		if !silent {
+			return
+		}
+		if !wants {
+			continue
+		}
+		for _, name := range f.voterNames() {
+			if name == f.o.Name {
+				continue
+			}
+			f.voteMu.Lock()
+			c := f.catches[name]
+			if c == nil || !c.done {
+				c = &catch{want: rand.Uint64() | 1, got: map[int]bool{}}
+				f.catches[name] = c
+			}
+			done, want := c.done, c.want
+			f.voteMu.Unlock()
+			if !done {
+				f.send(name, item{Want: want})
+			}
+		}
+	}
+}
+
+// learn takes a part of a copy that was asked for.
+func (f *Fleet) learn(from string, part *copyPart) {
+	voters := f.voterNames()
+	f.voteMu.Lock()
+	defer f.voteMu.Unlock()
+	c := f.catches[from]
+	if !slices.Contains(voters, from) || c == nil || c.done || c.want != part.Want || c.got[part.Part] {
+		return
+	}
+	now := time.Now()
+	c.got[part.Part] = true
+	f.voter.Learn(now, part.Keys)
+	if len(c.got) == part.Parts {
+		c.done = true
+		if f.voter.Copied(now, from, len(voters)); !now.Before(f.voter.Silent()) {
+			f.log.Info("voter speaks again", "keys", f.voter.Len())
+		}
+	}
+}
+
+// sendCopy sends all that this instance's voter knows, in parts.
+func (f *Fleet) sendCopy(to string, want uint64) {
+	f.voteMu.Lock()
+	all, ok := f.voter.Copy(time.Now())
+	f.voteMu.Unlock()
+	if !ok {
+		return
+	}
+	parts := slices.Collect(slices.Chunk(all, partKeys))
+	if len(parts) == 0 {
+		parts = [][]binding.Known{nil}
+	}
+	f.sendWhole(to, want, parts)
+}
