Bind keys over a fleet of instances: a fleet block, shares by membership, fleet commands

Instances that stand side by side knew nothing of each other's tries. With a fleet block an instance asks the voters before the first byte of a keyed attempt goes out (host.Binder), and again where the attempt goes to another group after one that never ran. What can't be known in time fails without a promise; safe and unsafe classes ask nobody. How many instances there are, and which one this is, comes from the membership. A keyring, or voters whose majorities meet those before, are taken by a reload; SIGTERM tells the others. silvertrail fleet members, fleet key and fleet keygen ask the running process on its control socket. An attempt is held back when the deadline is over by the clock, also where a pause has held up the timer.

--- /dev/null
+++ b/cmd/silvertrail/fleet.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"silvertrail/internal/conf"
+	"silvertrail/internal/gateway"
+)
+
+// fleetCommands ask a running instance, on the control socket that its configuration names.
+type fleetCommands struct {
+	Members fleetMembers `cmd:"" help:"List the members as a running instance sees them."`
+	Key     fleetKey     `cmd:"" help:"Tell what a running instance knows of a key: which group holds it, and until when repeats are sent."`
+	Keygen  fleetKeygen  `cmd:"" help:"Print a new key for a keyring."`
+}
+
+type asked struct {
+	Config string `required:"" type:"existingfile" placeholder:"FILE" help:"The running instance's configuration."`
+	JSON   bool   `help:"Print what the instance says as it says it."`
+}
+
+// ask asks the running instance; what it says goes into out, or to standard output as it is.
+func (a *asked) ask(path string, out any) error {
+	file, err := conf.Load(a.Config)
+	if err != nil {
+		return told(err)
+	}
+	if file.Control == "" {
+		return fmt.Errorf("%s names no control socket: add control = \"silvertrail.sock\" to its process block", a.Config)
+	}
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "unix", file.Control)
+	}}}
+	answer, err := client.Get("http://control" + path)
+	if err != nil {
+		return fmt.Errorf("asking the running instance: %w", err)
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, 16<<20))
+	switch {
+	case err != nil:
+		return fmt.Errorf("asking the running instance: %w", err)
+	case answer.StatusCode != http.StatusOK:
+		return fmt.Errorf("the running instance says: %s", text)
+	case a.JSON:
+		_, err = os.Stdout.Write(text)
+		return err
+	}
+	return json.Unmarshal(text, out)
+}
+
+type fleetMembers struct{ asked }
+
+func (c *fleetMembers) Run() error {
+	var v gateway.FleetView
+	if err := c.ask("/fleet/members", &v); err != nil || c.JSON {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tADDRESS\tSTATE\tSINCE\tVOTER")
+	for _, m := range v.Members {
+		name, voter := m.Name, ""
+		if m.Me {
+			name += " *"
+		}
+		if m.Voter {
+			voter = "yes"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", name, m.Address, m.State, m.Since.Format(time.DateTime), voter)
+	}
+	w.Flush()
+	fmt.Printf("%d instances share the endpoints; this is number %d, from 0\n", v.Instances, v.Place)
+	return nil
+}
+
+type fleetKey struct {
+	asked
+	Class  string `arg:"" help:"The class."`
+	Tenant string `arg:"" help:"The tenant, or \"\" for none."`
+	Key    string `arg:"" help:"The Idempotency-Key."`
+}
+
+func (c *fleetKey) Run() error {
+	q := url.Values{"class": {c.Class}, "tenant": {c.Tenant}, "key": {c.Key}}
+	var v gateway.KeyView
+	if err := c.ask("/fleet/key?"+q.Encode(), &v); err != nil || c.JSON {
+		return err
+	}
+	fmt.Println("this instance's own attempts:", v.Here)
+	if v.Voter != nil {
+		fmt.Println("agreed to by its voter:      ", *v.Voter)
+	}
+	if v.Silent != "" {
+		fmt.Println("its voter was started lately and is silent for another", v.Silent)
+	}
+	return nil
+}
+
+type fleetKeygen struct{}
+
+func (fleetKeygen) Run() error {
+	key, err := conf.NewKey()
+	if err == nil {
+		fmt.Println(key)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/silvertrail/fleet_test.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"silvertrail/internal/conf"
+	"silvertrail/internal/gateway"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/standin"
+)
+
+var long = flag.Bool("long", false, "play the full size of what is scaled down by default")
+
+// runAs makes this test's binary the program, for processes that are killed and paused.
+const runAs = "SILVERTRAIL_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runAs) != "" {
+		if err := start(os.Args[1:]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// instance is a process of the program.
+type instance struct {
+	t      *testing.T
+	config string
+	addr   string // of its listener
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+// run starts the process and waits for its listener.
+func (i *instance) run() {
+	cmd := exec.Command(os.Args[0], "serve", "--config", i.config)
+	cmd.Env = append(os.Environ(), runAs+"=1")
+	cmd.Stderr = nil
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		i.t.Error(err)
+		return
+	}
+	if err := cmd.Start(); err != nil {
+		i.t.Error(err)
+		return
+	}
+	i.mu.Lock()
+	i.cmd = cmd
+	i.mu.Unlock()
+	if line, err := bufio.NewReader(out).ReadString('\n'); err != nil || !strings.HasPrefix(line, "listener") {
+		i.t.Errorf("%s: %q %v", i.config, line, err)
+	}
+	go io.Copy(io.Discard, out)
+}
+
+func (i *instance) signal(s os.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cmd.Process.Signal(s)
+}
+
+func (i *instance) kill() {
+	i.signal(syscall.SIGKILL)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cmd.Wait()
+}
+
+// ports returns free ports of loopback.
+func ports(t *testing.T, n int) (out []int) {
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().(*net.TCPAddr).Port)
+	}
+	return out
+}
+
+const fleetOf = 5
+
+// newFleet writes the configurations of a fleet in front of nodos in two salas.
+func newFleet(t *testing.T, nodos []*standin.Nodo) (all []*instance) {
+	t.Helper()
+	dir := t.TempDir()
+	key, err := conf.NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "fleet.keys"), []byte(key+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	free := ports(t, 2*fleetOf)
+	endpoints := ""
+	for n, nodo := range nodos {
+		endpoints += fmt.Sprintf("  endpoint \"n%d\" {\n    address = %q\n    zone = %q\n  }\n", n, nodo.Addr, []string{"north", "south"}[n/2])
+	}
+	var seeds []string
+	for i := range fleetOf {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.0.1:%d", free[fleetOf+i])))
+	}
+	for i := range fleetOf {
+		text := fmt.Sprintf(`
+process {
+  zones   = ["north", "south"]
+  zone    = "north"
+  sockets = 512
+  stop    = "1s"
+  control = "control-%[1]d.sock"
+}
+fleet "provincia" {
+  name    = "i%[1]d"
+  listen  = "127.0.0.1:%[2]d"
+  seeds   = [%[3]s]
+  keyring = "fleet.keys"
+  voters  = ["i0", "i1", "i2", "i3", "i4"]
+  new     = true
+}
+class "seat" {
+  aim      = "600ms"
+  deadline = "600ms"
+  effect   = "keyed"
+  scope    = "zone"
+  window   = "30s"
+  keep     = "5s"
+}
+class "look" {
+  aim      = "600ms"
+  deadline = "600ms"
+  effect   = "safe"
+}
+listener "l" {
+  address = "127.0.0.1:%[4]d"
+}
+cluster "c" {
+%[5]s}
+route "seat" {
+  match {
+    methods = ["POST"]
+  }
+  class   = "seat"
+  cluster = "c"
+}
+route "look" {
+  class   = "look"
+  cluster = "c"
+}
+`, i, free[fleetOf+i], strings.Join(seeds, ", "), free[i], endpoints)
+		path := filepath.Join(dir, fmt.Sprintf("i%d.hcl", i))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		in := &instance{t: t, config: path, addr: fmt.Sprintf("127.0.0.1:%d", free[i])}
+		in.run()
+		// From now on a start is one after others.
+		if err := os.WriteFile(path, []byte(strings.Replace(text, "  new     = true\n", "", 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(in.kill)
+		all = append(all, in)
+	}
+	return all
+}
+
+// members asks an instance for its view of the fleet.
+func (i *instance) members() (v gateway.FleetView, err error) {
+	file, err := conf.Load(i.config)
+	if err != nil {
+		return v, err
+	}
+	c, err := net.DialTimeout("unix", file.Control, lbtest.Wait)
+	if err != nil {
+		return v, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(lbtest.Wait))
+	io.WriteString(c, "GET /fleet/members HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return v, err
+	}
+	defer r.Body.Close()
+	return v, json.NewDecoder(r.Body).Decode(&v)
+}
+
+func sees(t *testing.T, all []*instance, n int) {
+	t.Helper()
+	for _, i := range all {
+		lbtest.Until(t, fmt.Sprintf("%s sees %d", i.config, n), func() bool {
+			v, err := i.members()
+			alive := 0
+			for _, m := range v.Members {
+				if m.State == "alive" {
+					alive++
+				}
+			}
+			return err == nil && alive == n
+		})
+	}
+}
+
+// request makes one request at an instance. Status 0: given up, or no whole answer.
+func request(addr, method, key string, patience time.Duration) (status int) {
+	c, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "%s /seat HTTP/1.1\r\nHost: x\r\nConnection: close\r\n", method)
+	if key != "" {
+		fmt.Fprintf(c, "Content-Length: 0\r\nIdempotency-Key: %s\r\n", key)
+	}
+	io.WriteString(c, "\r\n")
+	text, err := io.ReadAll(c)
+	if err != nil {
+		return 0
+	}
+	fmt.Sscanf(string(text), "HTTP/1.1 %d", &status)
+	return status
+}
+
+// Five processes, callers that repeat through another one each time, and give up early, nodos of two salas of which some
+// leave answers out; one instance is killed and comes back, another is paused and returns: no key takes effect in two
+// salas, nor twice in one, and classes that need no history are served all the time.
+func TestFleetUnderTrouble(t *testing.T) {
+	groups := [2]*standin.Group{standin.NewGroup("north", time.Minute), standin.NewGroup("south", time.Minute)}
+	var worked atomic.Int64
+	var nodos []*standin.Nodo
+	for i := range 4 {
+		n, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Group: groups[i/2], Work: time.Millisecond,
+			Trouble: func(r *http.Request) standin.Trouble {
+				if r.Method == http.MethodPost {
+					switch worked.Add(1) % int64(8+4*i) {
+					case 0:
+						return standin.Silent
+					case 4:
+						return standin.Reset
+					}
+				}
+				return standin.None
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		nodos = append(nodos, n)
+	}
+	all := newFleet(t, nodos)
+	sees(t, all, fleetOf)
+	pause, requests := 2*time.Second, 60
+	if *long {
+		pause, requests = 10*time.Second, 400
+	}
+	var answers, looks [600]atomic.Int64
+	var repeats atomic.Int64
+	var callers sync.WaitGroup
+	for caller := range 32 {
+		callers.Go(func() {
+			d := rand.New(rand.NewPCG(uint64(caller), 11))
+			for i := range requests {
+				key, at := fmt.Sprintf("k-%d-%d", caller, i), d.IntN(fleetOf)
+				for try := range 4 {
+					patience := 3 * time.Second
+					if try == 0 && d.IntN(4) == 0 {
+						patience = time.Duration(300+d.IntN(180)) * time.Millisecond
+					}
+					status := request(all[(at+try)%fleetOf].addr, "POST", key, patience)
+					answers[status].Add(1)
+					if try > 0 {
+						repeats.Add(1)
+					}
+					if status == 200 {
+						break
+					}
+					time.Sleep(time.Duration(d.IntN(50)) * time.Millisecond)
+				}
+				if i%4 == 0 {
+					looks[request(all[4].addr, "GET", "", 3*time.Second)].Add(1)
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { callers.Wait(); close(done) }()
+	time.Sleep(300 * time.Millisecond)
+	all[0].kill()
+	time.Sleep(500 * time.Millisecond)
+	all[1].signal(syscall.SIGSTOP)
+	go all[0].run()
+	time.Sleep(pause)
+	all[1].signal(syscall.SIGCONT)
+	<-done
+	north, south := groups[0].Effects(), groups[1].Effects()
+	for key, n := range north {
+		if n+south[key] > 1 {
+			t.Errorf("%s took effect %d times north and %d south", key, n, south[key])
+		}
+	}
+	var told strings.Builder
+	for status := range answers {
+		if n, m := answers[status].Load(), looks[status].Load(); n+m > 0 {
+			fmt.Fprintf(&told, " %d: %d and %d;", status, n, m)
+		}
+	}
+	t.Logf("answers to keyed requests and to others:%s %d repeats, %d keys of %d took effect", told.String(), repeats.Load(),
+		len(north)+len(south), 32*requests)
+	if repeats.Load() < 50 || answers[200].Load() < int64(32*requests)/2 || looks[200].Load() < int64(32*requests)/4*95/100 {
+		t.Error("tests little, or serves little")
+	}
+	sees(t, all, fleetOf)
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -250,6 +250,9 @@
 // Bodies is the cluster's part of the memory for request bodies.
 func (c *Cluster) Bodies() *limit.Share { return c.bodies }
 
+// Fleet tells how many instances share the endpoints now, and which of them this one is.
+func (c *Cluster) Fleet(instances, place int) { c.host.Fleet(instances, place) }
+
 // Held returns the number of calls that wait for their answer or an attempt's end.
 func (c *Cluster) Held() int { return c.host.Held() }
 
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -21,6 +21,7 @@
 
 	"silvertrail/decide"
 	"silvertrail/internal/cluster"
+	"silvertrail/internal/fleet"
 	"silvertrail/internal/registry"
 	"silvertrail/internal/route"
 )
@@ -33,6 +34,8 @@
 	Listeners []Listener
 	Clusters  []cluster.Config
 	Routes    *route.Table
+	Fleet     *fleet.Options // nil: this instance is alone
+	Control   string         // a socket's path, on which the running process tells of itself; empty: none
 }
 
 // Process is what concerns the whole program.
@@ -167,7 +170,7 @@
 
 func (p *parser) file(body hcl.Body) *File {
 	top := p.open("the file", hcl.Range{}, body, nil,
-		map[string]int{"process": 0, "class": 1, "tenant": 1, "listener": 1, "cluster": 1, "route": 1})
+		map[string]int{"process": 0, "class": 1, "tenant": 1, "listener": 1, "cluster": 1, "route": 1, "fleet": 1})
 	by := map[string]hcl.Blocks{}
 	for _, b := range top.blocks {
 		by[b.Type] = append(by[b.Type], b)
@@ -187,6 +190,18 @@
 	if name := f.Process.DefaultClass; name != "" {
 		p.known("class", located{name, process.where("default_class")})
 	}
+	f.Fleet = p.fleetBlock(by["fleet"], f)
+	f.Control = process.text("control", "")
+	if f.Control != "" && !filepath.IsAbs(f.Control) {
+		f.Control = filepath.Join(p.folder, f.Control)
+	}
+	if f.Fleet != nil {
+		for _, name := range []string{"fleet", "member"} {
+			if process.has(name) {
+				process.fault(process.where(name), "Told twice", "%q goes without a fleet block alone: with one the members are counted.", name)
+			}
+		}
+	}
 	var settings decide.Settings
 	for _, c := range f.Classes {
 		settings.Classes = append(settings.Classes, c.Class)
@@ -259,7 +274,7 @@
 	s = &scope{reader: &p.reader, what: "process"}
 	if len(blocks) > 0 {
 		s = p.open("process", blocks[0].DefRange, blocks[0].Body, []string{"zones", "zone", "sockets", "calls", "body_memory", "stop",
-			"default_class", "fleet", "member", "keys"}, nil)
+			"default_class", "fleet", "member", "keys", "control"}, nil)
 	}
 	for _, b := range blocks[min(len(blocks), 1):] {
 		p.fault(b.DefRange, "Twice", "There is one process block at most.")
--- /dev/null
+++ b/internal/conf/fleet.go
@@ -0,0 +1,109 @@
+package conf
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"silvertrail/decide"
+	"silvertrail/internal/fleet"
+)
+
+// keyBytes is the length of a fleet's keys (AES-256).
+const keyBytes = 32
+
+// fleetBlock reads the fleet block, or returns nil where there is none.
+func (p *parser) fleetBlock(blocks hcl.Blocks, f *File) *fleet.Options {
+	if len(blocks) == 0 {
+		return nil
+	}
+	for _, b := range blocks[1:] {
+		p.fault(b.DefRange, "Twice", "There is one fleet block at most.")
+	}
+	b := blocks[0]
+	s := p.open("fleet "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"name", "listen", "advertise", "seeds", "keyring", "voters",
+		"members", "new"}, nil)
+	s.need("name", "listen", "keyring")
+	o := &fleet.Options{Fleet: b.Labels[0], Name: s.text("name", ""), Listen: s.text("listen", ""), Advertise: s.text("advertise", ""),
+		Members: s.whole("members", 128, 1, 10000), Keys: f.Process.Keys, New: s.flag("new")}
+	for _, name := range []string{"listen", "advertise"} {
+		if _, err := netip.ParseAddrPort(s.text(name, "")); err != nil && s.has(name) {
+			s.fault(s.where(name), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7946\".", s.text(name, ""))
+		}
+	}
+	for _, l := range s.list("seeds") {
+		if host, port, err := net.SplitHostPort(l.text); err != nil || host == "" || port == "" {
+			p.fault(l.at, "Not an address", "%q is no address and port.", l.text)
+		}
+		o.Seeds = append(o.Seeds, l.text)
+	}
+	seen := map[string]bool{}
+	for _, l := range s.list("voters") {
+		if seen[l.text] || l.text == "" {
+			p.fault(l.at, "Named twice", "%q is empty or a voter already.", l.text)
+		}
+		seen[l.text] = true
+		o.Voters = append(o.Voters, l.text)
+	}
+	if n := len(o.Voters); n > 9 {
+		s.fault(s.where("voters"), "Too many voters", "%d voters are asked for each keyed request; 9 is the most, 3 or 5 are usual.", n)
+	}
+	for _, c := range f.Classes {
+		if c.Effect == decide.Keyed {
+			o.Life = max(o.Life, c.Deadline)
+			o.Silent = max(o.Silent, 2*c.Deadline+c.Window+c.Keep)
+		}
+	}
+	o.Life, o.Silent = max(o.Life, time.Second), max(o.Silent, time.Second)
+	if s.has("keyring") {
+		path := s.text("keyring", "")
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(p.folder, path)
+		}
+		var err error
+		if o.Keyring, err = readKeyring(path); err != nil {
+			s.fault(s.where("keyring"), "Unusable keyring", "%s.", err)
+		}
+	}
+	return o
+}
+
+// NewKey returns a new key as a keyring holds it.
+func NewKey() (string, error) {
+	key := make([]byte, keyBytes)
+	if _, err := rand.Read(key); err != nil {
+		return "", fmt.Errorf("key: %w", err)
+	}
+	return base64.StdEncoding.EncodeToString(key), nil
+}
+
+// readKeyring reads a file of keys, one on each line in base64, the one that encrypts first.
+func readKeyring(path string) (keys [][]byte, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		key, err := base64.StdEncoding.DecodeString(line)
+		if err != nil || len(key) != keyBytes {
+			return nil, fmt.Errorf("%s, line %d: not %d bytes in base64", filepath.Base(path), i+1, keyBytes)
+		}
+		keys = append(keys, key)
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("%s: no key", filepath.Base(path))
+	}
+	return keys, nil
+}
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -89,3 +89,7 @@
 func MayRefuse(now time.Time, past history.Past, scope decide.Scope) bool {
 	return !past.Known || scope == decide.ScopeAll && now.Before(past.Until)
 }
+
+// Agreed tells whether a key must be bound by all processes of a fleet: where its repeats can come to endpoints that do
+// not know it. Several tells that the route has more than one cluster.
+func Agreed(scope decide.Scope, several bool) bool { return scope != decide.ScopeAll || several }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -169,6 +169,25 @@
 	}
 }
 
+// Update takes up new options: keys and voters. What else has changed waits for a restart, and the log says so. An error
+// means that nothing has changed.
+func (f *Fleet) Update(o Options) error {
+	if err := f.Revote(o.Voters); err != nil {
+		return err
+	}
+	if err := f.Rekey(o.Keyring); err != nil {
+		return err
+	}
+	if o.Fleet != f.o.Fleet || o.Name != f.o.Name || o.Listen != f.o.Listen || o.Advertise != f.o.Advertise || o.Members != f.o.Members ||
+		o.Life > f.o.Life || o.Silent > f.o.Silent {
+		f.log.Warn("restart needed for the rest of the fleet block, and for keyed classes with longer times")
+	}
+	return nil
+}
+
+// Votes tells whether there are voters, so that keys are bound over the fleet.
+func (f *Fleet) Votes() bool { return len(f.voterNames()) > 0 }
+
 // Rekey takes a new keyring: to rotate a key without a stop, it is first added behind the one in use everywhere, then
 // put before it, then left alone.
 func (f *Fleet) Rekey(keys [][]byte) error {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,17 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"log"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/memberlist"
 	"go.uber.org/goleak"
 
 	"silvertrail/decide"
@@ -27,114 +23,10 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/hashicorp/memberlist.(*Memberlist).probeNode"))
 }
 
-// links is the state of the ways between instances: what is sent over real sockets is cut, doubled, held up and overtaken
-// here, by sender and receiver.
-type links struct {
-	mu      sync.Mutex
-	names   map[string]int // by address
-	cut     map[[2]int]bool
-	unsound bool // packets come twice, late and out of order
-	drawn   *rand.Rand
-	late    sync.WaitGroup
-	over    bool
-}
-
-func newLinks() *links {
-	return &links{names: map[string]int{}, cut: map[[2]int]bool{}, drawn: rand.New(rand.NewPCG(21, 4))}
-}
-
-// sever cuts all ways from one set of instances to another, in that direction.
-func (l *links) sever(from, to []int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, a := range from {
-		for _, b := range to {
-			l.cut[[2]int{a, b}] = true
-		}
-	}
-}
-
-func (l *links) heal() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	clear(l.cut)
-}
-
-func (l *links) way(from int, to string) (cut bool, delay time.Duration, twice bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.unsound {
-		delay = time.Duration(l.drawn.IntN(30)) * time.Millisecond
-		twice = l.drawn.IntN(5) == 0
-	}
-	return l.cut[[2]int{from, l.names[to]}], delay, twice
-}
-
-// later has a packet go out by itself, unless the links are gone.
-func (l *links) later(f func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.over {
-		l.late.Go(f)
-	}
-}
-
-func (l *links) end() {
-	l.mu.Lock()
-	l.over = true
-	l.mu.Unlock()
-	l.late.Wait()
-}
-
-// transport is an instance's sockets, with the links' troubles.
-type transport struct {
-	*memberlist.NetTransport
-	links *links
-	me    int
-}
-
-func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
-	cut, delay, twice := t.links.way(t.me, addr)
-	switch {
-	case cut:
-		return time.Now(), nil // lost on its way
-	case delay > 0:
-		text := bytes.Clone(b)
-		t.links.later(func() {
-			time.Sleep(delay)
-			t.NetTransport.WriteTo(text, addr)
-			if twice {
-				t.NetTransport.WriteTo(text, addr)
-			}
-		})
-		return time.Now(), nil
-	}
-	return t.NetTransport.WriteTo(b, addr)
-}
-
-func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	return t.WriteTo(b, a.Addr)
-}
-
-func (t *transport) DialTimeout(addr string, d time.Duration) (net.Conn, error) {
-	t.links.mu.Lock()
-	to := t.links.names[addr]
-	cut := t.links.cut[[2]int{t.me, to}] || t.links.cut[[2]int{to, t.me}]
-	t.links.mu.Unlock()
-	if cut {
-		return nil, errors.New("no way")
-	}
-	return t.NetTransport.DialTimeout(addr, d)
-}
-
-func (t *transport) DialAddressTimeout(a memberlist.Address, d time.Duration) (net.Conn, error) {
-	return t.DialTimeout(a.Addr, d)
-}
-
 // crew is a fleet in one process.
 type crew struct {
 	t      *testing.T
-	links  *links
+	links  *lbtest.Links
 	all    []*Fleet
 	change func(*Options)
 }
@@ -145,18 +37,10 @@
 
 func (c *crew) start(i int, fresh bool, voters ...string) *Fleet {
 	c.t.Helper()
-	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{"127.0.0.1"},
-		Logger: log.New(slog.NewLogLogger(slog.DiscardHandler, 0).Writer(), "", 0)})
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	addr := fmt.Sprintf("127.0.0.1:%d", net.GetAutoBindPort())
-	c.links.mu.Lock()
-	c.links.names[addr] = i
-	c.links.mu.Unlock()
+	net, addr := c.links.Transport(c.t, i)
 	o := Options{Fleet: "test", Name: name(i), Listen: addr, Keyring: [][]byte{key}, Voters: voters, Members: 32, Keys: 1 << 14, New: fresh,
 		Life: 600 * time.Millisecond, Silent: 3 * time.Second, Probe: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
-		Transport: &transport{net, c.links, i}}
+		Transport: net}
 	for _, f := range c.all {
 		if f != nil && f.o.Name != o.Name {
 			o.Seeds = append(o.Seeds, f.o.Listen)
@@ -176,8 +60,8 @@
 // newCrew starts n instances, the first of which vote, and waits until each sees all.
 func newCrew(t *testing.T, n, voters int) *crew {
 	t.Helper()
-	c := &crew{t: t, links: newLinks()}
-	t.Cleanup(c.links.end)
+	c := &crew{t: t, links: lbtest.NewLinks()}
+	t.Cleanup(c.links.End)
 	var names []string
 	for i := range voters {
 		names = append(names, name(i))
@@ -245,9 +129,7 @@
 // zones.
 func TestNoKeyInTwoGroups(t *testing.T) {
 	c := newCrew(t, 5, 5)
-	c.links.mu.Lock()
-	c.links.unsound = true
-	c.links.mu.Unlock()
+	c.links.Unsound()
 	type bound struct {
 		zone       string
 		from, till time.Time
@@ -296,14 +178,14 @@
 		s := sets[i%len(sets)]
 		switch i % 4 {
 		case 0:
-			c.links.sever(s[0], s[1])
-			c.links.sever(s[1], s[0])
+			c.links.Sever(s[0], s[1])
+			c.links.Sever(s[1], s[0])
 		case 1:
-			c.links.heal()
+			c.links.Heal()
 		case 2:
-			c.links.sever(s[0], s[1]) // one way
+			c.links.Sever(s[0], s[1]) // one way
 		case 3:
-			c.links.heal()
+			c.links.Heal()
 			if i > 12 || over {
 				continue
 			}
--- /dev/null
+++ b/internal/gateway/binder.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"silvertrail/internal/binding"
+	"silvertrail/internal/conf"
+	"silvertrail/internal/fleet"
+	"silvertrail/internal/history"
+)
+
+// binder binds one request's key over the fleet. It implements host.Binder.
+type binder struct {
+	fleet    *fleet.Fleet
+	ask      binding.Ask
+	deadline time.Time
+
+	mu    sync.Mutex // one ask at a time
+	asked bool
+	state binding.State
+	know  sync.Mutex // of past
+	past  history.Past
+}
+
+func newBinder(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time) *binder {
+	return &binder{fleet: f, deadline: deadline, ask: binding.Ask{Try: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Keep: c.Keep}}
+}
+
+func (b *binder) Past() history.Past {
+	b.know.Lock()
+	defer b.know.Unlock()
+	return b.past
+}
+
+// Bind implements host.Binder. An attempt in the group that the key is bound to already needs no further ask. One in
+// another group is asked for only where all attempts before it never ran: the history has seen to that.
+func (b *binder) Bind(ctx context.Context, to history.Place) history.Past {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if past := b.Past(); b.state == binding.Bound && past.Allows(to, b.ask.Scope) {
+		return past
+	}
+	if b.asked {
+		b.ask.Turn++
+	}
+	b.asked, b.ask.Place, b.ask.Life = true, to, time.Until(b.deadline)
+	var past history.Past
+	if b.state = binding.Unknown; b.ask.Life > 0 {
+		b.state, past = b.fleet.Bind(ctx, b.ask)
+	}
+	if b.state == binding.Unknown { // it may be bound to any group: nothing can be sent anywhere
+		past = history.Past{Known: true, Split: true}
+	}
+	b.know.Lock()
+	defer b.know.Unlock()
+	b.past = past
+	return past
+}
+
+// end tells the voters that the request is over.
+func (b *binder) end(mayHaveRun bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.asked {
+		b.fleet.End(binding.End{Try: b.ask.Try, NeverRan: !mayHaveRun})
+	}
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/fleet"
+	"silvertrail/internal/history"
+)
+
+// control is the socket on which the running process tells of itself to those who run it: a file that its owner alone can
+// open. It answers questions and changes nothing.
+type control struct {
+	server *http.Server
+	path   string
+}
+
+func (g *Gateway) openControl(path string) error {
+	if path == "" {
+		return nil
+	}
+	if c, err := net.Dial("unix", path); err == nil {
+		c.Close()
+		return fmt.Errorf("gateway: control: another process listens on %s", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // one that a dead process has left
+		return fmt.Errorf("gateway: control: %w", err)
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return fmt.Errorf("gateway: control: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return fmt.Errorf("gateway: control: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /fleet/members", g.tellMembers)
+	mux.HandleFunc("GET /fleet/key", g.tellKey)
+	g.control = &control{server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, MaxHeaderBytes: 16 << 10}, path: path}
+	go g.control.server.Serve(l)
+	return nil
+}
+
+func (g *Gateway) closeControl() {
+	if g.control != nil {
+		g.control.server.Close()
+	}
+}
+
+func tell(w http.ResponseWriter, what any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(what)
+}
+
+// FleetView is what an instance tells of its fleet.
+type FleetView struct {
+	Instances int            `json:"instances"`
+	Place     int            `json:"place"`
+	Members   []fleet.Member `json:"members"`
+}
+
+func (g *Gateway) tellMembers(w http.ResponseWriter, _ *http.Request) {
+	if g.fleet == nil {
+		http.Error(w, "this instance is in no fleet", http.StatusNotFound)
+		return
+	}
+	v := FleetView{Members: g.fleet.Members()}
+	v.Instances, v.Place = g.fleet.Shares()
+	tell(w, v)
+}
+
+// KeyView is what an instance tells of a key.
+type KeyView struct {
+	Here  KeyPast  `json:"here"`            // of attempts that this instance has made
+	Voter *KeyPast `json:"voter,omitempty"` // of what its voter has agreed to
+	// Silent is for how long the voter, which has been started lately, says nothing.
+	Silent string `json:"silent,omitempty"`
+}
+
+// KeyPast is where a key may have run, or runs.
+type KeyPast struct {
+	Known   bool      `json:"known"`
+	Cluster string    `json:"cluster,omitempty"`
+	Zone    string    `json:"zone,omitempty"`
+	Cell    int       `json:"cell,omitempty"`
+	Split   bool      `json:"split,omitempty"`
+	Until   time.Time `json:"until,omitzero"`
+	Over    bool      `json:"over,omitempty"` // its window: repeats fail
+}
+
+func (k KeyPast) String() string {
+	switch {
+	case !k.Known:
+		return "none known"
+	case k.Split:
+		return "in several groups, or not known where: repeats fail"
+	case k.Over:
+		return fmt.Sprintf("cluster %s, zone %s, cell %d; its window is over: repeats fail", k.Cluster, k.Zone, k.Cell)
+	}
+	return fmt.Sprintf("cluster %s, zone %s, cell %d; repeats are sent there until %s", k.Cluster, k.Zone, k.Cell, k.Until.Format(time.DateTime))
+}
+
+func keyPast(p history.Past, now time.Time) KeyPast {
+	if !p.Known {
+		return KeyPast{}
+	}
+	return KeyPast{true, p.Place.Cluster, p.Place.Zone, p.Place.Cell, p.Split, p.Until, !now.Before(p.Until)}
+}
+
+func (g *Gateway) tellKey(w http.ResponseWriter, r *http.Request) {
+	s := g.acquire()
+	defer g.release(s)
+	q := r.URL.Query()
+	number, known := s.classes[q.Get("class")]
+	if !known || s.file.Classes[number].Effect != decide.Keyed {
+		http.Error(w, fmt.Sprintf("no keyed class named %q", q.Get("class")), http.StatusNotFound)
+		return
+	}
+	scope, id, now := s.file.Classes[number].Scope, history.IDOf(q.Get("tenant"), q.Get("key")), time.Now()
+	v := KeyView{Here: keyPast(g.keys.Past(now, id, scope), now)}
+	if g.fleet != nil {
+		if p, silent, ok := g.fleet.Voter(id, scope); ok {
+			k := keyPast(p, now)
+			v.Voter = &k
+			if silent > 0 {
+				v.Silent = silent.Round(time.Millisecond).String()
+			}
+		}
+	}
+	tell(w, v)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -49,6 +49,7 @@
 
 	id       history.ID       // of the key
 	hold     *history.Request // on the key, once the request is whole
+	binder   *binder          // of the key over the fleet; nil: this process alone
 	turned   *frontend.Reply  // the answer to a repeat that goes nowhere
 	deadline time.Time
 }
@@ -324,6 +325,9 @@
 		return a, false
 	}
 	x.hold = hold
+	if f := x.gateway.fleet; f != nil && f.Votes() && failover.Agreed(x.class.Scope, x.rule.Failover != "" || len(x.rule.Targets) > 1) {
+		x.binder = newBinder(f, x.id, x.class, x.deadline)
+	}
 	if hold.Repeat && x.class.Concurrent == conf.Conflict {
 		x.turned = problem(http.StatusConflict, "A request with the key is in work.")
 		x.turned.Header.Set("Retry-After", "1")
@@ -343,7 +347,11 @@
 	if x.hold == nil {
 		return history.Past{}
 	}
-	return x.hold.Past(x.class.Scope)
+	p := x.hold.Past(x.class.Scope)
+	if x.binder != nil {
+		p = p.And(x.binder.Past(), x.class.Scope)
+	}
+	return p
 }
 
 // try gives the request to one cluster; here is false where its caller has gone.
@@ -357,6 +365,9 @@
 	if x.hold != nil {
 		key = &host.Key{History: x.hold, Cluster: to,
 			Terms: history.Terms{Scope: x.class.Scope, Window: x.class.Window, Keep: x.class.Keep}}
+		if x.binder != nil {
+			key.Binder = x.binder
+		}
 	}
 	return c.Do(ctx, x.up, x.q, key)
 }
@@ -368,8 +379,11 @@
 	case x.turned != nil:
 		return x.turned
 	case a.Refused && x.key != "":
-		now := time.Now()
-		if !failover.MayRefuse(now, x.gateway.keys.Past(now, x.id, x.class.Scope), x.class.Scope) {
+		now, past := time.Now(), x.past()
+		if x.hold == nil {
+			past = x.gateway.keys.Past(now, x.id, x.class.Scope)
+		}
+		if !failover.MayRefuse(now, past, x.class.Scope) {
 			return &frontend.Reply{Status: http.StatusBadGateway}
 		}
 		return nil
@@ -388,6 +402,9 @@
 // End implements frontend.Exchange.
 func (x *exchange) End() {
 	if x.hold != nil {
+		if x.binder != nil {
+			x.binder.end(x.hold.MayHaveRun())
+		}
 		x.hold.End()
 	}
 	x.gateway.release(x.state)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"silvertrail/internal/cluster"
 	"silvertrail/internal/conf"
+	"silvertrail/internal/fleet"
 	"silvertrail/internal/frontend"
 	"silvertrail/internal/history"
 )
@@ -31,12 +32,16 @@
 	log       *slog.Logger
 	keys      *history.Table
 	resources *cluster.Resources
+	fleet     *fleet.Fleet // nil: this instance is alone
+	shares    atomic.Pointer[[2]int]
 	state     atomic.Pointer[state]
 
 	mu     sync.Mutex // one reload, or the end, at a time
 	fronts map[string]*front
 	ended  bool
 	retire sync.WaitGroup // fronts that are ending
+
+	control *control
 }
 
 // front is a listener in use.
@@ -65,12 +70,50 @@
 func Start(file *conf.File, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{log: log, keys: history.New(file.Process.Keys), fronts: map[string]*front{},
 		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
-	if err := g.Reload(file); err != nil {
+	if file.Fleet != nil {
+		o := *file.Fleet
+		o.Log, o.Shares = log, g.share
+		var err error
+		if g.fleet, err = fleet.Start(o); err != nil {
+			return nil, err
+		}
+	}
+	err := g.Reload(file)
+	if err == nil {
+		err = g.openControl(file.Control)
+	}
+	if err != nil {
+		g.Close()
 		return nil, err
 	}
 	return g, nil
 }
 
+// share tells all clusters what part of the whole is this instance's.
+func (g *Gateway) share(instances, place int) {
+	g.shares.Store(&[2]int{instances, place})
+	if s := g.state.Load(); s != nil {
+		s.share(instances, place)
+	}
+}
+
+func (s *state) share(instances, place int) {
+	for _, c := range s.clusters {
+		c.Fleet(instances, place)
+	}
+}
+
+// refleet takes up what a file says of the fleet. An error means that nothing has changed.
+func (g *Gateway) refleet(file *conf.File) error {
+	switch {
+	case (g.fleet == nil) != (file.Fleet == nil):
+		return errors.New("gateway: a fleet begins and ends with the process: restart it")
+	case g.fleet == nil:
+		return nil
+	}
+	return g.fleet.Update(*file.Fleet)
+}
+
 // endpointConns is what is left of the descriptors when callers have their half.
 func endpointConns(file *conf.File) int64 { return int64(max(file.Process.Sockets/2-ownSockets, 8)) }
 
@@ -123,6 +166,15 @@
 	for _, s := range fresh {
 		<-s.Settled()
 	}
+	if err := g.refleet(file); err != nil {
+		for _, l := range opened {
+			l.Close()
+		}
+		for _, s := range fresh {
+			s.Close()
+		}
+		return err
+	}
 	// Nothing fails from here on.
 	g.resources.Resize(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)
 	g.keys.Resize(file.Process.Keys)
@@ -132,6 +184,9 @@
 		s.Update(c, g.resources)
 	}
 	g.state.Store(next)
+	if is := g.shares.Load(); is != nil { // after the state is there: a change in between reaches it twice, and not never
+		next.share(is[0], is[1])
+	}
 	g.serve(file, opened)
 	if old != nil {
 		g.release(old)
@@ -264,9 +319,16 @@
 		g.retire.Go(func() { f.End(now.Add(s.file.Process.Stop/2), by) })
 	}
 	g.retire.Wait()
+	if g.fleet != nil { // the last: until now its votes count
+		g.fleet.Leave(leaveIn)
+	}
+	g.closeControl()
 	g.release(s)
 }
 
+// leaveIn is how long the others have to hear that this instance goes.
+const leaveIn = 2 * time.Second
+
 // Close ends everything at once: for tests and for a second signal.
 func (g *Gateway) Close() {
 	g.mu.Lock()
@@ -275,6 +337,10 @@
 	for _, f := range fronts {
 		f.Close()
 	}
+	if g.fleet != nil {
+		g.fleet.Close()
+	}
+	g.closeControl()
 }
 
 // Run serves until ctx ends, then ends. Each value on reload has the file read again: one that can't be used changes
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -97,6 +97,21 @@
 	return !p.Split && same(p.Place, to, scope)
 }
 
+// And returns what is known where two tell of one key.
+func (p Past) And(o Past, scope decide.Scope) Past {
+	switch {
+	case !o.Known:
+		return p
+	case !p.Known:
+		return o
+	}
+	p.Split = p.Split || o.Split || !same(p.Place, o.Place, scope)
+	if o.Until.Before(p.Until) {
+		p.Until = o.Until
+	}
+	return p
+}
+
 // same tells whether two places are in one group.
 func same(a, b Place, scope decide.Scope) bool {
 	return a.Cluster == b.Cluster && (scope == decide.ScopeAll || a.Zone == b.Zone) &&
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -186,6 +187,11 @@
 	})
 }
 
+// Fleet tells how many balancers share the endpoints now, and which of them this one is.
+func (h *Host) Fleet(balancers, me int) {
+	h.event(func(now time.Duration) { h.balancer.Fleet(now, balancers, me) })
+}
+
 // Held returns the number of calls that wait for their answer or an attempt's end.
 func (h *Host) Held() int {
 	h.mu.Lock()
@@ -285,7 +291,10 @@
 	for _, closed := range before {
 		<-closed
 	}
-	verdict, reply, err := a.pool.Do(ctx, &c.request, func() bool { return h.claim(c, a) })
+	verdict, reply, err := decide.Moot, (*upstream.Answer)(nil), errHeldBack
+	if h.agree(ctx, c, a) {
+		verdict, reply, err = a.pool.Do(ctx, &c.request, func() bool { return h.claim(c, a) })
+	}
 	close(a.closed)
 	h.event(func(now time.Duration) {
 		if !a.ended {
@@ -298,14 +307,17 @@
 	a.cancel()
 }
 
+var errHeldBack = errors.New("held back: the key is bound elsewhere, or can't be bound in time")
+
 // claim is asked just before an attempt's first byte. It may no longer go out: while the connection was made the
 // attempt can have been given up, its call answered, its endpoint told to be draining, gone or elsewhere, or the window of
 // its key have ended.
 func (h *Host) claim(c *Call, a *attempt) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a.wrote = !a.ended && !c.done && a.server.State == decide.Ready && a.server.pool == a.pool &&
-		(a.key == nil || a.key.Starts(time.Now(), h.place(c, a.server)))
+	now := time.Now() // after a pause of the whole process the timer of the deadline may come later than this
+	a.wrote = !a.ended && !c.done && now.Before(c.request.Deadline) && a.server.State == decide.Ready && a.server.pool == a.pool &&
+		(a.key == nil || a.key.Starts(now, h.place(c, a.server))) && h.agreed(now, c, a)
 	return a.wrote
 }
 
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -88,14 +88,18 @@
 	}
 	stale := &attempt{server: s, pool: s.pool}
 	h.mu.Unlock()
-	if !h.claim(&Call{}, stale) {
+	whole := upstream.Request{Deadline: time.Now().Add(lbtest.Wait)}
+	if !h.claim(&Call{request: whole}, stale) {
 		t.Error("a ready endpoint's attempt may not go out")
 	}
-	if h.claim(&Call{done: true}, stale) {
+	if h.claim(&Call{request: whole, done: true}, stale) {
 		t.Error("an attempt may go out for a call that has its answer")
 	}
+	if h.claim(&Call{request: upstream.Request{Deadline: time.Now()}}, stale) {
+		t.Error("an attempt may go out when the deadline is over, as after a pause of the process")
+	}
 	h.Members(decide.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
-	if h.claim(&Call{}, stale) {
+	if h.claim(&Call{request: whole}, stale) {
 		t.Error("an attempt may go out to the old address")
 	}
 	h.Members(decide.Delta, []registry.Endpoint{entry("nowhere", "draining")})
--- a/internal/host/key.go
+++ b/internal/host/key.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -14,11 +15,25 @@
 	History *history.Request
 	Cluster string
 	Terms   history.Terms
+	// Binder agrees with other processes on where the key's attempts go; nil: there are none.
+	Binder Binder
+}
+
+// Binder binds a key to a place before an attempt's first byte goes there, for all processes.
+type Binder interface {
+	// Bind returns what is known of the key in all processes: the attempt may go out where that allows its place. It may be
+	// called again, for another attempt.
+	Bind(ctx context.Context, to history.Place) history.Past
+	// Past returns what Bind has told last.
+	Past() history.Past
 }
 
 // past translates what is known of a call's key for the decisions.
 func (h *Host) past(c *Call) decide.Past {
 	p := c.key.History.Past(c.key.Terms.Scope)
+	if c.key.Binder != nil {
+		p = p.And(c.key.Binder.Past(), c.key.Terms.Scope)
+	}
 	if !p.Known {
 		return decide.Past{}
 	}
@@ -52,6 +67,33 @@
 	return false
 }
 
+// agree has the other processes agree on where an attempt goes. It is false where it must not go out: another process was
+// quicker, or can't be asked in time. What was told reaches the decisions with the attempt's end.
+func (h *Host) agree(ctx context.Context, c *Call, a *attempt) bool {
+	if c.key == nil || c.key.Binder == nil {
+		return true
+	}
+	h.mu.Lock()
+	to := h.place(c, a.server)
+	h.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
+	defer cancel()
+	p := c.key.Binder.Bind(ctx, to)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a.sent = h.clock.now() // what it took is not the endpoint's doing
+	return p.Allows(to, c.key.Terms.Scope) && time.Now().Before(p.Until)
+}
+
+// agreed tells whether what other processes have agreed to still holds for an attempt.
+func (h *Host) agreed(now time.Time, c *Call, a *attempt) bool {
+	if c.key == nil || c.key.Binder == nil {
+		return true
+	}
+	p := c.key.Binder.Past()
+	return p.Known && p.Allows(h.place(c, a.server), c.key.Terms.Scope) && now.Before(p.Until)
+}
+
 // learnPast tells the decisions what is known of a call's key now.
 func (h *Host) learnPast(now time.Duration, c *Call) {
 	if c.key != nil && !c.done {
--- /dev/null
+++ b/internal/lbtest/links.go
@@ -0,0 +1,145 @@
+package lbtest
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Links is the state of the ways between instances: what is sent over real sockets is cut, doubled, held up and overtaken
+// here, by sender and receiver.
+type Links struct {
+	mu      sync.Mutex
+	names   map[string]int // by address
+	cut     map[[2]int]bool
+	unsound bool // packets come twice, late and out of order
+	drawn   *rand.Rand
+	late    sync.WaitGroup
+	over    bool
+}
+
+// NewLinks returns ways that are all open.
+func NewLinks() *Links {
+	return &Links{names: map[string]int{}, cut: map[[2]int]bool{}, drawn: rand.New(rand.NewPCG(21, 4))}
+}
+
+// Sever cuts all ways from one set of instances to another, in that direction.
+func (l *Links) Sever(from, to []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			l.cut[[2]int{a, b}] = true
+		}
+	}
+}
+
+// Heal opens all ways.
+func (l *Links) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.cut)
+}
+
+func (l *Links) way(from int, to string) (cut bool, delay time.Duration, twice bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unsound {
+		delay = time.Duration(l.drawn.IntN(30)) * time.Millisecond
+		twice = l.drawn.IntN(5) == 0
+	}
+	return l.cut[[2]int{from, l.names[to]}], delay, twice
+}
+
+// later has a packet go out by itself, unless the links are gone.
+func (l *Links) later(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.over {
+		l.late.Go(f)
+	}
+}
+
+// End waits for what is still on its way.
+func (l *Links) End() {
+	l.mu.Lock()
+	l.over = true
+	l.mu.Unlock()
+	l.late.Wait()
+}
+
+// Unsound has packets come twice, late and out of order from now on.
+func (l *Links) Unsound() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unsound = true
+}
+
+// Transport opens the sockets of an instance, on a free port. The address is that on which others reach it.
+func (l *Links) Transport(t testing.TB, me int) (tr memberlist.Transport, addr string) {
+	t.Helper()
+	nt, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{"127.0.0.1"},
+		Logger: log.New(io.Discard, "", 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = fmt.Sprintf("127.0.0.1:%d", nt.GetAutoBindPort())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.names[addr] = me
+	return &transport{nt, l, me}, addr
+}
+
+// transport is an instance's sockets, with the links' troubles.
+type transport struct {
+	*memberlist.NetTransport
+	links *Links
+	me    int
+}
+
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	cut, delay, twice := t.links.way(t.me, addr)
+	switch {
+	case cut:
+		return time.Now(), nil // lost on its way
+	case delay > 0:
+		text := bytes.Clone(b)
+		t.links.later(func() {
+			time.Sleep(delay)
+			t.NetTransport.WriteTo(text, addr)
+			if twice {
+				t.NetTransport.WriteTo(text, addr)
+			}
+		})
+		return time.Now(), nil
+	}
+	return t.NetTransport.WriteTo(b, addr)
+}
+
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	return t.WriteTo(b, a.Addr)
+}
+
+func (t *transport) DialTimeout(addr string, d time.Duration) (net.Conn, error) {
+	t.links.mu.Lock()
+	to := t.links.names[addr]
+	cut := t.links.cut[[2]int{t.me, to}] || t.links.cut[[2]int{to, t.me}]
+	t.links.mu.Unlock()
+	if cut {
+		return nil, errors.New("no way")
+	}
+	return t.NetTransport.DialTimeout(addr, d)
+}
+
+func (t *transport) DialAddressTimeout(a memberlist.Address, d time.Duration) (net.Conn, error) {
+	return t.DialTimeout(a.Addr, d)
+}
