--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,6 +50,7 @@
 type server struct {
 	Server
 	inFlight int
+	onWay    int     // of these, attempts that wait for something else before they go out
 	lat      float64 // smoothed latency, s; 0: no answer yet
 	util     float64
 	reported time.Duration
@@ -75,6 +76,7 @@
 	sent     time.Duration
 	ended    bool
 	neverRan bool
+	onWay    bool
 }
 
 type request struct {
@@ -547,10 +549,10 @@
 
 // wait adds up what the calls with a server have waited for since it last answered.
 func (s *server) wait(now time.Duration) {
-	if s.inFlight > 0 {
+	if there := s.inFlight - s.onWay; there > 0 {
 		dt := (now - s.heldAt).Seconds()
 		s.quiet += dt
-		s.held += dt * float64(s.inFlight)
+		s.held += dt * float64(there)
 	}
 	s.heldAt = now
 }
@@ -840,6 +842,28 @@
 	}
 }
 
+// OnWay tells that an attempt waits for something that is not its server's doing, and then that it no longer
+// does. Such a wait is no silence of the server.
+func (b *Balancer) OnWay(now time.Duration, id RequestID, n int, on bool) {
+	b.advance(now)
+	if r := b.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && !r.attempts[n].ended {
+		r.attempts[n].waits(now, on)
+	}
+}
+
+func (a *attempt) waits(now time.Duration, on bool) {
+	if a.onWay == on {
+		return
+	}
+	a.s.wait(now)
+	a.onWay = on
+	if on {
+		a.s.onWay++
+	} else {
+		a.s.onWay--
+	}
+}
+
 // Outcome takes the end of an attempt. One of a request no longer held is passed over.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	b.advance(now)
@@ -849,6 +873,7 @@
 	}
 	a := &r.attempts[o.Attempt]
 	a.ended, a.neverRan = true, o.Verdict.NeverRan()
+	a.waits(now, false)
 	a.s.wait(now)
 	a.s.inFlight--
 	b.inFlight--
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -921,3 +921,28 @@
 		t.Error("lowered by calls that had no answer")
 	}
 }
+
+// What an attempt waits for before it goes out is no silence of its server, nor does it put it out for the calls that are
+// there; when it has gone out its waiting counts.
+func TestOnWay(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		b, h := newBalancer(t, testSettings(), ready(1)...)
+		for i := range RequestID(8) {
+			b.Request(sec, Request{ID: i + 1, Left: 9 * sec})
+			b.OnWay(sec, i+1, 0, on)
+		}
+		s := b.servers[1]
+		for now := sec; now < 6*sec; now += sec / 10 {
+			b.advance(now)
+		}
+		if s.out == on || (s.held == 0 && !s.out) != on {
+			t.Errorf("on its way %t: out %t, held %v", on, s.out, s.held)
+		}
+		for i := range RequestID(8) {
+			b.Outcome(6*sec, Outcome{ID: i + 1, Server: 1, Verdict: Moot, Final: true})
+		}
+		if s.onWay != 0 || s.inFlight != 0 || len(h.sends) < 8 {
+			t.Errorf("%d on their way, %d in flight", s.onWay, s.inFlight)
+		}
+	}
+}
--- a/internal/binding/binding.go
+++ b/internal/binding/binding.go
@@ -165,9 +165,13 @@
 		return out, false
 	}
 	out = Answer{Try: a.Try, Turn: a.Turn, Vote: v.agree(now, a, h)}
-	p := v.table.Past(now, a.Key, a.Scope)
-	out.Place, out.Split = p.Place, p.Split
-	if p.Known {
+	p := history.Past{}
+	if out.Vote == Yes { // by its own attempts the asker goes itself
+		p = v.holds[a.Try].sent.Others()
+	} else {
+		p = v.table.Past(now, a.Key, a.Scope)
+	}
+	if out.Place, out.Split, out.Until = p.Place, p.Split, a.Life; p.Known {
 		out.Until = p.Until.Sub(now)
 	}
 	if now.Before(v.silent) && out.Vote == Yes { // it is noted all the same: others may agree
--- /dev/null
+++ b/internal/conf/fleet_test.go
@@ -0,0 +1,62 @@
+package conf
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The sample of a fleet can be used as it stands, with a keyring beside it.
+func TestFleetSample(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/silvertrail-fleet.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	var ring strings.Builder
+	ring.WriteString("# the fleet's keys\n\n")
+	for range 2 {
+		key, err := NewKey()
+		if err != nil {
+			t.Fatal(err)
+		}
+		ring.WriteString(key + "\n")
+	}
+	path := filepath.Join(dir, "fleet.hcl")
+	for name, content := range map[string]string{"fleet.keys": ring.String(), "fleet.hcl": string(text)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := f.Fleet
+	if o == nil || o.Fleet != "rio-claro" || len(o.Voters) != 3 || len(o.Seeds) != 2 || len(o.Keyring) != 2 || o.New ||
+		o.Life != 5*time.Second || o.Silent != 130*time.Second || f.Control != filepath.Join(dir, "silvertrail.sock") {
+		t.Errorf("%+v", o)
+	}
+	for old, want := range map[string]struct{ with, fault string }{
+		`"centro-2", "norte-1"]`:             {`"centro-1"]`, "is empty or a voter already"},
+		`"fleet.keys"`:                       {`"fleet.hcl"`, "fleet.hcl, line 3: not 32 bytes in base64"},
+		`listen    = "127.0.0.1:7946"`:       {`listen    = "here"`, "Not an address"},
+		`"127.0.0.1:7947"]`:                  {`"7947"]`, "no address and port"},
+		`name      = "centro-1"`:             {``, `needs "name"`},
+		`zone    = "sala-centro"` + "\n  con": {`zone    = "sala-centro"` + "\n  fleet = 3\n  con", "Told twice"},
+		`members   = 32`:                     {`memebers = 32`, `Did you mean "members"?`},
+	} {
+		broken := strings.Replace(string(text), old, want.with, 1)
+		if broken == string(text) {
+			t.Fatalf("the sample does not hold %s", old)
+		}
+		_, err := Parse([]byte(broken), path)
+		var faults *Error
+		if !errors.As(err, &faults) || !strings.Contains(err.Error(), want.fault) {
+			t.Errorf("%s: want %s, got %v", want.with, want.fault, err)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -321,12 +321,12 @@
 func (d delegate) NotifyAlive(n *memberlist.Node) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.nodes[n.Name] == nil && len(d.nodes) >= d.o.Members {
-		return fmt.Errorf("fleet: over %d members", d.o.Members)
-	}
 	if len(n.Name) > maxName || len(n.Meta) > len(leavingMeta) {
 		return errors.New("fleet: not a member's name or meta")
 	}
+	if d.nodes[n.Name] == nil && len(d.nodes) >= d.o.Members && !d.reap() {
+		return fmt.Errorf("fleet: over %d members", d.o.Members)
+	}
 	return nil
 }
 
@@ -349,10 +349,7 @@
 	now := time.Now()
 	n := f.nodes[m.Name]
 	if n == nil {
-		if len(f.nodes) >= f.o.Members {
-			f.reap(now)
-		}
-		if len(f.nodes) >= f.o.Members {
+		if len(f.nodes) >= f.o.Members && !f.reap() {
 			return
 		}
 		n = &node{since: now, state: share.Left, out: f.outbox(m.Name)}
@@ -373,18 +370,20 @@
 	f.share(now)
 }
 
-// reap forgets the member that has been gone longest. The caller holds the lock.
-func (f *Fleet) reap(now time.Time) {
+// reap forgets the member that has been gone longest; it is false where there is none. The caller holds the lock.
+func (f *Fleet) reap() bool {
 	var oldest string
 	for name, n := range f.nodes {
 		if n.state != share.Alive && (oldest == "" || n.since.Before(f.nodes[oldest].since)) {
 			oldest = name
 		}
 	}
-	if oldest != "" {
-		f.nodes[oldest].out.close()
-		delete(f.nodes, oldest)
+	if oldest == "" {
+		return false
 	}
+	f.nodes[oldest].out.close()
+	delete(f.nodes, oldest)
+	return true
 }
 
 // share tells of this instance's part where it has changed, and looks again when time alone may change it. The caller
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,18 +4,22 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
 	"go.uber.org/goleak"
 
 	"silvertrail/decide"
 	"silvertrail/internal/binding"
 	"silvertrail/internal/history"
 	"silvertrail/internal/lbtest"
+	"silvertrail/internal/share"
 )
 
 // A probe of memberlist's that is under way when it ends runs out its own time.
@@ -37,10 +41,10 @@
 
 func (c *crew) start(i int, fresh bool, voters ...string) *Fleet {
 	c.t.Helper()
-	net, addr := c.links.Transport(c.t, i)
+	tr, addr := c.links.Transport(c.t, i)
 	o := Options{Fleet: "test", Name: name(i), Listen: addr, Keyring: [][]byte{key}, Voters: voters, Members: 32, Keys: 1 << 14, New: fresh,
 		Life: 600 * time.Millisecond, Silent: 3 * time.Second, Probe: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
-		Transport: net}
+		Transport: tr}
 	for _, f := range c.all {
 		if f != nil && f.o.Name != o.Name {
 			o.Seeds = append(o.Seeds, f.o.Listen)
@@ -214,3 +218,233 @@
 		t.Errorf("tests little: %v", counts)
 	}
 }
+
+// An instance that leaves counts no more at once; one that is lost counts on, and is not taken for its former self when it
+// comes back.
+func TestLeaveAndLoss(t *testing.T) {
+	c := newCrew(t, 4, 3)
+	c.all[3].Leave(2 * time.Second)
+	for _, f := range c.all[:3] {
+		lbtest.Until(t, "one has left", func() bool {
+			n, place := f.Shares()
+			return n == 3 && f.count("left") == 1 && name(place) == f.o.Name
+		})
+	}
+	c.all[2].Close()
+	lbtest.Until(t, "one is lost", func() bool { return c.all[0].count("dead") == 1 })
+	if n, _ := c.all[0].Shares(); n != 3 {
+		t.Errorf("%d share while it is not known whether the lost one is there", n)
+	}
+	back := c.start(2, false, c.all[2].o.Voters...)
+	lbtest.Until(t, "it is back", func() bool { return c.all[0].count("alive") == 3 && back.count("alive") == 3 })
+	if back.process == c.all[2].process {
+		t.Error("the same process twice")
+	}
+	if _, silent, voter := back.Voter(history.ID{}, decide.ScopeAll); !voter || silent == 0 {
+		t.Error("a voter that was started anew votes at once")
+	}
+	lbtest.Until(t, "it has learnt from the others", func() bool {
+		_, silent, _ := back.Voter(history.ID{}, decide.ScopeAll)
+		return silent == 0
+	})
+}
+
+// A voter that was started anew learns what it had agreed to from the others, and holds to it, before its silence would be
+// over by time.
+func TestCopies(t *testing.T) {
+	c := &crew{t: t, links: lbtest.NewLinks(), change: func(o *Options) { o.Silent = time.Hour }}
+	t.Cleanup(c.links.End)
+	for i := range 3 {
+		c.all = append(c.all, c.start(i, true, name(0), name(1), name(2)))
+	}
+	c.sees(3)
+	const n = 3*partKeys + 7
+	for i := range n {
+		a := c.all[0].asks(fmt.Sprint("k", i), "north", 600*time.Millisecond)
+		a.Window, a.Keep = time.Minute, time.Minute
+		if state, _ := c.all[0].Bind(t.Context(), a); state != binding.Bound {
+			t.Fatal(state)
+		}
+		c.all[0].End(binding.End{Try: a.Try})
+	}
+	old := c.all[1]
+	old.Close()
+	c.all[1] = c.start(1, false, old.o.Voters...)
+	lbtest.Until(t, "it speaks again", func() bool {
+		_, silent, _ := c.all[1].Voter(history.ID{}, decide.ScopeAll)
+		return silent == 0
+	})
+	for i := range n {
+		if p, _, _ := c.all[1].Voter(history.IDOf("", fmt.Sprint("k", i)), decide.ScopeZone); !p.Known || p.Place.Zone != "north" {
+			t.Fatalf("key %d: %+v", i, p)
+		}
+	}
+}
+
+// Strangers get in nowhere: with a wrong key, another fleet's name, garbage, packets that are played again.
+func TestStrangers(t *testing.T) {
+	c := newCrew(t, 3, 3)
+	for _, change := range []func(*Options){
+		func(o *Options) { o.Keyring = [][]byte{bytes.Repeat([]byte{8}, 32)} },
+		func(o *Options) { o.Fleet = "other" },
+	} {
+		c.change = change
+		stranger := c.start(9, true)
+		if _, err := stranger.list.Join([]string{c.all[0].o.Listen}); err == nil {
+			t.Error("a stranger has joined")
+		}
+		if n := stranger.count("alive"); n != 1 {
+			t.Errorf("a stranger sees %d members", n)
+		}
+		stranger.Close()
+	}
+	conn, err := net.Dial("udp", c.all[0].o.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	d := rand.New(rand.NewPCG(3, 3))
+	for range 200 {
+		text := make([]byte, 1+d.IntN(900))
+		for i := range text {
+			text[i] = byte(d.Uint32())
+		}
+		conn.Write(text)
+	}
+	a := c.all[1].asks("k", "north", 600*time.Millisecond)
+	if state, _ := c.all[1].Bind(t.Context(), a); state != binding.Bound {
+		t.Errorf("after garbage: %v", state)
+	}
+	// What was said once is said again, by whom it may be.
+	text, err := encode(&packet{From: name(1), Items: []item{{End: &binding.End{Try: a.Try}}, {Ask: &a}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		c.all[0].receive(text)
+		c.all[2].receive(text)
+	}
+	b := c.all[2].asks("k", "south", 600*time.Millisecond)
+	if state, past := c.all[2].Bind(t.Context(), b); state != binding.Elsewhere || past.Place.Zone != "north" {
+		t.Errorf("after a replay: %v %+v", state, past)
+	}
+	for _, f := range c.all {
+		if f.count("alive") != 3 {
+			t.Errorf("%s sees %v", f.o.Name, f.Members())
+		}
+	}
+}
+
+// A member that tells of more members than there may be, all of them real here, fills no table over its bound, and keys are
+// bound as before. Those that are lost make room for others.
+func TestMembersBound(t *testing.T) {
+	c := newCrew(t, 3, 3)
+	boaster := c.boast(40)
+	boaster.Join([]string{c.all[0].o.Listen})
+	for i := range 20 {
+		f := c.all[i%3]
+		if state, _ := f.Bind(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond)); state != binding.Bound {
+			t.Errorf("%d: %v", i, state)
+		}
+		if n := len(f.Members()); n > f.o.Members {
+			t.Errorf("%d members, over %d", n, f.o.Members)
+		}
+	}
+	f := c.all[1]
+	for i := range 100 {
+		n := &memberlist.Node{Name: fmt.Sprint("passing ", i), Addr: net.IPv4(127, 0, 0, 1)}
+		if (delegate{f}).NotifyAlive(n) == nil {
+			f.set(n, share.Alive)
+			f.set(n, share.Dead)
+		}
+	}
+	_, kept := f.node(name(0))
+	_, came := f.node("passing 99")
+	if n := len(f.Members()); n > f.o.Members || !kept || !came {
+		t.Errorf("%d members, or the wrong ones: %v", n, f.Members())
+	}
+}
+
+// boast makes a peer with the fleet's own key and label that knows of many members: they are all at one address.
+func (c *crew) boast(n int) *memberlist.Memberlist {
+	c.t.Helper()
+	make := func(name string) *memberlist.Memberlist {
+		tr, _ := c.links.Transport(c.t, 7)
+		conf := memberlist.DefaultLocalConfig()
+		conf.Name, conf.Label, conf.SecretKey, conf.Transport = name, fmt.Sprintf("silvertrail/%d/test", protocol), key, tr
+		conf.LogOutput = io.Discard
+		list, err := memberlist.Create(conf)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(func() { list.Shutdown() })
+		return list
+	}
+	boaster := make("boaster")
+	for i := range n {
+		other := make(fmt.Sprint("other ", i))
+		if _, err := other.Join([]string{boaster.LocalNode().Address()}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	return boaster
+}
+
+// A fleet's key is changed while it runs: each step at one instance after the other, keys bound all the time.
+func TestRotation(t *testing.T) {
+	c := newCrew(t, 3, 3)
+	next := bytes.Repeat([]byte{9}, 32)
+	for step, ring := range [][][]byte{{key, next}, {next, key}, {next}} {
+		for i, f := range c.all {
+			if err := f.Rekey(ring); err != nil {
+				t.Fatal(err)
+			}
+			a := f.asks(fmt.Sprint(step, "-", i), "north", 600*time.Millisecond)
+			if state, _ := f.Bind(t.Context(), a); state != binding.Bound {
+				t.Errorf("step %d, instance %d: %v", step, i, state)
+			}
+		}
+	}
+	if err := c.all[0].Rekey([][]byte{key}); err != nil {
+		t.Fatal(err)
+	}
+	if state, _ := c.all[0].Bind(t.Context(), c.all[0].asks("old", "north", 600*time.Millisecond)); state != binding.Unknown {
+		t.Errorf("with the old key: %v", state)
+	}
+	if err := c.all[1].Revote([]string{name(0), name(1), "i9"}); err == nil {
+		t.Error("voters whose majorities need not meet those before were taken")
+	}
+	if err := c.all[1].Revote([]string{name(0), name(1), name(2), "i3"}); err != nil {
+		t.Error(err)
+	}
+	if err := c.all[1].Revote([]string{name(0), name(1), name(2)}); err == nil {
+		t.Error("voters were changed twice at once")
+	}
+}
+
+// What is read from the net is in form, or an error; nothing panics.
+func FuzzDecode(f *testing.F) {
+	a := binding.Ask{Life: 1}
+	for _, p := range []packet{{From: "a", Items: []item{{Ask: &a}, {Want: 7}}},
+		{From: "b", Items: []item{{Copy: &copyPart{Parts: 1, Keys: []binding.Known{{}}}}, {End: &binding.End{}}, {Answer: &binding.Answer{}}}}} {
+		text, err := encode(&p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		if _, err := decode(text); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		p, err := decode(text)
+		if (p == nil) == (err == nil) {
+			t.Fatal("neither read nor refused")
+		}
+		if err == nil {
+			if _, err := encode(p); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -19,6 +19,7 @@
 
 	mu    sync.Mutex // one ask at a time
 	asked bool
+	over  bool // the request is: no ask of it may follow its end
 	state binding.State
 	know  sync.Mutex // of past
 	past  history.Past
@@ -42,6 +43,9 @@
 	if past := b.Past(); b.state == binding.Bound && past.Allows(to, b.ask.Scope) {
 		return past
 	}
+	if b.over || ctx.Err() != nil {
+		return nowhere
+	}
 	if b.asked {
 		b.ask.Turn++
 	}
@@ -50,8 +54,8 @@
 	if b.state = binding.Unknown; b.ask.Life > 0 {
 		b.state, past = b.fleet.Bind(ctx, b.ask)
 	}
-	if b.state == binding.Unknown { // it may be bound to any group: nothing can be sent anywhere
-		past = history.Past{Known: true, Split: true}
+	if b.state == binding.Unknown { // it may be bound to any group
+		past = nowhere
 	}
 	b.know.Lock()
 	defer b.know.Unlock()
@@ -59,11 +63,14 @@
 	return past
 }
 
+// nowhere is what is known of a key where nothing can be known: nothing can be sent anywhere.
+var nowhere = history.Past{Known: true, Split: true}
+
 // end tells the voters that the request is over.
 func (b *binder) end(mayHaveRun bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.asked {
+	if b.over = true; b.asked {
 		b.fleet.End(binding.End{Try: b.ask.Try, NeverRan: !mayHaveRun})
 	}
 }
--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silvertrail/internal/fleet"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/standin"
+)
+
+// gateways runs n instances of one fleet before two salas, all of them voters, with links between them that can be cut.
+func gateways(t *testing.T, n int, s *salas) (all []*Gateway, links *lbtest.Links) {
+	t.Helper()
+	links = lbtest.NewLinks()
+	t.Cleanup(links.End)
+	var voters, seeds []string
+	for i := range n {
+		voters = append(voters, fmt.Sprint("i", i))
+	}
+	for i := range n {
+		file := parse(t, keyedClass("500ms", "60s")+twoSalas+listener("l", "127.0.0.1:0")+s.cluster("c", "")+
+			"route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\nroute \"read\" {\n match {\n methods = [\"GET\"]\n }\n class = \"read\"\n cluster = \"c\"\n}\n")
+		tr, addr := links.Transport(t, i)
+		file.Fleet = &fleet.Options{Fleet: "test", Name: voters[i], Listen: addr, Seeds: seeds, Keyring: [][]byte{bytes.Repeat([]byte{1}, 32)},
+			Voters: voters, Members: 16, Keys: 1 << 14, New: true, Life: 500 * time.Millisecond, Silent: 10 * time.Second,
+			Probe: 100 * time.Millisecond, Transport: tr}
+		seeds = append(seeds, addr)
+		g, err := Start(file, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(g.Close)
+		all = append(all, g)
+	}
+	for _, g := range all {
+		lbtest.Until(t, "all see all", func() bool { got, _ := g.fleet.Shares(); return got == n })
+	}
+	return all, links
+}
+
+// Five instances, the fleet cut in halves, in 4 + 1 and one way, packets doubled, late and out of order; callers repeat
+// through another instance each time. No key takes effect twice. Told is what share of the keys was served.
+func TestFleetCut(t *testing.T) {
+	t.Parallel()
+	for name, cut := range map[string][2][]int{
+		"in 2 + 3": {{0, 1}, {2, 3, 4}}, "in 4 + 1": {{4}, {0, 1, 2, 3}}, "one way": {{0, 1}, {2, 3, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var n atomic.Int64
+			s := newSalas(t, time.Minute, func(nodo int) standin.Trouble {
+				switch n.Add(1) % int64(8+4*nodo) {
+				case 0:
+					return standin.Silent
+				case 4:
+					return standin.Reset
+				}
+				return standin.None
+			})
+			all, links := gateways(t, 5, s)
+			links.Unsound()
+			links.Sever(cut[0], cut[1])
+			if name != "one way" {
+				links.Sever(cut[1], cut[0])
+			}
+			var mu sync.Mutex
+			d := rand.New(rand.NewPCG(1, 1))
+			crowd := &repeating{callers: 24, keys: 12, deadline: 500 * time.Millisecond}
+			if *long {
+				crowd.keys = 200
+			}
+			crowd.run(func() string {
+				mu.Lock()
+				defer mu.Unlock()
+				return all[d.IntN(5)].Addr("l").String()
+			})
+			if status, _, _ := askAt(t, all[4].Addr("l").String(), "GET", "/read"); status != 200 {
+				t.Errorf("a class that needs no history: %d", status)
+			}
+			if keys := s.twice(); len(keys) > 0 {
+				t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
+			}
+			t.Logf("%s; %d keys took effect of %d", crowd.text(), s.effects(), crowd.callers*crowd.keys)
+			if crowd.answers[200].Load() < int64(crowd.callers*crowd.keys/3) || crowd.repeats.Load() < 10 {
+				t.Errorf("tests little: %s", crowd.text())
+			}
+		})
+	}
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -342,6 +342,13 @@
 	return same(t.place, at, t.terms.Scope) && p.Allows(at, t.terms.Scope) && (!p.Known || now.Before(p.Until))
 }
 
+// Others returns what is known of the key's other attempts.
+func (t *Try) Others() Past {
+	t.table.mu.Lock()
+	defer t.table.mu.Unlock()
+	return t.entry.past(t.terms.Scope, t)
+}
+
 // End ends an attempt. NeverRan is proof that it was not executed, and never will be.
 func (t *Try) End(now time.Time, neverRan bool) {
 	t.table.mu.Lock()
--- a/internal/host/key.go
+++ b/internal/host/key.go
@@ -73,15 +73,22 @@
 	if c.key == nil || c.key.Binder == nil {
 		return true
 	}
-	h.mu.Lock()
-	to := h.place(c, a.server)
-	h.mu.Unlock()
+	var to history.Place
+	h.event(func(now time.Duration) {
+		to = h.place(c, a.server)
+		if !a.ended {
+			h.balancer.OnWay(now, c.id, a.number, true)
+		}
+	})
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
 	p := c.key.Binder.Bind(ctx, to)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	a.sent = h.clock.now() // what it took is not the endpoint's doing
+	h.event(func(now time.Duration) {
+		a.sent = now // what it took is not the endpoint's doing
+		if !a.ended {
+			h.balancer.OnWay(now, c.id, a.number, false)
+		}
+	})
 	return p.Allows(to, c.key.Terms.Scope) && time.Now().Before(p.Until)
 }
 
