--- a/internal/conf/fleet_test.go
+++ b/internal/conf/fleet_test.go
@@ -41,13 +41,13 @@
 		t.Errorf("%+v", o)
 	}
 	for old, want := range map[string]struct{ with, fault string }{
-		`"centro-2", "norte-1"]`:             {`"centro-1"]`, "is empty or a voter already"},
-		`"fleet.keys"`:                       {`"fleet.hcl"`, "fleet.hcl, line 3: not 32 bytes in base64"},
-		`listen    = "127.0.0.1:7946"`:       {`listen    = "here"`, "Not an address"},
-		`"127.0.0.1:7947"]`:                  {`"7947"]`, "no address and port"},
-		`name      = "centro-1"`:             {``, `needs "name"`},
+		`"centro-2", "norte-1"]`:              {`"centro-1"]`, "is empty or a voter already"},
+		`"fleet.keys"`:                        {`"fleet.hcl"`, "fleet.hcl, line 3: not 32 bytes in base64"},
+		`listen    = "127.0.0.1:7946"`:        {`listen    = "here"`, "Not an address"},
+		`"127.0.0.1:7947"]`:                   {`"7947"]`, "no address and port"},
+		`name      = "centro-1"`:              {``, `needs "name"`},
 		`zone    = "sala-centro"` + "\n  con": {`zone    = "sala-centro"` + "\n  fleet = 3\n  con", "Told twice"},
-		`members   = 32`:                     {`memebers = 32`, `Did you mean "members"?`},
+		`members   = 32`:                      {`memebers = 32`, `Did you mean "members"?`},
 	} {
 		broken := strings.Replace(string(text), old, want.with, 1)
 		if broken == string(text) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,7 +44,7 @@
 	// Shares is called where this instance's part of the whole changes. It must not block.
 	Shares func(instances, place int)
 	// Transport carries the packets; nil: UDP and TCP on Listen.
-	Transport memberlist.Transport
+	Transport memberlist.NodeAwareTransport
 }
 
 // TakeOver is how long a lost member's part is left to it: at the least until its suspicion has come round.
@@ -110,16 +110,11 @@
 		c.PushPullInterval = 10 * o.Probe
 	}
 	var err error
-	if c.BindAddr, c.BindPort, err = split(o.Listen); err != nil {
-		return nil, fmt.Errorf("fleet: listen: %w", err)
-	}
-	c.AdvertisePort = c.BindPort
 	if o.Advertise != "" {
 		if c.AdvertiseAddr, c.AdvertisePort, err = split(o.Advertise); err != nil {
 			return nil, fmt.Errorf("fleet: advertise: %w", err)
 		}
 	}
-	c.Transport = o.Transport
 	if len(o.Keyring) == 0 {
 		return nil, errors.New("fleet: no key: packets are always encrypted")
 	}
@@ -127,7 +122,13 @@
 		return nil, fmt.Errorf("fleet: keyring: %w", err)
 	}
 	c.Keyring = f.ring
+	if c.Transport = o.Transport; c.Transport == nil {
+		if c.Transport, err = Listen(o.Listen); err != nil {
+			return nil, err
+		}
+	}
 	if f.list, err = memberlist.Create(c); err != nil {
+		c.Transport.Shutdown()
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	close(f.ready)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -39,9 +39,19 @@
 
 func name(i int) string { return fmt.Sprint("i", i) }
 
+// sockets opens an instance's sockets behind the links.
+func (c *crew) sockets(i int) (memberlist.NodeAwareTransport, string) {
+	c.t.Helper()
+	t, err := Listen("127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return c.links.Wrap(i, t, t.Addr()), t.Addr()
+}
+
 func (c *crew) start(i int, fresh bool, voters ...string) *Fleet {
 	c.t.Helper()
-	tr, addr := c.links.Transport(c.t, i)
+	tr, addr := c.sockets(i)
 	o := Options{Fleet: "test", Name: name(i), Listen: addr, Keyring: [][]byte{key}, Voters: voters, Members: 32, Keys: 1 << 14, New: fresh,
 		Life: 600 * time.Millisecond, Silent: 3 * time.Second, Probe: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
 		Transport: tr}
@@ -369,7 +379,7 @@
 func (c *crew) boast(n int) *memberlist.Memberlist {
 	c.t.Helper()
 	make := func(name string) *memberlist.Memberlist {
-		tr, _ := c.links.Transport(c.t, 7)
+		tr, _ := c.sockets(7)
 		conf := memberlist.DefaultLocalConfig()
 		conf.Name, conf.Label, conf.SecretKey, conf.Transport = name, fmt.Sprintf("silvertrail/%d/test", protocol), key, tr
 		conf.LogOutput = io.Discard
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -45,7 +45,7 @@
 
 var handle = func() *codec.MsgpackHandle {
 	h := &codec.MsgpackHandle{}
-	h.StructToArray = false
+	h.StructToArray = true // both sides know the order; protocol counts its changes
 	h.WriteExt = true
 	return h
 }()
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -27,10 +27,14 @@
 	for i := range n {
 		file := parse(t, keyedClass("500ms", "60s")+twoSalas+listener("l", "127.0.0.1:0")+s.cluster("c", "")+
 			"route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\nroute \"read\" {\n match {\n methods = [\"GET\"]\n }\n class = \"read\"\n cluster = \"c\"\n}\n")
-		tr, addr := links.Transport(t, i)
+		sockets, err := fleet.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := sockets.Addr()
 		file.Fleet = &fleet.Options{Fleet: "test", Name: voters[i], Listen: addr, Seeds: seeds, Keyring: [][]byte{bytes.Repeat([]byte{1}, 32)},
 			Voters: voters, Members: 16, Keys: 1 << 14, New: true, Life: 500 * time.Millisecond, Silent: 10 * time.Second,
-			Probe: 100 * time.Millisecond, Transport: tr}
+			Probe: 100 * time.Millisecond, Transport: links.Wrap(i, sockets, addr)}
 		seeds = append(seeds, addr)
 		g, err := Start(file, slog.New(slog.DiscardHandler))
 		if err != nil {
--- a/internal/lbtest/links.go
+++ b/internal/lbtest/links.go
@@ -3,13 +3,9 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
-	"io"
-	"log"
 	"math/rand/v2"
 	"net"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -84,24 +80,17 @@
 	l.unsound = true
 }
 
-// Transport opens the sockets of an instance, on a free port. The address is that on which others reach it.
-func (l *Links) Transport(t testing.TB, me int) (tr memberlist.Transport, addr string) {
-	t.Helper()
-	nt, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{"127.0.0.1"},
-		Logger: log.New(io.Discard, "", 0)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr = fmt.Sprintf("127.0.0.1:%d", nt.GetAutoBindPort())
+// Wrap puts an instance's sockets behind the links. The address is that on which others reach it.
+func (l *Links) Wrap(me int, sockets memberlist.NodeAwareTransport, addr string) memberlist.NodeAwareTransport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.names[addr] = me
-	return &transport{nt, l, me}, addr
+	return &transport{sockets, l, me}
 }
 
 // transport is an instance's sockets, with the links' troubles.
 type transport struct {
-	*memberlist.NetTransport
+	memberlist.NodeAwareTransport
 	links *Links
 	me    int
 }
@@ -115,14 +104,14 @@
 		text := bytes.Clone(b)
 		t.links.later(func() {
 			time.Sleep(delay)
-			t.NetTransport.WriteTo(text, addr)
+			t.NodeAwareTransport.WriteTo(text, addr)
 			if twice {
-				t.NetTransport.WriteTo(text, addr)
+				t.NodeAwareTransport.WriteTo(text, addr)
 			}
 		})
 		return time.Now(), nil
 	}
-	return t.NetTransport.WriteTo(b, addr)
+	return t.NodeAwareTransport.WriteTo(b, addr)
 }
 
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
@@ -137,7 +126,7 @@
 	if cut {
 		return nil, errors.New("no way")
 	}
-	return t.NetTransport.DialTimeout(addr, d)
+	return t.NodeAwareTransport.DialTimeout(addr, d)
 }
 
 func (t *transport) DialAddressTimeout(a memberlist.Address, d time.Duration) (net.Conn, error) {
