--- /dev/null
+++ b/internal/sidecar/router_test.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/config"
+	"silvertrail/internal/frontend"
+	"silvertrail/internal/host"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/registry"
+	"silvertrail/internal/upstream"
+)
+
+// Callers that repeat by the same key under another id, after an answer that was lost, come to the zone that may have run
+// the first try and to no other; where that zone has gone they get a failure, and other keys are served.
+func TestKeysStayInTheirZone(t *testing.T) {
+	t.Parallel()
+	c, err := config.Load(lbtest.WriteConfig(t, "", "127.0.0.1:1", "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
+		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64}), Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	zones := map[string]map[string]bool{} // by key
+	first := map[string]int{}             // the endpoint
+	var list []registry.Endpoint
+	for i, zone := range []string{"a", "a", "b", "b"} {
+		e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+			key := a.Request.Header.Get("Idempotency-Key")
+			mu.Lock()
+			fresh := zones[key] == nil
+			if fresh {
+				zones[key], first[key] = map[string]bool{}, i
+			}
+			zones[key][zone] = true
+			mu.Unlock()
+			if fresh && key[0] == 'l' { // its answer is lost
+				a.Close()
+				return
+			}
+			a.OK()
+		})
+		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: zone, Group: i, Status: "ready"})
+	}
+	h.Members(decide.Full, list)
+	l := lbtest.Listen(t)
+	server := frontend.New(NewRouter(c, h, 1<<20), l, 64, log.New(io.Discard, "", 0))
+	go server.Serve()
+	t.Cleanup(func() { server.Close() })
+	drain := func(which int) {
+		now := slices.Clone(list)
+		now[which].Status = "draining"
+		h.Members(decide.Full, now)
+	}
+	ask := func(id, key string) int {
+		t.Helper()
+		caller := lbtest.Dial(t, l.Addr().String())
+		defer caller.Close()
+		caller.Send(lbtest.Head("POST", "write", id, "Idempotency-Key: "+key, "Content-Length: 0"))
+		status, _ := caller.Answer()
+		return status
+	}
+	for i := range 40 {
+		key := fmt.Sprint("lost-", i)
+		for try := range 3 {
+			if try == 1 { // its endpoint drains: another one of its zone is there
+				mu.Lock()
+				was := first[key]
+				mu.Unlock()
+				drain(was)
+			}
+			// The first may have used up the budget for further attempts.
+			if status := ask(fmt.Sprint(key, "-", try), key); status != 200 && (try > 0 || status != 502) {
+				t.Errorf("%s, try %d: %d", key, try, status)
+			}
+		}
+	}
+	mu.Lock()
+	for key, in := range zones {
+		if len(in) != 1 {
+			t.Errorf("%s came to %v", key, in)
+		}
+	}
+	gone := zones["lost-0"]
+	mu.Unlock()
+	for i, e := range list {
+		if gone[e.Zone] {
+			list[i].Status = "draining"
+		}
+	}
+	h.Members(decide.Full, list)
+	if status := ask("late", "lost-0"); status != 502 {
+		t.Errorf("a repeat whose zone has gone: %d", status)
+	}
+	if status := ask("other", "other"); status != 200 {
+		t.Errorf("another key: %d", status)
+	}
+}
