Fail keyed requests sooner where most voters have been mute

On the side of a cut without a majority each keyed request waited for a quarter of a second for voters that could not answer. Hearing, without I/O, remembers who owes an answer for over a second; an ask that can't win a majority is then waited for 80 ms. It is still made, so that a voter that is back is heard at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -228,6 +228,7 @@
 		return fmt.Errorf("fleet: the voters were changed %v ago; the next change can come %v after that", now.Sub(f.changed).Round(time.Second), f.o.Silent)
 	}
 	f.voters, f.changed = voters, now
+	f.keys.keep(voters)
 	f.log.Info("voters changed", "voters", voters)
 	return nil
 }
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -14,6 +14,7 @@
 
 const (
 	bindWait = 500 * time.Millisecond // for the voters, at the most; half of the time left where that is less
+	muteWait = 80 * time.Millisecond  // where most of them have been mute lately
 	askAgain = 40 * time.Millisecond  // those that have not answered
 	wantWait = 500 * time.Millisecond // between two asks for a copy
 )
@@ -26,9 +27,10 @@
 	voter   *binding.Voter // of every instance: it may become one of the voters by a reload
 	catches map[string]*catch
 
-	askMu sync.Mutex
-	asks  map[binding.Try]*asking
-	next  uint64
+	askMu   sync.Mutex
+	hearing binding.Hearing
+	asks    map[binding.Try]*asking
+	next    uint64
 }
 
 // asking is an ask under way.
@@ -74,6 +76,7 @@
 	p := &asking{asker: binding.NewAsker(now, a, len(voters)), voters: voters, moved: make(chan struct{}, 1)}
 	k.askMu.Lock()
 	k.asks[a.Try] = p
+	most := k.hearing.Wait(now, voters, min(bindWait, a.Life/2), muteWait)
 	k.askMu.Unlock()
 	defer func() {
 		k.askMu.Lock()
@@ -82,7 +85,7 @@
 			delete(k.asks, a.Try)
 		}
 	}()
-	wait := time.NewTimer(min(bindWait, a.Life/2))
+	wait := time.NewTimer(most)
 	defer wait.Stop()
 	again := time.NewTicker(askAgain)
 	defer again.Stop()
@@ -118,6 +121,9 @@
 	for i := range p.voters {
 		if p.asker.Waits(i) {
 			to = append(to, i)
+			if p.voters[i] != k.f.o.Name {
+				k.hearing.Asked(time.Now(), p.voters[i])
+			}
 		}
 	}
 	k.askMu.Unlock()
@@ -138,6 +144,7 @@
 func (k *keys) answer(from string, a *binding.Answer) {
 	k.askMu.Lock()
 	defer k.askMu.Unlock()
+	k.hearing.Heard(from)
 	p := k.asks[a.Try]
 	if p == nil {
 		return
@@ -162,6 +169,17 @@
 	}
 }
 
+// keep forgets what voters owe that are none any more.
+func (k *keys) keep(voters []string) {
+	k.askMu.Lock()
+	defer k.askMu.Unlock()
+	names := make(map[string]bool, len(voters))
+	for _, v := range voters {
+		names[v] = true
+	}
+	k.hearing.Keep(names)
+}
+
 // receive takes what another instance has said.
 func (f *Fleet) receive(text []byte) {
 	p, err := decode(text)
