--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -348,7 +348,7 @@
 }
 
 func until(most time.Duration, ok func() bool) bool {
-	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 		if ok() {
 			return true
 		}
