--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -350,17 +350,6 @@
 // bound as before. Those that are lost make room for others.
 func TestMembersBound(t *testing.T) {
 	c := newCrew(t, 3, 3)
-	boaster := c.boast(40)
-	boaster.Join([]string{c.all[0].o.Listen})
-	for i := range 20 {
-		f := c.all[i%3]
-		if state, _ := f.Bind(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond)); state != binding.Bound {
-			t.Errorf("%d: %v", i, state)
-		}
-		if n := len(f.Members()); n > f.o.Members {
-			t.Errorf("%d members, over %d", n, f.o.Members)
-		}
-	}
 	f := c.all[1]
 	for i := range 100 {
 		n := &memberlist.Node{Name: fmt.Sprint("passing ", i), Addr: net.IPv4(127, 0, 0, 1)}
@@ -374,6 +363,17 @@
 	if len(all) > f.o.Members || !knows(name(0)) || !knows("passing 99") {
 		t.Errorf("%d members, or the wrong ones: %v", len(all), all)
 	}
+	boaster := c.boast(40)
+	boaster.Join([]string{c.all[0].o.Listen})
+	for i := range 20 {
+		f := c.all[i%3]
+		if state, _ := f.Bind(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond)); state != binding.Bound {
+			t.Errorf("%d: %v", i, state)
+		}
+		if n := len(f.Members()); n > f.o.Members {
+			t.Errorf("%d members, over %d", n, f.o.Members)
+		}
+	}
 }
 
 // boast makes a peer with the fleet's own key and label that knows of many members: they are all at one address.
