Wait for a copy that takes its time, and take all of a fleet's new options or none

A voter that was started anew asked for a copy anew every half second, which voided the one under way: one that takes longer (many keys, a slow link) never became whole, and the voter stayed silent to the end of its time. It now asks again when no part has come for 3 s. A reload with an unusable key in the keyring had taken the voters already; the keyring is checked first.

Seen to fail before: with streams that take 0.4 s to open the voter did not speak again.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,8 +115,8 @@
 			return nil, fmt.Errorf("fleet: advertise: %w", err)
 		}
 	}
-	if len(o.Keyring) == 0 {
-		return nil, errors.New("fleet: no key: packets are always encrypted")
+	if err = checkKeys(o.Keyring); err != nil {
+		return nil, err
 	}
 	if f.ring, err = memberlist.NewKeyring(o.Keyring, o.Keyring[0]); err != nil {
 		return nil, fmt.Errorf("fleet: keyring: %w", err)
@@ -173,6 +173,9 @@
 // Update takes up new options: keys and voters. What else has changed waits for a restart, and the log says so. An error
 // means that nothing has changed.
 func (f *Fleet) Update(o Options) error {
+	if err := checkKeys(o.Keyring); err != nil {
+		return err
+	}
 	if err := f.Revote(o.Voters); err != nil {
 		return err
 	}
@@ -189,11 +192,24 @@
 // Votes tells whether there are voters, so that keys are bound over the fleet.
 func (f *Fleet) Votes() bool { return len(f.voterNames()) > 0 }
 
+// checkKeys tells what is wrong with a keyring, before any of it is taken.
+func checkKeys(keys [][]byte) error {
+	if len(keys) == 0 {
+		return errors.New("fleet: no key: packets are always encrypted")
+	}
+	for _, k := range keys {
+		if err := memberlist.ValidateKey(k); err != nil {
+			return fmt.Errorf("fleet: key: %w", err)
+		}
+	}
+	return nil
+}
+
 // Rekey takes a new keyring: to rotate a key without a stop, it is first added behind the one in use everywhere, then
 // put before it, then left alone.
 func (f *Fleet) Rekey(keys [][]byte) error {
-	if len(keys) == 0 {
-		return errors.New("fleet: no key")
+	if err := checkKeys(keys); err != nil {
+		return err
 	}
 	for _, k := range keys {
 		if err := f.ring.AddKey(k); err != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -280,6 +280,7 @@
 	}
 	old := c.all[1]
 	old.Close()
+	c.links.Slow(400 * time.Millisecond) // a copy takes longer than the time between two asks for one
 	c.all[1] = c.start(1, false, old.o.Voters...)
 	lbtest.Until(t, "it speaks again", func() bool {
 		_, silent, _ := c.all[1].Voter(history.ID{}, decide.ScopeAll)
@@ -425,6 +426,9 @@
 	if err := c.all[1].Revote([]string{name(0), name(1), "i9"}); err == nil {
 		t.Error("voters whose majorities need not meet those before were taken")
 	}
+	if err := c.all[1].Update(Options{Voters: []string{name(0), name(1), name(2), "i3"}, Keyring: [][]byte{{1}}}); err == nil || len(c.all[1].voterNames()) != 3 {
+		t.Errorf("an unusable key: %v, and voters %q", err, c.all[1].voterNames())
+	}
 	if err := c.all[1].Revote([]string{name(0), name(1), name(2), "i3"}); err != nil {
 		t.Error(err)
 	}
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -16,7 +16,8 @@
 	bindWait = 500 * time.Millisecond // for the voters, at the most; half of the time left where that is less
 	muteWait = 80 * time.Millisecond  // where most of them have been mute lately
 	askAgain = 40 * time.Millisecond  // those that have not answered
-	wantWait = 500 * time.Millisecond // between two asks for a copy
+	wantWait = 500 * time.Millisecond // between two looks at whether copies are wanted
+	partWait = 3 * time.Second        // without a further part a copy is taken for broken off
 )
 
 // keys is the part of a fleet that binds keys: this instance's voter, if it is one, and the asks that are under way.
@@ -42,9 +43,10 @@
 
 // catch is a copy that is being received from one voter.
 type catch struct {
-	want uint64
-	got  map[int]bool
-	done bool
+	want  uint64
+	got   map[int]bool
+	moved time.Time // when it was asked for, or its last part came
+	done  bool
 }
 
 func (k *keys) start(f *Fleet, now time.Time) {
@@ -247,13 +249,13 @@
 			}
 			f.voteMu.Lock()
 			c := f.catches[name]
-			if c == nil || !c.done {
-				c = &catch{want: rand.Uint64() | 1, got: map[int]bool{}}
-				f.catches[name] = c
+			var want uint64
+			if c == nil || !c.done && now.Sub(c.moved) >= partWait {
+				want = rand.Uint64() | 1
+				f.catches[name] = &catch{want: want, got: map[int]bool{}, moved: now}
 			}
-			done, want := c.done, c.want
 			f.voteMu.Unlock()
-			if !done {
+			if want != 0 {
 				f.send(name, item{Want: want})
 			}
 		}
@@ -270,7 +272,7 @@
 		return
 	}
 	now := time.Now()
-	c.got[part.Part] = true
+	c.got[part.Part], c.moved = true, now
 	f.voter.Learn(now, part.Keys)
 	if len(c.got) == part.Parts {
 		c.done = true
--- a/internal/lbtest/links.go
+++ b/internal/lbtest/links.go
@@ -17,7 +17,8 @@
 	mu      sync.Mutex
 	names   map[string]int // by address
 	cut     map[[2]int]bool
-	unsound bool // packets come twice, late and out of order
+	slow    time.Duration // for each stream to open
+	unsound bool          // packets come twice, late and out of order
 	drawn   *rand.Rand
 	late    sync.WaitGroup
 	over    bool
@@ -80,6 +81,13 @@
 	l.unsound = true
 }
 
+// Slow has each stream take so long to open from now on.
+func (l *Links) Slow(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slow = d
+}
+
 // Wrap puts an instance's sockets behind the links. The address is that on which others reach it.
 func (l *Links) Wrap(me int, sockets memberlist.NodeAwareTransport, addr string) memberlist.NodeAwareTransport {
 	l.mu.Lock()
@@ -122,7 +130,9 @@
 	t.links.mu.Lock()
 	to := t.links.names[addr]
 	cut := t.links.cut[[2]int{t.me, to}] || t.links.cut[[2]int{to, t.me}]
+	slow := t.links.slow
 	t.links.mu.Unlock()
+	time.Sleep(slow)
 	if cut {
 		return nil, errors.New("no way")
 	}
