Say in one place each: a vote, an end, what was agreed, an undone reload, a left-out answer

The fleet's voter was asked and told in two places each, an attempt was held against the agreement by two rules that were the same, a refused reload was undone in two loops, and the stand-in left an answer out in two.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,6 @@
 package fleet
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -17,9 +16,7 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"silvertrail/decide"
 	"silvertrail/internal/binding"
-	"silvertrail/internal/history"
 	"silvertrail/internal/share"
 )
 
@@ -433,14 +430,3 @@
 	defer f.mu.Unlock()
 	return f.shares[0], f.shares[1]
 }
-
-// Voter tells what the voter of this instance knows of a key; ok is false where it is none.
-func (f *Fleet) Voter(key history.ID, scope decide.Scope) (p history.Past, silent time.Duration, ok bool) {
-	return f.keys.look(key, scope)
-}
-
-// Bind has the voters agree that a key's attempts go to a place. It returns when that is certain one way or the other,
-// or when ctx ends or the time for it is over, which is Unknown.
-func (f *Fleet) Bind(ctx context.Context, a binding.Ask) (binding.State, history.Past) {
-	return f.keys.bind(ctx, a)
-}
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -72,7 +72,9 @@
 	return f.voters
 }
 
-func (k *keys) bind(ctx context.Context, a binding.Ask) (binding.State, history.Past) {
+// Bind has the voters agree that a key's attempts go to a place. It returns when that is certain one way or the other,
+// or when ctx ends or the time for it is over, which is Unknown.
+func (k *keys) Bind(ctx context.Context, a binding.Ask) (binding.State, history.Past) {
 	now := time.Now()
 	voters := k.f.voterNames()
 	p := &asking{asker: binding.NewAsker(now, a, len(voters)), voters: voters, moved: make(chan struct{}, 1)}
@@ -134,15 +136,26 @@
 			k.f.send(p.voters[i], item{Ask: &a})
 			continue
 		}
-		k.voteMu.Lock()
-		answer, ok := k.voter.Ask(time.Now(), a)
-		k.voteMu.Unlock()
-		if ok {
+		if answer, ok := k.vote(a); ok {
 			k.answer(k.f.o.Name, &answer)
 		}
 	}
 }
 
+// vote has this instance's voter answer an ask.
+func (k *keys) vote(a binding.Ask) (binding.Answer, bool) {
+	k.voteMu.Lock()
+	defer k.voteMu.Unlock()
+	return k.voter.Ask(time.Now(), a)
+}
+
+// noteEnd tells this instance's voter of an end.
+func (k *keys) noteEnd(e binding.End) {
+	k.voteMu.Lock()
+	defer k.voteMu.Unlock()
+	k.voter.End(time.Now(), e, k.f.o.Life)
+}
+
 func (k *keys) answer(from string, a *binding.Answer) {
 	k.askMu.Lock()
 	defer k.askMu.Unlock()
@@ -165,9 +178,7 @@
 			f.send(name, item{End: &e})
 			continue
 		}
-		f.voteMu.Lock()
-		f.voter.End(time.Now(), e, f.o.Life)
-		f.voteMu.Unlock()
+		f.noteEnd(e)
 	}
 }
 
@@ -193,18 +204,13 @@
 	for _, i := range p.Items {
 		switch {
 		case i.Ask != nil:
-			f.voteMu.Lock()
-			a, ok := f.voter.Ask(time.Now(), *i.Ask)
-			f.voteMu.Unlock()
-			if ok {
+			if a, ok := f.vote(*i.Ask); ok {
 				back = append(back, item{Answer: &a})
 			}
 		case i.Answer != nil:
 			f.answer(p.From, i.Answer)
 		case i.End != nil:
-			f.voteMu.Lock()
-			f.voter.End(time.Now(), *i.End, f.o.Life)
-			f.voteMu.Unlock()
+			f.noteEnd(*i.End)
 		case i.Want != 0:
 			f.sendCopy(p.From, i.Want)
 		case i.Copy != nil:
@@ -216,7 +222,8 @@
 	}
 }
 
-func (k *keys) look(key history.ID, scope decide.Scope) (p history.Past, silent time.Duration, ok bool) {
+// Voter tells what the voter of this instance knows of a key; ok is false where it is none.
+func (k *keys) Voter(key history.ID, scope decide.Scope) (p history.Past, silent time.Duration, ok bool) {
 	voting := slices.Contains(k.f.voterNames(), k.f.o.Name)
 	k.voteMu.Lock()
 	defer k.voteMu.Unlock()
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -37,14 +37,11 @@
 
 // Bind implements host.Binder. An attempt in the group that the key is bound to already needs no further ask. One in
 // another group is asked for only where all attempts before it never ran: the history has seen to that.
-func (b *binder) Bind(ctx context.Context, to history.Place) history.Past {
+func (b *binder) Bind(ctx context.Context, to history.Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if past := b.Past(); b.state == binding.Bound && past.Allows(to, b.ask.Scope) {
-		return past
-	}
-	if b.over || ctx.Err() != nil {
-		return nowhere
+	if b.over || ctx.Err() != nil || b.state == binding.Bound && b.Past().Allows(to, b.ask.Scope) {
+		return
 	}
 	if b.asked {
 		b.ask.Turn++
@@ -60,7 +57,6 @@
 	b.know.Lock()
 	defer b.know.Unlock()
 	b.past = past
-	return past
 }
 
 // nowhere is what is known of a key where nothing can be known: nothing can be sent anywhere.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,6 +142,14 @@
 		next.tenants[name] = i
 	}
 	var fresh []*shared
+	undo := func() {
+		for _, l := range opened {
+			l.Close()
+		}
+		for _, s := range fresh {
+			s.Close()
+		}
+	}
 	for _, c := range file.Clusters {
 		if old != nil {
 			if is := old.clusters[c.Name]; is != nil && is.Fits(c) {
@@ -151,12 +159,7 @@
 		}
 		made, err := cluster.New(c, g.resources, rand.Uint64(), g.log)
 		if err != nil {
-			for _, l := range opened {
-				l.Close()
-			}
-			for _, s := range fresh {
-				s.Close()
-			}
+			undo()
 			return err
 		}
 		s := &shared{Cluster: made}
@@ -167,12 +170,7 @@
 		<-s.Settled()
 	}
 	if err := g.refleet(file); err != nil {
-		for _, l := range opened {
-			l.Close()
-		}
-		for _, s := range fresh {
-			s.Close()
-		}
+		undo()
 		return err
 	}
 	// Nothing fails from here on.
--- a/internal/host/key.go
+++ b/internal/host/key.go
@@ -21,10 +21,9 @@
 
 // Binder binds a key to a place before an attempt's first byte goes there, for all processes.
 type Binder interface {
-	// Bind returns what is known of the key in all processes: the attempt may go out where that allows its place. It may be
-	// called again, for another attempt.
-	Bind(ctx context.Context, to history.Place) history.Past
-	// Past returns what Bind has told last.
+	// Bind asks all processes; what it has learnt stands in Past. It may be called again, for another attempt.
+	Bind(ctx context.Context, to history.Place)
+	// Past returns what is known of the key in all processes: an attempt may go out where that allows its place.
 	Past() history.Past
 }
 
@@ -69,7 +68,7 @@
 
 // agree has the other processes agree on where an attempt goes. It is false where it must not go out: another process was
 // quicker, or can't be asked in time. What was told reaches the decisions with the attempt's end.
-func (h *Host) agree(ctx context.Context, c *Call, a *attempt) bool {
+func (h *Host) agree(ctx context.Context, c *Call, a *attempt) (ok bool) {
 	if c.key == nil || c.key.Binder == nil {
 		return true
 	}
@@ -82,14 +81,15 @@
 	})
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
-	p := c.key.Binder.Bind(ctx, to)
+	c.key.Binder.Bind(ctx, to)
 	h.event(func(now time.Duration) {
 		a.sent = now // what it took is not the endpoint's doing
 		if !a.ended {
 			h.balancer.OnWay(now, c.id, a.number, false)
 		}
+		ok = h.agreed(time.Now(), c, a)
 	})
-	return p.Allows(to, c.key.Terms.Scope) && time.Now().Before(p.Until)
+	return ok
 }
 
 // agreed tells whether what other processes have agreed to still holds for an attempt.
--- a/internal/standin/nodo.go
+++ b/internal/standin/nodo.go
@@ -140,6 +140,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// leaveOut holds a request until its caller has gone, and answers nothing.
+func (n *Nodo) leaveOut(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-n.done:
+	}
+	panic(http.ErrAbortHandler) // a handler that returns has answered 200
+}
+
 func (n *Nodo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 	if err != nil {
@@ -147,11 +156,7 @@
 	}
 	n.requests.Add(1)
 	if n.hung.Load() {
-		select {
-		case <-r.Context().Done():
-		case <-n.done:
-		}
-		panic(http.ErrAbortHandler) // a handler that returns has answered 200
+		n.leaveOut(r)
 	}
 	if n.draining.Load() {
 		n.mu.Lock()
@@ -188,11 +193,7 @@
 	if n.o.Trouble != nil {
 		switch n.o.Trouble(r) {
 		case Silent:
-			select {
-			case <-r.Context().Done():
-			case <-n.done:
-			}
-			panic(http.ErrAbortHandler)
+			n.leaveOut(r)
 		case Reset:
 			panic(http.ErrAbortHandler)
 		}
