Carry requests between salas over HTTP/2 links under mutual TLS

A sala that loses its nodos refused everything while another had room. A link block and a route's cross attribute let what the own sala can't serve cross, with its time left, class, worth and key. Without the check for a served answer requests crossed after they were served; the test showed it.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -22,6 +22,7 @@
 	"silvertrail/decide"
 	"silvertrail/internal/cluster"
 	"silvertrail/internal/fleet"
+	"silvertrail/internal/link"
 	"silvertrail/internal/registry"
 	"silvertrail/internal/route"
 )
@@ -35,6 +36,7 @@
 	Clusters  []cluster.Config
 	Routes    *route.Table
 	Fleet     *fleet.Options // nil: this instance is alone
+	Link      *link.Options  // nil: no other salas
 	Control   string         // a socket's path, on which the running process tells of itself; empty: none
 }
 
@@ -170,7 +172,7 @@
 
 func (p *parser) file(body hcl.Body) *File {
 	top := p.open("the file", hcl.Range{}, body, nil,
-		map[string]int{"process": 0, "class": 1, "tenant": 1, "listener": 1, "cluster": 1, "route": 1, "fleet": 1})
+		map[string]int{"process": 0, "class": 1, "tenant": 1, "listener": 1, "cluster": 1, "route": 1, "fleet": 1, "link": 1})
 	by := map[string]hcl.Blocks{}
 	for _, b := range top.blocks {
 		by[b.Type] = append(by[b.Type], b)
@@ -191,11 +193,9 @@
 		p.known("class", located{name, process.where("default_class")})
 	}
 	f.Fleet = p.fleetBlock(by["fleet"], f)
-	f.Control = process.text("control", "")
-	if f.Control != "" && !filepath.IsAbs(f.Control) {
-		f.Control = filepath.Join(p.folder, f.Control)
-	}
-	if f.Fleet != nil {
+	f.Link = p.linkBlock(by["link"], f)
+	f.Control = p.path(process, "control")
+	if f.Fleet != nil && f.Link == nil { // with a link the fleet spans salas, and the numbers are this sala's
 		for _, name := range []string{"fleet", "member"} {
 			if process.has(name) {
 				process.fault(process.where(name), "Told twice", "%q goes without a fleet block alone: with one the members are counted.", name)
--- /dev/null
+++ b/internal/conf/link.go
@@ -0,0 +1,116 @@
+package conf
+
+import (
+	"net"
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"silvertrail/decide"
+	"silvertrail/internal/link"
+)
+
+// LinkListener is the listener by whose name routes match requests that other salas send.
+const LinkListener = "link"
+
+// linkBlock reads the link block, or returns nil where there is none.
+func (p *parser) linkBlock(blocks hcl.Blocks, f *File) *link.Options {
+	if len(blocks) == 0 {
+		return nil
+	}
+	for _, b := range blocks[1:] {
+		p.fault(b.DefRange, "Twice", "There is one link block at most.")
+	}
+	b := blocks[0]
+	s := p.open("link "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"listen", "certificate", "key", "authority", "plain", "heartbeat",
+		"silence", "calls"}, map[string]int{"peer": 1})
+	s.need("listen")
+	o := &link.Options{Sala: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), Calls: s.whole("calls", 1024, 1, 1<<16),
+		Heartbeat: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
+		Silence:   s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
+	p.sala(o.Sala, b.LabelRanges[0])
+	at, err := netip.ParseAddrPort(o.Listen)
+	if err != nil && s.has("listen") {
+		s.fault(s.where("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7950\".", o.Listen)
+	}
+	files := []string{"certificate", "key", "authority"}
+	if s.flag("plain") {
+		if err == nil && !at.Addr().IsLoopback() {
+			s.fault(s.where("plain"), "Not on loopback", "A plain link is for loopback alone; %s is not.", o.Listen)
+		}
+		for _, name := range files {
+			if s.has(name) {
+				s.fault(s.where(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
+			}
+		}
+	} else {
+		s.need(files...)
+		o.Identity = &link.Identity{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}
+	}
+	for _, inner := range s.blocks {
+		n := p.open("peer "+quote(inner.Labels[0]), inner.DefRange, inner.Body, []string{"address"}, nil)
+		n.need("address")
+		peer := link.Peer{Name: inner.Labels[0], Address: n.text("address", "")}
+		p.sala(peer.Name, inner.LabelRanges[0])
+		if host, port, err := net.SplitHostPort(peer.Address); n.has("address") && (err != nil || host == "" || port == "") {
+			n.fault(n.where("address"), "Not an address", "%q is no address and port.", peer.Address)
+		}
+		if peer.Name == o.Sala || slices.ContainsFunc(o.Peers, func(o link.Peer) bool { return o.Name == peer.Name }) {
+			p.fault(inner.LabelRanges[0], "Named twice", "%q is this sala, or a peer already.", peer.Name)
+		}
+		o.Peers = append(o.Peers, peer)
+	}
+	if len(o.Peers) == 0 {
+		s.fault(s.at, "No peer", "%s needs a peer block for each other sala.", s.what)
+	}
+	for _, c := range f.Classes {
+		o.Worths = append(o.Worths, c.Worth)
+	}
+	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == decide.Keyed }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
+		s.fault(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
+			"repeat through another sala could take effect a second time.", f.Classes[i].Name)
+	}
+	return o
+}
+
+// sala checks the name of a sala, which is a certificate's too, and part of the name of a place.
+func (p *parser) sala(name string, at hcl.Range) {
+	if name == "" || len(name) > 63 || strings.ContainsFunc(name, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-'
+	}) {
+		p.fault(at, "Unusable name", "The name of a sala has 1 to 63 of a to z, 0 to 9 and \"-\".")
+	}
+}
+
+// path reads a file's path, which is taken from the configuration's folder.
+func (p *parser) path(s *scope, name string) string {
+	path := s.text(name, "")
+	if path != "" && !filepath.IsAbs(path) {
+		path = filepath.Join(p.folder, path)
+	}
+	return path
+}
+
+// cross reads the salas that a route's requests may cross to.
+func (p *parser) cross(s *scope, f *File) (out []string) {
+	for _, l := range s.list("cross") {
+		switch {
+		case f.Link == nil:
+			p.fault(l.at, "No link", "%s crosses to %q, but there is no link block.", s.what, l.text)
+		case !slices.ContainsFunc(f.Link.Peers, func(o link.Peer) bool { return o.Name == l.text }):
+			var names []string
+			for _, o := range f.Link.Peers {
+				names = append(names, o.Name)
+			}
+			p.fault(l.at, "Unknown sala", "The link has no peer named %q.%s", l.text, suggestion(l.text, names))
+		case slices.Contains(out, l.text):
+			p.fault(l.at, "Named twice", "%q is named already.", l.text)
+		}
+		out = append(out, l.text)
+	}
+	return out
+}
--- a/internal/conf/routes.go
+++ b/internal/conf/routes.go
@@ -24,7 +24,15 @@
 			places[r.Name] = b.DefRange
 		}
 	}
-	table, errs := route.Compile(p.all("listener"), rules)
+	listeners := p.all("listener")
+	if f.Link != nil {
+		if _, taken := p.names["listener"][LinkListener]; taken {
+			p.fault(p.names["listener"][LinkListener], "Name taken", "%q is what routes call requests that come from other salas.", LinkListener)
+		} else {
+			listeners = append(listeners, LinkListener)
+		}
+	}
+	table, errs := route.Compile(listeners, rules)
 	for _, err := range errs {
 		p.fault(places[err.Rule], "Unusable route", "Route %q: %s.", err.Rule, err.Err)
 	}
@@ -32,7 +40,7 @@
 }
 
 func (p *parser) route(b *hcl.Block, f *File) route.Rule {
-	s := p.open("route "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"cluster", "class", "timeout", "max_attempts", "failover",
+	s := p.open("route "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"cluster", "class", "timeout", "max_attempts", "failover", "cross",
 		"split_by", "rewrite", "set_headers", "remove_headers"}, map[string]int{"match": 0, "to": 1, "respond": 0, "redirect": 0})
 	r := route.Rule{Name: b.Labels[0], Class: s.text("class", ""), MaxAttempts: s.whole("max_attempts", 0, 1, 10),
 		Failover: s.text("failover", ""), Set: s.table("set_headers"), Remove: texts(s.list("remove_headers")),
@@ -45,6 +53,7 @@
 		p.known("cluster", located{name, s.where("cluster")})
 		r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: 1})
 	}
+	r.Cross = p.cross(s, f)
 	if s.has("rewrite") {
 		to := s.text("rewrite", "/")
 		r.Rewrite = &to
@@ -53,7 +62,7 @@
 	for _, inner := range s.blocks {
 		switch inner.Type {
 		case "match":
-			r.Matches = append(r.Matches, p.match(inner))
+			r.Matches = append(r.Matches, p.match(inner, f.Link != nil))
 		case "to":
 			t := p.open("to", inner.DefRange, inner.Body, []string{"weight"}, nil)
 			name := inner.Labels[0]
@@ -124,11 +133,13 @@
 	return kind, ""
 }
 
-func (p *parser) match(b *hcl.Block) (m route.Match) {
+func (p *parser) match(b *hcl.Block, linked bool) (m route.Match) {
 	s := p.open("match", b.DefRange, b.Body, []string{"listeners", "hosts", "path", "prefix", "template", "methods", "headers", "query",
 		"class", "tenant"}, nil)
 	for _, l := range s.list("listeners") {
-		p.known("listener", l)
+		if l.text != LinkListener || !linked {
+			p.known("listener", l)
+		}
 		m.Listeners = append(m.Listeners, l.text)
 	}
 	m.Hosts = texts(s.list("hosts"))
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -19,16 +19,48 @@
 
 	mu    sync.Mutex // one ask at a time
 	asked bool
-	over  bool // the request is: no ask of it may follow its end
-	state binding.State
-	know  sync.Mutex // of past
-	past  history.Past
+	// resumed: another sala has begun the request and tells the voters of its end.
+	resumed bool
+	over    bool // the request is: no ask of it may follow its end
+	state   binding.State
+	know    sync.Mutex // of past
+	past    history.Past
 }
 
 func newBinder(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time) *binder {
 	return &binder{fleet: f, deadline: deadline, ask: binding.Ask{Try: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Keep: c.Keep}}
 }
 
+// resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
+// is the other sala's to tell.
+func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try binding.Try, turn uint32) *binder {
+	b := newBinder(f, id, c, deadline)
+	b.ask.Try, b.ask.Turn, b.asked, b.resumed = try, turn, true, true
+	return b
+}
+
+// carry returns the numbers under which another sala may go on with the request, all of whose attempts here never ran.
+func (b *binder) carry() (binding.Try, uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked, b.state = true, binding.Pending
+	return b.ask.Try, b.ask.Turn
+}
+
+// turn returns the last turn that voters were asked for.
+func (b *binder) turn() uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ask.Turn
+}
+
+// went takes the last turn of the sala that went on with the request.
+func (b *binder) went(turn uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ask.Turn = max(b.ask.Turn, turn)
+}
+
 func (b *binder) Past() history.Past {
 	b.know.Lock()
 	defer b.know.Unlock()
@@ -66,7 +98,7 @@
 func (b *binder) end(mayHaveRun bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.over = true; b.asked {
+	if b.over = true; b.asked && !b.resumed {
 		b.fleet.End(binding.End{Try: b.ask.Try, NeverRan: !mayHaveRun})
 	}
 }
--- /dev/null
+++ b/internal/gateway/cross.go
@@ -0,0 +1,300 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/binding"
+	"silvertrail/internal/conf"
+	"silvertrail/internal/crossing"
+	"silvertrail/internal/failover"
+	"silvertrail/internal/history"
+	"silvertrail/internal/host"
+	"silvertrail/internal/link"
+	"silvertrail/internal/tally"
+	"silvertrail/internal/upstream"
+)
+
+// settleIn is how long a request waits to hear what became of a crossing that was cut off, at the most; half of the time
+// that is left to it where that is less.
+const settleIn = time.Second
+
+// over gives a request to other salas, as the decisions of package crossing say, until one has served it or none may have
+// it. What comes in is how its own sala has ended it.
+func (x *exchange) over(ctx context.Context, way *crossing.Way, a host.Answer) host.Answer {
+	l := x.gateway.linked.Load()
+	if l == nil {
+		return a
+	}
+	attempts := a.Attempts
+	for ctx.Err() == nil && a.Reply == nil {
+		so := crossing.So{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, Attempts: attempts, Holder: x.holder(),
+			Refused: a.Refused, Passing: x.passing != nil}
+		r, why, ok := way.Next(so)
+		if !ok {
+			return a
+		}
+		r.Worth = x.class.Worth
+		to, back, ok := l.Pick(r)
+		if !ok {
+			if back > 0 && !a.MayHaveRun && a.Reply == nil { // it never ran anywhere, and there is nowhere to carry it now
+				a.Refused, a.RetryAfter = true, max(a.RetryAfter, back)
+			}
+			return a
+		}
+		way.Crossed(to)
+		b := x.carry(ctx, l, to, why, way)
+		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Reply == nil
+		b.Refused = b.Refused && !b.MayHaveRun
+		if b.Reply == nil && b.Last == nil {
+			b.Last = a.Last
+		}
+		attempts = b.Attempts
+		a = b
+	}
+	return a
+}
+
+// carry gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
+// that nothing has run there.
+func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a host.Answer) {
+	var try *history.Try
+	if x.hold != nil {
+		var err error
+		terms := history.Terms{Scope: x.class.Scope, Window: x.class.Window, Keep: x.class.Keep}
+		if try, err = x.hold.Send(time.Now(), history.Place{Cluster: crossing.Place(to, ""), Zone: to}, terms); err != nil {
+			l.Ended(to, x.class.Worth, crossing.Returned, 0)
+			return host.Answer{MayHaveRun: true}
+		}
+	}
+	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.Worth, Effect: uint8(x.class.Effect),
+		Tenant: x.tenant, Key: x.key, Allowed: way.Left(), Been: append(append([]string{}, way.Been...), x.gateway.sala), Reason: why,
+		Past: x.holder() == to && why == tally.Held, Retried: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
+	c.Try, c.Turn = x.votes(c.Past)
+	waiting, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	is := l.Call(waiting, to, c)
+	outcome := is.Outcome
+	if outcome == tally.Open && x.class.Effect != decide.Safe && ctx.Err() == nil {
+		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
+		outcome = l.Settle(settling, is)
+		cancel()
+	}
+	if try != nil {
+		try.End(time.Now(), outcome.Harmless())
+	}
+	a = x.answer(is.Answer, outcome)
+	result := crossing.Failed
+	switch {
+	case !is.Sent:
+		result = crossing.Returned
+	case a.Reply != nil:
+		result = crossing.Served
+	case outcome == tally.Refused:
+		result = crossing.Refused
+	case waiting.Err() != nil && is.Answer == nil && ctx.Err() != nil:
+		result = crossing.GivenUp
+	}
+	l.Ended(to, x.class.Worth, result, a.RetryAfter)
+	if is.Sent {
+		x.gateway.log.Debug("crossed", "to", to, "class", x.class.Name, "reason", why.String(), "outcome", outcome.String())
+	}
+	return a
+}
+
+// answer translates what another sala has said.
+func (x *exchange) answer(said *link.Answer, outcome tally.Outcome) (a host.Answer) {
+	a.MayHaveRun = !outcome.Harmless()
+	if said == nil {
+		return a
+	}
+	a.Attempts = said.Attempts
+	if x.binder != nil {
+		x.binder.went(said.Turn)
+	}
+	switch outcome {
+	case tally.Served:
+		a.Reply, a.MayHaveRun = &upstream.Answer{Status: said.Status, Header: said.Header, Body: said.Body}, false
+	case tally.Refused:
+		a.Refused, a.RetryAfter = true, time.Duration(said.Back)*time.Microsecond
+	}
+	if said.Place.Cluster != "" && a.Reply == nil { // it knows who holds the key
+		x.told = history.Past{Known: true, Place: said.Place, Until: x.deadline}
+	}
+	return a
+}
+
+// votes returns the numbers under which the voters know the request, for the sala that goes on with it. Where the key may
+// have run there already, the request begins anew for them: another turn would say that the earlier ones never ran.
+func (x *exchange) votes(past bool) (binding.Try, uint32) {
+	if x.binder == nil {
+		return binding.Try{}, 0
+	}
+	if past {
+		if x.binder.resumed {
+			return binding.Try{}, 0 // the sala asks in its own name
+		}
+		x.binder.end(x.hold.MayHaveRun())
+		x.binder = newBinder(x.gateway.fleet, x.id, x.class, x.deadline)
+	}
+	return x.binder.carry()
+}
+
+// holder returns the sala that holds the request's key, by this process's history, the voters, and the other salas' word.
+func (x *exchange) holder() string {
+	if x.hold == nil {
+		return ""
+	}
+	pasts := []history.Past{x.hold.Past(x.class.Scope), x.told}
+	if x.binder != nil {
+		pasts = append(pasts, x.binder.Past())
+	}
+	return crossing.Holder(pasts...)
+}
+
+// salaServer serves what crosses to this sala. It implements link.Server.
+type salaServer struct{ *Gateway }
+
+// State implements link.Server.
+func (g salaServer) State() crossing.State {
+	switch {
+	case g.draining.Load():
+		return crossing.Draining
+	case g.strain.shedding(time.Now()):
+		return crossing.Shedding
+	}
+	return crossing.Open
+}
+
+// Lookup implements link.Server.
+func (g salaServer) Lookup(id history.ID) (f link.Found) {
+	now := time.Now()
+	p := g.keys.Past(now, id, decide.ScopeAll)
+	if !p.Known {
+		return f
+	}
+	return link.Found{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, Left: max(p.Until.Sub(now), 0).Microseconds()}
+}
+
+// Cross implements link.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
+func (g salaServer) Cross(ctx context.Context, from string, c *link.Call) *link.Answer {
+	never := func(why string) *link.Answer { return &link.Answer{Outcome: tally.NeverRan, Why: why} }
+	s := g.acquire()
+	ro := &router{gateway: g.Gateway}
+	ro.listener.Store(&conf.Listener{Name: conf.LinkListener, Trusted: true})
+	h := http.Header(c.Header)
+	if h == nil {
+		h = http.Header{}
+	}
+	for name, value := range map[string]string{"X-Priority-Class": c.Class, "X-Tenant-Id": c.Tenant, "Idempotency-Key": c.Key, "X-Timeout-Ms": ""} {
+		if h.Del(name); value != "" {
+			h.Set(name, value)
+		}
+	}
+	x, reply := ro.route(s, &http.Request{Method: c.Method, RequestURI: c.Target, Host: c.Host, Header: h, ContentLength: int64(len(c.Body)),
+		RemoteAddr: from + ":0"})
+	if reply != nil {
+		g.release(s)
+		if reply.Status == http.StatusNotFound || reply.Close {
+			return never(http.StatusText(reply.Status))
+		}
+		return served(reply.Status, reply.Header, reply.Body)
+	}
+	defer x.End()
+	if x.class.Name != c.Class || uint8(x.class.Effect) != c.Effect {
+		return never("the route's class here is " + x.class.Name + ", or has another effect")
+	}
+	x.passing = c
+	x.q.Left, x.q.Retry = min(x.q.Left, time.Duration(c.Left)*time.Microsecond), c.Retried
+	if c.Allowed > 0 && (x.q.MaxAttempts == 0 || c.Allowed < x.q.MaxAttempts) {
+		x.q.MaxAttempts = c.Allowed
+	}
+	if !x.hasBodyRoom(ctx, c.Body) {
+		return &link.Answer{Outcome: tally.Refused, Back: keysRetry.Microseconds()}
+	}
+	defer x.Bodies().Release(int64(len(c.Body)))
+	a := x.Do(ctx, c.Body)
+	out := x.outcome(ctx, a)
+	out.Attempts = a.Attempts
+	if x.binder != nil {
+		out.Turn = x.binder.turn()
+	}
+	return out
+}
+
+func (x *exchange) hasBodyRoom(ctx context.Context, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, x.q.Left/2)
+	defer cancel()
+	return x.Bodies().Acquire(ctx, int64(len(body))) == nil
+}
+
+// outcome says what became of a call that another sala has sent.
+func (x *exchange) outcome(ctx context.Context, a host.Answer) *link.Answer {
+	if a.Reply != nil {
+		return served(a.Reply.Status, a.Reply.Header, a.Reply.Body)
+	}
+	if x.turned != nil {
+		return served(x.turned.Status, x.turned.Header, x.turned.Body)
+	}
+	out := &link.Answer{Outcome: tally.NeverRan}
+	past := history.Past{}
+	if x.hold != nil {
+		past = x.past()
+		if past.Known {
+			out.Place = past.Place
+			out.Place.Cluster = crossing.Place(x.holder(), "")
+		}
+	}
+	switch {
+	case a.MayHaveRun || ctx.Err() != nil || x.hold != nil && x.hold.MayHaveRun(): // whose caller has gone, told nothing of what is out
+		out.Outcome = tally.Unclear
+	case a.Refused && failover.MayRefuse(time.Now(), past, x.class.Scope):
+		out.Outcome, out.Back = tally.Refused, a.RetryAfter.Microseconds()
+	}
+	return out
+}
+
+func served(status int, h http.Header, body []byte) *link.Answer {
+	return &link.Answer{Outcome: tally.Served, Status: status, Header: h, Body: body}
+}
+
+// strain is how much of what comes a sala refuses for load.
+type strain struct {
+	mu             sync.Mutex
+	begun          time.Time
+	asked, refused [2]int // in this second, and in the one before
+}
+
+// shedPart is the part that is refused from which on a sala says so.
+const shedPart = 0.05
+
+func (s *strain) turn(now time.Time) {
+	if d := now.Sub(s.begun); d >= time.Second {
+		s.begun = now
+		s.asked[1], s.refused[1] = s.asked[0], s.refused[0]
+		if d >= 2*time.Second {
+			s.asked[1], s.refused[1] = 0, 0
+		}
+		s.asked[0], s.refused[0] = 0, 0
+	}
+}
+
+func (s *strain) note(now time.Time, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn(now)
+	s.asked[0]++
+	if refused {
+		s.refused[0]++
+	}
+}
+
+func (s *strain) shedding(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn(now)
+	return float64(s.refused[0]+s.refused[1]) > shedPart*float64(s.asked[0]+s.asked[1])
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,11 +14,14 @@
 	"time"
 
 	"silvertrail/decide"
+	"silvertrail/internal/binding"
 	"silvertrail/internal/conf"
+	"silvertrail/internal/crossing"
 	"silvertrail/internal/failover"
 	"silvertrail/internal/frontend"
 	"silvertrail/internal/history"
 	"silvertrail/internal/host"
+	"silvertrail/internal/link"
 	"silvertrail/internal/route"
 	"silvertrail/internal/upstream"
 )
@@ -45,7 +48,10 @@
 	q       decide.Request
 	key     string // idempotency key of a keyed request
 	tenant  string
-	to      string // cluster that the rule names, or its split
+	to      string       // cluster that the rule names, or its split
+	asked   string       // path and query before the rule's rewrite
+	passing *link.Call   // the request came from another sala; nil: from a caller
+	told    history.Past // of the key, by another sala
 
 	id       history.ID       // of the key
 	hold     *history.Request // on the key, once the request is whole
@@ -104,8 +110,10 @@
 		return nil, reply
 	}
 	sent := rule.Path(path, found.Path)
+	x.asked = path
 	if query != "" {
 		sent += "?" + query
+		x.asked += "?" + query
 	}
 	x.up.Method, x.up.Target, x.up.Host = r.Method, sent, r.Host
 	x.headers(r, listener)
@@ -286,12 +294,38 @@
 	if reply, ok := x.begin(now, body); !ok {
 		return reply
 	}
-	plan := failover.New(failover.Request{To: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.rule.MaxAttempts,
+	if len(x.rule.Cross) == 0 {
+		return x.here(ctx)
+	}
+	way := &crossing.Way{Here: x.gateway.sala, Effect: x.class.Effect, May: x.rule.Cross, Attempts: x.q.MaxAttempts}
+	if x.passing != nil {
+		way.Been = x.passing.Been
+	}
+	holder := x.holder()
+	away := holder != "" && holder != x.gateway.sala
+	if away || x.gateway.leaving.Load() && x.passing == nil && holder == "" {
+		a := x.over(ctx, way, host.Answer{})
+		if away && a.Reply == nil { // whatever was heard: it may have run there
+			a.MayHaveRun, a.Refused = true, false
+		}
+		if away || a.Reply != nil || a.MayHaveRun || ctx.Err() != nil {
+			return a
+		}
+	}
+	return x.over(ctx, way, x.here(ctx))
+}
+
+// here gives the request to this sala's own clusters.
+func (x *exchange) here(ctx context.Context) host.Answer {
+	plan := failover.New(failover.Request{To: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.q.MaxAttempts,
 		Deadline: x.deadline})
-	to := plan.First(x.past())
+	to := plan.First(x.local())
 	var last *upstream.Answer
 	for {
 		a, here := x.try(ctx, to, plan)
+		if here {
+			x.gateway.strain.note(time.Now(), a.Refused)
+		}
 		if a.Reply == nil && a.Last == nil {
 			a.Last = last
 		}
@@ -300,7 +334,7 @@
 		}
 		last = a.Last
 		var again bool
-		to, again = plan.Next(time.Now(), failover.Result{Served: a.Reply != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.past())
+		to, again = plan.Next(time.Now(), failover.Result{Served: a.Reply != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.local())
 		if !again {
 			return a
 		}
@@ -325,8 +359,12 @@
 		return a, false
 	}
 	x.hold = hold
-	if f := x.gateway.fleet; f != nil && f.Votes() && failover.Agreed(x.class.Scope, x.rule.Failover != "" || len(x.rule.Targets) > 1) {
-		x.binder = newBinder(f, x.id, x.class, x.deadline)
+	if f := x.gateway.fleet; f != nil && f.Votes() && failover.Agreed(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
+		if c := x.passing; c != nil && c.Try != (binding.Try{}) {
+			x.binder = resume(f, x.id, x.class, x.deadline, c.Try, c.Turn)
+		} else {
+			x.binder = newBinder(f, x.id, x.class, x.deadline)
+		}
 	}
 	if hold.Repeat && x.class.Concurrent == conf.Conflict {
 		x.turned = problem(http.StatusConflict, "A request with the key is in work.")
@@ -351,6 +389,18 @@
 	if x.binder != nil {
 		p = p.And(x.binder.Past(), x.class.Scope)
 	}
+	if x.told.Known {
+		p = p.And(x.told, x.class.Scope)
+	}
+	return p
+}
+
+// local is what is known of the request's key, for a choice among this sala's clusters.
+func (x *exchange) local() history.Past {
+	p := x.past()
+	if sala, cluster := crossing.Split(p.Place.Cluster); sala == x.gateway.sala {
+		p.Place.Cluster = cluster
+	}
 	return p
 }
 
@@ -363,7 +413,7 @@
 	x.q.Left, x.q.MaxAttempts = time.Until(x.deadline), plan.Attempts()
 	var key *host.Key
 	if x.hold != nil {
-		key = &host.Key{History: x.hold, Cluster: to,
+		key = &host.Key{History: x.hold, Cluster: crossing.Place(x.gateway.sala, to),
 			Terms: history.Terms{Scope: x.class.Scope, Window: x.class.Window, Keep: x.class.Keep}}
 		if x.binder != nil {
 			key.Binder = x.binder
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"silvertrail/internal/fleet"
 	"silvertrail/internal/frontend"
 	"silvertrail/internal/history"
+	"silvertrail/internal/link"
 )
 
 const ownSockets = 32 // standard streams, listeners, sources, the runtime's own
@@ -32,7 +33,12 @@
 	log       *slog.Logger
 	keys      *history.Table
 	resources *cluster.Resources
-	fleet     *fleet.Fleet // nil: this instance is alone
+	fleet     *fleet.Fleet              // nil: this instance is alone
+	linked    atomic.Pointer[link.Link] // nil: no other salas
+	sala      string                    // this one's name; empty: there is no link
+	strain    strain
+	draining  atomic.Bool // nothing new is taken from other salas
+	leaving   atomic.Bool // and what is this sala's own goes to others first
 	shares    atomic.Pointer[[2]int]
 	state     atomic.Pointer[state]
 
@@ -72,13 +78,27 @@
 		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
 	if file.Fleet != nil {
 		o := *file.Fleet
-		o.Log, o.Shares = log, g.share
+		o.Log = log
+		if file.Link == nil { // else it spans salas, whose endpoints are not shared
+			o.Shares = g.share
+		}
 		var err error
 		if g.fleet, err = fleet.Start(o); err != nil {
 			return nil, err
 		}
 	}
+	if file.Link != nil {
+		g.sala = file.Link.Sala
+	}
 	err := g.Reload(file)
+	if err == nil && file.Link != nil { // calls come from now on: there must be a state
+		o := *file.Link
+		o.Serve, o.Log = salaServer{g}, log
+		var l *link.Link
+		if l, err = link.Start(o); err == nil {
+			g.linked.Store(l)
+		}
+	}
 	if err == nil {
 		err = g.openControl(file.Control)
 	}
@@ -169,6 +189,10 @@
 	for _, s := range fresh {
 		<-s.Settled()
 	}
+	if old != nil && (old.file.Link == nil) != (file.Link == nil) {
+		undo()
+		return errors.New("gateway: a link begins and ends with the process: restart it")
+	}
 	if err := g.refleet(file); err != nil {
 		undo()
 		return err
@@ -185,6 +209,9 @@
 	if is := g.shares.Load(); is != nil { // after the state is there: a change in between reaches it twice, and not never
 		next.share(is[0], is[1])
 	}
+	if l := g.linked.Load(); l != nil {
+		l.Update(*file.Link)
+	}
 	g.serve(file, opened)
 	if old != nil {
 		g.release(old)
@@ -307,6 +334,7 @@
 		return
 	}
 	g.ended = true
+	g.draining.Store(true) // other salas hear it with the next heartbeat
 	s := g.state.Load()
 	now := time.Now()
 	by := now.Add(s.file.Process.Stop)
@@ -317,6 +345,10 @@
 		g.retire.Go(func() { f.End(now.Add(s.file.Process.Stop/2), by) })
 	}
 	g.retire.Wait()
+	if l := g.linked.Load(); l != nil {
+		l.Drain(by)
+		l.Close()
+	}
 	if g.fleet != nil { // the last: until now its votes count
 		g.fleet.Leave(leaveIn)
 	}
@@ -335,6 +367,9 @@
 	for _, f := range fronts {
 		f.Close()
 	}
+	if l := g.linked.Load(); l != nil {
+		l.Close()
+	}
 	if g.fleet != nil {
 		g.fleet.Close()
 	}
--- /dev/null
+++ b/internal/gateway/salas_test.go
@@ -0,0 +1,402 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silvertrail/internal/conf"
+	"silvertrail/internal/fleet"
+	"silvertrail/internal/lbtest"
+	"silvertrail/internal/link"
+	"silvertrail/internal/standin"
+	"silvertrail/internal/tally"
+)
+
+var salaNames = []string{"centro", "norte", "sur"}
+
+// province is three salas with a gateway, two nodos and a group each, linked by paths that can be troubled.
+type province struct {
+	t      *testing.T
+	folder string
+	groups [3]*standin.Group
+	nodos  [3][2]*standin.Nodo
+	paths  [3][3]*standin.Path // from, to
+	all    [3]*Gateway
+	files  [3]*conf.File
+	seeds  []string
+	list   sync.Mutex
+}
+
+const crossClasses = `
+class "seat" {
+  aim = "800ms"
+  deadline = "800ms"
+  effect = "keyed"
+  scope = "zone"
+  window = "60s"
+  worth = 10
+}
+class "look" {
+  aim = "800ms"
+  deadline = "800ms"
+  effect = "safe"
+}
+class "note" {
+  aim = "800ms"
+  deadline = "800ms"
+  effect = "unsafe"
+}
+`
+
+// newProvince starts it. Trouble is asked for each request that a nodo has worked through.
+func newProvince(t *testing.T, o standin.NodoOptions, trouble func(sala, nodo int) standin.Trouble) *province {
+	t.Helper()
+	p := &province{t: t, folder: t.TempDir()}
+	authority := lbtest.NewAuthority(t, p.folder, "salas")
+	key, err := conf.NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.write("fleet.keys", key+"\n")
+	for i, sala := range salaNames {
+		p.groups[i] = standin.NewGroup(sala, time.Minute)
+		authority.Issue(filepath.Join(p.folder, sala+".pem"), filepath.Join(p.folder, sala+".key"), sala, time.Now().Add(time.Hour))
+		for j := range p.nodos[i] {
+			o := o
+			o.Name, o.Sala, o.Group = fmt.Sprintf("%s-%d", sala, j), sala, p.groups[i]
+			if trouble != nil {
+				o.Trouble = func(*http.Request) standin.Trouble { return trouble(i, j) }
+			}
+			n, err := standin.NewNodo(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(n.Close)
+			p.nodos[i][j] = n
+		}
+		p.members(i, "ready", "ready")
+	}
+	for i := range 3 {
+		for j := range 3 {
+			path, err := standin.NewPath("127.0.0.1:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(path.Close)
+			p.paths[i][j] = path
+		}
+	}
+	for i := range 3 {
+		p.start(i, true)
+	}
+	p.linked()
+	for _, g := range p.all {
+		lbtest.Until(t, "all voters are members", func() bool { return len(g.fleet.Members()) == 3 })
+	}
+	return p
+}
+
+func (p *province) write(name, text string) {
+	path := filepath.Join(p.folder, name)
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		p.t.Error(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		p.t.Error(err)
+	}
+}
+
+// members writes a sala's list of nodos.
+func (p *province) members(i int, status ...string) {
+	text := ""
+	for j, n := range p.nodos[i] {
+		if j > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf(`{"name": "%s-%d", "address": %q, "zone": %q, "status": %q}`, salaNames[i], j, n.Addr, salaNames[i], status[j])
+	}
+	p.write(salaNames[i]+".json", `{"endpoints": [`+text+`]}`)
+}
+
+func (p *province) text(i int) string {
+	me := salaNames[i]
+	text := crossClasses + fmt.Sprintf("process {\n zones = [%q]\n zone = %q\n sockets = 2048\n stop = \"1s\"\n}\n", me, me) + listener("l", "127.0.0.1:0") +
+		fmt.Sprintf("fleet \"f\" {\n name = %q\n listen = \"127.0.0.1:0\"\n keyring = %q\n voters = [\"centro\", \"norte\", \"sur\"]\n}\n", me, filepath.Join(p.folder, "fleet.keys")) +
+		fmt.Sprintf("cluster \"c\" {\n empty_hold = \"0s\"\n file {\n path = %q\n poll = \"10ms\"\n }\n}\n", filepath.Join(p.folder, me+".json")) +
+		fmt.Sprintf("link %q {\n listen = \"127.0.0.1:0\"\n certificate = %q\n key = %q\n authority = %q\n", me, filepath.Join(p.folder, me+".pem"),
+			filepath.Join(p.folder, me+".key"), filepath.Join(p.folder, "salas.pem"))
+	var others []string
+	for j, other := range salaNames {
+		if j != i {
+			text += fmt.Sprintf(" peer %q {\n address = %q\n }\n", other, p.paths[i][j].Addr)
+			others = append(others, other)
+		}
+	}
+	text += "}\n"
+	for _, class := range []string{"seat", "look", "note"} {
+		text += fmt.Sprintf("route %q {\n match {\n prefix = \"/%s\"\n }\n class = %q\n cluster = \"c\"\n cross = [%q, %q]\n}\n", class, class, class, others[0], others[1])
+	}
+	return text
+}
+
+// start starts a sala's gateway, the first time or again.
+func (p *province) start(i int, fresh bool) {
+	p.t.Helper()
+	file, err := conf.Parse([]byte(p.text(i)), "test.hcl")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	sockets, err := fleet.Listen("127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	o := file.Fleet
+	o.Transport, o.Seeds, o.Members, o.New, o.Probe = sockets, p.seeds, 16, fresh, 100*time.Millisecond
+	g, err := Start(file, slog.New(slog.DiscardHandler))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(g.Close)
+	p.seeds = append(p.seeds, sockets.Addr())
+	p.all[i], p.files[i] = g, file
+	for j := range 3 {
+		p.paths[j][i].Point(g.linked.Load().Addr())
+	}
+}
+
+func (p *province) status(i int, reconcile bool) []link.SalaView {
+	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
+	defer cancel()
+	return p.all[i].linked.Load().Status(ctx, reconcile)
+}
+
+// linked waits until every gateway has all others.
+func (p *province) linked() {
+	p.t.Helper()
+	lbtest.Until(p.t, "all salas are linked", func() bool {
+		for i := range 3 {
+			for _, s := range p.status(i, false) {
+				if s.State == "closed" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func (p *province) addr(i int) string { return p.all[i].Addr("l").String() }
+
+// twice returns the keys that took effect more than once, in one sala or in several.
+func (p *province) twice() (keys []string) {
+	sum := map[string]int{}
+	for _, g := range p.groups {
+		for key, n := range g.Effects() {
+			sum[key] += n
+		}
+	}
+	for key, n := range sum {
+		if n > 1 {
+			keys = append(keys, fmt.Sprint(key, ": ", n))
+		}
+	}
+	return keys
+}
+
+// agreed waits until all crossings are settled and both ends of every link count the same.
+func (p *province) agreed() {
+	p.t.Helper()
+	var last []link.SalaView
+	lbtest.Until(p.t, "both ends of all links count the same", func() bool {
+		for i := range 3 {
+			last = p.status(i, true)
+			for _, s := range last {
+				if s.Open > 0 || len(s.Differs) > 0 || s.Fault != "" || s.Compared == 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// sent counts a gateway's crossings by outcome.
+func (p *province) sent(i int) (out map[tally.Outcome]uint64) {
+	out = map[tally.Outcome]uint64{}
+	for _, s := range p.status(i, false) {
+		for _, c := range s.Sent {
+			out[c.Outcome] += c.Count
+		}
+	}
+	return out
+}
+
+// A sala loses all its nodos: what it can't serve is served by the others, each crossing counted alike at both ends; when
+// they are back it serves its own again.
+func TestSalaLost(t *testing.T) {
+	t.Parallel()
+	p := newProvince(t, standin.NodoOptions{Work: 2 * time.Millisecond}, nil)
+	for _, target := range []string{"/look", "/seat", "/note"} {
+		method := "POST"
+		if target == "/look" {
+			method = "GET"
+		}
+		if status, body, _ := askAt(t, p.addr(0), method, target, "Idempotency-Key: first"+target); status != 200 || len(p.sent(0)) != 0 {
+			t.Fatalf("at home: %d %s, %v", status, body, p.sent(0))
+		}
+	}
+	p.members(0, "gone", "gone")
+	lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
+	var served, refused atomic.Int64
+	var crowd sync.WaitGroup
+	for caller := range 8 {
+		crowd.Go(func() {
+			for i := range 40 {
+				lines := []string{fmt.Sprintf("Idempotency-Key: k-%d-%d", caller, i)}
+				method, target := "POST", [2]string{"/seat", "/note"}[i%2]
+				if i%4 == 0 {
+					method, target = "GET", "/look"
+				}
+				switch status, _, h := askAt(t, p.addr(0), method, target, lines...); {
+				case status == 200:
+					served.Add(1)
+				case status == 503 && h.Get("Retry-After") != "":
+					refused.Add(1)
+				default:
+					t.Errorf("%s: %d", target, status)
+				}
+			}
+		})
+	}
+	crowd.Wait()
+	p.agreed()
+	t.Logf("%d served, %d refused, sent %v", served.Load(), refused.Load(), p.sent(0))
+	if served.Load() < 300 || p.sent(0)[tally.Served] != uint64(served.Load()) {
+		t.Errorf("%d served, %v", served.Load(), p.sent(0))
+	}
+	if keys := p.twice(); len(keys) > 0 {
+		t.Error(keys)
+	}
+	// A key that ran at home before is nobody else's, here or through another sala.
+	for i := range 3 {
+		if status, _, _ := askAt(t, p.addr(i), "POST", "/seat", "Idempotency-Key: first/seat"); status != 502 {
+			t.Errorf("a key that is held by a sala without nodos, through sala %d: %d", i, status)
+		}
+	}
+	p.members(0, "ready", "ready")
+	lbtest.Until(t, "the sala has nodos", func() bool { return p.all[0].Members()["c"] == 2 })
+	before := p.sent(0)[tally.Served]
+	for i := range 20 {
+		if status, _, _ := askAt(t, p.addr(0), "GET", "/look"); status != 200 {
+			t.Errorf("back at home: %d", status)
+		}
+		// A key that another sala has served stays there, whichever way its repeat comes.
+		if status, _, _ := askAt(t, p.addr(i%3), "POST", "/seat", fmt.Sprintf("Idempotency-Key: k-1-%d", 1+2*i)); status != 200 && status != 502 {
+			t.Errorf("a repeat: %d", status)
+		}
+	}
+	if now := p.sent(0)[tally.Served]; now > before+20 {
+		t.Errorf("%d crossings more with the own nodos back", now-before)
+	}
+	if keys := p.twice(); len(keys) > 0 {
+		t.Error(keys)
+	}
+}
+
+// Callers repeat by the same key through other salas while links are reset, held up in one or both directions, and cut
+// in the middle of messages, and nodos leave answers out: no key takes effect twice, and when all is settled both ends of
+// each link have counted the same.
+func TestSalasUnderCuts(t *testing.T) {
+	t.Parallel()
+	var n atomic.Int64
+	p := newProvince(t, standin.NodoOptions{Work: time.Millisecond}, func(sala, nodo int) standin.Trouble {
+		switch n.Add(1) % 40 {
+		case 0:
+			return standin.Silent
+		case 20:
+			return standin.Reset
+		}
+		return standin.None
+	})
+	crowd := &repeating{callers: 24, keys: 25, deadline: 800 * time.Millisecond}
+	if *long {
+		crowd.keys = 250
+	}
+	done := make(chan struct{})
+	var mu sync.Mutex
+	d := rand.New(rand.NewPCG(12, 1))
+	draw := func(n int) int { mu.Lock(); defer mu.Unlock(); return d.IntN(n) }
+	go func() {
+		defer close(done)
+		crowd.run(func() string { return p.addr(draw(3)) })
+	}()
+	troubles := 0
+	for ends := false; !ends; troubles++ {
+		select {
+		case <-done:
+			ends = true
+			continue
+		case <-time.After(time.Duration(30+draw(60)) * time.Millisecond):
+		}
+		sala := troubles / 8 % 3 // whose nodos are all gone for a while
+		if troubles%8 == 0 {
+			p.members(sala, "gone", "gone")
+			p.members((sala+2)%3, "ready", "ready")
+		}
+		i, j := draw(3), draw(3)
+		path := p.paths[i][j]
+		switch draw(5) {
+		case 0:
+			path.Reset()
+		case 1:
+			path.CutAfter(standin.There, int64(draw(3000)))
+		case 2:
+			path.CutAfter(standin.Back, int64(draw(2000)))
+		case 3:
+			path.Hold(standin.There, true)
+			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Hold(standin.There, false) })
+		case 4:
+			path.Hold(standin.Back, true)
+			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Hold(standin.Back, false) })
+		}
+	}
+	for i := range 3 {
+		p.members(i, "ready", "ready")
+		for j := range 3 {
+			p.paths[i][j].CutAfter(standin.There, -1)
+			p.paths[i][j].CutAfter(standin.Back, -1)
+			p.paths[i][j].Hold(standin.There, false)
+			p.paths[i][j].Hold(standin.Back, false)
+		}
+	}
+	if keys := p.twice(); len(keys) > 0 {
+		t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
+	}
+	p.linked()
+	p.agreed()
+	sent := map[tally.Outcome]uint64{}
+	for i := range 3 {
+		for o, n := range p.sent(i) {
+			sent[o] += n
+		}
+	}
+	t.Logf("%s; %d troubles; crossings %v", crowd.text(), troubles, sent)
+	if crowd.answers[200].Load() < int64(crowd.callers*crowd.keys/2) || sent[tally.Served] < 20 {
+		t.Errorf("tests little")
+	}
+	crowd.served.Range(func(key, _ any) bool {
+		if p.groups[0].Effects()[key.(string)]+p.groups[1].Effects()[key.(string)]+p.groups[2].Effects()[key.(string)] == 0 {
+			t.Errorf("%v was served and took no effect", key)
+		}
+		return !t.Failed()
+	})
+}
--- a/internal/route/rule.go
+++ b/internal/route/rule.go
@@ -114,6 +114,7 @@
 	Timeout     time.Duration // 0: the class's deadline
 	MaxAttempts int           // 0: the cluster's
 	Failover    string        // cluster for what never ran in its own
+	Cross       []string      // salas that may have what the own one can't serve
 	SplitBy     SplitKind
 	SplitHeader string
 	Rewrite     *string // in place of the matched prefix, or of the whole exact path
