Cause the hard cases of salas: cuts in the middle, a cascade, an evacuation, a killed gateway

Mended on the way: an Idempotency-Key of a class that is not keyed was taken off where it crossed; a refusal over the link that told no time hid the own sala's.

--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -49,6 +49,9 @@
 		b := x.carry(ctx, l, to, why, way)
 		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Reply == nil
 		b.Refused = b.Refused && !b.MayHaveRun
+		if b.Refused && a.Refused { // until both can be asked again
+			b.RetryAfter = max(b.RetryAfter, a.RetryAfter)
+		}
 		if b.Reply == nil && b.Last == nil {
 			b.Last = a.Last
 		}
@@ -189,11 +192,14 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	for name, value := range map[string]string{"X-Priority-Class": c.Class, "X-Tenant-Id": c.Tenant, "Idempotency-Key": c.Key, "X-Timeout-Ms": ""} {
+	for name, value := range map[string]string{"X-Priority-Class": c.Class, "X-Tenant-Id": c.Tenant, "X-Timeout-Ms": ""} {
 		if h.Del(name); value != "" {
 			h.Set(name, value)
 		}
 	}
+	if c.Key != "" { // else a header of that name is the caller's and the endpoint's affair
+		h.Set("Idempotency-Key", c.Key)
+	}
 	x, reply := ro.route(s, &http.Request{Method: c.Method, RequestURI: c.Target, Host: c.Host, Header: h, ContentLength: int64(len(c.Body)),
 		RemoteAddr: from + ":0"})
 	if reply != nil {
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"sync"
@@ -31,9 +32,8 @@
 	nodos  [3][2]*standin.Nodo
 	paths  [3][3]*standin.Path // from, to
 	all    [3]*Gateway
-	files  [3]*conf.File
 	seeds  []string
-	list   sync.Mutex
+	mu     sync.Mutex // of all
 }
 
 const crossClasses = `
@@ -61,7 +61,10 @@
 func newProvince(t *testing.T, o standin.NodoOptions, trouble func(sala, nodo int) standin.Trouble) *province {
 	t.Helper()
 	p := &province{t: t, folder: t.TempDir()}
-	authority := lbtest.NewAuthority(t, p.folder, "salas")
+	authority, err := standin.NewAuthority(p.folder, "salas")
+	if err != nil {
+		t.Fatal(err)
+	}
 	key, err := conf.NewKey()
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +72,9 @@
 	p.write("fleet.keys", key+"\n")
 	for i, sala := range salaNames {
 		p.groups[i] = standin.NewGroup(sala, time.Minute)
-		authority.Issue(filepath.Join(p.folder, sala+".pem"), filepath.Join(p.folder, sala+".key"), sala, time.Now().Add(time.Hour))
+		if err := authority.Issue(filepath.Join(p.folder, sala+".pem"), filepath.Join(p.folder, sala+".key"), sala, time.Now().Add(time.Hour)); err != nil {
+			t.Fatal(err)
+		}
 		for j := range p.nodos[i] {
 			o := o
 			o.Name, o.Sala, o.Group = fmt.Sprintf("%s-%d", sala, j), sala, p.groups[i]
@@ -167,7 +172,9 @@
 	}
 	p.t.Cleanup(g.Close)
 	p.seeds = append(p.seeds, sockets.Addr())
-	p.all[i], p.files[i] = g, file
+	p.mu.Lock()
+	p.all[i] = g
+	p.mu.Unlock()
 	for j := range 3 {
 		p.paths[j][i].Point(g.linked.Load().Addr())
 	}
@@ -194,7 +201,11 @@
 	})
 }
 
-func (p *province) addr(i int) string { return p.all[i].Addr("l").String() }
+func (p *province) addr(i int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.all[i].Addr("l").String()
+}
 
 // twice returns the keys that took effect more than once, in one sala or in several.
 func (p *province) twice() (keys []string) {
@@ -313,7 +324,7 @@
 }
 
 // Callers repeat by the same key through other salas while links are reset, held up in one or both directions, and cut
-// in the middle of messages, and nodos leave answers out: no key takes effect twice, and when all is settled both ends of
+// in the middle of messages, a gateway is killed and started again, and nodos leave answers out: no key takes effect twice, and when all is settled both ends of
 // each link have counted the same.
 func TestSalasUnderCuts(t *testing.T) {
 	t.Parallel()
@@ -348,6 +359,11 @@
 		case <-time.After(time.Duration(30+draw(60)) * time.Millisecond):
 		}
 		sala := troubles / 8 % 3 // whose nodos are all gone for a while
+		if troubles == 13 { // without a word, and another one comes under its name
+			i := draw(3)
+			p.all[i].Close()
+			p.start(i, false)
+		}
 		if troubles%8 == 0 {
 			p.members(sala, "gone", "gone")
 			p.members((sala+2)%3, "ready", "ready")
@@ -400,3 +416,207 @@
 		return !t.Failed()
 	})
 }
+
+// The link is cut while one request crosses: in its body, after the body before the answer, in the answer; silently and
+// with a reset; for each class. Nothing takes effect twice that may not, what is safe is served elsewhere, and both ends
+// count the same.
+func TestCrossingCut(t *testing.T) {
+	t.Parallel()
+	p := newProvince(t, standin.NodoOptions{Work: time.Millisecond}, nil)
+	p.members(0, "gone", "gone")
+	lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
+	arrivals := func(key string) (n int) {
+		for _, sala := range p.nodos {
+			for _, nodo := range sala {
+				n += nodo.Effects()[key]
+			}
+		}
+		return n
+	}
+	answers := map[string]map[int]int{}
+	used, before := 1, [3]uint64{} // the sala that the last request went to
+	for i := range 48 {
+		for j, s := range p.status(0, false) {
+			var n uint64
+			for _, c := range s.Sent {
+				n += c.Count
+			}
+			if n > before[j+1] {
+				used = j + 1
+			}
+			before[j+1] = n
+		}
+		class := []string{"look", "seat", "note"}[i%3]
+		silent, point := i/3%2 == 1, i/6%4
+		key := fmt.Sprintf("%s-%d", class, i)
+		lbtest.Until(t, "linked", func() bool {
+			s := p.status(0, false)
+			return s[0].State == "open" && s[1].State == "open"
+		})
+		path := p.paths[0][used]
+		switch {
+		case point == 0 && !silent:
+			path.CutAfter(standin.There, int64(100+30*i))
+		case point == 1 && !silent:
+			path.CutAfter(standin.Back, 1)
+		case point == 2 && !silent:
+			path.CutAfter(standin.Back, int64(60+7*i))
+		case point == 3 && !silent:
+			time.AfterFunc(time.Duration(i%7)*time.Millisecond, path.Reset)
+		case point == 0:
+			path.Hold(standin.There, true)
+		case point == 1:
+			path.Hold(standin.Back, true)
+		default:
+			path.Hold(standin.There, true)
+			path.Hold(standin.Back, true)
+		}
+		method, header := "POST", "Idempotency-Key: "+key
+		if class == "look" {
+			method, header = "GET", "X-Other: x"
+		}
+		status, _, _ := askAt(t, p.addr(0), method, "/"+class, header)
+		path.CutAfter(standin.There, -1)
+		path.CutAfter(standin.Back, -1)
+		path.Hold(standin.There, false)
+		path.Hold(standin.Back, false)
+		if answers[class] == nil {
+			answers[class] = map[int]int{}
+		}
+		answers[class][status]++
+		n := arrivals(key)
+		switch {
+		case status == 0:
+			t.Errorf("%s: no answer", key)
+		case class == "note" && n > 1:
+			t.Errorf("%s came %d times", key, n)
+		case status == 200 && class != "look" && n == 0:
+			t.Errorf("%s was served and never came", key)
+		case status == 503 && n > 0:
+			t.Errorf("%s was refused as harmless and came %d times", key, n)
+		}
+	}
+	if keys := p.twice(); len(keys) > 0 {
+		t.Error(keys)
+	}
+	p.linked()
+	p.agreed()
+	t.Logf("answers %v, sent %v", answers, p.sent(0))
+	if answers["look"][200] < 12 || answers["seat"][200] < 6 || answers["note"][200] < 2 {
+		t.Error("tests little")
+	}
+}
+
+// A sala fails while another is nearly full: that one goes on serving its own, what can't be carried is refused at once,
+// and worth goes first.
+func TestCascade(t *testing.T) {
+	t.Parallel()
+	p := newProvince(t, standin.NodoOptions{Work: 20 * time.Millisecond, Slots: 2, Queue: 4}, nil) // 200 requests a second a sala
+	p.members(0, "gone", "gone")
+	p.members(2, "gone", "gone")
+	lbtest.Until(t, "only one sala has nodos", func() bool {
+		return p.all[0].Members()["c"] == 0 && p.all[2].Members()["c"] == 0
+	})
+	var counts [3][2]map[int]int // by sala and class
+	var mu sync.Mutex
+	var crowd sync.WaitGroup
+	for sala := range 2 {
+		counts[sala] = [2]map[int]int{{}, {}}
+		for i := range 240 {
+			crowd.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / 120) // a rate, whatever becomes of those before
+				class := i % 2
+				method, target := "GET", "/look"
+				if class == 1 {
+					method, target = "POST", "/seat"
+				}
+				begun := time.Now()
+				status, _, h := askAt(t, p.addr(sala), method, target, fmt.Sprintf("Idempotency-Key: c-%d-%d", sala, i))
+				if sala == 0 && status == 503 && h.Get("Retry-After") == "" {
+					t.Errorf("a refusal that doesn't say when to come back: sala %d, %s, after %v", sala, target, time.Since(begun))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				counts[sala][class][status]++
+			})
+		}
+	}
+	crowd.Wait()
+	t.Logf("own: look %v, seat %v; crossing: look %v, seat %v; sent %v", counts[1][0], counts[1][1], counts[0][0], counts[0][1], p.sent(0))
+	if own := counts[1][0][200] + counts[1][1][200]; own < 160 {
+		t.Errorf("the sala that took over served %d of its own 240", own)
+	}
+	if counts[0][1][200] < counts[0][0][200] || counts[0][1][200] < 20 {
+		t.Error("worth did not go first over the link")
+	}
+	if keys := p.twice(); len(keys) > 0 {
+		t.Error(keys)
+	}
+	p.agreed()
+}
+
+// A planned evacuation: the sala's own requests go to the others first, theirs don't come, and nothing is lost on the way
+// there, back, or when the gateway ends.
+func TestEvacuation(t *testing.T) {
+	t.Parallel()
+	p := newProvince(t, standin.NodoOptions{Work: time.Millisecond}, nil)
+	homes := func(sala int) (n int64) { return p.nodos[sala][0].Requests() + p.nodos[sala][1].Requests() }
+	serve := func(n int, what string) {
+		t.Helper()
+		for i := range n {
+			if status, _, _ := askAt(t, p.addr(0), "POST", "/seat", fmt.Sprintf("Idempotency-Key: %s-%d", what, i)); status != 200 {
+				t.Errorf("%s: %d", what, status)
+			}
+		}
+	}
+	serve(10, "before")
+	if homes(0) != 10 {
+		t.Fatalf("%d served at home", homes(0))
+	}
+	drain(t, p.all[0], "all")
+	serve(20, "leaving")
+	serve(10, "before") // their keys are held at home
+	if homes(0) != 20 {
+		t.Errorf("%d at home, of 10 new and 10 held there", homes(0))
+	}
+	p.members(1, "gone", "gone")
+	p.members(2, "gone", "gone")
+	lbtest.Until(t, "the others have none", func() bool { return p.all[1].Members()["c"] == 0 && p.all[2].Members()["c"] == 0 })
+	lbtest.Until(t, "the others know that it drains", func() bool { return p.status(1, false)[0].State == "draining" })
+	if status, _, _ := askAt(t, p.addr(1), "GET", "/look"); status == 200 {
+		t.Error("a draining sala took what is not its own")
+	}
+	drain(t, p.all[0], "off")
+	lbtest.Until(t, "it is open again", func() bool { return p.status(1, false)[0].State == "open" })
+	if status, _, _ := askAt(t, p.addr(1), "GET", "/look"); status != 200 {
+		t.Errorf("after the drain: %d", status)
+	}
+	var crowd sync.WaitGroup
+	for i := range 30 { // from another sala, while this one's gateway ends
+		crowd.Go(func() {
+			if status, _, _ := askAt(t, p.addr(1), "POST", "/note", fmt.Sprint("Idempotency-Key: end-", i)); status != 200 && status != 503 && status != 502 {
+				t.Errorf("while it ends: %d", status)
+			}
+		})
+	}
+	p.all[0].End()
+	crowd.Wait()
+	p.start(0, false)
+	p.linked()
+	if status, _, _ := askAt(t, p.addr(1), "GET", "/look"); status != 200 {
+		t.Errorf("through the one that was started again: %d", status)
+	}
+	if keys := p.twice(); len(keys) > 0 {
+		t.Error(keys)
+	}
+}
+
+// drain drains a sala as the command does.
+func drain(t *testing.T, g *Gateway, mode string) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	g.takeDrain(w, httptest.NewRequest("POST", "/link/drain?mode="+mode, nil))
+	if w.Code != 200 {
+		t.Fatal(w.Body)
+	}
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -136,13 +136,22 @@
 // while in use are taken for the next connection, and unusable ones change nothing.
 func TestIdentity(t *testing.T) {
 	folder := t.TempDir()
-	good, other := lbtest.NewAuthority(t, folder, "good"), lbtest.NewAuthority(t, folder, "other")
+	good, err := standin.NewAuthority(folder, "good")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := standin.NewAuthority(folder, "other")
+	if err != nil {
+		t.Fatal(err)
+	}
 	files := func(name string) *Identity {
 		return &Identity{filepath.Join(folder, name+".pem"), filepath.Join(folder, name+".key"), good.File}
 	}
 	hour := time.Now().Add(time.Hour)
-	issue := func(by *lbtest.Authority, file, name string, until time.Time) *Identity {
-		by.Issue(files(file).Certificate, files(file).Key, name, until)
+	issue := func(by *standin.Authority, file, name string, until time.Time) *Identity {
+		if err := by.Issue(files(file).Certificate, files(file).Key, name, until); err != nil {
+			t.Fatal(err)
+		}
 		return files(file)
 	}
 	var log logged
