Keep several connections a link, windows for each worth, and measure salas

On a lossy way one connection holds everything up: a link keeps two by default, and a call takes the one with the least out.

--- a/internal/conf/link.go
+++ b/internal/conf/link.go
@@ -27,9 +27,9 @@
 	}
 	b := blocks[0]
 	s := p.open("link "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"listen", "certificate", "key", "authority", "plain", "heartbeat",
-		"silence", "calls"}, map[string]int{"peer": 1})
+		"silence", "calls", "connections"}, map[string]int{"peer": 1})
 	s.need("listen")
-	o := &link.Options{Sala: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), Calls: s.whole("calls", 1024, 1, 1<<16),
+	o := &link.Options{Sala: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), Calls: s.whole("calls", 1024, 1, 1<<16), Connections: s.whole("connections", 2, 1, 8),
 		Heartbeat: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
 		Silence:   s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
 	p.sala(o.Sala, b.LabelRanges[0])
--- a/internal/crossing/crossing.go
+++ b/internal/crossing/crossing.go
@@ -5,12 +5,14 @@
 // its own callers. What is decided here is how much is sent there at all: a sala that takes over must not be pushed over
 // by everything that another one has lost in the same moment.
 //
-//   - Each sala has a window of crossings in flight. It begins small, grows with what is served while it is in use, and
-//     shrinks when the sala refuses or fails: at first by one for each one served, which doubles it each time that
+//   - Each sala has a window of crossings in flight for each worth. It begins small, grows with what is served while it is in
+//     use, and shrinks when the sala refuses or fails: at first by one for each one served, which doubles it each time that
 //     a crossing takes, later by one each time. So a loss is taken over within some times that a crossing takes,
 //     and given back as the own sala refuses less.
-//   - Low worth stops first: the class of the least worth may use half of a window, that of the most all of it.
-//   - A class that is refused there is held off, with all of less or equal worth, for as long as the refusal says.
+//   - Low worth stops first. What is served of one worth widens the windows of that and all higher ones; what is refused
+//     narrows those of that and all lower ones, as the other sala refuses low worth first: its refusal of the least says
+//     nothing of the most. So the windows are in the order of the worths, as thresholds of the cursor table are.
+//   - A worth that is refused there is held off for a moment, with all lower ones, so that refusals cost little.
 //   - Of several salas the one with the most room counts, by the part of its window that is in use, its round trip and its
 //     own word on its state; the last one chosen keeps its place until another is better by a margin.
 package crossing
@@ -45,29 +47,38 @@
 	leastWindow = 1.0
 	mostWindow  = 4096.0
 	shrink      = 0.7
-	lowShare    = 0.5                    // of a window, for the least worth
+	lowShare    = 0.5                    // of the first window, for the least worth
 	margin      = 0.2                    // by which another sala must be better to take the last one's place
 	farAs       = 100 * time.Millisecond // a round trip that counts as much as a full window
-	leastOff    = 50 * time.Millisecond  // for which a class is held off after a refusal that says nothing
-	mostOff     = 2 * time.Second
-	shedCost    = 0.5 // what "shedding" counts as
+	// A worth is held off for as long as a refusal says, from leastOff to mostOff: the refusal is for one caller, and says
+	// little of when others may come.
+	leastOff  = 20 * time.Millisecond
+	mostOff   = 100 * time.Millisecond
+	cutsApart = 50 * time.Millisecond // at the least: what was out together is refused together
+	shedCost  = 0.5                   // what "shedding" counts as
 )
 
 // Sala is how another sala stands, to those who run this one.
 type Sala struct {
 	Name     string        `json:"name"`
 	State    State         `json:"-"`
-	Window   float64       `json:"window"`
+	Window   float64       `json:"window"` // of the highest worth
 	InFlight int           `json:"in_flight"`
 	Trip     time.Duration `json:"round_trip"`
 }
 
 type sala struct {
 	Sala
-	linked  bool
+	linked bool
+	ranks  []rank
+}
+
+// rank is what is learnt of one worth, from the least on.
+type rank struct {
+	window  float64
 	ceiling float64 // past it the window grows slowly
 	shrunk  time.Time
-	off     []time.Time // by rank: until when a class is held off
+	off     time.Time // until when it is held off
 }
 
 // Table is what is known of all other salas. It is not safe for concurrent use.
@@ -87,20 +98,40 @@
 	return t
 }
 
-// Rework takes other worths. What is held off is forgotten.
+// Rework takes other worths. What was learnt of the windows is forgotten.
 func (t *Table) Rework(worths []float64) {
 	worths = slices.Clone(worths)
 	slices.Sort(worths)
-	t.worths = slices.Compact(worths)
+	if worths = slices.Compact(worths); len(worths) == 0 {
+		worths = []float64{0}
+	}
+	if slices.Equal(worths, t.worths) {
+		return
+	}
+	t.worths = worths
 	for _, s := range t.salas {
-		s.off = make([]time.Time, len(t.worths))
+		s.begin(len(worths))
+	}
+}
+
+// begin forgets what was learnt of the windows.
+func (s *sala) begin(ranks int) {
+	s.ranks = make([]rank, ranks)
+	for i := range s.ranks {
+		share := 1.0
+		if ranks > 1 {
+			share = lowShare + (1-lowShare)*float64(i)/float64(ranks-1)
+		}
+		s.ranks[i] = rank{window: firstWindow * share, ceiling: mostWindow}
 	}
 }
 
 // Add takes up a sala.
 func (t *Table) Add(name string) {
 	if t.salas[name] == nil {
-		t.salas[name] = &sala{Sala: Sala{Name: name, Window: firstWindow}, ceiling: mostWindow, off: make([]time.Time, len(t.worths))}
+		s := &sala{Sala: Sala{Name: name}}
+		s.begin(len(t.worths))
+		t.salas[name] = s
 	}
 }
 
@@ -116,14 +147,6 @@
 	return max(i, 0)
 }
 
-// share returns the part of a window that a rank may use.
-func (t *Table) share(rank int) float64 {
-	if len(t.worths) < 2 {
-		return 1
-	}
-	return lowShare + (1-lowShare)*float64(rank)/float64(len(t.worths)-1)
-}
-
 // Heard tells what a sala says of itself, over a link that stands, and how long the round trip took.
 func (t *Table) Heard(name string, is State, trip time.Duration) {
 	s := t.salas[name]
@@ -131,8 +154,8 @@
 		return
 	}
 	if !s.linked { // it may be another process, or have been away: what was learnt of it is old
-		s.linked, s.Window, s.ceiling = true, firstWindow, mostWindow
-		clear(s.off)
+		s.linked = true
+		s.begin(len(t.worths))
 	}
 	s.State = is
 	if s.Trip == 0 {
@@ -176,7 +199,7 @@
 		if s == nil || slices.Contains(r.Not, name) {
 			continue
 		}
-		wait, fits := s.fits(now, r, rank, t.share(rank))
+		wait, fits := s.fits(now, r, s.ranks[rank])
 		if !fits {
 			if wait > 0 && (back == 0 || wait < back) {
 				back = wait
@@ -200,20 +223,23 @@
 }
 
 // fits tells whether a request may go there now, and if not when it may be worth another try.
-func (s *sala) fits(now time.Time, r Request, rank int, share float64) (back time.Duration, ok bool) {
+func (s *sala) fits(now time.Time, r Request, is rank) (back time.Duration, ok bool) {
 	switch {
 	case !s.linked || s.State == Closed, s.State == Draining && r.Only == "", r.Left < s.Trip+least:
 		return 0, false
-	case now.Before(s.off[rank]):
-		return s.off[rank].Sub(now), false
-	case float64(s.InFlight) >= max(s.Window*share, 1):
+	case now.Before(is.off):
+		return is.off.Sub(now), false
+	case float64(s.InFlight) >= is.window:
 		return max(s.Trip, leastOff), false
 	}
 	return 0, true
 }
 
+// top is the window of the highest worth.
+func (s *sala) top() float64 { return s.ranks[len(s.ranks)-1].window }
+
 func (s *sala) cost() float64 {
-	c := float64(s.InFlight)/s.Window + float64(s.Trip)/float64(farAs)
+	c := float64(s.InFlight)/s.top() + float64(s.Trip)/float64(farAs)
 	if s.State == Shedding {
 		c += shedCost
 	}
@@ -238,45 +264,73 @@
 	if s == nil || s.InFlight == 0 {
 		return
 	}
-	used := float64(s.InFlight) >= s.Window/3
+	out, at := float64(s.InFlight), t.rank(worth)
 	s.InFlight--
 	switch is {
 	case Served:
-		switch {
-		case !used: // it was not the window that kept it from more
-		case s.Window < s.ceiling:
-			s.Window++
-		default:
-			s.Window += 1 / s.Window
+		for i := at; i < len(s.ranks); i++ {
+			s.ranks[i].grow(out)
+			if i > 0 { // what is served of one worth is served of a higher one
+				s.ranks[i].window = max(s.ranks[i].window, s.ranks[i-1].window)
+			}
 		}
-		s.Window = min(s.Window, mostWindow)
 	case Refused:
-		off := now.Add(min(max(back, leastOff), mostOff))
-		for i := range t.rank(worth) + 1 {
-			if s.off[i].Before(off) {
-				s.off[i] = off
-			}
+		for i := range at + 1 {
+			r := &s.ranks[i]
+			r.off = later(r.off, now.Add(min(max(back, leastOff), mostOff)))
+			r.cut(now, s.Trip)
 		}
-		s.cut(now)
+		s.order()
 	case Failed:
-		s.cut(now)
+		for i := range s.ranks {
+			s.ranks[i].cut(now, s.Trip)
+		}
+		s.order()
+	}
+}
+
+// order narrows the windows that are wider than a higher worth's: one can have been cut a moment before.
+func (s *sala) order() {
+	for i := len(s.ranks) - 2; i >= 0; i-- {
+		s.ranks[i].window = min(s.ranks[i].window, s.ranks[i+1].window)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// grow widens a window of which so much was in use as something was served.
+func (r *rank) grow(out float64) {
+	switch {
+	case out < r.window/3: // it was not the window that kept it from more
+	case r.window < r.ceiling:
+		r.window++
+	default:
+		r.window += 1 / r.window
 	}
+	r.window = min(r.window, mostWindow)
 }
 
-// cut shrinks a window, once for all crossings that were out together.
-func (s *sala) cut(now time.Time) {
-	if now.Sub(s.shrunk) < max(s.Trip, leastOff) {
+// cut narrows a window, once for all crossings that were out together.
+func (r *rank) cut(now time.Time, trip time.Duration) {
+	if now.Sub(r.shrunk) < max(trip, cutsApart) {
 		return
 	}
-	s.shrunk = now
-	s.Window = max(s.Window*shrink, leastWindow)
-	s.ceiling = s.Window
+	r.shrunk = now
+	r.window = max(r.window*shrink, leastWindow)
+	r.ceiling = r.window
 }
 
 // Salas returns how the other salas stand, by name.
 func (t *Table) Salas() (out []Sala) {
 	for _, name := range slices.Sorted(maps.Keys(t.salas)) {
-		out = append(out, t.salas[name].Sala)
+		s := t.salas[name].Sala
+		s.Window = t.salas[name].top()
+		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b Sala) int { return cmp.Compare(a.Name, b.Name) })
 	return out
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -304,3 +304,21 @@
 	s.turn(now)
 	return float64(s.refused[0]+s.refused[1]) > shedPart*float64(s.asked[0]+s.asked[1])
 }
+
+// Links tells how the links to other salas stand; nothing where there are none.
+func (g *Gateway) Links(ctx context.Context) []link.SalaView {
+	l := g.linked.Load()
+	if l == nil {
+		return nil
+	}
+	return l.Status(ctx, false)
+}
+
+// LinkAddr returns the address on which other salas connect, or "" where there is no link.
+func (g *Gateway) LinkAddr() string {
+	l := g.linked.Load()
+	if l == nil {
+		return ""
+	}
+	return l.Addr()
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -36,8 +36,10 @@
 	Peers     []Peer
 	Heartbeat time.Duration // between two
 	Silence   time.Duration // that a heartbeat's answer may take
-	Calls     int           // crossings in work that are taken from one sala at once
-	Worths    []float64     // of all classes
+	Calls     int           // crossings in work that are taken on one connection at once
+	// Connections are those that are kept to each other sala.
+	Connections int
+	Worths      []float64 // of all classes
 
 	Serve Server
 	Log   *slog.Logger
@@ -57,7 +59,8 @@
 	backoffLeast = 50 * time.Millisecond
 	backoffMost  = 2 * time.Second
 	shakeIn      = 2 * time.Second // for a connection, its handshakes and its greeting
-	keepSessions = 8               // that have ended, for each sala and direction
+	keepSessions = 32              // for each sala and direction, those in use among them
+	mostConns    = 8               // to one sala
 	windowRoom   = 1 << 16         // crossings of one session whose end the other side may not know
 )
 
@@ -80,6 +83,7 @@
 
 // Start listens, and links this gateway to all others for as long as it runs.
 func Start(o Options) (*Link, error) {
+	o.Connections = min(max(o.Connections, 1), mostConns)
 	l := &Link{o: o, log: o.Log.With("sala", o.Sala), process: rand.Uint64() | 1, begun: time.Now(), peers: map[string]*peer{},
 		table: crossing.New(o.Worths, nil)}
 	l.ctx, l.stop = context.WithCancel(context.Background())
@@ -110,6 +114,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o.Sala != l.o.Sala || o.Listen != l.o.Listen || o.Heartbeat != l.o.Heartbeat || o.Silence != l.o.Silence || o.Calls != l.o.Calls ||
+		min(max(o.Connections, 1), mostConns) != l.o.Connections ||
 		(o.Identity == nil) != (l.o.Identity == nil) || o.Identity != nil && *o.Identity != *l.o.Identity {
 		l.log.Warn("restart needed for the rest of the link block")
 	}
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -58,6 +58,7 @@
 	trip    time.Duration
 	work    int
 	max     int
+	live    bool // its connection stands
 	mu      sync.Mutex
 }
 
@@ -136,6 +137,7 @@
 	if k.session != nil {
 		k.session.mu.Lock()
 		defer k.session.mu.Unlock()
+		k.session.live = false
 		k.session.in.Close() // what its frames still hold is never taken
 	}
 	return nil
@@ -199,11 +201,11 @@
 	if slices.ContainsFunc(r.sessions, func(i *inbound) bool { return i.id == id }) {
 		return nil, false
 	}
-	if len(r.sessions) > keepSessions {
+	if len(r.sessions) >= keepSessions {
 		i := slices.IndexFunc(r.sessions, func(i *inbound) bool {
 			i.mu.Lock()
 			defer i.mu.Unlock()
-			return i.in.Idle()
+			return !i.live && i.in.Idle()
 		})
 		if i < 0 {
 			return nil, false
@@ -215,7 +217,7 @@
 		r.past = tally.Add(r.past, gone.in.Sums())
 		gone.mu.Unlock()
 	}
-	n := &inbound{from: from, id: id, in: tally.NewIn(windowRoom), max: s.l.o.Calls}
+	n := &inbound{from: from, id: id, in: tally.NewIn(windowRoom), max: s.l.o.Calls, live: true}
 	r.sessions = append(r.sessions, n)
 	return n, true
 }
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -19,7 +19,7 @@
 	"silvertrail/internal/tally"
 )
 
-// peer is the way to another sala: the session in use, and those before it that are not settled.
+// peer is the way to another sala: the sessions in use, and those before them that may not be settled.
 type peer struct {
 	l       *Link
 	name    string
@@ -28,7 +28,7 @@
 	ctx     context.Context
 
 	mu       sync.Mutex
-	now      *session
+	now      []*session
 	old      []*session // ended ones, the newest last
 	past     []tally.Sum
 	sessions int
@@ -59,16 +59,25 @@
 	settles chan struct{} // holds a token when something is to be settled
 }
 
-// run keeps a session to the sala until the peer is ended.
+// run keeps as many sessions to the sala as are wanted, until the peer is ended. Several of them keep one that TCP holds up
+// for a lost packet from holding up all that crosses.
 func (p *peer) run() {
 	defer p.end()
+	var all sync.WaitGroup
+	for range p.l.o.Connections {
+		all.Go(p.keep)
+	}
+	all.Wait()
+}
+
+// keep keeps one session.
+func (p *peer) keep() {
 	backoff := backoffLeast
 	for p.ctx.Err() == nil {
 		s, err := p.open()
 		if err == nil {
 			p.l.log.Info("link up", "to", p.name, "address", p.address)
 			err = s.beat()
-			p.l.lost(p)
 			p.close(s)
 		}
 		if p.ctx.Err() != nil {
@@ -140,26 +149,43 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.now, p.since, p.fault = s, time.Now(), ""
+	if len(p.now) == 0 {
+		p.since = time.Now()
+	}
+	p.now, p.fault = append(p.now, s), ""
 	p.sessions++
 	return s, nil
 }
 
-// current returns the session in use, or nil.
-func (p *peer) current() *session {
+// current returns the session in use that has the least out, or nil.
+func (p *peer) current() (best *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.now
+	least := 0
+	for _, s := range p.now {
+		if !s.cc.CanTakeNewRequest() {
+			s.wake() // it has broken, and its heartbeat has not noticed yet
+			continue
+		}
+		s.mu.Lock()
+		open := s.out.Open()
+		s.mu.Unlock()
+		if best == nil || open < least {
+			best, least = s, open
+		}
+	}
+	return best
 }
 
 // close ends a session. What is in work on it and not answered is lost, to be settled over the next one: all of it at once,
 // as the connection is closed. Where the other end has only asked for a new connection, what is in work is answered still.
 func (p *peer) close(s *session) {
 	p.mu.Lock()
-	if p.now == s {
-		p.now = nil
+	p.now = slices.DeleteFunc(p.now, func(o *session) bool { return o == s })
+	if len(p.now) == 0 {
+		p.since = time.Now()
+		p.l.lost(p)
 	}
-	p.since = time.Now()
 	p.old = append(p.old, s)
 	if len(p.old) > keepSessions {
 		gone := p.old[0]
@@ -188,6 +214,7 @@
 	s.over = true
 }
 
+var errBroken = errors.New("the connection has broken")
 var errSilent = errors.New("no answer to a heartbeat in time")
 var errMoved = errors.New("the other end asks for a new connection")
 
@@ -205,7 +232,10 @@
 			}
 		case <-s.settles:
 		}
-		if s.cc.State().Closing {
+		switch is := s.cc.State(); {
+		case is.Closed:
+			return errBroken
+		case is.Closing:
 			return errMoved
 		}
 		if err := s.settleAll(); err != nil {
@@ -306,15 +336,18 @@
 	s.out.Lost(c.Number)
 	x.told = make(chan tally.Outcome, 1)
 	s.waits[c.Number] = x.told
-	if !s.over {
-		select {
-		case s.settles <- struct{}{}:
-		default:
-		}
-	}
+	s.wake()
 	return x
 }
 
+// wake has the session looked at now and not with its next heartbeat.
+func (s *session) wake() {
+	select {
+	case s.settles <- struct{}{}:
+	default:
+	}
+}
+
 // settleAll asks the other end, over this session, what became of all crossings that nobody has an answer to: those of this
 // session, and of the ones before it that have ended.
 func (s *session) settleAll() error {
@@ -378,10 +411,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v = SalaView{Address: p.address, Since: p.since, Sessions: p.sessions, Fault: p.fault, Sent: p.past}
-	for _, s := range append(slices.Clone(p.old), p.now) {
-		if s == nil {
-			continue
-		}
+	for _, s := range append(slices.Clone(p.old), p.now...) {
 		s.mu.Lock()
 		v.Sent = tally.Add(v.Sent, s.out.Sums())
 		v.Open += s.out.Open()
@@ -393,9 +423,9 @@
 // reconcile asks the other end for its counts of the sessions that are still known, and names the differences.
 func (p *peer) reconcile(ctx context.Context) (out []Differs, compared int, err error) {
 	p.mu.Lock()
-	now := p.now
-	of := append(slices.Clone(p.old), now)
+	of := append(slices.Clone(p.old), p.now...)
 	p.mu.Unlock()
+	now := p.current()
 	if now == nil {
 		return nil, 0, fmt.Errorf("link: %s is out of reach: nothing could be compared", p.name)
 	}
