--- /dev/null
+++ b/internal/conf/link_test.go
@@ -0,0 +1,64 @@
+package conf
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The sample of a linked gateway can be used as it stands, with a keyring beside it, and what is wrong with one is told.
+func TestLinkSample(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/silvertrail-salas.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	key, err := NewKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "fleet.keys"), []byte(key), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "salas.hcl")
+	f, err := Parse(text, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := f.Link
+	if o == nil || o.Sala != "centro" || len(o.Peers) != 2 || o.Peers[1].Address != "127.0.0.1:7952" || o.Silence != 300*time.Millisecond ||
+		o.Connections != 2 || o.Identity.Key != filepath.Join(dir, "centro.key") || len(o.Worths) != 2 {
+		t.Errorf("%+v", o)
+	}
+	for old, want := range map[string]struct{ with, fault string }{
+		`link "centro"`:                        {`link "Centro"`, "Unusable name"},
+		`peer "sur"`:                           {`peer "centro"`, "is this sala, or a peer already"},
+		`address = "127.0.0.1:7951"`:           {`address = "7951"`, "no address and port"},
+		`listen      = "127.0.0.1:7950"`:       {`listen = "10.0.0.1:7950"` + "\n plain = true", "for loopback alone"},
+		`certificate = "centro.pem"`:           {``, `needs "certificate"`},
+		`silence     = "300ms"`:                {`silense = "300ms"`, `Did you mean "silence"?`},
+		`cross   = ["norte", "sur"]`:           {`cross   = ["nort"]`, `Did you mean "norte"?`},
+		`voters  = ["centro", "norte", "sur"]`: {``, "Keys without voters"},
+		`listener "public"`:                    {`listener "link"`, "Name taken"},
+		`key         = "centro.key"`:           {`key = "centro.key"` + "\n plain = true", "Without a meaning"},
+	} {
+		broken := strings.Replace(string(text), old, want.with, 1)
+		if broken == string(text) {
+			t.Fatalf("the sample does not hold %s", old)
+		}
+		_, err := Parse([]byte(broken), path)
+		var faults *Error
+		if !errors.As(err, &faults) || !strings.Contains(err.Error(), want.fault) {
+			t.Errorf("%s: want %s, got %v", want.with, want.fault, err)
+		}
+	}
+	// Without the link block each crossing is a fault, and told once.
+	head, rest, _ := strings.Cut(string(text), "\nlink ")
+	_, rest, _ = strings.Cut(rest, "\n}\n")
+	if _, err := Parse([]byte(head+rest), path); err == nil || strings.Count(err.Error(), "No link") != 4 {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -22,6 +22,10 @@
 // that is left to it where that is less.
 const settleIn = time.Second
 
+// refusedBack is when a caller is told to come back, at the least, whom another sala has refused without a time of its own:
+// the time that was too short there is longer for one who comes to it anew.
+const refusedBack = 100 * time.Millisecond
+
 // over gives a request to other salas, as the decisions of package crossing say, until one has served it or none may have
 // it. What comes in is how its own sala has ended it.
 func (x *exchange) over(ctx context.Context, way *crossing.Way, a host.Answer) host.Answer {
@@ -49,8 +53,11 @@
 		b := x.carry(ctx, l, to, why, way)
 		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Reply == nil
 		b.Refused = b.Refused && !b.MayHaveRun
-		if b.Refused && a.Refused { // until both can be asked again
-			b.RetryAfter = max(b.RetryAfter, a.RetryAfter)
+		if b.Refused { // until both can be asked again
+			b.RetryAfter = max(b.RetryAfter, refusedBack)
+			if a.Refused {
+				b.RetryAfter = max(b.RetryAfter, a.RetryAfter)
+			}
 		}
 		if b.Reply == nil && b.Last == nil {
 			b.Last = a.Last
@@ -65,7 +72,9 @@
 // that nothing has run there.
 func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a host.Answer) {
 	var try *history.Try
+	ran := false // an attempt of this request, before this one
 	if x.hold != nil {
+		ran = x.hold.MayHaveRun()
 		var err error
 		terms := history.Terms{Scope: x.class.Scope, Window: x.class.Window, Keep: x.class.Keep}
 		if try, err = x.hold.Send(time.Now(), history.Place{Cluster: crossing.Place(to, ""), Zone: to}, terms); err != nil {
@@ -76,7 +85,7 @@
 	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.Worth, Effect: uint8(x.class.Effect),
 		Tenant: x.tenant, Key: x.key, Allowed: way.Left(), Been: append(append([]string{}, way.Been...), x.gateway.sala), Reason: why,
 		Past: x.holder() == to && why == tally.Held, Retried: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
-	c.Try, c.Turn = x.votes(c.Past)
+	c.Try, c.Turn = x.votes(c.Past, ran)
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	is := l.Call(waiting, to, c)
@@ -132,7 +141,7 @@
 
 // votes returns the numbers under which the voters know the request, for the sala that goes on with it. Where the key may
 // have run there already, the request begins anew for them: another turn would say that the earlier ones never ran.
-func (x *exchange) votes(past bool) (binding.Try, uint32) {
+func (x *exchange) votes(past, ran bool) (binding.Try, uint32) {
 	if x.binder == nil {
 		return binding.Try{}, 0
 	}
@@ -140,7 +149,7 @@
 		if x.binder.resumed {
 			return binding.Try{}, 0 // the sala asks in its own name
 		}
-		x.binder.end(x.hold.MayHaveRun())
+		x.binder.end(ran)
 		x.binder = newBinder(x.gateway.fleet, x.id, x.class, x.deadline)
 	}
 	return x.binder.carry()
@@ -218,10 +227,12 @@
 	if c.Allowed > 0 && (x.q.MaxAttempts == 0 || c.Allowed < x.q.MaxAttempts) {
 		x.q.MaxAttempts = c.Allowed
 	}
+	begun := time.Now()
 	if !x.hasBodyRoom(ctx, c.Body) {
 		return &link.Answer{Outcome: tally.Refused, Back: keysRetry.Microseconds()}
 	}
 	defer x.Bodies().Release(int64(len(c.Body)))
+	x.q.Left -= time.Since(begun)
 	a := x.Do(ctx, c.Body)
 	out := x.outcome(ctx, a)
 	out.Attempts = a.Attempts
