--- a/bench/salas/lost.go
+++ b/bench/salas/lost.go
@@ -21,6 +21,8 @@
 	Before time.Duration `default:"4s"`
 	After  time.Duration `default:"10s"`
 	Seeds  []uint64      `default:"1,2,3"`
+	Queue  int           `default:"16" help:"Requests that wait at a nodo; what comes beyond is turned away."`
+	Gone   int           `default:"1" help:"Salas that lose their nodos: 1 or 2."`
 }
 
 const (
@@ -30,11 +32,11 @@
 )
 
 func (o *lost) Run() error {
-	room := 2 * 2 * slots / workEach.Seconds() // of the two salas that are left
+	room := float64(3-o.Gone) * 2 * slots / workEach.Seconds() // of the salas that are left
 	highs, lows := 3*o.Rate/2, 3*o.Rate/2
 	best := min(highs, room)*10 + min(lows, max(room-highs, 0))
-	fmt.Printf("%v requests a second at each of 3 salas, half of worth 1 and half of worth 10; %v seconds after the first sala's nodos went; the room left could serve %.0f of worth a second\n",
-		o.Rate, o.After.Seconds(), best)
+	fmt.Printf("%v requests a second at each of 3 salas, half of worth 1 and half of worth 10; %v seconds after the nodos of %d went; the room left could serve %.0f of worth a second\n",
+		o.Rate, o.After.Seconds(), o.Gone, best)
 	for _, seed := range o.Seeds {
 		for _, way := range []string{"nothing", "naive", "crossing"} {
 			if err := o.play(way, seed, best); err != nil {
@@ -46,7 +48,7 @@
 }
 
 func (o *lost) play(way string, seed uint64, best float64) error {
-	s, err := start(standin.NodoOptions{Work: workEach, Slots: slots, Queue: 4 * slots}, 2, false, way == "crossing")
+	s, err := start(standin.NodoOptions{Work: workEach, Slots: slots, Queue: o.Queue}, 2, false, way == "crossing")
 	if err != nil {
 		return err
 	}
@@ -103,8 +105,10 @@
 		})
 	}
 	time.Sleep(time.Until(begun.Add(o.Before)))
-	for _, n := range s.nodos[0] {
-		n.Close()
+	for _, nodos := range s.nodos[:o.Gone] {
+		for _, n := range nodos {
+			n.Close()
+		}
 	}
 	wait.Wait()
 	least := perSecond[0].Load()
--- a/internal/link/wire.go
+++ b/internal/link/wire.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -169,7 +168,7 @@
 	case len(text) > maxMessage:
 		return fmt.Errorf("link: a message over %d bytes", maxMessage)
 	}
-	if err := codec.NewDecoder(bytes.NewReader(text), handle).Decode(into); err != nil {
+	if err := codec.NewDecoderBytes(text, handle).Decode(into); err != nil {
 		return fmt.Errorf("link: unreadable: %w", err)
 	}
 	if c, is := into.(checked); is {
