Give each sala turns of its own, demo linked salas, and end what a broken connection has begun

A sala's answer can be lost, and with it the last turn that it asked the voters for: the next sala then asked under the same turn for another place, and voters took that for the same ask come twice. Each sala that a request is carried to has a range of turns, and a voter agrees to no second place under one turn. A greeting that came as its connection broke left a session that counted as live for good; a drain at the end began only after the callers' connections had ended; 64 connections were too few for many salas. A test of keys did not wait for a reload's drain to be heard.

--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -124,10 +124,15 @@
 
 type show struct {
 	Listen string `default:"127.0.0.1:8480" help:"Address of the front; port 0 takes a free one."`
+	Salas  bool   `help:"Three gateways, one for each sala, that are linked; the first sala loses its nodos."`
 }
 
 func (c *show) Run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	return demo.Run(ctx, demo.Options{Listen: c.Listen, Out: os.Stdout, Log: newLog(os.Stderr)})
+	run := demo.Run
+	if c.Salas {
+		run = demo.RunSalas
+	}
+	return run(ctx, demo.Options{Listen: c.Listen, Out: os.Stdout, Log: newLog(os.Stderr)})
 }
--- a/internal/binding/binding.go
+++ b/internal/binding/binding.go
@@ -182,8 +182,12 @@
 
 // agree notes the ask where it can be agreed to.
 func (v *Voter) agree(now time.Time, a Ask, h *hold) Vote {
-	if h != nil && h.turn == a.Turn {
+	switch {
+	case h == nil || h.turn != a.Turn:
+	case h.place == a.Place:
 		return Yes // the ask came twice, or the answer was lost
+	default:
+		return Silent // two processes that go on with one try have taken the same turn: neither may count on it
 	}
 	terms := history.Terms{Scope: a.Scope, Window: a.Window, Keep: a.Keep + a.Life}
 	if h != nil {
--- a/internal/binding/model_test.go
+++ b/internal/binding/model_test.go
@@ -390,6 +390,9 @@
 	if vote(ask(4, 0, north)) != Yes {
 		t.Error("held though nothing ran")
 	}
+	if vote(ask(4, 0, south)) == Yes {
+		t.Error("two places under one turn")
+	}
 	for i := range uint64(4) {
 		a := ask(10+i, 0, north)
 		a.Key = history.IDOf("", fmt.Sprint(i))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -42,31 +42,10 @@
 		return fmt.Errorf("demo: %w", err)
 	}
 	defer os.RemoveAll(folder)
-	var nodos []*standin.Nodo
-	defer func() {
-		for _, n := range nodos {
-			n.Close()
-		}
-	}()
-	lists := map[string][]registry.Endpoint{}
-	for _, sala := range salas {
-		for i := range perSala {
-			no := standin.NodoOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Sala: sala, Slots: 8, Queue: 32, Work: work}
-			if sala == "sala-norte" && i == 0 {
-				no.Work = slowWork
-			}
-			n, err := standin.NewNodo(no)
-			if err != nil {
-				return err
-			}
-			nodos = append(nodos, n)
-			lists[sala] = append(lists[sala], registry.Endpoint{Name: no.Name, Address: n.Addr, Zone: sala, Status: "ready"})
-		}
-	}
-	for _, sala := range salas {
-		if err := writeList(folder, sala, lists[sala]); err != nil {
-			return err
-		}
+	lists, stop, err := startNodos(folder)
+	defer stop()
+	if err != nil {
+		return err
 	}
 	path := filepath.Join(folder, "silvertrail.hcl")
 	if err := os.WriteFile(path, []byte(fmt.Sprintf(config, o.Listen)), 0o600); err != nil {
@@ -100,6 +79,38 @@
 	return nil
 }
 
+// startNodos starts the salas' nodos and writes their lists into a folder. Stop ends those that were started, also where
+// there is an error.
+func startNodos(folder string) (lists map[string][]registry.Endpoint, stop func(), err error) {
+	var nodos []*standin.Nodo
+	stop = func() {
+		for _, n := range nodos {
+			n.Close()
+		}
+	}
+	lists = map[string][]registry.Endpoint{}
+	for _, sala := range salas {
+		group := standin.NewGroup(sala, time.Minute)
+		for i := range perSala {
+			no := standin.NodoOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Sala: sala, Slots: 8, Queue: 32, Work: work,
+				Group: group}
+			if sala == "sala-norte" && i == 0 {
+				no.Work = slowWork
+			}
+			n, err := standin.NewNodo(no)
+			if err != nil {
+				return nil, stop, err
+			}
+			nodos = append(nodos, n)
+			lists[sala] = append(lists[sala], registry.Endpoint{Name: no.Name, Address: n.Addr, Zone: sala, Status: "ready"})
+		}
+		if err := writeList(folder, sala, lists[sala]); err != nil {
+			return nil, stop, err
+		}
+	}
+	return lists, stop, nil
+}
+
 func addresses(lists map[string][]registry.Endpoint) (out []string) {
 	for _, sala := range salas {
 		for _, e := range lists[sala] {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -84,3 +85,60 @@
 		t.Fatal("did not end")
 	}
 }
+
+// The demo of linked salas: what the first one's callers ask is served when its nodos have gone, keys and all, and it ends
+// cleanly.
+func TestSalas(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	out := &screen{}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- RunSalas(ctx, Options{Listen: "127.0.0.1:0", DrainAfter: 500 * time.Millisecond, Out: out, Log: slog.New(slog.DiscardHandler)})
+	}()
+	front := regexp.MustCompile(`sala-centro +(http://\S+)`)
+	lbtest.Until(t, "a front", func() bool { return front.MatchString(out.String()) })
+	url := front.FindStringSubmatch(out.String())[1]
+	client := &http.Client{Timeout: lbtest.Wait}
+	defer client.CloseIdleConnections()
+	served := func(key string) (sala string) {
+		r, err := http.NewRequestWithContext(ctx, "POST", url+"/reserva/seat-7", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Idempotency-Key", key)
+		a, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close()
+		text, err := io.ReadAll(a.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.StatusCode != 200 {
+			return ""
+		}
+		_, sala, _ = strings.Cut(string(text), `"sala":"`)
+		sala, _, _ = strings.Cut(sala, `"`)
+		return sala
+	}
+	lbtest.Until(t, "the voters agree", func() bool { return served("first") != "" })
+	lbtest.Until(t, "the nodos have gone", func() bool { return strings.Contains(out.String(), "has lost its nodos") })
+	away, key := "", ""
+	for n := 0; away == "" || away == "sala-centro"; n++ { // what is still served at home is held there
+		key = fmt.Sprint("k", n)
+		away = served(key)
+		if n > 2000 {
+			t.Fatal("no other sala serves")
+		}
+	}
+	lbtest.Until(t, "the nodos are back", func() bool { return strings.Contains(out.String(), "has its nodos back") })
+	if sala := served(key); sala != away {
+		t.Errorf("a key of %s at %q", away, sala)
+	}
+	cancel()
+	if err := <-ended; err != nil || !strings.Contains(out.String(), "ended") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -21,44 +22,48 @@
 	asked bool
 	// resumed: another sala has begun the request and tells the voters of its end.
 	resumed bool
-	over    bool // the request is: no ask of it may follow its end
+	stride  uint32 // of turns that are another sala's when the request is carried to it
+	over    bool   // the request is: no ask of it may follow its end
 	state   binding.State
 	know    sync.Mutex // of past
 	past    history.Past
 }
 
 func newBinder(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time) *binder {
-	return &binder{fleet: f, deadline: deadline, ask: binding.Ask{Try: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Keep: c.Keep}}
+	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: binding.Ask{Try: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Keep: c.Keep}}
 }
 
 // resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
 // is the other sala's to tell.
-func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try binding.Try, turn uint32) *binder {
+func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try binding.Try, turn uint32, been int) *binder {
 	b := newBinder(f, id, c, deadline)
+	b.stride = strideOf(been)
 	b.ask.Try, b.ask.Turn, b.asked, b.resumed = try, turn, true, true
 	return b
 }
 
-// carry returns the numbers under which another sala may go on with the request, all of whose attempts here never ran.
-func (b *binder) carry() (binding.Try, uint32) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.asked, b.state = true, binding.Pending
-	return b.ask.Try, b.ask.Turn
-}
-
-// turn returns the last turn that voters were asked for.
-func (b *binder) turn() uint32 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ask.Turn
+// strideOf returns how many turns another sala has to itself, for a request that has been to so many: its answer may be lost,
+// and with it the last turn that it asked for. Each has room for 64 of its own and of those that it carries the request
+// to, at least. Past the fourth sala there is none: what it is carried to asks in its own name.
+func strideOf(been int) uint32 {
+	if been > 3 {
+		return 0
+	}
+	return 1 << (24 - 6*been)
 }
 
-// went takes the last turn of the sala that went on with the request.
-func (b *binder) went(turn uint32) {
+// carry returns the numbers under which another sala may go on with the request, all of whose attempts here never ran. The
+// turns that it may ask for are not asked for here any more.
+func (b *binder) carry() (binding.Try, uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ask.Turn = max(b.ask.Turn, turn)
+	turn := b.ask.Turn
+	if b.stride == 0 || turn > math.MaxUint32-b.stride {
+		return binding.Try{}, 0
+	}
+	b.asked, b.state = true, binding.Pending
+	b.ask.Turn += b.stride
+	return b.ask.Try, turn
 }
 
 func (b *binder) Past() history.Past {
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -124,9 +124,6 @@
 		return a
 	}
 	a.Attempts = said.Attempts
-	if x.binder != nil {
-		x.binder.went(said.Turn)
-	}
 	switch outcome {
 	case tally.Served:
 		a.Reply, a.MayHaveRun = &upstream.Answer{Status: said.Status, Header: said.Header, Body: said.Body}, false
@@ -236,9 +233,6 @@
 	a := x.Do(ctx, c.Body)
 	out := x.outcome(ctx, a)
 	out.Attempts = a.Attempts
-	if x.binder != nil {
-		out.Turn = x.binder.turn()
-	}
 	return out
 }
 
@@ -325,6 +319,14 @@
 	return l.Status(ctx, false)
 }
 
+// FleetAddr returns the address on which other instances of the fleet reach this one, or "" where it is alone.
+func (g *Gateway) FleetAddr() string {
+	if g.fleet == nil {
+		return ""
+	}
+	return g.fleet.Addr()
+}
+
 // LinkAddr returns the address on which other salas connect, or "" where there is no link.
 func (g *Gateway) LinkAddr() string {
 	l := g.linked.Load()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -344,9 +344,14 @@
 	for _, f := range g.fronts {
 		g.retire.Go(func() { f.End(now.Add(s.file.Process.Stop/2), by) })
 	}
+	if l := g.linked.Load(); l != nil {
+		g.retire.Go(func() {
+			time.Sleep(time.Until(now.Add(s.file.Process.Stop / 2)))
+			l.Drain(by)
+		})
+	}
 	g.retire.Wait()
 	if l := g.linked.Load(); l != nil {
-		l.Drain(by)
 		l.Close()
 	}
 	if g.fleet != nil { // the last: until now its votes count
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -230,11 +230,18 @@
 	north := [4]string{"ready north", "ready north", "draining south", "draining south"}
 	g := run(t, text(north))
 	addr := g.Addr("l").String()
-	reload := func(file string) {
+	reload := func(zones [4]string) {
 		t.Helper()
-		if err := g.Reload(parse(t, file)); err != nil {
+		if err := g.Reload(parse(t, text(zones))); err != nil {
 			t.Fatal(err)
 		}
+		lbtest.Until(t, "the members are as told", func() bool { // a running cluster hears of its sources after the reload
+			is := [4]string{}
+			for i, e := range g.state.Load().clusters["c"].Members() {
+				is[i] = e.Status + " " + e.Zone
+			}
+			return is == zones
+		})
 	}
 	hold.Store(true)
 	if status := post(addr, "k", 150*time.Millisecond); status != 0 {
@@ -245,7 +252,7 @@
 		t.Errorf("a repeat while its group is there: %d", status)
 	}
 	// The group's last endpoints drain.
-	reload(text([4]string{"draining north", "draining north", "ready south", "ready south"}))
+	reload([4]string{"draining north", "draining north", "ready south", "ready south"})
 	if status := post(addr, "k", lbtest.Wait); status != 502 {
 		t.Errorf("its group drains: %d", status)
 	}
@@ -253,7 +260,7 @@
 		t.Errorf("another key: %d", status)
 	}
 	// The endpoints are of another zone now: what they have seen is not what that zone's have seen.
-	reload(text([4]string{"ready south", "ready south", "ready south", "ready south"}))
+	reload([4]string{"ready south", "ready south", "ready south", "ready south"})
 	if status := post(addr, "k", lbtest.Wait); status != 502 {
 		t.Errorf("its endpoints are of another zone: %d", status)
 	}
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -324,7 +324,7 @@
 }
 
 // Callers repeat by the same key through other salas while links are reset, held up in one or both directions, and cut
-// in the middle of messages, a gateway is killed and started again, and nodos leave answers out: no key takes effect twice, and when all is settled both ends of
+// in the middle of messages, salas are drained, a gateway is killed and started again, and nodos leave answers out: no key takes effect twice, and when all is settled both ends of
 // each link have counted the same.
 func TestSalasUnderCuts(t *testing.T) {
 	t.Parallel()
@@ -370,7 +370,7 @@
 		}
 		i, j := draw(3), draw(3)
 		path := p.paths[i][j]
-		switch draw(5) {
+		switch draw(6) {
 		case 0:
 			path.Reset()
 		case 1:
@@ -383,9 +383,12 @@
 		case 4:
 			path.Hold(standin.Back, true)
 			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Hold(standin.Back, false) })
+		case 5: // its own go elsewhere first, and come back where that fails
+			drain(t, p.all[i], []string{"all", "off"}[draw(2)])
 		}
 	}
 	for i := range 3 {
+		drain(t, p.all[i], "off")
 		p.members(i, "ready", "ready")
 		for j := range 3 {
 			p.paths[i][j].CutAfter(standin.There, -1)
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	maxConns = 64 // taken at once, of all salas
+	leastConns = 64 // taken at once, of all salas; more where the salas may have more
 	// connWindow bounds what is under way in one direction: what a small call or a heartbeat waits behind on a narrow link.
 	// On a way of 30 ms it lets 17 MB a second pass.
 	connWindow  = 512 << 10
@@ -91,7 +91,7 @@
 			continue
 		}
 		s.mu.Lock()
-		full := len(s.conns) >= maxConns || s.l.ctx.Err() != nil
+		full := len(s.conns) >= s.room() || s.l.ctx.Err() != nil
 		if !full {
 			s.conns[c] = true
 			s.wait.Add(1)
@@ -116,6 +116,14 @@
 	}
 }
 
+// room is how many connections are taken at once: all that the salas may have, twice, as one ends late where the other
+// end has made another already.
+func (s *server) room() int {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	return max(leastConns, 2*mostConns*len(s.l.peers))
+}
+
 // serve proves who has connected, and serves the connection to its end.
 func (s *server) serve(c net.Conn) error {
 	k := &taken{server: s}
@@ -134,12 +142,7 @@
 		conn = t
 	}
 	s.h2.ServeConn(conn, &http2.ServeConnOpts{Context: s.l.ctx, BaseConfig: s.base, Handler: k})
-	if k.session != nil {
-		k.session.mu.Lock()
-		defer k.session.mu.Unlock()
-		k.session.live = false
-		k.session.in.Close() // what its frames still hold is never taken
-	}
+	k.end()
 	return nil
 }
 
@@ -241,9 +244,23 @@
 	server  *server
 	from    string // empty: nobody has said yet
 	mu      sync.Mutex
+	over    bool
 	session *inbound
 }
 
+// end tells that the connection is over: what its handlers still hold is not taken any more, neither calls nor a greeting.
+func (k *taken) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.over = true
+	if s := k.session; s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.live = false
+		s.in.Close()
+	}
+}
+
 func (k *taken) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -338,7 +355,7 @@
 	defer k.mu.Unlock()
 	version := min(h.Newest, newestVersion)
 	switch {
-	case k.session != nil:
+	case k.over, k.session != nil:
 		return nil, errors.New("link: greeted already")
 	case version < max(h.Oldest, oldestVersion):
 		return &welcome{Error: fmt.Sprintf("versions %d to %d are not spoken here, but %d to %d", h.Oldest, h.Newest, oldestVersion, newestVersion)}, nil
--- a/internal/link/wire.go
+++ b/internal/link/wire.go
@@ -100,7 +100,6 @@
 	Header   map[string][]string `codec:"z,omitempty"`
 	Body     []byte              `codec:"d,omitempty"`
 	Attempts int                 `codec:"a,omitempty"`
-	Turn     uint32              `codec:"x,omitempty"` // the voters' last
 	Place    history.Place       `codec:"p,omitempty"` // of the endpoints that may have run it
 	Why      string              `codec:"w,omitempty"` // for the log
 }
