--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"silvertrail/decide"
@@ -172,12 +171,26 @@
 	switch {
 	case g.draining.Load():
 		return crossing.Draining
-	case g.strain.shedding(time.Now()):
+	case g.strained():
 		return crossing.Shedding
 	}
 	return crossing.Open
 }
 
+// strained tells whether this sala refuses so much that the others should know.
+func (g *Gateway) strained() bool {
+	g.strainMu.Lock()
+	defer g.strainMu.Unlock()
+	return g.strain.Shedding(time.Now())
+}
+
+// note counts a request that this sala's own decisions have ended.
+func (g *Gateway) note(refused bool) {
+	g.strainMu.Lock()
+	defer g.strainMu.Unlock()
+	g.strain.Note(time.Now(), refused)
+}
+
 // Lookup implements link.Server.
 func (g salaServer) Lookup(id history.ID) (f link.Found) {
 	now := time.Now()
@@ -272,44 +285,6 @@
 	return &link.Answer{Outcome: tally.Served, Status: status, Header: h, Body: body}
 }
 
-// strain is how much of what comes a sala refuses for load.
-type strain struct {
-	mu             sync.Mutex
-	begun          time.Time
-	asked, refused [2]int // in this second, and in the one before
-}
-
-// shedPart is the part that is refused from which on a sala says so.
-const shedPart = 0.05
-
-func (s *strain) turn(now time.Time) {
-	if d := now.Sub(s.begun); d >= time.Second {
-		s.begun = now
-		s.asked[1], s.refused[1] = s.asked[0], s.refused[0]
-		if d >= 2*time.Second {
-			s.asked[1], s.refused[1] = 0, 0
-		}
-		s.asked[0], s.refused[0] = 0, 0
-	}
-}
-
-func (s *strain) note(now time.Time, refused bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn(now)
-	s.asked[0]++
-	if refused {
-		s.refused[0]++
-	}
-}
-
-func (s *strain) shedding(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn(now)
-	return float64(s.refused[0]+s.refused[1]) > shedPart*float64(s.asked[0]+s.asked[1])
-}
-
 // Links tells how the links to other salas stand; nothing where there are none.
 func (g *Gateway) Links(ctx context.Context) []link.SalaView {
 	l := g.linked.Load()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -324,7 +324,7 @@
 	for {
 		a, here := x.try(ctx, to, plan)
 		if here && x.gateway.sala != "" { // for the other salas to hear
-			x.gateway.strain.note(time.Now(), a.Refused)
+			x.gateway.note(a.Refused)
 		}
 		if a.Reply == nil && a.Last == nil {
 			a.Last = last
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"silvertrail/internal/cluster"
 	"silvertrail/internal/conf"
+	"silvertrail/internal/crossing"
 	"silvertrail/internal/fleet"
 	"silvertrail/internal/frontend"
 	"silvertrail/internal/history"
@@ -36,7 +37,8 @@
 	fleet     *fleet.Fleet              // nil: this instance is alone
 	linked    atomic.Pointer[link.Link] // nil: no other salas
 	sala      string                    // this one's name; empty: there is no link
-	strain    strain
+	strainMu  sync.Mutex
+	strain    crossing.Strain
 	draining  atomic.Bool // nothing new is taken from other salas
 	leaving   atomic.Bool // and what is this sala's own goes to others first
 	shares    atomic.Pointer[[2]int]
