Give cold endpoints what their own reports show, and tenants their share from the start

At fault: takesCold bounded the draw by half the fall multiple as if warm endpoints carried all they can, and counted windows by each balancer's own rate; capacity knew the least for an age alone, though each answer reports utilisation and the rate of all balancers' calls; tenants' tokens began at zero at every sidecar.

--- a/decide/api.go
+++ b/decide/api.go
@@ -59,12 +59,16 @@
 // Field is one value of a load report.
 type Field uint8
 
-// The fields: utilisation is used, others are passed over.
+// The fields: utilisation and the rate of calls are used, others are passed over.
 const (
 	FieldOther Field = iota
 	FieldUtil
+	FieldRate // requests a second, of all balancers together
 )
 
+// Fields are the names under which servers report them.
+var Fields = map[string]Field{"util": FieldUtil, "qps": FieldRate}
+
 // Settings is all that a balancer is told at its start.
 type Settings struct {
 	Balancers int // balancers of this tier
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,8 +36,11 @@
 	hopePart   = 1.0 / 3 // a call with less time than this part of its class takes is refused
 	hopeStep   = 0.1     // step by which that time is learnt
 	hopeMemory = 10 * time.Second
-	fleetPart  = 0.5 // more of the pool than this out at once is no matter of outliers
-	errorCost  = 4.0 // ranking: how many times slower a server that only errs counts
+	leastUtil  = 0.25 // under it a report tells too little of what a server could do
+	trustPart  = 0.9  // of a capacity that reports show
+	coldPart   = 0.6  // of the fall multiple: all balancers' calls to a cold server
+	fleetPart  = 0.5  // more of the pool than this out at once is no matter of outliers
+	errorCost  = 4.0  // ranking: how many times slower a server that only errs counts
 	reportAge  = 2 * time.Second
 	memoryPart = 0.35 // smoothing of latency and failures, as a share of the aim
 )
@@ -65,8 +68,9 @@
 	out      bool
 	outUntil time.Duration
 	outs     int
-	window   time.Duration // cold budget: start of the window in hand, and sends in it
-	windowed int
+	rate     float64       // calls a second that it could answer to all balancers, as reported; 0: not known
+	budget   float64       // while cold: calls that it may have now
+	filled   time.Duration // when the budget was last filled; 0: never
 }
 
 type attempt struct {
@@ -137,7 +141,8 @@
 	want     int
 	weighted bool    // servers of use differ in weight
 	outs     int     // of use, servers that are out
-	able     float64 // of use, least capacity of all together, in warm servers
+	able     float64 // of use, capacity of all together, in warm servers
+	full     float64 // calls a second that a warm server could answer, as those of use report; 0: not known
 
 	requests map[RequestID]*request
 	budget   float64
@@ -161,7 +166,8 @@
 	period := time.Duration(b.aim * stepPart * float64(time.Second))
 	b.period = min(max(period, 50*time.Millisecond), time.Second)
 	for _, t := range cfg.Tenants {
-		b.tenants = append(b.tenants, tenant{quota: t.QuotaPerSecond})
+		rate := t.QuotaPerSecond / float64(cfg.Balancers)
+		b.tenants = append(b.tenants, tenant{quota: t.QuotaPerSecond, tokens: 2*rate + 2})
 		b.quotas += t.QuotaPerSecond
 	}
 	b.buildTable()
@@ -525,32 +531,43 @@
 
 // ---- Pacing ----
 
-// capacity is a server's least capacity as a share of its full one, by its age.
+// capacity is a server's capacity as a share of its full one: the least for its age, or more where its own
+// reports show more. Those count the calls of all balancers: one that sends a server a call in some seconds
+// learns from each answer what they all have seen. It could hurt where reports count what costs the server
+// nothing.
 func (b *Balancer) capacity(now time.Duration, s *server) float64 {
 	if s.StartedAt <= 0 || b.cfg.WarmUp <= 0 {
 		return 1
 	}
 	age := (now - s.StartedAt).Seconds() / b.cfg.WarmUp.Seconds()
-	return min(1, b.cfg.StartCapacity+(1-b.cfg.StartCapacity)*max(age, 0))
+	least := min(1, b.cfg.StartCapacity+(1-b.cfg.StartCapacity)*max(age, 0))
+	if b.full > 0 {
+		least = max(least, min(1, trustPart*s.rate/b.full))
+	}
+	return least
 }
 
-// takesCold draws whether a cold server takes the call that came upon it by an even draw over the pool.
-// Its part is then to a warm server's as its capacity is, whatever the other balancers do: each gives the
-// same part of its own traffic, with no bursts saved up. Where much of the pool is cold, a plain draw leaves
-// it idle while the warm rest is overloaded: it is drawn more often, within half the fall multiple. On top
-// stands this balancer's part of the budget for each window.
+// takesCold draws whether a cold server takes the call that came upon it by an even draw over the pool: its
+// part is then to a warm server's as its capacity is, whatever part of the pool is cold, so that neither it
+// idles while the warm rest is overloaded nor the other way round. Each balancer has its own pool, and one that
+// is nearly all cold would send all its calls there: the budget holds every balancer to its part of what
+// the server can do. It starts at a draw, as the first call of each balancer is also a call of the fleet.
 func (b *Balancer) takesCold(now time.Duration, s *server) bool {
 	c := b.capacity(now, s)
-	boost := min(float64(len(b.use))/b.able, b.cfg.FallMultiple/2)
-	if c >= 1 || s.out || b.rng.Float64() >= c*max(1, boost)*s.part() {
+	if c >= 1 || s.out || b.rng.Float64() >= c*float64(len(b.use))/max(b.able, 1e-9)*s.part() {
 		return false
 	}
-	w := b.cfg.FallWindow
-	if now-s.window >= w {
-		s.window, s.windowed = now, 0
+	rate := b.cfg.FallMultiple * c * max(b.fast, b.avg) / float64(len(b.use))
+	if b.full > 0 {
+		sharers := max(1, float64(b.cfg.Balancers*len(b.use))/float64(len(b.all)))
+		rate = coldPart * b.cfg.FallMultiple * c * b.full / sharers
+	}
+	if s.filled == 0 {
+		s.budget, s.filled = b.rng.Float64(), now
 	}
-	each := max(b.fast, b.avg) / float64(len(b.use))
-	return s.windowed == 0 || float64(s.windowed+1) <= b.cfg.FallMultiple*c*each*w.Seconds()
+	s.budget = min(s.budget+rate*(now-s.filled).Seconds(), max(1, rate*b.cfg.FallWindow.Seconds()/2))
+	s.filled = now
+	return s.budget >= 1
 }
 
 // ---- Health ----
@@ -558,6 +575,7 @@
 // checkHealth finds silent servers, and takes their calls out of the queue.
 func (b *Balancer) checkHealth(now time.Duration) {
 	b.outs, b.stuck, b.able = 0, 0, 0
+	b.learnFull(now)
 	for _, s := range b.use {
 		b.able += b.capacity(now, s)
 		s.wait(now)
@@ -572,6 +590,20 @@
 	}
 }
 
+// learnFull follows what a warm server can answer.
+func (b *Balancer) learnFull(now time.Duration) {
+	sum, n := 0.0, 0.0
+	for _, s := range b.use {
+		if s.rate > 0 && (s.StartedAt <= 0 || now-s.StartedAt > b.cfg.WarmUp) {
+			sum += s.rate
+			n++
+		}
+	}
+	if n > 0 {
+		b.full = sum / n
+	}
+}
+
 // wait adds up what the calls with a server have waited for since it last answered.
 func (s *server) wait(now time.Duration) {
 	if there := s.inFlight - s.onWay; there > 0 {
@@ -684,11 +716,22 @@
 	return again
 }
 
+// report takes a load report: a server's rate over its utilisation is what it could answer.
 func (b *Balancer) report(now time.Duration, s *server, load []float32) {
+	rate := 0.0
 	for i, v := range load[:min(len(load), len(b.cfg.Report))] {
-		if b.cfg.Report[i] == FieldUtil {
+		switch b.cfg.Report[i] {
+		case FieldUtil:
 			s.util, s.reported = float64(v), now
+		case FieldRate:
+			rate = float64(v)
+		}
+	}
+	if s.reported == now && s.util > leastUtil && rate > 0 {
+		if s.rate == 0 {
+			s.rate = rate / s.util
 		}
+		s.rate += (rate/s.util - s.rate) * 0.3
 	}
 }
 
@@ -818,7 +861,7 @@
 	s.inFlight++
 	b.inFlight++
 	s.conns, s.lastSend = max(s.conns, s.inFlight), now
-	s.windowed++
+	s.budget--
 	b.host.Send(r.id, s.ID)
 	b.look(now, r)
 }
@@ -1086,7 +1129,7 @@
 		b.all = append(b.all, s)
 	}
 	if s.StartedAt != e.StartedAt { // a new process: what was known of the old one is void
-		s.lat, s.out, s.outs, s.reported, s.held, s.quiet = 0, false, 0, 0, 0, 0
+		s.lat, s.out, s.outs, s.reported, s.held, s.quiet, s.rate, s.filled = 0, false, 0, 0, 0, 0, 0, 0
 	}
 	s.Server = e
 }
--- a/internal/conf/clusters.go
+++ b/internal/conf/clusters.go
@@ -33,11 +33,7 @@
 	c.ConnectTimeout = s.duration("connect_timeout", time.Second, time.Millisecond, time.Minute)
 	for _, l := range s.list("load_report") {
 		c.Report = append(c.Report, l.text)
-		field := decide.FieldOther
-		if l.text == "util" {
-			field = decide.FieldUtil
-		}
-		settings.Report = append(settings.Report, field)
+		settings.Report = append(settings.Report, decide.Fields[l.text])
 	}
 	c.Decide, c.Zones = settings, zones
 	c.Reserve = s.share("reserve", 0.5/float64(max(n, 1)))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,7 +60,6 @@
 	effects = map[string]decide.Effect{"free": decide.Safe, "guarded": decide.Keyed, "single_shot": decide.Unsafe}
 	scopes  = map[string]decide.Scope{"": decide.ScopeAll, "all": decide.ScopeAll,
 		"zone": decide.ScopeZone, "cell": decide.ScopeCell}
-	fields = map[string]decide.Field{"util": decide.FieldUtil}
 )
 
 // Parse reads an instance's settings; an error names the key that can't be used.
@@ -98,7 +97,7 @@
 	}
 	if p.Telemetry.Via == "inline" {
 		for _, f := range p.Telemetry.Fields {
-			s.Report = append(s.Report, fields[f])
+			s.Report = append(s.Report, decide.Fields[f])
 		}
 	}
 	return s, nil
