--- a/decide/decide.go
+++ b/decide/decide.go
@@ -549,8 +549,8 @@
 
 // takesCold draws whether a cold server takes the call that came upon it by an even draw over the pool: its
 // part is then to a warm server's as its capacity is, whatever part of the pool is cold, so that neither it
-// idles while the warm rest is overloaded nor the other way round. Each balancer has its own pool, and one that
-// is nearly all cold would send all its calls there: the budget holds every balancer to its part of what
+// idles while the warm rest is overloaded nor the other way round. Each balancer has its own pool, and one
+// that is nearly all cold would send all its calls there: the budget holds every balancer to its part of what
 // the server can do. It starts at a draw, as the first call of each balancer is also a call of the fleet.
 func (b *Balancer) takesCold(now time.Duration, s *server) bool {
 	c := b.capacity(now, s)
