Rank cold endpoints by what they can do, within a budget that the fleet shares

At fault: pick knew cold endpoints by that draw alone, at most an even part of the calls; rank left them out. Now they rank, their latency and queue measured by their capacity, as far as their budget goes (half the fall multiple of what they can do, over all balancers).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,7 +38,7 @@
 	hopeMemory = 10 * time.Second
 	leastUtil  = 0.25 // under it a report tells too little of what a server could do
 	trustPart  = 0.9  // of a capacity that reports show
-	coldPart   = 0.6  // of the fall multiple: all balancers' calls to a cold server
+	coldPart   = 0.5  // of the fall multiple: all balancers' calls to a cold server
 	fleetPart  = 0.5  // more of the pool than this out at once is no matter of outliers
 	errorCost  = 4.0  // ranking: how many times slower a server that only errs counts
 	reportAge  = 2 * time.Second
@@ -446,18 +446,19 @@
 
 // ---- Ranking ----
 
-// score ranks a server for the next call: smoothed latency x queue. A crossing or a new connection costs
-// time in proportion to its price.
+// score ranks a server for the next call: smoothed latency x queue, both by its capacity. A crossing or a
+// new connection costs time in proportion to its price.
 func (b *Balancer) score(now time.Duration, s *server) float64 {
 	lat := s.lat
+	c := b.capacity(now, s)
 	if lat == 0 {
-		lat = b.usual()
+		lat = b.usual() / c
 	}
 	lat = max(lat, s.quiet)
 	if b.weighted { // what is slow holds more in flight, and that counts
 		lat = 1
 	}
-	v := lat * (1 + float64(s.inFlight)/s.part()) * (1 + errorCost*s.bad)
+	v := lat * (1 + float64(s.inFlight)/(c*s.part())) * (1 + errorCost*s.bad)
 	if s.Zone != b.cfg.Zone {
 		v *= 1 + 70*b.cfg.CrossZonePrice
 	}
@@ -482,7 +483,7 @@
 		return nil
 	}
 	start := b.rng.IntN(n)
-	if s := b.use[start]; b.maySend(now, r, s) && (b.takesCold(now, s) || b.takesTrial(now, r, s)) {
+	if s := b.use[start]; b.maySend(now, r, s) && (b.takesTrial(now, r, s) || b.drawsCold(now, s)) {
 		return s
 	}
 	fleet := float64(b.outs) > fleetPart*float64(n) // most of a fleet failing is no matter of outliers
@@ -494,7 +495,7 @@
 			at = b.rng.IntN(n)
 		}
 		s := b.use[at]
-		if s.out && !fleet || b.capacity(now, s) < 1 || !b.maySend(now, r, s) {
+		if s.out && !fleet || !b.maySend(now, r, s) || !b.paced(now, s) {
 			continue
 		}
 		v := b.score(now, s)
@@ -521,7 +522,7 @@
 			if s.out || !b.maySend(now, r, s) {
 				continue
 			}
-			if cold := b.capacity(now, s) < 1; !cold || pass == 1 && b.takesCold(now, s) {
+			if b.capacity(now, s) >= 1 || pass == 1 && b.paced(now, s) {
 				return s
 			}
 		}
@@ -547,15 +548,14 @@
 	return least
 }
 
-// takesCold draws whether a cold server takes the call that came upon it by an even draw over the pool: its
-// part is then to a warm server's as its capacity is, whatever part of the pool is cold, so that neither it
-// idles while the warm rest is overloaded nor the other way round. Each balancer has its own pool, and one
-// that is nearly all cold would send all its calls there: the budget holds every balancer to its part of what
-// the server can do. It starts at a draw, as the first call of each balancer is also a call of the fleet.
-func (b *Balancer) takesCold(now time.Duration, s *server) bool {
+// paced tells whether a server may have a call now, by its warmth: a warm one always, a cold one within its
+// budget. Each balancer has its own pool and its own view, and one whose pool is nearly all cold would send
+// all its calls there: the budget holds every balancer to its even part of what the server can do. It starts
+// at a draw, as the first call of each balancer is also a call of the fleet.
+func (b *Balancer) paced(now time.Duration, s *server) bool {
 	c := b.capacity(now, s)
-	if c >= 1 || s.out || b.rng.Float64() >= c*float64(len(b.use))/max(b.able, 1e-9)*s.part() {
-		return false
+	if c >= 1 {
+		return true
 	}
 	rate := b.cfg.FallMultiple * c * max(b.fast, b.avg) / float64(len(b.use))
 	if b.full > 0 {
@@ -570,6 +570,15 @@
 	return s.budget >= 1
 }
 
+// drawsCold draws whether a cold server takes the call that came upon it by an even draw over the pool: its
+// part is then to a warm server's as its capacity is. It is how a balancer with idle warm servers comes to
+// know it; where they are not idle, rank brings it more, within its budget.
+func (b *Balancer) drawsCold(now time.Duration, s *server) bool {
+	c := b.capacity(now, s)
+	part := c * s.part() * float64(len(b.use)) / max(b.able, 1e-9)
+	return c < 1 && !s.out && b.rng.Float64() < part && b.paced(now, s)
+}
+
 // ---- Health ----
 
 // checkHealth finds silent servers, and takes their calls out of the queue.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -225,6 +225,32 @@
 	}
 }
 
+// Guards against cold servers that idle beside a crowded warm one: they rank like any other, by what they can do,
+// within the budget that all balancers share.
+func TestColdRanks(t *testing.T) {
+	cfg := testSettings()
+	cfg.Balancers, cfg.Report = 10, []Field{FieldUtil, FieldRate}
+	list := ready(2)
+	list[0].StartedAt = 99 * sec
+	b, h := newBalancer(t, cfg, list...)
+	b.full, b.servers[1].lat, b.servers[2].lat = 100, 0.05, 0.5
+	for i := range 2000 { // 4 s of them, ended at once
+		now := 101*sec + time.Duration(i)*2*ms
+		b.Request(now, Request{ID: RequestID(i), Class: 4, Left: 3 * sec})
+		b.Outcome(now, Outcome{ID: RequestID(i), Verdict: Cancelled, Final: true})
+	}
+	cold := 0
+	for _, s := range h.sends {
+		if s == 1 {
+			cold++
+		}
+	}
+	// A tenth of what a server of a capacity from 0.36 to 0.68 can do in 4 s is 21 calls.
+	if most := 21 * coldPart * cfg.FallMultiple; float64(cold) > most || float64(cold) < 0.8*most {
+		t.Fatalf("%d calls to the cold server, budget %.0f", cold, most)
+	}
+}
+
 // Guards against callers taken for over their share as each balancer starts: all of them start with its allowance.
 func TestSharesFromTheStart(t *testing.T) {
 	cfg := testSettings()
