Ask discovery in shorter, spread watches, paced by how it answers

Traced in each sidecar's calls; the lines at fault are the two waits in registry. A longer back-off in decide (1 s in place of 0.5) gave no more.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -22,11 +22,15 @@
 	maxList = 2 << 20 // some 10,000 endpoints; read whole, so it must fit the memory limit several times over
 
 	// What an agent on the same machine has to tell it tells at once, so a short wait costs nothing and shows soon
-	// that an agent's connection is dead. Where discovery is asked each call is work to it.
+	// that an agent's connection is dead. Where discovery is asked each call is work to it, and so is each call of
+	// all the other instances: the wait follows how soon it answers (see paced).
 	pushedWait = 2 * time.Second
-	askedWait  = 20 * time.Second
-	answerIn   = 1 * time.Second // an agent's answer, past the wait
-	askedIn    = 3 * time.Second // discovery's, which works through calls in turn
+	leastWait  = 8 * time.Second
+	mostWait   = 16 * time.Second
+	answerIn   = 1 * time.Second // an answer, past the wait: a second less than what counts as told
+	promptIn   = 300 * time.Millisecond
+	leastGap   = 500 * time.Millisecond // or none
+	mostGap    = 3 * time.Second
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 1 * time.Second
 	spacing    = 20 * time.Millisecond // of watches that are answered at once; past 200 ms a watch would lapse
@@ -85,7 +89,9 @@
 	http    *http.Client
 	ask     chan struct{}
 	index   int64
-	older   int // answers in a row older than index
+	older   int           // answers in a row older than index
+	wait    time.Duration // of a watch, before its spread
+	gap     time.Duration // between an answer and the next watch, before its spread
 
 	mu    sync.Mutex
 	addr  string
@@ -101,7 +107,7 @@
 		MaxIdleConnsPerHost:    1,
 		MaxResponseHeaderBytes: 16 << 10,
 	}
-	return &Client{addr: addr, asked: asked, members: members, log: log, index: index,
+	return &Client{addr: addr, asked: asked, members: members, log: log, index: index, wait: leastWait,
 		http: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}},
@@ -164,16 +170,20 @@
 				continue
 			}
 		}
-		for {
+		for silent := false; ; {
 			err := c.call(calls, addr, whole)
+			if err != nil && calls.Err() == nil {
+				c.log.Warn("discovery: "+err.Error(), "address", addr)
+			}
+			if c.asked && !silent && calls.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+				silent = true // its connection may be dead: asked once more, on another one, without delay
+				continue
+			}
 			if err != nil {
-				if calls.Err() == nil {
-					c.log.Warn("discovery: "+err.Error(), "address", addr)
-				}
 				break
 			}
-			backoff, whole = backoffMin, false
-			pause(calls, spacing)
+			backoff, whole, silent = backoffMin, false, false
+			pause(calls, max(spacing, c.gap/2+rand.N(c.gap+1)))
 		}
 		if c.asked { // the decisions say when to ask again
 			c.members(decide.Failed, nil)
@@ -194,9 +204,9 @@
 
 // call makes one call and hands on what it brings: the whole list, or what has changed since the one in hand.
 func (c *Client) call(ctx context.Context, addr string, whole bool) error {
-	wait, grace := pushedWait, answerIn
+	wait := pushedWait
 	if c.asked {
-		wait, grace = askedWait, askedIn
+		wait = c.wait/2 + rand.N(c.wait)
 	}
 	url := fmt.Sprintf(path, addr)
 	if whole {
@@ -205,9 +215,11 @@
 		url += fmt.Sprintf("?index=%d&wait=%d", c.index, wait.Milliseconds())
 	}
 	// Silence past the wait means that the other side has gone without a word: the connection is given up.
-	ctx, cancel := context.WithTimeout(ctx, wait+grace)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerIn)
 	defer cancel()
+	began := time.Now()
 	list, err := c.get(ctx, url)
+	c.paced(err == nil && time.Since(began) < wait+promptIn)
 	if err != nil {
 		return err
 	}
@@ -236,6 +248,25 @@
 	return nil
 }
 
+// paced sets how long a watch waits where discovery is asked, and how long after an answer the next one begins: more
+// at once where a call fails or is answered late, less by steps where it is answered in time. A watch whose connection
+// dies without a word is blind until its wait is over, and all instances' are at once where discovery's machine goes:
+// so the wait is short, and spread over half to one and a half of itself, or they would all ask again together. But a
+// short wait of each, or a watch of each anew after each of many changes, is more than a discovery that serves them
+// all has room for: it turns some away, and those are the last to learn of a drain. It could hurt where discovery
+// fails for one instance alone: that one learns of changes up to 4.5 s later.
+func (c *Client) paced(prompt bool) {
+	if prompt {
+		c.wait = max(c.wait*7/8, leastWait)
+		if c.gap = c.gap * 2 / 3; c.gap < leastGap {
+			c.gap = 0
+		}
+		return
+	}
+	c.wait = min(c.wait*2, mostWait)
+	c.gap = min(max(c.gap*2, leastGap), mostGap)
+}
+
 func (c *Client) get(ctx context.Context, url string) (List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
