Hold pool latency to under half the aim, and give silent watches up before they count as told

At fault: the target latency in poolLoad was the whole aim, so the cursor moved only when most answers were late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,7 @@
 	stepPart   = 0.2     // P as a share of the aim: an action must bite before the next step
 	floorCalls = 4.0     // added to T1: a balancer with few calls sees mostly chance
 	targetUtil = 0.92    // target utilisation
+	targetPart = 0.45    // target latency, as a share of the aim: some calls take twice the mean
 	fullWeight = 2.0     // load added by a share of answers refused as full
 	fewServers = 6       // least servers of a subset
 	coverage   = 2.0     // balancers that should know each server
@@ -359,7 +360,7 @@
 	if b.answers >= 0.5 {
 		lat := b.latSum / b.answers
 		b.learnBase(lat, dt)
-		target := max(b.aim, 1.5*b.base)
+		target := max(targetPart*b.aim, 1.5*b.base)
 		// Answers tell of calls let in some time ago. Calls in flight over answers a second is the latency of
 		// one let in now (Little): both must be high.
 		soon := float64(b.inFlight-b.stuck) * memoryPart * b.aim / max(b.answers-b.fulls, 0.5)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -27,8 +27,8 @@
 	pushedWait = 2 * time.Second
 	leastWait  = 8 * time.Second
 	mostWait   = 16 * time.Second
-	answerIn   = 1 * time.Second // an answer, past the wait: a second less than what counts as told
-	promptIn   = 300 * time.Millisecond
+	answerIn   = 1 * time.Second        // an agent's answer, past the wait
+	tail       = 3 * time.Second        // of a wait that is told, not waited for: time for another call, or two
 	leastGap   = 500 * time.Millisecond // or none
 	mostGap    = 3 * time.Second
 	backoffMin = 50 * time.Millisecond
@@ -170,19 +170,18 @@
 				continue
 			}
 		}
-		for silent := false; ; {
+		for {
 			err := c.call(calls, addr, whole)
-			if err != nil && calls.Err() == nil {
-				c.log.Warn("discovery: "+err.Error(), "address", addr)
-			}
-			if c.asked && !silent && calls.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
-				silent = true // its connection may be dead: asked once more, on another one, without delay
-				continue
+			if c.asked && calls.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+				continue // no news, or a dead connection: asked once more, on another one, without delay
 			}
 			if err != nil {
+				if calls.Err() == nil {
+					c.log.Warn("discovery: "+err.Error(), "address", addr)
+				}
 				break
 			}
-			backoff, whole, silent = backoffMin, false, false
+			backoff, whole = backoffMin, false
 			pause(calls, max(spacing, c.gap/2+rand.N(c.gap+1)))
 		}
 		if c.asked { // the decisions say when to ask again
@@ -205,8 +204,10 @@
 // call makes one call and hands on what it brings: the whole list, or what has changed since the one in hand.
 func (c *Client) call(ctx context.Context, addr string, whole bool) error {
 	wait := pushedWait
+	given := wait + answerIn // silence past it means that the other side has gone without a word
 	if c.asked {
-		wait = c.wait/2 + rand.N(c.wait)
+		given = c.wait/2 + rand.N(c.wait)
+		wait = given + tail
 	}
 	url := fmt.Sprintf(path, addr)
 	if whole {
@@ -214,12 +215,12 @@
 	} else {
 		url += fmt.Sprintf("?index=%d&wait=%d", c.index, wait.Milliseconds())
 	}
-	// Silence past the wait means that the other side has gone without a word: the connection is given up.
-	ctx, cancel := context.WithTimeout(ctx, wait+answerIn)
+	ctx, cancel := context.WithTimeout(ctx, given)
 	defer cancel()
-	began := time.Now()
 	list, err := c.get(ctx, url)
-	c.paced(err == nil && time.Since(began) < wait+promptIn)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		c.paced(err == nil)
+	}
 	if err != nil {
 		return err
 	}
@@ -248,13 +249,14 @@
 	return nil
 }
 
-// paced sets how long a watch waits where discovery is asked, and how long after an answer the next one begins: more
-// at once where a call fails or is answered late, less by steps where it is answered in time. A watch whose connection
-// dies without a word is blind until its wait is over, and all instances' are at once where discovery's machine goes:
-// so the wait is short, and spread over half to one and a half of itself, or they would all ask again together. But a
-// short wait of each, or a watch of each anew after each of many changes, is more than a discovery that serves them
-// all has room for: it turns some away, and those are the last to learn of a drain. It could hurt where discovery
-// fails for one instance alone: that one learns of changes up to 4.5 s later.
+// paced sets how long a watch is waited for where discovery is asked, and how long after an answer the next one
+// begins: more at once where a call fails, less by steps where it is answered. A watch whose connection dies without a
+// word is blind until it is given up, and all instances' are at once where discovery's machine goes: so that comes
+// soon, before the wait is over that discovery was told (past that its news count as told), and spread over half to
+// one and a half of itself, or they would all ask again together. But a short wait of each, or a watch of each anew
+// after each of many changes, is more than a discovery that serves them all has room for: it turns some away, and those
+// are the last to learn of a drain. It could hurt where discovery fails for one instance alone: that one learns of
+// changes up to 4.5 s later.
 func (c *Client) paced(prompt bool) {
 	if prompt {
 		c.wait = max(c.wait*7/8, leastWait)
