--- a/decide/api.go
+++ b/decide/api.go
@@ -11,7 +11,7 @@
 // Host. It has no clock, goroutine or global of its own, and the same seed and
 // events give the same actions. It is not safe for concurrent use.
 //
-// The types stand in api.go, every decision in decide.go.
+// The types stand in api.go, the decisions in the files that decide.go names.
 package decide
 
 import "time"
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -778,26 +779,38 @@
 
 // The module's size: two engineers read every change within an hour.
 func TestModuleLimits(t *testing.T) {
-	text, err := os.ReadFile("decide.go")
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
 	lines := 0
-	for i, line := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(line) != "" {
-			lines++
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") || name == "api.go" {
+			continue
+		}
+		if !strings.Contains(string(deploy), `"decide/`+name+`"`) {
+			t.Errorf("%s: the deploy file's policy does not name it", name)
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := len([]rune(strings.ReplaceAll(line, "\t", "    "))); n > 110 {
-			t.Errorf("decide.go:%d: %d columns", i+1, n)
+		for i, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if n := len([]rune(strings.ReplaceAll(line, "\t", "    "))); n > 110 {
+				t.Errorf("%s:%d: %d columns", name, i+1, n)
+			}
 		}
 	}
-	if lines > 1200 { // as the pages allow
+	if lines > 1200 || lines < 500 { // as the pages allow
 		t.Errorf("%d lines that are not blank, 1,200 at most", lines)
 	}
-	deploy, err := os.ReadFile("../deploy/balancer.toml")
-	if err != nil || !strings.Contains(string(deploy), `policy = ["decide/decide.go"]`) {
-		t.Errorf("deploy file names another policy: %v", err)
-	}
 }
 
 // Guards against the black hole: a server that errs at once would look the fastest of all. Errors that all servers
--- /dev/null
+++ b/decide/members.go
@@ -0,0 +1,147 @@
+package decide
+
+// This file: lists of servers, and which of them a balancer uses.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Members takes a list event. Servers that leave it get nothing new from now on.
+func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Server) {
+	b.advance(now)
+	b.follow(now, kind)
+	if kind == Failed {
+		return
+	}
+	if kind != Delta {
+		named := make(map[ServerID]bool, len(entries))
+		for _, e := range entries {
+			named[e.ID] = true
+		}
+		for _, s := range b.all {
+			if !named[s.ID] {
+				s.State = Gone
+			}
+		}
+	}
+	for _, e := range entries {
+		b.enlist(e)
+	}
+	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
+		if s.State == Gone {
+			delete(b.servers, s.ID)
+		}
+		return s.State == Gone
+	})
+	slices.SortFunc(b.all, func(x, y *server) int {
+		return cmp.Compare(mix(x.ID), mix(y.ID))
+	})
+	b.subset()
+}
+
+// Fleet tells how many balancers there are now, and which of them this one is.
+func (b *Balancer) Fleet(now time.Duration, balancers, me int) {
+	b.advance(now)
+	if balancers < 1 || me < 0 || balancers == b.cfg.Balancers && me == b.cfg.Me {
+		return
+	}
+	b.cfg.Balancers, b.cfg.Me = balancers, me
+	b.subset()
+}
+
+func (b *Balancer) enlist(e Server) {
+	s := b.servers[e.ID]
+	if s == nil {
+		if e.State == Gone {
+			return
+		}
+		s = &server{Server: e}
+		b.servers[e.ID] = s
+		b.all = append(b.all, s)
+	}
+	if s.StartedAt != e.StartedAt { // a new process: what was known of the old one is void
+		s.lat, s.out, s.outs, s.reported, s.held, s.quiet, s.rate, s.filled = 0, false, 0, 0, 0, 0, 0, 0
+	}
+	s.Server = e
+}
+
+// mix spreads ids over 64 bits (the finaliser of splitmix64).
+func mix(id ServerID) uint64 {
+	x := uint64(id) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// wanted is the size of the subset: enough that each server is known to a few balancers, and room for what
+// this one carries and for servers that are out.
+func (b *Balancer) wanted() int {
+	per := coverage * float64(len(b.all)) / float64(b.cfg.Balancers)
+	return max(fewServers, int(math.Ceil(per)), int(2*b.quiet())) + b.outs
+}
+
+// subset picks the servers this balancer uses: the same number in a row from the hashed order, starting at
+// its own place, so that all servers are covered evenly and each balancer meets few of them often enough
+// to know them.
+func (b *Balancer) subset() {
+	b.want = max(b.want, b.wanted())
+	b.use, b.weighted = b.use[:0], false
+	var some *server
+	ready := make([]*server, 0, len(b.all))
+	local := make([]*server, 0, len(b.all))
+	for _, s := range b.all {
+		if s.State != Ready {
+			continue
+		}
+		if some != nil && s.part() != some.part() {
+			b.weighted = true
+		}
+		some = s
+		if b.cfg.CrossZonePrice > 0 && s.Zone == b.cfg.Zone {
+			local = append(local, s)
+		} else {
+			ready = append(ready, s)
+		}
+	}
+	near := min(len(local), max(b.want*2/3, b.want-len(ready)))
+	b.take(local, near)
+	b.take(ready, b.want-near)
+	b.outs = 0 // of those in use now: where they all are out, they are used
+	for _, s := range b.use {
+		if s.out {
+			b.outs++
+		}
+	}
+}
+
+func (b *Balancer) take(from []*server, count int) {
+	n := len(from)
+	start := b.cfg.Me * n / b.cfg.Balancers
+	for i := range min(n, count) {
+		b.use = append(b.use, from[(start+i)%n])
+	}
+}
+
+// follow keeps the watch on discovery where it must be asked for: again after a failure, later each time
+// and never in step with the others.
+func (b *Balancer) follow(now time.Duration, kind ListKind) {
+	if !b.cfg.Pull {
+		return
+	}
+	var wait float64
+	switch {
+	case kind == Failed:
+		b.fails = min(b.fails+1, 5)
+		wait = min(0.5*float64(int(1)<<b.fails), b.cfg.MustAskIn.Seconds()/2)
+	case !b.watching:
+		wait = b.cfg.MustAskIn.Seconds() / 8
+	default:
+		b.fails = 0
+		return
+	}
+	b.watching = true
+	b.host.SetTimer(now+time.Duration(wait*(0.5+b.rng.Float64())*float64(time.Second)), discoveryToken)
+}
--- /dev/null
+++ b/decide/pace.go
@@ -0,0 +1,52 @@
+package decide
+
+// This file: how much a cold server gets.
+
+import "time"
+
+// capacity is a server's capacity as a share of its full one: the least for its age, or more where its own
+// reports show more. Those count the calls of all balancers: one that sends a server a call in some seconds
+// learns from each answer what they all have seen. It could hurt where reports count what costs the server
+// nothing.
+func (b *Balancer) capacity(now time.Duration, s *server) float64 {
+	if s.StartedAt <= 0 || b.cfg.WarmUp <= 0 {
+		return 1
+	}
+	age := (now - s.StartedAt).Seconds() / b.cfg.WarmUp.Seconds()
+	least := min(1, b.cfg.StartCapacity+(1-b.cfg.StartCapacity)*max(age, 0))
+	if b.full > 0 {
+		least = max(least, min(1, trustPart*s.rate/b.full))
+	}
+	return least
+}
+
+// paced tells whether a server may have a call now, by its warmth: a warm one always, a cold one within its
+// budget. Each balancer has its own pool and its own view, and one whose pool is nearly all cold would send
+// all its calls there: the budget holds every balancer to its even part of what the server can do. It starts
+// at a draw, as the first call of each balancer is also a call of the fleet.
+func (b *Balancer) paced(now time.Duration, s *server) bool {
+	c := b.capacity(now, s)
+	if c >= 1 {
+		return true
+	}
+	rate := b.cfg.FallMultiple * c * max(b.fast, b.avg) / float64(len(b.use))
+	if b.full > 0 {
+		sharers := max(1, float64(b.cfg.Balancers*len(b.use))/float64(len(b.all)))
+		rate = coldPart * b.cfg.FallMultiple * c * b.full / sharers
+	}
+	if s.filled == 0 {
+		s.budget, s.filled = b.rng.Float64(), now
+	}
+	s.budget = min(s.budget+rate*(now-s.filled).Seconds(), max(1, rate*b.cfg.FallWindow.Seconds()/4))
+	s.filled = now
+	return s.budget >= 1
+}
+
+// drawsCold draws whether a cold server takes the call that came upon it by an even draw over the pool: its
+// part is then to a warm server's as its capacity is. It is how a balancer with idle warm servers comes to
+// know it; where they are not idle, rank brings it more, within its budget.
+func (b *Balancer) drawsCold(now time.Duration, s *server) bool {
+	c := b.capacity(now, s)
+	part := c * s.part() * float64(len(b.use)) / max(b.able, 1e-9)
+	return c < 1 && !s.out && b.rng.Float64() < part && b.paced(now, s)
+}
