Pace discovery only where it is asked, and take a dial's time-out for a failure

And any error that is a deadline's counted as a silent watch, also a dial that timed out (net's time-outs are one): a discovery whose machine has gone was dialled every second by every instance, with no back-off and with no word to the decisions. Now paced leaves an agent alone, and silent is what the call's own time has ended. Both tests fail without it.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -172,7 +172,7 @@
 		}
 		for {
 			err := c.call(calls, addr, whole)
-			if c.asked && calls.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+			if c.asked && errors.Is(err, errSilent) {
 				continue // no news, or a dead connection: asked once more, on another one, without delay
 			}
 			if err != nil {
@@ -201,6 +201,10 @@
 	}
 }
 
+// errSilent tells of a call that was given up for want of any answer in the time that it was given. A connection that
+// does not come up in its own, shorter time is no such call but a failure: it is repeated with a back-off.
+var errSilent = errors.New("silent")
+
 // call makes one call and hands on what it brings: the whole list, or what has changed since the one in hand.
 func (c *Client) call(ctx context.Context, addr string, whole bool) error {
 	wait := pushedWait
@@ -218,9 +222,10 @@
 	ctx, cancel := context.WithTimeout(ctx, given)
 	defer cancel()
 	list, err := c.get(ctx, url)
-	if !errors.Is(err, context.DeadlineExceeded) {
-		c.paced(err == nil)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", errSilent, err)
 	}
+	c.paced(err == nil)
 	if err != nil {
 		return err
 	}
@@ -258,6 +263,9 @@
 // are the last to learn of a drain. It could hurt where discovery fails for one instance alone: that one learns of
 // changes up to 4.5 s later.
 func (c *Client) paced(prompt bool) {
+	if !c.asked { // an agent's calls cost nothing, and its watch must not lapse
+		return
+	}
 	if prompt {
 		c.wait = max(c.wait*7/8, leastWait)
 		if c.gap = c.gap * 2 / 3; c.gap < leastGap {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -219,6 +220,25 @@
 	if c.wait != leastWait || c.gap != 0 {
 		t.Errorf("after many answers: wait %v, gap %v", c.wait, c.gap)
 	}
+	agent := New("", false, 0, nil, slog.New(slog.DiscardHandler))
+	if agent.paced(false); agent.gap != 0 {
+		t.Errorf("an agent that failed once is asked again %v after each answer: its watch lapses", agent.gap)
+	}
+}
+
+// Guards against a discovery whose machine has gone being dialled by all instances without a pause: a connection that
+// does not come up is a failure, not a silent watch.
+func TestNoConnection(t *testing.T) {
+	t.Parallel()
+	w := &told{}
+	c := New("127.0.0.1:1", true, 7, w.members, slog.New(slog.DiscardHandler))
+	c.http.Transport.(*http.Transport).DialContext = (&net.Dialer{Timeout: time.Nanosecond}).DialContext
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	c.Watch()
+	lbtest.Until(t, "the failure", func() bool { return w.holds("failed") })
 }
 
 func TestTooLong(t *testing.T) {
