Ask an agent on the machine again while its calls hang, so that news at its return are known

An agent that is down takes calls in and never answers them, and what it gets at the return counts as told at once (STANDING).

At fault: registry.call waited 3 s for any answer of an agent (pushedWait + answerIn), and Run paused for up to 1.5 s between two calls that failed.

Change: the agent's list is followed in a file of its own. Until an answer has come, calls that are given up after 0.1 s follow each other with 20 ms between them, beside one that is patient (3 s), for slow machines and long lists. A watch waits 1 s in place of 2, so that an outage of as little shows. An agent's calls cost nothing (PROTOCOL).

Test: TestAgentReturns, in which the first call hangs for good and the next ones have to come while it is open; without the mend it fails every time ("the next call came only when the first one had been given up").

--- /dev/null
+++ b/internal/platform/registry/agent.go
@@ -0,0 +1,88 @@
+package registry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"silvertrail/internal/platform/watch"
+)
+
+// This file: lists that are pushed, by an agent on the machine of the instance. It answers at once, at no cost, with what
+// it has been sent, and that counts as told whether or not a watch is open (the platform's STANDING page). While
+// discovery is down it is silent; what it gets at the return counts at once. A call that it took in while it was silent
+// is never answered, nor is a watch that was open then.
+//
+// So an instance that waits on one call hears of the return when that call is given up, and has to know of a drain
+// within its grace (250 ms by the settings so far) of the return. It guards against that, and against watches that die
+// without a word, by calls that are given up soon. What they cost the agent is nothing; an address that is no agent but
+// far away pays for them with some ten calls a second while it is silent.
+const (
+	agentWait = 1 * time.Second // of a watch: discovery may be down for as long before that shows
+	// prompt is how long an agent's first byte, and its last after that, may take past the wait.
+	prompt  = 100 * time.Millisecond
+	spacing = 20 * time.Millisecond // between two calls; past 200 ms a watch would lapse
+
+	// One that is slower than prompt, or has a list that takes longer, is heard by a call that waits for this long.
+	patient    = 3 * time.Second
+	patientEnd = 1 * time.Second // for the rest of its answer
+	failedAt   = 1 * time.Second // between two of these
+)
+
+// followAgent follows an agent's list until ctx ends.
+func (c *Client) followAgent(ctx context.Context, addr string) {
+	changes := watch.Call{Wait: agentWait, First: agentWait + prompt, Rest: prompt}
+	for whole := true; ctx.Err() == nil; pause(ctx, spacing) {
+		var list List
+		var err error
+		if whole {
+			list, err = c.whole(ctx, addr)
+		} else {
+			list, err = c.get(ctx, c.http, c.url(addr, false, changes), changes)
+		}
+		if err == nil {
+			err = c.take(ctx, list, whole)
+		}
+		if whole = err != nil; whole && ctx.Err() == nil {
+			c.log.Warn("discovery: "+err.Error(), "address", addr)
+		}
+	}
+}
+
+// whole asks for the whole list until an answer has come, or ctx ends: by calls that are given up soon, one after the
+// other, and beside them by one that is patient. What comes first counts, and ends the other.
+func (c *Client) whole(ctx context.Context, addr string) (List, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	url := c.url(addr, true, watch.Call{})
+	came := make(chan List)
+	ask := func(by *http.Client, call watch.Call, gap time.Duration, failed func(error)) {
+		for ctx.Err() == nil {
+			list, err := c.get(ctx, by, url, call)
+			if err == nil {
+				select {
+				case came <- list:
+				case <-ctx.Done():
+				}
+				return
+			}
+			if ctx.Err() == nil {
+				failed(err)
+			}
+			pause(ctx, gap)
+		}
+	}
+	go ask(c.http, watch.Call{First: patient, Rest: patientEnd}, failedAt, func(err error) {
+		c.log.Warn("discovery: "+err.Error(), "address", addr)
+	})
+	go func() {
+		pause(ctx, prompt) // the other call's, where the agent is well
+		ask(c.quick, watch.Call{First: prompt, Rest: prompt}, spacing, func(error) {})
+	}()
+	select {
+	case list := <-came:
+		return list, nil
+	case <-ctx.Done():
+		return List{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/platform/registry/agent_test.go
@@ -0,0 +1,155 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"silvertrail/internal/testkit/lbtest"
+)
+
+// agentCall is a call that an agent has read and not answered.
+type agentCall struct {
+	net.Conn
+	query string
+	gone  chan struct{} // closed when its caller has given it up
+}
+
+func (c *agentCall) answer(list string) {
+	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+}
+
+func (c *agentCall) open() bool {
+	select {
+	case <-c.gone:
+		return false
+	default:
+		return true
+	}
+}
+
+// agent hands each call, one a connection, to the test.
+func agent(t *testing.T) (addr string, calls chan *agentCall) {
+	t.Helper()
+	l := lbtest.Listen(t)
+	calls = make(chan *agentCall, 64)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			go func() {
+				br := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					c := &agentCall{Conn: conn, query: r.URL.RawQuery, gone: make(chan struct{})}
+					calls <- c
+					if _, err := br.Peek(1); err != nil { // its end, or the next call
+						close(c.gone)
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), calls
+}
+
+func next(t *testing.T, calls chan *agentCall) *agentCall {
+	t.Helper()
+	select {
+	case c := <-calls:
+		return c
+	case <-time.After(lbtest.Wait):
+		t.Fatal("no call")
+		panic("unreachable")
+	}
+}
+
+// An agent is silent while discovery is down, and what it took in then is never answered. What it gets at the return
+// counts as told at once, so that an instance must ask again while its calls still hang: those that wait longest must
+// not be what it waits for. Here they never end, and the calls after them have to come while they are open.
+func TestAgentReturns(t *testing.T) {
+	t.Parallel()
+	addr, calls := agent(t)
+	_, w := follow(t, addr, false, 0)
+	first := next(t, calls) // hangs for good
+	var last *agentCall
+	for range 3 {
+		last = next(t, calls)
+		if !first.open() {
+			t.Fatal("the next call came only when the first one had been given up")
+		}
+	}
+	if last.query != "" {
+		t.Errorf("asked %q, want the whole list", last.query)
+	}
+	for !w.holds("whole a") { // one may have been given up as it is answered
+		last.answer(list(5, true, "a"))
+		select {
+		case last = <-calls:
+		case <-first.gone:
+		}
+	}
+}
+
+// A watch that is open when discovery goes down is never answered, and no news of it come after the return: it is short,
+// and the whole list is asked for at its end.
+func TestAgentWatchHangs(t *testing.T) {
+	t.Parallel()
+	addr, calls := agent(t)
+	_, w := follow(t, addr, false, 0)
+	c := next(t, calls)
+	c.answer(list(5, true, "a"))
+	hung := next(t, calls)
+	var index, wait int
+	if _, err := fmt.Sscanf(hung.query, "index=%d&wait=%d", &index, &wait); err != nil || index != 5 || wait > 1000 {
+		t.Fatalf("asked %q, want a watch of a second at the most", hung.query)
+	}
+	c = next(t, calls)
+	if hung.open() {
+		<-hung.gone
+	}
+	if c.query != "" {
+		t.Errorf("asked %q, want the whole list", c.query)
+	}
+	c.answer(list(6, true, "b"))
+	lbtest.Until(t, "the news", func() bool { return w.holds("whole b") })
+}
+
+// A call that was open as the address moved brings nothing, whenever its answer comes.
+func TestAgentMoves(t *testing.T) {
+	t.Parallel()
+	from, old := agent(t)
+	to, calls := agent(t)
+	w := &told{}
+	c := New(from, false, 0, w.members, slog.New(slog.DiscardHandler))
+	read := make(chan struct{}) // the answer is read, and not taken yet
+	var once sync.Once
+	c.taking = func(ctx context.Context) {
+		once.Do(func() {
+			close(read)
+			<-ctx.Done()
+		})
+	}
+	run(t, c)
+	next(t, old).answer(list(90, true, "old"))
+	<-read
+	c.Move(to)
+	next(t, calls).answer(list(3, true, "new"))
+	lbtest.Until(t, "the new list", func() bool { return w.holds("whole new") })
+	if w.holds("whole old") {
+		t.Errorf("told %q", w.words)
+	}
+}
--- a/internal/platform/registry/registry.go
+++ b/internal/platform/registry/registry.go
@@ -23,14 +23,6 @@
 	path    = "http://%s/registry/instances"
 	maxList = 2 << 20 // some 10,000 endpoints; read whole, so it must fit the memory limit several times over
 
-	// What an agent on the same machine has to tell it tells at once, so a short wait costs nothing and shows soon
-	// that an agent's connection is dead. Where discovery is asked each call is work to it: see package watch.
-	pushedWait = 2 * time.Second
-	answerIn   = 1 * time.Second // an agent's answer, past the wait
-	backoffMin = 50 * time.Millisecond
-	backoffMax = 1 * time.Second
-	spacing    = 20 * time.Millisecond // of an agent's watches that are answered at once; past 200 ms a watch would lapse
-
 	restarted = 4 // answers older than the list in hand, one after the other
 )
 
@@ -83,11 +75,13 @@
 	members func(decide.ListKind, []Endpoint)
 	log     *slog.Logger
 	http    *http.Client
+	quick   *http.Client // of an agent that has not answered yet; nil where discovery is asked
 	ask     chan struct{}
 	index   int64
-	older   int          // answers in a row older than index
-	watch   *watch.Watch // when discovery is asked; nil where an agent is
-	begun   time.Time    // of its clock
+	older   int                   // answers in a row older than index
+	watch   *watch.Watch          // when discovery is asked; nil where an agent is
+	begun   time.Time             // of its clock
+	taking  func(context.Context) // by tests: an answer has been read, and is not taken yet
 
 	mu    sync.Mutex
 	addr  string
@@ -96,24 +90,29 @@
 
 // New returns a client that hands lists to members. Index is the version of the list in hand.
 func New(addr string, asked bool, index int64, members func(decide.ListKind, []Endpoint), log *slog.Logger) *Client {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
-		DisableCompression:     true,
-		MaxConnsPerHost:        2,
-		MaxIdleConnsPerHost:    1,
-		MaxResponseHeaderBytes: 16 << 10,
-	}
 	c := &Client{addr: addr, asked: asked, members: members, log: log, index: index, begun: time.Now(),
-		http: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		}},
-		ask: make(chan struct{}, 1)}
+		http: caller(time.Second), ask: make(chan struct{}, 1)}
+	if !asked {
+		c.quick = caller(prompt)
+	}
 	if asked {
 		c.watch = watch.New(rand.Float64)
 	}
 	return c
 }
 
+// caller makes calls whose connections come up in the given time.
+func caller(dialIn time.Duration) *http.Client {
+	return &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DialContext:            (&net.Dialer{Timeout: dialIn}).DialContext,
+			DisableCompression:     true,
+			MaxConnsPerHost:        2,
+			MaxIdleConnsPerHost:    1,
+			MaxResponseHeaderBytes: 16 << 10,
+		}}
+}
+
 // Watch asks for changes from now on, where discovery must be asked. It does not block.
 func (c *Client) Watch() {
 	select {
@@ -151,8 +150,7 @@
 
 // Run follows the list until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	backoff := backoffMin
-	whole := !c.asked // an agent's whole list costs nothing
+	whole := false
 	started := false
 	var calls context.Context
 	for ctx.Err() == nil {
@@ -160,13 +158,18 @@
 		var first bool
 		if calls, addr, first = c.target(ctx, calls); first && started {
 			c.http.CloseIdleConnections() // those to the old address
-			backoff, whole, c.index, c.older = backoffMin, true, 0, 0
+			whole, c.index, c.older = true, 0, 0
 			if c.asked {
 				c.watch = watch.New(rand.Float64)
 			}
 			c.log.Info("discovery: follows another address", "address", addr)
 		}
-		if started = true; c.asked && !(first && whole) {
+		started = true
+		if !c.asked {
+			c.followAgent(calls, addr)
+			continue
+		}
+		if !(first && whole) {
 			select {
 			case <-c.ask:
 			case <-calls.Done(): // moved, or at an end
@@ -175,31 +178,20 @@
 		}
 		for {
 			err := c.call(calls, addr, whole)
-			if err != nil && calls.Err() == nil && !(c.asked && errors.Is(err, errSilent)) {
+			if err != nil && calls.Err() == nil && !errors.Is(err, errSilent) {
 				c.log.Warn("discovery: "+err.Error(), "address", addr)
 			}
-			if c.asked && calls.Err() == nil {
-				next := c.watch.Ended(time.Since(c.begun), endOf(err))
-				if next.Tell {
-					break
-				}
-				whole = whole && err != nil
-				pause(calls, next.After)
-				continue
+			if calls.Err() != nil {
+				break
 			}
-			if err != nil {
+			next := c.watch.Ended(time.Since(c.begun), endOf(err))
+			if next.Tell {
 				break
 			}
-			backoff, whole = backoffMin, false
-			pause(calls, spacing)
+			whole = whole && err != nil
+			pause(calls, next.After)
 		}
-		if c.asked { // the decisions say when to ask again
-			c.members(decide.Failed, nil)
-			continue
-		}
-		whole = true
-		pause(calls, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, backoffMax)
+		c.members(decide.Failed, nil) // the decisions say when to ask again
 	}
 }
 
@@ -229,20 +221,28 @@
 	return watch.Failed
 }
 
-// call makes one call and hands on what it brings: the whole list, or what has changed since the one in hand.
+// call makes one call of those that discovery is asked by, and hands on what it brings.
 func (c *Client) call(ctx context.Context, addr string, whole bool) error {
-	// Silence past First means that the other side has gone without a word, or has no news.
-	ask := watch.Call{Wait: pushedWait, First: pushedWait + answerIn, Rest: answerIn}
-	if c.asked {
-		ask = c.watch.Ask(time.Since(c.begun), whole)
+	ask := c.watch.Ask(time.Since(c.begun), whole)
+	list, err := c.get(ctx, c.http, c.url(addr, whole, ask), ask)
+	if err != nil {
+		return err
 	}
+	return c.take(ctx, list, whole)
+}
+
+func (c *Client) url(addr string, whole bool, ask watch.Call) string {
 	url := fmt.Sprintf(path, addr)
 	if !whole {
 		url += fmt.Sprintf("?index=%d&wait=%d", c.index, ask.Wait.Milliseconds())
 	}
-	list, err := c.get(ctx, url, ask)
-	if err != nil {
-		return err
+	return url
+}
+
+// take hands on an answer: the whole list, or what has changed since the one in hand.
+func (c *Client) take(ctx context.Context, list List, whole bool) error {
+	if c.taking != nil {
+		c.taking(ctx)
 	}
 	if ctx.Err() != nil { // moved meanwhile: what comes from the old address must not follow what the new one tells
 		return ctx.Err()
@@ -271,7 +271,7 @@
 
 // get makes one call. An answer's first byte is waited for as long as ask says, and its last byte after that: what stands
 // still half told counts as told long before a watch is given up.
-func (c *Client) get(ctx context.Context, url string, ask watch.Call) (List, error) {
+func (c *Client) get(ctx context.Context, by *http.Client, url string, ask watch.Call) (List, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	late := time.AfterFunc(ask.First, func() { cancel(errSilent) })
@@ -306,7 +306,7 @@
 	if err != nil {
 		return List{}, err
 	}
-	resp, err := c.http.Do(req)
+	resp, err := by.Do(req)
 	if err != nil {
 		return List{}, broken(err)
 	}
