Send nothing of a request whose caller has left, wherever it waited and whatever hides the end

Ruled out: the watch's 20 ms as the one cause. A watch that begins at once still loses against a claim where the process stood still, and never sees an end behind unread bytes.

At fault: callerConn.look ended at the first unread byte and nothing looked again, lookSecure likewise after one piece; Host.claim asked about the deadline, the list and the key, and not about the caller; Rest.fill passed on what stood on the socket.

Change: the host asks the front once more, without waiting, just before the first byte of each attempt (host.WithLeft), and before a call is begun; a crossing to another sala likewise. The front looks at the socket itself, behind unread bytes too (POLLRDHUP). The decisions hear that the caller has gone before they hear that the attempt is moot, so that no other is made, no server is blamed and no key is held. The watch goes on behind bytes that have come.

A caller that closes its sending side and still reads gets its one answer, 502, at once; so far it had that only after 20 ms, and was served where the endpoint was quicker.

Tests: TestLeft* in frontend and host (voters, ledger, an attempt behind another).

--- a/internal/balancer/host/host.go
+++ b/internal/balancer/host/host.go
@@ -101,6 +101,7 @@
 	last     *upstream.Answer
 	left     time.Duration // once its body has come, where that is still coming
 	scarce   bool          // an attempt found no descriptor here
+	away     func() bool   // whether its caller has left; nil: nobody can tell
 }
 
 // Answer is the one final answer to a call.
@@ -138,7 +139,11 @@
 // Begin hands a request to the decisions. Left counts from the request's last byte. The key is nil where it has none;
 // the hold on it must last until the answer.
 func (h *Host) Begin(r upstream.Request, q decide.Request, key *Key) *Call {
-	c := &Call{request: r, class: q.Class, key: key, answer: make(chan Answer, 1)}
+	return h.begin(r, q, key, nil)
+}
+
+func (h *Host) begin(r upstream.Request, q decide.Request, key *Key, away func() bool) *Call {
+	c := &Call{request: r, class: q.Class, key: key, answer: make(chan Answer, 1), away: away}
 	h.event(func(now time.Duration) {
 		h.lastID++
 		c.id, q.ID = h.lastID, h.lastID
@@ -180,9 +185,13 @@
 func (c *Call) Answer() <-chan Answer { return c.answer }
 
 // Do hands a request to the decisions and waits for its answer. Where ctx ends first the caller has gone: ok is false
-// unless an answer was on its way.
+// unless an answer was on its way. The request of one that has left by now is not begun, see WithLeft.
 func (h *Host) Do(ctx context.Context, r upstream.Request, q decide.Request, key *Key) (a Answer, ok bool) {
-	c := h.Begin(r, q, key)
+	if Left(ctx) {
+		return Answer{}, false
+	}
+	away, _ := ctx.Value(leftKey{}).(func() bool)
+	c := h.begin(r, q, key, away)
 	select {
 	case a = <-c.answer:
 		return a, true
@@ -345,7 +354,7 @@
 		if r.Rest != nil {
 			r.Rest = &upload{Body: r.Rest, host: h, call: c, attempt: a}
 		}
-		verdict, reply, err = a.pool.Do(ctx, &r, func() bool { return h.claim(c, a) })
+		verdict, reply, err = a.pool.Do(ctx, &r, func() bool { return h.present(c) && h.claim(c, a) })
 	}
 	if reply != nil && reply.Rest != nil {
 		h.pass(c, a, verdict, reply)
--- /dev/null
+++ b/internal/balancer/host/left.go
@@ -0,0 +1,35 @@
+package host
+
+import "context"
+
+// This file: callers that have left while their requests waited.
+//
+// A front learns of a caller's end by waiting for it, and what waits can be late: the whole process may have stood
+// still, or the end came behind bytes that nobody has read. Between the end and its being known a dial can come up, a
+// record be written or another attempt get off its connection, and the request would go out for nobody. So the front is
+// asked once more just before anything goes out, whatever was waited for. It could hurt a caller that closes its sending
+// side alone and still wants its answer: nobody can tell it from one that has gone, and it gets a failure.
+
+type leftKey struct{}
+
+// WithLeft has what is done under ctx ask whether the caller has left. Left is called from any goroutine, also after ctx
+// has ended, and must not block. Where it returns true it has ended ctx or what ctx comes from.
+func WithLeft(ctx context.Context, left func() bool) context.Context {
+	return context.WithValue(ctx, leftKey{}, left)
+}
+
+// Left tells whether the caller of what is done under ctx has left by now.
+func Left(ctx context.Context) bool {
+	left, _ := ctx.Value(leftKey{}).(func() bool)
+	return ctx.Err() != nil || left != nil && left()
+}
+
+// present tells whether a call's caller is there. Where it has left the decisions hear of it first: they make no further
+// attempt of one that is held back for this.
+func (h *Host) present(c *Call) bool {
+	if c.away == nil || !c.away() {
+		return true
+	}
+	h.Gone(c)
+	return false
+}
--- /dev/null
+++ b/internal/balancer/host/left_test.go
@@ -0,0 +1,159 @@
+package host
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/testkit/lbtest"
+)
+
+// gate holds what comes to it until it is opened.
+type gate struct{ reached, opened chan struct{} }
+
+func newGate() *gate { return &gate{make(chan struct{}, 8), make(chan struct{})} }
+
+func (g *gate) pass() {
+	g.reached <- struct{}{}
+	<-g.opened
+}
+
+// slowRecord is a ledger whose disk takes its time.
+type slowRecord struct{ *gate }
+
+func (s slowRecord) Attempt(string) Record { return s }
+
+func (s slowRecord) Intent(context.Context, history.Place) error {
+	s.pass()
+	return nil
+}
+
+func (s slowRecord) Ended(decide.Verdict, int) {}
+
+// slowVoters agree to whatever they are asked, late.
+type slowVoters struct {
+	*gate
+	to atomic.Pointer[history.Place]
+}
+
+func (s *slowVoters) Active() bool { return true }
+
+func (s *slowVoters) Bind(_ context.Context, to history.Place) {
+	s.pass()
+	s.to.Store(&to)
+}
+
+func (s *slowVoters) Past() history.Past {
+	if to := s.to.Load(); to != nil {
+		return history.Past{Known: true, Place: *to, Until: time.Now().Add(time.Minute)}
+	}
+	return history.Past{}
+}
+
+// keyed begins a keyed request whose caller leaves as told.
+func keyed(t *testing.T, h *Host, away func() bool, binder Binder, recorder Recorder) (*Call, *history.Request) {
+	t.Helper()
+	hold, err := history.New(8).Begin(time.Now(), history.IDOf("acme", "k"), history.Print{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := &Key{History: hold, Terms: history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}, Binder: binder, Recorder: recorder}
+	r := upstream.Request{Method: "POST", Target: "/write", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}, "Idempotency-Key": {"k"}}}
+	return h.begin(r, decide.Request{Class: 1, Left: lbtest.Wait}, key, away), hold
+}
+
+// A caller that leaves while voters are asked, or while an attempt is recorded, has nothing sent, and its key is free: no
+// attempt of it may have run. Its goroutine ends, and the server is not blamed.
+func TestLeftWhileAgreed(t *testing.T) {
+	t.Parallel()
+	for name, slow := range map[string]func(*gate) (Binder, Recorder){
+		"voters": func(g *gate) (Binder, Recorder) { return &slowVoters{gate: g}, nil },
+		"ledger": func(g *gate) (Binder, Recorder) { return nil, slowRecord{g} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var got atomic.Int64
+			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
+			h := newHost(t)
+			h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+			g := newGate()
+			var left atomic.Bool
+			binder, recorder := slow(g)
+			_, hold := keyed(t, h, left.Load, binder, recorder)
+			<-g.reached
+			left.Store(true)
+			close(g.opened)
+			lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+			if got.Load() > 0 {
+				t.Error("it came to the endpoint")
+			}
+			if hold.MayHaveRun() {
+				t.Error("its key is held for an attempt that never went out")
+			}
+			if a := answer(t, get(h, "stays", lbtest.Wait)); a.Reply == nil {
+				t.Errorf("the endpoint serves others no more: %+v", a)
+			}
+		})
+	}
+}
+
+// A caller that leaves while an attempt waits for the one before it to get off its connection has nothing more sent.
+func TestLeftBehindAttempt(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	serve := func(a *lbtest.Arrival) { got.Add(1); a.OK() }
+	first, second := lbtest.NewEndpoint(t, serve), lbtest.NewEndpoint(t, serve)
+	h := newHost(t)
+	two := entry(second.Addr, "ready")
+	two.Name = "s2"
+	h.Members(decide.Full, []registry.Endpoint{entry(first.Addr, "ready"), two})
+	g := newGate()
+	var left, held atomic.Bool
+	away := func() bool {
+		if held.CompareAndSwap(false, true) { // the first attempt, on its connection
+			g.pass()
+			return false
+		}
+		return left.Load()
+	}
+	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
+	c := h.begin(r, decide.Request{Class: 0, Left: lbtest.Wait}, nil, away)
+	<-g.reached
+	h.event(func(now time.Duration) { h.abandon(now, c, c.attempts[0], decide.Cancelled) })
+	h.mu.Lock()
+	n := len(c.attempts)
+	h.mu.Unlock()
+	if n != 2 {
+		t.Fatalf("%d attempts, want a second one behind the first", n)
+	}
+	left.Store(true)
+	close(g.opened)
+	lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+	if got.Load() > 0 {
+		t.Error("it came to an endpoint")
+	}
+}
+
+// The request of a caller that has left before it is begun is no call for the decisions.
+func TestLeftBefore(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
+	h := newHost(t)
+	h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ctx = WithLeft(ctx, func() bool { cancel(); return true })
+	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
+	if a, ok := h.Do(ctx, r, decide.Request{Class: 0, Left: lbtest.Wait}, nil); ok {
+		t.Errorf("answered %+v", a)
+	}
+	if h.lastID != 0 || got.Load() > 0 {
+		t.Errorf("begun as %d, %d came to the endpoint", h.lastID, got.Load())
+	}
+}
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -35,6 +35,8 @@
 // Options bound a client.
 type Options struct {
 	DialTimeout time.Duration
+	// Dial makes connections, each within DialTimeout by its context; nil: over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Idle is for how long a connection may have stood idle to be used again: for less than endpoints keep it, or a
 	// request would be written to it in vain.
 	Idle time.Duration
@@ -276,9 +278,17 @@
 // dial connects. Where there is no descriptor, what stands idle gives one back first: a request in work goes before it.
 func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
 	p.client.mu.Lock()
-	d := net.Dialer{Timeout: p.client.DialTimeout, KeepAlive: -1}
+	within, dial := p.client.DialTimeout, p.client.Dial
 	p.client.mu.Unlock()
-	nc, err := d.DialContext(ctx, "tcp", p.addr)
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	connect := func() (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		return dial(ctx, "tcp", p.addr)
+	}
+	nc, err := connect()
 	for until := time.Now().Add(dialPatience); scarce.Descriptors(err) && ctx.Err() == nil && time.Now().Before(until); {
 		p.client.mu.Lock()
 		p.client.shed()
@@ -286,7 +296,7 @@
 		if p.client.Scarce != nil {
 			p.client.Scarce()
 		}
-		if nc, err = d.DialContext(ctx, "tcp", p.addr); scarce.Descriptors(err) {
+		if nc, err = connect(); scarce.Descriptors(err) {
 			time.Sleep(dialStep)
 		}
 	}
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -229,6 +229,10 @@
 		r.stop.Unlock()
 		return errStopped
 	}
+	if r.taken && c.left() { // what stands here yet would go on for nobody
+		r.stop.Unlock()
+		return errBody
+	}
 	c.readBy(began.Add(min(r.patience, wholeIn)))
 	r.stop.Unlock()
 	n, err := c.Conn.Read(c.buf[:cap(c.buf)])
--- a/internal/edge/frontend/conn.go
+++ b/internal/edge/frontend/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/httphead"
 )
@@ -76,7 +77,7 @@
 	if at, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.from = at.AddrPort().Addr().Unmap()
 	}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(host.WithLeft(context.Background(), c.left))
 	return c, nil
 }
 
@@ -256,7 +257,7 @@
 	}
 }
 
-// look waits for something to come on the connection, and takes nothing of it.
+// look waits for the connection's end, and takes nothing of what comes before that.
 func (c *callerConn) look() {
 	c.mu.Lock()
 	if !c.inWork || c.watching != nil {
@@ -272,15 +273,28 @@
 		c.lookSecure()
 		return
 	}
-	gone := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var more bool
-		more, gone = peek(fd)
-		return more || gone
-	})
-	if err == nil && gone {
+	c.awaitEnd()
+}
+
+// awaitEnd waits for the socket's end, also behind what stands unread on it.
+func (c *callerConn) awaitEnd() {
+	if c.raw.Read(ended) == nil {
+		c.cancel()
+	}
+}
+
+// left tells whether the caller has gone, as of now: the watch may not have come to it yet. A connection that is closed
+// here has no caller. It may be called from any goroutine.
+func (c *callerConn) left() bool {
+	if c.ctx.Err() != nil {
+		return true
+	}
+	gone := true
+	c.raw.Control(func(fd uintptr) { gone = ended(fd) })
+	if gone {
 		c.cancel()
 	}
+	return gone
 }
 
 // unwatch ends the watch; when it returns nothing else reads from the connection.
--- a/internal/edge/frontend/frontend.go
+++ b/internal/edge/frontend/frontend.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/edge/admission"
 )
@@ -386,3 +388,15 @@
 	}
 	return true, false
 }
+
+// ended tells whether a connection's end has come, by FIN or reset, also behind bytes that nobody has read: those hide
+// it from a look at what stands there.
+func ended(fd uintptr) bool {
+	more, end := peek(fd)
+	if !more {
+		return end
+	}
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n == 1 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
--- /dev/null
+++ b/internal/edge/frontend/left_test.go
@@ -0,0 +1,427 @@
+package frontend_test
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"silvertrail/decide"
+	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/edge/admission"
+	"silvertrail/internal/edge/certs"
+	"silvertrail/internal/edge/frontend"
+	"silvertrail/internal/platform/config"
+	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/platform/sidecar"
+	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/internal/testkit/standin"
+)
+
+// taken is a connection as the sidecar has it. What is read of it can be held back.
+type taken struct {
+	*net.TCPConn
+	hold atomic.Pointer[chan struct{}] // what has been read waits for its end; nil: nothing waits
+}
+
+func (c *taken) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if hold := c.hold.Load(); hold != nil && n > 0 {
+		<-*hold
+	}
+	return n, err
+}
+
+// over tells whether the caller's end has come to the sidecar's socket, whatever stands before it.
+func (c *taken) over() (over bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	over = true
+	raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(p, 0)
+		over = err == nil && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return over
+}
+
+// listener hands on the connections that it takes.
+type listener struct {
+	net.Listener
+	hold  atomic.Pointer[chan struct{}] // of connections that come from now on
+	taken chan *taken
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t := &taken{TCPConn: c.(*net.TCPConn)}
+	t.hold.Store(l.hold.Load())
+	l.taken <- t
+	return t, nil
+}
+
+// door is a sidecar whose sockets the test holds up.
+type door struct {
+	*frontend.Server
+	*listener
+	host   *host.Host
+	client *upstream.Client
+	addr   string
+	secure *tls.Config // of callers; nil: plain
+
+	dial atomic.Pointer[func(context.Context) error] // before each connection to an endpoint
+
+	mu   sync.Mutex
+	came []string // requests' ids, at the endpoints
+}
+
+func (d *door) got() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.came)
+}
+
+// open starts one; serve, where it is not nil, answers in place of the endpoints' 200.
+func open(t *testing.T, maxConns int, bodies int64, secure bool, serve func(*lbtest.Arrival)) *door {
+	t.Helper()
+	d := &door{listener: &listener{Listener: lbtest.Listen(t), taken: make(chan *taken, 64)}}
+	d.addr = d.Addr().String()
+	c, err := config.Load(lbtest.WriteConfig(t, "", d.addr, "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := slog.New(slog.DiscardHandler)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if before := d.dial.Load(); before != nil {
+			if err := (*before)(ctx); err != nil {
+				return nil, err
+			}
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	d.client = upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, Idle: time.Second, Max: 64, Dial: dial, Most: sidecar.MostBody})
+	d.host, err = host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {}, Client: d.client, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []registry.Endpoint
+	for i := range 2 {
+		e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+			d.mu.Lock()
+			d.came = append(d.came, a.Request.Header.Get("X-Request-ID"))
+			d.mu.Unlock()
+			if serve != nil {
+				serve(a)
+				return
+			}
+			a.OK()
+		})
+		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
+	}
+	d.host.Members(decide.Full, list)
+	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Board{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
+	if secure {
+		dir := t.TempDir()
+		a, err := standin.NewAuthority(dir, "authority")
+		if err != nil {
+			t.Fatal(err)
+		}
+		files := certs.Files{Certificate: filepath.Join(dir, "c.pem"), Key: filepath.Join(dir, "k.pem")}
+		if err := a.Issue(files.Certificate, files.Key, "door", time.Now().Add(time.Hour)); err != nil {
+			t.Fatal(err)
+		}
+		by, err := frontend.NewSecure(files, false, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Secure(by)
+		d.secure = &tls.Config{InsecureSkipVerify: true} // the stand-in's own
+	}
+	d.Ready()
+	go d.Serve()
+	t.Cleanup(func() { d.Server.Close() })
+	return d
+}
+
+// caller is one, and its connection as the sidecar has it.
+type caller struct {
+	*lbtest.Client
+	tcp  *net.TCPConn
+	here *taken
+}
+
+func (d *door) call(t *testing.T, text string) *caller {
+	t.Helper()
+	c := &caller{Client: lbtest.Dial(t, d.addr)}
+	c.tcp = c.Client.Conn.(*net.TCPConn)
+	select {
+	case c.here = <-d.taken:
+	case <-time.After(lbtest.Wait):
+		t.Fatal("the connection is not taken")
+	}
+	if d.secure != nil {
+		c.Client = lbtest.Over(t, tls.Client(c.tcp, d.secure))
+	}
+	c.Send(text)
+	return c
+}
+
+// Ways in which a caller leaves. What it wrote before its end stands unread before that end.
+var ways = map[string]func(*caller){
+	"closes":                   func(c *caller) { c.Close() },
+	"closes behind a request":  func(c *caller) { c.Send(lbtest.Get("behind")); c.Close() },
+	"closes behind many":       func(c *caller) { c.Send(strings.Repeat(lbtest.Get("behind"), 100)); c.Close() },
+	"resets":                   func(c *caller) { c.tcp.SetLinger(0); c.tcp.Close() },
+	"resets behind a request":  func(c *caller) { c.Send(lbtest.Get("behind")); c.tcp.SetLinger(0); c.tcp.Close() },
+	"ends its side":            func(c *caller) { c.tcp.CloseWrite() },
+	"ends it behind a request": func(c *caller) { c.Send(lbtest.Get("behind")); c.tcp.CloseWrite() },
+}
+
+// place is where a request waits. It has that of a caller wait there; when go on is called the wait is over.
+type place struct {
+	conns  int
+	bodies int64
+	wait   func(t *testing.T, d *door) (c *caller, goOn func())
+}
+
+// dialling has connections to endpoints wait in the given way until goOn is called.
+func dialling(t *testing.T, d *door, text string, during func(ctx context.Context, gate chan struct{}) error) (c *caller, goOn func()) {
+	gate, began := make(chan struct{}), make(chan struct{}, 64)
+	before := func(ctx context.Context) error {
+		began <- struct{}{}
+		return during(ctx, gate)
+	}
+	d.dial.Store(&before)
+	c = d.call(t, text)
+	<-began
+	return c, func() { close(gate) }
+}
+
+func late(ctx context.Context, gate chan struct{}) error {
+	select {
+	case <-gate:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+var places = map[string]place{
+	"a head that is read late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+		gate := make(chan struct{})
+		d.hold.Store(&gate)
+		c := d.call(t, lbtest.Get("left"))
+		d.hold.Store(nil)
+		return c, func() { close(gate) }
+	}},
+	"the next request of a kept connection, read late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+		c := d.call(t, lbtest.Get("first"))
+		if status, _ := c.Answer(); status != 200 {
+			t.Fatal(status)
+		}
+		gate := make(chan struct{})
+		c.here.hold.Store(&gate)
+		c.Send(lbtest.Get("left"))
+		return c, func() { close(gate) }
+	}},
+	"a dial that comes up late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+		return dialling(t, d, lbtest.Get("left"), late)
+	}},
+	"a descriptor": {wait: func(t *testing.T, d *door) (*caller, func()) {
+		return dialling(t, d, lbtest.Get("left"), func(ctx context.Context, gate chan struct{}) error {
+			select {
+			case <-gate:
+				return nil
+			default:
+				return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.EMFILE}
+			}
+		})
+	}},
+	"a dial while the process ends": {wait: func(t *testing.T, d *door) (*caller, func()) {
+		c, goOn := dialling(t, d, lbtest.Get("left"), late)
+		by := time.Now().Add(lbtest.Wait)
+		d.host.End(by)
+		go d.End(time.Now(), by)
+		return c, goOn
+	}},
+	"memory for its body": {bodies: 64 << 10, wait: func(t *testing.T, d *door) (*caller, func()) {
+		body := strings.Repeat("x", 40<<10)
+		first, goOn := dialling(t, d, lbtest.Post("first", body), late) // it has the memory
+		c := d.call(t, lbtest.Post("left", body))
+		return c, func() {
+			goOn()
+			if status, _ := first.Answer(); status != 200 {
+				t.Error("the one before it: ", status)
+			}
+			first.Close()
+		}
+	}},
+	"a place in line at the door": {conns: 1, wait: func(t *testing.T, d *door) (*caller, func()) {
+		first, goOn := dialling(t, d, lbtest.Get("first"), late)
+		c := d.call(t, lbtest.Get("left"))
+		return c, func() {
+			goOn()
+			if status, _ := first.Answer(); status != 200 {
+				t.Error("the one before it: ", status)
+			}
+			first.Close()
+		}
+	}},
+}
+
+// Nothing of a request goes out once its caller has left, wherever it waited and however the caller left, and its caller's
+// end leaves nothing behind. Here the end stands on the sidecar's socket before the wait is over, every time.
+func TestLeftWhileWaiting(t *testing.T) {
+	t.Parallel()
+	for name, p := range places {
+		for how, leave := range ways {
+			t.Run(name+"/"+how, func(t *testing.T) {
+				t.Parallel()
+				conns, bodies := 8, int64(1<<20)
+				if p.conns > 0 {
+					conns = p.conns
+				}
+				if p.bodies > 0 {
+					bodies = p.bodies
+				}
+				d := open(t, conns, bodies, false, nil)
+				c, goOn := p.wait(t, d)
+				leave(c)
+				lbtest.Until(t, "the end has come", c.here.over)
+				goOn()
+				if strings.HasPrefix(how, "ends") { // it still reads: one answer, which promises nothing
+					if status, _ := c.Answer(); status < 400 || status == 429 || status == 503 {
+						t.Errorf("answered %d", status)
+					}
+					if rest := c.Ended(); rest != "" {
+						t.Errorf("and then %q", rest)
+					}
+				}
+				gone(t, d, "left", "behind")
+			})
+		}
+	}
+}
+
+// gone waits until nobody is there, and holds what came to the endpoints against what must not have.
+func gone(t *testing.T, d *door, not ...string) {
+	t.Helper()
+	lbtest.Until(t, "no connection and no call is held", func() bool { return d.Conns() == 0 && d.host.Held() == 0 })
+	for _, id := range d.got() {
+		if slices.Contains(not, id) {
+			t.Errorf("%q came to an endpoint", id)
+		}
+	}
+}
+
+// Under TLS the end stands behind what only reading tells apart: close_notify and FIN behind a request, or the former alone.
+func TestLeftUnderTLS(t *testing.T) {
+	t.Parallel()
+	behind := lbtest.Get("behind")
+	for how, text := range map[string]string{"closes": "", "closes behind a request": behind, "closes behind many": strings.Repeat(behind, 100)} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			d := open(t, 8, 1<<20, true, nil)
+			c, goOn := dialling(t, d, lbtest.Get("left"), late)
+			c.Send(text)
+			c.Close()
+			lbtest.Until(t, "the end has come", c.here.over)
+			goOn()
+			gone(t, d, "left", "behind")
+		})
+	}
+	for how, text := range map[string]string{"notifies alone": "", "notifies behind a request": behind} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			d := open(t, 8, 1<<20, true, nil)
+			gaveUp := make(chan struct{}, 64)
+			c, goOn := dialling(t, d, lbtest.Get("left"), func(ctx context.Context, gate chan struct{}) error {
+				<-ctx.Done() // its attempt is given up: the watch has read the end
+				gaveUp <- struct{}{}
+				return ctx.Err()
+			})
+			defer goOn()
+			c.Send(text)
+			c.Conn.(*tls.Conn).CloseWrite()
+			select {
+			case <-gaveUp:
+			case <-time.After(lbtest.Wait):
+				t.Fatal("the end was not noticed")
+			}
+			if status, _ := c.Answer(); status != 502 {
+				t.Errorf("answered %d", status)
+			}
+			gone(t, d, "left", "behind")
+			if n := len(gaveUp); n > 0 {
+				t.Errorf("%d more attempts were made for it", n)
+			}
+		})
+	}
+}
+
+// A retry is not sent for a caller that has left behind bytes that nobody read: its first attempt fails only then.
+func TestLeftBeforeRetry(t *testing.T) {
+	t.Parallel()
+	for how, leave := range ways {
+		if !strings.Contains(how, "behind") {
+			continue // the first attempt is given up within 20 ms, or its failure comes first
+		}
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			arrived := make(chan *lbtest.Arrival, 64)
+			d := open(t, 8, 1<<20, false, func(a *lbtest.Arrival) { arrived <- a })
+			c := d.call(t, lbtest.Get("left"))
+			first := <-arrived
+			leave(c)
+			lbtest.Until(t, "the end has come", c.here.over)
+			first.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
+			gone(t, d, "behind")
+			if got := d.got(); len(got) != 1 {
+				t.Errorf("endpoints got %q", got)
+			}
+		})
+	}
+}
+
+// A large body ends with its caller: what of it stands on the socket before the end is not passed on. Here all of it does.
+func TestLeftWithinBody(t *testing.T) {
+	t.Parallel()
+	const size, first = 100_000, 70_000 // more than is held whole, less than what a socket holds
+	d := open(t, 8, 1<<20, false, nil)
+	began := make(chan struct{}, 64)
+	before := func(context.Context) error {
+		began <- struct{}{}
+		return nil
+	}
+	d.dial.Store(&before)
+	c := d.call(t, lbtest.Head("POST", "write", "left", "Idempotency-Key: k", fmt.Sprintf("Content-Length: %d", size)))
+	c.Send(strings.Repeat("x", first))
+	<-began
+	gate := make(chan struct{})
+	c.here.hold.Store(&gate)
+	c.Send(strings.Repeat("x", size-first))
+	c.Close()
+	lbtest.Until(t, "the end has come", c.here.over)
+	close(gate)
+	gone(t, d, "left") // endpoints take a request down once its body is whole
+}
--- a/internal/edge/frontend/secure.go
+++ b/internal/edge/frontend/secure.go
@@ -105,12 +105,19 @@
 }
 
 // lookSecure watches a connection under TLS: only what is read tells a caller's next request from its end. What it reads of
-// a next request is kept; one piece is enough.
+// a next request is kept, up to a bound; beyond that the socket's end alone is looked for.
 func (c *callerConn) lookSecure() {
-	b := make([]byte, readBuffer)
-	n, err := c.Conn.Read(b)
-	c.ahead = b[:n]
-	if err != nil && n == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.cancel()
+	for len(c.ahead) < keptRead {
+		b := make([]byte, readBuffer)
+		n, err := c.Conn.Read(b)
+		c.ahead = append(c.ahead, b[:n]...)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case err != nil:
+			c.cancel()
+			return
+		}
 	}
+	c.awaitEnd()
 }
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -34,7 +34,7 @@
 		return a
 	}
 	attempts := a.Attempts
-	for ctx.Err() == nil && a.Reply == nil {
+	for !host.Left(ctx) && a.Reply == nil {
 		so := crossing.So{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, Attempts: attempts, Holder: x.holder(),
 			Refused: a.Refused, Passing: x.passing != nil}
 		r, why, ok := way.Next(so)
@@ -97,7 +97,10 @@
 	c.Try, c.Turn = x.votes(c.Past, ran)
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	is := l.Call(waiting, to, c)
+	is := link.Crossing{Outcome: tally.NeverRan}
+	if !host.Left(ctx) { // it may have, while the crossing was recorded
+		is = l.Call(waiting, to, c)
+	}
 	outcome := is.Outcome
 	if outcome == tally.Open && x.class.Effect != decide.Safe && ctx.Err() == nil {
 		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
--- a/internal/testkit/lbtest/lbtest.go
+++ b/internal/testkit/lbtest/lbtest.go
@@ -337,3 +337,9 @@
 	}
 	return true
 }
+
+// Over is a caller on a connection that is there already.
+func Over(t testing.TB, c net.Conn) *Client {
+	c.SetDeadline(time.Now().Add(Wait))
+	return &Client{Conn: c, br: bufio.NewReader(c), t: t}
+}
