--- a/internal/balancer/host/left_test.go
+++ b/internal/balancer/host/left_test.go
@@ -18,6 +18,16 @@
 
 func newGate() *gate { return &gate{make(chan struct{}, 8), make(chan struct{})} }
 
+// await waits until something has come to it.
+func (g *gate) await(t *testing.T) {
+	t.Helper()
+	select {
+	case <-g.reached:
+	case <-time.After(lbtest.Wait):
+		t.Fatal("nothing came to the gate")
+	}
+}
+
 func (g *gate) pass() {
 	g.reached <- struct{}{}
 	<-g.opened
@@ -85,7 +95,7 @@
 			var left atomic.Bool
 			binder, recorder := slow(g)
 			_, hold := keyed(t, h, left.Load, binder, recorder)
-			<-g.reached
+			g.await(t)
 			left.Store(true)
 			close(g.opened)
 			lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
@@ -123,7 +133,7 @@
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
 	c := h.begin(r, decide.Request{Class: 0, Left: lbtest.Wait}, nil, away)
-	<-g.reached
+	g.await(t)
 	h.event(func(now time.Duration) { h.abandon(now, c, c.attempts[0], decide.Cancelled) })
 	h.mu.Lock()
 	n := len(c.attempts)
