Begin a second connection where one is late, and let connections settle after an answer

Each of a request's three tiers waits for its own.

Ruled out: endpoints that take no connection (14 refusals), and the list (the time-outs spread over all endpoints, before and after its changes).

At fault: Pool.take waited for one connection alone, and threw it away at its time-out.

Change: an attempt whose connection has not come up after four times what connections take (50 ms at the least) begins one more, for half of all at the most, and goes out on whichever is up first; the other stands idle. Its request is written once.

Also: a second answer that comes some milliseconds late (STANDING, join) was taken for the answer to the next request where that had been written meanwhile: the look at the connection before that came too soon. A connection is left alone for 20 ms after an answer where another can be had.

Tests: TestLateDial, TestLateDialEnds, TestLateDialBudget, TestLateSecondAnswer, TestUnsettled; -race -count=10.

--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -44,6 +44,9 @@
 	// A process that has been replaced has closed its callers' idle connections this long before its end.
 	waneSpare = 800 * time.Millisecond
 
+	// Second answers come some milliseconds behind the first (the platform's STANDING page).
+	settle = 20 * time.Millisecond
+
 	acceptOn = 500 * time.Millisecond // new connections go on coming this long after SIGTERM
 )
 
@@ -69,7 +72,7 @@
 		Heap: int64(heapPart * float64(c.Limits.MemoryMB<<20)), Bodies: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
 	board := &figures.Board{}
 	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Sent: func() { board.Sends.Add(1) },
-		Idle: idleOf(c), Max: room.Endpoints, Most: platform.MostBody})
+		Idle: idleOf(c), Settle: settle, Again: true, Max: room.Endpoints, Most: platform.MostBody})
 	var discovery *registry.Client
 	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Client: client,
 		Watch: func() { discovery.Watch() }, Log: log})
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -40,7 +40,12 @@
 	// Idle is for how long a connection may have stood idle to be used again: for less than endpoints keep it, or a
 	// request would be written to it in vain.
 	Idle time.Duration
-	Max  int // connections
+	// Settle is for how long a connection is left alone after an answer where another can be had: what an endpoint writes
+	// behind an answer, and late, would be taken for the answer to the next request. 0: not at all.
+	Settle time.Duration
+	// Again has a second connection begun where one comes up late, see dial.go.
+	Again bool
+	Max   int // connections
 	// Share is the client's part of what the process may open, one unit for each connection; nil: no bound but Max.
 	Share *limit.Share
 	// Scarce is called where the process has no descriptor for a connection, to have others give some back; nil: nobody can.
@@ -60,6 +65,7 @@
 
 	mu       sync.Mutex
 	limit    idleLimit
+	late     lateDials
 	open     int
 	pools    map[*Pool]struct{}
 	sweeping bool
@@ -70,7 +76,7 @@
 
 // NewClient returns a client. What is held for answers is bounded by the connections too: 64 KiB for each.
 func NewClient(o Options) *Client {
-	return &Client{Options: o, limit: idleLimit{most: o.Idle, found: o.Idle}, pools: map[*Pool]struct{}{}}
+	return &Client{Options: o, limit: idleLimit{most: o.Idle, found: o.Idle}, late: lateDials{budget: 1}, pools: map[*Pool]struct{}{}}
 }
 
 // SetDialTimeout sets how long a connection may take that is begun from now on.
@@ -249,7 +255,7 @@
 		}
 		p.release(c, false)
 	}
-	nc, err := p.dial(ctx)
+	nc, err := p.connect(ctx)
 	var c *conn
 	if err == nil {
 		if c, err = newConn(nc, p.client.Most); err != nil {
@@ -268,66 +274,45 @@
 	return c, decide.OK, nil
 }
 
-// dialPatience is how long an attempt waits for a descriptor where the process has none: callers' connections that have
-// just come and may not be ended yet bring a request by then, or may.
-const (
-	dialPatience = 500 * time.Millisecond
-	dialStep     = 10 * time.Millisecond
-)
-
-// dial connects. Where there is no descriptor, what stands idle gives one back first: a request in work goes before it.
-func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
-	p.client.mu.Lock()
-	within, dial := p.client.DialTimeout, p.client.Dial
-	p.client.mu.Unlock()
-	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: -1}).DialContext
-	}
-	connect := func() (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, within)
-		defer cancel()
-		return dial(ctx, "tcp", p.addr)
-	}
-	nc, err := connect()
-	for until := time.Now().Add(dialPatience); scarce.Descriptors(err) && ctx.Err() == nil && time.Now().Before(until); {
-		p.client.mu.Lock()
-		p.client.shed()
-		p.client.mu.Unlock()
-		if p.client.Scarce != nil {
-			p.client.Scarce()
-		}
-		if nc, err = connect(); scarce.Descriptors(err) {
-			time.Sleep(dialStep)
-		}
-	}
-	return nc, err
-}
-
-// reserve takes the newest idle connection, or room for a new one; ok is false where there is neither. Connections
-// that stand idle elsewhere make room.
+// reserve takes the newest idle connection that has settled, or room for a new one; ok is false where there is neither.
+// Connections that stand idle elsewhere make room.
 func (p *Pool) reserve() (*conn, bool) {
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
 	for n := len(p.idle) - 1; n >= 0; n-- {
 		c := p.idle[n]
-		p.idle[n] = nil
-		p.idle = p.idle[:n]
-		c.stood = time.Since(c.idleSince)
+		if c.stood = time.Since(c.idleSince); c.stood < p.client.Settle {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, n, n+1)
 		if c.stood <= p.client.limit.now() {
 			return c, true
 		}
 		p.discard(c)
 	}
+	if p.room() {
+		return nil, true
+	}
+	if len(p.idle) > 0 { // better one that has not settled than none
+		c := p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
+		return c, true
+	}
+	return nil, false
+}
+
+// room takes a place for a new connection, and tells whether there was one. The caller holds the lock.
+func (p *Pool) room() bool {
 	// One endpoint that hangs must not hold the connections of all.
 	if p.open >= max(p.client.Max/4, 1) || p.client.open >= p.client.Max && !p.client.shed() {
-		return nil, false
+		return false
 	}
 	if s := p.client.Share; s != nil && !s.TryAcquire(1) && !(p.client.shed() && s.TryAcquire(1)) {
-		return nil, false
+		return false
 	}
 	p.open++
 	p.client.open++
-	return nil, true
+	return true
 }
 
 // shed closes the connection that has stood idle longest, of whatever endpoint: the least likely to be missed. The
