Answer what a process has been given when it is asked to end early, full, or under other settings

- SIGTERM before the process was ready (up to 1 s where discovery is silent) ended it at once, with the requests that callers had sent by then: sidecar() returned at the first select.
Now it ends as ever.
TestEndBeforeReady.
- Server.End closed the listener with connections in the system's queue, which are reset with the requests on them; they stand there where all places are in use.
Now it is closed once none waits.
TestEndQueued.
- The time to end was that of the settings at the start (c.Longest()): after a reload with shorter deadlines SIGKILL could come first.
Now the shorter of both holds, which is safe whichever the platform means.

The first two tests fail without the mend; the third is a table of a pure function.

--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -125,12 +125,13 @@
 		}()
 	}
 	go discovery.Run(ctx)
+	var inForce atomic.Pointer[config.Config]
+	inForce.Store(c)
 	go func() {
-		running := c
 		for {
 			select {
 			case <-hangup:
-				running = reload(path, running, router, client, discovery, board, log)
+				inForce.Store(reload(path, inForce.Load(), router, client, discovery, board, log))
 			case <-ctx.Done():
 				return
 			}
@@ -143,15 +144,18 @@
 	}
 
 	// Ready once the list is that of now and not of some time ago, if discovery answers.
+	stopped := false
 	select {
 	case <-listed:
 	case <-time.After(firstList):
 	case err := <-failed:
 		return err
 	case <-stop:
-		return nil
+		if stopped = true; upgrade != nil && !upgrade.First() {
+			return nil // it has taken nothing yet
+		}
 	}
-	if upgrade != nil {
+	if upgrade != nil && !stopped {
 		if !upgrade.First() {
 			if t := upgrade.Take(); t != nil {
 				self.Take(t)
@@ -163,16 +167,18 @@
 			log.Warn("the next process will start without this one's state", "error", err)
 		}
 	}
-	server.Ready()
-	takes.Store(true)
-	log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
-	select {
-	case err := <-failed:
-		return err
-	case <-stop:
+	if !stopped { // callers come before it is ready, too: what it has taken by then is answered like any other
+		server.Ready()
+		takes.Store(true)
+		log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
+		select {
+		case err := <-failed:
+			return err
+		case <-stop:
+		}
 	}
 	takes.Store(false)
-	rest := min(c.Longest(), longest) + killIn - spare
+	rest := restOf(c, inForce.Load())
 	now := time.Now()
 	h.End(now.Add(rest))
 	serveUntil := now.Add(max(rest/2, acceptOn))
@@ -184,6 +190,13 @@
 	return nil
 }
 
+// restOf is for how long a process that is asked to end may work on. The platform ends it by force some time after the
+// longest deadline; whose, where the settings have changed since the start, its pages don't say: the shorter one is safe
+// with both. It cuts requests of longer ones, which get a failure then.
+func restOf(start, inForce *config.Config) time.Duration {
+	return min(start.Longest(), inForce.Longest(), longest) + killIn - spare
+}
+
 // reload takes up the configuration as the file has it now, whole or not at all: settings and discovery's address are
 // read and checked before either is in force. The address, name and limits of the process wait for a restart. It returns
 // the configuration in force.
--- a/cmd/silvertrail/sidecar_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -3,21 +3,24 @@
 import (
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"silvertrail/decide"
+	"silvertrail/internal/platform/config"
 	"silvertrail/internal/testkit/lbtest"
 )
 
 // startSidecar runs the sidecar in this process and returns its address and the channel of its end.
-func startSidecar(t *testing.T, discovery string) (config, addr string, ended chan error) {
+func startSidecar(t *testing.T, discovery string) (path, addr string, ended chan error) {
 	t.Helper()
 	l := lbtest.Listen(t)
 	addr = l.Addr().String()
 	l.Close()
-	config = lbtest.WriteConfig(t, "", addr, discovery)
-	t.Setenv("LB_CONFIG", config)
+	path = lbtest.WriteConfig(t, "", addr, discovery)
+	t.Setenv("LB_CONFIG", path)
 	ended = make(chan error, 1)
 	go func() { ended <- sidecar() }()
 	lbtest.Until(t, "listening", func() bool {
@@ -34,7 +37,7 @@
 		status, _ := c.Answer()
 		return status == 200
 	})
-	return config, addr, ended
+	return path, addr, ended
 }
 
 func raise(t *testing.T, s syscall.Signal) {
@@ -100,3 +103,59 @@
 	}
 	await(t, ended)
 }
+
+// What has come before the process is ready is answered like any other where it is asked to end just then.
+func TestEndBeforeReady(t *testing.T) {
+	e := lbtest.NewEndpoint(t, nil)
+	silent := lbtest.Listen(t) // discovery takes calls and answers none
+	l := lbtest.Listen(t)
+	addr := l.Addr().String()
+	l.Close()
+	path := lbtest.WriteConfig(t, "", addr, silent.Addr().String())
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := `{"known": {"index": 1, "snapshot": true, "endpoints": [{"name": "s", "address": "` + e.Addr + `", "zone": "a", "status": "ready"}]}, `
+	if err := os.WriteFile(path, []byte(strings.Replace(string(text), "{", known, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("LB_CONFIG", path)
+	ended := make(chan error, 1)
+	go func() { ended <- sidecar() }()
+	lbtest.Until(t, "listening", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	c := lbtest.Dial(t, addr)
+	c.Send(lbtest.Get("early"))
+	a := <-e.Got
+	raise(t, syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond) // what ends at once has ended; less does no harm
+	a.OK()
+	if status, body := c.Answer(); status != 200 || body != "answer to early" {
+		t.Errorf("%d %q", status, body)
+	}
+	await(t, ended)
+}
+
+// The time to end is that of the shorter settings: whose the platform goes by is not said.
+func TestRest(t *testing.T) {
+	of := func(deadline time.Duration) *config.Config {
+		return &config.Config{Decide: decide.Settings{Classes: []decide.Class{{Deadline: deadline / 2}, {Deadline: deadline}}}}
+	}
+	const s = time.Second
+	for _, c := range []struct{ start, inForce, want time.Duration }{
+		{6 * s, 6 * s, 3300 * time.Millisecond},
+		{s, s, 1300 * time.Millisecond},
+		{5 * s, s, 1300 * time.Millisecond},
+		{s, 2 * s, 1300 * time.Millisecond},
+	} {
+		if got := restOf(of(c.start), of(c.inForce)); got != c.want {
+			t.Errorf("%v, then %v: %v, want %v", c.start, c.inForce, got, c.want)
+		}
+	}
+}
--- a/internal/edge/frontend/conns.go
+++ b/internal/edge/frontend/conns.go
@@ -8,8 +8,11 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"silvertrail/internal/base/scarce"
 	"silvertrail/internal/edge/admission"
 )
@@ -245,6 +248,24 @@
 	end(over)
 }
 
+// queued tells whether the system has connections that nobody has taken yet.
+func (l *callerConns) queued() (queued bool) {
+	listener, ok := l.listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		queued = err == nil && n == 1 && p[0].Revents&unix.POLLIN != 0
+	})
+	return queued
+}
+
 // speaks tells whether something stands unread on a connection.
 func (c *callerConn) speaks() (more bool) {
 	c.raw.Control(func(fd uintptr) { more, _ = peek(fd) })
--- a/internal/edge/frontend/frontend.go
+++ b/internal/edge/frontend/frontend.go
@@ -186,7 +186,8 @@
 // End finishes what is held and returns when all is answered, or at the time by, which the hosts must have been told
 // beforehand. From now on the readiness check fails.
 // Until the time given first, callers are served as ever, on the connections that they have and on new ones; then
-// connections are closed, each after the answer that it waits for.
+// connections are closed, each after the answer that it waits for. The listener is closed once none waits to be taken: the
+// system would reset them, with what their callers have written.
 //
 // It guards against a planned restart that shuts callers out while nobody else has taken over: others may be starting
 // just then too, and who deals out connections notices late. It could hurt where others stand ready: what is taken
@@ -199,6 +200,10 @@
 		time.Sleep(time.Until(serveUntil))
 	}
 	s.closing.Store(true)
+	for !s.retired.Load() && s.conns.queued() && time.Now().Before(by) { // the system has taken them for this process
+		s.conns.closeIdle(math.MaxInt)
+		time.Sleep(queueStep)
+	}
 	s.conns.listener.Close()
 	s.again()
 	for time.Now().Before(by.Add(flush)) {
@@ -226,6 +231,9 @@
 // waneStep is how often some connections are closed.
 const waneStep = 50 * time.Millisecond
 
+// queueStep is how often it is looked whether connections still wait to be taken.
+const queueStep = 5 * time.Millisecond
+
 // flush is what the last answers take to be written.
 const flush = 100 * time.Millisecond
 
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -228,3 +228,39 @@
 	}
 	<-ended
 }
+
+// Connections that the system has taken and the process has not, as its places are all in use, are served when it ends:
+// closing the listener would reset them with the requests that stand on them.
+func TestEndQueued(t *testing.T) {
+	t.Parallel()
+	e := lbtest.NewEndpoint(t, nil)
+	s, addr := serve(t, e.Addr, 1)
+	first := lbtest.Dial(t, addr)
+	first.Send(lbtest.Get("first"))
+	held := <-e.Got
+	var queued []*lbtest.Client
+	for _, id := range []string{"second", "third", "fourth"} { // one waits for its place, the others to be taken
+		c := lbtest.Dial(t, addr)
+		c.Send(lbtest.Get(id))
+		queued = append(queued, c)
+	}
+	ended := make(chan struct{})
+	go func() { s.End(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
+	time.Sleep(100 * time.Millisecond) // what closes at once has closed; less does no harm
+	held.OK()
+	if status, _ := first.Answer(); status != 200 {
+		t.Errorf("first: %d", status)
+	}
+	for _, c := range queued {
+		select {
+		case a := <-e.Got:
+			a.OK()
+		case <-time.After(lbtest.Wait):
+			t.Fatal("not passed on")
+		}
+		if status, _ := c.Answer(); status != 200 {
+			t.Errorf("one that waited: %d", status)
+		}
+	}
+	<-ended
+}
