--- a/cmd/silvertrail/sidecar_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -134,7 +134,11 @@
 	c.Send(lbtest.Get("early"))
 	a := <-e.Got
 	raise(t, syscall.SIGTERM)
-	time.Sleep(50 * time.Millisecond) // what ends at once has ended; less does no harm
+	select {
+	case err := <-ended: // the process would be gone with it
+		t.Fatal("ended with a request in work: ", err)
+	case <-time.After(100 * time.Millisecond): // what ends at once has ended; less does no harm
+	}
 	a.OK()
 	if status, body := c.Answer(); status != 200 || body != "answer to early" {
 		t.Errorf("%d %q", status, body)
