Leave connections open on which a head is half read when the process ends

Read: closeIdle took a kept connection for idle until its next head was whole, and asked the socket alone whether something had come; a part that had been read already was not seen, and its caller's rest met a closed connection. At fault: callerConn.speaks. Now a part that has been read counts. TestEndWithinHead, with the part read before the end begins; it fails without the mend on a kept connection.

TestEndHangs: at the last moment of an end what an endpoint holds is answered, and what comes on the connection afterwards is refused, one answer each; it passed as it was.

--- a/internal/edge/frontend/conn.go
+++ b/internal/edge/frontend/conn.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,13 +38,14 @@
 	buf     []byte // what in lies in
 	in      []byte // read and not yet used
 	request http.Request
-	expects bool      // "100-continue"
-	ends    bool      // after the answer in hand
-	broken  bool      // an answer could not be written
-	spoilt  bool      // more may be on its way, which is not looked at
-	nth     int       // requests so far
-	till    time.Time // deadline for reading, as set
-	writeTo time.Time // for writing
+	expects bool        // "100-continue"
+	begun   atomic.Bool // a part of a head has been read
+	ends    bool        // after the answer in hand
+	broken  bool        // an answer could not be written
+	spoilt  bool        // more may be on its way, which is not looked at
+	nth     int         // requests so far
+	till    time.Time   // deadline for reading, as set
+	writeTo time.Time   // for writing
 
 	// The watch for a caller that goes while its request is in work.
 	timer    *time.Timer
@@ -107,6 +109,7 @@
 		}
 		c.in = c.buf[:0]
 	}
+	c.begun.Store(len(c.in) > 0)
 	late := len(c.in) > 0 || c.nth == 1 // the deadline is the head's already
 	for {
 		end := httphead.End(c.in)
@@ -128,6 +131,7 @@
 		if n == 0 && err != nil {
 			return 0, err
 		}
+		c.begun.Store(true)
 		if !late && httphead.End(c.in) < 0 { // the rest has a head's time, not an idle connection's
 			late = true
 			c.readBy(time.Now().Add(wholeIn))
--- a/internal/edge/frontend/conns.go
+++ b/internal/edge/frontend/conns.go
@@ -233,7 +233,7 @@
 }
 
 // closeIdle closes connections that carry no request, so many at the most, but for new ones that are still to bring one and
-// for those on which something has come that nobody has read yet: that is a request, and closing would lose it.
+// for those on which a part of one has come, read or not: closing would lose it.
 func (l *callerConns) closeIdle(most int) {
 	l.mu.Lock()
 	now := time.Now()
@@ -266,8 +266,11 @@
 	return queued
 }
 
-// speaks tells whether something stands unread on a connection.
+// speaks tells whether something stands unread on a connection, or a part of a head has been read.
 func (c *callerConn) speaks() (more bool) {
+	if c.begun.Load() {
+		return true
+	}
 	c.raw.Control(func(fd uintptr) { more, _ = peek(fd) })
 	return more
 }
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -37,6 +37,7 @@
 type taken struct {
 	*net.TCPConn
 	hold atomic.Pointer[chan struct{}] // what has been read waits for its end; nil: nothing waits
+	read atomic.Int64                  // bytes
 }
 
 func (c *taken) Read(b []byte) (int, error) {
@@ -44,6 +45,7 @@
 	if hold := c.hold.Load(); hold != nil && n > 0 {
 		<-*hold
 	}
+	c.read.Add(int64(n))
 	return n, err
 }
 
