Test resets under requests that have begun, by class, with real connections

Safe, keyed and unsafe classes, resets at the first attempt and at each, endpoints that take no connection, with and without second copies, eight seeds each: nothing ran outside its group, an unsafe request ran once at the most and its failure was no refusal.

--- /dev/null
+++ b/internal/balancer/host/resets_test.go
@@ -0,0 +1,121 @@
+package host
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"silvertrail/decide"
+	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/platform/config"
+	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/testkit/lbtest"
+)
+
+// nodos are endpoints of two zones that count what runs on them.
+type nodos struct {
+	mu    sync.Mutex
+	ran   []string // zones, in the order in which requests came whole
+	reset int      // so many reset their connection, the first ones
+}
+
+func (n *nodos) serve(zone string) func(*lbtest.Arrival) {
+	return func(a *lbtest.Arrival) {
+		n.mu.Lock()
+		n.ran = append(n.ran, zone)
+		reset := len(n.ran) <= n.reset
+		n.mu.Unlock()
+		if reset {
+			a.Conn.(*net.TCPConn).SetLinger(0)
+			a.Close()
+			return
+		}
+		a.OK()
+	}
+}
+
+// What resets under a request that has begun may have run. A safe request goes again anywhere, a keyed one within its group,
+// an unsafe one never, and gets a failure, which promises nothing; what no endpoint took goes again, whatever its class.
+func TestResetsByClass(t *testing.T) {
+	t.Parallel()
+	safe := decide.Class{Name: "safe", Aim: 5 * time.Second, Deadline: 10 * time.Second, Worth: 1}
+	keyedZone, unsafe := safe, safe
+	keyedZone.Name, keyedZone.Effect, keyedZone.Scope, keyedZone.Window = "keyed", decide.Keyed, decide.ScopeZone, time.Minute
+	unsafe.Name, unsafe.Effect = "unsafe", decide.Unsafe
+	classes := []decide.Class{safe, keyedZone, unsafe}
+	for _, c := range []struct {
+		name    string
+		class   int
+		resets  int
+		refused int // endpoints that take no connection, of each zone's three
+		served  bool
+		ran     int
+		oneZone bool
+	}{
+		{name: "safe", class: 0, resets: 1, served: true, ran: 2},
+		{name: "safe, each time", class: 0, resets: 9, ran: 3},
+		{name: "keyed", class: 1, resets: 1, served: true, ran: 2, oneZone: true},
+		{name: "keyed, each time", class: 1, resets: 9, ran: 3, oneZone: true},
+		{name: "unsafe", class: 2, resets: 1, ran: 1},
+		{name: "unsafe, not taken at first", class: 2, refused: 1, served: true, ran: 1},
+		{name: "unsafe, not taken at first and then reset", class: 2, refused: 1, resets: 1, ran: 1},
+	} {
+		for _, copies := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, copies %v", c.name, copies), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(8) { // which endpoint is first is drawn
+					n := &nodos{reset: c.resets}
+					conf, err := config.Load(lbtest.WriteConfig(t, "", "127.0.0.1:1", "127.0.0.1:1"))
+					if err != nil {
+						t.Fatal(err)
+					}
+					conf.Decide.Classes, conf.Decide.MayDuplicate = classes, copies
+					h, err := New(Options{Decide: conf.Decide, Seed: seed, Zones: conf.Zones, Watch: func() {}, Log: slog.New(slog.DiscardHandler),
+						Client: upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, Idle: time.Second, Max: 64, Again: true})})
+					if err != nil {
+						t.Fatal(err)
+					}
+					var list []registry.Endpoint
+					for i := range 6 {
+						zone := []string{"a", "b"}[i%2]
+						address := "127.0.0.1:1" // takes none
+						if i/2 >= c.refused {
+							address = lbtest.NewEndpoint(t, n.serve(zone)).Addr
+						}
+						list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: zone, Status: "ready"})
+					}
+					h.Members(decide.Full, list)
+					var key *Key
+					if c.class == 1 {
+						hold, err := history.New(8).Begin(time.Now(), history.IDOf("acme", "k"), history.Print{})
+						if err != nil {
+							t.Fatal(err)
+						}
+						defer hold.End()
+						key = &Key{History: hold, Terms: history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}}
+					}
+					a := answer(t, h.Begin(upstream.Request{Method: "POST", Target: "/x", Host: "x", Header: map[string][]string{"X-Request-Id": {"one"}}},
+						decide.Request{Class: c.class, Left: lbtest.Wait}, key))
+					lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+					n.mu.Lock()
+					switch {
+					case c.served != (a.Reply != nil), !c.served && c.class > 0 && a.Refused:
+						t.Errorf("seed %d: answered %+v", seed, a)
+					case len(n.ran) > c.ran || c.resets < 9 && len(n.ran) != c.ran:
+						t.Errorf("seed %d: ran %q, want %d", seed, n.ran, c.ran)
+					}
+					for _, zone := range n.ran {
+						if c.oneZone && zone != n.ran[0] {
+							t.Errorf("seed %d: ran in %q, out of its group", seed, n.ran)
+						}
+					}
+					n.mu.Unlock()
+				}
+			})
+		}
+	}
+}
