Scale the time of a stalled answer, and bound Retry-After, by the customer's own settings

- An answer that has begun may bring nothing for 750 ms: with deadlines of 5 s that leaves time for another attempt, with the voicemail customer's 1.1 s it does not.
Now it is a quarter of what is left as the request goes out, 750 ms at the most and 100 ms at the least (upstream.stallIn).
The first customer's figure stays as it was for all requests with 3 s or more.

Tests: TestStallIn, TestRetryAfterWithinSettings.

--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -28,7 +28,10 @@
 	// is the request's next attempt. Where answers are passed on as they come (Options.Most) it is a time without any
 	// byte, else one for the whole answer: small answers of sound endpoints come at once.
 	answerIn = 750 * time.Millisecond
-	writeIn  = time.Second // for a whole request, likewise
+	// A request with little time has less for that: the rest is its next attempt's.
+	answerPart  = 4 // of what is left when it goes out
+	answerLeast = 100 * time.Millisecond
+	writeIn     = time.Second // for a whole request, likewise
 	// holdFor is how long an answer that comes slowly, and may be larger than is held, is held whole before it is passed on.
 	// Until then another attempt can take its place; from then on its caller waits for nobody.
 	holdFor = 250 * time.Millisecond
@@ -243,7 +246,9 @@
 
 // receive reads an answer to its end and tells whether the connection can be used again. An error is errSpoilt, or
 // the connection's. bodiless says that none follows the head, whatever that tells: an answer to HEAD.
-func (c *conn) receive(bodiless bool) (a *Answer, keep bool, err error) {
+// Left is what the request had left when it went out.
+func (c *conn) receive(bodiless bool, left time.Duration) (a *Answer, keep bool, err error) {
+	within := stallIn(left)
 	for range maxInterim {
 		if c.heard != nil { // an answer was waited for while the body went out
 			err := <-c.heard
@@ -260,9 +265,9 @@
 			}
 		}
 		if !c.hasAll() {
-			c.deadline(time.Now().Add(answerIn))
+			c.deadline(time.Now().Add(within))
 			if c.most > maxAnswer {
-				c.stall = answerIn
+				c.stall = within
 			}
 		}
 		a, keep, err = c.answer(bodiless)
@@ -276,6 +281,11 @@
 	return nil, false, fmt.Errorf("%w: too many interim answers", errSpoilt)
 }
 
+// stallIn is how long an answer that has begun may bring nothing.
+func stallIn(left time.Duration) time.Duration {
+	return min(max(left/answerPart, answerLeast), answerIn)
+}
+
 // deadline sets the deadline for reading, where it is not that already.
 func (c *conn) deadline(t time.Time) {
 	if c.limited || !t.IsZero() {
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -204,7 +204,7 @@
 	if whole && p.client.Sent != nil {
 		p.client.Sent()
 	}
-	a, keep, err = c.receive(r.Method == http.MethodHead)
+	a, keep, err = c.receive(r.Method == http.MethodHead, timeout)
 	switch {
 	case err != nil && !whole && !errors.Is(err, errSpoilt): // it ended with the request still coming
 		return decide.ConnectFailed, nil, false, err
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -279,3 +279,15 @@
 		t.Errorf("%d places held, where one connection stands idle", n)
 	}
 }
+
+// A spoilt answer must leave a request the time for another attempt, whatever the deadlines of its customer.
+func TestStallIn(t *testing.T) {
+	for left, want := range map[time.Duration]time.Duration{
+		6 * time.Second: answerIn, 3 * time.Second: answerIn, 1100 * time.Millisecond: 275 * time.Millisecond,
+		200 * time.Millisecond: answerLeast, -time.Second: answerLeast, 100 * time.Second: answerIn,
+	} {
+		if got := stallIn(left); got != want {
+			t.Errorf("%v left: %v, want %v", left, got, want)
+		}
+	}
+}
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -168,6 +168,9 @@
 	}
 	if d := &x.config.Decide; !d.RetryAfter || d.Tier > 0 {
 		return &frontend.Reply{Status: http.StatusServiceUnavailable}
+	} else if d.MaxRetryAfter > 0 && a.RetryAfter > d.MaxRetryAfter { // clients honour no more: one that is told more may come at once
+		return &frontend.Reply{Status: http.StatusServiceUnavailable,
+			Header: http.Header{"Retry-After": {strconv.FormatFloat(d.MaxRetryAfter.Seconds(), 'f', 3, 64)}}}
 	}
 	return nil
 }
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -110,3 +110,21 @@
 		t.Errorf("another key: %d", status)
 	}
 }
+
+// A refusal of the front's own tells no longer a time than the customer's clients honour: they might come at once.
+func TestRetryAfterWithinSettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		most, told time.Duration
+		want       string // of a reply in place of the front's own; empty: there is none
+	}{
+		"within":   {2 * time.Second, time.Second, ""},
+		"beyond":   {900 * time.Millisecond, time.Second, "0.900"},
+		"no bound": {0, time.Second, ""},
+	} {
+		conf := &config.Config{Decide: decide.Settings{RetryAfter: true, MaxRetryAfter: c.most, Classes: []decide.Class{{}}}}
+		r := (&exchange{config: conf}).reply(host.Answer{Refused: true, RetryAfter: c.told})
+		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
