--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -98,7 +98,7 @@
 	cl.conns = r.Connections.Share(part(c, r.MaxConnections))
 	cl.calls = r.Calls.Share(part(c, r.MaxCalls))
 	cl.bodies = r.Bodies.Share(part(c, r.MaxBodies))
-	cl.client = upstream.NewClient(upstream.Options{DialTimeout: c.ConnectTimeout, Idle: c.Idle, Max: int(r.MaxConnections),
+	cl.client = upstream.NewClient(upstream.Options{DialTimeout: c.ConnectTimeout, Idle: c.Idle, Again: true, Max: int(r.MaxConnections),
 		Share: cl.conns, AnyStatus: true, Scarce: r.Scarce})
 	var err error
 	cl.host, err = host.New(host.Options{Decide: c.Decide, Seed: seed, Zones: c.Zones, Report: c.Report, Client: cl.client,
