--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -625,6 +626,53 @@
 	}
 }
 
+// A request whose caller has left is carried to no other sala once its own has failed it. Here the end stands behind bytes that
+// nobody has read, before the own sala's nodos fail.
+func TestLeftBeforeCrossing(t *testing.T) {
+	t.Parallel()
+	arrived, fail := make(chan struct{}, 8), make(chan struct{})
+	p := newProvinceWith(t, "20s", standin.NodoOptions{Work: time.Millisecond}, func(sala, _ int) standin.Trouble {
+		if sala == 0 {
+			arrived <- struct{}{}
+			<-fail
+			return standin.Reset
+		}
+		return standin.None
+	})
+	c := lbtest.Dial(t, p.addr(0))
+	c.Send("GET /look HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-arrived
+	c.Send("GET /look HTTP/1.1\r\nHost: behind\r\n\r\n")
+	c.Close()
+	lbtest.Until(t, "the end has come to the gateway", func() bool { return closedFrom(t, p.addr(0), c.LocalAddr().String()) })
+	close(fail)
+	g := p.all[0]
+	lbtest.Until(t, "nothing is held", func() bool { return g.state.Load().clusters["c"].Held() == 0 && (*g.open.Load())[0].Conns() == 0 })
+	for _, sala := range p.nodos[1:] {
+		for _, n := range sala {
+			if n.Requests() > 0 {
+				t.Errorf("carried to another sala: %d", n.Requests())
+			}
+		}
+	}
+}
+
+// closedFrom tells whether a loopback connection's end has come to the socket at local, by what the system says of it: it is
+// established no more.
+func closedFrom(t *testing.T, local, remote string) bool {
+	t.Helper()
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := func(addr string) string {
+		_, p, _ := strings.Cut(addr, ":")
+		n, _ := strconv.Atoi(p)
+		return fmt.Sprintf("0100007F:%04X", n)
+	}
+	return !strings.Contains(string(text), port(local)+" "+port(remote)+" 01 ")
+}
+
 // A sala fails while another is nearly full: that one goes on serving its own, what can't be carried is refused at once,
 // and worth goes first.
 func TestCascade(t *testing.T) {
