--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -44,6 +44,9 @@
 	// A process that has been replaced has closed its callers' idle connections this long before its end.
 	waneSpare = 800 * time.Millisecond
 
+	// Second answers come some milliseconds behind the first (the platform's STANDING page).
+	settle = 20 * time.Millisecond
+
 	acceptOn = 500 * time.Millisecond // new connections go on coming this long after SIGTERM
 )
 
@@ -69,7 +72,7 @@
 		Heap: int64(heapPart * float64(c.Limits.MemoryMB<<20)), Bodies: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
 	board := &figures.Board{}
 	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Sent: func() { board.Sends.Add(1) },
-		Idle: idleOf(c), Max: room.Endpoints, Most: platform.MostBody})
+		Idle: idleOf(c), Settle: settle, Again: true, Max: room.Endpoints, Most: platform.MostBody})
 	var discovery *registry.Client
 	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Client: client,
 		Watch: func() { discovery.Watch() }, Log: log})
@@ -122,12 +125,13 @@
 		}()
 	}
 	go discovery.Run(ctx)
+	var inForce atomic.Pointer[config.Config]
+	inForce.Store(c)
 	go func() {
-		running := c
 		for {
 			select {
 			case <-hangup:
-				running = reload(path, running, router, client, discovery, board, log)
+				inForce.Store(reload(path, inForce.Load(), router, client, discovery, board, log))
 			case <-ctx.Done():
 				return
 			}
@@ -140,15 +144,18 @@
 	}
 
 	// Ready once the list is that of now and not of some time ago, if discovery answers.
+	stopped := false
 	select {
 	case <-listed:
 	case <-time.After(firstList):
 	case err := <-failed:
 		return err
 	case <-stop:
-		return nil
+		if stopped = true; upgrade != nil && !upgrade.First() {
+			return nil // it has taken nothing yet
+		}
 	}
-	if upgrade != nil {
+	if upgrade != nil && !stopped {
 		if !upgrade.First() {
 			if t := upgrade.Take(); t != nil {
 				self.Take(t)
@@ -160,16 +167,18 @@
 			log.Warn("the next process will start without this one's state", "error", err)
 		}
 	}
-	server.Ready()
-	takes.Store(true)
-	log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
-	select {
-	case err := <-failed:
-		return err
-	case <-stop:
+	if !stopped { // callers come before it is ready, too: what it has taken by then is answered like any other
+		server.Ready()
+		takes.Store(true)
+		log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
+		select {
+		case err := <-failed:
+			return err
+		case <-stop:
+		}
 	}
 	takes.Store(false)
-	rest := min(c.Longest(), longest) + killIn - spare
+	rest := restOf(c, inForce.Load())
 	now := time.Now()
 	h.End(now.Add(rest))
 	serveUntil := now.Add(max(rest/2, acceptOn))
@@ -181,6 +190,13 @@
 	return nil
 }
 
+// restOf is for how long a process that is asked to end may work on. The platform ends it by force some time after the
+// longest deadline; whose, where the settings have changed since the start, its pages don't say: the shorter one is safe
+// with both. It cuts requests of longer ones, which get a failure then.
+func restOf(start, inForce *config.Config) time.Duration {
+	return min(start.Longest(), inForce.Longest(), longest) + killIn - spare
+}
+
 // reload takes up the configuration as the file has it now, whole or not at all: settings and discovery's address are
 // read and checked before either is in force. The address, name and limits of the process wait for a restart. It returns
 // the configuration in force.
