--- /dev/null
+++ b/internal/controlplane/format_test.go
@@ -0,0 +1,122 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"silvertrail/internal/base/statefile"
+	"silvertrail/internal/controlplane/api"
+	"silvertrail/internal/controlplane/delivery"
+	"silvertrail/internal/controlplane/records"
+	"silvertrail/internal/testkit/golden"
+	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/envoy"
+)
+
+// The state file is written as recorded, and a recorded one is read.
+func TestStateFileFormat(t *testing.T) {
+	var state records.State
+	golden.Fill(&state)
+	path := filepath.Join(t.TempDir(), "state")
+	if err := statefile.Write(path, stateFormat, state); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorded := golden.Binary(t, "state.hex", text)
+	if err := os.WriteFile(path, recorded, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var read records.State
+	if err := statefile.Read(path, stateFormat, maxState, &read); err != nil {
+		t.Fatal(err)
+	}
+	for i := range read.Conflicts {
+		read.Conflicts[i].At = read.Conflicts[i].At.UTC()
+	}
+	if !reflect.DeepEqual(read, state) {
+		t.Errorf("read as %+v, want %+v", read, state)
+	}
+}
+
+// A record is sent to other control-plane servers as recorded, and a recorded one is read as the same record.
+func TestRecordFormat(t *testing.T) {
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(&clusterv3.Cluster{Name: "cluster-a",
+		ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_EDS},
+		EdsClusterConfig: &clusterv3.Cluster_EdsClusterConfig{ServiceName: "set-a",
+			EdsConfig: &corev3.ConfigSource{ConfigSourceSpecifier: &corev3.ConfigSource_Ads{Ads: &corev3.AggregatedConfigSource{}}}}, ConnectTimeout: durationpb.New(1e9)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	present, err := content(ads.Clusters, &anypb.Any{TypeUrl: envoy.TypeOf(ads.Clusters), Value: raw})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]records.Content{
+		"present": present,
+		"removed": {Key: records.Key{Kind: ads.Sets, Name: "set-b"}, Removed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := records.Record{Content: c, Version: records.Version{Counter: 12, Origin: "north.1"}, Seen: records.Seen{"south.2": 11}}
+			sent, err := resource(delivery.Records, r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, err := proto.MarshalOptions{Deterministic: true}.Marshal(sent.Resource)
+			if err != nil {
+				t.Fatal(err)
+			}
+			recorded := golden.Binary(t, "record-"+name+".hex", text)
+			var received anypb.Any
+			if err := proto.Unmarshal(recorded, &received); err != nil {
+				t.Fatal(err)
+			}
+			read, err := readRecord(&received)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(read, r) {
+				t.Errorf("read as %+v, want %+v", read, r)
+			}
+		})
+	}
+}
+
+// What the control socket tells of a control-plane server.
+func TestStatusFormat(t *testing.T) {
+	for name, value := range map[string]any{"status": &api.Status{}, "published": &api.Published{}} {
+		golden.Fill(value)
+		text, err := json.MarshalIndent(value, "", " ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		golden.Text(t, name+".json", text)
+	}
+}
+
+// The names of kinds stand in commands, refusals and record keys.
+func TestKindNames(t *testing.T) {
+	var names []string
+	for k := range delivery.Kinds {
+		names = append(names, k.String(), typeOf(k))
+	}
+	for k := range ads.Kinds {
+		names = append(names, k.String())
+	}
+	text, err := json.MarshalIndent(names, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden.Text(t, "kind-names.json", text)
+}
--- /dev/null
+++ b/internal/fleet/format_test.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/exchange"
+	"silvertrail/internal/fleet/membership"
+	"silvertrail/internal/fleet/straggler"
+	"silvertrail/internal/fleet/version"
+	"silvertrail/internal/testkit/golden"
+)
+
+// Packets are encoded by the order of their fields, so the values below name each field, and each has its own value.
+var (
+	formatTry   = binding.Try{Process: 0x0102030405060708, Number: 9}
+	formatPlace = history.Place{Cluster: "cluster-a", Zone: "zone-b", Cell: 3}
+	formatID    = history.ID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+	formatHash  = version.Hash{21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36}
+	formatDelta = membership.Delta{
+		Remove: []membership.Member{{Name: "removed", Addr: "127.0.0.1:31", Life: 31}},
+		Add:    []membership.Member{{Name: "added", Addr: "127.0.0.1:32", Life: 32}},
+	}
+	formatVector = version.Vector{{Kind: version.Configuration, Name: "entry", Hash: formatHash, Number: 41,
+		Before: []version.Past{{Number: 40, Hash: version.Hash{51}}}, Text: "as called"}}
+)
+
+func formatMessage() *membership.Message {
+	return &membership.Message{
+		Kind: membership.Promise, From: membership.Member{Name: "from", Addr: "127.0.0.1:11", Life: 11},
+		Lineage: 12, View: 13, Hash: 14, Seq: 15, Isolated: true, Leaving: true, Unheard: []uint16{16},
+		Rows:    []membership.Row{{Seq: 17, Unheard: 18}},
+		Target:  membership.Member{Name: "target", Addr: "127.0.0.1:19", Life: 19},
+		Accused: []membership.Member{{Name: "accused", Addr: "127.0.0.1:20", Life: 20}},
+		Joining: []membership.Member{{Name: "joining", Addr: "127.0.0.1:21", Life: 21}},
+		Left:    []membership.Member{{Name: "left", Addr: "127.0.0.1:22", Life: 22}},
+		Ballot:  membership.Ballot{Round: 23, Name: "ballot"}, Prior: membership.Ballot{Round: 24, Name: "prior"},
+		Delta: &formatDelta, Yes: true,
+		Whole: &membership.View{Lineage: 25, Number: 26, Members: []membership.Member{{Name: "whole", Addr: "127.0.0.1:27", Life: 27}}},
+	}
+}
+
+var formatItems = map[string]item{
+	"ask": {Ask: &binding.Ask{Try: formatTry, Turn: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
+		Keep: 6 * time.Second, Life: 7 * time.Second}},
+	"answer": {Answer: &binding.Answer{Try: formatTry, Turn: 4, Vote: binding.Held, Place: formatPlace, Split: true, Until: 8 * time.Second}},
+	"end":    {End: &binding.End{Try: formatTry, NeverRan: true}},
+	"want":   {Want: 71},
+	"copy": {Copy: &copyPart{Want: 72, Part: 1, Parts: 3, Keys: []binding.Known{{Key: formatID, Place: formatPlace, Zones: true, Cells: true,
+		Until: 9 * time.Second, Expire: 10 * time.Second}}}},
+	"membership": {Word: formatMessage()},
+	"versions": {Acts: &exchange.Message{
+		Heads: []exchange.Head{{Name: "head", Life: 81, Start: 82, Seq: 83, Age: 84}},
+		Want:  []exchange.Want{{Name: "want", Life: 85, Have: 86}},
+		Words: []exchange.Part{{Name: "part", Life: 87, Start: 88, Seq: 90, Base: 89, Changed: formatVector, At: []uint64{90},
+			Gone: []exchange.Gone{{Kind: version.List, Name: "gone", At: 90}}, Floor: 91, Taken: 92, Digest: formatHash}},
+	}},
+}
+
+// Each message is encoded to the bytes that are recorded, and these are read as the same message.
+func TestPacketFormat(t *testing.T) {
+	for name, i := range formatItems {
+		t.Run(name, func(t *testing.T) {
+			assertPacketFormat(t, name, i)
+		})
+	}
+}
+
+func assertPacketFormat(t *testing.T, name string, i item) {
+	t.Helper()
+	p := &packet{From: "sender", Process: 0x1112131415161718, Items: []item{i}}
+	if v := reflect.ValueOf(i); name != "want" {
+		for n := range v.NumField() {
+			if f := v.Field(n); !f.IsZero() {
+				if missing := golden.Unset(f.Interface()); len(missing) > 0 {
+					t.Fatalf("fields without a value: %v", missing)
+				}
+			}
+		}
+	}
+	text, err := encode(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorded := golden.Binary(t, "packet-"+name+".hex", text)
+	read, err := decode(recorded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(read, p) {
+		t.Errorf("read as %+v, want %+v", read, p)
+	}
+	again, err := encode(read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(again) != string(recorded) {
+		t.Errorf("encoded again as %x, want %x", again, recorded)
+	}
+}
+
+// The numbers of kinds, votes and states are part of the format.
+func TestPacketEnumerations(t *testing.T) {
+	for n, kind := range []membership.Kind{membership.Beat, membership.Ping, membership.Ack, membership.PingFor, membership.Heard, membership.Report,
+		membership.Join, membership.Taken, membership.Fetch, membership.Full, membership.Prepare, membership.Promise, membership.Accept,
+		membership.Accepted, membership.Decided, membership.Renew, membership.Grant} {
+		if int(kind) != n {
+			t.Errorf("message kind %v is %d, want %d", kind, kind, n)
+		}
+	}
+	for n, vote := range []binding.Vote{binding.Silent, binding.Yes, binding.Held} {
+		if int(vote) != n {
+			t.Errorf("vote %d, want %d", vote, n)
+		}
+	}
+	for n, kind := range []version.Kind{version.Build, version.Own, version.Configuration, version.Voters, version.Keyring, version.View, version.List,
+		version.Resource, version.Refused} {
+		if int(kind) != n+1 {
+			t.Errorf("version kind %v is %d, want %d", kind, kind, n+1)
+		}
+	}
+}
+
+// The digests that members compare follow from these functions alone.
+func TestDigests(t *testing.T) {
+	view := formatMessage().Whole
+	if got := view.Hash(); got != 0x74ad88d5dfcd589d {
+		t.Errorf("hash of the view %#x", got)
+	}
+	if got := formatVector.Digest().String(); got != "ac480e47" {
+		t.Errorf("digest of the vector %s", got)
+	}
+	if got := version.Of([]byte("content")).String(); got != "ed7002b4" {
+		t.Errorf("hash of a content %s", got)
+	}
+}
+
+// The names of states stand in metrics, on the control socket and in logs.
+func TestStateNames(t *testing.T) {
+	var names []string
+	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.Deaf, membership.Mute, membership.Isolated, membership.Dead, membership.Left} {
+		names = append(names, s.String())
+	}
+	for _, s := range []straggler.State{straggler.InStep, straggler.Taking, straggler.Ahead, straggler.Differs, straggler.Behind, straggler.Silent, straggler.Forked} {
+		names = append(names, s.String())
+	}
+	for k := version.Kind(0); k < 12; k++ {
+		names = append(names, k.String())
+	}
+	text, err := json.MarshalIndent(names, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden.Text(t, "state-names.json", text)
+}
+
+// What the control socket tells of the fleet.
+func TestViewFormat(t *testing.T) {
+	for name, value := range map[string]any{"member": &Member{}, "reach": &ReachView{}, "versions": &VersionsView{}} {
+		golden.Fill(value)
+		text, err := json.MarshalIndent(value, "", " ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		recorded := golden.Text(t, name+".json", text)
+		read := reflect.New(reflect.TypeOf(value).Elem()).Interface()
+		if err := json.Unmarshal(recorded, read); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(read, value) {
+			t.Errorf("%s is read as %+v, want %+v", name, read, value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/figures/format_test.go
@@ -0,0 +1,14 @@
+package figures
+
+import (
+	"testing"
+
+	"silvertrail/internal/testkit/golden"
+)
+
+// What the operators' address tells.
+func TestFormat(t *testing.T) {
+	var f Figures
+	golden.Fill(&f)
+	golden.Text(t, "stats.json", f.Text())
+}
--- /dev/null
+++ b/internal/platform/handover/format_test.go
@@ -0,0 +1,48 @@
+package handover
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"silvertrail/internal/testkit/golden"
+)
+
+// Each message between two processes is encoded to the bytes that are recorded, and these are read as the same message.
+func TestMessageFormat(t *testing.T) {
+	for _, kind := range []Kind{Hello, Take, Keys, Bind, Ban, No} {
+		t.Run(string(kind), func(t *testing.T) {
+			m := &Message{}
+			golden.Fill(m)
+			m.Kind = kind
+			m.Bind.Scope = 1
+			text, err := json.MarshalIndent(m, "", " ")
+			if err != nil {
+				t.Fatal(err)
+			}
+			recorded := golden.Text(t, string(kind)+".json", text)
+			var compact bytes.Buffer
+			if err := json.Compact(&compact, recorded); err != nil {
+				t.Fatal(err)
+			}
+			framed, err := frame(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !bytes.Equal(framed[4:], compact.Bytes()) {
+				t.Errorf("framed as %s, want %s", framed[4:], compact.Bytes())
+			}
+			read, err := read(bytes.NewReader(framed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := frame(read)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !bytes.Equal(again, framed) {
+				t.Errorf("framed again as %s, want %s", again, framed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/salas/link/format_test.go
@@ -0,0 +1,87 @@
+package link
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+
+	"silvertrail/internal/salas/crossing"
+	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/testkit/golden"
+)
+
+// Each message of the link is encoded to the bytes that are recorded, and these are read as the same message.
+func TestMessageFormat(t *testing.T) {
+	for name, message := range map[string]any{
+		"hello": &hello{}, "welcome": &welcome{}, "state": &stateSaid{}, "call": &Call{}, "answer": &Answer{}, "settle": &settle{},
+		"settled": &settled{}, "lookup": &lookup{}, "found": &Found{}, "accounts": &accounts{}, "counted": &counted{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			golden.Fill(message)
+			text, err := encode(message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			recorded := golden.Binary(t, name+".hex", text)
+			read := reflect.New(reflect.TypeOf(message).Elem()).Interface()
+			if err := decodeUnchecked(recorded, read); err != nil {
+				t.Fatal(err)
+			}
+			again, err := encode(read)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !bytes.Equal(again, recorded) {
+				t.Errorf("encoded again as %x, want %x", again, recorded)
+			}
+		})
+	}
+}
+
+// decodeUnchecked reads a message without the checks of its values, which filled ones do not pass.
+func decodeUnchecked(text []byte, into any) error {
+	return codec.NewDecoderBytes(text, handle).Decode(into)
+}
+
+// The numbers and names of outcomes, reasons and states are part of the protocol and of what operators read.
+func TestMessageEnumerations(t *testing.T) {
+	var names []string
+	for n, o := range []tally.Outcome{tally.Open, tally.Served, tally.Refused, tally.NeverRan, tally.Unclear, tally.NeverCame} {
+		if int(o) != n {
+			t.Errorf("outcome %v is %d, want %d", o, o, n)
+		}
+		names = append(names, o.String())
+	}
+	for n, r := range []tally.Reason{tally.Shed, tally.Failed, tally.Held, tally.Passing} {
+		if int(r) != n {
+			t.Errorf("reason %v is %d, want %d", r, r, n)
+		}
+		names = append(names, r.String())
+	}
+	for n, s := range []crossing.State{crossing.Closed, crossing.Draining, crossing.Shedding, crossing.Open} {
+		if int(s) != n {
+			t.Errorf("state %v is %d, want %d", s, s, n)
+		}
+		names = append(names, s.String())
+	}
+	text, err := json.MarshalIndent(names, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden.Text(t, "names.json", text)
+}
+
+// What the control socket tells of links.
+func TestViewFormat(t *testing.T) {
+	for name, value := range map[string]any{"sala": &SalaView{}, "found": &Found{}} {
+		golden.Fill(value)
+		text, err := json.MarshalIndent(value, "", " ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		golden.Text(t, "view-"+name+".json", text)
+	}
+}
--- /dev/null
+++ b/internal/xds/format_test.go
@@ -0,0 +1,40 @@
+package xds
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"silvertrail/internal/base/statefile"
+	"silvertrail/internal/testkit/golden"
+	"silvertrail/internal/xds/known"
+)
+
+// The file of the last good state is written as recorded, and a recorded one is read.
+func TestStateFileFormat(t *testing.T) {
+	var state []known.Saved
+	golden.Fill(&state)
+	path := filepath.Join(t.TempDir(), "state")
+	if err := statefile.Write(path, stateFormat, state); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorded := golden.Binary(t, "state.hex", text)
+	if err := os.WriteFile(path, recorded, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var read []known.Saved
+	if err := statefile.Read(path, stateFormat, maxState, &read); err != nil {
+		t.Fatal(err)
+	}
+	for i := range read {
+		read[i].Heard = read[i].Heard.UTC()
+	}
+	if !reflect.DeepEqual(read, state) {
+		t.Errorf("read as %+v, want %+v", read, state)
+	}
+}
