Tag each field that an encoder reads by its name

Need: JSON and MessagePack maps take Go's names where there is no tag, so that a rename would change the bytes. Change: explicit tags with the names as they are. Measured: the golden files' tests pass.

--- a/decide/carry.go
+++ b/decide/carry.go
@@ -9,34 +9,42 @@
 
 // Learnt is what a balancer has learnt and another in its place can use. Times count back from the moment it is told.
 type Learnt struct {
-	Cursor                  int
-	Started                 time.Duration // ago
-	Base                    float64       // quiet latency, s; 0: not learnt
-	Fast, Avg, Asking, Full float64       // calls a second
-	Answers, LatSum, Fulls  float64
-	Errs                    float64
-	Hopes                   []LearntHope
-	Servers                 []LearntServer
+	Cursor  int            `json:"Cursor"`
+	Started time.Duration  `json:"Started"` // ago
+	Base    float64        `json:"Base"`    // quiet latency, s; 0: not learnt
+	Fast    float64        `json:"Fast"`    // calls a second
+	Avg     float64        `json:"Avg"`     // calls a second
+	Asking  float64        `json:"Asking"`  // calls a second
+	Full    float64        `json:"Full"`    // calls a second
+	Answers float64        `json:"Answers"`
+	LatSum  float64        `json:"LatSum"`
+	Fulls   float64        `json:"Fulls"`
+	Errs    float64        `json:"Errs"`
+	Hopes   []LearntHope   `json:"Hopes"`
+	Servers []LearntServer `json:"Servers"`
 }
 
 // LearntHope is the time that a class's calls take.
 type LearntHope struct {
-	Class    string
-	In, Seen float64
-	Ago      time.Duration
+	Class string        `json:"Class"`
+	In    float64       `json:"In"`
+	Seen  float64       `json:"Seen"`
+	Ago   time.Duration `json:"Ago"`
 }
 
 // LearntServer is what is known of one server.
 type LearntServer struct {
-	ID             ServerID
-	StartedAt      time.Duration // as listed: it must be the same process
-	Lat, Bad, Rate float64
-	Util           float64
-	Reported       time.Duration // ago; 0: never
-	Out            bool
-	OutFor         time.Duration // until a trial
-	Outs           int
-	Budget         float64 // while cold
+	ID        ServerID      `json:"ID"`
+	StartedAt time.Duration `json:"StartedAt"` // as listed: it must be the same process
+	Lat       float64       `json:"Lat"`
+	Bad       float64       `json:"Bad"`
+	Rate      float64       `json:"Rate"`
+	Util      float64       `json:"Util"`
+	Reported  time.Duration `json:"Reported"` // ago; 0: never
+	Out       bool          `json:"Out"`
+	OutFor    time.Duration `json:"OutFor"` // until a trial
+	Outs      int           `json:"Outs"`
+	Budget    float64       `json:"Budget"` // while cold
 }
 
 // Learnt returns what the balancer has learnt.
--- a/internal/balancer/history/history.go
+++ b/internal/balancer/history/history.go
@@ -65,9 +65,9 @@
 
 // Place is where an attempt went.
 type Place struct {
-	Cluster string
-	Zone    string
-	Cell    int
+	Cluster string `codec:"Cluster"`
+	Zone    string `codec:"Zone"`
+	Cell    int    `codec:"Cell"`
 }
 
 // Terms are what a class promises of its keys when an attempt is sent.
--- a/internal/balancer/host/carry.go
+++ b/internal/balancer/host/carry.go
@@ -9,15 +9,15 @@
 
 // Carried is what a host hands to the one of the process that takes its place.
 type Carried struct {
-	Learnt  decide.Learnt
-	Servers []CarriedServer // of Learnt, by names: numbers and clocks are a process's own
+	Learnt  decide.Learnt   `json:"Learnt"`
+	Servers []CarriedServer `json:"Servers"` // of Learnt, by names: numbers and clocks are a process's own
 }
 
 // CarriedServer is what was learnt of an endpoint.
 type CarriedServer struct {
-	Name    string
-	SinceMS int64
-	Learnt  decide.LearntServer
+	Name    string              `json:"Name"`
+	SinceMS int64               `json:"SinceMS"`
+	Learnt  decide.LearntServer `json:"Learnt"`
 }
 
 // Carry returns what the decisions have learnt.
--- a/internal/controlplane/records/keep.go
+++ b/internal/controlplane/records/keep.go
@@ -7,16 +7,16 @@
 
 // Saved is what of a resource is kept over a restart.
 type Saved struct {
-	Record Record
-	Knows  Seen
+	Record Record `codec:"Record"`
+	Knows  Seen   `codec:"Knows"`
 }
 
 // State is all that is kept over a restart.
 type State struct {
-	Origin    string
-	Counter   uint64
-	Records   []Saved // a later one of a resource replaces those before it
-	Conflicts []Conflict
+	Origin    string     `codec:"Origin"`
+	Counter   uint64     `codec:"Counter"`
+	Records   []Saved    `codec:"Records"` // a later one of a resource replaces those before it
+	Conflicts []Conflict `codec:"Conflicts"`
 }
 
 // Save returns the state as it will be when a publication is merged; a zero one: as it is. The records must not be changed.
--- a/internal/controlplane/records/store.go
+++ b/internal/controlplane/records/store.go
@@ -21,8 +21,9 @@
 // Conflict is two versions of a resource that were made apart.
 type Conflict struct {
 	Key
-	Winner, Loser Version
-	At            time.Time
+	Winner Version   `codec:"Winner"`
+	Loser  Version   `codec:"Loser"`
+	At     time.Time `codec:"At"`
 }
 
 type entry struct {
--- a/internal/controlplane/records/version.go
+++ b/internal/controlplane/records/version.go
@@ -21,8 +21,8 @@
 
 // Version is a publication's place among all.
 type Version struct {
-	Counter uint64
-	Origin  string // of the machine; no two starts from nothing share one
+	Counter uint64 `codec:"Counter"`
+	Origin  string `codec:"Origin"` // of the machine; no two starts from nothing share one
 }
 
 const (
@@ -82,8 +82,8 @@
 
 // Key names a resource.
 type Key struct {
-	Kind ads.Kind
-	Name string
+	Kind ads.Kind `codec:"Kind"`
+	Name string   `codec:"Name"`
 }
 
 func (k Key) String() string { return k.Kind.String() + "/" + k.Name }
@@ -107,17 +107,17 @@
 // Content is what is published of a resource.
 type Content struct {
 	Key
-	Removed bool
-	Digest  [16]byte
-	Raw     []byte // as receivers get it; of a removed one: none
-	Set     string // of a cluster: the endpoint set that it needs; empty: none
+	Removed bool     `codec:"Removed"`
+	Digest  [16]byte `codec:"Digest"`
+	Raw     []byte   `codec:"Raw"` // as receivers get it; of a removed one: none
+	Set     string   `codec:"Set"` // of a cluster: the endpoint set that it needs; empty: none
 }
 
 // Record is a resource in one version.
 type Record struct {
 	Content
-	Version Version
-	Seen    Seen // of this resource, by the machine that gave the version, before
+	Version Version `codec:"Version"`
+	Seen    Seen    `codec:"Seen"` // of this resource, by the machine that gave the version, before
 }
 
 // Check tells what is wrong with a record that came from elsewhere.
--- a/internal/fleet/binding/binding.go
+++ b/internal/fleet/binding/binding.go
@@ -21,7 +21,10 @@
 
 // Try names one request of one process: the process by a number drawn at its start, so that a process that was started
 // again is another one.
-type Try struct{ Process, Number uint64 }
+type Try struct {
+	Process uint64 `codec:"Process"`
+	Number  uint64 `codec:"Number"`
+}
 
 // Ask asks a voter to agree that a key's attempts go to a place.
 type Ask struct {
--- a/internal/salas/tally/tally.go
+++ b/internal/salas/tally/tally.go
@@ -62,15 +62,16 @@
 
 // Kind is what crossings are counted by.
 type Kind struct {
-	Class, Tenant string
-	Reason        Reason
+	Class  string `codec:"Class" json:"Class"`
+	Tenant string `codec:"Tenant" json:"Tenant"`
+	Reason Reason `codec:"Reason" json:"Reason"`
 }
 
 // Sum is a number of crossings of one kind and outcome.
 type Sum struct {
 	Kind
-	Outcome Outcome
-	Count   uint64
+	Outcome Outcome `codec:"Outcome" json:"Outcome"`
+	Count   uint64  `codec:"Count" json:"Count"`
 }
 
 // maxKinds bounds what is counted apart; what comes beyond it counts under an empty tenant, and at last under Other.
@@ -306,8 +307,9 @@
 // Difference is a count in which the two ends of a session differ.
 type Difference struct {
 	Kind
-	Outcome        Outcome
-	Sent, Received uint64
+	Outcome  Outcome `json:"Outcome"`
+	Sent     uint64  `json:"Sent"`
+	Received uint64  `json:"Received"`
 }
 
 // Reconcile names all in which the accounts of both ends of one session differ. What never came stands at the sending end
--- a/internal/xds/known/dump.go
+++ b/internal/xds/known/dump.go
@@ -88,11 +88,11 @@
 
 // Saved is a resource in force, for a restart.
 type Saved struct {
-	Kind    ads.Kind
-	Version string
-	Raw     []byte
-	From    string
-	Heard   time.Time
+	Kind    ads.Kind  `codec:"Kind"`
+	Version string    `codec:"Version"`
+	Raw     []byte    `codec:"Raw"`
+	From    string    `codec:"From"`
+	Heard   time.Time `codec:"Heard"`
 }
 
 // Save returns all that is in force and in use, in a stable order.
