--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -138,7 +138,7 @@
 		}
 	}
 	for _, f := range v.Found {
-		fmt.Printf("taken for: %s %s\n", f.Kind, strings.Join(f.Who, " "))
+		fmt.Printf("taken for: %s %s\n", f.Kind, strings.Join(f.Members, " "))
 	}
 	return nil
 }
--- a/cmd/silvertrail/views_test.go
+++ b/cmd/silvertrail/views_test.go
@@ -52,7 +52,7 @@
 		f.relays.Sever([]int{1}, []int{3}, true)
 		f.relays.Sever([]int{3}, []int{1}, true)
 		f.until("knows of the pair", all(), func(v fleet.ReachView) bool {
-			return len(v.Found) == 1 && v.Found[0].Kind == "pair" && slices.Equal(v.Found[0].Who, []string{"i1", "i3"})
+			return len(v.Found) == 1 && v.Found[0].Kind == "pair" && slices.Equal(v.Found[0].Members, []string{"i1", "i3"})
 		})
 	})
 	f.trouble("ring", nil, func() {
@@ -112,7 +112,7 @@
 	f.trouble("paused while the view changes", []int{1, 4}, func() {
 		f.kill(4)
 		f.until("suspects the one that was killed", all(1, 4), func(v fleet.ReachView) bool {
-			return slices.ContainsFunc(v.Found, func(x membership.Finding) bool { return slices.Contains(x.Who, "i4") })
+			return slices.ContainsFunc(v.Found, func(x membership.Diagnosis) bool { return slices.Contains(x.Members, "i4") })
 		})
 		f.pause(1, true)
 		f.until("goes on", all(1, 4), func(v fleet.ReachView) bool { return v.Confirmed && !slices.Contains(v.Members, "i4") })
--- a/internal/fleet/acts.go
+++ b/internal/fleet/acts.go
@@ -164,7 +164,7 @@
 	v := a.f.views
 	v.mu.Lock()
 	var view *membership.View
-	if v.core.View() != nil && v.core.Confirmed() {
+	if v.core.View() != nil && v.core.HasQuorum() {
 		view = v.core.View()
 	}
 	v.mu.Unlock()
@@ -176,7 +176,7 @@
 	clear(a.addrs)
 	var names []string
 	for _, m := range view.Members {
-		a.addrs[m.Name] = m.Addr
+		a.addrs[m.Name] = m.Address
 		names = append(names, m.Name)
 	}
 	a.core.Members(names)
--- a/internal/fleet/format_test.go
+++ b/internal/fleet/format_test.go
@@ -22,8 +22,8 @@
 	formatID    = history.ID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
 	formatHash  = version.Hash{21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36}
 	formatDelta = membership.Delta{
-		Remove: []membership.Member{{Name: "removed", Addr: "127.0.0.1:31", Life: 31}},
-		Add:    []membership.Member{{Name: "added", Addr: "127.0.0.1:32", Life: 32}},
+		Remove: []membership.Member{{Name: "removed", Address: "127.0.0.1:31", Incarnation: 31}},
+		Add:    []membership.Member{{Name: "added", Address: "127.0.0.1:32", Incarnation: 32}},
 	}
 	formatVector = version.Vector{{Kind: version.Configuration, Name: "entry", Hash: formatHash, Number: 41,
 		Before: []version.Past{{Number: 40, Hash: version.Hash{51}}}, Text: "as called"}}
@@ -31,16 +31,16 @@
 
 func formatMessage() *membership.Message {
 	return &membership.Message{
-		Kind: membership.Promise, From: membership.Member{Name: "from", Addr: "127.0.0.1:11", Life: 11},
-		Lineage: 12, View: 13, Hash: 14, Seq: 15, Isolated: true, Leaving: true, Unheard: []uint16{16},
-		Rows:    []membership.Row{{Seq: 17, Unheard: 18}},
-		Target:  membership.Member{Name: "target", Addr: "127.0.0.1:19", Life: 19},
-		Accused: []membership.Member{{Name: "accused", Addr: "127.0.0.1:20", Life: 20}},
-		Joining: []membership.Member{{Name: "joining", Addr: "127.0.0.1:21", Life: 21}},
-		Left:    []membership.Member{{Name: "left", Addr: "127.0.0.1:22", Life: 22}},
-		Ballot:  membership.Ballot{Round: 23, Name: "ballot"}, Prior: membership.Ballot{Round: 24, Name: "prior"},
-		Delta: &formatDelta, Yes: true,
-		Whole: &membership.View{Lineage: 25, Number: 26, Members: []membership.Member{{Name: "whole", Addr: "127.0.0.1:27", Life: 27}}},
+		Kind: membership.Promise, From: membership.Member{Name: "from", Address: "127.0.0.1:11", Incarnation: 11},
+		Lineage: 12, ViewNumber: 13, ViewHash: 14, Seq: 15, Isolated: true, Leaving: true, Unreachable: []uint16{16},
+		Rows:    []membership.ReachabilityRow{{Seq: 17, Unreachable: 18}},
+		Target:  membership.Member{Name: "target", Address: "127.0.0.1:19", Incarnation: 19},
+		Suspects: []membership.Member{{Name: "accused", Address: "127.0.0.1:20", Incarnation: 20}},
+		Joining: []membership.Member{{Name: "joining", Address: "127.0.0.1:21", Incarnation: 21}},
+		Departing:    []membership.Member{{Name: "left", Address: "127.0.0.1:22", Incarnation: 22}},
+		Ballot:  membership.Ballot{Round: 23, Name: "ballot"}, PriorBallot: membership.Ballot{Round: 24, Name: "prior"},
+		Delta: &formatDelta, Affirmed: true,
+		View: &membership.View{Lineage: 25, Number: 26, Members: []membership.Member{{Name: "whole", Address: "127.0.0.1:27", Incarnation: 27}}},
 	}
 }
 
@@ -105,9 +105,9 @@
 
 // The numbers of kinds, votes and states are part of the format.
 func TestPacketEnumerations(t *testing.T) {
-	for n, kind := range []membership.Kind{membership.Beat, membership.Ping, membership.Ack, membership.PingFor, membership.Heard, membership.Report,
-		membership.Join, membership.Taken, membership.Fetch, membership.Full, membership.Prepare, membership.Promise, membership.Accept,
-		membership.Accepted, membership.Decided, membership.Renew, membership.Grant} {
+	for n, kind := range []membership.Kind{membership.Heartbeat, membership.Ping, membership.Ack, membership.PingRequest, membership.IndirectAck, membership.Report,
+		membership.Join, membership.NameTaken, membership.ViewRequest, membership.ViewResponse, membership.Prepare, membership.Promise, membership.Accept,
+		membership.Accepted, membership.Decided, membership.GrantRequest, membership.Grant} {
 		if int(kind) != n {
 			t.Errorf("message kind %v is %d, want %d", kind, kind, n)
 		}
@@ -127,7 +127,7 @@
 
 // The digests that members compare follow from these functions alone.
 func TestDigests(t *testing.T) {
-	view := formatMessage().Whole
+	view := formatMessage().View
 	if got := view.Hash(); got != 0x74ad88d5dfcd589d {
 		t.Errorf("hash of the view %#x", got)
 	}
@@ -142,7 +142,7 @@
 // The names of states stand in metrics, on the control socket and in logs.
 func TestStateNames(t *testing.T) {
 	var names []string
-	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.Deaf, membership.Mute, membership.Isolated, membership.Dead, membership.Left} {
+	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.ReportsIsolation, membership.Unreachable, membership.Isolated, membership.Dead, membership.Left} {
 		names = append(names, s.String())
 	}
 	for _, s := range []straggler.State{straggler.InStep, straggler.Taking, straggler.Ahead, straggler.Differs, straggler.Behind, straggler.Silent, straggler.Forked} {
--- a/internal/fleet/membership/agree.go
+++ b/internal/fleet/membership/agree.go
@@ -11,187 +11,187 @@
 // acceptor is what this member has promised for the next view.
 type acceptor struct {
 	promised Ballot
-	ballot   Ballot // of the value
-	value    *Delta
+	acceptedBallot   Ballot // of the value
+	acceptedValue    *Delta
 }
 
 // proposer is this member's own try.
 type proposer struct {
 	ballot   Ballot
-	at       time.Duration
+	startedAt       time.Duration
 	value    *Delta
-	prior    Ballot // of the value, if it is one that somebody has accepted
+	priorBallot    Ballot // of the value, if it is one that somebody has accepted
 	promises map[string]bool
 	accepts  map[string]bool
-	over     bool
+	decided     bool
 }
 
-// open tells that a try is under way. One that nobody answers ends by time.
-func (p *proposer) open(c *Core) bool {
-	return p.promises != nil && !p.over && c.now-p.at < c.beats(proposing)
+// inProgress tells that a try is under way. One that nobody answers ends by time.
+func (p *proposer) inProgress(c *Core) bool {
+	return p.promises != nil && !p.decided && c.now-p.startedAt < c.heartbeats(proposalTimeout)
 }
 
-// all sends a message to every member, me included.
-func (c *Core) all(m Message) {
+// broadcast sends a message to every member, me included.
+func (c *Core) broadcast(m Message) {
 	for i, x := range c.view.Members {
 		one := m
-		if c.lines[i] != nil {
+		if c.links[i] != nil {
 			c.send(x, &one)
 			continue
 		}
-		one.From, one.Lineage, one.View = c.o.Me, c.view.Lineage, c.view.Number
+		one.From, one.Lineage, one.ViewNumber = c.options.Self, c.view.Lineage, c.view.Number
 		switch one.Kind {
 		case Prepare:
-			c.takePrepare(&one)
+			c.handlePrepare(&one)
 		case Accept:
-			c.takeAccept(&one)
+			c.handleAccept(&one)
 		}
-		if c.view == nil || len(c.lines) != len(c.view.Members) || i >= len(c.view.Members) {
+		if c.view == nil || len(c.links) != len(c.view.Members) || i >= len(c.view.Members) {
 			return // decided
 		}
 	}
 }
 
-// begin proposes a change.
-func (c *Core) begin(d *Delta) {
-	round := max(c.accept.promised.Round, c.propose.ballot.Round) + 1
-	c.propose = proposer{ballot: Ballot{Round: round, Name: c.o.Me.Name}, at: c.now, value: d, promises: map[string]bool{}, accepts: map[string]bool{}}
-	c.all(Message{Kind: Prepare, Ballot: c.propose.ballot})
+// startProposal proposes a change.
+func (c *Core) startProposal(d *Delta) {
+	round := max(c.accepted.promised.Round, c.proposal.ballot.Round) + 1
+	c.proposal = proposer{ballot: Ballot{Round: round, Name: c.options.Self.Name}, startedAt: c.now, value: d, promises: map[string]bool{}, accepts: map[string]bool{}}
+	c.broadcast(Message{Kind: Prepare, Ballot: c.proposal.ballot})
 }
 
-// answer gives an answer to a proposer, which may be me.
-func (c *Core) answer(m *Message, a *Message) {
-	if m.From != c.o.Me {
+// reply gives an reply to a proposer, which may be me.
+func (c *Core) reply(m *Message, a *Message) {
+	if m.From != c.options.Self {
 		c.send(m.From, a)
 		return
 	}
-	a.From, a.Lineage, a.View = c.o.Me, c.view.Lineage, c.view.Number
+	a.From, a.Lineage, a.ViewNumber = c.options.Self, c.view.Lineage, c.view.Number
 	if a.Kind == Promise {
-		c.takePromise(a)
+		c.handlePromise(a)
 	} else {
-		c.takeAccepted(a)
+		c.handleAccepted(a)
 	}
 }
 
-func (c *Core) takePrepare(m *Message) {
+func (c *Core) handlePrepare(m *Message) {
 	a := Message{Kind: Promise, Ballot: m.Ballot}
-	if !m.Ballot.Less(c.accept.promised) {
-		c.accept.promised = m.Ballot
-		a.Yes, a.Prior, a.Delta = true, c.accept.ballot, c.accept.value
+	if !m.Ballot.Less(c.accepted.promised) {
+		c.accepted.promised = m.Ballot
+		a.Affirmed, a.PriorBallot, a.Delta = true, c.accepted.acceptedBallot, c.accepted.acceptedValue
 	}
-	c.answer(m, &a)
+	c.reply(m, &a)
 }
 
-func (c *Core) takePromise(m *Message) {
-	p := &c.propose
-	if !p.open(c) || m.Ballot != p.ballot || !m.Yes || len(p.accepts) > 0 || p.promises[m.From.Name] {
+func (c *Core) handlePromise(m *Message) {
+	p := &c.proposal
+	if !p.inProgress(c) || m.Ballot != p.ballot || !m.Affirmed || len(p.accepts) > 0 || p.promises[m.From.Name] {
 		return
 	}
-	if m.Delta != nil && p.prior.Less(m.Prior) {
-		p.value, p.prior = m.Delta, m.Prior
+	if m.Delta != nil && p.priorBallot.Less(m.PriorBallot) {
+		p.value, p.priorBallot = m.Delta, m.PriorBallot
 	}
 	p.promises[m.From.Name] = true
 	if len(p.promises) == c.view.Majority() {
-		c.all(Message{Kind: Accept, Ballot: p.ballot, Prior: p.prior, Delta: p.value})
+		c.broadcast(Message{Kind: Accept, Ballot: p.ballot, PriorBallot: p.priorBallot, Delta: p.value})
 	}
 }
 
-// takeAccept agrees to a change, if nothing better has been promised. A change of the proposer's own is turned down by one
+// handleAccept agrees to a change, if nothing better has been promised. A change of the proposer's own is turned down by one
 // who hears a member that it would take out: a majority must hear none of them. What somebody has accepted before may
 // have been decided, and is not judged again.
-func (c *Core) takeAccept(m *Message) {
+func (c *Core) handleAccept(m *Message) {
 	a := Message{Kind: Accepted, Ballot: m.Ballot}
-	if _, err := c.view.After(m.Delta); err == nil && !m.Ballot.Less(c.accept.promised) && (m.Prior != Ballot{} || c.bears(m.Delta)) {
-		c.accept = acceptor{promised: m.Ballot, ballot: m.Ballot, value: m.Delta}
-		a.Yes = true
+	if _, err := c.view.Apply(m.Delta); err == nil && !m.Ballot.Less(c.accepted.promised) && (m.PriorBallot != Ballot{} || c.canAgreeTo(m.Delta)) {
+		c.accepted = acceptor{promised: m.Ballot, acceptedBallot: m.Ballot, acceptedValue: m.Delta}
+		a.Affirmed = true
 	}
-	c.answer(m, &a)
+	c.reply(m, &a)
 }
 
-func (c *Core) bears(d *Delta) bool {
+func (c *Core) canAgreeTo(d *Delta) bool {
 	for _, r := range d.Remove {
 		i := c.view.Index(r.Name)
-		if r == c.o.Me {
-			if !c.leaving && !c.Isolated() {
+		if r == c.options.Self {
+			if !c.leaving && !c.IsIsolated() {
 				return false
 			}
 			continue
 		}
-		_, left := c.lefts[r]
+		_, left := c.departing[r]
 		replaced := false
 		for _, a := range d.Add {
-			replaced = replaced || a.Name == r.Name && a.Addr == r.Addr
+			replaced = replaced || a.Name == r.Name && a.Address == r.Address
 		}
-		l := c.lines[i]
-		if c.near(i) && !left && !replaced && !l.leaving && l.isolated == 0 && c.now-l.heard < c.fresh() {
+		l := c.links[i]
+		if c.observes(i) && !left && !replaced && !l.leaving && l.isolatedSince == 0 && c.now-l.reachableAt < c.reachableWindow() {
 			return false
 		}
 	}
 	return true
 }
 
-func (c *Core) takeAccepted(m *Message) {
-	p := &c.propose
-	if p.promises == nil || p.over || m.Ballot != p.ballot || !m.Yes {
+func (c *Core) handleAccepted(m *Message) {
+	p := &c.proposal
+	if p.promises == nil || p.decided || m.Ballot != p.ballot || !m.Affirmed {
 		return
 	}
 	p.accepts[m.From.Name] = true
 	if len(p.accepts) < c.view.Majority() {
 		return
 	}
-	p.over = true
+	p.decided = true
 	d := p.value
-	next, err := c.view.After(d)
+	next, err := c.view.Apply(d)
 	if err != nil {
 		return
 	}
 	old := c.view
 	for _, x := range old.Members {
-		if x != c.o.Me {
-			c.send(x, &Message{Kind: Decided, Hash: next.Hash(), Delta: d})
+		if x != c.options.Self {
+			c.send(x, &Message{Kind: Decided, ViewHash: next.Hash(), Delta: d})
 		}
 	}
-	c.move(next)
+	c.advanceTo(next)
 	for _, x := range d.Add {
-		c.send(x, &Message{Kind: Full, Whole: next})
+		c.send(x, &Message{Kind: ViewResponse, View: next})
 	}
 }
 
-func (c *Core) takeDecided(m *Message) {
-	if m.View != c.view.Number {
-		if m.View > c.view.Number {
-			c.fetch()
+func (c *Core) handleDecided(m *Message) {
+	if m.ViewNumber != c.view.Number {
+		if m.ViewNumber > c.view.Number {
+			c.requestView()
 		}
 		return
 	}
-	next, err := c.view.After(m.Delta)
-	if err != nil || next.Hash() != m.Hash {
-		c.fetch()
+	next, err := c.view.Apply(m.Delta)
+	if err != nil || next.Hash() != m.ViewHash {
+		c.requestView()
 		return
 	}
-	c.move(next)
+	c.advanceTo(next)
 }
 
-func (c *Core) move(next *View) {
-	if !next.Holds(c.o.Me) {
+func (c *Core) advanceTo(next *View) {
+	if !next.Contains(c.options.Self) {
 		why := "taken out while it was not heard"
 		if c.leaving {
 			why = "left"
 		}
 		c.latest = [2]uint64{next.Lineage, next.Number}
-		c.outOf(why)
+		c.leaveView(why)
 		return
 	}
-	c.enter(next)
+	c.installView(next)
 }
 
-// retry begins a proposal anew that came to nothing.
-func (c *Core) retry() {
-	if p := &c.propose; p.promises != nil && !p.over && !p.open(c) {
-		if d, _ := c.due(); len(d.Add)+len(d.Remove) > 0 && !c.doubting() {
-			c.begin(d)
+// retryProposal begins a proposal anew that came to nothing.
+func (c *Core) retryProposal() {
+	if p := &c.proposal; p.promises != nil && !p.decided && !p.inProgress(c) {
+		if d, _ := c.dueChange(); len(d.Add)+len(d.Remove) > 0 && !c.isSuspicionPaused() {
+			c.startProposal(d)
 			return
 		}
-		c.propose = proposer{ballot: p.ballot}
+		c.proposal = proposer{ballot: p.ballot}
 	}
 }
--- a/internal/fleet/membership/measure_test.go
+++ b/internal/fleet/membership/measure_test.go
@@ -48,8 +48,8 @@
 		delete(w.healthy, x)
 		w.nodes[x].dead = true
 		took = append(took, w.agree(n-1, 20*time.Second))
-		m := w.nodes[x].core.o.Me
-		w.start(Member{Name: m.Name, Addr: m.Addr, Life: uint64(i + 1)}, x)
+		m := w.nodes[x].core.options.Self
+		w.start(Member{Name: m.Name, Address: m.Address, Incarnation: uint64(i + 1)}, x)
 		w.run(time.Second)
 		w.agree(n, 20*time.Second)
 		w.sound(upTo(n)...)
@@ -66,8 +66,8 @@
 	lost := w.agree(n-len(zone), 30*time.Second)
 	t.Logf("%d killed at once: out after %v, by %d views", len(zone), lost, w.nodes[0].core.view.Number-views)
 	for _, i := range zone {
-		m := w.nodes[i].core.o.Me
-		w.start(Member{Name: m.Name, Addr: m.Addr, Life: w.rng.Uint64()}, i)
+		m := w.nodes[i].core.options.Self
+		w.start(Member{Name: m.Name, Address: m.Address, Incarnation: w.rng.Uint64()}, i)
 	}
 	views = w.nodes[0].core.view.Number
 	back := w.agree(n, time.Minute)
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -106,9 +106,9 @@
 			w.run(30 * time.Second)
 			w.calm("pair")
 			for _, n := range w.nodes {
-				_, found := n.core.Reach()
-				if len(found) != 1 || both && (found[0].Kind != "pair" || found[0].Who[0] != "m0001") || !both && (found[0].Kind != "one way" || found[0].Who[0] != "m0002") {
-					t.Errorf("seed %d: %s says %v", seed, n.core.o.Me.Name, found)
+				_, found := n.core.Reachability()
+				if len(found) != 1 || both && (found[0].Kind != "pair" || found[0].Members[0] != "m0001") || !both && (found[0].Kind != "one way" || found[0].Members[0] != "m0002") {
+					t.Errorf("seed %d: %s says %v", seed, n.core.options.Self.Name, found)
 				}
 			}
 			w.side([]int{1}, []int{2}, both, false)
@@ -132,7 +132,7 @@
 		w.run(25 * time.Second)
 		for _, n := range w.nodes {
 			if n.isolate == 0 {
-				t.Errorf("seed %d: %s does not know that it is isolated", seed, n.core.o.Me.Name)
+				t.Errorf("seed %d: %s does not know that it is isolated", seed, n.core.options.Self.Name)
 			}
 		}
 		clear(w.cut)
@@ -210,7 +210,7 @@
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
 		w.sound(0, 1, 2, 3, 4)
-		victim := w.nodes[2].core.o.Me
+		victim := w.nodes[2].core.options.Self
 		w.nodes[4].lied = &victim
 		w.run(time.Minute)
 		w.calm("liar")
@@ -225,15 +225,15 @@
 		w := five(t, seed)
 		w.sound(0, 1, 2, 3)
 		w.nodes[4].dead = true
-		w.start(Member{Name: "m0004", Addr: "a4", Life: w.rng.Uint64()}, 4)
+		w.start(Member{Name: "m0004", Address: "a4", Incarnation: w.rng.Uint64()}, 4)
 		w.run(time.Second)
 		if took := w.agree(5, 10*time.Second); took > 4*time.Second {
 			t.Errorf("started again: in after %v", took)
 		}
 		w.sound(0, 1, 2, 3, 4)
-		other := w.start(Member{Name: "m0002", Addr: "other", Life: w.rng.Uint64()}, 5)
+		other := w.start(Member{Name: "m0002", Address: "other", Incarnation: w.rng.Uint64()}, 5)
 		w.run(5 * time.Second)
-		if !other.core.Taken() {
+		if !other.core.IsNameTaken() {
 			t.Errorf("seed %d: a second process of one name was not told to go", seed)
 		}
 		other.dead = true
@@ -257,7 +257,7 @@
 		if n.dead || n.paused {
 			continue
 		}
-		if members, _, safe := n.core.Share(w.now); !safe {
+		if members, _, safe := n.core.Quota(w.now); !safe {
 			sum += 1 / float64(members)
 		}
 	}
@@ -270,11 +270,11 @@
 	t.Parallel()
 	for _, n := range []int{5, 20} {
 		lost, within := upTo(n)[n*3/5:], 5*time.Second
-		if n > mesh {
+		if n > fullMeshMembers {
 			within = 10 * time.Second
 		}
 		plays := uint64(seeds)
-		if n > mesh && !*long {
+		if n > fullMeshMembers && !*long {
 			plays = 5
 		}
 		for seed := range plays {
@@ -295,7 +295,7 @@
 					if sum := w.parts(); sum > 1.0001 {
 						t.Fatalf("seed %d, %d members, killed %v: %.2f of the whole after %v", seed, n, kill, sum, w.now-begun)
 					}
-					if members, _, safe := w.nodes[0].core.Share(w.now); over == 0 && !safe && members == n-len(lost) {
+					if members, _, safe := w.nodes[0].core.Quota(w.now); over == 0 && !safe && members == n-len(lost) {
 						over = w.now - begun
 					}
 				}
@@ -330,7 +330,7 @@
 		w := newWorld(t, seed, 0)
 		for i := range 5 {
 			n := w.add(i)
-			n.core.o.Found = i < 2
+			n.core.options.Bootstrap = i < 2
 		}
 		w.side([]int{0, 2}, []int{1, 3, 4}, true, true)
 		w.run(20 * time.Second)
@@ -349,12 +349,12 @@
 	w := five(t, 1)
 	c := w.nodes[4].core
 	old := c.View()
-	without, err := old.After(&Delta{Remove: []Member{c.o.Me}})
+	without, err := old.Apply(&Delta{Remove: []Member{c.options.Self}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	say := func(v *View) {
-		c.Receive(w.now, &Message{Kind: Full, From: w.nodes[0].core.o.Me, Lineage: v.Lineage, View: v.Number, Whole: v})
+		c.Receive(w.now, &Message{Kind: ViewResponse, From: w.nodes[0].core.options.Self, Lineage: v.Lineage, ViewNumber: v.Number, View: v})
 	}
 	say(without)
 	if c.View() != nil {
@@ -363,7 +363,7 @@
 	if say(old); c.View() != nil {
 		t.Error("back in the older view")
 	}
-	again, err := without.After(&Delta{Add: []Member{c.o.Me}})
+	again, err := without.Apply(&Delta{Add: []Member{c.options.Self}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -379,7 +379,7 @@
 		w := newWorld(t, seed, 20)
 		w.agree(20, 30*time.Second)
 		w.sound(upTo(20)...)
-		clerk := w.nodes[0].core.clerks[0]
+		clerk := w.nodes[0].core.collectors[0]
 		other := (clerk + 1 + int(seed)%19) % 20
 		w.side([]int{clerk}, []int{other}, true, true)
 		w.run(15 * time.Second)
--- a/internal/fleet/membership/reach.go
+++ b/internal/fleet/membership/reach.go
@@ -12,8 +12,8 @@
 const (
 	Alive State = iota
 	Suspect
-	Deaf // it says itself that it hears no majority
-	Mute // nobody here hears it, by their own rows, and it has not been taken out yet
+	ReportsIsolation // it says itself that it hears no majority
+	Unreachable // nobody here hears it, by their own rows, and it has not been taken out yet
 	Isolated
 	Dead
 	Left
@@ -26,30 +26,30 @@
 // Change is something that has changed. Just one of its parts is set.
 type Change struct {
 	View   *View  // in force from now on
-	Out    bool   // this process is in no view any more
-	Why    string // Out: for what reason
+	Removed    bool   // this process is in no view any more
+	Reason    string // Out: for what reason
 	Member Member // whose state has changed
 	State  State
-	By     []string // Suspect: who accuses it, as far as is known here
-	Taken  bool     // another process has this one's name
-	Broken string   // what must never be
+	UnreachableFrom     []string // Suspect: who accuses it, as far as is known here
+	NameTaken  bool     // another process has this one's name
+	Violation string   // what must never be
 }
 
-// Gone is a member that is out.
-type Gone struct {
+// Departed is a member that is out.
+type Departed struct {
 	Member Member
 	At     time.Duration
 	Left   bool
-	View   uint64 // that it is out by
+	ViewNumber   uint64 // that it is out by
 }
 
 // Status is what a process believes of a member, and why.
 type Status struct {
 	Member Member
 	State  State
-	By     []string      // who does not hear it, by their own rows
-	Heard  time.Duration // since its last word
-	Loss   float64       // part of its beats that do not come
+	UnreachableFrom     []string      // who does not hear it, by their own rows
+	SinceLastMessage  time.Duration // since its last word
+	LossRatio   float64       // part of its beats that do not come
 }
 
 // Status returns what is believed of all members, and of those that are out since a while.
@@ -57,34 +57,34 @@
 	if c.view == nil {
 		return nil
 	}
-	missing := c.missing()
+	missing := c.unreachableFrom()
 	for i, m := range c.view.Members {
-		s := Status{Member: m, By: missing[i]}
-		l := c.lines[i]
+		s := Status{Member: m, UnreachableFrom: missing[i]}
+		l := c.links[i]
 		if l == nil {
-			if c.Isolated() {
+			if c.IsIsolated() {
 				s.State = Isolated
 			}
 			out = append(out, s)
 			continue
 		}
-		s.Heard, s.Loss = c.now-l.word, l.loss
+		s.SinceLastMessage, s.LossRatio = c.now-l.lastMessage, l.lossRatio
 		switch {
-		case l.isolated > 0:
-			s.State = Deaf
-		case l.silent > 0 && len(s.By) >= c.view.Majority():
-			s.State = Mute
-		case l.silent > 0 || len(s.By) > len(c.watchers[i])/2:
+		case l.isolatedSince > 0:
+			s.State = ReportsIsolation
+		case l.suspectedSince > 0 && len(s.UnreachableFrom) >= c.view.Majority():
+			s.State = Unreachable
+		case l.suspectedSince > 0 || len(s.UnreachableFrom) > len(c.observers[i])/2:
 			s.State = Suspect
 		}
 		out = append(out, s)
 	}
-	for name, g := range c.gone {
-		if c.now-g.At > c.beats(keepGone) {
-			delete(c.gone, name)
+	for name, g := range c.departed {
+		if c.now-g.At > c.heartbeats(departedTTL) {
+			delete(c.departed, name)
 			continue
 		}
-		s := Status{Member: g.Member, State: Dead, Heard: c.now - g.At}
+		s := Status{Member: g.Member, State: Dead, SinceLastMessage: c.now - g.At}
 		if g.Left {
 			s.State = Left
 		}
@@ -99,23 +99,23 @@
 	return out
 }
 
-// missing returns for each member, by places in the view, those who do not hear it: by their last rows, and me.
-func (c *Core) missing() [][]string {
-	by := make([][]string, len(c.lines))
-	for j, l := range c.lines {
+// unreachableFrom returns for each member, by places in the view, those who do not hear it: by their last rows, and me.
+func (c *Core) unreachableFrom() [][]string {
+	by := make([][]string, len(c.links))
+	for j, l := range c.links {
 		name := c.view.Members[j].Name
 		if l == nil {
-			for _, i := range c.watched {
-				if c.now-c.lines[i].word >= c.fresh() {
+			for _, i := range c.subjects {
+				if c.now-c.links[i].lastMessage >= c.reachableWindow() {
 					by[i] = append(by[i], name)
 				}
 			}
 			continue
 		}
-		if c.now-l.rowAt >= 2*c.fresh() {
+		if c.now-l.rowAt >= 2*c.reachableWindow() {
 			continue
 		}
-		for _, i := range l.unheard {
+		for _, i := range l.unreachable {
 			if int(i) < len(by) && int(i) != j && (len(by[i]) == 0 || by[i][len(by[i])-1] != name) { // a row may name one twice
 				by[i] = append(by[i], name)
 			}
@@ -124,25 +124,25 @@
 	return by
 }
 
-// tell raises the states that have changed.
-func (c *Core) tell() {
+// reportStates raises the states that have changed.
+func (c *Core) reportStates() {
 	for _, s := range c.Status() {
-		if c.states[s.Member.Name] != s.State {
-			c.states[s.Member.Name] = s.State
-			c.changes = append(c.changes, Change{Member: s.Member, State: s.State, By: s.By})
+		if c.reportedStates[s.Member.Name] != s.State {
+			c.reportedStates[s.Member.Name] = s.State
+			c.changes = append(c.changes, Change{Member: s.Member, State: s.State, UnreachableFrom: s.UnreachableFrom})
 		}
 	}
 }
 
-// Finding names a trouble on the ways between members.
-type Finding struct {
+// Diagnosis names a trouble on the ways between members.
+type Diagnosis struct {
 	Kind string   `json:"kind"` // "deaf", "mute", "gone", "pair", "one way", "part"
-	Who  []string `json:"who"`  // pair: both; one way: who does not hear, and whom; part: all of the smaller one
+	Members  []string `json:"who"`  // pair: both; one way: who does not hear, and whom; part: all of the smaller one
 }
 
-// Reach tells who does not hear whom, by the rows that have come, and what that is taken for. Of a member that does not
+// Reachability tells who does not hear whom, by the rows that have come, and what that is taken for. Of a member that does not
 // hear me I may know nothing.
-func (c *Core) Reach() (rows map[string][]string, found []Finding) {
+func (c *Core) Reachability() (rows map[string][]string, found []Diagnosis) {
 	if c.view == nil {
 		return nil, nil
 	}
@@ -150,17 +150,17 @@
 	deafTo := make([][]bool, n) // deafTo[a][b]: a does not hear b
 	told := make([]bool, n)
 	rows = map[string][]string{}
-	for a, l := range c.lines {
+	for a, l := range c.links {
 		deafTo[a] = make([]bool, n)
 		switch {
 		case l == nil:
 			told[a] = true
-			for _, b := range c.watched {
-				deafTo[a][b] = c.now-c.lines[b].word >= c.fresh()
+			for _, b := range c.subjects {
+				deafTo[a][b] = c.now-c.links[b].lastMessage >= c.reachableWindow()
 			}
-		case c.now-l.rowAt < 2*c.fresh():
+		case c.now-l.rowAt < 2*c.reachableWindow():
 			told[a] = true
-			for _, b := range l.unheard {
+			for _, b := range l.unreachable {
 				if int(b) < n {
 					deafTo[a][b] = true
 				}
@@ -176,14 +176,14 @@
 			rows[c.view.Members[a].Name] = row
 		}
 	}
-	if n > mesh {
+	if n > fullMeshMembers {
 		return rows, nil
 	}
-	return rows, c.name(deafTo, told)
+	return rows, c.diagnose(deafTo, told)
 }
 
-// name says what a matrix is taken for.
-func (c *Core) name(deafTo [][]bool, told []bool) (found []Finding) {
+// diagnose says what a matrix is taken for.
+func (c *Core) diagnose(deafTo [][]bool, told []bool) (found []Diagnosis) {
 	n := len(told)
 	names := func(of ...int) (out []string) {
 		for _, i := range of {
@@ -219,13 +219,13 @@
 		switch {
 		case mute && (!told[x] || deaf):
 			explained[x] = true
-			found = append(found, Finding{"gone", names(x)})
+			found = append(found, Diagnosis{"gone", names(x)})
 		case mute:
 			explained[x] = true
-			found = append(found, Finding{"mute", names(x)})
+			found = append(found, Diagnosis{"mute", names(x)})
 		case deaf:
 			explained[x] = true
-			found = append(found, Finding{"deaf", names(x)})
+			found = append(found, Diagnosis{"deaf", names(x)})
 		}
 	}
 	lost := 0
@@ -237,9 +237,9 @@
 		}
 	}
 	if lost > 1 { // several at once that none of the others hears: one cut, not many
-		found = slices.DeleteFunc(found, func(f Finding) bool { return f.Kind == "gone" })
+		found = slices.DeleteFunc(found, func(f Diagnosis) bool { return f.Kind == "gone" })
 		if len(found) == 0 {
-			found = append(found, Finding{"part", names(part...)})
+			found = append(found, Diagnosis{"part", names(part...)})
 		}
 	}
 	for a := range n {
@@ -249,9 +249,9 @@
 			}
 			switch {
 			case deafTo[b][a] && a < b:
-				found = append(found, Finding{"pair", names(a, b)})
+				found = append(found, Diagnosis{"pair", names(a, b)})
 			case !deafTo[b][a] && told[b]:
-				found = append(found, Finding{"one way", names(a, b)})
+				found = append(found, Diagnosis{"one way", names(a, b)})
 			}
 		}
 	}
--- a/internal/fleet/membership/search_test.go
+++ b/internal/fleet/membership/search_test.go
@@ -35,7 +35,7 @@
 
 type table struct {
 	cores []*Core
-	way   []Send
+	way   []Envelope
 	again int
 	views map[uint64]uint64
 	wrong error
@@ -45,16 +45,16 @@
 	t := &table{views: map[uint64]uint64{}}
 	v := &View{Lineage: 1, Number: 1}
 	for i := range s.members {
-		v.Members = append(v.Members, Member{Name: fmt.Sprint("m", i), Addr: fmt.Sprint(i), Life: uint64(i + 1)})
+		v.Members = append(v.Members, Member{Name: fmt.Sprint("m", i), Address: fmt.Sprint(i), Incarnation: uint64(i + 1)})
 	}
 	for i := range s.members {
-		c := New(Options{Me: v.Members[i], Rand: rand.New(rand.NewPCG(1, uint64(i)))})
+		c := New(Options{Self: v.Members[i], Rand: rand.New(rand.NewPCG(1, uint64(i)))})
 		c.now = time.Hour
-		c.enter(v)
+		c.installView(v)
 		t.cores = append(t.cores, c)
 	}
 	for i := range 2 {
-		t.cores[i].begin(&Delta{Add: []Member{{Name: fmt.Sprint("x", i), Addr: "x", Life: 9}}})
+		t.cores[i].startProposal(&Delta{Add: []Member{{Name: fmt.Sprint("x", i), Address: "x", Incarnation: 9}}})
 	}
 	t.collect(s)
 	for _, p := range path {
@@ -63,8 +63,8 @@
 			m := t.way[p.at]
 			t.way = slices.Delete(t.way, p.at, p.at+1)
 			for _, c := range t.cores {
-				if c.o.Me.Name == m.To.Name {
-					msg := *m.Msg
+				if c.options.Self.Name == m.To.Name {
+					msg := *m.Message
 					c.Receive(c.now, &msg)
 				}
 			}
@@ -73,7 +73,7 @@
 		case "again":
 			t.again++
 			if c := t.cores[p.at]; c.view.Number == 1 {
-				c.begin(&Delta{Add: []Member{{Name: "x2", Addr: "x", Life: 9}}})
+				c.startProposal(&Delta{Add: []Member{{Name: "x2", Address: "x", Incarnation: 9}}})
 			}
 		}
 		t.collect(s)
@@ -85,15 +85,15 @@
 	for _, c := range t.cores {
 		out, _ := c.Ready()
 		for _, o := range out {
-			switch o.Msg.Kind {
+			switch o.Message.Kind {
 			case Prepare, Promise, Accept, Accepted:
-				if o.Msg.Kind == Prepare || o.Msg.Kind == Accept || o.Msg.Yes {
+				if o.Message.Kind == Prepare || o.Message.Kind == Accept || o.Message.Affirmed {
 					t.way = append(t.way, o)
 				}
 			}
 		}
 		if s.amnesia {
-			c.accept = acceptor{}
+			c.accepted = acceptor{}
 		}
 		if c.view.Number > 1 {
 			if h, is := t.views[c.view.Number]; is && h != c.view.Hash() {
@@ -107,8 +107,8 @@
 func (t *table) signature() string {
 	var b strings.Builder
 	for _, c := range t.cores {
-		p := c.propose
-		fmt.Fprintf(&b, "%d %v %v %v|%v %v %v %v|", c.view.Hash(), c.accept.promised, c.accept.ballot, c.accept.value, p.ballot, p.value, len(p.promises), len(p.accepts))
+		p := c.proposal
+		fmt.Fprintf(&b, "%d %v %v %v|%v %v %v %v|", c.view.Hash(), c.accepted.promised, c.accepted.acceptedBallot, c.accepted.acceptedValue, p.ballot, p.value, len(p.promises), len(p.accepts))
 		for _, set := range []map[string]bool{p.promises, p.accepts} {
 			names := []string{}
 			for n := range set {
@@ -120,7 +120,7 @@
 	}
 	var way []string
 	for _, s := range t.way {
-		way = append(way, fmt.Sprint(s.To.Name, s.Msg.From.Name, s.Msg.Kind, s.Msg.Ballot, s.Msg.Prior, s.Msg.Delta))
+		way = append(way, fmt.Sprint(s.To.Name, s.Message.From.Name, s.Message.Kind, s.Message.Ballot, s.Message.PriorBallot, s.Message.Delta))
 	}
 	slices.Sort(way)
 	fmt.Fprint(&b, way, t.again)
@@ -216,9 +216,9 @@
 	case "again": // ends, and a new process comes in its place
 		if on {
 			for _, i := range x.who {
-				m := w.nodes[i].core.o.Me
+				m := w.nodes[i].core.options.Self
 				w.nodes[i].dead = true
-				w.start(Member{Name: m.Name, Addr: m.Addr, Life: w.rng.Uint64()}, i)
+				w.start(Member{Name: m.Name, Address: m.Address, Incarnation: w.rng.Uint64()}, i)
 			}
 		}
 	}
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -11,8 +11,8 @@
 // Member is one process of the fleet. A process that is started again has another life, and is another member.
 type Member struct {
 	Name string
-	Addr string
-	Life uint64
+	Address string
+	Incarnation uint64
 }
 
 // View is who is in the fleet. Views of one lineage are numbered without a gap, and two of one number never differ.
@@ -39,10 +39,10 @@
 	number(v.Lineage)
 	number(v.Number)
 	for _, m := range v.Members {
-		number(m.Life)
+		number(m.Incarnation)
 		number(uint64(len(m.Name)))
 		h.Write([]byte(m.Name))
-		h.Write([]byte(m.Addr))
+		h.Write([]byte(m.Address))
 	}
 	return h.Sum64()
 }
@@ -56,18 +56,18 @@
 	return i
 }
 
-// Holds tells whether just this process is a member.
-func (v *View) Holds(m Member) bool {
+// Contains tells whether just this process is a member.
+func (v *View) Contains(m Member) bool {
 	i := v.Index(m.Name)
-	return i >= 0 && v.Members[i].Life == m.Life
+	return i >= 0 && v.Members[i].Incarnation == m.Incarnation
 }
 
 // Majority is how many members make one.
 func (v *View) Majority() int { return len(v.Members)/2 + 1 }
 
-// After returns the view that a delta makes of this one, or an error where it does not fit: a member that is none, or
+// Apply returns the view that a delta makes of this one, or an error where it does not fit: a member that is none, or
 // one name twice.
-func (v *View) After(d *Delta) (*View, error) {
+func (v *View) Apply(d *Delta) (*View, error) {
 	out := &View{Lineage: v.Lineage, Number: v.Number + 1}
 	gone := map[Member]bool{}
 	for _, m := range d.Remove {
@@ -91,16 +91,16 @@
 	return out, nil
 }
 
-// Who observes whom: in small fleets everybody everybody; in large ones each member has watchers on several rings, in
+// Who observes whom: in small fleets everybody everybody; in large ones each member has watchers on several ringCount, in
 // which all stand in an order drawn anew with each view (as in Rapid: Suresh and others, ATC 2018), so that those who
 // observe one member have nothing in common.
 const (
-	mesh  = 16 // members up to which all observe all
-	rings = 6
+	fullMeshMembers  = 16 // members up to which all observe all
+	ringCount = 6
 )
 
-// place mixes a member, a ring and a view into its place on that ring.
-func place(v *View, name string, ring int) uint64 {
+// ringPosition mixes a member, a ring and a view into its ringPosition on that ring.
+func ringPosition(v *View, name string, ring int) uint64 {
 	h := fnv.New64a()
 	var b [24]byte
 	binary.LittleEndian.PutUint64(b[0:], v.Lineage)
@@ -114,19 +114,19 @@
 	return x ^ x>>31
 }
 
-// order returns the members' indices by their place on a ring.
-func (v *View) order(ring int) []int {
+// ringOrder returns the members' indices by their place on a ring.
+func (v *View) ringOrder(ring int) []int {
 	at := make([]uint64, len(v.Members))
 	out := make([]int, len(v.Members))
 	for i, m := range v.Members {
-		at[i], out[i] = place(v, m.Name, ring), i
+		at[i], out[i] = ringPosition(v, m.Name, ring), i
 	}
 	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(at[a], at[b]) })
 	return out
 }
 
-// watch tells who observes each member, and whom each observes.
-func (v *View) watch() (watchers, watched [][]int) {
+// observation tells who observes each member, and whom each observes.
+func (v *View) observation() (watchers, watched [][]int) {
 	n := len(v.Members)
 	watchers, watched = make([][]int, n), make([][]int, n)
 	add := func(observer, subject int) {
@@ -135,7 +135,7 @@
 			watched[observer] = append(watched[observer], subject)
 		}
 	}
-	if n <= mesh {
+	if n <= fullMeshMembers {
 		for o := range n {
 			for s := range n {
 				add(o, s)
@@ -143,8 +143,8 @@
 		}
 		return watchers, watched
 	}
-	for ring := range rings {
-		order := v.order(ring)
+	for ring := range ringCount {
+		order := v.ringOrder(ring)
 		for i, subject := range order {
 			add(order[(i+n-1)%n], subject)
 		}
@@ -152,9 +152,9 @@
 	return watchers, watched
 }
 
-// marks are how many observers must accuse a member for it to be out (high), and how many make it a case that a change
+// watermarks are how many observers must accuse a member for it to be out (high), and how many make it a case that a change
 // of the view waits for (low).
-func marks(watchers int) (low, high int) {
+func watermarks(watchers int) (low, high int) {
 	high = max(watchers/2+1, 2)
 	if watchers < 2 {
 		high = watchers // of two members each observes the other; there is no majority without either
--- a/internal/fleet/membership/world_test.go
+++ b/internal/fleet/membership/world_test.go
@@ -85,18 +85,18 @@
 // add starts a process. The first one may found the fleet; the others know two.
 func (w *world) add(int) *node {
 	i := len(w.nodes)
-	return w.start(Member{Name: fmt.Sprintf("m%04d", i), Addr: fmt.Sprint("a", i), Life: w.rng.Uint64()}, i)
+	return w.start(Member{Name: fmt.Sprintf("m%04d", i), Address: fmt.Sprint("a", i), Incarnation: w.rng.Uint64()}, i)
 }
 
 func (w *world) start(me Member, place int) *node {
 	n := &node{w: w, place: place}
-	n.core = New(Options{Me: me, Seeds: []string{"a0", "a1"}, Found: place == 0, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 1))})
+	n.core = New(Options{Self: me, Seeds: []string{"a0", "a1"}, Bootstrap: place == 0, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 1))})
 	if place < len(w.nodes) {
 		w.nodes[place] = n
 	} else {
 		w.nodes = append(w.nodes, n)
 	}
-	w.byAddr[me.Addr] = n
+	w.byAddr[me.Address] = n
 	w.after(time.Duration(w.rng.Int64N(int64(100*time.Millisecond))), n.tick)
 	return n
 }
@@ -129,8 +129,8 @@
 	}
 	n.core.Tick(n.w.now)
 	if n.lied != nil && n.core.view != nil {
-		for _, i := range n.core.clerkRow() {
-			n.core.send(n.core.view.Members[i], &Message{Kind: Report, Accused: []Member{*n.lied}})
+		for _, i := range n.core.activeCollectors() {
+			n.core.send(n.core.view.Members[i], &Message{Kind: Report, Suspects: []Member{*n.lied}})
 		}
 	}
 	n.ready()
@@ -138,7 +138,7 @@
 	if n.slow > 0 && n.w.rng.IntN(3) == 0 {
 		late = time.Duration(n.w.rng.Int64N(int64(n.slow)))
 	}
-	n.w.after(n.core.TickEvery()+late, n.tick)
+	n.w.after(n.core.TickInterval()+late, n.tick)
 }
 
 func (n *node) ready() {
@@ -147,8 +147,8 @@
 	for _, c := range changes {
 		n.said = append(n.said, c)
 		switch {
-		case c.Broken != "":
-			w.fault = fmt.Sprintf("%s: %s", n.core.o.Me.Name, c.Broken)
+		case c.Violation != "":
+			w.fault = fmt.Sprintf("%s: %s", n.core.options.Self.Name, c.Violation)
 		case c.View != nil:
 			id := [2]uint64{c.View.Lineage, c.View.Number}
 			if h, is := w.views[id]; is && h != c.View.Hash() {
@@ -157,18 +157,18 @@
 				w.views[id] = c.View.Hash()
 				w.audit(c.View)
 			}
-		case c.Out:
+		case c.Removed:
 			n.outs++
 		}
 	}
 	switch {
-	case !n.core.Isolated():
+	case !n.core.IsIsolated():
 		n.isolate = 0
 	case n.isolate == 0:
 		n.isolate = w.now
 	}
 	for _, s := range out {
-		if err := s.Msg.Check(); err != nil {
+		if err := s.Message.Check(); err != nil {
 			w.fault = err.Error()
 		}
 		w.carry(n, s)
@@ -182,17 +182,17 @@
 	}
 	for i := range w.healthy {
 		n := w.nodes[i]
-		if n.core.view != nil && n.core.view.Lineage == v.Lineage && n.core.view.Number <= v.Number && n.core.view.Holds(n.core.o.Me) && !v.Holds(n.core.o.Me) {
-			w.removed = append(w.removed, removal{w.now, n.core.o.Me.Name, v.Number})
+		if n.core.view != nil && n.core.view.Lineage == v.Lineage && n.core.view.Number <= v.Number && n.core.view.Contains(n.core.options.Self) && !v.Contains(n.core.options.Self) {
+			w.removed = append(w.removed, removal{w.now, n.core.options.Self.Name, v.Number})
 		}
 	}
 }
 
-func (w *world) carry(from *node, s Send) {
-	to := w.byAddr[s.To.Addr]
+func (w *world) carry(from *node, s Envelope) {
+	to := w.byAddr[s.To.Address]
 	w.packets++
 	if w.sent != nil {
-		w.sent(s.Msg)
+		w.sent(s.Message)
 	}
 	if to == nil || w.cut[[2]int{from.place, to.place}] {
 		return
@@ -201,16 +201,16 @@
 		if w.rng.Float64() < w.doubled {
 			copies++
 		}
-		if w.rng.Float64() < w.loss && s.Msg.Kind != Full {
+		if w.rng.Float64() < w.loss && s.Message.Kind != ViewResponse {
 			continue
 		}
-		msg := *s.Msg
+		msg := *s.Message
 		w.after(50*time.Microsecond+time.Duration(w.rng.Int64N(int64(w.delay))), func() { to.take(&msg) })
 	}
 }
 
 func (n *node) take(m *Message) {
-	if n.dead || n.w.byAddr[n.core.o.Me.Addr] != n {
+	if n.dead || n.w.byAddr[n.core.options.Self.Address] != n {
 		return
 	}
 	if n.paused {
@@ -268,9 +268,9 @@
 	for _, x := range w.nodes {
 		if !x.dead && !x.paused {
 			if v := x.core.View(); v != nil {
-				w.t.Logf("%s: view %d of %d, sure %v, lonely %v, %+v", x.core.o.Me.Name, v.Number, len(v.Members), x.core.sure, x.core.lonely, x.core.first)
+				w.t.Logf("%s: view %d of %d, sure %v, lonely %v, %+v", x.core.options.Self.Name, v.Number, len(v.Members), x.core.majorityReached, x.core.noMajoritySince, x.core.changePendingSince)
 			} else {
-				w.t.Logf("%s: no view", x.core.o.Me.Name)
+				w.t.Logf("%s: no view", x.core.options.Self.Name)
 			}
 		}
 	}
@@ -285,7 +285,7 @@
 			continue
 		}
 		v := x.core.View()
-		if v == nil || len(v.Members) != n || !x.core.Confirmed() || view != nil && (v.Number != view.Number || v.Lineage != view.Lineage) {
+		if v == nil || len(v.Members) != n || !x.core.HasQuorum() || view != nil && (v.Number != view.Number || v.Lineage != view.Lineage) {
 			return false
 		}
 		view = v
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -21,7 +21,7 @@
 type views struct {
 	f     *Fleet
 	begun time.Time
-	out   chan membership.Send
+	out   chan membership.Envelope
 
 	mu    sync.Mutex // of core
 	core  *membership.Core
@@ -43,10 +43,10 @@
 	if err != nil {
 		return err
 	}
-	me := membership.Member{Name: f.o.Name, Addr: net.JoinHostPort(ip.String(), strconv.Itoa(port)), Life: f.process}
-	o := membership.Options{Me: me, Seeds: slices.Clone(f.o.Seeds), Beat: f.o.Probe / 2, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	o.Found = len(o.Seeds) == 0 || slices.Contains(o.Seeds, me.Addr)
-	f.views = &views{f: f, begun: now.Add(-time.Hour), out: make(chan membership.Send, viewsQueue), core: membership.New(o), since: map[string]time.Time{}, safe: true}
+	me := membership.Member{Name: f.o.Name, Address: net.JoinHostPort(ip.String(), strconv.Itoa(port)), Incarnation: f.process}
+	o := membership.Options{Self: me, Seeds: slices.Clone(f.o.Seeds), HeartbeatInterval: f.o.Probe / 2, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	o.Bootstrap = len(o.Seeds) == 0 || slices.Contains(o.Seeds, me.Address)
+	f.views = &views{f: f, begun: now.Add(-time.Hour), out: make(chan membership.Envelope, viewsQueue), core: membership.New(o), since: map[string]time.Time{}, safe: true}
 	return nil
 }
 
@@ -55,7 +55,7 @@
 
 // run lets time pass.
 func (v *views) run() {
-	every := time.NewTicker(v.core.TickEvery())
+	every := time.NewTicker(v.core.TickInterval())
 	defer every.Stop()
 	for {
 		v.do(func(now time.Duration) { v.core.Tick(now) })
@@ -101,21 +101,21 @@
 		}
 		f.log.Info("view", "number", c.View.Number, "lineage", c.View.Lineage, "hash", c.View.Hash(), "members", strings.Join(names, " "))
 		f.reach(c.View)
-	case c.Out:
-		f.log.Warn("in no view", "why", c.Why)
-	case c.Taken:
+	case c.Removed:
+		f.log.Warn("in no view", "why", c.Reason)
+	case c.NameTaken:
 		f.log.Error("another process has this name in the fleet, and stays: give this one another name", "name", f.o.Name)
-	case c.Broken != "":
-		f.log.Error("membership broken", "how", c.Broken)
+	case c.Violation != "":
+		f.log.Error("membership broken", "how", c.Violation)
 	default:
 		v.since[c.Member.Name] = time.Now()
-		f.log.Info("member", "name", c.Member.Name, "state", c.State.String(), "by", strings.Join(c.By, " "), "address", c.Member.Addr)
+		f.log.Info("member", "name", c.Member.Name, "state", c.State.String(), "by", strings.Join(c.UnreachableFrom, " "), "address", c.Member.Address)
 	}
 }
 
 // share tells of this instance's part where it has changed. The caller holds the lock.
 func (v *views) share() {
-	n, place, safe := v.core.Share(v.now())
+	n, place, safe := v.core.Quota(v.now())
 	if safe {
 		n, place = safeShare, 0
 	}
@@ -146,9 +146,9 @@
 		}
 	}
 	for _, m := range view.Members {
-		at, err := netip.ParseAddrPort(m.Addr)
+		at, err := netip.ParseAddrPort(m.Address)
 		if err != nil {
-			f.log.Warn("member without an address", "name", m.Name, "address", m.Addr)
+			f.log.Warn("member without an address", "name", m.Name, "address", m.Address)
 			continue
 		}
 		n := f.nodes[m.Name]
@@ -181,7 +181,7 @@
 	}
 }
 
-func (v *views) send(s membership.Send) { v.carryTo(s.To.Name, s.To.Addr, item{Word: s.Msg}) }
+func (v *views) send(s membership.Envelope) { v.carryTo(s.To.Name, s.To.Address, item{Word: s.Message}) }
 
 // carryTo sends something to a member: in a packet, or as a stream where it is long.
 func (v *views) carryTo(name, addr string, what item) {
@@ -212,7 +212,7 @@
 func (v *views) leave(within time.Duration) {
 	v.do(func(now time.Duration) { v.core.Leave(now) })
 	over := time.After(within)
-	look := time.NewTicker(v.core.TickEvery())
+	look := time.NewTicker(v.core.TickInterval())
 	defer look.Stop()
 	for {
 		v.mu.Lock()
@@ -235,12 +235,12 @@
 func (v *views) cut(voters []string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.core.View() != nil && !v.core.Isolated() {
+	if v.core.View() != nil && !v.core.IsIsolated() {
 		return false
 	}
 	heard := 0
 	for _, name := range voters {
-		if v.core.Hears(name) {
+		if v.core.IsReachable(name) {
 			heard++
 		}
 	}
@@ -253,7 +253,7 @@
 	defer v.mu.Unlock()
 	out := map[string]bool{}
 	for _, name := range voters {
-		if !v.core.Hears(name) {
+		if !v.core.IsReachable(name) {
 			out[name] = true
 		}
 	}
@@ -268,8 +268,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.core.Status() {
-		out = append(out, Member{Name: s.Member.Name, Address: s.Member.Addr, State: s.State.String(), Since: v.since[s.Member.Name],
-			Voter: slices.Contains(voters, s.Member.Name), Me: s.Member.Name == v.f.o.Name, By: s.By, Loss: s.Loss})
+		out = append(out, Member{Name: s.Member.Name, Address: s.Member.Address, State: s.State.String(), Since: v.since[s.Member.Name],
+			Voter: slices.Contains(voters, s.Member.Name), Me: s.Member.Name == v.f.o.Name, By: s.UnreachableFrom, Loss: s.LossRatio})
 	}
 	return out
 }
@@ -283,7 +283,7 @@
 	Confirmed bool                 `json:"confirmed"` // a majority of the view has been heard lately, in it
 	Isolated  bool                 `json:"isolated"`
 	Unheard   map[string][]string  `json:"unheard"` // by member: whom it does not hear; one that is missing has not told
-	Found     []membership.Finding `json:"found"`
+	Found     []membership.Diagnosis `json:"found"`
 }
 
 // Reach tells who hears whom, as far as this instance knows; ok is false where the fleet does not go by views.
@@ -299,8 +299,8 @@
 		for _, m := range view.Members {
 			r.Members = append(r.Members, m.Name)
 		}
-		r.Confirmed, r.Isolated = v.core.Confirmed(), v.core.Isolated()
-		r.Unheard, r.Found = v.core.Reach()
+		r.Confirmed, r.Isolated = v.core.HasQuorum(), v.core.IsIsolated()
+		r.Unheard, r.Found = v.core.Reachability()
 	}
 	return r, true
 }
--- a/internal/fleet/views_test.go
+++ b/internal/fleet/views_test.go
@@ -133,8 +133,8 @@
 							victim := view.Members[0]
 							for _, m := range view.Members {
 								if m.Name != v.f.o.Name {
-									v.out <- membership.Send{To: m, Msg: &membership.Message{Kind: membership.Report, Lineage: view.Lineage, View: view.Number,
-										From: membership.Member{Name: v.f.o.Name, Addr: v.f.Addr(), Life: v.f.process}, Accused: []membership.Member{victim}}}
+									v.out <- membership.Envelope{To: m, Message: &membership.Message{Kind: membership.Report, Lineage: view.Lineage, ViewNumber: view.Number,
+										From: membership.Member{Name: v.f.o.Name, Address: v.f.Addr(), Incarnation: v.f.process}, Suspects: []membership.Member{victim}}}
 								}
 							}
 							told[i]++
