--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -182,7 +182,7 @@
 		if e, ok := m.Vector.Find(version.Configuration, ""); ok {
 			has = fmt.Sprintf("%d %s", e.Number, e.Hash)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", name, m.State, m.Since.Format(time.DateTime), heard, has, m.Digest)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", name, m.State, m.Since.Format(time.DateTime), heard, has, m.VectorHash)
 	}
 	w.Flush()
 	for _, m := range v.Members {
@@ -190,17 +190,17 @@
 			what := strings.TrimSpace(f.Kind.String() + " " + f.Name)
 			switch f.State {
 			case straggler.Forked:
-				fmt.Fprintf(out, "%s: %s is forked: it has %s (%s), others %s (%s), both after the same one\n", m.Member, what, f.Has.Hash, f.Has.Text, f.Want.Hash, f.Want.Text)
+				fmt.Fprintf(out, "%s: %s is forked: it has %s (%s), others %s (%s), both after the same one\n", m.Member, what, f.Has.Hash, f.Has.Description, f.Expected.Hash, f.Expected.Description)
 			case straggler.Ahead:
-				fmt.Fprintf(out, "%s: %s %s is the newest, and most have not taken it up for %v\n", m.Member, what, f.Has.Hash, f.For.Round(time.Second))
-			case straggler.Differs:
-				fmt.Fprintf(out, "%s: %s is %s (%s), elsewhere %s (%s), for %v\n", m.Member, what, f.Has.Hash, f.Has.Text, f.Want.Hash, f.Want.Text, f.For.Round(time.Second))
+				fmt.Fprintf(out, "%s: %s %s is the newest, and most have not taken it up for %v\n", m.Member, what, f.Has.Hash, f.Duration.Round(time.Second))
+			case straggler.Divergent:
+				fmt.Fprintf(out, "%s: %s is %s (%s), elsewhere %s (%s), for %v\n", m.Member, what, f.Has.Hash, f.Has.Description, f.Expected.Hash, f.Expected.Description, f.Duration.Round(time.Second))
 			default:
-				fmt.Fprintf(out, "%s: %s is %s (%s) and not %s (%s), behind by %d, for %v\n", m.Member, what, f.Has.Hash, f.Has.Text, f.Want.Hash, f.Want.Text, f.Steps, f.For.Round(time.Second))
+				fmt.Fprintf(out, "%s: %s is %s (%s) and not %s (%s), behind by %d, for %v\n", m.Member, what, f.Has.Hash, f.Has.Description, f.Expected.Hash, f.Expected.Description, f.VersionsBehind, f.Duration.Round(time.Second))
 			}
 		}
-		if e, ok := m.Vector.Find(version.Refused, ""); ok {
-			fmt.Fprintf(out, "%s: turned a file away: %s\n", m.Member, e.Text)
+		if e, ok := m.Vector.Find(version.Rejected, ""); ok {
+			fmt.Fprintf(out, "%s: turned a file away: %s\n", m.Member, e.Description)
 		}
 	}
 }
--- a/cmd/silvertrail/format_test.go
+++ b/cmd/silvertrail/format_test.go
@@ -17,7 +17,7 @@
 	golden.Fill(&v)
 	member := v.Members[0]
 	v.Members = nil
-	for state := straggler.InStep; state <= straggler.Forked; state++ {
+	for state := straggler.Current; state <= straggler.Forked; state++ {
 		m := member
 		m.State = state
 		m.Findings = append([]straggler.Finding{}, member.Findings...)
--- a/cmd/silvertrail/versions_test.go
+++ b/cmd/silvertrail/versions_test.go
@@ -78,13 +78,13 @@
 		found := false
 		for _, m := range v.Members {
 			if m.Member != name {
-				if m.State != straggler.InStep {
+				if m.State != straggler.Current {
 					return false
 				}
 				continue
 			}
 			found = m.State == state && slices.ContainsFunc(m.Findings, func(x straggler.Finding) bool {
-				return x.Kind == version.Configuration && x.State == state && x.Steps == steps
+				return x.Kind == version.Configuration && x.State == state && x.VersionsBehind == steps
 			})
 		}
 		return found && !v.InStep && len(v.Members) == fleetOf
@@ -115,13 +115,13 @@
 		t.Errorf("status %d: %s", code, out)
 	}
 	f.take(2, all(3)...)
-	f.stand("i3 was not told", all(), stands("i3", straggler.Behind, 1))
+	f.stand("i3 was not told", all(), stands("i3", straggler.Lagging, 1))
 	if code, out := f.all[3].command("fleet", "versions"); code != 1 || !strings.Contains(out, "i3: configuration is") || !strings.Contains(out, "behind by 1") {
 		t.Errorf("status %d: %s", code, out)
 	}
 	f.measures(0, `silvertrail_fleet_version_state{member="i3",state="behind"} 1`, "silvertrail_fleet_in_step 0")
 	f.take(3, all(3)...)
-	f.stand("i3 was not told twice", all(), stands("i3", straggler.Behind, 2))
+	f.stand("i3 was not told twice", all(), stands("i3", straggler.Lagging, 2))
 	from := time.Now()
 	f.take(3, 3)
 	f.stand("all in step", all(), inStep(fleetOf, 3))
@@ -138,8 +138,8 @@
 	f.all[2].signal(syscall.SIGHUP)
 	f.take(4, all(2)...)
 	f.stand("i2 has a broken file, and says so", all(2), func(v fleet.VersionsView) bool {
-		why, told := v.Members[2].Vector.Find(version.Refused, "")
-		return stands("i2", straggler.Behind, 1)(v) && told && strings.Contains(why.Text, "i2.hcl")
+		why, told := v.Members[2].Vector.Find(version.Rejected, "")
+		return stands("i2", straggler.Lagging, 1)(v) && told && strings.Contains(why.Description, "i2.hcl")
 	})
 	if code, out := f.all[2].command("fleet", "versions"); code != 1 || !strings.Contains(out, "can't be used") {
 		t.Errorf("by the broken file: status %d: %s", code, out)
@@ -150,7 +150,7 @@
 	}
 	f.take(4, 2)
 	f.stand("all in step", all(), func(v fleet.VersionsView) bool {
-		_, told := v.Members[2].Vector.Find(version.Refused, "")
+		_, told := v.Members[2].Vector.Find(version.Rejected, "")
 		return inStep(fleetOf, 4)(v) && !told
 	})
 
@@ -159,7 +159,7 @@
 	f.one(all(1))
 	f.stand("all that run are in step", all(1), inStep(fleetOf-1, 5))
 	f.pause(1, false)
-	f.stand("i1 slept", all(), stands("i1", straggler.Behind, 1))
+	f.stand("i1 slept", all(), stands("i1", straggler.Lagging, 1))
 	f.take(5, 1)
 	f.stand("all in step", all(), inStep(fleetOf, 5))
 
@@ -167,7 +167,7 @@
 	f.take(6, all(4)...)
 	f.one(all(4))
 	f.again(4)
-	f.stand("i4 comes back with the file that it had", all(), stands("i4", straggler.Behind, 1))
+	f.stand("i4 comes back with the file that it had", all(), stands("i4", straggler.Lagging, 1))
 	f.take(6, 4)
 	f.stand("all in step", all(), inStep(fleetOf, 6))
 
--- a/internal/fleet/acts.go
+++ b/internal/fleet/acts.go
@@ -23,7 +23,7 @@
 
 	mu     sync.Mutex
 	core   *exchange.Core
-	watch  *straggler.Watch
+	watch  *straggler.Detector
 	vector version.Vector             // as said last, or to be said next
 	when   time.Time                  // it was said
 	given  bool                       // the gateway has told what it acts on
@@ -43,7 +43,7 @@
 
 func newActs(f *Fleet) *acts {
 	a := &acts{f: f, core: exchange.New(f.o.Name, f.process, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), addrs: map[string]string{},
-		watch: straggler.New(straggler.Limits{Taking: f.o.Taking, Silent: silentAfter}), states: map[string]straggler.State{}, since: map[string]time.Time{}}
+		watch: straggler.New(straggler.Limits{RolloutTimeout: f.o.Taking, MaxAge: silentAfter}), states: map[string]straggler.State{}, since: map[string]time.Time{}}
 	build := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		build = info.GoVersion + " " + info.Main.Version
@@ -53,7 +53,7 @@
 			}
 		}
 	}
-	a.vector = a.vector.With(version.Entry{Kind: version.Build, Hash: version.Of([]byte(build)), Text: strings.TrimSpace(build)})
+	a.vector = a.vector.With(version.Entry{Kind: version.Build, Hash: version.HashOf([]byte(build)), Description: strings.TrimSpace(build)})
 	a.own(f.o)
 	return a
 }
@@ -69,8 +69,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.put(version.Entry{Kind: version.Voters, Hash: version.Of([]byte(strings.Join(o.Voters, "\n"))), Text: clip(strings.Join(o.Voters, " "))})
-	a.put(version.Entry{Kind: version.Keyring, Hash: version.Of(ring)})
+	a.put(version.Entry{Kind: version.Voters, Hash: version.HashOf([]byte(strings.Join(o.Voters, "\n"))), Description: clip(strings.Join(o.Voters, " "))})
+	a.put(version.Entry{Kind: version.Keyring, Hash: version.HashOf(ring)})
 }
 
 func clip(s string) string { return s[:min(len(s), 200)] }
@@ -81,7 +81,7 @@
 		if was.Hash == e.Hash {
 			return
 		}
-		e = was.Replace(e.Hash, e.Text)
+		e = was.Successor(e.Hash, e.Description)
 	}
 	a.vector = a.vector.With(e)
 }
@@ -103,7 +103,7 @@
 			continue
 		}
 		if ok && !a.fresh {
-			e = version.Number(e.Kind, e.Name, e.Hash, e.Text, a.core.Entries(e.Kind, e.Name))
+			e = version.AssignNumber(e.Kind, e.Name, e.Hash, e.Description, a.core.Entries(e.Kind, e.Name))
 		} else {
 			a.fresh = true // until enough others have been heard: it may have a number already
 		}
@@ -118,7 +118,7 @@
 		listed[thing{e.Kind, e.Name}] = true
 	}
 	for _, e := range a.vector {
-		if e.Kind.Passing() && !listed[thing{e.Kind, e.Name}] {
+		if e.Kind.IsTransient() && !listed[thing{e.Kind, e.Name}] {
 			a.vector = a.vector.Without(e.Kind, e.Name)
 		}
 	}
@@ -126,7 +126,7 @@
 
 // run lets time pass.
 func (a *acts) run() {
-	every := time.NewTicker(exchange.Every)
+	every := time.NewTicker(exchange.TickInterval)
 	defer every.Stop()
 	for ticks := 0; ; ticks++ {
 		select {
@@ -143,8 +143,8 @@
 		a.take(acting)
 		a.number()
 		if now := time.Now(); a.given && now.Sub(a.when) >= settle {
-			if before := a.core.Me(); before.Seq == 0 || a.vector.Digest() != before.Digest {
-				a.core.Say(a.f.views.now(), a.vector, now)
+			if before := a.core.Self(); before.Seq == 0 || a.vector.Digest() != before.VectorHash {
+				a.core.Announce(a.f.views.now(), a.vector, now)
 				a.when = now
 				a.log(before.Vector)
 			}
@@ -179,7 +179,7 @@
 		a.addrs[m.Name] = m.Address
 		names = append(names, m.Name)
 	}
-	a.core.Members(names)
+	a.core.SetMembers(names)
 }
 
 // number gives the configuration that this process began with its place, once a majority of the view has been heard. The
@@ -190,7 +190,7 @@
 	}
 	heard := 1
 	for name := range a.addrs {
-		if _, ok := a.core.Known(name); ok && name != a.f.o.Name {
+		if _, ok := a.core.Peer(name); ok && name != a.f.o.Name {
 			heard++
 		}
 	}
@@ -199,12 +199,12 @@
 		return
 	}
 	a.fresh = false
-	a.vector = a.vector.With(version.Number(e.Kind, e.Name, e.Hash, e.Text, a.core.Entries(e.Kind, e.Name)))
+	a.vector = a.vector.With(version.AssignNumber(e.Kind, e.Name, e.Hash, e.Description, a.core.Entries(e.Kind, e.Name)))
 }
 
 // log tells what this instance acts on from now on, where it is something else than before. The caller holds the lock.
 func (a *acts) log(before version.Vector) {
-	digest := a.core.Me().Digest.String()
+	digest := a.core.Self().VectorHash.String()
 	for _, e := range a.vector {
 		was, ok := before.Find(e.Kind, e.Name)
 		if !ok || was.Hash != e.Hash || was.Number != e.Number {
@@ -226,35 +226,35 @@
 	a.send(out)
 }
 
-func (a *acts) send(out []exchange.Send) {
+func (a *acts) send(out []exchange.Envelope) {
 	for _, s := range out {
 		a.mu.Lock()
 		at, ok := a.addrs[s.To]
 		a.mu.Unlock()
 		if ok {
-			a.f.views.carryTo(s.To, at, item{Acts: s.Msg})
+			a.f.views.carryTo(s.To, at, item{Acts: s.Message})
 		}
 	}
 }
 
 // look judges all members, and logs whose standing has changed. The caller holds the lock.
-func (a *acts) look() []straggler.Standing {
+func (a *acts) look() []straggler.Status {
 	names := make([]string, 0, len(a.addrs))
 	for n := range a.addrs {
 		names = append(names, n)
 	}
 	slices.Sort(names)
 	now := a.f.views.now()
-	a.watch.Limit(straggler.Limits{Taking: a.f.o.Taking, Silent: silentAfter + time.Duration(len(names))*silentEach})
+	a.watch.SetLimits(straggler.Limits{RolloutTimeout: a.f.o.Taking, MaxAge: silentAfter + time.Duration(len(names))*silentEach})
 	members := make([]straggler.Member, 0, len(names))
 	for _, n := range names {
 		m := straggler.Member{Name: n}
-		if k, ok := a.core.Known(n); ok && k.Seq > 0 {
-			m.Vector, m.Digest, m.Age = k.Vector, k.Digest, max(now-k.Stood, 0)
+		if k, ok := a.core.Peer(n); ok && k.Seq > 0 {
+			m.Vector, m.VectorHash, m.Age = k.Vector, k.VectorHash, max(now-k.ConfirmedAt, 0)
 		}
 		members = append(members, m)
 	}
-	all := a.watch.Look(now, members)
+	all := a.watch.Evaluate(now, members)
 	for _, s := range all {
 		if was, known := a.states[s.Member]; was == s.State && known {
 			continue
@@ -263,7 +263,7 @@
 		why := ""
 		for _, f := range s.Findings {
 			if f.State == s.State {
-				why = f.Kind.String() + " " + f.Name + " has " + f.Has.Hash.String() + " not " + f.Want.Hash.String()
+				why = f.Kind.String() + " " + f.Name + " has " + f.Has.Hash.String() + " not " + f.Expected.Hash.String()
 				break
 			}
 		}
@@ -288,7 +288,7 @@
 
 // StandingView is how a member stands, and since when it is known to.
 type StandingView struct {
-	straggler.Standing
+	straggler.Status
 	Since time.Time `json:"since"`
 	Taken time.Time `json:"taken,omitzero"` // its vector, by its own clock
 }
@@ -301,12 +301,12 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v = VersionsView{Me: f.o.Name, Digest: a.core.Me().Digest, InStep: len(a.addrs) > 0}
+	v = VersionsView{Me: f.o.Name, Digest: a.core.Self().VectorHash, InStep: len(a.addrs) > 0}
 	for _, s := range a.look() {
-		v.InStep = v.InStep && s.State == straggler.InStep
-		m := StandingView{Standing: s, Since: a.since[s.Member]}
-		if k, known := a.core.Known(s.Member); known && k.Seq > 0 {
-			m.Taken = time.UnixMilli(k.Taken)
+		v.InStep = v.InStep && s.State == straggler.Current
+		m := StandingView{Status: s, Since: a.since[s.Member]}
+		if k, known := a.core.Peer(s.Member); known && k.Seq > 0 {
+			m.Taken = time.UnixMilli(k.AppliedAt)
 		}
 		v.Members = append(v.Members, m)
 	}
--- a/internal/fleet/binding/asker.go
+++ b/internal/fleet/binding/asker.go
@@ -11,77 +11,77 @@
 
 // The states. All but Pending are final.
 const (
-	Pending   State = iota
-	Bound           // a majority agrees: attempts may go to the place until Until
-	Elsewhere       // no majority can agree, as the key is held by another group or its window is over
-	Unknown         // no majority can tell
+	Pending        State = iota
+	Claimed              // a majority agrees: attempts may go to the place until Until
+	OwnedElsewhere       // no majority can agree, as the key is held by another group or its window is over
+	Unknown              // no majority can tell
 )
 
 func (s State) String() string { return [...]string{"pending", "bound", "elsewhere", "unknown"}[s] }
 
-// Asker is one ask put to all voters. It is not safe for concurrent use.
-type Asker struct {
-	ask   Ask
-	made  time.Time
-	votes []Answer
-	told  []bool
+// Proposer is one ask put to all voters. It is not safe for concurrent use.
+type Proposer struct {
+	proposal  Proposal
+	madeAt    time.Time
+	responses []Response
+	responded []bool
 }
 
-// NewAsker returns an asker of n voters, for an ask that is made now.
-func NewAsker(now time.Time, a Ask, n int) *Asker {
-	return &Asker{ask: a, made: now, votes: make([]Answer, n), told: make([]bool, n)}
+// NewProposer returns an asker of n voters, for an ask that is made now.
+func NewProposer(now time.Time, a Proposal, n int) *Proposer {
+	return &Proposer{proposal: a, madeAt: now, responses: make([]Response, n), responded: make([]bool, n)}
 }
 
-// Ask returns what is to be sent to each voter that has not answered.
-func (k *Asker) Ask() Ask { return k.ask }
+// Proposal returns what is to be sent to each voter that has not answered.
+func (k *Proposer) Proposal() Proposal { return k.proposal }
 
-// Waits tells whether a voter has not answered.
-func (k *Asker) Waits(voter int) bool { return !k.told[voter] }
+// IsAwaiting tells whether a voter has not answered.
+func (k *Proposer) IsAwaiting(voter int) bool { return !k.responded[voter] }
 
-// Answer takes a voter's answer. One that answers something else, or comes a second time, is passed over. A voter that was
+// Receive takes a voter's answer. One that answers something else, or comes a second time, is passed over. A voter that was
 // silent may agree later.
-func (k *Asker) Answer(voter int, a Answer) {
-	if voter < 0 || voter >= len(k.told) || a.Try != k.ask.Try || a.Turn != k.ask.Turn || k.told[voter] && k.votes[voter].Vote != Silent {
+func (k *Proposer) Receive(voter int, a Response) {
+	if voter < 0 || voter >= len(k.responded) || a.Attempt != k.proposal.Attempt || a.Round != k.proposal.Round || k.responded[voter] && k.responses[voter].Vote != Abstain {
 		return
 	}
-	k.told[voter], k.votes[voter] = true, a
+	k.responded[voter], k.responses[voter] = true, a
 }
 
 // State tells how far the ask has come. Past goes with Bound and Elsewhere: the group that the key is held by, and until
 // when attempts may be decided on, by the earliest word of those that count. All times are taken from the ask's making,
 // before which no voter can have written them.
-func (k *Asker) State() (State, history.Past) {
+func (k *Proposer) State() (State, history.Past) {
 	yes, held, open := 0, 0, 0
 	var agreed, other history.Past
-	for i, told := range k.told {
-		a := k.votes[i]
-		until := k.made.Add(a.Until)
+	for i, told := range k.responded {
+		a := k.responses[i]
+		until := k.madeAt.Add(a.Remaining)
 		switch {
 		case !told:
 			open++
-		case a.Vote == Yes:
+		case a.Vote == Grant:
 			yes++
 			if !agreed.Known || until.Before(agreed.Until) {
-				agreed = history.Past{Known: true, Place: k.ask.Place, Until: until}
+				agreed = history.Past{Known: true, Place: k.proposal.Place, Until: until}
 			}
-		case a.Vote == Held:
+		case a.Vote == HeldElsewhere:
 			held++
 			if !other.Known || until.Before(other.Until) {
 				other = history.Past{Known: true, Place: a.Place, Split: a.Split, Until: until}
 			}
 		}
 	}
-	need := Majority(len(k.told))
+	need := Majority(len(k.responded))
 	switch {
 	case yes >= need:
-		return Bound, agreed
+		return Claimed, agreed
 	case yes+open >= need:
 		return Pending, history.Past{}
 	case held > 0:
-		return Elsewhere, other
+		return OwnedElsewhere, other
 	}
 	return Unknown, history.Past{}
 }
 
-// Lives tells whether an attempt may still start under the ask.
-func (k *Asker) Lives(now time.Time) bool { return now.Before(k.made.Add(k.ask.Life)) }
+// IsValid tells whether an attempt may still start under the ask.
+func (k *Proposer) IsValid(now time.Time) bool { return now.Before(k.madeAt.Add(k.proposal.TTL)) }
--- a/internal/fleet/binding/binding.go
+++ b/internal/fleet/binding/binding.go
@@ -19,23 +19,23 @@
 	"silvertrail/internal/base/due"
 )
 
-// Try names one request of one process: the process by a number drawn at its start, so that a process that was started
+// AttemptID names one request of one process: the process by a number drawn at its start, so that a process that was started
 // again is another one.
-type Try struct {
+type AttemptID struct {
 	Process uint64 `codec:"Process"`
 	Number  uint64 `codec:"Number"`
 }
 
-// Ask asks a voter to agree that a key's attempts go to a place.
-type Ask struct {
-	Try    Try
-	Turn   uint32 // of the try; one with another place has a higher one and replaces what was agreed to before
-	Key    history.ID
-	Place  history.Place
-	Scope  decide.Scope
-	Window time.Duration
-	Keep   time.Duration
-	Life   time.Duration // no attempt starts under the ask when this is over, counted from its making
+// Proposal asks a voter to agree that a key's attempts go to a place.
+type Proposal struct {
+	Attempt   AttemptID
+	Round     uint32 // of the try; one with another place has a higher one and replaces what was agreed to before
+	Key       history.ID
+	Place     history.Place
+	Scope     decide.Scope
+	Window    time.Duration
+	Retention time.Duration
+	TTL       time.Duration // no attempt starts under the ask when this is over, counted from its making
 }
 
 // Vote is a voter's word.
@@ -43,33 +43,33 @@
 
 // The votes.
 const (
-	Silent Vote = iota // it can't tell: it has started lately, or has no room for more keys
-	Yes
-	Held // the key may have run, or runs, where this attempt must not follow
+	Abstain Vote = iota // it can't tell: it has started lately, or has no room for more keys
+	Grant
+	HeldElsewhere // the key may have run, or runs, where this attempt must not follow
 )
 
-// Answer answers an Ask.
-type Answer struct {
-	Try   Try
-	Turn  uint32
-	Vote  Vote
-	Place history.Place // where the key is held
-	Split bool          // in several groups
-	Until time.Duration // that is left to send further attempts, from the voter's answer on
+// Response answers an Ask.
+type Response struct {
+	Attempt   AttemptID
+	Round     uint32
+	Vote      Vote
+	Place     history.Place // where the key is held
+	Split     bool          // in several groups
+	Remaining time.Duration // that is left to send further attempts, from the voter's answer on
 }
 
-// End tells a voter that a try is over.
-type End struct {
-	Try      Try
+// Release tells a voter that a try is over.
+type Release struct {
+	Attempt  AttemptID
 	NeverRan bool // all its attempts are known never to have run
 }
 
 // Majority is how many of n voters must agree.
 func Majority(n int) int { return n/2 + 1 }
 
-// Follows tells whether one list of voters may follow another at once: any majority of the one shares a voter with any of
+// CanReconfigure tells whether one list of voters may follow another at once: any majority of the one shares a voter with any of
 // the other. To add one voter is allowed, and to take one away; to put one in another's place takes two steps.
-func Follows(old, next []string) bool {
+func CanReconfigure(old, next []string) bool {
 	all := map[string]bool{}
 	for _, name := range old {
 		all[name] = true
@@ -82,148 +82,150 @@
 
 // Voter remembers what it has agreed to. It is not safe for concurrent use.
 type Voter struct {
-	table  *history.Table
-	max    int
-	holds  map[Try]*hold
-	due    due.Queue[*hold]
-	silent time.Time // it says nothing before
-	copies time.Time // what other voters copy from then on counts
-	copied map[string]bool
+	table            *history.Table
+	maxKeys          int
+	grants           map[AttemptID]*grant
+	expiry           due.Queue[*grant]
+	abstainUntil     time.Time // it says nothing before
+	copiesUsefulFrom time.Time // what other voters copy from then on counts
+	copiedFrom       map[string]bool
 }
 
-// hold is a try that was agreed to, or one that is known to be over.
-type hold struct {
-	try     Try
-	turn    uint32
+// grant is a try that was agreed to, or one that is known to be over.
+type grant struct {
+	attempt AttemptID
+	round   uint32
 	place   history.Place
 	request *history.Request
 	sent    *history.Try
 	ended   bool
 }
 
-// Start tells what a voter begins with.
-type Start struct {
-	Max int // keys that are remembered at most
-	// Silent is for how long it says nothing: as long as anything is remembered of an attempt that it may have agreed to
+// VoterOptions tells what a voter begins with.
+type VoterOptions struct {
+	MaxKeys int // keys that are remembered at most
+	// AbstainFor is for how long it says nothing: as long as anything is remembered of an attempt that it may have agreed to
 	// before it was started. 0: nothing was.
-	Silent time.Duration
-	// Life is the longest life of an ask.
-	Life time.Duration
+	AbstainFor time.Duration
+	// MaxProposalTTL is the longest life of an ask.
+	MaxProposalTTL time.Duration
 }
 
 // NewVoter returns a voter that is started now.
-func NewVoter(now time.Time, s Start) *Voter {
-	return &Voter{table: history.New(s.Max), max: s.Max, holds: map[Try]*hold{}, silent: now.Add(s.Silent), copies: now.Add(s.Life),
-		copied: map[string]bool{}}
+func NewVoter(now time.Time, s VoterOptions) *Voter {
+	return &Voter{table: history.New(s.MaxKeys), maxKeys: s.MaxKeys, grants: map[AttemptID]*grant{}, abstainUntil: now.Add(s.AbstainFor), copiesUsefulFrom: now.Add(s.MaxProposalTTL),
+		copiedFrom: map[string]bool{}}
 }
 
-// Known is what one voter tells another of a key. Times count from the telling on.
-type Known struct {
-	Key           history.ID
-	Place         history.Place
-	Zones, Cells  bool // it has been in several
-	Until, Expire time.Duration
+// KeyState is what one voter tells another of a key. Times count from the telling on.
+type KeyState struct {
+	Key                        history.ID
+	Place                      history.Place
+	SeveralZones, SeveralCells bool // it has been in several
+	RetryFor, ExpiresIn        time.Duration
 }
 
-// Copy returns all that the voter knows, for another one that has been started; nothing where it is silent itself.
-func (v *Voter) Copy(now time.Time) (all []Known, ok bool) {
-	if now.Before(v.silent) {
+// Snapshot returns all that the voter knows, for another one that has been started; nothing where it is silent itself.
+func (v *Voter) Snapshot(now time.Time) (all []KeyState, ok bool) {
+	if now.Before(v.abstainUntil) {
 		return nil, false
 	}
 	v.expire(now)
 	v.table.Each(now, func(k history.Key) bool {
 		if k.Past.Known {
-			all = append(all, Known{k.ID, k.Past.Place, k.Zones, k.Cells, k.Past.Until.Sub(now), k.Expire.Sub(now)})
+			all = append(all, KeyState{k.ID, k.Past.Place, k.Zones, k.Cells, k.Past.Until.Sub(now), k.Expire.Sub(now)})
 		}
 		return true
 	})
 	return all, true
 }
 
-// Wants tells whether copies are of use. They are once no attempt can go out any more under what this voter agreed to in a
+// NeedsSnapshots tells whether copies are of use. They are once no attempt can go out any more under what this voter agreed to in a
 // former life: those that have gone out are then known to all others of the majorities that agreed.
-func (v *Voter) Wants(now time.Time) bool { return now.Before(v.silent) && !now.Before(v.copies) }
+func (v *Voter) NeedsSnapshots(now time.Time) bool {
+	return now.Before(v.abstainUntil) && !now.Before(v.copiesUsefulFrom)
+}
 
-// Learn takes a part of a copy that was asked for when Wants said so.
-func (v *Voter) Learn(now time.Time, part []Known) {
+// MergeSnapshot takes a part of a copy that was asked for when Wants said so.
+func (v *Voter) MergeSnapshot(now time.Time, part []KeyState) {
 	for _, k := range part {
-		v.table.Learn(now, history.Key{ID: k.Key, Past: history.Past{Known: true, Place: k.Place, Until: now.Add(k.Until)},
-			Zones: k.Zones, Cells: k.Cells, Expire: now.Add(k.Expire)})
+		v.table.Learn(now, history.Key{ID: k.Key, Past: history.Past{Known: true, Place: k.Place, Until: now.Add(k.RetryFor)},
+			Zones: k.SeveralZones, Cells: k.SeveralCells, Expire: now.Add(k.ExpiresIn)})
 	}
 }
 
-// Copied tells that the whole copy of another one of so many voters has been learnt. With so many copies that none of the
+// SnapshotCompleted tells that the whole copy of another one of so many voters has been learnt. With so many copies that none of the
 // majorities that this voter can have been one of is left out, it speaks again.
-func (v *Voter) Copied(now time.Time, from string, voters int) {
-	if v.copied[from] = true; len(v.copied) >= voters-Majority(voters)+1 && v.Wants(now) {
-		v.silent = now
+func (v *Voter) SnapshotCompleted(now time.Time, from string, voters int) {
+	if v.copiedFrom[from] = true; len(v.copiedFrom) >= voters-Majority(voters)+1 && v.NeedsSnapshots(now) {
+		v.abstainUntil = now
 	}
 }
 
-// Ask answers an ask; ok is false where it is an old one and gets no answer.
-func (v *Voter) Ask(now time.Time, a Ask) (out Answer, ok bool) {
+// Vote answers an ask; ok is false where it is an old one and gets no answer.
+func (v *Voter) Vote(now time.Time, a Proposal) (out Response, ok bool) {
 	v.expire(now)
-	h := v.holds[a.Try]
-	if h != nil && (h.ended || a.Turn < h.turn) {
+	h := v.grants[a.Attempt]
+	if h != nil && (h.ended || a.Round < h.round) {
 		return out, false
 	}
-	out = Answer{Try: a.Try, Turn: a.Turn, Vote: v.agree(now, a, h)}
+	out = Response{Attempt: a.Attempt, Round: a.Round, Vote: v.decide(now, a, h)}
 	p := history.Past{}
-	if out.Vote == Yes { // by its own attempts the asker goes itself
-		p = v.holds[a.Try].sent.Others()
+	if out.Vote == Grant { // by its own attempts the asker goes itself
+		p = v.grants[a.Attempt].sent.Others()
 	} else {
 		p = v.table.Past(now, a.Key, a.Scope)
 	}
-	if out.Place, out.Split, out.Until = p.Place, p.Split, a.Life; p.Known {
-		out.Until = p.Until.Sub(now)
+	if out.Place, out.Split, out.Remaining = p.Place, p.Split, a.TTL; p.Known {
+		out.Remaining = p.Until.Sub(now)
 	}
-	if now.Before(v.silent) && out.Vote == Yes { // it is noted all the same: others may agree
-		out.Vote = Silent
+	if now.Before(v.abstainUntil) && out.Vote == Grant { // it is noted all the same: others may agree
+		out.Vote = Abstain
 	}
 	return out, true
 }
 
-// agree notes the ask where it can be agreed to.
-func (v *Voter) agree(now time.Time, a Ask, h *hold) Vote {
+// decide notes the ask where it can be agreed to.
+func (v *Voter) decide(now time.Time, a Proposal, h *grant) Vote {
 	switch {
-	case h == nil || h.turn != a.Turn:
+	case h == nil || h.round != a.Round:
 	case h.place == a.Place:
-		return Yes // the ask came twice, or the answer was lost
+		return Grant // the ask came twice, or the answer was lost
 	default:
-		return Silent // two processes that go on with one try have taken the same turn: neither may count on it
+		return Abstain // two processes that go on with one try have taken the same turn: neither may count on it
 	}
-	terms := history.Terms{Scope: a.Scope, Window: a.Window, Keep: a.Keep + a.Life}
+	terms := history.Terms{Scope: a.Scope, Window: a.Window, Keep: a.Retention + a.TTL}
 	if h != nil {
 		h.sent.End(now, true) // the asker has ended its attempts there: they never ran
-		v.drop(h)
+		v.remove(h)
 	}
-	if len(v.holds) >= 2*v.max {
-		return Silent
+	if len(v.grants) >= 2*v.maxKeys {
+		return Abstain
 	}
 	r, err := v.table.Begin(now, a.Key, history.Print{})
 	if err != nil {
-		return Silent
+		return Abstain
 	}
 	sent, err := r.Send(now, a.Place, terms)
 	if err != nil {
 		r.End()
-		return Held
+		return HeldElsewhere
 	}
-	h = &hold{try: a.Try, turn: a.Turn, place: a.Place, request: r, sent: sent}
-	v.holds[a.Try] = h
-	v.due.Push(now.Add(a.Life), h)
-	return Yes
+	h = &grant{attempt: a.Attempt, round: a.Round, place: a.Place, request: r, sent: sent}
+	v.grants[a.Attempt] = h
+	v.expiry.Push(now.Add(a.TTL), h)
+	return Grant
 }
 
-// End takes the end of a try. That it is over is known until no ask of it can come any more.
-func (v *Voter) End(now time.Time, e End, life time.Duration) {
+// Release takes the end of a try. That it is over is known until no ask of it can come any more.
+func (v *Voter) Release(now time.Time, e Release, life time.Duration) {
 	v.expire(now)
-	h := v.holds[e.Try]
+	h := v.grants[e.Attempt]
 	if h == nil {
-		if len(v.holds) < 2*v.max {
-			h = &hold{try: e.Try, ended: true}
-			v.holds[e.Try] = h
-			v.due.Push(now.Add(life), h)
+		if len(v.grants) < 2*v.maxKeys {
+			h = &grant{attempt: e.Attempt, ended: true}
+			v.grants[e.Attempt] = h
+			v.expiry.Push(now.Add(life), h)
 		}
 		return
 	}
@@ -234,9 +236,9 @@
 	}
 }
 
-func (v *Voter) drop(h *hold) {
-	if v.holds[h.try] == h {
-		delete(v.holds, h.try)
+func (v *Voter) remove(h *grant) {
+	if v.grants[h.attempt] == h {
+		delete(v.grants, h.attempt)
 	}
 	if !h.ended {
 		h.ended = true
@@ -247,22 +249,22 @@
 // expire ends the holds whose time is over: no attempt starts under them any more, and whether one has run was not told.
 func (v *Voter) expire(now time.Time) {
 	for {
-		h, ok := v.due.Pop(now)
+		h, ok := v.expiry.Pop(now)
 		if !ok {
 			return
 		}
 		if !h.ended {
 			h.sent.End(now, false)
 		}
-		v.drop(h)
+		v.remove(h)
 	}
 }
 
-// Silent tells until when the voter says nothing.
-func (v *Voter) Silent() time.Time { return v.silent }
+// AbstainsUntil tells until when the voter says nothing.
+func (v *Voter) AbstainsUntil() time.Time { return v.abstainUntil }
 
-// Past returns what the voter knows of a key.
-func (v *Voter) Past(now time.Time, key history.ID, scope decide.Scope) history.Past {
+// KeyState returns what the voter knows of a key.
+func (v *Voter) KeyState(now time.Time, key history.ID, scope decide.Scope) history.Past {
 	v.expire(now)
 	return v.table.Past(now, key, scope)
 }
--- a/internal/fleet/binding/hearing_test.go
+++ b/internal/fleet/binding/hearing_test.go
@@ -9,31 +9,31 @@
 // that are asked all the time owe since the first ask.
 func TestHearing(t *testing.T) {
 	const whole, short = 500 * time.Millisecond, 80 * time.Millisecond
-	var h Hearing
+	var h ResponseTracker
 	voters := []string{"a", "b", "c"}
 	wait := func(at, want time.Duration) {
 		t.Helper()
-		if got := h.Wait(m0.Add(at), voters, whole, short); got != want {
+		if got := h.Timeout(m0.Add(at), voters, whole, short); got != want {
 			t.Errorf("after %v: %v", at, got)
 		}
 	}
 	for at := time.Duration(0); at < 2*time.Second; at += 100 * time.Millisecond {
-		h.Asked(m0.Add(at), "a")
-		h.Asked(m0.Add(at), "b")
-		if at < muteAfter {
+		h.ProposalSent(m0.Add(at), "a")
+		h.ProposalSent(m0.Add(at), "b")
+		if at < unresponsiveAfter {
 			wait(at, whole)
 		} else {
 			wait(at, short)
 		}
 	}
-	h.Heard("b")
+	h.ResponseReceived("b")
 	wait(3*time.Second, whole)
-	h.Asked(m0.Add(3*time.Second), "b")
+	h.ProposalSent(m0.Add(3*time.Second), "b")
 	wait(3500*time.Millisecond, whole)
 	wait(4*time.Second, short)
 	voters = []string{"a", "c", "d"} // one that owes is no voter any more
 	wait(4*time.Second, whole)
-	if h.Keep(map[string]bool{"a": true}); len(h.waits) != 1 {
-		t.Errorf("kept: %v", h.waits)
+	if h.Retain(map[string]bool{"a": true}); len(h.pendingSince) != 1 {
+		t.Errorf("kept: %v", h.pendingSince)
 	}
 }
--- a/internal/fleet/binding/model_test.go
+++ b/internal/fleet/binding/model_test.go
@@ -43,11 +43,11 @@
 
 // run is one process's request under way.
 type run struct {
-	asker   *Asker
-	asks    []Ask       // of all turns
-	answers [3][]Answer // that each voter has given
-	came    [3][2]int   // how often each ask has come to each voter
-	end     *End
+	asker   *Proposer
+	asks    []Proposal    // of all turns
+	answers [3][]Response // that each voter has given
+	came    [3][2]int     // how often each ask has come to each voter
+	end     *Release
 	place   history.Place
 	done    bool
 	began   bool
@@ -76,7 +76,7 @@
 func newWorld(script []wish) *world {
 	w := &world{script: script, now: m0, requests: make([]*run, len(script))}
 	for i := range w.voters {
-		w.voters[i] = NewVoter(m0, Start{Max: 16, Life: life})
+		w.voters[i] = NewVoter(m0, VoterOptions{MaxKeys: 16, MaxProposalTTL: life})
 	}
 	return w
 }
@@ -110,11 +110,11 @@
 		switch state, past := r.asker.State(); {
 		case r.began:
 			add("ended %d", i)
-		case state == Bound && r.asker.Lives(w.now) && w.now.Before(past.Until):
+		case state == Claimed && r.asker.IsValid(w.now) && w.now.Before(past.Until):
 			add("start %d", i)
-		case state == Elsewhere && !r.adopted:
+		case state == OwnedElsewhere && !r.adopted:
 			add("adopt %d", i)
-		case state == Elsewhere || state == Unknown:
+		case state == OwnedElsewhere || state == Unknown:
 			add("fail %d", i)
 		}
 	}
@@ -125,7 +125,7 @@
 	}
 	for i, v := range w.voters {
 		for from, other := range w.voters {
-			if _, speaks := other.Copy(w.now); speaks && i != from && v.Wants(w.now) && !v.copied[fmt.Sprint(from)] {
+			if _, speaks := other.Snapshot(w.now); speaks && i != from && v.NeedsSnapshots(w.now) && !v.copiedFrom[fmt.Sprint(from)] {
 				add("copy %d %d", i, from)
 			}
 		}
@@ -141,9 +141,9 @@
 func (w *world) ask(i int, place history.Place) {
 	r := w.requests[i]
 	r.place = place
-	a := Ask{Try: Try{uint64(10*w.script[i].process + w.born[w.script[i].process]), uint64(i)}, Turn: uint32(len(r.asks)),
-		Key: history.IDOf("", w.script[i].key), Place: place, Scope: decide.ScopeZone, Window: window, Keep: keep, Life: life}
-	r.asker = NewAsker(w.now, a, 3)
+	a := Proposal{Attempt: AttemptID{uint64(10*w.script[i].process + w.born[w.script[i].process]), uint64(i)}, Round: uint32(len(r.asks)),
+		Key: history.IDOf("", w.script[i].key), Place: place, Scope: decide.ScopeZone, Window: window, Retention: keep, TTL: life}
+	r.asker = NewProposer(w.now, a, 3)
 	r.asks = append(r.asks, a)
 }
 
@@ -161,13 +161,13 @@
 		w.ask(n, w.script[n].place)
 	case "vote":
 		r.came[v][k]++
-		if a, ok := w.voters[v].Ask(w.now, r.asks[k]); ok && !slices.Contains(r.answers[v], a) {
+		if a, ok := w.voters[v].Vote(w.now, r.asks[k]); ok && !slices.Contains(r.answers[v], a) {
 			r.answers[v] = append(r.answers[v], a)
 		}
 	case "hear":
-		r.asker.Answer(v, r.answers[v][k])
+		r.asker.Receive(v, r.answers[v][k])
 	case "end":
-		w.voters[v].End(w.now, *r.end, life)
+		w.voters[v].Release(w.now, *r.end, life)
 	case "start":
 		r.began = true
 		w.starts = append(w.starts, start{w.script[n].key, r.place, w.now})
@@ -177,7 +177,7 @@
 		w.ask(n, past.Place)
 	case "fail", "ended":
 		r.done = true
-		r.end = &End{r.asker.Ask().Try, what == "fail"}
+		r.end = &Release{r.asker.Proposal().Attempt, what == "fail"}
 	case "crash":
 		w.crashes++
 		w.born[n]++
@@ -185,16 +185,16 @@
 		if w.careless {
 			silent = 0
 		}
-		w.voters[n] = NewVoter(w.now, Start{Max: 16, Silent: silent, Life: life})
+		w.voters[n] = NewVoter(w.now, VoterOptions{MaxKeys: 16, AbstainFor: silent, MaxProposalTTL: life})
 		for i, r := range w.requests {
 			if r != nil && w.script[i].process == n {
 				r.done = true
 			}
 		}
 	case "copy":
-		all, _ := w.voters[v].Copy(w.now)
-		w.voters[n].Learn(w.now, all)
-		w.voters[n].Copied(w.now, fmt.Sprint(v), 3)
+		all, _ := w.voters[v].Snapshot(w.now)
+		w.voters[n].MergeSnapshot(w.now, all)
+		w.voters[n].SnapshotCompleted(w.now, fmt.Sprint(v), 3)
 	case "wait":
 		w.waits++
 		w.now = w.now.Add(time.Duration(n) * time.Second)
@@ -208,7 +208,7 @@
 		if r == nil || r.done || r.began {
 			continue
 		}
-		if state, past := r.asker.State(); state == Bound && r.asker.Lives(w.now) && w.now.Before(past.Until) {
+		if state, past := r.asker.State(); state == Claimed && r.asker.IsValid(w.now) && w.now.Before(past.Until) {
 			could = append(could, start{w.script[i].key, r.place, w.now})
 		}
 	}
@@ -230,10 +230,10 @@
 	var b strings.Builder
 	at := func(t time.Time) int { return max(int(t.Sub(w.now)/(time.Second/8)), -80) }
 	for i, v := range w.voters {
-		fmt.Fprint(&b, "|", i, w.born[i], max(at(v.silent), 0), max(at(v.copies), 0), len(v.copied))
+		fmt.Fprint(&b, "|", i, w.born[i], max(at(v.abstainUntil), 0), max(at(v.copiesUsefulFrom), 0), len(v.copiedFrom))
 		var lines []string
-		for _, h := range v.holds {
-			lines = append(lines, fmt.Sprint(h.try, h.turn, h.place.Zone, h.ended))
+		for _, h := range v.grants {
+			lines = append(lines, fmt.Sprint(h.attempt, h.round, h.place.Zone, h.ended))
 		}
 		v.table.Each(w.now, func(k history.Key) bool {
 			lines = append(lines, fmt.Sprintf("%x %v %d %d %t %d %d", k.ID[:2], k.Past.Place.Zone, at(k.Past.Until), at(k.Expire), k.Zones, k.InWork, k.Out))
@@ -241,7 +241,7 @@
 		})
 		slices.Sort(lines)
 		fmt.Fprint(&b, lines)
-		if next, ok := v.due.Next(); ok {
+		if next, ok := v.expiry.Next(); ok {
 			fmt.Fprint(&b, at(next))
 		}
 	}
@@ -251,11 +251,11 @@
 			continue
 		}
 		state, past := r.asker.State()
-		fmt.Fprint(&b, "|", len(r.asks), r.place.Zone, r.done, r.began, r.adopted, r.end, state, at(past.Until), at(r.asker.made), r.asker.told)
+		fmt.Fprint(&b, "|", len(r.asks), r.place.Zone, r.done, r.began, r.adopted, r.end, state, at(past.Until), at(r.asker.madeAt), r.asker.responded)
 		for v := range w.voters {
-			fmt.Fprint(&b, r.asker.votes[v].Vote, r.asker.votes[v].Place.Zone, len(r.answers[v]), r.came[v])
+			fmt.Fprint(&b, r.asker.responses[v].Vote, r.asker.responses[v].Place.Zone, len(r.answers[v]), r.came[v])
 			for _, a := range r.answers[v] {
-				fmt.Fprint(&b, a.Turn, a.Vote, a.Place.Zone, a.Until)
+				fmt.Fprint(&b, a.Round, a.Vote, a.Place.Zone, a.Remaining)
 			}
 		}
 	}
@@ -363,45 +363,45 @@
 // What a voter may forget and must not: a try that moved to another place, an end that overtook its ask, a list of voters
 // that follows another.
 func TestVoter(t *testing.T) {
-	ask := func(number uint64, turn uint32, place history.Place) Ask {
-		return Ask{Try: Try{1, number}, Turn: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Keep: keep, Life: life}
+	ask := func(number uint64, turn uint32, place history.Place) Proposal {
+		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Retention: keep, TTL: life}
 	}
-	v := NewVoter(m0, Start{Max: 4, Life: life})
-	vote := func(a Ask) Vote {
+	v := NewVoter(m0, VoterOptions{MaxKeys: 4, MaxProposalTTL: life})
+	vote := func(a Proposal) Vote {
 		t.Helper()
-		out, _ := v.Ask(m0, a)
+		out, _ := v.Vote(m0, a)
 		return out.Vote
 	}
-	if vote(ask(1, 0, north)) != Yes || vote(ask(2, 0, south)) != Held || vote(ask(1, 1, south)) != Yes || vote(ask(2, 0, south)) != Yes {
+	if vote(ask(1, 0, north)) != Grant || vote(ask(2, 0, south)) != HeldElsewhere || vote(ask(1, 1, south)) != Grant || vote(ask(2, 0, south)) != Grant {
 		t.Error("a try that moves takes its place with it")
 	}
-	if _, ok := v.Ask(m0, ask(1, 0, north)); ok {
+	if _, ok := v.Vote(m0, ask(1, 0, north)); ok {
 		t.Error("an ask of an earlier turn was answered")
 	}
-	v.End(m0, End{Try{1, 3}, true}, life)
-	if _, ok := v.Ask(m0, ask(3, 0, south)); ok {
+	v.Release(m0, Release{AttemptID{1, 3}, true}, life)
+	if _, ok := v.Vote(m0, ask(3, 0, south)); ok {
 		t.Error("an ask that its end has overtaken was answered")
 	}
-	v.End(m0, End{Try{1, 1}, true}, life)
-	if vote(ask(4, 0, north)) != Held {
+	v.Release(m0, Release{AttemptID{1, 1}, true}, life)
+	if vote(ask(4, 0, north)) != HeldElsewhere {
 		t.Error("free though another try is there")
 	}
-	v.End(m0, End{Try{1, 2}, true}, life)
-	if vote(ask(4, 0, north)) != Yes {
+	v.Release(m0, Release{AttemptID{1, 2}, true}, life)
+	if vote(ask(4, 0, north)) != Grant {
 		t.Error("held though nothing ran")
 	}
-	if vote(ask(4, 0, south)) == Yes {
+	if vote(ask(4, 0, south)) == Grant {
 		t.Error("two places under one turn")
 	}
 	for i := range uint64(4) {
 		a := ask(10+i, 0, north)
 		a.Key = history.IDOf("", fmt.Sprint(i))
-		if got, want := vote(a), []Vote{Yes, Yes, Yes, Silent}[i]; got != want {
+		if got, want := vote(a), []Vote{Grant, Grant, Grant, Abstain}[i]; got != want {
 			t.Errorf("key %d: %d", i, got)
 		}
 	}
-	if Follows([]string{"a", "b", "c"}, []string{"a", "b", "d"}) || !Follows([]string{"a", "b", "c"}, []string{"a", "b", "c", "d"}) ||
-		!Follows([]string{"a", "b", "c", "d"}, []string{"b", "c", "d"}) || !Follows(nil, []string{"a"}) {
+	if CanReconfigure([]string{"a", "b", "c"}, []string{"a", "b", "d"}) || !CanReconfigure([]string{"a", "b", "c"}, []string{"a", "b", "c", "d"}) ||
+		!CanReconfigure([]string{"a", "b", "c", "d"}, []string{"b", "c", "d"}) || !CanReconfigure(nil, []string{"a"}) {
 		t.Error("lists of voters")
 	}
 }
--- a/internal/fleet/exchange/exchange.go
+++ b/internal/fleet/exchange/exchange.go
@@ -17,64 +17,64 @@
 	"silvertrail/internal/fleet/version"
 )
 
-// Head stands for a word.
-type Head struct {
-	Name       string
-	Life       uint64
-	Start, Seq uint64
-	Age        uint32 // milliseconds since the member said by itself that it stands
+// Digest stands for a word.
+type Digest struct {
+	Name            string
+	Incarnation     uint64
+	Generation, Seq uint64
+	AgeMilliseconds uint32 // milliseconds since the member said by itself that it stands
 }
 
-// Want asks for a member's word, by one who has such a word of such a process already.
-type Want struct {
-	Name       string
-	Life, Have uint64
+// Request asks for a member's word, by one who has such a word of such a process already.
+type Request struct {
+	Name                  string
+	Incarnation, KnownSeq uint64
 }
 
 // Message is what members say to each other.
 type Message struct {
-	Heads []Head
-	Want  []Want
-	Words []Part
+	Digests  []Digest
+	Requests []Request
+	Updates  []Update
 }
 
-// Send is a message on its way.
-type Send struct {
-	To  string
-	Msg *Message
+// Envelope is a message on its way.
+type Envelope struct {
+	To      string
+	Message *Message
 }
 
 const (
-	mostHeads  = 32
-	mostWants  = 32
-	mostWords  = 16
-	mostBytes  = 256 << 10 // of the words in an answer, but for the first
-	pushBytes  = 800       // of what is handed on unasked: it goes in one packet
-	latest     = 16        // heads of those who have changed last; the others come in turn
-	mostKnown  = 10000
-	mostStarts = 1 << 40
-	maxName    = 256
-	// Every is how often the host calls Tick.
-	Every = 250 * time.Millisecond
-	heads = 4 // ticks from one comparing to the next
+	maxDigests       = 32
+	maxRequests      = 32
+	maxUpdates       = 16
+	maxResponseBytes = 256 << 10 // of the words in an answer, but for the first
+	maxPushBytes     = 800       // of what is handed on unasked: it goes in one packet
+	recentDigests    = 16        // heads of those who have changed last; the others come in turn
+	maxPeers         = 10000
+	maxGeneration    = 1 << 40
+	maxNameBytes     = 256
+	// TickInterval is how often the host calls Tick.
+	TickInterval   = 250 * time.Millisecond
+	ticksPerDigest = 4 // ticks from one comparing to the next
 )
 
 // Check tells what is wrong with a message that came from elsewhere.
 func (m *Message) Check() error {
-	if len(m.Heads) > mostHeads || len(m.Want) > mostWants || len(m.Words) > mostWords {
+	if len(m.Digests) > maxDigests || len(m.Requests) > maxRequests || len(m.Updates) > maxUpdates {
 		return errors.New("exchange: a message that no member sends")
 	}
-	for _, h := range m.Heads {
-		if h.Name == "" || len(h.Name) > maxName {
+	for _, h := range m.Digests {
+		if h.Name == "" || len(h.Name) > maxNameBytes {
 			return errors.New("exchange: a head without a name")
 		}
 	}
-	for _, w := range m.Want {
-		if w.Name == "" || len(w.Name) > maxName {
+	for _, w := range m.Requests {
+		if w.Name == "" || len(w.Name) > maxNameBytes {
 			return errors.New("exchange: a question without a name")
 		}
 	}
-	for _, w := range m.Words {
+	for _, w := range m.Updates {
 		if err := w.check(); err != nil {
 			return err
 		}
@@ -82,80 +82,80 @@
 	return nil
 }
 
-// Known is what is known of a member.
-type Known struct {
-	Word
-	Came  time.Duration // when this word came here first
-	Stood time.Duration // until when the member is known to have said by itself that it stands
-	told  int           // how often it has still to be handed on
-	from  uint64        // which word it followed when it came
+// Peer is what is known of a member.
+type Peer struct {
+	MemberState
+	ReceivedAt  time.Duration // when this word came here first
+	ConfirmedAt time.Duration // until when the member is known to have said by itself that it stands
+	pushesLeft  int           // how often it has still to be handed on
+	previousSeq uint64        // which word it followed when it came
 }
 
 // Core is the state of one member.
 type Core struct {
-	rng    *rand.Rand
-	me     Word
-	now    time.Duration
-	ticks  int
-	who    []string // the members of the view, without me
-	known  map[string]*Known
-	turn   int // where in the order of names the heads go on
-	look   int // where in the view the search for those goes on of whom nothing is known
-	busy   bool
-	out    []Send
-	told   int      // how often my word has still to be handed on
-	from   uint64   // which one it follows
-	sorted []string // names of the known; nil: to be made again
+	random        *rand.Rand
+	self          MemberState
+	now           time.Duration
+	ticks         int
+	members       []string // the members of the view, without me
+	peers         map[string]*Peer
+	digestCursor  int // where in the order of names the heads go on
+	requestCursor int // where in the view the search for those goes on of whom nothing is known
+	moreExpected  bool
+	outgoing      []Envelope
+	pushesLeft    int      // how often my word has still to be handed on
+	previousSeq   uint64   // which one it follows
+	sortedNames   []string // names of the known; nil: to be made again
 }
 
 // New returns a member that acts on nothing yet.
 func New(name string, life uint64, rng *rand.Rand) *Core {
-	return &Core{rng: rng, me: Word{Name: name, Life: life, Start: 1}, known: map[string]*Known{}}
+	return &Core{random: rng, self: MemberState{Name: name, Incarnation: life, Generation: 1}, peers: map[string]*Peer{}}
 }
 
-// Members tells who is in. Others are forgotten a while after they are not.
-func (c *Core) Members(names []string) {
-	c.who = c.who[:0]
+// SetMembers tells who is in. Others are forgotten a while after they are not.
+func (c *Core) SetMembers(names []string) {
+	c.members = c.members[:0]
 	for _, n := range names {
-		if n != c.me.Name {
-			c.who = append(c.who, n)
+		if n != c.self.Name {
+			c.members = append(c.members, n)
 		}
 	}
 }
 
-// Say has this member act on a vector from now on. What is urgent is handed on at once; the rest is found by the comparing of
+// Announce has this member act on a vector from now on. What is urgent is handed on at once; the rest is found by the comparing of
 // heads, as a list that changes changes everywhere, and a thousand members that told a thousand at once would do little else.
-func (c *Core) Say(now time.Duration, v version.Vector, taken time.Time) {
+func (c *Core) Announce(now time.Duration, v version.Vector, taken time.Time) {
 	c.now = max(now, c.now)
-	before := c.me.Seq
-	c.me = c.me.next(v, taken.UnixMilli())
-	if changes := c.me.since(c.me.Life, before); urgent(changes.Changed) {
-		c.told, c.from = c.pushes(), before
-		c.push(changes)
+	before := c.self.Seq
+	c.self = c.self.successor(v, taken.UnixMilli())
+	if changes := c.self.changesSince(c.self.Incarnation, before); hasUrgent(changes.Changed) {
+		c.pushesLeft, c.previousSeq = c.pushCount(), before
+		c.pushUpdate(changes)
 	}
 }
 
-// Me returns this member's word.
-func (c *Core) Me() Word { return c.me }
+// Self returns this member's word.
+func (c *Core) Self() MemberState { return c.self }
 
-// Known returns what is known of a member, of this one too.
-func (c *Core) Known(name string) (Known, bool) {
-	if name == c.me.Name {
-		return Known{Word: c.me, Came: c.now, Stood: c.now}, true
+// Peer returns what is known of a member, of this one too.
+func (c *Core) Peer(name string) (Peer, bool) {
+	if name == c.self.Name {
+		return Peer{MemberState: c.self, ReceivedAt: c.now, ConfirmedAt: c.now}, true
 	}
-	k := c.known[name]
+	k := c.peers[name]
 	if k == nil {
-		return Known{}, false
+		return Peer{}, false
 	}
 	return *k, true
 }
 
 // Entries returns all members' entries of a thing, this one's too.
 func (c *Core) Entries(kind version.Kind, name string) (out []version.Entry) {
-	if e, ok := c.me.Vector.Find(kind, name); ok {
+	if e, ok := c.self.Vector.Find(kind, name); ok {
 		out = append(out, e)
 	}
-	for _, k := range c.known {
+	for _, k := range c.peers {
 		if e, ok := k.Vector.Find(kind, name); ok {
 			out = append(out, e)
 		}
@@ -164,35 +164,35 @@
 }
 
 // Ready returns what is to be sent, and forgets it.
-func (c *Core) Ready() (out []Send) {
-	out, c.out = c.out, nil
+func (c *Core) Ready() (out []Envelope) {
+	out, c.outgoing = c.outgoing, nil
 	return out
 }
 
 func (c *Core) send(to string, m *Message) {
-	c.out = append(c.out, Send{to, m})
+	c.outgoing = append(c.outgoing, Envelope{to, m})
 }
 
-// some draws members.
-func (c *Core) some(n int) (out []string) {
-	for range min(n, len(c.who)) {
-		if x := c.who[c.rng.IntN(len(c.who))]; !slices.Contains(out, x) {
+// randomMembers draws members.
+func (c *Core) randomMembers(n int) (out []string) {
+	for range min(n, len(c.members)) {
+		if x := c.members[c.random.IntN(len(c.members))]; !slices.Contains(out, x) {
 			out = append(out, x)
 		}
 	}
 	return out
 }
 
-// pushes is how often each hands a new word on: enough that with so many members few are left for the comparing of heads.
-func (c *Core) pushes() int { return 1 + bits.Len(uint(len(c.who)))/2 }
+// pushCount is how often each hands a new word on: enough that with so many members few are left for the comparing of heads.
+func (c *Core) pushCount() int { return 1 + bits.Len(uint(len(c.members)))/2 }
 
-// push tells some at once what has changed here.
-func (c *Core) push(p Part) {
-	if p.size() > pushBytes {
+// pushUpdate tells some at once what has changed here.
+func (c *Core) pushUpdate(p Update) {
+	if p.approximateBytes() > maxPushBytes {
 		return
 	}
-	for _, to := range c.some(2) {
-		c.send(to, &Message{Words: []Part{p}})
+	for _, to := range c.randomMembers(2) {
+		c.send(to, &Message{Updates: []Update{p}})
 	}
 }
 
@@ -200,239 +200,239 @@
 func (c *Core) Tick(now time.Duration) {
 	c.now = max(now, c.now)
 	c.ticks++
-	c.forget()
-	var hot []Part
+	c.forgetDeparted()
+	var hot []Update
 	bytes := 0
-	add := func(w *Word, told *int, from uint64) {
-		if *told == 0 || len(hot) == mostWords || bytes > pushBytes {
+	add := func(w *MemberState, told *int, from uint64) {
+		if *told == 0 || len(hot) == maxUpdates || bytes > maxPushBytes {
 			return
 		}
-		p := w.since(w.Life, from)
-		if p.size() > pushBytes {
+		p := w.changesSince(w.Incarnation, from)
+		if p.approximateBytes() > maxPushBytes {
 			*told = 0 // who lacks it asks
 			return
 		}
-		if bytes += p.size(); bytes <= pushBytes {
+		if bytes += p.approximateBytes(); bytes <= maxPushBytes {
 			*told--
 			hot = append(hot, p)
 		}
 	}
-	add(&c.me, &c.told, c.from)
-	for _, name := range c.names() {
-		k := c.known[name]
-		add(&k.Word, &k.told, k.from)
+	add(&c.self, &c.pushesLeft, c.previousSeq)
+	for _, name := range c.peerNames() {
+		k := c.peers[name]
+		add(&k.MemberState, &k.pushesLeft, k.previousSeq)
 	}
-	for _, to := range c.some(1) {
+	for _, to := range c.randomMembers(1) {
 		if len(hot) > 0 {
-			c.send(to, &Message{Words: hot})
+			c.send(to, &Message{Updates: hot})
 		}
 	}
-	if c.ticks%heads == 0 || c.busy { // where something is new there may be more
-		c.busy = false
-		for _, to := range c.some(1) {
-			c.send(to, &Message{Heads: c.heads(), Want: c.strangers()})
+	if c.ticks%ticksPerDigest == 0 || c.moreExpected { // where something is new there may be more
+		c.moreExpected = false
+		for _, to := range c.randomMembers(1) {
+			c.send(to, &Message{Digests: c.digests(), Requests: c.requestsForUnknown()})
 		}
 	}
 }
 
-// strangers asks for some members of the view of whom nothing is known.
-func (c *Core) strangers() (out []Want) {
-	for range c.who {
-		if len(out) == mostWants {
+// requestsForUnknown asks for some members of the view of whom nothing is known.
+func (c *Core) requestsForUnknown() (out []Request) {
+	for range c.members {
+		if len(out) == maxRequests {
 			break
 		}
-		c.look = (c.look + 1) % len(c.who)
-		if n := c.who[c.look]; c.known[n] == nil {
-			out = append(out, Want{Name: n})
+		c.requestCursor = (c.requestCursor + 1) % len(c.members)
+		if n := c.members[c.requestCursor]; c.peers[n] == nil {
+			out = append(out, Request{Name: n})
 		}
 	}
-	c.busy = c.busy || len(out) > 0
+	c.moreExpected = c.moreExpected || len(out) > 0
 	return out
 }
 
-// names returns those of whom something is known, in order.
-func (c *Core) names() []string {
-	if c.sorted == nil {
-		c.sorted = slices.Sorted(maps.Keys(c.known))
+// peerNames returns those of whom something is known, in order.
+func (c *Core) peerNames() []string {
+	if c.sortedNames == nil {
+		c.sortedNames = slices.Sorted(maps.Keys(c.peers))
 	}
-	return c.sorted
+	return c.sortedNames
 }
 
-// keep is for how long one that is out is still known: as those who were cut off have to learn what was.
-const keep = 10 * time.Minute
+// departedRetention is for how long one that is out is still known: as those who were cut off have to learn what was.
+const departedRetention = 10 * time.Minute
 
-func (c *Core) forget() {
+func (c *Core) forgetDeparted() {
 	if c.ticks%240 != 0 {
 		return
 	}
-	for name, k := range c.known {
-		if !slices.Contains(c.who, name) && c.now-max(k.Came, k.Stood) > keep {
-			delete(c.known, name)
-			c.sorted = nil
+	for name, k := range c.peers {
+		if !slices.Contains(c.members, name) && c.now-max(k.ReceivedAt, k.ConfirmedAt) > departedRetention {
+			delete(c.peers, name)
+			c.sortedNames = nil
 		}
 	}
 }
 
-// heads returns this member's head, those of who have changed last, and others' in turn, so that all come round.
-func (c *Core) heads() []Head {
-	out := []Head{{Name: c.me.Name, Life: c.me.Life, Start: c.me.Start, Seq: c.me.Seq}}
-	add := func(k *Known) {
-		if !slices.ContainsFunc(out, func(h Head) bool { return h.Name == k.Name }) {
-			age := min(max(c.now-k.Stood, 0).Milliseconds(), 1<<31)
-			out = append(out, Head{k.Name, k.Life, k.Start, k.Seq, uint32(age)})
+// digests returns this member's head, those of who have changed last, and others' in turn, so that all come round.
+func (c *Core) digests() []Digest {
+	out := []Digest{{Name: c.self.Name, Incarnation: c.self.Incarnation, Generation: c.self.Generation, Seq: c.self.Seq}}
+	add := func(k *Peer) {
+		if !slices.ContainsFunc(out, func(h Digest) bool { return h.Name == k.Name }) {
+			age := min(max(c.now-k.ConfirmedAt, 0).Milliseconds(), 1<<31)
+			out = append(out, Digest{k.Name, k.Incarnation, k.Generation, k.Seq, uint32(age)})
 		}
 	}
-	names := c.names()
-	last := make([]*Known, 0, len(names))
+	names := c.peerNames()
+	last := make([]*Peer, 0, len(names))
 	for _, n := range names {
-		last = append(last, c.known[n])
+		last = append(last, c.peers[n])
 	}
-	slices.SortStableFunc(last, func(a, b *Known) int { return cmp.Compare(b.Came, a.Came) })
-	for _, k := range last[:min(len(last), latest)] {
+	slices.SortStableFunc(last, func(a, b *Peer) int { return cmp.Compare(b.ReceivedAt, a.ReceivedAt) })
+	for _, k := range last[:min(len(last), recentDigests)] {
 		add(k)
 	}
 	for range names {
-		if len(out) == mostHeads {
+		if len(out) == maxDigests {
 			break
 		}
-		c.turn = (c.turn + 1) % len(names)
-		add(c.known[names[c.turn]])
+		c.digestCursor = (c.digestCursor + 1) % len(names)
+		add(c.peers[names[c.digestCursor]])
 	}
 	return out
 }
 
-// later tells whether one word follows another of the same name: the same process's next one, or another process's that
+// supersedes tells whether one word follows another of the same name: the same process's next one, or another process's that
 // was started after it.
-func later(life, start, seq uint64, than *Word) bool {
+func supersedes(life, start, seq uint64, than *MemberState) bool {
 	switch {
-	case life == than.Life:
+	case life == than.Incarnation:
 		return seq > than.Seq
-	case start != than.Start:
-		return start > than.Start
+	case start != than.Generation:
+		return start > than.Generation
 	}
-	return life > than.Life // two of one name at the same time: one of them is told to go
+	return life > than.Incarnation // two of one name at the same time: one of them is told to go
 }
 
 // Receive takes a message that Check has passed, from a member.
 func (c *Core) Receive(now time.Duration, from string, m *Message) {
 	c.now = max(now, c.now)
 	var answer Message
-	for _, p := range m.Words {
-		c.take(&p, p.Name == from, &answer)
+	for _, p := range m.Updates {
+		c.handleUpdate(&p, p.Name == from, &answer)
 	}
-	for _, h := range m.Heads {
-		c.compare(from, h, &answer)
+	for _, h := range m.Digests {
+		c.handleDigest(from, h, &answer)
 	}
-	for _, w := range m.Want {
-		if k, ok := c.Known(w.Name); ok && k.Seq > 0 && (k.Life != w.Life || k.Seq > w.Have) {
-			answer.add(k.since(w.Life, w.Have))
+	for _, w := range m.Requests {
+		if k, ok := c.Peer(w.Name); ok && k.Seq > 0 && (k.Incarnation != w.Incarnation || k.Seq > w.KnownSeq) {
+			answer.addUpdate(k.changesSince(w.Incarnation, w.KnownSeq))
 		}
 	}
-	if len(answer.Words) > 0 {
-		c.send(from, &Message{Words: answer.Words})
+	if len(answer.Updates) > 0 {
+		c.send(from, &Message{Updates: answer.Updates})
 	}
-	if len(answer.Want) > 0 {
-		c.send(from, &Message{Want: answer.Want})
+	if len(answer.Requests) > 0 {
+		c.send(from, &Message{Requests: answer.Requests})
 	}
 }
 
-// add adds a word where there is room.
-func (m *Message) add(p Part) {
+// addUpdate adds a word where there is room.
+func (m *Message) addUpdate(p Update) {
 	bytes := 0
-	for _, w := range m.Words {
-		bytes += w.size()
+	for _, w := range m.Updates {
+		bytes += w.approximateBytes()
 	}
-	if len(m.Words) < mostWords && bytes < mostBytes {
-		m.Words = append(m.Words, p)
+	if len(m.Updates) < maxUpdates && bytes < maxResponseBytes {
+		m.Updates = append(m.Updates, p)
 	}
 }
 
-func (m *Message) ask(name string, life, have uint64) {
-	if len(m.Want) < mostWants {
-		m.Want = append(m.Want, Want{name, life, have})
+func (m *Message) addRequest(name string, life, have uint64) {
+	if len(m.Requests) < maxRequests {
+		m.Requests = append(m.Requests, Request{name, life, have})
 	}
 }
 
-// compare asks for what the other knows better, and tells it what is known better here.
-func (c *Core) compare(from string, h Head, answer *Message) {
-	if h.Name == c.me.Name {
-		c.mine(h.Life, h.Start)
-		if h.Life != c.me.Life || h.Seq < c.me.Seq {
-			answer.add(c.me.since(h.Life, h.Seq))
+// handleDigest asks for what the other knows better, and tells it what is known better here.
+func (c *Core) handleDigest(from string, h Digest, answer *Message) {
+	if h.Name == c.self.Name {
+		c.supersedeEarlierProcess(h.Incarnation, h.Generation)
+		if h.Incarnation != c.self.Incarnation || h.Seq < c.self.Seq {
+			answer.addUpdate(c.self.changesSince(h.Incarnation, h.Seq))
 		}
 		return
 	}
-	k := c.known[h.Name]
+	k := c.peers[h.Name]
 	switch {
 	case h.Seq == 0:
 	case k == nil:
-		answer.ask(h.Name, 0, 0)
-	case later(h.Life, h.Start, h.Seq, &k.Word):
-		answer.ask(h.Name, k.Life, k.Seq)
-	case k.Life != h.Life || k.Seq != h.Seq:
-		answer.add(k.since(h.Life, h.Seq))
+		answer.addRequest(h.Name, 0, 0)
+	case supersedes(h.Incarnation, h.Generation, h.Seq, &k.MemberState):
+		answer.addRequest(h.Name, k.Incarnation, k.Seq)
+	case k.Incarnation != h.Incarnation || k.Seq != h.Seq:
+		answer.addUpdate(k.changesSince(h.Incarnation, h.Seq))
 	case from == h.Name:
-		k.Stood = c.now
+		k.ConfirmedAt = c.now
 	default:
-		k.Stood = max(k.Stood, c.now-time.Duration(h.Age)*time.Millisecond)
+		k.ConfirmedAt = max(k.ConfirmedAt, c.now-time.Duration(h.AgeMilliseconds)*time.Millisecond)
 	}
 }
 
-// mine takes a word of an earlier process with this one's name: this one comes after it.
-func (c *Core) mine(life, start uint64) {
-	if life != c.me.Life && start >= c.me.Start && start < mostStarts {
-		c.me.Start = start + 1
-		if c.me.Seq > 0 { // said again, as what was said under the number before counts as the earlier one's
-			c.me.Seq++
-			c.told, c.from = c.pushes(), 0
+// supersedeEarlierProcess takes a word of an earlier process with this one's name: this one comes after it.
+func (c *Core) supersedeEarlierProcess(life, start uint64) {
+	if life != c.self.Incarnation && start >= c.self.Generation && start < maxGeneration {
+		c.self.Generation = start + 1
+		if c.self.Seq > 0 { // said again, as what was said under the number before counts as the earlier one's
+			c.self.Seq++
+			c.pushesLeft, c.previousSeq = c.pushCount(), 0
 		}
 	}
 }
 
-// take takes what has changed in a member's word.
-func (c *Core) take(p *Part, itself bool, answer *Message) {
-	if p.Name == c.me.Name {
-		c.mine(p.Life, p.Start)
+// handleUpdate takes what has changed in a member's word.
+func (c *Core) handleUpdate(p *Update, itself bool, answer *Message) {
+	if p.Name == c.self.Name {
+		c.supersedeEarlierProcess(p.Incarnation, p.Generation)
 		return
 	}
-	k := c.known[p.Name]
-	if k != nil && !later(p.Life, p.Start, p.Seq, &k.Word) {
-		if itself && k.Life == p.Life && k.Seq == p.Seq {
-			k.Stood = c.now
+	k := c.peers[p.Name]
+	if k != nil && !supersedes(p.Incarnation, p.Generation, p.Seq, &k.MemberState) {
+		if itself && k.Incarnation == p.Incarnation && k.Seq == p.Seq {
+			k.ConfirmedAt = c.now
 		}
 		return
 	}
-	if k == nil && len(c.known) >= mostKnown {
+	if k == nil && len(c.peers) >= maxPeers {
 		return
 	}
-	var before *Word
+	var before *MemberState
 	if k != nil {
-		before = &k.Word
+		before = &k.MemberState
 	}
 	w, fits := p.apply(before)
 	if !fits {
-		if p.Base > 0 { // what it follows is not known here
-			answer.ask(p.Name, 0, 0)
+		if p.BaseSeq > 0 { // what it follows is not known here
+			answer.addRequest(p.Name, 0, 0)
 		}
 		return
 	}
-	next := &Known{Word: w, Came: c.now, told: c.pushes(), from: p.Base}
+	next := &Peer{MemberState: w, ReceivedAt: c.now, pushesLeft: c.pushCount(), previousSeq: p.BaseSeq}
 	if k != nil {
-		next.Stood = k.Stood
+		next.ConfirmedAt = k.ConfirmedAt
 	} else {
-		c.sorted = nil
+		c.sortedNames = nil
 	}
 	if itself {
-		next.Stood = c.now
+		next.ConfirmedAt = c.now
 	}
-	if !urgent(p.Changed) {
-		next.told = 0
+	if !hasUrgent(p.Changed) {
+		next.pushesLeft = 0
 	}
-	c.known[p.Name] = next
-	c.busy = true
+	c.peers[p.Name] = next
+	c.moreExpected = true
 }
 
-// urgent tells whether anything but lists has changed.
-func urgent(v version.Vector) bool {
-	return slices.ContainsFunc(v, func(e version.Entry) bool { return e.Kind.Urgent() })
+// hasUrgent tells whether anything but lists has changed.
+func hasUrgent(v version.Vector) bool {
+	return slices.ContainsFunc(v, func(e version.Entry) bool { return e.Kind.IsUrgent() })
 }
--- a/internal/fleet/exchange/exchange_test.go
+++ b/internal/fleet/exchange/exchange_test.go
@@ -44,16 +44,16 @@
 	}
 	for i := range n {
 		c := New(name(i), w.rng.Uint64(), rand.New(rand.NewPCG(seed, uint64(i))))
-		c.Members(names)
+		c.SetMembers(names)
 		w.cores = append(w.cores, c)
 	}
 	return w
 }
 
 func (m *Message) size() int {
-	n := 100 + 40*len(m.Heads) + 40*len(m.Want)
-	for _, p := range m.Words {
-		n += p.size()
+	n := 100 + 40*len(m.Digests) + 40*len(m.Requests)
+	for _, p := range m.Updates {
+		n += p.approximateBytes()
 	}
 	return n
 }
@@ -63,12 +63,12 @@
 		var to int
 		fmt.Sscanf(s.To, "m%d", &to)
 		w.sent++
-		w.bytes += s.Msg.size()
-		if err := s.Msg.Check(); err != nil {
+		w.bytes += s.Message.size()
+		if err := s.Message.Check(); err != nil {
 			w.fault = err
 		}
 		for w.rng.Float64() >= w.loss && !w.cut[[2]int{i, to}] {
-			w.queue = append(w.queue, flight{w.now + time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), i, to, s.Msg})
+			w.queue = append(w.queue, flight{w.now + time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), i, to, s.Message})
 			if w.rng.IntN(10) > 0 { // one in ten comes twice
 				break
 			}
@@ -90,7 +90,7 @@
 			w.ready(f.to)
 		}
 		for i, c := range w.cores {
-			if (w.now+time.Duration(i)*7*time.Millisecond)%Every < 10*time.Millisecond {
+			if (w.now+time.Duration(i)*7*time.Millisecond)%TickInterval < 10*time.Millisecond {
 				c.Tick(w.now)
 				w.ready(i)
 			}
@@ -99,7 +99,7 @@
 }
 
 func (w *world) say(i int, v version.Vector) {
-	w.cores[i].Say(w.now, v, time.UnixMilli(0))
+	w.cores[i].Announce(w.now, v, time.UnixMilli(0))
 	w.ready(i)
 }
 
@@ -107,7 +107,7 @@
 func (w *world) agree() bool {
 	for _, c := range w.cores {
 		for _, o := range w.cores {
-			if k := c.known[o.me.Name]; o.me.Seq > 0 && c != o && (k == nil || k.Life != o.me.Life || k.Seq != o.me.Seq) {
+			if k := c.peers[o.self.Name]; o.self.Seq > 0 && c != o && (k == nil || k.Incarnation != o.self.Incarnation || k.Seq != o.self.Seq) {
 				return false
 			}
 		}
@@ -119,7 +119,7 @@
 func (w *world) whole() bool {
 	for _, c := range w.cores {
 		for _, o := range w.cores {
-			if k, ok := c.Known(o.me.Name); o.me.Seq > 0 && (!ok || !slices.EqualFunc(k.Vector, o.me.Vector, same)) {
+			if k, ok := c.Peer(o.self.Name); o.self.Seq > 0 && (!ok || !slices.EqualFunc(k.Vector, o.self.Vector, equalEntries)) {
 				return false
 			}
 		}
@@ -142,7 +142,7 @@
 }
 
 func entry(k version.Kind, n string, is int) version.Entry {
-	return version.Entry{Kind: k, Name: n, Hash: version.Of(fmt.Append(nil, is)), Text: fmt.Sprint(is)}
+	return version.Entry{Kind: k, Name: n, Hash: version.HashOf(fmt.Append(nil, is)), Description: fmt.Sprint(is)}
 }
 
 // Members that say one thing after another, start anew with nothing and under their old names, lose and double messages and
@@ -159,7 +159,7 @@
 			switch rapid.IntRange(0, 8).Draw(r, "what") {
 			case 0: // another process
 				w.cores[i] = New(name(i), w.rng.Uint64(), w.rng)
-				w.cores[i].Members(namesOf(n))
+				w.cores[i].SetMembers(namesOf(n))
 				vectors[i] = nil
 				w.say(i, vectors[i].With(entry(version.Build, "", 1)))
 			case 1:
@@ -197,31 +197,31 @@
 func TestNothingOlder(t *testing.T) {
 	t.Parallel()
 	c := New("a", 1, rand.New(rand.NewPCG(1, 1)))
-	old := Word{Name: "b", Life: 7, Start: 1}
-	one := old.next(version.Vector{entry(version.Configuration, "", 1)}, 0)
-	two := one.next(version.Vector{entry(version.Configuration, "", 2)}, 0)
-	anew := Word{Name: "b", Life: 3, Start: 2}
-	three := anew.next(version.Vector{entry(version.Configuration, "", 3)}, 0)
+	old := MemberState{Name: "b", Incarnation: 7, Generation: 1}
+	one := old.successor(version.Vector{entry(version.Configuration, "", 1)}, 0)
+	two := one.successor(version.Vector{entry(version.Configuration, "", 2)}, 0)
+	anew := MemberState{Name: "b", Incarnation: 3, Generation: 2}
+	three := anew.successor(version.Vector{entry(version.Configuration, "", 3)}, 0)
 	has := func(want uint64, life uint64) {
 		t.Helper()
-		if k, _ := c.Known("b"); k.Seq != want || k.Life != life {
-			t.Errorf("knows word %d of %d, want %d of %d", k.Seq, k.Life, want, life)
+		if k, _ := c.Peer("b"); k.Seq != want || k.Incarnation != life {
+			t.Errorf("knows word %d of %d, want %d of %d", k.Seq, k.Incarnation, want, life)
 		}
 	}
-	tell := func(parts ...Part) { c.Receive(time.Second, "x", &Message{Words: parts}) }
-	tell(two.since(7, 1))
+	tell := func(parts ...Update) { c.Receive(time.Second, "x", &Message{Updates: parts}) }
+	tell(two.changesSince(7, 1))
 	has(0, 0) // what it follows is not known
-	tell(two.since(0, 0))
+	tell(two.changesSince(0, 0))
 	has(2, 7)
-	tell(one.since(0, 0))
+	tell(one.changesSince(0, 0))
 	has(2, 7)
-	tell(three.since(0, 0))
+	tell(three.changesSince(0, 0))
 	has(1, 3)
-	tell(two.since(0, 0), one.since(0, 0))
+	tell(two.changesSince(0, 0), one.changesSince(0, 0))
 	has(1, 3)
-	forged := three.next(version.Vector{entry(version.Configuration, "", 4)}, 0)
-	part := forged.since(3, 1)
-	part.Digest = version.Of([]byte("else"))
+	forged := three.successor(version.Vector{entry(version.Configuration, "", 4)}, 0)
+	part := forged.changesSince(3, 1)
+	part.VectorHash = version.HashOf([]byte("else"))
 	tell(part)
 	has(1, 3) // its parts do not make what it says
 }
@@ -229,20 +229,20 @@
 // Of an entry that went long ago one who has been away learns all the same: it is told the whole.
 func TestLongAway(t *testing.T) {
 	t.Parallel()
-	w := Word{Name: "b", Life: 7, Start: 1}
+	w := MemberState{Name: "b", Incarnation: 7, Generation: 1}
 	var v version.Vector
 	for i := range 200 {
 		v = v.With(entry(version.List, fmt.Sprint(i), i))
 	}
-	w = w.next(v, 0)
+	w = w.successor(v, 0)
 	known := w
 	for i := range 150 {
 		v = v.Without(version.List, fmt.Sprint(i))
-		w = w.next(v, 0)
+		w = w.successor(v, 0)
 	}
-	for _, from := range []Word{known, w, {}} {
-		p := w.since(from.Life, from.Seq)
-		if p.Seq == p.Base {
+	for _, from := range []MemberState{known, w, {}} {
+		p := w.changesSince(from.Incarnation, from.Seq)
+		if p.Seq == p.BaseSeq {
 			continue
 		}
 		if err := p.check(); err != nil {
@@ -252,31 +252,31 @@
 			t.Errorf("since %d: %d entries of %d", from.Seq, len(got.Vector), len(v))
 		}
 	}
-	if len(w.Gone) > mostGone || w.Floor == 0 {
-		t.Errorf("%d that went are kept, floor %d", len(w.Gone), w.Floor)
+	if len(w.Tombstones) > maxTombstones || w.CompactedSeq == 0 {
+		t.Errorf("%d that went are kept, floor %d", len(w.Tombstones), w.CompactedSeq)
 	}
 }
 
 // What nothing but a fault or an attack can send is refused.
 func TestCheck(t *testing.T) {
 	t.Parallel()
-	w := Word{Name: "b", Life: 7, Start: 1}
-	good := (&w).next(version.Vector{entry(version.List, "x", 1), entry(version.List, "y", 1)}, 0)
-	if err := (&Message{Words: []Part{good.since(0, 0)}}).Check(); err != nil {
+	w := MemberState{Name: "b", Incarnation: 7, Generation: 1}
+	good := (&w).successor(version.Vector{entry(version.List, "x", 1), entry(version.List, "y", 1)}, 0)
+	if err := (&Message{Updates: []Update{good.changesSince(0, 0)}}).Check(); err != nil {
 		t.Fatal(err)
 	}
-	for what, spoil := range map[string]func(p *Part){
-		"no name": func(p *Part) { p.Name = "" }, "base": func(p *Part) { p.Base = p.Seq }, "no times": func(p *Part) { p.At = nil },
-		"times": func(p *Part) { p.At = []uint64{1, 99} }, "order": func(p *Part) { p.Changed = slices.Clone(p.Changed); slices.Reverse(p.Changed) },
-		"start": func(p *Part) { p.Start = 1 << 63 }, "gone": func(p *Part) { p.Gone = make([]Gone, mostGone+1) },
+	for what, spoil := range map[string]func(p *Update){
+		"no name": func(p *Update) { p.Name = "" }, "base": func(p *Update) { p.BaseSeq = p.Seq }, "no times": func(p *Update) { p.ChangedAt = nil },
+		"times": func(p *Update) { p.ChangedAt = []uint64{1, 99} }, "order": func(p *Update) { p.Changed = slices.Clone(p.Changed); slices.Reverse(p.Changed) },
+		"start": func(p *Update) { p.Generation = 1 << 63 }, "gone": func(p *Update) { p.Tombstones = make([]Tombstone, maxTombstones+1) },
 	} {
-		p := good.since(0, 0)
+		p := good.changesSince(0, 0)
 		spoil(&p)
-		if (&Message{Words: []Part{p}}).Check() == nil {
+		if (&Message{Updates: []Update{p}}).Check() == nil {
 			t.Errorf("%s passed", what)
 		}
 	}
-	if (&Message{Heads: make([]Head, mostHeads+1)}).Check() == nil || (&Message{Want: make([]Want, 1)}).Check() == nil || (&Message{Heads: make([]Head, 1)}).Check() == nil {
+	if (&Message{Digests: make([]Digest, maxDigests+1)}).Check() == nil || (&Message{Requests: make([]Request, 1)}).Check() == nil || (&Message{Digests: make([]Digest, 1)}).Check() == nil {
 		t.Error("passed")
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -267,7 +267,7 @@
 	switch {
 	case slices.Equal(voters, f.voters):
 		return nil
-	case !binding.Follows(f.voters, voters):
+	case !binding.CanReconfigure(f.voters, voters):
 		return fmt.Errorf("fleet: the voters %q can't follow %q at once: add or take away one at a time", voters, f.voters)
 	case now.Before(f.changed.Add(f.o.Silent)):
 		return fmt.Errorf("fleet: the voters were changed %v ago; the next change can come %v after that", now.Sub(f.changed).Round(time.Second), f.o.Silent)
@@ -421,7 +421,7 @@
 		n.state, n.since = s, now
 		f.log.Info("member", "name", m.Name, "state", s.String(), "address", m.Address())
 	}
-	f.tracker.Set(now, m.Name, s)
+	f.tracker.Update(now, m.Name, s)
 	f.share(now)
 }
 
@@ -443,7 +443,7 @@
 // share tells of this instance's part where it has changed, and looks again when time alone may change it. The caller
 // holds the lock.
 func (f *Fleet) share(now time.Time) {
-	n, place, next := f.tracker.Shares(now)
+	n, place, next := f.tracker.Partition(now)
 	if f.timer != nil {
 		f.timer.Stop()
 		f.timer = nil
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -107,9 +107,9 @@
 	return n
 }
 
-func (f *Fleet) asks(key string, zone string, life time.Duration) binding.Ask {
-	return binding.Ask{Try: f.Number(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: decide.ScopeZone,
-		Window: time.Second, Keep: time.Second, Life: life}
+func (f *Fleet) asks(key string, zone string, life time.Duration) binding.Proposal {
+	return binding.Proposal{Attempt: f.Number(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: decide.ScopeZone,
+		Window: time.Second, Retention: time.Second, TTL: life}
 }
 
 // A repeat through another instance learns where the first try went, whatever the way; what never ran is free again.
@@ -119,22 +119,22 @@
 		first, second := c.all[i%4], c.all[(i+1+i/4%3)%4]
 		k := fmt.Sprint("k", i)
 		a := first.asks(k, "north", 600*time.Millisecond)
-		if state, past := first.Bind(t.Context(), a); state != binding.Bound || !past.Known {
+		if state, past := first.Bind(t.Context(), a); state != binding.Claimed || !past.Known {
 			t.Fatalf("%s: %v %+v", k, state, past)
 		}
 		b := second.asks(k, "south", 600*time.Millisecond)
-		if state, past := second.Bind(t.Context(), b); state != binding.Elsewhere || past.Place.Zone != "north" {
+		if state, past := second.Bind(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
 			t.Errorf("%s by another way: %v %+v", k, state, past)
 		}
-		b.Turn, b.Place.Zone = 1, "north"
-		if state, _ := second.Bind(t.Context(), b); state != binding.Bound {
+		b.Round, b.Place.Zone = 1, "north"
+		if state, _ := second.Bind(t.Context(), b); state != binding.Claimed {
 			t.Errorf("%s in its group: %v", k, state)
 		}
-		first.End(binding.End{Try: a.Try, NeverRan: true})
-		second.End(binding.End{Try: b.Try, NeverRan: true})
+		first.End(binding.Release{Attempt: a.Attempt, NeverRan: true})
+		second.End(binding.Release{Attempt: b.Attempt, NeverRan: true})
 		lbtest.Until(t, "a key with which nothing ran is free", func() bool {
 			state, _ := second.Bind(t.Context(), second.asks(k, "south", 600*time.Millisecond))
-			return state == binding.Bound
+			return state == binding.Claimed
 		})
 	}
 }
@@ -170,14 +170,14 @@
 				a := f.asks(k, zone, 600*time.Millisecond)
 				state, past := f.Bind(ctx, a)
 				now := time.Now()
-				sends := state == binding.Bound && now.Before(past.Until) && now.Before(made.Add(a.Life))
+				sends := state == binding.Claimed && now.Before(past.Until) && now.Before(made.Add(a.TTL))
 				mu.Lock()
 				counts[state]++
 				if sends {
-					went[k] = append(went[k], bound{zone, now, now.Add(a.Window + a.Keep)})
+					went[k] = append(went[k], bound{zone, now, now.Add(a.Window + a.Retention)})
 				}
 				mu.Unlock()
-				f.End(binding.End{Try: a.Try, NeverRan: !sends})
+				f.End(binding.Release{Attempt: a.Attempt, NeverRan: !sends})
 			}
 		})
 	}
@@ -225,7 +225,7 @@
 		}
 	}
 	t.Logf("%v, %d keys went out", counts, len(went))
-	if counts[binding.Bound] < 50 || counts[binding.Elsewhere] < 50 {
+	if counts[binding.Claimed] < 50 || counts[binding.OwnedElsewhere] < 50 {
 		t.Errorf("tests little: %v", counts)
 	}
 }
@@ -272,11 +272,11 @@
 	const n = 3*partKeys + 7
 	for i := range n {
 		a := c.all[0].asks(fmt.Sprint("k", i), "north", 600*time.Millisecond)
-		a.Window, a.Keep = time.Minute, time.Minute
-		if state, _ := c.all[0].Bind(t.Context(), a); state != binding.Bound {
+		a.Window, a.Retention = time.Minute, time.Minute
+		if state, _ := c.all[0].Bind(t.Context(), a); state != binding.Claimed {
 			t.Fatal(state)
 		}
-		c.all[0].End(binding.End{Try: a.Try})
+		c.all[0].End(binding.Release{Attempt: a.Attempt})
 	}
 	old := c.all[1]
 	old.Close()
@@ -324,11 +324,11 @@
 		conn.Write(text)
 	}
 	a := c.all[1].asks("k", "north", 600*time.Millisecond)
-	if state, _ := c.all[1].Bind(t.Context(), a); state != binding.Bound {
+	if state, _ := c.all[1].Bind(t.Context(), a); state != binding.Claimed {
 		t.Errorf("after garbage: %v", state)
 	}
 	// What was said once is said again, by whom it may be.
-	text, err := encode(&packet{From: name(1), Items: []item{{End: &binding.End{Try: a.Try}}, {Ask: &a}}})
+	text, err := encode(&packet{From: name(1), Items: []item{{End: &binding.Release{Attempt: a.Attempt}}, {Ask: &a}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -337,7 +337,7 @@
 		c.all[2].receive(text)
 	}
 	b := c.all[2].asks("k", "south", 600*time.Millisecond)
-	if state, past := c.all[2].Bind(t.Context(), b); state != binding.Elsewhere || past.Place.Zone != "north" {
+	if state, past := c.all[2].Bind(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
 		t.Errorf("after a replay: %v %+v", state, past)
 	}
 	for _, f := range c.all {
@@ -371,7 +371,7 @@
 		// On a busy machine voters may answer too late for one ask; a further one for the same place is agreed to as well.
 		lbtest.Until(t, fmt.Sprintf("key %d is bound", i), func() bool {
 			state, _ := f.Bind(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond))
-			return state == binding.Bound
+			return state == binding.Claimed
 		})
 		if n := len(f.Members()); n > f.o.Members {
 			t.Errorf("%d members, over %d", n, f.o.Members)
@@ -414,7 +414,7 @@
 				t.Fatal(err)
 			}
 			a := f.asks(fmt.Sprint(step, "-", i), "north", 600*time.Millisecond)
-			if state, _ := f.Bind(t.Context(), a); state != binding.Bound {
+			if state, _ := f.Bind(t.Context(), a); state != binding.Claimed {
 				t.Errorf("step %d, instance %d: %v", step, i, state)
 			}
 		}
@@ -441,9 +441,9 @@
 
 // What is read from the net is in form, or an error; nothing panics.
 func FuzzDecode(f *testing.F) {
-	a := binding.Ask{Life: 1}
+	a := binding.Proposal{TTL: 1}
 	for _, p := range []packet{{From: "a", Items: []item{{Ask: &a}, {Want: 7}}},
-		{From: "b", Items: []item{{Copy: &copyPart{Parts: 1, Keys: []binding.Known{{}}}}, {End: &binding.End{}}, {Answer: &binding.Answer{}}}}} {
+		{From: "b", Items: []item{{Copy: &copyPart{Parts: 1, Keys: []binding.KeyState{{}}}}, {End: &binding.Release{}}, {Answer: &binding.Response{}}}}} {
 		text, err := encode(&p)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/fleet/format_test.go
+++ b/internal/fleet/format_test.go
@@ -17,7 +17,7 @@
 
 // Packets are encoded by the order of their fields, so the values below name each field, and each has its own value.
 var (
-	formatTry   = binding.Try{Process: 0x0102030405060708, Number: 9}
+	formatTry   = binding.AttemptID{Process: 0x0102030405060708, Number: 9}
 	formatPlace = history.Place{Cluster: "cluster-a", Zone: "zone-b", Cell: 3}
 	formatID    = history.ID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
 	formatHash  = version.Hash{21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36}
@@ -26,38 +26,38 @@
 		Add:    []membership.Member{{Name: "added", Address: "127.0.0.1:32", Incarnation: 32}},
 	}
 	formatVector = version.Vector{{Kind: version.Configuration, Name: "entry", Hash: formatHash, Number: 41,
-		Before: []version.Past{{Number: 40, Hash: version.Hash{51}}}, Text: "as called"}}
+		Ancestors: []version.Ancestor{{Number: 40, Hash: version.Hash{51}}}, Description: "as called"}}
 )
 
 func formatMessage() *membership.Message {
 	return &membership.Message{
 		Kind: membership.Promise, From: membership.Member{Name: "from", Address: "127.0.0.1:11", Incarnation: 11},
 		Lineage: 12, ViewNumber: 13, ViewHash: 14, Seq: 15, Isolated: true, Leaving: true, Unreachable: []uint16{16},
-		Rows:    []membership.ReachabilityRow{{Seq: 17, Unreachable: 18}},
-		Target:  membership.Member{Name: "target", Address: "127.0.0.1:19", Incarnation: 19},
-		Suspects: []membership.Member{{Name: "accused", Address: "127.0.0.1:20", Incarnation: 20}},
-		Joining: []membership.Member{{Name: "joining", Address: "127.0.0.1:21", Incarnation: 21}},
-		Departing:    []membership.Member{{Name: "left", Address: "127.0.0.1:22", Incarnation: 22}},
-		Ballot:  membership.Ballot{Round: 23, Name: "ballot"}, PriorBallot: membership.Ballot{Round: 24, Name: "prior"},
+		Rows:      []membership.ReachabilityRow{{Seq: 17, Unreachable: 18}},
+		Target:    membership.Member{Name: "target", Address: "127.0.0.1:19", Incarnation: 19},
+		Suspects:  []membership.Member{{Name: "accused", Address: "127.0.0.1:20", Incarnation: 20}},
+		Joining:   []membership.Member{{Name: "joining", Address: "127.0.0.1:21", Incarnation: 21}},
+		Departing: []membership.Member{{Name: "left", Address: "127.0.0.1:22", Incarnation: 22}},
+		Ballot:    membership.Ballot{Round: 23, Name: "ballot"}, PriorBallot: membership.Ballot{Round: 24, Name: "prior"},
 		Delta: &formatDelta, Affirmed: true,
 		View: &membership.View{Lineage: 25, Number: 26, Members: []membership.Member{{Name: "whole", Address: "127.0.0.1:27", Incarnation: 27}}},
 	}
 }
 
 var formatItems = map[string]item{
-	"ask": {Ask: &binding.Ask{Try: formatTry, Turn: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
-		Keep: 6 * time.Second, Life: 7 * time.Second}},
-	"answer": {Answer: &binding.Answer{Try: formatTry, Turn: 4, Vote: binding.Held, Place: formatPlace, Split: true, Until: 8 * time.Second}},
-	"end":    {End: &binding.End{Try: formatTry, NeverRan: true}},
+	"ask": {Ask: &binding.Proposal{Attempt: formatTry, Round: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
+		Retention: 6 * time.Second, TTL: 7 * time.Second}},
+	"answer": {Answer: &binding.Response{Attempt: formatTry, Round: 4, Vote: binding.HeldElsewhere, Place: formatPlace, Split: true, Remaining: 8 * time.Second}},
+	"end":    {End: &binding.Release{Attempt: formatTry, NeverRan: true}},
 	"want":   {Want: 71},
-	"copy": {Copy: &copyPart{Want: 72, Part: 1, Parts: 3, Keys: []binding.Known{{Key: formatID, Place: formatPlace, Zones: true, Cells: true,
-		Until: 9 * time.Second, Expire: 10 * time.Second}}}},
+	"copy": {Copy: &copyPart{Want: 72, Part: 1, Parts: 3, Keys: []binding.KeyState{{Key: formatID, Place: formatPlace, SeveralZones: true, SeveralCells: true,
+		RetryFor: 9 * time.Second, ExpiresIn: 10 * time.Second}}}},
 	"membership": {Word: formatMessage()},
 	"versions": {Acts: &exchange.Message{
-		Heads: []exchange.Head{{Name: "head", Life: 81, Start: 82, Seq: 83, Age: 84}},
-		Want:  []exchange.Want{{Name: "want", Life: 85, Have: 86}},
-		Words: []exchange.Part{{Name: "part", Life: 87, Start: 88, Seq: 90, Base: 89, Changed: formatVector, At: []uint64{90},
-			Gone: []exchange.Gone{{Kind: version.List, Name: "gone", At: 90}}, Floor: 91, Taken: 92, Digest: formatHash}},
+		Digests:  []exchange.Digest{{Name: "head", Incarnation: 81, Generation: 82, Seq: 83, AgeMilliseconds: 84}},
+		Requests: []exchange.Request{{Name: "want", Incarnation: 85, KnownSeq: 86}},
+		Updates: []exchange.Update{{Name: "part", Incarnation: 87, Generation: 88, Seq: 90, BaseSeq: 89, Changed: formatVector, ChangedAt: []uint64{90},
+			Tombstones: []exchange.Tombstone{{Kind: version.List, Name: "gone", DeletedAt: 90}}, CompactedSeq: 91, AppliedAt: 92, VectorHash: formatHash}},
 	}},
 }
 
@@ -112,13 +112,13 @@
 			t.Errorf("message kind %v is %d, want %d", kind, kind, n)
 		}
 	}
-	for n, vote := range []binding.Vote{binding.Silent, binding.Yes, binding.Held} {
+	for n, vote := range []binding.Vote{binding.Abstain, binding.Grant, binding.HeldElsewhere} {
 		if int(vote) != n {
 			t.Errorf("vote %d, want %d", vote, n)
 		}
 	}
-	for n, kind := range []version.Kind{version.Build, version.Own, version.Configuration, version.Voters, version.Keyring, version.View, version.List,
-		version.Resource, version.Refused} {
+	for n, kind := range []version.Kind{version.Build, version.Local, version.Configuration, version.Voters, version.Keyring, version.View, version.List,
+		version.Resource, version.Rejected} {
 		if int(kind) != n+1 {
 			t.Errorf("version kind %v is %d, want %d", kind, kind, n+1)
 		}
@@ -134,7 +134,7 @@
 	if got := formatVector.Digest().String(); got != "ac480e47" {
 		t.Errorf("digest of the vector %s", got)
 	}
-	if got := version.Of([]byte("content")).String(); got != "ed7002b4" {
+	if got := version.HashOf([]byte("content")).String(); got != "ed7002b4" {
 		t.Errorf("hash of a content %s", got)
 	}
 }
@@ -145,7 +145,7 @@
 	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.ReportsIsolation, membership.Unreachable, membership.Isolated, membership.Dead, membership.Left} {
 		names = append(names, s.String())
 	}
-	for _, s := range []straggler.State{straggler.InStep, straggler.Taking, straggler.Ahead, straggler.Differs, straggler.Behind, straggler.Silent, straggler.Forked} {
+	for _, s := range []straggler.State{straggler.Current, straggler.Updating, straggler.Ahead, straggler.Divergent, straggler.Lagging, straggler.NotReporting, straggler.Forked} {
 		names = append(names, s.String())
 	}
 	for k := version.Kind(0); k < 12; k++ {
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -29,14 +29,14 @@
 	catches map[string]*catch
 
 	askMu   sync.Mutex
-	hearing binding.Hearing
-	asks    map[binding.Try]*asking
+	hearing binding.ResponseTracker
+	asks    map[binding.AttemptID]*asking
 	next    uint64
 }
 
 // asking is an ask under way.
 type asking struct {
-	asker  *binding.Asker
+	asker  *binding.Proposer
 	voters []string
 	rounds int           // of asks
 	moved  chan struct{} // holds a token when an answer has come
@@ -51,20 +51,20 @@
 }
 
 func (k *keys) start(f *Fleet, now time.Time) {
-	k.f, k.asks, k.catches = f, map[binding.Try]*asking{}, map[string]*catch{}
+	k.f, k.asks, k.catches = f, map[binding.AttemptID]*asking{}, map[string]*catch{}
 	silent := f.o.Silent
 	if f.o.New {
 		silent = 0
 	}
-	k.voter = binding.NewVoter(now, binding.Start{Max: f.o.Keys, Silent: silent, Life: f.o.Life})
+	k.voter = binding.NewVoter(now, binding.VoterOptions{MaxKeys: f.o.Keys, AbstainFor: silent, MaxProposalTTL: f.o.Life})
 }
 
 // Number returns a number for a request's asks that no other request of this process has.
-func (k *keys) Number() binding.Try {
+func (k *keys) Number() binding.AttemptID {
 	k.askMu.Lock()
 	defer k.askMu.Unlock()
 	k.next++
-	return binding.Try{Process: k.f.process, Number: k.next}
+	return binding.AttemptID{Process: k.f.process, Number: k.next}
 }
 
 func (f *Fleet) voterNames() []string {
@@ -75,22 +75,22 @@
 
 // Bind has the voters agree that a key's attempts go to a place. It returns when that is certain one way or the other,
 // or when ctx ends or the time for it is over, which is Unknown.
-func (k *keys) Bind(ctx context.Context, a binding.Ask) (binding.State, history.Past) {
+func (k *keys) Bind(ctx context.Context, a binding.Proposal) (binding.State, history.Past) {
 	now := time.Now()
 	voters := k.f.voterNames()
 	if k.f.views != nil && k.f.views.cut(voters) {
 		return binding.Unknown, history.Past{} // nobody could agree: it neither waits nor counts as in flight
 	}
-	p := &asking{asker: binding.NewAsker(now, a, len(voters)), voters: voters, moved: make(chan struct{}, 1)}
+	p := &asking{asker: binding.NewProposer(now, a, len(voters)), voters: voters, moved: make(chan struct{}, 1)}
 	k.askMu.Lock()
-	k.asks[a.Try] = p
-	most := k.hearing.Wait(now, voters, min(bindWait, a.Life/2), muteWait)
+	k.asks[a.Attempt] = p
+	most := k.hearing.Timeout(now, voters, min(bindWait, a.TTL/2), muteWait)
 	k.askMu.Unlock()
 	defer func() {
 		k.askMu.Lock()
 		defer k.askMu.Unlock()
-		if k.asks[a.Try] == p {
-			delete(k.asks, a.Try)
+		if k.asks[a.Attempt] == p {
+			delete(k.asks, a.Attempt)
 		}
 	}()
 	wait := time.NewTimer(most)
@@ -129,13 +129,13 @@
 	}
 	k.askMu.Lock()
 	p.rounds++
-	a := p.asker.Ask()
+	a := p.asker.Proposal()
 	var to []int
 	for i := range p.voters {
-		if p.asker.Waits(i) && !last[p.voters[i]] {
+		if p.asker.IsAwaiting(i) && !last[p.voters[i]] {
 			to = append(to, i)
 			if p.voters[i] != k.f.o.Name {
-				k.hearing.Asked(time.Now(), p.voters[i])
+				k.hearing.ProposalSent(time.Now(), p.voters[i])
 			}
 		}
 	}
@@ -152,28 +152,28 @@
 }
 
 // vote has this instance's voter answer an ask.
-func (k *keys) vote(a binding.Ask) (binding.Answer, bool) {
+func (k *keys) vote(a binding.Proposal) (binding.Response, bool) {
 	k.voteMu.Lock()
 	defer k.voteMu.Unlock()
-	return k.voter.Ask(time.Now(), a)
+	return k.voter.Vote(time.Now(), a)
 }
 
 // noteEnd tells this instance's voter of an end.
-func (k *keys) noteEnd(e binding.End) {
+func (k *keys) noteEnd(e binding.Release) {
 	k.voteMu.Lock()
 	defer k.voteMu.Unlock()
-	k.voter.End(time.Now(), e, k.f.o.Life)
+	k.voter.Release(time.Now(), e, k.f.o.Life)
 }
 
-func (k *keys) answer(from string, a *binding.Answer) {
+func (k *keys) answer(from string, a *binding.Response) {
 	k.askMu.Lock()
 	defer k.askMu.Unlock()
-	k.hearing.Heard(from)
-	p := k.asks[a.Try]
+	k.hearing.ResponseReceived(from)
+	p := k.asks[a.Attempt]
 	if p == nil {
 		return
 	}
-	p.asker.Answer(slices.Index(p.voters, from), *a)
+	p.asker.Receive(slices.Index(p.voters, from), *a)
 	select {
 	case p.moved <- struct{}{}:
 	default:
@@ -181,7 +181,7 @@
 }
 
 // End tells the voters that a request is over. A word that is lost costs no more than a key that is held for longer.
-func (f *Fleet) End(e binding.End) {
+func (f *Fleet) End(e binding.Release) {
 	for _, name := range f.voterNames() {
 		if name != f.o.Name {
 			f.send(name, item{End: &e})
@@ -199,7 +199,7 @@
 	for _, v := range voters {
 		names[v] = true
 	}
-	k.hearing.Keep(names)
+	k.hearing.Retain(names)
 }
 
 // receive takes what another instance has said.
@@ -241,7 +241,7 @@
 	k.voteMu.Lock()
 	defer k.voteMu.Unlock()
 	now := time.Now()
-	return k.voter.Past(now, key, scope), max(k.voter.Silent().Sub(now), 0), voting
+	return k.voter.KeyState(now, key, scope), max(k.voter.AbstainsUntil().Sub(now), 0), voting
 }
 
 // catchUp has this instance's voter, where it was started anew, learn from the others what it may have agreed to before.
@@ -254,8 +254,8 @@
 		}
 		f.voteMu.Lock()
 		now := time.Now()
-		silent := now.Before(f.voter.Silent())
-		wants := f.voter.Wants(now)
+		silent := now.Before(f.voter.AbstainsUntil())
+		wants := f.voter.NeedsSnapshots(now)
 		f.voteMu.Unlock()
 		if !silent {
 			return
@@ -293,10 +293,10 @@
 	}
 	now := time.Now()
 	c.got[part.Part], c.moved = true, now
-	f.voter.Learn(now, part.Keys)
+	f.voter.MergeSnapshot(now, part.Keys)
 	if len(c.got) == part.Parts {
 		c.done = true
-		if f.voter.Copied(now, from, len(voters)); !now.Before(f.voter.Silent()) {
+		if f.voter.SnapshotCompleted(now, from, len(voters)); !now.Before(f.voter.AbstainsUntil()) {
 			f.log.Info("voter speaks again", "keys", f.voter.Len())
 		}
 	}
@@ -305,14 +305,14 @@
 // sendCopy sends all that this instance's voter knows, in parts.
 func (f *Fleet) sendCopy(to string, want uint64) {
 	f.voteMu.Lock()
-	all, ok := f.voter.Copy(time.Now())
+	all, ok := f.voter.Snapshot(time.Now())
 	f.voteMu.Unlock()
 	if !ok {
 		return
 	}
 	parts := slices.Collect(slices.Chunk(all, partKeys))
 	if len(parts) == 0 {
-		parts = [][]binding.Known{nil}
+		parts = [][]binding.KeyState{nil}
 	}
 	f.sendWhole(to, want, parts)
 }
--- a/internal/fleet/membership/agree.go
+++ b/internal/fleet/membership/agree.go
@@ -10,19 +10,19 @@
 
 // acceptor is what this member has promised for the next view.
 type acceptor struct {
-	promised Ballot
-	acceptedBallot   Ballot // of the value
-	acceptedValue    *Delta
+	promised       Ballot
+	acceptedBallot Ballot // of the value
+	acceptedValue  *Delta
 }
 
 // proposer is this member's own try.
 type proposer struct {
-	ballot   Ballot
-	startedAt       time.Duration
-	value    *Delta
-	priorBallot    Ballot // of the value, if it is one that somebody has accepted
-	promises map[string]bool
-	accepts  map[string]bool
+	ballot      Ballot
+	startedAt   time.Duration
+	value       *Delta
+	priorBallot Ballot // of the value, if it is one that somebody has accepted
+	promises    map[string]bool
+	accepts     map[string]bool
 	decided     bool
 }
 
--- a/internal/fleet/membership/hear.go
+++ b/internal/fleet/membership/hear.go
@@ -8,18 +8,18 @@
 
 // peerLink is what is known of another member by its own words and by those who hear it.
 type peerLink struct {
-	reachableAt    time.Duration // a word of its own came, or it answered through another
+	reachableAt     time.Duration // a word of its own came, or it answered through another
 	lastMessage     time.Duration // a word of its own came
-	unansweredPings     int           // questions since then, through others too
-	heartbeatSeq      uint64        // of its last beat
-	lossRatio     float64       // part of its beats that do not come, smoothed
-	viewNumber     uint64        // that it is in, by its last beat
-	isolatedSince time.Duration // since when it says so; zero: it does not
-	unreachable  []uint16      // whom it does not hear, by places in the view
-	rowAt    time.Duration
-	rowSeq   uint64
-	suspectedSince   time.Duration // since when it is accused by me; zero: it is not
-	leaving  bool
+	unansweredPings int           // questions since then, through others too
+	heartbeatSeq    uint64        // of its last beat
+	lossRatio       float64       // part of its beats that do not come, smoothed
+	viewNumber      uint64        // that it is in, by its last beat
+	isolatedSince   time.Duration // since when it says so; zero: it does not
+	unreachable     []uint16      // whom it does not hear, by places in the view
+	rowAt           time.Duration
+	rowSeq          uint64
+	suspectedSince  time.Duration // since when it is accused by me; zero: it is not
+	leaving         bool
 }
 
 func (l *peerLink) shift(late time.Duration) {
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -16,87 +16,87 @@
 
 // Options tell what a process needs to know.
 type Options struct {
-	Self    Member
-	Seeds []string      // addresses that are asked to be let in
-	Bootstrap bool          // may found a fleet alone, where nobody has let it in
-	HeartbeatInterval  time.Duration // between two beats to one observer; zero: half a second
-	Rand  *rand.Rand
+	Self              Member
+	Seeds             []string      // addresses that are asked to be let in
+	Bootstrap         bool          // may found a fleet alone, where nobody has let it in
+	HeartbeatInterval time.Duration // between two beats to one observer; zero: half a second
+	Rand              *rand.Rand
 }
 
 // Times, in beats. Half a second a beat makes a loss known in under 3 s.
 const (
 	ticksPerHeartbeat  = 5   // ticks in a beat: the host calls Tick that often
-	pingAfter = 1.5 // without a word: asked directly and through others
-	reachableFor  = 2.5 // a word makes its sender heard for so long
-	suspectAfter = 3.5 // without a word, at the least, and all questions asked: accused
-	isolatedAfter     = 4.5 // without a majority: isolated
-	reportTTL = 4   // a report counts
-	pauseGrace     = 4   // after a pause nobody is accused
-	batchDelay     = 1   // a change waits for others that come with it
-	unstableDelay  = 6   // and at the most so long for those that are accused by some and not by enough
-	proposalTimeout = 3   // a proposal without an end is begun anew
+	pingAfter          = 1.5 // without a word: asked directly and through others
+	reachableFor       = 2.5 // a word makes its sender heard for so long
+	suspectAfter       = 3.5 // without a word, at the least, and all questions asked: accused
+	isolatedAfter      = 4.5 // without a majority: isolated
+	reportTTL          = 4   // a report counts
+	pauseGrace         = 4   // after a pause nobody is accused
+	batchDelay         = 1   // a change waits for others that come with it
+	unstableDelay      = 6   // and at the most so long for those that are accused by some and not by enough
+	proposalTimeout    = 3   // a proposal without an end is begun anew
 	requestInterval    = 2   // between two questions to be let in, or for a view
-	bootstrapDelay  = 8   // without an answer
-	mergeProbeInterval  = 10  // between two looks for another fleet of this name
-	quotaHold      = 3   // a lost member's part is left to it after the view without it
-	departedTTL  = 600 // a member that is out is remembered for those who ask
+	bootstrapDelay     = 8   // without an answer
+	mergeProbeInterval = 10  // between two looks for another fleet of this name
+	quotaHold          = 3   // a lost member's part is left to it after the view without it
+	departedTTL        = 600 // a member that is out is remembered for those who ask
 )
 
 // Envelope is a message for one address.
 type Envelope struct {
-	To  Member // its life may not be known
+	To      Member // its life may not be known
 	Message *Message
 }
 
 // Core is one process's part. It is not safe for concurrent use.
 type Core struct {
-	options     Options
-	now   time.Duration
-	outgoing   []Envelope
-	heartbeatSeq   uint64
-	startedAt time.Duration
+	options      Options
+	now          time.Duration
+	outgoing     []Envelope
+	heartbeatSeq uint64
+	startedAt    time.Duration
 
-	view     *View  // nil: in none
+	view         *View  // nil: in none
 	viewHash     uint64 // of the view
-	previousView   *View  // the one before it, where this process was in it
+	previousView *View  // the one before it, where this process was in it
 	viewSince    time.Duration
-	observers [][]int // of the view
-	subjects  []int   // by me
-	links    []*peerLink // by place in the view; nil for me
-	collectors   []int   // those who propose, first to last
+	observers    [][]int     // of the view
+	subjects     []int       // by me
+	links        []*peerLink // by place in the view; nil for me
+	collectors   []int       // those who propose, first to last
 
-	lastTick   time.Duration // the last tick
-	lastHeartbeat   time.Duration // the last beat
-	lastViewRequest    time.Duration // for a view, or to be let in
-	lastMergeProbe  time.Duration // those who may be in a fleet of their own
-	suspicionPausedUntil    time.Duration // until then nobody is accused
-	majorityGrantedAt  time.Duration // a majority was there, by a clerk's word
-	collectorTurn    int           // that I ask, by turn
-	collectorAnsweredAt time.Duration // by it, or asked first
-	majorityReached     bool          // a majority has been heard in this view since the last pause
-	noMajoritySince   time.Duration // since when no majority is heard; zero: one is
-	leaving  bool
-	nameTaken    bool      // another process has the name
-	wasMember     bool      // in a view
-	latest   [2]uint64 // the newest view that is known: its lineage and number
-	endedLineage     uint64    // a lineage that has ended: who has not found it out yet still tells its view
+	lastTick             time.Duration // the last tick
+	lastHeartbeat        time.Duration // the last beat
+	lastViewRequest      time.Duration // for a view, or to be let in
+	lastMergeProbe       time.Duration // those who may be in a fleet of their own
+	suspicionPausedUntil time.Duration // until then nobody is accused
+	majorityGrantedAt    time.Duration // a majority was there, by a clerk's word
+	collectorTurn        int           // that I ask, by turn
+	collectorAnsweredAt  time.Duration // by it, or asked first
+	majorityReached      bool          // a majority has been heard in this view since the last pause
+	noMajoritySince      time.Duration // since when no majority is heard; zero: one is
+	leaving              bool
+	nameTaken            bool      // another process has the name
+	wasMember            bool      // in a view
+	latest               [2]uint64 // the newest view that is known: its lineage and number
+	endedLineage         uint64    // a lineage that has ended: who has not found it out yet still tells its view
 
-	joining, departing      map[Member]time.Duration // known of, and until when
-	reports           map[string]*suspicionReport       // to a clerk, by observer
-	changePendingSince             time.Duration            // when a change was first due; zero: none is
-	renewals           map[string]time.Duration // to a clerk, by member
-	majorityCountedAt, majorityRenewedAt time.Duration            // when it was counted since when a majority has asked, and since when
-	departed              map[string]Departed          // by name
-	unjoined          map[string]time.Duration // processes in no view, heard
-	accepted            acceptor
-	proposal           proposer
-	reportedStates            map[string]State // as raised last
-	changes           []Change
+	joining, departing                   map[Member]time.Duration    // known of, and until when
+	reports                              map[string]*suspicionReport // to a clerk, by observer
+	changePendingSince                   time.Duration               // when a change was first due; zero: none is
+	renewals                             map[string]time.Duration    // to a clerk, by member
+	majorityCountedAt, majorityRenewedAt time.Duration               // when it was counted since when a majority has asked, and since when
+	departed                             map[string]Departed         // by name
+	unjoined                             map[string]time.Duration    // processes in no view, heard
+	accepted                             acceptor
+	proposal                             proposer
+	reportedStates                       map[string]State // as raised last
+	changes                              []Change
 }
 
 // suspicionReport is what an observer has told a clerk last.
 type suspicionReport struct {
-	at      time.Duration
+	at       time.Duration
 	suspects map[Member]bool
 }
 
@@ -119,9 +119,13 @@
 }
 
 // reachableWindow is for how long a word makes its sender heard.
-func (c *Core) reachableWindow() time.Duration { return c.heartbeats(reachableFor) + c.largeFleetAllowance() }
+func (c *Core) reachableWindow() time.Duration {
+	return c.heartbeats(reachableFor) + c.largeFleetAllowance()
+}
 
-func (c *Core) heartbeats(n float64) time.Duration { return time.Duration(n * float64(c.options.HeartbeatInterval)) }
+func (c *Core) heartbeats(n float64) time.Duration {
+	return time.Duration(n * float64(c.options.HeartbeatInterval))
+}
 
 // TickInterval is how often the host calls Tick.
 func (c *Core) TickInterval() time.Duration { return c.options.HeartbeatInterval / ticksPerHeartbeat }
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -10,23 +10,23 @@
 
 // The kindCount.
 const (
-	Heartbeat     Kind = iota // I am there, in this view, and don't hear these
-	Ping                 // answer at once
-	Ack                  // an answer to a ping
+	Heartbeat    Kind = iota // I am there, in this view, and don't hear these
+	Ping                     // answer at once
+	Ack                      // an answer to a ping
 	PingRequest              // ping somebody for me
-	IndirectAck                // somebody answered what I asked for you
-	Report               // an observer's accusations, joins and leaves that it knows of
-	Join                 // I want in
+	IndirectAck              // somebody answered what I asked for you
+	Report                   // an observer's accusations, joins and leaves that it knows of
+	Join                     // I want in
 	NameTaken                // your name is another process's
-	ViewRequest                // tell me your view
-	ViewResponse                 // a view
-	Prepare              // a proposer's first question for the next view
-	Promise              // its answer
-	Accept               // a proposer's value for the next view
-	Accepted             // its answer
-	Decided              // the next view
-	GrantRequest                // a member of a large fleet asks a clerk whether a majority is there
-	Grant                // it is
+	ViewRequest              // tell me your view
+	ViewResponse             // a view
+	Prepare                  // a proposer's first question for the next view
+	Promise                  // its answer
+	Accept                   // a proposer's value for the next view
+	Accepted                 // its answer
+	Decided                  // the next view
+	GrantRequest             // a member of a large fleet asks a clerk whether a majority is there
+	Grant                    // it is
 	kindCount
 )
 
@@ -48,40 +48,40 @@
 
 // Message is one word of one member to another. Kind tells which fields count.
 type Message struct {
-	Kind    Kind
-	From    Member // as it knows itself
-	Lineage uint64 // and the view that it is in; zero: none
-	ViewNumber    uint64
-	ViewHash    uint64
-	Seq     uint64 // counts beats, matches answers to pings; Grant: microseconds since a majority had asked
+	Kind       Kind
+	From       Member // as it knows itself
+	Lineage    uint64 // and the view that it is in; zero: none
+	ViewNumber uint64
+	ViewHash   uint64
+	Seq        uint64 // counts beats, matches answers to pings; Grant: microseconds since a majority had asked
 
-	Isolated bool     // by its own account
-	Leaving  bool     // Beat
-	Unreachable  []uint16 // Beat: places in its view of those whom it does not hear, the first of them
-	Rows     []ReachabilityRow    // Beat: the same of all others, as it has heard last, in a fleet of at most mesh members
-	Target   Member   // PingFor, Heard: who; Ping and Ack: for whom, where not for the sender
-	Suspects  []Member // Report
-	Joining  []Member
-	Departing     []Member
-	Ballot   Ballot
-	PriorBallot    Ballot // Promise: of the value that was accepted before
-	Delta    *Delta
-	Affirmed      bool  // Promise, Accepted; Grant, Full: a majority is there
-	View    *View // Full
+	Isolated    bool              // by its own account
+	Leaving     bool              // Beat
+	Unreachable []uint16          // Beat: places in its view of those whom it does not hear, the first of them
+	Rows        []ReachabilityRow // Beat: the same of all others, as it has heard last, in a fleet of at most mesh members
+	Target      Member            // PingFor, Heard: who; Ping and Ack: for whom, where not for the sender
+	Suspects    []Member          // Report
+	Joining     []Member
+	Departing   []Member
+	Ballot      Ballot
+	PriorBallot Ballot // Promise: of the value that was accepted before
+	Delta       *Delta
+	Affirmed    bool  // Promise, Accepted; Grant, Full: a majority is there
+	View        *View // Full
 }
 
 // ReachabilityRow is whom a member does not hear, as bits by places in the view, and the number of the beat that said so.
 type ReachabilityRow struct {
-	Seq     uint64
+	Seq         uint64
 	Unreachable uint16
 }
 
 // Bounds of a message's parts.
 const (
-	maxNameBytes    = 256
-	maxUnreachable = 24
-	maxReportMembers   = 64 // members in a report
-	MaxMembers = 10000
+	maxNameBytes     = 256
+	maxUnreachable   = 24
+	maxReportMembers = 64 // members in a report
+	MaxMembers       = 10000
 )
 
 // Check tells what is wrong with a message, whoever it comes from.
--- a/internal/fleet/membership/reach.go
+++ b/internal/fleet/membership/reach.go
@@ -13,7 +13,7 @@
 	Alive State = iota
 	Suspect
 	ReportsIsolation // it says itself that it hears no majority
-	Unreachable // nobody here hears it, by their own rows, and it has not been taken out yet
+	Unreachable      // nobody here hears it, by their own rows, and it has not been taken out yet
 	Isolated
 	Dead
 	Left
@@ -25,31 +25,31 @@
 
 // Change is something that has changed. Just one of its parts is set.
 type Change struct {
-	View   *View  // in force from now on
-	Removed    bool   // this process is in no view any more
-	Reason    string // Out: for what reason
-	Member Member // whose state has changed
-	State  State
-	UnreachableFrom     []string // Suspect: who accuses it, as far as is known here
-	NameTaken  bool     // another process has this one's name
-	Violation string   // what must never be
+	View            *View  // in force from now on
+	Removed         bool   // this process is in no view any more
+	Reason          string // Out: for what reason
+	Member          Member // whose state has changed
+	State           State
+	UnreachableFrom []string // Suspect: who accuses it, as far as is known here
+	NameTaken       bool     // another process has this one's name
+	Violation       string   // what must never be
 }
 
 // Departed is a member that is out.
 type Departed struct {
-	Member Member
-	At     time.Duration
-	Left   bool
-	ViewNumber   uint64 // that it is out by
+	Member     Member
+	At         time.Duration
+	Left       bool
+	ViewNumber uint64 // that it is out by
 }
 
 // Status is what a process believes of a member, and why.
 type Status struct {
-	Member Member
-	State  State
-	UnreachableFrom     []string      // who does not hear it, by their own rows
-	SinceLastMessage  time.Duration // since its last word
-	LossRatio   float64       // part of its beats that do not come
+	Member           Member
+	State            State
+	UnreachableFrom  []string      // who does not hear it, by their own rows
+	SinceLastMessage time.Duration // since its last word
+	LossRatio        float64       // part of its beats that do not come
 }
 
 // Status returns what is believed of all members, and of those that are out since a while.
@@ -136,8 +136,8 @@
 
 // Diagnosis names a trouble on the ways between members.
 type Diagnosis struct {
-	Kind string   `json:"kind"` // "deaf", "mute", "gone", "pair", "one way", "part"
-	Members  []string `json:"who"`  // pair: both; one way: who does not hear, and whom; part: all of the smaller one
+	Kind    string   `json:"kind"` // "deaf", "mute", "gone", "pair", "one way", "part"
+	Members []string `json:"who"`  // pair: both; one way: who does not hear, and whom; part: all of the smaller one
 }
 
 // Reachability tells who does not hear whom, by the rows that have come, and what that is taken for. Of a member that does not
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -10,8 +10,8 @@
 
 // Member is one process of the fleet. A process that is started again has another life, and is another member.
 type Member struct {
-	Name string
-	Address string
+	Name        string
+	Address     string
 	Incarnation uint64
 }
 
@@ -95,8 +95,8 @@
 // which all stand in an order drawn anew with each view (as in Rapid: Suresh and others, ATC 2018), so that those who
 // observe one member have nothing in common.
 const (
-	fullMeshMembers  = 16 // members up to which all observe all
-	ringCount = 6
+	fullMeshMembers = 16 // members up to which all observe all
+	ringCount       = 6
 )
 
 // ringPosition mixes a member, a ring and a view into its ringPosition on that ring.
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -78,7 +78,7 @@
 }
 
 // sendWhole sends a copy in its parts, one after the other, by a way that loses nothing of a part.
-func (f *Fleet) sendWhole(to string, want uint64, parts [][]binding.Known) {
+func (f *Fleet) sendWhole(to string, want uint64, parts [][]binding.KeyState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[to]
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -26,43 +26,43 @@
 
 // Tracker follows the members of a fleet. It is not safe for concurrent use.
 type Tracker struct {
-	me   string
-	hold time.Duration
-	most int
+	self       string
+	hold       time.Duration
+	maxMembers int
 
 	members map[string]*member
 }
 
 type member struct {
-	state State
-	lost  time.Time
+	state  State
+	lostAt time.Time
 }
 
 // New returns a tracker for an instance that is alone. A lost member counts on for hold at the least; of members that were
 // lost at most so many are remembered.
 func New(me string, hold time.Duration, most int) *Tracker {
-	return &Tracker{me: me, hold: hold, most: most, members: map[string]*member{me: {}}}
+	return &Tracker{self: me, hold: hold, maxMembers: most, members: map[string]*member{me: {}}}
 }
 
-// Set takes what is known of a member now.
-func (t *Tracker) Set(now time.Time, name string, s State) {
-	if name == t.me {
+// Update takes what is known of a member now.
+func (t *Tracker) Update(now time.Time, name string, s State) {
+	if name == t.self {
 		return
 	}
 	m := t.members[name]
 	switch {
 	case s == Left:
 		delete(t.members, name)
-	case m == nil && s == Alive && len(t.members) < t.most:
+	case m == nil && s == Alive && len(t.members) < t.maxMembers:
 		t.members[name] = &member{}
 	case m != nil && m.state != s:
-		m.state, m.lost = s, now
+		m.state, m.lostAt = s, now
 	}
 }
 
-// Shares returns how many instances count now, and this one's place among them, from 0. Next is when that can change by
+// Partition returns how many instances count now, and this one's place among them, from 0. Next is when that can change by
 // time alone; zero: never.
-func (t *Tracker) Shares(now time.Time) (n, place int, next time.Time) {
+func (t *Tracker) Partition(now time.Time) (n, place int, next time.Time) {
 	alive := 0
 	for _, m := range t.members {
 		if m.state == Alive {
@@ -74,7 +74,7 @@
 			if m.state == Alive {
 				continue
 			}
-			over := m.lost.Add(t.hold)
+			over := m.lostAt.Add(t.hold)
 			if !now.Before(over) {
 				delete(t.members, name)
 			} else if next.IsZero() || over.Before(next) {
@@ -87,6 +87,6 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	place, _ = slices.BinarySearch(names, t.me)
+	place, _ = slices.BinarySearch(names, t.self)
 	return len(names), place, next
 }
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -13,29 +13,29 @@
 func TestLife(t *testing.T) {
 	tr := New("b", 10*time.Second, 10)
 	for _, name := range []string{"a", "c", "d", "e"} {
-		tr.Set(t0, name, Alive)
+		tr.Update(t0, name, Alive)
 	}
 	want := func(at time.Duration, n, place int) {
 		t.Helper()
-		if gotN, gotPlace, _ := tr.Shares(t0.Add(at)); gotN != n || gotPlace != place {
+		if gotN, gotPlace, _ := tr.Partition(t0.Add(at)); gotN != n || gotPlace != place {
 			t.Errorf("after %v: %d of %d, want %d of %d", at, gotPlace, gotN, place, n)
 		}
 	}
 	want(0, 5, 1)
-	tr.Set(t0, "a", Left)
+	tr.Update(t0, "a", Left)
 	want(0, 4, 0)
-	tr.Set(t0, "c", Dead)
+	tr.Update(t0, "c", Dead)
 	want(9*time.Second, 4, 0)
-	if _, _, next := tr.Shares(t0); !next.Equal(t0.Add(10 * time.Second)) {
+	if _, _, next := tr.Partition(t0); !next.Equal(t0.Add(10 * time.Second)) {
 		t.Errorf("next %v", next)
 	}
 	want(10*time.Second, 3, 0)
-	tr.Set(t0.Add(11*time.Second), "d", Dead)
-	tr.Set(t0.Add(11*time.Second), "e", Dead)
+	tr.Update(t0.Add(11*time.Second), "d", Dead)
+	tr.Update(t0.Add(11*time.Second), "e", Dead)
 	want(time.Hour, 3, 0) // cut off, perhaps: the others may still be there
-	tr.Set(t0.Add(time.Hour), "e", Alive)
-	want(time.Hour, 2, 0) // most are there, and one has been lost for long
-	tr.Set(t0, "b", Dead) // what others say of this one
+	tr.Update(t0.Add(time.Hour), "e", Alive)
+	want(time.Hour, 2, 0)    // most are there, and one has been lost for long
+	tr.Update(t0, "b", Dead) // what others say of this one
 	want(time.Hour, 2, 0)
 }
 
@@ -61,12 +61,12 @@
 					if side[i] == side[j] {
 						s = Alive
 					}
-					tr.Set(now, name(j), s)
+					tr.Update(now, name(j), s)
 				}
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second)
 			for i, tr := range trackers {
-				count, place, _ := tr.Shares(now)
+				count, place, _ := tr.Partition(now)
 				same := 0
 				for j := range side {
 					if side[j] == side[i] {
@@ -80,9 +80,9 @@
 		}
 		for i, tr := range trackers { // all see all: the parts are those of the whole, and no place is taken twice
 			for j := range trackers {
-				tr.Set(now, name(j), Alive)
+				tr.Update(now, name(j), Alive)
 			}
-			if count, place, _ := tr.Shares(now); count != n || place != i {
+			if count, place, _ := tr.Partition(now); count != n || place != i {
 				t.Fatalf("instance %d: place %d of %d", i, place, count)
 			}
 		}
--- a/internal/fleet/straggler/straggler.go
+++ b/internal/fleet/straggler/straggler.go
@@ -20,25 +20,25 @@
 
 // The states, the worst last.
 const (
-	InStep  State = iota
-	Taking        // behind, for no longer than taking up may last
-	Ahead         // it has the newest, and most have not taken it up in time: the newest is odd
-	Differs       // it has another one, and nothing tells which of them is newer
-	Behind
-	Silent // nothing has been heard of what it acts on, or not lately
+	Current   State = iota
+	Updating        // behind, for no longer than taking up may last
+	Ahead           // it has the newest, and most have not taken it up in time: the newest is odd
+	Divergent       // it has another one, and nothing tells which of them is newer
+	Lagging
+	NotReporting // nothing has been heard of what it acts on, or not lately
 	Forked
 )
 
-var states = [...]string{"in step", "taking up", "ahead", "differs", "behind", "silent", "forked"}
+var stateNames = [...]string{"in step", "taking up", "ahead", "differs", "behind", "silent", "forked"}
 
-func (s State) String() string { return states[s] }
+func (s State) String() string { return stateNames[s] }
 
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (s *State) UnmarshalText(text []byte) error {
-	i := slices.Index(states[:], string(text))
+	i := slices.Index(stateNames[:], string(text))
 	if i < 0 {
 		return fmt.Errorf("straggler: no state %q", text)
 	}
@@ -48,89 +48,89 @@
 
 // Limits are the bounds by which is judged.
 type Limits struct {
-	Taking time.Duration // how long taking up a version may last
-	Silent time.Duration // how old a member's word may be
+	RolloutTimeout time.Duration // how long taking up a version may last
+	MaxAge         time.Duration // how old a member's word may be
 }
 
 // Member is what is known of a member of the view.
 type Member struct {
-	Name   string
-	Vector version.Vector // nil: it has said nothing
-	Digest version.Hash   // of it
-	Age    time.Duration  // since it said by itself that this stands
+	Name       string
+	Vector     version.Vector // nil: it has said nothing
+	VectorHash version.Hash   // of it
+	Age        time.Duration  // since it said by itself that this stands
 }
 
 // Finding is a thing in which a member is not in step.
 type Finding struct {
-	Kind  version.Kind  `json:"kind"`
-	Name  string        `json:"name,omitempty"`
-	State State         `json:"state"`
-	Has   version.Entry `json:"has"`
-	Want  version.Entry `json:"want"`
-	Steps int           `json:"behind,omitempty"` // versions
-	For   time.Duration `json:"for"`              // that it is so, up to its last word
+	Kind           version.Kind  `json:"kind"`
+	Name           string        `json:"name,omitempty"`
+	State          State         `json:"state"`
+	Has            version.Entry `json:"has"`
+	Expected       version.Entry `json:"want"`
+	VersionsBehind int           `json:"behind,omitempty"` // versions
+	Duration       time.Duration `json:"for"`              // that it is so, up to its last word
 }
 
-// Standing is how a member stands.
-type Standing struct {
-	Member   string         `json:"member"`
-	State    State          `json:"state"`
-	Age      time.Duration  `json:"age"` // of what is known
-	Digest   version.Hash   `json:"digest"`
-	Vector   version.Vector `json:"vector,omitempty"`
-	Findings []Finding      `json:"findings,omitempty"`
+// Status is how a member stands.
+type Status struct {
+	Member     string         `json:"member"`
+	State      State          `json:"state"`
+	Age        time.Duration  `json:"age"` // of what is known
+	VectorHash version.Hash   `json:"digest"`
+	Vector     version.Vector `json:"vector,omitempty"`
+	Findings   []Finding      `json:"findings,omitempty"`
 }
 
-// thing is one kind and name.
-type thing struct {
+// entryKey is one kind and name.
+type entryKey struct {
 	kind version.Kind
 	name string
 }
 
-// lag is one member's being behind the same version with the same one.
-type lag struct {
+// lagKey is one member's being behind the same version with the same one.
+type lagKey struct {
 	member string
-	thing
-	has, want version.Hash
+	entryKey
+	has, expected version.Hash
 }
 
-// Watch remembers since when each is as it is.
-type Watch struct {
-	limits Limits
-	since  map[lag]time.Duration
-	first  map[[2]any]time.Duration // when a thing's hash was seen as the newest first
+// Detector remembers since when each is as it is.
+type Detector struct {
+	limits      Limits
+	since       map[lagKey]time.Duration
+	newestSince map[[2]any]time.Duration // when a thing's hash was seen as the newest first
 }
 
 // New returns a watch that has seen nothing.
-func New(l Limits) *Watch {
-	return &Watch{limits: l, since: map[lag]time.Duration{}, first: map[[2]any]time.Duration{}}
+func New(l Limits) *Detector {
+	return &Detector{limits: l, since: map[lagKey]time.Duration{}, newestSince: map[[2]any]time.Duration{}}
 }
 
-// Limit changes the bounds.
-func (w *Watch) Limit(l Limits) { w.limits = l }
+// SetLimits changes the bounds.
+func (w *Detector) SetLimits(l Limits) { w.limits = l }
 
-// Look judges all members, in the order in which they are told.
-func (w *Watch) Look(now time.Duration, members []Member) []Standing {
-	out := make([]Standing, len(members))
-	has := map[thing][]int{} // who has one at all
+// Evaluate judges all members, in the order in which they are told.
+func (w *Detector) Evaluate(now time.Duration, members []Member) []Status {
+	out := make([]Status, len(members))
+	has := map[entryKey][]int{} // who has one at all
 	for i, m := range members {
-		out[i] = Standing{Member: m.Name, Age: m.Age, Digest: m.Digest, Vector: m.Vector}
-		if m.Vector == nil || m.Age > w.limits.Silent {
-			out[i].State = Silent
+		out[i] = Status{Member: m.Name, Age: m.Age, VectorHash: m.VectorHash, Vector: m.Vector}
+		if m.Vector == nil || m.Age > w.limits.MaxAge {
+			out[i].State = NotReporting
 			if m.Vector == nil {
 				continue
 			}
 		}
 		for _, e := range m.Vector {
-			if e.Kind.Shared() {
-				t := thing{e.Kind, e.Name}
+			if e.Kind.IsShared() {
+				t := entryKey{e.Kind, e.Name}
 				has[t] = append(has[t], i)
 			}
 		}
 	}
-	since, first := map[lag]time.Duration{}, map[[2]any]time.Duration{}
+	since, first := map[lagKey]time.Duration{}, map[[2]any]time.Duration{}
 	for t, of := range has {
-		d := distinct{}
+		d := versionSet{}
 		hashes := make([]version.Hash, len(of))
 		for j, i := range of {
 			e, _ := members[i].Vector.Find(t.kind, t.name)
@@ -139,25 +139,25 @@
 		}
 		tops := d.newest()
 		for j, i := range of {
-			f, ok := d.judge(t, hashes[j], tops)
+			f, ok := d.classify(t, hashes[j], tops)
 			if !ok {
 				continue
 			}
-			id := lag{members[i].Name, t, f.Has.Hash, f.Want.Hash}
+			id := lagKey{members[i].Name, t, f.Has.Hash, f.Expected.Hash}
 			at, seen := w.since[id]
 			if !seen {
 				at = now
 			}
 			since[id] = at
-			f.For = max(now-members[i].Age-at, 0) // by its own word: what it does since then is not known
-			if f.State == Behind && f.For <= w.limits.Taking || f.State == Differs && f.For <= w.limits.Taking {
-				f.State = Taking
+			f.Duration = max(now-members[i].Age-at, 0) // by its own word: what it does since then is not known
+			if f.State == Lagging && f.Duration <= w.limits.RolloutTimeout || f.State == Divergent && f.Duration <= w.limits.RolloutTimeout {
+				f.State = Updating
 			}
 			out[i].Findings = append(out[i].Findings, f)
 		}
-		w.odd(now, t, of, hashes, tops, members, out, first)
+		w.flagUnadoptedNewest(now, t, of, hashes, tops, members, out, first)
 	}
-	w.since, w.first = since, first
+	w.since, w.newestSince = since, first
 	for i := range out {
 		slices.SortFunc(out[i].Findings, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
 		for _, f := range out[i].Findings {
@@ -167,28 +167,28 @@
 	return out
 }
 
-// distinct are the versions of one thing that are in force anywhere, and how many act on each. Of several entries of one hash
+// versionSet are the versions of one thing that are in force anywhere, and how many act on each. Of several entries of one hash
 // the one that knows most of what came before stands for all.
-type distinct map[version.Hash]*standing
+type versionSet map[version.Hash]*versionCount
 
-type standing struct {
+type versionCount struct {
 	version.Entry
-	n int
+	members int
 }
 
-func (d distinct) add(e version.Entry) {
+func (d versionSet) add(e version.Entry) {
 	s := d[e.Hash]
 	if s == nil {
-		s = &standing{Entry: e}
+		s = &versionCount{Entry: e}
 		d[e.Hash] = s
-	} else if len(e.Before) > len(s.Before) || e.Number > s.Number {
+	} else if len(e.Ancestors) > len(s.Ancestors) || e.Number > s.Number {
 		s.Entry = e
 	}
-	s.n++
+	s.members++
 }
 
 // newest returns those that nobody's is newer than: one, or several that are forked or of which nothing is known.
-func (d distinct) newest() (tops []*standing) {
+func (d versionSet) newest() (tops []*versionCount) {
 	for _, e := range d {
 		older := false
 		for _, o := range d {
@@ -198,12 +198,12 @@
 			tops = append(tops, e)
 		}
 	}
-	slices.SortFunc(tops, func(a, b *standing) int { return slices.Compare(a.Hash[:], b.Hash[:]) })
+	slices.SortFunc(tops, func(a, b *versionCount) int { return slices.Compare(a.Hash[:], b.Hash[:]) })
 	return tops
 }
 
-// judge says how one version stands to the newest ones. ok is false where it is in step.
-func (d distinct) judge(t thing, h version.Hash, tops []*standing) (f Finding, ok bool) {
+// classify says how one version stands to the newest ones. ok is false where it is in step.
+func (d versionSet) classify(t entryKey, h version.Hash, tops []*versionCount) (f Finding, ok bool) {
 	e := d[h]
 	f = Finding{Kind: t.kind, Name: t.name, Has: e.Entry}
 	if len(tops) == 1 && tops[0] == e {
@@ -214,38 +214,38 @@
 		switch version.Compare(e.Entry, o.Entry) {
 		case version.Forked:
 			if f.State < Forked {
-				f.State, f.Want = Forked, o.Entry
+				f.State, f.Expected = Forked, o.Entry
 			}
 		case version.Older:
-			if f.State < Behind {
-				f.State, f.Want, f.Steps = Behind, o.Entry, version.Steps(e.Entry, o.Entry)
+			if f.State < Lagging {
+				f.State, f.Expected, f.VersionsBehind = Lagging, o.Entry, version.Steps(e.Entry, o.Entry)
 			}
 		case version.Unknown:
-			if f.State < Differs || f.State == Differs && o.n > most {
-				f.State, f.Want, most = Differs, o.Entry, o.n
+			if f.State < Divergent || f.State == Divergent && o.members > most {
+				f.State, f.Expected, most = Divergent, o.Entry, o.members
 			}
 		}
 	}
-	if f.State == Differs && e.n > most {
+	if f.State == Divergent && e.members > most {
 		return f, false // it is the others that differ
 	}
-	return f, f.State != InStep
+	return f, f.State != Current
 }
 
-// odd turns the judgement where most are behind a newest one for longer than taking it up may last.
-func (w *Watch) odd(now time.Duration, t thing, of []int, hashes []version.Hash, tops []*standing, members []Member, out []Standing, first map[[2]any]time.Duration) {
-	if len(tops) != 1 || !t.kind.Urgent() {
+// flagUnadoptedNewest turns the judgement where most are behind a newest one for longer than taking it up may last.
+func (w *Detector) flagUnadoptedNewest(now time.Duration, t entryKey, of []int, hashes []version.Hash, tops []*versionCount, members []Member, out []Status, first map[[2]any]time.Duration) {
+	if len(tops) != 1 || !t.kind.IsUrgent() {
 		return
 	}
 	id := [2]any{t, tops[0].Hash}
-	at, seen := w.first[id]
+	at, seen := w.newestSince[id]
 	if !seen {
 		at = now
 	}
 	first[id] = at
 	stale := 0 // who said after that time that they have another one
 	for j, i := range of {
-		if hashes[j] != tops[0].Hash && now-members[i].Age > at+w.limits.Taking {
+		if hashes[j] != tops[0].Hash && now-members[i].Age > at+w.limits.RolloutTimeout {
 			stale++
 		}
 	}
@@ -254,11 +254,11 @@
 	}
 	for j, i := range of {
 		if hashes[j] == tops[0].Hash {
-			out[i].Findings = append(out[i].Findings, Finding{Kind: t.kind, Name: t.name, State: Ahead, Has: tops[0].Entry, Want: tops[0].Entry, For: now - at})
+			out[i].Findings = append(out[i].Findings, Finding{Kind: t.kind, Name: t.name, State: Ahead, Has: tops[0].Entry, Expected: tops[0].Entry, Duration: now - at})
 			continue
 		}
 		out[i].Findings = slices.DeleteFunc(out[i].Findings, func(f Finding) bool {
-			return f.Kind == t.kind && f.Name == t.name && f.State <= Behind
+			return f.Kind == t.kind && f.Name == t.name && f.State <= Lagging
 		})
 	}
 }
--- a/internal/fleet/straggler/straggler_test.go
+++ b/internal/fleet/straggler/straggler_test.go
@@ -10,10 +10,10 @@
 	"silvertrail/internal/fleet/version"
 )
 
-var limits = Limits{Taking: 5 * time.Second, Silent: 10 * time.Second}
+var limits = Limits{RolloutTimeout: 5 * time.Second, MaxAge: 10 * time.Second}
 
-func conf(number uint64, text string, before ...version.Past) version.Entry {
-	return version.Entry{Kind: version.Configuration, Hash: version.Of([]byte(text)), Number: number, Before: before}
+func conf(number uint64, text string, before ...version.Ancestor) version.Entry {
+	return version.Entry{Kind: version.Configuration, Hash: version.HashOf([]byte(text)), Number: number, Ancestors: before}
 }
 
 func members(of ...version.Entry) (out []Member) {
@@ -23,7 +23,7 @@
 	return out
 }
 
-func told(s []Standing) (out string) {
+func told(s []Status) (out string) {
 	for i, m := range s {
 		if i > 0 {
 			out += ", "
@@ -36,18 +36,18 @@
 // Each row is a fleet as it is seen twice: at once, and after the time that taking up may last.
 func TestLook(t *testing.T) {
 	a := conf(1, "a")
-	b := conf(2, "b", version.Past{Number: 1, Hash: a.Hash})
-	x := conf(2, "x", version.Past{Number: 1, Hash: a.Hash})
-	c := conf(3, "c", version.Past{Number: 2, Hash: b.Hash}, version.Past{Number: 1, Hash: a.Hash})
+	b := conf(2, "b", version.Ancestor{Number: 1, Hash: a.Hash})
+	x := conf(2, "x", version.Ancestor{Number: 1, Hash: a.Hash})
+	c := conf(3, "c", version.Ancestor{Number: 2, Hash: b.Hash}, version.Ancestor{Number: 1, Hash: a.Hash})
 	list := func(text string, before ...string) version.Entry {
-		e := version.Entry{Kind: version.List, Name: "c", Hash: version.Of([]byte(text))}
+		e := version.Entry{Kind: version.List, Name: "c", Hash: version.HashOf([]byte(text))}
 		for _, b := range before {
-			e.Before = append(e.Before, version.Past{Hash: version.Of([]byte(b))})
+			e.Ancestors = append(e.Ancestors, version.Ancestor{Hash: version.HashOf([]byte(b))})
 		}
 		return e
 	}
 	own := func(text string) version.Entry {
-		return version.Entry{Kind: version.Own, Hash: version.Of([]byte(text))}
+		return version.Entry{Kind: version.Local, Hash: version.HashOf([]byte(text))}
 	}
 	for name, row := range map[string]struct {
 		members     []Member
@@ -71,10 +71,10 @@
 		"kinds of the future": {members(version.Entry{Kind: 99, Hash: a.Hash}, version.Entry{Kind: 99, Hash: b.Hash}), "taking up, taking up", "differs, differs"},
 	} {
 		w := New(limits)
-		if got := told(w.Look(time.Hour, row.members)); got != row.first {
+		if got := told(w.Evaluate(time.Hour, row.members)); got != row.first {
 			t.Errorf("%s: at once %s, want %s", name, got, row.first)
 		}
-		if got := told(w.Look(time.Hour+6*time.Second, row.members)); got != row.then {
+		if got := told(w.Evaluate(time.Hour+6*time.Second, row.members)); got != row.then {
 			t.Errorf("%s: then %s, want %s", name, got, row.then)
 		}
 	}
@@ -84,22 +84,22 @@
 // names what it has, what it should have, by how many versions, and for how long.
 func TestHowFar(t *testing.T) {
 	a := conf(1, "a")
-	c := conf(3, "c", version.Past{Number: 2, Hash: version.Of([]byte("b"))}, version.Past{Number: 1, Hash: a.Hash})
+	c := conf(3, "c", version.Ancestor{Number: 2, Hash: version.HashOf([]byte("b"))}, version.Ancestor{Number: 1, Hash: a.Hash})
 	w := New(limits)
-	w.Look(0, members(a, c, c))
-	s := w.Look(7*time.Second, members(a, c, c))
+	w.Evaluate(0, members(a, c, c))
+	s := w.Evaluate(7*time.Second, members(a, c, c))
 	if len(s[0].Findings) != 1 {
 		t.Fatalf("%+v", s)
 	}
-	if f := s[0].Findings[0]; f.State != Behind || f.Steps != 2 || f.For != 7*time.Second || f.Want.Hash != c.Hash || f.Has.Hash != a.Hash {
+	if f := s[0].Findings[0]; f.State != Lagging || f.VersionsBehind != 2 || f.Duration != 7*time.Second || f.Expected.Hash != c.Hash || f.Has.Hash != a.Hash {
 		t.Errorf("%+v", f)
 	}
-	d := conf(4, "d", append([]version.Past{{Number: 3, Hash: c.Hash}}, c.Before...)...)
-	if s = w.Look(8*time.Second, members(a, d, d)); s[0].Findings[0].State != Taking || s[0].Findings[0].For != 0 {
+	d := conf(4, "d", append([]version.Ancestor{{Number: 3, Hash: c.Hash}}, c.Ancestors...)...)
+	if s = w.Evaluate(8*time.Second, members(a, d, d)); s[0].Findings[0].State != Updating || s[0].Findings[0].Duration != 0 {
 		t.Errorf("behind a version that has just come: %+v", s[0].Findings)
 	}
-	if len(w.since) > 1 || len(w.first) > 1 {
-		t.Errorf("%d and %d are remembered", len(w.since), len(w.first))
+	if len(w.since) > 1 || len(w.newestSince) > 1 {
+		t.Errorf("%d and %d are remembered", len(w.since), len(w.newestSince))
 	}
 }
 
@@ -107,17 +107,17 @@
 // taking up may last, and the newest is odd only once most have.
 func TestByItsOwnWord(t *testing.T) {
 	a := conf(1, "a")
-	b := conf(2, "b", version.Past{Number: 1, Hash: a.Hash})
+	b := conf(2, "b", version.Ancestor{Number: 1, Hash: a.Hash})
 	for _, has := range [][]version.Entry{{a, b, b}, {a, a, b}} {
 		w := New(limits)
-		w.Look(0, members(has...))
+		w.Evaluate(0, members(has...))
 		for now := time.Second; now < 9*time.Second; now += time.Second { // heard at 0, and no more
 			old := members(has...)
 			for i := range old {
 				old[i].Age = now
 			}
-			for _, m := range w.Look(now, old) {
-				if m.State > Taking {
+			for _, m := range w.Evaluate(now, old) {
+				if m.State > Updating {
 					t.Errorf("%v after their last words: %+v", now, m)
 				}
 			}
@@ -130,22 +130,22 @@
 func TestNeverMostBehind(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(r, "members")
-		known := []version.Entry{version.Number(version.Configuration, "", version.Of([]byte("0")), "", nil)}
+		known := []version.Entry{version.AssignNumber(version.Configuration, "", version.HashOf([]byte("0")), "", nil)}
 		for i := range rapid.IntRange(0, 6).Draw(r, "versions") {
 			from := rapid.SampledFrom(known).Draw(r, "after")
-			known = append(known, version.Number(version.Configuration, "", version.Of([]byte(fmt.Sprint(i+1))), "", []version.Entry{from}))
+			known = append(known, version.AssignNumber(version.Configuration, "", version.HashOf([]byte(fmt.Sprint(i+1))), "", []version.Entry{from}))
 		}
 		var has []version.Entry
 		for range n {
 			has = append(has, rapid.SampledFrom(known).Draw(r, "has"))
 		}
 		w := New(limits)
-		w.Look(0, members(has...))
-		s := w.Look(time.Minute, members(has...))
+		w.Evaluate(0, members(has...))
+		s := w.Evaluate(time.Minute, members(has...))
 		behind, forked := 0, map[version.Hash]bool{}
 		for i, m := range s {
 			switch m.State {
-			case Behind:
+			case Lagging:
 				behind++
 			case Forked:
 				forked[has[i].Hash] = true
--- a/internal/fleet/version/version.go
+++ b/internal/fleet/version/version.go
@@ -21,39 +21,39 @@
 // The kinds. Their numbers go over the wire: none is used again for another thing, and one that is not known is carried on.
 const (
 	Build         Kind = iota + 1 // of the program
-	Own                           // the part of the configuration that each instance has for itself
+	Local                         // the part of the configuration that each instance has for itself
 	Configuration                 // the part that all have in common: numbered
 	Voters
 	Keyring // which keys, never the keys
 	View    // of the members: numbered by membership
 	List    // a cluster's endpoints, as merged from its sources
 	Resource
-	Refused // a file that was to be taken up and was turned away: why, until one is taken
+	Rejected // a file that was to be taken up and was turned away: why, until one is taken
 )
 
-var kinds = [...]string{"", "build", "own", "configuration", "voters", "keyring", "view", "list", "resource", "refused"}
+var kindNames = [...]string{"", "build", "own", "configuration", "voters", "keyring", "view", "list", "resource", "refused"}
 
 func (k Kind) String() string {
-	if int(k) < len(kinds) && k > 0 {
-		return kinds[k]
+	if int(k) < len(kindNames) && k > 0 {
+		return kindNames[k]
 	}
 	return fmt.Sprintf("kind %d", uint8(k))
 }
 
-// Shared tells whether all instances of a fleet are meant to have the same.
-func (k Kind) Shared() bool { return k != Own && k != Build && k != Refused }
+// IsShared tells whether all instances of a fleet are meant to have the same.
+func (k Kind) IsShared() bool { return k != Local && k != Build && k != Rejected }
 
-// Urgent tells whether a change of such a thing is told at once. Lists change at all members together, and often.
-func (k Kind) Urgent() bool { return k != List && k != Resource }
+// IsUrgent tells whether a change of such a thing is told at once. Lists change at all members together, and often.
+func (k Kind) IsUrgent() bool { return k != List && k != Resource }
 
-// Passing tells whether a thing may go without being replaced.
-func (k Kind) Passing() bool { return k == List || k == Resource || k == Refused }
+// IsTransient tells whether a thing may go without being replaced.
+func (k Kind) IsTransient() bool { return k == List || k == Resource || k == Rejected }
 
 // Hash stands for what something means: the first half of a SHA-256.
 type Hash [16]byte
 
-// Of hashes a text.
-func Of(text []byte) Hash {
+// HashOf hashes a text.
+func HashOf(text []byte) Hash {
 	sum := sha256.Sum256(text)
 	return Hash(sum[:16])
 }
@@ -73,48 +73,48 @@
 	return nil
 }
 
-// Past is what an entry replaced.
-type Past struct {
+// Ancestor is what an entry replaced.
+type Ancestor struct {
 	Number uint64 `json:"number,omitempty"`
 	Hash   Hash   `json:"hash"`
 }
 
 const (
-	// MostPast is how many replaced versions an entry knows.
-	MostPast = 16
-	// MostEntries bounds a vector.
-	MostEntries = 4096
-	maxName     = 256
+	// MaxAncestors is how many replaced versions an entry knows.
+	MaxAncestors = 16
+	// MaxEntries bounds a vector.
+	MaxEntries   = 4096
+	maxNameBytes = 256
 )
 
 // Entry is the version of one thing.
 type Entry struct {
-	Kind   Kind   `json:"kind"`
-	Name   string `json:"name,omitempty"` // of a list: its cluster; of a resource: its type and name
-	Hash   Hash   `json:"hash"`
-	Number uint64 `json:"number,omitempty"` // given by the fleet, or by membership; 0: none
-	Before []Past `json:"before,omitempty"` // the newest first
-	Text   string `json:"text,omitempty"`   // as those who run it would call it
+	Kind        Kind       `json:"kind"`
+	Name        string     `json:"name,omitempty"` // of a list: its cluster; of a resource: its type and name
+	Hash        Hash       `json:"hash"`
+	Number      uint64     `json:"number,omitempty"` // given by the fleet, or by membership; 0: none
+	Ancestors   []Ancestor `json:"before,omitempty"` // the newest first
+	Description string     `json:"text,omitempty"`   // as those who run it would call it
 }
 
 // Past returns the entry as one that replaces it remembers it.
-func (e Entry) past() Past { return Past{e.Number, e.Hash} }
+func (e Entry) asAncestor() Ancestor { return Ancestor{e.Number, e.Hash} }
 
 // replacedBy returns the entry that replaces e. Its number, if any, is the caller's affair.
 func (e Entry) replacedBy(h Hash, text string) Entry {
-	next := Entry{Kind: e.Kind, Name: e.Name, Hash: h, Text: text}
-	for _, p := range append([]Past{e.past()}, e.Before...) {
-		if p.Hash != h && len(next.Before) < MostPast && !slices.ContainsFunc(next.Before, func(q Past) bool { return q.Hash == p.Hash }) {
-			next.Before = append(next.Before, p)
+	next := Entry{Kind: e.Kind, Name: e.Name, Hash: h, Description: text}
+	for _, p := range append([]Ancestor{e.asAncestor()}, e.Ancestors...) {
+		if p.Hash != h && len(next.Ancestors) < MaxAncestors && !slices.ContainsFunc(next.Ancestors, func(q Ancestor) bool { return q.Hash == p.Hash }) {
+			next.Ancestors = append(next.Ancestors, p)
 		}
 	}
 	return next
 }
 
-// Replace returns the entry by which a thing without numbers goes on from e.
-func (e Entry) Replace(h Hash, text string) Entry {
+// Successor returns the entry by which a thing without numbers goes on from e.
+func (e Entry) Successor(h Hash, text string) Entry {
 	if e.Hash == h {
-		e.Text = text
+		e.Description = text
 		return e
 	}
 	return e.replacedBy(h, text)
@@ -134,7 +134,7 @@
 
 func (o Order) String() string { return [...]string{"unknown", "same", "older", "newer", "forked"}[o] }
 
-func (o Order) turned() Order {
+func (o Order) reversed() Order {
 	switch o {
 	case Older:
 		return Newer
@@ -152,13 +152,13 @@
 	case a.Hash == b.Hash:
 		return Same
 	case a.Number == 0 || b.Number == 0:
-		return byPast(a, b)
+		return compareAncestry(a, b)
 	case a.Number == b.Number:
 		return Forked
 	case a.Number > b.Number:
-		return Compare(b, a).turned()
+		return Compare(b, a).reversed()
 	}
-	for _, p := range b.Before {
+	for _, p := range b.Ancestors {
 		switch {
 		case p.Hash == a.Hash:
 			return Older
@@ -167,8 +167,8 @@
 		}
 	}
 	// Where both know what came before a, it has to be the same.
-	for _, p := range b.Before {
-		for _, q := range a.Before {
+	for _, p := range b.Ancestors {
+		for _, q := range a.Ancestors {
 			if p.Number == q.Number && p.Number > 0 && p.Hash != q.Hash {
 				return Forked
 			}
@@ -177,10 +177,10 @@
 	return Older
 }
 
-// byPast goes by who has replaced whom. Where each has replaced the other it is known of neither which came last.
-func byPast(a, b Entry) Order {
+// compareAncestry goes by who has replaced whom. Where each has replaced the other it is known of neither which came last.
+func compareAncestry(a, b Entry) Order {
 	replaced := func(in, of Entry) bool {
-		return slices.ContainsFunc(in.Before, func(p Past) bool { return p.Hash == of.Hash })
+		return slices.ContainsFunc(in.Ancestors, func(p Ancestor) bool { return p.Hash == of.Hash })
 	}
 	switch x, y := replaced(b, a), replaced(a, b); {
 	case x && !y:
@@ -196,24 +196,24 @@
 	if a.Number > 0 && b.Number > a.Number {
 		return int(b.Number - a.Number)
 	}
-	return 1 + max(0, slices.IndexFunc(b.Before, func(p Past) bool { return p.Hash == a.Hash }))
+	return 1 + max(0, slices.IndexFunc(b.Ancestors, func(p Ancestor) bool { return p.Hash == a.Hash }))
 }
 
-// Number gives a thing's new content its place among what the fleet knows: the number that it has there already, in force or
+// AssignNumber gives a thing's new content its place among what the fleet knows: the number that it has there already, in force or
 // replaced, or the next one after the newest. Known are all members' entries of the thing, mine among them where there is one.
-func Number(kind Kind, name string, h Hash, text string, known []Entry) Entry {
+func AssignNumber(kind Kind, name string, h Hash, text string, known []Entry) Entry {
 	var newest Entry
 	for _, e := range known {
 		if e.Kind != kind || e.Name != name || e.Number == 0 {
 			continue
 		}
 		if e.Hash == h {
-			e.Text = text
+			e.Description = text
 			return e
 		}
-		for i, p := range e.Before {
+		for i, p := range e.Ancestors {
 			if p.Hash == h && p.Number > 0 {
-				return Entry{Kind: kind, Name: name, Hash: h, Number: p.Number, Before: slices.Clone(e.Before[i+1:]), Text: text}
+				return Entry{Kind: kind, Name: name, Hash: h, Number: p.Number, Ancestors: slices.Clone(e.Ancestors[i+1:]), Description: text}
 			}
 		}
 		// Of two of one number the smaller hash, so that all who know both go on from the same one.
@@ -222,7 +222,7 @@
 		}
 	}
 	if newest.Number == 0 {
-		return Entry{Kind: kind, Name: name, Hash: h, Number: 1, Text: text}
+		return Entry{Kind: kind, Name: name, Hash: h, Number: 1, Description: text}
 	}
 	next := newest.replacedBy(h, text)
 	next.Number = newest.Number + 1
@@ -277,12 +277,12 @@
 
 // Check tells what is wrong with a vector that came from elsewhere.
 func (v Vector) Check() error {
-	if len(v) > MostEntries {
+	if len(v) > MaxEntries {
 		return fmt.Errorf("version: a vector of %d entries", len(v))
 	}
 	for i, e := range v {
 		switch {
-		case e.Kind == 0 || len(e.Name) > maxName || len(e.Text) > maxName || len(e.Before) > MostPast:
+		case e.Kind == 0 || len(e.Name) > maxNameBytes || len(e.Description) > maxNameBytes || len(e.Ancestors) > MaxAncestors:
 			return fmt.Errorf("version: entry %d of no instance's form", i)
 		case i > 0 && ByName(v[i-1], e) >= 0:
 			return fmt.Errorf("version: entry %d out of order", i)
--- a/internal/fleet/version/version_test.go
+++ b/internal/fleet/version/version_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-func text(s string) Hash { return Of([]byte(s)) }
+func text(s string) Hash { return HashOf([]byte(s)) }
 
 // A thing that goes on in one line, at members that take it up later or pass over some of it: who is older is told, and never
 // a fork.
@@ -19,7 +19,7 @@
 		has, at := make([]Entry, n), make([]int, n)
 		newest := 0
 		for i := range has {
-			has[i] = Number(Configuration, "", text("v0"), "", has[:i])
+			has[i] = AssignNumber(Configuration, "", text("v0"), "", has[:i])
 			if !numbered {
 				has[i] = Entry{Kind: List, Name: "c", Hash: text("v0")}
 			}
@@ -27,16 +27,16 @@
 		for range rapid.IntRange(1, 12).Draw(r, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(r, "who")
 			to := newest
-			if at[i] == newest && newest < MostPast-1 { // only who has the newest makes the next one
+			if at[i] == newest && newest < MaxAncestors-1 { // only who has the newest makes the next one
 				newest++
 				to = newest
 			}
 			h := text(fmt.Sprint("v", to))
 			if numbered {
-				has[i] = Number(Configuration, "", h, "", has)
+				has[i] = AssignNumber(Configuration, "", h, "", has)
 			} else {
 				for next := at[i] + 1; next <= to; next++ { // a source tells a member of all, in order
-					has[i] = has[i].Replace(text(fmt.Sprint("v", next)), "")
+					has[i] = has[i].Successor(text(fmt.Sprint("v", next)), "")
 				}
 			}
 			at[i] = to
@@ -64,11 +64,11 @@
 // Two that go on from one version apart from each other have forked, and so has what follows either; one that knows both
 // and goes on from there has not.
 func TestForks(t *testing.T) {
-	first := Number(Configuration, "", text("a"), "", nil)
-	left := Number(Configuration, "", text("left"), "", []Entry{first})
-	right := Number(Configuration, "", text("right"), "", []Entry{first})
-	next := Number(Configuration, "", text("next"), "", []Entry{left})
-	late := Number(Configuration, "", text("late"), "", []Entry{next, right})
+	first := AssignNumber(Configuration, "", text("a"), "", nil)
+	left := AssignNumber(Configuration, "", text("left"), "", []Entry{first})
+	right := AssignNumber(Configuration, "", text("right"), "", []Entry{first})
+	next := AssignNumber(Configuration, "", text("next"), "", []Entry{left})
+	late := AssignNumber(Configuration, "", text("late"), "", []Entry{next, right})
 	for _, x := range []struct {
 		a, b Entry
 		want Order
@@ -81,14 +81,14 @@
 			t.Errorf("%+v to %+v: %v, want %v", x.a, x.b, is, x.want)
 		}
 	}
-	if back := Number(Configuration, "", text("a"), "", []Entry{next}); back.Number != first.Number || Compare(back, next) != Older {
+	if back := AssignNumber(Configuration, "", text("a"), "", []Entry{next}); back.Number != first.Number || Compare(back, next) != Older {
 		t.Errorf("an old file is %+v", back)
 	}
 	one, other := Entry{Kind: List, Hash: text("x")}, Entry{Kind: List, Hash: text("y")}
 	if is := Compare(one, other); is != Unknown {
 		t.Errorf("without a past: %v", is)
 	}
-	if a, b := one.Replace(text("y"), ""), other.Replace(text("x"), ""); Compare(a, b) != Unknown {
+	if a, b := one.Successor(text("y"), ""), other.Successor(text("x"), ""); Compare(a, b) != Unknown {
 		t.Errorf("each has replaced the other: %v", Compare(a, b))
 	}
 }
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -181,7 +181,9 @@
 	}
 }
 
-func (v *views) send(s membership.Envelope) { v.carryTo(s.To.Name, s.To.Address, item{Word: s.Message}) }
+func (v *views) send(s membership.Envelope) {
+	v.carryTo(s.To.Name, s.To.Address, item{Word: s.Message})
+}
 
 // carryTo sends something to a member: in a packet, or as a stream where it is long.
 func (v *views) carryTo(name, addr string, what item) {
@@ -276,13 +278,13 @@
 
 // ReachView is what an instance knows of who hears whom.
 type ReachView struct {
-	Number    uint64               `json:"view"`
-	Lineage   uint64               `json:"lineage"`
-	Hash      uint64               `json:"hash"`
-	Members   []string             `json:"members"`
-	Confirmed bool                 `json:"confirmed"` // a majority of the view has been heard lately, in it
-	Isolated  bool                 `json:"isolated"`
-	Unheard   map[string][]string  `json:"unheard"` // by member: whom it does not hear; one that is missing has not told
+	Number    uint64                 `json:"view"`
+	Lineage   uint64                 `json:"lineage"`
+	Hash      uint64                 `json:"hash"`
+	Members   []string               `json:"members"`
+	Confirmed bool                   `json:"confirmed"` // a majority of the view has been heard lately, in it
+	Isolated  bool                   `json:"isolated"`
+	Unheard   map[string][]string    `json:"unheard"` // by member: whom it does not hear; one that is missing has not told
 	Found     []membership.Diagnosis `json:"found"`
 }
 
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -24,9 +24,9 @@
 
 // item is one message. Just one of its parts is set.
 type item struct {
-	Ask    *binding.Ask        `codec:",omitempty"`
-	Answer *binding.Answer     `codec:",omitempty"`
-	End    *binding.End        `codec:",omitempty"`
+	Ask    *binding.Proposal   `codec:",omitempty"`
+	Answer *binding.Response   `codec:",omitempty"`
+	End    *binding.Release    `codec:",omitempty"`
 	Want   uint64              `codec:",omitempty"` // a copy is asked for, under this number
 	Copy   *copyPart           `codec:",omitempty"`
 	Word   *membership.Message `codec:",omitempty"` // of membership, where the fleet goes by views
@@ -37,7 +37,7 @@
 type copyPart struct {
 	Want        uint64
 	Part, Parts int
-	Keys        []binding.Known
+	Keys        []binding.KeyState
 }
 
 const (
@@ -86,13 +86,13 @@
 	parts := 0
 	if a := i.Ask; a != nil {
 		parts++
-		if len(a.Place.Cluster) > maxName || len(a.Place.Zone) > maxName || a.Window < 0 || a.Keep < 0 || a.Life <= 0 || a.Scope > 2 {
+		if len(a.Place.Cluster) > maxName || len(a.Place.Zone) > maxName || a.Window < 0 || a.Retention < 0 || a.TTL <= 0 || a.Scope > 2 {
 			return errors.New("fleet: an ask that no member makes")
 		}
 	}
 	if a := i.Answer; a != nil {
 		parts++
-		if a.Vote > binding.Held || len(a.Place.Cluster) > maxName || len(a.Place.Zone) > maxName {
+		if a.Vote > binding.HeldElsewhere || len(a.Place.Cluster) > maxName || len(a.Place.Zone) > maxName {
 			return errors.New("fleet: an answer that no member gives")
 		}
 	}
--- a/internal/gateway/acting.go
+++ b/internal/gateway/acting.go
@@ -24,10 +24,10 @@
 	s := g.acquire()
 	defer g.release(s)
 	m := s.file.Meaning
-	out := []version.Entry{{Kind: version.Configuration, Hash: m.Shared, Text: fmt.Sprintf("%d classes, %d clusters, %d routes", len(s.file.Classes),
-		len(s.file.Clusters), s.file.Routes.Len())}, {Kind: version.Own, Hash: m.Own}}
+	out := []version.Entry{{Kind: version.Configuration, Hash: m.Shared, Description: fmt.Sprintf("%d classes, %d clusters, %d routes", len(s.file.Classes),
+		len(s.file.Clusters), s.file.Routes.Len())}, {Kind: version.Local, Hash: m.Own}}
 	if why := g.refused.Load(); why != nil {
-		out = append(out, version.Entry{Kind: version.Refused, Hash: version.Of([]byte(*why)), Text: *why})
+		out = append(out, version.Entry{Kind: version.Rejected, Hash: version.HashOf([]byte(*why)), Description: *why})
 	}
 	if g.lists == nil {
 		g.lists = map[string]listed{}
@@ -49,8 +49,8 @@
 	}
 	if g.discovery != nil {
 		for _, r := range g.discovery.Dump().Resources {
-			if r.Version != "" && len(out) < version.MostEntries/2 {
-				out = append(out, version.Entry{Kind: version.Resource, Name: r.Kind + " " + r.Name, Hash: version.Of([]byte(r.Version)), Text: r.Version})
+			if r.Version != "" && len(out) < version.MaxEntries/2 {
+				out = append(out, version.Entry{Kind: version.Resource, Name: r.Kind + " " + r.Name, Hash: version.HashOf([]byte(r.Version)), Description: r.Version})
 			}
 		}
 	}
@@ -68,7 +68,7 @@
 		}
 	}
 	slices.Sort(lines)
-	return version.Entry{Kind: version.List, Name: name, Hash: version.Of([]byte(strings.Join(lines, ""))), Text: fmt.Sprintf("%d members, %d ready", len(members), ready)}
+	return version.Entry{Kind: version.List, Name: name, Hash: version.HashOf([]byte(strings.Join(lines, ""))), Description: fmt.Sprintf("%d members, %d ready", len(members), ready)}
 }
 
 // refuse notes whether the last file that was to be taken up was turned away, and why.
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -15,7 +15,7 @@
 // binder binds one request's key over the fleet. It implements host.Binder.
 type binder struct {
 	fleet    *fleet.Fleet
-	ask      binding.Ask
+	ask      binding.Proposal
 	deadline time.Time
 
 	mu    sync.Mutex // one ask at a time
@@ -30,15 +30,15 @@
 }
 
 func newBinder(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time) *binder {
-	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: binding.Ask{Try: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Keep: c.Keep}}
+	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: binding.Proposal{Attempt: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
 }
 
 // resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
 // is the other sala's to tell.
-func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try binding.Try, turn uint32, been int) *binder {
+func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try binding.AttemptID, turn uint32, been int) *binder {
 	b := newBinder(f, id, c, deadline)
 	b.stride = strideOf(been)
-	b.ask.Try, b.ask.Turn, b.asked, b.resumed = try, turn, true, true
+	b.ask.Attempt, b.ask.Round, b.asked, b.resumed = try, turn, true, true
 	return b
 }
 
@@ -54,16 +54,16 @@
 
 // carry returns the numbers under which another sala may go on with the request, all of whose attempts here never ran. The
 // turns that it may ask for are not asked for here any more.
-func (b *binder) carry() (binding.Try, uint32) {
+func (b *binder) carry() (binding.AttemptID, uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	turn := b.ask.Turn
+	turn := b.ask.Round
 	if b.stride == 0 || turn > math.MaxUint32-b.stride {
-		return binding.Try{}, 0
+		return binding.AttemptID{}, 0
 	}
 	b.asked, b.state = true, binding.Pending
-	b.ask.Turn += b.stride
-	return b.ask.Try, turn
+	b.ask.Round += b.stride
+	return b.ask.Attempt, turn
 }
 
 func (b *binder) Past() history.Past {
@@ -80,15 +80,15 @@
 func (b *binder) Bind(ctx context.Context, to history.Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.over || ctx.Err() != nil || b.state == binding.Bound && b.Past().Allows(to, b.ask.Scope) {
+	if b.over || ctx.Err() != nil || b.state == binding.Claimed && b.Past().Allows(to, b.ask.Scope) {
 		return
 	}
 	if b.asked {
-		b.ask.Turn++
+		b.ask.Round++
 	}
-	b.asked, b.ask.Place, b.ask.Life = true, to, time.Until(b.deadline)
+	b.asked, b.ask.Place, b.ask.TTL = true, to, time.Until(b.deadline)
 	var past history.Past
-	if b.state = binding.Unknown; b.ask.Life > 0 {
+	if b.state = binding.Unknown; b.ask.TTL > 0 {
 		b.state, past = b.fleet.Bind(ctx, b.ask)
 	}
 	if b.state == binding.Unknown { // it may be bound to any group
@@ -107,6 +107,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.over = true; b.asked && !b.resumed {
-		b.fleet.End(binding.End{Try: b.ask.Try, NeverRan: !mayHaveRun})
+		b.fleet.End(binding.Release{Attempt: b.ask.Attempt, NeverRan: !mayHaveRun})
 	}
 }
--- a/internal/gateway/conf/meaning.go
+++ b/internal/gateway/conf/meaning.go
@@ -37,8 +37,8 @@
 	}
 	slices.Sort(common)
 	slices.Sort(own)
-	m.Shared = version.Of([]byte(strings.Join(common, "")))
-	m.Own = version.Of([]byte(strings.Join(own, "")))
+	m.Shared = version.HashOf([]byte(strings.Join(common, "")))
+	m.Own = version.HashOf([]byte(strings.Join(own, "")))
 	return m, nil
 }
 
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -154,13 +154,13 @@
 
 // votes returns the numbers under which the voters know the request, for the sala that goes on with it. Where the key may
 // have run there already, the request begins anew for them: another turn would say that the earlier ones never ran.
-func (x *exchange) votes(past, ran bool) (binding.Try, uint32) {
+func (x *exchange) votes(past, ran bool) (binding.AttemptID, uint32) {
 	if x.binder == nil {
-		return binding.Try{}, 0
+		return binding.AttemptID{}, 0
 	}
 	if past {
 		if x.binder.resumed {
-			return binding.Try{}, 0 // the sala asks in its own name
+			return binding.AttemptID{}, 0 // the sala asks in its own name
 		}
 		x.binder.end(ran)
 		x.binder = newBinder(x.gateway.fleet, x.id, x.class, x.deadline)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,7 +59,7 @@
 			out = append(out, gaugeOf("silvertrail_fleet_version_state", 1, "member", m.Member, "state", m.State.String()),
 				gaugeOf("silvertrail_fleet_version_age_seconds", m.Age.Seconds(), "member", m.Member))
 			for _, x := range m.Findings {
-				out = append(out, gaugeOf("silvertrail_fleet_version_behind", float64(x.Steps), "member", m.Member, "kind", x.Kind.String(), "name", x.Name))
+				out = append(out, gaugeOf("silvertrail_fleet_version_behind", float64(x.VersionsBehind), "member", m.Member, "kind", x.Kind.String(), "name", x.Name))
 			}
 		}
 	}
--- a/internal/testkit/hollow/joined.go
+++ b/internal/testkit/hollow/joined.go
@@ -68,7 +68,7 @@
 	return j, err
 }
 
-func hashOf(generation int) version.Hash { return version.Of(fmt.Append(nil, generation)) }
+func hashOf(generation int) version.Hash { return version.HashOf(fmt.Append(nil, generation)) }
 
 // Addr is where others reach it.
 func (j *Joined) Addr() string { return j.fleet.Addr() }
