--- a/bench/capacity/tools.go
+++ b/bench/capacity/tools.go
@@ -70,9 +70,9 @@
 			return err
 		}
 		c := &counted{Transport: t}
-		f, err := fleet.Start(fleet.Options{Fleet: "bench", Name: fmt.Sprint("i", i), Listen: t.Addr(), Seeds: []string{seed}, Keyring: [][]byte{key},
-			Members: 1000, Keys: 1 << 10, New: true, Views: true, Versions: true, Taking: 10 * time.Second, Life: 2 * time.Second, Silent: 10 * time.Second,
-			Log: slog.New(slog.DiscardHandler), Transport: c, Acting: func() []version.Entry { return acts }})
+		f, err := fleet.Start(fleet.Options{FleetName: "bench", Name: fmt.Sprint("i", i), Listen: t.Addr(), Seeds: []string{seed}, Keyring: [][]byte{key},
+			MaxMembers: 1000, MaxKeys: 1 << 10, NewFleet: true, Views: true, Versions: true, RolloutTimeout: 10 * time.Second, MaxDeadline: 2 * time.Second, KeyRetention: 10 * time.Second,
+			Log: slog.New(slog.DiscardHandler), Transport: c, AppliedVersions: func() []version.Entry { return acts }})
 		if err != nil {
 			return err
 		}
--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -95,9 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet.Options{Fleet: "bench", Name: fmt.Sprint("i", i), Listen: t.Addr(), Seeds: seeds,
-		Keyring: [][]byte{bytes.Repeat([]byte{3}, 32)}, Voters: voters, Members: 1000, Keys: 1 << 18, New: true, Life: 2 * time.Second,
-		Silent: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Transport: &counted{t, &traffic, &packets}}, nil
+	return &fleet.Options{FleetName: "bench", Name: fmt.Sprint("i", i), Listen: t.Addr(), Seeds: seeds,
+		Keyring: [][]byte{bytes.Repeat([]byte{3}, 32)}, Voters: voters, MaxMembers: 1000, MaxKeys: 1 << 18, NewFleet: true, MaxDeadline: 2 * time.Second,
+		KeyRetention: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Transport: &counted{t, &traffic, &packets}}, nil
 }
 
 const text = `
@@ -330,7 +330,7 @@
 		lost = time.Since(began).Round(100 * time.Millisecond).String()
 	}
 	over := "not within a minute"
-	if until(time.Minute, func() bool { n, _ := all[0].Shares(); return n == len(all)-1 }) {
+	if until(time.Minute, func() bool { n, _ := all[0].Quota(); return n == len(all)-1 }) {
 		over = time.Since(began).Round(100 * time.Millisecond).String()
 	}
 	fmt.Printf("%d members, views %v: met in %v, %.0f KB each, %.0f bytes and %.1f packets a second each, one lost is known everywhere after %s, taken over after %s\n", n, views,
@@ -341,7 +341,7 @@
 
 func sees(all []*fleet.Fleet, n int, state string) bool {
 	for _, f := range all {
-		if r, ok := f.Reach(); ok { // out by a view, not suspected alone
+		if r, ok := f.Reachability(); ok { // out by a view, not suspected alone
 			if len(r.Members) != n {
 				return false
 			}
--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -96,7 +96,7 @@
 	fmt.Fprintln(w, "NAME\tADDRESS\tSTATE\tSINCE\tVOTER")
 	for _, m := range v.Members {
 		name, voter := m.Name, ""
-		if m.Me {
+		if m.Self {
 			name += " *"
 		}
 		if m.Voter {
@@ -112,7 +112,7 @@
 type fleetReach struct{ asked }
 
 func (c *fleetReach) Run() error {
-	var v fleet.ReachView
+	var v fleet.ReachabilityView
 	if err := c.ask("/fleet/reach", &v); err != nil || c.JSON {
 		return err
 	}
@@ -124,20 +124,20 @@
 	switch {
 	case v.Isolated:
 		fmt.Println("isolated: this instance hears no majority, or is heard by none")
-	case v.Confirmed:
+	case v.HasQuorum:
 		fmt.Println("confirmed by a majority")
 	default:
 		fmt.Println("not confirmed by a majority now")
 	}
 	for _, name := range v.Members {
-		switch row, told := v.Unheard[name]; {
+		switch row, told := v.Unreachable[name]; {
 		case !told:
 			fmt.Printf("%s: has not told whom it hears\n", name)
 		case len(row) > 0:
 			fmt.Printf("%s does not hear: %s\n", name, strings.Join(row, " "))
 		}
 	}
-	for _, f := range v.Found {
+	for _, f := range v.Diagnoses {
 		fmt.Printf("taken for: %s %s\n", f.Kind, strings.Join(f.Members, " "))
 	}
 	return nil
@@ -162,7 +162,7 @@
 	} else {
 		tellVersions(os.Stdout, v)
 	}
-	if !v.InStep {
+	if !v.AllCurrent {
 		return errors.New("not all members are in step")
 	}
 	return nil
@@ -173,7 +173,7 @@
 	fmt.Fprintln(w, "NAME\tSTATE\tSINCE\tHEARD\tCONFIGURATION\tVECTOR")
 	for _, m := range v.Members {
 		name, heard, has := m.Member, "never", "-"
-		if m.Member == v.Me {
+		if m.Member == v.Self {
 			name += " *"
 		}
 		if m.Vector != nil {
--- a/cmd/silvertrail/versions_test.go
+++ b/cmd/silvertrail/versions_test.go
@@ -68,7 +68,7 @@
 				return false
 			}
 		}
-		return v.InStep && len(v.Members) == of
+		return v.AllCurrent && len(v.Members) == of
 	}
 }
 
@@ -87,7 +87,7 @@
 				return x.Kind == version.Configuration && x.State == state && x.VersionsBehind == steps
 			})
 		}
-		return found && !v.InStep && len(v.Members) == fleetOf
+		return found && !v.AllCurrent && len(v.Members) == fleetOf
 	}
 }
 
@@ -190,7 +190,7 @@
 	f.relays.Heal()
 	f.one(all())
 	f.stand("a fork, which makes no side right", all(), func(v fleet.VersionsView) bool {
-		return len(v.Members) == fleetOf && !slices.ContainsFunc(v.Members, func(m fleet.StandingView) bool { return m.State != straggler.Forked })
+		return len(v.Members) == fleetOf && !slices.ContainsFunc(v.Members, func(m fleet.MemberVersionsView) bool { return m.State != straggler.Forked })
 	})
 	f.take(8, 4)
 	f.stand("all in step", all(), inStep(fleetOf, 8))
--- a/cmd/silvertrail/viewed_test.go
+++ b/cmd/silvertrail/viewed_test.go
@@ -17,7 +17,7 @@
 )
 
 // reach asks an instance which view it acts in and whom it hears.
-func (i *instance) reach() (v fleet.ReachView, err error) {
+func (i *instance) reach() (v fleet.ReachabilityView, err error) {
 	err = i.control("/fleet/reach", &v)
 	return v, err
 }
@@ -115,7 +115,7 @@
 }
 
 // until waits until some instances say so.
-func (f *viewed) until(what string, of []int, is func(v fleet.ReachView) bool) {
+func (f *viewed) until(what string, of []int, is func(v fleet.ReachabilityView) bool) {
 	f.t.Helper()
 	for _, i := range of {
 		lbtest.Until(f.t, fmt.Sprint(what, ": i", i), func() bool {
@@ -129,12 +129,12 @@
 func (f *viewed) one(of []int) int {
 	f.t.Helper()
 	var number uint64
-	f.until("in one view", of, func(v fleet.ReachView) bool { return len(v.Members) == len(of) && v.Confirmed })
+	f.until("in one view", of, func(v fleet.ReachabilityView) bool { return len(v.Members) == len(of) && v.HasQuorum })
 	lbtest.Until(f.t, "of one number", func() bool {
 		number = 0
 		for _, i := range of {
 			v, err := f.all[i].reach()
-			if err != nil || number > 0 && v.Number != number || len(v.Members) != len(of) || !v.Confirmed {
+			if err != nil || number > 0 && v.Number != number || len(v.Members) != len(of) || !v.HasQuorum {
 				return false
 			}
 			number = v.Number
@@ -155,7 +155,7 @@
 	}
 }
 
-func isolated(v fleet.ReachView) bool { return v.Isolated || v.Number == 0 }
+func isolated(v fleet.ReachabilityView) bool { return v.Isolated || v.Number == 0 }
 
 // pause stops a process by a signal, or lets it go on.
 func (f *viewed) pause(i int, on bool) {
--- a/cmd/silvertrail/views_test.go
+++ b/cmd/silvertrail/views_test.go
@@ -51,8 +51,8 @@
 	f.trouble("pair", nil, func() {
 		f.relays.Sever([]int{1}, []int{3}, true)
 		f.relays.Sever([]int{3}, []int{1}, true)
-		f.until("knows of the pair", all(), func(v fleet.ReachView) bool {
-			return len(v.Found) == 1 && v.Found[0].Kind == "pair" && slices.Equal(v.Found[0].Members, []string{"i1", "i3"})
+		f.until("knows of the pair", all(), func(v fleet.ReachabilityView) bool {
+			return len(v.Diagnoses) == 1 && v.Diagnoses[0].Kind == "pair" && slices.Equal(v.Diagnoses[0].Members, []string{"i1", "i3"})
 		})
 	})
 	f.trouble("ring", nil, func() {
@@ -65,7 +65,7 @@
 		f.trouble(fmt.Sprint("cut off ", small), small, func() {
 			f.relays.Sever(small, all(small...), true)
 			f.relays.Sever(all(small...), small, true)
-			f.until("knows that it is the smaller part", small, func(v fleet.ReachView) bool { return v.Isolated && len(v.Members) == fleetOf })
+			f.until("knows that it is the smaller part", small, func(v fleet.ReachabilityView) bool { return v.Isolated && len(v.Members) == fleetOf })
 			f.one(all(small...))
 			if status := request(f.all[small[0]].addr, "GET", "", 5*time.Second); status != 200 {
 				t.Errorf("a safe request in the smaller part: %d", status)
@@ -111,11 +111,11 @@
 	})
 	f.trouble("paused while the view changes", []int{1, 4}, func() {
 		f.kill(4)
-		f.until("suspects the one that was killed", all(1, 4), func(v fleet.ReachView) bool {
-			return slices.ContainsFunc(v.Found, func(x membership.Diagnosis) bool { return slices.Contains(x.Members, "i4") })
+		f.until("suspects the one that was killed", all(1, 4), func(v fleet.ReachabilityView) bool {
+			return slices.ContainsFunc(v.Diagnoses, func(x membership.Diagnosis) bool { return slices.Contains(x.Members, "i4") })
 		})
 		f.pause(1, true)
-		f.until("goes on", all(1, 4), func(v fleet.ReachView) bool { return v.Confirmed && !slices.Contains(v.Members, "i4") })
+		f.until("goes on", all(1, 4), func(v fleet.ReachabilityView) bool { return v.HasQuorum && !slices.Contains(v.Members, "i4") })
 		f.pause(1, false)
 		f.again(4)
 	})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -53,12 +53,12 @@
 func (c *crew) start(i int, fresh bool, voters ...string) *Fleet {
 	c.t.Helper()
 	tr, addr := c.sockets(i)
-	o := Options{Fleet: "test", Name: name(i), Listen: addr, Keyring: [][]byte{key}, Voters: voters, Members: 32, Keys: 1 << 14, New: fresh,
-		Life: 600 * time.Millisecond, Silent: 3 * time.Second, Probe: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
+	o := Options{FleetName: "test", Name: name(i), Listen: addr, Keyring: [][]byte{key}, Voters: voters, MaxMembers: 32, MaxKeys: 1 << 14, NewFleet: fresh,
+		MaxDeadline: 600 * time.Millisecond, KeyRetention: 3 * time.Second, ProbeInterval: 100 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
 		Transport: tr}
 	for _, f := range c.all {
-		if f != nil && f.o.Name != o.Name {
-			o.Seeds = append(o.Seeds, f.o.Listen)
+		if f != nil && f.options.Name != o.Name {
+			o.Seeds = append(o.Seeds, f.options.Listen)
 		}
 	}
 	if c.change != nil {
@@ -91,8 +91,8 @@
 func (c *crew) sees(n int) {
 	c.t.Helper()
 	for _, f := range c.all {
-		lbtest.Until(c.t, fmt.Sprintf("%s sees %d", f.o.Name, n), func() bool {
-			got, _ := f.Shares()
+		lbtest.Until(c.t, fmt.Sprintf("%s sees %d", f.options.Name, n), func() bool {
+			got, _ := f.Quota()
 			return got == n && f.count("alive") == n
 		})
 	}
@@ -108,7 +108,7 @@
 }
 
 func (f *Fleet) asks(key string, zone string, life time.Duration) binding.Proposal {
-	return binding.Proposal{Attempt: f.Number(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: decide.ScopeZone,
+	return binding.Proposal{Attempt: f.NextAttemptID(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: decide.ScopeZone,
 		Window: time.Second, Retention: time.Second, TTL: life}
 }
 
@@ -119,21 +119,21 @@
 		first, second := c.all[i%4], c.all[(i+1+i/4%3)%4]
 		k := fmt.Sprint("k", i)
 		a := first.asks(k, "north", 600*time.Millisecond)
-		if state, past := first.Bind(t.Context(), a); state != binding.Claimed || !past.Known {
+		if state, past := first.ClaimKey(t.Context(), a); state != binding.Claimed || !past.Known {
 			t.Fatalf("%s: %v %+v", k, state, past)
 		}
 		b := second.asks(k, "south", 600*time.Millisecond)
-		if state, past := second.Bind(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
+		if state, past := second.ClaimKey(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
 			t.Errorf("%s by another way: %v %+v", k, state, past)
 		}
 		b.Round, b.Place.Zone = 1, "north"
-		if state, _ := second.Bind(t.Context(), b); state != binding.Claimed {
+		if state, _ := second.ClaimKey(t.Context(), b); state != binding.Claimed {
 			t.Errorf("%s in its group: %v", k, state)
 		}
-		first.End(binding.Release{Attempt: a.Attempt, NeverRan: true})
-		second.End(binding.Release{Attempt: b.Attempt, NeverRan: true})
+		first.Release(binding.Release{Attempt: a.Attempt, NeverRan: true})
+		second.Release(binding.Release{Attempt: b.Attempt, NeverRan: true})
 		lbtest.Until(t, "a key with which nothing ran is free", func() bool {
-			state, _ := second.Bind(t.Context(), second.asks(k, "south", 600*time.Millisecond))
+			state, _ := second.ClaimKey(t.Context(), second.asks(k, "south", 600*time.Millisecond))
 			return state == binding.Claimed
 		})
 	}
@@ -168,7 +168,7 @@
 				zone := []string{"north", "south"}[d.IntN(2)]
 				made := time.Now()
 				a := f.asks(k, zone, 600*time.Millisecond)
-				state, past := f.Bind(ctx, a)
+				state, past := f.ClaimKey(ctx, a)
 				now := time.Now()
 				sends := state == binding.Claimed && now.Before(past.Until) && now.Before(made.Add(a.TTL))
 				mu.Lock()
@@ -177,7 +177,7 @@
 					went[k] = append(went[k], bound{zone, now, now.Add(a.Window + a.Retention)})
 				}
 				mu.Unlock()
-				f.End(binding.Release{Attempt: a.Attempt, NeverRan: !sends})
+				f.Release(binding.Release{Attempt: a.Attempt, NeverRan: !sends})
 			}
 		})
 	}
@@ -209,7 +209,7 @@
 			old := c.all[dies]
 			instances.Unlock()
 			old.Close()
-			fresh := c.start(dies, false, old.o.Voters...)
+			fresh := c.start(dies, false, old.options.Voters...)
 			instances.Lock()
 			c.all[dies] = fresh
 			instances.Unlock()
@@ -237,25 +237,25 @@
 	c.all[3].Leave(2 * time.Second)
 	for _, f := range c.all[:3] {
 		lbtest.Until(t, "one has left", func() bool {
-			n, place := f.Shares()
-			return n == 3 && f.count("left") == 1 && name(place) == f.o.Name
+			n, place := f.Quota()
+			return n == 3 && f.count("left") == 1 && name(place) == f.options.Name
 		})
 	}
 	c.all[2].Close()
 	lbtest.Until(t, "one is lost", func() bool { return c.all[0].count("dead") == 1 })
-	if n, _ := c.all[0].Shares(); n != 3 {
+	if n, _ := c.all[0].Quota(); n != 3 {
 		t.Errorf("%d share while it is not known whether the lost one is there", n)
 	}
-	back := c.start(2, false, c.all[2].o.Voters...)
+	back := c.start(2, false, c.all[2].options.Voters...)
 	lbtest.Until(t, "it is back", func() bool { return c.all[0].count("alive") == 3 && back.count("alive") == 3 })
 	if back.process == c.all[2].process {
 		t.Error("the same process twice")
 	}
-	if _, silent, voter := back.Voter(history.ID{}, decide.ScopeAll); !voter || silent == 0 {
+	if _, silent, voter := back.VoterKeyState(history.ID{}, decide.ScopeAll); !voter || silent == 0 {
 		t.Error("a voter that was started anew votes at once")
 	}
 	lbtest.Until(t, "it has learnt from the others", func() bool {
-		_, silent, _ := back.Voter(history.ID{}, decide.ScopeAll)
+		_, silent, _ := back.VoterKeyState(history.ID{}, decide.ScopeAll)
 		return silent == 0
 	})
 }
@@ -263,31 +263,31 @@
 // A voter that was started anew learns what it had agreed to from the others, and holds to it, before its silence would be
 // over by time.
 func TestCopies(t *testing.T) {
-	c := &crew{t: t, links: lbtest.NewLinks(), change: func(o *Options) { o.Silent = time.Hour }}
+	c := &crew{t: t, links: lbtest.NewLinks(), change: func(o *Options) { o.KeyRetention = time.Hour }}
 	t.Cleanup(c.links.End)
 	for i := range 3 {
 		c.all = append(c.all, c.start(i, true, name(0), name(1), name(2)))
 	}
 	c.sees(3)
-	const n = 3*partKeys + 7
+	const n = 3*maxPartKeys + 7
 	for i := range n {
 		a := c.all[0].asks(fmt.Sprint("k", i), "north", 600*time.Millisecond)
 		a.Window, a.Retention = time.Minute, time.Minute
-		if state, _ := c.all[0].Bind(t.Context(), a); state != binding.Claimed {
+		if state, _ := c.all[0].ClaimKey(t.Context(), a); state != binding.Claimed {
 			t.Fatal(state)
 		}
-		c.all[0].End(binding.Release{Attempt: a.Attempt})
+		c.all[0].Release(binding.Release{Attempt: a.Attempt})
 	}
 	old := c.all[1]
 	old.Close()
 	c.links.Slow(400 * time.Millisecond) // a copy takes longer than the time between two asks for one
-	c.all[1] = c.start(1, false, old.o.Voters...)
+	c.all[1] = c.start(1, false, old.options.Voters...)
 	lbtest.Until(t, "it speaks again", func() bool {
-		_, silent, _ := c.all[1].Voter(history.ID{}, decide.ScopeAll)
+		_, silent, _ := c.all[1].VoterKeyState(history.ID{}, decide.ScopeAll)
 		return silent == 0
 	})
 	for i := range n {
-		if p, _, _ := c.all[1].Voter(history.IDOf("", fmt.Sprint("k", i)), decide.ScopeZone); !p.Known || p.Place.Zone != "north" {
+		if p, _, _ := c.all[1].VoterKeyState(history.IDOf("", fmt.Sprint("k", i)), decide.ScopeZone); !p.Known || p.Place.Zone != "north" {
 			t.Fatalf("key %d: %+v", i, p)
 		}
 	}
@@ -298,11 +298,11 @@
 	c := newCrew(t, 3, 3)
 	for _, change := range []func(*Options){
 		func(o *Options) { o.Keyring = [][]byte{bytes.Repeat([]byte{8}, 32)} },
-		func(o *Options) { o.Fleet = "other" },
+		func(o *Options) { o.FleetName = "other" },
 	} {
 		c.change = change
 		stranger := c.start(9, true)
-		if _, err := stranger.list.Join([]string{c.all[0].o.Listen}); err == nil {
+		if _, err := stranger.memberlist.Join([]string{c.all[0].options.Listen}); err == nil {
 			t.Error("a stranger has joined")
 		}
 		if n := stranger.count("alive"); n != 1 {
@@ -310,7 +310,7 @@
 		}
 		stranger.Close()
 	}
-	conn, err := net.Dial("udp", c.all[0].o.Listen)
+	conn, err := net.Dial("udp", c.all[0].options.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -324,25 +324,25 @@
 		conn.Write(text)
 	}
 	a := c.all[1].asks("k", "north", 600*time.Millisecond)
-	if state, _ := c.all[1].Bind(t.Context(), a); state != binding.Claimed {
+	if state, _ := c.all[1].ClaimKey(t.Context(), a); state != binding.Claimed {
 		t.Errorf("after garbage: %v", state)
 	}
 	// What was said once is said again, by whom it may be.
-	text, err := encode(&packet{From: name(1), Items: []item{{End: &binding.Release{Attempt: a.Attempt}}, {Ask: &a}}})
+	text, err := encode(&packet{From: name(1), Items: []item{{Release: &binding.Release{Attempt: a.Attempt}}, {Proposal: &a}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for range 3 {
-		c.all[0].receive(text)
-		c.all[2].receive(text)
+		c.all[0].handlePacket(text)
+		c.all[2].handlePacket(text)
 	}
 	b := c.all[2].asks("k", "south", 600*time.Millisecond)
-	if state, past := c.all[2].Bind(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
+	if state, past := c.all[2].ClaimKey(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
 		t.Errorf("after a replay: %v %+v", state, past)
 	}
 	for _, f := range c.all {
 		if f.count("alive") != 3 {
-			t.Errorf("%s sees %v", f.o.Name, f.Members())
+			t.Errorf("%s sees %v", f.options.Name, f.Members())
 		}
 	}
 }
@@ -355,26 +355,26 @@
 	for i := range 100 {
 		n := &memberlist.Node{Name: fmt.Sprint("passing ", i), Addr: net.IPv4(127, 0, 0, 1)}
 		if (delegate{f}).NotifyAlive(n) == nil {
-			f.set(n, share.Alive)
-			f.set(n, share.Dead)
+			f.updateMember(n, share.Alive)
+			f.updateMember(n, share.Dead)
 		}
 	}
 	all := f.Members()
 	knows := func(name string) bool { return slices.ContainsFunc(all, func(m Member) bool { return m.Name == name }) }
-	if len(all) > f.o.Members || !knows(name(0)) || !knows("passing 99") {
+	if len(all) > f.options.MaxMembers || !knows(name(0)) || !knows("passing 99") {
 		t.Errorf("%d members, or the wrong ones: %v", len(all), all)
 	}
 	boaster := c.boast(40)
-	boaster.Join([]string{c.all[0].o.Listen})
+	boaster.Join([]string{c.all[0].options.Listen})
 	for i := range 20 {
 		f := c.all[i%3]
 		// On a busy machine voters may answer too late for one ask; a further one for the same place is agreed to as well.
 		lbtest.Until(t, fmt.Sprintf("key %d is bound", i), func() bool {
-			state, _ := f.Bind(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond))
+			state, _ := f.ClaimKey(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond))
 			return state == binding.Claimed
 		})
-		if n := len(f.Members()); n > f.o.Members {
-			t.Errorf("%d members, over %d", n, f.o.Members)
+		if n := len(f.Members()); n > f.options.MaxMembers {
+			t.Errorf("%d members, over %d", n, f.options.MaxMembers)
 		}
 	}
 }
@@ -385,7 +385,7 @@
 	make := func(name string) *memberlist.Memberlist {
 		tr, _ := c.sockets(7)
 		conf := memberlist.DefaultLocalConfig()
-		conf.Name, conf.Label, conf.SecretKey, conf.Transport = name, fmt.Sprintf("silvertrail/%d/test", protocol), key, tr
+		conf.Name, conf.Label, conf.SecretKey, conf.Transport = name, fmt.Sprintf("silvertrail/%d/test", protocolVersion), key, tr
 		conf.LogOutput = io.Discard
 		list, err := memberlist.Create(conf)
 		if err != nil {
@@ -410,31 +410,31 @@
 	next := bytes.Repeat([]byte{9}, 32)
 	for step, ring := range [][][]byte{{key, next}, {next, key}, {next}} {
 		for i, f := range c.all {
-			if err := f.Rekey(ring); err != nil {
+			if err := f.RotateKeys(ring); err != nil {
 				t.Fatal(err)
 			}
 			a := f.asks(fmt.Sprint(step, "-", i), "north", 600*time.Millisecond)
-			if state, _ := f.Bind(t.Context(), a); state != binding.Claimed {
+			if state, _ := f.ClaimKey(t.Context(), a); state != binding.Claimed {
 				t.Errorf("step %d, instance %d: %v", step, i, state)
 			}
 		}
 	}
-	if err := c.all[0].Rekey([][]byte{key}); err != nil {
+	if err := c.all[0].RotateKeys([][]byte{key}); err != nil {
 		t.Fatal(err)
 	}
-	if state, _ := c.all[0].Bind(t.Context(), c.all[0].asks("old", "north", 600*time.Millisecond)); state != binding.Unknown {
+	if state, _ := c.all[0].ClaimKey(t.Context(), c.all[0].asks("old", "north", 600*time.Millisecond)); state != binding.Unknown {
 		t.Errorf("with the old key: %v", state)
 	}
-	if err := c.all[1].Revote([]string{name(0), name(1), "i9"}); err == nil {
+	if err := c.all[1].ReconfigureVoters([]string{name(0), name(1), "i9"}); err == nil {
 		t.Error("voters whose majorities need not meet those before were taken")
 	}
 	if err := c.all[1].Update(Options{Voters: []string{name(0), name(1), name(2), "i3"}, Keyring: [][]byte{{1}}}); err == nil || len(c.all[1].voterNames()) != 3 {
 		t.Errorf("an unusable key: %v, and voters %q", err, c.all[1].voterNames())
 	}
-	if err := c.all[1].Revote([]string{name(0), name(1), name(2), "i3"}); err != nil {
+	if err := c.all[1].ReconfigureVoters([]string{name(0), name(1), name(2), "i3"}); err != nil {
 		t.Error(err)
 	}
-	if err := c.all[1].Revote([]string{name(0), name(1), name(2)}); err == nil {
+	if err := c.all[1].ReconfigureVoters([]string{name(0), name(1), name(2)}); err == nil {
 		t.Error("voters were changed twice at once")
 	}
 }
@@ -442,8 +442,8 @@
 // What is read from the net is in form, or an error; nothing panics.
 func FuzzDecode(f *testing.F) {
 	a := binding.Proposal{TTL: 1}
-	for _, p := range []packet{{From: "a", Items: []item{{Ask: &a}, {Want: 7}}},
-		{From: "b", Items: []item{{Copy: &copyPart{Parts: 1, Keys: []binding.KeyState{{}}}}, {End: &binding.Release{}}, {Answer: &binding.Response{}}}}} {
+	for _, p := range []packet{{From: "a", Items: []item{{Proposal: &a}, {SnapshotRequest: 7}}},
+		{From: "b", Items: []item{{SnapshotPart: &snapshotPart{Parts: 1, Keys: []binding.KeyState{{}}}}, {Release: &binding.Release{}}, {Response: &binding.Response{}}}}} {
 		text, err := encode(&p)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/fleet/format_test.go
+++ b/internal/fleet/format_test.go
@@ -45,15 +45,15 @@
 }
 
 var formatItems = map[string]item{
-	"ask": {Ask: &binding.Proposal{Attempt: formatTry, Round: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
+	"ask": {Proposal: &binding.Proposal{Attempt: formatTry, Round: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
 		Retention: 6 * time.Second, TTL: 7 * time.Second}},
-	"answer": {Answer: &binding.Response{Attempt: formatTry, Round: 4, Vote: binding.HeldElsewhere, Place: formatPlace, Split: true, Remaining: 8 * time.Second}},
-	"end":    {End: &binding.Release{Attempt: formatTry, NeverRan: true}},
-	"want":   {Want: 71},
-	"copy": {Copy: &copyPart{Want: 72, Part: 1, Parts: 3, Keys: []binding.KeyState{{Key: formatID, Place: formatPlace, SeveralZones: true, SeveralCells: true,
+	"answer": {Response: &binding.Response{Attempt: formatTry, Round: 4, Vote: binding.HeldElsewhere, Place: formatPlace, Split: true, Remaining: 8 * time.Second}},
+	"end":    {Release: &binding.Release{Attempt: formatTry, NeverRan: true}},
+	"want":   {SnapshotRequest: 71},
+	"copy": {SnapshotPart: &snapshotPart{RequestID: 72, Part: 1, Parts: 3, Keys: []binding.KeyState{{Key: formatID, Place: formatPlace, SeveralZones: true, SeveralCells: true,
 		RetryFor: 9 * time.Second, ExpiresIn: 10 * time.Second}}}},
-	"membership": {Word: formatMessage()},
-	"versions": {Acts: &exchange.Message{
+	"membership": {Membership: formatMessage()},
+	"versions": {Gossip: &exchange.Message{
 		Digests:  []exchange.Digest{{Name: "head", Incarnation: 81, Generation: 82, Seq: 83, AgeMilliseconds: 84}},
 		Requests: []exchange.Request{{Name: "want", Incarnation: 85, KnownSeq: 86}},
 		Updates: []exchange.Update{{Name: "part", Incarnation: 87, Generation: 88, Seq: 90, BaseSeq: 89, Changed: formatVector, ChangedAt: []uint64{90},
@@ -160,7 +160,7 @@
 
 // What the control socket tells of the fleet.
 func TestViewFormat(t *testing.T) {
-	for name, value := range map[string]any{"member": &Member{}, "reach": &ReachView{}, "versions": &VersionsView{}} {
+	for name, value := range map[string]any{"member": &Member{}, "reach": &ReachabilityView{}, "versions": &VersionsView{}} {
 		golden.Fill(value)
 		text, err := json.MarshalIndent(value, "", " ")
 		if err != nil {
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	outboxItems = 4096
-	packetItems = 12                     // some 1,200 bytes, which is one packet on most links
-	copyEvery   = 400 * time.Millisecond // at the soonest, to one member
+	maxOutboxItems   = 4096
+	maxPacketItems   = 12                     // some 1,200 bytes, which is one packet on most links
+	snapshotInterval = 400 * time.Millisecond // at the soonest, to one member
 )
 
 // outbox holds what one member is to hear, several messages in a packet where they come faster than packets go. What it has
@@ -27,77 +27,77 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[to]
-	if n == nil || f.over() || to == f.o.Name {
+	if n == nil || f.isClosed() || to == f.options.Name {
 		return
 	}
-	n.out.items = append(n.out.items, items[:min(len(items), max(outboxItems-len(n.out.items), 0))]...)
-	if !n.out.sending && len(n.out.items) > 0 {
-		n.out.sending = true
-		f.wait.Go(func() { f.empty(to) })
+	n.outbox.items = append(n.outbox.items, items[:min(len(items), max(maxOutboxItems-len(n.outbox.items), 0))]...)
+	if !n.outbox.sending && len(n.outbox.items) > 0 {
+		n.outbox.sending = true
+		f.goroutines.Go(func() { f.drainOutbox(to) })
 	}
 }
 
-// take returns what a member is to hear next, and how it is reached; nothing where that is all.
-func (f *Fleet) take(name string) (items []item, to memberlist.Node) {
+// nextItems returns what a member is to hear next, and how it is reached; nothing where that is all.
+func (f *Fleet) nextItems(name string) (items []item, to memberlist.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[name]
-	if n == nil || f.over() {
+	if n == nil || f.isClosed() {
 		return nil, to
 	}
-	if len(n.out.items) == 0 {
-		n.out = outbox{}
+	if len(n.outbox.items) == 0 {
+		n.outbox = outbox{}
 		return nil, to
 	}
-	count := min(len(n.out.items), packetItems)
-	items, n.out.items = n.out.items[:count:count], n.out.items[count:]
+	count := min(len(n.outbox.items), maxPacketItems)
+	items, n.outbox.items = n.outbox.items[:count:count], n.outbox.items[count:]
 	return items, n.Node
 }
 
-// empty sends what a member is to hear until there is nothing more.
-func (f *Fleet) empty(name string) {
+// drainOutbox sends what a member is to hear until there is nothing more.
+func (f *Fleet) drainOutbox(name string) {
 	select {
-	case <-f.ready:
-	case <-f.done:
+	case <-f.started:
+	case <-f.closed:
 		return
 	}
 	for {
-		items, to := f.take(name)
+		items, to := f.nextItems(name)
 		if len(items) == 0 {
 			return
 		}
-		text, err := encode(&packet{From: f.o.Name, Process: f.process, Items: items})
+		text, err := encode(&packet{From: f.options.Name, Process: f.process, Items: items})
 		if err != nil {
 			f.log.Error("packet", "error", err)
 			continue
 		}
-		if err := f.list.SendBestEffort(&to, text); err != nil {
+		if err := f.memberlist.SendBestEffort(&to, text); err != nil {
 			f.log.Debug("packet lost", "to", name, "error", err)
 		}
 	}
 }
 
-// sendWhole sends a copy in its parts, one after the other, by a way that loses nothing of a part.
-func (f *Fleet) sendWhole(to string, want uint64, parts [][]binding.KeyState) {
+// sendSnapshotParts sends a copy in its parts, one after the other, by a way that loses nothing of a part.
+func (f *Fleet) sendSnapshotParts(to string, want uint64, parts [][]binding.KeyState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[to]
-	if n == nil || len(parts) > maxParts || f.over() || time.Since(n.copied) < copyEvery {
+	if n == nil || len(parts) > maxParts || f.isClosed() || time.Since(n.snapshotSentAt) < snapshotInterval {
 		return
 	}
-	n.copied = time.Now()
+	n.snapshotSentAt = time.Now()
 	node := n.Node
-	f.wait.Go(func() {
+	f.goroutines.Go(func() {
 		for i, keys := range parts {
 			select {
-			case <-f.ready:
-			case <-f.done:
+			case <-f.started:
+			case <-f.closed:
 				return
 			}
-			text, err := encode(&packet{From: f.o.Name, Process: f.process,
-				Items: []item{{Copy: &copyPart{Want: want, Part: i, Parts: len(parts), Keys: keys}}}})
+			text, err := encode(&packet{From: f.options.Name, Process: f.process,
+				Items: []item{{SnapshotPart: &snapshotPart{RequestID: want, Part: i, Parts: len(parts), Keys: keys}}}})
 			if err == nil {
-				err = f.list.SendReliable(&node, text)
+				err = f.memberlist.SendReliable(&node, text)
 			}
 			if err != nil {
 				f.log.Info("copy broken off", "to", to, "error", err)
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -16,19 +16,19 @@
 // for the memory: that one takes 64 KiB for each packet, which at some thousand packets a second keeps the collector busy
 // most of the time.
 type Transport struct {
-	udp     *net.UDPConn
-	tcp     *net.TCPListener
-	packets chan *memberlist.Packet
-	streams chan net.Conn
-	done    chan struct{}
-	wait    sync.WaitGroup
+	udp        *net.UDPConn
+	tcp        *net.TCPListener
+	packets    chan *memberlist.Packet
+	streams    chan net.Conn
+	closed     chan struct{}
+	goroutines sync.WaitGroup
 }
 
 const (
-	maxPacket  = 64 << 10
-	udpBuffer  = 1 << 20 // asked of the system, for bursts
-	portTries  = 10      // where the system picks the port: it may be free for one of the two alone
-	acceptWait = 20 * time.Millisecond
+	maxPacketBytes   = 64 << 10
+	udpBufferBytes   = 1 << 20 // asked of the system, for bursts
+	maxPortAttempts  = 10      // where the system picks the port: it may be free for one of the two alone
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Listen opens both sockets; port 0 takes a free one.
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: listen: %w", err)
 	}
-	for range portTries {
+	for range maxPortAttempts {
 		var t *Transport
 		if t, err = listen(at); err == nil {
 			return t, nil
@@ -60,10 +60,10 @@
 		tcp.Close()
 		return nil, err
 	}
-	udp.SetReadBuffer(udpBuffer) // as much as the system allows; less loses packets, which is borne
-	t := &Transport{udp: udp, tcp: tcp, packets: make(chan *memberlist.Packet, 64), streams: make(chan net.Conn), done: make(chan struct{})}
-	t.wait.Go(t.readPackets)
-	t.wait.Go(t.accept)
+	udp.SetReadBuffer(udpBufferBytes) // as much as the system allows; less loses packets, which is borne
+	t := &Transport{udp: udp, tcp: tcp, packets: make(chan *memberlist.Packet, 64), streams: make(chan net.Conn), closed: make(chan struct{})}
+	t.goroutines.Go(t.readPackets)
+	t.goroutines.Go(t.accept)
 	return t, nil
 }
 
@@ -71,7 +71,7 @@
 func (t *Transport) Addr() string { return t.tcp.Addr().String() }
 
 func (t *Transport) readPackets() {
-	buffer := make([]byte, maxPacket)
+	buffer := make([]byte, maxPacketBytes)
 	for {
 		n, from, err := t.udp.ReadFromUDPAddrPort(buffer)
 		switch {
@@ -83,7 +83,7 @@
 		p := &memberlist.Packet{Buf: append(make([]byte, 0, n), buffer[:n]...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}
 		select {
 		case t.packets <- p:
-		case <-t.done:
+		case <-t.closed:
 			return
 		}
 	}
@@ -97,15 +97,15 @@
 			return
 		case err != nil: // descriptors are short
 			select {
-			case <-time.After(acceptWait):
-			case <-t.done:
+			case <-time.After(acceptRetryDelay):
+			case <-t.closed:
 				return
 			}
 			continue
 		}
 		select {
 		case t.streams <- c:
-		case <-t.done:
+		case <-t.closed:
 			c.Close()
 			return
 		}
@@ -168,8 +168,8 @@
 
 // Shutdown implements memberlist.Transport.
 func (t *Transport) Shutdown() error {
-	close(t.done)
+	close(t.closed)
 	err := errors.Join(t.tcp.Close(), t.udp.Close())
-	t.wait.Wait()
+	t.goroutines.Wait()
 	return err
 }
--- a/internal/fleet/views_test.go
+++ b/internal/fleet/views_test.go
@@ -28,8 +28,8 @@
 	}
 	var all []*Fleet
 	for i, s := range sockets {
-		f, err := Start(Options{Fleet: "f", Name: voters[i], Listen: s.Addr(), Seeds: seeds, Keyring: [][]byte{make([]byte, 32)}, Voters: voters, Members: 64,
-			Keys: 1 << 10, New: true, Life: time.Second, Silent: 10 * time.Second, Probe: 200 * time.Millisecond, Views: true,
+		f, err := Start(Options{FleetName: "f", Name: voters[i], Listen: s.Addr(), Seeds: seeds, Keyring: [][]byte{make([]byte, 32)}, Voters: voters, MaxMembers: 64,
+			MaxKeys: 1 << 10, NewFleet: true, MaxDeadline: time.Second, KeyRetention: 10 * time.Second, ProbeInterval: 200 * time.Millisecond, Views: true,
 			Transport: links.Wrap(i, s, s.Addr()), Log: slog.New(slog.DiscardHandler)})
 		if err != nil {
 			t.Fatal(err)
@@ -43,7 +43,7 @@
 func inView(all []*Fleet, members int) func() bool {
 	return func() bool {
 		for _, f := range all {
-			if r, _ := f.Reach(); len(r.Members) != members || !r.Confirmed {
+			if r, _ := f.Reachability(); len(r.Members) != members || !r.HasQuorum {
 				return false
 			}
 		}
@@ -59,18 +59,18 @@
 	all, links := viewing(t, 5)
 	lbtest.Until(t, "all are in one view", inView(all, 5))
 	for i, f := range all {
-		lbtest.Until(t, "shares", func() bool { n, place := f.Shares(); return n == 5 && place == i })
+		lbtest.Until(t, "shares", func() bool { n, place := f.Quota(); return n == 5 && place == i })
 	}
 	links.Sever([]int{0, 1}, []int{2, 3, 4})
 	links.Sever([]int{2, 3, 4}, []int{0, 1})
 	for _, f := range all[:2] {
-		lbtest.Until(t, "the smaller part knows it", func() bool { r, _ := f.Reach(); return r.Isolated && len(r.Members) == 5 })
-		lbtest.Until(t, "and takes as good as nothing", func() bool { n, _ := f.Shares(); return n == safeShare })
+		lbtest.Until(t, "the smaller part knows it", func() bool { r, _ := f.Reachability(); return r.Isolated && len(r.Members) == 5 })
+		lbtest.Until(t, "and takes as good as nothing", func() bool { n, _ := f.Quota(); return n == minimalQuotaInstances })
 	}
 	for _, f := range all[2:] {
-		lbtest.Until(t, "the larger part takes over", func() bool { n, _ := f.Shares(); return n == 3 })
+		lbtest.Until(t, "the larger part takes over", func() bool { n, _ := f.Quota(); return n == 3 })
 	}
-	if n, _ := all[0].Shares(); n != safeShare {
+	if n, _ := all[0].Quota(); n != minimalQuotaInstances {
 		t.Errorf("the smaller part counts %d", n)
 	}
 	links.Heal()
@@ -99,12 +99,12 @@
 			} else {
 				links.Sever([]int{0, 1, 2, 3}, []int{4})
 			}
-			lbtest.Until(t, "it knows", func() bool { r, _ := all[4].Reach(); return r.Isolated || r.Number == 0 })
+			lbtest.Until(t, "it knows", func() bool { r, _ := all[4].Reachability(); return r.Isolated || r.Number == 0 })
 			lbtest.Until(t, "it is out", inView(all[:4], 4))
-			before, _ := all[0].Reach()
+			before, _ := all[0].Reachability()
 			links.Heal()
 			lbtest.Until(t, "all are in one view again", inView(all, 5))
-			if after, _ := all[0].Reach(); after.Number != before.Number+1 || !slices.Equal(after.Members, []string{"i0", "i1", "i2", "i3", "i4"}) {
+			if after, _ := all[0].Reachability(); after.Number != before.Number+1 || !slices.Equal(after.Members, []string{"i0", "i1", "i2", "i3", "i4"}) {
 				t.Errorf("view %d after view %d: somebody else was out meanwhile", after.Number, before.Number)
 			}
 		})
@@ -120,21 +120,21 @@
 			t.Parallel()
 			all, _ := viewing(t, 5)
 			lbtest.Until(t, "all are in one view", inView(all, 5))
-			before, _ := all[0].Reach()
+			before, _ := all[0].Reachability()
 			stop := make(chan struct{})
 			var lying sync.WaitGroup
 			told := make([]int, liars)
 			for i := range liars {
 				lying.Go(func() {
-					v := all[4-i].views
+					v := all[4-i].membership
 					for {
 						v.mu.Lock()
 						if view := v.core.View(); view != nil {
 							victim := view.Members[0]
 							for _, m := range view.Members {
-								if m.Name != v.f.o.Name {
-									v.out <- membership.Envelope{To: m, Message: &membership.Message{Kind: membership.Report, Lineage: view.Lineage, ViewNumber: view.Number,
-										From: membership.Member{Name: v.f.o.Name, Address: v.f.Addr(), Incarnation: v.f.process}, Suspects: []membership.Member{victim}}}
+								if m.Name != v.fleet.options.Name {
+									v.outgoing <- membership.Envelope{To: m, Message: &membership.Message{Kind: membership.Report, Lineage: view.Lineage, ViewNumber: view.Number,
+										From: membership.Member{Name: v.fleet.options.Name, Address: v.fleet.Addr(), Incarnation: v.fleet.process}, Suspects: []membership.Member{victim}}}
 								}
 							}
 							told[i]++
@@ -152,7 +152,7 @@
 			close(stop)
 			lying.Wait()
 			lbtest.Until(t, "all are in one view again", inView(all, 5))
-			after, _ := all[1].Reach()
+			after, _ := all[1].Reachability()
 			if after.Number != before.Number {
 				t.Errorf("view %d after view %d", after.Number, before.Number)
 			}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -11,9 +11,9 @@
 	"silvertrail/internal/fleet/membership"
 )
 
-// protocol is the version of what instances say to each other. It is part of the label that each packet carries, so that
+// protocolVersion is the version of what instances say to each other. It is part of the label that each packet carries, so that
 // instances of another version, or of another fleet, are strangers.
-const protocol = 1
+const protocolVersion = 1
 
 // packet is what one instance says to another: any number of items.
 type packet struct {
@@ -24,27 +24,27 @@
 
 // item is one message. Just one of its parts is set.
 type item struct {
-	Ask    *binding.Proposal   `codec:",omitempty"`
-	Answer *binding.Response   `codec:",omitempty"`
-	End    *binding.Release    `codec:",omitempty"`
-	Want   uint64              `codec:",omitempty"` // a copy is asked for, under this number
-	Copy   *copyPart           `codec:",omitempty"`
-	Word   *membership.Message `codec:",omitempty"` // of membership, where the fleet goes by views
-	Acts   *exchange.Message   `codec:",omitempty"` // what members act on
+	Proposal        *binding.Proposal   `codec:",omitempty"`
+	Response        *binding.Response   `codec:",omitempty"`
+	Release         *binding.Release    `codec:",omitempty"`
+	SnapshotRequest uint64              `codec:",omitempty"` // a copy is asked for, under this number
+	SnapshotPart    *snapshotPart       `codec:",omitempty"`
+	Membership      *membership.Message `codec:",omitempty"` // of membership, where the fleet goes by views
+	Gossip          *exchange.Message   `codec:",omitempty"` // what members act on
 }
 
-// copyPart is a part of a copy.
-type copyPart struct {
-	Want        uint64
+// snapshotPart is a part of a copy.
+type snapshotPart struct {
+	RequestID   uint64
 	Part, Parts int
 	Keys        []binding.KeyState
 }
 
 const (
-	maxItems = 256
-	maxName  = 256 // of clusters and zones
-	maxParts = 1 << 15
-	partKeys = 400 // some 40 KB
+	maxItems     = 256
+	maxNameBytes = 256 // of clusters and zones
+	maxParts     = 1 << 15
+	maxPartKeys  = 400 // some 40 KB
 )
 
 var handle = func() *codec.MsgpackHandle {
@@ -71,7 +71,7 @@
 	if err := codec.NewDecoderBytes(text, handle).Decode(p); err != nil {
 		return nil, fmt.Errorf("fleet: unreadable: %w", err)
 	}
-	if p.From == "" || len(p.From) > maxName || len(p.Items) > maxItems {
+	if p.From == "" || len(p.From) > maxNameBytes || len(p.Items) > maxItems {
 		return nil, errors.New("fleet: a packet of no member's form")
 	}
 	for _, i := range p.Items {
@@ -84,43 +84,43 @@
 
 func (i *item) check() error {
 	parts := 0
-	if a := i.Ask; a != nil {
+	if a := i.Proposal; a != nil {
 		parts++
-		if len(a.Place.Cluster) > maxName || len(a.Place.Zone) > maxName || a.Window < 0 || a.Retention < 0 || a.TTL <= 0 || a.Scope > 2 {
+		if len(a.Place.Cluster) > maxNameBytes || len(a.Place.Zone) > maxNameBytes || a.Window < 0 || a.Retention < 0 || a.TTL <= 0 || a.Scope > 2 {
 			return errors.New("fleet: an ask that no member makes")
 		}
 	}
-	if a := i.Answer; a != nil {
+	if a := i.Response; a != nil {
 		parts++
-		if a.Vote > binding.HeldElsewhere || len(a.Place.Cluster) > maxName || len(a.Place.Zone) > maxName {
+		if a.Vote > binding.HeldElsewhere || len(a.Place.Cluster) > maxNameBytes || len(a.Place.Zone) > maxNameBytes {
 			return errors.New("fleet: an answer that no member gives")
 		}
 	}
-	if i.End != nil {
+	if i.Release != nil {
 		parts++
 	}
-	if i.Want != 0 {
+	if i.SnapshotRequest != 0 {
 		parts++
 	}
-	if w := i.Word; w != nil {
+	if w := i.Membership; w != nil {
 		parts++
 		if err := w.Check(); err != nil {
 			return err
 		}
 	}
-	if a := i.Acts; a != nil {
+	if a := i.Gossip; a != nil {
 		parts++
 		if err := a.Check(); err != nil {
 			return err
 		}
 	}
-	if c := i.Copy; c != nil {
+	if c := i.SnapshotPart; c != nil {
 		parts++
-		if c.Part < 0 || c.Parts > maxParts || c.Part >= c.Parts || len(c.Keys) > partKeys {
+		if c.Part < 0 || c.Parts > maxParts || c.Part >= c.Parts || len(c.Keys) > maxPartKeys {
 			return errors.New("fleet: a part of no copy")
 		}
 		for _, k := range c.Keys {
-			if len(k.Place.Cluster) > maxName || len(k.Place.Zone) > maxName {
+			if len(k.Place.Cluster) > maxNameBytes || len(k.Place.Zone) > maxNameBytes {
 				return errors.New("fleet: a key of no member's form")
 			}
 		}
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -30,7 +30,7 @@
 }
 
 func newBinder(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time) *binder {
-	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: binding.Proposal{Attempt: f.Number(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
+	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: binding.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
 }
 
 // resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
@@ -89,7 +89,7 @@
 	b.asked, b.ask.Place, b.ask.TTL = true, to, time.Until(b.deadline)
 	var past history.Past
 	if b.state = binding.Unknown; b.ask.TTL > 0 {
-		b.state, past = b.fleet.Bind(ctx, b.ask)
+		b.state, past = b.fleet.ClaimKey(ctx, b.ask)
 	}
 	if b.state == binding.Unknown { // it may be bound to any group
 		past = nowhere
@@ -107,6 +107,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.over = true; b.asked && !b.resumed {
-		b.fleet.End(binding.Release{Attempt: b.ask.Attempt, NeverRan: !mayHaveRun})
+		b.fleet.Release(binding.Release{Attempt: b.ask.Attempt, NeverRan: !mayHaveRun})
 	}
 }
--- a/internal/gateway/conf/fleet.go
+++ b/internal/gateway/conf/fleet.go
@@ -30,9 +30,9 @@
 	s := p.open("fleet "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"name", "listen", "advertise", "seeds", "keyring", "voters",
 		"members", "new", "views", "versions", "taking"}, nil)
 	s.need("name", "listen", "keyring")
-	o := &fleet.Options{Fleet: b.Labels[0], Name: s.text("name", ""), Listen: s.text("listen", ""), Advertise: s.text("advertise", ""),
-		Members: s.whole("members", 128, 1, 10000), Keys: f.Process.Keys, New: s.flag("new"), Views: s.flag("views"),
-		Versions: s.flag("versions"), Taking: s.duration("taking", 10*time.Second, time.Second, time.Hour)}
+	o := &fleet.Options{FleetName: b.Labels[0], Name: s.text("name", ""), Listen: s.text("listen", ""), Advertise: s.text("advertise", ""),
+		MaxMembers: s.whole("members", 128, 1, 10000), MaxKeys: f.Process.Keys, NewFleet: s.flag("new"), Views: s.flag("views"),
+		Versions: s.flag("versions"), RolloutTimeout: s.duration("taking", 10*time.Second, time.Second, time.Hour)}
 	if o.Versions && !o.Views {
 		s.fault(s.where("versions"), "Views needed", "\"versions\" goes with \"views = true\" alone: who is in has to be agreed on.")
 	}
@@ -60,11 +60,11 @@
 	}
 	for _, c := range f.Classes {
 		if c.Effect == decide.Keyed {
-			o.Life = max(o.Life, c.Deadline)
-			o.Silent = max(o.Silent, 2*c.Deadline+c.Window+c.Keep)
+			o.MaxDeadline = max(o.MaxDeadline, c.Deadline)
+			o.KeyRetention = max(o.KeyRetention, 2*c.Deadline+c.Window+c.Keep)
 		}
 	}
-	o.Life, o.Silent = max(o.Life, time.Second), max(o.Silent, time.Second)
+	o.MaxDeadline, o.KeyRetention = max(o.MaxDeadline, time.Second), max(o.KeyRetention, time.Second)
 	if s.has("keyring") {
 		path := s.text("keyring", "")
 		if !filepath.IsAbs(path) {
--- a/internal/gateway/conf/fleet_test.go
+++ b/internal/gateway/conf/fleet_test.go
@@ -36,8 +36,8 @@
 		t.Fatal(err)
 	}
 	o := f.Fleet
-	if o == nil || o.Fleet != "rio-claro" || len(o.Voters) != 3 || len(o.Seeds) != 2 || len(o.Keyring) != 2 || o.New ||
-		o.Life != 5*time.Second || o.Silent != 130*time.Second || f.Control != filepath.Join(dir, "silvertrail.sock") {
+	if o == nil || o.FleetName != "rio-claro" || len(o.Voters) != 3 || len(o.Seeds) != 2 || len(o.Keyring) != 2 || o.NewFleet ||
+		o.MaxDeadline != 5*time.Second || o.KeyRetention != 130*time.Second || f.Control != filepath.Join(dir, "silvertrail.sock") {
 		t.Errorf("%+v", o)
 	}
 	for old, want := range map[string]struct{ with, fault string }{
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -91,7 +91,7 @@
 		return
 	}
 	v := FleetView{Members: g.fleet.Members()}
-	v.Instances, v.Place = g.fleet.Shares()
+	v.Instances, v.Place = g.fleet.Quota()
 	tell(w, v)
 }
 
@@ -100,7 +100,7 @@
 		http.Error(w, "this instance is in no fleet", http.StatusNotFound)
 		return
 	}
-	v, ok := g.fleet.Reach()
+	v, ok := g.fleet.Reachability()
 	if !ok {
 		http.Error(w, "this fleet does not go by views: set views = true in its block, at all instances", http.StatusNotFound)
 		return
@@ -171,7 +171,7 @@
 	scope, id, now := s.file.Classes[number].Scope, history.IDOf(q.Get("tenant"), q.Get("key")), time.Now()
 	v := KeyView{Here: keyPast(g.keys.Past(now, id, scope), now)}
 	if g.fleet != nil {
-		if p, silent, ok := g.fleet.Voter(id, scope); ok {
+		if p, silent, ok := g.fleet.VoterKeyState(id, scope); ok {
 			k := keyPast(p, now)
 			v.Voter = &k
 			if silent > 0 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -369,7 +369,7 @@
 	if a, ok := x.take(print); !ok {
 		return a, false
 	}
-	if f := x.gateway.fleet; f != nil && f.Votes() && failover.Agreed(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
+	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.Agreed(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
 		if c := x.passing; c != nil && c.Try != (binding.AttemptID{}) {
 			x.binder = resume(f, x.id, x.class, x.deadline, c.Try, c.Turn, len(c.Been))
 		} else {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -32,9 +32,9 @@
 			t.Fatal(err)
 		}
 		addr := sockets.Addr()
-		file.Fleet = &fleet.Options{Fleet: "test", Name: voters[i], Listen: addr, Seeds: seeds, Keyring: [][]byte{bytes.Repeat([]byte{1}, 32)},
-			Voters: voters, Members: 16, Keys: 1 << 14, New: true, Life: 500 * time.Millisecond, Silent: 10 * time.Second,
-			Probe: 100 * time.Millisecond, Transport: links.Wrap(i, sockets, addr)}
+		file.Fleet = &fleet.Options{FleetName: "test", Name: voters[i], Listen: addr, Seeds: seeds, Keyring: [][]byte{bytes.Repeat([]byte{1}, 32)},
+			Voters: voters, MaxMembers: 16, MaxKeys: 1 << 14, NewFleet: true, MaxDeadline: 500 * time.Millisecond, KeyRetention: 10 * time.Second,
+			ProbeInterval: 100 * time.Millisecond, Transport: links.Wrap(i, sockets, addr)}
 		seeds = append(seeds, addr)
 		g, err := Start(file, slog.New(slog.DiscardHandler))
 		if err != nil {
@@ -44,7 +44,7 @@
 		all = append(all, g)
 	}
 	for _, g := range all {
-		lbtest.Until(t, "all see all", func() bool { got, _ := g.fleet.Shares(); return got == n })
+		lbtest.Until(t, "all see all", func() bool { got, _ := g.fleet.Quota(); return got == n })
 	}
 	return all, links
 }
--- a/internal/gateway/format_test.go
+++ b/internal/gateway/format_test.go
@@ -36,8 +36,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := fleet.Start(fleet.Options{Fleet: "f", Name: "one", Listen: sockets.Addr(), Keyring: [][]byte{make([]byte, 32)}, Members: 4, Keys: 16,
-		New: true, Life: time.Second, Silent: time.Second, Probe: 100 * time.Millisecond, Views: true, Versions: true, Taking: time.Second,
+	f, err := fleet.Start(fleet.Options{FleetName: "f", Name: "one", Listen: sockets.Addr(), Keyring: [][]byte{make([]byte, 32)}, MaxMembers: 4, MaxKeys: 16,
+		NewFleet: true, MaxDeadline: time.Second, KeyRetention: time.Second, ProbeInterval: 100 * time.Millisecond, Views: true, Versions: true, RolloutTimeout: time.Second,
 		Transport: sockets, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,9 +142,9 @@
 		o := *file.Fleet
 		o.Log = log
 		if file.Link == nil { // else it spans salas, whose endpoints are not shared
-			o.Shares = g.share
+			o.OnQuotaChange = g.share
 		}
-		o.Acting = g.acting
+		o.AppliedVersions = g.acting
 		var err error
 		if g.fleet, err = fleet.Start(o); err != nil {
 			g.Close()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -46,15 +46,15 @@
 
 // fleetGauges is what this instance believes of its fleet at this moment. OPERATING.md tells what each of them is.
 func fleetGauges(f *fleet.Fleet) (out []gauge) {
-	n, _ := f.Shares()
+	n, _ := f.Quota()
 	out = append(out, gaugeOf("silvertrail_fleet_share_instances", float64(n)))
 	for _, m := range f.Members() {
 		out = append(out, gaugeOf("silvertrail_fleet_member_state", 1, "member", m.Name, "state", m.State),
-			gaugeOf("silvertrail_fleet_member_unheard_by", float64(len(m.By)), "member", m.Name),
-			gaugeOf("silvertrail_fleet_member_loss_ratio", m.Loss, "member", m.Name))
+			gaugeOf("silvertrail_fleet_member_unheard_by", float64(len(m.UnreachableFrom)), "member", m.Name),
+			gaugeOf("silvertrail_fleet_member_loss_ratio", m.LossRatio, "member", m.Name))
 	}
 	if v, told := f.Versions(); told {
-		out = append(out, gaugeOf("silvertrail_fleet_in_step", one(v.InStep)))
+		out = append(out, gaugeOf("silvertrail_fleet_in_step", one(v.AllCurrent)))
 		for _, m := range v.Members {
 			out = append(out, gaugeOf("silvertrail_fleet_version_state", 1, "member", m.Member, "state", m.State.String()),
 				gaugeOf("silvertrail_fleet_version_age_seconds", m.Age.Seconds(), "member", m.Member))
@@ -63,14 +63,14 @@
 			}
 		}
 	}
-	r, views := f.Reach()
+	r, views := f.Reachability()
 	if !views {
 		return out
 	}
 	out = append(out, gaugeOf("silvertrail_fleet_view", float64(r.Number)), gaugeOf("silvertrail_fleet_view_members", float64(len(r.Members))),
-		gaugeOf("silvertrail_fleet_confirmed", one(r.Confirmed)), gaugeOf("silvertrail_fleet_isolated", one(r.Isolated || r.Number == 0)))
+		gaugeOf("silvertrail_fleet_confirmed", one(r.HasQuorum)), gaugeOf("silvertrail_fleet_isolated", one(r.Isolated || r.Number == 0)))
 	kinds := map[string]int{}
-	for _, x := range r.Found {
+	for _, x := range r.Diagnoses {
 		kinds[x.Kind]++
 	}
 	for kind, n := range kinds {
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -178,7 +178,7 @@
 		p.t.Fatal(err)
 	}
 	o := file.Fleet
-	o.Transport, o.Seeds, o.Members, o.New, o.Probe = sockets, p.seeds, 16, fresh, 100*time.Millisecond
+	o.Transport, o.Seeds, o.MaxMembers, o.NewFleet, o.ProbeInterval = sockets, p.seeds, 16, fresh, 100*time.Millisecond
 	g, err := Start(file, slog.New(slog.DiscardHandler))
 	if err != nil {
 		p.t.Fatal(err)
--- a/internal/testkit/hollow/joined.go
+++ b/internal/testkit/hollow/joined.go
@@ -60,9 +60,9 @@
 	}
 	j := &Joined{Name: name}
 	j.on.Store(1)
-	j.fleet, err = fleet.Start(fleet.Options{Fleet: FleetName, Name: name, Listen: t.Addr(), Seeds: seeds, Keyring: [][]byte{Key()}, Members: most, Keys: 1 << 10, New: true,
-		Views: true, Versions: true, Taking: 10 * time.Second, Life: 2 * time.Second, Silent: 10 * time.Second, Log: slog.New(slog.DiscardHandler),
-		Transport: &counted{t, sent}, Acting: func() []version.Entry {
+	j.fleet, err = fleet.Start(fleet.Options{FleetName: FleetName, Name: name, Listen: t.Addr(), Seeds: seeds, Keyring: [][]byte{Key()}, MaxMembers: most, MaxKeys: 1 << 10, NewFleet: true,
+		Views: true, Versions: true, RolloutTimeout: 10 * time.Second, MaxDeadline: 2 * time.Second, KeyRetention: 10 * time.Second, Log: slog.New(slog.DiscardHandler),
+		Transport: &counted{t, sent}, AppliedVersions: func() []version.Entry {
 			return []version.Entry{{Kind: version.List, Name: listName, Hash: hashOf(int(j.on.Load()))}}
 		}})
 	return j, err
