--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"silvertrail/internal/fleet"
-	"silvertrail/internal/fleet/straggler"
 	"silvertrail/internal/fleet/version"
+	"silvertrail/internal/fleet/versionlag"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
 )
@@ -189,11 +189,11 @@
 		for _, f := range m.Findings {
 			what := strings.TrimSpace(f.Kind.String() + " " + f.Name)
 			switch f.State {
-			case straggler.Forked:
+			case versionlag.Forked:
 				fmt.Fprintf(out, "%s: %s is forked: it has %s (%s), others %s (%s), both after the same one\n", m.Member, what, f.Has.Hash, f.Has.Description, f.Expected.Hash, f.Expected.Description)
-			case straggler.Ahead:
+			case versionlag.Ahead:
 				fmt.Fprintf(out, "%s: %s %s is the newest, and most have not taken it up for %v\n", m.Member, what, f.Has.Hash, f.Duration.Round(time.Second))
-			case straggler.Divergent:
+			case versionlag.Divergent:
 				fmt.Fprintf(out, "%s: %s is %s (%s), elsewhere %s (%s), for %v\n", m.Member, what, f.Has.Hash, f.Has.Description, f.Expected.Hash, f.Expected.Description, f.Duration.Round(time.Second))
 			default:
 				fmt.Fprintf(out, "%s: %s is %s (%s) and not %s (%s), behind by %d, for %v\n", m.Member, what, f.Has.Hash, f.Has.Description, f.Expected.Hash, f.Expected.Description, f.VersionsBehind, f.Duration.Round(time.Second))
--- a/cmd/silvertrail/format_test.go
+++ b/cmd/silvertrail/format_test.go
@@ -7,7 +7,7 @@
 
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/fleet"
-	"silvertrail/internal/fleet/straggler"
+	"silvertrail/internal/fleet/versionlag"
 	"silvertrail/internal/testkit/golden"
 )
 
@@ -17,10 +17,10 @@
 	golden.Fill(&v)
 	member := v.Members[0]
 	v.Members = nil
-	for state := straggler.Current; state <= straggler.Forked; state++ {
+	for state := versionlag.Current; state <= versionlag.Forked; state++ {
 		m := member
 		m.State = state
-		m.Findings = append([]straggler.Finding{}, member.Findings...)
+		m.Findings = append([]versionlag.Finding{}, member.Findings...)
 		m.Findings[0].State = state
 		v.Members = append(v.Members, m)
 	}
--- a/cmd/silvertrail/versions_test.go
+++ b/cmd/silvertrail/versions_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"silvertrail/internal/fleet"
-	"silvertrail/internal/fleet/straggler"
 	"silvertrail/internal/fleet/version"
+	"silvertrail/internal/fleet/versionlag"
 	"silvertrail/internal/testkit/lbtest"
 )
 
@@ -73,17 +73,17 @@
 }
 
 // stands tells that one member is so in its configuration, by so many versions, and all others are in step.
-func stands(name string, state straggler.State, steps int) func(v fleet.VersionsView) bool {
+func stands(name string, state versionlag.State, steps int) func(v fleet.VersionsView) bool {
 	return func(v fleet.VersionsView) bool {
 		found := false
 		for _, m := range v.Members {
 			if m.Member != name {
-				if m.State != straggler.Current {
+				if m.State != versionlag.Current {
 					return false
 				}
 				continue
 			}
-			found = m.State == state && slices.ContainsFunc(m.Findings, func(x straggler.Finding) bool {
+			found = m.State == state && slices.ContainsFunc(m.Findings, func(x versionlag.Finding) bool {
 				return x.Kind == version.Configuration && x.State == state && x.VersionsBehind == steps
 			})
 		}
@@ -115,13 +115,13 @@
 		t.Errorf("status %d: %s", code, out)
 	}
 	f.take(2, all(3)...)
-	f.stand("i3 was not told", all(), stands("i3", straggler.Lagging, 1))
+	f.stand("i3 was not told", all(), stands("i3", versionlag.Lagging, 1))
 	if code, out := f.all[3].command("fleet", "versions"); code != 1 || !strings.Contains(out, "i3: configuration is") || !strings.Contains(out, "behind by 1") {
 		t.Errorf("status %d: %s", code, out)
 	}
 	f.measures(0, `silvertrail_fleet_version_state{member="i3",state="behind"} 1`, "silvertrail_fleet_in_step 0")
 	f.take(3, all(3)...)
-	f.stand("i3 was not told twice", all(), stands("i3", straggler.Lagging, 2))
+	f.stand("i3 was not told twice", all(), stands("i3", versionlag.Lagging, 2))
 	from := time.Now()
 	f.take(3, 3)
 	f.stand("all in step", all(), inStep(fleetOf, 3))
@@ -139,7 +139,7 @@
 	f.take(4, all(2)...)
 	f.stand("i2 has a broken file, and says so", all(2), func(v fleet.VersionsView) bool {
 		why, told := v.Members[2].Vector.Find(version.Rejected, "")
-		return stands("i2", straggler.Lagging, 1)(v) && told && strings.Contains(why.Description, "i2.hcl")
+		return stands("i2", versionlag.Lagging, 1)(v) && told && strings.Contains(why.Description, "i2.hcl")
 	})
 	if code, out := f.all[2].command("fleet", "versions"); code != 1 || !strings.Contains(out, "can't be used") {
 		t.Errorf("by the broken file: status %d: %s", code, out)
@@ -159,7 +159,7 @@
 	f.one(all(1))
 	f.stand("all that run are in step", all(1), inStep(fleetOf-1, 5))
 	f.pause(1, false)
-	f.stand("i1 slept", all(), stands("i1", straggler.Lagging, 1))
+	f.stand("i1 slept", all(), stands("i1", versionlag.Lagging, 1))
 	f.take(5, 1)
 	f.stand("all in step", all(), inStep(fleetOf, 5))
 
@@ -167,12 +167,12 @@
 	f.take(6, all(4)...)
 	f.one(all(4))
 	f.again(4)
-	f.stand("i4 comes back with the file that it had", all(), stands("i4", straggler.Lagging, 1))
+	f.stand("i4 comes back with the file that it had", all(), stands("i4", versionlag.Lagging, 1))
 	f.take(6, 4)
 	f.stand("all in step", all(), inStep(fleetOf, 6))
 
 	f.take(7, 0)
-	f.stand("i0 is alone with a new file", all(), stands("i0", straggler.Ahead, 0))
+	f.stand("i0 is alone with a new file", all(), stands("i0", versionlag.Ahead, 0))
 	f.take(7, all(0)...)
 	f.stand("all in step", all(), inStep(fleetOf, 7))
 
@@ -190,7 +190,7 @@
 	f.relays.Heal()
 	f.one(all())
 	f.stand("a fork, which makes no side right", all(), func(v fleet.VersionsView) bool {
-		return len(v.Members) == fleetOf && !slices.ContainsFunc(v.Members, func(m fleet.MemberVersionsView) bool { return m.State != straggler.Forked })
+		return len(v.Members) == fleetOf && !slices.ContainsFunc(v.Members, func(m fleet.MemberVersionsView) bool { return m.State != versionlag.Forked })
 	})
 	f.take(8, 4)
 	f.stand("all in step", all(), inStep(fleetOf, 8))
--- a/internal/fleet/acts.go
+++ b/internal/fleet/acts.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/fleet/exchange"
+	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
-	"silvertrail/internal/fleet/straggler"
 	"silvertrail/internal/fleet/version"
+	"silvertrail/internal/fleet/versionlag"
 )
 
 // appliedVersions is the host of packages version, exchange and straggler: what this instance acts on, what the others say that they
@@ -22,14 +22,14 @@
 	fleet *Fleet
 
 	mu          sync.Mutex
-	core        *exchange.Core
-	lag         *straggler.Detector
-	vector      version.Vector             // as said last, or to be said next
-	announcedAt time.Time                  // it was said
-	reported    bool                       // the gateway has told what it acts on
-	unnumbered  bool                       // the configuration has no number yet
-	addresses   map[string]string          // of the members of the view
-	states      map[string]straggler.State // as logged last
+	core        *gossip.Core
+	lag         *versionlag.Detector
+	vector      version.Vector              // as said last, or to be said next
+	announcedAt time.Time                   // it was said
+	reported    bool                        // the gateway has told what it acts on
+	unnumbered  bool                        // the configuration has no number yet
+	addresses   map[string]string           // of the members of the view
+	states      map[string]versionlag.State // as logged last
 	stateSince  map[string]time.Time
 }
 
@@ -42,8 +42,8 @@
 )
 
 func newAppliedVersions(f *Fleet) *appliedVersions {
-	a := &appliedVersions{fleet: f, core: exchange.New(f.options.Name, f.process, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), addresses: map[string]string{},
-		lag: straggler.New(straggler.Limits{RolloutTimeout: f.options.RolloutTimeout, MaxAge: maxReportAge}), states: map[string]straggler.State{}, stateSince: map[string]time.Time{}}
+	a := &appliedVersions{fleet: f, core: gossip.New(f.options.Name, f.process, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), addresses: map[string]string{},
+		lag: versionlag.New(versionlag.Limits{RolloutTimeout: f.options.RolloutTimeout, MaxAge: maxReportAge}), states: map[string]versionlag.State{}, stateSince: map[string]time.Time{}}
 	build := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		build = info.GoVersion + " " + info.Main.Version
@@ -126,7 +126,7 @@
 
 // run lets time pass.
 func (a *appliedVersions) run() {
-	every := time.NewTicker(exchange.TickInterval)
+	every := time.NewTicker(gossip.TickInterval)
 	defer every.Stop()
 	for ticks := 0; ; ticks++ {
 		select {
@@ -218,7 +218,7 @@
 	}
 }
 
-func (a *appliedVersions) receive(from string, m *exchange.Message) {
+func (a *appliedVersions) receive(from string, m *gossip.Message) {
 	a.mu.Lock()
 	a.core.Receive(a.fleet.membership.now(), from, m)
 	out := a.core.Ready()
@@ -226,7 +226,7 @@
 	a.send(out)
 }
 
-func (a *appliedVersions) send(out []exchange.Envelope) {
+func (a *appliedVersions) send(out []gossip.Envelope) {
 	for _, s := range out {
 		a.mu.Lock()
 		at, ok := a.addresses[s.To]
@@ -238,17 +238,17 @@
 }
 
 // evaluate judges all members, and logs whose standing has changed. The caller holds the lock.
-func (a *appliedVersions) evaluate() []straggler.Status {
+func (a *appliedVersions) evaluate() []versionlag.Status {
 	names := make([]string, 0, len(a.addresses))
 	for n := range a.addresses {
 		names = append(names, n)
 	}
 	slices.Sort(names)
 	now := a.fleet.membership.now()
-	a.lag.SetLimits(straggler.Limits{RolloutTimeout: a.fleet.options.RolloutTimeout, MaxAge: maxReportAge + time.Duration(len(names))*maxReportAgePerMember})
-	members := make([]straggler.Member, 0, len(names))
+	a.lag.SetLimits(versionlag.Limits{RolloutTimeout: a.fleet.options.RolloutTimeout, MaxAge: maxReportAge + time.Duration(len(names))*maxReportAgePerMember})
+	members := make([]versionlag.Member, 0, len(names))
 	for _, n := range names {
-		m := straggler.Member{Name: n}
+		m := versionlag.Member{Name: n}
 		if k, ok := a.core.Peer(n); ok && k.Seq > 0 {
 			m.Vector, m.VectorHash, m.Age = k.Vector, k.VectorHash, max(now-k.ConfirmedAt, 0)
 		}
@@ -288,7 +288,7 @@
 
 // MemberVersionsView is how a member stands, and since when it is known to.
 type MemberVersionsView struct {
-	straggler.Status
+	versionlag.Status
 	Since     time.Time `json:"since"`
 	AppliedAt time.Time `json:"taken,omitzero"` // its vector, by its own clock
 }
@@ -303,7 +303,7 @@
 	defer a.mu.Unlock()
 	v = VersionsView{Self: f.options.Name, VectorHash: a.core.Self().VectorHash, AllCurrent: len(a.addresses) > 0}
 	for _, s := range a.evaluate() {
-		v.AllCurrent = v.AllCurrent && s.State == straggler.Current
+		v.AllCurrent = v.AllCurrent && s.State == versionlag.Current
 		m := MemberVersionsView{Status: s, Since: a.stateSince[s.Member]}
 		if k, known := a.core.Peer(s.Member); known && k.Seq > 0 {
 			m.AppliedAt = time.UnixMilli(k.AppliedAt)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,8 +16,8 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"silvertrail/internal/fleet/binding"
-	"silvertrail/internal/fleet/share"
+	"silvertrail/internal/fleet/ownership"
+	"silvertrail/internal/fleet/partition"
 	"silvertrail/internal/fleet/version"
 )
 
@@ -67,7 +67,7 @@
 
 	mu              sync.Mutex // of members, shares and keys
 	nodes           map[string]*node
-	tracker         *share.Tracker
+	tracker         *partition.Tracker
 	quota           [2]int
 	quotaTimer      *time.Timer
 	membership      *membershipHost  // nil: memberlist decides who is in
@@ -81,7 +81,7 @@
 // node is a member as it was last known.
 type node struct {
 	memberlist.Node
-	state          share.State
+	state          partition.State
 	leaving        bool
 	since          time.Time
 	outbox         outbox
@@ -103,7 +103,7 @@
 // Start brings an instance up and joins its fleet. Seeds that can't be reached are tried again for as long as it runs.
 func Start(o Options) (*Fleet, error) {
 	f := &Fleet{options: o, log: o.Log.With("fleet", o.FleetName), process: rand.Uint64(), started: make(chan struct{}), closed: make(chan struct{}), nodes: map[string]*node{},
-		tracker: share.New(o.Name, lostMemberHold, o.MaxMembers), voters: o.Voters, quota: [2]int{1, 0}}
+		tracker: partition.New(o.Name, lostMemberHold, o.MaxMembers), voters: o.Voters, quota: [2]int{1, 0}}
 	now := time.Now()
 	f.keyOwnership.start(f, now)
 	c := memberlist.DefaultLANConfig()
@@ -267,7 +267,7 @@
 	switch {
 	case slices.Equal(voters, f.voters):
 		return nil
-	case !binding.CanReconfigure(f.voters, voters):
+	case !ownership.CanReconfigure(f.voters, voters):
 		return fmt.Errorf("fleet: the voters %q can't follow %q at once: add or take away one at a time", voters, f.voters)
 	case now.Before(f.votersChangedAt.Add(f.options.KeyRetention)):
 		return fmt.Errorf("fleet: the voters were changed %v ago; the next change can come %v after that", now.Sub(f.votersChangedAt).Round(time.Second), f.options.KeyRetention)
@@ -368,9 +368,9 @@
 func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
 func (d delegate) LocalState(bool) []byte          { return nil }
 func (d delegate) MergeRemoteState([]byte, bool)   {}
-func (d delegate) NotifyJoin(n *memberlist.Node)   { d.updateMember(n, share.Alive) }
-func (d delegate) NotifyUpdate(n *memberlist.Node) { d.updateMember(n, share.Alive) }
-func (d delegate) NotifyLeave(n *memberlist.Node)  { d.updateMember(n, share.Dead) }
+func (d delegate) NotifyJoin(n *memberlist.Node)   { d.updateMember(n, partition.Alive) }
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.updateMember(n, partition.Alive) }
+func (d delegate) NotifyLeave(n *memberlist.Node)  { d.updateMember(n, partition.Dead) }
 
 // NotifyAlive turns away members over the bound, whoever tells of them.
 func (d delegate) NotifyAlive(n *memberlist.Node) error {
@@ -395,7 +395,7 @@
 }
 
 // updateMember takes what memberlist says of a member.
-func (f *Fleet) updateMember(m *memberlist.Node, s share.State) {
+func (f *Fleet) updateMember(m *memberlist.Node, s partition.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.options.Views || f.isClosed() { // what comes while this instance ends is its own doing
@@ -407,15 +407,15 @@
 		if len(f.nodes) >= f.options.MaxMembers && !f.forgetOldestLost() {
 			return
 		}
-		n = &node{since: now, state: share.Left}
+		n = &node{since: now, state: partition.Left}
 		f.nodes[m.Name] = n
 	}
 	n.Node = *m
 	if m.Name != f.options.Name {
 		n.leaving = string(m.Meta) == leavingMeta
 	}
-	if s == share.Dead && n.leaving {
-		s = share.Left
+	if s == partition.Dead && n.leaving {
+		s = partition.Left
 	}
 	if n.state != s {
 		n.state, n.since = s, now
@@ -429,7 +429,7 @@
 func (f *Fleet) forgetOldestLost() bool {
 	var oldest string
 	for name, n := range f.nodes {
-		if n.state != share.Alive && (oldest == "" || n.since.Before(f.nodes[oldest].since)) {
+		if n.state != partition.Alive && (oldest == "" || n.since.Before(f.nodes[oldest].since)) {
 			oldest = name
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,8 +18,8 @@
 
 	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/fleet/binding"
-	"silvertrail/internal/fleet/share"
+	"silvertrail/internal/fleet/ownership"
+	"silvertrail/internal/fleet/partition"
 	"silvertrail/internal/testkit/lbtest"
 )
 
@@ -107,8 +107,8 @@
 	return n
 }
 
-func (f *Fleet) asks(key string, zone string, life time.Duration) binding.Proposal {
-	return binding.Proposal{Attempt: f.NextAttemptID(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: decide.ScopeZone,
+func (f *Fleet) asks(key string, zone string, life time.Duration) ownership.Proposal {
+	return ownership.Proposal{Attempt: f.NextAttemptID(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: decide.ScopeZone,
 		Window: time.Second, Retention: time.Second, TTL: life}
 }
 
@@ -119,22 +119,22 @@
 		first, second := c.all[i%4], c.all[(i+1+i/4%3)%4]
 		k := fmt.Sprint("k", i)
 		a := first.asks(k, "north", 600*time.Millisecond)
-		if state, past := first.ClaimKey(t.Context(), a); state != binding.Claimed || !past.Known {
+		if state, past := first.ClaimKey(t.Context(), a); state != ownership.Claimed || !past.Known {
 			t.Fatalf("%s: %v %+v", k, state, past)
 		}
 		b := second.asks(k, "south", 600*time.Millisecond)
-		if state, past := second.ClaimKey(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
+		if state, past := second.ClaimKey(t.Context(), b); state != ownership.OwnedElsewhere || past.Place.Zone != "north" {
 			t.Errorf("%s by another way: %v %+v", k, state, past)
 		}
 		b.Round, b.Place.Zone = 1, "north"
-		if state, _ := second.ClaimKey(t.Context(), b); state != binding.Claimed {
+		if state, _ := second.ClaimKey(t.Context(), b); state != ownership.Claimed {
 			t.Errorf("%s in its group: %v", k, state)
 		}
-		first.Release(binding.Release{Attempt: a.Attempt, NeverRan: true})
-		second.Release(binding.Release{Attempt: b.Attempt, NeverRan: true})
+		first.Release(ownership.Release{Attempt: a.Attempt, NeverRan: true})
+		second.Release(ownership.Release{Attempt: b.Attempt, NeverRan: true})
 		lbtest.Until(t, "a key with which nothing ran is free", func() bool {
 			state, _ := second.ClaimKey(t.Context(), second.asks(k, "south", 600*time.Millisecond))
-			return state == binding.Claimed
+			return state == ownership.Claimed
 		})
 	}
 }
@@ -151,7 +151,7 @@
 	}
 	var mu sync.Mutex
 	went := map[string][]bound{}
-	counts := map[binding.State]int{}
+	counts := map[ownership.State]int{}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var callers sync.WaitGroup
@@ -170,14 +170,14 @@
 				a := f.asks(k, zone, 600*time.Millisecond)
 				state, past := f.ClaimKey(ctx, a)
 				now := time.Now()
-				sends := state == binding.Claimed && now.Before(past.Until) && now.Before(made.Add(a.TTL))
+				sends := state == ownership.Claimed && now.Before(past.Until) && now.Before(made.Add(a.TTL))
 				mu.Lock()
 				counts[state]++
 				if sends {
 					went[k] = append(went[k], bound{zone, now, now.Add(a.Window + a.Retention)})
 				}
 				mu.Unlock()
-				f.Release(binding.Release{Attempt: a.Attempt, NeverRan: !sends})
+				f.Release(ownership.Release{Attempt: a.Attempt, NeverRan: !sends})
 			}
 		})
 	}
@@ -225,7 +225,7 @@
 		}
 	}
 	t.Logf("%v, %d keys went out", counts, len(went))
-	if counts[binding.Claimed] < 50 || counts[binding.OwnedElsewhere] < 50 {
+	if counts[ownership.Claimed] < 50 || counts[ownership.OwnedElsewhere] < 50 {
 		t.Errorf("tests little: %v", counts)
 	}
 }
@@ -273,10 +273,10 @@
 	for i := range n {
 		a := c.all[0].asks(fmt.Sprint("k", i), "north", 600*time.Millisecond)
 		a.Window, a.Retention = time.Minute, time.Minute
-		if state, _ := c.all[0].ClaimKey(t.Context(), a); state != binding.Claimed {
+		if state, _ := c.all[0].ClaimKey(t.Context(), a); state != ownership.Claimed {
 			t.Fatal(state)
 		}
-		c.all[0].Release(binding.Release{Attempt: a.Attempt})
+		c.all[0].Release(ownership.Release{Attempt: a.Attempt})
 	}
 	old := c.all[1]
 	old.Close()
@@ -324,11 +324,11 @@
 		conn.Write(text)
 	}
 	a := c.all[1].asks("k", "north", 600*time.Millisecond)
-	if state, _ := c.all[1].ClaimKey(t.Context(), a); state != binding.Claimed {
+	if state, _ := c.all[1].ClaimKey(t.Context(), a); state != ownership.Claimed {
 		t.Errorf("after garbage: %v", state)
 	}
 	// What was said once is said again, by whom it may be.
-	text, err := encode(&packet{From: name(1), Items: []item{{Release: &binding.Release{Attempt: a.Attempt}}, {Proposal: &a}}})
+	text, err := encode(&packet{From: name(1), Items: []item{{Release: &ownership.Release{Attempt: a.Attempt}}, {Proposal: &a}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -337,7 +337,7 @@
 		c.all[2].handlePacket(text)
 	}
 	b := c.all[2].asks("k", "south", 600*time.Millisecond)
-	if state, past := c.all[2].ClaimKey(t.Context(), b); state != binding.OwnedElsewhere || past.Place.Zone != "north" {
+	if state, past := c.all[2].ClaimKey(t.Context(), b); state != ownership.OwnedElsewhere || past.Place.Zone != "north" {
 		t.Errorf("after a replay: %v %+v", state, past)
 	}
 	for _, f := range c.all {
@@ -355,8 +355,8 @@
 	for i := range 100 {
 		n := &memberlist.Node{Name: fmt.Sprint("passing ", i), Addr: net.IPv4(127, 0, 0, 1)}
 		if (delegate{f}).NotifyAlive(n) == nil {
-			f.updateMember(n, share.Alive)
-			f.updateMember(n, share.Dead)
+			f.updateMember(n, partition.Alive)
+			f.updateMember(n, partition.Dead)
 		}
 	}
 	all := f.Members()
@@ -371,7 +371,7 @@
 		// On a busy machine voters may answer too late for one ask; a further one for the same place is agreed to as well.
 		lbtest.Until(t, fmt.Sprintf("key %d is bound", i), func() bool {
 			state, _ := f.ClaimKey(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond))
-			return state == binding.Claimed
+			return state == ownership.Claimed
 		})
 		if n := len(f.Members()); n > f.options.MaxMembers {
 			t.Errorf("%d members, over %d", n, f.options.MaxMembers)
@@ -414,7 +414,7 @@
 				t.Fatal(err)
 			}
 			a := f.asks(fmt.Sprint(step, "-", i), "north", 600*time.Millisecond)
-			if state, _ := f.ClaimKey(t.Context(), a); state != binding.Claimed {
+			if state, _ := f.ClaimKey(t.Context(), a); state != ownership.Claimed {
 				t.Errorf("step %d, instance %d: %v", step, i, state)
 			}
 		}
@@ -422,7 +422,7 @@
 	if err := c.all[0].RotateKeys([][]byte{key}); err != nil {
 		t.Fatal(err)
 	}
-	if state, _ := c.all[0].ClaimKey(t.Context(), c.all[0].asks("old", "north", 600*time.Millisecond)); state != binding.Unknown {
+	if state, _ := c.all[0].ClaimKey(t.Context(), c.all[0].asks("old", "north", 600*time.Millisecond)); state != ownership.Unknown {
 		t.Errorf("with the old key: %v", state)
 	}
 	if err := c.all[1].ReconfigureVoters([]string{name(0), name(1), "i9"}); err == nil {
@@ -441,9 +441,9 @@
 
 // What is read from the net is in form, or an error; nothing panics.
 func FuzzDecode(f *testing.F) {
-	a := binding.Proposal{TTL: 1}
+	a := ownership.Proposal{TTL: 1}
 	for _, p := range []packet{{From: "a", Items: []item{{Proposal: &a}, {SnapshotRequest: 7}}},
-		{From: "b", Items: []item{{SnapshotPart: &snapshotPart{Parts: 1, Keys: []binding.KeyState{{}}}}, {Release: &binding.Release{}}, {Response: &binding.Response{}}}}} {
+		{From: "b", Items: []item{{SnapshotPart: &snapshotPart{Parts: 1, Keys: []ownership.KeyState{{}}}}, {Release: &ownership.Release{}}, {Response: &ownership.Response{}}}}} {
 		text, err := encode(&p)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/fleet/format_test.go
+++ b/internal/fleet/format_test.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/fleet/binding"
-	"silvertrail/internal/fleet/exchange"
+	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
-	"silvertrail/internal/fleet/straggler"
+	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/fleet/version"
+	"silvertrail/internal/fleet/versionlag"
 	"silvertrail/internal/testkit/golden"
 )
 
 // Packets are encoded by the order of their fields, so the values below name each field, and each has its own value.
 var (
-	formatTry   = binding.AttemptID{Process: 0x0102030405060708, Number: 9}
+	formatTry   = ownership.AttemptID{Process: 0x0102030405060708, Number: 9}
 	formatPlace = history.Place{Cluster: "cluster-a", Zone: "zone-b", Cell: 3}
 	formatID    = history.ID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
 	formatHash  = version.Hash{21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36}
@@ -45,19 +45,19 @@
 }
 
 var formatItems = map[string]item{
-	"ask": {Proposal: &binding.Proposal{Attempt: formatTry, Round: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
+	"ask": {Proposal: &ownership.Proposal{Attempt: formatTry, Round: 4, Key: formatID, Place: formatPlace, Scope: 1, Window: 5 * time.Second,
 		Retention: 6 * time.Second, TTL: 7 * time.Second}},
-	"answer": {Response: &binding.Response{Attempt: formatTry, Round: 4, Vote: binding.HeldElsewhere, Place: formatPlace, Split: true, Remaining: 8 * time.Second}},
-	"end":    {Release: &binding.Release{Attempt: formatTry, NeverRan: true}},
+	"answer": {Response: &ownership.Response{Attempt: formatTry, Round: 4, Vote: ownership.HeldElsewhere, Place: formatPlace, Split: true, Remaining: 8 * time.Second}},
+	"end":    {Release: &ownership.Release{Attempt: formatTry, NeverRan: true}},
 	"want":   {SnapshotRequest: 71},
-	"copy": {SnapshotPart: &snapshotPart{RequestID: 72, Part: 1, Parts: 3, Keys: []binding.KeyState{{Key: formatID, Place: formatPlace, SeveralZones: true, SeveralCells: true,
+	"copy": {SnapshotPart: &snapshotPart{RequestID: 72, Part: 1, Parts: 3, Keys: []ownership.KeyState{{Key: formatID, Place: formatPlace, SeveralZones: true, SeveralCells: true,
 		RetryFor: 9 * time.Second, ExpiresIn: 10 * time.Second}}}},
 	"membership": {Membership: formatMessage()},
-	"versions": {Gossip: &exchange.Message{
-		Digests:  []exchange.Digest{{Name: "head", Incarnation: 81, Generation: 82, Seq: 83, AgeMilliseconds: 84}},
-		Requests: []exchange.Request{{Name: "want", Incarnation: 85, KnownSeq: 86}},
-		Updates: []exchange.Update{{Name: "part", Incarnation: 87, Generation: 88, Seq: 90, BaseSeq: 89, Changed: formatVector, ChangedAt: []uint64{90},
-			Tombstones: []exchange.Tombstone{{Kind: version.List, Name: "gone", DeletedAt: 90}}, CompactedSeq: 91, AppliedAt: 92, VectorHash: formatHash}},
+	"versions": {Gossip: &gossip.Message{
+		Digests:  []gossip.Digest{{Name: "head", Incarnation: 81, Generation: 82, Seq: 83, AgeMilliseconds: 84}},
+		Requests: []gossip.Request{{Name: "want", Incarnation: 85, KnownSeq: 86}},
+		Updates: []gossip.Update{{Name: "part", Incarnation: 87, Generation: 88, Seq: 90, BaseSeq: 89, Changed: formatVector, ChangedAt: []uint64{90},
+			Tombstones: []gossip.Tombstone{{Kind: version.List, Name: "gone", DeletedAt: 90}}, CompactedSeq: 91, AppliedAt: 92, VectorHash: formatHash}},
 	}},
 }
 
@@ -112,7 +112,7 @@
 			t.Errorf("message kind %v is %d, want %d", kind, kind, n)
 		}
 	}
-	for n, vote := range []binding.Vote{binding.Abstain, binding.Grant, binding.HeldElsewhere} {
+	for n, vote := range []ownership.Vote{ownership.Abstain, ownership.Grant, ownership.HeldElsewhere} {
 		if int(vote) != n {
 			t.Errorf("vote %d, want %d", vote, n)
 		}
@@ -145,7 +145,7 @@
 	for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.ReportsIsolation, membership.Unreachable, membership.Isolated, membership.Dead, membership.Left} {
 		names = append(names, s.String())
 	}
-	for _, s := range []straggler.State{straggler.Current, straggler.Updating, straggler.Ahead, straggler.Divergent, straggler.Lagging, straggler.NotReporting, straggler.Forked} {
+	for _, s := range []versionlag.State{versionlag.Current, versionlag.Updating, versionlag.Ahead, versionlag.Divergent, versionlag.Lagging, versionlag.NotReporting, versionlag.Forked} {
 		names = append(names, s.String())
 	}
 	for k := version.Kind(0); k < 12; k++ {
--- a/internal/fleet/exchange/exchange.go
+++ b/internal/fleet/gossip/exchange.go
@@ -1,9 +1,9 @@
-// Package exchange spreads what each member of a fleet says that it acts on, and keeps what is known of all. It does no I/O,
+// Package gossip spreads what each member of a fleet says that it acts on, and keeps what is known of all. It does no I/O,
 // has no clock and starts no goroutines: its host tells it the time, who is in, and what has come, and carries what it raises.
 //
 // A new word is pushed on by whoever hears it, a few times (rumour mongering: Demers and others, PODC 1987); what that misses
 // the comparing of heads finds (anti-entropy). Both are bounded, whatever the number of members.
-package exchange
+package gossip
 
 import (
 	"cmp"
--- a/internal/fleet/exchange/exchange_test.go
+++ b/internal/fleet/gossip/exchange_test.go
@@ -1,4 +1,4 @@
-package exchange
+package gossip
 
 import (
 	"flag"
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -9,7 +9,7 @@
 
 	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/ownership"
 )
 
 const (
@@ -25,18 +25,18 @@
 	fleet *Fleet
 
 	voterMu   sync.Mutex
-	voter     *binding.Voter // of every instance: it may become one of the voters by a reload
+	voter     *ownership.Voter // of every instance: it may become one of the voters by a reload
 	snapshots map[string]*incomingSnapshot
 
 	claimsMu   sync.Mutex
-	responses  binding.ResponseTracker
-	claims     map[binding.AttemptID]*claim
+	responses  ownership.ResponseTracker
+	claims     map[ownership.AttemptID]*claim
 	lastNumber uint64
 }
 
 // claim is an ask under way.
 type claim struct {
-	proposer  *binding.Proposer
+	proposer  *ownership.Proposer
 	voters    []string
 	rounds    int           // of asks
 	responded chan struct{} // holds a token when an answer has come
@@ -51,20 +51,20 @@
 }
 
 func (k *keyOwnership) start(f *Fleet, now time.Time) {
-	k.fleet, k.claims, k.snapshots = f, map[binding.AttemptID]*claim{}, map[string]*incomingSnapshot{}
+	k.fleet, k.claims, k.snapshots = f, map[ownership.AttemptID]*claim{}, map[string]*incomingSnapshot{}
 	silent := f.options.KeyRetention
 	if f.options.NewFleet {
 		silent = 0
 	}
-	k.voter = binding.NewVoter(now, binding.VoterOptions{MaxKeys: f.options.MaxKeys, AbstainFor: silent, MaxProposalTTL: f.options.MaxDeadline})
+	k.voter = ownership.NewVoter(now, ownership.VoterOptions{MaxKeys: f.options.MaxKeys, AbstainFor: silent, MaxProposalTTL: f.options.MaxDeadline})
 }
 
 // NextAttemptID returns a number for a request's asks that no other request of this process has.
-func (k *keyOwnership) NextAttemptID() binding.AttemptID {
+func (k *keyOwnership) NextAttemptID() ownership.AttemptID {
 	k.claimsMu.Lock()
 	defer k.claimsMu.Unlock()
 	k.lastNumber++
-	return binding.AttemptID{Process: k.fleet.process, Number: k.lastNumber}
+	return ownership.AttemptID{Process: k.fleet.process, Number: k.lastNumber}
 }
 
 func (f *Fleet) voterNames() []string {
@@ -75,13 +75,13 @@
 
 // ClaimKey has the voters agree that a key's attempts go to a place. It returns when that is certain one way or the other,
 // or when ctx ends or the time for it is over, which is Unknown.
-func (k *keyOwnership) ClaimKey(ctx context.Context, a binding.Proposal) (binding.State, history.Past) {
+func (k *keyOwnership) ClaimKey(ctx context.Context, a ownership.Proposal) (ownership.State, history.Past) {
 	now := time.Now()
 	voters := k.fleet.voterNames()
 	if k.fleet.membership != nil && k.fleet.membership.isMinorityPartition(voters) {
-		return binding.Unknown, history.Past{} // nobody could agree: it neither waits nor counts as in flight
+		return ownership.Unknown, history.Past{} // nobody could agree: it neither waits nor counts as in flight
 	}
-	p := &claim{proposer: binding.NewProposer(now, a, len(voters)), voters: voters, responded: make(chan struct{}, 1)}
+	p := &claim{proposer: ownership.NewProposer(now, a, len(voters)), voters: voters, responded: make(chan struct{}, 1)}
 	k.claimsMu.Lock()
 	k.claims[a.Attempt] = p
 	most := k.responses.Timeout(now, voters, min(claimTimeout, a.TTL/2), unresponsiveTimeout)
@@ -103,7 +103,7 @@
 			k.claimsMu.Lock()
 			state, past := p.proposer.State()
 			k.claimsMu.Unlock()
-			if state != binding.Pending {
+			if state != ownership.Pending {
 				return state, past
 			}
 			select {
@@ -111,11 +111,11 @@
 			case <-again.C:
 				asked = false
 			case <-ctx.Done():
-				return binding.Unknown, history.Past{}
+				return ownership.Unknown, history.Past{}
 			case <-wait.C:
-				return binding.Unknown, history.Past{}
+				return ownership.Unknown, history.Past{}
 			case <-k.fleet.closed:
-				return binding.Unknown, history.Past{}
+				return ownership.Unknown, history.Past{}
 			}
 		}
 	}
@@ -152,20 +152,20 @@
 }
 
 // castVote has this instance's voter answer an ask.
-func (k *keyOwnership) castVote(a binding.Proposal) (binding.Response, bool) {
+func (k *keyOwnership) castVote(a ownership.Proposal) (ownership.Response, bool) {
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
 	return k.voter.Vote(time.Now(), a)
 }
 
 // releaseLocally tells this instance's voter of an end.
-func (k *keyOwnership) releaseLocally(e binding.Release) {
+func (k *keyOwnership) releaseLocally(e ownership.Release) {
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
 	k.voter.Release(time.Now(), e, k.fleet.options.MaxDeadline)
 }
 
-func (k *keyOwnership) handleResponse(from string, a *binding.Response) {
+func (k *keyOwnership) handleResponse(from string, a *ownership.Response) {
 	k.claimsMu.Lock()
 	defer k.claimsMu.Unlock()
 	k.responses.ResponseReceived(from)
@@ -181,7 +181,7 @@
 }
 
 // Release tells the voters that a request is over. A word that is lost costs no more than a key that is held for longer.
-func (f *Fleet) Release(e binding.Release) {
+func (f *Fleet) Release(e ownership.Release) {
 	for _, name := range f.voterNames() {
 		if name != f.options.Name {
 			f.send(name, item{Release: &e})
@@ -312,7 +312,7 @@
 	}
 	parts := slices.Collect(slices.Chunk(all, maxPartKeys))
 	if len(parts) == 0 {
-		parts = [][]binding.KeyState{nil}
+		parts = [][]ownership.KeyState{nil}
 	}
 	f.sendSnapshotParts(to, want, parts)
 }
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -5,7 +5,7 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/ownership"
 )
 
 const (
@@ -78,7 +78,7 @@
 }
 
 // sendSnapshotParts sends a copy in its parts, one after the other, by a way that loses nothing of a part.
-func (f *Fleet) sendSnapshotParts(to string, want uint64, parts [][]binding.KeyState) {
+func (f *Fleet) sendSnapshotParts(to string, want uint64, parts [][]ownership.KeyState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[to]
--- a/internal/fleet/binding/asker.go
+++ b/internal/fleet/ownership/asker.go
@@ -1,4 +1,4 @@
-package binding
+package ownership
 
 import (
 	"time"
--- a/internal/fleet/binding/binding.go
+++ b/internal/fleet/ownership/binding.go
@@ -1,4 +1,4 @@
-// Package binding lets several processes agree on the group of endpoints that a key's attempts go to, so that no repeat
+// Package ownership lets several processes agree on the group of endpoints that a key's attempts go to, so that no repeat
 // through another process goes to another group. It does no I/O and has no clock: messages are values that a host carries,
 // late, twice, out of order or never.
 //
@@ -9,7 +9,7 @@
 //
 // What a voter has agreed to is lost when it ends. One that has just started is silent until all that it may have agreed
 // to before is over, or until it has learnt it again from the other voters (see Copy).
-package binding
+package ownership
 
 import (
 	"time"
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/partition/share.go
@@ -1,11 +1,11 @@
-// Package share decides how many instances of a fleet there are for the sharing of endpoints and rates, and which of them
+// Package partition decides how many instances of a fleet there are for the sharing of endpoints and rates, and which of them
 // this one is. It does no I/O and has no clock.
 //
 // In doubt there are more: what an instance takes for its own part must not grow while another one may still take its
 // part too. So one that joins counts at once, one that leaves in so many words counts no more at once, and one that is
 // lost counts on for a time, and after that for as long as this instance does not see most of those that count: it may
 // be the one that was cut off.
-package share
+package partition
 
 import (
 	"slices"
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/partition/share_test.go
@@ -1,4 +1,4 @@
-package share
+package partition
 
 import (
 	"fmt"
--- a/internal/fleet/straggler/straggler.go
+++ b/internal/fleet/versionlag/straggler.go
@@ -1,10 +1,10 @@
-// Package straggler tells who of a fleet acts on what the others have left behind, for how long, and what is to be thought
+// Package versionlag tells who of a fleet acts on what the others have left behind, for how long, and what is to be thought
 // of it. It has no I/O and no clock.
 //
 // It never goes by a vote alone. What is newest follows from the versions themselves; where most have not taken it up after
 // the time that taking up may last, it is the newest that is odd, and nobody is called a straggler for it. Two that went
 // different ways from the same version are a fork: neither is newer, whatever their numbers of followers.
-package straggler
+package versionlag
 
 import (
 	"cmp"
--- a/internal/fleet/straggler/straggler_test.go
+++ b/internal/fleet/versionlag/straggler_test.go
@@ -1,4 +1,4 @@
-package straggler
+package versionlag
 
 import (
 	"fmt"
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -13,7 +13,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"silvertrail/internal/fleet/membership"
-	"silvertrail/internal/fleet/share"
+	"silvertrail/internal/fleet/partition"
 )
 
 // membershipHost is the host of package membership: it tells it the time and what others say, carries what it raises, and keeps
@@ -141,8 +141,8 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for name, n := range f.nodes {
-		if view.Index(name) < 0 && n.state == share.Alive {
-			n.state, n.since = share.Dead, now
+		if view.Index(name) < 0 && n.state == partition.Alive {
+			n.state, n.since = partition.Dead, now
 		}
 	}
 	for _, m := range view.Members {
@@ -159,7 +159,7 @@
 			n = &node{since: now}
 			f.nodes[m.Name] = n
 		}
-		n.state = share.Alive
+		n.state = partition.Alive
 		n.Node = memberlist.Node{Name: m.Name, Addr: at.Addr().AsSlice(), Port: at.Port()}
 	}
 }
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,9 +6,9 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
-	"silvertrail/internal/fleet/binding"
-	"silvertrail/internal/fleet/exchange"
+	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
+	"silvertrail/internal/fleet/ownership"
 )
 
 // protocolVersion is the version of what instances say to each other. It is part of the label that each packet carries, so that
@@ -24,20 +24,20 @@
 
 // item is one message. Just one of its parts is set.
 type item struct {
-	Proposal        *binding.Proposal   `codec:",omitempty"`
-	Response        *binding.Response   `codec:",omitempty"`
-	Release         *binding.Release    `codec:",omitempty"`
+	Proposal        *ownership.Proposal `codec:",omitempty"`
+	Response        *ownership.Response `codec:",omitempty"`
+	Release         *ownership.Release  `codec:",omitempty"`
 	SnapshotRequest uint64              `codec:",omitempty"` // a copy is asked for, under this number
 	SnapshotPart    *snapshotPart       `codec:",omitempty"`
 	Membership      *membership.Message `codec:",omitempty"` // of membership, where the fleet goes by views
-	Gossip          *exchange.Message   `codec:",omitempty"` // what members act on
+	Gossip          *gossip.Message     `codec:",omitempty"` // what members act on
 }
 
 // snapshotPart is a part of a copy.
 type snapshotPart struct {
 	RequestID   uint64
 	Part, Parts int
-	Keys        []binding.KeyState
+	Keys        []ownership.KeyState
 }
 
 const (
@@ -92,7 +92,7 @@
 	}
 	if a := i.Response; a != nil {
 		parts++
-		if a.Vote > binding.HeldElsewhere || len(a.Place.Cluster) > maxNameBytes || len(a.Place.Zone) > maxNameBytes {
+		if a.Vote > ownership.HeldElsewhere || len(a.Place.Cluster) > maxNameBytes || len(a.Place.Zone) > maxNameBytes {
 			return errors.New("fleet: an answer that no member gives")
 		}
 	}
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -8,14 +8,14 @@
 
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/fleet"
-	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/gateway/conf"
 )
 
 // binder binds one request's key over the fleet. It implements host.Binder.
 type binder struct {
 	fleet    *fleet.Fleet
-	ask      binding.Proposal
+	ask      ownership.Proposal
 	deadline time.Time
 
 	mu    sync.Mutex // one ask at a time
@@ -24,18 +24,18 @@
 	resumed bool
 	stride  uint32 // of turns that are another sala's when the request is carried to it
 	over    bool   // the request is: no ask of it may follow its end
-	state   binding.State
+	state   ownership.State
 	know    sync.Mutex // of past
 	past    history.Past
 }
 
 func newBinder(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time) *binder {
-	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: binding.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
+	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: ownership.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
 }
 
 // resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
 // is the other sala's to tell.
-func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try binding.AttemptID, turn uint32, been int) *binder {
+func resume(f *fleet.Fleet, id history.ID, c *conf.Class, deadline time.Time, try ownership.AttemptID, turn uint32, been int) *binder {
 	b := newBinder(f, id, c, deadline)
 	b.stride = strideOf(been)
 	b.ask.Attempt, b.ask.Round, b.asked, b.resumed = try, turn, true, true
@@ -54,14 +54,14 @@
 
 // carry returns the numbers under which another sala may go on with the request, all of whose attempts here never ran. The
 // turns that it may ask for are not asked for here any more.
-func (b *binder) carry() (binding.AttemptID, uint32) {
+func (b *binder) carry() (ownership.AttemptID, uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	turn := b.ask.Round
 	if b.stride == 0 || turn > math.MaxUint32-b.stride {
-		return binding.AttemptID{}, 0
+		return ownership.AttemptID{}, 0
 	}
-	b.asked, b.state = true, binding.Pending
+	b.asked, b.state = true, ownership.Pending
 	b.ask.Round += b.stride
 	return b.ask.Attempt, turn
 }
@@ -80,7 +80,7 @@
 func (b *binder) Bind(ctx context.Context, to history.Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.over || ctx.Err() != nil || b.state == binding.Claimed && b.Past().Allows(to, b.ask.Scope) {
+	if b.over || ctx.Err() != nil || b.state == ownership.Claimed && b.Past().Allows(to, b.ask.Scope) {
 		return
 	}
 	if b.asked {
@@ -88,10 +88,10 @@
 	}
 	b.asked, b.ask.Place, b.ask.TTL = true, to, time.Until(b.deadline)
 	var past history.Past
-	if b.state = binding.Unknown; b.ask.TTL > 0 {
+	if b.state = ownership.Unknown; b.ask.TTL > 0 {
 		b.state, past = b.fleet.ClaimKey(ctx, b.ask)
 	}
-	if b.state == binding.Unknown { // it may be bound to any group
+	if b.state == ownership.Unknown { // it may be bound to any group
 		past = nowhere
 	}
 	b.know.Lock()
@@ -107,6 +107,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.over = true; b.asked && !b.resumed {
-		b.fleet.Release(binding.Release{Attempt: b.ask.Attempt, NeverRan: !mayHaveRun})
+		b.fleet.Release(ownership.Release{Attempt: b.ask.Attempt, NeverRan: !mayHaveRun})
 	}
 }
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -10,7 +10,7 @@
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
-	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/salas/crossing"
@@ -154,13 +154,13 @@
 
 // votes returns the numbers under which the voters know the request, for the sala that goes on with it. Where the key may
 // have run there already, the request begins anew for them: another turn would say that the earlier ones never ran.
-func (x *exchange) votes(past, ran bool) (binding.AttemptID, uint32) {
+func (x *exchange) votes(past, ran bool) (ownership.AttemptID, uint32) {
 	if x.binder == nil {
-		return binding.AttemptID{}, 0
+		return ownership.AttemptID{}, 0
 	}
 	if past {
 		if x.binder.resumed {
-			return binding.AttemptID{}, 0 // the sala asks in its own name
+			return ownership.AttemptID{}, 0 // the sala asks in its own name
 		}
 		x.binder.end(ran)
 		x.binder = newBinder(x.gateway.fleet, x.id, x.class, x.deadline)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -19,7 +19,7 @@
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/frontend"
-	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/gateway/route"
 	"silvertrail/internal/ledger"
@@ -370,7 +370,7 @@
 		return a, false
 	}
 	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.Agreed(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
-		if c := x.passing; c != nil && c.Try != (binding.AttemptID{}) {
+		if c := x.passing; c != nil && c.Try != (ownership.AttemptID{}) {
 			x.binder = resume(f, x.id, x.class, x.deadline, c.Try, c.Turn, len(c.Been))
 		} else {
 			x.binder = newBinder(f, x.id, x.class, x.deadline)
--- a/internal/salas/link/wire.go
+++ b/internal/salas/link/wire.go
@@ -10,7 +10,7 @@
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
 	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/fleet/binding"
+	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/salas/crossing"
 	"silvertrail/internal/salas/tally"
 )
@@ -79,7 +79,7 @@
 	Allowed int                 `codec:"a,omitempty"` // attempts that are left; 0: no bound
 	Been    []string            `codec:"b"`           // salas, this one's sender the last
 	Reason  tally.Reason        `codec:"r"`
-	Try     binding.AttemptID   `codec:"v,omitempty"` // under which the voters have agreed; zero: none
+	Try     ownership.AttemptID `codec:"v,omitempty"` // under which the voters have agreed; zero: none
 	Turn    uint32              `codec:"x,omitempty"`
 	Past    bool                `codec:"m,omitempty"` // the key may have run in the sala that the call goes to
 	Retried bool                `codec:"y,omitempty"` // its caller has marked it as a retry
