--- a/internal/fleet/membership/consensus.go
+++ b/internal/fleet/membership/consensus.go
@@ -1,50 +1,75 @@
 package membership
 
-import (
-	"time"
-)
+import "time"
 
-// The next view is one decision of the members of the view before it (single-decree Paxos: Lamport, "Paxos Made Simple",
-// 2001), so that two views of one number never differ. What a member has promised it keeps in memory alone: a process that
-// is started again has another life, is no member of that view, and is not asked.
+// Each view is one decision by the members of the view before it (single-decree Paxos: Lamport, "Paxos Made Simple", 2001),
+// so that two views of one number never differ. A member keeps its promises in memory only: a process that is restarted has
+// another incarnation, is no member of that view, and is not asked.
 
-// acceptor is what this member has promised for the next view.
+// acceptor is what this member has promised and accepted for the next view.
 type acceptor struct {
 	promised       Ballot
-	acceptedBallot Ballot // of the value
+	acceptedBallot Ballot
 	acceptedValue  *Delta
 }
 
-// proposer is this member's own try.
+// proposer is this member's own proposal.
 type proposer struct {
 	ballot      Ballot
 	startedAt   time.Duration
 	value       *Delta
-	priorBallot Ballot // of the value, if it is one that somebody has accepted
+	priorBallot Ballot // of a value that somebody has accepted before
 	promises    map[string]bool
 	accepts     map[string]bool
 	decided     bool
 }
 
-// inProgress tells that a try is under way. One that nobody answers ends by time.
+// inProgress reports whether a proposal is under way. One that is not answered ends after proposalTimeout.
 func (p *proposer) inProgress(c *Core) bool {
 	return p.promises != nil && !p.decided && c.now-p.startedAt < c.heartbeats(proposalTimeout)
 }
 
-// broadcast sends a message to every member, me included.
+// startProposal proposes a change.
+func (c *Core) startProposal(delta *Delta) {
+	round := max(c.accepted.promised.Round, c.proposal.ballot.Round) + 1
+	c.proposal = proposer{
+		ballot:    Ballot{Round: round, Name: c.options.Self.Name},
+		startedAt: c.now,
+		value:     delta,
+		promises:  map[string]bool{},
+		accepts:   map[string]bool{},
+	}
+	c.broadcast(Message{Kind: Prepare, Ballot: c.proposal.ballot})
+}
+
+// retryProposal starts a proposal again that was not decided in time.
+func (c *Core) retryProposal() {
+	p := &c.proposal
+	if p.promises == nil || p.decided || p.inProgress(c) {
+		return
+	}
+	if delta, _ := c.dueChange(); !delta.isEmpty() && !c.isSuspicionPaused() {
+		c.startProposal(delta)
+		return
+	}
+	c.proposal = proposer{ballot: p.ballot}
+}
+
+// broadcast sends a message to every member, this one included. It stops once this process has moved to the next view.
 func (c *Core) broadcast(m Message) {
-	for i, x := range c.view.Members {
-		one := m
-		if c.links[i] != nil {
-			c.send(x, &one)
+	for i, member := range c.view.Members {
+		message := m
+		if !c.isSelf(i) {
+			c.send(member, &message)
 			continue
 		}
-		one.From, one.Lineage, one.ViewNumber = c.options.Self, c.view.Lineage, c.view.Number
-		switch one.Kind {
+		message.From = c.options.Self
+		message.Lineage, message.ViewNumber = c.view.Lineage, c.view.Number
+		switch message.Kind {
 		case Prepare:
-			c.handlePrepare(&one)
+			c.handlePrepare(&message)
 		case Accept:
-			c.handleAccept(&one)
+			c.handleAccept(&message)
 		}
 		if c.view == nil || len(c.links) != len(c.view.Members) || i >= len(c.view.Members) {
 			return // decided
@@ -52,36 +77,34 @@
 	}
 }
 
-// startProposal proposes a change.
-func (c *Core) startProposal(d *Delta) {
-	round := max(c.accepted.promised.Round, c.proposal.ballot.Round) + 1
-	c.proposal = proposer{ballot: Ballot{Round: round, Name: c.options.Self.Name}, startedAt: c.now, value: d, promises: map[string]bool{}, accepts: map[string]bool{}}
-	c.broadcast(Message{Kind: Prepare, Ballot: c.proposal.ballot})
-}
-
-// reply gives an reply to a proposer, which may be me.
-func (c *Core) reply(m *Message, a *Message) {
-	if m.From != c.options.Self {
-		c.send(m.From, a)
+// reply answers a proposer, which may be this process.
+func (c *Core) reply(request, answer *Message) {
+	if request.From != c.options.Self {
+		c.send(request.From, answer)
 		return
 	}
-	a.From, a.Lineage, a.ViewNumber = c.options.Self, c.view.Lineage, c.view.Number
-	if a.Kind == Promise {
-		c.handlePromise(a)
+	answer.From = c.options.Self
+	answer.Lineage, answer.ViewNumber = c.view.Lineage, c.view.Number
+	if answer.Kind == Promise {
+		c.handlePromise(answer)
 	} else {
-		c.handleAccepted(a)
+		c.handleAccepted(answer)
 	}
 }
 
+// handlePrepare is phase 1b: it promises to accept no lower ballot.
 func (c *Core) handlePrepare(m *Message) {
-	a := Message{Kind: Promise, Ballot: m.Ballot}
+	answer := Message{Kind: Promise, Ballot: m.Ballot}
 	if !m.Ballot.Less(c.accepted.promised) {
 		c.accepted.promised = m.Ballot
-		a.Affirmed, a.PriorBallot, a.Delta = true, c.accepted.acceptedBallot, c.accepted.acceptedValue
+		answer.Affirmed = true
+		answer.PriorBallot, answer.Delta = c.accepted.acceptedBallot, c.accepted.acceptedValue
 	}
-	c.reply(m, &a)
+	c.reply(m, &answer)
 }
 
+// handlePromise is phase 2a: with a majority of promises, it proposes the value accepted under the highest ballot, or this
+// process's own.
 func (c *Core) handlePromise(m *Message) {
 	p := &c.proposal
 	if !p.inProgress(c) || m.Ballot != p.ballot || !m.Affirmed || len(p.accepts) > 0 || p.promises[m.From.Name] {
@@ -96,40 +119,50 @@
 	}
 }
 
-// handleAccept agrees to a change, if nothing better has been promised. A change of the proposer's own is turned down by one
-// who hears a member that it would take out: a majority must hear none of them. What somebody has accepted before may
-// have been decided, and is not judged again.
+// handleAccept is phase 2b. A member rejects a proposer's own change that would remove a member which it can reach, so that a
+// majority must reach none of them. A value that somebody has accepted before may have been decided, and is not judged again.
 func (c *Core) handleAccept(m *Message) {
-	a := Message{Kind: Accepted, Ballot: m.Ballot}
-	if _, err := c.view.Apply(m.Delta); err == nil && !m.Ballot.Less(c.accepted.promised) && (m.PriorBallot != Ballot{} || c.canAgreeTo(m.Delta)) {
+	answer := Message{Kind: Accepted, Ballot: m.Ballot}
+	if c.canAccept(m) {
 		c.accepted = acceptor{promised: m.Ballot, acceptedBallot: m.Ballot, acceptedValue: m.Delta}
-		a.Affirmed = true
+		answer.Affirmed = true
 	}
-	c.reply(m, &a)
+	c.reply(m, &answer)
 }
 
-func (c *Core) canAgreeTo(d *Delta) bool {
-	for _, r := range d.Remove {
-		i := c.view.Index(r.Name)
-		if r == c.options.Self {
+func (c *Core) canAccept(m *Message) bool {
+	if _, err := c.view.Apply(m.Delta); err != nil {
+		return false
+	}
+	if m.Ballot.Less(c.accepted.promised) {
+		return false
+	}
+	return m.PriorBallot != Ballot{} || c.canAgreeTo(m.Delta)
+}
+
+// canAgreeTo reports whether this process reaches none of the members that a change removes, unless they leave or are replaced.
+func (c *Core) canAgreeTo(delta *Delta) bool {
+	for _, member := range delta.Remove {
+		if member == c.options.Self {
 			if !c.leaving && !c.IsIsolated() {
 				return false
 			}
 			continue
 		}
-		_, left := c.departing[r]
-		replaced := false
-		for _, a := range d.Add {
-			replaced = replaced || a.Name == r.Name && a.Address == r.Address
+		i := c.view.Index(member.Name)
+		_, leaves := c.departing[member]
+		link := c.links[i]
+		if leaves || link.leaving || link.isolatedSince > 0 || delta.replaces(member) {
+			continue
 		}
-		l := c.links[i]
-		if c.observes(i) && !left && !replaced && !l.leaving && l.isolatedSince == 0 && c.now-l.reachableAt < c.reachableWindow() {
+		if c.observes(i) && c.now-link.reachableAt < c.reachableWindow() {
 			return false
 		}
 	}
 	return true
 }
 
+// handleAccepted announces the next view once a majority has accepted the value.
 func (c *Core) handleAccepted(m *Message) {
 	p := &c.proposal
 	if p.promises == nil || p.decided || m.Ballot != p.ballot || !m.Affirmed {
@@ -140,28 +173,28 @@
 		return
 	}
 	p.decided = true
-	d := p.value
-	next, err := c.view.Apply(d)
+	delta := p.value
+	next, err := c.view.Apply(delta)
 	if err != nil {
 		return
 	}
-	old := c.view
-	for _, x := range old.Members {
-		if x != c.options.Self {
-			c.send(x, &Message{Kind: Decided, ViewHash: next.Hash(), Delta: d})
+	for _, member := range c.view.Members {
+		if member != c.options.Self {
+			c.send(member, &Message{Kind: Decided, ViewHash: next.Hash(), Delta: delta})
 		}
 	}
 	c.advanceTo(next)
-	for _, x := range d.Add {
-		c.send(x, &Message{Kind: ViewResponse, View: next})
+	for _, member := range delta.Add {
+		c.send(member, &Message{Kind: ViewResponse, View: next})
 	}
 }
 
+// handleDecided moves to the next view.
 func (c *Core) handleDecided(m *Message) {
+	if m.ViewNumber > c.view.Number {
+		c.requestView()
+	}
 	if m.ViewNumber != c.view.Number {
-		if m.ViewNumber > c.view.Number {
-			c.requestView()
-		}
 		return
 	}
 	next, err := c.view.Apply(m.Delta)
@@ -172,26 +205,24 @@
 	c.advanceTo(next)
 }
 
+// The reasons for which a process is in no view any more.
+const (
+	reasonRemoved    = "taken out while it was not heard"
+	reasonLeft       = "left"
+	reasonRestarted  = "most of the fleet has been started anew"
+	reasonOtherFleet = "another fleet of this name is larger, or has its majority"
+)
+
+// advanceTo moves to a view that was decided, or out of the fleet if it does not hold this process.
 func (c *Core) advanceTo(next *View) {
-	if !next.Contains(c.options.Self) {
-		why := "taken out while it was not heard"
-		if c.leaving {
-			why = "left"
-		}
-		c.latest = [2]uint64{next.Lineage, next.Number}
-		c.leaveView(why)
+	if next.Contains(c.options.Self) {
+		c.installView(next)
 		return
 	}
-	c.installView(next)
-}
-
-// retryProposal begins a proposal anew that came to nothing.
-func (c *Core) retryProposal() {
-	if p := &c.proposal; p.promises != nil && !p.decided && !p.inProgress(c) {
-		if d, _ := c.dueChange(); len(d.Add)+len(d.Remove) > 0 && !c.isSuspicionPaused() {
-			c.startProposal(d)
-			return
-		}
-		c.proposal = proposer{ballot: p.ballot}
+	reason := reasonRemoved
+	if c.leaving {
+		reason = reasonLeft
 	}
+	c.latestView = viewID{next.Lineage, next.Number}
+	c.leaveView(reason)
 }
--- a/internal/fleet/membership/join.go
+++ b/internal/fleet/membership/join.go
@@ -1,168 +1,191 @@
 package membership
 
-// This file: how a process comes into a view and out of it, and what becomes of fleets that were founded apart.
+import "slices"
 
-import (
-	"slices"
-)
+// maxSeeds bounds the addresses that join requests go to.
+const maxSeeds = 16
 
-// requestJoin asks to be let in, or founds a fleet.
+// requestJoin asks the seeds to admit this process, or founds a fleet.
 func (c *Core) requestJoin() {
 	if c.leaving || c.nameTaken {
 		return
 	}
 	if c.lastViewRequest == 0 || c.now-c.lastViewRequest >= c.heartbeats(requestInterval) {
 		c.lastViewRequest = c.now
-		for _, s := range c.options.Seeds {
-			if s != c.options.Self.Address {
-				c.send(Member{Address: s}, &Message{Kind: Join})
+		for _, seed := range c.options.Seeds {
+			if seed != c.options.Self.Address {
+				c.send(Member{Address: seed}, &Message{Kind: Join})
 			}
 		}
 	}
-	first, after := c.options.Bootstrap, c.heartbeats(bootstrapDelay)
-	if c.wasMember { // the others may be on the far side of a cut
-		after *= 8
+	if c.mayBootstrap() {
+		c.installView(&View{Lineage: c.options.Rand.Uint64() | 1, Number: 1, Members: []Member{c.options.Self}})
 	}
+}
+
+// mayBootstrap reports whether this process founds a fleet now. Of several processes without a view, the one with the first
+// name does.
+func (c *Core) mayBootstrap() bool {
+	mayFound := c.options.Bootstrap
 	for name, until := range c.unjoined {
 		if until < c.now {
 			delete(c.unjoined, name)
 		} else if name < c.options.Self.Name {
-			first = false
+			mayFound = false
 		}
 	}
-	if wait := c.now - c.startedAt; first && (wait >= after || len(c.options.Seeds) == 0) {
-		c.installView(&View{Lineage: c.options.Rand.Uint64() | 1, Number: 1, Members: []Member{c.options.Self}})
+	delay := c.heartbeats(bootstrapDelay)
+	if c.wasMember {
+		delay *= rejoinFactor
 	}
+	return mayFound && (c.now-c.startedAt >= delay || len(c.options.Seeds) == 0)
 }
 
-// out of its view: it was taken out, or goes over to a larger fleet.
-func (c *Core) leaveView(why string) {
-	c.changes = append(c.changes, Change{Removed: true, Reason: why})
-	c.rememberSeeds(c.view.Members)
-	c.view, c.previousView, c.links, c.subjects, c.observers, c.collectors = nil, nil, nil, nil, nil, nil
-	c.startedAt, c.lastViewRequest, c.majorityReached = c.now, 0, false
-	c.reportedStates = map[string]State{}
-	clear(c.reports)
-	c.accepted, c.proposal = acceptor{}, proposer{}
-}
-
-// rememberSeeds keeps the addresses of some members, to ask them to be let in.
+// rememberSeeds adds the addresses of some members to the seeds.
 func (c *Core) rememberSeeds(members []Member) {
-	const most = 16
 	for _, i := range c.options.Rand.Perm(len(members)) {
-		if a := members[i].Address; len(c.options.Seeds) < most && !slices.Contains(c.options.Seeds, a) {
-			c.options.Seeds = append(c.options.Seeds, a)
+		address := members[i].Address
+		if len(c.options.Seeds) < maxSeeds && !slices.Contains(c.options.Seeds, address) {
+			c.options.Seeds = append(c.options.Seeds, address)
 		}
 	}
 }
 
-// handleOutsideView takes what is said to or by processes in no view.
+// handleOutsideView handles messages to or from processes that are in no view.
 func (c *Core) handleOutsideView(m *Message) {
-	switch {
-	case m.Kind == ViewResponse && c.view == nil:
-		if m.View.Contains(c.options.Self) && m.View.Lineage != 0 && m.View.Lineage != c.endedLineage && !c.isStale(m.View) {
+	switch m.Kind {
+	case ViewResponse:
+		if c.view == nil && c.canEnter(m.View) {
 			c.installView(m.View)
 		}
-	case m.Kind == NameTaken:
+	case NameTaken:
 		if c.view == nil {
 			c.nameTaken = true
 			c.changes = append(c.changes, Change{NameTaken: true})
 		}
-	case m.Kind != Join:
+	case Join:
+		c.handleJoin(m.From)
+	}
+}
+
+// canEnter reports whether a process in no view may put a view in force.
+func (c *Core) canEnter(view *View) bool {
+	return view.Contains(c.options.Self) && view.Lineage != 0 && view.Lineage != c.endedLineage && !c.isStale(view)
+}
+
+// isStale reports whether a view is older than one that this process has known. What it promised for the view after it is
+// forgotten, and it must never be asked for that again.
+func (c *Core) isStale(view *View) bool {
+	return view.Lineage == c.latestView.lineage && view.Number < c.latestView.number
+}
+
+// handleJoin handles a request to join.
+func (c *Core) handleJoin(from Member) {
+	switch {
 	case c.view == nil:
-		c.unjoined[m.From.Name] = c.now + c.heartbeats(2*requestInterval)
-	case c.view.Contains(m.From):
-		c.send(m.From, &Message{Kind: ViewResponse, View: c.view, Affirmed: c.HasQuorum()})
+		c.unjoined[from.Name] = c.now + c.heartbeats(2*requestInterval)
+	case c.view.Contains(from):
+		c.sendView(from)
 	default:
-		c.admitJoin(m.From)
+		c.admitJoin(from)
 	}
 }
 
-// isStale tells that a view is older than one that this process has known. What it promised for the one after it is
-// forgotten, and it must never be asked for it again.
-func (c *Core) isStale(v *View) bool { return v.Lineage == c.latest[0] && v.Number < c.latest[1] }
-
-// admitJoin takes a process that wants in. Where its name is another's that is still heard it is told to go: the one that is
-// in stays. One that comes back on the same address is the same place started again, so the earlier one has ended.
-func (c *Core) admitJoin(m Member) {
-	if i := c.view.Index(m.Name); i >= 0 {
-		is := c.view.Members[i]
-		l := c.links[i]
-		if is.Address != m.Address && (l == nil || c.now-l.lastMessage < c.reachableWindow()) {
-			c.send(m, &Message{Kind: NameTaken})
+// admitJoin records a process that wants to join. Where its name belongs to another member that is still reachable, that one
+// stays and the candidate is rejected. A process that comes back on the same address has been restarted, so its earlier
+// incarnation has ended.
+func (c *Core) admitJoin(candidate Member) {
+	if i := c.view.Index(candidate.Name); i >= 0 {
+		member := c.view.Members[i]
+		sameAddress := member.Address == candidate.Address
+		if !sameAddress && (c.isSelf(i) || c.isReachable(c.links[i])) {
+			c.send(candidate, &Message{Kind: NameTaken})
 			return
 		}
-		if is.Address == m.Address {
-			c.departing[is] = c.now + c.heartbeats(reportTTL)
+		if sameAddress {
+			c.departing[member] = c.now + c.heartbeats(reportTTL)
 		}
 	}
 	if len(c.joining) < MaxMembers {
-		c.joining[m] = c.now + c.heartbeats(reportTTL)
+		c.joining[candidate] = c.now + c.heartbeats(reportTTL)
 	}
 	c.abandonLostFleet()
 }
 
-// abandonLostFleet gives a view up of which most members have been started anew, on their addresses: no majority of it can agree to
-// anything any more, here or elsewhere. Those who are left found a fleet with the new ones.
+// abandonLostFleet gives up a view of which most members have been restarted, on their addresses: no majority of it can
+// agree on anything any more, here or elsewhere. The remaining members found a fleet with the restarted ones.
 func (c *Core) abandonLostFleet() {
-	anew := 0
-	for j := range c.joining {
-		if i := c.view.Index(j.Name); i >= 0 && c.view.Members[i].Address == j.Address && c.view.Members[i].Incarnation != j.Incarnation {
-			anew++
+	restarted := 0
+	for candidate := range c.joining {
+		i := c.view.Index(candidate.Name)
+		if i < 0 {
+			continue
+		}
+		if member := c.view.Members[i]; member.Address == candidate.Address && member.Incarnation != candidate.Incarnation {
+			restarted++
 		}
 	}
-	if c.IsIsolated() && len(c.view.Members)-anew < c.view.Majority() {
+	if c.IsIsolated() && len(c.view.Members)-restarted < c.view.Majority() {
 		c.endedLineage = c.view.Lineage
-		c.leaveView("most of the fleet has been started anew")
+		c.leaveView(reasonRestarted)
 		c.wasMember = false
 	}
 }
 
-// probeForOtherFleets asks the seeds that are not in this view, which may be in another one that was founded apart.
+// probeForOtherFleets asks the seeds that are not in this view, which may be in a fleet that was founded separately.
 func (c *Core) probeForOtherFleets() {
-	in := map[string]bool{c.options.Self.Address: true}
+	known := map[string]bool{c.options.Self.Address: true}
 	for _, m := range c.view.Members {
-		in[m.Address] = true
+		known[m.Address] = true
 	}
-	for _, s := range c.options.Seeds {
-		if !in[s] {
-			c.send(Member{Address: s}, &Message{Kind: ViewRequest})
+	for _, seed := range c.options.Seeds {
+		if !known[seed] {
+			c.send(Member{Address: seed}, &Message{Kind: ViewRequest})
 		}
 	}
 }
 
-// handleOtherFleet takes what a member of another fleet of this name says: both were founded apart. The smaller one goes over, or
-// the one whose number is lower where they are of one size; its members come in as any other. So does one that is isolated,
-// where the other has its majority: most of its own fleet may have been started anew.
+// handleOtherFleet handles a message from a member of another fleet of this name, which was founded separately.
 func (c *Core) handleOtherFleet(m *Message) {
 	switch m.Kind {
 	case ViewResponse:
-		o := m.View
-		mine, others := len(c.view.Members), len(o.Members)
-		larger := others > mine || others == mine && o.Lineage > c.view.Lineage
-		if o.Lineage == c.view.Lineage || !larger && !(c.IsIsolated() && m.Affirmed) || larger && c.HasQuorum() && !m.Affirmed {
-			return
+		if c.yieldsTo(m.View, m.Affirmed) {
+			c.endedLineage = c.view.Lineage
+			c.leaveView(reasonOtherFleet)
+			c.rememberSeeds(m.View.Members)
 		}
-		c.endedLineage = c.view.Lineage
-		c.leaveView("another fleet of this name is larger, or has its majority")
-		c.rememberSeeds(o.Members)
 	case Heartbeat, ViewRequest, Report:
-		c.send(m.From, &Message{Kind: ViewResponse, View: c.view, Affirmed: c.HasQuorum()})
+		c.sendView(m.From)
+	}
+}
+
+// yieldsTo reports whether the members of this fleet join the other one: the smaller fleet does, or the one with the lower
+// lineage if both have one size. So does a process that is isolated, if the other fleet has its majority: most of its own
+// fleet may have been restarted.
+func (c *Core) yieldsTo(other *View, otherHasQuorum bool) bool {
+	if other.Lineage == c.view.Lineage {
+		return false
+	}
+	size, otherSize := len(c.view.Members), len(other.Members)
+	isLarger := otherSize > size || otherSize == size && other.Lineage > c.view.Lineage
+	if isLarger {
+		return !c.HasQuorum() || otherHasQuorum
 	}
+	return c.IsIsolated() && otherHasQuorum
 }
 
-// handleView takes a whole view of the own lineage.
-func (c *Core) handleView(v *View) {
+// handleView handles a whole view of this process's lineage.
+func (c *Core) handleView(view *View) {
 	switch {
-	case v.Lineage != c.view.Lineage || v.Number < c.view.Number:
-	case v.Number == c.view.Number:
-		if v.Hash() != c.viewHash {
-			c.changes = append(c.changes, Change{Violation: "two views of one number"})
+	case view.Lineage != c.view.Lineage || view.Number < c.view.Number:
+	case view.Number == c.view.Number:
+		if view.Hash() != c.viewHash {
+			c.changes = append(c.changes, Change{Violation: conflictingViews})
 		}
-	case !v.Contains(c.options.Self):
-		c.latest = [2]uint64{v.Lineage, v.Number}
-		c.leaveView("taken out while it was not heard")
+	case !view.Contains(c.options.Self):
+		c.latestView = viewID{view.Lineage, view.Number}
+		c.leaveView(reasonRemoved)
 	default:
-		c.installView(v)
+		c.installView(view)
 	}
 }
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -257,8 +257,8 @@
 		if n.dead || n.paused {
 			continue
 		}
-		if members, _, safe := n.core.Quota(w.now); !safe {
-			sum += 1 / float64(members)
+		if quota := n.core.Quota(w.now); !quota.Minimal {
+			sum += 1 / float64(quota.Members)
 		}
 	}
 	return sum
@@ -295,7 +295,7 @@
 					if sum := w.parts(); sum > 1.0001 {
 						t.Fatalf("seed %d, %d members, killed %v: %.2f of the whole after %v", seed, n, kill, sum, w.now-begun)
 					}
-					if members, _, safe := w.nodes[0].core.Quota(w.now); over == 0 && !safe && members == n-len(lost) {
+					if quota := w.nodes[0].core.Quota(w.now); over == 0 && !quota.Minimal && quota.Members == n-len(lost) {
 						over = w.now - begun
 					}
 				}
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -5,28 +5,28 @@
 	"fmt"
 )
 
-// Kind is what a message says.
+// Kind is the kind of a message. The numbers are part of the protocol.
 type Kind uint8
 
-// The kindCount.
+// The kinds of messages.
 const (
-	Heartbeat    Kind = iota // I am there, in this view, and don't hear these
-	Ping                     // answer at once
-	Ack                      // an answer to a ping
-	PingRequest              // ping somebody for me
-	IndirectAck              // somebody answered what I asked for you
-	Report                   // an observer's accusations, joins and leaves that it knows of
-	Join                     // I want in
-	NameTaken                // your name is another process's
-	ViewRequest              // tell me your view
-	ViewResponse             // a view
-	Prepare                  // a proposer's first question for the next view
-	Promise                  // its answer
-	Accept                   // a proposer's value for the next view
-	Accepted                 // its answer
-	Decided                  // the next view
-	GrantRequest             // a member of a large fleet asks a clerk whether a majority is there
-	Grant                    // it is
+	Heartbeat    Kind = iota // the sender is alive, in this view, and does not reach these members
+	Ping                     // to be answered at once
+	Ack                      // answers a Ping
+	PingRequest              // asks for a ping of another member
+	IndirectAck              // relays the Ack of another member
+	Report                   // an observer's suspicions, and the joins and departures that it knows of
+	Join                     // asks to be admitted
+	NameTaken                // rejects a Join, as another process has the name
+	ViewRequest              // asks for the view in force
+	ViewResponse             // holds a view
+	Prepare                  // Paxos phase 1a for the next view
+	Promise                  // Paxos phase 1b
+	Accept                   // Paxos phase 2a
+	Accepted                 // Paxos phase 2b
+	Decided                  // announces the next view
+	GrantRequest             // a member of a large fleet asks a collector whether a majority is alive
+	Grant                    // answers a GrantRequest
 	kindCount
 )
 
@@ -41,36 +41,38 @@
 	Name  string
 }
 
-// Less is the order of ballots.
+// Less reports whether a ballot is lower than another one.
 func (b Ballot) Less(than Ballot) bool {
 	return b.Round < than.Round || b.Round == than.Round && b.Name < than.Name
 }
 
-// Message is one word of one member to another. Kind tells which fields count.
+// Message is a message between two members. The kind determines which fields are used. Messages are encoded as arrays in the
+// order of the fields, which must not change.
 type Message struct {
 	Kind       Kind
-	From       Member // as it knows itself
-	Lineage    uint64 // and the view that it is in; zero: none
+	From       Member // the sender as it knows itself
+	Lineage    uint64 // of the sender's view; zero: it is in none
 	ViewNumber uint64
 	ViewHash   uint64
-	Seq        uint64 // counts beats, matches answers to pings; Grant: microseconds since a majority had asked
+	Seq        uint64 // of a heartbeat; of a ping and its answers; Grant: microseconds since a majority had asked
 
-	Isolated    bool              // by its own account
-	Leaving     bool              // Beat
-	Unreachable []uint16          // Beat: places in its view of those whom it does not hear, the first of them
-	Rows        []ReachabilityRow // Beat: the same of all others, as it has heard last, in a fleet of at most mesh members
-	Target      Member            // PingFor, Heard: who; Ping and Ack: for whom, where not for the sender
+	Isolated    bool              // Heartbeat: the sender is isolated
+	Leaving     bool              // Heartbeat: the sender is leaving
+	Unreachable []uint16          // Heartbeat: members that the sender does not reach, by index in the view, up to a bound
+	Rows        []ReachabilityRow // Heartbeat in a small fleet: the same of all other members, as received last
+	Target      Member            // PingRequest, IndirectAck: whom; Ping and Ack: for whom, unless for the sender
 	Suspects    []Member          // Report
-	Joining     []Member
-	Departing   []Member
+	Joining     []Member          // Report
+	Departing   []Member          // Report
 	Ballot      Ballot
-	PriorBallot Ballot // Promise: of the value that was accepted before
+	PriorBallot Ballot // Promise, Accept: the ballot of a value that was accepted before
 	Delta       *Delta
-	Affirmed    bool  // Promise, Accepted; Grant, Full: a majority is there
-	View        *View // Full
+	Affirmed    bool  // Promise, Accepted: agreed; Grant, ViewResponse: a majority is alive
+	View        *View // ViewResponse
 }
 
-// ReachabilityRow is whom a member does not hear, as bits by places in the view, and the number of the beat that said so.
+// ReachabilityRow holds the members that one member does not reach, as bits by index in the view, and the sequence number of
+// the heartbeat that said so.
 type ReachabilityRow struct {
 	Seq         uint64
 	Unreachable uint16
@@ -78,56 +80,82 @@
 
 // Bounds of a message's parts.
 const (
-	maxNameBytes     = 256
+	maxNameBytes     = 256 // of a name or an address
 	maxUnreachable   = 24
-	maxReportMembers = 64 // members in a report
-	MaxMembers       = 10000
+	maxReportMembers = 64
+	// MaxMembers is the largest number of members in a view.
+	MaxMembers = 10000
 )
 
-// Check tells what is wrong with a message, whoever it comes from.
+// Check returns an error for a message that no member sends.
 func (m *Message) Check() error {
 	if m.Kind >= kindCount {
 		return fmt.Errorf("membership: message of kind %d", m.Kind)
 	}
-	members := [][]Member{{m.From}, m.Suspects, m.Joining, m.Departing}
-	for _, l := range members[1:] {
-		if len(l) > maxReportMembers {
-			return fmt.Errorf("membership: %v names %d members", m.Kind, len(l))
+	if err := m.checkCounts(); err != nil {
+		return err
+	}
+	if err := m.checkMembers(); err != nil {
+		return err
+	}
+	if m.needsDelta() && m.Delta == nil || m.Kind == ViewResponse && m.View == nil {
+		return fmt.Errorf("membership: %v says nothing", m.Kind)
+	}
+	return nil
+}
+
+func (m *Message) checkCounts() error {
+	for _, list := range [][]Member{m.Suspects, m.Joining, m.Departing} {
+		if len(list) > maxReportMembers {
+			return fmt.Errorf("membership: %v names %d members", m.Kind, len(list))
 		}
 	}
 	if len(m.Rows) > fullMeshMembers {
 		return fmt.Errorf("membership: %v has %d rows", m.Kind, len(m.Rows))
 	}
 	if len(m.Unreachable) > maxUnreachable {
-		return fmt.Errorf("membership: %v names %d that are not heard", m.Kind, len(m.Unreachable))
+		return fmt.Errorf("membership: %v names %d unreachable members", m.Kind, len(m.Unreachable))
 	}
+	return nil
+}
+
+func (m *Message) checkMembers() error {
+	lists := [][]Member{{m.From}, m.Suspects, m.Joining, m.Departing}
 	if m.Delta != nil {
-		members = append(members, m.Delta.Add, m.Delta.Remove)
+		lists = append(lists, m.Delta.Add, m.Delta.Remove)
 	}
 	if m.View != nil {
-		members = append(members, m.View.Members)
-		for i := 1; i < len(m.View.Members); i++ {
-			if m.View.Members[i-1].Name >= m.View.Members[i].Name {
-				return errors.New("membership: a view that is not in order")
-			}
+		lists = append(lists, m.View.Members)
+		if !m.View.isSorted() {
+			return errors.New("membership: a view that is not in order")
 		}
 	}
-	for _, l := range members {
-		if len(l) > MaxMembers {
-			return fmt.Errorf("membership: %v names %d members", m.Kind, len(l))
+	for _, list := range lists {
+		if len(list) > MaxMembers {
+			return fmt.Errorf("membership: %v names %d members", m.Kind, len(list))
 		}
-		for _, x := range l {
-			if x.Name == "" || len(x.Name) > maxNameBytes || len(x.Address) > maxNameBytes {
-				return fmt.Errorf("membership: %v of no member's name or address", m.Kind)
+		for _, member := range list {
+			if member.Name == "" || !member.hasValidLength() {
+				return fmt.Errorf("membership: %v with an invalid member name or address", m.Kind)
 			}
 		}
 	}
-	if len(m.Target.Name) > maxNameBytes || len(m.Target.Address) > maxNameBytes {
-		return fmt.Errorf("membership: %v for no member's name or address", m.Kind)
-	}
-	needsDelta := m.Kind == Accept || m.Kind == Decided || m.Kind == Promise && m.Affirmed && m.PriorBallot != (Ballot{})
-	if needsDelta && m.Delta == nil || m.Kind == ViewResponse && m.View == nil {
-		return fmt.Errorf("membership: %v says nothing", m.Kind)
+	if !m.Target.hasValidLength() {
+		return fmt.Errorf("membership: %v with an invalid target name or address", m.Kind)
 	}
 	return nil
 }
+
+func (m *Message) needsDelta() bool {
+	switch m.Kind {
+	case Accept, Decided:
+		return true
+	case Promise:
+		return m.Affirmed && m.PriorBallot != Ballot{}
+	}
+	return false
+}
+
+func (m Member) hasValidLength() bool {
+	return len(m.Name) <= maxNameBytes && len(m.Address) <= maxNameBytes
+}
--- a/internal/fleet/membership/reachability.go
+++ b/internal/fleet/membership/reachability.go
@@ -1,259 +1,152 @@
 package membership
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
-// State is what a process believes of a member.
-type State uint8
+// DiagnosisKind is a kind of network fault. The values are shown to operators.
+type DiagnosisKind string
 
-// The states. Of itself a process can say that it is isolated: it hears no majority, or is heard by none.
+// The kinds of diagnoses.
 const (
-	Alive State = iota
-	Suspect
-	ReportsIsolation // it says itself that it hears no majority
-	Unreachable      // nobody here hears it, by their own rows, and it has not been taken out yet
-	Isolated
-	Dead
-	Left
+	DiagnosisReceivesNothing DiagnosisKind = "deaf"    // a member reaches hardly anybody, but is reached
+	DiagnosisSendsNothing    DiagnosisKind = "mute"    // a member is not reached, but reaches others
+	DiagnosisGone            DiagnosisKind = "gone"    // a member is not reached, and reports nothing, or reaches nobody
+	DiagnosisPair            DiagnosisKind = "pair"    // two members do not reach each other
+	DiagnosisOneWay          DiagnosisKind = "one way" // the first member does not reach the second
+	DiagnosisPartition       DiagnosisKind = "part"    // several members are cut off together
 )
 
-func (s State) String() string {
-	return [...]string{"alive", "suspect", "deaf", "mute", "isolated", "dead", "left"}[s]
-}
-
-// Change is something that has changed. Just one of its parts is set.
-type Change struct {
-	View            *View  // in force from now on
-	Removed         bool   // this process is in no view any more
-	Reason          string // Out: for what reason
-	Member          Member // whose state has changed
-	State           State
-	UnreachableFrom []string // Suspect: who accuses it, as far as is known here
-	NameTaken       bool     // another process has this one's name
-	Violation       string   // what must never be
-}
-
-// Departed is a member that is out.
-type Departed struct {
-	Member     Member
-	At         time.Duration
-	Left       bool
-	ViewNumber uint64 // that it is out by
-}
-
-// Status is what a process believes of a member, and why.
-type Status struct {
-	Member           Member
-	State            State
-	UnreachableFrom  []string      // who does not hear it, by their own rows
-	SinceLastMessage time.Duration // since its last word
-	LossRatio        float64       // part of its beats that do not come
+// Diagnosis names a fault of the network between members.
+type Diagnosis struct {
+	Kind    DiagnosisKind `json:"kind"`
+	Members []string      `json:"who"` // OneWay: who does not receive, and whom; Partition: all of the smaller part
 }
 
-// Status returns what is believed of all members, and of those that are out since a while.
-func (c *Core) Status() (out []Status) {
+// Reachability returns the members that each member does not reach, by the rows received, and what that is diagnosed as.
+// This process may know nothing of a member that does not reach it. Large fleets are not diagnosed.
+func (c *Core) Reachability() (rows map[string][]string, diagnoses []Diagnosis) {
 	if c.view == nil {
-		return nil
-	}
-	missing := c.unreachableFrom()
-	for i, m := range c.view.Members {
-		s := Status{Member: m, UnreachableFrom: missing[i]}
-		l := c.links[i]
-		if l == nil {
-			if c.IsIsolated() {
-				s.State = Isolated
-			}
-			out = append(out, s)
-			continue
-		}
-		s.SinceLastMessage, s.LossRatio = c.now-l.lastMessage, l.lossRatio
-		switch {
-		case l.isolatedSince > 0:
-			s.State = ReportsIsolation
-		case l.suspectedSince > 0 && len(s.UnreachableFrom) >= c.view.Majority():
-			s.State = Unreachable
-		case l.suspectedSince > 0 || len(s.UnreachableFrom) > len(c.observers[i])/2:
-			s.State = Suspect
-		}
-		out = append(out, s)
-	}
-	for name, g := range c.departed {
-		if c.now-g.At > c.heartbeats(departedTTL) {
-			delete(c.departed, name)
-			continue
-		}
-		s := Status{Member: g.Member, State: Dead, SinceLastMessage: c.now - g.At}
-		if g.Left {
-			s.State = Left
-		}
-		out = append(out, s)
+		return nil, nil
 	}
-	slices.SortFunc(out, func(a, b Status) int {
-		if a.Member.Name < b.Member.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-// unreachableFrom returns for each member, by places in the view, those who do not hear it: by their last rows, and me.
-func (c *Core) unreachableFrom() [][]string {
-	by := make([][]string, len(c.links))
-	for j, l := range c.links {
-		name := c.view.Members[j].Name
-		if l == nil {
-			for _, i := range c.subjects {
-				if c.now-c.links[i].lastMessage >= c.reachableWindow() {
-					by[i] = append(by[i], name)
-				}
-			}
-			continue
-		}
-		if c.now-l.rowAt >= 2*c.reachableWindow() {
-			continue
-		}
-		for _, i := range l.unreachable {
-			if int(i) < len(by) && int(i) != j && (len(by[i]) == 0 || by[i][len(by[i])-1] != name) { // a row may name one twice
-				by[i] = append(by[i], name)
-			}
+	m := c.reachabilityMatrix()
+	rows = map[string][]string{}
+	for i, reported := range m.reported {
+		if reported {
+			rows[m.names[i]] = m.unreachableNames(i)
 		}
 	}
-	return by
-}
-
-// reportStates raises the states that have changed.
-func (c *Core) reportStates() {
-	for _, s := range c.Status() {
-		if c.reportedStates[s.Member.Name] != s.State {
-			c.reportedStates[s.Member.Name] = s.State
-			c.changes = append(c.changes, Change{Member: s.Member, State: s.State, UnreachableFrom: s.UnreachableFrom})
-		}
+	if len(m.names) > fullMeshMembers {
+		return rows, nil
 	}
+	return rows, m.diagnose()
 }
 
-// Diagnosis names a trouble on the ways between members.
-type Diagnosis struct {
-	Kind    string   `json:"kind"` // "deaf", "mute", "gone", "pair", "one way", "part"
-	Members []string `json:"who"`  // pair: both; one way: who does not hear, and whom; part: all of the smaller one
+// reachabilityMatrix is who does not reach whom, by index in the view.
+type reachabilityMatrix struct {
+	names    []string
+	reported []bool   // whether a current row of a member is known
+	missing  [][]bool // missing[a][b]: a receives nothing from b
 }
 
-// Reachability tells who does not hear whom, by the rows that have come, and what that is taken for. Of a member that does not
-// hear me I may know nothing.
-func (c *Core) Reachability() (rows map[string][]string, found []Diagnosis) {
-	if c.view == nil {
-		return nil, nil
-	}
+func (c *Core) reachabilityMatrix() *reachabilityMatrix {
 	n := len(c.view.Members)
-	deafTo := make([][]bool, n) // deafTo[a][b]: a does not hear b
-	told := make([]bool, n)
-	rows = map[string][]string{}
-	for a, l := range c.links {
-		deafTo[a] = make([]bool, n)
+	m := &reachabilityMatrix{reported: make([]bool, n), missing: make([][]bool, n)}
+	for i, link := range c.links {
+		m.names = append(m.names, c.view.Members[i].Name)
+		m.missing[i] = make([]bool, n)
 		switch {
-		case l == nil:
-			told[a] = true
-			for _, b := range c.subjects {
-				deafTo[a][b] = c.now-c.links[b].lastMessage >= c.reachableWindow()
-			}
-		case c.now-l.rowAt < 2*c.reachableWindow():
-			told[a] = true
-			for _, b := range l.unreachable {
-				if int(b) < n {
-					deafTo[a][b] = true
-				}
+		case link == nil:
+			m.reported[i] = true
+			for _, j := range c.subjects {
+				m.missing[i][j] = !c.isReachable(c.links[j])
 			}
-		}
-		if told[a] {
-			row := []string{}
-			for b, is := range deafTo[a] {
-				if is {
-					row = append(row, c.view.Members[b].Name)
+		case c.hasCurrentRow(link):
+			m.reported[i] = true
+			for _, j := range link.unreachable {
+				if int(j) < n {
+					m.missing[i][j] = true
 				}
 			}
-			rows[c.view.Members[a].Name] = row
 		}
 	}
-	if n > fullMeshMembers {
-		return rows, nil
-	}
-	return rows, c.diagnose(deafTo, told)
+	return m
 }
 
-// diagnose says what a matrix is taken for.
-func (c *Core) diagnose(deafTo [][]bool, told []bool) (found []Diagnosis) {
-	n := len(told)
-	names := func(of ...int) (out []string) {
-		for _, i := range of {
-			out = append(out, c.view.Members[i].Name)
+func (m *reachabilityMatrix) unreachableNames(i int) []string {
+	row := []string{}
+	for j, isMissing := range m.missing[i] {
+		if isMissing {
+			row = append(row, m.names[j])
 		}
-		return out
 	}
-	tellers := 0
-	for _, is := range told {
-		if is {
-			tellers++
+	return row
+}
+
+// diagnose names the fault of single members first, and then the faults of pairs that those do not explain.
+func (m *reachabilityMatrix) diagnose() []Diagnosis {
+	var diagnoses []Diagnosis
+	explained := make([]bool, len(m.names))
+	var faulty []string
+	for i, name := range m.names {
+		if kind, found := m.diagnoseMember(i); found {
+			explained[i] = true
+			faulty = append(faulty, name)
+			diagnoses = append(diagnoses, Diagnosis{kind, []string{name}})
 		}
 	}
-	explained := make([]bool, n)
-	for x := range n {
-		hears, heard := 0, 0 // by how many of the others it is not
-		for y := range n {
-			if y == x {
-				continue
-			}
-			if deafTo[x][y] {
-				hears++
-			}
-			if told[y] && deafTo[y][x] {
-				heard++
-			}
+	if len(faulty) > 1 { // several members that none of the others reaches are one partition
+		diagnoses = slices.DeleteFunc(diagnoses, func(d Diagnosis) bool { return d.Kind == DiagnosisGone })
+		if len(diagnoses) == 0 {
+			diagnoses = append(diagnoses, Diagnosis{DiagnosisPartition, faulty})
 		}
-		others := tellers
-		if told[x] {
-			others--
+	}
+	return append(diagnoses, m.diagnosePairs(explained)...)
+}
+
+// diagnoseMember returns the fault of one member that most others are affected by.
+func (m *reachabilityMatrix) diagnoseMember(i int) (kind DiagnosisKind, found bool) {
+	doesNotReceive, isNotReceived, reporters := 0, 0, 0
+	for j := range m.names {
+		if j == i {
+			continue
 		}
-		deaf, mute := told[x] && hears > (n-1)/2, others > 0 && 2*heard > others
-		switch {
-		case mute && (!told[x] || deaf):
-			explained[x] = true
-			found = append(found, Diagnosis{"gone", names(x)})
-		case mute:
-			explained[x] = true
-			found = append(found, Diagnosis{"mute", names(x)})
-		case deaf:
-			explained[x] = true
-			found = append(found, Diagnosis{"deaf", names(x)})
+		if m.missing[i][j] {
+			doesNotReceive++
 		}
-	}
-	lost := 0
-	var part []int
-	for x, f := range explained {
-		if f {
-			lost++
-			part = append(part, x)
+		if m.reported[j] {
+			reporters++
+			if m.missing[j][i] {
+				isNotReceived++
+			}
 		}
 	}
-	if lost > 1 { // several at once that none of the others hears: one cut, not many
-		found = slices.DeleteFunc(found, func(f Diagnosis) bool { return f.Kind == "gone" })
-		if len(found) == 0 {
-			found = append(found, Diagnosis{"part", names(part...)})
-		}
+	receivesNothing := m.reported[i] && doesNotReceive > (len(m.names)-1)/2
+	sendsNothing := reporters > 0 && 2*isNotReceived > reporters
+	switch {
+	case sendsNothing && (!m.reported[i] || receivesNothing):
+		return DiagnosisGone, true
+	case sendsNothing:
+		return DiagnosisSendsNothing, true
+	case receivesNothing:
+		return DiagnosisReceivesNothing, true
 	}
-	for a := range n {
-		for b := range n {
-			if a == b || explained[a] || explained[b] || !deafTo[a][b] {
+	return "", false
+}
+
+// diagnosePairs returns the faults between two members each.
+func (m *reachabilityMatrix) diagnosePairs(explained []bool) []Diagnosis {
+	var diagnoses []Diagnosis
+	for a := range m.names {
+		for b := range m.names {
+			if a == b || explained[a] || explained[b] || !m.missing[a][b] {
 				continue
 			}
 			switch {
-			case deafTo[b][a] && a < b:
-				found = append(found, Diagnosis{"pair", names(a, b)})
-			case !deafTo[b][a] && told[b]:
-				found = append(found, Diagnosis{"one way", names(a, b)})
+			case m.missing[b][a] && a < b:
+				diagnoses = append(diagnoses, Diagnosis{DiagnosisPair, []string{m.names[a], m.names[b]}})
+			case !m.missing[b][a] && m.reported[b]:
+				diagnoses = append(diagnoses, Diagnosis{DiagnosisOneWay, []string{m.names[a], m.names[b]}})
 			}
 		}
 	}
-	return found
+	return diagnoses
 }
--- a/internal/fleet/membership/suspicion.go
+++ b/internal/fleet/membership/suspicion.go
@@ -1,12 +1,22 @@
 package membership
 
-import "slices"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
-// initialCollectors is how many members are told of accusations at first. Where no view comes of it, twice as many with every
-// few beats: the first ones may be lost together.
+// initialCollectors is how many members collect reports at first. While no view follows, the number doubles every
+// unstableDelay, as the first ones may have failed together.
 const initialCollectors = 5
 
-// activeCollectors returns those who are to hear of a case, by places in the view.
+// suspicionReport is what an observer has reported to a collector last.
+type suspicionReport struct {
+	at       time.Duration
+	suspects map[Member]bool
+}
+
+// activeCollectors returns the members that reports go to, by index in the view.
 func (c *Core) activeCollectors() []int {
 	n := initialCollectors
 	if c.changePendingSince > 0 {
@@ -17,38 +27,31 @@
 	return c.collectors[:min(n, len(c.collectors))]
 }
 
-// suspects returns whom this process accuses: those who answer nothing, and those who say of themselves that they hear no
-// majority, or that they go.
-func (c *Core) suspects() (out []Member) {
+// suspects returns the members that this process suspects: those that answer nothing, and those that report that they are
+// isolated.
+func (c *Core) suspects() []Member {
 	if c.isSuspicionPaused() {
 		return nil
 	}
+	var members []Member
 	for _, i := range c.subjects {
-		l := c.links[i]
-		if l.suspectedSince > 0 || l.isolatedSince > 0 && c.now-l.isolatedSince >= c.heartbeats(pingAfter) {
-			out = append(out, c.view.Members[i])
+		link := c.links[i]
+		isolated := link.isolatedSince > 0 && c.now-link.isolatedSince >= c.heartbeats(pingAfter)
+		if link.suspectedSince > 0 || isolated {
+			members = append(members, c.view.Members[i])
 		}
 	}
-	return out[:min(len(out), maxReportMembers)]
+	return members[:min(len(members), maxReportMembers)]
 }
 
-// sendReport tells the clerks whom I accuse and what else is to change, again with every beat: what is not said again counts
-// no more.
+// sendReport reports suspects, joins and departures to the collectors. It is repeated with every heartbeat: what is not
+// repeated counts no more.
 func (c *Core) sendReport() {
-	m := Message{Kind: Report, Suspects: c.suspects()}
-	for j, until := range c.joining {
-		if until < c.now {
-			delete(c.joining, j)
-		} else if len(m.Joining) < maxReportMembers {
-			m.Joining = append(m.Joining, j)
-		}
-	}
-	for l, until := range c.departing {
-		if until < c.now {
-			delete(c.departing, l)
-		} else if len(m.Departing) < maxReportMembers && c.view.Contains(l) {
-			m.Departing = append(m.Departing, l)
-		}
+	m := Message{
+		Kind:      Report,
+		Suspects:  c.suspects(),
+		Joining:   c.currentJoins(),
+		Departing: c.currentDepartures(),
 	}
 	if len(m.Suspects)+len(m.Joining)+len(m.Departing) == 0 {
 		if len(c.reports) == 0 {
@@ -60,83 +63,122 @@
 		c.changePendingSince = c.now
 	}
 	for _, i := range c.activeCollectors() {
-		if c.links[i] == nil {
-			c.handleReport(&Message{Kind: Report, From: c.options.Self, Suspects: m.Suspects, Joining: m.Joining, Departing: m.Departing})
+		report := m
+		if c.isSelf(i) {
+			report.From = c.options.Self
+			c.handleReport(&report)
 			continue
 		}
-		one := m
-		c.send(c.view.Members[i], &one)
+		c.send(c.view.Members[i], &report)
+	}
+}
+
+// currentJoins returns the candidates to report, and forgets those whose request has expired.
+func (c *Core) currentJoins() []Member {
+	var members []Member
+	for m, until := range c.joining {
+		if until < c.now {
+			delete(c.joining, m)
+		} else if len(members) < maxReportMembers {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// currentDepartures returns the departing members to report, and forgets those whose announcement has expired.
+func (c *Core) currentDepartures() []Member {
+	var members []Member
+	for m, until := range c.departing {
+		if until < c.now {
+			delete(c.departing, m)
+		} else if len(members) < maxReportMembers && c.view.Contains(m) {
+			members = append(members, m)
+		}
 	}
+	return members
 }
 
-// handleReport notes an observer's word. Accusations count only of members that it observes.
+// handleReport records an observer's report. Suspicions count only of members that it observes.
 func (c *Core) handleReport(m *Message) {
-	o := c.view.Index(m.From.Name)
-	r := &suspicionReport{at: c.now, suspects: map[Member]bool{}}
-	for _, a := range m.Suspects {
-		if s := c.view.Index(a.Name); s >= 0 && c.view.Members[s] == a && slices.Contains(c.observers[s], o) {
-			r.suspects[a] = true
+	observer := c.view.Index(m.From.Name)
+	report := &suspicionReport{at: c.now, suspects: map[Member]bool{}}
+	for _, suspect := range m.Suspects {
+		if i := c.indexOf(suspect); i >= 0 && slices.Contains(c.observers[i], observer) {
+			report.suspects[suspect] = true
 		}
 	}
-	c.reports[m.From.Name] = r
+	c.reports[m.From.Name] = report
 	until := c.now + c.heartbeats(reportTTL)
-	for _, j := range m.Joining {
-		if !c.view.Contains(j) && len(c.joining) < MaxMembers {
-			c.joining[j] = until
+	for _, candidate := range m.Joining {
+		if !c.view.Contains(candidate) && len(c.joining) < MaxMembers {
+			c.joining[candidate] = until
 		}
 	}
-	for _, l := range m.Departing {
-		if c.view.Contains(l) {
-			c.departing[l] = until
+	for _, member := range m.Departing {
+		if c.view.Contains(member) {
+			c.departing[member] = until
 		}
 	}
 }
 
-// suspicions counts the accusations that stand: how many observers accuse each member. An observer that is itself accused
-// counts as accusing those whom another one accuses: it can't say it any more.
-func (c *Core) suspicions() map[int][]int {
-	by := map[int][]int{}
-	for name, r := range c.reports {
-		if c.now-r.at > c.heartbeats(reportTTL) {
+// suspicions maps each suspected member to the observers that suspect it, by index in the view.
+type suspicions map[int][]int
+
+// currentSuspicions returns the suspicions that count.
+func (c *Core) currentSuspicions() suspicions {
+	found := suspicions{}
+	for name, report := range c.reports {
+		if c.now-report.at > c.heartbeats(reportTTL) {
 			delete(c.reports, name)
 			continue
 		}
-		for a := range r.suspects {
-			s := c.view.Index(a.Name)
-			by[s] = append(by[s], c.view.Index(name))
+		for suspect := range report.suspects {
+			i := c.view.Index(suspect.Name)
+			found[i] = append(found[i], c.view.Index(name))
 		}
 	}
-	// What one says that is accused itself, by enough, counts for nothing: it may be the one that hears nobody.
-	for s, who := range by {
-		by[s] = slices.DeleteFunc(who, func(o int) bool {
-			_, high := watermarks(len(c.observers[o]))
-			return len(by[o]) >= high && len(by[o]) > len(who)
+	c.discardFromSuspects(found)
+	if len(c.view.Members) > fullMeshMembers {
+		c.addSilentObservers(found)
+	}
+	return found
+}
+
+// discardFromSuspects drops the suspicions of observers that enough others suspect themselves: such an observer may be the one
+// that is cut off.
+func (c *Core) discardFromSuspects(found suspicions) {
+	for suspect, by := range found {
+		found[suspect] = slices.DeleteFunc(by, func(observer int) bool {
+			_, high := watermarks(len(c.observers[observer]))
+			return len(found[observer]) >= high && len(found[observer]) > len(by)
 		})
-		if len(by[s]) == 0 {
-			delete(by, s)
+		if len(found[suspect]) == 0 {
+			delete(found, suspect)
 		}
 	}
-	if len(c.view.Members) <= fullMeshMembers {
-		return by
-	}
+}
+
+// addSilentObservers counts an observer that is itself suspected as suspecting those whom another one suspects: it cannot
+// report any more.
+func (c *Core) addSilentObservers(found suspicions) {
 	lost := map[int]bool{}
-	for s, who := range by {
-		if low, _ := watermarks(len(c.observers[s])); len(who) >= low {
-			lost[s] = true
+	for suspect, by := range found {
+		if low, _ := watermarks(len(c.observers[suspect])); len(by) >= low {
+			lost[suspect] = true
 		}
 	}
-	for s := range by {
-		for _, o := range c.observers[s] {
-			if lost[o] && !slices.Contains(by[s], o) {
-				by[s] = append(by[s], o)
+	for suspect := range found {
+		for _, observer := range c.observers[suspect] {
+			if lost[observer] && !slices.Contains(found[suspect], observer) {
+				found[suspect] = append(found[suspect], observer)
 			}
 		}
 	}
-	return by
 }
 
-// proposeDueChange proposes the next view where one is due: members that enough observers accuse, those who leave and those who
-// come, all together. While others are accused by some and not by enough it waits a little for them.
+// proposeDueChange proposes the next view where one is due, with all members that enough observers suspect, that leave, and
+// that join. While some members are suspected by too few observers, it waits a little for the others.
 func (c *Core) proposeDueChange() {
 	if len(c.reports) == 0 && len(c.joining) == 0 && len(c.departing) == 0 {
 		return
@@ -145,63 +187,71 @@
 	if place < 0 || c.isSuspicionPaused() && !c.leaving && len(c.view.Members) > 1 {
 		return
 	}
-	d, pending := c.dueChange()
-	if len(d.Add)+len(d.Remove) == 0 {
+	delta, unstable := c.dueChange()
+	if delta.isEmpty() {
 		return
 	}
 	if c.changePendingSince == 0 {
 		c.changePendingSince = c.now
 	}
 	wait := c.heartbeats(batchDelay)
-	if pending {
+	if unstable {
 		wait = c.heartbeats(unstableDelay)
 	}
-	// The first clerk that is not accused itself proposes; the next ones only if it does not.
-	rank := 0
+	// The first collector that stays a member proposes; each next one only if those before it do not.
+	wait += c.heartbeats(float64(2 * c.reachableCollectorsBefore(place, delta)))
+	if c.now-c.changePendingSince >= wait && !c.proposal.inProgress(c) {
+		c.startProposal(delta)
+	}
+}
+
+// reachableCollectorsBefore returns how many collectors before a place are expected to propose a change.
+func (c *Core) reachableCollectorsBefore(place int, delta *Delta) int {
+	count := 0
 	for _, i := range c.collectors[:place] {
-		if c.links[i] != nil && c.now-c.links[i].lastMessage < c.reachableWindow() && !slices.Contains(d.Remove, c.view.Members[i]) {
-			rank++
+		if !c.isSelf(i) && c.isReachable(c.links[i]) && !slices.Contains(delta.Remove, c.view.Members[i]) {
+			count++
 		}
 	}
-	if c.now-c.changePendingSince >= wait+c.heartbeats(float64(2*rank)) && !c.proposal.inProgress(c) {
-		c.startProposal(d)
-	}
+	return count
 }
 
-// dueChange is the change that the reports ask for.
-func (c *Core) dueChange() (d *Delta, pending bool) {
-	d = &Delta{}
-	for s, who := range c.suspicions() {
-		low, high := watermarks(len(c.observers[s]))
+// dueChange returns the change that the reports ask for. It is unstable while a member is suspected by some observers, but not by
+// enough.
+func (c *Core) dueChange() (delta *Delta, unstable bool) {
+	delta = &Delta{}
+	for suspect, by := range c.currentSuspicions() {
+		low, high := watermarks(len(c.observers[suspect]))
 		switch {
-		case len(who) >= high:
-			d.Remove = append(d.Remove, c.view.Members[s])
-		case len(who) >= low:
-			pending = true
+		case len(by) >= high:
+			delta.Remove = append(delta.Remove, c.view.Members[suspect])
+		case len(by) >= low:
+			unstable = true
 		}
 	}
-	for l, until := range c.departing {
-		if until >= c.now && c.view.Contains(l) && !slices.Contains(d.Remove, l) {
-			d.Remove = append(d.Remove, l)
+	for member, until := range c.departing {
+		if until >= c.now && c.view.Contains(member) && !slices.Contains(delta.Remove, member) {
+			delta.Remove = append(delta.Remove, member)
 		}
 	}
+	c.addCandidates(delta)
+	slices.SortFunc(delta.Remove, compareNames)
+	slices.SortFunc(delta.Add, compareNames)
+	return delta, unstable
+}
+
+// addCandidates adds the processes that want to join and whose name is free after the change.
+func (c *Core) addCandidates(delta *Delta) {
 	names := map[string]bool{}
-	for j, until := range c.joining {
-		i := c.view.Index(j.Name)
-		free := i < 0 || slices.Contains(d.Remove, c.view.Members[i])
-		if until >= c.now && free && !names[j.Name] && len(c.view.Members)+len(d.Add) < MaxMembers {
-			names[j.Name] = true
-			d.Add = append(d.Add, j)
-		}
-	}
-	// Who is left must be able to agree to the change after it.
-	byName := func(a, b Member) int {
-		if a.Name < b.Name {
-			return -1
+	for candidate, until := range c.joining {
+		i := c.view.Index(candidate.Name)
+		isFree := i < 0 || slices.Contains(delta.Remove, c.view.Members[i])
+		hasRoom := len(c.view.Members)+len(delta.Add) < MaxMembers
+		if until >= c.now && isFree && !names[candidate.Name] && hasRoom {
+			names[candidate.Name] = true
+			delta.Add = append(delta.Add, candidate)
 		}
-		return 1
 	}
-	slices.SortFunc(d.Remove, byName)
-	slices.SortFunc(d.Add, byName)
-	return d, pending
 }
+
+func compareNames(a, b Member) int { return strings.Compare(a.Name, b.Name) }
--- a/internal/fleet/membershiphost.go
+++ b/internal/fleet/membershiphost.go
@@ -115,7 +115,8 @@
 
 // updateQuota tells of this instance's part where it has changed. The caller holds the lock.
 func (v *membershipHost) updateQuota() {
-	n, place, safe := v.core.Quota(v.now())
+	quota := v.core.Quota(v.now())
+	n, place, safe := quota.Members, quota.Index, quota.Minimal
 	if safe {
 		n, place = minimalQuotaInstances, 0
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"silvertrail/internal/fleet"
+	"silvertrail/internal/fleet/membership"
 )
 
 // label writes a label's value as the text format has it.
@@ -69,12 +70,12 @@
 	}
 	out = append(out, gaugeOf("silvertrail_fleet_view", float64(r.Number)), gaugeOf("silvertrail_fleet_view_members", float64(len(r.Members))),
 		gaugeOf("silvertrail_fleet_confirmed", one(r.HasQuorum)), gaugeOf("silvertrail_fleet_isolated", one(r.Isolated || r.Number == 0)))
-	kinds := map[string]int{}
+	kinds := map[membership.DiagnosisKind]int{}
 	for _, x := range r.Diagnoses {
 		kinds[x.Kind]++
 	}
 	for kind, n := range kinds {
-		out = append(out, gaugeOf("silvertrail_fleet_findings", float64(n), "kind", kind))
+		out = append(out, gaugeOf("silvertrail_fleet_findings", float64(n), "kind", string(kind)))
 	}
 	return out
 }
