Split gossip, key ownership, version lag and versions by concern

Need: messages, states and engines stood in one file each, with functions that parse, judge and send. Change: shape, comments and error texts alone; messages have files of their own, which say that the order of their fields is the format.

--- /dev/null
+++ b/internal/fleet/gossip/message.go
@@ -0,0 +1,133 @@
+package gossip
+
+import (
+	"errors"
+
+	"silvertrail/internal/fleet/version"
+)
+
+// The messages are encoded as arrays in the order of their fields, which must not change.
+
+// Digest identifies a member's state.
+type Digest struct {
+	Name            string
+	Incarnation     uint64
+	Generation, Seq uint64
+	AgeMilliseconds uint32 // since the member confirmed by itself that the state holds
+}
+
+// Request asks for a member's state, by a member that knows an earlier one.
+type Request struct {
+	Name                  string
+	Incarnation, KnownSeq uint64
+}
+
+// Update is what has changed in a member's state since an earlier one of the same process.
+type Update struct {
+	Name            string
+	Incarnation     uint64
+	Generation, Seq uint64
+	BaseSeq         uint64 // of the earlier state; zero: the update holds all of it
+	Changed         version.Vector
+	ChangedAt       []uint64
+	Tombstones      []Tombstone
+	CompactedSeq    uint64
+	AppliedAt       int64
+	VectorHash      version.Hash // of the whole vector
+}
+
+// Tombstone is an entry that was deleted.
+type Tombstone struct {
+	Kind      version.Kind
+	Name      string
+	DeletedAt uint64 // sequence number
+}
+
+// Message is what members send each other.
+type Message struct {
+	Digests  []Digest
+	Requests []Request
+	Updates  []Update
+}
+
+// addUpdate adds an update where there is room.
+func (m *Message) addUpdate(u Update) {
+	bytes := 0
+	for _, added := range m.Updates {
+		bytes += added.approximateBytes()
+	}
+	if len(m.Updates) < maxUpdates && bytes < maxResponseBytes {
+		m.Updates = append(m.Updates, u)
+	}
+}
+
+// addRequest adds a request where there is room.
+func (m *Message) addRequest(name string, incarnation, knownSeq uint64) {
+	if len(m.Requests) < maxRequests {
+		m.Requests = append(m.Requests, Request{Name: name, Incarnation: incarnation, KnownSeq: knownSeq})
+	}
+}
+
+// Check returns an error for a message that no member sends.
+func (m *Message) Check() error {
+	if len(m.Digests) > maxDigests || len(m.Requests) > maxRequests || len(m.Updates) > maxUpdates {
+		return errors.New("gossip: a message with too many parts")
+	}
+	for _, d := range m.Digests {
+		if !isValidName(d.Name) {
+			return errors.New("gossip: a digest without a valid name")
+		}
+	}
+	for _, r := range m.Requests {
+		if !isValidName(r.Name) {
+			return errors.New("gossip: a request without a valid name")
+		}
+	}
+	for _, u := range m.Updates {
+		if err := u.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func isValidName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
+func (u *Update) check() error {
+	switch {
+	case !isValidName(u.Name):
+		return errors.New("gossip: an update without a valid name")
+	case u.Seq == 0 || u.BaseSeq >= u.Seq || u.Generation > maxGeneration:
+		return errors.New("gossip: an update with invalid sequence numbers")
+	case len(u.ChangedAt) != len(u.Changed) || len(u.Tombstones) > maxTombstones:
+		return errors.New("gossip: an update whose parts do not match")
+	}
+	for _, at := range u.ChangedAt {
+		if at > u.Seq || at <= u.BaseSeq {
+			return errors.New("gossip: an update with a change outside its sequence numbers")
+		}
+	}
+	for _, t := range u.Tombstones {
+		if len(t.Name) > maxNameBytes || t.DeletedAt > u.Seq {
+			return errors.New("gossip: an update with an invalid tombstone")
+		}
+	}
+	return u.Changed.Check()
+}
+
+// Approximate encoded sizes in bytes.
+const (
+	updateBytes    = 96
+	entryBytes     = 40
+	ancestorBytes  = 28
+	tombstoneBytes = 24
+)
+
+// approximateBytes returns about how many bytes an update takes.
+func (u *Update) approximateBytes() int {
+	n := updateBytes + len(u.Name)
+	for _, e := range u.Changed {
+		n += entryBytes + len(e.Name) + len(e.Description) + ancestorBytes*len(e.Ancestors)
+	}
+	return n + tombstoneBytes*len(u.Tombstones)
+}
--- a/internal/fleet/gossip/state.go
+++ b/internal/fleet/gossip/state.go
@@ -1,155 +1,168 @@
 package gossip
 
 import (
-	"errors"
 	"slices"
 
 	"silvertrail/internal/fleet/version"
 )
 
-// MemberState is what a member says that it acts on. Who says it is a process: one that is started again is another one, and its
-// words begin anew.
+// maxTombstones is how many deleted entries a state remembers.
+const maxTombstones = 64
+
+// MemberState is what a member has announced. It belongs to one process: a restarted process is another one, and its sequence
+// numbers begin again.
 type MemberState struct {
 	Name         string
 	Incarnation  uint64 // of the process
-	Generation   uint64 // counts the starts under this name, as far as is known: a later process counts more
-	Seq          uint64 // of the word
+	Generation   uint64 // counts the starts under this name, as far as is known: a later process has a higher one
+	Seq          uint64 // counts the announcements of the process
 	Vector       version.Vector
-	VectorHash   version.Hash // of the vector
-	ChangedAt    []uint64     // by which word each entry of the vector changed last
-	Tombstones   []Tombstone  // entries that are no more, the latest last
-	CompactedSeq uint64       // what went by this word or an earlier one is not told of any more
-	AppliedAt    int64        // when it was so, by its own clock, milliseconds since 1970
-}
-
-// Tombstone is an entry that is no more.
-type Tombstone struct {
-	Kind      version.Kind
-	Name      string
-	DeletedAt uint64
+	VectorHash   version.Hash
+	ChangedAt    []uint64    // of each entry of the vector: the sequence number of its last change
+	Tombstones   []Tombstone // in the order of their deletion
+	CompactedSeq uint64      // deletions up to this sequence number are forgotten
+	AppliedAt    int64       // when the member began to apply the vector, by its own clock, in Unix milliseconds
 }
 
-const maxTombstones = 64
-
-// successor returns the word by which a member acts on another vector.
-func (w *MemberState) successor(v version.Vector, taken int64) MemberState {
-	n := MemberState{Name: w.Name, Incarnation: w.Incarnation, Generation: w.Generation, Seq: w.Seq + 1, Vector: v, VectorHash: v.Digest(), ChangedAt: make([]uint64, len(v)), CompactedSeq: w.CompactedSeq, AppliedAt: taken}
-	for i, e := range v {
-		n.ChangedAt[i] = n.Seq
-		if j, ok := slices.BinarySearchFunc(w.Vector, e, version.ByName); ok && equalEntries(w.Vector[j], e) {
-			n.ChangedAt[i] = w.ChangedAt[j]
+// successor returns the state of a member that applies another vector.
+func (s *MemberState) successor(vector version.Vector, appliedAt int64) MemberState {
+	next := MemberState{
+		Name:         s.Name,
+		Incarnation:  s.Incarnation,
+		Generation:   s.Generation,
+		Seq:          s.Seq + 1,
+		Vector:       vector,
+		VectorHash:   vector.Digest(),
+		ChangedAt:    make([]uint64, len(vector)),
+		CompactedSeq: s.CompactedSeq,
+		AppliedAt:    appliedAt,
+	}
+	for i, e := range vector {
+		next.ChangedAt[i] = next.Seq
+		if j, ok := slices.BinarySearchFunc(s.Vector, e, version.ByName); ok && equalEntries(s.Vector[j], e) {
+			next.ChangedAt[i] = s.ChangedAt[j]
 		}
 	}
-	for _, g := range w.Tombstones {
-		if _, back := v.Find(g.Kind, g.Name); !back {
-			n.Tombstones = append(n.Tombstones, g)
+	next.addTombstones(s)
+	return next
+}
+
+// addTombstones adds the deletions since an earlier state, and forgets the oldest ones beyond the bound.
+func (s *MemberState) addTombstones(previous *MemberState) {
+	for _, t := range previous.Tombstones {
+		if _, restored := s.Vector.Find(t.Kind, t.Name); !restored {
+			s.Tombstones = append(s.Tombstones, t)
 		}
 	}
-	for _, e := range w.Vector {
-		if _, still := v.Find(e.Kind, e.Name); !still {
-			n.Tombstones = append(n.Tombstones, Tombstone{e.Kind, e.Name, n.Seq})
+	for _, e := range previous.Vector {
+		if _, present := s.Vector.Find(e.Kind, e.Name); !present {
+			s.Tombstones = append(s.Tombstones, Tombstone{Kind: e.Kind, Name: e.Name, DeletedAt: s.Seq})
 		}
 	}
-	if over := len(n.Tombstones) - maxTombstones; over > 0 {
-		n.CompactedSeq = n.Tombstones[over-1].DeletedAt
-		n.Tombstones = n.Tombstones[over:]
+	if excess := len(s.Tombstones) - maxTombstones; excess > 0 {
+		s.CompactedSeq = s.Tombstones[excess-1].DeletedAt
+		s.Tombstones = s.Tombstones[excess:]
 	}
-	return n
 }
 
-// equalEntries tells whether two entries say the same, what they replaced too.
+// equalEntries reports whether two entries are equal, including their ancestors.
 func equalEntries(a, b version.Entry) bool {
 	return a.Hash == b.Hash && a.Number == b.Number && a.Description == b.Description && slices.Equal(a.Ancestors, b.Ancestors)
 }
 
-// Update is what has changed in a word since an earlier one of the same process; Base 0: all of it.
-type Update struct {
-	Name            string
-	Incarnation     uint64
-	Generation, Seq uint64
-	BaseSeq         uint64
-	Changed         version.Vector
-	ChangedAt       []uint64
-	Tombstones      []Tombstone
-	CompactedSeq    uint64
-	AppliedAt       int64
-	VectorHash      version.Hash // of the whole vector
+// isSupersededBy reports whether a state of the same name follows this one: the next state of the process, or a state of a
+// process that was started after it.
+func (s *MemberState) isSupersededBy(incarnation, generation, seq uint64) bool {
+	switch {
+	case incarnation == s.Incarnation:
+		return seq > s.Seq
+	case generation != s.Generation:
+		return generation > s.Generation
+	}
+	return incarnation > s.Incarnation // two processes of one name at the same time: one of them is told to end
 }
 
-// changesSince returns what has changed since one knew a word of a process; another process's, or what is too old, is as none.
-func (w *MemberState) changesSince(life, have uint64) Update {
-	p := Update{Name: w.Name, Incarnation: w.Incarnation, Generation: w.Generation, Seq: w.Seq, CompactedSeq: w.CompactedSeq, AppliedAt: w.AppliedAt, VectorHash: w.VectorHash}
-	if life != w.Incarnation || have < w.CompactedSeq || have > w.Seq {
-		have = 0
+// changesSince returns the update from an earlier state of a process. For another process, and for a state that is too old, the
+// update holds all.
+func (s *MemberState) changesSince(incarnation, seq uint64) Update {
+	if incarnation != s.Incarnation || seq < s.CompactedSeq || seq > s.Seq {
+		seq = 0
 	}
-	p.BaseSeq = have
-	for i, e := range w.Vector {
-		if w.ChangedAt[i] > have {
-			p.Changed, p.ChangedAt = append(p.Changed, e), append(p.ChangedAt, w.ChangedAt[i])
+	update := Update{
+		Name:         s.Name,
+		Incarnation:  s.Incarnation,
+		Generation:   s.Generation,
+		Seq:          s.Seq,
+		BaseSeq:      seq,
+		CompactedSeq: s.CompactedSeq,
+		AppliedAt:    s.AppliedAt,
+		VectorHash:   s.VectorHash,
+	}
+	for i, e := range s.Vector {
+		if s.ChangedAt[i] > seq {
+			update.Changed = append(update.Changed, e)
+			update.ChangedAt = append(update.ChangedAt, s.ChangedAt[i])
 		}
 	}
-	for _, g := range w.Tombstones {
-		if g.DeletedAt > have {
-			p.Tombstones = append(p.Tombstones, g)
+	for _, t := range s.Tombstones {
+		if t.DeletedAt > seq {
+			update.Tombstones = append(update.Tombstones, t)
 		}
 	}
-	return p
+	return update
 }
 
-// apply returns the word that a part makes of an earlier one; false: they do not fit.
-func (p *Update) apply(w *MemberState) (MemberState, bool) {
-	n := MemberState{Name: p.Name, Incarnation: p.Incarnation, Generation: p.Generation, Seq: p.Seq, Vector: p.Changed, ChangedAt: p.ChangedAt, Tombstones: p.Tombstones, CompactedSeq: p.CompactedSeq, AppliedAt: p.AppliedAt}
-	if p.BaseSeq > 0 {
-		if w == nil || w.Incarnation != p.Incarnation || w.Seq < p.BaseSeq || w.Seq >= p.Seq {
-			return n, false
-		}
-		n.Vector, n.ChangedAt, n.Tombstones = nil, nil, nil
-		for i, e := range w.Vector {
-			gone := slices.ContainsFunc(p.Tombstones, func(g Tombstone) bool { return g.Kind == e.Kind && g.Name == e.Name })
-			if _, newer := p.Changed.Find(e.Kind, e.Name); !gone && !newer {
-				n.Vector, n.ChangedAt = append(n.Vector, e), append(n.ChangedAt, w.ChangedAt[i])
-			}
-		}
-		for i, e := range p.Changed {
-			j, _ := slices.BinarySearchFunc(n.Vector, e, version.ByName)
-			n.Vector, n.ChangedAt = slices.Insert(n.Vector, j, e), slices.Insert(n.ChangedAt, j, p.ChangedAt[i])
-		}
-		for _, g := range w.Tombstones {
-			if _, back := n.Vector.Find(g.Kind, g.Name); !back && g.DeletedAt > p.CompactedSeq && !slices.Contains(p.Tombstones, g) {
-				n.Tombstones = append(n.Tombstones, g)
-			}
+// apply returns the state after an update of an earlier one. It is not ok if the update is not based on that state, or if
+// the result differs from what the member has announced.
+func (u *Update) apply(before *MemberState) (state MemberState, ok bool) {
+	state = MemberState{
+		Name:         u.Name,
+		Incarnation:  u.Incarnation,
+		Generation:   u.Generation,
+		Seq:          u.Seq,
+		Vector:       u.Changed,
+		ChangedAt:    u.ChangedAt,
+		Tombstones:   u.Tombstones,
+		CompactedSeq: u.CompactedSeq,
+		AppliedAt:    u.AppliedAt,
+	}
+	if u.BaseSeq > 0 {
+		if before == nil || before.Incarnation != u.Incarnation || before.Seq < u.BaseSeq || before.Seq >= u.Seq {
+			return state, false
 		}
-		n.Tombstones = append(n.Tombstones, p.Tombstones...)
+		state.Vector, state.ChangedAt = u.mergeVector(before)
+		state.Tombstones = u.mergeTombstones(before, state.Vector)
 	}
-	n.VectorHash = n.Vector.Digest()
-	return n, n.VectorHash == p.VectorHash
+	state.VectorHash = state.Vector.Digest()
+	return state, state.VectorHash == u.VectorHash
 }
 
-// approximateBytes is about how many bytes a part takes.
-func (p *Update) approximateBytes() (n int) {
-	n = 96 + len(p.Name)
-	for _, e := range p.Changed {
-		n += 40 + len(e.Name) + len(e.Description) + 28*len(e.Ancestors)
+// mergeVector returns the vector after the update, and when each entry changed.
+func (u *Update) mergeVector(before *MemberState) (vector version.Vector, changedAt []uint64) {
+	for i, e := range before.Vector {
+		_, changed := u.Changed.Find(e.Kind, e.Name)
+		deleted := slices.ContainsFunc(u.Tombstones, func(t Tombstone) bool { return t.Kind == e.Kind && t.Name == e.Name })
+		if !deleted && !changed {
+			vector = append(vector, e)
+			changedAt = append(changedAt, before.ChangedAt[i])
+		}
 	}
-	return n + 24*len(p.Tombstones)
+	for i, e := range u.Changed {
+		j, _ := slices.BinarySearchFunc(vector, e, version.ByName)
+		vector = slices.Insert(vector, j, e)
+		changedAt = slices.Insert(changedAt, j, u.ChangedAt[i])
+	}
+	return vector, changedAt
 }
 
-func (p *Update) check() error {
-	switch {
-	case p.Name == "" || len(p.Name) > maxNameBytes || p.Seq == 0 || p.BaseSeq >= p.Seq || p.Generation > maxGeneration:
-		return errors.New("exchange: a word of no member's form")
-	case len(p.ChangedAt) != len(p.Changed) || len(p.Tombstones) > maxTombstones:
-		return errors.New("exchange: a word whose parts do not fit")
-	}
-	for _, at := range p.ChangedAt {
-		if at > p.Seq || at <= p.BaseSeq {
-			return errors.New("exchange: a word that changed after it was said, or before")
-		}
-	}
-	for _, g := range p.Tombstones {
-		if len(g.Name) > maxNameBytes || g.DeletedAt > p.Seq {
-			return errors.New("exchange: a word without something of no form")
+// mergeTombstones returns the tombstones after the update.
+func (u *Update) mergeTombstones(before *MemberState, vector version.Vector) []Tombstone {
+	var tombstones []Tombstone
+	for _, t := range before.Tombstones {
+		_, restored := vector.Find(t.Kind, t.Name)
+		if !restored && t.DeletedAt > u.CompactedSeq && !slices.Contains(u.Tombstones, t) {
+			tombstones = append(tombstones, t)
 		}
 	}
-	return p.Changed.Check()
+	return append(tombstones, u.Tombstones...)
 }
--- a/internal/fleet/ownership/proposer.go
+++ b/internal/fleet/ownership/proposer.go
@@ -6,20 +6,20 @@
 	"silvertrail/internal/balancer/history"
 )
 
-// State is how far an asker has come.
+// State is the progress of a proposal.
 type State uint8
 
 // The states. All but Pending are final.
 const (
 	Pending        State = iota
-	Claimed              // a majority agrees: attempts may go to the place until Until
-	OwnedElsewhere       // no majority can agree, as the key is held by another group or its window is over
+	Claimed              // a majority has granted the proposal: attempts may go to its place
+	OwnedElsewhere       // no majority can grant it, as another group owns the key or its window is over
 	Unknown              // no majority can tell
 )
 
 func (s State) String() string { return [...]string{"pending", "bound", "elsewhere", "unknown"}[s] }
 
-// Proposer is one ask put to all voters. It is not safe for concurrent use.
+// Proposer collects the responses of all voters to one proposal. It is not safe for concurrent use.
 type Proposer struct {
 	proposal  Proposal
 	madeAt    time.Time
@@ -27,61 +27,66 @@
 	responded []bool
 }
 
-// NewProposer returns an asker of n voters, for an ask that is made now.
-func NewProposer(now time.Time, a Proposal, n int) *Proposer {
-	return &Proposer{proposal: a, madeAt: now, responses: make([]Response, n), responded: make([]bool, n)}
+// NewProposer returns a proposer for a number of voters and a proposal that is made now.
+func NewProposer(now time.Time, p Proposal, voters int) *Proposer {
+	return &Proposer{proposal: p, madeAt: now, responses: make([]Response, voters), responded: make([]bool, voters)}
 }
 
-// Proposal returns what is to be sent to each voter that has not answered.
-func (k *Proposer) Proposal() Proposal { return k.proposal }
+// Proposal returns the proposal to send to each voter that has not responded.
+func (p *Proposer) Proposal() Proposal { return p.proposal }
 
-// IsAwaiting tells whether a voter has not answered.
-func (k *Proposer) IsAwaiting(voter int) bool { return !k.responded[voter] }
+// IsAwaiting reports whether a voter has not responded.
+func (p *Proposer) IsAwaiting(voter int) bool { return !p.responded[voter] }
 
-// Receive takes a voter's answer. One that answers something else, or comes a second time, is passed over. A voter that was
-// silent may agree later.
-func (k *Proposer) Receive(voter int, a Response) {
-	if voter < 0 || voter >= len(k.responded) || a.Attempt != k.proposal.Attempt || a.Round != k.proposal.Round || k.responded[voter] && k.responses[voter].Vote != Abstain {
+// Receive records a voter's response. A response to another proposal, or a second one, is ignored. A voter that has abstained
+// may vote later.
+func (p *Proposer) Receive(voter int, r Response) {
+	if voter < 0 || voter >= len(p.responded) {
 		return
 	}
-	k.responded[voter], k.responses[voter] = true, a
+	if r.Attempt != p.proposal.Attempt || r.Round != p.proposal.Round {
+		return
+	}
+	if p.responded[voter] && p.responses[voter].Vote != Abstain {
+		return
+	}
+	p.responded[voter], p.responses[voter] = true, r
 }
 
-// State tells how far the ask has come. Past goes with Bound and Elsewhere: the group that the key is held by, and until
-// when attempts may be decided on, by the earliest word of those that count. All times are taken from the ask's making,
-// before which no voter can have written them.
-func (k *Proposer) State() (State, history.Past) {
-	yes, held, open := 0, 0, 0
-	var agreed, other history.Past
-	for i, told := range k.responded {
-		a := k.responses[i]
-		until := k.madeAt.Add(a.Remaining)
+// State returns the progress of the proposal. With Claimed and OwnedElsewhere it also returns the state of the key: the group that
+// owns it, and until when attempts may be decided on, by the earliest response that counts. All times are counted from the
+// making of the proposal, before which no voter can have responded.
+func (p *Proposer) State() (State, history.Past) {
+	granted, refused, open := 0, 0, 0
+	var claimed, owned history.Past
+	for i, r := range p.responses {
+		until := p.madeAt.Add(r.Remaining)
 		switch {
-		case !told:
+		case !p.responded[i]:
 			open++
-		case a.Vote == Grant:
-			yes++
-			if !agreed.Known || until.Before(agreed.Until) {
-				agreed = history.Past{Known: true, Place: k.proposal.Place, Until: until}
+		case r.Vote == Grant:
+			granted++
+			if !claimed.Known || until.Before(claimed.Until) {
+				claimed = history.Past{Known: true, Place: p.proposal.Place, Until: until}
 			}
-		case a.Vote == HeldElsewhere:
-			held++
-			if !other.Known || until.Before(other.Until) {
-				other = history.Past{Known: true, Place: a.Place, Split: a.Split, Until: until}
+		case r.Vote == HeldElsewhere:
+			refused++
+			if !owned.Known || until.Before(owned.Until) {
+				owned = history.Past{Known: true, Place: r.Place, Split: r.Split, Until: until}
 			}
 		}
 	}
-	need := Majority(len(k.responded))
+	majority := Majority(len(p.responded))
 	switch {
-	case yes >= need:
-		return Claimed, agreed
-	case yes+open >= need:
+	case granted >= majority:
+		return Claimed, claimed
+	case granted+open >= majority:
 		return Pending, history.Past{}
-	case held > 0:
-		return OwnedElsewhere, other
+	case refused > 0:
+		return OwnedElsewhere, owned
 	}
 	return Unknown, history.Past{}
 }
 
-// IsValid tells whether an attempt may still start under the ask.
-func (k *Proposer) IsValid(now time.Time) bool { return now.Before(k.madeAt.Add(k.proposal.TTL)) }
+// IsValid reports whether an attempt may still start under the proposal.
+func (p *Proposer) IsValid(now time.Time) bool { return now.Before(p.madeAt.Add(p.proposal.TTL)) }
--- /dev/null
+++ b/internal/fleet/ownership/snapshot.go
@@ -0,0 +1,58 @@
+package ownership
+
+import (
+	"time"
+
+	"silvertrail/internal/balancer/history"
+)
+
+// Snapshot returns all that the voter knows, for another one that was restarted; ok is false while it abstains itself.
+func (v *Voter) Snapshot(now time.Time) (keys []KeyState, ok bool) {
+	if now.Before(v.abstainUntil) {
+		return nil, false
+	}
+	v.expire(now)
+	v.table.Each(now, func(k history.Key) bool {
+		if k.Past.Known {
+			keys = append(keys, KeyState{
+				Key:          k.ID,
+				Place:        k.Past.Place,
+				SeveralZones: k.Zones,
+				SeveralCells: k.Cells,
+				RetryFor:     k.Past.Until.Sub(now),
+				ExpiresIn:    k.Expire.Sub(now),
+			})
+		}
+		return true
+	})
+	return keys, true
+}
+
+// NeedsSnapshots reports whether snapshots of other voters are useful. They are once no attempt can be sent any more under
+// what this voter granted in an earlier incarnation: those that were sent are then known to all others of the majorities
+// that had granted them.
+func (v *Voter) NeedsSnapshots(now time.Time) bool {
+	return now.Before(v.abstainUntil) && !now.Before(v.copiesUsefulFrom)
+}
+
+// MergeSnapshot adds a part of a snapshot that was requested while NeedsSnapshots was true.
+func (v *Voter) MergeSnapshot(now time.Time, part []KeyState) {
+	for _, k := range part {
+		v.table.Learn(now, history.Key{
+			ID:     k.Key,
+			Past:   history.Past{Known: true, Place: k.Place, Until: now.Add(k.RetryFor)},
+			Zones:  k.SeveralZones,
+			Cells:  k.SeveralCells,
+			Expire: now.Add(k.ExpiresIn),
+		})
+	}
+}
+
+// SnapshotCompleted records that the whole snapshot of another voter has been merged. The voter votes again once it has merged
+// enough of them to cover every majority that it can have been part of.
+func (v *Voter) SnapshotCompleted(now time.Time, from string, voters int) {
+	v.copiedFrom[from] = true
+	if len(v.copiedFrom) >= voters-Majority(voters)+1 && v.NeedsSnapshots(now) {
+		v.abstainUntil = now
+	}
+}
--- a/internal/fleet/partition/partition.go
+++ b/internal/fleet/partition/partition.go
@@ -1,10 +1,10 @@
-// Package partition decides how many instances of a fleet there are for the sharing of endpoints and rates, and which of them
-// this one is. It does no I/O and has no clock.
+// Package partition divides the limits of a fleet among its instances: it determines how many instances share them, and which
+// of them this one is. It does no I/O and reads no clock. A Tracker belongs to one host, which serialises all calls.
 //
-// In doubt there are more: what an instance takes for its own part must not grow while another one may still take its
-// part too. So one that joins counts at once, one that leaves in so many words counts no more at once, and one that is
-// lost counts on for a time, and after that for as long as this instance does not see most of those that count: it may
-// be the one that was cut off.
+// In doubt the number is higher: what an instance uses must not grow while another one may still use its part too. An
+// instance that joins counts at once, and one that announces its departure is dropped at once. One that is lost counts for
+// some time, and after that for as long as this instance does not reach most of those that count: it may itself be the one
+// that was cut off.
 package partition
 
 import (
@@ -12,19 +12,19 @@
 	"time"
 )
 
-// State is what is known of a member.
+// State is what is known of an instance.
 type State uint8
 
 // The states.
 const (
 	Alive State = iota
-	Dead        // lost without a word
+	Dead        // lost without an announcement
 	Left
 )
 
 func (s State) String() string { return [...]string{"alive", "dead", "left"}[s] }
 
-// Tracker follows the members of a fleet. It is not safe for concurrent use.
+// Tracker tracks the instances of a fleet. It is not safe for concurrent use.
 type Tracker struct {
 	self       string
 	hold       time.Duration
@@ -38,13 +38,13 @@
 	lostAt time.Time
 }
 
-// New returns a tracker for an instance that is alone. A lost member counts on for hold at the least; of members that were
-// lost at most so many are remembered.
-func New(me string, hold time.Duration, most int) *Tracker {
-	return &Tracker{self: me, hold: hold, maxMembers: most, members: map[string]*member{me: {}}}
+// New returns a Tracker of an instance that is alone. A lost instance counts for at least hold. At most maxMembers instances are
+// remembered.
+func New(self string, hold time.Duration, maxMembers int) *Tracker {
+	return &Tracker{self: self, hold: hold, maxMembers: maxMembers, members: map[string]*member{self: {}}}
 }
 
-// Update takes what is known of a member now.
+// Update sets what is known of an instance now.
 func (t *Tracker) Update(now time.Time, name string, s State) {
 	if name == t.self {
 		return
@@ -60,33 +60,43 @@
 	}
 }
 
-// Partition returns how many instances count now, and this one's place among them, from 0. Next is when that can change by
-// time alone; zero: never.
-func (t *Tracker) Partition(now time.Time) (n, place int, next time.Time) {
+// Partition returns how many instances count now, and the index of this one among them, from 0. It can change at next by time
+// alone; zero means that it cannot.
+func (t *Tracker) Partition(now time.Time) (instances, index int, next time.Time) {
+	if t.reachesMajority() {
+		next = t.expire(now)
+	}
+	names := make([]string, 0, len(t.members))
+	for name := range t.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	index, _ = slices.BinarySearch(names, t.self)
+	return len(names), index, next
+}
+
+func (t *Tracker) reachesMajority() bool {
 	alive := 0
 	for _, m := range t.members {
 		if m.state == Alive {
 			alive++
 		}
 	}
-	if 2*alive > len(t.members) {
-		for name, m := range t.members {
-			if m.state == Alive {
-				continue
-			}
-			over := m.lostAt.Add(t.hold)
-			if !now.Before(over) {
-				delete(t.members, name)
-			} else if next.IsZero() || over.Before(next) {
-				next = over
-			}
+	return 2*alive > len(t.members)
+}
+
+// expire drops the lost instances whose hold is over, and returns when the next one is.
+func (t *Tracker) expire(now time.Time) (next time.Time) {
+	for name, m := range t.members {
+		if m.state == Alive {
+			continue
+		}
+		expires := m.lostAt.Add(t.hold)
+		if !now.Before(expires) {
+			delete(t.members, name)
+		} else if next.IsZero() || expires.Before(next) {
+			next = expires
 		}
 	}
-	names := make([]string, 0, len(t.members))
-	for name := range t.members {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	place, _ = slices.BinarySearch(names, t.self)
-	return len(names), place, next
+	return next
 }
--- /dev/null
+++ b/internal/fleet/version/order.go
@@ -0,0 +1,86 @@
+package version
+
+import "slices"
+
+// Order is how one entry compares with another one of the same kind and name.
+type Order uint8
+
+// The orders.
+const (
+	Unknown Order = iota // neither is known to have replaced the other
+	Same
+	Older
+	Newer
+	Forked // both replaced the same version
+)
+
+func (o Order) String() string { return [...]string{"unknown", "same", "older", "newer", "forked"}[o] }
+
+func (o Order) reversed() Order {
+	switch o {
+	case Older:
+		return Newer
+	case Newer:
+		return Older
+	}
+	return o
+}
+
+// Compare returns how a compares with b.
+func Compare(a, b Entry) Order {
+	switch {
+	case a.Kind != b.Kind || a.Name != b.Name:
+		return Unknown
+	case a.Hash == b.Hash:
+		return Same
+	case a.Number == 0 || b.Number == 0:
+		return compareAncestry(a, b)
+	case a.Number == b.Number:
+		return Forked
+	case a.Number > b.Number:
+		return compareNumbered(b, a).reversed()
+	}
+	return compareNumbered(a, b)
+}
+
+// compareNumbered compares two entries of which a has the lower number.
+func compareNumbered(a, b Entry) Order {
+	for _, p := range b.Ancestors {
+		switch {
+		case p.Hash == a.Hash:
+			return Older
+		case p.Number == a.Number:
+			return Forked // b replaced another version of that number
+		}
+	}
+	// Where both know what came before a, it has to be the same.
+	for _, p := range b.Ancestors {
+		for _, q := range a.Ancestors {
+			if p.Number == q.Number && p.Number > 0 && p.Hash != q.Hash {
+				return Forked
+			}
+		}
+	}
+	return Older
+}
+
+// compareAncestry compares two entries without numbers, by which one has replaced the other. If each has replaced the other,
+// the order is unknown.
+func compareAncestry(a, b Entry) Order {
+	aIsOlder, bIsOlder := b.hasAncestor(a.Hash), a.hasAncestor(b.Hash)
+	switch {
+	case aIsOlder && !bIsOlder:
+		return Older
+	case bIsOlder && !aIsOlder:
+		return Newer
+	}
+	return Unknown
+}
+
+// Steps returns how many versions a is behind b, which is newer. It is at least 1.
+func Steps(a, b Entry) int {
+	if a.Number > 0 && b.Number > a.Number {
+		return int(b.Number - a.Number)
+	}
+	return 1 + max(0, slices.IndexFunc(b.Ancestors, func(p Ancestor) bool { return p.Hash == a.Hash }))
+}
--- a/internal/fleet/versionlag/versionlag.go
+++ b/internal/fleet/versionlag/versionlag.go
@@ -1,9 +1,9 @@
-// Package versionlag tells who of a fleet acts on what the others have left behind, for how long, and what is to be thought
-// of it. It has no I/O and no clock.
+// Package versionlag determines which members of a fleet apply versions that the others have replaced, and for how long. It
+// does no I/O and reads no clock. A Detector belongs to one host, which serialises all calls.
 //
-// It never goes by a vote alone. What is newest follows from the versions themselves; where most have not taken it up after
-// the time that taking up may last, it is the newest that is odd, and nobody is called a straggler for it. Two that went
-// different ways from the same version are a fork: neither is newer, whatever their numbers of followers.
+// It never decides by majority alone. Which version is the newest follows from the versions themselves. Where most members
+// have not adopted the newest one in time, it is the newest that is flagged, and nobody counts as lagging. Two versions that
+// replaced the same one are forked: neither is newer, whatever the number of members that apply it.
 package versionlag
 
 import (
@@ -15,18 +15,18 @@
 	"silvertrail/internal/fleet/version"
 )
 
-// State is how a member stands in one thing, or in all: then it is the worst of them.
+// State is the state of a member in one entry, or in all: then it is the worst one.
 type State uint8
 
 // The states, the worst last.
 const (
-	Current   State = iota
-	Updating        // behind, for no longer than taking up may last
-	Ahead           // it has the newest, and most have not taken it up in time: the newest is odd
-	Divergent       // it has another one, and nothing tells which of them is newer
-	Lagging
-	NotReporting // nothing has been heard of what it acts on, or not lately
-	Forked
+	Current      State = iota
+	Updating           // lagging, for no longer than a rollout may last
+	Ahead              // it has the newest version, which most have not adopted in time
+	Divergent          // it has another version, and nothing tells which one is newer
+	Lagging            // it has an older version
+	NotReporting       // it has reported no versions, or not lately
+	Forked             // it has a version that replaced the same one as another member's
 )
 
 var stateNames = [...]string{"in step", "taking up", "ahead", "differs", "behind", "silent", "forked"}
@@ -40,225 +40,105 @@
 func (s *State) UnmarshalText(text []byte) error {
 	i := slices.Index(stateNames[:], string(text))
 	if i < 0 {
-		return fmt.Errorf("straggler: no state %q", text)
+		return fmt.Errorf("versionlag: no state %q", text)
 	}
 	*s = State(i)
 	return nil
 }
 
-// Limits are the bounds by which is judged.
+// Limits are the time limits of a Detector.
 type Limits struct {
-	RolloutTimeout time.Duration // how long taking up a version may last
-	MaxAge         time.Duration // how old a member's word may be
+	RolloutTimeout time.Duration // how long a member may take to adopt a version
+	MaxAge         time.Duration // of a member's report
 }
 
 // Member is what is known of a member of the view.
 type Member struct {
 	Name       string
-	Vector     version.Vector // nil: it has said nothing
-	VectorHash version.Hash   // of it
-	Age        time.Duration  // since it said by itself that this stands
+	Vector     version.Vector // nil: it has reported nothing
+	VectorHash version.Hash
+	Age        time.Duration // since the member confirmed the vector
 }
 
-// Finding is a thing in which a member is not in step.
+// Finding is an entry in which a member is not current.
 type Finding struct {
 	Kind           version.Kind  `json:"kind"`
 	Name           string        `json:"name,omitempty"`
 	State          State         `json:"state"`
 	Has            version.Entry `json:"has"`
 	Expected       version.Entry `json:"want"`
-	VersionsBehind int           `json:"behind,omitempty"` // versions
-	Duration       time.Duration `json:"for"`              // that it is so, up to its last word
+	VersionsBehind int           `json:"behind,omitempty"`
+	Duration       time.Duration `json:"for"` // up to the member's last report
 }
 
-// Status is how a member stands.
+// Status is the state of a member.
 type Status struct {
 	Member     string         `json:"member"`
 	State      State          `json:"state"`
-	Age        time.Duration  `json:"age"` // of what is known
+	Age        time.Duration  `json:"age"` // of its report
 	VectorHash version.Hash   `json:"digest"`
 	Vector     version.Vector `json:"vector,omitempty"`
 	Findings   []Finding      `json:"findings,omitempty"`
 }
 
-// entryKey is one kind and name.
+// entryKey identifies an entry of a vector.
 type entryKey struct {
 	kind version.Kind
 	name string
 }
 
-// lagKey is one member's being behind the same version with the same one.
+// lagKey identifies a member that applies one version where another is expected.
 type lagKey struct {
 	member string
 	entryKey
 	has, expected version.Hash
 }
 
-// Detector remembers since when each is as it is.
+// newestKey identifies the newest version of an entry.
+type newestKey struct {
+	entryKey
+	hash version.Hash
+}
+
+// Detector remembers since when each member is in its state. It is not safe for concurrent use.
 type Detector struct {
 	limits      Limits
 	since       map[lagKey]time.Duration
-	newestSince map[[2]any]time.Duration // when a thing's hash was seen as the newest first
-}
-
-// New returns a watch that has seen nothing.
-func New(l Limits) *Detector {
-	return &Detector{limits: l, since: map[lagKey]time.Duration{}, newestSince: map[[2]any]time.Duration{}}
-}
-
-// SetLimits changes the bounds.
-func (w *Detector) SetLimits(l Limits) { w.limits = l }
-
-// Evaluate judges all members, in the order in which they are told.
-func (w *Detector) Evaluate(now time.Duration, members []Member) []Status {
-	out := make([]Status, len(members))
-	has := map[entryKey][]int{} // who has one at all
-	for i, m := range members {
-		out[i] = Status{Member: m.Name, Age: m.Age, VectorHash: m.VectorHash, Vector: m.Vector}
-		if m.Vector == nil || m.Age > w.limits.MaxAge {
-			out[i].State = NotReporting
-			if m.Vector == nil {
-				continue
-			}
-		}
-		for _, e := range m.Vector {
-			if e.Kind.IsShared() {
-				t := entryKey{e.Kind, e.Name}
-				has[t] = append(has[t], i)
-			}
-		}
-	}
-	since, first := map[lagKey]time.Duration{}, map[[2]any]time.Duration{}
-	for t, of := range has {
-		d := versionSet{}
-		hashes := make([]version.Hash, len(of))
-		for j, i := range of {
-			e, _ := members[i].Vector.Find(t.kind, t.name)
-			hashes[j] = e.Hash
-			d.add(e)
-		}
-		tops := d.newest()
-		for j, i := range of {
-			f, ok := d.classify(t, hashes[j], tops)
-			if !ok {
-				continue
-			}
-			id := lagKey{members[i].Name, t, f.Has.Hash, f.Expected.Hash}
-			at, seen := w.since[id]
-			if !seen {
-				at = now
-			}
-			since[id] = at
-			f.Duration = max(now-members[i].Age-at, 0) // by its own word: what it does since then is not known
-			if f.State == Lagging && f.Duration <= w.limits.RolloutTimeout || f.State == Divergent && f.Duration <= w.limits.RolloutTimeout {
-				f.State = Updating
-			}
-			out[i].Findings = append(out[i].Findings, f)
-		}
-		w.flagUnadoptedNewest(now, t, of, hashes, tops, members, out, first)
-	}
-	w.since, w.newestSince = since, first
-	for i := range out {
-		slices.SortFunc(out[i].Findings, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
-		for _, f := range out[i].Findings {
-			out[i].State = max(out[i].State, f.State)
-		}
-	}
-	return out
+	newestSince map[newestKey]time.Duration
 }
 
-// versionSet are the versions of one thing that are in force anywhere, and how many act on each. Of several entries of one hash
-// the one that knows most of what came before stands for all.
-type versionSet map[version.Hash]*versionCount
-
-type versionCount struct {
-	version.Entry
-	members int
-}
-
-func (d versionSet) add(e version.Entry) {
-	s := d[e.Hash]
-	if s == nil {
-		s = &versionCount{Entry: e}
-		d[e.Hash] = s
-	} else if len(e.Ancestors) > len(s.Ancestors) || e.Number > s.Number {
-		s.Entry = e
-	}
-	s.members++
+// New returns a Detector that has seen nothing.
+func New(limits Limits) *Detector {
+	return &Detector{limits: limits, since: map[lagKey]time.Duration{}, newestSince: map[newestKey]time.Duration{}}
 }
 
-// newest returns those that nobody's is newer than: one, or several that are forked or of which nothing is known.
-func (d versionSet) newest() (tops []*versionCount) {
-	for _, e := range d {
-		older := false
-		for _, o := range d {
-			older = older || version.Compare(e.Entry, o.Entry) == version.Older
-		}
-		if !older {
-			tops = append(tops, e)
-		}
+// SetLimits changes the time limits.
+func (d *Detector) SetLimits(limits Limits) { d.limits = limits }
+
+// Evaluate returns the status of each member, in the order of the members.
+func (d *Detector) Evaluate(now time.Duration, members []Member) []Status {
+	e := evaluation{
+		Detector:    d,
+		now:         now,
+		members:     members,
+		statuses:    make([]Status, len(members)),
+		since:       map[lagKey]time.Duration{},
+		newestSince: map[newestKey]time.Duration{},
 	}
-	slices.SortFunc(tops, func(a, b *versionCount) int { return slices.Compare(a.Hash[:], b.Hash[:]) })
-	return tops
-}
-
-// classify says how one version stands to the newest ones. ok is false where it is in step.
-func (d versionSet) classify(t entryKey, h version.Hash, tops []*versionCount) (f Finding, ok bool) {
-	e := d[h]
-	f = Finding{Kind: t.kind, Name: t.name, Has: e.Entry}
-	if len(tops) == 1 && tops[0] == e {
-		return f, false
+	for key, holders := range e.holders() {
+		e.evaluateEntry(key, holders)
 	}
-	most := 0 // of several of which nothing is known the one that most have is told as the other
-	for _, o := range tops {
-		switch version.Compare(e.Entry, o.Entry) {
-		case version.Forked:
-			if f.State < Forked {
-				f.State, f.Expected = Forked, o.Entry
-			}
-		case version.Older:
-			if f.State < Lagging {
-				f.State, f.Expected, f.VersionsBehind = Lagging, o.Entry, version.Steps(e.Entry, o.Entry)
-			}
-		case version.Unknown:
-			if f.State < Divergent || f.State == Divergent && o.members > most {
-				f.State, f.Expected, most = Divergent, o.Entry, o.members
-			}
-		}
+	d.since, d.newestSince = e.since, e.newestSince
+	for i := range e.statuses {
+		e.statuses[i].summarize()
 	}
-	if f.State == Divergent && e.members > most {
-		return f, false // it is the others that differ
-	}
-	return f, f.State != Current
+	return e.statuses
 }
 
-// flagUnadoptedNewest turns the judgement where most are behind a newest one for longer than taking it up may last.
-func (w *Detector) flagUnadoptedNewest(now time.Duration, t entryKey, of []int, hashes []version.Hash, tops []*versionCount, members []Member, out []Status, first map[[2]any]time.Duration) {
-	if len(tops) != 1 || !t.kind.IsUrgent() {
-		return
-	}
-	id := [2]any{t, tops[0].Hash}
-	at, seen := w.newestSince[id]
-	if !seen {
-		at = now
-	}
-	first[id] = at
-	stale := 0 // who said after that time that they have another one
-	for j, i := range of {
-		if hashes[j] != tops[0].Hash && now-members[i].Age > at+w.limits.RolloutTimeout {
-			stale++
-		}
-	}
-	if 2*stale < len(of) {
-		return
-	}
-	for j, i := range of {
-		if hashes[j] == tops[0].Hash {
-			out[i].Findings = append(out[i].Findings, Finding{Kind: t.kind, Name: t.name, State: Ahead, Has: tops[0].Entry, Expected: tops[0].Entry, Duration: now - at})
-			continue
-		}
-		out[i].Findings = slices.DeleteFunc(out[i].Findings, func(f Finding) bool {
-			return f.Kind == t.kind && f.Name == t.name && f.State <= Lagging
-		})
+// summarize sorts the findings, and sets the state to the worst of them.
+func (s *Status) summarize() {
+	slices.SortFunc(s.Findings, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
+	for _, f := range s.Findings {
+		s.State = max(s.State, f.State)
 	}
 }
