--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -330,7 +330,7 @@
 		lost = time.Since(began).Round(100 * time.Millisecond).String()
 	}
 	over := "not within a minute"
-	if until(time.Minute, func() bool { n, _ := all[0].Quota(); return n == len(all)-1 }) {
+	if until(time.Minute, func() bool { return all[0].Quota().Instances == len(all)-1 }) {
 		over = time.Since(began).Round(100 * time.Millisecond).String()
 	}
 	fmt.Printf("%d members, views %v: met in %v, %.0f KB each, %.0f bytes and %.1f packets a second each, one lost is known everywhere after %s, taken over after %s\n", n, views,
--- a/cmd/silvertrail/viewed_test.go
+++ b/cmd/silvertrail/viewed_test.go
@@ -210,9 +210,9 @@
 }
 
 var (
-	viewLine = regexp.MustCompile(`^time=(\S+) .*msg=view .*number=(\d+) lineage=(\d+) hash=(\d+) members="?([^"\n]*)"?`)
-	safeLine = regexp.MustCompile(`^time=(\S+) .*msg=shares .*safe=(true|false)`)
-	outLine  = regexp.MustCompile(`^time=(\S+) .*msg="in no view"`)
+	viewLine = regexp.MustCompile(`^time=(\S+) .*msg="view installed" .*number=(\d+) lineage=(\d+) hash=(\d+) members="?([^"\n]*)"?`)
+	safeLine = regexp.MustCompile(`^time=(\S+) .*msg="minimal quota changed" .*safe=(true|false)`)
+	outLine  = regexp.MustCompile(`^time=(\S+) .*msg="removed from the view"`)
 )
 
 // words reads what the processes' own logs say, by process and in order.
--- a/internal/fleet/appliedversions.go
+++ b/internal/fleet/appliedversions.go
@@ -16,17 +16,17 @@
 	"silvertrail/internal/fleet/versionlag"
 )
 
-// appliedVersions is the host of packages version, exchange and straggler: what this instance acts on, what the others say that they
-// do, and who is behind.
+// appliedVersions is the host of packages version, gossip and versionlag: it holds the versions that this instance applies,
+// those that the others report, and who is lagging.
 type appliedVersions struct {
 	fleet *Fleet
 
-	mu          sync.Mutex
+	mu          sync.Mutex // guards the fields below
 	core        *gossip.Core
 	lag         *versionlag.Detector
-	vector      version.Vector              // as said last, or to be said next
-	announcedAt time.Time                   // it was said
-	reported    bool                        // the gateway has told what it acts on
+	vector      version.Vector // as announced last, or to be announced next
+	announcedAt time.Time
+	reported    bool                        // the gateway has reported what it applies
 	unnumbered  bool                        // the configuration has no number yet
 	addresses   map[string]string           // of the members of the view
 	states      map[string]versionlag.State // as logged last
@@ -34,266 +34,331 @@
 }
 
 const (
-	// settleDelay is how long what changes is gathered before it is said: a reload changes several things, and lists change often.
+	// settleDelay is how long changes are combined before they are announced: a reload changes several things, and lists change
+	// often.
 	settleDelay = 200 * time.Millisecond
-	// maxReportAge and silentEach are how old a member's word may be: heads come round in turn.
+	// maxReportAge and maxReportAgePerMember bound the age of a current report: digests are exchanged in turn.
 	maxReportAge          = 10 * time.Second
 	maxReportAgePerMember = 100 * time.Millisecond
+	// evaluationTicks is how many ticks lie between two evaluations of all members.
+	evaluationTicks = 4
+	// maxDescriptionBytes bounds the descriptions in a vector.
+	maxDescriptionBytes = 200
+	// keyFingerprintBytes is how much of a key's fingerprint goes into the version of the keyring.
+	keyFingerprintBytes = 8
+	// keyFingerprintLabel is the message whose HMAC identifies a key.
+	keyFingerprintLabel = "silvertrail: which key"
 )
 
 func newAppliedVersions(f *Fleet) *appliedVersions {
-	a := &appliedVersions{fleet: f, core: gossip.New(f.options.Name, f.process, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), addresses: map[string]string{},
-		lag: versionlag.New(versionlag.Limits{RolloutTimeout: f.options.RolloutTimeout, MaxAge: maxReportAge}), states: map[string]versionlag.State{}, stateSince: map[string]time.Time{}}
-	build := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		build = info.GoVersion + " " + info.Main.Version
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" || s.Key == "vcs.modified" || s.Key == "-tags" {
-				build += " " + s.Value
-			}
-		}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	a := &appliedVersions{
+		fleet:      f,
+		core:       gossip.New(f.options.Name, f.process, random),
+		lag:        versionlag.New(versionlag.Limits{RolloutTimeout: f.options.RolloutTimeout, MaxAge: maxReportAge}),
+		addresses:  map[string]string{},
+		states:     map[string]versionlag.State{},
+		stateSince: map[string]time.Time{},
 	}
+	build := buildDescription()
 	a.vector = a.vector.With(version.Entry{Kind: version.Build, Hash: version.HashOf([]byte(build)), Description: strings.TrimSpace(build)})
 	a.setOwn(f.options)
 	return a
 }
 
-// setOwn notes the voters and the keyring of this instance. Of a key it tells what only one who has it could know, and nothing
-// of the key.
+// buildDescription identifies the program.
+func buildDescription() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	description := info.GoVersion + " " + info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" || s.Key == "-tags" {
+			description += " " + s.Value
+		}
+	}
+	return description
+}
+
+// setOwn sets the entries of this instance's voters and keyring. A key is identified by a fingerprint, which tells nothing about
+// the key.
 func (a *appliedVersions) setOwn(o Options) {
-	var ring []byte
-	for _, k := range o.Keyring {
-		m := hmac.New(sha256.New, k)
-		m.Write([]byte("silvertrail: which key"))
-		ring = append(ring, m.Sum(nil)[:8]...)
+	var fingerprints []byte
+	for _, key := range o.Keyring {
+		mac := hmac.New(sha256.New, key)
+		mac.Write([]byte(keyFingerprintLabel))
+		fingerprints = append(fingerprints, mac.Sum(nil)[:keyFingerprintBytes]...)
 	}
+	voters := version.HashOf([]byte(strings.Join(o.Voters, "\n")))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.setEntry(version.Entry{Kind: version.Voters, Hash: version.HashOf([]byte(strings.Join(o.Voters, "\n"))), Description: clip(strings.Join(o.Voters, " "))})
-	a.setEntry(version.Entry{Kind: version.Keyring, Hash: version.HashOf(ring)})
+	a.setEntry(version.Entry{Kind: version.Voters, Hash: voters, Description: clip(strings.Join(o.Voters, " "))})
+	a.setEntry(version.Entry{Kind: version.Keyring, Hash: version.HashOf(fingerprints)})
 }
 
-func clip(s string) string { return s[:min(len(s), 200)] }
+func clip(s string) string { return s[:min(len(s), maxDescriptionBytes)] }
 
-// setEntry changes one entry of the vector, keeping what it replaces. The caller holds the lock.
+// setEntry changes one entry of the vector, which remembers the version that it replaces. The caller holds the lock.
 func (a *appliedVersions) setEntry(e version.Entry) {
-	if was, ok := a.vector.Find(e.Kind, e.Name); ok {
-		if was.Hash == e.Hash {
+	if current, ok := a.vector.Find(e.Kind, e.Name); ok {
+		if current.Hash == e.Hash {
 			return
 		}
-		e = was.Successor(e.Hash, e.Description)
+		e = current.Successor(e.Hash, e.Description)
 	}
 	a.vector = a.vector.With(e)
 }
 
-// updateEntries takes what this instance acts on beside what the fleet knows itself. The configuration gets its number here. The caller
-// holds the lock.
+// updateEntries sets the entries of what this instance applies, except those that the fleet knows itself. The caller holds the
+// lock.
 func (a *appliedVersions) updateEntries(entries []version.Entry) {
 	if len(entries) == 0 {
 		return
 	}
 	a.reported = true
 	for _, e := range entries {
-		if e.Kind != version.Configuration {
-			a.setEntry(e)
-			continue
-		}
-		was, ok := a.vector.Find(e.Kind, e.Name)
-		if ok && was.Hash == e.Hash {
-			continue
-		}
-		if ok && !a.unnumbered {
-			e = version.AssignNumber(e.Kind, e.Name, e.Hash, e.Description, a.core.Entries(e.Kind, e.Name))
+		if e.Kind == version.Configuration {
+			a.setConfiguration(e)
 		} else {
-			a.unnumbered = true // until enough others have been heard: it may have a number already
+			a.setEntry(e)
 		}
-		a.vector = a.vector.With(e)
 	}
-	type thing struct {
+	a.dropTransient(entries)
+}
+
+// setConfiguration sets the entry of the configuration. It gets a number at once, unless this process has not received the
+// entries of enough others yet: the configuration may have a number already.
+func (a *appliedVersions) setConfiguration(e version.Entry) {
+	current, ok := a.vector.Find(e.Kind, e.Name)
+	if ok && current.Hash == e.Hash {
+		return
+	}
+	if ok && !a.unnumbered {
+		e = version.AssignNumber(e.Kind, e.Name, e.Hash, e.Description, a.core.Entries(e.Kind, e.Name))
+	} else {
+		a.unnumbered = true
+	}
+	a.vector = a.vector.With(e)
+}
+
+// dropTransient removes the transient entries that are not among the current ones.
+func (a *appliedVersions) dropTransient(current []version.Entry) {
+	type entryKey struct {
 		kind version.Kind
 		name string
 	}
-	listed := map[thing]bool{}
-	for _, e := range entries {
-		listed[thing{e.Kind, e.Name}] = true
+	isCurrent := map[entryKey]bool{}
+	for _, e := range current {
+		isCurrent[entryKey{e.Kind, e.Name}] = true
 	}
 	for _, e := range a.vector {
-		if e.Kind.IsTransient() && !listed[thing{e.Kind, e.Name}] {
+		if e.Kind.IsTransient() && !isCurrent[entryKey{e.Kind, e.Name}] {
 			a.vector = a.vector.Without(e.Kind, e.Name)
 		}
 	}
 }
 
-// run lets time pass.
+// run advances the clock of the core until the instance ends.
 func (a *appliedVersions) run() {
-	every := time.NewTicker(gossip.TickInterval)
-	defer every.Stop()
+	ticker := time.NewTicker(gossip.TickInterval)
+	defer ticker.Stop()
 	for ticks := 0; ; ticks++ {
 		select {
-		case <-every.C:
+		case <-ticker.C:
 		case <-a.fleet.closed:
 			return
 		}
 		a.updateMembers()
-		var acting []version.Entry
-		if a.fleet.options.AppliedVersions != nil {
-			acting = a.fleet.options.AppliedVersions()
-		}
-		a.mu.Lock()
-		a.updateEntries(acting)
-		a.assignNumber()
-		if now := time.Now(); a.reported && now.Sub(a.announcedAt) >= settleDelay {
-			if before := a.core.Self(); before.Seq == 0 || a.vector.Digest() != before.VectorHash {
-				a.core.Announce(a.fleet.membership.now(), a.vector, now)
-				a.announcedAt = now
-				a.logChanges(before.Vector)
-			}
-		}
-		a.core.Tick(a.fleet.membership.now())
-		out := a.core.Ready()
-		if ticks%4 == 0 {
-			a.evaluate()
-		}
-		a.mu.Unlock()
-		a.send(out)
+		a.send(a.tick(ticks))
 	}
 }
 
-// updateMembers takes who is in from the view in force.
-func (a *appliedVersions) updateMembers() {
-	v := a.fleet.membership
-	v.mu.Lock()
-	var view *membership.View
-	if v.core.View() != nil && v.core.HasQuorum() {
-		view = v.core.View()
+// tick updates what this instance applies, and returns the messages to send.
+func (a *appliedVersions) tick(ticks int) []gossip.Envelope {
+	var applied []version.Entry
+	if a.fleet.options.AppliedVersions != nil {
+		applied = a.fleet.options.AppliedVersions()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.updateEntries(applied)
+	a.assignNumber()
+	a.announce(time.Now())
+	a.core.Tick(a.fleet.membership.now())
+	outgoing := a.core.Ready()
+	if ticks%evaluationTicks == 0 {
+		a.evaluate()
+	}
+	return outgoing
+}
+
+// announce announces the vector where it has changed. The caller holds the lock.
+func (a *appliedVersions) announce(now time.Time) {
+	if !a.reported || now.Sub(a.announcedAt) < settleDelay {
+		return
 	}
-	v.mu.Unlock()
+	before := a.core.Self()
+	if before.Seq > 0 && a.vector.Digest() == before.VectorHash {
+		return
+	}
+	a.core.Announce(a.fleet.membership.now(), a.vector, now)
+	a.announcedAt = now
+	a.logChanges(before.Vector)
+}
+
+// updateMembers sets the members from the view in force. Without a quorum they stay as they are: there is nobody to ask who
+// would know better.
+func (a *appliedVersions) updateMembers() {
+	view := a.fleet.membership.confirmedView()
 	if view == nil {
-		return // as before: there is nobody to ask who would know better
+		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	clear(a.addresses)
-	var names []string
 	for _, m := range view.Members {
 		a.addresses[m.Name] = m.Address
-		names = append(names, m.Name)
 	}
-	a.core.SetMembers(names)
+	a.core.SetMembers(memberNames(view))
+}
+
+// confirmedView returns the view in force if a majority has been reachable lately, else nil.
+func (h *membershipHost) confirmedView() *membership.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.core.HasQuorum() {
+		return nil
+	}
+	return h.core.View()
 }
 
-// assignNumber gives the configuration that this process began with its place, once a majority of the view has been heard. The
-// caller holds the lock.
+// assignNumber gives the configuration that this process started with its number, once the states of a majority of the view
+// are known. The caller holds the lock.
 func (a *appliedVersions) assignNumber() {
 	if !a.unnumbered || !a.reported || len(a.addresses) == 0 {
 		return
 	}
-	heard := 1
+	known := 1
 	for name := range a.addresses {
 		if _, ok := a.core.Peer(name); ok && name != a.fleet.options.Name {
-			heard++
+			known++
 		}
 	}
 	e, ok := a.vector.Find(version.Configuration, "")
-	if !ok || 2*heard <= len(a.addresses) {
+	if !ok || 2*known <= len(a.addresses) {
 		return
 	}
 	a.unnumbered = false
 	a.vector = a.vector.With(version.AssignNumber(e.Kind, e.Name, e.Hash, e.Description, a.core.Entries(e.Kind, e.Name)))
 }
 
-// logChanges tells what this instance acts on from now on, where it is something else than before. The caller holds the lock.
+// logChanges logs the versions that this instance applies from now on. The caller holds the lock.
 func (a *appliedVersions) logChanges(before version.Vector) {
+	log := a.fleet.log
 	digest := a.core.Self().VectorHash.String()
 	for _, e := range a.vector {
-		was, ok := before.Find(e.Kind, e.Name)
-		if !ok || was.Hash != e.Hash || was.Number != e.Number {
-			a.fleet.log.Info("acts on", "kind", e.Kind.String(), "name", e.Name, "is", e.Hash.String(), "number", e.Number, "was", was.Hash.String(), "vector", digest)
+		previous, ok := before.Find(e.Kind, e.Name)
+		if !ok || previous.Hash != e.Hash || previous.Number != e.Number {
+			log.Info("version applied", "kind", e.Kind.String(), "name", e.Name, "is", e.Hash.String(), "number", e.Number, "was", previous.Hash.String(), "vector", digest)
 		}
 	}
 	for _, e := range before {
 		if _, ok := a.vector.Find(e.Kind, e.Name); !ok {
-			a.fleet.log.Info("acts no more on", "kind", e.Kind.String(), "name", e.Name, "was", e.Hash.String(), "vector", digest)
+			log.Info("version no longer applied", "kind", e.Kind.String(), "name", e.Name, "was", e.Hash.String(), "vector", digest)
 		}
 	}
 }
 
+// receive handles a message of another member.
 func (a *appliedVersions) receive(from string, m *gossip.Message) {
 	a.mu.Lock()
 	a.core.Receive(a.fleet.membership.now(), from, m)
-	out := a.core.Ready()
+	outgoing := a.core.Ready()
 	a.mu.Unlock()
-	a.send(out)
+	a.send(outgoing)
 }
 
-func (a *appliedVersions) send(out []gossip.Envelope) {
-	for _, s := range out {
+func (a *appliedVersions) send(outgoing []gossip.Envelope) {
+	for _, envelope := range outgoing {
 		a.mu.Lock()
-		at, ok := a.addresses[s.To]
+		address, ok := a.addresses[envelope.To]
 		a.mu.Unlock()
 		if ok {
-			a.fleet.membership.sendItem(s.To, at, item{Gossip: s.Message})
+			a.fleet.membership.sendItem(envelope.To, address, item{Gossip: envelope.Message})
 		}
 	}
 }
 
-// evaluate judges all members, and logs whose standing has changed. The caller holds the lock.
+// evaluate returns the status of all members, and logs those whose state has changed. The caller holds the lock.
 func (a *appliedVersions) evaluate() []versionlag.Status {
 	names := make([]string, 0, len(a.addresses))
-	for n := range a.addresses {
-		names = append(names, n)
+	for name := range a.addresses {
+		names = append(names, name)
 	}
 	slices.Sort(names)
 	now := a.fleet.membership.now()
-	a.lag.SetLimits(versionlag.Limits{RolloutTimeout: a.fleet.options.RolloutTimeout, MaxAge: maxReportAge + time.Duration(len(names))*maxReportAgePerMember})
+	a.lag.SetLimits(versionlag.Limits{
+		RolloutTimeout: a.fleet.options.RolloutTimeout,
+		MaxAge:         maxReportAge + time.Duration(len(names))*maxReportAgePerMember,
+	})
 	members := make([]versionlag.Member, 0, len(names))
-	for _, n := range names {
-		m := versionlag.Member{Name: n}
-		if k, ok := a.core.Peer(n); ok && k.Seq > 0 {
-			m.Vector, m.VectorHash, m.Age = k.Vector, k.VectorHash, max(now-k.ConfirmedAt, 0)
+	for _, name := range names {
+		m := versionlag.Member{Name: name}
+		if peer, ok := a.core.Peer(name); ok && peer.Seq > 0 {
+			m.Vector, m.VectorHash, m.Age = peer.Vector, peer.VectorHash, max(now-peer.ConfirmedAt, 0)
 		}
 		members = append(members, m)
 	}
-	all := a.lag.Evaluate(now, members)
-	for _, s := range all {
-		if was, known := a.states[s.Member]; was == s.State && known {
+	statuses := a.lag.Evaluate(now, members)
+	a.logStates(statuses)
+	return statuses
+}
+
+// logStates logs the members whose state has changed, and forgets those that are out. The caller holds the lock.
+func (a *appliedVersions) logStates(statuses []versionlag.Status) {
+	for _, s := range statuses {
+		if previous, known := a.states[s.Member]; known && previous == s.State {
 			continue
 		}
 		a.states[s.Member], a.stateSince[s.Member] = s.State, time.Now()
-		why := ""
-		for _, f := range s.Findings {
-			if f.State == s.State {
-				why = f.Kind.String() + " " + f.Name + " has " + f.Has.Hash.String() + " not " + f.Expected.Hash.String()
-				break
-			}
+		a.fleet.log.Info("version state changed", "name", s.Member, "state", s.State.String(), "why", describe(s))
+	}
+	for name := range a.states {
+		if _, present := a.addresses[name]; !present {
+			delete(a.states, name)
+			delete(a.stateSince, name)
 		}
-		a.fleet.log.Info("standing", "name", s.Member, "state", s.State.String(), "why", why)
 	}
-	for n := range a.states {
-		if _, in := a.addresses[n]; !in {
-			delete(a.states, n)
-			delete(a.stateSince, n)
+}
+
+// describe names the first finding that a state comes from.
+func describe(s versionlag.Status) string {
+	for _, f := range s.Findings {
+		if f.State == s.State {
+			return f.Kind.String() + " " + f.Name + " has " + f.Has.Hash.String() + " not " + f.Expected.Hash.String()
 		}
 	}
-	return all
+	return ""
 }
 
-// VersionsView is what an instance knows of what all act on.
+// VersionsView is what an instance knows of the versions that all members apply.
 type VersionsView struct {
 	AllCurrent bool                 `json:"in_step"` // all members of the view
 	Self       string               `json:"me"`
-	VectorHash version.Hash         `json:"digest"` // of what this instance acts on
+	VectorHash version.Hash         `json:"digest"` // of this instance
 	Members    []MemberVersionsView `json:"members"`
 }
 
-// MemberVersionsView is how a member stands, and since when it is known to.
+// MemberVersionsView is the state of a member, and since when it is known.
 type MemberVersionsView struct {
 	versionlag.Status
 	Since     time.Time `json:"since"`
-	AppliedAt time.Time `json:"taken,omitzero"` // its vector, by its own clock
+	AppliedAt time.Time `json:"taken,omitzero"` // of its vector, by its own clock
 }
 
-// Versions tells what all members act on, as far as this instance knows; ok is false where versions are not told.
+// Versions returns the versions that all members apply, as far as this instance knows; ok is false where versions are not
+// exchanged.
 func (f *Fleet) Versions() (v VersionsView, ok bool) {
 	a := f.applied
 	if a == nil {
@@ -304,11 +369,11 @@
 	v = VersionsView{Self: f.options.Name, VectorHash: a.core.Self().VectorHash, AllCurrent: len(a.addresses) > 0}
 	for _, s := range a.evaluate() {
 		v.AllCurrent = v.AllCurrent && s.State == versionlag.Current
-		m := MemberVersionsView{Status: s, Since: a.stateSince[s.Member]}
-		if k, known := a.core.Peer(s.Member); known && k.Seq > 0 {
-			m.AppliedAt = time.UnixMilli(k.AppliedAt)
+		member := MemberVersionsView{Status: s, Since: a.stateSince[s.Member]}
+		if peer, known := a.core.Peer(s.Member); known && peer.Seq > 0 {
+			member.AppliedAt = time.UnixMilli(peer.AppliedAt)
 		}
-		v.Members = append(v.Members, m)
+		v.Members = append(v.Members, member)
 	}
 	return v, true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -92,7 +92,7 @@
 	c.t.Helper()
 	for _, f := range c.all {
 		lbtest.Until(c.t, fmt.Sprintf("%s sees %d", f.options.Name, n), func() bool {
-			got, _ := f.Quota()
+			got := f.Quota().Instances
 			return got == n && f.count("alive") == n
 		})
 	}
@@ -237,13 +237,13 @@
 	c.all[3].Leave(2 * time.Second)
 	for _, f := range c.all[:3] {
 		lbtest.Until(t, "one has left", func() bool {
-			n, place := f.Quota()
-			return n == 3 && f.count("left") == 1 && name(place) == f.options.Name
+			quota := f.Quota()
+			return quota.Instances == 3 && f.count("left") == 1 && name(quota.Index) == f.options.Name
 		})
 	}
 	c.all[2].Close()
 	lbtest.Until(t, "one is lost", func() bool { return c.all[0].count("dead") == 1 })
-	if n, _ := c.all[0].Quota(); n != 3 {
+	if n := c.all[0].Quota().Instances; n != 3 {
 		t.Errorf("%d share while it is not known whether the lost one is there", n)
 	}
 	back := c.start(2, false, c.all[2].options.Voters...)
--- a/internal/fleet/keyownership.go
+++ b/internal/fleet/keyownership.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -13,53 +13,46 @@
 )
 
 const (
-	claimTimeout          = 500 * time.Millisecond // for the voters, at the most; half of the time left where that is less
-	unresponsiveTimeout   = 80 * time.Millisecond  // where most of them have been mute lately
-	proposalRetryInterval = 40 * time.Millisecond  // those that have not answered
-	recoveryInterval      = 500 * time.Millisecond // between two looks at whether copies are wanted
-	snapshotPartTimeout   = 3 * time.Second        // without a further part a copy is taken for broken off
+	claimTimeout          = 500 * time.Millisecond // for the voters, at most; half of the time left where that is less
+	unresponsiveTimeout   = 80 * time.Millisecond  // where most voters have not responded lately
+	proposalRetryInterval = 40 * time.Millisecond  // to voters that have not responded
 )
 
-// keyOwnership is the part of a fleet that binds keys: this instance's voter, if it is one, and the asks that are under way.
+// keyOwnership is the host of package ownership: it holds this instance's voter, and the claims that are in progress.
 type keyOwnership struct {
 	fleet *Fleet
 
-	voterMu   sync.Mutex
-	voter     *ownership.Voter // of every instance: it may become one of the voters by a reload
-	snapshots map[string]*incomingSnapshot
+	voterMu   sync.Mutex                   // guards voter and snapshots
+	voter     *ownership.Voter             // on every instance: a reload may make it one of the voters
+	snapshots map[string]*incomingSnapshot // by voter
 
-	claimsMu   sync.Mutex
+	claimsMu   sync.Mutex // guards the fields below
 	responses  ownership.ResponseTracker
 	claims     map[ownership.AttemptID]*claim
 	lastNumber uint64
 }
 
-// claim is an ask under way.
+// claim is a proposal in progress.
 type claim struct {
 	proposer  *ownership.Proposer
 	voters    []string
-	rounds    int           // of asks
-	responded chan struct{} // holds a token when an answer has come
-}
-
-// incomingSnapshot is a copy that is being received from one voter.
-type incomingSnapshot struct {
-	requestID  uint64
-	received   map[int]bool
-	progressAt time.Time // when it was asked for, or its last part came
-	complete   bool
+	rounds    int           // how often the proposal was sent
+	responded chan struct{} // holds a token when a response has arrived
 }
 
 func (k *keyOwnership) start(f *Fleet, now time.Time) {
-	k.fleet, k.claims, k.snapshots = f, map[ownership.AttemptID]*claim{}, map[string]*incomingSnapshot{}
-	silent := f.options.KeyRetention
-	if f.options.NewFleet {
-		silent = 0
+	k.fleet = f
+	k.claims = map[ownership.AttemptID]*claim{}
+	k.snapshots = map[string]*incomingSnapshot{}
+	o := &f.options
+	abstainFor := o.KeyRetention
+	if o.NewFleet {
+		abstainFor = 0
 	}
-	k.voter = ownership.NewVoter(now, ownership.VoterOptions{MaxKeys: f.options.MaxKeys, AbstainFor: silent, MaxProposalTTL: f.options.MaxDeadline})
+	k.voter = ownership.NewVoter(now, ownership.VoterOptions{MaxKeys: o.MaxKeys, AbstainFor: abstainFor, MaxProposalTTL: o.MaxDeadline})
 }
 
-// NextAttemptID returns a number for a request's asks that no other request of this process has.
+// NextAttemptID returns an ID for the proposals of a request that no other request has.
 func (k *keyOwnership) NextAttemptID() ownership.AttemptID {
 	k.claimsMu.Lock()
 	defer k.claimsMu.Unlock()
@@ -67,252 +60,197 @@
 	return ownership.AttemptID{Process: k.fleet.process, Number: k.lastNumber}
 }
 
-func (f *Fleet) voterNames() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.voters
-}
-
-// ClaimKey has the voters agree that a key's attempts go to a place. It returns when that is certain one way or the other,
-// or when ctx ends or the time for it is over, which is Unknown.
-func (k *keyOwnership) ClaimKey(ctx context.Context, a ownership.Proposal) (ownership.State, history.Past) {
+// ClaimKey has the voters agree that the attempts of a key go to a place. It returns when that is certain one way or the other,
+// or Unknown when ctx ends or the time for it is over.
+func (k *keyOwnership) ClaimKey(ctx context.Context, p ownership.Proposal) (ownership.State, history.Past) {
 	now := time.Now()
 	voters := k.fleet.voterNames()
 	if k.fleet.membership != nil && k.fleet.membership.isMinorityPartition(voters) {
-		return ownership.Unknown, history.Past{} // nobody could agree: it neither waits nor counts as in flight
+		return ownership.Unknown, history.Past{} // no majority can agree: the request does not wait, nor count as in flight
 	}
-	p := &claim{proposer: ownership.NewProposer(now, a, len(voters)), voters: voters, responded: make(chan struct{}, 1)}
-	k.claimsMu.Lock()
-	k.claims[a.Attempt] = p
-	most := k.responses.Timeout(now, voters, min(claimTimeout, a.TTL/2), unresponsiveTimeout)
-	k.claimsMu.Unlock()
-	defer func() {
-		k.claimsMu.Lock()
-		defer k.claimsMu.Unlock()
-		if k.claims[a.Attempt] == p {
-			delete(k.claims, a.Attempt)
-		}
-	}()
-	wait := time.NewTimer(most)
-	defer wait.Stop()
-	again := time.NewTicker(proposalRetryInterval)
-	defer again.Stop()
+	c := &claim{proposer: ownership.NewProposer(now, p, len(voters)), voters: voters, responded: make(chan struct{}, 1)}
+	timeout := k.addClaim(now, p, c)
+	defer k.removeClaim(p.Attempt, c)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	retry := time.NewTicker(proposalRetryInterval)
+	defer retry.Stop()
 	for {
-		k.sendProposal(p)
-		for asked := true; asked; {
-			k.claimsMu.Lock()
-			state, past := p.proposer.State()
-			k.claimsMu.Unlock()
-			if state != ownership.Pending {
-				return state, past
-			}
-			select {
-			case <-p.responded:
-			case <-again.C:
-				asked = false
-			case <-ctx.Done():
-				return ownership.Unknown, history.Past{}
-			case <-wait.C:
-				return ownership.Unknown, history.Past{}
-			case <-k.fleet.closed:
-				return ownership.Unknown, history.Past{}
-			}
+		k.sendProposal(c)
+		state, past := k.awaitResponses(ctx, c, retry.C)
+		if state != ownership.Pending {
+			return state, past
 		}
 	}
 }
 
-// sendProposal puts an ask to the voters that have not answered it.
-func (k *keyOwnership) sendProposal(p *claim) {
-	last := map[string]bool{} // those that are known not to be heard are asked in the second round
-	if k.fleet.membership != nil && p.rounds == 0 {
-		last = k.fleet.membership.unreachableVoters(p.voters)
+// awaitResponses returns the state of a claim once it is final, or Pending when the proposal is due to be sent again.
+func (k *keyOwnership) awaitResponses(ctx context.Context, c *claim, retry <-chan time.Time) (ownership.State, history.Past) {
+	for {
+		if state, past := k.claimState(c); state != ownership.Pending {
+			return state, past
+		}
+		select {
+		case <-c.responded:
+		case <-retry:
+			return ownership.Pending, history.Past{}
+		case <-ctx.Done():
+			return ownership.Unknown, history.Past{}
+		case <-k.fleet.closed:
+			return ownership.Unknown, history.Past{}
+		}
 	}
+}
+
+func (k *keyOwnership) claimState(c *claim) (ownership.State, history.Past) {
+	k.claimsMu.Lock()
+	defer k.claimsMu.Unlock()
+	return c.proposer.State()
+}
+
+// addClaim records a claim, and returns how long it may take.
+func (k *keyOwnership) addClaim(now time.Time, p ownership.Proposal, c *claim) time.Duration {
+	k.claimsMu.Lock()
+	defer k.claimsMu.Unlock()
+	k.claims[p.Attempt] = c
+	return k.responses.Timeout(now, c.voters, min(claimTimeout, p.TTL/2), unresponsiveTimeout)
+}
+
+// removeClaim forgets a claim, unless another one of the attempt has replaced it.
+func (k *keyOwnership) removeClaim(id ownership.AttemptID, c *claim) {
 	k.claimsMu.Lock()
-	p.rounds++
-	a := p.proposer.Proposal()
-	var to []int
-	for i := range p.voters {
-		if p.proposer.IsAwaiting(i) && !last[p.voters[i]] {
-			to = append(to, i)
-			if p.voters[i] != k.fleet.options.Name {
-				k.responses.ProposalSent(time.Now(), p.voters[i])
-			}
+	defer k.claimsMu.Unlock()
+	if k.claims[id] == c {
+		delete(k.claims, id)
+	}
+}
+
+// sendProposal sends a proposal to the voters that have not responded. Voters that are known to be unreachable get it from the
+// second round on.
+func (k *keyOwnership) sendProposal(c *claim) {
+	var deferred map[string]bool
+	if k.fleet.membership != nil && c.rounds == 0 {
+		deferred = k.fleet.membership.unreachableVoters(c.voters)
+	}
+	proposal, recipients := k.nextRound(c, deferred)
+	self := k.fleet.options.Name
+	for _, name := range recipients {
+		if name != self {
+			k.fleet.send(name, item{Proposal: &proposal})
+			continue
+		}
+		if response, ok := k.castVote(proposal); ok {
+			k.handleResponse(self, &response)
 		}
 	}
-	k.claimsMu.Unlock()
-	for _, i := range to {
-		if p.voters[i] != k.fleet.options.Name {
-			k.fleet.send(p.voters[i], item{Proposal: &a})
+}
+
+// nextRound returns the proposal and the voters to send it to, and records that it is sent.
+func (k *keyOwnership) nextRound(c *claim, deferred map[string]bool) (proposal ownership.Proposal, recipients []string) {
+	k.claimsMu.Lock()
+	defer k.claimsMu.Unlock()
+	c.rounds++
+	for i, name := range c.voters {
+		if !c.proposer.IsAwaiting(i) || deferred[name] {
 			continue
 		}
-		if answer, ok := k.castVote(a); ok {
-			k.handleResponse(k.fleet.options.Name, &answer)
+		recipients = append(recipients, name)
+		if name != k.fleet.options.Name {
+			k.responses.ProposalSent(time.Now(), name)
 		}
 	}
+	return c.proposer.Proposal(), recipients
 }
 
-// castVote has this instance's voter answer an ask.
-func (k *keyOwnership) castVote(a ownership.Proposal) (ownership.Response, bool) {
+// castVote has this instance's voter vote on a proposal.
+func (k *keyOwnership) castVote(p ownership.Proposal) (ownership.Response, bool) {
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
-	return k.voter.Vote(time.Now(), a)
+	return k.voter.Vote(time.Now(), p)
 }
 
-// releaseLocally tells this instance's voter of an end.
-func (k *keyOwnership) releaseLocally(e ownership.Release) {
+// releaseLocally tells this instance's voter that a request has ended.
+func (k *keyOwnership) releaseLocally(r ownership.Release) {
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
-	k.voter.Release(time.Now(), e, k.fleet.options.MaxDeadline)
+	k.voter.Release(time.Now(), r, k.fleet.options.MaxDeadline)
 }
 
-func (k *keyOwnership) handleResponse(from string, a *ownership.Response) {
+// handleResponse records a voter's response.
+func (k *keyOwnership) handleResponse(from string, r *ownership.Response) {
 	k.claimsMu.Lock()
 	defer k.claimsMu.Unlock()
 	k.responses.ResponseReceived(from)
-	p := k.claims[a.Attempt]
-	if p == nil {
+	c := k.claims[r.Attempt]
+	if c == nil {
 		return
 	}
-	p.proposer.Receive(slices.Index(p.voters, from), *a)
+	c.proposer.Receive(slices.Index(c.voters, from), *r)
 	select {
-	case p.responded <- struct{}{}:
+	case c.responded <- struct{}{}:
 	default:
 	}
 }
 
-// Release tells the voters that a request is over. A word that is lost costs no more than a key that is held for longer.
-func (f *Fleet) Release(e ownership.Release) {
+// Release tells the voters that a request has ended. Where the message is lost, the key is only held for longer.
+func (f *Fleet) Release(r ownership.Release) {
 	for _, name := range f.voterNames() {
 		if name != f.options.Name {
-			f.send(name, item{Release: &e})
+			f.send(name, item{Release: &r})
 			continue
 		}
-		f.releaseLocally(e)
+		f.releaseLocally(r)
 	}
 }
 
-// retainVoters forgets what voters owe that are none any more.
-func (k *keyOwnership) retainVoters(voters []string) {
-	k.claimsMu.Lock()
-	defer k.claimsMu.Unlock()
-	names := make(map[string]bool, len(voters))
-	for _, v := range voters {
-		names[v] = true
-	}
-	k.responses.Retain(names)
-}
-
-// handlePacket takes what another instance has said.
-func (f *Fleet) handlePacket(text []byte) {
-	p, err := decode(text)
-	if err != nil {
-		f.log.Warn("packet passed over", "error", err)
-		return
-	}
-	var back []item
-	for _, i := range p.Items {
-		switch {
-		case i.Proposal != nil:
-			if a, ok := f.castVote(*i.Proposal); ok {
-				back = append(back, item{Response: &a})
-			}
-		case i.Response != nil:
-			f.handleResponse(p.From, i.Response)
-		case i.Release != nil:
-			f.releaseLocally(*i.Release)
-		case i.SnapshotRequest != 0:
-			f.sendSnapshot(p.From, i.SnapshotRequest)
-		case i.SnapshotPart != nil:
-			f.handleSnapshotPart(p.From, i.SnapshotPart)
-		case i.Membership != nil && f.membership != nil:
-			f.membership.receive(i.Membership)
-		case i.Gossip != nil && f.applied != nil:
-			f.applied.receive(p.From, i.Gossip)
-		}
-	}
-	if len(back) > 0 {
-		f.send(p.From, back...)
-	}
-}
-
-// VoterKeyState tells what the voter of this instance knows of a key; ok is false where it is none.
-func (k *keyOwnership) VoterKeyState(key history.ID, scope decide.Scope) (p history.Past, silent time.Duration, ok bool) {
-	voting := slices.Contains(k.fleet.voterNames(), k.fleet.options.Name)
+// VoterKeyState returns what this instance's voter knows of a key, and how long it still abstains; ok is false where the
+// instance is no voter.
+func (k *keyOwnership) VoterKeyState(key history.ID, scope decide.Scope) (past history.Past, abstainsFor time.Duration, ok bool) {
+	isVoter := slices.Contains(k.fleet.voterNames(), k.fleet.options.Name)
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
 	now := time.Now()
-	return k.voter.KeyState(now, key, scope), max(k.voter.AbstainsUntil().Sub(now), 0), voting
+	return k.voter.KeyState(now, key, scope), max(k.voter.AbstainsUntil().Sub(now), 0), isVoter
 }
 
-// recoverVoter has this instance's voter, where it was started anew, learn from the others what it may have agreed to before.
-func (f *Fleet) recoverVoter() {
-	for {
-		select {
-		case <-f.closed:
-			return
-		case <-time.After(recoveryInterval/2 + rand.N(recoveryInterval)):
-		}
-		f.voterMu.Lock()
-		now := time.Now()
-		silent := now.Before(f.voter.AbstainsUntil())
-		wants := f.voter.NeedsSnapshots(now)
-		f.voterMu.Unlock()
-		if !silent {
-			return
-		}
-		if !wants {
-			continue
-		}
-		for _, name := range f.voterNames() {
-			if name == f.options.Name {
-				continue
-			}
-			f.voterMu.Lock()
-			c := f.snapshots[name]
-			var want uint64
-			if c == nil || !c.complete && now.Sub(c.progressAt) >= snapshotPartTimeout {
-				want = rand.Uint64() | 1
-				f.snapshots[name] = &incomingSnapshot{requestID: want, received: map[int]bool{}, progressAt: now}
-			}
-			f.voterMu.Unlock()
-			if want != 0 {
-				f.send(name, item{SnapshotRequest: want})
-			}
-		}
-	}
+// HasVoters reports whether there are voters, so that keys are owned across the fleet.
+func (f *Fleet) HasVoters() bool { return len(f.voterNames()) > 0 }
+
+func (f *Fleet) voterNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.voters
 }
 
-// handleSnapshotPart takes a part of a copy that was asked for.
-func (f *Fleet) handleSnapshotPart(from string, part *snapshotPart) {
-	voters := f.voterNames()
-	f.voterMu.Lock()
-	defer f.voterMu.Unlock()
-	c := f.snapshots[from]
-	if !slices.Contains(voters, from) || c == nil || c.complete || c.requestID != part.RequestID || c.received[part.Part] {
-		return
-	}
+// ReconfigureVoters sets a new list of voters. It is rejected where the majorities of the old and the new list need not share
+// a voter, and while something may be remembered that was granted under the list before the old one.
+func (f *Fleet) ReconfigureVoters(voters []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := time.Now()
-	c.received[part.Part], c.progressAt = true, now
-	f.voter.MergeSnapshot(now, part.Keys)
-	if len(c.received) == part.Parts {
-		c.complete = true
-		if f.voter.SnapshotCompleted(now, from, len(voters)); !now.Before(f.voter.AbstainsUntil()) {
-			f.log.Info("voter speaks again", "keys", f.voter.Len())
-		}
+	retention := f.options.KeyRetention
+	switch {
+	case slices.Equal(voters, f.voters):
+		return nil
+	case !ownership.CanReconfigure(f.voters, voters):
+		return fmt.Errorf("fleet: the voters %q can't follow %q at once: add or take away one at a time", voters, f.voters)
+	case now.Before(f.votersChangedAt.Add(retention)):
+		return fmt.Errorf("fleet: the voters were changed %v ago; the next change can come %v after that",
+			now.Sub(f.votersChangedAt).Round(time.Second), retention)
 	}
+	f.voters, f.votersChangedAt = voters, now
+	f.retainVoters(voters)
+	f.log.Info("voters changed", "voters", voters)
+	return nil
 }
 
-// sendSnapshot sends all that this instance's voter knows, in parts.
-func (f *Fleet) sendSnapshot(to string, want uint64) {
-	f.voterMu.Lock()
-	all, ok := f.voter.Snapshot(time.Now())
-	f.voterMu.Unlock()
-	if !ok {
-		return
-	}
-	parts := slices.Collect(slices.Chunk(all, maxPartKeys))
-	if len(parts) == 0 {
-		parts = [][]ownership.KeyState{nil}
+// retainVoters forgets the responses due from instances that are no voters any more.
+func (k *keyOwnership) retainVoters(voters []string) {
+	names := make(map[string]bool, len(voters))
+	for _, name := range voters {
+		names[name] = true
 	}
-	f.sendSnapshotParts(to, want, parts)
+	k.claimsMu.Lock()
+	defer k.claimsMu.Unlock()
+	k.responses.Retain(names)
 }
--- a/internal/fleet/membershiphost.go
+++ b/internal/fleet/membershiphost.go
@@ -16,127 +16,146 @@
 	"silvertrail/internal/fleet/partition"
 )
 
-// membershipHost is the host of package membership: it tells it the time and what others say, carries what it raises, and keeps
-// what the rest of the fleet reads in step with the view. Memberlist is left with its packets, streams and keys.
+// membershipHost is the host of package membership: it passes it the time and messages, sends what it returns, and keeps
+// what the rest of the fleet reads in step with the view. Memberlist is left with packets, streams and encryption.
 type membershipHost struct {
 	fleet    *Fleet
 	epoch    time.Time
 	outgoing chan membership.Envelope
 
-	mu           sync.Mutex // of core
+	mu           sync.Mutex // guards the fields below
 	core         *membership.Core
-	stateSince   map[string]time.Time // of each member's state
+	stateSince   map[string]time.Time // by member
 	minimalQuota bool
 }
 
 const (
-	// minimalQuotaInstances is among how many instances one counts itself that must take as good as nothing: the others may have
-	// taken its part over.
+	// minimalQuotaInstances is among how many instances one counts itself that must use almost nothing, as the others may have
+	// taken over its part.
 	minimalQuotaInstances = 1 << 12
-	maxQueuedMessages     = 8192 // messages on their way out; more are dropped, as any may be
-	maxDatagramBytes      = 1000 // bytes; what is longer goes as a stream
+	maxQueuedMessages     = 8192 // messages beyond it are dropped, as any may be lost
+	maxDatagramBytes      = 1000 // longer messages are sent over a stream
+	// epochAge is the time on the clock of the core at the start, so that times before the start are representable.
+	epochAge = time.Hour
 )
 
+// startMembership creates the host. The transport must be open.
 func (f *Fleet) startMembership(c *memberlist.Config) error {
 	now := time.Now()
 	ip, port, err := c.Transport.FinalAdvertiseAddr(c.AdvertiseAddr, c.AdvertisePort)
 	if err != nil {
 		return err
 	}
-	me := membership.Member{Name: f.options.Name, Address: net.JoinHostPort(ip.String(), strconv.Itoa(port)), Incarnation: f.process}
-	o := membership.Options{Self: me, Seeds: slices.Clone(f.options.Seeds), HeartbeatInterval: f.options.ProbeInterval / 2, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	o.Bootstrap = len(o.Seeds) == 0 || slices.Contains(o.Seeds, me.Address)
-	f.membership = &membershipHost{fleet: f, epoch: now.Add(-time.Hour), outgoing: make(chan membership.Envelope, maxQueuedMessages), core: membership.New(o), stateSince: map[string]time.Time{}, minimalQuota: true}
+	self := membership.Member{
+		Name:        f.options.Name,
+		Address:     net.JoinHostPort(ip.String(), strconv.Itoa(port)),
+		Incarnation: f.process,
+	}
+	seeds := slices.Clone(f.options.Seeds)
+	f.membership = &membershipHost{
+		fleet:    f,
+		epoch:    now.Add(-epochAge),
+		outgoing: make(chan membership.Envelope, maxQueuedMessages),
+		core: membership.New(membership.Options{
+			Self:              self,
+			Seeds:             seeds,
+			Bootstrap:         len(seeds) == 0 || slices.Contains(seeds, self.Address),
+			HeartbeatInterval: f.options.ProbeInterval / 2,
+			Rand:              rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+		stateSince:   map[string]time.Time{},
+		minimalQuota: true,
+	}
 	return nil
 }
 
-// now is the module's clock. It begins at an hour, so that what was long ago at the start is so.
-func (v *membershipHost) now() time.Duration { return time.Since(v.epoch) }
+// now returns the time on the clock of the core.
+func (h *membershipHost) now() time.Duration { return time.Since(h.epoch) }
 
-// run lets time pass.
-func (v *membershipHost) run() {
-	every := time.NewTicker(v.core.TickInterval())
-	defer every.Stop()
+// run advances the clock of the core until the instance ends.
+func (h *membershipHost) run() {
+	ticker := time.NewTicker(h.core.TickInterval())
+	defer ticker.Stop()
 	for {
-		v.update(func(now time.Duration) { v.core.Tick(now) })
+		h.update(func(now time.Duration) { h.core.Tick(now) })
 		select {
-		case <-every.C:
-		case <-v.fleet.closed:
+		case <-ticker.C:
+		case <-h.fleet.closed:
 			return
 		}
 	}
 }
 
-// receive takes a message.
-func (v *membershipHost) receive(m *membership.Message) {
-	v.update(func(now time.Duration) { v.core.Receive(now, m) })
+// receive handles a message.
+func (h *membershipHost) receive(m *membership.Message) {
+	h.update(func(now time.Duration) { h.core.Receive(now, m) })
 }
 
-// update lets the module do something, and takes what it raises.
-func (v *membershipHost) update(something func(now time.Duration)) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	something(v.now())
-	out, changes := v.core.Ready()
-	for _, s := range out {
+// update calls the core, and handles what it returns.
+func (h *membershipHost) update(call func(now time.Duration)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call(h.now())
+	outgoing, changes := h.core.Ready()
+	for _, envelope := range outgoing {
 		select {
-		case v.outgoing <- s:
+		case h.outgoing <- envelope:
 		default:
 		}
 	}
-	for _, c := range changes {
-		v.handleChange(c)
+	for _, change := range changes {
+		h.handleChange(change)
 	}
-	v.updateQuota()
+	h.updateQuota()
 }
 
-// handleChange logs what has changed, and has the members' addresses follow the view. The caller holds the lock.
-func (v *membershipHost) handleChange(c membership.Change) {
-	f := v.fleet
+// handleChange logs a change, and has the members' addresses follow the view. The caller holds the lock.
+func (h *membershipHost) handleChange(c membership.Change) {
+	log := h.fleet.log
 	switch {
 	case c.View != nil:
-		names := []string{}
-		for _, m := range c.View.Members {
-			names = append(names, m.Name)
-		}
-		f.log.Info("view", "number", c.View.Number, "lineage", c.View.Lineage, "hash", c.View.Hash(), "members", strings.Join(names, " "))
-		f.updateAddresses(c.View)
+		log.Info("view installed", "number", c.View.Number, "lineage", c.View.Lineage, "hash", c.View.Hash(), "members", strings.Join(memberNames(c.View), " "))
+		h.fleet.updateAddresses(c.View)
 	case c.Removed:
-		f.log.Warn("in no view", "why", c.Reason)
+		log.Warn("removed from the view", "why", c.Reason)
 	case c.NameTaken:
-		f.log.Error("another process has this name in the fleet, and stays: give this one another name", "name", f.options.Name)
+		log.Error("another process has this name in the fleet, and stays: give this one another name", "name", h.fleet.options.Name)
 	case c.Violation != "":
-		f.log.Error("membership broken", "how", c.Violation)
+		log.Error("membership invariant violated", "how", c.Violation)
 	default:
-		v.stateSince[c.Member.Name] = time.Now()
-		f.log.Info("member", "name", c.Member.Name, "state", c.State.String(), "by", strings.Join(c.UnreachableFrom, " "), "address", c.Member.Address)
+		h.stateSince[c.Member.Name] = time.Now()
+		log.Info("member state changed", "name", c.Member.Name, "state", c.State.String(), "by", strings.Join(c.UnreachableFrom, " "), "address", c.Member.Address)
+	}
+}
+
+func memberNames(view *membership.View) []string {
+	names := make([]string, 0, len(view.Members))
+	for _, m := range view.Members {
+		names = append(names, m.Name)
 	}
+	return names
 }
 
-// updateQuota tells of this instance's part where it has changed. The caller holds the lock.
-func (v *membershipHost) updateQuota() {
-	quota := v.core.Quota(v.now())
-	n, place, safe := quota.Members, quota.Index, quota.Minimal
-	if safe {
-		n, place = minimalQuotaInstances, 0
+// updateQuota sets this instance's quota from the view. The caller holds the lock.
+func (h *membershipHost) updateQuota() {
+	quota := h.core.Quota(h.now())
+	if quota.Minimal {
+		quota.Members, quota.Index = minimalQuotaInstances, 0
 	}
-	if safe != v.minimalQuota {
-		v.minimalQuota = safe
-		v.fleet.log.Info("shares", "safe", safe)
+	f := h.fleet
+	if quota.Minimal != h.minimalQuota {
+		h.minimalQuota = quota.Minimal
+		f.log.Info("minimal quota changed", "safe", quota.Minimal)
 	}
-	f := v.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if is := [2]int{n, place}; is != f.quota && !f.isClosed() {
-		f.quota = is
-		f.log.Info("shares", "instances", n, "place", place)
-		if f.options.OnQuotaChange != nil {
-			f.options.OnQuotaChange(n, place)
-		}
+	if !f.isClosed() {
+		f.setQuota(Quota{Instances: quota.Members, Index: quota.Index})
 	}
 }
 
-// updateAddresses keeps where members are found: those of the view, and those that were so lately, as what was begun with them goes on.
+// updateAddresses records the addresses of the members of the view. Those of earlier members are kept for a while, as
+// exchanges with them go on.
 func (f *Fleet) updateAddresses(view *membership.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -147,163 +166,180 @@
 		}
 	}
 	for _, m := range view.Members {
-		at, err := netip.ParseAddrPort(m.Address)
+		address, err := netip.ParseAddrPort(m.Address)
 		if err != nil {
-			f.log.Warn("member without an address", "name", m.Name, "address", m.Address)
+			f.log.Warn("member without a valid address", "name", m.Name, "address", m.Address)
 			continue
 		}
 		n := f.nodes[m.Name]
 		if n == nil {
-			if len(f.nodes) >= f.options.MaxMembers && !f.forgetOldestLost() {
+			if !f.hasRoom() {
 				continue
 			}
 			n = &node{since: now}
 			f.nodes[m.Name] = n
 		}
 		n.state = partition.Alive
-		n.Node = memberlist.Node{Name: m.Name, Addr: at.Addr().AsSlice(), Port: at.Port()}
+		n.Node = nodeAt(m.Name, address)
 	}
 }
 
-// sendLoop sends what is to be sent.
-func (v *membershipHost) sendLoop() {
-	select {
-	case <-v.fleet.started:
-	case <-v.fleet.closed:
+func nodeAt(name string, address netip.AddrPort) memberlist.Node {
+	return memberlist.Node{Name: name, Addr: address.Addr().AsSlice(), Port: address.Port()}
+}
+
+// sendLoop sends the messages of the core until the instance ends.
+func (h *membershipHost) sendLoop() {
+	if !h.fleet.awaitStart() {
 		return
 	}
 	for {
 		select {
-		case s := <-v.outgoing:
-			v.send(s)
-		case <-v.fleet.closed:
+		case envelope := <-h.outgoing:
+			h.sendItem(envelope.To.Name, envelope.To.Address, item{Membership: envelope.Message})
+		case <-h.fleet.closed:
 			return
 		}
 	}
 }
 
-func (v *membershipHost) send(s membership.Envelope) {
-	v.sendItem(s.To.Name, s.To.Address, item{Membership: s.Message})
-}
-
-// sendItem sends something to a member: in a packet, or as a stream where it is long.
-func (v *membershipHost) sendItem(name, addr string, what item) {
-	text, err := encode(&packet{From: v.fleet.options.Name, Process: v.fleet.process, Items: []item{what}})
+// sendItem sends a message to an address, in a packet or, where it is long, over a stream.
+func (h *membershipHost) sendItem(name, address string, i item) {
+	f := h.fleet
+	encoded, err := f.encodePacket(i)
 	if err != nil {
-		v.fleet.log.Error("packet", "error", err)
+		f.log.Error("packet not encoded", "error", err)
 		return
 	}
-	at, err := netip.ParseAddrPort(addr)
+	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return // checked where it came in; of seeds by the configuration
+		return // addresses are checked where they come in; those of seeds by the configuration
 	}
-	if len(text) <= maxDatagramBytes {
-		if err := v.fleet.memberlist.SendToAddress(memberlist.Address{Addr: addr, Name: name}, text); err != nil {
-			v.fleet.log.Debug("packet lost", "to", addr, "error", err)
+	if len(encoded) <= maxDatagramBytes {
+		if err := f.memberlist.SendToAddress(memberlist.Address{Addr: address, Name: name}, encoded); err != nil {
+			f.log.Debug("packet lost", "to", address, "error", err)
 		}
 		return
 	}
-	to := &memberlist.Node{Name: name, Addr: at.Addr().AsSlice(), Port: at.Port()}
-	v.fleet.goroutines.Go(func() {
-		if err := v.fleet.memberlist.SendReliable(to, text); err != nil {
-			v.fleet.log.Debug("stream lost", "to", addr, "error", err)
+	to := nodeAt(name, parsed)
+	f.goroutines.Go(func() {
+		if err := f.memberlist.SendReliable(&to, encoded); err != nil {
+			f.log.Debug("stream failed", "to", address, "error", err)
 		}
 	})
 }
 
-// leave says that this instance goes, and waits until it is out, for so long at the most.
-func (v *membershipHost) leave(within time.Duration) {
-	v.update(func(now time.Duration) { v.core.Leave(now) })
-	over := time.After(within)
-	look := time.NewTicker(v.core.TickInterval())
-	defer look.Stop()
-	for {
-		v.mu.Lock()
-		out := v.core.View() == nil || len(v.core.View().Members) == 1
-		v.mu.Unlock()
-		if out {
-			return
-		}
+// leave announces the departure, and waits until the view does not hold this instance any more, or for the timeout.
+func (h *membershipHost) leave(timeout time.Duration) {
+	h.update(func(now time.Duration) { h.core.Leave(now) })
+	expired := time.After(timeout)
+	ticker := time.NewTicker(h.core.TickInterval())
+	defer ticker.Stop()
+	for !h.isAlone() {
 		select {
-		case <-look.C:
-		case <-over:
-			v.fleet.log.Info("leaving untold")
+		case <-ticker.C:
+		case <-expired:
+			h.fleet.log.Info("departure not announced")
 			return
 		}
 	}
 }
 
-// isMinorityPartition tells that this instance is isolated and that too few of the voters are heard for any agreement. Voters that are in
-// the same part are: then keys are bound there, whatever the views.
-func (v *membershipHost) isMinorityPartition(voters []string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.core.View() != nil && !v.core.IsIsolated() {
+// isAlone reports whether this instance is in no view, or in one without other members.
+func (h *membershipHost) isAlone() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	view := h.core.View()
+	return view == nil || len(view.Members) == 1
+}
+
+// isMinorityPartition reports whether this instance is isolated and reaches too few of the voters for any agreement. Voters in
+// the same part are reachable: then keys can be claimed there, whatever the view.
+func (h *membershipHost) isMinorityPartition(voters []string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.core.View() == nil || !h.core.IsIsolated() {
 		return false
 	}
-	heard := 0
+	reachable := 0
 	for _, name := range voters {
-		if v.core.IsReachable(name) {
-			heard++
+		if h.core.IsReachable(name) {
+			reachable++
 		}
 	}
-	return v.core.View() != nil && 2*heard <= len(voters)
+	return 2*reachable <= len(voters)
 }
 
-// unreachableVoters returns the voters that are not heard, where the others are a majority.
-func (v *membershipHost) unreachableVoters(voters []string) map[string]bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	out := map[string]bool{}
+// unreachableVoters returns the voters that are not reachable, where the others are a majority.
+func (h *membershipHost) unreachableVoters(voters []string) map[string]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	unreachable := map[string]bool{}
 	for _, name := range voters {
-		if !v.core.IsReachable(name) {
-			out[name] = true
+		if !h.core.IsReachable(name) {
+			unreachable[name] = true
 		}
 	}
-	if 2*(len(voters)-len(out)) <= len(voters) {
+	if 2*(len(voters)-len(unreachable)) <= len(voters) {
 		return nil
 	}
-	return out
+	return unreachable
 }
 
-func (v *membershipHost) members() (out []Member) {
-	voters := v.fleet.voterNames()
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, s := range v.core.Status() {
-		out = append(out, Member{Name: s.Member.Name, Address: s.Member.Address, State: s.State.String(), Since: v.stateSince[s.Member.Name],
-			Voter: slices.Contains(voters, s.Member.Name), Self: s.Member.Name == v.fleet.options.Name, UnreachableFrom: s.UnreachableFrom, LossRatio: s.LossRatio})
+// members returns the members of the view, and those that have departed lately.
+func (h *membershipHost) members() []Member {
+	voters := h.fleet.voterNames()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var members []Member
+	for _, s := range h.core.Status() {
+		members = append(members, Member{
+			Name:            s.Member.Name,
+			Address:         s.Member.Address,
+			State:           s.State.String(),
+			Since:           h.stateSince[s.Member.Name],
+			Voter:           slices.Contains(voters, s.Member.Name),
+			Self:            s.Member.Name == h.fleet.options.Name,
+			UnreachableFrom: s.UnreachableFrom,
+			LossRatio:       s.LossRatio,
+		})
 	}
-	return out
+	return members
 }
 
-// ReachabilityView is what an instance knows of who hears whom.
+// ReachabilityView is what an instance knows of the view, and of which members reach which.
 type ReachabilityView struct {
 	Number      uint64                 `json:"view"`
 	Lineage     uint64                 `json:"lineage"`
 	Hash        uint64                 `json:"hash"`
 	Members     []string               `json:"members"`
-	HasQuorum   bool                   `json:"confirmed"` // a majority of the view has been heard lately, in it
+	HasQuorum   bool                   `json:"confirmed"` // a majority of the view has been reachable lately, in it
 	Isolated    bool                   `json:"isolated"`
-	Unreachable map[string][]string    `json:"unheard"` // by member: whom it does not hear; one that is missing has not told
+	Unreachable map[string][]string    `json:"unheard"` // by member: whom it does not reach; a missing member has not reported
 	Diagnoses   []membership.Diagnosis `json:"found"`
 }
 
-// Reachability tells who hears whom, as far as this instance knows; ok is false where the fleet does not go by views.
+// Reachability returns the view and which members reach which, as far as this instance knows; ok is false for a fleet without
+// views.
 func (f *Fleet) Reachability() (r ReachabilityView, ok bool) {
-	v := f.membership
-	if v == nil {
+	h := f.membership
+	if h == nil {
 		return r, false
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if view := v.core.View(); view != nil {
-		r.Number, r.Lineage, r.Hash = view.Number, view.Lineage, view.Hash()
-		for _, m := range view.Members {
-			r.Members = append(r.Members, m.Name)
-		}
-		r.HasQuorum, r.Isolated = v.core.HasQuorum(), v.core.IsIsolated()
-		r.Unreachable, r.Diagnoses = v.core.Reachability()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	view := h.core.View()
+	if view == nil {
+		return r, true
+	}
+	r = ReachabilityView{
+		Number:    view.Number,
+		Lineage:   view.Lineage,
+		Hash:      view.Hash(),
+		Members:   memberNames(view),
+		HasQuorum: h.core.HasQuorum(),
+		Isolated:  h.core.IsIsolated(),
 	}
+	r.Unreachable, r.Diagnoses = h.core.Reachability()
 	return r, true
 }
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -1,28 +1,21 @@
 package fleet
 
-import (
-	"time"
-
-	"github.com/hashicorp/memberlist"
-
-	"silvertrail/internal/fleet/ownership"
-)
+import "github.com/hashicorp/memberlist"
 
 const (
-	maxOutboxItems   = 4096
-	maxPacketItems   = 12                     // some 1,200 bytes, which is one packet on most links
-	snapshotInterval = 400 * time.Millisecond // at the soonest, to one member
+	maxOutboxItems = 4096
+	maxPacketItems = 12 // some 1,200 bytes, which is one packet on most links
 )
 
-// outbox holds what one member is to hear, several messages in a packet where they come faster than packets go. What it has
-// no room for is dropped: every message may be lost on its way too. It costs nothing while there is nothing to say: of the
-// members of a large fleet few ever hear something.
+// outbox holds the messages for one member. Several go in one packet where they are added faster than packets are sent. Messages
+// beyond the bound are dropped, as any may be lost on its way too. An empty outbox costs nothing: in a large fleet, few
+// members are ever sent something.
 type outbox struct {
 	items   []item
 	sending bool
 }
 
-// send gives a member something to hear. A member that is not known hears nothing.
+// send adds messages for a member. Messages for an unknown member are dropped.
 func (f *Fleet) send(to string, items ...item) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -30,14 +23,15 @@
 	if n == nil || f.isClosed() || to == f.options.Name {
 		return
 	}
-	n.outbox.items = append(n.outbox.items, items[:min(len(items), max(maxOutboxItems-len(n.outbox.items), 0))]...)
+	room := max(maxOutboxItems-len(n.outbox.items), 0)
+	n.outbox.items = append(n.outbox.items, items[:min(len(items), room)]...)
 	if !n.outbox.sending && len(n.outbox.items) > 0 {
 		n.outbox.sending = true
 		f.goroutines.Go(func() { f.drainOutbox(to) })
 	}
 }
 
-// nextItems returns what a member is to hear next, and how it is reached; nothing where that is all.
+// nextItems returns the next messages for a member and its address, or nothing once the outbox is empty.
 func (f *Fleet) nextItems(name string) (items []item, to memberlist.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -54,11 +48,9 @@
 	return items, n.Node
 }
 
-// drainOutbox sends what a member is to hear until there is nothing more.
+// drainOutbox sends the messages for a member until none is left.
 func (f *Fleet) drainOutbox(name string) {
-	select {
-	case <-f.started:
-	case <-f.closed:
+	if !f.awaitStart() {
 		return
 	}
 	for {
@@ -66,43 +58,69 @@
 		if len(items) == 0 {
 			return
 		}
-		text, err := encode(&packet{From: f.options.Name, Process: f.process, Items: items})
+		encoded, err := f.encodePacket(items...)
 		if err != nil {
-			f.log.Error("packet", "error", err)
+			f.log.Error("packet not encoded", "error", err)
 			continue
 		}
-		if err := f.memberlist.SendBestEffort(&to, text); err != nil {
+		if err := f.memberlist.SendBestEffort(&to, encoded); err != nil {
 			f.log.Debug("packet lost", "to", name, "error", err)
 		}
 	}
 }
 
-// sendSnapshotParts sends a copy in its parts, one after the other, by a way that loses nothing of a part.
-func (f *Fleet) sendSnapshotParts(to string, want uint64, parts [][]ownership.KeyState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := f.nodes[to]
-	if n == nil || len(parts) > maxParts || f.isClosed() || time.Since(n.snapshotSentAt) < snapshotInterval {
+// awaitStart waits until packets can be sent; false: the instance has ended.
+func (f *Fleet) awaitStart() bool {
+	select {
+	case <-f.started:
+		return true
+	case <-f.closed:
+		return false
+	}
+}
+
+// encodePacket returns a packet of this instance.
+func (f *Fleet) encodePacket(items ...item) ([]byte, error) {
+	return encode(&packet{From: f.options.Name, Process: f.process, Items: items})
+}
+
+// handlePacket handles a packet of another instance.
+func (f *Fleet) handlePacket(encoded []byte) {
+	p, err := decode(encoded)
+	if err != nil {
+		f.log.Warn("packet rejected", "error", err)
 		return
 	}
-	n.snapshotSentAt = time.Now()
-	node := n.Node
-	f.goroutines.Go(func() {
-		for i, keys := range parts {
-			select {
-			case <-f.started:
-			case <-f.closed:
-				return
-			}
-			text, err := encode(&packet{From: f.options.Name, Process: f.process,
-				Items: []item{{SnapshotPart: &snapshotPart{RequestID: want, Part: i, Parts: len(parts), Keys: keys}}}})
-			if err == nil {
-				err = f.memberlist.SendReliable(&node, text)
-			}
-			if err != nil {
-				f.log.Info("copy broken off", "to", to, "error", err)
-				return
-			}
+	var responses []item
+	for _, i := range p.Items {
+		if response, ok := f.handleItem(p.From, i); ok {
+			responses = append(responses, response)
 		}
-	})
+	}
+	if len(responses) > 0 {
+		f.send(p.From, responses...)
+	}
+}
+
+// handleItem handles one message, and returns the response to it if there is one.
+func (f *Fleet) handleItem(from string, i item) (response item, ok bool) {
+	switch {
+	case i.Proposal != nil:
+		if vote, ok := f.castVote(*i.Proposal); ok {
+			return item{Response: &vote}, true
+		}
+	case i.Response != nil:
+		f.handleResponse(from, i.Response)
+	case i.Release != nil:
+		f.releaseLocally(*i.Release)
+	case i.SnapshotRequest != 0:
+		f.sendSnapshot(from, i.SnapshotRequest)
+	case i.SnapshotPart != nil:
+		f.handleSnapshotPart(from, i.SnapshotPart)
+	case i.Membership != nil && f.membership != nil:
+		f.membership.receive(i.Membership)
+	case i.Gossip != nil && f.applied != nil:
+		f.applied.receive(from, i.Gossip)
+	}
+	return item{}, false
 }
--- /dev/null
+++ b/internal/fleet/quota.go
@@ -0,0 +1,45 @@
+package fleet
+
+import "time"
+
+// Quota is this instance's part of the limits that the fleet shares.
+type Quota struct {
+	Instances int // that share the limits
+	Index     int // of this instance among them, from 0
+}
+
+// Quota returns this instance's part of the limits.
+func (f *Fleet) Quota() Quota {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quota
+}
+
+// updateQuota determines the quota without views, and again when time alone may change it. The caller holds the lock.
+func (f *Fleet) updateQuota(now time.Time) {
+	instances, index, next := f.tracker.Partition(now)
+	if f.quotaTimer != nil {
+		f.quotaTimer.Stop()
+		f.quotaTimer = nil
+	}
+	if !next.IsZero() {
+		f.quotaTimer = time.AfterFunc(time.Until(next), func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.updateQuota(time.Now())
+		})
+	}
+	f.setQuota(Quota{Instances: instances, Index: index})
+}
+
+// setQuota sets the quota, and reports a change. The caller holds the lock.
+func (f *Fleet) setQuota(quota Quota) {
+	if quota == f.quota {
+		return
+	}
+	f.quota = quota
+	f.log.Info("quota changed", "instances", quota.Instances, "place", quota.Index)
+	if f.options.OnQuotaChange != nil {
+		f.options.OnQuotaChange(quota)
+	}
+}
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,9 +13,9 @@
 	"github.com/hashicorp/memberlist"
 )
 
-// Transport carries a fleet's packets and streams over UDP and TCP on one port. It does what memberlist's own does, but
-// for the memory: that one takes 64 KiB for each packet, which at some thousand packets a second keeps the collector busy
-// most of the time.
+// Transport carries a fleet's packets and streams over UDP and TCP on one port. It differs from memberlist's own transport
+// in its use of memory: that one allocates 64 KiB for each packet, which keeps the garbage collector busy most of the time at
+// some thousand packets a second. It owns both sockets and two goroutines; Shutdown ends them.
 type Transport struct {
 	udp        *net.UDPConn
 	tcp        *net.TCPListener
@@ -26,42 +27,49 @@
 
 const (
 	maxPacketBytes   = 64 << 10
-	udpBufferBytes   = 1 << 20 // asked of the system, for bursts
-	maxPortAttempts  = 10      // where the system picks the port: it may be free for one of the two alone
+	udpBufferBytes   = 1 << 20 // requested from the system, for bursts
+	packetQueue      = 64
+	maxPortAttempts  = 10 // where the system picks the port, which may be free for only one of the two protocols
 	acceptRetryDelay = 20 * time.Millisecond
 )
 
-// Listen opens both sockets; port 0 takes a free one.
+// Listen opens both sockets; port 0 takes a free port.
 func Listen(address string) (*Transport, error) {
-	at, err := netip.ParseAddrPort(address)
+	requested, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: listen: %w", err)
 	}
 	for range maxPortAttempts {
 		var t *Transport
-		if t, err = listen(at); err == nil {
+		if t, err = listen(requested); err == nil {
 			return t, nil
 		}
-		if at.Port() != 0 {
+		if requested.Port() != 0 {
 			break
 		}
 	}
 	return nil, fmt.Errorf("fleet: listen: %w", err)
 }
 
-func listen(at netip.AddrPort) (*Transport, error) {
-	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+func listen(requested netip.AddrPort) (*Transport, error) {
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(requested))
 	if err != nil {
 		return nil, err
 	}
-	got := tcp.Addr().(*net.TCPAddr)
-	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: got.IP, Port: got.Port, Zone: got.Zone})
+	address := tcp.Addr().(*net.TCPAddr)
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: address.IP, Port: address.Port, Zone: address.Zone})
 	if err != nil {
 		tcp.Close()
 		return nil, err
 	}
-	udp.SetReadBuffer(udpBufferBytes) // as much as the system allows; less loses packets, which is borne
-	t := &Transport{udp: udp, tcp: tcp, packets: make(chan *memberlist.Packet, 64), streams: make(chan net.Conn), closed: make(chan struct{})}
+	udp.SetReadBuffer(udpBufferBytes) // as much as the system allows; with less, more packets are lost, which is tolerated
+	t := &Transport{
+		udp:     udp,
+		tcp:     tcp,
+		packets: make(chan *memberlist.Packet, packetQueue),
+		streams: make(chan net.Conn),
+		closed:  make(chan struct{}),
+	}
 	t.goroutines.Go(t.readPackets)
 	t.goroutines.Go(t.accept)
 	return t, nil
@@ -78,11 +86,11 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil || n == 0:
-			continue // a port that was not reached, told by ICMP
+			continue // an unreachable port, reported by ICMP
 		}
-		p := &memberlist.Packet{Buf: append(make([]byte, 0, n), buffer[:n]...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}
+		packet := &memberlist.Packet{Buf: bytes.Clone(buffer[:n]), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}
 		select {
-		case t.packets <- p:
+		case t.packets <- packet:
 		case <-t.closed:
 			return
 		}
@@ -91,11 +99,11 @@
 
 func (t *Transport) accept() {
 	for {
-		c, err := t.tcp.Accept()
+		conn, err := t.tcp.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
-		case err != nil: // descriptors are short
+		case err != nil: // the process is out of descriptors
 			select {
 			case <-time.After(acceptRetryDelay):
 			case <-t.closed:
@@ -104,9 +112,9 @@
 			continue
 		}
 		select {
-		case t.streams <- c:
+		case t.streams <- conn:
 		case <-t.closed:
-			c.Close()
+			conn.Close()
 			return
 		}
 	}
@@ -114,53 +122,53 @@
 
 // FinalAdvertiseAddr implements memberlist.Transport.
 func (t *Transport) FinalAdvertiseAddr(ip string, port int) (net.IP, int, error) {
-	at := t.tcp.Addr().(*net.TCPAddr)
-	if ip == "" {
-		if at.IP.IsUnspecified() {
-			return nil, 0, errors.New("fleet: listening on all addresses needs an address to advertise")
+	if ip != "" {
+		advertised, err := netip.ParseAddr(ip)
+		if err != nil {
+			return nil, 0, fmt.Errorf("fleet: advertise: %w", err)
 		}
-		return at.IP, at.Port, nil
+		return advertised.AsSlice(), port, nil
 	}
-	addr, err := netip.ParseAddr(ip)
-	if err != nil {
-		return nil, 0, fmt.Errorf("fleet: advertise: %w", err)
+	local := t.tcp.Addr().(*net.TCPAddr)
+	if local.IP.IsUnspecified() {
+		return nil, 0, errors.New("fleet: listening on all addresses needs an address to advertise")
 	}
-	return addr.AsSlice(), port, nil
+	return local.IP, local.Port, nil
 }
 
 // WriteTo implements memberlist.Transport.
-func (t *Transport) WriteTo(b []byte, addr string) (time.Time, error) {
+func (t *Transport) WriteTo(packet []byte, addr string) (time.Time, error) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return time.Time{}, fmt.Errorf("fleet: packet: %w", err)
 	}
-	_, err = t.udp.WriteToUDPAddrPort(b, to)
+	_, err = t.udp.WriteToUDPAddrPort(packet, to)
 	return time.Now(), err
 }
 
 // WriteToAddress implements memberlist.NodeAwareTransport.
-func (t *Transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	return t.WriteTo(b, a.Addr)
+func (t *Transport) WriteToAddress(packet []byte, a memberlist.Address) (time.Time, error) {
+	return t.WriteTo(packet, a.Addr)
 }
 
 // PacketCh implements memberlist.Transport.
 func (t *Transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
 
-// DialTimeout implements memberlist.Transport. A stream comes from the address that packets come from, so that a machine
-// with several has one way to each member, and who stands between sees whose it is.
-func (t *Transport) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
+// DialTimeout implements memberlist.Transport. A stream comes from the same local address as packets, so that a host with
+// several addresses uses one of them for each member.
+func (t *Transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	var d net.Dialer
-	if at := t.tcp.Addr().(*net.TCPAddr); !at.IP.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: at.IP, Zone: at.Zone}
+	var dialer net.Dialer
+	if local := t.tcp.Addr().(*net.TCPAddr); !local.IP.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.IP, Zone: local.Zone}
 	}
-	return d.DialContext(ctx, "tcp", addr)
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
-func (t *Transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
-	return t.DialTimeout(a.Addr, within)
+func (t *Transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.DialTimeout(a.Addr, timeout)
 }
 
 // StreamCh implements memberlist.Transport.
--- a/internal/fleet/views_test.go
+++ b/internal/fleet/views_test.go
@@ -59,18 +59,18 @@
 	all, links := viewing(t, 5)
 	lbtest.Until(t, "all are in one view", inView(all, 5))
 	for i, f := range all {
-		lbtest.Until(t, "shares", func() bool { n, place := f.Quota(); return n == 5 && place == i })
+		lbtest.Until(t, "shares", func() bool { return f.Quota() == Quota{Instances: 5, Index: i} })
 	}
 	links.Sever([]int{0, 1}, []int{2, 3, 4})
 	links.Sever([]int{2, 3, 4}, []int{0, 1})
 	for _, f := range all[:2] {
 		lbtest.Until(t, "the smaller part knows it", func() bool { r, _ := f.Reachability(); return r.Isolated && len(r.Members) == 5 })
-		lbtest.Until(t, "and takes as good as nothing", func() bool { n, _ := f.Quota(); return n == minimalQuotaInstances })
+		lbtest.Until(t, "and takes as good as nothing", func() bool { return f.Quota().Instances == minimalQuotaInstances })
 	}
 	for _, f := range all[2:] {
-		lbtest.Until(t, "the larger part takes over", func() bool { n, _ := f.Quota(); return n == 3 })
+		lbtest.Until(t, "the larger part takes over", func() bool { return f.Quota().Instances == 3 })
 	}
-	if n, _ := all[0].Quota(); n != minimalQuotaInstances {
+	if n := all[0].Quota().Instances; n != minimalQuotaInstances {
 		t.Errorf("the smaller part counts %d", n)
 	}
 	links.Heal()
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,34 +6,39 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
+	"silvertrail/decide"
+	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
 	"silvertrail/internal/fleet/ownership"
 )
 
-// protocolVersion is the version of what instances say to each other. It is part of the label that each packet carries, so that
-// instances of another version, or of another fleet, are strangers.
+// protocolVersion is the version of the messages between instances. It is part of the label that each packet carries, so
+// that packets of another version, or of another fleet, are ignored.
 const protocolVersion = 1
 
-// packet is what one instance says to another: any number of items.
+// Messages are encoded as arrays in the order of their fields, here and in the packages that define them. The order must not
+// change: an added field goes last, and changes protocolVersion.
+
+// packet is what one instance sends to another: any number of messages.
 type packet struct {
 	From    string
 	Process uint64
 	Items   []item
 }
 
-// item is one message. Just one of its parts is set.
+// item is one message. Exactly one of its fields is set.
 type item struct {
-	Proposal        *ownership.Proposal `codec:",omitempty"`
-	Response        *ownership.Response `codec:",omitempty"`
-	Release         *ownership.Release  `codec:",omitempty"`
-	SnapshotRequest uint64              `codec:",omitempty"` // a copy is asked for, under this number
-	SnapshotPart    *snapshotPart       `codec:",omitempty"`
-	Membership      *membership.Message `codec:",omitempty"` // of membership, where the fleet goes by views
-	Gossip          *gossip.Message     `codec:",omitempty"` // what members act on
+	Proposal        *ownership.Proposal `codec:"Ask,omitempty"`
+	Response        *ownership.Response `codec:"Answer,omitempty"`
+	Release         *ownership.Release  `codec:"End,omitempty"`
+	SnapshotRequest uint64              `codec:"Want,omitempty"` // the ID under which a snapshot is requested
+	SnapshotPart    *snapshotPart       `codec:"Copy,omitempty"`
+	Membership      *membership.Message `codec:"Word,omitempty"` // with views
+	Gossip          *gossip.Message     `codec:"Acts,omitempty"` // of the versions that members apply
 }
 
-// snapshotPart is a part of a copy.
+// snapshotPart is a part of a voter's snapshot.
 type snapshotPart struct {
 	RequestID   uint64
 	Part, Parts int
@@ -42,91 +47,105 @@
 
 const (
 	maxItems     = 256
-	maxNameBytes = 256 // of clusters and zones
+	maxNameBytes = 256 // of members, clusters and zones
 	maxParts     = 1 << 15
 	maxPartKeys  = 400 // some 40 KB
 )
 
+// handle encodes structs as arrays.
 var handle = func() *codec.MsgpackHandle {
 	h := &codec.MsgpackHandle{}
-	h.StructToArray = true // both sides know the order; protocol counts its changes
+	h.StructToArray = true
 	h.WriteExt = true
 	return h
 }()
 
 func encode(p *packet) ([]byte, error) {
-	var out []byte
-	err := codec.NewEncoderBytes(&out, handle).Encode(p)
-	return out, err
+	var encoded []byte
+	err := codec.NewEncoderBytes(&encoded, handle).Encode(p)
+	return encoded, err
 }
 
-// decode reads what an instance has said, and checks what can be checked of it.
-func decode(text []byte) (p *packet, err error) {
+// decode reads and checks a packet.
+func decode(encoded []byte) (p *packet, err error) {
 	defer func() {
-		if fault := recover(); fault != nil { // the library's own guard against what it can't read
-			p, err = nil, fmt.Errorf("fleet: unreadable: %v", fault)
+		if fault := recover(); fault != nil { // the library panics on some malformed input
+			p, err = nil, fmt.Errorf("fleet: unreadable packet: %v", fault)
 		}
 	}()
 	p = &packet{}
-	if err := codec.NewDecoderBytes(text, handle).Decode(p); err != nil {
-		return nil, fmt.Errorf("fleet: unreadable: %w", err)
+	if err := codec.NewDecoderBytes(encoded, handle).Decode(p); err != nil {
+		return nil, fmt.Errorf("fleet: unreadable packet: %w", err)
 	}
 	if p.From == "" || len(p.From) > maxNameBytes || len(p.Items) > maxItems {
-		return nil, errors.New("fleet: a packet of no member's form")
+		return nil, errors.New("fleet: invalid packet")
 	}
-	for _, i := range p.Items {
-		if err := i.check(); err != nil {
+	for i := range p.Items {
+		if err := p.Items[i].check(); err != nil {
 			return nil, err
 		}
 	}
 	return p, nil
 }
 
+// check returns an error for a message that no instance sends.
 func (i *item) check() error {
-	parts := 0
-	if a := i.Proposal; a != nil {
-		parts++
-		if len(a.Place.Cluster) > maxNameBytes || len(a.Place.Zone) > maxNameBytes || a.Window < 0 || a.Retention < 0 || a.TTL <= 0 || a.Scope > 2 {
-			return errors.New("fleet: an ask that no member makes")
-		}
+	if i.countParts() != 1 {
+		return errors.New("fleet: a message without exactly one part")
 	}
-	if a := i.Response; a != nil {
-		parts++
-		if a.Vote > ownership.HeldElsewhere || len(a.Place.Cluster) > maxNameBytes || len(a.Place.Zone) > maxNameBytes {
-			return errors.New("fleet: an answer that no member gives")
-		}
+	switch {
+	case i.Proposal != nil:
+		return checkProposal(i.Proposal)
+	case i.Response != nil:
+		return checkResponse(i.Response)
+	case i.SnapshotPart != nil:
+		return i.SnapshotPart.check()
+	case i.Membership != nil:
+		return i.Membership.Check()
+	case i.Gossip != nil:
+		return i.Gossip.Check()
 	}
-	if i.Release != nil {
-		parts++
+	return nil
+}
+
+func (i *item) countParts() int {
+	count := 0
+	for _, isSet := range []bool{
+		i.Proposal != nil, i.Response != nil, i.Release != nil, i.SnapshotRequest != 0, i.SnapshotPart != nil, i.Membership != nil, i.Gossip != nil,
+	} {
+		if isSet {
+			count++
+		}
 	}
-	if i.SnapshotRequest != 0 {
-		parts++
+	return count
+}
+
+func checkProposal(p *ownership.Proposal) error {
+	if !isValidPlace(p.Place) || p.Window < 0 || p.Retention < 0 || p.TTL <= 0 || p.Scope > decide.ScopeCell {
+		return errors.New("fleet: invalid proposal")
 	}
-	if w := i.Membership; w != nil {
-		parts++
-		if err := w.Check(); err != nil {
-			return err
-		}
+	return nil
+}
+
+func checkResponse(r *ownership.Response) error {
+	if r.Vote > ownership.HeldElsewhere || !isValidPlace(r.Place) {
+		return errors.New("fleet: invalid response")
 	}
-	if a := i.Gossip; a != nil {
-		parts++
-		if err := a.Check(); err != nil {
-			return err
-		}
+	return nil
+}
+
+func (s *snapshotPart) check() error {
+	if s.Part < 0 || s.Parts > maxParts || s.Part >= s.Parts || len(s.Keys) > maxPartKeys {
+		return errors.New("fleet: invalid snapshot part")
 	}
-	if c := i.SnapshotPart; c != nil {
-		parts++
-		if c.Part < 0 || c.Parts > maxParts || c.Part >= c.Parts || len(c.Keys) > maxPartKeys {
-			return errors.New("fleet: a part of no copy")
-		}
-		for _, k := range c.Keys {
-			if len(k.Place.Cluster) > maxNameBytes || len(k.Place.Zone) > maxNameBytes {
-				return errors.New("fleet: a key of no member's form")
-			}
+	for _, k := range s.Keys {
+		if !isValidPlace(k.Place) {
+			return errors.New("fleet: invalid key in a snapshot part")
 		}
 	}
-	if parts != 1 {
-		return errors.New("fleet: an item says nothing, or too much")
-	}
 	return nil
 }
+
+func isValidPlace(p history.Place) bool {
+	return len(p.Cluster) <= maxNameBytes && len(p.Zone) <= maxNameBytes
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -91,7 +91,8 @@
 		return
 	}
 	v := FleetView{Members: g.fleet.Members()}
-	v.Instances, v.Place = g.fleet.Quota()
+	quota := g.fleet.Quota()
+	v.Instances, v.Place = quota.Instances, quota.Index
 	tell(w, v)
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -44,7 +44,7 @@
 		all = append(all, g)
 	}
 	for _, g := range all {
-		lbtest.Until(t, "all see all", func() bool { got, _ := g.fleet.Quota(); return got == n })
+		lbtest.Until(t, "all see all", func() bool { return g.fleet.Quota().Instances == n })
 	}
 	return all, links
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,7 @@
 	strain    crossing.Strain
 	draining  atomic.Bool // nothing new is taken from other salas
 	leaving   atomic.Bool // and what is this sala's own goes to others first
-	shares    atomic.Pointer[[2]int]
+	quota     atomic.Pointer[fleet.Quota]
 	state     atomic.Pointer[state]
 
 	mu     sync.Mutex // one reload, or the end, at a time
@@ -174,16 +174,16 @@
 }
 
 // share tells all clusters what part of the whole is this instance's.
-func (g *Gateway) share(instances, place int) {
-	g.shares.Store(&[2]int{instances, place})
+func (g *Gateway) share(quota fleet.Quota) {
+	g.quota.Store(&quota)
 	if s := g.state.Load(); s != nil {
-		s.share(instances, place)
+		s.share(quota)
 	}
 }
 
-func (s *state) share(instances, place int) {
+func (s *state) share(quota fleet.Quota) {
 	for _, c := range s.clusters {
-		c.Fleet(instances, place)
+		c.Fleet(quota.Instances, quota.Index)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,8 +47,7 @@
 
 // fleetGauges is what this instance believes of its fleet at this moment. OPERATING.md tells what each of them is.
 func fleetGauges(f *fleet.Fleet) (out []gauge) {
-	n, _ := f.Quota()
-	out = append(out, gaugeOf("silvertrail_fleet_share_instances", float64(n)))
+	out = append(out, gaugeOf("silvertrail_fleet_share_instances", float64(f.Quota().Instances)))
 	for _, m := range f.Members() {
 		out = append(out, gaugeOf("silvertrail_fleet_member_state", 1, "member", m.Name, "state", m.State),
 			gaugeOf("silvertrail_fleet_member_unheard_by", float64(len(m.UnreachableFrom)), "member", m.Name),
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -107,8 +107,8 @@
 		s.Update(c, g.resources)
 	}
 	g.state.Store(next)
-	if is := g.shares.Load(); is != nil { // after the state is there: a change in between reaches it twice, and not never
-		next.share(is[0], is[1])
+	if quota := g.quota.Load(); quota != nil { // after the state is there: a change in between reaches it twice, and not never
+		next.share(*quota)
 	}
 	if l := g.linked.Load(); l != nil {
 		l.Update(*file.Link)
