--- a/bench/scale/product.go
+++ b/bench/scale/product.go
@@ -20,7 +20,7 @@
 type own struct{ server *controlplane.Server }
 
 func (p *planeProcess) product() (machine, error) {
-	o := api.Options{Name: p.Name, Listen: p.Listen, Plain: true, State: p.State}
+	o := api.Options{Name: p.Name, Listen: p.Listen, Insecure: true, StateFile: p.State}
 	for name, address := range p.Peer {
 		o.Peers = append(o.Peers, api.Peer{Name: name, Plane: planes.Plane{Name: name, Address: address, Plain: true}})
 	}
@@ -43,7 +43,7 @@
 	}
 	for end := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
 		_, err := c.server.PublishResources(all, nil)
-		if !errors.Is(err, controlplane.ErrSettling) || time.Now().After(end) { // it has just begun: what it takes is part of the time told
+		if !errors.Is(err, controlplane.ErrInitialSync) || time.Now().After(end) { // it has just begun: what it takes is part of the time told
 			return err
 		}
 	}
--- a/cmd/silvertrail/control.go
+++ b/cmd/silvertrail/control.go
@@ -80,7 +80,7 @@
 		return err
 	}
 	c.print(os.Stdout, v)
-	if !v.Ready || len(v.Versions)+len(v.Refusals) > 0 {
+	if !v.Ready || len(v.Versions)+len(v.Rejections) > 0 {
 		return errBehind
 	}
 	return nil
@@ -104,7 +104,7 @@
 	if len(v.Peers) > 0 {
 		fmt.Fprintln(w, "\nPEER\tSTATE\tHEARD\tALL HEARD\tFOLLOWS\tBEHIND\tFAULT")
 		for _, p := range v.Peers {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%s\n", p.Name, p.State, since(p.Heard), p.Whole, p.Follows, p.Behind, p.Fault)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%s\n", p.Name, p.State, since(p.LastMessage), p.Synced, p.Subscribed, p.Behind, p.Fault)
 		}
 	}
 	if len(v.Versions) > 0 {
@@ -122,11 +122,11 @@
 			fmt.Fprintln(w, "\nSUBSCRIBER\tADDRESS\tSINCE\tRESOURCES\tBEHIND\tREFUSED\tAHEAD\tIN FLIGHT\tMESSAGES\tBYTES")
 			head = true
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\t%d\t%d\n", s.Node, s.Address, since(s.Since), s.Subscribed, s.Behind, s.Refused, s.Ahead, s.InFlight, s.Messages, s.Bytes)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\t%d\t%d\n", s.Node, s.Address, since(s.Since), s.Subscribed, s.Behind, s.Rejected, s.Ahead, s.InFlight, s.Messages, s.Bytes)
 	}
 	w.Flush()
-	for _, r := range v.Refusals {
-		fmt.Fprintf(out, "refused by %s, %s: %s %s, version %s: %s\n", r.Node, since(r.At), r.Kind, r.Name, r.Version, r.Why)
+	for _, r := range v.Rejections {
+		fmt.Fprintf(out, "refused by %s, %s: %s %s, version %s: %s\n", r.Node, since(r.At), r.Kind, r.Name, r.Version, r.Reason)
 	}
 	for _, x := range v.Conflicts {
 		fmt.Fprintf(out, "made apart, %s: %s %s: %s holds, %s is lost: publish what of it is still wanted\n", since(x.At), x.Kind, x.Name, x.Winner, x.Loser)
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -261,7 +261,7 @@
 		var counters []uint64
 		for i := range x.machines {
 			v, err := x.status(i)
-			if err != nil || !v.Ready || len(v.Versions) > 0 || !v.Peers[0].Follows || v.Peers[0].Behind > 0 || !v.Peers[0].Whole {
+			if err != nil || !v.Ready || len(v.Versions) > 0 || !v.Peers[0].Subscribed || v.Peers[0].Behind > 0 || !v.Peers[0].Synced {
 				return false
 			}
 			counters = append(counters, v.Counter)
@@ -343,7 +343,7 @@
 		m.run()
 	}
 	for i := range x.machines {
-		lbtest.Until(t, "the machines hear one another", func() bool { v, err := x.status(i); return err == nil && v.Peers[0].Whole })
+		lbtest.Until(t, "the machines hear one another", func() bool { v, err := x.status(i); return err == nil && v.Peers[0].Synced })
 	}
 	first := x.publish(0)
 	for _, g := range x.gateways {
--- a/cmd/silvertrail/format_test.go
+++ b/cmd/silvertrail/format_test.go
@@ -34,7 +34,7 @@
 	var v api.Status
 	golden.Fill(&v)
 	// What is told as a span from now on is left out.
-	v.Subscribers[0].Since, v.Refusals[0].At, v.Peers[0].Heard, v.Conflicts[0].At = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	v.Subscribers[0].Since, v.Rejections[0].At, v.Peers[0].LastMessage, v.Conflicts[0].At = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	receiver := v.Subscribers[0]
 	receiver.Peer = false
 	v.Subscribers = append(v.Subscribers, receiver)
--- a/internal/controlplane/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -11,11 +11,11 @@
 
 // Where the options do not tell:
 const (
-	// Pace is the sum of what 767 sidecars have for control, 13 KB a second each: a control machine that sends faster than they may
+	// DefaultBytesPerSecond is the sum of what 767 sidecars have for control, 13 KB a second each: a control machine that sends faster than they may
 	// take it gains nothing.
-	Pace        = 10 << 20
-	Subscribers = 2048
-	Settle      = 3 * time.Second
+	DefaultBytesPerSecond = 10 << 20
+	DefaultSubscribers    = 2048
+	DefaultInitialSync    = 3 * time.Second
 )
 
 // Peer is another control machine.
@@ -26,15 +26,15 @@
 
 // Options are what is told of a control machine.
 type Options struct {
-	Name        string
-	Listen      string // IP address and port
-	Plain       bool   // no TLS
-	TLS         certs.Files
-	Peers       []Peer
-	State       string        // file of all that was published; empty: it is lost with the process
-	Pace        int64         // bytes a second of first states
-	Subscribers int           // streams at once; those beyond it are turned away
-	Settle      time.Duration // for which peers are waited for at the start
+	Name           string
+	Listen         string // IP address and port
+	Insecure       bool   // no TLS
+	TLS            certs.Files
+	Peers          []Peer
+	StateFile      string        // file of all that was published; empty: it is lost with the process
+	BytesPerSecond int64         // bytes a second of first states
+	MaxSubscribers int           // streams at once; those beyond it are turned away
+	InitialSync    time.Duration // for which peers are waited for at the start
 }
 
 // Published is what became of a publication.
@@ -58,7 +58,7 @@
 	Waiting     int          `json:"waiting"` // subscribers, for their turn of a first state
 	Subscribers []Subscriber `json:"subscribers"`
 	Versions    []Version    `json:"versions"` // that somebody is behind in, the newest first
-	Refusals    []Refusal    `json:"refusals"`
+	Rejections  []Rejection  `json:"refusals"`
 	Peers       []PeerStatus `json:"peers"`
 	Conflicts   []Conflict   `json:"conflicts"`
 	Dangling    []string     `json:"dangling"` // clusters whose endpoint set is not there
@@ -72,7 +72,7 @@
 	Peer       bool      `json:"peer,omitempty"`
 	Subscribed int       `json:"subscribed"` // names
 	Behind     int       `json:"behind"`     // of these, those not acknowledged as this machine has them
-	Refused    int       `json:"refused"`
+	Rejected   int       `json:"refused"`
 	Ahead      int       `json:"ahead"` // newer here than on this machine, from one that it has not heard: nothing older is sent
 	InFlight   bool      `json:"in_flight"`
 	Messages   int64     `json:"messages"`
@@ -85,25 +85,25 @@
 	Behind  int    `json:"behind"` // subscribers
 }
 
-// Refusal is a version that a subscriber can't use. What it had before is in force there.
-type Refusal struct {
+// Rejection is a version that a subscriber can't use. What it had before is in force there.
+type Rejection struct {
 	Node    string    `json:"node"`
 	Kind    string    `json:"kind"`
 	Name    string    `json:"name"`
 	Version string    `json:"version"`
-	Why     string    `json:"why"`
+	Reason  string    `json:"why"`
 	At      time.Time `json:"at"`
 }
 
 // PeerStatus is how another control machine stands to this one.
 type PeerStatus struct {
-	Name    string    `json:"name"`
-	State   string    `json:"state"` // down, connecting, up
-	Heard   time.Time `json:"heard,omitzero"`
-	Whole   bool      `json:"whole"`   // all that it had was heard, on this stream
-	Follows bool      `json:"follows"` // it listens to this machine
-	Behind  int       `json:"behind"`  // records of this machine that it has not acknowledged
-	Fault   string    `json:"fault,omitempty"`
+	Name        string    `json:"name"`
+	State       string    `json:"state"` // down, connecting, up
+	LastMessage time.Time `json:"heard,omitzero"`
+	Synced      bool      `json:"whole"`   // all that it had was heard, on this stream
+	Subscribed  bool      `json:"follows"` // it listens to this machine
+	Behind      int       `json:"behind"`  // records of this machine that it has not acknowledged
+	Fault       string    `json:"fault,omitempty"`
 }
 
 // Conflict is two versions that were made apart: the winner holds.
--- a/internal/controlplane/catalog.go
+++ b/internal/controlplane/catalog.go
@@ -22,8 +22,8 @@
 // recordType is the type under which control machines subscribe to one another's records: each is the API's own message of a resource
 // with its version, whose metadata tells what was seen of it. One that was removed holds no resource.
 const (
-	recordType = "type.googleapis.com/envoy.service.discovery.v3.Resource"
-	seenIn     = "silvertrail.seen" // of the metadata: counters by origin, as texts, since numbers there are rounded
+	recordType       = "type.googleapis.com/envoy.service.discovery.v3.Resource"
+	versionVectorKey = "silvertrail.seen" // of the metadata: counters by origin, as texts, since numbers there are rounded
 )
 
 // typeOf returns a kind's name on the wire.
@@ -41,8 +41,8 @@
 	return delivery.Kinds
 }
 
-// overhead is about what a resource takes beside its content: names, versions and types.
-const overhead = 120
+// resourceOverheadBytes is about what a resource takes beside its content: names, versions and types.
+const resourceOverheadBytes = 120
 
 // catalog offers a store's records.
 type catalog struct{ *records.Store }
@@ -58,23 +58,23 @@
 	return key, err == nil
 }
 
-func offer(k delivery.Kind, r records.Record) delivery.Offer {
-	return delivery.Offer{Version: r.Version, Size: len(r.Raw) + 2*len(r.Name) + overhead, Removed: r.Removed && k != delivery.Records}
+func resourceVersion(k delivery.Kind, r records.Record) delivery.ResourceVersion {
+	return delivery.ResourceVersion{Version: r.Version, Bytes: len(r.Raw) + 2*len(r.Name) + resourceOverheadBytes, Removed: r.Removed && k != delivery.Records}
 }
 
 // Find implements delivery.Catalog.
-func (c catalog) Find(k delivery.Kind, name string) (delivery.Offer, bool) {
+func (c catalog) Find(k delivery.Kind, name string) (delivery.ResourceVersion, bool) {
 	key, ok := keyOf(k, name)
 	if !ok {
-		return delivery.Offer{}, false
+		return delivery.ResourceVersion{}, false
 	}
 	r, ok := c.Store.Find(key)
-	return offer(k, r), ok
+	return resourceVersion(k, r), ok
 }
 
 // All implements delivery.Catalog.
-func (c catalog) All(k delivery.Kind) iter.Seq2[string, delivery.Offer] {
-	return func(yield func(string, delivery.Offer) bool) {
+func (c catalog) All(k delivery.Kind) iter.Seq2[string, delivery.ResourceVersion] {
+	return func(yield func(string, delivery.ResourceVersion) bool) {
 		for of := range ads.Kinds {
 			if k != delivery.Records && typeOf(k) != envoy.TypeOf(of) {
 				continue
@@ -84,7 +84,7 @@
 				if k == delivery.Records {
 					name = r.Key.String()
 				}
-				if !yield(name, offer(k, r)) {
+				if !yield(name, resourceVersion(k, r)) {
 					return
 				}
 			}
@@ -92,8 +92,8 @@
 	}
 }
 
-// resource returns a record as a kind's subscribers get it.
-func resource(k delivery.Kind, r records.Record) (*discoveryv3.Resource, error) {
+// encodeResource returns a record as a kind's subscribers get it.
+func encodeResource(k delivery.Kind, r records.Record) (*discoveryv3.Resource, error) {
 	out := &discoveryv3.Resource{Name: r.Name, Version: r.Version.String()}
 	if !r.Removed {
 		out.Resource = &anypb.Any{TypeUrl: envoy.TypeOf(r.Kind), Value: r.Raw}
@@ -101,12 +101,12 @@
 	if k != delivery.Records {
 		return out, nil
 	}
-	if len(r.Seen) > 0 {
+	if len(r.Ancestry) > 0 {
 		seen := &structpb.Struct{Fields: map[string]*structpb.Value{}}
-		for origin, counter := range r.Seen {
+		for origin, counter := range r.Ancestry {
 			seen.Fields[origin] = structpb.NewStringValue(strconv.FormatUint(counter, 10))
 		}
-		out.Metadata = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{seenIn: seen}}
+		out.Metadata = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{versionVectorKey: seen}}
 	}
 	out.Name = r.Key.String()
 	text, err := proto.Marshal(out)
@@ -116,8 +116,8 @@
 	return &discoveryv3.Resource{Name: out.Name, Version: out.Version, Resource: &anypb.Any{TypeUrl: recordType, Value: text}}, nil
 }
 
-// readRecord reads and checks what another control machine says.
-func readRecord(a *anypb.Any) (r records.Record, err error) {
+// parseRecord reads and checks what another control machine says.
+func parseRecord(a *anypb.Any) (r records.Record, err error) {
 	m := &discoveryv3.Resource{}
 	if a.GetTypeUrl() != recordType {
 		return r, fmt.Errorf("of type %q among records", a.GetTypeUrl())
@@ -131,11 +131,11 @@
 	if r.Version, err = records.ParseVersion(m.Version); err != nil {
 		return r, fmt.Errorf("%s: %w", r.Key, err)
 	}
-	for origin, v := range m.GetMetadata().GetFilterMetadata()[seenIn].GetFields() {
-		if r.Seen == nil {
-			r.Seen = records.Seen{}
+	for origin, v := range m.GetMetadata().GetFilterMetadata()[versionVectorKey].GetFields() {
+		if r.Ancestry == nil {
+			r.Ancestry = records.VersionVector{}
 		}
-		if r.Seen[origin], err = strconv.ParseUint(v.GetStringValue(), 10, 64); err != nil {
+		if r.Ancestry[origin], err = strconv.ParseUint(v.GetStringValue(), 10, 64); err != nil {
 			return r, fmt.Errorf("%s: what it has seen of %q: %w", r.Key, origin, err)
 		}
 	}
@@ -143,7 +143,7 @@
 		r.Removed = true
 		return r, r.Check()
 	}
-	c, err := content(r.Kind, m.Resource)
+	c, err := parseContent(r.Kind, m.Resource)
 	if err != nil {
 		return r, err
 	}
@@ -154,8 +154,8 @@
 	return r, r.Check()
 }
 
-// content reads and checks a resource by the same rules as those who receive it.
-func content(k ads.Kind, a *anypb.Any) (c records.Content, err error) {
+// parseContent reads and checks a resource by the same rules as those who receive it.
+func parseContent(k ads.Kind, a *anypb.Any) (c records.Content, err error) {
 	i, err := (&envoy.Decoder{}).Read(k, "", a)
 	var bad *envoy.Error
 	if errors.As(err, &bad) && bad.Name != "" {
@@ -164,11 +164,11 @@
 	if err != nil {
 		return c, err
 	}
-	return records.Content{Key: records.Key{Kind: k, Name: i.Name}, Digest: i.Digest, Raw: i.Raw, Set: setOf(i.Cluster)}, nil
+	return records.Content{Key: records.Key{Kind: k, Name: i.Name}, Digest: i.Digest, Raw: i.Raw, Set: requiredSet(i.Cluster)}, nil
 }
 
-// setOf returns the endpoint set that a cluster needs from its control plane.
-func setOf(c *known.Cluster) string {
+// requiredSet returns the endpoint set that a cluster needs from its control plane.
+func requiredSet(c *known.Cluster) string {
 	if c == nil || c.File != "" {
 		return ""
 	}
--- a/internal/controlplane/delivery/delivery.go
+++ b/internal/controlplane/delivery/delivery.go
@@ -31,131 +31,131 @@
 	return [...]string{"cluster", "endpoints", "record", "?"}[min(k, Kinds)]
 }
 
-// Offer is a resource as a kind's subscribers would get it.
-type Offer struct {
+// ResourceVersion is a resource as a kind's subscribers would get it.
+type ResourceVersion struct {
 	Version records.Version
-	Size    int // bytes
+	Bytes   int // bytes
 	Removed bool
 }
 
 // Catalog tells what there is.
 type Catalog interface {
-	Find(k Kind, name string) (Offer, bool)
-	All(k Kind) iter.Seq2[string, Offer]
+	Find(k Kind, name string) (ResourceVersion, bool)
+	All(k Kind) iter.Seq2[string, ResourceVersion]
 }
 
-// Rules are the bounds of a distribution.
-type Rules struct {
-	Pace  int64         // bytes a second of first states, for all subscribers together
-	Chunk int           // bytes of a response, or one resource that is larger
-	Sign  time.Duration // after which one that waits for its first state is sent an empty response, as a sign of life
-	Names int           // of a kind that one subscriber may ask for
+// Limits are the bounds of a distribution.
+type Limits struct {
+	BytesPerSecond   int64         // bytes a second of first states, for all subscribers together
+	MaxResponseBytes int           // bytes of a response, or one resource that is larger
+	KeepaliveDelay   time.Duration // after which one that waits for its first state is sent an empty response, as a sign of life
+	MaxNames         int           // of a kind that one subscriber may ask for
 }
 
-// Distribution is who has subscribed to what, and what they are owed.
-type Distribution struct {
-	rules   Rules
-	catalog Catalog
-	open    bool // receivers are served; control machines always are
-	subs    map[*Subscriber]bool
-	by      [Kinds]map[string]map[*Subscriber]bool // subscribers by name
-	all     [Kinds]map[*Subscriber]bool            // those of everything
-	pace    pace
-	queue   []*Subscriber // those who wait for a first state, the longest first
-	woken   map[*Subscriber]bool
+// Distributor is who has subscribed to what, and what they are owed.
+type Distributor struct {
+	limits      Limits
+	catalog     Catalog
+	open        bool // receivers are served; control machines always are
+	subscribers map[*Subscriber]bool
+	byName      [Kinds]map[string]map[*Subscriber]bool // subscribers by name
+	wildcards   [Kinds]map[*Subscriber]bool            // those of everything
+	bucket      byteBucket
+	queue       []*Subscriber // those who wait for a first state, the longest first
+	woken       map[*Subscriber]bool
 }
 
 // New returns the state before anybody has come.
-func New(now time.Time, rules Rules, catalog Catalog) *Distribution {
-	d := &Distribution{rules: rules, catalog: catalog, subs: map[*Subscriber]bool{}, pace: newPace(now, rules), woken: map[*Subscriber]bool{}}
+func New(now time.Time, rules Limits, catalog Catalog) *Distributor {
+	d := &Distributor{limits: rules, catalog: catalog, subscribers: map[*Subscriber]bool{}, bucket: newByteBucket(now, rules), woken: map[*Subscriber]bool{}}
 	for k := range Kinds {
-		d.by[k], d.all[k] = map[string]map[*Subscriber]bool{}, map[*Subscriber]bool{}
+		d.byName[k], d.wildcards[k] = map[string]map[*Subscriber]bool{}, map[*Subscriber]bool{}
 	}
 	return d
 }
 
 // Open has receivers served from now on. Before, this machine may be behind the others.
-func (d *Distribution) Open() {
+func (d *Distributor) Open() {
 	if d.open {
 		return
 	}
 	d.open = true
-	for s := range d.subs {
+	for s := range d.subscribers {
 		d.wake(s)
 	}
 }
 
-// Opened tells whether receivers are served.
-func (d *Distribution) Opened() bool { return d.open }
+// IsOpen tells whether receivers are served.
+func (d *Distributor) IsOpen() bool { return d.open }
 
 // Join takes a stream. A peer is another control machine.
-func (d *Distribution) Join(name string, peer bool) *Subscriber {
+func (d *Distributor) Join(name string, peer bool) *Subscriber {
 	s := &Subscriber{Name: name, Peer: peer}
-	d.subs[s] = true
+	d.subscribers[s] = true
 	return s
 }
 
 // Leave ends a stream.
-func (d *Distribution) Leave(s *Subscriber) {
-	if !d.subs[s] {
+func (d *Distributor) Leave(s *Subscriber) {
+	if !d.subscribers[s] {
 		return
 	}
-	delete(d.subs, s)
+	delete(d.subscribers, s)
 	delete(d.woken, s)
 	for k := range Kinds {
-		delete(d.all[k], s)
-		for name := range s.kinds[k].names {
-			d.unlist(k, name, s)
+		delete(d.wildcards[k], s)
+		for name := range s.subscriptions[k].names {
+			d.removeFromIndex(k, name, s)
 		}
 	}
 	d.dequeue(s)
 }
 
-func (d *Distribution) unlist(k Kind, name string, s *Subscriber) {
-	delete(d.by[k][name], s)
-	if len(d.by[k][name]) == 0 {
-		delete(d.by[k], name)
+func (d *Distributor) removeFromIndex(k Kind, name string, s *Subscriber) {
+	delete(d.byName[k][name], s)
+	if len(d.byName[k][name]) == 0 {
+		delete(d.byName[k], name)
 	}
 }
 
-func (d *Distribution) list(k Kind, name string, s *Subscriber) {
-	if d.by[k][name] == nil {
-		d.by[k][name] = map[*Subscriber]bool{}
+func (d *Distributor) addToIndex(k Kind, name string, s *Subscriber) {
+	if d.byName[k][name] == nil {
+		d.byName[k][name] = map[*Subscriber]bool{}
 	}
-	d.by[k][name][s] = true
+	d.byName[k][name][s] = true
 }
 
 // Changed tells that a resource has a new version. Those whom it concerns are woken; nobody else is looked at.
-func (d *Distribution) Changed(key records.Key) {
+func (d *Distributor) Changed(key records.Key) {
 	k := Clusters
 	if key.Kind == ads.Sets {
 		k = Sets
 	}
-	d.changed(k, key.Name)
-	d.changed(Records, key.String())
+	d.markChanged(k, key.Name)
+	d.markChanged(Records, key.String())
 }
 
-func (d *Distribution) changed(k Kind, name string) {
+func (d *Distributor) markChanged(k Kind, name string) {
 	owe := func(s *Subscriber) {
-		if sub := &s.kinds[k]; !sub.first[name] { // a first state brings the newest in its turn
-			put(&sub.changed, name, true)
+		if sub := &s.subscriptions[k]; !sub.initial[name] { // a first state brings the newest in its turn
+			putIn(&sub.changed, name, true)
 		}
 		d.wake(s)
 	}
-	for s := range d.by[k][name] {
+	for s := range d.byName[k][name] {
 		owe(s)
 	}
-	for s := range d.all[k] {
-		if !d.by[k][name][s] {
+	for s := range d.wildcards[k] {
+		if !d.byName[k][name][s] {
 			owe(s)
 		}
 	}
 }
 
-func (d *Distribution) wake(s *Subscriber) { d.woken[s] = true }
+func (d *Distributor) wake(s *Subscriber) { d.woken[s] = true }
 
 // Woken returns the subscribers that may have something to send since it was asked last.
-func (d *Distribution) Woken() (out []*Subscriber) {
+func (d *Distributor) Woken() (out []*Subscriber) {
 	for s := range d.woken {
 		out = append(out, s)
 	}
@@ -163,7 +163,7 @@
 	return out
 }
 
-func put[V any](m *map[string]V, name string, v V) {
+func putIn[V any](m *map[string]V, name string, v V) {
 	if *m == nil {
 		*m = map[string]V{}
 	}
--- a/internal/controlplane/delivery/delivery_test.go
+++ b/internal/controlplane/delivery/delivery_test.go
@@ -17,15 +17,15 @@
 )
 
 // shelf is a catalog of endpoint sets.
-type shelf map[string]Offer
+type shelf map[string]ResourceVersion
 
-func (c shelf) Find(k Kind, name string) (Offer, bool) {
+func (c shelf) Find(k Kind, name string) (ResourceVersion, bool) {
 	o, ok := c[name]
 	return o, ok && k == Sets
 }
 
-func (c shelf) All(k Kind) iter.Seq2[string, Offer] {
-	return func(yield func(string, Offer) bool) {
+func (c shelf) All(k Kind) iter.Seq2[string, ResourceVersion] {
+	return func(yield func(string, ResourceVersion) bool) {
 		for n, o := range c {
 			if k == Sets && !yield(n, o) {
 				return
@@ -37,12 +37,12 @@
 // world is a control machine and what it has published.
 type world struct {
 	shelf   shelf
-	d       *Distribution
+	d       *Distributor
 	now     time.Time
 	counter uint64
 }
 
-var rules = Rules{Pace: 1000, Chunk: 300, Sign: 2 * time.Second, Names: 100}
+var rules = Limits{BytesPerSecond: 1000, MaxResponseBytes: 300, KeepaliveDelay: 2 * time.Second, MaxNames: 100}
 
 func newWorld() *world {
 	w := &world{shelf: shelf{}, now: time.Unix(0, 0)}
@@ -58,7 +58,7 @@
 
 func (w *world) publish(name string, size int, removed bool) {
 	w.counter++
-	w.shelf[name] = Offer{records.Version{Counter: w.counter, Origin: "m"}, size, removed}
+	w.shelf[name] = ResourceVersion{records.Version{Counter: w.counter, Origin: "m"}, size, removed}
 	w.d.Changed(records.Key{Kind: ads.Sets, Name: name})
 }
 
@@ -69,7 +69,7 @@
 	s       *Subscriber
 	names   map[string]bool
 	all     bool
-	has     map[string]Offer
+	has     map[string]ResourceVersion
 	bad     map[string]records.Version // what it can't use
 	begun   bool
 	nonce   string // of the response that it has and has not answered
@@ -90,13 +90,13 @@
 		if !r.all && len(add) == 0 {
 			return
 		}
-		q.Initial = map[string]string{}
+		q.InitialVersions = map[string]string{}
 		for n, o := range r.has {
-			q.Initial[n] = o.Version.String()
+			q.InitialVersions[n] = o.Version.String()
 		}
 	}
 	r.begun = true
-	if err := r.w.d.Take(r.w.now, r.s, q); err != nil {
+	if err := r.w.d.HandleRequest(r.w.now, r.s, q); err != nil {
 		r.t.Fatal(err)
 	}
 }
@@ -112,13 +112,13 @@
 	}
 	r.nonce, r.fault = m.Nonce, ""
 	r.bytes += m.Bytes
-	if len(m.Names)+len(m.Gone) == 0 {
+	if len(m.Names)+len(m.Removed) == 0 {
 		r.signs++
 	}
-	if len(m.Names)+len(m.Gone) > 1 && m.Bytes > rules.Chunk {
+	if len(m.Names)+len(m.Removed) > 1 && m.Bytes > rules.MaxResponseBytes {
 		r.t.Fatalf("a response of %d bytes", m.Bytes)
 	}
-	for _, n := range append(slices.Clone(m.Names), m.Gone...) {
+	for _, n := range append(slices.Clone(m.Names), m.Removed...) {
 		o := r.w.shelf[n]
 		if !r.names[n] && !r.all {
 			r.t.Fatalf("%s was not asked for", n)
@@ -140,7 +140,7 @@
 		if r.fault != "" {
 			r.refused++
 		}
-		if err := r.w.d.Take(r.w.now, r.s, Request{Kind: Sets, Nonce: r.nonce, Fault: r.fault}); err != nil {
+		if err := r.w.d.HandleRequest(r.w.now, r.s, Request{Kind: Sets, Nonce: r.nonce, NackReason: r.fault}); err != nil {
 			r.t.Fatal(err)
 		}
 		r.nonce = ""
@@ -156,7 +156,7 @@
 		names := []string{"a", "b", "c", "d", "e"}
 		var rs []*receiver
 		for i := range 4 {
-			r := &receiver{t: t, w: w, names: map[string]bool{}, all: i == 3, has: map[string]Offer{}, bad: map[string]records.Version{}}
+			r := &receiver{t: t, w: w, names: map[string]bool{}, all: i == 3, has: map[string]ResourceVersion{}, bad: map[string]records.Version{}}
 			if !r.all {
 				for _, n := range rapid.SliceOfN(rapid.SampledFrom(names), 1, 4).Draw(t, "names") {
 					r.names[n] = true
@@ -214,7 +214,7 @@
 				r.receive()
 			}
 		}
-		by, lags, _ := w.d.Standings(100)
+		by, lags, _ := w.d.Statuses(100)
 		behind := 0
 		for _, r := range rs {
 			for n, o := range w.shelf {
@@ -245,12 +245,12 @@
 	for i := range 50 {
 		name := fmt.Sprint("n", i)
 		w.publish(name, 100+rng.IntN(100), false)
-		rs = append(rs, &receiver{t: t, w: w, names: map[string]bool{name: true}, has: map[string]Offer{}})
+		rs = append(rs, &receiver{t: t, w: w, names: map[string]bool{name: true}, has: map[string]ResourceVersion{}})
 	}
 	for _, r := range rs {
 		r.connect()
 	}
-	fast := &receiver{t: t, w: w, names: map[string]bool{"news": true}, has: map[string]Offer{}}
+	fast := &receiver{t: t, w: w, names: map[string]bool{"news": true}, has: map[string]ResourceVersion{}}
 	fast.connect()
 	fast.receive()
 	fast.answer()
@@ -276,7 +276,7 @@
 			if len(r.has) == 0 {
 				missing++
 			}
-			if at >= rules.Sign && r.signs == 0 && len(r.has) == 0 {
+			if at >= rules.KeepaliveDelay && r.signs == 0 && len(r.has) == 0 {
 				t.Fatalf("%d has heard nothing after %v", i, at)
 			}
 		}
@@ -284,7 +284,7 @@
 		for _, r := range rs {
 			total += r.bytes
 		}
-		if most := float64(rules.Pace)*at.Seconds() + float64(rules.Chunk)*2; float64(total) > most {
+		if most := float64(rules.BytesPerSecond)*at.Seconds() + float64(rules.MaxResponseBytes)*2; float64(total) > most {
 			t.Fatalf("%d bytes after %v, over %v", total, at, most)
 		}
 		sent = total
@@ -294,7 +294,7 @@
 		}
 		fast.answer()
 	}
-	if d := w.now.Sub(time.Unix(0, 0)).Seconds() - float64(sent)/float64(rules.Pace); d > 1 {
+	if d := w.now.Sub(time.Unix(0, 0)).Seconds() - float64(sent)/float64(rules.BytesPerSecond); d > 1 {
 		t.Errorf("the pace was not used: %v s too long", d)
 	}
 	if w.d.Waiting() != 0 || !w.d.NextStep().IsZero() {
@@ -305,7 +305,7 @@
 // What a paused receiver costs does not grow with what changes, and it gets the newest state once.
 func TestPaused(t *testing.T) {
 	w := newWorld()
-	r := &receiver{t: t, w: w, names: map[string]bool{"a": true, "b": true}, has: map[string]Offer{}}
+	r := &receiver{t: t, w: w, names: map[string]bool{"a": true, "b": true}, has: map[string]ResourceVersion{}}
 	w.publish("a", 10, false)
 	r.connect()
 	r.receive()
@@ -325,7 +325,7 @@
 // A response that is refused is sent again one resource at a time, once: then it is known which can't be used, until it changes.
 func TestRefused(t *testing.T) {
 	w := newWorld()
-	r := &receiver{t: t, w: w, names: map[string]bool{"a": true, "b": true, "c": true}, has: map[string]Offer{}, bad: map[string]records.Version{}}
+	r := &receiver{t: t, w: w, names: map[string]bool{"a": true, "b": true, "c": true}, has: map[string]ResourceVersion{}, bad: map[string]records.Version{}}
 	for n := range r.names {
 		w.publish(n, 10, false)
 	}
@@ -336,8 +336,8 @@
 		responses++
 		r.answer()
 	}
-	_, lags, refused := w.d.Standings(10)
-	if responses != 4 || len(refused) != 1 || refused[0].Name != "b" || !strings.Contains(refused[0].Why, "b can't") || len(lags) != 1 || lags[0].Version != r.bad["b"] {
+	_, lags, refused := w.d.Statuses(10)
+	if responses != 4 || len(refused) != 1 || refused[0].Name != "b" || !strings.Contains(refused[0].Reason, "b can't") || len(lags) != 1 || lags[0].Version != r.bad["b"] {
 		t.Errorf("%d responses, %+v, %+v", responses, refused, lags)
 	}
 	w.publish("b", 10, false)
@@ -345,7 +345,7 @@
 		t.Error("the next version was not sent")
 	}
 	r.answer()
-	if _, lags, refused := w.d.Standings(10); len(lags)+len(refused) > 0 {
+	if _, lags, refused := w.d.Statuses(10); len(lags)+len(refused) > 0 {
 		t.Errorf("%v, %v", lags, refused)
 	}
 }
@@ -356,28 +356,28 @@
 	w := newWorld()
 	w.publish("a", 10, false)
 	w.d = New(w.now, rules, w.shelf)
-	r := &receiver{t: t, w: w, names: map[string]bool{"a": true}, has: map[string]Offer{}}
+	r := &receiver{t: t, w: w, names: map[string]bool{"a": true}, has: map[string]ResourceVersion{}}
 	r.connect()
 	if r.receive() {
 		t.Error("served before it is open")
 	}
 	p := w.d.Join("p", true)
-	if err := w.d.Take(w.now, p, Request{Kind: Records}); err != nil {
+	if err := w.d.HandleRequest(w.now, p, Request{Kind: Records}); err != nil {
 		t.Fatal(err)
 	}
-	if m, ok := w.d.Next(w.now, p); !ok || !m.Whole {
+	if m, ok := w.d.Next(w.now, p); !ok || !m.Complete {
 		t.Errorf("a peer is not served: %+v", m)
 	}
-	if err := w.d.Take(w.now, r.s, Request{Kind: Records}); err == nil {
+	if err := w.d.HandleRequest(w.now, r.s, Request{Kind: Records}); err == nil {
 		t.Error("records for a receiver")
 	}
 	w.d.Open()
-	ahead := &receiver{t: t, w: w, names: map[string]bool{"a": true}, has: map[string]Offer{"a": {Version: records.Version{Counter: 9, Origin: "z"}}}}
+	ahead := &receiver{t: t, w: w, names: map[string]bool{"a": true}, has: map[string]ResourceVersion{"a": {Version: records.Version{Counter: 9, Origin: "z"}}}}
 	ahead.connect()
 	if ahead.receive(); ahead.bytes > 0 || ahead.signs != 1 {
 		t.Errorf("one that is ahead was sent %d bytes", ahead.bytes)
 	}
-	if by, _, _ := w.d.Standings(1); by[ahead.s].Ahead != 1 || by[ahead.s].Behind != 0 {
+	if by, _, _ := w.d.Statuses(1); by[ahead.s].Ahead != 1 || by[ahead.s].Behind != 0 {
 		t.Errorf("one that is ahead: %+v", by[ahead.s])
 	}
 	if !r.receive() || r.has["a"] != w.shelf["a"] {
--- a/internal/controlplane/delivery/standing.go
+++ b/internal/controlplane/delivery/standing.go
@@ -7,8 +7,8 @@
 	"silvertrail/internal/controlplane/records"
 )
 
-// Standing is how far a subscriber is.
-type Standing struct {
+// Status is how far a subscriber is.
+type Status struct {
 	Subscribed int // names; of one that has asked for everything: all there are
 	Behind     int // of these, those that it has not acknowledged as this machine has them
 	Refused    int // of these, those that it has refused
@@ -17,34 +17,34 @@
 	InFlight   bool // a response that it has not answered
 }
 
-// Lag is how many subscribers are behind in a version, as they have not acknowledged all of it that they asked for.
-type Lag struct {
+// VersionLag is how many subscribers are behind in a version, as they have not acknowledged all of it that they asked for.
+type VersionLag struct {
 	Version records.Version
 	Behind  int
 }
 
-// Refused is a refusal with its subscriber.
-type Refused struct {
+// Rejection is a refusal with its subscriber.
+type Rejection struct {
 	*Subscriber
 	Kind Kind
 	Name string
-	Refusal
+	Nack
 }
 
-// Standings tells how far each subscriber is, the versions that any is behind in, the newest first, and what was refused. Most
+// Statuses tells how far each subscriber is, the versions that any is behind in, the newest first, and what was refused. Most
 // bounds what is told of refusals.
-func (d *Distribution) Standings(most int) (by map[*Subscriber]Standing, lags []Lag, refused []Refused) {
-	by = map[*Subscriber]Standing{}
+func (d *Distributor) Statuses(most int) (by map[*Subscriber]Status, lags []VersionLag, refused []Rejection) {
+	by = map[*Subscriber]Status{}
 	behind := map[records.Version]int{}
-	for s := range d.subs {
-		st := Standing{Waiting: s.queued}
+	for s := range d.subscribers {
+		st := Status{Waiting: s.queued}
 		in := map[records.Version]bool{}
 		for k := range Kinds {
-			sub := &s.kinds[k]
+			sub := &s.subscriptions[k]
 			st.InFlight = st.InFlight || sub.nonce != ""
-			look := func(n string, o Offer) {
+			look := func(n string, o ResourceVersion) {
 				st.Subscribed++
-				has, is := sub.has[n]
+				has, is := sub.acknowledged[n]
 				if has.Compare(o.Version) > 0 {
 					st.Ahead++
 				}
@@ -55,7 +55,7 @@
 					}
 				}
 			}
-			if sub.all {
+			if sub.wildcard {
 				for n, o := range d.catalog.All(k) {
 					look(n, o)
 				}
@@ -68,10 +68,10 @@
 					}
 				}
 			}
-			for n, r := range sub.refused {
+			for n, r := range sub.nacked {
 				if o, ok := d.catalog.Find(k, n); ok && o.Version == r.Version {
 					st.Refused++
-					refused = append(refused, Refused{s, k, n, r})
+					refused = append(refused, Rejection{s, k, n, r})
 				}
 			}
 		}
@@ -81,10 +81,10 @@
 		by[s] = st
 	}
 	for v, n := range behind {
-		lags = append(lags, Lag{v, n})
+		lags = append(lags, VersionLag{v, n})
 	}
-	slices.SortFunc(lags, func(a, b Lag) int { return b.Version.Compare(a.Version) })
-	slices.SortFunc(refused, func(a, b Refused) int {
+	slices.SortFunc(lags, func(a, b VersionLag) int { return b.Version.Compare(a.Version) })
+	slices.SortFunc(refused, func(a, b Rejection) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Subscriber.Name, b.Subscriber.Name), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 	})
 	return by, lags, refused[:min(len(refused), most)]
--- a/internal/controlplane/format_test.go
+++ b/internal/controlplane/format_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(err)
 	}
 	var read records.State
-	if err := statefile.Read(path, stateFormat, maxState, &read); err != nil {
+	if err := statefile.Read(path, stateFormat, maxStateBytes, &read); err != nil {
 		t.Fatal(err)
 	}
 	for i := range read.Conflicts {
@@ -59,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	present, err := content(ads.Clusters, &anypb.Any{TypeUrl: envoy.TypeOf(ads.Clusters), Value: raw})
+	present, err := parseContent(ads.Clusters, &anypb.Any{TypeUrl: envoy.TypeOf(ads.Clusters), Value: raw})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,8 +68,8 @@
 		"removed": {Key: records.Key{Kind: ads.Sets, Name: "set-b"}, Removed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := records.Record{Content: c, Version: records.Version{Counter: 12, Origin: "north.1"}, Seen: records.Seen{"south.2": 11}}
-			sent, err := resource(delivery.Records, r)
+			r := records.Record{Content: c, Version: records.Version{Counter: 12, Origin: "north.1"}, Ancestry: records.VersionVector{"south.2": 11}}
+			sent, err := encodeResource(delivery.Records, r)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -82,7 +82,7 @@
 			if err := proto.Unmarshal(recorded, &received); err != nil {
 				t.Fatal(err)
 			}
-			read, err := readRecord(&received)
+			read, err := parseRecord(&received)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/controlplane/peer.go
+++ b/internal/controlplane/peer.go
@@ -22,12 +22,12 @@
 )
 
 const (
-	maxMessage = 16 << 20 // bytes that a peer says at once
+	maxMessageBytes = 16 << 20 // bytes that a peer says at once
 	// A peer that is back has to be heard soon: a change must be everywhere within seconds. There are few, so little is spread.
-	leastBackoff, mostBackoff = 100 * time.Millisecond, 2 * time.Second
-	dialIn                    = 5 * time.Second
-	peerQuiet, peerPatience   = 10 * time.Second, 5 * time.Second // leastQuiet allows it
-	maxFaults                 = 20
+	minBackoff, maxBackoff                      = 100 * time.Millisecond, 2 * time.Second
+	dialTimeout                                 = 5 * time.Second
+	peerKeepaliveInterval, peerKeepaliveTimeout = 10 * time.Second, 5 * time.Second // leastQuiet allows it
+	maxReportedFaults                           = 20
 )
 
 const down, connecting, up = "down", "connecting", "up"
@@ -39,28 +39,28 @@
 
 	// Under the server's lock:
 
-	state string
-	heard time.Time
-	whole bool
-	fault string
+	state       string
+	lastMessage time.Time
+	synced      bool
+	fault       string
 }
 
 // run keeps the stream up for as long as the server runs.
 func (p *peer) run() {
 	s, fails := p.server, 0
 	for s.ctx.Err() == nil {
-		err := p.follow()
+		err := p.subscribe()
 		s.mu.Lock()
 		if p.state == up {
 			fails = 0
 		}
-		p.state, p.whole = down, false
+		p.state, p.synced = down, false
 		if s.ctx.Err() == nil && (p.fault == "" || fails == 0) {
 			s.log.Warn("control plane: peer lost", "peer", p.Name, "error", err)
 		}
 		p.fault = err.Error()
 		s.mu.Unlock()
-		width := min(leastBackoff<<min(fails, 10), mostBackoff)
+		width := min(minBackoff<<min(fails, 10), maxBackoff)
 		fails++
 		select {
 		case <-s.ctx.Done():
@@ -69,17 +69,17 @@
 	}
 }
 
-// follow hears a peer until the stream ends.
-func (p *peer) follow() error {
+// subscribe hears a peer until the stream ends.
+func (p *peer) subscribe() error {
 	s := p.server
 	creds, err := xds.Credentials(p.Plane, s.log)
 	if err != nil {
 		return err
 	}
 	cc, err := grpc.NewClient("passthrough:///"+p.Plane.Address, grpc.WithTransportCredentials(creds),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerQuiet, Timeout: peerPatience}),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialIn}))
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerKeepaliveInterval, Timeout: peerKeepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout}))
 	if err != nil {
 		return err
 	}
@@ -99,13 +99,13 @@
 	if err != nil {
 		return err
 	}
-	err = stream.Send(&discoveryv3.DeltaDiscoveryRequest{Node: &corev3.Node{Id: s.o.Name, UserAgentName: "silvertrail"}, TypeUrl: recordType,
+	err = stream.Send(&discoveryv3.DeltaDiscoveryRequest{Node: &corev3.Node{Id: s.options.Name, UserAgentName: "silvertrail"}, TypeUrl: recordType,
 		InitialResourceVersions: has})
 	for err == nil {
 		var m *discoveryv3.DeltaDiscoveryResponse
 		if m, err = stream.Recv(); err == nil {
 			answer := &discoveryv3.DeltaDiscoveryRequest{TypeUrl: recordType, ResponseNonce: m.Nonce}
-			if fault := p.take(m); fault != "" {
+			if fault := p.mergeResponse(m); fault != "" {
 				answer.ErrorDetail = &rpcstatus.Status{Code: int32(codes.InvalidArgument), Message: fault}
 			}
 			err = stream.Send(answer)
@@ -114,15 +114,15 @@
 	return err
 }
 
-// take merges what the peer says. What of it can't be used is returned; the rest holds.
-func (p *peer) take(m *discoveryv3.DeltaDiscoveryResponse) string {
+// mergeResponse merges what the peer says. What of it can't be used is returned; the rest holds.
+func (p *peer) mergeResponse(m *discoveryv3.DeltaDiscoveryResponse) string {
 	var good []records.Record
 	var faults []string
 	if m.TypeUrl != recordType || len(m.RemovedResources) > 0 {
 		faults = append(faults, "records alone are asked for, and none is ever gone")
 	}
 	for i, one := range m.Resources {
-		r, err := readRecord(one.Resource)
+		r, err := parseRecord(one.Resource)
 		if err == nil && r.Version.String() != one.Version {
 			err = errors.New("its version is not that of its record")
 		}
@@ -132,7 +132,7 @@
 		}
 		good = append(good, r)
 	}
-	fault := strings.Join(faults[:min(len(faults), maxFaults)], "; ")
+	fault := strings.Join(faults[:min(len(faults), maxReportedFaults)], "; ")
 	s := p.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,7 +140,7 @@
 		s.log.Info("control plane: peer heard", "peer", p.Name)
 	}
 	before := len(s.store.Conflicts())
-	p.state, p.heard, p.fault = up, time.Now(), fault
+	p.state, p.lastMessage, p.fault = up, time.Now(), fault
 	for _, r := range good {
 		s.merge(r)
 	}
@@ -148,15 +148,15 @@
 		s.log.Warn("control plane: two versions were made apart", "resource", c.Key.String(), "holds", c.Winner.String(), "lost", c.Loser.String())
 	}
 	if m.SystemVersionInfo != "" { // it owes nothing more
-		p.whole = true
-		s.settling.Heard(p.Name)
+		p.synced = true
+		s.initialSync.PeerSynced(p.Name)
 	}
 	if fault != "" {
 		s.log.Warn("control plane: records turned away", "peer", p.Name, "fault", fault)
 	}
 	if len(good) > 0 {
-		s.changed()
+		s.markDirty()
 	}
-	s.step()
+	s.advance()
 	return fault
 }
--- a/internal/controlplane/publish.go
+++ b/internal/controlplane/publish.go
@@ -15,11 +15,11 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-// maxResource leaves room for one in a message of 16 MiB, the most that a receiver takes where nobody tells otherwise.
-const maxResource = 15 << 20
+// maxResourceBytes leaves room for one in a message of 16 MiB, the most that a receiver takes where nobody tells otherwise.
+const maxResourceBytes = 15 << 20
 
-// ErrSettling says that a machine that has begun is still hearing the others: what it would publish could be taken for old.
-var ErrSettling = errors.New("control plane: it has just begun and is still hearing its peers; try again in a moment")
+// ErrInitialSync says that a machine that has begun is still hearing the others: what it would publish could be taken for old.
+var ErrInitialSync = errors.New("control plane: it has just begun and is still hearing its peers; try again in a moment")
 
 // Publish takes a response in protobuf JSON, nil for none, and the names of what is to be removed ("cluster/NAME", "endpoints/NAME"). All
 // of it holds, and is on the disk, when there is no error; with one, which tells all that is wrong, nothing has changed.
@@ -45,13 +45,13 @@
 			faults = append(faults, fmt.Errorf("resources[%d]: of type %q; clusters and endpoint sets can be published", i, a.GetTypeUrl()))
 			continue
 		}
-		c, err := content(k, a)
+		c, err := parseContent(k, a)
 		if err != nil {
 			faults = append(faults, fmt.Errorf("resources[%d]: %w", i, err))
 			continue
 		}
-		if size := len(c.Raw); size > maxResource {
-			faults = append(faults, fmt.Errorf("resources[%d]: %s: %d bytes, over %d", i, c.Key, size, maxResource))
+		if size := len(c.Raw); size > maxResourceBytes {
+			faults = append(faults, fmt.Errorf("resources[%d]: %s: %d bytes, over %d", i, c.Key, size, maxResourceBytes))
 		}
 		contents = append(contents, c)
 	}
@@ -66,13 +66,13 @@
 	if len(contents)+len(faults) == 0 {
 		return out, errors.New("control plane: nothing to publish")
 	}
-	s.publishing.Lock()
-	defer s.publishing.Unlock()
+	s.publishMu.Lock()
+	defer s.publishMu.Unlock()
 	var p records.Publication
 	// It is written before it is sent: a version that was sent and forgotten would be given to another content.
-	err = s.write(func() (records.Publication, error) {
-		if !s.settling.Over(time.Now()) {
-			return p, ErrSettling
+	err = s.writeState(func() (records.Publication, error) {
+		if !s.initialSync.IsComplete(time.Now()) {
+			return p, ErrInitialSync
 		}
 		var wrong []error
 		p, wrong = s.store.Prepare(contents)
@@ -92,7 +92,7 @@
 			out.Resources++
 		}
 	}
-	s.step()
+	s.advance()
 	s.log.Info("control plane: published", "version", out.Version, "resources", out.Resources, "removed", out.Removed, "unchanged", out.Unchanged)
 	return out, nil
 }
--- a/internal/controlplane/records/keep.go
+++ b/internal/controlplane/records/keep.go
@@ -5,18 +5,18 @@
 	"time"
 )
 
-// Saved is what of a resource is kept over a restart.
-type Saved struct {
-	Record Record `codec:"Record"`
-	Knows  Seen   `codec:"Knows"`
+// SavedRecord is what of a resource is kept over a restart.
+type SavedRecord struct {
+	Record   Record        `codec:"Record"`
+	Observed VersionVector `codec:"Knows"`
 }
 
 // State is all that is kept over a restart.
 type State struct {
-	Origin    string     `codec:"Origin"`
-	Counter   uint64     `codec:"Counter"`
-	Records   []Saved    `codec:"Records"` // a later one of a resource replaces those before it
-	Conflicts []Conflict `codec:"Conflicts"`
+	Origin    string        `codec:"Origin"`
+	Counter   uint64        `codec:"Counter"`
+	Records   []SavedRecord `codec:"Records"` // a later one of a resource replaces those before it
+	Conflicts []Conflict    `codec:"Conflicts"`
 }
 
 // Save returns the state as it will be when a publication is merged; a zero one: as it is. The records must not be changed.
@@ -24,14 +24,14 @@
 	out := State{Origin: s.origin, Counter: max(s.counter, p.Version.Counter), Conflicts: s.Conflicts()}
 	for k := range s.entries {
 		for _, e := range s.entries[k] {
-			out.Records = append(out.Records, Saved{e.Record, e.knows.clone()})
+			out.Records = append(out.Records, SavedRecord{e.Record, e.observed.clone()})
 		}
 	}
-	slices.SortFunc(out.Records, func(a, b Saved) int { return a.Record.Key.Compare(b.Record.Key) })
+	slices.SortFunc(out.Records, func(a, b SavedRecord) int { return a.Record.Key.Compare(b.Record.Key) })
 	for _, r := range p.Records {
-		knows := r.Seen.clone()
+		knows := r.Ancestry.clone()
 		knows.add(r.Version)
-		out.Records = append(out.Records, Saved{r, knows})
+		out.Records = append(out.Records, SavedRecord{r, knows})
 	}
 	return out
 }
@@ -43,41 +43,45 @@
 	for _, a := range state.Records {
 		r := a.Record
 		if is := s.entries[r.Kind][r.Name]; is != nil {
-			s.count(is.Record, -1)
+			s.adjustCounts(is.Record, -1)
 		}
 		s.counter = max(s.counter, r.Version.Counter)
-		s.entries[r.Kind][r.Name] = &entry{r, a.Knows}
-		s.count(r, 1)
+		s.entries[r.Kind][r.Name] = &entry{r, a.Observed}
+		s.adjustCounts(r, 1)
 	}
 	s.conflicts = slices.Clone(state.Conflicts[max(0, len(state.Conflicts)-maxConflicts):])
-	s.forget()
+	s.forgetOldestRemoved()
 	return s
 }
 
-// Settling decides when a machine that has begun serves receivers. What it kept may be old, and one that has lost what it kept
+// InitialSync decides when a machine that has begun serves receivers. What it kept may be old, and one that has lost what it kept
 // knows nothing: it first hears the others, for a while. Nothing is served by one that knows nothing: its receivers go to another.
-type Settling struct {
-	until   time.Time
-	missing map[string]bool
+type InitialSync struct {
+	deadline time.Time
+	pending  map[string]bool
 }
 
-// NewSettling has the peers waited for until a time.
-func NewSettling(until time.Time, peers []string) *Settling {
-	s := &Settling{until: until, missing: map[string]bool{}}
+// NewInitialSync has the peers waited for until a time.
+func NewInitialSync(until time.Time, peers []string) *InitialSync {
+	s := &InitialSync{deadline: until, pending: map[string]bool{}}
 	for _, p := range peers {
-		s.missing[p] = true
+		s.pending[p] = true
 	}
 	return s
 }
 
-// Heard tells that all that a peer has was merged.
-func (s *Settling) Heard(peer string) { delete(s.missing, peer) }
+// PeerSynced tells that all that a peer has was merged.
+func (s *InitialSync) PeerSynced(peer string) { delete(s.pending, peer) }
 
-// Over tells whether the peers are not waited for any more. Only then may something be published.
-func (s *Settling) Over(now time.Time) bool { return len(s.missing) == 0 || !now.Before(s.until) }
+// IsComplete tells whether the peers are not waited for any more. Only then may something be published.
+func (s *InitialSync) IsComplete(now time.Time) bool {
+	return len(s.pending) == 0 || !now.Before(s.deadline)
+}
 
-// Ready tells whether receivers may be served.
-func (s *Settling) Ready(now time.Time, of *Store) bool { return s.Over(now) && !of.Empty() }
+// IsReady tells whether receivers may be served.
+func (s *InitialSync) IsReady(now time.Time, of *Store) bool {
+	return s.IsComplete(now) && !of.IsEmpty()
+}
 
-// Until is when the peers are not waited for any more.
-func (s *Settling) Until() time.Time { return s.until }
+// Deadline is when the peers are not waited for any more.
+func (s *InitialSync) Deadline() time.Time { return s.deadline }
--- a/internal/controlplane/records/publish.go
+++ b/internal/controlplane/records/publish.go
@@ -24,12 +24,12 @@
 		case twice:
 			faults = append(faults, fmt.Errorf("%s: told twice", c.Key))
 			continue
-		case c.Removed && !s.has(c.Key):
+		case c.Removed && !s.isPresent(c.Key):
 			faults = append(faults, fmt.Errorf("%s: can't be removed: there is none", c.Key))
 		}
 		next[c.Key] = c
 	}
-	faults = append(faults, s.references(next)...)
+	faults = append(faults, s.danglingReferences(next)...)
 	there, _ := s.Counts()
 	p.Version = Version{s.counter + 1, s.origin}
 	for _, k := range slices.SortedFunc(maps.Keys(next), Key.Compare) {
@@ -41,10 +41,10 @@
 		}
 		r := Record{Content: c, Version: p.Version}
 		if known {
-			r.Seen = s.entries[k.Kind][k.Name].knows.clone()
+			r.Ancestry = s.entries[k.Kind][k.Name].observed.clone()
 		}
 		p.Records = append(p.Records, r)
-		if !c.Removed && !s.has(k) {
+		if !c.Removed && !s.isPresent(k) {
 			there[k.Kind]++
 		}
 	}
@@ -62,13 +62,13 @@
 	return p, nil
 }
 
-// references tells of clusters that would need an endpoint set which is not there: a receiver would wait for it for nothing.
-func (s *Store) references(next map[Key]Content) (faults []error) {
+// danglingReferences tells of clusters that would need an endpoint set which is not there: a receiver would wait for it for nothing.
+func (s *Store) danglingReferences(next map[Key]Content) (faults []error) {
 	after := func(k Key) bool {
 		if c, is := next[k]; is {
 			return !c.Removed
 		}
-		return s.has(k)
+		return s.isPresent(k)
 	}
 	for _, k := range slices.SortedFunc(maps.Keys(next), Key.Compare) {
 		c := next[k]
--- a/internal/controlplane/records/records_test.go
+++ b/internal/controlplane/records/records_test.go
@@ -30,7 +30,7 @@
 		if err := r.Check(); err != nil {
 			t.Fatal(err)
 		}
-		if v := s.Merge(zero, r); v != Taken {
+		if v := s.Merge(zero, r); v != Applied {
 			t.Fatalf("%s %s: %s", r.Key, r.Version, v)
 		}
 	}
@@ -148,14 +148,14 @@
 	}
 	publish(t, s, gone(set.Key), gone(cluster.Key))
 	for _, r := range old {
-		if v := s.Merge(zero, r); v != Old || s.has(r.Key) {
+		if v := s.Merge(zero, r); v != Superseded || s.isPresent(r.Key) {
 			t.Errorf("%s is back: %s", r.Key, v)
 		}
 	}
 	if there, removed := s.Counts(); there != [ads.Kinds]int{} || removed != 2 || len(s.Conflicts()) != 0 {
 		t.Errorf("%v there, %d removed, %v", there, removed, s.Conflicts())
 	}
-	s.most = 1
+	s.maxRemoved = 1
 	publish(t, s, content(Key{ads.Sets, "f"}, "f1"))
 	publish(t, s, gone(Key{ads.Sets, "f"}))
 	if _, known := s.Find(cluster.Key); known {
@@ -164,7 +164,7 @@
 	// One machine removes the endpoints while another names them: told, not hidden.
 	r := Record{Content: cluster, Version: Version{9, "other"}}
 	s.Merge(zero, r)
-	if d := s.Dangling(); len(d) != 1 || d[0] != cluster.Key {
+	if d := s.DanglingClusters(); len(d) != 1 || d[0] != cluster.Key {
 		t.Errorf("dangling: %v", d)
 	}
 }
@@ -175,8 +175,8 @@
 	s := New("m")
 	k := Key{ads.Sets, "e"}
 	publish(t, s, content(k, "1"))
-	s.Witness(Version{maxCounter - 1, "liar"})
-	s.Witness(Version{7, "lost"})
+	s.ObserveVersion(Version{maxCounter - 1, "liar"})
+	s.ObserveVersion(Version{7, "lost"})
 	if p := publish(t, s, content(k, "2")); p.Version.Counter != 8 {
 		t.Errorf("%s", p.Version)
 	}
--- a/internal/controlplane/records/store.go
+++ b/internal/controlplane/records/store.go
@@ -28,43 +28,43 @@
 
 type entry struct {
 	Record
-	knows Seen // versions that have come, those that lost as well
+	observed VersionVector // versions that have come, those that lost as well
 }
 
 // Store keeps the newest record of each resource.
 type Store struct {
-	origin    string
-	counter   uint64 // the highest seen
-	entries   [ads.Kinds]map[string]*entry
-	there     [ads.Kinds]int
-	removed   int
-	most      int // removed ones that are remembered
-	conflicts []Conflict
+	origin       string
+	counter      uint64 // the highest seen
+	entries      [ads.Kinds]map[string]*entry
+	presentCount [ads.Kinds]int
+	removedCount int
+	maxRemoved   int // removed ones that are remembered
+	conflicts    []Conflict
 }
 
 // New returns a store that knows nothing. The origin is this machine's, and of this start from nothing alone.
 func New(origin string) *Store {
-	s := &Store{origin: origin, most: MaxRemoved}
+	s := &Store{origin: origin, maxRemoved: MaxRemoved}
 	for k := range s.entries {
 		s.entries[k] = map[string]*entry{}
 	}
 	return s
 }
 
-// Verdict is what became of a record.
-type Verdict uint8
+// MergeResult is what became of a record.
+type MergeResult uint8
 
 // The verdicts.
 const (
-	Taken Verdict = iota // newer: it holds from now on
-	Same                 // it holds already
-	Old                  // a newer one holds
+	Applied    MergeResult = iota // newer: it holds from now on
+	Unchanged                     // it holds already
+	Superseded                    // a newer one holds
 )
 
-func (v Verdict) String() string { return [...]string{"taken", "same", "old"}[v] }
+func (v MergeResult) String() string { return [...]string{"taken", "same", "old"}[v] }
 
 // Merge takes a record that was checked, of this machine or another. It may come any number of times, and in any order.
-func (s *Store) Merge(now time.Time, r Record) Verdict {
+func (s *Store) Merge(now time.Time, r Record) MergeResult {
 	s.counter = max(s.counter, r.Version.Counter)
 	e := s.entries[r.Kind][r.Name]
 	if e == nil {
@@ -74,42 +74,42 @@
 	was := e.Record
 	order := r.Version.Compare(was.Version)
 	if order == 0 {
-		return Same
+		return Unchanged
 	}
-	heard := e.knows.Has(r.Version)
-	e.knows.add(r.Version)
-	for o, c := range r.Seen {
-		e.knows.add(Version{c, o})
+	heard := e.observed.Includes(r.Version)
+	e.observed.add(r.Version)
+	for o, c := range r.Ancestry {
+		e.observed.add(Version{c, o})
 	}
 	if order < 0 {
 		// What holds has seen it, or it has come before: old news. Else it was made apart, and has lost.
 		if !heard {
-			s.conflict(now, was, r)
+			s.addConflict(now, was, r)
 		}
-		return Old
+		return Superseded
 	}
-	if was.Version.Counter > 0 && !r.Seen.Has(was.Version) {
-		s.conflict(now, r, was)
+	if was.Version.Counter > 0 && !r.Ancestry.Includes(was.Version) {
+		s.addConflict(now, r, was)
 	}
-	s.count(was, -1)
+	s.adjustCounts(was, -1)
 	e.Record = r
-	s.count(r, 1)
-	s.forget()
-	return Taken
+	s.adjustCounts(r, 1)
+	s.forgetOldestRemoved()
+	return Applied
 }
 
-func (s *Store) count(r Record, n int) {
+func (s *Store) adjustCounts(r Record, n int) {
 	switch {
 	case r.Version.Counter == 0:
 	case r.Removed:
-		s.removed += n
+		s.removedCount += n
 	default:
-		s.there[r.Kind] += n
+		s.presentCount[r.Kind] += n
 	}
 }
 
-// conflict notes two records that were made apart. What says the same twice is none.
-func (s *Store) conflict(now time.Time, winner, loser Record) {
+// addConflict notes two records that were made apart. What says the same twice is none.
+func (s *Store) addConflict(now time.Time, winner, loser Record) {
 	if winner.Digest == loser.Digest && winner.Removed == loser.Removed {
 		return
 	}
@@ -123,9 +123,9 @@
 	s.conflicts = append(s.conflicts, c)
 }
 
-// forget bounds what is remembered as removed. All machines forget the same ones: those of the lowest versions.
-func (s *Store) forget() {
-	for s.removed > s.most {
+// forgetOldestRemoved bounds what is remembered as removed. All machines forget the same ones: those of the lowest versions.
+func (s *Store) forgetOldestRemoved() {
+	for s.removedCount > s.maxRemoved {
 		var oldest *entry
 		for k := range s.entries {
 			for _, e := range s.entries[k] {
@@ -134,18 +134,18 @@
 				}
 			}
 		}
-		s.count(oldest.Record, -1)
+		s.adjustCounts(oldest.Record, -1)
 		delete(s.entries[oldest.Kind], oldest.Name)
 	}
 }
 
-// maxAhead bounds what is believed of a counter that only a receiver tells: some days' changes.
-const maxAhead = 10_000
+// maxCounterGap bounds what is believed of a counter that only a receiver tells: some days' changes.
+const maxCounterGap = 10_000
 
-// Witness hears of a version that a receiver has from another machine, which may never be heard itself any more. What is published
+// ObserveVersion hears of a version that a receiver has from another machine, which may never be heard itself any more. What is published
 // from now on is newer than it.
-func (s *Store) Witness(v Version) {
-	if v.Counter > s.counter && v.Counter-s.counter <= maxAhead && s.counter > 0 {
+func (s *Store) ObserveVersion(v Version) {
+	if v.Counter > s.counter && v.Counter-s.counter <= maxCounterGap && s.counter > 0 {
 		s.counter = v.Counter
 	}
 }
@@ -180,18 +180,18 @@
 func (s *Store) Origin() string { return s.origin }
 
 // Counts returns how many resources there are of each kind, and how many are remembered as removed.
-func (s *Store) Counts() (there [ads.Kinds]int, removed int) { return s.there, s.removed }
+func (s *Store) Counts() (there [ads.Kinds]int, removed int) { return s.presentCount, s.removedCount }
 
-// Empty tells whether nothing was ever heard.
-func (s *Store) Empty() bool { return s.counter == 0 }
+// IsEmpty tells whether nothing was ever heard.
+func (s *Store) IsEmpty() bool { return s.counter == 0 }
 
 // Conflicts returns what was made apart, the newest last.
 func (s *Store) Conflicts() []Conflict { return slices.Clone(s.conflicts) }
 
-// Dangling returns the clusters whose endpoint set is not there: one machine may have removed it while another named it.
-func (s *Store) Dangling() (out []Key) {
+// DanglingClusters returns the clusters whose endpoint set is not there: one machine may have removed it while another named it.
+func (s *Store) DanglingClusters() (out []Key) {
 	for _, e := range s.entries[ads.Clusters] {
-		if !e.Removed && e.Set != "" && !s.has(Key{ads.Sets, e.Set}) {
+		if !e.Removed && e.Set != "" && !s.isPresent(Key{ads.Sets, e.Set}) {
 			out = append(out, e.Key)
 		}
 	}
@@ -199,7 +199,7 @@
 	return out
 }
 
-func (s *Store) has(k Key) bool {
+func (s *Store) isPresent(k Key) bool {
 	r, ok := s.Find(k)
 	return ok && !r.Removed
 }
--- a/internal/controlplane/records/version.go
+++ b/internal/controlplane/records/version.go
@@ -26,9 +26,9 @@
 }
 
 const (
-	maxCounter = 1 << 62
-	maxOrigin  = 200 // bytes
-	maxOrigins = 16  // of which a record tells what was seen; those with the lowest counters are left out
+	maxCounter     = 1 << 62
+	maxOriginBytes = 200 // bytes
+	maxOrigins     = 16  // of which a record tells what was seen; those with the lowest counters are left out
 )
 
 // Compare orders versions: zero is the oldest.
@@ -48,25 +48,25 @@
 func ParseVersion(text string) (v Version, err error) {
 	counter, origin, ok := strings.Cut(text, "-")
 	if v.Counter, err = strconv.ParseUint(counter, 10, 64); err != nil || !ok || v.Counter == 0 || v.Counter >= maxCounter || origin == "" ||
-		len(origin) > maxOrigin || strconv.FormatUint(v.Counter, 10) != counter {
+		len(origin) > maxOriginBytes || strconv.FormatUint(v.Counter, 10) != counter {
 		return Version{}, fmt.Errorf("%.100q is no version of a control machine", text)
 	}
 	v.Origin = origin
 	return v, nil
 }
 
-// Seen tells the highest counter that was seen, by origin.
-type Seen map[string]uint64
+// VersionVector tells the highest counter that was seen, by origin.
+type VersionVector map[string]uint64
 
-// Has tells whether a version was seen.
-func (s Seen) Has(v Version) bool { return s[v.Origin] >= v.Counter }
+// Includes tells whether a version was seen.
+func (s VersionVector) Includes(v Version) bool { return s[v.Origin] >= v.Counter }
 
-func (s *Seen) add(v Version) {
-	if v.Counter == 0 || s.Has(v) {
+func (s *VersionVector) add(v Version) {
+	if v.Counter == 0 || s.Includes(v) {
 		return
 	}
 	if *s == nil {
-		*s = Seen{}
+		*s = VersionVector{}
 	}
 	(*s)[v.Origin] = v.Counter
 	if len(*s) > maxOrigins {
@@ -116,8 +116,8 @@
 // Record is a resource in one version.
 type Record struct {
 	Content
-	Version Version `codec:"Version"`
-	Seen    Seen    `codec:"Seen"` // of this resource, by the machine that gave the version, before
+	Version  Version       `codec:"Version"`
+	Ancestry VersionVector `codec:"Seen"` // of this resource, by the machine that gave the version, before
 }
 
 // Check tells what is wrong with a record that came from elsewhere.
@@ -125,14 +125,14 @@
 	switch {
 	case r.Kind >= ads.Kinds || r.Name == "":
 		return errors.New("it names no resource")
-	case r.Version.Counter == 0 || r.Version.Counter >= maxCounter || r.Version.Origin == "" || len(r.Version.Origin) > maxOrigin:
+	case r.Version.Counter == 0 || r.Version.Counter >= maxCounter || r.Version.Origin == "" || len(r.Version.Origin) > maxOriginBytes:
 		return fmt.Errorf("%s: it has no version", r.Key)
-	case len(r.Seen) > maxOrigins:
-		return fmt.Errorf("%s: it has seen %d origins, over %d", r.Key, len(r.Seen), maxOrigins)
+	case len(r.Ancestry) > maxOrigins:
+		return fmt.Errorf("%s: it has seen %d origins, over %d", r.Key, len(r.Ancestry), maxOrigins)
 	case r.Removed != (len(r.Raw) == 0):
 		return fmt.Errorf("%s: it is neither there nor removed", r.Key)
 	}
-	for _, c := range r.Seen {
+	for _, c := range r.Ancestry {
 		if c >= r.Version.Counter {
 			return fmt.Errorf("%s: it has seen what is newer than itself", r.Key)
 		}
@@ -140,4 +140,4 @@
 	return nil
 }
 
-func (s Seen) clone() Seen { return maps.Clone(s) }
+func (s VersionVector) clone() VersionVector { return maps.Clone(s) }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -32,58 +32,58 @@
 )
 
 const (
-	stateFormat = "silvertrail control plane state 1"
-	maxState    = 1 << 30
-	saveEvery   = time.Second
-	// chunk is below the least that a receiver may allow for a message, 64 KiB.
-	chunk = 60 << 10
-	// sign is below the time after which a silent control plane counts as failed, 5 s where nobody tells otherwise.
-	sign       = 2 * time.Second
-	names      = 2*records.MaxResources + records.MaxRemoved // that one subscriber may ask for
-	maxRequest = 8 << 20                                     // bytes: as many names with their versions
-	buffers    = 4 << 10                                     // bytes for each direction of a stream; there are hundreds of streams
+	stateFormat   = "silvertrail control plane state 1"
+	maxStateBytes = 1 << 30
+	saveInterval  = time.Second
+	// maxResponseBytes is below the least that a receiver may allow for a message, 64 KiB.
+	maxResponseBytes = 60 << 10
+	// keepaliveDelay is below the time after which a silent control plane counts as failed, 5 s where nobody tells otherwise.
+	keepaliveDelay    = 2 * time.Second
+	maxNames          = 2*records.MaxResources + records.MaxRemoved // that one subscriber may ask for
+	maxRequestBytes   = 8 << 20                                     // bytes: as many names with their versions
+	streamBufferBytes = 4 << 10                                     // bytes for each direction of a stream; there are hundreds of streams
 	// Who has gone without a word, or is paused, is let go of after these: what it costs ends.
-	quiet, patience = 30 * time.Second, 20 * time.Second
-	leastQuiet      = 5 * time.Second // between a client's signs of life
+	keepaliveInterval, keepaliveTimeout = 30 * time.Second, 20 * time.Second
+	minKeepaliveInterval                = 5 * time.Second // between a client's signs of life
 )
 
 // Server is a control machine. All its methods may be called from any goroutine.
 type Server struct {
 	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
-	log      *slog.Logger
-	o        api.Options
-	server   *grpc.Server
-	listener net.Listener
-	ctx      context.Context
-	stop     context.CancelFunc
-	wait     sync.WaitGroup
+	log        *slog.Logger
+	options    api.Options
+	grpcServer *grpc.Server
+	listener   net.Listener
+	ctx        context.Context
+	stop       context.CancelFunc
+	goroutines sync.WaitGroup
 
-	publishing sync.Mutex    // one at a time
-	writing    sync.Mutex    // of the state file
-	dirty      chan struct{} // holds a token when there is something to write
+	publishMu   sync.Mutex    // one at a time
+	stateFileMu sync.Mutex    // of the state file
+	dirty       chan struct{} // holds a token when there is something to write
 
-	mu       sync.Mutex
-	store    *records.Store
-	settling *records.Settling
-	dist     *delivery.Distribution
-	streams  map[*delivery.Subscriber]*stream
-	joined   int // streams, also those that have not said who they are
-	peers    map[string]*peer
-	messages int64
-	bytes    int64
-	timer    *time.Timer
-	ended    bool
+	mu           sync.Mutex
+	store        *records.Store
+	initialSync  *records.InitialSync
+	distributor  *delivery.Distributor
+	streams      map[*delivery.Subscriber]*stream
+	streamCount  int // streams, also those that have not said who they are
+	peers        map[string]*peer
+	messageCount int64
+	byteCount    int64
+	timer        *time.Timer
+	closed       bool
 }
 
 // Start takes up what was kept, listens, and connects to the other control machines for as long as it runs.
 func Start(o api.Options, log *slog.Logger) (*Server, error) {
-	o.Pace, o.Subscribers, o.Settle = cmp.Or(o.Pace, api.Pace), cmp.Or(o.Subscribers, api.Subscribers), cmp.Or(o.Settle, api.Settle)
-	s := &Server{log: log, o: o, dirty: make(chan struct{}, 1), streams: map[*delivery.Subscriber]*stream{}, peers: map[string]*peer{}}
+	o.BytesPerSecond, o.MaxSubscribers, o.InitialSync = cmp.Or(o.BytesPerSecond, api.DefaultBytesPerSecond), cmp.Or(o.MaxSubscribers, api.DefaultSubscribers), cmp.Or(o.InitialSync, api.DefaultInitialSync)
+	s := &Server{log: log, options: o, dirty: make(chan struct{}, 1), streams: map[*delivery.Subscriber]*stream{}, peers: map[string]*peer{}}
 	var err error
-	if s.store, err = restore(o); err != nil {
+	if s.store, err = restoreStore(o); err != nil {
 		return nil, err
 	}
-	creds, err := secure(o, log)
+	creds, err := transportCredentials(o, log)
 	if err != nil {
 		return nil, fmt.Errorf("control plane: %w", err)
 	}
@@ -97,31 +97,31 @@
 		s.peers[p.Name] = &peer{Peer: p, server: s, state: down}
 		missing = append(missing, p.Name)
 	}
-	s.settling = records.NewSettling(now.Add(o.Settle), missing)
-	s.dist = delivery.New(now, delivery.Rules{Pace: o.Pace, Chunk: chunk, Sign: sign, Names: names}, catalog{s.store})
-	s.server = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxRequest), grpc.ReadBufferSize(buffers), grpc.WriteBufferSize(buffers),
-		grpc.SharedWriteBuffer(true), grpc.WaitForHandlers(true), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: quiet, Time: quiet, Timeout: patience}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: leastQuiet, PermitWithoutStream: true}))
-	discoveryv3.RegisterAggregatedDiscoveryServiceServer(s.server, s)
+	s.initialSync = records.NewInitialSync(now.Add(o.InitialSync), missing)
+	s.distributor = delivery.New(now, delivery.Limits{BytesPerSecond: o.BytesPerSecond, MaxResponseBytes: maxResponseBytes, KeepaliveDelay: keepaliveDelay, MaxNames: maxNames}, catalog{s.store})
+	s.grpcServer = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxRequestBytes), grpc.ReadBufferSize(streamBufferBytes), grpc.WriteBufferSize(streamBufferBytes),
+		grpc.SharedWriteBuffer(true), grpc.WaitForHandlers(true), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: keepaliveInterval, Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}))
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(s.grpcServer, s)
 	there, removed := s.store.Counts()
 	log.Info("control plane", "address", s.listener.Addr(), "clusters", there[0], "endpoint_sets", there[1], "removed", removed)
-	s.wait.Go(func() { s.server.Serve(s.listener) })
-	s.wait.Go(s.save)
+	s.goroutines.Go(func() { s.grpcServer.Serve(s.listener) })
+	s.goroutines.Go(s.persistLoop)
 	for _, p := range s.peers {
-		s.wait.Go(p.run)
+		s.goroutines.Go(p.run)
 	}
 	s.mu.Lock()
-	s.step()
+	s.advance()
 	s.mu.Unlock()
 	return s, nil
 }
 
-// restore reads what was kept. What can't be read is an error: to begin without it would lose what nobody else may have.
-func restore(o api.Options) (*records.Store, error) {
+// restoreStore reads what was kept. What can't be read is an error: to begin without it would lose what nobody else may have.
+func restoreStore(o api.Options) (*records.Store, error) {
 	var state records.State
 	err := os.ErrNotExist
-	if o.State != "" {
-		err = statefile.Read(o.State, stateFormat, maxState, &state)
+	if o.StateFile != "" {
+		err = statefile.Read(o.StateFile, stateFormat, maxStateBytes, &state)
 	}
 	for i := 0; err == nil && i < len(state.Records); i++ {
 		err = state.Records[i].Record.Check()
@@ -133,13 +133,13 @@
 		rand.Read(nonce[:])
 		return records.New(o.Name + "." + hex.EncodeToString(nonce[:])), nil
 	case err != nil:
-		return nil, fmt.Errorf("control plane: state %s: %w (it is kept as it is; without it this machine takes all from its peers)", o.State, err)
+		return nil, fmt.Errorf("control plane: state %s: %w (it is kept as it is; without it this machine takes all from its peers)", o.StateFile, err)
 	}
 	return records.Restore(state), nil
 }
 
-func secure(o api.Options, log *slog.Logger) (credentials.TransportCredentials, error) {
-	if o.Plain {
+func transportCredentials(o api.Options, log *slog.Logger) (credentials.TransportCredentials, error) {
+	if o.Insecure {
 		return insecure.NewCredentials(), nil
 	}
 	proof, err := certs.Open(o.TLS, log)
@@ -162,39 +162,39 @@
 // Close ends all streams, and writes what was not written.
 func (s *Server) Close() {
 	s.mu.Lock()
-	if s.ended {
+	if s.closed {
 		s.mu.Unlock()
 		return
 	}
-	s.ended = true
+	s.closed = true
 	if s.timer != nil {
 		s.timer.Stop()
 	}
 	s.mu.Unlock()
 	s.stop()
-	s.server.Stop()
-	s.wait.Wait()
+	s.grpcServer.Stop()
+	s.goroutines.Wait()
 }
 
-// step brings all up to the time: receivers are let in, those who may be sent something are woken, the timer set. The caller holds
+// advance brings all up to the time: receivers are let in, those who may be sent something are woken, the timer set. The caller holds
 // the lock.
-func (s *Server) step() {
-	if s.ended {
+func (s *Server) advance() {
+	if s.closed {
 		return
 	}
 	now := time.Now()
-	if !s.dist.Opened() && s.settling.Ready(now, s.store) {
-		s.dist.Open()
+	if !s.distributor.IsOpen() && s.initialSync.IsReady(now, s.store) {
+		s.distributor.Open()
 		s.log.Info("control plane: receivers are served", "counter", s.store.Counter())
 	}
-	s.dist.Step(now)
-	for _, sub := range s.dist.Woken() {
+	s.distributor.Step(now)
+	for _, sub := range s.distributor.Woken() {
 		if st := s.streams[sub]; st != nil {
 			st.wake()
 		}
 	}
-	next := s.dist.NextStep()
-	if at := s.settling.Until(); !s.dist.Opened() && now.Before(at) && (next.IsZero() || at.Before(next)) {
+	next := s.distributor.NextStep()
+	if at := s.initialSync.Deadline(); !s.distributor.IsOpen() && now.Before(at) && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
 	if s.timer != nil {
@@ -205,64 +205,64 @@
 		s.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.step()
+			s.advance()
 		})
 	}
 }
 
 // merge puts a record in force, where it is newer. The caller holds the lock, and steps.
 func (s *Server) merge(r records.Record) {
-	if s.store.Merge(time.Now(), r) == records.Taken {
-		s.dist.Changed(r.Key)
+	if s.store.Merge(time.Now(), r) == records.Applied {
+		s.distributor.Changed(r.Key)
 	}
 }
 
-// save writes the state some time after it has changed, and once more at the end.
-func (s *Server) save() {
+// persistLoop writes the state some time after it has changed, and once more at the end.
+func (s *Server) persistLoop() {
 	for {
 		select {
 		case <-s.ctx.Done():
 			select {
 			case <-s.dirty:
-				s.saveNow()
+				s.persist()
 			default:
 			}
 			return
 		case <-s.dirty:
 		}
-		s.saveNow()
+		s.persist()
 		select {
 		case <-s.ctx.Done():
-		case <-time.After(saveEvery):
+		case <-time.After(saveInterval):
 		}
 	}
 }
 
-func (s *Server) saveNow() {
-	if err := s.write(func() (records.Publication, error) { return records.Publication{}, nil }); err != nil {
+func (s *Server) persist() {
+	if err := s.writeState(func() (records.Publication, error) { return records.Publication{}, nil }); err != nil {
 		s.log.Error("control plane: the state could not be written", "error", err)
 	}
 }
 
-// write writes the state as it will be with a publication, which is made under the lock.
-func (s *Server) write(prepare func() (records.Publication, error)) error {
-	s.writing.Lock()
-	defer s.writing.Unlock()
+// writeState writes the state as it will be with a publication, which is made under the lock.
+func (s *Server) writeState(prepare func() (records.Publication, error)) error {
+	s.stateFileMu.Lock()
+	defer s.stateFileMu.Unlock()
 	s.mu.Lock()
 	p, err := prepare()
-	if err != nil || s.o.State == "" {
+	if err != nil || s.options.StateFile == "" {
 		s.mu.Unlock()
 		return err
 	}
 	state := s.store.Save(p)
 	s.mu.Unlock()
-	if err := statefile.Write(s.o.State, stateFormat, state); err != nil {
-		return fmt.Errorf("state %s: %w", s.o.State, err)
+	if err := statefile.Write(s.options.StateFile, stateFormat, state); err != nil {
+		return fmt.Errorf("state %s: %w", s.options.StateFile, err)
 	}
 	return nil
 }
 
-func (s *Server) changed() {
+func (s *Server) markDirty() {
 	select {
 	case s.dirty <- struct{}{}:
 	default:
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -30,7 +30,7 @@
 
 func begin(t testing.TB, o api.Options) *Server {
 	t.Helper()
-	o.Plain = true
+	o.Insecure = true
 	if o.Listen == "" {
 		o.Listen = "127.0.0.1:0"
 	}
@@ -195,7 +195,7 @@
 // A machine that begins anew goes on from what it kept, with versions that were never given; one whose state is torn says so and
 // touches nothing; one that has lost it is another origin.
 func TestRestart(t *testing.T) {
-	o := api.Options{Name: "m", State: filepath.Join(t.TempDir(), "state")}
+	o := api.Options{Name: "m", StateFile: filepath.Join(t.TempDir(), "state")}
 	s := begin(t, o)
 	first := publish(t, s, nil, service("a", 1)...)
 	o.Listen = s.Addr()
@@ -209,21 +209,21 @@
 		t.Errorf("%s, then %s", first.Version, second.Version)
 	}
 	s.Close()
-	text, err := os.ReadFile(o.State)
+	text, err := os.ReadFile(o.StateFile)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(o.State, text[:len(text)-1], 0o600); err != nil {
+	if err := os.WriteFile(o.StateFile, text[:len(text)-1], 0o600); err != nil {
 		t.Fatal(err)
 	}
-	o.Plain = true
-	if s, err := Start(o, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), o.State) {
+	o.Insecure = true
+	if s, err := Start(o, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), o.StateFile) {
 		if err == nil {
 			s.Close()
 		}
 		t.Errorf("torn: %v", err)
 	}
-	if err := os.Remove(o.State); err != nil {
+	if err := os.Remove(o.StateFile); err != nil {
 		t.Fatal(err)
 	}
 	s = begin(t, o)
@@ -239,15 +239,15 @@
 // takes all from its peer before it serves; what can't be had from a subscriber's machine it has from the other.
 func TestPeers(t *testing.T) {
 	l := lbtest.Listen(t)
-	o := api.Options{Name: "a", Listen: l.Addr().String(), Settle: time.Minute}
+	o := api.Options{Name: "a", Listen: l.Addr().String(), InitialSync: time.Minute}
 	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: planes.Plane{Address: o.Listen, Plain: true}}}})
 	o.Peers = []api.Peer{{Name: "b", Plane: planes.Plane{Address: b.Addr(), Plain: true}}}
 	l.Close()
 	a := begin(t, o)
-	lbtest.Until(t, "a has heard b", func() bool { return a.Status().Peers[0].Whole })
+	lbtest.Until(t, "a has heard b", func() bool { return a.Status().Peers[0].Synced })
 	publish(t, a, nil, append(service("x", 1), service("gone", 1)...)...)
 	publish(t, a, []string{"cluster/gone"})
-	lbtest.Until(t, "b has it", func() bool { st := b.Status(); return st.Clusters == 1 && st.Removed == 1 && st.Peers[0].Whole })
+	lbtest.Until(t, "b has it", func() bool { st := b.Status(); return st.Clusters == 1 && st.Removed == 1 && st.Peers[0].Synced })
 	lbtest.Until(t, "b serves", func() bool { return b.Status().Ready })
 	a.Close()
 	r := follow(t, "r", "x", o.Listen, b.Addr())
@@ -272,11 +272,11 @@
 func TestSettling(t *testing.T) {
 	l := lbtest.Listen(t)
 	peers := []api.Peer{{Name: "b", Plane: planes.Plane{Address: l.Addr().String(), Plain: true}}}
-	s := begin(t, api.Options{Name: "a", Peers: peers, Settle: time.Hour})
-	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); err != ErrSettling {
+	s := begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Hour})
+	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); err != ErrInitialSync {
 		t.Error(err)
 	}
-	s = begin(t, api.Options{Name: "a", Peers: peers, Settle: time.Millisecond})
+	s = begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Millisecond})
 	lbtest.Until(t, "it takes a publication", func() bool {
 		_, err := s.PublishResources(packed(t, service("x", 1)...), nil)
 		return err == nil
@@ -288,7 +288,7 @@
 
 // More subscribers than there is room for are turned away, and served when others have gone.
 func TestSubscribersBound(t *testing.T) {
-	s := begin(t, api.Options{Name: "m", Subscribers: 1})
+	s := begin(t, api.Options{Name: "m", MaxSubscribers: 1})
 	publish(t, s, nil, service("a", 1)...)
 	first := follow(t, "r1", "a", s.Addr())
 	first.await(t, "1")
--- a/internal/controlplane/stream.go
+++ b/internal/controlplane/stream.go
@@ -17,56 +17,56 @@
 
 // stream is a subscriber's stream.
 type stream struct {
-	of      discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer
-	address string
-	since   time.Time
-	work    chan struct{} // holds a token when there may be something to send
+	grpcStream discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer
+	address    string
+	since      time.Time
+	ready      chan struct{} // holds a token when there may be something to send
 
 	// Under the server's lock:
 
-	sub             *delivery.Subscriber // nil: it has not said who it is
-	ended           bool
-	messages, bytes int64
+	subscriber              *delivery.Subscriber // nil: it has not said who it is
+	ended                   bool
+	messageCount, byteCount int64
 }
 
 func (st *stream) wake() {
 	select {
-	case st.work <- struct{}{}:
+	case st.ready <- struct{}{}:
 	default:
 	}
 }
 
 // DeltaAggregatedResources implements the service.
 func (s *Server) DeltaAggregatedResources(of discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
-	st := &stream{of: of, since: time.Now(), work: make(chan struct{}, 1)}
+	st := &stream{grpcStream: of, since: time.Now(), ready: make(chan struct{}, 1)}
 	if p, ok := grpcpeer.FromContext(of.Context()); ok {
 		st.address = p.Addr.String()
 	}
 	s.mu.Lock()
-	if s.joined >= s.o.Subscribers+len(s.o.Peers) {
+	if s.streamCount >= s.options.MaxSubscribers+len(s.options.Peers) {
 		s.mu.Unlock()
-		return status.Errorf(codes.ResourceExhausted, "this control machine has its %d subscribers", s.o.Subscribers)
+		return status.Errorf(codes.ResourceExhausted, "this control machine has its %d subscribers", s.options.MaxSubscribers)
 	}
-	s.joined++
+	s.streamCount++
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(of.Context())
 	defer func() {
 		cancel(nil)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.joined--
+		s.streamCount--
 		st.ended = true
-		if st.sub != nil {
-			s.dist.Leave(st.sub)
-			delete(s.streams, st.sub)
-			s.step()
+		if st.subscriber != nil {
+			s.distributor.Leave(st.subscriber)
+			delete(s.streams, st.subscriber)
+			s.advance()
 		}
 	}()
 	go func() { // ends with the stream, which ends when this method returns
 		for {
 			m, err := of.Recv()
 			if err == nil {
-				err = s.take(st, m)
+				err = s.handleRequest(st, m)
 			}
 			if err != nil {
 				cancel(err)
@@ -74,10 +74,10 @@
 			}
 		}
 	}()
-	silent := time.NewTimer(patience)
+	silent := time.NewTimer(keepaliveTimeout)
 	defer silent.Stop()
 	for {
-		m, err := s.next(st)
+		m, err := s.nextResponse(st)
 		if err != nil {
 			return err
 		}
@@ -87,10 +87,10 @@
 				return context.Cause(ctx)
 			case <-s.ctx.Done():
 				return status.Error(codes.Unavailable, "this control machine ends")
-			case <-st.work:
+			case <-st.ready:
 			case <-silent.C:
 				s.mu.Lock()
-				nobody := st.sub == nil
+				nobody := st.subscriber == nil
 				s.mu.Unlock()
 				if nobody {
 					return status.Error(codes.DeadlineExceeded, "a stream that asks for nothing")
@@ -104,8 +104,8 @@
 	}
 }
 
-// take takes a request. An error ends the stream.
-func (s *Server) take(st *stream, m *discoveryv3.DeltaDiscoveryRequest) error {
+// handleRequest takes a request. An error ends the stream.
+func (s *Server) handleRequest(st *stream, m *discoveryv3.DeltaDiscoveryRequest) error {
 	k := kindOf(m.TypeUrl)
 	if k == delivery.Kinds { // of a client that wants more than there is here
 		return nil
@@ -115,14 +115,14 @@
 	if st.ended { // its last request has come late
 		return context.Canceled
 	}
-	if st.sub == nil {
+	if st.subscriber == nil {
 		node := m.GetNode().GetId()
-		st.sub = s.dist.Join(node, s.peers[node] != nil)
-		s.streams[st.sub] = st
+		st.subscriber = s.distributor.Join(node, s.peers[node] != nil)
+		s.streams[st.subscriber] = st
 	}
 	for _, text := range m.InitialResourceVersions {
 		if v, err := records.ParseVersion(text); err == nil {
-			s.store.Witness(v)
+			s.store.ObserveVersion(v)
 		}
 	}
 	fault := m.GetErrorDetail().GetMessage()
@@ -130,44 +130,44 @@
 		fault = "refused, without a reason"
 	}
 	if fault != "" {
-		s.log.Warn("control plane: a response was refused", "node", st.sub.Name, "type", k.String(), "fault", fault)
+		s.log.Warn("control plane: a response was refused", "node", st.subscriber.Name, "type", k.String(), "fault", fault)
 	}
-	err := s.dist.Take(time.Now(), st.sub, delivery.Request{Kind: k, Subscribe: m.ResourceNamesSubscribe, Unsubscribe: m.ResourceNamesUnsubscribe,
-		Initial: m.InitialResourceVersions, Nonce: m.ResponseNonce, Fault: fault})
+	err := s.distributor.HandleRequest(time.Now(), st.subscriber, delivery.Request{Kind: k, Subscribe: m.ResourceNamesSubscribe, Unsubscribe: m.ResourceNamesUnsubscribe,
+		InitialVersions: m.InitialResourceVersions, Nonce: m.ResponseNonce, NackReason: fault})
 	if err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	s.step()
+	s.advance()
 	return nil
 }
 
-// next returns what is to be sent on a stream now, or nil.
-func (s *Server) next(st *stream) (*discoveryv3.DeltaDiscoveryResponse, error) {
+// nextResponse returns what is to be sent on a stream now, or nil.
+func (s *Server) nextResponse(st *stream) (*discoveryv3.DeltaDiscoveryResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st.sub == nil {
+	if st.subscriber == nil {
 		return nil, nil
 	}
-	r, ok := s.dist.Next(time.Now(), st.sub)
-	defer s.step() // it may have begun to wait
+	r, ok := s.distributor.Next(time.Now(), st.subscriber)
+	defer s.advance() // it may have begun to wait
 	if !ok {
 		return nil, nil
 	}
-	m := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: typeOf(r.Kind), Nonce: r.Nonce, RemovedResources: r.Gone}
-	if r.Whole {
+	m := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: typeOf(r.Kind), Nonce: r.Nonce, RemovedResources: r.Removed}
+	if r.Complete {
 		m.SystemVersionInfo = fmt.Sprint(s.store.Counter())
 	}
 	for _, name := range r.Names {
 		key, _ := keyOf(r.Kind, name)
 		record, _ := s.store.Find(key)
-		one, err := resource(r.Kind, record)
+		one, err := encodeResource(r.Kind, record)
 		if err != nil {
 			return nil, err
 		}
 		m.Resources = append(m.Resources, one)
 	}
 	size := int64(proto.Size(m))
-	st.messages, st.bytes = st.messages+1, st.bytes+size
-	s.messages, s.bytes = s.messages+1, s.bytes+size
+	st.messageCount, st.byteCount = st.messageCount+1, st.byteCount+size
+	s.messageCount, s.byteCount = s.messageCount+1, s.byteCount+size
 	return m, nil
 }
--- a/internal/gateway/conf/controlplane.go
+++ b/internal/gateway/conf/controlplane.go
@@ -24,12 +24,12 @@
 	s := p.open("control_plane", b.DefRange, b.Body, []string{"name", "listen", "plain", "certificate", "key", "authority", "state", "pace", "subscribers", "settle"},
 		map[string]int{"peer": 1})
 	s.need("name", "listen", "state")
-	o := &api.Options{Name: s.text("name", ""), Listen: s.text("listen", ""), Plain: s.flag("plain"),
-		TLS:         certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")},
-		State:       p.path(s, "state"),
-		Pace:        s.size("pace", api.Pace, 64<<10, 10<<30),
-		Subscribers: s.whole("subscribers", api.Subscribers, 1, 100_000),
-		Settle:      s.duration("settle", api.Settle, time.Millisecond, time.Hour)}
+	o := &api.Options{Name: s.text("name", ""), Listen: s.text("listen", ""), Insecure: s.flag("plain"),
+		TLS:            certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")},
+		StateFile:      p.path(s, "state"),
+		BytesPerSecond: s.size("pace", api.DefaultBytesPerSecond, 64<<10, 10<<30),
+		MaxSubscribers: s.whole("subscribers", api.DefaultSubscribers, 1, 100_000),
+		InitialSync:    s.duration("settle", api.DefaultInitialSync, time.Millisecond, time.Hour)}
 	if s.told("name") && !usable(o.Name) {
 		s.fault(s.where("name"), "Unusable name", "The name of a control machine has 1 to 100 letters, digits, dots, dashes and underscores.")
 	}
@@ -37,7 +37,7 @@
 		s.fault(s.where("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:18000\".", o.Listen)
 	}
 	switch {
-	case o.Plain:
+	case o.Insecure:
 		for _, name := range []string{"certificate", "key", "authority"} {
 			if s.has(name) {
 				s.fault(s.where(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
--- a/internal/gateway/conf/controlplane_test.go
+++ b/internal/gateway/conf/controlplane_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	o := f.ControlPlane
-	if o.Name != "control-1" || o.Pace != 10<<20 || o.Settle != 3*time.Second || o.Subscribers != 2048 || o.State != filepath.Join(filepath.Dir(path), "control-1.state") ||
+	if o.Name != "control-1" || o.BytesPerSecond != 10<<20 || o.InitialSync != 3*time.Second || o.MaxSubscribers != 2048 || o.StateFile != filepath.Join(filepath.Dir(path), "control-1.state") ||
 		len(o.Peers) != 1 || o.Peers[0].Plane.Host != "control-2.example" || len(f.Listeners) != 0 {
 		t.Errorf("%+v", o)
 	}
