--- a/internal/controlplane/catalog.go
+++ b/internal/controlplane/catalog.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"silvertrail/internal/controlplane/delivery"
+	"silvertrail/internal/controlplane/distribution"
 	"silvertrail/internal/controlplane/records"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/envoy"
@@ -27,18 +27,18 @@
 )
 
 // typeOf returns a kind's name on the wire.
-func typeOf(k delivery.Kind) string {
+func typeOf(k distribution.Kind) string {
 	return [...]string{envoy.ClusterType, envoy.SetType, recordType}[k]
 }
 
-// kindOf returns the kind of a type; delivery.Kinds where it is none of ours.
-func kindOf(url string) delivery.Kind {
-	for k := range delivery.Kinds {
+// kindOf returns the kind of a type; distribution.Kinds where it is none of ours.
+func kindOf(url string) distribution.Kind {
+	for k := range distribution.Kinds {
 		if typeOf(k) == url {
 			return k
 		}
 	}
-	return delivery.Kinds
+	return distribution.Kinds
 }
 
 // resourceOverheadBytes is about what a resource takes beside its content: names, versions and types.
@@ -47,41 +47,41 @@
 // catalog offers a store's records.
 type catalog struct{ *records.Store }
 
-func keyOf(k delivery.Kind, name string) (key records.Key, ok bool) {
+func keyOf(k distribution.Kind, name string) (key records.Key, ok bool) {
 	switch k {
-	case delivery.Clusters:
+	case distribution.Clusters:
 		return records.Key{Kind: ads.Clusters, Name: name}, true
-	case delivery.Sets:
+	case distribution.Sets:
 		return records.Key{Kind: ads.Sets, Name: name}, true
 	}
 	key, err := records.ParseKey(name)
 	return key, err == nil
 }
 
-func resourceVersion(k delivery.Kind, r records.Record) delivery.ResourceVersion {
-	return delivery.ResourceVersion{Version: r.Version, Bytes: len(r.Raw) + 2*len(r.Name) + resourceOverheadBytes, Removed: r.Removed && k != delivery.Records}
+func resourceVersion(k distribution.Kind, r records.Record) distribution.ResourceVersion {
+	return distribution.ResourceVersion{Version: r.Version, Bytes: len(r.Raw) + 2*len(r.Name) + resourceOverheadBytes, Removed: r.Removed && k != distribution.Records}
 }
 
-// Find implements delivery.Catalog.
-func (c catalog) Find(k delivery.Kind, name string) (delivery.ResourceVersion, bool) {
+// Find implements distribution.Catalog.
+func (c catalog) Find(k distribution.Kind, name string) (distribution.ResourceVersion, bool) {
 	key, ok := keyOf(k, name)
 	if !ok {
-		return delivery.ResourceVersion{}, false
+		return distribution.ResourceVersion{}, false
 	}
 	r, ok := c.Store.Find(key)
 	return resourceVersion(k, r), ok
 }
 
-// All implements delivery.Catalog.
-func (c catalog) All(k delivery.Kind) iter.Seq2[string, delivery.ResourceVersion] {
-	return func(yield func(string, delivery.ResourceVersion) bool) {
+// All implements distribution.Catalog.
+func (c catalog) All(k distribution.Kind) iter.Seq2[string, distribution.ResourceVersion] {
+	return func(yield func(string, distribution.ResourceVersion) bool) {
 		for of := range ads.Kinds {
-			if k != delivery.Records && typeOf(k) != envoy.TypeOf(of) {
+			if k != distribution.Records && typeOf(k) != envoy.TypeOf(of) {
 				continue
 			}
 			for r := range c.Store.All(of) {
 				name := r.Name
-				if k == delivery.Records {
+				if k == distribution.Records {
 					name = r.Key.String()
 				}
 				if !yield(name, resourceVersion(k, r)) {
@@ -93,12 +93,12 @@
 }
 
 // encodeResource returns a record as a kind's subscribers get it.
-func encodeResource(k delivery.Kind, r records.Record) (*discoveryv3.Resource, error) {
+func encodeResource(k distribution.Kind, r records.Record) (*discoveryv3.Resource, error) {
 	out := &discoveryv3.Resource{Name: r.Name, Version: r.Version.String()}
 	if !r.Removed {
 		out.Resource = &anypb.Any{TypeUrl: envoy.TypeOf(r.Kind), Value: r.Raw}
 	}
-	if k != delivery.Records {
+	if k != distribution.Records {
 		return out, nil
 	}
 	if len(r.Ancestry) > 0 {
--- a/internal/controlplane/delivery/delivery.go
+++ b/internal/controlplane/distribution/delivery.go
@@ -1,4 +1,4 @@
-// Package delivery decides what a control machine sends to whom, and when. It has no I/O and no clock, and is not safe for
+// Package distribution decides what a control machine sends to whom, and when. It has no I/O and no clock, and is not safe for
 // concurrent use.
 //
 // A subscriber is one stream of the incremental protocol. Of each type it is owed the names that it has asked for and does
@@ -6,7 +6,7 @@
 // together, and the subscriber gets the newest state once. So a slow or paused one costs its names and one response, whatever
 // has changed. Changes go out at once. First states, which all ask for who come back at once, are paced by bytes, in the order
 // in which they were asked for. Nothing goes back: a subscriber that has a newer version than this machine is sent nothing.
-package delivery
+package distribution
 
 import (
 	"iter"
--- a/internal/controlplane/delivery/delivery_test.go
+++ b/internal/controlplane/distribution/delivery_test.go
@@ -1,4 +1,4 @@
-package delivery
+package distribution
 
 import (
 	"fmt"
--- a/internal/controlplane/format_test.go
+++ b/internal/controlplane/format_test.go
@@ -15,7 +15,7 @@
 
 	"silvertrail/internal/base/statefile"
 	"silvertrail/internal/controlplane/api"
-	"silvertrail/internal/controlplane/delivery"
+	"silvertrail/internal/controlplane/distribution"
 	"silvertrail/internal/controlplane/records"
 	"silvertrail/internal/testkit/golden"
 	"silvertrail/internal/xds/ads"
@@ -69,7 +69,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := records.Record{Content: c, Version: records.Version{Counter: 12, Origin: "north.1"}, Ancestry: records.VersionVector{"south.2": 11}}
-			sent, err := encodeResource(delivery.Records, r)
+			sent, err := encodeResource(distribution.Records, r)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -108,7 +108,7 @@
 // The names of kinds stand in commands, refusals and record keys.
 func TestKindNames(t *testing.T) {
 	var names []string
-	for k := range delivery.Kinds {
+	for k := range distribution.Kinds {
 		names = append(names, k.String(), typeOf(k))
 	}
 	for k := range ads.Kinds {
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -26,7 +26,7 @@
 
 	"silvertrail/internal/base/statefile"
 	"silvertrail/internal/controlplane/api"
-	"silvertrail/internal/controlplane/delivery"
+	"silvertrail/internal/controlplane/distribution"
 	"silvertrail/internal/controlplane/records"
 	"silvertrail/internal/edge/certs"
 )
@@ -65,8 +65,8 @@
 	mu           sync.Mutex
 	store        *records.Store
 	initialSync  *records.InitialSync
-	distributor  *delivery.Distributor
-	streams      map[*delivery.Subscriber]*stream
+	distributor  *distribution.Distributor
+	streams      map[*distribution.Subscriber]*stream
 	streamCount  int // streams, also those that have not said who they are
 	peers        map[string]*peer
 	messageCount int64
@@ -78,7 +78,7 @@
 // Start takes up what was kept, listens, and connects to the other control machines for as long as it runs.
 func Start(o api.Options, log *slog.Logger) (*Server, error) {
 	o.BytesPerSecond, o.MaxSubscribers, o.InitialSync = cmp.Or(o.BytesPerSecond, api.DefaultBytesPerSecond), cmp.Or(o.MaxSubscribers, api.DefaultSubscribers), cmp.Or(o.InitialSync, api.DefaultInitialSync)
-	s := &Server{log: log, options: o, dirty: make(chan struct{}, 1), streams: map[*delivery.Subscriber]*stream{}, peers: map[string]*peer{}}
+	s := &Server{log: log, options: o, dirty: make(chan struct{}, 1), streams: map[*distribution.Subscriber]*stream{}, peers: map[string]*peer{}}
 	var err error
 	if s.store, err = restoreStore(o); err != nil {
 		return nil, err
@@ -98,7 +98,7 @@
 		missing = append(missing, p.Name)
 	}
 	s.initialSync = records.NewInitialSync(now.Add(o.InitialSync), missing)
-	s.distributor = delivery.New(now, delivery.Limits{BytesPerSecond: o.BytesPerSecond, MaxResponseBytes: maxResponseBytes, KeepaliveDelay: keepaliveDelay, MaxNames: maxNames}, catalog{s.store})
+	s.distributor = distribution.New(now, distribution.Limits{BytesPerSecond: o.BytesPerSecond, MaxResponseBytes: maxResponseBytes, KeepaliveDelay: keepaliveDelay, MaxNames: maxNames}, catalog{s.store})
 	s.grpcServer = grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxRequestBytes), grpc.ReadBufferSize(streamBufferBytes), grpc.WriteBufferSize(streamBufferBytes),
 		grpc.SharedWriteBuffer(true), grpc.WaitForHandlers(true), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: keepaliveInterval, Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}))
--- a/internal/controlplane/stream.go
+++ b/internal/controlplane/stream.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
-	"silvertrail/internal/controlplane/delivery"
+	"silvertrail/internal/controlplane/distribution"
 	"silvertrail/internal/controlplane/records"
 )
 
@@ -24,7 +24,7 @@
 
 	// Under the server's lock:
 
-	subscriber              *delivery.Subscriber // nil: it has not said who it is
+	subscriber              *distribution.Subscriber // nil: it has not said who it is
 	ended                   bool
 	messageCount, byteCount int64
 }
@@ -107,7 +107,7 @@
 // handleRequest takes a request. An error ends the stream.
 func (s *Server) handleRequest(st *stream, m *discoveryv3.DeltaDiscoveryRequest) error {
 	k := kindOf(m.TypeUrl)
-	if k == delivery.Kinds { // of a client that wants more than there is here
+	if k == distribution.Kinds { // of a client that wants more than there is here
 		return nil
 	}
 	s.mu.Lock()
@@ -132,7 +132,7 @@
 	if fault != "" {
 		s.log.Warn("control plane: a response was refused", "node", st.subscriber.Name, "type", k.String(), "fault", fault)
 	}
-	err := s.distributor.HandleRequest(time.Now(), st.subscriber, delivery.Request{Kind: k, Subscribe: m.ResourceNamesSubscribe, Unsubscribe: m.ResourceNamesUnsubscribe,
+	err := s.distributor.HandleRequest(time.Now(), st.subscriber, distribution.Request{Kind: k, Subscribe: m.ResourceNamesSubscribe, Unsubscribe: m.ResourceNamesUnsubscribe,
 		InitialVersions: m.InitialResourceVersions, Nonce: m.ResponseNonce, NackReason: fault})
 	if err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
