--- a/internal/controlplane/distribution/bucket.go
+++ b/internal/controlplane/distribution/bucket.go
@@ -6,36 +6,37 @@
 	"time"
 )
 
-// byteBucket is a token bucket of bytes. It may be overdrawn by one response.
+// byteBucket is a token bucket of bytes. One response may overdraw it.
 type byteBucket struct {
 	rate, capacity, level float64
 	filledAt              time.Time
 }
 
-// maxBurst is the time of the pace that may be sent at once: what one lone subscriber asks for never waits.
+// maxBurst is the time whose bytes may be sent at once: a lone subscriber never waits.
 const maxBurst = 100 * time.Millisecond
 
-func newByteBucket(now time.Time, r Limits) byteBucket {
-	most := math.Max(float64(r.BytesPerSecond)*maxBurst.Seconds(), float64(r.MaxResponseBytes))
-	return byteBucket{rate: float64(r.BytesPerSecond), capacity: most, level: most, filledAt: now}
+func newByteBucket(now time.Time, limits Limits) byteBucket {
+	rate := float64(limits.BytesPerSecond)
+	capacity := math.Max(rate*maxBurst.Seconds(), float64(limits.MaxResponseBytes))
+	return byteBucket{rate: rate, capacity: capacity, level: capacity, filledAt: now}
 }
 
-func (p *byteBucket) fill(now time.Time) {
-	if now.After(p.filledAt) {
-		p.level = math.Min(p.capacity, p.level+p.rate*now.Sub(p.filledAt).Seconds())
-		p.filledAt = now
+func (b *byteBucket) fill(now time.Time) {
+	if now.After(b.filledAt) {
+		b.level = math.Min(b.capacity, b.level+b.rate*now.Sub(b.filledAt).Seconds())
+		b.filledAt = now
 	}
 }
 
 // availableAt returns the time from which something may be sent.
-func (p *byteBucket) availableAt() time.Time {
-	if p.level > 0 {
-		return p.filledAt
+func (b *byteBucket) availableAt() time.Time {
+	if b.level > 0 {
+		return b.filledAt
 	}
-	return p.filledAt.Add(time.Duration((1 - p.level) / p.rate * float64(time.Second)))
+	return b.filledAt.Add(time.Duration((1 - b.level) / b.rate * float64(time.Second)))
 }
 
-// Step brings the queue of first states up to the time: those whose turn it is are woken.
+// Step advances the queue of initial states: it wakes the subscribers whose turn it is, and those that are due a keepalive.
 func (d *Distributor) Step(now time.Time) {
 	d.bucket.fill(now)
 	for len(d.queue) > 0 && d.bucket.level > 0 {
@@ -56,24 +57,25 @@
 	}
 }
 
-// NextStep returns the time at which Step has something to do; zero: none until something is told.
-func (d *Distributor) NextStep() (at time.Time) {
+// NextStep returns the time at which Step has something to do, or zero.
+func (d *Distributor) NextStep() time.Time {
 	if len(d.queue) == 0 {
-		return at
+		return time.Time{}
 	}
-	at = d.bucket.availableAt()
+	at := d.bucket.availableAt()
 	for _, s := range d.queue {
-		if !s.contacted && !s.keepaliveDue {
-			if sign := s.queuedAt.Add(d.limits.KeepaliveDelay); sign.Before(at) {
-				at = sign
-			}
-			break
+		if s.contacted || s.keepaliveDue {
+			continue
+		}
+		if keepaliveAt := s.queuedAt.Add(d.limits.KeepaliveDelay); keepaliveAt.Before(at) {
+			at = keepaliveAt
 		}
+		break
 	}
 	return at
 }
 
-// Waiting returns how many wait for a first state.
+// Waiting returns how many subscribers wait for an initial state.
 func (d *Distributor) Waiting() int { return len(d.queue) }
 
 func (d *Distributor) enqueue(now time.Time, s *Subscriber) {
@@ -86,6 +88,6 @@
 func (d *Distributor) dequeue(s *Subscriber) {
 	if s.queued {
 		s.queued = false
-		d.queue = slices.DeleteFunc(d.queue, func(o *Subscriber) bool { return o == s })
+		d.queue = slices.DeleteFunc(d.queue, func(queued *Subscriber) bool { return queued == s })
 	}
 }
--- a/internal/controlplane/distribution/distribution.go
+++ b/internal/controlplane/distribution/distribution.go
@@ -1,11 +1,12 @@
-// Package distribution decides what a control machine sends to whom, and when. It has no I/O and no clock, and is not safe for
-// concurrent use.
+// Package distribution decides which resources a control-plane server sends to which subscribers, and when. It does no I/O
+// and reads no clock. A Distributor belongs to one host, which serialises all calls.
 //
-// A subscriber is one stream of the incremental protocol. Of each type it is owed the names that it has asked for and does
-// not have in the version in force. One response of a type is in flight at a time: what changes until it is answered falls
-// together, and the subscriber gets the newest state once. So a slow or paused one costs its names and one response, whatever
-// has changed. Changes go out at once. First states, which all ask for who come back at once, are paced by bytes, in the order
-// in which they were asked for. Nothing goes back: a subscriber that has a newer version than this machine is sent nothing.
+// A subscriber is one stream of the incremental xDS protocol. Of each kind of resource, the names that it has subscribed to
+// and does not have in the current version are pending. One response of a kind is in flight at a time: changes until it is
+// answered are combined, and the subscriber gets the newest state once. A slow or paused subscriber therefore costs its
+// names and one response, whatever has changed. Changes are sent at once. Initial states, which all subscribers request that
+// come back at once, are limited in bytes per second, first come, first served. A subscriber that has a newer version than
+// this server is sent nothing.
 package distribution
 
 import (
@@ -16,65 +17,72 @@
 	"silvertrail/internal/xds/ads"
 )
 
-// Kind is a type that is subscribed to.
+// Kind is a kind of resource that is subscribed to.
 type Kind uint8
 
 // The kinds, in the order in which they are sent.
 const (
 	Clusters Kind = iota
-	Sets
-	Records // what control machines tell one another: clusters and sets, also removed ones, with what is known of their versions
-	Kinds
+	Sets          // of endpoints
+	Records       // what control-plane servers replicate: clusters and sets, also removed ones, with their version vectors
+	Kinds         // the number of kinds
 )
 
 func (k Kind) String() string {
 	return [...]string{"cluster", "endpoints", "record", "?"}[min(k, Kinds)]
 }
 
-// ResourceVersion is a resource as a kind's subscribers would get it.
+// ResourceVersion is the current version of a resource, as the subscribers of a kind get it.
 type ResourceVersion struct {
 	Version records.Version
-	Bytes   int // bytes
+	Bytes   int
 	Removed bool
 }
 
-// Catalog tells what there is.
+// Catalog returns the current resources.
 type Catalog interface {
 	Find(k Kind, name string) (ResourceVersion, bool)
 	All(k Kind) iter.Seq2[string, ResourceVersion]
 }
 
-// Limits are the bounds of a distribution.
+// Limits are the limits of a Distributor.
 type Limits struct {
-	BytesPerSecond   int64         // bytes a second of first states, for all subscribers together
-	MaxResponseBytes int           // bytes of a response, or one resource that is larger
-	KeepaliveDelay   time.Duration // after which one that waits for its first state is sent an empty response, as a sign of life
-	MaxNames         int           // of a kind that one subscriber may ask for
+	BytesPerSecond   int64         // of initial states, for all subscribers together
+	MaxResponseBytes int           // of a response, unless one resource is larger
+	KeepaliveDelay   time.Duration // after which a subscriber that waits for its initial state is sent an empty response
+	MaxNames         int           // of a kind that one subscriber may subscribe to
 }
 
-// Distributor is who has subscribed to what, and what they are owed.
+// Distributor holds the subscriptions, and what is pending for them. It is not safe for concurrent use.
 type Distributor struct {
 	limits      Limits
 	catalog     Catalog
-	open        bool // receivers are served; control machines always are
+	open        bool // sidecars are served; other control-plane servers always are
 	subscribers map[*Subscriber]bool
-	byName      [Kinds]map[string]map[*Subscriber]bool // subscribers by name
-	wildcards   [Kinds]map[*Subscriber]bool            // those of everything
+	byName      [Kinds]map[string]map[*Subscriber]bool // by resource name
+	wildcards   [Kinds]map[*Subscriber]bool            // of all resources
 	bucket      byteBucket
-	queue       []*Subscriber // those who wait for a first state, the longest first
+	queue       []*Subscriber // waiting for an initial state, in order of arrival
 	woken       map[*Subscriber]bool
 }
 
-// New returns the state before anybody has come.
-func New(now time.Time, rules Limits, catalog Catalog) *Distributor {
-	d := &Distributor{limits: rules, catalog: catalog, subscribers: map[*Subscriber]bool{}, bucket: newByteBucket(now, rules), woken: map[*Subscriber]bool{}}
+// New returns a Distributor without subscribers.
+func New(now time.Time, limits Limits, catalog Catalog) *Distributor {
+	d := &Distributor{
+		limits:      limits,
+		catalog:     catalog,
+		subscribers: map[*Subscriber]bool{},
+		bucket:      newByteBucket(now, limits),
+		woken:       map[*Subscriber]bool{},
+	}
 	for k := range Kinds {
-		d.byName[k], d.wildcards[k] = map[string]map[*Subscriber]bool{}, map[*Subscriber]bool{}
+		d.byName[k] = map[string]map[*Subscriber]bool{}
+		d.wildcards[k] = map[*Subscriber]bool{}
 	}
 	return d
 }
 
-// Open has receivers served from now on. Before, this machine may be behind the others.
+// Open starts to serve sidecars. Before, this server may be behind its peers.
 func (d *Distributor) Open() {
 	if d.open {
 		return
@@ -85,17 +93,17 @@
 	}
 }
 
-// IsOpen tells whether receivers are served.
+// IsOpen reports whether sidecars are served.
 func (d *Distributor) IsOpen() bool { return d.open }
 
-// Join takes a stream. A peer is another control machine.
+// Join adds a stream. A peer is another control-plane server.
 func (d *Distributor) Join(name string, peer bool) *Subscriber {
 	s := &Subscriber{Name: name, Peer: peer}
 	d.subscribers[s] = true
 	return s
 }
 
-// Leave ends a stream.
+// Leave removes a stream.
 func (d *Distributor) Leave(s *Subscriber) {
 	if !d.subscribers[s] {
 		return
@@ -111,13 +119,6 @@
 	d.dequeue(s)
 }
 
-func (d *Distributor) removeFromIndex(k Kind, name string, s *Subscriber) {
-	delete(d.byName[k][name], s)
-	if len(d.byName[k][name]) == 0 {
-		delete(d.byName[k], name)
-	}
-}
-
 func (d *Distributor) addToIndex(k Kind, name string, s *Subscriber) {
 	if d.byName[k][name] == nil {
 		d.byName[k][name] = map[*Subscriber]bool{}
@@ -125,7 +126,14 @@
 	d.byName[k][name][s] = true
 }
 
-// Changed tells that a resource has a new version. Those whom it concerns are woken; nobody else is looked at.
+func (d *Distributor) removeFromIndex(k Kind, name string, s *Subscriber) {
+	delete(d.byName[k][name], s)
+	if len(d.byName[k][name]) == 0 {
+		delete(d.byName[k], name)
+	}
+}
+
+// Changed records that a resource has a new version, and wakes the subscribers that it concerns.
 func (d *Distributor) Changed(key records.Key) {
 	k := Clusters
 	if key.Kind == ads.Sets {
@@ -136,36 +144,41 @@
 }
 
 func (d *Distributor) markChanged(k Kind, name string) {
-	owe := func(s *Subscriber) {
-		if sub := &s.subscriptions[k]; !sub.initial[name] { // a first state brings the newest in its turn
-			putIn(&sub.changed, name, true)
-		}
-		d.wake(s)
-	}
 	for s := range d.byName[k][name] {
-		owe(s)
+		d.addChanged(s, k, name)
 	}
 	for s := range d.wildcards[k] {
 		if !d.byName[k][name][s] {
-			owe(s)
+			d.addChanged(s, k, name)
 		}
 	}
 }
 
+// addChanged makes a change pending. Where the initial state is pending it brings the newest version in its turn.
+func (d *Distributor) addChanged(s *Subscriber, k Kind, name string) {
+	sub := &s.subscriptions[k]
+	if !sub.initial[name] {
+		putIn(&sub.changed, name, true)
+	}
+	d.wake(s)
+}
+
 func (d *Distributor) wake(s *Subscriber) { d.woken[s] = true }
 
-// Woken returns the subscribers that may have something to send since it was asked last.
-func (d *Distributor) Woken() (out []*Subscriber) {
+// Woken returns the subscribers that may have something to send since the last call.
+func (d *Distributor) Woken() []*Subscriber {
+	var woken []*Subscriber
 	for s := range d.woken {
-		out = append(out, s)
+		woken = append(woken, s)
 	}
 	clear(d.woken)
-	return out
+	return woken
 }
 
-func putIn[V any](m *map[string]V, name string, v V) {
+// putIn sets a value in a map that is allocated when it is first used.
+func putIn[V any](m *map[string]V, name string, value V) {
 	if *m == nil {
 		*m = map[string]V{}
 	}
-	(*m)[name] = v
+	(*m)[name] = value
 }
--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -214,7 +214,8 @@
 				r.receive()
 			}
 		}
-		by, lags, _ := w.d.Statuses(100)
+		report := w.d.Report(100)
+		by, lags := report.Statuses, report.Lags
 		behind := 0
 		for _, r := range rs {
 			for n, o := range w.shelf {
@@ -225,7 +226,7 @@
 					t.Errorf("%s is at %s, not at %s", n, is.Version, o.Version)
 				}
 			}
-			if st := by[r.s]; st.Behind != st.Refused || st.InFlight || st.Waiting {
+			if st := by[r.s]; st.Behind != st.Rejected || st.InFlight || st.Waiting {
 				t.Errorf("%+v", st)
 			}
 			behind += by[r.s].Behind
@@ -336,7 +337,8 @@
 		responses++
 		r.answer()
 	}
-	_, lags, refused := w.d.Statuses(10)
+	report := w.d.Report(10)
+	lags, refused := report.Lags, report.Rejections
 	if responses != 4 || len(refused) != 1 || refused[0].Name != "b" || !strings.Contains(refused[0].Reason, "b can't") || len(lags) != 1 || lags[0].Version != r.bad["b"] {
 		t.Errorf("%d responses, %+v, %+v", responses, refused, lags)
 	}
@@ -345,8 +347,8 @@
 		t.Error("the next version was not sent")
 	}
 	r.answer()
-	if _, lags, refused := w.d.Statuses(10); len(lags)+len(refused) > 0 {
-		t.Errorf("%v, %v", lags, refused)
+	if report := w.d.Report(10); len(report.Lags)+len(report.Rejections) > 0 {
+		t.Errorf("%v, %v", report.Lags, report.Rejections)
 	}
 }
 
@@ -377,7 +379,7 @@
 	if ahead.receive(); ahead.bytes > 0 || ahead.signs != 1 {
 		t.Errorf("one that is ahead was sent %d bytes", ahead.bytes)
 	}
-	if by, _, _ := w.d.Statuses(1); by[ahead.s].Ahead != 1 || by[ahead.s].Behind != 0 {
+	if by := w.d.Report(1).Statuses; by[ahead.s].Ahead != 1 || by[ahead.s].Behind != 0 {
 		t.Errorf("one that is ahead: %+v", by[ahead.s])
 	}
 	if !r.receive() || r.has["a"] != w.shelf["a"] {
--- a/internal/controlplane/distribution/next.go
+++ b/internal/controlplane/distribution/next.go
@@ -1,101 +1,133 @@
 package distribution
 
 import (
-	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"silvertrail/internal/controlplane/records"
 )
 
-// Response is what is to be sent.
+// Response is a response to send.
 type Response struct {
 	Kind     Kind
 	Nonce    string
-	Names    []string // there
-	Removed  []string // removed
-	Bytes    int      // about
-	Complete bool     // nothing more of the kind is owed
+	Names    []string // present
+	Removed  []string
+	Bytes    int  // approximately
+	Complete bool // nothing more of the kind is pending
 }
 
-// Next returns what is to be sent to a subscriber now; ok is false where nothing is.
-func (d *Distributor) Next(now time.Time, s *Subscriber) (r Response, ok bool) {
+// Next returns the response to send to a subscriber now; ok is false if there is none.
+func (d *Distributor) Next(now time.Time, s *Subscriber) (response Response, ok bool) {
 	for k := range Kinds {
 		sub := &s.subscriptions[k]
 		if !sub.started || sub.nonce != "" || !d.open && k != Records {
 			continue
 		}
-		if r, ok = d.nextOfKind(now, s, k); ok {
-			return r, true
+		if response, ok = d.nextOfKind(now, s, k); ok {
+			return response, true
 		}
 	}
-	return r, false
+	return Response{}, false
 }
 
-func (d *Distributor) nextOfKind(now time.Time, s *Subscriber, k Kind) (r Response, ok bool) {
+func (d *Distributor) nextOfKind(now time.Time, s *Subscriber, k Kind) (Response, bool) {
 	sub := &s.subscriptions[k]
-	sent := map[string]records.Version{}
-	lone := false // what is sent goes by itself
-	r.Kind = k
-	// take adds those of a set that the subscriber lacks, as long as there is room.
-	take := func(from map[string]bool, single bool) {
-		for _, n := range slices.Sorted(maps.Keys(from)) {
-			if !d.isOutdated(k, sub, n) {
-				delete(from, n)
-				delete(sub.oneByOne, n)
-				continue
-			}
-			if sub.oneByOne[n] != single {
-				continue
-			}
-			o, _ := d.catalog.Find(k, n)
-			if len(sent) > 0 && (single || r.Bytes+o.Bytes > d.limits.MaxResponseBytes) {
-				return
-			}
-			delete(from, n)
-			delete(sub.oneByOne, n)
-			sent[n], lone = o.Version, single
-			if r.Bytes += o.Bytes; o.Removed {
-				r.Removed = append(r.Removed, n)
-			} else {
-				r.Names = append(r.Names, n)
-			}
-		}
+	b := responseBuilder{distributor: d, subscription: sub, sent: map[string]records.Version{}}
+	b.response.Kind = k
+	b.addAll(sub.changed)
+	if d.mayAddInitial(now, s, k) && len(sub.changed) == 0 && !b.single {
+		b.addAll(sub.initial)
+		s.granted = false
+	}
+	keepalive := s.keepaliveDue && !s.contacted
+	acknowledge := sub.responseDue && len(sub.initial) == 0
+	if len(b.sent) == 0 && !acknowledge && !keepalive {
+		return b.response, false
 	}
-	take(sub.changed, false)
-	if len(sent) == 0 {
-		take(sub.changed, true)
+	s.lastNonce++
+	b.response.Nonce = strconv.FormatUint(s.lastNonce, 10)
+	b.response.Complete = len(sub.initial)+len(sub.changed) == 0
+	sub.nonce, sub.sent, sub.sentSeveral = b.response.Nonce, b.sent, len(b.sent) > 1
+	sub.responseDue, s.contacted = false, true
+	return b.response, true
+}
+
+// mayAddInitial reports whether initial resources of a kind may be sent now. A subscriber that has to wait for its turn is queued.
+// Peers do not wait.
+func (d *Distributor) mayAddInitial(now time.Time, s *Subscriber, k Kind) bool {
+	sub := &s.subscriptions[k]
+	if len(sub.initial) == 0 {
+		return false
 	}
-	if len(sub.initial) > 0 && !s.Peer && !s.granted {
+	if !s.Peer && !s.granted {
 		d.enqueue(now, s)
 		d.Step(now)
 	}
-	if len(sub.initial) > 0 && len(sub.changed) == 0 && !lone && (s.Peer || s.granted) {
-		take(sub.initial, false)
-		if len(sent) == 0 {
-			take(sub.initial, true)
+	return s.Peer || s.granted
+}
+
+// responseBuilder collects the resources of a response.
+type responseBuilder struct {
+	distributor  *Distributor
+	subscription *subscription
+	response     Response
+	sent         map[string]records.Version
+	single       bool // the response holds one resource that has to be sent by itself
+}
+
+// addAll adds the pending resources of a set: as many as fit, or, if all have to be sent one by one, the first.
+func (b *responseBuilder) addAll(pending map[string]bool) {
+	b.add(pending, false)
+	if len(b.sent) == 0 {
+		b.add(pending, true)
+	}
+}
+
+// add adds pending resources that may be sent together, or one that has to be sent by itself. Resources that the subscriber has
+// by now are dropped from the set.
+func (b *responseBuilder) add(pending map[string]bool, single bool) {
+	sub := b.subscription
+	for _, name := range slices.Sorted(maps.Keys(pending)) {
+		if !b.distributor.isOutdated(b.response.Kind, sub, name) {
+			delete(pending, name)
+			delete(sub.oneByOne, name)
+			continue
 		}
-		s.granted = false
+		if sub.oneByOne[name] != single {
+			continue
+		}
+		current, _ := b.distributor.catalog.Find(b.response.Kind, name)
+		isFull := single || b.response.Bytes+current.Bytes > b.distributor.limits.MaxResponseBytes
+		if len(b.sent) > 0 && isFull {
+			return
+		}
+		delete(pending, name)
+		delete(sub.oneByOne, name)
+		b.addResource(name, current)
+		b.single = single
 	}
-	sign := s.keepaliveDue && !s.contacted
-	if len(sent) == 0 && !(sub.responseDue && len(sub.initial) == 0) && !sign {
-		return r, false
+}
+
+func (b *responseBuilder) addResource(name string, current ResourceVersion) {
+	b.sent[name] = current.Version
+	b.response.Bytes += current.Bytes
+	if current.Removed {
+		b.response.Removed = append(b.response.Removed, name)
+	} else {
+		b.response.Names = append(b.response.Names, name)
 	}
-	s.lastNonce++
-	r.Nonce = fmt.Sprint(s.lastNonce)
-	r.Complete = len(sub.initial)+len(sub.changed) == 0
-	sub.nonce, sub.sent, sub.sentSeveral = r.Nonce, sent, len(sent) > 1
-	sub.responseDue, s.contacted = false, true
-	return r, true
 }
 
-// estimate is how many bytes of a first state a subscriber would be sent next.
-func (d *Distributor) estimate(s *Subscriber) (bytes int) {
+// estimate returns how many bytes of an initial state a subscriber would be sent next.
+func (d *Distributor) estimate(s *Subscriber) int {
 	for k := range Kinds {
-		for n := range s.subscriptions[k].initial {
-			if o, ok := d.catalog.Find(k, n); ok {
-				bytes += o.Bytes
+		bytes := 0
+		for name := range s.subscriptions[k].initial {
+			if current, ok := d.catalog.Find(k, name); ok {
+				bytes += current.Bytes
 			}
 			if bytes >= d.limits.MaxResponseBytes {
 				return d.limits.MaxResponseBytes
--- a/internal/controlplane/distribution/status.go
+++ b/internal/controlplane/distribution/status.go
@@ -7,23 +7,23 @@
 	"silvertrail/internal/controlplane/records"
 )
 
-// Status is how far a subscriber is.
+// Status is the progress of a subscriber.
 type Status struct {
-	Subscribed int // names; of one that has asked for everything: all there are
-	Behind     int // of these, those that it has not acknowledged as this machine has them
-	Refused    int // of these, those that it has refused
-	Ahead      int // names of which it has a newer version, from a machine that this one has not heard
+	Subscribed int // names; for a wildcard: all resources
+	Behind     int // of these, those not acknowledged in the current version
+	Rejected   int // of these, those that it has rejected
+	Ahead      int // names of which it has a newer version, from a server that this one has not synced with
 	Waiting    bool
 	InFlight   bool // a response that it has not answered
 }
 
-// VersionLag is how many subscribers are behind in a version, as they have not acknowledged all of it that they asked for.
+// VersionLag is how many subscribers have not acknowledged all resources of a version that they subscribe to.
 type VersionLag struct {
 	Version records.Version
 	Behind  int
 }
 
-// Rejection is a refusal with its subscriber.
+// Rejection is a rejected version with its subscriber.
 type Rejection struct {
 	*Subscriber
 	Kind Kind
@@ -31,61 +31,88 @@
 	Nack
 }
 
-// Statuses tells how far each subscriber is, the versions that any is behind in, the newest first, and what was refused. Most
-// bounds what is told of refusals.
-func (d *Distributor) Statuses(most int) (by map[*Subscriber]Status, lags []VersionLag, refused []Rejection) {
-	by = map[*Subscriber]Status{}
+// Report is the progress of all subscribers.
+type Report struct {
+	Statuses   map[*Subscriber]Status
+	Lags       []VersionLag // of the versions that any subscriber is behind in, the newest first
+	Rejections []Rejection  // the newest first
+}
+
+// Report returns the progress of all subscribers, with a bounded number of rejections.
+func (d *Distributor) Report(maxRejections int) Report {
+	report := Report{Statuses: map[*Subscriber]Status{}}
 	behind := map[records.Version]int{}
 	for s := range d.subscribers {
-		st := Status{Waiting: s.queued}
-		in := map[records.Version]bool{}
-		for k := range Kinds {
-			sub := &s.subscriptions[k]
-			st.InFlight = st.InFlight || sub.nonce != ""
-			look := func(n string, o ResourceVersion) {
-				st.Subscribed++
-				has, is := sub.acknowledged[n]
-				if has.Compare(o.Version) > 0 {
-					st.Ahead++
-				}
-				if has.Compare(o.Version) < 0 && !(o.Removed && !is && !sub.names[n]) {
-					st.Behind++
-					if k != Records {
-						in[o.Version] = true
-					}
-				}
-			}
-			if sub.wildcard {
-				for n, o := range d.catalog.All(k) {
-					look(n, o)
-				}
-			} else {
-				for n := range sub.names {
-					if o, ok := d.catalog.Find(k, n); ok {
-						look(n, o)
-					} else {
-						st.Subscribed++
-					}
-				}
-			}
-			for n, r := range sub.nacked {
-				if o, ok := d.catalog.Find(k, n); ok && o.Version == r.Version {
-					st.Refused++
-					refused = append(refused, Rejection{s, k, n, r})
-				}
-			}
-		}
-		for v := range in {
+		progress := d.progressOf(s)
+		report.Statuses[s] = progress.status
+		report.Rejections = append(report.Rejections, progress.rejections...)
+		for v := range progress.outdated {
 			behind[v]++
 		}
-		by[s] = st
 	}
 	for v, n := range behind {
-		lags = append(lags, VersionLag{v, n})
+		report.Lags = append(report.Lags, VersionLag{Version: v, Behind: n})
 	}
-	slices.SortFunc(lags, func(a, b VersionLag) int { return b.Version.Compare(a.Version) })
-	slices.SortFunc(refused, func(a, b Rejection) int {
+	slices.SortFunc(report.Lags, func(a, b VersionLag) int { return b.Version.Compare(a.Version) })
+	slices.SortFunc(report.Rejections, func(a, b Rejection) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Subscriber.Name, b.Subscriber.Name), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 	})
-	return by, lags, refused[:min(len(refused), most)]
+	report.Rejections = report.Rejections[:min(len(report.Rejections), maxRejections)]
+	return report
+}
+
+// progress is the status of one subscriber with its details.
+type progress struct {
+	status     Status
+	outdated   map[records.Version]bool // versions of which it lacks a resource
+	rejections []Rejection
+}
+
+func (d *Distributor) progressOf(s *Subscriber) progress {
+	p := progress{status: Status{Waiting: s.queued}, outdated: map[records.Version]bool{}}
+	for k := range Kinds {
+		sub := &s.subscriptions[k]
+		p.status.InFlight = p.status.InFlight || sub.nonce != ""
+		d.addSubscribed(&p, k, sub)
+		for name, nack := range sub.nacked {
+			if current, ok := d.catalog.Find(k, name); ok && current.Version == nack.Version {
+				p.status.Rejected++
+				p.rejections = append(p.rejections, Rejection{Subscriber: s, Kind: k, Name: name, Nack: nack})
+			}
+		}
+	}
+	return p
+}
+
+// addSubscribed adds the resources that a subscription names, or all of the kind.
+func (d *Distributor) addSubscribed(p *progress, k Kind, sub *subscription) {
+	if sub.wildcard {
+		for name, current := range d.catalog.All(k) {
+			p.addResource(k, sub, name, current)
+		}
+		return
+	}
+	for name := range sub.names {
+		if current, ok := d.catalog.Find(k, name); ok {
+			p.addResource(k, sub, name, current)
+		} else {
+			p.status.Subscribed++
+		}
+	}
+}
+
+func (p *progress) addResource(k Kind, sub *subscription, name string, current ResourceVersion) {
+	p.status.Subscribed++
+	acknowledged, known := sub.acknowledged[name]
+	switch order := acknowledged.Compare(current.Version); {
+	case order > 0:
+		p.status.Ahead++
+	case order == 0:
+	case current.Removed && !known && !sub.names[name]: // it never had the resource, and does not wait for it
+	default:
+		p.status.Behind++
+		if k != Records {
+			p.outdated[current.Version] = true
+		}
+	}
 }
--- a/internal/controlplane/distribution/subscriber.go
+++ b/internal/controlplane/distribution/subscriber.go
@@ -16,54 +16,58 @@
 
 	subscriptions [Kinds]subscription
 	lastNonce     uint64
-	contacted     bool // it was sent something
-	// Of first states:
+	contacted     bool // it was sent a response
+
+	// Of the initial state:
 	queued, granted bool
-	queuedAt        time.Time // that it has waited
-	keepaliveDue    bool      // it is due a sign of life
+	queuedAt        time.Time
+	keepaliveDue    bool
 }
 
-// subscription is what a stream has asked for of a kind, and how far it is.
+// subscription is what a stream has subscribed to of a kind, and its progress.
 type subscription struct {
 	started      bool
 	wildcard     bool
-	responseDue  bool // an answer, also where there is nothing to tell
+	responseDue  bool // also if it is empty
 	names        map[string]bool
-	acknowledged map[string]records.Version // acknowledged, or told with the first request
+	acknowledged map[string]records.Version // by name; also those that the first request names
 
-	initial  map[string]bool // owed: in its turn
-	changed  map[string]bool // owed: at once
-	oneByOne map[string]bool // of these, those that go one at a time, as a response that held them was refused
+	// Pending resources:
+	initial  map[string]bool // sent in turn
+	changed  map[string]bool // sent at once
+	oneByOne map[string]bool // of these, those to send by themselves, as a response with several of them was rejected
 
-	nonce       string // of the response in flight; empty: none is
+	// The response in flight:
+	nonce       string // empty: none is
 	sent        map[string]records.Version
-	sentSeveral bool // it held more than one resource
-	nacked      map[string]Nack
+	sentSeveral bool // it holds more than one resource
+
+	nacked map[string]Nack
 }
 
-// Nack is a version that a subscriber can't use. What it had before stays in force there.
+// Nack is a version that a subscriber has rejected. The version before it stays in force there.
 type Nack struct {
 	Version records.Version
 	Reason  string
 	At      time.Time
 }
 
-// Request is what a subscriber says.
+// Request is a request of a subscriber.
 type Request struct {
 	Kind                   Kind
 	Subscribe, Unsubscribe []string
-	InitialVersions        map[string]string // with the first of the kind: versions that it has, by name
+	InitialVersions        map[string]string // in the first request of the kind: the versions that it has, by name
 	Nonce                  string            // of the response that it answers; empty: of none
-	NackReason             string            // the response was refused
+	NackReason             string            // empty: the response was accepted
 }
 
 const (
 	wildcardName   = "*"
-	maxReasonBytes = 1 << 10 // bytes of a refusal that are kept
-	maxNacks       = 64      // of a kind, that are kept of one subscriber
+	maxReasonBytes = 1 << 10 // of a reason that is kept
+	maxNacks       = 64      // of a kind that are kept for one subscriber
 )
 
-// HandleRequest takes a request. An error ends the stream.
+// HandleRequest handles a request. After an error the stream has to be closed.
 func (d *Distributor) HandleRequest(now time.Time, s *Subscriber, r Request) error {
 	if r.Kind >= Kinds || !d.subscribers[s] {
 		return errors.New("a type that is not served")
@@ -73,124 +77,165 @@
 	}
 	sub := &s.subscriptions[r.Kind]
 	d.wake(s)
-	began := !sub.started
-	if began {
-		for n, v := range r.InitialVersions {
-			if len(sub.acknowledged) >= d.limits.MaxNames {
-				break
-			}
-			if is, err := records.ParseVersion(v); err == nil { // another's is older than all of ours
-				putIn(&sub.acknowledged, n, is)
-			}
-		}
-		sub.wildcard = len(r.Subscribe) == 0
-		sub.responseDue = true
-		if sub.wildcard {
-			d.subscribeAll(s, r.Kind)
-		}
-		sub.started = true
+	isFirst := !sub.started
+	if isFirst {
+		d.startSubscription(s, r)
 	} else if r.Nonce != "" && r.Nonce == sub.nonce {
 		sub.handleResponse(now, r.NackReason)
 	}
-	for _, n := range r.Subscribe {
-		if n == wildcardName {
+	if err := d.subscribe(s, r); err != nil {
+		return err
+	}
+	d.unsubscribe(s, r)
+	if isFirst || len(r.Unsubscribe) > 0 {
+		sub.forgetUnsubscribed()
+	}
+	return nil
+}
+
+// startSubscription handles what only the first request of a kind holds.
+func (d *Distributor) startSubscription(s *Subscriber, r Request) {
+	sub := &s.subscriptions[r.Kind]
+	for name, text := range r.InitialVersions {
+		if len(sub.acknowledged) >= d.limits.MaxNames {
+			break
+		}
+		if version, err := records.ParseVersion(text); err == nil { // a version of another server counts as the oldest
+			putIn(&sub.acknowledged, name, version)
+		}
+	}
+	sub.responseDue = true
+	if len(r.Subscribe) == 0 {
+		d.subscribeAll(s, r.Kind)
+	}
+	sub.started = true
+}
+
+func (d *Distributor) subscribe(s *Subscriber, r Request) error {
+	sub := &s.subscriptions[r.Kind]
+	for _, name := range r.Subscribe {
+		if name == wildcardName {
 			d.subscribeAll(s, r.Kind)
 			continue
 		}
-		if len(sub.names) >= d.limits.MaxNames && !sub.names[n] {
+		if len(sub.names) >= d.limits.MaxNames && !sub.names[name] {
 			return fmt.Errorf("over %d names of a type", d.limits.MaxNames)
 		}
-		if _, told := r.InitialVersions[n]; !told {
-			delete(sub.acknowledged, n) // it wants it anew
+		if _, hasVersion := r.InitialVersions[name]; !hasVersion {
+			delete(sub.acknowledged, name) // it requests the resource again
 		}
-		delete(sub.sent, n) // what is in flight may be of before it was let go of
-		putIn(&sub.names, n, true)
-		d.addToIndex(r.Kind, n, s)
-		d.enqueueInitial(s, r.Kind, n)
+		delete(sub.sent, name) // the response in flight may be from before it had unsubscribed
+		putIn(&sub.names, name, true)
+		d.addToIndex(r.Kind, name, s)
+		d.enqueueInitial(s, r.Kind, name)
 	}
-	for _, n := range r.Unsubscribe {
-		if n == wildcardName {
+	return nil
+}
+
+func (d *Distributor) unsubscribe(s *Subscriber, r Request) {
+	sub := &s.subscriptions[r.Kind]
+	for _, name := range r.Unsubscribe {
+		if name == wildcardName {
 			sub.wildcard = false
 			delete(d.wildcards[r.Kind], s)
 			continue
 		}
-		delete(sub.names, n)
-		d.removeFromIndex(r.Kind, n, s)
-	}
-	if began || len(r.Unsubscribe) > 0 {
-		sub.forgetUnsubscribed()
+		delete(sub.names, name)
+		d.removeFromIndex(r.Kind, name, s)
 	}
-	return nil
 }
 
 func (d *Distributor) subscribeAll(s *Subscriber, k Kind) {
 	s.subscriptions[k].wildcard = true
 	d.wildcards[k][s] = true
-	for n := range d.catalog.All(k) {
-		d.enqueueInitial(s, k, n)
+	for name := range d.catalog.All(k) {
+		d.enqueueInitial(s, k, name)
 	}
 }
 
-// enqueueInitial has a subscriber get a resource in its turn, where it does not have it.
+// enqueueInitial makes a resource pending that the subscriber does not have.
 func (d *Distributor) enqueueInitial(s *Subscriber, k Kind, name string) {
-	if sub := &s.subscriptions[k]; d.isOutdated(k, sub, name) && !sub.changed[name] {
+	sub := &s.subscriptions[k]
+	if d.isOutdated(k, sub, name) && !sub.changed[name] {
 		putIn(&sub.initial, name, true)
 	}
 }
 
-// isOutdated tells whether a subscriber does not have a resource as this machine has it, or newer.
+// isOutdated reports whether a subscriber has no version of a resource that is at least as new as the current one. An unknown
+// resource is not known to be removed, so nothing is sent for it.
 func (d *Distributor) isOutdated(k Kind, sub *subscription, name string) bool {
-	o, ok := d.catalog.Find(k, name)
-	if !ok { // nothing is known of it: that is no proof that it is gone
+	current, ok := d.catalog.Find(k, name)
+	if !ok {
 		return false
 	}
-	has, is := sub.acknowledged[name]
-	if o.Removed && !is && !sub.names[name] { // it never had it, and does not wait for it
+	acknowledged, known := sub.acknowledged[name]
+	if current.Removed && !known && !sub.names[name] { // it never had the resource, and does not wait for it
 		return false
 	}
-	return has.Compare(o.Version) < 0 && sub.nacked[name].Version != o.Version
+	return acknowledged.Compare(current.Version) < 0 && sub.nacked[name].Version != current.Version
 }
 
-// handleResponse takes the answer to the response in flight.
-func (sub *subscription) handleResponse(now time.Time, fault string) {
+// handleResponse handles the answer to the response in flight.
+func (sub *subscription) handleResponse(now time.Time, nackReason string) {
 	sent := sub.sent
 	sub.nonce, sub.sent = "", nil
-	if fault != "" && sub.sentSeveral { // which of them can't be used is not said: each goes by itself
-		for n := range sent {
-			putIn(&sub.oneByOne, n, true)
-			putIn(&sub.acknowledged, n, sub.acknowledged[n]) // it may have it: should it be removed now, that has to be told
-			if !sub.initial[n] {
-				putIn(&sub.changed, n, true)
-			}
+	switch {
+	case nackReason == "":
+		sub.acknowledge(sent)
+	case sub.sentSeveral:
+		sub.resendOneByOne(sent)
+	default:
+		sub.reject(now, sent, nackReason)
+	}
+}
+
+func (sub *subscription) acknowledge(sent map[string]records.Version) {
+	for name, version := range sent {
+		if sub.names[name] || sub.wildcard {
+			putIn(&sub.acknowledged, name, version)
 		}
-		return
+		delete(sub.nacked, name)
 	}
-	for n, v := range sent {
-		switch {
-		case fault == "":
-			if sub.names[n] || sub.wildcard {
-				putIn(&sub.acknowledged, n, v)
-			}
-			delete(sub.nacked, n)
-		case len(sub.nacked) < maxNacks || sub.nacked[n].Version != (records.Version{}):
-			putIn(&sub.nacked, n, Nack{v, fault[:min(len(fault), maxReasonBytes)], now})
-		default: // past the bound it is only not sent again
-			putIn(&sub.acknowledged, n, v)
+}
+
+// resendOneByOne makes the resources of a rejected response pending again, as the answer does not say which of them was
+// rejected.
+func (sub *subscription) resendOneByOne(sent map[string]records.Version) {
+	for name := range sent {
+		putIn(&sub.oneByOne, name, true)
+		putIn(&sub.acknowledged, name, sub.acknowledged[name]) // it may have the resource: a removal must be sent
+		if !sub.initial[name] {
+			putIn(&sub.changed, name, true)
+		}
+	}
+}
+
+// reject records the rejected resource. Beyond the bound it only is not sent again.
+func (sub *subscription) reject(now time.Time, sent map[string]records.Version, reason string) {
+	for name, version := range sent {
+		_, known := sub.nacked[name]
+		if known || len(sub.nacked) < maxNacks {
+			putIn(&sub.nacked, name, Nack{Version: version, Reason: reason[:min(len(reason), maxReasonBytes)], At: now})
+		} else {
+			putIn(&sub.acknowledged, name, version)
 		}
 	}
 }
 
-// forgetUnsubscribed forgets what is not subscribed to any more.
+// forgetUnsubscribed drops the state of names that are not subscribed to any more.
 func (sub *subscription) forgetUnsubscribed() {
 	if sub.wildcard {
 		return
 	}
-	gone := func(n string) bool { return !sub.names[n] }
-	for _, m := range []map[string]records.Version{sub.acknowledged, sub.sent} {
-		maps.DeleteFunc(m, func(n string, _ records.Version) bool { return gone(n) })
-	}
-	maps.DeleteFunc(sub.nacked, func(n string, _ Nack) bool { return gone(n) })
-	for _, m := range []map[string]bool{sub.initial, sub.changed, sub.oneByOne} {
-		maps.DeleteFunc(m, func(n string, _ bool) bool { return gone(n) })
-	}
+	keepNames(sub, sub.acknowledged)
+	keepNames(sub, sub.sent)
+	keepNames(sub, sub.nacked)
+	keepNames(sub, sub.initial)
+	keepNames(sub, sub.changed)
+	keepNames(sub, sub.oneByOne)
+}
+
+// keepNames drops the entries of a map that are not subscribed to.
+func keepNames[V any](sub *subscription, m map[string]V) {
+	maps.DeleteFunc(m, func(name string, _ V) bool { return !sub.names[name] })
 }
--- a/internal/controlplane/peer.go
+++ b/internal/controlplane/peer.go
@@ -22,46 +22,50 @@
 )
 
 const (
-	maxMessageBytes = 16 << 20 // bytes that a peer says at once
-	// A peer that is back has to be heard soon: a change must be everywhere within seconds. There are few, so little is spread.
-	minBackoff, maxBackoff                      = 100 * time.Millisecond, 2 * time.Second
-	dialTimeout                                 = 5 * time.Second
-	peerKeepaliveInterval, peerKeepaliveTimeout = 10 * time.Second, 5 * time.Second // leastQuiet allows it
+	maxMessageBytes = 16 << 20 // of a peer's response
+	// A peer that is back has to be synced with soon: a change must be in force everywhere within seconds. There are few peers,
+	// so the backoff is short.
+	minBackoff, maxBackoff = 100 * time.Millisecond, 2 * time.Second
+	maxBackoffDoublings    = 10
+	dialTimeout            = 5 * time.Second
+	// minKeepaliveInterval of the other server allows peerKeepaliveInterval.
+	peerKeepaliveInterval, peerKeepaliveTimeout = 10 * time.Second, 5 * time.Second
 	maxReportedFaults                           = 20
 )
 
-const down, connecting, up = "down", "connecting", "up"
+// peerState is the state of the stream to a peer. The values are shown to operators.
+type peerState string
 
-// peer is the stream on which another control machine's records are heard.
+const (
+	peerDown       peerState = "down"
+	peerConnecting peerState = "connecting"
+	peerUp         peerState = "up"
+)
+
+// peer is the stream on which another control-plane server's records are received.
 type peer struct {
 	api.Peer
 	server *Server
 
-	// Under the server's lock:
+	// Guarded by the server's lock:
 
-	state       string
+	state       peerState
 	lastMessage time.Time
-	synced      bool
+	synced      bool // all records of the peer were received on this stream
 	fault       string
 }
 
-// run keeps the stream up for as long as the server runs.
+// run keeps the stream connected for as long as the server runs.
 func (p *peer) run() {
-	s, fails := p.server, 0
+	s := p.server
+	failures := 0
 	for s.ctx.Err() == nil {
 		err := p.subscribe()
-		s.mu.Lock()
-		if p.state == up {
-			fails = 0
-		}
-		p.state, p.synced = down, false
-		if s.ctx.Err() == nil && (p.fault == "" || fails == 0) {
-			s.log.Warn("control plane: peer lost", "peer", p.Name, "error", err)
+		if p.disconnected(err, failures) {
+			failures = 0
 		}
-		p.fault = err.Error()
-		s.mu.Unlock()
-		width := min(minBackoff<<min(fails, 10), maxBackoff)
-		fails++
+		width := min(minBackoff<<min(failures, maxBackoffDoublings), maxBackoff)
+		failures++
 		select {
 		case <-s.ctx.Done():
 		case <-time.After(time.Duration(rand.Float64() * float64(width))):
@@ -69,94 +73,142 @@
 	}
 }
 
-// subscribe hears a peer until the stream ends.
+// disconnected records that the stream has ended, and reports whether it had been up.
+func (p *peer) disconnected(err error, failures int) (wasUp bool) {
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wasUp = p.state == peerUp
+	if wasUp {
+		failures = 0
+	}
+	p.state, p.synced = peerDown, false
+	if s.ctx.Err() == nil && (p.fault == "" || failures == 0) {
+		s.log.Warn("peer disconnected, backing off", "peer", p.Name, "error", err)
+	}
+	p.fault = err.Error()
+	return wasUp
+}
+
+// subscribe receives a peer's records until the stream ends.
 func (p *peer) subscribe() error {
 	s := p.server
-	creds, err := xds.Credentials(p.Plane, s.log)
+	conn, err := p.dial()
 	if err != nil {
 		return err
 	}
-	cc, err := grpc.NewClient("passthrough:///"+p.Plane.Address, grpc.WithTransportCredentials(creds),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerKeepaliveInterval, Timeout: peerKeepaliveTimeout}),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout}))
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	versions := p.connecting()
+	stream, err := discoveryv3.NewAggregatedDiscoveryServiceClient(conn).DeltaAggregatedResources(ctx)
 	if err != nil {
 		return err
 	}
-	defer cc.Close()
-	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
+	err = stream.Send(&discoveryv3.DeltaDiscoveryRequest{
+		Node:                    &corev3.Node{Id: s.options.Name, UserAgentName: "silvertrail"},
+		TypeUrl:                 recordType,
+		InitialResourceVersions: versions,
+	})
+	for err == nil {
+		err = p.receive(stream)
+	}
+	return err
+}
+
+func (p *peer) dial() (*grpc.ClientConn, error) {
+	creds, err := xds.Credentials(p.Plane, p.server.log)
+	if err != nil {
+		return nil, err
+	}
+	return grpc.NewClient("passthrough:///"+p.Plane.Address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerKeepaliveInterval, Timeout: peerKeepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout}))
+}
+
+// connecting records that the stream is being opened, and returns the versions that this server has.
+func (p *peer) connecting() map[string]string {
+	s := p.server
 	s.mu.Lock()
-	p.state = connecting
-	has := map[string]string{}
+	defer s.mu.Unlock()
+	p.state = peerConnecting
+	versions := map[string]string{}
 	for k := range ads.Kinds {
 		for r := range s.store.All(k) {
-			has[r.Key.String()] = r.Version.String()
+			versions[r.Key.String()] = r.Version.String()
 		}
 	}
-	s.mu.Unlock()
-	stream, err := discoveryv3.NewAggregatedDiscoveryServiceClient(cc).DeltaAggregatedResources(ctx)
+	return versions
+}
+
+// receive receives and answers one response.
+func (p *peer) receive(stream discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesClient) error {
+	m, err := stream.Recv()
 	if err != nil {
 		return err
 	}
-	err = stream.Send(&discoveryv3.DeltaDiscoveryRequest{Node: &corev3.Node{Id: s.options.Name, UserAgentName: "silvertrail"}, TypeUrl: recordType,
-		InitialResourceVersions: has})
-	for err == nil {
-		var m *discoveryv3.DeltaDiscoveryResponse
-		if m, err = stream.Recv(); err == nil {
-			answer := &discoveryv3.DeltaDiscoveryRequest{TypeUrl: recordType, ResponseNonce: m.Nonce}
-			if fault := p.mergeResponse(m); fault != "" {
-				answer.ErrorDetail = &rpcstatus.Status{Code: int32(codes.InvalidArgument), Message: fault}
-			}
-			err = stream.Send(answer)
-		}
+	answer := &discoveryv3.DeltaDiscoveryRequest{TypeUrl: recordType, ResponseNonce: m.Nonce}
+	if fault := p.mergeResponse(m); fault != "" {
+		answer.ErrorDetail = &rpcstatus.Status{Code: int32(codes.InvalidArgument), Message: fault}
 	}
-	return err
+	return stream.Send(answer)
+}
+
+// mergeResponse merges a peer's records. It returns the faults of those that are invalid; the others are applied.
+func (p *peer) mergeResponse(m *discoveryv3.DeltaDiscoveryResponse) (fault string) {
+	valid, fault := parseRecords(m)
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.state != peerUp {
+		s.log.Info("peer connected", "peer", p.Name)
+	}
+	p.state, p.lastMessage, p.fault = peerUp, time.Now(), fault
+	s.mergeAll(valid)
+	if m.SystemVersionInfo != "" { // nothing more is pending
+		p.synced = true
+		s.initialSync.PeerSynced(p.Name)
+	}
+	if fault != "" {
+		s.log.Warn("records rejected", "peer", p.Name, "fault", fault)
+	}
+	if len(valid) > 0 {
+		s.markDirty()
+	}
+	s.advance()
+	return fault
 }
 
-// mergeResponse merges what the peer says. What of it can't be used is returned; the rest holds.
-func (p *peer) mergeResponse(m *discoveryv3.DeltaDiscoveryResponse) string {
-	var good []records.Record
+// parseRecords returns the valid records of a response, and the faults of the others.
+func parseRecords(m *discoveryv3.DeltaDiscoveryResponse) (valid []records.Record, fault string) {
 	var faults []string
 	if m.TypeUrl != recordType || len(m.RemovedResources) > 0 {
 		faults = append(faults, "records alone are asked for, and none is ever gone")
 	}
-	for i, one := range m.Resources {
-		r, err := parseRecord(one.Resource)
-		if err == nil && r.Version.String() != one.Version {
+	for i, resource := range m.Resources {
+		r, err := parseRecord(resource.Resource)
+		if err == nil && r.Version.String() != resource.Version {
 			err = errors.New("its version is not that of its record")
 		}
 		if err != nil {
 			faults = append(faults, fmt.Sprintf("resources[%d]: %v", i, err))
 			continue
 		}
-		good = append(good, r)
-	}
-	fault := strings.Join(faults[:min(len(faults), maxReportedFaults)], "; ")
-	s := p.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p.state != up {
-		s.log.Info("control plane: peer heard", "peer", p.Name)
+		valid = append(valid, r)
 	}
+	return valid, strings.Join(faults[:min(len(faults), maxReportedFaults)], "; ")
+}
+
+// mergeAll merges records, and logs new conflicts. The caller holds the lock.
+func (s *Server) mergeAll(all []records.Record) {
 	before := len(s.store.Conflicts())
-	p.state, p.lastMessage, p.fault = up, time.Now(), fault
-	for _, r := range good {
+	for _, r := range all {
 		s.merge(r)
 	}
-	for _, c := range s.store.Conflicts()[min(before, len(s.store.Conflicts())):] {
-		s.log.Warn("control plane: two versions were made apart", "resource", c.Key.String(), "holds", c.Winner.String(), "lost", c.Loser.String())
+	conflicts := s.store.Conflicts()
+	for _, c := range conflicts[min(before, len(conflicts)):] {
+		s.log.Warn("concurrent versions", "resource", c.Key.String(), "holds", c.Winner.String(), "lost", c.Loser.String())
 	}
-	if m.SystemVersionInfo != "" { // it owes nothing more
-		p.synced = true
-		s.initialSync.PeerSynced(p.Name)
-	}
-	if fault != "" {
-		s.log.Warn("control plane: records turned away", "peer", p.Name, "fault", fault)
-	}
-	if len(good) > 0 {
-		s.markDirty()
-	}
-	s.advance()
-	return fault
 }
--- /dev/null
+++ b/internal/controlplane/persistence.go
@@ -0,0 +1,95 @@
+package controlplane
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"silvertrail/internal/base/statefile"
+	"silvertrail/internal/controlplane/api"
+	"silvertrail/internal/controlplane/records"
+)
+
+// restoreStore reads the state file. An unreadable one is an error: starting without it would lose what no other server may have.
+func restoreStore(o api.Options) (*records.Store, error) {
+	if o.StateFile == "" {
+		return records.New(newOrigin(o.Name)), nil
+	}
+	var state records.State
+	err := statefile.Read(o.StateFile, stateFormat, maxStateBytes, &state)
+	for i := 0; err == nil && i < len(state.Records); i++ {
+		err = state.Records[i].Record.Check()
+	}
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return records.New(newOrigin(o.Name)), nil
+	case err != nil:
+		return nil, fmt.Errorf("control plane: state %s: %w (it is kept as it is; without it this machine takes all from its peers)", o.StateFile, err)
+	}
+	return records.Restore(state), nil
+}
+
+// newOrigin returns the origin of a server that starts without a state. It is new each time, so that what was published before
+// and lost is never taken for what is published now.
+func newOrigin(name string) string {
+	var nonce [originNonceBytes]byte
+	rand.Read(nonce[:])
+	return name + "." + hex.EncodeToString(nonce[:])
+}
+
+// persistLoop writes the state some time after it has changed, and once more at the end.
+func (s *Server) persistLoop() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			select {
+			case <-s.dirty:
+				s.persist()
+			default:
+			}
+			return
+		case <-s.dirty:
+		}
+		s.persist()
+		select {
+		case <-s.ctx.Done():
+		case <-time.After(saveInterval):
+		}
+	}
+}
+
+func (s *Server) persist() {
+	noPublication := func() (records.Publication, error) { return records.Publication{}, nil }
+	if err := s.writeState(noPublication); err != nil {
+		s.log.Error("state file not written", "error", err)
+	}
+}
+
+// writeState writes the state as it is after a publication, which is prepared under the lock.
+func (s *Server) writeState(prepare func() (records.Publication, error)) error {
+	s.stateFileMu.Lock()
+	defer s.stateFileMu.Unlock()
+	s.mu.Lock()
+	p, err := prepare()
+	if err != nil || s.options.StateFile == "" {
+		s.mu.Unlock()
+		return err
+	}
+	state := s.store.Save(p)
+	s.mu.Unlock()
+	if err := statefile.Write(s.options.StateFile, stateFormat, state); err != nil {
+		return fmt.Errorf("state %s: %w", s.options.StateFile, err)
+	}
+	return nil
+}
+
+// markDirty has the state written.
+func (s *Server) markDirty() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+}
--- a/internal/controlplane/publish.go
+++ b/internal/controlplane/publish.go
@@ -15,37 +15,53 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-// maxResourceBytes leaves room for one in a message of 16 MiB, the most that a receiver takes where nobody tells otherwise.
+// maxResourceBytes leaves room for one resource in a message of 16 MiB, the default limit of a sidecar.
 const maxResourceBytes = 15 << 20
 
-// ErrInitialSync says that a machine that has begun is still hearing the others: what it would publish could be taken for old.
+// ErrInitialSync is returned while a server that has started waits for its peers: what it would publish could be taken for old.
 var ErrInitialSync = errors.New("control plane: it has just begun and is still hearing its peers; try again in a moment")
 
-// Publish takes a response in protobuf JSON, nil for none, and the names of what is to be removed ("cluster/NAME", "endpoints/NAME"). All
-// of it holds, and is on the disk, when there is no error; with one, which tells all that is wrong, nothing has changed.
+// Publish publishes the resources of a response in protobuf JSON, if there is one, and removes resources by key
+// ("cluster/NAME", "endpoints/NAME"). Without an error all of it is in force, and stored. An error names all faults, and
+// nothing has changed.
 func (s *Server) Publish(text []byte, remove []string) (api.Published, error) {
-	var all []*anypb.Any
+	var resources []*anypb.Any
 	if len(text) > 0 {
 		m, err := xds.ParseFile(text)
 		if err != nil {
 			return api.Published{}, fmt.Errorf("control plane: %w", err)
 		}
-		all = m.Resources
+		resources = m.Resources
 	}
-	return s.PublishResources(all, remove)
+	return s.PublishResources(resources, remove)
 }
 
-// PublishResources is Publish without the JSON.
-func (s *Server) PublishResources(all []*anypb.Any, remove []string) (out api.Published, err error) {
-	var contents []records.Content
-	var faults []error
-	for i, a := range all {
-		k := envoy.KindOf(a.GetTypeUrl())
+// PublishResources is Publish for parsed resources.
+func (s *Server) PublishResources(resources []*anypb.Any, remove []string) (api.Published, error) {
+	contents, faults := parseContents(resources)
+	removals, removeFaults := parseRemovals(remove)
+	contents, faults = append(contents, removals...), append(faults, removeFaults...)
+	if len(contents)+len(faults) == 0 {
+		return api.Published{}, errors.New("control plane: nothing to publish")
+	}
+	s.publishMu.Lock()
+	defer s.publishMu.Unlock()
+	p, err := s.storePublication(contents, faults)
+	if err != nil {
+		return api.Published{}, err
+	}
+	return s.applyPublication(p), nil
+}
+
+// parseContents returns the contents of resources, and the faults of those that are invalid.
+func parseContents(resources []*anypb.Any) (contents []records.Content, faults []error) {
+	for i, resource := range resources {
+		k := envoy.KindOf(resource.GetTypeUrl())
 		if k == ads.Kinds {
-			faults = append(faults, fmt.Errorf("resources[%d]: of type %q; clusters and endpoint sets can be published", i, a.GetTypeUrl()))
+			faults = append(faults, fmt.Errorf("resources[%d]: of type %q; clusters and endpoint sets can be published", i, resource.GetTypeUrl()))
 			continue
 		}
-		c, err := parseContent(k, a)
+		c, err := parseContent(k, resource)
 		if err != nil {
 			faults = append(faults, fmt.Errorf("resources[%d]: %w", i, err))
 			continue
@@ -55,6 +71,11 @@
 		}
 		contents = append(contents, c)
 	}
+	return contents, faults
+}
+
+// parseRemovals returns the contents of removed resources, and the faults of invalid keys.
+func parseRemovals(remove []string) (contents []records.Content, faults []error) {
 	for _, text := range slices.Compact(slices.Sorted(slices.Values(remove))) {
 		key, err := records.ParseKey(text)
 		if err != nil {
@@ -63,36 +84,37 @@
 		}
 		contents = append(contents, records.Content{Key: key, Removed: true})
 	}
-	if len(contents)+len(faults) == 0 {
-		return out, errors.New("control plane: nothing to publish")
-	}
-	s.publishMu.Lock()
-	defer s.publishMu.Unlock()
-	var p records.Publication
-	// It is written before it is sent: a version that was sent and forgotten would be given to another content.
+	return contents, faults
+}
+
+// storePublication prepares a publication and stores it. It is stored before it is sent: a version that was sent and then lost
+// would be assigned to another content.
+func (s *Server) storePublication(contents []records.Content, faults []error) (p records.Publication, err error) {
 	err = s.writeState(func() (records.Publication, error) {
 		if !s.initialSync.IsComplete(time.Now()) {
 			return p, ErrInitialSync
 		}
-		var wrong []error
-		p, wrong = s.store.Prepare(contents)
-		return p, errors.Join(append(faults, wrong...)...)
+		var invalid []error
+		p, invalid = s.store.Prepare(contents)
+		return p, errors.Join(append(faults, invalid...)...)
 	})
-	if err != nil {
-		return out, err
-	}
+	return p, err
+}
+
+// applyPublication puts a stored publication in force.
+func (s *Server) applyPublication(p records.Publication) api.Published {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out = api.Published{Version: p.Version.String(), Unchanged: p.Unchanged}
+	published := api.Published{Version: p.Version.String(), Unchanged: p.Unchanged}
 	for _, r := range p.Records {
 		s.merge(r)
 		if r.Removed {
-			out.Removed++
+			published.Removed++
 		} else {
-			out.Resources++
+			published.Resources++
 		}
 	}
 	s.advance()
-	s.log.Info("control plane: published", "version", out.Version, "resources", out.Resources, "removed", out.Removed, "unchanged", out.Unchanged)
-	return out, nil
+	s.log.Info("publication applied", "version", published.Version, "resources", published.Resources, "removed", published.Removed, "unchanged", published.Unchanged)
+	return published
 }
--- /dev/null
+++ b/internal/controlplane/records/initialsync.go
@@ -0,0 +1,36 @@
+package records
+
+import "time"
+
+// InitialSync decides when a server that has started serves sidecars. Its stored state may be out of date, or lost: it first
+// waits, for a limited time, until it has merged the records of its peers. A server without any record serves nobody, so that
+// its subscribers go to another one.
+type InitialSync struct {
+	deadline time.Time
+	pending  map[string]bool
+}
+
+// NewInitialSync waits for peers until a deadline.
+func NewInitialSync(deadline time.Time, peers []string) *InitialSync {
+	s := &InitialSync{deadline: deadline, pending: map[string]bool{}}
+	for _, peer := range peers {
+		s.pending[peer] = true
+	}
+	return s
+}
+
+// PeerSynced records that all records of a peer were merged.
+func (s *InitialSync) PeerSynced(peer string) { delete(s.pending, peer) }
+
+// IsComplete reports whether the peers are not waited for any more. Only then may something be published.
+func (s *InitialSync) IsComplete(now time.Time) bool {
+	return len(s.pending) == 0 || !now.Before(s.deadline)
+}
+
+// IsReady reports whether sidecars may be served.
+func (s *InitialSync) IsReady(now time.Time, store *Store) bool {
+	return s.IsComplete(now) && !store.IsEmpty()
+}
+
+// Deadline returns when the peers are not waited for any more.
+func (s *InitialSync) Deadline() time.Time { return s.deadline }
--- a/internal/controlplane/records/publish.go
+++ b/internal/controlplane/records/publish.go
@@ -8,34 +8,24 @@
 	"silvertrail/internal/xds/ads"
 )
 
-// Publication is a set of changes that were made together.
+// Publication is a set of changes that are made together.
 type Publication struct {
 	Version   Version
 	Records   []Record
-	Unchanged int // contents that hold already
+	Unchanged int // contents that are in force already
 }
 
-// Prepare makes a publication of contents, or tells all that is wrong with them. It changes nothing: the records hold when
-// they are merged, which has to wait until they are written down. A version that was sent and forgotten would be given twice.
+// Prepare returns the publication of contents, or all faults in them. It changes nothing: the records are in force once they are
+// merged, which has to wait until they are stored. A version that was sent and not stored would be assigned twice.
 func (s *Store) Prepare(contents []Content) (p Publication, faults []error) {
-	next := map[Key]Content{}
-	for _, c := range contents {
-		switch _, twice := next[c.Key]; {
-		case twice:
-			faults = append(faults, fmt.Errorf("%s: told twice", c.Key))
-			continue
-		case c.Removed && !s.isPresent(c.Key):
-			faults = append(faults, fmt.Errorf("%s: can't be removed: there is none", c.Key))
-		}
-		next[c.Key] = c
-	}
+	next, faults := s.collect(contents)
 	faults = append(faults, s.danglingReferences(next)...)
-	there, _ := s.Counts()
-	p.Version = Version{s.counter + 1, s.origin}
+	present, _ := s.Counts()
+	p.Version = Version{Counter: s.counter + 1, Origin: s.origin}
 	for _, k := range slices.SortedFunc(maps.Keys(next), Key.Compare) {
 		c := next[k]
-		is, known := s.Find(k)
-		if known && is.Removed == c.Removed && is.Digest == c.Digest {
+		current, known := s.Find(k)
+		if known && current.isSame(&c) {
 			p.Unchanged++
 			continue
 		}
@@ -45,54 +35,87 @@
 		}
 		p.Records = append(p.Records, r)
 		if !c.Removed && !s.isPresent(k) {
-			there[k.Kind]++
+			present[k.Kind]++
+		}
+	}
+	faults = append(faults, s.checkBounds(present, p.Version)...)
+	if len(faults) > 0 {
+		return Publication{}, faults
+	}
+	return p, nil
+}
+
+// collect returns the contents by key.
+func (s *Store) collect(contents []Content) (next map[Key]Content, faults []error) {
+	next = map[Key]Content{}
+	for _, c := range contents {
+		if _, duplicate := next[c.Key]; duplicate {
+			faults = append(faults, fmt.Errorf("%s: told twice", c.Key))
+			continue
+		}
+		if c.Removed && !s.isPresent(c.Key) {
+			faults = append(faults, fmt.Errorf("%s: can't be removed: there is none", c.Key))
 		}
+		next[c.Key] = c
 	}
-	for k, n := range there {
+	return next, faults
+}
+
+// checkBounds returns a fault for each bound that a publication would exceed.
+func (s *Store) checkBounds(present [ads.Kinds]int, version Version) (faults []error) {
+	for k, n := range present {
 		if n > MaxResources {
 			faults = append(faults, fmt.Errorf("%d resources of kind %s would be there; %d are the most", n, ads.Kind(k), MaxResources))
 		}
 	}
-	if p.Version.Counter >= maxCounter {
+	if version.Counter >= maxCounter {
 		faults = append(faults, fmt.Errorf("there are no versions left after %d", s.counter))
 	}
-	if len(faults) > 0 {
-		return Publication{}, faults
-	}
-	return p, nil
+	return faults
 }
 
-// danglingReferences tells of clusters that would need an endpoint set which is not there: a receiver would wait for it for nothing.
+// danglingReferences returns a fault for each cluster that would require a missing endpoint set: a subscriber would wait for it
+// in vain.
 func (s *Store) danglingReferences(next map[Key]Content) (faults []error) {
-	after := func(k Key) bool {
-		if c, is := next[k]; is {
-			return !c.Removed
-		}
-		return s.isPresent(k)
-	}
 	for _, k := range slices.SortedFunc(maps.Keys(next), Key.Compare) {
 		c := next[k]
 		switch {
-		case k.Kind == ads.Clusters && !c.Removed && c.Set != "" && !after(Key{ads.Sets, c.Set}):
+		case k.Kind == ads.Clusters && !c.Removed && c.Set != "" && !s.willBePresent(next, Key{Kind: ads.Sets, Name: c.Set}):
 			faults = append(faults, fmt.Errorf("%s: eds_cluster_config: there are no endpoints named %q", k, c.Set))
 		case k.Kind == ads.Sets && c.Removed:
-			for _, of := range s.clustersOf(k.Name) {
-				if by, is := next[Key{ads.Clusters, of}]; !is || !by.Removed && by.Set == k.Name {
-					faults = append(faults, fmt.Errorf("%s: can't be removed: cluster %q needs it", k, of))
-				}
-			}
+			faults = append(faults, s.stillRequired(next, k)...)
 		}
 	}
 	return faults
 }
 
-// clustersOf returns the clusters that need an endpoint set.
-func (s *Store) clustersOf(set string) (out []string) {
+// stillRequired returns a fault for each cluster that would require a removed endpoint set.
+func (s *Store) stillRequired(next map[Key]Content, set Key) (faults []error) {
+	for _, cluster := range s.clustersOf(set.Name) {
+		c, changes := next[Key{Kind: ads.Clusters, Name: cluster}]
+		if !changes || !c.Removed && c.Set == set.Name {
+			faults = append(faults, fmt.Errorf("%s: can't be removed: cluster %q needs it", set, cluster))
+		}
+	}
+	return faults
+}
+
+// willBePresent reports whether a resource is present after a publication.
+func (s *Store) willBePresent(next map[Key]Content, k Key) bool {
+	if c, changes := next[k]; changes {
+		return !c.Removed
+	}
+	return s.isPresent(k)
+}
+
+// clustersOf returns the clusters that require an endpoint set.
+func (s *Store) clustersOf(set string) []string {
+	var clusters []string
 	for name, e := range s.entries[ads.Clusters] {
 		if !e.Removed && e.Set == set {
-			out = append(out, name)
+			clusters = append(clusters, name)
 		}
 	}
-	slices.Sort(out)
-	return out
+	slices.Sort(clusters)
+	return clusters
 }
--- a/internal/controlplane/records/record.go
+++ b/internal/controlplane/records/record.go
@@ -1,11 +1,12 @@
-// Package records keeps what control machines have published, and merges what they say to one another. It has no I/O and no
-// clock, and is not safe for concurrent use.
+// Package records holds what a control-plane server has accepted, and merges what the servers send one another. It does no
+// I/O and reads no clock. A Store belongs to one host, which serialises all calls.
 //
-// A record is one resource (a cluster or an endpoint set) in one version, or that it was removed. It never changes: a change is a
-// new record. A version is a counter and the machine that gave it. A publication takes the highest counter that its machine
-// has seen, plus one (Lamport's clock), so one that knew of another is newer than it, and all machines agree which of any two
-// is. A record also tells what its machine had seen of the resource, by origin (a version vector): two of which neither had seen
-// the other were made apart. Then the newer one holds, everywhere, and the other is told as lost.
+// A record is one resource (a cluster or a set of endpoints) in one version, or its removal. It never changes: a change is a
+// new record. A version consists of a counter and the server that assigned it. A publication takes the highest counter that
+// its server has seen, plus one (a Lamport clock), so a publication that knows of another one is newer, and all servers agree
+// on the order of any two. A record also holds which versions of the resource its server had seen, by origin (a version
+// vector). Of two records that do not know of each other, which are concurrent, the newer one wins on all servers, and the
+// other one is reported as a conflict.
 package records
 
 import (
@@ -19,24 +20,24 @@
 	"silvertrail/internal/xds/ads"
 )
 
-// Version is a publication's place among all.
+// Version is the place of a publication among all. The zero Version is the oldest.
 type Version struct {
 	Counter uint64 `codec:"Counter"`
-	Origin  string `codec:"Origin"` // of the machine; no two starts from nothing share one
+	Origin  string `codec:"Origin"` // of the server; a server that has lost its state gets another one
 }
 
 const (
 	maxCounter     = 1 << 62
-	maxOriginBytes = 200 // bytes
-	maxOrigins     = 16  // of which a record tells what was seen; those with the lowest counters are left out
+	maxOriginBytes = 200
+	maxOrigins     = 16 // of a version vector; those with the lowest counters are left out
 )
 
-// Compare orders versions: zero is the oldest.
-func (v Version) Compare(o Version) int {
-	return cmp.Or(cmp.Compare(v.Counter, o.Counter), strings.Compare(v.Origin, o.Origin))
+// Compare orders versions.
+func (v Version) Compare(other Version) int {
+	return cmp.Or(cmp.Compare(v.Counter, other.Counter), strings.Compare(v.Origin, other.Origin))
 }
 
-// String returns the version as receivers hear it.
+// String returns the version as subscribers see it.
 func (v Version) String() string {
 	if v == (Version{}) {
 		return ""
@@ -44,21 +45,26 @@
 	return strconv.FormatUint(v.Counter, 10) + "-" + v.Origin
 }
 
-// ParseVersion reads what String has written.
-func ParseVersion(text string) (v Version, err error) {
-	counter, origin, ok := strings.Cut(text, "-")
-	if v.Counter, err = strconv.ParseUint(counter, 10, 64); err != nil || !ok || v.Counter == 0 || v.Counter >= maxCounter || origin == "" ||
-		len(origin) > maxOriginBytes || strconv.FormatUint(v.Counter, 10) != counter {
-		return Version{}, fmt.Errorf("%.100q is no version of a control machine", text)
+// ParseVersion parses the result of String.
+func ParseVersion(text string) (Version, error) {
+	invalid := fmt.Errorf("%.100q is no version of a control machine", text)
+	counterText, origin, found := strings.Cut(text, "-")
+	counter, err := strconv.ParseUint(counterText, 10, 64)
+	switch {
+	case !found || err != nil || counter == 0 || counter >= maxCounter:
+		return Version{}, invalid
+	case origin == "" || len(origin) > maxOriginBytes:
+		return Version{}, invalid
+	case strconv.FormatUint(counter, 10) != counterText:
+		return Version{}, invalid
 	}
-	v.Origin = origin
-	return v, nil
+	return Version{Counter: counter, Origin: origin}, nil
 }
 
-// VersionVector tells the highest counter that was seen, by origin.
+// VersionVector holds the highest counter seen of each origin.
 type VersionVector map[string]uint64
 
-// Includes tells whether a version was seen.
+// Includes reports whether a version was seen.
 func (s VersionVector) Includes(v Version) bool { return s[v.Origin] >= v.Counter }
 
 func (s *VersionVector) add(v Version) {
@@ -70,17 +76,23 @@
 	}
 	(*s)[v.Origin] = v.Counter
 	if len(*s) > maxOrigins {
-		lowest := Version{Counter: maxCounter}
-		for o, c := range *s {
-			if at := (Version{c, o}); at.Compare(lowest) < 0 {
-				lowest = at
-			}
+		delete(*s, s.lowestOrigin())
+	}
+}
+
+func (s VersionVector) lowestOrigin() string {
+	lowest := Version{Counter: maxCounter}
+	for origin, counter := range s {
+		if v := (Version{Counter: counter, Origin: origin}); v.Compare(lowest) < 0 {
+			lowest = v
 		}
-		delete(*s, lowest.Origin)
 	}
+	return lowest.Origin
 }
 
-// Key names a resource.
+func (s VersionVector) clone() VersionVector { return maps.Clone(s) }
+
+// Key identifies a resource.
 type Key struct {
 	Kind ads.Kind `codec:"Kind"`
 	Name string   `codec:"Name"`
@@ -88,20 +100,20 @@
 
 func (k Key) String() string { return k.Kind.String() + "/" + k.Name }
 
-// ParseKey reads what String has written.
+// ParseKey parses the result of String.
 func ParseKey(text string) (Key, error) {
-	kind, name, ok := strings.Cut(text, "/")
+	kind, name, found := strings.Cut(text, "/")
 	for k := range ads.Kinds {
-		if ok && name != "" && kind == k.String() {
-			return Key{k, name}, nil
+		if found && name != "" && kind == k.String() {
+			return Key{Kind: k, Name: name}, nil
 		}
 	}
 	return Key{}, fmt.Errorf("%.100q is neither %s/NAME nor %s/NAME", text, ads.Clusters, ads.Sets)
 }
 
-// Compare orders keys: clusters first.
-func (k Key) Compare(o Key) int {
-	return cmp.Or(cmp.Compare(k.Kind, o.Kind), strings.Compare(k.Name, o.Name))
+// Compare orders keys: clusters come first.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, other.Kind), strings.Compare(k.Name, other.Name))
 }
 
 // Content is what is published of a resource.
@@ -109,18 +121,23 @@
 	Key
 	Removed bool     `codec:"Removed"`
 	Digest  [16]byte `codec:"Digest"`
-	Raw     []byte   `codec:"Raw"` // as receivers get it; of a removed one: none
-	Set     string   `codec:"Set"` // of a cluster: the endpoint set that it needs; empty: none
+	Raw     []byte   `codec:"Raw"` // as subscribers get it; empty for a removed resource
+	Set     string   `codec:"Set"` // of a cluster: the endpoint set that it requires; empty: none
+}
+
+// isSame reports whether two contents of a resource are equal.
+func (c *Content) isSame(other *Content) bool {
+	return c.Removed == other.Removed && c.Digest == other.Digest
 }
 
 // Record is a resource in one version.
 type Record struct {
 	Content
 	Version  Version       `codec:"Version"`
-	Ancestry VersionVector `codec:"Seen"` // of this resource, by the machine that gave the version, before
+	Ancestry VersionVector `codec:"Seen"` // of this resource, as seen by the server that assigned the version, before
 }
 
-// Check tells what is wrong with a record that came from elsewhere.
+// Check returns an error for a record that no server sends.
 func (r *Record) Check() error {
 	switch {
 	case r.Kind >= ads.Kinds || r.Name == "":
@@ -132,12 +149,10 @@
 	case r.Removed != (len(r.Raw) == 0):
 		return fmt.Errorf("%s: it is neither there nor removed", r.Key)
 	}
-	for _, c := range r.Ancestry {
-		if c >= r.Version.Counter {
+	for _, counter := range r.Ancestry {
+		if counter >= r.Version.Counter {
 			return fmt.Errorf("%s: it has seen what is newer than itself", r.Key)
 		}
 	}
 	return nil
 }
-
-func (s VersionVector) clone() VersionVector { return maps.Clone(s) }
--- a/internal/controlplane/records/store.go
+++ b/internal/controlplane/records/store.go
@@ -10,15 +10,18 @@
 
 // Bounds of a store.
 const (
-	// MaxResources of each kind can be published: receivers keep no more. What machines published apart may come to more together.
+	// MaxResources is how many resources of each kind can be published, as subscribers keep no more. What several servers publish
+	// concurrently may exceed it.
 	MaxResources = 10_000
-	// MaxRemoved resources are remembered as removed; past it the oldest is forgotten, and one who slept through all of them may
-	// bring it back. At 1,400 changes a day these are a week's at the least.
+	// MaxRemoved is how many removed resources are remembered; beyond it the oldest is forgotten, and a server that was down
+	// through all of them may bring it back. At 1,400 changes a day these are at least a week's.
 	MaxRemoved   = 10_000
-	maxConflicts = 256 // that are told; past it the oldest are forgotten
+	maxConflicts = 256 // that are reported; beyond it the oldest are forgotten
+	// maxCounterGap bounds what is believed of a counter that only a subscriber reports: some days' changes.
+	maxCounterGap = 10_000
 )
 
-// Conflict is two versions of a resource that were made apart.
+// Conflict is two concurrent versions of a resource.
 type Conflict struct {
 	Key
 	Winner Version   `codec:"Winner"`
@@ -26,23 +29,24 @@
 	At     time.Time `codec:"At"`
 }
 
+// entry is the newest record of a resource.
 type entry struct {
 	Record
-	observed VersionVector // versions that have come, those that lost as well
+	observed VersionVector // all versions received, also those that lost a conflict
 }
 
-// Store keeps the newest record of each resource.
+// Store holds the newest record of each resource. It is not safe for concurrent use.
 type Store struct {
 	origin       string
 	counter      uint64 // the highest seen
 	entries      [ads.Kinds]map[string]*entry
 	presentCount [ads.Kinds]int
 	removedCount int
-	maxRemoved   int // removed ones that are remembered
+	maxRemoved   int
 	conflicts    []Conflict
 }
 
-// New returns a store that knows nothing. The origin is this machine's, and of this start from nothing alone.
+// New returns an empty store. The origin is the server's, and new whenever it starts without its state.
 func New(origin string) *Store {
 	s := &Store{origin: origin, maxRemoved: MaxRemoved}
 	for k := range s.entries {
@@ -54,16 +58,16 @@
 // MergeResult is what became of a record.
 type MergeResult uint8
 
-// The verdicts.
+// The results.
 const (
-	Applied    MergeResult = iota // newer: it holds from now on
-	Unchanged                     // it holds already
-	Superseded                    // a newer one holds
+	Applied    MergeResult = iota // it is the newest
+	Unchanged                     // it was applied before
+	Superseded                    // a newer one is applied
 )
 
-func (v MergeResult) String() string { return [...]string{"taken", "same", "old"}[v] }
+func (r MergeResult) String() string { return [...]string{"taken", "same", "old"}[r] }
 
-// Merge takes a record that was checked, of this machine or another. It may come any number of times, and in any order.
+// Merge merges a checked record of this server or another one. Records may come any number of times, and in any order.
 func (s *Store) Merge(now time.Time, r Record) MergeResult {
 	s.counter = max(s.counter, r.Version.Counter)
 	e := s.entries[r.Kind][r.Name]
@@ -71,27 +75,26 @@
 		e = &entry{}
 		s.entries[r.Kind][r.Name] = e
 	}
-	was := e.Record
-	order := r.Version.Compare(was.Version)
+	previous := e.Record
+	order := r.Version.Compare(previous.Version)
 	if order == 0 {
 		return Unchanged
 	}
-	heard := e.observed.Includes(r.Version)
+	wasObserved := e.observed.Includes(r.Version)
 	e.observed.add(r.Version)
-	for o, c := range r.Ancestry {
-		e.observed.add(Version{c, o})
+	for origin, counter := range r.Ancestry {
+		e.observed.add(Version{Counter: counter, Origin: origin})
 	}
 	if order < 0 {
-		// What holds has seen it, or it has come before: old news. Else it was made apart, and has lost.
-		if !heard {
-			s.addConflict(now, was, r)
+		if !wasObserved { // the newer record does not know of it: they are concurrent, and it has lost
+			s.addConflict(now, previous, r)
 		}
 		return Superseded
 	}
-	if was.Version.Counter > 0 && !r.Ancestry.Includes(was.Version) {
-		s.addConflict(now, r, was)
+	if previous.Version.Counter > 0 && !r.Ancestry.Includes(previous.Version) {
+		s.addConflict(now, r, previous)
 	}
-	s.adjustCounts(was, -1)
+	s.adjustCounts(previous, -1)
 	e.Record = r
 	s.adjustCounts(r, 1)
 	s.forgetOldestRemoved()
@@ -108,13 +111,13 @@
 	}
 }
 
-// addConflict notes two records that were made apart. What says the same twice is none.
+// addConflict records two concurrent records, unless they have the same content.
 func (s *Store) addConflict(now time.Time, winner, loser Record) {
-	if winner.Digest == loser.Digest && winner.Removed == loser.Removed {
+	if winner.isSame(&loser.Content) {
 		return
 	}
-	c := Conflict{winner.Key, winner.Version, loser.Version, now}
-	if slices.ContainsFunc(s.conflicts, func(o Conflict) bool { return o.Key == c.Key && o.Loser == c.Loser }) {
+	c := Conflict{Key: winner.Key, Winner: winner.Version, Loser: loser.Version, At: now}
+	if slices.ContainsFunc(s.conflicts, func(known Conflict) bool { return known.Key == c.Key && known.Loser == c.Loser }) {
 		return
 	}
 	if len(s.conflicts) == maxConflicts {
@@ -123,27 +126,30 @@
 	s.conflicts = append(s.conflicts, c)
 }
 
-// forgetOldestRemoved bounds what is remembered as removed. All machines forget the same ones: those of the lowest versions.
+// forgetOldestRemoved bounds the removed resources that are remembered. All servers forget the same ones: those of the lowest
+// versions.
 func (s *Store) forgetOldestRemoved() {
 	for s.removedCount > s.maxRemoved {
-		var oldest *entry
-		for k := range s.entries {
-			for _, e := range s.entries[k] {
-				if e.Removed && (oldest == nil || e.Version.Compare(oldest.Version) < 0) {
-					oldest = e
-				}
-			}
-		}
+		oldest := s.oldestRemoved()
 		s.adjustCounts(oldest.Record, -1)
 		delete(s.entries[oldest.Kind], oldest.Name)
 	}
 }
 
-// maxCounterGap bounds what is believed of a counter that only a receiver tells: some days' changes.
-const maxCounterGap = 10_000
+func (s *Store) oldestRemoved() *entry {
+	var oldest *entry
+	for k := range s.entries {
+		for _, e := range s.entries[k] {
+			if e.Removed && (oldest == nil || e.Version.Compare(oldest.Version) < 0) {
+				oldest = e
+			}
+		}
+	}
+	return oldest
+}
 
-// ObserveVersion hears of a version that a receiver has from another machine, which may never be heard itself any more. What is published
-// from now on is newer than it.
+// ObserveVersion records a version that a subscriber has from another server, which may never be reached again. What is
+// published from now on is newer.
 func (s *Store) ObserveVersion(v Version) {
 	if v.Counter > s.counter && v.Counter-s.counter <= maxCounterGap && s.counter > 0 {
 		s.counter = v.Counter
@@ -162,7 +168,7 @@
 	return e.Record, true
 }
 
-// All walks the records of a kind, those of removed resources too, in no order.
+// All iterates over the records of a kind, those of removed resources included, in no order.
 func (s *Store) All(kind ads.Kind) iter.Seq[Record] {
 	return func(yield func(Record) bool) {
 		for _, e := range s.entries[kind] {
@@ -173,30 +179,32 @@
 	}
 }
 
-// Counter returns the highest counter that was seen.
+// Counter returns the highest counter seen.
 func (s *Store) Counter() uint64 { return s.counter }
 
-// Origin returns this machine's.
+// Origin returns the origin of this server.
 func (s *Store) Origin() string { return s.origin }
 
-// Counts returns how many resources there are of each kind, and how many are remembered as removed.
-func (s *Store) Counts() (there [ads.Kinds]int, removed int) { return s.presentCount, s.removedCount }
+// Counts returns how many resources are present of each kind, and how many are remembered as removed.
+func (s *Store) Counts() (present [ads.Kinds]int, removed int) { return s.presentCount, s.removedCount }
 
-// IsEmpty tells whether nothing was ever heard.
+// IsEmpty reports whether no record was ever merged.
 func (s *Store) IsEmpty() bool { return s.counter == 0 }
 
-// Conflicts returns what was made apart, the newest last.
+// Conflicts returns the latest conflicts, the newest last.
 func (s *Store) Conflicts() []Conflict { return slices.Clone(s.conflicts) }
 
-// DanglingClusters returns the clusters whose endpoint set is not there: one machine may have removed it while another named it.
-func (s *Store) DanglingClusters() (out []Key) {
+// DanglingClusters returns the clusters whose endpoint set is missing: one server may have removed it while another one published
+// the cluster.
+func (s *Store) DanglingClusters() []Key {
+	var dangling []Key
 	for _, e := range s.entries[ads.Clusters] {
-		if !e.Removed && e.Set != "" && !s.isPresent(Key{ads.Sets, e.Set}) {
-			out = append(out, e.Key)
+		if !e.Removed && e.Set != "" && !s.isPresent(Key{Kind: ads.Sets, Name: e.Set}) {
+			dangling = append(dangling, e.Key)
 		}
 	}
-	slices.SortFunc(out, Key.Compare)
-	return out
+	slices.SortFunc(dangling, Key.Compare)
+	return dangling
 }
 
 func (s *Store) isPresent(k Key) bool {
--- a/internal/controlplane/stream.go
+++ b/internal/controlplane/stream.go
@@ -15,16 +15,22 @@
 	"silvertrail/internal/controlplane/records"
 )
 
+// deltaStream is the server's side of the gRPC stream.
+type deltaStream = discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer
+
+// unknownNackReason is the reason of a rejection that gives none.
+const unknownNackReason = "refused, without a reason"
+
 // stream is a subscriber's stream.
 type stream struct {
-	grpcStream discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer
+	grpcStream deltaStream
 	address    string
 	since      time.Time
 	ready      chan struct{} // holds a token when there may be something to send
 
-	// Under the server's lock:
+	// Guarded by the server's lock:
 
-	subscriber              *distribution.Subscriber // nil: it has not said who it is
+	subscriber              *distribution.Subscriber // nil: it has not identified itself
 	ended                   bool
 	messageCount, byteCount int64
 }
@@ -36,104 +42,123 @@
 	}
 }
 
-// DeltaAggregatedResources implements the service.
-func (s *Server) DeltaAggregatedResources(of discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
-	st := &stream{grpcStream: of, since: time.Now(), ready: make(chan struct{}, 1)}
-	if p, ok := grpcpeer.FromContext(of.Context()); ok {
+// DeltaAggregatedResources implements the incremental aggregated discovery service.
+func (s *Server) DeltaAggregatedResources(grpcStream deltaStream) error {
+	st := &stream{grpcStream: grpcStream, since: time.Now(), ready: make(chan struct{}, 1)}
+	if p, ok := grpcpeer.FromContext(grpcStream.Context()); ok {
 		st.address = p.Addr.String()
 	}
+	if err := s.admitStream(); err != nil {
+		return err
+	}
+	defer s.removeStream(st)
+	ctx, cancel := context.WithCancelCause(grpcStream.Context())
+	defer cancel(nil)
+	go s.receiveLoop(st, cancel) // ends with the gRPC stream, which ends when this method returns
+	return s.sendLoop(ctx, st)
+}
+
+// admitStream counts a stream, or rejects it over the bound.
+func (s *Server) admitStream() error {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.streamCount >= s.options.MaxSubscribers+len(s.options.Peers) {
-		s.mu.Unlock()
 		return status.Errorf(codes.ResourceExhausted, "this control machine has its %d subscribers", s.options.MaxSubscribers)
 	}
 	s.streamCount++
-	s.mu.Unlock()
-	ctx, cancel := context.WithCancelCause(of.Context())
-	defer func() {
-		cancel(nil)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.streamCount--
-		st.ended = true
-		if st.subscriber != nil {
-			s.distributor.Leave(st.subscriber)
-			delete(s.streams, st.subscriber)
-			s.advance()
+	return nil
+}
+
+func (s *Server) removeStream(st *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streamCount--
+	st.ended = true
+	if st.subscriber != nil {
+		s.distributor.Leave(st.subscriber)
+		delete(s.streams, st.subscriber)
+		s.advance()
+	}
+}
+
+// receiveLoop handles requests until the stream ends.
+func (s *Server) receiveLoop(st *stream, cancel context.CancelCauseFunc) {
+	for {
+		m, err := st.grpcStream.Recv()
+		if err == nil {
+			err = s.handleRequest(st, m)
 		}
-	}()
-	go func() { // ends with the stream, which ends when this method returns
-		for {
-			m, err := of.Recv()
-			if err == nil {
-				err = s.handleRequest(st, m)
-			}
-			if err != nil {
-				cancel(err)
-				return
-			}
+		if err != nil {
+			cancel(err)
+			return
 		}
-	}()
-	silent := time.NewTimer(keepaliveTimeout)
-	defer silent.Stop()
+	}
+}
+
+// sendLoop sends responses until the stream ends.
+func (s *Server) sendLoop(ctx context.Context, st *stream) error {
+	identification := time.NewTimer(keepaliveTimeout)
+	defer identification.Stop()
 	for {
 		m, err := s.nextResponse(st)
 		if err != nil {
 			return err
 		}
-		if m == nil {
-			select {
-			case <-ctx.Done():
-				return context.Cause(ctx)
-			case <-s.ctx.Done():
-				return status.Error(codes.Unavailable, "this control machine ends")
-			case <-st.ready:
-			case <-silent.C:
-				s.mu.Lock()
-				nobody := st.subscriber == nil
-				s.mu.Unlock()
-				if nobody {
-					return status.Error(codes.DeadlineExceeded, "a stream that asks for nothing")
-				}
+		if m != nil {
+			if err := st.grpcStream.Send(m); err != nil {
+				return err
 			}
 			continue
 		}
-		if err := of.Send(m); err != nil {
-			return err
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-s.ctx.Done():
+			return status.Error(codes.Unavailable, "this control machine ends")
+		case <-st.ready:
+		case <-identification.C:
+			if !s.isIdentified(st) {
+				return status.Error(codes.DeadlineExceeded, "a stream that asks for nothing")
+			}
 		}
 	}
 }
 
-// handleRequest takes a request. An error ends the stream.
+func (s *Server) isIdentified(st *stream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return st.subscriber != nil
+}
+
+// handleRequest handles a request. After an error the stream ends.
 func (s *Server) handleRequest(st *stream, m *discoveryv3.DeltaDiscoveryRequest) error {
 	k := kindOf(m.TypeUrl)
-	if k == distribution.Kinds { // of a client that wants more than there is here
+	if k == distribution.Kinds { // of a client that supports more types
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st.ended { // its last request has come late
+	if st.ended { // the request was received during the end of the stream
 		return context.Canceled
 	}
-	if st.subscriber == nil {
-		node := m.GetNode().GetId()
-		st.subscriber = s.distributor.Join(node, s.peers[node] != nil)
-		s.streams[st.subscriber] = st
-	}
+	s.identify(st, m)
 	for _, text := range m.InitialResourceVersions {
 		if v, err := records.ParseVersion(text); err == nil {
 			s.store.ObserveVersion(v)
 		}
 	}
-	fault := m.GetErrorDetail().GetMessage()
-	if m.ErrorDetail != nil && fault == "" {
-		fault = "refused, without a reason"
-	}
-	if fault != "" {
-		s.log.Warn("control plane: a response was refused", "node", st.subscriber.Name, "type", k.String(), "fault", fault)
+	reason := nackReason(m)
+	if reason != "" {
+		s.log.Warn("response rejected by subscriber", "node", st.subscriber.Name, "type", k.String(), "fault", reason)
 	}
-	err := s.distributor.HandleRequest(time.Now(), st.subscriber, distribution.Request{Kind: k, Subscribe: m.ResourceNamesSubscribe, Unsubscribe: m.ResourceNamesUnsubscribe,
-		InitialVersions: m.InitialResourceVersions, Nonce: m.ResponseNonce, NackReason: fault})
+	err := s.distributor.HandleRequest(time.Now(), st.subscriber, distribution.Request{
+		Kind:            k,
+		Subscribe:       m.ResourceNamesSubscribe,
+		Unsubscribe:     m.ResourceNamesUnsubscribe,
+		InitialVersions: m.InitialResourceVersions,
+		Nonce:           m.ResponseNonce,
+		NackReason:      reason,
+	})
 	if err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -141,7 +166,25 @@
 	return nil
 }
 
-// nextResponse returns what is to be sent on a stream now, or nil.
+// identify adds the subscriber of a stream with its first request. The caller holds the lock.
+func (s *Server) identify(st *stream, m *discoveryv3.DeltaDiscoveryRequest) {
+	if st.subscriber != nil {
+		return
+	}
+	node := m.GetNode().GetId()
+	st.subscriber = s.distributor.Join(node, s.peers[node] != nil)
+	s.streams[st.subscriber] = st
+}
+
+// nackReason returns why the subscriber has rejected a response, or nothing.
+func nackReason(m *discoveryv3.DeltaDiscoveryRequest) string {
+	if reason := m.GetErrorDetail().GetMessage(); reason != "" || m.ErrorDetail == nil {
+		return reason
+	}
+	return unknownNackReason
+}
+
+// nextResponse returns the response to send on a stream now, or nil.
 func (s *Server) nextResponse(st *stream) (*discoveryv3.DeltaDiscoveryResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,7 +192,7 @@
 		return nil, nil
 	}
 	r, ok := s.distributor.Next(time.Now(), st.subscriber)
-	defer s.advance() // it may have begun to wait
+	defer s.advance() // the subscriber may have been queued
 	if !ok {
 		return nil, nil
 	}
@@ -160,11 +203,11 @@
 	for _, name := range r.Names {
 		key, _ := keyOf(r.Kind, name)
 		record, _ := s.store.Find(key)
-		one, err := encodeResource(r.Kind, record)
+		resource, err := encodeResource(r.Kind, record)
 		if err != nil {
 			return nil, err
 		}
-		m.Resources = append(m.Resources, one)
+		m.Resources = append(m.Resources, resource)
 	}
 	size := int64(proto.Size(m))
 	st.messageCount, st.byteCount = st.messageCount+1, st.byteCount+size
