--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -150,7 +150,7 @@
 // Receivers that are slow, are paused, break off, come back with what they have, or with nothing, and refuse some of what they
 // are sent, while much is published and removed and the machine begins anew: none goes back, none is sent what it has not asked
 // for, and in the end each has all of it, but what it can't use.
-func TestReceivers(t *testing.T) {
+func TestSubscribersConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
 		names := []string{"a", "b", "c", "d", "e"}
@@ -239,7 +239,7 @@
 
 // All come back at once, with nothing: what they are sent of first states keeps to the pace, in the order in which they came, a change
 // goes out to them and past them at once, and all have a sign of life before they would give up.
-func TestAllAtOnce(t *testing.T) {
+func TestInitialStatesAreLimited(t *testing.T) {
 	w := newWorld()
 	rng := rand.New(rand.NewPCG(43, 3))
 	var rs []*receiver
@@ -324,7 +324,7 @@
 }
 
 // A response that is refused is sent again one resource at a time, once: then it is known which can't be used, until it changes.
-func TestRefused(t *testing.T) {
+func TestRejectedResponses(t *testing.T) {
 	w := newWorld()
 	r := &receiver{t: t, w: w, names: map[string]bool{"a": true, "b": true, "c": true}, has: map[string]ResourceVersion{}, bad: map[string]records.Version{}}
 	for n := range r.names {
@@ -354,7 +354,7 @@
 
 // Before a machine is open only other control machines are served; a receiver that is ahead of it is told nothing; nobody but a
 // peer gets records.
-func TestNotOpen(t *testing.T) {
+func TestBeforeOpen(t *testing.T) {
 	w := newWorld()
 	w.publish("a", 10, false)
 	w.d = New(w.now, rules, w.shelf)
--- a/internal/controlplane/records/records_test.go
+++ b/internal/controlplane/records/records_test.go
@@ -40,7 +40,7 @@
 // Machines publish what they like and tell one another records in any order, twice, late or not at all for a while; some start
 // anew from what they saved. Nobody ever goes back, all hold the same in the end, what was made apart and lost is told, and
 // nothing else is.
-func TestMachinesAgree(t *testing.T) {
+func TestServersConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 4).Draw(t, "machines")
 		stores := make([]*Store, n)
@@ -171,7 +171,7 @@
 
 // A receiver has a version of a machine that is never heard again: what is published next is newer, but no receiver can use up the
 // counters.
-func TestWitness(t *testing.T) {
+func TestObserveVersion(t *testing.T) {
 	s := New("m")
 	k := Key{ads.Sets, "e"}
 	publish(t, s, content(k, "1"))
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -133,7 +133,7 @@
 
 // A receiver is sent what it follows and nothing else, changes of that alone, and what is removed is gone; all of it is counted
 // as in force once it is acknowledged. What a receiver of one cluster is sent does not grow with the fleet's.
-func TestScoped(t *testing.T) {
+func TestSubscriptionScope(t *testing.T) {
 	s := begin(t, api.Options{Name: "m"})
 	r := follow(t, "r", "mine", s.Addr())
 	if s.Status().Ready {
@@ -166,7 +166,7 @@
 }
 
 // What can't be used is refused whole, with every fault and its place, and what holds stays.
-func TestBadPublications(t *testing.T) {
+func TestInvalidPublications(t *testing.T) {
 	s := begin(t, api.Options{Name: "m"})
 	publish(t, s, nil, service("a", 1)...)
 	r := follow(t, "r", "a", s.Addr())
@@ -269,7 +269,7 @@
 
 // A machine that has just begun takes no publication before it has heard its peers, as it could be taken for old; past the time
 // for that, it does.
-func TestSettling(t *testing.T) {
+func TestInitialSync(t *testing.T) {
 	l := lbtest.Listen(t)
 	peers := []api.Peer{{Name: "b", Plane: planes.Plane{Address: l.Addr().String(), Plain: true}}}
 	s := begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Hour})
@@ -287,7 +287,7 @@
 }
 
 // More subscribers than there is room for are turned away, and served when others have gone.
-func TestSubscribersBound(t *testing.T) {
+func TestMaxSubscribers(t *testing.T) {
 	s := begin(t, api.Options{Name: "m", MaxSubscribers: 1})
 	publish(t, s, nil, service("a", 1)...)
 	first := follow(t, "r1", "a", s.Addr())
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -113,7 +113,7 @@
 }
 
 // A repeat through another instance learns where the first try went, whatever the way; what never ran is free again.
-func TestBind(t *testing.T) {
+func TestClaimKey(t *testing.T) {
 	c := newCrew(t, 4, 3)
 	for i := range 24 {
 		first, second := c.all[i%4], c.all[(i+1+i/4%3)%4]
@@ -142,7 +142,7 @@
 // Through cuts, one-way cuts, late, doubled and overtaken packets and instances that die and come back, callers ask for the
 // same keys through all instances for one zone or the other: of what each instance may send at one time no key is in two
 // zones.
-func TestNoKeyInTwoGroups(t *testing.T) {
+func TestKeyIsOwnedByOneGroup(t *testing.T) {
 	c := newCrew(t, 5, 5)
 	c.links.Unsound()
 	type bound struct {
@@ -262,7 +262,7 @@
 
 // A voter that was started anew learns what it had agreed to from the others, and holds to it, before its silence would be
 // over by time.
-func TestCopies(t *testing.T) {
+func TestVoterRecovery(t *testing.T) {
 	c := &crew{t: t, links: lbtest.NewLinks(), change: func(o *Options) { o.KeyRetention = time.Hour }}
 	t.Cleanup(c.links.End)
 	for i := range 3 {
@@ -294,7 +294,7 @@
 }
 
 // Strangers get in nowhere: with a wrong key, another fleet's name, garbage, packets that are played again.
-func TestStrangers(t *testing.T) {
+func TestForeignPacketsAreRejected(t *testing.T) {
 	c := newCrew(t, 3, 3)
 	for _, change := range []func(*Options){
 		func(o *Options) { o.Keyring = [][]byte{bytes.Repeat([]byte{8}, 32)} },
@@ -349,7 +349,7 @@
 
 // A member that tells of more members than there may be, all of them real here, fills no table over its bound, and keys are
 // bound as before. Those that are lost make room for others.
-func TestMembersBound(t *testing.T) {
+func TestMaxMembers(t *testing.T) {
 	c := newCrew(t, 3, 3)
 	f := c.all[1]
 	for i := range 100 {
@@ -405,7 +405,7 @@
 }
 
 // A fleet's key is changed while it runs: each step at one instance after the other, keys bound all the time.
-func TestRotation(t *testing.T) {
+func TestKeyRotation(t *testing.T) {
 	c := newCrew(t, 3, 3)
 	next := bytes.Repeat([]byte{9}, 32)
 	for step, ring := range [][][]byte{{key, next}, {next, key}, {next}} {
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -147,7 +147,7 @@
 
 // Members that say one thing after another, start anew with nothing and under their old names, lose and double messages and
 // are cut off for a time, all end up knowing what each acts on, whatever has been lost.
-func TestAllKnow(t *testing.T) {
+func TestConvergence(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.SampledFrom([]int{2, 3, 5, 12}).Draw(r, "members")
@@ -194,7 +194,7 @@
 
 // A word that was said before is never taken for the later one, whoever tells it when; nor one of a process that has been
 // followed by another under its name.
-func TestNothingOlder(t *testing.T) {
+func TestNoOlderState(t *testing.T) {
 	t.Parallel()
 	c := New("a", 1, rand.New(rand.NewPCG(1, 1)))
 	old := MemberState{Name: "b", Incarnation: 7, Generation: 1}
@@ -227,7 +227,7 @@
 }
 
 // Of an entry that went long ago one who has been away learns all the same: it is told the whole.
-func TestLongAway(t *testing.T) {
+func TestLongAbsence(t *testing.T) {
 	t.Parallel()
 	w := MemberState{Name: "b", Incarnation: 7, Generation: 1}
 	var v version.Vector
--- a/internal/fleet/membership/measure_test.go
+++ b/internal/fleet/membership/measure_test.go
@@ -32,14 +32,14 @@
 	t.Parallel()
 	n := *size
 	w := newWorld(t, 36, n)
-	met := w.agree(n, 5*time.Minute)
-	w.sound(upTo(n)...)
+	met := w.awaitView(n, 5*time.Minute)
+	w.setHealthy(upTo(n)...)
 	packets := w.packets
 	bytes := 0
-	w.sent = func(m *Message) { bytes += encoded(m) + 75 }
+	w.observeMessage = func(m *Message) { bytes += encoded(m) + 75 }
 	const calm = 4 * time.Second
 	w.run(calm)
-	w.sent = nil
+	w.observeMessage = nil
 	t.Logf("%d members: met after %v; %.1f packets and %.0f bytes a second each", n, met.Round(100*time.Millisecond),
 		float64(w.packets-packets)/float64(n)/calm.Seconds(), float64(bytes)/float64(n)/calm.Seconds())
 	var took []time.Duration
@@ -47,12 +47,12 @@
 		x := 1 + w.rng.IntN(n-1)
 		delete(w.healthy, x)
 		w.nodes[x].dead = true
-		took = append(took, w.agree(n-1, 20*time.Second))
+		took = append(took, w.awaitView(n-1, 20*time.Second))
 		m := w.nodes[x].core.options.Self
 		w.start(Member{Name: m.Name, Address: m.Address, Incarnation: uint64(i + 1)}, x)
 		w.run(time.Second)
-		w.agree(n, 20*time.Second)
-		w.sound(upTo(n)...)
+		w.awaitView(n, 20*time.Second)
+		w.setHealthy(upTo(n)...)
 	}
 	slices.Sort(took)
 	t.Logf("killed: out of all views after %v at the median, %v at the most", took[2], took[4])
@@ -63,29 +63,29 @@
 		delete(w.healthy, i)
 		w.nodes[i].dead = true
 	}
-	lost := w.agree(n-len(zone), 30*time.Second)
+	lost := w.awaitView(n-len(zone), 30*time.Second)
 	t.Logf("%d killed at once: out after %v, by %d views", len(zone), lost, w.nodes[0].core.view.Number-views)
 	for _, i := range zone {
 		m := w.nodes[i].core.options.Self
 		w.start(Member{Name: m.Name, Address: m.Address, Incarnation: w.rng.Uint64()}, i)
 	}
 	views = w.nodes[0].core.view.Number
-	back := w.agree(n, time.Minute)
+	back := w.awaitView(n, time.Minute)
 	t.Logf("%d come at once: in after %v, by %d views", len(zone), back, w.nodes[0].core.view.Number-views)
-	w.calm("killed")
+	w.assertNoFalseRemoval("killed")
 	some := without(upTo(n), 0)[:max(n/10, 1)]
 	for _, x := range []trouble{{kind: "loss"}, {kind: "slow", who: some}, {kind: "mute", who: some}, {kind: "deaf", who: some}, {kind: "pause", who: some}, {kind: "part", who: some}} {
-		w.sound(upTo(n)...)
+		w.setHealthy(upTo(n)...)
 		if x.takesOut() {
-			w.sound(without(upTo(n), some...)...)
+			w.setHealthy(without(upTo(n), some...)...)
 		}
 		before, views := len(w.removed), w.nodes[0].core.view.Number
 		x.apply(w, true)
 		w.run(*span)
 		x.apply(w, false)
-		w.agree(n, time.Minute)
+		w.awaitView(n, time.Minute)
 		w.run(5 * time.Second)
 		t.Logf("%s: %d healthy out in %v, %d views", x.kind, len(w.removed)-before, *span, w.nodes[0].core.view.Number-views)
-		w.calm(fmt.Sprint(x.kind))
+		w.assertNoFalseRemoval(fmt.Sprint(x.kind))
 	}
 }
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -11,12 +11,12 @@
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
-		w.sound(0, 1, 2, 3)
+		w.setHealthy(0, 1, 2, 3)
 		w.nodes[4].dead = true
-		if took := w.agree(4, 10*time.Second); took > 5*time.Second {
+		if took := w.awaitView(4, 10*time.Second); took > 5*time.Second {
 			t.Errorf("seed %d: out after %v", seed, took)
 		}
-		w.calm("one killed")
+		w.assertNoFalseRemoval("one killed")
 	}
 }
 
@@ -27,19 +27,19 @@
 	for _, pause := range []time.Duration{time.Second, 3 * time.Second, 12 * time.Second, time.Minute} {
 		for seed := range uint64(seeds) {
 			w := five(t, seed)
-			w.sound(0, 1, 2, 3)
+			w.setHealthy(0, 1, 2, 3)
 			if pause == time.Second {
-				w.sound(0, 1, 2, 3, 4)
+				w.setHealthy(0, 1, 2, 3, 4)
 			}
 			w.nodes[4].pause(true)
 			w.run(pause)
 			w.nodes[4].pause(false)
 			w.run(500 * time.Millisecond)
-			if took := w.agree(5, 15*time.Second); took > 8*time.Second {
+			if took := w.awaitView(5, 15*time.Second); took > 8*time.Second {
 				t.Errorf("seed %d, pause %v: back after %v", seed, pause, took)
 			}
 			w.run(5 * time.Second)
-			w.calm("one paused")
+			w.assertNoFalseRemoval("one paused")
 		}
 	}
 }
@@ -49,27 +49,27 @@
 	for _, loss := range []float64{0.1, 0.3, 0.6} {
 		for seed := range uint64(seeds) {
 			w := five(t, seed)
-			w.sound(0, 1, 2, 3, 4)
-			w.loss, w.doubled = loss, 0.1
+			w.setHealthy(0, 1, 2, 3, 4)
+			w.lossRatio, w.duplicationRatio = loss, 0.1
 			w.run(2 * time.Minute)
-			w.calm("loss")
+			w.assertNoFalseRemoval("loss")
 		}
 	}
 }
 
 // Nothing that one member sends arrives, or nothing arrives at it: it is out in time, knows soon that it is isolated, and
 // takes nobody out, then and when the cut heals.
-func TestMuteAndDeaf(t *testing.T) {
+func TestOneWayPartition(t *testing.T) {
 	t.Parallel()
 	for _, mute := range []bool{true, false} {
 		for seed := range uint64(seeds) {
 			w := five(t, seed)
-			w.sound(0, 1, 2, 3)
+			w.setHealthy(0, 1, 2, 3)
 			cut := func(on bool) {
 				if mute {
-					w.side([]int{4}, upTo(4), false, on)
+					w.partition([]int{4}, upTo(4), false, on)
 				} else {
-					w.side(upTo(4), []int{4}, false, on)
+					w.partition(upTo(4), []int{4}, false, on)
 				}
 			}
 			cut(true)
@@ -77,7 +77,7 @@
 			knew, out := time.Duration(0), time.Duration(0)
 			for w.now-begun < 25*time.Second {
 				w.run(50 * time.Millisecond)
-				if x := w.nodes[4]; knew == 0 && (x.isolate > 0 || x.core.View() == nil) {
+				if x := w.nodes[4]; knew == 0 && (x.isolatedSince > 0 || x.core.View() == nil) {
 					knew = w.now - begun
 				}
 				if v := w.nodes[0].core.View(); out == 0 && len(v.Members) == 4 {
@@ -88,32 +88,32 @@
 				t.Errorf("seed %d, mute %v: it knew after %v, out after %v", seed, mute, knew, out)
 			}
 			cut(false)
-			w.agree(5, 15*time.Second)
+			w.awaitView(5, 15*time.Second)
 			w.run(10 * time.Second)
-			w.calm("mute or deaf")
+			w.assertNoFalseRemoval("mute or deaf")
 		}
 	}
 }
 
 // One pair does not hear each other: nobody is out, and all that hear of it can name it.
-func TestPairCut(t *testing.T) {
+func TestPairPartition(t *testing.T) {
 	t.Parallel()
 	for _, both := range []bool{true, false} {
 		for seed := range uint64(seeds) {
 			w := five(t, seed)
-			w.sound(0, 1, 2, 3, 4)
-			w.side([]int{1}, []int{2}, both, true)
+			w.setHealthy(0, 1, 2, 3, 4)
+			w.partition([]int{1}, []int{2}, both, true)
 			w.run(30 * time.Second)
-			w.calm("pair")
+			w.assertNoFalseRemoval("pair")
 			for _, n := range w.nodes {
 				_, found := n.core.Reachability()
 				if len(found) != 1 || both && (found[0].Kind != "pair" || found[0].Members[0] != "m0001") || !both && (found[0].Kind != "one way" || found[0].Members[0] != "m0002") {
 					t.Errorf("seed %d: %s says %v", seed, n.core.options.Self.Name, found)
 				}
 			}
-			w.side([]int{1}, []int{2}, both, false)
+			w.partition([]int{1}, []int{2}, both, false)
 			w.run(10 * time.Second)
-			w.calm("pair, healed")
+			w.assertNoFalseRemoval("pair, healed")
 		}
 	}
 }
@@ -123,7 +123,7 @@
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
-		w.sound(0, 1, 2, 3, 4)
+		w.setHealthy(0, 1, 2, 3, 4)
 		for a := range 5 {
 			for b := range 5 {
 				w.cut[[2]int{a, b}] = (a+1)%5 != b
@@ -131,31 +131,31 @@
 		}
 		w.run(25 * time.Second)
 		for _, n := range w.nodes {
-			if n.isolate == 0 {
+			if n.isolatedSince == 0 {
 				t.Errorf("seed %d: %s does not know that it is isolated", seed, n.core.options.Self.Name)
 			}
 		}
 		clear(w.cut)
-		w.agree(5, 10*time.Second)
+		w.awaitView(5, 10*time.Second)
 		w.run(5 * time.Second)
-		w.calm("ring")
+		w.assertNoFalseRemoval("ring")
 	}
 }
 
 // In two parts: the smaller one makes no view and knows it; the larger one goes on without; healed, all are one again.
-func TestParts(t *testing.T) {
+func TestPartitions(t *testing.T) {
 	t.Parallel()
 	for _, small := range [][]int{{3, 4}, {0, 1}, {0, 4}} {
 		for seed := range uint64(seeds) {
 			w := five(t, seed)
 			large := without(upTo(5), small...)
-			w.sound(large...)
-			w.side(small, large, true, true)
+			w.setHealthy(large...)
+			w.partition(small, large, true, true)
 			begun, knew := w.now, map[int]time.Duration{}
 			for w.now-begun < 25*time.Second {
 				w.run(50 * time.Millisecond)
 				for _, i := range small {
-					if knew[i] == 0 && w.nodes[i].isolate > 0 {
+					if knew[i] == 0 && w.nodes[i].isolatedSince > 0 {
 						knew[i] = w.now - begun
 					}
 				}
@@ -168,10 +168,10 @@
 			if n := len(w.nodes[large[0]].core.View().Members); n != 3 {
 				t.Errorf("seed %d: the larger part has a view of %d", seed, n)
 			}
-			w.side(small, large, true, false)
-			w.agree(5, 20*time.Second)
+			w.partition(small, large, true, false)
+			w.awaitView(5, 20*time.Second)
 			w.run(5 * time.Second)
-			w.calm("parts")
+			w.assertNoFalseRemoval("parts")
 		}
 	}
 }
@@ -181,56 +181,56 @@
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
-		w.sound(0, 1, 2, 3)
+		w.setHealthy(0, 1, 2, 3)
 		for i := range 60 {
-			w.side([]int{4}, upTo(4), true, i%2 == 0)
+			w.partition([]int{4}, upTo(4), true, i%2 == 0)
 			w.run(time.Second)
 		}
-		w.side([]int{4}, upTo(4), true, false)
-		w.agree(5, 20*time.Second)
-		w.calm("flapping")
+		w.partition([]int{4}, upTo(4), true, false)
+		w.awaitView(5, 20*time.Second)
+		w.assertNoFalseRemoval("flapping")
 	}
 }
 
 // One has a core that is taken most of the time: it accuses nobody.
-func TestBusy(t *testing.T) {
+func TestDelayedTicks(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
-		w.sound(0, 1, 2, 3, 4)
-		w.nodes[4].slow = 700 * time.Millisecond
+		w.setHealthy(0, 1, 2, 3, 4)
+		w.nodes[4].tickDelay = 700 * time.Millisecond
 		w.run(2 * time.Minute)
-		w.calm("busy")
+		w.assertNoFalseRemoval("busy")
 	}
 }
 
 // One lies about another: it alone takes nobody out.
-func TestLiar(t *testing.T) {
+func TestFalseSuspicions(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
-		w.sound(0, 1, 2, 3, 4)
+		w.setHealthy(0, 1, 2, 3, 4)
 		victim := w.nodes[2].core.options.Self
-		w.nodes[4].lied = &victim
+		w.nodes[4].falseSuspect = &victim
 		w.run(time.Minute)
-		w.calm("liar")
+		w.assertNoFalseRemoval("liar")
 	}
 }
 
 // A process that is started again on its address is in at once; one that comes with a name in use elsewhere is told to go,
 // and one that left in so many words is out at once.
-func TestNames(t *testing.T) {
+func TestNameConflict(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := five(t, seed)
-		w.sound(0, 1, 2, 3)
+		w.setHealthy(0, 1, 2, 3)
 		w.nodes[4].dead = true
 		w.start(Member{Name: "m0004", Address: "a4", Incarnation: w.rng.Uint64()}, 4)
 		w.run(time.Second)
-		if took := w.agree(5, 10*time.Second); took > 4*time.Second {
+		if took := w.awaitView(5, 10*time.Second); took > 4*time.Second {
 			t.Errorf("started again: in after %v", took)
 		}
-		w.sound(0, 1, 2, 3, 4)
+		w.setHealthy(0, 1, 2, 3, 4)
 		other := w.start(Member{Name: "m0002", Address: "other", Incarnation: w.rng.Uint64()}, 5)
 		w.run(5 * time.Second)
 		if !other.core.IsNameTaken() {
@@ -238,16 +238,16 @@
 		}
 		other.dead = true
 		w.nodes = w.nodes[:5]
-		w.calm("names")
-		w.sound(0, 1, 2, 4)
+		w.assertNoFalseRemoval("names")
+		w.setHealthy(0, 1, 2, 4)
 		w.nodes[3].core.Leave(w.now)
-		w.nodes[3].ready()
+		w.nodes[3].drain()
 		w.run(200 * time.Millisecond)
 		w.nodes[3].dead = true
-		if took := w.agree(4, 10*time.Second); took > 2*time.Second {
+		if took := w.awaitView(4, 10*time.Second); took > 2*time.Second {
 			t.Errorf("left: out after %v", took)
 		}
-		w.calm("left")
+		w.assertNoFalseRemoval("left")
 	}
 }
 
@@ -266,7 +266,7 @@
 
 // In a cut that lasts, what is taken of the whole never adds up to more than all, and the larger part has taken the lost
 // ones' over soon; the same where some are killed. In a fleet of five within 5 s.
-func TestNeverMoreThanAll(t *testing.T) {
+func TestQuotasNeverExceedWhole(t *testing.T) {
 	t.Parallel()
 	for _, n := range []int{5, 20} {
 		lost, within := upTo(n)[n*3/5:], 5*time.Second
@@ -280,14 +280,14 @@
 		for seed := range plays {
 			for _, kill := range []bool{false, true} {
 				w := newWorld(t, seed, n)
-				w.agree(n, 30*time.Second)
+				w.awaitView(n, 30*time.Second)
 				w.run(3 * time.Second)
 				if kill {
 					for _, i := range lost {
 						w.nodes[i].dead = true
 					}
 				} else {
-					w.side(lost, without(upTo(n), lost...), true, true)
+					w.partition(lost, without(upTo(n), lost...), true, true)
 				}
 				begun, over := w.now, time.Duration(0)
 				for w.now-begun < 20*time.Second {
@@ -309,14 +309,14 @@
 
 // All are started anew at once, or most of them while some stay, who can never have a majority of their view again: all
 // end in one view.
-func TestStartedAnew(t *testing.T) {
+func TestRestart(t *testing.T) {
 	t.Parallel()
 	for _, anew := range [][]int{{0, 1, 2, 3, 4}, {2, 3, 4}, {0, 1, 2}, {1, 2, 3, 4}} {
 		for seed := range uint64(seeds) {
 			w := five(t, seed)
 			trouble{kind: "again", who: anew}.apply(w, true)
 			w.run(time.Second)
-			if took := w.agree(5, time.Minute); took > 30*time.Second {
+			if took := w.awaitView(5, time.Minute); took > 30*time.Second {
 				t.Errorf("seed %d, %v: one view after %v", seed, anew, took)
 			}
 		}
@@ -324,7 +324,7 @@
 }
 
 // Two halves that were founded apart, as they could not reach each other, become one fleet.
-func TestFoundedApart(t *testing.T) {
+func TestMergeOfFleets(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := newWorld(t, seed, 0)
@@ -332,13 +332,13 @@
 			n := w.add(i)
 			n.core.options.Bootstrap = i < 2
 		}
-		w.side([]int{0, 2}, []int{1, 3, 4}, true, true)
+		w.partition([]int{0, 2}, []int{1, 3, 4}, true, true)
 		w.run(20 * time.Second)
 		if a, b := w.nodes[0].core.View(), w.nodes[1].core.View(); a == nil || b == nil || a.Lineage == b.Lineage || len(a.Members) != 2 || len(b.Members) != 3 {
 			t.Fatalf("not founded apart: %v, %v", a, b)
 		}
-		w.side([]int{0, 2}, []int{1, 3, 4}, true, false)
-		w.agree(5, time.Minute)
+		w.partition([]int{0, 2}, []int{1, 3, 4}, true, false)
+		w.awaitView(5, time.Minute)
 	}
 }
 
@@ -373,16 +373,16 @@
 }
 
 // In a large fleet the way between one member and the clerk that all ask is cut: it is not out for that, nor is the clerk.
-func TestClerkCut(t *testing.T) {
+func TestCollectorPartition(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(seeds) {
 		w := newWorld(t, seed, 20)
-		w.agree(20, 30*time.Second)
-		w.sound(upTo(20)...)
+		w.awaitView(20, 30*time.Second)
+		w.setHealthy(upTo(20)...)
 		clerk := w.nodes[0].core.collectors[0]
 		other := (clerk + 1 + int(seed)%19) % 20
-		w.side([]int{clerk}, []int{other}, true, true)
+		w.partition([]int{clerk}, []int{other}, true, true)
 		w.run(15 * time.Second)
-		w.calm("clerk")
+		w.assertNoFalseRemoval("clerk")
 	}
 }
--- a/internal/fleet/membership/search_test.go
+++ b/internal/fleet/membership/search_test.go
@@ -194,24 +194,24 @@
 			w.nodes[i].pause(on)
 		}
 	case "mute":
-		w.side(x.who, rest, false, on)
+		w.partition(x.who, rest, false, on)
 	case "deaf":
-		w.side(rest, x.who, false, on)
+		w.partition(rest, x.who, false, on)
 	case "part":
-		w.side(x.who, rest, true, on)
+		w.partition(x.who, rest, true, on)
 	case "pair":
-		w.side(x.who[:1], x.who[len(x.who)-1:], true, on)
+		w.partition(x.who[:1], x.who[len(x.who)-1:], true, on)
 	case "slow":
 		for _, i := range x.who {
-			w.nodes[i].slow = 0
+			w.nodes[i].tickDelay = 0
 			if on {
-				w.nodes[i].slow = time.Second
+				w.nodes[i].tickDelay = time.Second
 			}
 		}
 	case "loss":
-		w.loss = 0
+		w.lossRatio = 0
 		if on {
-			w.loss = 0.3
+			w.lossRatio = 0.3
 		}
 	case "again": // ends, and a new process comes in its place
 		if on {
@@ -231,7 +231,7 @@
 
 // Random troubles, up to three at the same time, of a minority: no two views of one number, nobody out whom no trouble
 // is about, and all one view when it is over.
-func TestRandomTroubles(t *testing.T) {
+func TestRandomFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		sizes := []int{3, 5, 9, 16, 20}
@@ -240,7 +240,7 @@
 		}
 		n := rapid.SampledFrom(sizes).Draw(r, "members")
 		w := newWorld(t, rapid.Uint64().Draw(r, "seed"), n)
-		w.agree(n, time.Minute)
+		w.awaitView(n, time.Minute)
 		var troubles []trouble
 		affected := map[int]bool{}
 		budget := (n - 1) / 2
@@ -276,8 +276,8 @@
 			w.after(x.at+x.for_, func() { x.apply(w, false) })
 		}
 		w.run(24 * time.Second)
-		w.calm(fmt.Sprint(troubles))
-		w.agree(n, 40*time.Second)
-		w.calm(fmt.Sprint(troubles))
+		w.assertNoFalseRemoval(fmt.Sprint(troubles))
+		w.awaitView(n, 40*time.Second)
+		w.assertNoFalseRemoval(fmt.Sprint(troubles))
 	})
 }
--- a/internal/fleet/membership/world_test.go
+++ b/internal/fleet/membership/world_test.go
@@ -12,24 +12,24 @@
 // world is a fleet in virtual time: the real modules, and ways between them that lose, delay, double and are cut by
 // direction and pair. One seed gives one history.
 type world struct {
-	t       testing.TB
-	rng     *rand.Rand
-	now     time.Duration
-	queue   events
-	order   int
-	nodes   []*node
-	byAddr  map[string]*node
-	loss    float64
-	delay   time.Duration // at the most, one way
-	doubled float64
-	cut     map[[2]int]bool // from, to
+	t                testing.TB
+	rng              *rand.Rand
+	now              time.Duration
+	queue            events
+	order            int
+	nodes            []*node
+	byAddress        map[string]*node
+	lossRatio        float64
+	delay            time.Duration // at the most, one way
+	duplicationRatio float64
+	cut              map[[2]int]bool // from, to
 
-	views   map[[2]uint64]uint64 // by lineage and number: hash
-	removed []removal
-	packets int
-	sent    func(*Message) // sees each
-	healthy map[int]bool   // whom no view may take out
-	fault   string
+	views          map[[2]uint64]uint64 // by lineage and number: hash
+	removed        []removal
+	packets        int
+	observeMessage func(*Message) // sees each
+	healthy        map[int]bool   // whom no view may take out
+	fault          string
 }
 
 type removal struct {
@@ -39,17 +39,17 @@
 }
 
 type node struct {
-	w       *world
-	place   int
-	core    *Core
-	dead    bool
-	paused  bool
-	held    []func()      // while paused
-	slow    time.Duration // its ticks come so much late, by turns
-	said    []Change
-	outs    int
-	isolate time.Duration // since when it thinks that it is isolated; zero: it does not
-	lied    *Member       // accuses it, whatever it hears
+	w             *world
+	place         int
+	core          *Core
+	dead          bool
+	paused        bool
+	held          []func()      // while paused
+	tickDelay     time.Duration // its ticks come so much late, by turns
+	changes       []Change
+	removals      int
+	isolatedSince time.Duration // since when it thinks that it is isolated; zero: it does not
+	falseSuspect  *Member       // accuses it, whatever it hears
 }
 
 type event struct {
@@ -74,7 +74,7 @@
 }
 
 func newWorld(t testing.TB, seed uint64, n int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 36)), byAddr: map[string]*node{}, delay: 2 * time.Millisecond, cut: map[[2]int]bool{},
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 36)), byAddress: map[string]*node{}, delay: 2 * time.Millisecond, cut: map[[2]int]bool{},
 		views: map[[2]uint64]uint64{}, healthy: map[int]bool{}}
 	for range n {
 		w.add(n)
@@ -96,7 +96,7 @@
 	} else {
 		w.nodes = append(w.nodes, n)
 	}
-	w.byAddr[me.Address] = n
+	w.byAddress[me.Address] = n
 	w.after(time.Duration(w.rng.Int64N(int64(100*time.Millisecond))), n.tick)
 	return n
 }
@@ -128,24 +128,24 @@
 		return
 	}
 	n.core.Tick(n.w.now)
-	if n.lied != nil && n.core.view != nil {
+	if n.falseSuspect != nil && n.core.view != nil {
 		for _, i := range n.core.activeCollectors() {
-			n.core.send(n.core.view.Members[i], &Message{Kind: Report, Suspects: []Member{*n.lied}})
+			n.core.send(n.core.view.Members[i], &Message{Kind: Report, Suspects: []Member{*n.falseSuspect}})
 		}
 	}
-	n.ready()
+	n.drain()
 	late := time.Duration(0)
-	if n.slow > 0 && n.w.rng.IntN(3) == 0 {
-		late = time.Duration(n.w.rng.Int64N(int64(n.slow)))
+	if n.tickDelay > 0 && n.w.rng.IntN(3) == 0 {
+		late = time.Duration(n.w.rng.Int64N(int64(n.tickDelay)))
 	}
 	n.w.after(n.core.TickInterval()+late, n.tick)
 }
 
-func (n *node) ready() {
+func (n *node) drain() {
 	w := n.w
 	out, changes := n.core.Ready()
 	for _, c := range changes {
-		n.said = append(n.said, c)
+		n.changes = append(n.changes, c)
 		switch {
 		case c.Violation != "":
 			w.fault = fmt.Sprintf("%s: %s", n.core.options.Self.Name, c.Violation)
@@ -158,20 +158,20 @@
 				w.audit(c.View)
 			}
 		case c.Removed:
-			n.outs++
+			n.removals++
 		}
 	}
 	switch {
 	case !n.core.IsIsolated():
-		n.isolate = 0
-	case n.isolate == 0:
-		n.isolate = w.now
+		n.isolatedSince = 0
+	case n.isolatedSince == 0:
+		n.isolatedSince = w.now
 	}
 	for _, s := range out {
 		if err := s.Message.Check(); err != nil {
 			w.fault = err.Error()
 		}
-		w.carry(n, s)
+		w.deliver(n, s)
 	}
 }
 
@@ -188,39 +188,39 @@
 	}
 }
 
-func (w *world) carry(from *node, s Envelope) {
-	to := w.byAddr[s.To.Address]
+func (w *world) deliver(from *node, s Envelope) {
+	to := w.byAddress[s.To.Address]
 	w.packets++
-	if w.sent != nil {
-		w.sent(s.Message)
+	if w.observeMessage != nil {
+		w.observeMessage(s.Message)
 	}
 	if to == nil || w.cut[[2]int{from.place, to.place}] {
 		return
 	}
 	for copies := 1; copies > 0; copies-- {
-		if w.rng.Float64() < w.doubled {
+		if w.rng.Float64() < w.duplicationRatio {
 			copies++
 		}
-		if w.rng.Float64() < w.loss && s.Message.Kind != ViewResponse {
+		if w.rng.Float64() < w.lossRatio && s.Message.Kind != ViewResponse {
 			continue
 		}
 		msg := *s.Message
-		w.after(50*time.Microsecond+time.Duration(w.rng.Int64N(int64(w.delay))), func() { to.take(&msg) })
+		w.after(50*time.Microsecond+time.Duration(w.rng.Int64N(int64(w.delay))), func() { to.receive(&msg) })
 	}
 }
 
-func (n *node) take(m *Message) {
-	if n.dead || n.w.byAddr[n.core.options.Self.Address] != n {
+func (n *node) receive(m *Message) {
+	if n.dead || n.w.byAddress[n.core.options.Self.Address] != n {
 		return
 	}
 	if n.paused {
 		if len(n.held) < 4096 {
-			n.held = append(n.held, func() { n.take(m) })
+			n.held = append(n.held, func() { n.receive(m) })
 		}
 		return
 	}
 	n.core.Receive(n.w.now, m)
-	n.ready()
+	n.drain()
 }
 
 func (n *node) pause(on bool) {
@@ -234,8 +234,8 @@
 	}
 }
 
-// side cuts two groups from one another, in one direction or both.
-func (w *world) side(a, b []int, both, on bool) {
+// partition cuts two groups from one another, in one direction or both.
+func (w *world) partition(a, b []int, both, on bool) {
 	for _, x := range a {
 		for _, y := range b {
 			w.cut[[2]int{x, y}] = on
@@ -255,13 +255,13 @@
 	return out
 }
 
-// agree waits until all that are up have one view of so many members, all confirmed.
-func (w *world) agree(n int, within time.Duration) time.Duration {
+// awaitView waits until all that are up have one view of so many members, all confirmed.
+func (w *world) awaitView(n int, within time.Duration) time.Duration {
 	w.t.Helper()
 	begun := w.now
 	for w.now-begun < within {
 		w.run(50 * time.Millisecond)
-		if w.agreed(n) {
+		if w.isAgreed(n) {
 			return w.now - begun
 		}
 	}
@@ -278,7 +278,7 @@
 	return 0
 }
 
-func (w *world) agreed(n int) bool {
+func (w *world) isAgreed(n int) bool {
 	var view *View
 	for _, x := range w.nodes {
 		if x.dead || x.paused {
@@ -293,8 +293,8 @@
 	return view != nil
 }
 
-// calm tells whether no healthy member has been taken out.
-func (w *world) calm(what string) {
+// assertNoFalseRemoval tells whether no healthy member has been taken out.
+func (w *world) assertNoFalseRemoval(what string) {
 	w.t.Helper()
 	if len(w.removed) > 0 {
 		w.t.Fatalf("%s: healthy members taken out: %v", what, w.removed[:min(len(w.removed), 5)])
@@ -302,7 +302,7 @@
 }
 
 // all marks members as healthy.
-func (w *world) sound(of ...int) {
+func (w *world) setHealthy(of ...int) {
 	w.healthy = map[int]bool{}
 	for _, i := range of {
 		w.healthy[i] = true
@@ -312,7 +312,7 @@
 func five(t *testing.T, seed uint64) *world {
 	t.Helper()
 	w := newWorld(t, seed, 5)
-	w.agree(5, 30*time.Second)
+	w.awaitView(5, 30*time.Second)
 	return w
 }
 
--- a/internal/fleet/ownership/model_test.go
+++ b/internal/fleet/ownership/model_test.go
@@ -22,10 +22,10 @@
 // and come back without a memory, and time passes anywhere, which is what a paused process is. A message that was sent
 // once can come at any time from then on, any number of times, or never.
 const (
-	life   = 2 * time.Second
-	window = 4 * time.Second
-	keep   = 2 * time.Second
-	mute   = life + window + keep // of a voter that has started
+	ttl        = 2 * time.Second
+	window     = 4 * time.Second
+	retention  = 2 * time.Second
+	abstention = ttl + window + retention // of a voter that has started
 )
 
 var (
@@ -34,8 +34,8 @@
 	south = history.Place{Cluster: "c", Zone: "south"}
 )
 
-// wish is a request of a script.
-type wish struct {
+// scriptedRequest is a request of a script.
+type scriptedRequest struct {
 	process int
 	key     string
 	place   history.Place
@@ -43,15 +43,15 @@
 
 // run is one process's request under way.
 type run struct {
-	asker   *Proposer
-	asks    []Proposal    // of all turns
-	answers [3][]Response // that each voter has given
-	came    [3][2]int     // how often each ask has come to each voter
-	end     *Release
-	place   history.Place
-	done    bool
-	began   bool
-	adopted bool
+	proposer  *Proposer
+	proposals []Proposal    // of all turns
+	responses [3][]Response // that each voter has given
+	delivered [3][2]int     // how often each ask has come to each voter
+	release   *Release
+	place     history.Place
+	done      bool
+	started   bool
+	adopted   bool
 }
 
 // start is an attempt that has gone out.
@@ -62,21 +62,21 @@
 }
 
 type world struct {
-	script   []wish
-	now      time.Time
-	voters   [3]*Voter
-	born     [3]int // lives of each process
-	requests []*run
-	starts   []start
-	crashes  int
-	waits    int
-	careless bool // processes that start anew are not silent: the fault that the model must find
+	script         []scriptedRequest
+	now            time.Time
+	voters         [3]*Voter
+	incarnations   [3]int // lives of each process
+	requests       []*run
+	starts         []start
+	crashes        int
+	waits          int
+	skipAbstention bool // processes that start anew are not silent: the fault that the model must find
 }
 
-func newWorld(script []wish) *world {
+func newWorld(script []scriptedRequest) *world {
 	w := &world{script: script, now: m0, requests: make([]*run, len(script))}
 	for i := range w.voters {
-		w.voters[i] = NewVoter(m0, VoterOptions{MaxKeys: 16, MaxProposalTTL: life})
+		w.voters[i] = NewVoter(m0, VoterOptions{MaxKeys: 16, MaxProposalTTL: ttl})
 	}
 	return w
 }
@@ -90,15 +90,15 @@
 			continue
 		}
 		for v := range w.voters {
-			for n := range r.asks {
-				if r.came[v][n] < 2 {
+			for n := range r.proposals {
+				if r.delivered[v][n] < 2 {
 					add("vote %d %d %d", i, v, n)
 				}
 			}
-			if r.end != nil {
+			if r.release != nil {
 				add("end %d %d", i, v)
 			}
-			for n := range r.answers[v] {
+			for n := range r.responses[v] {
 				if !r.done {
 					add("hear %d %d %d", i, v, n)
 				}
@@ -107,10 +107,10 @@
 		if r.done {
 			continue
 		}
-		switch state, past := r.asker.State(); {
-		case r.began:
+		switch state, past := r.proposer.State(); {
+		case r.started:
 			add("ended %d", i)
-		case state == Claimed && r.asker.IsValid(w.now) && w.now.Before(past.Until):
+		case state == Claimed && r.proposer.IsValid(w.now) && w.now.Before(past.Until):
 			add("start %d", i)
 		case state == OwnedElsewhere && !r.adopted:
 			add("adopt %d", i)
@@ -141,10 +141,10 @@
 func (w *world) ask(i int, place history.Place) {
 	r := w.requests[i]
 	r.place = place
-	a := Proposal{Attempt: AttemptID{uint64(10*w.script[i].process + w.born[w.script[i].process]), uint64(i)}, Round: uint32(len(r.asks)),
-		Key: history.IDOf("", w.script[i].key), Place: place, Scope: decide.ScopeZone, Window: window, Retention: keep, TTL: life}
-	r.asker = NewProposer(w.now, a, 3)
-	r.asks = append(r.asks, a)
+	a := Proposal{Attempt: AttemptID{uint64(10*w.script[i].process + w.incarnations[w.script[i].process]), uint64(i)}, Round: uint32(len(r.proposals)),
+		Key: history.IDOf("", w.script[i].key), Place: place, Scope: decide.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+	r.proposer = NewProposer(w.now, a, 3)
+	r.proposals = append(r.proposals, a)
 }
 
 func (w *world) do(move string) {
@@ -160,32 +160,32 @@
 		w.requests[n] = &run{}
 		w.ask(n, w.script[n].place)
 	case "vote":
-		r.came[v][k]++
-		if a, ok := w.voters[v].Vote(w.now, r.asks[k]); ok && !slices.Contains(r.answers[v], a) {
-			r.answers[v] = append(r.answers[v], a)
+		r.delivered[v][k]++
+		if a, ok := w.voters[v].Vote(w.now, r.proposals[k]); ok && !slices.Contains(r.responses[v], a) {
+			r.responses[v] = append(r.responses[v], a)
 		}
 	case "hear":
-		r.asker.Receive(v, r.answers[v][k])
+		r.proposer.Receive(v, r.responses[v][k])
 	case "end":
-		w.voters[v].Release(w.now, *r.end, life)
+		w.voters[v].Release(w.now, *r.release, ttl)
 	case "start":
-		r.began = true
+		r.started = true
 		w.starts = append(w.starts, start{w.script[n].key, r.place, w.now})
 	case "adopt":
-		_, past := r.asker.State()
+		_, past := r.proposer.State()
 		r.adopted = true
 		w.ask(n, past.Place)
 	case "fail", "ended":
 		r.done = true
-		r.end = &Release{r.asker.Proposal().Attempt, what == "fail"}
+		r.release = &Release{r.proposer.Proposal().Attempt, what == "fail"}
 	case "crash":
 		w.crashes++
-		w.born[n]++
-		silent := mute
-		if w.careless {
+		w.incarnations[n]++
+		silent := abstention
+		if w.skipAbstention {
 			silent = 0
 		}
-		w.voters[n] = NewVoter(w.now, VoterOptions{MaxKeys: 16, AbstainFor: silent, MaxProposalTTL: life})
+		w.voters[n] = NewVoter(w.now, VoterOptions{MaxKeys: 16, AbstainFor: silent, MaxProposalTTL: ttl})
 		for i, r := range w.requests {
 			if r != nil && w.script[i].process == n {
 				r.done = true
@@ -205,16 +205,16 @@
 func (w *world) broken() string {
 	could := slices.Clone(w.starts) // and each attempt that could go out now
 	for i, r := range w.requests {
-		if r == nil || r.done || r.began {
+		if r == nil || r.done || r.started {
 			continue
 		}
-		if state, past := r.asker.State(); state == Claimed && r.asker.IsValid(w.now) && w.now.Before(past.Until) {
+		if state, past := r.proposer.State(); state == Claimed && r.proposer.IsValid(w.now) && w.now.Before(past.Until) {
 			could = append(could, start{w.script[i].key, r.place, w.now})
 		}
 	}
 	for i, a := range could {
 		for _, b := range could[i+1:] {
-			if a.key != b.key || !b.at.Before(a.at.Add(window+keep)) {
+			if a.key != b.key || !b.at.Before(a.at.Add(window+retention)) {
 				continue
 			}
 			if a.place != b.place || !b.at.Before(a.at.Add(window)) {
@@ -230,7 +230,7 @@
 	var b strings.Builder
 	at := func(t time.Time) int { return max(int(t.Sub(w.now)/(time.Second/8)), -80) }
 	for i, v := range w.voters {
-		fmt.Fprint(&b, "|", i, w.born[i], max(at(v.abstainUntil), 0), max(at(v.copiesUsefulFrom), 0), len(v.copiedFrom))
+		fmt.Fprint(&b, "|", i, w.incarnations[i], max(at(v.abstainUntil), 0), max(at(v.copiesUsefulFrom), 0), len(v.copiedFrom))
 		var lines []string
 		for _, h := range v.grants {
 			lines = append(lines, fmt.Sprint(h.attempt, h.round, h.place.Zone, h.ended))
@@ -250,11 +250,11 @@
 			b.WriteString("|-")
 			continue
 		}
-		state, past := r.asker.State()
-		fmt.Fprint(&b, "|", len(r.asks), r.place.Zone, r.done, r.began, r.adopted, r.end, state, at(past.Until), at(r.asker.madeAt), r.asker.responded)
+		state, past := r.proposer.State()
+		fmt.Fprint(&b, "|", len(r.proposals), r.place.Zone, r.done, r.started, r.adopted, r.release, state, at(past.Until), at(r.proposer.madeAt), r.proposer.responded)
 		for v := range w.voters {
-			fmt.Fprint(&b, r.asker.responses[v].Vote, r.asker.responses[v].Place.Zone, len(r.answers[v]), r.came[v])
-			for _, a := range r.answers[v] {
+			fmt.Fprint(&b, r.proposer.responses[v].Vote, r.proposer.responses[v].Place.Zone, len(r.responses[v]), r.delivered[v])
+			for _, a := range r.responses[v] {
 				fmt.Fprint(&b, a.Round, a.Vote, a.Place.Zone, a.Remaining)
 			}
 		}
@@ -267,10 +267,10 @@
 }
 
 // explore tries every order of moves up to a depth, from a beginning. It returns the shortest one that breaks the promise.
-func explore(script []wish, beginning []string, depth int, careless bool) (states int, trace []string, broken string) {
+func explore(script []scriptedRequest, beginning []string, depth int, careless bool) (states int, trace []string, broken string) {
 	play := func(moves []string) *world {
 		w := newWorld(script)
-		w.careless = careless
+		w.skipAbstention = careless
 		for _, m := range moves {
 			w.do(m)
 		}
@@ -301,14 +301,14 @@
 }
 
 var (
-	one = []wish{{0, "a", north}, {2, "a", south}}
-	two = []wish{{0, "a", north}, {1, "a", south}, {2, "b", south}}
+	one = []scriptedRequest{{0, "a", north}, {2, "a", south}}
+	two = []scriptedRequest{{0, "a", north}, {1, "a", south}, {2, "b", south}}
 )
 
 // Beginnings of the search: what has been done, and how much deeper than the others it is gone into.
 var beginnings = []struct {
 	name   string
-	script []wish
+	script []scriptedRequest
 	done   []string
 	deeper int
 }{
@@ -345,9 +345,9 @@
 }
 
 // Long walks, drawn at random, through the same model.
-func TestWalks(t *testing.T) {
+func TestRandomWalks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld([]wish{{0, "a", north}, {1, "a", south}, {2, "a", south}, {1, "b", north}, {2, "b", south}})
+		w := newWorld([]scriptedRequest{{0, "a", north}, {1, "a", south}, {2, "a", south}, {1, "b", north}, {2, "b", south}})
 		var trace []string
 		for range 80 {
 			move := rapid.SampledFrom(w.moves()).Draw(t, "move")
@@ -364,9 +364,9 @@
 // that follows another.
 func TestVoter(t *testing.T) {
 	ask := func(number uint64, turn uint32, place history.Place) Proposal {
-		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Retention: keep, TTL: life}
+		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	}
-	v := NewVoter(m0, VoterOptions{MaxKeys: 4, MaxProposalTTL: life})
+	v := NewVoter(m0, VoterOptions{MaxKeys: 4, MaxProposalTTL: ttl})
 	vote := func(a Proposal) Vote {
 		t.Helper()
 		out, _ := v.Vote(m0, a)
@@ -378,15 +378,15 @@
 	if _, ok := v.Vote(m0, ask(1, 0, north)); ok {
 		t.Error("an ask of an earlier turn was answered")
 	}
-	v.Release(m0, Release{AttemptID{1, 3}, true}, life)
+	v.Release(m0, Release{AttemptID{1, 3}, true}, ttl)
 	if _, ok := v.Vote(m0, ask(3, 0, south)); ok {
 		t.Error("an ask that its end has overtaken was answered")
 	}
-	v.Release(m0, Release{AttemptID{1, 1}, true}, life)
+	v.Release(m0, Release{AttemptID{1, 1}, true}, ttl)
 	if vote(ask(4, 0, north)) != HeldElsewhere {
 		t.Error("free though another try is there")
 	}
-	v.Release(m0, Release{AttemptID{1, 2}, true}, life)
+	v.Release(m0, Release{AttemptID{1, 2}, true}, ttl)
 	if vote(ask(4, 0, north)) != Grant {
 		t.Error("held though nothing ran")
 	}
--- a/internal/fleet/ownership/responses_test.go
+++ b/internal/fleet/ownership/responses_test.go
@@ -7,7 +7,7 @@
 
 // A majority that owes answers for long makes asks short, the first of them to answer makes them long again, and voters
 // that are asked all the time owe since the first ask.
-func TestHearing(t *testing.T) {
+func TestResponseTracker(t *testing.T) {
 	const whole, short = 500 * time.Millisecond, 80 * time.Millisecond
 	var h ResponseTracker
 	voters := []string{"a", "b", "c"}
--- a/internal/fleet/partition/partition_test.go
+++ b/internal/fleet/partition/partition_test.go
@@ -10,7 +10,7 @@
 
 var t0 = time.Unix(1_800_000_000, 0)
 
-func TestLife(t *testing.T) {
+func TestLifecycle(t *testing.T) {
 	tr := New("b", 10*time.Second, 10)
 	for _, name := range []string{"a", "c", "d", "e"} {
 		tr.Update(t0, name, Alive)
@@ -41,7 +41,7 @@
 
 // A fleet is cut into sides, again and again, and heals: no instance counts fewer than it sees, and when all see all again
 // each has a place of its own.
-func TestCuts(t *testing.T) {
+func TestPartitions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 7).Draw(t, "instances")
 		trackers := make([]*Tracker, n)
--- a/internal/fleet/version/version_test.go
+++ b/internal/fleet/version/version_test.go
@@ -12,7 +12,7 @@
 
 // A thing that goes on in one line, at members that take it up later or pass over some of it: who is older is told, and never
 // a fork.
-func TestOneLine(t *testing.T) {
+func TestLinearHistory(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		numbered := rapid.Bool().Draw(r, "numbered")
 		n := rapid.IntRange(2, 5).Draw(r, "members")
--- a/internal/fleet/versionlag/versionlag_test.go
+++ b/internal/fleet/versionlag/versionlag_test.go
@@ -34,7 +34,7 @@
 }
 
 // Each row is a fleet as it is seen twice: at once, and after the time that taking up may last.
-func TestLook(t *testing.T) {
+func TestEvaluate(t *testing.T) {
 	a := conf(1, "a")
 	b := conf(2, "b", version.Ancestor{Number: 1, Hash: a.Hash})
 	x := conf(2, "x", version.Ancestor{Number: 1, Hash: a.Hash})
@@ -82,7 +82,7 @@
 
 // One that goes on, but never catches up, is behind the newest each time for no longer than it is the newest; and what is told
 // names what it has, what it should have, by how many versions, and for how long.
-func TestHowFar(t *testing.T) {
+func TestVersionsBehind(t *testing.T) {
 	a := conf(1, "a")
 	c := conf(3, "c", version.Ancestor{Number: 2, Hash: version.HashOf([]byte("b"))}, version.Ancestor{Number: 1, Hash: a.Hash})
 	w := New(limits)
@@ -105,7 +105,7 @@
 
 // What a member has done since its last word is not known: it is behind only once it has said so itself after the time that
 // taking up may last, and the newest is odd only once most have.
-func TestByItsOwnWord(t *testing.T) {
+func TestStaleReport(t *testing.T) {
 	a := conf(1, "a")
 	b := conf(2, "b", version.Ancestor{Number: 1, Hash: a.Hash})
 	for _, has := range [][]version.Entry{{a, b, b}, {a, a, b}} {
@@ -127,7 +127,7 @@
 
 // Whatever versions there are, never are most of those that are heard told to be behind, and a fork never makes one side
 // right: if any member is forked, so is one with another version.
-func TestNeverMostBehind(t *testing.T) {
+func TestMajorityNeverLags(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(r, "members")
 		known := []version.Entry{version.AssignNumber(version.Configuration, "", version.HashOf([]byte("0")), "", nil)}
--- a/internal/fleet/views_test.go
+++ b/internal/fleet/views_test.go
@@ -87,7 +87,7 @@
 }
 
 // One that nobody hears, and one that hears nobody, are out and know it; no other is, then or when the way heals.
-func TestViewsMuteAndDeaf(t *testing.T) {
+func TestViewsOneWayPartition(t *testing.T) {
 	t.Parallel()
 	for _, mute := range []bool{true, false} {
 		t.Run(fmt.Sprint(mute), func(t *testing.T) {
@@ -113,7 +113,7 @@
 
 // Some accuse another again and again, to all, whatever they hear: one alone, and as many as most of its observers are. Nobody
 // is out for it: who hears a member that is to go agrees to no view without it.
-func TestViewsLiars(t *testing.T) {
+func TestViewsFalseSuspicions(t *testing.T) {
 	t.Parallel()
 	for _, liars := range []int{1, 3} {
 		t.Run(fmt.Sprint(liars), func(t *testing.T) {
