--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -81,7 +81,7 @@
 func (l *link) Halt(inst uint32) { delete(l.instances, inst) }
 
 func (l *link) Members(inst uint32, kind decide.ListKind, entries []decide.Server) {
-	l.with(inst, func(b *decide.Balancer) { b.Members(l.now, kind, entries) })
+	l.with(inst, func(b *decide.Balancer) { b.UpdateEndpoints(l.now, kind, entries) })
 }
 
 func (l *link) Request(inst uint32, r decide.Request) {
@@ -89,7 +89,7 @@
 }
 
 func (l *link) Started(inst uint32, id decide.RequestID) {
-	l.with(inst, func(b *decide.Balancer) { b.Started(l.now, id) })
+	l.with(inst, func(b *decide.Balancer) { b.ResponseStarted(l.now, id) })
 }
 
 func (l *link) Outcome(inst uint32, o decide.Outcome) {
@@ -97,7 +97,7 @@
 }
 
 func (l *link) Gone(inst uint32, id decide.RequestID) {
-	l.with(inst, func(b *decide.Balancer) { b.Gone(l.now, id) })
+	l.with(inst, func(b *decide.Balancer) { b.ClientDisconnected(l.now, id) })
 }
 
 func (l *link) Timer(inst uint32, token uint64) {
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -206,10 +206,10 @@
 
 // mustAskIn returns how long discovery may be left unasked, and zero where lists are pushed.
 func mustAskIn(s decide.Settings) time.Duration {
-	if !s.Pull {
+	if !s.PollDiscovery {
 		return 0
 	}
-	return cmp.Or(s.MustAskIn, watch.Told) // without an obligation the longest wait bounds nothing
+	return cmp.Or(s.MaxPollInterval, watch.Told) // without an obligation the longest wait bounds nothing
 }
 
 // reload takes up the configuration as the file has it now, whole or not at all: settings and discovery's address are
@@ -231,7 +231,7 @@
 	discovery.Move(next.Discovery)
 	board.Loaded.Add(1)
 	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
-		next.Admin != running.Admin || next.Decide.Pull != running.Decide.Pull
+		next.Admin != running.Admin || next.Decide.PollDiscovery != running.Decide.PollDiscovery
 	log.Info("reload: taken", "discovery", next.Discovery, "classes", len(next.Classes), "restart_needed_for_the_rest", later)
 	return next
 }
@@ -260,7 +260,7 @@
 
 // idleOf is for how long a connection to an endpoint may have stood idle to be used again.
 func idleOf(c *config.Config) time.Duration {
-	return time.Duration(idlePart * float64(c.Decide.ConnIdle))
+	return time.Duration(idlePart * float64(c.Decide.ConnIdleTimeout))
 }
 
 // listen takes the clients' address. Where operators have an address of their own another process may take it too, as
--- a/decide/api.go
+++ b/decide/api.go
@@ -27,9 +27,9 @@
 
 // The effects a class may have.
 const (
-	Safe   Effect = iota // may be repeated freely
-	Keyed                // servers of one group drop repeats for a window
-	Unsafe               // never again once it may have run
+	Idempotent      Effect = iota // may be repeated freely
+	KeyedIdempotent               // servers of one group drop repeats for a window
+	NonIdempotent                 // never again once it may have run
 )
 
 // Scope is the group of servers that drop repeats of a Keyed request.
@@ -44,12 +44,12 @@
 
 // Class describes one class of requests.
 type Class struct {
-	Name          string        // by which Configure finds it again; empty: it does not
-	Aim, Deadline time.Duration // wanted within; given up after
-	Worth         float64
-	Effect        Effect
-	Scope         Scope         // for Keyed
-	Window        time.Duration // for Keyed: from the first send that may have run
+	Name                       string        // by which Configure finds it again; empty: it does not
+	LatencyObjective, Deadline time.Duration // wanted within; given up after
+	PriorityWeight             float64
+	Effect                     Effect
+	Scope                      Scope         // for Keyed
+	Window                     time.Duration // for Keyed: from the first send that may have run
 }
 
 // Tenant is a customer with an agreed rate over all balancers; zero means no agreed rate.
@@ -64,40 +64,40 @@
 // The fields: utilisation and the rate of calls are used, others are passed over.
 const (
 	FieldOther Field = iota
-	FieldUtil
-	FieldRate // requests a second, of all balancers together
+	FieldUtilization
+	FieldRequestRate // requests a second, of all balancers together
 )
 
 // Fields are the names under which servers report them.
-var Fields = map[string]Field{"util": FieldUtil, "qps": FieldRate}
+var Fields = map[string]Field{"util": FieldUtilization, "qps": FieldRequestRate}
 
 // Settings is all that a balancer is told at its start.
 type Settings struct {
 	Balancers int // balancers of this tier
-	Me        int // this one's number, from 0
+	Index     int // this one's number, from 0
 	Zone      int
 	Tier      int // the tier it sends to; 0 is the one clients reach
 	Classes   []Class
 	Tenants   []Tenant
 
-	MarksRetries  bool // clients mark their retries
-	Pull          bool // discovery answers only when asked
-	MustAskIn     time.Duration
-	MaxAttempts   int
-	MayCancel     bool
-	MayDuplicate  bool // two attempts of one request may be outstanding
-	RetryAfter    bool // clients are told how long to stay away
-	MaxRetryAfter time.Duration
-	ConnIdle      time.Duration
-
-	StartCapacity float64 // a started server's capacity, as a share of its full one
-	WarmUp        time.Duration
-	FallMultiple  float64 // more than this multiple of its capacity
-	FallWindow    time.Duration
+	RetriesMarked   bool // clients mark their retries
+	PollDiscovery   bool // discovery answers only when asked
+	MaxPollInterval time.Duration
+	MaxAttempts     int
+	MayCancel       bool
+	MayHedge        bool // two attempts of one request may be outstanding
+	SendsRetryAfter bool // clients are told how long to stay away
+	MaxRetryAfter   time.Duration
+	ConnIdleTimeout time.Duration
+
+	InitialCapacity  float64 // a started server's capacity, as a share of its full one
+	SlowStart        time.Duration
+	OverloadMultiple float64 // more than this multiple of its capacity
+	OverloadWindow   time.Duration
 
 	CrossZonePrice, HandshakePrice float64
 
-	Report []Field // the values of a load report, in order
+	ReportFields []Field // the values of a load report, in order
 }
 
 // State is what discovery says of a server.
@@ -105,7 +105,7 @@
 
 // The states.
 const (
-	Gone State = iota
+	Removed State = iota
 	Ready
 	Draining
 )
@@ -132,27 +132,27 @@
 	Failed                 // a discovery call failed; no entries
 )
 
-// Past is what is known of other attempts with a Keyed request's key, made for earlier requests with it or
+// KeyState is what is known of other attempts with a Keyed request's key, made for earlier requests with it or
 // for ones that are still in work.
-type Past struct {
-	Known      bool          // one may have run, or runs: the request stays in its group
-	Nowhere    bool          // that group is none of this balancer's servers
-	Zone, Cell int           // of the group, where the class's scope is one of these
-	Until      time.Duration // the group drops a repeat that is sent before
+type KeyState struct {
+	Known       bool          // one may have run, or runs: the request stays in its group
+	Unavailable bool          // that group is none of this balancer's servers
+	Zone, Cell  int           // of the group, where the class's scope is one of these
+	RetryUntil  time.Duration // the group drops a repeat that is sent before
 }
 
 // Request is an arriving call.
 type Request struct {
-	ID     RequestID
-	Class  int
-	Tenant int
-	Left   time.Duration // until the client gives up
-	Retry  bool          // marked by the client
+	ID       RequestID
+	Class    int
+	Tenant   int
+	TimeLeft time.Duration // until the client gives up
+	Retry    bool          // marked by the client
 	// MaxAttempts bounds the request's attempts further than the settings do; 0: it does not.
 	MaxAttempts int
-	// Terms is the class as it was when the request came, where settings have changed since; nil: as it is.
-	Terms *Class
-	Past  Past
+	// ClassAtArrival is the class as it was when the request came, where settings have changed since; nil: as it is.
+	ClassAtArrival *Class
+	KeyState       KeyState
 }
 
 // Verdict is how an attempt ended.
@@ -167,12 +167,12 @@
 	ConnectFailed
 	Reset
 	Cancelled
-	Moot
+	NotSent
 	Rejected // the server found the request itself at fault, as any other would
 )
 
 // NeverRan reports whether the verdict proves that the attempt was not executed.
-func (v Verdict) NeverRan() bool { return v == ServerFull || v == ConnectFailed || v == Moot }
+func (v Verdict) NeverRan() bool { return v == ServerFull || v == ConnectFailed || v == NotSent }
 
 // Outcome ends one attempt.
 type Outcome struct {
@@ -189,8 +189,8 @@
 type Host interface {
 	// Send starts the request's next attempt; it ends at the client's deadline at the latest.
 	Send(RequestID, ServerID)
-	// Refuse is a final answer that tells the client a retry is harmless.
-	Refuse(id RequestID, retryAfter time.Duration)
+	// Reject is a final answer that tells the client a retry is harmless.
+	Reject(id RequestID, retryAfter time.Duration)
 	// Fail is a final answer that promises nothing.
 	Fail(RequestID)
 	// Cancel stops waiting for an attempt.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -28,7 +28,7 @@
 	h.add("send %d %d", id, s)
 	h.sends = append(h.sends, s)
 }
-func (h *recorder) Refuse(id RequestID, _ time.Duration) { h.add("refuse %d", id) }
+func (h *recorder) Reject(id RequestID, _ time.Duration) { h.add("refuse %d", id) }
 func (h *recorder) Fail(id RequestID)                    { h.add("fail %d", id) }
 func (h *recorder) Cancel(id RequestID, n int)           { h.add("cancel %d %d", id, n) }
 func (h *recorder) CloseIdle(s ServerID)                 { h.add("close %d", s) }
@@ -59,13 +59,13 @@
 
 func testSettings() Settings {
 	class := func(worth float64, e Effect, sc Scope) Class {
-		return Class{Aim: sec, Deadline: 3 * sec, Worth: worth, Effect: e, Scope: sc, Window: 2 * sec}
+		return Class{LatencyObjective: sec, Deadline: 3 * sec, PriorityWeight: worth, Effect: e, Scope: sc, Window: 2 * sec}
 	}
-	return Settings{Balancers: 1, Classes: []Class{class(1, Safe, 0), class(3, Keyed, ScopeAll),
-		class(5, Keyed, ScopeZone), class(5, Keyed, ScopeCell), class(10, Unsafe, 0)},
-		MaxAttempts: 3, MayCancel: true, MayDuplicate: true, StartCapacity: 0.2, WarmUp: 10 * sec,
-		FallMultiple: 3, FallWindow: 2 * sec, MustAskIn: 8 * sec,
-		Report: []Field{FieldUtil}}
+	return Settings{Balancers: 1, Classes: []Class{class(1, Idempotent, 0), class(3, KeyedIdempotent, ScopeAll),
+		class(5, KeyedIdempotent, ScopeZone), class(5, KeyedIdempotent, ScopeCell), class(10, NonIdempotent, 0)},
+		MaxAttempts: 3, MayCancel: true, MayHedge: true, InitialCapacity: 0.2, SlowStart: 10 * sec,
+		OverloadMultiple: 3, OverloadWindow: 2 * sec, MaxPollInterval: 8 * sec,
+		ReportFields: []Field{FieldUtilization}}
 }
 
 func newBalancer(t *testing.T, cfg Settings, list ...Server) (*Balancer, *recorder) {
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Members(sec, Cached, list)
+	b.UpdateEndpoints(sec, Cached, list)
 	return b, h
 }
 
@@ -91,17 +91,17 @@
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
 	top := b.table[len(b.table)-1]
 	for slot := range top {
-		if slot < homeSlots && (top[slot] != 1 || b.table[0][slot] != 1-homeDrop) {
+		if slot < restingSlots && (top[slot] != 1 || b.table[0][slot] != 1-restingSpread) {
 			t.Errorf("slot %d: %v and %v, want T1 and its low row", slot, top[slot], b.table[0][slot])
 		}
-		if slot >= homeSlots && top[slot] >= top[slot-1] {
+		if slot >= restingSlots && top[slot] >= top[slot-1] {
 			t.Errorf("slot %d does not fall: %v after %v", slot, top[slot], top[slot-1])
 		}
 		for level := 1; level < len(b.table); level++ {
 			if b.table[level-1][slot] > b.table[level][slot] {
 				t.Errorf("slot %d: level %d over level %d", slot, level-1, level)
 			}
-			if v := b.table[level][slot]; v < ownTop && b.table[level-1][slot] != 0 {
+			if v := b.table[level][slot]; v < ownLevelThreshold && b.table[level-1][slot] != 0 {
 				t.Errorf("slot %d: level %d shed to %v before level %d was shed whole", slot, level, v, level-1)
 			}
 		}
@@ -115,13 +115,13 @@
 // aim for classes of unlike aims: a row lets in what the least aim of its worth or more allows.
 func TestRowsByAim(t *testing.T) {
 	cfg := testSettings()
-	cfg.Classes = []Class{{Aim: 3 * sec, Deadline: 6 * sec, Worth: 1}, {Aim: sec, Deadline: 6 * sec, Worth: 2},
-		{Aim: 2 * sec, Deadline: 6 * sec, Worth: 3}}
+	cfg.Classes = []Class{{LatencyObjective: 3 * sec, Deadline: 6 * sec, PriorityWeight: 1}, {LatencyObjective: sec, Deadline: 6 * sec, PriorityWeight: 2},
+		{LatencyObjective: 2 * sec, Deadline: 6 * sec, PriorityWeight: 3}}
 	b, _ := newBalancer(t, cfg, ready(4)...)
-	if want := []float64{1, 1, 1, 2}; !slices.Equal(b.aims, want) {
-		t.Fatalf("aims %v, want %v", b.aims, want)
+	if want := []float64{1, 1, 1, 2}; !slices.Equal(b.levelObjectives, want) {
+		t.Fatalf("aims %v, want %v", b.levelObjectives, want)
 	}
-	b.avg, b.base, b.started = 100, 0.01, -60*sec
+	b.slowRate, b.baseLatency, b.startedAt = 100, 0.01, -60*sec
 	if low, top := b.threshold(sec, 2), b.threshold(sec, 3); top < 1.5*low {
 		t.Fatalf("thresholds %v and %v do not follow the aims", low, top)
 	}
@@ -133,13 +133,13 @@
 		b, _ := newBalancer(t, testSettings(), ready(4)...)
 		for i := range 400 {
 			now := 2*sec + time.Duration(i)*10*ms
-			b.Request(now, Request{ID: RequestID(i), Class: 4, Left: 3 * sec})
+			b.Request(now, Request{ID: RequestID(i), Class: 4, TimeLeft: 3 * sec})
 			for n := range 3 {
 				b.Outcome(now, Outcome{ID: RequestID(i), Attempt: n, Verdict: verdict, Latency: ms, Final: verdict == OK})
 			}
 		}
-		if got := b.avg > 50; got != carried {
-			t.Errorf("verdict %d: %.0f a second taken for carried", verdict, b.avg)
+		if got := b.slowRate > 50; got != carried {
+			t.Errorf("verdict %d: %.0f a second taken for carried", verdict, b.slowRate)
 		}
 	}
 }
@@ -148,10 +148,10 @@
 // must not rank servers; own calls do.
 func TestReportsDoNotRank(t *testing.T) {
 	b, _ := newBalancer(t, testSettings(), ready(2)...)
-	b.learn(2*sec, b.use[0], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{0.1}})
-	b.learn(2*sec, b.use[1], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{0.9}})
-	b.use[0].inFlight = 1
-	if x, y := b.score(2*sec, b.use[0]), b.score(2*sec, b.use[1]); x <= y {
+	b.recordOutcome(2*sec, b.subset[0], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{0.1}})
+	b.recordOutcome(2*sec, b.subset[1], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{0.9}})
+	b.subset[0].inFlight = 1
+	if x, y := b.score(2*sec, b.subset[0]), b.score(2*sec, b.subset[1]); x <= y {
 		t.Fatalf("scores %v and %v: the busier report ranks behind though it has none of our calls", x, y)
 	}
 }
@@ -160,10 +160,10 @@
 func TestServersOutAreNoLoad(t *testing.T) {
 	for _, out := range []bool{false, true} {
 		b, _ := newBalancer(t, testSettings(), ready(4)...)
-		b.use[0].out = out
-		b.learn(2*sec, b.use[0], Outcome{Verdict: ServerFull})
-		b.learn(2*sec, b.use[0], Outcome{Verdict: Timeout, Latency: 3 * sec})
-		if got := b.fulls > 0 && b.latSum > 0; got == out {
+		b.subset[0].ejected = out
+		b.recordOutcome(2*sec, b.subset[0], Outcome{Verdict: ServerFull})
+		b.recordOutcome(2*sec, b.subset[0], Outcome{Verdict: Timeout, Latency: 3 * sec})
+		if got := b.fullCount > 0 && b.latencySum > 0; got == out {
 			t.Errorf("out %t: counted %t", out, got)
 		}
 	}
@@ -178,7 +178,7 @@
 	b, h := newBalancer(t, testSettings(), list...)
 	for i := range 2000 {
 		now := 105*sec + time.Duration(i)*ms
-		b.Request(now, Request{ID: RequestID(i), Left: 3 * sec})
+		b.Request(now, Request{ID: RequestID(i), TimeLeft: 3 * sec})
 		b.Outcome(now, Outcome{ID: RequestID(i), Latency: 50 * ms, Final: true})
 	}
 	cold := 0
@@ -198,26 +198,26 @@
 // counts, and they count the calls of all balancers. One whose reports show little keeps the least.
 func TestColdByReports(t *testing.T) {
 	cfg := testSettings()
-	cfg.Balancers, cfg.Report = 10, []Field{FieldUtil, FieldRate}
+	cfg.Balancers, cfg.ReportFields = 10, []Field{FieldUtilization, FieldRequestRate}
 	list := ready(4)
 	list[0].StartedAt, list[1].StartedAt = 100*sec, 100*sec
 	b, _ := newBalancer(t, cfg, list...)
 	report := func(id ServerID, util, rate float32) {
-		b.learn(102*sec, b.servers[id], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{util, rate}})
+		b.recordOutcome(102*sec, b.servers[id], Outcome{Verdict: OK, Latency: 50 * ms, Load: []float32{util, rate}})
 	}
 	report(1, 0.5, 30) // could answer 60 of a warm one's 100
 	report(2, 0.1, 9)  // too little to tell
 	report(3, 0.8, 80)
 	report(4, 0.5, 50)
 	b.checkHealth(102 * sec)
-	least := cfg.StartCapacity + (1-cfg.StartCapacity)*0.2
+	least := cfg.InitialCapacity + (1-cfg.InitialCapacity)*0.2
 	if known, unknown := b.capacity(102*sec, b.servers[1]), b.capacity(102*sec, b.servers[2]); known < 0.5 ||
 		known > 0.6 || unknown != least {
 		t.Fatalf("capacities %.2f and %.2f, want some 0.54 and %.2f", known, unknown, least)
 	}
-	for _, s := range b.all { // warm servers set the measure
+	for _, s := range b.listed { // warm servers set the measure
 		if s.ID > 2 {
-			s.rate *= 2
+			s.reportedCapacity *= 2
 		}
 	}
 	b.checkHealth(102 * sec)
@@ -230,14 +230,14 @@
 // within the budget that all balancers share.
 func TestColdRanks(t *testing.T) {
 	cfg := testSettings()
-	cfg.Balancers, cfg.Report = 10, []Field{FieldUtil, FieldRate}
+	cfg.Balancers, cfg.ReportFields = 10, []Field{FieldUtilization, FieldRequestRate}
 	list := ready(2)
 	list[0].StartedAt = 99 * sec
 	b, h := newBalancer(t, cfg, list...)
-	b.full, b.servers[1].lat, b.servers[2].lat = 100, 0.05, 0.5
+	b.serverCapacity, b.servers[1].latency, b.servers[2].latency = 100, 0.05, 0.5
 	for i := range 2000 { // 4 s of them, ended at once
 		now := 101*sec + time.Duration(i)*2*ms
-		b.Request(now, Request{ID: RequestID(i), Class: 4, Left: 3 * sec})
+		b.Request(now, Request{ID: RequestID(i), Class: 4, TimeLeft: 3 * sec})
 		b.Outcome(now, Outcome{ID: RequestID(i), Verdict: Cancelled, Final: true})
 	}
 	cold := 0
@@ -247,7 +247,7 @@
 		}
 	}
 	// A tenth of what a server of a capacity from 0.36 to 0.68 can do in 4 s is 21 calls.
-	if most := 21 * coldPart * cfg.FallMultiple; float64(cold) > most || float64(cold) < 0.8*most {
+	if most := 21 * warmingUpShare * cfg.OverloadMultiple; float64(cold) > most || float64(cold) < 0.8*most {
 		t.Fatalf("%d calls to the cold server, budget %.0f", cold, most)
 	}
 }
@@ -259,7 +259,7 @@
 	b, _ := newBalancer(t, cfg, ready(4)...)
 	low := 0
 	for range 20 {
-		if b.level(Request{Class: 4}) == lowWorth {
+		if b.levelOf(Request{Class: 4}) == lowestLevel {
 			low++
 		}
 	}
@@ -273,8 +273,8 @@
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
 	b.inFlight = 1000 // a queue that the figures can speak of
 	step := func(util float64) int {
-		for _, s := range b.use {
-			s.util, s.reported = util, b.nextStep
+		for _, s := range b.subset {
+			s.utilization, s.reportedAt = util, b.nextStep
 		}
 		before := b.cursor
 		b.advance(b.nextStep)
@@ -311,7 +311,7 @@
 		b, _ := newBalancer(t, testSettings(), ready(4)...)
 		b.cursor, b.inFlight = 10, inFlight
 		for range 50 {
-			b.learn(b.nextStep, b.use[0], Outcome{Verdict: OK, Latency: 2 * sec})
+			b.recordOutcome(b.nextStep, b.subset[0], Outcome{Verdict: OK, Latency: 2 * sec})
 		}
 		b.advance(b.nextStep)
 		if b.cursor != want {
@@ -325,20 +325,20 @@
 func TestFullOfConnections(t *testing.T) {
 	for _, price := range []float64{0, 0.1} {
 		cfg := testSettings()
-		cfg.HandshakePrice, cfg.ConnIdle = price, 15*sec
+		cfg.HandshakePrice, cfg.ConnIdleTimeout = price, 15*sec
 		b, h := newBalancer(t, cfg, ready(1)...)
 		end := func(id RequestID, n int, v Verdict) {
 			b.Outcome(2*sec, Outcome{ID: id, Attempt: n, Server: 1, Verdict: v, Latency: 50 * ms, Final: v == OK})
 		}
 		for id := range RequestID(3) {
-			b.Request(2*sec, Request{ID: id, Left: 3 * sec})
+			b.Request(2*sec, Request{ID: id, TimeLeft: 3 * sec})
 		}
 		end(0, 0, OK)
 		if h.count("close") > 0 {
 			t.Fatal("closed with no shortage seen")
 		}
 		end(1, 0, ConnectFailed)
-		if b.use[0].out {
+		if b.subset[0].ejected {
 			t.Fatal("a server that answers was put out for one failed connection")
 		}
 		end(2, 0, OK)
@@ -346,11 +346,11 @@
 			t.Fatalf("price %v: closed %d times", price, closed)
 		}
 		for id := RequestID(3); id < 6; id++ {
-			b.Request(3*sec, Request{ID: id, Left: 3 * sec})
+			b.Request(3*sec, Request{ID: id, TimeLeft: 3 * sec})
 		}
 		b.Outcome(3*sec, Outcome{ID: 3, Verdict: ConnectFailed})
 		b.Outcome(3*sec, Outcome{ID: 4, Verdict: ConnectFailed})
-		if !b.use[0].out {
+		if !b.subset[0].ejected {
 			t.Fatal("two failed connections and no answer between: still in use")
 		}
 	}
@@ -360,26 +360,26 @@
 // for shares.
 func TestWorthOrder(t *testing.T) {
 	cfg := testSettings()
-	cfg.MarksRetries = true
+	cfg.RetriesMarked = true
 	cfg.Tenants = []Tenant{{QuotaPerSecond: 1}}
 	b, h := newBalancer(t, cfg, ready(4)...)
-	b.cursor = homeSlots + fallSlots - 1 // the low row is shed whole, the others are not
-	b.Request(sec, Request{ID: 1, Class: 4, Left: 3 * sec, Retry: true, Tenant: -1})
-	b.Request(sec, Request{ID: 2, Class: 0, Left: 3 * sec, Tenant: -1})
+	b.cursor = restingSlots + slotsPerLevel - 1 // the low row is shed whole, the others are not
+	b.Request(sec, Request{ID: 1, Class: 4, TimeLeft: 3 * sec, Retry: true, Tenant: -1})
+	b.Request(sec, Request{ID: 2, Class: 0, TimeLeft: 3 * sec, Tenant: -1})
 	if got := fmt.Sprint(h.count("refuse 1"), h.count("send 2")); got != "1 1" {
 		t.Fatalf("acts %v", h.acts)
 	}
 	for id := RequestID(10); id < 20; id++ {
-		b.Request(sec, Request{ID: id, Class: 4, Left: 3 * sec})
+		b.Request(sec, Request{ID: id, Class: 4, TimeLeft: 3 * sec})
 	}
 	if h.count("refuse") < 6 {
 		t.Fatalf("traffic over the share was let in: %v", h.acts)
 	}
 	cfg.Tier = 1
 	b, h = newBalancer(t, cfg, ready(4)...)
-	b.cursor = homeSlots + fallSlots - 1
+	b.cursor = restingSlots + slotsPerLevel - 1
 	for id := RequestID(10); id < 13; id++ {
-		b.Request(sec, Request{ID: id, Class: 4, Left: 3 * sec})
+		b.Request(sec, Request{ID: id, Class: 4, TimeLeft: 3 * sec})
 	}
 	if h.count("refuse") > 0 {
 		t.Fatalf("shares were taken again deeper in the chain: %v", h.acts)
@@ -390,8 +390,8 @@
 func TestThresholdScales(t *testing.T) {
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
 	small := b.threshold(9*sec, 4)
-	b.avg = 300
-	if large := b.threshold(9*sec, 4); small < floorCalls || large < 300*queuePart {
+	b.slowRate = 300
+	if large := b.threshold(9*sec, 4); small < minThreshold || large < 300*maxQueueShare {
 		t.Fatalf("T1 %v at rest, %v at 300 calls a second", small, large)
 	}
 }
@@ -400,13 +400,13 @@
 func TestStartRefusesNothing(t *testing.T) {
 	b, h := newBalancer(t, testSettings(), ready(40)...)
 	for id := RequestID(1); id <= 100; id++ {
-		b.Request(sec+time.Duration(id)*ms, Request{ID: id, Class: 4, Left: 3 * sec})
+		b.Request(sec+time.Duration(id)*ms, Request{ID: id, Class: 4, TimeLeft: 3 * sec})
 	}
 	if h.count("refuse") > 0 {
 		t.Fatalf("%d of 100 refused at the start", h.count("refuse"))
 	}
 	for id := RequestID(1001); id <= 2000; id++ {
-		b.Request(9*sec, Request{ID: id, Class: 4, Left: 3 * sec})
+		b.Request(9*sec, Request{ID: id, Class: 4, TimeLeft: 3 * sec})
 	}
 	if h.count("refuse") == 0 {
 		t.Fatal("no limit once the rate is known")
@@ -420,7 +420,7 @@
 	for _, at := range []time.Duration{30 * sec, 90 * sec} {
 		*h = recorder{}
 		for i := range RequestID(40) {
-			b.Request(at, Request{ID: i, Left: 3 * sec})
+			b.Request(at, Request{ID: i, TimeLeft: 3 * sec})
 		}
 		if n := h.count("refuse"); n > 0 {
 			t.Errorf("%d of 40 refused after a pause", n)
@@ -431,7 +431,7 @@
 	}
 	*h = recorder{} // no pause: what is known counts
 	for i := range RequestID(400) {
-		b.Request(91*sec, Request{ID: i, Left: 3 * sec})
+		b.Request(91*sec, Request{ID: i, TimeLeft: 3 * sec})
 	}
 	if h.count("refuse") == 0 {
 		t.Error("a crowd of ten times the rate is let in")
@@ -442,17 +442,17 @@
 // that they can't be.
 func TestShortFromTheStart(t *testing.T) {
 	b, h := newBalancer(t, testSettings(), ready(2)...)
-	b.Request(sec, Request{ID: 1, Left: sec / 100})
-	b.Request(40*sec, Request{ID: 2, Left: sec / 100})
+	b.Request(sec, Request{ID: 1, TimeLeft: sec / 100})
+	b.Request(40*sec, Request{ID: 2, TimeLeft: sec / 100})
 	if h.acts[0] != "refuse 1" || h.count("send 2") != 1 {
 		t.Errorf("before any answer: %v", h.acts)
 	}
 	for i := range RequestID(20) {
 		at := 41*sec + time.Duration(i)*sec/2
-		b.Request(at, Request{ID: 3 + i, Left: 3 * sec})
+		b.Request(at, Request{ID: 3 + i, TimeLeft: 3 * sec})
 		b.Outcome(at+sec/2, Outcome{ID: 3 + i, Server: h.sends[len(h.sends)-1], Verdict: OK, Latency: sec / 2, Final: true})
 	}
-	b.Request(52*sec, Request{ID: 99, Left: sec / 100})
+	b.Request(52*sec, Request{ID: 99, TimeLeft: sec / 100})
 	if h.last() != "refuse 99" {
 		t.Errorf("once it is known: %v", h.last())
 	}
@@ -461,14 +461,14 @@
 func TestBaselineGuard(t *testing.T) {
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
 	for range 100000 {
-		b.learnBase(0.95, 0.1)
+		b.updateBaseLatency(0.95, 0.1)
 	}
-	if b.base > b.aim/3+1e-9 {
-		t.Fatalf("baseline %v, aim %v", b.base, b.aim)
+	if b.baseLatency > b.meanObjective/3+1e-9 {
+		t.Fatalf("baseline %v, aim %v", b.baseLatency, b.meanObjective)
 	}
-	b.base, b.cursor = 0.1, 5
-	b.learnBase(0.9, 1)
-	if b.base != 0.1 {
+	b.baseLatency, b.cursor = 0.1, 5
+	b.updateBaseLatency(0.9, 1)
+	if b.baseLatency != 0.1 {
 		t.Fatal("baseline rose while calls are shed")
 	}
 }
@@ -500,11 +500,11 @@
 		{"unsafe, never ran", 4, true, true, sec, true, true, true, true},
 	} {
 		b, _ := newBalancer(t, testSettings(), first, zone, cell, far)
-		r := &request{class: &b.cfg.Classes[c.class], deadline: 10 * sec, most: 3,
-			attempts: []attempt{{s: b.servers[1], sent: sec, ended: c.ended, neverRan: c.never}}}
+		r := &request{class: &b.settings.Classes[c.class], deadline: 10 * sec, maxAttempts: 3,
+			attempts: []attempt{{server: b.servers[1], sentAt: sec, ended: c.ended, neverRan: c.never}}}
 		now := sec + c.after
 		got := []bool{b.maySend(now, r, b.servers[4]), b.maySend(now, r, b.servers[2]),
-			b.maySend(now, r, b.servers[3]), mayRefuse(now, r)}
+			b.maySend(now, r, b.servers[3]), mayReject(now, r)}
 		if want := []bool{c.far, c.zone, c.cell, c.deny}; fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%s: far, zone, cell, refuse %v, want %v", c.name, got, want)
 		}
@@ -516,7 +516,7 @@
 func TestOwnAttempts(t *testing.T) {
 	for own, want := range map[int]int{0: 3, 1: 1, 2: 2, 9: 3} {
 		b, h := newBalancer(t, testSettings(), ready(4)...)
-		b.Request(sec, Request{ID: 1, Left: 3 * sec, MaxAttempts: own})
+		b.Request(sec, Request{ID: 1, TimeLeft: 3 * sec, MaxAttempts: own})
 		for n := 0; n < len(h.sends); n++ {
 			b.Outcome(sec, Outcome{ID: 1, Attempt: n, Server: h.sends[n], Verdict: ServerFull})
 		}
@@ -527,9 +527,9 @@
 }
 
 func TestUnsafeEndings(t *testing.T) {
-	for v := OK + 1; v <= Moot; v++ {
+	for v := OK + 1; v <= NotSent; v++ {
 		b, h := newBalancer(t, testSettings(), ready(8)...)
-		b.Request(sec, Request{ID: 1, Class: 4, Left: 3 * sec})
+		b.Request(sec, Request{ID: 1, Class: 4, TimeLeft: 3 * sec})
 		b.Outcome(sec+ms, Outcome{ID: 1, Server: h.sends[0], Verdict: v, Latency: ms})
 		want := "fail 1"
 		if v.NeverRan() {
@@ -545,11 +545,11 @@
 func TestOneFinalAnswer(t *testing.T) {
 	for class := range testSettings().Classes {
 		b, h := newBalancer(t, testSettings(), ready(8)...)
-		b.Request(sec, Request{ID: 1, Class: class, Left: sec})
+		b.Request(sec, Request{ID: 1, Class: class, TimeLeft: sec})
 		b.Outcome(2*sec, Outcome{ID: 1, Server: h.sends[0], Verdict: Timeout, Latency: sec})
 		b.Outcome(2*sec, Outcome{ID: 1, Server: h.sends[0], Verdict: Timeout, Latency: sec})
 		b.Timer(3*sec, 1)
-		b.Gone(3*sec, 1)
+		b.ClientDisconnected(3*sec, 1)
 		if n := h.count("fail") + h.count("refuse"); n != 1 || h.count("send") != 1 || len(b.requests) != 0 {
 			t.Errorf("class %d: %v, %d held", class, h.acts, len(b.requests))
 		}
@@ -560,9 +560,9 @@
 func TestSecondCopy(t *testing.T) {
 	for _, duplicate := range []bool{true, false} {
 		cfg := testSettings()
-		cfg.MayDuplicate = duplicate
+		cfg.MayHedge = duplicate
 		b, h := newBalancer(t, cfg, ready(8)...)
-		b.Request(sec, Request{ID: 1, Class: 1, Left: 3 * sec})
+		b.Request(sec, Request{ID: 1, Class: 1, TimeLeft: 3 * sec})
 		b.Timer(h.timers[1], 1)
 		if !duplicate {
 			if h.last() != "cancel 1 0" {
@@ -581,11 +581,11 @@
 	list := ready(3)
 	b, h := newBalancer(t, testSettings(), list...)
 	list[0].State = Draining
-	b.Members(sec, Delta, list[:1])
+	b.UpdateEndpoints(sec, Delta, list[:1])
 	list[1].State = Ready
-	b.Members(sec, Full, []Server{list[0], list[1]})
+	b.UpdateEndpoints(sec, Full, []Server{list[0], list[1]})
 	for id := RequestID(1); id < 50; id++ {
-		b.Request(sec, Request{ID: id, Class: 0, Left: 3 * sec})
+		b.Request(sec, Request{ID: id, Class: 0, TimeLeft: 3 * sec})
 	}
 	for _, s := range h.sends {
 		if s != list[1].ID {
@@ -599,10 +599,10 @@
 	drained := Server{ID: 1, State: Draining}
 	for _, list := range [][]Server{nil, {drained}} {
 		b, h := newBalancer(t, testSettings(), list...)
-		for class := range b.cfg.Classes {
-			b.Request(sec, Request{ID: RequestID(class), Class: class, Left: sec})
+		for class := range b.settings.Classes {
+			b.Request(sec, Request{ID: RequestID(class), Class: class, TimeLeft: sec})
 		}
-		if h.count("refuse") != len(b.cfg.Classes) {
+		if h.count("refuse") != len(b.settings.Classes) {
 			t.Errorf("acts %v", h.acts)
 		}
 	}
@@ -618,18 +618,18 @@
 	list[0].StartedAt = sec
 	var at []time.Duration
 	for i := range balancers {
-		cfg.Me = i
+		cfg.Index = i
 		h := &recorder{}
 		b, err := New(cfg, uint64(i), h)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Members(sec, Full, list)
+		b.UpdateEndpoints(sec, Full, list)
 		rng := rand.New(rand.NewPCG(uint64(i), 9))
 		id := RequestID(0)
 		for now := sec; now < 12*sec; now += time.Duration(rng.ExpFloat64() / perSecond * float64(sec)) {
 			id++
-			b.Request(now, Request{ID: id, Class: 0, Left: 3 * sec})
+			b.Request(now, Request{ID: id, Class: 0, TimeLeft: 3 * sec})
 			if n := len(h.sends); n > 0 && h.last() == fmt.Sprintf("send %d %d", id, list[0].ID) {
 				at = append(at, now)
 			}
@@ -642,12 +642,12 @@
 	for from := sec; from < 10*sec; from += 100 * ms {
 		n := 0
 		for _, a := range at {
-			if a >= from && a < from+cfg.FallWindow {
+			if a >= from && a < from+cfg.OverloadWindow {
 				n++
 			}
 		}
-		c := cfg.StartCapacity + (1-cfg.StartCapacity)*(from-sec).Seconds()/cfg.WarmUp.Seconds()
-		if limit := cfg.FallMultiple * c * full * cfg.FallWindow.Seconds(); float64(n) > limit {
+		c := cfg.InitialCapacity + (1-cfg.InitialCapacity)*(from-sec).Seconds()/cfg.SlowStart.Seconds()
+		if limit := cfg.OverloadMultiple * c * full * cfg.OverloadWindow.Seconds(); float64(n) > limit {
 			t.Fatalf("%d calls within the window at %v, budget %.1f", n, from, limit)
 		}
 	}
@@ -659,19 +659,19 @@
 // A silent server leaves the pool, takes one trial of a request that may be repeated, and comes back on its answer.
 func TestSilentServer(t *testing.T) {
 	b, h := newBalancer(t, testSettings(), ready(6)...)
-	b.Request(sec, Request{ID: 1, Class: 4, Left: 30 * sec})
+	b.Request(sec, Request{ID: 1, Class: 4, TimeLeft: 30 * sec})
 	s := b.servers[h.sends[0]]
 	b.checkHealth(sec + 10*sec)
-	if !s.out || b.stuck != 1 {
-		t.Fatalf("out %t, stuck %d", s.out, b.stuck)
+	if !s.ejected || b.inFlightEjected != 1 {
+		t.Fatalf("out %t, stuck %d", s.ejected, b.inFlightEjected)
 	}
 	b.Outcome(12*sec, Outcome{ID: 1, Server: s.ID, Verdict: Timeout, Latency: 11 * sec})
-	safe, unsafe := &request{class: &b.cfg.Classes[0]}, &request{class: &b.cfg.Classes[4]}
-	if b.takesTrial(s.outUntil-1, safe, s) || b.takesTrial(s.outUntil, unsafe, s) || !b.takesTrial(s.outUntil, safe, s) {
+	safe, unsafe := &request{class: &b.settings.Classes[0]}, &request{class: &b.settings.Classes[4]}
+	if b.mayProbe(s.ejectedUntil-1, safe, s) || b.mayProbe(s.ejectedUntil, unsafe, s) || !b.mayProbe(s.ejectedUntil, safe, s) {
 		t.Fatal("trial not as due")
 	}
-	b.learn(20*sec, s, Outcome{Verdict: OK, Latency: ms})
-	if s.out {
+	b.recordOutcome(20*sec, s, Outcome{Verdict: OK, Latency: ms})
+	if s.ejected {
 		t.Fatal("still out after an answer")
 	}
 }
@@ -679,11 +679,11 @@
 // Most of a fleet out at once is no matter of outliers: calls still go to it.
 func TestFleetOut(t *testing.T) {
 	b, h := newBalancer(t, testSettings(), ready(6)...)
-	for _, s := range b.use {
+	for _, s := range b.subset {
 		b.eject(sec, s, "silent")
 	}
-	b.outs = len(b.use)
-	b.Request(sec, Request{ID: 1, Class: 4, Left: 3 * sec})
+	b.ejectedCount = len(b.subset)
+	b.Request(sec, Request{ID: 1, Class: 4, TimeLeft: 3 * sec})
 	if h.count("send 1") != 1 {
 		t.Fatalf("acts %v", h.acts)
 	}
@@ -696,28 +696,28 @@
 	if len(h.timers) != 0 {
 		t.Fatal("asked although pushed")
 	}
-	cfg.Pull = true
+	cfg.PollDiscovery = true
 	b, h = newBalancer(t, cfg, ready(2)...)
 	at, ok := h.timers[discoveryToken]
-	if !ok || at-sec > cfg.MustAskIn {
+	if !ok || at-sec > cfg.MaxPollInterval {
 		t.Fatalf("first watch at %v", at)
 	}
 	for range 8 {
 		b.Timer(at, discoveryToken)
-		b.Members(at, Failed, nil)
+		b.UpdateEndpoints(at, Failed, nil)
 		next := h.timers[discoveryToken]
-		if next <= at || next-at > cfg.MustAskIn {
+		if next <= at || next-at > cfg.MaxPollInterval {
 			t.Fatalf("watch again %v after a failure", next-at)
 		}
 		at = next
 	}
 	asked := h.count("watch")
-	b.Members(at, Delta, ready(2))
+	b.UpdateEndpoints(at, Delta, ready(2))
 	if asked != 8 || h.timers[discoveryToken] != at {
 		t.Fatal("asked again while subscribed")
 	}
-	if len(b.all) != 2 {
-		t.Fatalf("%d servers after a failed call, want the list kept", len(b.all))
+	if len(b.listed) != 2 {
+		t.Fatalf("%d servers after a failed call, want the list kept", len(b.listed))
 	}
 }
 
@@ -726,13 +726,13 @@
 	b, h := newBalancer(t, testSettings(), ready(2)...)
 	b.Outcome(sec, Outcome{ID: 99})
 	b.Timer(sec, 99)
-	b.Gone(sec, 99)
-	b.Started(sec, 99)
-	b.Request(sec, Request{ID: 1, Class: 77, Left: sec})
-	b.Request(sec, Request{ID: 2, Class: 0, Left: sec, Tenant: 1 << 30})
-	b.Request(sec, Request{ID: 2, Class: 0, Left: sec})
+	b.ClientDisconnected(sec, 99)
+	b.ResponseStarted(sec, 99)
+	b.Request(sec, Request{ID: 1, Class: 77, TimeLeft: sec})
+	b.Request(sec, Request{ID: 2, Class: 0, TimeLeft: sec, Tenant: 1 << 30})
+	b.Request(sec, Request{ID: 2, Class: 0, TimeLeft: sec})
 	b.Outcome(sec, Outcome{ID: 2, Attempt: 9})
-	b.Members(sec, Delta, []Server{{ID: 50, State: Gone}})
+	b.UpdateEndpoints(sec, Delta, []Server{{ID: 50, State: Removed}})
 	b.Outcome(sec, Outcome{ID: 2, Server: h.sends[0], Latency: ms, Final: true, Load: []float32{1, 2, 3}})
 	if len(h.acts) != 1 || b.inFlight != 0 {
 		t.Fatalf("acts %v, %d in flight", h.acts, b.inFlight)
@@ -742,13 +742,13 @@
 func TestBadSettings(t *testing.T) {
 	for want, spoil := range map[string]func(*Settings){
 		"Classes: none":   func(s *Settings) { s.Classes = nil },
-		"Classes[0]":      func(s *Settings) { s.Classes[0].Aim = 0 },
+		"Classes[0]":      func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
 		"Balancers":       func(s *Settings) { s.Balancers = 0 },
 		"MaxAttempts":     func(s *Settings) { s.MaxAttempts = 0 },
-		"FallMultiple":    func(s *Settings) { s.FallMultiple = -1 },
-		"WarmUp":          func(s *Settings) { s.WarmUp = -1 },
+		"FallMultiple":    func(s *Settings) { s.OverloadMultiple = -1 },
+		"WarmUp":          func(s *Settings) { s.SlowStart = -1 },
 		"QuotaPerSecond":  func(s *Settings) { s.Tenants = []Tenant{{QuotaPerSecond: -1}} },
-		"must not be neg": func(s *Settings) { s.Me = -1 },
+		"must not be neg": func(s *Settings) { s.Index = -1 },
 	} {
 		cfg := testSettings()
 		spoil(&cfg)
@@ -764,7 +764,7 @@
 		b, h := newBalancer(t, testSettings(), ready(40)...)
 		for i := range 3000 {
 			now := sec + time.Duration(i)*ms
-			b.Request(now, Request{ID: RequestID(i), Class: i % 5, Left: sec})
+			b.Request(now, Request{ID: RequestID(i), Class: i % 5, TimeLeft: sec})
 			if i%3 > 0 && i > 50 {
 				b.Outcome(now, Outcome{ID: RequestID(i - 50), Server: 1, Verdict: Verdict(i % 8), Latency: 50 * ms,
 					Load: []float32{float32(i%100) / 100}})
@@ -820,18 +820,18 @@
 	for _, all := range []bool{false, true} {
 		b, _ := newBalancer(t, testSettings(), ready(6)...)
 		for range 5 {
-			for _, s := range b.use {
+			for _, s := range b.subset {
 				v := OK
-				if all || s == b.use[0] {
+				if all || s == b.subset[0] {
 					v = Error
 				}
-				b.learn(2*sec, s, Outcome{Verdict: v, Latency: 50 * ms})
+				b.recordOutcome(2*sec, s, Outcome{Verdict: v, Latency: 50 * ms})
 			}
 		}
-		if bad := b.use[0]; bad.out == all || !all && b.score(2*sec, bad) <= b.score(2*sec, b.use[1]) {
-			t.Errorf("all err %t: out %t", all, bad.out)
+		if bad := b.subset[0]; bad.ejected == all || !all && b.score(2*sec, bad) <= b.score(2*sec, b.subset[1]) {
+			t.Errorf("all err %t: out %t", all, bad.ejected)
 		}
-		if b.use[1].out {
+		if b.subset[1].ejected {
 			t.Errorf("all err %t: a server was put out for no fault of its own", all)
 		}
 	}
@@ -841,7 +841,7 @@
 // that gets more than an even slice, and marked retries use up nobody's share.
 func TestSharesFollowTheSlice(t *testing.T) {
 	cfg := testSettings()
-	cfg.Balancers, cfg.MarksRetries = 10, true
+	cfg.Balancers, cfg.RetriesMarked = 10, true
 	cfg.Tenants = []Tenant{{QuotaPerSecond: 100}, {QuotaPerSecond: 100}}
 	b, _ := newBalancer(t, cfg, ready(8)...)
 	low := [2]int{}
@@ -851,12 +851,12 @@
 		if i%5 == 0 {
 			tenant = 1
 		}
-		b.Request(now, Request{ID: RequestID(i), Class: 4, Tenant: tenant, Left: 3 * sec})
-		if i > 1000 && b.level(Request{Tenant: tenant, Class: 4}) == lowWorth {
+		b.Request(now, Request{ID: RequestID(i), Class: 4, Tenant: tenant, TimeLeft: 3 * sec})
+		if i > 1000 && b.levelOf(Request{Tenant: tenant, Class: 4}) == lowestLevel {
 			low[tenant]++
 		}
 		before := b.tenants[tenant].tokens
-		if b.level(Request{Tenant: tenant, Class: 4, Retry: true}) != lowWorth || b.tenants[tenant].tokens != before {
+		if b.levelOf(Request{Tenant: tenant, Class: 4, Retry: true}) != lowestLevel || b.tenants[tenant].tokens != before {
 			t.Fatal("a marked retry is not low worth, or uses up a share")
 		}
 	}
@@ -871,7 +871,7 @@
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
 	b.advance(9 * sec)
 	b.inFlight = 1000
-	b.Request(9*sec, Request{ID: 1, Class: 4, Left: 3 * sec})
+	b.Request(9*sec, Request{ID: 1, Class: 4, TimeLeft: 3 * sec})
 	b.advance(b.nextStep)
 	if b.cursor != 1 {
 		t.Fatalf("cursor %d, want 1", b.cursor)
@@ -889,23 +889,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Members(sec, Full, []Server{{ID: 1, State: Ready}})
+	b.UpdateEndpoints(sec, Full, []Server{{ID: 1, State: Ready}})
 	id, now := RequestID(0), sec
 	end := func(v Verdict) {
 		id++
 		now += ms
-		b.Request(now, Request{ID: id, Left: 5 * sec})
+		b.Request(now, Request{ID: id, TimeLeft: 5 * sec})
 		b.Outcome(now, Outcome{ID: id, Server: 1, Verdict: v, Latency: ms, Final: true})
 	}
 	for range 5 {
 		end(OK)
 		end(Reset)
 	}
-	if b.servers[1].out {
+	if b.servers[1].ejected {
 		t.Error("put out for connections that broke singly")
 	}
 	end(Reset)
-	if !b.servers[1].out {
+	if !b.servers[1].ejected {
 		t.Error("not put out")
 	}
 }
@@ -922,7 +922,7 @@
 		list = append(list, Server{ID: id + 1, State: Ready})
 	}
 	now := sec
-	b.Members(now, Full, list)
+	b.UpdateEndpoints(now, Full, list)
 	// Two calls a server are out at all times, so that none of the six is left aside.
 	type call struct {
 		id RequestID
@@ -932,7 +932,7 @@
 	turned, late := 0, 0
 	for id := range RequestID(2000) {
 		now += 10 * ms
-		b.Request(now, Request{ID: id + 1, Left: 5 * sec})
+		b.Request(now, Request{ID: id + 1, TimeLeft: 5 * sec})
 		out = append(out, call{id + 1, 0})
 		for len(out) > 12 {
 			c := out[0]
@@ -941,7 +941,7 @@
 			if r == nil {
 				continue
 			}
-			o := Outcome{ID: c.id, Attempt: c.n, Server: r.attempts[c.n].s.ID, Latency: 120 * ms, Final: true}
+			o := Outcome{ID: c.id, Attempt: c.n, Server: r.attempts[c.n].server.ID, Latency: 120 * ms, Final: true}
 			if o.Server == 1 && id >= 200 {
 				o.Verdict, o.Final = ServerFull, false
 				out = append([]call{{c.id, c.n + 1}}, out...)
@@ -961,21 +961,21 @@
 // had too little time is not.
 func TestComeBack(t *testing.T) {
 	cfg := testSettings()
-	cfg.RetryAfter, cfg.MaxRetryAfter = true, 2*sec
+	cfg.SendsRetryAfter, cfg.MaxRetryAfter = true, 2*sec
 	b, _ := newBalancer(t, cfg, ready(4)...)
 	var waits []time.Duration
 	b.host = &refusals{Host: b.host, waits: &waits}
 	b.advance(9 * sec)
 	b.inFlight = 1000
 	for id := range RequestID(20) {
-		b.Request(9*sec, Request{ID: id + 1, Class: 0, Left: 3 * sec})
+		b.Request(9*sec, Request{ID: id + 1, Class: 0, TimeLeft: 3 * sec})
 	}
 	slices.Sort(waits)
 	if len(waits) != 20 || waits[0] < b.period/2 || waits[19] > 3*b.period || waits[19]-waits[0] < b.period/4 {
 		t.Errorf("period %v: %v", b.period, waits)
 	}
 	b.inFlight = 0
-	b.Request(9*sec, Request{ID: 30, Class: 0, Left: ms})
+	b.Request(9*sec, Request{ID: 30, Class: 0, TimeLeft: ms})
 	if len(waits) != 21 || waits[20] != 0 {
 		t.Errorf("too little time: %v", waits[20:])
 	}
@@ -986,27 +986,29 @@
 	waits *[]time.Duration
 }
 
-func (r *refusals) Refuse(_ RequestID, after time.Duration) { *r.waits = append(*r.waits, after) }
+func (r *refusals) Reject(_ RequestID, after time.Duration) { *r.waits = append(*r.waits, after) }
 
 // What is learnt of the time that a class takes is forgotten where nothing new is seen, so that a time of slowness
 // does not shut callers out for good.
 func TestHopeForgets(t *testing.T) {
 	b, _ := newBalancer(t, testSettings(), ready(4)...)
-	b.base = 0.01
-	of := func(class int) *request { return &request{class: &b.cfg.Classes[class], hope: b.hopes[class]} }
+	b.baseLatency = 0.01
+	of := func(class int) *request {
+		return &request{class: &b.settings.Classes[class], expected: b.expected[class]}
+	}
 	for range 50 {
-		b.hopes[0].learn(sec, OK, 1)
+		b.expected[0].observe(sec, OK, 1)
 	}
-	if !b.hopeless(sec, of(0), 0.8) || b.hopeless(sec, of(0), 1.2) || b.hopeless(sec, of(1), 0.8) {
+	if !b.hasTooLittleTime(sec, of(0), 0.8) || b.hasTooLittleTime(sec, of(0), 1.2) || b.hasTooLittleTime(sec, of(1), 0.8) {
 		t.Error("not as learnt")
 	}
-	if b.hopeless(20*sec, of(0), 0.8) {
+	if b.hasTooLittleTime(20*sec, of(0), 0.8) {
 		t.Error("not forgotten")
 	}
 	for range 50 {
-		b.hopes[0].learn(sec, Timeout, 0.5) // cut off sooner: tells nothing
+		b.expected[0].observe(sec, Timeout, 0.5) // cut off sooner: tells nothing
 	}
-	if !b.hopeless(sec, of(0), 0.8) {
+	if !b.hasTooLittleTime(sec, of(0), 0.8) {
 		t.Error("lowered by calls that had no answer")
 	}
 }
@@ -1017,21 +1019,21 @@
 	for _, on := range []bool{true, false} {
 		b, h := newBalancer(t, testSettings(), ready(1)...)
 		for i := range RequestID(8) {
-			b.Request(sec, Request{ID: i + 1, Left: 9 * sec})
-			b.OnWay(sec, i+1, 0, on)
+			b.Request(sec, Request{ID: i + 1, TimeLeft: 9 * sec})
+			b.SetDispatchPending(sec, i+1, 0, on)
 		}
 		s := b.servers[1]
 		for now := sec; now < 6*sec; now += sec / 10 {
 			b.advance(now)
 		}
-		if s.out == on || (s.held == 0 && !s.out) != on {
-			t.Errorf("on its way %t: out %t, held %v", on, s.out, s.held)
+		if s.ejected == on || (s.waited == 0 && !s.ejected) != on {
+			t.Errorf("on its way %t: out %t, held %v", on, s.ejected, s.waited)
 		}
 		for i := range RequestID(8) {
-			b.Outcome(6*sec, Outcome{ID: i + 1, Server: 1, Verdict: Moot, Final: true})
+			b.Outcome(6*sec, Outcome{ID: i + 1, Server: 1, Verdict: NotSent, Final: true})
 		}
-		if s.onWay != 0 || s.inFlight != 0 || len(h.sends) < 8 {
-			t.Errorf("%d on their way, %d in flight", s.onWay, s.inFlight)
+		if s.dispatchPending != 0 || s.inFlight != 0 || len(h.sends) < 8 {
+			t.Errorf("%d on their way, %d in flight", s.dispatchPending, s.inFlight)
 		}
 	}
 }
--- a/decide/discovery.go
+++ b/decide/discovery.go
@@ -6,23 +6,23 @@
 
 const discoveryToken = 1 << 63
 
-// follow keeps the watch on discovery where it must be asked for: again after a failure, later each time
+// schedulePoll keeps the watch on discovery where it must be asked for: again after a failure, later each time
 // and never in step with the others.
-func (b *Balancer) follow(now time.Duration, kind ListKind) {
-	if !b.cfg.Pull {
+func (b *Balancer) schedulePoll(now time.Duration, kind ListKind) {
+	if !b.settings.PollDiscovery {
 		return
 	}
 	var wait float64
 	switch {
 	case kind == Failed:
-		b.fails = min(b.fails+1, 5)
-		wait = min(0.5*float64(int(1)<<b.fails), b.cfg.MustAskIn.Seconds()/2)
+		b.pollFailures = min(b.pollFailures+1, 5)
+		wait = min(0.5*float64(int(1)<<b.pollFailures), b.settings.MaxPollInterval.Seconds()/2)
 	case !b.watching:
-		wait = b.cfg.MustAskIn.Seconds() / 8
+		wait = b.settings.MaxPollInterval.Seconds() / 8
 	default:
-		b.fails = 0
+		b.pollFailures = 0
 		return
 	}
 	b.watching = true
-	b.host.SetTimer(now+time.Duration(wait*(0.5+b.rng.Float64())*float64(time.Second)), discoveryToken)
+	b.host.SetTimer(now+time.Duration(wait*(0.5+b.random.Float64())*float64(time.Second)), discoveryToken)
 }
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -11,7 +11,7 @@
 type printer struct{}
 
 func (printer) Send(id decide.RequestID, s decide.ServerID) { fmt.Println("send", id, "to", s) }
-func (printer) Refuse(id decide.RequestID, _ time.Duration) { fmt.Println("refuse", id) }
+func (printer) Reject(id decide.RequestID, _ time.Duration) { fmt.Println("refuse", id) }
 func (printer) Fail(id decide.RequestID)                    { fmt.Println("fail", id) }
 func (printer) Cancel(id decide.RequestID, n int)           { fmt.Println("cancel", id, n) }
 func (printer) Watch()                                      {}
@@ -23,7 +23,7 @@
 	settings := decide.Settings{
 		Balancers:   1,
 		MaxAttempts: 2,
-		Classes:     []decide.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: decide.Unsafe}},
+		Classes:     []decide.Class{{LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1, Effect: decide.NonIdempotent}},
 	}
 	b, err := decide.New(settings, 42, printer{})
 	if err != nil {
@@ -31,11 +31,11 @@
 		return
 	}
 	now := time.Second
-	b.Request(now, decide.Request{ID: 1, Left: 2 * time.Second}) // no server is known yet
-	b.Members(now, decide.Full, []decide.Server{{ID: 7, State: decide.Ready}})
-	b.Request(now, decide.Request{ID: 2, Left: 2 * time.Second})
+	b.Request(now, decide.Request{ID: 1, TimeLeft: 2 * time.Second}) // no server is known yet
+	b.UpdateEndpoints(now, decide.Full, []decide.Server{{ID: 7, State: decide.Ready}})
+	b.Request(now, decide.Request{ID: 2, TimeLeft: 2 * time.Second})
 	b.Outcome(now+30*time.Millisecond, decide.Outcome{ID: 2, Server: 7, Latency: 30 * time.Millisecond, Final: true})
-	b.Request(now, decide.Request{ID: 3, Left: 2 * time.Second})
+	b.Request(now, decide.Request{ID: 3, TimeLeft: 2 * time.Second})
 	b.Outcome(now+time.Second, decide.Outcome{ID: 3, Server: 7, Verdict: decide.Reset, Latency: time.Second})
 	// Output:
 	// refuse 1
--- a/decide/fleet_cold_test.go
+++ b/decide/fleet_cold_test.go
@@ -24,9 +24,9 @@
 
 func (f *falls) count(e *endpoint, now time.Duration, work, told float64) {
 	s := fleetSettings(1)
-	age := (now - e.StartedAt).Seconds() / s.WarmUp.Seconds()
-	least := min(1, s.StartCapacity+(1-s.StartCapacity)*age)
-	n := s.FallMultiple * least * s.FallWindow.Seconds() / e.work
+	age := (now - e.StartedAt).Seconds() / s.SlowStart.Seconds()
+	least := min(1, s.InitialCapacity+(1-s.InitialCapacity)*age)
+	n := s.OverloadMultiple * least * s.OverloadWindow.Seconds() / e.work
 	over := work / e.work / (n + 2*math.Sqrt(n) + 2)
 	f.most, f.chance = max(f.most, over), max(f.chance, work/e.work/n)
 	if over > 1 {
@@ -46,15 +46,15 @@
 	for m.members[i] != m {
 		i++
 	}
-	next := m.begin(m.b.cfg.Me, m.rng.Uint64())
+	next := m.begin(m.b.settings.Index, m.rng.Uint64())
 	m.members = m.members[:len(m.members)-1]
 	m.members[i] = next
 	var list []Server
-	for _, s := range m.b.all {
+	for _, s := range m.b.listed {
 		list = append(list, s.Server)
 	}
 	next.hear(Cached, list)
-	next.b.Follow(m.now, m.b.Learnt(m.now))
+	next.b.Restore(m.now, m.b.Snapshot(m.now))
 	m.heir = next
 	m.old = append(m.old, m)
 }
@@ -192,7 +192,7 @@
 	f.after(at-f.now, func() {
 		for i := range n {
 			var list []Server
-			for _, s := range f.members[i].b.all {
+			for _, s := range f.members[i].b.listed {
 				list = append(list, s.Server)
 			}
 			m := f.begin(i, uint64(i)+7000*f.seed)
@@ -268,7 +268,7 @@
 }
 
 func (h coldHost) Send(_ RequestID, to ServerID)       { h.f.sends[to] = append(h.f.sends[to], h.f.now) }
-func (h coldHost) Refuse(RequestID, time.Duration)     {}
+func (h coldHost) Reject(RequestID, time.Duration)     {}
 func (h coldHost) Fail(RequestID)                      {}
 func (h coldHost) Cancel(RequestID, int)               {}
 func (h coldHost) CloseIdle(ServerID)                  {}
@@ -286,13 +286,13 @@
 	}
 	for i := range balancers {
 		cfg := fleetSettings(balancers)
-		cfg.Me, cfg.Zone, cfg.MaxAttempts = i, i%3, 1
+		cfg.Index, cfg.Zone, cfg.MaxAttempts = i, i%3, 1
 		b, err := New(cfg, uint64(i), coldHost{f: f})
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Members(f.now, Cached, list)
-		b.full = coldFull
+		b.UpdateEndpoints(f.now, Cached, list)
+		b.serverCapacity = coldFull
 		f.balancer = append(f.balancer, b)
 	}
 	return f
@@ -304,7 +304,7 @@
 		for _, b := range f.balancer {
 			for range calls {
 				f.id++
-				b.Request(f.now, Request{ID: f.id, Tenant: -1, Left: 5 * sec})
+				b.Request(f.now, Request{ID: f.id, Tenant: -1, TimeLeft: 5 * sec})
 			}
 		}
 	}
@@ -318,11 +318,11 @@
 		all += len(at)
 		for i, last := range at {
 			first := i
-			for first > 0 && at[first-1] > last-s.FallWindow {
+			for first > 0 && at[first-1] > last-s.OverloadWindow {
 				first--
 			}
-			c := s.StartCapacity + (1-s.StartCapacity)*(last-sec).Seconds()/s.WarmUp.Seconds()
-			n := s.FallMultiple * c * coldFull * s.FallWindow.Seconds()
+			c := s.InitialCapacity + (1-s.InitialCapacity)*(last-sec).Seconds()/s.SlowStart.Seconds()
+			n := s.OverloadMultiple * c * coldFull * s.OverloadWindow.Seconds()
 			if got := float64(i - first + 1); got > n+2*math.Sqrt(n)+2 {
 				f.t.Fatalf("endpoint %d got %.0f calls in the window up to %v, and %.1f push it over", id, got, last, n+2*math.Sqrt(n)+2)
 			}
@@ -354,7 +354,7 @@
 func TestColdTrials(t *testing.T) {
 	f := newColdFleet(t, 80, 12)
 	for _, b := range f.balancer {
-		b.servers[1].out = true
+		b.servers[1].ejected = true
 	}
 	f.ask(sec+500*ms, 10*ms, 1)
 	f.holds()
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -127,13 +127,13 @@
 
 func fleetSettings(balancers int) Settings {
 	class := func(worth float64, e Effect, sc Scope) Class {
-		return Class{Aim: 2 * sec, Deadline: 5 * sec, Worth: worth, Effect: e, Scope: sc, Window: 8 * sec}
+		return Class{LatencyObjective: 2 * sec, Deadline: 5 * sec, PriorityWeight: worth, Effect: e, Scope: sc, Window: 8 * sec}
 	}
 	return Settings{Balancers: balancers,
-		Classes:     []Class{class(1, Safe, 0), class(3, Keyed, ScopeAll), class(10, Keyed, ScopeZone)},
-		MaxAttempts: 3, MayCancel: true, MayDuplicate: true, RetryAfter: true, MaxRetryAfter: 2 * sec, ConnIdle: 5 * sec,
-		StartCapacity: 0.15, WarmUp: 22 * sec, FallMultiple: 2.5, FallWindow: 2 * sec, MustAskIn: 10 * sec,
-		CrossZonePrice: 0.01, Report: []Field{FieldUtil, FieldRate}}
+		Classes:     []Class{class(1, Idempotent, 0), class(3, KeyedIdempotent, ScopeAll), class(10, KeyedIdempotent, ScopeZone)},
+		MaxAttempts: 3, MayCancel: true, MayHedge: true, SendsRetryAfter: true, MaxRetryAfter: 2 * sec, ConnIdleTimeout: 5 * sec,
+		InitialCapacity: 0.15, SlowStart: 22 * sec, OverloadMultiple: 2.5, OverloadWindow: 2 * sec, MaxPollInterval: 10 * sec,
+		CrossZonePrice: 0.01, ReportFields: []Field{FieldUtilization, FieldRequestRate}}
 }
 
 // newFleet starts all balancers within a second, each with an even part of the load.
@@ -178,9 +178,9 @@
 		cfg.Balancers = f.shape.told
 	}
 	if f.silent {
-		cfg.Report = nil
+		cfg.ReportFields = nil
 	}
-	cfg.Me, cfg.Zone = i%cfg.Balancers, i%3
+	cfg.Index, cfg.Zone = i%cfg.Balancers, i%3
 	m := &member{fleet: f, told: map[ServerID]State{}, start: map[ServerID]time.Duration{}, held: map[RequestID]*call{}}
 	var err error
 	if m.b, err = New(cfg, seed, m); err != nil {
@@ -196,7 +196,7 @@
 	for _, s := range list {
 		m.told[s.ID], m.start[s.ID] = s.State, s.StartedAt
 	}
-	m.b.Members(m.now, kind, list)
+	m.b.UpdateEndpoints(m.now, kind, list)
 	if m.heir != nil {
 		m.heir.hear(kind, list)
 	}
@@ -223,17 +223,17 @@
 			return
 		}
 		id, class := RequestID(n+1), min(m.rng.IntN(5)/2, 2)
-		c := &call{class: m.b.cfg.Classes[class], came: m.now, open: map[int]bool{}}
+		c := &call{class: m.b.settings.Classes[class], came: m.now, open: map[int]bool{}}
 		m.held[id] = c
-		m.arrived[c.class.Worth]++
-		m.b.Request(m.now, Request{ID: id, Class: class, Tenant: -1, Left: c.class.Deadline})
+		m.arrived[c.class.PriorityWeight]++
+		m.b.Request(m.now, Request{ID: id, Class: class, Tenant: -1, TimeLeft: c.class.Deadline})
 		m.next(rate, n+1)
 	})
 }
 
 func (m *member) note(what string, id RequestID, s ServerID) {
 	h := fnv.New64a()
-	fmt.Fprint(h, m.trace, m.now, m.b.cfg.Me, what, id, s)
+	fmt.Fprint(h, m.trace, m.now, m.b.settings.Index, what, id, s)
 	m.trace = h.Sum64()
 }
 
@@ -241,10 +241,10 @@
 	m.note("send", id, to)
 	c, e := m.held[id], m.endpoints[to]
 	if c.finals > 0 || m.now >= c.came+c.class.Deadline {
-		m.t.Fatalf("rule 1: balancer %d sends request %d after its end", m.b.cfg.Me, id)
+		m.t.Fatalf("rule 1: balancer %d sends request %d after its end", m.b.settings.Index, id)
 	}
 	if m.told[to] != Ready {
-		m.t.Fatalf("rule 3: balancer %d sends to endpoint %d, told to be %d", m.b.cfg.Me, to, m.told[to])
+		m.t.Fatalf("rule 3: balancer %d sends to endpoint %d, told to be %d", m.b.settings.Index, to, m.told[to])
 	}
 	n := c.attempts
 	c.attempts++
@@ -258,8 +258,8 @@
 		final := v == OK && c.finals == 0
 		if final {
 			m.final(id)
-			if m.now-c.came <= c.class.Aim {
-				m.inTime[c.class.Worth]++
+			if m.now-c.came <= c.class.LatencyObjective {
+				m.inTime[c.class.PriorityWeight]++
 			}
 		}
 		m.b.Outcome(m.now, Outcome{ID: id, Attempt: n, Server: to, Verdict: v, Latency: lat, Final: final || c.finals > 0, Load: load})
@@ -327,14 +327,14 @@
 func (m *member) final(id RequestID) {
 	c := m.held[id]
 	if c.finals++; c.finals > 1 {
-		m.t.Fatalf("rule 1: balancer %d answers request %d twice", m.b.cfg.Me, id)
+		m.t.Fatalf("rule 1: balancer %d answers request %d twice", m.b.settings.Index, id)
 	}
 }
 
-func (m *member) Refuse(id RequestID, _ time.Duration) {
+func (m *member) Reject(id RequestID, _ time.Duration) {
 	m.note("refuse", id, 0)
 	m.final(id)
-	m.refused[m.held[id].class.Worth]++
+	m.refused[m.held[id].class.PriorityWeight]++
 }
 func (m *member) Fail(id RequestID) { m.note("fail", id, 0); m.final(id) }
 func (m *member) Cancel(id RequestID, n int) {
@@ -361,7 +361,7 @@
 		f.add(s)
 		f.tell(sec, gone)
 		f.tell(2*sec, s)
-		gone.State = Gone
+		gone.State = Removed
 		f.after(3*sec, func() { f.tell(sec, gone) })
 	})
 }
@@ -371,11 +371,11 @@
 	for _, m := range append(f.old, f.members...) {
 		for id, c := range m.held {
 			if c.finals != 1 {
-				f.t.Fatalf("rule 1: balancer %d: request %d has %d answers", m.b.cfg.Me, id, c.finals)
+				f.t.Fatalf("rule 1: balancer %d: request %d has %d answers", m.b.settings.Index, id, c.finals)
 			}
 		}
 		if n := len(m.b.requests); n > 0 || m.b.inFlight != 0 {
-			f.t.Fatalf("balancer %d keeps %d requests, %d in flight", m.b.cfg.Me, n, m.b.inFlight)
+			f.t.Fatalf("balancer %d keeps %d requests, %d in flight", m.b.settings.Index, n, m.b.inFlight)
 		}
 	}
 }
@@ -383,7 +383,7 @@
 // restart kills a balancer and starts it again with the list that it last held; what it held is for its callers.
 func (m *member) restart() {
 	var list []Server
-	for _, s := range m.b.all {
+	for _, s := range m.b.listed {
 		list = append(list, s.Server)
 	}
 	for _, c := range m.held {
@@ -393,7 +393,7 @@
 		clear(c.open)
 	}
 	var err error
-	if m.b, err = New(m.b.cfg, uint64(m.b.cfg.Me)+1000, m); err != nil {
+	if m.b, err = New(m.b.settings, uint64(m.b.settings.Index)+1000, m); err != nil {
 		m.t.Fatal(err)
 	}
 	m.hear(Cached, list)
@@ -425,7 +425,7 @@
 	f.settled()
 	for _, m := range f.members {
 		if n := len(m.b.servers); n != endpoints {
-			t.Fatalf("balancer %d keeps %d endpoints of %d", m.b.cfg.Me, n, endpoints)
+			t.Fatalf("balancer %d keeps %d endpoints of %d", m.b.settings.Index, n, endpoints)
 		}
 	}
 	return f
@@ -452,7 +452,7 @@
 		if least := 0.5; f.coldWork < least*f.coldCould {
 			t.Errorf("%d balancers: cold endpoints did %.2f of what they could in a shortage", balancers, f.coldWork/f.coldCould)
 		}
-		if float64(f.sends) > (1+retryShare)*float64(all) {
+		if float64(f.sends) > (1+retryBudgetRatio)*float64(all) {
 			t.Errorf("%d balancers: %d attempts for %d requests", balancers, f.sends, all)
 		}
 		if part(f.inTime, 10) < 0.75 || part(f.inTime, 10) < part(f.inTime, 1)+0.05 {
@@ -478,7 +478,7 @@
 		parts := func(at time.Duration, of []*member, balancers int, me func(i int) int) {
 			f.after(at-f.now, func() {
 				for i, m := range of {
-					m.b.Fleet(f.now, balancers, me(i))
+					m.b.SetBalancers(f.now, balancers, me(i))
 				}
 			})
 		}
@@ -540,7 +540,7 @@
 		if most := map[bool]float64{true: 0.8, false: 1.25}[balancers <= 80]; f.pressure > most {
 			t.Errorf("%d balancers: %.2f of what pushes a cold endpoint over", balancers, f.pressure)
 		}
-		if float64(f.sends) > (1+retryShare)*float64(all) {
+		if float64(f.sends) > (1+retryBudgetRatio)*float64(all) {
 			t.Errorf("%d balancers: %d attempts for %d requests", balancers, f.sends, all)
 		}
 		if good < 0.9 {
--- a/decide/health.go
+++ b/decide/health.go
@@ -9,163 +9,163 @@
 
 // checkHealth finds silent servers, and takes their calls out of the queue.
 func (b *Balancer) checkHealth(now time.Duration) {
-	b.outs, b.stuck, b.able = 0, 0, 0
-	b.learnFull(now)
-	for _, s := range b.use {
-		b.able += b.capacity(now, s)
-		s.wait(now)
-		b.silent(now, s)
-		if s.out {
-			b.outs++
-			b.stuck += s.inFlight - s.onWay
+	b.ejectedCount, b.inFlightEjected, b.totalCapacity = 0, 0, 0
+	b.updateServerCapacity(now)
+	for _, s := range b.subset {
+		b.totalCapacity += b.capacity(now, s)
+		s.accumulateWait(now)
+		b.ejectIfUnresponsive(now, s)
+		if s.ejected {
+			b.ejectedCount++
+			b.inFlightEjected += s.inFlight - s.dispatchPending
 		}
 	}
-	if w := b.wanted(); w > b.want {
-		b.subset()
+	if w := b.targetSubsetSize(); w > b.subsetSize {
+		b.updateSubset()
 	}
 }
 
-// learnFull follows what a warm server can answer.
-func (b *Balancer) learnFull(now time.Duration) {
+// updateServerCapacity follows what a warm server can answer.
+func (b *Balancer) updateServerCapacity(now time.Duration) {
 	sum, n := 0.0, 0.0
-	for _, s := range b.use {
-		if s.rate > 0 && (s.began() <= 0 || now-s.began() > b.cfg.WarmUp) {
-			sum += s.rate
+	for _, s := range b.subset {
+		if s.reportedCapacity > 0 && (s.startTime() <= 0 || now-s.startTime() > b.settings.SlowStart) {
+			sum += s.reportedCapacity
 			n++
 		}
 	}
 	if n > 0 {
-		b.full = sum / n
+		b.serverCapacity = sum / n
 	}
 }
 
-// wait adds up what the calls with a server have waited for since it last answered.
-func (s *server) wait(now time.Duration) {
-	if there := s.inFlight - s.onWay; there > 0 {
-		dt := (now - s.heldAt).Seconds()
-		s.quiet += dt
-		s.held += dt * float64(there)
+// accumulateWait adds up what the calls with a server have waited for since it last answered.
+func (s *server) accumulateWait(now time.Duration) {
+	if there := s.inFlight - s.dispatchPending; there > 0 {
+		dt := (now - s.waitedAt).Seconds()
+		s.silent += dt
+		s.waited += dt * float64(there)
 	}
-	s.heldAt = now
+	s.waitedAt = now
 }
 
-// silent puts a server out whose calls have waited for many times the usual latency, all together, with no
+// ejectIfUnresponsive puts a server out whose calls have waited for many times the usual latency, all together, with no
 // answer. Each wait counts for as long as it was: calls that had little time, or were given up, say little,
 // and many say as much as one long one. It guards against machines that hang, vanish or crawl, found the
 // sooner the more they hold, and against putting out sound ones for callers in a hurry. Where most of the
 // pool is slow the usual latency rises with it. It could hurt where a server answers a batch at a time, later
 // than silentWait allows.
-func (b *Balancer) silent(now time.Duration, s *server) {
-	usual := b.usual() / max(b.capacity(now, s), 0.1)
-	if s.held > silentMult*usual && s.quiet > silentWait*usual && (!s.out || now >= s.outUntil) {
+func (b *Balancer) ejectIfUnresponsive(now time.Duration, s *server) {
+	usual := b.usualLatency() / max(b.capacity(now, s), 0.1)
+	if s.waited > unresponsiveMultiple*usual && s.silent > minUnresponsiveWait*usual && (!s.ejected || now >= s.ejectedUntil) {
 		b.eject(now, s, "silent")
 	}
 }
 
 func (b *Balancer) eject(now time.Duration, s *server, why string) {
-	if !s.out {
+	if !s.ejected {
 		b.host.Log(fmt.Sprintf("server %d out: %s", s.ID, why))
 	}
-	s.out, s.held, s.quiet = true, 0, 0
-	s.outs = min(s.outs+1, 4)
-	s.outUntil = now + time.Duration((0.5+b.rng.Float64())*float64(time.Second<<(s.outs-1)))
+	s.ejected, s.waited, s.silent = true, 0, 0
+	s.ejections = min(s.ejections+1, 4)
+	s.ejectedUntil = now + time.Duration((0.5+b.random.Float64())*float64(time.Second<<(s.ejections-1)))
 }
 
-// failing puts a server out that answers with errors, or turns calls away, where the others do not: it is
+// ejectIfFailing puts a server out that answers with errors, or turns calls away, where the others do not: it is
 // quick and idle, which would make it the best ranked of all and draw every retry. It guards against all that
 // fails at once (a broken release, a rate limit, a server that drains and hasn't said so). Errors from deeper
 // in the chain, and an overload, come from all servers alike: others is what the pool has of them.
-func (b *Balancer) failing(now time.Duration, s *server, others float64, why string) {
-	if s.bad > 0.5 && s.bad*b.answers > others && (!s.out || now >= s.outUntil) {
+func (b *Balancer) ejectIfFailing(now time.Duration, s *server, others float64, why string) {
+	if s.errorRatio > 0.5 && s.errorRatio*b.answerCount > others && (!s.ejected || now >= s.ejectedUntil) {
 		b.eject(now, s, why)
 	}
 }
 
-// takesTrial lets a server that is out have one call at a time, of those that may be sent again.
-func (b *Balancer) takesTrial(now time.Duration, r *request, s *server) bool {
-	return s.out && now >= s.outUntil && s.inFlight == 0 && r.class.Effect != Unsafe
+// mayProbe lets a server that is out have one call at a time, of those that may be sent again.
+func (b *Balancer) mayProbe(now time.Duration, r *request, s *server) bool {
+	return s.ejected && now >= s.ejectedUntil && s.inFlight == 0 && r.class.Effect != NonIdempotent
 }
 
-// learn takes an attempt's end into the server's and the pool's figures.
-func (b *Balancer) learn(now time.Duration, s *server, o Outcome) {
-	lat, usual := o.Latency.Seconds(), b.usual()
-	switch trial := s.out && now >= s.outUntil; o.Verdict {
+// recordOutcome takes an attempt's end into the server's and the pool's figures.
+func (b *Balancer) recordOutcome(now time.Duration, s *server, o Outcome) {
+	lat, usual := o.Latency.Seconds(), b.usualLatency()
+	switch trial := s.ejected && now >= s.ejectedUntil; o.Verdict {
 	case OK, Error, ServerFull, Rejected:
-		s.answered, s.held, s.quiet = now, 0, 0
+		s.answeredAt, s.waited, s.silent = now, 0, 0
 	case Timeout, Cancelled: // a trial that had its time and no answer
-		if trial && lat > usual && s.answered < now-o.Latency {
+		if trial && lat > usual && s.answeredAt < now-o.Latency {
 			b.eject(now, s, "silent")
 		}
 	}
-	b.silent(now, s)
+	b.ejectIfUnresponsive(now, s)
 	switch {
-	case s.out && o.Verdict != OK: // tells of the server, not of the load of those in use (weakness 3)
+	case s.ejected && o.Verdict != OK: // tells of the server, not of the load of those in use (weakness 3)
 	case o.Verdict == OK || o.Verdict == Error || o.Verdict == Timeout:
-		b.done++
-		b.answers++
+		b.answeredInPeriod++
+		b.answerCount++
 		if o.Verdict != OK { // an answer would have taken longer: it must not pass for a quick one
-			b.errs++
+			b.errorCount++
 			lat = max(lat, usual)
 		}
-		b.latSum += lat
+		b.latencySum += lat
 	case o.Verdict == ServerFull || o.Verdict == ConnectFailed:
-		b.answers++
-		b.fulls++
+		b.answerCount++
+		b.fullCount++
 	}
 	switch o.Verdict {
 	case OK:
-		if s.lat == 0 {
-			s.lat = (lat + b.usual()) / 2
+		if s.latency == 0 {
+			s.latency = (lat + b.usualLatency()) / 2
 		}
-		s.lat += (lat - s.lat) * 0.2
-		s.bad *= 0.7
-		s.out, s.outs = false, 0
+		s.latency += (lat - s.latency) * 0.2
+		s.errorRatio *= 0.7
+		s.ejected, s.ejections = false, 0
 	case Error:
-		s.bad += (1 - s.bad) * 0.3
-		b.failing(now, s, 2*b.errs, "errors")
+		s.errorRatio += (1 - s.errorRatio) * 0.3
+		b.ejectIfFailing(now, s, 2*b.errorCount, "errors")
 	case ServerFull:
-		s.bad += (1 - s.bad) * 0.3
-		b.failing(now, s, b.errs+b.fulls, "full")
+		s.errorRatio += (1 - s.errorRatio) * 0.3
+		b.ejectIfFailing(now, s, b.errorCount+b.fullCount, "full")
 	case ConnectFailed: // a server that answers between two of them is full of connections, not gone
-		if s.broke(now) {
+		if s.connectionFailed(now) {
 			b.eject(now, s, "failing")
 		} else {
-			b.crowded = now
+			b.connectionsFullAt = now
 		}
 	case Reset: // one that answers between two of them has lost connections, not its process: it ranks lower
-		s.bad += (1 - s.bad) * 0.3
-		if s.broke(now) {
+		s.errorRatio += (1 - s.errorRatio) * 0.3
+		if s.connectionFailed(now) {
 			b.eject(now, s, "failing")
 		}
 	}
-	b.report(now, s, o.Load)
+	b.recordLoadReport(now, s, o.Load)
 }
 
-// broke notes a connection that failed or broke, and tells whether another did with no answer since. It
+// connectionFailed notes a connection that failed or broke, and tells whether another did with no answer since. It
 // guards against processes and machines that die, without taking for one what any server loses singly (an
 // idle connection closed as a call was written): put out for that, it would leave its load to the others
 // just as their connections break too. A server that dies costs one call more.
-func (s *server) broke(now time.Duration) bool {
-	again := s.answered < s.noConn
-	s.noConn = now
+func (s *server) connectionFailed(now time.Duration) bool {
+	again := s.answeredAt < s.connFailedAt
+	s.connFailedAt = now
 	return again
 }
 
-// report takes a load report: a server's rate over its utilisation is what it could answer.
-func (b *Balancer) report(now time.Duration, s *server, load []float32) {
+// recordLoadReport takes a load report: a server's rate over its utilisation is what it could answer.
+func (b *Balancer) recordLoadReport(now time.Duration, s *server, load []float32) {
 	rate := 0.0
-	for i, v := range load[:min(len(load), len(b.cfg.Report))] {
-		switch b.cfg.Report[i] {
-		case FieldUtil:
-			s.util, s.reported = float64(v), now
-		case FieldRate:
+	for i, v := range load[:min(len(load), len(b.settings.ReportFields))] {
+		switch b.settings.ReportFields[i] {
+		case FieldUtilization:
+			s.utilization, s.reportedAt = float64(v), now
+		case FieldRequestRate:
 			rate = float64(v)
 		}
 	}
-	if s.reported == now && s.util > leastUtil && rate > 0 {
-		if s.rate == 0 {
-			s.rate = rate / s.util
+	if s.reportedAt == now && s.utilization > minReportedUtilization && rate > 0 {
+		if s.reportedCapacity == 0 {
+			s.reportedCapacity = rate / s.utilization
 		}
-		s.rate += (rate/s.util - s.rate) * 0.3
+		s.reportedCapacity += (rate/s.utilization - s.reportedCapacity) * 0.3
 	}
 }
--- a/decide/lists.go
+++ b/decide/lists.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// Members takes a list event. Servers that leave it get nothing new from now on.
-func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Server) {
+// UpdateEndpoints takes a list event. Servers that leave it get nothing new from now on.
+func (b *Balancer) UpdateEndpoints(now time.Duration, kind ListKind, entries []Server) {
 	b.advance(now)
-	b.follow(now, kind)
+	b.schedulePoll(now, kind)
 	if kind == Failed {
 		return
 	}
@@ -21,92 +21,92 @@
 		for _, e := range entries {
 			named[e.ID] = true
 		}
-		for _, s := range b.all {
+		for _, s := range b.listed {
 			if !named[s.ID] {
-				s.State = Gone
+				s.State = Removed
 			}
 		}
 	}
 	for _, e := range entries {
-		b.enlist(e)
+		b.updateServer(e)
 	}
-	b.all = slices.DeleteFunc(b.all, func(s *server) bool {
-		if s.State == Gone {
+	b.listed = slices.DeleteFunc(b.listed, func(s *server) bool {
+		if s.State == Removed {
 			delete(b.servers, s.ID)
 		}
-		return s.State == Gone
+		return s.State == Removed
 	})
-	slices.SortFunc(b.all, func(x, y *server) int {
-		return cmp.Compare(mix(x.ID), mix(y.ID))
+	slices.SortFunc(b.listed, func(x, y *server) int {
+		return cmp.Compare(hashID(x.ID), hashID(y.ID))
 	})
-	b.subset()
+	b.updateSubset()
 }
 
-// Fleet tells how many balancers there are now, and which of them this one is.
-func (b *Balancer) Fleet(now time.Duration, balancers, me int) {
+// SetBalancers tells how many balancers there are now, and which of them this one is.
+func (b *Balancer) SetBalancers(now time.Duration, balancers, me int) {
 	b.advance(now)
-	if balancers < 1 || me < 0 || balancers == b.cfg.Balancers && me == b.cfg.Me {
+	if balancers < 1 || me < 0 || balancers == b.settings.Balancers && me == b.settings.Index {
 		return
 	}
-	b.cfg.Balancers, b.cfg.Me = balancers, me
-	b.subset()
+	b.settings.Balancers, b.settings.Index = balancers, me
+	b.updateSubset()
 }
 
-func (b *Balancer) enlist(e Server) {
+func (b *Balancer) updateServer(e Server) {
 	s := b.servers[e.ID]
 	if s == nil {
-		if e.State == Gone {
+		if e.State == Removed {
 			return
 		}
 		s = &server{Server: e}
-		_, s.banned = b.banned[e.ID]
+		_, s.manuallyEjected = b.manuallyEjected[e.ID]
 		b.servers[e.ID] = s
-		b.all = append(b.all, s)
+		b.listed = append(b.listed, s)
 	}
 	if s.StartedAt != e.StartedAt { // a new process: what was known of the old one is void
-		s.forget()
-		if since, banned := b.banned[e.ID]; !banned || e.StartedAt > since {
-			s.back = 0
+		s.reset()
+		if since, banned := b.manuallyEjected[e.ID]; !banned || e.StartedAt > since {
+			s.restoredAt = 0
 		}
 	}
 	s.Server = e
 }
 
-func (s *server) forget() {
-	s.lat, s.out, s.outs, s.reported, s.held, s.quiet, s.rate, s.filled = 0, false, 0, 0, 0, 0, 0, 0
+func (s *server) reset() {
+	s.latency, s.ejected, s.ejections, s.reportedAt, s.waited, s.silent, s.reportedCapacity, s.budgetFilledAt = 0, false, 0, 0, 0, 0, 0, 0
 }
 
-// usable tells whether a server may have new calls, as far as discovery and hands say.
-func (s *server) usable() bool { return s.State == Ready && !s.banned }
+// isEligible tells whether a server may have new calls, as far as discovery and hands say.
+func (s *server) isEligible() bool { return s.State == Ready && !s.manuallyEjected }
 
-// Ban keeps a server, listed or not, from new calls, or ends that. Back from a ban it counts as started just
+// SetManuallyEjected keeps a server, listed or not, from new calls, or ends that. Back from a ban it counts as started just
 // now unless discovery tells a start since: that guards against restarts unseen, and could hurt one that was
 // not restarted, which warms up once more. The next call that fits is its first: else nobody came to know it.
-func (b *Balancer) Ban(now time.Duration, id ServerID, on bool) {
+func (b *Balancer) SetManuallyEjected(now time.Duration, id ServerID, on bool) {
 	b.advance(now)
-	since, was := b.banned[id]
+	since, was := b.manuallyEjected[id]
 	if on == was {
 		return
 	}
-	delete(b.banned, id)
+	delete(b.manuallyEjected, id)
 	if on {
-		b.banned[id] = now
+		b.manuallyEjected[id] = now
 	}
 	if s := b.servers[id]; s != nil {
-		if s.banned, s.due = on, 0; !on {
-			s.forget()
-			s.due = now + 1 + time.Duration(backPart*b.rng.Float64()*float64(b.cfg.FallWindow))
-			b.due++
+		if s.manuallyEjected, s.firstCallDue = on, 0; !on {
+			s.reset()
+			s.firstCallDue = now + 1 + time.Duration(firstCallWindowShare*b.random.Float64()*float64(b.settings.OverloadWindow))
+			b.firstCallsDue++
 			if s.StartedAt <= since {
-				s.back = now
+				s.restoredAt = now
 			}
 		}
 	}
-	b.subset()
+	b.updateSubset()
 }
 
-// mix spreads ids over 64 bits (the finaliser of splitmix64).
-func mix(id ServerID) uint64 {
+// hashID spreads ids over 64 bits (the finaliser of splitmix64).
+func hashID(id ServerID) uint64 {
 	x := uint64(id) * 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
--- a/decide/members.go
+++ b/decide/members.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-// returning is a server that has come back from a ban, for its first call.
-func (b *Balancer) returning(now time.Duration, r *request) *server {
-	b.due = 0
+// restoredServer is a server that has come back from a ban, for its first call.
+func (b *Balancer) restoredServer(now time.Duration, r *request) *server {
+	b.firstCallsDue = 0
 	var back *server
-	for _, s := range b.use {
-		if s.due > 0 {
-			b.due++
-			fits := r.class.Effect != Unsafe && b.maySend(now, r, s)
-			if fits && (now >= s.due || b.paced(now, s)) {
+	for _, s := range b.subset {
+		if s.firstCallDue > 0 {
+			b.firstCallsDue++
+			fits := r.class.Effect != NonIdempotent && b.maySend(now, r, s)
+			if fits && (now >= s.firstCallDue || b.hasBudget(now, s)) {
 				back = s
 			}
 		}
@@ -23,51 +23,51 @@
 	return back
 }
 
-// wanted is the size of the subset: enough that each server is known to a few balancers, and room for what
+// targetSubsetSize is the size of the subset: enough that each server is known to a few balancers, and room for what
 // this one carries and for servers that are out.
-func (b *Balancer) wanted() int {
-	per := coverage * float64(len(b.all)) / float64(b.cfg.Balancers)
-	return max(fewServers, int(math.Ceil(per)), int(2*b.quiet())) + b.outs
+func (b *Balancer) targetSubsetSize() int {
+	per := balancersPerServer * float64(len(b.listed)) / float64(b.settings.Balancers)
+	return max(minSubsetSize, int(math.Ceil(per)), int(2*b.quietLoad())) + b.ejectedCount
 }
 
-// subset picks the servers this balancer uses: the same number in a row from the hashed order, starting at
+// updateSubset picks the servers this balancer uses: the same number in a row from the hashed order, starting at
 // its own place, so that all servers are covered evenly and each balancer meets few of them often enough
 // to know them.
-func (b *Balancer) subset() {
-	b.want = max(b.want, b.wanted())
-	b.use, b.weighted = b.use[:0], false
+func (b *Balancer) updateSubset() {
+	b.subsetSize = max(b.subsetSize, b.targetSubsetSize())
+	b.subset, b.weighted = b.subset[:0], false
 	var some *server
-	ready := make([]*server, 0, len(b.all))
-	local := make([]*server, 0, len(b.all))
-	for _, s := range b.all {
-		if !s.usable() {
+	ready := make([]*server, 0, len(b.listed))
+	local := make([]*server, 0, len(b.listed))
+	for _, s := range b.listed {
+		if !s.isEligible() {
 			continue
 		}
-		if some != nil && s.part() != some.part() {
+		if some != nil && s.trafficWeight() != some.trafficWeight() {
 			b.weighted = true
 		}
 		some = s
-		if b.cfg.CrossZonePrice > 0 && s.Zone == b.cfg.Zone {
+		if b.settings.CrossZonePrice > 0 && s.Zone == b.settings.Zone {
 			local = append(local, s)
 		} else {
 			ready = append(ready, s)
 		}
 	}
-	near := min(len(local), max(b.want*2/3, b.want-len(ready)))
-	b.take(local, near)
-	b.take(ready, b.want-near)
-	b.outs = 0 // of those in use now: where they all are out, they are used
-	for _, s := range b.use {
-		if s.out {
-			b.outs++
+	near := min(len(local), max(b.subsetSize*2/3, b.subsetSize-len(ready)))
+	b.addToSubset(local, near)
+	b.addToSubset(ready, b.subsetSize-near)
+	b.ejectedCount = 0 // of those in use now: where they all are out, they are used
+	for _, s := range b.subset {
+		if s.ejected {
+			b.ejectedCount++
 		}
 	}
 }
 
-func (b *Balancer) take(from []*server, count int) {
+func (b *Balancer) addToSubset(from []*server, count int) {
 	n := len(from)
-	start := b.cfg.Me * n / b.cfg.Balancers
+	start := b.settings.Index * n / b.settings.Balancers
 	for i := range min(n, count) {
-		b.use = append(b.use, from[(start+i)%n])
+		b.subset = append(b.subset, from[(start+i)%n])
 	}
 }
--- a/decide/report.go
+++ b/decide/report.go
@@ -2,18 +2,18 @@
 
 // This file: what a balancer tells of itself.
 
-// Avoided tells how many of the listed servers get no calls now but for trials: by hand, or because they are
+// CountEjected tells how many of the listed servers get no calls now but for trials: by hand, or because they are
 // out. Where most are out they are used all the same.
-func (b *Balancer) Avoided() int {
+func (b *Balancer) CountEjected() int {
 	hand, out := 0, 0
-	for _, s := range b.all {
-		if s.banned {
+	for _, s := range b.listed {
+		if s.manuallyEjected {
 			hand++
-		} else if s.out {
+		} else if s.ejected {
 			out++
 		}
 	}
-	if float64(b.outs) > fleetPart*float64(len(b.use)) {
+	if float64(b.ejectedCount) > panicThreshold*float64(len(b.subset)) {
 		out = 0
 	}
 	return hand + out
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// drop forgets a finished request once nothing of it is out; what is out is cancelled where that is
+// release forgets a finished request once nothing of it is out; what is out is cancelled where that is
 // allowed.
-func (b *Balancer) drop(r *request) {
+func (b *Balancer) release(r *request) {
 	for i := range r.attempts {
-		if !r.attempts[i].ended && b.cfg.MayCancel {
+		if !r.attempts[i].ended && b.settings.MayCancel {
 			b.host.Cancel(r.id, i)
 		}
 	}
@@ -21,63 +21,63 @@
 	}
 }
 
-// Started tells that the answer of a streamed request has begun: it belongs to the client, and takes no
+// ResponseStarted tells that the answer of a streamed request has begun: it belongs to the client, and takes no
 // further attempt.
-func (b *Balancer) Started(now time.Duration, id RequestID) {
-	b.with(now, id, func(r *request) { r.done = true })
+func (b *Balancer) ResponseStarted(now time.Duration, id RequestID) {
+	b.update(now, id, func(r *request) { r.done = true })
 }
 
-// Spent tells that no further attempt of a request is possible: what it would send is gone.
-func (b *Balancer) Spent(now time.Duration, id RequestID) {
-	b.with(now, id, func(r *request) { r.most = len(r.attempts) })
+// MarkNotReplayable tells that no further attempt of a request is possible: what it would send is gone.
+func (b *Balancer) MarkNotReplayable(now time.Duration, id RequestID) {
+	b.update(now, id, func(r *request) { r.maxAttempts = len(r.attempts) })
 }
 
-// Whole tells that a request has come whole only now, while it was being sent: its time counts from here.
-func (b *Balancer) Whole(now time.Duration, id RequestID, left time.Duration) {
-	b.with(now, id, func(r *request) { r.deadline = now + left })
+// RequestBodyReceived tells that a request has come whole only now, while it was being sent: its time counts from here.
+func (b *Balancer) RequestBodyReceived(now time.Duration, id RequestID, left time.Duration) {
+	b.update(now, id, func(r *request) { r.deadline = now + left })
 }
 
-// Past takes what has become known of a request's key since it came.
-func (b *Balancer) Past(now time.Duration, id RequestID, p Past) {
-	b.with(now, id, func(r *request) { r.past = p })
+// KeyStateUpdated takes what has become known of a request's key since it came.
+func (b *Balancer) KeyStateUpdated(now time.Duration, id RequestID, p KeyState) {
+	b.update(now, id, func(r *request) { r.keyState = p })
 }
 
-func (b *Balancer) with(now time.Duration, id RequestID, f func(*request)) {
+func (b *Balancer) update(now time.Duration, id RequestID, f func(*request)) {
 	b.advance(now)
 	if r := b.requests[id]; r != nil {
 		f(r)
 	}
 }
 
-// OnWay tells that an attempt waits for something that is not its server's doing, and then that it no longer
+// SetDispatchPending tells that an attempt waits for something that is not its server's doing, and then that it no longer
 // does. Such a wait is no silence of the server.
-func (b *Balancer) OnWay(now time.Duration, id RequestID, n int, on bool) {
+func (b *Balancer) SetDispatchPending(now time.Duration, id RequestID, n int, on bool) {
 	b.advance(now)
 	if r := b.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && !r.attempts[n].ended {
-		b.waits(now, &r.attempts[n], on)
+		b.setDispatchPending(now, &r.attempts[n], on)
 	}
 }
 
-func (b *Balancer) waits(now time.Duration, a *attempt, on bool) {
-	if a.onWay == on {
+func (b *Balancer) setDispatchPending(now time.Duration, a *attempt, on bool) {
+	if a.dispatchPending == on {
 		return
 	}
-	a.s.wait(now)
-	a.onWay = on
+	a.server.accumulateWait(now)
+	a.dispatchPending = on
 	n := map[bool]int{true: 1, false: -1}[on]
-	a.s.onWay += n
-	b.onWay += n
+	a.server.dispatchPending += n
+	b.dispatchPending += n
 }
 
 func (r *request) allEnded() bool {
 	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.ended })
 }
 
-// Gone tells that the client has left: nothing more is owed.
-func (b *Balancer) Gone(now time.Duration, id RequestID) {
+// ClientDisconnected tells that the client has left: nothing more is owed.
+func (b *Balancer) ClientDisconnected(now time.Duration, id RequestID) {
 	b.advance(now)
 	if r := b.requests[id]; r != nil && !r.done {
 		r.done = true
-		b.drop(r)
+		b.release(r)
 	}
 }
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -35,7 +35,7 @@
 	deadline time.Duration
 	finals   int
 	tries    []try
-	past     Past
+	past     KeyState
 	gone     bool
 	most     int // attempts allowed when it came
 }
@@ -61,13 +61,13 @@
 	w.check(len(r.tries) < min(w.cfg.MaxAttempts, r.most), "rule 1: too many attempts", id)
 	w.check(s.State == Ready && !w.banned[to], "rule 3: sent to a server that drains, is gone or banned", id)
 	for _, a := range r.tries {
-		w.check(a.ended || w.cfg.MayDuplicate, "rule 2: a second copy where none is allowed", id)
+		w.check(a.ended || w.cfg.MayHedge, "rule 2: a second copy where none is allowed", id)
 		w.check(a.neverRan || w.mayRepeat(r, a, s), "rule 2: may have an effect twice", id)
 	}
 	if p := r.past; p.Known {
 		group := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && p.Zone == s.Zone ||
 			r.class.Scope == ScopeCell && p.Cell == s.Cell
-		w.check(!p.Nowhere && group && w.now < p.Until, "rule 2: a repeat outside its group or window", id)
+		w.check(!p.Unavailable && group && w.now < p.RetryUntil, "rule 2: a repeat outside its group or window", id)
 	}
 	r.tries = append(r.tries, try{server: s, at: w.now})
 	w.cold(id, s)
@@ -76,7 +76,7 @@
 func (w *world) mayRepeat(r *tracked, a try, s Server) bool {
 	same := r.class.Scope == ScopeAll || r.class.Scope == ScopeZone && a.server.Zone == s.Zone ||
 		r.class.Scope == ScopeCell && a.server.Cell == s.Cell
-	return r.class.Effect == Safe || r.class.Effect == Keyed && same && w.now-a.at < r.class.Window
+	return r.class.Effect == Idempotent || r.class.Effect == KeyedIdempotent && same && w.now-a.at < r.class.Window
 }
 
 // cold holds the sends of any window to a cold server against what it could do, were it as large as the even share
@@ -87,27 +87,27 @@
 		return
 	}
 	recent := append(w.sends[s.ID], w.now)
-	for recent[0] <= w.now-w.cfg.FallWindow {
+	for recent[0] <= w.now-w.cfg.OverloadWindow {
 		recent = recent[1:]
 	}
 	w.sends[s.ID] = recent
-	even := 1.5 * arrivals * w.cfg.FallWindow.Seconds() / float64(len(w.b.use))
-	w.check(float64(len(recent)) <= 2+w.cfg.FallMultiple*c*even, "rule 4: a cold server pushed over", id)
+	even := 1.5 * arrivals * w.cfg.OverloadWindow.Seconds() / float64(len(w.b.subset))
+	w.check(float64(len(recent)) <= 2+w.cfg.OverloadMultiple*c*even, "rule 4: a cold server pushed over", id)
 }
 
 func (w *world) final(id RequestID, refusal bool) {
 	r := w.reqs[id]
 	w.check(r.finals == 0 && !r.gone, "rule 1: a second final answer", id)
 	r.finals++
-	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll
+	harmless := r.class.Effect == Idempotent || r.class.Effect == KeyedIdempotent && r.class.Scope == ScopeAll
 	p := r.past
-	w.check(!refusal || !p.Known || harmless && w.now < p.Until, "rule 2: refused though an earlier try may have run", id)
+	w.check(!refusal || !p.Known || harmless && w.now < p.RetryUntil, "rule 2: refused though an earlier try may have run", id)
 	for _, a := range r.tries {
 		w.check(!refusal || harmless || a.neverRan, "rule 2: refused where a retry may do harm", id)
 	}
 }
 
-func (w *world) Refuse(id RequestID, _ time.Duration) { w.final(id, true) }
+func (w *world) Reject(id RequestID, _ time.Duration) { w.final(id, true) }
 func (w *world) Fail(id RequestID)                    { w.final(id, false) }
 func (w *world) Watch()                               {}
 func (w *world) CloseIdle(ServerID)                   {}
@@ -126,10 +126,10 @@
 		state: map[ServerID]Server{}, sends: map[ServerID][]time.Duration{}, banned: map[ServerID]bool{}}
 	w.cfg = testSettings()
 	w.cfg.MaxAttempts = 1 + int(seed)%3
-	w.cfg.MayDuplicate, w.cfg.MayCancel, w.cfg.Pull = seed%2 == 0, seed%3 > 0, seed%4 < 2
+	w.cfg.MayHedge, w.cfg.MayCancel, w.cfg.PollDiscovery = seed%2 == 0, seed%3 > 0, seed%4 < 2
 	w.cfg.Tier, w.cfg.Balancers = int(seed)%2, 1+int(seed)%5
 	w.tardy = seed%6 > 2
-	w.cfg.MarksRetries, w.cfg.RetryAfter = seed%2 == 1, true
+	w.cfg.RetriesMarked, w.cfg.SendsRetryAfter = seed%2 == 1, true
 	w.cfg.Tenants = []Tenant{{QuotaPerSecond: 20}, {}}
 	b, err := New(w.cfg, seed, w)
 	if err != nil {
@@ -150,7 +150,7 @@
 		case 0:
 			e.State = Draining
 		case 1:
-			e.State = Gone
+			e.State = Removed
 		case 2:
 			e.StartedAt = w.now
 		}
@@ -165,25 +165,25 @@
 		}
 		w.state[e.ID] = e
 	}
-	w.b.Members(w.now, kind, entries)
+	w.b.UpdateEndpoints(w.now, kind, entries)
 }
 
 func (w *world) arrive(id RequestID) {
 	class := w.rng.IntN(len(w.cfg.Classes))
 	left := w.cfg.Classes[class].Deadline * time.Duration(1+w.rng.IntN(10)) / 10
 	r := &tracked{class: w.cfg.Classes[class], deadline: w.now + left, most: w.cfg.MaxAttempts}
-	if r.class.Effect == Keyed && w.rng.IntN(3) == 0 {
+	if r.class.Effect == KeyedIdempotent && w.rng.IntN(3) == 0 {
 		r.past = w.past()
 	}
 	w.reqs[id] = r
 	w.open = append(w.open, id)
-	w.b.Request(w.now, Request{ID: id, Class: class, Tenant: w.rng.IntN(3) - 1, Left: left, Retry: w.rng.IntN(5) == 0, Past: r.past})
+	w.b.Request(w.now, Request{ID: id, Class: class, Tenant: w.rng.IntN(3) - 1, TimeLeft: left, Retry: w.rng.IntN(5) == 0, KeyState: r.past})
 }
 
 // past draws what other requests with a key have done.
-func (w *world) past() Past {
-	return Past{Known: true, Nowhere: w.rng.IntN(10) == 0, Zone: w.rng.IntN(3), Cell: w.rng.IntN(4),
-		Until: w.now + time.Duration(w.rng.Float64()*float64(3*time.Second))}
+func (w *world) past() KeyState {
+	return KeyState{Known: true, Unavailable: w.rng.IntN(10) == 0, Zone: w.rng.IntN(3), Cell: w.rng.IntN(4),
+		RetryUntil: w.now + time.Duration(w.rng.Float64()*float64(3*time.Second))}
 }
 
 // learn has a request's key bound by another request, as its own attempts allow.
@@ -192,9 +192,9 @@
 		return
 	}
 	id := w.open[w.rng.IntN(len(w.open))]
-	if r := w.reqs[id]; r.class.Effect == Keyed && r.finals == 0 && !r.gone {
+	if r := w.reqs[id]; r.class.Effect == KeyedIdempotent && r.finals == 0 && !r.gone {
 		r.past = w.past()
-		w.b.Past(w.now, id, r.past)
+		w.b.KeyStateUpdated(w.now, id, r.past)
 	}
 }
 
@@ -264,7 +264,7 @@
 	id := w.open[w.rng.IntN(len(w.open))]
 	if r := w.reqs[id]; r.finals == 0 && !r.gone {
 		r.gone = true
-		w.b.Gone(w.now, id)
+		w.b.ClientDisconnected(w.now, id)
 	}
 }
 
@@ -277,7 +277,7 @@
 	} else {
 		delete(w.banned, id)
 	}
-	w.b.Ban(w.now, id, on)
+	w.b.SetManuallyEjected(w.now, id, on)
 }
 
 // configure changes the settings: classes change places and effects, one comes or goes, attempts become fewer or more.
@@ -289,7 +289,7 @@
 	c := &next.Classes[w.rng.IntN(len(next.Classes))]
 	switch c.Effect = Effect(w.rng.IntN(3)); w.rng.IntN(4) {
 	case 0:
-		next.Classes = append(next.Classes, Class{Name: fmt.Sprint("new", w.rng.IntN(3)), Aim: sec, Deadline: 2 * sec, Worth: 5})
+		next.Classes = append(next.Classes, Class{Name: fmt.Sprint("new", w.rng.IntN(3)), LatencyObjective: sec, Deadline: 2 * sec, PriorityWeight: 5})
 	case 1:
 		if len(next.Classes) > 2 {
 			next.Classes = next.Classes[1:]
@@ -320,7 +320,7 @@
 			case 2:
 				w.list([]ListKind{Full, Cached}[w.rng.IntN(2)], 8*w.rng.IntN(2))
 			case 3:
-				w.b.Members(w.now, Failed, nil)
+				w.b.UpdateEndpoints(w.now, Failed, nil)
 			case 4, 5, 6:
 				w.learn()
 			case 7, 8:
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -16,8 +16,8 @@
 	if err := validate(&cfg); err != nil {
 		return nil, err
 	}
-	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[ServerID]*server{},
-		requests: map[RequestID]*request{}, banned: map[ServerID]time.Duration{}, budget: 3, nextStep: -1}
+	b := &Balancer{host: host, random: rand.New(rand.NewPCG(seed, 1)), servers: map[ServerID]*server{},
+		requests: map[RequestID]*request{}, manuallyEjected: map[ServerID]time.Duration{}, retryBudget: 3, nextStep: -1}
 	b.apply(cfg)
 	return b, nil
 }
@@ -32,30 +32,30 @@
 	}
 	b.advance(now)
 	b.apply(cfg)
-	b.subset()
+	b.updateSubset()
 	return nil
 }
 
 // apply takes over valid settings.
 func (b *Balancer) apply(cfg Settings) {
-	old := b.cfg
-	b.cfg = cfg
-	hopes := make([]*hope, len(cfg.Classes))
-	b.aim = 0
+	old := b.settings
+	b.settings = cfg
+	hopes := make([]*expectedLatency, len(cfg.Classes))
+	b.meanObjective = 0
 	for i, c := range cfg.Classes {
-		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
-		hopes[i] = &hope{}
+		b.meanObjective += c.LatencyObjective.Seconds() / float64(len(cfg.Classes))
+		hopes[i] = &expectedLatency{}
 		if at := slices.IndexFunc(old.Classes, func(o Class) bool { return c.Name != "" && o.Name == c.Name }); at >= 0 {
-			hopes[i] = b.hopes[at]
+			hopes[i] = b.expected[at]
 		}
 	}
-	b.hopes = hopes
-	if !b.learnt {
-		b.base = b.aim / 4
+	b.expected = hopes
+	if !b.baseLearned {
+		b.baseLatency = b.meanObjective / 4
 	}
-	b.period = min(max(time.Duration(b.aim*stepPart*float64(time.Second)), 50*time.Millisecond), time.Second)
+	b.period = min(max(time.Duration(b.meanObjective*periodShare*float64(time.Second)), 50*time.Millisecond), time.Second)
 	tenants := make([]tenant, 0, len(cfg.Tenants))
-	b.quotas = 0
+	b.totalQuota = 0
 	for _, t := range cfg.Tenants {
 		rate := t.QuotaPerSecond / float64(cfg.Balancers)
 		next := tenant{name: t.Name, quota: t.QuotaPerSecond, tokens: 2*rate + 2}
@@ -63,15 +63,15 @@
 			next.tokens = min(next.tokens, b.tenants[at].tokens)
 		}
 		tenants = append(tenants, next)
-		b.quotas += t.QuotaPerSecond
+		b.totalQuota += t.QuotaPerSecond
 	}
 	b.tenants = tenants
 	rows := len(b.table)
-	came, rates := b.came, b.rates
-	b.table, b.levels, b.aims, b.came, b.rates = nil, nil, nil, nil, nil
+	came, rates := b.levelArrivals, b.levelRates
+	b.table, b.levels, b.levelObjectives, b.levelArrivals, b.levelRates = nil, nil, nil, nil, nil
 	b.buildTable()
 	if rows == len(b.table) { // the levels are the same, or near enough for a count of arrivals
-		b.came, b.rates = came, rates
+		b.levelArrivals, b.levelRates = came, rates
 	}
 	b.cursor = min(b.cursor, len(b.table[0])-1)
 }
@@ -82,20 +82,20 @@
 		return errors.New("decide: Classes: none")
 	case cfg.Balancers < 1:
 		return errors.New("decide: Balancers: must be at least 1")
-	case cfg.Me < 0 || cfg.Tier < 0 || cfg.Zone < 0:
+	case cfg.Index < 0 || cfg.Tier < 0 || cfg.Zone < 0:
 		return errors.New("decide: Me, Tier, Zone: must not be negative")
 	case cfg.MaxAttempts < 1:
 		return errors.New("decide: MaxAttempts: must be at least 1")
-	case math.IsNaN(cfg.StartCapacity + cfg.FallMultiple + cfg.CrossZonePrice + cfg.HandshakePrice):
+	case math.IsNaN(cfg.InitialCapacity + cfg.OverloadMultiple + cfg.CrossZonePrice + cfg.HandshakePrice):
 		return errors.New("decide: StartCapacity, FallMultiple or a price is no number")
-	case min(cfg.StartCapacity, cfg.FallMultiple, cfg.CrossZonePrice, cfg.HandshakePrice) < 0:
+	case min(cfg.InitialCapacity, cfg.OverloadMultiple, cfg.CrossZonePrice, cfg.HandshakePrice) < 0:
 		return errors.New("decide: StartCapacity, FallMultiple and prices: must not be negative")
-	case min(cfg.WarmUp, cfg.FallWindow, cfg.MustAskIn, cfg.MaxRetryAfter, cfg.ConnIdle) < 0:
+	case min(cfg.SlowStart, cfg.OverloadWindow, cfg.MaxPollInterval, cfg.MaxRetryAfter, cfg.ConnIdleTimeout) < 0:
 		return errors.New("decide: WarmUp, FallWindow, MustAskIn, MaxRetryAfter or ConnIdle is negative")
 	}
 	for i, c := range cfg.Classes {
-		if c.Aim <= 0 || c.Deadline <= 0 || min(c.Worth, c.Window.Seconds()) < 0 ||
-			c.Effect > Unsafe || c.Scope > ScopeCell {
+		if c.LatencyObjective <= 0 || c.Deadline <= 0 || min(c.PriorityWeight, c.Window.Seconds()) < 0 ||
+			c.Effect > NonIdempotent || c.Scope > ScopeCell {
 			return fmt.Errorf("decide: Classes[%d]: aim and deadline must be positive, the rest known", i)
 		}
 	}
--- a/decide/table.go
+++ b/decide/table.go
@@ -15,75 +15,75 @@
 // at every slot.
 func (b *Balancer) buildTable() {
 	var worths []float64
-	for _, c := range b.cfg.Classes {
-		worths = append(worths, c.Worth)
+	for _, c := range b.settings.Classes {
+		worths = append(worths, c.PriorityWeight)
 	}
 	slices.Sort(worths)
 	worths = slices.Compact(worths)
-	for _, c := range b.cfg.Classes {
-		b.levels = append(b.levels, 1+slices.Index(worths, c.Worth))
+	for _, c := range b.settings.Classes {
+		b.levels = append(b.levels, 1+slices.Index(worths, c.PriorityWeight))
 	}
 	rows := len(worths) + 1
-	slots := homeSlots + rows*fallSlots
+	slots := restingSlots + rows*slotsPerLevel
 	for level := range rows {
 		row := make([]float64, slots)
 		for slot := range row {
-			past := float64(slot - homeSlots + 1)
-			own := past - float64(level*fallSlots)
+			past := float64(slot - restingSlots + 1)
+			own := past - float64(level*slotsPerLevel)
 			switch {
 			case past <= 0:
-				row[slot] = 1 - homeDrop*float64(rows-1-level)/float64(rows-1)
+				row[slot] = 1 - restingSpread*float64(rows-1-level)/float64(rows-1)
 			case own <= 0:
-				row[slot] = min(row[0], shedTop-(shedTop-ownTop)*past/float64(slots))
+				row[slot] = min(row[0], sheddingThreshold-(sheddingThreshold-ownLevelThreshold)*past/float64(slots))
 			default:
-				row[slot] = max(0, ownTop*(1-own/fallSlots))
+				row[slot] = max(0, ownLevelThreshold*(1-own/slotsPerLevel))
 			}
 		}
 		if level == rows-1 {
 			row[slots-1] = 0.05 // the highest worth is never shut out whole
 		}
 		b.table = append(b.table, row)
-		b.came, b.rates = append(b.came, 0), append(b.rates, 0)
+		b.levelArrivals, b.levelRates = append(b.levelArrivals, 0), append(b.levelRates, 0)
 		aim := math.Inf(1)
-		for i, c := range b.cfg.Classes {
+		for i, c := range b.settings.Classes {
 			if b.levels[i] >= level {
-				aim = min(aim, c.Aim.Seconds())
+				aim = min(aim, c.LatencyObjective.Seconds())
 			}
 		}
-		b.aims = append(b.aims, aim)
+		b.levelObjectives = append(b.levelObjectives, aim)
 	}
 }
 
-// quiet is what this balancer carries in quiet times: rate x quiet latency. The faster of two smoothed
+// quietLoad is what this balancer carries in quiet times: rate x quiet latency. The faster of two smoothed
 // rates counts, so that one that suddenly carries a large slice of the traffic doesn't refuse it for being
 // new.
-func (b *Balancer) quiet() float64 { return max(b.fast, b.avg) * b.base }
+func (b *Balancer) quietLoad() float64 { return max(b.fastRate, b.slowRate) * b.baseLatency }
 
-// queue is the calls in flight that the pool's servers have to answer.
-func (b *Balancer) queue() int { return b.inFlight - b.stuck - b.onWay }
+// queueLength is the calls in flight that the pool's servers have to answer.
+func (b *Balancer) queueLength() int { return b.inFlight - b.inFlightEjected - b.dispatchPending }
 
 // threshold is what the cursor holds for a level. A balancer that has just started knows no rate: until it
 // has seen traffic for one aim it lets all in at the home slots, or each start and restart would refuse
 // what it could serve.
 func (b *Balancer) threshold(now time.Duration, level int) float64 {
-	if b.cursor < homeSlots && (now-max(b.started, b.resumed)).Seconds() < b.aim {
+	if b.cursor < restingSlots && (now-max(b.startedAt, b.resumedAt)).Seconds() < b.meanObjective {
 		return math.Inf(1)
 	}
-	top := max(b.fast, b.avg)*max(headroom*b.base, queuePart*b.aims[level]) + floorCalls
+	top := max(b.fastRate, b.slowRate)*max(thresholdHeadroom*b.baseLatency, maxQueueShare*b.levelObjectives[level]) + minThreshold
 	return b.table[level][b.cursor] * top
 }
 
-// level is the row of a request. Shares of tenants are taken at the front alone: deeper calls have passed
+// levelOf is the row of a request. Shares of tenants are taken at the front alone: deeper calls have passed
 // there.
-func (b *Balancer) level(r Request) int {
-	if r.Retry && b.cfg.MarksRetries {
-		return lowWorth
+func (b *Balancer) levelOf(r Request) int {
+	if r.Retry && b.settings.RetriesMarked {
+		return lowestLevel
 	}
-	if b.cfg.Tier == 0 && r.Tenant >= 0 && r.Tenant < len(b.tenants) && b.tenants[r.Tenant].quota > 0 {
+	if b.settings.Tier == 0 && r.Tenant >= 0 && r.Tenant < len(b.tenants) && b.tenants[r.Tenant].quota > 0 {
 		t := &b.tenants[r.Tenant]
-		t.tokens = max(t.tokens-1, -t.quota*b.slice())
+		t.tokens = max(t.tokens-1, -t.quota*b.trafficShare())
 		if t.tokens < 0 {
-			return lowWorth
+			return lowestLevel
 		}
 	}
 	return b.levels[r.Class]
@@ -93,8 +93,8 @@
 // balancers do not step together.
 func (b *Balancer) advance(now time.Duration) {
 	if b.nextStep < 0 {
-		b.started, b.lastStep = now, now
-		b.nextStep = now + time.Duration(b.rng.Float64()*float64(b.period))
+		b.startedAt, b.lastStep = now, now
+		b.nextStep = now + time.Duration(b.random.Float64()*float64(b.period))
 	}
 	if now < b.nextStep {
 		return
@@ -103,48 +103,48 @@
 	b.nextStep += time.Duration(missed+1) * b.period
 	dt := (now - b.lastStep).Seconds()
 	b.lastStep = now
-	b.learnRate(now, dt)
+	b.updateRates(now, dt)
 	b.checkHealth(now)
 	load := b.poolLoad(now, dt)
 	// A lasting overload that T1 holds back keeps load under its target: then calls refused out of turn move
 	// the cursor, until the rows under them are shut.
-	if load > 1 || b.outOfTurn {
+	if load > 1 || b.priorityInversion {
 		b.cursor = min(b.cursor+1, len(b.table[0])-1)
 	} else {
 		b.cursor--
 	}
-	b.outOfTurn = false
+	b.priorityInversion = false
 	b.cursor = max(b.cursor-missed, 0)
-	if on := b.cursor >= homeSlots; on != b.shedding && (on || b.cursor == 0) {
+	if on := b.cursor >= restingSlots; on != b.shedding && (on || b.cursor == 0) {
 		b.shedding = on
 		b.host.Log(fmt.Sprintf("cursor %d load %.2f in flight %d shedding %t",
 			b.cursor, load, b.inFlight, on))
 	}
 }
 
-func (b *Balancer) learnRate(now time.Duration, dt float64) {
-	r, age := float64(b.done)/dt, (now - b.started).Seconds()
-	b.asking += (float64(b.asked)/dt - b.asking) * weight(dt, min(2, age))
-	b.done, b.asked = 0, 0
-	for i, n := range b.came {
-		b.rates[i] += (n/dt - b.rates[i]) * weight(dt, min(2, age))
-		b.came[i] = 0
+func (b *Balancer) updateRates(now time.Duration, dt float64) {
+	r, age := float64(b.answeredInPeriod)/dt, (now - b.startedAt).Seconds()
+	b.arrivalRate += (float64(b.arrivedInPeriod)/dt - b.arrivalRate) * smoothingWeight(dt, min(2, age))
+	b.answeredInPeriod, b.arrivedInPeriod = 0, 0
+	for i, n := range b.levelArrivals {
+		b.levelRates[i] += (n/dt - b.levelRates[i]) * smoothingWeight(dt, min(2, age))
+		b.levelArrivals[i] = 0
 	}
-	b.fast += (r - b.fast) * weight(dt, min(1, age))
-	b.avg += (r - b.avg) * weight(dt, min(10, age))
+	b.fastRate += (r - b.fastRate) * smoothingWeight(dt, min(1, age))
+	b.slowRate += (r - b.slowRate) * smoothingWeight(dt, min(10, age))
 	for i := range b.tenants {
 		t := &b.tenants[i]
-		rate := t.quota * b.slice()
+		rate := t.quota * b.trafficShare()
 		t.tokens = min(t.tokens+rate*dt, 2*rate+2)
 	}
 }
 
-// slice is the part of all traffic that tenants' shares are measured against here: an even part, or more
+// trafficShare is the part of all traffic that tenants' shares are measured against here: an even part, or more
 // where more comes. A balancer can't tell a large slice from an overload, and to take the first for the
 // second would refuse tenants within their share.
-func (b *Balancer) slice() float64 {
-	return max(1/float64(b.cfg.Balancers), b.asking/max(b.quotas, 1))
+func (b *Balancer) trafficShare() float64 {
+	return max(1/float64(b.settings.Balancers), b.arrivalRate/max(b.totalQuota, 1))
 }
 
-// weight of a sample that stands for dt in a smoothing over tau.
-func weight(dt, tau float64) float64 { return 1 - math.Exp(-dt/tau) }
+// smoothingWeight of a sample that stands for dt in a smoothing over tau.
+func smoothingWeight(dt, tau float64) float64 { return 1 - math.Exp(-dt/tau) }
--- a/decide/weights_test.go
+++ b/decide/weights_test.go
@@ -28,7 +28,7 @@
 		})
 		id := RequestID(i + 1)
 		h.sends = nil
-		b.Request(now, Request{ID: id, Left: 10 * time.Second, Tenant: -1})
+		b.Request(now, Request{ID: id, TimeLeft: 10 * time.Second, Tenant: -1})
 		if len(h.sends) != 1 {
 			t.Fatalf("call %d: sent %v", i, h.sends)
 		}
@@ -41,7 +41,7 @@
 func weighed(t *testing.T, weights ...float64) (*Balancer, *recorder, map[ServerID]time.Duration) {
 	t.Helper()
 	h := &recorder{}
-	b, err := New(Settings{Balancers: 1, Classes: []Class{{Aim: 5 * time.Second, Deadline: 10 * time.Second, Worth: 1}}, MaxAttempts: 1}, 7, h)
+	b, err := New(Settings{Balancers: 1, Classes: []Class{{LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1}}, MaxAttempts: 1}, 7, h)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 		list = append(list, Server{ID: ServerID(i + 1), State: Ready, Weight: w})
 		lat[ServerID(i+1)] = 10 * time.Millisecond
 	}
-	b.Members(time.Second, Full, list)
+	b.UpdateEndpoints(time.Second, Full, list)
 	return b, h, lat
 }
 
@@ -77,15 +77,15 @@
 // What is to be refused whatever the load is taken from the least worthy.
 func TestDrop(t *testing.T) {
 	h := &recorder{}
-	b, err := New(Settings{Balancers: 1, MaxAttempts: 1, Classes: []Class{{Aim: 5 * time.Second, Deadline: 10 * time.Second, Worth: 1},
-		{Aim: 5 * time.Second, Deadline: 10 * time.Second, Worth: 9}}}, 3, h)
+	b, err := New(Settings{Balancers: 1, MaxAttempts: 1, Classes: []Class{{LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1},
+		{LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 9}}}, 3, h)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Members(time.Second, Full, []Server{{ID: 1, State: Ready}})
+	b.UpdateEndpoints(time.Second, Full, []Server{{ID: 1, State: Ready}})
 	now, came, refused := time.Second, [2]float64{}, [2]float64{}
 	run := func(part float64) (low, high float64) {
-		b.Drop(now, part)
+		b.SetDropFraction(now, part)
 		for range 2 { // once for the rates to be learnt
 			refused, came = [2]float64{}, [2]float64{}
 			for i := range 8000 {
@@ -94,7 +94,7 @@
 				came[class]++
 				h.acts = nil
 				id := RequestID(now)
-				b.Request(now, Request{ID: id, Class: class, Left: 10 * time.Second, Tenant: -1})
+				b.Request(now, Request{ID: id, Class: class, TimeLeft: 10 * time.Second, Tenant: -1})
 				b.Outcome(now, Outcome{ID: id, Server: 1, Verdict: OK, Latency: time.Millisecond, Final: true})
 				refused[class] += float64(h.count("refuse"))
 			}
--- a/internal/balancer/failover/failover.go
+++ b/internal/balancer/failover/failover.go
@@ -59,8 +59,8 @@
 	}
 	cluster = p.request.Failover
 	switch p.request.Effect {
-	case decide.Safe:
-	case decide.Keyed:
+	case decide.Idempotent:
+	case decide.KeyedIdempotent:
 		if past.Known {
 			cluster = past.Place.Cluster
 		}
--- a/internal/balancer/host/ban.go
+++ b/internal/balancer/host/ban.go
@@ -34,7 +34,7 @@
 				e.pool.CloseIdle() // its process is to end: those would break under a call
 			}
 		}
-		h.balancer.Ban(now, id, on)
+		h.balancer.SetManuallyEjected(now, id, on)
 	})
 	return err
 }
@@ -54,7 +54,7 @@
 func (h *Host) Cluster() (size, avoided int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.endpoints), h.balancer.Avoided()
+	return len(h.endpoints), h.balancer.CountEjected()
 }
 
 // Terms are what calls are taken by: settings, and the names by which the sockets know what decisions know by number.
--- a/internal/balancer/host/carry.go
+++ b/internal/balancer/host/carry.go
@@ -9,21 +9,21 @@
 
 // Carried is what a host hands to the one of the process that takes its place.
 type Carried struct {
-	Learnt  decide.Learnt   `json:"Learnt"`
+	Learnt  decide.Snapshot `json:"Learnt"`
 	Servers []CarriedServer `json:"Servers"` // of Learnt, by names: numbers and clocks are a process's own
 }
 
 // CarriedServer is what was learnt of an endpoint.
 type CarriedServer struct {
-	Name    string              `json:"Name"`
-	SinceMS int64               `json:"SinceMS"`
-	Learnt  decide.LearntServer `json:"Learnt"`
+	Name    string                `json:"Name"`
+	SinceMS int64                 `json:"SinceMS"`
+	Learnt  decide.ServerSnapshot `json:"Learnt"`
 }
 
 // Carry returns what the decisions have learnt.
 func (h *Host) Carry() (c Carried) {
 	h.event(func(now time.Duration) {
-		c.Learnt = h.balancer.Learnt(now)
+		c.Learnt = h.balancer.Snapshot(now)
 		for _, l := range c.Learnt.Servers {
 			if e := h.endpoints[l.ID]; e != nil {
 				c.Servers = append(c.Servers, CarriedServer{e.name, e.entry.SinceMS, l})
@@ -43,7 +43,7 @@
 			s.Learnt.ID, s.Learnt.StartedAt = h.idOf(s.Name), h.clock.at(s.SinceMS)
 			l.Servers = append(l.Servers, s.Learnt)
 		}
-		h.balancer.Follow(now, l)
+		h.balancer.Restore(now, l)
 	})
 }
 
--- a/internal/balancer/host/host.go
+++ b/internal/balancer/host/host.go
@@ -148,15 +148,15 @@
 		h.lastID++
 		c.id, q.ID = h.lastID, h.lastID
 		if !h.ending.IsZero() {
-			q.Left = min(q.Left, max(time.Until(h.ending), 0))
+			q.TimeLeft = min(q.TimeLeft, max(time.Until(h.ending), 0))
 		}
-		wait := q.Left
+		wait := q.TimeLeft
 		if r.Rest != nil { // its time counts from its last byte; until then both sides' progress bounds it
-			c.left, wait = q.Left, mostUpload
-			c.request.Left = q.Left
+			c.left, wait = q.TimeLeft, mostUpload
+			c.request.Left = q.TimeLeft
 		}
 		c.request.Deadline = time.Now().Add(wait)
-		if q.Terms != nil && !h.resolve(&q) {
+		if q.ClassAtArrival != nil && !h.resolve(&q) {
 			c.done = true
 			c.answer <- Answer{Vanished: true}
 			return
@@ -164,7 +164,7 @@
 		h.calls[c.id] = c
 		c.deadline = time.AfterFunc(wait, func() { h.expire(c) })
 		if key != nil {
-			q.Past = h.past(c)
+			q.KeyState = h.past(c)
 		}
 		h.balancer.Request(now, q)
 		h.forget(c)
@@ -174,10 +174,10 @@
 
 // resolve finds the class of a request that was read under earlier settings, by its name.
 func (h *Host) resolve(q *decide.Request) bool {
-	if q.Class < len(h.classes) && h.classes[q.Class].Name == q.Terms.Name {
+	if q.Class < len(h.classes) && h.classes[q.Class].Name == q.ClassAtArrival.Name {
 		return true
 	}
-	q.Class = slices.IndexFunc(h.classes, func(c decide.Class) bool { return c.Name == q.Terms.Name })
+	q.Class = slices.IndexFunc(h.classes, func(c decide.Class) bool { return c.Name == q.ClassAtArrival.Name })
 	return q.Class >= 0
 }
 
@@ -212,7 +212,7 @@
 			return
 		}
 		c.done = true
-		h.balancer.Gone(now, c.id)
+		h.balancer.ClientDisconnected(now, c.id)
 		h.forget(c)
 	})
 }
@@ -231,12 +231,12 @@
 
 // Fleet tells how many balancers share the endpoints now, and which of them this one is.
 func (h *Host) Fleet(balancers, me int) {
-	h.event(func(now time.Duration) { h.balancer.Fleet(now, balancers, me) })
+	h.event(func(now time.Duration) { h.balancer.SetBalancers(now, balancers, me) })
 }
 
 // Drop tells what part of the traffic is to be refused, the least worthy first, whatever the load.
 func (h *Host) Drop(part float64) {
-	h.event(func(now time.Duration) { h.balancer.Drop(now, part) })
+	h.event(func(now time.Duration) { h.balancer.SetDropFraction(now, part) })
 }
 
 // Held returns the number of calls that wait for their answer or an attempt's end.
@@ -259,7 +259,7 @@
 		if !c.done {
 			h.log.Error("a call was left without an answer", "class", c.class)
 			h.finish(c, Answer{})
-			defer h.balancer.Gone(now, c.id)
+			defer h.balancer.ClientDisconnected(now, c.id)
 		}
 		h.forget(c)
 	})
@@ -271,7 +271,7 @@
 		return
 	}
 	if !a.wrote {
-		v = decide.Moot
+		v = decide.NotSent
 	}
 	a.cancel()
 	h.outcome(now, c, a, v, nil)
@@ -345,7 +345,7 @@
 	for _, closed := range before {
 		<-closed
 	}
-	verdict, reply, err := decide.Moot, (*upstream.Answer)(nil), errHeldBack
+	verdict, reply, err := decide.NotSent, (*upstream.Answer)(nil), errHeldBack
 	if h.agree(ctx, c, a) {
 		h.mu.Lock()
 		r := c.request // its deadline moves as a body that flows has come
@@ -403,7 +403,7 @@
 			a.server = &endpoint{Server: decide.Server{ID: s}}
 		}
 		close(a.closed)
-		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, decide.Moot) })
+		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, decide.NotSent) })
 		return
 	}
 	var ctx context.Context
@@ -418,7 +418,7 @@
 	go h.run(ctx, c, a, before)
 }
 
-func (h actions) Refuse(id decide.RequestID, retryAfter time.Duration) {
+func (h actions) Reject(id decide.RequestID, retryAfter time.Duration) {
 	if c := h.calls[id]; c != nil {
 		h.finish(c, Answer{Refused: true, RetryAfter: retryAfter})
 	}
--- a/internal/balancer/host/host_test.go
+++ b/internal/balancer/host/host_test.go
@@ -36,7 +36,7 @@
 
 func get(h *Host, id string, left time.Duration) *Call {
 	return h.Begin(upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {id}}},
-		decide.Request{Class: 0, Left: left}, nil)
+		decide.Request{Class: 0, TimeLeft: left}, nil)
 }
 
 func answer(t *testing.T, c *Call) Answer {
--- a/internal/balancer/host/key.go
+++ b/internal/balancer/host/key.go
@@ -48,16 +48,16 @@
 }
 
 // past translates what is known of a call's key for the decisions.
-func (h *Host) past(c *Call) decide.Past {
+func (h *Host) past(c *Call) decide.KeyState {
 	p := c.key.History.Past(c.key.Terms.Scope)
 	if c.key.binds() {
 		p = p.And(c.key.Binder.Past(), c.key.Terms.Scope)
 	}
 	if !p.Known {
-		return decide.Past{}
+		return decide.KeyState{}
 	}
-	d := decide.Past{Known: true, Zone: slices.Index(h.zones, p.Place.Zone), Cell: p.Place.Cell, Until: h.clock.of(p.Until)}
-	d.Nowhere = p.Split || p.Place.Cluster != c.key.Cluster || c.key.Terms.Scope != decide.ScopeAll && d.Zone < 0
+	d := decide.KeyState{Known: true, Zone: slices.Index(h.zones, p.Place.Zone), Cell: p.Place.Cell, RetryUntil: h.clock.of(p.Until)}
+	d.Unavailable = p.Split || p.Place.Cluster != c.key.Cluster || c.key.Terms.Scope != decide.ScopeAll && d.Zone < 0
 	return d
 }
 
@@ -141,7 +141,7 @@
 	if a.ended || on && a.left {
 		return
 	}
-	h.balancer.OnWay(now, c.id, a.number, on)
+	h.balancer.SetDispatchPending(now, c.id, a.number, on)
 	if !on {
 		a.sent = now
 	}
@@ -165,6 +165,6 @@
 // learnPast tells the decisions what is known of a call's key now.
 func (h *Host) learnPast(now time.Duration, c *Call) {
 	if c.key != nil && !c.done {
-		h.balancer.Past(now, c.id, h.past(c))
+		h.balancer.KeyStateUpdated(now, c.id, h.past(c))
 	}
 }
--- a/internal/balancer/host/left_test.go
+++ b/internal/balancer/host/left_test.go
@@ -75,7 +75,7 @@
 	}
 	key := &Key{History: hold, Terms: history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}, Binder: binder, Recorder: recorder}
 	r := upstream.Request{Method: "POST", Target: "/write", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}, "Idempotency-Key": {"k"}}}
-	return h.begin(r, decide.Request{Class: 1, Left: lbtest.Wait}, key, away), hold
+	return h.begin(r, decide.Request{Class: 1, TimeLeft: lbtest.Wait}, key, away), hold
 }
 
 // A caller that leaves while voters are asked, or while an attempt is recorded, has nothing sent, and its key is free: no
@@ -133,7 +133,7 @@
 		return left.Load()
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	c := h.begin(r, decide.Request{Class: 0, Left: lbtest.Wait}, nil, away)
+	c := h.begin(r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, away)
 	g.await(t)
 	h.event(func(now time.Duration) { h.abandon(now, c, c.attempts[0], decide.Cancelled) })
 	h.mu.Lock()
@@ -161,7 +161,7 @@
 	defer cancel()
 	ctx = WithLeft(ctx, func() bool { cancel(); return true })
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	if a, ok := h.Do(ctx, r, decide.Request{Class: 0, Left: lbtest.Wait}, nil); ok {
+	if a, ok := h.Do(ctx, r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil); ok {
 		t.Errorf("answered %+v", a)
 	}
 	if h.lastID != 0 || got.Load() > 0 {
@@ -210,7 +210,7 @@
 	over := make(chan bool, 1)
 	go func() {
 		r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-		_, ok := h.Do(ctx, r, decide.Request{Class: 0, Left: lbtest.Wait}, nil)
+		_, ok := h.Do(ctx, r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil)
 		over <- ok
 	}()
 	g.await(t)
@@ -238,7 +238,7 @@
 		return left.Load()
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	h.begin(r, decide.Request{Class: 0, Left: lbtest.Wait}, nil, away)
+	h.begin(r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, away)
 	g.await(t)
 	h.mu.Lock()
 	close(g.opened)
--- a/internal/balancer/host/list.go
+++ b/internal/balancer/host/list.go
@@ -21,7 +21,7 @@
 	entry         registry.Endpoint // as it was listed last
 }
 
-var states = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+var states = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Removed}
 
 // Members takes a list from discovery. An entry that can't be used is passed over; the others count.
 func (h *Host) Members(kind decide.ListKind, entries []registry.Endpoint) {
@@ -38,11 +38,11 @@
 			named[s.ID] = true
 		}
 		for id, e := range h.endpoints {
-			if e.State == decide.Gone || (kind == decide.Full || kind == decide.Cached) && !named[id] {
+			if e.State == decide.Removed || (kind == decide.Full || kind == decide.Cached) && !named[id] {
 				h.delist(e)
 			}
 		}
-		h.balancer.Members(now, kind, servers)
+		h.balancer.UpdateEndpoints(now, kind, servers)
 	})
 }
 
@@ -55,7 +55,7 @@
 	h.seen.add(e.Name)
 	s := decide.Server{ID: h.idOf(e.Name), State: state, Cell: e.Group, Weight: e.Weight, StartedAt: h.clock.at(e.SinceMS)}
 	old := h.endpoints[s.ID]
-	if state == decide.Gone { // of one that is gone nothing but the name is needed
+	if state == decide.Removed { // of one that is gone nothing but the name is needed
 		if old != nil {
 			old.State = state
 		}
@@ -88,7 +88,7 @@
 func (h *Host) Close() { h.Members(decide.Full, nil) }
 
 func (h *Host) delist(e *endpoint) {
-	e.State = decide.Gone // attempts that still hold it must not write to it
+	e.State = decide.Removed // attempts that still hold it must not write to it
 	e.pool.Close()
 	delete(h.endpoints, e.ID)
 }
--- a/internal/balancer/host/resets_test.go
+++ b/internal/balancer/host/resets_test.go
@@ -42,10 +42,10 @@
 // an unsafe one never, and gets a failure, which promises nothing; what no endpoint took goes again, whatever its class.
 func TestResetsByClass(t *testing.T) {
 	t.Parallel()
-	safe := decide.Class{Name: "safe", Aim: 5 * time.Second, Deadline: 10 * time.Second, Worth: 1}
+	safe := decide.Class{Name: "safe", LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1}
 	keyedZone, unsafe := safe, safe
-	keyedZone.Name, keyedZone.Effect, keyedZone.Scope, keyedZone.Window = "keyed", decide.Keyed, decide.ScopeZone, time.Minute
-	unsafe.Name, unsafe.Effect = "unsafe", decide.Unsafe
+	keyedZone.Name, keyedZone.Effect, keyedZone.Scope, keyedZone.Window = "keyed", decide.KeyedIdempotent, decide.ScopeZone, time.Minute
+	unsafe.Name, unsafe.Effect = "unsafe", decide.NonIdempotent
 	classes := []decide.Class{safe, keyedZone, unsafe}
 	for _, c := range []struct {
 		name    string
@@ -73,7 +73,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					conf.Decide.Classes, conf.Decide.MayDuplicate = classes, copies
+					conf.Decide.Classes, conf.Decide.MayHedge = classes, copies
 					h, err := New(Options{Decide: conf.Decide, Seed: seed, Zones: conf.Zones, Watch: func() {}, Log: slog.New(slog.DiscardHandler),
 						Client: upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, Idle: time.Second, Max: 64, Again: true})})
 					if err != nil {
@@ -99,7 +99,7 @@
 						key = &Key{History: hold, Terms: history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}}
 					}
 					a := answer(t, h.Begin(upstream.Request{Method: "POST", Target: "/x", Host: "x", Header: map[string][]string{"X-Request-Id": {"one"}}},
-						decide.Request{Class: c.class, Left: lbtest.Wait}, key))
+						decide.Request{Class: c.class, TimeLeft: lbtest.Wait}, key))
 					lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
 					n.mu.Lock()
 					switch {
--- a/internal/balancer/host/stream.go
+++ b/internal/balancer/host/stream.go
@@ -24,7 +24,7 @@
 	if !u.Body.Take() {
 		return false
 	}
-	u.host.event(func(now time.Duration) { u.host.balancer.Spent(now, u.call.id) })
+	u.host.event(func(now time.Duration) { u.host.balancer.MarkNotReplayable(now, u.call.id) })
 	return true
 }
 
@@ -45,7 +45,7 @@
 		if !c.done {
 			c.deadline.Reset(left)
 		}
-		h.balancer.Whole(now, c.id, left)
+		h.balancer.RequestBodyReceived(now, c.id, left)
 		h.onWay(now, c, u.attempt, false)
 	})
 }
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -188,7 +188,7 @@
 
 func (p *Pool) attempt(c *conn, r *Request, claim func() bool) (v decide.Verdict, a *Answer, keep bool, err error) {
 	if !claim() {
-		return decide.Moot, nil, true, nil
+		return decide.NotSent, nil, true, nil
 	}
 	timeout := time.Until(r.Deadline)
 	if r.Rest != nil {
@@ -197,7 +197,7 @@
 	whole, err := c.send(r, timeout)
 	switch {
 	case errors.Is(err, errCaller):
-		return decide.Moot, nil, false, err
+		return decide.NotSent, nil, false, err
 	case !whole && !errors.Is(err, errEarly):
 		return decide.ConnectFailed, nil, false, errors.New("broken before the request was written")
 	}
@@ -245,7 +245,7 @@
 	for {
 		c, ok := p.reserve()
 		if c == nil && !ok {
-			return nil, decide.Moot, errors.New("no descriptor to spare") // says nothing of the endpoint
+			return nil, decide.NotSent, errors.New("no descriptor to spare") // says nothing of the endpoint
 		}
 		if c == nil {
 			break
@@ -267,7 +267,7 @@
 		p.freed()
 		p.client.mu.Unlock()
 		if scarce.Descriptors(err) { // says nothing of the endpoint
-			return nil, decide.Moot, err
+			return nil, decide.NotSent, err
 		}
 		return nil, decide.ConnectFailed, err
 	}
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -263,7 +263,7 @@
 		held.Go(func() { a.Pool(hung.Addr).Do(ctx, request("held"), yes) })
 		<-hung.Got
 	}
-	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != decide.Moot {
+	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != decide.NotSent {
 		t.Errorf("over its cap: verdict %d", v)
 	}
 	quick := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -22,11 +22,11 @@
 func start(t *testing.T, c Config) *Cluster {
 	t.Helper()
 	class := func(e decide.Effect) decide.Class {
-		return decide.Class{Aim: 5 * time.Second, Deadline: lbtest.Wait, Worth: 1, Effect: e, Window: time.Minute}
+		return decide.Class{LatencyObjective: 5 * time.Second, Deadline: lbtest.Wait, PriorityWeight: 1, Effect: e, Window: time.Minute}
 	}
 	c.Core = Core{Zones: []string{"a"}, ConnectTimeout: lbtest.Wait, Idle: lbtest.Wait, Decide: decide.Settings{Balancers: 1,
-		Classes: []decide.Class{class(decide.Safe), class(decide.Keyed)}, MaxAttempts: 3, MayCancel: true, MayDuplicate: true,
-		ConnIdle: lbtest.Wait, FallMultiple: 2.5, FallWindow: time.Second}}
+		Classes: []decide.Class{class(decide.Idempotent), class(decide.KeyedIdempotent)}, MaxAttempts: 3, MayCancel: true, MayHedge: true,
+		ConnIdleTimeout: lbtest.Wait, OverloadMultiple: 2.5, OverloadWindow: time.Second}}
 	if c.Most == 0 {
 		c.Most = 1
 	}
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
 	a, _ := c.Do(ctx, upstream.Request{Method: "GET", Target: "/", Host: "x", Header: http.Header{"X-Request-Id": {id}}},
-		decide.Request{Left: lbtest.Wait}, nil)
+		decide.Request{TimeLeft: lbtest.Wait}, nil)
 	return a
 }
 
--- a/internal/gateway/conf/clusters.go
+++ b/internal/gateway/conf/clusters.go
@@ -20,20 +20,20 @@
 		map[string]int{"endpoint": 1, "file": 0, "dns": 0, "registry": 0, "xds": 0})
 	c := cluster.Config{Name: b.Labels[0]}
 	settings.MaxAttempts = s.whole("max_attempts", 3, 1, 10)
-	settings.MayCancel, settings.RetryAfter = true, true
+	settings.MayCancel, settings.SendsRetryAfter = true, true
 	settings.MaxRetryAfter = 5 * time.Second
-	settings.MayDuplicate = !s.has("hedge") || s.flag("hedge")
-	settings.StartCapacity = s.number("start_capacity", 0.2, 0, 1)
-	settings.WarmUp = s.duration("warm_up", 0, 0, time.Hour)
-	settings.FallMultiple = s.number("fall_multiple", 2.5, 1, 100)
-	settings.FallWindow = s.duration("fall_window", 2*time.Second, 100*time.Millisecond, time.Minute)
+	settings.MayHedge = !s.has("hedge") || s.flag("hedge")
+	settings.InitialCapacity = s.number("start_capacity", 0.2, 0, 1)
+	settings.SlowStart = s.duration("warm_up", 0, 0, time.Hour)
+	settings.OverloadMultiple = s.number("fall_multiple", 2.5, 1, 100)
+	settings.OverloadWindow = s.duration("fall_window", 2*time.Second, 100*time.Millisecond, time.Minute)
 	settings.CrossZonePrice = s.number("crossing_price", 0.01, 0, 1)
 	c.Idle = s.duration("idle", 5*time.Second, 50*time.Millisecond, time.Hour)
-	settings.ConnIdle = c.Idle
+	settings.ConnIdleTimeout = c.Idle
 	c.ConnectTimeout = s.duration("connect_timeout", time.Second, time.Millisecond, time.Minute)
 	for _, l := range s.list("load_report") {
 		c.Report = append(c.Report, l.text)
-		settings.Report = append(settings.Report, decide.Fields[l.text])
+		settings.ReportFields = append(settings.ReportFields, decide.Fields[l.text])
 	}
 	c.Decide, c.Zones = settings, zones
 	c.Reserve = s.share("reserve", 0.5/float64(max(n, 1)))
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -267,7 +267,7 @@
 	if !process.told("fleet") && process.has("fleet") {
 		most = 9999
 	}
-	settings.Me = process.whole("member", 0, 0, most)
+	settings.Index = process.whole("member", 0, 0, most)
 	settings.Zone = max(slices.Index(f.Process.Zones, process.text("zone", "")), 0)
 	reserved := 0.0
 	for _, b := range by["cluster"] {
@@ -346,12 +346,12 @@
 }
 
 var (
-	effects = map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
+	effects = map[string]decide.Effect{"safe": decide.Idempotent, "keyed": decide.KeyedIdempotent, "unsafe": decide.NonIdempotent}
 	scopes  = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
 	methods = map[decide.Effect][]string{
-		decide.Safe:   {"GET", "HEAD", "OPTIONS"},
-		decide.Keyed:  {"POST", "PUT", "PATCH", "DELETE"},
-		decide.Unsafe: {"POST", "PUT", "PATCH", "DELETE"},
+		decide.Idempotent:      {"GET", "HEAD", "OPTIONS"},
+		decide.KeyedIdempotent: {"POST", "PUT", "PATCH", "DELETE"},
+		decide.NonIdempotent:   {"POST", "PUT", "PATCH", "DELETE"},
 	}
 )
 
@@ -362,11 +362,11 @@
 	c := Class{Name: b.Labels[0]}
 	c.Deadline = s.duration("deadline", time.Second, time.Millisecond, time.Hour)
 	if s.told("deadline") {
-		c.Aim = s.duration("aim", c.Deadline, time.Millisecond, c.Deadline)
+		c.LatencyObjective = s.duration("aim", c.Deadline, time.Millisecond, c.Deadline)
 	} else { // what is unreadable is told once, not again by what is measured against it
-		c.Aim = s.duration("aim", c.Deadline, time.Millisecond, time.Hour)
+		c.LatencyObjective = s.duration("aim", c.Deadline, time.Millisecond, time.Hour)
 	}
-	c.Worth = s.number("worth", 1, 0, 1e6)
+	c.PriorityWeight = s.number("worth", 1, 0, 1e6)
 	c.Effect = effects[s.word("effect", "unsafe", "safe", "keyed", "unsafe")]
 	c.Scope = scopes[s.word("scope", "all", "all", "zone", "cell")]
 	c.Window = s.duration("window", 0, 0, 24*time.Hour)
@@ -381,11 +381,11 @@
 		c.Methods = p.methods(s.list("methods"))
 	}
 	for _, name := range []string{"scope", "window", "keep", "check_repeats", "concurrent", "unrecorded"} {
-		if s.has(name) && c.Effect != decide.Keyed {
+		if s.has(name) && c.Effect != decide.KeyedIdempotent {
 			s.fault(s.where(name), "Without a meaning", "%q goes with effect = \"keyed\" alone.", name)
 		}
 	}
-	if c.Effect == decide.Keyed {
+	if c.Effect == decide.KeyedIdempotent {
 		s.need("window")
 	}
 	return c
--- a/internal/gateway/conf/conf_test.go
+++ b/internal/gateway/conf/conf_test.go
@@ -46,12 +46,12 @@
 		t.Errorf("%+v", f)
 	}
 	c := f.Clusters[0]
-	if c.Name != "portal" || len(c.Sources) != 2 || c.Reserve != 0.3 || c.Most != 0.6 || c.Decide.WarmUp != 20*time.Second ||
-		c.Decide.Balancers != 3 || c.ConnectTimeout != 250*time.Millisecond || len(c.Decide.Report) != 1 {
+	if c.Name != "portal" || len(c.Sources) != 2 || c.Reserve != 0.3 || c.Most != 0.6 || c.Decide.SlowStart != 20*time.Second ||
+		c.Decide.Balancers != 3 || c.ConnectTimeout != 250*time.Millisecond || len(c.Decide.ReportFields) != 1 {
 		t.Errorf("%+v", c)
 	}
 	reserva := f.Classes[1]
-	if reserva.Effect != decide.Keyed || reserva.Scope != decide.ScopeZone || reserva.Window != 7500*time.Millisecond || reserva.Worth != 10 {
+	if reserva.Effect != decide.KeyedIdempotent || reserva.Scope != decide.ScopeZone || reserva.Window != 7500*time.Millisecond || reserva.PriorityWeight != 10 {
 		t.Errorf("%+v", reserva)
 	}
 	found, ok := f.Routes.Find(&route.Request{Listener: "public", Host: "a.inscripciones.example", Path: "/schools/9/seats", Method: "GET"})
--- a/internal/gateway/conf/fleet.go
+++ b/internal/gateway/conf/fleet.go
@@ -59,7 +59,7 @@
 		s.fault(s.where("voters"), "Too many voters", "%d voters are asked for each keyed request; 9 is the most, 3 or 5 are usual.", n)
 	}
 	for _, c := range f.Classes {
-		if c.Effect == decide.Keyed {
+		if c.Effect == decide.KeyedIdempotent {
 			o.MaxDeadline = max(o.MaxDeadline, c.Deadline)
 			o.KeyRetention = max(o.KeyRetention, 2*c.Deadline+c.Window+c.Keep)
 		}
--- a/internal/gateway/conf/ledger.go
+++ b/internal/gateway/conf/ledger.go
@@ -62,7 +62,7 @@
 	}
 	keyed := false
 	for _, c := range f.Classes {
-		if c.Effect == decide.Keyed {
+		if c.Effect == decide.KeyedIdempotent {
 			keyed = true
 			o.Keeping.Longest = max(o.Keeping.Longest, c.Window+c.Keep+c.Deadline)
 		}
--- a/internal/gateway/conf/link.go
+++ b/internal/gateway/conf/link.go
@@ -86,9 +86,9 @@
 		s.fault(s.at, "No peer", "%s needs a peer block for each other sala.", s.what)
 	}
 	for _, c := range f.Classes {
-		o.Worths = append(o.Worths, c.Worth)
+		o.Worths = append(o.Worths, c.PriorityWeight)
 	}
-	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == decide.Keyed }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
+	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == decide.KeyedIdempotent }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
 		s.fault(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
 			"repeat through another sala could take effect a second time.", f.Classes[i].Name)
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -165,7 +165,7 @@
 	defer g.release(s)
 	q := r.URL.Query()
 	number, known := s.classes[q.Get("class")]
-	if !known || s.file.Classes[number].Effect != decide.Keyed {
+	if !known || s.file.Classes[number].Effect != decide.KeyedIdempotent {
 		http.Error(w, fmt.Sprintf("no keyed class named %q", q.Get("class")), http.StatusNotFound)
 		return
 	}
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -41,7 +41,7 @@
 		if !ok {
 			return a
 		}
-		r.Worth = x.class.Worth
+		r.Worth = x.class.PriorityWeight
 		to, back, ok := l.Pick(r)
 		if !ok {
 			if back > 0 && !a.MayHaveRun { // it never ran anywhere, and there is nowhere to carry it now
@@ -77,7 +77,7 @@
 		ran = x.hold.MayHaveRun()
 		var err error
 		if try, err = x.hold.Send(time.Now(), history.Place{Cluster: crossing.Place(to, ""), Zone: to}, x.terms()); err != nil {
-			l.Ended(to, x.class.Worth, crossing.Returned, 0)
+			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
 			return host.Answer{MayHaveRun: true}
 		}
 	}
@@ -85,13 +85,13 @@
 	if x.entry != nil {
 		record = x.entry.Attempt(salaNodo(to), x.terms())
 		if err := record.Intent(ctx, history.Place{Cluster: crossing.Place(to, ""), Zone: to}); err != nil { // nothing goes out
-			record.Ended(decide.Moot, 0)
+			record.Ended(decide.NotSent, 0)
 			try.End(time.Now(), true)
-			l.Ended(to, x.class.Worth, crossing.Returned, 0)
+			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
 			return host.Answer{Refused: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
 		}
 	}
-	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.Worth, Effect: uint8(x.class.Effect),
+	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
 		Tenant: x.tenant, Key: x.key, Allowed: way.Left(), Been: append(append([]string{}, way.Been...), x.gateway.sala), Reason: why,
 		Past: x.holder() == to && why == tally.Held, Retried: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
 	c.Try, c.Turn = x.votes(c.Past, ran)
@@ -103,7 +103,7 @@
 		is = l.Call(waiting, to, c)
 	}
 	outcome := is.Outcome
-	if outcome == tally.Open && x.class.Effect != decide.Safe && ctx.Err() == nil {
+	if outcome == tally.Open && x.class.Effect != decide.Idempotent && ctx.Err() == nil {
 		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
 		outcome = l.Settle(settling, is)
 		cancel()
@@ -126,7 +126,7 @@
 	case waiting.Err() != nil && is.Answer == nil && ctx.Err() != nil:
 		result = crossing.GivenUp
 	}
-	l.Ended(to, x.class.Worth, result, a.RetryAfter)
+	l.Ended(to, x.class.PriorityWeight, result, a.RetryAfter)
 	if is.Sent {
 		x.gateway.log.Debug("crossed", "to", to, "class", x.class.Name, "reason", why.String(), "outcome", outcome.String())
 	}
@@ -250,7 +250,7 @@
 		return never("the route's class here is " + x.class.Name + ", or has another effect")
 	}
 	x.passing = c
-	x.q.Left, x.q.Retry = min(x.q.Left, time.Duration(c.Left)*time.Microsecond), c.Retried
+	x.q.TimeLeft, x.q.Retry = min(x.q.TimeLeft, time.Duration(c.Left)*time.Microsecond), c.Retried
 	if c.Allowed > 0 && (x.q.MaxAttempts == 0 || c.Allowed < x.q.MaxAttempts) {
 		x.q.MaxAttempts = c.Allowed
 	}
@@ -259,7 +259,7 @@
 		return &link.Answer{Outcome: tally.Refused, Back: keysRetry.Microseconds()}
 	}
 	defer x.Bodies().Release(int64(len(c.Body)))
-	x.q.Left -= time.Since(begun)
+	x.q.TimeLeft -= time.Since(begun)
 	a := x.Do(ctx, c.Body)
 	out := x.outcome(ctx, a)
 	x.finalOver(out)
@@ -268,7 +268,7 @@
 }
 
 func (x *exchange) hasBodyRoom(ctx context.Context, body []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, x.q.Left/2)
+	ctx, cancel := context.WithTimeout(ctx, x.q.TimeLeft/2)
 	defer cancel()
 	return x.Bodies().Acquire(ctx, int64(len(body))) == nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -195,7 +195,7 @@
 		return &frontend.Reply{Status: http.StatusMethodNotAllowed, Close: true,
 			Header: http.Header{"Allow": {strings.Join(x.class.Methods, ", ")}}}
 	}
-	if x.class.Effect == decide.Safe && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+	if x.class.Effect == decide.Idempotent && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		return bad(http.StatusBadRequest) // RFC 9110, 9.3.1: a body there has no meaning, and hides requests
 	}
 	key, oneKey := frontend.Single(r.Header, "Idempotency-Key")
@@ -204,7 +204,7 @@
 	if !oneKey || !oneID || !oneTimeout || len(key) > maxKey || len(id) > maxID {
 		return bad(http.StatusBadRequest)
 	}
-	if x.class.Effect == decide.Keyed {
+	if x.class.Effect == decide.KeyedIdempotent {
 		if key == "" {
 			return bad(http.StatusBadRequest)
 		}
@@ -225,7 +225,7 @@
 	if !isTenant {
 		tenant = -1 // to the decisions it has no share of its own
 	}
-	x.q = decide.Request{Class: number, Tenant: tenant, Left: left, Retry: r.Header.Get("X-Retried") == "1",
+	x.q = decide.Request{Class: number, Tenant: tenant, TimeLeft: left, Retry: r.Header.Get("X-Retried") == "1",
 		MaxAttempts: x.rule.MaxAttempts}
 	return nil
 }
@@ -292,7 +292,7 @@
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte) host.Answer {
 	now := time.Now()
-	x.deadline = now.Add(x.q.Left)
+	x.deadline = now.Add(x.q.TimeLeft)
 	x.up.Body = body
 	if reply, ok := x.begin(now, body); !ok {
 		return reply
@@ -422,7 +422,7 @@
 	if c == nil { // the key may have run at a cluster that is gone: nothing can be promised
 		return host.Answer{MayHaveRun: true}, true
 	}
-	x.q.Left, x.q.MaxAttempts = time.Until(x.deadline), plan.Attempts()
+	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.Attempts()
 	var key *host.Key
 	if x.hold != nil {
 		key = &host.Key{History: x.hold, Cluster: crossing.Place(x.gateway.sala, to),
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -57,7 +57,7 @@
 		return a, true
 	}
 	r := ledger.Request{ID: x.up.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.id, Print: print,
-		Left: x.q.Left, Unrecorded: x.class.Unrecorded}
+		Left: x.q.TimeLeft, Unrecorded: x.class.Unrecorded}
 	if x.passing != nil && len(x.passing.Been) > 0 {
 		r.From = x.passing.Been[len(x.passing.Been)-1]
 	}
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -168,7 +168,7 @@
 }
 
 var words = map[decide.Verdict]string{decide.OK: "ok", decide.Error: "error", decide.ServerFull: "full", decide.Timeout: "timeout",
-	decide.ConnectFailed: "connect failed", decide.Reset: "reset", decide.Cancelled: "cancelled", decide.Moot: "not sent",
+	decide.ConnectFailed: "connect failed", decide.Reset: "reset", decide.Cancelled: "cancelled", decide.NotSent: "not sent",
 	decide.Rejected: "rejected"}
 
 // Ended records how the attempt has ended. Status is that of an answer, or 0. It does not wait.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -112,7 +112,7 @@
 			nodo := fmt.Sprint("n", r.IntN(4))
 			a := e.Attempt(nodo, terms)
 			if err := a.Intent(ctx, history.Place{Cluster: "c", Zone: "z"}); err != nil {
-				a.Ended(decide.Moot, 0)
+				a.Ended(decide.NotSent, 0)
 				ending = segment.Refused
 				break
 			}
@@ -466,7 +466,7 @@
 				}
 				a := e.Attempt("n1", terms)
 				if err := a.Intent(ctx, history.Place{Zone: "z"}); err != nil {
-					a.Ended(decide.Moot, 0)
+					a.Ended(decide.NotSent, 0)
 					e.Final(segment.Refused, 503)
 					return false
 				}
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -193,7 +193,7 @@
 		return errors.New("settings: zones: none")
 	}
 	c.Zones = n.Zones
-	if len(c.Decide.Report) > 0 {
+	if len(c.Decide.ReportFields) > 0 {
 		c.Report = n.Telemetry.Fields
 	}
 	if !(n.Limits.DialTimeout > 0 && n.Limits.DialTimeout < 60) {
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -59,7 +59,7 @@
 }
 
 var (
-	effects = map[string]decide.Effect{"free": decide.Safe, "guarded": decide.Keyed, "single_shot": decide.Unsafe}
+	effects = map[string]decide.Effect{"free": decide.Idempotent, "guarded": decide.KeyedIdempotent, "single_shot": decide.NonIdempotent}
 	scopes  = map[string]decide.Scope{"": decide.ScopeAll, "all": decide.ScopeAll,
 		"zone": decide.ScopeZone, "cell": decide.ScopeCell}
 )
@@ -71,15 +71,15 @@
 		return decide.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := decide.Settings{
-		Balancers: p.Balancers, Me: p.Me, Zone: p.Zone, Tier: p.Tier,
-		MarksRetries: p.Clients.MarksRetry,
-		Pull:         p.Registry == "on_request", MustAskIn: seconds(p.Obligations.MustAskIn),
-		MaxAttempts: p.Limits.MaxAttempts, MayCancel: p.Limits.Cancelling, MayDuplicate: p.Limits.MayDuplicate,
-		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: seconds(p.Limits.MaxRetryAfter),
-		ConnIdle:      seconds(p.Limits.ConnIdle),
-		StartCapacity: p.Obligations.StartCapacity,
-		WarmUp:        seconds(p.Obligations.Cold), FallMultiple: p.Obligations.FallMultiple,
-		FallWindow:     seconds(p.Obligations.Fall),
+		Balancers: p.Balancers, Index: p.Me, Zone: p.Zone, Tier: p.Tier,
+		RetriesMarked: p.Clients.MarksRetry,
+		PollDiscovery: p.Registry == "on_request", MaxPollInterval: seconds(p.Obligations.MustAskIn),
+		MaxAttempts: p.Limits.MaxAttempts, MayCancel: p.Limits.Cancelling, MayHedge: p.Limits.MayDuplicate,
+		SendsRetryAfter: p.Limits.RetryAfter, MaxRetryAfter: seconds(p.Limits.MaxRetryAfter),
+		ConnIdleTimeout: seconds(p.Limits.ConnIdle),
+		InitialCapacity: p.Obligations.StartCapacity,
+		SlowStart:       seconds(p.Obligations.Cold), OverloadMultiple: p.Obligations.FallMultiple,
+		OverloadWindow: seconds(p.Obligations.Fall),
 		CrossZonePrice: p.Tariffs.CrossZone, HandshakePrice: p.Tariffs.Handshake,
 	}
 	for i, c := range p.Classes {
@@ -91,15 +91,15 @@
 		if !ok {
 			return s, fmt.Errorf("settings: classes[%d].key_scope: unknown %q", i, c.Scope)
 		}
-		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Aim: seconds(c.Aim), Deadline: seconds(c.Deadline),
-			Worth: c.Worth, Effect: effect, Scope: scope, Window: seconds(c.Window)})
+		s.Classes = append(s.Classes, decide.Class{Name: c.Name, LatencyObjective: seconds(c.Aim), Deadline: seconds(c.Deadline),
+			PriorityWeight: c.Worth, Effect: effect, Scope: scope, Window: seconds(c.Window)})
 	}
 	for _, c := range p.Customers {
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: c.Name, QuotaPerSecond: c.Quota})
 	}
 	if p.Telemetry.Via == "inline" {
 		for _, f := range p.Telemetry.Fields {
-			s.Report = append(s.Report, decide.Fields[f])
+			s.ReportFields = append(s.ReportFields, decide.Fields[f])
 		}
 	}
 	return s, nil
--- a/internal/platform/settings/settings_test.go
+++ b/internal/platform/settings/settings_test.go
@@ -21,13 +21,13 @@
 		t.Fatal(err)
 	}
 	c := s.Classes[0]
-	if c.Effect != decide.Keyed || c.Scope != decide.ScopeCell || c.Window != 7500*time.Millisecond || c.Worth != 10 ||
-		c.Aim != 2*time.Second || c.Deadline != 5*time.Second {
+	if c.Effect != decide.KeyedIdempotent || c.Scope != decide.ScopeCell || c.Window != 7500*time.Millisecond || c.PriorityWeight != 10 ||
+		c.LatencyObjective != 2*time.Second || c.Deadline != 5*time.Second {
 		t.Errorf("class %+v", c)
 	}
-	if !s.Pull || !s.MarksRetries || s.WarmUp != 22*time.Second || s.Tenants[0].QuotaPerSecond != 16 ||
-		fmt.Sprint(s.Report) != fmt.Sprint([]decide.Field{decide.FieldUtil, decide.FieldRate}) || s.Me != 2 ||
-		s.MaxRetryAfter != 2*time.Second || s.FallMultiple != 2.5 || s.CrossZonePrice != 0.01 {
+	if !s.PollDiscovery || !s.RetriesMarked || s.SlowStart != 22*time.Second || s.Tenants[0].QuotaPerSecond != 16 ||
+		fmt.Sprint(s.ReportFields) != fmt.Sprint([]decide.Field{decide.FieldUtilization, decide.FieldRequestRate}) || s.Index != 2 ||
+		s.MaxRetryAfter != 2*time.Second || s.OverloadMultiple != 2.5 || s.CrossZonePrice != 0.01 {
 		t.Errorf("settings %+v", s)
 	}
 	for text, want := range map[string]string{
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -72,7 +72,7 @@
 		return nil, &frontend.Reply{Status: status, Close: true}
 	}
 	x := &exchange{router: s, config: c, up: up, q: q, id: id, outcome: figures.Errored}
-	if x.keyed = x.class().Effect == decide.Keyed; x.keyed {
+	if x.keyed = x.class().Effect == decide.KeyedIdempotent; x.keyed {
 		x.keyID = history.IDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
 	}
 	return x, nil
@@ -166,7 +166,7 @@
 		!failover.MayRefuse(now, x.router.keys.Past(now, x.keyID, scope), scope) {
 		return &frontend.Reply{Status: http.StatusBadGateway}
 	}
-	if d := &x.config.Decide; !d.RetryAfter || d.Tier > 0 {
+	if d := &x.config.Decide; !d.SendsRetryAfter || d.Tier > 0 {
 		return &frontend.Reply{Status: http.StatusServiceUnavailable}
 	} else if d.MaxRetryAfter > 0 && a.RetryAfter > d.MaxRetryAfter { // clients honour no more: one that is told more may come at once
 		return &frontend.Reply{Status: http.StatusServiceUnavailable,
@@ -222,7 +222,7 @@
 	if !fits(r, c.Effect) {
 		return up, q, id, http.StatusBadRequest
 	}
-	q = decide.Request{Class: named, Terms: c, Left: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
+	q = decide.Request{Class: named, ClassAtArrival: c, TimeLeft: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
 		// An unknown tenant is -1: to the decisions it has no share of its own.
 		Tenant: slices.Index(conf.Tenants, r.Header.Get("X-Tenant-Id"))}
 	if _, given := r.Header["X-Timeout-Ms"]; given {
@@ -231,7 +231,7 @@
 			return up, q, id, http.StatusBadRequest
 		}
 		// No client waits longer than its class's deadline; one that says so would hold a connection for nothing.
-		q.Left = time.Duration(min(ms, uint64(c.Deadline.Milliseconds()))) * time.Millisecond
+		q.TimeLeft = time.Duration(min(ms, uint64(c.Deadline.Milliseconds()))) * time.Millisecond
 	}
 	up = upstream.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: frontend.EndToEnd(r.Header)}
 	// A caller's Connection header must not strip what endpoints go by.
@@ -247,9 +247,9 @@
 func fits(r *http.Request, e decide.Effect) bool {
 	keyed := r.Header.Get("Idempotency-Key") != ""
 	switch e {
-	case decide.Safe:
+	case decide.Idempotent:
 		return r.Method == http.MethodGet && r.ContentLength == 0
-	case decide.Keyed:
+	case decide.KeyedIdempotent:
 		return r.Method == http.MethodPost && keyed
 	default:
 		return r.Method == http.MethodPost && !keyed
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -121,7 +121,7 @@
 		"beyond":   {900 * time.Millisecond, time.Second, "0.900"},
 		"no bound": {0, time.Second, ""},
 	} {
-		conf := &config.Config{Decide: decide.Settings{RetryAfter: true, MaxRetryAfter: c.most, Classes: []decide.Class{{}}}}
+		conf := &config.Config{Decide: decide.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []decide.Class{{}}}}
 		r := (&exchange{config: conf}).reply(host.Answer{Refused: true, RetryAfter: c.told})
 		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
 			t.Errorf("%s: %+v", name, r)
--- a/internal/salas/crossing/way.go
+++ b/internal/salas/crossing/way.go
@@ -100,7 +100,7 @@
 	case s.Refused:
 		why = tally.Shed
 	}
-	if w.Effect == decide.Keyed && s.Holder != "" {
+	if w.Effect == decide.KeyedIdempotent && s.Holder != "" {
 		if s.Holder == w.Here || s.Holder == NoSala || slices.Contains(r.Not, s.Holder) || w.tried[s.Holder] >= again ||
 			!slices.Contains(w.May, s.Holder) {
 			return r, 0, false
@@ -108,7 +108,7 @@
 		r.Only = s.Holder
 		return r, tally.Held, true
 	}
-	if w.Effect != decide.Safe && s.MayHaveRun {
+	if w.Effect != decide.Idempotent && s.MayHaveRun {
 		return r, 0, false
 	}
 	for name := range w.tried {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -47,7 +47,7 @@
 	"CLIENT_GONE", "WAKEUP", "PONG", "INBOX", "HALT", "POOL"}
 
 var verdicts = map[uint8]decide.Verdict{0: decide.OK, 5: decide.Error, 11: decide.ServerFull,
-	110: decide.Timeout, 111: decide.ConnectFailed, 104: decide.Reset, 125: decide.Cancelled, 114: decide.Moot}
+	110: decide.Timeout, 111: decide.ConnectFailed, 104: decide.Reset, 125: decide.Cancelled, 114: decide.NotSent}
 
 const (
 	headerSize = 12
@@ -148,7 +148,7 @@
 	case evRequest:
 		q := decide.Request{ID: decide.RequestID(r.u64()), Class: int(r.u8()), Tenant: int(r.u32())}
 		r.u64() // the key of the request decides nothing
-		q.Left = seconds(r.f64())
+		q.TimeLeft = seconds(r.f64())
 		r.f64() // neither does the cost hint
 		q.Retry = r.u8()&2 != 0
 		if r.err == nil {
@@ -321,7 +321,7 @@
 	h.time(0) // until the client gives up
 }
 
-func (h host) Refuse(id decide.RequestID, retryAfter time.Duration) {
+func (h host) Reject(id decide.RequestID, retryAfter time.Duration) {
 	h.begin(acRefuse, h.inst)
 	h.u64(uint64(id))
 	h.time(retryAfter)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -21,7 +21,7 @@
 	fmt.Fprintf(n, "members %d %d %v;", i, k, e)
 }
 func (n *note) Request(i uint32, r decide.Request) {
-	fmt.Fprintf(n, "request %d {%d %d %d %v %t};", i, r.ID, r.Class, r.Tenant, r.Left, r.Retry)
+	fmt.Fprintf(n, "request %d {%d %d %d %v %t};", i, r.ID, r.Class, r.Tenant, r.TimeLeft, r.Retry)
 }
 func (n *note) Started(i uint32, id decide.RequestID) { fmt.Fprintf(n, "started %d %d;", i, id) }
 func (n *note) Outcome(i uint32, o decide.Outcome)    { fmt.Fprintf(n, "outcome %d %v;", i, o) }
@@ -98,7 +98,7 @@
 		{func() { h.Watch() }, "0800 03000000 01"},
 		{func() { h.Send(112151750152644, 51530247) }, "0400 03000000 c4913a5d00660000 074a1203 0000000000000000"},
 		{func() { h.Cancel(112151750152644, 0) }, "0700 03000000 c4913a5d00660000 00"},
-		{func() { h.Refuse(983934300007193, 250*time.Millisecond) }, "0200 03000000 192b6f0ee27e0300 000000000000d03f"},
+		{func() { h.Reject(983934300007193, 250*time.Millisecond) }, "0200 03000000 192b6f0ee27e0300 000000000000d03f"},
 		{func() { h.Fail(112151750152644) }, "0c00 03000000 c4913a5d00660000"},
 		{func() { h.CloseIdle(0x2c9011f2) }, "0300 03000000 f211902c"},
 		{func() { h.SetTimer(8*time.Second, 77) }, "0a00 03000000 0000000000002040 4d00000000000000"},
