--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/platform/settings"
+	"silvertrail/lbpolicy"
 	"silvertrail/wire"
 )
 
@@ -25,7 +25,7 @@
 // run answers batches until input ends between two frames.
 func run(in io.Reader, out io.Writer) error {
 	d := wire.NewDecoder(bufio.NewReaderSize(in, 1<<16))
-	l := &link{instances: map[uint32]*decide.Balancer{}}
+	l := &link{instances: map[uint32]*lbpolicy.Balancer{}}
 	for {
 		now, body, err := d.Next()
 		if errors.Is(err, io.EOF) {
@@ -48,11 +48,11 @@
 type link struct {
 	now       time.Duration
 	reply     wire.Reply
-	instances map[uint32]*decide.Balancer
+	instances map[uint32]*lbpolicy.Balancer
 }
 
 // with runs f on an instance's balancer; a panic in it becomes an exception of that instance.
-func (l *link) with(inst uint32, f func(*decide.Balancer)) {
+func (l *link) with(inst uint32, f func(*lbpolicy.Balancer)) {
 	b := l.instances[inst]
 	if b == nil {
 		return
@@ -70,7 +70,7 @@
 	delete(l.instances, inst)
 	s, err := settings.Parse(text)
 	if err == nil {
-		l.instances[inst], err = decide.New(s, seed, l.reply.Host(inst))
+		l.instances[inst], err = lbpolicy.New(s, seed, l.reply.Host(inst))
 	}
 	if err != nil {
 		delete(l.instances, inst)
@@ -80,26 +80,26 @@
 
 func (l *link) Halt(inst uint32) { delete(l.instances, inst) }
 
-func (l *link) Members(inst uint32, kind decide.ListKind, entries []decide.Server) {
-	l.with(inst, func(b *decide.Balancer) { b.UpdateEndpoints(l.now, kind, entries) })
+func (l *link) Members(inst uint32, kind lbpolicy.ListKind, entries []lbpolicy.Server) {
+	l.with(inst, func(b *lbpolicy.Balancer) { b.UpdateEndpoints(l.now, kind, entries) })
 }
 
-func (l *link) Request(inst uint32, r decide.Request) {
-	l.with(inst, func(b *decide.Balancer) { b.Request(l.now, r) })
+func (l *link) Request(inst uint32, r lbpolicy.Request) {
+	l.with(inst, func(b *lbpolicy.Balancer) { b.Request(l.now, r) })
 }
 
-func (l *link) Started(inst uint32, id decide.RequestID) {
-	l.with(inst, func(b *decide.Balancer) { b.ResponseStarted(l.now, id) })
+func (l *link) Started(inst uint32, id lbpolicy.RequestID) {
+	l.with(inst, func(b *lbpolicy.Balancer) { b.ResponseStarted(l.now, id) })
 }
 
-func (l *link) Outcome(inst uint32, o decide.Outcome) {
-	l.with(inst, func(b *decide.Balancer) { b.Outcome(l.now, o) })
+func (l *link) Outcome(inst uint32, o lbpolicy.Outcome) {
+	l.with(inst, func(b *lbpolicy.Balancer) { b.Outcome(l.now, o) })
 }
 
-func (l *link) Gone(inst uint32, id decide.RequestID) {
-	l.with(inst, func(b *decide.Balancer) { b.ClientDisconnected(l.now, id) })
+func (l *link) Gone(inst uint32, id lbpolicy.RequestID) {
+	l.with(inst, func(b *lbpolicy.Balancer) { b.ClientDisconnected(l.now, id) })
 }
 
 func (l *link) Timer(inst uint32, token uint64) {
-	l.with(inst, func(b *decide.Balancer) { b.Timer(l.now, token) })
+	l.with(inst, func(b *lbpolicy.Balancer) { b.Timer(l.now, token) })
 }
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -17,7 +17,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
@@ -29,6 +28,7 @@
 	"silvertrail/internal/platform/registry"
 	platform "silvertrail/internal/platform/sidecar"
 	"silvertrail/internal/platform/watch"
+	"silvertrail/lbpolicy"
 )
 
 const (
@@ -91,7 +91,7 @@
 		log.Warn("config: known: " + err.Error())
 	}
 	listed := make(chan struct{}, 1)
-	discovery = registry.New(c.Discovery, mustAskIn(c.Decide), known.Index, func(kind decide.ListKind, e []registry.Endpoint) {
+	discovery = registry.New(c.Discovery, mustAskIn(c.Decide), known.Index, func(kind lbpolicy.ListKind, e []registry.Endpoint) {
 		h.Members(kind, e)
 		select {
 		case listed <- struct{}{}:
@@ -99,7 +99,7 @@
 		}
 	}, log)
 	discovery.SharedBy(c.Decide.Balancers)
-	h.Members(decide.Cached, known.Entries)
+	h.Members(lbpolicy.Cached, known.Entries)
 
 	self := &platform.Succession{Listen: c.Listen, Host: h, Router: router, Client: client, Room: room}
 	upgrade, listener, err := take(c, self, log)
@@ -205,7 +205,7 @@
 }
 
 // mustAskIn returns how long discovery may be left unasked, and zero where lists are pushed.
-func mustAskIn(s decide.Settings) time.Duration {
+func mustAskIn(s lbpolicy.Settings) time.Duration {
 	if !s.PollDiscovery {
 		return 0
 	}
--- a/internal/balancer/failover/failover.go
+++ b/internal/balancer/failover/failover.go
@@ -7,15 +7,15 @@
 	"slices"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
+	"silvertrail/lbpolicy"
 )
 
 // Request is what a plan is made for.
 type Request struct {
 	To          string // the cluster that its route names, or its split
 	Failover    string // the one for failures; empty: none
-	Effect      decide.Effect
+	Effect      lbpolicy.Effect
 	MaxAttempts int // over all clusters; 0: no bound of its own
 	Deadline    time.Time
 }
@@ -59,8 +59,8 @@
 	}
 	cluster = p.request.Failover
 	switch p.request.Effect {
-	case decide.Idempotent:
-	case decide.KeyedIdempotent:
+	case lbpolicy.Idempotent:
+	case lbpolicy.KeyedIdempotent:
 		if past.Known {
 			cluster = past.Place.Cluster
 		}
@@ -86,10 +86,10 @@
 
 // MayRefuse tells whether a request that was not served may be refused, which tells its caller that a repeat is harmless.
 // It may not where the key may have run: unless all endpoints drop its repeats, and still do.
-func MayRefuse(now time.Time, past history.Past, scope decide.Scope) bool {
-	return !past.Known || scope == decide.ScopeAll && now.Before(past.Until)
+func MayRefuse(now time.Time, past history.Past, scope lbpolicy.Scope) bool {
+	return !past.Known || scope == lbpolicy.ScopeAll && now.Before(past.Until)
 }
 
 // Agreed tells whether a key must be bound by all processes of a fleet: where its repeats can come to endpoints that do
 // not know it. Several tells that the route has more than one cluster.
-func Agreed(scope decide.Scope, several bool) bool { return scope != decide.ScopeAll || several }
+func Agreed(scope lbpolicy.Scope, several bool) bool { return scope != lbpolicy.ScopeAll || several }
--- a/internal/balancer/failover/failover_test.go
+++ b/internal/balancer/failover/failover_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
+	"silvertrail/lbpolicy"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
@@ -21,19 +21,19 @@
 	none := history.Past{}
 	for _, c := range []struct {
 		name   string
-		effect decide.Effect
+		effect lbpolicy.Effect
 		r      Result
 		past   history.Past
 		want   string
 	}{
-		{"safe, may have run", decide.Idempotent, Result{MayHaveRun: true, Attempts: 1}, none, "spare"},
-		{"served", decide.Idempotent, Result{Served: true, Attempts: 1}, none, ""},
-		{"attempts spent", decide.Idempotent, Result{Attempts: 3}, none, ""},
-		{"unsafe, never ran", decide.NonIdempotent, Result{Attempts: 1}, none, "spare"},
-		{"unsafe, may have run", decide.NonIdempotent, Result{MayHaveRun: true, Attempts: 1}, none, ""},
-		{"keyed, never ran", decide.KeyedIdempotent, Result{Attempts: 1}, none, "spare"},
-		{"keyed, may have run here", decide.KeyedIdempotent, Result{MayHaveRun: true, Attempts: 1}, at("own"), ""},
-		{"keyed, bound elsewhere meanwhile", decide.KeyedIdempotent, Result{Attempts: 1}, at("third"), "third"},
+		{"safe, may have run", lbpolicy.Idempotent, Result{MayHaveRun: true, Attempts: 1}, none, "spare"},
+		{"served", lbpolicy.Idempotent, Result{Served: true, Attempts: 1}, none, ""},
+		{"attempts spent", lbpolicy.Idempotent, Result{Attempts: 3}, none, ""},
+		{"unsafe, never ran", lbpolicy.NonIdempotent, Result{Attempts: 1}, none, "spare"},
+		{"unsafe, may have run", lbpolicy.NonIdempotent, Result{MayHaveRun: true, Attempts: 1}, none, ""},
+		{"keyed, never ran", lbpolicy.KeyedIdempotent, Result{Attempts: 1}, none, "spare"},
+		{"keyed, may have run here", lbpolicy.KeyedIdempotent, Result{MayHaveRun: true, Attempts: 1}, at("own"), ""},
+		{"keyed, bound elsewhere meanwhile", lbpolicy.KeyedIdempotent, Result{Attempts: 1}, at("third"), "third"},
 	} {
 		p := New(Request{To: "own", Failover: "spare", Effect: c.effect, MaxAttempts: 3, Deadline: t0.Add(time.Second)})
 		if first := p.First(none); first != "own" {
@@ -50,8 +50,8 @@
 	if to := New(Request{To: "own"}).First(at("third")); to != "third" {
 		t.Errorf("a repeat goes to %q", to)
 	}
-	if MayRefuse(t0, at("c"), decide.ScopeZone) || !MayRefuse(t0, at("c"), decide.ScopeAll) ||
-		MayRefuse(t0.Add(time.Second), at("c"), decide.ScopeAll) || !MayRefuse(t0, none, decide.ScopeCell) {
+	if MayRefuse(t0, at("c"), lbpolicy.ScopeZone) || !MayRefuse(t0, at("c"), lbpolicy.ScopeAll) ||
+		MayRefuse(t0.Add(time.Second), at("c"), lbpolicy.ScopeAll) || !MayRefuse(t0, none, lbpolicy.ScopeCell) {
 		t.Error("refusals")
 	}
 }
@@ -62,10 +62,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.SampledFrom([]string{"a", "b", "c"})
 		r := Request{To: name.Draw(t, "to"), Failover: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "failover"),
-			Effect:      rapid.SampledFrom([]decide.Effect{decide.Idempotent, decide.KeyedIdempotent, decide.NonIdempotent}).Draw(t, "effect"),
+			Effect:      rapid.SampledFrom([]lbpolicy.Effect{lbpolicy.Idempotent, lbpolicy.KeyedIdempotent, lbpolicy.NonIdempotent}).Draw(t, "effect"),
 			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "most"), Deadline: t0.Add(time.Second)}
 		past := history.Past{}
-		if r.Effect == decide.KeyedIdempotent && rapid.Bool().Draw(t, "repeat") {
+		if r.Effect == lbpolicy.KeyedIdempotent && rapid.Bool().Draw(t, "repeat") {
 			past = at(name.Draw(t, "past"))
 		}
 		p := New(r)
@@ -75,7 +75,7 @@
 			res := Result{MayHaveRun: rapid.Bool().Draw(t, "ran"), Attempts: rapid.IntRange(0, 2).Draw(t, "attempts")}
 			made += res.Attempts
 			switch {
-			case r.Effect != decide.KeyedIdempotent:
+			case r.Effect != lbpolicy.KeyedIdempotent:
 			case res.MayHaveRun:
 				past = at(to)
 			case !past.Known && rapid.Bool().Draw(t, "meanwhile"):
@@ -88,7 +88,7 @@
 			if been[next] || r.MaxAttempts > 0 && made >= r.MaxAttempts {
 				t.Fatalf("to %s again, or over its attempts", next)
 			}
-			if res.MayHaveRun && r.Effect != decide.Idempotent || past.Known && next != past.Place.Cluster {
+			if res.MayHaveRun && r.Effect != lbpolicy.Idempotent || past.Known && next != past.Place.Cluster {
 				t.Fatalf("from %s to %s: it may have run", to, next)
 			}
 			been[next], to = true, next
--- a/internal/balancer/history/history.go
+++ b/internal/balancer/history/history.go
@@ -20,8 +20,8 @@
 	"sync"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/base/due"
+	"silvertrail/lbpolicy"
 )
 
 var (
@@ -72,7 +72,7 @@
 
 // Terms are what a class promises of its keys when an attempt is sent.
 type Terms struct {
-	Scope  decide.Scope
+	Scope  lbpolicy.Scope
 	Window time.Duration // for which endpoints drop repeats, from an attempt's send on
 	Keep   time.Duration // for which the key is known after that, so that its repeats are not taken for new
 }
@@ -94,7 +94,7 @@
 }
 
 // Allows tells whether an attempt may go to a place.
-func (p Past) Allows(to Place, scope decide.Scope) bool {
+func (p Past) Allows(to Place, scope lbpolicy.Scope) bool {
 	if !p.Known {
 		return true
 	}
@@ -102,7 +102,7 @@
 }
 
 // And returns what is known where two tell of one key.
-func (p Past) And(o Past, scope decide.Scope) Past {
+func (p Past) And(o Past, scope lbpolicy.Scope) Past {
 	switch {
 	case !o.Known:
 		return p
@@ -117,9 +117,9 @@
 }
 
 // same tells whether two places are in one group.
-func same(a, b Place, scope decide.Scope) bool {
-	return a.Cluster == b.Cluster && (scope == decide.ScopeAll || a.Zone == b.Zone) &&
-		(scope != decide.ScopeCell || a.Cell == b.Cell)
+func same(a, b Place, scope lbpolicy.Scope) bool {
+	return a.Cluster == b.Cluster && (scope == lbpolicy.ScopeAll || a.Zone == b.Zone) &&
+		(scope != lbpolicy.ScopeCell || a.Cell == b.Cell)
 }
 
 // Table is safe for concurrent use.
@@ -220,7 +220,7 @@
 }
 
 // Past returns what is known of a key, for a request that takes no hold of it.
-func (t *Table) Past(now time.Time, id ID, scope decide.Scope) Past {
+func (t *Table) Past(now time.Time, id ID, scope lbpolicy.Scope) Past {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.keys[id]
@@ -255,7 +255,7 @@
 
 func (e *entry) key(id ID) Key {
 	s := e.span(nil)
-	return Key{ID: id, Past: e.past(decide.ScopeAll, nil), Zones: s.zones, Cells: s.cells, Expire: s.expire, InWork: e.open, Out: len(e.out)}
+	return Key{ID: id, Past: e.past(lbpolicy.ScopeAll, nil), Zones: s.zones, Cells: s.cells, Expire: s.expire, InWork: e.open, Out: len(e.out)}
 }
 
 // Each tells of every key that something may have run with, or that is in work, until f returns false.
@@ -306,14 +306,14 @@
 	return s
 }
 
-func (e *entry) past(scope decide.Scope, but *Try) Past {
+func (e *entry) past(scope lbpolicy.Scope, but *Try) Past {
 	s := e.span(but)
 	return Past{Known: s.any, Place: s.place, Until: s.until,
-		Split: scope != decide.ScopeAll && s.zones || scope == decide.ScopeCell && s.cells}
+		Split: scope != lbpolicy.ScopeAll && s.zones || scope == lbpolicy.ScopeCell && s.cells}
 }
 
 // Past returns what is known of the request's key.
-func (r *Request) Past(scope decide.Scope) Past {
+func (r *Request) Past(scope lbpolicy.Scope) Past {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	return r.entry.past(scope, nil)
--- a/internal/balancer/history/history_test.go
+++ b/internal/balancer/history/history_test.go
@@ -9,12 +9,12 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/decide"
+	"silvertrail/lbpolicy"
 )
 
 var (
 	t0    = time.Unix(1_800_000_000, 0)
-	zone  = Terms{Scope: decide.ScopeZone, Window: 8 * time.Second, Keep: 4 * time.Second}
+	zone  = Terms{Scope: lbpolicy.ScopeZone, Window: 8 * time.Second, Keep: 4 * time.Second}
 	north = Place{Cluster: "c", Zone: "north", Cell: 1}
 	south = Place{Cluster: "c", Zone: "south", Cell: 2}
 )
@@ -56,7 +56,7 @@
 	try.End(at(3), true) // never ran: the window counts from the second
 	second.End(at(3), false)
 	repeat.End()
-	if p := table.Past(at(9), IDOf("t", "k"), decide.ScopeZone); !p.Known || p.Place != north || !p.Until.Equal(at(9)) {
+	if p := table.Past(at(9), IDOf("t", "k"), lbpolicy.ScopeZone); !p.Known || p.Place != north || !p.Until.Equal(at(9)) {
 		t.Errorf("%+v", p)
 	}
 	late := begin(t, table, at(9), "k")
@@ -64,7 +64,7 @@
 		t.Errorf("at the end of the window: %v", err)
 	}
 	late.End()
-	if p := table.Past(at(13.9), IDOf("t", "k"), decide.ScopeZone); !p.Known {
+	if p := table.Past(at(13.9), IDOf("t", "k"), lbpolicy.ScopeZone); !p.Known {
 		t.Error("forgotten before its time")
 	}
 	again := begin(t, table, at(14), "k")
@@ -92,13 +92,13 @@
 		t.Error("starts when its window is over")
 	}
 	try.End(t0, false)
-	if p := r.Past(decide.ScopeZone); p.Split || !p.Allows(otherCell, decide.ScopeZone) {
+	if p := r.Past(lbpolicy.ScopeZone); p.Split || !p.Allows(otherCell, lbpolicy.ScopeZone) {
 		t.Errorf("by zone: %+v", p)
 	}
-	if p := r.Past(decide.ScopeCell); !p.Split || p.Allows(north, decide.ScopeCell) {
+	if p := r.Past(lbpolicy.ScopeCell); !p.Split || p.Allows(north, lbpolicy.ScopeCell) {
 		t.Errorf("by cell it was in two groups: %+v", p)
 	}
-	if p := r.Past(decide.ScopeAll); !p.Allows(south, decide.ScopeAll) || p.Allows(Place{Cluster: "d"}, decide.ScopeAll) {
+	if p := r.Past(lbpolicy.ScopeAll); !p.Allows(south, lbpolicy.ScopeAll) || p.Allows(Place{Cluster: "d"}, lbpolicy.ScopeAll) {
 		t.Errorf("all endpoints are those of one cluster: %+v", p)
 	}
 }
@@ -155,7 +155,7 @@
 		var open []*Request
 		var keys []string
 		var tries []*tried
-		scope := rapid.SampledFrom([]decide.Scope{decide.ScopeAll, decide.ScopeZone, decide.ScopeCell}).Draw(t, "scope")
+		scope := rapid.SampledFrom([]lbpolicy.Scope{lbpolicy.ScopeAll, lbpolicy.ScopeZone, lbpolicy.ScopeCell}).Draw(t, "scope")
 		terms := Terms{Scope: scope, Window: 8 * time.Second, Keep: 4 * time.Second}
 		alive := func(key string) (out []*tried) { // what counts of a key now
 			var last time.Time
@@ -255,7 +255,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		r.Past(decide.ScopeZone)
+		r.Past(lbpolicy.ScopeZone)
 		try, _ := r.Send(now, north, zone)
 		try.Starts(now, north)
 		try.End(now, false)
--- a/internal/balancer/host/ban.go
+++ b/internal/balancer/host/ban.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"silvertrail/decide"
+	"silvertrail/lbpolicy"
 )
 
 // ErrUnknown says that an endpoint was never listed.
@@ -59,7 +59,7 @@
 
 // Terms are what calls are taken by: settings, and the names by which the sockets know what decisions know by number.
 type Terms struct {
-	Decide decide.Settings
+	Decide lbpolicy.Settings
 	Zones  []string // the earlier ones in their order, new ones behind
 	Report []string
 }
--- a/internal/balancer/host/carry.go
+++ b/internal/balancer/host/carry.go
@@ -3,21 +3,21 @@
 import (
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/platform/registry"
+	"silvertrail/lbpolicy"
 )
 
 // Carried is what a host hands to the one of the process that takes its place.
 type Carried struct {
-	Learnt  decide.Snapshot `json:"Learnt"`
-	Servers []CarriedServer `json:"Servers"` // of Learnt, by names: numbers and clocks are a process's own
+	Learnt  lbpolicy.Snapshot `json:"Learnt"`
+	Servers []CarriedServer   `json:"Servers"` // of Learnt, by names: numbers and clocks are a process's own
 }
 
 // CarriedServer is what was learnt of an endpoint.
 type CarriedServer struct {
-	Name    string                `json:"Name"`
-	SinceMS int64                 `json:"SinceMS"`
-	Learnt  decide.ServerSnapshot `json:"Learnt"`
+	Name    string                  `json:"Name"`
+	SinceMS int64                   `json:"SinceMS"`
+	Learnt  lbpolicy.ServerSnapshot `json:"Learnt"`
 }
 
 // Carry returns what the decisions have learnt.
--- a/internal/balancer/host/host.go
+++ b/internal/balancer/host/host.go
@@ -1,4 +1,4 @@
-// Package host runs a decide.Balancer on real sockets and a real clock. It translates between the two and decides
+// Package host runs a lbpolicy.Balancer on real sockets and a real clock. It translates between the two and decides
 // nothing: callers' requests, attempts' ends, lists and timers become events, one at a time, and the balancer's
 // actions become attempts and answers.
 package host
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/base/scarce"
+	"silvertrail/lbpolicy"
 )
 
 // Host owns the balancer. All its methods may be called from any goroutine.
@@ -28,20 +28,20 @@
 	watch  func()   // asks discovery for changes
 
 	mu        sync.Mutex
-	balancer  *decide.Balancer
+	balancer  *lbpolicy.Balancer
 	raised    []func(now time.Duration) // events that actions have raised; they follow the one in hand
-	lastID    decide.RequestID
-	classes   []decide.Class // in force
-	calls     map[decide.RequestID]*Call
-	endpoints map[decide.ServerID]*endpoint
-	seen      *seen                      // endpoints that were ever listed
-	banned    map[string]decide.ServerID // by hand, by name
-	ending    time.Time                  // when all that is held must have its answer; zero: not ending
+	lastID    lbpolicy.RequestID
+	classes   []lbpolicy.Class // in force
+	calls     map[lbpolicy.RequestID]*Call
+	endpoints map[lbpolicy.ServerID]*endpoint
+	seen      *seen                        // endpoints that were ever listed
+	banned    map[string]lbpolicy.ServerID // by hand, by name
+	ending    time.Time                    // when all that is held must have its answer; zero: not ending
 }
 
 // Options are what a host is told.
 type Options struct {
-	Decide decide.Settings
+	Decide lbpolicy.Settings
 	Seed   uint64
 	Zones  []string // by name, in the order of the decisions' numbers
 	Report []string // fields of a load report, in the order of Decide.Report
@@ -54,10 +54,10 @@
 func New(o Options) (*Host, error) {
 	h := &Host{log: o.Log, client: o.Client, clock: clock{time.Now()}, zones: o.Zones, report: o.Report, watch: o.Watch,
 		classes: o.Decide.Classes,
-		calls:   map[decide.RequestID]*Call{}, endpoints: map[decide.ServerID]*endpoint{}, seen: newSeen(),
-		banned: map[string]decide.ServerID{}}
+		calls:   map[lbpolicy.RequestID]*Call{}, endpoints: map[lbpolicy.ServerID]*endpoint{}, seen: newSeen(),
+		banned: map[string]lbpolicy.ServerID{}}
 	var err error
-	h.balancer, err = decide.New(o.Decide, o.Seed, actions{h})
+	h.balancer, err = lbpolicy.New(o.Decide, o.Seed, actions{h})
 	return h, err
 }
 
@@ -89,7 +89,7 @@
 
 // Call is one caller's request, from its last byte to its final answer and the end of its last attempt.
 type Call struct {
-	id       decide.RequestID
+	id       lbpolicy.RequestID
 	request  upstream.Request
 	class    int
 	key      *Key // nil: the request has none
@@ -138,11 +138,11 @@
 
 // Begin hands a request to the decisions. Left counts from the request's last byte. The key is nil where it has none;
 // the hold on it must last until the answer.
-func (h *Host) Begin(r upstream.Request, q decide.Request, key *Key) *Call {
+func (h *Host) Begin(r upstream.Request, q lbpolicy.Request, key *Key) *Call {
 	return h.begin(r, q, key, nil)
 }
 
-func (h *Host) begin(r upstream.Request, q decide.Request, key *Key, away func() bool) *Call {
+func (h *Host) begin(r upstream.Request, q lbpolicy.Request, key *Key, away func() bool) *Call {
 	c := &Call{request: r, class: q.Class, key: key, answer: make(chan Answer, 1), away: away}
 	h.event(func(now time.Duration) {
 		h.lastID++
@@ -173,11 +173,11 @@
 }
 
 // resolve finds the class of a request that was read under earlier settings, by its name.
-func (h *Host) resolve(q *decide.Request) bool {
+func (h *Host) resolve(q *lbpolicy.Request) bool {
 	if q.Class < len(h.classes) && h.classes[q.Class].Name == q.ClassAtArrival.Name {
 		return true
 	}
-	q.Class = slices.IndexFunc(h.classes, func(c decide.Class) bool { return c.Name == q.ClassAtArrival.Name })
+	q.Class = slices.IndexFunc(h.classes, func(c lbpolicy.Class) bool { return c.Name == q.ClassAtArrival.Name })
 	return q.Class >= 0
 }
 
@@ -186,7 +186,7 @@
 
 // Do hands a request to the decisions and waits for its answer. Where ctx ends first the caller has gone: ok is false
 // unless an answer was on its way. The request of one that has left by now is not begun, see WithLeft.
-func (h *Host) Do(ctx context.Context, r upstream.Request, q decide.Request, key *Key) (a Answer, ok bool) {
+func (h *Host) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *Key) (a Answer, ok bool) {
 	if Left(ctx) {
 		return Answer{}, false
 	}
@@ -250,7 +250,7 @@
 func (h *Host) expire(c *Call) {
 	h.event(func(now time.Duration) {
 		for _, a := range c.attempts {
-			h.abandon(now, c, a, decide.Timeout)
+			h.abandon(now, c, a, lbpolicy.Timeout)
 		}
 	})
 	// The decisions have answered by now. Should they not have, the caller still gets its one answer: a failure,
@@ -266,19 +266,19 @@
 }
 
 // abandon ends an attempt before its answer. One whose first byte is not out never will run.
-func (h *Host) abandon(now time.Duration, c *Call, a *attempt, v decide.Verdict) {
+func (h *Host) abandon(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict) {
 	if a.ended {
 		return
 	}
 	if !a.wrote {
-		v = decide.NotSent
+		v = lbpolicy.NotSent
 	}
 	a.cancel()
 	h.outcome(now, c, a, v, nil)
 }
 
 // outcome ends an attempt for the decisions. The first served answer goes to the caller.
-func (h *Host) outcome(now time.Duration, c *Call, a *attempt, v decide.Verdict, reply *upstream.Answer) {
+func (h *Host) outcome(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict, reply *upstream.Answer) {
 	a.ended, a.never = true, v.NeverRan()
 	if a.key != nil {
 		a.key.End(time.Now(), a.never)
@@ -293,11 +293,11 @@
 	if reply != nil {
 		c.last = reply
 	}
-	o := decide.Outcome{ID: c.id, Attempt: a.number, Server: a.server.ID, Verdict: v, Latency: now - a.sent, Final: c.done}
+	o := lbpolicy.Outcome{ID: c.id, Attempt: a.number, Server: a.server.ID, Verdict: v, Latency: now - a.sent, Final: c.done}
 	if reply != nil {
 		o.Load = parseLoad(reply.Header.Get("X-Server-Load"), h.report)
 	}
-	if v == decide.OK && !c.done {
+	if v == lbpolicy.OK && !c.done {
 		o.Final = true
 		h.finish(c, Answer{Reply: reply})
 	}
@@ -345,7 +345,7 @@
 	for _, closed := range before {
 		<-closed
 	}
-	verdict, reply, err := decide.NotSent, (*upstream.Answer)(nil), errHeldBack
+	verdict, reply, err := lbpolicy.NotSent, (*upstream.Answer)(nil), errHeldBack
 	if h.agree(ctx, c, a) {
 		h.mu.Lock()
 		r := c.request // its deadline moves as a body that flows has come
@@ -377,14 +377,14 @@
 // answered, its endpoint told to be draining, gone or elsewhere, or the window of its key have ended. The caller holds the
 // lock.
 func (h *Host) mayStart(now time.Time, c *Call, a *attempt) bool {
-	return !a.ended && !c.done && now.Before(c.request.Deadline) && a.server.State == decide.Ready && !a.server.banned && a.server.pool == a.pool &&
+	return !a.ended && !c.done && now.Before(c.request.Deadline) && a.server.State == lbpolicy.Ready && !a.server.banned && a.server.pool == a.pool &&
 		(a.key == nil || h.stillGoes(now, c, a))
 }
 
 // actions is the balancer's view of the host. It is called within event, with the lock held.
 type actions struct{ *Host }
 
-func (h actions) Send(id decide.RequestID, s decide.ServerID) {
+func (h actions) Send(id lbpolicy.RequestID, s lbpolicy.ServerID) {
 	c, e := h.calls[id], h.endpoints[s]
 	if c == nil {
 		return
@@ -400,10 +400,10 @@
 	over := !h.ending.IsZero() && !time.Now().Before(h.ending)
 	if e == nil || c.done || over || !h.bind(c, a) { // moot
 		if e == nil {
-			a.server = &endpoint{Server: decide.Server{ID: s}}
+			a.server = &endpoint{Server: lbpolicy.Server{ID: s}}
 		}
 		close(a.closed)
-		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, decide.NotSent) })
+		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, lbpolicy.NotSent) })
 		return
 	}
 	var ctx context.Context
@@ -418,27 +418,27 @@
 	go h.run(ctx, c, a, before)
 }
 
-func (h actions) Reject(id decide.RequestID, retryAfter time.Duration) {
+func (h actions) Reject(id lbpolicy.RequestID, retryAfter time.Duration) {
 	if c := h.calls[id]; c != nil {
 		h.finish(c, Answer{Refused: true, RetryAfter: retryAfter})
 	}
 }
 
-func (h actions) Fail(id decide.RequestID) {
+func (h actions) Fail(id lbpolicy.RequestID) {
 	if c := h.calls[id]; c != nil {
 		h.finish(c, Answer{})
 	}
 }
 
-func (h actions) Cancel(id decide.RequestID, n int) {
+func (h actions) Cancel(id lbpolicy.RequestID, n int) {
 	c := h.calls[id]
 	if c == nil || n < 0 || n >= len(c.attempts) {
 		return
 	}
-	h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, c.attempts[n], decide.Cancelled) })
+	h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, c.attempts[n], lbpolicy.Cancelled) })
 }
 
-func (h actions) CloseIdle(s decide.ServerID) {
+func (h actions) CloseIdle(s lbpolicy.ServerID) {
 	if e := h.endpoints[s]; e != nil {
 		e.pool.CloseIdle()
 	}
@@ -452,7 +452,7 @@
 	timer := time.AfterFunc(at-h.clock.now(), func() {
 		h.event(func(now time.Duration) { h.balancer.Timer(now, token) })
 	})
-	if c := h.calls[decide.RequestID(token)]; c != nil {
+	if c := h.calls[lbpolicy.RequestID(token)]; c != nil {
 		if c.patience != nil {
 			c.patience.Stop()
 		}
--- a/internal/balancer/host/host_test.go
+++ b/internal/balancer/host/host_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 func newHost(t *testing.T) *Host { return newLoggedHost(t, io.Discard) }
@@ -36,7 +36,7 @@
 
 func get(h *Host, id string, left time.Duration) *Call {
 	return h.Begin(upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {id}}},
-		decide.Request{Class: 0, TimeLeft: left}, nil)
+		lbpolicy.Request{Class: 0, TimeLeft: left}, nil)
 }
 
 func answer(t *testing.T, c *Call) Answer {
@@ -54,7 +54,7 @@
 func TestDecisionFails(t *testing.T) {
 	e := lbtest.NewEndpoint(t, nil)
 	h := newHost(t)
-	h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	held := get(h, "one", 2*time.Second)
 	<-e.Got
 	h.event(func(time.Duration) { panic("a fault") })
@@ -76,7 +76,7 @@
 	first := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	second := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	h := newHost(t)
-	h.Members(decide.Full, []registry.Endpoint{entry(first.Addr, "ready")})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready")})
 	if a := answer(t, get(h, "one", lbtest.Wait)); a.Reply == nil {
 		t.Fatal("not served")
 	}
@@ -96,11 +96,11 @@
 	if h.claim(&Call{request: upstream.Request{Deadline: time.Now()}}, stale) {
 		t.Error("an attempt may go out when the deadline is over, as after a pause of the process")
 	}
-	h.Members(decide.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
+	h.Members(lbpolicy.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
 	if h.claim(&Call{request: whole}, stale) {
 		t.Error("an attempt may go out to the old address")
 	}
-	h.Members(decide.Delta, []registry.Endpoint{entry("nowhere", "draining")})
+	h.Members(lbpolicy.Delta, []registry.Endpoint{entry("nowhere", "draining")})
 	if a := answer(t, get(h, "two", lbtest.Wait)); !a.Refused {
 		t.Errorf("sent to an endpoint that drains: %+v", a)
 	}
@@ -118,7 +118,7 @@
 		a.OK()
 	})
 	h := newHost(t)
-	h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	for range 8 { // long enough for the quiet latency to be learnt too
 		var calls []*Call
 		for range 4 {
@@ -151,7 +151,7 @@
 	e := lbtest.NewEndpoint(t, nil)
 	var log lbtest.Log
 	h := newLoggedHost(t, &log)
-	h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	for range 2 {
 		c := get(h, "hurried", 700*time.Millisecond) // the decisions start from a latency of 1.25 s
 		select {
--- a/internal/balancer/host/key.go
+++ b/internal/balancer/host/key.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
+	"silvertrail/lbpolicy"
 )
 
 // Key is a keyed request's hold on its key's history, and what its attempts are recorded under.
@@ -34,7 +34,7 @@
 	// Intent returns once it is safely recorded that the attempt is about to go to a place. With an error it must not go out.
 	Intent(ctx context.Context, to history.Place) error
 	// Ended records its end, and the status of its answer, if one came whole. It must not block.
-	Ended(v decide.Verdict, status int)
+	Ended(v lbpolicy.Verdict, status int)
 }
 
 // Binder binds a key to a place before an attempt's first byte goes there, for all processes.
@@ -48,16 +48,16 @@
 }
 
 // past translates what is known of a call's key for the decisions.
-func (h *Host) past(c *Call) decide.KeyState {
+func (h *Host) past(c *Call) lbpolicy.KeyState {
 	p := c.key.History.Past(c.key.Terms.Scope)
 	if c.key.binds() {
 		p = p.And(c.key.Binder.Past(), c.key.Terms.Scope)
 	}
 	if !p.Known {
-		return decide.KeyState{}
+		return lbpolicy.KeyState{}
 	}
-	d := decide.KeyState{Known: true, Zone: slices.Index(h.zones, p.Place.Zone), Cell: p.Place.Cell, RetryUntil: h.clock.of(p.Until)}
-	d.Unavailable = p.Split || p.Place.Cluster != c.key.Cluster || c.key.Terms.Scope != decide.ScopeAll && d.Zone < 0
+	d := lbpolicy.KeyState{Known: true, Zone: slices.Index(h.zones, p.Place.Zone), Cell: p.Place.Cell, RetryUntil: h.clock.of(p.Until)}
+	d.Unavailable = p.Split || p.Place.Cluster != c.key.Cluster || c.key.Terms.Scope != lbpolicy.ScopeAll && d.Zone < 0
 	return d
 }
 
--- a/internal/balancer/host/left_test.go
+++ b/internal/balancer/host/left_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // gate holds what comes to it until it is opened.
@@ -44,7 +44,7 @@
 	return nil
 }
 
-func (s slowRecord) Ended(decide.Verdict, int) {}
+func (s slowRecord) Ended(lbpolicy.Verdict, int) {}
 
 // slowVoters agree to whatever they are asked, late.
 type slowVoters struct {
@@ -73,9 +73,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	key := &Key{History: hold, Terms: history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}, Binder: binder, Recorder: recorder}
+	key := &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Keep: time.Minute}, Binder: binder, Recorder: recorder}
 	r := upstream.Request{Method: "POST", Target: "/write", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}, "Idempotency-Key": {"k"}}}
-	return h.begin(r, decide.Request{Class: 1, TimeLeft: lbtest.Wait}, key, away), hold
+	return h.begin(r, lbpolicy.Request{Class: 1, TimeLeft: lbtest.Wait}, key, away), hold
 }
 
 // A caller that leaves while voters are asked, or while an attempt is recorded, has nothing sent, and its key is free: no
@@ -91,7 +91,7 @@
 			var got atomic.Int64
 			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
 			h := newHost(t)
-			h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+			h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 			g := newGate()
 			var left atomic.Bool
 			binder, recorder := slow(g)
@@ -122,7 +122,7 @@
 	h := newHost(t)
 	two := entry(second.Addr, "ready")
 	two.Name = "s2"
-	h.Members(decide.Full, []registry.Endpoint{entry(first.Addr, "ready"), two})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready"), two})
 	g := newGate()
 	var left, held atomic.Bool
 	away := func() bool {
@@ -133,9 +133,9 @@
 		return left.Load()
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	c := h.begin(r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, away)
+	c := h.begin(r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, away)
 	g.await(t)
-	h.event(func(now time.Duration) { h.abandon(now, c, c.attempts[0], decide.Cancelled) })
+	h.event(func(now time.Duration) { h.abandon(now, c, c.attempts[0], lbpolicy.Cancelled) })
 	h.mu.Lock()
 	n := len(c.attempts)
 	h.mu.Unlock()
@@ -156,12 +156,12 @@
 	var got atomic.Int64
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
 	h := newHost(t)
-	h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ctx = WithLeft(ctx, func() bool { cancel(); return true })
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	if a, ok := h.Do(ctx, r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil); ok {
+	if a, ok := h.Do(ctx, r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil); ok {
 		t.Errorf("answered %+v", a)
 	}
 	if h.lastID != 0 || got.Load() > 0 {
@@ -197,7 +197,7 @@
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
 	h.client.SetDialTimeout(lbtest.Wait)
-	h.Members(decide.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	return h, g, got
 }
 
@@ -210,7 +210,7 @@
 	over := make(chan bool, 1)
 	go func() {
 		r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-		_, ok := h.Do(ctx, r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil)
+		_, ok := h.Do(ctx, r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil)
 		over <- ok
 	}()
 	g.await(t)
@@ -238,7 +238,7 @@
 		return left.Load()
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	h.begin(r, decide.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, away)
+	h.begin(r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, away)
 	g.await(t)
 	h.mu.Lock()
 	close(g.opened)
--- a/internal/balancer/host/list.go
+++ b/internal/balancer/host/list.go
@@ -7,27 +7,27 @@
 	"slices"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
+	"silvertrail/lbpolicy"
 )
 
 // endpoint is an entry of discovery's list and the connections to it.
 type endpoint struct {
-	decide.Server
+	lbpolicy.Server
 	name, address string
 	pool          *upstream.Pool
 	banned        bool              // by hand: nothing new
 	entry         registry.Endpoint // as it was listed last
 }
 
-var states = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Removed}
+var states = map[string]lbpolicy.State{"ready": lbpolicy.Ready, "draining": lbpolicy.Draining, "gone": lbpolicy.Removed}
 
 // Members takes a list from discovery. An entry that can't be used is passed over; the others count.
-func (h *Host) Members(kind decide.ListKind, entries []registry.Endpoint) {
+func (h *Host) Members(kind lbpolicy.ListKind, entries []registry.Endpoint) {
 	h.event(func(now time.Duration) {
-		servers := make([]decide.Server, 0, len(entries))
-		named := make(map[decide.ServerID]bool, len(entries))
+		servers := make([]lbpolicy.Server, 0, len(entries))
+		named := make(map[lbpolicy.ServerID]bool, len(entries))
 		for _, e := range entries {
 			s, err := h.enlist(e)
 			if err != nil {
@@ -38,7 +38,7 @@
 			named[s.ID] = true
 		}
 		for id, e := range h.endpoints {
-			if e.State == decide.Removed || (kind == decide.Full || kind == decide.Cached) && !named[id] {
+			if e.State == lbpolicy.Removed || (kind == lbpolicy.Full || kind == lbpolicy.Cached) && !named[id] {
 				h.delist(e)
 			}
 		}
@@ -47,15 +47,15 @@
 }
 
 // enlist takes one entry into the table of endpoints.
-func (h *Host) enlist(e registry.Endpoint) (decide.Server, error) {
+func (h *Host) enlist(e registry.Endpoint) (lbpolicy.Server, error) {
 	state, known := states[e.Status]
 	if !known || e.Name == "" {
-		return decide.Server{}, fmt.Errorf("endpoint %q: status %q", e.Name, e.Status)
+		return lbpolicy.Server{}, fmt.Errorf("endpoint %q: status %q", e.Name, e.Status)
 	}
 	h.seen.add(e.Name)
-	s := decide.Server{ID: h.idOf(e.Name), State: state, Cell: e.Group, Weight: e.Weight, StartedAt: h.clock.at(e.SinceMS)}
+	s := lbpolicy.Server{ID: h.idOf(e.Name), State: state, Cell: e.Group, Weight: e.Weight, StartedAt: h.clock.at(e.SinceMS)}
 	old := h.endpoints[s.ID]
-	if state == decide.Removed { // of one that is gone nothing but the name is needed
+	if state == lbpolicy.Removed { // of one that is gone nothing but the name is needed
 		if old != nil {
 			old.State = state
 		}
@@ -63,7 +63,7 @@
 	}
 	s.Zone = slices.Index(h.zones, e.Zone)
 	if _, err := netip.ParseAddrPort(e.Address); err != nil || s.Zone < 0 {
-		if old != nil && state == decide.Draining { // that it drains counts, whatever else can't be read
+		if old != nil && state == lbpolicy.Draining { // that it drains counts, whatever else can't be read
 			old.State, old.entry.Status = state, e.Status
 			return old.Server, nil
 		}
@@ -77,7 +77,7 @@
 	case old.address != e.Address:
 		old.pool.Close()
 		old.address, old.pool = e.Address, h.client.Pool(e.Address)
-	case old.StartedAt != s.StartedAt || state == decide.Draining:
+	case old.StartedAt != s.StartedAt || state == lbpolicy.Draining:
 		old.pool.CloseIdle() // to a process that has ended, or is about to
 	}
 	old.Server, old.entry = s, e
@@ -85,23 +85,23 @@
 }
 
 // Close takes all endpoints off the list: nothing new goes out, and their connections end with the attempts on them.
-func (h *Host) Close() { h.Members(decide.Full, nil) }
+func (h *Host) Close() { h.Members(lbpolicy.Full, nil) }
 
 func (h *Host) delist(e *endpoint) {
-	e.State = decide.Removed // attempts that still hold it must not write to it
+	e.State = lbpolicy.Removed // attempts that still hold it must not write to it
 	e.pool.Close()
 	delete(h.endpoints, e.ID)
 }
 
 // idOf gives an endpoint's number: a hash of its name, so that it is the same at every sidecar (the decisions on
 // who uses which endpoints rest on that). Where two names meet, the later one takes the next free number.
-func (h *Host) idOf(name string) decide.ServerID {
+func (h *Host) idOf(name string) lbpolicy.ServerID {
 	if id, held := h.banned[name]; held { // its ban must find it again
 		return id
 	}
 	sum := fnv.New32a()
 	sum.Write([]byte(name))
-	id := decide.ServerID(sum.Sum32())
+	id := lbpolicy.ServerID(sum.Sum32())
 	for {
 		e := h.endpoints[id]
 		if (e == nil || e.name == name) && !h.bannedID(id) {
@@ -112,7 +112,7 @@
 }
 
 // bannedID tells whether an endpoint that is banned has a number, listed or not.
-func (h *Host) bannedID(id decide.ServerID) bool {
+func (h *Host) bannedID(id lbpolicy.ServerID) bool {
 	for _, b := range h.banned {
 		if b == id {
 			return true
--- a/internal/balancer/host/resets_test.go
+++ b/internal/balancer/host/resets_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // nodos are endpoints of two zones that count what runs on them.
@@ -42,11 +42,11 @@
 // an unsafe one never, and gets a failure, which promises nothing; what no endpoint took goes again, whatever its class.
 func TestResetsByClass(t *testing.T) {
 	t.Parallel()
-	safe := decide.Class{Name: "safe", LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1}
+	safe := lbpolicy.Class{Name: "safe", LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1}
 	keyedZone, unsafe := safe, safe
-	keyedZone.Name, keyedZone.Effect, keyedZone.Scope, keyedZone.Window = "keyed", decide.KeyedIdempotent, decide.ScopeZone, time.Minute
-	unsafe.Name, unsafe.Effect = "unsafe", decide.NonIdempotent
-	classes := []decide.Class{safe, keyedZone, unsafe}
+	keyedZone.Name, keyedZone.Effect, keyedZone.Scope, keyedZone.Window = "keyed", lbpolicy.KeyedIdempotent, lbpolicy.ScopeZone, time.Minute
+	unsafe.Name, unsafe.Effect = "unsafe", lbpolicy.NonIdempotent
+	classes := []lbpolicy.Class{safe, keyedZone, unsafe}
 	for _, c := range []struct {
 		name    string
 		class   int
@@ -88,7 +88,7 @@
 						}
 						list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: zone, Status: "ready"})
 					}
-					h.Members(decide.Full, list)
+					h.Members(lbpolicy.Full, list)
 					var key *Key
 					if c.class == 1 {
 						hold, err := history.New(8).Begin(time.Now(), history.IDOf("acme", "k"), history.Print{})
@@ -96,10 +96,10 @@
 							t.Fatal(err)
 						}
 						defer hold.End()
-						key = &Key{History: hold, Terms: history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}}
+						key = &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Keep: time.Minute}}
 					}
 					a := answer(t, h.Begin(upstream.Request{Method: "POST", Target: "/x", Host: "x", Header: map[string][]string{"X-Request-Id": {"one"}}},
-						decide.Request{Class: c.class, TimeLeft: lbtest.Wait}, key))
+						lbpolicy.Request{Class: c.class, TimeLeft: lbtest.Wait}, key))
 					lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
 					n.mu.Lock()
 					switch {
--- a/internal/balancer/host/stream.go
+++ b/internal/balancer/host/stream.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/lbpolicy"
 )
 
 // mostUpload bounds a body that is passed on as it comes, whatever progress it makes: 32 MiB at half the rate that callers
@@ -53,9 +53,9 @@
 // pass gives the caller an answer that is still coming, and returns once it has ended. Its first bytes end the call for the
 // decisions: from then on it is in the caller's hands, no deadline cuts it off, and what an endpoint still gives costs
 // it no more than a connection.
-func (h *Host) pass(c *Call, a *attempt, v decide.Verdict, reply *upstream.Answer) {
+func (h *Host) pass(c *Call, a *attempt, v lbpolicy.Verdict, reply *upstream.Answer) {
 	rest := reply.Rest
-	if v != decide.OK { // nobody reads a failure's body
+	if v != lbpolicy.OK { // nobody reads a failure's body
 		rest.Close()
 		reply.Rest = nil
 		return
--- a/internal/balancer/upstream/dial_test.go
+++ b/internal/balancer/upstream/dial_test.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"testing"
 
-	"silvertrail/decide"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // dials has the test decide when each connection comes up, and whether.
@@ -41,7 +41,7 @@
 }
 
 type result struct {
-	v    decide.Verdict
+	v    lbpolicy.Verdict
 	body string
 }
 
@@ -70,7 +70,7 @@
 	first := <-d.began
 	second := <-d.began // the first is late
 	second.goOn <- nil
-	if r := <-came; r.v != decide.OK || r.body != "answer to one" {
+	if r := <-came; r.v != lbpolicy.OK || r.body != "answer to one" {
 		t.Fatalf("got %+v", r)
 	}
 	first.goOn <- nil
@@ -79,7 +79,7 @@
 		defer c.mu.Unlock()
 		return len(p.idle) == 2 && p.open == 2 && c.open == 2
 	})
-	if r := <-begin(t.Context(), p, "two"); r.v != decide.OK || len(d.began) > 0 {
+	if r := <-begin(t.Context(), p, "two"); r.v != lbpolicy.OK || len(d.began) > 0 {
 		t.Errorf("got %+v, %d more connections begun", r, len(d.began))
 	}
 	if n := got.Load(); n != 2 {
@@ -92,36 +92,36 @@
 	t.Parallel()
 	refused := errors.New("refused")
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
-	for name, end := range map[string]func(first, second *oneDial, give func()) (want decide.Verdict, open int){
-		"both fail": func(f, s *oneDial, _ func()) (decide.Verdict, int) {
+	for name, end := range map[string]func(first, second *oneDial, give func()) (want lbpolicy.Verdict, open int){
+		"both fail": func(f, s *oneDial, _ func()) (lbpolicy.Verdict, int) {
 			f.goOn <- refused
 			s.goOn <- refused
-			return decide.ConnectFailed, 0
+			return lbpolicy.ConnectFailed, 0
 		},
-		"the first fails": func(f, s *oneDial, _ func()) (decide.Verdict, int) {
+		"the first fails": func(f, s *oneDial, _ func()) (lbpolicy.Verdict, int) {
 			f.goOn <- refused
 			<-f.over
 			s.goOn <- nil
-			return decide.OK, 1
+			return lbpolicy.OK, 1
 		},
-		"the second fails": func(f, s *oneDial, _ func()) (decide.Verdict, int) {
+		"the second fails": func(f, s *oneDial, _ func()) (lbpolicy.Verdict, int) {
 			s.goOn <- refused
 			<-s.over
 			f.goOn <- nil
-			return decide.OK, 1
+			return lbpolicy.OK, 1
 		},
-		"given up": func(f, s *oneDial, give func()) (decide.Verdict, int) { give(); return decide.ConnectFailed, 0 },
-		"given up as the first fails": func(f, s *oneDial, give func()) (decide.Verdict, int) {
+		"given up": func(f, s *oneDial, give func()) (lbpolicy.Verdict, int) { give(); return lbpolicy.ConnectFailed, 0 },
+		"given up as the first fails": func(f, s *oneDial, give func()) (lbpolicy.Verdict, int) {
 			f.goOn <- refused
 			<-f.over
 			give()
-			return decide.ConnectFailed, 0
+			return lbpolicy.ConnectFailed, 0
 		},
-		"the late one fails after it": func(f, s *oneDial, _ func()) (decide.Verdict, int) {
+		"the late one fails after it": func(f, s *oneDial, _ func()) (lbpolicy.Verdict, int) {
 			s.goOn <- nil
 			<-s.over
 			f.goOn <- refused
-			return decide.OK, 1
+			return lbpolicy.OK, 1
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -181,7 +181,7 @@
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	for _, id := range strings.Fields("one two three") {
-		if v, body := do(t, p, id); v != decide.OK || body != "answer to "+id {
+		if v, body := do(t, p, id); v != lbpolicy.OK || body != "answer to "+id {
 			t.Errorf("%s: verdict %d, %q", id, v, body)
 		}
 	}
@@ -198,7 +198,7 @@
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	for _, id := range strings.Fields("one two") {
-		if v, body := do(t, p, id); v != decide.OK || body != "answer to "+id {
+		if v, body := do(t, p, id); v != lbpolicy.OK || body != "answer to "+id {
 			t.Errorf("%s: verdict %d, %q", id, v, body)
 		}
 	}
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -15,9 +15,9 @@
 	"sync"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/limit"
 	"silvertrail/internal/base/scarce"
+	"silvertrail/lbpolicy"
 )
 
 const notProcessed = "X-Not-Processed"
@@ -165,7 +165,7 @@
 // Do sends the request once. Claim is called just before the first byte is written: where it returns false nothing
 // is written. The answer is not nil only where one has come whole: the verdict is OK, Error, Rejected or ServerFull.
 // When Do returns the attempt's connection is closed or stands idle.
-func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (decide.Verdict, *Answer, error) {
+func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (lbpolicy.Verdict, *Answer, error) {
 	c, verdict, err := p.take(ctx)
 	if c == nil {
 		return verdict, nil, err
@@ -173,7 +173,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
 	verdict, answer, keep, err := p.attempt(c, r, claim)
-	if verdict == decide.Reset && !c.idleSince.IsZero() && time.Since(began) < staleIn && ctx.Err() == nil {
+	if verdict == lbpolicy.Reset && !c.idleSince.IsZero() && time.Since(began) < staleIn && ctx.Err() == nil {
 		p.client.mu.Lock()
 		p.client.limit.broke(c.stood)
 		p.client.mu.Unlock()
@@ -186,9 +186,9 @@
 	return verdict, answer, err
 }
 
-func (p *Pool) attempt(c *conn, r *Request, claim func() bool) (v decide.Verdict, a *Answer, keep bool, err error) {
+func (p *Pool) attempt(c *conn, r *Request, claim func() bool) (v lbpolicy.Verdict, a *Answer, keep bool, err error) {
 	if !claim() {
-		return decide.NotSent, nil, true, nil
+		return lbpolicy.NotSent, nil, true, nil
 	}
 	timeout := time.Until(r.Deadline)
 	if r.Rest != nil {
@@ -197,9 +197,9 @@
 	whole, err := c.send(r, timeout)
 	switch {
 	case errors.Is(err, errCaller):
-		return decide.NotSent, nil, false, err
+		return lbpolicy.NotSent, nil, false, err
 	case !whole && !errors.Is(err, errEarly):
-		return decide.ConnectFailed, nil, false, errors.New("broken before the request was written")
+		return lbpolicy.ConnectFailed, nil, false, errors.New("broken before the request was written")
 	}
 	if whole && p.client.Sent != nil {
 		p.client.Sent()
@@ -207,51 +207,51 @@
 	a, keep, err = c.receive(r.Method == http.MethodHead, timeout)
 	switch {
 	case err != nil && !whole && !errors.Is(err, errSpoilt): // it ended with the request still coming
-		return decide.ConnectFailed, nil, false, err
+		return lbpolicy.ConnectFailed, nil, false, err
 	case errors.Is(err, errSpoilt): // the endpoint has answered, if badly: no break of its connections or process
-		return decide.Error, nil, false, err
+		return lbpolicy.Error, nil, false, err
 	case err != nil && !c.idleSince.IsZero():
-		return decide.Reset, nil, false, fmt.Errorf("used again after %v: %w", c.stood.Round(time.Millisecond), err)
+		return lbpolicy.Reset, nil, false, fmt.Errorf("used again after %v: %w", c.stood.Round(time.Millisecond), err)
 	case err != nil:
-		return decide.Reset, nil, false, err
+		return lbpolicy.Reset, nil, false, err
 	}
-	if v = verdict(a, p.client.AnyStatus); v != decide.OK {
+	if v = verdict(a, p.client.AnyStatus); v != lbpolicy.OK {
 		err = fmt.Errorf("status %d: %.60q", a.Status, a.Body)
 	}
 	return v, a, keep && whole, err
 }
 
 // verdict tells what an endpoint's answer means.
-func verdict(a *Answer, any bool) decide.Verdict {
+func verdict(a *Answer, any bool) lbpolicy.Verdict {
 	unseen := a.Header.Get(notProcessed) == "1"
 	switch {
 	case a.Status == http.StatusOK:
-		return decide.OK
+		return lbpolicy.OK
 	case unseen && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusGatewayTimeout ||
 		any && a.Status == http.StatusTooManyRequests):
-		return decide.ServerFull
+		return lbpolicy.ServerFull
 	case a.Status == http.StatusRequestTimeout || a.Status == http.StatusTooManyRequests:
-		return decide.Error
+		return lbpolicy.Error
 	case any && a.Status >= 200 && a.Status < 500:
-		return decide.OK
+		return lbpolicy.OK
 	case a.Status >= 400 && a.Status < 500:
-		return decide.Rejected
+		return lbpolicy.Rejected
 	}
-	return decide.Error
+	return lbpolicy.Error
 }
 
 // take returns an idle connection or a new one. Where it returns none, the verdict says why.
-func (p *Pool) take(ctx context.Context) (*conn, decide.Verdict, error) {
+func (p *Pool) take(ctx context.Context) (*conn, lbpolicy.Verdict, error) {
 	for {
 		c, ok := p.reserve()
 		if c == nil && !ok {
-			return nil, decide.NotSent, errors.New("no descriptor to spare") // says nothing of the endpoint
+			return nil, lbpolicy.NotSent, errors.New("no descriptor to spare") // says nothing of the endpoint
 		}
 		if c == nil {
 			break
 		}
 		if c.quiet() {
-			return c, decide.OK, nil
+			return c, lbpolicy.OK, nil
 		}
 		p.release(c, false)
 	}
@@ -267,11 +267,11 @@
 		p.freed()
 		p.client.mu.Unlock()
 		if scarce.Descriptors(err) { // says nothing of the endpoint
-			return nil, decide.NotSent, err
+			return nil, lbpolicy.NotSent, err
 		}
-		return nil, decide.ConnectFailed, err
+		return nil, lbpolicy.ConnectFailed, err
 	}
-	return c, decide.OK, nil
+	return c, lbpolicy.OK, nil
 }
 
 // reserve takes the newest idle connection that has settled, or room for a new one; ok is false where there is neither.
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/limit"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 func request(id string) *Request {
@@ -27,7 +27,7 @@
 
 func yes() bool { return true }
 
-func do(t *testing.T, p *Pool, id string) (decide.Verdict, string) {
+func do(t *testing.T, p *Pool, id string) (lbpolicy.Verdict, string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
@@ -70,15 +70,15 @@
 		"noise more":  lbtest.OK("ok") + "\x01\x02",
 	}
 	for name, text := range spoilt {
-		t.Run(name, func(t *testing.T) { t.Parallel(); answers(t, text, decide.Error, "") })
+		t.Run(name, func(t *testing.T) { t.Parallel(); answers(t, text, lbpolicy.Error, "") })
 	}
 	for name, text := range good {
-		t.Run(name, func(t *testing.T) { t.Parallel(); answers(t, text, decide.OK, "ok") })
+		t.Run(name, func(t *testing.T) { t.Parallel(); answers(t, text, lbpolicy.OK, "ok") })
 	}
 }
 
-func answers(t *testing.T, text string, verdict decide.Verdict, body string) {
-	odd := verdict != decide.OK || strings.Contains(text, "xx") || strings.HasSuffix(text, "\x02")
+func answers(t *testing.T, text string, verdict lbpolicy.Verdict, body string) {
+	odd := verdict != lbpolicy.OK || strings.Contains(text, "xx") || strings.HasSuffix(text, "\x02")
 	first := true
 	var second int
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
@@ -96,7 +96,7 @@
 	if v, got := do(t, p, "one"); v != verdict || got != body {
 		t.Errorf("verdict %d, body %q", v, got)
 	}
-	if v, got := do(t, p, "two"); v != decide.OK || got != "answer to two" {
+	if v, got := do(t, p, "two"); v != lbpolicy.OK || got != "answer to two" {
 		t.Errorf("the next request: verdict %d, body %q", v, got)
 	}
 	if odd && second != 0 {
@@ -119,34 +119,34 @@
 	c := newClient(lbtest.Wait)
 	p := c.Pool(e.Addr)
 	defer p.Close()
-	if v, _ := do(t, p, "one"); v != decide.OK {
+	if v, _ := do(t, p, "one"); v != lbpolicy.OK {
 		t.Fatal(v)
 	}
 	a := <-late
 	a.Write([]byte(lbtest.OK("a stranger's")))
 	// Loopback hands the bytes over within the write.
-	if v, body := do(t, p, "two"); v != decide.OK || body != "answer to two" {
+	if v, body := do(t, p, "two"); v != lbpolicy.OK || body != "answer to two" {
 		t.Errorf("verdict %d, body %q", v, body)
 	}
 }
 
 // Outcomes that prove that a request never ran are told from those that don't.
 func TestOutcomes(t *testing.T) {
-	for text, verdict := range map[string]decide.Verdict{
-		"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n": decide.ServerFull,
-		"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n": decide.ServerFull,
-		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                       decide.Error,
-		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n":                       decide.Error,
-		"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n":                       decide.Rejected,
-		"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n":                       decide.Error,
-		"HTTP/1.1 101 No\r\n\r\n":                                            decide.Error,
-		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbroken":                 decide.Reset,
-		"": decide.Reset,
+	for text, verdict := range map[string]lbpolicy.Verdict{
+		"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n": lbpolicy.ServerFull,
+		"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n": lbpolicy.ServerFull,
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                       lbpolicy.Error,
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n":                       lbpolicy.Error,
+		"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n":                       lbpolicy.Rejected,
+		"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n":                       lbpolicy.Error,
+		"HTTP/1.1 101 No\r\n\r\n":                                            lbpolicy.Error,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbroken":                 lbpolicy.Reset,
+		"": lbpolicy.Reset,
 	} {
 		t.Run(fmt.Sprintf("%.30q", text), func(t *testing.T) {
 			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
 				a.Write([]byte(text))
-				if verdict == decide.Reset {
+				if verdict == lbpolicy.Reset {
 					a.Close()
 				}
 			})
@@ -159,7 +159,7 @@
 	}
 	l := lbtest.Listen(t)
 	l.Close()
-	if v, _ := do(t, newClient(lbtest.Wait).Pool(l.Addr().String()), "one"); v != decide.ConnectFailed {
+	if v, _ := do(t, newClient(lbtest.Wait).Pool(l.Addr().String()), "one"); v != lbpolicy.ConnectFailed {
 		t.Errorf("refused: verdict %d", v)
 	}
 }
@@ -181,7 +181,7 @@
 			c := newClient(idle)
 			p := c.Pool(e.Addr)
 			defer p.Close()
-			if v, _ := do(t, p, "one"); v != decide.OK {
+			if v, _ := do(t, p, "one"); v != lbpolicy.OK {
 				t.Fatal(v)
 			}
 			lbtest.Until(t, "no connection open", func() bool { return c.Open() == 0 })
@@ -206,14 +206,14 @@
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	do(t, p, "one")
-	if v, _ := do(t, p, "two"); v != decide.OK { // kept
+	if v, _ := do(t, p, "two"); v != lbpolicy.OK { // kept
 		t.Fatal(v)
 	}
 	lost.Store(true)
 	resets := 0
 	for i := range 6 {
 		time.Sleep(stands) // longer waits do no harm
-		if v, _ := do(t, p, fmt.Sprint(i)); v == decide.Reset {
+		if v, _ := do(t, p, fmt.Sprint(i)); v == lbpolicy.Reset {
 			resets++
 		}
 	}
@@ -228,11 +228,11 @@
 	var answer atomic.Value
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.Write([]byte(answer.Load().(string))) })
 	p := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 4, AnyStatus: true}).Pool(e.Addr)
-	for head, want := range map[string]decide.Verdict{
-		"201 Created": decide.OK, "204 No Content": decide.OK, "302 Found": decide.OK, "404 Not Found": decide.OK,
-		"408 Request Timeout": decide.Error, "429 Too Many Requests": decide.Error, "500 Oops": decide.Error,
-		"503 Busy": decide.Error, "503 Busy\r\nX-Not-Processed: 1": decide.ServerFull,
-		"429 Busy\r\nX-Not-Processed: 1": decide.ServerFull, "101 Switching Protocols": decide.Error,
+	for head, want := range map[string]lbpolicy.Verdict{
+		"201 Created": lbpolicy.OK, "204 No Content": lbpolicy.OK, "302 Found": lbpolicy.OK, "404 Not Found": lbpolicy.OK,
+		"408 Request Timeout": lbpolicy.Error, "429 Too Many Requests": lbpolicy.Error, "500 Oops": lbpolicy.Error,
+		"503 Busy": lbpolicy.Error, "503 Busy\r\nX-Not-Processed: 1": lbpolicy.ServerFull,
+		"429 Busy\r\nX-Not-Processed: 1": lbpolicy.ServerFull, "101 Switching Protocols": lbpolicy.Error,
 	} {
 		answer.Store("HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n")
 		if v, _ := do(t, p, head); v != want {
@@ -244,7 +244,7 @@
 		r := request("head")
 		r.Method = "HEAD"
 		v, a, err := p.Do(t.Context(), r, yes)
-		if v != decide.OK || len(a.Body) > 0 || a.Header.Get("Content-Length") != "500" {
+		if v != lbpolicy.OK || len(a.Body) > 0 || a.Header.Get("Content-Length") != "500" {
 			t.Errorf("HEAD: verdict %d, %+v, %v", v, a, err)
 		}
 	}
@@ -263,13 +263,13 @@
 		held.Go(func() { a.Pool(hung.Addr).Do(ctx, request("held"), yes) })
 		<-hung.Got
 	}
-	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != decide.NotSent {
+	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != lbpolicy.NotSent {
 		t.Errorf("over its cap: verdict %d", v)
 	}
 	quick := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	other := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	for _, addr := range []string{quick.Addr, other.Addr} { // what stands idle makes room
-		if v, body := do(t, b.Pool(addr), "free"); v != decide.OK {
+		if v, body := do(t, b.Pool(addr), "free"); v != lbpolicy.OK {
 			t.Errorf("within its reserve: verdict %d %s", v, body)
 		}
 	}
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
@@ -20,6 +19,7 @@
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/platform/sidecar"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // serve runs a sidecar without discovery in front of endpoints, one blank between them, and returns its address.
@@ -41,7 +41,7 @@
 	for i, address := range strings.Split(endpoint, " ") {
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
 	}
-	h.Members(decide.Full, list)
+	h.Members(lbpolicy.Full, list)
 	s := frontend.New(sidecar.NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	s.Ready()
 	go s.Serve()
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -19,7 +19,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
@@ -31,6 +30,7 @@
 	"silvertrail/internal/platform/sidecar"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
+	"silvertrail/lbpolicy"
 )
 
 // taken is a connection as the sidecar has it. What is read of it can be held back.
@@ -140,7 +140,7 @@
 		})
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
 	}
-	d.host.Members(decide.Full, list)
+	d.host.Members(lbpolicy.Full, list)
 	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Board{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	if secure {
 		dir := t.TempDir()
--- a/internal/fleet/keyownership.go
+++ b/internal/fleet/keyownership.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/fleet/ownership"
+	"silvertrail/lbpolicy"
 )
 
 const (
@@ -205,7 +205,7 @@
 
 // VoterKeyState returns what this instance's voter knows of a key, and how long it still abstains; ok is false where the
 // instance is no voter.
-func (k *keyOwnership) VoterKeyState(key history.ID, scope decide.Scope) (past history.Past, abstainsFor time.Duration, ok bool) {
+func (k *keyOwnership) VoterKeyState(key history.ID, scope lbpolicy.Scope) (past history.Past, abstainsFor time.Duration, ok bool) {
 	isVoter := slices.Contains(k.fleet.voterNames(), k.fleet.options.Name)
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
--- a/internal/fleet/ownership/message.go
+++ b/internal/fleet/ownership/message.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
+	"silvertrail/lbpolicy"
 )
 
 // The messages are encoded as arrays in the order of their fields, which must not change.
@@ -22,7 +22,7 @@
 	Round     uint32 // of the attempt; a proposal with another place has a higher one and replaces the earlier one
 	Key       history.ID
 	Place     history.Place
-	Scope     decide.Scope
+	Scope     lbpolicy.Scope
 	Window    time.Duration
 	Retention time.Duration
 	TTL       time.Duration // no attempt starts under the proposal after this time, counted from its making
--- a/internal/fleet/ownership/model_test.go
+++ b/internal/fleet/ownership/model_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
+	"silvertrail/lbpolicy"
 )
 
 var deep = flag.Int("deep", 2, "depth of the exhaustive search")
@@ -142,7 +142,7 @@
 	r := w.requests[i]
 	r.place = place
 	a := Proposal{Attempt: AttemptID{uint64(10*w.script[i].process + w.incarnations[w.script[i].process]), uint64(i)}, Round: uint32(len(r.proposals)),
-		Key: history.IDOf("", w.script[i].key), Place: place, Scope: decide.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+		Key: history.IDOf("", w.script[i].key), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	r.proposer = NewProposer(w.now, a, 3)
 	r.proposals = append(r.proposals, a)
 }
@@ -364,7 +364,7 @@
 // that follows another.
 func TestVoter(t *testing.T) {
 	ask := func(number uint64, turn uint32, place history.Place) Proposal {
-		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.IDOf("", "a"), Place: place, Scope: decide.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.IDOf("", "a"), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	}
 	v := NewVoter(m0, VoterOptions{MaxKeys: 4, MaxProposalTTL: ttl})
 	vote := func(a Proposal) Vote {
--- a/internal/fleet/ownership/voter.go
+++ b/internal/fleet/ownership/voter.go
@@ -16,9 +16,9 @@
 import (
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/base/due"
+	"silvertrail/lbpolicy"
 )
 
 // Majority returns how many of n voters must agree.
@@ -193,7 +193,7 @@
 func (v *Voter) AbstainsUntil() time.Time { return v.abstainUntil }
 
 // KeyState returns what the voter knows of a key.
-func (v *Voter) KeyState(now time.Time, key history.ID, scope decide.Scope) history.Past {
+func (v *Voter) KeyState(now time.Time, key history.ID, scope lbpolicy.Scope) history.Past {
 	v.expire(now)
 	return v.table.Past(now, key, scope)
 }
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,11 +6,11 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
 	"silvertrail/internal/fleet/ownership"
+	"silvertrail/lbpolicy"
 )
 
 // protocolVersion is the version of the messages between instances. It is part of the label that each packet carries, so
@@ -121,7 +121,7 @@
 }
 
 func checkProposal(p *ownership.Proposal) error {
-	if !isValidPlace(p.Place) || p.Window < 0 || p.Retention < 0 || p.TTL <= 0 || p.Scope > decide.ScopeCell {
+	if !isValidPlace(p.Place) || p.Window < 0 || p.Retention < 0 || p.TTL <= 0 || p.Scope > lbpolicy.ScopeCell {
 		return errors.New("fleet: invalid proposal")
 	}
 	return nil
--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -10,11 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/limit"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
+	"silvertrail/lbpolicy"
 )
 
 // Config is what a cluster is told.
@@ -31,7 +31,7 @@
 // Core is what a running balancer rests on. A change of it makes a new one, which has to learn anew; all the rest of a
 // Config can change under a balancer that runs on.
 type Core struct {
-	Decide         decide.Settings
+	Decide         lbpolicy.Settings
 	Zones          []string
 	Report         []string
 	ConnectTimeout time.Duration
@@ -259,7 +259,7 @@
 		c.members = list
 		c.revision.Add(1)
 		c.able.Store(slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.Status == ready }))
-		c.host.Members(decide.Full, list)
+		c.host.Members(lbpolicy.Full, list)
 	}
 	if c.timer != nil {
 		c.timer.Stop()
@@ -317,7 +317,7 @@
 
 // Do hands a request to the cluster's decisions and waits for its answer; ok is false where the caller has gone. Over
 // the bound on calls in work it is refused at once: nothing of it ran. The key is nil where the request has none.
-func (c *Cluster) Do(ctx context.Context, r upstream.Request, q decide.Request, key *host.Key) (a host.Answer, ok bool) {
+func (c *Cluster) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *host.Key) (a host.Answer, ok bool) {
 	if !c.calls.TryAcquire(1) {
 		return host.Answer{Refused: true, RetryAfter: busyRetry}, true
 	}
--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -11,21 +11,21 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // start runs a cluster with classes of each kind.
 func start(t *testing.T, c Config) *Cluster {
 	t.Helper()
-	class := func(e decide.Effect) decide.Class {
-		return decide.Class{LatencyObjective: 5 * time.Second, Deadline: lbtest.Wait, PriorityWeight: 1, Effect: e, Window: time.Minute}
+	class := func(e lbpolicy.Effect) lbpolicy.Class {
+		return lbpolicy.Class{LatencyObjective: 5 * time.Second, Deadline: lbtest.Wait, PriorityWeight: 1, Effect: e, Window: time.Minute}
 	}
-	c.Core = Core{Zones: []string{"a"}, ConnectTimeout: lbtest.Wait, Idle: lbtest.Wait, Decide: decide.Settings{Balancers: 1,
-		Classes: []decide.Class{class(decide.Idempotent), class(decide.KeyedIdempotent)}, MaxAttempts: 3, MayCancel: true, MayHedge: true,
+	c.Core = Core{Zones: []string{"a"}, ConnectTimeout: lbtest.Wait, Idle: lbtest.Wait, Decide: lbpolicy.Settings{Balancers: 1,
+		Classes: []lbpolicy.Class{class(lbpolicy.Idempotent), class(lbpolicy.KeyedIdempotent)}, MaxAttempts: 3, MayCancel: true, MayHedge: true,
 		ConnIdleTimeout: lbtest.Wait, OverloadMultiple: 2.5, OverloadWindow: time.Second}}
 	if c.Most == 0 {
 		c.Most = 1
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
 	a, _ := c.Do(ctx, upstream.Request{Method: "GET", Target: "/", Host: "x", Header: http.Header{"X-Request-Id": {id}}},
-		decide.Request{TimeLeft: lbtest.Wait}, nil)
+		lbpolicy.Request{TimeLeft: lbtest.Wait}, nil)
 	return a
 }
 
--- a/internal/gateway/cluster/source.go
+++ b/internal/gateway/cluster/source.go
@@ -11,9 +11,9 @@
 	"slices"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/base/replaced"
 	"silvertrail/internal/platform/registry"
+	"silvertrail/lbpolicy"
 )
 
 // tell takes a source's words, one at a time.
@@ -137,11 +137,11 @@
 type Registry struct{ Address string }
 
 func (r *Registry) run(ctx context.Context, say tell, log *slog.Logger) {
-	registry.New(r.Address, 0, 0, func(kind decide.ListKind, entries []registry.Endpoint) {
+	registry.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []registry.Endpoint) {
 		switch kind {
-		case decide.Full, decide.Cached:
+		case lbpolicy.Full, lbpolicy.Cached:
 			say(whole, entries)
-		case decide.Delta:
+		case lbpolicy.Delta:
 			say(changes, entries)
 		default:
 			say(lost, nil)
--- a/internal/gateway/conf/clusters.go
+++ b/internal/gateway/conf/clusters.go
@@ -8,13 +8,13 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"silvertrail/decide"
 	"silvertrail/internal/gateway/cluster"
 	"silvertrail/internal/platform/registry"
+	"silvertrail/lbpolicy"
 )
 
 // cluster reads a cluster's block.
-func (p *parser) cluster(b *hcl.Block, settings decide.Settings, zones []string, n int) cluster.Config {
+func (p *parser) cluster(b *hcl.Block, settings lbpolicy.Settings, zones []string, n int) cluster.Config {
 	s := p.open("cluster "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"connect_timeout", "idle", "max_attempts", "hedge",
 		"warm_up", "start_capacity", "fall_multiple", "fall_window", "crossing_price", "load_report", "reserve", "most", "empty_hold"},
 		map[string]int{"endpoint": 1, "file": 0, "dns": 0, "registry": 0, "xds": 0})
@@ -33,7 +33,7 @@
 	c.ConnectTimeout = s.duration("connect_timeout", time.Second, time.Millisecond, time.Minute)
 	for _, l := range s.list("load_report") {
 		c.Report = append(c.Report, l.text)
-		settings.ReportFields = append(settings.ReportFields, decide.Fields[l.text])
+		settings.ReportFields = append(settings.ReportFields, lbpolicy.Fields[l.text])
 	}
 	c.Decide, c.Zones = settings, zones
 	c.Reserve = s.share("reserve", 0.5/float64(max(n, 1)))
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -19,7 +19,6 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
-	"silvertrail/decide"
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/fleet"
@@ -28,6 +27,7 @@
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/salas/link"
 	"silvertrail/internal/xds/planes"
+	"silvertrail/lbpolicy"
 )
 
 // File is a configuration that can be used.
@@ -62,7 +62,7 @@
 type Class struct {
 	Name    string
 	Methods []string
-	decide.Class
+	lbpolicy.Class
 
 	// Of keyed classes:
 
@@ -223,14 +223,14 @@
 			}
 		}
 	}
-	var settings decide.Settings
+	var settings lbpolicy.Settings
 	for _, c := range f.Classes {
 		settings.Classes = append(settings.Classes, c.Class)
 	}
 	for _, b := range by["tenant"] {
 		s := p.open("tenant "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"rate"}, nil)
 		f.Tenants = append(f.Tenants, b.Labels[0])
-		settings.Tenants = append(settings.Tenants, decide.Tenant{QuotaPerSecond: s.number("rate", 0, 0, 1e9)})
+		settings.Tenants = append(settings.Tenants, lbpolicy.Tenant{QuotaPerSecond: s.number("rate", 0, 0, 1e9)})
 	}
 	groups := p.clients(by["clients"])
 	proven := false
@@ -346,12 +346,12 @@
 }
 
 var (
-	effects = map[string]decide.Effect{"safe": decide.Idempotent, "keyed": decide.KeyedIdempotent, "unsafe": decide.NonIdempotent}
-	scopes  = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
-	methods = map[decide.Effect][]string{
-		decide.Idempotent:      {"GET", "HEAD", "OPTIONS"},
-		decide.KeyedIdempotent: {"POST", "PUT", "PATCH", "DELETE"},
-		decide.NonIdempotent:   {"POST", "PUT", "PATCH", "DELETE"},
+	effects = map[string]lbpolicy.Effect{"safe": lbpolicy.Idempotent, "keyed": lbpolicy.KeyedIdempotent, "unsafe": lbpolicy.NonIdempotent}
+	scopes  = map[string]lbpolicy.Scope{"all": lbpolicy.ScopeAll, "zone": lbpolicy.ScopeZone, "cell": lbpolicy.ScopeCell}
+	methods = map[lbpolicy.Effect][]string{
+		lbpolicy.Idempotent:      {"GET", "HEAD", "OPTIONS"},
+		lbpolicy.KeyedIdempotent: {"POST", "PUT", "PATCH", "DELETE"},
+		lbpolicy.NonIdempotent:   {"POST", "PUT", "PATCH", "DELETE"},
 	}
 )
 
@@ -381,11 +381,11 @@
 		c.Methods = p.methods(s.list("methods"))
 	}
 	for _, name := range []string{"scope", "window", "keep", "check_repeats", "concurrent", "unrecorded"} {
-		if s.has(name) && c.Effect != decide.KeyedIdempotent {
+		if s.has(name) && c.Effect != lbpolicy.KeyedIdempotent {
 			s.fault(s.where(name), "Without a meaning", "%q goes with effect = \"keyed\" alone.", name)
 		}
 	}
-	if c.Effect == decide.KeyedIdempotent {
+	if c.Effect == lbpolicy.KeyedIdempotent {
 		s.need("window")
 	}
 	return c
--- a/internal/gateway/conf/conf_test.go
+++ b/internal/gateway/conf/conf_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/gateway/route"
+	"silvertrail/lbpolicy"
 )
 
 const base = `
@@ -51,7 +51,7 @@
 		t.Errorf("%+v", c)
 	}
 	reserva := f.Classes[1]
-	if reserva.Effect != decide.KeyedIdempotent || reserva.Scope != decide.ScopeZone || reserva.Window != 7500*time.Millisecond || reserva.PriorityWeight != 10 {
+	if reserva.Effect != lbpolicy.KeyedIdempotent || reserva.Scope != lbpolicy.ScopeZone || reserva.Window != 7500*time.Millisecond || reserva.PriorityWeight != 10 {
 		t.Errorf("%+v", reserva)
 	}
 	found, ok := f.Routes.Find(&route.Request{Listener: "public", Host: "a.inscripciones.example", Path: "/schools/9/seats", Method: "GET"})
--- a/internal/gateway/conf/fleet.go
+++ b/internal/gateway/conf/fleet.go
@@ -13,8 +13,8 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"silvertrail/decide"
 	"silvertrail/internal/fleet"
+	"silvertrail/lbpolicy"
 )
 
 // keyBytes is the length of a fleet's keys (AES-256).
@@ -59,7 +59,7 @@
 		s.fault(s.where("voters"), "Too many voters", "%d voters are asked for each keyed request; 9 is the most, 3 or 5 are usual.", n)
 	}
 	for _, c := range f.Classes {
-		if c.Effect == decide.KeyedIdempotent {
+		if c.Effect == lbpolicy.KeyedIdempotent {
 			o.MaxDeadline = max(o.MaxDeadline, c.Deadline)
 			o.KeyRetention = max(o.KeyRetention, 2*c.Deadline+c.Window+c.Keep)
 		}
--- a/internal/gateway/conf/ledger.go
+++ b/internal/gateway/conf/ledger.go
@@ -7,9 +7,9 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"silvertrail/decide"
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/ledger/commit"
+	"silvertrail/lbpolicy"
 )
 
 const (
@@ -62,7 +62,7 @@
 	}
 	keyed := false
 	for _, c := range f.Classes {
-		if c.Effect == decide.KeyedIdempotent {
+		if c.Effect == lbpolicy.KeyedIdempotent {
 			keyed = true
 			o.Keeping.Longest = max(o.Keeping.Longest, c.Window+c.Keep+c.Deadline)
 		}
--- a/internal/gateway/conf/link.go
+++ b/internal/gateway/conf/link.go
@@ -10,8 +10,8 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"silvertrail/decide"
 	"silvertrail/internal/salas/link"
+	"silvertrail/lbpolicy"
 )
 
 // LinkListener is the listener by whose name routes match requests that other salas send.
@@ -88,7 +88,7 @@
 	for _, c := range f.Classes {
 		o.Worths = append(o.Worths, c.PriorityWeight)
 	}
-	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == decide.KeyedIdempotent }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
+	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == lbpolicy.KeyedIdempotent }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
 		s.fault(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
 			"repeat through another sala could take effect a second time.", f.Classes[i].Name)
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,9 +9,9 @@
 	"os"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/fleet"
+	"silvertrail/lbpolicy"
 )
 
 // control is the socket on which the running process tells of itself to those who run it: a file that its owner alone can
@@ -165,7 +165,7 @@
 	defer g.release(s)
 	q := r.URL.Query()
 	number, known := s.classes[q.Get("class")]
-	if !known || s.file.Classes[number].Effect != decide.KeyedIdempotent {
+	if !known || s.file.Classes[number].Effect != lbpolicy.KeyedIdempotent {
 		http.Error(w, fmt.Sprintf("no keyed class named %q", q.Get("class")), http.StatusNotFound)
 		return
 	}
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/failover"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
@@ -16,6 +15,7 @@
 	"silvertrail/internal/salas/crossing"
 	"silvertrail/internal/salas/link"
 	"silvertrail/internal/salas/tally"
+	"silvertrail/lbpolicy"
 )
 
 // settleIn is how long a request waits to hear what became of a crossing that was cut off, at the most; half of the time
@@ -85,7 +85,7 @@
 	if x.entry != nil {
 		record = x.entry.Attempt(salaNodo(to), x.terms())
 		if err := record.Intent(ctx, history.Place{Cluster: crossing.Place(to, ""), Zone: to}); err != nil { // nothing goes out
-			record.Ended(decide.NotSent, 0)
+			record.Ended(lbpolicy.NotSent, 0)
 			try.End(time.Now(), true)
 			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
 			return host.Answer{Refused: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
@@ -103,7 +103,7 @@
 		is = l.Call(waiting, to, c)
 	}
 	outcome := is.Outcome
-	if outcome == tally.Open && x.class.Effect != decide.Idempotent && ctx.Err() == nil {
+	if outcome == tally.Open && x.class.Effect != lbpolicy.Idempotent && ctx.Err() == nil {
 		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
 		outcome = l.Settle(settling, is)
 		cancel()
@@ -211,7 +211,7 @@
 // Lookup implements link.Server.
 func (g salaServer) Lookup(id history.ID) (f link.Found) {
 	now := time.Now()
-	p := g.keys.Past(now, id, decide.ScopeAll)
+	p := g.keys.Past(now, id, lbpolicy.ScopeAll)
 	if !p.Known {
 		return f
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/failover"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
@@ -25,6 +24,7 @@
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/salas/crossing"
 	"silvertrail/internal/salas/link"
+	"silvertrail/lbpolicy"
 )
 
 const (
@@ -46,7 +46,7 @@
 	rule    *route.Rule
 	class   *conf.Class
 	up      upstream.Request
-	q       decide.Request
+	q       lbpolicy.Request
 	key     string // idempotency key of a keyed request
 	tenant  string
 	to      string       // cluster that the rule names, or its split
@@ -195,7 +195,7 @@
 		return &frontend.Reply{Status: http.StatusMethodNotAllowed, Close: true,
 			Header: http.Header{"Allow": {strings.Join(x.class.Methods, ", ")}}}
 	}
-	if x.class.Effect == decide.Idempotent && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+	if x.class.Effect == lbpolicy.Idempotent && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		return bad(http.StatusBadRequest) // RFC 9110, 9.3.1: a body there has no meaning, and hides requests
 	}
 	key, oneKey := frontend.Single(r.Header, "Idempotency-Key")
@@ -204,7 +204,7 @@
 	if !oneKey || !oneID || !oneTimeout || len(key) > maxKey || len(id) > maxID {
 		return bad(http.StatusBadRequest)
 	}
-	if x.class.Effect == decide.KeyedIdempotent {
+	if x.class.Effect == lbpolicy.KeyedIdempotent {
 		if key == "" {
 			return bad(http.StatusBadRequest)
 		}
@@ -225,7 +225,7 @@
 	if !isTenant {
 		tenant = -1 // to the decisions it has no share of its own
 	}
-	x.q = decide.Request{Class: number, Tenant: tenant, TimeLeft: left, Retry: r.Header.Get("X-Retried") == "1",
+	x.q = lbpolicy.Request{Class: number, Tenant: tenant, TimeLeft: left, Retry: r.Header.Get("X-Retried") == "1",
 		MaxAttempts: x.rule.MaxAttempts}
 	return nil
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/edge/frontend"
@@ -13,6 +12,7 @@
 	"silvertrail/internal/ledger/segment"
 	"silvertrail/internal/salas/link"
 	"silvertrail/internal/salas/tally"
+	"silvertrail/lbpolicy"
 )
 
 // recorder gives a request's attempts to the ledger. It implements host.Recorder.
@@ -122,18 +122,18 @@
 func salaNodo(sala string) string { return "sala " + sala }
 
 // crossed tells how an attempt that went to another sala has ended, in the words of attempts.
-func crossed(o tally.Outcome, said *link.Answer) (decide.Verdict, int) {
+func crossed(o tally.Outcome, said *link.Answer) (lbpolicy.Verdict, int) {
 	status := 0
 	if said != nil {
 		status = said.Status
 	}
 	switch {
 	case o == tally.Served:
-		return decide.OK, status
+		return lbpolicy.OK, status
 	case o.Harmless():
-		return decide.ServerFull, status
+		return lbpolicy.ServerFull, status
 	}
-	return decide.Timeout, 0
+	return lbpolicy.Timeout, 0
 }
 
 // Recorded tells how the ledger stands; ok is false where there is none.
--- a/internal/ledger/account/keys.go
+++ b/internal/ledger/account/keys.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
+	"silvertrail/lbpolicy"
 )
 
 // Now is the present, by the clocks of the machine on which the log is read.
@@ -39,7 +39,7 @@
 		return
 	}
 	for _, a := range r.At() {
-		terms := history.Terms{Scope: decide.Scope(a.Scope), Window: a.Window, Keep: a.Keep}
+		terms := history.Terms{Scope: lbpolicy.Scope(a.Scope), Window: a.Window, Keep: a.Keep}
 		least, most, sure := now.Ago(r.Life, a.Sent)
 		if least >= a.Window+a.Keep {
 			continue
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/segment"
+	"silvertrail/lbpolicy"
 )
 
 func newNumber() uint64 { return rand.Uint64() | 1 }
@@ -167,12 +167,12 @@
 	return err
 }
 
-var words = map[decide.Verdict]string{decide.OK: "ok", decide.Error: "error", decide.ServerFull: "full", decide.Timeout: "timeout",
-	decide.ConnectFailed: "connect failed", decide.Reset: "reset", decide.Cancelled: "cancelled", decide.NotSent: "not sent",
-	decide.Rejected: "rejected"}
+var words = map[lbpolicy.Verdict]string{lbpolicy.OK: "ok", lbpolicy.Error: "error", lbpolicy.ServerFull: "full", lbpolicy.Timeout: "timeout",
+	lbpolicy.ConnectFailed: "connect failed", lbpolicy.Reset: "reset", lbpolicy.Cancelled: "cancelled", lbpolicy.NotSent: "not sent",
+	lbpolicy.Rejected: "rejected"}
 
 // Ended records how the attempt has ended. Status is that of an answer, or 0. It does not wait.
-func (a *Attempt) Ended(v decide.Verdict, status int) {
+func (a *Attempt) Ended(v lbpolicy.Verdict, status int) {
 	l := a.entry.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -183,8 +183,8 @@
 	}
 	if a.over = true; a.intended {
 		seq, _ := l.add(&segment.Record{Kind: segment.Outcome, At: l.at(), Request: a.entry.number, Attempt: a.number, Never: v.NeverRan(),
-			Answer: status != 0, Verdict: words[v], Status: status}, v == decide.OK)
-		if v == decide.OK {
+			Answer: status != 0, Verdict: words[v], Status: status}, v == lbpolicy.OK)
+		if v == lbpolicy.OK {
 			a.entry.mu.Lock()
 			a.entry.answered = seq
 			a.entry.mu.Unlock()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,7 +14,6 @@
 
 	"go.uber.org/goleak"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/ledger/account"
 	"silvertrail/internal/ledger/commit"
@@ -22,6 +21,7 @@
 	"silvertrail/internal/ledger/segment"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
+	"silvertrail/lbpolicy"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -42,7 +42,7 @@
 	return l
 }
 
-var terms = history.Terms{Scope: decide.ScopeZone, Window: time.Minute, Keep: time.Minute}
+var terms = history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Keep: time.Minute}
 
 func request(id string) Request {
 	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: history.IDOf("school", "key "+id), Left: time.Minute}
@@ -112,7 +112,7 @@
 			nodo := fmt.Sprint("n", r.IntN(4))
 			a := e.Attempt(nodo, terms)
 			if err := a.Intent(ctx, history.Place{Cluster: "c", Zone: "z"}); err != nil {
-				a.Ended(decide.NotSent, 0)
+				a.Ended(lbpolicy.NotSent, 0)
 				ending = segment.Refused
 				break
 			}
@@ -120,13 +120,13 @@
 			switch fate := r.IntN(4); {
 			case fate == 0 && try < 2:
 				w.see(id, func(s *seen) { s.never++ })
-				a.Ended(decide.ServerFull, 503)
+				a.Ended(lbpolicy.ServerFull, 503)
 				continue
 			case fate == 1:
-				a.Ended(decide.Timeout, 0)
+				a.Ended(lbpolicy.Timeout, 0)
 			default:
 				w.see(id, func(s *seen) { s.ran = true })
-				a.Ended(decide.OK, 200)
+				a.Ended(lbpolicy.OK, 200)
 				ending = segment.Served
 			}
 			break
@@ -382,7 +382,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, fate := range []decide.Verdict{decide.OK, decide.Timeout, decide.ServerFull} {
+	for i, fate := range []lbpolicy.Verdict{lbpolicy.OK, lbpolicy.Timeout, lbpolicy.ServerFull} {
 		e, err := l.Take(request(fmt.Sprint(i)))
 		if err != nil {
 			t.Fatal(err)
@@ -392,7 +392,7 @@
 			t.Fatal(err)
 		}
 		a.Ended(fate, 200)
-		e.Final(map[decide.Verdict]segment.Ending{decide.OK: segment.Served, decide.Timeout: segment.Failed, decide.ServerFull: segment.Refused}[fate], 200)
+		e.Final(map[lbpolicy.Verdict]segment.Ending{lbpolicy.OK: segment.Served, lbpolicy.Timeout: segment.Failed, lbpolicy.ServerFull: segment.Refused}[fate], 200)
 	}
 	l.Close()
 	names, _ := d.List()
@@ -466,11 +466,11 @@
 				}
 				a := e.Attempt("n1", terms)
 				if err := a.Intent(ctx, history.Place{Zone: "z"}); err != nil {
-					a.Ended(decide.NotSent, 0)
+					a.Ended(lbpolicy.NotSent, 0)
 					e.Final(segment.Refused, 503)
 					return false
 				}
-				a.Ended(decide.OK, 200)
+				a.Ended(lbpolicy.OK, 200)
 				e.Final(segment.Served, 200)
 				return true
 			}
@@ -529,7 +529,7 @@
 		if err := a.Intent(context.Background(), history.Place{Zone: "z"}); err != nil {
 			t.Fatal(err)
 		}
-		a.Ended(decide.OK, 200)
+		a.Ended(lbpolicy.OK, 200)
 		e.Final(segment.Served, 200)
 	}
 	l.Close()
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/platform/settings"
+	"silvertrail/lbpolicy"
 )
 
 // Limits are what the process may use.
@@ -32,7 +32,7 @@
 	Limits    Limits
 	Known     json.RawMessage // the last list of endpoints, in discovery's form; nil if none
 
-	Decide      decide.Settings
+	Decide      lbpolicy.Settings
 	Classes     []string // names, in the order of Decide.Classes
 	Tenants     []string // names, in the order of Decide.Tenants
 	Zones       []string
@@ -173,7 +173,7 @@
 	if c.Decide, err = settings.Parse(text); err != nil {
 		return err
 	}
-	if _, err = decide.New(c.Decide, 0, nil); err != nil {
+	if _, err = lbpolicy.New(c.Decide, 0, nil); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	var n names
--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 func TestLoad(t *testing.T) {
@@ -18,7 +18,7 @@
 	}
 	if c.Name != "n0" || c.Listen != "127.0.0.1:5000" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x1f || c.DialTimeout != 5*time.Second ||
 		strings.Join(c.Classes, " ") != "read write" || strings.Join(c.Tenants, " ") != "acme" || strings.Join(c.Zones, " ") != "a b" ||
-		strings.Join(c.Report, " ") != "util" || c.Longest() != 10*time.Second || c.Decide.Classes[1].Effect != decide.KeyedIdempotent ||
+		strings.Join(c.Report, " ") != "util" || c.Longest() != 10*time.Second || c.Decide.Classes[1].Effect != lbpolicy.KeyedIdempotent ||
 		c.Limits != (Limits{Cores: 1, MemoryMB: 64, Sockets: 256}) {
 		t.Errorf("%+v", c)
 	}
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -16,10 +16,10 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // self is a process as a test has it: a table of keys, bans, and what has become of it.
@@ -135,7 +135,7 @@
 }
 
 func attempt(key, zone string) Attempt {
-	return Attempt{ID: ID(history.IDOf("t", key)), Scope: decide.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
+	return Attempt{ID: ID(history.IDOf("t", key)), Scope: lbpolicy.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
 }
 
 // Three processes in a row: the socket, keys and bans pass on, and what the first still does is agreed with the last.
@@ -176,7 +176,7 @@
 	if p, err = one.Bind(context.Background(), attempt("other", "north")); err != nil || p.Zone != "north" {
 		t.Errorf("%+v %v", p, err)
 	}
-	if !s3.keys.Past(time.Now(), history.IDOf("t", "other"), decide.ScopeZone).Known {
+	if !s3.keys.Past(time.Now(), history.IDOf("t", "other"), lbpolicy.ScopeZone).Known {
 		t.Error("the last one does not know what the first binds")
 	}
 
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -12,10 +12,10 @@
 	"io"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/platform/registry"
+	"silvertrail/lbpolicy"
 )
 
 // Version is that of the messages. A process that speaks another one is not taken over from.
@@ -152,10 +152,10 @@
 
 // Attempt is one that is about to go out with a key.
 type Attempt struct {
-	ID     ID            `json:"id"`
-	To     Past          `json:"to"` // the place; Until is for how long a further one may be decided on
-	Scope  decide.Scope  `json:"scope"`
-	Expire time.Duration `json:"expire"`
+	ID     ID             `json:"id"`
+	To     Past           `json:"to"` // the place; Until is for how long a further one may be decided on
+	Scope  lbpolicy.Scope `json:"scope"`
+	Expire time.Duration  `json:"expire"`
 }
 
 // check refuses what no process of this version sends.
@@ -169,7 +169,7 @@
 	case Keys:
 		ok = len(m.Keys) <= keysAtOnce
 	case Bind:
-		ok = !m.Answer && m.Bind != nil && m.Bind.To.Known && m.Bind.Scope <= decide.ScopeCell || m.Answer && m.Past != nil
+		ok = !m.Answer && m.Bind != nil && m.Bind.To.Known && m.Bind.Scope <= lbpolicy.ScopeCell || m.Answer && m.Past != nil
 	case Ban:
 		ok = m.Answer || m.Ban != nil && m.Ban.ID != ""
 	case No:
--- a/internal/platform/registry/registry.go
+++ b/internal/platform/registry/registry.go
@@ -15,8 +15,8 @@
 	"sync"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/platform/watch"
+	"silvertrail/lbpolicy"
 )
 
 const (
@@ -75,7 +75,7 @@
 type Client struct {
 	sharing int           // instances of the own tier
 	asked   time.Duration // discovery answers only when asked to: the settings' must_ask_in; zero where an agent is
-	members func(decide.ListKind, []Endpoint)
+	members func(lbpolicy.ListKind, []Endpoint)
 	log     *slog.Logger
 	http    *http.Client
 	quick   *http.Client // of an agent that has not answered yet; nil where discovery is asked
@@ -98,7 +98,7 @@
 
 // New returns a client that hands lists to members. Where discovery answers only when asked to, mustAskIn is how long the
 // settings allow it not to be; zero is an agent. Index is the version of the list in hand.
-func New(addr string, mustAskIn time.Duration, index int64, members func(decide.ListKind, []Endpoint), log *slog.Logger) *Client {
+func New(addr string, mustAskIn time.Duration, index int64, members func(lbpolicy.ListKind, []Endpoint), log *slog.Logger) *Client {
 	begun := time.Now()
 	c := &Client{addr: addr, asked: mustAskIn, members: members, log: log, index: index,
 		http: caller(dialIn), ask: make(chan struct{}, 1), draw: rand.Float64, pause: pause,
@@ -269,13 +269,13 @@
 		}
 	}
 	c.older = 0
-	kind := decide.Delta
+	kind := lbpolicy.Delta
 	if list.Snapshot {
-		kind = decide.Full
+		kind = lbpolicy.Full
 	} else if whole {
 		return errors.New("changes in place of the whole list")
 	}
-	repeated := list.Index == c.index && kind == decide.Delta
+	repeated := list.Index == c.index && kind == lbpolicy.Delta
 	c.index = list.Index
 	if !repeated || c.asked > 0 {
 		c.members(kind, list.Entries)
--- a/internal/platform/registry/registry_test.go
+++ b/internal/platform/registry/registry_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/platform/watch"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 func TestParseList(t *testing.T) {
@@ -50,7 +50,7 @@
 	words []string
 }
 
-func (w *told) members(kind decide.ListKind, entries []Endpoint) {
+func (w *told) members(kind lbpolicy.ListKind, entries []Endpoint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	text := fmt.Sprint([]string{"changes", "whole", "cached", "failed"}[kind])
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -8,7 +8,7 @@
 	"math"
 	"time"
 
-	"silvertrail/decide"
+	"silvertrail/lbpolicy"
 )
 
 type profile struct {
@@ -59,18 +59,18 @@
 }
 
 var (
-	effects = map[string]decide.Effect{"free": decide.Idempotent, "guarded": decide.KeyedIdempotent, "single_shot": decide.NonIdempotent}
-	scopes  = map[string]decide.Scope{"": decide.ScopeAll, "all": decide.ScopeAll,
-		"zone": decide.ScopeZone, "cell": decide.ScopeCell}
+	effects = map[string]lbpolicy.Effect{"free": lbpolicy.Idempotent, "guarded": lbpolicy.KeyedIdempotent, "single_shot": lbpolicy.NonIdempotent}
+	scopes  = map[string]lbpolicy.Scope{"": lbpolicy.ScopeAll, "all": lbpolicy.ScopeAll,
+		"zone": lbpolicy.ScopeZone, "cell": lbpolicy.ScopeCell}
 )
 
 // Parse reads an instance's settings; an error names the key that can't be used.
-func Parse(text []byte) (decide.Settings, error) {
+func Parse(text []byte) (lbpolicy.Settings, error) {
 	var p profile
 	if err := json.Unmarshal(text, &p); err != nil {
-		return decide.Settings{}, fmt.Errorf("settings: %w", err)
+		return lbpolicy.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	s := decide.Settings{
+	s := lbpolicy.Settings{
 		Balancers: p.Balancers, Index: p.Me, Zone: p.Zone, Tier: p.Tier,
 		RetriesMarked: p.Clients.MarksRetry,
 		PollDiscovery: p.Registry == "on_request", MaxPollInterval: seconds(p.Obligations.MustAskIn),
@@ -91,15 +91,15 @@
 		if !ok {
 			return s, fmt.Errorf("settings: classes[%d].key_scope: unknown %q", i, c.Scope)
 		}
-		s.Classes = append(s.Classes, decide.Class{Name: c.Name, LatencyObjective: seconds(c.Aim), Deadline: seconds(c.Deadline),
+		s.Classes = append(s.Classes, lbpolicy.Class{Name: c.Name, LatencyObjective: seconds(c.Aim), Deadline: seconds(c.Deadline),
 			PriorityWeight: c.Worth, Effect: effect, Scope: scope, Window: seconds(c.Window)})
 	}
 	for _, c := range p.Customers {
-		s.Tenants = append(s.Tenants, decide.Tenant{Name: c.Name, QuotaPerSecond: c.Quota})
+		s.Tenants = append(s.Tenants, lbpolicy.Tenant{Name: c.Name, QuotaPerSecond: c.Quota})
 	}
 	if p.Telemetry.Via == "inline" {
 		for _, f := range p.Telemetry.Fields {
-			s.ReportFields = append(s.ReportFields, decide.Fields[f])
+			s.ReportFields = append(s.ReportFields, lbpolicy.Fields[f])
 		}
 	}
 	return s, nil
--- a/internal/platform/settings/settings_test.go
+++ b/internal/platform/settings/settings_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
+	"silvertrail/lbpolicy"
 )
 
 func TestSettings(t *testing.T) {
@@ -21,12 +21,12 @@
 		t.Fatal(err)
 	}
 	c := s.Classes[0]
-	if c.Effect != decide.KeyedIdempotent || c.Scope != decide.ScopeCell || c.Window != 7500*time.Millisecond || c.PriorityWeight != 10 ||
+	if c.Effect != lbpolicy.KeyedIdempotent || c.Scope != lbpolicy.ScopeCell || c.Window != 7500*time.Millisecond || c.PriorityWeight != 10 ||
 		c.LatencyObjective != 2*time.Second || c.Deadline != 5*time.Second {
 		t.Errorf("class %+v", c)
 	}
 	if !s.PollDiscovery || !s.RetriesMarked || s.SlowStart != 22*time.Second || s.Tenants[0].QuotaPerSecond != 16 ||
-		fmt.Sprint(s.ReportFields) != fmt.Sprint([]decide.Field{decide.FieldUtilization, decide.FieldRequestRate}) || s.Index != 2 ||
+		fmt.Sprint(s.ReportFields) != fmt.Sprint([]lbpolicy.Field{lbpolicy.FieldUtilization, lbpolicy.FieldRequestRate}) || s.Index != 2 ||
 		s.MaxRetryAfter != 2*time.Second || s.OverloadMultiple != 2.5 || s.CrossZonePrice != 0.01 {
 		t.Errorf("settings %+v", s)
 	}
--- a/internal/platform/sidecar/figures_test.go
+++ b/internal/platform/sidecar/figures_test.go
@@ -15,7 +15,6 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
@@ -24,6 +23,7 @@
 	"silvertrail/internal/platform/figures"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // Under mixed trouble each request that was taken ends in one outcome, and the figures are what callers and endpoints have
@@ -65,7 +65,7 @@
 		})
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: []string{"a", "b"}[i%2], Group: i, Status: "ready"})
 	}
-	h.Members(decide.Full, list)
+	h.Members(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
 	router := NewRouter(c, h, board, 4<<20)
 	server := frontend.New(router, l, admission.Plain(64), log.New(io.Discard, "", 0))
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -15,7 +15,6 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/failover"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
@@ -24,6 +23,7 @@
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/figures"
 	"silvertrail/internal/platform/handover"
+	"silvertrail/lbpolicy"
 )
 
 // Router reads requests as the platform's protocol words them.
@@ -72,7 +72,7 @@
 		return nil, &frontend.Reply{Status: status, Close: true}
 	}
 	x := &exchange{router: s, config: c, up: up, q: q, id: id, outcome: figures.Errored}
-	if x.keyed = x.class().Effect == decide.KeyedIdempotent; x.keyed {
+	if x.keyed = x.class().Effect == lbpolicy.KeyedIdempotent; x.keyed {
 		x.keyID = history.IDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
 	}
 	return x, nil
@@ -82,7 +82,7 @@
 	router *Router
 	config *config.Config // in force when its head was read
 	up     upstream.Request
-	q      decide.Request
+	q      lbpolicy.Request
 	id     string
 	key    uint64 // of the id, once it has begun
 	begun  bool
@@ -136,7 +136,7 @@
 // MostBody is how large a request's or an answer's body may be.
 const MostBody = 32 << 20
 
-func (x *exchange) class() *decide.Class { return &x.config.Decide.Classes[x.q.Class] }
+func (x *exchange) class() *lbpolicy.Class { return &x.config.Decide.Classes[x.q.Class] }
 
 // Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id. Neither
 // is a request refused whose key may have run.
@@ -193,7 +193,7 @@
 const maxID = 128
 
 // parse reads a request's head. The status is 0 if it can be served.
-func (s *Router) parse(conf *config.Config, r *http.Request) (up upstream.Request, q decide.Request, id string, status int) {
+func (s *Router) parse(conf *config.Config, r *http.Request) (up upstream.Request, q lbpolicy.Request, id string, status int) {
 	id, one := frontend.Single(r.Header, "X-Request-Id")
 	header, oneClass := frontend.Single(r.Header, "X-Priority-Class")
 	_, oneKey := frontend.Single(r.Header, "Idempotency-Key")
@@ -222,7 +222,7 @@
 	if !fits(r, c.Effect) {
 		return up, q, id, http.StatusBadRequest
 	}
-	q = decide.Request{Class: named, ClassAtArrival: c, TimeLeft: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
+	q = lbpolicy.Request{Class: named, ClassAtArrival: c, TimeLeft: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
 		// An unknown tenant is -1: to the decisions it has no share of its own.
 		Tenant: slices.Index(conf.Tenants, r.Header.Get("X-Tenant-Id"))}
 	if _, given := r.Header["X-Timeout-Ms"]; given {
@@ -244,12 +244,12 @@
 }
 
 // fits tells whether the method and key are those of the class's effect.
-func fits(r *http.Request, e decide.Effect) bool {
+func fits(r *http.Request, e lbpolicy.Effect) bool {
 	keyed := r.Header.Get("Idempotency-Key") != ""
 	switch e {
-	case decide.Idempotent:
+	case lbpolicy.Idempotent:
 		return r.Method == http.MethodGet && r.ContentLength == 0
-	case decide.KeyedIdempotent:
+	case lbpolicy.KeyedIdempotent:
 		return r.Method == http.MethodPost && keyed
 	default:
 		return r.Method == http.MethodPost && !keyed
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
@@ -19,6 +18,7 @@
 	"silvertrail/internal/platform/figures"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/lbpolicy"
 )
 
 // Callers that repeat by the same key under another id, after an answer that was lost, come to the zone that may have run
@@ -56,7 +56,7 @@
 		})
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: zone, Group: i, Status: "ready"})
 	}
-	h.Members(decide.Full, list)
+	h.Members(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
 	server := frontend.New(NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
 	go server.Serve()
@@ -64,7 +64,7 @@
 	drain := func(which int) {
 		now := slices.Clone(list)
 		now[which].Status = "draining"
-		h.Members(decide.Full, now)
+		h.Members(lbpolicy.Full, now)
 	}
 	ask := func(id, key string) int {
 		t.Helper()
@@ -102,7 +102,7 @@
 			list[i].Status = "draining"
 		}
 	}
-	h.Members(decide.Full, list)
+	h.Members(lbpolicy.Full, list)
 	if status := ask("late", "lost-0"); status != 502 {
 		t.Errorf("a repeat whose zone has gone: %d", status)
 	}
@@ -121,7 +121,7 @@
 		"beyond":   {900 * time.Millisecond, time.Second, "0.900"},
 		"no bound": {0, time.Second, ""},
 	} {
-		conf := &config.Config{Decide: decide.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []decide.Class{{}}}}
+		conf := &config.Config{Decide: lbpolicy.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []lbpolicy.Class{{}}}}
 		r := (&exchange{config: conf}).reply(host.Answer{Refused: true, RetryAfter: c.told})
 		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
 			t.Errorf("%s: %+v", name, r)
--- a/internal/platform/sidecar/succession.go
+++ b/internal/platform/sidecar/succession.go
@@ -9,13 +9,13 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/balancer/host"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/handover"
+	"silvertrail/lbpolicy"
 )
 
 // Room is what a process may use of the machine. Two that replace each other share it: each has half.
@@ -159,7 +159,7 @@
 	for _, id := range o.Bans {
 		s.Host.Hold(id, true)
 	}
-	s.Host.Members(decide.Cached, o.List)
+	s.Host.Members(lbpolicy.Cached, o.List)
 }
 
 // Take takes up what is in force as the process before this one takes no more clients.
--- a/internal/salas/crossing/crossing_test.go
+++ b/internal/salas/crossing/crossing_test.go
@@ -8,9 +8,9 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/salas/tally"
+	"silvertrail/lbpolicy"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
@@ -170,22 +170,22 @@
 		only   string
 		reason tally.Reason
 	}{
-		"safe":                       {way: Way{Effect: decide.Idempotent}, so: So{MayHaveRun: true}, ok: true, reason: tally.Failed},
-		"refused":                    {way: Way{Effect: decide.Idempotent}, so: So{Refused: true}, ok: true, reason: tally.Shed},
-		"from a third sala":          {way: Way{Effect: decide.Idempotent, Been: []string{"z"}}, so: So{Passing: true}, ok: true, reason: tally.Passing},
-		"unsafe that may have run":   {way: Way{Effect: decide.NonIdempotent}, so: So{MayHaveRun: true}},
-		"unsafe that never ran":      {way: Way{Effect: decide.NonIdempotent}, ok: true, reason: tally.Failed},
-		"keyed and free":             {way: Way{Effect: decide.KeyedIdempotent}, ok: true, reason: tally.Failed},
-		"keyed, may have run":        {way: Way{Effect: decide.KeyedIdempotent}, so: So{MayHaveRun: true}},
-		"held there":                 {way: Way{Effect: decide.KeyedIdempotent}, so: So{MayHaveRun: true, Holder: "b"}, ok: true, only: "b", reason: tally.Held},
-		"held here":                  {way: Way{Effect: decide.KeyedIdempotent}, so: So{Holder: "a"}},
-		"held in several":            {way: Way{Effect: decide.KeyedIdempotent}, so: So{Holder: NoSala}},
-		"held where it comes from":   {way: Way{Effect: decide.KeyedIdempotent, Been: []string{"b"}}, so: So{Holder: "b"}},
-		"held where it may not go":   {way: Way{Effect: decide.KeyedIdempotent}, so: So{Holder: "x"}},
-		"no attempts left":           {way: Way{Effect: decide.Idempotent, Attempts: 2}, so: So{Attempts: 2}},
-		"no time left":               {way: Way{Effect: decide.Idempotent}, so: So{Now: later}},
-		"held there, asked twice":    {way: Way{Effect: decide.KeyedIdempotent, tried: map[string]int{"b": 2}}, so: So{Holder: "b"}},
-		"held there, its answer was": {way: Way{Effect: decide.KeyedIdempotent, tried: map[string]int{"b": 1}}, so: So{Holder: "b"}, ok: true, only: "b", reason: tally.Held},
+		"safe":                       {way: Way{Effect: lbpolicy.Idempotent}, so: So{MayHaveRun: true}, ok: true, reason: tally.Failed},
+		"refused":                    {way: Way{Effect: lbpolicy.Idempotent}, so: So{Refused: true}, ok: true, reason: tally.Shed},
+		"from a third sala":          {way: Way{Effect: lbpolicy.Idempotent, Been: []string{"z"}}, so: So{Passing: true}, ok: true, reason: tally.Passing},
+		"unsafe that may have run":   {way: Way{Effect: lbpolicy.NonIdempotent}, so: So{MayHaveRun: true}},
+		"unsafe that never ran":      {way: Way{Effect: lbpolicy.NonIdempotent}, ok: true, reason: tally.Failed},
+		"keyed and free":             {way: Way{Effect: lbpolicy.KeyedIdempotent}, ok: true, reason: tally.Failed},
+		"keyed, may have run":        {way: Way{Effect: lbpolicy.KeyedIdempotent}, so: So{MayHaveRun: true}},
+		"held there":                 {way: Way{Effect: lbpolicy.KeyedIdempotent}, so: So{MayHaveRun: true, Holder: "b"}, ok: true, only: "b", reason: tally.Held},
+		"held here":                  {way: Way{Effect: lbpolicy.KeyedIdempotent}, so: So{Holder: "a"}},
+		"held in several":            {way: Way{Effect: lbpolicy.KeyedIdempotent}, so: So{Holder: NoSala}},
+		"held where it comes from":   {way: Way{Effect: lbpolicy.KeyedIdempotent, Been: []string{"b"}}, so: So{Holder: "b"}},
+		"held where it may not go":   {way: Way{Effect: lbpolicy.KeyedIdempotent}, so: So{Holder: "x"}},
+		"no attempts left":           {way: Way{Effect: lbpolicy.Idempotent, Attempts: 2}, so: So{Attempts: 2}},
+		"no time left":               {way: Way{Effect: lbpolicy.Idempotent}, so: So{Now: later}},
+		"held there, asked twice":    {way: Way{Effect: lbpolicy.KeyedIdempotent, tried: map[string]int{"b": 2}}, so: So{Holder: "b"}},
+		"held there, its answer was": {way: Way{Effect: lbpolicy.KeyedIdempotent, tried: map[string]int{"b": 1}}, so: So{Holder: "b"}, ok: true, only: "b", reason: tally.Held},
 	} {
 		c.way.Here, c.way.May = "a", []string{"b", "c"}
 		if c.so.Now.IsZero() {
@@ -197,7 +197,7 @@
 			t.Errorf("%s: %+v %v %v", name, r, why, ok)
 		}
 	}
-	w := Way{Here: "a", Effect: decide.Idempotent, May: []string{"b", "c"}}
+	w := Way{Here: "a", Effect: lbpolicy.Idempotent, May: []string{"b", "c"}}
 	w.Crossed("b")
 	if r, _, _ := w.Next(So{Now: t0, Deadline: later}); !slices.Contains(r.Not, "b") {
 		t.Error("to one sala twice")
--- a/internal/salas/crossing/way.go
+++ b/internal/salas/crossing/way.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"silvertrail/decide"
 	"silvertrail/internal/balancer/history"
 	"silvertrail/internal/salas/tally"
+	"silvertrail/lbpolicy"
 )
 
 // separator stands between a sala and a cluster in the name of a place. No sala's name holds it.
@@ -58,7 +58,7 @@
 // Way is one request's way over salas, from the one that took it on.
 type Way struct {
 	Here   string // this sala
-	Effect decide.Effect
+	Effect lbpolicy.Effect
 	May    []string // salas that its route names
 	Been   []string // salas that it has been to before it came here
 	// Attempts that are left to it over all salas; 0: no bound of its own.
@@ -100,7 +100,7 @@
 	case s.Refused:
 		why = tally.Shed
 	}
-	if w.Effect == decide.KeyedIdempotent && s.Holder != "" {
+	if w.Effect == lbpolicy.KeyedIdempotent && s.Holder != "" {
 		if s.Holder == w.Here || s.Holder == NoSala || slices.Contains(r.Not, s.Holder) || w.tried[s.Holder] >= again ||
 			!slices.Contains(w.May, s.Holder) {
 			return r, 0, false
@@ -108,7 +108,7 @@
 		r.Only = s.Holder
 		return r, tally.Held, true
 	}
-	if w.Effect != decide.Idempotent && s.MayHaveRun {
+	if w.Effect != lbpolicy.Idempotent && s.MayHaveRun {
 		return r, 0, false
 	}
 	for name := range w.tried {
--- a/decide/api.go
+++ b/lbpolicy/api.go
@@ -1,4 +1,4 @@
-// Package decide makes a load balancer's decisions for services that call
+// Package lbpolicy makes a load balancer's decisions for services that call
 // services: which requests to refuse at once, which server gets each of the
 // others, and what to do when an attempt fails.
 //
@@ -12,7 +12,7 @@
 // events give the same actions. It is not safe for concurrent use.
 //
 // The types stand in api.go, the decisions in the files that decide.go names.
-package decide
+package lbpolicy
 
 import "time"
 
--- a/decide/attempt.go
+++ b/lbpolicy/attempt.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: requests, their attempts and their final answers.
 
--- a/decide/carry.go
+++ b/lbpolicy/carry.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: what a balancer hands to the one that takes its place. It decides nothing about any call.
 
--- a/decide/decide.go
+++ b/lbpolicy/decide.go
@@ -2,7 +2,7 @@
 // stand in table.go, load.go, rank.go, pace.go, health.go, attempt.go and members.go; what is only told and
 // kept stands in lists.go, requests.go, carry.go and settings.go.
 
-package decide
+package lbpolicy
 
 import (
 	"math/rand/v2"
--- a/decide/discovery.go
+++ b/lbpolicy/discovery.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: when discovery is asked, where it must be. It tells of no server, attempt or refusal.
 
--- a/decide/fleet_cold_test.go
+++ b/lbpolicy/fleet_cold_test.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 import (
 	"flag"
--- a/decide/health.go
+++ b/lbpolicy/health.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: which servers are out.
 
--- a/decide/lists.go
+++ b/lbpolicy/lists.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: lists of servers and bans by hand, as they are told. What follows from them stands in
 // members.go.
--- a/decide/load.go
+++ b/lbpolicy/load.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: how loaded the pool is, and how much time a call needs.
 
--- a/decide/members.go
+++ b/lbpolicy/members.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: which of the listed servers a balancer uses.
 
--- a/decide/pace.go
+++ b/lbpolicy/pace.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: how much a cold server gets.
 
--- a/decide/rank.go
+++ b/lbpolicy/rank.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: which server the next attempt goes to.
 
--- a/decide/report.go
+++ b/lbpolicy/report.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: what a balancer tells of itself.
 
--- a/decide/requests.go
+++ b/lbpolicy/requests.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: what is told of a request on its way: its caller, its body, its key, and waits that are no
 // server's. What becomes of it is decided in attempt.go.
--- a/decide/settings.go
+++ b/lbpolicy/settings.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: settings, at the start and when they change. It decides nothing about any call.
 
--- a/decide/table.go
+++ b/lbpolicy/table.go
@@ -1,4 +1,4 @@
-package decide
+package lbpolicy
 
 // This file: the cursor table: which calls are let in.
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"silvertrail/decide"
+	"silvertrail/lbpolicy"
 )
 
 // Event codes.
@@ -46,8 +46,8 @@
 var eventNames = [...]string{"", "OPEN_INSTANCE", "MEMBERSHIP", "INBOUND", "ACK_FIRST", "OUTCOME",
 	"CLIENT_GONE", "WAKEUP", "PONG", "INBOX", "HALT", "POOL"}
 
-var verdicts = map[uint8]decide.Verdict{0: decide.OK, 5: decide.Error, 11: decide.ServerFull,
-	110: decide.Timeout, 111: decide.ConnectFailed, 104: decide.Reset, 125: decide.Cancelled, 114: decide.NotSent}
+var verdicts = map[uint8]lbpolicy.Verdict{0: lbpolicy.OK, 5: lbpolicy.Error, 11: lbpolicy.ServerFull,
+	110: lbpolicy.Timeout, 111: lbpolicy.ConnectFailed, 104: lbpolicy.Reset, 125: lbpolicy.Cancelled, 114: lbpolicy.NotSent}
 
 const (
 	headerSize = 12
@@ -61,11 +61,11 @@
 type Handler interface {
 	Open(inst uint32, seed uint64, settings []byte)
 	Halt(inst uint32)
-	Members(inst uint32, kind decide.ListKind, entries []decide.Server)
-	Request(inst uint32, r decide.Request)
-	Started(inst uint32, id decide.RequestID)
-	Outcome(inst uint32, o decide.Outcome)
-	Gone(inst uint32, id decide.RequestID)
+	Members(inst uint32, kind lbpolicy.ListKind, entries []lbpolicy.Server)
+	Request(inst uint32, r lbpolicy.Request)
+	Started(inst uint32, id lbpolicy.RequestID)
+	Outcome(inst uint32, o lbpolicy.Outcome)
+	Gone(inst uint32, id lbpolicy.RequestID)
 	Timer(inst uint32, token uint64)
 }
 
@@ -74,7 +74,7 @@
 	in    io.Reader
 	frame []byte
 	pos   int64 // stream position of the frame in hand
-	lists [lists][]decide.Server
+	lists [lists][]lbpolicy.Server
 }
 
 // NewDecoder returns a decoder that reads from in.
@@ -146,7 +146,7 @@
 	case evMembers:
 		d.members(inst, r, h)
 	case evRequest:
-		q := decide.Request{ID: decide.RequestID(r.u64()), Class: int(r.u8()), Tenant: int(r.u32())}
+		q := lbpolicy.Request{ID: lbpolicy.RequestID(r.u64()), Class: int(r.u8()), Tenant: int(r.u32())}
 		r.u64() // the key of the request decides nothing
 		q.TimeLeft = seconds(r.f64())
 		r.f64() // neither does the cost hint
@@ -155,14 +155,14 @@
 			h.Request(inst, q)
 		}
 	case evFirst:
-		id := decide.RequestID(r.u64())
+		id := lbpolicy.RequestID(r.u64())
 		if r.bytes(8 + 1 + 4); r.err == nil {
 			h.Started(inst, id)
 		}
 	case evOutcome:
 		outcome(inst, r, h)
 	case evGone:
-		if id := decide.RequestID(r.u64()); r.err == nil {
+		if id := lbpolicy.RequestID(r.u64()); r.err == nil {
 			h.Gone(inst, id)
 		}
 	case evTimer:
@@ -189,12 +189,12 @@
 	if r.err != nil {
 		return
 	}
-	entries := make([]decide.Server, count)
+	entries := make([]lbpolicy.Server, count)
 	for i := range entries {
-		entries[i] = decide.Server{Zone: int(r.u8()), StartedAt: seconds(r.f64()), Cell: int(r.u16()),
-			ID: decide.ServerID(r.u32())}
+		entries[i] = lbpolicy.Server{Zone: int(r.u8()), StartedAt: seconds(r.f64()), Cell: int(r.u16()),
+			ID: lbpolicy.ServerID(r.u32())}
 		r.u8() // the kind of machine decides nothing
-		entries[i].State = decide.State(r.u8())
+		entries[i].State = lbpolicy.State(r.u8())
 		r.f32() // nor does its size: latency tells more
 	}
 	d.lists[n] = entries
@@ -203,28 +203,28 @@
 func (d *Decoder) members(inst uint32, r *reader, h Handler) {
 	kind, buf := r.u8(), r.u8()
 	r.u64() // deltas come in order and without gaps: the version decides nothing
-	if r.err == nil && kind > uint8(decide.Failed) {
+	if r.err == nil && kind > uint8(lbpolicy.Failed) {
 		r.err = fmt.Errorf("unknown list kind %d", kind)
 	}
-	if r.err == nil && decide.ListKind(kind) != decide.Failed && int(buf) >= lists {
+	if r.err == nil && lbpolicy.ListKind(kind) != lbpolicy.Failed && int(buf) >= lists {
 		r.err = fmt.Errorf("list number %d over %d", buf, lists-1)
 	}
 	if r.err != nil {
 		return
 	}
-	var entries []decide.Server
-	if decide.ListKind(kind) != decide.Failed {
+	var entries []lbpolicy.Server
+	if lbpolicy.ListKind(kind) != lbpolicy.Failed {
 		entries = d.lists[buf]
 	}
-	h.Members(inst, decide.ListKind(kind), entries)
+	h.Members(inst, lbpolicy.ListKind(kind), entries)
 }
 
 func outcome(inst uint32, r *reader, h Handler) {
-	o := decide.Outcome{ID: decide.RequestID(r.u64())}
+	o := lbpolicy.Outcome{ID: lbpolicy.RequestID(r.u64())}
 	code := r.u8()
 	verdict, known := verdicts[code]
 	o.Verdict, o.Latency = verdict, seconds(r.f64())
-	o.Attempt, o.Server = int(r.u8()), decide.ServerID(r.u32())
+	o.Attempt, o.Server = int(r.u8()), lbpolicy.ServerID(r.u32())
 	o.Final = r.u8() != 0
 	n := int(r.u8())
 	if r.err == nil && !known {
@@ -306,39 +306,39 @@
 // Exception reports that an instance's decisions have failed.
 func (p *Reply) Exception(inst uint32, text string) { p.text(acFault, inst, text) }
 
-// Host returns the decide.Host that writes an instance's actions into the reply.
-func (p *Reply) Host(inst uint32) decide.Host { return host{p, inst} }
+// Host returns the lbpolicy.Host that writes an instance's actions into the reply.
+func (p *Reply) Host(inst uint32) lbpolicy.Host { return host{p, inst} }
 
 type host struct {
 	*Reply
 	inst uint32
 }
 
-func (h host) Send(id decide.RequestID, s decide.ServerID) {
+func (h host) Send(id lbpolicy.RequestID, s lbpolicy.ServerID) {
 	h.begin(acSend, h.inst)
 	h.u64(uint64(id))
 	h.u32(uint32(s))
 	h.time(0) // until the client gives up
 }
 
-func (h host) Reject(id decide.RequestID, retryAfter time.Duration) {
+func (h host) Reject(id lbpolicy.RequestID, retryAfter time.Duration) {
 	h.begin(acRefuse, h.inst)
 	h.u64(uint64(id))
 	h.time(retryAfter)
 }
 
-func (h host) Fail(id decide.RequestID) {
+func (h host) Fail(id lbpolicy.RequestID) {
 	h.begin(acFail, h.inst)
 	h.u64(uint64(id))
 }
 
-func (h host) Cancel(id decide.RequestID, attempt int) {
+func (h host) Cancel(id lbpolicy.RequestID, attempt int) {
 	h.begin(acCancel, h.inst)
 	h.u64(uint64(id))
 	h.b = append(h.b, uint8(attempt))
 }
 
-func (h host) CloseIdle(s decide.ServerID) {
+func (h host) CloseIdle(s lbpolicy.ServerID) {
 	h.begin(acClose, h.inst)
 	h.u32(uint32(s))
 }
