--- a/lbpolicy/api.go
+++ b/lbpolicy/api.go
@@ -1,41 +1,38 @@
-// Package lbpolicy makes a load balancer's decisions for services that call
-// services: which requests to refuse at once, which server gets each of the
-// others, and what to do when an attempt fails.
+// Package lbpolicy is the load-balancing policy of a client-side balancer. It decides which requests to reject at once,
+// which server gets each of the others, and what to do when an attempt fails.
 //
-// Admission is a cursor table (Villen-Altamirano, ITC 11, 1985): a call is
-// refused when the calls in flight reach the threshold under a cursor that
-// moves one step each period, right while pool load is above its target and
-// left otherwise; low rows of the table shed low-worth calls first.
+// Admission follows a cursor table (Villen-Altamirano, ITC 11, 1985): a request is rejected when the requests in flight
+// reach the threshold under a cursor. Each period the cursor moves one step right while the pool load is above its
+// target, and left otherwise. Low rows of the table shed requests of low priority weight first.
 //
-// A Balancer is driven by its host: one method for each event, actions through
-// Host. It has no clock, goroutine or global of its own, and the same seed and
-// events give the same actions. It is not safe for concurrent use.
+// A Balancer is driven by its host: one method for each event, and actions through Host. It does no I/O, and has no clock,
+// goroutines or global state; the same seed and events give the same actions. It is not safe for concurrent use.
 //
-// The types stand in api.go, the decisions in the files that decide.go names.
+// The types stand in api.go; balancer.go names the files of the policy.
 package lbpolicy
 
 import "time"
 
-// ServerID and RequestID are opaque numbers given by the host.
+// ServerID and RequestID are opaque numbers assigned by the host.
 type (
 	ServerID  uint32
 	RequestID uint64
 )
 
-// Effect says how often a class's effect may happen.
+// Effect is the idempotency of a class of requests.
 type Effect uint8
 
-// The effects a class may have.
+// The effects.
 const (
-	Idempotent      Effect = iota // may be repeated freely
-	KeyedIdempotent               // servers of one group drop repeats for a window
-	NonIdempotent                 // never again once it may have run
+	Idempotent      Effect = iota // may be repeated
+	KeyedIdempotent               // has an idempotency key: servers of one group drop repeats within a window
+	NonIdempotent                 // must not be repeated once it may have run
 )
 
-// Scope is the group of servers that drop repeats of a Keyed request.
+// Scope is the group of servers that drop repeats of a KeyedIdempotent request.
 type Scope uint8
 
-// The groups.
+// The scopes.
 const (
 	ScopeAll Scope = iota
 	ScopeZone
@@ -44,15 +41,16 @@
 
 // Class describes one class of requests.
 type Class struct {
-	Name                       string        // by which Configure finds it again; empty: it does not
-	LatencyObjective, Deadline time.Duration // wanted within; given up after
-	PriorityWeight             float64
-	Effect                     Effect
-	Scope                      Scope         // for Keyed
-	Window                     time.Duration // for Keyed: from the first send that may have run
+	Name             string        // identifies the class to Configure; empty: it does not
+	LatencyObjective time.Duration // a later answer has no value
+	Deadline         time.Duration // when clients give up
+	PriorityWeight   float64
+	Effect           Effect
+	Scope            Scope         // of KeyedIdempotent
+	Window           time.Duration // of KeyedIdempotent: from the first attempt that may have run
 }
 
-// Tenant is a customer with an agreed rate over all balancers; zero means no agreed rate.
+// Tenant has an agreed rate over all balancers. Zero: it has none.
 type Tenant struct {
 	QuotaPerSecond float64
 	Name           string // as of a class
@@ -61,38 +59,37 @@
 // Field is one value of a load report.
 type Field uint8
 
-// The fields: utilisation and the rate of calls are used, others are passed over.
+// The fields. Other fields are ignored.
 const (
 	FieldOther Field = iota
 	FieldUtilization
-	FieldRequestRate // requests a second, of all balancers together
+	FieldRequestRate // requests per second, of all balancers together
 )
 
-// Fields are the names under which servers report them.
+// Fields are the names under which servers report the fields.
 var Fields = map[string]Field{"util": FieldUtilization, "qps": FieldRequestRate}
 
-// Settings is all that a balancer is told at its start.
+// Settings configure a balancer.
 type Settings struct {
-	Balancers int // balancers of this tier
-	Index     int // this one's number, from 0
+	Balancers int // of this tier
+	Index     int // of this one among them, from 0
 	Zone      int
-	Tier      int // the tier it sends to; 0 is the one clients reach
+	Tier      int // that it sends to; 0 is the one that clients reach
 	Classes   []Class
 	Tenants   []Tenant
 
-	RetriesMarked   bool // clients mark their retries
-	PollDiscovery   bool // discovery answers only when asked
-	MaxPollInterval time.Duration
-	MaxAttempts     int
-	MayCancel       bool
-	MayHedge        bool // two attempts of one request may be outstanding
-	SendsRetryAfter bool // clients are told how long to stay away
-	MaxRetryAfter   time.Duration
-	ConnIdleTimeout time.Duration
-
-	InitialCapacity  float64 // a started server's capacity, as a share of its full one
+	RetriesMarked    bool // clients mark their retries
+	PollDiscovery    bool // discovery answers only when asked
+	MaxPollInterval  time.Duration
+	MaxAttempts      int
+	MayCancel        bool
+	MayHedge         bool // two attempts of one request may be in flight
+	SendsRetryAfter  bool // clients are told when to retry
+	MaxRetryAfter    time.Duration
+	ConnIdleTimeout  time.Duration
+	InitialCapacity  float64 // of a server that has started, as a share of its full capacity
 	SlowStart        time.Duration
-	OverloadMultiple float64 // more than this multiple of its capacity
+	OverloadMultiple float64 // of its present capacity, above which a server in slow start is overloaded
 	OverloadWindow   time.Duration
 
 	CrossZonePrice, HandshakePrice float64
@@ -100,7 +97,7 @@
 	ReportFields []Field // the values of a load report, in order
 }
 
-// State is what discovery says of a server.
+// State is the state of a server in discovery.
 type State uint8
 
 // The states.
@@ -110,47 +107,47 @@
 	Draining
 )
 
-// Server is one entry of a list.
+// Server is one entry of an endpoint list.
 type Server struct {
 	ID        ServerID
 	Zone      int
 	Cell      int
 	StartedAt time.Duration // zero: long ago
 	State     State
-	// Weight is its part of the traffic against the others of like speed, the largest being 1; zero is 1.
+	// Weight is its part of the traffic compared with servers of the same speed, the largest being 1. Zero is 1.
 	Weight float64
 }
 
-// ListKind says what a list event brings.
+// ListKind is the kind of an endpoint list.
 type ListKind uint8
 
-// The kinds of list.
+// The kinds of lists.
 const (
 	Delta  ListKind = iota // changed entries
 	Full                   // the whole list
-	Cached                 // the whole list as last held, maybe stale
+	Cached                 // the whole list as last received, which may be stale
 	Failed                 // a discovery call failed; no entries
 )
 
-// KeyState is what is known of other attempts with a Keyed request's key, made for earlier requests with it or
-// for ones that are still in work.
+// KeyState is what is known of other attempts with the idempotency key of a request: for earlier requests with the key,
+// or for ones that are still in progress.
 type KeyState struct {
-	Known       bool          // one may have run, or runs: the request stays in its group
-	Unavailable bool          // that group is none of this balancer's servers
+	Known       bool          // an attempt may have run, or is running: the request stays in its group of servers
+	Unavailable bool          // that group has none of this balancer's servers
 	Zone, Cell  int           // of the group, where the class's scope is one of these
 	RetryUntil  time.Duration // the group drops a repeat that is sent before
 }
 
-// Request is an arriving call.
+// Request is an arriving request.
 type Request struct {
 	ID       RequestID
 	Class    int
 	Tenant   int
 	TimeLeft time.Duration // until the client gives up
 	Retry    bool          // marked by the client
-	// MaxAttempts bounds the request's attempts further than the settings do; 0: it does not.
+	// MaxAttempts bounds the attempts further than the settings do. Zero: it does not.
 	MaxAttempts int
-	// ClassAtArrival is the class as it was when the request came, where settings have changed since; nil: as it is.
+	// ClassAtArrival is the class as it was when the request arrived, if settings have changed since.
 	ClassAtArrival *Class
 	KeyState       KeyState
 }
@@ -158,7 +155,7 @@
 // Verdict is how an attempt ended.
 type Verdict uint8
 
-// The verdicts. Full, ConnectFailed and Moot prove that it never ran.
+// The verdicts. ServerFull, ConnectFailed and NotSent prove that the attempt never ran.
 const (
 	OK Verdict = iota
 	Error
@@ -168,13 +165,13 @@
 	Reset
 	Cancelled
 	NotSent
-	Rejected // the server found the request itself at fault, as any other would
+	Rejected // the request itself is invalid, and would be for any server
 )
 
 // NeverRan reports whether the verdict proves that the attempt was not executed.
 func (v Verdict) NeverRan() bool { return v == ServerFull || v == ConnectFailed || v == NotSent }
 
-// Outcome ends one attempt.
+// Outcome is the end of one attempt.
 type Outcome struct {
 	ID      RequestID
 	Attempt int
@@ -182,25 +179,25 @@
 	Verdict Verdict
 	Latency time.Duration
 	Final   bool      // the request is finished
-	Load    []float32 // a load report, as Settings.Report; empty if none
+	Load    []float32 // a load report, in the order of Settings.ReportFields; empty: none
 }
 
-// Host carries out a balancer's actions, in order, at the time of the event in hand.
+// Host carries out a balancer's actions, in order, at the time of the present event.
 type Host interface {
-	// Send starts the request's next attempt; it ends at the client's deadline at the latest.
+	// Send starts the request's next attempt. It ends at the client's deadline at the latest.
 	Send(RequestID, ServerID)
-	// Reject is a final answer that tells the client a retry is harmless.
+	// Reject gives a final answer that tells the client that a retry is harmless.
 	Reject(id RequestID, retryAfter time.Duration)
-	// Fail is a final answer that promises nothing.
+	// Fail gives a final answer that promises nothing.
 	Fail(RequestID)
 	// Cancel stops waiting for an attempt.
 	Cancel(id RequestID, attempt int)
 	// CloseIdle closes the connections to a server that carry no attempt.
 	CloseIdle(ServerID)
-	// Watch asks discovery for changes from now on.
+	// Watch polls discovery for changes.
 	Watch()
-	// SetTimer asks for a Timer event at or after the given time.
+	// SetTimer requests a Timer event at or after the given time.
 	SetTimer(at time.Duration, token uint64)
-	// Log adds a line for on-call staff.
+	// Log adds a line to the log.
 	Log(string)
 }
--- a/lbpolicy/attempt.go
+++ b/lbpolicy/attempt.go
@@ -7,30 +7,14 @@
 	"time"
 )
 
-// Request decides a new request: it is refused at once or sent.
+// Request decides a new request: it is rejected at once or sent.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	b.advance(now)
-	if _, held := b.requests[q.ID]; held || q.Class < 0 || q.Class >= len(b.settings.Classes) {
+	if _, known := b.requests[q.ID]; known || q.Class < 0 || q.Class >= len(b.settings.Classes) {
 		return
 	}
-	b.retryBudget = min(b.retryBudget+retryBudgetRatio, 20)
-	// After a pause what was learnt of a rate is void: calls come like those after a start. A tier behind
-	// gets its calls from one endpoint, whose own bounds hold.
-	if b.settings.Tier == 0 && b.inFlight == 0 && (now-b.lastArrival).Seconds() > b.meanObjective {
-		b.resumedAt = now
-	}
-	b.lastArrival = now
-	if !q.Retry {
-		b.arrivedInPeriod++
-	}
-	r := &request{id: q.ID, class: q.ClassAtArrival, expected: b.expected[q.Class], deadline: now + q.TimeLeft,
-		maxAttempts: b.settings.MaxAttempts, keyState: q.KeyState}
-	if r.class == nil {
-		r.class = &b.settings.Classes[q.Class]
-	}
-	if q.MaxAttempts > 0 {
-		r.maxAttempts = min(r.maxAttempts, q.MaxAttempts)
-	}
+	b.recordArrival(now, q)
+	r := b.newRequest(now, q)
 	b.requests[q.ID] = r
 	level := b.levelOf(q)
 	b.levelArrivals[level]++
@@ -43,7 +27,9 @@
 		return
 	}
 	if float64(b.queueLength()) >= b.threshold(now, level) {
-		b.priorityInversion = b.priorityInversion || level > 0 && b.table[level-1][b.cursor] > 0
+		if level > 0 && b.table[level-1][b.cursor] > 0 {
+			b.priorityInversion = true
+		}
 		b.reject(now, r, 1+b.cursor)
 		return
 	}
@@ -55,49 +41,66 @@
 	b.send(now, r, s)
 }
 
-// SetDropFraction tells what part of the traffic is to be refused, whatever the load: somebody who sees more than this
-// balancer says so.
-func (b *Balancer) SetDropFraction(now time.Duration, part float64) {
+// recordArrival counts a request. After a pause, what was measured of rates is void: requests arrive like
+// those after a start. Tiers behind the front get their requests from one endpoint, whose own bounds hold.
+func (b *Balancer) recordArrival(now time.Duration, q Request) {
+	b.retryBudget = min(b.retryBudget+retryBudgetRatio, maxRetryBudget)
+	paused := (now - b.lastArrival).Seconds() > b.meanObjective
+	if b.settings.Tier == 0 && b.inFlight == 0 && paused {
+		b.resumedAt = now
+	}
+	b.lastArrival = now
+	if !q.Retry {
+		b.arrivedInPeriod++
+	}
+}
+
+// SetDropFraction sets the fraction of the traffic to reject, whatever the load: somebody with a wider view
+// than this balancer requests it.
+func (b *Balancer) SetDropFraction(now time.Duration, fraction float64) {
 	b.advance(now)
-	b.dropFraction = min(max(part, 0), 1)
+	b.dropFraction = min(max(fraction, 0), 1)
 }
 
-// isDropped draws whether a call is of the part that is to be refused: the lowest level whole, then the next.
-// Before any rate is known all levels are alike.
+// isDropped draws whether a request is in the fraction to drop: all of the lowest level, then the next one.
+// While no rate is known, all levels are alike.
 func (b *Balancer) isDropped(level int) bool {
 	total, below := 0.0, 0.0
-	for i, r := range b.levelRates {
-		total += r
+	for i, rate := range b.levelRates {
+		total += rate
 		if i < level {
-			below += r
+			below += rate
 		}
 	}
-	part := b.dropFraction
+	fraction := b.dropFraction
 	if total > 0 {
-		part = (b.dropFraction*total - below) / max(b.levelRates[level], 1e-9)
+		fraction = (b.dropFraction*total - below) / max(b.levelRates[level], 1e-9)
 	}
-	return part >= 1 || part > 0 && b.random.Float64() < part
+	return fraction >= 1 || fraction > 0 && b.random.Float64() < fraction
 }
 
-// scheduleCheck sets the time at which a request's newest attempt is looked at.
+// scheduleCheck sets the time at which a request's latest attempt is checked.
 func (b *Balancer) scheduleCheck(now time.Duration, r *request) {
 	left := (r.deadline - now).Seconds()
 	if r.class.Effect == NonIdempotent || b.isExhausted(r) || left < b.baseLatency/2 {
 		return
 	}
-	r.checkAt = now + time.Duration(min(unresponsiveMultiple*b.usualLatency(), left/2)*float64(time.Second))
+	wait := min(unresponsiveMultiple*b.usualLatency(), left/2)
+	r.checkAt = now + time.Duration(wait*float64(time.Second))
 	b.host.SetTimer(r.checkAt, uint64(r.id))
 }
 
-// isExhausted tells that a request has had all its attempts.
+// isExhausted reports whether a request has had all its attempts.
 func (b *Balancer) isExhausted(r *request) bool {
 	return len(r.attempts) >= r.maxAttempts || len(r.attempts) >= b.settings.MaxAttempts
 }
 
-// maySend is rules 1 to 3 for one more attempt.
+// maySend applies rules 1 to 3 to one more attempt.
 func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
-	if r.done || now >= r.deadline || b.isExhausted(r) || !s.isEligible() ||
-		!r.keyState.allows(now, r.class.Scope, s) {
+	if r.done || now >= r.deadline || b.isExhausted(r) || !s.isEligible() {
+		return false
+	}
+	if !r.keyState.allows(now, r.class.Scope, s) {
 		return false
 	}
 	for i := range r.attempts {
@@ -105,26 +108,44 @@
 		if a.server == s || !a.ended && !b.settings.MayHedge {
 			return false
 		}
-		if a.neverRan || r.class.Effect == Idempotent {
-			continue
-		}
-		if r.class.Effect == NonIdempotent || now-a.sentAt >= r.class.Window ||
-			r.class.Scope == ScopeZone && a.zone != s.Zone ||
-			r.class.Scope == ScopeCell && a.cell != s.Cell {
+		if !a.neverRan && r.class.Effect != Idempotent && !r.class.mayRepeat(now, a, s) {
 			return false
 		}
 	}
 	return true
 }
 
-// allows is rule 2 over requests with the same key: a repeat goes to the group that may have run the first
-// try, while that group remembers it.
-func (p *KeyState) allows(now time.Duration, scope Scope, s *server) bool {
-	return !p.Known || !p.Unavailable && now < p.RetryUntil &&
-		(scope != ScopeZone || p.Zone == s.Zone) && (scope != ScopeCell || p.Cell == s.Cell)
+// mayRepeat reports whether a request of a class that is not idempotent may be repeated at a server, after an
+// attempt that may have run.
+func (c *Class) mayRepeat(now time.Duration, a *attempt, s *server) bool {
+	switch {
+	case c.Effect == NonIdempotent, now-a.sentAt >= c.Window:
+		return false
+	case c.Scope == ScopeZone:
+		return a.zone == s.Zone
+	case c.Scope == ScopeCell:
+		return a.cell == s.Cell
+	}
+	return true
+}
+
+// allows applies rule 2 over requests with the same key: a repeat goes to the group that may have run the
+// first attempt, while that group remembers it.
+func (k *KeyState) allows(now time.Duration, scope Scope, s *server) bool {
+	switch {
+	case !k.Known:
+		return true
+	case k.Unavailable || now >= k.RetryUntil:
+		return false
+	case scope == ScopeZone:
+		return k.Zone == s.Zone
+	case scope == ScopeCell:
+		return k.Cell == s.Cell
+	}
+	return true
 }
 
-// send is the one gate for attempts.
+// send is the only place that starts attempts.
 func (b *Balancer) send(now time.Duration, r *request, s *server) {
 	if !b.maySend(now, r, s) {
 		return
@@ -143,9 +164,8 @@
 	b.scheduleCheck(now, r)
 }
 
-// reject and fail are the gates for final answers: a refusal where a retry is harmless, else a failure. What a
-// server has rejected is never refused: to send it again would serve nobody. Who is refused is told to come
-// back after so many periods.
+// reject and fail are the only places that give final answers: a rejection where a retry is harmless, else a
+// failure. A rejected client is told to retry after a number of periods.
 func (b *Balancer) reject(now time.Duration, r *request, periods int) {
 	if r.done {
 		return
@@ -165,6 +185,7 @@
 	b.release(r)
 }
 
+// mayReject reports whether a retry of the request is harmless.
 func mayReject(now time.Duration, r *request) bool {
 	if r.keyState.Known && (r.class.Scope != ScopeAll || now >= r.keyState.RetryUntil) {
 		return false
@@ -175,9 +196,9 @@
 	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan })
 }
 
-// retryAfter is the time in which the cursor could come home, spread so that those who were refused together
-// don't come back together. One that met a full queue at home is to come back a period later, when some calls
-// have ended; one that had too little time gains nothing by waiting.
+// retryAfter returns the time in which the cursor could be back at rest, with jitter, so that clients that
+// were rejected together do not come back together. A client that met a full queue with the cursor at rest
+// comes back a period later; one that had too little time gains nothing by waiting.
 func (b *Balancer) retryAfter(periods int) time.Duration {
 	if !b.settings.SendsRetryAfter || b.settings.Tier > 0 {
 		return 0
@@ -186,7 +207,7 @@
 	return min(time.Duration(d), b.settings.MaxRetryAfter)
 }
 
-// Outcome takes the end of an attempt. One of a request no longer held is passed over.
+// Outcome records the end of an attempt. One of an unknown request is ignored.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	b.advance(now)
 	r := b.requests[o.ID]
@@ -194,20 +215,11 @@
 		return
 	}
 	a := &r.attempts[o.Attempt]
-	a.ended, a.neverRan = true, o.Verdict.NeverRan()
-	b.setDispatchPending(now, a, false)
-	a.server.accumulateWait(now)
-	a.server.inFlight--
-	b.inFlight--
-	if !a.server.ejected {
-		r.expected.observe(now, o.Verdict, o.Latency.Seconds())
-	}
-	b.recordOutcome(now, a.server, o)
-	b.closeIdleConnections(now, a.server)
+	b.endAttempt(now, r, a, o)
 	if o.Final || r.done {
-		first := !r.done
+		wasDone := r.done
 		r.done = true
-		if first || r.allEnded() {
+		if !wasDone || r.allEnded() {
 			b.release(r)
 		}
 		return
@@ -220,8 +232,22 @@
 	}
 }
 
-// closeIdleConnections closes connections left idle by peaks while servers are full of connections: each is a place
-// that another balancer's call can't have.
+func (b *Balancer) endAttempt(now time.Duration, r *request, a *attempt, o Outcome) {
+	s := a.server
+	a.ended, a.neverRan = true, o.Verdict.NeverRan()
+	b.setDispatchPending(now, a, false)
+	s.accumulateWait(now)
+	s.inFlight--
+	b.inFlight--
+	if !s.ejected {
+		r.expected.observe(now, o.Verdict, o.Latency.Seconds())
+	}
+	b.recordOutcome(now, s, o)
+	b.closeIdleConnections(now, s)
+}
+
+// closeIdleConnections closes connections left idle by a peak while servers accept no more of them: each
+// takes a place that another balancer's request cannot have.
 func (b *Balancer) closeIdleConnections(now time.Duration, s *server) {
 	scarce := b.connectionsFullAt > 0 && now-b.connectionsFullAt < b.settings.ConnIdleTimeout
 	if scarce && b.settings.HandshakePrice == 0 && s.connections > s.inFlight {
@@ -230,18 +256,18 @@
 	}
 }
 
-// retry sends a request whose attempts have all failed once more, or ends it. While calls are shed only
-// those that never ran go again. One that was held back, as its key turned out to be held by another group,
-// is no further attempt: it takes nothing from the budget.
+// retry sends a request whose attempts have all failed once more, or ends it. While requests are shed, only
+// one that never ran is sent again. An attempt that was held back because another group owns the key does not
+// count against the retry budget.
 func (b *Balancer) retry(now time.Duration, r *request, v Verdict) {
 	last := &r.attempts[len(r.attempts)-1]
-	ran, cost := !last.neverRan, 1.0
+	mayHaveRun, cost := !last.neverRan, 1.0
 	if v == NotSent && !r.keyState.allows(now, r.class.Scope, last.server) {
 		cost = 0
 	}
 	left := (r.deadline - now).Seconds()
 	late := left < b.baseLatency/2 || mayReject(now, r) && b.hasTooLittleTime(now, r, left)
-	if b.retryBudget >= cost && !late && !(ran && b.shedding) {
+	if b.retryBudget >= cost && !late && !(mayHaveRun && b.shedding) {
 		if s := b.pick(now, r); s != nil {
 			b.retryBudget -= cost
 			b.send(now, r, s)
@@ -251,7 +277,7 @@
 	b.reject(now, r, b.cursor)
 }
 
-// Timer takes a timer of this balancer; one for a request no longer held is passed over.
+// Timer handles a timer of this balancer. One of an unknown request is ignored.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	b.advance(now)
 	if token == discoveryToken {
@@ -262,8 +288,12 @@
 	if r == nil || r.done || now < r.checkAt-time.Millisecond { // clocks round
 		return
 	}
-	// A copy goes out only where the server has answered nothing since: it hangs or is gone. One that answers
-	// others may fall silent yet.
+	b.checkAttempt(now, r)
+}
+
+// checkAttempt hedges or cancels a request's latest attempt, if its server has answered nothing since: the
+// server hangs or has failed. One that answers others may stop later, and is checked again.
+func (b *Balancer) checkAttempt(now time.Duration, r *request) {
 	n := len(r.attempts) - 1
 	a := &r.attempts[n]
 	if a.ended {
--- a/lbpolicy/balancer.go
+++ b/lbpolicy/balancer.go
@@ -1,6 +1,6 @@
-// The state of a balancer. The types of events and actions are in api.go; read that file first. The decisions
-// stand in table.go, load.go, rank.go, pace.go, health.go, attempt.go and members.go; what is only told and
-// kept stands in lists.go, requests.go, carry.go and settings.go.
+// The state of a balancer. The types of events and actions are in api.go; read that file first. The policy
+// stands in table.go, load.go, ranking.go, slowstart.go, health.go, attempt.go and subset.go. What is only
+// recorded or reported stands in endpoints.go, requests.go, snapshot.go, report.go and settings.go.
 
 package lbpolicy
 
@@ -9,72 +9,76 @@
 	"time"
 )
 
-// Constants of the mechanism. None is a measured figure of a deployment: each is a share, a
-// count of steps, or a multiple of something that is read from the settings or learnt.
+// Constants of the policy. None is a measured figure of a deployment: each is a share, a count of steps, or
+// a multiple of something that is read from the settings or measured.
 const (
-	restingSlots            = 2       // n: slots of T1; a load peak shorter than n·P sheds nothing
-	slotsPerLevel           = 5       // steps in which one worth level is shed from all to nothing
-	restingSpread           = 0.3     // how much lower the lowest row stands at home: bursts too shed low worth first
-	sheddingThreshold       = 0.95    // T2 over T1: the queue allowed once load is over its target
-	ownLevelThreshold       = 0.6     // and where a row's own fall begins
-	thresholdHeadroom       = 2.0     // T1 over the calls carried in quiet times, at the least
-	maxQueueShare           = 0.75    // T1 lets calls in until they take this share of the aim
-	periodShare             = 0.2     // P as a share of the aim: an action must bite before the next step
-	minThreshold            = 4.0     // added to T1: a balancer with few calls sees mostly chance
-	targetUtilization       = 0.92    // target utilisation
-	targetLatencyShare      = 0.6     // target latency, as a share of the aim: some calls take twice the mean
-	fullAnswerWeight        = 2.0     // load added by a share of answers refused as full
-	minSubsetSize           = 6       // least servers of a subset
-	balancersPerServer      = 2.0     // balancers that should know each server
-	maxRankedServers        = 20      // servers ranked for one pick on large tiers
-	retryBudgetRatio        = 0.15    // further attempts for each request: the retry budget
-	unresponsiveMultiple    = 5.0     // times the usual latency that calls have waited, all added up: the server is silent
-	minUnresponsiveWait     = 2.0     // and the least wait in the same unit, however many calls share it
-	expectedLatencyQuantile = 1.0 / 3 // a call with less time than this part of its class takes is refused
-	expectedLatencyStep     = 0.1     // step by which that time is learnt
+	restingSlots            = 2    // slots of the full threshold T1: a shorter peak sheds nothing
+	slotsPerLevel           = 5    // steps in which one level is shed from all requests to none
+	restingSpread           = 0.3  // how much lower the lowest row is at rest, for bursts
+	sheddingThreshold       = 0.95 // T2 over T1: the queue allowed once the load is over its target
+	ownLevelThreshold       = 0.6  // the threshold at which a row's own shedding begins
+	thresholdHeadroom       = 2.0  // the least T1 over the quiet load
+	maxQueueShare           = 0.75 // T1 admits requests until they take this share of the latency objective
+	periodShare             = 0.2  // period over objective: an action must take effect before the next
+	minThreshold            = 4.0  // added to T1: with few requests, the rates are mostly chance
+	targetUtilization       = 0.92
+	targetLatencyShare      = 0.6     // of the objective: some requests take twice the mean
+	fullAnswerWeight        = 2.0     // load added by a ratio of answers that reject as full
+	minSubsetSize           = 6       // servers
+	balancersPerServer      = 2.0     // that know each server
+	maxRankedServers        = 20      // for one attempt in a large tier
+	retryBudgetRatio        = 0.15    // further attempts per request
+	maxRetryBudget          = 20.0    // attempts that can be saved up
+	unresponsiveMultiple    = 5.0     // of the usual latency, waited by all requests together
+	minUnresponsiveWait     = 2.0     // and the least wait, however many requests share it
+	expectedLatencyQuantile = 1.0 / 3 // a request with less time than this part takes is rejected
+	expectedLatencyStep     = 0.1     // by which that time is adjusted
 	expectedLatencyMemory   = 10 * time.Second
-	minReportedUtilization  = 0.25 // under it a report tells too little of what a server could do
+	minReportedUtilization  = 0.25 // below it a report says too little of a server's capacity
 	reportedCapacityTrust   = 0.9  // of a capacity that reports show
-	firstCallWindowShare    = 1.25 // of the fall window: in it all balancers send a server that is back its first call
-	warmingUpShare          = 0.45 // of the fall multiple: all balancers' calls to a cold server
-	panicThreshold          = 0.5  // more of the pool than this out at once is no matter of outliers
-	errorPenalty            = 4.0  // ranking: how many times slower a server that only errs counts
+	firstCallWindowShare    = 1.25 // of the overload window, for the first requests to a restored server
+	warmingUpShare          = 0.45 // of the overload multiple, for the requests of all balancers
+	panicThreshold          = 0.5  // with a larger ratio of servers ejected, ejection is disregarded
+	errorPenalty            = 4.0  // ranking: how many times slower a server counts that only fails
 	maxReportAge            = 2 * time.Second
-	smoothingShare          = 0.35 // smoothing of latency and failures, as a share of the aim
+	smoothingShare          = 0.35 // the time constant of latency and failures over the objective
+	maxEjections            = 4    // after which the time of an ejection grows no more
+	failureRatio            = 0.5  // of a server's answers, above which it may be ejected
+	minSamples              = 0.5  // decayed answers, below which the pool's latency is not known
 )
 
-// level of low-worth calls: retries that clients mark, and traffic over a tenant's share.
+// lowestLevel is the level of retries that clients mark, and of traffic over a tenant's quota.
 const lowestLevel = 0
 
 type server struct {
 	Server
 	inFlight         int
-	dispatchPending  int     // of these, attempts that wait for something else before they go out
-	latency          float64 // smoothed latency, s; 0: no answer yet
+	dispatchPending  int     // of these, attempts that wait for something else before they are sent
+	latency          float64 // smoothed, in seconds; 0: no answer yet
 	utilization      float64
 	reportedAt       time.Duration
-	waited           float64 // since the last answer: seconds waited, of all calls together,
-	silent           float64 // and of the clock while there were any
+	waited           float64 // seconds since the last answer, of all requests together
+	silent           float64 // seconds since the last answer, while there were any requests
 	waitedAt         time.Duration
 	answeredAt       time.Duration
-	connFailedAt     time.Duration // last connection that failed or broke
+	connFailedAt     time.Duration
 	lastSentAt       time.Duration
-	connections      int     // connections in use at once lately
-	errorRatio       float64 // share of error answers, smoothed
+	connections      int     // in use at once lately
+	errorRatio       float64 // smoothed
 	ejected          bool
 	ejectedUntil     time.Duration
 	ejections        int
-	reportedCapacity float64       // calls a second that it could answer to all balancers, as reported; 0: not known
-	slowStartBudget  float64       // while cold: calls that it may have now
-	budgetFilledAt   time.Duration // when the budget was last filled; 0: never
-	manuallyEjected  bool          // by hand: nothing new
-	restoredAt       time.Duration // may have started as late as this; 0: the list tells
-	firstCallDue     time.Duration // back from a ban, and no call yet: it may have one by then; 0: it is not
+	reportedCapacity float64 // requests per second of all balancers together; 0: not known
+	slowStartBudget  float64 // requests that may be sent now
+	budgetFilledAt   time.Duration
+	manuallyEjected  bool
+	restoredAt       time.Duration // from a manual ejection: it may have started then; 0: discovery tells
+	firstCallDue     time.Duration // when a restored server gets its first request at the latest; 0: not due
 }
 
 type attempt struct {
 	server          *server
-	zone            int // the server's when it was sent there
+	zone            int // of the server when the attempt was sent
 	cell            int
 	sentAt          time.Duration
 	ended           bool
@@ -84,12 +88,12 @@
 
 type request struct {
 	id          RequestID
-	class       *Class           // as it was when the request came
-	expected    *expectedLatency // of its class
+	class       *Class           // as it was when the request arrived
+	expected    *expectedLatency // of the class
 	deadline    time.Duration
-	checkAt     time.Duration // when the newest attempt is to be looked at
+	checkAt     time.Duration // when the latest attempt is checked
 	attempts    []attempt
-	maxAttempts int // of attempts
+	maxAttempts int
 	keyState    KeyState
 	done        bool
 }
@@ -99,60 +103,64 @@
 	quota, tokens float64
 }
 
-// Balancer decides for one balancer instance. It is not safe for concurrent use.
+// Balancer is one balancer instance. It is not safe for concurrent use.
 type Balancer struct {
 	settings Settings
 	host     Host
 	random   *rand.Rand
 
 	// Cursor table.
-	table              [][]float64 // [level][slot], as a share of T1
-	levels             []int       // of each class
-	levelObjectives    []float64   // least aim of the classes of each level and over it, s
-	cursor             int
-	period             time.Duration
-	nextStep           time.Duration
-	lastStep           time.Duration
-	startedAt          time.Duration
-	inFlight           int
-	inFlightEjected    int // of inFlight, with servers that are out
-	dispatchPending    int // of inFlight, held up by something else than their servers
-	answeredInPeriod   int // calls answered in this period
-	arrivedInPeriod    int // arrivals in this period
-	lastArrival        time.Duration
-	resumedAt          time.Duration // first call after a start or a pause
-	arrivalRate        float64       // arrivals a second, smoothed
-	totalQuota         float64       // of all tenants together
-	fastRate, slowRate float64       // calls answered a second, smoothed over one and ten seconds
-	tenants            []tenant
-	shedding           bool
-	priorityInversion  bool      // in this period a call was refused while lower worth was let in
-	dropFraction       float64   // part of the traffic that is to be refused, whatever the load
-	levelArrivals      []float64 // arrivals in this period, by level
-	levelRates         []float64 // and a second, smoothed
+	table             [][]float64 // [level][slot], as a share of T1
+	levels            []int       // of each class
+	levelObjectives   []float64   // the shortest objective of each level and those above it, in seconds
+	cursor            int
+	period            time.Duration
+	nextStep          time.Duration
+	lastStep          time.Duration
+	startedAt         time.Duration
+	inFlight          int
+	inFlightEjected   int // with ejected servers
+	dispatchPending   int // held up by something other than the servers
+	answeredInPeriod  int
+	arrivedInPeriod   int
+	lastArrival       time.Duration
+	resumedAt         time.Duration // the first request after a start or a pause
+	arrivalRate       float64       // per second, smoothed
+	totalQuota        float64       // of all tenants
+	fastRate          float64       // answers per second, smoothed over one second
+	slowRate          float64       // over ten seconds
+	tenants           []tenant
+	shedding          bool
+	priorityInversion bool      // a request was rejected in this period while a lower level was admitted
+	dropFraction      float64   // of the traffic, rejected whatever the load
+	levelArrivals     []float64 // in this period
+	levelRates        []float64 // per second, smoothed
 
 	// Pool load.
-	answerCount, latencySum, fullCount, errorCount float64            // decaying sums
-	baseLatency                                    float64            // quiet latency, s
-	baseLearned                                    bool               // base, from answers; until then it is a guess
-	expected                                       []*expectedLatency // of each class
-	meanObjective                                  float64            // mean of the classes, s
+	answerCount   float64            // decaying
+	latencySum    float64            // decaying, in seconds
+	fullCount     float64            // decaying
+	errorCount    float64            // decaying
+	baseLatency   float64            // in quiet times, in seconds
+	baseLearned   bool               // from answers; until then baseLatency is a guess
+	expected      []*expectedLatency // of each class
+	meanObjective float64            // of the classes, in seconds
 
 	servers         map[ServerID]*server
-	manuallyEjected map[ServerID]time.Duration // by hand, since when; listed or not
-	firstCallsDue   int                        // servers back from a ban, with no call yet
-	listed          []*server                  // by hash: the order is that of no zone or age
-	subset          []*server                  // the subset
+	manuallyEjected map[ServerID]time.Duration // since when; listed or not
+	firstCallsDue   int
+	listed          []*server // ordered by hash, which is independent of zone and age
+	subset          []*server // that this balancer uses
 	subsetSize      int
-	weighted        bool    // servers of use differ in weight
-	ejectedCount    int     // of use, servers that are out
-	totalCapacity   float64 // of use, capacity of all together, in warm servers
-	serverCapacity  float64 // calls a second that a warm server could answer, as those of use report; 0: not known
+	weighted        bool    // servers of the subset differ in weight
+	ejectedCount    int     // in the subset
+	totalCapacity   float64 // of the subset, in fully warmed-up servers
+	serverCapacity  float64 // requests per second of a warmed-up server, as reported; 0: not known
 
 	requests    map[RequestID]*request
 	retryBudget float64
 
-	connectionsFullAt time.Duration // last time that a server that answers took no connection
+	connectionsFullAt time.Duration // when a server that answers last accepted no connection
 	watching          bool
 	pollFailures      int
 }
--- a/lbpolicy/balancer_test.go
+++ b/lbpolicy/balancer_test.go
@@ -741,14 +741,14 @@
 
 func TestBadSettings(t *testing.T) {
 	for want, spoil := range map[string]func(*Settings){
-		"Classes: none":   func(s *Settings) { s.Classes = nil },
-		"Classes[0]":      func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
-		"Balancers":       func(s *Settings) { s.Balancers = 0 },
-		"MaxAttempts":     func(s *Settings) { s.MaxAttempts = 0 },
-		"FallMultiple":    func(s *Settings) { s.OverloadMultiple = -1 },
-		"WarmUp":          func(s *Settings) { s.SlowStart = -1 },
-		"QuotaPerSecond":  func(s *Settings) { s.Tenants = []Tenant{{QuotaPerSecond: -1}} },
-		"must not be neg": func(s *Settings) { s.Index = -1 },
+		"Classes: none":    func(s *Settings) { s.Classes = nil },
+		"Classes[0]":       func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
+		"Balancers":        func(s *Settings) { s.Balancers = 0 },
+		"MaxAttempts":      func(s *Settings) { s.MaxAttempts = 0 },
+		"OverloadMultiple": func(s *Settings) { s.OverloadMultiple = -1 },
+		"SlowStart":        func(s *Settings) { s.SlowStart = -1 },
+		"QuotaPerSecond":   func(s *Settings) { s.Tenants = []Tenant{{QuotaPerSecond: -1}} },
+		"must not be neg":  func(s *Settings) { s.Index = -1 },
 	} {
 		cfg := testSettings()
 		spoil(&cfg)
--- a/lbpolicy/discovery.go
+++ b/lbpolicy/discovery.go
@@ -1,28 +1,38 @@
 package lbpolicy
 
-// This file: when discovery is asked, where it must be. It tells of no server, attempt or refusal.
+// This file: when discovery is polled, where it must be. It decides nothing about any request.
 
 import "time"
 
 const discoveryToken = 1 << 63
 
-// schedulePoll keeps the watch on discovery where it must be asked for: again after a failure, later each time
-// and never in step with the others.
+const (
+	maxPollFailures   = 5   // after which the backoff grows no more
+	pollBackoffBase   = 0.5 // seconds
+	firstPollDivider  = 8   // of the longest interval, before the first poll
+	pollBackoffLimit  = 2   // divides the longest interval
+	pollJitterMinimum = 0.5
+)
+
+// schedulePoll keeps polling discovery where it answers only when asked: after a failure with a growing
+// backoff, and with jitter.
 func (b *Balancer) schedulePoll(now time.Duration, kind ListKind) {
 	if !b.settings.PollDiscovery {
 		return
 	}
+	longest := b.settings.MaxPollInterval.Seconds()
 	var wait float64
 	switch {
 	case kind == Failed:
-		b.pollFailures = min(b.pollFailures+1, 5)
-		wait = min(0.5*float64(int(1)<<b.pollFailures), b.settings.MaxPollInterval.Seconds()/2)
+		b.pollFailures = min(b.pollFailures+1, maxPollFailures)
+		wait = min(pollBackoffBase*float64(int(1)<<b.pollFailures), longest/pollBackoffLimit)
 	case !b.watching:
-		wait = b.settings.MaxPollInterval.Seconds() / 8
+		wait = longest / firstPollDivider
 	default:
 		b.pollFailures = 0
 		return
 	}
 	b.watching = true
-	b.host.SetTimer(now+time.Duration(wait*(0.5+b.random.Float64())*float64(time.Second)), discoveryToken)
+	jitter := pollJitterMinimum + b.random.Float64()
+	b.host.SetTimer(now+time.Duration(wait*jitter*float64(time.Second)), discoveryToken)
 }
--- a/lbpolicy/load.go
+++ b/lbpolicy/load.go
@@ -1,6 +1,6 @@
 package lbpolicy
 
-// This file: how loaded the pool is, and how much time a call needs.
+// This file: the load of the pool, and how much time a request needs.
 
 import (
 	"math"
@@ -8,101 +8,130 @@
 	"time"
 )
 
-// poolLoad is the load over its target: above 1 the cursor steps right.
+// Bounds and time constants of the base latency, in seconds.
+const (
+	minTargetMultiple   = 1.5 // of the base latency, below which the target latency does not go
+	baseLatencyDownTime = 0.5
+	baseLatencyUpTime   = 20
+	maxBaseShare        = 3 // the objective over the largest base latency
+	minBaseLatency      = 1e-4
+)
+
+// poolLoad returns the load of the pool over its target: above 1 the cursor moves right.
 func (b *Balancer) poolLoad(now time.Duration, dt float64) float64 {
-	sum, n := 0.0, 0
-	for _, s := range b.subset {
-		if !s.ejected && s.reportedAt > 0 && now-s.reportedAt < maxReportAge {
-			sum += s.utilization
-			n++
-		}
-	}
 	keep := math.Exp(-dt / (smoothingShare * b.meanObjective))
-	b.answerCount, b.latencySum, b.fullCount, b.errorCount = b.answerCount*keep, b.latencySum*keep, b.fullCount*keep, b.errorCount*keep
-	load := 0.0
-	if b.answerCount >= 0.5 {
-		lat := b.latencySum / b.answerCount
-		b.updateBaseLatency(lat, dt)
-		target := max(targetLatencyShare*b.meanObjective, 1.5*b.baseLatency)
-		// Answers tell of calls let in some time ago. Calls in flight over answers a second is the latency of
-		// one let in now (Little): both must be high.
-		soon := float64(b.queueLength()) * smoothingShare * b.meanObjective / max(b.answerCount-b.fullCount, 0.5)
-		load = min(lat, soon)/target + fullAnswerWeight*b.fullCount/b.answerCount
-	}
+	b.answerCount *= keep
+	b.latencySum *= keep
+	b.fullCount *= keep
+	b.errorCount *= keep
+	load := b.latencyLoad(dt)
 	if !slices.Contains(b.settings.ReportFields, FieldUtilization) {
 		return load
 	}
-	util := sum / float64(n) / targetUtilization
+	utilization, reports := b.reportedUtilization(now)
 	switch {
-	case n == 0:
+	case reports == 0:
 		return load
-	case b.settings.Tier > 0: // calls that still finish in time are not refused where others have worked on them
-		return min(load, util)
+	case b.settings.Tier > 0: // a request that other tiers have worked on is not rejected if it is in time
+		return min(load, utilization/targetUtilization)
+	}
+	return max(load, utilization/targetUtilization)
+}
+
+// latencyLoad is the load by latency and by answers that reject as full. Answers tell of requests admitted
+// some time ago; requests in flight over answers per second is the latency of one admitted now (Little's
+// law). Both must be high.
+func (b *Balancer) latencyLoad(dt float64) float64 {
+	if b.answerCount < minSamples {
+		return 0
+	}
+	latency := b.latencySum / b.answerCount
+	b.updateBaseLatency(latency, dt)
+	target := max(targetLatencyShare*b.meanObjective, minTargetMultiple*b.baseLatency)
+	span := smoothingShare * b.meanObjective // the answers counted span it
+	upcoming := float64(b.queueLength()) * span / max(b.answerCount-b.fullCount, minSamples)
+	return min(latency, upcoming)/target + fullAnswerWeight*b.fullCount/b.answerCount
+}
+
+// reportedUtilization returns the mean utilization that the servers of the subset report.
+func (b *Balancer) reportedUtilization(now time.Duration) (mean float64, reports int) {
+	sum := 0.0
+	for _, s := range b.subset {
+		if !s.ejected && s.reportedAt > 0 && now-s.reportedAt < maxReportAge {
+			sum += s.utilization
+			reports++
+		}
 	}
-	return max(load, util)
+	return sum / float64(reports), reports
 }
 
-// updateBaseLatency follows the quiet latency: down at once, up slowly and only while nothing is shed, never past
-// what the aim allows; so a balancer started in overload does not learn it as normal.
-func (b *Balancer) updateBaseLatency(lat, dt float64) {
+// updateBaseLatency follows the quiet latency: down fast, up slowly and only while nothing is shed, never
+// above what the objective allows. So a balancer that starts in an overload does not learn it as normal.
+func (b *Balancer) updateBaseLatency(latency, dt float64) {
 	b.baseLearned = true
 	switch {
-	case lat < b.baseLatency:
-		b.baseLatency += (lat - b.baseLatency) * smoothingWeight(dt, 0.5)
+	case latency < b.baseLatency:
+		b.baseLatency += (latency - b.baseLatency) * smoothingWeight(dt, baseLatencyDownTime)
 	case b.cursor == 0:
-		b.baseLatency += (min(lat, b.meanObjective/3) - b.baseLatency) * smoothingWeight(dt, 20)
+		target := min(latency, b.meanObjective/maxBaseShare)
+		b.baseLatency += (target - b.baseLatency) * smoothingWeight(dt, baseLatencyUpTime)
 	}
-	b.baseLatency = max(b.baseLatency, 1e-4)
+	b.baseLatency = max(b.baseLatency, minBaseLatency)
 }
 
+// usualLatency is the present latency of the pool, in seconds.
 func (b *Balancer) usualLatency() float64 {
-	if b.answerCount < 0.5 {
+	if b.answerCount < minSamples {
 		return b.baseLatency
 	}
 	return max(b.baseLatency, b.latencySum/b.answerCount)
 }
 
-// expectedLatency is the time in which hopePart of a class's calls are answered, as attempts show it; 0: not known.
+// expectedLatency is the time in which expectedLatencyQuantile of a class's requests are answered.
 type expectedLatency struct {
-	seconds   float64 // s
-	samples   float64 // attempts learnt from
+	seconds   float64 // 0: not known
+	samples   float64 // attempts observed
 	updatedAt time.Duration
 }
 
-// observe takes an attempt's end: each answer in less lowers the time, all that took longer raise it,
-// whether there was an answer or not. What was cut off sooner tells nothing.
-func (h *expectedLatency) observe(now time.Duration, v Verdict, lat float64) {
-	step := max(expectedLatencyStep, 1/(1+h.samples)) // the first ones count for more
+// observe adjusts the time by one attempt: each answer in less time lowers it, and each attempt that took
+// longer raises it, with an answer or not. An attempt that ended sooner without an answer says nothing.
+func (e *expectedLatency) observe(now time.Duration, v Verdict, latency float64) {
+	step := max(expectedLatencyStep, 1/(1+e.samples)) // the first samples count for more
 	switch {
-	case v == OK && h.seconds == 0:
-		h.seconds = lat
-	case v == OK && lat <= h.seconds:
-		h.seconds *= 1 - step*(1-expectedLatencyQuantile)
-	case h.seconds > 0 && lat > h.seconds && !v.NeverRan() && v != Rejected:
-		h.seconds *= 1 + step*expectedLatencyQuantile
+	case v == OK && e.seconds == 0:
+		e.seconds = latency
+	case v == OK && latency <= e.seconds:
+		e.seconds *= 1 - step*(1-expectedLatencyQuantile)
+	case e.seconds > 0 && latency > e.seconds && !v.NeverRan() && v != Rejected:
+		e.seconds *= 1 + step*expectedLatencyQuantile
 	default:
 		return
 	}
-	h.samples++
-	h.updatedAt = now
+	e.samples++
+	e.updatedAt = now
+}
+
+// forgetting is the factor by which old knowledge has faded.
+func forgetting(age time.Duration) float64 {
+	return math.Exp(-age.Seconds() / expectedLatencyMemory.Seconds())
 }
 
-// hasTooLittleTime tells whether a call has too little time to be likely to end in it: it would take work from all
-// tiers behind and end as an error in each, and its caller, refused at once, can come back with more time or
-// leave. It guards against callers with short time-outs of their own, retry storms of such, and calls that
-// come late from an overload before this one. It could hurt where callers never have more time than a third
-// of the calls take: they are served by the chance that passing time brings, since what is not seen is
-// forgotten. Where other tiers have worked on a call it is given half of that time.
+// hasTooLittleTime reports whether a request is unlikely to end in the time that is left. It would take work
+// from all tiers behind and end as an error in each, whereas its client, rejected at once, can come back with
+// more time. This protects against clients with short time-outs of their own, retry storms of such, and
+// requests that come late from an overload in front of this balancer. Clients that never have more time than
+// a third of the requests take are served by chance, since what is not observed is forgotten. A request that
+// other tiers have worked on needs half of that time.
 func (b *Balancer) hasTooLittleTime(now time.Duration, r *request, left float64) bool {
-	h := r.expected
-	in := h.seconds * math.Exp(-(now-h.updatedAt).Seconds()/expectedLatencyMemory.Seconds())
+	needed := r.expected.seconds * forgetting(now-r.expected.updatedAt)
 	if b.settings.Tier > 0 {
-		in /= 2
+		needed /= 2
 	}
 	floor := b.baseLatency / 2
-	if !b.baseLearned { // a guess: forgotten too, or callers who never have more time would never be served
-		floor = min(b.baseLatency, r.class.LatencyObjective.Seconds()/4) / 2 // nor is it other classes' guess
-		floor *= math.Exp(-(now - b.startedAt).Seconds() / expectedLatencyMemory.Seconds())
+	if !b.baseLearned { // a guess must fade, or clients that never have more time would never be served
+		floor = min(b.baseLatency, r.class.LatencyObjective.Seconds()/4) / 2
+		floor *= forgetting(now - b.startedAt)
 	}
-	return left < max(in, floor)
+	return left < max(needed, floor)
 }
--- a/lbpolicy/ranking.go
+++ b/lbpolicy/ranking.go
@@ -7,26 +7,34 @@
 	"time"
 )
 
-// score ranks a server for the next call: smoothed latency x queue, both by its capacity. A crossing or a
-// new connection costs time in proportion to its price.
+// Weights of prices in the ranking.
+const (
+	crossZoneWeight = 70
+	handshakeWeight = 5
+)
+
+// score ranks a server for the next attempt, the lowest first: smoothed latency x queue, both relative to its
+// capacity. A cross-zone request or a new connection counts as latency in proportion to its price.
 func (b *Balancer) score(now time.Duration, s *server) float64 {
-	lat := s.latency
-	c := b.capacity(now, s)
-	if lat == 0 {
-		lat = b.usualLatency() / c
+	capacity := b.capacity(now, s)
+	latency := s.latency
+	if latency == 0 {
+		latency = b.usualLatency() / capacity
 	}
-	lat = max(lat, s.silent)
-	if b.weighted { // what is slow holds more in flight, and that counts
-		lat = 1
+	latency = max(latency, s.silent)
+	if b.weighted { // a slow server has more requests in flight, which counts already
+		latency = 1
 	}
-	v := lat * (1 + float64(s.inFlight-s.dispatchPending)/(c*s.trafficWeight())) * (1 + errorPenalty*s.errorRatio)
+	queue := float64(s.inFlight-s.dispatchPending) / (capacity * s.trafficWeight())
+	score := latency * (1 + queue) * (1 + errorPenalty*s.errorRatio)
 	if s.Zone != b.settings.Zone {
-		v *= 1 + 70*b.settings.CrossZonePrice
+		score *= 1 + crossZoneWeight*b.settings.CrossZonePrice
 	}
-	if b.settings.HandshakePrice > 0 && (s.connections <= s.inFlight || now-s.lastSentAt > b.settings.ConnIdleTimeout) {
-		v *= 1 + 5*b.settings.HandshakePrice
+	needsHandshake := s.connections <= s.inFlight || now-s.lastSentAt > b.settings.ConnIdleTimeout
+	if b.settings.HandshakePrice > 0 && needsHandshake {
+		score *= 1 + handshakeWeight*b.settings.HandshakePrice
 	}
-	return v
+	return score
 }
 
 // trafficWeight is a server's weight.
@@ -37,7 +45,8 @@
 	return s.Weight
 }
 
-// pick chooses the server of the request's next attempt, or nil.
+// pick returns the server of the request's next attempt, or nil. A server that is due a probe or is warming
+// up gets the request if an even draw over the subset finds it; otherwise the best-ranked server does.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	n := len(b.subset)
 	if n == 0 {
@@ -49,11 +58,22 @@
 		}
 	}
 	start := b.random.IntN(n)
-	s := b.subset[start]
-	if b.maySend(now, r, s) && (b.mayProbe(now, r, s) && b.hasBudget(now, s) || b.drawsWarmingUp(now, s)) {
-		return s
+	drawn := b.subset[start]
+	if b.maySend(now, r, drawn) {
+		if b.mayProbe(now, r, drawn) && b.hasBudget(now, drawn) || b.drawsWarmingUp(now, drawn) {
+			return drawn
+		}
 	}
-	fleet := float64(b.ejectedCount) > panicThreshold*float64(n) // most of a fleet failing is no matter of outliers
+	if best := b.bestRanked(now, r, start); best != nil {
+		return best
+	}
+	return b.fallback(now, r)
+}
+
+// bestRanked returns the best-ranked server of the subset, or of a sample of a large one.
+func (b *Balancer) bestRanked(now time.Duration, r *request, start int) *server {
+	n := len(b.subset)
+	inPanic := b.isInPanic()
 	best, bestScore := (*server)(nil), math.Inf(1)
 	for i := range min(n, maxRankedServers) {
 		at := (start + i) % n
@@ -61,34 +81,40 @@
 			at = b.random.IntN(n)
 		}
 		s := b.subset[at]
-		if s.ejected && !fleet || !b.maySend(now, r, s) || !b.hasBudget(now, s) {
+		if s.ejected && !inPanic || !b.maySend(now, r, s) || !b.hasBudget(now, s) {
 			continue
 		}
-		v := b.score(now, s)
-		if b.weighted { // a draw, by weight and rank: the best alone would take all where little is in flight
-			v *= b.random.ExpFloat64() / s.trafficWeight()
+		score := b.score(now, s)
+		if b.weighted { // a weighted draw: the best alone would get all while few requests are in flight
+			score *= b.random.ExpFloat64() / s.trafficWeight()
 		}
-		if v < bestScore {
-			best, bestScore = s, v
+		if score < bestScore {
+			best, bestScore = s, score
 		}
 	}
-	if best == nil {
-		best = b.fallback(now, r)
-	}
 	return best
 }
 
-// fallback looks beyond the sample and the subset, cold servers last: there any balancer may come.
+// isInPanic reports whether so many servers are ejected that the fault is not in single servers.
+func (b *Balancer) isInPanic() bool {
+	return float64(b.ejectedCount) > panicThreshold*float64(len(b.subset))
+}
+
+// fallback looks beyond the sample and the subset. Servers that are warming up come last, as any balancer may
+// send to them there.
 func (b *Balancer) fallback(now time.Duration, r *request) *server {
 	n := len(b.listed)
 	start := b.random.IntN(n)
-	for pass := range 2 {
+	for _, warmingUp := range []bool{false, true} {
 		for i := range n {
 			s := b.listed[(start+i)%n]
 			if s.ejected || !b.maySend(now, r, s) {
 				continue
 			}
-			if b.capacity(now, s) >= 1 || pass == 1 && b.hasBudgetAmong(now, s, float64(b.settings.Balancers)) {
+			if b.capacity(now, s) >= 1 {
+				return s
+			}
+			if warmingUp && b.hasBudgetAmong(now, s, float64(b.settings.Balancers)) {
 				return s
 			}
 		}
--- a/lbpolicy/report.go
+++ b/lbpolicy/report.go
@@ -1,20 +1,20 @@
 package lbpolicy
 
-// This file: what a balancer tells of itself.
+// This file: what a balancer reports of itself.
 
-// CountEjected tells how many of the listed servers get no calls now but for trials: by hand, or because they are
-// out. Where most are out they are used all the same.
+// CountEjected returns how many of the listed servers get no requests now except probes, because of operators
+// or of outlier ejection. In panic, ejected servers are used all the same.
 func (b *Balancer) CountEjected() int {
-	hand, out := 0, 0
+	manually, outliers := 0, 0
 	for _, s := range b.listed {
 		if s.manuallyEjected {
-			hand++
+			manually++
 		} else if s.ejected {
-			out++
+			outliers++
 		}
 	}
-	if float64(b.ejectedCount) > panicThreshold*float64(len(b.subset)) {
-		out = 0
+	if b.isInPanic() {
+		outliers = 0
 	}
-	return hand + out
+	return manually + outliers
 }
--- a/lbpolicy/requests.go
+++ b/lbpolicy/requests.go
@@ -1,15 +1,33 @@
 package lbpolicy
 
-// This file: what is told of a request on its way: its caller, its body, its key, and waits that are no
-// server's. What becomes of it is decided in attempt.go.
+// This file: what is recorded of a request in progress: its client, its body, its key, and waits that are not caused by
+// a server. What follows from them is decided in attempt.go.
 
 import (
 	"slices"
 	"time"
 )
 
-// release forgets a finished request once nothing of it is out; what is out is cancelled where that is
-// allowed.
+func (b *Balancer) newRequest(now time.Duration, q Request) *request {
+	r := &request{
+		id:          q.ID,
+		class:       q.ClassAtArrival,
+		expected:    b.expected[q.Class],
+		deadline:    now + q.TimeLeft,
+		maxAttempts: b.settings.MaxAttempts,
+		keyState:    q.KeyState,
+	}
+	if r.class == nil {
+		r.class = &b.settings.Classes[q.Class]
+	}
+	if q.MaxAttempts > 0 {
+		r.maxAttempts = min(r.maxAttempts, q.MaxAttempts)
+	}
+	return r
+}
+
+// release forgets a finished request once none of its attempts is in flight; those that are get cancelled
+// where that is allowed.
 func (b *Balancer) release(r *request) {
 	for i := range r.attempts {
 		if !r.attempts[i].ended && b.settings.MayCancel {
@@ -21,59 +39,65 @@
 	}
 }
 
-// ResponseStarted tells that the answer of a streamed request has begun: it belongs to the client, and takes no
-// further attempt.
+// ResponseStarted records that the response to a streamed request has begun: it belongs to the client, and no
+// further attempt is made.
 func (b *Balancer) ResponseStarted(now time.Duration, id RequestID) {
 	b.update(now, id, func(r *request) { r.done = true })
 }
 
-// MarkNotReplayable tells that no further attempt of a request is possible: what it would send is gone.
+// MarkNotReplayable records that no further attempt of a request is possible: its body is consumed.
 func (b *Balancer) MarkNotReplayable(now time.Duration, id RequestID) {
 	b.update(now, id, func(r *request) { r.maxAttempts = len(r.attempts) })
 }
 
-// RequestBodyReceived tells that a request has come whole only now, while it was being sent: its time counts from here.
-func (b *Balancer) RequestBodyReceived(now time.Duration, id RequestID, left time.Duration) {
-	b.update(now, id, func(r *request) { r.deadline = now + left })
+// RequestBodyReceived records that a request is complete only now, while it is being sent: its time starts
+// here.
+func (b *Balancer) RequestBodyReceived(now time.Duration, id RequestID, timeLeft time.Duration) {
+	b.update(now, id, func(r *request) { r.deadline = now + timeLeft })
 }
 
-// KeyStateUpdated takes what has become known of a request's key since it came.
-func (b *Balancer) KeyStateUpdated(now time.Duration, id RequestID, p KeyState) {
-	b.update(now, id, func(r *request) { r.keyState = p })
+// KeyStateUpdated sets what has become known of a request's key since it arrived.
+func (b *Balancer) KeyStateUpdated(now time.Duration, id RequestID, state KeyState) {
+	b.update(now, id, func(r *request) { r.keyState = state })
 }
 
-func (b *Balancer) update(now time.Duration, id RequestID, f func(*request)) {
+func (b *Balancer) update(now time.Duration, id RequestID, change func(*request)) {
 	b.advance(now)
 	if r := b.requests[id]; r != nil {
-		f(r)
+		change(r)
 	}
 }
 
-// SetDispatchPending tells that an attempt waits for something that is not its server's doing, and then that it no longer
-// does. Such a wait is no silence of the server.
-func (b *Balancer) SetDispatchPending(now time.Duration, id RequestID, n int, on bool) {
+// SetDispatchPending records that an attempt waits for something that its server has not caused, or no longer
+// does. Such a wait does not make the server unresponsive.
+func (b *Balancer) SetDispatchPending(now time.Duration, id RequestID, attempt int, pending bool) {
 	b.advance(now)
-	if r := b.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && !r.attempts[n].ended {
-		b.setDispatchPending(now, &r.attempts[n], on)
+	r := b.requests[id]
+	if r == nil || attempt < 0 || attempt >= len(r.attempts) || r.attempts[attempt].ended {
+		return
 	}
+	b.setDispatchPending(now, &r.attempts[attempt], pending)
 }
 
-func (b *Balancer) setDispatchPending(now time.Duration, a *attempt, on bool) {
-	if a.dispatchPending == on {
+func (b *Balancer) setDispatchPending(now time.Duration, a *attempt, pending bool) {
+	if a.dispatchPending == pending {
 		return
 	}
 	a.server.accumulateWait(now)
-	a.dispatchPending = on
-	n := map[bool]int{true: 1, false: -1}[on]
-	a.server.dispatchPending += n
-	b.dispatchPending += n
+	a.dispatchPending = pending
+	change := -1
+	if pending {
+		change = 1
+	}
+	a.server.dispatchPending += change
+	b.dispatchPending += change
 }
 
 func (r *request) allEnded() bool {
 	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.ended })
 }
 
-// ClientDisconnected tells that the client has left: nothing more is owed.
+// ClientDisconnected records that the client has disconnected: no answer is due.
 func (b *Balancer) ClientDisconnected(now time.Duration, id RequestID) {
 	b.advance(now)
 	if r := b.requests[id]; r != nil && !r.done {
--- a/lbpolicy/settings.go
+++ b/lbpolicy/settings.go
@@ -1,6 +1,6 @@
 package lbpolicy
 
-// This file: settings, at the start and when they change. It decides nothing about any call.
+// This file: settings, at the start and when they change. It decides nothing about any request.
 
 import (
 	"errors"
@@ -11,97 +11,140 @@
 	"time"
 )
 
-// New returns a balancer with no servers; the first list brings them. The error names the setting at fault.
-func New(cfg Settings, seed uint64, host Host) (*Balancer, error) {
-	if err := validate(&cfg); err != nil {
+const (
+	randomStream       = 1 // of the generator, beside the seed
+	initialRetryBudget = 3 // attempts
+	baseLatencyGuess   = 4 // the objective over the first guess of the base latency
+	minPeriod          = 50 * time.Millisecond
+	maxPeriod          = time.Second
+)
+
+// New returns a balancer without servers. An error names the invalid setting.
+func New(settings Settings, seed uint64, host Host) (*Balancer, error) {
+	if err := validate(&settings); err != nil {
 		return nil, err
 	}
-	b := &Balancer{host: host, random: rand.New(rand.NewPCG(seed, 1)), servers: map[ServerID]*server{},
-		requests: map[RequestID]*request{}, manuallyEjected: map[ServerID]time.Duration{}, retryBudget: 3, nextStep: -1}
-	b.apply(cfg)
+	b := &Balancer{
+		host:            host,
+		random:          rand.New(rand.NewPCG(seed, randomStream)),
+		servers:         map[ServerID]*server{},
+		requests:        map[RequestID]*request{},
+		manuallyEjected: map[ServerID]time.Duration{},
+		retryBudget:     initialRetryBudget,
+		nextStep:        -1,
+	}
+	b.apply(settings)
 	return b, nil
 }
 
-// Configure puts other settings in force. Classes and tenants are those before that have their name, whatever their
-// place; the cursor, what has been learnt of servers and classes, and bans live on. A request in work keeps the class
-// that it came with, and takes no more attempts than both the old and the new settings allow. With an error nothing has
-// changed.
-func (b *Balancer) Configure(now time.Duration, cfg Settings) error {
-	if err := validate(&cfg); err != nil {
+// Configure puts new settings in force. Classes and tenants are matched by their names. The cursor, what was
+// measured of servers and classes, and manual ejections are kept. A request in progress keeps the class that
+// it arrived with, and gets no more attempts than both the old and the new settings allow. After an error
+// nothing has changed.
+func (b *Balancer) Configure(now time.Duration, settings Settings) error {
+	if err := validate(&settings); err != nil {
 		return err
 	}
 	b.advance(now)
-	b.apply(cfg)
+	b.apply(settings)
 	b.updateSubset()
 	return nil
 }
 
-// apply takes over valid settings.
-func (b *Balancer) apply(cfg Settings) {
+// apply applies valid settings.
+func (b *Balancer) apply(settings Settings) {
 	old := b.settings
-	b.settings = cfg
-	hopes := make([]*expectedLatency, len(cfg.Classes))
+	b.settings = settings
+	b.applyClasses(old.Classes)
+	if !b.baseLearned {
+		b.baseLatency = b.meanObjective / baseLatencyGuess
+	}
+	period := time.Duration(b.meanObjective * periodShare * float64(time.Second))
+	b.period = min(max(period, minPeriod), maxPeriod)
+	b.applyTenants()
+	b.rebuildTable()
+}
+
+// applyClasses keeps the expected latencies of the classes that had their name before.
+func (b *Balancer) applyClasses(old []Class) {
+	classes := b.settings.Classes
+	expected := make([]*expectedLatency, len(classes))
 	b.meanObjective = 0
-	for i, c := range cfg.Classes {
-		b.meanObjective += c.LatencyObjective.Seconds() / float64(len(cfg.Classes))
-		hopes[i] = &expectedLatency{}
-		if at := slices.IndexFunc(old.Classes, func(o Class) bool { return c.Name != "" && o.Name == c.Name }); at >= 0 {
-			hopes[i] = b.expected[at]
+	for i, c := range classes {
+		b.meanObjective += c.LatencyObjective.Seconds() / float64(len(classes))
+		expected[i] = &expectedLatency{}
+		at := slices.IndexFunc(old, func(o Class) bool { return c.Name != "" && o.Name == c.Name })
+		if at >= 0 {
+			expected[i] = b.expected[at]
 		}
 	}
-	b.expected = hopes
-	if !b.baseLearned {
-		b.baseLatency = b.meanObjective / 4
-	}
-	b.period = min(max(time.Duration(b.meanObjective*periodShare*float64(time.Second)), 50*time.Millisecond), time.Second)
-	tenants := make([]tenant, 0, len(cfg.Tenants))
+	b.expected = expected
+}
+
+// applyTenants keeps the tokens of the tenants that had their name before.
+func (b *Balancer) applyTenants() {
+	tenants := make([]tenant, 0, len(b.settings.Tenants))
 	b.totalQuota = 0
-	for _, t := range cfg.Tenants {
-		rate := t.QuotaPerSecond / float64(cfg.Balancers)
+	for _, t := range b.settings.Tenants {
+		rate := t.QuotaPerSecond / float64(b.settings.Balancers)
 		next := tenant{name: t.Name, quota: t.QuotaPerSecond, tokens: 2*rate + 2}
-		if at := slices.IndexFunc(b.tenants, func(o tenant) bool { return t.Name != "" && o.name == t.Name }); at >= 0 {
+		at := slices.IndexFunc(b.tenants, func(o tenant) bool { return t.Name != "" && o.name == t.Name })
+		if at >= 0 {
 			next.tokens = min(next.tokens, b.tenants[at].tokens)
 		}
 		tenants = append(tenants, next)
 		b.totalQuota += t.QuotaPerSecond
 	}
 	b.tenants = tenants
+}
+
+// rebuildTable builds the cursor table, and keeps the rates by level where the number of levels is the same.
+func (b *Balancer) rebuildTable() {
 	rows := len(b.table)
-	came, rates := b.levelArrivals, b.levelRates
+	arrivals, rates := b.levelArrivals, b.levelRates
 	b.table, b.levels, b.levelObjectives, b.levelArrivals, b.levelRates = nil, nil, nil, nil, nil
 	b.buildTable()
-	if rows == len(b.table) { // the levels are the same, or near enough for a count of arrivals
-		b.levelArrivals, b.levelRates = came, rates
+	if rows == len(b.table) {
+		b.levelArrivals, b.levelRates = arrivals, rates
 	}
 	b.cursor = min(b.cursor, len(b.table[0])-1)
 }
 
-func validate(cfg *Settings) error {
+func validate(s *Settings) error {
 	switch {
-	case len(cfg.Classes) == 0:
-		return errors.New("decide: Classes: none")
-	case cfg.Balancers < 1:
-		return errors.New("decide: Balancers: must be at least 1")
-	case cfg.Index < 0 || cfg.Tier < 0 || cfg.Zone < 0:
-		return errors.New("decide: Me, Tier, Zone: must not be negative")
-	case cfg.MaxAttempts < 1:
-		return errors.New("decide: MaxAttempts: must be at least 1")
-	case math.IsNaN(cfg.InitialCapacity + cfg.OverloadMultiple + cfg.CrossZonePrice + cfg.HandshakePrice):
-		return errors.New("decide: StartCapacity, FallMultiple or a price is no number")
-	case min(cfg.InitialCapacity, cfg.OverloadMultiple, cfg.CrossZonePrice, cfg.HandshakePrice) < 0:
-		return errors.New("decide: StartCapacity, FallMultiple and prices: must not be negative")
-	case min(cfg.SlowStart, cfg.OverloadWindow, cfg.MaxPollInterval, cfg.MaxRetryAfter, cfg.ConnIdleTimeout) < 0:
-		return errors.New("decide: WarmUp, FallWindow, MustAskIn, MaxRetryAfter or ConnIdle is negative")
+	case len(s.Classes) == 0:
+		return errors.New("lbpolicy: Classes: none")
+	case s.Balancers < 1:
+		return errors.New("lbpolicy: Balancers: must be at least 1")
+	case s.Index < 0 || s.Tier < 0 || s.Zone < 0:
+		return errors.New("lbpolicy: Index, Tier, Zone: must not be negative")
+	case s.MaxAttempts < 1:
+		return errors.New("lbpolicy: MaxAttempts: must be at least 1")
+	case math.IsNaN(s.InitialCapacity + s.OverloadMultiple + s.CrossZonePrice + s.HandshakePrice):
+		return errors.New("lbpolicy: InitialCapacity, OverloadMultiple or a price is no number")
+	case min(s.InitialCapacity, s.OverloadMultiple, s.CrossZonePrice, s.HandshakePrice) < 0:
+		return errors.New("lbpolicy: InitialCapacity, OverloadMultiple and prices: must not be negative")
+	case min(s.SlowStart, s.OverloadWindow, s.MaxPollInterval, s.MaxRetryAfter, s.ConnIdleTimeout) < 0:
+		return errors.New("lbpolicy: SlowStart, OverloadWindow, MaxPollInterval, MaxRetryAfter or " +
+			"ConnIdleTimeout is negative")
 	}
-	for i, c := range cfg.Classes {
-		if c.LatencyObjective <= 0 || c.Deadline <= 0 || min(c.PriorityWeight, c.Window.Seconds()) < 0 ||
-			c.Effect > NonIdempotent || c.Scope > ScopeCell {
-			return fmt.Errorf("decide: Classes[%d]: aim and deadline must be positive, the rest known", i)
+	return errors.Join(validateClasses(s.Classes), validateTenants(s.Tenants))
+}
+
+func validateClasses(classes []Class) error {
+	for i, c := range classes {
+		unknown := c.Effect > NonIdempotent || c.Scope > ScopeCell
+		if c.LatencyObjective <= 0 || c.Deadline <= 0 || min(c.PriorityWeight, c.Window.Seconds()) < 0 || unknown {
+			return fmt.Errorf("lbpolicy: Classes[%d]: objective and deadline must be positive, the rest known", i)
 		}
 	}
-	for i, t := range cfg.Tenants {
+	return nil
+}
+
+func validateTenants(tenants []Tenant) error {
+	for i, t := range tenants {
 		if t.QuotaPerSecond < 0 {
-			return fmt.Errorf("decide: Tenants[%d].QuotaPerSecond: negative", i)
+			return fmt.Errorf("lbpolicy: Tenants[%d].QuotaPerSecond: negative", i)
 		}
 	}
 	return nil
--- a/lbpolicy/slowstart.go
+++ b/lbpolicy/slowstart.go
@@ -1,22 +1,22 @@
 package lbpolicy
 
-// This file: how much a cold server gets.
+// This file: how many requests a server in slow start gets.
 
 import (
 	"math"
 	"time"
 )
 
-// capacity is a server's capacity as a share of its full one: the least for its age, or more where its own
-// reports show more. Those count the calls of all balancers: one that sends a server a call in some seconds
-// learns from each answer what they all have seen. It could hurt where reports count what costs the server
-// nothing.
+// capacity returns a server's capacity as a share of its full one: the least for its age, or more where its
+// own reports show more. Reports count the requests of all balancers: a balancer that sends the server few
+// requests learns from each answer what all of them have seen. Reports that count work which costs the server
+// nothing would show too much.
 func (b *Balancer) capacity(now time.Duration, s *server) float64 {
-	began := s.startTime()
-	if began <= 0 || b.settings.SlowStart <= 0 {
+	startTime := s.startTime()
+	if startTime <= 0 || b.settings.SlowStart <= 0 {
 		return 1
 	}
-	age := (now - began).Seconds() / b.settings.SlowStart.Seconds()
+	age := (now - startTime).Seconds() / b.settings.SlowStart.Seconds()
 	least := min(1, b.settings.InitialCapacity+(1-b.settings.InitialCapacity)*max(age, 0))
 	if b.serverCapacity > 0 {
 		least = max(least, min(1, reportedCapacityTrust*s.reportedCapacity/b.serverCapacity))
@@ -24,60 +24,68 @@
 	return least
 }
 
-// startTime is when a server started, as far as is known.
+// startTime returns when a server started, as far as is known.
 func (s *server) startTime() time.Duration { return max(s.StartedAt, s.restoredAt) }
 
-// hasBudget tells whether a server of the subset may have a call now, by its warmth: a warm one always, a cold
-// one within its budget. Each balancer has its own pool and its own view, and one whose pool is nearly all
-// cold would send all its calls there: the budget holds every balancer to its even part of what the server
-// can do.
+// hasBudget reports whether a server of the subset may get a request now: a warmed-up one always, one in slow
+// start within its budget. Balancers know nothing of each other, and one whose subset is nearly all in slow
+// start would send all its requests there: the budget holds each to an even part of what the server can do.
 func (b *Balancer) hasBudget(now time.Duration, s *server) bool {
-	return b.hasBudgetAmong(now, s, max(1, float64(b.settings.Balancers*len(b.subset))/float64(len(b.listed))))
+	sharers := float64(b.settings.Balancers*len(b.subset)) / float64(len(b.listed))
+	return b.hasBudgetAmong(now, s, max(1, sharers))
 }
 
-// hasBudgetAmong is the same for any server, by how many balancers may send to it. The budget starts at a draw,
-// as the first call of each balancer is also a call of the fleet. Where one call takes longer than the fall
-// window to save up it lapses a window later: else all balancers could come to hold one, and spend it in one
-// burst.
+// maxBudgetWindows divides the requests of a window that can be saved up.
+const maxBudgetWindows = 4
+
+// hasBudgetAmong is hasBudget for any server, by how many balancers may send to it. The budget starts at a
+// random fraction, as the first requests of all balancers add up. Where saving up one request takes longer
+// than the overload window, it expires one window later: otherwise all balancers could hold one, and spend
+// them in one burst.
 func (b *Balancer) hasBudgetAmong(now time.Duration, s *server, sharers float64) bool {
-	c := b.capacity(now, s)
-	if c >= 1 {
+	capacity := b.capacity(now, s)
+	if capacity >= 1 {
 		return true
 	}
-	rate := b.settings.OverloadMultiple * b.warmingUpRate(c, s) / sharers
+	rate := b.settings.OverloadMultiple * b.warmingUpRate(capacity, s) / sharers
 	if s.budgetFilledAt == 0 {
 		s.slowStartBudget, s.budgetFilledAt = b.random.Float64(), now
 	}
 	s.slowStartBudget += rate * (now - s.budgetFilledAt).Seconds()
 	s.budgetFilledAt = now
-	each := rate * b.settings.OverloadWindow.Seconds()
-	if whole := math.Floor(s.slowStartBudget); whole >= 1 && each > 0 && each < 1 {
-		if s.slowStartBudget -= whole; s.slowStartBudget < each {
+	perWindow := rate * b.settings.OverloadWindow.Seconds()
+	whole := math.Floor(s.slowStartBudget)
+	if whole >= 1 && perWindow > 0 && perWindow < 1 {
+		s.slowStartBudget -= whole
+		if s.slowStartBudget < perWindow {
 			s.slowStartBudget++
 		}
 	} else {
-		s.slowStartBudget = min(s.slowStartBudget, max(1, each/4))
+		s.slowStartBudget = min(s.slowStartBudget, max(1, perWindow/maxBudgetWindows))
 	}
 	return s.slowStartBudget >= 1
 }
 
-// warmingUpRate is how many calls a second of what a cold server could do all balancers may count on together.
-// Where no warm one has reported, it is the part of what each server answers now, as this balancer's calls
-// show: no more than a warm one could. At the least it goes by what a server does that answers one call after
-// another, or by the cold one's own reports, or a pool that is all cold would never get its first calls.
-func (b *Balancer) warmingUpRate(c float64, s *server) float64 {
+// warmingUpRate is how many requests per second all balancers may send together to a server of this capacity.
+// Without reports of warmed-up servers, it follows from what each server answers now, as this balancer's
+// requests show, which is no more than a warmed-up one could. It is at least the rate of a server that
+// answers one request after another, or what the server reports: otherwise a pool that is all in slow start
+// would never get its first requests.
+func (b *Balancer) warmingUpRate(capacity float64, s *server) float64 {
 	if b.serverCapacity > 0 {
-		return warmingUpShare * c * b.serverCapacity
+		return warmingUpShare * capacity * b.serverCapacity
 	}
-	each := max(b.fastRate, b.slowRate) * max(float64(b.settings.Balancers)/float64(len(b.listed)), 1/float64(len(b.subset)))
-	return max(c*each, warmingUpShare*c/b.usualLatency(), warmingUpShare*s.reportedCapacity)
+	balancersPerListed := float64(b.settings.Balancers) / float64(len(b.listed))
+	perServer := max(b.fastRate, b.slowRate) * max(balancersPerListed, 1/float64(len(b.subset)))
+	return max(capacity*perServer, warmingUpShare*capacity/b.usualLatency(),
+		warmingUpShare*s.reportedCapacity)
 }
 
-// drawsWarmingUp draws whether a cold server takes the call that came upon it by an even draw over the pool: its
-// part is then to a warm server's as its capacity is. It is how a balancer with idle warm servers comes to
-// know it; where they are not idle, rank brings it more, within its budget.
+// drawsWarmingUp draws whether a server in slow start gets the request for which an even draw over the subset
+// found it: its part of the traffic compared with a warmed-up server's is its capacity. So a balancer with
+// idle warmed-up servers gets to know it; where they are busy, the ranking sends it more, within its budget.
 func (b *Balancer) drawsWarmingUp(now time.Duration, s *server) bool {
-	c := b.capacity(now, s)
-	part := c * s.trafficWeight() * float64(len(b.subset)) / max(b.totalCapacity, 1e-9)
-	return c < 1 && !s.ejected && b.random.Float64() < part && b.hasBudget(now, s)
+	capacity := b.capacity(now, s)
+	part := capacity * s.trafficWeight() * float64(len(b.subset)) / max(b.totalCapacity, 1e-9)
+	return capacity < 1 && !s.ejected && b.random.Float64() < part && b.hasBudget(now, s)
 }
--- a/lbpolicy/snapshot.go
+++ b/lbpolicy/snapshot.go
@@ -1,21 +1,22 @@
 package lbpolicy
 
-// This file: what a balancer hands to the one that takes its place. It decides nothing about any call.
+// This file: what a balancer hands to its successor. It decides nothing about any request.
 
 import (
 	"math"
 	"time"
 )
 
-// Snapshot is what a balancer has learnt and another in its place can use. Times count back from the moment it is told.
+// Snapshot is what a balancer has measured that a successor can use. Times are ages at the time of the
+// snapshot. The JSON names are part of the hand-over protocol.
 type Snapshot struct {
 	Cursor            int              `json:"Cursor"`
-	SinceStart        time.Duration    `json:"Started"` // ago
-	BaseLatency       float64          `json:"Base"`    // quiet latency, s; 0: not learnt
-	FastRate          float64          `json:"Fast"`    // calls a second
-	SlowRate          float64          `json:"Avg"`     // calls a second
-	ArrivalRate       float64          `json:"Asking"`  // calls a second
-	ServerCapacity    float64          `json:"Full"`    // calls a second
+	SinceStart        time.Duration    `json:"Started"`
+	BaseLatency       float64          `json:"Base"` // in seconds; 0: not measured
+	FastRate          float64          `json:"Fast"` // per second
+	SlowRate          float64          `json:"Avg"`
+	ArrivalRate       float64          `json:"Asking"`
+	ServerCapacity    float64          `json:"Full"`
 	AnswerCount       float64          `json:"Answers"`
 	LatencySum        float64          `json:"LatSum"`
 	FullCount         float64          `json:"Fulls"`
@@ -24,7 +25,7 @@
 	Servers           []ServerSnapshot `json:"Servers"`
 }
 
-// ClassSnapshot is the time that a class's calls take.
+// ClassSnapshot is the expected latency of a class.
 type ClassSnapshot struct {
 	Class   string        `json:"Class"`
 	Seconds float64       `json:"In"`
@@ -40,77 +41,128 @@
 	ErrorRatio       float64       `json:"Bad"`
 	ReportedCapacity float64       `json:"Rate"`
 	Utilization      float64       `json:"Util"`
-	ReportAge        time.Duration `json:"Reported"` // ago; 0: never
+	ReportAge        time.Duration `json:"Reported"` // 0: it has reported nothing
 	Ejected          bool          `json:"Out"`
-	EjectedFor       time.Duration `json:"OutFor"` // until a trial
+	EjectedFor       time.Duration `json:"OutFor"` // until a probe
 	Ejections        int           `json:"Outs"`
-	SlowStartBudget  float64       `json:"Budget"` // while cold
+	SlowStartBudget  float64       `json:"Budget"`
 }
 
-// Snapshot returns what the balancer has learnt.
+// maxBudgetMagnitude bounds what is believed of a budget.
+const maxBudgetMagnitude = 1e6
+
+// Snapshot returns what the balancer has measured.
 func (b *Balancer) Snapshot(now time.Duration) Snapshot {
 	b.advance(now)
-	l := Snapshot{Cursor: b.cursor, SinceStart: now - b.startedAt, FastRate: b.fastRate, SlowRate: b.slowRate, ArrivalRate: b.arrivalRate, ServerCapacity: b.serverCapacity,
-		AnswerCount: b.answerCount, LatencySum: b.latencySum, FullCount: b.fullCount, ErrorCount: b.errorCount}
+	snapshot := Snapshot{
+		Cursor:         b.cursor,
+		SinceStart:     now - b.startedAt,
+		FastRate:       b.fastRate,
+		SlowRate:       b.slowRate,
+		ArrivalRate:    b.arrivalRate,
+		ServerCapacity: b.serverCapacity,
+		AnswerCount:    b.answerCount,
+		LatencySum:     b.latencySum,
+		FullCount:      b.fullCount,
+		ErrorCount:     b.errorCount,
+	}
 	if b.baseLearned {
-		l.BaseLatency = b.baseLatency
+		snapshot.BaseLatency = b.baseLatency
 	}
-	for i, h := range b.expected {
-		if h.seconds > 0 && b.settings.Classes[i].Name != "" {
-			l.ExpectedLatencies = append(l.ExpectedLatencies, ClassSnapshot{b.settings.Classes[i].Name, h.seconds, h.samples, now - h.updatedAt})
+	for i, e := range b.expected {
+		if name := b.settings.Classes[i].Name; e.seconds > 0 && name != "" {
+			class := ClassSnapshot{Class: name, Seconds: e.seconds, Samples: e.samples, Age: now - e.updatedAt}
+			snapshot.ExpectedLatencies = append(snapshot.ExpectedLatencies, class)
 		}
 	}
 	for _, s := range b.listed {
-		e := ServerSnapshot{ID: s.ID, StartedAt: s.StartedAt, Latency: s.latency, ErrorRatio: s.errorRatio, ReportedCapacity: s.reportedCapacity, Utilization: s.utilization,
-			Ejected: s.ejected, EjectedFor: max(s.ejectedUntil-now, 0), Ejections: s.ejections, SlowStartBudget: s.slowStartBudget}
-		if s.reportedAt > 0 {
-			e.ReportAge = max(now-s.reportedAt, 1)
-		}
-		l.Servers = append(l.Servers, e)
+		snapshot.Servers = append(snapshot.Servers, s.snapshot(now))
+	}
+	return snapshot
+}
+
+func (s *server) snapshot(now time.Duration) ServerSnapshot {
+	snapshot := ServerSnapshot{
+		ID:               s.ID,
+		StartedAt:        s.StartedAt,
+		Latency:          s.latency,
+		ErrorRatio:       s.errorRatio,
+		ReportedCapacity: s.reportedCapacity,
+		Utilization:      s.utilization,
+		Ejected:          s.ejected,
+		EjectedFor:       max(s.ejectedUntil-now, 0),
+		Ejections:        s.ejections,
+		SlowStartBudget:  s.slowStartBudget,
+	}
+	if s.reportedAt > 0 {
+		snapshot.ReportAge = max(now-s.reportedAt, 1)
 	}
-	return l
+	return snapshot
 }
 
-// Restore takes over what another balancer has learnt; servers and classes that are not known here are passed over, as is
-// what no balancer can have learnt. It is for a balancer that has had no calls yet.
-func (b *Balancer) Restore(now time.Duration, l Snapshot) {
+// Restore applies the snapshot of another balancer. Unknown servers and classes, and values that no balancer
+// can have measured, are ignored. It is for a balancer that has had no requests yet.
+func (b *Balancer) Restore(now time.Duration, snapshot Snapshot) {
 	b.advance(now)
-	if !isMeasurable(l.BaseLatency, l.FastRate, l.SlowRate, l.ArrivalRate, l.ServerCapacity, l.AnswerCount, l.LatencySum, l.FullCount, l.ErrorCount) {
+	if !snapshot.isValid() {
 		return
 	}
-	b.cursor = min(max(l.Cursor, 0), len(b.table[0])-1)
-	b.startedAt = now - max(l.SinceStart, 0)
-	b.fastRate, b.slowRate, b.arrivalRate, b.serverCapacity = l.FastRate, l.SlowRate, l.ArrivalRate, l.ServerCapacity
-	b.answerCount, b.latencySum, b.fullCount, b.errorCount = l.AnswerCount, l.LatencySum, l.FullCount, l.ErrorCount
-	if l.BaseLatency > 0 {
-		b.baseLatency, b.baseLearned = l.BaseLatency, true
+	b.cursor = min(max(snapshot.Cursor, 0), len(b.table[0])-1)
+	b.startedAt = now - max(snapshot.SinceStart, 0)
+	b.fastRate, b.slowRate, b.arrivalRate = snapshot.FastRate, snapshot.SlowRate, snapshot.ArrivalRate
+	b.serverCapacity = snapshot.ServerCapacity
+	b.answerCount, b.latencySum = snapshot.AnswerCount, snapshot.LatencySum
+	b.fullCount, b.errorCount = snapshot.FullCount, snapshot.ErrorCount
+	if snapshot.BaseLatency > 0 {
+		b.baseLatency, b.baseLearned = snapshot.BaseLatency, true
 	}
-	for _, h := range l.ExpectedLatencies {
-		for i, c := range b.settings.Classes {
-			if c.Name == h.Class && isMeasurable(h.Seconds, h.Samples) {
-				*b.expected[i] = expectedLatency{seconds: h.Seconds, samples: h.Samples, updatedAt: now - max(h.Age, 0)}
-			}
-		}
+	for _, e := range snapshot.ExpectedLatencies {
+		b.restoreClass(now, e)
 	}
-	for _, e := range l.Servers {
-		s := b.servers[e.ID]
-		if s == nil || s.StartedAt != e.StartedAt || !isMeasurable(e.Latency, e.ErrorRatio, e.ReportedCapacity, e.Utilization) || !(e.SlowStartBudget < 1e6 && e.SlowStartBudget > -1e6) {
-			continue
+	for _, e := range snapshot.Servers {
+		if s := b.servers[e.ID]; s != nil && s.StartedAt == e.StartedAt && e.isValid() {
+			s.restore(now, e)
 		}
-		s.latency, s.errorRatio, s.reportedCapacity, s.utilization = e.Latency, min(e.ErrorRatio, 1), e.ReportedCapacity, e.Utilization
-		if e.ReportAge > 0 {
-			s.reportedAt = now - e.ReportAge
-		}
-		s.ejected, s.ejections, s.ejectedUntil = e.Ejected, min(max(e.Ejections, 0), 4), now+max(e.EjectedFor, 0)
-		s.slowStartBudget, s.budgetFilledAt = e.SlowStartBudget, now
 	}
 	b.updateSubset()
 }
 
-// isMeasurable tells whether figures are numbers that can be measured.
-func isMeasurable(figures ...float64) bool {
-	for _, f := range figures {
-		if !(f >= 0 && f < math.MaxFloat32) {
+func (b *Balancer) restoreClass(now time.Duration, e ClassSnapshot) {
+	for i, c := range b.settings.Classes {
+		if c.Name == e.Class && isMeasurable(e.Seconds, e.Samples) {
+			*b.expected[i] = expectedLatency{seconds: e.Seconds, samples: e.Samples, updatedAt: now - max(e.Age, 0)}
+		}
+	}
+}
+
+func (s *server) restore(now time.Duration, e ServerSnapshot) {
+	s.latency = e.Latency
+	s.errorRatio = min(e.ErrorRatio, 1)
+	s.reportedCapacity = e.ReportedCapacity
+	s.utilization = e.Utilization
+	if e.ReportAge > 0 {
+		s.reportedAt = now - e.ReportAge
+	}
+	s.ejected = e.Ejected
+	s.ejections = min(max(e.Ejections, 0), maxEjections)
+	s.ejectedUntil = now + max(e.EjectedFor, 0)
+	s.slowStartBudget, s.budgetFilledAt = e.SlowStartBudget, now
+}
+
+func (s *Snapshot) isValid() bool {
+	return isMeasurable(s.BaseLatency, s.FastRate, s.SlowRate, s.ArrivalRate, s.ServerCapacity,
+		s.AnswerCount, s.LatencySum, s.FullCount, s.ErrorCount)
+}
+
+func (s *ServerSnapshot) isValid() bool {
+	budgetIsValid := s.SlowStartBudget < maxBudgetMagnitude && s.SlowStartBudget > -maxBudgetMagnitude
+	return budgetIsValid && isMeasurable(s.Latency, s.ErrorRatio, s.ReportedCapacity, s.Utilization)
+}
+
+// isMeasurable reports whether values are numbers that can be measured.
+func isMeasurable(values ...float64) bool {
+	for _, v := range values {
+		if !(v >= 0 && v < math.MaxFloat32) {
 			return false
 		}
 	}
--- a/lbpolicy/subset.go
+++ b/lbpolicy/subset.go
@@ -7,61 +7,69 @@
 	"time"
 )
 
-// restoredServer is a server that has come back from a ban, for its first call.
+// restoredServer returns a server that has come back from a manual ejection, for its first request.
 func (b *Balancer) restoredServer(now time.Duration, r *request) *server {
 	b.firstCallsDue = 0
-	var back *server
+	var restored *server
 	for _, s := range b.subset {
-		if s.firstCallDue > 0 {
-			b.firstCallsDue++
-			fits := r.class.Effect != NonIdempotent && b.maySend(now, r, s)
-			if fits && (now >= s.firstCallDue || b.hasBudget(now, s)) {
-				back = s
-			}
+		if s.firstCallDue == 0 {
+			continue
+		}
+		b.firstCallsDue++
+		eligible := r.class.Effect != NonIdempotent && b.maySend(now, r, s)
+		if eligible && (now >= s.firstCallDue || b.hasBudget(now, s)) {
+			restored = s
 		}
 	}
-	return back
+	return restored
 }
 
-// targetSubsetSize is the size of the subset: enough that each server is known to a few balancers, and room for what
-// this one carries and for servers that are out.
+// targetSubsetSize returns how many servers the subset should have: enough that each server is known to a few
+// balancers, and room for the requests of this one and for ejected servers.
 func (b *Balancer) targetSubsetSize() int {
-	per := balancersPerServer * float64(len(b.listed)) / float64(b.settings.Balancers)
-	return max(minSubsetSize, int(math.Ceil(per)), int(2*b.quietLoad())) + b.ejectedCount
+	perBalancer := balancersPerServer * float64(len(b.listed)) / float64(b.settings.Balancers)
+	size := max(minSubsetSize, int(math.Ceil(perBalancer)), int(2*b.quietLoad()))
+	return size + b.ejectedCount
 }
 
-// updateSubset picks the servers this balancer uses: the same number in a row from the hashed order, starting at
-// its own place, so that all servers are covered evenly and each balancer meets few of them often enough
-// to know them.
+// updateSubset picks the servers that this balancer uses: consecutive ones in the hashed order, from this
+// balancer's own place on, so that all servers are covered evenly, and each balancer meets few of them often
+// enough to know them.
 func (b *Balancer) updateSubset() {
 	b.subsetSize = max(b.subsetSize, b.targetSubsetSize())
-	b.subset, b.weighted = b.subset[:0], false
-	var some *server
-	ready := make([]*server, 0, len(b.listed))
-	local := make([]*server, 0, len(b.listed))
+	local, others := b.eligibleServers()
+	localCount := min(len(local), max(b.subsetSize*2/3, b.subsetSize-len(others)))
+	b.subset = b.subset[:0]
+	b.addToSubset(local, localCount)
+	b.addToSubset(others, b.subsetSize-localCount)
+	b.ejectedCount = 0 // of the new subset: if all are ejected, they are used
+	for _, s := range b.subset {
+		if s.ejected {
+			b.ejectedCount++
+		}
+	}
+}
+
+// eligibleServers returns the servers that may get requests, apart from those of this zone where crossing
+// zones has a price. It notes whether they differ in weight.
+func (b *Balancer) eligibleServers() (local, others []*server) {
+	b.weighted = false
+	var previous *server
 	for _, s := range b.listed {
 		if !s.isEligible() {
 			continue
 		}
-		if some != nil && s.trafficWeight() != some.trafficWeight() {
+		if previous != nil && s.trafficWeight() != previous.trafficWeight() {
 			b.weighted = true
 		}
-		some = s
+		previous = s
 		if b.settings.CrossZonePrice > 0 && s.Zone == b.settings.Zone {
 			local = append(local, s)
 		} else {
-			ready = append(ready, s)
-		}
-	}
-	near := min(len(local), max(b.subsetSize*2/3, b.subsetSize-len(ready)))
-	b.addToSubset(local, near)
-	b.addToSubset(ready, b.subsetSize-near)
-	b.ejectedCount = 0 // of those in use now: where they all are out, they are used
-	for _, s := range b.subset {
-		if s.ejected {
-			b.ejectedCount++
+			others = append(others, s)
 		}
 	}
+	return local, others
 }
 
 func (b *Balancer) addToSubset(from []*server, count int) {
--- a/lbpolicy/table.go
+++ b/lbpolicy/table.go
@@ -1,6 +1,6 @@
 package lbpolicy
 
-// This file: the cursor table: which calls are let in.
+// This file: the cursor table, which decides which requests are admitted.
 
 import (
 	"fmt"
@@ -9,77 +9,92 @@
 	"time"
 )
 
-// buildTable lays out a row for each worth level, lowest first. All rows stand at T1 in the n home slots.
-// To the right the lowest row falls to nothing first, then the next: a call of higher worth is refused
-// only when shedding all below it falls short (paper 3.3). The main row, that of the highest worth, falls
-// at every slot.
+// buildTable lays out one row per priority weight, the lowest first, below a row for lowestLevel. All rows
+// stand near T1 in the resting slots. To the right, the lowest row falls to nothing first, then the next: a
+// request is rejected only when shedding all lower levels is not enough (paper 3.3).
 func (b *Balancer) buildTable() {
-	var worths []float64
+	var weights []float64
 	for _, c := range b.settings.Classes {
-		worths = append(worths, c.PriorityWeight)
+		weights = append(weights, c.PriorityWeight)
 	}
-	slices.Sort(worths)
-	worths = slices.Compact(worths)
+	slices.Sort(weights)
+	weights = slices.Compact(weights)
 	for _, c := range b.settings.Classes {
-		b.levels = append(b.levels, 1+slices.Index(worths, c.PriorityWeight))
+		b.levels = append(b.levels, 1+slices.Index(weights, c.PriorityWeight))
 	}
-	rows := len(worths) + 1
-	slots := restingSlots + rows*slotsPerLevel
+	rows := len(weights) + 1
 	for level := range rows {
-		row := make([]float64, slots)
-		for slot := range row {
-			past := float64(slot - restingSlots + 1)
-			own := past - float64(level*slotsPerLevel)
-			switch {
-			case past <= 0:
-				row[slot] = 1 - restingSpread*float64(rows-1-level)/float64(rows-1)
-			case own <= 0:
-				row[slot] = min(row[0], sheddingThreshold-(sheddingThreshold-ownLevelThreshold)*past/float64(slots))
-			default:
-				row[slot] = max(0, ownLevelThreshold*(1-own/slotsPerLevel))
-			}
-		}
-		if level == rows-1 {
-			row[slots-1] = 0.05 // the highest worth is never shut out whole
+		b.table = append(b.table, tableRow(level, rows))
+		b.levelArrivals = append(b.levelArrivals, 0)
+		b.levelRates = append(b.levelRates, 0)
+		b.levelObjectives = append(b.levelObjectives, b.shortestObjective(level))
+	}
+}
+
+// minTopThreshold keeps the highest level from being rejected altogether.
+const minTopThreshold = 0.05
+
+// tableRow returns the thresholds of one level, as shares of T1.
+func tableRow(level, rows int) []float64 {
+	row := make([]float64, restingSlots+rows*slotsPerLevel)
+	for slot := range row {
+		steps := float64(slot - restingSlots + 1)
+		own := steps - float64(level*slotsPerLevel) // past the shedding of all lower levels
+		switch {
+		case steps <= 0:
+			row[slot] = 1 - restingSpread*float64(rows-1-level)/float64(rows-1)
+		case own <= 0:
+			fall := (sheddingThreshold - ownLevelThreshold) * steps / float64(len(row))
+			row[slot] = min(row[0], sheddingThreshold-fall)
+		default:
+			row[slot] = max(0, ownLevelThreshold*(1-own/slotsPerLevel))
 		}
-		b.table = append(b.table, row)
-		b.levelArrivals, b.levelRates = append(b.levelArrivals, 0), append(b.levelRates, 0)
-		aim := math.Inf(1)
-		for i, c := range b.settings.Classes {
-			if b.levels[i] >= level {
-				aim = min(aim, c.LatencyObjective.Seconds())
-			}
+	}
+	if level == rows-1 {
+		row[len(row)-1] = minTopThreshold
+	}
+	return row
+}
+
+// shortestObjective returns the shortest latency objective of a level and those above it, in seconds.
+func (b *Balancer) shortestObjective(level int) float64 {
+	objective := math.Inf(1)
+	for i, c := range b.settings.Classes {
+		if b.levels[i] >= level {
+			objective = min(objective, c.LatencyObjective.Seconds())
 		}
-		b.levelObjectives = append(b.levelObjectives, aim)
 	}
+	return objective
 }
 
-// quietLoad is what this balancer carries in quiet times: rate x quiet latency. The faster of two smoothed
-// rates counts, so that one that suddenly carries a large slice of the traffic doesn't refuse it for being
-// new.
+// quietLoad is the number of requests in flight in quiet times: rate x quiet latency. The higher of two
+// smoothed rates counts, so that a balancer that suddenly gets more traffic does not reject it for being new.
 func (b *Balancer) quietLoad() float64 { return max(b.fastRate, b.slowRate) * b.baseLatency }
 
-// queueLength is the calls in flight that the pool's servers have to answer.
+// queueLength is the number of requests in flight that the pool's servers have to answer.
 func (b *Balancer) queueLength() int { return b.inFlight - b.inFlightEjected - b.dispatchPending }
 
-// threshold is what the cursor holds for a level. A balancer that has just started knows no rate: until it
-// has seen traffic for one aim it lets all in at the home slots, or each start and restart would refuse
-// what it could serve.
+// threshold returns the threshold under the cursor for a level. A balancer that has just started knows no
+// rate: until it has seen traffic for one latency objective it admits everything in the resting slots, as
+// each restart would otherwise reject what could be served.
 func (b *Balancer) threshold(now time.Duration, level int) float64 {
-	if b.cursor < restingSlots && (now-max(b.startedAt, b.resumedAt)).Seconds() < b.meanObjective {
+	seen := (now - max(b.startedAt, b.resumedAt)).Seconds()
+	if b.cursor < restingSlots && seen < b.meanObjective {
 		return math.Inf(1)
 	}
-	top := max(b.fastRate, b.slowRate)*max(thresholdHeadroom*b.baseLatency, maxQueueShare*b.levelObjectives[level]) + minThreshold
+	perRate := max(thresholdHeadroom*b.baseLatency, maxQueueShare*b.levelObjectives[level])
+	top := max(b.fastRate, b.slowRate)*perRate + minThreshold
 	return b.table[level][b.cursor] * top
 }
 
-// levelOf is the row of a request. Shares of tenants are taken at the front alone: deeper calls have passed
-// there.
+// levelOf returns the level of a request. Quotas of tenants are enforced at the front tier only: requests to
+// other tiers have passed there.
 func (b *Balancer) levelOf(r Request) int {
 	if r.Retry && b.settings.RetriesMarked {
 		return lowestLevel
 	}
-	if b.settings.Tier == 0 && r.Tenant >= 0 && r.Tenant < len(b.tenants) && b.tenants[r.Tenant].quota > 0 {
+	hasTenant := r.Tenant >= 0 && r.Tenant < len(b.tenants)
+	if b.settings.Tier == 0 && hasTenant && b.tenants[r.Tenant].quota > 0 {
 		t := &b.tenants[r.Tenant]
 		t.tokens = max(t.tokens-1, -t.quota*b.trafficShare())
 		if t.tokens < 0 {
@@ -89,8 +104,8 @@
 	return b.levels[r.Class]
 }
 
-// advance steps the cursor for the periods that have passed; the phase is drawn from the seed, so that
-// balancers do not step together.
+// advance moves the cursor for the periods that have passed. The phase is drawn from the seed, so that
+// balancers do not move together.
 func (b *Balancer) advance(now time.Duration) {
 	if b.nextStep < 0 {
 		b.startedAt, b.lastStep = now, now
@@ -106,45 +121,67 @@
 	b.updateRates(now, dt)
 	b.checkHealth(now)
 	load := b.poolLoad(now, dt)
-	// A lasting overload that T1 holds back keeps load under its target: then calls refused out of turn move
-	// the cursor, until the rows under them are shut.
-	if load > 1 || b.priorityInversion {
+	b.moveCursor(load > 1, missed)
+	b.updateShedding(load)
+}
+
+// moveCursor moves the cursor one step, and back for each missed period. A lasting overload that T1 holds
+// back keeps the load under its target: then priority inversions move the cursor, until the rows of the lower
+// levels are shut.
+func (b *Balancer) moveCursor(overloaded bool, missed int) {
+	if overloaded || b.priorityInversion {
 		b.cursor = min(b.cursor+1, len(b.table[0])-1)
 	} else {
 		b.cursor--
 	}
 	b.priorityInversion = false
 	b.cursor = max(b.cursor-missed, 0)
-	if on := b.cursor >= restingSlots; on != b.shedding && (on || b.cursor == 0) {
-		b.shedding = on
-		b.host.Log(fmt.Sprintf("cursor %d load %.2f in flight %d shedding %t",
-			b.cursor, load, b.inFlight, on))
+}
+
+// updateShedding begins to shed when the cursor leaves the resting slots, and ends when it is back.
+func (b *Balancer) updateShedding(load float64) {
+	shedding := b.cursor >= restingSlots
+	if shedding == b.shedding || !shedding && b.cursor > 0 {
+		return
 	}
+	b.shedding = shedding
+	b.host.Log(fmt.Sprintf("cursor %d load %.2f in flight %d shedding %t",
+		b.cursor, load, b.inFlight, shedding))
 }
 
+// Time constants of rates, in seconds.
+const (
+	fastRateTime    = 1
+	slowRateTime    = 10
+	arrivalRateTime = 2
+)
+
+// updateRates smooths the counts of a period, and refills the tokens of tenants.
 func (b *Balancer) updateRates(now time.Duration, dt float64) {
-	r, age := float64(b.answeredInPeriod)/dt, (now - b.startedAt).Seconds()
-	b.arrivalRate += (float64(b.arrivedInPeriod)/dt - b.arrivalRate) * smoothingWeight(dt, min(2, age))
-	b.answeredInPeriod, b.arrivedInPeriod = 0, 0
+	age := (now - b.startedAt).Seconds()
+	arrivalWeight := smoothingWeight(dt, min(arrivalRateTime, age))
+	b.arrivalRate += (float64(b.arrivedInPeriod)/dt - b.arrivalRate) * arrivalWeight
 	for i, n := range b.levelArrivals {
-		b.levelRates[i] += (n/dt - b.levelRates[i]) * smoothingWeight(dt, min(2, age))
+		b.levelRates[i] += (n/dt - b.levelRates[i]) * arrivalWeight
 		b.levelArrivals[i] = 0
 	}
-	b.fastRate += (r - b.fastRate) * smoothingWeight(dt, min(1, age))
-	b.slowRate += (r - b.slowRate) * smoothingWeight(dt, min(10, age))
+	rate := float64(b.answeredInPeriod) / dt
+	b.fastRate += (rate - b.fastRate) * smoothingWeight(dt, min(fastRateTime, age))
+	b.slowRate += (rate - b.slowRate) * smoothingWeight(dt, min(slowRateTime, age))
+	b.answeredInPeriod, b.arrivedInPeriod = 0, 0
 	for i := range b.tenants {
 		t := &b.tenants[i]
-		rate := t.quota * b.trafficShare()
-		t.tokens = min(t.tokens+rate*dt, 2*rate+2)
+		quota := t.quota * b.trafficShare()
+		t.tokens = min(t.tokens+quota*dt, 2*quota+2)
 	}
 }
 
-// trafficShare is the part of all traffic that tenants' shares are measured against here: an even part, or more
-// where more comes. A balancer can't tell a large slice from an overload, and to take the first for the
-// second would refuse tenants within their share.
+// trafficShare is the part of all traffic that quotas are enforced against here: an even part, or more where
+// more arrives. A balancer cannot tell a large part of the traffic from an overload, and to take the first
+// for the second would reject tenants within their quota.
 func (b *Balancer) trafficShare() float64 {
 	return max(1/float64(b.settings.Balancers), b.arrivalRate/max(b.totalQuota, 1))
 }
 
-// smoothingWeight of a sample that stands for dt in a smoothing over tau.
+// smoothingWeight is the weight of a sample over dt in an exponential average with time constant tau.
 func smoothingWeight(dt, tau float64) float64 { return 1 - math.Exp(-dt/tau) }
