--- a/bench/ledger/main.go
+++ b/bench/ledger/main.go
@@ -315,7 +315,7 @@
 			out.Write(segment.AppendHeader(nil, h.Number, &h))
 			left = 64 << 20
 		}
-		id := history.IDOf("", fmt.Sprint(i))
+		id := history.KeyIDOf("", fmt.Sprint(i))
 		frame = frame[:0]
 		for _, r := range []segment.Record{
 			{Kind: segment.Taken, At: at, Request: uint64(i + 1), ID: fmt.Sprintf("%016x", i), Class: "reserva", Key: fmt.Sprintf("seat-%012d", i),
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -77,10 +77,10 @@
 	room := platform.Room{Callers: sockets / 2, Endpoints: sockets / 2,
 		Heap: int64(heapPart * float64(c.Limits.MemoryMB<<20)), Bodies: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
 	board := &figures.Board{}
-	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Sent: func() { board.Sends.Add(1) },
-		Idle: idleOf(c), Settle: settle, Again: true, Max: room.Endpoints, Most: platform.MostBody})
+	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, OnSent: func() { board.Sends.Add(1) },
+		IdleTimeout: idleOf(c), SettleTime: settle, HedgeDials: true, MaxConns: room.Endpoints, MaxStreamBytes: platform.MostBody})
 	var discovery *registry.Client
-	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Client: client,
+	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Client: client,
 		Watch: func() { discovery.Watch() }, Log: log})
 	if err != nil {
 		return err
@@ -92,14 +92,14 @@
 	}
 	listed := make(chan struct{}, 1)
 	discovery = registry.New(c.Discovery, mustAskIn(c.Decide), known.Index, func(kind lbpolicy.ListKind, e []registry.Endpoint) {
-		h.Members(kind, e)
+		h.UpdateEndpoints(kind, e)
 		select {
 		case listed <- struct{}{}:
 		default:
 		}
 	}, log)
 	discovery.SharedBy(c.Decide.Balancers)
-	h.Members(lbpolicy.Cached, known.Entries)
+	h.UpdateEndpoints(lbpolicy.Cached, known.Entries)
 
 	self := &platform.Succession{Listen: c.Listen, Host: h, Router: router, Client: client, Room: room}
 	upgrade, listener, err := take(c, self, log)
@@ -187,13 +187,13 @@
 	takes.Store(false)
 	rest := restOf(c, inForce.Load())
 	now := time.Now()
-	h.End(now.Add(rest))
+	h.ShutDownBy(now.Add(rest))
 	serveUntil := now.Add(max(rest/2, acceptOn))
 	if upgrade != nil && upgrade.Retired() { // others take what comes: there is time to let go
 		serveUntil = now.Add(rest - waneSpare)
 	}
 	server.End(serveUntil, now.Add(rest))
-	log.Info("ended", "held", h.Held())
+	log.Info("ended", "held", h.InFlight())
 	return nil
 }
 
@@ -227,7 +227,7 @@
 		return running
 	}
 	client.SetDialTimeout(next.DialTimeout)
-	client.SetIdle(idleOf(next))
+	client.SetIdleTimeout(idleOf(next))
 	discovery.Move(next.Discovery)
 	board.Loaded.Add(1)
 	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
--- a/internal/balancer/failover/failover.go
+++ b/internal/balancer/failover/failover.go
@@ -13,7 +13,7 @@
 
 // Request is what a plan is made for.
 type Request struct {
-	To          string // the cluster that its route names, or its split
+	Cluster     string // the cluster that its route names, or its split
 	Failover    string // the one for failures; empty: none
 	Effect      lbpolicy.Effect
 	MaxAttempts int // over all clusters; 0: no bound of its own
@@ -29,21 +29,21 @@
 
 // Plan is one request's way over clusters.
 type Plan struct {
-	request Request
-	been    []string // clusters that it was given to
-	made    int      // attempts
+	request  Request
+	visited  []string // clusters that it was given to
+	attempts int      // attempts
 }
 
 // New returns the plan of a request that has been nowhere yet.
 func New(r Request) *Plan { return &Plan{request: r} }
 
 // First returns the cluster that the request is given to first. Past is what is known of its key.
-func (p *Plan) First(past history.Past) (cluster string) {
-	cluster = p.request.To
+func (p *Plan) First(past history.KeyState) (cluster string) {
+	cluster = p.request.Cluster
 	if past.Known {
 		cluster = past.Place.Cluster
 	}
-	p.been = append(p.been, cluster)
+	p.visited = append(p.visited, cluster)
 	return cluster
 }
 
@@ -52,9 +52,9 @@
 //
 //   - what is safe to repeat, and what is known never to have run, goes to the failover cluster;
 //   - a keyed request goes where its key may have run: another request with the key can have bound it meanwhile.
-func (p *Plan) Next(now time.Time, r Result, past history.Past) (cluster string, ok bool) {
-	p.made += r.Attempts
-	if r.Served || !now.Before(p.request.Deadline) || p.request.MaxAttempts > 0 && p.made >= p.request.MaxAttempts {
+func (p *Plan) Next(now time.Time, r Result, past history.KeyState) (cluster string, ok bool) {
+	p.attempts += r.Attempts
+	if r.Served || !now.Before(p.request.Deadline) || p.request.MaxAttempts > 0 && p.attempts >= p.request.MaxAttempts {
 		return "", false
 	}
 	cluster = p.request.Failover
@@ -69,27 +69,29 @@
 			return "", false
 		}
 	}
-	if cluster == "" || slices.Contains(p.been, cluster) {
+	if cluster == "" || slices.Contains(p.visited, cluster) {
 		return "", false
 	}
-	p.been = append(p.been, cluster)
+	p.visited = append(p.visited, cluster)
 	return cluster, true
 }
 
-// Attempts returns the bound on the attempts that are left to the request; 0: it has none of its own.
-func (p *Plan) Attempts() int {
+// AttemptsLeft returns the bound on the attempts that are left to the request; 0: it has none of its own.
+func (p *Plan) AttemptsLeft() int {
 	if p.request.MaxAttempts == 0 {
 		return 0
 	}
-	return p.request.MaxAttempts - p.made
+	return p.request.MaxAttempts - p.attempts
 }
 
-// MayRefuse tells whether a request that was not served may be refused, which tells its caller that a repeat is harmless.
+// MayReject tells whether a request that was not served may be refused, which tells its caller that a repeat is harmless.
 // It may not where the key may have run: unless all endpoints drop its repeats, and still do.
-func MayRefuse(now time.Time, past history.Past, scope lbpolicy.Scope) bool {
-	return !past.Known || scope == lbpolicy.ScopeAll && now.Before(past.Until)
+func MayReject(now time.Time, past history.KeyState, scope lbpolicy.Scope) bool {
+	return !past.Known || scope == lbpolicy.ScopeAll && now.Before(past.RetryUntil)
 }
 
-// Agreed tells whether a key must be bound by all processes of a fleet: where its repeats can come to endpoints that do
+// NeedsFleetClaim tells whether a key must be bound by all processes of a fleet: where its repeats can come to endpoints that do
 // not know it. Several tells that the route has more than one cluster.
-func Agreed(scope lbpolicy.Scope, several bool) bool { return scope != lbpolicy.ScopeAll || several }
+func NeedsFleetClaim(scope lbpolicy.Scope, several bool) bool {
+	return scope != lbpolicy.ScopeAll || several
+}
--- a/internal/balancer/failover/failover_test.go
+++ b/internal/balancer/failover/failover_test.go
@@ -12,18 +12,18 @@
 
 var t0 = time.Unix(1_800_000_000, 0)
 
-func at(cluster string) history.Past {
-	return history.Past{Known: true, Place: history.Place{Cluster: cluster}, Until: t0.Add(time.Second)}
+func at(cluster string) history.KeyState {
+	return history.KeyState{Known: true, Place: history.Place{Cluster: cluster}, RetryUntil: t0.Add(time.Second)}
 }
 
 // What may be sent where, for each effect and each way in which the first cluster can end a request.
 func TestNext(t *testing.T) {
-	none := history.Past{}
+	none := history.KeyState{}
 	for _, c := range []struct {
 		name   string
 		effect lbpolicy.Effect
 		r      Result
-		past   history.Past
+		past   history.KeyState
 		want   string
 	}{
 		{"safe, may have run", lbpolicy.Idempotent, Result{MayHaveRun: true, Attempts: 1}, none, "spare"},
@@ -35,7 +35,7 @@
 		{"keyed, may have run here", lbpolicy.KeyedIdempotent, Result{MayHaveRun: true, Attempts: 1}, at("own"), ""},
 		{"keyed, bound elsewhere meanwhile", lbpolicy.KeyedIdempotent, Result{Attempts: 1}, at("third"), "third"},
 	} {
-		p := New(Request{To: "own", Failover: "spare", Effect: c.effect, MaxAttempts: 3, Deadline: t0.Add(time.Second)})
+		p := New(Request{Cluster: "own", Failover: "spare", Effect: c.effect, MaxAttempts: 3, Deadline: t0.Add(time.Second)})
 		if first := p.First(none); first != "own" {
 			t.Errorf("%s: first to %q", c.name, first)
 		}
@@ -47,11 +47,11 @@
 			t.Errorf("%s: to %q after the deadline", c.name, to)
 		}
 	}
-	if to := New(Request{To: "own"}).First(at("third")); to != "third" {
+	if to := New(Request{Cluster: "own"}).First(at("third")); to != "third" {
 		t.Errorf("a repeat goes to %q", to)
 	}
-	if MayRefuse(t0, at("c"), lbpolicy.ScopeZone) || !MayRefuse(t0, at("c"), lbpolicy.ScopeAll) ||
-		MayRefuse(t0.Add(time.Second), at("c"), lbpolicy.ScopeAll) || !MayRefuse(t0, none, lbpolicy.ScopeCell) {
+	if MayReject(t0, at("c"), lbpolicy.ScopeZone) || !MayReject(t0, at("c"), lbpolicy.ScopeAll) ||
+		MayReject(t0.Add(time.Second), at("c"), lbpolicy.ScopeAll) || !MayReject(t0, none, lbpolicy.ScopeCell) {
 		t.Error("refusals")
 	}
 }
@@ -61,10 +61,10 @@
 func TestPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.SampledFrom([]string{"a", "b", "c"})
-		r := Request{To: name.Draw(t, "to"), Failover: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "failover"),
+		r := Request{Cluster: name.Draw(t, "to"), Failover: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "failover"),
 			Effect:      rapid.SampledFrom([]lbpolicy.Effect{lbpolicy.Idempotent, lbpolicy.KeyedIdempotent, lbpolicy.NonIdempotent}).Draw(t, "effect"),
 			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "most"), Deadline: t0.Add(time.Second)}
-		past := history.Past{}
+		past := history.KeyState{}
 		if r.Effect == lbpolicy.KeyedIdempotent && rapid.Bool().Draw(t, "repeat") {
 			past = at(name.Draw(t, "past"))
 		}
--- a/internal/balancer/history/history.go
+++ b/internal/balancer/history/history.go
@@ -25,29 +25,29 @@
 )
 
 var (
-	// ErrFull says that no more keys can be remembered now. Nothing was sent; the request can be refused.
-	ErrFull = errors.New("history: too many keys")
-	// ErrOther says that the key came before with another target or body.
-	ErrOther = errors.New("history: the key belongs to another request")
-	// ErrElsewhere says that the key may have run, or runs, where other endpoints drop its repeats.
-	ErrElsewhere = errors.New("history: the key is held by another group of endpoints")
-	// ErrLate says that endpoints may remember the key no longer.
-	ErrLate = errors.New("history: the key's window is over")
+	// ErrTooManyKeys says that no more keys can be remembered now. Nothing was sent; the request can be refused.
+	ErrTooManyKeys = errors.New("history: too many keys")
+	// ErrKeyReused says that the key came before with another target or body.
+	ErrKeyReused = errors.New("history: the key belongs to another request")
+	// ErrHeldElsewhere says that the key may have run, or runs, where other endpoints drop its repeats.
+	ErrHeldElsewhere = errors.New("history: the key is held by another group of endpoints")
+	// ErrWindowOver says that endpoints may remember the key no longer.
+	ErrWindowOver = errors.New("history: the key's window is over")
 )
 
-// ID stands for a tenant's key. Two keys that meet in 128 bits of a cryptographic hash are not to be expected.
-type ID [16]byte
+// KeyID stands for a tenant's key. Two keys that meet in 128 bits of a cryptographic hash are not to be expected.
+type KeyID [16]byte
 
-// IDOf returns the ID of a tenant's key. It is the same in every process. The class is no part of it: a key names one
+// KeyIDOf returns the ID of a tenant's key. It is the same in every process. The class is no part of it: a key names one
 // request of its tenant, and a reload that gives the request's route another class must not free the key.
-func IDOf(tenant, key string) ID { return ID(digest([]byte(tenant), []byte(key))) }
+func KeyIDOf(tenant, key string) KeyID { return KeyID(digest([]byte(tenant), []byte(key))) }
 
-// Print stands for what a request says. The zero Print is that of a request that is not held to it.
-type Print [16]byte
+// Fingerprint stands for what a request says. The zero Print is that of a request that is not held to it.
+type Fingerprint [16]byte
 
-// PrintOf returns the Print of a request.
-func PrintOf(method, target string, body []byte) Print {
-	return Print(digest([]byte(method), []byte(target), body))
+// FingerprintOf returns the Print of a request.
+func FingerprintOf(method, target string, body []byte) Fingerprint {
+	return Fingerprint(digest([]byte(method), []byte(target), body))
 }
 
 // digest hashes parts, each with its length before it.
@@ -72,211 +72,211 @@
 
 // Terms are what a class promises of its keys when an attempt is sent.
 type Terms struct {
-	Scope  lbpolicy.Scope
-	Window time.Duration // for which endpoints drop repeats, from an attempt's send on
-	Keep   time.Duration // for which the key is known after that, so that its repeats are not taken for new
+	Scope     lbpolicy.Scope
+	Window    time.Duration // for which endpoints drop repeats, from an attempt's send on
+	Retention time.Duration // for which the key is known after that, so that its repeats are not taken for new
 }
 
-// travel is the time that a repeat may take from the decision to the endpoint: it must come while the key is remembered.
-func (t Terms) travel() time.Duration { return min(t.Window/8, time.Second) }
+// transitTime is the time that a repeat may take from the decision to the endpoint: it must come while the key is remembered.
+func (t Terms) transitTime() time.Duration { return min(t.Window/8, time.Second) }
 
-// Usable is for how long after an attempt's send a further one may be decided on.
-func (t Terms) Usable() time.Duration { return t.Window - t.travel() }
+// RetryWindow is for how long after an attempt's send a further one may be decided on.
+func (t Terms) RetryWindow() time.Duration { return t.Window - t.transitTime() }
 
-// Past is what is known of a key's attempts.
-type Past struct {
+// KeyState is what is known of a key's attempts.
+type KeyState struct {
 	Known bool // one may have run, or runs
 	Place Place
-	// Split tells that no group of the scope in question holds all places: nothing more can be sent.
-	Split bool
-	// Until is when the last attempt may be decided on: the earliest end of a window less the time of travel.
-	Until time.Time
+	// SeveralGroups tells that no group of the scope in question holds all places: nothing more can be sent.
+	SeveralGroups bool
+	// RetryUntil is when the last attempt may be decided on: the earliest end of a window less the time of travel.
+	RetryUntil time.Time
 }
 
 // Allows tells whether an attempt may go to a place.
-func (p Past) Allows(to Place, scope lbpolicy.Scope) bool {
+func (p KeyState) Allows(to Place, scope lbpolicy.Scope) bool {
 	if !p.Known {
 		return true
 	}
-	return !p.Split && same(p.Place, to, scope)
+	return !p.SeveralGroups && sameGroup(p.Place, to, scope)
 }
 
-// And returns what is known where two tell of one key.
-func (p Past) And(o Past, scope lbpolicy.Scope) Past {
+// Merge returns what is known where two tell of one key.
+func (p KeyState) Merge(o KeyState, scope lbpolicy.Scope) KeyState {
 	switch {
 	case !o.Known:
 		return p
 	case !p.Known:
 		return o
 	}
-	p.Split = p.Split || o.Split || !same(p.Place, o.Place, scope)
-	if o.Until.Before(p.Until) {
-		p.Until = o.Until
+	p.SeveralGroups = p.SeveralGroups || o.SeveralGroups || !sameGroup(p.Place, o.Place, scope)
+	if o.RetryUntil.Before(p.RetryUntil) {
+		p.RetryUntil = o.RetryUntil
 	}
 	return p
 }
 
-// same tells whether two places are in one group.
-func same(a, b Place, scope lbpolicy.Scope) bool {
+// sameGroup tells whether two places are in one group.
+func sameGroup(a, b Place, scope lbpolicy.Scope) bool {
 	return a.Cluster == b.Cluster && (scope == lbpolicy.ScopeAll || a.Zone == b.Zone) &&
 		(scope != lbpolicy.ScopeCell || a.Cell == b.Cell)
 }
 
 // Table is safe for concurrent use.
 type Table struct {
-	max int
+	maxKeys int
 
-	mu   sync.Mutex
-	keys map[ID]*entry
-	due  due.Queue[*entry] // what is to be forgotten
+	mu     sync.Mutex
+	keys   map[KeyID]*entry
+	expiry due.Queue[*entry] // what is to be forgotten
 }
 
 type entry struct {
-	id    ID
-	print Print
-	open  int    // requests in work
-	out   []*Try // attempts out
-	ran   span   // attempts that have ended and may have run
-	due   bool   // stands in the queue of what is to be forgotten
+	id           KeyID
+	fingerprint  Fingerprint
+	requests     int        // requests in work
+	inFlight     []*Attempt // attempts out
+	ended        summary    // attempts that have ended and may have run
+	expiryQueued bool       // stands in the queue of what is to be forgotten
 }
 
-// span sums up attempts.
-type span struct {
-	any          bool
-	place        Place
-	zones, cells bool // they lie in several
-	until        time.Time
-	expire       time.Time
+// summary sums up attempts.
+type summary struct {
+	mayHaveRun                 bool
+	place                      Place
+	severalZones, severalCells bool // they lie in several
+	retryUntil                 time.Time
+	expiresAt                  time.Time
 }
 
-func (s *span) add(t *Try) {
-	s.join(span{any: true, place: t.place, until: t.sent.Add(t.terms.Usable()),
-		expire: t.sent.Add(t.terms.Window + t.terms.Keep)})
+func (s *summary) add(t *Attempt) {
+	s.merge(summary{mayHaveRun: true, place: t.place, retryUntil: t.sentAt.Add(t.terms.RetryWindow()),
+		expiresAt: t.sentAt.Add(t.terms.Window + t.terms.Retention)})
 }
 
-func (s *span) join(o span) {
-	if !s.any {
+func (s *summary) merge(o summary) {
+	if !s.mayHaveRun {
 		*s = o
 		return
 	}
-	s.zones = s.zones || o.zones || s.place.Zone != o.place.Zone
-	s.cells = s.cells || o.cells || s.place.Cell != o.place.Cell
-	if o.until.Before(s.until) {
-		s.until = o.until
+	s.severalZones = s.severalZones || o.severalZones || s.place.Zone != o.place.Zone
+	s.severalCells = s.severalCells || o.severalCells || s.place.Cell != o.place.Cell
+	if o.retryUntil.Before(s.retryUntil) {
+		s.retryUntil = o.retryUntil
 	}
-	if o.expire.After(s.expire) {
-		s.expire = o.expire
+	if o.expiresAt.After(s.expiresAt) {
+		s.expiresAt = o.expiresAt
 	}
 }
 
 // New returns a table of at most max keys, of some 200 bytes each.
-func New(max int) *Table { return &Table{max: max, keys: map[ID]*entry{}} }
+func New(max int) *Table { return &Table{maxKeys: max, keys: map[KeyID]*entry{}} }
 
 // Resize changes the bound. What is remembered stays.
 func (t *Table) Resize(max int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.max = max
+	t.maxKeys = max
 }
 
 // Request is one request's hold on its key. It must be ended.
 type Request struct {
 	table *Table
 	entry *entry
-	// Repeat tells that another request with the key was in work as this one came.
-	Repeat bool
-	out    int  // its attempts that are out
-	ran    bool // one of its attempts may have run
+	// InProgress tells that another request with the key was in work as this one came.
+	InProgress bool
+	inFlight   int  // its attempts that are out
+	mayHaveRun bool // one of its attempts may have run
 }
 
 // Begin takes hold of a key for a request.
-func (t *Table) Begin(now time.Time, id ID, print Print) (*Request, error) {
+func (t *Table) Begin(now time.Time, id KeyID, print Fingerprint) (*Request, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forget(now, 2) // for each key that comes two may go
+	t.expire(now, 2) // for each key that comes two may go
 	e := t.keys[id]
-	if e != nil && e.over(now) {
-		t.drop(e)
+	if e != nil && e.isExpired(now) {
+		t.remove(e)
 		e = nil
 	}
 	if e == nil {
-		if len(t.keys) >= t.max {
-			t.forget(now, t.due.Len())
+		if len(t.keys) >= t.maxKeys {
+			t.expire(now, t.expiry.Len())
 		}
-		if len(t.keys) >= t.max {
-			return nil, ErrFull
+		if len(t.keys) >= t.maxKeys {
+			return nil, ErrTooManyKeys
 		}
-		e = &entry{id: id, print: print}
+		e = &entry{id: id, fingerprint: print}
 		t.keys[id] = e
 	}
 	switch {
-	case e.print == Print{}:
-		e.print = print
-	case print != Print{} && print != e.print:
-		return nil, ErrOther
+	case e.fingerprint == Fingerprint{}:
+		e.fingerprint = print
+	case print != Fingerprint{} && print != e.fingerprint:
+		return nil, ErrKeyReused
 	}
-	e.open++
-	return &Request{table: t, entry: e, Repeat: e.open > 1 || len(e.out) > 0}, nil
+	e.requests++
+	return &Request{table: t, entry: e, InProgress: e.requests > 1 || len(e.inFlight) > 0}, nil
 }
 
-// Past returns what is known of a key, for a request that takes no hold of it.
-func (t *Table) Past(now time.Time, id ID, scope lbpolicy.Scope) Past {
+// KeyState returns what is known of a key, for a request that takes no hold of it.
+func (t *Table) KeyState(now time.Time, id KeyID, scope lbpolicy.Scope) KeyState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.keys[id]
-	if e == nil || e.over(now) {
-		return Past{}
+	if e == nil || e.isExpired(now) {
+		return KeyState{}
 	}
-	return e.past(scope, nil)
+	return e.keyState(scope, nil)
 }
 
-// Key is what is remembered of one key.
-type Key struct {
-	ID     ID
-	Past   Past      // under the scope of all
-	Zones  bool      // attempts have been in several zones,
-	Cells  bool      // in several cells
-	Expire time.Time // when it is forgotten; with attempts out the earliest time for that
-	InWork int       // requests
-	Out    int       // attempts
+// Record is what is remembered of one key.
+type Record struct {
+	ID           KeyID
+	KeyState     KeyState  // under the scope of all
+	SeveralZones bool      // attempts have been in several zones,
+	SeveralCells bool      // in several cells
+	ExpiresAt    time.Time // when it is forgotten; with attempts out the earliest time for that
+	Requests     int       // requests
+	InFlight     int       // attempts
 }
 
-// Key returns what is remembered of a key that an attempt may have run with; ok is false where that is nothing.
-func (t *Table) Key(now time.Time, id ID) (k Key, ok bool) {
+// Find returns what is remembered of a key that an attempt may have run with; ok is false where that is nothing.
+func (t *Table) Find(now time.Time, id KeyID) (k Record, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.keys[id]
-	if e == nil || e.over(now) {
-		return Key{}, false
+	if e == nil || e.isExpired(now) {
+		return Record{}, false
 	}
-	k = e.key(id)
-	return k, k.Past.Known
+	k = e.record(id)
+	return k, k.KeyState.Known
 }
 
-func (e *entry) key(id ID) Key {
-	s := e.span(nil)
-	return Key{ID: id, Past: e.past(lbpolicy.ScopeAll, nil), Zones: s.zones, Cells: s.cells, Expire: s.expire, InWork: e.open, Out: len(e.out)}
+func (e *entry) record(id KeyID) Record {
+	s := e.summarize(nil)
+	return Record{ID: id, KeyState: e.keyState(lbpolicy.ScopeAll, nil), SeveralZones: s.severalZones, SeveralCells: s.severalCells, ExpiresAt: s.expiresAt, Requests: e.requests, InFlight: len(e.inFlight)}
 }
 
 // Each tells of every key that something may have run with, or that is in work, until f returns false.
-func (t *Table) Each(now time.Time, f func(Key) bool) {
+func (t *Table) Each(now time.Time, f func(Record) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.keys {
-		if e.over(now) && e.ran.any {
+		if e.isExpired(now) && e.ended.mayHaveRun {
 			continue
 		}
-		if !f(e.key(id)) {
+		if !f(e.record(id)) {
 			return
 		}
 	}
 }
 
-// Learn takes what another table has told of a key: attempts that this one has not seen may have run.
-func (t *Table) Learn(now time.Time, k Key) {
+// Merge takes what another table has told of a key: attempts that this one has not seen may have run.
+func (t *Table) Merge(now time.Time, k Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !k.Past.Known || !now.Before(k.Expire) {
+	if !k.KeyState.Known || !now.Before(k.ExpiresAt) {
 		return
 	}
 	e := t.keys[k.ID]
@@ -284,8 +284,8 @@
 		e = &entry{id: k.ID}
 		t.keys[k.ID] = e
 	}
-	e.ran.join(span{any: true, place: k.Past.Place, zones: k.Zones, cells: k.Cells, until: k.Past.Until, expire: k.Expire})
-	t.settle(e)
+	e.ended.merge(summary{mayHaveRun: true, place: k.KeyState.Place, severalZones: k.SeveralZones, severalCells: k.SeveralCells, retryUntil: k.KeyState.RetryUntil, expiresAt: k.ExpiresAt})
+	t.updateExpiry(e)
 }
 
 // Len returns the number of keys remembered.
@@ -295,10 +295,10 @@
 	return len(t.keys)
 }
 
-// span sums up all attempts but one.
-func (e *entry) span(but *Try) span {
-	s := e.ran
-	for _, t := range e.out {
+// summarize sums up all attempts but one.
+func (e *entry) summarize(but *Attempt) summary {
+	s := e.ended
+	for _, t := range e.inFlight {
 		if t != but {
 			s.add(t)
 		}
@@ -306,138 +306,138 @@
 	return s
 }
 
-func (e *entry) past(scope lbpolicy.Scope, but *Try) Past {
-	s := e.span(but)
-	return Past{Known: s.any, Place: s.place, Until: s.until,
-		Split: scope != lbpolicy.ScopeAll && s.zones || scope == lbpolicy.ScopeCell && s.cells}
+func (e *entry) keyState(scope lbpolicy.Scope, but *Attempt) KeyState {
+	s := e.summarize(but)
+	return KeyState{Known: s.mayHaveRun, Place: s.place, RetryUntil: s.retryUntil,
+		SeveralGroups: scope != lbpolicy.ScopeAll && s.severalZones || scope == lbpolicy.ScopeCell && s.severalCells}
 }
 
-// Past returns what is known of the request's key.
-func (r *Request) Past(scope lbpolicy.Scope) Past {
+// KeyState returns what is known of the request's key.
+func (r *Request) KeyState(scope lbpolicy.Scope) KeyState {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
-	return r.entry.past(scope, nil)
+	return r.entry.keyState(scope, nil)
 }
 
 // MayHaveRun tells whether an attempt of this request may have run, or runs.
 func (r *Request) MayHaveRun() bool {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
-	return r.ran || r.out > 0
+	return r.mayHaveRun || r.inFlight > 0
 }
 
-// Try is one attempt. It must be ended, which may be after its request has.
-type Try struct {
-	table *Table
-	entry *entry
-	of    *Request
-	place Place
-	terms Terms
-	sent  time.Time
+// Attempt is one attempt. It must be ended, which may be after its request has.
+type Attempt struct {
+	table   *Table
+	entry   *entry
+	request *Request
+	place   Place
+	terms   Terms
+	sentAt  time.Time
 }
 
 // Send binds the key to a place for an attempt that has been decided on. The error tells that it must not go out.
-func (r *Request) Send(now time.Time, to Place, terms Terms) (*Try, error) {
+func (r *Request) Send(now time.Time, to Place, terms Terms) (*Attempt, error) {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
-	p := r.entry.past(terms.Scope, nil)
+	p := r.entry.keyState(terms.Scope, nil)
 	switch {
 	case !p.Allows(to, terms.Scope):
-		return nil, ErrElsewhere
-	case p.Known && !now.Before(p.Until):
-		return nil, ErrLate
+		return nil, ErrHeldElsewhere
+	case p.Known && !now.Before(p.RetryUntil):
+		return nil, ErrWindowOver
 	}
-	t := &Try{r.table, r.entry, r, to, terms, now}
-	r.out++
-	r.entry.out = append(r.entry.out, t)
+	t := &Attempt{r.table, r.entry, r, to, terms, now}
+	r.inFlight++
+	r.entry.inFlight = append(r.entry.inFlight, t)
 	return t, nil
 }
 
-// Starts is asked just before the attempt's first byte, with the place as it is then. It is false where the attempt must
+// MayStart is asked just before the attempt's first byte, with the place as it is then. It is false where the attempt must
 // not go out any more: its window has ended meanwhile, or the endpoint has moved out of the group.
-func (t *Try) Starts(now time.Time, at Place) bool {
+func (t *Attempt) MayStart(now time.Time, at Place) bool {
 	t.table.mu.Lock()
 	defer t.table.mu.Unlock()
-	p := t.entry.past(t.terms.Scope, t)
-	return same(t.place, at, t.terms.Scope) && p.Allows(at, t.terms.Scope) && (!p.Known || now.Before(p.Until))
+	p := t.entry.keyState(t.terms.Scope, t)
+	return sameGroup(t.place, at, t.terms.Scope) && p.Allows(at, t.terms.Scope) && (!p.Known || now.Before(p.RetryUntil))
 }
 
-// Others returns what is known of the key's other attempts.
-func (t *Try) Others() Past {
+// OtherAttempts returns what is known of the key's other attempts.
+func (t *Attempt) OtherAttempts() KeyState {
 	t.table.mu.Lock()
 	defer t.table.mu.Unlock()
-	return t.entry.past(t.terms.Scope, t)
+	return t.entry.keyState(t.terms.Scope, t)
 }
 
 // End ends an attempt. NeverRan is proof that it was not executed, and never will be.
-func (t *Try) End(now time.Time, neverRan bool) {
+func (t *Attempt) End(now time.Time, neverRan bool) {
 	t.table.mu.Lock()
 	defer t.table.mu.Unlock()
 	e := t.entry
-	for i, o := range e.out {
+	for i, o := range e.inFlight {
 		if o == t {
-			e.out = append(e.out[:i], e.out[i+1:]...)
-			t.of.out--
+			e.inFlight = append(e.inFlight[:i], e.inFlight[i+1:]...)
+			t.request.inFlight--
 			if !neverRan {
-				t.of.ran = true
-				e.ran.add(t)
+				t.request.mayHaveRun = true
+				e.ended.add(t)
 			}
 			break
 		}
 	}
-	t.table.settle(e)
+	t.table.updateExpiry(e)
 }
 
 // End ends the hold.
 func (r *Request) End() {
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
-	r.entry.open--
-	r.table.settle(r.entry)
+	r.entry.requests--
+	r.table.updateExpiry(r.entry)
 }
 
-// settle forgets a key with which nothing was done, and has what may have run forgotten in its time.
-func (t *Table) settle(e *entry) {
+// updateExpiry forgets a key with which nothing was done, and has what may have run forgotten in its time.
+func (t *Table) updateExpiry(e *entry) {
 	switch {
-	case e.open > 0 || len(e.out) > 0:
-	case !e.ran.any:
-		t.drop(e)
-	case !e.due:
-		e.due = true
-		t.due.Push(e.ran.expire, e)
+	case e.requests > 0 || len(e.inFlight) > 0:
+	case !e.ended.mayHaveRun:
+		t.remove(e)
+	case !e.expiryQueued:
+		e.expiryQueued = true
+		t.expiry.Push(e.ended.expiresAt, e)
 	}
 }
 
-// over tells that nothing of a key is of importance any more.
-func (e *entry) over(now time.Time) bool {
-	return e.open == 0 && len(e.out) == 0 && !now.Before(e.ran.expire)
+// isExpired tells that nothing of a key is of importance any more.
+func (e *entry) isExpired(now time.Time) bool {
+	return e.requests == 0 && len(e.inFlight) == 0 && !now.Before(e.ended.expiresAt)
 }
 
-func (t *Table) drop(e *entry) {
+func (t *Table) remove(e *entry) {
 	if t.keys[e.id] == e {
 		delete(t.keys, e.id)
 	}
 }
 
-// Forget drops all keys whose time has come.
-func (t *Table) Forget(now time.Time) {
+// Expire drops all keys whose time has come.
+func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forget(now, t.due.Len())
+	t.expire(now, t.expiry.Len())
 }
 
-// forget drops keys whose time has come, at most as many as told.
-func (t *Table) forget(now time.Time, most int) {
+// expire drops keys whose time has come, at most as many as told.
+func (t *Table) expire(now time.Time, most int) {
 	for range most {
-		e, ok := t.due.Pop(now)
+		e, ok := t.expiry.Pop(now)
 		if !ok {
 			return
 		}
-		e.due = false
-		if e.over(now) {
-			t.drop(e)
+		e.expiryQueued = false
+		if e.isExpired(now) {
+			t.remove(e)
 		} else { // it was used again: its time is another one, or comes when it ends
-			t.settle(e)
+			t.updateExpiry(e)
 		}
 	}
 }
--- a/internal/balancer/history/history_test.go
+++ b/internal/balancer/history/history_test.go
@@ -14,21 +14,21 @@
 
 var (
 	t0    = time.Unix(1_800_000_000, 0)
-	zone  = Terms{Scope: lbpolicy.ScopeZone, Window: 8 * time.Second, Keep: 4 * time.Second}
+	zone  = Terms{Scope: lbpolicy.ScopeZone, Window: 8 * time.Second, Retention: 4 * time.Second}
 	north = Place{Cluster: "c", Zone: "north", Cell: 1}
 	south = Place{Cluster: "c", Zone: "south", Cell: 2}
 )
 
 func begin(t *testing.T, table *Table, now time.Time, key string) *Request {
 	t.Helper()
-	r, err := table.Begin(now, IDOf("t", key), Print{})
+	r, err := table.Begin(now, KeyIDOf("t", key), Fingerprint{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return r
 }
 
-func send(t *testing.T, r *Request, now time.Time, to Place) *Try {
+func send(t *testing.T, r *Request, now time.Time, to Place) *Attempt {
 	t.Helper()
 	try, err := r.Send(now, to, zone)
 	if err != nil {
@@ -46,25 +46,25 @@
 	try := send(t, first, t0, north)
 	first.End() // its caller has gone, the attempt runs on
 	repeat := begin(t, table, at(1), "k")
-	if !repeat.Repeat {
+	if !repeat.InProgress {
 		t.Error("not told that an attempt is out")
 	}
-	if _, err := repeat.Send(at(1), south, zone); !errors.Is(err, ErrElsewhere) {
+	if _, err := repeat.Send(at(1), south, zone); !errors.Is(err, ErrHeldElsewhere) {
 		t.Errorf("to another zone while the first try runs: %v", err)
 	}
 	second := send(t, repeat, at(2), north)
 	try.End(at(3), true) // never ran: the window counts from the second
 	second.End(at(3), false)
 	repeat.End()
-	if p := table.Past(at(9), IDOf("t", "k"), lbpolicy.ScopeZone); !p.Known || p.Place != north || !p.Until.Equal(at(9)) {
+	if p := table.KeyState(at(9), KeyIDOf("t", "k"), lbpolicy.ScopeZone); !p.Known || p.Place != north || !p.RetryUntil.Equal(at(9)) {
 		t.Errorf("%+v", p)
 	}
 	late := begin(t, table, at(9), "k")
-	if _, err := late.Send(at(9), north, zone); !errors.Is(err, ErrLate) {
+	if _, err := late.Send(at(9), north, zone); !errors.Is(err, ErrWindowOver) {
 		t.Errorf("at the end of the window: %v", err)
 	}
 	late.End()
-	if p := table.Past(at(13.9), IDOf("t", "k"), lbpolicy.ScopeZone); !p.Known {
+	if p := table.KeyState(at(13.9), KeyIDOf("t", "k"), lbpolicy.ScopeZone); !p.Known {
 		t.Error("forgotten before its time")
 	}
 	again := begin(t, table, at(14), "k")
@@ -82,55 +82,55 @@
 	otherCell := Place{Cluster: "c", Zone: "north", Cell: 7}
 	send(t, r, t0, north).End(t0, false)
 	try := send(t, r, t0, otherCell)
-	if try.Starts(t0, south) {
+	if try.MayStart(t0, south) {
 		t.Error("starts at an endpoint that has moved out of the group")
 	}
-	if !try.Starts(t0, otherCell) {
+	if !try.MayStart(t0, otherCell) {
 		t.Error("does not start in its own group")
 	}
-	if try.Starts(t0.Add(7*time.Second), otherCell) {
+	if try.MayStart(t0.Add(7*time.Second), otherCell) {
 		t.Error("starts when its window is over")
 	}
 	try.End(t0, false)
-	if p := r.Past(lbpolicy.ScopeZone); p.Split || !p.Allows(otherCell, lbpolicy.ScopeZone) {
+	if p := r.KeyState(lbpolicy.ScopeZone); p.SeveralGroups || !p.Allows(otherCell, lbpolicy.ScopeZone) {
 		t.Errorf("by zone: %+v", p)
 	}
-	if p := r.Past(lbpolicy.ScopeCell); !p.Split || p.Allows(north, lbpolicy.ScopeCell) {
+	if p := r.KeyState(lbpolicy.ScopeCell); !p.SeveralGroups || p.Allows(north, lbpolicy.ScopeCell) {
 		t.Errorf("by cell it was in two groups: %+v", p)
 	}
-	if p := r.Past(lbpolicy.ScopeAll); !p.Allows(south, lbpolicy.ScopeAll) || p.Allows(Place{Cluster: "d"}, lbpolicy.ScopeAll) {
+	if p := r.KeyState(lbpolicy.ScopeAll); !p.Allows(south, lbpolicy.ScopeAll) || p.Allows(Place{Cluster: "d"}, lbpolicy.ScopeAll) {
 		t.Errorf("all endpoints are those of one cluster: %+v", p)
 	}
 }
 
 func TestPrintsAndBound(t *testing.T) {
 	table := New(2)
-	one, other := PrintOf("POST", "/a", []byte("x")), PrintOf("POST", "/a", []byte("y"))
-	r, err := table.Begin(t0, IDOf("t", "k"), one)
+	one, other := FingerprintOf("POST", "/a", []byte("x")), FingerprintOf("POST", "/a", []byte("y"))
+	r, err := table.Begin(t0, KeyIDOf("t", "k"), one)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := table.Begin(t0, IDOf("t", "k"), other); !errors.Is(err, ErrOther) {
+	if _, err := table.Begin(t0, KeyIDOf("t", "k"), other); !errors.Is(err, ErrKeyReused) {
 		t.Errorf("another body: %v", err)
 	}
-	if same, err := table.Begin(t0, IDOf("t", "k"), one); err != nil {
+	if same, err := table.Begin(t0, KeyIDOf("t", "k"), one); err != nil {
 		t.Errorf("the same: %v", err)
 	} else {
 		same.End()
 	}
 	r.End() // nothing was sent: the key is free
-	if r, err = table.Begin(t0, IDOf("t", "k"), other); err != nil {
+	if r, err = table.Begin(t0, KeyIDOf("t", "k"), other); err != nil {
 		t.Errorf("after a request that never ran: %v", err)
 	}
 	send(t, r, t0, north).End(t0, false)
 	r.End()
 	send(t, begin(t, table, t0, "l"), t0, north)
 	for _, now := range []time.Time{t0, t0.Add(11 * time.Second)} {
-		if _, err := table.Begin(now, IDOf("t", "m"), one); !errors.Is(err, ErrFull) {
+		if _, err := table.Begin(now, KeyIDOf("t", "m"), one); !errors.Is(err, ErrTooManyKeys) {
 			t.Errorf("over the bound: %v", err)
 		}
 	}
-	if IDOf("ab", "c") == IDOf("a", "bc") {
+	if KeyIDOf("ab", "c") == KeyIDOf("a", "bc") {
 		t.Error("tenants and keys run together")
 	}
 	begin(t, table, t0.Add(12*time.Second), "m") // one is over, the other's attempt is still out
@@ -144,7 +144,7 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type tried struct {
-			*Try
+			*Attempt
 			key       string
 			place     Place
 			sent      time.Time
@@ -156,7 +156,7 @@
 		var keys []string
 		var tries []*tried
 		scope := rapid.SampledFrom([]lbpolicy.Scope{lbpolicy.ScopeAll, lbpolicy.ScopeZone, lbpolicy.ScopeCell}).Draw(t, "scope")
-		terms := Terms{Scope: scope, Window: 8 * time.Second, Keep: 4 * time.Second}
+		terms := Terms{Scope: scope, Window: 8 * time.Second, Retention: 4 * time.Second}
 		alive := func(key string) (out []*tried) { // what counts of a key now
 			var last time.Time
 			busy := false
@@ -164,7 +164,7 @@
 				if o.key == key && !o.none {
 					out = append(out, o)
 					busy = busy || o.out
-					if end := o.sent.Add(terms.Window + terms.Keep); end.After(last) {
+					if end := o.sent.Add(terms.Window + terms.Retention); end.After(last) {
 						last = end
 					}
 				}
@@ -189,14 +189,14 @@
 			case 0:
 				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
 				known := len(alive(key)) > 0 || slices.Contains(keys, key)
-				r, err := table.Begin(now, IDOf("t", key), Print{})
+				r, err := table.Begin(now, KeyIDOf("t", key), Fingerprint{})
 				if err != nil {
 					if known {
 						t.Fatalf("a known key was turned away: %v", err)
 					}
 					continue
 				}
-				if p := r.Past(scope); p.Known != (len(alive(key)) > 0) {
+				if p := r.KeyState(scope); p.Known != (len(alive(key)) > 0) {
 					t.Fatalf("%s: %+v, and %d tries count", key, p, len(alive(key)))
 				}
 				open, keys = append(open, r), append(keys, key)
@@ -209,7 +209,7 @@
 					Zone: rapid.SampledFrom([]string{"n", "s"}).Draw(t, "zone"), Cell: rapid.IntRange(0, 1).Draw(t, "cell")}
 				may := true
 				for _, o := range alive(keys[i]) {
-					may = may && same(o.place, to, scope) && now.Before(o.sent.Add(7*time.Second))
+					may = may && sameGroup(o.place, to, scope) && now.Before(o.sent.Add(7*time.Second))
 				}
 				try, err := open[i].Send(now, to, terms)
 				if (err == nil) != may {
@@ -251,13 +251,13 @@
 	now := t0
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(300 * time.Microsecond)
-		r, err := table.Begin(now, IDOf("colegio", fmt.Sprint("key-", i)), Print{})
+		r, err := table.Begin(now, KeyIDOf("colegio", fmt.Sprint("key-", i)), Fingerprint{})
 		if err != nil {
 			b.Fatal(err)
 		}
-		r.Past(lbpolicy.ScopeZone)
+		r.KeyState(lbpolicy.ScopeZone)
 		try, _ := r.Send(now, north, zone)
-		try.Starts(now, north)
+		try.MayStart(now, north)
 		try.End(now, false)
 		r.End()
 	}
--- a/internal/balancer/host/ban.go
+++ b/internal/balancer/host/ban.go
@@ -7,30 +7,30 @@
 	"silvertrail/lbpolicy"
 )
 
-// ErrUnknown says that an endpoint was never listed.
-var ErrUnknown = errors.New("host: the endpoint was never listed")
+// ErrUnknownEndpoint says that an endpoint was never listed.
+var ErrUnknownEndpoint = errors.New("host: the endpoint was never listed")
 
-// Ban keeps an endpoint from new calls, or ends that. When it returns no new attempt can begin there: retries, copies,
+// SetManuallyEjected keeps an endpoint from new calls, or ends that. When it returns no new attempt can begin there: retries, copies,
 // trials, and attempts that were decided on and have not written their first byte. ErrUnknown tells that the endpoint
 // was never listed, as far as that is remembered.
-func (h *Host) Ban(name string, on bool) error {
-	err := ErrUnknown
+func (h *Engine) SetManuallyEjected(name string, on bool) error {
+	err := ErrUnknownEndpoint
 	h.event(func(now time.Duration) {
-		id, held := h.banned[name]
+		id, held := h.manuallyEjected[name]
 		switch {
-		case !held && h.endpoints[h.idOf(name)] == nil && !h.seen.has(name):
+		case !held && h.endpoints[h.serverID(name)] == nil && !h.everListed.has(name):
 			return
 		case !held:
-			id = h.idOf(name)
+			id = h.serverID(name)
 		}
 		err = nil
 		if on {
-			h.banned[name] = id
+			h.manuallyEjected[name] = id
 		} else {
-			delete(h.banned, name)
+			delete(h.manuallyEjected, name)
 		}
 		if e := h.endpoints[id]; e != nil {
-			if e.banned = on; on {
+			if e.manuallyEjected = on; on {
 				e.pool.CloseIdle() // its process is to end: those would break under a call
 			}
 		}
@@ -39,37 +39,37 @@
 	return err
 }
 
-// Banned returns the endpoints that are kept from new calls by hand.
-func (h *Host) Banned() []string {
+// ManuallyEjected returns the endpoints that are kept from new calls by hand.
+func (h *Engine) ManuallyEjected() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	names := make([]string, 0, len(h.banned))
-	for name := range h.banned {
+	names := make([]string, 0, len(h.manuallyEjected))
+	for name := range h.manuallyEjected {
 		names = append(names, name)
 	}
 	return names
 }
 
-// Cluster tells how many endpoints are listed, and how many of them get no calls now but for trials.
-func (h *Host) Cluster() (size, avoided int) {
+// ClusterSize tells how many endpoints are listed, and how many of them get no calls now but for trials.
+func (h *Engine) ClusterSize() (size, avoided int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.endpoints), h.balancer.CountEjected()
 }
 
-// Terms are what calls are taken by: settings, and the names by which the sockets know what decisions know by number.
-type Terms struct {
-	Decide lbpolicy.Settings
-	Zones  []string // the earlier ones in their order, new ones behind
-	Report []string
+// Settings are what calls are taken by: settings, and the names by which the sockets know what decisions know by number.
+type Settings struct {
+	Policy       lbpolicy.Settings
+	Zones        []string // the earlier ones in their order, new ones behind
+	ReportFields []string
 }
 
 // Configure puts other terms in force for what comes from now on; with an error nothing has changed.
-func (h *Host) Configure(t Terms) error {
+func (h *Engine) Configure(t Settings) error {
 	err := errors.New("host: settings: the decisions failed on them")
 	h.event(func(now time.Duration) {
-		if err = h.balancer.Configure(now, t.Decide); err == nil {
-			h.zones, h.report, h.classes = t.Zones, t.Report, t.Decide.Classes
+		if err = h.balancer.Configure(now, t.Policy); err == nil {
+			h.zones, h.reportFields, h.classes = t.Zones, t.ReportFields, t.Policy.Classes
 		}
 	})
 	return err
--- a/internal/balancer/host/host.go
+++ b/internal/balancer/host/host.go
@@ -18,46 +18,46 @@
 	"silvertrail/lbpolicy"
 )
 
-// Host owns the balancer. All its methods may be called from any goroutine.
-type Host struct {
-	log    *slog.Logger
-	client *upstream.Client
-	clock  clock
-	zones  []string
-	report []string // both may change, under the lock
-	watch  func()   // asks discovery for changes
-
-	mu        sync.Mutex
-	balancer  *lbpolicy.Balancer
-	raised    []func(now time.Duration) // events that actions have raised; they follow the one in hand
-	lastID    lbpolicy.RequestID
-	classes   []lbpolicy.Class // in force
-	calls     map[lbpolicy.RequestID]*Call
-	endpoints map[lbpolicy.ServerID]*endpoint
-	seen      *seen                        // endpoints that were ever listed
-	banned    map[string]lbpolicy.ServerID // by hand, by name
-	ending    time.Time                    // when all that is held must have its answer; zero: not ending
+// Engine owns the balancer. All its methods may be called from any goroutine.
+type Engine struct {
+	log          *slog.Logger
+	client       *upstream.Client
+	clock        clock
+	zones        []string
+	reportFields []string // both may change, under the lock
+	watch        func()   // asks discovery for changes
+
+	mu              sync.Mutex
+	balancer        *lbpolicy.Balancer
+	pendingEvents   []func(now time.Duration) // events that actions have raised; they follow the one in hand
+	lastID          lbpolicy.RequestID
+	classes         []lbpolicy.Class // in force
+	calls           map[lbpolicy.RequestID]*Call
+	endpoints       map[lbpolicy.ServerID]*endpoint
+	everListed      *nameSet                     // endpoints that were ever listed
+	manuallyEjected map[string]lbpolicy.ServerID // by hand, by name
+	shutdownAt      time.Time                    // when all that is held must have its answer; zero: not ending
 }
 
 // Options are what a host is told.
 type Options struct {
-	Decide lbpolicy.Settings
-	Seed   uint64
-	Zones  []string // by name, in the order of the decisions' numbers
-	Report []string // fields of a load report, in the order of Decide.Report
-	Client *upstream.Client
-	Watch  func() // called where the decisions ask discovery for changes; must not block
-	Log    *slog.Logger
+	Policy       lbpolicy.Settings
+	Seed         uint64
+	Zones        []string // by name, in the order of the decisions' numbers
+	ReportFields []string // fields of a load report, in the order of Decide.Report
+	Client       *upstream.Client
+	Watch        func() // called where the decisions ask discovery for changes; must not block
+	Log          *slog.Logger
 }
 
 // New returns a host with no endpoints.
-func New(o Options) (*Host, error) {
-	h := &Host{log: o.Log, client: o.Client, clock: clock{time.Now()}, zones: o.Zones, report: o.Report, watch: o.Watch,
-		classes: o.Decide.Classes,
-		calls:   map[lbpolicy.RequestID]*Call{}, endpoints: map[lbpolicy.ServerID]*endpoint{}, seen: newSeen(),
-		banned: map[string]lbpolicy.ServerID{}}
+func New(o Options) (*Engine, error) {
+	h := &Engine{log: o.Log, client: o.Client, clock: clock{time.Now()}, zones: o.Zones, reportFields: o.ReportFields, watch: o.Watch,
+		classes: o.Policy.Classes,
+		calls:   map[lbpolicy.RequestID]*Call{}, endpoints: map[lbpolicy.ServerID]*endpoint{}, everListed: newNameSet(),
+		manuallyEjected: map[string]lbpolicy.ServerID{}}
 	var err error
-	h.balancer, err = lbpolicy.New(o.Decide, o.Seed, actions{h})
+	h.balancer, err = lbpolicy.New(o.Policy, o.Seed, actions{h})
 	return h, err
 }
 
@@ -66,19 +66,19 @@
 // A panic in one of them ends that event, not the process with all that it holds: it is logged, and what it was to
 // decide falls to the calls' deadlines (see expire). It guards against faults in the decisions of whatever kind; it
 // could hide one, so that the log names it.
-func (h *Host) event(f func(now time.Duration)) {
+func (h *Engine) event(f func(now time.Duration)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.guarded(f)
-	for len(h.raised) > 0 {
-		next := h.raised[0]
-		h.raised = h.raised[1:]
-		h.guarded(next)
+	h.handleEvent(f)
+	for len(h.pendingEvents) > 0 {
+		next := h.pendingEvents[0]
+		h.pendingEvents = h.pendingEvents[1:]
+		h.handleEvent(next)
 	}
-	h.raised = nil
+	h.pendingEvents = nil
 }
 
-func (h *Host) guarded(f func(now time.Duration)) {
+func (h *Engine) handleEvent(f func(now time.Duration)) {
 	defer func() {
 		if p := recover(); p != nil {
 			h.log.Error("decision failed", "panic", p, "stack", string(debug.Stack()))
@@ -89,91 +89,91 @@
 
 // Call is one caller's request, from its last byte to its final answer and the end of its last attempt.
 type Call struct {
-	id       lbpolicy.RequestID
-	request  upstream.Request
-	class    int
-	key      *Key // nil: the request has none
-	answer   chan Answer
-	done     bool // answered, or its caller has gone
-	attempts []*attempt
-	deadline *time.Timer
-	patience *time.Timer // set by the decisions
-	last     *upstream.Answer
-	left     time.Duration // once its body has come, where that is still coming
-	scarce   bool          // an attempt found no descriptor here
-	away     func() bool   // whether its caller has left; nil: nobody can tell
+	id               lbpolicy.RequestID
+	request          upstream.Request
+	class            int
+	key              *Key // nil: the request has none
+	result           chan Result
+	done             bool // answered, or its caller has gone
+	attempts         []*attempt
+	deadlineTimer    *time.Timer
+	checkTimer       *time.Timer // set by the decisions
+	lastResponse     *upstream.Response
+	timeLeft         time.Duration // once its body has come, where that is still coming
+	outOfDescriptors bool          // an attempt found no descriptor here
+	isClientGone     func() bool   // whether its caller has left; nil: nobody can tell
 }
 
-// Answer is the one final answer to a call.
-type Answer struct {
-	Reply      *upstream.Answer // if it was served
-	Refused    bool
+// Result is the one final answer to a call.
+type Result struct {
+	Response   *upstream.Response // if it was served
+	Rejected   bool
 	RetryAfter time.Duration
 	// MayHaveRun tells of a call that was not served whether an attempt of it may have run, or may yet. Where it is
 	// false another cluster may be given the call, whatever its class.
 	MayHaveRun bool
-	// Vanished tells that the call's class is in the settings no more. Nothing was sent.
-	Vanished bool
-	Attempts int // that were made
-	// Scarce tells that an attempt found no descriptor in this process.
-	Scarce bool
-	// Last is the last answer of an endpoint to a call that failed; nil if none came whole.
-	Last *upstream.Answer
+	// ClassRemoved tells that the call's class is in the settings no more. Nothing was sent.
+	ClassRemoved bool
+	Attempts     int // that were made
+	// OutOfDescriptors tells that an attempt found no descriptor in this process.
+	OutOfDescriptors bool
+	// LastResponse is the last answer of an endpoint to a call that failed; nil if none came whole.
+	LastResponse *upstream.Response
 }
 
 type attempt struct {
-	number int
-	server *endpoint
-	pool   *upstream.Pool // to the server's address when it was sent
-	sent   time.Duration
-	cancel context.CancelFunc
-	wrote  bool          // its first byte may be out
-	ended  bool          // for the decisions
-	never  bool          // ended with proof that it never ran
-	closed chan struct{} // closed once nothing of it is out on a connection
-	key    *history.Try  // nil: the request has no key
-	record Record        // nil: there is none
-	left   bool          // it waits for no record any more
+	number         int
+	server         *endpoint
+	pool           *upstream.Pool // to the server's address when it was sent
+	sentAt         time.Duration
+	cancel         context.CancelFunc
+	firstByteSent  bool             // its first byte may be out
+	ended          bool             // for the decisions
+	neverRan       bool             // ended with proof that it never ran
+	closed         chan struct{}    // closed once nothing of it is out on a connection
+	keyAttempt     *history.Attempt // nil: the request has no key
+	record         Record           // nil: there is none
+	intentRecorded bool             // it waits for no record any more
 }
 
 // Begin hands a request to the decisions. Left counts from the request's last byte. The key is nil where it has none;
 // the hold on it must last until the answer.
-func (h *Host) Begin(r upstream.Request, q lbpolicy.Request, key *Key) *Call {
+func (h *Engine) Begin(r upstream.Request, q lbpolicy.Request, key *Key) *Call {
 	return h.begin(r, q, key, nil)
 }
 
-func (h *Host) begin(r upstream.Request, q lbpolicy.Request, key *Key, away func() bool) *Call {
-	c := &Call{request: r, class: q.Class, key: key, answer: make(chan Answer, 1), away: away}
+func (h *Engine) begin(r upstream.Request, q lbpolicy.Request, key *Key, away func() bool) *Call {
+	c := &Call{request: r, class: q.Class, key: key, result: make(chan Result, 1), isClientGone: away}
 	h.event(func(now time.Duration) {
 		h.lastID++
 		c.id, q.ID = h.lastID, h.lastID
-		if !h.ending.IsZero() {
-			q.TimeLeft = min(q.TimeLeft, max(time.Until(h.ending), 0))
+		if !h.shutdownAt.IsZero() {
+			q.TimeLeft = min(q.TimeLeft, max(time.Until(h.shutdownAt), 0))
 		}
 		wait := q.TimeLeft
-		if r.Rest != nil { // its time counts from its last byte; until then both sides' progress bounds it
-			c.left, wait = q.TimeLeft, mostUpload
-			c.request.Left = q.TimeLeft
+		if r.Stream != nil { // its time counts from its last byte; until then both sides' progress bounds it
+			c.timeLeft, wait = q.TimeLeft, maxUploadTime
+			c.request.TimeLeft = q.TimeLeft
 		}
 		c.request.Deadline = time.Now().Add(wait)
-		if q.ClassAtArrival != nil && !h.resolve(&q) {
+		if q.ClassAtArrival != nil && !h.resolveClass(&q) {
 			c.done = true
-			c.answer <- Answer{Vanished: true}
+			c.result <- Result{ClassRemoved: true}
 			return
 		}
 		h.calls[c.id] = c
-		c.deadline = time.AfterFunc(wait, func() { h.expire(c) })
+		c.deadlineTimer = time.AfterFunc(wait, func() { h.expire(c) })
 		if key != nil {
-			q.KeyState = h.past(c)
+			q.KeyState = h.keyState(c)
 		}
 		h.balancer.Request(now, q)
-		h.forget(c)
+		h.release(c)
 	})
 	return c
 }
 
-// resolve finds the class of a request that was read under earlier settings, by its name.
-func (h *Host) resolve(q *lbpolicy.Request) bool {
+// resolveClass finds the class of a request that was read under earlier settings, by its name.
+func (h *Engine) resolveClass(q *lbpolicy.Request) bool {
 	if q.Class < len(h.classes) && h.classes[q.Class].Name == q.ClassAtArrival.Name {
 		return true
 	}
@@ -181,73 +181,73 @@
 	return q.Class >= 0
 }
 
-// Answer returns the channel on which the final answer comes.
-func (c *Call) Answer() <-chan Answer { return c.answer }
+// Result returns the channel on which the final answer comes.
+func (c *Call) Result() <-chan Result { return c.result }
 
 // Do hands a request to the decisions and waits for its answer. Where ctx ends first the caller has gone: ok is false
 // unless an answer was on its way. The request of one that has left by now is not begun, see WithLeft.
-func (h *Host) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *Key) (a Answer, ok bool) {
-	if Left(ctx) {
-		return Answer{}, false
+func (h *Engine) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *Key) (a Result, ok bool) {
+	if IsDisconnected(ctx) {
+		return Result{}, false
 	}
-	c := h.begin(r, q, key, func() bool { return Left(ctx) }) // also where ctx has ended and this has not noticed yet
+	c := h.begin(r, q, key, func() bool { return IsDisconnected(ctx) }) // also where ctx has ended and this has not noticed yet
 	select {
-	case a = <-c.answer:
+	case a = <-c.result:
 		return a, true
 	case <-ctx.Done():
 	}
-	h.Gone(c)
+	h.ClientDisconnected(c)
 	select {
-	case a = <-c.answer: // it came first
+	case a = <-c.result: // it came first
 		return a, true
 	default:
-		return Answer{}, false
+		return Result{}, false
 	}
 }
 
-// Gone tells that the caller has left. An answer that was on its way is on the channel.
-func (h *Host) Gone(c *Call) {
+// ClientDisconnected tells that the caller has left. An answer that was on its way is on the channel.
+func (h *Engine) ClientDisconnected(c *Call) {
 	h.event(func(now time.Duration) {
 		if c.done {
 			return
 		}
 		c.done = true
 		h.balancer.ClientDisconnected(now, c.id)
-		h.forget(c)
+		h.release(c)
 	})
 }
 
-// End sets the time at which all that is held, and all that still comes, must have its answer.
-func (h *Host) End(at time.Time) {
+// ShutDownBy sets the time at which all that is held, and all that still comes, must have its answer.
+func (h *Engine) ShutDownBy(at time.Time) {
 	h.event(func(time.Duration) {
-		h.ending = at
+		h.shutdownAt = at
 		for _, c := range h.calls {
 			if c.request.Deadline.After(at) {
-				c.deadline.Reset(time.Until(at))
+				c.deadlineTimer.Reset(time.Until(at))
 			}
 		}
 	})
 }
 
-// Fleet tells how many balancers share the endpoints now, and which of them this one is.
-func (h *Host) Fleet(balancers, me int) {
+// SetBalancers tells how many balancers share the endpoints now, and which of them this one is.
+func (h *Engine) SetBalancers(balancers, me int) {
 	h.event(func(now time.Duration) { h.balancer.SetBalancers(now, balancers, me) })
 }
 
-// Drop tells what part of the traffic is to be refused, the least worthy first, whatever the load.
-func (h *Host) Drop(part float64) {
+// SetDropFraction tells what part of the traffic is to be refused, the least worthy first, whatever the load.
+func (h *Engine) SetDropFraction(part float64) {
 	h.event(func(now time.Duration) { h.balancer.SetDropFraction(now, part) })
 }
 
-// Held returns the number of calls that wait for their answer or an attempt's end.
-func (h *Host) Held() int {
+// InFlight returns the number of calls that wait for their answer or an attempt's end.
+func (h *Engine) InFlight() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.calls)
 }
 
 // expire ends the attempts of a call whose time is over.
-func (h *Host) expire(c *Call) {
+func (h *Engine) expire(c *Call) {
 	h.event(func(now time.Duration) {
 		for _, a := range c.attempts {
 			h.abandon(now, c, a, lbpolicy.Timeout)
@@ -258,30 +258,30 @@
 	h.event(func(now time.Duration) {
 		if !c.done {
 			h.log.Error("a call was left without an answer", "class", c.class)
-			h.finish(c, Answer{})
+			h.finish(c, Result{})
 			defer h.balancer.ClientDisconnected(now, c.id)
 		}
-		h.forget(c)
+		h.release(c)
 	})
 }
 
 // abandon ends an attempt before its answer. One whose first byte is not out never will run.
-func (h *Host) abandon(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict) {
+func (h *Engine) abandon(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict) {
 	if a.ended {
 		return
 	}
-	if !a.wrote {
+	if !a.firstByteSent {
 		v = lbpolicy.NotSent
 	}
 	a.cancel()
-	h.outcome(now, c, a, v, nil)
+	h.endAttempt(now, c, a, v, nil)
 }
 
-// outcome ends an attempt for the decisions. The first served answer goes to the caller.
-func (h *Host) outcome(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict, reply *upstream.Answer) {
-	a.ended, a.never = true, v.NeverRan()
-	if a.key != nil {
-		a.key.End(time.Now(), a.never)
+// endAttempt ends an attempt for the decisions. The first served answer goes to the caller.
+func (h *Engine) endAttempt(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict, reply *upstream.Response) {
+	a.ended, a.neverRan = true, v.NeverRan()
+	if a.keyAttempt != nil {
+		a.keyAttempt.End(time.Now(), a.neverRan)
 	}
 	if a.record != nil {
 		status := 0
@@ -291,39 +291,39 @@
 		a.record.Ended(v, status)
 	}
 	if reply != nil {
-		c.last = reply
+		c.lastResponse = reply
 	}
-	o := lbpolicy.Outcome{ID: c.id, Attempt: a.number, Server: a.server.ID, Verdict: v, Latency: now - a.sent, Final: c.done}
+	o := lbpolicy.Outcome{ID: c.id, Attempt: a.number, Server: a.server.ID, Verdict: v, Latency: now - a.sentAt, Final: c.done}
 	if reply != nil {
-		o.Load = parseLoad(reply.Header.Get("X-Server-Load"), h.report)
+		o.Load = parseLoad(reply.Header.Get("X-Server-Load"), h.reportFields)
 	}
 	if v == lbpolicy.OK && !c.done {
 		o.Final = true
-		h.finish(c, Answer{Reply: reply})
+		h.finish(c, Result{Response: reply})
 	}
-	h.learnPast(now, c)
+	h.updateKeyState(now, c)
 	h.balancer.Outcome(now, o)
-	h.forget(c)
+	h.release(c)
 }
 
 // finish gives the caller its answer. The first one counts.
-func (h *Host) finish(c *Call, a Answer) {
+func (h *Engine) finish(c *Call, a Result) {
 	if c.done {
 		return
 	}
 	c.done = true
-	a.Attempts, a.Scarce = len(c.attempts), c.scarce
-	if a.Reply == nil {
-		a.Last = c.last
+	a.Attempts, a.OutOfDescriptors = len(c.attempts), c.outOfDescriptors
+	if a.Response == nil {
+		a.LastResponse = c.lastResponse
 		for _, t := range c.attempts {
-			a.MayHaveRun = a.MayHaveRun || t.wrote && !t.never
+			a.MayHaveRun = a.MayHaveRun || t.firstByteSent && !t.neverRan
 		}
 	}
-	c.answer <- a
+	c.result <- a
 }
 
-// forget drops a call that has its answer and no attempt out.
-func (h *Host) forget(c *Call) {
+// release drops a call that has its answer and no attempt out.
+func (h *Engine) release(c *Call) {
 	if !c.done {
 		return
 	}
@@ -332,64 +332,64 @@
 			return
 		}
 	}
-	c.deadline.Stop()
-	if c.patience != nil {
-		c.patience.Stop()
+	c.deadlineTimer.Stop()
+	if c.checkTimer != nil {
+		c.checkTimer.Stop()
 	}
 	delete(h.calls, c.id)
 }
 
-// run carries an attempt out, once those before it that were given up are off their connections: endpoints count a
+// runAttempt carries an attempt out, once those before it that were given up are off their connections: endpoints count a
 // copy as out for as long as its connection is open.
-func (h *Host) run(ctx context.Context, c *Call, a *attempt, before []chan struct{}) {
+func (h *Engine) runAttempt(ctx context.Context, c *Call, a *attempt, before []chan struct{}) {
 	for _, closed := range before {
 		<-closed
 	}
-	verdict, reply, err := lbpolicy.NotSent, (*upstream.Answer)(nil), errHeldBack
-	if h.agree(ctx, c, a) {
+	verdict, reply, err := lbpolicy.NotSent, (*upstream.Response)(nil), errNotSent
+	if h.awaitDispatch(ctx, c, a) {
 		h.mu.Lock()
 		r := c.request // its deadline moves as a body that flows has come
 		h.mu.Unlock()
-		if r.Rest != nil {
-			r.Rest = &upload{Body: r.Rest, host: h, call: c, attempt: a}
+		if r.Stream != nil {
+			r.Stream = &uploadBody{RequestStream: r.Stream, host: h, call: c, attempt: a}
 		}
-		verdict, reply, err = a.pool.Do(ctx, &r, func() bool { return h.claim(c, a) })
+		verdict, reply, err = a.pool.Do(ctx, &r, func() bool { return h.claimDispatch(c, a) })
 	}
-	if reply != nil && reply.Rest != nil {
-		h.pass(c, a, verdict, reply)
+	if reply != nil && reply.Stream != nil {
+		h.streamResponse(c, a, verdict, reply)
 	}
 	close(a.closed)
 	h.event(func(now time.Duration) {
 		if !a.ended {
-			c.scarce = c.scarce || scarce.Descriptors(err)
+			c.outOfDescriptors = c.outOfDescriptors || scarce.Descriptors(err)
 			if err != nil && !c.done {
 				h.log.Info("attempt failed", "endpoint", a.server.name, "error", err)
 			}
-			h.outcome(now, c, a, verdict, reply)
+			h.endAttempt(now, c, a, verdict, reply)
 		}
 	})
 	a.cancel()
 }
 
-var errHeldBack = errors.New("held back: the key is bound elsewhere, or can't be bound or recorded in time")
+var errNotSent = errors.New("held back: the key is bound elsewhere, or can't be bound or recorded in time")
 
 // mayStart tells whether an attempt may go out still. While its connection was made it can have been given up, its call
 // answered, its endpoint told to be draining, gone or elsewhere, or the window of its key have ended. The caller holds the
 // lock.
-func (h *Host) mayStart(now time.Time, c *Call, a *attempt) bool {
-	return !a.ended && !c.done && now.Before(c.request.Deadline) && a.server.State == lbpolicy.Ready && !a.server.banned && a.server.pool == a.pool &&
-		(a.key == nil || h.stillGoes(now, c, a))
+func (h *Engine) mayStart(now time.Time, c *Call, a *attempt) bool {
+	return !a.ended && !c.done && now.Before(c.request.Deadline) && a.server.State == lbpolicy.Ready && !a.server.manuallyEjected && a.server.pool == a.pool &&
+		(a.keyAttempt == nil || h.keyAllows(now, c, a))
 }
 
 // actions is the balancer's view of the host. It is called within event, with the lock held.
-type actions struct{ *Host }
+type actions struct{ *Engine }
 
 func (h actions) Send(id lbpolicy.RequestID, s lbpolicy.ServerID) {
 	c, e := h.calls[id], h.endpoints[s]
 	if c == nil {
 		return
 	}
-	a := &attempt{number: len(c.attempts), server: e, sent: h.clock.now(), cancel: func() {}, closed: make(chan struct{})}
+	a := &attempt{number: len(c.attempts), server: e, sentAt: h.clock.now(), cancel: func() {}, closed: make(chan struct{})}
 	var before []chan struct{}
 	for _, earlier := range c.attempts {
 		if earlier.ended {
@@ -397,13 +397,13 @@
 		}
 	}
 	c.attempts = append(c.attempts, a)
-	over := !h.ending.IsZero() && !time.Now().Before(h.ending)
-	if e == nil || c.done || over || !h.bind(c, a) { // moot
+	over := !h.shutdownAt.IsZero() && !time.Now().Before(h.shutdownAt)
+	if e == nil || c.done || over || !h.reserveKey(c, a) { // moot
 		if e == nil {
 			a.server = &endpoint{Server: lbpolicy.Server{ID: s}}
 		}
 		close(a.closed)
-		h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, a, lbpolicy.NotSent) })
+		h.pendingEvents = append(h.pendingEvents, func(now time.Duration) { h.abandon(now, c, a, lbpolicy.NotSent) })
 		return
 	}
 	var ctx context.Context
@@ -412,21 +412,21 @@
 	if c.key != nil && c.key.Recorder != nil {
 		a.record = c.key.Recorder.Attempt(e.name)
 	}
-	if c.request.Rest != nil && c.left > 0 { // a wait for the caller is no silence of the server
-		h.raised = append(h.raised, func(now time.Duration) { h.onWay(now, c, a, true) })
+	if c.request.Stream != nil && c.timeLeft > 0 { // a wait for the caller is no silence of the server
+		h.pendingEvents = append(h.pendingEvents, func(now time.Duration) { h.setDispatchPending(now, c, a, true) })
 	}
-	go h.run(ctx, c, a, before)
+	go h.runAttempt(ctx, c, a, before)
 }
 
 func (h actions) Reject(id lbpolicy.RequestID, retryAfter time.Duration) {
 	if c := h.calls[id]; c != nil {
-		h.finish(c, Answer{Refused: true, RetryAfter: retryAfter})
+		h.finish(c, Result{Rejected: true, RetryAfter: retryAfter})
 	}
 }
 
 func (h actions) Fail(id lbpolicy.RequestID) {
 	if c := h.calls[id]; c != nil {
-		h.finish(c, Answer{})
+		h.finish(c, Result{})
 	}
 }
 
@@ -435,7 +435,7 @@
 	if c == nil || n < 0 || n >= len(c.attempts) {
 		return
 	}
-	h.raised = append(h.raised, func(now time.Duration) { h.abandon(now, c, c.attempts[n], lbpolicy.Cancelled) })
+	h.pendingEvents = append(h.pendingEvents, func(now time.Duration) { h.abandon(now, c, c.attempts[n], lbpolicy.Cancelled) })
 }
 
 func (h actions) CloseIdle(s lbpolicy.ServerID) {
@@ -453,10 +453,10 @@
 		h.event(func(now time.Duration) { h.balancer.Timer(now, token) })
 	})
 	if c := h.calls[lbpolicy.RequestID(token)]; c != nil {
-		if c.patience != nil {
-			c.patience.Stop()
+		if c.checkTimer != nil {
+			c.checkTimer.Stop()
 		}
-		c.patience = timer
+		c.checkTimer = timer
 	}
 }
 
--- a/internal/balancer/host/host_test.go
+++ b/internal/balancer/host/host_test.go
@@ -14,16 +14,16 @@
 	"silvertrail/lbpolicy"
 )
 
-func newHost(t *testing.T) *Host { return newLoggedHost(t, io.Discard) }
+func newHost(t *testing.T) *Engine { return newLoggedHost(t, io.Discard) }
 
-func newLoggedHost(t *testing.T, log io.Writer) *Host {
+func newLoggedHost(t *testing.T, log io.Writer) *Engine {
 	t.Helper()
 	c, err := config.Load(lbtest.WriteConfig(t, "", "127.0.0.1:1", "127.0.0.1:1"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := New(Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
-		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64}), Log: slog.New(slog.NewTextHandler(log, nil))})
+	h, err := New(Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64}), Log: slog.New(slog.NewTextHandler(log, nil))})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,15 +34,15 @@
 	return registry.Endpoint{Name: "s", Address: address, Zone: "a", Status: status}
 }
 
-func get(h *Host, id string, left time.Duration) *Call {
+func get(h *Engine, id string, left time.Duration) *Call {
 	return h.Begin(upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {id}}},
 		lbpolicy.Request{Class: 0, TimeLeft: left}, nil)
 }
 
-func answer(t *testing.T, c *Call) Answer {
+func answer(t *testing.T, c *Call) Result {
 	t.Helper()
 	select {
-	case a := <-c.Answer():
+	case a := <-c.Result():
 		return a
 	case <-time.After(lbtest.Wait):
 		t.Fatal("no answer")
@@ -54,20 +54,20 @@
 func TestDecisionFails(t *testing.T) {
 	e := lbtest.NewEndpoint(t, nil)
 	h := newHost(t)
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	held := get(h, "one", 2*time.Second)
 	<-e.Got
 	h.event(func(time.Duration) { panic("a fault") })
 	h.mu.Lock()
 	h.balancer = nil // every decision from now on fails
 	h.mu.Unlock()
-	if a := answer(t, held); a.Reply != nil || a.Refused {
+	if a := answer(t, held); a.Response != nil || a.Rejected {
 		t.Errorf("got %+v", a)
 	}
-	if a := answer(t, get(h, "two", time.Millisecond)); a.Reply != nil || a.Refused {
+	if a := answer(t, get(h, "two", time.Millisecond)); a.Response != nil || a.Rejected {
 		t.Errorf("got %+v", a)
 	}
-	lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 }
 
 // Whatever else can't be read of it, an endpoint that drains gets nothing new; nor does one at the address that the
@@ -76,8 +76,8 @@
 	first := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	second := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	h := newHost(t)
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready")})
-	if a := answer(t, get(h, "one", lbtest.Wait)); a.Reply == nil {
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready")})
+	if a := answer(t, get(h, "one", lbtest.Wait)); a.Response == nil {
 		t.Fatal("not served")
 	}
 	h.mu.Lock()
@@ -87,21 +87,21 @@
 	stale := &attempt{server: s, pool: s.pool}
 	h.mu.Unlock()
 	whole := upstream.Request{Deadline: time.Now().Add(lbtest.Wait)}
-	if !h.claim(&Call{request: whole}, stale) {
+	if !h.claimDispatch(&Call{request: whole}, stale) {
 		t.Error("a ready endpoint's attempt may not go out")
 	}
-	if h.claim(&Call{request: whole, done: true}, stale) {
+	if h.claimDispatch(&Call{request: whole, done: true}, stale) {
 		t.Error("an attempt may go out for a call that has its answer")
 	}
-	if h.claim(&Call{request: upstream.Request{Deadline: time.Now()}}, stale) {
+	if h.claimDispatch(&Call{request: upstream.Request{Deadline: time.Now()}}, stale) {
 		t.Error("an attempt may go out when the deadline is over, as after a pause of the process")
 	}
-	h.Members(lbpolicy.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
-	if h.claim(&Call{request: whole}, stale) {
+	h.UpdateEndpoints(lbpolicy.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
+	if h.claimDispatch(&Call{request: whole}, stale) {
 		t.Error("an attempt may go out to the old address")
 	}
-	h.Members(lbpolicy.Delta, []registry.Endpoint{entry("nowhere", "draining")})
-	if a := answer(t, get(h, "two", lbtest.Wait)); !a.Refused {
+	h.UpdateEndpoints(lbpolicy.Delta, []registry.Endpoint{entry("nowhere", "draining")})
+	if a := answer(t, get(h, "two", lbtest.Wait)); !a.Rejected {
 		t.Errorf("sent to an endpoint that drains: %+v", a)
 	}
 }
@@ -118,25 +118,25 @@
 		a.OK()
 	})
 	h := newHost(t)
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	for range 8 { // long enough for the quiet latency to be learnt too
 		var calls []*Call
 		for range 4 {
 			calls = append(calls, get(h, "long", lbtest.Wait))
 		}
 		for _, c := range calls {
-			if a := answer(t, c); a.Reply == nil {
+			if a := answer(t, c); a.Response == nil {
 				t.Fatalf("not served: %+v", a)
 			}
 		}
 	}
 	before := got.Load()
 	for range 5 {
-		if a := answer(t, get(h, "short", short)); !a.Refused || a.RetryAfter != 0 {
+		if a := answer(t, get(h, "short", short)); !a.Rejected || a.RetryAfter != 0 {
 			t.Errorf("got %+v", a)
 		}
 	}
-	if a := answer(t, get(h, "last", lbtest.Wait)); a.Reply == nil {
+	if a := answer(t, get(h, "last", lbtest.Wait)); a.Response == nil {
 		t.Errorf("not served: %+v", a)
 	}
 	if n := got.Load() - before; n != 1 {
@@ -151,7 +151,7 @@
 	e := lbtest.NewEndpoint(t, nil)
 	var log lbtest.Log
 	h := newLoggedHost(t, &log)
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	for range 2 {
 		c := get(h, "hurried", 700*time.Millisecond) // the decisions start from a latency of 1.25 s
 		select {
--- a/internal/balancer/host/key.go
+++ b/internal/balancer/host/key.go
@@ -15,13 +15,13 @@
 	History *history.Request
 	Cluster string
 	Terms   history.Terms
-	// Binder agrees with other processes on where the key's attempts go; nil: there are none.
-	Binder Binder
+	// Claimer agrees with other processes on where the key's attempts go; nil: there are none.
+	Claimer Claimer
 	// Recorder records attempts before they go out; nil: nothing does.
 	Recorder Recorder
 }
 
-func (k *Key) binds() bool { return k.Binder != nil && k.Binder.Active() }
+func (k *Key) needsClaim() bool { return k.Claimer != nil && k.Claimer.IsActive() }
 
 // Recorder keeps a record of a request's attempts. Neither it nor its records may call the host.
 type Recorder interface {
@@ -37,32 +37,32 @@
 	Ended(v lbpolicy.Verdict, status int)
 }
 
-// Binder binds a key to a place before an attempt's first byte goes there, for all processes.
-type Binder interface {
-	// Active tells whether there is anybody to agree with. Where it turns true no attempt begins that was not agreed to.
-	Active() bool
-	// Bind asks all processes; what it has learnt stands in Past. It may be called again, for another attempt.
-	Bind(ctx context.Context, to history.Place)
-	// Past returns what is known of the key in all processes: an attempt may go out where that allows its place.
-	Past() history.Past
+// Claimer binds a key to a place before an attempt's first byte goes there, for all processes.
+type Claimer interface {
+	// IsActive tells whether there is anybody to agree with. Where it turns true no attempt begins that was not agreed to.
+	IsActive() bool
+	// Claim asks all processes; what it has learnt stands in Past. It may be called again, for another attempt.
+	Claim(ctx context.Context, to history.Place)
+	// KeyState returns what is known of the key in all processes: an attempt may go out where that allows its place.
+	KeyState() history.KeyState
 }
 
-// past translates what is known of a call's key for the decisions.
-func (h *Host) past(c *Call) lbpolicy.KeyState {
-	p := c.key.History.Past(c.key.Terms.Scope)
-	if c.key.binds() {
-		p = p.And(c.key.Binder.Past(), c.key.Terms.Scope)
+// keyState translates what is known of a call's key for the decisions.
+func (h *Engine) keyState(c *Call) lbpolicy.KeyState {
+	p := c.key.History.KeyState(c.key.Terms.Scope)
+	if c.key.needsClaim() {
+		p = p.Merge(c.key.Claimer.KeyState(), c.key.Terms.Scope)
 	}
 	if !p.Known {
 		return lbpolicy.KeyState{}
 	}
-	d := lbpolicy.KeyState{Known: true, Zone: slices.Index(h.zones, p.Place.Zone), Cell: p.Place.Cell, RetryUntil: h.clock.of(p.Until)}
-	d.Unavailable = p.Split || p.Place.Cluster != c.key.Cluster || c.key.Terms.Scope != lbpolicy.ScopeAll && d.Zone < 0
+	d := lbpolicy.KeyState{Known: true, Zone: slices.Index(h.zones, p.Place.Zone), Cell: p.Place.Cell, RetryUntil: h.clock.of(p.RetryUntil)}
+	d.Unavailable = p.SeveralGroups || p.Place.Cluster != c.key.Cluster || c.key.Terms.Scope != lbpolicy.ScopeAll && d.Zone < 0
 	return d
 }
 
 // place is where an endpoint stands now.
-func (h *Host) place(c *Call, e *endpoint) history.Place {
+func (h *Engine) place(c *Call, e *endpoint) history.Place {
 	p := history.Place{Cluster: c.key.Cluster, Cell: e.Cell}
 	if e.Zone >= 0 && e.Zone < len(h.zones) {
 		p.Zone = h.zones[e.Zone]
@@ -70,65 +70,65 @@
 	return p
 }
 
-// bind binds a call's key to the place of an attempt. Where it can't be, another request with the key was quicker, or
+// reserveKey binds a call's key to the place of an attempt. Where it can't be, another request with the key was quicker, or
 // the key's window has just ended: the decisions hear of it, and then that the attempt is moot.
-func (h *Host) bind(c *Call, a *attempt) bool {
+func (h *Engine) reserveKey(c *Call, a *attempt) bool {
 	if c.key == nil {
 		return true
 	}
 	var err error
-	if a.key, err = c.key.History.Send(time.Now(), h.place(c, a.server), c.key.Terms); err == nil {
+	if a.keyAttempt, err = c.key.History.Send(time.Now(), h.place(c, a.server), c.key.Terms); err == nil {
 		return true
 	}
-	if errors.Is(err, history.ErrElsewhere) {
+	if errors.Is(err, history.ErrHeldElsewhere) {
 		h.log.Info("attempt held back", "endpoint", a.server.name, "error", err)
 	}
 	return false
 }
 
-// onWayAfter is how long an attempt waits for a record before the decisions are told that the wait is not its server's.
-const onWayAfter = 5 * time.Millisecond
+// slowRecordDelay is how long an attempt waits for a record before the decisions are told that the wait is not its server's.
+const slowRecordDelay = 5 * time.Millisecond
 
-// agree has the other processes agree on where an attempt goes, and then has it recorded that it is about to. It is false
+// awaitDispatch has the other processes agree on where an attempt goes, and then has it recorded that it is about to. It is false
 // where it must not go out: another process was quicker, or can't be asked in time, or nothing can be recorded. What was
 // told reaches the decisions with the attempt's end.
-func (h *Host) agree(ctx context.Context, c *Call, a *attempt) (ok bool) {
-	if c.key == nil || !c.key.binds() && a.record == nil {
+func (h *Engine) awaitDispatch(ctx context.Context, c *Call, a *attempt) (ok bool) {
+	if c.key == nil || !c.key.needsClaim() && a.record == nil {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
-	if c.key.binds() {
+	if c.key.needsClaim() {
 		var to history.Place
 		h.event(func(now time.Duration) {
 			to = h.place(c, a.server)
-			h.onWay(now, c, a, true)
+			h.setDispatchPending(now, c, a, true)
 		})
-		c.key.Binder.Bind(ctx, to)
+		c.key.Claimer.Claim(ctx, to)
 		h.event(func(now time.Duration) {
-			h.onWay(now, c, a, false)
-			ok = h.agreed(time.Now(), c, h.place(c, a.server))
+			h.setDispatchPending(now, c, a, false)
+			ok = h.isClaimValid(time.Now(), c, h.place(c, a.server))
 		})
 		if !ok || a.record == nil {
 			return ok
 		}
 	}
-	return h.recorded(ctx, c, a)
+	return h.recordIntent(ctx, c, a)
 }
 
-// recorded has it recorded that an attempt is about to go out.
-func (h *Host) recorded(ctx context.Context, c *Call, a *attempt) bool {
+// recordIntent has it recorded that an attempt is about to go out.
+func (h *Engine) recordIntent(ctx context.Context, c *Call, a *attempt) bool {
 	h.mu.Lock()
 	to := h.place(c, a.server)
 	h.mu.Unlock()
-	slow := time.AfterFunc(onWayAfter, func() { h.event(func(now time.Duration) { h.onWay(now, c, a, true) }) })
+	slow := time.AfterFunc(slowRecordDelay, func() { h.event(func(now time.Duration) { h.setDispatchPending(now, c, a, true) }) })
 	err := a.record.Intent(ctx, to)
 	if !slow.Stop() {
-		h.event(func(now time.Duration) { h.onWay(now, c, a, false) })
+		h.event(func(now time.Duration) { h.setDispatchPending(now, c, a, false) })
 	}
 	h.mu.Lock()
-	a.sent = h.clock.now() // what it took is not the endpoint's doing
-	a.left = true
+	a.sentAt = h.clock.now() // what it took is not the endpoint's doing
+	a.intentRecorded = true
 	h.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
 		h.log.Info("attempt held back", "endpoint", a.server.name, "error", err)
@@ -136,35 +136,35 @@
 	return err == nil
 }
 
-// onWay tells the decisions that an attempt waits for something that is not its server's doing, or no longer does.
-func (h *Host) onWay(now time.Duration, c *Call, a *attempt, on bool) {
-	if a.ended || on && a.left {
+// setDispatchPending tells the decisions that an attempt waits for something that is not its server's doing, or no longer does.
+func (h *Engine) setDispatchPending(now time.Duration, c *Call, a *attempt, on bool) {
+	if a.ended || on && a.intentRecorded {
 		return
 	}
 	h.balancer.SetDispatchPending(now, c.id, a.number, on)
 	if !on {
-		a.sent = now
+		a.sentAt = now
 	}
 }
 
-// stillGoes tells whether a keyed attempt may start now, where its endpoint stands now.
-func (h *Host) stillGoes(now time.Time, c *Call, a *attempt) bool {
+// keyAllows tells whether a keyed attempt may start now, where its endpoint stands now.
+func (h *Engine) keyAllows(now time.Time, c *Call, a *attempt) bool {
 	at := h.place(c, a.server)
-	return a.key.Starts(now, at) && h.agreed(now, c, at)
+	return a.keyAttempt.MayStart(now, at) && h.isClaimValid(now, c, at)
 }
 
-// agreed tells whether what other processes have agreed to still holds for an attempt at a place.
-func (h *Host) agreed(now time.Time, c *Call, to history.Place) bool {
-	if c.key == nil || !c.key.binds() {
+// isClaimValid tells whether what other processes have agreed to still holds for an attempt at a place.
+func (h *Engine) isClaimValid(now time.Time, c *Call, to history.Place) bool {
+	if c.key == nil || !c.key.needsClaim() {
 		return true
 	}
-	p := c.key.Binder.Past()
-	return p.Known && p.Allows(to, c.key.Terms.Scope) && now.Before(p.Until)
+	p := c.key.Claimer.KeyState()
+	return p.Known && p.Allows(to, c.key.Terms.Scope) && now.Before(p.RetryUntil)
 }
 
-// learnPast tells the decisions what is known of a call's key now.
-func (h *Host) learnPast(now time.Duration, c *Call) {
+// updateKeyState tells the decisions what is known of a call's key now.
+func (h *Engine) updateKeyState(now time.Duration, c *Call) {
 	if c.key != nil && !c.done {
-		h.balancer.KeyStateUpdated(now, c.id, h.past(c))
+		h.balancer.KeyStateUpdated(now, c.id, h.keyState(c))
 	}
 }
--- a/internal/balancer/host/left_test.go
+++ b/internal/balancer/host/left_test.go
@@ -52,28 +52,28 @@
 	to atomic.Pointer[history.Place]
 }
 
-func (s *slowVoters) Active() bool { return true }
+func (s *slowVoters) IsActive() bool { return true }
 
-func (s *slowVoters) Bind(_ context.Context, to history.Place) {
+func (s *slowVoters) Claim(_ context.Context, to history.Place) {
 	s.pass()
 	s.to.Store(&to)
 }
 
-func (s *slowVoters) Past() history.Past {
+func (s *slowVoters) KeyState() history.KeyState {
 	if to := s.to.Load(); to != nil {
-		return history.Past{Known: true, Place: *to, Until: time.Now().Add(time.Minute)}
+		return history.KeyState{Known: true, Place: *to, RetryUntil: time.Now().Add(time.Minute)}
 	}
-	return history.Past{}
+	return history.KeyState{}
 }
 
 // keyed begins a keyed request whose caller leaves as told.
-func keyed(t *testing.T, h *Host, away func() bool, binder Binder, recorder Recorder) (*Call, *history.Request) {
+func keyed(t *testing.T, h *Engine, away func() bool, binder Claimer, recorder Recorder) (*Call, *history.Request) {
 	t.Helper()
-	hold, err := history.New(8).Begin(time.Now(), history.IDOf("acme", "k"), history.Print{})
+	hold, err := history.New(8).Begin(time.Now(), history.KeyIDOf("acme", "k"), history.Fingerprint{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	key := &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Keep: time.Minute}, Binder: binder, Recorder: recorder}
+	key := &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}, Claimer: binder, Recorder: recorder}
 	r := upstream.Request{Method: "POST", Target: "/write", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}, "Idempotency-Key": {"k"}}}
 	return h.begin(r, lbpolicy.Request{Class: 1, TimeLeft: lbtest.Wait}, key, away), hold
 }
@@ -82,16 +82,16 @@
 // attempt of it may have run. Its goroutine ends, and the server is not blamed.
 func TestLeftWhileAgreed(t *testing.T) {
 	t.Parallel()
-	for name, slow := range map[string]func(*gate) (Binder, Recorder){
-		"voters": func(g *gate) (Binder, Recorder) { return &slowVoters{gate: g}, nil },
-		"ledger": func(g *gate) (Binder, Recorder) { return nil, slowRecord{g} },
+	for name, slow := range map[string]func(*gate) (Claimer, Recorder){
+		"voters": func(g *gate) (Claimer, Recorder) { return &slowVoters{gate: g}, nil },
+		"ledger": func(g *gate) (Claimer, Recorder) { return nil, slowRecord{g} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var got atomic.Int64
 			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
 			h := newHost(t)
-			h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+			h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 			g := newGate()
 			var left atomic.Bool
 			binder, recorder := slow(g)
@@ -99,14 +99,14 @@
 			g.await(t)
 			left.Store(true)
 			close(g.opened)
-			lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+			lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 			if got.Load() > 0 {
 				t.Error("it came to the endpoint")
 			}
 			if hold.MayHaveRun() {
 				t.Error("its key is held for an attempt that never went out")
 			}
-			if a := answer(t, get(h, "stays", lbtest.Wait)); a.Reply == nil {
+			if a := answer(t, get(h, "stays", lbtest.Wait)); a.Response == nil {
 				t.Errorf("the endpoint serves others no more: %+v", a)
 			}
 		})
@@ -122,7 +122,7 @@
 	h := newHost(t)
 	two := entry(second.Addr, "ready")
 	two.Name = "s2"
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready"), two})
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready"), two})
 	g := newGate()
 	var left, held atomic.Bool
 	away := func() bool {
@@ -144,7 +144,7 @@
 	}
 	left.Store(true)
 	close(g.opened)
-	lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 	if got.Load() > 0 {
 		t.Error("it came to an endpoint")
 	}
@@ -156,10 +156,10 @@
 	var got atomic.Int64
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
 	h := newHost(t)
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ctx = WithLeft(ctx, func() bool { cancel(); return true })
+	ctx = WithDisconnectCheck(ctx, func() bool { cancel(); return true })
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
 	if a, ok := h.Do(ctx, r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil); ok {
 		t.Errorf("answered %+v", a)
@@ -187,7 +187,7 @@
 }
 
 // dialled is a host with one endpoint, whose connections wait at a gate.
-func dialled(t *testing.T) (h *Host, g *gate, got *atomic.Int64) {
+func dialled(t *testing.T) (h *Engine, g *gate, got *atomic.Int64) {
 	t.Helper()
 	got = &atomic.Int64{}
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
@@ -197,7 +197,7 @@
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
 	h.client.SetDialTimeout(lbtest.Wait)
-	h.Members(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
 	return h, g, got
 }
 
@@ -216,7 +216,7 @@
 	g.await(t)
 	ctx.ended.Store(true)
 	close(g.opened)
-	lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 	close(ctx.told)
 	if <-over {
 		t.Error("answered")
@@ -248,11 +248,11 @@
 		t.Error("the caller is not looked at")
 	}
 	left.Store(true)
-	for since := time.Now(); time.Since(since) <= lookHolds; {
-		time.Sleep(lookHolds)
+	for since := time.Now(); time.Since(since) <= disconnectCheckValidity; {
+		time.Sleep(disconnectCheckValidity)
 	}
 	h.mu.Unlock()
-	lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 	if got.Load() > 0 {
 		t.Error("it came to the endpoint")
 	}
--- a/internal/balancer/host/list.go
+++ b/internal/balancer/host/list.go
@@ -15,21 +15,21 @@
 // endpoint is an entry of discovery's list and the connections to it.
 type endpoint struct {
 	lbpolicy.Server
-	name, address string
-	pool          *upstream.Pool
-	banned        bool              // by hand: nothing new
-	entry         registry.Endpoint // as it was listed last
+	name, address   string
+	pool            *upstream.Pool
+	manuallyEjected bool              // by hand: nothing new
+	entry           registry.Endpoint // as it was listed last
 }
 
 var states = map[string]lbpolicy.State{"ready": lbpolicy.Ready, "draining": lbpolicy.Draining, "gone": lbpolicy.Removed}
 
-// Members takes a list from discovery. An entry that can't be used is passed over; the others count.
-func (h *Host) Members(kind lbpolicy.ListKind, entries []registry.Endpoint) {
+// UpdateEndpoints takes a list from discovery. An entry that can't be used is passed over; the others count.
+func (h *Engine) UpdateEndpoints(kind lbpolicy.ListKind, entries []registry.Endpoint) {
 	h.event(func(now time.Duration) {
 		servers := make([]lbpolicy.Server, 0, len(entries))
 		named := make(map[lbpolicy.ServerID]bool, len(entries))
 		for _, e := range entries {
-			s, err := h.enlist(e)
+			s, err := h.updateEndpoint(e)
 			if err != nil {
 				h.log.Warn("discovery: entry passed over", "error", err)
 				continue
@@ -39,21 +39,21 @@
 		}
 		for id, e := range h.endpoints {
 			if e.State == lbpolicy.Removed || (kind == lbpolicy.Full || kind == lbpolicy.Cached) && !named[id] {
-				h.delist(e)
+				h.removeEndpoint(e)
 			}
 		}
 		h.balancer.UpdateEndpoints(now, kind, servers)
 	})
 }
 
-// enlist takes one entry into the table of endpoints.
-func (h *Host) enlist(e registry.Endpoint) (lbpolicy.Server, error) {
+// updateEndpoint takes one entry into the table of endpoints.
+func (h *Engine) updateEndpoint(e registry.Endpoint) (lbpolicy.Server, error) {
 	state, known := states[e.Status]
 	if !known || e.Name == "" {
 		return lbpolicy.Server{}, fmt.Errorf("endpoint %q: status %q", e.Name, e.Status)
 	}
-	h.seen.add(e.Name)
-	s := lbpolicy.Server{ID: h.idOf(e.Name), State: state, Cell: e.Group, Weight: e.Weight, StartedAt: h.clock.at(e.SinceMS)}
+	h.everListed.add(e.Name)
+	s := lbpolicy.Server{ID: h.serverID(e.Name), State: state, Cell: e.Group, Weight: e.Weight, StartedAt: h.clock.at(e.SinceMS)}
 	old := h.endpoints[s.ID]
 	if state == lbpolicy.Removed { // of one that is gone nothing but the name is needed
 		if old != nil {
@@ -71,8 +71,8 @@
 	}
 	switch {
 	case old == nil:
-		_, banned := h.banned[e.Name]
-		old = &endpoint{name: e.Name, address: e.Address, pool: h.client.Pool(e.Address), banned: banned}
+		_, banned := h.manuallyEjected[e.Name]
+		old = &endpoint{name: e.Name, address: e.Address, pool: h.client.Pool(e.Address), manuallyEjected: banned}
 		h.endpoints[s.ID] = old
 	case old.address != e.Address:
 		old.pool.Close()
@@ -85,18 +85,18 @@
 }
 
 // Close takes all endpoints off the list: nothing new goes out, and their connections end with the attempts on them.
-func (h *Host) Close() { h.Members(lbpolicy.Full, nil) }
+func (h *Engine) Close() { h.UpdateEndpoints(lbpolicy.Full, nil) }
 
-func (h *Host) delist(e *endpoint) {
+func (h *Engine) removeEndpoint(e *endpoint) {
 	e.State = lbpolicy.Removed // attempts that still hold it must not write to it
 	e.pool.Close()
 	delete(h.endpoints, e.ID)
 }
 
-// idOf gives an endpoint's number: a hash of its name, so that it is the same at every sidecar (the decisions on
+// serverID gives an endpoint's number: a hash of its name, so that it is the same at every sidecar (the decisions on
 // who uses which endpoints rest on that). Where two names meet, the later one takes the next free number.
-func (h *Host) idOf(name string) lbpolicy.ServerID {
-	if id, held := h.banned[name]; held { // its ban must find it again
+func (h *Engine) serverID(name string) lbpolicy.ServerID {
+	if id, held := h.manuallyEjected[name]; held { // its ban must find it again
 		return id
 	}
 	sum := fnv.New32a()
@@ -104,16 +104,16 @@
 	id := lbpolicy.ServerID(sum.Sum32())
 	for {
 		e := h.endpoints[id]
-		if (e == nil || e.name == name) && !h.bannedID(id) {
+		if (e == nil || e.name == name) && !h.isEjectedID(id) {
 			return id
 		}
 		id++
 	}
 }
 
-// bannedID tells whether an endpoint that is banned has a number, listed or not.
-func (h *Host) bannedID(id lbpolicy.ServerID) bool {
-	for _, b := range h.banned {
+// isEjectedID tells whether an endpoint that is banned has a number, listed or not.
+func (h *Engine) isEjectedID(id lbpolicy.ServerID) bool {
+	for _, b := range h.manuallyEjected {
 		if b == id {
 			return true
 		}
@@ -125,12 +125,12 @@
 // means long ago.
 type clock struct{ start time.Time }
 
-const origin = 24 * time.Hour
+const clockOrigin = 24 * time.Hour
 
-func (c clock) now() time.Duration { return origin + time.Since(c.start) }
+func (c clock) now() time.Duration { return clockOrigin + time.Since(c.start) }
 
 // of converts a time of this process.
-func (c clock) of(t time.Time) time.Duration { return origin + t.Sub(c.start) }
+func (c clock) of(t time.Time) time.Duration { return clockOrigin + t.Sub(c.start) }
 
 // at converts a Unix time in milliseconds. It uses the clock's start alone: the same start of an endpoint gives the
 // same time whenever it is told, also where the wall clock is set meanwhile.
@@ -138,5 +138,5 @@
 	if ms <= 0 {
 		return 0
 	}
-	return max(origin+time.Duration(ms-c.start.UnixMilli())*time.Millisecond, 0)
+	return max(clockOrigin+time.Duration(ms-c.start.UnixMilli())*time.Millisecond, 0)
 }
--- a/internal/balancer/host/load.go
+++ b/internal/balancer/host/load.go
@@ -14,8 +14,8 @@
 	}
 	load := make([]float32, len(fields))
 	for i, field := range fields {
-		v, ok := value(text, field)
-		if !ok || !(v >= 0 && v <= mostOf(field)) {
+		v, ok := fieldValue(text, field)
+		if !ok || !(v >= 0 && v <= maxFieldValue(field)) {
 			return nil
 		}
 		load[i] = float32(v)
@@ -23,16 +23,16 @@
 	return load
 }
 
-// mostOf is the most that a field can hold. A share of the cores in use lies about under 1, however noisy: one wild
+// maxFieldValue is the most that a field can hold. A share of the cores in use lies about under 1, however noisy: one wild
 // figure taken for load would have the sidecar refuse what a healthy pool could serve.
-func mostOf(field string) float64 {
+func maxFieldValue(field string) float64 {
 	if field == "util" {
 		return 4
 	}
 	return math.MaxFloat32
 }
 
-func value(text, field string) (float64, bool) {
+func fieldValue(text, field string) (float64, bool) {
 	for part := range strings.SplitSeq(text, ",") {
 		name, figure, ok := strings.Cut(strings.TrimSpace(part), "=")
 		if ok && name == field {
--- a/internal/balancer/host/resets_test.go
+++ b/internal/balancer/host/resets_test.go
@@ -74,8 +74,8 @@
 						t.Fatal(err)
 					}
 					conf.Decide.Classes, conf.Decide.MayHedge = classes, copies
-					h, err := New(Options{Decide: conf.Decide, Seed: seed, Zones: conf.Zones, Watch: func() {}, Log: slog.New(slog.DiscardHandler),
-						Client: upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, Idle: time.Second, Max: 64, Again: true})})
+					h, err := New(Options{Policy: conf.Decide, Seed: seed, Zones: conf.Zones, Watch: func() {}, Log: slog.New(slog.DiscardHandler),
+						Client: upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, IdleTimeout: time.Second, MaxConns: 64, HedgeDials: true})})
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -88,22 +88,22 @@
 						}
 						list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: zone, Status: "ready"})
 					}
-					h.Members(lbpolicy.Full, list)
+					h.UpdateEndpoints(lbpolicy.Full, list)
 					var key *Key
 					if c.class == 1 {
-						hold, err := history.New(8).Begin(time.Now(), history.IDOf("acme", "k"), history.Print{})
+						hold, err := history.New(8).Begin(time.Now(), history.KeyIDOf("acme", "k"), history.Fingerprint{})
 						if err != nil {
 							t.Fatal(err)
 						}
 						defer hold.End()
-						key = &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Keep: time.Minute}}
+						key = &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}}
 					}
 					a := answer(t, h.Begin(upstream.Request{Method: "POST", Target: "/x", Host: "x", Header: map[string][]string{"X-Request-Id": {"one"}}},
 						lbpolicy.Request{Class: c.class, TimeLeft: lbtest.Wait}, key))
-					lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+					lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 					n.mu.Lock()
 					switch {
-					case c.served != (a.Reply != nil), !c.served && c.class > 0 && a.Refused:
+					case c.served != (a.Response != nil), !c.served && c.class > 0 && a.Rejected:
 						t.Errorf("seed %d: answered %+v", seed, a)
 					case len(n.ran) > c.ran || c.resets < 9 && len(n.ran) != c.ran:
 						t.Errorf("seed %d: ran %q, want %d", seed, n.ran, c.ran)
--- a/internal/balancer/limit/limit.go
+++ b/internal/balancer/limit/limit.go
@@ -41,47 +41,47 @@
 	return p.used
 }
 
-// Share is one cluster's part of a pool. It is safe for concurrent use.
-type Share struct {
-	pool          *Pool
-	reserve, most int64
-	used          int64
+// Allocation is one cluster's part of a pool. It is safe for concurrent use.
+type Allocation struct {
+	pool           *Pool
+	reserve, limit int64
+	used           int64
 }
 
-// Share returns a new share with a reserve and a cap. It always succeeds; where the reserves together pass the total,
+// Allocate returns a new share with a reserve and a cap. It always succeeds; where the reserves together pass the total,
 // the pool's bound still holds and the reserves do not (configurations are checked for that beforehand).
-func (p *Pool) Share(reserve, most int64) *Share {
-	s := &Share{pool: p}
+func (p *Pool) Allocate(reserve, most int64) *Allocation {
+	s := &Allocation{pool: p}
 	s.Resize(reserve, most)
 	return s
 }
 
 // Resize changes reserve and cap. What is in use stays in use; above the new cap nothing is added until it has fallen.
-func (s *Share) Resize(reserve, most int64) {
+func (s *Allocation) Resize(reserve, most int64) {
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.committed += max(reserve, s.used) - max(s.reserve, s.used)
-	s.reserve, s.most = reserve, most
+	s.reserve, s.limit = reserve, most
 }
 
 // Close gives the reserve back. Units in use stay so until they are released.
-func (s *Share) Close() { s.Resize(0, 0) }
+func (s *Allocation) Close() { s.Resize(0, 0) }
 
 // Used returns the units that the share has in use.
-func (s *Share) Used() int64 {
+func (s *Allocation) Used() int64 {
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
 	return s.used
 }
 
 // TryAcquire takes n units, or none.
-func (s *Share) TryAcquire(n int64) bool {
+func (s *Allocation) TryAcquire(n int64) bool {
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	more := max(s.reserve, s.used+n) - max(s.reserve, s.used)
-	if n < 0 || s.used+n > s.most || p.used+n > p.total || more > 0 && p.committed+more > p.total {
+	if n < 0 || s.used+n > s.limit || p.used+n > p.total || more > 0 && p.committed+more > p.total {
 		return false
 	}
 	s.used += n
@@ -92,7 +92,7 @@
 
 // Acquire is TryAcquire in the form of a semaphore. It never waits: a request that waits for memory holds a connection
 // that others could use.
-func (s *Share) Acquire(_ context.Context, n int64) error {
+func (s *Allocation) Acquire(_ context.Context, n int64) error {
 	if !s.TryAcquire(n) {
 		return fmt.Errorf("%w: %d more than there is", ErrExhausted, n)
 	}
@@ -100,7 +100,7 @@
 }
 
 // Release gives n units back. To give back more than is held is a fault of the program.
-func (s *Share) Release(n int64) {
+func (s *Allocation) Release(n int64) {
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/balancer/limit/limit_test.go
+++ b/internal/balancer/limit/limit_test.go
@@ -15,9 +15,9 @@
 		const total = 100
 		p := NewPool(total)
 		reserves := []int64{d.Int64N(30), d.Int64N(30), d.Int64N(40)}
-		var shares []*Share
+		var shares []*Allocation
 		for _, r := range reserves {
-			shares = append(shares, p.Share(r, r+d.Int64N(60)))
+			shares = append(shares, p.Allocate(r, r+d.Int64N(60)))
 		}
 		held := make([]int64, len(shares))
 		for range 500 {
@@ -39,8 +39,8 @@
 			sum := int64(0)
 			for j, h := range held {
 				sum += h
-				if h > shares[j].most || h != shares[j].Used() {
-					t.Fatalf("share %d holds %d of %d", j, h, shares[j].most)
+				if h > shares[j].limit || h != shares[j].Used() {
+					t.Fatalf("share %d holds %d of %d", j, h, shares[j].limit)
 				}
 			}
 			if sum > total || sum != p.Used() {
@@ -51,7 +51,7 @@
 			for j, h := range held {
 				free -= max(h, reserves[j])
 			}
-			if !ok && held[i]+n <= s.most && n <= free {
+			if !ok && held[i]+n <= s.limit && n <= free {
 				t.Fatalf("refused %d where %d are free", n, free)
 			}
 		}
@@ -60,7 +60,7 @@
 
 func TestResize(t *testing.T) {
 	p := NewPool(10)
-	a, b := p.Share(2, 10), p.Share(2, 10)
+	a, b := p.Allocate(2, 10), p.Allocate(2, 10)
 	if !a.TryAcquire(8) || a.TryAcquire(1) || !b.TryAcquire(2) || b.TryAcquire(1) {
 		t.Fatal("shares at the start")
 	}
@@ -92,7 +92,7 @@
 	p := NewPool(16)
 	var all sync.WaitGroup
 	for range 4 {
-		s := p.Share(2, 8)
+		s := p.Allocate(2, 8)
 		for range 4 {
 			all.Go(func() {
 				for range 2000 {
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -20,101 +20,101 @@
 )
 
 const (
-	maxHead    = 16 << 10 // an answer's head, and its trailers
-	maxAnswer  = 64 << 10 // an answer's body: the protocol's limit
-	maxInterim = 8        // 1xx answers before the final one
-	// answerIn is how long an answer that has begun may bring nothing. It is in the endpoint's hands whole by then, so one
+	maxHeadBytes     = 16 << 10 // an answer's head, and its trailers
+	maxBufferedBytes = 64 << 10 // an answer's body: the protocol's limit
+	maxInformational = 8        // 1xx answers before the final one
+	// maxStall is how long an answer that has begun may bring nothing. It is in the endpoint's hands whole by then, so one
 	// that stalls is spoilt: a head without end, a length that does not fit, noise that ends in no line. The time saved
 	// is the request's next attempt. Where answers are passed on as they come (Options.Most) it is a time without any
 	// byte, else one for the whole answer: small answers of sound endpoints come at once.
-	answerIn = 750 * time.Millisecond
+	maxStall = 750 * time.Millisecond
 	// A request with little time has less for that: the rest is its next attempt's.
-	answerPart  = 4 // of what is left when it goes out
-	answerLeast = 100 * time.Millisecond
-	writeIn     = time.Second // for a whole request, likewise
-	// holdFor is how long an answer that comes slowly, and may be larger than is held, is held whole before it is passed on.
+	stallDivider = 4 // of what is left when it goes out
+	minStall     = 100 * time.Millisecond
+	writeTimeout = time.Second // for a whole request, likewise
+	// bufferingTime is how long an answer that comes slowly, and may be larger than is held, is held whole before it is passed on.
 	// Until then another attempt can take its place; from then on its caller waits for nobody.
-	holdFor = 250 * time.Millisecond
-	// passIn is how long an answer that is passed on may bring nothing: it can't be had again.
-	passIn = 20 * time.Second
-	// takeIn is how long an endpoint may take nothing of a body that is passed on.
-	takeIn = 5 * time.Second
-	piece  = 16 << 10 // by which bodies are passed on
+	bufferingTime = 250 * time.Millisecond
+	// streamReadTimeout is how long an answer that is passed on may bring nothing: it can't be had again.
+	streamReadTimeout = 20 * time.Second
+	// streamWriteTimeout is how long an endpoint may take nothing of a body that is passed on.
+	streamWriteTimeout = 5 * time.Second
+	streamChunkBytes   = 16 << 10 // by which bodies are passed on
 )
 
-// errSpoilt is what an endpoint wrote that is no answer. The request may have run, and the endpoint goes on working.
-var errSpoilt = errors.New("spoilt answer")
+// errMalformed is what an endpoint wrote that is no answer. The request may have run, and the endpoint goes on working.
+var errMalformed = errors.New("spoilt answer")
 
-// Answer is an endpoint's answer, whole.
-type Answer struct {
+// Response is an endpoint's answer, whole.
+type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
-	// Rest is what is still to come of the body, behind Body; nil: nothing is. It must be closed.
-	Rest *Rest
+	// Stream is what is still to come of the body, behind Body; nil: nothing is. It must be closed.
+	Stream *ResponseStream
 }
 
 // conn is one connection to an endpoint. It carries one attempt at a time.
 type conn struct {
 	net.Conn
-	raw       syscall.RawConn
-	br        *bufio.Reader
-	idleSince time.Time     // zero: not used yet
-	stood     time.Duration // idle before its present use
-	limited   bool          // a deadline for reading is set
-	stall     time.Duration // for each read; 0: the deadline that is set
-	most      int64         // of an answer's body
-	heard     chan error    // while a body is passed on: what came of waiting for the answer
+	raw             syscall.RawConn
+	reader          *bufio.Reader
+	idleSince       time.Time     // zero: not used yet
+	idleFor         time.Duration // idle before its present use
+	hasReadDeadline bool          // a deadline for reading is set
+	readTimeout     time.Duration // for each read; 0: the deadline that is set
+	maxBody         int64         // of an answer's body
+	earlyResponse   chan error    // while a body is passed on: what came of waiting for the answer
 }
 
 // Read gives each read its time where answers may take long as a whole.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.stall > 0 {
-		c.Conn.SetReadDeadline(time.Now().Add(c.stall))
+	if c.readTimeout > 0 {
+		c.Conn.SetReadDeadline(time.Now().Add(c.readTimeout))
 	}
 	return c.Conn.Read(p)
 }
 
 func newConn(nc net.Conn, most int64) (*conn, error) {
-	c := &conn{Conn: nc, most: max(most, maxAnswer)}
-	c.br = bufio.NewReaderSize(c, 4<<10)
+	c := &conn{Conn: nc, maxBody: max(most, maxBufferedBytes)}
+	c.reader = bufio.NewReaderSize(c, 4<<10)
 	var err error
 	c.raw, err = nc.(syscall.Conn).SyscallConn()
 	return c, err
 }
 
-// quiet tells whether nothing has come on a connection that carries no request: no byte and no end. What stands on
+// isClean tells whether nothing has come on a connection that carries no request: no byte and no end. What stands on
 // it before a request is written is not that request's answer. It guards against second copies, noise and late
 // answers of any kind, and against connections that the endpoint has closed; what comes later than this look is
 // beyond it.
-func (c *conn) quiet() bool {
+func (c *conn) isClean() bool {
 	quiet := false
 	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN || err == syscall.EINTR
 	})
-	return err == nil && quiet && c.br.Buffered() == 0
+	return err == nil && quiet && c.reader.Buffered() == 0
 }
 
-// settled puts a connection back after an answer that was passed on. Where more has come than the answer nobody can tell
+// resetAfterStream puts a connection back after an answer that was passed on. Where more has come than the answer nobody can tell
 // where the next one would begin.
-func (c *conn) settled() bool {
-	c.stall = 0
+func (c *conn) resetAfterStream() bool {
+	c.readTimeout = 0
 	c.SetReadDeadline(time.Time{})
-	c.limited = false
-	return c.br.Buffered() == 0
+	c.hasReadDeadline = false
+	return c.reader.Buffered() == 0
 }
 
-// small is what a connection that stood idle takes at once: the system's buffer for it is empty, and larger.
-const small = 4 << 10
+// maxSingleWrite is what a connection that stood idle takes at once: the system's buffer for it is empty, and larger.
+const maxSingleWrite = 4 << 10
 
-var messages = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
+var requestBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
-// send writes the request and reports whether its last byte is written. An endpoint cannot have begun a request
+// writeRequest writes the request and reports whether its last byte is written. An endpoint cannot have begun a request
 // that it was not sent whole. The error is errCaller's where the caller's side of a body is at fault.
-func (c *conn) send(r *Request, timeout time.Duration) (whole bool, err error) {
-	pooled := messages.Get().(*[]byte)
+func (c *conn) writeRequest(r *Request, timeout time.Duration) (whole bool, err error) {
+	pooled := requestBuffers.Get().(*[]byte)
 	b := (*pooled)[:0]
 	b = append(b, r.Method...)
 	b = append(b, ' ')
@@ -135,44 +135,44 @@
 	}
 	b = append(b, "X-Timeout-Ms: "...)
 	b = strconv.AppendInt(b, max(timeout.Milliseconds(), 1), 10)
-	if r.Rest != nil && r.Rest.Length() < 0 {
+	if r.Stream != nil && r.Stream.Length() < 0 {
 		b = append(b, "\r\nTransfer-Encoding: chunked"...)
-	} else if r.Rest != nil {
+	} else if r.Stream != nil {
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, r.Rest.Length(), 10)
+		b = strconv.AppendInt(b, r.Stream.Length(), 10)
 	} else if r.Method != http.MethodGet {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
-	if r.Rest != nil {
-		return c.sendRest(b, r)
+	if r.Stream != nil {
+		return c.writeStreamingRequest(b, r)
 	}
 	size := int64(len(b) + len(r.Body))
 	var n int64
-	if size <= small {
+	if size <= maxSingleWrite {
 		b = append(b, r.Body...)
 		m, _ := c.Conn.Write(b)
 		n = int64(m)
 	} else {
-		c.SetWriteDeadline(time.Now().Add(min(timeout, writeIn)))
+		c.SetWriteDeadline(time.Now().Add(min(timeout, writeTimeout)))
 		message := net.Buffers{b, r.Body}
 		n, _ = message.WriteTo(c.Conn)
 		c.SetWriteDeadline(time.Time{})
 	}
-	if cap(b) <= maxHead {
+	if cap(b) <= maxHeadBytes {
 		*pooled = b[:0]
-		messages.Put(pooled)
+		requestBuffers.Put(pooled)
 	}
 	return n == size, nil
 }
 
-// sendRest writes a request whose body is still coming. The answer is waited for meanwhile: an endpoint that answers before
+// writeStreamingRequest writes a request whose body is still coming. The answer is waited for meanwhile: an endpoint that answers before
 // the body is over is heard, and gets no more of it.
-func (c *conn) sendRest(head []byte, r *Request) (whole bool, err error) {
-	chunks := r.Rest.Length() < 0
+func (c *conn) writeStreamingRequest(head []byte, r *Request) (whole bool, err error) {
+	chunks := r.Stream.Length() < 0
 	put := func(p []byte) error {
-		c.SetWriteDeadline(time.Now().Add(takeIn))
+		c.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 		message := net.Buffers{p}
 		if chunks && len(p) > 0 {
 			message = net.Buffers{append(strconv.AppendInt(nil, int64(len(p)), 16), "\r\n"...), p, []byte("\r\n")}
@@ -180,34 +180,34 @@
 		_, err := message.WriteTo(c.Conn)
 		return err
 	}
-	c.SetWriteDeadline(time.Now().Add(takeIn))
+	c.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 	if _, err := c.Conn.Write(head); err != nil {
 		return false, err
 	}
 	if err := put(r.Body); err != nil {
 		return false, err
 	}
-	if !r.Rest.Take() { // another attempt has read on: there is no body for this one
-		return false, fmt.Errorf("%w: it went to another attempt", errCaller)
+	if !r.Stream.Acquire() { // another attempt has read on: there is no body for this one
+		return false, fmt.Errorf("%w: it went to another attempt", errRequestBody)
 	}
-	c.stall = 0
-	c.deadline(time.Time{})
+	c.readTimeout = 0
+	c.setReadDeadline(time.Time{})
 	heard := make(chan error, 1)
-	c.heard = heard
+	c.earlyResponse = heard
 	var state atomic.Int32 // of the sending: in progress, or what came first
 	const early, done = 1, 2
 	go func() {
-		_, err := c.br.Peek(1)
+		_, err := c.reader.Peek(1)
 		if state.CompareAndSwap(0, early) {
-			r.Rest.Stop()
+			r.Stream.Stop()
 			c.SetWriteDeadline(time.Unix(1, 0))
 		}
 		heard <- err
 	}()
-	pooled := pieces.Get().(*[]byte)
-	defer pieces.Put(pooled)
-	for !r.Rest.Over() {
-		n, err := r.Rest.Read(*pooled)
+	pooled := streamBuffers.Get().(*[]byte)
+	defer streamBuffers.Put(pooled)
+	for !r.Stream.IsComplete() {
+		n, err := r.Stream.Read(*pooled)
 		var werr error
 		if n > 0 {
 			werr = put((*pooled)[:n])
@@ -215,89 +215,89 @@
 		switch {
 		case werr != nil && state.Load() != early:
 			return false, werr
-		case state.Load() == early && (werr != nil || !r.Rest.Over()):
-			return false, errEarly
+		case state.Load() == early && (werr != nil || !r.Stream.IsComplete()):
+			return false, errEarlyResponse
 		case err != nil:
-			return false, fmt.Errorf("%w: %w", errCaller, err)
+			return false, fmt.Errorf("%w: %w", errRequestBody, err)
 		}
 	}
 	if chunks {
-		c.SetWriteDeadline(time.Now().Add(takeIn))
+		c.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 		if _, err := c.Conn.Write([]byte("0\r\n\r\n")); err != nil {
 			if state.Load() == early {
-				err = errEarly
+				err = errEarlyResponse
 			}
 			return false, err
 		}
 	}
 	state.CompareAndSwap(0, done)
-	r.Rest.Whole()
+	r.Stream.Sent()
 	return true, nil
 }
 
 var (
-	// errCaller says that the caller's side of a body that is passed on is at fault. It tells nothing of the endpoint.
-	errCaller = errors.New("the request's body did not come whole")
-	// errEarly says that the answer came, or the connection ended, before the body was over.
-	errEarly = errors.New("answered before the request was whole")
+	// errRequestBody says that the caller's side of a body that is passed on is at fault. It tells nothing of the endpoint.
+	errRequestBody = errors.New("the request's body did not come whole")
+	// errEarlyResponse says that the answer came, or the connection ended, before the body was over.
+	errEarlyResponse = errors.New("answered before the request was whole")
 )
 
-var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
+var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamChunkBytes); return &b }}
 
-// receive reads an answer to its end and tells whether the connection can be used again. An error is errSpoilt, or
+// readResponse reads an answer to its end and tells whether the connection can be used again. An error is errSpoilt, or
 // the connection's. bodiless says that none follows the head, whatever that tells: an answer to HEAD.
 // Left is what the request had left when it went out.
-func (c *conn) receive(bodiless bool, left time.Duration) (a *Answer, keep bool, err error) {
-	within := stallIn(left)
-	for range maxInterim {
-		if c.heard != nil { // an answer was waited for while the body went out
-			err := <-c.heard
-			c.stall = 0
+func (c *conn) readResponse(bodiless bool, left time.Duration) (a *Response, keep bool, err error) {
+	within := stallTimeout(left)
+	for range maxInformational {
+		if c.earlyResponse != nil { // an answer was waited for while the body went out
+			err := <-c.earlyResponse
+			c.readTimeout = 0
 			c.SetWriteDeadline(time.Time{})
-			if c.heard = nil; err != nil {
+			if c.earlyResponse = nil; err != nil {
 				return nil, false, err
 			}
 		} else {
-			c.stall = 0
-			c.deadline(time.Time{}) // the attempt's end closes the connection
-			if _, err := c.br.Peek(1); err != nil {
+			c.readTimeout = 0
+			c.setReadDeadline(time.Time{}) // the attempt's end closes the connection
+			if _, err := c.reader.Peek(1); err != nil {
 				return nil, false, err
 			}
 		}
-		if !c.hasAll() {
-			c.deadline(time.Now().Add(within))
-			if c.most > maxAnswer {
-				c.stall = within
+		if !c.hasWholeResponse() {
+			c.setReadDeadline(time.Now().Add(within))
+			if c.maxBody > maxBufferedBytes {
+				c.readTimeout = within
 			}
 		}
-		a, keep, err = c.answer(bodiless)
+		a, keep, err = c.readOneResponse(bodiless)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			err = fmt.Errorf("%w: stalled", errSpoilt)
+			err = fmt.Errorf("%w: stalled", errMalformed)
 		}
 		if err != nil || a.Status >= 200 || a.Status == http.StatusSwitchingProtocols {
 			return a, keep, err
 		}
 	}
-	return nil, false, fmt.Errorf("%w: too many interim answers", errSpoilt)
+	return nil, false, fmt.Errorf("%w: too many interim answers", errMalformed)
 }
 
-// stallIn is how long an answer that has begun may bring nothing.
-func stallIn(left time.Duration) time.Duration {
-	return min(max(left/answerPart, answerLeast), answerIn)
+// stallTimeout is how long an answer that has begun may bring nothing.
+func stallTimeout(left time.Duration) time.Duration {
+	return min(max(left/stallDivider, minStall), maxStall)
 }
 
-// deadline sets the deadline for reading, where it is not that already.
-func (c *conn) deadline(t time.Time) {
-	if c.limited || !t.IsZero() {
+// setReadDeadline sets the deadline for reading, where it is not that already.
+func (c *conn) setReadDeadline(t time.Time) {
+	if c.hasReadDeadline || !t.IsZero() {
 		c.SetReadDeadline(t)
-		c.limited = !t.IsZero()
+		c.hasReadDeadline = !t.IsZero()
 	}
 }
 
-// hasAll tells whether a whole answer with a told length stands in the buffer, as small ones mostly do: then nothing is
+// hasWholeResponse tells whether a whole answer with a told length stands in the buffer, as small ones mostly do: then nothing is
 // waited for. Where it is not sure it says no.
-func (c *conn) hasAll() bool {
-	text, _ := c.br.Peek(c.br.Buffered())
+func (c *conn) hasWholeResponse() bool {
+	text, _ := c.reader.Peek(c.reader.Buffered())
 	end := httphead.End(text)
 	if end < 0 {
 		return false
@@ -308,7 +308,7 @@
 	}
 	n := 0
 	for _, d := range text[at+len("\r\nContent-Length: ") : end] {
-		if d < '0' || d > '9' || n > maxAnswer {
+		if d < '0' || d > '9' || n > maxBufferedBytes {
 			break
 		}
 		n = n*10 + int(d-'0')
@@ -316,56 +316,56 @@
 	return n <= len(text)-end
 }
 
-// answer reads one answer of any status.
-func (c *conn) answer(bodiless bool) (a *Answer, keep bool, err error) {
-	text, err := c.head()
+// readOneResponse reads one answer of any status.
+func (c *conn) readOneResponse(bodiless bool) (a *Response, keep bool, err error) {
+	text, err := c.readHead()
 	if err != nil {
 		return nil, false, err
 	}
 	head, err := httphead.Parse(text)
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: %w", errSpoilt, err)
+		return nil, false, fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	a = &Answer{Header: head.Header}
+	a = &Response{Header: head.Header}
 	proto, rest, _ := strings.Cut(head.Start, " ")
 	code, _, _ := strings.Cut(rest, " ")
 	if a.Status, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.Status < 100 ||
 		proto != "HTTP/1.1" && proto != "HTTP/1.0" {
-		return nil, false, fmt.Errorf("%w: status line %.40q", errSpoilt, head.Start)
+		return nil, false, fmt.Errorf("%w: status line %.40q", errMalformed, head.Start)
 	}
 	keep = proto == "HTTP/1.1" && !head.Closes() && a.Status != http.StatusSwitchingProtocols
 	switch {
 	case bodiless || a.Status < 200 || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
-	case head.Length > c.most:
-		err = fmt.Errorf("%w: %d bytes", errSpoilt, head.Length)
+	case head.Length > c.maxBody:
+		err = fmt.Errorf("%w: %d bytes", errMalformed, head.Length)
 	default:
-		rest := &Rest{conn: c, length: head.Length, left: head.Length, most: c.most, keep: keep}
+		rest := &ResponseStream{conn: c, length: head.Length, remaining: head.Length, maxBytes: c.maxBody, reusable: keep}
 		if head.Chunked {
-			rest.chunks = &chunked.Decoder{}
+			rest.decoder = &chunked.Decoder{}
 		} else if head.Length < 0 { // up to the connection's end
-			rest.keep, keep = false, false
+			rest.reusable, keep = false, false
 		}
-		if a.Body, err = rest.hold(); err == nil && !rest.over {
-			a.Rest = rest
+		if a.Body, err = rest.readBuffered(); err == nil && !rest.complete {
+			a.Stream = rest
 			return a, keep, nil
 		}
 	}
 	// More than the answer: it is good, but nobody can tell where the next one would begin.
-	keep = keep && (a.Status < 200 || c.br.Buffered() == 0)
+	keep = keep && (a.Status < 200 || c.reader.Buffered() == 0)
 	return a, keep, err
 }
 
-// head reads a head up to its empty line.
-func (c *conn) head() ([]byte, error) {
+// readHead reads a head up to its empty line.
+func (c *conn) readHead() ([]byte, error) {
 	var text []byte
 	for {
-		line, err := c.br.ReadSlice('\n')
+		line, err := c.reader.ReadSlice('\n')
 		text = append(text, line...)
 		switch {
 		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return nil, err
-		case len(text) > maxHead:
-			return nil, fmt.Errorf("%w: a head of over %d bytes", errSpoilt, maxHead)
+		case len(text) > maxHeadBytes:
+			return nil, fmt.Errorf("%w: a head of over %d bytes", errMalformed, maxHeadBytes)
 		case err == nil && len(bytes.TrimRight(line, "\r\n")) == 0:
 			return text, nil
 		}
--- a/internal/balancer/upstream/dial.go
+++ b/internal/balancer/upstream/dial.go
@@ -16,32 +16,34 @@
 // request is written once. It could hurt where all connections are slow as endpoints are overloaded, so that a second one
 // is begun for a part of them at the most.
 const (
-	againAfter = 50 * time.Millisecond // at the least: within an installation connections take a few
-	againTimes = 4                     // of what they take
-	againPart  = 0.5                   // second ones for each first one, at the most
-	againMost  = 4.0                   // that may be saved up
+	minHedgeDelay      = 50 * time.Millisecond // at the least: within an installation connections take a few
+	hedgeDelayMultiple = 4                     // of what they take
+	hedgeBudgetRatio   = 0.5                   // second ones for each first one, at the most
+	maxHedgeBudget     = 4.0                   // that may be saved up
 )
 
-// lateDials tells when a connection is late, and whether a second one may be begun.
-type lateDials struct {
-	takes  time.Duration // what connections take: rather what the quick ones do
+// dialHedging tells when a connection is late, and whether a second one may be begun.
+type dialHedging struct {
+	usual  time.Duration // what connections take: rather what the quick ones do
 	budget float64
 }
 
-func (l *lateDials) took(d time.Duration) {
+func (l *dialHedging) record(d time.Duration) {
 	switch {
-	case l.takes == 0:
-		l.takes = d
-	case d < l.takes:
-		l.takes += (d - l.takes) / 2
+	case l.usual == 0:
+		l.usual = d
+	case d < l.usual:
+		l.usual += (d - l.usual) / 2
 	default:
-		l.takes += (d - l.takes) / 20
+		l.usual += (d - l.usual) / 20
 	}
 }
 
-func (l *lateDials) after() time.Duration { return max(againTimes*l.takes, againAfter) }
+func (l *dialHedging) hedgeDelay() time.Duration {
+	return max(hedgeDelayMultiple*l.usual, minHedgeDelay)
+}
 
-type dialled struct {
+type dialResult struct {
 	nc  net.Conn
 	err error
 }
@@ -49,41 +51,41 @@
 // connect returns a new connection, for which a place is taken. Where it does not, the place is still the caller's.
 func (p *Pool) connect(ctx context.Context) (net.Conn, error) {
 	dialling, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	begin := func() chan dialled {
-		came := make(chan dialled, 1)
+	begin := func() chan dialResult {
+		came := make(chan dialResult, 1)
 		go func() {
 			nc, err := p.dial(dialling)
-			came <- dialled{nc, err}
+			came <- dialResult{nc, err}
 		}()
 		return came
 	}
 	c := p.client
 	c.mu.Lock()
-	c.late.budget = min(c.late.budget+againPart, againMost)
-	late := time.NewTimer(c.late.after())
+	c.dials.budget = min(c.dials.budget+hedgeBudgetRatio, maxHedgeBudget)
+	late := time.NewTimer(c.dials.hedgeDelay())
 	c.mu.Unlock()
 	defer late.Stop()
 	began := time.Now()
 	first := begin()
-	var second chan dialled // nil: none has been begun
+	var second chan dialResult // nil: none has been begun
 	var failed error
 	for {
-		var d dialled
-		var other chan dialled
+		var d dialResult
+		var other chan dialResult
 		select {
 		case d = <-first:
 			first, other = nil, second
 		case d = <-second:
 			second, other = nil, first
 		case <-late.C:
-			if p.again() {
+			if p.reserveHedge() {
 				second = begin()
 			}
 			continue
 		case <-ctx.Done(): // the attempt has been given up
 			cancel()
 			if second != nil && first != nil {
-				go p.spare(second, nil)
+				go p.adoptSpare(second, nil)
 			}
 			d = <-either(first, second)
 			if d.err == nil {
@@ -93,12 +95,12 @@
 		}
 		if d.err == nil {
 			c.mu.Lock()
-			c.late.took(time.Since(began))
+			c.dials.record(time.Since(began))
 			c.mu.Unlock()
 			if other == nil {
 				cancel()
 			} else {
-				go p.spare(other, cancel)
+				go p.adoptSpare(other, cancel)
 			}
 			return d.nc, nil
 		}
@@ -111,37 +113,37 @@
 		}
 		failed = d.err // the other one may still come up; one place goes back
 		c.mu.Lock()
-		p.freed()
+		p.releasePlace()
 		c.mu.Unlock()
 	}
 }
 
-func either(a, b chan dialled) chan dialled {
+func either(a, b chan dialResult) chan dialResult {
 	if a != nil {
 		return a
 	}
 	return b
 }
 
-// again takes a place for a second connection, and tells whether one may be begun.
-func (p *Pool) again() bool {
+// reserveHedge takes a place for a second connection, and tells whether one may be begun.
+func (p *Pool) reserveHedge() bool {
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
-	if !p.client.Again || p.closed || p.client.late.budget < 1 || !p.room() {
+	if !p.client.HedgeDials || p.closed || p.client.dials.budget < 1 || !p.reservePlace() {
 		return false
 	}
-	p.client.late.budget--
+	p.client.dials.budget--
 	return true
 }
 
-// spare takes in a connection that nobody waits for any more: it stands idle. It ends with its time to come up.
-func (p *Pool) spare(came chan dialled, end context.CancelFunc) {
+// adoptSpare takes in a connection that nobody waits for any more: it stands idle. It ends with its time to come up.
+func (p *Pool) adoptSpare(came chan dialResult, end context.CancelFunc) {
 	d := <-came
 	if end != nil {
 		end()
 	}
 	if d.err == nil {
-		if c, err := newConn(d.nc, p.client.Most); err == nil {
+		if c, err := newConn(d.nc, p.client.MaxStreamBytes); err == nil {
 			p.release(c, end != nil)
 			return
 		}
@@ -149,14 +151,14 @@
 	}
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
-	p.freed()
+	p.releasePlace()
 }
 
 // dialPatience is how long an attempt waits for a descriptor where the process has none: callers' connections that have
 // just come and may not be ended yet bring a request by then, or may.
 const (
-	dialPatience = 500 * time.Millisecond
-	dialStep     = 10 * time.Millisecond
+	descriptorWait       = 500 * time.Millisecond
+	descriptorRetryDelay = 10 * time.Millisecond
 )
 
 // dial connects. Where there is no descriptor, what stands idle gives one back first: a request in work goes before it.
@@ -170,18 +172,18 @@
 	connect := func() (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, within)
 		defer cancel()
-		return dial(ctx, "tcp", p.addr)
+		return dial(ctx, "tcp", p.address)
 	}
 	nc, err := connect()
-	for until := time.Now().Add(dialPatience); scarce.Descriptors(err) && ctx.Err() == nil && time.Now().Before(until); {
+	for until := time.Now().Add(descriptorWait); scarce.Descriptors(err) && ctx.Err() == nil && time.Now().Before(until); {
 		p.client.mu.Lock()
-		p.client.shed()
+		p.client.closeOldestIdle()
 		p.client.mu.Unlock()
-		if p.client.Scarce != nil {
-			p.client.Scarce()
+		if p.client.OnExhausted != nil {
+			p.client.OnExhausted()
 		}
 		if nc, err = connect(); scarce.Descriptors(err) {
-			time.Sleep(dialStep)
+			time.Sleep(descriptorRetryDelay)
 		}
 	}
 	return nc, err
--- a/internal/balancer/upstream/dial_test.go
+++ b/internal/balancer/upstream/dial_test.go
@@ -37,7 +37,7 @@
 
 func newDials(again bool) (*dials, *Client) {
 	d := &dials{make(chan *oneDial, 8)}
-	return d, NewClient(Options{DialTimeout: 2 * lbtest.Wait, Idle: lbtest.Wait, Max: 64, Again: again, Dial: d.dial})
+	return d, NewClient(Options{DialTimeout: 2 * lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 64, HedgeDials: again, Dial: d.dial})
 }
 
 type result struct {
@@ -50,7 +50,7 @@
 	go func() {
 		v, a, _ := p.Do(ctx, request(id), yes)
 		if a == nil {
-			a = &Answer{}
+			a = &Response{}
 		}
 		came <- result{v, string(a.Body)}
 	}()
@@ -77,7 +77,7 @@
 	lbtest.Until(t, "two idle connections", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return len(p.idle) == 2 && p.open == 2 && c.open == 2
+		return len(p.idle) == 2 && p.openConns == 2 && c.openConns == 2
 	})
 	if r := <-begin(t.Context(), p, "two"); r.v != lbpolicy.OK || len(d.began) > 0 {
 		t.Errorf("got %+v, %d more connections begun", r, len(d.began))
@@ -140,7 +140,7 @@
 			lbtest.Until(t, "places are given back", func() bool {
 				c.mu.Lock()
 				defer c.mu.Unlock()
-				return p.open == open && c.open == open && len(p.idle) == open
+				return p.openConns == open && c.openConns == open && len(p.idle) == open
 			})
 		})
 	}
@@ -152,7 +152,7 @@
 	d, c := newDials(true)
 	p := c.Pool("127.0.0.1:1")
 	defer p.Close()
-	c.late.budget = 0
+	c.dials.budget = 0
 	ctx, give := context.WithCancel(t.Context())
 	one := begin(ctx, p, "one") // brings half of one
 	<-d.began
@@ -162,8 +162,8 @@
 	give()
 	<-one
 	<-two
-	if n := len(d.began); n > 0 || c.late.budget >= 1 {
-		t.Errorf("%d more were begun, %.1f are left", n, c.late.budget)
+	if n := len(d.began); n > 0 || c.dials.budget >= 1 {
+		t.Errorf("%d more were begun, %.1f are left", n, c.dials.budget)
 	}
 }
 
@@ -177,7 +177,7 @@
 		}
 		a.OK()
 	})
-	c := NewClient(Options{DialTimeout: lbtest.Wait, Idle: 10 * lbtest.Wait, Settle: 5 * lbtest.Wait, Max: 64})
+	c := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: 10 * lbtest.Wait, SettleTime: 5 * lbtest.Wait, MaxConns: 64})
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	for _, id := range strings.Fields("one two three") {
@@ -185,7 +185,7 @@
 			t.Errorf("%s: verdict %d, %q", id, v, body)
 		}
 	}
-	if n := c.Open(); n != 3 {
+	if n := c.OpenConns(); n != 3 {
 		t.Errorf("%d connections", n)
 	}
 }
@@ -194,7 +194,7 @@
 func TestUnsettled(t *testing.T) {
 	t.Parallel()
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
-	c := NewClient(Options{DialTimeout: lbtest.Wait, Idle: 10 * lbtest.Wait, Settle: 5 * lbtest.Wait, Max: 1})
+	c := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: 10 * lbtest.Wait, SettleTime: 5 * lbtest.Wait, MaxConns: 1})
 	p := c.Pool(e.Addr)
 	defer p.Close()
 	for _, id := range strings.Fields("one two") {
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -20,16 +20,16 @@
 	"silvertrail/lbpolicy"
 )
 
-const notProcessed = "X-Not-Processed"
+const notProcessedHeader = "X-Not-Processed"
 
 // Request is what goes to an endpoint, the same with each attempt.
 type Request struct {
 	Method, Target, Host string
 	Header               http.Header // end-to-end headers
 	Body                 []byte
-	Rest                 Body // what comes behind it; nil: nothing does
+	Stream               RequestStream // what comes behind it; nil: nothing does
 	Deadline             time.Time
-	Left                 time.Duration // once a body that is still coming has come
+	TimeLeft             time.Duration // once a body that is still coming has come
 }
 
 // Options bound a client.
@@ -37,23 +37,23 @@
 	DialTimeout time.Duration
 	// Dial makes connections, each within DialTimeout by its context; nil: over TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Idle is for how long a connection may have stood idle to be used again: for less than endpoints keep it, or a
+	// IdleTimeout is for how long a connection may have stood idle to be used again: for less than endpoints keep it, or a
 	// request would be written to it in vain.
-	Idle time.Duration
-	// Settle is for how long a connection is left alone after an answer where another can be had: what an endpoint writes
+	IdleTimeout time.Duration
+	// SettleTime is for how long a connection is left alone after an answer where another can be had: what an endpoint writes
 	// behind an answer, and late, would be taken for the answer to the next request. 0: not at all.
-	Settle time.Duration
-	// Again has a second connection begun where one comes up late, see dial.go.
-	Again bool
-	Max   int // connections
-	// Share is the client's part of what the process may open, one unit for each connection; nil: no bound but Max.
-	Share *limit.Share
-	// Scarce is called where the process has no descriptor for a connection, to have others give some back; nil: nobody can.
-	Scarce func()
-	// Sent is called for each request whose last byte has been written; nil: nobody counts. It must not block.
-	Sent func()
-	// Most is how large an answer may be that is passed on as it comes. Under 64 KiB answers are held whole.
-	Most int64
+	SettleTime time.Duration
+	// HedgeDials has a second connection begun where one comes up late, see dial.go.
+	HedgeDials bool
+	MaxConns   int // connections
+	// Allocation is the client's part of what the process may open, one unit for each connection; nil: no bound but Max.
+	Allocation *limit.Allocation
+	// OnExhausted is called where the process has no descriptor for a connection, to have others give some back; nil: nobody can.
+	OnExhausted func()
+	// OnSent is called for each request whose last byte has been written; nil: nobody counts. It must not block.
+	OnSent func()
+	// MaxStreamBytes is how large an answer may be that is passed on as it comes. Under 64 KiB answers are held whole.
+	MaxStreamBytes int64
 	// AnyStatus takes every answer that an endpoint means for the caller as served (2xx, 3xx and 4xx but 408 and 429).
 	// Without it 200 alone is.
 	AnyStatus bool
@@ -63,20 +63,20 @@
 type Client struct {
 	Options
 
-	mu       sync.Mutex
-	limit    idleLimit
-	late     lateDials
-	open     int
-	pools    map[*Pool]struct{}
-	sweeping bool
+	mu        sync.Mutex
+	idle      idleLimit
+	dials     dialHedging
+	openConns int
+	pools     map[*Pool]struct{}
+	sweeping  bool
 }
 
-// sweepEvery is how often connections that stand idle are looked at.
-const sweepEvery = 500 * time.Millisecond
+// sweepInterval is how often connections that stand idle are looked at.
+const sweepInterval = 500 * time.Millisecond
 
 // NewClient returns a client. What is held for answers is bounded by the connections too: 64 KiB for each.
 func NewClient(o Options) *Client {
-	return &Client{Options: o, limit: idleLimit{most: o.Idle, found: o.Idle}, late: lateDials{budget: 1}, pools: map[*Pool]struct{}{}}
+	return &Client{Options: o, idle: idleLimit{configured: o.IdleTimeout, learned: o.IdleTimeout}, dials: dialHedging{budget: 1}, pools: map[*Pool]struct{}{}}
 }
 
 // SetDialTimeout sets how long a connection may take that is begun from now on.
@@ -86,24 +86,24 @@
 	c.DialTimeout = d
 }
 
-// SetMax sets how many connections there may be. Idle ones beyond it are closed, those in use end with their attempts.
-func (c *Client) SetMax(n int) {
+// SetMaxConns sets how many connections there may be. Idle ones beyond it are closed, those in use end with their attempts.
+func (c *Client) SetMaxConns(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.Max = n
-	for c.open > n && c.shed() {
+	c.MaxConns = n
+	for c.openConns > n && c.closeOldestIdle() {
 	}
 }
 
-// SetIdle sets for how long a connection may have stood idle to be used again.
-func (c *Client) SetIdle(d time.Duration) {
+// SetIdleTimeout sets for how long a connection may have stood idle to be used again.
+func (c *Client) SetIdleTimeout(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch l := &c.limit; {
-	case l.found >= l.most: // nothing shorter has been found
-		l.most, l.found = d, d
-	case d != l.most:
-		*l = idleLimit{most: d, found: min(l.now(), d), since: time.Now()}
+	switch l := &c.idle; {
+	case l.learned >= l.configured: // nothing shorter has been found
+		l.configured, l.learned = d, d
+	case d != l.configured:
+		*l = idleLimit{configured: d, learned: min(l.current(), d), learnedAt: time.Now()}
 	}
 }
 
@@ -115,38 +115,38 @@
 // behind one address). Connections that break at any age drive it to its floor, where all it costs is a handshake for
 // most requests: much less than a call that may have run and must not be repeated.
 type idleLimit struct {
-	most, found time.Duration
-	since       time.Time // found was lowered last
+	configured, learned time.Duration
+	learnedAt           time.Time // found was lowered last
 }
 
 const (
-	idleFloor  = 50 * time.Millisecond
-	idleDouble = 30 * time.Second       // in which a limit that has been found doubles
-	staleIn    = 100 * time.Millisecond // a connection that had been lost breaks this soon; later it was the request
+	minIdleLimit     = 50 * time.Millisecond
+	idleDoublingTime = 30 * time.Second       // in which a limit that has been found doubles
+	staleBreakTime   = 100 * time.Millisecond // a connection that had been lost breaks this soon; later it was the request
 )
 
-func (l *idleLimit) now() time.Duration {
-	if l.found >= l.most {
-		return l.most
+func (l *idleLimit) current() time.Duration {
+	if l.learned >= l.configured {
+		return l.configured
 	}
-	rise := math.Exp2(float64(time.Since(l.since)) / float64(idleDouble))
-	return time.Duration(min(float64(l.found)*rise, float64(l.most)))
+	rise := math.Exp2(float64(time.Since(l.learnedAt)) / float64(idleDoublingTime))
+	return time.Duration(min(float64(l.learned)*rise, float64(l.configured)))
 }
 
-func (l *idleLimit) broke(stood time.Duration) {
-	l.found, l.since = min(max(stood*3/4, idleFloor), l.now()), time.Now()
+func (l *idleLimit) recordBreak(stood time.Duration) {
+	l.learned, l.learnedAt = min(max(stood*3/4, minIdleLimit), l.current()), time.Now()
 }
 
-// Open returns the number of connections that are open or being opened.
-func (c *Client) Open() int {
+// OpenConns returns the number of connections that are open or being opened.
+func (c *Client) OpenConns() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open
+	return c.openConns
 }
 
 // Pool returns a pool of connections to an address.
 func (c *Client) Pool(addr string) *Pool {
-	p := &Pool{client: c, addr: addr}
+	p := &Pool{client: c, address: addr}
 	c.mu.Lock()
 	c.pools[p] = struct{}{}
 	c.mu.Unlock()
@@ -155,75 +155,75 @@
 
 // Pool holds the connections to one endpoint. An address that changes gets a new pool.
 type Pool struct {
-	client *Client
-	addr   string
-	open   int
-	idle   []*conn // last used last
-	closed bool
+	client    *Client
+	address   string
+	openConns int
+	idle      []*conn // last used last
+	closed    bool
 }
 
 // Do sends the request once. Claim is called just before the first byte is written: where it returns false nothing
 // is written. The answer is not nil only where one has come whole: the verdict is OK, Error, Rejected or ServerFull.
 // When Do returns the attempt's connection is closed or stands idle.
-func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (lbpolicy.Verdict, *Answer, error) {
-	c, verdict, err := p.take(ctx)
+func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (lbpolicy.Verdict, *Response, error) {
+	c, verdict, err := p.acquire(ctx)
 	if c == nil {
 		return verdict, nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	began := time.Now()
 	verdict, answer, keep, err := p.attempt(c, r, claim)
-	if verdict == lbpolicy.Reset && !c.idleSince.IsZero() && time.Since(began) < staleIn && ctx.Err() == nil {
+	if verdict == lbpolicy.Reset && !c.idleSince.IsZero() && time.Since(began) < staleBreakTime && ctx.Err() == nil {
 		p.client.mu.Lock()
-		p.client.limit.broke(c.stood)
+		p.client.idle.recordBreak(c.idleFor)
 		p.client.mu.Unlock()
 	}
-	if answer != nil && answer.Rest != nil {
-		answer.Rest.closed = func(r *Rest) { p.release(c, stop() && r.over && r.keep && c.settled()) }
+	if answer != nil && answer.Stream != nil {
+		answer.Stream.onRelease = func(r *ResponseStream) { p.release(c, stop() && r.complete && r.reusable && c.resetAfterStream()) }
 		return verdict, answer, err
 	}
 	p.release(c, stop() && keep)
 	return verdict, answer, err
 }
 
-func (p *Pool) attempt(c *conn, r *Request, claim func() bool) (v lbpolicy.Verdict, a *Answer, keep bool, err error) {
+func (p *Pool) attempt(c *conn, r *Request, claim func() bool) (v lbpolicy.Verdict, a *Response, keep bool, err error) {
 	if !claim() {
 		return lbpolicy.NotSent, nil, true, nil
 	}
 	timeout := time.Until(r.Deadline)
-	if r.Rest != nil {
-		timeout = r.Left
+	if r.Stream != nil {
+		timeout = r.TimeLeft
 	}
-	whole, err := c.send(r, timeout)
+	whole, err := c.writeRequest(r, timeout)
 	switch {
-	case errors.Is(err, errCaller):
+	case errors.Is(err, errRequestBody):
 		return lbpolicy.NotSent, nil, false, err
-	case !whole && !errors.Is(err, errEarly):
+	case !whole && !errors.Is(err, errEarlyResponse):
 		return lbpolicy.ConnectFailed, nil, false, errors.New("broken before the request was written")
 	}
-	if whole && p.client.Sent != nil {
-		p.client.Sent()
+	if whole && p.client.OnSent != nil {
+		p.client.OnSent()
 	}
-	a, keep, err = c.receive(r.Method == http.MethodHead, timeout)
+	a, keep, err = c.readResponse(r.Method == http.MethodHead, timeout)
 	switch {
-	case err != nil && !whole && !errors.Is(err, errSpoilt): // it ended with the request still coming
+	case err != nil && !whole && !errors.Is(err, errMalformed): // it ended with the request still coming
 		return lbpolicy.ConnectFailed, nil, false, err
-	case errors.Is(err, errSpoilt): // the endpoint has answered, if badly: no break of its connections or process
+	case errors.Is(err, errMalformed): // the endpoint has answered, if badly: no break of its connections or process
 		return lbpolicy.Error, nil, false, err
 	case err != nil && !c.idleSince.IsZero():
-		return lbpolicy.Reset, nil, false, fmt.Errorf("used again after %v: %w", c.stood.Round(time.Millisecond), err)
+		return lbpolicy.Reset, nil, false, fmt.Errorf("used again after %v: %w", c.idleFor.Round(time.Millisecond), err)
 	case err != nil:
 		return lbpolicy.Reset, nil, false, err
 	}
-	if v = verdict(a, p.client.AnyStatus); v != lbpolicy.OK {
+	if v = classify(a, p.client.AnyStatus); v != lbpolicy.OK {
 		err = fmt.Errorf("status %d: %.60q", a.Status, a.Body)
 	}
 	return v, a, keep && whole, err
 }
 
-// verdict tells what an endpoint's answer means.
-func verdict(a *Answer, any bool) lbpolicy.Verdict {
-	unseen := a.Header.Get(notProcessed) == "1"
+// classify tells what an endpoint's answer means.
+func classify(a *Response, any bool) lbpolicy.Verdict {
+	unseen := a.Header.Get(notProcessedHeader) == "1"
 	switch {
 	case a.Status == http.StatusOK:
 		return lbpolicy.OK
@@ -240,8 +240,8 @@
 	return lbpolicy.Error
 }
 
-// take returns an idle connection or a new one. Where it returns none, the verdict says why.
-func (p *Pool) take(ctx context.Context) (*conn, lbpolicy.Verdict, error) {
+// acquire returns an idle connection or a new one. Where it returns none, the verdict says why.
+func (p *Pool) acquire(ctx context.Context) (*conn, lbpolicy.Verdict, error) {
 	for {
 		c, ok := p.reserve()
 		if c == nil && !ok {
@@ -250,7 +250,7 @@
 		if c == nil {
 			break
 		}
-		if c.quiet() {
+		if c.isClean() {
 			return c, lbpolicy.OK, nil
 		}
 		p.release(c, false)
@@ -258,13 +258,13 @@
 	nc, err := p.connect(ctx)
 	var c *conn
 	if err == nil {
-		if c, err = newConn(nc, p.client.Most); err != nil {
+		if c, err = newConn(nc, p.client.MaxStreamBytes); err != nil {
 			nc.Close()
 		}
 	}
 	if err != nil {
 		p.client.mu.Lock()
-		p.freed()
+		p.releasePlace()
 		p.client.mu.Unlock()
 		if scarce.Descriptors(err) { // says nothing of the endpoint
 			return nil, lbpolicy.NotSent, err
@@ -281,16 +281,16 @@
 	defer p.client.mu.Unlock()
 	for n := len(p.idle) - 1; n >= 0; n-- {
 		c := p.idle[n]
-		if c.stood = time.Since(c.idleSince); c.stood < p.client.Settle {
+		if c.idleFor = time.Since(c.idleSince); c.idleFor < p.client.SettleTime {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, n, n+1)
-		if c.stood <= p.client.limit.now() {
+		if c.idleFor <= p.client.idle.current() {
 			return c, true
 		}
 		p.discard(c)
 	}
-	if p.room() {
+	if p.reservePlace() {
 		return nil, true
 	}
 	if len(p.idle) > 0 { // better one that has not settled than none
@@ -301,23 +301,23 @@
 	return nil, false
 }
 
-// room takes a place for a new connection, and tells whether there was one. The caller holds the lock.
-func (p *Pool) room() bool {
+// reservePlace takes a place for a new connection, and tells whether there was one. The caller holds the lock.
+func (p *Pool) reservePlace() bool {
 	// One endpoint that hangs must not hold the connections of all.
-	if p.open >= max(p.client.Max/4, 1) || p.client.open >= p.client.Max && !p.client.shed() {
+	if p.openConns >= max(p.client.MaxConns/4, 1) || p.client.openConns >= p.client.MaxConns && !p.client.closeOldestIdle() {
 		return false
 	}
-	if s := p.client.Share; s != nil && !s.TryAcquire(1) && !(p.client.shed() && s.TryAcquire(1)) {
+	if s := p.client.Allocation; s != nil && !s.TryAcquire(1) && !(p.client.closeOldestIdle() && s.TryAcquire(1)) {
 		return false
 	}
-	p.open++
-	p.client.open++
+	p.openConns++
+	p.client.openConns++
 	return true
 }
 
-// shed closes the connection that has stood idle longest, of whatever endpoint: the least likely to be missed. The
+// closeOldestIdle closes the connection that has stood idle longest, of whatever endpoint: the least likely to be missed. The
 // caller holds the lock.
-func (c *Client) shed() bool {
+func (c *Client) closeOldestIdle() bool {
 	var from *Pool
 	for p := range c.pools {
 		if len(p.idle) > 0 && (from == nil || p.idle[0].idleSince.Before(from.idle[0].idleSince)) {
@@ -336,15 +336,15 @@
 // discard closes a connection that is on no list. The caller holds the lock.
 func (p *Pool) discard(c *conn) {
 	c.Close()
-	p.freed()
+	p.releasePlace()
 }
 
-// freed gives back room for a connection. The caller holds the lock.
-func (p *Pool) freed() {
-	p.open--
-	p.client.open--
-	if p.client.Share != nil {
-		p.client.Share.Release(1)
+// releasePlace gives back room for a connection. The caller holds the lock.
+func (p *Pool) releasePlace() {
+	p.openConns--
+	p.client.openConns--
+	if p.client.Allocation != nil {
+		p.client.Allocation.Release(1)
 	}
 }
 
@@ -360,7 +360,7 @@
 	p.idle = append(p.idle, c)
 	if !p.client.sweeping {
 		p.client.sweeping = true
-		time.AfterFunc(sweepEvery, p.client.sweep)
+		time.AfterFunc(sweepInterval, p.client.sweep)
 	}
 }
 
@@ -370,10 +370,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sweeping = false
-	limit := c.limit.now()
+	limit := c.idle.current()
 	for p := range c.pools {
 		p.idle = slices.DeleteFunc(p.idle, func(ic *conn) bool {
-			over := time.Since(ic.idleSince) > limit || !ic.quiet()
+			over := time.Since(ic.idleSince) > limit || !ic.isClean()
 			if over {
 				p.discard(ic)
 			}
@@ -382,7 +382,7 @@
 		c.sweeping = c.sweeping || len(p.idle) > 0
 	}
 	if c.sweeping {
-		time.AfterFunc(sweepEvery, c.sweep)
+		time.AfterFunc(sweepInterval, c.sweep)
 	}
 }
 
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -22,7 +22,7 @@
 }
 
 func newClient(idle time.Duration) *Client {
-	return NewClient(Options{DialTimeout: lbtest.Wait, Idle: idle, Max: 4})
+	return NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: idle, MaxConns: 4})
 }
 
 func yes() bool { return true }
@@ -102,7 +102,7 @@
 	if odd && second != 0 {
 		t.Error("the next request went out on the same connection")
 	}
-	if n := c.Open(); n != 1 {
+	if n := c.OpenConns(); n != 1 {
 		t.Errorf("%d connections are open", n)
 	}
 }
@@ -184,7 +184,7 @@
 			if v, _ := do(t, p, "one"); v != lbpolicy.OK {
 				t.Fatal(v)
 			}
-			lbtest.Until(t, "no connection open", func() bool { return c.Open() == 0 })
+			lbtest.Until(t, "no connection open", func() bool { return c.OpenConns() == 0 })
 		})
 	}
 }
@@ -227,7 +227,7 @@
 func TestAnyStatus(t *testing.T) {
 	var answer atomic.Value
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.Write([]byte(answer.Load().(string))) })
-	p := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 4, AnyStatus: true}).Pool(e.Addr)
+	p := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 4, AnyStatus: true}).Pool(e.Addr)
 	for head, want := range map[string]lbpolicy.Verdict{
 		"201 Created": lbpolicy.OK, "204 No Content": lbpolicy.OK, "302 Found": lbpolicy.OK, "404 Not Found": lbpolicy.OK,
 		"408 Request Timeout": lbpolicy.Error, "429 Too Many Requests": lbpolicy.Error, "500 Oops": lbpolicy.Error,
@@ -254,9 +254,9 @@
 func TestShare(t *testing.T) {
 	hung := lbtest.NewEndpoint(t, nil)
 	total := limit.NewPool(3)
-	share := func() *limit.Share { return total.Share(1, 2) }
-	a := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 8, Share: share()})
-	b := NewClient(Options{DialTimeout: lbtest.Wait, Idle: lbtest.Wait, Max: 8, Share: share()})
+	share := func() *limit.Allocation { return total.Allocate(1, 2) }
+	a := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 8, Allocation: share()})
+	b := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 8, Allocation: share()})
 	ctx, cancel := context.WithCancel(t.Context())
 	var held sync.WaitGroup
 	for range 2 {
@@ -283,10 +283,10 @@
 // A spoilt answer must leave a request the time for another attempt, whatever the deadlines of its customer.
 func TestStallIn(t *testing.T) {
 	for left, want := range map[time.Duration]time.Duration{
-		6 * time.Second: answerIn, 3 * time.Second: answerIn, 1100 * time.Millisecond: 275 * time.Millisecond,
-		200 * time.Millisecond: answerLeast, -time.Second: answerLeast, 100 * time.Second: answerIn,
+		6 * time.Second: maxStall, 3 * time.Second: maxStall, 1100 * time.Millisecond: 275 * time.Millisecond,
+		200 * time.Millisecond: minStall, -time.Second: minStall, 100 * time.Second: maxStall,
 	} {
-		if got := stallIn(left); got != want {
+		if got := stallTimeout(left); got != want {
 			t.Errorf("%v left: %v, want %v", left, got, want)
 		}
 	}
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -36,7 +36,7 @@
 	// Most is how many bytes a body may have.
 	Most() int64
 	// Stream is Do for a request whose body is held up to a point and comes as it is read beyond that.
-	Stream(ctx context.Context, held []byte, rest *Rest) host.Answer
+	Stream(ctx context.Context, held []byte, rest *Rest) host.Result
 }
 
 // body is a request's body and what it holds of the memory that all bodies share.
@@ -150,8 +150,8 @@
 // Length returns the length of the whole body, -1 where it is not told.
 func (r *Rest) Length() int64 { return r.length }
 
-// Take tells whether nobody else has taken the rest before.
-func (r *Rest) Take() bool {
+// Acquire tells whether nobody else has taken the rest before.
+func (r *Rest) Acquire() bool {
 	r.stop.Lock()
 	defer r.stop.Unlock()
 	if r.taken || r.stopped {
@@ -186,8 +186,8 @@
 	return n, err
 }
 
-// Over tells that the body has come whole.
-func (r *Rest) Over() bool {
+// IsComplete tells that the body has come whole.
+func (r *Rest) IsComplete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.err == nil && r.over()
@@ -252,8 +252,8 @@
 	return errBody
 }
 
-// Whole tells that the body has been passed on whole: from now on its caller is watched, as that of any request in work.
-func (r *Rest) Whole() {
+// Sent tells that the body has been passed on whole: from now on its caller is watched, as that of any request in work.
+func (r *Rest) Sent() {
 	r.mu.Lock() // nothing is being read
 	defer r.mu.Unlock()
 	r.stop.Lock()
--- a/internal/edge/frontend/conn.go
+++ b/internal/edge/frontend/conn.go
@@ -79,7 +79,7 @@
 	if at, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.from = at.AddrPort().Addr().Unmap()
 	}
-	c.ctx, c.cancel = context.WithCancel(host.WithLeft(context.Background(), c.left))
+	c.ctx, c.cancel = context.WithCancel(host.WithDisconnectCheck(context.Background(), c.left))
 	return c, nil
 }
 
--- a/internal/edge/frontend/end_test.go
+++ b/internal/edge/frontend/end_test.go
@@ -43,7 +43,7 @@
 				t.Fatal(status)
 			}
 			by := time.Now().Add(lbtest.Wait)
-			d.host.End(by)
+			d.host.ShutDownBy(by)
 			ended := make(chan struct{})
 			go func() { d.End(time.Now(), by); close(ended) }()
 			if rest := idle.Ended(); rest != "" { // what stands idle has been closed
@@ -66,7 +66,7 @@
 	d := open(t, 8, 1<<20, false, func(a *lbtest.Arrival) { arrived <- a })
 	c := d.call(t, lbtest.Get("held"))
 	<-arrived
-	d.host.End(time.Now())
+	d.host.ShutDownBy(time.Now())
 	if status, _ := c.Answer(); status < 500 {
 		t.Errorf("held: %d", status)
 	}
--- a/internal/edge/frontend/frontend.go
+++ b/internal/edge/frontend/frontend.go
@@ -48,9 +48,9 @@
 	Bodies() Budget
 	// Do gives the request, now whole, its one final answer. Where ctx ends the caller has gone: what comes back then
 	// is read by nobody unless it is a reply.
-	Do(ctx context.Context, body []byte) host.Answer
+	Do(ctx context.Context, body []byte) host.Result
 	// Reply gives the answer in place of the front's own wording; nil where the front's is right.
-	Reply(a host.Answer) *Reply
+	Reply(a host.Result) *Reply
 	// End follows every exchange, also one whose body never came.
 	End()
 }
@@ -310,7 +310,7 @@
 		return
 	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
 		c.unread()
-		c.final(x, host.Answer{Refused: true, RetryAfter: memoryRetry})
+		c.final(x, host.Result{Rejected: true, RetryAfter: memoryRetry})
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.turnAway(http.StatusRequestTimeout)
@@ -343,8 +343,8 @@
 	if c.ctx.Err() != nil {
 		c.ends = true
 	}
-	if fault := b.rest.fault(); fault != nil && a.Reply == nil {
-		x.Reply(host.Answer{}) // a failure, whatever the decisions made of it
+	if fault := b.rest.fault(); fault != nil && a.Response == nil {
+		x.Reply(host.Result{}) // a failure, whatever the decisions made of it
 		switch {
 		case errors.Is(fault, errTooLarge):
 			c.turnAway(http.StatusRequestEntityTooLarge)
@@ -355,7 +355,7 @@
 		}
 		return
 	}
-	if !b.rest.Over() || c.behind() {
+	if !b.rest.IsComplete() || c.behind() {
 		c.unread()
 	}
 	c.final(x, a)
@@ -365,14 +365,14 @@
 const memoryRetry = time.Second
 
 // final gives the caller its answer, in the exchange's words where it has some.
-func (c *callerConn) final(x Exchange, a host.Answer) {
+func (c *callerConn) final(x Exchange, a host.Result) {
 	own := x.Reply(a)
 	if own == nil {
 		c.answer(a)
 		return
 	}
-	if a.Reply != nil && a.Reply.Rest != nil {
-		a.Reply.Rest.Close()
+	if a.Response != nil && a.Response.Stream != nil {
+		a.Response.Stream.Close()
 	}
 	if own.Close {
 		c.unread()
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -31,9 +31,9 @@
 		t.Fatal(err)
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
-		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64,
-			Most: sidecar.MostBody}), Log: quiet})
+	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64,
+			MaxStreamBytes: sidecar.MostBody}), Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +41,7 @@
 	for i, address := range strings.Split(endpoint, " ") {
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
 	}
-	h.Members(lbpolicy.Full, list)
+	h.UpdateEndpoints(lbpolicy.Full, list)
 	s := frontend.New(sidecar.NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	s.Ready()
 	go s.Serve()
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -86,7 +86,7 @@
 type door struct {
 	*frontend.Server
 	*listener
-	host   *host.Host
+	host   *host.Engine
 	client *upstream.Client
 	addr   string
 	secure *tls.Config // of callers; nil: plain
@@ -121,8 +121,8 @@
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
-	d.client = upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, Idle: time.Second, Max: 64, Dial: dial, Again: true, Most: sidecar.MostBody})
-	d.host, err = host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {}, Client: d.client, Log: quiet})
+	d.client = upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, IdleTimeout: time.Second, MaxConns: 64, Dial: dial, HedgeDials: true, MaxStreamBytes: sidecar.MostBody})
+	d.host, err = host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {}, Client: d.client, Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,7 +140,7 @@
 		})
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
 	}
-	d.host.Members(lbpolicy.Full, list)
+	d.host.UpdateEndpoints(lbpolicy.Full, list)
 	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Board{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	if secure {
 		dir := t.TempDir()
@@ -296,7 +296,7 @@
 	"a dial while the process ends": {wait: func(t *testing.T, d *door) (*caller, func()) {
 		c, goOn := dialling(t, d, lbtest.Get("left"), late)
 		by := time.Now().Add(lbtest.Wait)
-		d.host.End(by)
+		d.host.ShutDownBy(by)
 		go d.End(time.Now(), by)
 		return c, goOn
 	}},
@@ -411,7 +411,7 @@
 // gone waits until nobody is there, and holds what came to the endpoints against what must not have.
 func gone(t *testing.T, d *door, not ...string) {
 	t.Helper()
-	lbtest.Until(t, "no connection and no call is held", func() bool { return d.Conns() == 0 && d.host.Held() == 0 })
+	lbtest.Until(t, "no connection and no call is held", func() bool { return d.Conns() == 0 && d.host.InFlight() == 0 })
 	for _, id := range d.got() {
 		if slices.Contains(not, id) {
 			t.Errorf("%q came to an endpoint", id)
--- a/internal/edge/frontend/pass.go
+++ b/internal/edge/frontend/pass.go
@@ -22,9 +22,9 @@
 // pass gives the caller an answer of an endpoint whose body is still coming, piece by piece: the endpoint is read as fast as
 // the caller reads. One that breaks off ends the connection so that the caller can tell: short of its length, without its
 // last chunk, or by a reset.
-func (c *callerConn) pass(a *upstream.Answer) {
-	defer a.Rest.Close()
-	size := a.Rest.Length()
+func (c *callerConn) pass(a *upstream.Response) {
+	defer a.Stream.Close()
+	size := a.Stream.Length()
 	chunks := size < 0 && c.request.Proto != "HTTP/1.0"
 	if size < 0 && !chunks {
 		c.ends = true
@@ -40,7 +40,7 @@
 		if len(piece) > 0 && !c.piece(piece, chunks) {
 			return
 		}
-		n, err := a.Rest.Read(*pooled)
+		n, err := a.Stream.Read(*pooled)
 		piece = (*pooled)[:n]
 		switch {
 		case err == io.EOF:
@@ -50,7 +50,7 @@
 			if chunks && !c.deliver(passIn, []byte("0\r\n\r\n")) {
 				return
 			}
-			a.Rest.Whole()
+			a.Stream.MarkDelivered()
 			return
 		case err != nil:
 			c.cut()
--- a/internal/edge/frontend/write.go
+++ b/internal/edge/frontend/write.go
@@ -21,15 +21,15 @@
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
 // answer gives the caller its final answer.
-func (c *callerConn) answer(a host.Answer) {
+func (c *callerConn) answer(a host.Result) {
 	switch {
-	case a.Reply != nil:
-		if a.Reply.Rest != nil {
-			c.pass(a.Reply)
+	case a.Response != nil:
+		if a.Response.Stream != nil {
+			c.pass(a.Response)
 			return
 		}
-		c.put(a.Reply.Status, a.Reply.Header, a.Reply.Body, true)
-	case a.Refused:
+		c.put(a.Response.Status, a.Response.Header, a.Response.Body, true)
+	case a.Rejected:
 		r := &Reply{Status: http.StatusServiceUnavailable}
 		if a.RetryAfter > 0 {
 			r.Header = http.Header{"Retry-After": {strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -108,7 +108,7 @@
 }
 
 func (f *Fleet) asks(key string, zone string, life time.Duration) ownership.Proposal {
-	return ownership.Proposal{Attempt: f.NextAttemptID(), Key: history.IDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: lbpolicy.ScopeZone,
+	return ownership.Proposal{Attempt: f.NextAttemptID(), Key: history.KeyIDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: lbpolicy.ScopeZone,
 		Window: time.Second, Retention: time.Second, TTL: life}
 }
 
@@ -170,7 +170,7 @@
 				a := f.asks(k, zone, 600*time.Millisecond)
 				state, past := f.ClaimKey(ctx, a)
 				now := time.Now()
-				sends := state == ownership.Claimed && now.Before(past.Until) && now.Before(made.Add(a.TTL))
+				sends := state == ownership.Claimed && now.Before(past.RetryUntil) && now.Before(made.Add(a.TTL))
 				mu.Lock()
 				counts[state]++
 				if sends {
@@ -251,11 +251,11 @@
 	if back.process == c.all[2].process {
 		t.Error("the same process twice")
 	}
-	if _, silent, voter := back.VoterKeyState(history.ID{}, lbpolicy.ScopeAll); !voter || silent == 0 {
+	if _, silent, voter := back.VoterKeyState(history.KeyID{}, lbpolicy.ScopeAll); !voter || silent == 0 {
 		t.Error("a voter that was started anew votes at once")
 	}
 	lbtest.Until(t, "it has learnt from the others", func() bool {
-		_, silent, _ := back.VoterKeyState(history.ID{}, lbpolicy.ScopeAll)
+		_, silent, _ := back.VoterKeyState(history.KeyID{}, lbpolicy.ScopeAll)
 		return silent == 0
 	})
 }
@@ -283,11 +283,11 @@
 	c.links.Slow(400 * time.Millisecond) // a copy takes longer than the time between two asks for one
 	c.all[1] = c.start(1, false, old.options.Voters...)
 	lbtest.Until(t, "it speaks again", func() bool {
-		_, silent, _ := c.all[1].VoterKeyState(history.ID{}, lbpolicy.ScopeAll)
+		_, silent, _ := c.all[1].VoterKeyState(history.KeyID{}, lbpolicy.ScopeAll)
 		return silent == 0
 	})
 	for i := range n {
-		if p, _, _ := c.all[1].VoterKeyState(history.IDOf("", fmt.Sprint("k", i)), lbpolicy.ScopeZone); !p.Known || p.Place.Zone != "north" {
+		if p, _, _ := c.all[1].VoterKeyState(history.KeyIDOf("", fmt.Sprint("k", i)), lbpolicy.ScopeZone); !p.Known || p.Place.Zone != "north" {
 			t.Fatalf("key %d: %+v", i, p)
 		}
 	}
--- a/internal/fleet/format_test.go
+++ b/internal/fleet/format_test.go
@@ -19,7 +19,7 @@
 var (
 	formatTry   = ownership.AttemptID{Process: 0x0102030405060708, Number: 9}
 	formatPlace = history.Place{Cluster: "cluster-a", Zone: "zone-b", Cell: 3}
-	formatID    = history.ID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+	formatID    = history.KeyID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
 	formatHash  = version.Hash{21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36}
 	formatDelta = membership.Delta{
 		Remove: []membership.Member{{Name: "removed", Address: "127.0.0.1:31", Incarnation: 31}},
--- a/internal/fleet/ownership/message.go
+++ b/internal/fleet/ownership/message.go
@@ -20,7 +20,7 @@
 type Proposal struct {
 	Attempt   AttemptID
 	Round     uint32 // of the attempt; a proposal with another place has a higher one and replaces the earlier one
-	Key       history.ID
+	Key       history.KeyID
 	Place     history.Place
 	Scope     lbpolicy.Scope
 	Window    time.Duration
@@ -56,7 +56,7 @@
 
 // KeyState is what one voter tells another about a key. Times count from the message on.
 type KeyState struct {
-	Key          history.ID
+	Key          history.KeyID
 	Place        history.Place
 	SeveralZones bool // attempts went to several zones
 	SeveralCells bool // attempts went to several cells
--- a/internal/fleet/ownership/model_test.go
+++ b/internal/fleet/ownership/model_test.go
@@ -110,7 +110,7 @@
 		switch state, past := r.proposer.State(); {
 		case r.started:
 			add("ended %d", i)
-		case state == Claimed && r.proposer.IsValid(w.now) && w.now.Before(past.Until):
+		case state == Claimed && r.proposer.IsValid(w.now) && w.now.Before(past.RetryUntil):
 			add("start %d", i)
 		case state == OwnedElsewhere && !r.adopted:
 			add("adopt %d", i)
@@ -142,7 +142,7 @@
 	r := w.requests[i]
 	r.place = place
 	a := Proposal{Attempt: AttemptID{uint64(10*w.script[i].process + w.incarnations[w.script[i].process]), uint64(i)}, Round: uint32(len(r.proposals)),
-		Key: history.IDOf("", w.script[i].key), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+		Key: history.KeyIDOf("", w.script[i].key), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	r.proposer = NewProposer(w.now, a, 3)
 	r.proposals = append(r.proposals, a)
 }
@@ -208,7 +208,7 @@
 		if r == nil || r.done || r.started {
 			continue
 		}
-		if state, past := r.proposer.State(); state == Claimed && r.proposer.IsValid(w.now) && w.now.Before(past.Until) {
+		if state, past := r.proposer.State(); state == Claimed && r.proposer.IsValid(w.now) && w.now.Before(past.RetryUntil) {
 			could = append(could, start{w.script[i].key, r.place, w.now})
 		}
 	}
@@ -235,8 +235,8 @@
 		for _, h := range v.grants {
 			lines = append(lines, fmt.Sprint(h.attempt, h.round, h.place.Zone, h.ended))
 		}
-		v.table.Each(w.now, func(k history.Key) bool {
-			lines = append(lines, fmt.Sprintf("%x %v %d %d %t %d %d", k.ID[:2], k.Past.Place.Zone, at(k.Past.Until), at(k.Expire), k.Zones, k.InWork, k.Out))
+		v.table.Each(w.now, func(k history.Record) bool {
+			lines = append(lines, fmt.Sprintf("%x %v %d %d %t %d %d", k.ID[:2], k.KeyState.Place.Zone, at(k.KeyState.RetryUntil), at(k.ExpiresAt), k.SeveralZones, k.Requests, k.InFlight))
 			return true
 		})
 		slices.Sort(lines)
@@ -251,7 +251,7 @@
 			continue
 		}
 		state, past := r.proposer.State()
-		fmt.Fprint(&b, "|", len(r.proposals), r.place.Zone, r.done, r.started, r.adopted, r.release, state, at(past.Until), at(r.proposer.madeAt), r.proposer.responded)
+		fmt.Fprint(&b, "|", len(r.proposals), r.place.Zone, r.done, r.started, r.adopted, r.release, state, at(past.RetryUntil), at(r.proposer.madeAt), r.proposer.responded)
 		for v := range w.voters {
 			fmt.Fprint(&b, r.proposer.responses[v].Vote, r.proposer.responses[v].Place.Zone, len(r.responses[v]), r.delivered[v])
 			for _, a := range r.responses[v] {
@@ -364,7 +364,7 @@
 // that follows another.
 func TestVoter(t *testing.T) {
 	ask := func(number uint64, turn uint32, place history.Place) Proposal {
-		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.IDOf("", "a"), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.KeyIDOf("", "a"), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	}
 	v := NewVoter(m0, VoterOptions{MaxKeys: 4, MaxProposalTTL: ttl})
 	vote := func(a Proposal) Vote {
@@ -395,7 +395,7 @@
 	}
 	for i := range uint64(4) {
 		a := ask(10+i, 0, north)
-		a.Key = history.IDOf("", fmt.Sprint(i))
+		a.Key = history.KeyIDOf("", fmt.Sprint(i))
 		if got, want := vote(a), []Vote{Grant, Grant, Grant, Abstain}[i]; got != want {
 			t.Errorf("key %d: %d", i, got)
 		}
--- a/internal/fleet/ownership/proposer.go
+++ b/internal/fleet/ownership/proposer.go
@@ -56,9 +56,9 @@
 // State returns the progress of the proposal. With Claimed and OwnedElsewhere it also returns the state of the key: the group that
 // owns it, and until when attempts may be decided on, by the earliest response that counts. All times are counted from the
 // making of the proposal, before which no voter can have responded.
-func (p *Proposer) State() (State, history.Past) {
+func (p *Proposer) State() (State, history.KeyState) {
 	granted, refused, open := 0, 0, 0
-	var claimed, owned history.Past
+	var claimed, owned history.KeyState
 	for i, r := range p.responses {
 		until := p.madeAt.Add(r.Remaining)
 		switch {
@@ -66,13 +66,13 @@
 			open++
 		case r.Vote == Grant:
 			granted++
-			if !claimed.Known || until.Before(claimed.Until) {
-				claimed = history.Past{Known: true, Place: p.proposal.Place, Until: until}
+			if !claimed.Known || until.Before(claimed.RetryUntil) {
+				claimed = history.KeyState{Known: true, Place: p.proposal.Place, RetryUntil: until}
 			}
 		case r.Vote == HeldElsewhere:
 			refused++
-			if !owned.Known || until.Before(owned.Until) {
-				owned = history.Past{Known: true, Place: r.Place, Split: r.Split, Until: until}
+			if !owned.Known || until.Before(owned.RetryUntil) {
+				owned = history.KeyState{Known: true, Place: r.Place, SeveralGroups: r.Split, RetryUntil: until}
 			}
 		}
 	}
@@ -81,11 +81,11 @@
 	case granted >= majority:
 		return Claimed, claimed
 	case granted+open >= majority:
-		return Pending, history.Past{}
+		return Pending, history.KeyState{}
 	case refused > 0:
 		return OwnedElsewhere, owned
 	}
-	return Unknown, history.Past{}
+	return Unknown, history.KeyState{}
 }
 
 // IsValid reports whether an attempt may still start under the proposal.
--- a/internal/fleet/ownership/snapshot.go
+++ b/internal/fleet/ownership/snapshot.go
@@ -12,15 +12,15 @@
 		return nil, false
 	}
 	v.expire(now)
-	v.table.Each(now, func(k history.Key) bool {
-		if k.Past.Known {
+	v.table.Each(now, func(k history.Record) bool {
+		if k.KeyState.Known {
 			keys = append(keys, KeyState{
 				Key:          k.ID,
-				Place:        k.Past.Place,
-				SeveralZones: k.Zones,
-				SeveralCells: k.Cells,
-				RetryFor:     k.Past.Until.Sub(now),
-				ExpiresIn:    k.Expire.Sub(now),
+				Place:        k.KeyState.Place,
+				SeveralZones: k.SeveralZones,
+				SeveralCells: k.SeveralCells,
+				RetryFor:     k.KeyState.RetryUntil.Sub(now),
+				ExpiresIn:    k.ExpiresAt.Sub(now),
 			})
 		}
 		return true
@@ -38,12 +38,12 @@
 // MergeSnapshot adds a part of a snapshot that was requested while NeedsSnapshots was true.
 func (v *Voter) MergeSnapshot(now time.Time, part []KeyState) {
 	for _, k := range part {
-		v.table.Learn(now, history.Key{
-			ID:     k.Key,
-			Past:   history.Past{Known: true, Place: k.Place, Until: now.Add(k.RetryFor)},
-			Zones:  k.SeveralZones,
-			Cells:  k.SeveralCells,
-			Expire: now.Add(k.ExpiresIn),
+		v.table.Merge(now, history.Record{
+			ID:           k.Key,
+			KeyState:     history.KeyState{Known: true, Place: k.Place, RetryUntil: now.Add(k.RetryFor)},
+			SeveralZones: k.SeveralZones,
+			SeveralCells: k.SeveralCells,
+			ExpiresAt:    now.Add(k.ExpiresIn),
 		})
 	}
 }
--- a/internal/fleet/ownership/voter.go
+++ b/internal/fleet/ownership/voter.go
@@ -57,7 +57,7 @@
 	round   uint32
 	place   history.Place
 	request *history.Request
-	sent    *history.Try
+	sent    *history.Attempt
 	ended   bool
 }
 
@@ -91,9 +91,9 @@
 	}
 	response = Response{Attempt: p.Attempt, Round: p.Round, Vote: v.decide(now, p, current), Remaining: p.TTL}
 	known := v.knownBefore(now, p, response.Vote)
-	response.Place, response.Split = known.Place, known.Split
+	response.Place, response.Split = known.Place, known.SeveralGroups
 	if known.Known {
-		response.Remaining = known.Until.Sub(now)
+		response.Remaining = known.RetryUntil.Sub(now)
 	}
 	if now.Before(v.abstainUntil) && response.Vote == Grant { // the grant is recorded all the same: others may agree
 		response.Vote = Abstain
@@ -102,11 +102,11 @@
 }
 
 // knownBefore returns what the voter knows of the key. The attempts of a granted proposal itself are left to its proposer.
-func (v *Voter) knownBefore(now time.Time, p Proposal, vote Vote) history.Past {
+func (v *Voter) knownBefore(now time.Time, p Proposal, vote Vote) history.KeyState {
 	if vote == Grant {
-		return v.grants[p.Attempt].sent.Others()
+		return v.grants[p.Attempt].sent.OtherAttempts()
 	}
-	return v.table.Past(now, p.Key, p.Scope)
+	return v.table.KeyState(now, p.Key, p.Scope)
 }
 
 // decide votes on a proposal, and records a grant.
@@ -129,11 +129,11 @@
 
 // grant records a grant where the history of the key allows one.
 func (v *Voter) grant(now time.Time, p Proposal) Vote {
-	request, err := v.table.Begin(now, p.Key, history.Print{})
+	request, err := v.table.Begin(now, p.Key, history.Fingerprint{})
 	if err != nil {
 		return Abstain
 	}
-	terms := history.Terms{Scope: p.Scope, Window: p.Window, Keep: p.Retention + p.TTL}
+	terms := history.Terms{Scope: p.Scope, Window: p.Window, Retention: p.Retention + p.TTL}
 	sent, err := request.Send(now, p.Place, terms)
 	if err != nil {
 		request.End()
@@ -193,9 +193,9 @@
 func (v *Voter) AbstainsUntil() time.Time { return v.abstainUntil }
 
 // KeyState returns what the voter knows of a key.
-func (v *Voter) KeyState(now time.Time, key history.ID, scope lbpolicy.Scope) history.Past {
+func (v *Voter) KeyState(now time.Time, key history.KeyID, scope lbpolicy.Scope) history.KeyState {
 	v.expire(now)
-	return v.table.Past(now, key, scope)
+	return v.table.KeyState(now, key, scope)
 }
 
 // Len returns the number of keys that are remembered.
--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -72,11 +72,11 @@
 type Cluster struct {
 	log    *slog.Logger
 	shared *Resources
-	host   *host.Host
+	host   *host.Engine
 	client *upstream.Client
-	bodies *limit.Share
-	calls  *limit.Share
-	conns  *limit.Share
+	bodies *limit.Allocation
+	calls  *limit.Allocation
+	conns  *limit.Allocation
 
 	mu       sync.Mutex
 	config   Config
@@ -95,13 +95,13 @@
 // New starts a cluster.
 func New(c Config, r *Resources, seed uint64, log *slog.Logger) (*Cluster, error) {
 	cl := &Cluster{log: log.With("cluster", c.Name), shared: r, stop: func() {}}
-	cl.conns = r.Connections.Share(part(c, r.MaxConnections))
-	cl.calls = r.Calls.Share(part(c, r.MaxCalls))
-	cl.bodies = r.Bodies.Share(part(c, r.MaxBodies))
-	cl.client = upstream.NewClient(upstream.Options{DialTimeout: c.ConnectTimeout, Idle: c.Idle, Again: true, Max: int(r.MaxConnections),
-		Share: cl.conns, AnyStatus: true, Scarce: r.Scarce})
+	cl.conns = r.Connections.Allocate(part(c, r.MaxConnections))
+	cl.calls = r.Calls.Allocate(part(c, r.MaxCalls))
+	cl.bodies = r.Bodies.Allocate(part(c, r.MaxBodies))
+	cl.client = upstream.NewClient(upstream.Options{DialTimeout: c.ConnectTimeout, IdleTimeout: c.Idle, HedgeDials: true, MaxConns: int(r.MaxConnections),
+		Allocation: cl.conns, AnyStatus: true, OnExhausted: r.Scarce})
 	var err error
-	cl.host, err = host.New(host.Options{Decide: c.Decide, Seed: seed, Zones: c.Zones, Report: c.Report, Client: cl.client,
+	cl.host, err = host.New(host.Options{Policy: c.Decide, Seed: seed, Zones: c.Zones, ReportFields: c.Report, Client: cl.client,
 		Watch: func() {}, Log: cl.log})
 	if err != nil {
 		return nil, fmt.Errorf("cluster %q: %w", c.Name, err)
@@ -160,7 +160,7 @@
 // bind sets the shares, the connect time and the part that is refused as the configuration and the sources have them. The
 // caller holds the lock.
 func (c *Cluster) bind() {
-	resize := func(s *limit.Share, total int64, told int) {
+	resize := func(s *limit.Allocation, total int64, told int) {
 		reserve, most := part(c.config, total)
 		if told > 0 {
 			most = min(most, int64(told))
@@ -174,7 +174,7 @@
 		connect = min(connect, c.bounds.connect)
 	}
 	c.client.SetDialTimeout(connect)
-	c.host.Drop(c.bounds.drop)
+	c.host.SetDropFraction(c.bounds.drop)
 }
 
 // follow starts a configuration's sources in place of those before. Until each has told a list the members from before
@@ -259,7 +259,7 @@
 		c.members = list
 		c.revision.Add(1)
 		c.able.Store(slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.Status == ready }))
-		c.host.Members(lbpolicy.Full, list)
+		c.host.UpdateEndpoints(lbpolicy.Full, list)
 	}
 	if c.timer != nil {
 		c.timer.Stop()
@@ -304,25 +304,25 @@
 }
 
 // Bodies is the cluster's part of the memory for request bodies.
-func (c *Cluster) Bodies() *limit.Share { return c.bodies }
+func (c *Cluster) Bodies() *limit.Allocation { return c.bodies }
 
 // Fleet tells how many instances share the endpoints now, and which of them this one is.
-func (c *Cluster) Fleet(instances, place int) { c.host.Fleet(instances, place) }
+func (c *Cluster) Fleet(instances, place int) { c.host.SetBalancers(instances, place) }
 
 // Held returns the number of calls that wait for their answer or an attempt's end.
-func (c *Cluster) Held() int { return c.host.Held() }
+func (c *Cluster) Held() int { return c.host.InFlight() }
 
 // End sets the time at which all that is held, and all that still comes, must have its answer.
-func (c *Cluster) End(at time.Time) { c.host.End(at) }
+func (c *Cluster) End(at time.Time) { c.host.ShutDownBy(at) }
 
 // Do hands a request to the cluster's decisions and waits for its answer; ok is false where the caller has gone. Over
 // the bound on calls in work it is refused at once: nothing of it ran. The key is nil where the request has none.
-func (c *Cluster) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *host.Key) (a host.Answer, ok bool) {
+func (c *Cluster) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *host.Key) (a host.Result, ok bool) {
 	if !c.calls.TryAcquire(1) {
-		return host.Answer{Refused: true, RetryAfter: busyRetry}, true
+		return host.Result{Rejected: true, RetryAfter: busyRetry}, true
 	}
 	defer c.calls.Release(1)
-	if a, ok = c.host.Do(ctx, r, q, key); a.Refused && a.RetryAfter == 0 && (a.Scarce || !c.able.Load()) {
+	if a, ok = c.host.Do(ctx, r, q, key); a.Rejected && a.RetryAfter == 0 && (a.OutOfDescriptors || !c.able.Load()) {
 		a.RetryAfter = busyRetry
 	}
 	return a, ok
--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -43,7 +43,7 @@
 	return cl
 }
 
-func get(t *testing.T, c *Cluster, id string) host.Answer {
+func get(t *testing.T, c *Cluster, id string) host.Result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
@@ -95,7 +95,7 @@
 		return slices.ContainsFunc(c.Members(), func(e registry.Endpoint) bool { return e.Status == draining })
 	})
 	for range 20 {
-		if a := get(t, c, "x"); a.Reply == nil || string(a.Reply.Body) != "two" {
+		if a := get(t, c, "x"); a.Response == nil || string(a.Response.Body) != "two" {
 			t.Fatalf("sent to one that drains: %+v", a)
 		}
 	}
@@ -163,13 +163,13 @@
 		t.Fatal("other sources need no other balancer")
 	}
 	c.Update(next, NewResources(64, 64, 1<<20))
-	if a := get(t, c, "between"); a.Reply == nil {
+	if a := get(t, c, "between"); a.Response == nil {
 		t.Fatalf("between the sources: %+v", a)
 	}
 	writeFile(t, path, `{"endpoints": [{"name": "at-`+one.Addr+`", "address": "`+one.Addr+`"}]}`)
 	<-c.Settled()
 	lbtest.Until(t, "a member", func() bool { return len(c.Members()) == 1 })
-	if a := get(t, c, "after"); a.Reply == nil || conns.Load() != 1 {
+	if a := get(t, c, "after"); a.Response == nil || conns.Load() != 1 {
 		t.Errorf("after: %+v, %d connections", a, conns.Load())
 	}
 	other := next
@@ -178,7 +178,7 @@
 		t.Error("another core fits")
 	}
 	c.Close()
-	if a := get(t, c, "closed"); !a.Refused {
+	if a := get(t, c, "closed"); !a.Rejected {
 		t.Errorf("a closed cluster: %+v", a)
 	}
 }
@@ -188,14 +188,14 @@
 	t.Parallel()
 	e := lbtest.NewEndpoint(t, nil)
 	c := start(t, Config{Name: "c", Most: 1.0 / 64, Sources: []Source{static(e.Addr)}})
-	first := make(chan host.Answer, 1)
+	first := make(chan host.Result, 1)
 	go func() { first <- get(t, c, "first") }()
 	held := <-e.Got
-	if a := get(t, c, "second"); !a.Refused || a.RetryAfter == 0 || a.MayHaveRun {
+	if a := get(t, c, "second"); !a.Rejected || a.RetryAfter == 0 || a.MayHaveRun {
 		t.Errorf("over the bound: %+v", a)
 	}
 	held.OK()
-	if a := <-first; a.Reply == nil {
+	if a := <-first; a.Response == nil {
 		t.Errorf("the first: %+v", a)
 	}
 	lbtest.Until(t, "room", func() bool { return c.calls.Used() == 0 })
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -153,11 +153,11 @@
 	return fmt.Sprintf("cluster %s, zone %s, cell %d; repeats are sent there until %s", k.Cluster, k.Zone, k.Cell, k.Until.Format(time.DateTime))
 }
 
-func keyPast(p history.Past, now time.Time) KeyPast {
+func keyPast(p history.KeyState, now time.Time) KeyPast {
 	if !p.Known {
 		return KeyPast{}
 	}
-	return KeyPast{true, p.Place.Cluster, p.Place.Zone, p.Place.Cell, p.Split, p.Until, !now.Before(p.Until)}
+	return KeyPast{true, p.Place.Cluster, p.Place.Zone, p.Place.Cell, p.SeveralGroups, p.RetryUntil, !now.Before(p.RetryUntil)}
 }
 
 func (g *Gateway) tellKey(w http.ResponseWriter, r *http.Request) {
@@ -169,8 +169,8 @@
 		http.Error(w, fmt.Sprintf("no keyed class named %q", q.Get("class")), http.StatusNotFound)
 		return
 	}
-	scope, id, now := s.file.Classes[number].Scope, history.IDOf(q.Get("tenant"), q.Get("key")), time.Now()
-	v := KeyView{Here: keyPast(g.keys.Past(now, id, scope), now)}
+	scope, id, now := s.file.Classes[number].Scope, history.KeyIDOf(q.Get("tenant"), q.Get("key")), time.Now()
+	v := KeyView{Here: keyPast(g.keys.KeyState(now, id, scope), now)}
 	if g.fleet != nil {
 		if p, silent, ok := g.fleet.VoterKeyState(id, scope); ok {
 			k := keyPast(p, now)
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -28,15 +28,15 @@
 
 // over gives a request to other salas, as the decisions of package crossing say, until one has served it or none may have
 // it. What comes in is how its own sala has ended it.
-func (x *exchange) over(ctx context.Context, way *crossing.Way, a host.Answer) host.Answer {
+func (x *exchange) over(ctx context.Context, way *crossing.Way, a host.Result) host.Result {
 	l := x.gateway.linked.Load()
 	if l == nil {
 		return a
 	}
 	attempts := a.Attempts
-	for !host.Left(ctx) && a.Reply == nil {
+	for !host.IsDisconnected(ctx) && a.Response == nil {
 		so := crossing.So{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, Attempts: attempts, Holder: x.holder(),
-			Refused: a.Refused, Passing: x.passing != nil}
+			Refused: a.Rejected, Passing: x.passing != nil}
 		r, why, ok := way.Next(so)
 		if !ok {
 			return a
@@ -45,22 +45,22 @@
 		to, back, ok := l.Pick(r)
 		if !ok {
 			if back > 0 && !a.MayHaveRun { // it never ran anywhere, and there is nowhere to carry it now
-				a.Refused, a.RetryAfter = true, max(a.RetryAfter, back)
+				a.Rejected, a.RetryAfter = true, max(a.RetryAfter, back)
 			}
 			return a
 		}
 		way.Crossed(to)
 		b := x.carry(ctx, l, to, why, way)
-		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Reply == nil
-		b.Refused = b.Refused && !b.MayHaveRun
-		if b.Refused { // until both can be asked again
+		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Response == nil
+		b.Rejected = b.Rejected && !b.MayHaveRun
+		if b.Rejected { // until both can be asked again
 			b.RetryAfter = max(b.RetryAfter, refusedBack)
-			if a.Refused {
+			if a.Rejected {
 				b.RetryAfter = max(b.RetryAfter, a.RetryAfter)
 			}
 		}
-		if b.Reply == nil && b.Last == nil {
-			b.Last = a.Last
+		if b.Response == nil && b.LastResponse == nil {
+			b.LastResponse = a.LastResponse
 		}
 		attempts = b.Attempts
 		a = b
@@ -70,15 +70,15 @@
 
 // carry gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
 // that nothing has run there.
-func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a host.Answer) {
-	var try *history.Try
+func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a host.Result) {
+	var try *history.Attempt
 	ran := false // an attempt of this request, before this one
 	if x.hold != nil {
 		ran = x.hold.MayHaveRun()
 		var err error
 		if try, err = x.hold.Send(time.Now(), history.Place{Cluster: crossing.Place(to, ""), Zone: to}, x.terms()); err != nil {
 			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
-			return host.Answer{MayHaveRun: true}
+			return host.Result{MayHaveRun: true}
 		}
 	}
 	var record *ledger.Attempt
@@ -88,18 +88,18 @@
 			record.Ended(lbpolicy.NotSent, 0)
 			try.End(time.Now(), true)
 			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
-			return host.Answer{Refused: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
+			return host.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
 		}
 	}
 	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
 		Tenant: x.tenant, Key: x.key, Allowed: way.Left(), Been: append(append([]string{}, way.Been...), x.gateway.sala), Reason: why,
 		Past: x.holder() == to && why == tally.Held, Retried: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
 	c.Try, c.Turn = x.votes(c.Past, ran)
-	c.Away = func() bool { return host.Left(ctx) }
+	c.Away = func() bool { return host.IsDisconnected(ctx) }
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	is := link.Crossing{Outcome: tally.NeverRan}
-	if !host.Left(ctx) { // it may have, while the crossing was recorded
+	if !host.IsDisconnected(ctx) { // it may have, while the crossing was recorded
 		is = l.Call(waiting, to, c)
 	}
 	outcome := is.Outcome
@@ -119,7 +119,7 @@
 	switch {
 	case !is.Sent:
 		result = crossing.Returned
-	case a.Reply != nil:
+	case a.Response != nil:
 		result = crossing.Served
 	case outcome == tally.Refused:
 		result = crossing.Refused
@@ -134,7 +134,7 @@
 }
 
 // answer translates what another sala has said.
-func (x *exchange) answer(said *link.Answer, outcome tally.Outcome) (a host.Answer) {
+func (x *exchange) answer(said *link.Answer, outcome tally.Outcome) (a host.Result) {
 	a.MayHaveRun = !outcome.Harmless()
 	if said == nil {
 		return a
@@ -142,12 +142,12 @@
 	a.Attempts = said.Attempts
 	switch outcome {
 	case tally.Served:
-		a.Reply, a.MayHaveRun = &upstream.Answer{Status: said.Status, Header: said.Header, Body: said.Body}, false
+		a.Response, a.MayHaveRun = &upstream.Response{Status: said.Status, Header: said.Header, Body: said.Body}, false
 	case tally.Refused:
-		a.Refused, a.RetryAfter = true, time.Duration(said.Back)*time.Microsecond
+		a.Rejected, a.RetryAfter = true, time.Duration(said.Back)*time.Microsecond
 	}
-	if said.Place.Cluster != "" && a.Reply == nil { // it knows who holds the key
-		x.told = history.Past{Known: true, Place: said.Place, Until: x.deadline}
+	if said.Place.Cluster != "" && a.Response == nil { // it knows who holds the key
+		x.told = history.KeyState{Known: true, Place: said.Place, RetryUntil: x.deadline}
 	}
 	return a
 }
@@ -173,9 +173,9 @@
 	if x.hold == nil {
 		return ""
 	}
-	pasts := []history.Past{x.hold.Past(x.class.Scope), x.told}
+	pasts := []history.KeyState{x.hold.KeyState(x.class.Scope), x.told}
 	if x.binder != nil {
-		pasts = append(pasts, x.binder.Past())
+		pasts = append(pasts, x.binder.KeyState())
 	}
 	return crossing.Holder(pasts...)
 }
@@ -209,13 +209,13 @@
 }
 
 // Lookup implements link.Server.
-func (g salaServer) Lookup(id history.ID) (f link.Found) {
+func (g salaServer) Lookup(id history.KeyID) (f link.Found) {
 	now := time.Now()
-	p := g.keys.Past(now, id, lbpolicy.ScopeAll)
+	p := g.keys.KeyState(now, id, lbpolicy.ScopeAll)
 	if !p.Known {
 		return f
 	}
-	return link.Found{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, Left: max(p.Until.Sub(now), 0).Microseconds()}
+	return link.Found{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, Left: max(p.RetryUntil.Sub(now), 0).Microseconds()}
 }
 
 // Cross implements link.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
@@ -274,15 +274,15 @@
 }
 
 // outcome says what became of a call that another sala has sent.
-func (x *exchange) outcome(ctx context.Context, a host.Answer) *link.Answer {
-	if a.Reply != nil {
-		return served(a.Reply.Status, a.Reply.Header, a.Reply.Body)
+func (x *exchange) outcome(ctx context.Context, a host.Result) *link.Answer {
+	if a.Response != nil {
+		return served(a.Response.Status, a.Response.Header, a.Response.Body)
 	}
 	if x.turned != nil {
 		return served(x.turned.Status, x.turned.Header, x.turned.Body)
 	}
 	out := &link.Answer{Outcome: tally.NeverRan}
-	past := history.Past{}
+	past := history.KeyState{}
 	if x.hold != nil {
 		past = x.past()
 		if past.Known {
@@ -293,7 +293,7 @@
 	switch {
 	case a.MayHaveRun || ctx.Err() != nil || x.hold != nil && x.hold.MayHaveRun(): // whose caller has gone, told nothing of what is out
 		out.Outcome = tally.Unclear
-	case a.Refused && failover.MayRefuse(time.Now(), past, x.class.Scope):
+	case a.Rejected && failover.MayReject(time.Now(), past, x.class.Scope):
 		out.Outcome, out.Back = tally.Refused, a.RetryAfter.Microseconds()
 	}
 	return out
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -49,12 +49,12 @@
 	q       lbpolicy.Request
 	key     string // idempotency key of a keyed request
 	tenant  string
-	to      string       // cluster that the rule names, or its split
-	asked   string       // path and query before the rule's rewrite
-	passing *link.Call   // the request came from another sala; nil: from a caller
-	told    history.Past // of the key, by another sala
+	to      string           // cluster that the rule names, or its split
+	asked   string           // path and query before the rule's rewrite
+	passing *link.Call       // the request came from another sala; nil: from a caller
+	told    history.KeyState // of the key, by another sala
 
-	id       history.ID       // of the key
+	id       history.KeyID    // of the key
 	hold     *history.Request // on the key, once the request is whole
 	binder   *binder          // of the key over the fleet; nil: this process alone
 	entry    *ledger.Entry    // nil: nothing is recorded
@@ -208,7 +208,7 @@
 		if key == "" {
 			return bad(http.StatusBadRequest)
 		}
-		x.key, x.id = key, history.IDOf(x.tenant, key)
+		x.key, x.id = key, history.KeyIDOf(x.tenant, key)
 	}
 	left := x.class.Deadline
 	if x.rule.Timeout > 0 {
@@ -290,7 +290,7 @@
 }
 
 // Do implements frontend.Exchange.
-func (x *exchange) Do(ctx context.Context, body []byte) host.Answer {
+func (x *exchange) Do(ctx context.Context, body []byte) host.Result {
 	now := time.Now()
 	x.deadline = now.Add(x.q.TimeLeft)
 	x.up.Body = body
@@ -308,11 +308,11 @@
 	holder := x.holder()
 	away := holder != "" && holder != x.gateway.sala
 	if away || x.gateway.leaving.Load() && x.passing == nil && holder == "" {
-		a := x.over(ctx, way, host.Answer{})
-		if away && a.Reply == nil { // whatever was heard: it may have run there
-			a.MayHaveRun, a.Refused = true, false
+		a := x.over(ctx, way, host.Result{})
+		if away && a.Response == nil { // whatever was heard: it may have run there
+			a.MayHaveRun, a.Rejected = true, false
 		}
-		if away || a.Reply != nil || a.MayHaveRun || ctx.Err() != nil {
+		if away || a.Response != nil || a.MayHaveRun || ctx.Err() != nil {
 			return a
 		}
 	}
@@ -320,25 +320,25 @@
 }
 
 // here gives the request to this sala's own clusters.
-func (x *exchange) here(ctx context.Context) host.Answer {
-	plan := failover.New(failover.Request{To: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.q.MaxAttempts,
+func (x *exchange) here(ctx context.Context) host.Result {
+	plan := failover.New(failover.Request{Cluster: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.q.MaxAttempts,
 		Deadline: x.deadline})
 	to := plan.First(x.local())
-	var last *upstream.Answer
+	var last *upstream.Response
 	for {
 		a, here := x.try(ctx, to, plan)
 		if here && x.gateway.sala != "" { // for the other salas to hear
-			x.gateway.note(a.Refused)
+			x.gateway.note(a.Rejected)
 		}
-		if a.Reply == nil && a.Last == nil {
-			a.Last = last
+		if a.Response == nil && a.LastResponse == nil {
+			a.LastResponse = last
 		}
 		if !here {
 			return a
 		}
-		last = a.Last
+		last = a.LastResponse
 		var again bool
-		to, again = plan.Next(time.Now(), failover.Result{Served: a.Reply != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.local())
+		to, again = plan.Next(time.Now(), failover.Result{Served: a.Response != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.local())
 		if !again {
 			return a
 		}
@@ -346,22 +346,22 @@
 }
 
 // begin takes hold of a keyed request's key. Where it can't be had the answer is final.
-func (x *exchange) begin(now time.Time, body []byte) (a host.Answer, ok bool) {
+func (x *exchange) begin(now time.Time, body []byte) (a host.Result, ok bool) {
 	if x.key == "" {
 		return a, true
 	}
-	var print history.Print
+	var print history.Fingerprint
 	if x.class.CheckRepeats {
-		print = history.PrintOf(x.up.Method, x.up.Target, body)
+		print = history.FingerprintOf(x.up.Method, x.up.Target, body)
 	}
 	if a, ok := x.recall(now, print); !ok {
 		return a, false
 	}
 	hold, err := x.gateway.keys.Begin(now, x.id, print)
 	switch {
-	case errors.Is(err, history.ErrFull): // nothing was sent
-		return host.Answer{Refused: true, RetryAfter: keysRetry}, false
-	case errors.Is(err, history.ErrOther):
+	case errors.Is(err, history.ErrTooManyKeys): // nothing was sent
+		return host.Result{Rejected: true, RetryAfter: keysRetry}, false
+	case errors.Is(err, history.ErrKeyReused):
 		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
 		return a, false
 	}
@@ -369,14 +369,14 @@
 	if a, ok := x.take(print); !ok {
 		return a, false
 	}
-	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.Agreed(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
+	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.NeedsFleetClaim(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
 		if c := x.passing; c != nil && c.Try != (ownership.AttemptID{}) {
 			x.binder = resume(f, x.id, x.class, x.deadline, c.Try, c.Turn, len(c.Been))
 		} else {
 			x.binder = newBinder(f, x.id, x.class, x.deadline)
 		}
 	}
-	if hold.Repeat && x.class.Concurrent == conf.Conflict {
+	if hold.InProgress && x.class.Concurrent == conf.Conflict {
 		x.turned = problem(http.StatusConflict, "A request with the key is in work.")
 		x.turned.Header.Set("Retry-After", "1")
 		return a, false
@@ -393,22 +393,22 @@
 }
 
 // past is what is known of the request's key.
-func (x *exchange) past() history.Past {
+func (x *exchange) past() history.KeyState {
 	if x.hold == nil {
-		return history.Past{}
+		return history.KeyState{}
 	}
-	p := x.hold.Past(x.class.Scope)
+	p := x.hold.KeyState(x.class.Scope)
 	if x.binder != nil {
-		p = p.And(x.binder.Past(), x.class.Scope)
+		p = p.Merge(x.binder.KeyState(), x.class.Scope)
 	}
 	if x.told.Known {
-		p = p.And(x.told, x.class.Scope)
+		p = p.Merge(x.told, x.class.Scope)
 	}
 	return p
 }
 
 // local is what is known of the request's key, for a choice among this sala's clusters.
-func (x *exchange) local() history.Past {
+func (x *exchange) local() history.KeyState {
 	p := x.past()
 	if sala, cluster := crossing.Split(p.Place.Cluster); sala == x.gateway.sala {
 		p.Place.Cluster = cluster
@@ -417,18 +417,18 @@
 }
 
 // try gives the request to one cluster; here is false where its caller has gone.
-func (x *exchange) try(ctx context.Context, to string, plan *failover.Plan) (a host.Answer, here bool) {
+func (x *exchange) try(ctx context.Context, to string, plan *failover.Plan) (a host.Result, here bool) {
 	c := x.state.clusters[to]
 	if c == nil { // the key may have run at a cluster that is gone: nothing can be promised
-		return host.Answer{MayHaveRun: true}, true
+		return host.Result{MayHaveRun: true}, true
 	}
-	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.Attempts()
+	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.AttemptsLeft()
 	var key *host.Key
 	if x.hold != nil {
 		key = &host.Key{History: x.hold, Cluster: crossing.Place(x.gateway.sala, to),
 			Terms: x.terms()}
 		if x.binder != nil {
-			key.Binder = x.binder
+			key.Claimer = x.binder
 		}
 		if x.entry != nil {
 			key.Recorder = recorder{x.entry, key.Terms}
@@ -438,7 +438,7 @@
 }
 
 // Reply implements frontend.Exchange. The answer is in the ledger before its first byte goes out.
-func (x *exchange) Reply(a host.Answer) *frontend.Reply {
+func (x *exchange) Reply(a host.Result) *frontend.Reply {
 	r := x.reply(a)
 	x.final(a, r)
 	return r
@@ -446,25 +446,25 @@
 
 // reply finds an answer's wording: what an endpoint said of a failure is passed on, but for 503 and 429, which would
 // promise that a repeat is harmless. Neither is a request refused whose key may have run, whoever refuses it.
-func (x *exchange) reply(a host.Answer) *frontend.Reply {
+func (x *exchange) reply(a host.Result) *frontend.Reply {
 	switch {
 	case x.turned != nil:
 		return x.turned
-	case a.Refused && x.key != "":
+	case a.Rejected && x.key != "":
 		now, past := time.Now(), x.past()
 		if x.hold == nil {
-			past = x.gateway.keys.Past(now, x.id, x.class.Scope)
+			past = x.gateway.keys.KeyState(now, x.id, x.class.Scope)
 		}
-		if !failover.MayRefuse(now, past, x.class.Scope) {
+		if !failover.MayReject(now, past, x.class.Scope) {
 			return &frontend.Reply{Status: http.StatusBadGateway}
 		}
 		return nil
-	case a.Reply != nil || a.Refused:
+	case a.Response != nil || a.Rejected:
 		return nil
-	case a.Last != nil && a.Last.Status >= 500 && a.Last.Status != http.StatusServiceUnavailable:
-		h := frontend.EndToEnd(a.Last.Header)
+	case a.LastResponse != nil && a.LastResponse.Status >= 500 && a.LastResponse.Status != http.StatusServiceUnavailable:
+		h := frontend.EndToEnd(a.LastResponse.Header)
 		h.Del("Retry-After")
-		return &frontend.Reply{Status: a.Last.Status, Header: h, Body: a.Last.Body}
+		return &frontend.Reply{Status: a.LastResponse.Status, Header: h, Body: a.LastResponse.Body}
 	case !x.deadline.IsZero() && !time.Now().Before(x.deadline):
 		return &frontend.Reply{Status: http.StatusGatewayTimeout}
 	}
