--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -25,12 +25,12 @@
 
 // terms are what the request's class promises of its keys.
 func (x *exchange) terms() history.Terms {
-	return history.Terms{Scope: x.class.Scope, Window: x.class.Window, Keep: x.class.Keep}
+	return history.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Keep}
 }
 
 // recall takes into the history what former processes have recorded of the request's key. Where records are lost that could
 // have told of it, nothing can be promised.
-func (x *exchange) recall(now time.Time, print history.Print) (a host.Answer, ok bool) {
+func (x *exchange) recall(now time.Time, print history.Fingerprint) (a host.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
 		return a, true
@@ -39,19 +39,19 @@
 	switch {
 	case !found:
 		if l.Doubtful(now) {
-			return host.Answer{MayHaveRun: true}, false
+			return host.Result{MayHaveRun: true}, false
 		}
-	case print != history.Print{} && was != history.Print{} && l.HidePrint(print) != was:
+	case print != history.Fingerprint{} && was != history.Fingerprint{} && l.HidePrint(print) != was:
 		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
 		return a, false
 	default:
-		x.gateway.keys.Learn(now, k)
+		x.gateway.keys.Merge(now, k)
 	}
 	return a, true
 }
 
 // take has the request recorded. Where it can't be nothing is sent, and its caller is told so at once.
-func (x *exchange) take(print history.Print) (a host.Answer, ok bool) {
+func (x *exchange) take(print history.Fingerprint) (a host.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
 		return a, true
@@ -63,7 +63,7 @@
 	}
 	e, err := l.Take(r)
 	if err != nil {
-		return host.Answer{Refused: true, RetryAfter: unrecordedBack(err)}, false
+		return host.Result{Rejected: true, RetryAfter: unrecordedBack(err)}, false
 	}
 	x.entry = e
 	return a, true
@@ -79,7 +79,7 @@
 }
 
 // final has the answer to a caller recorded.
-func (x *exchange) final(a host.Answer, own *frontend.Reply) {
+func (x *exchange) final(a host.Result, own *frontend.Reply) {
 	if x.entry == nil {
 		return
 	}
@@ -87,13 +87,13 @@
 	switch {
 	case x.turned != nil:
 		ending, status = segment.Turned, x.turned.Status
-	case x.gone && a.Reply == nil:
+	case x.gone && a.Response == nil:
 		ending, status = segment.Gone, 0
 	case own != nil:
 		status = own.Status
-	case a.Reply != nil:
-		ending, status = segment.Served, a.Reply.Status
-	case a.Refused:
+	case a.Response != nil:
+		ending, status = segment.Served, a.Response.Status
+	case a.Rejected:
 		ending, status = segment.Refused, http.StatusServiceUnavailable
 	}
 	x.entry.Final(ending, status)
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -21,8 +21,8 @@
 type Request struct {
 	ID, Class   string
 	Tenant, Key string
-	KeyID       history.ID
-	Print       history.Print
+	KeyID       history.KeyID
+	Print       history.Fingerprint
 	Left        time.Duration
 	From        string // the sala that sent it; empty: a caller
 	// Unrecorded has it served where it can't be recorded.
@@ -65,7 +65,7 @@
 	return out
 }
 
-func (l *Ledger) hideID(id history.ID) history.ID {
+func (l *Ledger) hideID(id history.KeyID) history.KeyID {
 	if secret := l.options.Load().Secret; secret != nil {
 		return hide(secret, "id", id[:])
 	}
@@ -73,8 +73,8 @@
 }
 
 // HidePrint returns what stands for a request's print in the log.
-func (l *Ledger) HidePrint(p history.Print) history.Print {
-	if secret := l.options.Load().Secret; secret != nil && p != (history.Print{}) {
+func (l *Ledger) HidePrint(p history.Fingerprint) history.Fingerprint {
+	if secret := l.options.Load().Secret; secret != nil && p != (history.Fingerprint{}) {
 		return hide(secret, "print", p[:])
 	}
 	return p
@@ -140,7 +140,7 @@
 	if !over && why == "" {
 		var ok bool
 		seq, ok = l.add(&segment.Record{Kind: segment.Intent, At: l.at(), Request: a.entry.number, Attempt: a.number, Nodo: a.nodo,
-			Cluster: to.Cluster, Zone: to.Zone, Cell: to.Cell, Scope: uint8(a.terms.Scope), Window: a.terms.Window, Keep: a.terms.Keep}, true)
+			Cluster: to.Cluster, Zone: to.Zone, Cell: to.Cell, Scope: uint8(a.terms.Scope), Window: a.terms.Window, Keep: a.terms.Retention}, true)
 		if a.intended = ok; !ok {
 			why, back = "no room for records", l.options.Load().Commit.Patience
 		}
@@ -222,14 +222,14 @@
 }
 
 // Recall returns what former processes have recorded of a key that may have run.
-func (l *Ledger) Recall(now time.Time, id history.ID) (k history.Key, print history.Print, ok bool) {
+func (l *Ledger) Recall(now time.Time, id history.KeyID) (k history.Record, print history.Fingerprint, ok bool) {
 	if !l.recalls.Load() {
 		return k, print, false
 	}
 	hidden := l.hideID(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k, ok = l.recovered.Key(now, hidden); ok {
+	if k, ok = l.recovered.Find(now, hidden); ok {
 		k.ID, print = id, l.prints[hidden]
 	}
 	return k, print, ok
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -79,7 +79,7 @@
 	state    string // what was said last of the disk
 
 	recovered *history.Table // of former processes, by hidden IDs
-	prints    map[history.ID]history.Print
+	prints    map[history.KeyID]history.Fingerprint
 	recalls   atomic.Bool // there is something in recovered
 	doubt     time.Time
 	found     Report
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -42,10 +42,10 @@
 	return l
 }
 
-var terms = history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Keep: time.Minute}
+var terms = history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}
 
 func request(id string) Request {
-	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: history.IDOf("school", "key "+id), Left: time.Minute}
+	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: history.KeyIDOf("school", "key "+id), Left: time.Minute}
 }
 
 // read reads a log and returns its requests by their ids.
@@ -263,7 +263,7 @@
 	}
 	// Every attempt that may have run is known to the next process's rules.
 	for id, s := range was {
-		if k, _, ok := next.Recall(time.Now(), history.IDOf("school", "key "+id)); s.ran && (!ok || k.Past.Place.Zone != "z") {
+		if k, _, ok := next.Recall(time.Now(), history.KeyIDOf("school", "key "+id)); s.ran && (!ok || k.KeyState.Place.Zone != "z") {
 			t.Errorf("%s ran, and the next process knows nothing of its key", id)
 		}
 	}
@@ -613,7 +613,7 @@
 	}
 	killed := d.Killed()
 	l.Close()
-	id := history.IDOf("school", "key a")
+	id := history.KeyIDOf("school", "key a")
 	for name, c := range map[string]struct {
 		boot        string
 		later       time.Duration // by the machine's clock
@@ -631,15 +631,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := account.Now{Time: time.Now().Add(c.shift), Boot: c.boot, Since: since + c.later, Error: time.Second}
-			var keys []history.Key
-			if _, err := Read(killed, false, func(q *account.Request) { q.Keys(now, func(k history.Key) { keys = append(keys, k) }) }); err != nil {
+			var keys []history.Record
+			if _, err := Read(killed, false, func(q *account.Request) { q.Keys(now, func(k history.Record) { keys = append(keys, k) }) }); err != nil {
 				t.Fatal(err)
 			}
-			if known := len(keys) == 1 && keys[0].ID == id && keys[0].Past.Place.Zone == "north"; known != c.known {
+			if known := len(keys) == 1 && keys[0].ID == id && keys[0].KeyState.Place.Zone == "north"; known != c.known {
 				t.Fatalf("known: %v", known)
 			}
-			if c.known && now.Time.Before(keys[0].Past.Until) != c.open {
-				t.Errorf("repeats are sent until %v from now", keys[0].Past.Until.Sub(now.Time))
+			if c.known && now.Time.Before(keys[0].KeyState.RetryUntil) != c.open {
+				t.Errorf("repeats are sent until %v from now", keys[0].KeyState.RetryUntil.Sub(now.Time))
 			}
 		})
 	}
@@ -659,11 +659,11 @@
 	}
 	l.Close()
 	is, _ := read(t, h)
-	if q := is["b"]; q.Key != HideName(o.Secret, "key", "key b") || q.Tenant == "school" || q.KeyID == history.IDOf("school", "key b") {
+	if q := is["b"]; q.Key != HideName(o.Secret, "key", "key b") || q.Tenant == "school" || q.KeyID == history.KeyIDOf("school", "key b") {
 		t.Errorf("%+v", q)
 	}
 	next := start(t, Options{Disk: h, Boot: o.Boot, Secret: o.Secret, Keys: 10, Log: o.Log, Commit: o.Commit, Keeping: o.Keeping})
-	if k, _, ok := next.Recall(time.Now(), history.IDOf("school", "key b")); !ok || k.ID != history.IDOf("school", "key b") {
+	if k, _, ok := next.Recall(time.Now(), history.KeyIDOf("school", "key b")); !ok || k.ID != history.KeyIDOf("school", "key b") {
 		t.Errorf("%+v, %v", k, ok)
 	}
 }
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -264,12 +264,12 @@
 func (l *Ledger) recover(boot string) error {
 	o := l.options.Load()
 	now := account.Now{Time: time.Now(), Boot: boot, Since: l.beganAt, Error: o.ClockOff}
-	l.recovered, l.prints = history.New(o.Keys), map[history.ID]history.Print{}
+	l.recovered, l.prints = history.New(o.Keys), map[history.KeyID]history.Fingerprint{}
 	began := time.Now()
 	report, err := Read(l.disk, false, func(r *account.Request) {
-		r.Keys(now, func(k history.Key) {
-			l.recovered.Learn(now.Time, k)
-			if r.Print != (history.Print{}) {
+		r.Keys(now, func(k history.Record) {
+			l.recovered.Merge(now.Time, k)
+			if r.Print != (history.Fingerprint{}) {
 				l.prints[k.ID] = r.Print
 			}
 		})
--- a/internal/ledger/upkeep.go
+++ b/internal/ledger/upkeep.go
@@ -101,7 +101,7 @@
 func (l *Ledger) tidy(now time.Time) {
 	if l.recalls.Load() {
 		l.mu.Lock()
-		if l.recovered.Forget(now); l.recovered.Len() == 0 {
+		if l.recovered.Expire(now); l.recovered.Len() == 0 {
 			l.prints = nil
 			l.recalls.Store(false)
 		}
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -51,11 +51,11 @@
 
 func (s *self) Listener() syscall.Conn { return s.listener }
 
-func (s *self) Retire() (keys []history.Key, t Taken) {
+func (s *self) Retire() (keys []history.Record, t Taken) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired = true
-	s.keys.Each(time.Now(), func(k history.Key) bool { keys = append(keys, k); return true })
+	s.keys.Each(time.Now(), func(k history.Record) bool { keys = append(keys, k); return true })
 	for id := range s.bans {
 		t.Bans = append(t.Bans, id)
 	}
@@ -65,18 +65,18 @@
 func (s *self) Resume() { s.mu.Lock(); defer s.mu.Unlock(); s.retired = false; s.resumed++ }
 func (s *self) Alone()  { s.mu.Lock(); defer s.mu.Unlock(); s.alone++ }
 
-func (s *self) Learn(keys []history.Key) {
+func (s *self) Learn(keys []history.Record) {
 	for _, k := range keys {
-		s.keys.Learn(time.Now(), k)
+		s.keys.Merge(time.Now(), k)
 	}
 }
 
 func (s *self) Bind(a Attempt) Past {
 	now := time.Now()
-	past := s.keys.Past(now, history.ID(a.ID), a.Scope)
+	past := s.keys.KeyState(now, history.KeyID(a.ID), a.Scope)
 	to := a.To.History(now)
 	if !past.Known {
-		s.keys.Learn(now, history.Key{ID: history.ID(a.ID), Past: to, Expire: now.Add(a.Expire)})
+		s.keys.Merge(now, history.Record{ID: history.KeyID(a.ID), KeyState: to, ExpiresAt: now.Add(a.Expire)})
 		past = to
 	}
 	return PastOf(now, past)
@@ -135,7 +135,7 @@
 }
 
 func attempt(key, zone string) Attempt {
-	return Attempt{ID: ID(history.IDOf("t", key)), Scope: lbpolicy.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
+	return Attempt{ID: ID(history.KeyIDOf("t", key)), Scope: lbpolicy.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
 }
 
 // Three processes in a row: the socket, keys and bans pass on, and what the first still does is agreed with the last.
@@ -176,7 +176,7 @@
 	if p, err = one.Bind(context.Background(), attempt("other", "north")); err != nil || p.Zone != "north" {
 		t.Errorf("%+v %v", p, err)
 	}
-	if !s3.keys.Past(time.Now(), history.IDOf("t", "other"), lbpolicy.ScopeZone).Known {
+	if !s3.keys.KeyState(time.Now(), history.KeyIDOf("t", "other"), lbpolicy.ScopeZone).Known {
 		t.Error("the last one does not know what the first binds")
 	}
 
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -67,15 +67,15 @@
 	List    []registry.Endpoint `json:"list"`
 	Seen    []uint64            `json:"seen"`
 	Bans    []string            `json:"bans"`
-	Carried host.Carried        `json:"carried"`
+	Carried host.Snapshot       `json:"carried"`
 }
 
 // Taken is what is in force as the old process takes no more clients.
 type Taken struct {
-	Bans    []string     `json:"bans"`
-	IDs     IDs          `json:"ids"`
-	Carried host.Carried `json:"carried"`
-	Keys    int          `json:"keys"` // that came before this
+	Bans    []string      `json:"bans"`
+	IDs     IDs           `json:"ids"`
+	Carried host.Snapshot `json:"carried"`
+	Keys    int           `json:"keys"` // that came before this
 }
 
 // IDs are those of requests in work and ended lately, as hashes with their key.
@@ -101,23 +101,23 @@
 }
 
 // PastOf returns a past as it is told.
-func PastOf(now time.Time, p history.Past) Past {
+func PastOf(now time.Time, p history.KeyState) Past {
 	if !p.Known {
 		return Past{}
 	}
-	return Past{true, p.Place.Cluster, p.Place.Zone, p.Place.Cell, p.Split, p.Until.Sub(now)}
+	return Past{true, p.Place.Cluster, p.Place.Zone, p.Place.Cell, p.SeveralGroups, p.RetryUntil.Sub(now)}
 }
 
 // History returns a past as it is kept.
-func (p Past) History(now time.Time) history.Past {
+func (p Past) History(now time.Time) history.KeyState {
 	if !p.Known {
-		return history.Past{}
+		return history.KeyState{}
 	}
-	return history.Past{Known: true, Place: history.Place{Cluster: p.Cluster, Zone: p.Zone, Cell: p.Cell}, Split: p.Split, Until: now.Add(p.Until)}
+	return history.KeyState{Known: true, Place: history.Place{Cluster: p.Cluster, Zone: p.Zone, Cell: p.Cell}, SeveralGroups: p.Split, RetryUntil: now.Add(p.Until)}
 }
 
 // ID is a key's, in hexadecimal digits.
-type ID history.ID
+type ID history.KeyID
 
 // MarshalText implements encoding.TextMarshaler.
 func (id ID) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, id[:]), nil }
@@ -141,13 +141,13 @@
 }
 
 // KeyOf returns a key as it is told.
-func KeyOf(now time.Time, k history.Key) Key {
-	return Key{ID(k.ID), PastOf(now, k.Past), k.Zones, k.Cells, k.Expire.Sub(now)}
+func KeyOf(now time.Time, k history.Record) Key {
+	return Key{ID(k.ID), PastOf(now, k.KeyState), k.SeveralZones, k.SeveralCells, k.ExpiresAt.Sub(now)}
 }
 
 // History returns a key as it is kept.
-func (k Key) History(now time.Time) history.Key {
-	return history.Key{ID: history.ID(k.ID), Past: k.Past.History(now), Zones: k.Zones, Cells: k.Cells, Expire: now.Add(k.Expire)}
+func (k Key) History(now time.Time) history.Record {
+	return history.Record{ID: history.KeyID(k.ID), KeyState: k.Past.History(now), SeveralZones: k.Zones, SeveralCells: k.Cells, ExpiresAt: now.Add(k.Expire)}
 }
 
 // Attempt is one that is about to go out with a key.
--- a/internal/platform/sidecar/figures_test.go
+++ b/internal/platform/sidecar/figures_test.go
@@ -35,9 +35,9 @@
 		t.Fatal(err)
 	}
 	board := &figures.Board{}
-	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64, Most: MostBody,
-		Sent: func() { board.Sends.Add(1) }})
-	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
+	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64, MaxStreamBytes: MostBody,
+		OnSent: func() { board.Sends.Add(1) }})
+	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
 		Client: client, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
@@ -65,7 +65,7 @@
 		})
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: []string{"a", "b"}[i%2], Group: i, Status: "ready"})
 	}
-	h.Members(lbpolicy.Full, list)
+	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
 	router := NewRouter(c, h, board, 4<<20)
 	server := frontend.New(router, l, admission.Plain(64), log.New(io.Discard, "", 0))
@@ -137,7 +137,7 @@
 		return n
 	}
 	lbtest.Until(t, "nothing is in work", func() bool { f = board.Look(); return f.Current == 0 })
-	lbtest.Until(t, "nothing is held", func() bool { return h.Held() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
 	f = board.Look()
 	answered, deferred, errored := sum(f.Answered), sum(f.Deferred), sum(f.Errored)
 	within := func(what string, got, least int64) {
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -11,7 +11,7 @@
 
 // Operations answers the operators' calls for one process.
 type Operations struct {
-	Host  *host.Host
+	Host  *host.Engine
 	Board *figures.Board
 	// Takes tells whether this process takes clients.
 	Takes func() bool
@@ -25,13 +25,13 @@
 // Figures implements admin.Operations.
 func (o *Operations) Figures() []byte {
 	f := o.Board.Look()
-	f.Size, f.Unhealthy = o.Host.Cluster()
+	f.Size, f.Unhealthy = o.Host.ClusterSize()
 	return f.Text()
 }
 
 // Ban implements admin.Operations. What it says yes to holds in all processes.
 func (o *Operations) Ban(ctx context.Context, id string, on bool) error {
-	if err := o.Host.Ban(id, on); errors.Is(err, host.ErrUnknown) {
+	if err := o.Host.SetManuallyEjected(id, on); errors.Is(err, host.ErrUnknownEndpoint) {
 		return admin.ErrUnknown
 	} else if err != nil {
 		return err
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -29,7 +29,7 @@
 // Router reads requests as the platform's protocol words them.
 type Router struct {
 	config atomic.Pointer[config.Config] // in force for requests whose heads are read from now on
-	host   *host.Host
+	host   *host.Engine
 	board  *figures.Board
 	bodies *semaphore.Weighted
 	ids    *requestIDs
@@ -46,7 +46,7 @@
 )
 
 // NewRouter returns a router that holds at most maxBodies bytes of request bodies.
-func NewRouter(c *config.Config, h *host.Host, board *figures.Board, maxBodies int64) *Router {
+func NewRouter(c *config.Config, h *host.Engine, board *figures.Board, maxBodies int64) *Router {
 	s := &Router{host: h, board: board, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs(),
 		keys: history.New(maxKeys)}
 	s.config.Store(c)
@@ -56,7 +56,7 @@
 
 // Configure puts other settings in force for requests whose heads are read from now on; with an error nothing has changed.
 func (s *Router) Configure(c *config.Config) error {
-	if err := s.host.Configure(host.Terms{Decide: c.Decide, Zones: c.Zones, Report: c.Report}); err != nil {
+	if err := s.host.Configure(host.Settings{Policy: c.Decide, Zones: c.Zones, ReportFields: c.Report}); err != nil {
 		return err
 	}
 	s.board.Classes(c.Classes)
@@ -73,7 +73,7 @@
 	}
 	x := &exchange{router: s, config: c, up: up, q: q, id: id, outcome: figures.Errored}
 	if x.keyed = x.class().Effect == lbpolicy.KeyedIdempotent; x.keyed {
-		x.keyID = history.IDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
+		x.keyID = history.KeyIDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
 	}
 	return x, nil
 }
@@ -89,35 +89,35 @@
 	clash  bool // another request has the id
 
 	keyed bool
-	keyID history.ID
+	keyID history.KeyID
 	hold  *history.Request
 
 	taken   bool // its last byte has come
 	over    bool // and it has been given its answer
 	outcome figures.Outcome
-	answer  *upstream.Answer
+	answer  *upstream.Response
 }
 
 func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
 
-func (x *exchange) Do(ctx context.Context, body []byte) host.Answer {
+func (x *exchange) Do(ctx context.Context, body []byte) host.Result {
 	x.taken = true
 	x.router.board.Taken()
 	if x.key, x.begun = x.router.ids.begin(x.id); !x.begun {
 		x.clash = true
-		return host.Answer{}
+		return host.Result{}
 	}
 	x.up.Body = body
 	var key *host.Key
 	if x.keyed {
 		var err error
-		if x.hold, err = x.router.keys.Begin(time.Now(), x.keyID, history.Print{}); err != nil { // too many keys: nothing was sent
-			return host.Answer{Refused: true, RetryAfter: keysRetry}
+		if x.hold, err = x.router.keys.Begin(time.Now(), x.keyID, history.Fingerprint{}); err != nil { // too many keys: nothing was sent
+			return host.Result{Rejected: true, RetryAfter: keysRetry}
 		}
 		c := x.class()
-		key = &host.Key{History: x.hold, Terms: history.Terms{Scope: c.Scope, Window: c.Window, Keep: c.Deadline}}
+		key = &host.Key{History: x.hold, Terms: history.Terms{Scope: c.Scope, Window: c.Window, Retention: c.Deadline}}
 		if p := x.router.upgrade.Load(); p != nil {
-			key.Binder = &binder{process: p, id: x.keyID, terms: key.Terms}
+			key.Claimer = &binder{process: p, id: x.keyID, terms: key.Terms}
 		}
 	}
 	a, _ := x.router.host.Do(ctx, x.up, x.q, key)
@@ -128,8 +128,8 @@
 func (x *exchange) Most() int64 { return MostBody }
 
 // Stream implements frontend.Streamer.
-func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) host.Answer {
-	x.up.Rest = rest
+func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) host.Result {
+	x.up.Stream = rest
 	return x.Do(ctx, held)
 }
 
@@ -140,30 +140,30 @@
 
 // Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id. Neither
 // is a request refused whose key may have run.
-func (x *exchange) Reply(a host.Answer) *frontend.Reply {
+func (x *exchange) Reply(a host.Result) *frontend.Reply {
 	own := x.reply(a)
 	x.over = true
 	switch {
-	case own == nil && a.Reply != nil:
-		x.outcome, x.answer = figures.Answered, a.Reply
-	case own == nil && a.Refused || own != nil && own.Status == http.StatusServiceUnavailable:
+	case own == nil && a.Response != nil:
+		x.outcome, x.answer = figures.Answered, a.Response
+	case own == nil && a.Rejected || own != nil && own.Status == http.StatusServiceUnavailable:
 		x.outcome = figures.Deferred
 	}
 	return own
 }
 
-func (x *exchange) reply(a host.Answer) *frontend.Reply {
+func (x *exchange) reply(a host.Result) *frontend.Reply {
 	if x.clash {
 		return &frontend.Reply{Status: http.StatusConflict, Close: true}
 	}
-	if a.Vanished {
+	if a.ClassRemoved {
 		return &frontend.Reply{Status: http.StatusNotFound}
 	}
-	if !a.Refused {
+	if !a.Rejected {
 		return nil
 	}
 	if now, scope := time.Now(), x.class().Scope; x.keyed &&
-		!failover.MayRefuse(now, x.router.keys.Past(now, x.keyID, scope), scope) {
+		!failover.MayReject(now, x.router.keys.KeyState(now, x.keyID, scope), scope) {
 		return &frontend.Reply{Status: http.StatusBadGateway}
 	}
 	if d := &x.config.Decide; !d.SendsRetryAfter || d.Tier > 0 {
@@ -176,7 +176,7 @@
 }
 
 func (x *exchange) End() {
-	if x.answer != nil && x.answer.Rest != nil && !x.answer.Rest.Served() { // it broke off, or its caller has gone
+	if x.answer != nil && x.answer.Stream != nil && !x.answer.Stream.IsDelivered() { // it broke off, or its caller has gone
 		x.outcome = figures.Errored
 	}
 	if x.taken || x.over { // else its body never came whole: it was not taken
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -29,8 +29,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := host.New(host.Options{Decide: c.Decide, Seed: c.Seed, Zones: c.Zones, Report: c.Report, Watch: func() {},
-		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, Idle: time.Second, Max: 64}), Log: slog.New(slog.DiscardHandler)})
+	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64}), Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 		})
 		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: zone, Group: i, Status: "ready"})
 	}
-	h.Members(lbpolicy.Full, list)
+	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
 	server := frontend.New(NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
 	go server.Serve()
@@ -64,7 +64,7 @@
 	drain := func(which int) {
 		now := slices.Clone(list)
 		now[which].Status = "draining"
-		h.Members(lbpolicy.Full, now)
+		h.UpdateEndpoints(lbpolicy.Full, now)
 	}
 	ask := func(id, key string) int {
 		t.Helper()
@@ -102,7 +102,7 @@
 			list[i].Status = "draining"
 		}
 	}
-	h.Members(lbpolicy.Full, list)
+	h.UpdateEndpoints(lbpolicy.Full, list)
 	if status := ask("late", "lost-0"); status != 502 {
 		t.Errorf("a repeat whose zone has gone: %d", status)
 	}
@@ -122,7 +122,7 @@
 		"no bound": {0, time.Second, ""},
 	} {
 		conf := &config.Config{Decide: lbpolicy.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []lbpolicy.Class{{}}}}
-		r := (&exchange{config: conf}).reply(host.Answer{Refused: true, RetryAfter: c.told})
+		r := (&exchange{config: conf}).reply(host.Result{Rejected: true, RetryAfter: c.told})
 		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
 			t.Errorf("%s: %+v", name, r)
 		}
--- a/internal/platform/sidecar/succession.go
+++ b/internal/platform/sidecar/succession.go
@@ -32,7 +32,7 @@
 // Succession is this process as the other one of an upgrade sees it. It implements handover.Self.
 type Succession struct {
 	Listen string
-	Host   *host.Host
+	Host   *host.Engine
 	Router *Router
 	Client *upstream.Client
 	Room   Room
@@ -53,7 +53,7 @@
 		room = room.Half()
 	}
 	debug.SetMemoryLimit(room.Heap)
-	s.Client.SetMax(room.Endpoints)
+	s.Client.SetMaxConns(room.Endpoints)
 	if s.front != nil {
 		s.front.Admit(admission.Plain(room.Callers))
 	}
@@ -82,14 +82,14 @@
 
 // Offer implements handover.Self.
 func (s *Succession) Offer() handover.Offer {
-	return handover.Offer{Listen: s.Listen, List: s.Host.Listed(), Seen: s.Host.Seen(), Bans: s.Host.Banned()}
+	return handover.Offer{Listen: s.Listen, List: s.Host.Endpoints(), Seen: s.Host.ListedHashes(), Bans: s.Host.ManuallyEjected()}
 }
 
 // Listener implements handover.Self.
 func (s *Succession) Listener() syscall.Conn { return s.Socket }
 
 // Retire implements handover.Self.
-func (s *Succession) Retire() (keys []history.Key, t handover.Taken) {
+func (s *Succession) Retire() (keys []history.Record, t handover.Taken) {
 	s.mu.Lock()
 	front := s.front
 	s.mu.Unlock()
@@ -97,15 +97,15 @@
 		front.Retire()
 	}
 	// Nothing is between its claim and its first byte meanwhile: what has begun is among the keys.
-	s.Host.Event(func() {
-		s.Router.keys.Each(time.Now(), func(k history.Key) bool {
-			if k.Past.Known {
+	s.Host.Synchronize(func() {
+		s.Router.keys.Each(time.Now(), func(k history.Record) bool {
+			if k.KeyState.Known {
 				keys = append(keys, k)
 			}
 			return true
 		})
 	})
-	t = handover.Taken{Bans: s.Host.Banned(), IDs: s.Router.ids.carry(), Carried: s.Host.Carry()}
+	t = handover.Taken{Bans: s.Host.ManuallyEjected(), IDs: s.Router.ids.carry(), Carried: s.Host.Snapshot()}
 	s.Fit(true)
 	return keys, t
 }
@@ -122,28 +122,28 @@
 }
 
 // Learn implements handover.Self.
-func (s *Succession) Learn(keys []history.Key) {
+func (s *Succession) Learn(keys []history.Record) {
 	now := time.Now()
 	for _, k := range keys {
-		s.Router.keys.Learn(now, k)
+		s.Router.keys.Merge(now, k)
 	}
 }
 
 // Bind implements handover.Self.
 func (s *Succession) Bind(a handover.Attempt) handover.Past {
 	now := time.Now()
-	id := history.ID(a.ID)
+	id := history.KeyID(a.ID)
 	to := a.To.History(now)
-	past := s.Router.keys.Past(now, id, a.Scope)
-	if past.Known && (!past.Allows(to.Place, a.Scope) || !now.Before(past.Until)) {
+	past := s.Router.keys.KeyState(now, id, a.Scope)
+	if past.Known && (!past.Allows(to.Place, a.Scope) || !now.Before(past.RetryUntil)) {
 		return handover.PastOf(now, past)
 	}
-	s.Router.keys.Learn(now, history.Key{ID: id, Past: to, Expire: now.Add(a.Expire)})
-	return handover.PastOf(now, past.And(to, a.Scope))
+	s.Router.keys.Merge(now, history.Record{ID: id, KeyState: to, ExpiresAt: now.Add(a.Expire)})
+	return handover.PastOf(now, past.Merge(to, a.Scope))
 }
 
 // Ban implements handover.Self.
-func (s *Succession) Ban(id string, on bool) { s.Host.Hold(id, on) }
+func (s *Succession) Ban(id string, on bool) { s.Host.SetEjectedUnlisted(id, on) }
 
 // Alone implements handover.Self.
 func (s *Succession) Alone() {
@@ -155,11 +155,11 @@
 
 // Begin takes up what was offered, before this process has a list of its own.
 func (s *Succession) Begin(o *handover.Offer) {
-	s.Host.See(o.Seen)
+	s.Host.AddListedHashes(o.Seen)
 	for _, id := range o.Bans {
-		s.Host.Hold(id, true)
+		s.Host.SetEjectedUnlisted(id, true)
 	}
-	s.Host.Members(lbpolicy.Cached, o.List)
+	s.Host.UpdateEndpoints(lbpolicy.Cached, o.List)
 }
 
 // Take takes up what is in force as the process before this one takes no more clients.
@@ -167,15 +167,15 @@
 	banned := map[string]bool{}
 	for _, id := range t.Bans {
 		banned[id] = true
-		s.Host.Hold(id, true)
+		s.Host.SetEjectedUnlisted(id, true)
 	}
-	for _, id := range s.Host.Banned() {
+	for _, id := range s.Host.ManuallyEjected() {
 		if !banned[id] {
-			s.Host.Hold(id, false)
+			s.Host.SetEjectedUnlisted(id, false)
 		}
 	}
 	s.Router.ids.follow(t.IDs)
-	s.Host.Follow(t.Carried)
+	s.Host.Restore(t.Carried)
 }
 
 // Upgrade lets requests with keys agree with the process that has taken over from this one.
@@ -184,21 +184,21 @@
 // binder agrees with the process that has taken over on where a request's attempts go. It implements host.Binder.
 type binder struct {
 	process *handover.Process
-	id      history.ID
+	id      history.KeyID
 	terms   history.Terms
 
 	mu   sync.Mutex
-	past history.Past
+	past history.KeyState
 }
 
-// Active implements host.Binder.
-func (b *binder) Active() bool { return b.process.Retired() }
+// IsActive implements host.Binder.
+func (b *binder) IsActive() bool { return b.process.Retired() }
 
-// Bind implements host.Binder. Where the other process does not answer, nothing is known, and the attempt is held back.
-func (b *binder) Bind(ctx context.Context, to history.Place) {
+// Claim implements host.Binder. Where the other process does not answer, nothing is known, and the attempt is held back.
+func (b *binder) Claim(ctx context.Context, to history.Place) {
 	now := time.Now()
-	p, err := b.process.Bind(ctx, handover.Attempt{ID: handover.ID(b.id), Scope: b.terms.Scope, Expire: b.terms.Window + b.terms.Keep,
-		To: handover.PastOf(now, history.Past{Known: true, Place: to, Until: now.Add(b.terms.Usable())})})
+	p, err := b.process.Bind(ctx, handover.Attempt{ID: handover.ID(b.id), Scope: b.terms.Scope, Expire: b.terms.Window + b.terms.Retention,
+		To: handover.PastOf(now, history.KeyState{Known: true, Place: to, RetryUntil: now.Add(b.terms.RetryWindow())})})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
@@ -206,8 +206,8 @@
 	}
 }
 
-// Past implements host.Binder.
-func (b *binder) Past() history.Past {
+// KeyState implements host.Binder.
+func (b *binder) KeyState() history.KeyState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.past
--- a/internal/salas/crossing/way.go
+++ b/internal/salas/crossing/way.go
@@ -34,7 +34,7 @@
 const NoSala = "?"
 
 // Holder returns the sala that holds a key, by what is known of it from several sides; empty: none does.
-func Holder(pasts ...history.Past) (holder string) {
+func Holder(pasts ...history.KeyState) (holder string) {
 	for _, p := range pasts {
 		if !p.Known {
 			continue
@@ -44,7 +44,7 @@
 			sala = NoSala
 		}
 		switch {
-		case p.Split && p.Place.Cluster == "":
+		case p.SeveralGroups && p.Place.Cluster == "":
 			return NoSala
 		case holder == "":
 			holder = sala
--- a/internal/salas/link/link_test.go
+++ b/internal/salas/link/link_test.go
@@ -45,7 +45,7 @@
 	return s.cross(ctx, c)
 }
 func (s *script) State() crossing.State { return crossing.State(s.state.Load()) }
-func (s *script) Lookup(id history.ID) Found {
+func (s *script) Lookup(id history.KeyID) Found {
 	return Found{Known: id[0] == 1, Cluster: "c"}
 }
 
--- a/internal/salas/link/wire.go
+++ b/internal/salas/link/wire.go
@@ -120,7 +120,7 @@
 
 // lookup asks what a sala knows of a key.
 type lookup struct {
-	ID history.ID `codec:"i"`
+	ID history.KeyID `codec:"i"`
 }
 
 // Found is what a sala knows of a key.
