--- a/bench/ledger/main.go
+++ b/bench/ledger/main.go
@@ -26,7 +26,7 @@
 	"github.com/alecthomas/kong"
 	"go.etcd.io/bbolt"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/ledger"
@@ -315,7 +315,7 @@
 			out.Write(segment.AppendHeader(nil, h.Number, &h))
 			left = 64 << 20
 		}
-		id := history.KeyIDOf("", fmt.Sprint(i))
+		id := idempotency.KeyIDOf("", fmt.Sprint(i))
 		frame = frame[:0]
 		for _, r := range []segment.Record{
 			{Kind: segment.Taken, At: at, Request: uint64(i + 1), ID: fmt.Sprintf("%016x", i), Class: "reserva", Key: fmt.Sprintf("seat-%012d", i),
@@ -352,7 +352,7 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	var terms history.Terms
+	var terms idempotency.Terms
 	terms.Window = time.Minute
 	for _, mode := range []commit.Mode{commit.Group, commit.Each} {
 		l, err := ledger.Start(ledger.Options{Dir: filepath.Join(folder, mode.String()), Keys: 1 << 20, Log: slog.New(slog.DiscardHandler),
@@ -366,7 +366,7 @@
 			return err
 		}
 		o.measure("ledger, "+mode.String(), func(int) error {
-			return e.Attempt("portal-1", terms).Intent(context.Background(), history.Place{Cluster: "portal", Zone: "sala-centro"})
+			return e.Attempt("portal-1", terms).Intent(context.Background(), idempotency.Place{Cluster: "portal", Zone: "sala-centro"})
 		})
 		l.Close()
 	}
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
@@ -80,7 +80,7 @@
 	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, OnSent: func() { board.Sends.Add(1) },
 		IdleTimeout: idleOf(c), SettleTime: settle, HedgeDials: true, MaxConns: room.Endpoints, MaxStreamBytes: platform.MostBody})
 	var discovery *registry.Client
-	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Client: client,
+	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Client: client,
 		Watch: func() { discovery.Watch() }, Log: log})
 	if err != nil {
 		return err
--- a/internal/balancer/host/ban.go
+++ b/internal/balancer/engine/ban.go
@@ -1,4 +1,4 @@
-package host
+package engine
 
 import (
 	"errors"
--- a/internal/balancer/host/host.go
+++ b/internal/balancer/engine/host.go
@@ -1,7 +1,7 @@
-// Package host runs a lbpolicy.Balancer on real sockets and a real clock. It translates between the two and decides
+// Package engine runs a lbpolicy.Balancer on real sockets and a real clock. It translates between the two and decides
 // nothing: callers' requests, attempts' ends, lists and timers become events, one at a time, and the balancer's
 // actions become attempts and answers.
-package host
+package engine
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/base/scarce"
 	"silvertrail/lbpolicy"
@@ -127,13 +127,13 @@
 	pool           *upstream.Pool // to the server's address when it was sent
 	sentAt         time.Duration
 	cancel         context.CancelFunc
-	firstByteSent  bool             // its first byte may be out
-	ended          bool             // for the decisions
-	neverRan       bool             // ended with proof that it never ran
-	closed         chan struct{}    // closed once nothing of it is out on a connection
-	keyAttempt     *history.Attempt // nil: the request has no key
-	record         Record           // nil: there is none
-	intentRecorded bool             // it waits for no record any more
+	firstByteSent  bool                 // its first byte may be out
+	ended          bool                 // for the decisions
+	neverRan       bool                 // ended with proof that it never ran
+	closed         chan struct{}        // closed once nothing of it is out on a connection
+	keyAttempt     *idempotency.Attempt // nil: the request has no key
+	record         Record               // nil: there is none
+	intentRecorded bool                 // it waits for no record any more
 }
 
 // Begin hands a request to the decisions. Left counts from the request's last byte. The key is nil where it has none;
--- a/internal/balancer/host/key.go
+++ b/internal/balancer/engine/key.go
@@ -1,4 +1,4 @@
-package host
+package engine
 
 import (
 	"context"
@@ -6,15 +6,15 @@
 	"slices"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/lbpolicy"
 )
 
 // Key is a keyed request's hold on its key's history, and what its attempts are recorded under.
 type Key struct {
-	History *history.Request
+	History *idempotency.Request
 	Cluster string
-	Terms   history.Terms
+	Terms   idempotency.Terms
 	// Claimer agrees with other processes on where the key's attempts go; nil: there are none.
 	Claimer Claimer
 	// Recorder records attempts before they go out; nil: nothing does.
@@ -32,7 +32,7 @@
 // Record is that of one attempt.
 type Record interface {
 	// Intent returns once it is safely recorded that the attempt is about to go to a place. With an error it must not go out.
-	Intent(ctx context.Context, to history.Place) error
+	Intent(ctx context.Context, to idempotency.Place) error
 	// Ended records its end, and the status of its answer, if one came whole. It must not block.
 	Ended(v lbpolicy.Verdict, status int)
 }
@@ -42,9 +42,9 @@
 	// IsActive tells whether there is anybody to agree with. Where it turns true no attempt begins that was not agreed to.
 	IsActive() bool
 	// Claim asks all processes; what it has learnt stands in Past. It may be called again, for another attempt.
-	Claim(ctx context.Context, to history.Place)
+	Claim(ctx context.Context, to idempotency.Place)
 	// KeyState returns what is known of the key in all processes: an attempt may go out where that allows its place.
-	KeyState() history.KeyState
+	KeyState() idempotency.KeyState
 }
 
 // keyState translates what is known of a call's key for the decisions.
@@ -62,8 +62,8 @@
 }
 
 // place is where an endpoint stands now.
-func (h *Engine) place(c *Call, e *endpoint) history.Place {
-	p := history.Place{Cluster: c.key.Cluster, Cell: e.Cell}
+func (h *Engine) place(c *Call, e *endpoint) idempotency.Place {
+	p := idempotency.Place{Cluster: c.key.Cluster, Cell: e.Cell}
 	if e.Zone >= 0 && e.Zone < len(h.zones) {
 		p.Zone = h.zones[e.Zone]
 	}
@@ -80,7 +80,7 @@
 	if a.keyAttempt, err = c.key.History.Send(time.Now(), h.place(c, a.server), c.key.Terms); err == nil {
 		return true
 	}
-	if errors.Is(err, history.ErrHeldElsewhere) {
+	if errors.Is(err, idempotency.ErrHeldElsewhere) {
 		h.log.Info("attempt held back", "endpoint", a.server.name, "error", err)
 	}
 	return false
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
 	if c.key.needsClaim() {
-		var to history.Place
+		var to idempotency.Place
 		h.event(func(now time.Duration) {
 			to = h.place(c, a.server)
 			h.setDispatchPending(now, c, a, true)
@@ -154,7 +154,7 @@
 }
 
 // isClaimValid tells whether what other processes have agreed to still holds for an attempt at a place.
-func (h *Engine) isClaimValid(now time.Time, c *Call, to history.Place) bool {
+func (h *Engine) isClaimValid(now time.Time, c *Call, to idempotency.Place) bool {
 	if c.key == nil || !c.key.needsClaim() {
 		return true
 	}
--- a/internal/balancer/host/left_test.go
+++ b/internal/balancer/engine/left_test.go
@@ -1,4 +1,4 @@
-package host
+package engine
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
@@ -39,7 +39,7 @@
 
 func (s slowRecord) Attempt(string) Record { return s }
 
-func (s slowRecord) Intent(context.Context, history.Place) error {
+func (s slowRecord) Intent(context.Context, idempotency.Place) error {
 	s.pass()
 	return nil
 }
@@ -49,31 +49,31 @@
 // slowVoters agree to whatever they are asked, late.
 type slowVoters struct {
 	*gate
-	to atomic.Pointer[history.Place]
+	to atomic.Pointer[idempotency.Place]
 }
 
 func (s *slowVoters) IsActive() bool { return true }
 
-func (s *slowVoters) Claim(_ context.Context, to history.Place) {
+func (s *slowVoters) Claim(_ context.Context, to idempotency.Place) {
 	s.pass()
 	s.to.Store(&to)
 }
 
-func (s *slowVoters) KeyState() history.KeyState {
+func (s *slowVoters) KeyState() idempotency.KeyState {
 	if to := s.to.Load(); to != nil {
-		return history.KeyState{Known: true, Place: *to, RetryUntil: time.Now().Add(time.Minute)}
+		return idempotency.KeyState{Known: true, Place: *to, RetryUntil: time.Now().Add(time.Minute)}
 	}
-	return history.KeyState{}
+	return idempotency.KeyState{}
 }
 
 // keyed begins a keyed request whose caller leaves as told.
-func keyed(t *testing.T, h *Engine, away func() bool, binder Claimer, recorder Recorder) (*Call, *history.Request) {
+func keyed(t *testing.T, h *Engine, away func() bool, binder Claimer, recorder Recorder) (*Call, *idempotency.Request) {
 	t.Helper()
-	hold, err := history.New(8).Begin(time.Now(), history.KeyIDOf("acme", "k"), history.Fingerprint{})
+	hold, err := idempotency.New(8).Begin(time.Now(), idempotency.KeyIDOf("acme", "k"), idempotency.Fingerprint{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	key := &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}, Claimer: binder, Recorder: recorder}
+	key := &Key{History: hold, Terms: idempotency.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}, Claimer: binder, Recorder: recorder}
 	r := upstream.Request{Method: "POST", Target: "/write", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}, "Idempotency-Key": {"k"}}}
 	return h.begin(r, lbpolicy.Request{Class: 1, TimeLeft: lbtest.Wait}, key, away), hold
 }
--- a/internal/balancer/host/resets_test.go
+++ b/internal/balancer/engine/resets_test.go
@@ -1,4 +1,4 @@
-package host
+package engine
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/registry"
@@ -91,12 +91,12 @@
 					h.UpdateEndpoints(lbpolicy.Full, list)
 					var key *Key
 					if c.class == 1 {
-						hold, err := history.New(8).Begin(time.Now(), history.KeyIDOf("acme", "k"), history.Fingerprint{})
+						hold, err := idempotency.New(8).Begin(time.Now(), idempotency.KeyIDOf("acme", "k"), idempotency.Fingerprint{})
 						if err != nil {
 							t.Fatal(err)
 						}
 						defer hold.End()
-						key = &Key{History: hold, Terms: history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}}
+						key = &Key{History: hold, Terms: idempotency.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}}
 					}
 					a := answer(t, h.Begin(upstream.Request{Method: "POST", Target: "/x", Host: "x", Header: map[string][]string{"X-Request-Id": {"one"}}},
 						lbpolicy.Request{Class: c.class, TimeLeft: lbtest.Wait}, key))
--- a/internal/balancer/failover/failover.go
+++ b/internal/balancer/failover/failover.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/lbpolicy"
 )
 
@@ -38,7 +38,7 @@
 func New(r Request) *Plan { return &Plan{request: r} }
 
 // First returns the cluster that the request is given to first. Past is what is known of its key.
-func (p *Plan) First(past history.KeyState) (cluster string) {
+func (p *Plan) First(past idempotency.KeyState) (cluster string) {
 	cluster = p.request.Cluster
 	if past.Known {
 		cluster = past.Place.Cluster
@@ -52,7 +52,7 @@
 //
 //   - what is safe to repeat, and what is known never to have run, goes to the failover cluster;
 //   - a keyed request goes where its key may have run: another request with the key can have bound it meanwhile.
-func (p *Plan) Next(now time.Time, r Result, past history.KeyState) (cluster string, ok bool) {
+func (p *Plan) Next(now time.Time, r Result, past idempotency.KeyState) (cluster string, ok bool) {
 	p.attempts += r.Attempts
 	if r.Served || !now.Before(p.request.Deadline) || p.request.MaxAttempts > 0 && p.attempts >= p.request.MaxAttempts {
 		return "", false
@@ -86,7 +86,7 @@
 
 // MayReject tells whether a request that was not served may be refused, which tells its caller that a repeat is harmless.
 // It may not where the key may have run: unless all endpoints drop its repeats, and still do.
-func MayReject(now time.Time, past history.KeyState, scope lbpolicy.Scope) bool {
+func MayReject(now time.Time, past idempotency.KeyState, scope lbpolicy.Scope) bool {
 	return !past.Known || scope == lbpolicy.ScopeAll && now.Before(past.RetryUntil)
 }
 
--- a/internal/balancer/failover/failover_test.go
+++ b/internal/balancer/failover/failover_test.go
@@ -6,24 +6,24 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/lbpolicy"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
 
-func at(cluster string) history.KeyState {
-	return history.KeyState{Known: true, Place: history.Place{Cluster: cluster}, RetryUntil: t0.Add(time.Second)}
+func at(cluster string) idempotency.KeyState {
+	return idempotency.KeyState{Known: true, Place: idempotency.Place{Cluster: cluster}, RetryUntil: t0.Add(time.Second)}
 }
 
 // What may be sent where, for each effect and each way in which the first cluster can end a request.
 func TestNext(t *testing.T) {
-	none := history.KeyState{}
+	none := idempotency.KeyState{}
 	for _, c := range []struct {
 		name   string
 		effect lbpolicy.Effect
 		r      Result
-		past   history.KeyState
+		past   idempotency.KeyState
 		want   string
 	}{
 		{"safe, may have run", lbpolicy.Idempotent, Result{MayHaveRun: true, Attempts: 1}, none, "spare"},
@@ -64,7 +64,7 @@
 		r := Request{Cluster: name.Draw(t, "to"), Failover: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "failover"),
 			Effect:      rapid.SampledFrom([]lbpolicy.Effect{lbpolicy.Idempotent, lbpolicy.KeyedIdempotent, lbpolicy.NonIdempotent}).Draw(t, "effect"),
 			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "most"), Deadline: t0.Add(time.Second)}
-		past := history.KeyState{}
+		past := idempotency.KeyState{}
 		if r.Effect == lbpolicy.KeyedIdempotent && rapid.Bool().Draw(t, "repeat") {
 			past = at(name.Draw(t, "past"))
 		}
--- a/internal/balancer/history/history.go
+++ b/internal/balancer/idempotency/history.go
@@ -1,4 +1,4 @@
-// Package history remembers, for each key of a keyed request, where attempts with it may have run or are running now,
+// Package idempotency remembers, for each key of a keyed request, where attempts with it may have run or are running now,
 // since when, and for how long the endpoints there drop a repeat. By it every further attempt with the key is kept
 // inside the group of endpoints that drops repeats, and stops when they no longer remember. It does no I/O and has no
 // clock: it is told the time with each call.
@@ -11,7 +11,7 @@
 //
 // The table knows what this process has sent. Other processes share nothing with it, and a restart forgets, but for what
 // it is told by Learn.
-package history
+package idempotency
 
 import (
 	"crypto/sha256"
--- a/internal/balancer/history/history_test.go
+++ b/internal/balancer/idempotency/history_test.go
@@ -1,4 +1,4 @@
-package history
+package idempotency
 
 import (
 	"errors"
--- a/internal/balancer/limit/limit.go
+++ b/internal/balancer/quota/limit.go
@@ -1,10 +1,10 @@
-// Package limit shares a bounded resource of the process (connections, bytes of bodies, calls in work) among clusters,
+// Package quota shares a bounded resource of the process (connections, bytes of bodies, calls in work) among clusters,
 // so that one that hangs can't take what the others need. It does no I/O, has no clock and never waits: what is not to
 // be had now is refused now.
 //
 // Each share has a reserve that nobody else can use and a cap that it can't pass; what lies between is first come,
 // first served from the part that is reserved for nobody.
-package limit
+package quota
 
 import (
 	"context"
--- a/internal/balancer/limit/limit_test.go
+++ b/internal/balancer/quota/limit_test.go
@@ -1,4 +1,4 @@
-package limit
+package quota
 
 import (
 	"context"
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -15,8 +15,8 @@
 	"syscall"
 	"time"
 
-	"silvertrail/internal/edge/chunked"
-	"silvertrail/internal/edge/httphead"
+	"silvertrail/internal/base/chunked"
+	"silvertrail/internal/base/httphead"
 )
 
 const (
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/limit"
+	"silvertrail/internal/balancer/quota"
 	"silvertrail/internal/base/scarce"
 	"silvertrail/lbpolicy"
 )
@@ -47,7 +47,7 @@
 	HedgeDials bool
 	MaxConns   int // connections
 	// Allocation is the client's part of what the process may open, one unit for each connection; nil: no bound but Max.
-	Allocation *limit.Allocation
+	Allocation *quota.Allocation
 	// OnExhausted is called where the process has no descriptor for a connection, to have others give some back; nil: nobody can.
 	OnExhausted func()
 	// OnSent is called for each request whose last byte has been written; nil: nobody counts. It must not block.
--- a/internal/balancer/upstream/rest.go
+++ b/internal/balancer/upstream/rest.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"silvertrail/internal/edge/chunked"
+	"silvertrail/internal/base/chunked"
 )
 
 // RequestStream is what comes of a request's body behind the part that is held. One attempt takes it, and no other can then be made.
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/limit"
+	"silvertrail/internal/balancer/quota"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -253,8 +253,8 @@
 // The process's bound holds over the clients of all clusters, and every place is given back.
 func TestShare(t *testing.T) {
 	hung := lbtest.NewEndpoint(t, nil)
-	total := limit.NewPool(3)
-	share := func() *limit.Allocation { return total.Allocate(1, 2) }
+	total := quota.NewPool(3)
+	share := func() *quota.Allocation { return total.Allocate(1, 2) }
 	a := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 8, Allocation: share()})
 	b := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 8, Allocation: share()})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/edge/chunked/chunked.go
+++ b/internal/base/chunked/chunked.go
@@ -10,7 +10,7 @@
 	"errors"
 	"strings"
 
-	"silvertrail/internal/edge/httphead"
+	"silvertrail/internal/base/httphead"
 )
 
 const (
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/host"
-	"silvertrail/internal/edge/chunked"
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/base/chunked"
 )
 
 const (
@@ -36,7 +36,7 @@
 	// Most is how many bytes a body may have.
 	Most() int64
 	// Stream is Do for a request whose body is held up to a point and comes as it is read beyond that.
-	Stream(ctx context.Context, held []byte, rest *Rest) host.Result
+	Stream(ctx context.Context, held []byte, rest *Rest) engine.Result
 }
 
 // body is a request's body and what it holds of the memory that all bodies share.
--- a/internal/edge/frontend/conn.go
+++ b/internal/edge/frontend/conn.go
@@ -13,9 +13,9 @@
 	"syscall"
 	"time"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/base/httphead"
 	"silvertrail/internal/edge/admission"
-	"silvertrail/internal/edge/httphead"
 )
 
 // callerConn is a caller's connection. One goroutine serves it; closing it from another is allowed.
@@ -79,7 +79,7 @@
 	if at, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.from = at.AddrPort().Addr().Unmap()
 	}
-	c.ctx, c.cancel = context.WithCancel(host.WithDisconnectCheck(context.Background(), c.left))
+	c.ctx, c.cancel = context.WithCancel(engine.WithDisconnectCheck(context.Background(), c.left))
 	return c, nil
 }
 
--- a/internal/edge/frontend/frontend.go
+++ b/internal/edge/frontend/frontend.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/edge/admission"
 )
 
@@ -48,9 +48,9 @@
 	Bodies() Budget
 	// Do gives the request, now whole, its one final answer. Where ctx ends the caller has gone: what comes back then
 	// is read by nobody unless it is a reply.
-	Do(ctx context.Context, body []byte) host.Result
+	Do(ctx context.Context, body []byte) engine.Result
 	// Reply gives the answer in place of the front's own wording; nil where the front's is right.
-	Reply(a host.Result) *Reply
+	Reply(a engine.Result) *Reply
 	// End follows every exchange, also one whose body never came.
 	End()
 }
@@ -310,7 +310,7 @@
 		return
 	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
 		c.unread()
-		c.final(x, host.Result{Rejected: true, RetryAfter: memoryRetry})
+		c.final(x, engine.Result{Rejected: true, RetryAfter: memoryRetry})
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.turnAway(http.StatusRequestTimeout)
@@ -344,7 +344,7 @@
 		c.ends = true
 	}
 	if fault := b.rest.fault(); fault != nil && a.Response == nil {
-		x.Reply(host.Result{}) // a failure, whatever the decisions made of it
+		x.Reply(engine.Result{}) // a failure, whatever the decisions made of it
 		switch {
 		case errors.Is(fault, errTooLarge):
 			c.turnAway(http.StatusRequestEntityTooLarge)
@@ -365,7 +365,7 @@
 const memoryRetry = time.Second
 
 // final gives the caller its answer, in the exchange's words where it has some.
-func (c *callerConn) final(x Exchange, a host.Result) {
+func (c *callerConn) final(x Exchange, a engine.Result) {
 	own := x.Reply(a)
 	if own == nil {
 		c.answer(a)
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
 		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64,
 			MaxStreamBytes: sidecar.MostBody}), Log: quiet})
 	if err != nil {
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -19,7 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/certs"
@@ -86,7 +86,7 @@
 type door struct {
 	*frontend.Server
 	*listener
-	host   *host.Engine
+	host   *engine.Engine
 	client *upstream.Client
 	addr   string
 	secure *tls.Config // of callers; nil: plain
@@ -122,7 +122,7 @@
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
 	d.client = upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, IdleTimeout: time.Second, MaxConns: 64, Dial: dial, HedgeDials: true, MaxStreamBytes: sidecar.MostBody})
-	d.host, err = host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {}, Client: d.client, Log: quiet})
+	d.host, err = engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {}, Client: d.client, Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/frontend/write.go
+++ b/internal/edge/frontend/write.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 )
 
 const (
@@ -21,7 +21,7 @@
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
 // answer gives the caller its final answer.
-func (c *callerConn) answer(a host.Result) {
+func (c *callerConn) answer(a engine.Result) {
 	switch {
 	case a.Response != nil:
 		if a.Response.Stream != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,7 +16,7 @@
 	"github.com/hashicorp/memberlist"
 	"go.uber.org/goleak"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/fleet/partition"
 	"silvertrail/internal/testkit/lbtest"
@@ -108,7 +108,7 @@
 }
 
 func (f *Fleet) asks(key string, zone string, life time.Duration) ownership.Proposal {
-	return ownership.Proposal{Attempt: f.NextAttemptID(), Key: history.KeyIDOf("", key), Place: history.Place{Cluster: "c", Zone: zone}, Scope: lbpolicy.ScopeZone,
+	return ownership.Proposal{Attempt: f.NextAttemptID(), Key: idempotency.KeyIDOf("", key), Place: idempotency.Place{Cluster: "c", Zone: zone}, Scope: lbpolicy.ScopeZone,
 		Window: time.Second, Retention: time.Second, TTL: life}
 }
 
@@ -251,11 +251,11 @@
 	if back.process == c.all[2].process {
 		t.Error("the same process twice")
 	}
-	if _, silent, voter := back.VoterKeyState(history.KeyID{}, lbpolicy.ScopeAll); !voter || silent == 0 {
+	if _, silent, voter := back.VoterKeyState(idempotency.KeyID{}, lbpolicy.ScopeAll); !voter || silent == 0 {
 		t.Error("a voter that was started anew votes at once")
 	}
 	lbtest.Until(t, "it has learnt from the others", func() bool {
-		_, silent, _ := back.VoterKeyState(history.KeyID{}, lbpolicy.ScopeAll)
+		_, silent, _ := back.VoterKeyState(idempotency.KeyID{}, lbpolicy.ScopeAll)
 		return silent == 0
 	})
 }
@@ -283,11 +283,11 @@
 	c.links.Slow(400 * time.Millisecond) // a copy takes longer than the time between two asks for one
 	c.all[1] = c.start(1, false, old.options.Voters...)
 	lbtest.Until(t, "it speaks again", func() bool {
-		_, silent, _ := c.all[1].VoterKeyState(history.KeyID{}, lbpolicy.ScopeAll)
+		_, silent, _ := c.all[1].VoterKeyState(idempotency.KeyID{}, lbpolicy.ScopeAll)
 		return silent == 0
 	})
 	for i := range n {
-		if p, _, _ := c.all[1].VoterKeyState(history.KeyIDOf("", fmt.Sprint("k", i)), lbpolicy.ScopeZone); !p.Known || p.Place.Zone != "north" {
+		if p, _, _ := c.all[1].VoterKeyState(idempotency.KeyIDOf("", fmt.Sprint("k", i)), lbpolicy.ScopeZone); !p.Known || p.Place.Zone != "north" {
 			t.Fatalf("key %d: %+v", i, p)
 		}
 	}
--- a/internal/fleet/format_test.go
+++ b/internal/fleet/format_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
 	"silvertrail/internal/fleet/ownership"
@@ -18,8 +18,8 @@
 // Packets are encoded by the order of their fields, so the values below name each field, and each has its own value.
 var (
 	formatTry   = ownership.AttemptID{Process: 0x0102030405060708, Number: 9}
-	formatPlace = history.Place{Cluster: "cluster-a", Zone: "zone-b", Cell: 3}
-	formatID    = history.KeyID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+	formatPlace = idempotency.Place{Cluster: "cluster-a", Zone: "zone-b", Cell: 3}
+	formatID    = idempotency.KeyID{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
 	formatHash  = version.Hash{21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36}
 	formatDelta = membership.Delta{
 		Remove: []membership.Member{{Name: "removed", Address: "127.0.0.1:31", Incarnation: 31}},
--- a/internal/fleet/keyownership.go
+++ b/internal/fleet/keyownership.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet/ownership"
 	"silvertrail/lbpolicy"
 )
@@ -62,11 +62,11 @@
 
 // ClaimKey has the voters agree that the attempts of a key go to a place. It returns when that is certain one way or the other,
 // or Unknown when ctx ends or the time for it is over.
-func (k *keyOwnership) ClaimKey(ctx context.Context, p ownership.Proposal) (ownership.State, history.KeyState) {
+func (k *keyOwnership) ClaimKey(ctx context.Context, p ownership.Proposal) (ownership.State, idempotency.KeyState) {
 	now := time.Now()
 	voters := k.fleet.voterNames()
 	if k.fleet.membership != nil && k.fleet.membership.isMinorityPartition(voters) {
-		return ownership.Unknown, history.KeyState{} // no majority can agree: the request does not wait, nor count as in flight
+		return ownership.Unknown, idempotency.KeyState{} // no majority can agree: the request does not wait, nor count as in flight
 	}
 	c := &claim{proposer: ownership.NewProposer(now, p, len(voters)), voters: voters, responded: make(chan struct{}, 1)}
 	timeout := k.addClaim(now, p, c)
@@ -85,7 +85,7 @@
 }
 
 // awaitResponses returns the state of a claim once it is final, or Pending when the proposal is due to be sent again.
-func (k *keyOwnership) awaitResponses(ctx context.Context, c *claim, retry <-chan time.Time) (ownership.State, history.KeyState) {
+func (k *keyOwnership) awaitResponses(ctx context.Context, c *claim, retry <-chan time.Time) (ownership.State, idempotency.KeyState) {
 	for {
 		if state, past := k.claimState(c); state != ownership.Pending {
 			return state, past
@@ -93,16 +93,16 @@
 		select {
 		case <-c.responded:
 		case <-retry:
-			return ownership.Pending, history.KeyState{}
+			return ownership.Pending, idempotency.KeyState{}
 		case <-ctx.Done():
-			return ownership.Unknown, history.KeyState{}
+			return ownership.Unknown, idempotency.KeyState{}
 		case <-k.fleet.closed:
-			return ownership.Unknown, history.KeyState{}
+			return ownership.Unknown, idempotency.KeyState{}
 		}
 	}
 }
 
-func (k *keyOwnership) claimState(c *claim) (ownership.State, history.KeyState) {
+func (k *keyOwnership) claimState(c *claim) (ownership.State, idempotency.KeyState) {
 	k.claimsMu.Lock()
 	defer k.claimsMu.Unlock()
 	return c.proposer.State()
@@ -205,7 +205,7 @@
 
 // VoterKeyState returns what this instance's voter knows of a key, and how long it still abstains; ok is false where the
 // instance is no voter.
-func (k *keyOwnership) VoterKeyState(key history.KeyID, scope lbpolicy.Scope) (past history.KeyState, abstainsFor time.Duration, ok bool) {
+func (k *keyOwnership) VoterKeyState(key idempotency.KeyID, scope lbpolicy.Scope) (past idempotency.KeyState, abstainsFor time.Duration, ok bool) {
 	isVoter := slices.Contains(k.fleet.voterNames(), k.fleet.options.Name)
 	k.voterMu.Lock()
 	defer k.voterMu.Unlock()
--- a/internal/fleet/ownership/message.go
+++ b/internal/fleet/ownership/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/lbpolicy"
 )
 
@@ -20,8 +20,8 @@
 type Proposal struct {
 	Attempt   AttemptID
 	Round     uint32 // of the attempt; a proposal with another place has a higher one and replaces the earlier one
-	Key       history.KeyID
-	Place     history.Place
+	Key       idempotency.KeyID
+	Place     idempotency.Place
 	Scope     lbpolicy.Scope
 	Window    time.Duration
 	Retention time.Duration
@@ -43,9 +43,9 @@
 	Attempt   AttemptID
 	Round     uint32
 	Vote      Vote
-	Place     history.Place // of the group that owns the key
-	Split     bool          // whether several groups have had the key
-	Remaining time.Duration // to send further attempts, from the response on
+	Place     idempotency.Place // of the group that owns the key
+	Split     bool              // whether several groups have had the key
+	Remaining time.Duration     // to send further attempts, from the response on
 }
 
 // Release tells a voter that a request has ended.
@@ -56,8 +56,8 @@
 
 // KeyState is what one voter tells another about a key. Times count from the message on.
 type KeyState struct {
-	Key          history.KeyID
-	Place        history.Place
+	Key          idempotency.KeyID
+	Place        idempotency.Place
 	SeveralZones bool // attempts went to several zones
 	SeveralCells bool // attempts went to several cells
 	RetryFor     time.Duration
--- a/internal/fleet/ownership/model_test.go
+++ b/internal/fleet/ownership/model_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/lbpolicy"
 )
 
@@ -30,15 +30,15 @@
 
 var (
 	m0    = time.Unix(1_800_000_000, 0)
-	north = history.Place{Cluster: "c", Zone: "north"}
-	south = history.Place{Cluster: "c", Zone: "south"}
+	north = idempotency.Place{Cluster: "c", Zone: "north"}
+	south = idempotency.Place{Cluster: "c", Zone: "south"}
 )
 
 // scriptedRequest is a request of a script.
 type scriptedRequest struct {
 	process int
 	key     string
-	place   history.Place
+	place   idempotency.Place
 }
 
 // run is one process's request under way.
@@ -48,7 +48,7 @@
 	responses [3][]Response // that each voter has given
 	delivered [3][2]int     // how often each ask has come to each voter
 	release   *Release
-	place     history.Place
+	place     idempotency.Place
 	done      bool
 	started   bool
 	adopted   bool
@@ -57,7 +57,7 @@
 // start is an attempt that has gone out.
 type start struct {
 	key   string
-	place history.Place
+	place idempotency.Place
 	at    time.Time
 }
 
@@ -138,11 +138,11 @@
 	return out
 }
 
-func (w *world) ask(i int, place history.Place) {
+func (w *world) ask(i int, place idempotency.Place) {
 	r := w.requests[i]
 	r.place = place
 	a := Proposal{Attempt: AttemptID{uint64(10*w.script[i].process + w.incarnations[w.script[i].process]), uint64(i)}, Round: uint32(len(r.proposals)),
-		Key: history.KeyIDOf("", w.script[i].key), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+		Key: idempotency.KeyIDOf("", w.script[i].key), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	r.proposer = NewProposer(w.now, a, 3)
 	r.proposals = append(r.proposals, a)
 }
@@ -235,7 +235,7 @@
 		for _, h := range v.grants {
 			lines = append(lines, fmt.Sprint(h.attempt, h.round, h.place.Zone, h.ended))
 		}
-		v.table.Each(w.now, func(k history.Record) bool {
+		v.table.Each(w.now, func(k idempotency.Record) bool {
 			lines = append(lines, fmt.Sprintf("%x %v %d %d %t %d %d", k.ID[:2], k.KeyState.Place.Zone, at(k.KeyState.RetryUntil), at(k.ExpiresAt), k.SeveralZones, k.Requests, k.InFlight))
 			return true
 		})
@@ -363,8 +363,8 @@
 // What a voter may forget and must not: a try that moved to another place, an end that overtook its ask, a list of voters
 // that follows another.
 func TestVoter(t *testing.T) {
-	ask := func(number uint64, turn uint32, place history.Place) Proposal {
-		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: history.KeyIDOf("", "a"), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
+	ask := func(number uint64, turn uint32, place idempotency.Place) Proposal {
+		return Proposal{Attempt: AttemptID{1, number}, Round: turn, Key: idempotency.KeyIDOf("", "a"), Place: place, Scope: lbpolicy.ScopeZone, Window: window, Retention: retention, TTL: ttl}
 	}
 	v := NewVoter(m0, VoterOptions{MaxKeys: 4, MaxProposalTTL: ttl})
 	vote := func(a Proposal) Vote {
@@ -395,7 +395,7 @@
 	}
 	for i := range uint64(4) {
 		a := ask(10+i, 0, north)
-		a.Key = history.KeyIDOf("", fmt.Sprint(i))
+		a.Key = idempotency.KeyIDOf("", fmt.Sprint(i))
 		if got, want := vote(a), []Vote{Grant, Grant, Grant, Abstain}[i]; got != want {
 			t.Errorf("key %d: %d", i, got)
 		}
--- a/internal/fleet/ownership/proposer.go
+++ b/internal/fleet/ownership/proposer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 )
 
 // State is the progress of a proposal.
@@ -56,9 +56,9 @@
 // State returns the progress of the proposal. With Claimed and OwnedElsewhere it also returns the state of the key: the group that
 // owns it, and until when attempts may be decided on, by the earliest response that counts. All times are counted from the
 // making of the proposal, before which no voter can have responded.
-func (p *Proposer) State() (State, history.KeyState) {
+func (p *Proposer) State() (State, idempotency.KeyState) {
 	granted, refused, open := 0, 0, 0
-	var claimed, owned history.KeyState
+	var claimed, owned idempotency.KeyState
 	for i, r := range p.responses {
 		until := p.madeAt.Add(r.Remaining)
 		switch {
@@ -67,12 +67,12 @@
 		case r.Vote == Grant:
 			granted++
 			if !claimed.Known || until.Before(claimed.RetryUntil) {
-				claimed = history.KeyState{Known: true, Place: p.proposal.Place, RetryUntil: until}
+				claimed = idempotency.KeyState{Known: true, Place: p.proposal.Place, RetryUntil: until}
 			}
 		case r.Vote == HeldElsewhere:
 			refused++
 			if !owned.Known || until.Before(owned.RetryUntil) {
-				owned = history.KeyState{Known: true, Place: r.Place, SeveralGroups: r.Split, RetryUntil: until}
+				owned = idempotency.KeyState{Known: true, Place: r.Place, SeveralGroups: r.Split, RetryUntil: until}
 			}
 		}
 	}
@@ -81,11 +81,11 @@
 	case granted >= majority:
 		return Claimed, claimed
 	case granted+open >= majority:
-		return Pending, history.KeyState{}
+		return Pending, idempotency.KeyState{}
 	case refused > 0:
 		return OwnedElsewhere, owned
 	}
-	return Unknown, history.KeyState{}
+	return Unknown, idempotency.KeyState{}
 }
 
 // IsValid reports whether an attempt may still start under the proposal.
--- a/internal/fleet/ownership/snapshot.go
+++ b/internal/fleet/ownership/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 )
 
 // Snapshot returns all that the voter knows, for another one that was restarted; ok is false while it abstains itself.
@@ -12,7 +12,7 @@
 		return nil, false
 	}
 	v.expire(now)
-	v.table.Each(now, func(k history.Record) bool {
+	v.table.Each(now, func(k idempotency.Record) bool {
 		if k.KeyState.Known {
 			keys = append(keys, KeyState{
 				Key:          k.ID,
@@ -38,9 +38,9 @@
 // MergeSnapshot adds a part of a snapshot that was requested while NeedsSnapshots was true.
 func (v *Voter) MergeSnapshot(now time.Time, part []KeyState) {
 	for _, k := range part {
-		v.table.Merge(now, history.Record{
+		v.table.Merge(now, idempotency.Record{
 			ID:           k.Key,
-			KeyState:     history.KeyState{Known: true, Place: k.Place, RetryUntil: now.Add(k.RetryFor)},
+			KeyState:     idempotency.KeyState{Known: true, Place: k.Place, RetryUntil: now.Add(k.RetryFor)},
 			SeveralZones: k.SeveralZones,
 			SeveralCells: k.SeveralCells,
 			ExpiresAt:    now.Add(k.ExpiresIn),
--- a/internal/fleet/ownership/voter.go
+++ b/internal/fleet/ownership/voter.go
@@ -16,7 +16,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/base/due"
 	"silvertrail/lbpolicy"
 )
@@ -42,7 +42,7 @@
 
 // Voter remembers what it has granted. It is not safe for concurrent use.
 type Voter struct {
-	table            *history.Table
+	table            *idempotency.Table
 	maxKeys          int
 	grants           map[AttemptID]*grant
 	expiry           due.Queue[*grant]
@@ -55,9 +55,9 @@
 type grant struct {
 	attempt AttemptID
 	round   uint32
-	place   history.Place
-	request *history.Request
-	sent    *history.Attempt
+	place   idempotency.Place
+	request *idempotency.Request
+	sent    *idempotency.Attempt
 	ended   bool
 }
 
@@ -73,7 +73,7 @@
 // NewVoter returns a voter that starts now.
 func NewVoter(now time.Time, o VoterOptions) *Voter {
 	return &Voter{
-		table:            history.New(o.MaxKeys),
+		table:            idempotency.New(o.MaxKeys),
 		maxKeys:          o.MaxKeys,
 		grants:           map[AttemptID]*grant{},
 		abstainUntil:     now.Add(o.AbstainFor),
@@ -102,7 +102,7 @@
 }
 
 // knownBefore returns what the voter knows of the key. The attempts of a granted proposal itself are left to its proposer.
-func (v *Voter) knownBefore(now time.Time, p Proposal, vote Vote) history.KeyState {
+func (v *Voter) knownBefore(now time.Time, p Proposal, vote Vote) idempotency.KeyState {
 	if vote == Grant {
 		return v.grants[p.Attempt].sent.OtherAttempts()
 	}
@@ -129,11 +129,11 @@
 
 // grant records a grant where the history of the key allows one.
 func (v *Voter) grant(now time.Time, p Proposal) Vote {
-	request, err := v.table.Begin(now, p.Key, history.Fingerprint{})
+	request, err := v.table.Begin(now, p.Key, idempotency.Fingerprint{})
 	if err != nil {
 		return Abstain
 	}
-	terms := history.Terms{Scope: p.Scope, Window: p.Window, Retention: p.Retention + p.TTL}
+	terms := idempotency.Terms{Scope: p.Scope, Window: p.Window, Retention: p.Retention + p.TTL}
 	sent, err := request.Send(now, p.Place, terms)
 	if err != nil {
 		request.End()
@@ -193,7 +193,7 @@
 func (v *Voter) AbstainsUntil() time.Time { return v.abstainUntil }
 
 // KeyState returns what the voter knows of a key.
-func (v *Voter) KeyState(now time.Time, key history.KeyID, scope lbpolicy.Scope) history.KeyState {
+func (v *Voter) KeyState(now time.Time, key idempotency.KeyID, scope lbpolicy.Scope) idempotency.KeyState {
 	v.expire(now)
 	return v.table.KeyState(now, key, scope)
 }
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,7 +6,7 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet/gossip"
 	"silvertrail/internal/fleet/membership"
 	"silvertrail/internal/fleet/ownership"
@@ -146,6 +146,6 @@
 	return nil
 }
 
-func isValidPlace(p history.Place) bool {
+func isValidPlace(p idempotency.Place) bool {
 	return len(p.Cluster) <= maxNameBytes && len(p.Zone) <= maxNameBytes
 }
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet"
 	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/gateway/conf"
@@ -26,16 +26,16 @@
 	over    bool   // the request is: no ask of it may follow its end
 	state   ownership.State
 	know    sync.Mutex // of past
-	past    history.KeyState
+	past    idempotency.KeyState
 }
 
-func newBinder(f *fleet.Fleet, id history.KeyID, c *conf.Class, deadline time.Time) *binder {
+func newBinder(f *fleet.Fleet, id idempotency.KeyID, c *conf.Class, deadline time.Time) *binder {
 	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: ownership.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
 }
 
 // resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
 // is the other sala's to tell.
-func resume(f *fleet.Fleet, id history.KeyID, c *conf.Class, deadline time.Time, try ownership.AttemptID, turn uint32, been int) *binder {
+func resume(f *fleet.Fleet, id idempotency.KeyID, c *conf.Class, deadline time.Time, try ownership.AttemptID, turn uint32, been int) *binder {
 	b := newBinder(f, id, c, deadline)
 	b.stride = strideOf(been)
 	b.ask.Attempt, b.ask.Round, b.asked, b.resumed = try, turn, true, true
@@ -66,7 +66,7 @@
 	return b.ask.Attempt, turn
 }
 
-func (b *binder) KeyState() history.KeyState {
+func (b *binder) KeyState() idempotency.KeyState {
 	b.know.Lock()
 	defer b.know.Unlock()
 	return b.past
@@ -77,7 +77,7 @@
 
 // Claim implements host.Binder. An attempt in the group that the key is bound to already needs no further ask. One in
 // another group is asked for only where all attempts before it never ran: the history has seen to that.
-func (b *binder) Claim(ctx context.Context, to history.Place) {
+func (b *binder) Claim(ctx context.Context, to idempotency.Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.over || ctx.Err() != nil || b.state == ownership.Claimed && b.KeyState().Allows(to, b.ask.Scope) {
@@ -87,7 +87,7 @@
 		b.ask.Round++
 	}
 	b.asked, b.ask.Place, b.ask.TTL = true, to, time.Until(b.deadline)
-	var past history.KeyState
+	var past idempotency.KeyState
 	if b.state = ownership.Unknown; b.ask.TTL > 0 {
 		b.state, past = b.fleet.ClaimKey(ctx, b.ask)
 	}
@@ -100,7 +100,7 @@
 }
 
 // nowhere is what is known of a key where nothing can be known: nothing can be sent anywhere.
-var nowhere = history.KeyState{Known: true, SeveralGroups: true}
+var nowhere = idempotency.KeyState{Known: true, SeveralGroups: true}
 
 // end tells the voters that the request is over.
 func (b *binder) end(mayHaveRun bool) {
--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/internal/balancer/host"
-	"silvertrail/internal/balancer/limit"
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/balancer/quota"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/lbpolicy"
@@ -40,7 +40,7 @@
 
 // Resources are what the process's clusters share.
 type Resources struct {
-	Connections, Calls, Bodies *limit.Pool
+	Connections, Calls, Bodies *quota.Pool
 	// Totals of the three, by which a cluster's parts are measured.
 	MaxConnections, MaxCalls, MaxBodies int64
 	// Scarce is called where the process has no descriptor for a connection to an endpoint; nil: nobody gives any back.
@@ -51,7 +51,7 @@
 
 // NewResources returns the shared resources.
 func NewResources(connections, calls, bodies int64) *Resources {
-	return &Resources{limit.NewPool(connections), limit.NewPool(calls), limit.NewPool(bodies), connections, calls, bodies, nil, nil}
+	return &Resources{quota.NewPool(connections), quota.NewPool(calls), quota.NewPool(bodies), connections, calls, bodies, nil, nil}
 }
 
 // Resize changes the totals; clusters take their parts of them at their next Update.
@@ -72,11 +72,11 @@
 type Cluster struct {
 	log    *slog.Logger
 	shared *Resources
-	host   *host.Engine
+	host   *engine.Engine
 	client *upstream.Client
-	bodies *limit.Allocation
-	calls  *limit.Allocation
-	conns  *limit.Allocation
+	bodies *quota.Allocation
+	calls  *quota.Allocation
+	conns  *quota.Allocation
 
 	mu       sync.Mutex
 	config   Config
@@ -101,7 +101,7 @@
 	cl.client = upstream.NewClient(upstream.Options{DialTimeout: c.ConnectTimeout, IdleTimeout: c.Idle, HedgeDials: true, MaxConns: int(r.MaxConnections),
 		Allocation: cl.conns, AnyStatus: true, OnExhausted: r.Scarce})
 	var err error
-	cl.host, err = host.New(host.Options{Policy: c.Decide, Seed: seed, Zones: c.Zones, ReportFields: c.Report, Client: cl.client,
+	cl.host, err = engine.New(engine.Options{Policy: c.Decide, Seed: seed, Zones: c.Zones, ReportFields: c.Report, Client: cl.client,
 		Watch: func() {}, Log: cl.log})
 	if err != nil {
 		return nil, fmt.Errorf("cluster %q: %w", c.Name, err)
@@ -160,7 +160,7 @@
 // bind sets the shares, the connect time and the part that is refused as the configuration and the sources have them. The
 // caller holds the lock.
 func (c *Cluster) bind() {
-	resize := func(s *limit.Allocation, total int64, told int) {
+	resize := func(s *quota.Allocation, total int64, told int) {
 		reserve, most := part(c.config, total)
 		if told > 0 {
 			most = min(most, int64(told))
@@ -304,7 +304,7 @@
 }
 
 // Bodies is the cluster's part of the memory for request bodies.
-func (c *Cluster) Bodies() *limit.Allocation { return c.bodies }
+func (c *Cluster) Bodies() *quota.Allocation { return c.bodies }
 
 // Fleet tells how many instances share the endpoints now, and which of them this one is.
 func (c *Cluster) Fleet(instances, place int) { c.host.SetBalancers(instances, place) }
@@ -317,9 +317,9 @@
 
 // Do hands a request to the cluster's decisions and waits for its answer; ok is false where the caller has gone. Over
 // the bound on calls in work it is refused at once: nothing of it ran. The key is nil where the request has none.
-func (c *Cluster) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *host.Key) (a host.Result, ok bool) {
+func (c *Cluster) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *engine.Key) (a engine.Result, ok bool) {
 	if !c.calls.TryAcquire(1) {
-		return host.Result{Rejected: true, RetryAfter: busyRetry}, true
+		return engine.Result{Rejected: true, RetryAfter: busyRetry}, true
 	}
 	defer c.calls.Release(1)
 	if a, ok = c.host.Do(ctx, r, q, key); a.Rejected && a.RetryAfter == 0 && (a.OutOfDescriptors || !c.able.Load()) {
--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
@@ -43,7 +43,7 @@
 	return cl
 }
 
-func get(t *testing.T, c *Cluster, id string) host.Result {
+func get(t *testing.T, c *Cluster, id string) engine.Result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
@@ -188,7 +188,7 @@
 	t.Parallel()
 	e := lbtest.NewEndpoint(t, nil)
 	c := start(t, Config{Name: "c", Most: 1.0 / 64, Sources: []Source{static(e.Addr)}})
-	first := make(chan host.Result, 1)
+	first := make(chan engine.Result, 1)
 	go func() { first <- get(t, c, "first") }()
 	held := <-e.Got
 	if a := get(t, c, "second"); !a.Rejected || a.RetryAfter == 0 || a.MayHaveRun {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet"
 	"silvertrail/lbpolicy"
 )
@@ -153,7 +153,7 @@
 	return fmt.Sprintf("cluster %s, zone %s, cell %d; repeats are sent there until %s", k.Cluster, k.Zone, k.Cell, k.Until.Format(time.DateTime))
 }
 
-func keyPast(p history.KeyState, now time.Time) KeyPast {
+func keyPast(p idempotency.KeyState, now time.Time) KeyPast {
 	if !p.Known {
 		return KeyPast{}
 	}
@@ -169,7 +169,7 @@
 		http.Error(w, fmt.Sprintf("no keyed class named %q", q.Get("class")), http.StatusNotFound)
 		return
 	}
-	scope, id, now := s.file.Classes[number].Scope, history.KeyIDOf(q.Get("tenant"), q.Get("key")), time.Now()
+	scope, id, now := s.file.Classes[number].Scope, idempotency.KeyIDOf(q.Get("tenant"), q.Get("key")), time.Now()
 	v := KeyView{Here: keyPast(g.keys.KeyState(now, id, scope), now)}
 	if g.fleet != nil {
 		if p, silent, ok := g.fleet.VoterKeyState(id, scope); ok {
--- a/internal/gateway/control_link.go
+++ b/internal/gateway/control_link.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/salas/link"
 )
 
@@ -84,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), askIn)
 	defer cancel()
-	id := history.KeyIDOf(r.URL.Query().Get("tenant"), r.URL.Query().Get("key"))
+	id := idempotency.KeyIDOf(r.URL.Query().Get("tenant"), r.URL.Query().Get("key"))
 	out := []FoundView{{Sala: g.sala, Found: salaServer{g}.Lookup(id)}}
 	for _, s := range l.Status(ctx, false) {
 		f, err := l.Lookup(ctx, s.Name, id)
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"time"
 
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/failover"
-	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/gateway/conf"
@@ -28,13 +28,13 @@
 
 // over gives a request to other salas, as the decisions of package crossing say, until one has served it or none may have
 // it. What comes in is how its own sala has ended it.
-func (x *exchange) over(ctx context.Context, way *crossing.Way, a host.Result) host.Result {
+func (x *exchange) over(ctx context.Context, way *crossing.Way, a engine.Result) engine.Result {
 	l := x.gateway.linked.Load()
 	if l == nil {
 		return a
 	}
 	attempts := a.Attempts
-	for !host.IsDisconnected(ctx) && a.Response == nil {
+	for !engine.IsDisconnected(ctx) && a.Response == nil {
 		so := crossing.So{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, Attempts: attempts, Holder: x.holder(),
 			Refused: a.Rejected, Passing: x.passing != nil}
 		r, why, ok := way.Next(so)
@@ -70,36 +70,36 @@
 
 // carry gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
 // that nothing has run there.
-func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a host.Result) {
-	var try *history.Attempt
+func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a engine.Result) {
+	var try *idempotency.Attempt
 	ran := false // an attempt of this request, before this one
 	if x.hold != nil {
 		ran = x.hold.MayHaveRun()
 		var err error
-		if try, err = x.hold.Send(time.Now(), history.Place{Cluster: crossing.Place(to, ""), Zone: to}, x.terms()); err != nil {
+		if try, err = x.hold.Send(time.Now(), idempotency.Place{Cluster: crossing.Place(to, ""), Zone: to}, x.terms()); err != nil {
 			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
-			return host.Result{MayHaveRun: true}
+			return engine.Result{MayHaveRun: true}
 		}
 	}
 	var record *ledger.Attempt
 	if x.entry != nil {
 		record = x.entry.Attempt(salaNodo(to), x.terms())
-		if err := record.Intent(ctx, history.Place{Cluster: crossing.Place(to, ""), Zone: to}); err != nil { // nothing goes out
+		if err := record.Intent(ctx, idempotency.Place{Cluster: crossing.Place(to, ""), Zone: to}); err != nil { // nothing goes out
 			record.Ended(lbpolicy.NotSent, 0)
 			try.End(time.Now(), true)
 			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
-			return host.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
+			return engine.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
 		}
 	}
 	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
 		Tenant: x.tenant, Key: x.key, Allowed: way.Left(), Been: append(append([]string{}, way.Been...), x.gateway.sala), Reason: why,
 		Past: x.holder() == to && why == tally.Held, Retried: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
 	c.Try, c.Turn = x.votes(c.Past, ran)
-	c.Away = func() bool { return host.IsDisconnected(ctx) }
+	c.Away = func() bool { return engine.IsDisconnected(ctx) }
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	is := link.Crossing{Outcome: tally.NeverRan}
-	if !host.IsDisconnected(ctx) { // it may have, while the crossing was recorded
+	if !engine.IsDisconnected(ctx) { // it may have, while the crossing was recorded
 		is = l.Call(waiting, to, c)
 	}
 	outcome := is.Outcome
@@ -134,7 +134,7 @@
 }
 
 // answer translates what another sala has said.
-func (x *exchange) answer(said *link.Answer, outcome tally.Outcome) (a host.Result) {
+func (x *exchange) answer(said *link.Answer, outcome tally.Outcome) (a engine.Result) {
 	a.MayHaveRun = !outcome.Harmless()
 	if said == nil {
 		return a
@@ -147,7 +147,7 @@
 		a.Rejected, a.RetryAfter = true, time.Duration(said.Back)*time.Microsecond
 	}
 	if said.Place.Cluster != "" && a.Response == nil { // it knows who holds the key
-		x.told = history.KeyState{Known: true, Place: said.Place, RetryUntil: x.deadline}
+		x.told = idempotency.KeyState{Known: true, Place: said.Place, RetryUntil: x.deadline}
 	}
 	return a
 }
@@ -173,7 +173,7 @@
 	if x.hold == nil {
 		return ""
 	}
-	pasts := []history.KeyState{x.hold.KeyState(x.class.Scope), x.told}
+	pasts := []idempotency.KeyState{x.hold.KeyState(x.class.Scope), x.told}
 	if x.binder != nil {
 		pasts = append(pasts, x.binder.KeyState())
 	}
@@ -209,7 +209,7 @@
 }
 
 // Lookup implements link.Server.
-func (g salaServer) Lookup(id history.KeyID) (f link.Found) {
+func (g salaServer) Lookup(id idempotency.KeyID) (f link.Found) {
 	now := time.Now()
 	p := g.keys.KeyState(now, id, lbpolicy.ScopeAll)
 	if !p.Known {
@@ -274,7 +274,7 @@
 }
 
 // outcome says what became of a call that another sala has sent.
-func (x *exchange) outcome(ctx context.Context, a host.Result) *link.Answer {
+func (x *exchange) outcome(ctx context.Context, a engine.Result) *link.Answer {
 	if a.Response != nil {
 		return served(a.Response.Status, a.Response.Header, a.Response.Body)
 	}
@@ -282,7 +282,7 @@
 		return served(x.turned.Status, x.turned.Header, x.turned.Body)
 	}
 	out := &link.Answer{Outcome: tally.NeverRan}
-	past := history.KeyState{}
+	past := idempotency.KeyState{}
 	if x.hold != nil {
 		past = x.past()
 		if past.Known {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,9 +13,9 @@
 	"sync/atomic"
 	"time"
 
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/failover"
-	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/fleet/ownership"
@@ -49,17 +49,17 @@
 	q       lbpolicy.Request
 	key     string // idempotency key of a keyed request
 	tenant  string
-	to      string           // cluster that the rule names, or its split
-	asked   string           // path and query before the rule's rewrite
-	passing *link.Call       // the request came from another sala; nil: from a caller
-	told    history.KeyState // of the key, by another sala
+	to      string               // cluster that the rule names, or its split
+	asked   string               // path and query before the rule's rewrite
+	passing *link.Call           // the request came from another sala; nil: from a caller
+	told    idempotency.KeyState // of the key, by another sala
 
-	id       history.KeyID    // of the key
-	hold     *history.Request // on the key, once the request is whole
-	binder   *binder          // of the key over the fleet; nil: this process alone
-	entry    *ledger.Entry    // nil: nothing is recorded
-	gone     bool             // the caller had, when its request ended
-	turned   *frontend.Reply  // the answer to a repeat that goes nowhere
+	id       idempotency.KeyID    // of the key
+	hold     *idempotency.Request // on the key, once the request is whole
+	binder   *binder              // of the key over the fleet; nil: this process alone
+	entry    *ledger.Entry        // nil: nothing is recorded
+	gone     bool                 // the caller had, when its request ended
+	turned   *frontend.Reply      // the answer to a repeat that goes nowhere
 	deadline time.Time
 }
 
@@ -208,7 +208,7 @@
 		if key == "" {
 			return bad(http.StatusBadRequest)
 		}
-		x.key, x.id = key, history.KeyIDOf(x.tenant, key)
+		x.key, x.id = key, idempotency.KeyIDOf(x.tenant, key)
 	}
 	left := x.class.Deadline
 	if x.rule.Timeout > 0 {
@@ -290,7 +290,7 @@
 }
 
 // Do implements frontend.Exchange.
-func (x *exchange) Do(ctx context.Context, body []byte) host.Result {
+func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
 	now := time.Now()
 	x.deadline = now.Add(x.q.TimeLeft)
 	x.up.Body = body
@@ -308,7 +308,7 @@
 	holder := x.holder()
 	away := holder != "" && holder != x.gateway.sala
 	if away || x.gateway.leaving.Load() && x.passing == nil && holder == "" {
-		a := x.over(ctx, way, host.Result{})
+		a := x.over(ctx, way, engine.Result{})
 		if away && a.Response == nil { // whatever was heard: it may have run there
 			a.MayHaveRun, a.Rejected = true, false
 		}
@@ -320,7 +320,7 @@
 }
 
 // here gives the request to this sala's own clusters.
-func (x *exchange) here(ctx context.Context) host.Result {
+func (x *exchange) here(ctx context.Context) engine.Result {
 	plan := failover.New(failover.Request{Cluster: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.q.MaxAttempts,
 		Deadline: x.deadline})
 	to := plan.First(x.local())
@@ -346,22 +346,22 @@
 }
 
 // begin takes hold of a keyed request's key. Where it can't be had the answer is final.
-func (x *exchange) begin(now time.Time, body []byte) (a host.Result, ok bool) {
+func (x *exchange) begin(now time.Time, body []byte) (a engine.Result, ok bool) {
 	if x.key == "" {
 		return a, true
 	}
-	var print history.Fingerprint
+	var print idempotency.Fingerprint
 	if x.class.CheckRepeats {
-		print = history.FingerprintOf(x.up.Method, x.up.Target, body)
+		print = idempotency.FingerprintOf(x.up.Method, x.up.Target, body)
 	}
 	if a, ok := x.recall(now, print); !ok {
 		return a, false
 	}
 	hold, err := x.gateway.keys.Begin(now, x.id, print)
 	switch {
-	case errors.Is(err, history.ErrTooManyKeys): // nothing was sent
-		return host.Result{Rejected: true, RetryAfter: keysRetry}, false
-	case errors.Is(err, history.ErrKeyReused):
+	case errors.Is(err, idempotency.ErrTooManyKeys): // nothing was sent
+		return engine.Result{Rejected: true, RetryAfter: keysRetry}, false
+	case errors.Is(err, idempotency.ErrKeyReused):
 		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
 		return a, false
 	}
@@ -393,9 +393,9 @@
 }
 
 // past is what is known of the request's key.
-func (x *exchange) past() history.KeyState {
+func (x *exchange) past() idempotency.KeyState {
 	if x.hold == nil {
-		return history.KeyState{}
+		return idempotency.KeyState{}
 	}
 	p := x.hold.KeyState(x.class.Scope)
 	if x.binder != nil {
@@ -408,7 +408,7 @@
 }
 
 // local is what is known of the request's key, for a choice among this sala's clusters.
-func (x *exchange) local() history.KeyState {
+func (x *exchange) local() idempotency.KeyState {
 	p := x.past()
 	if sala, cluster := crossing.Split(p.Place.Cluster); sala == x.gateway.sala {
 		p.Place.Cluster = cluster
@@ -417,15 +417,15 @@
 }
 
 // try gives the request to one cluster; here is false where its caller has gone.
-func (x *exchange) try(ctx context.Context, to string, plan *failover.Plan) (a host.Result, here bool) {
+func (x *exchange) try(ctx context.Context, to string, plan *failover.Plan) (a engine.Result, here bool) {
 	c := x.state.clusters[to]
 	if c == nil { // the key may have run at a cluster that is gone: nothing can be promised
-		return host.Result{MayHaveRun: true}, true
+		return engine.Result{MayHaveRun: true}, true
 	}
 	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.AttemptsLeft()
-	var key *host.Key
+	var key *engine.Key
 	if x.hold != nil {
-		key = &host.Key{History: x.hold, Cluster: crossing.Place(x.gateway.sala, to),
+		key = &engine.Key{History: x.hold, Cluster: crossing.Place(x.gateway.sala, to),
 			Terms: x.terms()}
 		if x.binder != nil {
 			key.Claimer = x.binder
@@ -438,7 +438,7 @@
 }
 
 // Reply implements frontend.Exchange. The answer is in the ledger before its first byte goes out.
-func (x *exchange) Reply(a host.Result) *frontend.Reply {
+func (x *exchange) Reply(a engine.Result) *frontend.Reply {
 	r := x.reply(a)
 	x.final(a, r)
 	return r
@@ -446,7 +446,7 @@
 
 // reply finds an answer's wording: what an endpoint said of a failure is passed on, but for 503 and 429, which would
 // promise that a repeat is harmless. Neither is a request refused whose key may have run, whoever refuses it.
-func (x *exchange) reply(a host.Result) *frontend.Reply {
+func (x *exchange) reply(a engine.Result) *frontend.Reply {
 	switch {
 	case x.turned != nil:
 		return x.turned
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/time/rate"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/fleet"
@@ -36,7 +36,7 @@
 // Gateway runs a configuration. All its methods may be called from any goroutine.
 type Gateway struct {
 	log       *slog.Logger
-	keys      *history.Table
+	keys      *idempotency.Table
 	resources *cluster.Resources
 	fleet     *fleet.Fleet   // nil: this instance is alone
 	ledger    *ledger.Ledger // nil: nothing is recorded
@@ -109,7 +109,7 @@
 
 // Start runs a configuration.
 func Start(file *conf.File, log *slog.Logger, options ...Option) (*Gateway, error) {
-	g := &Gateway{log: log, keys: history.New(file.Process.Keys), fronts: map[string]*front{},
+	g := &Gateway{log: log, keys: idempotency.New(file.Process.Keys), fronts: map[string]*front{},
 		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
 	g.resources.Scarce = g.short
 	g.shortages.Interval = time.Second
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/ledger/segment"
@@ -15,22 +15,22 @@
 	"silvertrail/lbpolicy"
 )
 
-// recorder gives a request's attempts to the ledger. It implements host.Recorder.
+// recorder gives a request's attempts to the ledger. It implements engine.Recorder.
 type recorder struct {
 	entry *ledger.Entry
-	terms history.Terms
+	terms idempotency.Terms
 }
 
-func (r recorder) Attempt(endpoint string) host.Record { return r.entry.Attempt(endpoint, r.terms) }
+func (r recorder) Attempt(endpoint string) engine.Record { return r.entry.Attempt(endpoint, r.terms) }
 
 // terms are what the request's class promises of its keys.
-func (x *exchange) terms() history.Terms {
-	return history.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Keep}
+func (x *exchange) terms() idempotency.Terms {
+	return idempotency.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Keep}
 }
 
 // recall takes into the history what former processes have recorded of the request's key. Where records are lost that could
 // have told of it, nothing can be promised.
-func (x *exchange) recall(now time.Time, print history.Fingerprint) (a host.Result, ok bool) {
+func (x *exchange) recall(now time.Time, print idempotency.Fingerprint) (a engine.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
 		return a, true
@@ -39,9 +39,9 @@
 	switch {
 	case !found:
 		if l.Doubtful(now) {
-			return host.Result{MayHaveRun: true}, false
+			return engine.Result{MayHaveRun: true}, false
 		}
-	case print != history.Fingerprint{} && was != history.Fingerprint{} && l.HidePrint(print) != was:
+	case print != idempotency.Fingerprint{} && was != idempotency.Fingerprint{} && l.HidePrint(print) != was:
 		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
 		return a, false
 	default:
@@ -51,7 +51,7 @@
 }
 
 // take has the request recorded. Where it can't be nothing is sent, and its caller is told so at once.
-func (x *exchange) take(print history.Fingerprint) (a host.Result, ok bool) {
+func (x *exchange) take(print idempotency.Fingerprint) (a engine.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
 		return a, true
@@ -63,7 +63,7 @@
 	}
 	e, err := l.Take(r)
 	if err != nil {
-		return host.Result{Rejected: true, RetryAfter: unrecordedBack(err)}, false
+		return engine.Result{Rejected: true, RetryAfter: unrecordedBack(err)}, false
 	}
 	x.entry = e
 	return a, true
@@ -79,7 +79,7 @@
 }
 
 // final has the answer to a caller recorded.
-func (x *exchange) final(a host.Result, own *frontend.Reply) {
+func (x *exchange) final(a engine.Result, own *frontend.Reply) {
 	if x.entry == nil {
 		return
 	}
--- a/internal/ledger/account/account_test.go
+++ b/internal/ledger/account/account_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/ledger/segment"
 )
 
@@ -32,7 +32,7 @@
 		number := func(i int) (n uint64) { fmt.Sscan(w[i], &n); return n }
 		switch w[0] {
 		case "taken":
-			r.Kind, r.Request, r.ID, r.Left, r.KeyID = segment.Taken, number(1), "r"+w[1], 5*time.Second, history.KeyIDOf("", w[1])
+			r.Kind, r.Request, r.ID, r.Left, r.KeyID = segment.Taken, number(1), "r"+w[1], 5*time.Second, idempotency.KeyIDOf("", w[1])
 		case "intent":
 			r.Kind, r.Request, r.Attempt, r.Nodo, r.Window, r.Keep = segment.Intent, number(1), int(number(2)), w[3], time.Minute, time.Minute
 		case "outcome":
--- a/internal/ledger/account/keys.go
+++ b/internal/ledger/account/keys.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/lbpolicy"
 )
 
@@ -34,12 +34,12 @@
 // Keys tells of each attempt that may have run what the history is to know of its key, as of now. What is forgotten by now
 // is left out. A moment that can't be placed in time counts as one whose window is over and whose key is still known:
 // repeats of the key then fail, and promise nothing.
-func (r *Request) Keys(now Now, tell func(history.Record)) {
+func (r *Request) Keys(now Now, tell func(idempotency.Record)) {
 	if r.KeyID == ([16]byte{}) {
 		return
 	}
 	for _, a := range r.At() {
-		terms := history.Terms{Scope: lbpolicy.Scope(a.Scope), Window: a.Window, Retention: a.Keep}
+		terms := idempotency.Terms{Scope: lbpolicy.Scope(a.Scope), Window: a.Window, Retention: a.Keep}
 		least, most, sure := now.Ago(r.Life, a.Sent)
 		if least >= a.Window+a.Keep {
 			continue
@@ -48,7 +48,7 @@
 		if !sure {
 			until = now.Time
 		}
-		tell(history.Record{ID: r.KeyID, KeyState: history.KeyState{Known: true, Place: history.Place{Cluster: a.Cluster, Zone: a.Zone, Cell: a.Cell},
+		tell(idempotency.Record{ID: r.KeyID, KeyState: idempotency.KeyState{Known: true, Place: idempotency.Place{Cluster: a.Cluster, Zone: a.Zone, Cell: a.Cell},
 			RetryUntil: until}, ExpiresAt: now.Time.Add(a.Window + a.Keep - least)})
 	}
 }
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/segment"
 	"silvertrail/lbpolicy"
@@ -21,8 +21,8 @@
 type Request struct {
 	ID, Class   string
 	Tenant, Key string
-	KeyID       history.KeyID
-	Print       history.Fingerprint
+	KeyID       idempotency.KeyID
+	Print       idempotency.Fingerprint
 	Left        time.Duration
 	From        string // the sala that sent it; empty: a caller
 	// Unrecorded has it served where it can't be recorded.
@@ -65,7 +65,7 @@
 	return out
 }
 
-func (l *Ledger) hideID(id history.KeyID) history.KeyID {
+func (l *Ledger) hideID(id idempotency.KeyID) idempotency.KeyID {
 	if secret := l.options.Load().Secret; secret != nil {
 		return hide(secret, "id", id[:])
 	}
@@ -73,8 +73,8 @@
 }
 
 // HidePrint returns what stands for a request's print in the log.
-func (l *Ledger) HidePrint(p history.Fingerprint) history.Fingerprint {
-	if secret := l.options.Load().Secret; secret != nil && p != (history.Fingerprint{}) {
+func (l *Ledger) HidePrint(p idempotency.Fingerprint) idempotency.Fingerprint {
+	if secret := l.options.Load().Secret; secret != nil && p != (idempotency.Fingerprint{}) {
 		return hide(secret, "print", p[:])
 	}
 	return p
@@ -113,7 +113,7 @@
 	entry  *Entry
 	number int
 	nodo   string
-	terms  history.Terms
+	terms  idempotency.Terms
 
 	mu       sync.Mutex
 	intended bool
@@ -121,7 +121,7 @@
 }
 
 // Attempt begins a request's next attempt. Nothing is recorded until its Intent.
-func (e *Entry) Attempt(nodo string, terms history.Terms) *Attempt {
+func (e *Entry) Attempt(nodo string, terms idempotency.Terms) *Attempt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.attempts++
@@ -130,7 +130,7 @@
 
 // Intent records that the attempt is about to go out, and returns when that is as safe as the mode asks for. With an error
 // nothing of it may go out.
-func (a *Attempt) Intent(ctx context.Context, to history.Place) error {
+func (a *Attempt) Intent(ctx context.Context, to idempotency.Place) error {
 	l := a.entry.ledger
 	l.mu.Lock()
 	a.mu.Lock()
@@ -222,7 +222,7 @@
 }
 
 // Recall returns what former processes have recorded of a key that may have run.
-func (l *Ledger) Recall(now time.Time, id history.KeyID) (k history.Record, print history.Fingerprint, ok bool) {
+func (l *Ledger) Recall(now time.Time, id idempotency.KeyID) (k idempotency.Record, print idempotency.Fingerprint, ok bool) {
 	if !l.recalls.Load() {
 		return k, print, false
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/disk"
 	"silvertrail/internal/ledger/segment"
@@ -78,8 +78,8 @@
 	shift    time.Duration
 	state    string // what was said last of the disk
 
-	recovered *history.Table // of former processes, by hidden IDs
-	prints    map[history.KeyID]history.Fingerprint
+	recovered *idempotency.Table // of former processes, by hidden IDs
+	prints    map[idempotency.KeyID]idempotency.Fingerprint
 	recalls   atomic.Bool // there is something in recovered
 	doubt     time.Time
 	found     Report
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/goleak"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/ledger/account"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/disk"
@@ -42,10 +42,10 @@
 	return l
 }
 
-var terms = history.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}
+var terms = idempotency.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}
 
 func request(id string) Request {
-	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: history.KeyIDOf("school", "key "+id), Left: time.Minute}
+	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: idempotency.KeyIDOf("school", "key "+id), Left: time.Minute}
 }
 
 // read reads a log and returns its requests by their ids.
@@ -111,7 +111,7 @@
 		for try := range 1 + r.IntN(3) {
 			nodo := fmt.Sprint("n", r.IntN(4))
 			a := e.Attempt(nodo, terms)
-			if err := a.Intent(ctx, history.Place{Cluster: "c", Zone: "z"}); err != nil {
+			if err := a.Intent(ctx, idempotency.Place{Cluster: "c", Zone: "z"}); err != nil {
 				a.Ended(lbpolicy.NotSent, 0)
 				ending = segment.Refused
 				break
@@ -263,7 +263,7 @@
 	}
 	// Every attempt that may have run is known to the next process's rules.
 	for id, s := range was {
-		if k, _, ok := next.Recall(time.Now(), history.KeyIDOf("school", "key "+id)); s.ran && (!ok || k.KeyState.Place.Zone != "z") {
+		if k, _, ok := next.Recall(time.Now(), idempotency.KeyIDOf("school", "key "+id)); s.ran && (!ok || k.KeyState.Place.Zone != "z") {
 			t.Errorf("%s ran, and the next process knows nothing of its key", id)
 		}
 	}
@@ -388,7 +388,7 @@
 			t.Fatal(err)
 		}
 		a := e.Attempt("n1", terms)
-		if err := a.Intent(context.Background(), history.Place{Zone: "z"}); err != nil {
+		if err := a.Intent(context.Background(), idempotency.Place{Zone: "z"}); err != nil {
 			t.Fatal(err)
 		}
 		a.Ended(fate, 200)
@@ -465,7 +465,7 @@
 					return false
 				}
 				a := e.Attempt("n1", terms)
-				if err := a.Intent(ctx, history.Place{Zone: "z"}); err != nil {
+				if err := a.Intent(ctx, idempotency.Place{Zone: "z"}); err != nil {
 					a.Ended(lbpolicy.NotSent, 0)
 					e.Final(segment.Refused, 503)
 					return false
@@ -526,7 +526,7 @@
 			t.Fatal(err)
 		}
 		a := e.Attempt("n1", terms)
-		if err := a.Intent(context.Background(), history.Place{Zone: "z"}); err != nil {
+		if err := a.Intent(context.Background(), idempotency.Place{Zone: "z"}); err != nil {
 			t.Fatal(err)
 		}
 		a.Ended(lbpolicy.OK, 200)
@@ -608,12 +608,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := e.Attempt("n1", terms).Intent(context.Background(), history.Place{Cluster: "c", Zone: "north"}); err != nil {
+	if err := e.Attempt("n1", terms).Intent(context.Background(), idempotency.Place{Cluster: "c", Zone: "north"}); err != nil {
 		t.Fatal(err)
 	}
 	killed := d.Killed()
 	l.Close()
-	id := history.KeyIDOf("school", "key a")
+	id := idempotency.KeyIDOf("school", "key a")
 	for name, c := range map[string]struct {
 		boot        string
 		later       time.Duration // by the machine's clock
@@ -631,8 +631,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := account.Now{Time: time.Now().Add(c.shift), Boot: c.boot, Since: since + c.later, Error: time.Second}
-			var keys []history.Record
-			if _, err := Read(killed, false, func(q *account.Request) { q.Keys(now, func(k history.Record) { keys = append(keys, k) }) }); err != nil {
+			var keys []idempotency.Record
+			if _, err := Read(killed, false, func(q *account.Request) { q.Keys(now, func(k idempotency.Record) { keys = append(keys, k) }) }); err != nil {
 				t.Fatal(err)
 			}
 			if known := len(keys) == 1 && keys[0].ID == id && keys[0].KeyState.Place.Zone == "north"; known != c.known {
@@ -654,16 +654,16 @@
 	if e, err = l.Take(request("b")); err != nil {
 		t.Fatal(err)
 	}
-	if err := e.Attempt("n1", terms).Intent(context.Background(), history.Place{Zone: "north"}); err != nil {
+	if err := e.Attempt("n1", terms).Intent(context.Background(), idempotency.Place{Zone: "north"}); err != nil {
 		t.Fatal(err)
 	}
 	l.Close()
 	is, _ := read(t, h)
-	if q := is["b"]; q.Key != HideName(o.Secret, "key", "key b") || q.Tenant == "school" || q.KeyID == history.KeyIDOf("school", "key b") {
+	if q := is["b"]; q.Key != HideName(o.Secret, "key", "key b") || q.Tenant == "school" || q.KeyID == idempotency.KeyIDOf("school", "key b") {
 		t.Errorf("%+v", q)
 	}
 	next := start(t, Options{Disk: h, Boot: o.Boot, Secret: o.Secret, Keys: 10, Log: o.Log, Commit: o.Commit, Keeping: o.Keeping})
-	if k, _, ok := next.Recall(time.Now(), history.KeyIDOf("school", "key b")); !ok || k.ID != history.KeyIDOf("school", "key b") {
+	if k, _, ok := next.Recall(time.Now(), idempotency.KeyIDOf("school", "key b")); !ok || k.ID != idempotency.KeyIDOf("school", "key b") {
 		t.Errorf("%+v, %v", k, ok)
 	}
 }
@@ -730,7 +730,7 @@
 	}
 	lbtest.Until(t, "it is used again", func() bool {
 		e, err := l.Take(request("c"))
-		return err == nil && e.Attempt("n", terms).Intent(context.Background(), history.Place{}) == nil
+		return err == nil && e.Attempt("n", terms).Intent(context.Background(), idempotency.Place{}) == nil
 	})
 	if _, err := Start(o); !errors.Is(err, disk.ErrHeld) {
 		t.Errorf("a second one, on the directory that was made anew: %v", err)
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/ledger/account"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/disk"
@@ -264,12 +264,12 @@
 func (l *Ledger) recover(boot string) error {
 	o := l.options.Load()
 	now := account.Now{Time: time.Now(), Boot: boot, Since: l.beganAt, Error: o.ClockOff}
-	l.recovered, l.prints = history.New(o.Keys), map[history.KeyID]history.Fingerprint{}
+	l.recovered, l.prints = idempotency.New(o.Keys), map[idempotency.KeyID]idempotency.Fingerprint{}
 	began := time.Now()
 	report, err := Read(l.disk, false, func(r *account.Request) {
-		r.Keys(now, func(k history.Record) {
+		r.Keys(now, func(k idempotency.Record) {
 			l.recovered.Merge(now.Time, k)
-			if r.Print != (history.Fingerprint{}) {
+			if r.Print != (idempotency.Fingerprint{}) {
 				l.prints[k.ID] = r.Print
 			}
 		})
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
@@ -26,7 +26,7 @@
 type self struct {
 	t        *testing.T
 	listener *net.TCPListener
-	keys     *history.Table
+	keys     *idempotency.Table
 
 	mu      sync.Mutex
 	bans    map[string]bool
@@ -36,7 +36,7 @@
 }
 
 func newSelf(t *testing.T) *self {
-	return &self{t: t, listener: lbtest.Listen(t).(*net.TCPListener), keys: history.New(1 << 16), bans: map[string]bool{}}
+	return &self{t: t, listener: lbtest.Listen(t).(*net.TCPListener), keys: idempotency.New(1 << 16), bans: map[string]bool{}}
 }
 
 func (s *self) Offer() Offer {
@@ -51,11 +51,11 @@
 
 func (s *self) Listener() syscall.Conn { return s.listener }
 
-func (s *self) Retire() (keys []history.Record, t Taken) {
+func (s *self) Retire() (keys []idempotency.Record, t Taken) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired = true
-	s.keys.Each(time.Now(), func(k history.Record) bool { keys = append(keys, k); return true })
+	s.keys.Each(time.Now(), func(k idempotency.Record) bool { keys = append(keys, k); return true })
 	for id := range s.bans {
 		t.Bans = append(t.Bans, id)
 	}
@@ -65,7 +65,7 @@
 func (s *self) Resume() { s.mu.Lock(); defer s.mu.Unlock(); s.retired = false; s.resumed++ }
 func (s *self) Alone()  { s.mu.Lock(); defer s.mu.Unlock(); s.alone++ }
 
-func (s *self) Learn(keys []history.Record) {
+func (s *self) Learn(keys []idempotency.Record) {
 	for _, k := range keys {
 		s.keys.Merge(time.Now(), k)
 	}
@@ -73,10 +73,10 @@
 
 func (s *self) Bind(a Attempt) Past {
 	now := time.Now()
-	past := s.keys.KeyState(now, history.KeyID(a.ID), a.Scope)
+	past := s.keys.KeyState(now, idempotency.KeyID(a.ID), a.Scope)
 	to := a.To.History(now)
 	if !past.Known {
-		s.keys.Merge(now, history.Record{ID: history.KeyID(a.ID), KeyState: to, ExpiresAt: now.Add(a.Expire)})
+		s.keys.Merge(now, idempotency.Record{ID: idempotency.KeyID(a.ID), KeyState: to, ExpiresAt: now.Add(a.Expire)})
 		past = to
 	}
 	return PastOf(now, past)
@@ -135,7 +135,7 @@
 }
 
 func attempt(key, zone string) Attempt {
-	return Attempt{ID: ID(history.KeyIDOf("t", key)), Scope: lbpolicy.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
+	return Attempt{ID: ID(idempotency.KeyIDOf("t", key)), Scope: lbpolicy.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
 }
 
 // Three processes in a row: the socket, keys and bans pass on, and what the first still does is agreed with the last.
@@ -176,7 +176,7 @@
 	if p, err = one.Bind(context.Background(), attempt("other", "north")); err != nil || p.Zone != "north" {
 		t.Errorf("%+v %v", p, err)
 	}
-	if !s3.keys.KeyState(time.Now(), history.KeyIDOf("t", "other"), lbpolicy.ScopeZone).Known {
+	if !s3.keys.KeyState(time.Now(), idempotency.KeyIDOf("t", "other"), lbpolicy.ScopeZone).Known {
 		t.Error("the last one does not know what the first binds")
 	}
 
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -12,8 +12,8 @@
 	"io"
 	"time"
 
-	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/lbpolicy"
 )
@@ -67,15 +67,15 @@
 	List    []registry.Endpoint `json:"list"`
 	Seen    []uint64            `json:"seen"`
 	Bans    []string            `json:"bans"`
-	Carried host.Snapshot       `json:"carried"`
+	Carried engine.Snapshot     `json:"carried"`
 }
 
 // Taken is what is in force as the old process takes no more clients.
 type Taken struct {
-	Bans    []string      `json:"bans"`
-	IDs     IDs           `json:"ids"`
-	Carried host.Snapshot `json:"carried"`
-	Keys    int           `json:"keys"` // that came before this
+	Bans    []string        `json:"bans"`
+	IDs     IDs             `json:"ids"`
+	Carried engine.Snapshot `json:"carried"`
+	Keys    int             `json:"keys"` // that came before this
 }
 
 // IDs are those of requests in work and ended lately, as hashes with their key.
@@ -101,7 +101,7 @@
 }
 
 // PastOf returns a past as it is told.
-func PastOf(now time.Time, p history.KeyState) Past {
+func PastOf(now time.Time, p idempotency.KeyState) Past {
 	if !p.Known {
 		return Past{}
 	}
@@ -109,15 +109,15 @@
 }
 
 // History returns a past as it is kept.
-func (p Past) History(now time.Time) history.KeyState {
+func (p Past) History(now time.Time) idempotency.KeyState {
 	if !p.Known {
-		return history.KeyState{}
+		return idempotency.KeyState{}
 	}
-	return history.KeyState{Known: true, Place: history.Place{Cluster: p.Cluster, Zone: p.Zone, Cell: p.Cell}, SeveralGroups: p.Split, RetryUntil: now.Add(p.Until)}
+	return idempotency.KeyState{Known: true, Place: idempotency.Place{Cluster: p.Cluster, Zone: p.Zone, Cell: p.Cell}, SeveralGroups: p.Split, RetryUntil: now.Add(p.Until)}
 }
 
 // ID is a key's, in hexadecimal digits.
-type ID history.KeyID
+type ID idempotency.KeyID
 
 // MarshalText implements encoding.TextMarshaler.
 func (id ID) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, id[:]), nil }
@@ -141,13 +141,13 @@
 }
 
 // KeyOf returns a key as it is told.
-func KeyOf(now time.Time, k history.Record) Key {
+func KeyOf(now time.Time, k idempotency.Record) Key {
 	return Key{ID(k.ID), PastOf(now, k.KeyState), k.SeveralZones, k.SeveralCells, k.ExpiresAt.Sub(now)}
 }
 
 // History returns a key as it is kept.
-func (k Key) History(now time.Time) history.Record {
-	return history.Record{ID: history.KeyID(k.ID), KeyState: k.Past.History(now), SeveralZones: k.Zones, SeveralCells: k.Cells, ExpiresAt: now.Add(k.Expire)}
+func (k Key) History(now time.Time) idempotency.Record {
+	return idempotency.Record{ID: idempotency.KeyID(k.ID), KeyState: k.Past.History(now), SeveralZones: k.Zones, SeveralCells: k.Cells, ExpiresAt: now.Add(k.Expire)}
 }
 
 // Attempt is one that is about to go out with a key.
--- a/internal/platform/handover/process.go
+++ b/internal/platform/handover/process.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 )
 
 const (
@@ -32,11 +32,11 @@
 	Listener() syscall.Conn
 	// Retire has this process take no more clients. From its return on no attempt with a key begins that Bind was not asked
 	// for. It returns what is in force then.
-	Retire() ([]history.Record, Taken)
+	Retire() ([]idempotency.Record, Taken)
 	// Resume has this process take clients again: the one that took over has gone.
 	Resume()
 	// Learn takes keys that the other process knows.
-	Learn([]history.Record)
+	Learn([]idempotency.Record)
 	// Bind takes an attempt that another process is about to make where its key allows that, and returns what is known of
 	// the key with it.
 	Bind(Attempt) Past
@@ -163,7 +163,7 @@
 	switch m.Kind {
 	case Keys:
 		now := time.Now()
-		keys := make([]history.Record, len(m.Keys))
+		keys := make([]idempotency.Record, len(m.Keys))
 		for i, k := range m.Keys {
 			keys[i] = k.History(now)
 		}
--- a/internal/platform/sidecar/figures_test.go
+++ b/internal/platform/sidecar/figures_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
@@ -37,7 +37,7 @@
 	board := &figures.Board{}
 	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64, MaxStreamBytes: MostBody,
 		OnSent: func() { board.Sends.Add(1) }})
-	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
 		Client: client, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -4,14 +4,14 @@
 	"context"
 	"errors"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/platform/admin"
 	"silvertrail/internal/platform/figures"
 )
 
 // Operations answers the operators' calls for one process.
 type Operations struct {
-	Host  *host.Engine
+	Host  *engine.Engine
 	Board *figures.Board
 	// Takes tells whether this process takes clients.
 	Takes func() bool
@@ -31,7 +31,7 @@
 
 // Ban implements admin.Operations. What it says yes to holds in all processes.
 func (o *Operations) Ban(ctx context.Context, id string, on bool) error {
-	if err := o.Host.SetManuallyEjected(id, on); errors.Is(err, host.ErrUnknownEndpoint) {
+	if err := o.Host.SetManuallyEjected(id, on); errors.Is(err, engine.ErrUnknownEndpoint) {
 		return admin.ErrUnknown
 	} else if err != nil {
 		return err
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -15,9 +15,9 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/failover"
-	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
@@ -29,11 +29,11 @@
 // Router reads requests as the platform's protocol words them.
 type Router struct {
 	config atomic.Pointer[config.Config] // in force for requests whose heads are read from now on
-	host   *host.Engine
+	host   *engine.Engine
 	board  *figures.Board
 	bodies *semaphore.Weighted
 	ids    *requestIDs
-	keys   *history.Table
+	keys   *idempotency.Table
 
 	upgrade atomic.Pointer[handover.Process] // nil: nobody can take over from this process
 	fitting sync.Mutex
@@ -46,9 +46,9 @@
 )
 
 // NewRouter returns a router that holds at most maxBodies bytes of request bodies.
-func NewRouter(c *config.Config, h *host.Engine, board *figures.Board, maxBodies int64) *Router {
+func NewRouter(c *config.Config, h *engine.Engine, board *figures.Board, maxBodies int64) *Router {
 	s := &Router{host: h, board: board, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs(),
-		keys: history.New(maxKeys)}
+		keys: idempotency.New(maxKeys)}
 	s.config.Store(c)
 	board.Classes(c.Classes)
 	return s
@@ -56,7 +56,7 @@
 
 // Configure puts other settings in force for requests whose heads are read from now on; with an error nothing has changed.
 func (s *Router) Configure(c *config.Config) error {
-	if err := s.host.Configure(host.Settings{Policy: c.Decide, Zones: c.Zones, ReportFields: c.Report}); err != nil {
+	if err := s.host.Configure(engine.Settings{Policy: c.Decide, Zones: c.Zones, ReportFields: c.Report}); err != nil {
 		return err
 	}
 	s.board.Classes(c.Classes)
@@ -73,7 +73,7 @@
 	}
 	x := &exchange{router: s, config: c, up: up, q: q, id: id, outcome: figures.Errored}
 	if x.keyed = x.class().Effect == lbpolicy.KeyedIdempotent; x.keyed {
-		x.keyID = history.KeyIDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
+		x.keyID = idempotency.KeyIDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
 	}
 	return x, nil
 }
@@ -89,8 +89,8 @@
 	clash  bool // another request has the id
 
 	keyed bool
-	keyID history.KeyID
-	hold  *history.Request
+	keyID idempotency.KeyID
+	hold  *idempotency.Request
 
 	taken   bool // its last byte has come
 	over    bool // and it has been given its answer
@@ -100,22 +100,22 @@
 
 func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
 
-func (x *exchange) Do(ctx context.Context, body []byte) host.Result {
+func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
 	x.taken = true
 	x.router.board.Taken()
 	if x.key, x.begun = x.router.ids.begin(x.id); !x.begun {
 		x.clash = true
-		return host.Result{}
+		return engine.Result{}
 	}
 	x.up.Body = body
-	var key *host.Key
+	var key *engine.Key
 	if x.keyed {
 		var err error
-		if x.hold, err = x.router.keys.Begin(time.Now(), x.keyID, history.Fingerprint{}); err != nil { // too many keys: nothing was sent
-			return host.Result{Rejected: true, RetryAfter: keysRetry}
+		if x.hold, err = x.router.keys.Begin(time.Now(), x.keyID, idempotency.Fingerprint{}); err != nil { // too many keys: nothing was sent
+			return engine.Result{Rejected: true, RetryAfter: keysRetry}
 		}
 		c := x.class()
-		key = &host.Key{History: x.hold, Terms: history.Terms{Scope: c.Scope, Window: c.Window, Retention: c.Deadline}}
+		key = &engine.Key{History: x.hold, Terms: idempotency.Terms{Scope: c.Scope, Window: c.Window, Retention: c.Deadline}}
 		if p := x.router.upgrade.Load(); p != nil {
 			key.Claimer = &binder{process: p, id: x.keyID, terms: key.Terms}
 		}
@@ -128,7 +128,7 @@
 func (x *exchange) Most() int64 { return MostBody }
 
 // Stream implements frontend.Streamer.
-func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) host.Result {
+func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) engine.Result {
 	x.up.Stream = rest
 	return x.Do(ctx, held)
 }
@@ -140,7 +140,7 @@
 
 // Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id. Neither
 // is a request refused whose key may have run.
-func (x *exchange) Reply(a host.Result) *frontend.Reply {
+func (x *exchange) Reply(a engine.Result) *frontend.Reply {
 	own := x.reply(a)
 	x.over = true
 	switch {
@@ -152,7 +152,7 @@
 	return own
 }
 
-func (x *exchange) reply(a host.Result) *frontend.Reply {
+func (x *exchange) reply(a engine.Result) *frontend.Reply {
 	if x.clash {
 		return &frontend.Reply{Status: http.StatusConflict, Close: true}
 	}
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := host.New(host.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
 		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64}), Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +122,7 @@
 		"no bound": {0, time.Second, ""},
 	} {
 		conf := &config.Config{Decide: lbpolicy.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []lbpolicy.Class{{}}}}
-		r := (&exchange{config: conf}).reply(host.Result{Rejected: true, RetryAfter: c.told})
+		r := (&exchange{config: conf}).reply(engine.Result{Rejected: true, RetryAfter: c.told})
 		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
 			t.Errorf("%s: %+v", name, r)
 		}
--- a/internal/platform/sidecar/succession.go
+++ b/internal/platform/sidecar/succession.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"silvertrail/internal/balancer/history"
-	"silvertrail/internal/balancer/host"
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
@@ -32,7 +32,7 @@
 // Succession is this process as the other one of an upgrade sees it. It implements handover.Self.
 type Succession struct {
 	Listen string
-	Host   *host.Engine
+	Host   *engine.Engine
 	Router *Router
 	Client *upstream.Client
 	Room   Room
@@ -89,7 +89,7 @@
 func (s *Succession) Listener() syscall.Conn { return s.Socket }
 
 // Retire implements handover.Self.
-func (s *Succession) Retire() (keys []history.Record, t handover.Taken) {
+func (s *Succession) Retire() (keys []idempotency.Record, t handover.Taken) {
 	s.mu.Lock()
 	front := s.front
 	s.mu.Unlock()
@@ -98,7 +98,7 @@
 	}
 	// Nothing is between its claim and its first byte meanwhile: what has begun is among the keys.
 	s.Host.Synchronize(func() {
-		s.Router.keys.Each(time.Now(), func(k history.Record) bool {
+		s.Router.keys.Each(time.Now(), func(k idempotency.Record) bool {
 			if k.KeyState.Known {
 				keys = append(keys, k)
 			}
@@ -122,7 +122,7 @@
 }
 
 // Learn implements handover.Self.
-func (s *Succession) Learn(keys []history.Record) {
+func (s *Succession) Learn(keys []idempotency.Record) {
 	now := time.Now()
 	for _, k := range keys {
 		s.Router.keys.Merge(now, k)
@@ -132,13 +132,13 @@
 // Bind implements handover.Self.
 func (s *Succession) Bind(a handover.Attempt) handover.Past {
 	now := time.Now()
-	id := history.KeyID(a.ID)
+	id := idempotency.KeyID(a.ID)
 	to := a.To.History(now)
 	past := s.Router.keys.KeyState(now, id, a.Scope)
 	if past.Known && (!past.Allows(to.Place, a.Scope) || !now.Before(past.RetryUntil)) {
 		return handover.PastOf(now, past)
 	}
-	s.Router.keys.Merge(now, history.Record{ID: id, KeyState: to, ExpiresAt: now.Add(a.Expire)})
+	s.Router.keys.Merge(now, idempotency.Record{ID: id, KeyState: to, ExpiresAt: now.Add(a.Expire)})
 	return handover.PastOf(now, past.Merge(to, a.Scope))
 }
 
@@ -181,24 +181,24 @@
 // Upgrade lets requests with keys agree with the process that has taken over from this one.
 func (s *Router) Upgrade(p *handover.Process) { s.upgrade.Store(p) }
 
-// binder agrees with the process that has taken over on where a request's attempts go. It implements host.Binder.
+// binder agrees with the process that has taken over on where a request's attempts go. It implements engine.Binder.
 type binder struct {
 	process *handover.Process
-	id      history.KeyID
-	terms   history.Terms
+	id      idempotency.KeyID
+	terms   idempotency.Terms
 
 	mu   sync.Mutex
-	past history.KeyState
+	past idempotency.KeyState
 }
 
-// IsActive implements host.Binder.
+// IsActive implements engine.Binder.
 func (b *binder) IsActive() bool { return b.process.Retired() }
 
-// Claim implements host.Binder. Where the other process does not answer, nothing is known, and the attempt is held back.
-func (b *binder) Claim(ctx context.Context, to history.Place) {
+// Claim implements engine.Binder. Where the other process does not answer, nothing is known, and the attempt is held back.
+func (b *binder) Claim(ctx context.Context, to idempotency.Place) {
 	now := time.Now()
 	p, err := b.process.Bind(ctx, handover.Attempt{ID: handover.ID(b.id), Scope: b.terms.Scope, Expire: b.terms.Window + b.terms.Retention,
-		To: handover.PastOf(now, history.KeyState{Known: true, Place: to, RetryUntil: now.Add(b.terms.RetryWindow())})})
+		To: handover.PastOf(now, idempotency.KeyState{Known: true, Place: to, RetryUntil: now.Add(b.terms.RetryWindow())})})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
@@ -206,8 +206,8 @@
 	}
 }
 
-// KeyState implements host.Binder.
-func (b *binder) KeyState() history.KeyState {
+// KeyState implements engine.Binder.
+func (b *binder) KeyState() idempotency.KeyState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.past
--- a/internal/salas/crossing/crossing_test.go
+++ b/internal/salas/crossing/crossing_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/salas/tally"
 	"silvertrail/lbpolicy"
 )
@@ -159,8 +159,8 @@
 
 // Where one request may go, from all that is known of it.
 func TestWay(t *testing.T) {
-	past := func(cluster string) history.KeyState {
-		return history.KeyState{Known: true, Place: history.Place{Cluster: cluster}}
+	past := func(cluster string) idempotency.KeyState {
+		return idempotency.KeyState{Known: true, Place: idempotency.Place{Cluster: cluster}}
 	}
 	later := t0.Add(time.Second)
 	for name, c := range map[string]struct {
@@ -202,7 +202,7 @@
 	if r, _, _ := w.Next(So{Now: t0, Deadline: later}); !slices.Contains(r.Not, "b") {
 		t.Error("to one sala twice")
 	}
-	if h := Holder(past("b/c"), history.KeyState{}, past("b/")); h != "b" {
+	if h := Holder(past("b/c"), idempotency.KeyState{}, past("b/")); h != "b" {
 		t.Error(h)
 	}
 	if h := Holder(past("b/c"), past("c/c")); h != NoSala {
--- a/internal/salas/crossing/way.go
+++ b/internal/salas/crossing/way.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/salas/tally"
 	"silvertrail/lbpolicy"
 )
@@ -34,7 +34,7 @@
 const NoSala = "?"
 
 // Holder returns the sala that holds a key, by what is known of it from several sides; empty: none does.
-func Holder(pasts ...history.KeyState) (holder string) {
+func Holder(pasts ...idempotency.KeyState) (holder string) {
 	for _, p := range pasts {
 		if !p.Known {
 			continue
--- a/internal/salas/link/link.go
+++ b/internal/salas/link/link.go
@@ -19,7 +19,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/salas/crossing"
 	"silvertrail/internal/salas/tally"
 )
@@ -57,7 +57,7 @@
 	// State is what this sala says of itself.
 	State() crossing.State
 	// Lookup tells what is known here of a key.
-	Lookup(id history.KeyID) Found
+	Lookup(id idempotency.KeyID) Found
 }
 
 const (
@@ -271,7 +271,7 @@
 }
 
 // Lookup asks a sala what it knows of a key: all of its gateways that are within reach.
-func (l *Link) Lookup(ctx context.Context, sala string, id history.KeyID) (f Found, err error) {
+func (l *Link) Lookup(ctx context.Context, sala string, id idempotency.KeyID) (f Found, err error) {
 	gates := l.gates(sala)
 	if len(gates) == 0 {
 		return f, fmt.Errorf("link: no sala named %q within reach", sala)
--- a/internal/salas/link/link_test.go
+++ b/internal/salas/link/link_test.go
@@ -21,7 +21,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/salas/crossing"
 	"silvertrail/internal/salas/tally"
 	"silvertrail/internal/testkit/lbtest"
@@ -45,7 +45,7 @@
 	return s.cross(ctx, c)
 }
 func (s *script) State() crossing.State { return crossing.State(s.state.Load()) }
-func (s *script) Lookup(id history.KeyID) Found {
+func (s *script) Lookup(id idempotency.KeyID) Found {
 	return Found{Known: id[0] == 1, Cluster: "c"}
 }
 
--- a/internal/salas/link/wire.go
+++ b/internal/salas/link/wire.go
@@ -9,7 +9,7 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
-	"silvertrail/internal/balancer/history"
+	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/salas/crossing"
 	"silvertrail/internal/salas/tally"
@@ -102,7 +102,7 @@
 	Header   map[string][]string `codec:"z,omitempty"`
 	Body     []byte              `codec:"d,omitempty"`
 	Attempts int                 `codec:"a,omitempty"`
-	Place    history.Place       `codec:"p,omitempty"` // of the endpoints that may have run it
+	Place    idempotency.Place   `codec:"p,omitempty"` // of the endpoints that may have run it
 	Why      string              `codec:"w,omitempty"` // for the log
 }
 
@@ -120,7 +120,7 @@
 
 // lookup asks what a sala knows of a key.
 type lookup struct {
-	ID history.KeyID `codec:"i"`
+	ID idempotency.KeyID `codec:"i"`
 }
 
 // Found is what a sala knows of a key.
