--- a/internal/balancer/failover/failover.go
+++ b/internal/balancer/failover/failover.go
@@ -1,6 +1,6 @@
 // Package failover decides which clusters a request is given to, one after the other: its own, the one where its key may
-// have run, the one that its route names for failures. It does no I/O and has no clock. Which endpoint of a cluster gets
-// the request, and whether it is tried again there, is for the decisions (package decide).
+// have run, and the failover cluster of its route. It does no I/O and reads no clock. Which endpoint of a cluster gets the
+// request, and whether it is retried there, is decided by package lbpolicy.
 package failover
 
 import (
@@ -13,8 +13,8 @@
 
 // Request is what a plan is made for.
 type Request struct {
-	Cluster     string // the cluster that its route names, or its split
-	Failover    string // the one for failures; empty: none
+	Cluster     string // that its route names
+	Failover    string // empty: none
 	Effect      lbpolicy.Effect
 	MaxAttempts int // over all clusters; 0: no bound of its own
 	Deadline    time.Time
@@ -23,46 +23,46 @@
 // Result is how a cluster has ended a request.
 type Result struct {
 	Served     bool
-	MayHaveRun bool // an attempt may have run, or may yet
+	MayHaveRun bool // an attempt may have run, or is running
 	Attempts   int  // that were made
 }
 
-// Plan is one request's way over clusters.
+// Plan is the sequence of clusters of one request. It is not safe for concurrent use.
 type Plan struct {
 	request  Request
-	visited  []string // clusters that it was given to
-	attempts int      // attempts
+	visited  []string
+	attempts int
 }
 
-// New returns the plan of a request that has been nowhere yet.
+// New returns the plan of a request that was given to no cluster yet.
 func New(r Request) *Plan { return &Plan{request: r} }
 
-// First returns the cluster that the request is given to first. Past is what is known of its key.
-func (p *Plan) First(past idempotency.KeyState) (cluster string) {
+// First returns the first cluster, given what is known of the request's key.
+func (p *Plan) First(key idempotency.KeyState) (cluster string) {
 	cluster = p.request.Cluster
-	if past.Known {
-		cluster = past.Place.Cluster
+	if key.Known {
+		cluster = key.Place.Cluster
 	}
 	p.visited = append(p.visited, cluster)
 	return cluster
 }
 
-// Next returns the cluster that the request is given to after the one before has ended it; ok is false where that is the
-// end of it. Each cluster gets it once, while time and attempts are left:
+// Next returns the next cluster after the result of the one before; ok is false if there is none. Each cluster gets the
+// request once, while time and attempts are left:
 //
-//   - what is safe to repeat, and what is known never to have run, goes to the failover cluster;
-//   - a keyed request goes where its key may have run: another request with the key can have bound it meanwhile.
-func (p *Plan) Next(now time.Time, r Result, past idempotency.KeyState) (cluster string, ok bool) {
+//   - an idempotent request, and one that is known never to have run, goes to the failover cluster;
+//   - a request with a key goes where the key may have run, as another request with it may have reserved it meanwhile.
+func (p *Plan) Next(now time.Time, r Result, key idempotency.KeyState) (cluster string, ok bool) {
 	p.attempts += r.Attempts
-	if r.Served || !now.Before(p.request.Deadline) || p.request.MaxAttempts > 0 && p.attempts >= p.request.MaxAttempts {
+	if r.Served || !now.Before(p.request.Deadline) || p.isExhausted() {
 		return "", false
 	}
 	cluster = p.request.Failover
 	switch p.request.Effect {
 	case lbpolicy.Idempotent:
 	case lbpolicy.KeyedIdempotent:
-		if past.Known {
-			cluster = past.Place.Cluster
+		if key.Known {
+			cluster = key.Place.Cluster
 		}
 	default:
 		if r.MayHaveRun {
@@ -76,7 +76,11 @@
 	return cluster, true
 }
 
-// AttemptsLeft returns the bound on the attempts that are left to the request; 0: it has none of its own.
+func (p *Plan) isExhausted() bool {
+	return p.request.MaxAttempts > 0 && p.attempts >= p.request.MaxAttempts
+}
+
+// AttemptsLeft returns how many attempts are left to the request; 0: it has no bound of its own.
 func (p *Plan) AttemptsLeft() int {
 	if p.request.MaxAttempts == 0 {
 		return 0
@@ -84,14 +88,13 @@
 	return p.request.MaxAttempts - p.attempts
 }
 
-// MayReject tells whether a request that was not served may be refused, which tells its caller that a repeat is harmless.
-// It may not where the key may have run: unless all endpoints drop its repeats, and still do.
-func MayReject(now time.Time, past idempotency.KeyState, scope lbpolicy.Scope) bool {
-	return !past.Known || scope == lbpolicy.ScopeAll && now.Before(past.RetryUntil)
+// MayReject reports whether a request that was not served may be rejected, which tells its client that a retry is harmless. It
+// may not if its key may have run, unless all endpoints drop its repeats, and still do.
+func MayReject(now time.Time, key idempotency.KeyState, scope lbpolicy.Scope) bool {
+	return !key.Known || scope == lbpolicy.ScopeAll && now.Before(key.RetryUntil)
 }
 
-// NeedsFleetClaim tells whether a key must be bound by all processes of a fleet: where its repeats can come to endpoints that do
-// not know it. Several tells that the route has more than one cluster.
-func NeedsFleetClaim(scope lbpolicy.Scope, several bool) bool {
-	return scope != lbpolicy.ScopeAll || several
+// NeedsFleetClaim reports whether a key must be claimed in the whole fleet, as its repeats can reach endpoints that do not know it.
+func NeedsFleetClaim(scope lbpolicy.Scope, severalClusters bool) bool {
+	return scope != lbpolicy.ScopeAll || severalClusters
 }
--- /dev/null
+++ b/internal/balancer/idempotency/request.go
@@ -0,0 +1,102 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+
+	"silvertrail/lbpolicy"
+)
+
+// Request is one request with a key. It must be ended.
+type Request struct {
+	table *Table
+	entry *entry
+	// InProgress reports whether another request with the key was in progress when this one began.
+	InProgress bool
+	inFlight   int  // attempts
+	mayHaveRun bool // one of its ended attempts
+}
+
+// KeyState returns what is known of the request's key.
+func (r *Request) KeyState(scope lbpolicy.Scope) KeyState {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	return r.entry.keyState(scope, nil)
+}
+
+// MayHaveRun reports whether an attempt of this request may have run, or is running.
+func (r *Request) MayHaveRun() bool {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	return r.mayHaveRun || r.inFlight > 0
+}
+
+// Send reserves the key for an attempt that has been decided on. After an error the attempt must not be sent.
+func (r *Request) Send(now time.Time, to Place, terms Terms) (*Attempt, error) {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	state := r.entry.keyState(terms.Scope, nil)
+	switch {
+	case !state.Allows(to, terms.Scope):
+		return nil, ErrHeldElsewhere
+	case state.Known && !now.Before(state.RetryUntil):
+		return nil, ErrWindowOver
+	}
+	a := &Attempt{table: r.table, entry: r.entry, request: r, place: to, terms: terms, sentAt: now}
+	r.inFlight++
+	r.entry.inFlight = append(r.entry.inFlight, a)
+	return a, nil
+}
+
+// End ends the request.
+func (r *Request) End() {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	r.entry.requests--
+	r.table.updateExpiry(r.entry)
+}
+
+// Attempt is one attempt. It must be ended, which may be after its request has.
+type Attempt struct {
+	table   *Table
+	entry   *entry
+	request *Request
+	place   Place
+	terms   Terms
+	sentAt  time.Time
+}
+
+// MayStart is called just before the attempt's first byte is sent, with the place as it is then. It is false if the attempt must not
+// be sent any more: the window has ended meanwhile, or the endpoint has moved out of the group.
+func (a *Attempt) MayStart(now time.Time, at Place) bool {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	state := a.entry.keyState(a.terms.Scope, a)
+	if !sameGroup(a.place, at, a.terms.Scope) || !state.Allows(at, a.terms.Scope) {
+		return false
+	}
+	return !state.Known || now.Before(state.RetryUntil)
+}
+
+// OtherAttempts returns what is known of the key's other attempts.
+func (a *Attempt) OtherAttempts() KeyState {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	return a.entry.keyState(a.terms.Scope, a)
+}
+
+// End ends the attempt. NeverRan is proof that it was not executed, and never will be. A second call has no effect.
+func (a *Attempt) End(now time.Time, neverRan bool) {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	e := a.entry
+	if i := slices.Index(e.inFlight, a); i >= 0 {
+		e.inFlight = slices.Delete(e.inFlight, i, i+1)
+		a.request.inFlight--
+		if !neverRan {
+			a.request.mayHaveRun = true
+			e.ended.add(a)
+		}
+	}
+	a.table.updateExpiry(e)
+}
--- a/internal/balancer/quota/quota.go
+++ b/internal/balancer/quota/quota.go
@@ -1,9 +1,9 @@
-// Package quota shares a bounded resource of the process (connections, bytes of bodies, calls in work) among clusters,
-// so that one that hangs can't take what the others need. It does no I/O, has no clock and never waits: what is not to
-// be had now is refused now.
+// Package quota divides a bounded resource of the process (connections, bytes of bodies, requests in progress) among
+// clusters, so that one that hangs cannot take what the others need. It does no I/O, reads no clock and never waits: what
+// is not available now is rejected now.
 //
-// Each share has a reserve that nobody else can use and a cap that it can't pass; what lies between is first come,
-// first served from the part that is reserved for nobody.
+// Each allocation has a reserve that nobody else can use, and a limit. What lies between is first come, first served,
+// from the part of the pool that is reserved for nobody.
 package quota
 
 import (
@@ -13,28 +13,28 @@
 	"sync"
 )
 
-// ErrExhausted says that a share has no room now.
-var ErrExhausted = errors.New("limit: exhausted")
+// ErrExhausted means that an allocation has no units left now.
+var ErrExhausted = errors.New("quota: exhausted")
 
-// Pool is a resource. It is safe for concurrent use.
+// Pool is a bounded resource. It is safe for concurrent use.
 type Pool struct {
 	mu        sync.Mutex
 	total     int64
 	used      int64
-	committed int64 // sum over the shares of the larger of reserve and use
+	committed int64 // the sum over the allocations of the larger of reserve and use
 }
 
-// NewPool returns a pool of total units.
+// NewPool returns a pool of a number of units.
 func NewPool(total int64) *Pool { return &Pool{total: total} }
 
-// Resize changes the total. What is in use stays in use.
+// Resize changes the number of units. Units in use stay in use.
 func (p *Pool) Resize(total int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.total = total
 }
 
-// Used returns the units in use.
+// Used returns the number of units in use.
 func (p *Pool) Used() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -48,66 +48,69 @@
 	used           int64
 }
 
-// Allocate returns a new share with a reserve and a cap. It always succeeds; where the reserves together pass the total,
-// the pool's bound still holds and the reserves do not (configurations are checked for that beforehand).
-func (p *Pool) Allocate(reserve, most int64) *Allocation {
-	s := &Allocation{pool: p}
-	s.Resize(reserve, most)
-	return s
+// Allocate returns a new allocation with a reserve and a limit. It always succeeds; where the reserves together exceed the
+// pool, the pool's bound holds and the reserves do not. Configurations are checked for that beforehand.
+func (p *Pool) Allocate(reserve, limit int64) *Allocation {
+	a := &Allocation{pool: p}
+	a.Resize(reserve, limit)
+	return a
 }
 
-// Resize changes reserve and cap. What is in use stays in use; above the new cap nothing is added until it has fallen.
-func (s *Allocation) Resize(reserve, most int64) {
-	p := s.pool
+// Resize changes the reserve and the limit. Units in use stay in use; above the new limit none is added.
+func (a *Allocation) Resize(reserve, limit int64) {
+	p := a.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.committed += max(reserve, s.used) - max(s.reserve, s.used)
-	s.reserve, s.limit = reserve, most
+	p.committed += max(reserve, a.used) - max(a.reserve, a.used)
+	a.reserve, a.limit = reserve, limit
 }
 
-// Close gives the reserve back. Units in use stay so until they are released.
-func (s *Allocation) Close() { s.Resize(0, 0) }
+// Close returns the reserve. Units in use stay in use until they are released.
+func (a *Allocation) Close() { a.Resize(0, 0) }
 
-// Used returns the units that the share has in use.
-func (s *Allocation) Used() int64 {
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	return s.used
+// Used returns the number of units that the allocation has in use.
+func (a *Allocation) Used() int64 {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	return a.used
 }
 
 // TryAcquire takes n units, or none.
-func (s *Allocation) TryAcquire(n int64) bool {
-	p := s.pool
+func (a *Allocation) TryAcquire(n int64) bool {
+	p := a.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	more := max(s.reserve, s.used+n) - max(s.reserve, s.used)
-	if n < 0 || s.used+n > s.limit || p.used+n > p.total || more > 0 && p.committed+more > p.total {
+	committed := max(a.reserve, a.used+n) - max(a.reserve, a.used)
+	switch {
+	case n < 0, a.used+n > a.limit, p.used+n > p.total:
+		return false
+	case committed > 0 && p.committed+committed > p.total:
 		return false
 	}
-	s.used += n
+	a.used += n
 	p.used += n
-	p.committed += more
+	p.committed += committed
 	return true
 }
 
-// Acquire is TryAcquire in the form of a semaphore. It never waits: a request that waits for memory holds a connection
+// Acquire is TryAcquire with the signature of a semaphore. It never waits: a request that waits for memory holds a connection
 // that others could use.
-func (s *Allocation) Acquire(_ context.Context, n int64) error {
-	if !s.TryAcquire(n) {
+func (a *Allocation) Acquire(_ context.Context, n int64) error {
+	if !a.TryAcquire(n) {
 		return fmt.Errorf("%w: %d more than there is", ErrExhausted, n)
 	}
 	return nil
 }
 
-// Release gives n units back. To give back more than is held is a fault of the program.
-func (s *Allocation) Release(n int64) {
-	p := s.pool
+// Release returns n units. It panics if the allocation has fewer in use.
+func (a *Allocation) Release(n int64) {
+	p := a.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n < 0 || n > s.used {
-		panic("limit: released more than held")
+	if n < 0 || n > a.used {
+		panic("quota: released more than held")
 	}
-	p.committed -= max(s.reserve, s.used) - max(s.reserve, s.used-n)
-	s.used -= n
+	p.committed -= max(a.reserve, a.used) - max(a.reserve, a.used-n)
+	a.used -= n
 	p.used -= n
 }
