--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -19,6 +19,7 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/admin"
@@ -86,12 +87,12 @@
 		return err
 	}
 	router := platform.NewRouter(c, h, board, room.Bodies)
-	known, err := registry.ParseList(c.Known)
+	known, err := endpointlist.Parse(c.Known)
 	if err != nil && c.Known != nil {
 		log.Warn("config: known: " + err.Error())
 	}
 	listed := make(chan struct{}, 1)
-	discovery = registry.New(c.Discovery, mustAskIn(c.Decide), known.Index, func(kind lbpolicy.ListKind, e []registry.Endpoint) {
+	discovery = registry.New(c.Discovery, mustAskIn(c.Decide), known.Index, func(kind lbpolicy.ListKind, e []endpointlist.Endpoint) {
 		h.UpdateEndpoints(kind, e)
 		select {
 		case listed <- struct{}{}:
--- a/internal/balancer/engine/disconnect_test.go
+++ b/internal/balancer/engine/disconnect_test.go
@@ -9,7 +9,7 @@
 
 	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -91,7 +91,7 @@
 			var got atomic.Int64
 			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
 			h := newHost(t)
-			h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+			h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 			g := newGate()
 			var left atomic.Bool
 			binder, recorder := slow(g)
@@ -122,7 +122,7 @@
 	h := newHost(t)
 	two := entry(second.Addr, "ready")
 	two.Name = "s2"
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready"), two})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(first.Addr, "ready"), two})
 	g := newGate()
 	var left, held atomic.Bool
 	away := func() bool {
@@ -156,7 +156,7 @@
 	var got atomic.Int64
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { got.Add(1); a.OK() })
 	h := newHost(t)
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ctx = WithDisconnectCheck(ctx, func() bool { cancel(); return true })
@@ -197,7 +197,7 @@
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
 	h.client.SetDialTimeout(lbtest.Wait)
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 	return h, g, got
 }
 
--- a/internal/balancer/engine/endpoints.go
+++ b/internal/balancer/engine/endpoints.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"silvertrail/internal/balancer/upstream"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/lbpolicy"
 )
 
@@ -18,13 +18,13 @@
 	name, address   string
 	pool            *upstream.Pool
 	manuallyEjected bool              // by hand: nothing new
-	entry           registry.Endpoint // as it was listed last
+	entry           endpointlist.Endpoint // as it was listed last
 }
 
 var states = map[string]lbpolicy.State{"ready": lbpolicy.Ready, "draining": lbpolicy.Draining, "gone": lbpolicy.Removed}
 
 // UpdateEndpoints takes a list from discovery. An entry that can't be used is passed over; the others count.
-func (h *Engine) UpdateEndpoints(kind lbpolicy.ListKind, entries []registry.Endpoint) {
+func (h *Engine) UpdateEndpoints(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
 	h.event(func(now time.Duration) {
 		servers := make([]lbpolicy.Server, 0, len(entries))
 		named := make(map[lbpolicy.ServerID]bool, len(entries))
@@ -47,7 +47,7 @@
 }
 
 // updateEndpoint takes one entry into the table of endpoints.
-func (h *Engine) updateEndpoint(e registry.Endpoint) (lbpolicy.Server, error) {
+func (h *Engine) updateEndpoint(e endpointlist.Endpoint) (lbpolicy.Server, error) {
 	state, known := states[e.Status]
 	if !known || e.Name == "" {
 		return lbpolicy.Server{}, fmt.Errorf("endpoint %q: status %q", e.Name, e.Status)
--- a/internal/balancer/engine/engine_test.go
+++ b/internal/balancer/engine/engine_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -30,8 +30,8 @@
 	return h
 }
 
-func entry(address, status string) registry.Endpoint {
-	return registry.Endpoint{Name: "s", Address: address, Zone: "a", Status: status}
+func entry(address, status string) endpointlist.Endpoint {
+	return endpointlist.Endpoint{Name: "s", Address: address, Zone: "a", Status: status}
 }
 
 func get(h *Engine, id string, left time.Duration) *Call {
@@ -54,7 +54,7 @@
 func TestDecisionFails(t *testing.T) {
 	e := lbtest.NewEndpoint(t, nil)
 	h := newHost(t)
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 	held := get(h, "one", 2*time.Second)
 	<-e.Got
 	h.event(func(time.Duration) { panic("a fault") })
@@ -76,7 +76,7 @@
 	first := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	second := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	h := newHost(t)
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(first.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(first.Addr, "ready")})
 	if a := answer(t, get(h, "one", lbtest.Wait)); a.Response == nil {
 		t.Fatal("not served")
 	}
@@ -96,11 +96,11 @@
 	if h.claimDispatch(&Call{request: upstream.Request{Deadline: time.Now()}}, stale) {
 		t.Error("an attempt may go out when the deadline is over, as after a pause of the process")
 	}
-	h.UpdateEndpoints(lbpolicy.Delta, []registry.Endpoint{entry(second.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Delta, []endpointlist.Endpoint{entry(second.Addr, "ready")})
 	if h.claimDispatch(&Call{request: whole}, stale) {
 		t.Error("an attempt may go out to the old address")
 	}
-	h.UpdateEndpoints(lbpolicy.Delta, []registry.Endpoint{entry("nowhere", "draining")})
+	h.UpdateEndpoints(lbpolicy.Delta, []endpointlist.Endpoint{entry("nowhere", "draining")})
 	if a := answer(t, get(h, "two", lbtest.Wait)); !a.Rejected {
 		t.Errorf("sent to an endpoint that drains: %+v", a)
 	}
@@ -118,7 +118,7 @@
 		a.OK()
 	})
 	h := newHost(t)
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 	for range 8 { // long enough for the quiet latency to be learnt too
 		var calls []*Call
 		for range 4 {
@@ -151,7 +151,7 @@
 	e := lbtest.NewEndpoint(t, nil)
 	var log lbtest.Log
 	h := newLoggedHost(t, &log)
-	h.UpdateEndpoints(lbpolicy.Full, []registry.Endpoint{entry(e.Addr, "ready")})
+	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 	for range 2 {
 		c := get(h, "hurried", 700*time.Millisecond) // the decisions start from a latency of 1.25 s
 		select {
--- a/internal/balancer/engine/resets_test.go
+++ b/internal/balancer/engine/resets_test.go
@@ -10,8 +10,8 @@
 
 	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -79,14 +79,14 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					var list []registry.Endpoint
+					var list []endpointlist.Endpoint
 					for i := range 6 {
 						zone := []string{"a", "b"}[i%2]
 						address := "127.0.0.1:1" // takes none
 						if i/2 >= c.refused {
 							address = lbtest.NewEndpoint(t, n.serve(zone)).Addr
 						}
-						list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: zone, Status: "ready"})
+						list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: zone, Status: "ready"})
 					}
 					h.UpdateEndpoints(lbpolicy.Full, list)
 					var key *Key
--- a/internal/balancer/engine/snapshot.go
+++ b/internal/balancer/engine/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/lbpolicy"
 )
 
@@ -48,10 +48,10 @@
 }
 
 // Endpoints returns the endpoints as they are listed.
-func (h *Engine) Endpoints() []registry.Endpoint {
+func (h *Engine) Endpoints() []endpointlist.Endpoint {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := make([]registry.Endpoint, 0, len(h.endpoints))
+	list := make([]endpointlist.Endpoint, 0, len(h.endpoints))
 	for _, e := range h.endpoints {
 		list = append(list, e.entry)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,9 +12,9 @@
 	"strings"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/standin"
 )
 
@@ -76,7 +76,7 @@
 
 // stage starts the salas' nodos, with a folder that holds their lists. Stop ends those that were started and takes the folder
 // away, also where there is an error.
-func stage() (folder string, lists map[string][]registry.Endpoint, stop func(), err error) {
+func stage() (folder string, lists map[string][]endpointlist.Endpoint, stop func(), err error) {
 	if folder, err = os.MkdirTemp("", "silvertrail-demo-"); err != nil {
 		return "", nil, func() {}, fmt.Errorf("demo: %w", err)
 	}
@@ -89,14 +89,14 @@
 
 // startNodos starts the salas' nodos and writes their lists into a folder. Stop ends those that were started, also where
 // there is an error.
-func startNodos(folder string) (lists map[string][]registry.Endpoint, stop func(), err error) {
+func startNodos(folder string) (lists map[string][]endpointlist.Endpoint, stop func(), err error) {
 	var nodos []*standin.Nodo
 	stop = func() {
 		for _, n := range nodos {
 			n.Close()
 		}
 	}
-	lists = map[string][]registry.Endpoint{}
+	lists = map[string][]endpointlist.Endpoint{}
 	for _, sala := range salas {
 		group := standin.NewGroup(sala, time.Minute)
 		for i := range perSala {
@@ -110,7 +110,7 @@
 				return nil, stop, err
 			}
 			nodos = append(nodos, n)
-			lists[sala] = append(lists[sala], registry.Endpoint{Name: no.Name, Address: n.Addr, Zone: sala, Status: "ready"})
+			lists[sala] = append(lists[sala], endpointlist.Endpoint{Name: no.Name, Address: n.Addr, Zone: sala, Status: "ready"})
 		}
 		if err := writeList(folder, sala, lists[sala]); err != nil {
 			return nil, stop, err
@@ -119,7 +119,7 @@
 	return lists, stop, nil
 }
 
-func addresses(lists map[string][]registry.Endpoint) (out []string) {
+func addresses(lists map[string][]endpointlist.Endpoint) (out []string) {
 	for _, sala := range salas {
 		for _, e := range lists[sala] {
 			out = append(out, fmt.Sprintf("%-9s %s  %s", e.Name, e.Address, sala))
@@ -129,7 +129,7 @@
 }
 
 // writeList replaces a sala's list atomically.
-func writeList(folder, sala string, list []registry.Endpoint) error {
+func writeList(folder, sala string, list []endpointlist.Endpoint) error {
 	text, err := json.Marshal(map[string]any{"endpoints": list})
 	if err == nil {
 		path := filepath.Join(folder, sala+".json")
--- a/internal/demo/salas.go
+++ b/internal/demo/salas.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/standin"
 )
 
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func tellNodos(o Options, folder string, lists map[string][]registry.Endpoint, status, line string) {
+func tellNodos(o Options, folder string, lists map[string][]endpointlist.Endpoint, status, line string) {
 	list := lists[salas[0]]
 	for i := range list {
 		list[i].Status = status
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -12,11 +12,11 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/figures"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/platform/sidecar"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
@@ -37,9 +37,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var list []registry.Endpoint
+	var list []endpointlist.Endpoint
 	for i, address := range strings.Split(endpoint, " ") {
-		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
+		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	s := frontend.New(sidecar.NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(maxConns), log.New(io.Discard, "", 0))
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -21,12 +21,12 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/figures"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/platform/sidecar"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
@@ -126,7 +126,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var list []registry.Endpoint
+	var list []endpointlist.Endpoint
 	for i := range 2 {
 		e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
 			d.mu.Lock()
@@ -138,7 +138,7 @@
 			}
 			a.OK()
 		})
-		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
+		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
 	}
 	d.host.UpdateEndpoints(lbpolicy.Full, list)
 	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Board{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
--- a/internal/gateway/acting.go
+++ b/internal/gateway/acting.go
@@ -5,8 +5,8 @@
 	"slices"
 	"strings"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/fleet/version"
-	"silvertrail/internal/platform/registry"
 )
 
 // listed is a cluster's list as it was hashed last.
@@ -58,7 +58,7 @@
 }
 
 // listEntry is the version of a cluster's members: the same at two instances that may send to the same ones.
-func listEntry(name string, members []registry.Endpoint) version.Entry {
+func listEntry(name string, members []endpointlist.Endpoint) version.Entry {
 	lines := make([]string, len(members))
 	ready := 0
 	for i, m := range members {
--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -13,7 +13,7 @@
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/quota"
 	"silvertrail/internal/balancer/upstream"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/lbpolicy"
 )
 
@@ -82,7 +82,7 @@
 	config   Config
 	merger   *merger
 	turn     int // of Follow; what sources of an earlier one still say is passed over
-	members  []registry.Endpoint
+	members  []endpointlist.Endpoint
 	timer    *time.Timer
 	stop     context.CancelFunc
 	settled  chan struct{}
@@ -200,7 +200,7 @@
 	c.bind()
 	turn, discovery := c.turn, c.shared.Discovery
 	for i, s := range next.Sources {
-		go s.run(ctx, func(w word, entries []registry.Endpoint) { c.say(turn, i, w, entries) }, discovery,
+		go s.run(ctx, func(w word, entries []endpointlist.Endpoint) { c.say(turn, i, w, entries) }, discovery,
 			func(b bounds) { c.bound(turn, b) }, c.log)
 	}
 	time.AfterFunc(settleIn, func() {
@@ -229,7 +229,7 @@
 }
 
 // say takes a source's word.
-func (c *Cluster) say(turn, source int, w word, entries []registry.Endpoint) {
+func (c *Cluster) say(turn, source int, w word, entries []endpointlist.Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.turn != turn || c.closed {
@@ -258,7 +258,7 @@
 	if !slices.Equal(list, c.members) {
 		c.members = list
 		c.revision.Add(1)
-		c.able.Store(slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.Status == ready }))
+		c.able.Store(slices.ContainsFunc(list, func(e endpointlist.Endpoint) bool { return e.Status == ready }))
 		c.host.UpdateEndpoints(lbpolicy.Full, list)
 	}
 	if c.timer != nil {
@@ -279,7 +279,7 @@
 
 // keep adds the members from before to a list that is not complete yet, as they were, but for those that a source has
 // already said to be gone.
-func (c *Cluster) keep(list []registry.Endpoint) []registry.Endpoint {
+func (c *Cluster) keep(list []endpointlist.Endpoint) []endpointlist.Endpoint {
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.Address] = true
@@ -297,7 +297,7 @@
 func (c *Cluster) Revision() uint64 { return c.revision.Load() }
 
 // Members returns the members as they were published last.
-func (c *Cluster) Members() []registry.Endpoint {
+func (c *Cluster) Members() []endpointlist.Endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Clone(c.members)
--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -13,7 +13,7 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -55,7 +55,7 @@
 func static(addrs ...string) Source {
 	s := &Static{}
 	for _, a := range addrs {
-		s.Endpoints = append(s.Endpoints, registry.Endpoint{Name: "at-" + a, Address: a, Zone: "a", Status: ready})
+		s.Endpoints = append(s.Endpoints, endpointlist.Endpoint{Name: "at-" + a, Address: a, Zone: "a", Status: ready})
 	}
 	return Source{Static: s}
 }
@@ -92,7 +92,7 @@
 	os.Remove(path)
 	writeFile(t, path, `{"endpoints": [{"address": "`+one.Addr+`", "status": "draining"}, {"address": "`+two.Addr+`"}]}`)
 	lbtest.Until(t, "draining", func() bool {
-		return slices.ContainsFunc(c.Members(), func(e registry.Endpoint) bool { return e.Status == draining })
+		return slices.ContainsFunc(c.Members(), func(e endpointlist.Endpoint) bool { return e.Status == draining })
 	})
 	for range 20 {
 		if a := get(t, c, "x"); a.Response == nil || string(a.Response.Body) != "two" {
@@ -111,7 +111,7 @@
 		}
 	}
 	got, err := ParseFile([]byte(`{"endpoints": [{"address": "127.0.0.1:1", "group": 3, "since_ms": 5}]}`), "a")
-	if want := (registry.Endpoint{Address: "127.0.0.1:1", Zone: "a", Group: 3, Status: ready, SinceMS: 5}); err != nil || got[0] != want {
+	if want := (endpointlist.Endpoint{Address: "127.0.0.1:1", Zone: "a", Group: 3, Status: ready, SinceMS: 5}); err != nil || got[0] != want {
 		t.Errorf("%+v, %v", got, err)
 	}
 }
--- a/internal/gateway/cluster/dns.go
+++ b/internal/gateway/cluster/dns.go
@@ -9,14 +9,13 @@
 	"math"
 	"net"
 	"net/netip"
+	"silvertrail/internal/base/endpointlist"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/miekg/dns"
-
-	"silvertrail/internal/platform/registry"
 )
 
 // DNS is a name whose addresses are the members.
@@ -69,7 +68,7 @@
 }
 
 // lookUp returns the members and the shortest TTL.
-func (d *DNS) lookUp(ctx context.Context) ([]registry.Endpoint, time.Duration, error) {
+func (d *DNS) lookUp(ctx context.Context) ([]endpointlist.Endpoint, time.Duration, error) {
 	name := dns.Fqdn(d.Name)
 	if !d.SRV {
 		addrs, ttl, err := d.addresses(ctx, name)
@@ -100,7 +99,7 @@
 	if len(targets) > maxTargets {
 		return nil, 0, fmt.Errorf("%d targets of one priority, over %d", len(targets), maxTargets)
 	}
-	var out []registry.Endpoint
+	var out []endpointlist.Endpoint
 	for _, srv := range targets {
 		addrs, least := glue(m.Extra, srv.Target)
 		if len(addrs) == 0 {
@@ -114,9 +113,9 @@
 	return out, ttl, nil
 }
 
-func (d *DNS) members(addrs []netip.Addr, port uint16) (out []registry.Endpoint) {
+func (d *DNS) members(addrs []netip.Addr, port uint16) (out []endpointlist.Endpoint) {
 	for _, a := range addrs {
-		out = append(out, registry.Endpoint{Address: netip.AddrPortFrom(a, port).String(), Zone: d.Zone, Status: ready})
+		out = append(out, endpointlist.Endpoint{Address: netip.AddrPortFrom(a, port).String(), Zone: d.Zone, Status: ready})
 	}
 	return out
 }
--- a/internal/gateway/cluster/merge.go
+++ b/internal/gateway/cluster/merge.go
@@ -8,10 +8,9 @@
 	"cmp"
 	"maps"
 	"math"
+	"silvertrail/internal/base/endpointlist"
 	"slices"
 	"time"
-
-	"silvertrail/internal/platform/registry"
 )
 
 // The kinds of word that a source has.
@@ -76,7 +75,7 @@
 	trait
 	heard   bool // has told a list
 	spoke   bool // or that it is out of reach
-	entries map[string]registry.Endpoint
+	entries map[string]endpointlist.Endpoint
 	gone    map[string]departure
 	empty   time.Time // since when it lists nothing, held back; zero: not
 }
@@ -90,16 +89,16 @@
 func newMerger(hold time.Duration, traits ...trait) *merger {
 	m := &merger{hold: hold}
 	for _, t := range traits {
-		m.sources = append(m.sources, told{trait: t, entries: map[string]registry.Endpoint{}, gone: map[string]departure{}})
+		m.sources = append(m.sources, told{trait: t, entries: map[string]endpointlist.Endpoint{}, gone: map[string]departure{}})
 	}
 	return m
 }
 
 // key is what a source knows an entry by.
-func key(e registry.Endpoint) string { return cmp.Or(e.Name, e.Address) }
+func key(e endpointlist.Endpoint) string { return cmp.Or(e.Name, e.Address) }
 
 // take takes a source's word.
-func (m *merger) take(now time.Time, source int, w word, entries []registry.Endpoint) {
+func (m *merger) take(now time.Time, source int, w word, entries []endpointlist.Endpoint) {
 	s := &m.sources[source]
 	s.spoke = true
 	m.expire(now)
@@ -211,9 +210,9 @@
 }
 
 // members returns the merged list, by name.
-func (m *merger) members(now time.Time) []registry.Endpoint {
+func (m *merger) members(now time.Time) []endpointlist.Endpoint {
 	m.expire(now)
-	words := map[string][]registry.Endpoint{} // by address, in the order of the sources
+	words := map[string][]endpointlist.Endpoint{} // by address, in the order of the sources
 	drained := drains{}
 	for i := range m.sources {
 		entries := m.sources[i].entries
@@ -230,7 +229,7 @@
 			}
 		}
 	}
-	list := make(map[string]registry.Endpoint, len(words))
+	list := make(map[string]endpointlist.Endpoint, len(words))
 	departed := m.departures()
 	for _, address := range slices.Sorted(maps.Keys(words)) {
 		e := fold(address, words[address])
@@ -245,7 +244,7 @@
 		}
 		list[e.Name] = e
 	}
-	out := slices.SortedFunc(maps.Values(list), func(a, b registry.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	out := slices.SortedFunc(maps.Values(list), func(a, b endpointlist.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	over := max(len(out)-maxMembers, 0)
 	m.dropped = over
 	return out[:len(out)-over]
@@ -293,7 +292,7 @@
 }
 
 // hold tells of a member that a source has said to be gone, and does not list again.
-func (d departures) hold(e registry.Endpoint) bool {
+func (d departures) hold(e endpointlist.Endpoint) bool {
 	for i := range d {
 		if d[i].listed[e.Address] {
 			continue
@@ -308,8 +307,8 @@
 }
 
 // fold makes one member of all that is said of an address.
-func fold(address string, words []registry.Endpoint) registry.Endpoint {
-	out := registry.Endpoint{Address: address, Status: ready}
+func fold(address string, words []endpointlist.Endpoint) endpointlist.Endpoint {
+	out := endpointlist.Endpoint{Address: address, Status: ready}
 	for _, e := range words {
 		out.Zone = cmp.Or(out.Zone, e.Zone)
 		out.Group = cmp.Or(out.Group, e.Group)
--- a/internal/gateway/cluster/merge_test.go
+++ b/internal/gateway/cluster/merge_test.go
@@ -3,25 +3,24 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"silvertrail/internal/base/endpointlist"
 	"slices"
 	"testing"
 	"time"
-
-	"silvertrail/internal/platform/registry"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
 
-func named(name, status string) registry.Endpoint {
-	return registry.Endpoint{Name: name, Address: "10.0.0." + name + ":1", Zone: "a", Status: status}
+func named(name, status string) endpointlist.Endpoint {
+	return endpointlist.Endpoint{Name: name, Address: "10.0.0." + name + ":1", Zone: "a", Status: status}
 }
 
-func nameless(name, status string) registry.Endpoint {
-	return registry.Endpoint{Address: "10.0.0." + name + ":1", Status: status}
+func nameless(name, status string) endpointlist.Endpoint {
+	return endpointlist.Endpoint{Address: "10.0.0." + name + ":1", Status: status}
 }
 
 // shown writes a list as "name status".
-func shown(list []registry.Endpoint) (out []string) {
+func shown(list []endpointlist.Endpoint) (out []string) {
 	for _, e := range list {
 		out = append(out, e.Name+" "+e.Status)
 	}
@@ -37,19 +36,19 @@
 
 func TestDrainHolds(t *testing.T) {
 	m := newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", ready)})
-	m.take(t0, 1, whole, []registry.Endpoint{named("1", draining), named("2", ready)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", ready)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{named("1", draining), named("2", ready)})
 	wants(t, m, t0, "1 draining", "2 ready")
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", ready)}) // once more: no news
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", ready)}) // once more: no news
 	m.take(t0, 1, lost, nil)
 	wants(t, m, t0.Add(time.Hour), "1 draining", "2 ready")
-	m.take(t0, 1, changes, []registry.Endpoint{named("1", ready)})
+	m.take(t0, 1, changes, []endpointlist.Endpoint{named("1", ready)})
 	wants(t, m, t0, "1 ready", "2 ready")
 
 	// A later process at the same name is not the one that drained.
-	m.take(t0, 1, changes, []registry.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: draining, SinceMS: 100}})
+	m.take(t0, 1, changes, []endpointlist.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: draining, SinceMS: 100}})
 	wants(t, m, t0, "1 draining", "2 ready")
-	m.take(t0, 0, changes, []registry.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: ready, SinceMS: 200}})
+	m.take(t0, 0, changes, []endpointlist.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: ready, SinceMS: 200}})
 	wants(t, m, t0, "1 ready", "2 ready")
 }
 
@@ -57,11 +56,11 @@
 // after a reload is held as any other.
 func TestStandbyAndReload(t *testing.T) {
 	m := newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", standby)})
-	m.take(t0, 1, whole, []registry.Endpoint{named("3", ready)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", standby)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{named("3", ready)})
 	wants(t, m, t0, "1 ready", "3 ready")
-	m.take(t0, 1, whole, []registry.Endpoint{named("1", ready), named("2", ready)})
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", standby), named("2", standby)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{named("1", ready), named("2", ready)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", standby), named("2", standby)})
 	wants(t, m, t0, "1 ready", "2 ready")
 	m = newMerger(time.Minute, trait{})
 	m.before = true
@@ -76,22 +75,22 @@
 
 func TestGone(t *testing.T) {
 	m := newMerger(time.Minute, trait{}, trait{}, trait{partial: true})
-	all := []registry.Endpoint{named("1", ready), named("2", ready)}
+	all := []endpointlist.Endpoint{named("1", ready), named("2", ready)}
 	m.take(t0, 0, whole, all)
 	m.take(t0, 1, whole, all)
-	m.take(t0, 1, changes, []registry.Endpoint{named("1", gone)})
+	m.take(t0, 1, changes, []endpointlist.Endpoint{named("1", gone)})
 	wants(t, m, t0, "2 ready") // in so many words
 	m.take(t0, 1, whole, nil)  // held back: empty
 	wants(t, m, t0, "2 ready")
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)}) // by leaving out
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)}) // by leaving out
 	wants(t, m, t0)
-	m.take(t0, 2, whole, []registry.Endpoint{nameless("2", ready), nameless("3", ready)})
+	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("2", ready), nameless("3", ready)})
 	wants(t, m, t0, "10.0.0.3:1 ready") // another source's word does not bring it back, and 3 is new
-	m.take(t0, 2, whole, []registry.Endpoint{nameless("3", ready), nameless("4", ready)})
-	m.take(t0, 2, whole, []registry.Endpoint{nameless("4", ready)}) // a name server leaves out what is there
-	m.take(t0, 2, whole, []registry.Endpoint{nameless("3", ready), nameless("4", ready)})
+	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("3", ready), nameless("4", ready)})
+	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("4", ready)}) // a name server leaves out what is there
+	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("3", ready), nameless("4", ready)})
 	wants(t, m, t0, "10.0.0.3:1 ready", "10.0.0.4:1 ready")
-	m.take(t0, 0, changes, []registry.Endpoint{named("2", ready)}) // the teller lists it again
+	m.take(t0, 0, changes, []endpointlist.Endpoint{named("2", ready)}) // the teller lists it again
 	if got := m.members(t0); len(got) != 3 || got[2].Name != "2" {
 		t.Errorf("members %q", shown(got))
 	}
@@ -99,24 +98,24 @@
 	m = newMerger(time.Minute, trait{}, trait{})
 	m.take(t0, 0, whole, all)
 	m.take(t0, 1, whole, all)
-	m.take(t0, 1, changes, []registry.Endpoint{named("1", gone)})
+	m.take(t0, 1, changes, []endpointlist.Endpoint{named("1", gone)})
 	wants(t, m, t0.Add(goneFor-time.Second), "2 ready")
 	if at := m.next(); !at.Equal(t0.Add(goneFor)) {
 		t.Errorf("next %v", at)
 	}
 	wants(t, m, t0.Add(goneFor), "1 ready", "2 ready")
 	// And at once where it has started since.
-	m.take(t0, 1, changes, []registry.Endpoint{named("2", gone)})
+	m.take(t0, 1, changes, []endpointlist.Endpoint{named("2", gone)})
 	later := named("2", ready)
 	later.SinceMS = t0.Add(time.Second).UnixMilli()
-	m.take(t0, 0, changes, []registry.Endpoint{later})
+	m.take(t0, 0, changes, []endpointlist.Endpoint{later})
 	wants(t, m, t0, "1 ready", "2 ready")
 }
 
 func TestEmptyIsHeld(t *testing.T) {
 	m := newMerger(30*time.Second, trait{}, trait{deliberate: true})
 	m.take(t0, 0, whole, nil) // from the start: nothing to hold
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready), named("2", draining)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", draining)})
 	m.take(t0.Add(time.Second), 0, whole, nil)
 	m.take(t0.Add(20*time.Second), 0, whole, nil) // does not begin the wait anew
 	wants(t, m, t0.Add(30*time.Second), "1 ready", "2 draining")
@@ -124,32 +123,32 @@
 		t.Errorf("next %v", at)
 	}
 	wants(t, m, t0.Add(31*time.Second))
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)})
 	m.take(t0, 0, whole, nil)
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)}) // it was a fault
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)}) // it was a fault
 	wants(t, m, t0.Add(time.Hour), "1 ready")
-	m.take(t0, 1, whole, []registry.Endpoint{named("7", ready)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{named("7", ready)})
 	m.take(t0, 1, whole, nil) // a configuration means it
 	wants(t, m, t0, "1 ready")
 }
 
 func TestNames(t *testing.T) {
 	m := newMerger(time.Minute, trait{partial: true}, trait{})
-	m.take(t0, 0, whole, []registry.Endpoint{nameless("1", ready)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{nameless("1", ready)})
 	wants(t, m, t0, "10.0.0.1:1 ready")
 	first := named("1", ready)
 	first.Group, first.Zone = 4, "b"
-	m.take(t0, 1, whole, []registry.Endpoint{first})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{first})
 	if got := m.members(t0); len(got) != 1 || got[0] != first {
 		t.Errorf("members %+v", got)
 	}
 	// Gone, told by name, goes for the address too: nobody else knows it under another name.
-	m.take(t0, 1, changes, []registry.Endpoint{{Name: "1", Status: gone}})
+	m.take(t0, 1, changes, []endpointlist.Endpoint{{Name: "1", Status: gone}})
 	wants(t, m, t0)
-	m.take(t0, 0, whole, []registry.Endpoint{nameless("1", ready)}) // gone stands against the other's word
+	m.take(t0, 0, whole, []endpointlist.Endpoint{nameless("1", ready)}) // gone stands against the other's word
 	wants(t, m, t0)
-	m.take(t0, 0, whole, []registry.Endpoint{nameless("2", draining)}) // told of an address: goes for who is there
-	m.take(t0, 1, changes, []registry.Endpoint{named("2", ready)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{nameless("2", draining)}) // told of an address: goes for who is there
+	m.take(t0, 1, changes, []endpointlist.Endpoint{named("2", ready)})
 	wants(t, m, t0, "2 draining")
 }
 
@@ -157,32 +156,32 @@
 // one that has gone is no dead one.
 func TestOneAddress(t *testing.T) {
 	m := newMerger(time.Minute, trait{}, trait{})
-	at := func(name, status string, since int64) registry.Endpoint {
-		return registry.Endpoint{Name: name, Address: "10.0.0.9:1", Status: status, SinceMS: since}
+	at := func(name, status string, since int64) endpointlist.Endpoint {
+		return endpointlist.Endpoint{Name: name, Address: "10.0.0.9:1", Status: status, SinceMS: since}
 	}
-	m.take(t0, 0, whole, []registry.Endpoint{at("ours", ready, 0)})
-	m.take(t0, 1, whole, []registry.Endpoint{at("theirs", draining, 0)})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{at("ours", ready, 0)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{at("theirs", draining, 0)})
 	wants(t, m, t0, "ours draining")
-	m.take(t0, 1, whole, []registry.Endpoint{at("next", ready, 50)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{at("next", ready, 50)})
 	wants(t, m, t0, "next ready")
-	m.take(t0, 1, whole, []registry.Endpoint{at("old", draining, 50), at("new", ready, 60)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{at("old", draining, 50), at("new", ready, 60)})
 	wants(t, m, t0, "new ready")
-	m.take(t0, 1, whole, []registry.Endpoint{{Name: "elsewhere", Address: "10.0.0.8:1", Status: ready}})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{{Name: "elsewhere", Address: "10.0.0.8:1", Status: ready}})
 	wants(t, m, t0, "elsewhere ready")
 	// A name at two addresses: as sources differ, both count, and a drain goes for both.
 	m = newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, []registry.Endpoint{named("1", ready)})
-	m.take(t0, 1, whole, []registry.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: ready}})
+	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: ready}})
 	wants(t, m, t0, "1 ready", "1@10.0.1.1:1 ready")
-	m.take(t0, 1, whole, []registry.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: draining}})
+	m.take(t0, 1, whole, []endpointlist.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: draining}})
 	wants(t, m, t0, "1 draining", "1@10.0.1.1:1 draining")
 }
 
 func TestMemberBound(t *testing.T) {
 	m := newMerger(time.Minute, trait{})
-	var many []registry.Endpoint
+	var many []endpointlist.Endpoint
 	for i := range maxMembers + 5 {
-		many = append(many, registry.Endpoint{Name: fmt.Sprintf("%06d", i), Address: fmt.Sprint(i), Status: ready})
+		many = append(many, endpointlist.Endpoint{Name: fmt.Sprintf("%06d", i), Address: fmt.Sprint(i), Status: ready})
 	}
 	m.take(t0, 0, whole, many)
 	if n := len(m.members(t0)); n != maxMembers || m.dropped != 5 {
@@ -194,11 +193,11 @@
 func TestSourceBound(t *testing.T) {
 	m := newMerger(time.Minute, trait{})
 	for i := range 5 {
-		var list []registry.Endpoint
+		var list []endpointlist.Endpoint
 		for j := range maxMembers {
 			n := i*maxMembers + j
-			list = append(list, registry.Endpoint{Name: fmt.Sprint("in", n), Address: fmt.Sprint(n), Status: ready},
-				registry.Endpoint{Name: fmt.Sprint("out", n), Status: gone})
+			list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("in", n), Address: fmt.Sprint(n), Status: ready},
+				endpointlist.Endpoint{Name: fmt.Sprint("out", n), Status: gone})
 		}
 		m.take(t0, 0, changes, list)
 	}
@@ -232,10 +231,10 @@
 				}
 			case 1:
 				e := named(fmt.Sprint(d.IntN(6)), []string{ready, draining, gone}[d.IntN(3)])
-				m.take(now, i, changes, []registry.Endpoint{e})
+				m.take(now, i, changes, []endpointlist.Endpoint{e})
 				last[i][e.Name] = e.Status
 			default:
-				var list []registry.Endpoint
+				var list []endpointlist.Endpoint
 				for n := range 6 {
 					if d.IntN(2) == 0 {
 						list = append(list, named(fmt.Sprint(n), []string{ready, ready, draining}[d.IntN(3)]))
@@ -246,7 +245,7 @@
 					continue // may be held back; the next word settles it
 				}
 				for name, status := range last[i] {
-					if status != gone && !slices.ContainsFunc(list, func(e registry.Endpoint) bool { return e.Name == name }) {
+					if status != gone && !slices.ContainsFunc(list, func(e endpointlist.Endpoint) bool { return e.Name == name }) {
 						last[i][name] = gone
 						if traits[i].partial {
 							delete(last[i], name)
--- a/internal/gateway/cluster/source.go
+++ b/internal/gateway/cluster/source.go
@@ -11,13 +11,14 @@
 	"slices"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/base/replaced"
 	"silvertrail/internal/platform/registry"
 	"silvertrail/lbpolicy"
 )
 
 // tell takes a source's words, one at a time.
-type tell func(w word, entries []registry.Endpoint)
+type tell func(w word, entries []endpointlist.Endpoint)
 
 // Source follows one list of members until its context ends. Just one of its fields is set. It is comparable by
 // reflect.DeepEqual, by which a reload tells whether it has changed.
@@ -49,7 +50,7 @@
 }
 
 // Static is a list in the configuration itself.
-type Static struct{ Endpoints []registry.Endpoint }
+type Static struct{ Endpoints []endpointlist.Endpoint }
 
 // File is a list in a file that is replaced atomically (written beside and renamed).
 type File struct {
@@ -67,7 +68,7 @@
 	for {
 		text, changed, err := file.Read()
 		if changed {
-			var entries []registry.Endpoint
+			var entries []endpointlist.Endpoint
 			if entries, err = ParseFile(text, f.Zone); err == nil {
 				say(whole, entries)
 				failed = ""
@@ -88,10 +89,10 @@
 
 // ParseFile reads a file of endpoints: {"endpoints": [{"name", "address", "zone", "group", "status", "since_ms", "weight"}]}, all
 // but the address optional. Unlike a list that a peer sends it is wholly good or wholly refused: somebody wrote it.
-func ParseFile(text []byte, zone string) ([]registry.Endpoint, error) {
+func ParseFile(text []byte, zone string) ([]endpointlist.Endpoint, error) {
 	var raw struct {
 		Endpoints *[]struct {
-			registry.Endpoint
+			endpointlist.Endpoint
 			Weight float64 `json:"weight"`
 		} `json:"endpoints"`
 	}
@@ -101,7 +102,7 @@
 	if raw.Endpoints == nil {
 		return nil, errors.New("no \"endpoints\"")
 	}
-	out := make([]registry.Endpoint, 0, len(*raw.Endpoints))
+	out := make([]endpointlist.Endpoint, 0, len(*raw.Endpoints))
 	for i, r := range *raw.Endpoints {
 		e := r.Endpoint
 		e.Weight = r.Weight
@@ -117,7 +118,7 @@
 }
 
 // Check brings an entry that somebody wrote into its form, or tells what is wrong with it.
-func Check(e *registry.Endpoint, zone string) error {
+func Check(e *endpointlist.Endpoint, zone string) error {
 	if _, err := netip.ParseAddrPort(e.Address); err != nil {
 		return fmt.Errorf("address %q is no IP address and port", e.Address)
 	}
@@ -137,7 +138,7 @@
 type Registry struct{ Address string }
 
 func (r *Registry) run(ctx context.Context, say tell, log *slog.Logger) {
-	registry.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []registry.Endpoint) {
+	registry.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
 		switch kind {
 		case lbpolicy.Full, lbpolicy.Cached:
 			say(whole, entries)
--- a/internal/gateway/cluster/xds.go
+++ b/internal/gateway/cluster/xds.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"sync"
 
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/xds/known"
 )
 
@@ -65,19 +65,19 @@
 // uses are a member's use in the words of a list.
 var uses = [...]string{known.Used: ready, known.Standby: standby, known.Unused: draining}
 
-func (x *XDS) entries(members []known.Member) (out []registry.Endpoint) {
+func (x *XDS) entries(members []known.Member) (out []endpointlist.Endpoint) {
 	for i := range members {
 		out = append(out, x.entry(&members[i]))
 	}
 	return out
 }
 
-func (x *XDS) entry(m *known.Member) registry.Endpoint {
+func (x *XDS) entry(m *known.Member) endpointlist.Endpoint {
 	zone := map[string]string{"region": m.Locality.Region, "zone": m.Locality.Zone, "sub_zone": m.Locality.Part}[x.Part]
 	if !slices.Contains(x.Zones, zone) {
 		zone = x.Zone
 	}
-	return registry.Endpoint{Name: m.Name, Address: m.Address, Zone: zone, Group: m.Group, Status: uses[m.Use], SinceMS: m.SinceMS,
+	return endpointlist.Endpoint{Name: m.Name, Address: m.Address, Zone: zone, Group: m.Group, Status: uses[m.Use], SinceMS: m.SinceMS,
 		Weight: m.Share}
 }
 
@@ -90,7 +90,7 @@
 	names []known.Member // that are followed
 	end   context.CancelFunc
 	turn  int
-	found map[string][]registry.Endpoint // by name and port; nil: nothing found yet
+	found map[string][]endpointlist.Endpoint // by name and port; nil: nothing found yet
 	wait  sync.WaitGroup
 }
 
@@ -112,7 +112,7 @@
 	ctx, l.end = context.WithCancel(ctx)
 	l.turn++
 	turn := l.turn
-	l.found = map[string][]registry.Endpoint{}
+	l.found = map[string][]endpointlist.Endpoint{}
 	if len(members) == 0 {
 		l.tell(say)
 	}
@@ -120,13 +120,13 @@
 		host, port, _ := net.SplitHostPort(m.Address)
 		n, _ := strconv.Atoi(port)
 		if net.ParseIP(host) != nil {
-			l.found[m.Address] = []registry.Endpoint{{Address: m.Address}}
+			l.found[m.Address] = []endpointlist.Endpoint{{Address: m.Address}}
 			l.tell(say)
 			continue
 		}
 		d := &DNS{Name: host, Port: uint16(n), Server: l.x.Server}
 		l.wait.Go(func() {
-			d.run(ctx, func(w word, entries []registry.Endpoint) {
+			d.run(ctx, func(w word, entries []endpointlist.Endpoint) {
 				l.mu.Lock()
 				defer l.mu.Unlock()
 				if l.turn != turn {
@@ -141,7 +141,7 @@
 				if one && len(entries) > 1 {
 					entries = entries[:1]
 				}
-				l.found[m.Address] = append([]registry.Endpoint{}, entries...)
+				l.found[m.Address] = append([]endpointlist.Endpoint{}, entries...)
 				l.tell(say)
 			}, l.log)
 		})
@@ -150,7 +150,7 @@
 
 // tell says what has been found, once each name has been. The caller holds the lock.
 func (l *lookups) tell(say tell) {
-	var out []registry.Endpoint
+	var out []endpointlist.Endpoint
 	for i := range l.names {
 		m := &l.names[i]
 		found := l.found[m.Address]
--- a/internal/gateway/conf/clusters.go
+++ b/internal/gateway/conf/clusters.go
@@ -8,8 +8,8 @@
 
 	"github.com/hashicorp/hcl/v2"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/gateway/cluster"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/lbpolicy"
 )
 
@@ -57,7 +57,7 @@
 		case "endpoint":
 			e := p.open("endpoint "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "zone", "group", "status", "weight"}, nil)
 			e.need("address")
-			entry := registry.Endpoint{Name: b.Labels[0], Address: e.text("address", ""), Zone: p.zone(e, zones),
+			entry := endpointlist.Endpoint{Name: b.Labels[0], Address: e.text("address", ""), Zone: p.zone(e, zones),
 				Group: e.whole("group", 0, 0, 1<<30), Status: e.word("status", "ready", "ready", "draining"),
 				Weight: e.number("weight", 0, 0.001, 1)} // 0: another source may tell it
 			if err := cluster.Check(&entry, zones[0]); err != nil && e.has("address") {
@@ -67,7 +67,7 @@
 				static = &cluster.Static{}
 				c.Sources = append(c.Sources, cluster.Source{Static: static})
 			}
-			if slices.ContainsFunc(static.Endpoints, func(o registry.Endpoint) bool { return o.Name == entry.Name }) {
+			if slices.ContainsFunc(static.Endpoints, func(o endpointlist.Endpoint) bool { return o.Name == entry.Name }) {
 				p.fault(b.LabelRanges[0], "Named twice", "%s has an endpoint named %q already.", s.what, entry.Name)
 			}
 			static.Endpoints = append(static.Endpoints, entry)
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -42,7 +42,7 @@
 func (s *self) Offer() Offer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := Offer{Listen: s.listener.Addr().String(), List: []registry.Endpoint{{Name: "s", Address: "127.0.0.1:1", Zone: "a", Status: "ready"}}}
+	o := Offer{Listen: s.listener.Addr().String(), List: []endpointlist.Endpoint{{Name: "s", Address: "127.0.0.1:1", Zone: "a", Status: "ready"}}}
 	for id := range s.bans {
 		o.Bans = append(o.Bans, id)
 	}
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -14,7 +14,7 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/lbpolicy"
 )
 
@@ -64,7 +64,7 @@
 // Offer is what a process begins with that takes over.
 type Offer struct {
 	Listen  string              `json:"listen"`
-	List    []registry.Endpoint `json:"list"`
+	List    []endpointlist.Endpoint `json:"list"`
 	Seen    []uint64            `json:"seen"`
 	Bans    []string            `json:"bans"`
 	Carried engine.Snapshot     `json:"carried"`
--- a/internal/platform/registry/agent.go
+++ b/internal/platform/registry/agent.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/platform/watch"
 )
 
@@ -33,7 +34,7 @@
 func (c *Client) followAgent(ctx context.Context, addr string) {
 	changes := watch.Call{Wait: agentWait, First: agentWait + prompt, Rest: prompt}
 	for whole := true; ctx.Err() == nil; c.pause(ctx, spacing) {
-		var list List
+		var list endpointlist.List
 		var err error
 		if whole {
 			list, err = c.whole(ctx, addr)
@@ -51,11 +52,11 @@
 
 // whole asks for the whole list until an answer has come, or ctx ends: by calls that are given up soon, one after the
 // other, and beside them by one that is patient. What comes first counts, and ends the other.
-func (c *Client) whole(ctx context.Context, addr string) (List, error) {
+func (c *Client) whole(ctx context.Context, addr string) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	url := c.url(addr, true, watch.Call{})
-	came := make(chan List)
+	came := make(chan endpointlist.List)
 	ask := func(by *http.Client, call watch.Call, gap time.Duration, failed func(error)) {
 		for ctx.Err() == nil {
 			list, err := c.get(ctx, by, url, call)
@@ -83,6 +84,6 @@
 	case list := <-came:
 		return list, nil
 	case <-ctx.Done():
-		return List{}, ctx.Err()
+		return endpointlist.List{}, ctx.Err()
 	}
 }
--- a/internal/platform/registry/registry.go
+++ b/internal/platform/registry/registry.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 	"sync"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/platform/watch"
 	"silvertrail/lbpolicy"
 )
@@ -28,54 +28,11 @@
 	restarted = 4 // answers older than the list in hand, one after the other
 )
 
-// Endpoint is one entry of a list.
-type Endpoint struct {
-	Name    string `json:"name"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Group   int    `json:"group"`
-	Status  string `json:"status"`
-	SinceMS int64  `json:"since_ms"`
-	// Weight is its part of the traffic against others of like speed, the largest being 1; zero is 1. Discovery tells none.
-	Weight float64 `json:"-"`
-}
-
-// List is an answer of discovery. An entry that is not in its form is left out.
-type List struct {
-	Index    int64
-	Snapshot bool
-	Entries  []Endpoint
-}
-
-// ParseList reads a list in discovery's form.
-func ParseList(text []byte) (List, error) {
-	var raw struct {
-		Index     *int64            `json:"index"`
-		Snapshot  bool              `json:"snapshot"`
-		Endpoints []json.RawMessage `json:"endpoints"`
-	}
-	if err := json.Unmarshal(text, &raw); err != nil {
-		return List{}, fmt.Errorf("list: %w", err)
-	}
-	if raw.Index == nil {
-		return List{}, errors.New("list: no index")
-	}
-	l := List{Index: *raw.Index, Snapshot: raw.Snapshot}
-	for _, entry := range raw.Endpoints {
-		var e Endpoint
-		if json.Unmarshal(entry, &e) != nil {
-			e = Endpoint{} // the host passes over what has no name
-		}
-		l.Entries = append(l.Entries, e)
-	}
-	return l, nil
-}
-
 // Client watches discovery.
 type Client struct {
 	sharing int           // instances of the own tier
 	asked   time.Duration // discovery answers only when asked to: the settings' must_ask_in; zero where an agent is
-	members func(lbpolicy.ListKind, []Endpoint)
+	members func(lbpolicy.ListKind, []endpointlist.Endpoint)
 	log     *slog.Logger
 	http    *http.Client
 	quick   *http.Client // of an agent that has not answered yet; nil where discovery is asked
@@ -98,7 +55,7 @@
 
 // New returns a client that hands lists to members. Where discovery answers only when asked to, mustAskIn is how long the
 // settings allow it not to be; zero is an agent. Index is the version of the list in hand.
-func New(addr string, mustAskIn time.Duration, index int64, members func(lbpolicy.ListKind, []Endpoint), log *slog.Logger) *Client {
+func New(addr string, mustAskIn time.Duration, index int64, members func(lbpolicy.ListKind, []endpointlist.Endpoint), log *slog.Logger) *Client {
 	begun := time.Now()
 	c := &Client{addr: addr, asked: mustAskIn, members: members, log: log, index: index,
 		http: caller(dialIn), ask: make(chan struct{}, 1), draw: rand.Float64, pause: pause,
@@ -254,7 +211,7 @@
 }
 
 // take hands on an answer: the whole list, or what has changed since the one in hand.
-func (c *Client) take(ctx context.Context, list List, whole bool) error {
+func (c *Client) take(ctx context.Context, list endpointlist.List, whole bool) error {
 	if c.taking != nil {
 		c.taking(ctx)
 	}
@@ -285,7 +242,7 @@
 
 // get makes one call. An answer's first byte is waited for as long as ask says, and its last byte after that: what stands
 // still half told counts as told long before a watch is given up.
-func (c *Client) get(ctx context.Context, by *http.Client, url string, ask watch.Call) (List, error) {
+func (c *Client) get(ctx context.Context, by *http.Client, url string, ask watch.Call) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	inTime := c.after(ask.First, func() { cancel(errSilent) })
@@ -318,26 +275,26 @@
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, url, nil)
 	if err != nil {
-		return List{}, err
+		return endpointlist.List{}, err
 	}
 	resp, err := by.Do(req)
 	if err != nil {
-		return List{}, broken(err)
+		return endpointlist.List{}, broken(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return List{}, fmt.Errorf("status %d", resp.StatusCode)
+		return endpointlist.List{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
 	if err != nil {
-		return List{}, broken(err)
+		return endpointlist.List{}, broken(err)
 	}
 	if len(text) > maxList {
-		return List{}, fmt.Errorf("a list of over %d bytes", maxList)
+		return endpointlist.List{}, fmt.Errorf("a list of over %d bytes", maxList)
 	}
-	list, err := ParseList(text)
+	list, err := endpointlist.Parse(text)
 	if err != nil {
-		return List{}, broken(err)
+		return endpointlist.List{}, broken(err)
 	}
 	return list, nil
 }
--- a/internal/platform/registry/registry_test.go
+++ b/internal/platform/registry/registry_test.go
@@ -12,45 +12,19 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/platform/watch"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
 
-func TestParseList(t *testing.T) {
-	l, err := ParseList([]byte(`{"index": 4, "snapshot": true, "endpoints": [
-		{"name": "a", "address": "127.0.0.1:1", "zone": "z", "group": 2, "status": "ready", "since_ms": 9},
-		{"name": 5}, "noise", {"name": "b", "status": "gone"}]}`))
-	if err != nil || l.Index != 4 || !l.Snapshot || len(l.Entries) != 4 {
-		t.Fatalf("%+v, %v", l, err)
-	}
-	if want := (Endpoint{"a", "127.0.0.1:1", "z", 2, "ready", 9, 0}); l.Entries[0] != want || l.Entries[1].Name != "" || l.Entries[2].Name != "" || l.Entries[3].Status != "gone" {
-		t.Errorf("%+v", l.Entries)
-	}
-	for _, text := range []string{"", "{", "[]", `{"endpoints": []}`, `{"index": "4"}`, `{"index": 4.5}`, `{"index": 4, "endpoints": 5}`} {
-		if l, err := ParseList([]byte(text)); err == nil {
-			t.Errorf("%s: %+v", text, l)
-		}
-	}
-}
-
-func FuzzParseList(f *testing.F) {
-	f.Add([]byte(`{"index": 4, "endpoints": [{"name": "a"}, 5]}`))
-	f.Fuzz(func(t *testing.T, text []byte) {
-		l, err := ParseList(text)
-		if err != nil && len(l.Entries) > 0 {
-			t.Fatal("an error and a list")
-		}
-	})
-}
-
 // told is what a client has been told, as text.
 type told struct {
 	mu    sync.Mutex
 	words []string
 }
 
-func (w *told) members(kind lbpolicy.ListKind, entries []Endpoint) {
+func (w *told) members(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	text := fmt.Sprint([]string{"changes", "whole", "cached", "failed"}[kind])
--- a/internal/platform/sidecar/figures_test.go
+++ b/internal/platform/sidecar/figures_test.go
@@ -17,11 +17,11 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/figures"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	var arrived atomic.Int64
-	var list []registry.Endpoint
+	var list []endpointlist.Endpoint
 	for i := range 5 {
 		e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
 			switch n := arrived.Add(1); {
@@ -63,7 +63,7 @@
 				a.OK()
 			}
 		})
-		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: []string{"a", "b"}[i%2], Group: i, Status: "ready"})
+		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: []string{"a", "b"}[i%2], Group: i, Status: "ready"})
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -12,11 +12,11 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/figures"
-	"silvertrail/internal/platform/registry"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -37,7 +37,7 @@
 	var mu sync.Mutex
 	zones := map[string]map[string]bool{} // by key
 	first := map[string]int{}             // the endpoint
-	var list []registry.Endpoint
+	var list []endpointlist.Endpoint
 	for i, zone := range []string{"a", "a", "b", "b"} {
 		e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
 			key := a.Request.Header.Get("Idempotency-Key")
@@ -54,7 +54,7 @@
 			}
 			a.OK()
 		})
-		list = append(list, registry.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: zone, Group: i, Status: "ready"})
+		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: zone, Group: i, Status: "ready"})
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
