Split the endpoint client by concern: pool, dial, write, read, stream

Need: connections, heads, bodies and pools stood in two files with closures and functions of several levels. Measured: the package's tests pass with -race.

--- a/internal/balancer/engine/endpoints.go
+++ b/internal/balancer/engine/endpoints.go
@@ -17,7 +17,7 @@
 	lbpolicy.Server
 	name, address   string
 	pool            *upstream.Pool
-	manuallyEjected bool              // by hand: nothing new
+	manuallyEjected bool                  // by hand: nothing new
 	entry           endpointlist.Endpoint // as it was listed last
 }
 
--- a/internal/balancer/upstream/dial.go
+++ b/internal/balancer/upstream/dial.go
@@ -8,183 +8,201 @@
 	"silvertrail/internal/base/scarce"
 )
 
-// This file: connections that come up late.
-//
-// A lost packet, a full queue of an endpoint's or something on the way holds up some connections and not others. An attempt
-// that has waited for a multiple of what connections take begins a second one, and goes out on whichever is up first
-// (RFC 8305 does the like between addresses); the other one stands idle from then on. It is the same one attempt: its
-// request is written once. It could hurt where all connections are slow as endpoints are overloaded, so that a second one
-// is begun for a part of them at the most.
+// A lost packet, a full accept queue or a middlebox delays some connections and not others. An attempt that has waited a
+// multiple of the usual time starts a second dial, and uses the connection that is established first (as RFC 8305 does
+// between addresses); the other one becomes idle. It is the same attempt: its request is written once. Where all
+// connections are slow because endpoints are overloaded, a budget limits second dials to a part of the first ones.
 const (
-	minHedgeDelay      = 50 * time.Millisecond // at the least: within an installation connections take a few
-	hedgeDelayMultiple = 4                     // of what they take
-	hedgeBudgetRatio   = 0.5                   // second ones for each first one, at the most
-	maxHedgeBudget     = 4.0                   // that may be saved up
+	minHedgeDelay      = 50 * time.Millisecond // within an installation, connections take a few milliseconds
+	hedgeDelayMultiple = 4                     // of the usual time
+	hedgeBudgetRatio   = 0.5                   // second dials per first dial
+	maxHedgeBudget     = 4.0                   // second dials that can be saved up
 )
 
-// dialHedging tells when a connection is late, and whether a second one may be begun.
+// Weights of a dial in the usual time. Fast dials count for more.
+const (
+	fastDialDivider = 2
+	slowDialDivider = 20
+)
+
+// dialHedging decides when a dial is late, and whether a second one may be started.
 type dialHedging struct {
-	usual  time.Duration // what connections take: rather what the quick ones do
+	usual  time.Duration
 	budget float64
 }
 
-func (l *dialHedging) record(d time.Duration) {
+func (h *dialHedging) record(d time.Duration) {
 	switch {
-	case l.usual == 0:
-		l.usual = d
-	case d < l.usual:
-		l.usual += (d - l.usual) / 2
+	case h.usual == 0:
+		h.usual = d
+	case d < h.usual:
+		h.usual += (d - h.usual) / fastDialDivider
 	default:
-		l.usual += (d - l.usual) / 20
+		h.usual += (d - h.usual) / slowDialDivider
 	}
 }
 
-func (l *dialHedging) hedgeDelay() time.Duration {
-	return max(hedgeDelayMultiple*l.usual, minHedgeDelay)
+func (h *dialHedging) hedgeDelay() time.Duration {
+	return max(hedgeDelayMultiple*h.usual, minHedgeDelay)
 }
 
+// dialResult is the end of one dial.
 type dialResult struct {
-	nc  net.Conn
-	err error
+	conn net.Conn
+	err  error
 }
 
-// connect returns a new connection, for which a place is taken. Where it does not, the place is still the caller's.
+// connect returns a new connection, for which a place is reserved. After an error the place is still the caller's.
 func (p *Pool) connect(ctx context.Context) (net.Conn, error) {
-	dialling, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	begin := func() chan dialResult {
-		came := make(chan dialResult, 1)
-		go func() {
-			nc, err := p.dial(dialling)
-			came <- dialResult{nc, err}
-		}()
-		return came
-	}
+	dialCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	c := p.client
 	c.mu.Lock()
 	c.dials.budget = min(c.dials.budget+hedgeBudgetRatio, maxHedgeBudget)
-	late := time.NewTimer(c.dials.hedgeDelay())
+	hedge := time.NewTimer(c.dials.hedgeDelay())
 	c.mu.Unlock()
-	defer late.Stop()
-	began := time.Now()
-	first := begin()
-	var second chan dialResult // nil: none has been begun
-	var failed error
+	defer hedge.Stop()
+	started := time.Now()
+	first := p.startDial(dialCtx)
+	var second chan dialResult // nil: not started, or ended
+	var firstErr error
 	for {
-		var d dialResult
+		var result dialResult
 		var other chan dialResult
 		select {
-		case d = <-first:
+		case result = <-first:
 			first, other = nil, second
-		case d = <-second:
+		case result = <-second:
 			second, other = nil, first
-		case <-late.C:
+		case <-hedge.C:
 			if p.reserveHedge() {
-				second = begin()
+				second = p.startDial(dialCtx)
 			}
 			continue
-		case <-ctx.Done(): // the attempt has been given up
+		case <-ctx.Done(): // the attempt was given up
 			cancel()
-			if second != nil && first != nil {
-				go p.adoptSpare(second, nil)
-			}
-			d = <-either(first, second)
-			if d.err == nil {
-				d.nc.Close()
-			}
+			p.abandonDials(first, second)
 			return nil, ctx.Err()
 		}
-		if d.err == nil {
-			c.mu.Lock()
-			c.dials.record(time.Since(began))
-			c.mu.Unlock()
+		if result.err == nil {
+			p.recordDial(time.Since(started))
 			if other == nil {
 				cancel()
 			} else {
 				go p.adoptSpare(other, cancel)
 			}
-			return d.nc, nil
+			return result.conn, nil
+		}
+		if firstErr == nil {
+			firstErr = result.err
 		}
 		if other == nil {
 			cancel()
-			if failed != nil {
-				d.err = failed
-			}
-			return nil, d.err
+			return nil, firstErr
 		}
-		failed = d.err // the other one may still come up; one place goes back
+		// The other dial may still succeed; one place is not needed any more.
 		c.mu.Lock()
 		p.releasePlace()
 		c.mu.Unlock()
 	}
 }
 
-func either(a, b chan dialResult) chan dialResult {
-	if a != nil {
-		return a
+// startDial dials in a goroutine that ends within the dial timeout.
+func (p *Pool) startDial(ctx context.Context) chan dialResult {
+	done := make(chan dialResult, 1)
+	go func() {
+		conn, err := p.dial(ctx)
+		done <- dialResult{conn, err}
+	}()
+	return done
+}
+
+// abandonDials waits for the end of cancelled dials. The place of one of them is the caller's.
+func (p *Pool) abandonDials(first, second chan dialResult) {
+	remaining := first
+	switch {
+	case first == nil:
+		remaining = second
+	case second != nil:
+		go p.adoptSpare(second, nil)
+	}
+	if result := <-remaining; result.err == nil {
+		result.conn.Close()
 	}
-	return b
 }
 
-// reserveHedge takes a place for a second connection, and tells whether one may be begun.
-func (p *Pool) reserveHedge() bool {
+func (p *Pool) recordDial(d time.Duration) {
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
-	if !p.client.HedgeDials || p.closed || p.client.dials.budget < 1 || !p.reservePlace() {
+	p.client.dials.record(d)
+}
+
+// reserveHedge reserves a place for a second dial, and reports whether one may be started.
+func (p *Pool) reserveHedge() bool {
+	c := p.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.HedgeDials || p.closed || c.dials.budget < 1 || !p.reservePlace() {
 		return false
 	}
-	p.client.dials.budget--
+	c.dials.budget--
 	return true
 }
 
-// adoptSpare takes in a connection that nobody waits for any more: it stands idle. It ends with its time to come up.
-func (p *Pool) adoptSpare(came chan dialResult, end context.CancelFunc) {
-	d := <-came
-	if end != nil {
-		end()
+// adoptSpare makes a connection idle that no attempt waits for any more. It ends within the dial timeout. Without a cancel
+// function the dial was cancelled, and its connection is closed.
+func (p *Pool) adoptSpare(dial chan dialResult, cancel context.CancelFunc) {
+	result := <-dial
+	if cancel != nil {
+		cancel()
 	}
-	if d.err == nil {
-		if c, err := newConn(d.nc, p.client.MaxStreamBytes); err == nil {
-			p.release(c, end != nil)
+	if result.err == nil {
+		if c, err := newConn(result.conn, p.client.MaxStreamBytes); err == nil {
+			p.release(c, cancel != nil)
 			return
 		}
-		d.nc.Close()
+		result.conn.Close()
 	}
 	p.client.mu.Lock()
 	defer p.client.mu.Unlock()
 	p.releasePlace()
 }
 
-// dialPatience is how long an attempt waits for a descriptor where the process has none: callers' connections that have
-// just come and may not be ended yet bring a request by then, or may.
 const (
+	// descriptorWait is how long an attempt waits for a descriptor where the process has none: clients' connections that were just
+	// accepted, and must not be closed yet, may bring a request by then.
 	descriptorWait       = 500 * time.Millisecond
 	descriptorRetryDelay = 10 * time.Millisecond
 )
 
-// dial connects. Where there is no descriptor, what stands idle gives one back first: a request in work goes before it.
+// dial opens a connection. Where there is no descriptor, idle connections are closed for it: a request in progress comes first.
 func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
 	p.client.mu.Lock()
-	within, dial := p.client.DialTimeout, p.client.Dial
+	timeout, dial := p.client.DialTimeout, p.client.Dial
 	p.client.mu.Unlock()
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	connect := func() (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, within)
+	dialOnce := func() (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return dial(ctx, "tcp", p.address)
 	}
-	nc, err := connect()
+	conn, err := dialOnce()
 	for until := time.Now().Add(descriptorWait); scarce.Descriptors(err) && ctx.Err() == nil && time.Now().Before(until); {
-		p.client.mu.Lock()
-		p.client.closeOldestIdle()
-		p.client.mu.Unlock()
-		if p.client.OnExhausted != nil {
-			p.client.OnExhausted()
-		}
-		if nc, err = connect(); scarce.Descriptors(err) {
+		p.freeDescriptor()
+		if conn, err = dialOnce(); scarce.Descriptors(err) {
 			time.Sleep(descriptorRetryDelay)
 		}
 	}
-	return nc, err
+	return conn, err
+}
+
+// freeDescriptor closes an idle connection, and has others close theirs.
+func (p *Pool) freeDescriptor() {
+	p.client.mu.Lock()
+	p.client.closeOldestIdle()
+	p.client.mu.Unlock()
+	if p.client.OnExhausted != nil {
+		p.client.OnExhausted()
+	}
 }
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -8,68 +9,70 @@
 	"silvertrail/internal/base/chunked"
 )
 
-// RequestStream is what comes of a request's body behind the part that is held. One attempt takes it, and no other can then be made.
+const (
+	// bufferingTime is how long a response that arrives slowly, and may exceed the buffer, is buffered before it is streamed. Until then
+	// another attempt can take its place; from then on its client waits for nobody else.
+	bufferingTime = 250 * time.Millisecond
+	// streamReadTimeout is how long a streamed response may deliver nothing: it cannot be requested again.
+	streamReadTimeout = 20 * time.Second
+	initialBodyBytes  = 2 << 10
+)
+
+// RequestStream is the part of a request's body that has not arrived yet. Only one attempt can acquire it, and no other attempt is
+// possible then.
 type RequestStream interface {
-	Length() int64 // of the whole body; -1: not told
-	// Acquire tells whether nobody has taken it before.
+	Length() int64 // of the whole body; -1: unknown
+	// Acquire reports whether nobody has acquired the stream before.
 	Acquire() bool
 	Read(p []byte) (n int, err error)
-	// IsComplete tells that all has been read.
+	// IsComplete reports whether all was read.
 	IsComplete() bool
 	// Stop fails a Read in progress and those that follow.
 	Stop()
-	// Sent is called when the last byte has been written to the endpoint.
+	// Sent is called when the last byte was written to the endpoint.
 	Sent()
 }
 
-// ResponseStream is what comes of an answer's body behind the part that is held. It is of one goroutine, and must be closed.
+// ResponseStream is the part of a response's body that is not buffered. It is used by one goroutine, and must be closed.
 type ResponseStream struct {
 	conn      *conn
-	length    int64 // of the whole body; -1: not told
-	remaining int64 // of a told length
+	length    int64 // of the whole body; -1: unknown
+	remaining int64 // of a known length
 	decoder   *chunked.Decoder
 	maxBytes  int64
 	received  int64
-	reusable  bool // the connection can be used again after it
-	complete  bool // it has come whole
-	begun     bool // its first part is in hand: what is late from now on is late for its caller alone
-	delivered bool // the caller has it
+	reusable  bool // the connection can be reused after it
+	complete  bool // all was read
+	begun     bool // the buffered part is complete: delays only affect the client from now on
+	delivered bool // the client has all of it
 	onRelease func(*ResponseStream)
 	onClose   func()
 }
 
-// Length returns the length of the whole body, -1 where it is not told.
-func (r *ResponseStream) Length() int64 { return r.length }
+// Length returns the length of the whole body, or -1.
+func (s *ResponseStream) Length() int64 { return s.length }
 
-// readBuffered reads what of the body comes soon and is small: all of a small one, unless it comes slowly and may be larger.
-func (r *ResponseStream) readBuffered() ([]byte, error) {
-	began := time.Now()
-	size := 2 << 10
-	if r.length >= 0 {
-		size = int(min(r.length, maxBufferedBytes))
-	}
-	body := make([]byte, 0, size)
+// readBuffered reads all of a small body, and the first part of a large or slow one.
+func (s *ResponseStream) readBuffered() ([]byte, error) {
+	started := time.Now()
+	body := make([]byte, 0, s.initialCapacity())
 	for {
-		switch {
-		case r.complete || r.decoder == nil && r.remaining == 0 && r.length >= 0:
-			r.complete = true
+		if s.isAtEnd() {
+			s.complete = true
 			return body, nil
-		case len(body) >= maxBufferedBytes && r.maxBytes > maxBufferedBytes, r.maxBytes > maxBufferedBytes && len(body) > 0 &&
-			(r.length < 0 || r.length > maxBufferedBytes) && time.Since(began) >= bufferingTime:
-			r.begun = true
+		}
+		if s.mayStream(len(body), time.Since(started)) {
+			s.begun = true
 			return body, nil
-		case len(body) > maxBufferedBytes:
-			return nil, fmt.Errorf("%w: over %d bytes", errMalformed, maxBufferedBytes)
 		}
-		if len(body) == cap(body) {
-			grown := make([]byte, len(body), min(2*cap(body), maxBufferedBytes+1))
-			copy(grown, body)
-			body = grown
+		if len(body) > maxBufferedBytes {
+			return nil, fmt.Errorf("%w: over %d bytes", errMalformed, maxBufferedBytes)
 		}
-		n, err := r.read(body[len(body):cap(body)])
+		body = grow(body)
+		n, err := s.read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if err == io.EOF {
-			r.complete = true
+		if errors.Is(err, io.EOF) {
+			s.complete = true
 			continue
 		}
 		if err != nil {
@@ -78,82 +81,121 @@
 	}
 }
 
-// Read reads what comes next; io.EOF tells that the body is whole.
-func (r *ResponseStream) Read(p []byte) (int, error) {
-	if r.complete {
+func (s *ResponseStream) initialCapacity() int {
+	if s.length >= 0 {
+		return int(min(s.length, maxBufferedBytes))
+	}
+	return initialBodyBytes
+}
+
+func (s *ResponseStream) isAtEnd() bool {
+	return s.complete || s.decoder == nil && s.remaining == 0 && s.length >= 0
+}
+
+// mayStream reports whether the rest of a body is streamed: it exceeds the buffer, or may do so and arrives slowly.
+func (s *ResponseStream) mayStream(buffered int, elapsed time.Duration) bool {
+	if s.maxBytes <= maxBufferedBytes {
+		return false
+	}
+	if buffered >= maxBufferedBytes {
+		return true
+	}
+	mayExceed := s.length < 0 || s.length > maxBufferedBytes
+	return buffered > 0 && mayExceed && elapsed >= bufferingTime
+}
+
+// grow doubles the capacity of a full buffer, up to one byte more than the bound.
+func grow(body []byte) []byte {
+	if len(body) < cap(body) {
+		return body
+	}
+	grown := make([]byte, len(body), min(2*cap(body), maxBufferedBytes+1))
+	copy(grown, body)
+	return grown
+}
+
+// Read reads the next bytes; io.EOF means that the body is complete.
+func (s *ResponseStream) Read(p []byte) (int, error) {
+	if s.complete {
 		return 0, io.EOF
 	}
-	r.conn.readTimeout = streamReadTimeout
-	n, err := r.read(p)
-	if err == nil && r.received > r.maxBytes {
-		err = fmt.Errorf("%w: over %d bytes", errMalformed, r.maxBytes)
+	s.conn.readTimeout = streamReadTimeout
+	n, err := s.read(p)
+	if err == nil && s.received > s.maxBytes {
+		err = fmt.Errorf("%w: over %d bytes", errMalformed, s.maxBytes)
 	}
-	r.complete = err == io.EOF
+	s.complete = errors.Is(err, io.EOF)
 	return n, err
 }
 
-func (r *ResponseStream) read(p []byte) (n int, err error) {
-	br := r.conn.reader
+func (s *ResponseStream) read(p []byte) (n int, err error) {
 	switch {
-	case r.decoder != nil:
-		for n == 0 {
-			if r.decoder.Over() {
-				return 0, io.EOF
-			}
-			if _, err := br.Peek(1); err != nil {
-				return 0, unexpectedEOF(err)
-			}
-			in, _ := br.Peek(min(br.Buffered(), len(p)))
-			data, used, err := r.decoder.Feed(in)
-			n = copy(p, data)
-			br.Discard(used)
-			if err != nil {
-				return n, fmt.Errorf("%w: %w", errMalformed, err)
-			}
-		}
-	case r.length >= 0:
-		if r.remaining == 0 {
+	case s.decoder != nil:
+		n, err = s.readChunked(p)
+	case s.length >= 0:
+		if s.remaining == 0 {
 			return 0, io.EOF
 		}
-		n, err = br.Read(p[:min(int64(len(p)), r.remaining)])
-		if r.remaining -= int64(n); err != nil {
-			err = unexpectedEOF(err)
-		}
+		n, err = s.conn.reader.Read(p[:min(int64(len(p)), s.remaining)])
+		s.remaining -= int64(n)
+		err = unexpectedEOF(err)
 	default:
-		n, err = br.Read(p)
+		n, err = s.conn.reader.Read(p)
 	}
-	r.received += int64(n)
+	s.received += int64(n)
 	return n, err
 }
 
-// unexpectedEOF has an end that comes too soon told from a whole body's.
+// readChunked reads the next data of a chunked body.
+func (s *ResponseStream) readChunked(p []byte) (n int, err error) {
+	reader := s.conn.reader
+	for n == 0 {
+		if s.decoder.Over() {
+			return 0, io.EOF
+		}
+		if _, err := reader.Peek(1); err != nil {
+			return 0, unexpectedEOF(err)
+		}
+		encoded, _ := reader.Peek(min(reader.Buffered(), len(p)))
+		data, used, err := s.decoder.Feed(encoded)
+		n = copy(p, data)
+		reader.Discard(used)
+		if err != nil {
+			return n, fmt.Errorf("%w: %w", errMalformed, err)
+		}
+	}
+	return n, nil
+}
+
+// unexpectedEOF distinguishes the end of the connection from the end of a body.
 func unexpectedEOF(err error) error {
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
 	return err
 }
 
-// MarkDelivered tells that the caller has the body whole.
-func (r *ResponseStream) MarkDelivered() { r.delivered = true }
+// MarkDelivered records that the client has the whole body.
+func (s *ResponseStream) MarkDelivered() { s.delivered = true }
 
-// IsDelivered tells whether it did. It is known once the rest is closed.
-func (r *ResponseStream) IsDelivered() bool { return r.delivered }
+// IsDelivered reports whether the client has the whole body. It is known once the stream is closed.
+func (s *ResponseStream) IsDelivered() bool { return s.delivered }
 
-// IsComplete tells whether the endpoint has given it whole.
-func (r *ResponseStream) IsComplete() bool { return r.complete }
+// IsComplete reports whether the endpoint has sent the whole body.
+func (s *ResponseStream) IsComplete() bool { return s.complete }
 
-// OnClose has f called once the rest is closed and the connection is given back.
-func (r *ResponseStream) OnClose(f func()) { r.onClose = f }
+// OnClose sets a function that is called once the stream is closed and the connection is released.
+func (s *ResponseStream) OnClose(f func()) { s.onClose = f }
 
-// Close ends the reading, and gives the connection back where it can be used again.
-func (r *ResponseStream) Close() {
-	if r.onRelease != nil {
-		f := r.onRelease
-		r.onRelease = nil
-		f(r)
-		if r.onClose != nil {
-			r.onClose()
-		}
+// Close ends the reading, and releases the connection. A second call has no effect.
+func (s *ResponseStream) Close() {
+	if s.onRelease == nil {
+		return
+	}
+	release := s.onRelease
+	s.onRelease = nil
+	release(s)
+	if s.onClose != nil {
+		s.onClose()
 	}
 }
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -63,11 +63,11 @@
 
 // Offer is what a process begins with that takes over.
 type Offer struct {
-	Listen  string              `json:"listen"`
+	Listen  string                  `json:"listen"`
 	List    []endpointlist.Endpoint `json:"list"`
-	Seen    []uint64            `json:"seen"`
-	Bans    []string            `json:"bans"`
-	Carried engine.Snapshot     `json:"carried"`
+	Seen    []uint64                `json:"seen"`
+	Bans    []string                `json:"bans"`
+	Carried engine.Snapshot         `json:"carried"`
 }
 
 // Taken is what is in force as the old process takes no more clients.
