Split the engine that runs the policy by concern

Need: calls, attempts, endpoints, operators' ejections, clocks and what is handed over stood in two files with long closures. Change: shape and comments alone; a file for each, log messages in standard terms. Measured: the tests of the balancer, the gateway and the platform pass with -race.

--- /dev/null
+++ b/internal/balancer/engine/attempt.go
@@ -0,0 +1,235 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"silvertrail/internal/balancer/idempotency"
+	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/base/scarce"
+	"silvertrail/lbpolicy"
+)
+
+// loadReportHeader carries an endpoint's load report.
+const loadReportHeader = "X-Server-Load"
+
+// errNotSent is the end of an attempt that was held back.
+var errNotSent = errors.New("held back: the key is bound elsewhere, or can't be bound or recorded in time")
+
+// attempt is one attempt of a call.
+type attempt struct {
+	number         int
+	server         *endpoint
+	pool           *upstream.Pool // to the server's address when the attempt was decided on
+	sentAt         time.Duration
+	cancel         context.CancelFunc
+	firstByteSent  bool                 // or about to be
+	ended          bool                 // for the policy
+	neverRan       bool                 // ended with proof that it never ran
+	closed         chan struct{}        // closed once it uses no connection any more
+	keyAttempt     *idempotency.Attempt // nil: the request has no key
+	record         Record               // nil: it is not recorded
+	intentRecorded bool
+}
+
+// abandon ends an attempt before its response. One whose first byte was not sent never will run.
+func (e *Engine) abandon(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict) {
+	if a.ended {
+		return
+	}
+	if !a.firstByteSent {
+		v = lbpolicy.NotSent
+	}
+	a.cancel()
+	e.endAttempt(now, c, a, v, nil)
+}
+
+// endAttempt ends an attempt for the policy. The first successful response is the call's result.
+func (e *Engine) endAttempt(now time.Duration, c *Call, a *attempt, v lbpolicy.Verdict, response *upstream.Response) {
+	a.ended, a.neverRan = true, v.NeverRan()
+	if a.keyAttempt != nil {
+		a.keyAttempt.End(time.Now(), a.neverRan)
+	}
+	outcome := lbpolicy.Outcome{
+		ID:      c.id,
+		Attempt: a.number,
+		Server:  a.server.ID,
+		Verdict: v,
+		Latency: now - a.sentAt,
+		Final:   c.done,
+	}
+	status := 0
+	if response != nil {
+		status = response.Status
+		c.lastResponse = response
+		outcome.Load = parseLoad(response.Header.Get(loadReportHeader), e.reportFields)
+	}
+	if a.record != nil {
+		a.record.Ended(v, status)
+	}
+	if v == lbpolicy.OK && !c.done {
+		outcome.Final = true
+		e.finish(c, Result{Response: response})
+	}
+	e.updateKeyState(now, c)
+	e.balancer.Outcome(now, outcome)
+	e.release(c)
+}
+
+// runAttempt carries out an attempt, once earlier ones that were given up use no connection any more: endpoints count a
+// request as in progress for as long as its connection is open.
+func (e *Engine) runAttempt(ctx context.Context, c *Call, a *attempt, earlier []chan struct{}) {
+	for _, closed := range earlier {
+		<-closed
+	}
+	verdict, response, err := e.send(ctx, c, a)
+	if response != nil && response.Stream != nil {
+		e.streamResponse(c, a, verdict, response)
+	}
+	close(a.closed)
+	e.event(func(now time.Duration) {
+		if a.ended {
+			return
+		}
+		c.outOfDescriptors = c.outOfDescriptors || scarce.Descriptors(err)
+		if err != nil && !c.done {
+			e.log.Info("attempt failed", "endpoint", a.server.name, "error", err)
+		}
+		e.endAttempt(now, c, a, verdict, response)
+	})
+	a.cancel()
+}
+
+// send sends an attempt once its key is claimed and its intent is recorded.
+func (e *Engine) send(ctx context.Context, c *Call, a *attempt) (lbpolicy.Verdict, *upstream.Response, error) {
+	if !e.awaitDispatch(ctx, c, a) {
+		return lbpolicy.NotSent, nil, errNotSent
+	}
+	e.mu.Lock()
+	r := c.request // its deadline changes when a streamed body has arrived
+	e.mu.Unlock()
+	if r.Stream != nil {
+		r.Stream = &uploadBody{RequestStream: r.Stream, engine: e, call: c, attempt: a}
+	}
+	return a.pool.Do(ctx, &r, func() bool { return e.claimDispatch(c, a) })
+}
+
+// mayStart reports whether an attempt may still be sent. While its connection was established it may have been given up, its
+// call may have got its result, its endpoint may be draining, removed or elsewhere, or the window of its key may be over.
+// The caller holds the lock.
+func (e *Engine) mayStart(now time.Time, c *Call, a *attempt) bool {
+	if a.ended || c.done || !now.Before(c.request.Deadline) {
+		return false
+	}
+	if a.server.State != lbpolicy.Ready || a.server.manuallyEjected || a.server.pool != a.pool {
+		return false
+	}
+	return a.keyAttempt == nil || e.keyAllows(now, c, a)
+}
+
+// actions implements lbpolicy.Host. The balancer calls it within an event, with the lock held.
+type actions struct{ *Engine }
+
+// Send implements lbpolicy.Host.
+func (e actions) Send(id lbpolicy.RequestID, s lbpolicy.ServerID) {
+	c := e.calls[id]
+	if c == nil {
+		return
+	}
+	a := &attempt{
+		number: len(c.attempts),
+		server: e.endpoints[s],
+		sentAt: e.clock.now(),
+		cancel: func() {},
+		closed: make(chan struct{}),
+	}
+	earlier := c.abandonedAttempts()
+	c.attempts = append(c.attempts, a)
+	isShutDown := !e.shutdownAt.IsZero() && !time.Now().Before(e.shutdownAt)
+	if a.server == nil || c.done || isShutDown || !e.reserveKey(c, a) {
+		e.endUnsent(c, a, s)
+		return
+	}
+	var ctx context.Context
+	ctx, a.cancel = context.WithCancel(context.Background())
+	a.pool = a.server.pool
+	if c.key != nil && c.key.Recorder != nil {
+		a.record = c.key.Recorder.Attempt(a.server.name)
+	}
+	if c.request.Stream != nil && c.timeLeft > 0 { // waiting for the client does not make the server unresponsive
+		e.pendingEvents = append(e.pendingEvents, func(now time.Duration) { e.setDispatchPending(now, c, a, true) })
+	}
+	go e.runAttempt(ctx, c, a, earlier)
+}
+
+// abandonedAttempts returns when the attempts that have ended for the policy use no connection any more.
+func (c *Call) abandonedAttempts() []chan struct{} {
+	var closed []chan struct{}
+	for _, a := range c.attempts {
+		if a.ended {
+			closed = append(closed, a.closed)
+		}
+	}
+	return closed
+}
+
+// endUnsent ends an attempt that cannot be sent.
+func (e actions) endUnsent(c *Call, a *attempt, s lbpolicy.ServerID) {
+	if a.server == nil {
+		a.server = &endpoint{Server: lbpolicy.Server{ID: s}}
+	}
+	close(a.closed)
+	e.pendingEvents = append(e.pendingEvents, func(now time.Duration) { e.abandon(now, c, a, lbpolicy.NotSent) })
+}
+
+// Reject implements lbpolicy.Host.
+func (e actions) Reject(id lbpolicy.RequestID, retryAfter time.Duration) {
+	if c := e.calls[id]; c != nil {
+		e.finish(c, Result{Rejected: true, RetryAfter: retryAfter})
+	}
+}
+
+// Fail implements lbpolicy.Host.
+func (e actions) Fail(id lbpolicy.RequestID) {
+	if c := e.calls[id]; c != nil {
+		e.finish(c, Result{})
+	}
+}
+
+// Cancel implements lbpolicy.Host.
+func (e actions) Cancel(id lbpolicy.RequestID, number int) {
+	c := e.calls[id]
+	if c == nil || number < 0 || number >= len(c.attempts) {
+		return
+	}
+	a := c.attempts[number]
+	e.pendingEvents = append(e.pendingEvents, func(now time.Duration) { e.abandon(now, c, a, lbpolicy.Cancelled) })
+}
+
+// CloseIdle implements lbpolicy.Host.
+func (e actions) CloseIdle(s lbpolicy.ServerID) {
+	if server := e.endpoints[s]; server != nil {
+		server.pool.CloseIdle()
+	}
+}
+
+// Watch implements lbpolicy.Host.
+func (e actions) Watch() { e.watch() }
+
+// SetTimer implements lbpolicy.Host. The timer of a call is stopped with the call; other timers are the policy's own, one at a
+// time.
+func (e actions) SetTimer(at time.Duration, token uint64) {
+	timer := time.AfterFunc(at-e.clock.now(), func() {
+		e.event(func(now time.Duration) { e.balancer.Timer(now, token) })
+	})
+	if c := e.calls[lbpolicy.RequestID(token)]; c != nil {
+		if c.checkTimer != nil {
+			c.checkTimer.Stop()
+		}
+		c.checkTimer = timer
+	}
+}
+
+// Log implements lbpolicy.Host.
+func (e actions) Log(line string) { e.log.Info(line) }
--- a/internal/balancer/engine/disconnect.go
+++ b/internal/balancer/engine/disconnect.go
@@ -5,59 +5,64 @@
 	"time"
 )
 
-// This file: callers that have left while their requests waited.
-//
-// A front learns of a caller's end by waiting for it, and what waits can be late: the whole process may have stood
-// still, or the end came behind bytes that nobody has read. Between the end and its being known a dial can come up, a
-// record be written or another attempt get off its connection, and the request would go out for nobody. So the front is
-// asked once more just before anything goes out, whatever was waited for. It could hurt a caller that closes its sending
-// side alone and still wants its answer: nobody can tell it from one that has gone, and it gets a failure.
+// A front end notices the end of a client connection by waiting for it, and that can be late: the whole process may have been
+// paused, or the end came behind bytes that nobody has read. Between the end and its notice, a dial may succeed, a record be
+// written, or another attempt release its connection, and the request would be sent for nobody. So the front end is asked
+// once more just before anything is sent. A client that closes only its sending side and still waits for the response
+// cannot be told from one that has disconnected, and gets a failure.
 
 type disconnectCheckKey struct{}
 
-// WithDisconnectCheck has what is done under ctx ask whether the caller has left. Left is called from any goroutine, also after ctx
-// has ended, and must not block. Where it returns true it has ended ctx or what ctx comes from.
-func WithDisconnectCheck(ctx context.Context, left func() bool) context.Context {
-	return context.WithValue(ctx, disconnectCheckKey{}, left)
+// WithDisconnectCheck adds a check whether the client has disconnected to a context. The check is called from any goroutine, also
+// after the context has ended, and must not block. If it returns true, it has ended the context or its parent.
+func WithDisconnectCheck(ctx context.Context, isDisconnected func() bool) context.Context {
+	return context.WithValue(ctx, disconnectCheckKey{}, isDisconnected)
 }
 
-// IsDisconnected tells whether the caller of what is done under ctx has left by now.
+// IsDisconnected reports whether the client of a context has disconnected.
 func IsDisconnected(ctx context.Context) bool {
-	left, _ := ctx.Value(disconnectCheckKey{}).(func() bool)
-	return ctx.Err() != nil || left != nil && left()
+	isDisconnected, _ := ctx.Value(disconnectCheckKey{}).(func() bool)
+	return ctx.Err() != nil || isDisconnected != nil && isDisconnected()
 }
 
-// disconnectCheckValidity is for how long a look at the caller holds: half of the 0.1 s after which nothing begins for one that has left.
+// disconnectCheckValidity is how long a check counts: half of the 0.1 s after which nothing begins for a client that has
+// disconnected.
 const disconnectCheckValidity = 50 * time.Millisecond
 
-// isClientPresent tells whether a call's caller is there. Where it has left the decisions hear of it first: they make no further
-// attempt of one that is held back for this.
-func (h *Engine) isClientPresent(c *Call) bool {
+// isClientPresent reports whether a call's client is still connected. If not, the policy is told first: it makes no further
+// attempt in place of the one that is held back.
+func (e *Engine) isClientPresent(c *Call) bool {
 	if c.isClientGone == nil || !c.isClientGone() {
 		return true
 	}
-	h.ClientDisconnected(c)
+	e.ClientDisconnected(c)
 	return false
 }
 
-// claimDispatch is asked just before an attempt's first byte: it may no longer go out, see mayStart, and its caller may have left.
-// The look at the caller comes before the lock, as nothing is asked of the system under it. What held the lock up meanwhile
-// (a long list, a line of log that nobody reads) makes the look too old: then it is made again. That ends with the
-// attempt's time at the latest.
-func (h *Engine) claimDispatch(c *Call, a *attempt) bool {
+// claimDispatch is called just before an attempt's first byte is sent: it may not be sent any more, see mayStart, or its
+// client may have disconnected. The client is checked before the lock is taken, as no system call is made under it. If the
+// lock was held meanwhile (a long list, a log line that nobody reads), the check is too old and is repeated, until the
+// attempt's time is over at the latest.
+func (e *Engine) claimDispatch(c *Call, a *attempt) bool {
 	for {
-		looked := time.Now()
-		if !h.isClientPresent(c) {
+		checkedAt := time.Now()
+		if !e.isClientPresent(c) {
 			return false
 		}
-		h.mu.Lock()
-		now := time.Now() // after a pause of the whole process the timer of the deadline may come later than this
-		may := h.mayStart(now, c, a)
-		again := may && now.Sub(looked) > disconnectCheckValidity
-		a.firstByteSent = may && !again
-		h.mu.Unlock()
-		if !again {
-			return may
+		mayStart, outdated := e.tryClaimDispatch(checkedAt, c, a)
+		if !outdated {
+			return mayStart
 		}
 	}
 }
+
+// tryClaimDispatch marks an attempt as sent if it may be, and the check of its client is not outdated.
+func (e *Engine) tryClaimDispatch(checkedAt time.Time, c *Call, a *attempt) (mayStart, outdated bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now() // after a pause of the whole process, the deadline timer may fire later than this
+	mayStart = e.mayStart(now, c, a)
+	outdated = mayStart && now.Sub(checkedAt) > disconnectCheckValidity
+	a.firstByteSent = mayStart && !outdated
+	return mayStart, outdated
+}
--- a/internal/balancer/engine/endpoints.go
+++ b/internal/balancer/engine/endpoints.go
@@ -12,131 +12,158 @@
 	"silvertrail/lbpolicy"
 )
 
-// endpoint is an entry of discovery's list and the connections to it.
+// endpoint is an entry of the endpoint list with its connections.
 type endpoint struct {
 	lbpolicy.Server
 	name, address   string
 	pool            *upstream.Pool
-	manuallyEjected bool                  // by hand: nothing new
+	manuallyEjected bool
 	entry           endpointlist.Endpoint // as it was listed last
 }
 
+// states are the policy's states by the statuses of the discovery service.
 var states = map[string]lbpolicy.State{"ready": lbpolicy.Ready, "draining": lbpolicy.Draining, "gone": lbpolicy.Removed}
 
-// UpdateEndpoints takes a list from discovery. An entry that can't be used is passed over; the others count.
-func (h *Engine) UpdateEndpoints(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
-	h.event(func(now time.Duration) {
+// UpdateEndpoints applies an endpoint list. Invalid entries are ignored.
+func (e *Engine) UpdateEndpoints(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
+	e.event(func(now time.Duration) {
 		servers := make([]lbpolicy.Server, 0, len(entries))
-		named := make(map[lbpolicy.ServerID]bool, len(entries))
-		for _, e := range entries {
-			s, err := h.updateEndpoint(e)
+		present := make(map[lbpolicy.ServerID]bool, len(entries))
+		for _, entry := range entries {
+			s, err := e.updateEndpoint(entry)
 			if err != nil {
-				h.log.Warn("discovery: entry passed over", "error", err)
+				e.log.Warn("endpoint list entry ignored", "error", err)
 				continue
 			}
 			servers = append(servers, s)
-			named[s.ID] = true
+			present[s.ID] = true
 		}
-		for id, e := range h.endpoints {
-			if e.State == lbpolicy.Removed || (kind == lbpolicy.Full || kind == lbpolicy.Cached) && !named[id] {
-				h.removeEndpoint(e)
+		isWhole := kind == lbpolicy.Full || kind == lbpolicy.Cached
+		for id, server := range e.endpoints {
+			if server.State == lbpolicy.Removed || isWhole && !present[id] {
+				e.removeEndpoint(server)
 			}
 		}
-		h.balancer.UpdateEndpoints(now, kind, servers)
+		e.balancer.UpdateEndpoints(now, kind, servers)
 	})
 }
 
-// updateEndpoint takes one entry into the table of endpoints.
-func (h *Engine) updateEndpoint(e endpointlist.Endpoint) (lbpolicy.Server, error) {
-	state, known := states[e.Status]
-	if !known || e.Name == "" {
-		return lbpolicy.Server{}, fmt.Errorf("endpoint %q: status %q", e.Name, e.Status)
+// updateEndpoint applies one entry.
+func (e *Engine) updateEndpoint(entry endpointlist.Endpoint) (lbpolicy.Server, error) {
+	state, known := states[entry.Status]
+	if !known || entry.Name == "" {
+		return lbpolicy.Server{}, fmt.Errorf("endpoint %q: status %q", entry.Name, entry.Status)
 	}
-	h.everListed.add(e.Name)
-	s := lbpolicy.Server{ID: h.serverID(e.Name), State: state, Cell: e.Group, Weight: e.Weight, StartedAt: h.clock.at(e.SinceMS)}
-	old := h.endpoints[s.ID]
-	if state == lbpolicy.Removed { // of one that is gone nothing but the name is needed
-		if old != nil {
-			old.State = state
+	e.everListed.add(entry.Name)
+	s := lbpolicy.Server{
+		ID:        e.serverID(entry.Name),
+		State:     state,
+		Cell:      entry.Group,
+		Weight:    entry.Weight,
+		StartedAt: e.clock.fromUnixMilli(entry.SinceMS),
+	}
+	current := e.endpoints[s.ID]
+	if state == lbpolicy.Removed { // only the name of a removed endpoint is needed
+		if current != nil {
+			current.State = state
 		}
 		return s, nil
 	}
-	s.Zone = slices.Index(h.zones, e.Zone)
-	if _, err := netip.ParseAddrPort(e.Address); err != nil || s.Zone < 0 {
-		if old != nil && state == lbpolicy.Draining { // that it drains counts, whatever else can't be read
-			old.State, old.entry.Status = state, e.Status
-			return old.Server, nil
+	s.Zone = slices.Index(e.zones, entry.Zone)
+	if _, err := netip.ParseAddrPort(entry.Address); err != nil || s.Zone < 0 {
+		if current != nil && state == lbpolicy.Draining { // that it drains counts, whatever else is invalid
+			current.State, current.entry.Status = state, entry.Status
+			return current.Server, nil
 		}
-		return s, fmt.Errorf("endpoint %q: address %q, zone %q", e.Name, e.Address, e.Zone)
+		return s, fmt.Errorf("endpoint %q: address %q, zone %q", entry.Name, entry.Address, entry.Zone)
 	}
+	e.applyEntry(current, s, entry)
+	return s, nil
+}
+
+// applyEntry applies a valid entry to its endpoint, or adds one.
+func (e *Engine) applyEntry(current *endpoint, s lbpolicy.Server, entry endpointlist.Endpoint) {
 	switch {
-	case old == nil:
-		_, banned := h.manuallyEjected[e.Name]
-		old = &endpoint{name: e.Name, address: e.Address, pool: h.client.Pool(e.Address), manuallyEjected: banned}
-		h.endpoints[s.ID] = old
-	case old.address != e.Address:
-		old.pool.Close()
-		old.address, old.pool = e.Address, h.client.Pool(e.Address)
-	case old.StartedAt != s.StartedAt || state == lbpolicy.Draining:
-		old.pool.CloseIdle() // to a process that has ended, or is about to
+	case current == nil:
+		_, ejected := e.manuallyEjected[entry.Name]
+		current = &endpoint{name: entry.Name, address: entry.Address, pool: e.client.Pool(entry.Address), manuallyEjected: ejected}
+		e.endpoints[s.ID] = current
+	case current.address != entry.Address:
+		current.pool.Close()
+		current.address, current.pool = entry.Address, e.client.Pool(entry.Address)
+	case current.StartedAt != s.StartedAt || s.State == lbpolicy.Draining:
+		current.pool.CloseIdle() // connections to a process that has ended, or is about to
 	}
-	old.Server, old.entry = s, e
-	return s, nil
+	current.Server, current.entry = s, entry
 }
 
-// Close takes all endpoints off the list: nothing new goes out, and their connections end with the attempts on them.
-func (h *Engine) Close() { h.UpdateEndpoints(lbpolicy.Full, nil) }
+// Close removes all endpoints: nothing new is sent, and their connections end with the attempts on them.
+func (e *Engine) Close() { e.UpdateEndpoints(lbpolicy.Full, nil) }
 
-func (h *Engine) removeEndpoint(e *endpoint) {
-	e.State = lbpolicy.Removed // attempts that still hold it must not write to it
-	e.pool.Close()
-	delete(h.endpoints, e.ID)
+func (e *Engine) removeEndpoint(server *endpoint) {
+	server.State = lbpolicy.Removed // attempts that still hold it must not be sent
+	server.pool.Close()
+	delete(e.endpoints, server.ID)
 }
 
-// serverID gives an endpoint's number: a hash of its name, so that it is the same at every sidecar (the decisions on
-// who uses which endpoints rest on that). Where two names meet, the later one takes the next free number.
-func (h *Engine) serverID(name string) lbpolicy.ServerID {
-	if id, held := h.manuallyEjected[name]; held { // its ban must find it again
+// serverID returns an endpoint's ID: a hash of its name, so that it is the same in every process (the policy's choice of a
+// subset depends on that). Where two names have one hash, the later one gets the next free ID.
+func (e *Engine) serverID(name string) lbpolicy.ServerID {
+	if id, ejected := e.manuallyEjected[name]; ejected {
 		return id
 	}
 	sum := fnv.New32a()
 	sum.Write([]byte(name))
 	id := lbpolicy.ServerID(sum.Sum32())
 	for {
-		e := h.endpoints[id]
-		if (e == nil || e.name == name) && !h.isEjectedID(id) {
+		server := e.endpoints[id]
+		if (server == nil || server.name == name) && !e.isEjectedID(id) {
 			return id
 		}
 		id++
 	}
 }
 
-// isEjectedID tells whether an endpoint that is banned has a number, listed or not.
-func (h *Engine) isEjectedID(id lbpolicy.ServerID) bool {
-	for _, b := range h.manuallyEjected {
-		if b == id {
+// isEjectedID reports whether a manually ejected endpoint has an ID, listed or not.
+func (e *Engine) isEjectedID(id lbpolicy.ServerID) bool {
+	for _, ejected := range e.manuallyEjected {
+		if ejected == id {
 			return true
 		}
 	}
 	return false
 }
 
-// clock counts from a start far enough back that what started lately has a positive time: to the decisions zero
-// means long ago.
-type clock struct{ start time.Time }
-
-const clockOrigin = 24 * time.Hour
+// Endpoints returns the endpoints as they are listed.
+func (e *Engine) Endpoints() []endpointlist.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]endpointlist.Endpoint, 0, len(e.endpoints))
+	for _, server := range e.endpoints {
+		list = append(list, server.entry)
+	}
+	return list
+}
 
-func (c clock) now() time.Duration { return clockOrigin + time.Since(c.start) }
+// ClusterSize returns how many endpoints are listed, and how many of them get no requests now except probes.
+func (e *Engine) ClusterSize() (listed, ejected int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.endpoints), e.balancer.CountEjected()
+}
 
-// of converts a time of this process.
-func (c clock) of(t time.Time) time.Duration { return clockOrigin + t.Sub(c.start) }
+// ListedHashes returns the hashes of all names that were ever listed, as far as they are remembered.
+func (e *Engine) ListedHashes() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.everListed.order)
+}
 
-// at converts a Unix time in milliseconds. It uses the clock's start alone: the same start of an endpoint gives the
-// same time whenever it is told, also where the wall clock is set meanwhile.
-func (c clock) at(ms int64) time.Duration {
-	if ms <= 0 {
-		return 0
+// AddListedHashes adds the names that were listed in another process.
+func (e *Engine) AddListedHashes(hashes []uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, hash := range hashes {
+		e.everListed.addHash(hash)
 	}
-	return max(clockOrigin+time.Duration(ms-c.start.UnixMilli())*time.Millisecond, 0)
 }
--- a/internal/balancer/engine/loadreport.go
+++ b/internal/balancer/engine/loadreport.go
@@ -6,8 +6,12 @@
 	"strings"
 )
 
-// parseLoad reads a load report ("inflight=7,util=0.61") into the order of the fields. A report that lacks one, or
-// holds a value that no endpoint can have, gives nil: a wrong figure is worse than none.
+// maxUtilization bounds what is believed of a reported utilization. A ratio of CPU cores in use is at most about 1, with noise:
+// one wild value taken for load would have requests rejected that a healthy pool could serve.
+const maxUtilization = 4
+
+// parseLoad parses a load report ("inflight=7,util=0.61") into the order of the fields. A report that lacks one, or holds an
+// impossible value, gives nil: a wrong value is worse than none.
 func parseLoad(text string, fields []string) []float32 {
 	if text == "" || len(fields) == 0 {
 		return nil
@@ -23,20 +27,19 @@
 	return load
 }
 
-// maxFieldValue is the most that a field can hold. A share of the cores in use lies about under 1, however noisy: one wild
-// figure taken for load would have the sidecar refuse what a healthy pool could serve.
+// maxFieldValue returns the largest valid value of a field.
 func maxFieldValue(field string) float64 {
 	if field == "util" {
-		return 4
+		return maxUtilization
 	}
 	return math.MaxFloat32
 }
 
 func fieldValue(text, field string) (float64, bool) {
 	for part := range strings.SplitSeq(text, ",") {
-		name, figure, ok := strings.Cut(strings.TrimSpace(part), "=")
-		if ok && name == field {
-			v, err := strconv.ParseFloat(figure, 64)
+		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if found && name == field {
+			v, err := strconv.ParseFloat(value, 64)
 			return v, err == nil
 		}
 	}
--- a/internal/balancer/engine/nameset.go
+++ b/internal/balancer/engine/nameset.go
@@ -2,13 +2,11 @@
 
 import "hash/fnv"
 
-// maxListedNames is how many names of endpoints are remembered after they were listed, some 1 MB: three hours of two new ones a
-// second. An older one counts as never listed. Names are kept as 64-bit hashes: one that was never listed is taken for one
-// that was with a chance of 1 in 5 x 10^14.
+// maxListedNames is how many names are remembered, which takes some 1 MB: three hours of two new ones per second.
 const maxListedNames = 1 << 15
 
-// nameSet remembers which endpoints were ever listed, in bounded memory over endless replacements. Every process has the same
-// hashes: they are handed on.
+// nameSet remembers the latest names in bounded memory, as 64-bit hashes: an unknown name is taken for a known one with a
+// probability of 1 in 5 x 10^14. All processes have the same hashes, which are handed over.
 type nameSet struct {
 	present map[uint64]struct{}
 	order   []uint64 // a ring of the latest
@@ -23,23 +21,23 @@
 	return sum.Sum64()
 }
 
-func (s *nameSet) add(name string) { s.put(hashName(name)) }
+func (s *nameSet) add(name string) { s.addHash(hashName(name)) }
 
-func (s *nameSet) put(key uint64) {
-	if _, known := s.present[key]; known {
+func (s *nameSet) addHash(hash uint64) {
+	if _, present := s.present[hash]; present {
 		return
 	}
-	s.present[key] = struct{}{}
+	s.present[hash] = struct{}{}
 	if len(s.order) < maxListedNames {
-		s.order = append(s.order, key)
+		s.order = append(s.order, hash)
 		return
 	}
 	delete(s.present, s.order[s.next])
-	s.order[s.next] = key
+	s.order[s.next] = hash
 	s.next = (s.next + 1) % maxListedNames
 }
 
 func (s *nameSet) has(name string) bool {
-	_, known := s.present[hashName(name)]
-	return known
+	_, present := s.present[hashName(name)]
+	return present
 }
--- a/internal/balancer/engine/snapshot.go
+++ b/internal/balancer/engine/snapshot.go
@@ -3,84 +3,47 @@
 import (
 	"time"
 
-	"silvertrail/internal/base/endpointlist"
 	"silvertrail/lbpolicy"
 )
 
-// Snapshot is what a host hands to the one of the process that takes its place.
+// Snapshot is what an engine hands to that of the process that takes over. The JSON names are part of the hand-over protocol.
 type Snapshot struct {
 	Policy  lbpolicy.Snapshot `json:"Learnt"`
-	Servers []ServerSnapshot  `json:"Servers"` // of Learnt, by names: numbers and clocks are a process's own
+	Servers []ServerSnapshot  `json:"Servers"` // of Policy, by name, since IDs and clocks differ between processes
 }
 
-// ServerSnapshot is what was learnt of an endpoint.
+// ServerSnapshot is what is known of an endpoint.
 type ServerSnapshot struct {
 	Name    string                  `json:"Name"`
 	SinceMS int64                   `json:"SinceMS"`
 	Policy  lbpolicy.ServerSnapshot `json:"Learnt"`
 }
 
-// Snapshot returns what the decisions have learnt.
-func (h *Engine) Snapshot() (c Snapshot) {
-	h.event(func(now time.Duration) {
-		c.Policy = h.balancer.Snapshot(now)
-		for _, l := range c.Policy.Servers {
-			if e := h.endpoints[l.ID]; e != nil {
-				c.Servers = append(c.Servers, ServerSnapshot{e.name, e.entry.SinceMS, l})
+// Snapshot returns what the policy has measured.
+func (e *Engine) Snapshot() Snapshot {
+	var snapshot Snapshot
+	e.event(func(now time.Duration) {
+		snapshot.Policy = e.balancer.Snapshot(now)
+		for _, s := range snapshot.Policy.Servers {
+			if server := e.endpoints[s.ID]; server != nil {
+				snapshot.Servers = append(snapshot.Servers, ServerSnapshot{server.name, server.entry.SinceMS, s})
 			}
 		}
-		c.Policy.Servers = nil
+		snapshot.Policy.Servers = nil
 	})
-	return c
-}
-
-// Restore takes over what another process's decisions have learnt.
-func (h *Engine) Restore(c Snapshot) {
-	h.event(func(now time.Duration) {
-		l := c.Policy
-		l.Servers = nil
-		for _, s := range c.Servers {
-			s.Policy.ID, s.Policy.StartedAt = h.serverID(s.Name), h.clock.at(s.SinceMS)
-			l.Servers = append(l.Servers, s.Policy)
+	return snapshot
+}
+
+// Restore applies the snapshot of another process.
+func (e *Engine) Restore(snapshot Snapshot) {
+	e.event(func(now time.Duration) {
+		policy := snapshot.Policy
+		policy.Servers = nil
+		for _, s := range snapshot.Servers {
+			s.Policy.ID = e.serverID(s.Name)
+			s.Policy.StartedAt = e.clock.fromUnixMilli(s.SinceMS)
+			policy.Servers = append(policy.Servers, s.Policy)
 		}
-		h.balancer.Restore(now, l)
+		e.balancer.Restore(now, policy)
 	})
 }
-
-// Endpoints returns the endpoints as they are listed.
-func (h *Engine) Endpoints() []endpointlist.Endpoint {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	list := make([]endpointlist.Endpoint, 0, len(h.endpoints))
-	for _, e := range h.endpoints {
-		list = append(list, e.entry)
-	}
-	return list
-}
-
-// ListedHashes returns the endpoints that were ever listed, as far as that is remembered, as hashes.
-func (h *Engine) ListedHashes() []uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return append([]uint64(nil), h.everListed.order...)
-}
-
-// AddListedHashes takes endpoints for listed that another process has seen.
-func (h *Engine) AddListedHashes(hashes []uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, x := range hashes {
-		h.everListed.put(x)
-	}
-}
-
-// SetEjectedUnlisted is Ban for an endpoint that another process knows, listed here or not.
-func (h *Engine) SetEjectedUnlisted(name string, on bool) {
-	h.mu.Lock()
-	h.everListed.add(name)
-	h.mu.Unlock()
-	h.SetManuallyEjected(name, on)
-}
-
-// Synchronize runs f while nothing else happens in the host: no attempt begins, none ends.
-func (h *Engine) Synchronize(f func()) { h.event(func(time.Duration) { f() }) }
--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -7,69 +7,67 @@
 	"silvertrail/lbpolicy"
 )
 
-// maxUploadTime bounds a body that is passed on as it comes, whatever progress it makes: 32 MiB at half the rate that callers
-// are held to.
+// maxUploadTime bounds a streamed body whatever its progress: 32 MiB at half the rate that clients must keep.
 const maxUploadTime = 2048 * time.Second
 
-// uploadBody has the decisions know how far a body has come that an attempt passes on.
+// uploadBody tells the policy about the progress of a streamed body.
 type uploadBody struct {
 	upstream.RequestStream
-	host    *Engine
+	engine  *Engine
 	call    *Call
 	attempt *attempt
 }
 
-// Acquire tells the decisions that no further attempt is possible: what this one reads is gone.
+// Acquire implements upstream.RequestStream. It tells the policy that no further attempt is possible: the body is consumed.
 func (u *uploadBody) Acquire() bool {
 	if !u.RequestStream.Acquire() {
 		return false
 	}
-	u.host.event(func(now time.Duration) { u.host.balancer.MarkNotReplayable(now, u.call.id) })
+	u.engine.event(func(now time.Duration) { u.engine.balancer.MarkNotReplayable(now, u.call.id) })
 	return true
 }
 
-// Sent begins the request's own time, and the wait for the endpoint.
+// Sent implements upstream.RequestStream. It starts the request's own time, and the wait for the endpoint.
 func (u *uploadBody) Sent() {
 	u.RequestStream.Sent()
-	h, c := u.host, u.call
-	h.event(func(now time.Duration) {
-		if c.timeLeft == 0 {
-			return
-		}
-		left := c.timeLeft
-		c.timeLeft = 0
-		if !h.shutdownAt.IsZero() {
-			left = min(left, max(time.Until(h.shutdownAt), 0))
-		}
-		c.request.Deadline = time.Now().Add(left)
-		if !c.done {
-			c.deadlineTimer.Reset(left)
-		}
-		h.balancer.RequestBodyReceived(now, c.id, left)
-		h.setDispatchPending(now, c, u.attempt, false)
-	})
+	u.engine.event(func(now time.Duration) { u.engine.bodyReceived(now, u.call, u.attempt) })
+}
+
+// bodyReceived sets the deadline of a call whose body has arrived.
+func (e *Engine) bodyReceived(now time.Duration, c *Call, a *attempt) {
+	if c.timeLeft == 0 {
+		return
+	}
+	left := e.limitToShutdown(c.timeLeft)
+	c.timeLeft = 0
+	c.request.Deadline = time.Now().Add(left)
+	if !c.done {
+		c.deadlineTimer.Reset(left)
+	}
+	e.balancer.RequestBodyReceived(now, c.id, left)
+	e.setDispatchPending(now, c, a, false)
 }
 
-// streamResponse gives the caller an answer that is still coming, and returns once it has ended. Its first bytes end the call for the
-// decisions: from then on it is in the caller's hands, no deadline cuts it off, and what an endpoint still gives costs
-// it no more than a connection.
-func (h *Engine) streamResponse(c *Call, a *attempt, v lbpolicy.Verdict, reply *upstream.Response) {
-	rest := reply.Stream
-	if v != lbpolicy.OK { // nobody reads a failure's body
-		rest.Close()
-		reply.Stream = nil
+// streamResponse gives a call a response that is still arriving, and returns once it has ended. Its first bytes end the call
+// for the policy: from then on it belongs to the client, no deadline ends it, and it costs the endpoint only a connection.
+func (e *Engine) streamResponse(c *Call, a *attempt, v lbpolicy.Verdict, response *upstream.Response) {
+	stream := response.Stream
+	if v != lbpolicy.OK { // nobody reads the body of a failure
+		stream.Close()
+		response.Stream = nil
 		return
 	}
-	ended := make(chan struct{})
-	rest.OnClose(func() { close(ended) })
-	taken := false
-	h.event(func(now time.Duration) {
-		if taken = !a.ended && !c.done; taken {
-			h.endAttempt(now, c, a, v, reply)
+	closed := make(chan struct{})
+	stream.OnClose(func() { close(closed) })
+	accepted := false
+	e.event(func(now time.Duration) {
+		accepted = !a.ended && !c.done
+		if accepted {
+			e.endAttempt(now, c, a, v, response)
 		}
 	})
-	if !taken {
-		rest.Close()
+	if !accepted {
+		stream.Close()
 	}
-	<-ended
+	<-closed
 }
