--- a/bench/ledger/main.go
+++ b/bench/ledger/main.go
@@ -176,7 +176,7 @@
 		}
 		joined := "-"
 		if l, ok := v.g.Recorded(); ok && l.Syncs > 0 {
-			joined = fmt.Sprintf("%.1f", float64(l.Synced)/float64(l.Syncs))
+			joined = fmt.Sprintf("%.1f", float64(l.SyncedRecords)/float64(l.Syncs))
 		}
 		fmt.Fprintf(w, "%s\t%.0f, %.0f, %.0f\t%.2f\t%v\t%v\t%s\n", v.name, mid, v.rate[0], v.rate[len(v.rate)-1], mid/off,
 			time.Duration(v.hist.ValueAtQuantile(50))*time.Microsecond, time.Duration(v.hist.ValueAtQuantile(99))*time.Microsecond, joined)
@@ -266,9 +266,9 @@
 		}
 	}()
 	begun := time.Now()
-	l, err := ledger.Start(ledger.Options{Dir: folder, Keys: 1 << 20, Log: slog.New(slog.DiscardHandler),
-		Commit:  commit.Config{Gather: 3 * time.Millisecond, Patience: time.Second, Segment: 64 << 20, Held: 4 << 20},
-		Keeping: commit.Keeping{Age: 24 * time.Hour, Size: 1 << 40, Longest: time.Minute}})
+	l, err := ledger.Start(ledger.Options{Dir: folder, MaxKeys: 1 << 20, Log: slog.New(slog.DiscardHandler),
+		Commit:    commit.Config{MaxGroupDelay: 3 * time.Millisecond, SlowDiskTime: time.Second, SegmentBytes: 64 << 20, MaxPendingBytes: 4 << 20},
+		Retention: commit.Retention{MaxAge: 24 * time.Hour, MaxBytes: 1 << 40, MinAge: time.Minute}})
 	took := time.Since(begun)
 	close(stop)
 	if err != nil {
@@ -277,14 +277,14 @@
 	defer l.Close()
 	fmt.Printf("%d records of %d bytes in %d segments, one core: %v, %.2f million records a second, heap %.1f MB at the most (%.1f before), %d keys\n",
 		o.Records, size, files, took.Round(time.Millisecond), float64(o.Records)/took.Seconds()/1e6, float64(peak.Load())/1e6, float64(base.HeapInuse)/1e6,
-		l.Look().Recovered)
+		l.Status().Recovered)
 	return nil
 }
 
 func (o *recovery) write(folder string) (bytes int64, files int, err error) {
-	boot, since, now := disk.Boot(), disk.Since(), time.Now()
+	boot, since, now := disk.BootID(), disk.SinceBoot(), time.Now()
 	span := time.Hour
-	h := segment.Header{Log: 1, Process: 2, First: 1, Boot: boot, Began: now.Add(-span).UnixMicro(), BeganAt: (since - span).Microseconds(), Mode: "group"}
+	h := segment.Header{LedgerID: 1, Process: 2, FirstSeq: 1, BootID: boot, StartedAt: now.Add(-span).UnixMicro(), StartedSinceBoot: (since - span).Microseconds(), Mode: "group"}
 	var f *os.File
 	var out *bufio.Writer
 	var frame []byte
@@ -306,7 +306,7 @@
 				f.Close()
 			}
 			h.Number++
-			h.First = seq + 1
+			h.FirstSeq = seq + 1
 			files++
 			if f, err = os.Create(filepath.Join(folder, fmt.Sprintf("%016x.seg", h.Number))); err != nil {
 				return 0, 0, err
@@ -318,11 +318,11 @@
 		id := idempotency.KeyIDOf("", fmt.Sprint(i))
 		frame = frame[:0]
 		for _, r := range []segment.Record{
-			{Kind: segment.Taken, At: at, Request: uint64(i + 1), ID: fmt.Sprintf("%016x", i), Class: "reserva", Key: fmt.Sprintf("seat-%012d", i),
-				Tenant: fmt.Sprintf("escuela-%d", i%500), KeyID: id, Left: 5 * time.Second},
-			{Kind: segment.Intent, At: at, Request: uint64(i + 1), Attempt: 1, Nodo: fmt.Sprintf("portal-%d", i%20), Cluster: "portal", Zone: "sala-centro",
-				Scope: 1, Window: 30 * time.Second, Keep: 30 * time.Second},
-			{Kind: segment.Outcome, At: at + time.Millisecond, Request: uint64(i + 1), Attempt: 1, Answer: true, Verdict: "ok", Status: 200},
+			{Kind: segment.Received, At: at, Request: uint64(i + 1), ID: fmt.Sprintf("%016x", i), Class: "reserva", Key: fmt.Sprintf("seat-%012d", i),
+				Tenant: fmt.Sprintf("escuela-%d", i%500), KeyID: id, TimeLeft: 5 * time.Second},
+			{Kind: segment.Intent, At: at, Request: uint64(i + 1), Attempt: 1, Endpoint: fmt.Sprintf("portal-%d", i%20), Cluster: "portal", Zone: "sala-centro",
+				Scope: 1, Window: 30 * time.Second, Retention: 30 * time.Second},
+			{Kind: segment.Outcome, At: at + time.Millisecond, Request: uint64(i + 1), Attempt: 1, Responded: true, Verdict: "ok", Status: 200},
 			{Kind: segment.Final, At: at + time.Millisecond, Request: uint64(i + 1), Ending: segment.Served, Status: 200}} {
 			seq++
 			if frame, err = segment.AppendFrame(frame, seq, &r); err != nil {
@@ -354,14 +354,14 @@
 	defer os.RemoveAll(folder)
 	var terms idempotency.Terms
 	terms.Window = time.Minute
-	for _, mode := range []commit.Mode{commit.Group, commit.Each} {
-		l, err := ledger.Start(ledger.Options{Dir: filepath.Join(folder, mode.String()), Keys: 1 << 20, Log: slog.New(slog.DiscardHandler),
-			Commit:  commit.Config{Mode: mode, Gather: 3 * time.Millisecond, Patience: time.Second, Segment: 64 << 20, Held: 4 << 20},
-			Keeping: commit.Keeping{Age: 24 * time.Hour, Size: 1 << 40}})
+	for _, mode := range []commit.Mode{commit.GroupCommit, commit.EachRecord} {
+		l, err := ledger.Start(ledger.Options{Dir: filepath.Join(folder, mode.String()), MaxKeys: 1 << 20, Log: slog.New(slog.DiscardHandler),
+			Commit:    commit.Config{Mode: mode, MaxGroupDelay: 3 * time.Millisecond, SlowDiskTime: time.Second, SegmentBytes: 64 << 20, MaxPendingBytes: 4 << 20},
+			Retention: commit.Retention{MaxAge: 24 * time.Hour, MaxBytes: 1 << 40}})
 		if err != nil {
 			return err
 		}
-		e, err := l.Take(ledger.Request{ID: "r"})
+		e, err := l.Begin(ledger.Request{ID: "r"})
 		if err != nil {
 			return err
 		}
@@ -381,7 +381,7 @@
 		return err
 	}
 	var number atomic.Uint64
-	value, err := segment.AppendFrame(nil, 1, &segment.Record{Kind: segment.Intent, Request: 1, Attempt: 1, Nodo: "portal-1", Cluster: "portal", Zone: "sala-centro", Window: time.Minute})
+	value, err := segment.AppendFrame(nil, 1, &segment.Record{Kind: segment.Intent, Request: 1, Attempt: 1, Endpoint: "portal-1", Cluster: "portal", Zone: "sala-centro", Window: time.Minute})
 	if err != nil {
 		return err
 	}
--- a/cmd/silvertrail/ledger.go
+++ b/cmd/silvertrail/ledger.go
@@ -55,7 +55,7 @@
 			counts[q.Class] = map[account.Verdict]int{}
 		}
 		counts[q.Class][v]++
-		if v == account.Ran || v == account.MayHaveRun || v == account.Unclear || v == account.Open {
+		if v == account.Executed || v == account.MayHaveRun || v == account.Unclear || v == account.InProgress {
 			if len(unclear) < c.Most {
 				unclear = append(unclear, q.Text())
 			} else {
@@ -66,9 +66,9 @@
 	if err != nil {
 		return err
 	}
-	for _, l := range r.Lives {
-		fmt.Printf("process %016x on %s, mode %s, began %s, last record %s: %s\n", l.Process, l.Host, l.Mode, l.Began.Format(time.DateTime),
-			l.Time(l.Last).Format(time.DateTime), ended(l))
+	for _, l := range r.Incarnations {
+		fmt.Printf("process %016x on %s, mode %s, began %s, last record %s: %s\n", l.Process, l.Host, l.Mode, l.StartedAt.Format(time.DateTime),
+			l.Time(l.LastRecord).Format(time.DateTime), ended(l))
 	}
 	tellLosses(r)
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
@@ -94,11 +94,11 @@
 	return nil
 }
 
-func ended(l *account.Life) string {
+func ended(l *account.Incarnation) string {
 	switch {
-	case l.Live:
+	case l.Running:
 		return "it runs"
-	case l.Closed:
+	case l.CleanShutdown:
 		return "it ended by itself"
 	}
 	return "it was killed, or the machine was lost"
@@ -110,7 +110,7 @@
 			fmt.Printf("torn: records %d to %d were being written as the process ended, and nothing went out under them\n", l.From, l.To)
 			continue
 		}
-		if l.Missed {
+		if l.Unrecorded {
 			fmt.Printf("LOST: %d requests were served without a record between %s and %s\n", l.Count, l.After.Format(time.DateTime), l.Before.Format(time.DateTime))
 			continue
 		}
@@ -138,8 +138,8 @@
 func (c *chosen) filter() (func(*account.Request) bool, error) {
 	for _, v := range c.Verdict {
 		known := false
-		for w := account.Open; w <= account.Unclear; w++ {
-			known = known || w.Word() == v
+		for w := account.InProgress; w <= account.Unclear; w++ {
+			known = known || w.Name() == v
 		}
 		if !known {
 			return nil, fmt.Errorf("--verdict: %q is none", v)
@@ -164,16 +164,16 @@
 		if want == "" {
 			return true
 		}
-		if q.Life.Hashed && secret != nil {
-			want = ledger.HideName(secret, kind, want)
+		if q.Incarnation.Hashed && secret != nil {
+			want = ledger.HashName(secret, kind, want)
 		}
 		return want == got
 	}
 	return func(q *account.Request) bool {
-		taken := q.Life.Time(q.Took)
+		taken := q.Incarnation.Time(q.ReceivedAt)
 		return is(q, "key", c.Key, q.Key) && is(q, "tenant", c.Tenant, q.Tenant) && (c.ID == "" || c.ID == q.ID) && (c.Class == "" || c.Class == q.Class) &&
-			(c.Nodo == "" || slices.ContainsFunc(q.Attempts, func(a account.Attempt) bool { return a.Nodo == c.Nodo })) &&
-			(len(c.Verdict) == 0 || slices.Contains(c.Verdict, q.Verdict().Word())) &&
+			(c.Nodo == "" || slices.ContainsFunc(q.Attempts, func(a account.Attempt) bool { return a.Endpoint == c.Nodo })) &&
+			(len(c.Verdict) == 0 || slices.Contains(c.Verdict, q.Verdict().Name())) &&
 			(since.IsZero() || !taken.Before(since)) && (c.To.IsZero() || taken.Before(c.To))
 	}, nil
 }
@@ -205,7 +205,7 @@
 		return err
 	}
 	tellLosses(r)
-	if c.plain && slices.ContainsFunc(r.Lives, func(l *account.Life) bool { return l.Hashed }) {
+	if c.plain && slices.ContainsFunc(r.Incarnations, func(l *account.Incarnation) bool { return l.Hashed }) {
 		fmt.Fprintln(os.Stderr, "Names in this ledger are hashed: they are found by --secret FILE alone.")
 	}
 	if found > c.Most {
@@ -248,8 +248,8 @@
 	}
 	for _, f := range r.Files {
 		switch {
-		case f.Note != "":
-			fmt.Printf("%s: passed over: %s\n", f.Name, f.Note)
+		case f.SkipReason != "":
+			fmt.Printf("%s: passed over: %s\n", f.Name, f.SkipReason)
 			continue
 		case f.Torn:
 			fmt.Printf("%s: %d records; its end is torn, as the process that wrote it was killed\n", f.Name, f.Records)
@@ -261,8 +261,8 @@
 		}
 	}
 	tellLosses(r)
-	fmt.Printf("%d records in %d segments of ledger %016x\n", r.Records, len(r.Files), r.Log)
-	if !r.Sound() {
+	fmt.Printf("%d records in %d segments of ledger %016x\n", r.Records, len(r.Files), r.LedgerID)
+	if !r.IsSound() {
 		return errUnsound
 	}
 	fmt.Println("All that was written is there.")
@@ -278,15 +278,15 @@
 	}
 	state := "requests are recorded"
 	if !v.Ready {
-		state = "REQUESTS CAN'T BE RECORDED: " + v.Why
+		state = "REQUESTS CAN'T BE RECORDED: " + v.Reason
 	}
 	fmt.Printf("%s, mode %s: %s\n", v.Dir, v.Mode, state)
 	fmt.Printf("%d segments, %d bytes; %d requests since the start; %d fsyncs for %d records; %d errors of the disk\n", v.Segments, v.Bytes, v.Requests,
-		v.Syncs, v.Synced, v.Errors)
-	fmt.Printf("%d attempts sent without a record, %d records without room, %d answers before their record was safe\n", v.Missed, v.Dropped, v.Late)
+		v.Syncs, v.SyncedRecords, v.Errors)
+	fmt.Printf("%d attempts sent without a record, %d records without room, %d answers before their record was safe\n", v.Unrecorded, v.Dropped, v.LateAnswers)
 	fmt.Printf("%d keys known from former processes\n", v.Recovered)
-	if !v.Doubt.IsZero() {
-		fmt.Printf("Records are lost (%d times): keys that are not known are held back until %s\n", v.Losses, v.Doubt.Format(time.DateTime))
+	if !v.UncertainUntil.IsZero() {
+		fmt.Printf("Records are lost (%d times): keys that are not known are held back until %s\n", v.Losses, v.UncertainUntil.Format(time.DateTime))
 	}
 	return nil
 }
--- a/cmd/silvertrail/ledger_test.go
+++ b/cmd/silvertrail/ledger_test.go
@@ -136,8 +136,8 @@
 		is[q.ID] = q
 		counts[q.Verdict()]++
 	})
-	if err != nil || live || len(report.Losses) > 0 || len(report.Lives) != rounds+1 || !report.Lives[rounds].Closed {
-		t.Fatalf("%v, live %v, %d lives, losses %+v", err, live, len(report.Lives), report.Losses)
+	if err != nil || live || len(report.Losses) > 0 || len(report.Incarnations) != rounds+1 || !report.Incarnations[rounds].CleanShutdown {
+		t.Fatalf("%v, live %v, %d lives, losses %+v", err, live, len(report.Incarnations), report.Losses)
 	}
 	w.mu.Lock() // a nodo may still be at work for a process that is gone
 	defer w.mu.Unlock()
@@ -150,7 +150,7 @@
 		for nodo, n := range nodos {
 			told := 0
 			for _, a := range q.Attempts {
-				if a.Intended && a.Nodo == nodo {
+				if a.Intended && a.Endpoint == nodo {
 					told++
 				}
 			}
@@ -158,7 +158,7 @@
 				t.Errorf("%s reached %s %d times: %s", id, nodo, n, q.Text())
 			}
 		}
-		if v := q.Verdict(); v != account.Served && v != account.Ran && v != account.MayHaveRun {
+		if v := q.Verdict(); v != account.Served && v != account.Executed && v != account.MayHaveRun {
 			t.Errorf("%s reached %v and is called %v", id, nodos, v)
 		}
 	}
@@ -166,18 +166,18 @@
 	for id, status := range w.answered {
 		q := is[id]
 		switch {
-		case status == 200 && (q == nil || q.Verdict() != account.Served && q.Verdict() != account.Ran): // the record of the answer itself may be lost
+		case status == 200 && (q == nil || q.Verdict() != account.Served && q.Verdict() != account.Executed): // the record of the answer itself may be lost
 			t.Errorf("%s was served: %+v", id, q)
-		case status == 503 && q != nil && q.Verdict() != account.Refused: // its record may be lost where the process died just then
-			if cut++; q.Ended || cut > rounds {
+		case status == 503 && q != nil && q.Verdict() != account.Rejected: // its record may be lost where the process died just then
+			if cut++; q.Answered || cut > rounds {
 				t.Errorf("%s was refused, and is called %v", id, q.Verdict())
 			}
-		case (status == 502 || status == 504) && q != nil && (q.Verdict() == account.Served || q.Verdict() == account.Refused):
+		case (status == 502 || status == 504) && q != nil && (q.Verdict() == account.Served || q.Verdict() == account.Rejected):
 			t.Errorf("%s has failed, and is called %v", id, q.Verdict())
 		}
 	}
 	for id, q := range is {
-		if v := q.Verdict(); (v == account.Served || v == account.Ran) && w.reached[id] == nil {
+		if v := q.Verdict(); (v == account.Served || v == account.Executed) && w.reached[id] == nil {
 			t.Errorf("%s is called %v, and no nodo has seen it", id, v)
 		}
 	}
--- a/internal/gateway/conf/ledger.go
+++ b/internal/gateway/conf/ledger.go
@@ -27,22 +27,22 @@
 	s := p.open("ledger", b.DefRange, b.Body, []string{"path", "mode", "gather", "patience", "segment", "held", "size", "age", "names",
 		"secret", "lost", "clock_error"}, nil)
 	s.need("path")
-	o := &ledger.Options{Dir: p.path(s, "path"), Keys: f.Process.Keys}
-	o.Commit = commit.Config{Mode: map[string]commit.Mode{"group": commit.Group, "each": commit.Each, "os": commit.OS}[s.word("mode", "group", "group", "each", "os")],
-		Gather:   s.duration("gather", 3*time.Millisecond, 0, time.Second),
-		Patience: s.duration("patience", 100*time.Millisecond, time.Millisecond, time.Minute),
-		Segment:  s.size("segment", 64<<20, 64<<10, 1<<30),
-		Held:     int(s.size("held", 4<<20, 64<<10, 1<<30))}
-	o.Keeping.Age = s.duration("age", 30*24*time.Hour, time.Minute, 10*365*24*time.Hour)
-	o.Keeping.Size = s.size("size", 4<<30, 1<<20, 1<<50)
-	if o.Keeping.Size < 2*o.Commit.Segment {
-		s.fault(s.where("size"), "Too small", "%q is %d bytes; two segments of %d are the least.", "size", o.Keeping.Size, o.Commit.Segment)
+	o := &ledger.Options{Dir: p.path(s, "path"), MaxKeys: f.Process.Keys}
+	o.Commit = commit.Config{Mode: map[string]commit.Mode{"group": commit.GroupCommit, "each": commit.EachRecord, "os": commit.OSBuffered}[s.word("mode", "group", "group", "each", "os")],
+		MaxGroupDelay:   s.duration("gather", 3*time.Millisecond, 0, time.Second),
+		SlowDiskTime:    s.duration("patience", 100*time.Millisecond, time.Millisecond, time.Minute),
+		SegmentBytes:    s.size("segment", 64<<20, 64<<10, 1<<30),
+		MaxPendingBytes: int(s.size("held", 4<<20, 64<<10, 1<<30))}
+	o.Retention.MaxAge = s.duration("age", 30*24*time.Hour, time.Minute, 10*365*24*time.Hour)
+	o.Retention.MaxBytes = s.size("size", 4<<30, 1<<20, 1<<50)
+	if o.Retention.MaxBytes < 2*o.Commit.SegmentBytes {
+		s.fault(s.where("size"), "Too small", "%q is %d bytes; two segments of %d are the least.", "size", o.Retention.MaxBytes, o.Commit.SegmentBytes)
 	}
-	if s.has("gather") && o.Commit.Mode != commit.Group {
+	if s.has("gather") && o.Commit.Mode != commit.GroupCommit {
 		s.fault(s.where("gather"), "Without a meaning", "\"gather\" goes with mode = \"group\" alone.")
 	}
-	o.Trusting = s.word("lost", "hold", "hold", "serve") == "serve"
-	o.ClockOff = s.duration("clock_error", 10*time.Second, 0, 24*time.Hour)
+	o.IgnoreLosses = s.word("lost", "hold", "hold", "serve") == "serve"
+	o.MaxClockError = s.duration("clock_error", 10*time.Second, 0, 24*time.Hour)
 	hashed := s.word("names", "plain", "plain", "hashed") == "hashed"
 	switch {
 	case hashed && !s.has("secret"):
@@ -64,7 +64,7 @@
 	for _, c := range f.Classes {
 		if c.Effect == lbpolicy.KeyedIdempotent {
 			keyed = true
-			o.Keeping.Longest = max(o.Keeping.Longest, c.Window+c.Keep+c.Deadline)
+			o.Retention.MinAge = max(o.Retention.MinAge, c.Window+c.Keep+c.Deadline)
 		}
 	}
 	if !keyed {
--- a/internal/gateway/conf/ledger_test.go
+++ b/internal/gateway/conf/ledger_test.go
@@ -17,9 +17,9 @@
 		t.Fatal(err)
 	}
 	o := f.Ledger
-	if o == nil || filepath.Base(o.Dir) != "ledger" || o.Commit != (commit.Config{Mode: commit.Group, Gather: 3 * time.Millisecond,
-		Patience: 100 * time.Millisecond, Segment: 64 << 20, Held: 4 << 20}) || o.Keeping != (commit.Keeping{Age: 720 * time.Hour, Size: 4 << 30,
-		Longest: 125 * time.Second}) || o.Secret != nil || o.Trusting || f.Classes[0].Unrecorded {
+	if o == nil || filepath.Base(o.Dir) != "ledger" || o.Commit != (commit.Config{Mode: commit.GroupCommit, MaxGroupDelay: 3 * time.Millisecond,
+		SlowDiskTime: 100 * time.Millisecond, SegmentBytes: 64 << 20, MaxPendingBytes: 4 << 20}) || o.Retention != (commit.Retention{MaxAge: 720 * time.Hour, MaxBytes: 4 << 30,
+		MinAge: 125 * time.Second}) || o.Secret != nil || o.IgnoreLosses || f.Classes[0].Unrecorded {
 		t.Errorf("%+v", o)
 	}
 	if parse(t, base).Ledger != nil {
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -130,7 +130,7 @@
 		if status := post(addr, "k", lbtest.Wait); status != 200 {
 			t.Errorf("a key that is known: %d", status)
 		}
-		if v, _ := g.Recorded(); v.Doubt.Before(time.Now()) || v.Losses == 0 {
+		if v, _ := g.Recorded(); v.UncertainUntil.Before(time.Now()) || v.Losses == 0 {
 			t.Errorf("%+v", v)
 		}
 	})
@@ -216,7 +216,7 @@
 		effects[key] += n
 	}
 	for key := range effects {
-		if q := is[key]; key != "loose" && (q == nil || len(q.At()) == 0) {
+		if q := is[key]; key != "loose" && (q == nil || len(q.PossiblyExecuted()) == 0) {
 			t.Errorf("%s took effect, and the ledger does not tell", key)
 		}
 	}
@@ -276,8 +276,8 @@
 	for i := range 20 {
 		key := fmt.Sprint("k", i)
 		s, r := sent[key], got[key]
-		if s == nil || r == nil || s.Verdict() != account.Served || r.Verdict() != account.Served || r.From != "centro" || r.ID != s.ID ||
-			len(s.At()) != 1 || s.At()[0].Nodo != salaNodo(s.At()[0].Zone) {
+		if s == nil || r == nil || s.Verdict() != account.Served || r.Verdict() != account.Served || r.FromSite != "centro" || r.ID != s.ID ||
+			len(s.PossiblyExecuted()) != 1 || s.PossiblyExecuted()[0].Endpoint != salaNodo(s.PossiblyExecuted()[0].Zone) {
 			t.Errorf("%s: %+v\n%+v", key, s, r)
 		}
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -35,13 +35,13 @@
 	if l == nil {
 		return a, true
 	}
-	k, was, found := l.Recall(now, x.id)
+	k, was, found := l.RecoveredKey(now, x.id)
 	switch {
 	case !found:
-		if l.Doubtful(now) {
+		if l.IsUncertain(now) {
 			return engine.Result{MayHaveRun: true}, false
 		}
-	case print != idempotency.Fingerprint{} && was != idempotency.Fingerprint{} && l.HidePrint(print) != was:
+	case print != idempotency.Fingerprint{} && was != idempotency.Fingerprint{} && l.MaskFingerprint(print) != was:
 		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
 		return a, false
 	default:
@@ -56,12 +56,12 @@
 	if l == nil {
 		return a, true
 	}
-	r := ledger.Request{ID: x.up.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.id, Print: print,
-		Left: x.q.TimeLeft, Unrecorded: x.class.Unrecorded}
+	r := ledger.Request{ID: x.up.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.id, Fingerprint: print,
+		TimeLeft: x.q.TimeLeft, Unrecorded: x.class.Unrecorded}
 	if x.passing != nil && len(x.passing.Been) > 0 {
-		r.From = x.passing.Been[len(x.passing.Been)-1]
+		r.FromSite = x.passing.Been[len(x.passing.Been)-1]
 	}
-	e, err := l.Take(r)
+	e, err := l.Begin(r)
 	if err != nil {
 		return engine.Result{Rejected: true, RetryAfter: unrecordedBack(err)}, false
 	}
@@ -71,9 +71,9 @@
 
 // unrecordedBack is when a caller is told to come back whose request can't be recorded.
 func unrecordedBack(err error) time.Duration {
-	var u *ledger.ErrUnready
+	var u *ledger.UnavailableError
 	if errors.As(err, &u) {
-		return max(u.Back, 100*time.Millisecond)
+		return max(u.RetryAfter, 100*time.Millisecond)
 	}
 	return keysRetry
 }
@@ -86,17 +86,17 @@
 	ending, status := segment.Failed, http.StatusBadGateway
 	switch {
 	case x.turned != nil:
-		ending, status = segment.Turned, x.turned.Status
+		ending, status = segment.KeyConflict, x.turned.Status
 	case x.gone && a.Response == nil:
-		ending, status = segment.Gone, 0
+		ending, status = segment.Disconnected, 0
 	case own != nil:
 		status = own.Status
 	case a.Response != nil:
 		ending, status = segment.Served, a.Response.Status
 	case a.Rejected:
-		ending, status = segment.Refused, http.StatusServiceUnavailable
+		ending, status = segment.Rejected, http.StatusServiceUnavailable
 	}
-	x.entry.Final(ending, status)
+	x.entry.Finish(ending, status)
 }
 
 // finalOver has the answer to another sala recorded.
@@ -107,15 +107,15 @@
 	ending := segment.Failed
 	switch {
 	case x.turned != nil:
-		ending = segment.Turned
+		ending = segment.KeyConflict
 	case out.Outcome == tally.Served:
 		ending = segment.Served
 	case out.Outcome == tally.Refused:
-		ending = segment.Refused
+		ending = segment.Rejected
 	case x.gone:
-		ending = segment.Gone
+		ending = segment.Disconnected
 	}
-	x.entry.Final(ending, out.Status)
+	x.entry.Finish(ending, out.Status)
 }
 
 // salaNodo is what the ledger calls another sala's gateway.
@@ -141,7 +141,7 @@
 	if g.ledger == nil {
 		return v, false
 	}
-	return g.ledger.Look(), true
+	return g.ledger.Status(), true
 }
 
 func (g *Gateway) tellLedger(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -89,7 +89,7 @@
 		return errors.New("gateway: a ledger begins and ends with the process: restart it")
 	}
 	if g.ledger != nil {
-		if err := g.ledger.Fits(*file.Ledger); err != nil {
+		if err := g.ledger.CheckUpdate(*file.Ledger); err != nil {
 			undo()
 			return err
 		}
--- a/internal/ledger/account/account_test.go
+++ b/internal/ledger/account/account_test.go
@@ -13,13 +13,13 @@
 // play tells a book a story, a line for each record: "taken 1", "intent 1 1 n1", "outcome 1 1 ok|never|lost", "final 1
 // served|refused|failed|gone", "skip" (a record is missing), "wait 40s", "process" (another one begins), "clock +1h",
 // "missed 3", "closed", "safe" (all before it is durable); and returns what it gives out.
-func play(t *testing.T, live bool, story string) (out []string, lost []Loss) {
+func play(t *testing.T, live bool, story string) (out []string, lost []DataLoss) {
 	t.Helper()
 	var all []*Request
-	b := NewBook(func(r *Request) { all = append(all, r) }, func(l Loss) { lost = append(lost, l) })
+	b := NewIndex(func(r *Request) { all = append(all, r) }, func(l DataLoss) { lost = append(lost, l) })
 	seq, process, at := uint64(1), uint64(1), time.Duration(0)
 	begin := func(prev uint64) {
-		b.Segment(&segment.Header{Process: process, First: seq, Prev: prev, Boot: "b", Began: 1e15, Host: "h"})
+		b.BeginSegment(&segment.Header{Process: process, FirstSeq: seq, PreviousSeq: prev, BootID: "b", StartedAt: 1e15, Host: "h"})
 	}
 	begin(0)
 	for _, line := range strings.Split(story, "\n") {
@@ -32,15 +32,15 @@
 		number := func(i int) (n uint64) { fmt.Sscan(w[i], &n); return n }
 		switch w[0] {
 		case "taken":
-			r.Kind, r.Request, r.ID, r.Left, r.KeyID = segment.Taken, number(1), "r"+w[1], 5*time.Second, idempotency.KeyIDOf("", w[1])
+			r.Kind, r.Request, r.ID, r.TimeLeft, r.KeyID = segment.Received, number(1), "r"+w[1], 5*time.Second, idempotency.KeyIDOf("", w[1])
 		case "intent":
-			r.Kind, r.Request, r.Attempt, r.Nodo, r.Window, r.Keep = segment.Intent, number(1), int(number(2)), w[3], time.Minute, time.Minute
+			r.Kind, r.Request, r.Attempt, r.Endpoint, r.Window, r.Retention = segment.Intent, number(1), int(number(2)), w[3], time.Minute, time.Minute
 		case "outcome":
 			r.Kind, r.Request, r.Attempt, r.Verdict = segment.Outcome, number(1), int(number(2)), w[3]
-			r.Answer, r.Never = w[3] == "ok", w[3] == "never"
+			r.Responded, r.NeverRan = w[3] == "ok", w[3] == "never"
 		case "final":
 			r.Kind, r.Request = segment.Final, number(1)
-			r.Ending = map[string]segment.Ending{"served": segment.Served, "refused": segment.Refused, "failed": segment.Failed, "gone": segment.Gone}[w[2]]
+			r.Ending = map[string]segment.Ending{"served": segment.Served, "refused": segment.Rejected, "failed": segment.Failed, "gone": segment.Disconnected}[w[2]]
 		case "skip":
 			seq++
 			continue
@@ -50,13 +50,13 @@
 			continue
 		case "clock":
 			d, _ := time.ParseDuration(w[1])
-			r.Kind, r.Wall = segment.Clock, time.UnixMicro(1e15).Add(at+d).UnixMicro()
+			r.Kind, r.WallTime = segment.ClockShift, time.UnixMicro(1e15).Add(at+d).UnixMicro()
 		case "missed":
-			r.Kind, r.Count = segment.Missed, number(1)
+			r.Kind, r.Count = segment.Unrecorded, number(1)
 		case "closed":
-			r.Kind = segment.Closed
+			r.Kind = segment.Shutdown
 		case "safe":
-			r.Kind, r.Lag = segment.Closed, 1
+			r.Kind, r.DurableLag = segment.Shutdown, 1
 		case "process":
 			prev := seq - 1
 			process, at = process+1, 0
@@ -66,10 +66,10 @@
 		default:
 			t.Fatal(line)
 		}
-		b.Record(seq, &r)
+		b.AddRecord(seq, &r)
 		seq++
 	}
-	b.End(live)
+	b.Finish(live)
 	for i := 0; i < len(lost); i++ {
 		if lost[i].Torn {
 			lost = append(lost[:i], lost[i+1:]...)
@@ -78,13 +78,13 @@
 	}
 	for _, r := range all {
 		where := ""
-		for _, a := range r.At() {
-			where += " " + a.Nodo
+		for _, a := range r.PossiblyExecuted() {
+			where += " " + a.Endpoint
 		}
-		out = append(out, fmt.Sprintf("%d %s%s", r.Number, r.Verdict().Word(), where))
+		out = append(out, fmt.Sprintf("%d %s%s", r.Number, r.Verdict().Name(), where))
 	}
-	if b.Open() != 0 {
-		t.Errorf("%d stay open", b.Open())
+	if b.OpenRequests() != 0 {
+		t.Errorf("%d stay open", b.OpenRequests())
 	}
 	return out, lost
 }
@@ -209,20 +209,20 @@
 // Times of day follow the clock that was set; what is told to people names the place, the times and what is not known.
 func TestText(t *testing.T) {
 	var r *Request
-	b := NewBook(func(q *Request) { r = q }, nil)
-	b.Segment(&segment.Header{Process: 1, First: 1, Began: time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC).UnixMicro(), Host: "centro-1"})
-	b.Record(1, &segment.Record{Kind: segment.Taken, At: time.Second, Request: 1, ID: "r1", Class: "reserva", Tenant: "escuela-7", Key: "seat-1", Left: 5 * time.Second})
-	b.Record(2, &segment.Record{Kind: segment.Clock, At: 2 * time.Second, Wall: time.Date(2026, 3, 2, 9, 0, 2, 0, time.UTC).UnixMicro()})
-	b.Record(3, &segment.Record{Kind: segment.Intent, At: 3 * time.Second, Request: 1, Attempt: 1, Nodo: "portal-1", Cluster: "portal", Zone: "sala-centro", Cell: 2})
-	b.End(false)
+	b := NewIndex(func(q *Request) { r = q }, nil)
+	b.BeginSegment(&segment.Header{Process: 1, FirstSeq: 1, StartedAt: time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC).UnixMicro(), Host: "centro-1"})
+	b.AddRecord(1, &segment.Record{Kind: segment.Received, At: time.Second, Request: 1, ID: "r1", Class: "reserva", Tenant: "escuela-7", Key: "seat-1", TimeLeft: 5 * time.Second})
+	b.AddRecord(2, &segment.Record{Kind: segment.ClockShift, At: 2 * time.Second, WallTime: time.Date(2026, 3, 2, 9, 0, 2, 0, time.UTC).UnixMicro()})
+	b.AddRecord(3, &segment.Record{Kind: segment.Intent, At: 3 * time.Second, Request: 1, Attempt: 1, Endpoint: "portal-1", Cluster: "portal", Zone: "sala-centro", Cell: 2})
+	b.Finish(false)
 	text := strings.ReplaceAll(r.Text(), time.Local.String(), "UTC")
 	for _, want := range []string{"r1: MAY HAVE RUN", `reserva, tenant "escuela-7", key "seat-1"`, "portal-1 (cluster portal, zone sala-centro, cell 2)",
-		r.Life.Time(3 * time.Second).Format(clockForm), "no answer seen", "no answer to the caller is recorded", "was set"} {
+		r.Incarnation.Time(3 * time.Second).Format(timeLayout), "no answer seen", "no answer to the caller is recorded", "was set"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("no %q in:\n%s", want, text)
 		}
 	}
-	if at := r.Life.Time(3 * time.Second).UTC(); at.Hour() != 9 || r.Life.Time(time.Second).UTC().Hour() != 8 {
+	if at := r.Incarnation.Time(3 * time.Second).UTC(); at.Hour() != 9 || r.Incarnation.Time(time.Second).UTC().Hour() != 8 {
 		t.Errorf("%v", at)
 	}
 }
--- a/internal/ledger/account/format_test.go
+++ b/internal/ledger/account/format_test.go
@@ -17,8 +17,8 @@
 	}
 	golden.Text(t, "view.json", text)
 	var names []string
-	for verdict := Open; verdict <= Unclear; verdict++ {
-		names = append(names, verdict.String(), verdict.Word())
+	for verdict := InProgress; verdict <= Unclear; verdict++ {
+		names = append(names, verdict.String(), verdict.Name())
 	}
 	if text, err = json.MarshalIndent(names, "", " "); err != nil {
 		t.Fatal(err)
@@ -32,6 +32,6 @@
 	golden.Fill(&r)
 	r.Ending = 1
 	lost := r
-	lost.Known, lost.Ended = false, false
+	lost.Known, lost.Answered = false, false
 	golden.Text(t, "request.txt", []byte(r.Text()+"\n"+lost.Text()))
 }
--- a/internal/ledger/commit/commit_test.go
+++ b/internal/ledger/commit/commit_test.go
@@ -13,7 +13,7 @@
 )
 
 func frame(t interface{ Fatal(...any) }, seq uint64, n int) []byte {
-	b, err := segment.AppendFrame(nil, seq, &segment.Record{Kind: segment.Taken, ID: strings.Repeat("x", n)})
+	b, err := segment.AppendFrame(nil, seq, &segment.Record{Kind: segment.Received, ID: strings.Repeat("x", n)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,7 +22,7 @@
 
 func numbers(frames []byte) (out []uint64) {
 	for len(frames) > 0 {
-		seq, size := segment.Frame(frames)
+		seq, size := segment.FirstFrame(frames)
 		out, frames = append(out, seq), frames[size:]
 	}
 	return out
@@ -40,8 +40,8 @@
 func TestAnyTroubles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		c := Config{Mode: rapid.SampledFrom([]Mode{Group, Each, OS}).Draw(t, "mode"), Gather: 3 * time.Millisecond, Patience: 10 * time.Millisecond,
-			Segment: int64(rapid.IntRange(64, 400).Draw(t, "segment")), Held: rapid.IntRange(200, 2000).Draw(t, "held")}
+		c := Config{Mode: rapid.SampledFrom([]Mode{GroupCommit, EachRecord, OSBuffered}).Draw(t, "mode"), MaxGroupDelay: 3 * time.Millisecond, SlowDiskTime: 10 * time.Millisecond,
+			SegmentBytes: int64(rapid.IntRange(64, 400).Draw(t, "segment")), MaxPendingBytes: rapid.IntRange(200, 2000).Draw(t, "held")}
 		l := New(c, 1)
 		var parts []*part
 		var writing []uint64 // what is under way
@@ -58,7 +58,7 @@
 			}
 			switch kind {
 			case "add":
-				seq := l.Next()
+				seq := l.NextSeq()
 				if l.Add(frame(t, seq, rapid.IntRange(1, 40).Draw(t, "size"))) {
 					added[seq] = true
 				}
@@ -66,21 +66,21 @@
 				if writing != nil || opening {
 					return
 				}
-				s, frames, _ := l.Work(now)
+				s, frames, _ := l.NextStep(now)
 				switch s {
-				case Open:
+				case OpenSegment:
 					if inSync {
 						t.Fatal("a segment is opened while the one before is synced")
 					}
 					opening = true
-				case Write:
+				case WriteFrames:
 					writing = numbers(frames)
 				}
 			case "worked":
 				switch {
 				case opening:
 					opening = false
-					l.Opened(now, 32, err)
+					l.SegmentOpened(now, 32, err)
 					if err == nil {
 						parts = append(parts, &part{})
 					}
@@ -92,13 +92,13 @@
 						p.written = append(p.written, writing[:len(writing)/2]...)
 					}
 					writing = nil
-					l.Wrote(now, err)
+					l.WriteCompleted(now, err)
 				}
 			case "sync":
 				if inSync || opening {
 					return
 				}
-				if due, _ := l.Due(now); due {
+				if due, _ := l.BeginSync(now); due {
 					inSync, of = true, parts[len(parts)-1]
 					syncUpTo = len(of.written)
 				}
@@ -110,7 +110,7 @@
 				if err == nil {
 					of.safe = max(of.safe, syncUpTo)
 				}
-				l.Synced(now, err)
+				l.SyncCompleted(now, err)
 			case "time":
 				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
 			}
@@ -127,7 +127,7 @@
 				}
 			}
 			for seq := range added {
-				if seq <= l.Durable() && (c.Mode != OS && !safe[seq] || !written[seq]) {
+				if seq <= l.Durable() && (c.Mode != OSBuffered && !safe[seq] || !written[seq]) {
 					t.Fatalf("%d is called durable (to %d) and is not", seq, l.Durable())
 				}
 				if seq <= l.Written() && !written[seq] {
@@ -143,7 +143,7 @@
 			check()
 		}
 		well = true
-		l.Closing()
+		l.BeginClose()
 		for range 400 {
 			for _, s := range []string{"work", "worked", "sync", "synced", "time"} {
 				step(s)
@@ -154,8 +154,8 @@
 		for seq := range added {
 			most = max(most, seq)
 		}
-		if l.Written() < most || l.Durable() < most || !l.Done() && len(parts) > 0 {
-			t.Fatalf("well again: durable to %d of %d, done %v", l.Durable(), most, l.Done())
+		if l.Written() < most || l.Durable() < most || !l.IsDone() && len(parts) > 0 {
+			t.Fatalf("well again: durable to %d of %d, done %v", l.Durable(), most, l.IsDone())
 		}
 		if why, _ := l.Ready(now); why != "" {
 			t.Fatalf("well again: %s", why)
@@ -168,61 +168,61 @@
 func TestTimes(t *testing.T) {
 	ms := time.Millisecond
 	now := time.Unix(1000, 0)
-	l := New(Config{Mode: Group, Gather: 3 * ms, Patience: 10 * ms, Segment: 1 << 20, Held: 1 << 20}, 1)
+	l := New(Config{Mode: GroupCommit, MaxGroupDelay: 3 * ms, SlowDiskTime: 10 * ms, SegmentBytes: 1 << 20, MaxPendingBytes: 1 << 20}, 1)
 	open := func() {
 		t.Helper()
-		if s, _, _ := l.Work(now); s != Open {
+		if s, _, _ := l.NextStep(now); s != OpenSegment {
 			t.Fatal("no segment is wanted")
 		}
 	}
 	write := func() {
 		t.Helper()
-		l.Add(frame(t, l.Next(), 20))
-		if s, _, _ := l.Work(now); s != Write {
+		l.Add(frame(t, l.NextSeq(), 20))
+		if s, _, _ := l.NextStep(now); s != WriteFrames {
 			t.Fatal("nothing is written")
 		}
-		l.Wrote(now, nil)
+		l.WriteCompleted(now, nil)
 	}
 	open()
-	l.Opened(now, 100, nil)
+	l.SegmentOpened(now, 100, nil)
 	write()
 	for _, c := range []struct{ took, waits time.Duration }{{4 * ms, ms}, {20 * ms, 3 * ms}, {0, 0}} {
-		if due, _ := l.Due(now); !due {
+		if due, _ := l.BeginSync(now); !due {
 			t.Fatal("an fsync waits on an idle disk")
 		}
 		now = now.Add(c.took)
 		if why, back := l.Ready(now); (why != "") != (c.took > 10*ms) || why != "" && back <= 0 {
 			t.Errorf("after %v: %q, %v", c.took, why, back)
 		}
-		l.Synced(now, nil)
+		l.SyncCompleted(now, nil)
 		write()
-		due, until := l.Due(now)
+		due, until := l.BeginSync(now)
 		if c.waits > 0 && (due || until != now.Add(c.waits)) {
 			t.Errorf("after %v the next waits until %v", c.took, until.Sub(now))
 		}
 		if now = now.Add(c.waits); due {
-			l.Synced(now, nil)
+			l.SyncCompleted(now, nil)
 			write()
 		}
 	}
-	l.Fail(now, errors.New("gone"))
+	l.ReportFailure(now, errors.New("gone"))
 	last := time.Duration(0)
 	for range 10 {
-		_, _, until := l.Work(now)
-		if wait := until.Sub(now); wait < last || wait > againMost || wait < againFirst {
+		_, _, until := l.NextStep(now)
+		if wait := until.Sub(now); wait < last || wait > maxRetryDelay || wait < minRetryDelay {
 			t.Errorf("after %v a new segment is tried after %v", last, wait)
 		} else {
 			last = wait
 		}
 		now = until
 		open()
-		l.Opened(now, 0, errors.New("still"))
+		l.SegmentOpened(now, 0, errors.New("still"))
 	}
 }
 
 func TestKeeping(t *testing.T) {
 	now := time.Unix(1e6, 0)
-	k := Keeping{Age: time.Hour, Size: 250, Longest: 10 * time.Minute}
+	k := Retention{MaxAge: time.Hour, MaxBytes: 250, MinAge: 10 * time.Minute}
 	seg := func(n uint64, age time.Duration) Segment { return Segment{n, 100, now.Add(-age)} }
 	for _, c := range []struct {
 		all  []Segment
@@ -236,7 +236,7 @@
 		{[]Segment{seg(1, 9*time.Minute), seg(2, 2*time.Minute), seg(3, 0)}, nil, true}, // keys need them
 		{[]Segment{seg(1, time.Minute), seg(2, 2*time.Hour), seg(3, 0)}, nil, true},     // no holes
 	} {
-		if out, over := k.Go(now, c.all); !slices.Equal(out, c.out) || over != c.over {
+		if out, over := k.Expired(now, c.all); !slices.Equal(out, c.out) || over != c.over {
 			t.Errorf("%v: %v, %v", c.all, out, over)
 		}
 	}
--- a/internal/ledger/disk/disk.go
+++ b/internal/ledger/disk/disk.go
@@ -105,19 +105,19 @@
 	return f.Sync()
 }
 
-// ErrHeld says that another process holds the directory.
-var ErrHeld = errors.New("another process holds it")
+// ErrLocked says that another process holds the directory.
+var ErrLocked = errors.New("another process holds it")
 
 const lockName = "lock"
 
 // Lock is a directory that this process holds.
 type Lock struct {
-	dir Dir
-	f   *os.File
+	dir  Dir
+	file *os.File
 }
 
-// Hold takes the directory for this process alone, until it ends or the lock is released.
-func (d Dir) Hold() (*Lock, error) {
+// Lock takes the directory for this process alone, until it ends or the lock is released.
+func (d Dir) Lock() (*Lock, error) {
 	f, err := os.OpenFile(filepath.Join(string(d), lockName), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, err
@@ -127,7 +127,7 @@
 		text, _ := io.ReadAll(io.LimitReader(f, 32))
 		f.Close()
 		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EACCES) {
-			return nil, fmt.Errorf("%w, of number %s", ErrHeld, strings.TrimSpace(string(text)))
+			return nil, fmt.Errorf("%w, of number %s", ErrLocked, strings.TrimSpace(string(text)))
 		}
 		return nil, err
 	}
@@ -137,9 +137,9 @@
 	return &Lock{d, f}, nil
 }
 
-// Stands tells whether the directory is still the one that was taken: it, or the lock in it, may have been removed.
-func (l *Lock) Stands() bool {
-	mine, err := l.f.Stat()
+// IsValid tells whether the directory is still the one that was taken: it, or the lock in it, may have been removed.
+func (l *Lock) IsValid() bool {
+	mine, err := l.file.Stat()
 	if err != nil {
 		return false
 	}
@@ -148,10 +148,10 @@
 }
 
 // Release gives the directory back.
-func (l *Lock) Release() { l.f.Close() }
+func (l *Lock) Release() { l.file.Close() }
 
-// Held tells whether a process holds the directory. To ask takes nothing that could keep one from starting.
-func (d Dir) Held() bool {
+// IsLocked tells whether a process holds the directory. To ask takes nothing that could keep one from starting.
+func (d Dir) IsLocked() bool {
 	f, err := os.Open(filepath.Join(string(d), lockName))
 	if err != nil {
 		return false
@@ -161,8 +161,8 @@
 	return unix.FcntlFlock(f.Fd(), unix.F_OFD_GETLK, &lock) == nil && lock.Type != unix.F_UNLCK
 }
 
-// Boot returns what names the machine's start, or "" where the system does not tell.
-func Boot() string {
+// BootID returns what names the machine's start, or "" where the system does not tell.
+func BootID() string {
 	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
 	if err != nil {
 		return ""
@@ -170,8 +170,8 @@
 	return strings.TrimSpace(string(text))
 }
 
-// Since returns the time since the machine's start, by a clock that nobody sets and that goes on while the machine sleeps.
-func Since() time.Duration {
+// SinceBoot returns the time since the machine's start, by a clock that nobody sets and that goes on while the machine sleeps.
+func SinceBoot() time.Duration {
 	var t unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
 		return 0
--- a/internal/ledger/disk/disk_test.go
+++ b/internal/ledger/disk/disk_test.go
@@ -47,35 +47,35 @@
 // One holds a directory; to ask whether one does takes nothing; a lock whose file is gone, or another's, stands no more.
 func TestHold(t *testing.T) {
 	d := Dir(t.TempDir())
-	if d.Held() {
+	if d.IsLocked() {
 		t.Error("held by nobody")
 	}
-	l, err := d.Hold()
+	l, err := d.Lock()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := d.Hold(); !errors.Is(err, ErrHeld) || !d.Held() || !l.Stands() {
-		t.Errorf("%v, held %v, stands %v", err, d.Held(), l.Stands())
+	if _, err := d.Lock(); !errors.Is(err, ErrLocked) || !d.IsLocked() || !l.IsValid() {
+		t.Errorf("%v, held %v, stands %v", err, d.IsLocked(), l.IsValid())
 	}
-	if err := os.Remove(filepath.Join(string(d), lockName)); err != nil || l.Stands() {
+	if err := os.Remove(filepath.Join(string(d), lockName)); err != nil || l.IsValid() {
 		t.Errorf("%v, or it stands without its file", err)
 	}
-	other, err := d.Hold()
-	if err != nil || l.Stands() || !other.Stands() {
-		t.Errorf("%v: the first stands %v", err, l.Stands())
+	other, err := d.Lock()
+	if err != nil || l.IsValid() || !other.IsValid() {
+		t.Errorf("%v: the first stands %v", err, l.IsValid())
 	}
 	l.Release()
-	if !d.Held() {
+	if !d.IsLocked() {
 		t.Error("the first one's release gave back the other's")
 	}
-	if other.Release(); d.Held() {
+	if other.Release(); d.IsLocked() {
 		t.Error("held after its release")
 	}
 }
 
 func TestBoot(t *testing.T) {
-	before := Since()
-	if Boot() != Boot() || before <= 0 || Since() < before {
-		t.Errorf("%q, %v", Boot(), before)
+	before := SinceBoot()
+	if BootID() != BootID() || before <= 0 || SinceBoot() < before {
+		t.Errorf("%q, %v", BootID(), before)
 	}
 }
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -15,16 +15,16 @@
 	"silvertrail/lbpolicy"
 )
 
-func newNumber() uint64 { return rand.Uint64() | 1 }
+func randomID() uint64 { return rand.Uint64() | 1 }
 
 // Request is what is recorded of a request that is taken.
 type Request struct {
 	ID, Class   string
 	Tenant, Key string
 	KeyID       idempotency.KeyID
-	Print       idempotency.Fingerprint
-	Left        time.Duration
-	From        string // the sala that sent it; empty: a caller
+	Fingerprint idempotency.Fingerprint
+	TimeLeft    time.Duration
+	FromSite    string // the sala that sent it; empty: a caller
 	// Unrecorded has it served where it can't be recorded.
 	Unrecorded bool
 }
@@ -35,28 +35,28 @@
 	number     uint64
 	unrecorded bool
 
-	mu       sync.Mutex
-	attempts int
-	ended    bool
-	answered uint64 // number of the record of an endpoint's answer
+	mu          sync.Mutex
+	attempts    int
+	ended       bool
+	responseSeq uint64 // number of the record of an endpoint's answer
 }
 
-// hideName returns what stands for a name in the log: itself, or its hash under the secret.
-func (l *Ledger) hideName(kind, name string) string {
+// maskName returns what stands for a name in the log: itself, or its hash under the secret.
+func (l *Ledger) maskName(kind, name string) string {
 	secret := l.options.Load().Secret
 	if secret == nil || name == "" {
 		return name
 	}
-	return HideName(secret, kind, name)
+	return HashName(secret, kind, name)
 }
 
-// HideName returns the hash of a name under a secret. Kind keeps keys and tenants apart.
-func HideName(secret []byte, kind, name string) string {
-	h := hide(secret, kind, []byte(name))
+// HashName returns the hash of a name under a secret. Kind keeps keys and tenants apart.
+func HashName(secret []byte, kind, name string) string {
+	h := keyedHash(secret, kind, []byte(name))
 	return hex.EncodeToString(h[:])
 }
 
-func hide(secret []byte, kind string, what []byte) (out [16]byte) {
+func keyedHash(secret []byte, kind string, what []byte) (out [16]byte) {
 	m := hmac.New(sha256.New, secret)
 	m.Write([]byte(kind))
 	m.Write([]byte{0})
@@ -65,59 +65,59 @@
 	return out
 }
 
-func (l *Ledger) hideID(id idempotency.KeyID) idempotency.KeyID {
+func (l *Ledger) maskKeyID(id idempotency.KeyID) idempotency.KeyID {
 	if secret := l.options.Load().Secret; secret != nil {
-		return hide(secret, "id", id[:])
+		return keyedHash(secret, "id", id[:])
 	}
 	return id
 }
 
-// HidePrint returns what stands for a request's print in the log.
-func (l *Ledger) HidePrint(p idempotency.Fingerprint) idempotency.Fingerprint {
+// MaskFingerprint returns what stands for a request's print in the log.
+func (l *Ledger) MaskFingerprint(p idempotency.Fingerprint) idempotency.Fingerprint {
 	if secret := l.options.Load().Secret; secret != nil && p != (idempotency.Fingerprint{}) {
-		return hide(secret, "print", p[:])
+		return keyedHash(secret, "print", p[:])
 	}
 	return p
 }
 
-const longestName = 256 // of a tenant, in the log
+const maxTenantBytes = 256 // of a tenant, in the log
 
-// Take records that a request is taken. An *ErrUnready says that it can't be: nothing of it may go out.
-func (l *Ledger) Take(r Request) (*Entry, error) {
-	if len(r.Tenant) > longestName { // it stands for more than itself; the whole is in the key's ID
-		r.Tenant = r.Tenant[:longestName]
+// Begin records that a request is taken. An *ErrUnready says that it can't be: nothing of it may go out.
+func (l *Ledger) Begin(r Request) (*Entry, error) {
+	if len(r.Tenant) > maxTenantBytes { // it stands for more than itself; the whole is in the key's ID
+		r.Tenant = r.Tenant[:maxTenantBytes]
 	}
-	rec := segment.Record{Kind: segment.Taken, ID: r.ID, Class: r.Class, Key: l.hideName("key", r.Key), Tenant: l.hideName("tenant", r.Tenant),
-		KeyID: l.hideID(r.KeyID), Print: l.HidePrint(r.Print), Left: r.Left, From: r.From}
+	rec := segment.Record{Kind: segment.Received, ID: r.ID, Class: r.Class, Key: l.maskName("key", r.Key), Tenant: l.maskName("tenant", r.Tenant),
+		KeyID: l.maskKeyID(r.KeyID), Fingerprint: l.MaskFingerprint(r.Fingerprint), TimeLeft: r.TimeLeft, FromSite: r.FromSite}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	why, back := l.commit.Ready(time.Now())
-	l.requests++
-	e := &Entry{ledger: l, number: l.requests, unrecorded: r.Unrecorded}
+	l.requestCount++
+	e := &Entry{ledger: l, number: l.requestCount, unrecorded: r.Unrecorded}
 	if why == "" {
-		rec.Request, rec.At = e.number, l.at()
-		if _, ok := l.add(&rec, false); ok {
+		rec.Request, rec.At = e.number, l.elapsed()
+		if _, ok := l.addRecord(&rec, false); ok {
 			return e, nil
 		}
-		why, back = "no room for records", l.options.Load().Commit.Patience
+		why, back = "no room for records", l.options.Load().Commit.SlowDiskTime
 	}
-	l.tell(time.Now())
+	l.logState(time.Now())
 	if r.Unrecorded {
 		return e, nil
 	}
-	return nil, &ErrUnready{why, back}
+	return nil, &UnavailableError{why, back}
 }
 
 // Attempt is one attempt of a request.
 type Attempt struct {
-	entry  *Entry
-	number int
-	nodo   string
-	terms  idempotency.Terms
+	entry    *Entry
+	number   int
+	endpoint string
+	terms    idempotency.Terms
 
 	mu       sync.Mutex
 	intended bool
-	over     bool
+	ended    bool
 }
 
 // Attempt begins a request's next attempt. Nothing is recorded until its Intent.
@@ -125,7 +125,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.attempts++
-	return &Attempt{entry: e, number: e.attempts, nodo: nodo, terms: terms}
+	return &Attempt{entry: e, number: e.attempts, endpoint: nodo, terms: terms}
 }
 
 // Intent records that the attempt is about to go out, and returns when that is as safe as the mode asks for. With an error
@@ -134,15 +134,15 @@
 	l := a.entry.ledger
 	l.mu.Lock()
 	a.mu.Lock()
-	over := a.over
+	over := a.ended
 	why, back := l.commit.Ready(time.Now())
 	var seq uint64
 	if !over && why == "" {
 		var ok bool
-		seq, ok = l.add(&segment.Record{Kind: segment.Intent, At: l.at(), Request: a.entry.number, Attempt: a.number, Nodo: a.nodo,
-			Cluster: to.Cluster, Zone: to.Zone, Cell: to.Cell, Scope: uint8(a.terms.Scope), Window: a.terms.Window, Keep: a.terms.Retention}, true)
+		seq, ok = l.addRecord(&segment.Record{Kind: segment.Intent, At: l.elapsed(), Request: a.entry.number, Attempt: a.number, Endpoint: a.endpoint,
+			Cluster: to.Cluster, Zone: to.Zone, Cell: to.Cell, Scope: uint8(a.terms.Scope), Window: a.terms.Window, Retention: a.terms.Retention}, true)
 		if a.intended = ok; !ok {
-			why, back = "no room for records", l.options.Load().Commit.Patience
+			why, back = "no room for records", l.options.Load().Commit.SlowDiskTime
 		}
 	}
 	a.mu.Unlock()
@@ -152,22 +152,22 @@
 		l.mu.Unlock()
 		return context.Canceled
 	case why != "":
-		l.tell(time.Now())
+		l.logState(time.Now())
 		l.mu.Unlock()
-		err = &ErrUnready{why, back}
+		err = &UnavailableError{why, back}
 	default:
-		err = l.await(ctx, seq, l.options.Load().Commit.Mode != commit.OS)
+		err = l.await(ctx, seq, l.options.Load().Commit.Mode != commit.OSBuffered)
 	}
 	if err != nil && a.entry.unrecorded && ctx.Err() == nil {
 		l.mu.Lock()
-		l.miss()
+		l.countUnrecorded()
 		l.mu.Unlock()
 		return nil
 	}
 	return err
 }
 
-var words = map[lbpolicy.Verdict]string{lbpolicy.OK: "ok", lbpolicy.Error: "error", lbpolicy.ServerFull: "full", lbpolicy.Timeout: "timeout",
+var verdictNames = map[lbpolicy.Verdict]string{lbpolicy.OK: "ok", lbpolicy.Error: "error", lbpolicy.ServerFull: "full", lbpolicy.Timeout: "timeout",
 	lbpolicy.ConnectFailed: "connect failed", lbpolicy.Reset: "reset", lbpolicy.Cancelled: "cancelled", lbpolicy.NotSent: "not sent",
 	lbpolicy.Rejected: "rejected"}
 
@@ -178,104 +178,104 @@
 	defer l.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.over {
+	if a.ended {
 		return
 	}
-	if a.over = true; a.intended {
-		seq, _ := l.add(&segment.Record{Kind: segment.Outcome, At: l.at(), Request: a.entry.number, Attempt: a.number, Never: v.NeverRan(),
-			Answer: status != 0, Verdict: words[v], Status: status}, v == lbpolicy.OK)
+	if a.ended = true; a.intended {
+		seq, _ := l.addRecord(&segment.Record{Kind: segment.Outcome, At: l.elapsed(), Request: a.entry.number, Attempt: a.number, NeverRan: v.NeverRan(),
+			Responded: status != 0, Verdict: verdictNames[v], Status: status}, v == lbpolicy.OK)
 		if v == lbpolicy.OK {
 			a.entry.mu.Lock()
-			a.entry.answered = seq
+			a.entry.responseSeq = seq
 			a.entry.mu.Unlock()
 		}
 	}
 }
 
-// Final records the request's one answer, before its first byte goes to the caller. What an endpoint has answered waits
+// Finish records the request's one answer, before its first byte goes to the caller. What an endpoint has answered waits
 // until the record of that is as safe as the mode asks for, within the patience; what was given up on never waits. The
 // record of the final answer itself follows at once, and nobody waits for it: should the process die between the two, the
 // ledger tells that the request ran and not whether its caller had the answer.
-func (e *Entry) Final(ending segment.Ending, status int) {
+func (e *Entry) Finish(ending segment.Ending, status int) {
 	l := e.ledger
 	e.mu.Lock()
-	again, answered := e.ended, e.answered
+	again, answered := e.ended, e.responseSeq
 	e.ended = true
 	e.mu.Unlock()
 	if again {
 		return
 	}
 	l.mu.Lock()
-	_, ok := l.add(&segment.Record{Kind: segment.Final, At: l.at(), Request: e.number, Ending: ending, Status: status}, true)
+	_, ok := l.addRecord(&segment.Record{Kind: segment.Final, At: l.elapsed(), Request: e.number, Ending: ending, Status: status}, true)
 	if ending != segment.Served || answered == 0 {
 		l.mu.Unlock()
 		return
 	}
 	if why, _ := l.commit.Ready(time.Now()); ok && why == "" {
-		if l.await(context.Background(), answered, l.options.Load().Commit.Mode == commit.Each) == nil {
+		if l.await(context.Background(), answered, l.options.Load().Commit.Mode == commit.EachRecord) == nil {
 			return
 		}
 		l.mu.Lock()
 	}
-	l.late++
+	l.lateAnswers++
 	l.mu.Unlock()
 }
 
-// Recall returns what former processes have recorded of a key that may have run.
-func (l *Ledger) Recall(now time.Time, id idempotency.KeyID) (k idempotency.Record, print idempotency.Fingerprint, ok bool) {
-	if !l.recalls.Load() {
+// RecoveredKey returns what former processes have recorded of a key that may have run.
+func (l *Ledger) RecoveredKey(now time.Time, id idempotency.KeyID) (k idempotency.Record, print idempotency.Fingerprint, ok bool) {
+	if !l.hasRecovered.Load() {
 		return k, print, false
 	}
-	hidden := l.hideID(id)
+	hidden := l.maskKeyID(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if k, ok = l.recovered.Find(now, hidden); ok {
-		k.ID, print = id, l.prints[hidden]
+		k.ID, print = id, l.fingerprints[hidden]
 	}
 	return k, print, ok
 }
 
-// Doubtful tells whether a key of which nothing is known may have run all the same, as records are lost.
-func (l *Ledger) Doubtful(now time.Time) bool {
-	return !l.doubt.IsZero() && now.Before(l.doubt) && !l.options.Load().Trusting
+// IsUncertain tells whether a key of which nothing is known may have run all the same, as records are lost.
+func (l *Ledger) IsUncertain(now time.Time) bool {
+	return !l.uncertainUntil.IsZero() && now.Before(l.uncertainUntil) && !l.options.Load().IgnoreLosses
 }
 
 // View is what a running ledger tells of itself.
 type View struct {
-	Dir       string    `json:"dir"`
-	Mode      string    `json:"mode"`
-	Ready     bool      `json:"ready"`
-	Why       string    `json:"why,omitempty"`
-	Records   uint64    `json:"last_record"`
-	Durable   uint64    `json:"durable_to"`
-	Segments  int       `json:"segments"`
-	Bytes     int64     `json:"bytes"`
-	Requests  uint64    `json:"requests"`
-	Missed    uint64    `json:"served_unrecorded"`
-	Dropped   uint64    `json:"records_without_room"`
-	Late      uint64    `json:"answers_before_their_record"`
-	Errors    uint64    `json:"disk_errors"`
-	Syncs     uint64    `json:"fsyncs"`
-	Synced    uint64    `json:"records_in_fsyncs"`
-	Recovered int       `json:"keys_recovered"`
-	Doubt     time.Time `json:"doubt_until,omitzero"`
-	Losses    int       `json:"losses_found"`
+	Dir            string    `json:"dir"`
+	Mode           string    `json:"mode"`
+	Ready          bool      `json:"ready"`
+	Reason         string    `json:"why,omitempty"`
+	Records        uint64    `json:"last_record"`
+	Durable        uint64    `json:"durable_to"`
+	Segments       int       `json:"segments"`
+	Bytes          int64     `json:"bytes"`
+	Requests       uint64    `json:"requests"`
+	Unrecorded     uint64    `json:"served_unrecorded"`
+	Dropped        uint64    `json:"records_without_room"`
+	LateAnswers    uint64    `json:"answers_before_their_record"`
+	Errors         uint64    `json:"disk_errors"`
+	Syncs          uint64    `json:"fsyncs"`
+	SyncedRecords  uint64    `json:"records_in_fsyncs"`
+	Recovered      int       `json:"keys_recovered"`
+	UncertainUntil time.Time `json:"doubt_until,omitzero"`
+	Losses         int       `json:"losses_found"`
 }
 
-// Look tells how the ledger stands.
-func (l *Ledger) Look() View {
+// Status tells how the ledger stands.
+func (l *Ledger) Status() View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.options.Load()
 	why, _ := l.commit.Ready(time.Now())
-	v := View{Dir: o.Dir, Mode: o.Commit.Mode.String(), Ready: why == "", Why: why, Records: l.commit.Next() - 1, Durable: l.commit.Durable(),
-		Segments: len(l.files), Requests: l.requests, Missed: l.missing, Dropped: l.commit.Dropped(), Late: l.late, Errors: l.commit.Epoch(),
-		Syncs: l.syncs, Synced: l.synced, Recovered: l.recovered.Len(), Losses: len(l.found.Losses)}
-	for _, f := range l.files {
+	v := View{Dir: o.Dir, Mode: o.Commit.Mode.String(), Ready: why == "", Reason: why, Records: l.commit.NextSeq() - 1, Durable: l.commit.Durable(),
+		Segments: len(l.segments), Requests: l.requestCount, Unrecorded: l.unrecordedCount, Dropped: l.commit.Dropped(), LateAnswers: l.lateAnswers, Errors: l.commit.ErrorCount(),
+		Syncs: l.syncCount, SyncedRecords: l.syncedRecords, Recovered: l.recovered.Len(), Losses: len(l.report.Losses)}
+	for _, f := range l.segments {
 		v.Bytes += f.Bytes
 	}
-	if time.Now().Before(l.doubt) {
-		v.Doubt = l.doubt
+	if time.Now().Before(l.uncertainUntil) {
+		v.UncertainUntil = l.uncertainUntil
 	}
 	return v
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -27,9 +27,9 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func options(d disk.Disk) Options {
-	return Options{Disk: d, Boot: "boot 1", Keys: 1 << 12, Log: slog.New(slog.DiscardHandler), ClockOff: time.Second,
-		Commit:  commit.Config{Mode: commit.Group, Gather: 200 * time.Microsecond, Patience: lbtest.Wait, Segment: 16 << 10, Held: 1 << 20},
-		Keeping: commit.Keeping{Age: time.Hour, Size: 1 << 30, Longest: 2 * time.Minute}}
+	return Options{Disk: d, BootID: "boot 1", MaxKeys: 1 << 12, Log: slog.New(slog.DiscardHandler), MaxClockError: time.Second,
+		Commit:    commit.Config{Mode: commit.GroupCommit, MaxGroupDelay: 200 * time.Microsecond, SlowDiskTime: lbtest.Wait, SegmentBytes: 16 << 10, MaxPendingBytes: 1 << 20},
+		Retention: commit.Retention{MaxAge: time.Hour, MaxBytes: 1 << 30, MinAge: 2 * time.Minute}}
 }
 
 func start(t *testing.T, o Options) *Ledger {
@@ -45,7 +45,7 @@
 var terms = idempotency.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}
 
 func request(id string) Request {
-	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: idempotency.KeyIDOf("school", "key "+id), Left: time.Minute}
+	return Request{ID: id, Class: "seat", Tenant: "school", Key: "key " + id, KeyID: idempotency.KeyIDOf("school", "key "+id), TimeLeft: time.Minute}
 }
 
 // read reads a log and returns its requests by their ids.
@@ -101,7 +101,7 @@
 		default:
 		}
 		id := fmt.Sprintf("%d-%d", caller, i)
-		e, err := l.Take(request(id))
+		e, err := l.Begin(request(id))
 		if err != nil {
 			time.Sleep(time.Millisecond)
 			continue
@@ -113,7 +113,7 @@
 			a := e.Attempt(nodo, terms)
 			if err := a.Intent(ctx, idempotency.Place{Cluster: "c", Zone: "z"}); err != nil {
 				a.Ended(lbpolicy.NotSent, 0)
-				ending = segment.Refused
+				ending = segment.Rejected
 				break
 			}
 			w.see(id, func(s *seen) { s.sent[nodo]++ })
@@ -131,7 +131,7 @@
 			}
 			break
 		}
-		e.Final(ending, 200)
+		e.Finish(ending, 200)
 		w.see(id, func(s *seen) { s.answered = ending })
 	}
 }
@@ -176,7 +176,7 @@
 		intended := map[string]int{}
 		for _, a := range q.Attempts {
 			if a.Intended {
-				intended[a.Nodo]++
+				intended[a.Endpoint]++
 			}
 		}
 		for nodo, n := range s.sent {
@@ -189,10 +189,10 @@
 			sent += n
 		}
 		v := q.Verdict()
-		if (v == account.NeverRan || v == account.Refused) && sent > s.never {
+		if (v == account.NeverRan || v == account.Rejected) && sent > s.never {
 			fault("%s may have run and is called %v", id, v)
 		}
-		if exact && s.answered == segment.Served && v != account.Served && v != account.Ran {
+		if exact && s.answered == segment.Served && v != account.Served && v != account.Executed {
 			fault("%s was served and is called %v", id, v)
 		}
 		if exact && n < latest[caller] && s.answered != 0 && s.answered != segment.Served && v == account.MayHaveRun && sent == s.never {
@@ -200,7 +200,7 @@
 		}
 	}
 	for id, q := range is {
-		if v := q.Verdict(); (v == account.Served || v == account.Ran) && !was[id].ran {
+		if v := q.Verdict(); (v == account.Served || v == account.Executed) && !was[id].ran {
 			// The nodo's answer can have come between its sight and the snapshot only the other way round.
 			fault("%s is called %v, and nobody saw it run", id, v)
 		}
@@ -228,7 +228,7 @@
 	for i := range callers {
 		crowd.Go(func() { w.burst(l, i, stop) })
 	}
-	lbtest.Until(t, "requests", func() bool { return l.Look().Requests > uint64(most) })
+	lbtest.Until(t, "requests", func() bool { return l.Status().Requests > uint64(most) })
 	after, was = w.snapshot(func() *standin.Disk {
 		if machine {
 			return d.Lost(r)
@@ -263,11 +263,11 @@
 	}
 	// Every attempt that may have run is known to the next process's rules.
 	for id, s := range was {
-		if k, _, ok := next.Recall(time.Now(), idempotency.KeyIDOf("school", "key "+id)); s.ran && (!ok || k.KeyState.Place.Zone != "z") {
+		if k, _, ok := next.RecoveredKey(time.Now(), idempotency.KeyIDOf("school", "key "+id)); s.ran && (!ok || k.KeyState.Place.Zone != "z") {
 			t.Errorf("%s ran, and the next process knows nothing of its key", id)
 		}
 	}
-	return against(is, was, !machine || mode == commit.Each)
+	return against(is, was, !machine || mode == commit.EachRecord)
 }
 
 // After the process is killed, or the machine lost with any part of what was not made safe, the account agrees with what
@@ -277,7 +277,7 @@
 		for _, c := range []struct {
 			mode    commit.Mode
 			machine bool
-		}{{commit.Group, false}, {commit.Group, true}, {commit.Each, true}, {commit.OS, false}} {
+		}{{commit.GroupCommit, false}, {commit.GroupCommit, true}, {commit.EachRecord, true}, {commit.OSBuffered, false}} {
 			if faults := played(t, round, c.mode, c.machine); len(faults) > 0 {
 				t.Errorf("%v, machine lost: %v: %d faults, such as %s", c.mode, c.machine, len(faults), faults[0])
 			}
@@ -289,8 +289,8 @@
 func unsound(r *Report) string {
 	text := fmt.Sprintf("losses %+v", r.Losses)
 	for _, f := range r.Files {
-		if f.Note != "" || len(f.Damage) > 0 {
-			text += fmt.Sprintf("; %s of %d bytes from %d: %q, torn %v, %+v, safe to %d", f.Name, f.Bytes, f.Header.First, f.Note, f.Torn, f.Damage, r.Lives[len(r.Lives)-1].Safe)
+		if f.SkipReason != "" || len(f.Damage) > 0 {
+			text += fmt.Sprintf("; %s of %d bytes from %d: %q, torn %v, %+v, safe to %d", f.Name, f.Bytes, f.Header.FirstSeq, f.SkipReason, f.Torn, f.Damage, r.Incarnations[len(r.Incarnations)-1].DurableTo)
 		}
 	}
 	return text
@@ -301,7 +301,7 @@
 func TestCrashAtEachStep(t *testing.T) {
 	d := standin.NewDisk(-1)
 	o := options(d)
-	o.Commit.Segment = 700 // a few requests
+	o.Commit.SegmentBytes = 700 // a few requests
 	w := &truth{all: map[string]*seen{}}
 	type moment struct {
 		disk *standin.Disk
@@ -326,17 +326,17 @@
 	stop := make(chan struct{})
 	ended := make(chan struct{})
 	go func() { w.burst(l, 0, stop); close(ended) }()
-	lbtest.Until(t, "requests", func() bool { return l.Look().Requests > 12 })
+	lbtest.Until(t, "requests", func() bool { return l.Status().Requests > 12 })
 	close(stop)
 	<-ended
 	l.Close()
 	d.Watch(nil)
-	if len(moments) < 100 || l.Look().Segments < 4 {
-		t.Fatalf("%d moments, %d segments", len(moments), l.Look().Segments)
+	if len(moments) < 100 || l.Status().Segments < 4 {
+		t.Fatalf("%d moments, %d segments", len(moments), l.Status().Segments)
 	}
 	again := 0
 	for i, m := range moments {
-		if is, report := read(t, m.disk); !report.Sound() {
+		if is, report := read(t, m.disk); !report.IsSound() {
 			t.Errorf("%d: %s", i, unsound(report))
 		} else if faults := against(is, m.was, m.kill); len(faults) > 0 {
 			t.Fatalf("%d (killed %v): %v", i, m.kill, faults)
@@ -358,12 +358,12 @@
 		m.disk.Watch(nil)
 		for j, d := range twice {
 			is, report := read(t, d)
-			if faults := against(is, m.was, m.kill); len(faults) > 0 || !report.Sound() {
+			if faults := against(is, m.was, m.kill); len(faults) > 0 || !report.IsSound() {
 				t.Fatalf("%d, %d: %v %s", i, j, faults, unsound(report))
 			}
 			if third, err := Start(options(d)); err != nil {
 				t.Fatalf("%d, %d: %v", i, j, err)
-			} else if third.Close(); third.Doubtful(time.Now()) {
+			} else if third.Close(); third.IsUncertain(time.Now()) {
 				t.Errorf("%d, %d: doubt without a loss", i, j)
 			}
 			again++
@@ -377,13 +377,13 @@
 func TestCutAndFlipped(t *testing.T) {
 	d := standin.NewDisk(-1)
 	o := options(d)
-	o.Commit.Segment = 1024
+	o.Commit.SegmentBytes = 1024
 	l, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i, fate := range []lbpolicy.Verdict{lbpolicy.OK, lbpolicy.Timeout, lbpolicy.ServerFull} {
-		e, err := l.Take(request(fmt.Sprint(i)))
+		e, err := l.Begin(request(fmt.Sprint(i)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -392,7 +392,7 @@
 			t.Fatal(err)
 		}
 		a.Ended(fate, 200)
-		e.Final(map[lbpolicy.Verdict]segment.Ending{lbpolicy.OK: segment.Served, lbpolicy.Timeout: segment.Failed, lbpolicy.ServerFull: segment.Refused}[fate], 200)
+		e.Finish(map[lbpolicy.Verdict]segment.Ending{lbpolicy.OK: segment.Served, lbpolicy.Timeout: segment.Failed, lbpolicy.ServerFull: segment.Rejected}[fate], 200)
 	}
 	l.Close()
 	names, _ := d.List()
@@ -405,10 +405,10 @@
 				is, _ := read(t, after)
 				for id, q := range is {
 					v := q.Verdict()
-					if (v == account.Served || v == account.Ran) && id != "0" && id != "" {
+					if (v == account.Served || v == account.Executed) && id != "0" && id != "" {
 						t.Errorf("%s of %s at %d: %s is called %v", what, name, i, id, v)
 					}
-					if (v == account.NeverRan || v == account.Refused) && (id == "0" || id == "1") && what == "flipped" {
+					if (v == account.NeverRan || v == account.Rejected) && (id == "0" || id == "1") && what == "flipped" {
 						t.Errorf("%s of %s at %d: %s is called %v", what, name, i, id, v)
 					}
 				}
@@ -420,7 +420,7 @@
 // The same check finds a disk whose fsync does nothing.
 func TestCrashFindsMissingSync(t *testing.T) {
 	for round := range 20 {
-		after, was := crashed(t, rand.New(rand.NewPCG(8, uint64(round))), commit.Group, 1, 100, true, true)
+		after, was := crashed(t, rand.New(rand.NewPCG(8, uint64(round))), commit.GroupCommit, 1, 100, true, true)
 		if is, _ := read(t, after); len(against(is, was, false)) > 0 {
 			return
 		}
@@ -455,39 +455,39 @@
 		t.Run(c.name, func(t *testing.T) {
 			d := standin.NewDisk(-1)
 			o := options(d)
-			o.Commit.Patience = 20 * time.Millisecond
+			o.Commit.SlowDiskTime = 20 * time.Millisecond
 			l := start(t, o)
 			serve := func(id string, unrecorded bool) (sent bool) {
 				q := request(id)
 				q.Unrecorded = unrecorded
-				e, err := l.Take(q)
+				e, err := l.Begin(q)
 				if err != nil {
 					return false
 				}
 				a := e.Attempt("n1", terms)
 				if err := a.Intent(ctx, idempotency.Place{Zone: "z"}); err != nil {
 					a.Ended(lbpolicy.NotSent, 0)
-					e.Final(segment.Refused, 503)
+					e.Finish(segment.Rejected, 503)
 					return false
 				}
 				a.Ended(lbpolicy.OK, 200)
-				e.Final(segment.Served, 200)
+				e.Finish(segment.Served, 200)
 				return true
 			}
 			lbtest.Until(t, "before", func() bool { return serve("before", false) })
 			off := c.on(d)
 			lbtest.Until(t, "refusals", func() bool { return !serve("meets it", false) })
-			lbtest.Until(t, "the disk is known to be in trouble", func() bool { return !l.Look().Ready })
-			var unready *ErrUnready
-			if _, err := l.Take(request("after it")); !errors.As(err, &unready) || unready.Back <= 0 {
+			lbtest.Until(t, "the disk is known to be in trouble", func() bool { return !l.Status().Ready })
+			var unready *UnavailableError
+			if _, err := l.Begin(request("after it")); !errors.As(err, &unready) || unready.RetryAfter <= 0 {
 				t.Errorf("in trouble: %v", err)
 			}
-			if !serve("unrecorded", true) || l.Look().Missed == 0 {
-				t.Errorf("a class that goes unrecorded was not served, or not counted: %+v", l.Look())
+			if !serve("unrecorded", true) || l.Status().Unrecorded == 0 {
+				t.Errorf("a class that goes unrecorded was not served, or not counted: %+v", l.Status())
 			}
 			off()
 			lbtest.Until(t, "after", func() bool { return serve("after", false) })
-			lbtest.Until(t, "what was served unrecorded is noted", func() bool { l.clock(); l.mu.Lock(); defer l.mu.Unlock(); return l.missed.Count == 0 })
+			lbtest.Until(t, "what was served unrecorded is noted", func() bool { l.checkClock(); l.mu.Lock(); defer l.mu.Unlock(); return l.unrecorded.Count == 0 })
 			l.Close()
 			is, report := read(t, d)
 			for _, id := range []string{"before", "after"} {
@@ -500,8 +500,8 @@
 			}
 			missed := false
 			for _, loss := range report.Losses {
-				missed = missed || loss.Missed && loss.Count > 0
-				if !loss.Missed {
+				missed = missed || loss.Unrecorded && loss.Count > 0
+				if !loss.Unrecorded {
 					t.Errorf("a loss: %+v", loss)
 				}
 			}
@@ -521,7 +521,7 @@
 		t.Fatal(err)
 	}
 	for i := range 400 {
-		e, err := l.Take(request(fmt.Sprint(i)))
+		e, err := l.Begin(request(fmt.Sprint(i)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -530,11 +530,11 @@
 			t.Fatal(err)
 		}
 		a.Ended(lbpolicy.OK, 200)
-		e.Final(segment.Served, 200)
+		e.Finish(segment.Served, 200)
 	}
 	l.Close()
 	whole, report := read(t, d)
-	if len(whole) != 400 || !report.Sound() || len(report.Files) < 4 || !report.Lives[0].Closed {
+	if len(whole) != 400 || !report.IsSound() || len(report.Files) < 4 || !report.Incarnations[0].CleanShutdown {
 		t.Fatalf("%d requests in %d segments: %+v", len(whole), len(report.Files), report)
 	}
 	mid := report.Files[1]
@@ -570,11 +570,11 @@
 			if c.lost > 1 && lost != c.lost || c.lost == 1 && (lost < 10 || lost > 120) || c.lost == 0 && lost != 0 {
 				t.Errorf("%d records lost: %+v", lost, report.Losses)
 			}
-			if report.Sound() {
+			if report.IsSound() {
 				t.Error("called sound")
 			}
 			for id, q := range is {
-				if v := q.Verdict(); v != account.Served && !q.Lost {
+				if v := q.Verdict(); v != account.Served && !q.RecordsLost {
 					t.Errorf("%s is called %v", id, v)
 				}
 			}
@@ -583,10 +583,10 @@
 				t.Fatal(err)
 			}
 			defer next.Close()
-			if doubt := next.Doubtful(time.Now()); doubt != (c.lost > 0) {
+			if doubt := next.IsUncertain(time.Now()); doubt != (c.lost > 0) {
 				t.Errorf("doubt: %v", doubt)
 			}
-			if next.Doubtful(time.Now().Add(3 * time.Minute)) {
+			if next.IsUncertain(time.Now().Add(3 * time.Minute)) {
 				t.Error("doubt has no end")
 			}
 		})
@@ -599,12 +599,12 @@
 	d := standin.NewDisk(-1)
 	o := options(d)
 	since := time.Hour
-	o.Since = func() time.Duration { return since }
+	o.SinceBoot = func() time.Duration { return since }
 	l, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	e, err := l.Take(request("a"))
+	e, err := l.Begin(request("a"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -630,9 +630,9 @@
 		"the clock went back":   {"boot 2", 0, -time.Hour, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := account.Now{Time: time.Now().Add(c.shift), Boot: c.boot, Since: since + c.later, Error: time.Second}
+			now := account.Clock{Time: time.Now().Add(c.shift), BootID: c.boot, SinceBoot: since + c.later, MaxError: time.Second}
 			var keys []idempotency.Record
-			if _, err := Read(killed, false, func(q *account.Request) { q.Keys(now, func(k idempotency.Record) { keys = append(keys, k) }) }); err != nil {
+			if _, err := Read(killed, false, func(q *account.Request) { q.EachKeyRecord(now, func(k idempotency.Record) { keys = append(keys, k) }) }); err != nil {
 				t.Fatal(err)
 			}
 			if known := len(keys) == 1 && keys[0].ID == id && keys[0].KeyState.Place.Zone == "north"; known != c.known {
@@ -651,7 +651,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if e, err = l.Take(request("b")); err != nil {
+	if e, err = l.Begin(request("b")); err != nil {
 		t.Fatal(err)
 	}
 	if err := e.Attempt("n1", terms).Intent(context.Background(), idempotency.Place{Zone: "north"}); err != nil {
@@ -659,11 +659,11 @@
 	}
 	l.Close()
 	is, _ := read(t, h)
-	if q := is["b"]; q.Key != HideName(o.Secret, "key", "key b") || q.Tenant == "school" || q.KeyID == idempotency.KeyIDOf("school", "key b") {
+	if q := is["b"]; q.Key != HashName(o.Secret, "key", "key b") || q.Tenant == "school" || q.KeyID == idempotency.KeyIDOf("school", "key b") {
 		t.Errorf("%+v", q)
 	}
-	next := start(t, Options{Disk: h, Boot: o.Boot, Secret: o.Secret, Keys: 10, Log: o.Log, Commit: o.Commit, Keeping: o.Keeping})
-	if k, _, ok := next.Recall(time.Now(), idempotency.KeyIDOf("school", "key b")); !ok || k.ID != idempotency.KeyIDOf("school", "key b") {
+	next := start(t, Options{Disk: h, BootID: o.BootID, Secret: o.Secret, MaxKeys: 10, Log: o.Log, Commit: o.Commit, Retention: o.Retention})
+	if k, _, ok := next.RecoveredKey(time.Now(), idempotency.KeyIDOf("school", "key b")); !ok || k.ID != idempotency.KeyIDOf("school", "key b") {
 		t.Errorf("%+v, %v", k, ok)
 	}
 }
@@ -671,41 +671,41 @@
 // One directory is one process's; old segments go, but none that a key needs.
 func TestDirectory(t *testing.T) {
 	o := options(nil)
-	o.Dir, o.Boot = t.TempDir(), ""
+	o.Dir, o.BootID = t.TempDir(), ""
 	l := start(t, o)
-	if _, err := Start(o); !errors.Is(err, disk.ErrHeld) {
+	if _, err := Start(o); !errors.Is(err, disk.ErrLocked) {
 		t.Errorf("a second one: %v", err)
 	}
-	if !disk.Dir(o.Dir).Held() {
+	if !disk.Dir(o.Dir).IsLocked() {
 		t.Error("not held")
 	}
-	for n := 0; l.Look().Segments < 3; n++ { // what is written at once stands in one segment, however large
+	for n := 0; l.Status().Segments < 3; n++ { // what is written at once stands in one segment, however large
 		if n == 50_000 {
-			t.Fatalf("%d segments", l.Look().Segments)
+			t.Fatalf("%d segments", l.Status().Segments)
 		}
 		if n%50 == 0 {
 			time.Sleep(time.Millisecond) // the writer has its turn
 		}
-		e, err := l.Take(request("a"))
+		e, err := l.Begin(request("a"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		e.Final(segment.Served, 200)
+		e.Finish(segment.Served, 200)
 	}
-	lbtest.Until(t, "all is written", func() bool { v := l.Look(); return v.Durable == v.Records })
-	o.Keeping.Size = 1
+	lbtest.Until(t, "all is written", func() bool { v := l.Status(); return v.Durable == v.Records })
+	o.Retention.MaxBytes = 1
 	moved := o
 	moved.Dir += "x"
-	if err := l.Fits(o); err != nil || l.Fits(moved) == nil {
+	if err := l.CheckUpdate(o); err != nil || l.CheckUpdate(moved) == nil {
 		t.Errorf("%v, or another directory fits", err)
 	}
 	l.Update(o)
-	l.tidy(time.Now().Add(time.Minute))
-	if n := l.Look().Segments; n < 3 {
+	l.removeExpired(time.Now().Add(time.Minute))
+	if n := l.Status().Segments; n < 3 {
 		t.Errorf("%d segments, while keys may need them", n)
 	}
-	l.tidy(time.Now().Add(time.Hour))
-	if n := l.Look().Segments; n != 1 {
+	l.removeExpired(time.Now().Add(time.Hour))
+	if n := l.Status().Segments; n != 1 {
 		t.Errorf("%d segments are kept", n)
 	}
 	// Its files are its owner's alone. One that is removed in use is noticed, and used again once it is there again.
@@ -721,26 +721,26 @@
 	if err := os.RemoveAll(o.Dir); err != nil {
 		t.Fatal(err)
 	}
-	lbtest.Until(t, "it is missed", func() bool { return !l.Look().Ready })
-	if _, err := l.Take(request("b")); err == nil {
+	lbtest.Until(t, "it is missed", func() bool { return !l.Status().Ready })
+	if _, err := l.Begin(request("b")); err == nil {
 		t.Error("taken without a directory")
 	}
 	if err := os.Mkdir(o.Dir, 0o700); err != nil {
 		t.Fatal(err)
 	}
 	lbtest.Until(t, "it is used again", func() bool {
-		e, err := l.Take(request("c"))
+		e, err := l.Begin(request("c"))
 		return err == nil && e.Attempt("n", terms).Intent(context.Background(), idempotency.Place{}) == nil
 	})
-	if _, err := Start(o); !errors.Is(err, disk.ErrHeld) {
+	if _, err := Start(o); !errors.Is(err, disk.ErrLocked) {
 		t.Errorf("a second one, on the directory that was made anew: %v", err)
 	}
 	l.Close()
-	if disk.Dir(o.Dir).Held() {
+	if disk.Dir(o.Dir).IsLocked() {
 		t.Error("held after its end")
 	}
 	r, live, err := ReadDir(o.Dir, func(*account.Request) {})
-	if err != nil || live || !r.Sound() || r.Records == 0 {
+	if err != nil || live || !r.IsSound() || r.Records == 0 {
 		t.Errorf("%+v %v %v", r, live, err)
 	}
 }
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -17,24 +17,24 @@
 	"silvertrail/internal/ledger/segment"
 )
 
-// File is what was found of one segment.
-type File struct {
-	Name    string
-	Bytes   int64
-	Header  segment.Header
-	Records uint64
-	Damage  []segment.Damage
-	Note    string // why it was passed over, if it was
+// SegmentFile is what was found of one segment.
+type SegmentFile struct {
+	Name       string
+	Bytes      int64
+	Header     segment.Header
+	Records    uint64
+	Damage     []segment.Damage
+	SkipReason string // why it was passed over, if it was
 	// Torn tells that what is damaged is the end of what a process wrote: of records that it was writing as it ended.
 	Torn bool
 
-	number uint64        // by its name
-	life   *account.Life // that wrote it
-	last   time.Duration // of its last record
+	number      uint64               // by its name
+	incarnation *account.Incarnation // that wrote it
+	lastRecord  time.Duration        // of its last record
 }
 
-// order is the segment's number, by its name where its header can't be read.
-func (f *File) order() uint64 {
+// segmentNumber is the segment's number, by its name where its header can't be read.
+func (f *SegmentFile) segmentNumber() uint64 {
 	if f.Header.Salt == 0 {
 		return f.number
 	}
@@ -43,36 +43,36 @@
 
 // Report is what reading a log has found.
 type Report struct {
-	Log     uint64
-	Files   []File
-	Losses  []account.Loss
-	Lives   []*account.Life
-	Records uint64
-	Last    uint64 // number of the last record
-	number  uint64 // of the last segment
+	LedgerID     uint64
+	Files        []SegmentFile
+	Losses       []account.DataLoss
+	Incarnations []*account.Incarnation
+	Records      uint64
+	LastSeq      uint64 // number of the last record
+	lastSegment  uint64 // of the last segment
 }
 
-// Sound tells that nothing is lost or damaged but torn ends.
-func (r *Report) Sound() bool {
+// IsSound tells that nothing is lost or damaged but torn ends.
+func (r *Report) IsSound() bool {
 	for _, f := range r.Files {
-		if f.Note != "" && f.Note != unused || len(f.Damage) > 0 && !f.Torn {
+		if f.SkipReason != "" && f.SkipReason != neverUsed || len(f.Damage) > 0 && !f.Torn {
 			return false
 		}
 	}
-	return !slices.ContainsFunc(r.Losses, func(l account.Loss) bool { return !l.Torn })
+	return !slices.ContainsFunc(r.Losses, func(l account.DataLoss) bool { return !l.Torn })
 }
 
-// held is a record of a segment that was not trusted to its end: what the next one does not have again.
-type held struct {
+// deferredRecord is a record of a segment that was not trusted to its end: what the next one does not have again.
+type deferredRecord struct {
 	seq uint64
 	r   segment.Record
 }
 
-// reading is one pass over a log.
-type reading struct {
-	book *account.Book
-	rest []held
-	out  *Report
+// reader is one pass over a log.
+type reader struct {
+	index    *account.Index
+	deferred []deferredRecord
+	report   *Report
 }
 
 // Read reads a log, gives out each request, and reports. Live tells that a process is writing it. Memory is bounded by the
@@ -83,25 +83,25 @@
 	if err != nil {
 		return nil, err
 	}
-	var files []File
+	var files []SegmentFile
 	for _, n := range names {
 		base, is := strings.CutSuffix(n, ".seg")
 		number, err := strconv.ParseUint(base, 16, 64)
 		if !is || err != nil {
 			continue
 		}
-		out.number = max(out.number, number)
-		f := File{Name: n, number: number}
+		out.lastSegment = max(out.lastSegment, number)
+		f := SegmentFile{Name: n, number: number}
 		f.Bytes, _ = d.Size(n)
-		if f.Header, err = headerOf(d, n); err != nil {
-			if f.Note = err.Error(); errors.Is(err, segment.ErrForeign) && blank(d, n) {
-				f.Note = unused
+		if f.Header, err = readHeader(d, n); err != nil {
+			if f.SkipReason = err.Error(); errors.Is(err, segment.ErrForeign) && isBlank(d, n) {
+				f.SkipReason = neverUsed
 			}
 		}
 		files = append(files, f)
 	}
-	slices.SortFunc(files, func(a, b File) int {
-		if c := cmp.Compare(a.order(), b.order()); c != 0 {
+	slices.SortFunc(files, func(a, b SegmentFile) int {
+		if c := cmp.Compare(a.segmentNumber(), b.segmentNumber()); c != 0 {
 			return c
 		}
 		return strings.Compare(a.Name, b.Name)
@@ -110,53 +110,53 @@
 	for i := range files {
 		f := &files[i]
 		switch first, twice := passed[f.Header.Salt]; {
-		case f.Note != "":
+		case f.SkipReason != "":
 		case twice:
-			f.Note = "a copy of " + first
-		case out.Log != 0 && f.Header.Log != out.Log:
-			f.Note = "of another ledger"
+			f.SkipReason = "a copy of " + first
+		case out.LedgerID != 0 && f.Header.LedgerID != out.LedgerID:
+			f.SkipReason = "of another ledger"
 		default:
-			out.Log = f.Header.Log
-			out.number = max(out.number, f.Header.Number)
+			out.LedgerID = f.Header.LedgerID
+			out.lastSegment = max(out.lastSegment, f.Header.Number)
 			passed[f.Header.Salt] = f.Name
 		}
 	}
-	r := &reading{out: out}
-	r.book = account.NewBook(give, func(l account.Loss) { out.Losses = append(out.Losses, l) })
+	r := &reader{report: out}
+	r.index = account.NewIndex(give, func(l account.DataLoss) { out.Losses = append(out.Losses, l) })
 	for i := range files {
 		f := &files[i]
-		if f.Note != "" {
+		if f.SkipReason != "" {
 			continue
 		}
 		next := uint64(0) // the first record of the process's next segment
 		isLast := true
 		for _, o := range files[i+1:] {
-			if o.Note == "" {
+			if o.SkipReason == "" {
 				isLast = false
 				if o.Header.Process == f.Header.Process {
-					next = o.Header.First
+					next = o.Header.FirstSeq
 				}
 				break
 			}
 		}
-		r.file(d, f, next, live && isLast)
+		r.readFile(d, f, next, live && isLast)
 	}
-	r.flush()
-	r.book.End(live)
+	r.flushDeferred()
+	r.index.Finish(live)
 	for i := range files {
 		f := &files[i]
 		f.Torn = len(f.Damage) > 0 && !slices.ContainsFunc(f.Damage, func(d segment.Damage) bool {
-			if d.Header { // of a segment with no record it was being written
+			if d.IsHeader { // of a segment with no record it was being written
 				return f.Records > 0
 			}
-			return d.Before != 0 && max(d.After+1, f.Header.First) <= f.life.Safe
+			return d.Before != 0 && max(d.After+1, f.Header.FirstSeq) <= f.incarnation.DurableTo
 		})
 	}
 	out.Files = files
 	return out, nil
 }
 
-func headerOf(d disk.Disk, name string) (segment.Header, error) {
+func readHeader(d disk.Disk, name string) (segment.Header, error) {
 	f, err := d.Open(name)
 	if err != nil {
 		return segment.Header{}, err
@@ -169,19 +169,19 @@
 	return s.Header, nil
 }
 
-// unused is the note of a segment in which no record was ever written: its process ended, or its disk failed, before its
+// neverUsed is the note of a segment in which no record was ever written: its process ended, or its disk failed, before its
 // header was safe.
-const unused = "never used"
+const neverUsed = "never used"
 
-// blank tells whether nothing stands behind the place of a file's header.
-func blank(d disk.Disk, name string) bool {
+// isBlank tells whether nothing stands behind the place of a file's header.
+func isBlank(d disk.Disk, name string) bool {
 	f, err := d.Open(name)
 	if err != nil {
 		return false
 	}
 	defer f.Close()
 	b := make([]byte, 64<<10)
-	for skip := segment.HeaderRoom; ; {
+	for skip := segment.HeaderReserve; ; {
 		n, err := io.ReadFull(f, b)
 		for _, c := range b[min(skip, n):n] {
 			if c != 0 {
@@ -195,8 +195,8 @@
 	}
 }
 
-// file reads one segment's records. From next on they count only where the next segment does not have them.
-func (r *reading) file(d disk.Disk, f *File, next uint64, live bool) {
+// readFile reads one segment's records. From next on they count only where the next segment does not have them.
+func (r *reader) readFile(d disk.Disk, f *SegmentFile, next uint64, live bool) {
 	in, err := d.Open(f.Name)
 	var s *segment.Scanner
 	if err == nil {
@@ -204,16 +204,16 @@
 		s, err = segment.NewScanner(in)
 	}
 	if err != nil { // it could be read a moment ago
-		f.Note = err.Error()
+		f.SkipReason = err.Error()
 		return
 	}
-	if l := r.book.Life(); l == nil || l.Process != f.Header.Process {
-		r.flush()
+	if l := r.index.Incarnation(); l == nil || l.Process != f.Header.Process {
+		r.flushDeferred()
 	}
-	r.book.Segment(&f.Header)
-	life := r.book.Life()
-	if !slices.Contains(r.out.Lives, life) {
-		r.out.Lives = append(r.out.Lives, life)
+	r.index.BeginSegment(&f.Header)
+	life := r.index.Incarnation()
+	if !slices.Contains(r.report.Incarnations, life) {
+		r.report.Incarnations = append(r.report.Incarnations, life)
 	}
 	for {
 		seq, rec, ok := s.Next()
@@ -221,18 +221,18 @@
 			break
 		}
 		f.Records++
-		r.out.Last = max(r.out.Last, seq)
+		r.report.LastSeq = max(r.report.LastSeq, seq)
 		if next != 0 && seq >= next {
-			r.rest = append(r.rest, held{seq, *rec})
+			r.deferred = append(r.deferred, deferredRecord{seq, *rec})
 			continue
 		}
-		r.before(seq)
-		if seq >= r.book.Next() {
-			r.out.Records++
+		r.addDeferred(seq)
+		if seq >= r.index.Next() {
+			r.report.Records++
 		}
-		r.book.Record(seq, rec)
+		r.index.AddRecord(seq, rec)
 	}
-	f.life, f.last = life, life.Last
+	f.incarnation, f.lastRecord = life, life.LastRecord
 	for _, dam := range s.Damage {
 		if next != 0 && dam.After+1 >= next && dam.After != 0 || live && dam.Before == 0 {
 			continue // written again in the next segment, or being written
@@ -241,108 +241,108 @@
 	}
 }
 
-// before takes what an untrusted segment had of the records before one.
-func (r *reading) before(seq uint64) {
-	for len(r.rest) > 0 && r.rest[0].seq <= seq {
-		if h := r.rest[0]; h.seq < seq {
-			r.book.Record(h.seq, &h.r)
+// addDeferred takes what an untrusted segment had of the records before one.
+func (r *reader) addDeferred(seq uint64) {
+	for len(r.deferred) > 0 && r.deferred[0].seq <= seq {
+		if h := r.deferred[0]; h.seq < seq {
+			r.index.AddRecord(h.seq, &h.r)
 		}
-		r.rest = r.rest[1:]
+		r.deferred = r.deferred[1:]
 	}
 }
 
-func (r *reading) flush() {
-	slices.SortFunc(r.rest, func(a, b held) int { return cmp.Compare(a.seq, b.seq) })
-	for _, h := range r.rest {
-		r.book.Record(h.seq, &h.r)
+func (r *reader) flushDeferred() {
+	slices.SortFunc(r.deferred, func(a, b deferredRecord) int { return cmp.Compare(a.seq, b.seq) })
+	for _, h := range r.deferred {
+		r.index.AddRecord(h.seq, &h.r)
 	}
-	r.rest = nil
+	r.deferred = nil
 }
 
-// recover takes from the log what the rules need to know: where keys may have run, and whether records are lost that could
+// recoverState takes from the log what the rules need to know: where keys may have run, and whether records are lost that could
 // have told of more.
-func (l *Ledger) recover(boot string) error {
+func (l *Ledger) recoverState(boot string) error {
 	o := l.options.Load()
-	now := account.Now{Time: time.Now(), Boot: boot, Since: l.beganAt, Error: o.ClockOff}
-	l.recovered, l.prints = idempotency.New(o.Keys), map[idempotency.KeyID]idempotency.Fingerprint{}
+	now := account.Clock{Time: time.Now(), BootID: boot, SinceBoot: l.startedSinceBoot, MaxError: o.MaxClockError}
+	l.recovered, l.fingerprints = idempotency.New(o.MaxKeys), map[idempotency.KeyID]idempotency.Fingerprint{}
 	began := time.Now()
 	report, err := Read(l.disk, false, func(r *account.Request) {
-		r.Keys(now, func(k idempotency.Record) {
+		r.EachKeyRecord(now, func(k idempotency.Record) {
 			l.recovered.Merge(now.Time, k)
-			if r.Print != (idempotency.Fingerprint{}) {
-				l.prints[k.ID] = r.Print
+			if r.Fingerprint != (idempotency.Fingerprint{}) {
+				l.fingerprints[k.ID] = r.Fingerprint
 			}
 		})
 	})
 	if err != nil {
 		return err
 	}
-	l.found = *report
+	l.report = *report
 	if l.recovered.Len() > 0 {
-		l.recalls.Store(true)
+		l.hasRecovered.Store(true)
 	}
-	l.number, l.head.Log = report.number, report.Log
-	if l.head.Log == 0 {
-		l.head.Log = newNumber()
+	l.segmentNumber, l.header.LedgerID = report.lastSegment, report.LedgerID
+	if l.header.LedgerID == 0 {
+		l.header.LedgerID = randomID()
 	}
 	for _, loss := range report.Losses {
-		if until := loss.Doubt(now, o.Keeping.Longest); until.After(l.doubt) {
-			l.doubt = until
+		if until := loss.UncertainUntil(now, o.Retention.MinAge); until.After(l.uncertainUntil) {
+			l.uncertainUntil = until
 		}
 	}
 	for _, f := range report.Files {
-		if f.Note != "" && f.Note != unused && f.Header.Salt == 0 { // what it held, and when, is not known
-			l.doubt = now.Time.Add(o.Keeping.Longest)
+		if f.SkipReason != "" && f.SkipReason != neverUsed && f.Header.Salt == 0 { // what it held, and when, is not known
+			l.uncertainUntil = now.Time.Add(o.Retention.MinAge)
 		}
-		l.files = append(l.files, commit.Segment{Number: f.number, Bytes: f.Bytes, Last: aged(now, &f)})
+		l.segments = append(l.segments, commit.Segment{Number: f.number, Bytes: f.Bytes, LastRecordAt: lastWritten(now, &f)})
 		for _, d := range f.Damage {
 			l.log.Warn("ledger: damage", "segment", f.Name, "what", d.String(), "torn_end", f.Torn)
 		}
-		if f.Note != "" {
-			l.log.Warn("ledger: a segment is passed over", "segment", f.Name, "why", f.Note)
+		if f.SkipReason != "" {
+			l.log.Warn("ledger: a segment is passed over", "segment", f.Name, "why", f.SkipReason)
 		}
 	}
-	if n := len(report.Lives); n > 0 {
-		last := report.Lives[n-1]
-		if last.Mode == commit.OS.String() && !last.Closed && last.Boot != boot { // what the system had not written is lost with it
-			l.doubt = now.Time.Add(o.Keeping.Longest)
+	if n := len(report.Incarnations); n > 0 {
+		last := report.Incarnations[n-1]
+		if last.Mode == commit.OSBuffered.String() && !last.CleanShutdown && last.BootID != boot { // what the system had not written is lost with it
+			l.uncertainUntil = now.Time.Add(o.Retention.MinAge)
 		}
 	}
 	for _, loss := range report.Losses {
 		l.log.Warn("ledger: records are missing", "from", loss.From, "to", loss.To, "after", loss.After, "torn_end", loss.Torn)
 	}
-	if !l.doubt.IsZero() {
-		l.log.Error("ledger: records are lost that may have told of keys", "until", l.doubt, "served_all_the_same", o.Trusting)
+	if !l.uncertainUntil.IsZero() {
+		l.log.Error("ledger: records are lost that may have told of keys", "until", l.uncertainUntil, "served_all_the_same", o.IgnoreLosses)
 	}
 	l.log.Info("ledger: read", "records", report.Records, "segments", len(report.Files), "keys", l.recovered.Len(), "took", time.Since(began).Round(time.Millisecond))
 	return nil
 }
 
-// aged returns when a segment's last record was written, as a time of this process's clock. One that can't be placed
+// lastWritten returns when a segment's last record was written, as a time of this process's clock. One that can't be placed
 // counts as young.
-func aged(now account.Now, f *File) time.Time {
-	if f.life == nil {
+func lastWritten(now account.Clock, f *SegmentFile) time.Time {
+	if f.incarnation == nil {
 		return now.Time
 	}
-	least, _, sure := now.Ago(f.life, f.last)
+	least, _, sure := now.Ago(f.incarnation, f.lastRecord)
 	if !sure {
 		return now.Time
 	}
 	return now.Time.Add(-least)
 }
 
-// ErrNone says that a directory holds no ledger.
-var ErrNone = errors.New("no segment of a ledger is here")
+// ErrNoLedger says that a directory holds no ledger.
+var ErrNoLedger = errors.New("no segment of a ledger is here")
 
 // ReadDir reads a log's directory, of a process that runs or not, or a copy.
 func ReadDir(path string, give func(*account.Request)) (r *Report, live bool, err error) {
 	d := disk.Dir(path)
-	live = d.Held()
+	live = d.IsLocked()
 	if r, err = Read(d, live, give); err != nil {
 		return nil, live, fmt.Errorf("ledger: %w", err)
 	}
 	if len(r.Files) == 0 {
-		return nil, live, fmt.Errorf("ledger: %s: %w", path, ErrNone)
+		return nil, live, fmt.Errorf("ledger: %s: %w", path, ErrNoLedger)
 	}
 	return r, live, nil
 }
--- a/internal/ledger/segment/format_test.go
+++ b/internal/ledger/segment/format_test.go
@@ -16,7 +16,7 @@
 	golden.Fill(&header)
 	header.Salt = salt
 	var all []*Record
-	for kind := Taken; kind <= Closed; kind++ {
+	for kind := Received; kind <= Shutdown; kind++ {
 		r := &Record{}
 		golden.Fill(r)
 		r.Kind = kind
@@ -52,10 +52,10 @@
 // The names of kinds and endings stand in what commands print.
 func TestNames(t *testing.T) {
 	var names []string
-	for kind := Taken; kind <= Closed; kind++ {
+	for kind := Received; kind <= Shutdown; kind++ {
 		names = append(names, kind.String())
 	}
-	for ending := Served; ending <= Turned; ending++ {
+	for ending := Served; ending <= KeyConflict; ending++ {
 		names = append(names, ending.String())
 	}
 	text, err := json.MarshalIndent(names, "", " ")
--- a/internal/ledger/segment/segment_test.go
+++ b/internal/ledger/segment/segment_test.go
@@ -16,20 +16,20 @@
 	short := rapid.StringN(0, 40, 200)
 	r := &Record{Kind: Kind(rapid.IntRange(1, 7).Draw(t, "kind")), At: time.Duration(rapid.Int64Range(-1e12, 1e15).Draw(t, "at")) * time.Microsecond,
 		Request: rapid.Uint64().Draw(t, "request"), ID: short.Draw(t, "id"), Class: short.Draw(t, "class"), Key: short.Draw(t, "key"),
-		Tenant: short.Draw(t, "tenant"), From: short.Draw(t, "from"), Attempt: rapid.IntRange(0, 1<<30).Draw(t, "attempt"),
-		Nodo: short.Draw(t, "nodo"), Cluster: short.Draw(t, "cluster"), Zone: short.Draw(t, "zone"), Cell: rapid.Int().Draw(t, "cell"),
+		Tenant: short.Draw(t, "tenant"), FromSite: short.Draw(t, "from"), Attempt: rapid.IntRange(0, 1<<30).Draw(t, "attempt"),
+		Endpoint: short.Draw(t, "nodo"), Cluster: short.Draw(t, "cluster"), Zone: short.Draw(t, "zone"), Cell: rapid.Int().Draw(t, "cell"),
 		Scope: uint8(rapid.IntRange(0, 2).Draw(t, "scope")), Window: time.Duration(rapid.IntRange(0, 1e9).Draw(t, "window")) * time.Microsecond,
-		Never: rapid.Bool().Draw(t, "never"), Answer: rapid.Bool().Draw(t, "answer"), Verdict: short.Draw(t, "verdict"),
+		NeverRan: rapid.Bool().Draw(t, "never"), Responded: rapid.Bool().Draw(t, "answer"), Verdict: short.Draw(t, "verdict"),
 		Status: rapid.IntRange(0, 999).Draw(t, "status"), Ending: Ending(rapid.IntRange(1, 5).Draw(t, "ending")),
-		Wall: rapid.Int64Range(0, 1<<62).Draw(t, "wall"), Count: rapid.Uint64().Draw(t, "count"), Lag: rapid.Uint64().Draw(t, "lag")}
+		WallTime: rapid.Int64Range(0, 1<<62).Draw(t, "wall"), Count: rapid.Uint64().Draw(t, "count"), DurableLag: rapid.Uint64().Draw(t, "lag")}
 	copy(r.KeyID[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "keyid"))
-	copy(r.Print[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "print"))
+	copy(r.Fingerprint[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "print"))
 	return r
 })
 
 // file writes records 1, 2, ... as a segment, with room behind them.
 func file(t interface{ Fatal(...any) }, salt uint64, room int, all ...*Record) []byte {
-	b := AppendHeader(nil, salt, &Header{Log: 7, Number: 3, First: 1, Process: 9, Host: "north-1", Boot: "b", Began: 1e15, Mode: "group"})
+	b := AppendHeader(nil, salt, &Header{LedgerID: 7, Number: 3, FirstSeq: 1, Process: 9, Host: "north-1", BootID: "b", StartedAt: 1e15, Mode: "group"})
 	at := len(b)
 	for i, r := range all {
 		var err error
@@ -65,7 +65,7 @@
 		in := rapid.SliceOfN(anyRecord, 0, 8).Draw(t, "records")
 		b := file(t, rapid.Uint64().Draw(t, "salt"), rapid.IntRange(0, 3).Draw(t, "room")*4000, in...)
 		out, s, err := scan(iotest.HalfReader(bytes.NewReader(b)))
-		if err != nil || len(out) != len(in) || len(s.Damage) > 0 || s.Header.Host != "north-1" || s.Header.Log != 7 {
+		if err != nil || len(out) != len(in) || len(s.Damage) > 0 || s.Header.Host != "north-1" || s.Header.LedgerID != 7 {
 			t.Fatalf("%v, %d of %d, %v", err, len(out), len(in), s)
 		}
 		for i, o := range out {
@@ -79,12 +79,12 @@
 // sample is a small file; its last record's key holds the text of a record of the same file, which must never be taken for
 // one.
 func sample(t *testing.T) []byte {
-	all := []*Record{{Kind: Taken, Request: 1, ID: "a", Class: "seat", Key: "k", Left: time.Second, KeyID: [16]byte{1}},
-		{Kind: Intent, Request: 1, Attempt: 1, Nodo: "n1", Zone: "north", Window: time.Minute},
-		{Kind: Outcome, Request: 1, Attempt: 1, Answer: true, Verdict: "ok", Status: 200},
+	all := []*Record{{Kind: Received, Request: 1, ID: "a", Class: "seat", Key: "k", TimeLeft: time.Second, KeyID: [16]byte{1}},
+		{Kind: Intent, Request: 1, Attempt: 1, Endpoint: "n1", Zone: "north", Window: time.Minute},
+		{Kind: Outcome, Request: 1, Attempt: 1, Responded: true, Verdict: "ok", Status: 200},
 		{Kind: Final, Request: 1, Ending: Served, Status: 200}}
 	forged := file(t, 42, 0, &Record{Kind: Final, Request: 99, Ending: Served, Status: 200})
-	all = append(all, &Record{Kind: Taken, Request: 2, ID: "b", Class: "seat", Key: string(forged[len(forged)-32:]) + string(forged)})
+	all = append(all, &Record{Kind: Received, Request: 2, ID: "b", Class: "seat", Key: string(forged[len(forged)-32:]) + string(forged)})
 	return file(t, 43, 0, all...)
 }
 
@@ -153,18 +153,18 @@
 		}
 	}
 	// One of whose copies of the header both tell of a newer version is known as such.
-	h := AppendHeader(nil, 1, &Header{Log: 1})
+	h := AppendHeader(nil, 1, &Header{LedgerID: 1})
 	h[8], h[len(h)/2+8] = 9, 9
 	if _, err := NewScanner(bytes.NewReader(h)); !errors.Is(err, ErrNewer) {
 		t.Errorf("newer: %v", err)
 	}
-	if _, err := AppendFrame(nil, 1, &Record{Kind: Taken, Key: string(make([]byte, MaxPayload))}); err == nil {
+	if _, err := AppendFrame(nil, 1, &Record{Kind: Received, Key: string(make([]byte, MaxPayload))}); err == nil {
 		t.Error("a record over the bound was framed")
 	}
 }
 
 func FuzzScan(f *testing.F) {
-	f.Add(file(f, 1, 100, &Record{Kind: Closed}))
+	f.Add(file(f, 1, 100, &Record{Kind: Shutdown}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		last := uint64(0)
 		all, _, _ := scan(bytes.NewReader(b))
@@ -181,10 +181,10 @@
 func BenchmarkScan(b *testing.B) {
 	var all []*Record
 	for range 100_000 {
-		all = append(all, &Record{Kind: Taken, At: time.Hour, Request: 123456, ID: "0123456789abcdef", Class: "reserva", Key: "seat-000000-000001",
-			Tenant: "escuela-117", KeyID: [16]byte{1, 2}, Left: 5 * time.Second},
-			&Record{Kind: Intent, At: time.Hour, Request: 123456, Attempt: 1, Nodo: "portal-1", Cluster: "portal", Zone: "sala-centro", Window: time.Minute, Keep: time.Minute},
-			&Record{Kind: Outcome, At: time.Hour, Request: 123456, Attempt: 1, Answer: true, Verdict: "ok", Status: 200},
+		all = append(all, &Record{Kind: Received, At: time.Hour, Request: 123456, ID: "0123456789abcdef", Class: "reserva", Key: "seat-000000-000001",
+			Tenant: "escuela-117", KeyID: [16]byte{1, 2}, TimeLeft: 5 * time.Second},
+			&Record{Kind: Intent, At: time.Hour, Request: 123456, Attempt: 1, Endpoint: "portal-1", Cluster: "portal", Zone: "sala-centro", Window: time.Minute, Retention: time.Minute},
+			&Record{Kind: Outcome, At: time.Hour, Request: 123456, Attempt: 1, Responded: true, Verdict: "ok", Status: 200},
 			&Record{Kind: Final, At: time.Hour, Request: 123456, Ending: Served, Status: 200})
 	}
 	text := file(b, 1, 0, all...)
--- a/internal/ledger/wait.go
+++ b/internal/ledger/wait.go
@@ -9,16 +9,16 @@
 
 // waiter is one who waits for a record.
 type waiter struct {
-	seq uint64
-	by  time.Time
-	c   chan error
+	seq      uint64
+	deadline time.Time
+	done     chan error
 }
 
-// line are those who wait, in the order of their records.
-type line struct{ all []*waiter }
+// waitQueue are those who wait, in the order of their records.
+type waitQueue struct{ all []*waiter }
 
-// join adds one who waits. Most come in the order of their records.
-func (q *line) join(w *waiter) {
+// add adds one who waits. Most come in the order of their records.
+func (q *waitQueue) add(w *waiter) {
 	i := len(q.all)
 	for i > 0 && q.all[i-1].seq > w.seq {
 		i--
@@ -26,28 +26,28 @@
 	q.all = slices.Insert(q.all, i, w)
 }
 
-var waiters = sync.Pool{New: func() any { return &waiter{c: make(chan error, 1)} }}
+var waiters = sync.Pool{New: func() any { return &waiter{done: make(chan error, 1)} }}
 
 // expire lets those go whose time is over, wherever they stand.
-func (q *line) expire(now time.Time) {
+func (q *waitQueue) expire(now time.Time) {
 	q.all = slices.DeleteFunc(q.all, func(w *waiter) bool {
-		over := !now.Before(w.by)
+		over := !now.Before(w.deadline)
 		if over {
-			w.c <- &ErrUnready{"the disk is slow", slowBack}
+			w.done <- &UnavailableError{"the disk is slow", slowRetryAfter}
 		}
 		return over
 	})
 }
 
-// pass lets those go whose record is as safe as they want, or all where an error has ended the trust in the segment.
-func (q *line) pass(to uint64, failed error) {
+// release lets those go whose record is as safe as they want, or all where an error has ended the trust in the segment.
+func (q *waitQueue) release(to uint64, failed error) {
 	n := 0
 	for n < len(q.all) && q.all[n].seq <= to {
-		q.all[n].c <- nil
+		q.all[n].done <- nil
 		n++
 	}
 	for failed != nil && n < len(q.all) {
-		q.all[n].c <- failed
+		q.all[n].done <- failed
 		n++
 	}
 	if n > 0 {
@@ -57,24 +57,24 @@
 	}
 }
 
-// slowBack is when those are told to come back for whom the disk was too slow.
-const slowBack = 100 * time.Millisecond
+// slowRetryAfter is when those are told to come back for whom the disk was too slow.
+const slowRetryAfter = 100 * time.Millisecond
 
-// moved tells who waits what has changed. The lock is held.
-func (l *Ledger) moved(now time.Time) {
+// notifyWaiters tells who waits what has changed. The lock is held.
+func (l *Ledger) notifyWaiters(now time.Time) {
 	var failed error
-	if e := l.commit.Epoch(); e != l.epoch {
-		l.epoch = e
-		failed = &ErrUnready{"the disk fails", slowBack}
+	if e := l.commit.ErrorCount(); e != l.reportedErrors {
+		l.reportedErrors = e
+		failed = &UnavailableError{"the disk fails", slowRetryAfter}
 	}
-	l.written.pass(l.commit.Written(), failed)
-	l.durable.pass(l.commit.Durable(), failed)
-	l.tell(now)
-	if l.commit.Done() {
+	l.written.release(l.commit.Written(), failed)
+	l.durable.release(l.commit.Durable(), failed)
+	l.logState(now)
+	if l.commit.IsDone() {
 		select {
-		case <-l.ended:
+		case <-l.flushed:
 		default:
-			close(l.ended)
+			close(l.flushed)
 		}
 	}
 }
@@ -87,20 +87,20 @@
 		return nil
 	}
 	w := waiters.Get().(*waiter)
-	w.seq, w.by = seq, time.Now().Add(l.options.Load().Commit.Patience)
+	w.seq, w.deadline = seq, time.Now().Add(l.options.Load().Commit.SlowDiskTime)
 	q := &l.written
 	if durable {
 		q = &l.durable
 	}
-	q.join(w)
+	q.add(w)
 	l.mu.Unlock()
 	select {
-	case err := <-w.c:
+	case err := <-w.done:
 		waiters.Put(w)
 		return err
 	case <-ctx.Done(): // it stays in the line, and is not used again
 		return ctx.Err()
-	case <-l.done:
-		return &ErrUnready{"the ledger has ended", slowBack}
+	case <-l.closed:
+		return &UnavailableError{"the ledger has ended", slowRetryAfter}
 	}
 }
