--- a/cmd/silvertrail/ledger.go
+++ b/cmd/silvertrail/ledger.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/ledger/account"
+	"silvertrail/internal/ledger/requesthistory"
 )
 
 // ledgerCommands read a ledger's directory, of a process that runs or has ended, or a copy of it.
@@ -29,7 +29,7 @@
 }
 
 // read reads the ledger.
-func (c *ledgerDir) read(give func(*account.Request)) (*ledger.Report, error) {
+func (c *ledgerDir) read(give func(*requesthistory.Request)) (*ledger.Report, error) {
 	r, live, err := ledger.ReadDir(c.Dir, give)
 	if err != nil {
 		return nil, err
@@ -46,16 +46,16 @@
 }
 
 func (c *ledgerShow) Run() error {
-	counts := map[string]map[account.Verdict]int{}
+	counts := map[string]map[requesthistory.Verdict]int{}
 	var unclear []string
 	more := 0
-	r, err := c.read(func(q *account.Request) {
+	r, err := c.read(func(q *requesthistory.Request) {
 		v := q.Verdict()
 		if counts[q.Class] == nil {
-			counts[q.Class] = map[account.Verdict]int{}
+			counts[q.Class] = map[requesthistory.Verdict]int{}
 		}
 		counts[q.Class][v]++
-		if v == account.Executed || v == account.MayHaveRun || v == account.Unclear || v == account.InProgress {
+		if v == requesthistory.Executed || v == requesthistory.MayHaveRun || v == requesthistory.Unclear || v == requesthistory.InProgress {
 			if len(unclear) < c.Most {
 				unclear = append(unclear, q.Text())
 			} else {
@@ -94,7 +94,7 @@
 	return nil
 }
 
-func ended(l *account.Incarnation) string {
+func ended(l *requesthistory.Incarnation) string {
 	switch {
 	case l.Running:
 		return "it runs"
@@ -135,10 +135,10 @@
 }
 
 // filter returns what tells which requests are wanted.
-func (c *chosen) filter() (func(*account.Request) bool, error) {
+func (c *chosen) filter() (func(*requesthistory.Request) bool, error) {
 	for _, v := range c.Verdict {
 		known := false
-		for w := account.InProgress; w <= account.Unclear; w++ {
+		for w := requesthistory.InProgress; w <= requesthistory.Unclear; w++ {
 			known = known || w.Name() == v
 		}
 		if !known {
@@ -160,7 +160,7 @@
 	if c.Last > 0 {
 		since = time.Now().Add(-c.Last)
 	}
-	is := func(q *account.Request, kind, want, got string) bool {
+	is := func(q *requesthistory.Request, kind, want, got string) bool {
 		if want == "" {
 			return true
 		}
@@ -169,10 +169,10 @@
 		}
 		return want == got
 	}
-	return func(q *account.Request) bool {
+	return func(q *requesthistory.Request) bool {
 		taken := q.Incarnation.Time(q.ReceivedAt)
 		return is(q, "key", c.Key, q.Key) && is(q, "tenant", c.Tenant, q.Tenant) && (c.ID == "" || c.ID == q.ID) && (c.Class == "" || c.Class == q.Class) &&
-			(c.Nodo == "" || slices.ContainsFunc(q.Attempts, func(a account.Attempt) bool { return a.Endpoint == c.Nodo })) &&
+			(c.Nodo == "" || slices.ContainsFunc(q.Attempts, func(a requesthistory.Attempt) bool { return a.Endpoint == c.Nodo })) &&
 			(len(c.Verdict) == 0 || slices.Contains(c.Verdict, q.Verdict().Name())) &&
 			(since.IsZero() || !taken.Before(since)) && (c.To.IsZero() || taken.Before(c.To))
 	}, nil
@@ -193,7 +193,7 @@
 		return err
 	}
 	found := 0
-	r, err := c.read(func(q *account.Request) {
+	r, err := c.read(func(q *requesthistory.Request) {
 		if !fits(q) {
 			return
 		}
@@ -205,7 +205,7 @@
 		return err
 	}
 	tellLosses(r)
-	if c.plain && slices.ContainsFunc(r.Incarnations, func(l *account.Incarnation) bool { return l.Hashed }) {
+	if c.plain && slices.ContainsFunc(r.Incarnations, func(l *requesthistory.Incarnation) bool { return l.Hashed }) {
 		fmt.Fprintln(os.Stderr, "Names in this ledger are hashed: they are found by --secret FILE alone.")
 	}
 	if found > c.Most {
@@ -229,7 +229,7 @@
 	}
 	out := json.NewEncoder(os.Stdout)
 	var failed error
-	_, err = c.read(func(q *account.Request) {
+	_, err = c.read(func(q *requesthistory.Request) {
 		if failed == nil && fits(q) {
 			failed = out.Encode(q.View())
 		}
@@ -242,7 +242,7 @@
 var errUnsound = errors.New("the ledger is not whole")
 
 func (c *ledgerVerify) Run() error {
-	r, err := c.read(func(*account.Request) {})
+	r, err := c.read(func(*requesthistory.Request) {})
 	if err != nil {
 		return err
 	}
--- a/cmd/silvertrail/ledger_test.go
+++ b/cmd/silvertrail/ledger_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/ledger/account"
+	"silvertrail/internal/ledger/requesthistory"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 )
@@ -127,9 +127,9 @@
 	callers.Wait()
 	i.signal(syscall.SIGTERM)
 	i.cmd.Wait()
-	is := map[string]*account.Request{}
-	counts := map[account.Verdict]int{}
-	report, live, err := ledger.ReadDir(filepath.Join(filepath.Dir(i.config), "ledger"), func(q *account.Request) {
+	is := map[string]*requesthistory.Request{}
+	counts := map[requesthistory.Verdict]int{}
+	report, live, err := ledger.ReadDir(filepath.Join(filepath.Dir(i.config), "ledger"), func(q *requesthistory.Request) {
 		if is[q.ID] != nil {
 			t.Errorf("%s is told twice", q.ID)
 		}
@@ -158,7 +158,7 @@
 				t.Errorf("%s reached %s %d times: %s", id, nodo, n, q.Text())
 			}
 		}
-		if v := q.Verdict(); v != account.Served && v != account.Executed && v != account.MayHaveRun {
+		if v := q.Verdict(); v != requesthistory.Served && v != requesthistory.Executed && v != requesthistory.MayHaveRun {
 			t.Errorf("%s reached %v and is called %v", id, nodos, v)
 		}
 	}
@@ -166,18 +166,18 @@
 	for id, status := range w.answered {
 		q := is[id]
 		switch {
-		case status == 200 && (q == nil || q.Verdict() != account.Served && q.Verdict() != account.Executed): // the record of the answer itself may be lost
+		case status == 200 && (q == nil || q.Verdict() != requesthistory.Served && q.Verdict() != requesthistory.Executed): // the record of the answer itself may be lost
 			t.Errorf("%s was served: %+v", id, q)
-		case status == 503 && q != nil && q.Verdict() != account.Rejected: // its record may be lost where the process died just then
+		case status == 503 && q != nil && q.Verdict() != requesthistory.Rejected: // its record may be lost where the process died just then
 			if cut++; q.Answered || cut > rounds {
 				t.Errorf("%s was refused, and is called %v", id, q.Verdict())
 			}
-		case (status == 502 || status == 504) && q != nil && (q.Verdict() == account.Served || q.Verdict() == account.Rejected):
+		case (status == 502 || status == 504) && q != nil && (q.Verdict() == requesthistory.Served || q.Verdict() == requesthistory.Rejected):
 			t.Errorf("%s has failed, and is called %v", id, q.Verdict())
 		}
 	}
 	for id, q := range is {
-		if v := q.Verdict(); (v == account.Served || v == account.Executed) && w.reached[id] == nil {
+		if v := q.Verdict(); (v == requesthistory.Served || v == requesthistory.Executed) && w.reached[id] == nil {
 			t.Errorf("%s is called %v, and no nodo has seen it", id, v)
 		}
 	}
@@ -192,7 +192,7 @@
 		t.Errorf("%d keys took effect twice", twice)
 	}
 	t.Logf("%d asked, %d served, %d keys took effect; the ledger: %v in %d segments", asked.Load(), served.Load(), len(north)+len(south), counts, len(report.Files))
-	if counts[account.MayHaveRun] < rounds/2 {
+	if counts[requesthistory.MayHaveRun] < rounds/2 {
 		t.Error("tests little")
 	}
 }
@@ -230,7 +230,7 @@
 	says("it was killed", "ledger", "show", dir)
 	lines := strings.Split(strings.TrimSpace(says(served, "ledger", "export", dir, "--verdict", "served", "--last", "1h")), "\n")
 	for _, line := range lines {
-		var v account.View
+		var v requesthistory.View
 		if err := json.Unmarshal([]byte(line), &v); err != nil || v.Verdict != "served" || len(v.Attempts) == 0 {
 			t.Errorf("%v: %s", err, line)
 		}
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/ledger/account"
+	"silvertrail/internal/ledger/requesthistory"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 )
@@ -24,10 +24,10 @@
 const seatRoute = "route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n"
 
 // account reads a ledger by its requests' keys, of which each has one request.
-func accounts(t *testing.T, dir string) map[string]*account.Request {
+func accounts(t *testing.T, dir string) map[string]*requesthistory.Request {
 	t.Helper()
-	out := map[string]*account.Request{}
-	if _, _, err := ledger.ReadDir(dir, func(q *account.Request) { out[q.Key] = q }); err != nil {
+	out := map[string]*requesthistory.Request{}
+	if _, _, err := ledger.ReadDir(dir, func(q *requesthistory.Request) { out[q.Key] = q }); err != nil {
 		t.Fatal(err)
 	}
 	return out
@@ -107,7 +107,7 @@
 	if keys := s.twice(); len(keys) > 0 {
 		t.Errorf("twice: %v", keys)
 	}
-	if is := accounts(t, dir); is["other"].Verdict() != account.Served {
+	if is := accounts(t, dir); is["other"].Verdict() != requesthistory.Served {
 		t.Errorf("%v", is["other"].Text())
 	}
 	// A page is spoilt.
@@ -207,8 +207,8 @@
 		t.Errorf("%d other answers", odd.Load())
 	}
 	g.Close()
-	is := map[string]*account.Request{}
-	if _, err := ledger.Read(d, false, func(q *account.Request) { is[q.Key] = q }); err != nil {
+	is := map[string]*requesthistory.Request{}
+	if _, err := ledger.Read(d, false, func(q *requesthistory.Request) { is[q.Key] = q }); err != nil {
 		t.Fatal(err)
 	}
 	effects := s.groups[0].Effects()
@@ -221,7 +221,7 @@
 		}
 	}
 	servedKeys.Range(func(key, _ any) bool {
-		if q := is[key.(string)]; q == nil || q.Verdict() != account.Served {
+		if q := is[key.(string)]; q == nil || q.Verdict() != requesthistory.Served {
 			t.Errorf("%v was served: %+v", key, q)
 		}
 		return true
@@ -276,7 +276,7 @@
 	for i := range 20 {
 		key := fmt.Sprint("k", i)
 		s, r := sent[key], got[key]
-		if s == nil || r == nil || s.Verdict() != account.Served || r.Verdict() != account.Served || r.FromSite != "centro" || r.ID != s.ID ||
+		if s == nil || r == nil || s.Verdict() != requesthistory.Served || r.Verdict() != requesthistory.Served || r.FromSite != "centro" || r.ID != s.ID ||
 			len(s.PossiblyExecuted()) != 1 || s.PossiblyExecuted()[0].Endpoint != salaNodo(s.PossiblyExecuted()[0].Zone) {
 			t.Errorf("%s: %+v\n%+v", key, s, r)
 		}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -15,9 +15,9 @@
 	"go.uber.org/goleak"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/ledger/account"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/disk"
+	"silvertrail/internal/ledger/requesthistory"
 	"silvertrail/internal/ledger/segment"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
@@ -49,10 +49,10 @@
 }
 
 // read reads a log and returns its requests by their ids.
-func read(t *testing.T, d disk.Disk) (map[string]*account.Request, *Report) {
+func read(t *testing.T, d disk.Disk) (map[string]*requesthistory.Request, *Report) {
 	t.Helper()
-	out := map[string]*account.Request{}
-	r, err := Read(d, false, func(q *account.Request) {
+	out := map[string]*requesthistory.Request{}
+	r, err := Read(d, false, func(q *requesthistory.Request) {
 		if q.Known && out[q.ID] != nil {
 			t.Errorf("%s is given twice", q.ID)
 		}
@@ -154,7 +154,7 @@
 
 // against compares an account with the truth. Exact: all that was known before the moment is in the account, but for the
 // last refusal or failure of each caller, as such an answer waits for no record.
-func against(is map[string]*account.Request, was map[string]seen, exact bool) (faults []string) {
+func against(is map[string]*requesthistory.Request, was map[string]seen, exact bool) (faults []string) {
 	fault := func(f string, args ...any) { faults = append(faults, fmt.Sprintf(f, args...)) }
 	latest := map[int]int{}
 	for id, s := range was {
@@ -189,18 +189,18 @@
 			sent += n
 		}
 		v := q.Verdict()
-		if (v == account.NeverRan || v == account.Rejected) && sent > s.never {
+		if (v == requesthistory.NeverRan || v == requesthistory.Rejected) && sent > s.never {
 			fault("%s may have run and is called %v", id, v)
 		}
-		if exact && s.answered == segment.Served && v != account.Served && v != account.Executed {
+		if exact && s.answered == segment.Served && v != requesthistory.Served && v != requesthistory.Executed {
 			fault("%s was served and is called %v", id, v)
 		}
-		if exact && n < latest[caller] && s.answered != 0 && s.answered != segment.Served && v == account.MayHaveRun && sent == s.never {
+		if exact && n < latest[caller] && s.answered != 0 && s.answered != segment.Served && v == requesthistory.MayHaveRun && sent == s.never {
 			fault("%s never ran and is called %v", id, v)
 		}
 	}
 	for id, q := range is {
-		if v := q.Verdict(); (v == account.Served || v == account.Executed) && !was[id].ran {
+		if v := q.Verdict(); (v == requesthistory.Served || v == requesthistory.Executed) && !was[id].ran {
 			// The nodo's answer can have come between its sight and the snapshot only the other way round.
 			fault("%s is called %v, and nobody saw it run", id, v)
 		}
@@ -405,10 +405,10 @@
 				is, _ := read(t, after)
 				for id, q := range is {
 					v := q.Verdict()
-					if (v == account.Served || v == account.Executed) && id != "0" && id != "" {
+					if (v == requesthistory.Served || v == requesthistory.Executed) && id != "0" && id != "" {
 						t.Errorf("%s of %s at %d: %s is called %v", what, name, i, id, v)
 					}
-					if (v == account.NeverRan || v == account.Rejected) && (id == "0" || id == "1") && what == "flipped" {
+					if (v == requesthistory.NeverRan || v == requesthistory.Rejected) && (id == "0" || id == "1") && what == "flipped" {
 						t.Errorf("%s of %s at %d: %s is called %v", what, name, i, id, v)
 					}
 				}
@@ -491,7 +491,7 @@
 			l.Close()
 			is, report := read(t, d)
 			for _, id := range []string{"before", "after"} {
-				if q := is[id]; q == nil || q.Verdict() != account.Served {
+				if q := is[id]; q == nil || q.Verdict() != requesthistory.Served {
 					t.Errorf("%s: %+v", id, q)
 				}
 			}
@@ -574,7 +574,7 @@
 				t.Error("called sound")
 			}
 			for id, q := range is {
-				if v := q.Verdict(); v != account.Served && !q.RecordsLost {
+				if v := q.Verdict(); v != requesthistory.Served && !q.RecordsLost {
 					t.Errorf("%s is called %v", id, v)
 				}
 			}
@@ -630,9 +630,11 @@
 		"the clock went back":   {"boot 2", 0, -time.Hour, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := account.Clock{Time: time.Now().Add(c.shift), BootID: c.boot, SinceBoot: since + c.later, MaxError: time.Second}
+			now := requesthistory.Clock{Time: time.Now().Add(c.shift), BootID: c.boot, SinceBoot: since + c.later, MaxError: time.Second}
 			var keys []idempotency.Record
-			if _, err := Read(killed, false, func(q *account.Request) { q.EachKeyRecord(now, func(k idempotency.Record) { keys = append(keys, k) }) }); err != nil {
+			if _, err := Read(killed, false, func(q *requesthistory.Request) {
+				q.EachKeyRecord(now, func(k idempotency.Record) { keys = append(keys, k) })
+			}); err != nil {
 				t.Fatal(err)
 			}
 			if known := len(keys) == 1 && keys[0].ID == id && keys[0].KeyState.Place.Zone == "north"; known != c.known {
@@ -739,7 +741,7 @@
 	if disk.Dir(o.Dir).IsLocked() {
 		t.Error("held after its end")
 	}
-	r, live, err := ReadDir(o.Dir, func(*account.Request) {})
+	r, live, err := ReadDir(o.Dir, func(*requesthistory.Request) {})
 	if err != nil || live || !r.IsSound() || r.Records == 0 {
 		t.Errorf("%+v %v %v", r, live, err)
 	}
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/ledger/account"
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/disk"
+	"silvertrail/internal/ledger/requesthistory"
 	"silvertrail/internal/ledger/segment"
 )
 
@@ -28,9 +28,9 @@
 	// Torn tells that what is damaged is the end of what a process wrote: of records that it was writing as it ended.
 	Torn bool
 
-	number      uint64               // by its name
-	incarnation *account.Incarnation // that wrote it
-	lastRecord  time.Duration        // of its last record
+	number      uint64                      // by its name
+	incarnation *requesthistory.Incarnation // that wrote it
+	lastRecord  time.Duration               // of its last record
 }
 
 // segmentNumber is the segment's number, by its name where its header can't be read.
@@ -45,8 +45,8 @@
 type Report struct {
 	LedgerID     uint64
 	Files        []SegmentFile
-	Losses       []account.DataLoss
-	Incarnations []*account.Incarnation
+	Losses       []requesthistory.DataLoss
+	Incarnations []*requesthistory.Incarnation
 	Records      uint64
 	LastSeq      uint64 // number of the last record
 	lastSegment  uint64 // of the last segment
@@ -59,7 +59,7 @@
 			return false
 		}
 	}
-	return !slices.ContainsFunc(r.Losses, func(l account.DataLoss) bool { return !l.Torn })
+	return !slices.ContainsFunc(r.Losses, func(l requesthistory.DataLoss) bool { return !l.Torn })
 }
 
 // deferredRecord is a record of a segment that was not trusted to its end: what the next one does not have again.
@@ -70,14 +70,14 @@
 
 // reader is one pass over a log.
 type reader struct {
-	index    *account.Index
+	index    *requesthistory.Index
 	deferred []deferredRecord
 	report   *Report
 }
 
 // Read reads a log, gives out each request, and reports. Live tells that a process is writing it. Memory is bounded by the
 // requests that were in work at one time, whatever the log's size.
-func Read(d disk.Disk, live bool, give func(*account.Request)) (*Report, error) {
+func Read(d disk.Disk, live bool, give func(*requesthistory.Request)) (*Report, error) {
 	out := &Report{}
 	names, err := d.List()
 	if err != nil {
@@ -122,7 +122,7 @@
 		}
 	}
 	r := &reader{report: out}
-	r.index = account.NewIndex(give, func(l account.DataLoss) { out.Losses = append(out.Losses, l) })
+	r.index = requesthistory.NewIndex(give, func(l requesthistory.DataLoss) { out.Losses = append(out.Losses, l) })
 	for i := range files {
 		f := &files[i]
 		if f.SkipReason != "" {
@@ -263,10 +263,10 @@
 // have told of more.
 func (l *Ledger) recoverState(boot string) error {
 	o := l.options.Load()
-	now := account.Clock{Time: time.Now(), BootID: boot, SinceBoot: l.startedSinceBoot, MaxError: o.MaxClockError}
+	now := requesthistory.Clock{Time: time.Now(), BootID: boot, SinceBoot: l.startedSinceBoot, MaxError: o.MaxClockError}
 	l.recovered, l.fingerprints = idempotency.New(o.MaxKeys), map[idempotency.KeyID]idempotency.Fingerprint{}
 	began := time.Now()
-	report, err := Read(l.disk, false, func(r *account.Request) {
+	report, err := Read(l.disk, false, func(r *requesthistory.Request) {
 		r.EachKeyRecord(now, func(k idempotency.Record) {
 			l.recovered.Merge(now.Time, k)
 			if r.Fingerprint != (idempotency.Fingerprint{}) {
@@ -320,7 +320,7 @@
 
 // lastWritten returns when a segment's last record was written, as a time of this process's clock. One that can't be placed
 // counts as young.
-func lastWritten(now account.Clock, f *SegmentFile) time.Time {
+func lastWritten(now requesthistory.Clock, f *SegmentFile) time.Time {
 	if f.incarnation == nil {
 		return now.Time
 	}
@@ -335,7 +335,7 @@
 var ErrNoLedger = errors.New("no segment of a ledger is here")
 
 // ReadDir reads a log's directory, of a process that runs or not, or a copy.
-func ReadDir(path string, give func(*account.Request)) (r *Report, live bool, err error) {
+func ReadDir(path string, give func(*requesthistory.Request)) (r *Report, live bool, err error) {
 	d := disk.Dir(path)
 	live = d.IsLocked()
 	if r, err = Read(d, live, give); err != nil {
--- a/internal/ledger/account/account_test.go
+++ b/internal/ledger/requesthistory/index_test.go
@@ -1,4 +1,4 @@
-package account
+package requesthistory
 
 import (
 	"fmt"
--- a/internal/ledger/account/account.go
+++ b/internal/ledger/requesthistory/request.go
@@ -1,10 +1,10 @@
-// Package account makes out of a ledger's records what is true of each request: what became of it, at which endpoint it
+// Package requesthistory makes out of a ledger's records what is true of each request: what became of it, at which endpoint it
 // may have run, and what can't be known as records are lost. It never guesses: where records that could tell are lost it
 // says so. It does no I/O and has no clock.
 //
 // It takes records in the order of the log and gives each request out when nothing more of it can come, so that its memory
 // is bounded by the requests that were in work at one time.
-package account
+package requesthistory
 
 import (
 	"fmt"
