--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -702,11 +702,11 @@
 		t.Errorf("%v, or another directory fits", err)
 	}
 	l.Update(o)
-	l.removeExpired(time.Now().Add(time.Minute))
+	l.removeExpiredSegments(time.Now().Add(time.Minute))
 	if n := l.Status().Segments; n < 3 {
 		t.Errorf("%d segments, while keys may need them", n)
 	}
-	l.removeExpired(time.Now().Add(time.Hour))
+	l.removeExpiredSegments(time.Now().Add(time.Hour))
 	if n := l.Status().Segments; n != 1 {
 		t.Errorf("%d segments are kept", n)
 	}
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -3,20 +3,29 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"time"
 
-	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/segment"
 )
 
-// waiterLoop lets those go who have waited too long, and has what nobody waits for be written. It touches no disk, so that it goes
-// on where one hangs.
+const (
+	checkInterval     = 250 * time.Millisecond // of the clock and the directory
+	cleanupInterval   = 10 * time.Second       // of segments and keys
+	minClockShift     = 100 * time.Millisecond // that is recorded
+	minWaiterInterval = time.Millisecond
+	waiterDivider     = 4 // of SlowDiskTime
+)
+
+// waiterLoop ends waits that take too long, and has records written that nobody waits for. It does no I/O, so that it goes on
+// while the disk hangs.
 func (l *Ledger) waiterLoop() {
-	tick := time.NewTicker(min(max(l.options.Load().Commit.SlowDiskTime/4, time.Millisecond), checkInterval))
-	defer tick.Stop()
+	interval := min(max(l.options.Load().Commit.SlowDiskTime/waiterDivider, minWaiterInterval), checkInterval)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
 	for {
 		select {
-		case now := <-tick.C:
+		case now := <-ticker.C:
 			l.mu.Lock()
 			l.written.expire(now)
 			l.durable.expire(now)
@@ -29,19 +38,20 @@
 	}
 }
 
-// maintenanceLoop watches the time of day and the directory, and has old segments and keys go.
+// maintenanceLoop watches the wall clock and the directory, and removes old segments and keys.
 func (l *Ledger) maintenanceLoop() {
-	tick := time.NewTicker(checkInterval)
-	defer tick.Stop()
-	var tidied time.Time
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	var cleanedAt time.Time
 	for {
 		l.checkClock()
-		if now := time.Now(); now.Sub(tidied) >= cleanupInterval {
-			tidied = now
-			l.removeExpired(now)
+		if now := time.Now(); now.Sub(cleanedAt) >= cleanupInterval {
+			cleanedAt = now
+			l.removeExpiredKeys(now)
+			l.removeExpiredSegments(now)
 		}
 		select {
-		case <-tick.C:
+		case <-ticker.C:
 		case <-l.closed:
 			return
 		}
@@ -50,7 +60,7 @@
 
 var errSegmentRemoved = errors.New("the segment in use is not in the directory any more")
 
-// isSegmentRemoved tells whether the segment in use has been removed: writes to it would succeed, and be lost.
+// isSegmentRemoved reports whether the present segment was removed: writes to it would succeed, and be lost.
 func (l *Ledger) isSegmentRemoved() bool {
 	l.mu.Lock()
 	number := l.segments[len(l.segments)-1].Number
@@ -59,35 +69,49 @@
 	return errors.Is(err, os.ErrNotExist)
 }
 
-// checkClock records that the time of day was set.
+// checkClock records changes of the wall clock, and requests that were served without records.
 func (l *Ledger) checkClock() {
 	now := time.Now()
-	gone := l.isSegmentRemoved()
+	removed := l.isSegmentRemoved()
 	l.slept.Store(int64(max(l.sinceBoot()-l.startedSinceBoot-now.Sub(l.startedAt), 0)))
 	at := l.elapsed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if gone {
+	if removed {
 		l.commit.ReportFailure(now, errSegmentRemoved)
 		l.notifyWaiters(now)
 		wake(l.wakeWriter)
 	}
-	shift := now.Round(0).Sub(l.startedAt.Round(0).Add(at))
-	if d := shift - l.clockShift; d > minClockShift || d < -minClockShift {
-		l.clockShift = shift
-		l.addRecord(&segment.Record{Kind: segment.ClockShift, At: at, WallTime: now.UnixMicro()}, true)
-		l.log.Warn("ledger: the time of day was set", "by", d)
+	l.recordClockShift(now, at)
+	l.recordUnrecorded(now)
+	l.logState(now)
+}
+
+// recordClockShift records that the wall clock was set. The caller holds the lock.
+func (l *Ledger) recordClockShift(now time.Time, at time.Duration) {
+	shift := now.Round(0).Sub(l.startedAt.Round(0).Add(at)) // by the wall clocks
+	change := shift - l.clockShift
+	if change.Abs() <= minClockShift {
+		return
 	}
-	if why, _ := l.commit.Ready(now); why == "" && l.unrecorded.Count > 0 {
-		r := l.unrecorded
-		if _, ok := l.addRecord(&r, true); ok {
-			l.unrecorded = segment.Record{}
-		}
+	l.clockShift = shift
+	l.addRecord(&segment.Record{Kind: segment.ClockShift, At: at, WallTime: now.UnixMicro()}, true)
+	l.log.Warn("wall clock was set", "by", change)
+}
+
+// recordUnrecorded records the number of requests that were served without records, once that is possible. The caller holds the
+// lock.
+func (l *Ledger) recordUnrecorded(now time.Time) {
+	if reason, _ := l.commit.Ready(now); reason != "" || l.unrecorded.Count == 0 {
+		return
+	}
+	r := l.unrecorded
+	if _, ok := l.addRecord(&r, true); ok {
+		l.unrecorded = segment.Record{}
 	}
-	l.logState(now)
 }
 
-// countUnrecorded counts a request that is served without a record. The lock is held.
+// countUnrecorded counts a request that is served without a record. The caller holds the lock.
 func (l *Ledger) countUnrecorded() {
 	at := l.elapsed()
 	if l.unrecorded.Count == 0 {
@@ -98,25 +122,32 @@
 	l.unrecordedCount++
 }
 
-func (l *Ledger) removeExpired(now time.Time) {
-	if l.hasRecovered.Load() {
-		l.mu.Lock()
-		if l.recovered.Expire(now); l.recovered.Len() == 0 {
-			l.fingerprints = nil
-			l.hasRecovered.Store(false)
-		}
-		l.mu.Unlock()
+// removeExpiredKeys removes expired keys of earlier processes.
+func (l *Ledger) removeExpiredKeys(now time.Time) {
+	if !l.hasRecovered.Load() {
+		return
 	}
 	l.mu.Lock()
-	files := append([]commit.Segment{}, l.segments[:len(l.segments)-1]...) // the last one is being written
+	defer l.mu.Unlock()
+	l.recovered.Expire(now)
+	if l.recovered.Len() == 0 {
+		l.fingerprints = nil
+		l.hasRecovered.Store(false)
+	}
+}
+
+// removeExpiredSegments removes segments that are not kept any longer.
+func (l *Ledger) removeExpiredSegments(now time.Time) {
+	l.mu.Lock()
+	segments := slices.Clone(l.segments[:len(l.segments)-1]) // the last one is being written
 	l.mu.Unlock()
-	out, over := l.options.Load().Retention.Expired(now, files)
+	expired, over := l.options.Load().Retention.Expired(now, segments)
 	if over {
-		l.log.Warn("ledger: over its size, as younger segments are needed for keys")
+		l.log.Warn("log over its size, younger segments are needed for keys")
 	}
-	for _, n := range out {
-		if err := l.disk.Remove(segmentName(n)); err != nil && !errors.Is(err, os.ErrNotExist) {
-			l.log.Warn("ledger: an old segment stays", "error", err)
+	for _, number := range expired {
+		if err := l.disk.Remove(segmentName(number)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			l.log.Warn("segment not removed", "error", err)
 			return
 		}
 		l.mu.Lock()
--- a/internal/ledger/waitqueue.go
+++ b/internal/ledger/waitqueue.go
@@ -7,17 +7,17 @@
 	"time"
 )
 
-// waiter is one who waits for a record.
+// waiter waits for a record.
 type waiter struct {
 	seq      uint64
 	deadline time.Time
 	done     chan error
 }
 
-// waitQueue are those who wait, in the order of their records.
+// waitQueue holds waiters in the order of their records. The ledger's lock guards it.
 type waitQueue struct{ all []*waiter }
 
-// add adds one who waits. Most come in the order of their records.
+// add adds a waiter. Most come in the order of their records.
 func (q *waitQueue) add(w *waiter) {
 	i := len(q.all)
 	for i > 0 && q.all[i-1].seq > w.seq {
@@ -28,79 +28,80 @@
 
 var waiters = sync.Pool{New: func() any { return &waiter{done: make(chan error, 1)} }}
 
-// expire lets those go whose time is over, wherever they stand.
+// slowRetryAfter is when clients may retry for whom the disk was too slow.
+const slowRetryAfter = 100 * time.Millisecond
+
+// expire ends the waits whose deadline has passed.
 func (q *waitQueue) expire(now time.Time) {
 	q.all = slices.DeleteFunc(q.all, func(w *waiter) bool {
-		over := !now.Before(w.deadline)
-		if over {
-			w.done <- &UnavailableError{"the disk is slow", slowRetryAfter}
+		expired := !now.Before(w.deadline)
+		if expired {
+			w.done <- &UnavailableError{Reason: "the disk is slow", RetryAfter: slowRetryAfter}
 		}
-		return over
+		return expired
 	})
 }
 
-// release lets those go whose record is as safe as they want, or all where an error has ended the trust in the segment.
-func (q *waitQueue) release(to uint64, failed error) {
+// release ends the waits for records up to one, and all of them with an error if the disk has failed.
+func (q *waitQueue) release(seq uint64, failure error) {
 	n := 0
-	for n < len(q.all) && q.all[n].seq <= to {
+	for n < len(q.all) && q.all[n].seq <= seq {
 		q.all[n].done <- nil
 		n++
 	}
-	for failed != nil && n < len(q.all) {
-		q.all[n].done <- failed
+	for failure != nil && n < len(q.all) {
+		q.all[n].done <- failure
 		n++
 	}
-	if n > 0 {
-		rest := copy(q.all, q.all[n:])
-		clear(q.all[rest:])
-		q.all = q.all[:rest]
-	}
+	q.all = slices.Delete(q.all, 0, n)
 }
 
-// slowRetryAfter is when those are told to come back for whom the disk was too slow.
-const slowRetryAfter = 100 * time.Millisecond
-
-// notifyWaiters tells who waits what has changed. The lock is held.
+// notifyWaiters ends the waits for records that are safe now. The caller holds the lock.
 func (l *Ledger) notifyWaiters(now time.Time) {
-	var failed error
-	if e := l.commit.ErrorCount(); e != l.reportedErrors {
-		l.reportedErrors = e
-		failed = &UnavailableError{"the disk fails", slowRetryAfter}
+	var failure error
+	if count := l.commit.ErrorCount(); count != l.reportedErrors {
+		l.reportedErrors = count
+		failure = &UnavailableError{Reason: "the disk fails", RetryAfter: slowRetryAfter}
 	}
-	l.written.release(l.commit.Written(), failed)
-	l.durable.release(l.commit.Durable(), failed)
+	l.written.release(l.commit.Written(), failure)
+	l.durable.release(l.commit.Durable(), failure)
 	l.logState(now)
 	if l.commit.IsDone() {
-		select {
-		case <-l.flushed:
-		default:
-			close(l.flushed)
-		}
+		l.markFlushed()
+	}
+}
+
+// markFlushed lets Close go on. The caller holds the lock.
+func (l *Ledger) markFlushed() {
+	select {
+	case <-l.flushed:
+	default:
+		close(l.flushed)
 	}
 }
 
-// await waits until a record is as safe as told, for the time of the patience and a quarter of it at the most. The lock is
-// held, and given up.
+// await waits until a record is written or durable, for SlowDiskTime and a quarter of it at most. The caller holds the lock, which
+// await releases.
 func (l *Ledger) await(ctx context.Context, seq uint64, durable bool) error {
-	if to := l.commit.Durable(); to >= seq || !durable && l.commit.Written() >= seq {
+	if l.commit.Durable() >= seq || !durable && l.commit.Written() >= seq {
 		l.mu.Unlock()
 		return nil
 	}
 	w := waiters.Get().(*waiter)
 	w.seq, w.deadline = seq, time.Now().Add(l.options.Load().Commit.SlowDiskTime)
-	q := &l.written
 	if durable {
-		q = &l.durable
+		l.durable.add(w)
+	} else {
+		l.written.add(w)
 	}
-	q.add(w)
 	l.mu.Unlock()
 	select {
 	case err := <-w.done:
 		waiters.Put(w)
 		return err
-	case <-ctx.Done(): // it stays in the line, and is not used again
+	case <-ctx.Done(): // the waiter stays in the queue, and is not reused
 		return ctx.Err()
 	case <-l.closed:
-		return &UnavailableError{"the ledger has ended", slowRetryAfter}
+		return &UnavailableError{Reason: "the ledger has ended", RetryAfter: slowRetryAfter}
 	}
 }
