--- a/internal/balancer/engine/engine_test.go
+++ b/internal/balancer/engine/engine_test.go
@@ -14,7 +14,10 @@
 	"silvertrail/lbpolicy"
 )
 
-func newHost(t *testing.T) *Engine { return newLoggedHost(t, io.Discard) }
+func newHost(t *testing.T) *Engine {
+	t.Helper()
+	return newLoggedHost(t, io.Discard)
+}
 
 func newLoggedHost(t *testing.T, log io.Writer) *Engine {
 	t.Helper()
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -78,6 +78,7 @@
 }
 
 func answers(t *testing.T, text string, verdict lbpolicy.Verdict, body string) {
+	t.Helper()
 	odd := verdict != lbpolicy.OK || strings.Contains(text, "xx") || strings.HasSuffix(text, "\x02")
 	first := true
 	var second int
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -273,7 +274,7 @@
 	l := lbtest.Listen(t)
 	peers := []api.Peer{{Name: "b", Plane: planes.Plane{Address: l.Addr().String(), Plain: true}}}
 	s := begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Hour})
-	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); err != ErrInitialSync {
+	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); !errors.Is(err, ErrInitialSync) {
 		t.Error(err)
 	}
 	s = begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Millisecond})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -107,9 +107,12 @@
 	return n
 }
 
-func (f *Fleet) asks(key string, zone string, life time.Duration) ownership.Proposal {
+// proposalTTL is how long a test's proposal may be answered.
+const proposalTTL = 600 * time.Millisecond
+
+func (f *Fleet) asks(key string, zone string) ownership.Proposal {
 	return ownership.Proposal{Attempt: f.NextAttemptID(), Key: idempotency.KeyIDOf("", key), Place: idempotency.Place{Cluster: "c", Zone: zone}, Scope: lbpolicy.ScopeZone,
-		Window: time.Second, Retention: time.Second, TTL: life}
+		Window: time.Second, Retention: time.Second, TTL: proposalTTL}
 }
 
 // A repeat through another instance learns where the first try went, whatever the way; what never ran is free again.
@@ -118,11 +121,11 @@
 	for i := range 24 {
 		first, second := c.all[i%4], c.all[(i+1+i/4%3)%4]
 		k := fmt.Sprint("k", i)
-		a := first.asks(k, "north", 600*time.Millisecond)
+		a := first.asks(k, "north")
 		if state, past := first.ClaimKey(t.Context(), a); state != ownership.Claimed || !past.Known {
 			t.Fatalf("%s: %v %+v", k, state, past)
 		}
-		b := second.asks(k, "south", 600*time.Millisecond)
+		b := second.asks(k, "south")
 		if state, past := second.ClaimKey(t.Context(), b); state != ownership.OwnedElsewhere || past.Place.Zone != "north" {
 			t.Errorf("%s by another way: %v %+v", k, state, past)
 		}
@@ -133,7 +136,7 @@
 		first.Release(ownership.Release{Attempt: a.Attempt, NeverRan: true})
 		second.Release(ownership.Release{Attempt: b.Attempt, NeverRan: true})
 		lbtest.Until(t, "a key with which nothing ran is free", func() bool {
-			state, _ := second.ClaimKey(t.Context(), second.asks(k, "south", 600*time.Millisecond))
+			state, _ := second.ClaimKey(t.Context(), second.asks(k, "south"))
 			return state == ownership.Claimed
 		})
 	}
@@ -167,7 +170,7 @@
 				instances.Unlock()
 				zone := []string{"north", "south"}[d.IntN(2)]
 				made := time.Now()
-				a := f.asks(k, zone, 600*time.Millisecond)
+				a := f.asks(k, zone)
 				state, past := f.ClaimKey(ctx, a)
 				now := time.Now()
 				sends := state == ownership.Claimed && now.Before(past.RetryUntil) && now.Before(made.Add(a.TTL))
@@ -271,7 +274,7 @@
 	c.sees(3)
 	const n = 3*maxPartKeys + 7
 	for i := range n {
-		a := c.all[0].asks(fmt.Sprint("k", i), "north", 600*time.Millisecond)
+		a := c.all[0].asks(fmt.Sprint("k", i), "north")
 		a.Window, a.Retention = time.Minute, time.Minute
 		if state, _ := c.all[0].ClaimKey(t.Context(), a); state != ownership.Claimed {
 			t.Fatal(state)
@@ -323,7 +326,7 @@
 		}
 		conn.Write(text)
 	}
-	a := c.all[1].asks("k", "north", 600*time.Millisecond)
+	a := c.all[1].asks("k", "north")
 	if state, _ := c.all[1].ClaimKey(t.Context(), a); state != ownership.Claimed {
 		t.Errorf("after garbage: %v", state)
 	}
@@ -336,7 +339,7 @@
 		c.all[0].handlePacket(text)
 		c.all[2].handlePacket(text)
 	}
-	b := c.all[2].asks("k", "south", 600*time.Millisecond)
+	b := c.all[2].asks("k", "south")
 	if state, past := c.all[2].ClaimKey(t.Context(), b); state != ownership.OwnedElsewhere || past.Place.Zone != "north" {
 		t.Errorf("after a replay: %v %+v", state, past)
 	}
@@ -370,7 +373,7 @@
 		f := c.all[i%3]
 		// On a busy machine voters may answer too late for one ask; a further one for the same place is agreed to as well.
 		lbtest.Until(t, fmt.Sprintf("key %d is bound", i), func() bool {
-			state, _ := f.ClaimKey(t.Context(), f.asks(fmt.Sprint(i), "north", 600*time.Millisecond))
+			state, _ := f.ClaimKey(t.Context(), f.asks(fmt.Sprint(i), "north"))
 			return state == ownership.Claimed
 		})
 		if n := len(f.Members()); n > f.options.MaxMembers {
@@ -382,7 +385,7 @@
 // boast makes a peer with the fleet's own key and label that knows of many members: they are all at one address.
 func (c *crew) boast(n int) *memberlist.Memberlist {
 	c.t.Helper()
-	make := func(name string) *memberlist.Memberlist {
+	newPeer := func(name string) *memberlist.Memberlist {
 		tr, _ := c.sockets(7)
 		conf := memberlist.DefaultLocalConfig()
 		conf.Name, conf.Label, conf.SecretKey, conf.Transport = name, fmt.Sprintf("silvertrail/%d/test", protocolVersion), key, tr
@@ -394,9 +397,9 @@
 		c.t.Cleanup(func() { list.Shutdown() })
 		return list
 	}
-	boaster := make("boaster")
+	boaster := newPeer("boaster")
 	for i := range n {
-		other := make(fmt.Sprint("other ", i))
+		other := newPeer(fmt.Sprint("other ", i))
 		if _, err := other.Join([]string{boaster.LocalNode().Address()}); err != nil {
 			c.t.Fatal(err)
 		}
@@ -413,7 +416,7 @@
 			if err := f.RotateKeys(ring); err != nil {
 				t.Fatal(err)
 			}
-			a := f.asks(fmt.Sprint(step, "-", i), "north", 600*time.Millisecond)
+			a := f.asks(fmt.Sprint(step, "-", i), "north")
 			if state, _ := f.ClaimKey(t.Context(), a); state != ownership.Claimed {
 				t.Errorf("step %d, instance %d: %v", step, i, state)
 			}
@@ -422,7 +425,7 @@
 	if err := c.all[0].RotateKeys([][]byte{key}); err != nil {
 		t.Fatal(err)
 	}
-	if state, _ := c.all[0].ClaimKey(t.Context(), c.all[0].asks("old", "north", 600*time.Millisecond)); state != ownership.Unknown {
+	if state, _ := c.all[0].ClaimKey(t.Context(), c.all[0].asks("old", "north")); state != ownership.Unknown {
 		t.Errorf("with the old key: %v", state)
 	}
 	if err := c.all[1].ReconfigureVoters([]string{name(0), name(1), "i9"}); err == nil {
--- a/internal/fleet/membership/search_test.go
+++ b/internal/fleet/membership/search_test.go
@@ -180,9 +180,9 @@
 
 // trouble is something that happens to some members of a world for a time.
 type trouble struct {
-	kind     string
-	at, for_ time.Duration
-	who      []int
+	kind      string
+	at, lasts time.Duration
+	who       []int
 }
 
 func (x trouble) apply(w *world, on bool) {
@@ -246,8 +246,8 @@
 		budget := (n - 1) / 2
 		for i := range rapid.IntRange(1, 3).Draw(r, "troubles") {
 			x := trouble{kind: rapid.SampledFrom([]string{"pause", "mute", "deaf", "part", "pair", "slow", "loss", "again"}).Draw(r, fmt.Sprint("kind", i)),
-				at:   time.Duration(rapid.IntRange(0, 8000).Draw(r, fmt.Sprint("at", i))) * time.Millisecond,
-				for_: time.Duration(rapid.IntRange(200, 15000).Draw(r, fmt.Sprint("for", i))) * time.Millisecond}
+				at:    time.Duration(rapid.IntRange(0, 8000).Draw(r, fmt.Sprint("at", i))) * time.Millisecond,
+				lasts: time.Duration(rapid.IntRange(200, 15000).Draw(r, fmt.Sprint("for", i))) * time.Millisecond}
 			count := rapid.IntRange(1, max(budget/3, 1)).Draw(r, fmt.Sprint("count", i))
 			for range count {
 				who := rapid.IntRange(1, n-1).Draw(r, "who") // the one that founds again stays
@@ -273,7 +273,7 @@
 		}
 		for _, x := range troubles {
 			w.after(x.at, func() { x.apply(w, true) })
-			w.after(x.at+x.for_, func() { x.apply(w, false) })
+			w.after(x.at+x.lasts, func() { x.apply(w, false) })
 		}
 		w.run(24 * time.Second)
 		w.assertNoFalseRemoval(fmt.Sprint(troubles))
--- a/internal/fleet/membership/world_test.go
+++ b/internal/fleet/membership/world_test.go
@@ -74,6 +74,7 @@
 }
 
 func newWorld(t testing.TB, seed uint64, n int) *world {
+	t.Helper()
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 36)), byAddress: map[string]*node{}, delay: 2 * time.Millisecond, cut: map[[2]int]bool{},
 		views: map[[2]uint64]uint64{}, healthy: map[int]bool{}}
 	for range n {
@@ -246,15 +247,6 @@
 	}
 }
 
-func (w *world) others(of int) (out []int) {
-	for i := range w.nodes {
-		if i != of {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
 // awaitView waits until all that are up have one view of so many members, all confirmed.
 func (w *world) awaitView(n int, within time.Duration) time.Duration {
 	w.t.Helper()
--- a/internal/fleet/ownership/model_test.go
+++ b/internal/fleet/ownership/model_test.go
@@ -286,11 +286,11 @@
 				return len(seen), moves, why
 			}
 			sum := sha256.Sum256([]byte(w.state()))
-			if s := [16]byte(sum[:16]); seen[s] {
+			s := [16]byte(sum[:16])
+			if seen[s] {
 				continue
-			} else {
-				seen[s] = true
 			}
+			seen[s] = true
 			for _, m := range w.moves() {
 				next = append(next, append(slices.Clip(slices.Clone(moves)), m))
 			}
--- a/internal/gateway/cluster/dns.go
+++ b/internal/gateway/cluster/dns.go
@@ -9,12 +9,13 @@
 	"math"
 	"net"
 	"net/netip"
-	"silvertrail/internal/base/endpointlist"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"silvertrail/internal/base/endpointlist"
+
 	"github.com/miekg/dns"
 )
 
--- a/internal/gateway/cluster/merge.go
+++ b/internal/gateway/cluster/merge.go
@@ -8,9 +8,10 @@
 	"cmp"
 	"maps"
 	"math"
-	"silvertrail/internal/base/endpointlist"
 	"slices"
 	"time"
+
+	"silvertrail/internal/base/endpointlist"
 )
 
 // The kinds of word that a source has.
--- a/internal/gateway/cluster/merge_test.go
+++ b/internal/gateway/cluster/merge_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"silvertrail/internal/base/endpointlist"
 	"slices"
 	"testing"
 	"time"
+
+	"silvertrail/internal/base/endpointlist"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
--- a/internal/ledger/disk/disk_test.go
+++ b/internal/ledger/disk/disk_test.go
@@ -75,7 +75,8 @@
 
 func TestBoot(t *testing.T) {
 	before := SinceBoot()
-	if BootID() != BootID() || before <= 0 || SinceBoot() < before {
-		t.Errorf("%q, %v", BootID(), before)
+	first, second := BootID(), BootID()
+	if first != second || before <= 0 || SinceBoot() < before {
+		t.Errorf("%q, %q, %v", first, second, before)
 	}
 }
--- a/internal/ledger/segment/segment_test.go
+++ b/internal/ledger/segment/segment_test.go
@@ -79,6 +79,7 @@
 // sample is a small file; its last record's key holds the text of a record of the same file, which must never be taken for
 // one.
 func sample(t *testing.T) []byte {
+	t.Helper()
 	all := []*Record{{Kind: Received, Request: 1, ID: "a", Class: "seat", Key: "k", TimeLeft: time.Second, KeyID: [16]byte{1}},
 		{Kind: Intent, Request: 1, Attempt: 1, Endpoint: "n1", Zone: "north", Window: time.Minute},
 		{Kind: Outcome, Request: 1, Attempt: 1, Responded: true, Verdict: "ok", Status: 200},
--- a/internal/testkit/golden/golden.go
+++ b/internal/testkit/golden/golden.go
@@ -22,44 +22,44 @@
 const bytesPerLine = 32
 
 // Text compares text with testdata/golden/name and returns the content of the file.
-func Text(t testing.TB, name string, encoded []byte) []byte {
-	t.Helper()
-	recorded := load(t, name, encoded)
+func Text(tb testing.TB, name string, encoded []byte) []byte {
+	tb.Helper()
+	recorded := load(tb, name, encoded)
 	if string(recorded) != string(encoded) {
-		t.Errorf("%s: the format has changed\nencoded:  %s\nrecorded: %s", name, encoded, recorded)
+		tb.Errorf("%s: the format has changed\nencoded:  %s\nrecorded: %s", name, encoded, recorded)
 	}
 	return recorded
 }
 
 // Binary is Text for a format that is not readable text.
-func Binary(t testing.TB, name string, encoded []byte) []byte {
-	t.Helper()
-	recorded, err := hex.DecodeString(strings.Join(strings.Fields(string(load(t, name, dump(encoded)))), ""))
+func Binary(tb testing.TB, name string, encoded []byte) []byte {
+	tb.Helper()
+	recorded, err := hex.DecodeString(strings.Join(strings.Fields(string(load(tb, name, dump(encoded)))), ""))
 	if err != nil {
-		t.Fatalf("%s: %v", name, err)
+		tb.Fatalf("%s: %v", name, err)
 	}
 	if string(recorded) != string(encoded) {
-		t.Errorf("%s: the format has changed\nencoded:\n%s\nrecorded:\n%s", name, dump(encoded), dump(recorded))
+		tb.Errorf("%s: the format has changed\nencoded:\n%s\nrecorded:\n%s", name, dump(encoded), dump(recorded))
 	}
 	return recorded
 }
 
 // load returns the content of a golden file. It writes a missing one where the flag asks for that.
-func load(t testing.TB, name string, content []byte) []byte {
-	t.Helper()
+func load(tb testing.TB, name string, content []byte) []byte {
+	tb.Helper()
 	path := filepath.Join("testdata", "golden", name)
 	recorded, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) && *writeMissing {
 		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-			t.Fatal(err)
+			tb.Fatal(err)
 		}
 		if err := os.WriteFile(path, content, 0o644); err != nil {
-			t.Fatal(err)
+			tb.Fatal(err)
 		}
 		return content
 	}
 	if err != nil {
-		t.Fatalf("%v; add the file of a new format with -golden.write", err)
+		tb.Fatalf("%v; add the file of a new format with -golden.write", err)
 	}
 	return recorded
 }
--- a/lbpolicy/balancer_test.go
+++ b/lbpolicy/balancer_test.go
@@ -692,12 +692,12 @@
 // Asked discovery: one watch in time, again after a failure and never in step; pushed: none.
 func TestDiscovery(t *testing.T) {
 	cfg := testSettings()
-	b, h := newBalancer(t, cfg, ready(2)...)
+	_, h := newBalancer(t, cfg, ready(2)...)
 	if len(h.timers) != 0 {
 		t.Fatal("asked although pushed")
 	}
 	cfg.PollDiscovery = true
-	b, h = newBalancer(t, cfg, ready(2)...)
+	b, h := newBalancer(t, cfg, ready(2)...)
 	at, ok := h.timers[discoveryToken]
 	if !ok || at-sec > cfg.MaxPollInterval {
 		t.Fatalf("first watch at %v", at)
--- a/lbpolicy/fleet_slowstart_test.go
+++ b/lbpolicy/fleet_slowstart_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -239,8 +238,8 @@
 					good, asked, sends, least = good+g, asked+a, sends+f.sends, min(least, g/a)
 					work, could = work+f.coldWork, could+f.coldCould
 				}
-				t.Log(fmt.Sprintf("%-46s %3d balancers: fell %3d, broken %3d, most %.2f, told %.2f of the bound; cold work %.2f, worth %.3f (least %.3f), attempts %.2f",
-					day.name, balancers, len(all.fell), len(all.broken), all.most, all.mostTold, work/could, good/asked, least, float64(sends)/float64(arrived)))
+				t.Logf("%-46s %3d balancers: fell %3d, broken %3d, most %.2f, told %.2f of the bound; cold work %.2f, worth %.3f (least %.3f), attempts %.2f",
+					day.name, balancers, len(all.fell), len(all.broken), all.most, all.mostTold, work/could, good/asked, least, float64(sends)/float64(arrived))
 				if good < 0.3*asked {
 					t.Errorf("%d balancers: %.2f of the worth in time", balancers, good/asked)
 				}
@@ -263,7 +262,7 @@
 }
 
 type coldHost struct {
-	*member // unused actions
+	*member //nolint:unused // its methods are the actions that this host ignores
 	f       *coldFleet
 }
 
@@ -279,6 +278,7 @@
 const coldFull = 10.0 // calls a second of a warm endpoint
 
 func newColdFleet(t *testing.T, balancers, endpoints int) *coldFleet {
+	t.Helper()
 	f := &coldFleet{t: t, sends: map[ServerID][]time.Duration{}, now: sec}
 	var list []Server
 	for i := range endpoints {
--- a/lbpolicy/fleet_test.go
+++ b/lbpolicy/fleet_test.go
@@ -74,7 +74,6 @@
 	busy   time.Duration
 	queued int
 	done   []time.Duration // ends of calls lately
-	worked float64
 	recent []arrivalWork
 }
 
@@ -401,6 +400,7 @@
 
 // joinDay replaces six in ten endpoints within 7 s, at 0.85 of the whole load.
 func joinDay(t *testing.T, balancers int) *fleet {
+	t.Helper()
 	const endpoints = 60
 	f := newFleet(t, balancers, endpoints, 0.85, 30*sec)
 	for i := range endpoints * 6 / 10 {
--- a/lbpolicy/rules_test.go
+++ b/lbpolicy/rules_test.go
@@ -86,7 +86,8 @@
 	if c >= 1 {
 		return
 	}
-	recent := append(w.sends[s.ID], w.now)
+	w.sends[s.ID] = append(w.sends[s.ID], w.now)
+	recent := w.sends[s.ID]
 	for recent[0] <= w.now-w.cfg.OverloadWindow {
 		recent = recent[1:]
 	}
@@ -122,6 +123,7 @@
 const arrivals = 100.0 // a second
 
 func newWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 2)), now: sec, reqs: map[RequestID]*tracked{},
 		state: map[ServerID]Server{}, sends: map[ServerID][]time.Duration{}, banned: map[ServerID]bool{}}
 	w.cfg = testSettings()
