Fleet, control plane, policy and ledger pass the linter

Change: errors are returned, joined or dropped by name with the reason; SharedWriteBuffer stays, as its replacement changes bytes on the wire.

--- a/internal/balancer/engine/ejection.go
+++ b/internal/balancer/engine/ejection.go
@@ -43,7 +43,9 @@
 	e.mu.Lock()
 	e.everListed.add(name)
 	e.mu.Unlock()
-	e.SetManuallyEjected(name, ejected)
+	if err := e.SetManuallyEjected(name, ejected); err != nil {
+		e.log.Error("manual ejection not applied", "endpoint", name, "error", err)
+	}
 }
 
 // ManuallyEjected returns the names of the manually ejected endpoints.
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -135,7 +135,11 @@
 }
 
 func (s *Server) startGoroutines() {
-	s.goroutines.Go(func() { s.grpcServer.Serve(s.listener) })
+	s.goroutines.Go(func() {
+		if err := s.grpcServer.Serve(s.listener); err != nil {
+			s.log.Error("listener failed", "error", err)
+		}
+	})
 	s.goroutines.Go(s.persistLoop)
 	for _, p := range s.peers {
 		s.goroutines.Go(p.run)
@@ -151,7 +155,7 @@
 		grpc.MaxRecvMsgSize(maxRequestBytes),
 		grpc.ReadBufferSize(streamBufferBytes),
 		grpc.WriteBufferSize(streamBufferBytes),
-		grpc.SharedWriteBuffer(true),
+		grpc.SharedWriteBuffer(true), //nolint:staticcheck // the memory of hundreds of streams depends on it until it is the default
 		grpc.WaitForHandlers(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: keepaliveInterval, Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -112,8 +112,7 @@
 		return nil, err
 	}
 	if err := f.startMemberlist(config); err != nil {
-		config.Transport.Shutdown()
-		return nil, err
+		return nil, errors.Join(err, config.Transport.Shutdown())
 	}
 	close(f.started)
 	f.startGoroutines()
--- a/internal/fleet/membership/status.go
+++ b/internal/fleet/membership/status.go
@@ -124,19 +124,23 @@
 			}
 			continue
 		}
-		if !c.hasCurrentRow(link) {
+		if c.hasCurrentRow(link) {
+			addRow(names, i, name, link.unreachable)
+		}
+	}
+	return names
+}
+
+// addRow adds the name of member i to those that do not reach the members of its row, which may hold one member twice.
+func addRow(names [][]string, i int, name string, row []uint16) {
+	for _, j := range row {
+		if int(j) >= len(names) || int(j) == i {
 			continue
 		}
-		for _, j := range link.unreachable {
-			if int(j) >= len(names) || int(j) == i {
-				continue
-			}
-			if last := len(names[j]) - 1; last < 0 || names[j][last] != name { // a row may hold one member twice
-				names[j] = append(names[j], name)
-			}
+		if last := len(names[j]) - 1; last < 0 || names[j][last] != name {
+			names[j] = append(names[j], name)
 		}
 	}
-	return names
 }
 
 // hasCurrentRow reports whether what a member does not reach is known and current.
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -62,7 +62,7 @@
 		tcp.Close()
 		return nil, err
 	}
-	udp.SetReadBuffer(udpBufferBytes) // as much as the system allows; with less, more packets are lost, which is tolerated
+	_ = udp.SetReadBuffer(udpBufferBytes) // as much as the system allows; with less, more packets are lost, which is tolerated
 	t := &Transport{
 		udp:     udp,
 		tcp:     tcp,
--- a/internal/ledger/disk/disk.go
+++ b/internal/ledger/disk/disk.go
@@ -67,7 +67,7 @@
 	}
 	if err != nil {
 		f.Close()
-		os.Remove(f.Name())
+		err = errors.Join(err, os.Remove(f.Name()))
 		return nil, fmt.Errorf("taking %d bytes for %s: %w", room, name, err)
 	}
 	return file{f}, nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -231,15 +231,22 @@
 	select {
 	case <-ended:
 		if l.options.Load().Commit.Mode == commit.OSBuffered {
-			l.file.Sync()
+			l.logFileError("sync", l.file.Sync())
 		}
-		l.file.Close()
+		l.logFileError("close", l.file.Close())
 	case <-time.After(endTimeout):
 		l.log.Error("disk hangs at the end of the log")
 	}
 	l.unlock()
 }
 
+// logFileError logs an error at the end of the log.
+func (l *Ledger) logFileError(operation string, err error) {
+	if err != nil {
+		l.log.Error("end of the log not safe", "operation", operation, "error", err)
+	}
+}
+
 // beginClose adds the last records; false: Close was called before.
 func (l *Ledger) beginClose() bool {
 	l.mu.Lock()
--- a/internal/ledger/requesthistory/request.go
+++ b/internal/ledger/requesthistory/request.go
@@ -98,7 +98,7 @@
 }
 
 // mayHaveRun reports whether nothing proves that the attempt did not run.
-func (a *Attempt) mayHaveRun() bool { return a.Intended && !(a.Ended && a.NeverRan) }
+func (a *Attempt) mayHaveRun() bool { return a.Intended && (!a.Ended || !a.NeverRan) }
 
 // verdictOK is the verdict of a successful attempt.
 const verdictOK = "ok"
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -139,7 +140,7 @@
 // openSegment makes the next segment. Only the writer calls it.
 func (l *Ledger) openSegment() (size int64, err error) {
 	if l.file != nil {
-		l.file.Close() // it is durable, or not trusted
+		_ = l.file.Close() // it is durable, or not trusted
 	}
 	o := l.options.Load()
 	if err := l.renewLock(o.Dir); err != nil {
@@ -154,9 +155,7 @@
 		return 0, err
 	}
 	if err := l.writeHeader(file, text); err != nil {
-		file.Close()
-		l.disk.Remove(name)
-		return 0, err
+		return 0, errors.Join(err, file.Close(), l.disk.Remove(name))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/lbpolicy/api.go
+++ b/lbpolicy/api.go
@@ -13,11 +13,11 @@
 
 import "time"
 
-// ServerID and RequestID are opaque numbers assigned by the host.
-type (
-	ServerID  uint32
-	RequestID uint64
-)
+// ServerID identifies a server. The host assigns it.
+type ServerID uint32
+
+// RequestID identifies a request. The host assigns it.
+type RequestID uint64
 
 // Effect is the idempotency of a class of requests.
 type Effect uint8
