--- a/cmd/silvertrail/link.go
+++ b/cmd/silvertrail/link.go
@@ -37,14 +37,14 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "\nTO\tADDRESS\tSTATE\tSINCE\tROUND TRIP\tWINDOW\tIN FLIGHT\tUNSETTLED\tFAULT")
 	for _, s := range v.Salas {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%.0f\t%d\t%d\t%s\n", s.Name, s.Address, s.State, s.Since.Format(time.DateTime), s.Trip, s.Window, s.InFlight, s.Open, s.Fault)
-		for _, g := range s.Gates {
-			fmt.Fprintf(w, "\t%s\t%s\t%s\t\t\t\t%d\t%s\n", g.Address, g.State, g.Since.Format(time.DateTime), g.Open, g.Fault)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%.0f\t%d\t%d\t%s\n", s.Name, s.Address, s.State, s.Since.Format(time.DateTime), s.RoundTrip, s.ConcurrencyLimit, s.InFlight, s.Unsettled, s.LastError)
+		for _, g := range s.Gateways {
+			fmt.Fprintf(w, "\t%s\t%s\t%s\t\t\t\t%d\t%s\n", g.Address, g.State, g.Since.Format(time.DateTime), g.Unsettled, g.LastError)
 		}
 	}
 	fmt.Fprintln(w, "\nDIRECTION\tSALA\tCLASS\tTENANT\tREASON\tOUTCOME\tCOUNT")
 	for _, s := range v.Salas {
-		for direction, sums := range map[string][]tally.Sum{"sent": s.Sent, "received": s.Received} {
+		for direction, sums := range map[string][]tally.Counter{"sent": s.Sent, "received": s.Received} {
 			for _, n := range sums {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", direction, s.Name, n.Class, n.Tenant, n.Reason, n.Outcome, n.Count)
 			}
@@ -56,8 +56,8 @@
 	}
 	differ := 0
 	for _, s := range v.Salas {
-		fmt.Printf("compared with %s: %d sessions, %d differences\n", s.Name, s.Compared, len(s.Differs))
-		for _, d := range s.Differs {
+		fmt.Printf("compared with %s: %d sessions, %d differences\n", s.Name, s.SessionsCompared, len(s.Differences))
+		for _, d := range s.Differences {
 			differ++
 			fmt.Printf("  session %x, class %s, tenant %q, %s, %s: %d here, %d there\n", d.Session, d.Class, d.Tenant, d.Reason, d.Outcome, d.Sent, d.Received)
 		}
@@ -118,7 +118,7 @@
 			fmt.Printf("%s: knows nothing of it\n", f.Sala)
 		default:
 			fmt.Printf("%s: may have run at %s, zone %s, cell %d; repeats are sent there for another %v\n", f.Sala, f.Cluster, f.Zone, f.Cell,
-				(time.Duration(f.Left) * time.Microsecond).Round(time.Millisecond))
+				(time.Duration(f.RetryWindow) * time.Microsecond).Round(time.Millisecond))
 		}
 	}
 	return nil
--- a/internal/gateway/conf/link.go
+++ b/internal/gateway/conf/link.go
@@ -29,10 +29,10 @@
 	s := p.open("link "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"listen", "certificate", "key", "authority", "plain", "heartbeat",
 		"silence", "calls", "connections"}, map[string]int{"peer": 1})
 	s.need("listen")
-	o := &link.Options{Sala: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), Calls: s.whole("calls", 1024, 1, 1<<16), Connections: s.whole("connections", 2, 1, 8),
-		Heartbeat: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
-		Silence:   s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
-	p.sala(o.Sala, b.LabelRanges[0])
+	o := &link.Options{Site: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), MaxInFlight: s.whole("calls", 1024, 1, 1<<16), Connections: s.whole("connections", 2, 1, 8),
+		HeartbeatInterval: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
+		HeartbeatTimeout:  s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
+	p.sala(o.Site, b.LabelRanges[0])
 	at, err := netip.ParseAddrPort(o.Listen)
 	if err != nil && s.has("listen") {
 		s.fault(s.where("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7950\".", o.Listen)
@@ -77,7 +77,7 @@
 			}
 			peer.Addresses = append(peer.Addresses, a.text)
 		}
-		if peer.Name == o.Sala || slices.ContainsFunc(o.Peers, func(o link.Peer) bool { return o.Name == peer.Name }) {
+		if peer.Name == o.Site || slices.ContainsFunc(o.Peers, func(o link.Peer) bool { return o.Name == peer.Name }) {
 			p.fault(inner.LabelRanges[0], "Named twice", "%q is this sala, or a peer already.", peer.Name)
 		}
 		o.Peers = append(o.Peers, peer)
@@ -86,7 +86,7 @@
 		s.fault(s.at, "No peer", "%s needs a peer block for each other sala.", s.what)
 	}
 	for _, c := range f.Classes {
-		o.Worths = append(o.Worths, c.PriorityWeight)
+		o.PriorityWeights = append(o.PriorityWeights, c.PriorityWeight)
 	}
 	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == lbpolicy.KeyedIdempotent }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
 		s.fault(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
--- a/internal/gateway/conf/link_test.go
+++ b/internal/gateway/conf/link_test.go
@@ -29,8 +29,8 @@
 		t.Fatal(err)
 	}
 	o := f.Link
-	if o == nil || o.Sala != "centro" || len(o.Peers) != 2 || o.Peers[1].Addresses[0] != "127.0.0.1:7952" || o.Silence != 300*time.Millisecond ||
-		o.Connections != 2 || o.Identity.Key != filepath.Join(dir, "centro.key") || len(o.Worths) != 2 {
+	if o == nil || o.Site != "centro" || len(o.Peers) != 2 || o.Peers[1].Addresses[0] != "127.0.0.1:7952" || o.HeartbeatTimeout != 300*time.Millisecond ||
+		o.Connections != 2 || o.Identity.Key != filepath.Join(dir, "centro.key") || len(o.PriorityWeights) != 2 {
 		t.Errorf("%+v", o)
 	}
 	for old, want := range map[string]struct{ with, fault string }{
--- a/internal/gateway/control_link.go
+++ b/internal/gateway/control_link.go
@@ -13,15 +13,15 @@
 
 // LinkView is what a gateway tells of its links.
 type LinkView struct {
-	Sala     string          `json:"sala"`
-	State    string          `json:"state"`
-	Leaving  bool            `json:"leaving,omitempty"` // its own callers' requests go to other salas first
-	Salas    []link.SalaView `json:"salas"`
-	Compared bool            `json:"compared,omitempty"` // with the other ends' counts
+	Sala     string            `json:"sala"`
+	State    string            `json:"state"`
+	Leaving  bool              `json:"leaving,omitempty"` // its own callers' requests go to other salas first
+	Salas    []link.SiteStatus `json:"salas"`
+	Compared bool              `json:"compared,omitempty"` // with the other ends' counts
 }
 
 // links returns the running links, or tells that there are none.
-func (g *Gateway) links(w http.ResponseWriter) *link.Link {
+func (g *Gateway) links(w http.ResponseWriter) *link.Transport {
 	l := g.linked.Load()
 	if l == nil {
 		http.Error(w, "this instance has no link to other salas", http.StatusNotFound)
@@ -72,7 +72,7 @@
 // FoundView is what one sala knows of a key.
 type FoundView struct {
 	Sala string `json:"sala"`
-	link.Found
+	link.KeyLocation
 	Error string `json:"error,omitempty"`
 }
 
@@ -85,10 +85,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), askIn)
 	defer cancel()
 	id := idempotency.KeyIDOf(r.URL.Query().Get("tenant"), r.URL.Query().Get("key"))
-	out := []FoundView{{Sala: g.sala, Found: salaServer{g}.Lookup(id)}}
+	out := []FoundView{{Sala: g.sala, KeyLocation: salaServer{g}.Lookup(id)}}
 	for _, s := range l.Status(ctx, false) {
 		f, err := l.Lookup(ctx, s.Name, id)
-		v := FoundView{Sala: s.Name, Found: f}
+		v := FoundView{Sala: s.Name, KeyLocation: f}
 		if err != nil {
 			v.Error = err.Error()
 		}
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -28,20 +28,20 @@
 
 // over gives a request to other salas, as the decisions of package crossing say, until one has served it or none may have
 // it. What comes in is how its own sala has ended it.
-func (x *exchange) over(ctx context.Context, way *crossing.Way, a engine.Result) engine.Result {
+func (x *exchange) over(ctx context.Context, way *crossing.Route, a engine.Result) engine.Result {
 	l := x.gateway.linked.Load()
 	if l == nil {
 		return a
 	}
 	attempts := a.Attempts
 	for !engine.IsDisconnected(ctx) && a.Response == nil {
-		so := crossing.So{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, Attempts: attempts, Holder: x.holder(),
-			Refused: a.Rejected, Passing: x.passing != nil}
+		so := crossing.Progress{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, NewAttempts: attempts, OwnerSite: x.holder(),
+			Rejected: a.Rejected, Transit: x.passing != nil}
 		r, why, ok := way.Next(so)
 		if !ok {
 			return a
 		}
-		r.Worth = x.class.PriorityWeight
+		r.PriorityWeight = x.class.PriorityWeight
 		to, back, ok := l.Pick(r)
 		if !ok {
 			if back > 0 && !a.MayHaveRun { // it never ran anywhere, and there is nowhere to carry it now
@@ -49,7 +49,7 @@
 			}
 			return a
 		}
-		way.Crossed(to)
+		way.MarkForwarded(to)
 		b := x.carry(ctx, l, to, why, way)
 		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Response == nil
 		b.Rejected = b.Rejected && !b.MayHaveRun
@@ -70,63 +70,63 @@
 
 // carry gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
 // that nothing has run there.
-func (x *exchange) carry(ctx context.Context, l *link.Link, to string, why tally.Reason, way *crossing.Way) (a engine.Result) {
+func (x *exchange) carry(ctx context.Context, l *link.Transport, to string, why tally.Reason, way *crossing.Route) (a engine.Result) {
 	var try *idempotency.Attempt
 	ran := false // an attempt of this request, before this one
 	if x.hold != nil {
 		ran = x.hold.MayHaveRun()
 		var err error
-		if try, err = x.hold.Send(time.Now(), idempotency.Place{Cluster: crossing.Place(to, ""), Zone: to}, x.terms()); err != nil {
-			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
+		if try, err = x.hold.Send(time.Now(), idempotency.Place{Cluster: crossing.QualifyCluster(to, ""), Zone: to}, x.terms()); err != nil {
+			l.RecordResult(to, x.class.PriorityWeight, crossing.NotSent, 0)
 			return engine.Result{MayHaveRun: true}
 		}
 	}
 	var record *ledger.Attempt
 	if x.entry != nil {
 		record = x.entry.Attempt(salaNodo(to), x.terms())
-		if err := record.Intent(ctx, idempotency.Place{Cluster: crossing.Place(to, ""), Zone: to}); err != nil { // nothing goes out
+		if err := record.Intent(ctx, idempotency.Place{Cluster: crossing.QualifyCluster(to, ""), Zone: to}); err != nil { // nothing goes out
 			record.Ended(lbpolicy.NotSent, 0)
 			try.End(time.Now(), true)
-			l.Ended(to, x.class.PriorityWeight, crossing.Returned, 0)
+			l.RecordResult(to, x.class.PriorityWeight, crossing.NotSent, 0)
 			return engine.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
 		}
 	}
-	c := &link.Call{Left: time.Until(x.deadline).Microseconds(), Class: x.class.Name, Worth: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
-		Tenant: x.tenant, Key: x.key, Allowed: way.Left(), Been: append(append([]string{}, way.Been...), x.gateway.sala), Reason: why,
-		Past: x.holder() == to && why == tally.Held, Retried: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
-	c.Try, c.Turn = x.votes(c.Past, ran)
-	c.Away = func() bool { return engine.IsDisconnected(ctx) }
+	c := &link.Request{TimeLeft: time.Until(x.deadline).Microseconds(), Class: x.class.Name, PriorityWeight: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
+		Tenant: x.tenant, Key: x.key, AttemptsLeft: way.AttemptsLeft(), VisitedSites: append(append([]string{}, way.VisitedSites...), x.gateway.sala), Reason: why,
+		KeyMayHaveRun: x.holder() == to && why == tally.KeyOwned, IsRetry: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
+	c.ClaimAttempt, c.ClaimRound = x.votes(c.KeyMayHaveRun, ran)
+	c.IsDisconnected = func() bool { return engine.IsDisconnected(ctx) }
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	is := link.Crossing{Outcome: tally.NeverRan}
+	is := link.ForwardResult{Outcome: tally.NeverRan}
 	if !engine.IsDisconnected(ctx) { // it may have, while the crossing was recorded
-		is = l.Call(waiting, to, c)
+		is = l.Forward(waiting, to, c)
 	}
 	outcome := is.Outcome
-	if outcome == tally.Open && x.class.Effect != lbpolicy.Idempotent && ctx.Err() == nil {
+	if outcome == tally.Pending && x.class.Effect != lbpolicy.Idempotent && ctx.Err() == nil {
 		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
 		outcome = l.Settle(settling, is)
 		cancel()
 	}
 	if try != nil {
-		try.End(time.Now(), outcome.Harmless())
+		try.End(time.Now(), outcome.ProvesNothingRan())
 	}
 	if record != nil {
-		record.Ended(crossed(outcome, is.Answer))
+		record.Ended(crossed(outcome, is.Response))
 	}
-	a = x.answer(is.Answer, outcome)
+	a = x.answer(is.Response, outcome)
 	result := crossing.Failed
 	switch {
 	case !is.Sent:
-		result = crossing.Returned
+		result = crossing.NotSent
 	case a.Response != nil:
 		result = crossing.Served
-	case outcome == tally.Refused:
-		result = crossing.Refused
-	case waiting.Err() != nil && is.Answer == nil && ctx.Err() != nil:
-		result = crossing.GivenUp
+	case outcome == tally.Rejected:
+		result = crossing.Rejected
+	case waiting.Err() != nil && is.Response == nil && ctx.Err() != nil:
+		result = crossing.Abandoned
 	}
-	l.Ended(to, x.class.PriorityWeight, result, a.RetryAfter)
+	l.RecordResult(to, x.class.PriorityWeight, result, a.RetryAfter)
 	if is.Sent {
 		x.gateway.log.Debug("crossed", "to", to, "class", x.class.Name, "reason", why.String(), "outcome", outcome.String())
 	}
@@ -134,8 +134,8 @@
 }
 
 // answer translates what another sala has said.
-func (x *exchange) answer(said *link.Answer, outcome tally.Outcome) (a engine.Result) {
-	a.MayHaveRun = !outcome.Harmless()
+func (x *exchange) answer(said *link.Response, outcome tally.Outcome) (a engine.Result) {
+	a.MayHaveRun = !outcome.ProvesNothingRan()
 	if said == nil {
 		return a
 	}
@@ -143,8 +143,8 @@
 	switch outcome {
 	case tally.Served:
 		a.Response, a.MayHaveRun = &upstream.Response{Status: said.Status, Header: said.Header, Body: said.Body}, false
-	case tally.Refused:
-		a.Rejected, a.RetryAfter = true, time.Duration(said.Back)*time.Microsecond
+	case tally.Rejected:
+		a.Rejected, a.RetryAfter = true, time.Duration(said.RetryAfter)*time.Microsecond
 	}
 	if said.Place.Cluster != "" && a.Response == nil { // it knows who holds the key
 		x.told = idempotency.KeyState{Known: true, Place: said.Place, RetryUntil: x.deadline}
@@ -177,7 +177,7 @@
 	if x.binder != nil {
 		pasts = append(pasts, x.binder.KeyState())
 	}
-	return crossing.Holder(pasts...)
+	return crossing.OwnerSite(pasts...)
 }
 
 // salaServer serves what crosses to this sala. It implements link.Server.
@@ -191,36 +191,36 @@
 	case g.strained():
 		return crossing.Shedding
 	}
-	return crossing.Open
+	return crossing.Available
 }
 
 // strained tells whether this sala refuses so much that the others should know.
 func (g *Gateway) strained() bool {
 	g.strainMu.Lock()
 	defer g.strainMu.Unlock()
-	return g.strain.Shedding(time.Now())
+	return g.strain.IsShedding(time.Now())
 }
 
 // note counts a request that this sala's own decisions have ended.
 func (g *Gateway) note(refused bool) {
 	g.strainMu.Lock()
 	defer g.strainMu.Unlock()
-	g.strain.Note(time.Now(), refused)
+	g.strain.Record(time.Now(), refused)
 }
 
 // Lookup implements link.Server.
-func (g salaServer) Lookup(id idempotency.KeyID) (f link.Found) {
+func (g salaServer) Lookup(id idempotency.KeyID) (f link.KeyLocation) {
 	now := time.Now()
 	p := g.keys.KeyState(now, id, lbpolicy.ScopeAll)
 	if !p.Known {
 		return f
 	}
-	return link.Found{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, Left: max(p.RetryUntil.Sub(now), 0).Microseconds()}
+	return link.KeyLocation{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, RetryWindow: max(p.RetryUntil.Sub(now), 0).Microseconds()}
 }
 
-// Cross implements link.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
-func (g salaServer) Cross(ctx context.Context, from string, c *link.Call) *link.Answer {
-	never := func(why string) *link.Answer { return &link.Answer{Outcome: tally.NeverRan, Why: why} }
+// ServeRequest implements link.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
+func (g salaServer) ServeRequest(ctx context.Context, from string, c *link.Request) *link.Response {
+	never := func(why string) *link.Response { return &link.Response{Outcome: tally.NeverRan, Detail: why} }
 	s := g.acquire()
 	ro := &router{gateway: g.Gateway}
 	ro.listener.Store(&conf.Listener{Name: conf.LinkListener, Trusted: true})
@@ -250,13 +250,13 @@
 		return never("the route's class here is " + x.class.Name + ", or has another effect")
 	}
 	x.passing = c
-	x.q.TimeLeft, x.q.Retry = min(x.q.TimeLeft, time.Duration(c.Left)*time.Microsecond), c.Retried
-	if c.Allowed > 0 && (x.q.MaxAttempts == 0 || c.Allowed < x.q.MaxAttempts) {
-		x.q.MaxAttempts = c.Allowed
+	x.q.TimeLeft, x.q.Retry = min(x.q.TimeLeft, time.Duration(c.TimeLeft)*time.Microsecond), c.IsRetry
+	if c.AttemptsLeft > 0 && (x.q.MaxAttempts == 0 || c.AttemptsLeft < x.q.MaxAttempts) {
+		x.q.MaxAttempts = c.AttemptsLeft
 	}
 	begun := time.Now()
 	if !x.hasBodyRoom(ctx, c.Body) {
-		return &link.Answer{Outcome: tally.Refused, Back: keysRetry.Microseconds()}
+		return &link.Response{Outcome: tally.Rejected, RetryAfter: keysRetry.Microseconds()}
 	}
 	defer x.Bodies().Release(int64(len(c.Body)))
 	x.q.TimeLeft -= time.Since(begun)
@@ -274,37 +274,37 @@
 }
 
 // outcome says what became of a call that another sala has sent.
-func (x *exchange) outcome(ctx context.Context, a engine.Result) *link.Answer {
+func (x *exchange) outcome(ctx context.Context, a engine.Result) *link.Response {
 	if a.Response != nil {
 		return served(a.Response.Status, a.Response.Header, a.Response.Body)
 	}
 	if x.turned != nil {
 		return served(x.turned.Status, x.turned.Header, x.turned.Body)
 	}
-	out := &link.Answer{Outcome: tally.NeverRan}
+	out := &link.Response{Outcome: tally.NeverRan}
 	past := idempotency.KeyState{}
 	if x.hold != nil {
 		past = x.past()
 		if past.Known {
 			out.Place = past.Place
-			out.Place.Cluster = crossing.Place(x.holder(), "")
+			out.Place.Cluster = crossing.QualifyCluster(x.holder(), "")
 		}
 	}
 	switch {
 	case a.MayHaveRun || ctx.Err() != nil || x.hold != nil && x.hold.MayHaveRun(): // whose caller has gone, told nothing of what is out
-		out.Outcome = tally.Unclear
+		out.Outcome = tally.MayHaveRun
 	case a.Rejected && failover.MayReject(time.Now(), past, x.class.Scope):
-		out.Outcome, out.Back = tally.Refused, a.RetryAfter.Microseconds()
+		out.Outcome, out.RetryAfter = tally.Rejected, a.RetryAfter.Microseconds()
 	}
 	return out
 }
 
-func served(status int, h http.Header, body []byte) *link.Answer {
-	return &link.Answer{Outcome: tally.Served, Status: status, Header: h, Body: body}
+func served(status int, h http.Header, body []byte) *link.Response {
+	return &link.Response{Outcome: tally.Served, Status: status, Header: h, Body: body}
 }
 
 // Links tells how the links to other salas stand; nothing where there are none.
-func (g *Gateway) Links(ctx context.Context) []link.SalaView {
+func (g *Gateway) Links(ctx context.Context) []link.SiteStatus {
 	l := g.linked.Load()
 	if l == nil {
 		return nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,7 +51,7 @@
 	tenant  string
 	to      string               // cluster that the rule names, or its split
 	asked   string               // path and query before the rule's rewrite
-	passing *link.Call           // the request came from another sala; nil: from a caller
+	passing *link.Request        // the request came from another sala; nil: from a caller
 	told    idempotency.KeyState // of the key, by another sala
 
 	id       idempotency.KeyID    // of the key
@@ -301,9 +301,9 @@
 	if len(x.rule.Cross) == 0 {
 		return x.here(ctx)
 	}
-	way := &crossing.Way{Here: x.gateway.sala, Effect: x.class.Effect, May: x.rule.Cross, Attempts: x.q.MaxAttempts}
+	way := &crossing.Route{LocalSite: x.gateway.sala, Effect: x.class.Effect, AllowedSites: x.rule.Cross, MaxAttempts: x.q.MaxAttempts}
 	if x.passing != nil {
-		way.Been = x.passing.Been
+		way.VisitedSites = x.passing.VisitedSites
 	}
 	holder := x.holder()
 	away := holder != "" && holder != x.gateway.sala
@@ -370,8 +370,8 @@
 		return a, false
 	}
 	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.NeedsFleetClaim(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
-		if c := x.passing; c != nil && c.Try != (ownership.AttemptID{}) {
-			x.binder = resume(f, x.id, x.class, x.deadline, c.Try, c.Turn, len(c.Been))
+		if c := x.passing; c != nil && c.ClaimAttempt != (ownership.AttemptID{}) {
+			x.binder = resume(f, x.id, x.class, x.deadline, c.ClaimAttempt, c.ClaimRound, len(c.VisitedSites))
 		} else {
 			x.binder = newBinder(f, x.id, x.class, x.deadline)
 		}
@@ -410,7 +410,7 @@
 // local is what is known of the request's key, for a choice among this sala's clusters.
 func (x *exchange) local() idempotency.KeyState {
 	p := x.past()
-	if sala, cluster := crossing.Split(p.Place.Cluster); sala == x.gateway.sala {
+	if sala, cluster := crossing.SplitCluster(p.Place.Cluster); sala == x.gateway.sala {
 		p.Place.Cluster = cluster
 	}
 	return p
@@ -425,7 +425,7 @@
 	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.AttemptsLeft()
 	var key *engine.Key
 	if x.hold != nil {
-		key = &engine.Key{History: x.hold, Cluster: crossing.Place(x.gateway.sala, to),
+		key = &engine.Key{History: x.hold, Cluster: crossing.QualifyCluster(x.gateway.sala, to),
 			Terms: x.terms()}
 		if x.binder != nil {
 			key.Claimer = x.binder
--- a/internal/gateway/gates_test.go
+++ b/internal/gateway/gates_test.go
@@ -50,8 +50,8 @@
 	p.members(0, "gone", "gone")
 	states := func() (first, second string) {
 		for _, s := range p.status(0, false) {
-			if s.Name == "norte" && len(s.Gates) == 2 {
-				return s.Gates[0].State, s.Gates[1].State
+			if s.Name == "norte" && len(s.Gateways) == 2 {
+				return s.Gateways[0].State, s.Gateways[1].State
 			}
 		}
 		return "", ""
@@ -111,7 +111,7 @@
 	both()
 	lbtest.Until(t, "both ends count the same", func() bool {
 		for _, s := range p.status(0, true) {
-			if s.Name == "norte" && (s.Open > 0 || len(s.Differs) > 0 || s.Fault != "" || s.Compared == 0) {
+			if s.Name == "norte" && (s.Unsettled > 0 || len(s.Differences) > 0 || s.LastError != "" || s.SessionsCompared == 0) {
 				return false
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,11 +43,11 @@
 	discover  func(planes.Options, *slog.Logger) Discovery
 	discovery Discovery // nil: no control planes
 	machine   func(api.Options, *slog.Logger) (ControlPlane, error)
-	plane     ControlPlane              // nil: this instance is no control machine
-	linked    atomic.Pointer[link.Link] // nil: no other salas
-	sala      string                    // this one's name; empty: there is no link
+	plane     ControlPlane                   // nil: this instance is no control machine
+	linked    atomic.Pointer[link.Transport] // nil: no other salas
+	sala      string                         // this one's name; empty: there is no link
 	strainMu  sync.Mutex
-	strain    crossing.Strain
+	strain    crossing.Saturation
 	draining  atomic.Bool // nothing new is taken from other salas
 	leaving   atomic.Bool // and what is this sala's own goes to others first
 	quota     atomic.Pointer[fleet.Quota]
@@ -152,13 +152,13 @@
 		}
 	}
 	if file.Link != nil {
-		g.sala = file.Link.Sala
+		g.sala = file.Link.Site
 	}
 	err := g.Reload(file)
 	if err == nil && file.Link != nil { // calls come from now on: there must be a state
 		o := *file.Link
-		o.Serve, o.Log = salaServer{g}, log
-		var l *link.Link
+		o.Handler, o.Logger = salaServer{g}, log
+		var l *link.Transport
 		if l, err = link.Start(o); err == nil {
 			g.linked.Store(l)
 		}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -58,8 +58,8 @@
 	}
 	r := ledger.Request{ID: x.up.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.id, Fingerprint: print,
 		TimeLeft: x.q.TimeLeft, Unrecorded: x.class.Unrecorded}
-	if x.passing != nil && len(x.passing.Been) > 0 {
-		r.FromSite = x.passing.Been[len(x.passing.Been)-1]
+	if x.passing != nil && len(x.passing.VisitedSites) > 0 {
+		r.FromSite = x.passing.VisitedSites[len(x.passing.VisitedSites)-1]
 	}
 	e, err := l.Begin(r)
 	if err != nil {
@@ -100,7 +100,7 @@
 }
 
 // finalOver has the answer to another sala recorded.
-func (x *exchange) finalOver(out *link.Answer) {
+func (x *exchange) finalOver(out *link.Response) {
 	if x.entry == nil {
 		return
 	}
@@ -110,7 +110,7 @@
 		ending = segment.KeyConflict
 	case out.Outcome == tally.Served:
 		ending = segment.Served
-	case out.Outcome == tally.Refused:
+	case out.Outcome == tally.Rejected:
 		ending = segment.Rejected
 	case x.gone:
 		ending = segment.Disconnected
@@ -122,7 +122,7 @@
 func salaNodo(sala string) string { return "sala " + sala }
 
 // crossed tells how an attempt that went to another sala has ended, in the words of attempts.
-func crossed(o tally.Outcome, said *link.Answer) (lbpolicy.Verdict, int) {
+func crossed(o tally.Outcome, said *link.Response) (lbpolicy.Verdict, int) {
 	status := 0
 	if said != nil {
 		status = said.Status
@@ -130,7 +130,7 @@
 	switch {
 	case o == tally.Served:
 		return lbpolicy.OK, status
-	case o.Harmless():
+	case o.ProvesNothingRan():
 		return lbpolicy.ServerFull, status
 	}
 	return lbpolicy.Timeout, 0
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -200,7 +200,7 @@
 	}
 }
 
-func (p *province) status(i int, reconcile bool) []link.SalaView {
+func (p *province) status(i int, reconcile bool) []link.SiteStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
 	return p.all[i].linked.Load().Status(ctx, reconcile)
@@ -246,12 +246,12 @@
 // agreed waits until all crossings are settled and both ends of every link count the same.
 func (p *province) agreed() {
 	p.t.Helper()
-	var last []link.SalaView
+	var last []link.SiteStatus
 	lbtest.Until(p.t, "both ends of all links count the same", func() bool {
 		for i := range 3 {
 			last = p.status(i, true)
 			for _, s := range last {
-				if s.Open > 0 || len(s.Differs) > 0 || s.Fault != "" || s.Compared == 0 {
+				if s.Unsettled > 0 || len(s.Differences) > 0 || s.LastError != "" || s.SessionsCompared == 0 {
 					return false
 				}
 			}
@@ -418,7 +418,7 @@
 				if target == "/seat" && reset {
 					most++
 				}
-				if n := int(sent[tally.Served]); n > most || n+int(sent[tally.Unclear]) < ran() {
+				if n := int(sent[tally.Served]); n > most || n+int(sent[tally.MayHaveRun]) < ran() {
 					t.Errorf("the sender counts %v, in effect %d times", sent, ran())
 				}
 				if !reset && status == 200 {
--- a/internal/salas/crossing/crossing.go
+++ b/internal/salas/crossing/crossing.go
@@ -28,177 +28,177 @@
 
 // The states. A closed one gets nothing; a draining one gets only what must go there, as its key is held there.
 const (
-	Closed State = iota
+	Unavailable State = iota
 	Draining
 	Shedding // it refuses some of its own callers' requests
-	Open
+	Available
 )
 
 func (s State) String() string {
-	if s > Open {
+	if s > Available {
 		return "unknown"
 	}
 	return [...]string{"closed", "draining", "shedding", "open"}[s]
 }
 
 const (
-	firstWindow = 4.0
-	leastWindow = 1.0
-	mostWindow  = 4096.0
-	shrink      = 0.7
-	lowShare    = 0.5                    // of the first window, for the least worth
-	margin      = 0.2                    // by which another sala must be better to take the last one's place
-	farAs       = 100 * time.Millisecond // a round trip that counts as much as a full window
+	initialLimit      = 4.0
+	minLimit          = 1.0
+	maxLimit          = 4096.0
+	decreaseFactor    = 0.7
+	lowestWeightShare = 0.5                    // of the first window, for the least worth
+	switchMargin      = 0.2                    // by which another sala must be better to take the last one's place
+	roundTripScale    = 100 * time.Millisecond // a round trip that counts as much as a full window
 	// A worth is held off for as long as a refusal says, from leastOff to mostOff: the refusal is for one caller, and says
 	// little of when others may come.
-	leastOff  = 20 * time.Millisecond
-	mostOff   = 100 * time.Millisecond
-	cutsApart = 50 * time.Millisecond // at the least: what was out together is refused together
-	shedCost  = 0.5                   // what "shedding" counts as
+	minBackoff          = 20 * time.Millisecond
+	maxBackoff          = 100 * time.Millisecond
+	minDecreaseInterval = 50 * time.Millisecond // at the least: what was out together is refused together
+	sheddingCost        = 0.5                   // what "shedding" counts as
 )
 
-// Sala is how another sala stands, to those who run this one.
-type Sala struct {
-	Name     string        `json:"name"`
-	State    State         `json:"-"`
-	Window   float64       `json:"window"` // of the highest worth
-	InFlight int           `json:"in_flight"`
-	Trip     time.Duration `json:"round_trip"`
+// Site is how another sala stands, to those who run this one.
+type Site struct {
+	Name             string        `json:"name"`
+	State            State         `json:"-"`
+	ConcurrencyLimit float64       `json:"window"` // of the highest worth
+	InFlight         int           `json:"in_flight"`
+	RoundTrip        time.Duration `json:"round_trip"`
 }
 
-type sala struct {
-	Sala
-	linked bool
-	ranks  []rank
+type candidate struct {
+	Site
+	connected bool
+	limits    []weightLimit
 }
 
-// rank is what is learnt of one worth, from the least on.
-type rank struct {
-	window  float64
-	ceiling float64 // past it the window grows slowly
-	shrunk  time.Time
-	off     time.Time // until when it is held off
+// weightLimit is what is learnt of one worth, from the least on.
+type weightLimit struct {
+	limit          float64
+	slowGrowthFrom float64 // past it the window grows slowly
+	decreasedAt    time.Time
+	backoffUntil   time.Time // until when it is held off
 }
 
 // Table is what is known of all other salas. It is not safe for concurrent use.
 type Table struct {
-	worths []float64 // of all classes, ascending, each once
-	salas  map[string]*sala
-	last   string // chosen last
+	weights    []float64 // of all classes, ascending, each once
+	sites      map[string]*candidate
+	lastChosen string // chosen last
 }
 
 // New returns a table for classes of these worths. No sala is open before it is heard of.
 func New(worths []float64, salas []string) *Table {
-	t := &Table{salas: map[string]*sala{}}
-	t.Rework(worths)
+	t := &Table{sites: map[string]*candidate{}}
+	t.SetPriorityWeights(worths)
 	for _, name := range salas {
 		t.Add(name)
 	}
 	return t
 }
 
-// Rework takes other worths. What was learnt of the windows is forgotten.
-func (t *Table) Rework(worths []float64) {
+// SetPriorityWeights takes other worths. What was learnt of the windows is forgotten.
+func (t *Table) SetPriorityWeights(worths []float64) {
 	worths = slices.Clone(worths)
 	slices.Sort(worths)
 	if worths = slices.Compact(worths); len(worths) == 0 {
 		worths = []float64{0}
 	}
-	if slices.Equal(worths, t.worths) {
+	if slices.Equal(worths, t.weights) {
 		return
 	}
-	t.worths = worths
-	for _, s := range t.salas {
-		s.begin(len(worths))
+	t.weights = worths
+	for _, s := range t.sites {
+		s.resetLimits(len(worths))
 	}
 }
 
-// begin forgets what was learnt of the windows.
-func (s *sala) begin(ranks int) {
-	s.ranks = make([]rank, ranks)
-	for i := range s.ranks {
+// resetLimits forgets what was learnt of the windows.
+func (s *candidate) resetLimits(ranks int) {
+	s.limits = make([]weightLimit, ranks)
+	for i := range s.limits {
 		share := 1.0
 		if ranks > 1 {
-			share = lowShare + (1-lowShare)*float64(i)/float64(ranks-1)
+			share = lowestWeightShare + (1-lowestWeightShare)*float64(i)/float64(ranks-1)
 		}
-		s.ranks[i] = rank{window: firstWindow * share, ceiling: mostWindow}
+		s.limits[i] = weightLimit{limit: initialLimit * share, slowGrowthFrom: maxLimit}
 	}
 }
 
 // Add takes up a sala.
 func (t *Table) Add(name string) {
-	if t.salas[name] == nil {
-		s := &sala{Sala: Sala{Name: name}}
-		s.begin(len(t.worths))
-		t.salas[name] = s
+	if t.sites[name] == nil {
+		s := &candidate{Site: Site{Name: name}}
+		s.resetLimits(len(t.weights))
+		t.sites[name] = s
 	}
 }
 
 // Remove forgets a sala.
-func (t *Table) Remove(name string) { delete(t.salas, name) }
+func (t *Table) Remove(name string) { delete(t.sites, name) }
 
-// rank returns the place of a worth among all, from 0 (the least) on. One that no class has counts as the next lower one.
-func (t *Table) rank(worth float64) int {
-	i, is := slices.BinarySearch(t.worths, worth)
+// weightIndex returns the place of a worth among all, from 0 (the least) on. One that no class has counts as the next lower one.
+func (t *Table) weightIndex(worth float64) int {
+	i, is := slices.BinarySearch(t.weights, worth)
 	if !is {
 		i--
 	}
 	return max(i, 0)
 }
 
-// Heard tells what a sala says of itself, over a link that stands, and how long the round trip took.
-func (t *Table) Heard(name string, is State, trip time.Duration) {
-	s := t.salas[name]
+// UpdateState tells what a sala says of itself, over a link that stands, and how long the round trip took.
+func (t *Table) UpdateState(name string, is State, trip time.Duration) {
+	s := t.sites[name]
 	if s == nil {
 		return
 	}
-	if !s.linked { // it may be another process, or have been away: what was learnt of it is old
-		s.linked = true
-		s.begin(len(t.worths))
+	if !s.connected { // it may be another process, or have been away: what was learnt of it is old
+		s.connected = true
+		s.resetLimits(len(t.weights))
 	}
 	s.State = is
-	if s.Trip == 0 {
-		s.Trip = trip
+	if s.RoundTrip == 0 {
+		s.RoundTrip = trip
 	}
-	s.Trip += (trip - s.Trip) / 8
+	s.RoundTrip += (trip - s.RoundTrip) / 8
 }
 
-// Lost tells that the link to a sala is down, or silent.
-func (t *Table) Lost(name string) {
-	if s := t.salas[name]; s != nil {
-		s.linked, s.State, s.Trip = false, Closed, 0
+// MarkDisconnected tells that the link to a sala is down, or silent.
+func (t *Table) MarkDisconnected(name string) {
+	if s := t.sites[name]; s != nil {
+		s.connected, s.State, s.RoundTrip = false, Unavailable, 0
 	}
 }
 
 // Request is one that its own sala could not serve.
 type Request struct {
-	Worth float64
-	Left  time.Duration
-	// Only is the one sala that may have it, as its key is held there; empty: any of May.
-	Only string
-	May  []string // salas that its route names
-	Not  []string // salas that it has been to
+	PriorityWeight float64
+	TimeLeft       time.Duration
+	// OwnerSite is the one sala that may have it, as its key is held there; empty: any of May.
+	OwnerSite     string
+	AllowedSites  []string // salas that its route names
+	ExcludedSites []string // salas that it has been to
 }
 
-// least is the time that is left at the other end at the least, beyond the round trip.
-const least = 2 * time.Millisecond
+// minTimeLeft is the time that is left at the other end at the least, beyond the round trip.
+const minTimeLeft = 2 * time.Millisecond
 
 // Pick chooses the sala that a request crosses to, and counts it as in flight there; ok is false where it is not to cross
 // now. Back is then when it may be worth another try, 0 where that can't be said.
 func (t *Table) Pick(now time.Time, r Request) (name string, back time.Duration, ok bool) {
-	var best *sala
+	var best *candidate
 	var cost float64
-	may := r.May
-	if r.Only != "" {
-		may = []string{r.Only}
+	may := r.AllowedSites
+	if r.OwnerSite != "" {
+		may = []string{r.OwnerSite}
 	}
-	rank := t.rank(r.Worth)
+	rank := t.weightIndex(r.PriorityWeight)
 	for _, name := range may {
-		s := t.salas[name]
-		if s == nil || slices.Contains(r.Not, name) {
+		s := t.sites[name]
+		if s == nil || slices.Contains(r.ExcludedSites, name) {
 			continue
 		}
-		wait, fits := s.fits(now, r, s.ranks[rank])
+		wait, fits := s.admits(now, r, s.limits[rank])
 		if !fits {
 			if wait > 0 && (back == 0 || wait < back) {
 				back = wait
@@ -206,8 +206,8 @@
 			continue
 		}
 		c := s.cost()
-		if t.last != name {
-			c += margin
+		if t.lastChosen != name {
+			c += switchMargin
 		}
 		if best == nil || c < cost || c == cost && s.Name < best.Name {
 			best, cost = s, c
@@ -217,30 +217,30 @@
 		return "", back, false
 	}
 	best.InFlight++
-	t.last = best.Name
+	t.lastChosen = best.Name
 	return best.Name, 0, true
 }
 
-// fits tells whether a request may go there now, and if not when it may be worth another try.
-func (s *sala) fits(now time.Time, r Request, is rank) (back time.Duration, ok bool) {
+// admits tells whether a request may go there now, and if not when it may be worth another try.
+func (s *candidate) admits(now time.Time, r Request, is weightLimit) (back time.Duration, ok bool) {
 	switch {
-	case !s.linked || s.State == Closed, s.State == Draining && r.Only == "", r.Left < s.Trip+least:
+	case !s.connected || s.State == Unavailable, s.State == Draining && r.OwnerSite == "", r.TimeLeft < s.RoundTrip+minTimeLeft:
 		return 0, false
-	case now.Before(is.off):
-		return is.off.Sub(now), false
-	case float64(s.InFlight) >= is.window:
-		return max(s.Trip, leastOff), false
+	case now.Before(is.backoffUntil):
+		return is.backoffUntil.Sub(now), false
+	case float64(s.InFlight) >= is.limit:
+		return max(s.RoundTrip, minBackoff), false
 	}
 	return 0, true
 }
 
-// top is the window of the highest worth.
-func (s *sala) top() float64 { return s.ranks[len(s.ranks)-1].window }
+// highestLimit is the window of the highest worth.
+func (s *candidate) highestLimit() float64 { return s.limits[len(s.limits)-1].limit }
 
-func (s *sala) cost() float64 {
-	c := float64(s.InFlight)/s.top() + float64(s.Trip)/float64(farAs)
+func (s *candidate) cost() float64 {
+	c := float64(s.InFlight)/s.highestLimit() + float64(s.RoundTrip)/float64(roundTripScale)
 	if s.State == Shedding {
-		c += shedCost
+		c += sheddingCost
 	}
 	return c
 }
@@ -250,48 +250,48 @@
 
 // The results.
 const (
-	Served   Result = iota // with an endpoint's answer
-	Refused                // for load
-	Failed                 // in any other way
-	GivenUp                // its caller has gone, or its time was over: nothing is said of the sala
-	Returned               // it did not go out
+	Served    Result = iota // with an endpoint's answer
+	Rejected                // for load
+	Failed                  // in any other way
+	Abandoned               // its caller has gone, or its time was over: nothing is said of the sala
+	NotSent                 // it did not go out
 )
 
-// Ended tells how a crossing ended that Pick has counted. Back is when a refusal says that another try is worth it.
-func (t *Table) Ended(now time.Time, name string, worth float64, is Result, back time.Duration) {
-	s := t.salas[name]
+// RecordResult tells how a crossing ended that Pick has counted. Back is when a refusal says that another try is worth it.
+func (t *Table) RecordResult(now time.Time, name string, worth float64, is Result, back time.Duration) {
+	s := t.sites[name]
 	if s == nil || s.InFlight == 0 {
 		return
 	}
-	out, at := float64(s.InFlight), t.rank(worth)
+	out, at := float64(s.InFlight), t.weightIndex(worth)
 	s.InFlight--
 	switch is {
 	case Served:
-		for i := at; i < len(s.ranks); i++ {
-			s.ranks[i].grow(out)
+		for i := at; i < len(s.limits); i++ {
+			s.limits[i].increase(out)
 			if i > 0 { // what is served of one worth is served of a higher one
-				s.ranks[i].window = max(s.ranks[i].window, s.ranks[i-1].window)
+				s.limits[i].limit = max(s.limits[i].limit, s.limits[i-1].limit)
 			}
 		}
-	case Refused:
+	case Rejected:
 		for i := range at + 1 {
-			r := &s.ranks[i]
-			r.off = later(r.off, now.Add(min(max(back, leastOff), mostOff)))
-			r.cut(now, s.Trip)
+			r := &s.limits[i]
+			r.backoffUntil = later(r.backoffUntil, now.Add(min(max(back, minBackoff), maxBackoff)))
+			r.decrease(now, s.RoundTrip)
 		}
-		s.order()
+		s.alignLimits()
 	case Failed:
-		for i := range s.ranks {
-			s.ranks[i].cut(now, s.Trip)
+		for i := range s.limits {
+			s.limits[i].decrease(now, s.RoundTrip)
 		}
-		s.order()
+		s.alignLimits()
 	}
 }
 
-// order narrows the windows that are wider than a higher worth's: one can have been cut a moment before.
-func (s *sala) order() {
-	for i := len(s.ranks) - 2; i >= 0; i-- {
-		s.ranks[i].window = min(s.ranks[i].window, s.ranks[i+1].window)
+// alignLimits narrows the windows that are wider than a higher worth's: one can have been cut a moment before.
+func (s *candidate) alignLimits() {
+	for i := len(s.limits) - 2; i >= 0; i-- {
+		s.limits[i].limit = min(s.limits[i].limit, s.limits[i+1].limit)
 	}
 }
 
@@ -302,33 +302,33 @@
 	return b
 }
 
-// grow widens a window of which so much was in use as something was served.
-func (r *rank) grow(out float64) {
+// increase widens a window of which so much was in use as something was served.
+func (r *weightLimit) increase(out float64) {
 	switch {
-	case out < r.window/3: // it was not the window that kept it from more
-	case r.window < r.ceiling:
-		r.window++
+	case out < r.limit/3: // it was not the window that kept it from more
+	case r.limit < r.slowGrowthFrom:
+		r.limit++
 	default:
-		r.window += 1 / r.window
+		r.limit += 1 / r.limit
 	}
-	r.window = min(r.window, mostWindow)
+	r.limit = min(r.limit, maxLimit)
 }
 
-// cut narrows a window, once for all crossings that were out together.
-func (r *rank) cut(now time.Time, trip time.Duration) {
-	if now.Sub(r.shrunk) < max(trip, cutsApart) {
+// decrease narrows a window, once for all crossings that were out together.
+func (r *weightLimit) decrease(now time.Time, trip time.Duration) {
+	if now.Sub(r.decreasedAt) < max(trip, minDecreaseInterval) {
 		return
 	}
-	r.shrunk = now
-	r.window = max(r.window*shrink, leastWindow)
-	r.ceiling = r.window
+	r.decreasedAt = now
+	r.limit = max(r.limit*decreaseFactor, minLimit)
+	r.slowGrowthFrom = r.limit
 }
 
-// Salas returns how the other salas stand, by name.
-func (t *Table) Salas() (out []Sala) {
-	for _, name := range slices.Sorted(maps.Keys(t.salas)) {
-		s := t.salas[name].Sala
-		s.Window = t.salas[name].top()
+// Sites returns how the other salas stand, by name.
+func (t *Table) Sites() (out []Site) {
+	for _, name := range slices.Sorted(maps.Keys(t.sites)) {
+		s := t.sites[name].Site
+		s.ConcurrencyLimit = t.sites[name].highestLimit()
 		out = append(out, s)
 	}
 	return out
--- a/internal/salas/link/format_test.go
+++ b/internal/salas/link/format_test.go
@@ -16,8 +16,8 @@
 // Each message of the link is encoded to the bytes that are recorded, and these are read as the same message.
 func TestMessageFormat(t *testing.T) {
 	for name, message := range map[string]any{
-		"hello": &hello{}, "welcome": &welcome{}, "state": &stateSaid{}, "call": &Call{}, "answer": &Answer{}, "settle": &settle{},
-		"settled": &settled{}, "lookup": &lookup{}, "found": &Found{}, "accounts": &accounts{}, "counted": &counted{},
+		"hello": &helloRequest{}, "welcome": &helloResponse{}, "state": &heartbeat{}, "call": &Request{}, "answer": &Response{}, "settle": &settleRequest{},
+		"settled": &settleResponse{}, "lookup": &lookupRequest{}, "found": &KeyLocation{}, "accounts": &countersRequest{}, "counted": &countersResponse{},
 	} {
 		t.Run(name, func(t *testing.T) {
 			golden.Fill(message)
@@ -43,25 +43,25 @@
 
 // decodeUnchecked reads a message without the checks of its values, which filled ones do not pass.
 func decodeUnchecked(text []byte, into any) error {
-	return codec.NewDecoderBytes(text, handle).Decode(into)
+	return codec.NewDecoderBytes(text, msgpackHandle).Decode(into)
 }
 
 // The numbers and names of outcomes, reasons and states are part of the protocol and of what operators read.
 func TestMessageEnumerations(t *testing.T) {
 	var names []string
-	for n, o := range []tally.Outcome{tally.Open, tally.Served, tally.Refused, tally.NeverRan, tally.Unclear, tally.NeverCame} {
+	for n, o := range []tally.Outcome{tally.Pending, tally.Served, tally.Rejected, tally.NeverRan, tally.MayHaveRun, tally.NeverArrived} {
 		if int(o) != n {
 			t.Errorf("outcome %v is %d, want %d", o, o, n)
 		}
 		names = append(names, o.String())
 	}
-	for n, r := range []tally.Reason{tally.Shed, tally.Failed, tally.Held, tally.Passing} {
+	for n, r := range []tally.Reason{tally.Shed, tally.Failed, tally.KeyOwned, tally.Transit} {
 		if int(r) != n {
 			t.Errorf("reason %v is %d, want %d", r, r, n)
 		}
 		names = append(names, r.String())
 	}
-	for n, s := range []crossing.State{crossing.Closed, crossing.Draining, crossing.Shedding, crossing.Open} {
+	for n, s := range []crossing.State{crossing.Unavailable, crossing.Draining, crossing.Shedding, crossing.Available} {
 		if int(s) != n {
 			t.Errorf("state %v is %d, want %d", s, s, n)
 		}
@@ -76,7 +76,7 @@
 
 // What the control socket tells of links.
 func TestViewFormat(t *testing.T) {
-	for name, value := range map[string]any{"sala": &SalaView{}, "found": &Found{}} {
+	for name, value := range map[string]any{"sala": &SiteStatus{}, "found": &KeyLocation{}} {
 		golden.Fill(value)
 		text, err := json.MarshalIndent(value, "", " ")
 		if err != nil {
--- a/internal/salas/link/identity.go
+++ b/internal/salas/link/identity.go
@@ -13,33 +13,33 @@
 // signs those of all salas.
 type Identity = certs.Files
 
-type proof struct{ *certs.Proof }
+type credentials struct{ *certs.Proof }
 
-func newProof(files Identity, log *slog.Logger) (*proof, error) {
+func newCredentials(files Identity, log *slog.Logger) (*credentials, error) {
 	p, err := certs.Open(files, log)
 	if err != nil {
 		err = fmt.Errorf("link: %w", err)
 	}
-	return &proof{p}, err
+	return &credentials{p}, err
 }
 
-// client returns what a connection to a sala is made with.
-func (p *proof) client(sala string) *tls.Config {
+// clientConfig returns what a connection to a sala is made with.
+func (p *credentials) clientConfig(sala string) *tls.Config {
 	pair, roots, _ := p.Current()
 	return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: sala, RootCAs: roots, NextProtos: []string{"h2"},
 		// Also where the other end's authorities are not this one's, so that its log tells what is wrong and not that nothing came.
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }}
 }
 
-// server returns what a connection is taken with.
-func (p *proof) server() *tls.Config {
+// serverConfig returns what a connection is taken with.
+func (p *credentials) serverConfig() *tls.Config {
 	pair, roots, _ := p.Current()
 	return &tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: roots, Certificates: []tls.Certificate{pair},
 		NextProtos: []string{"h2"}}
 }
 
-// caller returns which of the known salas a taken connection's certificate names.
-func caller(c *tls.Conn, known func(string) bool) (string, error) {
+// peerSite returns which of the known salas a taken connection's certificate names.
+func peerSite(c *tls.Conn, known func(string) bool) (string, error) {
 	chain := c.ConnectionState().PeerCertificates
 	if len(chain) == 0 {
 		return "", errors.New("link: no certificate")
--- a/internal/salas/link/left_test.go
+++ b/internal/salas/link/left_test.go
@@ -22,22 +22,22 @@
 		defer cancel()
 		var asked atomic.Int64
 		c := newCall(size)
-		c.Away = func() bool {
+		c.IsDisconnected = func() bool {
 			asked.Add(1)
 			return true // and nobody has noticed yet: the context stands
 		}
-		if x := from.Call(ctx, "b", c); x.Answer != nil {
-			t.Errorf("answered %+v", x.Answer)
+		if x := from.Forward(ctx, "b", c); x.Response != nil {
+			t.Errorf("answered %+v", x.Response)
 		}
 		agree(t, from)
 		if asked.Load() == 0 || far.came.Load() > 0 {
 			t.Errorf("asked %d times, %d came", asked.Load(), far.came.Load())
 		}
 		c = newCall(size)
-		c.Away = func() bool { return false }
+		c.IsDisconnected = func() bool { return false }
 		stays, end := context.WithTimeout(t.Context(), lbtest.Wait)
 		defer end()
-		if x := from.Call(stays, "b", c); x.Outcome != tally.Served || len(x.Answer.Body) != size {
+		if x := from.Forward(stays, "b", c); x.Outcome != tally.Served || len(x.Response.Body) != size {
 			t.Errorf("one that stays: %+v", x)
 		}
 	}
@@ -51,36 +51,36 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			came, ended := make(chan struct{}, 1), make(chan struct{}, 1)
-			far := newScript(func(ctx context.Context, c *Call) *Answer {
+			far := newScript(func(ctx context.Context, c *Request) *Response {
 				came <- struct{}{}
 				select {
 				case <-ctx.Done():
 					ended <- struct{}{}
 				case <-time.After(lbtest.Wait):
 				}
-				return &Answer{Outcome: tally.NeverRan}
+				return &Response{Outcome: tally.NeverRan}
 			})
 			from, path, _ := two(t, far)
 			path.Hold(standin.There, heldUp)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			sent, over := make(chan struct{}), make(chan Crossing, 1)
+			sent, over := make(chan struct{}), make(chan ForwardResult, 1)
 			c := newCall(0)
 			var once atomic.Bool
-			c.Away = func() bool {
+			c.IsDisconnected = func() bool {
 				if once.CompareAndSwap(false, true) {
 					close(sent)
 				}
 				return false
 			}
-			go func() { over <- from.Call(ctx, "b", c) }()
+			go func() { over <- from.Forward(ctx, "b", c) }()
 			<-sent
 			if !heldUp {
 				<-came
 			}
 			cancel()
-			if x := <-over; x.Answer != nil {
-				t.Errorf("answered %+v", x.Answer)
+			if x := <-over; x.Response != nil {
+				t.Errorf("answered %+v", x.Response)
 			}
 			path.Hold(standin.There, false)
 			lbtest.Until(t, "the link stands", func() bool { return stands(from, "b") })
--- a/internal/salas/link/link_test.go
+++ b/internal/salas/link/link_test.go
@@ -32,33 +32,33 @@
 
 // script is a sala whose every answer the test decides.
 type script struct {
-	cross func(ctx context.Context, c *Call) *Answer
+	cross func(ctx context.Context, c *Request) *Response
 	state atomic.Int32
 	came  atomic.Int64
 }
 
-func (s *script) Cross(ctx context.Context, from string, c *Call) *Answer {
+func (s *script) ServeRequest(ctx context.Context, from string, c *Request) *Response {
 	s.came.Add(1)
 	if s.cross == nil {
-		return &Answer{Outcome: tally.Served, Status: 200, Body: c.Body}
+		return &Response{Outcome: tally.Served, Status: 200, Body: c.Body}
 	}
 	return s.cross(ctx, c)
 }
 func (s *script) State() crossing.State { return crossing.State(s.state.Load()) }
-func (s *script) Lookup(id idempotency.KeyID) Found {
-	return Found{Known: id[0] == 1, Cluster: "c"}
+func (s *script) Lookup(id idempotency.KeyID) KeyLocation {
+	return KeyLocation{Known: id[0] == 1, Cluster: "c"}
 }
 
-func newScript(cross func(context.Context, *Call) *Answer) *script {
+func newScript(cross func(context.Context, *Request) *Response) *script {
 	s := &script{cross: cross}
-	s.state.Store(int32(crossing.Open))
+	s.state.Store(int32(crossing.Available))
 	return s
 }
 
-func start(t testing.TB, sala string, s Server, id *Identity, log io.Writer, peers ...Peer) *Link {
+func start(t testing.TB, sala string, s Handler, id *Identity, log io.Writer, peers ...Peer) *Transport {
 	t.Helper()
-	l, err := Start(Options{Sala: sala, Listen: "127.0.0.1:0", Identity: id, Peers: peers, Heartbeat: 20 * time.Millisecond, Silence: 200 * time.Millisecond,
-		Calls: 64, Worths: []float64{1, 10}, Serve: s, Log: slog.New(slog.NewTextHandler(log, nil))})
+	l, err := Start(Options{Site: sala, Listen: "127.0.0.1:0", Identity: id, Peers: peers, HeartbeatInterval: 20 * time.Millisecond, HeartbeatTimeout: 200 * time.Millisecond,
+		MaxInFlight: 64, PriorityWeights: []float64{1, 10}, Handler: s, Logger: slog.New(slog.NewTextHandler(log, nil))})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 }
 
 // two links sala a to sala b over a path.
-func two(t testing.TB, b Server) (from *Link, path *standin.Path, to *Link) {
+func two(t testing.TB, b Handler) (from *Transport, path *standin.Path, to *Transport) {
 	t.Helper()
 	to = start(t, "b", b, nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
 	path, err := standin.NewPath(to.Addr())
@@ -80,35 +80,35 @@
 	return from, path, to
 }
 
-func stands(l *Link, sala string) bool {
-	gates := l.gates(sala)
-	return len(gates) > 0 && gates[0].current() != nil
+func stands(l *Transport, sala string) bool {
+	gates := l.gatewaysInOrder(sala)
+	return len(gates) > 0 && gates[0].pickSession() != nil
 }
 
-func up(t testing.TB, l *Link, sala string) {
+func up(t testing.TB, l *Transport, sala string) {
 	t.Helper()
 	lbtest.Until(t, "the link to "+sala+" stands", func() bool { return stands(l, sala) })
 }
 
-func call(l *Link, sala string, body int) Crossing {
+func call(l *Transport, sala string, body int) ForwardResult {
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
-	return l.Call(ctx, sala, newCall(body))
+	return l.Forward(ctx, sala, newCall(body))
 }
 
-func newCall(body int) *Call {
-	return &Call{Left: lbtest.Wait.Microseconds(), Class: "c", Been: []string{"a"}, Method: "POST", Target: "/", Body: bytes.Repeat([]byte("x"), body)}
+func newCall(body int) *Request {
+	return &Request{TimeLeft: lbtest.Wait.Microseconds(), Class: "c", VisitedSites: []string{"a"}, Method: "POST", Target: "/", Body: bytes.Repeat([]byte("x"), body)}
 }
 
 // agree waits until both ends of a link count the same and nothing is unsettled.
-func agree(t testing.TB, l *Link) (sums map[tally.Outcome]uint64) {
+func agree(t testing.TB, l *Transport) (sums map[tally.Outcome]uint64) {
 	t.Helper()
-	var v SalaView
+	var v SiteStatus
 	lbtest.Until(t, "both ends count the same", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 		defer cancel()
 		v = l.Status(ctx, true)[0]
-		return v.Open == 0 && v.Fault == "" && len(v.Differs) == 0 && v.Compared > 0
+		return v.Unsettled == 0 && v.LastError == "" && len(v.Differences) == 0 && v.SessionsCompared > 0
 	})
 	sums = map[tally.Outcome]uint64{}
 	for _, s := range v.Sent {
@@ -156,7 +156,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := start(t, c.sala, newScript(nil), c.id, &log, Peer{c.to, []string{b.Addr()}})
 			lbtest.Until(t, "told why", func() bool {
-				return log.Has(c.says) || strings.Contains(l.Status(t.Context(), false)[0].Fault, c.says)
+				return log.Has(c.says) || strings.Contains(l.Status(t.Context(), false)[0].LastError, c.says)
 			})
 			if stands(l, c.to) {
 				t.Error("linked")
@@ -173,9 +173,9 @@
 		t.Fatal(err)
 	}
 	reconnect := func() {
-		s := a.gates("b")[0].current()
+		s := a.gatewaysInOrder("b")[0].pickSession()
 		s.conn.Close()
-		lbtest.Until(t, "linked anew", func() bool { n := a.gates("b")[0].current(); return n != nil && n != s })
+		lbtest.Until(t, "linked anew", func() bool { n := a.gatewaysInOrder("b")[0].pickSession(); return n != nil && n != s })
 	}
 	reconnect()
 	lbtest.Until(t, "the log says so", func() bool { return log.Has("certificate in use is kept") })
@@ -195,10 +195,10 @@
 	if x := call(a, "b", 10); x.Outcome != tally.Served {
 		t.Errorf("%+v", x)
 	}
-	if by := a.gates("b")[0].current().conn.(*tls.Conn).ConnectionState().PeerCertificates[0].Issuer.CommonName; by != "other" {
+	if by := a.gatewaysInOrder("b")[0].pickSession().conn.(*tls.Conn).ConnectionState().PeerCertificates[0].Issuer.CommonName; by != "other" {
 		t.Errorf("the certificate of %s is still in use", by)
 	}
-	if _, err := Start(Options{Sala: "x", Listen: "0.0.0.0:0", Log: slog.New(slog.DiscardHandler)}); err == nil {
+	if _, err := Start(Options{Site: "x", Listen: "0.0.0.0:0", Logger: slog.New(slog.DiscardHandler)}); err == nil {
 		t.Error("a plain link on all addresses")
 	}
 }
@@ -210,14 +210,14 @@
 		t.Run(name, func(t *testing.T) {
 			b := newScript(nil)
 			a, path, _ := two(t, b)
-			if x := call(a, "b", 10); x.Outcome != tally.Served || string(x.Answer.Body) != "xxxxxxxxxx" {
+			if x := call(a, "b", 10); x.Outcome != tally.Served || string(x.Response.Body) != "xxxxxxxxxx" {
 				t.Fatalf("%+v", x)
 			}
 			for _, d := range held {
 				path.Hold(d, true)
 			}
 			x := call(a, "b", 10) // ends with the session, long before its own time
-			if !x.Sent || x.Outcome != tally.Open {
+			if !x.Sent || x.Outcome != tally.Pending {
 				t.Fatalf("%+v", x)
 			}
 			lbtest.Until(t, "noticed", func() bool { return a.Status(t.Context(), false)[0].State == "closed" })
@@ -230,7 +230,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 			defer cancel()
 			got, came := a.Settle(ctx, x), b.came.Load()
-			if want := map[bool]tally.Outcome{true: tally.NeverCame, false: tally.Served}[came == 1]; got != want {
+			if want := map[bool]tally.Outcome{true: tally.NeverArrived, false: tally.Served}[came == 1]; got != want {
 				t.Errorf("settled as %v with %d calls come", got, came)
 			}
 			if again := a.Settle(ctx, x); again != got {
@@ -249,11 +249,11 @@
 func TestCutAnywhere(t *testing.T) {
 	var mu sync.Mutex
 	ran := map[string]bool{}
-	b := newScript(func(_ context.Context, c *Call) *Answer {
+	b := newScript(func(_ context.Context, c *Request) *Response {
 		mu.Lock()
 		defer mu.Unlock()
 		ran[c.Key] = true
-		return &Answer{Outcome: tally.Served, Status: 200, Body: c.Body}
+		return &Response{Outcome: tally.Served, Status: 200, Body: c.Body}
 	})
 	a, path, _ := two(t, b)
 	told := map[tally.Outcome]int{}
@@ -267,19 +267,19 @@
 		c := newCall(2000)
 		c.Key = fmt.Sprint("k", i)
 		ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
-		x := a.Call(ctx, "b", c)
+		x := a.Forward(ctx, "b", c)
 		path.CutAfter(d, -1)
 		o := a.Settle(ctx, x)
 		cancel()
 		told[o]++
 		mu.Lock()
-		if ran[c.Key] == o.Harmless() {
+		if ran[c.Key] == o.ProvesNothingRan() {
 			t.Errorf("cut %d: ran %v, told %v", i, ran[c.Key], o)
 		}
 		mu.Unlock()
 	}
 	sums := agree(t, a)
-	if told[tally.Served] < 5 || told[tally.NeverCame] < 5 || sums[tally.Served] != uint64(told[tally.Served]) {
+	if told[tally.Served] < 5 || told[tally.NeverArrived] < 5 || sums[tally.Served] != uint64(told[tally.Served]) {
 		t.Errorf("told %v, counted %v", told, sums)
 	}
 }
@@ -289,12 +289,12 @@
 func TestRestart(t *testing.T) {
 	hang := make(chan struct{})
 	defer close(hang)
-	b := newScript(func(context.Context, *Call) *Answer {
+	b := newScript(func(context.Context, *Request) *Response {
 		<-hang // no answer leaves the process that ends
-		return &Answer{Outcome: tally.Served}
+		return &Response{Outcome: tally.Served}
 	})
 	a, path, old := two(t, b)
-	out := make(chan Crossing, 1)
+	out := make(chan ForwardResult, 1)
 	go func() { out <- call(a, "b", 1) }()
 	lbtest.Until(t, "the call is in work", func() bool { return b.came.Load() == 1 })
 	fresh := start(t, "b", newScript(nil), nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
@@ -303,7 +303,7 @@
 	x := <-out
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
-	if o := a.Settle(ctx, x); o != tally.Unclear {
+	if o := a.Settle(ctx, x); o != tally.MayHaveRun {
 		t.Errorf("settled as %v", o)
 	}
 	up(t, a, "b")
@@ -315,12 +315,12 @@
 // A planned end: what is in work is answered, and nothing is lost.
 func TestDrain(t *testing.T) {
 	go1 := make(chan struct{})
-	b := newScript(func(ctx context.Context, c *Call) *Answer {
+	b := newScript(func(ctx context.Context, c *Request) *Response {
 		<-go1
-		return &Answer{Outcome: tally.Served, Status: 200}
+		return &Response{Outcome: tally.Served, Status: 200}
 	})
 	a, _, to := two(t, b)
-	out := make(chan Crossing, 8)
+	out := make(chan ForwardResult, 8)
 	for range cap(out) {
 		go func() { out <- call(a, "b", 1) }()
 	}
@@ -428,14 +428,14 @@
 		return got
 	}
 	t.Run("a version that is not known", func(t *testing.T) {
-		if got := greet(newRaw(t, to.Addr()), &hello{Oldest: 2, Newest: 9, Sala: "a", To: "b", Session: 1}); !strings.Contains(got, "not spoken here") {
+		if got := greet(newRaw(t, to.Addr()), &helloRequest{OldestVersion: 2, NewestVersion: 9, Site: "a", ToSite: "b", SessionID: 1}); !strings.Contains(got, "not spoken here") {
 			t.Errorf("%q", got)
 		}
 	})
 	t.Run("a later version that speaks this one too, with more to say", func(t *testing.T) {
 		r := newRaw(t, to.Addr())
 		got := greet(r, map[string]any{"o": 1, "w": 7, "f": "a", "t": "b", "p": 5, "s": 77, "new": map[string]int{"x": 1}})
-		var w welcome
+		var w helloResponse
 		if err := decode(strings.NewReader(got), &w); err != nil || w.Version != 1 || w.Error != "" {
 			t.Fatalf("%v %+v", err, w)
 		}
@@ -443,7 +443,7 @@
 		r.head(3, pathCall)
 		r.WriteData(3, true, text)
 		_, got = r.ended()
-		var a Answer
+		var a Response
 		if err := decode(strings.NewReader(got), &a); err != nil || a.Outcome != tally.Served {
 			t.Errorf("%v %+v", err, a)
 		}
@@ -519,14 +519,14 @@
 			a := start(t, "a", newScript(nil), nil, io.Discard, Peer{"b", []string{l.Addr().String()}})
 			up(t, a, "b")
 			soon, cancel := context.WithTimeout(t.Context(), time.Second) // an answer to nothing is passed over
-			x := a.Call(soon, "b", newCall(1))
+			x := a.Forward(soon, "b", newCall(1))
 			cancel()
-			if x.Outcome.Harmless() || x.Outcome == tally.Served {
+			if x.Outcome.ProvesNothingRan() || x.Outcome == tally.Served {
 				t.Errorf("%+v", x)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 			defer cancel()
-			if o := a.Settle(ctx, x); o != tally.Unclear || calls.Load() != 1 {
+			if o := a.Settle(ctx, x); o != tally.MayHaveRun || calls.Load() != 1 {
 				t.Errorf("%v, %d calls", o, calls.Load())
 			}
 		})
@@ -561,11 +561,11 @@
 			var said any
 			switch paths[g.StreamID] {
 			case pathHello:
-				said = &welcome{Version: 1, Process: uint64(time.Now().UnixNano())}
+				said = &helloResponse{Version: 1, ProcessID: uint64(time.Now().UnixNano())}
 			case pathState:
-				said = &stateSaid{State: crossing.Open}
+				said = &heartbeat{State: crossing.Available}
 			case pathSettle:
-				said = &settled{}
+				said = &settleResponse{}
 			case pathCall:
 				calls.Add(1)
 				answer(f, g.StreamID)
@@ -582,7 +582,7 @@
 
 // What a peer sends never breaks the reader, and what passes is in bounds.
 func FuzzDecode(f *testing.F) {
-	for _, m := range []any{newCall(3), &Answer{Outcome: tally.Served, Status: 200, Header: http.Header{"X": {"y"}}}, &hello{Oldest: 1, Newest: 1, Session: 1}} {
+	for _, m := range []any{newCall(3), &Response{Outcome: tally.Served, Status: 200, Header: http.Header{"X": {"y"}}}, &helloRequest{OldestVersion: 1, NewestVersion: 1, SessionID: 1}} {
 		text, err := encode(m)
 		if err != nil {
 			f.Fatal(err)
@@ -590,12 +590,12 @@
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		var c Call
-		if decode(bytes.NewReader(text), &c) == nil && (len(c.Been) == 0 || c.Target[0] != '/' || !c.Reason.Known() || c.Effect > 2) {
+		var c Request
+		if decode(bytes.NewReader(text), &c) == nil && (len(c.VisitedSites) == 0 || c.Target[0] != '/' || !c.Reason.IsValid() || c.Effect > 2) {
 			t.Errorf("%+v", c)
 		}
-		var a Answer
-		if decode(bytes.NewReader(text), &a) == nil && (a.Outcome == tally.Open || a.Outcome > tally.Unclear) {
+		var a Response
+		if decode(bytes.NewReader(text), &a) == nil && (a.Outcome == tally.Pending || a.Outcome > tally.MayHaveRun) {
 			t.Errorf("%+v", a)
 		}
 	})
--- a/internal/salas/link/serve.go
+++ b/internal/salas/link/serve.go
@@ -20,63 +20,63 @@
 )
 
 const (
-	leastConns = 64 // taken at once, of all salas; more where the salas may have more
-	// connWindow bounds what is under way in one direction: what a small call or a heartbeat waits behind on a narrow link.
+	minConnectionCapacity = 64 // taken at once, of all salas; more where the salas may have more
+	// connectionWindowBytes bounds what is under way in one direction: what a small call or a heartbeat waits behind on a narrow link.
 	// On a way of 30 ms it lets 17 MB a second pass.
-	connWindow  = 512 << 10
-	quietFor    = 2 * time.Second
-	acceptWait  = 20 * time.Millisecond
-	fullBack    = 100 * time.Millisecond
-	settleFirst = 20 * time.Millisecond // what is in work when its session ended has so long to end before it is told as in work
+	connectionWindowBytes = 512 << 10
+	idleTimeout           = 2 * time.Second
+	acceptBackoff         = 20 * time.Millisecond
+	overloadRetryAfter    = 100 * time.Millisecond
+	settleWait            = 20 * time.Millisecond // what is in work when its session ended has so long to end before it is told as in work
 )
 
 // server takes the other salas' connections.
 type server struct {
-	l        *Link
-	listener net.Listener
-	h2       *http2.Server
-	base     *http.Server // which ends the connections
-	wait     sync.WaitGroup
+	transport  *Transport
+	listener   net.Listener
+	h2         *http2.Server
+	httpServer *http.Server // which ends the connections
+	handlers   sync.WaitGroup
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	ends  map[string]*received // by sala
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+	sites       map[string]*siteSessions // by sala
 }
 
-// received is what came from one sala.
-type received struct {
-	sessions []*inbound // the newest last
-	past     []tally.Sum
+// siteSessions is what came from one sala.
+type siteSessions struct {
+	sessions        []*inboundSession // the newest last
+	retiredCounters []tally.Counter
 }
 
-// inbound is a session that another sala has opened.
-type inbound struct {
-	from    string
-	id      uint64
-	in      *tally.In
-	transit crossing.Transit
-	trip    time.Duration
-	work    int
-	max     int
-	live    bool // its connection stands
-	mu      sync.Mutex
+// inboundSession is a session that another sala has opened.
+type inboundSession struct {
+	site        string
+	id          uint64
+	receiver    *tally.Receiver
+	delay       crossing.DelayEstimator
+	roundTrip   time.Duration
+	inFlight    int
+	maxInFlight int
+	connected   bool // its connection stands
+	mu          sync.Mutex
 }
 
-func (l *Link) listen() (*server, error) {
-	nl, err := net.Listen("tcp", l.o.Listen)
+func (l *Transport) listen() (*server, error) {
+	nl, err := net.Listen("tcp", l.options.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	s := &server{l: l, listener: nl, conns: map[net.Conn]bool{}, ends: map[string]*received{}}
+	s := &server{transport: l, listener: nl, connections: map[net.Conn]bool{}, sites: map[string]*siteSessions{}}
 	// Streams beyond the bound are the sender's fault: it waits. A few more than calls, for heartbeats and the like.
-	s.h2 = &http2.Server{MaxConcurrentStreams: uint32(l.o.Calls + 16), MaxReadFrameSize: 64 << 10, MaxUploadBufferPerStream: maxMessage,
-		MaxUploadBufferPerConnection: connWindow, ReadIdleTimeout: quietFor, PingTimeout: quietFor, IdleTimeout: time.Minute, WriteByteTimeout: quietFor}
-	s.base = &http.Server{MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelDebug)}
-	if err := http2.ConfigureServer(s.base, s.h2); err != nil {
+	s.h2 = &http2.Server{MaxConcurrentStreams: uint32(l.options.MaxInFlight + 16), MaxReadFrameSize: 64 << 10, MaxUploadBufferPerStream: maxMessageBytes,
+		MaxUploadBufferPerConnection: connectionWindowBytes, ReadIdleTimeout: idleTimeout, PingTimeout: idleTimeout, IdleTimeout: time.Minute, WriteByteTimeout: idleTimeout}
+	s.httpServer = &http.Server{MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelDebug)}
+	if err := http2.ConfigureServer(s.httpServer, s.h2); err != nil {
 		nl.Close()
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	l.wait.Go(s.accept)
+	l.goroutines.Go(s.accept)
 	return s, nil
 }
 
@@ -87,14 +87,14 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil: // descriptors are short
-			time.Sleep(acceptWait)
+			time.Sleep(acceptBackoff)
 			continue
 		}
 		s.mu.Lock()
-		full := len(s.conns) >= s.room() || s.l.ctx.Err() != nil
+		full := len(s.connections) >= s.connectionCapacity() || s.transport.ctx.Err() != nil
 		if !full {
-			s.conns[c] = true
-			s.wait.Add(1)
+			s.connections[c] = true
+			s.handlers.Add(1)
 		}
 		s.mu.Unlock()
 		if full {
@@ -102,56 +102,56 @@
 			continue
 		}
 		go func() {
-			defer s.wait.Done()
+			defer s.handlers.Done()
 			defer func() {
 				c.Close()
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				delete(s.conns, c)
+				delete(s.connections, c)
 			}()
-			if err := s.serve(c); err != nil {
-				s.l.log.Warn("link: connection turned away", "from", c.RemoteAddr().String(), "error", err)
+			if err := s.serveConnection(c); err != nil {
+				s.transport.log.Warn("link: connection turned away", "from", c.RemoteAddr().String(), "error", err)
 			}
 		}()
 	}
 }
 
-// room is how many connections are taken at once: all that the salas may have, twice, as one ends late where the other
+// connectionCapacity is how many connections are taken at once: all that the salas may have, twice, as one ends late where the other
 // end has made another already.
-func (s *server) room() int {
-	_, all := s.l.most()
-	return max(leastConns, 2*mostConns*all)
+func (s *server) connectionCapacity() int {
+	_, all := s.transport.gatewayCounts()
+	return max(minConnectionCapacity, 2*maxConnections*all)
 }
 
-// serve proves who has connected, and serves the connection to its end.
-func (s *server) serve(c net.Conn) error {
-	k := &taken{server: s}
+// serveConnection proves who has connected, and serves the connection to its end.
+func (s *server) serveConnection(c net.Conn) error {
+	k := &connection{server: s}
 	conn := c
-	if s.l.proof != nil {
-		t := tls.Server(c, s.l.proof.server())
-		ctx, cancel := context.WithTimeout(s.l.ctx, shakeIn)
+	if s.transport.credentials != nil {
+		t := tls.Server(c, s.transport.credentials.serverConfig())
+		ctx, cancel := context.WithTimeout(s.transport.ctx, handshakeTimeout)
 		defer cancel()
 		if err := t.HandshakeContext(ctx); err != nil {
 			return err
 		}
 		var err error
-		if k.from, err = caller(t, s.l.known); err != nil {
+		if k.site, err = peerSite(t, s.transport.isPeer); err != nil {
 			return err
 		}
 		conn = t
 	}
-	s.h2.ServeConn(conn, &http2.ServeConnOpts{Context: s.l.ctx, BaseConfig: s.base, Handler: k})
-	k.end()
+	s.h2.ServeConn(conn, &http2.ServeConnOpts{Context: s.transport.ctx, BaseConfig: s.httpServer, Handler: k})
+	k.close()
 	return nil
 }
 
 // drain asks all connected salas to connect anew, and waits until they have their answers.
 func (s *server) drain(ctx context.Context) {
 	s.listener.Close()
-	s.base.Shutdown(ctx) // GOAWAY on all connections
+	s.httpServer.Shutdown(ctx) // GOAWAY on all connections
 	for {
 		s.mu.Lock()
-		n := len(s.conns)
+		n := len(s.connections)
 		s.mu.Unlock()
 		if n == 0 {
 			return
@@ -167,48 +167,48 @@
 func (s *server) close() {
 	s.listener.Close()
 	s.mu.Lock()
-	for c := range s.conns {
+	for c := range s.connections {
 		c.Close()
 	}
 	s.mu.Unlock()
-	s.wait.Wait()
+	s.handlers.Wait()
 }
 
-// sums are the counts of what came from a sala.
-func (s *server) sums(sala string) []tally.Sum {
+// counters are the counts of what came from a sala.
+func (s *server) counters(sala string) []tally.Counter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.ends[sala]
+	r := s.sites[sala]
 	if r == nil {
 		return nil
 	}
-	all := r.past
+	all := r.retiredCounters
 	for _, i := range r.sessions {
 		i.mu.Lock()
-		all = tally.Add(all, i.in.Sums())
+		all = tally.Merge(all, i.receiver.Counters())
 		i.mu.Unlock()
 	}
 	return all
 }
 
-// session opens a session of a sala. It is false where the sala has as many as are kept, all with something in work.
-func (s *server) session(from string, id uint64) (*inbound, bool) {
-	gates, _ := s.l.most()
+// openSession opens a session of a sala. It is false where the sala has as many as are kept, all with something in work.
+func (s *server) openSession(from string, id uint64) (*inboundSession, bool) {
+	gates, _ := s.transport.gatewayCounts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.ends[from]
+	r := s.sites[from]
 	if r == nil {
-		r = &received{}
-		s.ends[from] = r
+		r = &siteSessions{}
+		s.sites[from] = r
 	}
-	if slices.ContainsFunc(r.sessions, func(i *inbound) bool { return i.id == id }) {
+	if slices.ContainsFunc(r.sessions, func(i *inboundSession) bool { return i.id == id }) {
 		return nil, false
 	}
-	if len(r.sessions) >= keepSessions*max(gates, 1) {
-		i := slices.IndexFunc(r.sessions, func(i *inbound) bool {
+	if len(r.sessions) >= maxSessions*max(gates, 1) {
+		i := slices.IndexFunc(r.sessions, func(i *inboundSession) bool {
 			i.mu.Lock()
 			defer i.mu.Unlock()
-			return !i.live && i.in.Idle()
+			return !i.connected && i.receiver.IsIdle()
 		})
 		if i < 0 {
 			return nil, false
@@ -216,20 +216,20 @@
 		gone := r.sessions[i]
 		r.sessions = slices.Delete(r.sessions, i, i+1)
 		gone.mu.Lock()
-		gone.in.Close()
-		r.past = tally.Add(r.past, gone.in.Sums())
+		gone.receiver.Close()
+		r.retiredCounters = tally.Merge(r.retiredCounters, gone.receiver.Counters())
 		gone.mu.Unlock()
 	}
-	n := &inbound{from: from, id: id, in: tally.NewIn(windowRoom), max: s.l.o.Calls, live: true}
+	n := &inboundSession{site: from, id: id, receiver: tally.NewReceiver(maxUnsettled), maxInFlight: s.transport.options.MaxInFlight, connected: true}
 	r.sessions = append(r.sessions, n)
 	return n, true
 }
 
-// find returns a session of a sala, or nil.
-func (s *server) find(from string, id uint64) *inbound {
+// findSession returns a session of a sala, or nil.
+func (s *server) findSession(from string, id uint64) *inboundSession {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.ends[from]; r != nil {
+	if r := s.sites[from]; r != nil {
 		for _, i := range r.sessions {
 			if i.id == id {
 				return i
@@ -239,36 +239,36 @@
 	return nil
 }
 
-// taken is one connection that was taken.
-type taken struct {
+// connection is one connection that was taken.
+type connection struct {
 	server  *server
-	from    string // empty: nobody has said yet
+	site    string // empty: nobody has said yet
 	mu      sync.Mutex
-	over    bool
-	session *inbound
+	closed  bool
+	session *inboundSession
 }
 
-// end tells that the connection is over: what its handlers still hold is not taken any more, neither calls nor a greeting.
-func (k *taken) end() {
+// close tells that the connection is over: what its handlers still hold is not taken any more, neither calls nor a greeting.
+func (k *connection) close() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.over = true
+	k.closed = true
 	if s := k.session; s != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.live = false
-		s.in.Close()
+		s.connected = false
+		s.receiver.Close()
 	}
 }
 
-func (k *taken) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (k *connection) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
 		if p := recover(); p != nil {
-			k.server.l.log.Error("link: serving failed", "panic", p, "stack", string(debug.Stack()))
+			k.server.transport.log.Error("link: serving failed", "panic", p, "stack", string(debug.Stack()))
 			panic(http.ErrAbortHandler) // the stream is reset
 		}
 	}()
-	answer, err := k.answer(r)
+	answer, err := k.dispatch(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -281,12 +281,12 @@
 	w.Write(text)
 }
 
-func (k *taken) answer(r *http.Request) (any, error) {
+func (k *connection) dispatch(r *http.Request) (any, error) {
 	if r.Method != http.MethodPost {
 		return nil, errors.New("link: not a gateway's request")
 	}
 	if r.URL.Path == pathHello {
-		return k.hello(r)
+		return k.greet(r)
 	}
 	k.mu.Lock()
 	s := k.session
@@ -294,48 +294,48 @@
 	if s == nil {
 		return nil, errors.New("link: not greeted")
 	}
-	l := k.server.l
+	l := k.server.transport
 	switch r.URL.Path {
 	case pathState:
-		var said stateSaid
+		var said heartbeat
 		if err := decode(r.Body, &said); err != nil {
 			return nil, err
 		}
 		s.mu.Lock()
-		s.in.Done(said.Done)
-		s.trip = time.Duration(said.Trip) * time.Microsecond
-		s.transit.Late(time.Duration(said.Clock)*time.Microsecond, time.Duration(l.clock())*time.Microsecond)
+		s.receiver.Forget(said.SettledTo)
+		s.roundTrip = time.Duration(said.RoundTrip) * time.Microsecond
+		s.delay.QueueingDelay(time.Duration(said.Clock)*time.Microsecond, time.Duration(l.clock())*time.Microsecond)
 		s.mu.Unlock()
-		return &stateSaid{Clock: l.clock(), State: l.o.Serve.State()}, nil
+		return &heartbeat{Clock: l.clock(), State: l.options.Handler.State()}, nil
 	case pathCall:
-		var c Call
+		var c Request
 		if err := decode(r.Body, &c); err != nil {
 			return nil, err
 		}
-		return k.call(r.Context(), s, &c), nil
+		return k.serveRequest(r.Context(), s, &c), nil
 	case pathSettle:
-		var q settle
+		var q settleRequest
 		if err := decode(r.Body, &q); err != nil {
 			return nil, err
 		}
 		return k.settle(&q), nil
 	case pathLookup:
-		var q lookup
+		var q lookupRequest
 		if err := decode(r.Body, &q); err != nil {
 			return nil, err
 		}
-		f := l.o.Serve.Lookup(q.ID)
+		f := l.options.Handler.Lookup(q.ID)
 		return &f, nil
 	case pathAccounts:
-		var q accounts
+		var q countersRequest
 		if err := decode(r.Body, &q); err != nil {
 			return nil, err
 		}
-		out := &counted{Sums: map[uint64][]tally.Sum{}}
+		out := &countersResponse{Counters: map[uint64][]tally.Counter{}}
 		for _, id := range q.Sessions {
-			if i := k.server.find(s.from, id); i != nil {
+			if i := k.server.findSession(s.site, id); i != nil {
 				i.mu.Lock()
-				out.Sums[id] = i.in.Sums()
+				out.Counters[id] = i.receiver.Counters()
 				i.mu.Unlock()
 			}
 		}
@@ -344,100 +344,100 @@
 	return nil, fmt.Errorf("link: %q is not known in version %d", r.URL.Path, newestVersion)
 }
 
-// hello opens the connection's session.
-func (k *taken) hello(r *http.Request) (any, error) {
-	var h hello
+// greet opens the connection's session.
+func (k *connection) greet(r *http.Request) (any, error) {
+	var h helloRequest
 	if err := decode(r.Body, &h); err != nil {
 		return nil, err
 	}
-	l := k.server.l
+	l := k.server.transport
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	version := min(h.Newest, newestVersion)
+	version := min(h.NewestVersion, newestVersion)
 	switch {
-	case k.over, k.session != nil:
+	case k.closed, k.session != nil:
 		return nil, errors.New("link: greeted already")
-	case version < max(h.Oldest, oldestVersion):
-		return &welcome{Error: fmt.Sprintf("versions %d to %d are not spoken here, but %d to %d", h.Oldest, h.Newest, oldestVersion, newestVersion)}, nil
-	case h.To != l.o.Sala:
-		return &welcome{Error: fmt.Sprintf("this is sala %q, not %q", l.o.Sala, h.To)}, nil
-	case k.from != "" && k.from != h.Sala || !l.known(h.Sala):
-		return &welcome{Error: fmt.Sprintf("the certificate is not that of sala %q, or it is not known here", h.Sala)}, nil
+	case version < max(h.OldestVersion, oldestVersion):
+		return &helloResponse{Error: fmt.Sprintf("versions %d to %d are not spoken here, but %d to %d", h.OldestVersion, h.NewestVersion, oldestVersion, newestVersion)}, nil
+	case h.ToSite != l.options.Site:
+		return &helloResponse{Error: fmt.Sprintf("this is sala %q, not %q", l.options.Site, h.ToSite)}, nil
+	case k.site != "" && k.site != h.Site || !l.isPeer(h.Site):
+		return &helloResponse{Error: fmt.Sprintf("the certificate is not that of sala %q, or it is not known here", h.Site)}, nil
 	}
-	k.from = h.Sala
-	s, ok := k.server.session(h.Sala, h.Session)
+	k.site = h.Site
+	s, ok := k.server.openSession(h.Site, h.SessionID)
 	if !ok {
-		return &welcome{Error: "too many sessions with something in work"}, nil
+		return &helloResponse{Error: "too many sessions with something in work"}, nil
 	}
 	k.session = s
-	return &welcome{Version: version, Process: l.process}, nil
+	return &helloResponse{Version: version, ProcessID: l.processID}, nil
 }
 
-// call serves a call that has come, in the time that is left of it here.
-func (k *taken) call(ctx context.Context, s *inbound, c *Call) (a *Answer) {
-	l := k.server.l
+// serveRequest serves a call that has come, in the time that is left of it here.
+func (k *connection) serveRequest(ctx context.Context, s *inboundSession, c *Request) (a *Response) {
+	l := k.server.transport
 	s.mu.Lock()
-	late := s.transit.Late(time.Duration(c.Clock)*time.Microsecond, time.Duration(l.clock())*time.Microsecond)
-	left := crossing.Arrived(time.Duration(c.Left)*time.Microsecond, s.trip, late)
-	err := s.in.Take(c.Number, tally.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
-	full := err == nil && s.work >= s.max
+	late := s.delay.QueueingDelay(time.Duration(c.Clock)*time.Microsecond, time.Duration(l.clock())*time.Microsecond)
+	left := crossing.TimeLeftOnArrival(time.Duration(c.TimeLeft)*time.Microsecond, s.roundTrip, late)
+	err := s.receiver.Receive(c.Number, tally.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
+	full := err == nil && s.inFlight >= s.maxInFlight
 	if err == nil && !full {
-		s.work++
+		s.inFlight++
 	}
 	s.mu.Unlock()
 	switch {
 	case errors.Is(err, tally.ErrFull): // not counted: it is not remembered
-		return &Answer{Number: c.Number, Outcome: tally.NeverRan, Why: err.Error()}
+		return &Response{Number: c.Number, Outcome: tally.NeverRan, Detail: err.Error()}
 	case err != nil:
-		return &Answer{Number: c.Number, Outcome: tally.Unclear, Why: err.Error()}
+		return &Response{Number: c.Number, Outcome: tally.MayHaveRun, Detail: err.Error()}
 	}
 	defer func() {
 		p := recover()
 		if p != nil { // the caller hears that it may have run
 			l.log.Error("link: serving a call failed", "panic", p, "stack", string(debug.Stack()))
-			a = &Answer{Outcome: tally.Unclear, Why: "failed"}
+			a = &Response{Outcome: tally.MayHaveRun, Detail: "failed"}
 		}
 		a.Number = c.Number
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.in.End(c.Number, a.Outcome)
+		s.receiver.Resolve(c.Number, a.Outcome)
 		if !full {
-			s.work--
+			s.inFlight--
 		}
 	}()
 	switch {
 	case full:
-		return &Answer{Outcome: tally.Refused, Back: fullBack.Microseconds(), Why: "as many calls in work as are taken from one sala"}
-	case slices.Contains(c.Been, l.o.Sala):
-		return &Answer{Outcome: tally.NeverRan, Why: "it has been here before"}
+		return &Response{Outcome: tally.Rejected, RetryAfter: overloadRetryAfter.Microseconds(), Detail: "as many calls in work as are taken from one sala"}
+	case slices.Contains(c.VisitedSites, l.options.Site):
+		return &Response{Outcome: tally.NeverRan, Detail: "it has been here before"}
 	case left <= 0:
-		return &Answer{Outcome: tally.NeverRan, Why: "no time left here"}
+		return &Response{Outcome: tally.NeverRan, Detail: "no time left here"}
 	}
-	c.Left = left.Microseconds()
-	return l.o.Serve.Cross(ctx, s.from, c)
+	c.TimeLeft = left.Microseconds()
+	return l.options.Handler.ServeRequest(ctx, s.site, c)
 }
 
 // settle tells what became of crossings.
-func (k *taken) settle(q *settle) *settled {
-	s := k.server.find(k.from, q.Session)
+func (k *connection) settle(q *settleRequest) *settleResponse {
+	s := k.server.findSession(k.site, q.SessionID)
 	if s == nil {
-		return &settled{}
+		return &settleResponse{}
 	}
-	if q.Over {
+	if q.SessionEnded {
 		s.mu.Lock()
-		s.in.Close()
+		s.receiver.Close()
 		s.mu.Unlock()
 	}
-	out := &settled{Known: true}
-	wait := time.Now().Add(settleFirst)
+	out := &settleResponse{Known: true}
+	wait := time.Now().Add(settleWait)
 	for {
-		out.Fates = out.Fates[:0]
+		out.Outcomes = out.Outcomes[:0]
 		open := false
 		s.mu.Lock()
 		for _, n := range q.Numbers {
-			o := s.in.Fate(n)
-			open = open || o == tally.Open
-			out.Fates = append(out.Fates, o)
+			o := s.receiver.OutcomeOf(n)
+			open = open || o == tally.Pending
+			out.Outcomes = append(out.Outcomes, o)
 		}
 		s.mu.Unlock()
 		if !open || time.Now().After(wait) {
--- a/internal/salas/link/session.go
+++ b/internal/salas/link/session.go
@@ -20,91 +20,91 @@
 	"silvertrail/internal/salas/tally"
 )
 
-// peer is the way to one gateway of another sala: the sessions in use, and those before them that may not be settled.
-type peer struct {
-	l       *Link
-	name    string
-	address string
-	end     context.CancelFunc
-	ctx     context.Context
-	gate    crossing.Gate // under the link's lock
+// gateway is the way to one gateway of another sala: the sessions in use, and those before them that may not be settled.
+type gateway struct {
+	transport    *Transport
+	site         string
+	address      string
+	cancel       context.CancelFunc
+	ctx          context.Context
+	availability crossing.Gateway // under the link's lock
 
-	mu       sync.Mutex
-	now      []*session
-	old      []*session // ended ones, the newest last
-	past     []tally.Sum
-	sessions int
-	since    time.Time
-	fault    string
+	mu              sync.Mutex
+	sessions        []*session
+	endedSessions   []*session // ended ones, the newest last
+	retiredCounters []tally.Counter
+	sessionCount    int
+	since           time.Time
+	lastError       string
 }
 
-func newPeer(l *Link, sala, address string) *peer {
-	n := &peer{l: l, name: sala, address: address, since: time.Now()}
-	n.ctx, n.end = context.WithCancel(l.ctx)
+func newGateway(l *Transport, sala, address string) *gateway {
+	n := &gateway{transport: l, site: sala, address: address, since: time.Now()}
+	n.ctx, n.cancel = context.WithCancel(l.ctx)
 	return n
 }
 
 // session is one connection to a sala, and the account of what crossed on it.
 type session struct {
-	p       *peer
-	id      uint64
-	process uint64 // the other end's
-	conn    net.Conn
-	cc      *http2.ClientConn
+	gateway       *gateway
+	id            uint64
+	remoteProcess uint64 // the other end's
+	conn          net.Conn
+	client        *http2.ClientConn
 
-	mu      sync.Mutex
-	out     *tally.Out
-	waits   map[uint64]chan tally.Outcome // for what is not known
-	trip    time.Duration
-	heard   time.Time // when something was answered last
-	over    bool
-	settles chan struct{} // holds a token when something is to be settled
+	mu           sync.Mutex
+	sender       *tally.Sender
+	waiters      map[uint64]chan tally.Outcome // for what is not known
+	roundTrip    time.Duration
+	lastResponse time.Time // when something was answered last
+	ended        bool
+	wakeups      chan struct{} // holds a token when something is to be settled
 }
 
 // run keeps as many sessions to the sala as are wanted, until the peer is ended. Several of them keep one that TCP holds up
 // for a lost packet from holding up all that crosses.
-func (p *peer) run() {
-	defer p.end()
+func (p *gateway) run() {
+	defer p.cancel()
 	var all sync.WaitGroup
-	for range p.l.o.Connections {
-		all.Go(p.keep)
+	for range p.transport.options.Connections {
+		all.Go(p.maintainSession)
 	}
 	all.Wait()
 }
 
-// keep keeps one session.
-func (p *peer) keep() {
-	backoff := backoffLeast
+// maintainSession keeps one session.
+func (p *gateway) maintainSession() {
+	backoff := minBackoff
 	for p.ctx.Err() == nil {
 		s, err := p.connect()
 		if err == nil {
-			p.l.log.Info("link up", "to", p.name, "address", p.address)
-			err = s.beat()
-			p.close(s)
+			p.transport.log.Info("link up", "to", p.site, "address", p.address)
+			err = s.run()
+			p.retire(s)
 		}
 		if p.ctx.Err() != nil {
 			break
 		}
 		p.mu.Lock()
-		if p.fault != err.Error() || s != nil {
-			p.l.log.Warn("link down", "to", p.name, "address", p.address, "error", err)
+		if p.lastError != err.Error() || s != nil {
+			p.transport.log.Warn("link down", "to", p.site, "address", p.address, "error", err)
 		}
-		p.fault = err.Error()
+		p.lastError = err.Error()
 		p.mu.Unlock()
 		if s != nil { // it stood: what has broken it is not what keeps one from coming up
-			backoff = backoffLeast
+			backoff = minBackoff
 		}
 		select {
 		case <-p.ctx.Done():
 		case <-time.After(backoff/2 + rand.N(backoff)):
 		}
-		backoff = min(2*backoff, backoffMost)
+		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
 // connect dials and greets.
-func (p *peer) connect() (s *session, err error) {
-	ctx, cancel := context.WithTimeout(p.ctx, shakeIn)
+func (p *gateway) connect() (s *session, err error) {
+	ctx, cancel := context.WithTimeout(p.ctx, handshakeTimeout)
 	defer cancel()
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", p.address)
@@ -116,25 +116,25 @@
 			conn.Close()
 		}
 	}()
-	if p.l.proof != nil {
-		t := tls.Client(conn, p.l.proof.client(p.name))
+	if p.transport.credentials != nil {
+		t := tls.Client(conn, p.transport.credentials.clientConfig(p.site))
 		if err := t.HandshakeContext(ctx); err != nil {
 			return nil, fmt.Errorf("handshake: %w", err)
 		}
 		conn = t
 	}
-	s = &session{p: p, id: rand.Uint64() | 1, conn: conn, out: tally.NewOut(), waits: map[uint64]chan tally.Outcome{}, settles: make(chan struct{}, 1)}
+	s = &session{gateway: p, id: rand.Uint64() | 1, conn: conn, sender: tally.NewSender(), waiters: map[uint64]chan tally.Outcome{}, wakeups: make(chan struct{}, 1)}
 	t, err := http2.ConfigureTransports(&http.Transport{DisableCompression: true, HTTP2: &http.HTTP2Config{StrictMaxConcurrentRequests: true,
-		MaxReceiveBufferPerConnection: connWindow, MaxReceiveBufferPerStream: maxMessage}})
+		MaxReceiveBufferPerConnection: connectionWindowBytes, MaxReceiveBufferPerStream: maxMessageBytes}})
 	if err != nil {
 		return nil, err
 	}
 	t.AllowHTTP = true
-	if s.cc, err = t.NewClientConn(conn); err != nil {
+	if s.client, err = t.NewClientConn(conn); err != nil {
 		return nil, err
 	}
-	var w welcome
-	err = s.ask(ctx, pathHello, &hello{Oldest: oldestVersion, Newest: newestVersion, Sala: p.l.o.Sala, To: p.name, Process: p.l.process, Session: s.id}, &w)
+	var w helloResponse
+	err = s.request(ctx, pathHello, &helloRequest{OldestVersion: oldestVersion, NewestVersion: newestVersion, Site: p.transport.options.Site, ToSite: p.site, ProcessID: p.transport.processID, SessionID: s.id}, &w)
 	switch {
 	case err != nil:
 	case w.Error != "":
@@ -145,32 +145,32 @@
 	if err != nil {
 		return nil, err
 	}
-	s.process = w.Process
-	if err := s.heartbeat(); err != nil {
+	s.remoteProcess = w.ProcessID
+	if err := s.exchangeHeartbeat(); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.now) == 0 {
+	if len(p.sessions) == 0 {
 		p.since = time.Now()
 	}
-	p.now, p.fault = append(p.now, s), ""
-	p.sessions++
+	p.sessions, p.lastError = append(p.sessions, s), ""
+	p.sessionCount++
 	return s, nil
 }
 
-// current returns the session in use that has the least out, or nil.
-func (p *peer) current() (best *session) {
+// pickSession returns the session in use that has the least out, or nil.
+func (p *gateway) pickSession() (best *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	least := 0
-	for _, s := range p.now {
-		if !s.cc.CanTakeNewRequest() {
+	for _, s := range p.sessions {
+		if !s.client.CanTakeNewRequest() {
 			s.wake() // it has broken, and its heartbeat has not noticed yet
 			continue
 		}
 		s.mu.Lock()
-		open := s.out.Open()
+		open := s.sender.Pending()
 		s.mu.Unlock()
 		if best == nil || open < least {
 			best, least = s, open
@@ -179,66 +179,66 @@
 	return best
 }
 
-// close ends a session. What is in work on it and not answered is lost, to be settled over the next one: all of it at once,
+// retire ends a session. What is in work on it and not answered is lost, to be settled over the next one: all of it at once,
 // as the connection is closed. Where the other end has only asked for a new connection, what is in work is answered still.
-func (p *peer) close(s *session) {
+func (p *gateway) retire(s *session) {
 	p.mu.Lock()
-	p.now = slices.DeleteFunc(p.now, func(o *session) bool { return o == s })
-	if len(p.now) == 0 {
+	p.sessions = slices.DeleteFunc(p.sessions, func(o *session) bool { return o == s })
+	if len(p.sessions) == 0 {
 		p.since = time.Now()
-		p.l.lost(p)
+		p.transport.markDisconnected(p)
 	}
-	p.old = append(p.old, s)
-	if len(p.old) > keepSessions {
-		gone := p.old[0]
-		p.old = p.old[1:]
+	p.endedSessions = append(p.endedSessions, s)
+	if len(p.endedSessions) > maxSessions {
+		gone := p.endedSessions[0]
+		p.endedSessions = p.endedSessions[1:]
 		gone.mu.Lock()
-		p.past = tally.Add(p.past, gone.out.Sums())
+		p.retiredCounters = tally.Merge(p.retiredCounters, gone.sender.Counters())
 		gone.mu.Unlock()
 	}
 	p.mu.Unlock()
-	if s.cc.State().Closing && !s.cc.State().Closed && p.ctx.Err() == nil {
-		p.l.wait.Go(func() {
+	if s.client.State().Closing && !s.client.State().Closed && p.ctx.Err() == nil {
+		p.transport.goroutines.Go(func() {
 			ctx, cancel := context.WithTimeout(p.ctx, time.Minute)
 			defer cancel()
-			s.cc.Shutdown(ctx)
-			s.finish()
+			s.client.Shutdown(ctx)
+			s.end()
 		})
 		return
 	}
-	s.finish()
+	s.end()
 }
 
-func (s *session) finish() {
+func (s *session) end() {
 	s.conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.over = true
+	s.ended = true
 }
 
-var errBroken = errors.New("the connection has broken")
-var errSilent = errors.New("no answer to a heartbeat in time")
-var errMoved = errors.New("the other end asks for a new connection")
+var errConnectionBroken = errors.New("the connection has broken")
+var errHeartbeatTimeout = errors.New("no answer to a heartbeat in time")
+var errPeerDraining = errors.New("the other end asks for a new connection")
 
-// beat sends heartbeats, and settles what is not known, until the session ends.
-func (s *session) beat() error {
-	tick := time.NewTicker(s.p.l.o.Heartbeat)
+// run sends heartbeats, and settles what is not known, until the session ends.
+func (s *session) run() error {
+	tick := time.NewTicker(s.gateway.transport.options.HeartbeatInterval)
 	defer tick.Stop()
 	for {
 		select {
-		case <-s.p.ctx.Done():
-			return s.p.ctx.Err()
+		case <-s.gateway.ctx.Done():
+			return s.gateway.ctx.Err()
 		case <-tick.C:
-			if err := s.heartbeat(); err != nil {
+			if err := s.exchangeHeartbeat(); err != nil {
 				return err
 			}
-		case <-s.settles:
+		case <-s.wakeups:
 		}
-		switch is := s.cc.State(); {
+		switch is := s.client.State(); {
 		case is.Closed:
-			return errBroken
+			return errConnectionBroken
 		case is.Closing:
-			return errMoved
+			return errPeerDraining
 		}
 		if err := s.settleAll(); err != nil {
 			return err
@@ -246,20 +246,20 @@
 	}
 }
 
-// heartbeat tells the other end how things are here and hears how they are there.
-func (s *session) heartbeat() error {
-	l := s.p.l
-	ctx, cancel := context.WithTimeout(s.p.ctx, l.o.Silence)
+// exchangeHeartbeat tells the other end how things are here and hears how they are there.
+func (s *session) exchangeHeartbeat() error {
+	l := s.gateway.transport
+	ctx, cancel := context.WithTimeout(s.gateway.ctx, l.options.HeartbeatTimeout)
 	defer cancel()
 	s.mu.Lock()
-	done, trip := s.out.Done(), s.trip
+	done, trip := s.sender.SettledTo(), s.roundTrip
 	s.mu.Unlock()
 	begun := time.Now()
-	var said stateSaid
-	err := s.ask(ctx, pathState, &stateSaid{Clock: l.clock(), State: l.o.Serve.State(), Done: done, Trip: trip.Microseconds()}, &said)
+	var said heartbeat
+	err := s.request(ctx, pathState, &heartbeat{Clock: l.clock(), State: l.options.Handler.State(), SettledTo: done, RoundTrip: trip.Microseconds()}, &said)
 	switch {
-	case errors.Is(err, context.DeadlineExceeded) && s.silent():
-		return errSilent
+	case errors.Is(err, context.DeadlineExceeded) && s.isSilent():
+		return errHeartbeatTimeout
 	case errors.Is(err, context.DeadlineExceeded): // it is busy with calls, and answers those
 		return nil
 	case err != nil:
@@ -267,49 +267,49 @@
 	}
 	trip = time.Since(begun)
 	s.mu.Lock()
-	if s.trip == 0 {
-		s.trip = trip
+	if s.roundTrip == 0 {
+		s.roundTrip = trip
 	}
-	s.trip += (trip - s.trip) / 8
+	s.roundTrip += (trip - s.roundTrip) / 8
 	s.mu.Unlock()
-	l.heard(s.p, said.State, trip)
+	l.markConnected(s.gateway, said.State, trip)
 	return nil
 }
 
-// silent tells that nothing at all was answered for the time of silence.
-func (s *session) silent() bool {
+// isSilent tells that nothing at all was answered for the time of silence.
+func (s *session) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.heard) >= s.p.l.o.Silence
+	return time.Since(s.lastResponse) >= s.gateway.transport.options.HeartbeatTimeout
 }
 
-// ask makes one request on the session's connection.
-func (s *session) ask(ctx context.Context, path string, message, answer any) error {
-	return s.askFor(ctx, path, message, answer, nil)
+// request makes one request on the session's connection.
+func (s *session) request(ctx context.Context, path string, message, answer any) error {
+	return s.requestWhileConnected(ctx, path, message, answer, nil)
 }
 
-// askFor is ask for somebody who may leave: where away says so nothing more of the message goes out, and what there is of it
+// requestWhileConnected is ask for somebody who may leave: where away says so nothing more of the message goes out, and what there is of it
 // at the other end is no message. Nil: nobody can tell.
-func (s *session) askFor(ctx context.Context, path string, message, answer any, away func() bool) error {
+func (s *session) requestWhileConnected(ctx context.Context, path string, message, answer any, away func() bool) error {
 	text, err := encode(message)
 	if err != nil {
 		return err
 	}
-	if len(text) > maxMessage {
-		return fmt.Errorf("link: a message of %d bytes, over %d", len(text), maxMessage)
+	if len(text) > maxMessageBytes {
+		return fmt.Errorf("link: a message of %d bytes, over %d", len(text), maxMessageBytes)
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+s.p.name+path, &present{bytes.NewReader(text), away})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+s.gateway.site+path, &abortableReader{bytes.NewReader(text), away})
 	if err != nil {
 		return err
 	}
 	r.ContentLength = int64(len(text))
-	a, err := s.cc.RoundTrip(r)
+	a, err := s.client.RoundTrip(r)
 	if err != nil {
 		return err
 	}
 	defer a.Body.Close()
 	s.mu.Lock()
-	s.heard = time.Now()
+	s.lastResponse = time.Now()
 	s.mu.Unlock()
 	if a.StatusCode != http.StatusOK {
 		why, _ := io.ReadAll(io.LimitReader(a.Body, 1024))
@@ -318,49 +318,49 @@
 	return decode(a.Body, answer)
 }
 
-// present reads a message for as long as who sends it is there. It is read once the connection takes it: whatever the message
+// abortableReader reads a message for as long as who sends it is there. It is read once the connection takes it: whatever the message
 // waited for before, the look comes after it.
-type present struct {
-	message io.Reader
-	away    func() bool
+type abortableReader struct {
+	message        io.Reader
+	isDisconnected func() bool
 }
 
-var errAway = errors.New("link: who sends it has left")
+var errClientDisconnected = errors.New("link: who sends it has left")
 
-func (p *present) Read(b []byte) (int, error) {
-	if p.away != nil && p.away() {
-		return 0, errAway
+func (p *abortableReader) Read(b []byte) (int, error) {
+	if p.isDisconnected != nil && p.isDisconnected() {
+		return 0, errClientDisconnected
 	}
 	return p.message.Read(b)
 }
 
-// call sends a call over the session in use.
-func (p *peer) call(ctx context.Context, c *Call) Crossing {
-	s := p.current()
-	if s == nil || !s.cc.ReserveNewRequest() { // no link, or it carries as much as the other end takes
-		return Crossing{Outcome: tally.NeverRan}
+// forward sends a call over the session in use.
+func (p *gateway) forward(ctx context.Context, c *Request) ForwardResult {
+	s := p.pickSession()
+	if s == nil || !s.client.ReserveNewRequest() { // no link, or it carries as much as the other end takes
+		return ForwardResult{Outcome: tally.NeverRan}
 	}
 	s.mu.Lock()
-	if s.over {
+	if s.ended {
 		s.mu.Unlock()
-		return Crossing{Outcome: tally.NeverRan}
+		return ForwardResult{Outcome: tally.NeverRan}
 	}
-	c.Number = s.out.Send(tally.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
+	c.Number = s.sender.Send(tally.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
 	s.mu.Unlock()
-	c.Clock = p.l.clock()
-	x := Crossing{Sent: true}
-	a := &Answer{}
-	err := s.askFor(ctx, pathCall, c, a, c.Away)
+	c.Clock = p.transport.clock()
+	x := ForwardResult{Sent: true}
+	a := &Response{}
+	err := s.requestWhileConnected(ctx, pathCall, c, a, c.IsDisconnected)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil && a.Number == c.Number {
-		s.out.End(c.Number, a.Outcome)
-		x.Answer, x.Outcome = a, a.Outcome
+		s.sender.Resolve(c.Number, a.Outcome)
+		x.Response, x.Outcome = a, a.Outcome
 		return x
 	}
-	s.out.Lost(c.Number)
-	x.told = make(chan tally.Outcome, 1)
-	s.waits[c.Number] = x.told
+	s.sender.Abandon(c.Number)
+	x.settled = make(chan tally.Outcome, 1)
+	s.waiters[c.Number] = x.settled
 	s.wake()
 	return x
 }
@@ -368,7 +368,7 @@
 // wake has the session looked at now and not with its next heartbeat.
 func (s *session) wake() {
 	select {
-	case s.settles <- struct{}{}:
+	case s.wakeups <- struct{}{}:
 	default:
 	}
 }
@@ -376,12 +376,12 @@
 // settleAll asks the other end, over this session, what became of all crossings that nobody has an answer to: those of this
 // session, and of the ones before it that have ended.
 func (s *session) settleAll() error {
-	s.p.mu.Lock()
-	of := append(slices.Clone(s.p.old), s)
-	s.p.mu.Unlock()
+	s.gateway.mu.Lock()
+	of := append(slices.Clone(s.gateway.endedSessions), s)
+	s.gateway.mu.Unlock()
 	for _, o := range of {
 		for {
-			more, err := s.settle(o)
+			more, err := s.settleSession(o)
 			if err != nil {
 				return err
 			}
@@ -393,20 +393,20 @@
 	return nil
 }
 
-// settle asks about one session's crossings; more tells that there are others to ask about that may be known by now.
-func (s *session) settle(of *session) (more bool, err error) {
+// settleSession asks about one session's crossings; more tells that there are others to ask about that may be known by now.
+func (s *session) settleSession(of *session) (more bool, err error) {
 	of.mu.Lock()
-	numbers := of.out.Unsettled(settleAtOne)
-	over := of.over
+	numbers := of.sender.Unsettled(maxSettledAtOnce)
+	over := of.ended
 	of.mu.Unlock()
 	if len(numbers) == 0 {
 		return false, nil
 	}
-	var told settled
-	if of.process == s.process {
-		ctx, cancel := context.WithTimeout(s.p.ctx, s.p.l.o.Silence)
+	var told settleResponse
+	if of.remoteProcess == s.remoteProcess {
+		ctx, cancel := context.WithTimeout(s.gateway.ctx, s.gateway.transport.options.HeartbeatTimeout)
 		defer cancel()
-		if err := s.ask(ctx, pathSettle, &settle{Session: of.id, Over: over, Numbers: numbers}, &told); err != nil {
+		if err := s.request(ctx, pathSettle, &settleRequest{SessionID: of.id, SessionEnded: over, Numbers: numbers}, &told); err != nil {
 			return false, fmt.Errorf("settling: %w", err)
 		}
 	}
@@ -414,77 +414,77 @@
 	defer of.mu.Unlock()
 	some := false
 	for i, n := range numbers {
-		o := tally.Unclear // whoever knew it is gone
-		if told.Known && i < len(told.Fates) {
-			o = told.Fates[i]
+		o := tally.MayHaveRun // whoever knew it is gone
+		if told.Known && i < len(told.Outcomes) {
+			o = told.Outcomes[i]
 		}
-		if o == tally.Open {
+		if o == tally.Pending {
 			continue
 		}
 		some = true
-		of.out.End(n, o)
-		if wait := of.waits[n]; wait != nil {
+		of.sender.Resolve(n, o)
+		if wait := of.waiters[n]; wait != nil {
 			wait <- o
-			delete(of.waits, n)
+			delete(of.waiters, n)
 		}
 	}
-	return some && len(numbers) == settleAtOne, nil
+	return some && len(numbers) == maxSettledAtOnce, nil
 }
 
-// open returns how many crossings are out and not answered.
-func (p *peer) open() (n int) {
+// inFlight returns how many crossings are out and not answered.
+func (p *gateway) inFlight() (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.now {
+	for _, s := range p.sessions {
 		s.mu.Lock()
-		n += s.out.Open()
+		n += s.sender.Pending()
 		s.mu.Unlock()
 	}
 	return n
 }
 
-// view tells how the peer stands, and what was sent to it.
-func (p *peer) view() (v GateView, sent []tally.Sum) {
+// status tells how the peer stands, and what was sent to it.
+func (p *gateway) status() (v GatewayStatus, sent []tally.Counter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v, sent = GateView{Address: p.address, Since: p.since, Sessions: p.sessions, Fault: p.fault}, p.past
-	for _, s := range append(slices.Clone(p.old), p.now...) {
+	v, sent = GatewayStatus{Address: p.address, Since: p.since, Sessions: p.sessionCount, LastError: p.lastError}, p.retiredCounters
+	for _, s := range append(slices.Clone(p.endedSessions), p.sessions...) {
 		s.mu.Lock()
-		sent = tally.Add(sent, s.out.Sums())
-		v.Open += s.out.Open()
+		sent = tally.Merge(sent, s.sender.Counters())
+		v.Unsettled += s.sender.Pending()
 		s.mu.Unlock()
 	}
 	return v, sent
 }
 
 // reconcile asks the other end for its counts of the sessions that are still known, and names the differences.
-func (p *peer) reconcile(ctx context.Context) (out []Differs, compared int, err error) {
+func (p *gateway) reconcile(ctx context.Context) (out []SessionDifference, compared int, err error) {
 	p.mu.Lock()
-	of := append(slices.Clone(p.old), p.now...)
+	of := append(slices.Clone(p.endedSessions), p.sessions...)
 	p.mu.Unlock()
-	now := p.current()
+	now := p.pickSession()
 	if now == nil {
-		return nil, 0, fmt.Errorf("link: %s is out of reach: nothing could be compared", p.name)
+		return nil, 0, fmt.Errorf("link: %s is out of reach: nothing could be compared", p.site)
 	}
-	var q accounts
+	var q countersRequest
 	for _, s := range of {
 		q.Sessions = append(q.Sessions, s.id)
 	}
-	var told counted
-	if err := now.ask(ctx, pathAccounts, &q, &told); err != nil {
+	var told countersResponse
+	if err := now.request(ctx, pathAccounts, &q, &told); err != nil {
 		return nil, 0, err
 	}
 	for _, s := range of {
-		theirs, known := told.Sums[s.id]
+		theirs, known := told.Counters[s.id]
 		if !known {
 			continue // of a process that is gone
 		}
 		compared++
 		s.mu.Lock()
-		ours := s.out.Sums()
+		ours := s.sender.Counters()
 		s.mu.Unlock()
 		for _, d := range tally.Reconcile(ours, theirs) {
-			out = append(out, Differs{s.id, d})
+			out = append(out, SessionDifference{s.id, d})
 		}
 	}
 	return out, compared, nil
--- a/internal/salas/tally/tally_test.go
+++ b/internal/salas/tally/tally_test.go
@@ -12,8 +12,8 @@
 // both ends count the same.
 func TestBothEndsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		out, in := NewOut(), NewIn(rapid.IntRange(3, 64).Draw(t, "room"))
-		kinds := []Kind{{"reserva", "a", Shed}, {"consulta", "a", Failed}, {"consulta", "b", Held}}
+		out, in := NewSender(), NewReceiver(rapid.IntRange(3, 64).Draw(t, "room"))
+		kinds := []Kind{{"reserva", "a", Shed}, {"consulta", "a", Failed}, {"consulta", "b", KeyOwned}}
 		type message struct {
 			number uint64
 			kind   Kind
@@ -33,28 +33,28 @@
 		}
 		ask := func() {
 			for _, n := range out.Unsettled(100) {
-				if o := in.Fate(n); o != Open {
-					out.End(n, o)
+				if o := in.OutcomeOf(n); o != Pending {
+					out.Resolve(n, o)
 					told[n] = o
 				}
 			}
-			in.Done(out.Done())
+			in.Forget(out.SettledTo())
 		}
 		deliver := func(m message) {
-			switch err := in.Take(m.number, m.kind); {
+			switch err := in.Receive(m.number, m.kind); {
 			case err == nil:
 				work[m.number], ran[m.number] = true, true
 			case errors.Is(err, ErrFull): // answered at once: nothing ran
 				answers[m.number] = NeverRan
 			}
-			if told[m.number].Harmless() && ran[m.number] {
+			if told[m.number].ProvesNothingRan() && ran[m.number] {
 				t.Fatalf("%d has run after it was told %v", m.number, told[m.number])
 			}
 		}
 		end := func(n uint64) {
 			delete(work, n)
-			o := rapid.SampledFrom([]Outcome{Served, Unclear}).Draw(t, "outcome")
-			in.End(n, o)
+			o := rapid.SampledFrom([]Outcome{Served, MayHaveRun}).Draw(t, "outcome")
+			in.Resolve(n, o)
 			answers[n] = o
 		}
 		full := false // a crossing that was turned away unseen stands at one end alone
@@ -71,9 +71,9 @@
 					way = append(way[:i], way[i+1:]...)
 					deliver(m)
 					if rapid.Bool().Draw(t, "twice") {
-						before := in.Came()
-						in.Take(m.number, m.kind)
-						if in.Came() != before && answers[m.number] != NeverRan {
+						before := in.ArrivalCount()
+						in.Receive(m.number, m.kind)
+						if in.ArrivalCount() != before && answers[m.number] != NeverRan {
 							t.Fatal("taken twice")
 						}
 					}
@@ -90,7 +90,7 @@
 					}
 					delete(answers, n)
 					if _, known := told[n]; !known {
-						out.End(n, o)
+						out.Resolve(n, o)
 						told[n] = o
 						full = full || o == NeverRan
 					}
@@ -98,7 +98,7 @@
 				}
 			case 5: // a caller goes
 				if n := out.Sent(); n > 0 {
-					out.Lost(uint64(rapid.IntRange(1, int(n)).Draw(t, "gone")))
+					out.Abandon(uint64(rapid.IntRange(1, int(n)).Draw(t, "gone")))
 				}
 			case 6:
 				ask()
@@ -115,18 +115,18 @@
 			end(n)
 		}
 		for n := uint64(1); n <= out.Sent(); n++ {
-			out.Lost(n)
+			out.Abandon(n)
 		}
 		ask()
-		if out.Open() != 0 {
-			t.Fatalf("%d have no known end after the session was settled", out.Open())
+		if out.Pending() != 0 {
+			t.Fatalf("%d have no known end after the session was settled", out.Pending())
 		}
 		for n := uint64(1); n <= out.Sent(); n++ {
-			if o := told[n]; ran[n] == o.Harmless() {
+			if o := told[n]; ran[n] == o.ProvesNothingRan() {
 				t.Fatalf("%d: ran %v, told %v", n, ran[n], o)
 			}
 		}
-		if d := Reconcile(out.Sums(), in.Sums()); len(d) > 0 && !full {
+		if d := Reconcile(out.Counters(), in.Counters()); len(d) > 0 && !full {
 			t.Fatalf("the ends differ: %+v", d)
 		}
 	})
@@ -134,30 +134,30 @@
 
 // Kinds beyond the bound are counted together and not lost, and a difference between the ends is named.
 func TestManyKinds(t *testing.T) {
-	out, in := NewOut(), NewIn(1<<20)
+	out, in := NewSender(), NewReceiver(1<<20)
 	const n = 3 * maxKinds
 	for i := range n {
 		k := Kind{Class: "c", Tenant: string(rune('0'+i%10)) + string(rune(0x100+i)), Reason: Shed}
 		number := out.Send(k)
-		if err := in.Take(number, k); err != nil {
+		if err := in.Receive(number, k); err != nil {
 			t.Fatal(err)
 		}
-		in.End(number, Served)
+		in.Resolve(number, Served)
 		if i != 7 {
-			out.End(number, Served)
+			out.Resolve(number, Served)
 		}
 	}
-	if len(out.Sums()) > maxKinds+2 {
-		t.Errorf("%d kinds", len(out.Sums()))
+	if len(out.Counters()) > maxKinds+2 {
+		t.Errorf("%d kinds", len(out.Counters()))
 	}
 	var sum uint64
-	for _, s := range Add(out.Sums(), out.Sums()) {
+	for _, s := range Merge(out.Counters(), out.Counters()) {
 		sum += s.Count
 	}
-	if sum != 2*n || out.Done() != 7 {
-		t.Errorf("%d counted, done to %d", sum, out.Done())
+	if sum != 2*n || out.SettledTo() != 7 {
+		t.Errorf("%d counted, done to %d", sum, out.SettledTo())
 	}
-	if d := Reconcile(out.Sums(), in.Sums()); len(d) != 2 || d[0].Outcome != Open || d[0].Sent != 1 || d[1].Received != 1 {
+	if d := Reconcile(out.Counters(), in.Counters()); len(d) != 2 || d[0].Outcome != Pending || d[0].Sent != 1 || d[1].Received != 1 {
 		t.Errorf("differences: %+v", d)
 	}
 }
