--- a/cmd/silvertrail/link.go
+++ b/cmd/silvertrail/link.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"silvertrail/internal/gateway"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
 )
 
 // linkCommands ask a running gateway, on the control socket that its configuration names.
@@ -44,7 +44,7 @@
 	}
 	fmt.Fprintln(w, "\nDIRECTION\tSALA\tCLASS\tTENANT\tREASON\tOUTCOME\tCOUNT")
 	for _, s := range v.Salas {
-		for direction, sums := range map[string][]tally.Counter{"sent": s.Sent, "received": s.Received} {
+		for direction, sums := range map[string][]accounting.Counter{"sent": s.Sent, "received": s.Received} {
 			for _, n := range sums {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", direction, s.Name, n.Class, n.Tenant, n.Reason, n.Outcome, n.Count)
 			}
--- a/internal/gateway/conf/link.go
+++ b/internal/gateway/conf/link.go
@@ -10,7 +10,7 @@
 
 	"github.com/hashicorp/hcl/v2"
 
-	"silvertrail/internal/salas/link"
+	"silvertrail/internal/sites/peering"
 	"silvertrail/lbpolicy"
 )
 
@@ -20,7 +20,7 @@
 const maxGates = 16 // of one sala
 
 // linkBlock reads the link block, or returns nil where there is none.
-func (p *parser) linkBlock(blocks hcl.Blocks, f *File) *link.Options {
+func (p *parser) linkBlock(blocks hcl.Blocks, f *File) *peering.Options {
 	if len(blocks) == 0 {
 		return nil
 	}
@@ -29,7 +29,7 @@
 	s := p.open("link "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"listen", "certificate", "key", "authority", "plain", "heartbeat",
 		"silence", "calls", "connections"}, map[string]int{"peer": 1})
 	s.need("listen")
-	o := &link.Options{Site: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), MaxInFlight: s.whole("calls", 1024, 1, 1<<16), Connections: s.whole("connections", 2, 1, 8),
+	o := &peering.Options{Site: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), MaxInFlight: s.whole("calls", 1024, 1, 1<<16), Connections: s.whole("connections", 2, 1, 8),
 		HeartbeatInterval: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
 		HeartbeatTimeout:  s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
 	p.sala(o.Site, b.LabelRanges[0])
@@ -49,11 +49,11 @@
 		}
 	} else {
 		s.need(files...)
-		o.Identity = &link.Identity{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}
+		o.Identity = &peering.Identity{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}
 	}
 	for _, inner := range s.blocks {
 		n := p.open("peer "+quote(inner.Labels[0]), inner.DefRange, inner.Body, []string{"address", "addresses"}, nil)
-		peer := link.Peer{Name: inner.Labels[0]}
+		peer := peering.Peer{Name: inner.Labels[0]}
 		p.sala(peer.Name, inner.LabelRanges[0])
 		at := n.list("addresses")
 		switch {
@@ -77,7 +77,7 @@
 			}
 			peer.Addresses = append(peer.Addresses, a.text)
 		}
-		if peer.Name == o.Site || slices.ContainsFunc(o.Peers, func(o link.Peer) bool { return o.Name == peer.Name }) {
+		if peer.Name == o.Site || slices.ContainsFunc(o.Peers, func(o peering.Peer) bool { return o.Name == peer.Name }) {
 			p.fault(inner.LabelRanges[0], "Named twice", "%q is this sala, or a peer already.", peer.Name)
 		}
 		o.Peers = append(o.Peers, peer)
@@ -119,7 +119,7 @@
 		switch {
 		case f.Link == nil:
 			p.fault(l.at, "No link", "%s crosses to %q, but there is no link block.", s.what, l.text)
-		case !slices.ContainsFunc(f.Link.Peers, func(o link.Peer) bool { return o.Name == l.text }):
+		case !slices.ContainsFunc(f.Link.Peers, func(o peering.Peer) bool { return o.Name == l.text }):
 			var names []string
 			for _, o := range f.Link.Peers {
 				names = append(names, o.Name)
--- a/internal/gateway/control_link.go
+++ b/internal/gateway/control_link.go
@@ -6,22 +6,22 @@
 	"time"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/salas/link"
+	"silvertrail/internal/sites/peering"
 )
 
 const askIn = 5 * time.Second // for the other salas' answers
 
 // LinkView is what a gateway tells of its links.
 type LinkView struct {
-	Sala     string            `json:"sala"`
-	State    string            `json:"state"`
-	Leaving  bool              `json:"leaving,omitempty"` // its own callers' requests go to other salas first
-	Salas    []link.SiteStatus `json:"salas"`
-	Compared bool              `json:"compared,omitempty"` // with the other ends' counts
+	Sala     string               `json:"sala"`
+	State    string               `json:"state"`
+	Leaving  bool                 `json:"leaving,omitempty"` // its own callers' requests go to other salas first
+	Salas    []peering.SiteStatus `json:"salas"`
+	Compared bool                 `json:"compared,omitempty"` // with the other ends' counts
 }
 
 // links returns the running links, or tells that there are none.
-func (g *Gateway) links(w http.ResponseWriter) *link.Transport {
+func (g *Gateway) links(w http.ResponseWriter) *peering.Transport {
 	l := g.linked.Load()
 	if l == nil {
 		http.Error(w, "this instance has no link to other salas", http.StatusNotFound)
@@ -72,7 +72,7 @@
 // FoundView is what one sala knows of a key.
 type FoundView struct {
 	Sala string `json:"sala"`
-	link.KeyLocation
+	peering.KeyLocation
 	Error string `json:"error,omitempty"`
 }
 
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -12,9 +12,9 @@
 	"silvertrail/internal/fleet/ownership"
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/link"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
+	"silvertrail/internal/sites/peering"
 	"silvertrail/lbpolicy"
 )
 
@@ -26,16 +26,16 @@
 // the time that was too short there is longer for one who comes to it anew.
 const refusedBack = 100 * time.Millisecond
 
-// over gives a request to other salas, as the decisions of package crossing say, until one has served it or none may have
+// over gives a request to other salas, as the decisions of package forwarding say, until one has served it or none may have
 // it. What comes in is how its own sala has ended it.
-func (x *exchange) over(ctx context.Context, way *crossing.Route, a engine.Result) engine.Result {
+func (x *exchange) over(ctx context.Context, way *forwarding.Route, a engine.Result) engine.Result {
 	l := x.gateway.linked.Load()
 	if l == nil {
 		return a
 	}
 	attempts := a.Attempts
 	for !engine.IsDisconnected(ctx) && a.Response == nil {
-		so := crossing.Progress{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, NewAttempts: attempts, OwnerSite: x.holder(),
+		so := forwarding.Progress{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, NewAttempts: attempts, OwnerSite: x.holder(),
 			Rejected: a.Rejected, Transit: x.passing != nil}
 		r, why, ok := way.Next(so)
 		if !ok {
@@ -70,40 +70,40 @@
 
 // carry gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
 // that nothing has run there.
-func (x *exchange) carry(ctx context.Context, l *link.Transport, to string, why tally.Reason, way *crossing.Route) (a engine.Result) {
+func (x *exchange) carry(ctx context.Context, l *peering.Transport, to string, why accounting.Reason, way *forwarding.Route) (a engine.Result) {
 	var try *idempotency.Attempt
 	ran := false // an attempt of this request, before this one
 	if x.hold != nil {
 		ran = x.hold.MayHaveRun()
 		var err error
-		if try, err = x.hold.Send(time.Now(), idempotency.Place{Cluster: crossing.QualifyCluster(to, ""), Zone: to}, x.terms()); err != nil {
-			l.RecordResult(to, x.class.PriorityWeight, crossing.NotSent, 0)
+		if try, err = x.hold.Send(time.Now(), idempotency.Place{Cluster: forwarding.QualifyCluster(to, ""), Zone: to}, x.terms()); err != nil {
+			l.RecordResult(to, x.class.PriorityWeight, forwarding.NotSent, 0)
 			return engine.Result{MayHaveRun: true}
 		}
 	}
 	var record *ledger.Attempt
 	if x.entry != nil {
 		record = x.entry.Attempt(salaNodo(to), x.terms())
-		if err := record.Intent(ctx, idempotency.Place{Cluster: crossing.QualifyCluster(to, ""), Zone: to}); err != nil { // nothing goes out
+		if err := record.Intent(ctx, idempotency.Place{Cluster: forwarding.QualifyCluster(to, ""), Zone: to}); err != nil { // nothing goes out
 			record.Ended(lbpolicy.NotSent, 0)
 			try.End(time.Now(), true)
-			l.RecordResult(to, x.class.PriorityWeight, crossing.NotSent, 0)
+			l.RecordResult(to, x.class.PriorityWeight, forwarding.NotSent, 0)
 			return engine.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
 		}
 	}
-	c := &link.Request{TimeLeft: time.Until(x.deadline).Microseconds(), Class: x.class.Name, PriorityWeight: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
+	c := &peering.Request{TimeLeft: time.Until(x.deadline).Microseconds(), Class: x.class.Name, PriorityWeight: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
 		Tenant: x.tenant, Key: x.key, AttemptsLeft: way.AttemptsLeft(), VisitedSites: append(append([]string{}, way.VisitedSites...), x.gateway.sala), Reason: why,
-		KeyMayHaveRun: x.holder() == to && why == tally.KeyOwned, IsRetry: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
+		KeyMayHaveRun: x.holder() == to && why == accounting.KeyOwned, IsRetry: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
 	c.ClaimAttempt, c.ClaimRound = x.votes(c.KeyMayHaveRun, ran)
 	c.IsDisconnected = func() bool { return engine.IsDisconnected(ctx) }
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	is := link.ForwardResult{Outcome: tally.NeverRan}
+	is := peering.ForwardResult{Outcome: accounting.NeverRan}
 	if !engine.IsDisconnected(ctx) { // it may have, while the crossing was recorded
 		is = l.Forward(waiting, to, c)
 	}
 	outcome := is.Outcome
-	if outcome == tally.Pending && x.class.Effect != lbpolicy.Idempotent && ctx.Err() == nil {
+	if outcome == accounting.Pending && x.class.Effect != lbpolicy.Idempotent && ctx.Err() == nil {
 		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
 		outcome = l.Settle(settling, is)
 		cancel()
@@ -115,16 +115,16 @@
 		record.Ended(crossed(outcome, is.Response))
 	}
 	a = x.answer(is.Response, outcome)
-	result := crossing.Failed
+	result := forwarding.Failed
 	switch {
 	case !is.Sent:
-		result = crossing.NotSent
+		result = forwarding.NotSent
 	case a.Response != nil:
-		result = crossing.Served
-	case outcome == tally.Rejected:
-		result = crossing.Rejected
+		result = forwarding.Served
+	case outcome == accounting.Rejected:
+		result = forwarding.Rejected
 	case waiting.Err() != nil && is.Response == nil && ctx.Err() != nil:
-		result = crossing.Abandoned
+		result = forwarding.Abandoned
 	}
 	l.RecordResult(to, x.class.PriorityWeight, result, a.RetryAfter)
 	if is.Sent {
@@ -134,16 +134,16 @@
 }
 
 // answer translates what another sala has said.
-func (x *exchange) answer(said *link.Response, outcome tally.Outcome) (a engine.Result) {
+func (x *exchange) answer(said *peering.Response, outcome accounting.Outcome) (a engine.Result) {
 	a.MayHaveRun = !outcome.ProvesNothingRan()
 	if said == nil {
 		return a
 	}
 	a.Attempts = said.Attempts
 	switch outcome {
-	case tally.Served:
+	case accounting.Served:
 		a.Response, a.MayHaveRun = &upstream.Response{Status: said.Status, Header: said.Header, Body: said.Body}, false
-	case tally.Rejected:
+	case accounting.Rejected:
 		a.Rejected, a.RetryAfter = true, time.Duration(said.RetryAfter)*time.Microsecond
 	}
 	if said.Place.Cluster != "" && a.Response == nil { // it knows who holds the key
@@ -177,21 +177,21 @@
 	if x.binder != nil {
 		pasts = append(pasts, x.binder.KeyState())
 	}
-	return crossing.OwnerSite(pasts...)
+	return forwarding.OwnerSite(pasts...)
 }
 
-// salaServer serves what crosses to this sala. It implements link.Server.
+// salaServer serves what crosses to this sala. It implements peering.Server.
 type salaServer struct{ *Gateway }
 
-// State implements link.Server.
-func (g salaServer) State() crossing.State {
+// State implements peering.Server.
+func (g salaServer) State() forwarding.State {
 	switch {
 	case g.draining.Load():
-		return crossing.Draining
+		return forwarding.Draining
 	case g.strained():
-		return crossing.Shedding
+		return forwarding.Shedding
 	}
-	return crossing.Available
+	return forwarding.Available
 }
 
 // strained tells whether this sala refuses so much that the others should know.
@@ -208,19 +208,21 @@
 	g.strain.Record(time.Now(), refused)
 }
 
-// Lookup implements link.Server.
-func (g salaServer) Lookup(id idempotency.KeyID) (f link.KeyLocation) {
+// Lookup implements peering.Server.
+func (g salaServer) Lookup(id idempotency.KeyID) (f peering.KeyLocation) {
 	now := time.Now()
 	p := g.keys.KeyState(now, id, lbpolicy.ScopeAll)
 	if !p.Known {
 		return f
 	}
-	return link.KeyLocation{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, RetryWindow: max(p.RetryUntil.Sub(now), 0).Microseconds()}
+	return peering.KeyLocation{Known: true, Cluster: p.Place.Cluster, Zone: p.Place.Zone, Cell: p.Place.Cell, RetryWindow: max(p.RetryUntil.Sub(now), 0).Microseconds()}
 }
 
-// ServeRequest implements link.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
-func (g salaServer) ServeRequest(ctx context.Context, from string, c *link.Request) *link.Response {
-	never := func(why string) *link.Response { return &link.Response{Outcome: tally.NeverRan, Detail: why} }
+// ServeRequest implements peering.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
+func (g salaServer) ServeRequest(ctx context.Context, from string, c *peering.Request) *peering.Response {
+	never := func(why string) *peering.Response {
+		return &peering.Response{Outcome: accounting.NeverRan, Detail: why}
+	}
 	s := g.acquire()
 	ro := &router{gateway: g.Gateway}
 	ro.listener.Store(&conf.Listener{Name: conf.LinkListener, Trusted: true})
@@ -256,7 +258,7 @@
 	}
 	begun := time.Now()
 	if !x.hasBodyRoom(ctx, c.Body) {
-		return &link.Response{Outcome: tally.Rejected, RetryAfter: keysRetry.Microseconds()}
+		return &peering.Response{Outcome: accounting.Rejected, RetryAfter: keysRetry.Microseconds()}
 	}
 	defer x.Bodies().Release(int64(len(c.Body)))
 	x.q.TimeLeft -= time.Since(begun)
@@ -274,37 +276,37 @@
 }
 
 // outcome says what became of a call that another sala has sent.
-func (x *exchange) outcome(ctx context.Context, a engine.Result) *link.Response {
+func (x *exchange) outcome(ctx context.Context, a engine.Result) *peering.Response {
 	if a.Response != nil {
 		return served(a.Response.Status, a.Response.Header, a.Response.Body)
 	}
 	if x.turned != nil {
 		return served(x.turned.Status, x.turned.Header, x.turned.Body)
 	}
-	out := &link.Response{Outcome: tally.NeverRan}
+	out := &peering.Response{Outcome: accounting.NeverRan}
 	past := idempotency.KeyState{}
 	if x.hold != nil {
 		past = x.past()
 		if past.Known {
 			out.Place = past.Place
-			out.Place.Cluster = crossing.QualifyCluster(x.holder(), "")
+			out.Place.Cluster = forwarding.QualifyCluster(x.holder(), "")
 		}
 	}
 	switch {
 	case a.MayHaveRun || ctx.Err() != nil || x.hold != nil && x.hold.MayHaveRun(): // whose caller has gone, told nothing of what is out
-		out.Outcome = tally.MayHaveRun
+		out.Outcome = accounting.MayHaveRun
 	case a.Rejected && failover.MayReject(time.Now(), past, x.class.Scope):
-		out.Outcome, out.RetryAfter = tally.Rejected, a.RetryAfter.Microseconds()
+		out.Outcome, out.RetryAfter = accounting.Rejected, a.RetryAfter.Microseconds()
 	}
 	return out
 }
 
-func served(status int, h http.Header, body []byte) *link.Response {
-	return &link.Response{Outcome: tally.Served, Status: status, Header: h, Body: body}
+func served(status int, h http.Header, body []byte) *peering.Response {
+	return &peering.Response{Outcome: accounting.Served, Status: status, Header: h, Body: body}
 }
 
 // Links tells how the links to other salas stand; nothing where there are none.
-func (g *Gateway) Links(ctx context.Context) []link.SiteStatus {
+func (g *Gateway) Links(ctx context.Context) []peering.SiteStatus {
 	l := g.linked.Load()
 	if l == nil {
 		return nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -22,8 +22,8 @@
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/gateway/route"
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/link"
+	"silvertrail/internal/sites/forwarding"
+	"silvertrail/internal/sites/peering"
 	"silvertrail/lbpolicy"
 )
 
@@ -51,7 +51,7 @@
 	tenant  string
 	to      string               // cluster that the rule names, or its split
 	asked   string               // path and query before the rule's rewrite
-	passing *link.Request        // the request came from another sala; nil: from a caller
+	passing *peering.Request     // the request came from another sala; nil: from a caller
 	told    idempotency.KeyState // of the key, by another sala
 
 	id       idempotency.KeyID    // of the key
@@ -301,7 +301,7 @@
 	if len(x.rule.Cross) == 0 {
 		return x.here(ctx)
 	}
-	way := &crossing.Route{LocalSite: x.gateway.sala, Effect: x.class.Effect, AllowedSites: x.rule.Cross, MaxAttempts: x.q.MaxAttempts}
+	way := &forwarding.Route{LocalSite: x.gateway.sala, Effect: x.class.Effect, AllowedSites: x.rule.Cross, MaxAttempts: x.q.MaxAttempts}
 	if x.passing != nil {
 		way.VisitedSites = x.passing.VisitedSites
 	}
@@ -410,7 +410,7 @@
 // local is what is known of the request's key, for a choice among this sala's clusters.
 func (x *exchange) local() idempotency.KeyState {
 	p := x.past()
-	if sala, cluster := crossing.SplitCluster(p.Place.Cluster); sala == x.gateway.sala {
+	if sala, cluster := forwarding.SplitCluster(p.Place.Cluster); sala == x.gateway.sala {
 		p.Place.Cluster = cluster
 	}
 	return p
@@ -425,7 +425,7 @@
 	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.AttemptsLeft()
 	var key *engine.Key
 	if x.hold != nil {
-		key = &engine.Key{History: x.hold, Cluster: crossing.QualifyCluster(x.gateway.sala, to),
+		key = &engine.Key{History: x.hold, Cluster: forwarding.QualifyCluster(x.gateway.sala, to),
 			Terms: x.terms()}
 		if x.binder != nil {
 			key.Claimer = x.binder
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,8 +25,8 @@
 	"silvertrail/internal/gateway/cluster"
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/link"
+	"silvertrail/internal/sites/forwarding"
+	"silvertrail/internal/sites/peering"
 	"silvertrail/internal/xds/known"
 	"silvertrail/internal/xds/planes"
 )
@@ -43,11 +43,11 @@
 	discover  func(planes.Options, *slog.Logger) Discovery
 	discovery Discovery // nil: no control planes
 	machine   func(api.Options, *slog.Logger) (ControlPlane, error)
-	plane     ControlPlane                   // nil: this instance is no control machine
-	linked    atomic.Pointer[link.Transport] // nil: no other salas
-	sala      string                         // this one's name; empty: there is no link
+	plane     ControlPlane                      // nil: this instance is no control machine
+	linked    atomic.Pointer[peering.Transport] // nil: no other salas
+	sala      string                            // this one's name; empty: there is no link
 	strainMu  sync.Mutex
-	strain    crossing.Saturation
+	strain    forwarding.Saturation
 	draining  atomic.Bool // nothing new is taken from other salas
 	leaving   atomic.Bool // and what is this sala's own goes to others first
 	quota     atomic.Pointer[fleet.Quota]
@@ -158,8 +158,8 @@
 	if err == nil && file.Link != nil { // calls come from now on: there must be a state
 		o := *file.Link
 		o.Handler, o.Logger = salaServer{g}, log
-		var l *link.Transport
-		if l, err = link.Start(o); err == nil {
+		var l *peering.Transport
+		if l, err = peering.Start(o); err == nil {
 			g.linked.Store(l)
 		}
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -10,8 +10,8 @@
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/ledger/segment"
-	"silvertrail/internal/salas/link"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/peering"
 	"silvertrail/lbpolicy"
 )
 
@@ -100,7 +100,7 @@
 }
 
 // finalOver has the answer to another sala recorded.
-func (x *exchange) finalOver(out *link.Response) {
+func (x *exchange) finalOver(out *peering.Response) {
 	if x.entry == nil {
 		return
 	}
@@ -108,9 +108,9 @@
 	switch {
 	case x.turned != nil:
 		ending = segment.KeyConflict
-	case out.Outcome == tally.Served:
+	case out.Outcome == accounting.Served:
 		ending = segment.Served
-	case out.Outcome == tally.Rejected:
+	case out.Outcome == accounting.Rejected:
 		ending = segment.Rejected
 	case x.gone:
 		ending = segment.Disconnected
@@ -122,13 +122,13 @@
 func salaNodo(sala string) string { return "sala " + sala }
 
 // crossed tells how an attempt that went to another sala has ended, in the words of attempts.
-func crossed(o tally.Outcome, said *link.Response) (lbpolicy.Verdict, int) {
+func crossed(o accounting.Outcome, said *peering.Response) (lbpolicy.Verdict, int) {
 	status := 0
 	if said != nil {
 		status = said.Status
 	}
 	switch {
-	case o == tally.Served:
+	case o == accounting.Served:
 		return lbpolicy.OK, status
 	case o.ProvesNothingRan():
 		return lbpolicy.ServerFull, status
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -18,8 +18,8 @@
 
 	"silvertrail/internal/fleet"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/salas/link"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/peering"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 )
@@ -200,7 +200,7 @@
 	}
 }
 
-func (p *province) status(i int, reconcile bool) []link.SiteStatus {
+func (p *province) status(i int, reconcile bool) []peering.SiteStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
 	return p.all[i].linked.Load().Status(ctx, reconcile)
@@ -246,7 +246,7 @@
 // agreed waits until all crossings are settled and both ends of every link count the same.
 func (p *province) agreed() {
 	p.t.Helper()
-	var last []link.SiteStatus
+	var last []peering.SiteStatus
 	lbtest.Until(p.t, "both ends of all links count the same", func() bool {
 		for i := range 3 {
 			last = p.status(i, true)
@@ -261,8 +261,8 @@
 }
 
 // sent counts a gateway's crossings by outcome.
-func (p *province) sent(i int) (out map[tally.Outcome]uint64) {
-	out = map[tally.Outcome]uint64{}
+func (p *province) sent(i int) (out map[accounting.Outcome]uint64) {
+	out = map[accounting.Outcome]uint64{}
 	for _, s := range p.status(i, false) {
 		for _, c := range s.Sent {
 			out[c.Outcome] += c.Count
@@ -322,7 +322,7 @@
 	t.Logf("%d served, %d refused, %d failed, sent %v", served.Load(), refused.Load(), failed.Load(), p.sent(0))
 	// More crossings than answers: what was cut off and found to have been served, and a key that was sent once more to the sala
 	// that holds it.
-	if n := int64(p.sent(0)[tally.Served]); served.Load() < 160 || n < served.Load() || failed.Load() == 0 && n > served.Load() {
+	if n := int64(p.sent(0)[accounting.Served]); served.Load() < 160 || n < served.Load() || failed.Load() == 0 && n > served.Load() {
 		t.Errorf("%d served, %d failed, %v", served.Load(), failed.Load(), p.sent(0))
 	}
 	if keys := p.twice(); len(keys) > 0 {
@@ -336,7 +336,7 @@
 	}
 	p.members(0, "ready", "ready")
 	lbtest.Until(t, "the sala has nodos", func() bool { return p.all[0].Members()["c"] == 2 })
-	before := p.sent(0)[tally.Served]
+	before := p.sent(0)[accounting.Served]
 	for i := range 10 {
 		if status, _, _ := askAt(t, p.addr(0), "GET", "/look"); status != 200 {
 			t.Errorf("back at home: %d", status)
@@ -346,7 +346,7 @@
 			t.Errorf("a repeat: %d", status)
 		}
 	}
-	if now := p.sent(0)[tally.Served]; now > before+20 {
+	if now := p.sent(0)[accounting.Served]; now > before+20 {
 		t.Errorf("%d crossings more with the own nodos back", now-before)
 	}
 	if keys := p.twice(); len(keys) > 0 {
@@ -418,7 +418,7 @@
 				if target == "/seat" && reset {
 					most++
 				}
-				if n := int(sent[tally.Served]); n > most || n+int(sent[tally.MayHaveRun]) < ran() {
+				if n := int(sent[accounting.Served]); n > most || n+int(sent[accounting.MayHaveRun]) < ran() {
 					t.Errorf("the sender counts %v, in effect %d times", sent, ran())
 				}
 				if !reset && status == 200 {
@@ -458,7 +458,7 @@
 	}
 	served := func() (n uint64) {
 		for i := range 3 {
-			n += p.sent(i)[tally.Served]
+			n += p.sent(i)[accounting.Served]
 		}
 		return n
 	}
@@ -518,14 +518,14 @@
 	}
 	p.linked()
 	p.agreed()
-	sent := map[tally.Outcome]uint64{}
+	sent := map[accounting.Outcome]uint64{}
 	for i := range 3 {
 		for o, n := range p.sent(i) {
 			sent[o] += n
 		}
 	}
 	t.Logf("%s; %d troubles; crossings %v", crowd.text(), troubles, sent)
-	if crowd.answers[200].Load() < int64(crowd.callers*crowd.keys/2) || sent[tally.Served] < 20 {
+	if crowd.answers[200].Load() < int64(crowd.callers*crowd.keys/2) || sent[accounting.Served] < 20 {
 		t.Errorf("tests little")
 	}
 	crowd.served.Range(func(key, _ any) bool {
--- a/internal/salas/tally/tally.go
+++ b/internal/sites/accounting/accounting.go
@@ -1,11 +1,11 @@
-// Package tally keeps the accounts of a link between two salas, at both of its ends, so that they agree on every crossing
+// Package accounting keeps the accounts of a link between two salas, at both of its ends, so that they agree on every crossing
 // also after the link was cut. It does no I/O and has no clock.
 //
 // Each session of a link numbers its crossings. The sending end (Out) knows of each number whether it was answered; what
 // was not when a caller went or a connection broke is open, and the sending end asks the receiving end (In) what became of
 // it. The receiving end answers with the truth and holds to it: a number that has not come yet is void from then on, so
 // that "it never came" is a proof that the request did not run and never will.
-package tally
+package accounting
 
 import (
 	"cmp"
--- a/internal/salas/tally/tally_test.go
+++ b/internal/sites/accounting/accounting_test.go
@@ -1,4 +1,4 @@
-package tally
+package accounting
 
 import (
 	"errors"
--- a/internal/salas/crossing/gates.go
+++ b/internal/sites/forwarding/gateways.go
@@ -1,4 +1,4 @@
-package crossing
+package forwarding
 
 import (
 	"cmp"
--- a/internal/salas/crossing/way.go
+++ b/internal/sites/forwarding/route.go
@@ -1,4 +1,4 @@
-package crossing
+package forwarding
 
 import (
 	"slices"
@@ -6,7 +6,7 @@
 	"time"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
 	"silvertrail/lbpolicy"
 )
 
@@ -87,18 +87,18 @@
 //     endpoints drop it as a repeat, or answer it.
 //   - What may have run crosses only if it is safe to repeat, or if its key is held by the sala that it goes to.
 //   - No time or no attempts left: no crossing.
-func (w *Route) Next(s Progress) (r Request, why tally.Reason, ok bool) {
+func (w *Route) Next(s Progress) (r Request, why accounting.Reason, ok bool) {
 	w.attempts += s.NewAttempts
 	r = Request{TimeLeft: s.Deadline.Sub(s.Now), AllowedSites: w.AllowedSites, ExcludedSites: append([]string{w.LocalSite}, w.VisitedSites...)}
 	if r.TimeLeft <= 0 || w.MaxAttempts > 0 && w.attempts >= w.MaxAttempts {
 		return r, 0, false
 	}
-	why = tally.Failed
+	why = accounting.Failed
 	switch {
 	case s.Transit:
-		why = tally.Transit
+		why = accounting.Transit
 	case s.Rejected:
-		why = tally.Shed
+		why = accounting.Shed
 	}
 	if w.Effect == lbpolicy.KeyedIdempotent && s.OwnerSite != "" {
 		if s.OwnerSite == w.LocalSite || s.OwnerSite == NoSite || slices.Contains(r.ExcludedSites, s.OwnerSite) || w.forwards[s.OwnerSite] >= maxForwardsToOwner ||
@@ -106,7 +106,7 @@
 			return r, 0, false
 		}
 		r.OwnerSite = s.OwnerSite
-		return r, tally.KeyOwned, true
+		return r, accounting.KeyOwned, true
 	}
 	if w.Effect != lbpolicy.Idempotent && s.MayHaveRun {
 		return r, 0, false
--- a/internal/salas/crossing/crossing.go
+++ b/internal/sites/forwarding/table.go
@@ -1,4 +1,4 @@
-// Package crossing decides which requests cross to another sala, and to which one. It does no I/O and has no clock.
+// Package forwarding decides which requests cross to another sala, and to which one. It does no I/O and has no clock.
 //
 // A request crosses only after its own sala could not serve it: decided by package decide there, so that the sala's own
 // nodos go first and what they refuse for load is what there is to carry. The other sala's gateway decides as it would for
@@ -15,7 +15,7 @@
 //   - A worth that is refused there is held off for a moment, with all lower ones, so that refusals cost little.
 //   - Of several salas the one with the most room counts, by the part of its window that is in use, its round trip and its
 //     own word on its state; the last one chosen keeps its place until another is better by a margin.
-package crossing
+package forwarding
 
 import (
 	"maps"
--- a/internal/salas/crossing/crossing_test.go
+++ b/internal/sites/forwarding/table_test.go
@@ -1,4 +1,4 @@
-package crossing
+package forwarding
 
 import (
 	"cmp"
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
 	"silvertrail/lbpolicy"
 )
 
@@ -168,16 +168,16 @@
 		so     Progress
 		ok     bool
 		only   string
-		reason tally.Reason
+		reason accounting.Reason
 	}{
-		"safe":                       {way: Route{Effect: lbpolicy.Idempotent}, so: Progress{MayHaveRun: true}, ok: true, reason: tally.Failed},
-		"refused":                    {way: Route{Effect: lbpolicy.Idempotent}, so: Progress{Rejected: true}, ok: true, reason: tally.Shed},
-		"from a third sala":          {way: Route{Effect: lbpolicy.Idempotent, VisitedSites: []string{"z"}}, so: Progress{Transit: true}, ok: true, reason: tally.Transit},
+		"safe":                       {way: Route{Effect: lbpolicy.Idempotent}, so: Progress{MayHaveRun: true}, ok: true, reason: accounting.Failed},
+		"refused":                    {way: Route{Effect: lbpolicy.Idempotent}, so: Progress{Rejected: true}, ok: true, reason: accounting.Shed},
+		"from a third sala":          {way: Route{Effect: lbpolicy.Idempotent, VisitedSites: []string{"z"}}, so: Progress{Transit: true}, ok: true, reason: accounting.Transit},
 		"unsafe that may have run":   {way: Route{Effect: lbpolicy.NonIdempotent}, so: Progress{MayHaveRun: true}},
-		"unsafe that never ran":      {way: Route{Effect: lbpolicy.NonIdempotent}, ok: true, reason: tally.Failed},
-		"keyed and free":             {way: Route{Effect: lbpolicy.KeyedIdempotent}, ok: true, reason: tally.Failed},
+		"unsafe that never ran":      {way: Route{Effect: lbpolicy.NonIdempotent}, ok: true, reason: accounting.Failed},
+		"keyed and free":             {way: Route{Effect: lbpolicy.KeyedIdempotent}, ok: true, reason: accounting.Failed},
 		"keyed, may have run":        {way: Route{Effect: lbpolicy.KeyedIdempotent}, so: Progress{MayHaveRun: true}},
-		"held there":                 {way: Route{Effect: lbpolicy.KeyedIdempotent}, so: Progress{MayHaveRun: true, OwnerSite: "b"}, ok: true, only: "b", reason: tally.KeyOwned},
+		"held there":                 {way: Route{Effect: lbpolicy.KeyedIdempotent}, so: Progress{MayHaveRun: true, OwnerSite: "b"}, ok: true, only: "b", reason: accounting.KeyOwned},
 		"held here":                  {way: Route{Effect: lbpolicy.KeyedIdempotent}, so: Progress{OwnerSite: "a"}},
 		"held in several":            {way: Route{Effect: lbpolicy.KeyedIdempotent}, so: Progress{OwnerSite: NoSite}},
 		"held where it comes from":   {way: Route{Effect: lbpolicy.KeyedIdempotent, VisitedSites: []string{"b"}}, so: Progress{OwnerSite: "b"}},
@@ -185,7 +185,7 @@
 		"no attempts left":           {way: Route{Effect: lbpolicy.Idempotent, MaxAttempts: 2}, so: Progress{NewAttempts: 2}},
 		"no time left":               {way: Route{Effect: lbpolicy.Idempotent}, so: Progress{Now: later}},
 		"held there, asked twice":    {way: Route{Effect: lbpolicy.KeyedIdempotent, forwards: map[string]int{"b": 2}}, so: Progress{OwnerSite: "b"}},
-		"held there, its answer was": {way: Route{Effect: lbpolicy.KeyedIdempotent, forwards: map[string]int{"b": 1}}, so: Progress{OwnerSite: "b"}, ok: true, only: "b", reason: tally.KeyOwned},
+		"held there, its answer was": {way: Route{Effect: lbpolicy.KeyedIdempotent, forwards: map[string]int{"b": 1}}, so: Progress{OwnerSite: "b"}, ok: true, only: "b", reason: accounting.KeyOwned},
 	} {
 		c.way.LocalSite, c.way.AllowedSites = "a", []string{"b", "c"}
 		if c.so.Now.IsZero() {
--- a/internal/salas/link/identity.go
+++ b/internal/sites/peering/credentials.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"crypto/tls"
--- a/internal/salas/link/left_test.go
+++ b/internal/sites/peering/disconnect_test.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 )
@@ -37,7 +37,7 @@
 		c.IsDisconnected = func() bool { return false }
 		stays, end := context.WithTimeout(t.Context(), lbtest.Wait)
 		defer end()
-		if x := from.Forward(stays, "b", c); x.Outcome != tally.Served || len(x.Response.Body) != size {
+		if x := from.Forward(stays, "b", c); x.Outcome != accounting.Served || len(x.Response.Body) != size {
 			t.Errorf("one that stays: %+v", x)
 		}
 	}
@@ -58,7 +58,7 @@
 					ended <- struct{}{}
 				case <-time.After(lbtest.Wait):
 				}
-				return &Response{Outcome: tally.NeverRan}
+				return &Response{Outcome: accounting.NeverRan}
 			})
 			from, path, _ := two(t, far)
 			path.Hold(standin.There, heldUp)
--- a/internal/salas/link/format_test.go
+++ b/internal/sites/peering/format_test.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"bytes"
@@ -8,8 +8,8 @@
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 	"silvertrail/internal/testkit/golden"
 )
 
@@ -49,19 +49,19 @@
 // The numbers and names of outcomes, reasons and states are part of the protocol and of what operators read.
 func TestMessageEnumerations(t *testing.T) {
 	var names []string
-	for n, o := range []tally.Outcome{tally.Pending, tally.Served, tally.Rejected, tally.NeverRan, tally.MayHaveRun, tally.NeverArrived} {
+	for n, o := range []accounting.Outcome{accounting.Pending, accounting.Served, accounting.Rejected, accounting.NeverRan, accounting.MayHaveRun, accounting.NeverArrived} {
 		if int(o) != n {
 			t.Errorf("outcome %v is %d, want %d", o, o, n)
 		}
 		names = append(names, o.String())
 	}
-	for n, r := range []tally.Reason{tally.Shed, tally.Failed, tally.KeyOwned, tally.Transit} {
+	for n, r := range []accounting.Reason{accounting.Shed, accounting.Failed, accounting.KeyOwned, accounting.Transit} {
 		if int(r) != n {
 			t.Errorf("reason %v is %d, want %d", r, r, n)
 		}
 		names = append(names, r.String())
 	}
-	for n, s := range []crossing.State{crossing.Unavailable, crossing.Draining, crossing.Shedding, crossing.Available} {
+	for n, s := range []forwarding.State{forwarding.Unavailable, forwarding.Draining, forwarding.Shedding, forwarding.Available} {
 		if int(s) != n {
 			t.Errorf("state %v is %d, want %d", s, s, n)
 		}
--- a/internal/salas/link/wire.go
+++ b/internal/sites/peering/messages.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"errors"
@@ -11,8 +11,8 @@
 
 	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/fleet/ownership"
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 )
 
 // The versions of the link's protocol that this program speaks. docs/SALAS.md says what each of them is.
@@ -60,10 +60,10 @@
 
 // heartbeat goes both ways with each heartbeat.
 type heartbeat struct {
-	Clock     int64          `codec:"c"` // microseconds, by the sender's clock
-	State     crossing.State `codec:"s"`
-	SettledTo uint64         `codec:"d,omitempty"` // numbers that may be forgotten
-	RoundTrip int64          `codec:"r,omitempty"` // microseconds, as the sender has measured it
+	Clock     int64            `codec:"c"` // microseconds, by the sender's clock
+	State     forwarding.State `codec:"s"`
+	SettledTo uint64           `codec:"d,omitempty"` // numbers that may be forgotten
+	RoundTrip int64            `codec:"r,omitempty"` // microseconds, as the sender has measured it
 }
 
 // Request is a request that crosses.
@@ -78,7 +78,7 @@
 	Key            string              `codec:"i,omitempty"`
 	AttemptsLeft   int                 `codec:"a,omitempty"` // attempts that are left; 0: no bound
 	VisitedSites   []string            `codec:"b"`           // salas, this one's sender the last
-	Reason         tally.Reason        `codec:"r"`
+	Reason         accounting.Reason   `codec:"r"`
 	ClaimAttempt   ownership.AttemptID `codec:"v,omitempty"` // under which the voters have agreed; zero: none
 	ClaimRound     uint32              `codec:"x,omitempty"`
 	KeyMayHaveRun  bool                `codec:"m,omitempty"` // the key may have run in the sala that the call goes to
@@ -96,7 +96,7 @@
 // Response is what becomes of a call.
 type Response struct {
 	Number     uint64              `codec:"n"`
-	Outcome    tally.Outcome       `codec:"o"`
+	Outcome    accounting.Outcome  `codec:"o"`
 	RetryAfter int64               `codec:"b,omitempty"` // microseconds after which a refused caller may come back
 	Status     int                 `codec:"s,omitempty"`
 	Header     map[string][]string `codec:"z,omitempty"`
@@ -114,8 +114,8 @@
 }
 
 type settleResponse struct {
-	Known    bool            `codec:"k"` // the session is
-	Outcomes []tally.Outcome `codec:"f,omitempty"`
+	Known    bool                 `codec:"k"` // the session is
+	Outcomes []accounting.Outcome `codec:"f,omitempty"`
 }
 
 // lookupRequest asks what a sala knows of a key.
@@ -138,7 +138,7 @@
 }
 
 type countersResponse struct {
-	Counters map[uint64][]tally.Counter `codec:"s"`
+	Counters map[uint64][]accounting.Counter `codec:"s"`
 }
 
 var msgpackHandle = func() *codec.MsgpackHandle {
@@ -190,8 +190,8 @@
 }
 
 func (s *heartbeat) validate() error {
-	if s.State > crossing.Available { // a later version's: what is not known gets nothing
-		s.State = crossing.Unavailable
+	if s.State > forwarding.Available { // a later version's: what is not known gets nothing
+		s.State = forwarding.Unavailable
 	}
 	s.RoundTrip = min(max(s.RoundTrip, 0), 60e6)
 	return nil
@@ -204,13 +204,13 @@
 		return errors.New("link: a call of no gateway's form")
 	}
 	if !c.Reason.IsValid() {
-		c.Reason = tally.Transit
+		c.Reason = accounting.Transit
 	}
 	return nil
 }
 
 func (a *Response) validate() error {
-	if a.Outcome == tally.Pending || a.Outcome > tally.MayHaveRun || a.Outcome == tally.Served && (a.Status < 200 || a.Status > 599) || !isWritableHeader(a.Header) ||
+	if a.Outcome == accounting.Pending || a.Outcome > accounting.MayHaveRun || a.Outcome == accounting.Served && (a.Status < 200 || a.Status > 599) || !isWritableHeader(a.Header) ||
 		a.RetryAfter < 0 || a.Attempts < 0 || anyTooLong(a.Place.Cluster, a.Place.Zone) {
 		return errors.New("link: an answer of no gateway's form")
 	}
--- a/internal/salas/link/serve.go
+++ b/internal/sites/peering/server.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 
 	"golang.org/x/net/http2"
 
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 )
 
 const (
@@ -46,15 +46,15 @@
 // siteSessions is what came from one sala.
 type siteSessions struct {
 	sessions        []*inboundSession // the newest last
-	retiredCounters []tally.Counter
+	retiredCounters []accounting.Counter
 }
 
 // inboundSession is a session that another sala has opened.
 type inboundSession struct {
 	site        string
 	id          uint64
-	receiver    *tally.Receiver
-	delay       crossing.DelayEstimator
+	receiver    *accounting.Receiver
+	delay       forwarding.DelayEstimator
 	roundTrip   time.Duration
 	inFlight    int
 	maxInFlight int
@@ -175,7 +175,7 @@
 }
 
 // counters are the counts of what came from a sala.
-func (s *server) counters(sala string) []tally.Counter {
+func (s *server) counters(sala string) []accounting.Counter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.sites[sala]
@@ -185,7 +185,7 @@
 	all := r.retiredCounters
 	for _, i := range r.sessions {
 		i.mu.Lock()
-		all = tally.Merge(all, i.receiver.Counters())
+		all = accounting.Merge(all, i.receiver.Counters())
 		i.mu.Unlock()
 	}
 	return all
@@ -217,10 +217,10 @@
 		r.sessions = slices.Delete(r.sessions, i, i+1)
 		gone.mu.Lock()
 		gone.receiver.Close()
-		r.retiredCounters = tally.Merge(r.retiredCounters, gone.receiver.Counters())
+		r.retiredCounters = accounting.Merge(r.retiredCounters, gone.receiver.Counters())
 		gone.mu.Unlock()
 	}
-	n := &inboundSession{site: from, id: id, receiver: tally.NewReceiver(maxUnsettled), maxInFlight: s.transport.options.MaxInFlight, connected: true}
+	n := &inboundSession{site: from, id: id, receiver: accounting.NewReceiver(maxUnsettled), maxInFlight: s.transport.options.MaxInFlight, connected: true}
 	r.sessions = append(r.sessions, n)
 	return n, true
 }
@@ -331,7 +331,7 @@
 		if err := decode(r.Body, &q); err != nil {
 			return nil, err
 		}
-		out := &countersResponse{Counters: map[uint64][]tally.Counter{}}
+		out := &countersResponse{Counters: map[uint64][]accounting.Counter{}}
 		for _, id := range q.Sessions {
 			if i := k.server.findSession(s.site, id); i != nil {
 				i.mu.Lock()
@@ -378,24 +378,24 @@
 	l := k.server.transport
 	s.mu.Lock()
 	late := s.delay.QueueingDelay(time.Duration(c.Clock)*time.Microsecond, time.Duration(l.clock())*time.Microsecond)
-	left := crossing.TimeLeftOnArrival(time.Duration(c.TimeLeft)*time.Microsecond, s.roundTrip, late)
-	err := s.receiver.Receive(c.Number, tally.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
+	left := forwarding.TimeLeftOnArrival(time.Duration(c.TimeLeft)*time.Microsecond, s.roundTrip, late)
+	err := s.receiver.Receive(c.Number, accounting.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
 	full := err == nil && s.inFlight >= s.maxInFlight
 	if err == nil && !full {
 		s.inFlight++
 	}
 	s.mu.Unlock()
 	switch {
-	case errors.Is(err, tally.ErrFull): // not counted: it is not remembered
-		return &Response{Number: c.Number, Outcome: tally.NeverRan, Detail: err.Error()}
+	case errors.Is(err, accounting.ErrFull): // not counted: it is not remembered
+		return &Response{Number: c.Number, Outcome: accounting.NeverRan, Detail: err.Error()}
 	case err != nil:
-		return &Response{Number: c.Number, Outcome: tally.MayHaveRun, Detail: err.Error()}
+		return &Response{Number: c.Number, Outcome: accounting.MayHaveRun, Detail: err.Error()}
 	}
 	defer func() {
 		p := recover()
 		if p != nil { // the caller hears that it may have run
 			l.log.Error("link: serving a call failed", "panic", p, "stack", string(debug.Stack()))
-			a = &Response{Outcome: tally.MayHaveRun, Detail: "failed"}
+			a = &Response{Outcome: accounting.MayHaveRun, Detail: "failed"}
 		}
 		a.Number = c.Number
 		s.mu.Lock()
@@ -407,11 +407,11 @@
 	}()
 	switch {
 	case full:
-		return &Response{Outcome: tally.Rejected, RetryAfter: overloadRetryAfter.Microseconds(), Detail: "as many calls in work as are taken from one sala"}
+		return &Response{Outcome: accounting.Rejected, RetryAfter: overloadRetryAfter.Microseconds(), Detail: "as many calls in work as are taken from one sala"}
 	case slices.Contains(c.VisitedSites, l.options.Site):
-		return &Response{Outcome: tally.NeverRan, Detail: "it has been here before"}
+		return &Response{Outcome: accounting.NeverRan, Detail: "it has been here before"}
 	case left <= 0:
-		return &Response{Outcome: tally.NeverRan, Detail: "no time left here"}
+		return &Response{Outcome: accounting.NeverRan, Detail: "no time left here"}
 	}
 	c.TimeLeft = left.Microseconds()
 	return l.options.Handler.ServeRequest(ctx, s.site, c)
@@ -436,7 +436,7 @@
 		s.mu.Lock()
 		for _, n := range q.Numbers {
 			o := s.receiver.OutcomeOf(n)
-			open = open || o == tally.Pending
+			open = open || o == accounting.Pending
 			out.Outcomes = append(out.Outcomes, o)
 		}
 		s.mu.Unlock()
--- a/internal/salas/link/session.go
+++ b/internal/sites/peering/session.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"bytes"
@@ -16,8 +16,8 @@
 
 	"golang.org/x/net/http2"
 
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 )
 
 // gateway is the way to one gateway of another sala: the sessions in use, and those before them that may not be settled.
@@ -27,12 +27,12 @@
 	address      string
 	cancel       context.CancelFunc
 	ctx          context.Context
-	availability crossing.Gateway // under the link's lock
+	availability forwarding.Gateway // under the link's lock
 
 	mu              sync.Mutex
 	sessions        []*session
 	endedSessions   []*session // ended ones, the newest last
-	retiredCounters []tally.Counter
+	retiredCounters []accounting.Counter
 	sessionCount    int
 	since           time.Time
 	lastError       string
@@ -53,8 +53,8 @@
 	client        *http2.ClientConn
 
 	mu           sync.Mutex
-	sender       *tally.Sender
-	waiters      map[uint64]chan tally.Outcome // for what is not known
+	sender       *accounting.Sender
+	waiters      map[uint64]chan accounting.Outcome // for what is not known
 	roundTrip    time.Duration
 	lastResponse time.Time // when something was answered last
 	ended        bool
@@ -123,7 +123,7 @@
 		}
 		conn = t
 	}
-	s = &session{gateway: p, id: rand.Uint64() | 1, conn: conn, sender: tally.NewSender(), waiters: map[uint64]chan tally.Outcome{}, wakeups: make(chan struct{}, 1)}
+	s = &session{gateway: p, id: rand.Uint64() | 1, conn: conn, sender: accounting.NewSender(), waiters: map[uint64]chan accounting.Outcome{}, wakeups: make(chan struct{}, 1)}
 	t, err := http2.ConfigureTransports(&http.Transport{DisableCompression: true, HTTP2: &http.HTTP2Config{StrictMaxConcurrentRequests: true,
 		MaxReceiveBufferPerConnection: connectionWindowBytes, MaxReceiveBufferPerStream: maxMessageBytes}})
 	if err != nil {
@@ -193,7 +193,7 @@
 		gone := p.endedSessions[0]
 		p.endedSessions = p.endedSessions[1:]
 		gone.mu.Lock()
-		p.retiredCounters = tally.Merge(p.retiredCounters, gone.sender.Counters())
+		p.retiredCounters = accounting.Merge(p.retiredCounters, gone.sender.Counters())
 		gone.mu.Unlock()
 	}
 	p.mu.Unlock()
@@ -338,14 +338,14 @@
 func (p *gateway) forward(ctx context.Context, c *Request) ForwardResult {
 	s := p.pickSession()
 	if s == nil || !s.client.ReserveNewRequest() { // no link, or it carries as much as the other end takes
-		return ForwardResult{Outcome: tally.NeverRan}
+		return ForwardResult{Outcome: accounting.NeverRan}
 	}
 	s.mu.Lock()
 	if s.ended {
 		s.mu.Unlock()
-		return ForwardResult{Outcome: tally.NeverRan}
+		return ForwardResult{Outcome: accounting.NeverRan}
 	}
-	c.Number = s.sender.Send(tally.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
+	c.Number = s.sender.Send(accounting.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
 	s.mu.Unlock()
 	c.Clock = p.transport.clock()
 	x := ForwardResult{Sent: true}
@@ -359,7 +359,7 @@
 		return x
 	}
 	s.sender.Abandon(c.Number)
-	x.settled = make(chan tally.Outcome, 1)
+	x.settled = make(chan accounting.Outcome, 1)
 	s.waiters[c.Number] = x.settled
 	s.wake()
 	return x
@@ -414,11 +414,11 @@
 	defer of.mu.Unlock()
 	some := false
 	for i, n := range numbers {
-		o := tally.MayHaveRun // whoever knew it is gone
+		o := accounting.MayHaveRun // whoever knew it is gone
 		if told.Known && i < len(told.Outcomes) {
 			o = told.Outcomes[i]
 		}
-		if o == tally.Pending {
+		if o == accounting.Pending {
 			continue
 		}
 		some = true
@@ -444,13 +444,13 @@
 }
 
 // status tells how the peer stands, and what was sent to it.
-func (p *gateway) status() (v GatewayStatus, sent []tally.Counter) {
+func (p *gateway) status() (v GatewayStatus, sent []accounting.Counter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v, sent = GatewayStatus{Address: p.address, Since: p.since, Sessions: p.sessionCount, LastError: p.lastError}, p.retiredCounters
 	for _, s := range append(slices.Clone(p.endedSessions), p.sessions...) {
 		s.mu.Lock()
-		sent = tally.Merge(sent, s.sender.Counters())
+		sent = accounting.Merge(sent, s.sender.Counters())
 		v.Unsettled += s.sender.Pending()
 		s.mu.Unlock()
 	}
@@ -483,7 +483,7 @@
 		s.mu.Lock()
 		ours := s.sender.Counters()
 		s.mu.Unlock()
-		for _, d := range tally.Reconcile(ours, theirs) {
+		for _, d := range accounting.Reconcile(ours, theirs) {
 			out = append(out, SessionDifference{s.id, d})
 		}
 	}
--- a/internal/salas/link/link.go
+++ b/internal/sites/peering/transport.go
@@ -1,11 +1,11 @@
-// Package link carries requests between the gateways of salas: many at once on one connection for each direction, HTTP/2
+// Package peering carries requests between the gateways of salas: many at once on one connection for each direction, HTTP/2
 // under mutual TLS. It is the host of crossing (who crosses, and whereto) and of tally (what became of it): it translates
 // between them and sockets, and decides nothing. docs/SALAS.md describes the protocol.
 //
 // Each gateway dials each other one, and what crosses goes over the connection of the gateway that sends it. A session is
 // one such connection, greeted. A heartbeat goes over it that must be answered in time; else the session ends, and what was
 // not answered is settled over the next one.
-package link
+package peering
 
 import (
 	"context"
@@ -20,8 +20,8 @@
 	"time"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 )
 
 // Peer is another sala, and the addresses of its gateways.
@@ -55,7 +55,7 @@
 	// ServeRequest gives a call its one answer. Left is what is left of its time here; where ctx ends nobody waits any more.
 	ServeRequest(ctx context.Context, from string, c *Request) *Response
 	// State is what this sala says of itself.
-	State() crossing.State
+	State() forwarding.State
 	// Lookup tells what is known here of a key.
 	Lookup(id idempotency.KeyID) KeyLocation
 }
@@ -82,7 +82,7 @@
 	goroutines  sync.WaitGroup
 
 	mu       sync.Mutex
-	table    *crossing.Table
+	table    *forwarding.Table
 	gateways map[string][]*gateway // by sala: one for each of its gateways
 }
 
@@ -90,7 +90,7 @@
 func Start(o Options) (*Transport, error) {
 	o.Connections = o.connections()
 	l := &Transport{options: o, log: o.Logger.With("sala", o.Site), processID: rand.Uint64() | 1, startedAt: time.Now(), gateways: map[string][]*gateway{},
-		table: crossing.New(o.PriorityWeights, nil)}
+		table: forwarding.New(o.PriorityWeights, nil)}
 	l.ctx, l.stop = context.WithCancel(context.Background())
 	if o.Identity != nil {
 		var err error
@@ -162,7 +162,7 @@
 func (l *Transport) gatewaysInOrder(sala string) (out []*gateway) {
 	l.mu.Lock()
 	all := slices.Clone(l.gateways[sala])
-	how := make([]crossing.Gateway, len(all))
+	how := make([]forwarding.Gateway, len(all))
 	for i, p := range all {
 		how[i] = p.availability
 	}
@@ -173,7 +173,7 @@
 	for i, p := range all {
 		how[i].InFlight = p.inFlight()
 	}
-	for _, i := range crossing.OrderGateways(how) {
+	for _, i := range forwarding.OrderGateways(how) {
 		out = append(out, all[i])
 	}
 	return out
@@ -196,7 +196,7 @@
 }
 
 // markConnected and lost tell the decisions of a link.
-func (l *Transport) markConnected(p *gateway, s crossing.State, trip time.Duration) {
+func (l *Transport) markConnected(p *gateway, s forwarding.State, trip time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p.availability.Connected, p.availability.State, p.availability.RoundTrip = true, s, trip
@@ -212,27 +212,27 @@
 
 // updateSite has the decisions take up what a sala's gateways say. The caller holds the lock.
 func (l *Transport) updateSite(sala string) {
-	var gates []crossing.Gateway
+	var gates []forwarding.Gateway
 	for _, p := range l.gateways[sala] {
 		gates = append(gates, p.availability)
 	}
-	order := crossing.OrderGateways(gates)
+	order := forwarding.OrderGateways(gates)
 	if len(order) == 0 {
 		l.table.MarkDisconnected(sala)
 		return
 	}
-	l.table.UpdateState(sala, crossing.SiteState(gates), gates[order[0]].RoundTrip)
+	l.table.UpdateState(sala, forwarding.SiteState(gates), gates[order[0]].RoundTrip)
 }
 
 // Pick has the decisions choose where a request crosses to. What it returned must be ended.
-func (l *Transport) Pick(r crossing.Request) (sala string, back time.Duration, ok bool) {
+func (l *Transport) Pick(r forwarding.Request) (sala string, back time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.table.Pick(time.Now(), r)
 }
 
 // RecordResult tells the decisions how a crossing ended.
-func (l *Transport) RecordResult(sala string, worth float64, r crossing.Result, back time.Duration) {
+func (l *Transport) RecordResult(sala string, worth float64, r forwarding.Result, back time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.RecordResult(time.Now(), sala, worth, r, back)
@@ -240,10 +240,10 @@
 
 // ForwardResult is what is known of a call that went out.
 type ForwardResult struct {
-	Response *Response     // nil: none came
-	Outcome  tally.Outcome // Open: not known yet
-	Sent     bool          // it was counted; else nothing of it went out
-	settled  chan tally.Outcome
+	Response *Response          // nil: none came
+	Outcome  accounting.Outcome // Open: not known yet
+	Sent     bool               // it was counted; else nothing of it went out
+	settled  chan accounting.Outcome
 }
 
 // Forward sends a call to a sala and waits for its answer.
@@ -253,12 +253,12 @@
 			return x
 		}
 	}
-	return ForwardResult{Outcome: tally.NeverRan}
+	return ForwardResult{Outcome: accounting.NeverRan}
 }
 
 // Settle waits until it is known what became of a crossing, or until ctx ends: then it is Open.
-func (l *Transport) Settle(ctx context.Context, x ForwardResult) tally.Outcome {
-	if x.Outcome != tally.Pending {
+func (l *Transport) Settle(ctx context.Context, x ForwardResult) accounting.Outcome {
+	if x.Outcome != accounting.Pending {
 		return x.Outcome
 	}
 	select {
@@ -266,7 +266,7 @@
 		x.settled <- o // for who asks again
 		return o
 	case <-ctx.Done():
-		return tally.Pending
+		return accounting.Pending
 	}
 }
 
@@ -317,18 +317,18 @@
 
 // SiteStatus is how the link to another sala stands.
 type SiteStatus struct {
-	crossing.Site
-	State            string              `json:"state"`
-	Address          string              `json:"address"`
-	Since            time.Time           `json:"since"` // of the session, or of its loss
-	Sessions         int                 `json:"sessions"`
-	LastError        string              `json:"fault,omitempty"`
-	Unsettled        int                 `json:"unsettled"`
-	Sent             []tally.Counter     `json:"sent"`
-	Received         []tally.Counter     `json:"received"`
-	Differences      []SessionDifference `json:"differs,omitempty"`
-	SessionsCompared int                 `json:"sessions_compared,omitempty"`
-	Gateways         []GatewayStatus     `json:"gateways,omitempty"` // where there are several
+	forwarding.Site
+	State            string               `json:"state"`
+	Address          string               `json:"address"`
+	Since            time.Time            `json:"since"` // of the session, or of its loss
+	Sessions         int                  `json:"sessions"`
+	LastError        string               `json:"fault,omitempty"`
+	Unsettled        int                  `json:"unsettled"`
+	Sent             []accounting.Counter `json:"sent"`
+	Received         []accounting.Counter `json:"received"`
+	Differences      []SessionDifference  `json:"differs,omitempty"`
+	SessionsCompared int                  `json:"sessions_compared,omitempty"`
+	Gateways         []GatewayStatus      `json:"gateways,omitempty"` // where there are several
 }
 
 // GatewayStatus is how one of a sala's gateways stands.
@@ -344,7 +344,7 @@
 // SessionDifference is a difference between the two ends of a session.
 type SessionDifference struct {
 	Session uint64 `json:"session"`
-	tally.Difference
+	accounting.Difference
 }
 
 // Status tells how all links stand. Where it is told to reconcile it asks the other ends for their counts and names all in
@@ -356,7 +356,7 @@
 	for _, s := range salas {
 		l.mu.Lock()
 		gates := slices.Clone(l.gateways[s.Name])
-		states := make([]crossing.State, len(gates))
+		states := make([]forwarding.State, len(gates))
 		for i, p := range gates {
 			if p.availability.Connected {
 				states[i] = p.availability.State
@@ -365,11 +365,11 @@
 		l.mu.Unlock()
 		v := SiteStatus{Site: s, State: s.State.String(), Received: l.server.counters(s.Name)}
 		var addresses, faults []string
-		best := crossing.Unavailable
+		best := forwarding.Unavailable
 		for i, p := range gates {
 			g, sent := p.status()
 			g.State = states[i].String()
-			v.Sent = tally.Merge(v.Sent, sent)
+			v.Sent = accounting.Merge(v.Sent, sent)
 			if reconcile {
 				differs, compared, err := p.reconcile(ctx)
 				v.Differences, v.SessionsCompared = append(v.Differences, differs...), v.SessionsCompared+compared
--- a/internal/salas/link/link_test.go
+++ b/internal/sites/peering/transport_test.go
@@ -1,4 +1,4 @@
-package link
+package peering
 
 import (
 	"bytes"
@@ -22,8 +22,8 @@
 	"golang.org/x/net/http2/hpack"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/salas/crossing"
-	"silvertrail/internal/salas/tally"
+	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 )
@@ -40,18 +40,18 @@
 func (s *script) ServeRequest(ctx context.Context, from string, c *Request) *Response {
 	s.came.Add(1)
 	if s.cross == nil {
-		return &Response{Outcome: tally.Served, Status: 200, Body: c.Body}
+		return &Response{Outcome: accounting.Served, Status: 200, Body: c.Body}
 	}
 	return s.cross(ctx, c)
 }
-func (s *script) State() crossing.State { return crossing.State(s.state.Load()) }
+func (s *script) State() forwarding.State { return forwarding.State(s.state.Load()) }
 func (s *script) Lookup(id idempotency.KeyID) KeyLocation {
 	return KeyLocation{Known: id[0] == 1, Cluster: "c"}
 }
 
 func newScript(cross func(context.Context, *Request) *Response) *script {
 	s := &script{cross: cross}
-	s.state.Store(int32(crossing.Available))
+	s.state.Store(int32(forwarding.Available))
 	return s
 }
 
@@ -101,7 +101,7 @@
 }
 
 // agree waits until both ends of a link count the same and nothing is unsettled.
-func agree(t testing.TB, l *Transport) (sums map[tally.Outcome]uint64) {
+func agree(t testing.TB, l *Transport) (sums map[accounting.Outcome]uint64) {
 	t.Helper()
 	var v SiteStatus
 	lbtest.Until(t, "both ends count the same", func() bool {
@@ -110,7 +110,7 @@
 		v = l.Status(ctx, true)[0]
 		return v.Unsettled == 0 && v.LastError == "" && len(v.Differences) == 0 && v.SessionsCompared > 0
 	})
-	sums = map[tally.Outcome]uint64{}
+	sums = map[accounting.Outcome]uint64{}
 	for _, s := range v.Sent {
 		sums[s.Outcome] += s.Count
 	}
@@ -161,7 +161,7 @@
 			if stands(l, c.to) {
 				t.Error("linked")
 			}
-			if x := call(l, c.to, 1); x.Sent || x.Outcome != tally.NeverRan {
+			if x := call(l, c.to, 1); x.Sent || x.Outcome != accounting.NeverRan {
 				t.Errorf("%+v", x)
 			}
 		})
@@ -192,7 +192,7 @@
 	}
 	issue(other, "b", "b", hour)
 	reconnect()
-	if x := call(a, "b", 10); x.Outcome != tally.Served {
+	if x := call(a, "b", 10); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
 	if by := a.gatewaysInOrder("b")[0].pickSession().conn.(*tls.Conn).ConnectionState().PeerCertificates[0].Issuer.CommonName; by != "other" {
@@ -210,14 +210,14 @@
 		t.Run(name, func(t *testing.T) {
 			b := newScript(nil)
 			a, path, _ := two(t, b)
-			if x := call(a, "b", 10); x.Outcome != tally.Served || string(x.Response.Body) != "xxxxxxxxxx" {
+			if x := call(a, "b", 10); x.Outcome != accounting.Served || string(x.Response.Body) != "xxxxxxxxxx" {
 				t.Fatalf("%+v", x)
 			}
 			for _, d := range held {
 				path.Hold(d, true)
 			}
 			x := call(a, "b", 10) // ends with the session, long before its own time
-			if !x.Sent || x.Outcome != tally.Pending {
+			if !x.Sent || x.Outcome != accounting.Pending {
 				t.Fatalf("%+v", x)
 			}
 			lbtest.Until(t, "noticed", func() bool { return a.Status(t.Context(), false)[0].State == "closed" })
@@ -230,7 +230,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 			defer cancel()
 			got, came := a.Settle(ctx, x), b.came.Load()
-			if want := map[bool]tally.Outcome{true: tally.NeverArrived, false: tally.Served}[came == 1]; got != want {
+			if want := map[bool]accounting.Outcome{true: accounting.NeverArrived, false: accounting.Served}[came == 1]; got != want {
 				t.Errorf("settled as %v with %d calls come", got, came)
 			}
 			if again := a.Settle(ctx, x); again != got {
@@ -253,10 +253,10 @@
 		mu.Lock()
 		defer mu.Unlock()
 		ran[c.Key] = true
-		return &Response{Outcome: tally.Served, Status: 200, Body: c.Body}
+		return &Response{Outcome: accounting.Served, Status: 200, Body: c.Body}
 	})
 	a, path, _ := two(t, b)
-	told := map[tally.Outcome]int{}
+	told := map[accounting.Outcome]int{}
 	for i := range 60 {
 		up(t, a, "b")
 		d := standin.There
@@ -279,7 +279,7 @@
 		mu.Unlock()
 	}
 	sums := agree(t, a)
-	if told[tally.Served] < 5 || told[tally.NeverArrived] < 5 || sums[tally.Served] != uint64(told[tally.Served]) {
+	if told[accounting.Served] < 5 || told[accounting.NeverArrived] < 5 || sums[accounting.Served] != uint64(told[accounting.Served]) {
 		t.Errorf("told %v, counted %v", told, sums)
 	}
 }
@@ -291,7 +291,7 @@
 	defer close(hang)
 	b := newScript(func(context.Context, *Request) *Response {
 		<-hang // no answer leaves the process that ends
-		return &Response{Outcome: tally.Served}
+		return &Response{Outcome: accounting.Served}
 	})
 	a, path, old := two(t, b)
 	out := make(chan ForwardResult, 1)
@@ -303,11 +303,11 @@
 	x := <-out
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 	defer cancel()
-	if o := a.Settle(ctx, x); o != tally.MayHaveRun {
+	if o := a.Settle(ctx, x); o != accounting.MayHaveRun {
 		t.Errorf("settled as %v", o)
 	}
 	up(t, a, "b")
-	if x := call(a, "b", 1); x.Outcome != tally.Served {
+	if x := call(a, "b", 1); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
 }
@@ -317,7 +317,7 @@
 	go1 := make(chan struct{})
 	b := newScript(func(ctx context.Context, c *Request) *Response {
 		<-go1
-		return &Response{Outcome: tally.Served, Status: 200}
+		return &Response{Outcome: accounting.Served, Status: 200}
 	})
 	a, _, to := two(t, b)
 	out := make(chan ForwardResult, 8)
@@ -330,7 +330,7 @@
 	lbtest.Until(t, "the link is left", func() bool { return !stands(a, "b") })
 	close(go1)
 	for range cap(out) {
-		if x := <-out; x.Outcome != tally.Served {
+		if x := <-out; x.Outcome != accounting.Served {
 			t.Errorf("%+v", x)
 		}
 	}
@@ -345,14 +345,14 @@
 	var all sync.WaitGroup
 	for range 60 {
 		all.Go(func() {
-			if x := call(a, "b", 60<<10); x.Outcome != tally.Served {
+			if x := call(a, "b", 60<<10); x.Outcome != accounting.Served {
 				t.Errorf("%+v", x)
 			}
 			large.Add(1)
 		})
 	}
 	lbtest.Until(t, "the large ones are on their way", func() bool { return path.Bytes(standin.There) > 100<<10 })
-	if x := call(a, "b", 10); x.Outcome != tally.Served {
+	if x := call(a, "b", 10); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
 	if n := large.Load(); n > 45 {
@@ -444,7 +444,7 @@
 		r.WriteData(3, true, text)
 		_, got = r.ended()
 		var a Response
-		if err := decode(strings.NewReader(got), &a); err != nil || a.Outcome != tally.Served {
+		if err := decode(strings.NewReader(got), &a); err != nil || a.Outcome != accounting.Served {
 			t.Errorf("%v %+v", err, a)
 		}
 		before := b.came.Load()
@@ -484,7 +484,7 @@
 			t.Errorf("taken: %q", text)
 		}
 	})
-	if x := call(a, "b", 1); x.Outcome != tally.Served {
+	if x := call(a, "b", 1); x.Outcome != accounting.Served {
 		t.Errorf("the honest one: %+v", x)
 	}
 }
@@ -521,12 +521,12 @@
 			soon, cancel := context.WithTimeout(t.Context(), time.Second) // an answer to nothing is passed over
 			x := a.Forward(soon, "b", newCall(1))
 			cancel()
-			if x.Outcome.ProvesNothingRan() || x.Outcome == tally.Served {
+			if x.Outcome.ProvesNothingRan() || x.Outcome == accounting.Served {
 				t.Errorf("%+v", x)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 			defer cancel()
-			if o := a.Settle(ctx, x); o != tally.MayHaveRun || calls.Load() != 1 {
+			if o := a.Settle(ctx, x); o != accounting.MayHaveRun || calls.Load() != 1 {
 				t.Errorf("%v, %d calls", o, calls.Load())
 			}
 		})
@@ -563,7 +563,7 @@
 			case pathHello:
 				said = &helloResponse{Version: 1, ProcessID: uint64(time.Now().UnixNano())}
 			case pathState:
-				said = &heartbeat{State: crossing.Available}
+				said = &heartbeat{State: forwarding.Available}
 			case pathSettle:
 				said = &settleResponse{}
 			case pathCall:
@@ -582,7 +582,7 @@
 
 // What a peer sends never breaks the reader, and what passes is in bounds.
 func FuzzDecode(f *testing.F) {
-	for _, m := range []any{newCall(3), &Response{Outcome: tally.Served, Status: 200, Header: http.Header{"X": {"y"}}}, &helloRequest{OldestVersion: 1, NewestVersion: 1, SessionID: 1}} {
+	for _, m := range []any{newCall(3), &Response{Outcome: accounting.Served, Status: 200, Header: http.Header{"X": {"y"}}}, &helloRequest{OldestVersion: 1, NewestVersion: 1, SessionID: 1}} {
 		text, err := encode(m)
 		if err != nil {
 			f.Fatal(err)
@@ -595,7 +595,7 @@
 			t.Errorf("%+v", c)
 		}
 		var a Response
-		if decode(bytes.NewReader(text), &a) == nil && (a.Outcome == tally.Pending || a.Outcome > tally.MayHaveRun) {
+		if decode(bytes.NewReader(text), &a) == nil && (a.Outcome == accounting.Pending || a.Outcome > accounting.MayHaveRun) {
 			t.Errorf("%+v", a)
 		}
 	})
