Split forwarding and request accounting by concern into short functions

Need: one file held states, limits, candidates and the picker, another both ends' accounts; comments spoke in metaphors.

--- /dev/null
+++ b/internal/sites/accounting/counters.go
@@ -0,0 +1,130 @@
+package accounting
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Kind is what forwarded requests are counted by.
+type Kind struct {
+	Class  string `codec:"Class" json:"Class"`
+	Tenant string `codec:"Tenant" json:"Tenant"`
+	Reason Reason `codec:"Reason" json:"Reason"`
+}
+
+// Counter is the number of forwarded requests of one kind with one outcome.
+type Counter struct {
+	Kind
+	Outcome Outcome `codec:"Outcome" json:"Outcome"`
+	Count   uint64  `codec:"Count" json:"Count"`
+}
+
+// maxKinds bounds the kinds that are counted separately. Further ones count without their tenant, then as OtherClass.
+const maxKinds = 4096
+
+// OtherClass is the class of what is not counted separately.
+const OtherClass = "(other)"
+
+// counters counts by kind and outcome. It holds at most maxKinds kinds and one more, of OtherClass.
+type counters map[Kind]*[outcomes]uint64
+
+// countedAs returns the kind under which a request of a kind is counted, and creates its counters.
+func (c counters) countedAs(k Kind) Kind {
+	counted := Kind{Class: OtherClass}
+	for _, candidate := range []Kind{k, {Class: k.Class, Reason: k.Reason}} {
+		if c[candidate] != nil || len(c) < maxKinds {
+			counted = candidate
+			break
+		}
+	}
+	if c[counted] == nil {
+		c[counted] = new([outcomes]uint64)
+	}
+	return counted
+}
+
+// move counts a request of a kind under another outcome than before.
+func (c counters) move(k Kind, from, to Outcome) {
+	c[k][from]--
+	c[k][to]++
+}
+
+// sorted returns all counters that are not zero, in the order of compareCounters.
+func (c counters) sorted() []Counter {
+	var out []Counter
+	for kind, counts := range c {
+		for outcome, n := range counts {
+			if n > 0 {
+				out = append(out, Counter{kind, Outcome(outcome), n})
+			}
+		}
+	}
+	slices.SortFunc(out, compareCounters)
+	return out
+}
+
+// compareCounters orders by class, tenant, reason and outcome.
+func compareCounters(a, b Counter) int {
+	return cmp.Or(
+		cmp.Compare(a.Class, b.Class),
+		cmp.Compare(a.Tenant, b.Tenant),
+		cmp.Compare(a.Reason, b.Reason),
+		cmp.Compare(a.Outcome, b.Outcome),
+	)
+}
+
+// Merge adds up the counters of several sessions.
+func Merge(all ...[]Counter) []Counter {
+	total := map[Counter]uint64{}
+	for _, counters := range all {
+		for _, counter := range counters {
+			n := counter.Count
+			counter.Count = 0
+			total[counter] += n
+		}
+	}
+	var out []Counter
+	for counter, n := range total {
+		counter.Count = n
+		out = append(out, counter)
+	}
+	slices.SortFunc(out, compareCounters)
+	return out
+}
+
+// Difference is a counter in which the two ends of a session differ.
+type Difference struct {
+	Kind
+	Outcome  Outcome `json:"Outcome"`
+	Sent     uint64  `json:"Sent"`
+	Received uint64  `json:"Received"`
+}
+
+// Reconcile returns the counters in which the two ends of one session differ. NeverArrived is counted by the sending end
+// alone and is not compared. While requests are in flight or not settled, differences are expected.
+func Reconcile(sent, received []Counter) []Difference {
+	type counts struct{ sent, received uint64 }
+	both := map[Counter]counts{}
+	for _, counter := range sent {
+		if n := counter.Count; counter.Outcome != NeverArrived {
+			counter.Count = 0
+			both[counter] = counts{sent: n}
+		}
+	}
+	for _, counter := range received {
+		if n := counter.Count; counter.Outcome != NeverArrived {
+			counter.Count = 0
+			both[counter] = counts{both[counter].sent, n}
+		}
+	}
+	var out []Difference
+	for counter, c := range both {
+		if c.sent != c.received {
+			out = append(out, Difference{counter.Kind, counter.Outcome, c.sent, c.received})
+		}
+	}
+	slices.SortFunc(out, func(a, b Difference) int {
+		return compareCounters(Counter{Kind: a.Kind, Outcome: a.Outcome}, Counter{Kind: b.Kind, Outcome: b.Outcome})
+	})
+	return out
+}
--- a/internal/sites/forwarding/delay.go
+++ b/internal/sites/forwarding/delay.go
@@ -2,42 +2,43 @@
 
 import "time"
 
-// DelayEstimator measures how much longer than usual a message was under way, with no clock that both ends share: each end tells
-// the reading of a clock of its own that only has to run at the same pace. The least difference of the two readings that
-// was seen lately is that of a message that met nothing on its way; what another one's is above that it has spent waiting.
+// delayWindow is the time over which the least difference of the clocks is kept.
+const delayWindow = 30 * time.Second
+
+// DelayEstimator measures how much longer than usual a message was in transit, without synchronised clocks: each end sends
+// a reading of its own monotonic clock. The least difference of the two readings seen lately is that of a message that
+// met no queue; what another one's difference is above it, it has spent waiting.
 //
-// The least is taken over two windows, so that clocks that run apart a little (100 ppm are 3 ms in a window), or a way that
-// has become longer, are followed. It is not safe for concurrent use.
+// The least is taken over two windows, so that it follows clocks that drift (100 ppm are 3 ms in a window) and a path that
+// has become longer. It is not safe for concurrent use.
 type DelayEstimator struct {
-	windowMin, previousMin time.Duration // the least differences of this window and the one before
-	windowStart            time.Duration // of this window, by the receiver's clock
+	windowMin, previousMin time.Duration // least differences of this window and the one before
+	windowStart            time.Duration // by the receiver's clock
 	started, hasPrevious   bool
 }
 
-const delayWindow = 30 * time.Second
-
-// QueueingDelay takes a message's readings, the sender's as it was sent and the receiver's as it came, and returns how much longer
-// than the quickest lately it was under way.
-func (t *DelayEstimator) QueueingDelay(sent, came time.Duration) time.Duration {
-	d := came - sent
+// QueueingDelay takes the readings of the sender's clock as it sent a message and of the receiver's as it arrived. It
+// returns how much longer than the quickest one lately the message was in transit.
+func (e *DelayEstimator) QueueingDelay(sentAt, receivedAt time.Duration) time.Duration {
+	difference := receivedAt - sentAt
 	switch {
-	case !t.started:
-		t.windowMin, t.windowStart, t.started = d, came, true
-	case came-t.windowStart >= delayWindow:
-		t.previousMin, t.hasPrevious = t.windowMin, true
-		t.windowMin, t.windowStart = d, came
+	case !e.started:
+		e.windowMin, e.windowStart, e.started = difference, receivedAt, true
+	case receivedAt-e.windowStart >= delayWindow:
+		e.previousMin, e.hasPrevious = e.windowMin, true
+		e.windowMin, e.windowStart = difference, receivedAt
 	default:
-		t.windowMin = min(t.windowMin, d)
+		e.windowMin = min(e.windowMin, difference)
 	}
-	usual := t.windowMin
-	if t.hasPrevious {
-		usual = min(usual, t.previousMin)
+	usual := e.windowMin
+	if e.hasPrevious {
+		usual = min(usual, e.previousMin)
 	}
-	return d - usual
+	return difference - usual
 }
 
-// TimeLeftOnArrival returns what is left of a request's time where it arrives: what the sender told, less the usual way there and
-// back, less what the message was late. It never grows.
-func TimeLeftOnArrival(told, trip, late time.Duration) time.Duration {
-	return told - max(trip, 0) - max(late, 0)
+// TimeLeftOnArrival returns what is left of a request's time where it arrives: what the sender said, less the usual round
+// trip and the queueing delay. It never grows.
+func TimeLeftOnArrival(timeLeft, roundTrip, queueingDelay time.Duration) time.Duration {
+	return timeLeft - max(roundTrip, 0) - max(queueingDelay, 0)
 }
--- a/internal/sites/forwarding/gateways.go
+++ b/internal/sites/forwarding/gateways.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// Gateway is one of the gateways of a sala, as this end of the link sees it.
+// Gateway is one of the gateways of a site, as this end of the connection sees it.
 type Gateway struct {
-	Connected bool // a session stands
+	Connected bool
 	State     State
-	InFlight  int // crossings that are out to it and not answered
+	InFlight  int // requests forwarded to it and not answered
 	RoundTrip time.Duration
 }
 
-// knownState returns the gateway's state, closed where it is one that later versions may have.
+// knownState returns the gateway's state, Unavailable for one that only later versions know.
 func (g Gateway) knownState() State {
 	if g.State > Available {
 		return Unavailable
@@ -22,11 +22,11 @@
 	return g.State
 }
 
-// SiteState returns what a sala is by what its gateways say: as good as the best of those that are up. One that drains, or is
-// full, says nothing of the others.
-func SiteState(gates []Gateway) State {
+// SiteState returns the state of a site: the best one of its connected gateways. One that drains or is full says nothing
+// of the others.
+func SiteState(gateways []Gateway) State {
 	best := Unavailable
-	for _, g := range gates {
+	for _, g := range gateways {
 		if g.Connected {
 			best = max(best, g.knownState())
 		}
@@ -34,21 +34,24 @@
 	return best
 }
 
-// OrderGateways returns in which order a crossing is tried at a sala's gateways, by their places in the list: the best state first, of
-// equal ones that with the least out, then the nearest. Those that are not up are left out. A next one is tried only where
-// the one before it has taken nothing.
+// OrderGateways returns the indexes of the connected gateways in the order in which a request tries them: by state, then
+// by requests in flight, then by round trip. The next one is tried only if the one before it has accepted nothing.
 //
-// It guards against a gateway that drains or is full while others have room. It could hurt where gateways have rooms of
-// very different size: the same number is out to each.
-func OrderGateways(gates []Gateway) (order []int) {
-	for i, g := range gates {
+// Gateways of one site are expected to have about the same capacity: each gets the same number of requests.
+func OrderGateways(gateways []Gateway) []int {
+	var order []int
+	for i, g := range gateways {
 		if g.Connected {
 			order = append(order, i)
 		}
 	}
 	slices.SortStableFunc(order, func(i, j int) int {
-		a, b := gates[i], gates[j]
-		return cmp.Or(cmp.Compare(b.knownState(), a.knownState()), cmp.Compare(a.InFlight, b.InFlight), cmp.Compare(a.RoundTrip, b.RoundTrip))
+		a, b := gateways[i], gateways[j]
+		return cmp.Or(
+			cmp.Compare(b.knownState(), a.knownState()),
+			cmp.Compare(a.InFlight, b.InFlight),
+			cmp.Compare(a.RoundTrip, b.RoundTrip),
+		)
 	})
 	return order
 }
--- a/internal/sites/forwarding/route.go
+++ b/internal/sites/forwarding/route.go
@@ -10,125 +10,146 @@
 	"silvertrail/lbpolicy"
 )
 
-// siteSeparator stands between a sala and a cluster in the name of a place. No sala's name holds it.
+// siteSeparator stands between the site and the cluster in the name of a place. No site's name contains it.
 const siteSeparator = "/"
 
-// QualifyCluster names a cluster of a sala, so that clusters of the same name in two salas are two places.
-func QualifyCluster(sala, cluster string) string {
-	if sala == "" {
+// QualifyCluster names a cluster of a site, so that clusters of the same name in two sites are two places.
+func QualifyCluster(site, cluster string) string {
+	if site == "" {
 		return cluster
 	}
-	return sala + siteSeparator + cluster
+	return site + siteSeparator + cluster
 }
 
-// SplitCluster returns the sala and the cluster of a place's name.
-func SplitCluster(place string) (sala, cluster string) {
-	sala, cluster, is := strings.Cut(place, siteSeparator)
-	if !is {
+// SplitCluster returns the site and the cluster of a qualified name. The site is empty if the name is not qualified.
+func SplitCluster(place string) (site, cluster string) {
+	site, cluster, qualified := strings.Cut(place, siteSeparator)
+	if !qualified {
 		return "", place
 	}
-	return sala, cluster
+	return site, cluster
 }
 
-// NoSite says that no sala may have a key's repeats: it may have run in several, or nobody can tell where.
+// NoSite stands for the owner of a key that may have run in several sites, or in one that is not known: no site may get
+// its repeats.
 const NoSite = "?"
 
-// OwnerSite returns the sala that holds a key, by what is known of it from several sides; empty: none does.
-func OwnerSite(pasts ...idempotency.KeyState) (holder string) {
-	for _, p := range pasts {
-		if !p.Known {
+// OwnerSite returns the site that owns a key, by the states that several sources know. It is empty if none does, and
+// NoSite if they name several sites.
+func OwnerSite(states ...idempotency.KeyState) string {
+	owner := ""
+	for _, state := range states {
+		if !state.Known {
 			continue
 		}
-		sala, _ := SplitCluster(p.Place.Cluster)
-		if sala == "" {
-			sala = NoSite
+		site, _ := SplitCluster(state.Place.Cluster)
+		if site == "" {
+			site = NoSite
 		}
 		switch {
-		case p.SeveralGroups && p.Place.Cluster == "":
+		case state.SeveralGroups && state.Place.Cluster == "":
 			return NoSite
-		case holder == "":
-			holder = sala
-		case holder != sala:
+		case owner == "":
+			owner = site
+		case owner != site:
 			return NoSite
 		}
 	}
-	return holder
+	return owner
 }
 
-// Route is one request's way over salas, from the one that took it on.
+// maxForwardsToOwner bounds how often a request with a key is forwarded to the site that owns it: a second time after a
+// response that was lost.
+const maxForwardsToOwner = 2
+
+// Route is the route of one request over sites, from the one that received it. It is not safe for concurrent use.
 type Route struct {
-	LocalSite    string // this sala
+	LocalSite    string
 	Effect       lbpolicy.Effect
-	AllowedSites []string // salas that its route names
-	VisitedSites []string // salas that it has been to before it came here
-	// MaxAttempts that are left to it over all salas; 0: no bound of its own.
-	MaxAttempts int
+	AllowedSites []string // that its route names
+	VisitedSites []string // before it came here
+	MaxAttempts  int      // over all sites; 0: no bound of its own
 
-	forwards map[string]int
+	forwards map[string]int // by site
 	attempts int
 }
 
-// maxForwardsToOwner is how often a request with a key goes to the one sala that holds it: a second time after an answer that was lost.
-const maxForwardsToOwner = 2
-
-// Progress is how the request stands.
+// Progress is how far a request has come when its next site is asked for.
 type Progress struct {
 	Now, Deadline time.Time
-	MayHaveRun    bool   // an attempt of it may have run, or may yet, wherever
-	NewAttempts   int    // that were made since the last time
+	MayHaveRun    bool   // an attempt may have run, or may yet, in any site
+	NewAttempts   int    // since the last call of Next
 	OwnerSite     string // of its key; empty: none
-	Rejected      bool   // it was refused for load last
-	Transit       bool   // it came from another sala
+	Rejected      bool   // the last site rejected it for load
+	Transit       bool   // it came from another site
 }
 
-// Next returns where the request may cross to, for Pick to choose from, and why; ok is false where it may not cross:
+// Next returns the request for Pick, and why it is forwarded. If ok is false it may not be forwarded:
 //
-//   - A request never visits a sala twice; but one whose key is held there, whose answer was lost, goes there again, as the
-//     endpoints drop it as a repeat, or answer it.
-//   - What may have run crosses only if it is safe to repeat, or if its key is held by the sala that it goes to.
-//   - No time or no attempts left: no crossing.
-func (w *Route) Next(s Progress) (r Request, why accounting.Reason, ok bool) {
-	w.attempts += s.NewAttempts
-	r = Request{TimeLeft: s.Deadline.Sub(s.Now), AllowedSites: w.AllowedSites, ExcludedSites: append([]string{w.LocalSite}, w.VisitedSites...)}
-	if r.TimeLeft <= 0 || w.MaxAttempts > 0 && w.attempts >= w.MaxAttempts {
-		return r, 0, false
+//   - A request never visits a site twice, unless that site owns its key and the response was lost: the endpoints there
+//     recognise the repeat.
+//   - A request that may have run is forwarded only if it is idempotent, or to the site that owns its key.
+//   - Without time or attempts left it is not forwarded.
+func (r *Route) Next(p Progress) (next Request, reason accounting.Reason, ok bool) {
+	r.attempts += p.NewAttempts
+	next = Request{
+		TimeLeft:      p.Deadline.Sub(p.Now),
+		AllowedSites:  r.AllowedSites,
+		ExcludedSites: append([]string{r.LocalSite}, r.VisitedSites...),
 	}
-	why = accounting.Failed
-	switch {
-	case s.Transit:
-		why = accounting.Transit
-	case s.Rejected:
-		why = accounting.Shed
+	if next.TimeLeft <= 0 || r.MaxAttempts > 0 && r.attempts >= r.MaxAttempts {
+		return next, 0, false
 	}
-	if w.Effect == lbpolicy.KeyedIdempotent && s.OwnerSite != "" {
-		if s.OwnerSite == w.LocalSite || s.OwnerSite == NoSite || slices.Contains(r.ExcludedSites, s.OwnerSite) || w.forwards[s.OwnerSite] >= maxForwardsToOwner ||
-			!slices.Contains(w.AllowedSites, s.OwnerSite) {
-			return r, 0, false
+	if r.Effect == lbpolicy.KeyedIdempotent && p.OwnerSite != "" {
+		if !r.mayForwardToOwner(p.OwnerSite, next.ExcludedSites) {
+			return next, 0, false
 		}
-		r.OwnerSite = s.OwnerSite
-		return r, accounting.KeyOwned, true
+		next.OwnerSite = p.OwnerSite
+		return next, accounting.KeyOwned, true
+	}
+	if r.Effect != lbpolicy.Idempotent && p.MayHaveRun {
+		return next, 0, false
 	}
-	if w.Effect != lbpolicy.Idempotent && s.MayHaveRun {
-		return r, 0, false
+	for site := range r.forwards {
+		next.ExcludedSites = append(next.ExcludedSites, site)
 	}
-	for name := range w.forwards {
-		r.ExcludedSites = append(r.ExcludedSites, name)
+	return next, p.reason(), true
+}
+
+// mayForwardToOwner reports whether the request may be forwarded to the site that owns its key.
+func (r *Route) mayForwardToOwner(owner string, excluded []string) bool {
+	switch {
+	case owner == r.LocalSite, owner == NoSite, slices.Contains(excluded, owner):
+		return false
+	case r.forwards[owner] >= maxForwardsToOwner:
+		return false
+	}
+	return slices.Contains(r.AllowedSites, owner)
+}
+
+// reason returns why a request without an owner site is forwarded.
+func (p Progress) reason() accounting.Reason {
+	switch {
+	case p.Transit:
+		return accounting.Transit
+	case p.Rejected:
+		return accounting.Shed
 	}
-	return r, why, true
+	return accounting.Failed
 }
 
-// MarkForwarded tells that the request has gone to a sala.
-func (w *Route) MarkForwarded(sala string) {
-	if w.forwards == nil {
-		w.forwards = map[string]int{}
+// MarkForwarded records that the request was forwarded to a site.
+func (r *Route) MarkForwarded(site string) {
+	if r.forwards == nil {
+		r.forwards = map[string]int{}
 	}
-	w.forwards[sala]++
+	r.forwards[site]++
 }
 
 // AttemptsLeft returns the attempts that are left to the request; 0: no bound of its own.
-func (w *Route) AttemptsLeft() int {
-	if w.MaxAttempts == 0 {
+func (r *Route) AttemptsLeft() int {
+	if r.MaxAttempts == 0 {
 		return 0
 	}
-	return max(w.MaxAttempts-w.attempts, 1)
+	return max(r.MaxAttempts-r.attempts, 1)
 }
--- a/internal/sites/forwarding/saturation.go
+++ b/internal/sites/forwarding/saturation.go
@@ -2,37 +2,43 @@
 
 import "time"
 
-// Saturation is how much of what comes to a sala it refuses for load. It is not safe for concurrent use.
+// sheddingThreshold is the part of its requests above which a site that rejects them says that it sheds load.
+const sheddingThreshold = 0.05
+
+// Saturation measures the part of a site's requests that it rejects for load, over this second and the one before. It is
+// not safe for concurrent use.
 type Saturation struct {
 	secondStart        time.Time
-	requests, rejected [2]int // in this second, and in the one before
+	requests, rejected [2]int // this second, the one before
 }
 
-// sheddingThreshold is the part that is refused from which on a sala says that it sheds.
-const sheddingThreshold = 0.05
-
+// rotate begins a new second if the current one is over.
 func (s *Saturation) rotate(now time.Time) {
-	if d := now.Sub(s.secondStart); d >= time.Second {
-		s.secondStart = now
-		s.requests[1], s.rejected[1] = s.requests[0], s.rejected[0]
-		if d >= 2*time.Second {
-			s.requests[1], s.rejected[1] = 0, 0
-		}
-		s.requests[0], s.rejected[0] = 0, 0
+	elapsed := now.Sub(s.secondStart)
+	if elapsed < time.Second {
+		return
+	}
+	s.secondStart = now
+	s.requests[1], s.rejected[1] = s.requests[0], s.rejected[0]
+	if elapsed >= 2*time.Second {
+		s.requests[1], s.rejected[1] = 0, 0
 	}
+	s.requests[0], s.rejected[0] = 0, 0
 }
 
-// Record counts a request that the sala's own decisions have ended.
-func (s *Saturation) Record(now time.Time, refused bool) {
+// Record counts a request that the site's own policy has ended.
+func (s *Saturation) Record(now time.Time, rejected bool) {
 	s.rotate(now)
 	s.requests[0]++
-	if refused {
+	if rejected {
 		s.rejected[0]++
 	}
 }
 
-// IsShedding tells whether the sala should say so.
+// IsShedding reports whether the site rejects more than sheddingThreshold of its requests.
 func (s *Saturation) IsShedding(now time.Time) bool {
 	s.rotate(now)
-	return float64(s.rejected[0]+s.rejected[1]) > sheddingThreshold*float64(s.requests[0]+s.requests[1])
+	rejected := s.rejected[0] + s.rejected[1]
+	requests := s.requests[0] + s.requests[1]
+	return float64(rejected) > sheddingThreshold*float64(requests)
 }
--- /dev/null
+++ b/internal/sites/forwarding/state.go
@@ -0,0 +1,31 @@
+package forwarding
+
+import "time"
+
+// State is what a site's gateway says of itself. Its number is part of the peering protocol.
+type State uint8
+
+// The states. An unavailable site gets nothing; a draining one gets only requests whose idempotency key it owns.
+const (
+	Unavailable State = iota
+	Draining
+	Shedding // it rejects some requests of its own clients
+	Available
+)
+
+// String returns the name that operators read.
+func (s State) String() string {
+	if s > Available {
+		return "unknown"
+	}
+	return [...]string{"closed", "draining", "shedding", "open"}[s]
+}
+
+// Site is the status of another site.
+type Site struct {
+	Name             string        `json:"name"`
+	State            State         `json:"-"`
+	ConcurrencyLimit float64       `json:"window"` // of the highest priority weight
+	InFlight         int           `json:"in_flight"`
+	RoundTrip        time.Duration `json:"round_trip"`
+}
