--- a/internal/sites/peering/credentials.go
+++ b/internal/sites/peering/credentials.go
@@ -9,43 +9,54 @@
 	"silvertrail/internal/edge/certs"
 )
 
-// Identity are the files that prove which sala a gateway is of: a certificate whose DNS name is the sala's, and the authority that
-// signs those of all salas.
+// Identity names the files that prove a gateway's site: a certificate whose DNS name is the site's, its key, and the
+// authority that signs the certificates of all sites.
 type Identity = certs.Files
 
+// credentials are the current contents of an Identity's files. Files that are replaced are read for the next connection.
 type credentials struct{ *certs.Proof }
 
 func newCredentials(files Identity, log *slog.Logger) (*credentials, error) {
-	p, err := certs.Open(files, log)
+	proof, err := certs.Open(files, log)
 	if err != nil {
-		err = fmt.Errorf("link: %w", err)
+		return nil, fmt.Errorf("link: %w", err)
 	}
-	return &credentials{p}, err
+	return &credentials{proof}, nil
 }
 
-// clientConfig returns what a connection to a sala is made with.
-func (p *credentials) clientConfig(sala string) *tls.Config {
-	pair, roots, _ := p.Current()
-	return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: sala, RootCAs: roots, NextProtos: []string{"h2"},
-		// Also where the other end's authorities are not this one's, so that its log tells what is wrong and not that nothing came.
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }}
+// clientConfig returns the settings of a connection to a site.
+func (c *credentials) clientConfig(site string) *tls.Config {
+	pair, roots, _ := c.Current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ServerName: site,
+		RootCAs:    roots,
+		NextProtos: []string{"h2"},
+		// The certificate is sent even if the other end names other authorities, so that its log says what is wrong.
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil },
+	}
 }
 
-// serverConfig returns what a connection is taken with.
-func (p *credentials) serverConfig() *tls.Config {
-	pair, roots, _ := p.Current()
-	return &tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: roots, Certificates: []tls.Certificate{pair},
-		NextProtos: []string{"h2"}}
+// serverConfig returns the settings of a connection that is accepted.
+func (c *credentials) serverConfig() *tls.Config {
+	pair, roots, _ := c.Current()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    roots,
+		Certificates: []tls.Certificate{pair},
+		NextProtos:   []string{"h2"},
+	}
 }
 
-// peerSite returns which of the known salas a taken connection's certificate names.
-func peerSite(c *tls.Conn, known func(string) bool) (string, error) {
-	chain := c.ConnectionState().PeerCertificates
+// peerSite returns the configured site that a connection's client certificate names.
+func peerSite(conn *tls.Conn, isPeer func(string) bool) (string, error) {
+	chain := conn.ConnectionState().PeerCertificates
 	if len(chain) == 0 {
 		return "", errors.New("link: no certificate")
 	}
 	for _, name := range chain[0].DNSNames {
-		if known(name) {
+		if isPeer(name) {
 			return name, nil
 		}
 	}
--- a/internal/sites/peering/disconnect_test.go
+++ b/internal/sites/peering/disconnect_test.go
@@ -11,17 +11,17 @@
 	"silvertrail/internal/testkit/standin"
 )
 
-// A call whose caller is found to have left as the connection takes its message does not come to the other sala, and both
-// ends agree that it never ran. One whose caller stays is served.
-func TestLeftAtSending(t *testing.T) {
+// TestClientDisconnectsBeforeSending has a client disconnect before its request is sent: it does not arrive at the other
+// site, and both ends agree that it never ran. A request whose client stays is served.
+func TestClientDisconnectsBeforeSending(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int{0, 100 << 10} { // in one piece, and in several
-		far := newScript(nil)
-		from, _, _ := two(t, far)
+		far := newFakeHandler(nil)
+		from, _, _ := connectTwoSites(t, far)
 		ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 		defer cancel()
 		var asked atomic.Int64
-		c := newCall(size)
+		c := newRequest(size)
 		c.IsDisconnected = func() bool {
 			asked.Add(1)
 			return true // and nobody has noticed yet: the context stands
@@ -29,29 +29,29 @@
 		if x := from.Forward(ctx, "b", c); x.Response != nil {
 			t.Errorf("answered %+v", x.Response)
 		}
-		agree(t, from)
+		awaitReconciled(t, from)
 		if asked.Load() == 0 || far.came.Load() > 0 {
 			t.Errorf("asked %d times, %d came", asked.Load(), far.came.Load())
 		}
-		c = newCall(size)
+		c = newRequest(size)
 		c.IsDisconnected = func() bool { return false }
 		stays, end := context.WithTimeout(t.Context(), lbtest.Wait)
 		defer end()
 		if x := from.Forward(stays, "b", c); x.Outcome != accounting.Served || len(x.Response.Body) != size {
-			t.Errorf("one that stays: %+v", x)
+			t.Errorf("connected client: %+v", x)
 		}
 	}
 }
 
-// A caller that leaves has what serves its call in the other sala end, whether the link carries the call at once or holds it up
-// until after the caller's end.
-func TestLeftOverLink(t *testing.T) {
+// TestClientDisconnectsInFlight has a client disconnect while its request is in flight: the other site stops serving it,
+// also if the request arrives only after the client has left.
+func TestClientDisconnectsInFlight(t *testing.T) {
 	t.Parallel()
-	for name, heldUp := range map[string]bool{"at once": false, "held up": true} {
+	for name, heldUp := range map[string]bool{"delivered": false, "delayed": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			came, ended := make(chan struct{}, 1), make(chan struct{}, 1)
-			far := newScript(func(ctx context.Context, c *Request) *Response {
+			far := newFakeHandler(func(ctx context.Context, c *Request) *Response {
 				came <- struct{}{}
 				select {
 				case <-ctx.Done():
@@ -60,12 +60,12 @@
 				}
 				return &Response{Outcome: accounting.NeverRan}
 			})
-			from, path, _ := two(t, far)
+			from, path, _ := connectTwoSites(t, far)
 			path.Hold(standin.There, heldUp)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			sent, over := make(chan struct{}), make(chan ForwardResult, 1)
-			c := newCall(0)
+			c := newRequest(0)
 			var once atomic.Bool
 			c.IsDisconnected = func() bool {
 				if once.CompareAndSwap(false, true) {
@@ -83,10 +83,10 @@
 				t.Errorf("answered %+v", x.Response)
 			}
 			path.Hold(standin.There, false)
-			lbtest.Until(t, "the link stands", func() bool { return stands(from, "b") })
-			agree(t, from) // what serves the call has ended
+			lbtest.Until(t, "site b is connected", func() bool { return isConnected(from, "b") })
+			awaitReconciled(t, from) // the request is not served any more
 			if far.came.Load() > 0 && len(ended) == 0 {
-				t.Error("it went on for nobody")
+				t.Error("it is still served")
 			}
 		})
 	}
--- a/internal/sites/peering/format_test.go
+++ b/internal/sites/peering/format_test.go
@@ -13,7 +13,7 @@
 	"silvertrail/internal/testkit/golden"
 )
 
-// Each message of the link is encoded to the bytes that are recorded, and these are read as the same message.
+// TestMessageFormat encodes each message to the recorded bytes, and decodes these to the same message.
 func TestMessageFormat(t *testing.T) {
 	for name, message := range map[string]any{
 		"hello": &helloRequest{}, "welcome": &helloResponse{}, "state": &heartbeat{}, "call": &Request{}, "answer": &Response{}, "settle": &settleRequest{},
@@ -41,12 +41,13 @@
 	}
 }
 
-// decodeUnchecked reads a message without the checks of its values, which filled ones do not pass.
+// decodeUnchecked decodes a message without validation, which filled ones do not pass.
 func decodeUnchecked(text []byte, into any) error {
 	return codec.NewDecoderBytes(text, msgpackHandle).Decode(into)
 }
 
-// The numbers and names of outcomes, reasons and states are part of the protocol and of what operators read.
+// TestMessageEnumerations checks the numbers of outcomes, reasons and states, which the protocol contains, and the names
+// that operators read.
 func TestMessageEnumerations(t *testing.T) {
 	var names []string
 	for n, o := range []accounting.Outcome{accounting.Pending, accounting.Served, accounting.Rejected, accounting.NeverRan, accounting.MayHaveRun, accounting.NeverArrived} {
@@ -74,7 +75,7 @@
 	golden.Text(t, "names.json", text)
 }
 
-// What the control socket tells of links.
+// TestViewFormat checks what the control socket returns for connections to sites.
 func TestViewFormat(t *testing.T) {
 	for name, value := range map[string]any{"sala": &SiteStatus{}, "found": &KeyLocation{}} {
 		golden.Fill(value)
--- a/internal/sites/peering/session.go
+++ b/internal/sites/peering/session.go
@@ -10,205 +10,141 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/net/http2"
 
 	"silvertrail/internal/sites/accounting"
-	"silvertrail/internal/sites/forwarding"
 )
 
-// gateway is the way to one gateway of another sala: the sessions in use, and those before them that may not be settled.
-type gateway struct {
-	transport    *Transport
-	site         string
-	address      string
-	cancel       context.CancelFunc
-	ctx          context.Context
-	availability forwarding.Gateway // under the link's lock
-
-	mu              sync.Mutex
-	sessions        []*session
-	endedSessions   []*session // ended ones, the newest last
-	retiredCounters []accounting.Counter
-	sessionCount    int
-	since           time.Time
-	lastError       string
-}
+const (
+	roundTripSmoothing = 8 // one part in this many of a new round trip goes into the moving average
+	maxErrorBytes      = 1024
+)
 
-func newGateway(l *Transport, sala, address string) *gateway {
-	n := &gateway{transport: l, site: sala, address: address, since: time.Now()}
-	n.ctx, n.cancel = context.WithCancel(l.ctx)
-	return n
-}
+// The reasons for which a session ends.
+var (
+	errConnectionBroken = errors.New("the connection has broken")
+	errHeartbeatTimeout = errors.New("no answer to a heartbeat in time")
+	errPeerDraining     = errors.New("the other end asks for a new connection")
+)
 
-// session is one connection to a sala, and the account of what crossed on it.
+// session is one connection to a gateway, and the account of the requests that were forwarded on it.
 type session struct {
 	gateway       *gateway
 	id            uint64
-	remoteProcess uint64 // the other end's
+	remoteProcess uint64
 	conn          net.Conn
 	client        *http2.ClientConn
+	wakeups       chan struct{} // holds a token when something is to be settled
 
 	mu           sync.Mutex
 	sender       *accounting.Sender
-	waiters      map[uint64]chan accounting.Outcome // for what is not known
-	roundTrip    time.Duration
-	lastResponse time.Time // when something was answered last
+	waiters      map[uint64]chan accounting.Outcome // by number, for requests without a response
+	roundTrip    time.Duration                      // moving average
+	lastResponse time.Time
 	ended        bool
-	wakeups      chan struct{} // holds a token when something is to be settled
-}
-
-// run keeps as many sessions to the sala as are wanted, until the peer is ended. Several of them keep one that TCP holds up
-// for a lost packet from holding up all that crosses.
-func (p *gateway) run() {
-	defer p.cancel()
-	var all sync.WaitGroup
-	for range p.transport.options.Connections {
-		all.Go(p.maintainSession)
-	}
-	all.Wait()
 }
 
-// maintainSession keeps one session.
-func (p *gateway) maintainSession() {
-	backoff := minBackoff
-	for p.ctx.Err() == nil {
-		s, err := p.connect()
-		if err == nil {
-			p.transport.log.Info("link up", "to", p.site, "address", p.address)
-			err = s.run()
-			p.retire(s)
-		}
-		if p.ctx.Err() != nil {
-			break
-		}
-		p.mu.Lock()
-		if p.lastError != err.Error() || s != nil {
-			p.transport.log.Warn("link down", "to", p.site, "address", p.address, "error", err)
-		}
-		p.lastError = err.Error()
-		p.mu.Unlock()
-		if s != nil { // it stood: what has broken it is not what keeps one from coming up
-			backoff = minBackoff
-		}
-		select {
-		case <-p.ctx.Done():
-		case <-time.After(backoff/2 + rand.N(backoff)):
-		}
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-// connect dials and greets.
-func (p *gateway) connect() (s *session, err error) {
-	ctx, cancel := context.WithTimeout(p.ctx, handshakeTimeout)
+// connect dials, greets and exchanges a first heartbeat.
+func (g *gateway) connect() (*session, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, handshakeTimeout)
 	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", p.address)
+	conn, err := g.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	defer func() {
-		if err != nil {
-			conn.Close()
-		}
-	}()
-	if p.transport.credentials != nil {
-		t := tls.Client(conn, p.transport.credentials.clientConfig(p.site))
-		if err := t.HandshakeContext(ctx); err != nil {
-			return nil, fmt.Errorf("handshake: %w", err)
-		}
-		conn = t
+	s := &session{
+		gateway: g,
+		id:      rand.Uint64() | 1,
+		conn:    conn,
+		sender:  accounting.NewSender(),
+		waiters: map[uint64]chan accounting.Outcome{},
+		wakeups: make(chan struct{}, 1),
 	}
-	s = &session{gateway: p, id: rand.Uint64() | 1, conn: conn, sender: accounting.NewSender(), waiters: map[uint64]chan accounting.Outcome{}, wakeups: make(chan struct{}, 1)}
-	t, err := http2.ConfigureTransports(&http.Transport{DisableCompression: true, HTTP2: &http.HTTP2Config{StrictMaxConcurrentRequests: true,
-		MaxReceiveBufferPerConnection: connectionWindowBytes, MaxReceiveBufferPerStream: maxMessageBytes}})
-	if err != nil {
+	if err := s.open(ctx); err != nil {
+		conn.Close()
 		return nil, err
 	}
-	t.AllowHTTP = true
-	if s.client, err = t.NewClientConn(conn); err != nil {
-		return nil, err
-	}
-	var w helloResponse
-	err = s.request(ctx, pathHello, &helloRequest{OldestVersion: oldestVersion, NewestVersion: newestVersion, Site: p.transport.options.Site, ToSite: p.site, ProcessID: p.transport.processID, SessionID: s.id}, &w)
-	switch {
-	case err != nil:
-	case w.Error != "":
-		err = fmt.Errorf("greeted with: %s", w.Error)
-	case w.Version < oldestVersion || w.Version > newestVersion:
-		err = fmt.Errorf("the other end speaks version %d", w.Version)
-	}
+	g.add(s)
+	return s, nil
+}
+
+// dial connects to the gateway, under TLS if there are credentials.
+func (g *gateway) dial(ctx context.Context) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", g.address)
 	if err != nil {
 		return nil, err
 	}
-	s.remoteProcess = w.ProcessID
-	if err := s.exchangeHeartbeat(); err != nil {
-		return nil, err
+	if g.transport.credentials == nil {
+		return conn, nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.sessions) == 0 {
-		p.since = time.Now()
+	secured := tls.Client(conn, g.transport.credentials.clientConfig(g.site))
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("handshake: %w", err)
 	}
-	p.sessions, p.lastError = append(p.sessions, s), ""
-	p.sessionCount++
-	return s, nil
+	return secured, nil
 }
 
-// pickSession returns the session in use that has the least out, or nil.
-func (p *gateway) pickSession() (best *session) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	least := 0
-	for _, s := range p.sessions {
-		if !s.client.CanTakeNewRequest() {
-			s.wake() // it has broken, and its heartbeat has not noticed yet
-			continue
-		}
-		s.mu.Lock()
-		open := s.sender.Pending()
-		s.mu.Unlock()
-		if best == nil || open < least {
-			best, least = s, open
-		}
+// open begins HTTP/2 on the connection, greets and exchanges a first heartbeat.
+func (s *session) open(ctx context.Context) error {
+	client, err := newClientConn(s.conn)
+	if err != nil {
+		return err
+	}
+	s.client = client
+	if err := s.greet(ctx); err != nil {
+		return err
 	}
-	return best
+	return s.exchangeHeartbeat()
 }
 
-// retire ends a session. What is in work on it and not answered is lost, to be settled over the next one: all of it at once,
-// as the connection is closed. Where the other end has only asked for a new connection, what is in work is answered still.
-func (p *gateway) retire(s *session) {
-	p.mu.Lock()
-	p.sessions = slices.DeleteFunc(p.sessions, func(o *session) bool { return o == s })
-	if len(p.sessions) == 0 {
-		p.since = time.Now()
-		p.transport.markDisconnected(p)
-	}
-	p.endedSessions = append(p.endedSessions, s)
-	if len(p.endedSessions) > maxSessions {
-		gone := p.endedSessions[0]
-		p.endedSessions = p.endedSessions[1:]
-		gone.mu.Lock()
-		p.retiredCounters = accounting.Merge(p.retiredCounters, gone.sender.Counters())
-		gone.mu.Unlock()
+// newClientConn begins HTTP/2 on a connection.
+func newClientConn(conn net.Conn) (*http2.ClientConn, error) {
+	transport, err := http2.ConfigureTransports(&http.Transport{
+		DisableCompression: true,
+		HTTP2: &http.HTTP2Config{
+			StrictMaxConcurrentRequests:   true,
+			MaxReceiveBufferPerConnection: connectionWindowBytes,
+			MaxReceiveBufferPerStream:     maxMessageBytes,
+		},
+	})
+	if err != nil {
+		return nil, err
 	}
-	p.mu.Unlock()
-	if s.client.State().Closing && !s.client.State().Closed && p.ctx.Err() == nil {
-		p.transport.goroutines.Go(func() {
-			ctx, cancel := context.WithTimeout(p.ctx, time.Minute)
-			defer cancel()
-			s.client.Shutdown(ctx)
-			s.end()
-		})
-		return
+	transport.AllowHTTP = true
+	return transport.NewClientConn(conn)
+}
+
+// greet opens the session at the other end.
+func (s *session) greet(ctx context.Context) error {
+	t := s.gateway.transport
+	request := &helloRequest{
+		OldestVersion: oldestVersion,
+		NewestVersion: newestVersion,
+		Site:          t.options.Site,
+		ToSite:        s.gateway.site,
+		ProcessID:     t.processID,
+		SessionID:     s.id,
+	}
+	var response helloResponse
+	err := s.request(ctx, pathHello, request, &response)
+	switch {
+	case err != nil:
+		return err
+	case response.Error != "":
+		return fmt.Errorf("greeted with: %s", response.Error)
+	case response.Version < oldestVersion || response.Version > newestVersion:
+		return fmt.Errorf("the other end speaks version %d", response.Version)
 	}
-	s.end()
+	s.remoteProcess = response.ProcessID
+	return nil
 }
 
+// end closes the connection, if it is not closed yet.
 func (s *session) end() {
 	s.conn.Close()
 	s.mu.Lock()
@@ -216,28 +152,24 @@
 	s.ended = true
 }
 
-var errConnectionBroken = errors.New("the connection has broken")
-var errHeartbeatTimeout = errors.New("no answer to a heartbeat in time")
-var errPeerDraining = errors.New("the other end asks for a new connection")
-
-// run sends heartbeats, and settles what is not known, until the session ends.
+// run sends heartbeats and settles requests without a response, until the session ends. It returns why.
 func (s *session) run() error {
-	tick := time.NewTicker(s.gateway.transport.options.HeartbeatInterval)
-	defer tick.Stop()
+	ticker := time.NewTicker(s.gateway.transport.options.HeartbeatInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-s.gateway.ctx.Done():
 			return s.gateway.ctx.Err()
-		case <-tick.C:
+		case <-ticker.C:
 			if err := s.exchangeHeartbeat(); err != nil {
 				return err
 			}
 		case <-s.wakeups:
 		}
-		switch is := s.client.State(); {
-		case is.Closed:
+		switch state := s.client.State(); {
+		case state.Closed:
 			return errConnectionBroken
-		case is.Closing:
+		case state.Closing:
 			return errPeerDraining
 		}
 		if err := s.settleAll(); err != nil {
@@ -246,51 +178,76 @@
 	}
 }
 
-// exchangeHeartbeat tells the other end how things are here and hears how they are there.
+// wake makes run look at the session now and not with its next heartbeat.
+func (s *session) wake() {
+	select {
+	case s.wakeups <- struct{}{}:
+	default:
+	}
+}
+
+// exchangeHeartbeat sends this site's state to the other end and records the state there. An answer that is late is no
+// error while the other end answers requests.
 func (s *session) exchangeHeartbeat() error {
-	l := s.gateway.transport
-	ctx, cancel := context.WithTimeout(s.gateway.ctx, l.options.HeartbeatTimeout)
+	t := s.gateway.transport
+	ctx, cancel := context.WithTimeout(s.gateway.ctx, t.options.HeartbeatTimeout)
 	defer cancel()
 	s.mu.Lock()
-	done, trip := s.sender.SettledTo(), s.roundTrip
+	message := &heartbeat{SettledTo: s.sender.SettledTo(), RoundTrip: s.roundTrip.Microseconds()}
 	s.mu.Unlock()
-	begun := time.Now()
-	var said heartbeat
-	err := s.request(ctx, pathState, &heartbeat{Clock: l.clock(), State: l.options.Handler.State(), SettledTo: done, RoundTrip: trip.Microseconds()}, &said)
+	started := time.Now()
+	message.Clock = t.clock()
+	message.State = t.options.Handler.State()
+	var response heartbeat
+	err := s.request(ctx, pathState, message, &response)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded) && s.isSilent():
 		return errHeartbeatTimeout
-	case errors.Is(err, context.DeadlineExceeded): // it is busy with calls, and answers those
+	case errors.Is(err, context.DeadlineExceeded):
 		return nil
 	case err != nil:
 		return err
 	}
-	trip = time.Since(begun)
+	roundTrip := time.Since(started)
 	s.mu.Lock()
 	if s.roundTrip == 0 {
-		s.roundTrip = trip
+		s.roundTrip = roundTrip
 	}
-	s.roundTrip += (trip - s.roundTrip) / 8
+	s.roundTrip += (roundTrip - s.roundTrip) / roundTripSmoothing
 	s.mu.Unlock()
-	l.markConnected(s.gateway, said.State, trip)
+	t.markConnected(s.gateway, response.State, roundTrip)
 	return nil
 }
 
-// isSilent tells that nothing at all was answered for the time of silence.
+// isSilent reports whether the other end has answered nothing at all for the heartbeat timeout.
 func (s *session) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return time.Since(s.lastResponse) >= s.gateway.transport.options.HeartbeatTimeout
 }
 
-// request makes one request on the session's connection.
-func (s *session) request(ctx context.Context, path string, message, answer any) error {
-	return s.requestWhileConnected(ctx, path, message, answer, nil)
+// inFlight returns the number of the session's requests without a known outcome.
+func (s *session) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sender.Pending()
+}
+
+// counters returns the counters of what was sent on the session.
+func (s *session) counters() []accounting.Counter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sender.Counters()
 }
 
-// requestWhileConnected is ask for somebody who may leave: where away says so nothing more of the message goes out, and what there is of it
-// at the other end is no message. Nil: nobody can tell.
-func (s *session) requestWhileConnected(ctx context.Context, path string, message, answer any, away func() bool) error {
+// request sends one message on the session's connection and decodes the response to it.
+func (s *session) request(ctx context.Context, path string, message, response any) error {
+	return s.requestWhileConnected(ctx, path, message, response, nil)
+}
+
+// requestWhileConnected is request for a client that may disconnect: once isDisconnected reports so, nothing more of the
+// message is sent, and what the other end has of it is no complete message. It may be nil.
+func (s *session) requestWhileConnected(ctx context.Context, path string, message, response any, isDisconnected func() bool) error {
 	text, err := encode(message)
 	if err != nil {
 		return err
@@ -298,194 +255,66 @@
 	if len(text) > maxMessageBytes {
 		return fmt.Errorf("link: a message of %d bytes, over %d", len(text), maxMessageBytes)
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+s.gateway.site+path, &abortableReader{bytes.NewReader(text), away})
+	body := &abortableReader{bytes.NewReader(text), isDisconnected}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+s.gateway.site+path, body)
 	if err != nil {
 		return err
 	}
 	r.ContentLength = int64(len(text))
-	a, err := s.client.RoundTrip(r)
+	answer, err := s.client.RoundTrip(r)
 	if err != nil {
 		return err
 	}
-	defer a.Body.Close()
+	defer answer.Body.Close()
 	s.mu.Lock()
 	s.lastResponse = time.Now()
 	s.mu.Unlock()
-	if a.StatusCode != http.StatusOK {
-		why, _ := io.ReadAll(io.LimitReader(a.Body, 1024))
-		return fmt.Errorf("link: answered with %d %s", a.StatusCode, bytes.TrimSpace(why))
+	if answer.StatusCode != http.StatusOK {
+		detail, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
+		return fmt.Errorf("link: answered with %d %s", answer.StatusCode, bytes.TrimSpace(detail))
 	}
-	return decode(a.Body, answer)
+	return decode(answer.Body, response)
 }
 
-// abortableReader reads a message for as long as who sends it is there. It is read once the connection takes it: whatever the message
-// waited for before, the look comes after it.
+// abortableReader reads a message for as long as its client is connected. It is read when the connection accepts it:
+// whatever the message waited for before, isDisconnected is asked after it.
 type abortableReader struct {
 	message        io.Reader
-	isDisconnected func() bool
+	isDisconnected func() bool // may be nil
 }
 
-var errClientDisconnected = errors.New("link: who sends it has left")
+var errClientDisconnected = errors.New("link: the client has disconnected")
 
-func (p *abortableReader) Read(b []byte) (int, error) {
-	if p.isDisconnected != nil && p.isDisconnected() {
+// Read implements io.Reader.
+func (r *abortableReader) Read(b []byte) (int, error) {
+	if r.isDisconnected != nil && r.isDisconnected() {
 		return 0, errClientDisconnected
 	}
-	return p.message.Read(b)
+	return r.message.Read(b)
 }
 
-// forward sends a call over the session in use.
-func (p *gateway) forward(ctx context.Context, c *Request) ForwardResult {
-	s := p.pickSession()
-	if s == nil || !s.client.ReserveNewRequest() { // no link, or it carries as much as the other end takes
-		return ForwardResult{Outcome: accounting.NeverRan}
-	}
+// forward sends a request, for which the caller has reserved a stream, and waits for its response. Without one the
+// outcome is settled with the other end.
+func (s *session) forward(ctx context.Context, r *Request) ForwardResult {
 	s.mu.Lock()
 	if s.ended {
 		s.mu.Unlock()
 		return ForwardResult{Outcome: accounting.NeverRan}
 	}
-	c.Number = s.sender.Send(accounting.Kind{Class: c.Class, Tenant: c.Tenant, Reason: c.Reason})
+	r.Number = s.sender.Send(accounting.Kind{Class: r.Class, Tenant: r.Tenant, Reason: r.Reason})
 	s.mu.Unlock()
-	c.Clock = p.transport.clock()
-	x := ForwardResult{Sent: true}
-	a := &Response{}
-	err := s.requestWhileConnected(ctx, pathCall, c, a, c.IsDisconnected)
+	r.Clock = s.gateway.transport.clock()
+	response := &Response{}
+	err := s.requestWhileConnected(ctx, pathCall, r, response, r.IsDisconnected)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && a.Number == c.Number {
-		s.sender.Resolve(c.Number, a.Outcome)
-		x.Response, x.Outcome = a, a.Outcome
-		return x
+	if err == nil && response.Number == r.Number {
+		s.sender.Resolve(r.Number, response.Outcome)
+		return ForwardResult{Response: response, Outcome: response.Outcome, Sent: true}
 	}
-	s.sender.Abandon(c.Number)
-	x.settled = make(chan accounting.Outcome, 1)
-	s.waiters[c.Number] = x.settled
+	s.sender.Abandon(r.Number)
+	settled := make(chan accounting.Outcome, 1)
+	s.waiters[r.Number] = settled
 	s.wake()
-	return x
-}
-
-// wake has the session looked at now and not with its next heartbeat.
-func (s *session) wake() {
-	select {
-	case s.wakeups <- struct{}{}:
-	default:
-	}
-}
-
-// settleAll asks the other end, over this session, what became of all crossings that nobody has an answer to: those of this
-// session, and of the ones before it that have ended.
-func (s *session) settleAll() error {
-	s.gateway.mu.Lock()
-	of := append(slices.Clone(s.gateway.endedSessions), s)
-	s.gateway.mu.Unlock()
-	for _, o := range of {
-		for {
-			more, err := s.settleSession(o)
-			if err != nil {
-				return err
-			}
-			if !more {
-				break
-			}
-		}
-	}
-	return nil
-}
-
-// settleSession asks about one session's crossings; more tells that there are others to ask about that may be known by now.
-func (s *session) settleSession(of *session) (more bool, err error) {
-	of.mu.Lock()
-	numbers := of.sender.Unsettled(maxSettledAtOnce)
-	over := of.ended
-	of.mu.Unlock()
-	if len(numbers) == 0 {
-		return false, nil
-	}
-	var told settleResponse
-	if of.remoteProcess == s.remoteProcess {
-		ctx, cancel := context.WithTimeout(s.gateway.ctx, s.gateway.transport.options.HeartbeatTimeout)
-		defer cancel()
-		if err := s.request(ctx, pathSettle, &settleRequest{SessionID: of.id, SessionEnded: over, Numbers: numbers}, &told); err != nil {
-			return false, fmt.Errorf("settling: %w", err)
-		}
-	}
-	of.mu.Lock()
-	defer of.mu.Unlock()
-	some := false
-	for i, n := range numbers {
-		o := accounting.MayHaveRun // whoever knew it is gone
-		if told.Known && i < len(told.Outcomes) {
-			o = told.Outcomes[i]
-		}
-		if o == accounting.Pending {
-			continue
-		}
-		some = true
-		of.sender.Resolve(n, o)
-		if wait := of.waiters[n]; wait != nil {
-			wait <- o
-			delete(of.waiters, n)
-		}
-	}
-	return some && len(numbers) == maxSettledAtOnce, nil
-}
-
-// inFlight returns how many crossings are out and not answered.
-func (p *gateway) inFlight() (n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.sessions {
-		s.mu.Lock()
-		n += s.sender.Pending()
-		s.mu.Unlock()
-	}
-	return n
-}
-
-// status tells how the peer stands, and what was sent to it.
-func (p *gateway) status() (v GatewayStatus, sent []accounting.Counter) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	v, sent = GatewayStatus{Address: p.address, Since: p.since, Sessions: p.sessionCount, LastError: p.lastError}, p.retiredCounters
-	for _, s := range append(slices.Clone(p.endedSessions), p.sessions...) {
-		s.mu.Lock()
-		sent = accounting.Merge(sent, s.sender.Counters())
-		v.Unsettled += s.sender.Pending()
-		s.mu.Unlock()
-	}
-	return v, sent
-}
-
-// reconcile asks the other end for its counts of the sessions that are still known, and names the differences.
-func (p *gateway) reconcile(ctx context.Context) (out []SessionDifference, compared int, err error) {
-	p.mu.Lock()
-	of := append(slices.Clone(p.endedSessions), p.sessions...)
-	p.mu.Unlock()
-	now := p.pickSession()
-	if now == nil {
-		return nil, 0, fmt.Errorf("link: %s is out of reach: nothing could be compared", p.site)
-	}
-	var q countersRequest
-	for _, s := range of {
-		q.Sessions = append(q.Sessions, s.id)
-	}
-	var told countersResponse
-	if err := now.request(ctx, pathAccounts, &q, &told); err != nil {
-		return nil, 0, err
-	}
-	for _, s := range of {
-		theirs, known := told.Counters[s.id]
-		if !known {
-			continue // of a process that is gone
-		}
-		compared++
-		s.mu.Lock()
-		ours := s.sender.Counters()
-		s.mu.Unlock()
-		for _, d := range accounting.Reconcile(ours, theirs) {
-			out = append(out, SessionDifference{s.id, d})
-		}
-	}
-	return out, compared, nil
+	return ForwardResult{Sent: true, settled: settled}
 }
--- a/internal/sites/peering/transport_test.go
+++ b/internal/sites/peering/transport_test.go
@@ -30,34 +30,34 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// script is a sala whose every answer the test decides.
-type script struct {
+// fakeHandler is a site whose responses the test decides.
+type fakeHandler struct {
 	cross func(ctx context.Context, c *Request) *Response
 	state atomic.Int32
 	came  atomic.Int64
 }
 
-func (s *script) ServeRequest(ctx context.Context, from string, c *Request) *Response {
+func (s *fakeHandler) ServeRequest(ctx context.Context, from string, c *Request) *Response {
 	s.came.Add(1)
 	if s.cross == nil {
 		return &Response{Outcome: accounting.Served, Status: 200, Body: c.Body}
 	}
 	return s.cross(ctx, c)
 }
-func (s *script) State() forwarding.State { return forwarding.State(s.state.Load()) }
-func (s *script) Lookup(id idempotency.KeyID) KeyLocation {
+func (s *fakeHandler) State() forwarding.State { return forwarding.State(s.state.Load()) }
+func (s *fakeHandler) Lookup(id idempotency.KeyID) KeyLocation {
 	return KeyLocation{Known: id[0] == 1, Cluster: "c"}
 }
 
-func newScript(cross func(context.Context, *Request) *Response) *script {
-	s := &script{cross: cross}
+func newFakeHandler(cross func(context.Context, *Request) *Response) *fakeHandler {
+	s := &fakeHandler{cross: cross}
 	s.state.Store(int32(forwarding.Available))
 	return s
 }
 
-func start(t testing.TB, sala string, s Handler, id *Identity, log io.Writer, peers ...Peer) *Transport {
+func start(t testing.TB, site string, s Handler, id *Identity, log io.Writer, peers ...Peer) *Transport {
 	t.Helper()
-	l, err := Start(Options{Site: sala, Listen: "127.0.0.1:0", Identity: id, Peers: peers, HeartbeatInterval: 20 * time.Millisecond, HeartbeatTimeout: 200 * time.Millisecond,
+	l, err := Start(Options{Site: site, Listen: "127.0.0.1:0", Identity: id, Peers: peers, HeartbeatInterval: 20 * time.Millisecond, HeartbeatTimeout: 200 * time.Millisecond,
 		MaxInFlight: 64, PriorityWeights: []float64{1, 10}, Handler: s, Logger: slog.New(slog.NewTextHandler(log, nil))})
 	if err != nil {
 		t.Fatal(err)
@@ -66,8 +66,8 @@
 	return l
 }
 
-// two links sala a to sala b over a path.
-func two(t testing.TB, b Handler) (from *Transport, path *standin.Path, to *Transport) {
+// connectTwoSites connects site a to site b over a path.
+func connectTwoSites(t testing.TB, b Handler) (from *Transport, path *standin.Path, to *Transport) {
 	t.Helper()
 	to = start(t, "b", b, nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
 	path, err := standin.NewPath(to.Addr())
@@ -75,33 +75,33 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(path.Close)
-	from = start(t, "a", newScript(nil), nil, io.Discard, Peer{"b", []string{path.Addr}})
-	up(t, from, "b")
+	from = start(t, "a", newFakeHandler(nil), nil, io.Discard, Peer{"b", []string{path.Addr}})
+	awaitConnected(t, from)
 	return from, path, to
 }
 
-func stands(l *Transport, sala string) bool {
-	gates := l.gatewaysInOrder(sala)
+func isConnected(l *Transport, site string) bool {
+	gates := l.gatewaysInOrder(site)
 	return len(gates) > 0 && gates[0].pickSession() != nil
 }
 
-func up(t testing.TB, l *Transport, sala string) {
+func awaitConnected(t testing.TB, l *Transport) {
 	t.Helper()
-	lbtest.Until(t, "the link to "+sala+" stands", func() bool { return stands(l, sala) })
+	lbtest.Until(t, "site b is connected", func() bool { return isConnected(l, "b") })
 }
 
-func call(l *Transport, sala string, body int) ForwardResult {
+func forwardTo(l *Transport, site string, body int) ForwardResult {
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
-	return l.Forward(ctx, sala, newCall(body))
+	return l.Forward(ctx, site, newRequest(body))
 }
 
-func newCall(body int) *Request {
+func newRequest(body int) *Request {
 	return &Request{TimeLeft: lbtest.Wait.Microseconds(), Class: "c", VisitedSites: []string{"a"}, Method: "POST", Target: "/", Body: bytes.Repeat([]byte("x"), body)}
 }
 
-// agree waits until both ends of a link count the same and nothing is unsettled.
-func agree(t testing.TB, l *Transport) (sums map[accounting.Outcome]uint64) {
+// awaitReconciled waits until both ends count the same and nothing is unsettled.
+func awaitReconciled(t testing.TB, l *Transport) (sums map[accounting.Outcome]uint64) {
 	t.Helper()
 	var v SiteStatus
 	lbtest.Until(t, "both ends count the same", func() bool {
@@ -117,8 +117,8 @@
 	return sums
 }
 
-// Who may link: a certificate of the right authority, in its time, of the sala that is expected; files that are replaced
-// while in use are taken for the next connection, and unusable ones change nothing.
+// TestIdentity connects with all kinds of certificates: accepted is one of the right authority, valid now, of the expected
+// site. Files that are replaced while in use apply to the next connection, and unusable ones change nothing.
 func TestIdentity(t *testing.T) {
 	folder := t.TempDir()
 	good, err := standin.NewAuthority(folder, "good")
@@ -140,34 +140,34 @@
 		return files(file)
 	}
 	var log lbtest.Log
-	b := start(t, "b", newScript(nil), issue(good, "b", "b", hour), &log, Peer{"a", []string{"127.0.0.1:1"}}, Peer{"c", []string{"127.0.0.1:1"}})
+	b := start(t, "b", newFakeHandler(nil), issue(good, "b", "b", hour), &log, Peer{"a", []string{"127.0.0.1:1"}}, Peer{"c", []string{"127.0.0.1:1"}})
 	for name, c := range map[string]struct {
 		id   *Identity
-		sala string // as what it greets
-		to   string // as whom it takes the other
-		says string // the other's log, or the own fault
+		site string // that it greets as
+		to   string // the site that it expects
+		says string // in the other's log, or in the own status
 	}{
-		"a stranger's authority": {issue(other, "x1", "a", hour), "a", "b", "unknown authority"},
-		"expired":                {issue(good, "x2", "a", time.Now().Add(-time.Hour)), "a", "b", "expired"},
-		"of no sala":             {issue(good, "x3", "z", hour), "z", "b", "names no sala"},
-		"of another sala":        {issue(good, "x4", "c", hour), "a", "b", "not that of sala"},
-		"the other is not b":     {issue(good, "x5", "a", hour), "a", "c", "not c"},
+		"unknown authority": {issue(other, "x1", "a", hour), "a", "b", "unknown authority"},
+		"expired":           {issue(good, "x2", "a", time.Now().Add(-time.Hour)), "a", "b", "expired"},
+		"of no peer":        {issue(good, "x3", "z", hour), "z", "b", "names no sala"},
+		"of another site":   {issue(good, "x4", "c", hour), "a", "b", "not that of sala"},
+		"other server name": {issue(good, "x5", "a", hour), "a", "c", "not c"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := start(t, c.sala, newScript(nil), c.id, &log, Peer{c.to, []string{b.Addr()}})
-			lbtest.Until(t, "told why", func() bool {
+			l := start(t, c.site, newFakeHandler(nil), c.id, &log, Peer{c.to, []string{b.Addr()}})
+			lbtest.Until(t, "the reason is reported", func() bool {
 				return log.Has(c.says) || strings.Contains(l.Status(t.Context(), false)[0].LastError, c.says)
 			})
-			if stands(l, c.to) {
-				t.Error("linked")
+			if isConnected(l, c.to) {
+				t.Error("connected")
 			}
-			if x := call(l, c.to, 1); x.Sent || x.Outcome != accounting.NeverRan {
+			if x := forwardTo(l, c.to, 1); x.Sent || x.Outcome != accounting.NeverRan {
 				t.Errorf("%+v", x)
 			}
 		})
 	}
-	a := start(t, "a", newScript(nil), issue(good, "a", "a", hour), &log, Peer{"b", []string{b.Addr()}})
-	up(t, a, "b")
+	a := start(t, "a", newFakeHandler(nil), issue(good, "a", "a", hour), &log, Peer{"b", []string{b.Addr()}})
+	awaitConnected(t, a)
 	// b's certificate becomes one that nobody can use, then one of a new authority that a knows by then.
 	if err := os.WriteFile(files("b").Certificate, []byte("torn"), 0o600); err != nil {
 		t.Fatal(err)
@@ -175,7 +175,7 @@
 	reconnect := func() {
 		s := a.gatewaysInOrder("b")[0].pickSession()
 		s.conn.Close()
-		lbtest.Until(t, "linked anew", func() bool { n := a.gatewaysInOrder("b")[0].pickSession(); return n != nil && n != s })
+		lbtest.Until(t, "connected again", func() bool { n := a.gatewaysInOrder("b")[0].pickSession(); return n != nil && n != s })
 	}
 	reconnect()
 	lbtest.Until(t, "the log says so", func() bool { return log.Has("certificate in use is kept") })
@@ -192,37 +192,37 @@
 	}
 	issue(other, "b", "b", hour)
 	reconnect()
-	if x := call(a, "b", 10); x.Outcome != accounting.Served {
+	if x := forwardTo(a, "b", 10); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
 	if by := a.gatewaysInOrder("b")[0].pickSession().conn.(*tls.Conn).ConnectionState().PeerCertificates[0].Issuer.CommonName; by != "other" {
 		t.Errorf("the certificate of %s is still in use", by)
 	}
 	if _, err := Start(Options{Site: "x", Listen: "0.0.0.0:0", Logger: slog.New(slog.DiscardHandler)}); err == nil {
-		t.Error("a plain link on all addresses")
+		t.Error("a plain listener on all addresses")
 	}
 }
 
-// A link that falls silent, in one direction or both, and a gateway that hangs, are noticed; what was out is settled when it
-// is back, and both ends count the same.
-func TestSilence(t *testing.T) {
+// TestHeartbeatTimeout holds up a connection in one direction or both: it is noticed, what was in flight is settled once the
+// connection is back, and both ends count the same.
+func TestHeartbeatTimeout(t *testing.T) {
 	for name, held := range map[string][]standin.Direction{"there": {standin.There}, "back": {standin.Back}, "both": {standin.There, standin.Back}} {
 		t.Run(name, func(t *testing.T) {
-			b := newScript(nil)
-			a, path, _ := two(t, b)
-			if x := call(a, "b", 10); x.Outcome != accounting.Served || string(x.Response.Body) != "xxxxxxxxxx" {
+			b := newFakeHandler(nil)
+			a, path, _ := connectTwoSites(t, b)
+			if x := forwardTo(a, "b", 10); x.Outcome != accounting.Served || string(x.Response.Body) != "xxxxxxxxxx" {
 				t.Fatalf("%+v", x)
 			}
 			for _, d := range held {
 				path.Hold(d, true)
 			}
-			x := call(a, "b", 10) // ends with the session, long before its own time
+			x := forwardTo(a, "b", 10) // ends with the session, long before its own time
 			if !x.Sent || x.Outcome != accounting.Pending {
 				t.Fatalf("%+v", x)
 			}
 			lbtest.Until(t, "noticed", func() bool { return a.Status(t.Context(), false)[0].State == "closed" })
-			if x := call(a, "b", 10); x.Sent {
-				t.Error("sent on a link that is down")
+			if x := forwardTo(a, "b", 10); x.Sent {
+				t.Error("sent without a connection")
 			}
 			for _, d := range held {
 				path.Hold(d, false)
@@ -234,70 +234,70 @@
 				t.Errorf("settled as %v with %d calls come", got, came)
 			}
 			if again := a.Settle(ctx, x); again != got {
-				t.Errorf("and then as %v", again)
+				t.Errorf("settled again as %v", again)
 			}
-			agree(t, a)
+			awaitReconciled(t, a)
 			if b.came.Load() != came {
-				t.Error("it came after it was told that it never did")
+				t.Error("it arrived after it was reported as never arrived")
 			}
 		})
 	}
 }
 
-// A link that is cut at any byte of a call or its answer: whatever was in work is settled with the truth, and what is told
-// as never come does not run.
-func TestCutAnywhere(t *testing.T) {
+// TestConnectionCutAtAnyByte cuts connections at any byte of a request or its response: what was in flight is settled with
+// the right outcome, and what is reported as never arrived does not run.
+func TestConnectionCutAtAnyByte(t *testing.T) {
 	var mu sync.Mutex
 	ran := map[string]bool{}
-	b := newScript(func(_ context.Context, c *Request) *Response {
+	b := newFakeHandler(func(_ context.Context, c *Request) *Response {
 		mu.Lock()
 		defer mu.Unlock()
 		ran[c.Key] = true
 		return &Response{Outcome: accounting.Served, Status: 200, Body: c.Body}
 	})
-	a, path, _ := two(t, b)
-	told := map[accounting.Outcome]int{}
+	a, path, _ := connectTwoSites(t, b)
+	reported := map[accounting.Outcome]int{}
 	for i := range 60 {
-		up(t, a, "b")
+		awaitConnected(t, a)
 		d := standin.There
 		if i%2 == 1 {
 			d = standin.Back
 		}
 		path.CutAfter(d, int64(i/2*90))
-		c := newCall(2000)
+		c := newRequest(2000)
 		c.Key = fmt.Sprint("k", i)
 		ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 		x := a.Forward(ctx, "b", c)
 		path.CutAfter(d, -1)
 		o := a.Settle(ctx, x)
 		cancel()
-		told[o]++
+		reported[o]++
 		mu.Lock()
 		if ran[c.Key] == o.ProvesNothingRan() {
-			t.Errorf("cut %d: ran %v, told %v", i, ran[c.Key], o)
+			t.Errorf("cut %d: ran %v, reported %v", i, ran[c.Key], o)
 		}
 		mu.Unlock()
 	}
-	sums := agree(t, a)
-	if told[accounting.Served] < 5 || told[accounting.NeverArrived] < 5 || sums[accounting.Served] != uint64(told[accounting.Served]) {
-		t.Errorf("told %v, counted %v", told, sums)
+	sums := awaitReconciled(t, a)
+	if reported[accounting.Served] < 5 || reported[accounting.NeverArrived] < 5 || sums[accounting.Served] != uint64(reported[accounting.Served]) {
+		t.Errorf("reported %v, counted %v", reported, sums)
 	}
 }
 
-// The other gateway ends and another process comes under its name while calls are out: nobody can tell any more what became
-// of them, and that is what is told. New calls go to the new one.
-func TestRestart(t *testing.T) {
+// TestPeerRestart replaces the other gateway by another process while requests are in flight: their outcome is reported as
+// unknown (may have run), and new requests go to the new process.
+func TestPeerRestart(t *testing.T) {
 	hang := make(chan struct{})
 	defer close(hang)
-	b := newScript(func(context.Context, *Request) *Response {
+	b := newFakeHandler(func(context.Context, *Request) *Response {
 		<-hang // no answer leaves the process that ends
 		return &Response{Outcome: accounting.Served}
 	})
-	a, path, old := two(t, b)
+	a, path, old := connectTwoSites(t, b)
 	out := make(chan ForwardResult, 1)
-	go func() { out <- call(a, "b", 1) }()
-	lbtest.Until(t, "the call is in work", func() bool { return b.came.Load() == 1 })
-	fresh := start(t, "b", newScript(nil), nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
+	go func() { out <- forwardTo(a, "b", 1) }()
+	lbtest.Until(t, "the request is in flight", func() bool { return b.came.Load() == 1 })
+	fresh := start(t, "b", newFakeHandler(nil), nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
 	path.Point(fresh.Addr())
 	old.Close()
 	x := <-out
@@ -306,29 +306,29 @@
 	if o := a.Settle(ctx, x); o != accounting.MayHaveRun {
 		t.Errorf("settled as %v", o)
 	}
-	up(t, a, "b")
-	if x := call(a, "b", 1); x.Outcome != accounting.Served {
+	awaitConnected(t, a)
+	if x := forwardTo(a, "b", 1); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
 }
 
-// A planned end: what is in work is answered, and nothing is lost.
+// TestDrain shuts down gracefully: what is in flight is answered, and nothing is lost.
 func TestDrain(t *testing.T) {
-	go1 := make(chan struct{})
-	b := newScript(func(ctx context.Context, c *Request) *Response {
-		<-go1
+	release := make(chan struct{})
+	b := newFakeHandler(func(ctx context.Context, c *Request) *Response {
+		<-release
 		return &Response{Outcome: accounting.Served, Status: 200}
 	})
-	a, _, to := two(t, b)
+	a, _, to := connectTwoSites(t, b)
 	out := make(chan ForwardResult, 8)
 	for range cap(out) {
-		go func() { out <- call(a, "b", 1) }()
+		go func() { out <- forwardTo(a, "b", 1) }()
 	}
-	lbtest.Until(t, "all are in work", func() bool { return b.came.Load() == int64(cap(out)) })
+	lbtest.Until(t, "all are in flight", func() bool { return b.came.Load() == int64(cap(out)) })
 	done := make(chan struct{})
 	go func() { to.Drain(time.Now().Add(lbtest.Wait)); close(done) }()
-	lbtest.Until(t, "the link is left", func() bool { return !stands(a, "b") })
-	close(go1)
+	lbtest.Until(t, "the connection is retired", func() bool { return !isConnected(a, "b") })
+	close(release)
 	for range cap(out) {
 		if x := <-out; x.Outcome != accounting.Served {
 			t.Errorf("%+v", x)
@@ -337,32 +337,32 @@
 	<-done
 }
 
-// Calls with large bodies on a narrow link don't hold up a small one that comes after them.
-func TestSmallBesideLarge(t *testing.T) {
-	a, path, _ := two(t, newScript(nil))
+// TestSmallRequestBesideLargeOnes sends large bodies over a narrow path: they do not hold up a small request after them.
+func TestSmallRequestBesideLargeOnes(t *testing.T) {
+	a, path, _ := connectTwoSites(t, newFakeHandler(nil))
 	path.Slow(0, 0, 8<<20)
 	var large atomic.Int64
 	var all sync.WaitGroup
 	for range 60 {
 		all.Go(func() {
-			if x := call(a, "b", 60<<10); x.Outcome != accounting.Served {
+			if x := forwardTo(a, "b", 60<<10); x.Outcome != accounting.Served {
 				t.Errorf("%+v", x)
 			}
 			large.Add(1)
 		})
 	}
-	lbtest.Until(t, "the large ones are on their way", func() bool { return path.Bytes(standin.There) > 100<<10 })
-	if x := call(a, "b", 10); x.Outcome != accounting.Served {
+	lbtest.Until(t, "the large ones are in transit", func() bool { return path.Bytes(standin.There) > 100<<10 })
+	if x := forwardTo(a, "b", 10); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
 	if n := large.Load(); n > 45 {
-		t.Errorf("the small one came after %d large ones", n)
+		t.Errorf("the small one was served after %d large ones", n)
 	}
 	all.Wait()
 }
 
-// raw is a peer that speaks frames by itself.
-type raw struct {
+// rawClient is a peer that writes HTTP/2 frames itself.
+type rawClient struct {
 	net.Conn
 	*http2.Framer
 	t   testing.TB
@@ -370,7 +370,7 @@
 	buf bytes.Buffer
 }
 
-func newRaw(t testing.TB, addr string) *raw {
+func newRawClient(t testing.TB, addr string) *rawClient {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -379,13 +379,13 @@
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(lbtest.Wait))
 	io.WriteString(c, http2.ClientPreface)
-	r := &raw{Conn: c, Framer: http2.NewFramer(c, c), t: t}
+	r := &rawClient{Conn: c, Framer: http2.NewFramer(c, c), t: t}
 	r.enc = hpack.NewEncoder(&r.buf)
 	r.WriteSettings()
 	return r
 }
 
-func (r *raw) head(stream uint32, path string) {
+func (r *rawClient) head(stream uint32, path string) {
 	r.buf.Reset()
 	for _, f := range [][2]string{{":method", "POST"}, {":scheme", "https"}, {":authority", "b"}, {":path", path}} {
 		r.enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
@@ -393,47 +393,45 @@
 	r.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: r.buf.Bytes(), EndHeaders: true})
 }
 
-// ended reads until the connection ends, or a stream's end has come.
-func (r *raw) ended() (goAway http2.ErrCode, text string) {
+// readStream reads until the connection or a stream ends, and returns the data that came.
+func (r *rawClient) readStream() (text string) {
 	for {
 		f, err := r.ReadFrame()
 		if err != nil {
-			return goAway, text
+			return text
 		}
 		switch f := f.(type) {
-		case *http2.GoAwayFrame:
-			goAway = f.ErrCode
 		case *http2.DataFrame:
 			text += string(f.Data())
 			if f.StreamEnded() {
-				return goAway, text
+				return text
 			}
 		}
 	}
 }
 
-// Peers that lie: versions that are not spoken, calls before a greeting, garbage, more than the window, numbers twice. Each
-// hurts nobody but itself.
-func TestLiars(t *testing.T) {
-	b := newScript(nil)
-	a, _, to := two(t, b)
-	greet := func(r *raw, h any) string {
+// TestInvalidClient connects with unknown versions, requests before a greeting, garbage, more data than the window allows
+// and repeated numbers. Each fails alone.
+func TestInvalidClient(t *testing.T) {
+	b := newFakeHandler(nil)
+	a, _, to := connectTwoSites(t, b)
+	greet := func(r *rawClient, h any) string {
 		text, err := encode(h)
 		if err != nil {
 			t.Fatal(err)
 		}
 		r.head(1, pathHello)
 		r.WriteData(1, true, text)
-		_, got := r.ended()
+		got := r.readStream()
 		return got
 	}
-	t.Run("a version that is not known", func(t *testing.T) {
-		if got := greet(newRaw(t, to.Addr()), &helloRequest{OldestVersion: 2, NewestVersion: 9, Site: "a", ToSite: "b", SessionID: 1}); !strings.Contains(got, "not spoken here") {
+	t.Run("unknown version", func(t *testing.T) {
+		if got := greet(newRawClient(t, to.Addr()), &helloRequest{OldestVersion: 2, NewestVersion: 9, Site: "a", ToSite: "b", SessionID: 1}); !strings.Contains(got, "not spoken here") {
 			t.Errorf("%q", got)
 		}
 	})
-	t.Run("a later version that speaks this one too, with more to say", func(t *testing.T) {
-		r := newRaw(t, to.Addr())
+	t.Run("later version with unknown fields", func(t *testing.T) {
+		r := newRawClient(t, to.Addr())
 		got := greet(r, map[string]any{"o": 1, "w": 7, "f": "a", "t": "b", "p": 5, "s": 77, "new": map[string]int{"x": 1}})
 		var w helloResponse
 		if err := decode(strings.NewReader(got), &w); err != nil || w.Version != 1 || w.Error != "" {
@@ -442,7 +440,7 @@
 		text, _ := encode(map[string]any{"n": 1, "l": int64(1e6), "k": "c", "b": []string{"a"}, "q": "POST", "g": "/", "h": "x", "r": 99, "later": []int{1}})
 		r.head(3, pathCall)
 		r.WriteData(3, true, text)
-		_, got = r.ended()
+		got = r.readStream()
 		var a Response
 		if err := decode(strings.NewReader(got), &a); err != nil || a.Outcome != accounting.Served {
 			t.Errorf("%v %+v", err, a)
@@ -450,54 +448,55 @@
 		before := b.came.Load()
 		r.head(5, pathCall) // the same number again
 		r.WriteData(5, true, text)
-		if r.ended(); b.came.Load() != before {
+		if r.readStream(); b.came.Load() != before {
 			t.Error("one number ran twice")
 		}
 	})
 	t.Run("not greeted", func(t *testing.T) {
-		r := newRaw(t, to.Addr())
+		r := newRawClient(t, to.Addr())
 		before := b.came.Load()
-		text, _ := encode(newCall(1))
+		text, _ := encode(newRequest(1))
 		r.head(1, pathCall)
 		r.WriteData(1, true, text)
-		if _, got := r.ended(); !strings.Contains(got, "not greeted") || b.came.Load() != before {
+		if got := r.readStream(); !strings.Contains(got, "not greeted") || b.came.Load() != before {
 			t.Errorf("%q", got)
 		}
 	})
 	t.Run("garbage", func(t *testing.T) {
-		r := newRaw(t, to.Addr())
+		r := newRawClient(t, to.Addr())
 		r.head(1, pathHello)
 		r.WriteData(1, true, []byte("\xff\xff\xff\xff\x00garbage"))
-		if _, got := r.ended(); !strings.Contains(got, "link:") {
+		if got := r.readStream(); !strings.Contains(got, "link:") {
 			t.Errorf("%q", got)
 		}
 	})
-	t.Run("more than the window", func(t *testing.T) {
-		r, before := newRaw(t, to.Addr()), b.came.Load()
+	t.Run("more data than the window", func(t *testing.T) {
+		r, before := newRawClient(t, to.Addr()), b.came.Load()
 		r.head(1, pathCall)
 		for range 400 {
 			if r.WriteData(1, false, make([]byte, 16<<10)) != nil {
 				break
 			}
 		}
-		if _, text := r.ended(); strings.Contains(text, "served") || b.came.Load() != before {
-			t.Errorf("taken: %q", text)
+		if text := r.readStream(); strings.Contains(text, "served") || b.came.Load() != before {
+			t.Errorf("accepted: %q", text)
 		}
 	})
-	if x := call(a, "b", 1); x.Outcome != accounting.Served {
-		t.Errorf("the honest one: %+v", x)
+	if x := forwardTo(a, "b", 1); x.Outcome != accounting.Served {
+		t.Errorf("the valid client: %+v", x)
 	}
 }
 
-// A gateway that answers what nobody asked, or nonsense: the caller learns that its call may have run.
-func TestLyingServer(t *testing.T) {
+// TestInvalidServer connects to a gateway that answers what nobody asked, or nonsense: the outcome is that the request may
+// have run.
+func TestInvalidServer(t *testing.T) {
 	for name, answer := range map[string]func(f *http2.Framer, stream uint32){
-		"to a request that nobody sent": func(f *http2.Framer, stream uint32) {
+		"response to an unknown stream": func(f *http2.Framer, stream uint32) {
 			var buf bytes.Buffer
 			hpack.NewEncoder(&buf).WriteField(hpack.HeaderField{Name: ":status", Value: "200"})
 			f.WriteHeaders(http2.HeadersFrameParam{StreamID: stream + 100, BlockFragment: buf.Bytes(), EndHeaders: true})
 		},
-		"nonsense": func(f *http2.Framer, stream uint32) {
+		"undecodable response": func(f *http2.Framer, stream uint32) {
 			var buf bytes.Buffer
 			hpack.NewEncoder(&buf).WriteField(hpack.HeaderField{Name: ":status", Value: "200"})
 			f.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: buf.Bytes(), EndHeaders: true})
@@ -513,13 +512,13 @@
 					if err != nil {
 						return
 					}
-					go lie(c, &calls, answer)
+					go serveInvalidResponses(c, &calls, answer)
 				}
 			}()
-			a := start(t, "a", newScript(nil), nil, io.Discard, Peer{"b", []string{l.Addr().String()}})
-			up(t, a, "b")
+			a := start(t, "a", newFakeHandler(nil), nil, io.Discard, Peer{"b", []string{l.Addr().String()}})
+			awaitConnected(t, a)
 			soon, cancel := context.WithTimeout(t.Context(), time.Second) // an answer to nothing is passed over
-			x := a.Forward(soon, "b", newCall(1))
+			x := a.Forward(soon, "b", newRequest(1))
 			cancel()
 			if x.Outcome.ProvesNothingRan() || x.Outcome == accounting.Served {
 				t.Errorf("%+v", x)
@@ -533,8 +532,8 @@
 	}
 }
 
-// lie greets and answers heartbeats as a gateway does, and calls as told.
-func lie(c net.Conn, calls *atomic.Int64, answer func(*http2.Framer, uint32)) {
+// serveInvalidResponses greets and answers heartbeats as a gateway does, and requests with answer.
+func serveInvalidResponses(c net.Conn, calls *atomic.Int64, answer func(*http2.Framer, uint32)) {
 	defer c.Close()
 	io.ReadFull(c, make([]byte, len(http2.ClientPreface)))
 	f := http2.NewFramer(c, c)
@@ -580,9 +579,9 @@
 	}
 }
 
-// What a peer sends never breaks the reader, and what passes is in bounds.
+// FuzzDecode decodes any bytes: nothing panics, and what is decoded is in its bounds.
 func FuzzDecode(f *testing.F) {
-	for _, m := range []any{newCall(3), &Response{Outcome: accounting.Served, Status: 200, Header: http.Header{"X": {"y"}}}, &helloRequest{OldestVersion: 1, NewestVersion: 1, SessionID: 1}} {
+	for _, m := range []any{newRequest(3), &Response{Outcome: accounting.Served, Status: 200, Header: http.Header{"X": {"y"}}}, &helloRequest{OldestVersion: 1, NewestVersion: 1, SessionID: 1}} {
 		text, err := encode(m)
 		if err != nil {
 			f.Fatal(err)
