--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire reads and writes the simulator's frames and settings. It
-// translates into the types of package decide and decides nothing.
+// translates into the types of package lbpolicy and decides nothing.
 package wire
 
 import (
