--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -75,34 +75,34 @@
 		log.Warn("config: limits.sockets: the system grants fewer", "told", c.Limits.Sockets, "used", descriptors)
 	}
 	sockets := descriptors - ownSockets
-	room := platform.Room{Callers: sockets / 2, Endpoints: sockets / 2,
-		Heap: int64(heapPart * float64(c.Limits.MemoryMB<<20)), Bodies: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
-	board := &figures.Board{}
-	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, OnSent: func() { board.Sends.Add(1) },
-		IdleTimeout: idleOf(c), SettleTime: settle, HedgeDials: true, MaxConns: room.Endpoints, MaxStreamBytes: platform.MostBody})
+	room := platform.Budget{ClientConns: sockets / 2, EndpointConns: sockets / 2,
+		HeapBytes: int64(heapPart * float64(c.Limits.MemoryMB<<20)), BodyBytes: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
+	board := &figures.Counters{}
+	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, OnSent: func() { board.AttemptsSent.Add(1) },
+		IdleTimeout: idleOf(c), SettleTime: settle, HedgeDials: true, MaxConns: room.EndpointConns, MaxStreamBytes: platform.MaxBodyBytes})
 	var discovery *registry.Client
-	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Client: client,
+	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Client: client,
 		Watch: func() { discovery.Watch() }, Log: log})
 	if err != nil {
 		return err
 	}
-	router := platform.NewRouter(c, h, board, room.Bodies)
-	known, err := endpointlist.Parse(c.Known)
-	if err != nil && c.Known != nil {
+	router := platform.NewRouter(c, h, board, room.BodyBytes)
+	known, err := endpointlist.Parse(c.CachedList)
+	if err != nil && c.CachedList != nil {
 		log.Warn("config: known: " + err.Error())
 	}
 	listed := make(chan struct{}, 1)
-	discovery = registry.New(c.Discovery, mustAskIn(c.Decide), known.Index, func(kind lbpolicy.ListKind, e []endpointlist.Endpoint) {
+	discovery = registry.New(c.Discovery, mustAskIn(c.Policy), known.Index, func(kind lbpolicy.ListKind, e []endpointlist.Endpoint) {
 		h.UpdateEndpoints(kind, e)
 		select {
 		case listed <- struct{}{}:
 		default:
 		}
 	}, log)
-	discovery.SharedBy(c.Decide.Balancers)
+	discovery.SharedBy(c.Policy.Balancers)
 	h.UpdateEndpoints(lbpolicy.Cached, known.Entries)
 
-	self := &platform.Succession{Listen: c.Listen, Host: h, Router: router, Client: client, Room: room}
+	self := &platform.Takeover{Listen: c.Listen, Engine: h, Router: router, Client: client, Budget: room}
 	upgrade, listener, err := take(c, self, log)
 	if err != nil {
 		return err
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	self.Socket = listener.(syscall.Conn)
-	server := frontend.New(router, listener, admission.Plain(self.Places()),
+	server := frontend.New(router, listener, admission.Plain(self.ClientConns()),
 		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
 	var takes atomic.Bool
 	if c.Admin != "" {
@@ -118,10 +118,10 @@
 		if err != nil {
 			return fmt.Errorf("admin: %w", err)
 		}
-		calls := &platform.Operations{Host: h, Board: board, Takes: takes.Load}
+		calls := &platform.Operations{Engine: h, Counters: board, AcceptsClients: takes.Load}
 		if upgrade != nil {
-			router.Upgrade(upgrade)
-			calls.Tell = upgrade.Tell
+			router.SetHandover(upgrade)
+			calls.NotifyEjection = upgrade.NotifyEjection
 			defer upgrade.Close()
 		}
 		ops := admin.New(l, calls, slog.NewLogLogger(log.Handler(), slog.LevelWarn))
@@ -147,7 +147,7 @@
 	}()
 	failed := make(chan error, 1)
 	serve := func() { failed <- server.Serve() }
-	if upgrade == nil || upgrade.First() {
+	if upgrade == nil || upgrade.IsFirst() {
 		go serve()
 	}
 
@@ -159,18 +159,18 @@
 	case err := <-failed:
 		return err
 	case <-stop:
-		if stopped = true; upgrade != nil && !upgrade.First() {
+		if stopped = true; upgrade != nil && !upgrade.IsFirst() {
 			return nil // it has taken nothing yet
 		}
 	}
 	if upgrade != nil && !stopped {
-		if !upgrade.First() {
-			if t := upgrade.Take(); t != nil {
-				self.Take(t)
+		if !upgrade.IsFirst() {
+			if t := upgrade.TakeOver(); t != nil {
+				self.ApplyState(t)
 			}
 			go serve()
 		}
-		self.Serve(server)
+		self.SetFrontend(server)
 		if err := upgrade.Listen(); err != nil {
 			log.Warn("the next process will start without this one's state", "error", err)
 		}
@@ -178,7 +178,7 @@
 	if !stopped { // callers come before it is ready, too: what it has taken by then is answered like any other
 		server.Ready()
 		takes.Store(true)
-		log.Info("ready", "listen", c.Listen, "tier", c.Decide.Tier)
+		log.Info("ready", "listen", c.Listen, "tier", c.Policy.Tier)
 		select {
 		case err := <-failed:
 			return err
@@ -190,7 +190,7 @@
 	now := time.Now()
 	h.ShutDownBy(now.Add(rest))
 	serveUntil := now.Add(max(rest/2, acceptOn))
-	if upgrade != nil && upgrade.Retired() { // others take what comes: there is time to let go
+	if upgrade != nil && upgrade.IsRetired() { // others take what comes: there is time to let go
 		serveUntil = now.Add(rest - waneSpare)
 	}
 	server.End(serveUntil, now.Add(rest))
@@ -202,7 +202,7 @@
 // longest deadline; whose, where the settings have changed since the start, its pages don't say: the shorter one is safe
 // with both. It cuts requests of longer ones, which get a failure then.
 func restOf(start, inForce *config.Config) time.Duration {
-	return min(start.Longest(), inForce.Longest(), longest) + killIn - spare
+	return min(start.MaxDeadline(), inForce.MaxDeadline(), longest) + killIn - spare
 }
 
 // mustAskIn returns how long discovery may be left unasked, and zero where lists are pushed.
@@ -210,36 +210,36 @@
 	if !s.PollDiscovery {
 		return 0
 	}
-	return cmp.Or(s.MaxPollInterval, watch.Told) // without an obligation the longest wait bounds nothing
+	return cmp.Or(s.MaxPollInterval, watch.MaxWait) // without an obligation the longest wait bounds nothing
 }
 
 // reload takes up the configuration as the file has it now, whole or not at all: settings and discovery's address are
 // read and checked before either is in force. The address, name and limits of the process wait for a restart. It returns
 // the configuration in force.
 func reload(path string, running *config.Config, router *platform.Router, client *upstream.Client, discovery *registry.Client,
-	board *figures.Board, log *slog.Logger) *config.Config {
+	board *figures.Counters, log *slog.Logger) *config.Config {
 	next, err := running.Next(path)
 	if err == nil {
 		err = router.Configure(next)
 	}
 	if err != nil {
-		board.Invalid.Add(1)
+		board.ConfigsRejected.Add(1)
 		log.Warn("reload: the running configuration is kept", "error", err)
 		return running
 	}
 	client.SetDialTimeout(next.DialTimeout)
 	client.SetIdleTimeout(idleOf(next))
-	discovery.Move(next.Discovery)
-	board.Loaded.Add(1)
+	discovery.SetAddress(next.Discovery)
+	board.ConfigsApplied.Add(1)
 	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
-		next.Admin != running.Admin || next.Decide.PollDiscovery != running.Decide.PollDiscovery
+		next.Admin != running.Admin || next.Policy.PollDiscovery != running.Policy.PollDiscovery
 	log.Info("reload: taken", "discovery", next.Discovery, "classes", len(next.Classes), "restart_needed_for_the_rest", later)
 	return next
 }
 
 // take takes the clients' address: from the process before this one, with its state, where there is one. Where operators
 // have no address of their own nobody replaces processes, and the process is nil.
-func take(c *config.Config, self *platform.Succession, log *slog.Logger) (*handover.Process, net.Listener, error) {
+func take(c *config.Config, self *platform.Takeover, log *slog.Logger) (*handover.Process, net.Listener, error) {
 	if c.Admin == "" {
 		l, err := listen(c)
 		return nil, l, err
@@ -251,8 +251,8 @@
 	}
 	p, offer, l := handover.Start(handover.Path(dir, c.Listen), self, log)
 	if offer != nil {
-		self.Begin(offer)
-		self.Fit(true)
+		self.ApplyOffer(offer)
+		self.ApplyBudget(true)
 		return p, l, nil
 	}
 	l, err := listen(c)
@@ -261,7 +261,7 @@
 
 // idleOf is for how long a connection to an endpoint may have stood idle to be used again.
 func idleOf(c *config.Config) time.Duration {
-	return time.Duration(idlePart * float64(c.Decide.ConnIdleTimeout))
+	return time.Duration(idlePart * float64(c.Policy.ConnIdleTimeout))
 }
 
 // listen takes the clients' address. Where operators have an address of their own another process may take it too, as
--- a/cmd/silvertrail/sidecar_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -149,7 +149,7 @@
 // The time to end is that of the shorter settings: whose the platform goes by is not said.
 func TestRest(t *testing.T) {
 	of := func(deadline time.Duration) *config.Config {
-		return &config.Config{Decide: lbpolicy.Settings{Classes: []lbpolicy.Class{{Deadline: deadline / 2}, {Deadline: deadline}}}}
+		return &config.Config{Policy: lbpolicy.Settings{Classes: []lbpolicy.Class{{Deadline: deadline / 2}, {Deadline: deadline}}}}
 	}
 	const s = time.Second
 	for _, c := range []struct{ start, inForce, want time.Duration }{
--- a/internal/balancer/engine/attempt.go
+++ b/internal/balancer/engine/attempt.go
@@ -92,7 +92,7 @@
 		if a.ended {
 			return
 		}
-		c.outOfDescriptors = c.outOfDescriptors || scarce.Descriptors(err)
+		c.outOfDescriptors = c.outOfDescriptors || scarce.IsDescriptorExhaustion(err)
 		if err != nil && !c.done {
 			e.log.Info("attempt failed", "endpoint", a.server.name, "error", err)
 		}
--- a/internal/balancer/engine/resets_test.go
+++ b/internal/balancer/engine/resets_test.go
@@ -73,8 +73,8 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					conf.Decide.Classes, conf.Decide.MayHedge = classes, copies
-					h, err := New(Options{Policy: conf.Decide, Seed: seed, Zones: conf.Zones, Watch: func() {}, Log: slog.New(slog.DiscardHandler),
+					conf.Policy.Classes, conf.Policy.MayHedge = classes, copies
+					h, err := New(Options{Policy: conf.Policy, Seed: seed, Zones: conf.Zones, Watch: func() {}, Log: slog.New(slog.DiscardHandler),
 						Client: upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, IdleTimeout: time.Second, MaxConns: 64, HedgeDials: true})})
 					if err != nil {
 						t.Fatal(err)
--- a/internal/balancer/upstream/dial.go
+++ b/internal/balancer/upstream/dial.go
@@ -188,9 +188,9 @@
 		return dial(ctx, "tcp", p.address)
 	}
 	conn, err := dialOnce()
-	for until := time.Now().Add(descriptorWait); scarce.Descriptors(err) && ctx.Err() == nil && time.Now().Before(until); {
+	for until := time.Now().Add(descriptorWait); scarce.IsDescriptorExhaustion(err) && ctx.Err() == nil && time.Now().Before(until); {
 		p.freeDescriptor()
-		if conn, err = dialOnce(); scarce.Descriptors(err) {
+		if conn, err = dialOnce(); scarce.IsDescriptorExhaustion(err) {
 			time.Sleep(descriptorRetryDelay)
 		}
 	}
--- a/internal/balancer/upstream/read.go
+++ b/internal/balancer/upstream/read.go
@@ -108,12 +108,12 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	status, isHTTP11, err := parseStatusLine(head.Start)
+	status, isHTTP11, err := parseStatusLine(head.StartLine)
 	if err != nil {
 		return nil, false, err
 	}
 	response = &Response{Status: status, Header: head.Header}
-	reusable = isHTTP11 && !head.Closes() && status != http.StatusSwitchingProtocols
+	reusable = isHTTP11 && !head.IsClose() && status != http.StatusSwitchingProtocols
 	if !bodiless && hasBody(status) {
 		isDelimited, err := c.readBody(response, &head, reusable)
 		if err != nil {
@@ -147,14 +147,14 @@
 // readBody reads the body of a response, or the first part of one that is streamed. A body that is not delimited ends with the
 // connection.
 func (c *conn) readBody(response *Response, head *httphead.Head, reusable bool) (isDelimited bool, err error) {
-	if head.Length > c.maxBody {
-		return true, fmt.Errorf("%w: %d bytes", errMalformed, head.Length)
+	if head.ContentLength > c.maxBody {
+		return true, fmt.Errorf("%w: %d bytes", errMalformed, head.ContentLength)
 	}
-	isDelimited = head.Chunked || head.Length >= 0
+	isDelimited = head.Chunked || head.ContentLength >= 0
 	stream := &ResponseStream{
 		conn:      c,
-		length:    head.Length,
-		remaining: head.Length,
+		length:    head.ContentLength,
+		remaining: head.ContentLength,
 		maxBytes:  c.maxBody,
 		reusable:  reusable && isDelimited,
 	}
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -150,7 +150,7 @@
 func (s *ResponseStream) readChunked(p []byte) (n int, err error) {
 	reader := s.conn.reader
 	for n == 0 {
-		if s.decoder.Over() {
+		if s.decoder.IsComplete() {
 			return 0, io.EOF
 		}
 		if _, err := reader.Peek(1); err != nil {
--- a/internal/base/age/age.go
+++ b/internal/base/age/age.go
@@ -34,20 +34,20 @@
 
 // The verdicts.
 const (
-	Take Verdict = iota // newer: it is in force from now on
-	Same                // what is in force already
-	Hold                // replaced before: held off until its server has proved that it means it
+	Apply     Verdict = iota // newer: it is in force from now on
+	Unchanged                // what is in force already
+	Defer                    // replaced before: held off until its server has proved that it means it
 )
 
 func (v Verdict) String() string { return [...]string{"take", "same", "hold"}[v] }
 
 const (
-	remembered = 16      // replaced contents of one resource
-	maxAbsent  = 100_000 // resources that are gone and remembered; past it the oldest is forgotten
+	maxReplaced = 16      // replaced contents of one resource
+	maxAbsent   = 100_000 // resources that are gone and remembered; past it the oldest is forgotten
 )
 
-// Word is what a server says of one resource.
-type Word struct {
+// Update is what a server says of one resource.
+type Update struct {
 	Resource string
 	Version  string // of the resource or of its set, as the server calls it; empty: it calls it nothing
 	Digest   Digest
@@ -60,119 +60,119 @@
 }
 
 type resource struct {
-	now   content
-	known bool   // now has been set
-	from  Stream // that said now, or repeated it last
-	// returned: now had been replaced before and is in force again. Another stream that says it may be at either time: unsure. It
+	current content
+	isSet   bool   // now has been set
+	source  Stream // that said now, or repeated it last
+	// reinstated: now had been replaced before and is in force again. Another stream that says it may be at either time: unsure. It
 	// has not proved that it is past what came in between.
-	returned, unsure bool
-	replaced         []content // the newest last
-	held             *held
+	reinstated, ambiguous bool
+	replaced              []content // the newest last
+	deferred              *deferredUpdate
 }
 
-type held struct {
+type deferredUpdate struct {
 	content
-	from  Stream
-	since time.Time
+	source Stream
+	since  time.Time
 }
 
-// Book keeps the words in force and those that they replaced.
-type Book struct {
-	hold      time.Duration
+// Orderer keeps the words in force and those that they replaced.
+type Orderer struct {
+	holdTime  time.Duration
 	resources map[string]*resource
 	absent    []string // gone, in the order in which they went; may name some that have come back
 }
 
-// NewBook returns a book that holds an old word off for the given time.
-func NewBook(hold time.Duration) *Book {
-	return &Book{hold: hold, resources: map[string]*resource{}}
+// New returns a book that holds an old word off for the given time.
+func New(hold time.Duration) *Orderer {
+	return &Orderer{holdTime: hold, resources: map[string]*resource{}}
 }
 
-// Say takes a word.
-func (b *Book) Say(now time.Time, s Stream, w Word) Verdict {
+// Receive takes a word.
+func (b *Orderer) Receive(now time.Time, s Stream, w Update) Verdict {
 	r := b.resources[w.Resource]
 	if r == nil {
 		if w.Digest == Absent {
-			return Same // it never was there
+			return Unchanged // it never was there
 		}
 		r = &resource{}
 		b.resources[w.Resource] = r
 	}
 	c := content{w.Version, w.Digest}
 	switch {
-	case r.known && c.digest == r.now.digest:
+	case r.isSet && c.digest == r.current.digest:
 		// Whatever its version: it says what is in force. What this stream said before is over.
-		r.unsure = r.returned && (r.from != s || r.unsure)
-		r.now.version, r.from, r.held = c.version, s, nil
-		return Same
-	case !r.known || r.from == s && (!r.unsure || c.digest == Absent) || !r.old(c):
-		b.put(w.Resource, r, c, s)
-		return Take
+		r.ambiguous = r.reinstated && (r.source != s || r.ambiguous)
+		r.current.version, r.source, r.deferred = c.version, s, nil
+		return Unchanged
+	case !r.isSet || r.source == s && (!r.ambiguous || c.digest == Absent) || !r.wasReplaced(c):
+		b.apply(w.Resource, r, c, s)
+		return Apply
 	}
-	if r.held == nil || r.held.from != s || r.held.digest != c.digest { // a server that catches up goes through several
-		r.held = &held{content: c, from: s, since: now}
+	if r.deferred == nil || r.deferred.source != s || r.deferred.digest != c.digest { // a server that catches up goes through several
+		r.deferred = &deferredUpdate{content: c, source: s, since: now}
 	}
-	if now.Sub(r.held.since) >= b.hold {
-		b.put(w.Resource, r, c, s)
-		return Take
+	if now.Sub(r.deferred.since) >= b.holdTime {
+		b.apply(w.Resource, r, c, s)
+		return Apply
 	}
-	return Hold
+	return Defer
 }
 
-// old tells of a content that has been replaced, known by itself or by its version: a version that was left behind is
+// wasReplaced tells of a content that has been replaced, known by itself or by its version: a version that was left behind is
 // not made new by other content under it.
-func (r *resource) old(c content) bool {
+func (r *resource) wasReplaced(c content) bool {
 	return slices.ContainsFunc(r.replaced, func(o content) bool {
-		return o.digest == c.digest || c.version != "" && o.version == c.version && o.version != r.now.version
+		return o.digest == c.digest || c.version != "" && o.version == c.version && o.version != r.current.version
 	})
 }
 
-func (b *Book) put(name string, r *resource, c content, s Stream) {
-	r.returned = slices.ContainsFunc(r.replaced, func(o content) bool { return o.digest == c.digest })
-	if r.known {
-		r.replaced = slices.DeleteFunc(r.replaced, func(o content) bool { return o.digest == c.digest || o.digest == r.now.digest })
-		if len(r.replaced) == remembered {
+func (b *Orderer) apply(name string, r *resource, c content, s Stream) {
+	r.reinstated = slices.ContainsFunc(r.replaced, func(o content) bool { return o.digest == c.digest })
+	if r.isSet {
+		r.replaced = slices.DeleteFunc(r.replaced, func(o content) bool { return o.digest == c.digest || o.digest == r.current.digest })
+		if len(r.replaced) == maxReplaced {
 			r.replaced = slices.Delete(r.replaced, 0, 1)
 		}
-		r.replaced = append(r.replaced, r.now)
+		r.replaced = append(r.replaced, r.current)
 	}
-	r.now, r.known, r.from, r.held, r.unsure = c, true, s, nil, false
+	r.current, r.isSet, r.source, r.deferred, r.ambiguous = c, true, s, nil, false
 	if c.digest == Absent {
-		b.forget(name)
+		b.forgetOldestAbsent(name)
 	}
 }
 
-// forget bounds what is remembered of resources that are gone.
-func (b *Book) forget(name string) {
+// forgetOldestAbsent bounds what is remembered of resources that are gone.
+func (b *Orderer) forgetOldestAbsent(name string) {
 	b.absent = append(b.absent, name)
 	for len(b.absent) > maxAbsent {
 		oldest := b.absent[0]
 		b.absent = b.absent[1:]
-		if r := b.resources[oldest]; r != nil && r.now.digest == Absent && !slices.Contains(b.absent, oldest) {
+		if r := b.resources[oldest]; r != nil && r.current.digest == Absent && !slices.Contains(b.absent, oldest) {
 			delete(b.resources, oldest)
 		}
 	}
 }
 
-// Due lets through the words whose hold is over, and returns them by resource: they are in force from now on.
-func (b *Book) Due(now time.Time) (out []Word) {
+// ApplyDue lets through the words whose hold is over, and returns them by resource: they are in force from now on.
+func (b *Orderer) ApplyDue(now time.Time) (out []Update) {
 	for _, name := range slices.Sorted(maps.Keys(b.resources)) {
 		r := b.resources[name]
-		if r.held == nil || now.Sub(r.held.since) < b.hold {
+		if r.deferred == nil || now.Sub(r.deferred.since) < b.holdTime {
 			continue
 		}
-		h := r.held
-		b.put(name, r, h.content, h.from)
-		out = append(out, Word{name, h.version, h.digest})
+		h := r.deferred
+		b.apply(name, r, h.content, h.source)
+		out = append(out, Update{name, h.version, h.digest})
 	}
 	return out
 }
 
-// Next returns the time at which Due has something to tell; zero: none.
-func (b *Book) Next() (at time.Time) {
+// NextDue returns the time at which Due has something to tell; zero: none.
+func (b *Orderer) NextDue() (at time.Time) {
 	for _, r := range b.resources {
-		if r.held != nil {
-			if end := r.held.since.Add(b.hold); at.IsZero() || end.Before(at) {
+		if r.deferred != nil {
+			if end := r.deferred.since.Add(b.holdTime); at.IsZero() || end.Before(at) {
 				at = end
 			}
 		}
@@ -180,20 +180,20 @@
 	return at
 }
 
-// Ended tells that a stream has ended. What it said and did not prove is forgotten; what is in force stays.
-func (b *Book) Ended(s Stream) {
+// StreamEnded tells that a stream has ended. What it said and did not prove is forgotten; what is in force stays.
+func (b *Orderer) StreamEnded(s Stream) {
 	for _, r := range b.resources {
-		if r.held != nil && r.held.from == s {
-			r.held = nil
+		if r.deferred != nil && r.deferred.source == s {
+			r.deferred = nil
 		}
 	}
 }
 
-// InForce returns the content in force; ok is false where nothing is known of the resource.
-func (b *Book) InForce(name string) (version string, d Digest, ok bool) {
+// Current returns the content in force; ok is false where nothing is known of the resource.
+func (b *Orderer) Current(name string) (version string, d Digest, ok bool) {
 	r := b.resources[name]
 	if r == nil {
 		return "", Absent, false
 	}
-	return r.now.version, r.now.digest, true
+	return r.current.version, r.current.digest, true
 }
--- a/internal/base/chunked/chunked.go
+++ b/internal/base/chunked/chunked.go
@@ -14,48 +14,48 @@
 )
 
 const (
-	maxLine    = 1 << 10 // a size with its extensions
-	maxTrailer = 4 << 10 // all trailers
-	maxDigits  = 15      // of a size: what fits in an int64
-	maxIdle    = 1 << 16 // bytes of sizes and extensions beyond what the data explain
+	maxLineBytes    = 1 << 10 // a size with its extensions
+	maxTrailerBytes = 4 << 10 // all trailers
+	maxSizeDigits   = 15      // of a size: what fits in an int64
+	maxFramingBytes = 1 << 16 // bytes of sizes and extensions beyond what the data explain
 )
 
-// ErrForm says that what came is no chunk.
-var ErrForm = errors.New("chunked: not in the form of RFC 9112")
+// ErrMalformed says that what came is no chunk.
+var ErrMalformed = errors.New("chunked: not in the form of RFC 9112")
 
 type state uint8
 
 const (
-	size    state = iota // in the line that a chunk begins with
-	data                 // in its bytes
-	end                  // in the line end behind them
-	trailer              // behind the last chunk
-	over
+	stateSize    state = iota // in the line that a chunk begins with
+	stateData                 // in its bytes
+	stateDataEnd              // in the line end behind them
+	stateTrailer              // behind the last chunk
+	stateComplete
 )
 
 // Decoder reads one body. The zero Decoder stands at its beginning.
 type Decoder struct {
-	state  state
-	left   int64  // of the chunk in hand
-	line   []byte // so far
-	spent  int    // on trailers
-	frames int64  // bytes of framing,
-	given  int64  // and of data
+	state        state
+	remaining    int64  // of the chunk in hand
+	line         []byte // so far
+	trailerBytes int    // on trailers
+	framingBytes int64  // bytes of framing,
+	dataBytes    int64  // and of data
 }
 
-// Over tells that the body has ended, trailers included.
-func (d *Decoder) Over() bool { return d.state == over }
+// IsComplete tells that the body has ended, trailers included.
+func (d *Decoder) IsComplete() bool { return d.state == stateComplete }
 
 // Feed takes the next bytes that have come. It returns how many of them it has used, and which of those are data. Where it
 // uses none the body is over, or in is empty.
 func (d *Decoder) Feed(in []byte) (body []byte, used int, err error) {
-	for used < len(in) && d.state != over {
-		if d.state == data {
-			n := int(min(d.left, int64(len(in)-used)))
+	for used < len(in) && d.state != stateComplete {
+		if d.state == stateData {
+			n := int(min(d.remaining, int64(len(in)-used)))
 			body = in[used : used+n]
-			d.given += int64(n)
-			if d.left -= int64(n); d.left == 0 {
-				d.state = end
+			d.dataBytes += int64(n)
+			if d.remaining -= int64(n); d.remaining == 0 {
+				d.state = stateDataEnd
 			}
 			return body, used + n, nil
 		}
@@ -68,20 +68,20 @@
 			d.line = append(d.line, rest[:i+1]...)
 			used += i + 1
 		}
-		if len(d.line) > maxLine {
-			return nil, used, ErrForm
+		if len(d.line) > maxLineBytes {
+			return nil, used, ErrMalformed
 		}
-		if d.frames += int64(len(rest[:max(i+1, 0)])); d.frames > maxIdle+16*d.given { // endless extensions for a byte each
-			return nil, used, ErrForm
+		if d.framingBytes += int64(len(rest[:max(i+1, 0)])); d.framingBytes > maxFramingBytes+16*d.dataBytes { // endless extensions for a byte each
+			return nil, used, ErrMalformed
 		}
 		if i < 0 {
 			break
 		}
 		text, ok := bytes.CutSuffix(d.line, []byte("\r\n"))
 		if !ok {
-			return nil, used, ErrForm
+			return nil, used, ErrMalformed
 		}
-		if err := d.take(text); err != nil {
+		if err := d.handleLine(text); err != nil {
 			return nil, used, err
 		}
 		d.line = d.line[:0]
@@ -89,41 +89,41 @@
 	return nil, used, nil
 }
 
-// take takes a whole line.
-func (d *Decoder) take(line []byte) error {
+// handleLine takes a whole line.
+func (d *Decoder) handleLine(line []byte) error {
 	switch d.state {
-	case size:
-		n, ok := parse(line)
+	case stateSize:
+		n, ok := parseSize(line)
 		if !ok {
-			return ErrForm
+			return ErrMalformed
 		}
-		if d.left = n; n == 0 {
-			d.state = trailer
+		if d.remaining = n; n == 0 {
+			d.state = stateTrailer
 		} else {
-			d.state = data
+			d.state = stateData
 		}
-	case end:
+	case stateDataEnd:
 		if len(line) != 0 {
-			return ErrForm
+			return ErrMalformed
 		}
-		d.state = size
-	case trailer:
+		d.state = stateSize
+	case stateTrailer:
 		if len(line) == 0 {
-			d.state = over
+			d.state = stateComplete
 			return nil
 		}
-		if d.spent += len(line); d.spent > maxTrailer {
-			return ErrForm
+		if d.trailerBytes += len(line); d.trailerBytes > maxTrailerBytes {
+			return ErrMalformed
 		}
-		if name, value, ok := strings.Cut(string(line), ":"); !ok || !httphead.Token(name) || !printable(value) {
-			return ErrForm
+		if name, value, ok := strings.Cut(string(line), ":"); !ok || !httphead.IsToken(name) || !isPrintable(value) {
+			return ErrMalformed
 		}
 	}
 	return nil
 }
 
-// parse reads a chunk's size, behind which extensions may stand.
-func parse(line []byte) (n int64, ok bool) {
+// parseSize reads a chunk's size, behind which extensions may stand.
+func parseSize(line []byte) (n int64, ok bool) {
 	digits := 0
 	for _, c := range line {
 		switch {
@@ -134,22 +134,22 @@
 		case c >= 'A' && c <= 'F':
 			n = n<<4 | int64(c-'A'+10)
 		default:
-			return n, digits > 0 && extends(string(line[digits:]))
+			return n, digits > 0 && isExtension(string(line[digits:]))
 		}
-		if digits++; digits > maxDigits {
+		if digits++; digits > maxSizeDigits {
 			return 0, false
 		}
 	}
 	return n, digits > 0
 }
 
-// extends tells whether text begins an extension, blanks before it allowed (RFC 9112, 7.1.1).
-func extends(text string) bool {
+// isExtension tells whether text begins an extension, blanks before it allowed (RFC 9112, 7.1.1).
+func isExtension(text string) bool {
 	rest := strings.TrimLeft(text, " \t")
-	return rest != "" && rest[0] == ';' && printable(rest)
+	return rest != "" && rest[0] == ';' && isPrintable(rest)
 }
 
-func printable(s string) bool {
+func isPrintable(s string) bool {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
--- a/internal/base/chunked/chunked_test.go
+++ b/internal/base/chunked/chunked_test.go
@@ -14,7 +14,7 @@
 	var d Decoder
 	var out strings.Builder
 	in := []byte(text)
-	for len(in) > 0 && !d.Over() {
+	for len(in) > 0 && !d.IsComplete() {
 		data, used, err := d.Feed(in[:min(piece, len(in))])
 		out.Write(data)
 		if err != nil {
@@ -22,7 +22,7 @@
 		}
 		in = in[used:]
 	}
-	return out.String(), string(in), d.Over(), nil
+	return out.String(), string(in), d.IsComplete(), nil
 }
 
 func TestDecoder(t *testing.T) {
@@ -41,13 +41,13 @@
 	}
 	for _, text := range []string{"\r\n", "x\r\n", "3\nabc\r\n", "3\r\nabcd\r\n", "3\r\nabc\n", "-3\r\n", "0x3\r\n", "3 \r\n", "3 4\r\n",
 		"1000000000000000\r\n", "0\r\nno colon\r\n", "0\r\na b: c\r\n\r\n", "0\r\nA: \x01\r\n", "3;\x01\r\n",
-		strings.Repeat("0", maxLine) + "\r\n", "0\r\n" + strings.Repeat("A: b\r\n", maxTrailer)} {
-		if _, _, _, err := decode(text, len(text)); !errors.Is(err, ErrForm) {
+		strings.Repeat("0", maxLineBytes) + "\r\n", "0\r\n" + strings.Repeat("A: b\r\n", maxTrailerBytes)} {
+		if _, _, _, err := decode(text, len(text)); !errors.Is(err, ErrMalformed) {
 			t.Errorf("%.40q: %v", text, err)
 		}
 	}
 	// Framing without end for next to no data.
-	if _, _, _, err := decode(strings.Repeat("1;"+strings.Repeat("x", 900)+"\r\na\r\n", 100), 4096); !errors.Is(err, ErrForm) {
+	if _, _, _, err := decode(strings.Repeat("1;"+strings.Repeat("x", 900)+"\r\na\r\n", 100), 4096); !errors.Is(err, ErrMalformed) {
 		t.Errorf("endless extensions: %v", err)
 	}
 }
--- a/internal/base/due/due.go
+++ b/internal/base/due/due.go
@@ -7,42 +7,42 @@
 )
 
 // Queue is empty at first. It is not safe for concurrent use.
-type Queue[T any] struct{ h entries[T] }
+type Queue[T any] struct{ entries timerHeap[T] }
 
 // Push adds what is due at a time.
-func (q *Queue[T]) Push(at time.Time, what T) { heap.Push(&q.h, entry[T]{at, what}) }
+func (q *Queue[T]) Push(at time.Time, what T) { heap.Push(&q.entries, entry[T]{at, what}) }
 
 // Pop takes what has been due longest; ok is false where nothing is due yet.
 func (q *Queue[T]) Pop(now time.Time) (what T, ok bool) {
-	if len(q.h) == 0 || now.Before(q.h[0].at) {
+	if len(q.entries) == 0 || now.Before(q.entries[0].at) {
 		return what, false
 	}
-	return heap.Pop(&q.h).(entry[T]).what, true
+	return heap.Pop(&q.entries).(entry[T]).value, true
 }
 
 // Next returns the earliest time at which something is due; ok is false where there is nothing.
 func (q *Queue[T]) Next() (at time.Time, ok bool) {
-	if len(q.h) == 0 {
+	if len(q.entries) == 0 {
 		return at, false
 	}
-	return q.h[0].at, true
+	return q.entries[0].at, true
 }
 
 // Len returns the number of entries.
-func (q *Queue[T]) Len() int { return len(q.h) }
+func (q *Queue[T]) Len() int { return len(q.entries) }
 
 type entry[T any] struct {
-	at   time.Time
-	what T
+	at    time.Time
+	value T
 }
 
-type entries[T any] []entry[T]
+type timerHeap[T any] []entry[T]
 
-func (e entries[T]) Len() int           { return len(e) }
-func (e entries[T]) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e entries[T]) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *entries[T]) Push(x any)        { *e = append(*e, x.(entry[T])) }
-func (e *entries[T]) Pop() any {
+func (e timerHeap[T]) Len() int           { return len(e) }
+func (e timerHeap[T]) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e timerHeap[T]) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *timerHeap[T]) Push(x any)        { *e = append(*e, x.(entry[T])) }
+func (e *timerHeap[T]) Pop() any {
 	last := len(*e) - 1
 	x := (*e)[last]
 	(*e)[last] = entry[T]{}
--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -17,10 +17,10 @@
 
 // Head is a message's head.
 type Head struct {
-	Start   string // the request or status line
-	Header  http.Header
-	Length  int64 // -1: none told
-	Chunked bool
+	StartLine     string // the request or status line
+	Header        http.Header
+	ContentLength int64 // -1: none told
+	Chunked       bool
 }
 
 // End returns the length of the head that text begins with, its empty line included, or -1 where that is still to
@@ -47,16 +47,16 @@
 	}
 	start, fields, more := strings.Cut(body, "\r\n")
 	lines := strings.Count(fields, "\r\n") + 1
-	h := Head{Start: start, Header: make(http.Header, lines), Length: -1}
+	h := Head{StartLine: start, Header: make(http.Header, lines), ContentLength: -1}
 	values := make([]string, 0, lines) // one for most names: they share an array
-	if !printable(start) {
+	if !isPrintable(start) {
 		return h, errors.New("head: the first line can't be read")
 	}
 	for more {
 		var line string
 		line, fields, more = strings.Cut(fields, "\r\n")
 		name, value, colon := strings.Cut(line, ":")
-		if !colon || !Token(name) || !printable(value) {
+		if !colon || !IsToken(name) || !isPrintable(value) {
 			return h, fmt.Errorf("head: line %.40q", line)
 		}
 		name, value = textproto.CanonicalMIMEHeaderKey(name), strings.Trim(value, " \t")
@@ -67,15 +67,15 @@
 		values = append(values, value)
 		h.Header[name] = values[len(values)-1 : len(values) : len(values)]
 	}
-	return h, h.frame()
+	return h, h.parseFraming()
 }
 
-func (h *Head) frame() error {
+func (h *Head) parseFraming() error {
 	lengths, codings := h.Header["Content-Length"], h.Header["Transfer-Encoding"]
 	switch {
 	case len(lengths)+len(codings) > 1:
 		return errors.New("head: several lengths, or a length and a transfer coding")
-	case len(codings) == 1 && (strings.HasSuffix(h.Start, " HTTP/1.0") || strings.HasPrefix(h.Start, "HTTP/1.0 ")):
+	case len(codings) == 1 && (strings.HasSuffix(h.StartLine, " HTTP/1.0") || strings.HasPrefix(h.StartLine, "HTTP/1.0 ")):
 		return errors.New("head: a transfer coding in HTTP/1.0") // faulty framing: RFC 9112, 6.1
 	case len(codings) == 1:
 		h.Chunked = strings.EqualFold(codings[0], "chunked")
@@ -87,13 +87,13 @@
 		if err != nil {
 			return fmt.Errorf("head: length %.40q", lengths[0])
 		}
-		h.Length = int64(n)
+		h.ContentLength = int64(n)
 	}
 	return nil
 }
 
-// Closes tells whether the message ends its connection.
-func (h *Head) Closes() bool {
+// IsClose tells whether the message ends its connection.
+func (h *Head) IsClose() bool {
 	for _, line := range h.Header["Connection"] {
 		for option := range strings.SplitSeq(line, ",") {
 			if strings.EqualFold(strings.TrimSpace(option), "close") {
@@ -104,7 +104,7 @@
 	return false
 }
 
-func printable(s string) bool {
+func isPrintable(s string) bool {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
@@ -113,17 +113,17 @@
 	return true
 }
 
-// Token tells whether s is a token (RFC 9110, 5.6.2), as names and methods are.
-func Token(s string) bool {
+// IsToken tells whether s is a token (RFC 9110, 5.6.2), as names and methods are.
+func IsToken(s string) bool {
 	for i := range len(s) {
-		if !tokens[s[i]] {
+		if !tokenBytes[s[i]] {
 			return false
 		}
 	}
 	return s != ""
 }
 
-var tokens = func() (t [256]bool) {
+var tokenBytes = func() (t [256]bool) {
 	for c := range t {
 		t[c] = c > ' ' && c < 0x7f && !strings.ContainsRune(`"(),/:;<=>?@[\]{}`, rune(c))
 	}
--- a/internal/base/httphead/httphead_test.go
+++ b/internal/base/httphead/httphead_test.go
@@ -18,8 +18,8 @@
 	}
 	for text, length := range good {
 		h, err := Parse([]byte(text))
-		if err != nil || h.Length != length {
-			t.Errorf("%q: length %d, %v", text, h.Length, err)
+		if err != nil || h.ContentLength != length {
+			t.Errorf("%q: length %d, %v", text, h.ContentLength, err)
 		}
 		if End([]byte(text+"more")) != len(text) || End([]byte(text[:len(text)-1])) >= 0 {
 			t.Errorf("%q: its end is not found", text)
@@ -69,12 +69,12 @@
 		if err != nil {
 			return // stricter in what concerns the first line, which is not looked at here
 		}
-		length := h.Length
+		length := h.ContentLength
 		if h.Chunked || length < 0 && r.ContentLength == 0 {
 			length = r.ContentLength
 		}
 		if r.ContentLength != length || h.Chunked != (len(r.TransferEncoding) > 0) {
-			t.Fatalf("%q: length %d, chunked %t; net/http: %d, %v", text, h.Length, h.Chunked, r.ContentLength, r.TransferEncoding)
+			t.Fatalf("%q: length %d, chunked %t; net/http: %d, %v", text, h.ContentLength, h.Chunked, r.ContentLength, r.TransferEncoding)
 		}
 		for name, values := range r.Header {
 			if name != "Host" && name != "Transfer-Encoding" && name != "Content-Length" && !slices.Equal(values, h.Header[name]) {
--- a/internal/base/replaced/replaced.go
+++ b/internal/base/replaced/replaced.go
@@ -9,8 +9,8 @@
 
 // File is a file that is looked at again and again. It is not safe for concurrent use.
 type File struct {
-	Path string
-	Most int // bytes; a larger one is an error
+	Path     string
+	MaxBytes int // bytes; a larger one is an error
 
 	last os.FileInfo
 }
@@ -35,11 +35,11 @@
 		return nil, false, err
 	}
 	defer file.Close()
-	if text, err = io.ReadAll(io.LimitReader(file, int64(f.Most)+1)); err != nil {
+	if text, err = io.ReadAll(io.LimitReader(file, int64(f.MaxBytes)+1)); err != nil {
 		return nil, false, err
 	}
-	if len(text) > f.Most {
-		return nil, false, fmt.Errorf("%s: over %d bytes", f.Path, f.Most)
+	if len(text) > f.MaxBytes {
+		return nil, false, fmt.Errorf("%s: over %d bytes", f.Path, f.MaxBytes)
 	}
 	return text, true, nil
 }
--- a/internal/base/replaced/replaced_test.go
+++ b/internal/base/replaced/replaced_test.go
@@ -11,7 +11,7 @@
 // A file is read when it comes, when it is replaced and when it comes back; what can't be read is told once.
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "f")
-	f := File{Path: path, Most: 5}
+	f := File{Path: path, MaxBytes: 5}
 	reads := func(want string, changed bool, fault string) {
 		t.Helper()
 		text, is, err := f.Read()
--- a/internal/base/scarce/scarce.go
+++ b/internal/base/scarce/scarce.go
@@ -6,7 +6,7 @@
 	"syscall"
 )
 
-// Descriptors tells that an error says that this process, or this machine, has no descriptor or socket to give.
-func Descriptors(err error) bool {
+// IsDescriptorExhaustion tells that an error says that this process, or this machine, has no descriptor or socket to give.
+func IsDescriptorExhaustion(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -164,7 +164,7 @@
 // over tells that the body has come whole.
 func (r *Rest) over() bool {
 	if r.chunks != nil {
-		return r.chunks.Over()
+		return r.chunks.IsComplete()
 	}
 	return r.left == 0
 }
--- a/internal/edge/frontend/conn.go
+++ b/internal/edge/frontend/conn.go
@@ -145,10 +145,10 @@
 	if err != nil {
 		return http.StatusBadRequest
 	}
-	method, rest, ok := strings.Cut(head.Start, " ")
+	method, rest, ok := strings.Cut(head.StartLine, " ")
 	target, proto, ok2 := strings.Cut(rest, " ")
 	switch {
-	case !ok || !ok2 || !httphead.Token(method) || target == "" || strings.ContainsFunc(target, unprintable):
+	case !ok || !ok2 || !httphead.IsToken(method) || target == "" || strings.ContainsFunc(target, unprintable):
 		return http.StatusBadRequest
 	case proto != "HTTP/1.1" && proto != "HTTP/1.0":
 		if strings.HasPrefix(proto, "HTTP/") && !strings.Contains(proto, " ") {
@@ -175,10 +175,10 @@
 	switch {
 	case head.Chunked:
 		r.ContentLength, r.TransferEncoding = -1, codings
-	case head.Length > 0:
-		r.ContentLength = head.Length
+	case head.ContentLength > 0:
+		r.ContentLength = head.ContentLength
 	}
-	c.ends = proto == "HTTP/1.0" || head.Closes()
+	c.ends = proto == "HTTP/1.0" || head.IsClose()
 	c.expects = false
 	if expect := head.Header["Expect"]; len(expect) > 0 {
 		if len(expect) > 1 || !strings.EqualFold(expect[0], "100-continue") {
--- a/internal/edge/frontend/conns.go
+++ b/internal/edge/frontend/conns.go
@@ -131,13 +131,13 @@
 		l.bare.Store(l.spare == nil)
 	}
 	nc, err := l.listener.Accept()
-	if !scarce.Descriptors(err) {
+	if !scarce.IsDescriptorExhaustion(err) {
 		return nc, err
 	}
 	if l.short(); l.onShort.Load() != nil {
 		(*l.onShort.Load())()
 	}
-	if nc, err = l.listener.Accept(); !scarce.Descriptors(err) || l.spare == nil {
+	if nc, err = l.listener.Accept(); !scarce.IsDescriptorExhaustion(err) || l.spare == nil {
 		return nc, err
 	}
 	l.spare.Close()
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -31,9 +31,9 @@
 		t.Fatal(err)
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Watch: func() {},
 		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64,
-			MaxStreamBytes: sidecar.MostBody}), Log: quiet})
+			MaxStreamBytes: sidecar.MaxBodyBytes}), Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
-	s := frontend.New(sidecar.NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(maxConns), log.New(io.Discard, "", 0))
+	s := frontend.New(sidecar.NewRouter(c, h, &figures.Counters{}, 1<<20), l, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	s.Ready()
 	go s.Serve()
 	t.Cleanup(func() { s.Close() })
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -121,8 +121,8 @@
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}
-	d.client = upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, IdleTimeout: time.Second, MaxConns: 64, Dial: dial, HedgeDials: true, MaxStreamBytes: sidecar.MostBody})
-	d.host, err = engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {}, Client: d.client, Log: quiet})
+	d.client = upstream.NewClient(upstream.Options{DialTimeout: lbtest.Wait, IdleTimeout: time.Second, MaxConns: 64, Dial: dial, HedgeDials: true, MaxStreamBytes: sidecar.MaxBodyBytes})
+	d.host, err = engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Watch: func() {}, Client: d.client, Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -141,7 +141,7 @@
 		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
 	}
 	d.host.UpdateEndpoints(lbpolicy.Full, list)
-	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Board{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
+	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Counters{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	if secure {
 		dir := t.TempDir()
 		a, err := standin.NewAuthority(dir, "authority")
--- a/internal/gateway/cluster/source.go
+++ b/internal/gateway/cluster/source.go
@@ -63,7 +63,7 @@
 
 // run reads the file when it has changed. One that can't be read or used is out of reach: what it said last stands.
 func (f *File) run(ctx context.Context, say tell, log *slog.Logger) {
-	file := replaced.File{Path: f.Path, Most: maxFile}
+	file := replaced.File{Path: f.Path, MaxBytes: maxFile}
 	failed := ""
 	for {
 		text, changed, err := file.Read()
--- a/internal/platform/admin/admin_test.go
+++ b/internal/platform/admin/admin_test.go
@@ -28,12 +28,12 @@
 	bans  map[string]bool
 }
 
-func (o *operations) Ready() bool     { o.mu.Lock(); defer o.mu.Unlock(); return o.ready }
-func (o *operations) Figures() []byte { return []byte(`{"current":3}` + "\n") }
+func (o *operations) IsReady() bool { o.mu.Lock(); defer o.mu.Unlock(); return o.ready }
+func (o *operations) Stats() []byte { return []byte(`{"current":3}` + "\n") }
 
-func (o *operations) Ban(_ context.Context, id string, on bool) error {
+func (o *operations) SetEjected(_ context.Context, id string, on bool) error {
 	if strings.HasPrefix(id, "unknown") {
-		return ErrUnknown
+		return ErrUnknownEndpoint
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -91,7 +91,7 @@
 		{"PUT", "/ops/endpoints/up/unknown-7", 404, ""},
 		{"PUT", "/ops/endpoints/down/", 400, "one endpoint's id"},
 		{"PUT", "/ops/endpoints/down/a/b", 400, ""},
-		{"PUT", "/ops/endpoints/down/" + strings.Repeat("x", maxID+1), 400, ""},
+		{"PUT", "/ops/endpoints/down/" + strings.Repeat("x", maxIDBytes+1), 400, ""},
 		{"PUT", "/ops/endpoints/sideways/s-1", 404, "no such call"},
 		{"GET", "/", 404, "there are GET /ops/readiness"},
 		{"GET", "/ops/endpoints/down/s-1", 405, "PUT is"},
@@ -116,7 +116,7 @@
 	if r, _ := call(t, addr, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode != 200 {
 		t.Error("not ready")
 	}
-	if r, _ := call(t, addr, "GET /ops/stats HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("y", 4*maxHead)+"\r\n\r\n"); r.StatusCode != 431 {
+	if r, _ := call(t, addr, "GET /ops/stats HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("y", 4*maxHeadBytes)+"\r\n\r\n"); r.StatusCode != 431 {
 		t.Errorf("a huge head: %d", r.StatusCode)
 	}
 }
@@ -125,7 +125,7 @@
 func TestHalfOpen(t *testing.T) {
 	_, addr := serve(t)
 	var open []*lbtest.Client
-	for i := range 5 * Conns {
+	for i := range 5 * MaxConnections {
 		c := lbtest.Dial(t, addr)
 		if i%2 == 0 {
 			c.Send("PUT /ops/endpoints/down/s-1 HTT")
@@ -137,7 +137,7 @@
 			}
 		}
 	}
-	for _, c := range open[:3*Conns] {
+	for _, c := range open[:3*MaxConnections] {
 		if _, err := c.Read(make([]byte, 1)); err == nil {
 			t.Error("an unfinished call got an answer")
 		} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -24,42 +24,42 @@
 
 // Config is all that a sidecar is told at its start.
 type Config struct {
-	Name      string
-	Listen    string // address callers connect to
-	Discovery string // address of discovery
-	Admin     string // address for operators; empty: none
-	Seed      uint64
-	Limits    Limits
-	Known     json.RawMessage // the last list of endpoints, in discovery's form; nil if none
+	Name       string
+	Listen     string // address callers connect to
+	Discovery  string // address of discovery
+	Admin      string // address for operators; empty: none
+	Seed       uint64
+	Limits     Limits
+	CachedList json.RawMessage // the last list of endpoints, in discovery's form; nil if none
 
-	Decide      lbpolicy.Settings
-	Classes     []string // names, in the order of Decide.Classes
-	Tenants     []string // names, in the order of Decide.Tenants
-	Zones       []string
-	Report      []string // fields of a load report, in the order of Decide.Report
-	DialTimeout time.Duration
+	Policy       lbpolicy.Settings
+	Classes      []string // names, in the order of Decide.Classes
+	Tenants      []string // names, in the order of Decide.Tenants
+	Zones        []string
+	ReportFields []string // fields of a load report, in the order of Decide.Report
+	DialTimeout  time.Duration
 
 	text []byte // as read
 }
 
-// Longest returns the longest deadline of a class.
-func (c *Config) Longest() time.Duration {
+// MaxDeadline returns the longest deadline of a class.
+func (c *Config) MaxDeadline() time.Duration {
 	longest := time.Duration(0)
-	for _, class := range c.Decide.Classes {
+	for _, class := range c.Policy.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	return longest
 }
 
 type file struct {
-	Name      string          `json:"name"`
-	Listen    string          `json:"listen"`
-	Discovery string          `json:"discovery"`
-	Admin     string          `json:"admin"`
-	Seed      string          `json:"seed"`
-	Limits    Limits          `json:"limits"`
-	Known     json.RawMessage `json:"known"`
-	Settings  json.RawMessage `json:"settings"`
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Admin      string          `json:"admin"`
+	Seed       string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	CachedList json.RawMessage `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
 }
 
 // names are the settings that only a real sidecar needs: a decision knows positions, sockets know names.
@@ -90,25 +90,25 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := next.follow(c.Zones); err != nil {
+	if err := next.keepZoneOrder(c.Zones); err != nil {
 		return nil, fmt.Errorf("config %s: %w", path, err)
 	}
 	return next, nil
 }
 
-// follow puts the zones in an earlier order, new ones behind it: what is known of endpoints goes by their numbers.
-func (c *Config) follow(earlier []string) error {
-	if c.Decide.Zone >= len(c.Zones) {
-		return fmt.Errorf("settings.zone: there is no zone %d", c.Decide.Zone)
+// keepZoneOrder puts the zones in an earlier order, new ones behind it: what is known of endpoints goes by their numbers.
+func (c *Config) keepZoneOrder(earlier []string) error {
+	if c.Policy.Zone >= len(c.Zones) {
+		return fmt.Errorf("settings.zone: there is no zone %d", c.Policy.Zone)
 	}
-	own := c.Zones[c.Decide.Zone]
+	own := c.Zones[c.Policy.Zone]
 	zones := slices.Clone(earlier)
 	for _, z := range c.Zones {
 		if !slices.Contains(zones, z) {
 			zones = append(zones, z)
 		}
 	}
-	c.Zones, c.Decide.Zone = zones, slices.Index(zones, own)
+	c.Zones, c.Policy.Zone = zones, slices.Index(zones, own)
 	return nil
 }
 
@@ -157,11 +157,11 @@
 	case len(f.Settings) == 0:
 		return nil, errors.New("settings: missing")
 	}
-	if err := complete(text, inForce); err != nil {
+	if err := checkKeys(text, inForce); err != nil {
 		return nil, err
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Limits: f.Limits,
-		Known: f.Known, Admin: f.Admin, text: text}
+		CachedList: f.CachedList, Admin: f.Admin, text: text}
 	if err := c.settings(f.Settings); err != nil {
 		return nil, err
 	}
@@ -170,10 +170,10 @@
 
 func (c *Config) settings(text []byte) error {
 	var err error
-	if c.Decide, err = settings.Parse(text); err != nil {
+	if c.Policy, err = settings.Parse(text); err != nil {
 		return err
 	}
-	if _, err = lbpolicy.New(c.Decide, 0, nil); err != nil {
+	if _, err = lbpolicy.New(c.Policy, 0, nil); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	var n names
@@ -193,8 +193,8 @@
 		return errors.New("settings: zones: none")
 	}
 	c.Zones = n.Zones
-	if len(c.Decide.ReportFields) > 0 {
-		c.Report = n.Telemetry.Fields
+	if len(c.Policy.ReportFields) > 0 {
+		c.ReportFields = n.Telemetry.Fields
 	}
 	if !(n.Limits.DialTimeout > 0 && n.Limits.DialTimeout < 60) {
 		return errors.New("settings: limits.dial_timeout: must be over 0 s and under 60 s")
--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -18,7 +18,7 @@
 	}
 	if c.Name != "n0" || c.Listen != "127.0.0.1:5000" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x1f || c.DialTimeout != 5*time.Second ||
 		strings.Join(c.Classes, " ") != "read write" || strings.Join(c.Tenants, " ") != "acme" || strings.Join(c.Zones, " ") != "a b" ||
-		strings.Join(c.Report, " ") != "util" || c.Longest() != 10*time.Second || c.Decide.Classes[1].Effect != lbpolicy.KeyedIdempotent ||
+		strings.Join(c.ReportFields, " ") != "util" || c.MaxDeadline() != 10*time.Second || c.Policy.Classes[1].Effect != lbpolicy.KeyedIdempotent ||
 		c.Limits != (Limits{Cores: 1, MemoryMB: 64, Sockets: 256}) {
 		t.Errorf("%+v", c)
 	}
@@ -84,7 +84,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		c, err := parse(text, nil)
-		if err == nil && (c.Limits.Sockets < 64 || len(c.Classes) == 0 || len(c.Classes) != len(c.Decide.Classes) || len(c.Zones) == 0) {
+		if err == nil && (c.Limits.Sockets < 64 || len(c.Classes) == 0 || len(c.Classes) != len(c.Policy.Classes) || len(c.Zones) == 0) {
 			t.Fatalf("%+v", c)
 		}
 	})
--- a/internal/platform/figures/figures.go
+++ b/internal/platform/figures/figures.go
@@ -14,49 +14,49 @@
 // The outcomes.
 const (
 	Answered Outcome = iota // served by an endpoint's answer
-	Deferred                // refused: 429 or 503
+	Rejected                // refused: 429 or 503
 	Errored                 // anything else, also where the caller has gone
 	outcomes
 )
 
-// mostClasses bounds the names that are kept: vanished classes keep their counts, and every reload may bring new ones.
+// maxClasses bounds the names that are kept: vanished classes keep their counts, and every reload may bring new ones.
 // What comes under a further name is counted under Other.
-const mostClasses = 256
+const maxClasses = 256
 
-// Other is the name under which requests of classes beyond mostClasses count.
-const Other = "_other"
+// OtherClass is the name under which requests of classes beyond mostClasses count.
+const OtherClass = "_other"
 
-// Board holds the counts. The zero Board is ready for use; it is safe for concurrent use.
-type Board struct {
-	Sends   atomic.Int64 // attempts written whole
-	Loaded  atomic.Int64 // files taken at SIGHUP
-	Invalid atomic.Int64 // and turned down
+// Counters holds the counts. The zero Board is ready for use; it is safe for concurrent use.
+type Counters struct {
+	AttemptsSent    atomic.Int64 // attempts written whole
+	ConfigsApplied  atomic.Int64 // files taken at SIGHUP
+	ConfigsRejected atomic.Int64 // and turned down
 
-	mu      sync.Mutex
-	classes map[string]*counts
-	current int64
+	mu       sync.Mutex
+	classes  map[string]*counts
+	inFlight int64
 }
 
 type counts [outcomes]int64
 
-// Classes has classes shown that have had no request yet.
-func (b *Board) Classes(names []string) {
+// AddClasses has classes shown that have had no request yet.
+func (b *Counters) AddClasses(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, n := range names {
-		b.of(n)
+		b.countsOf(n)
 	}
 }
 
-func (b *Board) of(class string) *counts {
+func (b *Counters) countsOf(class string) *counts {
 	if c := b.classes[class]; c != nil {
 		return c
 	}
 	if b.classes == nil {
 		b.classes = map[string]*counts{}
 	}
-	if len(b.classes) >= mostClasses {
-		class = Other
+	if len(b.classes) >= maxClasses {
+		class = OtherClass
 	}
 	if b.classes[class] == nil {
 		b.classes[class] = &counts{}
@@ -64,58 +64,58 @@
 	return b.classes[class]
 }
 
-// Taken counts a request whose last byte has come, or, where its body is passed on as it comes, whose head has.
-func (b *Board) Taken() {
+// RequestReceived counts a request whose last byte has come, or, where its body is passed on as it comes, whose head has.
+func (b *Counters) RequestReceived() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.current++
+	b.inFlight++
 }
 
-// Ended counts the outcome of a request; taken tells that Taken was called for it.
-func (b *Board) Ended(class string, o Outcome, taken bool) {
+// RequestEnded counts the outcome of a request; taken tells that Taken was called for it.
+func (b *Counters) RequestEnded(class string, o Outcome, taken bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if taken {
-		b.current--
+		b.inFlight--
 	}
-	b.of(class)[o]++
+	b.countsOf(class)[o]++
 }
 
-// Current returns the number of requests that were taken and have not ended.
-func (b *Board) Current() int64 {
+// InFlight returns the number of requests that were taken and have not ended.
+func (b *Counters) InFlight() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.current
+	return b.inFlight
 }
 
-// Figures is a board at one moment, in the form in which it is told.
-type Figures struct {
-	Answered  map[string]int64 `json:"answered"`
-	Deferred  map[string]int64 `json:"deferred"`
-	Errored   map[string]int64 `json:"errored"`
-	Sends     int64            `json:"sends"`
-	Current   int64            `json:"current"`
-	Size      int              `json:"cluster_size"`
-	Unhealthy int              `json:"cluster_unhealthy"`
-	Loaded    int64            `json:"conf_loaded"`
-	Invalid   int64            `json:"conf_invalid"`
+// Snapshot is a board at one moment, in the form in which it is told.
+type Snapshot struct {
+	Answered         map[string]int64 `json:"answered"`
+	Rejected         map[string]int64 `json:"deferred"`
+	Errored          map[string]int64 `json:"errored"`
+	AttemptsSent     int64            `json:"sends"`
+	InFlight         int64            `json:"current"`
+	ClusterSize      int              `json:"cluster_size"`
+	ClusterUnhealthy int              `json:"cluster_unhealthy"`
+	ConfigsApplied   int64            `json:"conf_loaded"`
+	ConfigsRejected  int64            `json:"conf_invalid"`
 }
 
-// Look returns a copy. The size of the cluster and how many of it are avoided are for the caller to set.
-func (b *Board) Look() Figures {
-	f := Figures{Answered: map[string]int64{}, Deferred: map[string]int64{}, Errored: map[string]int64{},
-		Sends: b.Sends.Load(), Loaded: b.Loaded.Load(), Invalid: b.Invalid.Load()}
+// Snapshot returns a copy. The size of the cluster and how many of it are avoided are for the caller to set.
+func (b *Counters) Snapshot() Snapshot {
+	f := Snapshot{Answered: map[string]int64{}, Rejected: map[string]int64{}, Errored: map[string]int64{},
+		AttemptsSent: b.AttemptsSent.Load(), ConfigsApplied: b.ConfigsApplied.Load(), ConfigsRejected: b.ConfigsRejected.Load()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	f.Current = b.current
+	f.InFlight = b.inFlight
 	for name, c := range b.classes {
-		f.Answered[name], f.Deferred[name], f.Errored[name] = c[Answered], c[Deferred], c[Errored]
+		f.Answered[name], f.Rejected[name], f.Errored[name] = c[Answered], c[Rejected], c[Errored]
 	}
 	return f
 }
 
-// Text returns the figures as JSON with a line end.
-func (f Figures) Text() []byte {
+// JSON returns the figures as JSON with a line end.
+func (f Snapshot) JSON() []byte {
 	text, err := json.Marshal(f)
 	if err != nil { // counts and names alone
 		panic(err)
--- a/internal/platform/figures/format_test.go
+++ b/internal/platform/figures/format_test.go
@@ -8,7 +8,7 @@
 
 // What the operators' address tells.
 func TestFormat(t *testing.T) {
-	var f Figures
+	var f Snapshot
 	golden.Fill(&f)
-	golden.Text(t, "stats.json", f.Text())
+	golden.Text(t, "stats.json", f.JSON())
 }
--- a/internal/platform/handover/format_test.go
+++ b/internal/platform/handover/format_test.go
@@ -10,12 +10,12 @@
 
 // Each message between two processes is encoded to the bytes that are recorded, and these are read as the same message.
 func TestMessageFormat(t *testing.T) {
-	for _, kind := range []Kind{Hello, Take, Keys, Bind, Ban, No} {
+	for _, kind := range []Kind{Hello, TakeOver, Keys, ClaimKey, Eject, Rejection} {
 		t.Run(string(kind), func(t *testing.T) {
 			m := &Message{}
 			golden.Fill(m)
 			m.Kind = kind
-			m.Bind.Scope = 1
+			m.Claim.Scope = 1
 			text, err := json.MarshalIndent(m, "", " ")
 			if err != nil {
 				t.Fatal(err)
@@ -25,18 +25,18 @@
 			if err := json.Compact(&compact, recorded); err != nil {
 				t.Fatal(err)
 			}
-			framed, err := frame(m)
+			framed, err := encodeFrame(m)
 			if err != nil {
 				t.Fatal(err)
 			}
 			if !bytes.Equal(framed[4:], compact.Bytes()) {
 				t.Errorf("framed as %s, want %s", framed[4:], compact.Bytes())
 			}
-			read, err := read(bytes.NewReader(framed))
+			read, err := readFrame(bytes.NewReader(framed))
 			if err != nil {
 				t.Fatal(err)
 			}
-			again, err := frame(read)
+			again, err := encodeFrame(read)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -42,47 +42,47 @@
 func (s *self) Offer() Offer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := Offer{Listen: s.listener.Addr().String(), List: []endpointlist.Endpoint{{Name: "s", Address: "127.0.0.1:1", Zone: "a", Status: "ready"}}}
+	o := Offer{Listen: s.listener.Addr().String(), Endpoints: []endpointlist.Endpoint{{Name: "s", Address: "127.0.0.1:1", Zone: "a", Status: "ready"}}}
 	for id := range s.bans {
-		o.Bans = append(o.Bans, id)
+		o.Ejected = append(o.Ejected, id)
 	}
 	return o
 }
 
 func (s *self) Listener() syscall.Conn { return s.listener }
 
-func (s *self) Retire() (keys []idempotency.Record, t Taken) {
+func (s *self) Retire() (keys []idempotency.Record, t State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired = true
 	s.keys.Each(time.Now(), func(k idempotency.Record) bool { keys = append(keys, k); return true })
 	for id := range s.bans {
-		t.Bans = append(t.Bans, id)
+		t.Ejected = append(t.Ejected, id)
 	}
 	return keys, t
 }
 
-func (s *self) Resume() { s.mu.Lock(); defer s.mu.Unlock(); s.retired = false; s.resumed++ }
-func (s *self) Alone()  { s.mu.Lock(); defer s.mu.Unlock(); s.alone++ }
+func (s *self) Resume()           { s.mu.Lock(); defer s.mu.Unlock(); s.retired = false; s.resumed++ }
+func (s *self) PredecessorEnded() { s.mu.Lock(); defer s.mu.Unlock(); s.alone++ }
 
-func (s *self) Learn(keys []idempotency.Record) {
+func (s *self) AddKeys(keys []idempotency.Record) {
 	for _, k := range keys {
 		s.keys.Merge(time.Now(), k)
 	}
 }
 
-func (s *self) Bind(a Attempt) Past {
+func (s *self) ClaimKey(a Claim) KeyState {
 	now := time.Now()
 	past := s.keys.KeyState(now, idempotency.KeyID(a.ID), a.Scope)
-	to := a.To.History(now)
+	to := a.To.KeyState(now)
 	if !past.Known {
-		s.keys.Merge(now, idempotency.Record{ID: idempotency.KeyID(a.ID), KeyState: to, ExpiresAt: now.Add(a.Expire)})
+		s.keys.Merge(now, idempotency.Record{ID: idempotency.KeyID(a.ID), KeyState: to, ExpiresAt: now.Add(a.ExpiresIn)})
 		past = to
 	}
-	return PastOf(now, past)
+	return NewKeyState(now, past)
 }
 
-func (s *self) Ban(id string, on bool) {
+func (s *self) SetEjected(id string, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if on {
@@ -103,7 +103,7 @@
 	t.Helper()
 	s := newSelf(t)
 	p, offer, l := Start(path, s, quiet)
-	if offer != nil || l != nil || !p.First() {
+	if offer != nil || l != nil || !p.IsFirst() {
 		t.Fatal("an offer of nobody")
 	}
 	if err := p.Listen(); err != nil {
@@ -114,16 +114,16 @@
 }
 
 // next takes over.
-func next(t *testing.T, path string) (*Process, *self, *Taken) {
+func next(t *testing.T, path string) (*Process, *self, *State) {
 	t.Helper()
 	s := newSelf(t)
 	p, offer, l := Start(path, s, quiet)
-	if offer == nil || p.First() {
+	if offer == nil || p.IsFirst() {
 		t.Fatal("no offer")
 	}
 	t.Cleanup(func() { l.Close() })
 	s.listener = l.(*net.TCPListener)
-	taken := p.Take()
+	taken := p.TakeOver()
 	if taken == nil {
 		t.Fatal("not taken")
 	}
@@ -134,23 +134,23 @@
 	return p, s, taken
 }
 
-func attempt(key, zone string) Attempt {
-	return Attempt{ID: ID(idempotency.KeyIDOf("t", key)), Scope: lbpolicy.ScopeZone, Expire: time.Minute, To: Past{Known: true, Zone: zone, Until: time.Minute}}
+func attempt(key, zone string) Claim {
+	return Claim{ID: KeyID(idempotency.KeyIDOf("t", key)), Scope: lbpolicy.ScopeZone, ExpiresIn: time.Minute, To: KeyState{Known: true, Zone: zone, RetryWindow: time.Minute}}
 }
 
 // Three processes in a row: the socket, keys and bans pass on, and what the first still does is agreed with the last.
 func TestChain(t *testing.T) {
 	path := Path(t.TempDir(), "127.0.0.1:80")
 	one, s1 := first(t, path)
-	s1.Ban("down", true)
-	for i := range 3*keysAtOnce + 1 { // more than one message holds
-		s1.Bind(attempt(string(rune('a'+i%26))+strings.Repeat("x", i/26), "north"))
+	s1.SetEjected("down", true)
+	for i := range 3*maxKeysPerMessage + 1 { // more than one message holds
+		s1.ClaimKey(attempt(string(rune('a'+i%26))+strings.Repeat("x", i/26), "north"))
 	}
 	two, s2, taken := next(t, path)
-	if !slices.Equal(taken.Bans, []string{"down"}) || taken.Keys != s1.keys.Len() || s2.keys.Len() != s1.keys.Len() {
-		t.Errorf("%d keys of %d, %+v", s2.keys.Len(), s1.keys.Len(), taken.Bans)
+	if !slices.Equal(taken.Ejected, []string{"down"}) || taken.KeyCount != s1.keys.Len() || s2.keys.Len() != s1.keys.Len() {
+		t.Errorf("%d keys of %d, %+v", s2.keys.Len(), s1.keys.Len(), taken.Ejected)
 	}
-	if !one.Retired() || two.Retired() {
+	if !one.IsRetired() || two.IsRetired() {
 		t.Error("who has retired?")
 	}
 	three, s3, _ := next(t, path)
@@ -166,14 +166,14 @@
 	}
 
 	// A key that the last one has bound is known to the first, through the second.
-	if p := s3.Bind(attempt("new", "south")); p.Zone != "south" {
+	if p := s3.ClaimKey(attempt("new", "south")); p.Zone != "south" {
 		t.Fatal(p)
 	}
-	p, err := one.Bind(context.Background(), attempt("new", "north"))
+	p, err := one.ClaimKey(context.Background(), attempt("new", "north"))
 	if err != nil || p.Zone != "south" {
 		t.Errorf("%+v %v", p, err)
 	}
-	if p, err = one.Bind(context.Background(), attempt("other", "north")); err != nil || p.Zone != "north" {
+	if p, err = one.ClaimKey(context.Background(), attempt("other", "north")); err != nil || p.Zone != "north" {
 		t.Errorf("%+v %v", p, err)
 	}
 	if !s3.keys.KeyState(time.Now(), idempotency.KeyIDOf("t", "other"), lbpolicy.ScopeZone).Known {
@@ -181,8 +181,8 @@
 	}
 
 	// Bans pass both ways, over the one between.
-	three.Tell(context.Background(), "by three", true)
-	one.Tell(context.Background(), "by one", true)
+	three.NotifyEjection(context.Background(), "by three", true)
+	one.NotifyEjection(context.Background(), "by one", true)
 	for _, s := range []*self{s1, s2} {
 		lbtest.Until(t, "a ban said at the last", s.has(func() bool { return s.bans["by three"] }))
 	}
@@ -223,17 +223,17 @@
 	b, _, lb := Start(path, newSelf(t), quiet)
 	defer la.Close()
 	defer lb.Close()
-	if a.Take() == nil || b.Take() != nil {
+	if a.TakeOver() == nil || b.TakeOver() != nil {
 		t.Error("two have taken over, or none")
 	}
 	lbtest.Until(t, "retired", s1.has(func() bool { return s1.retired }))
 	b.Close()
 	a.Close()
 	lbtest.Until(t, "resumed", s1.has(func() bool { return s1.resumed == 1 && !s1.retired }))
-	if one.Retired() {
+	if one.IsRetired() {
 		t.Error("still retired")
 	}
-	if _, err := one.Bind(context.Background(), attempt("k", "north")); !errors.Is(err, ErrEnded) {
+	if _, err := one.ClaimKey(context.Background(), attempt("k", "north")); !errors.Is(err, ErrDisconnected) {
 		t.Error(err)
 	}
 	if _, _, taken := next(t, path); taken == nil {
@@ -256,9 +256,9 @@
 	if err := os.WriteFile(plain, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	newer, _ := frame(&Message{Kind: Hello, Answer: true, Version: Version + 1, Seq: 1, Offer: &Offer{Listen: "127.0.0.1:1"}})
-	bare, _ := frame(&Message{Kind: Hello, Answer: true, Version: Version, Seq: 1, Offer: &Offer{Listen: "127.0.0.1:1"}})
-	refused, _ := frame(&Message{Kind: No, Answer: true, Seq: 1, Why: "another version"})
+	newer, _ := encodeFrame(&Message{Kind: Hello, IsResponse: true, Version: Version + 1, Seq: 1, Offer: &Offer{Listen: "127.0.0.1:1"}})
+	bare, _ := encodeFrame(&Message{Kind: Hello, IsResponse: true, Version: Version, Seq: 1, Offer: &Offer{Listen: "127.0.0.1:1"}})
+	refused, _ := encodeFrame(&Message{Kind: Rejection, IsResponse: true, Seq: 1, Reason: "another version"})
 	at := map[string]string{"stale": stale, "plain": plain, "none": filepath.Join(dir, "none")}
 	for name, says := range map[string][]byte{"hung": nil, "newer": newer, "no socket with it": bare, "refused": refused,
 		"noise": bytes.Repeat([]byte{0xff}, 64), "half": newer[:len(newer)/2]} {
@@ -284,7 +284,7 @@
 			t.Parallel()
 			s := newSelf(t)
 			p, offer, listener := Start(path, s, quiet)
-			if offer != nil || listener != nil || !p.First() || p.Take() != nil {
+			if offer != nil || listener != nil || !p.IsFirst() || p.TakeOver() != nil {
 				t.Error("something was handed over")
 			}
 			if err := p.Listen(); err != nil { // it takes the path
@@ -320,16 +320,16 @@
 // A process that is stopped after it has given way keeps nobody waiting for long, neither for a ban nor with its end.
 func TestHungPeer(t *testing.T) {
 	a, b := socketPair(t)
-	l := newLink(a, func(*Message) *Message { return nil })
+	l := newSession(a, func(*Message) *Message { return nil })
 	go l.run()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, err := l.call(ctx, &Message{Kind: Ban, Ban: &BanOf{"s", true}}); !errors.Is(err, context.Canceled) {
+	if _, err := l.call(ctx, &Message{Kind: Eject, Ejection: &Ejection{"s", true}}); !errors.Is(err, context.Canceled) {
 		t.Error(err)
 	}
 	b.Close()
-	<-l.ended
-	if _, err := l.call(context.Background(), &Message{Kind: Ban, Ban: &BanOf{"s", true}}); err == nil {
+	<-l.closed
+	if _, err := l.call(context.Background(), &Message{Kind: Eject, Ejection: &Ejection{"s", true}}); err == nil {
 		t.Error("a call to nobody")
 	}
 }
@@ -356,9 +356,9 @@
 
 // Whatever comes is refused or is a message that goes out as it came.
 func FuzzRead(f *testing.F) {
-	for _, m := range []*Message{{Kind: Hello, Version: 1, Seq: 1}, {Kind: Take, Seq: 2}, {Kind: Ban, Ban: &BanOf{"s", true}},
-		{Kind: Bind, Bind: &Attempt{To: Past{Known: true, Zone: "a", Until: 5}}}, {Kind: Keys, Keys: []Key{{Expire: 3}}}, {Kind: No, Answer: true, Why: "x"}} {
-		text, err := frame(m)
+	for _, m := range []*Message{{Kind: Hello, Version: 1, Seq: 1}, {Kind: TakeOver, Seq: 2}, {Kind: Eject, Ejection: &Ejection{"s", true}},
+		{Kind: ClaimKey, Claim: &Claim{To: KeyState{Known: true, Zone: "a", RetryWindow: 5}}}, {Kind: Keys, Keys: []KeyRecord{{ExpiresIn: 3}}}, {Kind: Rejection, IsResponse: true, Reason: "x"}} {
+		text, err := encodeFrame(m)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -366,23 +366,23 @@
 	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, '{'})
 	f.Fuzz(func(t *testing.T, text []byte) {
-		m, err := read(bytes.NewReader(text))
+		m, err := readFrame(bytes.NewReader(text))
 		if err != nil {
 			return
 		}
-		again, err := frame(m)
+		again, err := encodeFrame(m)
 		if err != nil {
 			t.Fatal(err)
 		}
-		n, err := read(bytes.NewReader(again))
+		n, err := readFrame(bytes.NewReader(again))
 		if err != nil {
 			t.Fatalf("%+v went out and did not come back: %v", m, err)
 		}
-		third, err := frame(n)
+		third, err := encodeFrame(n)
 		if err != nil || !bytes.Equal(again, third) {
 			t.Fatalf("%s and then %s", again, third)
 		}
-		if _, err := read(io.LimitReader(bytes.NewReader(again), int64(len(again)-1))); err == nil {
+		if _, err := readFrame(io.LimitReader(bytes.NewReader(again), int64(len(again)-1))); err == nil {
 			t.Fatal("a message that is cut off was taken")
 		}
 	})
--- a/internal/platform/handover/link.go
+++ b/internal/platform/handover/link.go
@@ -10,45 +10,45 @@
 )
 
 const (
-	writeIn  = time.Second
-	mostWork = 64 // messages of the other side that are worked on at once
+	writeTimeout          = time.Second
+	maxConcurrentMessages = 64 // messages of the other side that are worked on at once
 )
 
-// ErrEnded says that the other process has gone.
-var ErrEnded = errors.New("handover: the other process has gone")
+// ErrDisconnected says that the other process has gone.
+var ErrDisconnected = errors.New("handover: the other process has gone")
 
-// link is a connection between two processes of an upgrade. Both ask and answer.
-type link struct {
+// session is a connection between two processes of an upgrade. Both ask and answer.
+type session struct {
 	conn   *net.UnixConn
 	handle func(*Message) *Message // answers what the other side asks; nil: no answer
-	work   chan struct{}
+	slots  chan struct{}
 
-	writing sync.Mutex
+	writeMu sync.Mutex
 
 	mu      sync.Mutex
-	seq     uint64
-	waiting map[uint64]chan *Message
+	lastSeq uint64
+	pending map[uint64]chan *Message
 
-	ended chan struct{}
-	once  sync.Once
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-func newLink(conn *net.UnixConn, handle func(*Message) *Message) *link {
-	return &link{conn: conn, handle: handle, work: make(chan struct{}, mostWork), waiting: map[uint64]chan *Message{}, ended: make(chan struct{})}
+func newSession(conn *net.UnixConn, handle func(*Message) *Message) *session {
+	return &session{conn: conn, handle: handle, slots: make(chan struct{}, maxConcurrentMessages), pending: map[uint64]chan *Message{}, closed: make(chan struct{})}
 }
 
 // run reads until the connection ends.
-func (l *link) run() error {
+func (l *session) run() error {
 	defer l.close()
 	for {
-		m, err := read(l.conn)
+		m, err := readFrame(l.conn)
 		if err != nil {
 			return err
 		}
-		if m.Answer {
+		if m.IsResponse {
 			l.mu.Lock()
-			to := l.waiting[m.Seq]
-			delete(l.waiting, m.Seq)
+			to := l.pending[m.Seq]
+			delete(l.pending, m.Seq)
 			l.mu.Unlock()
 			if to != nil {
 				to <- m
@@ -59,25 +59,25 @@
 			l.handle(m)
 			continue
 		}
-		l.work <- struct{}{}
+		l.slots <- struct{}{}
 		go func() { // one that waits for a third process keeps nobody else waiting
-			defer func() { <-l.work }()
+			defer func() { <-l.slots }()
 			if a := l.handle(m); a != nil {
-				a.Seq, a.Answer = m.Seq, true
+				a.Seq, a.IsResponse = m.Seq, true
 				l.send(a)
 			}
 		}()
 	}
 }
 
-func (l *link) send(m *Message) error {
-	text, err := frame(m)
+func (l *session) send(m *Message) error {
+	text, err := encodeFrame(m)
 	if err != nil {
 		return err
 	}
-	l.writing.Lock()
-	defer l.writing.Unlock()
-	l.conn.SetWriteDeadline(time.Now().Add(writeIn))
+	l.writeMu.Lock()
+	defer l.writeMu.Unlock()
+	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := l.conn.Write(text); err != nil {
 		l.close() // a part of it may be out
 		return fmt.Errorf("handover: %w", err)
@@ -86,16 +86,16 @@
 }
 
 // call asks the other side and waits for its answer.
-func (l *link) call(ctx context.Context, m *Message) (*Message, error) {
+func (l *session) call(ctx context.Context, m *Message) (*Message, error) {
 	answer := make(chan *Message, 1)
 	l.mu.Lock()
-	l.seq++
-	m.Seq = l.seq
-	l.waiting[m.Seq] = answer
+	l.lastSeq++
+	m.Seq = l.lastSeq
+	l.pending[m.Seq] = answer
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
-		delete(l.waiting, m.Seq)
+		delete(l.pending, m.Seq)
 		l.mu.Unlock()
 	}()
 	if err := l.send(m); err != nil {
@@ -103,23 +103,23 @@
 	}
 	select {
 	case a := <-answer:
-		if a.Kind == No {
-			return nil, fmt.Errorf("handover: refused: %.200s", a.Why)
+		if a.Kind == Rejection {
+			return nil, fmt.Errorf("handover: refused: %.200s", a.Reason)
 		}
 		if a.Kind != m.Kind {
 			return nil, fmt.Errorf("handover: %q answered by %q", m.Kind, a.Kind)
 		}
 		return a, nil
-	case <-l.ended:
-		return nil, ErrEnded
+	case <-l.closed:
+		return nil, ErrDisconnected
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
-func (l *link) close() {
-	l.once.Do(func() {
-		close(l.ended)
+func (l *session) close() {
+	l.closeOnce.Do(func() {
+		close(l.closed)
 		l.conn.Close()
 	})
 }
--- a/internal/platform/handover/process.go
+++ b/internal/platform/handover/process.go
@@ -18,52 +18,52 @@
 )
 
 const (
-	offerIn = 1500 * time.Millisecond // a process that is stopped or hung gives no offer
-	takeIn  = time.Second
-	bindIn  = time.Second            // the request's own deadline mostly ends sooner
-	banIn   = 600 * time.Millisecond // operators wait for 1 s
+	offerTimeout    = 1500 * time.Millisecond // a process that is stopped or hung gives no offer
+	takeOverTimeout = time.Second
+	claimTimeout    = time.Second            // the request's own deadline mostly ends sooner
+	ejectTimeout    = 600 * time.Millisecond // operators wait for 1 s
 )
 
-// Self is this process, as the other one of an upgrade sees it.
-type Self interface {
+// Host is this process, as the other one of an upgrade sees it.
+type Host interface {
 	// Offer returns what another process begins with that is to take over.
 	Offer() Offer
 	// Listener returns the clients' listening socket.
 	Listener() syscall.Conn
 	// Retire has this process take no more clients. From its return on no attempt with a key begins that Bind was not asked
 	// for. It returns what is in force then.
-	Retire() ([]idempotency.Record, Taken)
+	Retire() ([]idempotency.Record, State)
 	// Resume has this process take clients again: the one that took over has gone.
 	Resume()
-	// Learn takes keys that the other process knows.
-	Learn([]idempotency.Record)
-	// Bind takes an attempt that another process is about to make where its key allows that, and returns what is known of
+	// AddKeys takes keys that the other process knows.
+	AddKeys([]idempotency.Record)
+	// ClaimKey takes an attempt that another process is about to make where its key allows that, and returns what is known of
 	// the key with it.
-	Bind(Attempt) Past
-	// Ban takes an operator's word that was said at another process.
-	Ban(id string, on bool)
-	// Alone tells that the process before this one has ended.
-	Alone()
+	ClaimKey(Claim) KeyState
+	// SetEjected takes an operator's word that was said at another process.
+	SetEjected(id string, on bool)
+	// PredecessorEnded tells that the process before this one has ended.
+	PredecessorEnded()
 }
 
 // Process is this process's place among those of an upgrade: perhaps there is one before it that ends, perhaps one after
 // it that has taken over.
 type Process struct {
-	self Self
+	host Host
 	log  *slog.Logger
 	path string
 
 	listener *net.UnixListener
 
-	// authority is held shared while something is bound here, and alone while another process takes over: what was bound
+	// claimMu is held shared while something is bound here, and alone while another process takes over: what was bound
 	// before is among the keys that it is given, what comes after is asked of it.
-	authority sync.RWMutex
+	claimMu sync.RWMutex
 
-	mu     sync.Mutex
-	before *link // nil: there is none
-	after  *link // has taken over; nil: none has
-	closed bool
-	first  bool
+	mu          sync.Mutex
+	predecessor *session // nil: there is none
+	successor   *session // has taken over; nil: none has
+	closed      bool
+	first       bool
 }
 
 // Path returns the socket's path for a clients' address, in a directory that only processes that replace each other share.
@@ -74,8 +74,8 @@
 
 // Start asks the process that runs before this one, if there is one, for its offer and its listening socket. Where there is
 // none, or it gives none in time, both are nil. Path is where it listens and where this one will.
-func Start(path string, self Self, log *slog.Logger) (p *Process, o *Offer, l net.Listener) {
-	p = &Process{self: self, log: log, path: path, first: true}
+func Start(path string, self Host, log *slog.Logger) (p *Process, o *Offer, l net.Listener) {
+	p = &Process{host: self, log: log, path: path, first: true}
 	conn, err := dial(path)
 	if err != nil {
 		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, syscall.ECONNREFUSED) { // never there, or ended
@@ -83,43 +83,43 @@
 		}
 		return p, nil, nil
 	}
-	before := newLink(conn, p.fromBefore)
-	o, l, err = ask(before)
+	before := newSession(conn, p.handlePredecessor)
+	o, l, err = requestOffer(before)
 	if err != nil {
 		before.close()
 		log.Warn("handover: the process before this one hands nothing over", "error", err)
 		return p, nil, nil
 	}
-	p.before, p.first = before, false
+	p.predecessor, p.first = before, false
 	go func() {
 		before.run()
 		p.mu.Lock()
-		p.before = nil
+		p.predecessor = nil
 		closed := p.closed
 		p.mu.Unlock()
 		if !closed {
-			p.self.Alone()
+			p.host.PredecessorEnded()
 		}
 	}()
 	return p, o, l
 }
 
-// ask greets and takes the offer.
-func ask(l *link) (*Offer, net.Listener, error) {
-	l.conn.SetDeadline(time.Now().Add(offerIn))
+// requestOffer greets and takes the offer.
+func requestOffer(l *session) (*Offer, net.Listener, error) {
+	l.conn.SetDeadline(time.Now().Add(offerTimeout))
 	defer l.conn.SetDeadline(time.Time{})
 	if err := l.send(&Message{Kind: Hello, Version: Version, Seq: 1}); err != nil {
 		return nil, nil, err
 	}
-	l.conn.SetReadDeadline(time.Now().Add(offerIn))
-	in := &rights{conn: l.conn}
+	l.conn.SetReadDeadline(time.Now().Add(offerTimeout))
+	in := &descriptorReader{conn: l.conn}
 	defer in.close()
-	m, err := read(in)
+	m, err := readFrame(in)
 	switch {
 	case err != nil:
 		return nil, nil, err
-	case m.Kind == No:
-		return nil, nil, fmt.Errorf("handover: refused: %.200s", m.Why)
+	case m.Kind == Rejection:
+		return nil, nil, fmt.Errorf("handover: refused: %.200s", m.Reason)
 	case m.Kind != Hello || m.Version != Version:
 		return nil, nil, errVersion
 	case len(in.fds) != 1:
@@ -139,104 +139,104 @@
 	return m.Offer, listener, nil
 }
 
-// Take has the process before this one take no more clients; what is in force there is this one's from now on. Where it
+// TakeOver has the process before this one take no more clients; what is in force there is this one's from now on. Where it
 // does not answer this process goes on alone with what it was offered. It is to be called just before clients are taken.
-func (p *Process) Take() *Taken {
+func (p *Process) TakeOver() *State {
 	p.mu.Lock()
-	before := p.before
+	before := p.predecessor
 	p.mu.Unlock()
 	if before == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), takeIn)
+	ctx, cancel := context.WithTimeout(context.Background(), takeOverTimeout)
 	defer cancel()
-	a, err := before.call(ctx, &Message{Kind: Take})
+	a, err := before.call(ctx, &Message{Kind: TakeOver})
 	if err != nil {
 		p.log.Warn("handover: the process before this one does not give way", "error", err)
 		return nil
 	}
-	return a.Taken
+	return a.State
 }
 
-// fromBefore answers what the process before this one asks.
-func (p *Process) fromBefore(m *Message) *Message {
+// handlePredecessor answers what the process before this one asks.
+func (p *Process) handlePredecessor(m *Message) *Message {
 	switch m.Kind {
 	case Keys:
 		now := time.Now()
 		keys := make([]idempotency.Record, len(m.Keys))
 		for i, k := range m.Keys {
-			keys[i] = k.History(now)
+			keys[i] = k.Record(now)
 		}
-		p.self.Learn(keys)
+		p.host.AddKeys(keys)
 		return nil
-	case Bind:
-		past, err := p.bind(*m.Bind)
+	case ClaimKey:
+		past, err := p.claimKey(*m.Claim)
 		if err != nil {
-			return &Message{Kind: No, Why: err.Error()}
+			return &Message{Kind: Rejection, Reason: err.Error()}
 		}
-		return &Message{Kind: Bind, Past: &past}
-	case Ban:
-		p.self.Ban(m.Ban.ID, m.Ban.On)
-		p.tell(context.Background(), p.successor(), *m.Ban)
-		return &Message{Kind: Ban}
+		return &Message{Kind: ClaimKey, KeyState: &past}
+	case Eject:
+		p.host.SetEjected(m.Ejection.Endpoint, m.Ejection.Ejected)
+		p.notify(context.Background(), p.currentSuccessor(), *m.Ejection)
+		return &Message{Kind: Eject}
 	}
-	return &Message{Kind: No, Why: "not asked for here"}
+	return &Message{Kind: Rejection, Reason: "not asked for here"}
 }
 
-// bind has an attempt of an earlier process bound: here, or by the process that has taken over meanwhile.
-func (p *Process) bind(a Attempt) (Past, error) {
-	p.authority.RLock()
-	defer p.authority.RUnlock()
-	if after := p.successor(); after != nil {
-		return askBind(context.Background(), after, a)
-	}
-	return p.self.Bind(a), nil
+// claimKey has an attempt of an earlier process bound: here, or by the process that has taken over meanwhile.
+func (p *Process) claimKey(a Claim) (KeyState, error) {
+	p.claimMu.RLock()
+	defer p.claimMu.RUnlock()
+	if after := p.currentSuccessor(); after != nil {
+		return requestClaim(context.Background(), after, a)
+	}
+	return p.host.ClaimKey(a), nil
 }
 
-func askBind(ctx context.Context, l *link, a Attempt) (Past, error) {
-	ctx, cancel := context.WithTimeout(ctx, bindIn)
+func requestClaim(ctx context.Context, l *session, a Claim) (KeyState, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	m, err := l.call(ctx, &Message{Kind: Bind, Bind: &a})
+	m, err := l.call(ctx, &Message{Kind: ClaimKey, Claim: &a})
 	if err != nil {
-		return Past{}, err
+		return KeyState{}, err
 	}
-	return *m.Past, nil
+	return *m.KeyState, nil
 }
 
-// Bind asks the process that has taken over where an attempt may go that is about to begin here.
-func (p *Process) Bind(ctx context.Context, a Attempt) (Past, error) {
-	after := p.successor()
+// ClaimKey asks the process that has taken over where an attempt may go that is about to begin here.
+func (p *Process) ClaimKey(ctx context.Context, a Claim) (KeyState, error) {
+	after := p.currentSuccessor()
 	if after == nil {
-		return Past{}, ErrEnded
+		return KeyState{}, ErrDisconnected
 	}
-	return askBind(ctx, after, a)
+	return requestClaim(ctx, after, a)
 }
 
-// Tell has the other processes of an upgrade know of a ban. One that does not answer in time sends nothing that would
+// NotifyEjection has the other processes of an upgrade know of a ban. One that does not answer in time sends nothing that would
 // break it, or has gone: it is logged.
-func (p *Process) Tell(ctx context.Context, id string, on bool) {
+func (p *Process) NotifyEjection(ctx context.Context, id string, on bool) {
 	p.mu.Lock()
-	before, after := p.before, p.after
+	before, after := p.predecessor, p.successor
 	p.mu.Unlock()
-	p.tell(ctx, before, BanOf{id, on})
-	p.tell(ctx, after, BanOf{id, on})
+	p.notify(ctx, before, Ejection{id, on})
+	p.notify(ctx, after, Ejection{id, on})
 }
 
-func (p *Process) tell(ctx context.Context, l *link, b BanOf) {
+func (p *Process) notify(ctx context.Context, l *session, b Ejection) {
 	if l == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, banIn)
+	ctx, cancel := context.WithTimeout(ctx, ejectTimeout)
 	defer cancel()
-	if _, err := l.call(ctx, &Message{Kind: Ban, Ban: &b}); err != nil {
-		p.log.Warn("handover: the other process has not confirmed a ban", "endpoint", b.ID, "banned", b.On, "error", err)
+	if _, err := l.call(ctx, &Message{Kind: Eject, Ejection: &b}); err != nil {
+		p.log.Warn("handover: the other process has not confirmed a ban", "endpoint", b.Endpoint, "banned", b.Ejected, "error", err)
 	}
 }
 
-func (p *Process) successor() *link {
+func (p *Process) currentSuccessor() *session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.after
+	return p.successor
 }
 
 // Listen lets other processes take over from this one. An error leaves this process as it is: the next one then starts
@@ -245,7 +245,7 @@
 	// Under another name first: the path is never without a listener, and a file that nobody listens at goes.
 	temp := p.path + fmt.Sprintf(".%d", os.Getpid())
 	os.Remove(temp)
-	short, done, err := short(temp)
+	short, done, err := shortPath(temp)
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
@@ -281,57 +281,57 @@
 			time.Sleep(100 * time.Millisecond) // descriptors are short
 			continue
 		}
-		go p.serveOne(conn)
+		go p.serveSuccessor(conn)
 	}
 }
 
-// serveOne hands over to a process that has come.
-func (p *Process) serveOne(conn *net.UnixConn) {
-	var l *link
-	l = newLink(conn, func(m *Message) *Message { return p.fromAfter(l, m) })
+// serveSuccessor hands over to a process that has come.
+func (p *Process) serveSuccessor(conn *net.UnixConn) {
+	var l *session
+	l = newSession(conn, func(m *Message) *Message { return p.handleSuccessor(l, m) })
 	defer l.close()
-	conn.SetReadDeadline(time.Now().Add(offerIn))
-	m, err := read(conn)
+	conn.SetReadDeadline(time.Now().Add(offerTimeout))
+	m, err := readFrame(conn)
 	if err != nil || m.Kind != Hello {
 		return
 	}
 	conn.SetReadDeadline(time.Time{})
 	if m.Version != Version {
-		l.send(&Message{Kind: No, Answer: true, Seq: m.Seq, Why: fmt.Sprintf("this process speaks version %d, not %d", Version, m.Version)})
+		l.send(&Message{Kind: Rejection, IsResponse: true, Seq: m.Seq, Reason: fmt.Sprintf("this process speaks version %d, not %d", Version, m.Version)})
 		return
 	}
-	if err := p.offer(l, m.Seq); err != nil {
+	if err := p.sendOffer(l, m.Seq); err != nil {
 		p.log.Warn("handover: no offer could be made", "error", err)
 		return
 	}
 	l.run()
 	p.mu.Lock()
-	took := p.after == l
+	took := p.successor == l
 	if took {
-		p.after = nil
+		p.successor = nil
 	}
 	closed := p.closed
 	p.mu.Unlock()
 	if took && !closed {
 		p.log.Warn("handover: the process that took over has gone: this one takes clients again")
-		p.self.Resume()
+		p.host.Resume()
 	}
 }
 
-// offer sends what another process begins with, and the listening socket with its first bytes.
-func (p *Process) offer(l *link, seq uint64) error {
-	o := p.self.Offer()
-	text, err := frame(&Message{Kind: Hello, Answer: true, Version: Version, Seq: seq, Offer: &o})
+// sendOffer sends what another process begins with, and the listening socket with its first bytes.
+func (p *Process) sendOffer(l *session, seq uint64) error {
+	o := p.host.Offer()
+	text, err := encodeFrame(&Message{Kind: Hello, IsResponse: true, Version: Version, Seq: seq, Offer: &o})
 	if err != nil {
 		return err
 	}
-	raw, err := p.self.Listener().SyscallConn()
+	raw, err := p.host.Listener().SyscallConn()
 	if err != nil {
 		return err
 	}
-	l.writing.Lock()
-	defer l.writing.Unlock()
-	l.conn.SetWriteDeadline(time.Now().Add(writeIn))
+	l.writeMu.Lock()
+	defer l.writeMu.Unlock()
+	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var n int
 	var werr error
 	err = raw.Control(func(fd uintptr) {
@@ -344,66 +344,66 @@
 	return err
 }
 
-// fromAfter answers what a process asks that is to take over, or has.
-func (p *Process) fromAfter(l *link, m *Message) *Message {
+// handleSuccessor answers what a process asks that is to take over, or has.
+func (p *Process) handleSuccessor(l *session, m *Message) *Message {
 	switch m.Kind {
-	case Take:
-		return p.give(l)
-	case Ban:
-		p.self.Ban(m.Ban.ID, m.Ban.On)
+	case TakeOver:
+		return p.handOver(l)
+	case Eject:
+		p.host.SetEjected(m.Ejection.Endpoint, m.Ejection.Ejected)
 		p.mu.Lock()
-		before := p.before
+		before := p.predecessor
 		p.mu.Unlock()
-		p.tell(context.Background(), before, *m.Ban)
-		return &Message{Kind: Ban}
+		p.notify(context.Background(), before, *m.Ejection)
+		return &Message{Kind: Eject}
 	}
-	return &Message{Kind: No, Why: "not asked for here"}
+	return &Message{Kind: Rejection, Reason: "not asked for here"}
 }
 
-// give has another process take over.
-func (p *Process) give(l *link) *Message {
-	p.authority.Lock()
-	defer p.authority.Unlock()
+// handOver has another process take over.
+func (p *Process) handOver(l *session) *Message {
+	p.claimMu.Lock()
+	defer p.claimMu.Unlock()
 	p.mu.Lock()
-	if p.after != nil || p.closed {
+	if p.successor != nil || p.closed {
 		p.mu.Unlock()
-		return &Message{Kind: No, Why: "another process has taken over, or this one ends"}
+		return &Message{Kind: Rejection, Reason: "another process has taken over, or this one ends"}
 	}
-	p.after = l
+	p.successor = l
 	p.mu.Unlock()
-	keys, taken := p.self.Retire()
+	keys, taken := p.host.Retire()
 	now := time.Now()
 	for len(keys) > 0 {
-		part := keys[:min(len(keys), keysAtOnce)]
+		part := keys[:min(len(keys), maxKeysPerMessage)]
 		keys = keys[len(part):]
 		m := &Message{Kind: Keys}
 		for _, k := range part {
-			m.Keys = append(m.Keys, KeyOf(now, k))
+			m.Keys = append(m.Keys, NewKeyRecord(now, k))
 		}
-		taken.Keys += len(part)
+		taken.KeyCount += len(part)
 		if err := l.send(m); err != nil { // the link's end has this process go on
 			return nil
 		}
 	}
-	p.log.Info("handover: another process takes the clients", "keys", taken.Keys, "bans", len(taken.Bans))
-	return &Message{Kind: Take, Taken: &taken}
+	p.log.Info("handover: another process takes the clients", "keys", taken.KeyCount, "bans", len(taken.Ejected))
+	return &Message{Kind: TakeOver, State: &taken}
 }
 
-// First tells that no process before this one has made an offer.
-func (p *Process) First() bool {
+// IsFirst tells that no process before this one has made an offer.
+func (p *Process) IsFirst() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.first
 }
 
-// Retired tells whether another process has taken over.
-func (p *Process) Retired() bool { return p.successor() != nil }
+// IsRetired tells whether another process has taken over.
+func (p *Process) IsRetired() bool { return p.currentSuccessor() != nil }
 
 // Close ends this process's part. Where nobody has taken over, its socket's file goes.
 func (p *Process) Close() {
 	p.mu.Lock()
 	p.closed = true
-	l, before, after := p.listener, p.before, p.after
+	l, before, after := p.listener, p.predecessor, p.successor
 	p.mu.Unlock()
 	if l != nil {
 		if after == nil {
@@ -411,7 +411,7 @@
 		}
 		l.Close()
 	}
-	for _, o := range []*link{before, after} {
+	for _, o := range []*session{before, after} {
 		if o != nil {
 			o.close()
 		}
--- a/internal/platform/handover/socket.go
+++ b/internal/platform/handover/socket.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// mostPath is how long a Unix socket's address may be (108 bytes with the zero at its end: unix(7)).
-const mostPath = 107
+// maxPathBytes is how long a Unix socket's address may be (108 bytes with the zero at its end: unix(7)).
+const maxPathBytes = 107
 
-// short returns a name of at most mostPath bytes for a path, good until done is called: the directory by its descriptor.
-func short(path string) (name string, done func(), err error) {
-	if len(path) <= mostPath {
+// shortPath returns a name of at most mostPath bytes for a path, good until done is called: the directory by its descriptor.
+func shortPath(path string) (name string, done func(), err error) {
+	if len(path) <= maxPathBytes {
 		return path, func() {}, nil
 	}
 	dir, err := os.Open(filepath.Dir(path))
@@ -32,7 +32,7 @@
 	if s, ok := info.Sys().(*syscall.Stat_t); !ok || s.Uid != uint32(os.Geteuid()) || info.Mode()&os.ModeSocket == 0 {
 		return nil, fmt.Errorf("handover: %s is not a socket of this user", path)
 	}
-	name, done, err := short(path)
+	name, done, err := shortPath(path)
 	if err != nil {
 		return nil, err
 	}
@@ -44,17 +44,17 @@
 	return c.(*net.UnixConn), nil
 }
 
-// rights reads a connection and keeps the descriptors that come with the bytes.
-type rights struct {
+// descriptorReader reads a connection and keeps the descriptors that come with the bytes.
+type descriptorReader struct {
 	conn *net.UnixConn
 	fds  []int
 }
 
-// mostRights is how many descriptors one read may bring.
-const mostRights = 4
+// maxDescriptors is how many descriptors one read may bring.
+const maxDescriptors = 4
 
-func (r *rights) Read(p []byte) (int, error) {
-	space := make([]byte, syscall.CmsgSpace(4*mostRights))
+func (r *descriptorReader) Read(p []byte) (int, error) {
+	space := make([]byte, syscall.CmsgSpace(4*maxDescriptors))
 	n, oobn, _, _, err := r.conn.ReadMsgUnix(p, space)
 	if oobn > 0 {
 		messages, _ := syscall.ParseSocketControlMessage(space[:oobn])
@@ -73,7 +73,7 @@
 }
 
 // close closes the descriptors that nobody has taken.
-func (r *rights) close() {
+func (r *descriptorReader) close() {
 	for _, fd := range r.fds {
 		syscall.Close(fd)
 	}
--- a/internal/platform/registry/agent.go
+++ b/internal/platform/registry/agent.go
@@ -20,29 +20,29 @@
 // far away pays for them with some ten calls a second while it is silent.
 const (
 	agentWait = 1 * time.Second // of a watch: discovery may be down for as long before that shows
-	// prompt is how long an agent's first byte, and its last after that, may take past the wait.
-	prompt  = 100 * time.Millisecond
-	spacing = 20 * time.Millisecond // between two calls; past 200 ms a watch would lapse
+	// promptTimeout is how long an agent's first byte, and its last after that, may take past the wait.
+	promptTimeout = 100 * time.Millisecond
+	retryInterval = 20 * time.Millisecond // between two calls; past 200 ms a watch would lapse
 
 	// One that is slower than prompt, or has a list that takes longer, is heard by a call that waits for this long.
-	patient    = 3 * time.Second
-	patientEnd = 1 * time.Second // for the rest of its answer
-	failedAt   = 1 * time.Second // between two of these
+	patientTimeout       = 3 * time.Second
+	patientBodyTimeout   = 1 * time.Second // for the rest of its answer
+	patientRetryInterval = 1 * time.Second // between two of these
 )
 
 // followAgent follows an agent's list until ctx ends.
 func (c *Client) followAgent(ctx context.Context, addr string) {
-	changes := watch.Call{Wait: agentWait, First: agentWait + prompt, Rest: prompt}
-	for whole := true; ctx.Err() == nil; c.pause(ctx, spacing) {
+	changes := watch.Call{Wait: agentWait, FirstByteTimeout: agentWait + promptTimeout, BodyTimeout: promptTimeout}
+	for whole := true; ctx.Err() == nil; c.pause(ctx, retryInterval) {
 		var list endpointlist.List
 		var err error
 		if whole {
-			list, err = c.whole(ctx, addr)
+			list, err = c.fetchSnapshot(ctx, addr)
 		} else {
 			list, err = c.get(ctx, c.http, c.url(addr, false, changes), changes)
 		}
 		if err == nil {
-			err = c.take(ctx, list, whole)
+			err = c.apply(ctx, list, whole)
 		}
 		if whole = err != nil; whole && ctx.Err() == nil {
 			c.log.Warn("discovery: "+err.Error(), "address", addr)
@@ -50,9 +50,9 @@
 	}
 }
 
-// whole asks for the whole list until an answer has come, or ctx ends: by calls that are given up soon, one after the
+// fetchSnapshot asks for the whole list until an answer has come, or ctx ends: by calls that are given up soon, one after the
 // other, and beside them by one that is patient. What comes first counts, and ends the other.
-func (c *Client) whole(ctx context.Context, addr string) (endpointlist.List, error) {
+func (c *Client) fetchSnapshot(ctx context.Context, addr string) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	url := c.url(addr, true, watch.Call{})
@@ -73,12 +73,12 @@
 			c.pause(ctx, gap)
 		}
 	}
-	go ask(c.http, watch.Call{First: patient, Rest: patientEnd}, failedAt, func(err error) {
+	go ask(c.http, watch.Call{FirstByteTimeout: patientTimeout, BodyTimeout: patientBodyTimeout}, patientRetryInterval, func(err error) {
 		c.log.Warn("discovery: "+err.Error(), "address", addr)
 	})
 	go func() {
-		c.pause(ctx, prompt) // the other call's, where the agent is well
-		ask(c.quick, watch.Call{First: prompt, Rest: prompt}, spacing, func(error) {})
+		c.pause(ctx, promptTimeout) // the other call's, where the agent is well
+		ask(c.probeClient, watch.Call{FirstByteTimeout: promptTimeout, BodyTimeout: promptTimeout}, retryInterval, func(error) {})
 	}()
 	select {
 	case list := <-came:
--- a/internal/platform/registry/agent_term_test.go
+++ b/internal/platform/registry/agent_term_test.go
@@ -46,7 +46,7 @@
 	c := New(addr, 0, 0, w.members, slog.New(slog.DiscardHandler))
 	var refuses atomic.Bool
 	dials := make(chan struct{}, 100)
-	for _, client := range []*http.Client{c.http, c.quick} {
+	for _, client := range []*http.Client{c.http, c.probeClient} {
 		transport := client.Transport.(*http.Transport)
 		dial := transport.DialContext
 		transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
@@ -70,7 +70,7 @@
 	}
 	if at == "moved" {
 		addr, calls = agent(t)
-		c.Move(addr)
+		c.SetAddress(addr)
 	}
 	var first *agentCall
 	hangs := strings.HasPrefix(t.Name(), "TestAgentToldAfter/silent") || strings.Contains(t.Name(), "no_more")
@@ -104,8 +104,8 @@
 	if w.holds("whole half") || at != "first" != w.holds("whole a", "whole b") {
 		t.Errorf("told %q", w.words)
 	}
-	if bound, pause := longest(); bound+patientEnd+pause > watch.ToldAfter-time.Second {
-		t.Errorf("the next call may come %v after the begin of one, and %v later where its answer has begun", bound+pause, patientEnd)
+	if bound, pause := longest(); bound+patientBodyTimeout+pause > watch.NotifiedAfter-time.Second {
+		t.Errorf("the next call may come %v after the begin of one, and %v later where its answer has begun", bound+pause, patientBodyTimeout)
 	}
 }
 
--- a/internal/platform/registry/agent_test.go
+++ b/internal/platform/registry/agent_test.go
@@ -152,7 +152,7 @@
 	c := New(from, 0, 0, w.members, slog.New(slog.DiscardHandler))
 	read := make(chan struct{}) // the answer is read, and not taken yet
 	var once sync.Once
-	c.taking = func(ctx context.Context) {
+	c.beforeApply = func(ctx context.Context) {
 		once.Do(func() {
 			close(read)
 			<-ctx.Done()
@@ -161,7 +161,7 @@
 	run(t, c)
 	next(t, old).answer(list(90, true, "old"))
 	<-read
-	c.Move(to)
+	c.SetAddress(to)
 	next(t, calls).answer(list(3, true, "new"))
 	lbtest.Until(t, "the new list", func() bool { return w.holds("whole new") })
 	if w.holds("whole old") {
--- a/internal/platform/registry/registry.go
+++ b/internal/platform/registry/registry.go
@@ -20,27 +20,27 @@
 )
 
 const (
-	path    = "http://%s/registry/instances"
-	maxList = 2 << 20 // some 10,000 endpoints; read whole, so it must fit the memory limit several times over
+	path         = "http://%s/registry/instances"
+	maxListBytes = 2 << 20 // some 10,000 endpoints; read whole, so it must fit the memory limit several times over
 
-	dialIn = time.Second // for a connection to come up
+	dialTimeout = time.Second // for a connection to come up
 
-	restarted = 4 // answers older than the list in hand, one after the other
+	maxOlderLists = 4 // answers older than the list in hand, one after the other
 )
 
 // Client watches discovery.
 type Client struct {
-	sharing int           // instances of the own tier
-	asked   time.Duration // discovery answers only when asked to: the settings' must_ask_in; zero where an agent is
-	members func(lbpolicy.ListKind, []endpointlist.Endpoint)
-	log     *slog.Logger
-	http    *http.Client
-	quick   *http.Client // of an agent that has not answered yet; nil where discovery is asked
-	ask     chan struct{}
-	index   int64
-	older   int                   // answers in a row older than index
-	watch   *watch.Watch          // when discovery is asked; nil where an agent is
-	taking  func(context.Context) // by tests: an answer has been read, and is not taken yet
+	instances      int           // instances of the own tier
+	mustPollIn     time.Duration // discovery answers only when asked to: the settings' must_ask_in; zero where an agent is
+	update         func(lbpolicy.ListKind, []endpointlist.Endpoint)
+	log            *slog.Logger
+	http           *http.Client
+	probeClient    *http.Client // of an agent that has not answered yet; nil where discovery is asked
+	watchRequested chan struct{}
+	index          int64
+	olderLists     int                   // answers in a row older than index
+	poller         *watch.Poller         // when discovery is asked; nil where an agent is
+	beforeApply    func(context.Context) // by tests: an answer has been read, and is not taken yet
 
 	// What tests hold: its draws, its clock (the time since it began), pauses between calls, and the bounds of calls.
 	draw  func() float64 // from 0 up to 1
@@ -48,37 +48,37 @@
 	pause func(context.Context, time.Duration)
 	after func(time.Duration, func()) (stop func() bool)
 
-	mu    sync.Mutex
-	addr  string
-	moved context.CancelFunc // ends the calls to the address in hand; nil where none has been made to it
+	mu          sync.Mutex
+	addr        string
+	cancelCalls context.CancelFunc // ends the calls to the address in hand; nil where none has been made to it
 }
 
 // New returns a client that hands lists to members. Where discovery answers only when asked to, mustAskIn is how long the
 // settings allow it not to be; zero is an agent. Index is the version of the list in hand.
 func New(addr string, mustAskIn time.Duration, index int64, members func(lbpolicy.ListKind, []endpointlist.Endpoint), log *slog.Logger) *Client {
 	begun := time.Now()
-	c := &Client{addr: addr, asked: mustAskIn, members: members, log: log, index: index,
-		http: caller(dialIn), ask: make(chan struct{}, 1), draw: rand.Float64, pause: pause,
+	c := &Client{addr: addr, mustPollIn: mustAskIn, update: members, log: log, index: index,
+		http: newHTTPClient(dialTimeout), watchRequested: make(chan struct{}, 1), draw: rand.Float64, pause: pause,
 		now:   func() time.Duration { return time.Since(begun) },
 		after: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }}
 	if mustAskIn > 0 {
-		c.watch = watch.New(c.draw, mustAskIn)
+		c.poller = watch.New(c.draw, mustAskIn)
 	} else {
-		c.quick = caller(prompt)
+		c.probeClient = newHTTPClient(promptTimeout)
 	}
 	return c
 }
 
 // SharedBy tells how many instances of the own tier ask the same discovery, before Run.
 func (c *Client) SharedBy(instances int) {
-	c.sharing = instances
-	if c.watch != nil {
-		c.watch.SharedBy(instances)
+	c.instances = instances
+	if c.poller != nil {
+		c.poller.SharedBy(instances)
 	}
 }
 
-// caller makes calls whose connections come up in the given time.
-func caller(dialIn time.Duration) *http.Client {
+// newHTTPClient makes calls whose connections come up in the given time.
+func newHTTPClient(dialIn time.Duration) *http.Client {
 	return &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: dialIn}).DialContext,
@@ -92,35 +92,35 @@
 // Watch asks for changes from now on, where discovery must be asked, again and again until Run ends. It does not block.
 func (c *Client) Watch() {
 	select {
-	case c.ask <- struct{}{}:
+	case c.watchRequested <- struct{}{}:
 	default:
 	}
 }
 
-// Move follows discovery at another address from now on. It does not block. What the old one had told stays in
+// SetAddress follows discovery at another address from now on. It does not block. What the old one had told stays in
 // force until the new one has told its whole list; the two may count versions differently. An address that does not
 // answer is tried again and again, as a discovery that is down is: the list in hand is kept meanwhile.
-func (c *Client) Move(addr string) {
+func (c *Client) SetAddress(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if addr == c.addr {
 		return
 	}
 	c.addr = addr
-	if c.moved != nil {
-		c.moved()
-		c.moved = nil
+	if c.cancelCalls != nil {
+		c.cancelCalls()
+		c.cancelCalls = nil
 	}
 }
 
-// target returns the address in hand and the context of calls to it; first tells that none has been made yet.
-func (c *Client) target(ctx, calls context.Context) (context.Context, string, bool) {
+// currentCalls returns the address in hand and the context of calls to it; first tells that none has been made yet.
+func (c *Client) currentCalls(ctx, calls context.Context) (context.Context, string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.moved != nil {
+	if c.cancelCalls != nil {
 		return calls, c.addr, false
 	}
-	calls, c.moved = context.WithCancel(ctx)
+	calls, c.cancelCalls = context.WithCancel(ctx)
 	return calls, c.addr, true
 }
 
@@ -132,36 +132,36 @@
 	for ctx.Err() == nil {
 		var addr string
 		var first bool
-		if calls, addr, first = c.target(ctx, calls); first && started {
+		if calls, addr, first = c.currentCalls(ctx, calls); first && started {
 			c.http.CloseIdleConnections() // those to the old address
-			whole, c.index, c.older = true, 0, 0
-			if c.asked > 0 {
-				c.watch = watch.New(c.draw, c.asked).SharedBy(c.sharing)
+			whole, c.index, c.olderLists = true, 0, 0
+			if c.mustPollIn > 0 {
+				c.poller = watch.New(c.draw, c.mustPollIn).SharedBy(c.instances)
 			}
 			c.log.Info("discovery: follows another address", "address", addr)
 		}
 		started = true
-		if c.asked == 0 {
+		if c.mustPollIn == 0 {
 			c.followAgent(calls, addr)
 			continue
 		}
 		if !begun && !whole {
 			select {
-			case <-c.ask:
+			case <-c.watchRequested:
 			case <-calls.Done(): // moved, or at an end
 				continue
 			}
 		}
 		for begun = true; calls.Err() == nil; {
-			err := c.call(calls, addr, whole)
+			err := c.poll(calls, addr, whole)
 			if calls.Err() != nil {
 				break
 			}
-			if err != nil && !errors.Is(err, errSilent) {
+			if err != nil && !errors.Is(err, errNoResponse) {
 				c.log.Warn("discovery: "+err.Error(), "address", addr)
 			}
 			whole = whole && err != nil
-			c.pause(calls, c.watch.Ended(c.now(), endOf(err)))
+			c.pause(calls, c.poller.End(c.now(), outcomeOf(err)))
 		}
 	}
 }
@@ -173,33 +173,33 @@
 	}
 }
 
-// errSilent tells of a call that was given up for want of any answer in the time that it was given. A connection that
+// errNoResponse tells of a call that was given up for want of any answer in the time that it was given. A connection that
 // does not come up in its own, shorter time is no such call but a failure: it is repeated with a back-off.
-var errSilent = errors.New("silent")
+var errNoResponse = errors.New("silent")
 
-// errBroken tells of an answer that was begun and that is not whole, or can't be read.
-var errBroken = errors.New("answer begun")
+// errIncomplete tells of an answer that was begun and that is not whole, or can't be read.
+var errIncomplete = errors.New("answer begun")
 
-func endOf(err error) watch.End {
+func outcomeOf(err error) watch.Outcome {
 	switch {
 	case err == nil:
-		return watch.Answered
-	case errors.Is(err, errSilent):
-		return watch.Silent
-	case errors.Is(err, errBroken):
-		return watch.Broken
+		return watch.Complete
+	case errors.Is(err, errNoResponse):
+		return watch.NoResponse
+	case errors.Is(err, errIncomplete):
+		return watch.Incomplete
 	}
 	return watch.Failed
 }
 
-// call makes one call of those that discovery is asked by, and hands on what it brings.
-func (c *Client) call(ctx context.Context, addr string, whole bool) error {
-	ask := c.watch.Ask(c.now(), whole)
+// poll makes one call of those that discovery is asked by, and hands on what it brings.
+func (c *Client) poll(ctx context.Context, addr string, whole bool) error {
+	ask := c.poller.Begin(c.now(), whole)
 	list, err := c.get(ctx, c.http, c.url(addr, whole, ask), ask)
 	if err != nil {
 		return err
 	}
-	return c.take(ctx, list, whole)
+	return c.apply(ctx, list, whole)
 }
 
 func (c *Client) url(addr string, whole bool, ask watch.Call) string {
@@ -210,10 +210,10 @@
 	return url
 }
 
-// take hands on an answer: the whole list, or what has changed since the one in hand.
-func (c *Client) take(ctx context.Context, list endpointlist.List, whole bool) error {
-	if c.taking != nil {
-		c.taking(ctx)
+// apply hands on an answer: the whole list, or what has changed since the one in hand.
+func (c *Client) apply(ctx context.Context, list endpointlist.List, whole bool) error {
+	if c.beforeApply != nil {
+		c.beforeApply(ctx)
 	}
 	if ctx.Err() != nil { // moved meanwhile: what comes from the old address must not follow what the new one tells
 		return ctx.Err()
@@ -221,11 +221,11 @@
 	if list.Index < c.index {
 		// Late or repeated: it says less than the list in hand, and could bring back what has drained. One that
 		// stays behind has begun to count anew.
-		if c.older++; c.older < restarted {
+		if c.olderLists++; c.olderLists < maxOlderLists {
 			return fmt.Errorf("list %d after list %d", list.Index, c.index)
 		}
 	}
-	c.older = 0
+	c.olderLists = 0
 	kind := lbpolicy.Delta
 	if list.Snapshot {
 		kind = lbpolicy.Full
@@ -234,8 +234,8 @@
 	}
 	repeated := list.Index == c.index && kind == lbpolicy.Delta
 	c.index = list.Index
-	if !repeated || c.asked > 0 {
-		c.members(kind, list.Entries)
+	if !repeated || c.mustPollIn > 0 {
+		c.update(kind, list.Entries)
 	}
 	return nil
 }
@@ -245,13 +245,13 @@
 func (c *Client) get(ctx context.Context, by *http.Client, url string, ask watch.Call) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	inTime := c.after(ask.First, func() { cancel(errSilent) })
+	inTime := c.after(ask.FirstByteTimeout, func() { cancel(errNoResponse) })
 	defer inTime()
 	begun := make(chan struct{})
 	var whole func() bool // ends the bound of the answer's rest, once it has begun
 	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() {
 		if inTime() {
-			whole = c.after(ask.Rest, func() { cancel(errBroken) })
+			whole = c.after(ask.BodyTimeout, func() { cancel(errIncomplete) })
 			close(begun)
 		}
 	}}
@@ -263,12 +263,12 @@
 		}
 	}()
 	broken := func(err error) error {
-		if errors.Is(context.Cause(ctx), errSilent) {
-			return fmt.Errorf("%w: %w", errSilent, err)
+		if errors.Is(context.Cause(ctx), errNoResponse) {
+			return fmt.Errorf("%w: %w", errNoResponse, err)
 		}
 		select {
 		case <-begun:
-			return fmt.Errorf("%w: %w", errBroken, err)
+			return fmt.Errorf("%w: %w", errIncomplete, err)
 		default:
 			return err
 		}
@@ -285,12 +285,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return endpointlist.List{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
 		return endpointlist.List{}, broken(err)
 	}
-	if len(text) > maxList {
-		return endpointlist.List{}, fmt.Errorf("a list of over %d bytes", maxList)
+	if len(text) > maxListBytes {
+		return endpointlist.List{}, fmt.Errorf("a list of over %d bytes", maxListBytes)
 	}
 	list, err := endpointlist.Parse(text)
 	if err != nil {
--- a/internal/platform/registry/registry_test.go
+++ b/internal/platform/registry/registry_test.go
@@ -151,8 +151,8 @@
 	second, queries := script(t, list(3, true, "b"))
 	c, w := follow(t, first, 0, 0)
 	lbtest.Until(t, "the first list", func() bool { return w.holds("whole a") })
-	c.Move(first) // no move
-	c.Move(second)
+	c.SetAddress(first) // no move
+	c.SetAddress(second)
 	lbtest.Until(t, "the second list", func() bool { return w.holds("whole a", "whole b") })
 	if asked := queries(); asked[0] != "" {
 		t.Errorf("asked %q", asked)
@@ -166,11 +166,11 @@
 	addr, calls := agent(t)
 	w := &told{}
 	c := New(addr, mustAsk, 7, w.members, slog.New(slog.DiscardHandler))
-	c.ask = make(chan struct{}) // taken only as it is waited for
+	c.watchRequested = make(chan struct{}) // taken only as it is waited for
 	clock := hold(c)
 	run(t, c)
 	select {
-	case c.ask <- struct{}{}:
+	case c.watchRequested <- struct{}{}:
 	case <-calls: // unanswered: it does not get to wait to be asked
 		t.Fatal("asked before it was time")
 	case <-time.After(lbtest.Wait):
@@ -227,7 +227,7 @@
 	t.Cleanup(func() { s.Close() })
 	w := &told{}
 	c := New(l.Addr().String(), mustAsk, 7, w.members, slog.New(slog.DiscardHandler))
-	c.watch.Wait = 200 * time.Millisecond
+	c.poller.Wait = 200 * time.Millisecond
 	first := firstPause(c)
 	run(t, c)
 	c.Watch()
@@ -283,13 +283,13 @@
 			}()
 			w := &told{}
 			c := New(l.Addr().String(), mustAsk, 7, w.members, slog.New(slog.DiscardHandler))
-			c.watch.Wait = time.Hour
+			c.poller.Wait = time.Hour
 			first := firstPause(c)
 			run(t, c)
 			c.Watch()
 			within(t, gave)
 			lbtest.Until(t, "the news", func() bool { return w.holds("changes a") })
-			if d := within(t, first); d >= watch.Lapse {
+			if d := within(t, first); d >= watch.NotificationGrace {
 				t.Errorf("the next call was put off by %v", d)
 			}
 			w.first(t, "changes a")
@@ -308,17 +308,17 @@
 	t.Parallel()
 	c := New("127.0.0.1:1", mustAsk, 7, (&told{}).members, slog.New(slog.DiscardHandler))
 	c.http.Transport.(*http.Transport).DialContext = (&net.Dialer{Timeout: time.Nanosecond}).DialContext
-	if err := c.call(t.Context(), c.addr, false); endOf(err) != watch.Failed {
-		t.Errorf("%v: end %d, want a failure, which is followed by a pause", err, endOf(err))
+	if err := c.poll(t.Context(), c.addr, false); outcomeOf(err) != watch.Failed {
+		t.Errorf("%v: end %d, want a failure, which is followed by a pause", err, outcomeOf(err))
 	}
 }
 
 func TestTooLong(t *testing.T) {
 	t.Parallel()
-	addr, queries := script(t, `{"index": 1, "snapshot": true, "endpoints": [{"name": "`+strings.Repeat("x", maxList)+`"}]}`, list(2, true, "a"))
+	addr, queries := script(t, `{"index": 1, "snapshot": true, "endpoints": [{"name": "`+strings.Repeat("x", maxListBytes)+`"}]}`, list(2, true, "a"))
 	_, w := follow(t, addr, 0, 0)
 	lbtest.Until(t, "a list that fits", func() bool { return w.holds("whole a") })
-	if w.holds("whole "+strings.Repeat("x", maxList)) || len(queries()) < 2 {
+	if w.holds("whole "+strings.Repeat("x", maxListBytes)) || len(queries()) < 2 {
 		t.Error("a list over the bound was taken")
 	}
 }
--- a/internal/platform/registry/term_test.go
+++ b/internal/platform/registry/term_test.go
@@ -43,7 +43,7 @@
 		return d.DialContext(ctx, network, "127.0.0.1:1")
 	case hangs: // as a dialer with a timeout does
 		over := make(chan struct{})
-		defer a.after(dialIn, func() { close(over) })()
+		defer a.after(dialTimeout, func() { close(over) })()
 		a.dials <- struct{}{}
 		<-over
 		return nil, os.ErrDeadlineExceeded
@@ -136,7 +136,7 @@
 	w := &told{}
 	c := New(from, mustAsk, 7, w.members, slog.New(slog.DiscardHandler))
 	c.draw = func() float64 { return 0.999 } // the latest that it may be
-	c.watch = watch.New(c.draw, mustAsk)
+	c.poller = watch.New(c.draw, mustAsk)
 	a := &asker{held: hold(c), calls: calls, dials: make(chan struct{}, 1)}
 	c.http.Transport.(*http.Transport).DialContext = a.dial
 	if !moves {
@@ -147,7 +147,7 @@
 	if moves {
 		next(t, old)
 		a.way.Store(int32(day[0].way))
-		c.Move(addr)
+		c.SetAddress(addr)
 	}
 	for n, tr := range day {
 		begun := a.time()
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -11,7 +11,7 @@
 	"silvertrail/lbpolicy"
 )
 
-type profile struct {
+type document struct {
 	Balancers int `json:"balancers"`
 	Classes   []struct {
 		Name     string  `json:"name"`
@@ -66,7 +66,7 @@
 
 // Parse reads an instance's settings; an error names the key that can't be used.
 func Parse(text []byte) (lbpolicy.Settings, error) {
-	var p profile
+	var p document
 	if err := json.Unmarshal(text, &p); err != nil {
 		return lbpolicy.Settings{}, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/platform/sidecar/descriptors.go
+++ b/internal/platform/sidecar/descriptors.go
@@ -2,8 +2,8 @@
 
 import "golang.org/x/sys/unix"
 
-// fewest is how many descriptors a configuration must grant at the least.
-const fewest = 64
+// minDescriptors is how many descriptors a configuration must grant at the least.
+const minDescriptors = 64
 
 // Descriptors is how many descriptors the process may hold: as many as it was told, or as the system grants where that is fewer.
 //
@@ -15,5 +15,5 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &granted); err != nil || granted.Cur >= uint64(told) {
 		return told
 	}
-	return max(int(granted.Cur), fewest)
+	return max(int(granted.Cur), minDescriptors)
 }
--- a/internal/platform/sidecar/figures_test.go
+++ b/internal/platform/sidecar/figures_test.go
@@ -34,10 +34,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	board := &figures.Board{}
-	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64, MaxStreamBytes: MostBody,
-		OnSent: func() { board.Sends.Add(1) }})
-	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+	board := &figures.Counters{}
+	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64, MaxStreamBytes: MaxBodyBytes,
+		OnSent: func() { board.AttemptsSent.Add(1) }})
+	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Watch: func() {},
 		Client: client, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
@@ -114,8 +114,8 @@
 					failed.Add(1)
 				}
 				c.Close()
-				if f := board.Look(); f.Current < 0 || f.Current > 64 {
-					t.Errorf("%d in work", f.Current)
+				if f := board.Snapshot(); f.InFlight < 0 || f.InFlight > 64 {
+					t.Errorf("%d in work", f.InFlight)
 				}
 			}
 		})
@@ -129,17 +129,17 @@
 		}
 	})
 	all.Wait()
-	var f figures.Figures
+	var f figures.Snapshot
 	sum := func(m map[string]int64) (n int64) {
 		for _, v := range m {
 			n += v
 		}
 		return n
 	}
-	lbtest.Until(t, "nothing is in work", func() bool { f = board.Look(); return f.Current == 0 })
+	lbtest.Until(t, "nothing is in work", func() bool { f = board.Snapshot(); return f.InFlight == 0 })
 	lbtest.Until(t, "nothing is held", func() bool { return h.InFlight() == 0 })
-	f = board.Look()
-	answered, deferred, errored := sum(f.Answered), sum(f.Deferred), sum(f.Errored)
+	f = board.Snapshot()
+	answered, deferred, errored := sum(f.Answered), sum(f.Rejected), sum(f.Errored)
 	within := func(what string, got, least int64) {
 		t.Helper()
 		if got < least || got > least+left.Load() {
@@ -154,7 +154,7 @@
 	if answered+deferred+errored < ok.Load()+refused.Load()+failed.Load() {
 		t.Errorf("%d ended of %d", answered+deferred+errored, asked.Load())
 	}
-	lbtest.Until(t, "what was sent has arrived", func() bool { return board.Look().Sends == arrived.Load() })
+	lbtest.Until(t, "what was sent has arrived", func() bool { return board.Snapshot().AttemptsSent == arrived.Load() })
 	if ok.Load() == 0 || failed.Load() == 0 || left.Load() == 0 {
 		t.Errorf("no trouble: %d %d %d", ok.Load(), failed.Load(), left.Load())
 	}
--- a/internal/platform/sidecar/ids.go
+++ b/internal/platform/sidecar/ids.go
@@ -9,8 +9,8 @@
 	"silvertrail/internal/platform/handover"
 )
 
-// remembered is how many ended requests' ids are kept: a few seconds of a busy sidecar's traffic.
-const remembered = 4096
+// maxEndedIDs is how many ended requests' ids are kept: a few seconds of a busy sidecar's traffic.
+const maxEndedIDs = 4096
 
 // requestIDs knows the ids of the requests in work and of those that ended lately. An id is new with every request,
 // so one that comes again is another client's mistake or worse: passed on, it would be a second copy of the request
@@ -20,15 +20,15 @@
 //
 // It holds hashes: what it takes does not depend on what clients write. Open ids are bounded by the connections.
 type requestIDs struct {
-	mu    sync.Mutex
-	key   []byte // of the hashes: no caller can find ids that meet
-	known map[uint64]struct{}
-	ended []uint64 // a ring of the latest
-	next  int
+	mu        sync.Mutex
+	key       []byte // of the hashes: no caller can find ids that meet
+	hashes    map[uint64]struct{}
+	endedRing []uint64 // a ring of the latest
+	ringNext  int
 }
 
 func newRequestIDs() *requestIDs {
-	r := &requestIDs{key: make([]byte, 16), known: map[uint64]struct{}{}}
+	r := &requestIDs{key: make([]byte, 16), hashes: map[uint64]struct{}{}}
 	rand.Read(r.key)
 	return r
 }
@@ -40,31 +40,31 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// carry returns what another process needs to know the ids that this one knows.
-func (r *requestIDs) carry() handover.IDs {
+// snapshot returns what another process needs to know the ids that this one knows.
+func (r *requestIDs) snapshot() handover.RequestIDs {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ids := handover.IDs{Key: r.key}
-	for h := range r.known {
+	ids := handover.RequestIDs{Key: r.key}
+	for h := range r.hashes {
 		ids.Hashes = append(ids.Hashes, h)
 	}
 	return ids
 }
 
-// mostCarried bounds the ids that are taken over: what is remembered, and as many in work.
-const mostCarried = 2 * remembered
+// maxRestoredIDs bounds the ids that are taken over: what is remembered, and as many in work.
+const maxRestoredIDs = 2 * maxEndedIDs
 
-// follow takes over another process's ids, before this one has any: they count as ended lately.
-func (r *requestIDs) follow(ids handover.IDs) {
+// restore takes over another process's ids, before this one has any: they count as ended lately.
+func (r *requestIDs) restore(ids handover.RequestIDs) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.known) > 0 || len(ids.Key) != len(r.key) {
+	if len(r.hashes) > 0 || len(ids.Key) != len(r.key) {
 		return
 	}
 	r.key = ids.Key
-	for _, h := range ids.Hashes[:min(len(ids.Hashes), mostCarried)] {
-		r.known[h] = struct{}{}
-		r.forget(h)
+	for _, h := range ids.Hashes[:min(len(ids.Hashes), maxRestoredIDs)] {
+		r.hashes[h] = struct{}{}
+		r.addEnded(h)
 	}
 }
 
@@ -73,10 +73,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key = r.hash(id)
-	if _, known := r.known[key]; known {
+	if _, known := r.hashes[key]; known {
 		return key, false
 	}
-	r.known[key] = struct{}{}
+	r.hashes[key] = struct{}{}
 	return key, true
 }
 
@@ -84,16 +84,16 @@
 func (r *requestIDs) end(key uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.forget(key)
+	r.addEnded(key)
 }
 
-// forget puts an id among those that are forgotten in turn.
-func (r *requestIDs) forget(key uint64) {
-	if len(r.ended) < remembered {
-		r.ended = append(r.ended, key)
+// addEnded puts an id among those that are forgotten in turn.
+func (r *requestIDs) addEnded(key uint64) {
+	if len(r.endedRing) < maxEndedIDs {
+		r.endedRing = append(r.endedRing, key)
 		return
 	}
-	delete(r.known, r.ended[r.next])
-	r.ended[r.next] = key
-	r.next = (r.next + 1) % remembered
+	delete(r.hashes, r.endedRing[r.ringNext])
+	r.endedRing[r.ringNext] = key
+	r.ringNext = (r.ringNext + 1) % maxEndedIDs
 }
--- a/internal/platform/sidecar/ids_test.go
+++ b/internal/platform/sidecar/ids_test.go
@@ -8,7 +8,7 @@
 func TestRequestIDs(t *testing.T) {
 	ids := newRequestIDs()
 	ids.begin("open")
-	for i := range 3 * remembered {
+	for i := range 3 * maxEndedIDs {
 		key, fresh := ids.begin(fmt.Sprint(i))
 		if !fresh {
 			t.Fatal("taken for known")
@@ -18,7 +18,7 @@
 	if _, fresh := ids.begin("open"); fresh {
 		t.Error("an open id was forgotten")
 	}
-	if n := len(ids.known); n > remembered+1 {
+	if n := len(ids.hashes); n > maxEndedIDs+1 {
 		t.Errorf("%d ids are kept", n)
 	}
 }
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -11,33 +11,33 @@
 
 // Operations answers the operators' calls for one process.
 type Operations struct {
-	Host  *engine.Engine
-	Board *figures.Board
-	// Takes tells whether this process takes clients.
-	Takes func() bool
-	// Tell has the other processes of an upgrade know of a ban before the call is answered; nil: there are none.
-	Tell func(ctx context.Context, id string, on bool)
+	Engine   *engine.Engine
+	Counters *figures.Counters
+	// AcceptsClients tells whether this process takes clients.
+	AcceptsClients func() bool
+	// NotifyEjection has the other processes of an upgrade know of a ban before the call is answered; nil: there are none.
+	NotifyEjection func(ctx context.Context, id string, on bool)
 }
 
-// Ready implements admin.Operations.
-func (o *Operations) Ready() bool { return o.Takes() }
+// IsReady implements admin.Operations.
+func (o *Operations) IsReady() bool { return o.AcceptsClients() }
 
-// Figures implements admin.Operations.
-func (o *Operations) Figures() []byte {
-	f := o.Board.Look()
-	f.Size, f.Unhealthy = o.Host.ClusterSize()
-	return f.Text()
+// Stats implements admin.Operations.
+func (o *Operations) Stats() []byte {
+	f := o.Counters.Snapshot()
+	f.ClusterSize, f.ClusterUnhealthy = o.Engine.ClusterSize()
+	return f.JSON()
 }
 
-// Ban implements admin.Operations. What it says yes to holds in all processes.
-func (o *Operations) Ban(ctx context.Context, id string, on bool) error {
-	if err := o.Host.SetManuallyEjected(id, on); errors.Is(err, engine.ErrUnknownEndpoint) {
-		return admin.ErrUnknown
+// SetEjected implements admin.Operations. What it says yes to holds in all processes.
+func (o *Operations) SetEjected(ctx context.Context, id string, on bool) error {
+	if err := o.Engine.SetManuallyEjected(id, on); errors.Is(err, engine.ErrUnknownEndpoint) {
+		return admin.ErrUnknownEndpoint
 	} else if err != nil {
 		return err
 	}
-	if o.Tell != nil {
-		o.Tell(ctx, id, on)
+	if o.NotifyEjection != nil {
+		o.NotifyEjection(ctx, id, on)
 	}
 	return nil
 }
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -28,38 +28,38 @@
 
 // Router reads requests as the platform's protocol words them.
 type Router struct {
-	config atomic.Pointer[config.Config] // in force for requests whose heads are read from now on
-	host   *engine.Engine
-	board  *figures.Board
-	bodies *semaphore.Weighted
-	ids    *requestIDs
-	keys   *idempotency.Table
+	config   atomic.Pointer[config.Config] // in force for requests whose heads are read from now on
+	engine   *engine.Engine
+	counters *figures.Counters
+	bodies   *semaphore.Weighted
+	ids      *requestIDs
+	keys     *idempotency.Table
 
-	upgrade atomic.Pointer[handover.Process] // nil: nobody can take over from this process
-	fitting sync.Mutex
-	reserve *reserve // nil: all of the memory for bodies is this process's
+	handover  atomic.Pointer[handover.Process] // nil: nobody can take over from this process
+	reserveMu sync.Mutex
+	reserve   *reserve // nil: all of the memory for bodies is this process's
 }
 
 const (
-	maxKeys   = 1 << 15 // remembered, some 6 MB; 10 to 15 s of 2,000 keyed requests a second
-	keysRetry = time.Second
+	maxKeys        = 1 << 15 // remembered, some 6 MB; 10 to 15 s of 2,000 keyed requests a second
+	keysRetryAfter = time.Second
 )
 
 // NewRouter returns a router that holds at most maxBodies bytes of request bodies.
-func NewRouter(c *config.Config, h *engine.Engine, board *figures.Board, maxBodies int64) *Router {
-	s := &Router{host: h, board: board, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs(),
+func NewRouter(c *config.Config, h *engine.Engine, board *figures.Counters, maxBodies int64) *Router {
+	s := &Router{engine: h, counters: board, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs(),
 		keys: idempotency.New(maxKeys)}
 	s.config.Store(c)
-	board.Classes(c.Classes)
+	board.AddClasses(c.Classes)
 	return s
 }
 
 // Configure puts other settings in force for requests whose heads are read from now on; with an error nothing has changed.
 func (s *Router) Configure(c *config.Config) error {
-	if err := s.host.Configure(engine.Settings{Policy: c.Decide, Zones: c.Zones, ReportFields: c.Report}); err != nil {
+	if err := s.engine.Configure(engine.Settings{Policy: c.Policy, Zones: c.Zones, ReportFields: c.ReportFields}); err != nil {
 		return err
 	}
-	s.board.Classes(c.Classes)
+	s.counters.AddClasses(c.Classes)
 	s.config.Store(c)
 	return nil
 }
@@ -71,89 +71,89 @@
 	if status != 0 {
 		return nil, &frontend.Reply{Status: status, Close: true}
 	}
-	x := &exchange{router: s, config: c, up: up, q: q, id: id, outcome: figures.Errored}
-	if x.keyed = x.class().Effect == lbpolicy.KeyedIdempotent; x.keyed {
+	x := &exchange{router: s, config: c, upstream: up, request: q, requestID: id, outcome: figures.Errored}
+	if x.isKeyed = x.class().Effect == lbpolicy.KeyedIdempotent; x.isKeyed {
 		x.keyID = idempotency.KeyIDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
 	}
 	return x, nil
 }
 
 type exchange struct {
-	router *Router
-	config *config.Config // in force when its head was read
-	up     upstream.Request
-	q      lbpolicy.Request
-	id     string
-	key    uint64 // of the id, once it has begun
-	begun  bool
-	clash  bool // another request has the id
+	router      *Router
+	config      *config.Config // in force when its head was read
+	upstream    upstream.Request
+	request     lbpolicy.Request
+	requestID   string
+	requestHash uint64 // of the id, once it has begun
+	isStarted   bool
+	isDuplicate bool // another request has the id
 
-	keyed bool
-	keyID idempotency.KeyID
-	hold  *idempotency.Request
+	isKeyed    bool
+	keyID      idempotency.KeyID
+	keyRequest *idempotency.Request
 
-	taken   bool // its last byte has come
-	over    bool // and it has been given its answer
-	outcome figures.Outcome
-	answer  *upstream.Response
+	isReceived bool // its last byte has come
+	isAnswered bool // and it has been given its answer
+	outcome    figures.Outcome
+	response   *upstream.Response
 }
 
 func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
 
 func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
-	x.taken = true
-	x.router.board.Taken()
-	if x.key, x.begun = x.router.ids.begin(x.id); !x.begun {
-		x.clash = true
+	x.isReceived = true
+	x.router.counters.RequestReceived()
+	if x.requestHash, x.isStarted = x.router.ids.begin(x.requestID); !x.isStarted {
+		x.isDuplicate = true
 		return engine.Result{}
 	}
-	x.up.Body = body
+	x.upstream.Body = body
 	var key *engine.Key
-	if x.keyed {
+	if x.isKeyed {
 		var err error
-		if x.hold, err = x.router.keys.Begin(time.Now(), x.keyID, idempotency.Fingerprint{}); err != nil { // too many keys: nothing was sent
-			return engine.Result{Rejected: true, RetryAfter: keysRetry}
+		if x.keyRequest, err = x.router.keys.Begin(time.Now(), x.keyID, idempotency.Fingerprint{}); err != nil { // too many keys: nothing was sent
+			return engine.Result{Rejected: true, RetryAfter: keysRetryAfter}
 		}
 		c := x.class()
-		key = &engine.Key{History: x.hold, Terms: idempotency.Terms{Scope: c.Scope, Window: c.Window, Retention: c.Deadline}}
-		if p := x.router.upgrade.Load(); p != nil {
-			key.Claimer = &binder{process: p, id: x.keyID, terms: key.Terms}
+		key = &engine.Key{History: x.keyRequest, Terms: idempotency.Terms{Scope: c.Scope, Window: c.Window, Retention: c.Deadline}}
+		if p := x.router.handover.Load(); p != nil {
+			key.Claimer = &keyClaimer{process: p, id: x.keyID, terms: key.Terms}
 		}
 	}
-	a, _ := x.router.host.Do(ctx, x.up, x.q, key)
+	a, _ := x.router.engine.Do(ctx, x.upstream, x.request, key)
 	return a
 }
 
 // Most implements frontend.Streamer.
-func (x *exchange) Most() int64 { return MostBody }
+func (x *exchange) Most() int64 { return MaxBodyBytes }
 
 // Stream implements frontend.Streamer.
 func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) engine.Result {
-	x.up.Stream = rest
+	x.upstream.Stream = rest
 	return x.Do(ctx, held)
 }
 
-// MostBody is how large a request's or an answer's body may be.
-const MostBody = 32 << 20
+// MaxBodyBytes is how large a request's or an answer's body may be.
+const MaxBodyBytes = 32 << 20
 
-func (x *exchange) class() *lbpolicy.Class { return &x.config.Decide.Classes[x.q.Class] }
+func (x *exchange) class() *lbpolicy.Class { return &x.config.Policy.Classes[x.request.Class] }
 
 // Reply turns away the id of another request: never 429 or 503, which would speak of the request that has the id. Neither
 // is a request refused whose key may have run.
 func (x *exchange) Reply(a engine.Result) *frontend.Reply {
 	own := x.reply(a)
-	x.over = true
+	x.isAnswered = true
 	switch {
 	case own == nil && a.Response != nil:
-		x.outcome, x.answer = figures.Answered, a.Response
+		x.outcome, x.response = figures.Answered, a.Response
 	case own == nil && a.Rejected || own != nil && own.Status == http.StatusServiceUnavailable:
-		x.outcome = figures.Deferred
+		x.outcome = figures.Rejected
 	}
 	return own
 }
 
 func (x *exchange) reply(a engine.Result) *frontend.Reply {
-	if x.clash {
+	if x.isDuplicate {
 		return &frontend.Reply{Status: http.StatusConflict, Close: true}
 	}
 	if a.ClassRemoved {
@@ -162,11 +162,11 @@
 	if !a.Rejected {
 		return nil
 	}
-	if now, scope := time.Now(), x.class().Scope; x.keyed &&
+	if now, scope := time.Now(), x.class().Scope; x.isKeyed &&
 		!failover.MayReject(now, x.router.keys.KeyState(now, x.keyID, scope), scope) {
 		return &frontend.Reply{Status: http.StatusBadGateway}
 	}
-	if d := &x.config.Decide; !d.SendsRetryAfter || d.Tier > 0 {
+	if d := &x.config.Policy; !d.SendsRetryAfter || d.Tier > 0 {
 		return &frontend.Reply{Status: http.StatusServiceUnavailable}
 	} else if d.MaxRetryAfter > 0 && a.RetryAfter > d.MaxRetryAfter { // clients honour no more: one that is told more may come at once
 		return &frontend.Reply{Status: http.StatusServiceUnavailable,
@@ -176,21 +176,21 @@
 }
 
 func (x *exchange) End() {
-	if x.answer != nil && x.answer.Stream != nil && !x.answer.Stream.IsDelivered() { // it broke off, or its caller has gone
+	if x.response != nil && x.response.Stream != nil && !x.response.Stream.IsDelivered() { // it broke off, or its caller has gone
 		x.outcome = figures.Errored
 	}
-	if x.taken || x.over { // else its body never came whole: it was not taken
-		x.router.board.Ended(x.class().Name, x.outcome, x.taken)
+	if x.isReceived || x.isAnswered { // else its body never came whole: it was not taken
+		x.router.counters.RequestEnded(x.class().Name, x.outcome, x.isReceived)
 	}
-	if x.hold != nil {
-		x.hold.End()
+	if x.keyRequest != nil {
+		x.keyRequest.End()
 	}
-	if x.begun {
-		x.router.ids.end(x.key)
+	if x.isStarted {
+		x.router.ids.end(x.requestHash)
 	}
 }
 
-const maxID = 128
+const maxRequestIDBytes = 128
 
 // parse reads a request's head. The status is 0 if it can be served.
 func (s *Router) parse(conf *config.Config, r *http.Request) (up upstream.Request, q lbpolicy.Request, id string, status int) {
@@ -210,7 +210,7 @@
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	named := slices.Index(conf.Classes, first)
 	switch {
-	case !one || !oneClass || !oneKey || !oneTenant || !oneTimeout, id == "", len(id) > maxID,
+	case !one || !oneClass || !oneKey || !oneTenant || !oneTimeout, id == "", len(id) > maxRequestIDBytes,
 		!strings.HasPrefix(r.RequestURI, "/"), header != "" && class < 0 && header != first: // one that has vanished is not found, below
 		return up, q, id, http.StatusBadRequest
 	case named < 0:
@@ -218,8 +218,8 @@
 	case header != "" && class != named:
 		return up, q, id, http.StatusBadRequest
 	}
-	c := &conf.Decide.Classes[named]
-	if !fits(r, c.Effect) {
+	c := &conf.Policy.Classes[named]
+	if !matchesEffect(r, c.Effect) {
 		return up, q, id, http.StatusBadRequest
 	}
 	q = lbpolicy.Request{Class: named, ClassAtArrival: c, TimeLeft: c.Deadline, Retry: r.Header.Get("X-Retried") == "1",
@@ -243,8 +243,8 @@
 	return up, q, id, 0
 }
 
-// fits tells whether the method and key are those of the class's effect.
-func fits(r *http.Request, e lbpolicy.Effect) bool {
+// matchesEffect tells whether the method and key are those of the class's effect.
+func matchesEffect(r *http.Request, e lbpolicy.Effect) bool {
 	keyed := r.Header.Get("Idempotency-Key") != ""
 	switch e {
 	case lbpolicy.Idempotent:
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := engine.New(engine.Options{Policy: c.Decide, Seed: c.Seed, Zones: c.Zones, ReportFields: c.Report, Watch: func() {},
+	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Watch: func() {},
 		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64}), Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +58,7 @@
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
-	server := frontend.New(NewRouter(c, h, &figures.Board{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
+	server := frontend.New(NewRouter(c, h, &figures.Counters{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
 	go server.Serve()
 	t.Cleanup(func() { server.Close() })
 	drain := func(which int) {
@@ -121,7 +121,7 @@
 		"beyond":   {900 * time.Millisecond, time.Second, "0.900"},
 		"no bound": {0, time.Second, ""},
 	} {
-		conf := &config.Config{Decide: lbpolicy.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []lbpolicy.Class{{}}}}
+		conf := &config.Config{Policy: lbpolicy.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []lbpolicy.Class{{}}}}
 		r := (&exchange{config: conf}).reply(engine.Result{Rejected: true, RetryAfter: c.told})
 		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
 			t.Errorf("%s: %+v", name, r)
--- a/internal/platform/sidecar/succession.go
+++ b/internal/platform/sidecar/succession.go
@@ -18,86 +18,86 @@
 	"silvertrail/lbpolicy"
 )
 
-// Room is what a process may use of the machine. Two that replace each other share it: each has half.
-type Room struct {
-	Callers, Endpoints int // connections
-	Heap, Bodies       int64
+// Budget is what a process may use of the machine. Two that replace each other share it: each has half.
+type Budget struct {
+	ClientConns, EndpointConns int // connections
+	HeapBytes, BodyBytes       int64
 }
 
 // Half is one process's part while there are two.
-func (r Room) Half() Room {
-	return Room{max(r.Callers/2, 1), max(r.Endpoints/2, 1), r.Heap / 2, r.Bodies / 2}
+func (r Budget) Half() Budget {
+	return Budget{max(r.ClientConns/2, 1), max(r.EndpointConns/2, 1), r.HeapBytes / 2, r.BodyBytes / 2}
 }
 
-// Succession is this process as the other one of an upgrade sees it. It implements handover.Self.
-type Succession struct {
+// Takeover is this process as the other one of an upgrade sees it. It implements handover.Self.
+type Takeover struct {
 	Listen string
-	Host   *engine.Engine
+	Engine *engine.Engine
 	Router *Router
 	Client *upstream.Client
-	Room   Room
+	Budget Budget
 	Socket syscall.Conn // the clients' listening socket
 
-	mu    sync.Mutex
-	front *frontend.Server // nil: it takes no clients yet
-	half  bool
-	alone bool // the process before this one has ended
+	mu       sync.Mutex
+	frontend *frontend.Server // nil: it takes no clients yet
+	isHalved bool
+	isAlone  bool // the process before this one has ended
 }
 
-// Fit keeps this process within half of its room, or lets it have all.
-func (s *Succession) Fit(half bool) {
+// ApplyBudget keeps this process within half of its room, or lets it have all.
+func (s *Takeover) ApplyBudget(half bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	room := s.Room
+	room := s.Budget
 	if half {
 		room = room.Half()
 	}
-	debug.SetMemoryLimit(room.Heap)
-	s.Client.SetMaxConns(room.Endpoints)
-	if s.front != nil {
-		s.front.Admit(admission.Plain(room.Callers))
+	debug.SetMemoryLimit(room.HeapBytes)
+	s.Client.SetMaxConns(room.EndpointConns)
+	if s.frontend != nil {
+		s.frontend.Admit(admission.Plain(room.ClientConns))
 	}
-	s.Router.fit(half, s.Room.Bodies)
-	s.half = half
+	s.Router.fitBodies(half, s.Budget.BodyBytes)
+	s.isHalved = half
 }
 
-// Serve tells by whom callers are served, within what the process may have now.
-func (s *Succession) Serve(front *frontend.Server) {
+// SetFrontend tells by whom callers are served, within what the process may have now.
+func (s *Takeover) SetFrontend(front *frontend.Server) {
 	s.mu.Lock()
-	s.front = front
-	half := s.half && !s.alone
+	s.frontend = front
+	half := s.isHalved && !s.isAlone
 	s.mu.Unlock()
-	s.Fit(half)
+	s.ApplyBudget(half)
 }
 
-// Places is how many connections callers may have now.
-func (s *Succession) Places() int {
+// ClientConns is how many connections callers may have now.
+func (s *Takeover) ClientConns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.half {
-		return s.Room.Half().Callers
+	if s.isHalved {
+		return s.Budget.Half().ClientConns
 	}
-	return s.Room.Callers
+	return s.Budget.ClientConns
 }
 
 // Offer implements handover.Self.
-func (s *Succession) Offer() handover.Offer {
-	return handover.Offer{Listen: s.Listen, List: s.Host.Endpoints(), Seen: s.Host.ListedHashes(), Bans: s.Host.ManuallyEjected()}
+func (s *Takeover) Offer() handover.Offer {
+	return handover.Offer{Listen: s.Listen, Endpoints: s.Engine.Endpoints(), ListedHashes: s.Engine.ListedHashes(), Ejected: s.Engine.ManuallyEjected()}
 }
 
 // Listener implements handover.Self.
-func (s *Succession) Listener() syscall.Conn { return s.Socket }
+func (s *Takeover) Listener() syscall.Conn { return s.Socket }
 
 // Retire implements handover.Self.
-func (s *Succession) Retire() (keys []idempotency.Record, t handover.Taken) {
+func (s *Takeover) Retire() (keys []idempotency.Record, t handover.State) {
 	s.mu.Lock()
-	front := s.front
+	front := s.frontend
 	s.mu.Unlock()
 	if front != nil {
 		front.Retire()
 	}
 	// Nothing is between its claim and its first byte meanwhile: what has begun is among the keys.
-	s.Host.Synchronize(func() {
+	s.Engine.Synchronize(func() {
 		s.Router.keys.Each(time.Now(), func(k idempotency.Record) bool {
 			if k.KeyState.Known {
 				keys = append(keys, k)
@@ -105,127 +105,127 @@
 			return true
 		})
 	})
-	t = handover.Taken{Bans: s.Host.ManuallyEjected(), IDs: s.Router.ids.carry(), Carried: s.Host.Snapshot()}
-	s.Fit(true)
+	t = handover.State{Ejected: s.Engine.ManuallyEjected(), RequestIDs: s.Router.ids.snapshot(), Policy: s.Engine.Snapshot()}
+	s.ApplyBudget(true)
 	return keys, t
 }
 
 // Resume implements handover.Self.
-func (s *Succession) Resume() {
-	s.Fit(false)
+func (s *Takeover) Resume() {
+	s.ApplyBudget(false)
 	s.mu.Lock()
-	front := s.front
+	front := s.frontend
 	s.mu.Unlock()
 	if front != nil {
 		front.Resume()
 	}
 }
 
-// Learn implements handover.Self.
-func (s *Succession) Learn(keys []idempotency.Record) {
+// AddKeys implements handover.Self.
+func (s *Takeover) AddKeys(keys []idempotency.Record) {
 	now := time.Now()
 	for _, k := range keys {
 		s.Router.keys.Merge(now, k)
 	}
 }
 
-// Bind implements handover.Self.
-func (s *Succession) Bind(a handover.Attempt) handover.Past {
+// ClaimKey implements handover.Self.
+func (s *Takeover) ClaimKey(a handover.Claim) handover.KeyState {
 	now := time.Now()
 	id := idempotency.KeyID(a.ID)
-	to := a.To.History(now)
+	to := a.To.KeyState(now)
 	past := s.Router.keys.KeyState(now, id, a.Scope)
 	if past.Known && (!past.Allows(to.Place, a.Scope) || !now.Before(past.RetryUntil)) {
-		return handover.PastOf(now, past)
+		return handover.NewKeyState(now, past)
 	}
-	s.Router.keys.Merge(now, idempotency.Record{ID: id, KeyState: to, ExpiresAt: now.Add(a.Expire)})
-	return handover.PastOf(now, past.Merge(to, a.Scope))
+	s.Router.keys.Merge(now, idempotency.Record{ID: id, KeyState: to, ExpiresAt: now.Add(a.ExpiresIn)})
+	return handover.NewKeyState(now, past.Merge(to, a.Scope))
 }
 
-// Ban implements handover.Self.
-func (s *Succession) Ban(id string, on bool) { s.Host.SetEjectedUnlisted(id, on) }
+// SetEjected implements handover.Self.
+func (s *Takeover) SetEjected(id string, on bool) { s.Engine.SetEjectedUnlisted(id, on) }
 
-// Alone implements handover.Self.
-func (s *Succession) Alone() {
+// PredecessorEnded implements handover.Self.
+func (s *Takeover) PredecessorEnded() {
 	s.mu.Lock()
-	s.alone = true
+	s.isAlone = true
 	s.mu.Unlock()
-	s.Fit(false)
+	s.ApplyBudget(false)
 }
 
-// Begin takes up what was offered, before this process has a list of its own.
-func (s *Succession) Begin(o *handover.Offer) {
-	s.Host.AddListedHashes(o.Seen)
-	for _, id := range o.Bans {
-		s.Host.SetEjectedUnlisted(id, true)
+// ApplyOffer takes up what was offered, before this process has a list of its own.
+func (s *Takeover) ApplyOffer(o *handover.Offer) {
+	s.Engine.AddListedHashes(o.ListedHashes)
+	for _, id := range o.Ejected {
+		s.Engine.SetEjectedUnlisted(id, true)
 	}
-	s.Host.UpdateEndpoints(lbpolicy.Cached, o.List)
+	s.Engine.UpdateEndpoints(lbpolicy.Cached, o.Endpoints)
 }
 
-// Take takes up what is in force as the process before this one takes no more clients.
-func (s *Succession) Take(t *handover.Taken) {
+// ApplyState takes up what is in force as the process before this one takes no more clients.
+func (s *Takeover) ApplyState(t *handover.State) {
 	banned := map[string]bool{}
-	for _, id := range t.Bans {
+	for _, id := range t.Ejected {
 		banned[id] = true
-		s.Host.SetEjectedUnlisted(id, true)
+		s.Engine.SetEjectedUnlisted(id, true)
 	}
-	for _, id := range s.Host.ManuallyEjected() {
+	for _, id := range s.Engine.ManuallyEjected() {
 		if !banned[id] {
-			s.Host.SetEjectedUnlisted(id, false)
+			s.Engine.SetEjectedUnlisted(id, false)
 		}
 	}
-	s.Router.ids.follow(t.IDs)
-	s.Host.Restore(t.Carried)
+	s.Router.ids.restore(t.RequestIDs)
+	s.Engine.Restore(t.Policy)
 }
 
-// Upgrade lets requests with keys agree with the process that has taken over from this one.
-func (s *Router) Upgrade(p *handover.Process) { s.upgrade.Store(p) }
+// SetHandover lets requests with keys agree with the process that has taken over from this one.
+func (s *Router) SetHandover(p *handover.Process) { s.handover.Store(p) }
 
-// binder agrees with the process that has taken over on where a request's attempts go. It implements engine.Binder.
-type binder struct {
+// keyClaimer agrees with the process that has taken over on where a request's attempts go. It implements engine.Binder.
+type keyClaimer struct {
 	process *handover.Process
 	id      idempotency.KeyID
 	terms   idempotency.Terms
 
-	mu   sync.Mutex
-	past idempotency.KeyState
+	mu    sync.Mutex
+	state idempotency.KeyState
 }
 
 // IsActive implements engine.Binder.
-func (b *binder) IsActive() bool { return b.process.Retired() }
+func (b *keyClaimer) IsActive() bool { return b.process.IsRetired() }
 
 // Claim implements engine.Binder. Where the other process does not answer, nothing is known, and the attempt is held back.
-func (b *binder) Claim(ctx context.Context, to idempotency.Place) {
+func (b *keyClaimer) Claim(ctx context.Context, to idempotency.Place) {
 	now := time.Now()
-	p, err := b.process.Bind(ctx, handover.Attempt{ID: handover.ID(b.id), Scope: b.terms.Scope, Expire: b.terms.Window + b.terms.Retention,
-		To: handover.PastOf(now, idempotency.KeyState{Known: true, Place: to, RetryUntil: now.Add(b.terms.RetryWindow())})})
+	p, err := b.process.ClaimKey(ctx, handover.Claim{ID: handover.KeyID(b.id), Scope: b.terms.Scope, ExpiresIn: b.terms.Window + b.terms.Retention,
+		To: handover.NewKeyState(now, idempotency.KeyState{Known: true, Place: to, RetryUntil: now.Add(b.terms.RetryWindow())})})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
-		b.past = p.History(now)
+		b.state = p.KeyState(now)
 	}
 }
 
 // KeyState implements engine.Binder.
-func (b *binder) KeyState() idempotency.KeyState {
+func (b *keyClaimer) KeyState() idempotency.KeyState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.past
+	return b.state
 }
 
-// fit keeps half of the memory for bodies out of use, or gives it back. What is in use comes back first.
-func (s *Router) fit(half bool, all int64) {
-	s.fitting.Lock()
-	defer s.fitting.Unlock()
+// fitBodies keeps half of the memory for bodies out of use, or gives it back. What is in use comes back first.
+func (s *Router) fitBodies(half bool, all int64) {
+	s.reserveMu.Lock()
+	defer s.reserveMu.Unlock()
 	switch {
 	case half && s.reserve == nil:
 		ctx, cancel := context.WithCancel(context.Background())
 		s.reserve = &reserve{cancel: cancel, done: make(chan struct{})}
-		go s.reserve.hold(ctx, s.bodies, all/2)
+		go s.reserve.acquire(ctx, s.bodies, all/2)
 	case !half && s.reserve != nil:
 		s.reserve.cancel()
 		<-s.reserve.done
-		if s.reserve.held {
+		if s.reserve.acquired {
 			s.bodies.Release(all / 2)
 		}
 		s.reserve = nil
@@ -234,14 +234,14 @@
 
 // reserve is memory for bodies that the other process of an upgrade has.
 type reserve struct {
-	cancel context.CancelFunc
-	done   chan struct{}
-	held   bool
+	cancel   context.CancelFunc
+	done     chan struct{}
+	acquired bool
 }
 
-func (r *reserve) hold(ctx context.Context, from *semaphore.Weighted, n int64) {
-	r.held = from.Acquire(ctx, n) == nil
+func (r *reserve) acquire(ctx context.Context, from *semaphore.Weighted, n int64) {
+	r.acquired = from.Acquire(ctx, n) == nil
 	close(r.done)
 }
 
-var _ handover.Self = (*Succession)(nil)
+var _ handover.Host = (*Takeover)(nil)
--- a/internal/platform/watch/load_test.go
+++ b/internal/platform/watch/load_test.go
@@ -85,9 +85,9 @@
 	f := i.fleet
 	i.call++
 	n := i.call
-	i.in = i.Ask(f.now, false)
+	i.in = i.Begin(f.now, false)
 	f.calls[int(f.now/time.Second)]++
-	f.after(i.in.First, func() { i.end(n, Silent) })
+	f.after(i.in.FirstByteTimeout, func() { i.end(n, NoResponse) })
 	f.after(trip/2, func() {
 		switch {
 		case f.trouble == down:
@@ -120,17 +120,17 @@
 		if i.call == n && i.known < version {
 			i.known, i.at = version, i.fleet.now
 		}
-		i.end(n, Answered)
+		i.end(n, Complete)
 	})
 }
 
-func (i *instance) end(n int, how End) {
+func (i *instance) end(n int, how Outcome) {
 	if i.call != n {
 		return // it has been given up, or has ended
 	}
 	i.call++
 	i.waits = false
-	i.fleet.after(i.Ended(i.fleet.now, how), i.ask)
+	i.fleet.after(i.End(i.fleet.now, how), i.ask)
 }
 
 // news come up: watches that wait are answered, in turn.
@@ -215,7 +215,7 @@
 
 // variant is a watch that waits in another way than the program's.
 type variant struct {
-	*Watch
+	*Poller
 	name  string
 	fails int
 }
@@ -227,36 +227,36 @@
 	asItIs     = "given up after 5 s, the first after news from 0.5 s on"
 )
 
-func (v *variant) Ask(now time.Duration, whole bool) Call {
-	first := v.inStep
-	c := v.Watch.Ask(now, whole)
-	if c.Wait == Told {
+func (v *variant) Begin(now time.Duration, whole bool) Call {
+	first := v.synchronized
+	c := v.Poller.Begin(now, whole)
+	if c.Wait == MaxWait {
 		switch v.name {
 		case halfSpread:
 			if first {
-				c.First = apart/2 + (c.First-apart/10)*5/9
+				c.FirstByteTimeout = pollInterval/2 + (c.FirstByteTimeout-pollInterval/10)*5/9
 			}
 		case asItWas:
-			c.First = time.Duration((0.5 + v.draw()) * float64(8*time.Second))
+			c.FirstByteTimeout = time.Duration((0.5 + v.random()) * float64(8*time.Second))
 		case ownEnd:
-			c.Wait = c.First - time.Second/2
+			c.Wait = c.FirstByteTimeout - time.Second/2
 		}
 	}
 	return c
 }
 
-func (v *variant) Ended(now time.Duration, how End) time.Duration {
-	calm := v.name == ownEnd && how == Answered && now-v.asked >= apart-time.Second
-	after := v.Watch.Ended(now, how)
+func (v *variant) End(now time.Duration, how Outcome) time.Duration {
+	calm := v.name == ownEnd && how == Complete && now-v.startedAt >= pollInterval-time.Second
+	after := v.Poller.End(now, how)
 	if calm {
-		v.inStep = false
+		v.synchronized = false
 	}
 	if v.name == asItWas {
 		if how == Failed {
 			v.fails = min(v.fails+1, 5)
-			return time.Duration((0.5 + v.draw()) * float64(min(time.Second/2<<v.fails, mustAsk/2)))
+			return time.Duration((0.5 + v.random()) * float64(min(time.Second/2<<v.fails, mustAsk/2)))
 		}
-		if how == Answered {
+		if how == Complete {
 			v.fails = 0
 		}
 	}
@@ -272,7 +272,7 @@
 		for _, size := range []int{1, 12, 80, 300} {
 			var most load
 			for seed := range uint64(5) {
-				l := day(size, seed, func(draw func() float64) watcher { return &variant{Watch: New(draw, mustAsk), name: name} })
+				l := day(size, seed, func(draw func() float64) watcher { return &variant{Poller: New(draw, mustAsk), name: name} })
 				most.steady = max(most.steady, l.steady)
 				for n := range l.peaks {
 					most.peaks[n] = max(most.peaks[n], l.peaks[n])
@@ -292,7 +292,7 @@
 				continue
 			}
 			for _, last := range most.lasts {
-				if last > ToldAfter+slack {
+				if last > NotifiedAfter+slack {
 					t.Errorf("%d: known after %v", size, last)
 				}
 			}
--- a/internal/platform/watch/watch_test.go
+++ b/internal/platform/watch/watch_test.go
@@ -66,10 +66,10 @@
 		if n < len(s.fates) {
 			f = s.fates[n]
 		}
-		c := w.Ask(now, whole)
-		over := now + c.First // given up, or past the wait
+		c := w.Begin(now, whole)
+		over := now + c.FirstByteTimeout // given up, or past the wait
 		for _, it := range open {
-			if now+trip > it.reached+ToldAfter+slack {
+			if now+trip > it.reached+NotifiedAfter+slack {
 				return fmt.Errorf("call %d, at %v: news of %v, that it could have been told from %v on", n, now, it.up, it.reached)
 			}
 		}
@@ -78,7 +78,7 @@
 				open[i].reached = now
 			}
 		}
-		for _, t := range up(2*n, now, now+min(c.First, c.Wait)) {
+		for _, t := range up(2*n, now, now+min(c.FirstByteTimeout, c.Wait)) {
 			open = append(open, item{t, never, t})
 		}
 		begins := now + c.Wait // the time at which discovery answers
@@ -87,21 +87,21 @@
 		}
 		begins += trip
 		var end time.Duration
-		var how End
+		var how Outcome
 		switch {
 		case f == away:
 			end, how = now+trip, Failed
 		case f == hung:
-			end, how = now+min(dial, c.First), Failed
+			end, how = now+min(dial, c.FirstByteTimeout), Failed
 		case f == reset:
 			end, how = over, Failed
 		case f == dead || begins > over:
-			end, how = over, Silent
+			end, how = over, NoResponse
 			for i := range open { // news of a call without an answer
-				tell(i, now+c.Wait+PastWait)
+				tell(i, now+c.Wait+UnansweredGrace)
 			}
 		case f == served:
-			end, how = begins, Answered
+			end, how = begins, Complete
 			for _, it := range open {
 				if written := begins - trip/2; it.up <= written && end > min(it.told, written)+slack {
 					return fmt.Errorf("call %d: news of %v told at %v, known at %v", n, it.up, it.told, end)
@@ -109,13 +109,13 @@
 			}
 			open, whole = open[:0], false
 		case f == broke:
-			end, how = begins, Broken
+			end, how = begins, Incomplete
 		default:
-			end, how = begins+c.Rest, Broken
+			end, how = begins+c.BodyTimeout, Incomplete
 		}
-		if how == Broken {
+		if how == Incomplete {
 			for i, it := range open {
-				tell(i, max(it.up, now)+ToldAfter) // what a call before could not tell this one had to
+				tell(i, max(it.up, now)+NotifiedAfter) // what a call before could not tell this one had to
 			}
 		}
 		if how == Failed {
@@ -128,10 +128,10 @@
 				return fmt.Errorf("call %d: news of %v told at %v, not known at %v", n, it.up, it.told, end)
 			}
 		}
-		pause := w.Ended(end, how)
+		pause := w.End(end, how)
 		for _, t := range up(2*n+1, end, end+pause) {
 			told := never
-			if !s.alone && how == Answered && t-end <= Lapse && pause+trip/2 > Lapse {
+			if !s.alone && how == Complete && t-end <= NotificationGrace && pause+trip/2 > NotificationGrace {
 				told = t // the watch has lapsed; where it goes on, its next call brings them as if they came up with it
 			}
 			open = append(open, item{t, told, t})
@@ -150,8 +150,8 @@
 
 // watcher is the watch, or one that is wrong on purpose.
 type watcher interface {
-	Ask(now time.Duration, whole bool) Call
-	Ended(now time.Duration, how End) time.Duration
+	Begin(now time.Duration, whole bool) Call
+	End(now time.Duration, how Outcome) time.Duration
 }
 
 // walk plays all scripts of so many calls and two news, with troubles in at most two calls in a row: past that no client
@@ -234,7 +234,7 @@
 
 // wrong is a watch with one fault.
 type wrong struct {
-	*Watch
+	*Poller
 	fault string
 	row   int
 }
@@ -248,34 +248,34 @@
 	fromEnd     = "the pause after failures is reckoned from the end of the call"
 )
 
-func (w *wrong) Ask(now time.Duration, whole bool) Call {
-	c := w.Watch.Ask(now, whole)
+func (w *wrong) Begin(now time.Duration, whole bool) Call {
+	c := w.Poller.Begin(now, whole)
 	switch w.fault {
 	case standsStill:
-		c.Rest = c.First
+		c.BodyTimeout = c.FirstByteTimeout
 	case toldLittle:
-		c.Wait = c.First + time.Second
+		c.Wait = c.FirstByteTimeout + time.Second
 	case waitsLong:
-		if c.Wait == Told {
-			c.First = 4*time.Second + time.Duration(w.draw()*float64(8*time.Second))
+		if c.Wait == MaxWait {
+			c.FirstByteTimeout = 4*time.Second + time.Duration(w.random()*float64(8*time.Second))
 		}
 	}
 	return c
 }
 
-func (w *wrong) Ended(now time.Duration, how End) time.Duration {
-	after := w.Watch.Ended(now, how)
+func (w *wrong) End(now time.Duration, how Outcome) time.Duration {
+	after := w.Poller.End(now, how)
 	switch {
-	case w.fault == lapses && how == Answered:
+	case w.fault == lapses && how == Complete:
 		return 600 * time.Millisecond
-	case how == Answered || after <= gap:
+	case how == Complete || after <= minInterval:
 		w.row = 0
 	case w.fault == pausesLong:
 		w.row++
-		return time.Duration(float64(min(time.Second<<(w.row-1), mustAsk/2)) * (0.5 + w.draw()))
+		return time.Duration(float64(min(time.Second<<(w.row-1), mustAsk/2)) * (0.5 + w.random()))
 	case w.fault == fromEnd:
 		w.row++
-		return w.spread(min(time.Second<<w.row, apart))
+		return w.jitter(min(time.Second<<w.row, pollInterval))
 	}
 	return after
 }
@@ -285,7 +285,7 @@
 	t.Parallel()
 	for fault, alone := range map[string]bool{standsStill: false, toldLittle: false, lapses: false, waitsLong: true, pausesLong: true, fromEnd: true} {
 		err, _ := walk(4, alone, false, func(draw float64) watcher {
-			return &wrong{Watch: New(func() float64 { return draw }, mustAsk), fault: fault}
+			return &wrong{Poller: New(func() float64 { return draw }, mustAsk), fault: fault}
 		})
 		if err == nil {
 			t.Errorf("%s: not found", fault)
@@ -327,18 +327,18 @@
 // as far apart as the term allows.
 func TestBackoff(t *testing.T) {
 	t.Parallel()
-	for _, how := range []End{Silent, Broken, Failed} {
+	for _, how := range []Outcome{NoResponse, Incomplete, Failed} {
 		w := New(func() float64 { return 0.5 }, mustAsk)
 		now, calls := time.Duration(0), 0
 		for now < 10*time.Minute {
-			c := w.Ask(now, false)
+			c := w.Begin(now, false)
 			calls++
-			if how == Silent {
-				now += c.First
+			if how == NoResponse {
+				now += c.FirstByteTimeout
 			} else {
 				now += trip
 			}
-			now += w.Ended(now, how)
+			now += w.End(now, how)
 		}
 		if calls > 600/5*2 {
 			t.Errorf("%v: %d calls in ten minutes", how, calls)
@@ -350,22 +350,22 @@
 // A few instances hold the term; what many ask in calm stays within twice a second for each tier, up to the longest mean wait.
 func TestSharedBy(t *testing.T) {
 	t.Parallel()
-	for instances, mean := range map[int]time.Duration{0: apart, 1: apart, 10: apart, 13: 6500 * time.Millisecond, 16: longWait, 300: longWait} {
+	for instances, mean := range map[int]time.Duration{0: pollInterval, 1: pollInterval, 10: pollInterval, 13: 6500 * time.Millisecond, 16: maxSharedWait, 300: maxSharedWait} {
 		rng := rand.New(rand.NewPCG(uint64(instances), 3))
 		w := New(rng.Float64, mustAsk).SharedBy(instances)
 		now, sum, most := time.Duration(0), time.Duration(0), time.Duration(0)
 		const calls = 2000
 		for range calls {
-			c := w.Ask(now, false)
-			if c.Wait != Told { // the short call before what has died counts as told: it is answered
+			c := w.Begin(now, false)
+			if c.Wait != MaxWait { // the short call before what has died counts as told: it is answered
 				now += trip
-				w.Ended(now, Answered)
+				w.End(now, Complete)
 				continue
 			}
-			now, sum, most = now+c.First, sum+c.First, max(most, c.First)
-			now += w.Ended(now, Silent)
+			now, sum, most = now+c.FirstByteTimeout, sum+c.FirstByteTimeout, max(most, c.FirstByteTimeout)
+			now += w.End(now, NoResponse)
 		}
-		if mean == apart && most > apart {
+		if mean == pollInterval && most > pollInterval {
 			t.Errorf("%d: waits %v", instances, most)
 		}
 		if got := sum / calls; got < mean*3/4 || got > mean*11/10 {
--- a/internal/xds/known/store.go
+++ b/internal/xds/known/store.go
@@ -64,7 +64,7 @@
 // Store keeps what is known. It is not safe for concurrent use.
 type Store struct {
 	rules   Rules
-	book    *age.Book
+	book    *age.Orderer
 	entries [ads.Kinds]map[string]*entry
 	used    map[string]bool // clusters
 	changed map[string]bool
@@ -73,7 +73,7 @@
 
 // New returns a store that knows nothing.
 func New(r Rules) *Store {
-	s := &Store{rules: r, book: age.NewBook(r.Hold), used: map[string]bool{}, changed: map[string]bool{}, streams: map[age.Stream]string{}}
+	s := &Store{rules: r, book: age.New(r.Hold), used: map[string]bool{}, changed: map[string]bool{}, streams: map[age.Stream]string{}}
 	for k := range s.entries {
 		s.entries[k] = map[string]*entry{}
 	}
@@ -94,7 +94,7 @@
 
 // Ended tells that a stream has ended, or is not listened to any more.
 func (s *Store) Ended(stream age.Stream) {
-	s.book.Ended(stream)
+	s.book.StreamEnded(stream)
 	delete(s.streams, stream)
 	for _, of := range s.entries {
 		for _, e := range of {
@@ -196,8 +196,8 @@
 	return e
 }
 
-func word(k ads.Kind, i Item) age.Word {
-	return age.Word{Resource: k.String() + "/" + i.Name, Version: i.Version, Digest: i.Digest}
+func word(k ads.Kind, i Item) age.Update {
+	return age.Update{Resource: k.String() + "/" + i.Name, Version: i.Version, Digest: i.Digest}
 }
 
 // Take takes what a stream has said. It returns what of it can't be taken for want of room.
@@ -240,10 +240,10 @@
 
 // say has a word judged, and puts it in force or holds it off.
 func (s *Store) say(now time.Time, stream age.Stream, k ads.Kind, e *entry, i Item) {
-	switch s.book.Say(now, stream, word(k, i)) {
-	case age.Take:
+	switch s.book.Receive(now, stream, word(k, i)) {
+	case age.Apply:
 		s.put(now, k, e, i, s.streams[stream])
-	case age.Same:
+	case age.Unchanged:
 		if e.held != nil || staleAfter(e) > 0 || e.heard.IsZero() { // what was stale is not any more
 			s.mark(k, i.Name)
 		}
@@ -252,7 +252,7 @@
 			s.put(now, k, e, i, s.streams[stream])
 		}
 		e.item.Version = i.Version
-	case age.Hold:
+	case age.Defer:
 		e.asked = time.Time{}
 		e.held, e.heldFrom = &i, s.streams[stream]
 		s.mark(k, i.Name)
@@ -284,8 +284,8 @@
 
 // Due brings the store up to the time.
 func (s *Store) Due(now time.Time) {
-	if at := s.book.Next(); !at.IsZero() && !at.After(now) {
-		for _, w := range s.book.Due(now) {
+	if at := s.book.NextDue(); !at.IsZero() && !at.After(now) {
+		for _, w := range s.book.ApplyDue(now) {
 			for k := range ads.Kinds {
 				name, is := strings.CutPrefix(w.Resource, k.String()+"/")
 				e := s.entries[k][name]
@@ -322,7 +322,7 @@
 
 // Next returns the time at which Due has something to do; zero: none until something is said.
 func (s *Store) Next(now time.Time) (at time.Time) {
-	at = s.book.Next()
+	at = s.book.NextDue()
 	sooner := func(t time.Time) {
 		if t.After(now) && (at.IsZero() || t.Before(at)) {
 			at = t
