Move platform's and base's packages to the field's names

Need: watch, figures, registry, age, due, scarce and replaced say little. Change: discoverypoll, counters, discovery, updateorder, timerqueue, exhaustion and watchedfile; files named after what they hold.

--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -24,11 +24,11 @@
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/admin"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/counters"
+	"silvertrail/internal/platform/discovery"
+	"silvertrail/internal/platform/discoverypoll"
 	"silvertrail/internal/platform/handover"
-	"silvertrail/internal/platform/registry"
 	platform "silvertrail/internal/platform/sidecar"
-	"silvertrail/internal/platform/watch"
 	"silvertrail/lbpolicy"
 )
 
@@ -77,12 +77,12 @@
 	sockets := descriptors - ownSockets
 	room := platform.Budget{ClientConns: sockets / 2, EndpointConns: sockets / 2,
 		HeapBytes: int64(heapPart * float64(c.Limits.MemoryMB<<20)), BodyBytes: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
-	board := &figures.Counters{}
+	board := &counters.Set{}
 	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, OnSent: func() { board.AttemptsSent.Add(1) },
 		IdleTimeout: idleOf(c), SettleTime: settle, HedgeDials: true, MaxConns: room.EndpointConns, MaxStreamBytes: platform.MaxBodyBytes})
-	var discovery *registry.Client
+	var discoveryClient *discovery.Client
 	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Client: client,
-		Watch: func() { discovery.Watch() }, Log: log})
+		Watch: func() { discoveryClient.Watch() }, Log: log})
 	if err != nil {
 		return err
 	}
@@ -92,14 +92,14 @@
 		log.Warn("config: known: " + err.Error())
 	}
 	listed := make(chan struct{}, 1)
-	discovery = registry.New(c.Discovery, mustAskIn(c.Policy), known.Index, func(kind lbpolicy.ListKind, e []endpointlist.Endpoint) {
+	discoveryClient = discovery.New(c.Discovery, mustAskIn(c.Policy), known.Index, func(kind lbpolicy.ListKind, e []endpointlist.Endpoint) {
 		h.UpdateEndpoints(kind, e)
 		select {
 		case listed <- struct{}{}:
 		default:
 		}
 	}, log)
-	discovery.SharedBy(c.Policy.Balancers)
+	discoveryClient.SharedBy(c.Policy.Balancers)
 	h.UpdateEndpoints(lbpolicy.Cached, known.Entries)
 
 	self := &platform.Takeover{Listen: c.Listen, Engine: h, Router: router, Client: client, Budget: room}
@@ -132,14 +132,14 @@
 			}
 		}()
 	}
-	go discovery.Run(ctx)
+	go discoveryClient.Run(ctx)
 	var inForce atomic.Pointer[config.Config]
 	inForce.Store(c)
 	go func() {
 		for {
 			select {
 			case <-hangup:
-				inForce.Store(reload(path, inForce.Load(), router, client, discovery, board, log))
+				inForce.Store(reload(path, inForce.Load(), router, client, discoveryClient, board, log))
 			case <-ctx.Done():
 				return
 			}
@@ -210,14 +210,14 @@
 	if !s.PollDiscovery {
 		return 0
 	}
-	return cmp.Or(s.MaxPollInterval, watch.MaxWait) // without an obligation the longest wait bounds nothing
+	return cmp.Or(s.MaxPollInterval, discoverypoll.MaxWait) // without an obligation the longest wait bounds nothing
 }
 
 // reload takes up the configuration as the file has it now, whole or not at all: settings and discovery's address are
 // read and checked before either is in force. The address, name and limits of the process wait for a restart. It returns
 // the configuration in force.
-func reload(path string, running *config.Config, router *platform.Router, client *upstream.Client, discovery *registry.Client,
-	board *figures.Counters, log *slog.Logger) *config.Config {
+func reload(path string, running *config.Config, router *platform.Router, client *upstream.Client, discoveryClient *discovery.Client,
+	board *counters.Set, log *slog.Logger) *config.Config {
 	next, err := running.Next(path)
 	if err == nil {
 		err = router.Configure(next)
@@ -229,7 +229,7 @@
 	}
 	client.SetDialTimeout(next.DialTimeout)
 	client.SetIdleTimeout(idleOf(next))
-	discovery.SetAddress(next.Discovery)
+	discoveryClient.SetAddress(next.Discovery)
 	board.ConfigsApplied.Add(1)
 	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
 		next.Admin != running.Admin || next.Policy.PollDiscovery != running.Policy.PollDiscovery
--- a/internal/balancer/engine/attempt.go
+++ b/internal/balancer/engine/attempt.go
@@ -7,7 +7,7 @@
 
 	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
-	"silvertrail/internal/base/scarce"
+	"silvertrail/internal/base/exhaustion"
 	"silvertrail/lbpolicy"
 )
 
@@ -92,7 +92,7 @@
 		if a.ended {
 			return
 		}
-		c.outOfDescriptors = c.outOfDescriptors || scarce.IsDescriptorExhaustion(err)
+		c.outOfDescriptors = c.outOfDescriptors || exhaustion.Is(err)
 		if err != nil && !c.done {
 			e.log.Info("attempt failed", "endpoint", a.server.name, "error", err)
 		}
--- a/internal/balancer/idempotency/table.go
+++ b/internal/balancer/idempotency/table.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/base/due"
+	"silvertrail/internal/base/timerqueue"
 	"silvertrail/lbpolicy"
 )
 
@@ -14,7 +14,7 @@
 
 	mu     sync.Mutex // guards the fields below, and all requests and attempts of the table
 	keys   map[KeyID]*entry
-	expiry due.Queue[*entry]
+	expiry timerqueue.Queue[*entry]
 }
 
 // entry is what is remembered of one key.
--- a/internal/balancer/upstream/dial.go
+++ b/internal/balancer/upstream/dial.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"silvertrail/internal/base/scarce"
+	"silvertrail/internal/base/exhaustion"
 )
 
 // A lost packet, a full accept queue or a middlebox delays some connections and not others. An attempt that has waited a
@@ -188,9 +188,9 @@
 		return dial(ctx, "tcp", p.address)
 	}
 	conn, err := dialOnce()
-	for until := time.Now().Add(descriptorWait); scarce.IsDescriptorExhaustion(err) && ctx.Err() == nil && time.Now().Before(until); {
+	for until := time.Now().Add(descriptorWait); exhaustion.Is(err) && ctx.Err() == nil && time.Now().Before(until); {
 		p.freeDescriptor()
-		if conn, err = dialOnce(); scarce.IsDescriptorExhaustion(err) {
+		if conn, err = dialOnce(); exhaustion.Is(err) {
 			time.Sleep(descriptorRetryDelay)
 		}
 	}
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"silvertrail/internal/base/scarce"
+	"silvertrail/internal/base/exhaustion"
 	"silvertrail/lbpolicy"
 )
 
@@ -164,7 +164,7 @@
 	p.client.mu.Lock()
 	p.releasePlace()
 	p.client.mu.Unlock()
-	if scarce.IsDescriptorExhaustion(err) { // this says nothing about the endpoint
+	if exhaustion.Is(err) { // this says nothing about the endpoint
 		return nil, lbpolicy.NotSent, err
 	}
 	return nil, lbpolicy.ConnectFailed, err
--- a/internal/base/scarce/scarce_test.go
+++ b/internal/base/exhaustion/exhaustion_test.go
@@ -1,4 +1,4 @@
-package scarce
+package exhaustion
 
 import (
 	"fmt"
@@ -13,11 +13,11 @@
 	for errno, want := range map[syscall.Errno]bool{syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENOBUFS: true, syscall.ENOMEM: true,
 		syscall.ECONNREFUSED: false, syscall.ECONNRESET: false, syscall.ETIMEDOUT: false} {
 		err := fmt.Errorf("dialing: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", errno)})
-		if IsDescriptorExhaustion(err) != want {
+		if Is(err) != want {
 			t.Errorf("%v: %t", err, !want)
 		}
 	}
-	if IsDescriptorExhaustion(nil) {
+	if Is(nil) {
 		t.Error("no error is a shortage")
 	}
 }
--- a/internal/base/due/due.go
+++ b/internal/base/timerqueue/timerqueue.go
@@ -1,5 +1,5 @@
-// Package due keeps what has to be done at a time, earliest first. It does no I/O and has no clock.
-package due
+// Package timerqueue keeps what has to be done at a time, earliest first. It does no I/O and has no clock.
+package timerqueue
 
 import (
 	"container/heap"
--- a/internal/base/due/due_test.go
+++ b/internal/base/timerqueue/timerqueue_test.go
@@ -1,4 +1,4 @@
-package due
+package timerqueue
 
 import (
 	"slices"
--- a/internal/base/age/age.go
+++ b/internal/base/updateorder/updateorder.go
@@ -1,4 +1,4 @@
-// Package age decides which word of a control plane is newer, where versions tell nothing.
+// Package updateorder decides which word of a control plane is newer, where versions tell nothing.
 //
 // Versions of xDS resources are opaque, and streams break and return to other servers, or to the same one with an older
 // state. What can be known is this: within one stream a later word is newer, as the server chose to send it then. Across
@@ -12,7 +12,7 @@
 // That a resource is not there is a content like any other, so that a removal is not undone by an old word either.
 //
 // A Book has no clock and does no I/O. It is not safe for concurrent use.
-package age
+package updateorder
 
 import (
 	"maps"
--- a/internal/base/age/age_test.go
+++ b/internal/base/updateorder/updateorder_test.go
@@ -1,4 +1,4 @@
-package age
+package updateorder
 
 import (
 	"fmt"
--- a/internal/base/replaced/replaced.go
+++ b/internal/base/watchedfile/watchedfile.go
@@ -1,5 +1,5 @@
-// Package replaced reads a file that is replaced atomically (written beside and renamed), whenever it has changed.
-package replaced
+// Package watchedfile reads a file that is replaced atomically (written beside and renamed), whenever it has changed.
+package watchedfile
 
 import (
 	"fmt"
--- a/internal/base/replaced/replaced_test.go
+++ b/internal/base/watchedfile/watchedfile_test.go
@@ -1,4 +1,4 @@
-package replaced
+package watchedfile
 
 import (
 	"os"
--- a/internal/edge/frontend/conns.go
+++ b/internal/edge/frontend/conns.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"silvertrail/internal/base/scarce"
+	"silvertrail/internal/base/exhaustion"
 	"silvertrail/internal/edge/admission"
 )
 
@@ -131,13 +131,13 @@
 		l.bare.Store(l.spare == nil)
 	}
 	nc, err := l.listener.Accept()
-	if !scarce.IsDescriptorExhaustion(err) {
+	if !exhaustion.Is(err) {
 		return nc, err
 	}
 	if l.short(); l.onShort.Load() != nil {
 		(*l.onShort.Load())()
 	}
-	if nc, err = l.listener.Accept(); !scarce.IsDescriptorExhaustion(err) || l.spare == nil {
+	if nc, err = l.listener.Accept(); !exhaustion.Is(err) || l.spare == nil {
 		return nc, err
 	}
 	l.spare.Close()
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -26,7 +26,7 @@
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/counters"
 	"silvertrail/internal/platform/sidecar"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
@@ -141,7 +141,7 @@
 		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
 	}
 	d.host.UpdateEndpoints(lbpolicy.Full, list)
-	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &figures.Counters{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
+	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &counters.Set{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
 	if secure {
 		dir := t.TempDir()
 		a, err := standin.NewAuthority(dir, "authority")
--- a/internal/fleet/ownership/voter.go
+++ b/internal/fleet/ownership/voter.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"silvertrail/internal/balancer/idempotency"
-	"silvertrail/internal/base/due"
+	"silvertrail/internal/base/timerqueue"
 	"silvertrail/lbpolicy"
 )
 
@@ -45,7 +45,7 @@
 	table            *idempotency.Table
 	maxKeys          int
 	grants           map[AttemptID]*grant
-	expiry           due.Queue[*grant]
+	expiry           timerqueue.Queue[*grant]
 	abstainUntil     time.Time
 	copiesUsefulFrom time.Time // snapshots count from then on
 	copiedFrom       map[string]bool
--- a/internal/gateway/cluster/source.go
+++ b/internal/gateway/cluster/source.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"silvertrail/internal/base/endpointlist"
-	"silvertrail/internal/base/replaced"
-	"silvertrail/internal/platform/registry"
+	"silvertrail/internal/base/watchedfile"
+	"silvertrail/internal/platform/discovery"
 	"silvertrail/lbpolicy"
 )
 
@@ -63,7 +63,7 @@
 
 // run reads the file when it has changed. One that can't be read or used is out of reach: what it said last stands.
 func (f *File) run(ctx context.Context, say tell, log *slog.Logger) {
-	file := replaced.File{Path: f.Path, MaxBytes: maxFile}
+	file := watchedfile.File{Path: f.Path, MaxBytes: maxFile}
 	failed := ""
 	for {
 		text, changed, err := file.Read()
@@ -138,7 +138,7 @@
 type Registry struct{ Address string }
 
 func (r *Registry) run(ctx context.Context, say tell, log *slog.Logger) {
-	registry.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
+	discovery.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
 		switch kind {
 		case lbpolicy.Full, lbpolicy.Cached:
 			say(whole, entries)
--- a/internal/platform/figures/figures.go
+++ b/internal/platform/counters/counters.go
@@ -1,6 +1,6 @@
-// Package figures counts what a sidecar has done for its callers and sent to its endpoints. Each request that was taken
+// Package counters counts what a sidecar has done for its callers and sent to its endpoints. Each request that was taken
 // ends in exactly one outcome, under the class that it was taken in; no count goes back. It does no I/O and has no clock.
-package figures
+package counters
 
 import (
 	"encoding/json"
@@ -26,8 +26,8 @@
 // OtherClass is the name under which requests of classes beyond mostClasses count.
 const OtherClass = "_other"
 
-// Counters holds the counts. The zero Board is ready for use; it is safe for concurrent use.
-type Counters struct {
+// Set holds the counts. The zero Board is ready for use; it is safe for concurrent use.
+type Set struct {
 	AttemptsSent    atomic.Int64 // attempts written whole
 	ConfigsApplied  atomic.Int64 // files taken at SIGHUP
 	ConfigsRejected atomic.Int64 // and turned down
@@ -40,7 +40,7 @@
 type counts [outcomes]int64
 
 // AddClasses has classes shown that have had no request yet.
-func (b *Counters) AddClasses(names []string) {
+func (b *Set) AddClasses(names []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, n := range names {
@@ -48,7 +48,7 @@
 	}
 }
 
-func (b *Counters) countsOf(class string) *counts {
+func (b *Set) countsOf(class string) *counts {
 	if c := b.classes[class]; c != nil {
 		return c
 	}
@@ -65,14 +65,14 @@
 }
 
 // RequestReceived counts a request whose last byte has come, or, where its body is passed on as it comes, whose head has.
-func (b *Counters) RequestReceived() {
+func (b *Set) RequestReceived() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.inFlight++
 }
 
 // RequestEnded counts the outcome of a request; taken tells that Taken was called for it.
-func (b *Counters) RequestEnded(class string, o Outcome, taken bool) {
+func (b *Set) RequestEnded(class string, o Outcome, taken bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if taken {
@@ -82,7 +82,7 @@
 }
 
 // InFlight returns the number of requests that were taken and have not ended.
-func (b *Counters) InFlight() int64 {
+func (b *Set) InFlight() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.inFlight
@@ -102,7 +102,7 @@
 }
 
 // Snapshot returns a copy. The size of the cluster and how many of it are avoided are for the caller to set.
-func (b *Counters) Snapshot() Snapshot {
+func (b *Set) Snapshot() Snapshot {
 	f := Snapshot{Answered: map[string]int64{}, Rejected: map[string]int64{}, Errored: map[string]int64{},
 		AttemptsSent: b.AttemptsSent.Load(), ConfigsApplied: b.ConfigsApplied.Load(), ConfigsRejected: b.ConfigsRejected.Load()}
 	b.mu.Lock()
--- a/internal/platform/figures/figures_test.go
+++ b/internal/platform/counters/counters_test.go
@@ -1,4 +1,4 @@
-package figures
+package counters
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 )
 
 func TestBoard(t *testing.T) {
-	var b Counters
+	var b Set
 	b.AddClasses([]string{"read", "write"})
 	if text := string(b.Snapshot().JSON()); !strings.Contains(text, `"answered":{"read":0,"write":0}`) || !strings.HasSuffix(text, "}\n") {
 		t.Error(text)
@@ -45,7 +45,7 @@
 
 // Endless new names take no endless memory, and nothing of their counts is lost.
 func TestBoardBound(t *testing.T) {
-	var b Counters
+	var b Set
 	for i := range 3 * maxClasses {
 		b.RequestEnded(fmt.Sprint("c", i), Answered, false)
 	}
--- a/internal/platform/figures/format_test.go
+++ b/internal/platform/counters/format_test.go
@@ -1,4 +1,4 @@
-package figures
+package counters
 
 import (
 	"testing"
--- a/internal/platform/registry/agent.go
+++ b/internal/platform/discovery/agent.go
@@ -1,4 +1,4 @@
-package registry
+package discovery
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"time"
 
 	"silvertrail/internal/base/endpointlist"
-	"silvertrail/internal/platform/watch"
+	"silvertrail/internal/platform/discoverypoll"
 )
 
 // This file: lists that are pushed, by an agent on the machine of the instance. It answers at once, at no cost, with what
@@ -32,7 +32,7 @@
 
 // followAgent follows an agent's list until ctx ends.
 func (c *Client) followAgent(ctx context.Context, addr string) {
-	changes := watch.Call{Wait: agentWait, FirstByteTimeout: agentWait + promptTimeout, BodyTimeout: promptTimeout}
+	changes := discoverypoll.Call{Wait: agentWait, FirstByteTimeout: agentWait + promptTimeout, BodyTimeout: promptTimeout}
 	for whole := true; ctx.Err() == nil; c.pause(ctx, retryInterval) {
 		var list endpointlist.List
 		var err error
@@ -55,9 +55,9 @@
 func (c *Client) fetchSnapshot(ctx context.Context, addr string) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	url := c.url(addr, true, watch.Call{})
+	url := c.url(addr, true, discoverypoll.Call{})
 	came := make(chan endpointlist.List)
-	ask := func(by *http.Client, call watch.Call, gap time.Duration, failed func(error)) {
+	ask := func(by *http.Client, call discoverypoll.Call, gap time.Duration, failed func(error)) {
 		for ctx.Err() == nil {
 			list, err := c.get(ctx, by, url, call)
 			if err == nil {
@@ -73,12 +73,12 @@
 			c.pause(ctx, gap)
 		}
 	}
-	go ask(c.http, watch.Call{FirstByteTimeout: patientTimeout, BodyTimeout: patientBodyTimeout}, patientRetryInterval, func(err error) {
+	go ask(c.http, discoverypoll.Call{FirstByteTimeout: patientTimeout, BodyTimeout: patientBodyTimeout}, patientRetryInterval, func(err error) {
 		c.log.Warn("discovery: "+err.Error(), "address", addr)
 	})
 	go func() {
 		c.pause(ctx, promptTimeout) // the other call's, where the agent is well
-		ask(c.probeClient, watch.Call{FirstByteTimeout: promptTimeout, BodyTimeout: promptTimeout}, retryInterval, func(error) {})
+		ask(c.probeClient, discoverypoll.Call{FirstByteTimeout: promptTimeout, BodyTimeout: promptTimeout}, retryInterval, func(error) {})
 	}()
 	select {
 	case list := <-came:
--- a/internal/platform/registry/agent_term_test.go
+++ b/internal/platform/discovery/agent_term_test.go
@@ -1,4 +1,4 @@
-package registry
+package discovery
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/platform/watch"
+	"silvertrail/internal/platform/discoverypoll"
 	"silvertrail/internal/testkit/lbtest"
 )
 
@@ -104,7 +104,7 @@
 	if w.holds("whole half") || at != "first" != w.holds("whole a", "whole b") {
 		t.Errorf("told %q", w.words)
 	}
-	if bound, pause := longest(); bound+patientBodyTimeout+pause > watch.NotifiedAfter-time.Second {
+	if bound, pause := longest(); bound+patientBodyTimeout+pause > discoverypoll.NotifiedAfter-time.Second {
 		t.Errorf("the next call may come %v after the begin of one, and %v later where its answer has begun", bound+pause, patientBodyTimeout)
 	}
 }
--- a/internal/platform/registry/agent_test.go
+++ b/internal/platform/discovery/agent_test.go
@@ -1,4 +1,4 @@
-package registry
+package discovery
 
 import (
 	"bufio"
--- a/internal/platform/registry/registry.go
+++ b/internal/platform/discovery/client.go
@@ -1,5 +1,5 @@
-// Package registry follows discovery's list of endpoints.
-package registry
+// Package discovery follows discovery's list of endpoints.
+package discovery
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"time"
 
 	"silvertrail/internal/base/endpointlist"
-	"silvertrail/internal/platform/watch"
+	"silvertrail/internal/platform/discoverypoll"
 	"silvertrail/lbpolicy"
 )
 
@@ -39,7 +39,7 @@
 	watchRequested chan struct{}
 	index          int64
 	olderLists     int                   // answers in a row older than index
-	poller         *watch.Poller         // when discovery is asked; nil where an agent is
+	poller         *discoverypoll.Poller // when discovery is asked; nil where an agent is
 	beforeApply    func(context.Context) // by tests: an answer has been read, and is not taken yet
 
 	// What tests hold: its draws, its clock (the time since it began), pauses between calls, and the bounds of calls.
@@ -62,7 +62,7 @@
 		now:   func() time.Duration { return time.Since(begun) },
 		after: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }}
 	if mustAskIn > 0 {
-		c.poller = watch.New(c.draw, mustAskIn)
+		c.poller = discoverypoll.New(c.draw, mustAskIn)
 	} else {
 		c.probeClient = newHTTPClient(promptTimeout)
 	}
@@ -136,7 +136,7 @@
 			c.http.CloseIdleConnections() // those to the old address
 			whole, c.index, c.olderLists = true, 0, 0
 			if c.mustPollIn > 0 {
-				c.poller = watch.New(c.draw, c.mustPollIn).SharedBy(c.instances)
+				c.poller = discoverypoll.New(c.draw, c.mustPollIn).SharedBy(c.instances)
 			}
 			c.log.Info("discovery: follows another address", "address", addr)
 		}
@@ -180,16 +180,16 @@
 // errIncomplete tells of an answer that was begun and that is not whole, or can't be read.
 var errIncomplete = errors.New("answer begun")
 
-func outcomeOf(err error) watch.Outcome {
+func outcomeOf(err error) discoverypoll.Outcome {
 	switch {
 	case err == nil:
-		return watch.Complete
+		return discoverypoll.Complete
 	case errors.Is(err, errNoResponse):
-		return watch.NoResponse
+		return discoverypoll.NoResponse
 	case errors.Is(err, errIncomplete):
-		return watch.Incomplete
+		return discoverypoll.Incomplete
 	}
-	return watch.Failed
+	return discoverypoll.Failed
 }
 
 // poll makes one call of those that discovery is asked by, and hands on what it brings.
@@ -202,7 +202,7 @@
 	return c.apply(ctx, list, whole)
 }
 
-func (c *Client) url(addr string, whole bool, ask watch.Call) string {
+func (c *Client) url(addr string, whole bool, ask discoverypoll.Call) string {
 	url := fmt.Sprintf(path, addr)
 	if !whole {
 		url += fmt.Sprintf("?index=%d&wait=%d", c.index, ask.Wait.Milliseconds())
@@ -242,7 +242,7 @@
 
 // get makes one call. An answer's first byte is waited for as long as ask says, and its last byte after that: what stands
 // still half told counts as told long before a watch is given up.
-func (c *Client) get(ctx context.Context, by *http.Client, url string, ask watch.Call) (endpointlist.List, error) {
+func (c *Client) get(ctx context.Context, by *http.Client, url string, ask discoverypoll.Call) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	inTime := c.after(ask.FirstByteTimeout, func() { cancel(errNoResponse) })
--- a/internal/platform/registry/registry_test.go
+++ b/internal/platform/discovery/client_test.go
@@ -1,4 +1,4 @@
-package registry
+package discovery
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 	"time"
 
 	"silvertrail/internal/base/endpointlist"
-	"silvertrail/internal/platform/watch"
+	"silvertrail/internal/platform/discoverypoll"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -289,7 +289,7 @@
 			c.Watch()
 			within(t, gave)
 			lbtest.Until(t, "the news", func() bool { return w.holds("changes a") })
-			if d := within(t, first); d >= watch.NotificationGrace {
+			if d := within(t, first); d >= discoverypoll.NotificationGrace {
 				t.Errorf("the next call was put off by %v", d)
 			}
 			w.first(t, "changes a")
@@ -308,7 +308,7 @@
 	t.Parallel()
 	c := New("127.0.0.1:1", mustAsk, 7, (&told{}).members, slog.New(slog.DiscardHandler))
 	c.http.Transport.(*http.Transport).DialContext = (&net.Dialer{Timeout: time.Nanosecond}).DialContext
-	if err := c.poll(t.Context(), c.addr, false); outcomeOf(err) != watch.Failed {
+	if err := c.poll(t.Context(), c.addr, false); outcomeOf(err) != discoverypoll.Failed {
 		t.Errorf("%v: end %d, want a failure, which is followed by a pause", err, outcomeOf(err))
 	}
 }
--- a/internal/platform/registry/term_test.go
+++ b/internal/platform/discovery/term_test.go
@@ -1,4 +1,4 @@
-package registry
+package discovery
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"silvertrail/internal/platform/watch"
+	"silvertrail/internal/platform/discoverypoll"
 	"silvertrail/internal/testkit/lbtest"
 )
 
@@ -136,7 +136,7 @@
 	w := &told{}
 	c := New(from, mustAsk, 7, w.members, slog.New(slog.DiscardHandler))
 	c.draw = func() float64 { return 0.999 } // the latest that it may be
-	c.poller = watch.New(c.draw, mustAsk)
+	c.poller = discoverypoll.New(c.draw, mustAsk)
 	a := &asker{held: hold(c), calls: calls, dials: make(chan struct{}, 1)}
 	c.http.Transport.(*http.Transport).DialContext = a.dial
 	if !moves {
--- a/internal/platform/watch/watch.go
+++ b/internal/platform/discoverypoll/poller.go
@@ -1,4 +1,4 @@
-// Package watch decides when discovery is asked, how long an answer is waited for, and when to ask again, where
+// Package discoverypoll decides when discovery is asked, how long an answer is waited for, and when to ask again, where
 // discovery answers only when asked. It does no I/O and has no clock: its host tells it how calls end.
 //
 // What it guards against is one thing: news that count as told while the host does not know them. The pages of the
@@ -16,7 +16,7 @@
 // Where many share discovery a watch without news is left for longer, and the term is not held for one that dies: see SharedBy.
 //
 // The zero Watch can't be used; New makes one. It is not safe for concurrent use.
-package watch
+package discoverypoll
 
 import "time"
 
--- a/internal/platform/watch/watch_test.go
+++ b/internal/platform/discoverypoll/poller_test.go
@@ -1,4 +1,4 @@
-package watch
+package discoverypoll
 
 import (
 	"fmt"
--- a/internal/platform/sidecar/figures_test.go
+++ b/internal/platform/sidecar/counters_test.go
@@ -21,7 +21,7 @@
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/counters"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	board := &figures.Counters{}
+	board := &counters.Set{}
 	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64, MaxStreamBytes: MaxBodyBytes,
 		OnSent: func() { board.AttemptsSent.Add(1) }})
 	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Watch: func() {},
@@ -129,7 +129,7 @@
 		}
 	})
 	all.Wait()
-	var f figures.Snapshot
+	var f counters.Snapshot
 	sum := func(m map[string]int64) (n int64) {
 		for _, v := range m {
 			n += v
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -6,13 +6,13 @@
 
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/platform/admin"
-	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/counters"
 )
 
 // Operations answers the operators' calls for one process.
 type Operations struct {
 	Engine   *engine.Engine
-	Counters *figures.Counters
+	Counters *counters.Set
 	// AcceptsClients tells whether this process takes clients.
 	AcceptsClients func() bool
 	// NotifyEjection has the other processes of an upgrade know of a ban before the call is answered; nil: there are none.
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -21,7 +21,7 @@
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/counters"
 	"silvertrail/internal/platform/handover"
 	"silvertrail/lbpolicy"
 )
@@ -30,7 +30,7 @@
 type Router struct {
 	config   atomic.Pointer[config.Config] // in force for requests whose heads are read from now on
 	engine   *engine.Engine
-	counters *figures.Counters
+	counters *counters.Set
 	bodies   *semaphore.Weighted
 	ids      *requestIDs
 	keys     *idempotency.Table
@@ -46,7 +46,7 @@
 )
 
 // NewRouter returns a router that holds at most maxBodies bytes of request bodies.
-func NewRouter(c *config.Config, h *engine.Engine, board *figures.Counters, maxBodies int64) *Router {
+func NewRouter(c *config.Config, h *engine.Engine, board *counters.Set, maxBodies int64) *Router {
 	s := &Router{engine: h, counters: board, bodies: semaphore.NewWeighted(maxBodies), ids: newRequestIDs(),
 		keys: idempotency.New(maxKeys)}
 	s.config.Store(c)
@@ -71,7 +71,7 @@
 	if status != 0 {
 		return nil, &frontend.Reply{Status: status, Close: true}
 	}
-	x := &exchange{router: s, config: c, upstream: up, request: q, requestID: id, outcome: figures.Errored}
+	x := &exchange{router: s, config: c, upstream: up, request: q, requestID: id, outcome: counters.Errored}
 	if x.isKeyed = x.class().Effect == lbpolicy.KeyedIdempotent; x.isKeyed {
 		x.keyID = idempotency.KeyIDOf(r.Header.Get("X-Tenant-Id"), r.Header.Get("Idempotency-Key"))
 	}
@@ -94,7 +94,7 @@
 
 	isReceived bool // its last byte has come
 	isAnswered bool // and it has been given its answer
-	outcome    figures.Outcome
+	outcome    counters.Outcome
 	response   *upstream.Response
 }
 
@@ -145,9 +145,9 @@
 	x.isAnswered = true
 	switch {
 	case own == nil && a.Response != nil:
-		x.outcome, x.response = figures.Answered, a.Response
+		x.outcome, x.response = counters.Answered, a.Response
 	case own == nil && a.Rejected || own != nil && own.Status == http.StatusServiceUnavailable:
-		x.outcome = figures.Rejected
+		x.outcome = counters.Rejected
 	}
 	return own
 }
@@ -177,7 +177,7 @@
 
 func (x *exchange) End() {
 	if x.response != nil && x.response.Stream != nil && !x.response.Stream.IsDelivered() { // it broke off, or its caller has gone
-		x.outcome = figures.Errored
+		x.outcome = counters.Errored
 	}
 	if x.isReceived || x.isAnswered { // else its body never came whole: it was not taken
 		x.router.counters.RequestEnded(x.class().Name, x.outcome, x.isReceived)
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -16,7 +16,7 @@
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/config"
-	"silvertrail/internal/platform/figures"
+	"silvertrail/internal/platform/counters"
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/lbpolicy"
 )
@@ -58,7 +58,7 @@
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
-	server := frontend.New(NewRouter(c, h, &figures.Counters{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
+	server := frontend.New(NewRouter(c, h, &counters.Set{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
 	go server.Serve()
 	t.Cleanup(func() { server.Close() })
 	drain := func(which int) {
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/known"
 	"silvertrail/internal/xds/planes"
@@ -28,7 +28,7 @@
 	store     *known.Store
 	order     *planes.Order
 	conns     []*conn                // by plane; nil: not connected to
-	streams   age.Stream             // that there have been
+	streams   updateorder.Stream     // that there have been
 	followers map[string][]*follower // by cluster
 	files     map[string]*setFile    // that hold endpoint sets
 	timer     *time.Timer
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -22,7 +22,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/envoy"
@@ -47,8 +47,8 @@
 
 	// Under the client's lock:
 
-	session *ads.Session // nil: there is no stream
-	id      age.Stream   // of the stream; zero: it is not listened to
+	session *ads.Session       // nil: there is no stream
+	id      updateorder.Stream // of the stream; zero: it is not listened to
 	up      bool
 	said    bool     // the stream has said something
 	passed  bool     // the stream has said something that was passed over
--- a/internal/xds/envoy/decode.go
+++ b/internal/xds/envoy/decode.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/known"
 )
@@ -150,6 +150,6 @@
 		return fault(err)
 	}
 	sum := sha256.Sum256(text)
-	i.Digest = age.Digest(sum[:16])
+	i.Digest = updateorder.Digest(sum[:16])
 	return i, nil
 }
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -14,7 +14,7 @@
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"silvertrail/internal/base/replaced"
+	"silvertrail/internal/base/watchedfile"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/envoy"
 	"silvertrail/internal/xds/known"
@@ -53,7 +53,7 @@
 // follow takes a plane that is a file. A content that can't be read changes nothing; a file that is not there is lost.
 func (k *conn) follow(o planes.Options) error {
 	d := &envoy.Decoder{Warn: k.c.warn}
-	file := replaced.File{Path: k.plane.File, MaxBytes: o.MaxMessage}
+	file := watchedfile.File{Path: k.plane.File, MaxBytes: o.MaxMessage}
 	var last [ads.Kinds]*received
 	for {
 		text, changed, err := file.Read()
@@ -139,7 +139,7 @@
 
 func (c *Client) followSets(ctx context.Context, path string, f *setFile, most int) {
 	d := &envoy.Decoder{Warn: c.warn}
-	file := replaced.File{Path: path, MaxBytes: most}
+	file := watchedfile.File{Path: path, MaxBytes: most}
 	for {
 		if text, changed, err := file.Read(); err != nil || changed {
 			sets, faults := readSets(text, err, d)
--- a/internal/xds/known/dump.go
+++ b/internal/xds/known/dump.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
 )
 
@@ -116,6 +116,6 @@
 		return
 	}
 	i.Version = saved.Version
-	s.book.Receive(saved.Heard, age.Stream(0), word(saved.Kind, i))
+	s.book.Receive(saved.Heard, updateorder.Stream(0), word(saved.Kind, i))
 	s.put(saved.Heard, saved.Kind, e, i, saved.From+", from the file of the last state")
 }
--- a/internal/xds/known/kinds.go
+++ b/internal/xds/known/kinds.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
 )
 
@@ -96,7 +96,7 @@
 type Item struct {
 	Name    string
 	Version string
-	Digest  age.Digest
+	Digest  updateorder.Digest
 	Raw     []byte // as it came, for the state that is kept over a restart
 	Cluster *Cluster
 	Set     *Set
--- a/internal/xds/known/store.go
+++ b/internal/xds/known/store.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
 )
 
@@ -64,16 +64,16 @@
 // Store keeps what is known. It is not safe for concurrent use.
 type Store struct {
 	rules   Rules
-	book    *age.Orderer
+	book    *updateorder.Orderer
 	entries [ads.Kinds]map[string]*entry
 	used    map[string]bool // clusters
 	changed map[string]bool
-	streams map[age.Stream]string
+	streams map[updateorder.Stream]string
 }
 
 // New returns a store that knows nothing.
 func New(r Rules) *Store {
-	s := &Store{rules: r, book: age.New(r.Hold), used: map[string]bool{}, changed: map[string]bool{}, streams: map[age.Stream]string{}}
+	s := &Store{rules: r, book: updateorder.New(r.Hold), used: map[string]bool{}, changed: map[string]bool{}, streams: map[updateorder.Stream]string{}}
 	for k := range s.entries {
 		s.entries[k] = map[string]*entry{}
 	}
@@ -81,7 +81,7 @@
 }
 
 // Begun tells that a stream to a server is listened to from now on.
-func (s *Store) Begun(now time.Time, stream age.Stream, server string) {
+func (s *Store) Begun(now time.Time, stream updateorder.Stream, server string) {
 	s.streams[stream] = server
 	for _, of := range s.entries { // the time for an answer begins anew
 		for _, e := range of {
@@ -93,7 +93,7 @@
 }
 
 // Ended tells that a stream has ended, or is not listened to any more.
-func (s *Store) Ended(stream age.Stream) {
+func (s *Store) Ended(stream updateorder.Stream) {
 	s.book.StreamEnded(stream)
 	delete(s.streams, stream)
 	for _, of := range s.entries {
@@ -196,12 +196,12 @@
 	return e
 }
 
-func word(k ads.Kind, i Item) age.Update {
-	return age.Update{Resource: k.String() + "/" + i.Name, Version: i.Version, Digest: i.Digest}
+func word(k ads.Kind, i Item) updateorder.Update {
+	return updateorder.Update{Resource: k.String() + "/" + i.Name, Version: i.Version, Digest: i.Digest}
 }
 
 // Take takes what a stream has said. It returns what of it can't be taken for want of room.
-func (s *Store) Take(now time.Time, stream age.Stream, m Message) (over []Fault) {
+func (s *Store) Take(now time.Time, stream updateorder.Stream, m Message) (over []Fault) {
 	named := make(map[string]bool, len(m.Items)+len(m.Faults))
 	for _, i := range m.Items {
 		named[i.Name] = true
@@ -239,20 +239,20 @@
 }
 
 // say has a word judged, and puts it in force or holds it off.
-func (s *Store) say(now time.Time, stream age.Stream, k ads.Kind, e *entry, i Item) {
+func (s *Store) say(now time.Time, stream updateorder.Stream, k ads.Kind, e *entry, i Item) {
 	switch s.book.Receive(now, stream, word(k, i)) {
-	case age.Apply:
+	case updateorder.Apply:
 		s.put(now, k, e, i, s.streams[stream])
-	case age.Unchanged:
+	case updateorder.Unchanged:
 		if e.held != nil || staleAfter(e) > 0 || e.heard.IsZero() { // what was stale is not any more
 			s.mark(k, i.Name)
 		}
 		e.held, e.heard, e.from = nil, now, s.streams[stream]
-		if !e.there() && i.Digest != age.Absent { // it was let go of as nobody wanted it
+		if !e.there() && i.Digest != updateorder.Absent { // it was let go of as nobody wanted it
 			s.put(now, k, e, i, s.streams[stream])
 		}
 		e.item.Version = i.Version
-	case age.Defer:
+	case updateorder.Defer:
 		e.asked = time.Time{}
 		e.held, e.heldFrom = &i, s.streams[stream]
 		s.mark(k, i.Name)
--- a/internal/xds/known/store_test.go
+++ b/internal/xds/known/store_test.go
@@ -7,16 +7,16 @@
 
 	"pgregory.net/rapid"
 
-	"silvertrail/internal/base/age"
+	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
 )
 
 const hold = 30 * time.Second
 
 // state is what a control plane serves at a time: two clusters, either of which may be gone, whose endpoint sets tell the number of the state.
-func say(s *Store, now time.Time, stream age.Stream, n int, whole, setsFirst bool) {
+func say(s *Store, now time.Time, stream updateorder.Stream, n int, whole, setsFirst bool) {
 	item := func(k ads.Kind, name string, of int) Item {
-		i := Item{Name: name, Version: fmt.Sprint(n), Digest: age.Digest{1, byte(of), byte(of >> 8), byte(k), name[0]}, Raw: []byte{1}}
+		i := Item{Name: name, Version: fmt.Sprint(n), Digest: updateorder.Digest{1, byte(of), byte(of >> 8), byte(k), name[0]}, Raw: []byte{1}}
 		if k == ads.Clusters {
 			i.Cluster = &Cluster{Service: name + "-set"}
 		} else {
@@ -62,7 +62,7 @@
 		s := New(Rules{Hold: hold, Missing: time.Hour})
 		now := time.Unix(1_800_000_000, 0)
 		s.Use(now, []string{"a", "b"})
-		stream, head, at := age.Stream(1), 0, 0 // of the plane, and of the server that is listened to
+		stream, head, at := updateorder.Stream(1), 0, 0 // of the plane, and of the server that is listened to
 		force := 0
 		s.Begun(now, stream, "p")
 		say(s, now, stream, 0, true, false)
@@ -221,7 +221,7 @@
 	s.Use(now, []string{"a"})
 	s.Begun(now, 1, "p")
 	set := func(n byte, after time.Duration) Message {
-		return Message{Kind: ads.Sets, Items: []Item{{Name: "s", Version: fmt.Sprint(n), Digest: age.Digest{n}, Set: &Set{StaleAfter: after}}}}
+		return Message{Kind: ads.Sets, Items: []Item{{Name: "s", Version: fmt.Sprint(n), Digest: updateorder.Digest{n}, Set: &Set{StaleAfter: after}}}}
 	}
 	view := func(state State, stale bool) {
 		t.Helper()
@@ -230,7 +230,7 @@
 			t.Errorf("%v, stale %v; want %v, %v", v.State, v.Stale, state, stale)
 		}
 	}
-	s.Take(now, 1, Message{Kind: ads.Clusters, Items: []Item{{Name: "a", Digest: age.Digest{1}, Cluster: &Cluster{Service: "s"}}}})
+	s.Take(now, 1, Message{Kind: ads.Clusters, Items: []Item{{Name: "a", Digest: updateorder.Digest{1}, Cluster: &Cluster{Service: "s"}}}})
 	view(Waiting, false)
 	now = now.Add(2 * time.Second)
 	view(Missing, false)
