Split base's parsers and the update order into short functions

Need: one function of the update order and one of the chunked decoder did several steps a line; comments spoke in metaphors; a check for control characters stood twice. Change: short functions, comments and tests in the field's terms; chunked uses httphead's check.

--- a/internal/base/chunked/chunked.go
+++ b/internal/base/chunked/chunked.go
@@ -1,8 +1,7 @@
-// Package chunked reads the chunked transfer coding (RFC 9112, 7.1) strictly, piece by piece as it comes. It does no I/O.
+// Package chunked decodes the chunked transfer coding (RFC 9112, section 7.1) strictly and incrementally. It does no I/O.
 //
-// What two readers could understand differently is an error: a size that is no plain hexadecimal number, a line that ends
-// in a line feed alone, bytes between a chunk and the line end that belongs to it. Extensions and trailers are checked for
-// their form and passed over.
+// Whatever two parsers could read differently is an error: a size that is no plain hexadecimal number, a line that ends in
+// a bare line feed, bytes between a chunk and its line end. Extensions and trailers are checked for their form and ignored.
 package chunked
 
 import (
@@ -14,74 +13,62 @@
 )
 
 const (
-	maxLineBytes    = 1 << 10 // a size with its extensions
+	maxLineBytes    = 1 << 10 // a chunk size with its extensions
 	maxTrailerBytes = 4 << 10 // all trailers
 	maxSizeDigits   = 15      // of a size: what fits in an int64
-	maxFramingBytes = 1 << 16 // bytes of sizes and extensions beyond what the data explain
+	maxFramingBytes = 1 << 16 // bytes of sizes and extensions, beyond maxFramingPerByte for each byte of data
+
+	// maxFramingPerByte bounds endless extensions on chunks of one byte.
+	maxFramingPerByte = 16
 )
 
-// ErrMalformed says that what came is no chunk.
+// ErrMalformed says that the input is not in the chunked coding.
 var ErrMalformed = errors.New("chunked: not in the form of RFC 9112")
 
 type state uint8
 
 const (
-	stateSize    state = iota // in the line that a chunk begins with
-	stateData                 // in its bytes
-	stateDataEnd              // in the line end behind them
-	stateTrailer              // behind the last chunk
+	stateSize    state = iota // in the line with a chunk's size
+	stateData                 // in a chunk's data
+	stateDataEnd              // in the line end after the data
+	stateTrailer              // after the last chunk
 	stateComplete
 )
 
-// Decoder reads one body. The zero Decoder stands at its beginning.
+// Decoder decodes one body. The zero Decoder is at its beginning. It is not safe for concurrent use.
 type Decoder struct {
 	state        state
-	remaining    int64  // of the chunk in hand
-	line         []byte // so far
-	trailerBytes int    // on trailers
-	framingBytes int64  // bytes of framing,
-	dataBytes    int64  // and of data
+	remaining    int64  // of the current chunk
+	line         []byte // the incomplete line
+	trailerBytes int
+	framingBytes int64 // sizes and line ends
+	dataBytes    int64
 }
 
-// IsComplete tells that the body has ended, trailers included.
+// IsComplete reports whether the body has ended, including its trailers.
 func (d *Decoder) IsComplete() bool { return d.state == stateComplete }
 
-// Feed takes the next bytes that have come. It returns how many of them it has used, and which of those are data. Where it
-// uses none the body is over, or in is empty.
+// Feed decodes the next bytes of the input. It returns the number of bytes used, and which of them are data. If it uses none,
+// the body is complete or the input is empty.
 func (d *Decoder) Feed(in []byte) (body []byte, used int, err error) {
 	for used < len(in) && d.state != stateComplete {
 		if d.state == stateData {
-			n := int(min(d.remaining, int64(len(in)-used)))
-			body = in[used : used+n]
-			d.dataBytes += int64(n)
-			if d.remaining -= int64(n); d.remaining == 0 {
-				d.state = stateDataEnd
-			}
-			return body, used + n, nil
-		}
-		rest := in[used:]
-		i := bytes.IndexByte(rest, '\n')
-		if i < 0 {
-			d.line = append(d.line, rest...)
-			used = len(in)
-		} else {
-			d.line = append(d.line, rest[:i+1]...)
-			used += i + 1
-		}
-		if len(d.line) > maxLineBytes {
-			return nil, used, ErrMalformed
+			body = d.takeData(in[used:])
+			return body, used + len(body), nil
 		}
-		if d.framingBytes += int64(len(rest[:max(i+1, 0)])); d.framingBytes > maxFramingBytes+16*d.dataBytes { // endless extensions for a byte each
+		n, isComplete := d.takeLine(in[used:])
+		used += n
+		if len(d.line) > maxLineBytes || d.framingBytes > maxFramingBytes+maxFramingPerByte*d.dataBytes {
 			return nil, used, ErrMalformed
 		}
-		if i < 0 {
+		if !isComplete {
 			break
 		}
-		text, ok := bytes.CutSuffix(d.line, []byte("\r\n"))
+		line, ok := bytes.CutSuffix(d.line, []byte("\r\n"))
 		if !ok {
 			return nil, used, ErrMalformed
 		}
-		if err := d.handleLine(text); err != nil {
+		if err := d.handleLine(line); err != nil {
 			return nil, used, err
 		}
 		d.line = d.line[:0]
@@ -89,7 +76,31 @@
 	return nil, used, nil
 }
 
-// handleLine takes a whole line.
+// takeData returns the part of the input that is data of the current chunk.
+func (d *Decoder) takeData(in []byte) []byte {
+	n := min(d.remaining, int64(len(in)))
+	d.dataBytes += n
+	d.remaining -= n
+	if d.remaining == 0 {
+		d.state = stateDataEnd
+	}
+	return in[:n]
+}
+
+// takeLine appends the input to the current line, up to a line feed. It returns the number of bytes used, and whether the
+// line is complete.
+func (d *Decoder) takeLine(in []byte) (used int, isComplete bool) {
+	i := bytes.IndexByte(in, '\n')
+	if i < 0 {
+		d.line = append(d.line, in...)
+		return len(in), false
+	}
+	d.line = append(d.line, in[:i+1]...)
+	d.framingBytes += int64(i + 1)
+	return i + 1, true
+}
+
+// handleLine handles a complete line.
 func (d *Decoder) handleLine(line []byte) error {
 	switch d.state {
 	case stateSize:
@@ -97,10 +108,10 @@
 		if !ok {
 			return ErrMalformed
 		}
-		if d.remaining = n; n == 0 {
+		d.remaining = n
+		d.state = stateData
+		if n == 0 {
 			d.state = stateTrailer
-		} else {
-			d.state = stateData
 		}
 	case stateDataEnd:
 		if len(line) != 0 {
@@ -112,17 +123,18 @@
 			d.state = stateComplete
 			return nil
 		}
-		if d.trailerBytes += len(line); d.trailerBytes > maxTrailerBytes {
+		d.trailerBytes += len(line)
+		if d.trailerBytes > maxTrailerBytes {
 			return ErrMalformed
 		}
-		if name, value, ok := strings.Cut(string(line), ":"); !ok || !httphead.IsToken(name) || !isPrintable(value) {
+		if name, value, ok := strings.Cut(string(line), ":"); !ok || !httphead.IsToken(name) || !httphead.IsPrintable(value) {
 			return ErrMalformed
 		}
 	}
 	return nil
 }
 
-// parseSize reads a chunk's size, behind which extensions may stand.
+// parseSize parses a chunk's size, which extensions may follow.
 func parseSize(line []byte) (n int64, ok bool) {
 	digits := 0
 	for _, c := range line {
@@ -143,17 +155,8 @@
 	return n, digits > 0
 }
 
-// isExtension tells whether text begins an extension, blanks before it allowed (RFC 9112, 7.1.1).
+// isExtension reports whether text begins an extension, with optional blanks before it (RFC 9112, section 7.1.1).
 func isExtension(text string) bool {
 	rest := strings.TrimLeft(text, " \t")
-	return rest != "" && rest[0] == ';' && isPrintable(rest)
-}
-
-func isPrintable(s string) bool {
-	for i := range len(s) {
-		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
+	return rest != "" && rest[0] == ';' && httphead.IsPrintable(rest)
 }
--- a/internal/base/chunked/chunked_test.go
+++ b/internal/base/chunked/chunked_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// decode reads a text in pieces of so many bytes, and returns the body and what is left behind it.
+// decode feeds a text in pieces of a size, and returns the body and the rest behind it.
 func decode(text string, piece int) (body, behind string, over bool, err error) {
 	var d Decoder
 	var out strings.Builder
@@ -52,7 +52,7 @@
 	}
 }
 
-// What is taken is read as net/http's own reader reads it, in pieces of whatever size.
+// FuzzDecoder checks that what is accepted decodes as with net/http, in pieces of any size.
 func FuzzDecoder(f *testing.F) {
 	f.Add("3;a=b\r\nabc\r\n0\r\nT: x\r\n\r\n", 2)
 	f.Add("5\r\nhello\r\n0\r\n\r\n", 1)
--- a/internal/base/endpointlist/endpointlist_test.go
+++ b/internal/base/endpointlist/endpointlist_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// A malformed entry spoils no other one; a list without an index is rejected.
+// TestParse checks that a malformed entry spoils no other one, and that a list without an index is rejected.
 func TestParse(t *testing.T) {
 	l, err := Parse([]byte(`{"index": 4, "snapshot": true, "endpoints": [
 		{"name": "a", "address": "127.0.0.1:1", "zone": "z", "group": 2, "status": "ready", "since_ms": 9},
--- a/internal/base/exhaustion/exhaustion.go
+++ b/internal/base/exhaustion/exhaustion.go
@@ -1,4 +1,4 @@
-// Package exhaustion tells errors of the own machine's shortage from those of peers.
+// Package exhaustion tells errors of the local host's exhausted resources from those of peers.
 package exhaustion
 
 import (
@@ -6,7 +6,10 @@
 	"syscall"
 )
 
-// Is tells that an error says that this process, or this machine, has no descriptor or socket to give.
+// Is reports whether an error says that this process or host has no file descriptor, socket buffer or memory left.
 func Is(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+	return errors.Is(err, syscall.EMFILE) ||
+		errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM)
 }
--- a/internal/base/exhaustion/exhaustion_test.go
+++ b/internal/base/exhaustion/exhaustion_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// What the system says comes wrapped by several hands; what a peer does to a connection is no shortage.
-func TestDescriptors(t *testing.T) {
+// TestIs checks wrapped errors of the system, and errors that a peer causes.
+func TestIs(t *testing.T) {
 	for errno, want := range map[syscall.Errno]bool{syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENOBUFS: true, syscall.ENOMEM: true,
 		syscall.ECONNREFUSED: false, syscall.ECONNRESET: false, syscall.ETIMEDOUT: false} {
 		err := fmt.Errorf("dialing: %w", &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", errno)})
--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -1,8 +1,7 @@
-// Package httphead reads the head of an HTTP/1.1 message strictly. What two readers could understand differently is
-// an error here: a length that stands twice or beside a transfer coding (such a message can hide another in its
-// body), folded lines, bare line feeds, names with spaces, control characters. Package net/http repairs some of that
-// before a handler sees it. It errs on the side of refusing: an old peer that ends its lines with a line feed alone,
-// or says the same length twice, is turned away too.
+// Package httphead parses the head of an HTTP/1.1 message (RFC 9112) strictly. Whatever two parsers could read differently is
+// an error: a repeated Content-Length or one beside a Transfer-Encoding (request smuggling), folded lines, bare line feeds,
+// names with spaces, control characters. net/http repairs some of that before a handler sees it. Old peers that end lines
+// with a bare line feed, or repeat the same length, are rejected too.
 package httphead
 
 import (
@@ -15,16 +14,15 @@
 	"strings"
 )
 
-// Head is a message's head.
+// Head is the head of a message.
 type Head struct {
-	StartLine     string // the request or status line
+	StartLine     string // request line or status line
 	Header        http.Header
-	ContentLength int64 // -1: none told
+	ContentLength int64 // -1: none
 	Chunked       bool
 }
 
-// End returns the length of the head that text begins with, its empty line included, or -1 where that is still to
-// come.
+// End returns the length of the head that text begins with, including its empty line, or -1 if the head is incomplete.
 func End(text []byte) int {
 	for at := 0; ; {
 		i := bytes.IndexByte(text[at:], '\n')
@@ -39,7 +37,7 @@
 	}
 }
 
-// Parse reads a whole head.
+// Parse parses a complete head.
 func Parse(text []byte) (Head, error) {
 	body, ok := strings.CutSuffix(string(text), "\r\n\r\n")
 	if !ok {
@@ -48,15 +46,15 @@
 	start, fields, more := strings.Cut(body, "\r\n")
 	lines := strings.Count(fields, "\r\n") + 1
 	h := Head{StartLine: start, Header: make(http.Header, lines), ContentLength: -1}
-	values := make([]string, 0, lines) // one for most names: they share an array
-	if !isPrintable(start) {
-		return h, errors.New("head: the first line can't be read")
+	values := make([]string, 0, lines) // most names have one: they share an array
+	if !IsPrintable(start) {
+		return h, errors.New("head: the first line cannot be read")
 	}
 	for more {
 		var line string
 		line, fields, more = strings.Cut(fields, "\r\n")
 		name, value, colon := strings.Cut(line, ":")
-		if !colon || !IsToken(name) || !isPrintable(value) {
+		if !colon || !IsToken(name) || !IsPrintable(value) {
 			return h, fmt.Errorf("head: line %.40q", line)
 		}
 		name, value = textproto.CanonicalMIMEHeaderKey(name), strings.Trim(value, " \t")
@@ -70,6 +68,7 @@
 	return h, h.parseFraming()
 }
 
+// parseFraming sets ContentLength and Chunked (RFC 9112, section 6).
 func (h *Head) parseFraming() error {
 	lengths, codings := h.Header["Content-Length"], h.Header["Transfer-Encoding"]
 	switch {
@@ -83,7 +82,7 @@
 			return fmt.Errorf("head: transfer coding %.40q", codings[0])
 		}
 	case len(lengths) == 1:
-		n, err := strconv.ParseUint(lengths[0], 10, 63) // digits alone
+		n, err := strconv.ParseUint(lengths[0], 10, 63) // digits only
 		if err != nil {
 			return fmt.Errorf("head: length %.40q", lengths[0])
 		}
@@ -92,7 +91,7 @@
 	return nil
 }
 
-// IsClose tells whether the message ends its connection.
+// IsClose reports whether the message closes its connection (RFC 9112, section 9.6).
 func (h *Head) IsClose() bool {
 	for _, line := range h.Header["Connection"] {
 		for option := range strings.SplitSeq(line, ",") {
@@ -104,7 +103,8 @@
 	return false
 }
 
-func isPrintable(s string) bool {
+// IsPrintable reports whether a text has no control characters but tabs.
+func IsPrintable(s string) bool {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
@@ -113,7 +113,7 @@
 	return true
 }
 
-// IsToken tells whether s is a token (RFC 9110, 5.6.2), as names and methods are.
+// IsToken reports whether s is a token (RFC 9110, section 5.6.2), as names and methods are.
 func IsToken(s string) bool {
 	for i := range len(s) {
 		if !tokenBytes[s[i]] {
--- a/internal/base/httphead/httphead_test.go
+++ b/internal/base/httphead/httphead_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// What is accepted here package net/http reads in the same way: no other reader may see another request.
+// FuzzParse checks that net/http parses whatever is accepted in the same way: no other parser may see another request.
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n",
 		"GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "GET / HTTP/1.1\r\nA : b\r\n\r\n",
--- a/internal/base/statefile/statefile.go
+++ b/internal/base/statefile/statefile.go
@@ -1,5 +1,5 @@
-// Package statefile keeps a value in a file over a restart. The file is replaced atomically, and holds a line with its format and
-// the digest of what follows, so that a torn or foreign one is not taken for good.
+// Package statefile stores a value in a file across restarts. The file is replaced atomically. Its first line holds the
+// format and the digest of the rest (MessagePack), so that a torn or foreign file is not read as valid.
 package statefile
 
 import (
@@ -16,7 +16,7 @@
 	"github.com/hashicorp/go-msgpack/v2/codec"
 )
 
-// Write replaces the file: it is on the disk when it returns nil.
+// Write replaces the file. It is durable when Write returns nil.
 func Write(path, format string, value any) error {
 	var body bytes.Buffer
 	if err := codec.NewEncoder(&body, &codec.MsgpackHandle{}).Encode(value); err != nil {
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Cleanup()
+	defer func() { _ = f.Cleanup() }() // removes the pending file unless it has replaced the old one
 	if _, err := fmt.Fprintf(f, "%s %s\n", format, hex.EncodeToString(sum[:])); err != nil {
 		return err
 	}
@@ -37,14 +37,14 @@
 	return f.CloseAtomicallyReplace()
 }
 
-// Read reads a file of that format into a value. One that is larger than most bytes counts as torn.
-func Read(path, format string, most int64, value any) error {
+// Read reads a file of a format into a value. A file of more than maxBytes counts as torn.
+func Read(path, format string, maxBytes int64, value any) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	r := bufio.NewReader(io.LimitReader(f, most))
+	r := bufio.NewReader(io.LimitReader(f, maxBytes))
 	head, err := r.ReadString('\n')
 	if err != nil {
 		return errors.New("it is cut off")
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	if is := sha256.Sum256(body); hex.EncodeToString(is[:]) != sum {
+	if actual := sha256.Sum256(body); hex.EncodeToString(actual[:]) != sum {
 		return errors.New("its digest is not that of its content")
 	}
 	return codec.NewDecoderBytes(body, &codec.MsgpackHandle{}).Decode(value)
--- a/internal/base/statefile/statefile_test.go
+++ b/internal/base/statefile/statefile_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-// What was written is read; what is torn, foreign or of another format is told, and nothing is made of it.
+// TestFile checks that what was written is read, and that torn files and other formats are errors.
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "state")
 	want := map[string][]byte{"a": []byte("x"), "b": {0, 255}}
--- a/internal/base/timerqueue/timerqueue.go
+++ b/internal/base/timerqueue/timerqueue.go
@@ -1,4 +1,4 @@
-// Package timerqueue keeps what has to be done at a time, earliest first. It does no I/O and has no clock.
+// Package timerqueue is a queue of values by the time at which they are due. It has no I/O and no clock.
 package timerqueue
 
 import (
@@ -6,21 +6,21 @@
 	"time"
 )
 
-// Queue is empty at first. It is not safe for concurrent use.
+// Queue holds values, the earliest first. The zero Queue is empty. It is not safe for concurrent use.
 type Queue[T any] struct{ entries timerHeap[T] }
 
-// Push adds what is due at a time.
-func (q *Queue[T]) Push(at time.Time, what T) { heap.Push(&q.entries, entry[T]{at, what}) }
+// Push adds a value that is due at a time.
+func (q *Queue[T]) Push(at time.Time, value T) { heap.Push(&q.entries, entry[T]{at, value}) }
 
-// Pop takes what has been due longest; ok is false where nothing is due yet.
-func (q *Queue[T]) Pop(now time.Time) (what T, ok bool) {
+// Pop removes and returns the value that has been due longest; ok is false if none is due.
+func (q *Queue[T]) Pop(now time.Time) (value T, ok bool) {
 	if len(q.entries) == 0 || now.Before(q.entries[0].at) {
-		return what, false
+		return value, false
 	}
 	return heap.Pop(&q.entries).(entry[T]).value, true
 }
 
-// Next returns the earliest time at which something is due; ok is false where there is nothing.
+// Next returns the earliest time at which a value is due; ok is false if the queue is empty.
 func (q *Queue[T]) Next() (at time.Time, ok bool) {
 	if len(q.entries) == 0 {
 		return at, false
@@ -28,7 +28,7 @@
 	return q.entries[0].at, true
 }
 
-// Len returns the number of entries.
+// Len returns the number of values.
 func (q *Queue[T]) Len() int { return len(q.entries) }
 
 type entry[T any] struct {
@@ -36,16 +36,17 @@
 	value T
 }
 
+// timerHeap implements heap.Interface.
 type timerHeap[T any] []entry[T]
 
-func (e timerHeap[T]) Len() int           { return len(e) }
-func (e timerHeap[T]) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e timerHeap[T]) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *timerHeap[T]) Push(x any)        { *e = append(*e, x.(entry[T])) }
-func (e *timerHeap[T]) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	(*e)[last] = entry[T]{}
-	*e = (*e)[:last]
+func (h timerHeap[T]) Len() int           { return len(h) }
+func (h timerHeap[T]) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timerHeap[T]) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap[T]) Push(x any)        { *h = append(*h, x.(entry[T])) }
+func (h *timerHeap[T]) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	(*h)[last] = entry[T]{}
+	*h = (*h)[:last]
 	return x
 }
--- a/internal/base/updateorder/updateorder.go
+++ b/internal/base/updateorder/updateorder.go
@@ -1,17 +1,18 @@
-// Package updateorder decides which word of a control plane is newer, where versions tell nothing.
+// Package updateorder decides which of several updates of an xDS resource is newer.
 //
-// Versions of xDS resources are opaque, and streams break and return to other servers, or to the same one with an older
-// state. What can be known is this: within one stream a later word is newer, as the server chose to send it then. Across
-// streams, and between servers, nothing orders two contents, but that a content which has been replaced already is, if
-// it comes back, most likely old: it is held off, and the newer one stays in force. It is let through when the server
-// proves that it means it: by still standing on it when the hold is over (a rollback that somebody wants gets through in
-// that time), or by saying so after it has said, on the same stream, what is in force; unless that has been in force,
-// replaced and put in force again, as then nobody can tell which of the two times the stream is at. A removal is believed
-// even then: to send to what is gone is worse than to send nothing to what is there.
+// Versions of xDS resources are opaque, and streams break and come back to other servers, or to the same one with an older
+// state. Within one stream a later update is newer, as the server chose to send it then. Across streams and servers
+// nothing orders two contents, except that a content that was replaced already is most likely outdated if it comes back.
+// Such an update is deferred, and the current content stays in use. It is applied once the server proves that it means it:
 //
-// That a resource is not there is a content like any other, so that a removal is not undone by an old word either.
+//   - by still sending it when the hold time is over (an intended rollback takes effect then), or
+//   - by sending it after the current content on the same stream, unless the current content was replaced and reinstated:
+//     then the stream may be at either of the two times. A removal is applied even then, as sending requests to removed
+//     endpoints is worse than sending none to present ones.
 //
-// A Book has no clock and does no I/O. It is not safe for concurrent use.
+// That a resource is absent is a content like any other, so that an outdated update does not undo a removal.
+//
+// The package has no I/O and no clock. An Orderer belongs to one host, which serialises all calls.
 package updateorder
 
 import (
@@ -20,178 +21,207 @@
 	"time"
 )
 
-// Digest stands for a resource's content. Absent is that of one that is not there.
+// Digest identifies a resource's content.
 type Digest [16]byte
 
-// Absent is the content of a resource that is not there.
+// Absent is the digest of a resource that does not exist.
 var Absent Digest
 
-// Stream names one stream to one server. Each has a number of its own, also where the server is the same.
+// Stream identifies one stream to one server. Each stream has its own number, also to the same server.
 type Stream uint64
 
-// Verdict is what becomes of a word.
+// Verdict is what becomes of an update.
 type Verdict uint8
 
 // The verdicts.
 const (
-	Apply     Verdict = iota // newer: it is in force from now on
-	Unchanged                // what is in force already
-	Defer                    // replaced before: held off until its server has proved that it means it
+	Apply     Verdict = iota // newer: current from now on
+	Unchanged                // current already
+	Defer                    // replaced before: deferred until its server has proved that it means it
 )
 
+// String returns the verdict's name.
 func (v Verdict) String() string { return [...]string{"take", "same", "hold"}[v] }
 
 const (
-	maxReplaced = 16      // replaced contents of one resource
-	maxAbsent   = 100_000 // resources that are gone and remembered; past it the oldest is forgotten
+	maxReplaced = 16      // replaced contents remembered of one resource
+	maxAbsent   = 100_000 // removed resources remembered; above it the oldest is forgotten
 )
 
 // Update is what a server says of one resource.
 type Update struct {
 	Resource string
-	Version  string // of the resource or of its set, as the server calls it; empty: it calls it nothing
+	Version  string // of the resource or of its set, as the server names it; empty: none
 	Digest   Digest
 }
 
-// content is a word that was in force, or could be.
+// content is a content that was current, or may become current.
 type content struct {
 	version string
 	digest  Digest
 }
 
+// resource is what is known of one resource.
 type resource struct {
 	current content
-	isSet   bool   // now has been set
-	source  Stream // that said now, or repeated it last
-	// reinstated: now had been replaced before and is in force again. Another stream that says it may be at either time: unsure. It
-	// has not proved that it is past what came in between.
+	isSet   bool   // whether current is set
+	source  Stream // that sent current, or repeated it last
+	// reinstated: current was replaced before and is current again. ambiguous: another stream that sent it may be at either
+	// of the two times, and has not proved that it is past the content in between.
 	reinstated, ambiguous bool
 	replaced              []content // the newest last
 	deferred              *deferredUpdate
 }
 
+// deferredUpdate is an update with a content that was replaced before.
 type deferredUpdate struct {
 	content
 	source Stream
 	since  time.Time
 }
 
-// Orderer keeps the words in force and those that they replaced.
+// Orderer holds the current content of all resources, and those that it replaced.
 type Orderer struct {
 	holdTime  time.Duration
 	resources map[string]*resource
-	absent    []string // gone, in the order in which they went; may name some that have come back
+	absent    []string // removed, in the order of removal; may name some that have come back
 }
 
-// New returns a book that holds an old word off for the given time.
-func New(hold time.Duration) *Orderer {
-	return &Orderer{holdTime: hold, resources: map[string]*resource{}}
+// New returns an Orderer that defers outdated updates for holdTime.
+func New(holdTime time.Duration) *Orderer {
+	return &Orderer{holdTime: holdTime, resources: map[string]*resource{}}
 }
 
-// Receive takes a word.
-func (b *Orderer) Receive(now time.Time, s Stream, w Update) Verdict {
-	r := b.resources[w.Resource]
+// Receive decides on an update.
+func (o *Orderer) Receive(now time.Time, s Stream, u Update) Verdict {
+	r := o.resources[u.Resource]
 	if r == nil {
-		if w.Digest == Absent {
-			return Unchanged // it never was there
+		if u.Digest == Absent {
+			return Unchanged // it never existed
 		}
 		r = &resource{}
-		b.resources[w.Resource] = r
+		o.resources[u.Resource] = r
 	}
-	c := content{w.Version, w.Digest}
-	switch {
-	case r.isSet && c.digest == r.current.digest:
-		// Whatever its version: it says what is in force. What this stream said before is over.
-		r.ambiguous = r.reinstated && (r.source != s || r.ambiguous)
-		r.current.version, r.source, r.deferred = c.version, s, nil
+	c := content{u.Version, u.Digest}
+	if r.isSet && c.digest == r.current.digest {
+		r.confirm(s, c.version)
 		return Unchanged
-	case !r.isSet || r.source == s && (!r.ambiguous || c.digest == Absent) || !r.wasReplaced(c):
-		b.apply(w.Resource, r, c, s)
+	}
+	if r.isNewer(s, c) {
+		o.apply(u.Resource, r, c, s)
 		return Apply
 	}
-	if r.deferred == nil || r.deferred.source != s || r.deferred.digest != c.digest { // a server that catches up goes through several
+	if r.deferred == nil || r.deferred.source != s || r.deferred.digest != c.digest { // a server that catches up sends several
 		r.deferred = &deferredUpdate{content: c, source: s, since: now}
 	}
-	if now.Sub(r.deferred.since) >= b.holdTime {
-		b.apply(w.Resource, r, c, s)
+	if now.Sub(r.deferred.since) >= o.holdTime {
+		o.apply(u.Resource, r, c, s)
 		return Apply
 	}
 	return Defer
 }
 
-// wasReplaced tells of a content that has been replaced, known by itself or by its version: a version that was left behind is
-// not made new by other content under it.
+// confirm records that a stream has sent the current content, under any version. What is deferred is dropped.
+func (r *resource) confirm(s Stream, version string) {
+	r.ambiguous = r.reinstated && (r.source != s || r.ambiguous)
+	r.current.version = version
+	r.source = s
+	r.deferred = nil
+}
+
+// isNewer reports whether a content other than the current one is newer for certain.
+func (r *resource) isNewer(s Stream, c content) bool {
+	switch {
+	case !r.isSet:
+		return true
+	case r.source == s && (!r.ambiguous || c.digest == Absent):
+		return true
+	}
+	return !r.wasReplaced(c)
+}
+
+// wasReplaced reports whether a content was replaced before, by its digest or by its version: other content under a version
+// that was replaced is not newer.
 func (r *resource) wasReplaced(c content) bool {
-	return slices.ContainsFunc(r.replaced, func(o content) bool {
-		return o.digest == c.digest || c.version != "" && o.version == c.version && o.version != r.current.version
+	return slices.ContainsFunc(r.replaced, func(old content) bool {
+		sameVersion := c.version != "" && old.version == c.version && old.version != r.current.version
+		return old.digest == c.digest || sameVersion
 	})
 }
 
-func (b *Orderer) apply(name string, r *resource, c content, s Stream) {
-	r.reinstated = slices.ContainsFunc(r.replaced, func(o content) bool { return o.digest == c.digest })
+// apply makes a content current.
+func (o *Orderer) apply(name string, r *resource, c content, s Stream) {
+	r.reinstated = slices.ContainsFunc(r.replaced, func(old content) bool { return old.digest == c.digest })
 	if r.isSet {
-		r.replaced = slices.DeleteFunc(r.replaced, func(o content) bool { return o.digest == c.digest || o.digest == r.current.digest })
+		r.replaced = slices.DeleteFunc(r.replaced, func(old content) bool {
+			return old.digest == c.digest || old.digest == r.current.digest
+		})
 		if len(r.replaced) == maxReplaced {
 			r.replaced = slices.Delete(r.replaced, 0, 1)
 		}
 		r.replaced = append(r.replaced, r.current)
 	}
-	r.current, r.isSet, r.source, r.deferred, r.ambiguous = c, true, s, nil, false
+	r.current, r.isSet = c, true
+	r.source, r.ambiguous = s, false
+	r.deferred = nil
 	if c.digest == Absent {
-		b.forgetOldestAbsent(name)
+		o.forgetOldestAbsent(name)
 	}
 }
 
-// forgetOldestAbsent bounds what is remembered of resources that are gone.
-func (b *Orderer) forgetOldestAbsent(name string) {
-	b.absent = append(b.absent, name)
-	for len(b.absent) > maxAbsent {
-		oldest := b.absent[0]
-		b.absent = b.absent[1:]
-		if r := b.resources[oldest]; r != nil && r.current.digest == Absent && !slices.Contains(b.absent, oldest) {
-			delete(b.resources, oldest)
+// forgetOldestAbsent remembers that a resource was removed, and forgets the oldest ones above maxAbsent.
+func (o *Orderer) forgetOldestAbsent(name string) {
+	o.absent = append(o.absent, name)
+	for len(o.absent) > maxAbsent {
+		oldest := o.absent[0]
+		o.absent = o.absent[1:]
+		if r := o.resources[oldest]; r != nil && r.current.digest == Absent && !slices.Contains(o.absent, oldest) {
+			delete(o.resources, oldest)
 		}
 	}
 }
 
-// ApplyDue lets through the words whose hold is over, and returns them by resource: they are in force from now on.
-func (b *Orderer) ApplyDue(now time.Time) (out []Update) {
-	for _, name := range slices.Sorted(maps.Keys(b.resources)) {
-		r := b.resources[name]
-		if r.deferred == nil || now.Sub(r.deferred.since) < b.holdTime {
+// ApplyDue applies the deferred updates whose hold time is over, and returns them by resource.
+func (o *Orderer) ApplyDue(now time.Time) []Update {
+	var out []Update
+	for _, name := range slices.Sorted(maps.Keys(o.resources)) {
+		r := o.resources[name]
+		if r.deferred == nil || now.Sub(r.deferred.since) < o.holdTime {
 			continue
 		}
-		h := r.deferred
-		b.apply(name, r, h.content, h.source)
-		out = append(out, Update{name, h.version, h.digest})
+		d := r.deferred
+		o.apply(name, r, d.content, d.source)
+		out = append(out, Update{name, d.version, d.digest})
 	}
 	return out
 }
 
-// NextDue returns the time at which Due has something to tell; zero: none.
-func (b *Orderer) NextDue() (at time.Time) {
-	for _, r := range b.resources {
-		if r.deferred != nil {
-			if end := r.deferred.since.Add(b.holdTime); at.IsZero() || end.Before(at) {
-				at = end
-			}
+// NextDue returns the time of the next deferred update that ApplyDue applies; zero: there is none.
+func (o *Orderer) NextDue() time.Time {
+	var next time.Time
+	for _, r := range o.resources {
+		if r.deferred == nil {
+			continue
+		}
+		if due := r.deferred.since.Add(o.holdTime); next.IsZero() || due.Before(next) {
+			next = due
 		}
 	}
-	return at
+	return next
 }
 
-// StreamEnded tells that a stream has ended. What it said and did not prove is forgotten; what is in force stays.
-func (b *Orderer) StreamEnded(s Stream) {
-	for _, r := range b.resources {
+// StreamEnded drops what a stream has sent and not proved. Current contents stay.
+func (o *Orderer) StreamEnded(s Stream) {
+	for _, r := range o.resources {
 		if r.deferred != nil && r.deferred.source == s {
 			r.deferred = nil
 		}
 	}
 }
 
-// Current returns the content in force; ok is false where nothing is known of the resource.
-func (b *Orderer) Current(name string) (version string, d Digest, ok bool) {
-	r := b.resources[name]
+// Current returns a resource's current content; ok is false if nothing is known of it.
+func (o *Orderer) Current(name string) (version string, d Digest, ok bool) {
+	r := o.resources[name]
 	if r == nil {
 		return "", Absent, false
 	}
--- a/internal/base/updateorder/updateorder_test.go
+++ b/internal/base/updateorder/updateorder_test.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// Within a stream the later word is newer, whatever its version and content.
+// TestOneStream checks that within a stream the later update is newer, whatever its version and content.
 func TestOneStream(t *testing.T) {
 	b := New(hold)
 	for i, n := range []byte{1, 2, 1, 3, 1, 0, 2} {
@@ -37,9 +37,9 @@
 	}
 }
 
-// A stream that breaks and returns with an older version: the newer one stays, and a rollback that is meant gets through
-// when the hold is over.
-func TestReturnsOlder(t *testing.T) {
+// TestOlderAfterReconnect has a stream break and come back with an older version: the newer one stays, and an intended
+// rollback takes effect when the hold time is over.
+func TestOlderAfterReconnect(t *testing.T) {
 	b := New(hold)
 	say(t, b, 0, 1, "1", 1, Apply)
 	say(t, b, 0, 1, "2", 2, Apply)
@@ -60,8 +60,8 @@
 	say(t, b, 32*time.Second, 3, "2", 2, Defer) // now that one is old
 }
 
-// A server that catches up goes through several old states; each is held, and what it reaches in the end is taken.
-func TestCatchesUp(t *testing.T) {
+// TestServerCatchesUp has a server send several old states: each is deferred, and the last one is applied.
+func TestServerCatchesUp(t *testing.T) {
 	b := New(hold)
 	for n := byte(1); n <= 4; n++ {
 		say(t, b, 0, 1, fmt.Sprint(n), n, Apply)
@@ -77,8 +77,8 @@
 	say(t, b, 67*time.Second, 3, "5", 5, Apply) // never seen: newer, as far as anybody can tell
 }
 
-// The same version with other content is the server's latest word; a version that was left behind is old, whatever is
-// under it.
+// TestVersions checks that other content under the same version is newer, and that a version that was replaced is old,
+// whatever its content.
 func TestVersions(t *testing.T) {
 	b := New(hold)
 	say(t, b, 0, 1, "1", 1, Apply)
@@ -90,9 +90,9 @@
 	inForce(t, b, 6)
 }
 
-// What was replaced and came back: a stream that says it may lag behind what came in between, which is not taken from it at once.
-// A removal is.
-func TestBackAndForth(t *testing.T) {
+// TestReinstatedContent replaces and reinstates a content: a stream that sends it may lag behind what came in between, which
+// is not applied at once. A removal is.
+func TestReinstatedContent(t *testing.T) {
 	b := New(hold)
 	for _, n := range []byte{1, 2, 1} {
 		say(t, b, 0, 1, "", n, Apply)
@@ -109,7 +109,8 @@
 	say(t, b, 7*time.Second, 3, "", 2, Apply)
 }
 
-// A removal is not undone by an old word, nor told of what never was there; a stream that ends proves nothing more.
+// TestRemoval checks that an old update does not undo a removal, that what never existed is not removed, and that a stream
+// that has ended proves nothing.
 func TestRemoval(t *testing.T) {
 	b := New(hold)
 	say(t, b, 0, 1, "", 0, Unchanged)
@@ -145,9 +146,9 @@
 	}
 }
 
-// Over drawn words, streams, ends and waits, against the rules said plainly: a content that was in force and replaced
-// comes back only on a stream that has said what was in force, or when it has stood for the hold on a stream that lives;
-// any other content is taken; nothing else changes what is in force.
+// TestRules draws updates, streams, ends and waits and compares them with the rules: a content that was current and replaced
+// comes back only on a stream that has sent the current content, or after the hold time on a live stream; any other content
+// is applied; nothing else changes the current content.
 func TestRules(t *testing.T) {
 	d := rand.New(rand.NewPCG(9, 6))
 	holds, rollbacks := 0, 0
--- a/internal/base/watchedfile/watchedfile_test.go
+++ b/internal/base/watchedfile/watchedfile_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-// A file is read when it comes, when it is replaced and when it comes back; what can't be read is told once.
+// TestFile checks that a file is read when it appears, is replaced or comes back, and that a read error is reported once.
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "f")
 	f := File{Path: path, MaxBytes: 5}
