Split platform's polling, counters and configuration into short functions

Need: the client of discovery had a loop of five levels and closures for a call's timeouts; comments spoke in metaphors. Change: run state, call timeouts and backoff as types and methods; comments and log messages in the field's terms ("discovery call failed", "discovery address changed").

--- a/internal/platform/admin/admin.go
+++ b/internal/platform/admin/admin.go
@@ -1,9 +1,9 @@
-// Package admin serves operators at an address of their own: HTTP/1.1, one call to a connection. It hands calls on and
-// decides nothing.
+// Package admin serves the administration interface at an address of its own: HTTP/1.1, one call to a connection. It passes
+// calls on and decides nothing.
 //
-// Its connections are few and end by themselves: of those that have brought no whole call yet the oldest ends when there
-// are too many. It guards against callers that connect and say nothing, so that a good one always finds a place; it could
-// hurt a caller that takes long for its head while many others come.
+// The number of connections is bounded. Above the bound the oldest one without a complete call is closed, so that clients
+// that connect and send nothing cannot exhaust it. A client that is slow with its head may be closed while many others
+// connect.
 package admin
 
 import (
@@ -20,39 +20,39 @@
 )
 
 const (
-	// MaxConnections bounds the connections: a few callers that hang, and room for those that do not.
+	// MaxConnections bounds the connections: a few clients that hang, and capacity for those that do not.
 	MaxConnections = 16
 
-	headTimeout     = 2 * time.Second // a call is a head alone
+	headTimeout     = 2 * time.Second // a call is a head without a body
 	responseTimeout = 2 * time.Second
 	maxHeadBytes    = 8 << 10
 	maxIDBytes      = 256
 )
 
-// ErrUnknownEndpoint says that an endpoint was never listed.
+// ErrUnknownEndpoint says that an endpoint was never in a list.
 var ErrUnknownEndpoint = errors.New("never listed")
 
-// Operations are what a call may ask for. They must not block for longer than a caller waits, 1 s.
+// Operations are the calls. They must return within 1 s, as long as a client waits.
 type Operations interface {
-	// IsReady tells whether this process takes clients.
+	// IsReady reports whether this process accepts clients.
 	IsReady() bool
-	// Stats returns the figures as JSON.
+	// Stats returns the counters as JSON.
 	Stats() []byte
 	// SetEjected keeps an endpoint from new calls, or ends that. ErrUnknown tells that it was never listed.
-	SetEjected(ctx context.Context, id string, on bool) error
+	SetEjected(ctx context.Context, id string, ejected bool) error
 }
 
-// Server is the operators' address.
+// Server serves the administration interface.
 type Server struct {
 	listener net.Listener
 	http     *http.Server
 
 	mu      sync.Mutex
-	waiting []net.Conn // that have not brought a call yet, the oldest first
+	waiting []net.Conn // without a complete call, the oldest first
 	open    map[net.Conn]bool
 }
 
-// New returns a server on l. Serve must be called.
+// New returns a server on a listener. Serve must be called.
 func New(l net.Listener, o Operations, errors *log.Logger) *Server {
 	s := &Server{open: map[net.Conn]bool{}}
 	s.listener = l
@@ -73,32 +73,32 @@
 // Close ends all calls and connections.
 func (s *Server) Close() error { return s.http.Close() }
 
-// trackConnection keeps the number of connections within its bound.
+// trackConnection closes the oldest waiting connection above MaxConnections.
 func (s *Server) trackConnection(c net.Conn, state http.ConnState) {
-	var over net.Conn
+	var excess net.Conn
 	s.mu.Lock()
 	switch state {
 	case http.StateNew:
 		if len(s.open) >= MaxConnections && len(s.waiting) > 0 {
-			over = s.waiting[0]
+			excess = s.waiting[0]
 			s.waiting = s.waiting[1:]
-			delete(s.open, over)
+			delete(s.open, excess)
 		}
 		s.open[c] = true
 		s.waiting = append(s.waiting, c)
-	case http.StateActive: // its call is whole, and answered in a moment
+	case http.StateActive: // its call is complete, and is answered soon
 		s.removeWaiting(c)
 	case http.StateClosed, http.StateHijacked:
 		s.removeWaiting(c)
 		delete(s.open, c)
 	}
 	s.mu.Unlock()
-	if over != nil {
-		over.Close()
+	if excess != nil {
+		excess.Close()
 	}
 }
 
-// removeWaiting takes a connection off the list of those that have brought no call. The caller holds the lock.
+// removeWaiting removes a connection from those without a complete call. The caller holds the lock.
 func (s *Server) removeWaiting(c net.Conn) {
 	for i, o := range s.waiting {
 		if o == c {
@@ -144,7 +144,8 @@
 	})
 }
 
-func setEjected(w http.ResponseWriter, r *http.Request, o Operations, escaped string, on bool) {
+// setEjected handles a call to eject an endpoint or to end its ejection.
+func setEjected(w http.ResponseWriter, r *http.Request, o Operations, escaped string, ejected bool) {
 	if !allow(w, r, http.MethodPut) {
 		return
 	}
@@ -153,18 +154,19 @@
 		writeText(w, http.StatusBadRequest, "the last part of the path must be one endpoint's id, percent-encoded")
 		return
 	}
-	switch err := o.SetEjected(r.Context(), id, on); {
+	switch err := o.SetEjected(r.Context(), id, ejected); {
 	case errors.Is(err, ErrUnknownEndpoint):
 		writeText(w, http.StatusNotFound, fmt.Sprintf("endpoint %q was never listed here", id))
 	case err != nil:
 		writeText(w, http.StatusInternalServerError, err.Error())
-	case on:
+	case ejected:
 		writeText(w, http.StatusOK, fmt.Sprintf("endpoint %q gets nothing more", id))
 	default:
 		writeText(w, http.StatusOK, fmt.Sprintf("endpoint %q may serve again", id))
 	}
 }
 
+// allow answers a call with another method than allowed, and returns false.
 func allow(w http.ResponseWriter, r *http.Request, method string) bool {
 	if r.Method == method || method == http.MethodGet && r.Method == http.MethodHead {
 		return true
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -1,4 +1,4 @@
-// Package config reads the file named by LB_CONFIG into typed settings.
+// Package config reads the file that LB_CONFIG names into typed settings.
 package config
 
 import (
@@ -15,22 +15,22 @@
 	"silvertrail/lbpolicy"
 )
 
-// Limits are what the process may use.
+// Limits are the resources that the process may use.
 type Limits struct {
 	Cores    float64 `json:"cores"`
 	MemoryMB int64   `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
 }
 
-// Config is all that a sidecar is told at its start.
+// Config is a sidecar's configuration.
 type Config struct {
 	Name       string
-	Listen     string // address callers connect to
-	Discovery  string // address of discovery
+	Listen     string // address for clients
+	Discovery  string // address of the discovery service
 	Admin      string // address for operators; empty: none
 	Seed       uint64
 	Limits     Limits
-	CachedList json.RawMessage // the last list of endpoints, in discovery's form; nil if none
+	CachedList json.RawMessage // the last endpoint list, in discovery's form; nil: none
 
 	Policy       lbpolicy.Settings
 	Classes      []string // names, in the order of Decide.Classes
@@ -51,6 +51,7 @@
 	return longest
 }
 
+// file is the configuration file.
 type file struct {
 	Name       string          `json:"name"`
 	Listen     string          `json:"listen"`
@@ -62,7 +63,7 @@
 	Settings   json.RawMessage `json:"settings"`
 }
 
-// names are the settings that only a real sidecar needs: a decision knows positions, sockets know names.
+// names are the settings that only a sidecar needs: the policy uses indexes, the protocol uses names.
 type names struct {
 	Classes []struct {
 		Name string `json:"name"`
@@ -79,12 +80,12 @@
 	} `json:"limits"`
 }
 
-// Load reads the configuration; an error names the file and the key at fault. Unknown keys are ignored. Where the file
-// names no address for operators the environment's LB_ADMIN counts.
+// Load reads the configuration; an error names the file and the invalid key. Unknown keys are ignored. Without an address for
+// operators in the file, the environment's LB_ADMIN is used.
 func Load(path string) (*Config, error) { return load(path, nil) }
 
-// Next reads the configuration that is to follow this one. Beyond what Load asks for, no key that this one's file has may
-// be missing. Zones keep their numbers, whatever their order in the file.
+// Next reads the configuration that replaces this one. Beyond what Load requires, no key of this one's file may be missing.
+// Zones keep their numbers, whatever their order in the file.
 func (c *Config) Next(path string) (*Config, error) {
 	next, err := load(path, c.text)
 	if err != nil {
@@ -96,7 +97,7 @@
 	return next, nil
 }
 
-// keepZoneOrder puts the zones in an earlier order, new ones behind it: what is known of endpoints goes by their numbers.
+// keepZoneOrder puts the zones in the earlier order, and new ones after it, as endpoints are known by their zone's number.
 func (c *Config) keepZoneOrder(earlier []string) error {
 	if c.Policy.Zone >= len(c.Zones) {
 		return fmt.Errorf("settings.zone: there is no zone %d", c.Policy.Zone)
@@ -112,7 +113,8 @@
 	return nil
 }
 
-func load(path string, inForce []byte) (*Config, error) {
+// load reads a configuration; current is the text of the one in use, nil if there is none.
+func load(path string, current []byte) (*Config, error) {
 	if path == "" {
 		return nil, errors.New("config: LB_CONFIG is not set")
 	}
@@ -120,14 +122,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c, err := parse(text, inForce)
+	c, err := parse(text, current)
 	if err != nil {
 		return nil, fmt.Errorf("config %s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parse(text, inForce []byte) (*Config, error) {
+func parse(text, current []byte) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
@@ -157,7 +159,7 @@
 	case len(f.Settings) == 0:
 		return nil, errors.New("settings: missing")
 	}
-	if err := checkKeys(text, inForce); err != nil {
+	if err := checkKeys(text, current); err != nil {
 		return nil, err
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Limits: f.Limits,
@@ -168,6 +170,7 @@
 	return c, nil
 }
 
+// settings parses the settings, and checks them with the policy.
 func (c *Config) settings(text []byte) error {
 	var err error
 	if c.Policy, err = settings.Parse(text); err != nil {
--- a/internal/platform/counters/counters.go
+++ b/internal/platform/counters/counters.go
@@ -1,5 +1,6 @@
-// Package counters counts what a sidecar has done for its callers and sent to its endpoints. Each request that was taken
-// ends in exactly one outcome, under the class that it was taken in; no count goes back. It does no I/O and has no clock.
+// Package counters counts what a sidecar has done for its clients and sent to its endpoints. Each request that was received
+// ends in exactly one outcome, under the class that it was received in; no counter decreases. It does no I/O and has no
+// clock.
 package counters
 
 import (
@@ -8,29 +9,29 @@
 	"sync/atomic"
 )
 
-// Outcome is how a request ended for its caller.
+// Outcome is how a request ended for its client.
 type Outcome uint8
 
 // The outcomes.
 const (
-	Answered Outcome = iota // served by an endpoint's answer
-	Rejected                // refused: 429 or 503
-	Errored                 // anything else, also where the caller has gone
+	Answered Outcome = iota // an endpoint's response was delivered
+	Rejected                // 429 or 503
+	Errored                 // anything else, also if the client has disconnected
 	outcomes
 )
 
-// maxClasses bounds the names that are kept: vanished classes keep their counts, and every reload may bring new ones.
-// What comes under a further name is counted under Other.
+// maxClasses bounds the class names: removed classes keep their counters, and every reload may bring new ones. Further
+// names count as OtherClass.
 const maxClasses = 256
 
-// OtherClass is the name under which requests of classes beyond mostClasses count.
+// OtherClass is the name of classes beyond maxClasses.
 const OtherClass = "_other"
 
-// Set holds the counts. The zero Board is ready for use; it is safe for concurrent use.
+// Set holds the counters. The zero Set is ready for use; it is safe for concurrent use.
 type Set struct {
-	AttemptsSent    atomic.Int64 // attempts written whole
-	ConfigsApplied  atomic.Int64 // files taken at SIGHUP
-	ConfigsRejected atomic.Int64 // and turned down
+	AttemptsSent    atomic.Int64 // written completely
+	ConfigsApplied  atomic.Int64 // at SIGHUP
+	ConfigsRejected atomic.Int64
 
 	mu       sync.Mutex
 	classes  map[string]*counts
@@ -39,56 +40,57 @@
 
 type counts [outcomes]int64
 
-// AddClasses has classes shown that have had no request yet.
-func (b *Set) AddClasses(names []string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, n := range names {
-		b.countsOf(n)
+// AddClasses adds classes, so that a Snapshot shows them before their first request.
+func (s *Set) AddClasses(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.countsOf(name)
 	}
 }
 
-func (b *Set) countsOf(class string) *counts {
-	if c := b.classes[class]; c != nil {
+// countsOf returns a class's counters. The caller holds the lock.
+func (s *Set) countsOf(class string) *counts {
+	if c := s.classes[class]; c != nil {
 		return c
 	}
-	if b.classes == nil {
-		b.classes = map[string]*counts{}
+	if s.classes == nil {
+		s.classes = map[string]*counts{}
 	}
-	if len(b.classes) >= maxClasses {
+	if len(s.classes) >= maxClasses {
 		class = OtherClass
 	}
-	if b.classes[class] == nil {
-		b.classes[class] = &counts{}
+	if s.classes[class] == nil {
+		s.classes[class] = &counts{}
 	}
-	return b.classes[class]
+	return s.classes[class]
 }
 
-// RequestReceived counts a request whose last byte has come, or, where its body is passed on as it comes, whose head has.
-func (b *Set) RequestReceived() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.inFlight++
+// RequestReceived counts a request whose last byte has arrived, or whose head has if its body is streamed.
+func (s *Set) RequestReceived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight++
 }
 
-// RequestEnded counts the outcome of a request; taken tells that Taken was called for it.
-func (b *Set) RequestEnded(class string, o Outcome, taken bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if taken {
-		b.inFlight--
+// RequestEnded counts the outcome of a request; wasReceived says whether RequestReceived was called for it.
+func (s *Set) RequestEnded(class string, o Outcome, wasReceived bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if wasReceived {
+		s.inFlight--
 	}
-	b.countsOf(class)[o]++
+	s.countsOf(class)[o]++
 }
 
-// InFlight returns the number of requests that were taken and have not ended.
-func (b *Set) InFlight() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.inFlight
+// InFlight returns the number of requests that were received and have not ended.
+func (s *Set) InFlight() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
 }
 
-// Snapshot is a board at one moment, in the form in which it is told.
+// Snapshot is a copy of the counters, in the form of the administration interface.
 type Snapshot struct {
 	Answered         map[string]int64 `json:"answered"`
 	Rejected         map[string]int64 `json:"deferred"`
@@ -101,23 +103,31 @@
 	ConfigsRejected  int64            `json:"conf_invalid"`
 }
 
-// Snapshot returns a copy. The size of the cluster and how many of it are avoided are for the caller to set.
-func (b *Set) Snapshot() Snapshot {
-	f := Snapshot{Answered: map[string]int64{}, Rejected: map[string]int64{}, Errored: map[string]int64{},
-		AttemptsSent: b.AttemptsSent.Load(), ConfigsApplied: b.ConfigsApplied.Load(), ConfigsRejected: b.ConfigsRejected.Load()}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	f.InFlight = b.inFlight
-	for name, c := range b.classes {
-		f.Answered[name], f.Rejected[name], f.Errored[name] = c[Answered], c[Rejected], c[Errored]
+// Snapshot returns a copy. The caller sets the size of the cluster and how many of its endpoints are unhealthy.
+func (s *Set) Snapshot() Snapshot {
+	snapshot := Snapshot{
+		Answered:        map[string]int64{},
+		Rejected:        map[string]int64{},
+		Errored:         map[string]int64{},
+		AttemptsSent:    s.AttemptsSent.Load(),
+		ConfigsApplied:  s.ConfigsApplied.Load(),
+		ConfigsRejected: s.ConfigsRejected.Load(),
 	}
-	return f
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot.InFlight = s.inFlight
+	for name, c := range s.classes {
+		snapshot.Answered[name] = c[Answered]
+		snapshot.Rejected[name] = c[Rejected]
+		snapshot.Errored[name] = c[Errored]
+	}
+	return snapshot
 }
 
-// JSON returns the figures as JSON with a line end.
-func (f Snapshot) JSON() []byte {
-	text, err := json.Marshal(f)
-	if err != nil { // counts and names alone
+// JSON returns the snapshot as a line of JSON.
+func (s Snapshot) JSON() []byte {
+	text, err := json.Marshal(s)
+	if err != nil { // it holds numbers and names only
 		panic(err)
 	}
 	return append(text, '\n')
--- a/internal/platform/discovery/client.go
+++ b/internal/platform/discovery/client.go
@@ -1,4 +1,6 @@
-// Package discovery follows discovery's list of endpoints.
+// Package discovery follows the discovery service's list of endpoints: by polling (client.go), with the times that
+// discoverypoll decides on, or from an agent that pushes (agent.go). Run is its only goroutine, beside one for each call
+// to an agent; its host passes each list on.
 package discovery
 
 import (
@@ -21,45 +23,45 @@
 
 const (
 	path         = "http://%s/registry/instances"
-	maxListBytes = 2 << 20 // some 10,000 endpoints; read whole, so it must fit the memory limit several times over
+	maxListBytes = 2 << 20 // some 10,000 endpoints; read completely, so it must fit the memory limit several times over
 
-	dialTimeout = time.Second // for a connection to come up
+	dialTimeout = time.Second // for a connection
 
-	maxOlderLists = 4 // answers older than the list in hand, one after the other
+	maxOlderLists = 4 // lists in a row older than the current one, after which discovery has restarted
 )
 
-// Client watches discovery.
+// Client follows one discovery service.
 type Client struct {
-	instances      int           // instances of the own tier
-	mustPollIn     time.Duration // discovery answers only when asked to: the settings' must_ask_in; zero where an agent is
+	instances      int           // of the own tier
+	mustPollIn     time.Duration // the settings' must_ask_in, if discovery answers only when polled; zero: an agent
 	update         func(lbpolicy.ListKind, []endpointlist.Endpoint)
 	log            *slog.Logger
 	http           *http.Client
-	probeClient    *http.Client // of an agent that has not answered yet; nil where discovery is asked
+	probeClient    *http.Client // for an agent that has not answered yet; nil when polling
 	watchRequested chan struct{}
 	index          int64
-	olderLists     int                   // answers in a row older than index
-	poller         *discoverypoll.Poller // when discovery is asked; nil where an agent is
-	beforeApply    func(context.Context) // by tests: an answer has been read, and is not taken yet
+	olderLists     int                   // in a row
+	poller         *discoverypoll.Poller // nil with an agent
+	beforeApply    func(context.Context) // set by tests: a list was read, and is not applied yet
 
-	// What tests hold: its draws, its clock (the time since it began), pauses between calls, and the bounds of calls.
-	draw  func() float64 // from 0 up to 1
+	// Replaced by tests: random numbers, the clock (time since the start), pauses between calls, timeouts of calls.
+	draw  func() float64 // in [0, 1)
 	now   func() time.Duration
 	pause func(context.Context, time.Duration)
 	after func(time.Duration, func()) (stop func() bool)
 
 	mu          sync.Mutex
 	addr        string
-	cancelCalls context.CancelFunc // ends the calls to the address in hand; nil where none has been made to it
+	cancelCalls context.CancelFunc // ends the calls to addr; nil: none was made
 }
 
-// New returns a client that hands lists to members. Where discovery answers only when asked to, mustAskIn is how long the
-// settings allow it not to be; zero is an agent. Index is the version of the list in hand.
+// New returns a client that passes lists to update. If discovery answers only when polled, mustAskIn is the settings' bound on
+// the time between polls; zero: an agent pushes. Index is the version of the current list.
 func New(addr string, mustAskIn time.Duration, index int64, members func(lbpolicy.ListKind, []endpointlist.Endpoint), log *slog.Logger) *Client {
-	begun := time.Now()
+	startedAt := time.Now()
 	c := &Client{addr: addr, mustPollIn: mustAskIn, update: members, log: log, index: index,
 		http: newHTTPClient(dialTimeout), watchRequested: make(chan struct{}, 1), draw: rand.Float64, pause: pause,
-		now:   func() time.Duration { return time.Since(begun) },
+		now:   func() time.Duration { return time.Since(startedAt) },
 		after: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }}
 	if mustAskIn > 0 {
 		c.poller = discoverypoll.New(c.draw, mustAskIn)
@@ -69,7 +71,7 @@
 	return c
 }
 
-// SharedBy tells how many instances of the own tier ask the same discovery, before Run.
+// SharedBy sets how many instances of the tier poll the same discovery. It must be called before Run.
 func (c *Client) SharedBy(instances int) {
 	c.instances = instances
 	if c.poller != nil {
@@ -77,11 +79,11 @@
 	}
 }
 
-// newHTTPClient makes calls whose connections come up in the given time.
-func newHTTPClient(dialIn time.Duration) *http.Client {
+// newHTTPClient returns a client that does not follow redirects.
+func newHTTPClient(dialTimeout time.Duration) *http.Client {
 	return &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialIn}).DialContext,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression:     true,
 			MaxConnsPerHost:        2,
 			MaxIdleConnsPerHost:    1,
@@ -89,7 +91,7 @@
 		}}
 }
 
-// Watch asks for changes from now on, where discovery must be asked, again and again until Run ends. It does not block.
+// Watch begins polling, if discovery must be polled, until Run ends. It does not block.
 func (c *Client) Watch() {
 	select {
 	case c.watchRequested <- struct{}{}:
@@ -97,9 +99,9 @@
 	}
 }
 
-// SetAddress follows discovery at another address from now on. It does not block. What the old one had told stays in
-// force until the new one has told its whole list; the two may count versions differently. An address that does not
-// answer is tried again and again, as a discovery that is down is: the list in hand is kept meanwhile.
+// SetAddress follows discovery at another address from now on. It does not block. The current list stays in use until the
+// new address has sent its whole list; versions at the two addresses are unrelated. An address that does not answer is
+// retried, as a discovery that is down.
 func (c *Client) SetAddress(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,8 +115,8 @@
 	}
 }
 
-// currentCalls returns the address in hand and the context of calls to it; first tells that none has been made yet.
-func (c *Client) currentCalls(ctx, calls context.Context) (context.Context, string, bool) {
+// currentCalls returns the address and the context of calls to it; isNew reports whether none was made yet.
+func (c *Client) currentCalls(ctx, calls context.Context) (current context.Context, address string, isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cancelCalls != nil {
@@ -126,46 +128,80 @@
 
 // Run follows the list until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	whole := false
-	started, begun := false, false
-	var calls context.Context
+	state := &runState{client: c}
 	for ctx.Err() == nil {
-		var addr string
-		var first bool
-		if calls, addr, first = c.currentCalls(ctx, calls); first && started {
-			c.http.CloseIdleConnections() // those to the old address
-			whole, c.index, c.olderLists = true, 0, 0
-			if c.mustPollIn > 0 {
-				c.poller = discoverypoll.New(c.draw, c.mustPollIn).SharedBy(c.instances)
-			}
-			c.log.Info("discovery: follows another address", "address", addr)
-		}
-		started = true
+		state.updateAddress(ctx)
 		if c.mustPollIn == 0 {
-			c.followAgent(calls, addr)
+			c.followAgent(state.calls, state.address)
 			continue
 		}
-		if !begun && !whole {
-			select {
-			case <-c.watchRequested:
-			case <-calls.Done(): // moved, or at an end
-				continue
-			}
+		if state.awaitFirstPoll() {
+			state.poll()
 		}
-		for begun = true; calls.Err() == nil; {
-			err := c.poll(calls, addr, whole)
-			if calls.Err() != nil {
-				break
-			}
-			if err != nil && !errors.Is(err, errNoResponse) {
-				c.log.Warn("discovery: "+err.Error(), "address", addr)
-			}
-			whole = whole && err != nil
-			c.pause(calls, c.poller.End(c.now(), outcomeOf(err)))
+	}
+}
+
+// runState is the state of Run.
+type runState struct {
+	client   *Client
+	address  string
+	calls    context.Context // ends when the address changes
+	snapshot bool            // the whole list is requested next
+	started  bool            // an address was used before
+	polled   bool            // polling has begun
+}
+
+// updateAddress takes the current address. A new one is asked for its whole list.
+func (r *runState) updateAddress(ctx context.Context) {
+	c := r.client
+	calls, address, isNew := c.currentCalls(ctx, r.calls)
+	r.calls, r.address = calls, address
+	if isNew && r.started {
+		c.http.CloseIdleConnections() // those to the old address
+		r.snapshot = true
+		c.index, c.olderLists = 0, 0
+		if c.mustPollIn > 0 {
+			c.poller = discoverypoll.New(c.draw, c.mustPollIn).SharedBy(c.instances)
 		}
+		c.log.Info("discovery address changed", "component", "discovery", "address", address)
+	}
+	r.started = true
+}
+
+// awaitFirstPoll waits until polling is requested. It returns false if the address has changed or Run ends.
+func (r *runState) awaitFirstPoll() bool {
+	if r.polled || r.snapshot {
+		return true
+	}
+	select {
+	case <-r.client.watchRequested:
+		return true
+	case <-r.calls.Done():
+		return false
 	}
 }
 
+// poll polls until the address changes or Run ends.
+func (r *runState) poll() {
+	r.polled = true
+	c := r.client
+	for r.calls.Err() == nil {
+		err := c.poll(r.calls, r.address, r.snapshot)
+		if r.calls.Err() != nil {
+			return
+		}
+		if err != nil && !errors.Is(err, errNoResponse) {
+			c.logFailure(err, r.address)
+		}
+		r.snapshot = r.snapshot && err != nil
+		c.pause(r.calls, c.poller.End(c.now(), outcomeOf(err)))
+	}
+}
+
+func (c *Client) logFailure(err error, address string) {
+	c.log.Warn("discovery call failed", "component", "discovery", "error", err, "address", address)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -173,11 +209,11 @@
 	}
 }
 
-// errNoResponse tells of a call that was given up for want of any answer in the time that it was given. A connection that
-// does not come up in its own, shorter time is no such call but a failure: it is repeated with a back-off.
+// errNoResponse ends a call without any response in its time. A connection that does not come up in its own, shorter time is
+// a failure instead, with backoff.
 var errNoResponse = errors.New("silent")
 
-// errIncomplete tells of an answer that was begun and that is not whole, or can't be read.
+// errIncomplete ends a call whose response began and is incomplete, or cannot be parsed.
 var errIncomplete = errors.New("answer begun")
 
 func outcomeOf(err error) discoverypoll.Outcome {
@@ -192,36 +228,37 @@
 	return discoverypoll.Failed
 }
 
-// poll makes one call of those that discovery is asked by, and hands on what it brings.
-func (c *Client) poll(ctx context.Context, addr string, whole bool) error {
-	ask := c.poller.Begin(c.now(), whole)
-	list, err := c.get(ctx, c.http, c.url(addr, whole, ask), ask)
+// poll makes one call and applies the list that it brings.
+func (c *Client) poll(ctx context.Context, addr string, snapshot bool) error {
+	call := c.poller.Begin(c.now(), snapshot)
+	list, err := c.get(ctx, c.http, c.url(addr, snapshot, call), call)
 	if err != nil {
 		return err
 	}
-	return c.apply(ctx, list, whole)
+	return c.apply(ctx, list, snapshot)
 }
 
-func (c *Client) url(addr string, whole bool, ask discoverypoll.Call) string {
+// url returns the address of a call.
+func (c *Client) url(addr string, snapshot bool, call discoverypoll.Call) string {
 	url := fmt.Sprintf(path, addr)
-	if !whole {
-		url += fmt.Sprintf("?index=%d&wait=%d", c.index, ask.Wait.Milliseconds())
+	if !snapshot {
+		url += fmt.Sprintf("?index=%d&wait=%d", c.index, call.Wait.Milliseconds())
 	}
 	return url
 }
 
-// apply hands on an answer: the whole list, or what has changed since the one in hand.
-func (c *Client) apply(ctx context.Context, list endpointlist.List, whole bool) error {
+// apply passes a list on: the whole one, or what has changed since the current one.
+func (c *Client) apply(ctx context.Context, list endpointlist.List, snapshot bool) error {
 	if c.beforeApply != nil {
 		c.beforeApply(ctx)
 	}
-	if ctx.Err() != nil { // moved meanwhile: what comes from the old address must not follow what the new one tells
+	if ctx.Err() != nil { // the address has changed: a list of the old one must not follow one of the new one
 		return ctx.Err()
 	}
 	if list.Index < c.index {
-		// Late or repeated: it says less than the list in hand, and could bring back what has drained. One that
-		// stays behind has begun to count anew.
-		if c.olderLists++; c.olderLists < maxOlderLists {
+		// Late or repeated: it could bring back endpoints that have drained. A discovery that stays behind has restarted.
+		c.olderLists++
+		if c.olderLists < maxOlderLists {
 			return fmt.Errorf("list %d after list %d", list.Index, c.index)
 		}
 	}
@@ -229,7 +266,7 @@
 	kind := lbpolicy.Delta
 	if list.Snapshot {
 		kind = lbpolicy.Full
-	} else if whole {
+	} else if snapshot {
 		return errors.New("changes in place of the whole list")
 	}
 	repeated := list.Index == c.index && kind == lbpolicy.Delta
@@ -240,46 +277,20 @@
 	return nil
 }
 
-// get makes one call. An answer's first byte is waited for as long as ask says, and its last byte after that: what stands
-// still half told counts as told long before a watch is given up.
-func (c *Client) get(ctx context.Context, by *http.Client, url string, ask discoverypoll.Call) (endpointlist.List, error) {
+// get makes one call within its timeouts and returns the list that it brings.
+func (c *Client) get(ctx context.Context, by *http.Client, url string, call discoverypoll.Call) (endpointlist.List, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	inTime := c.after(ask.FirstByteTimeout, func() { cancel(errNoResponse) })
-	defer inTime()
-	begun := make(chan struct{})
-	var whole func() bool // ends the bound of the answer's rest, once it has begun
-	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		if inTime() {
-			whole = c.after(ask.BodyTimeout, func() { cancel(errIncomplete) })
-			close(begun)
-		}
-	}}
-	defer func() {
-		select {
-		case <-begun:
-			whole()
-		default:
-		}
-	}()
-	broken := func(err error) error {
-		if errors.Is(context.Cause(ctx), errNoResponse) {
-			return fmt.Errorf("%w: %w", errNoResponse, err)
-		}
-		select {
-		case <-begun:
-			return fmt.Errorf("%w: %w", errIncomplete, err)
-		default:
-			return err
-		}
-	}
+	timeouts := c.startTimeouts(call, cancel)
+	defer timeouts.stop()
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: timeouts.firstByte}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, url, nil)
 	if err != nil {
 		return endpointlist.List{}, err
 	}
 	resp, err := by.Do(req)
 	if err != nil {
-		return endpointlist.List{}, broken(err)
+		return endpointlist.List{}, timeouts.classify(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -287,14 +298,68 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
-		return endpointlist.List{}, broken(err)
+		return endpointlist.List{}, timeouts.classify(ctx, err)
 	}
 	if len(text) > maxListBytes {
 		return endpointlist.List{}, fmt.Errorf("a list of over %d bytes", maxListBytes)
 	}
 	list, err := endpointlist.Parse(text)
 	if err != nil {
-		return endpointlist.List{}, broken(err)
+		return endpointlist.List{}, timeouts.classify(ctx, err)
 	}
 	return list, nil
 }
+
+// callTimeouts are the two timeouts of a call: until the response's first byte, and from there to its last. A response that
+// stops half-way counts as notified long before a watch is given up.
+type callTimeouts struct {
+	client      *Client
+	call        discoverypoll.Call
+	cancel      context.CancelCauseFunc
+	stopWaiting func() bool   // stops the first timeout; false if it is over
+	begun       chan struct{} // closed after the first byte
+	stopBody    func() bool   // stops the second timeout; set before begun is closed
+}
+
+func (c *Client) startTimeouts(call discoverypoll.Call, cancel context.CancelCauseFunc) *callTimeouts {
+	t := &callTimeouts{client: c, call: call, cancel: cancel, begun: make(chan struct{})}
+	t.stopWaiting = c.after(call.FirstByteTimeout, func() { cancel(errNoResponse) })
+	return t
+}
+
+// firstByte ends the first timeout and starts the second.
+func (t *callTimeouts) firstByte() {
+	if t.stopWaiting() {
+		t.stopBody = t.client.after(t.call.BodyTimeout, func() { t.cancel(errIncomplete) })
+		close(t.begun)
+	}
+}
+
+// hasBegun reports whether the response has begun in time.
+func (t *callTimeouts) hasBegun() bool {
+	select {
+	case <-t.begun:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop stops both timeouts.
+func (t *callTimeouts) stop() {
+	if t.hasBegun() {
+		t.stopBody()
+	}
+	t.stopWaiting()
+}
+
+// classify wraps an error of the call with errNoResponse or errIncomplete, if it is one of these.
+func (t *callTimeouts) classify(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(context.Cause(ctx), errNoResponse):
+		return fmt.Errorf("%w: %w", errNoResponse, err)
+	case t.hasBegun():
+		return fmt.Errorf("%w: %w", errIncomplete, err)
+	}
+	return err
+}
--- a/internal/platform/discoverypoll/poller.go
+++ b/internal/platform/discoverypoll/poller.go
@@ -1,26 +1,25 @@
-// Package discoverypoll decides when discovery is asked, how long an answer is waited for, and when to ask again, where
-// discovery answers only when asked. It does no I/O and has no clock: its host tells it how calls end.
+// Package discoverypoll decides when the discovery service is polled, how long a response is awaited, and when to poll
+// again, if the service answers only when it is polled. It has no I/O and no clock: its host reports how calls end.
 //
-// What it guards against is one thing: news that count as told while the host does not know them. The pages of the
-// platform (PROTOCOL, "Discovery" and "Figures"; STANDING) say when news count as told:
+// It guards against changes that count as notified while the host does not know them. The platform's pages (PROTOCOL,
+// "Discovery" and "Figures"; STANDING) say when a change counts as notified:
 //
-//   - when they are written in answer to a call;
-//   - between an answer and the next call, for Lapse after the answer, whether or not such a call comes;
-//   - ToldAfter they came up where an answer was begun and did not arrive whole;
-//   - PastWait after a wait is over where a call got no answer at all;
-//   - whatever else is allowed, ToldAfter discovery had them and could be reached;
-//   - a multiple of the settings' must_ask_in where nobody asks.
+//   - when it is written in the response to a call;
+//   - between a response and the next call, for NotificationGrace after the response, whether or not a call follows;
+//   - NotifiedAfter it occurred, if a response was begun and did not arrive completely;
+//   - UnansweredGrace after the wait of a call that got no response at all;
+//   - in any case NotifiedAfter discovery had it and could be reached;
+//   - a multiple of the settings' must_ask_in if nobody polls.
 //
-// A watch that is well can't be told from a dead one. So a call begins at most apart after the one before, or as soon as
-// that has ended: what came up meanwhile, or while discovery could not be reached, is known by the next answer.
-// Where many share discovery a watch without news is left for longer, and the term is not held for one that dies: see SharedBy.
-//
-// The zero Watch can't be used; New makes one. It is not safe for concurrent use.
+// An idle watch cannot be told from a dead one. So a call begins at most pollInterval after the one before, or as soon as
+// that has ended: what changed meanwhile, or while discovery could not be reached, is in the next response. If many
+// instances share discovery, a watch without changes is left for longer, and the bound does not hold for one that dies:
+// see SharedBy.
 package discoverypoll
 
 import "time"
 
-// What counts as told, by the platform's pages.
+// When changes count as notified, by the platform's pages.
 const (
 	NotificationGrace = 200 * time.Millisecond
 	NotifiedAfter     = 6 * time.Second
@@ -29,144 +28,162 @@
 )
 
 const (
-	// A second of ToldAfter is left to the call that follows: it waits its turn at a discovery that serves all, or the rest
-	// of an answer that began at the last moment is waited for before it. More would cost calls, also in calm.
-	pollInterval        = NotifiedAfter - time.Second
-	snapshotTimeout     = 3 * time.Second        // a call that does not wait
-	bodyTimeout         = 1 * time.Second        // of an answer that has begun
-	minInterval         = 20 * time.Millisecond  // between an answer and the next call; far within Lapse
-	confirmWait         = 1 * time.Second        // of a call that only asks whether the list in hand still holds
-	confirmGrace        = 500 * time.Millisecond // for its answer, past that
-	confirmBudget       = 5 * time.Second        // room for it and for its repeat after a failure
-	maxImmediateRetries = 3                      // calls right after one that broke or a check without an answer, in a row
-	backoff             = 2 * time.Second        // after a first failure, before its spread; doubled with each further one
-
-	// Where many share discovery, what they ask in calm has to fit what it can do: one that is out of room turns away all
-	// calls from then on, and nobody learns anything. So from eleven instances of a tier on each adds to the wait, until it
-	// is as long as the one that all of a large fleet were played with, half to one and a half of 8 s. It costs the term,
-	// where a watch dies, for as much as the wait is longer than apart.
+	// pollInterval leaves a second of NotifiedAfter to the call that follows, for its turn at a busy discovery, or for the rest
+	// of a response that began at the last moment. More would cost calls, also without faults.
+	pollInterval    = NotifiedAfter - time.Second
+	snapshotTimeout = 3 * time.Second       // for a call without a wait
+	bodyTimeout     = 1 * time.Second       // for a response that has begun
+	minInterval     = 20 * time.Millisecond // between a response and the next call; well within NotificationGrace
+
+	confirmWait   = 1 * time.Second        // of a call that only confirms the current list
+	confirmGrace  = 500 * time.Millisecond // for its response, beyond confirmWait
+	confirmBudget = 5 * time.Second        // for the call and its repeat after a failure
+
+	maxImmediateRetries = 3               // after incomplete responses and unanswered confirmations, in a row
+	backoff             = 2 * time.Second // after a first failure, before jitter; doubled with each further one
+	maxBackoffDoublings = 4
+
+	// If many instances share discovery, their polls have to fit its capacity: one that is out of capacity rejects all calls,
+	// and nobody learns anything. So beyond ten instances of a tier each adds waitPerInstance to the wait, up to
+	// maxSharedWait. If a watch dies, changes are known later by as much as the wait is longer than pollInterval.
 	waitPerInstance = 500 * time.Millisecond
 	maxSharedWait   = 8 * time.Second
 )
 
-// Call is what to ask and how long to wait for it.
+// Call is a call to make.
 type Call struct {
-	Wait             time.Duration // to tell discovery; zero where the whole list is asked for
-	FirstByteTimeout time.Duration // until the answer's first byte; past it the call is Silent
-	BodyTimeout      time.Duration // from there to its last; past it the call is Broken
+	Wait             time.Duration // to send to discovery; zero if the whole list is requested
+	FirstByteTimeout time.Duration // after it the call ends as NoResponse
+	BodyTimeout      time.Duration // from the first byte; after it the call ends as Incomplete
 }
 
-// Outcome tells how a call ended.
+// Outcome is how a call ended.
 type Outcome int
 
-// Ends of calls.
+// The outcomes.
 const (
-	Complete   Outcome = iota // whole and read
-	NoResponse                // no byte in the time that was given
-	Incomplete                // an answer that was begun and is not whole, or can't be read
-	Failed                    // refused, turned away, or no connection
+	Complete   Outcome = iota // a complete response that could be parsed
+	NoResponse                // no byte in time
+	Incomplete                // a response that began and is incomplete, or could not be parsed
+	Failed                    // rejected, or no connection
 )
 
-// Poller is one instance's watch.
+// Poller decides on the calls of one instance. New returns one. It is not safe for concurrent use.
 type Poller struct {
-	Wait time.Duration // for an answer's first byte; New sets it
+	Wait time.Duration // for a response's first byte; New sets it
 
-	random           func() float64 // from 0 up to 1
-	maxBackoff       time.Duration  // the longest after a failure, before its spread
-	shared           bool           // by so many that Wait is a mean, and each wait is spread around it
+	random           func() float64 // in [0, 1)
+	maxBackoff       time.Duration  // before jitter
+	shared           bool           // by so many instances that Wait is a mean, and each wait is drawn around it
 	synchronized     bool           // the last call ended with something that may have ended all instances' calls
-	failures         int            // since the last answer
-	immediateRetries int            // calls in a row that broke, and checks without an answer
-	notifiedAt       time.Duration  // when what may have come up since the last answer begins to count as told; zero: no call was in vain since
+	failures         int            // since the last complete response
+	immediateRetries int            // in a row, after incomplete responses and unanswered confirmations
+	notifiedAt       time.Duration  // when changes since the last response begin to count as notified; zero: no call failed since
 	call             Call
 	startedAt        time.Duration
 }
 
-// New returns a watch. Draw gives numbers from 0 up to 1, evenly. MustAskIn is the settings': nothing is asked for
-// less than that; zero sets no such bound.
-func New(draw func() float64, mustAskIn time.Duration) *Poller {
-	w := &Poller{Wait: pollInterval, random: draw, maxBackoff: pollInterval, synchronized: true}
+// New returns a Poller. Random returns numbers in [0, 1), uniformly. MustAskIn is the settings' bound on the time between
+// polls; zero: there is none.
+func New(random func() float64, mustAskIn time.Duration) *Poller {
+	p := &Poller{Wait: pollInterval, random: random, maxBackoff: pollInterval, synchronized: true}
 	if mustAskIn > 0 {
-		w.maxBackoff = min(w.maxBackoff, mustAskIn*3/4)
+		p.maxBackoff = min(p.maxBackoff, mustAskIn*3/4)
 	}
-	return w
+	return p
 }
 
-// SharedBy tells how many instances of the own tier ask the same discovery, as the settings have it, and returns the watch.
-func (w *Poller) SharedBy(instances int) *Poller {
-	w.Wait = min(max(time.Duration(instances)*waitPerInstance, pollInterval), maxSharedWait)
-	w.shared = w.Wait > pollInterval
-	return w
+// SharedBy sets how many instances of the tier poll the same discovery, by the settings, and returns the Poller.
+func (p *Poller) SharedBy(instances int) *Poller {
+	p.Wait = min(max(time.Duration(instances)*waitPerInstance, pollInterval), maxSharedWait)
+	p.shared = p.Wait > pollInterval
+	return p
 }
 
-// Begin begins a call; whole asks for the whole list. Discovery is told a far longer wait than is waited for, as news of a
-// call without any answer count as told by that wait as well: a watch that dies, and the one after it, are both given up in
-// time. Where the time since the last answer could run out with the next watch, a short call confirms the list first.
-// This could hurt only at a discovery that keeps what has died for as long as it was told.
-func (w *Poller) Begin(now time.Duration, whole bool) Call {
-	first := w.Wait
+// Begin returns the next call; snapshot requests the whole list.
+//
+// Discovery is sent a far longer wait than the response is awaited, as a change of a call without any response counts as
+// notified by that wait as well: a watch that dies, and the one after it, are both given up in time. If changes could
+// count as notified during the next watch, a short call confirms the list first.
+func (p *Poller) Begin(now time.Duration, snapshot bool) Call {
+	timeout := p.firstByteTimeout()
+	p.synchronized = false
 	switch {
-	case w.shared:
-		first = first/2 + time.Duration(w.random()*float64(first))
-	case w.synchronized:
-		// From then on all instances' calls are as far from each other as these draws are. Over half of the wait, those that
-		// began within a second would stay bunched.
-		first = first/10 + time.Duration(w.random()*float64(first*9/10))
+	case snapshot:
+		p.call = Call{FirstByteTimeout: snapshotTimeout, BodyTimeout: bodyTimeout}
+	case p.notifiedAt > 0 && now+timeout+confirmBudget > p.notifiedAt:
+		p.call = Call{Wait: confirmWait, FirstByteTimeout: confirmWait + confirmGrace, BodyTimeout: bodyTimeout}
+	default:
+		p.call = Call{Wait: MaxWait, FirstByteTimeout: timeout, BodyTimeout: bodyTimeout}
 	}
-	w.synchronized = false
+	p.startedAt = now
+	return p.call
+}
+
+// firstByteTimeout draws how long a watch's first byte is awaited. After an event that may have ended all instances' calls
+// it spreads them over nearly the whole wait: over half of it, those that began within a second would stay bunched.
+func (p *Poller) firstByteTimeout() time.Duration {
 	switch {
-	case whole:
-		w.call = Call{FirstByteTimeout: snapshotTimeout, BodyTimeout: bodyTimeout}
-	case w.notifiedAt > 0 && now+first+confirmBudget > w.notifiedAt:
-		w.call = Call{Wait: confirmWait, FirstByteTimeout: confirmWait + confirmGrace, BodyTimeout: bodyTimeout}
-	default:
-		w.call = Call{Wait: MaxWait, FirstByteTimeout: first, BodyTimeout: bodyTimeout}
+	case p.shared:
+		return p.Wait/2 + time.Duration(p.random()*float64(p.Wait))
+	case p.synchronized:
+		return p.Wait/10 + time.Duration(p.random()*float64(p.Wait*9/10))
 	}
-	w.startedAt = now
-	return w.call
+	return p.Wait
 }
 
-// End takes the end of the call that Ask began, and returns the time until the next one.
-func (w *Poller) End(now time.Duration, how Outcome) time.Duration {
-	if how == NoResponse && w.call.Wait > 0 {
-		w.limitNotifiedAt(w.startedAt + w.call.Wait + UnansweredGrace)
-		if w.call.Wait == MaxWait {
-			return 0 // no news, or a dead connection: once more, on another one
+// End records how the call that Begin returned has ended, and returns the time until the next one.
+func (p *Poller) End(now time.Duration, outcome Outcome) time.Duration {
+	if outcome == NoResponse && p.call.Wait > 0 {
+		p.limitNotifiedAt(p.startedAt + p.call.Wait + UnansweredGrace)
+		if p.call.Wait == MaxWait {
+			return 0 // no change or a dead connection: poll again, on another one
 		}
-		if w.immediateRetries++; w.immediateRetries <= maxImmediateRetries {
+		if p.retryImmediately() {
 			return 0
 		}
 	}
-	w.synchronized = true
-	if how == Complete {
-		w.notifiedAt, w.immediateRetries, w.failures = 0, 0, 0
+	p.synchronized = true
+	if outcome == Complete {
+		p.notifiedAt, p.immediateRetries, p.failures = 0, 0, 0
 		return minInterval
 	}
-	if how == Incomplete {
-		// What it was to tell counts as told soon, known or not; and it was no refusal: discovery had room. Where the rest
-		// was waited for its first byte is that old.
-		w.limitNotifiedAt(now - bodyTimeout + NotifiedAfter)
-		if w.immediateRetries++; w.immediateRetries <= maxImmediateRetries {
+	if outcome == Incomplete {
+		// Its changes count as notified soon, known or not. If the body timed out, its first byte is that old. Discovery had
+		// capacity, so there is no reason to back off yet.
+		p.limitNotifiedAt(now - bodyTimeout + NotifiedAfter)
+		if p.retryImmediately() {
 			return minInterval
 		}
 	}
-	// Later each time, and never in step with the others. But the term runs from the call's begin: discovery may have
-	// come back right after it.
-	after := min(backoff<<w.failures, w.maxBackoff, w.startedAt+pollInterval-now)
-	if w.notifiedAt > now {
-		after = min(after, w.notifiedAt-now)
+	return p.backOff(now)
+}
+
+// retryImmediately counts a retry without backoff, and reports whether it is within maxImmediateRetries.
+func (p *Poller) retryImmediately() bool {
+	p.immediateRetries++
+	return p.immediateRetries <= maxImmediateRetries
+}
+
+// backOff returns the time until the next call after a failure: longer each time and with jitter, but by pollInterval
+// after the call's begin, as discovery may have come back right after it.
+func (p *Poller) backOff(now time.Duration) time.Duration {
+	wait := min(backoff<<p.failures, p.maxBackoff, p.startedAt+pollInterval-now)
+	if p.notifiedAt > now {
+		wait = min(wait, p.notifiedAt-now)
 	}
-	w.failures = min(w.failures+1, 4)
-	return max(w.jitter(after), minInterval)
+	p.failures = min(p.failures+1, maxBackoffDoublings)
+	return max(p.jitter(wait), minInterval)
 }
 
-// jitter returns half of d to all of it.
-func (w *Poller) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(w.random()*float64(d/2))
+// jitter returns from half of d to all of it.
+func (p *Poller) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(p.random()*float64(d/2))
 }
 
-func (w *Poller) limitNotifiedAt(at time.Duration) {
-	if w.notifiedAt == 0 || at < w.notifiedAt {
-		w.notifiedAt = at
+// limitNotifiedAt records that changes since the last response begin to count as notified at a time, at the latest.
+func (p *Poller) limitNotifiedAt(at time.Duration) {
+	if p.notifiedAt == 0 || at < p.notifiedAt {
+		p.notifiedAt = at
 	}
 }
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -1,5 +1,6 @@
-// Package settings reads the object that tells an instance its classes, customers, limits and obligations: the same in
-// the simulator's first message and in the configuration of a real sidecar.
+// Package settings parses the object with an instance's classes, tenants, limits and obligations. It is the same in the
+// simulator's first message and in a sidecar's configuration, and maps the platform's words (goal_time, worth, customers,
+// cold, fall) to the terms of lbpolicy.
 package settings
 
 import (
@@ -11,6 +12,7 @@
 	"silvertrail/lbpolicy"
 )
 
+// document is the object with the platform's keys.
 type document struct {
 	Balancers int `json:"balancers"`
 	Classes   []struct {
@@ -64,7 +66,7 @@
 		"zone": lbpolicy.ScopeZone, "cell": lbpolicy.ScopeCell}
 )
 
-// Parse reads an instance's settings; an error names the key that can't be used.
+// Parse parses an instance's settings; an error names the invalid key.
 func Parse(text []byte) (lbpolicy.Settings, error) {
 	var p document
 	if err := json.Unmarshal(text, &p); err != nil {
