Split the hand-over by concern: session, predecessor, successor, frames

Need: process.go held both directions, and socket calls in the middle of decisions; comments and log messages spoke in metaphors.

--- a/internal/platform/handover/format_test.go
+++ b/internal/platform/handover/format_test.go
@@ -8,7 +8,7 @@
 	"silvertrail/internal/testkit/golden"
 )
 
-// Each message between two processes is encoded to the bytes that are recorded, and these are read as the same message.
+// TestMessageFormat encodes each message to the recorded bytes, and decodes these to the same message.
 func TestMessageFormat(t *testing.T) {
 	for _, kind := range []Kind{Hello, TakeOver, Keys, ClaimKey, Eject, Rejection} {
 		t.Run(string(kind), func(t *testing.T) {
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -22,7 +22,7 @@
 	"silvertrail/lbpolicy"
 )
 
-// self is a process as a test has it: a table of keys, bans, and what has become of it.
+// self is a process's host in a test: a table of keys, ejections, and the calls it received.
 type self struct {
 	t        *testing.T
 	listener *net.TCPListener
@@ -36,6 +36,7 @@
 }
 
 func newSelf(t *testing.T) *self {
+	t.Helper()
 	return &self{t: t, listener: lbtest.Listen(t).(*net.TCPListener), keys: idempotency.New(1 << 16), bans: map[string]bool{}}
 }
 
@@ -98,7 +99,7 @@
 
 var quiet = slog.New(slog.DiscardHandler)
 
-// first starts a process that has none before it and may be taken over from.
+// first starts a process without a predecessor, which listens for successors.
 func first(t *testing.T, path string) (*Process, *self) {
 	t.Helper()
 	s := newSelf(t)
@@ -113,7 +114,7 @@
 	return p, s
 }
 
-// next takes over.
+// next starts a process that takes over.
 func next(t *testing.T, path string) (*Process, *self, *State) {
 	t.Helper()
 	s := newSelf(t)
@@ -138,8 +139,9 @@
 	return Claim{ID: KeyID(idempotency.KeyIDOf("t", key)), Scope: lbpolicy.ScopeZone, ExpiresIn: time.Minute, To: KeyState{Known: true, Zone: zone, RetryWindow: time.Minute}}
 }
 
-// Three processes in a row: the socket, keys and bans pass on, and what the first still does is agreed with the last.
-func TestChain(t *testing.T) {
+// TestChainOfProcesses has three processes replace each other: the socket, keys and ejections are passed on, and claims of the
+// first process are made at the last.
+func TestChainOfProcesses(t *testing.T) {
 	path := Path(t.TempDir(), "127.0.0.1:80")
 	one, s1 := first(t, path)
 	s1.SetEjected("down", true)
@@ -206,9 +208,9 @@
 	}
 }
 
-// One that goes before it takes over changes nothing; one that goes after has the first one go on; while one has taken over
-// another is refused.
-func TestSuccessorGoes(t *testing.T) {
+// TestSuccessorDisconnects has a successor end before it takes over (nothing changes) and after (the first process accepts
+// clients again). While one has taken over another is rejected.
+func TestSuccessorDisconnects(t *testing.T) {
 	path := Path(t.TempDir(), "127.0.0.1:80")
 	one, s1 := first(t, path)
 	for range 3 {
@@ -241,9 +243,9 @@
 	}
 }
 
-// What stands at the path and hands nothing over keeps nobody from starting: a file without a listener, one that is no
-// socket, one that says nothing, speaks another version, or noise.
-func TestNothingHandedOver(t *testing.T) {
+// TestNoOffer starts beside a file without a listener, one that is no socket, and peers that are silent, have another version
+// or send noise: the process starts without an offer.
+func TestNoOffer(t *testing.T) {
 	dir := t.TempDir()
 	stale := filepath.Join(dir, "stale")
 	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: stale, Net: "unix"})
@@ -298,7 +300,7 @@
 	}
 }
 
-// A directory that can't be written, and one whose path is longer than a socket's address may be.
+// TestDirectory uses a directory that cannot be written, and one whose path is longer than a socket's address may be.
 func TestDirectory(t *testing.T) {
 	p, _, _ := Start(Path(filepath.Join(t.TempDir(), "none"), "127.0.0.1:80"), newSelf(t), quiet)
 	if err := p.Listen(); err == nil {
@@ -317,8 +319,8 @@
 	next(t, path)
 }
 
-// A process that is stopped after it has given way keeps nobody waiting for long, neither for a ban nor with its end.
-func TestHungPeer(t *testing.T) {
+// TestHangingPredecessor stops a process after the hand-over: neither an ejection nor its end takes long.
+func TestHangingPredecessor(t *testing.T) {
 	a, b := socketPair(t)
 	l := newSession(a, func(*Message) *Message { return nil })
 	go l.run()
@@ -354,7 +356,7 @@
 	return out[0], out[1]
 }
 
-// Whatever comes is refused or is a message that goes out as it came.
+// FuzzRead decodes any bytes: they are rejected, or encode to the same message again.
 func FuzzRead(f *testing.F) {
 	for _, m := range []*Message{{Kind: Hello, Version: 1, Seq: 1}, {Kind: TakeOver, Seq: 2}, {Kind: Eject, Ejection: &Ejection{"s", true}},
 		{Kind: ClaimKey, Claim: &Claim{To: KeyState{Known: true, Zone: "a", RetryWindow: 5}}}, {Kind: Keys, Keys: []KeyRecord{{ExpiresIn: 3}}}, {Kind: Rejection, IsResponse: true, Reason: "x"}} {
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -1,15 +1,14 @@
-// Package handover has a process that replaces another beside it take over from it: the listening socket itself, so that
-// no connection that waits to be accepted is lost, and the state that the rules need. Both speak
-// over a Unix socket in a directory that they share.
+// Package handover lets a process replace another one beside it without losing requests: the successor takes over the
+// listening socket, so that no connection in its queue is lost, and the state that later decisions need. The processes
+// exchange messages over a Unix socket in a directory that they share.
+//
+// A Process owns the sessions with its predecessor and its successor; one goroutine reads each, and one accepts successors.
 package handover
 
 import (
-	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"silvertrail/internal/balancer/engine"
@@ -18,38 +17,38 @@
 	"silvertrail/lbpolicy"
 )
 
-// Version is that of the messages. A process that speaks another one is not taken over from.
+// Version is the version of the messages. A process of another version hands nothing over.
 const Version = 1
 
-// maxFrameBytes bounds a message: a list of 10,000 endpoints, or a part of the keys.
+// maxFrameBytes bounds a message: a list of 10,000 endpoints, or maxKeysPerMessage keys.
 const maxFrameBytes = 4 << 20
 
-// maxKeysPerMessage is how many keys stand in one message.
+// maxKeysPerMessage bounds the keys in one message.
 const maxKeysPerMessage = 2048
 
 var (
-	errVersion       = errors.New("handover: the other process speaks another version")
+	errVersion       = errors.New("handover: the other process has another version")
 	errFrameTooLarge = fmt.Errorf("handover: a message of over %d bytes", maxFrameBytes)
 )
 
-// Kind says what a message is for.
+// Kind is the kind of a message.
 type Kind string
 
-// The kinds. Each is answered by one of the same kind, but for a refusal.
+// The kinds. The response to a request is of the same kind, or a Rejection.
 const (
-	Hello     Kind = "hello" // the new process greets; the answer is the offer, with the listening socket
-	TakeOver  Kind = "take"  // the new process takes clients from now on; the answer is what is in force at that moment
-	Keys      Kind = "keys"  // a part of what is known of keys; it has no answer
-	ClaimKey  Kind = "bind"  // the old process asks where an attempt with a key may go
-	Eject     Kind = "ban"   // an operator has banned an endpoint or ended that, at either
-	Rejection Kind = "no"    // what was asked can't be had
+	Hello     Kind = "hello" // the successor greets; the response is the offer, with the listening socket
+	TakeOver  Kind = "take"  // the successor accepts clients from now on; the response is the state at that moment
+	Keys      Kind = "keys"  // key states, in several messages; no response
+	ClaimKey  Kind = "bind"  // the predecessor claims a key for an attempt; the response is the key's state
+	Eject     Kind = "ban"   // an operator has ejected an endpoint, or ended its ejection, at either process
+	Rejection Kind = "no"    // the request was rejected
 )
 
-// Message is one of either side.
+// Message is a message of either process.
 type Message struct {
 	Kind       Kind   `json:"kind"`
 	Version    int    `json:"version,omitempty"`
-	Seq        uint64 `json:"seq,omitempty"` // of what is asked; its answer has the same
+	Seq        uint64 `json:"seq,omitempty"` // of a request; its response has the same
 	IsResponse bool   `json:"answer,omitempty"`
 	Reason     string `json:"why,omitempty"`
 
@@ -61,7 +60,7 @@
 	Ejection *Ejection   `json:"ban,omitempty"`
 }
 
-// Offer is what a process begins with that takes over.
+// Offer is the state that a successor starts with.
 type Offer struct {
 	Listen       string                  `json:"listen"`
 	Endpoints    []endpointlist.Endpoint `json:"list"`
@@ -70,27 +69,27 @@
 	Policy       engine.Snapshot         `json:"carried"`
 }
 
-// State is what is in force as the old process takes no more clients.
+// State is the predecessor's state when it has stopped accepting clients.
 type State struct {
 	Ejected    []string        `json:"bans"`
 	RequestIDs RequestIDs      `json:"ids"`
 	Policy     engine.Snapshot `json:"carried"`
-	KeyCount   int             `json:"keys"` // that came before this
+	KeyCount   int             `json:"keys"` // that were sent before this message
 }
 
-// RequestIDs are those of requests in work and ended lately, as hashes with their key.
+// RequestIDs are those of requests in flight and ended lately, as hashes with their secret.
 type RequestIDs struct {
 	Key    []byte   `json:"key"`
 	Hashes []uint64 `json:"hashes"`
 }
 
-// Ejection is a ban of an endpoint, or its end.
+// Ejection is a manual ejection of an endpoint, or its end.
 type Ejection struct {
 	Endpoint string `json:"id"`
 	Ejected  bool   `json:"on"`
 }
 
-// KeyState is what is known of a key's attempts. Times are what is left of them, as the two processes' clocks share no start.
+// KeyState is what is known of a key's attempts. Times are relative, as the processes' monotonic clocks differ.
 type KeyState struct {
 	Known         bool          `json:"known"`
 	Cluster       string        `json:"cluster,omitempty"`
@@ -100,7 +99,7 @@
 	RetryWindow   time.Duration `json:"until,omitempty"`
 }
 
-// NewKeyState returns a past as it is told.
+// NewKeyState returns a key state in the form of a message.
 func NewKeyState(now time.Time, p idempotency.KeyState) KeyState {
 	if !p.Known {
 		return KeyState{}
@@ -108,7 +107,7 @@
 	return KeyState{true, p.Place.Cluster, p.Place.Zone, p.Place.Cell, p.SeveralGroups, p.RetryUntil.Sub(now)}
 }
 
-// KeyState returns a past as it is kept.
+// KeyState returns the key state in the form of the key table.
 func (p KeyState) KeyState(now time.Time) idempotency.KeyState {
 	if !p.Known {
 		return idempotency.KeyState{}
@@ -116,7 +115,7 @@
 	return idempotency.KeyState{Known: true, Place: idempotency.Place{Cluster: p.Cluster, Zone: p.Zone, Cell: p.Cell}, SeveralGroups: p.SeveralGroups, RetryUntil: now.Add(p.RetryWindow)}
 }
 
-// KeyID is a key's, in hexadecimal digits.
+// KeyID is a key's ID, encoded in hexadecimal digits.
 type KeyID idempotency.KeyID
 
 // MarshalText implements encoding.TextMarshaler.
@@ -125,13 +124,13 @@
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (id *KeyID) UnmarshalText(text []byte) error {
 	if len(text) != 2*len(id) {
-		return errors.New("handover: a key's ID of another length")
+		return errors.New("handover: key ID of another length")
 	}
 	_, err := hex.Decode(id[:], text)
 	return err
 }
 
-// KeyRecord is what is known of one key.
+// KeyRecord is a key with its state.
 type KeyRecord struct {
 	ID           KeyID         `json:"id"`
 	State        KeyState      `json:"past"`
@@ -140,25 +139,25 @@
 	ExpiresIn    time.Duration `json:"expire"`
 }
 
-// NewKeyRecord returns a key as it is told.
+// NewKeyRecord returns a record of the key table in the form of a message.
 func NewKeyRecord(now time.Time, k idempotency.Record) KeyRecord {
 	return KeyRecord{KeyID(k.ID), NewKeyState(now, k.KeyState), k.SeveralZones, k.SeveralCells, k.ExpiresAt.Sub(now)}
 }
 
-// Record returns a key as it is kept.
+// Record returns the record in the form of the key table.
 func (k KeyRecord) Record(now time.Time) idempotency.Record {
 	return idempotency.Record{ID: idempotency.KeyID(k.ID), KeyState: k.State.KeyState(now), SeveralZones: k.SeveralZones, SeveralCells: k.SeveralCells, ExpiresAt: now.Add(k.ExpiresIn)}
 }
 
-// Claim is one that is about to go out with a key.
+// Claim is a claim of a key for an attempt that is about to be sent.
 type Claim struct {
 	ID        KeyID          `json:"id"`
-	To        KeyState       `json:"to"` // the place; Until is for how long a further one may be decided on
+	To        KeyState       `json:"to"` // the place, with the time for which further attempts may be decided on
 	Scope     lbpolicy.Scope `json:"scope"`
 	ExpiresIn time.Duration  `json:"expire"`
 }
 
-// validate refuses what no process of this version sends.
+// validate rejects what no process of this version sends.
 func (m *Message) validate() error {
 	ok := false
 	switch m.Kind {
@@ -176,44 +175,7 @@
 		ok = m.IsResponse
 	}
 	if !ok {
-		return fmt.Errorf("handover: a message %.20q that can't be one", m.Kind)
+		return fmt.Errorf("handover: invalid message of kind %.20q", m.Kind)
 	}
 	return nil
 }
-
-// encodeFrame returns a message as it goes out: its length in four bytes, and JSON.
-func encodeFrame(m *Message) ([]byte, error) {
-	text, err := json.Marshal(m)
-	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	if len(text) > maxFrameBytes {
-		return nil, errFrameTooLarge
-	}
-	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), uint32(len(text))), text...), nil
-}
-
-// readFrame reads one message.
-func readFrame(r io.Reader) (*Message, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > maxFrameBytes {
-		return nil, errFrameTooLarge
-	}
-	// Grown as it comes: a length alone takes no memory.
-	text, err := io.ReadAll(io.LimitReader(r, int64(n)))
-	if err == nil && len(text) < int(n) {
-		err = io.ErrUnexpectedEOF
-	}
-	if err != nil {
-		return nil, err
-	}
-	m := &Message{}
-	if err := json.Unmarshal(text, m); err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	return m, m.validate()
-}
--- a/internal/platform/handover/session.go
+++ b/internal/platform/handover/session.go
@@ -11,115 +11,133 @@
 
 const (
 	writeTimeout          = time.Second
-	maxConcurrentMessages = 64 // messages of the other side that are worked on at once
+	maxConcurrentMessages = 64 // requests of the other side that are handled at once
 )
 
-// ErrDisconnected says that the other process has gone.
-var ErrDisconnected = errors.New("handover: the other process has gone")
+// ErrDisconnected says that the other process has disconnected.
+var ErrDisconnected = errors.New("handover: the other process has disconnected")
 
-// session is a connection between two processes of an upgrade. Both ask and answer.
+// session is a connection between two processes. Both send requests and responses.
 type session struct {
 	conn   *net.UnixConn
-	handle func(*Message) *Message // answers what the other side asks; nil: no answer
-	slots  chan struct{}
+	handle func(*Message) *Message // returns the response to a request; nil: none
+	slots  chan struct{}           // one token for each request that is handled
 
 	writeMu sync.Mutex
 
 	mu      sync.Mutex
 	lastSeq uint64
-	pending map[uint64]chan *Message
+	pending map[uint64]chan *Message // by sequence number, requests without a response
 
 	closed    chan struct{}
 	closeOnce sync.Once
 }
 
 func newSession(conn *net.UnixConn, handle func(*Message) *Message) *session {
-	return &session{conn: conn, handle: handle, slots: make(chan struct{}, maxConcurrentMessages), pending: map[uint64]chan *Message{}, closed: make(chan struct{})}
+	return &session{
+		conn:    conn,
+		handle:  handle,
+		slots:   make(chan struct{}, maxConcurrentMessages),
+		pending: map[uint64]chan *Message{},
+		closed:  make(chan struct{}),
+	}
 }
 
-// run reads until the connection ends.
-func (l *session) run() error {
-	defer l.close()
+// run reads messages until the connection ends. It handles each request in a goroutine, as one may wait for a third process;
+// Keys messages are handled in their order, before what follows them.
+func (s *session) run() error {
+	defer s.close()
 	for {
-		m, err := readFrame(l.conn)
+		m, err := readFrame(s.conn)
 		if err != nil {
 			return err
 		}
-		if m.IsResponse {
-			l.mu.Lock()
-			to := l.pending[m.Seq]
-			delete(l.pending, m.Seq)
-			l.mu.Unlock()
-			if to != nil {
-				to <- m
-			}
-			continue
-		}
-		if m.Kind == Keys { // in their order, before what follows
-			l.handle(m)
-			continue
+		switch {
+		case m.IsResponse:
+			s.deliver(m)
+		case m.Kind == Keys:
+			s.handle(m)
+		default:
+			s.slots <- struct{}{}
+			go s.respond(m)
 		}
-		l.slots <- struct{}{}
-		go func() { // one that waits for a third process keeps nobody else waiting
-			defer func() { <-l.slots }()
-			if a := l.handle(m); a != nil {
-				a.Seq, a.IsResponse = m.Seq, true
-				l.send(a)
-			}
-		}()
 	}
 }
 
-func (l *session) send(m *Message) error {
+// deliver passes a response to the call that waits for it, if one does.
+func (s *session) deliver(m *Message) {
+	s.mu.Lock()
+	waiter := s.pending[m.Seq]
+	delete(s.pending, m.Seq)
+	s.mu.Unlock()
+	if waiter != nil {
+		waiter <- m
+	}
+}
+
+// respond handles a request and sends the response. A connection that fails ends the session, which its other user notices.
+func (s *session) respond(m *Message) {
+	defer func() { <-s.slots }()
+	response := s.handle(m)
+	if response == nil {
+		return
+	}
+	response.Seq, response.IsResponse = m.Seq, true
+	_ = s.send(response)
+}
+
+// send writes a message.
+func (s *session) send(m *Message) error {
 	text, err := encodeFrame(m)
 	if err != nil {
 		return err
 	}
-	l.writeMu.Lock()
-	defer l.writeMu.Unlock()
-	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := l.conn.Write(text); err != nil {
-		l.close() // a part of it may be out
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := s.conn.Write(text); err != nil {
+		s.close() // a part of the message may be out
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
 }
 
-// call asks the other side and waits for its answer.
-func (l *session) call(ctx context.Context, m *Message) (*Message, error) {
-	answer := make(chan *Message, 1)
-	l.mu.Lock()
-	l.lastSeq++
-	m.Seq = l.lastSeq
-	l.pending[m.Seq] = answer
-	l.mu.Unlock()
+// call sends a request and waits for its response.
+func (s *session) call(ctx context.Context, m *Message) (*Message, error) {
+	waiter := make(chan *Message, 1)
+	s.mu.Lock()
+	s.lastSeq++
+	m.Seq = s.lastSeq
+	s.pending[m.Seq] = waiter
+	s.mu.Unlock()
 	defer func() {
-		l.mu.Lock()
-		delete(l.pending, m.Seq)
-		l.mu.Unlock()
+		s.mu.Lock()
+		delete(s.pending, m.Seq)
+		s.mu.Unlock()
 	}()
-	if err := l.send(m); err != nil {
+	if err := s.send(m); err != nil {
 		return nil, err
 	}
 	select {
-	case a := <-answer:
-		if a.Kind == Rejection {
-			return nil, fmt.Errorf("handover: refused: %.200s", a.Reason)
+	case response := <-waiter:
+		if response.Kind == Rejection {
+			return nil, fmt.Errorf("handover: rejected: %.200s", response.Reason)
 		}
-		if a.Kind != m.Kind {
-			return nil, fmt.Errorf("handover: %q answered by %q", m.Kind, a.Kind)
+		if response.Kind != m.Kind {
+			return nil, fmt.Errorf("handover: %q answered by %q", m.Kind, response.Kind)
 		}
-		return a, nil
-	case <-l.closed:
+		return response, nil
+	case <-s.closed:
 		return nil, ErrDisconnected
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
-func (l *session) close() {
-	l.closeOnce.Do(func() {
-		close(l.closed)
-		l.conn.Close()
+// close closes the connection, once.
+func (s *session) close() {
+	s.closeOnce.Do(func() {
+		close(s.closed)
+		_ = s.conn.Close()
 	})
 }
--- a/internal/platform/handover/socket.go
+++ b/internal/platform/handover/socket.go
@@ -9,10 +9,13 @@
 	"time"
 )
 
-// maxPathBytes is how long a Unix socket's address may be (108 bytes with the zero at its end: unix(7)).
+// maxPathBytes bounds a Unix socket's address (108 bytes with its terminating zero: unix(7)).
 const maxPathBytes = 107
 
-// shortPath returns a name of at most mostPath bytes for a path, good until done is called: the directory by its descriptor.
+const dialTimeout = time.Second
+
+// shortPath returns a name of at most maxPathBytes bytes for a path, valid until done is called. It names the directory of a
+// longer path by its file descriptor.
 func shortPath(path string) (name string, done func(), err error) {
 	if len(path) <= maxPathBytes {
 		return path, func() {}, nil
@@ -21,15 +24,17 @@
 	if err != nil {
 		return "", nil, err
 	}
-	return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path)), func() { dir.Close() }, nil
+	return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path)), func() { _ = dir.Close() }, nil
 }
 
+// dial connects to a socket of the same user.
 func dial(path string) (*net.UnixConn, error) {
 	info, err := os.Lstat(path)
 	if err != nil {
 		return nil, err
 	}
-	if s, ok := info.Sys().(*syscall.Stat_t); !ok || s.Uid != uint32(os.Geteuid()) || info.Mode()&os.ModeSocket == 0 {
+	stat, ok := info.Sys().(*syscall.Stat_t)
+	if !ok || stat.Uid != uint32(os.Geteuid()) || info.Mode()&os.ModeSocket == 0 {
 		return nil, fmt.Errorf("handover: %s is not a socket of this user", path)
 	}
 	name, done, err := shortPath(path)
@@ -37,22 +42,23 @@
 		return nil, err
 	}
 	defer done()
-	c, err := net.DialTimeout("unix", name, time.Second)
+	conn, err := net.DialTimeout("unix", name, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	return c.(*net.UnixConn), nil
+	return conn.(*net.UnixConn), nil
 }
 
-// descriptorReader reads a connection and keeps the descriptors that come with the bytes.
+// descriptorReader reads a connection and keeps the file descriptors that come with the bytes (SCM_RIGHTS).
 type descriptorReader struct {
 	conn *net.UnixConn
 	fds  []int
 }
 
-// maxDescriptors is how many descriptors one read may bring.
+// maxDescriptors bounds the file descriptors of one read.
 const maxDescriptors = 4
 
+// Read implements io.Reader.
 func (r *descriptorReader) Read(p []byte) (int, error) {
 	space := make([]byte, syscall.CmsgSpace(4*maxDescriptors))
 	n, oobn, _, _, err := r.conn.ReadMsgUnix(p, space)
@@ -72,10 +78,10 @@
 	return n, err
 }
 
-// close closes the descriptors that nobody has taken.
+// close closes the file descriptors that are still in fds.
 func (r *descriptorReader) close() {
 	for _, fd := range r.fds {
-		syscall.Close(fd)
+		_ = syscall.Close(fd)
 	}
 	r.fds = nil
 }
