--- a/internal/base/chunked/chunked_test.go
+++ b/internal/base/chunked/chunked_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http/httputil"
 	"strings"
@@ -66,7 +65,7 @@
 		}
 		theirs, err := io.ReadAll(httputil.NewChunkedReader(strings.NewReader(text)))
 		if err != nil || string(theirs) != body {
-			t.Fatal(fmt.Sprintf("%q: %q here, %q there: %v", text, body, theirs, err))
+			t.Fatalf("%q: %q here, %q there: %v", text, body, theirs, err)
 		}
 	})
 }
--- a/internal/platform/admin/admin.go
+++ b/internal/platform/admin/admin.go
@@ -38,7 +38,8 @@
 	IsReady() bool
 	// Stats returns the counters as JSON.
 	Stats() []byte
-	// SetEjected keeps an endpoint from new calls, or ends that. ErrUnknown tells that it was never listed.
+	// SetEjected ejects an endpoint, which gets no new requests then, or ends its ejection. It returns ErrUnknownEndpoint for
+	// one that was never listed.
 	SetEjected(ctx context.Context, id string, ejected bool) error
 }
 
--- a/internal/platform/admin/admin_test.go
+++ b/internal/platform/admin/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -113,16 +114,16 @@
 	o.mu.Lock()
 	o.ready = true
 	o.mu.Unlock()
-	if r, _ := call(t, addr, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode != 200 {
+	if r, _ := call(t, addr, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode != http.StatusOK {
 		t.Error("not ready")
 	}
-	if r, _ := call(t, addr, "GET /ops/stats HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("y", 4*maxHeadBytes)+"\r\n\r\n"); r.StatusCode != 431 {
+	if r, _ := call(t, addr, "GET /ops/stats HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("y", 4*maxHeadBytes)+"\r\n\r\n"); r.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("a huge head: %d", r.StatusCode)
 	}
 }
 
-// Callers that connect and finish no call keep no good one waiting, however many: the oldest of them end.
-func TestHalfOpen(t *testing.T) {
+// TestIncompleteCalls has many clients connect without completing a call: the oldest are closed, and a complete call is answered.
+func TestIncompleteCalls(t *testing.T) {
 	_, addr := serve(t)
 	var open []*lbtest.Client
 	for i := range 5 * MaxConnections {
@@ -132,15 +133,16 @@
 		}
 		open = append(open, c)
 		if i%8 == 0 {
-			if r, _ := call(t, addr, "GET /ops/stats HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode != 200 {
+			if r, _ := call(t, addr, "GET /ops/stats HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode != http.StatusOK {
 				t.Errorf("after %d: %d", i, r.StatusCode)
 			}
 		}
 	}
 	for _, c := range open[:3*MaxConnections] {
+		var timeout net.Error
 		if _, err := c.Read(make([]byte, 1)); err == nil {
 			t.Error("an unfinished call got an answer")
-		} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		} else if errors.As(err, &timeout) && timeout.Timeout() {
 			t.Error("an old unfinished call is still open")
 		}
 	}
--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,7 +25,7 @@
 	}
 }
 
-// What can't be used is told by the key at fault, and by the file.
+// TestLoadFaults checks that an error names the invalid key and the file.
 func TestLoadFaults(t *testing.T) {
 	good, err := os.ReadFile(lbtest.WriteConfig(t, "", "127.0.0.1:5000", "127.0.0.1:8500"))
 	if err != nil {
@@ -33,7 +34,7 @@
 	if _, err := Load(""); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
 		t.Error(err)
 	}
-	if _, err := Load(filepath.Join(t.TempDir(), "none")); !os.IsNotExist(unwrap(err)) {
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); !errors.Is(err, os.ErrNotExist) {
 		t.Error(err)
 	}
 	for want, change := range map[string][2]string{
@@ -65,19 +66,7 @@
 	}
 }
 
-func unwrap(err error) error {
-	for {
-		u, ok := err.(interface{ Unwrap() error })
-		if !ok {
-			return err
-		}
-		if _, is := err.(*os.PathError); is {
-			return err
-		}
-		err = u.Unwrap()
-	}
-}
-
+// FuzzParse parses any bytes: what is accepted is in its bounds.
 func FuzzParse(f *testing.F) {
 	if text, err := os.ReadFile(lbtest.WriteConfig(f, "", "127.0.0.1:5000", "127.0.0.1:8500")); err == nil {
 		f.Add(text)
--- a/internal/platform/config/keys.go
+++ b/internal/platform/config/keys.go
@@ -15,7 +15,7 @@
 	"settings.obligations.cold", "settings.obligations.fall", "settings.obligations.fall_multiple",
 	"settings.obligations.start_capacity"}
 
-// requiredOfClass are the keys that each class must have, keyed those of one whose repeats are dropped by key.
+// The keys that each class must have, and those of a class with idempotency keys.
 var (
 	requiredClassKeys      = []string{"name", "deadline", "goal_time", "effect", "worth"}
 	requiredKeyedClassKeys = []string{"key_scope", "window"}
--- a/internal/platform/counters/counters_test.go
+++ b/internal/platform/counters/counters_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-func TestBoard(t *testing.T) {
+func TestSet(t *testing.T) {
 	var b Set
 	b.AddClasses([]string{"read", "write"})
 	if text := string(b.Snapshot().JSON()); !strings.Contains(text, `"answered":{"read":0,"write":0}`) || !strings.HasSuffix(text, "}\n") {
@@ -43,8 +43,8 @@
 	}
 }
 
-// Endless new names take no endless memory, and nothing of their counts is lost.
-func TestBoardBound(t *testing.T) {
+// TestSetBound adds more class names than are kept: memory is bounded, and no count is lost.
+func TestSetBound(t *testing.T) {
 	var b Set
 	for i := range 3 * maxClasses {
 		b.RequestEnded(fmt.Sprint("c", i), Answered, false)
--- a/internal/platform/counters/format_test.go
+++ b/internal/platform/counters/format_test.go
@@ -6,7 +6,7 @@
 	"silvertrail/internal/testkit/golden"
 )
 
-// What the operators' address tells.
+// TestFormat checks the JSON of the administration interface.
 func TestFormat(t *testing.T) {
 	var f Snapshot
 	golden.Fill(&f)
--- a/internal/platform/discovery/agent_term_test.go
+++ b/internal/platform/discovery/agent_term_test.go
@@ -14,7 +14,7 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// agentTroubles are what an agent does with calls; nil: it refuses their connections.
+// agentTroubles are the faults of an agent; nil: it rejects connections.
 var agentTroubles = map[string]func(*agentCall){
 	"silent":                      func(*agentCall) {},
 	"half an answer and no more":  (*agentCall).half,
@@ -25,22 +25,23 @@
 	"refused":                     nil,
 }
 
-// An agent in trouble at the very first call, at a watch, or as its address is given: it is called again while a call
-// hangs, or after it, and the next call that it answers brings the news. Whatever becomes of a call, it does not last as
-// long as what counts as told 6 s after the agent had it and could be reached.
-func TestAgentToldAfter(t *testing.T) {
+// TestAgentNotifiedAfter causes faults of an agent at the first call, at a watch, and at a change of address: it is called again
+// while a call hangs, or after it, and the next call that it answers brings the changes. No call lasts as long as what counts
+// as notified 6 s after the agent had it and could be reached.
+func TestAgentNotifiedAfter(t *testing.T) {
 	t.Parallel()
 	for name, cause := range agentTroubles {
 		for _, at := range []string{"first", "watch", "moved"} {
 			t.Run(name+", "+at, func(t *testing.T) {
 				t.Parallel()
-				agentToldAfter(t, cause, at)
+				agentNotifiedAfter(t, cause, at)
 			})
 		}
 	}
 }
 
-func agentToldAfter(t *testing.T, cause func(*agentCall), at string) {
+func agentNotifiedAfter(t *testing.T, cause func(*agentCall), at string) {
+	t.Helper()
 	addr, calls := agent(t)
 	w := &told{}
 	c := New(addr, 0, 0, w.members, slog.New(slog.DiscardHandler))
@@ -109,7 +110,7 @@
 	}
 }
 
-// longestWait returns the longest bound of a call and the longest pause that a client has asked for.
+// longestWait returns the longest timeout of a call and the longest pause of a client.
 func longestWait(c *Client) func() (bound, pause time.Duration) {
 	var bounds, pauses atomic.Int64
 	most := func(of *atomic.Int64, d time.Duration) {
--- a/internal/platform/discovery/agent_test.go
+++ b/internal/platform/discovery/agent_test.go
@@ -14,7 +14,7 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// agentCall is a call that an agent has read and not answered.
+// agentCall is a call that an agent has received and not answered.
 type agentCall struct {
 	net.Conn
 	query string
@@ -34,7 +34,7 @@
 	c.Close()
 }
 
-// half answers with all but the end of a list.
+// half responds with all but the end of a list.
 func (c *agentCall) half() {
 	text := list(9, true, "half")
 	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:len(text)-5])
@@ -49,7 +49,7 @@
 	}
 }
 
-// agent hands each call, one a connection, to the test.
+// agent passes each call, one to a connection, to the test.
 func agent(t *testing.T) (addr string, calls chan *agentCall) {
 	t.Helper()
 	l := lbtest.Listen(t)
@@ -92,13 +92,13 @@
 	}
 }
 
-// An agent is silent while discovery is down, and what it took in then is never answered. What it gets at the return
-// counts as told at once, so that an instance must ask again while its calls still hang: those that wait longest must
-// not be what it waits for. Here they never end, and the calls after them have to come while they are open.
-func TestAgentReturns(t *testing.T) {
+// TestAgentRecovers has an agent that is silent while discovery is down, and never answers calls of that time. What it receives
+// afterwards counts as notified at once, so an instance must call again while its calls still hang. Here they never end,
+// and the calls after them have to be made while they are open.
+func TestAgentRecovers(t *testing.T) {
 	t.Parallel()
 	addr, calls := agent(t)
-	_, w := follow(t, addr, 0, 0)
+	_, w := follow(t, addr)
 	first := next(t, calls) // hangs for good
 	var last *agentCall
 	for range 3 {
@@ -119,12 +119,12 @@
 	}
 }
 
-// A watch that is open when discovery goes down is never answered, and no news of it come after the return: it is short,
-// and the whole list is asked for at its end.
+// TestAgentWatchHangs has a watch that is open when discovery goes down and is never answered: it is short, and the whole list
+// is requested after it.
 func TestAgentWatchHangs(t *testing.T) {
 	t.Parallel()
 	addr, calls := agent(t)
-	_, w := follow(t, addr, 0, 0)
+	_, w := follow(t, addr)
 	c := next(t, calls)
 	c.answer(list(5, true, "a"))
 	hung := next(t, calls)
@@ -143,8 +143,9 @@
 	lbtest.Until(t, "the news", func() bool { return w.holds("whole b") })
 }
 
-// A call that was open as the address moved brings nothing, whenever its answer comes.
-func TestAgentMoves(t *testing.T) {
+// TestAgentAddressChanges answers a call that was open when the address changed: it has no effect, whenever the response
+// arrives.
+func TestAgentAddressChanges(t *testing.T) {
 	t.Parallel()
 	from, old := agent(t)
 	to, calls := agent(t)
--- a/internal/platform/discovery/client_test.go
+++ b/internal/platform/discovery/client_test.go
@@ -18,7 +18,7 @@
 	"silvertrail/lbpolicy"
 )
 
-// told is what a client has been told, as text.
+// told records the updates of a client as text.
 type told struct {
 	mu    sync.Mutex
 	words []string
@@ -40,7 +40,7 @@
 	return strings.Contains(strings.Join(w.words, "|")+"|", strings.Join(want, "|")+"|")
 }
 
-// first wants that the given was told before all else.
+// first checks that an update came before all others.
 func (w *told) first(t *testing.T, want string) {
 	t.Helper()
 	w.mu.Lock()
@@ -50,7 +50,7 @@
 	}
 }
 
-// only wants that nothing but the given was told.
+// only checks that there was no other update.
 func (w *told) only(t *testing.T, want string) {
 	t.Helper()
 	w.first(t, want)
@@ -61,7 +61,7 @@
 	}
 }
 
-// script answers the calls one after the other, the last answer for ever.
+// script serves responses to calls one after the other, and repeats the last one.
 func script(t *testing.T, answers ...string) (addr string, queries func() []string) {
 	t.Helper()
 	l := lbtest.Listen(t)
@@ -102,30 +102,32 @@
 	return fmt.Sprintf(`{"index": %d, "snapshot": %t, "endpoints": [%s]}`, index, snapshot, strings.Join(entries, ","))
 }
 
-// mustAsk is how long discovery may be left unasked, where it is asked.
+// mustAsk is the settings' bound on the time between polls.
 const mustAsk = 10 * time.Second
 
-func follow(t *testing.T, addr string, mustAskIn time.Duration, index int64) (*Client, *told) {
+// follow runs a client of an agent.
+func follow(t *testing.T, addr string) (*Client, *told) {
 	t.Helper()
 	w := &told{}
-	c := New(addr, mustAskIn, index, w.members, slog.New(slog.DiscardHandler))
+	c := New(addr, 0, 0, w.members, slog.New(slog.DiscardHandler))
 	run(t, c)
 	return c, w
 }
 
 func run(t *testing.T, c *Client) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { c.Run(ctx); close(ended) }()
 	t.Cleanup(func() { cancel(); <-ended })
 }
 
-// The whole list first, then what changes; a list older than the one in hand, an answer that is none and a discovery
-// that is down are passed over, and the whole list is asked for after a failure.
+// TestFollow receives the whole list, then changes. Older lists, invalid responses and a discovery that is down are ignored, and
+// the whole list is requested after a failure.
 func TestFollow(t *testing.T) {
 	t.Parallel()
 	addr, queries := script(t, list(5, true, "a", "b"), list(6, false, "b"), list(4, true, "old"), "down", "noise", list(7, true, "c"))
-	_, w := follow(t, addr, 0, 0)
+	_, w := follow(t, addr)
 	lbtest.Until(t, "the last list", func() bool { return w.holds("whole c") })
 	if !w.holds("whole a b", "changes b", "whole c") {
 		t.Errorf("told %q", w.words)
@@ -136,20 +138,20 @@
 	}
 }
 
-// A discovery that stays behind has begun to count anew.
-func TestBeganAnew(t *testing.T) {
+// TestDiscoveryRestarts has a discovery whose versions stay behind, as after a restart.
+func TestDiscoveryRestarts(t *testing.T) {
 	t.Parallel()
 	addr, _ := script(t, list(90, true, "a"), list(2, true, "b"))
-	_, w := follow(t, addr, 0, 0)
+	_, w := follow(t, addr)
 	lbtest.Until(t, "the list of the new count", func() bool { return w.holds("whole a", "whole b") })
 }
 
-// Another address tells its whole list, whatever the versions; the old one is asked no more.
-func TestMove(t *testing.T) {
+// TestSetAddress changes the address: the new one sends its whole list, whatever its version, and the old one is not called.
+func TestSetAddress(t *testing.T) {
 	t.Parallel()
 	first, _ := script(t, list(90, true, "a"))
 	second, queries := script(t, list(3, true, "b"))
-	c, w := follow(t, first, 0, 0)
+	c, w := follow(t, first)
 	lbtest.Until(t, "the first list", func() bool { return w.holds("whole a") })
 	c.SetAddress(first) // no move
 	c.SetAddress(second)
@@ -159,9 +161,8 @@
 	}
 }
 
-// Where discovery has to be asked nothing is asked before it is time; a failure is followed by a pause, and that by a
-// further call, which nobody has to ask for.
-func TestAsked(t *testing.T) {
+// TestPolling checks that nothing is polled before Watch, and that a failure is followed by a pause and another call.
+func TestPolling(t *testing.T) {
 	t.Parallel()
 	addr, calls := agent(t)
 	w := &told{}
@@ -197,7 +198,7 @@
 	w.only(t, "changes a")
 }
 
-// within takes what comes next.
+// within receives the next value.
 func within[T any](t *testing.T, c <-chan T) (next T) {
 	t.Helper()
 	select {
@@ -208,9 +209,9 @@
 	return next
 }
 
-// Guards against a watch whose connection has died without a word, and against all instances' asking again at once:
-// it is given up before its wait is over and discovery asked anew without delay, which is no failure.
-func TestSilentWatch(t *testing.T) {
+// TestDeadWatch has the connection of a watch die silently: the watch is given up before its wait is over and discovery polled
+// again without delay, which is no failure. Instances do not all poll again at once.
+func TestDeadWatch(t *testing.T) {
 	t.Parallel()
 	l := lbtest.Listen(t)
 	calls := make(chan string, 100)
@@ -243,9 +244,9 @@
 	}
 }
 
-// Guards against an answer that begins and then stands still, in its head or in its list, being waited for as long as a
-// watch: what it was to tell counts as told long before. It is asked for again at once, and that is no failure yet.
-func TestStopsShort(t *testing.T) {
+// TestIncompleteResponse has a response stop in its head or in its list. It is not awaited for as long as a watch, as its changes
+// count as notified long before; discovery is polled again at once, and that is no failure yet.
+func TestIncompleteResponse(t *testing.T) {
 	t.Parallel()
 	whole := list(8, false, "a")
 	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)
@@ -302,8 +303,8 @@
 	}
 }
 
-// Guards against a discovery whose machine has gone being dialled by all instances without a pause: a connection that
-// does not come up is a failure, not a silent watch.
+// TestNoConnection checks that a connection that does not come up is a failure with backoff, and not a watch without a response,
+// so that a discovery whose host is down is not dialled by all instances without a pause.
 func TestNoConnection(t *testing.T) {
 	t.Parallel()
 	c := New("127.0.0.1:1", mustAsk, 7, (&told{}).members, slog.New(slog.DiscardHandler))
@@ -316,7 +317,7 @@
 func TestTooLong(t *testing.T) {
 	t.Parallel()
 	addr, queries := script(t, `{"index": 1, "snapshot": true, "endpoints": [{"name": "`+strings.Repeat("x", maxListBytes)+`"}]}`, list(2, true, "a"))
-	_, w := follow(t, addr, 0, 0)
+	_, w := follow(t, addr)
 	lbtest.Until(t, "a list that fits", func() bool { return w.holds("whole a") })
 	if w.holds("whole "+strings.Repeat("x", maxListBytes)) || len(queries()) < 2 {
 		t.Error("a list over the bound was taken")
--- a/internal/platform/discovery/clock_test.go
+++ b/internal/platform/discovery/clock_test.go
@@ -9,8 +9,8 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// held is a client's clock that stands still until the test moves it. So what a client waits for is known exactly, over
-// real sockets, and however long these take.
+// held is a client's clock that the test advances. So the test knows exactly what a client waits for, over real sockets and
+// however long these take.
 type held struct {
 	paused chan time.Duration // the pauses that it asks for
 	resume chan struct{}      // ends one
@@ -58,7 +58,7 @@
 	return func() bool { return h.drop(b) }
 }
 
-// drop tells whether the bound was not over yet.
+// drop reports whether the timeout had not expired.
 func (h *held) drop(b *bound) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -71,7 +71,7 @@
 	return false
 }
 
-// bounded waits until so many bounds have been made in all.
+// bounded waits until a number of timeouts were started in all.
 func (h *held) bounded(t *testing.T, made int) {
 	t.Helper()
 	lbtest.Until(t, "the bound of a call", func() bool {
@@ -87,7 +87,7 @@
 	return h.made
 }
 
-// first returns the bound that is over first.
+// first returns the timeout that expires first.
 func (h *held) first() (b *bound) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -99,7 +99,7 @@
 	return b
 }
 
-// almost moves the time to just before the first bound.
+// almost advances the clock to just before the first timeout.
 func (h *held) almost() {
 	at := h.first().at - time.Millisecond
 	h.mu.Lock()
@@ -107,7 +107,7 @@
 	h.now = at
 }
 
-// expire moves the time to the first bound, which is over then.
+// expire advances the clock to the first timeout, which expires.
 func (h *held) expire() {
 	b := h.first()
 	h.mu.Lock()
@@ -118,7 +118,7 @@
 	}
 }
 
-// pausing waits for the next pause, in which the client is held. No call may come before it.
+// pausing waits for the client's next pause. No call may be made before it.
 func (h *held) pausing(t *testing.T, calls chan *agentCall) time.Duration {
 	t.Helper()
 	select {
@@ -132,7 +132,7 @@
 	panic("unreachable")
 }
 
-// pass ends the pause of the given length that the client is in.
+// pass ends the client's current pause, which must have the given length.
 func (h *held) pass(d time.Duration) {
 	h.mu.Lock()
 	h.now += d
@@ -140,7 +140,7 @@
 	h.resume <- struct{}{}
 }
 
-// firstPause returns the first pause that a client asks for, which goes by as it does.
+// firstPause returns the first pause of a client.
 func firstPause(c *Client) <-chan time.Duration {
 	first := make(chan time.Duration, 1)
 	c.pause = func(ctx context.Context, d time.Duration) {
--- a/internal/platform/discovery/term_test.go
+++ b/internal/platform/discovery/term_test.go
@@ -15,11 +15,11 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// This file: whatever becomes of calls, a change counts as told 6 s after discovery had it and could be reached (the
-// platform's STANDING page). So a call begins within 5 s of the one before, or as soon as the rest of its answer was
-// waited for, and what it brings is taken.
+// This file: whatever becomes of calls, a change counts as notified 6 s after discovery had it and could be reached (the
+// platform's STANDING page). So a call begins within 5 s of the one before, or as soon as the rest of its response was
+// awaited, and the list it brings is applied.
 
-// way is what becomes of connections that a client dials.
+// way is what becomes of the connections that a client dials.
 type way int32
 
 const (
@@ -28,7 +28,7 @@
 	hangs
 )
 
-// asker is a client that asks, with its clock and discovery held by the test.
+// asker is a client that polls, whose clock and discovery the test controls.
 type asker struct {
 	*held
 	calls chan *agentCall
@@ -51,7 +51,7 @@
 	return d.DialContext(ctx, network, to)
 }
 
-// trouble is what becomes of a call.
+// trouble is a fault of a call.
 type trouble struct {
 	name  string
 	way   way
@@ -61,35 +61,53 @@
 
 var troubles = []trouble{
 	{name: "never answered", cause: func(t *testing.T, a *asker) {
+		t.Helper()
 		next(t, a.calls)
 		a.expire()
 	}},
-	{name: "503", cause: func(t *testing.T, a *asker) { next(t, a.calls).refuse() }},
+	{name: "503", cause: func(t *testing.T, a *asker) {
+		t.Helper()
+		next(t, a.calls).refuse()
+	}},
 	{name: "503 at the last moment", cause: func(t *testing.T, a *asker) {
+		t.Helper()
 		c := next(t, a.calls)
 		a.almost()
 		c.refuse()
 	}},
-	{name: "reset", cause: func(t *testing.T, a *asker) { next(t, a.calls).reset() }},
+	{name: "reset", cause: func(t *testing.T, a *asker) {
+		t.Helper()
+		next(t, a.calls).reset()
+	}},
 	{name: "reset at the last moment", cause: func(t *testing.T, a *asker) {
+		t.Helper()
 		c := next(t, a.calls)
 		a.almost()
 		c.reset()
 	}},
-	{name: "closed", cause: func(t *testing.T, a *asker) { next(t, a.calls).Close() }},
+	{name: "closed", cause: func(t *testing.T, a *asker) {
+		t.Helper()
+		next(t, a.calls).Close()
+	}},
 	{name: "closed after half an answer", cause: func(t *testing.T, a *asker) {
+		t.Helper()
 		c := next(t, a.calls)
 		c.half()
 		c.Close()
 	}},
-	{name: "half an answer and no more", rest: time.Second, cause: func(t *testing.T, a *asker) { stall(t, a, next(t, a.calls)) }},
+	{name: "half an answer and no more", rest: time.Second, cause: func(t *testing.T, a *asker) {
+		t.Helper()
+		stall(t, a, next(t, a.calls))
+	}},
 	{name: "half an answer at the last moment and no more", rest: time.Second, cause: func(t *testing.T, a *asker) {
+		t.Helper()
 		c := next(t, a.calls)
 		a.almost()
 		stall(t, a, c)
 	}},
 	{name: "refused", way: refuses, cause: func(*testing.T, *asker) {}},
 	{name: "no connection", way: hangs, cause: func(t *testing.T, a *asker) {
+		t.Helper()
 		select {
 		case <-a.dials:
 		case <-time.After(lbtest.Wait):
@@ -100,15 +118,16 @@
 }
 
 func stall(t *testing.T, a *asker, c *agentCall) {
+	t.Helper()
 	made := a.count()
 	c.half()
 	a.bounded(t, made+1) // it has begun to come
 	a.expire()
 }
 
-// Discovery that is asked: each trouble six times in a row, and all in turn; by the calls for changes and, after another
-// address was given, by those for the whole list.
-func TestToldAfter(t *testing.T) {
+// TestNotifiedAfter polls discovery with each fault six times in a row, and with all in turn; by calls for changes and, after a
+// change of address, by calls for the whole list.
+func TestNotifiedAfter(t *testing.T) {
 	t.Parallel()
 	days := map[string][]trouble{"all in turn": troubles}
 	for _, tr := range troubles {
@@ -121,13 +140,14 @@
 			}
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				toldAfter(t, day, moves)
+				notifiedAfter(t, day, moves)
 			})
 		}
 	}
 }
 
-func toldAfter(t *testing.T, day []trouble, moves bool) {
+func notifiedAfter(t *testing.T, day []trouble, moves bool) {
+	t.Helper()
 	addr, calls := agent(t)
 	from, old := addr, calls
 	if moves {
--- a/internal/platform/discoverypoll/load_test.go
+++ b/internal/platform/discoverypoll/load_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// This file: what many instances together ask of one discovery, which works through calls in turn.
+// This file: the load of many instances on one discovery, which serves calls in turn.
 
 const (
 	service = 4 * time.Millisecond // for a call, and for an answer to a watch
@@ -31,7 +31,7 @@
 	return last
 }
 
-// trouble is what discovery does with calls.
+// trouble is a fault of discovery.
 type trouble int
 
 const (
@@ -53,7 +53,7 @@
 	away    int         // calls turned away though discovery was well
 }
 
-// instance is one that asks, with the call that is open.
+// instance is an instance that polls, with its open call.
 type instance struct {
 	watcher
 	fleet *fleet
@@ -75,7 +75,7 @@
 	f.now = until
 }
 
-// turn serves one more, after those before.
+// turn serves one more call, after those before.
 func (f *fleet) turn(do func()) {
 	f.busy = max(f.busy, f.now) + service
 	f.after(f.busy-f.now, do)
@@ -133,7 +133,7 @@
 	i.fleet.after(i.End(i.fleet.now, how), i.ask)
 }
 
-// news come up: watches that wait are answered, in turn.
+// news makes a change: open watches are answered, in turn.
 func (f *fleet) news() {
 	f.version++
 	for _, i := range f.all {
@@ -144,7 +144,7 @@
 	}
 }
 
-// last returns how long after t the last instance knew what is newest; an hour where one does not.
+// last returns how long after t the last instance knew the newest list; an hour if one does not.
 func (f *fleet) last(t time.Duration) (last time.Duration) {
 	for _, i := range f.all {
 		if i.known < f.version {
@@ -163,7 +163,7 @@
 	return peak
 }
 
-// load is what a fleet's day came to: the most calls in a second and the last to know, in each trouble.
+// load is the result of a fleet's day: the most calls in a second and the last instance to know, for each fault.
 type load struct {
 	steady float64 // calls a second, in calm
 	peaks  [5]int  // begin, calm, all watches lost after news to all, down, silent
@@ -171,14 +171,14 @@
 	away   int
 }
 
-// day plays one day of size instances, which all begin, lose their watches and are turned away together.
+// day simulates a day of size instances, which all start, lose their watches and are rejected together.
 func day(size int, seed uint64, create func(draw func() float64) watcher) load {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	f := &fleet{calls: map[int]int{}}
 	for range size {
 		i := &instance{watcher: create(rng.Float64), fleet: f}
 		f.all = append(f.all, i)
-		f.after(time.Duration((0.5+rng.Float64())*float64(mustAsk/8)), i.ask) // as decide does
+		f.after(time.Duration((0.5+rng.Float64())*float64(mustAsk/8)), i.ask) // as lbpolicy does
 	}
 	var l load
 	f.run(200 * time.Second)
@@ -213,7 +213,7 @@
 	return l
 }
 
-// variant is a watch that waits in another way than the program's.
+// variant is a Poller that waits differently.
 type variant struct {
 	*Poller
 	name  string
@@ -263,8 +263,9 @@
 	return after
 }
 
-// A fleet whose instances all begin, lose their watches and are turned away together has no more calls turned away than
-// with the longer waits of before, all know what changed within the term, and in calm they don't stay bunched. The other ways to wait are told for comparison.
+// TestLoad has all instances of a fleet start, lose their watches and be rejected together. No more calls are rejected than with
+// longer waits, all know what changed within the bound, and without faults their polls do not stay bunched. Other ways to
+// wait are logged for comparison.
 func TestLoad(t *testing.T) {
 	t.Parallel()
 	before := map[int]int{} // calls turned away with the waits as they were, which are played first
--- a/internal/platform/discoverypoll/poller_test.go
+++ b/internal/platform/discoverypoll/poller_test.go
@@ -14,7 +14,7 @@
 	mustAsk = 10 * time.Second       // four times that after a failed call; the term's 6 s come first
 )
 
-// fate is what becomes of a call, by the path's and discovery's doing.
+// fate is what the network and discovery do with a call.
 type fate int
 
 const (
@@ -28,7 +28,7 @@
 	fates
 )
 
-// ends draws the fates of calls, the news that come up, and the numbers of the watch.
+// script is the fates of calls, the changes, and the random numbers of the Poller.
 type script struct {
 	fates []fate          // of the calls in turn; the others are served
 	news  []time.Duration // after the event before: an answer, a begin of a call
@@ -37,8 +37,8 @@
 	alone bool            // of what counts as told, only what does "whatever else is allowed"
 }
 
-// play runs a script to its end and returns the first news that counted as told, by the pages, longer than slack before
-// the host knew them. It is the model of discovery; the watch is the real one, or one that is wrong on purpose.
+// play runs a script and returns an error for the first change that counted as notified, by the platform's pages, longer than
+// slack before the host knew it. It models discovery; the Poller is the real one, or one with a fault.
 func play(s script, w watcher) error {
 	// Discovery could be reached when a call that began then would have been answered: what came up in a call is known to a
 	// call from then on, and each call in trouble shows that discovery could not be reached as that one began.
@@ -148,16 +148,16 @@
 
 const never = time.Duration(1 << 62)
 
-// watcher is the watch, or one that is wrong on purpose.
+// watcher is a Poller, or one with a fault.
 type watcher interface {
 	Begin(now time.Duration, whole bool) Call
 	End(now time.Duration, how Outcome) time.Duration
 }
 
-// walk plays all scripts of so many calls and two news, with troubles in at most two calls in a row: past that no client
-// that asks a bounded number of times can know what it is not told. What counts by the term alone is played with any
-// number of troubles in a row and one news. It returns the first that breaks, and their number.
-func walk(calls int, alone, whole bool, make func(draw float64) watcher) (err error, played int) {
+// walk plays all scripts of a number of calls and two changes, with faults in at most two calls in a row: beyond that no client
+// with a bounded number of polls can know what it was not sent. What counts by NotifiedAfter alone is played with any number
+// of faults in a row and one change. It returns the error of the first script that fails, and the number of scripts.
+func walk(calls int, alone, whole bool, create func(draw float64) watcher) (played int, err error) {
 	offsets := []time.Duration{0, 10 * time.Millisecond, 120 * time.Millisecond, 190 * time.Millisecond, 2 * time.Second, 7 * time.Second}
 	if alone {
 		offsets = []time.Duration{0, 120 * time.Millisecond, 2 * time.Second, 4 * time.Second}
@@ -192,7 +192,7 @@
 						for _, draw := range []float64{0, 0.5, 0.999} {
 							script.at, script.news = []int{first, second}, []time.Duration{a, b}
 							played++
-							if err = play(script, make(draw)); err != nil {
+							if err = play(script, create(draw)); err != nil {
 								err = fmt.Errorf("%+v: %w", script, err)
 								return false
 							}
@@ -204,26 +204,26 @@
 		return true
 	}
 	fill(0)
-	return err, played
+	return played, err
 }
 
-// No news count as told and are not known, whatever becomes of calls and whenever news come up.
+// TestNoGap checks that no change counts as notified and is not known, whatever becomes of calls and whenever it occurs.
 func TestNoGap(t *testing.T) {
 	t.Parallel()
-	err, played := walk(3, false, false, func(draw float64) watcher { return New(func() float64 { return draw }, mustAsk) })
+	played, err := walk(3, false, false, func(draw float64) watcher { return New(func() float64 { return draw }, mustAsk) })
 	t.Logf("%d scripts", played)
 	if err != nil || played < 100_000 {
 		t.Error(err)
 	}
 }
 
-// Whatever becomes of calls, and of how many in a row, news are known 6 s after discovery had them and could be reached;
-// also where the whole list is asked for, and whatever must_ask_in is.
-func TestToldAfter(t *testing.T) {
+// TestNotifiedAfter checks that changes are known 6 s after discovery had them and could be reached, whatever becomes of any
+// number of calls, also if the whole list is requested, and whatever must_ask_in is.
+func TestNotifiedAfter(t *testing.T) {
 	t.Parallel()
 	for _, in := range []time.Duration{0, time.Second, mustAsk, time.Minute} {
 		for _, whole := range []bool{false, true} {
-			err, played := walk(4, true, whole, func(draw float64) watcher { return New(func() float64 { return draw }, in) })
+			played, err := walk(4, true, whole, func(draw float64) watcher { return New(func() float64 { return draw }, in) })
 			t.Logf("must_ask_in %v, whole %t: %d scripts", in, whole, played)
 			if err != nil || played < 100_000 {
 				t.Error(err)
@@ -232,7 +232,7 @@
 	}
 }
 
-// wrong is a watch with one fault.
+// wrong is a Poller with one fault.
 type wrong struct {
 	*Poller
 	fault string
@@ -280,11 +280,11 @@
 	return after
 }
 
-// The model finds each of the faults that the watch had, or might have.
+// TestFaultsFound checks that the model finds each of the faults that the Poller had, or might have.
 func TestFaultsFound(t *testing.T) {
 	t.Parallel()
 	for fault, alone := range map[string]bool{standsStill: false, toldLittle: false, lapses: false, waitsLong: true, pausesLong: true, fromEnd: true} {
-		err, _ := walk(4, alone, false, func(draw float64) watcher {
+		_, err := walk(4, alone, false, func(draw float64) watcher {
 			return &wrong{Poller: New(func() float64 { return draw }, mustAsk), fault: fault}
 		})
 		if err == nil {
@@ -294,7 +294,7 @@
 	}
 }
 
-// Long random walks: the same promise over many calls, with the watch's waits grown and shrunk by what came before.
+// TestLongWalks checks the same over many calls, with waits that depend on the calls before.
 func TestLongWalks(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(4000) {
@@ -323,8 +323,8 @@
 	}
 }
 
-// Calls are bounded where discovery is gone, silent or breaks off everything: after some tries they come later each time,
-// as far apart as the term allows.
+// TestBackoff checks that polls back off while discovery is down, silent or sends incomplete responses, as far as NotifiedAfter
+// allows.
 func TestBackoff(t *testing.T) {
 	t.Parallel()
 	for _, how := range []Outcome{NoResponse, Incomplete, Failed} {
@@ -347,7 +347,8 @@
 	}
 }
 
-// A few instances hold the term; what many ask in calm stays within twice a second for each tier, up to the longest mean wait.
+// TestSharedBy checks that few instances keep the bound, and that many poll at most twice a second for each tier without faults,
+// up to the longest mean wait.
 func TestSharedBy(t *testing.T) {
 	t.Parallel()
 	for instances, mean := range map[int]time.Duration{0: pollInterval, 1: pollInterval, 10: pollInterval, 13: 6500 * time.Millisecond, 16: maxSharedWait, 300: maxSharedWait} {
--- a/internal/platform/settings/settings_test.go
+++ b/internal/platform/settings/settings_test.go
@@ -1,7 +1,7 @@
 package settings
 
 import (
-	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +26,7 @@
 		t.Errorf("class %+v", c)
 	}
 	if !s.PollDiscovery || !s.RetriesMarked || s.SlowStart != 22*time.Second || s.Tenants[0].QuotaPerSecond != 16 ||
-		fmt.Sprint(s.ReportFields) != fmt.Sprint([]lbpolicy.Field{lbpolicy.FieldUtilization, lbpolicy.FieldRequestRate}) || s.Index != 2 ||
+		!slices.Equal(s.ReportFields, []lbpolicy.Field{lbpolicy.FieldUtilization, lbpolicy.FieldRequestRate}) || s.Index != 2 ||
 		s.MaxRetryAfter != 2*time.Second || s.OverloadMultiple != 2.5 || s.CrossZonePrice != 0.01 {
 		t.Errorf("settings %+v", s)
 	}
--- a/internal/platform/sidecar/counters_test.go
+++ b/internal/platform/sidecar/counters_test.go
@@ -26,9 +26,9 @@
 	"silvertrail/lbpolicy"
 )
 
-// Under mixed trouble each request that was taken ends in one outcome, and the figures are what callers and endpoints have
-// seen: answers, refusals, attempts written whole. Callers that leave early may stand in any of the outcomes, once.
-func TestFiguresAreConserved(t *testing.T) {
+// TestCountersAreConserved causes mixed faults: each request ends in one outcome, and the counters agree with what clients and
+// endpoints have seen. A client that disconnects early may count under any outcome, once.
+func TestCountersAreConserved(t *testing.T) {
 	t.Parallel()
 	c, err := config.Load(lbtest.WriteConfig(t, "", "127.0.0.1:1", "127.0.0.1:1"))
 	if err != nil {
@@ -106,9 +106,9 @@
 				switch {
 				case err != nil:
 					failed.Add(1)
-				case a.StatusCode == 200:
+				case a.StatusCode == http.StatusOK:
 					ok.Add(1)
-				case a.StatusCode == 503 || a.StatusCode == 429:
+				case a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests:
 					refused.Add(1)
 				default:
 					failed.Add(1)
--- a/internal/platform/sidecar/descriptors.go
+++ b/internal/platform/sidecar/descriptors.go
@@ -2,18 +2,18 @@
 
 import "golang.org/x/sys/unix"
 
-// minDescriptors is how many descriptors a configuration must grant at the least.
+// minDescriptors is the least number of file descriptors that a configuration may grant.
 const minDescriptors = 64
 
-// Descriptors is how many descriptors the process may hold: as many as it was told, or as the system grants where that is fewer.
+// Descriptors returns the number of file descriptors that the process may use: the configured one, or what the system grants
+// if that is less.
 //
-// It guards against callers who fill what is granted before they fill their places: nothing else of the process would find a
-// descriptor then, neither discovery's calls nor operators' nor another process that takes over. It could hurt only where
-// the system would grant more later.
-func Descriptors(told int) int {
+// Otherwise clients could use up what is granted before they reach their own bound, and nothing would be left for calls to
+// discovery, operators or a process that takes over.
+func Descriptors(configured int) int {
 	var granted unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &granted); err != nil || granted.Cur >= uint64(told) {
-		return told
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &granted); err != nil || granted.Cur >= uint64(configured) {
+		return configured
 	}
 	return max(int(granted.Cur), minDescriptors)
 }
--- /dev/null
+++ b/internal/platform/sidecar/exchange.go
@@ -0,0 +1,151 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/balancer/failover"
+	"silvertrail/internal/balancer/idempotency"
+	"silvertrail/internal/balancer/upstream"
+	"silvertrail/internal/edge/frontend"
+	"silvertrail/internal/platform/config"
+	"silvertrail/internal/platform/counters"
+	"silvertrail/lbpolicy"
+)
+
+// exchange is one request with its response. It implements frontend.Exchange and frontend.Streamer.
+type exchange struct {
+	router      *Router
+	config      *config.Config // when its head was read
+	upstream    upstream.Request
+	request     lbpolicy.Request
+	requestID   string
+	requestHash uint64 // of requestID, if isStarted
+	isStarted   bool
+	isDuplicate bool // another request has the ID
+
+	isKeyed    bool
+	keyID      idempotency.KeyID
+	keyRequest *idempotency.Request
+
+	isReceived bool // its last byte has arrived, or its head if its body is streamed
+	isAnswered bool
+	outcome    counters.Outcome
+	response   *upstream.Response
+}
+
+// class returns the request's class.
+func (x *exchange) class() *lbpolicy.Class { return &x.config.Policy.Classes[x.request.Class] }
+
+// Bodies implements frontend.Exchange.
+func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
+
+// Do implements frontend.Exchange.
+func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
+	x.isReceived = true
+	x.router.counters.RequestReceived()
+	x.requestHash, x.isStarted = x.router.ids.begin(x.requestID)
+	if !x.isStarted {
+		x.isDuplicate = true
+		return engine.Result{}
+	}
+	x.upstream.Body = body
+	var key *engine.Key
+	if x.isKeyed {
+		var err error
+		key, err = x.beginKey()
+		if err != nil { // too many keys: nothing was sent
+			return engine.Result{Rejected: true, RetryAfter: keysRetryAfter}
+		}
+	}
+	result, _ := x.router.engine.Do(ctx, x.upstream, x.request, key)
+	return result
+}
+
+// beginKey begins a request with an idempotency key in the key table.
+func (x *exchange) beginKey() (*engine.Key, error) {
+	var err error
+	x.keyRequest, err = x.router.keys.Begin(time.Now(), x.keyID, idempotency.Fingerprint{})
+	if err != nil {
+		return nil, err
+	}
+	class := x.class()
+	terms := idempotency.Terms{Scope: class.Scope, Window: class.Window, Retention: class.Deadline}
+	key := &engine.Key{History: x.keyRequest, Terms: terms}
+	if process := x.router.handover.Load(); process != nil {
+		key.Claimer = &keyClaimer{process: process, id: x.keyID, terms: terms}
+	}
+	return key, nil
+}
+
+// Most implements frontend.Streamer.
+func (x *exchange) Most() int64 { return MaxBodyBytes }
+
+// Stream implements frontend.Streamer.
+func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) engine.Result {
+	x.upstream.Stream = rest
+	return x.Do(ctx, held)
+}
+
+// Reply implements frontend.Exchange.
+func (x *exchange) Reply(result engine.Result) *frontend.Reply {
+	own := x.ownReply(result)
+	x.isAnswered = true
+	switch {
+	case own == nil && result.Response != nil:
+		x.outcome, x.response = counters.Answered, result.Response
+	case own == nil && result.Rejected || own != nil && own.Status == http.StatusServiceUnavailable:
+		x.outcome = counters.Rejected
+	}
+	return own
+}
+
+// ownReply returns the sidecar's own reply, or nil for the engine's result. A request with the ID of another one never gets
+// 429 or 503, which would speak of the other one. Nor does a request whose key may have run.
+func (x *exchange) ownReply(result engine.Result) *frontend.Reply {
+	switch {
+	case x.isDuplicate:
+		return &frontend.Reply{Status: http.StatusConflict, Close: true}
+	case result.ClassRemoved:
+		return &frontend.Reply{Status: http.StatusNotFound}
+	case !result.Rejected:
+		return nil
+	case x.isKeyed && !x.mayReject():
+		return &frontend.Reply{Status: http.StatusBadGateway}
+	}
+	policy := &x.config.Policy
+	if !policy.SendsRetryAfter || policy.Tier > 0 {
+		return &frontend.Reply{Status: http.StatusServiceUnavailable}
+	}
+	if policy.MaxRetryAfter > 0 && result.RetryAfter > policy.MaxRetryAfter { // clients ignore a longer one, and may retry at once
+		retryAfter := strconv.FormatFloat(policy.MaxRetryAfter.Seconds(), 'f', 3, 64)
+		return &frontend.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {retryAfter}}}
+	}
+	return nil
+}
+
+// mayReject reports whether a retry of the request's key may go anywhere, as nothing with it may have run.
+func (x *exchange) mayReject() bool {
+	now := time.Now()
+	scope := x.class().Scope
+	return failover.MayReject(now, x.router.keys.KeyState(now, x.keyID, scope), scope)
+}
+
+// End implements frontend.Exchange.
+func (x *exchange) End() {
+	if x.response != nil && x.response.Stream != nil && !x.response.Stream.IsDelivered() { // it broke off, or the client has disconnected
+		x.outcome = counters.Errored
+	}
+	if x.isReceived || x.isAnswered { // otherwise its body never arrived completely
+		x.router.counters.RequestEnded(x.class().Name, x.outcome, x.isReceived)
+	}
+	if x.keyRequest != nil {
+		x.keyRequest.End()
+	}
+	if x.isStarted {
+		x.router.ids.end(x.requestHash)
+	}
+}
--- a/internal/platform/sidecar/ids.go
+++ b/internal/platform/sidecar/ids.go
@@ -9,38 +9,37 @@
 	"silvertrail/internal/platform/handover"
 )
 
-// maxEndedIDs is how many ended requests' ids are kept: a few seconds of a busy sidecar's traffic.
+// maxEndedIDs bounds the remembered IDs of ended requests: a few seconds of a busy sidecar's traffic.
 const maxEndedIDs = 4096
 
-// requestIDs knows the ids of the requests in work and of those that ended lately. An id is new with every request,
-// so one that comes again is another client's mistake or worse: passed on, it would be a second copy of the request
-// that has the id, and a refusal of it would tell endpoints and clients a lie about that one. It guards against
-// replays of all kinds on this sidecar; others share nothing with it. It would harm a client that repeats ids on
-// purpose within seconds.
+// requestIDs remembers the IDs of requests in flight and of those that ended lately, to detect repeated ones. An ID is new
+// with every request. Forwarding a repeated one would duplicate the request that has it, and rejecting it with 429 or 503
+// would tell endpoints and clients something wrong about that request. Sidecars share no IDs. A client that repeats IDs on
+// purpose within seconds is answered with 409.
 //
-// It holds hashes: what it takes does not depend on what clients write. Open ids are bounded by the connections.
+// It holds hashes, so that its size does not depend on what clients send. IDs in flight are bounded by the connections.
 type requestIDs struct {
 	mu        sync.Mutex
-	key       []byte // of the hashes: no caller can find ids that meet
+	key       []byte // of the hashes, so that no client can find IDs that collide
 	hashes    map[uint64]struct{}
-	endedRing []uint64 // a ring of the latest
+	endedRing []uint64 // ring buffer of the latest
 	ringNext  int
 }
 
 func newRequestIDs() *requestIDs {
 	r := &requestIDs{key: make([]byte, 16), hashes: map[uint64]struct{}{}}
-	rand.Read(r.key)
+	_, _ = rand.Read(r.key) // never fails
 	return r
 }
 
-// hash is called with the lock held.
+// hash returns an ID's hash. The caller holds the lock.
 func (r *requestIDs) hash(id string) uint64 {
 	var space [64]byte
 	sum := sha256.Sum256(append(append(space[:0], r.key...), id...))
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// snapshot returns what another process needs to know the ids that this one knows.
+// snapshot returns the IDs for another process.
 func (r *requestIDs) snapshot() handover.RequestIDs {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -51,10 +50,10 @@
 	return ids
 }
 
-// maxRestoredIDs bounds the ids that are taken over: what is remembered, and as many in work.
+// maxRestoredIDs bounds the IDs taken from another process: the ended ones, and as many in flight.
 const maxRestoredIDs = 2 * maxEndedIDs
 
-// restore takes over another process's ids, before this one has any: they count as ended lately.
+// restore takes the IDs of another process, before this one has any. They count as ended lately.
 func (r *requestIDs) restore(ids handover.RequestIDs) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,7 +67,7 @@
 	}
 }
 
-// begin takes an id; it returns false where that is known.
+// begin adds an ID. It returns false if it is known.
 func (r *requestIDs) begin(id string) (key uint64, fresh bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -80,14 +79,14 @@
 	return key, true
 }
 
-// end tells that the request has had its answer.
+// end records that a request was answered.
 func (r *requestIDs) end(key uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addEnded(key)
 }
 
-// addEnded puts an id among those that are forgotten in turn.
+// addEnded adds a hash to the ring buffer, and forgets the oldest one.
 func (r *requestIDs) addEnded(key uint64) {
 	if len(r.endedRing) < maxEndedIDs {
 		r.endedRing = append(r.endedRing, key)
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -9,14 +9,14 @@
 	"silvertrail/internal/platform/counters"
 )
 
-// Operations answers the operators' calls for one process.
+// Operations implements admin.Operations for one process.
 type Operations struct {
 	Engine   *engine.Engine
 	Counters *counters.Set
-	// AcceptsClients tells whether this process takes clients.
+	// AcceptsClients reports whether this process accepts clients.
 	AcceptsClients func() bool
-	// NotifyEjection has the other processes of an upgrade know of a ban before the call is answered; nil: there are none.
-	NotifyEjection func(ctx context.Context, id string, on bool)
+	// NotifyEjection notifies the other processes of an upgrade before the call is answered; nil: there are none.
+	NotifyEjection func(ctx context.Context, id string, ejected bool)
 }
 
 // IsReady implements admin.Operations.
@@ -24,20 +24,22 @@
 
 // Stats implements admin.Operations.
 func (o *Operations) Stats() []byte {
-	f := o.Counters.Snapshot()
-	f.ClusterSize, f.ClusterUnhealthy = o.Engine.ClusterSize()
-	return f.JSON()
+	snapshot := o.Counters.Snapshot()
+	snapshot.ClusterSize, snapshot.ClusterUnhealthy = o.Engine.ClusterSize()
+	return snapshot.JSON()
 }
 
-// SetEjected implements admin.Operations. What it says yes to holds in all processes.
-func (o *Operations) SetEjected(ctx context.Context, id string, on bool) error {
-	if err := o.Engine.SetManuallyEjected(id, on); errors.Is(err, engine.ErrUnknownEndpoint) {
+// SetEjected implements admin.Operations. After a nil error it holds in all processes of an upgrade.
+func (o *Operations) SetEjected(ctx context.Context, id string, ejected bool) error {
+	err := o.Engine.SetManuallyEjected(id, ejected)
+	switch {
+	case errors.Is(err, engine.ErrUnknownEndpoint):
 		return admin.ErrUnknownEndpoint
-	} else if err != nil {
+	case err != nil:
 		return err
 	}
 	if o.NotifyEjection != nil {
-		o.NotifyEjection(ctx, id, on)
+		o.NotifyEjection(ctx, id, ejected)
 	}
 	return nil
 }
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -21,9 +21,9 @@
 	"silvertrail/lbpolicy"
 )
 
-// Callers that repeat by the same key under another id, after an answer that was lost, come to the zone that may have run
-// the first try and to no other; where that zone has gone they get a failure, and other keys are served.
-func TestKeysStayInTheirZone(t *testing.T) {
+// TestRetriesStayInTheirZone has clients retry a key under another request ID after a lost response: the retries go to the zone
+// that may have run the first attempt only. If that zone has been removed they fail, and other keys are served.
+func TestRetriesStayInTheirZone(t *testing.T) {
 	t.Parallel()
 	c, err := config.Load(lbtest.WriteConfig(t, "", "127.0.0.1:1", "127.0.0.1:1"))
 	if err != nil {
@@ -111,7 +111,7 @@
 	}
 }
 
-// A refusal of the front's own tells no longer a time than the customer's clients honour: they might come at once.
+// TestRetryAfterWithinSettings checks that the sidecar's own rejections tell no longer a Retry-After than clients honour.
 func TestRetryAfterWithinSettings(t *testing.T) {
 	for name, c := range map[string]struct {
 		most, told time.Duration
@@ -122,7 +122,7 @@
 		"no bound": {0, time.Second, ""},
 	} {
 		conf := &config.Config{Policy: lbpolicy.Settings{SendsRetryAfter: true, MaxRetryAfter: c.most, Classes: []lbpolicy.Class{{}}}}
-		r := (&exchange{config: conf}).reply(engine.Result{Rejected: true, RetryAfter: c.told})
+		r := (&exchange{config: conf}).ownReply(engine.Result{Rejected: true, RetryAfter: c.told})
 		if (r == nil) != (c.want == "") || r != nil && (r.Status != 503 || r.Header.Get("Retry-After") != c.want) {
 			t.Errorf("%s: %+v", name, r)
 		}
--- a/internal/platform/sidecar/takeover.go
+++ b/internal/platform/sidecar/takeover.go
@@ -1,14 +1,11 @@
 package sidecar
 
 import (
-	"context"
 	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/balancer/upstream"
@@ -18,18 +15,23 @@
 	"silvertrail/lbpolicy"
 )
 
-// Budget is what a process may use of the machine. Two that replace each other share it: each has half.
+// Budget bounds the resources of a process. Two processes that replace each other share it: each has half.
 type Budget struct {
-	ClientConns, EndpointConns int // connections
+	ClientConns, EndpointConns int
 	HeapBytes, BodyBytes       int64
 }
 
-// Half is one process's part while there are two.
-func (r Budget) Half() Budget {
-	return Budget{max(r.ClientConns/2, 1), max(r.EndpointConns/2, 1), r.HeapBytes / 2, r.BodyBytes / 2}
+// Half returns the part of one process while there are two.
+func (b Budget) Half() Budget {
+	return Budget{
+		ClientConns:   max(b.ClientConns/2, 1),
+		EndpointConns: max(b.EndpointConns/2, 1),
+		HeapBytes:     b.HeapBytes / 2,
+		BodyBytes:     b.BodyBytes / 2,
+	}
 }
 
-// Takeover is this process as the other one of an upgrade sees it. It implements handover.Self.
+// Takeover is this process as the other processes of an upgrade see it. It implements handover.Host.
 type Takeover struct {
 	Listen string
 	Engine *engine.Engine
@@ -39,209 +41,154 @@
 	Socket syscall.Conn // the clients' listening socket
 
 	mu       sync.Mutex
-	frontend *frontend.Server // nil: it takes no clients yet
+	frontend *frontend.Server // nil: it accepts no clients yet
 	isHalved bool
-	isAlone  bool // the process before this one has ended
+	isAlone  bool // the predecessor has ended
 }
 
-// ApplyBudget keeps this process within half of its room, or lets it have all.
-func (s *Takeover) ApplyBudget(half bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	room := s.Budget
+var _ handover.Host = (*Takeover)(nil)
+
+// ApplyBudget limits this process to half of its budget, or gives it the whole one.
+func (t *Takeover) ApplyBudget(half bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	budget := t.Budget
 	if half {
-		room = room.Half()
+		budget = budget.Half()
 	}
-	debug.SetMemoryLimit(room.HeapBytes)
-	s.Client.SetMaxConns(room.EndpointConns)
-	if s.frontend != nil {
-		s.frontend.Admit(admission.Plain(room.ClientConns))
+	debug.SetMemoryLimit(budget.HeapBytes)
+	t.Client.SetMaxConns(budget.EndpointConns)
+	if t.frontend != nil {
+		t.frontend.Admit(admission.Plain(budget.ClientConns))
 	}
-	s.Router.fitBodies(half, s.Budget.BodyBytes)
-	s.isHalved = half
+	t.Router.reserveBodies(half, t.Budget.BodyBytes)
+	t.isHalved = half
 }
 
-// SetFrontend tells by whom callers are served, within what the process may have now.
-func (s *Takeover) SetFrontend(front *frontend.Server) {
-	s.mu.Lock()
-	s.frontend = front
-	half := s.isHalved && !s.isAlone
-	s.mu.Unlock()
-	s.ApplyBudget(half)
+// SetFrontend sets the server of clients, and applies the current budget to it.
+func (t *Takeover) SetFrontend(server *frontend.Server) {
+	t.mu.Lock()
+	t.frontend = server
+	half := t.isHalved && !t.isAlone
+	t.mu.Unlock()
+	t.ApplyBudget(half)
 }
 
-// ClientConns is how many connections callers may have now.
-func (s *Takeover) ClientConns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isHalved {
-		return s.Budget.Half().ClientConns
+// currentFrontend returns the server of clients, or nil.
+func (t *Takeover) currentFrontend() *frontend.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.frontend
+}
+
+// ClientConns returns the current bound on clients' connections.
+func (t *Takeover) ClientConns() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isHalved {
+		return t.Budget.Half().ClientConns
 	}
-	return s.Budget.ClientConns
+	return t.Budget.ClientConns
 }
 
-// Offer implements handover.Self.
-func (s *Takeover) Offer() handover.Offer {
-	return handover.Offer{Listen: s.Listen, Endpoints: s.Engine.Endpoints(), ListedHashes: s.Engine.ListedHashes(), Ejected: s.Engine.ManuallyEjected()}
+// Offer implements handover.Host.
+func (t *Takeover) Offer() handover.Offer {
+	return handover.Offer{
+		Listen:       t.Listen,
+		Endpoints:    t.Engine.Endpoints(),
+		ListedHashes: t.Engine.ListedHashes(),
+		Ejected:      t.Engine.ManuallyEjected(),
+	}
 }
 
-// Listener implements handover.Self.
-func (s *Takeover) Listener() syscall.Conn { return s.Socket }
+// Listener implements handover.Host.
+func (t *Takeover) Listener() syscall.Conn { return t.Socket }
 
-// Retire implements handover.Self.
-func (s *Takeover) Retire() (keys []idempotency.Record, t handover.State) {
-	s.mu.Lock()
-	front := s.frontend
-	s.mu.Unlock()
-	if front != nil {
-		front.Retire()
+// Retire implements handover.Host.
+func (t *Takeover) Retire() ([]idempotency.Record, handover.State) {
+	if server := t.currentFrontend(); server != nil {
+		server.Retire()
 	}
-	// Nothing is between its claim and its first byte meanwhile: what has begun is among the keys.
-	s.Engine.Synchronize(func() {
-		s.Router.keys.Each(time.Now(), func(k idempotency.Record) bool {
+	var keys []idempotency.Record
+	// No attempt is between its claim and its first byte meanwhile: those that have begun are among the keys.
+	t.Engine.Synchronize(func() {
+		t.Router.keys.Each(time.Now(), func(k idempotency.Record) bool {
 			if k.KeyState.Known {
 				keys = append(keys, k)
 			}
 			return true
 		})
 	})
-	t = handover.State{Ejected: s.Engine.ManuallyEjected(), RequestIDs: s.Router.ids.snapshot(), Policy: s.Engine.Snapshot()}
-	s.ApplyBudget(true)
-	return keys, t
+	state := handover.State{
+		Ejected:    t.Engine.ManuallyEjected(),
+		RequestIDs: t.Router.ids.snapshot(),
+		Policy:     t.Engine.Snapshot(),
+	}
+	t.ApplyBudget(true)
+	return keys, state
 }
 
-// Resume implements handover.Self.
-func (s *Takeover) Resume() {
-	s.ApplyBudget(false)
-	s.mu.Lock()
-	front := s.frontend
-	s.mu.Unlock()
-	if front != nil {
-		front.Resume()
+// Resume implements handover.Host.
+func (t *Takeover) Resume() {
+	t.ApplyBudget(false)
+	if server := t.currentFrontend(); server != nil {
+		server.Resume()
 	}
 }
 
-// AddKeys implements handover.Self.
-func (s *Takeover) AddKeys(keys []idempotency.Record) {
+// AddKeys implements handover.Host.
+func (t *Takeover) AddKeys(keys []idempotency.Record) {
 	now := time.Now()
 	for _, k := range keys {
-		s.Router.keys.Merge(now, k)
+		t.Router.keys.Merge(now, k)
 	}
 }
 
-// ClaimKey implements handover.Self.
-func (s *Takeover) ClaimKey(a handover.Claim) handover.KeyState {
+// ClaimKey implements handover.Host.
+func (t *Takeover) ClaimKey(c handover.Claim) handover.KeyState {
 	now := time.Now()
-	id := idempotency.KeyID(a.ID)
-	to := a.To.KeyState(now)
-	past := s.Router.keys.KeyState(now, id, a.Scope)
-	if past.Known && (!past.Allows(to.Place, a.Scope) || !now.Before(past.RetryUntil)) {
-		return handover.NewKeyState(now, past)
+	id := idempotency.KeyID(c.ID)
+	to := c.To.KeyState(now)
+	state := t.Router.keys.KeyState(now, id, c.Scope)
+	if state.Known && (!state.Allows(to.Place, c.Scope) || !now.Before(state.RetryUntil)) {
+		return handover.NewKeyState(now, state)
 	}
-	s.Router.keys.Merge(now, idempotency.Record{ID: id, KeyState: to, ExpiresAt: now.Add(a.ExpiresIn)})
-	return handover.NewKeyState(now, past.Merge(to, a.Scope))
+	t.Router.keys.Merge(now, idempotency.Record{ID: id, KeyState: to, ExpiresAt: now.Add(c.ExpiresIn)})
+	return handover.NewKeyState(now, state.Merge(to, c.Scope))
 }
 
-// SetEjected implements handover.Self.
-func (s *Takeover) SetEjected(id string, on bool) { s.Engine.SetEjectedUnlisted(id, on) }
+// SetEjected implements handover.Host.
+func (t *Takeover) SetEjected(id string, ejected bool) { t.Engine.SetEjectedUnlisted(id, ejected) }
 
-// PredecessorEnded implements handover.Self.
-func (s *Takeover) PredecessorEnded() {
-	s.mu.Lock()
-	s.isAlone = true
-	s.mu.Unlock()
-	s.ApplyBudget(false)
+// PredecessorEnded implements handover.Host.
+func (t *Takeover) PredecessorEnded() {
+	t.mu.Lock()
+	t.isAlone = true
+	t.mu.Unlock()
+	t.ApplyBudget(false)
 }
 
-// ApplyOffer takes up what was offered, before this process has a list of its own.
-func (s *Takeover) ApplyOffer(o *handover.Offer) {
-	s.Engine.AddListedHashes(o.ListedHashes)
+// ApplyOffer applies a predecessor's offer, before this process has an endpoint list of its own.
+func (t *Takeover) ApplyOffer(o *handover.Offer) {
+	t.Engine.AddListedHashes(o.ListedHashes)
 	for _, id := range o.Ejected {
-		s.Engine.SetEjectedUnlisted(id, true)
+		t.Engine.SetEjectedUnlisted(id, true)
 	}
-	s.Engine.UpdateEndpoints(lbpolicy.Cached, o.Endpoints)
+	t.Engine.UpdateEndpoints(lbpolicy.Cached, o.Endpoints)
 }
 
-// ApplyState takes up what is in force as the process before this one takes no more clients.
-func (s *Takeover) ApplyState(t *handover.State) {
-	banned := map[string]bool{}
-	for _, id := range t.Ejected {
-		banned[id] = true
-		s.Engine.SetEjectedUnlisted(id, true)
+// ApplyState applies the state of a predecessor that has stopped accepting clients.
+func (t *Takeover) ApplyState(state *handover.State) {
+	ejected := map[string]bool{}
+	for _, id := range state.Ejected {
+		ejected[id] = true
+		t.Engine.SetEjectedUnlisted(id, true)
 	}
-	for _, id := range s.Engine.ManuallyEjected() {
-		if !banned[id] {
-			s.Engine.SetEjectedUnlisted(id, false)
+	for _, id := range t.Engine.ManuallyEjected() {
+		if !ejected[id] {
+			t.Engine.SetEjectedUnlisted(id, false)
 		}
 	}
-	s.Router.ids.restore(t.RequestIDs)
-	s.Engine.Restore(t.Policy)
+	t.Router.ids.restore(state.RequestIDs)
+	t.Engine.Restore(state.Policy)
 }
-
-// SetHandover lets requests with keys agree with the process that has taken over from this one.
-func (s *Router) SetHandover(p *handover.Process) { s.handover.Store(p) }
-
-// keyClaimer agrees with the process that has taken over on where a request's attempts go. It implements engine.Binder.
-type keyClaimer struct {
-	process *handover.Process
-	id      idempotency.KeyID
-	terms   idempotency.Terms
-
-	mu    sync.Mutex
-	state idempotency.KeyState
-}
-
-// IsActive implements engine.Binder.
-func (b *keyClaimer) IsActive() bool { return b.process.IsRetired() }
-
-// Claim implements engine.Binder. Where the other process does not answer, nothing is known, and the attempt is held back.
-func (b *keyClaimer) Claim(ctx context.Context, to idempotency.Place) {
-	now := time.Now()
-	p, err := b.process.ClaimKey(ctx, handover.Claim{ID: handover.KeyID(b.id), Scope: b.terms.Scope, ExpiresIn: b.terms.Window + b.terms.Retention,
-		To: handover.NewKeyState(now, idempotency.KeyState{Known: true, Place: to, RetryUntil: now.Add(b.terms.RetryWindow())})})
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if err == nil {
-		b.state = p.KeyState(now)
-	}
-}
-
-// KeyState implements engine.Binder.
-func (b *keyClaimer) KeyState() idempotency.KeyState {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state
-}
-
-// fitBodies keeps half of the memory for bodies out of use, or gives it back. What is in use comes back first.
-func (s *Router) fitBodies(half bool, all int64) {
-	s.reserveMu.Lock()
-	defer s.reserveMu.Unlock()
-	switch {
-	case half && s.reserve == nil:
-		ctx, cancel := context.WithCancel(context.Background())
-		s.reserve = &reserve{cancel: cancel, done: make(chan struct{})}
-		go s.reserve.acquire(ctx, s.bodies, all/2)
-	case !half && s.reserve != nil:
-		s.reserve.cancel()
-		<-s.reserve.done
-		if s.reserve.acquired {
-			s.bodies.Release(all / 2)
-		}
-		s.reserve = nil
-	}
-}
-
-// reserve is memory for bodies that the other process of an upgrade has.
-type reserve struct {
-	cancel   context.CancelFunc
-	done     chan struct{}
-	acquired bool
-}
-
-func (r *reserve) acquire(ctx context.Context, from *semaphore.Weighted, n int64) {
-	r.acquired = from.Acquire(ctx, n) == nil
-	close(r.done)
-}
-
-var _ handover.Host = (*Takeover)(nil)
