--- a/cmd/silvertrail/idle_test.go
+++ b/cmd/silvertrail/idle_test.go
@@ -197,7 +197,7 @@
 	operate(old)
 
 	next := start()
-	lbtest.Until(t, "the process before gives way", func() bool { return old.log.Has("takes the clients") }) // its log comes by a pipe
+	lbtest.Until(t, "the process before gives way", func() bool { return old.log.Has("successor takes over") }) // its log comes by a pipe
 	ask()
 	operate(old)
 	operate(next)
@@ -213,7 +213,7 @@
 	old.leave()
 	ask()
 	operate(next)
-	for _, why := range []string{"hands nothing over", "can't be asked", "does not give way"} {
+	for _, why := range []string{"predecessor makes no offer", "predecessor not reachable", "predecessor does not retire"} {
 		if next.log.Has(why) {
 			t.Errorf("the upgrade: %s", next.log.String())
 		}
--- a/cmd/silvertrail/overlap_test.go
+++ b/cmd/silvertrail/overlap_test.go
@@ -32,7 +32,7 @@
 	}
 	for i, r := range all {
 		lbtest.Until(t, "all bans are known", func() bool { return r.figures().Unhealthy == 3 })
-		if i < 2 && !r.log.Has("takes the clients") {
+		if i < 2 && !r.log.Has("successor takes over") {
 			t.Errorf("process %d has not given way", i)
 		}
 	}
@@ -81,7 +81,7 @@
 	old := s.start()
 	old.cmd.Process.Signal(syscall.SIGSTOP)
 	next := s.start()
-	if !next.log.Has("hands nothing over") {
+	if !next.log.Has("predecessor makes no offer") {
 		t.Error(next.log.String())
 	}
 	old.cmd.Process.Kill()
--- a/cmd/silvertrail/upgrade_test.go
+++ b/cmd/silvertrail/upgrade_test.go
@@ -420,7 +420,7 @@
 	ask("replaced")
 	dies.cmd.Process.Kill()
 	<-dies.ended
-	lbtest.Until(t, "the old process takes clients again", func() bool { return old.log.Has("takes clients again") })
+	lbtest.Until(t, "the old process takes clients again", func() bool { return old.log.Has("accepting clients again") })
 	ask("back")
 	next := s.start() // the path is the dead one's: this one starts without state
 	ask("after")
