--- a/bench/scale/children.go
+++ b/bench/scale/children.go
@@ -166,7 +166,7 @@
 
 func variant(whole bool) ads.Variant {
 	if whole {
-		return ads.Whole
+		return ads.StateOfTheWorld
 	}
 	return ads.Delta
 }
--- a/bench/xds/main.go
+++ b/bench/xds/main.go
@@ -276,7 +276,7 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "CLUSTERS\tENDPOINTS EACH\tVARIANT\tFIRST STATE IN\tCPU A SECOND\tHEAP AFTER A THIRD\tAFTER TWO\tAT THE END\tUPDATES HEARD")
 	for _, size := range [][2]int{{1, 10000}, {1000, 10}} {
-		for _, v := range []ads.Variant{ads.Delta, ads.Whole} {
+		for _, v := range []ads.Variant{ads.Delta, ads.StateOfTheWorld} {
 			if err := l.play(w, size[0], size[1], v); err != nil {
 				return err
 			}
@@ -322,9 +322,9 @@
 	for i := range clusters {
 		all.Go(func() {
 			was := false
-			c.Follow(ctx, fmt.Sprint("c", i), func(v known.View) {
+			c.Follow(ctx, fmt.Sprint("c", i), func(v known.ClusterView) {
 				if v.State == known.Ready {
-					known.Members(v.Cluster, v.Set, v.Stale, known.AllLevels)
+					known.AssignTraffic(v.Cluster, v.Set, v.Stale, known.AllPriorities)
 					heard.Add(1)
 					if !was {
 						was = true
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -241,7 +241,7 @@
 func (x *spread) home(gateway int) bool {
 	a := asked{Control: x.gateways[gateway].socket()}
 	var d known.Dump
-	return a.ask("/xds", &d) == nil && len(d.Planes) > 0 && d.Planes[0].Listened
+	return a.ask("/xds", &d) == nil && len(d.ControlPlanes) > 0 && d.ControlPlanes[0].Active
 }
 
 // reach waits until a gateway has a version in force, or a newer one.
--- a/cmd/silvertrail/xds.go
+++ b/cmd/silvertrail/xds.go
@@ -26,26 +26,26 @@
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "PLANE\tSTATE\tLISTENED TO")
-	for _, p := range d.Planes {
-		fmt.Fprintf(w, "%s\t%s\t%v\n", p.Name, p.State, p.Listened)
+	for _, p := range d.ControlPlanes {
+		fmt.Fprintf(w, "%s\t%s\t%v\n", p.Name, p.State, p.Active)
 	}
 	fmt.Fprintln(w, "\nKIND\tNAME\tSTATE\tVERSION\tFROM\tHEARD\tENDPOINTS\tUSED")
 	for _, l := range d.Resources {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%v\n", l.Kind, l.Name, l.State, l.Version, l.From, since(l.Heard), l.Endpoints, l.Used)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%v\n", l.Kind, l.Name, l.State, l.Version, l.Source, since(l.ReceivedAt), l.Endpoints, l.InUse)
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
 	for _, l := range d.Resources {
-		if l.Fault != "" {
-			fmt.Printf("%s %s, version %q, %s: %s\n", l.Kind, l.Name, l.FaultVersion, since(l.FaultAt), strings.TrimSpace(l.Fault))
+		if l.RejectionReason != "" {
+			fmt.Printf("%s %s, version %q, %s: %s\n", l.Kind, l.Name, l.RejectedVersion, since(l.RejectedAt), strings.TrimSpace(l.RejectionReason))
 		}
-		if l.Held != "" {
-			fmt.Printf("%s %s: version %q is held off: it was replaced before\n", l.Kind, l.Name, l.Held)
+		if l.DeferredVersion != "" {
+			fmt.Printf("%s %s: version %q is held off: it was replaced before\n", l.Kind, l.Name, l.DeferredVersion)
 		}
 	}
 	for _, f := range d.Files {
-		fmt.Printf("file %s: %d endpoint sets, %s %s\n", f.Path, f.Sets, since(f.Heard), f.Fault)
+		fmt.Printf("file %s: %d endpoint sets, %s %s\n", f.Path, f.Sets, since(f.ReadAt), f.Error)
 	}
 	return nil
 }
--- a/internal/controlplane/catalog.go
+++ b/internal/controlplane/catalog.go
@@ -28,7 +28,7 @@
 // All implements distribution.Catalog.
 func (c catalog) All(k distribution.Kind) iter.Seq2[string, distribution.ResourceVersion] {
 	return func(yield func(string, distribution.ResourceVersion) bool) {
-		for resourceKind := range ads.Kinds {
+		for resourceKind := range ads.KindCount {
 			if k != distribution.Records && typeOf(k) != envoy.TypeOf(resourceKind) {
 				continue
 			}
@@ -55,7 +55,7 @@
 	case distribution.Clusters:
 		return records.Key{Kind: ads.Clusters, Name: name}, true
 	case distribution.Sets:
-		return records.Key{Kind: ads.Sets, Name: name}, true
+		return records.Key{Kind: ads.Endpoints, Name: name}, true
 	}
 	key, err := records.ParseKey(name)
 	return key, err == nil
--- a/internal/controlplane/distribution/distribution.go
+++ b/internal/controlplane/distribution/distribution.go
@@ -136,7 +136,7 @@
 // Changed records that a resource has a new version, and wakes the subscribers that it concerns.
 func (d *Distributor) Changed(key records.Key) {
 	k := Clusters
-	if key.Kind == ads.Sets {
+	if key.Kind == ads.Endpoints {
 		k = Sets
 	}
 	d.markChanged(k, key.Name)
--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -59,7 +59,7 @@
 func (w *world) publish(name string, size int, removed bool) {
 	w.counter++
 	w.shelf[name] = ResourceVersion{records.Version{Counter: w.counter, Origin: "m"}, size, removed}
-	w.d.Changed(records.Key{Kind: ads.Sets, Name: name})
+	w.d.Changed(records.Key{Kind: ads.Endpoints, Name: name})
 }
 
 // receiver is the other end of a stream.
--- a/internal/controlplane/format_test.go
+++ b/internal/controlplane/format_test.go
@@ -65,7 +65,7 @@
 	}
 	for name, c := range map[string]records.Content{
 		"present": present,
-		"removed": {Key: records.Key{Kind: ads.Sets, Name: "set-b"}, Removed: true},
+		"removed": {Key: records.Key{Kind: ads.Endpoints, Name: "set-b"}, Removed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := records.Record{Content: c, Version: records.Version{Counter: 12, Origin: "north.1"}, Ancestry: records.VersionVector{"south.2": 11}}
@@ -111,7 +111,7 @@
 	for k := range distribution.Kinds {
 		names = append(names, k.String(), typeOf(k))
 	}
-	for k := range ads.Kinds {
+	for k := range ads.KindCount {
 		names = append(names, k.String())
 	}
 	text, err := json.MarshalIndent(names, "", " ")
--- a/internal/controlplane/peer.go
+++ b/internal/controlplane/peer.go
@@ -135,7 +135,7 @@
 	defer s.mu.Unlock()
 	p.state = peerConnecting
 	versions := map[string]string{}
-	for k := range ads.Kinds {
+	for k := range ads.KindCount {
 		for r := range s.store.All(k) {
 			versions[r.Key.String()] = r.Version.String()
 		}
--- a/internal/controlplane/publish.go
+++ b/internal/controlplane/publish.go
@@ -57,7 +57,7 @@
 func parseContents(resources []*anypb.Any) (contents []records.Content, faults []error) {
 	for i, resource := range resources {
 		k := envoy.KindOf(resource.GetTypeUrl())
-		if k == ads.Kinds {
+		if k == ads.KindCount {
 			faults = append(faults, fmt.Errorf("resources[%d]: of type %q; clusters and endpoint sets can be published", i, resource.GetTypeUrl()))
 			continue
 		}
--- a/internal/controlplane/records/publish.go
+++ b/internal/controlplane/records/publish.go
@@ -62,7 +62,7 @@
 }
 
 // checkBounds returns a fault for each bound that a publication would exceed.
-func (s *Store) checkBounds(present [ads.Kinds]int, version Version) (faults []error) {
+func (s *Store) checkBounds(present [ads.KindCount]int, version Version) (faults []error) {
 	for k, n := range present {
 		if n > MaxResources {
 			faults = append(faults, fmt.Errorf("%d resources of kind %s would be there; %d are the most", n, ads.Kind(k), MaxResources))
@@ -80,9 +80,9 @@
 	for _, k := range slices.SortedFunc(maps.Keys(next), Key.Compare) {
 		c := next[k]
 		switch {
-		case k.Kind == ads.Clusters && !c.Removed && c.Set != "" && !s.willBePresent(next, Key{Kind: ads.Sets, Name: c.Set}):
+		case k.Kind == ads.Clusters && !c.Removed && c.Set != "" && !s.willBePresent(next, Key{Kind: ads.Endpoints, Name: c.Set}):
 			faults = append(faults, fmt.Errorf("%s: eds_cluster_config: there are no endpoints named %q", k, c.Set))
-		case k.Kind == ads.Sets && c.Removed:
+		case k.Kind == ads.Endpoints && c.Removed:
 			faults = append(faults, s.stillRequired(next, k)...)
 		}
 	}
--- a/internal/controlplane/records/record.go
+++ b/internal/controlplane/records/record.go
@@ -103,12 +103,12 @@
 // ParseKey parses the result of String.
 func ParseKey(text string) (Key, error) {
 	kind, name, found := strings.Cut(text, "/")
-	for k := range ads.Kinds {
+	for k := range ads.KindCount {
 		if found && name != "" && kind == k.String() {
 			return Key{Kind: k, Name: name}, nil
 		}
 	}
-	return Key{}, fmt.Errorf("%.100q is neither %s/NAME nor %s/NAME", text, ads.Clusters, ads.Sets)
+	return Key{}, fmt.Errorf("%.100q is neither %s/NAME nor %s/NAME", text, ads.Clusters, ads.Endpoints)
 }
 
 // Compare orders keys: clusters come first.
@@ -140,7 +140,7 @@
 // Check returns an error for a record that no server sends.
 func (r *Record) Check() error {
 	switch {
-	case r.Kind >= ads.Kinds || r.Name == "":
+	case r.Kind >= ads.KindCount || r.Name == "":
 		return errors.New("it names no resource")
 	case r.Version.Counter == 0 || r.Version.Counter >= maxCounter || r.Version.Origin == "" || len(r.Version.Origin) > maxOriginBytes:
 		return fmt.Errorf("%s: it has no version", r.Key)
--- a/internal/controlplane/records/records_test.go
+++ b/internal/controlplane/records/records_test.go
@@ -67,7 +67,7 @@
 				told[c] = true
 			}
 		}
-		keys := []Key{{ads.Sets, "a"}, {ads.Sets, "b"}}
+		keys := []Key{{ads.Endpoints, "a"}, {ads.Endpoints, "b"}}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(t, "machine")
 			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
@@ -130,7 +130,7 @@
 	s := New("m")
 	cluster := content(Key{ads.Clusters, "c"}, "c1")
 	cluster.Set = "e"
-	set := content(Key{ads.Sets, "e"}, "e1")
+	set := content(Key{ads.Endpoints, "e"}, "e1")
 	gone := func(k Key) Content { return Content{Key: k, Removed: true} }
 	refused := func(want string, contents ...Content) {
 		t.Helper()
@@ -152,12 +152,12 @@
 			t.Errorf("%s is back: %s", r.Key, v)
 		}
 	}
-	if there, removed := s.Counts(); there != [ads.Kinds]int{} || removed != 2 || len(s.Conflicts()) != 0 {
+	if there, removed := s.Counts(); there != [ads.KindCount]int{} || removed != 2 || len(s.Conflicts()) != 0 {
 		t.Errorf("%v there, %d removed, %v", there, removed, s.Conflicts())
 	}
 	s.maxRemoved = 1
-	publish(t, s, content(Key{ads.Sets, "f"}, "f1"))
-	publish(t, s, gone(Key{ads.Sets, "f"}))
+	publish(t, s, content(Key{ads.Endpoints, "f"}, "f1"))
+	publish(t, s, gone(Key{ads.Endpoints, "f"}))
 	if _, known := s.Find(cluster.Key); known {
 		t.Error("more are remembered as removed than may be")
 	}
@@ -173,7 +173,7 @@
 // counters.
 func TestObserveVersion(t *testing.T) {
 	s := New("m")
-	k := Key{ads.Sets, "e"}
+	k := Key{ads.Endpoints, "e"}
 	publish(t, s, content(k, "1"))
 	s.ObserveVersion(Version{maxCounter - 1, "liar"})
 	s.ObserveVersion(Version{7, "lost"})
--- a/internal/controlplane/records/store.go
+++ b/internal/controlplane/records/store.go
@@ -39,8 +39,8 @@
 type Store struct {
 	origin       string
 	counter      uint64 // the highest seen
-	entries      [ads.Kinds]map[string]*entry
-	presentCount [ads.Kinds]int
+	entries      [ads.KindCount]map[string]*entry
+	presentCount [ads.KindCount]int
 	removedCount int
 	maxRemoved   int
 	conflicts    []Conflict
@@ -158,7 +158,7 @@
 
 // Find returns the record of a resource.
 func (s *Store) Find(k Key) (Record, bool) {
-	if k.Kind >= ads.Kinds {
+	if k.Kind >= ads.KindCount {
 		return Record{}, false
 	}
 	e := s.entries[k.Kind][k.Name]
@@ -186,7 +186,9 @@
 func (s *Store) Origin() string { return s.origin }
 
 // Counts returns how many resources are present of each kind, and how many are remembered as removed.
-func (s *Store) Counts() (present [ads.Kinds]int, removed int) { return s.presentCount, s.removedCount }
+func (s *Store) Counts() (present [ads.KindCount]int, removed int) {
+	return s.presentCount, s.removedCount
+}
 
 // IsEmpty reports whether no record was ever merged.
 func (s *Store) IsEmpty() bool { return s.counter == 0 }
@@ -199,7 +201,7 @@
 func (s *Store) DanglingClusters() []Key {
 	var dangling []Key
 	for _, e := range s.entries[ads.Clusters] {
-		if !e.Removed && e.Set != "" && !s.isPresent(Key{Kind: ads.Sets, Name: e.Set}) {
+		if !e.Removed && e.Set != "" && !s.isPresent(Key{Kind: ads.Endpoints, Name: e.Set}) {
 			dangling = append(dangling, e.Key)
 		}
 	}
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -77,7 +77,7 @@
 type receiver struct {
 	client *xds.Client
 	mu     sync.Mutex
-	view   known.View
+	view   known.ClusterView
 }
 
 func follow(t testing.TB, node, cluster string, addresses ...string) *receiver {
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() {
-		r.client.Follow(ctx, cluster, func(v known.View) {
+		r.client.Follow(ctx, cluster, func(v known.ClusterView) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.view = v
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -22,7 +22,7 @@
 		Ready:       s.distributor.IsOpen(),
 		Counter:     s.store.Counter(),
 		Clusters:    present[ads.Clusters],
-		Sets:        present[ads.Sets],
+		Sets:        present[ads.Endpoints],
 		Removed:     removed,
 		Messages:    s.messageCount,
 		Bytes:       s.byteCount,
--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -134,8 +134,8 @@
 
 // requiredSet returns the endpoint set that a cluster requires from its control plane.
 func requiredSet(c *known.Cluster) string {
-	if c == nil || c.File != "" {
+	if c == nil || c.EndpointsFile != "" {
 		return ""
 	}
-	return c.Service
+	return c.ServiceName
 }
--- a/internal/gateway/cluster/xds.go
+++ b/internal/gateway/cluster/xds.go
@@ -16,7 +16,7 @@
 type Discovery interface {
 	// Follow tells how a cluster stands, and again with each change, until ctx ends. Of changes that come faster than say
 	// returns only the last is told.
-	Follow(ctx context.Context, resource string, say func(known.View))
+	Follow(ctx context.Context, resource string, say func(known.ClusterView))
 }
 
 // XDS is a cluster in xDS form.
@@ -38,12 +38,12 @@
 	}
 	names := &lookups{x: x, log: log}
 	defer names.stop()
-	d.Follow(ctx, x.Resource, func(v known.View) {
+	d.Follow(ctx, x.Resource, func(v known.ClusterView) {
 		switch v.State {
-		case known.Waiting: // what was said before stands
+		case known.Pending: // what was said before stands
 			return
 		case known.Missing:
-			log.Warn("xds: what it said last stands", "resource", x.Resource, "why", v.Why)
+			log.Warn("xds: what it said last stands", "resource", x.Resource, "why", v.Reason)
 			say(lost, nil)
 			return
 		case known.Removed:
@@ -51,34 +51,34 @@
 			say(whole, nil)
 			return
 		}
-		bound(bounds{v.Cluster.ConnectTimeout, v.Cluster.Connections, v.Cluster.Calls, v.Set.Dropped()})
-		members := known.Members(v.Cluster, v.Set, v.Stale, x.Level)
-		if v.Cluster.Lookup == known.Addresses {
+		bound(bounds{v.Cluster.ConnectTimeout, v.Cluster.MaxConnections, v.Cluster.MaxRequests, v.Set.DropFraction()})
+		members := known.AssignTraffic(v.Cluster, v.Set, v.Stale, x.Level)
+		if v.Cluster.Resolution == known.NoResolution {
 			names.stop()
 			say(whole, x.entries(members))
 			return
 		}
-		names.follow(ctx, members, v.Cluster.Lookup == known.OneOf, say)
+		names.follow(ctx, members, v.Cluster.Resolution == known.LogicalDNS, say)
 	})
 }
 
 // uses are a member's use in the words of a list.
 var uses = [...]string{known.Used: ready, known.Standby: standby, known.Unused: draining}
 
-func (x *XDS) entries(members []known.Member) (out []endpointlist.Endpoint) {
+func (x *XDS) entries(members []known.AssignedEndpoint) (out []endpointlist.Endpoint) {
 	for i := range members {
 		out = append(out, x.entry(&members[i]))
 	}
 	return out
 }
 
-func (x *XDS) entry(m *known.Member) endpointlist.Endpoint {
-	zone := map[string]string{"region": m.Locality.Region, "zone": m.Locality.Zone, "sub_zone": m.Locality.Part}[x.Part]
+func (x *XDS) entry(m *known.AssignedEndpoint) endpointlist.Endpoint {
+	zone := map[string]string{"region": m.Locality.Region, "zone": m.Locality.Zone, "sub_zone": m.Locality.SubZone}[x.Part]
 	if !slices.Contains(x.Zones, zone) {
 		zone = x.Zone
 	}
 	return endpointlist.Endpoint{Name: m.Name, Address: m.Address, Zone: zone, Group: m.Group, Status: uses[m.Use], SinceMS: m.SinceMS,
-		Weight: m.Share}
+		Weight: m.TrafficShare}
 }
 
 // lookups follow the names of endpoints that are no addresses. What they find together is the source's list.
@@ -87,7 +87,7 @@
 	log *slog.Logger
 
 	mu    sync.Mutex
-	names []known.Member // that are followed
+	names []known.AssignedEndpoint // that are followed
 	end   context.CancelFunc
 	turn  int
 	found map[string][]endpointlist.Endpoint // by name and port; nil: nothing found yet
@@ -95,9 +95,9 @@
 }
 
 // follow starts to look the members' names up, in place of those before. A change of their weights or states alone asks no name server.
-func (l *lookups) follow(ctx context.Context, members []known.Member, one bool, say tell) {
+func (l *lookups) follow(ctx context.Context, members []known.AssignedEndpoint, one bool, say tell) {
 	l.mu.Lock()
-	same := l.end != nil && slices.EqualFunc(l.names, members, func(a, b known.Member) bool { return a.Address == b.Address })
+	same := l.end != nil && slices.EqualFunc(l.names, members, func(a, b known.AssignedEndpoint) bool { return a.Address == b.Address })
 	l.mu.Unlock()
 	if !same {
 		l.stop()
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -41,7 +41,7 @@
 			Least: s.duration("backoff", 500*time.Millisecond, time.Millisecond, time.Minute)},
 		MaxMessage: int(s.size("max_message", 16<<20, 64<<10, 1<<30)), State: p.path(s, "state")}
 	o.Rules.Most = s.duration("backoff_most", max(30*time.Second, o.Rules.Least), o.Rules.Least, time.Hour)
-	o.Variant = map[string]ads.Variant{"delta": ads.Delta, "whole": ads.Whole}[s.word("variant", "delta", "delta", "whole")]
+	o.Variant = map[string]ads.Variant{"delta": ads.Delta, "whole": ads.StateOfTheWorld}[s.word("variant", "delta", "delta", "whole")]
 	if s.has("bootstrap") {
 		p.bootstrap(s, o)
 	}
@@ -131,7 +131,7 @@
 		}
 		twice = true
 		e := p.open("xds of "+s.what, b.DefRange, b.Body, []string{"resource", "level", "part", "zone", "server"}, nil)
-		x := &cluster.XDS{Resource: e.text("resource", c.Name), Level: known.AllLevels, Zones: zones, Zone: p.zone(e, zones),
+		x := &cluster.XDS{Resource: e.text("resource", c.Name), Level: known.AllPriorities, Zones: zones, Zone: p.zone(e, zones),
 			Part: e.word("part", "zone", "region", "zone", "sub_zone"), Server: e.text("server", "")}
 		if e.has("level") {
 			x.Level = e.whole("level", 0, 0, 127)
--- a/internal/gateway/conf/xds_test.go
+++ b/internal/gateway/conf/xds_test.go
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	if o = f.XDS; len(o.Planes) != 3 || o.Planes[0].Address != "plane.example:443" || o.Planes[0].TLS.Authority != filepath.Join(dir, "ca.pem") || o.Node.ID != "n1" || o.Node.Zone != "z9" ||
-		f.Clusters[0].Sources[0].XDS.Level != known.AllLevels {
+		f.Clusters[0].Sources[0].XDS.Level != known.AllPriorities {
 		t.Errorf("%+v", o)
 	}
 	for old, want := range map[string]struct{ with, fault string }{
--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -230,7 +230,7 @@
 	expect(200)
 	x.put(controlplane.Cluster("c"), controlplane.Set("c", ""))
 	lbtest.Until(t, "it is heard", func() bool {
-		return slices.ContainsFunc(x.g.discovery.Dump().Resources, func(l known.Line) bool {
+		return slices.ContainsFunc(x.g.discovery.Dump().Resources, func(l known.ResourceStatus) bool {
 			return l.Kind == "endpoints" && l.Name == "c" && l.Endpoints == 0
 		})
 	})
--- a/internal/testkit/hollow/member.go
+++ b/internal/testkit/hollow/member.go
@@ -44,7 +44,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	for _, name := range clusters {
-		m.wait.Go(func() { m.client.Follow(ctx, name, func(v known.View) { m.take(name, v) }) })
+		m.wait.Go(func() { m.client.Follow(ctx, name, func(v known.ClusterView) { m.take(name, v) }) })
 	}
 	return m
 }
@@ -57,11 +57,11 @@
 }
 
 // take notes what is in force of a cluster, from its list of members as a balancer would make it.
-func (m *Member) take(name string, v known.View) {
+func (m *Member) take(name string, v known.ClusterView) {
 	now := time.Now()
 	generation := 0
 	if v.State == known.Ready {
-		for _, e := range known.Members(v.Cluster, v.Set, v.Stale, known.AllLevels) {
+		for _, e := range known.AssignTraffic(v.Cluster, v.Set, v.Stale, known.AllPriorities) {
 			generation = max(generation, int(e.Weight))
 		}
 	}
--- a/internal/xds/ads/session_test.go
+++ b/internal/xds/ads/session_test.go
@@ -11,30 +11,30 @@
 func story(t *testing.T, v Variant, lines ...string) {
 	t.Helper()
 	s := NewSession(v)
-	kinds := map[string]Kind{"cds": Clusters, "eds": Sets}
+	kinds := map[string]Kind{"cds": Clusters, "eds": Endpoints}
 	for i, line := range lines {
 		f := strings.Fields(line)
 		k := kinds[f[min(1, len(f)-1)]]
 		switch f[0] {
 		case "want":
-			w := Want{Names: f[2:]}
+			w := Subscription{Names: f[2:]}
 			if slices.Equal(f[2:], []string{"*"}) {
-				w = Want{All: true}
+				w = Subscription{Wildcard: true}
 			}
 			s.Subscribe(k, w)
 		case "know":
-			s.Resume(k, map[string]string{f[2]: "v1", f[3]: "v2"})
+			s.SetInitialVersions(k, map[string]string{f[2]: "v1", f[3]: "v2"})
 		case "get":
-			if err := s.Received(k, f[2]); err != nil {
+			if err := s.Receive(k, f[2]); err != nil {
 				t.Fatalf("line %d: %v", i, err)
 			}
-			s.Judge(k, f[3], strings.Join(f[4:], " "))
+			s.Answer(k, f[3], strings.Join(f[4:], " "))
 		case "unasked":
-			if s.Received(k, "n") == nil {
+			if s.Receive(k, "n") == nil {
 				t.Fatalf("line %d: taken", i)
 			}
 		case "sent":
-			r, ok := s.Next()
+			r, ok := s.NextRequest()
 			got := "nothing"
 			if ok {
 				got = fmt.Sprintf("%v", r)
@@ -48,7 +48,7 @@
 
 // A request is {kind, version, nonce, fault, names, subscribe, unsubscribe, initial}.
 func TestWhole(t *testing.T) {
-	story(t, Whole,
+	story(t, StateOfTheWorld,
 		"sent nothing",
 		"unasked eds",
 		"want cds b a",
@@ -92,15 +92,15 @@
 		"sent nothing",
 	)
 	s := NewSession(Delta)
-	s.Subscribe(Clusters, Want{All: true})
-	s.Next()
-	for i := range maxReplies {
-		if err := s.Received(Clusters, fmt.Sprint(i)); err != nil {
+	s.Subscribe(Clusters, Subscription{Wildcard: true})
+	s.NextRequest()
+	for i := range maxPendingReplies {
+		if err := s.Receive(Clusters, fmt.Sprint(i)); err != nil {
 			t.Fatal(i, err)
 		}
-		s.Judge(Clusters, "", "")
+		s.Answer(Clusters, "", "")
 	}
-	if s.Received(Clusters, "more") != ErrBehind {
+	if s.Receive(Clusters, "more") != ErrTooManyPending {
 		t.Error("a server that takes no answers is listened to for ever")
 	}
 }
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -25,7 +25,7 @@
 
 	mu        sync.Mutex
 	o         planes.Options
-	store     *known.Store
+	store     *known.Cache
 	order     *planes.Order
 	conns     []*conn                // by plane; nil: not connected to
 	streams   updateorder.Stream     // that there have been
@@ -44,7 +44,7 @@
 
 // follower is somebody who follows a cluster.
 type follower struct {
-	view known.View
+	view known.ClusterView
 	told bool
 	news chan struct{} // holds a token when there is a view that was not told
 }
@@ -54,7 +54,7 @@
 // Start connects to the control planes for as long as it runs. It waits for nobody.
 func Start(o planes.Options, log *slog.Logger) *Client {
 	c := &Client{log: log, followers: map[string][]*follower{}, files: map[string]*setFile{}, warned: map[string]bool{},
-		store: known.New(known.Rules{Hold: o.Hold, Missing: o.Missing, All: o.All})}
+		store: known.New(known.Options{DeferTime: o.Hold, ResourceTimeout: o.Missing, Wildcard: o.All})}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +123,7 @@
 }
 
 // Follow implements cluster.Discovery.
-func (c *Client) Follow(ctx context.Context, resource string, say func(known.View)) {
+func (c *Client) Follow(ctx context.Context, resource string, say func(known.ClusterView)) {
 	f := &follower{news: make(chan struct{}, 1)}
 	c.mu.Lock()
 	c.followers[resource] = append(c.followers[resource], f)
@@ -167,7 +167,7 @@
 		if c.ended {
 			return
 		}
-		c.store.Use(time.Now(), slices.Collect(maps.Keys(c.followers)))
+		c.store.SetClustersInUse(time.Now(), slices.Collect(maps.Keys(c.followers)))
 		for name, of := range c.followers {
 			if slices.ContainsFunc(of, func(f *follower) bool { return !f.told }) {
 				c.tell(name)
@@ -184,8 +184,8 @@
 		return
 	}
 	v := c.store.View(time.Now(), resource)
-	if v.Cluster != nil && v.Cluster.File != "" {
-		c.files[v.Cluster.File].complete(&v)
+	if v.Cluster != nil && v.Cluster.EndpointsFile != "" {
+		c.files[v.Cluster.EndpointsFile].complete(&v)
 	}
 	for _, f := range of {
 		f.view, f.told = v, true
@@ -202,7 +202,7 @@
 		return
 	}
 	now := time.Now()
-	c.store.Due(now)
+	c.store.Advance(now)
 	connect, drop := c.order.Step(now)
 	for _, i := range drop {
 		if k := c.conns[i]; k != nil {
@@ -221,12 +221,12 @@
 			c.subscribe(k)
 		}
 	}
-	c.watch(c.store.Files())
-	for _, name := range c.store.Changed() {
+	c.watch(c.store.EndpointsFiles())
+	for _, name := range c.store.TakeChanged() {
 		c.tell(name)
 	}
 	next := c.order.Next(now)
-	if at := c.store.Next(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+	if at := c.store.NextDeadline(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
 	if c.timer != nil {
@@ -246,8 +246,8 @@
 func (c *Client) subscribe(k *conn) {
 	if k.plane.File != "" {
 		var wanted []string
-		for kind := range ads.Kinds {
-			wanted = append(wanted, c.store.Wanted(kind)...)
+		for kind := range ads.KindCount {
+			wanted = append(wanted, c.store.Subscriptions(kind)...)
 		}
 		if !slices.Equal(wanted, k.wanted) { // the file is to be taken again
 			k.wanted, k.restart = wanted, true
@@ -258,10 +258,10 @@
 	if k.session == nil {
 		return
 	}
-	for kind := range ads.Kinds {
-		w := ads.Want{Names: c.store.Wanted(kind)}
+	for kind := range ads.KindCount {
+		w := ads.Subscription{Names: c.store.Subscriptions(kind)}
 		if kind == ads.Clusters && c.o.All {
-			w = ads.Want{All: true}
+			w = ads.Subscription{Wildcard: true}
 		}
 		k.session.Subscribe(kind, w)
 	}
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -83,7 +83,7 @@
 // close ends the stream for what is known of it. The caller holds the lock.
 func (k *conn) close() {
 	if k.id != 0 {
-		k.c.store.Ended(k.id)
+		k.c.store.StreamEnded(k.id)
 	}
 	k.session, k.id = nil, 0
 }
@@ -95,7 +95,7 @@
 		switch {
 		case k == nil:
 		case k.id != 0 && (!ok || i != at):
-			c.store.Ended(k.id)
+			c.store.StreamEnded(k.id)
 			k.id, k.passed = 0, true
 		case k.id == 0 && ok && i == at && k.passed: // what it has said so far was passed over: it is to say it again
 			c.log.Info("xds: listening to another control plane", "plane", k.plane.Name)
@@ -221,8 +221,8 @@
 	}
 	k.cancel = cancel
 	k.session = ads.NewSession(o.Variant)
-	for kind := range ads.Kinds {
-		k.session.Resume(kind, c.store.Versions(kind))
+	for kind := range ads.KindCount {
+		k.session.SetInitialVersions(kind, c.store.Versions(kind))
 	}
 	k.passed, k.id, k.said = false, 0, false
 	// Also where the plane is up already, and its stream was opened anew.
@@ -245,7 +245,7 @@
 		r, err := w.receive()
 		switch {
 		case err != nil:
-		case r.kind == ads.Kinds:
+		case r.kind == ads.KindCount:
 			c.warn("a response of a type that is not known here is passed over")
 		default:
 			err = k.take(r, d)
@@ -269,7 +269,7 @@
 		var r ads.Request
 		ok := false
 		if k.session != nil {
-			r, ok = k.session.Next()
+			r, ok = k.session.NextRequest()
 		}
 		k.c.mu.Unlock()
 		if !ok {
@@ -289,8 +289,8 @@
 }
 
 // read checks the resources of a response. The faults are for its refusal.
-func (r *received) read(d *envoy.Decoder) (m known.Message, faults []string) {
-	m = known.Message{Kind: r.kind, Version: r.version, Whole: r.whole && r.kind == ads.Clusters, Gone: r.gone}
+func (r *received) read(d *envoy.Decoder) (m known.Response, faults []string) {
+	m = known.Response{Kind: r.kind, Version: r.version, Complete: r.whole && r.kind == ads.Clusters, Removed: r.gone}
 	at := map[string]bool{}
 	for n, raw := range r.resources {
 		i, err := d.Read(r.kind, raw.version, raw.any)
@@ -302,7 +302,7 @@
 		}
 		if err == nil {
 			at[i.Name] = true
-			m.Items = append(m.Items, i)
+			m.Resources = append(m.Resources, i)
 			continue
 		}
 		var bad *envoy.Error
@@ -310,9 +310,9 @@
 		name := cmp.Or(bad.Name, raw.name)
 		faults = append(faults, fmt.Sprintf("%s %s: %v", r.kind, cmp.Or(name, fmt.Sprintf("number %d", n)), bad.Err))
 		if name == "" {
-			m.Whole = false // it may be any of those that are missing
+			m.Complete = false // it may be any of those that are missing
 		} else if !at[name] {
-			m.Faults = append(m.Faults, known.Fault{Name: name, Version: raw.version, Why: bad.Err.Error()})
+			m.Rejections = append(m.Rejections, known.Rejection{Name: name, Version: raw.version, Reason: bad.Err.Error()})
 		}
 	}
 	return m, faults
@@ -327,13 +327,13 @@
 	if k.session == nil {
 		return errors.New("the stream has ended")
 	}
-	err := k.session.Received(r.kind, r.nonce)
-	if err != nil && !errors.Is(err, ads.ErrUnasked) {
+	err := k.session.Receive(r.kind, r.nonce)
+	if err != nil && !errors.Is(err, ads.ErrNotSubscribed) {
 		return err
 	}
 	fault := k.told(r.version, append(faults, k.apply(m)...))
 	if err == nil { // what nobody has asked for yet is kept for a while, as that may follow; there is no subscription to answer it on
-		k.session.Judge(r.kind, r.version, fault)
+		k.session.Answer(r.kind, r.version, fault)
 	}
 	c.step()
 	k.wake()
@@ -341,7 +341,7 @@
 }
 
 // apply takes what a plane says, where it is listened to. The caller holds the lock.
-func (k *conn) apply(m known.Message) (faults []string) {
+func (k *conn) apply(m known.Response) (faults []string) {
 	c, now := k.c, time.Now()
 	k.said = true
 	if !k.up {
@@ -351,15 +351,15 @@
 	if at, ok := c.order.Listen(); ok && at == k.n && k.id == 0 && !k.passed {
 		c.streams++
 		k.id = c.streams
-		c.store.Begun(now, k.id, k.plane.Name)
+		c.store.StreamStarted(now, k.id, k.plane.Name)
 		c.log.Info("xds: control plane heard", "plane", k.plane.Name)
 	}
 	if k.id == 0 {
 		k.passed = true
 		return nil
 	}
-	for _, f := range c.store.Take(now, k.id, m) {
-		faults = append(faults, fmt.Sprintf("%s %s: %s", m.Kind, f.Name, f.Why))
+	for _, f := range c.store.Apply(now, k.id, m) {
+		faults = append(faults, fmt.Sprintf("%s %s: %s", m.Kind, f.Name, f.Reason))
 	}
 	c.order.Known()
 	c.saver.wake()
@@ -394,7 +394,7 @@
 
 func (s world) send(r ads.Request, n *corev3.Node) error {
 	return s.Send(&discoveryv3.DiscoveryRequest{Node: n, TypeUrl: envoy.TypeOf(r.Kind), VersionInfo: r.Version, ResponseNonce: r.Nonce,
-		ResourceNames: r.Names, ErrorDetail: detail(r.Fault)})
+		ResourceNames: r.Names, ErrorDetail: detail(r.ErrorDetail)})
 }
 
 func (s world) receive() (*received, error) {
@@ -415,8 +415,8 @@
 }
 
 func (s delta) send(r ads.Request, n *corev3.Node) error {
-	return s.Send(&discoveryv3.DeltaDiscoveryRequest{Node: n, TypeUrl: envoy.TypeOf(r.Kind), ResponseNonce: r.Nonce, ErrorDetail: detail(r.Fault),
-		ResourceNamesSubscribe: r.Subscribe, ResourceNamesUnsubscribe: r.Unsubscribe, InitialResourceVersions: r.Initial})
+	return s.Send(&discoveryv3.DeltaDiscoveryRequest{Node: n, TypeUrl: envoy.TypeOf(r.Kind), ResponseNonce: r.Nonce, ErrorDetail: detail(r.ErrorDetail),
+		ResourceNamesSubscribe: r.Subscribe, ResourceNamesUnsubscribe: r.Unsubscribe, InitialResourceVersions: r.InitialVersions})
 }
 
 func (s delta) receive() (*received, error) {
--- a/internal/xds/envoy/cluster.go
+++ b/internal/xds/envoy/cluster.go
@@ -21,7 +21,7 @@
 
 // cluster translates a cluster that holds nothing which is not supported.
 func cluster(c *clusterv3.Cluster, warned map[string]bool) (*known.Cluster, error) {
-	out := &known.Cluster{ConnectTimeout: connectTimeout, Panic: panicPart}
+	out := &known.Cluster{ConnectTimeout: connectTimeout, PanicThreshold: panicPart}
 	if t := c.ConnectTimeout; t != nil {
 		if out.ConnectTimeout = t.AsDuration(); out.ConnectTimeout <= 0 {
 			return nil, errors.New("connect_timeout: must be positive")
@@ -33,17 +33,17 @@
 	}
 	if l := c.CommonLbConfig; l != nil {
 		if p := l.HealthyPanicThreshold; p != nil {
-			out.Panic = p.Value / 100
+			out.PanicThreshold = p.Value / 100
 		}
-		out.ByLocality = l.GetLocalityWeightedLbConfig() != nil
+		out.LocalityWeighted = l.GetLocalityWeightedLbConfig() != nil
 	}
 	for _, t := range c.GetCircuitBreakers().GetThresholds() {
 		if t.Priority != corev3.RoutingPriority_DEFAULT {
 			warned["circuit_breakers: those of high priority are passed over: requests have their worth"] = true
 			continue
 		}
-		out.Connections, out.Calls = int(t.MaxConnections.GetValue()), int(t.MaxRequests.GetValue())
-		if t.MaxConnections != nil && out.Connections == 0 || t.MaxRequests != nil && out.Calls == 0 {
+		out.MaxConnections, out.MaxRequests = int(t.MaxConnections.GetValue()), int(t.MaxRequests.GetValue())
+		if t.MaxConnections != nil && out.MaxConnections == 0 || t.MaxRequests != nil && out.MaxRequests == 0 {
 			return nil, errors.New("circuit_breakers: a bound of 0 would stop the cluster: drain its endpoints, or drop its traffic")
 		}
 	}
@@ -54,9 +54,9 @@
 		}
 		return out, sets(c, out)
 	case clusterv3.Cluster_STRICT_DNS:
-		out.Lookup = known.AllOf
+		out.Resolution = known.StrictDNS
 	case clusterv3.Cluster_LOGICAL_DNS:
-		out.Lookup = known.OneOf
+		out.Resolution = known.LogicalDNS
 	case clusterv3.Cluster_STATIC:
 	default:
 		return nil, fmt.Errorf("type: %s is not supported", c.GetType())
@@ -68,13 +68,13 @@
 		return nil, errors.New("load_assignment: missing")
 	}
 	var err error
-	if out.Own, err = set(c.LoadAssignment, out.Lookup); err != nil {
+	if out.Inline, err = set(c.LoadAssignment, out.Resolution); err != nil {
 		return nil, fmt.Errorf("load_assignment: %w", err)
 	}
-	if n := count(out.Own); out.Lookup != known.Addresses && n > maxNames {
+	if n := count(out.Inline); out.Resolution != known.NoResolution && n > maxNames {
 		return nil, fmt.Errorf("load_assignment: %d names, over %d", n, maxNames)
 	}
-	if n := count(out.Own); out.Lookup == known.OneOf && n != 1 {
+	if n := count(out.Inline); out.Resolution == known.LogicalDNS && n != 1 {
 		return nil, fmt.Errorf("load_assignment: LOGICAL_DNS has one endpoint, not %d", n)
 	}
 	return out, nil
@@ -82,9 +82,9 @@
 
 // sets reads where a cluster's endpoint set is found.
 func sets(c *clusterv3.Cluster, out *known.Cluster) error {
-	out.Service = c.GetEdsClusterConfig().GetServiceName()
-	if out.Service == "" {
-		out.Service = c.Name
+	out.ServiceName = c.GetEdsClusterConfig().GetServiceName()
+	if out.ServiceName == "" {
+		out.ServiceName = c.Name
 	}
 	from := c.GetEdsClusterConfig().GetEdsConfig()
 	if v := from.GetResourceApiVersion(); v != corev3.ApiVersion_AUTO && v != corev3.ApiVersion_V3 {
@@ -93,16 +93,16 @@
 	switch of := from.GetConfigSourceSpecifier().(type) {
 	case *corev3.ConfigSource_Ads, *corev3.ConfigSource_Self:
 	case *corev3.ConfigSource_Path:
-		out.File = of.Path
+		out.EndpointsFile = of.Path
 	case *corev3.ConfigSource_PathConfigSource:
-		out.File = of.PathConfigSource.GetPath()
+		out.EndpointsFile = of.PathConfigSource.GetPath()
 	default:
 		return errors.New("eds_cluster_config.eds_config: must be ads, self or path_config_source")
 	}
 	return nil
 }
 
-func count(s *known.Set) (n int) {
+func count(s *known.EndpointSet) (n int) {
 	for _, l := range s.Localities {
 		n += len(l.Endpoints)
 	}
--- a/internal/xds/envoy/decode.go
+++ b/internal/xds/envoy/decode.go
@@ -36,9 +36,9 @@
 	case ClusterType:
 		return ads.Clusters
 	case SetType:
-		return ads.Sets
+		return ads.Endpoints
 	}
-	return ads.Kinds
+	return ads.KindCount
 }
 
 // Error is a resource that can't be used.
@@ -65,16 +65,16 @@
 type Decoder struct {
 	Warn func(text string) // may be called again with the same text
 
-	items map[cacheKey]known.Item
-	last  [ads.Kinds]map[string]cacheKey // by name
+	items map[cacheKey]known.Resource
+	last  [ads.KindCount]map[string]cacheKey // by name
 }
 
 // Read reads a resource. The error is an *Error.
-func (d *Decoder) Read(k ads.Kind, version string, raw *anypb.Any) (known.Item, error) {
+func (d *Decoder) Read(k ads.Kind, version string, raw *anypb.Any) (known.Resource, error) {
 	if raw.GetTypeUrl() == wrapperType {
 		var w discoveryv3.Resource
 		if err := proto.Unmarshal(raw.Value, &w); err != nil {
-			return known.Item{}, &Error{Err: err}
+			return known.Resource{}, &Error{Err: err}
 		}
 		if w.Version != "" {
 			version = w.Version
@@ -82,17 +82,17 @@
 		raw = w.Resource
 	}
 	if KindOf(raw.GetTypeUrl()) != k {
-		return known.Item{}, &Error{Err: fmt.Errorf("of type %q among those of %q", raw.GetTypeUrl(), TypeOf(k))}
+		return known.Resource{}, &Error{Err: fmt.Errorf("of type %q among those of %q", raw.GetTypeUrl(), TypeOf(k))}
 	}
 	key := cacheKey{k, sha256.Sum256(raw.Value)}
 	i, hit := d.items[key]
 	if !hit {
 		var err error
 		if i, err = d.read(k, raw.Value); err != nil {
-			return known.Item{}, err
+			return known.Resource{}, err
 		}
-		if d.items == nil || len(d.items) >= int(ads.Kinds)*known.MaxResources {
-			d.items, d.last = map[cacheKey]known.Item{}, [ads.Kinds]map[string]cacheKey{}
+		if d.items == nil || len(d.items) >= int(ads.KindCount)*known.MaxResources {
+			d.items, d.last = map[cacheKey]known.Resource{}, [ads.KindCount]map[string]cacheKey{}
 		}
 		if d.last[k] == nil {
 			d.last[k] = map[string]cacheKey{}
@@ -104,23 +104,23 @@
 	return i, nil
 }
 
-func (d *Decoder) read(k ads.Kind, raw []byte) (i known.Item, err error) {
+func (d *Decoder) read(k ads.Kind, raw []byte) (i known.Resource, err error) {
 	var m interface {
 		proto.Message
 		Validate() error
 	}
 	c, s := &clusterv3.Cluster{}, &endpointv3.ClusterLoadAssignment{}
-	if m = c; k == ads.Sets {
+	if m = c; k == ads.Endpoints {
 		m = s
 	}
 	if err := proto.Unmarshal(raw, m); err != nil {
 		return i, &Error{Err: err}
 	}
 	i.Name, i.Raw = c.Name, raw
-	if k == ads.Sets {
+	if k == ads.Endpoints {
 		i.Name = s.ClusterName
 	}
-	fault := func(err error) (known.Item, error) { return i, &Error{i.Name, err} }
+	fault := func(err error) (known.Resource, error) { return i, &Error{i.Name, err} }
 	if i.Name == "" {
 		return fault(errors.New("it has no name"))
 	}
@@ -134,7 +134,7 @@
 	if k == ads.Clusters {
 		i.Cluster, err = cluster(c, warned)
 	} else {
-		i.Set, err = set(s, known.Addresses)
+		i.Set, err = set(s, known.NoResolution)
 	}
 	if err != nil {
 		return fault(err)
--- a/internal/xds/envoy/envoy_test.go
+++ b/internal/xds/envoy/envoy_test.go
@@ -57,10 +57,10 @@
 	return out
 }
 
-func read(t *testing.T, k ads.Kind, text string) (known.Item, string, error) {
+func read(t *testing.T, k ads.Kind, text string) (known.Resource, string, error) {
 	t.Helper()
 	var m protoreflect.ProtoMessage = &clusterv3.Cluster{}
-	if k == ads.Sets {
+	if k == ads.Endpoints {
 		m = &endpointv3.ClusterLoadAssignment{}
 	}
 	if err := protojson.Unmarshal([]byte(text), m); err != nil {
@@ -105,7 +105,7 @@
 	}
 	i, _, err := read(t, ads.Clusters, `{"name": "c", `+eds+`, "connect_timeout": "0.25s", "common_lb_config": {"healthy_panic_threshold": {"value": 20},
 		"locality_weighted_lb_config": {}}, "circuit_breakers": {"thresholds": [{"max_connections": 5, "max_requests": 9}]}}`)
-	if c := i.Cluster; err != nil || c.Service != "c" || c.ConnectTimeout.Milliseconds() != 250 || c.Panic != 0.2 || !c.ByLocality || c.Connections != 5 || c.Calls != 9 {
+	if c := i.Cluster; err != nil || c.ServiceName != "c" || c.ConnectTimeout.Milliseconds() != 250 || c.PanicThreshold != 0.2 || !c.LocalityWeighted || c.MaxConnections != 5 || c.MaxRequests != 9 {
 		t.Errorf("%+v, %v", i.Cluster, err)
 	}
 }
@@ -130,13 +130,13 @@
 		{`{"cluster_name": "c", "policy": {"drop_overloads": [{"category": "x"}]}}`, "drop_overloads[0]"},
 		{`{"cluster_name": "c", "policy": {"drop_overloads": [{"category": "x", "drop_percentage": {"numerator": 5}}]}}`, ""},
 	} {
-		i, _, err := read(t, ads.Sets, c.text)
+		i, _, err := read(t, ads.Endpoints, c.text)
 		if (err == nil) != (c.fault == "") || err != nil && !strings.Contains(err.Error(), c.fault) {
 			t.Errorf("%s:\n%+v, %v; want %q", c.text, i.Set, err, c.fault)
 		}
 	}
-	i, _, err := read(t, ads.Sets, one(at("10.0.0.1", `, "health_status": "TIMEOUT", "load_balancing_weight": 7, "metadata": {"filter_metadata": {"silvertrail": {"group": 3, "since_ms": 99}}}`)))
-	if want := (known.Endpoint{Address: "10.0.0.1:80", Health: known.Unwell, Weight: 7, Group: 3, SinceMS: 99}); err != nil || i.Set.Localities[0].Endpoints[0] != want {
+	i, _, err := read(t, ads.Endpoints, one(at("10.0.0.1", `, "health_status": "TIMEOUT", "load_balancing_weight": 7, "metadata": {"filter_metadata": {"silvertrail": {"group": 3, "since_ms": 99}}}`)))
+	if want := (known.Endpoint{Address: "10.0.0.1:80", Health: known.Unhealthy, Weight: 7, Group: 3, SinceMS: 99}); err != nil || i.Set.Localities[0].Endpoints[0] != want {
 		t.Errorf("%+v, %v", i.Set, err)
 	}
 	for status := range corev3.HealthStatus_name {
@@ -157,7 +157,7 @@
 		f.Add(a.Value, m.ProtoReflect().Descriptor().Name() == "Cluster")
 	}
 	f.Fuzz(func(t *testing.T, raw []byte, cluster bool) {
-		k := ads.Sets
+		k := ads.Endpoints
 		if cluster {
 			k = ads.Clusters
 		}
@@ -167,7 +167,7 @@
 			t.Errorf("%+v", i)
 		}
 		if i.Set != nil {
-			known.Members(&known.Cluster{Panic: 0.5}, i.Set, false, known.AllLevels)
+			known.AssignTraffic(&known.Cluster{PanicThreshold: 0.5}, i.Set, false, known.AllPriorities)
 		}
 	})
 }
--- a/internal/xds/envoy/set.go
+++ b/internal/xds/envoy/set.go
@@ -23,20 +23,20 @@
 )
 
 // set translates an endpoint set that holds nothing which is not supported.
-func set(s *endpointv3.ClusterLoadAssignment, lookup known.Lookup) (*known.Set, error) {
-	out := &known.Set{Overprovided: overprovided}
+func set(s *endpointv3.ClusterLoadAssignment, lookup known.Resolution) (*known.EndpointSet, error) {
+	out := &known.EndpointSet{Overprovisioning: overprovided}
 	if p := s.Policy; p != nil {
 		if f := p.OverprovisioningFactor; f != nil {
-			out.Overprovided = float64(f.Value) / 100
+			out.Overprovisioning = float64(f.Value) / 100
 		}
 		out.StaleAfter = p.EndpointStaleAfter.AsDuration()
-		out.ByWeight = p.WeightedPriorityHealth
+		out.WeightedHealth = p.WeightedPriorityHealth
 		for i, d := range p.DropOverloads {
 			part, err := fraction(d.DropPercentage)
 			if err != nil {
 				return nil, fmt.Errorf("policy.drop_overloads[%d]: %w", i, err)
 			}
-			out.Drops = append(out.Drops, known.Drop{Category: d.Category, Part: part})
+			out.DropOverloads = append(out.DropOverloads, known.DropOverload{Category: d.Category, Fraction: part})
 		}
 	}
 	places := map[[3]string]map[uint32]bool{}
@@ -56,7 +56,7 @@
 		}
 		places[at][l.Priority], levels[l.Priority] = true, true
 		top = max(top, l.Priority)
-		to := known.Locality{Region: at[0], Zone: at[1], Part: at[2], Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
+		to := known.Locality{Region: at[0], Zone: at[1], SubZone: at[2], Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
 		for j, e := range l.LbEndpoints {
 			here := fmt.Sprintf("endpoints[%d].lb_endpoints[%d]", i, j)
 			one, err := endpoint(e, lookup)
@@ -85,11 +85,11 @@
 	corev3.HealthStatus_HEALTHY:   known.Healthy,
 	corev3.HealthStatus_DEGRADED:  known.Degraded,
 	corev3.HealthStatus_DRAINING:  known.Draining,
-	corev3.HealthStatus_UNHEALTHY: known.Unwell,
-	corev3.HealthStatus_TIMEOUT:   known.Unwell,
+	corev3.HealthStatus_UNHEALTHY: known.Unhealthy,
+	corev3.HealthStatus_TIMEOUT:   known.Unhealthy,
 }
 
-func endpoint(e *endpointv3.LbEndpoint, lookup known.Lookup) (out known.Endpoint, err error) {
+func endpoint(e *endpointv3.LbEndpoint, lookup known.Resolution) (out known.Endpoint, err error) {
 	health, is := healths[e.HealthStatus]
 	if !is {
 		return out, fmt.Errorf(".health_status: %s is not known", e.HealthStatus)
@@ -109,7 +109,7 @@
 	out.Address = net.JoinHostPort(at.Address, strconv.Itoa(int(port)))
 	if ip, err := netip.ParseAddr(at.Address); err == nil {
 		out.Address = netip.AddrPortFrom(ip.Unmap(), uint16(port)).String()
-	} else if lookup == known.Addresses {
+	} else if lookup == known.NoResolution {
 		return out, fmt.Errorf(".endpoint.address: %q is no IP address", at.Address)
 	} else if at.Address == "" {
 		return out, errors.New(".endpoint.address: no name")
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -36,13 +36,13 @@
 }
 
 // split makes of a file's response one for each kind.
-func split(m *discoveryv3.DiscoveryResponse) (out [ads.Kinds]*received, err error) {
-	for k := range ads.Kinds {
+func split(m *discoveryv3.DiscoveryResponse) (out [ads.KindCount]*received, err error) {
+	for k := range ads.KindCount {
 		out[k] = &received{kind: k, version: m.VersionInfo, whole: true}
 	}
 	for i, a := range m.Resources {
 		k := envoy.KindOf(a.TypeUrl)
-		if k == ads.Kinds {
+		if k == ads.KindCount {
 			return out, fmt.Errorf("resources[%d]: of type %q", i, a.TypeUrl)
 		}
 		out[k].resources = append(out[k].resources, resource{version: m.VersionInfo, any: a})
@@ -54,7 +54,7 @@
 func (k *conn) follow(o planes.Options) error {
 	d := &envoy.Decoder{Warn: k.c.warn}
 	file := watchedfile.File{Path: k.plane.File, MaxBytes: o.MaxMessage}
-	var last [ads.Kinds]*received
+	var last [ads.KindCount]*received
 	for {
 		text, changed, err := file.Read()
 		if errors.Is(err, os.ErrNotExist) {
@@ -75,11 +75,11 @@
 		k.restart = false
 		if (m != nil || again) && err == nil && last[0] != nil && k.ctx.Err() == nil {
 			for _, r := range last {
-				if r.kind == ads.Sets { // a stream sends those that are asked for
+				if r.kind == ads.Endpoints { // a stream sends those that are asked for
 					k.c.step()
 				}
 				message, faults := r.read(d)
-				message.Whole = len(faults) == 0
+				message.Complete = len(faults) == 0
 				k.told(r.version, append(faults, k.apply(message)...))
 			}
 			k.c.step()
@@ -97,22 +97,22 @@
 // setFile is a file that holds endpoint sets of clusters.
 type setFile struct {
 	stop  context.CancelFunc
-	sets  map[string]*known.Set
+	sets  map[string]*known.EndpointSet
 	heard time.Time
 	fault string
 }
 
 // complete gives a cluster the endpoints that its file holds.
-func (f *setFile) complete(v *known.View) {
+func (f *setFile) complete(v *known.ClusterView) {
 	switch {
 	case f == nil || f.sets == nil && f.fault == "":
-	case f.sets[v.Cluster.Service] != nil:
-		v.State, v.Set, v.Why = known.Ready, f.sets[v.Cluster.Service], ""
+	case f.sets[v.Cluster.ServiceName] != nil:
+		v.State, v.Set, v.Reason = known.Ready, f.sets[v.Cluster.ServiceName], ""
 		v.Stale = v.Set.StaleAfter > 0 && time.Since(f.heard) >= v.Set.StaleAfter
 	case f.sets != nil:
-		v.State, v.Why = known.Missing, fmt.Sprintf("%s has no endpoints of %q", v.Cluster.File, v.Cluster.Service)
+		v.State, v.Reason = known.Missing, fmt.Sprintf("%s has no endpoints of %q", v.Cluster.EndpointsFile, v.Cluster.ServiceName)
 	default:
-		v.State, v.Why = known.Missing, f.fault
+		v.State, v.Reason = known.Missing, f.fault
 	}
 }
 
@@ -152,7 +152,7 @@
 					}
 				}
 				if f.sets == nil && sets != nil {
-					f.sets = map[string]*known.Set{}
+					f.sets = map[string]*known.EndpointSet{}
 				}
 				for name, s := range sets {
 					f.sets[name] = s
@@ -177,7 +177,7 @@
 	}
 }
 
-func readSets(text []byte, err error, d *envoy.Decoder) (map[string]*known.Set, []string) {
+func readSets(text []byte, err error, d *envoy.Decoder) (map[string]*known.EndpointSet, []string) {
 	var m *discoveryv3.DiscoveryResponse
 	if err == nil {
 		m, err = ParseFile(text)
@@ -189,9 +189,9 @@
 	if err != nil {
 		return nil, []string{err.Error()}
 	}
-	message, faults := r[ads.Sets].read(d)
-	sets := map[string]*known.Set{}
-	for _, i := range message.Items {
+	message, faults := r[ads.Endpoints].read(d)
+	sets := map[string]*known.EndpointSet{}
+	for _, i := range message.Resources {
 		sets[i.Name] = i.Set
 	}
 	return sets, faults
--- a/internal/xds/format_test.go
+++ b/internal/xds/format_test.go
@@ -13,7 +13,7 @@
 
 // The file of the last good state is written as recorded, and a recorded one is read.
 func TestStateFileFormat(t *testing.T) {
-	var state []known.Saved
+	var state []known.SavedResource
 	golden.Fill(&state)
 	path := filepath.Join(t.TempDir(), "state")
 	if err := statefile.Write(path, stateFormat, state); err != nil {
@@ -27,12 +27,12 @@
 	if err := os.WriteFile(path, recorded, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	var read []known.Saved
+	var read []known.SavedResource
 	if err := statefile.Read(path, stateFormat, maxState, &read); err != nil {
 		t.Fatal(err)
 	}
 	for i := range read {
-		read[i].Heard = read[i].Heard.UTC()
+		read[i].ReceivedAt = read[i].ReceivedAt.UTC()
 	}
 	if !reflect.DeepEqual(read, state) {
 		t.Errorf("read as %+v, want %+v", read, state)
--- a/internal/xds/known/dump.go
+++ b/internal/xds/known/dump.go
@@ -10,72 +10,72 @@
 	"silvertrail/internal/xds/ads"
 )
 
-// Line is what is told of a resource.
-type Line struct {
-	Kind    string    `json:"kind"`
-	Name    string    `json:"name"`
-	Version string    `json:"version,omitempty"` // in force
-	From    string    `json:"from,omitempty"`
-	Heard   time.Time `json:"heard,omitzero"`
-	State   string    `json:"state"`
+// ResourceStatus is what is told of a resource.
+type ResourceStatus struct {
+	Kind       string    `json:"kind"`
+	Name       string    `json:"name"`
+	Version    string    `json:"version,omitempty"` // in force
+	Source     string    `json:"from,omitempty"`
+	ReceivedAt time.Time `json:"heard,omitzero"`
+	State      string    `json:"state"`
 	// Of the last word that was turned away:
-	Fault        string    `json:"fault,omitempty"`
-	FaultVersion string    `json:"fault_version,omitempty"`
-	FaultAt      time.Time `json:"fault_at,omitzero"`
-	Held         string    `json:"held,omitempty"` // version of what is held off
-	Endpoints    int       `json:"endpoints,omitempty"`
-	Used         bool      `json:"used"`
+	RejectionReason string    `json:"fault,omitempty"`
+	RejectedVersion string    `json:"fault_version,omitempty"`
+	RejectedAt      time.Time `json:"fault_at,omitzero"`
+	DeferredVersion string    `json:"held,omitempty"` // version of what is held off
+	Endpoints       int       `json:"endpoints,omitempty"`
+	InUse           bool      `json:"used"`
 }
 
 // Dump is what is known of the control planes and of what they have said.
 type Dump struct {
-	Planes    []PlaneView `json:"planes"`
-	Resources []Line      `json:"resources"`
-	Files     []FileView  `json:"files,omitempty"`
+	ControlPlanes []ControlPlaneStatus `json:"planes"`
+	Resources     []ResourceStatus     `json:"resources"`
+	Files         []FileStatus         `json:"files,omitempty"`
 }
 
-// PlaneView is how a control plane stands.
-type PlaneView struct {
-	Name     string `json:"name"`
-	State    string `json:"state"`
-	Listened bool   `json:"listened"`
+// ControlPlaneStatus is how a control plane stands.
+type ControlPlaneStatus struct {
+	Name   string `json:"name"`
+	State  string `json:"state"`
+	Active bool   `json:"listened"`
 }
 
-// FileView is how a file of endpoint sets stands.
-type FileView struct {
-	Path  string    `json:"path"`
-	Sets  int       `json:"sets"`
-	Heard time.Time `json:"heard,omitzero"`
-	Fault string    `json:"fault,omitempty"`
+// FileStatus is how a file of endpoint sets stands.
+type FileStatus struct {
+	Path   string    `json:"path"`
+	Sets   int       `json:"sets"`
+	ReadAt time.Time `json:"heard,omitzero"`
+	Error  string    `json:"fault,omitempty"`
 }
 
-// Dump tells of all resources, clusters first.
-func (s *Store) Dump() (out []Line) {
-	for k := range ads.Kinds {
-		wanted := s.wanted(k)
+// Status tells of all resources, clusters first.
+func (s *Cache) Status() (out []ResourceStatus) {
+	for k := range ads.KindCount {
+		wanted := s.subscribed(k)
 		for _, n := range slices.Sorted(maps.Keys(s.entries[k])) {
 			e := s.entries[k][n]
-			l := Line{Kind: k.String(), Name: n, Version: e.item.Version, From: e.from, Heard: e.heard, Fault: e.fault.Why,
-				FaultVersion: e.fault.Version, FaultAt: e.at, Used: wanted[n]}
+			l := ResourceStatus{Kind: k.String(), Name: n, Version: e.resource.Version, Source: e.source, ReceivedAt: e.receivedAt, RejectionReason: e.rejection.Reason,
+				RejectedVersion: e.rejection.Version, RejectedAt: e.rejectedAt, InUse: wanted[n]}
 			switch {
-			case e.there() && e.fault.Why != "":
+			case e.isPresent() && e.rejection.Reason != "":
 				l.State = "turned away, the one before in force"
-			case e.there():
+			case e.isPresent():
 				l.State = "in force"
-			case e.fault.Why != "":
+			case e.rejection.Reason != "":
 				l.State = "missing"
-			case !e.asked.IsZero():
+			case !e.requestedAt.IsZero():
 				l.State = "asked for"
 			default:
 				l.State = "removed"
 			}
-			if e.held != nil {
-				l.Held = cmp.Or(e.held.Version, "one without a version")
+			if e.deferred != nil {
+				l.DeferredVersion = cmp.Or(e.deferred.Version, "one without a version")
 			}
-			if l.Fault == "" {
-				l.FaultAt = time.Time{}
+			if l.RejectionReason == "" {
+				l.RejectedAt = time.Time{}
 			}
-			if set := e.item.Set; set != nil {
+			if set := e.resource.Set; set != nil {
 				for _, at := range set.Localities {
 					l.Endpoints += len(at.Endpoints)
 				}
@@ -86,22 +86,22 @@
 	return out
 }
 
-// Saved is a resource in force, for a restart.
-type Saved struct {
-	Kind    ads.Kind  `codec:"Kind"`
-	Version string    `codec:"Version"`
-	Raw     []byte    `codec:"Raw"`
-	From    string    `codec:"From"`
-	Heard   time.Time `codec:"Heard"`
+// SavedResource is a resource in force, for a restart.
+type SavedResource struct {
+	Kind       ads.Kind  `codec:"Kind"`
+	Version    string    `codec:"Version"`
+	Raw        []byte    `codec:"Raw"`
+	Source     string    `codec:"From"`
+	ReceivedAt time.Time `codec:"Heard"`
 }
 
-// Save returns all that is in force and in use, in a stable order.
-func (s *Store) Save() (out []Saved) {
-	for k := range ads.Kinds {
-		wanted := s.wanted(k)
+// Snapshot returns all that is in force and in use, in a stable order.
+func (s *Cache) Snapshot() (out []SavedResource) {
+	for k := range ads.KindCount {
+		wanted := s.subscribed(k)
 		for _, n := range slices.Sorted(maps.Keys(s.entries[k])) {
-			if e := s.entries[k][n]; e.there() && wanted[n] && len(e.item.Raw) > 0 {
-				out = append(out, Saved{k, e.item.Version, e.item.Raw, e.from, e.heard})
+			if e := s.entries[k][n]; e.isPresent() && wanted[n] && len(e.resource.Raw) > 0 {
+				out = append(out, SavedResource{k, e.resource.Version, e.resource.Raw, e.source, e.receivedAt})
 			}
 		}
 	}
@@ -110,12 +110,12 @@
 
 // Restore takes what was in force before a restart, as cached knowledge: it is as old as it is, and gives way to whatever a
 // server says. It must come before any stream.
-func (s *Store) Restore(saved Saved, i Item) {
+func (s *Cache) Restore(saved SavedResource, i Resource) {
 	e := s.entry(saved.Kind, i.Name)
 	if e == nil {
 		return
 	}
 	i.Version = saved.Version
-	s.book.Receive(saved.Heard, updateorder.Stream(0), word(saved.Kind, i))
-	s.put(saved.Heard, saved.Kind, e, i, saved.From+", from the file of the last state")
+	s.order.Receive(saved.ReceivedAt, updateorder.Stream(0), updateOf(saved.Kind, i))
+	s.accept(saved.ReceivedAt, saved.Kind, e, i, saved.Source+", from the file of the last state")
 }
--- a/internal/xds/known/kinds.go
+++ b/internal/xds/known/kinds.go
@@ -17,10 +17,10 @@
 
 // The words for it.
 const (
-	Healthy  Health = iota // or unknown
-	Degraded               // used where the healthy ones are too few
-	Draining               // nothing new
-	Unwell                 // unhealthy, or its checks time out: nothing new, but in a panic
+	Healthy   Health = iota // or unknown
+	Degraded                // used where the healthy ones are too few
+	Draining                // nothing new
+	Unhealthy               // unhealthy, or its checks time out: nothing new, but in a panic
 )
 
 func (h Health) String() string {
@@ -39,80 +39,80 @@
 
 // Locality is a place with endpoints, at one level of failover.
 type Locality struct {
-	Region, Zone, Part string
-	Priority           int
-	Weight             uint32 // counts where the cluster says so; 0 is none then
-	Endpoints          []Endpoint
+	Region, Zone, SubZone string
+	Priority              int
+	Weight                uint32 // counts where the cluster says so; 0 is none then
+	Endpoints             []Endpoint
 }
 
-// Set is a cluster's endpoints.
-type Set struct {
-	Localities   []Locality // priorities have no gap
-	Overprovided float64    // a level whose healthy part times this is under one passes the rest on
-	ByWeight     bool       // the healthy part is measured by weights, not by number
-	StaleAfter   time.Duration
-	Drops        []Drop
+// EndpointSet is a cluster's endpoints.
+type EndpointSet struct {
+	Localities       []Locality // priorities have no gap
+	Overprovisioning float64    // a level whose healthy part times this is under one passes the rest on
+	WeightedHealth   bool       // the healthy part is measured by weights, not by number
+	StaleAfter       time.Duration
+	DropOverloads    []DropOverload
 }
 
-// Drop is a part of the traffic that is to be refused.
-type Drop struct {
+// DropOverload is a part of the traffic that is to be refused.
+type DropOverload struct {
 	Category string
-	Part     float64
+	Fraction float64
 }
 
-// Dropped is the part of the traffic that all categories refuse, each of what those before it leave.
-func (s *Set) Dropped() float64 {
+// DropFraction is the part of the traffic that all categories refuse, each of what those before it leave.
+func (s *EndpointSet) DropFraction() float64 {
 	left := 1.0
-	for _, d := range s.Drops {
-		left *= 1 - d.Part
+	for _, d := range s.DropOverloads {
+		left *= 1 - d.Fraction
 	}
 	return 1 - left
 }
 
-// Lookup is how the names in a cluster's endpoints become addresses.
-type Lookup uint8
+// Resolution is how the names in a cluster's endpoints become addresses.
+type Resolution uint8
 
 // The ways.
 const (
-	Addresses Lookup = iota // they are addresses
-	AllOf                   // each address of a name is an endpoint
-	OneOf                   // the first address of a name is
+	NoResolution Resolution = iota // they are addresses
+	StrictDNS                      // each address of a name is an endpoint
+	LogicalDNS                     // the first address of a name is
 )
 
 // Cluster is a cluster. Its form has been checked.
 type Cluster struct {
-	Service        string // the name of its endpoint set; empty: Own is it
-	File           string // where that set is in a file; empty: the control plane tells it
-	Own            *Set
-	Lookup         Lookup
-	ConnectTimeout time.Duration // zero: not told
-	Connections    int           // most, as its circuit breaker says; zero: not told
-	Calls          int
-	Panic          float64 // a healthy part under it has all used
-	ByLocality     bool    // weights of localities count
+	ServiceName      string // the name of its endpoint set; empty: Own is it
+	EndpointsFile    string // where that set is in a file; empty: the control plane tells it
+	Inline           *EndpointSet
+	Resolution       Resolution
+	ConnectTimeout   time.Duration // zero: not told
+	MaxConnections   int           // most, as its circuit breaker says; zero: not told
+	MaxRequests      int
+	PanicThreshold   float64 // a healthy part under it has all used
+	LocalityWeighted bool    // weights of localities count
 }
 
-// Item is a resource as it was said.
-type Item struct {
+// Resource is a resource as it was said.
+type Resource struct {
 	Name    string
 	Version string
 	Digest  updateorder.Digest
 	Raw     []byte // as it came, for the state that is kept over a restart
 	Cluster *Cluster
-	Set     *Set
+	Set     *EndpointSet
 }
 
-// Fault is a resource that can't be used, and why.
-type Fault struct {
-	Name, Version, Why string
+// Rejection is a resource that can't be used, and why.
+type Rejection struct {
+	Name, Version, Reason string
 }
 
-// Message is what a stream brings.
-type Message struct {
-	Kind    ads.Kind
-	Version string
-	Whole   bool // clusters that it does not name are gone
-	Items   []Item
-	Faults  []Fault
-	Gone    []string
+// Response is what a stream brings.
+type Response struct {
+	Kind       ads.Kind
+	Version    string
+	Complete   bool // clusters that it does not name are gone
+	Resources  []Resource
+	Rejections []Rejection
+	Removed    []string
 }
--- a/internal/xds/known/levels.go
+++ b/internal/xds/known/levels.go
@@ -5,13 +5,13 @@
 	"slices"
 )
 
-// Member is an endpoint with what it is to get.
-type Member struct {
+// AssignedEndpoint is an endpoint with what it is to get.
+type AssignedEndpoint struct {
 	Endpoint
 	Locality *Locality
 	Use      Use
-	// Share is its part of the traffic against the others that are used, the largest being 1.
-	Share float64
+	// TrafficShare is its part of the traffic against the others that are used, the largest being 1.
+	TrafficShare float64
 }
 
 // Use is what a member is for.
@@ -24,10 +24,10 @@
 	Unused // nothing new
 )
 
-// AllLevels has the members of all levels of failover used, as their health has it.
-const AllLevels = -1
+// AllPriorities has the members of all levels of failover used, as their health has it.
+const AllPriorities = -1
 
-// Members tells which endpoints are used, and their shares. The rules are those that Envoy states for priority levels, degraded
+// AssignTraffic tells which endpoints are used, and their shares. The rules are those that Envoy states for priority levels, degraded
 // endpoints, overprovisioning, locality weights and the panic threshold, with one difference: what drains is not used even in
 // a panic.
 //
@@ -37,12 +37,12 @@
 //     threshold then uses all it has.
 //   - Where nobody is healthy or degraded, all that do not drain are used alike; none, where the panic threshold is 0.
 //   - Where a level is named it alone is used, by the same rules.
-func Members(c *Cluster, s *Set, stale bool, level int) (out []Member) {
+func AssignTraffic(c *Cluster, s *EndpointSet, stale bool, level int) (out []AssignedEndpoint) {
 	type part struct {
 		all     float64
-		part    [Unwell + 1]float64
-		members [Unwell + 1][]Member
-		load    [Unwell + 1]float64
+		part    [Unhealthy + 1]float64
+		members [Unhealthy + 1][]AssignedEndpoint
+		load    [Unhealthy + 1]float64
 	}
 	var parts []part
 	for i := range s.Localities {
@@ -56,16 +56,16 @@
 			total += float64(e.Weight)
 		}
 		for _, e := range l.Endpoints {
-			m := Member{Endpoint: e, Locality: l, Use: Unused, Share: float64(e.Weight)}
-			if c.ByLocality {
-				m.Share *= float64(l.Weight) / total
+			m := AssignedEndpoint{Endpoint: e, Locality: l, Use: Unused, TrafficShare: float64(e.Weight)}
+			if c.LocalityWeighted {
+				m.TrafficShare *= float64(l.Weight) / total
 			}
 			h := e.Health
 			if stale && h != Draining {
-				h = Unwell
+				h = Unhealthy
 			}
 			one := 1.0
-			if s.ByWeight {
+			if s.WeightedHealth {
 				one = float64(e.Weight)
 			}
 			p.all += one
@@ -73,12 +73,12 @@
 			p.members[h] = append(p.members[h], m)
 		}
 	}
-	named := func(i int) bool { return level == AllLevels || level == i }
+	named := func(i int) bool { return level == AllPriorities || level == i }
 	able := func(p *part, h Health) float64 {
 		if p.all == 0 {
 			return 0
 		}
-		return min(1, s.Overprovided*p.part[h]/p.all)
+		return min(1, s.Overprovisioning*p.part[h]/p.all)
 	}
 	sum := 0.0
 	for i := range parts {
@@ -104,12 +104,12 @@
 			continue
 		}
 		switch healthy := p.part[Healthy] / max(p.all, 1); {
-		case sum == 0 && c.Panic > 0: // nobody is well: all alike
-			p.members[Healthy], p.members[Unwell] = p.members[Unwell], nil
+		case sum == 0 && c.PanicThreshold > 0: // nobody is well: all alike
+			p.members[Healthy], p.members[Unhealthy] = p.members[Unhealthy], nil
 			p.load[Healthy] = float64(len(p.members[Healthy]))
-		case sum < 1 && healthy < c.Panic:
-			p.members[Healthy] = slices.Concat(p.members[Healthy], p.members[Degraded], p.members[Unwell])
-			p.members[Degraded], p.members[Unwell] = nil, nil
+		case sum < 1 && healthy < c.PanicThreshold:
+			p.members[Healthy] = slices.Concat(p.members[Healthy], p.members[Degraded], p.members[Unhealthy])
+			p.members[Degraded], p.members[Unhealthy] = nil, nil
 			p.load[Healthy] += p.load[Degraded]
 		}
 	}
@@ -119,27 +119,27 @@
 		for h, members := range p.members {
 			weights := 0.0
 			for _, m := range members {
-				weights += m.Share
+				weights += m.TrafficShare
 			}
 			for _, m := range members {
 				switch {
-				case Health(h) == Draining || Health(h) == Unwell:
-					m.Share = 0
-				case p.load[h] > 0 && m.Share > 0:
-					m.Use, m.Share = Used, p.load[h]*m.Share/weights
+				case Health(h) == Draining || Health(h) == Unhealthy:
+					m.TrafficShare = 0
+				case p.load[h] > 0 && m.TrafficShare > 0:
+					m.Use, m.TrafficShare = Used, p.load[h]*m.TrafficShare/weights
 				default:
-					m.Use, m.Share = Standby, 0
+					m.Use, m.TrafficShare = Standby, 0
 				}
-				most = max(most, m.Share)
+				most = max(most, m.TrafficShare)
 				out = append(out, m)
 			}
 		}
 	}
 	for i := range out {
 		if out[i].Use == Used {
-			out[i].Share /= most
+			out[i].TrafficShare /= most
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	slices.SortStableFunc(out, func(a, b AssignedEndpoint) int { return cmp.Compare(a.Address, b.Address) })
 	return out
 }
--- a/internal/xds/known/store_test.go
+++ b/internal/xds/known/store_test.go
@@ -14,39 +14,39 @@
 const hold = 30 * time.Second
 
 // state is what a control plane serves at a time: two clusters, either of which may be gone, whose endpoint sets tell the number of the state.
-func say(s *Store, now time.Time, stream updateorder.Stream, n int, whole, setsFirst bool) {
-	item := func(k ads.Kind, name string, of int) Item {
-		i := Item{Name: name, Version: fmt.Sprint(n), Digest: updateorder.Digest{1, byte(of), byte(of >> 8), byte(k), name[0]}, Raw: []byte{1}}
+func say(s *Cache, now time.Time, stream updateorder.Stream, n int, whole, setsFirst bool) {
+	item := func(k ads.Kind, name string, of int) Resource {
+		i := Resource{Name: name, Version: fmt.Sprint(n), Digest: updateorder.Digest{1, byte(of), byte(of >> 8), byte(k), name[0]}, Raw: []byte{1}}
 		if k == ads.Clusters {
-			i.Cluster = &Cluster{Service: name + "-set"}
+			i.Cluster = &Cluster{ServiceName: name + "-set"}
 		} else {
-			i.Set = &Set{Overprovided: 1.4, Localities: []Locality{{Endpoints: []Endpoint{{Address: fmt.Sprint(of), Weight: 1}}}}}
+			i.Set = &EndpointSet{Overprovisioning: 1.4, Localities: []Locality{{Endpoints: []Endpoint{{Address: fmt.Sprint(of), Weight: 1}}}}}
 		}
 		return i
 	}
-	c := Message{Kind: ads.Clusters, Version: fmt.Sprint(n), Whole: whole}
-	e := Message{Kind: ads.Sets, Version: fmt.Sprint(n)}
+	c := Response{Kind: ads.Clusters, Version: fmt.Sprint(n), Complete: whole}
+	e := Response{Kind: ads.Endpoints, Version: fmt.Sprint(n)}
 	for j, name := range []string{"a", "b"} {
 		if gone(n, j) {
-			c.Gone = append(c.Gone, name)
+			c.Removed = append(c.Removed, name)
 			continue
 		}
-		c.Items = append(c.Items, item(ads.Clusters, name, (n+1-j)/5)) // another one each time that it has been gone
-		e.Items = append(e.Items, item(ads.Sets, name+"-set", n))
+		c.Resources = append(c.Resources, item(ads.Clusters, name, (n+1-j)/5)) // another one each time that it has been gone
+		e.Resources = append(e.Resources, item(ads.Endpoints, name+"-set", n))
 	}
 	if whole {
-		c.Gone = nil
+		c.Removed = nil
 	}
 	if setsFirst {
-		s.Take(now, stream, e)
+		s.Apply(now, stream, e)
 	}
-	s.Take(now, stream, c)
-	s.Take(now, stream, e)
+	s.Apply(now, stream, c)
+	s.Apply(now, stream, e)
 }
 
 func gone(n, cluster int) bool { return n%5 == 3+cluster }
 
-func sees(s *Store, now time.Time, j int) string {
+func sees(s *Cache, now time.Time, j int) string {
 	v := s.View(now, []string{"a", "b"}[j])
 	if v.State != Ready {
 		return v.State.String()
@@ -59,15 +59,15 @@
 // describes.
 func TestInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := New(Rules{Hold: hold, Missing: time.Hour})
+		s := New(Options{DeferTime: hold, ResourceTimeout: time.Hour})
 		now := time.Unix(1_800_000_000, 0)
-		s.Use(now, []string{"a", "b"})
+		s.SetClustersInUse(now, []string{"a", "b"})
 		stream, head, at := updateorder.Stream(1), 0, 0 // of the plane, and of the server that is listened to
 		force := 0
-		s.Begun(now, stream, "p")
+		s.StreamStarted(now, stream, "p")
 		say(s, now, stream, 0, true, false)
 		check := func() {
-			s.Due(now)
+			s.Advance(now)
 			for j := range 2 {
 				want := fmt.Sprint(force)
 				if gone(force, j) {
@@ -96,10 +96,10 @@
 				}
 				say(s, now, stream, at, true, true)
 			case "break":
-				s.Ended(stream)
+				s.StreamEnded(stream)
 				stream++
 				at = max(head-rapid.IntRange(0, 6).Draw(t, "lag"), 0)
-				s.Begun(now, stream, "p")
+				s.StreamStarted(now, stream, "p")
 				say(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
 				now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "s")) * time.Second)
 			case "repeat":
@@ -109,12 +109,12 @@
 				t.Fatal("the test's own fault")
 			}
 			// What has stood for the hold counts. A server that was met for less has proved nothing.
-			if next := s.Next(now); !next.IsZero() && next.Before(now) {
+			if next := s.NextDeadline(now); !next.IsZero() && next.Before(now) {
 				t.Fatalf("due at %v, which is over", next)
 			}
 			if at < head && rapid.IntRange(0, 9).Draw(t, "stands") == 0 {
 				now = now.Add(hold)
-				s.Due(now)
+				s.Advance(now)
 				force, head = at, at                  // a rollback that is meant: the states after it have never been
 				say(s, now, stream, at, false, false) // sets of clusters that are there again are asked for
 				check()
@@ -122,11 +122,11 @@
 			}
 			check()
 		}
-		s.Ended(stream)
-		s.Begun(now, stream+1, "p")
+		s.StreamEnded(stream)
+		s.StreamStarted(now, stream+1, "p")
 		say(s, now, stream+1, at, true, false)
 		now = now.Add(hold)
-		s.Due(now)
+		s.Advance(now)
 		say(s, now, stream+1, at, false, false)
 		force = at
 		check()
@@ -142,11 +142,11 @@
 		{100, 0, 100, 1, 0, 0}, {72, 0, 72, 1, 0, 0}, {71, 0, 71, 0.994, 0, 0.006}, {50, 0, 50, 0.7, 0, 0.3}, {25, 0, 100, 0.35, 0, 0.65},
 		{25, 0, 25, 0.5, 0, 0.5}, {0, 0, 100, 0, 0, 1}, {50, 50, 0, 0.7, 0.3, 0}, {40, 20, 20, 0.56, 0.16, 0.28},
 	} {
-		s := &Set{Overprovided: 1.4}
+		s := &EndpointSet{Overprovisioning: 1.4}
 		fill := func(level, healthy, degraded int) {
 			l := Locality{Priority: level}
 			for i := range 100 {
-				h := Unwell
+				h := Unhealthy
 				if i < healthy {
 					h = Healthy
 				} else if i < healthy+degraded {
@@ -159,10 +159,10 @@
 		fill(0, c.healthy0, c.degraded0)
 		fill(1, c.healthy1, 0)
 		load, sum := map[string]float64{}, 0.0
-		for _, m := range Members(&Cluster{Panic: 0}, s, false, AllLevels) {
+		for _, m := range AssignTraffic(&Cluster{PanicThreshold: 0}, s, false, AllPriorities) {
 			if m.Use == Used {
-				load[fmt.Sprint(m.Locality.Priority, m.Health)] += m.Share
-				sum += m.Share
+				load[fmt.Sprint(m.Locality.Priority, m.Health)] += m.TrafficShare
+				sum += m.TrafficShare
 			}
 		}
 		for at, want := range map[string]float64{"0 healthy": c.load0, "0 degraded": c.degr0, "1 healthy": c.load1} {
@@ -178,37 +178,37 @@
 	one := func(address string, h Health, weight uint32) Endpoint {
 		return Endpoint{Address: address, Health: h, Weight: weight}
 	}
-	set := &Set{Overprovided: 1.4, Localities: []Locality{{Weight: 1, Endpoints: []Endpoint{one("1", Unwell, 1), one("2", Draining, 1), one("3", Unwell, 1)}},
+	set := &EndpointSet{Overprovisioning: 1.4, Localities: []Locality{{Weight: 1, Endpoints: []Endpoint{one("1", Unhealthy, 1), one("2", Draining, 1), one("3", Unhealthy, 1)}},
 		{Priority: 1, Weight: 3, Endpoints: []Endpoint{one("4", Healthy, 1), one("5", Healthy, 2)}}}}
-	ill := &Set{Overprovided: 1.4, Localities: set.Localities[:1]}
-	flat := &Set{Overprovided: 1.4, Localities: []Locality{{Weight: 1, Endpoints: []Endpoint{one("1", Healthy, 1)}}, {Weight: 3, Zone: "z", Endpoints: []Endpoint{one("2", Healthy, 1), one("3", Healthy, 2)}}}}
+	ill := &EndpointSet{Overprovisioning: 1.4, Localities: set.Localities[:1]}
+	flat := &EndpointSet{Overprovisioning: 1.4, Localities: []Locality{{Weight: 1, Endpoints: []Endpoint{one("1", Healthy, 1)}}, {Weight: 3, Zone: "z", Endpoints: []Endpoint{one("2", Healthy, 1), one("3", Healthy, 2)}}}}
 	for _, c := range []struct {
 		cluster Cluster
-		set     *Set
+		set     *EndpointSet
 		stale   bool
 		level   int
 		want    string
 	}{
-		{Cluster{Panic: 0.5}, set, false, AllLevels, "4=0.50 5=1.00"},
-		{Cluster{Panic: 0.5}, set, false, 0, "1=1.00 3=1.00"},
-		{Cluster{Panic: 0}, set, false, 0, ""},
-		{Cluster{Panic: 0.5}, set, false, 1, "4=0.50 5=1.00"},
-		{Cluster{Panic: 0.5}, set, true, AllLevels, "1=0.75 3=0.75 4=0.50 5=1.00"},
-		{Cluster{Panic: 0.5}, ill, false, AllLevels, "1=1.00 3=1.00"},
-		{Cluster{Panic: 0.5, ByLocality: true}, flat, false, AllLevels, "1=0.50 2=0.50 3=1.00"},
-		{Cluster{Panic: 0.5}, flat, false, AllLevels, "1=0.50 2=0.50 3=1.00"},
+		{Cluster{PanicThreshold: 0.5}, set, false, AllPriorities, "4=0.50 5=1.00"},
+		{Cluster{PanicThreshold: 0.5}, set, false, 0, "1=1.00 3=1.00"},
+		{Cluster{PanicThreshold: 0}, set, false, 0, ""},
+		{Cluster{PanicThreshold: 0.5}, set, false, 1, "4=0.50 5=1.00"},
+		{Cluster{PanicThreshold: 0.5}, set, true, AllPriorities, "1=0.75 3=0.75 4=0.50 5=1.00"},
+		{Cluster{PanicThreshold: 0.5}, ill, false, AllPriorities, "1=1.00 3=1.00"},
+		{Cluster{PanicThreshold: 0.5, LocalityWeighted: true}, flat, false, AllPriorities, "1=0.50 2=0.50 3=1.00"},
+		{Cluster{PanicThreshold: 0.5}, flat, false, AllPriorities, "1=0.50 2=0.50 3=1.00"},
 	} {
 		var got []string
-		for _, m := range Members(&c.cluster, c.set, c.stale, c.level) {
+		for _, m := range AssignTraffic(&c.cluster, c.set, c.stale, c.level) {
 			if m.Use == Used {
-				got = append(got, fmt.Sprintf("%s=%.2f", m.Address, m.Share))
+				got = append(got, fmt.Sprintf("%s=%.2f", m.Address, m.TrafficShare))
 			}
 		}
 		if fmt.Sprint(got) != "["+c.want+"]" {
 			t.Errorf("%+v, level %d: %v, want %s", c.cluster, c.level, got, c.want)
 		}
 	}
-	if d := (&Set{Drops: []Drop{{"a", 0.5}, {"b", 0.2}}}).Dropped(); d < 0.599 || d > 0.601 {
+	if d := (&EndpointSet{DropOverloads: []DropOverload{{"a", 0.5}, {"b", 0.2}}}).DropFraction(); d < 0.599 || d > 0.601 {
 		t.Errorf("dropped %g", d)
 	}
 }
@@ -217,57 +217,57 @@
 // soon is there without a word, and later it is asked for; what is turned away is told, and what was before stands.
 func TestAges(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	s := New(Rules{Hold: hold, Missing: time.Second})
-	s.Use(now, []string{"a"})
-	s.Begun(now, 1, "p")
-	set := func(n byte, after time.Duration) Message {
-		return Message{Kind: ads.Sets, Items: []Item{{Name: "s", Version: fmt.Sprint(n), Digest: updateorder.Digest{n}, Set: &Set{StaleAfter: after}}}}
+	s := New(Options{DeferTime: hold, ResourceTimeout: time.Second})
+	s.SetClustersInUse(now, []string{"a"})
+	s.StreamStarted(now, 1, "p")
+	set := func(n byte, after time.Duration) Response {
+		return Response{Kind: ads.Endpoints, Resources: []Resource{{Name: "s", Version: fmt.Sprint(n), Digest: updateorder.Digest{n}, Set: &EndpointSet{StaleAfter: after}}}}
 	}
 	view := func(state State, stale bool) {
 		t.Helper()
-		s.Due(now)
+		s.Advance(now)
 		if v := s.View(now, "a"); v.State != state || v.Stale != stale {
 			t.Errorf("%v, stale %v; want %v, %v", v.State, v.Stale, state, stale)
 		}
 	}
-	s.Take(now, 1, Message{Kind: ads.Clusters, Items: []Item{{Name: "a", Digest: updateorder.Digest{1}, Cluster: &Cluster{Service: "s"}}}})
-	view(Waiting, false)
+	s.Apply(now, 1, Response{Kind: ads.Clusters, Resources: []Resource{{Name: "a", Digest: updateorder.Digest{1}, Cluster: &Cluster{ServiceName: "s"}}}})
+	view(Pending, false)
 	now = now.Add(2 * time.Second)
 	view(Missing, false)
-	s.Take(now, 1, set(1, 5*time.Second))
+	s.Apply(now, 1, set(1, 5*time.Second))
 	view(Ready, false)
-	s.Changed()
-	if at := s.Next(now); !at.Equal(now.Add(5 * time.Second)) {
+	s.TakeChanged()
+	if at := s.NextDeadline(now); !at.Equal(now.Add(5 * time.Second)) {
 		t.Errorf("next at %v", at.Sub(now))
 	}
 	now = now.Add(5 * time.Second)
 	view(Ready, true)
-	if c := s.Changed(); len(c) != 1 {
+	if c := s.TakeChanged(); len(c) != 1 {
 		t.Errorf("changed %v", c)
 	}
-	s.Take(now, 1, set(1, 5*time.Second)) // the same, said again
+	s.Apply(now, 1, set(1, 5*time.Second)) // the same, said again
 	view(Ready, false)
-	if c := s.Changed(); len(c) != 1 {
+	if c := s.TakeChanged(); len(c) != 1 {
 		t.Errorf("changed %v", c)
 	}
-	s.Take(now, 1, set(2, 0))
-	s.Use(now, nil)
-	now = now.Add(linger / 2)
-	s.Due(now)
-	s.Use(now, []string{"a"})
+	s.Apply(now, 1, set(2, 0))
+	s.SetClustersInUse(now, nil)
+	now = now.Add(unusedRetention / 2)
+	s.Advance(now)
+	s.SetClustersInUse(now, []string{"a"})
 	view(Ready, false)
-	s.Take(now, 1, Message{Kind: ads.Sets, Faults: []Fault{{"s", "3", "bad"}}})
+	s.Apply(now, 1, Response{Kind: ads.Endpoints, Rejections: []Rejection{{"s", "3", "bad"}}})
 	view(Ready, false)
-	if d := s.Dump(); d[1].Fault != "bad" || d[1].FaultVersion != "3" || d[1].Version != "2" || d[1].From != "p" {
+	if d := s.Status(); d[1].RejectionReason != "bad" || d[1].RejectedVersion != "3" || d[1].Version != "2" || d[1].Source != "p" {
 		t.Errorf("%+v", d)
 	}
-	s.Use(now, nil)
-	s.Due(now)
-	now = now.Add(linger)
-	s.Due(now)
-	if d := s.Dump(); len(d) != 0 {
+	s.SetClustersInUse(now, nil)
+	s.Advance(now)
+	now = now.Add(unusedRetention)
+	s.Advance(now)
+	if d := s.Status(); len(d) != 0 {
 		t.Errorf("%+v", d)
 	}
-	s.Use(now, []string{"a"})
-	view(Waiting, false)
+	s.SetClustersInUse(now, []string{"a"})
+	view(Pending, false)
 }
--- a/internal/xds/state.go
+++ b/internal/xds/state.go
@@ -69,7 +69,7 @@
 		return
 	}
 	c.mu.Lock()
-	all := c.store.Save()
+	all := c.store.Snapshot()
 	c.mu.Unlock()
 	if err := statefile.Write(path, stateFormat, all); err != nil {
 		c.log.Error("xds: the last good state could not be written", "error", err)
@@ -79,7 +79,7 @@
 // restore takes the last good state from its file: cached knowledge, as old as it is. One that can't be read is passed over:
 // the control planes tell all of it anew.
 func (c *Client) restore(path string) {
-	var all []known.Saved
+	var all []known.SavedResource
 	err := statefile.Read(path, stateFormat, maxState, &all)
 	if errors.Is(err, os.ErrNotExist) {
 		return
@@ -92,7 +92,7 @@
 	oldest := time.Now()
 	n := 0
 	for _, s := range all {
-		if s.Kind >= ads.Kinds {
+		if s.Kind >= ads.KindCount {
 			continue
 		}
 		i, err := d.Read(s.Kind, s.Version, &anypb.Any{TypeUrl: envoy.TypeOf(s.Kind), Value: s.Raw})
@@ -102,8 +102,8 @@
 		}
 		c.store.Restore(s, i)
 		n++
-		if s.Heard.Before(oldest) {
-			oldest = s.Heard
+		if s.ReceivedAt.Before(oldest) {
+			oldest = s.ReceivedAt
 		}
 	}
 	c.log.Info("xds: last good state", "file", path, "resources", n, "oldest", time.Since(oldest).Round(time.Second))
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -35,7 +35,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-var variants = []ads.Variant{ads.Whole, ads.Delta}
+var variants = []ads.Variant{ads.StateOfTheWorld, ads.Delta}
 
 func plane(t testing.TB, options ...grpc.ServerOption) *controlplane.Plane {
 	t.Helper()
@@ -76,7 +76,7 @@
 	t     testing.TB
 	stop  context.CancelFunc
 	mu    sync.Mutex
-	views []known.View
+	views []known.ClusterView
 }
 
 func follow(t testing.TB, c *Client, name string) *eye {
@@ -87,7 +87,7 @@
 	t.Cleanup(e.stop)
 	go func() {
 		defer close(done)
-		c.Follow(ctx, name, func(v known.View) {
+		c.Follow(ctx, name, func(v known.ClusterView) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.views = append(e.views, v)
@@ -96,11 +96,11 @@
 	return e
 }
 
-func (e *eye) last() known.View {
+func (e *eye) last() known.ClusterView {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.views) == 0 {
-		return known.View{}
+		return known.ClusterView{}
 	}
 	return e.views[len(e.views)-1]
 }
@@ -119,7 +119,7 @@
 		return v.State.String()
 	}
 	var out []string
-	for _, m := range known.Members(v.Cluster, v.Set, v.Stale, known.AllLevels) {
+	for _, m := range known.AssignTraffic(v.Cluster, v.Set, v.Stale, known.AllPriorities) {
 		_, port, _ := strings.Cut(m.Address, ":")
 		if m.Health != known.Healthy {
 			port += "-" + m.Health.String()
@@ -164,7 +164,7 @@
 		a.sees("5")
 		b.sees("6")
 		d := c.Dump()
-		if d.Planes[0].State != "up" || !d.Planes[0].Listened || len(d.Resources) != 4 || d.Resources[1].Fault != "" || d.Resources[0].From != "p0" {
+		if d.ControlPlanes[0].State != "up" || !d.ControlPlanes[0].Active || len(d.Resources) != 4 || d.Resources[1].RejectionReason != "" || d.Resources[0].Source != "p0" {
 			t.Errorf("%+v", d)
 		}
 		for i, r := range p.Asked() { // what was acknowledged is what was sent
@@ -213,7 +213,7 @@
 }
 
 func held(c *Client, name string) bool {
-	return slices.ContainsFunc(c.Dump().Resources, func(l known.Line) bool { return l.Name == name && l.Held != "" })
+	return slices.ContainsFunc(c.Dump().Resources, func(l known.ResourceStatus) bool { return l.Name == name && l.DeferredVersion != "" })
 }
 
 // A rollback that is meant gets through when the hold is over.
@@ -301,7 +301,7 @@
 		lbtest.Until(t, "the missing ones are told", func() bool {
 			return lost.last().State == known.Missing && none.last().State == known.Removed
 		})
-		if why := lost.last().Why; !strings.Contains(why, "did not come") {
+		if why := lost.last().Reason; !strings.Contains(why, "did not come") {
 			t.Error(why)
 		}
 		<-got
@@ -443,7 +443,7 @@
 	c, _ = start(t, o)
 	a = follow(t, c, "a")
 	a.sees("2")
-	if d := c.Dump(); len(d.Resources) != 2 || !strings.Contains(d.Resources[0].From, "last state") || time.Since(d.Resources[0].Heard) > lbtest.Wait {
+	if d := c.Dump(); len(d.Resources) != 2 || !strings.Contains(d.Resources[0].Source, "last state") || time.Since(d.Resources[0].ReceivedAt) > lbtest.Wait {
 		t.Errorf("%+v", d.Resources)
 	}
 	put(t, p, "3", controlplane.Cluster("a"), set("a", 3))
@@ -596,7 +596,7 @@
 			}
 		}
 	})
-	c, log := start(t, options(ads.Whole, p.Addr()))
+	c, log := start(t, options(ads.StateOfTheWorld, p.Addr()))
 	a := follow(t, c, "a")
 	a.sees("1")
 	lbtest.Until(t, "it is turned away", func() bool { return log.Has("cluster number 0") && log.Has("cluster number 1") })
