--- a/bench/xds/main.go
+++ b/bench/xds/main.go
@@ -310,8 +310,8 @@
 		return err
 	}
 	begun := time.Now()
-	c := xds.Start(planes.Options{Variant: v, Planes: []planes.Plane{{Name: "p", Address: strings.TrimSpace(addr), Plain: true}}, Hold: 30 * time.Second, Missing: 15 * time.Second,
-		Quiet: 30 * time.Second, MaxMessage: maxMessage, Rules: planes.Rules{Patience: 5 * time.Second, Trial: 10 * time.Second, Least: time.Second, Most: 30 * time.Second}},
+	c := xds.Start(planes.Options{Variant: v, ControlPlanes: []planes.ControlPlane{{Name: "p", Address: strings.TrimSpace(addr), Insecure: true}}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second,
+		KeepaliveTime: 30 * time.Second, MaxMessageBytes: maxMessage, Selection: planes.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Second, MaxBackoff: 30 * time.Second}},
 		slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	defer c.Close()
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/controlplane/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -21,7 +21,7 @@
 // Peer is another control-plane server.
 type Peer struct {
 	Name  string // as it identifies itself
-	Plane planes.Plane
+	Plane planes.ControlPlane
 }
 
 // Options configure a control-plane server.
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -82,10 +82,10 @@
 
 func follow(t testing.TB, node, cluster string, addresses ...string) *receiver {
 	t.Helper()
-	o := planes.Options{Variant: ads.Delta, Node: planes.Node{ID: node}, Hold: 30 * time.Second, Missing: 15 * time.Second, Quiet: 5 * time.Minute,
-		MaxMessage: 16 << 20, Rules: planes.Rules{Patience: 5 * time.Second, Trial: 10 * time.Second, Least: time.Millisecond, Most: 50 * time.Millisecond}}
+	o := planes.Options{Variant: ads.Delta, Node: planes.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
+		MaxMessageBytes: 16 << 20, Selection: planes.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Millisecond, MaxBackoff: 50 * time.Millisecond}}
 	for _, a := range addresses {
-		o.Planes = append(o.Planes, planes.Plane{Name: a, Address: a, Plain: true})
+		o.ControlPlanes = append(o.ControlPlanes, planes.ControlPlane{Name: a, Address: a, Insecure: true})
 	}
 	r := &receiver{client: xds.Start(o, slog.New(slog.DiscardHandler))}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -241,8 +241,8 @@
 func TestPeers(t *testing.T) {
 	l := lbtest.Listen(t)
 	o := api.Options{Name: "a", Listen: l.Addr().String(), InitialSync: time.Minute}
-	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: planes.Plane{Address: o.Listen, Plain: true}}}})
-	o.Peers = []api.Peer{{Name: "b", Plane: planes.Plane{Address: b.Addr(), Plain: true}}}
+	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: planes.ControlPlane{Address: o.Listen, Insecure: true}}}})
+	o.Peers = []api.Peer{{Name: "b", Plane: planes.ControlPlane{Address: b.Addr(), Insecure: true}}}
 	l.Close()
 	a := begin(t, o)
 	lbtest.Until(t, "a has heard b", func() bool { return a.Status().Peers[0].Synced })
@@ -272,7 +272,7 @@
 // for that, it does.
 func TestInitialSync(t *testing.T) {
 	l := lbtest.Listen(t)
-	peers := []api.Peer{{Name: "b", Plane: planes.Plane{Address: l.Addr().String(), Plain: true}}}
+	peers := []api.Peer{{Name: "b", Plane: planes.ControlPlane{Address: l.Addr().String(), Insecure: true}}}
 	s := begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Hour})
 	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); !errors.Is(err, ErrInitialSync) {
 		t.Error(err)
--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -29,7 +29,7 @@
 
 // typeOf returns the type URL of a kind.
 func typeOf(k distribution.Kind) string {
-	return [...]string{envoy.ClusterType, envoy.SetType, recordType}[k]
+	return [...]string{envoy.ClusterType, envoy.EndpointsType, recordType}[k]
 }
 
 // kindOf returns the kind of a type URL, or distribution.Kinds for a type that is not served.
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -32,15 +32,15 @@
 	b := blocks[0]
 	s := p.open("xds", b.DefRange, b.Body, []string{"node", "node_cluster", "region", "zone", "sub_zone", "variant", "all", "hold", "missing", "patience",
 		"trial", "backoff", "backoff_most", "quiet", "max_message", "state", "bootstrap"}, map[string]int{"plane": 1})
-	o := &planes.Options{All: s.flag("all"),
-		Hold:    s.duration("hold", 30*time.Second, 0, time.Hour),
-		Missing: s.duration("missing", 15*time.Second, 100*time.Millisecond, time.Hour),
-		Quiet:   s.duration("quiet", 5*time.Minute, 10*time.Second, time.Hour),
-		Rules: planes.Rules{Patience: s.duration("patience", 5*time.Second, 50*time.Millisecond, time.Hour),
-			Trial: s.duration("trial", 10*time.Second, 0, time.Hour),
-			Least: s.duration("backoff", 500*time.Millisecond, time.Millisecond, time.Minute)},
-		MaxMessage: int(s.size("max_message", 16<<20, 64<<10, 1<<30)), State: p.path(s, "state")}
-	o.Rules.Most = s.duration("backoff_most", max(30*time.Second, o.Rules.Least), o.Rules.Least, time.Hour)
+	o := &planes.Options{Wildcard: s.flag("all"),
+		DeferTime:       s.duration("hold", 30*time.Second, 0, time.Hour),
+		ResourceTimeout: s.duration("missing", 15*time.Second, 100*time.Millisecond, time.Hour),
+		KeepaliveTime:   s.duration("quiet", 5*time.Minute, 10*time.Second, time.Hour),
+		Selection: planes.Timing{ResponseTimeout: s.duration("patience", 5*time.Second, 50*time.Millisecond, time.Hour),
+			Probation:  s.duration("trial", 10*time.Second, 0, time.Hour),
+			MinBackoff: s.duration("backoff", 500*time.Millisecond, time.Millisecond, time.Minute)},
+		MaxMessageBytes: int(s.size("max_message", 16<<20, 64<<10, 1<<30)), StateFile: p.path(s, "state")}
+	o.Selection.MaxBackoff = s.duration("backoff_most", max(30*time.Second, o.Selection.MinBackoff), o.Selection.MinBackoff, time.Hour)
 	o.Variant = map[string]ads.Variant{"delta": ads.Delta, "whole": ads.StateOfTheWorld}[s.word("variant", "delta", "delta", "whole")]
 	if s.has("bootstrap") {
 		p.bootstrap(s, o)
@@ -54,17 +54,17 @@
 	}
 	for _, inner := range s.blocks {
 		if pl, ok := p.plane(inner); ok {
-			if slices.ContainsFunc(o.Planes, func(is planes.Plane) bool { return is.Name == pl.Name }) {
+			if slices.ContainsFunc(o.ControlPlanes, func(is planes.ControlPlane) bool { return is.Name == pl.Name }) {
 				p.fault(inner.LabelRanges[0], "Named twice", "A plane named %q is there already.", pl.Name)
 			}
-			o.Planes = append(o.Planes, pl)
+			o.ControlPlanes = append(o.ControlPlanes, pl)
 		}
 	}
 	switch {
 	case len(s.blocks) == 0 && !s.has("bootstrap"):
 		s.fault(s.at, "No control plane", "xds needs a plane block for each control plane, the first one first, or a bootstrap file.")
-	case len(o.Planes) > maxPlanes:
-		s.fault(s.at, "Out of range", "There are %d control planes; %d are the most.", len(o.Planes), maxPlanes)
+	case len(o.ControlPlanes) > maxPlanes:
+		s.fault(s.at, "Out of range", "There are %d control planes; %d are the most.", len(o.ControlPlanes), maxPlanes)
 	}
 	return o
 }
@@ -81,17 +81,17 @@
 		s.fault(s.where("bootstrap"), "No bootstrap file", "%s.", err)
 		return
 	}
-	b, err := planes.ParseBootstrap(text, filepath.Dir(path))
+	b, err := planes.Parse(text, filepath.Dir(path))
 	if err != nil {
 		s.fault(s.where("bootstrap"), "Unusable bootstrap file", "%s: %s.", path, err)
 		return
 	}
-	o.Planes, o.Node = b.Planes, b.Node
+	o.ControlPlanes, o.Node = b.ControlPlanes, b.Node
 }
 
-func (p *parser) plane(b *hcl.Block) (planes.Plane, bool) {
+func (p *parser) plane(b *hcl.Block) (planes.ControlPlane, bool) {
 	s := p.open("plane "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "file", "plain", "certificate", "key", "authority", "host"}, nil)
-	out := planes.Plane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Plain: s.flag("plain"), Host: s.text("host", ""),
+	out := planes.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.flag("plain"), ServerName: s.text("host", ""),
 		TLS: certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}}
 	secured := []string{"certificate", "key", "authority", "host"}
 	without := func(why string, names ...string) {
@@ -108,7 +108,7 @@
 	case !s.has("address"):
 		s.fault(s.at, "No address", "%s needs an \"address\" or a \"file\".", s.what)
 		return out, false
-	case out.Plain:
+	case out.Insecure:
 		without("plain", secured...)
 	case (out.TLS.Certificate == "") != (out.TLS.Key == ""):
 		s.fault(s.at, "Half a certificate", "\"certificate\" and \"key\" go together.")
--- a/internal/gateway/conf/xds_test.go
+++ b/internal/gateway/conf/xds_test.go
@@ -30,8 +30,8 @@
 		t.Fatal(err)
 	}
 	o := f.XDS
-	if len(o.Planes) != 2 || !o.Planes[0].Plain || o.Planes[1].TLS.Key != filepath.Join(dir, "portal.key") || o.Variant != ads.Delta || o.Hold != 30*time.Second ||
-		o.Node.ID != "portal-1" || o.State != filepath.Join(dir, "silvertrail.xds") {
+	if len(o.ControlPlanes) != 2 || !o.ControlPlanes[0].Insecure || o.ControlPlanes[1].TLS.Key != filepath.Join(dir, "portal.key") || o.Variant != ads.Delta || o.DeferTime != 30*time.Second ||
+		o.Node.ID != "portal-1" || o.StateFile != filepath.Join(dir, "silvertrail.xds") {
 		t.Errorf("%+v", o)
 	}
 	if a, b := f.Clusters[0].Sources[0].XDS, f.Clusters[1].Sources[0].XDS; a.Resource != "portal" || a.Level != 0 || b.Level != 1 || a.Part != "zone" {
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if o = f.XDS; len(o.Planes) != 3 || o.Planes[0].Address != "plane.example:443" || o.Planes[0].TLS.Authority != filepath.Join(dir, "ca.pem") || o.Node.ID != "n1" || o.Node.Zone != "z9" ||
+	if o = f.XDS; len(o.ControlPlanes) != 3 || o.ControlPlanes[0].Address != "plane.example:443" || o.ControlPlanes[0].TLS.Authority != filepath.Join(dir, "ca.pem") || o.Node.ID != "n1" || o.Node.Zone != "z9" ||
 		f.Clusters[0].Sources[0].XDS.Level != known.AllPriorities {
 		t.Errorf("%+v", o)
 	}
--- a/internal/testkit/controlplane/plane.go
+++ b/internal/testkit/controlplane/plane.go
@@ -241,7 +241,7 @@
 		p.mu.Lock()
 		changed := p.changed
 		p.mu.Unlock()
-		for _, url := range []string{envoy.ClusterType, envoy.SetType} {
+		for _, url := range []string{envoy.ClusterType, envoy.EndpointsType} {
 			if sub := of[url]; sub != nil {
 				if err := p.answer(s, url, sub); err != nil {
 					return err
@@ -337,7 +337,7 @@
 		p.mu.Unlock()
 		return nil
 	}
-	if !s.Delta && !sub.owed && !differs && url == envoy.SetType { // a set that is gone is not told in this variant
+	if !s.Delta && !sub.owed && !differs && url == envoy.EndpointsType { // a set that is gone is not told in this variant
 		p.mu.Unlock()
 		return nil
 	}
--- a/internal/testkit/hollow/member.go
+++ b/internal/testkit/hollow/member.go
@@ -30,10 +30,10 @@
 
 // Options are those of the program where its file tells nothing, with planes at some addresses.
 func Options(node string, variant ads.Variant, addresses ...string) planes.Options {
-	o := planes.Options{Variant: variant, Node: planes.Node{ID: node}, Hold: 30 * time.Second, Missing: 15 * time.Second, Quiet: 5 * time.Minute, MaxMessage: 16 << 20,
-		Rules: planes.Rules{Patience: 5 * time.Second, Trial: 10 * time.Second, Least: 500 * time.Millisecond, Most: 30 * time.Second}}
+	o := planes.Options{Variant: variant, Node: planes.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute, MaxMessageBytes: 16 << 20,
+		Selection: planes.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: 500 * time.Millisecond, MaxBackoff: 30 * time.Second}}
 	for _, a := range addresses {
-		o.Planes = append(o.Planes, planes.Plane{Name: a, Address: a, Plain: true})
+		o.ControlPlanes = append(o.ControlPlanes, planes.ControlPlane{Name: a, Address: a, Insecure: true})
 	}
 	return o
 }
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -26,7 +26,7 @@
 	mu        sync.Mutex
 	o         planes.Options
 	store     *known.Cache
-	order     *planes.Order
+	order     *planes.Selector
 	conns     []*conn                // by plane; nil: not connected to
 	streams   updateorder.Stream     // that there have been
 	followers map[string][]*follower // by cluster
@@ -54,14 +54,14 @@
 // Start connects to the control planes for as long as it runs. It waits for nobody.
 func Start(o planes.Options, log *slog.Logger) *Client {
 	c := &Client{log: log, followers: map[string][]*follower{}, files: map[string]*setFile{}, warned: map[string]bool{},
-		store: known.New(known.Options{DeferTime: o.Hold, ResourceTimeout: o.Missing, Wildcard: o.All})}
+		store: known.New(known.Options{DeferTime: o.DeferTime, ResourceTimeout: o.ResourceTimeout, Wildcard: o.Wildcard})}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.saver = &saver{work: make(chan struct{}, 1)}
 	c.wait.Go(func() { c.save(c.saver) })
-	if o.State != "" {
-		c.restore(o.State)
+	if o.StateFile != "" {
+		c.restore(o.StateFile)
 	}
 	c.listen(o)
 	return c
@@ -76,12 +76,12 @@
 		}
 	}
 	c.o, c.turn = o, c.turn+1
-	c.conns = make([]*conn, len(o.Planes))
-	c.order = planes.New(time.Now(), len(o.Planes), o.Rules, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c.conns = make([]*conn, len(o.ControlPlanes))
+	c.order = planes.New(time.Now(), len(o.ControlPlanes), o.Selection, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if len(c.store.Versions(ads.Clusters)) > 0 {
-		c.order.Known()
+		c.order.SetCached()
 	}
-	c.saver.to(o.State)
+	c.saver.to(o.StateFile)
 	c.step()
 }
 
@@ -92,7 +92,7 @@
 	if c.ended || reflect.DeepEqual(o, c.o) {
 		return
 	}
-	if o.Hold != c.o.Hold || o.Missing != c.o.Missing || o.All != c.o.All {
+	if o.DeferTime != c.o.DeferTime || o.ResourceTimeout != c.o.ResourceTimeout || o.Wildcard != c.o.Wildcard {
 		c.log.Warn("xds: restart needed for \"hold\", \"missing\" and \"all\"")
 	}
 	c.listen(o)
@@ -203,7 +203,7 @@
 	}
 	now := time.Now()
 	c.store.Advance(now)
-	connect, drop := c.order.Step(now)
+	connect, drop := c.order.Advance(now)
 	for _, i := range drop {
 		if k := c.conns[i]; k != nil {
 			k.close()
@@ -225,7 +225,7 @@
 	for _, name := range c.store.TakeChanged() {
 		c.tell(name)
 	}
-	next := c.order.Next(now)
+	next := c.order.NextDeadline(now)
 	if at := c.store.NextDeadline(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
@@ -260,7 +260,7 @@
 	}
 	for kind := range ads.KindCount {
 		w := ads.Subscription{Names: c.store.Subscriptions(kind)}
-		if kind == ads.Clusters && c.o.All {
+		if kind == ads.Clusters && c.o.Wildcard {
 			w = ads.Subscription{Wildcard: true}
 		}
 		k.session.Subscribe(kind, w)
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -41,7 +41,7 @@
 type conn struct {
 	c     *Client
 	n     int // of the plane
-	plane planes.Plane
+	plane planes.ControlPlane
 	ctx   context.Context
 	end   context.CancelFunc
 
@@ -60,7 +60,7 @@
 
 // connect connects to a plane. The caller holds the lock.
 func (c *Client) connect(i int) {
-	k := &conn{c: c, n: i, plane: c.o.Planes[i], work: make(chan struct{}, 1), cancel: func() {}}
+	k := &conn{c: c, n: i, plane: c.o.ControlPlanes[i], work: make(chan struct{}, 1), cancel: func() {}}
 	k.ctx, k.end = context.WithCancel(c.ctx)
 	c.conns[i] = k
 	o, turn := c.o, c.turn
@@ -75,7 +75,7 @@
 		}
 		c.log.Warn("xds: control plane lost", "plane", k.plane.Name, "error", err)
 		c.conns[i] = nil
-		c.order.Down(time.Now(), i)
+		c.order.MarkDown(time.Now(), i)
 		c.step()
 	})
 }
@@ -90,7 +90,7 @@
 
 // heed has the plane that is listened to heard, and no other one. The caller holds the lock.
 func (c *Client) heed() {
-	at, ok := c.order.Listen()
+	at, ok := c.order.Active()
 	for i, k := range c.conns {
 		switch {
 		case k == nil:
@@ -123,10 +123,10 @@
 	}
 	cc, err := grpc.NewClient("passthrough:///"+k.plane.Address, grpc.WithTransportCredentials(creds),
 		grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(o.MaxMessage)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: o.Quiet, Timeout: signIn}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(o.MaxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: o.KeepaliveTime, Timeout: signIn}),
 		// The planes' order has its own backoff: a connection is tried once.
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: time.Hour, MaxDelay: time.Hour, Multiplier: 1}, MinConnectTimeout: o.Rules.Patience}))
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: time.Hour, MaxDelay: time.Hour, Multiplier: 1}, MinConnectTimeout: o.Selection.ResponseTimeout}))
 	if err != nil {
 		return err
 	}
@@ -145,11 +145,11 @@
 }
 
 // Credentials returns how a control plane is connected to.
-func Credentials(p planes.Plane, log *slog.Logger) (credentials.TransportCredentials, error) {
-	if p.Plain {
+func Credentials(p planes.ControlPlane, log *slog.Logger) (credentials.TransportCredentials, error) {
+	if p.Insecure {
 		return insecure.NewCredentials(), nil
 	}
-	host := cmp.Or(p.Host, hostOf(p.Address))
+	host := cmp.Or(p.ServerName, hostOf(p.Address))
 	if p.TLS == (certs.Files{}) {
 		return credentials.NewTLS(&tls.Config{MinVersion: tls.VersionTLS12, ServerName: host}), nil
 	}
@@ -226,7 +226,7 @@
 	}
 	k.passed, k.id, k.said = false, 0, false
 	// Also where the plane is up already, and its stream was opened anew.
-	mute := time.AfterFunc(o.Rules.Patience, func() {
+	mute := time.AfterFunc(o.Selection.ResponseTimeout, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if !k.said && ctx.Err() == nil {
@@ -346,9 +346,9 @@
 	k.said = true
 	if !k.up {
 		k.up = true
-		c.order.Up(now, k.n)
+		c.order.MarkUp(now, k.n)
 	}
-	if at, ok := c.order.Listen(); ok && at == k.n && k.id == 0 && !k.passed {
+	if at, ok := c.order.Active(); ok && at == k.n && k.id == 0 && !k.passed {
 		c.streams++
 		k.id = c.streams
 		c.store.StreamStarted(now, k.id, k.plane.Name)
@@ -361,7 +361,7 @@
 	for _, f := range c.store.Apply(now, k.id, m) {
 		faults = append(faults, fmt.Sprintf("%s %s: %s", m.Kind, f.Name, f.Reason))
 	}
-	c.order.Known()
+	c.order.SetCached()
 	c.saver.wake()
 	return faults
 }
--- a/internal/xds/dump.go
+++ b/internal/xds/dump.go
@@ -6,7 +6,7 @@
 func (c *Client) Dump() (d known.Dump) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, p := range c.o.Planes {
+	for i, p := range c.o.ControlPlanes {
 		v := known.ControlPlaneStatus{Name: p.Name, State: "down"}
 		if k := c.conns[i]; k != nil {
 			v.State, v.Active = "connecting", k.id != 0
--- a/internal/xds/envoy/cluster.go
+++ b/internal/xds/envoy/cluster.go
@@ -13,15 +13,15 @@
 
 // Of the API's documentation, where a field is not told.
 const (
-	connectTimeout = 5 * time.Second
-	panicPart      = 0.5
+	defaultConnectTimeout = 5 * time.Second
+	defaultPanicThreshold = 0.5
 )
 
-const maxNames = 256 // of a cluster, looked up one by one
+const maxDNSNames = 256 // of a cluster, looked up one by one
 
-// cluster translates a cluster that holds nothing which is not supported.
-func cluster(c *clusterv3.Cluster, warned map[string]bool) (*known.Cluster, error) {
-	out := &known.Cluster{ConnectTimeout: connectTimeout, PanicThreshold: panicPart}
+// parseCluster translates a cluster that holds nothing which is not supported.
+func parseCluster(c *clusterv3.Cluster, warned map[string]bool) (*known.Cluster, error) {
+	out := &known.Cluster{ConnectTimeout: defaultConnectTimeout, PanicThreshold: defaultPanicThreshold}
 	if t := c.ConnectTimeout; t != nil {
 		if out.ConnectTimeout = t.AsDuration(); out.ConnectTimeout <= 0 {
 			return nil, errors.New("connect_timeout: must be positive")
@@ -52,7 +52,7 @@
 		if c.LoadAssignment != nil {
 			return nil, errors.New("load_assignment: goes with other types than EDS")
 		}
-		return out, sets(c, out)
+		return out, parseEndpointsSource(c, out)
 	case clusterv3.Cluster_STRICT_DNS:
 		out.Resolution = known.StrictDNS
 	case clusterv3.Cluster_LOGICAL_DNS:
@@ -68,20 +68,20 @@
 		return nil, errors.New("load_assignment: missing")
 	}
 	var err error
-	if out.Inline, err = set(c.LoadAssignment, out.Resolution); err != nil {
+	if out.Inline, err = parseEndpointSet(c.LoadAssignment, out.Resolution); err != nil {
 		return nil, fmt.Errorf("load_assignment: %w", err)
 	}
-	if n := count(out.Inline); out.Resolution != known.NoResolution && n > maxNames {
-		return nil, fmt.Errorf("load_assignment: %d names, over %d", n, maxNames)
+	if n := countEndpoints(out.Inline); out.Resolution != known.NoResolution && n > maxDNSNames {
+		return nil, fmt.Errorf("load_assignment: %d names, over %d", n, maxDNSNames)
 	}
-	if n := count(out.Inline); out.Resolution == known.LogicalDNS && n != 1 {
+	if n := countEndpoints(out.Inline); out.Resolution == known.LogicalDNS && n != 1 {
 		return nil, fmt.Errorf("load_assignment: LOGICAL_DNS has one endpoint, not %d", n)
 	}
 	return out, nil
 }
 
-// sets reads where a cluster's endpoint set is found.
-func sets(c *clusterv3.Cluster, out *known.Cluster) error {
+// parseEndpointsSource reads where a cluster's endpoint set is found.
+func parseEndpointsSource(c *clusterv3.Cluster, out *known.Cluster) error {
 	out.ServiceName = c.GetEdsClusterConfig().GetServiceName()
 	if out.ServiceName == "" {
 		out.ServiceName = c.Name
@@ -102,7 +102,7 @@
 	return nil
 }
 
-func count(s *known.EndpointSet) (n int) {
+func countEndpoints(s *known.EndpointSet) (n int) {
 	for _, l := range s.Localities {
 		n += len(l.Endpoints)
 	}
--- a/internal/xds/envoy/decode.go
+++ b/internal/xds/envoy/decode.go
@@ -22,20 +22,20 @@
 
 // The types' names on the wire.
 const (
-	ClusterType = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
-	SetType     = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
-	wrapperType = "type.googleapis.com/envoy.service.discovery.v3.Resource"
+	ClusterType   = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
+	EndpointsType = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+	wrapperType   = "type.googleapis.com/envoy.service.discovery.v3.Resource"
 )
 
 // TypeOf returns a kind's name on the wire.
-func TypeOf(k ads.Kind) string { return [...]string{ClusterType, SetType}[k] }
+func TypeOf(k ads.Kind) string { return [...]string{ClusterType, EndpointsType}[k] }
 
 // KindOf returns the kind of a type; ads.Kinds where it is none of ours.
 func KindOf(url string) ads.Kind {
 	switch url {
 	case ClusterType:
 		return ads.Clusters
-	case SetType:
+	case EndpointsType:
 		return ads.Endpoints
 	}
 	return ads.KindCount
@@ -65,8 +65,8 @@
 type Decoder struct {
 	Warn func(text string) // may be called again with the same text
 
-	items map[cacheKey]known.Resource
-	last  [ads.KindCount]map[string]cacheKey // by name
+	cached map[cacheKey]known.Resource
+	latest [ads.KindCount]map[string]cacheKey // by name
 }
 
 // Read reads a resource. The error is an *Error.
@@ -85,26 +85,26 @@
 		return known.Resource{}, &Error{Err: fmt.Errorf("of type %q among those of %q", raw.GetTypeUrl(), TypeOf(k))}
 	}
 	key := cacheKey{k, sha256.Sum256(raw.Value)}
-	i, hit := d.items[key]
+	i, hit := d.cached[key]
 	if !hit {
 		var err error
-		if i, err = d.read(k, raw.Value); err != nil {
+		if i, err = d.decode(k, raw.Value); err != nil {
 			return known.Resource{}, err
 		}
-		if d.items == nil || len(d.items) >= int(ads.KindCount)*known.MaxResources {
-			d.items, d.last = map[cacheKey]known.Resource{}, [ads.KindCount]map[string]cacheKey{}
+		if d.cached == nil || len(d.cached) >= int(ads.KindCount)*known.MaxResources {
+			d.cached, d.latest = map[cacheKey]known.Resource{}, [ads.KindCount]map[string]cacheKey{}
 		}
-		if d.last[k] == nil {
-			d.last[k] = map[string]cacheKey{}
+		if d.latest[k] == nil {
+			d.latest[k] = map[string]cacheKey{}
 		}
-		delete(d.items, d.last[k][i.Name])
-		d.items[key], d.last[k][i.Name] = i, key
+		delete(d.cached, d.latest[k][i.Name])
+		d.cached[key], d.latest[k][i.Name] = i, key
 	}
 	i.Version = version
 	return i, nil
 }
 
-func (d *Decoder) read(k ads.Kind, raw []byte) (i known.Resource, err error) {
+func (d *Decoder) decode(k ads.Kind, raw []byte) (i known.Resource, err error) {
 	var m interface {
 		proto.Message
 		Validate() error
@@ -128,13 +128,13 @@
 		return fault(err)
 	}
 	warned := map[string]bool{}
-	if err := check(m.ProtoReflect(), string(m.ProtoReflect().Descriptor().Name()), warned); err != nil {
+	if err := checkFields(m.ProtoReflect(), string(m.ProtoReflect().Descriptor().Name()), warned); err != nil {
 		return fault(err)
 	}
 	if k == ads.Clusters {
-		i.Cluster, err = cluster(c, warned)
+		i.Cluster, err = parseCluster(c, warned)
 	} else {
-		i.Set, err = set(s, known.NoResolution)
+		i.Set, err = parseEndpointSet(s, known.NoResolution)
 	}
 	if err != nil {
 		return fault(err)
--- a/internal/xds/envoy/envoy_test.go
+++ b/internal/xds/envoy/envoy_test.go
@@ -140,7 +140,7 @@
 		t.Errorf("%+v, %v", i.Set, err)
 	}
 	for status := range corev3.HealthStatus_name {
-		if _, is := healths[corev3.HealthStatus(status)]; !is {
+		if _, is := healthOf[corev3.HealthStatus(status)]; !is {
 			t.Errorf("health status %d has no meaning here", status)
 		}
 	}
--- a/internal/xds/envoy/set.go
+++ b/internal/xds/envoy/set.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	overprovided = 1.4 // where it is not told
-	maxLevels    = 128 // as the API has it
-	ownMetadata  = "silvertrail"
+	defaultOverprovisioning = 1.4 // where it is not told
+	maxPriorities           = 128 // as the API has it
+	metadataName            = "silvertrail"
 )
 
-// set translates an endpoint set that holds nothing which is not supported.
-func set(s *endpointv3.ClusterLoadAssignment, lookup known.Resolution) (*known.EndpointSet, error) {
-	out := &known.EndpointSet{Overprovisioning: overprovided}
+// parseEndpointSet translates an endpoint set that holds nothing which is not supported.
+func parseEndpointSet(s *endpointv3.ClusterLoadAssignment, lookup known.Resolution) (*known.EndpointSet, error) {
+	out := &known.EndpointSet{Overprovisioning: defaultOverprovisioning}
 	if p := s.Policy; p != nil {
 		if f := p.OverprovisioningFactor; f != nil {
 			out.Overprovisioning = float64(f.Value) / 100
@@ -32,7 +32,7 @@
 		out.StaleAfter = p.EndpointStaleAfter.AsDuration()
 		out.WeightedHealth = p.WeightedPriorityHealth
 		for i, d := range p.DropOverloads {
-			part, err := fraction(d.DropPercentage)
+			part, err := parseFraction(d.DropPercentage)
 			if err != nil {
 				return nil, fmt.Errorf("policy.drop_overloads[%d]: %w", i, err)
 			}
@@ -49,8 +49,8 @@
 			places[at] = map[uint32]bool{}
 		}
 		switch {
-		case l.Priority >= maxLevels:
-			return nil, fmt.Errorf("endpoints[%d].priority: %d is over %d", i, l.Priority, maxLevels-1)
+		case l.Priority >= maxPriorities:
+			return nil, fmt.Errorf("endpoints[%d].priority: %d is over %d", i, l.Priority, maxPriorities-1)
 		case places[at][l.Priority]:
 			return nil, fmt.Errorf("endpoints[%d].locality: told twice at priority %d", i, l.Priority)
 		}
@@ -59,7 +59,7 @@
 		to := known.Locality{Region: at[0], Zone: at[1], SubZone: at[2], Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
 		for j, e := range l.LbEndpoints {
 			here := fmt.Sprintf("endpoints[%d].lb_endpoints[%d]", i, j)
-			one, err := endpoint(e, lookup)
+			one, err := parseEndpoint(e, lookup)
 			if err != nil {
 				return nil, fmt.Errorf("%s%w", here, err)
 			}
@@ -80,7 +80,7 @@
 	return out, nil
 }
 
-var healths = map[corev3.HealthStatus]known.Health{
+var healthOf = map[corev3.HealthStatus]known.Health{
 	corev3.HealthStatus_UNKNOWN:   known.Healthy,
 	corev3.HealthStatus_HEALTHY:   known.Healthy,
 	corev3.HealthStatus_DEGRADED:  known.Degraded,
@@ -89,8 +89,8 @@
 	corev3.HealthStatus_TIMEOUT:   known.Unhealthy,
 }
 
-func endpoint(e *endpointv3.LbEndpoint, lookup known.Resolution) (out known.Endpoint, err error) {
-	health, is := healths[e.HealthStatus]
+func parseEndpoint(e *endpointv3.LbEndpoint, lookup known.Resolution) (out known.Endpoint, err error) {
+	health, is := healthOf[e.HealthStatus]
 	if !is {
 		return out, fmt.Errorf(".health_status: %s is not known", e.HealthStatus)
 	}
@@ -114,7 +114,7 @@
 	} else if at.Address == "" {
 		return out, errors.New(".endpoint.address: no name")
 	}
-	ours := e.GetMetadata().GetFilterMetadata()[ownMetadata].GetFields()
+	ours := e.GetMetadata().GetFilterMetadata()[metadataName].GetFields()
 	for name, v := range ours {
 		_, number := v.GetKind().(*structpb.Value_NumberValue)
 		n := v.GetNumberValue()
@@ -132,7 +132,7 @@
 	return out, nil
 }
 
-func fraction(p *typev3.FractionalPercent) (float64, error) {
+func parseFraction(p *typev3.FractionalPercent) (float64, error) {
 	of := map[typev3.FractionalPercent_DenominatorType]float64{typev3.FractionalPercent_HUNDRED: 100,
 		typev3.FractionalPercent_TEN_THOUSAND: 10_000, typev3.FractionalPercent_MILLION: 1_000_000}[p.GetDenominator()]
 	if p == nil || of == 0 {
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -53,7 +53,7 @@
 // follow takes a plane that is a file. A content that can't be read changes nothing; a file that is not there is lost.
 func (k *conn) follow(o planes.Options) error {
 	d := &envoy.Decoder{Warn: k.c.warn}
-	file := watchedfile.File{Path: k.plane.File, MaxBytes: o.MaxMessage}
+	file := watchedfile.File{Path: k.plane.File, MaxBytes: o.MaxMessageBytes}
 	var last [ads.KindCount]*received
 	for {
 		text, changed, err := file.Read()
@@ -125,7 +125,7 @@
 			ctx, stop := context.WithCancel(c.ctx)
 			f := &setFile{stop: stop}
 			c.files[p] = f
-			most := c.o.MaxMessage
+			most := c.o.MaxMessageBytes
 			c.wait.Go(func() { c.followSets(ctx, p, f, most) })
 		}
 	}
--- a/internal/xds/planes/options.go
+++ b/internal/xds/planes/options.go
@@ -14,29 +14,29 @@
 	"silvertrail/internal/xds/ads"
 )
 
-// Plane is a control plane: an address, or a file.
-type Plane struct {
-	Name    string
-	Address string // host and port
-	File    string // a response in protobuf JSON, which is replaced atomically; told in place of an address
-	Plain   bool   // no TLS
-	TLS     certs.Files
-	Host    string // that its certificate must be for; empty: that of the address
+// ControlPlane is a control plane: an address, or a file.
+type ControlPlane struct {
+	Name       string
+	Address    string // host and port
+	File       string // a response in protobuf JSON, which is replaced atomically; told in place of an address
+	Insecure   bool   // no TLS
+	TLS        certs.Files
+	ServerName string // that its certificate must be for; empty: that of the address
 }
 
 // Options are what is told of the control planes.
 type Options struct {
-	Planes  []Plane
-	Node    Node
-	Variant ads.Variant
-	All     bool // all clusters are subscribed to, not only those in use
-	Rules   Rules
+	ControlPlanes []ControlPlane
+	Node          Node
+	Variant       ads.Variant
+	Wildcard      bool // all clusters are subscribed to, not only those in use
+	Selection     Timing
 
-	Hold       time.Duration // for which an old word is held off
-	Missing    time.Duration // after which what was asked for and did not come does not exist
-	Quiet      time.Duration // after which a silent connection is asked for a sign of life
-	MaxMessage int           // bytes
-	State      string        // file of the last good state; empty: none
+	DeferTime       time.Duration // for which an old word is held off
+	ResourceTimeout time.Duration // after which what was asked for and did not come does not exist
+	KeepaliveTime   time.Duration // after which a silent connection is asked for a sign of life
+	MaxMessageBytes int           // bytes
+	StateFile       string        // file of the last good state; empty: none
 }
 
 // Node is what this process calls itself.
@@ -45,15 +45,15 @@
 	Region, Zone, SubZone string
 }
 
-// Bootstrap is what a bootstrap file tells.
-type Bootstrap struct {
-	Planes []Plane
-	Node   Node
+// Config is what a bootstrap file tells.
+type Config struct {
+	ControlPlanes []ControlPlane
+	Node          Node
 }
 
-// ParseBootstrap reads the bootstrap form that gRPC's xDS clients share (JSON with xds_servers and node). Paths are taken from the
+// Parse reads the bootstrap form that gRPC's xDS clients share (JSON with xds_servers and node). Paths are taken from the
 // folder. What it tells beside that is passed over.
-func ParseBootstrap(text []byte, folder string) (b Bootstrap, err error) {
+func Parse(text []byte, folder string) (b Config, err error) {
 	var raw struct {
 		Servers []struct {
 			URI   string `json:"server_uri"`
@@ -90,7 +90,7 @@
 	}
 	for i, s := range raw.Servers {
 		here := fmt.Sprintf("xds_servers[%d]", i)
-		p := Plane{Name: s.URI, Address: strings.TrimPrefix(s.URI, "dns:///")}
+		p := ControlPlane{Name: s.URI, Address: strings.TrimPrefix(s.URI, "dns:///")}
 		if host, port, err := net.SplitHostPort(p.Address); err != nil || host == "" || port == "" {
 			return b, fmt.Errorf("%s.server_uri: %q is no address and port", here, s.URI)
 		}
@@ -98,7 +98,7 @@
 		for _, c := range s.Creds { // the first that is known counts
 			switch c.Type {
 			case "insecure":
-				p.Plain, found = true, true
+				p.Insecure, found = true, true
 			case "tls":
 				found = true
 				p.TLS = certs.Files{Certificate: path(c.Config.Certificate), Key: path(c.Config.Key), Authority: path(c.Config.Authority)}
@@ -116,9 +116,9 @@
 		if len(s.Features) > 0 && !slices.Contains(s.Features, "xds_v3") {
 			return b, fmt.Errorf("%s.server_features: without \"xds_v3\", and version 3 alone is spoken", here)
 		}
-		b.Planes = append(b.Planes, p)
+		b.ControlPlanes = append(b.ControlPlanes, p)
 	}
-	if len(b.Planes) == 0 {
+	if len(b.ControlPlanes) == 0 {
 		return b, errors.New("no xds_servers")
 	}
 	return b, nil
--- a/internal/xds/planes/planes.go
+++ b/internal/xds/planes/planes.go
@@ -18,148 +18,152 @@
 	"time"
 )
 
-// Rules are the times that the package comment speaks of.
-type Rules struct {
-	Patience time.Duration
-	Trial    time.Duration
-	Least    time.Duration // backoff after a first failure
-	Most     time.Duration // and after many
+// Timing are the times that the package comment speaks of.
+type Timing struct {
+	ResponseTimeout time.Duration
+	Probation       time.Duration
+	MinBackoff      time.Duration // backoff after a first failure
+	MaxBackoff      time.Duration // and after many
 }
 
-const maxTrials = 6 // doublings of the trial
+const maxProbationDoublings = 6 // doublings of the trial
 
-type plane struct {
-	open     bool // connected to, or being connected to
-	up       bool
-	since    time.Time // of the connection; once it is up, of that
-	fails    int
-	retry    time.Time // not before
-	returned time.Time // when it was last returned to
-	flaps    int
+type controlPlane struct {
+	open       bool // connected to, or being connected to
+	up         bool
+	since      time.Time // of the connection; once it is up, of that
+	failures   int
+	retryAt    time.Time // not before
+	returnedAt time.Time // when it was last returned to
+	flaps      int
 }
 
-// Order is the state of all planes.
-type Order struct {
-	rules  Rules
-	rng    *rand.Rand
-	planes []plane
-	now    int // listened to; -1: none yet
-	known  bool
-	lost   time.Time // since when none is up
+// Selector is the state of all planes.
+type Selector struct {
+	timing        Timing
+	rng           *rand.Rand
+	controlPlanes []controlPlane
+	active        int // listened to; -1: none yet
+	hasCache      bool
+	downSince     time.Time // since when none is up
 }
 
 // New returns the state before anything has been connected to.
-func New(now time.Time, planes int, rules Rules, rng *rand.Rand) *Order {
-	return &Order{rules: rules, rng: rng, planes: make([]plane, planes), now: -1, lost: now}
+func New(now time.Time, planes int, rules Timing, rng *rand.Rand) *Selector {
+	return &Selector{timing: rules, rng: rng, controlPlanes: make([]controlPlane, planes), active: -1, downSince: now}
 }
 
-// Known tells that there is something to go on with while no plane is up.
-func (o *Order) Known() { o.known = true }
+// SetCached tells that there is something to go on with while no plane is up.
+func (o *Selector) SetCached() { o.hasCache = true }
 
-// Listen returns the plane that is listened to; ok is false where none is up.
-func (o *Order) Listen() (plane int, ok bool) { return o.now, o.now >= 0 && o.planes[o.now].up }
+// Active returns the plane that is listened to; ok is false where none is up.
+func (o *Selector) Active() (plane int, ok bool) {
+	return o.active, o.active >= 0 && o.controlPlanes[o.active].up
+}
 
-// Up tells that a plane has said something, the first time since it was connected to.
-func (o *Order) Up(now time.Time, i int) {
-	p := &o.planes[i]
+// MarkUp tells that a plane has said something, the first time since it was connected to.
+func (o *Selector) MarkUp(now time.Time, i int) {
+	p := &o.controlPlanes[i]
 	if !p.open || p.up {
 		return
 	}
 	p.up, p.since = true, now
-	if _, ok := o.Listen(); !ok {
-		o.listen(now, i)
+	if _, ok := o.Active(); !ok {
+		o.activate(now, i)
 	}
 }
 
-func (o *Order) listen(now time.Time, i int) {
-	if o.now >= 0 && i < o.now {
-		o.planes[i].returned = now
+func (o *Selector) activate(now time.Time, i int) {
+	if o.active >= 0 && i < o.active {
+		o.controlPlanes[i].returnedAt = now
 	}
-	o.now = i
+	o.active = i
 }
 
-// Down tells that a plane could not be connected to, or that its stream has ended.
-func (o *Order) Down(now time.Time, i int) {
-	p := &o.planes[i]
+// MarkDown tells that a plane could not be connected to, or that its stream has ended.
+func (o *Selector) MarkDown(now time.Time, i int) {
+	p := &o.controlPlanes[i]
 	if !p.open {
 		return
 	}
-	if p.up && now.Sub(p.since) >= o.width(p.fails) {
-		p.fails = 0
+	if p.up && now.Sub(p.since) >= o.backoffLimit(p.failures) {
+		p.failures = 0
 	}
-	if !p.returned.IsZero() {
-		if now.Sub(p.returned) < o.trial(i) {
-			p.flaps = min(p.flaps+1, maxTrials)
+	if !p.returnedAt.IsZero() {
+		if now.Sub(p.returnedAt) < o.probation(i) {
+			p.flaps = min(p.flaps+1, maxProbationDoublings)
 		} else {
 			p.flaps = 0
 		}
-		p.returned = time.Time{}
+		p.returnedAt = time.Time{}
 	}
-	p.fails++
+	p.failures++
 	was := p.up
 	p.open, p.up = false, false
-	p.retry = now.Add(time.Duration(o.rng.Float64() * float64(o.width(p.fails))))
-	if o.now != i || !was {
+	p.retryAt = now.Add(time.Duration(o.rng.Float64() * float64(o.backoffLimit(p.failures))))
+	if o.active != i || !was {
 		return
 	}
-	for j := range o.planes { // the first that is up
-		if o.planes[j].up {
-			o.now = j
+	for j := range o.controlPlanes { // the first that is up
+		if o.controlPlanes[j].up {
+			o.active = j
 			return
 		}
 	}
-	o.lost = now
+	o.downSince = now
 }
 
-// width is what a backoff is drawn from.
-func (o *Order) width(fails int) time.Duration {
+// backoffLimit is what a backoff is drawn from.
+func (o *Selector) backoffLimit(fails int) time.Duration {
 	if fails == 0 {
 		return 0
 	}
-	return min(o.rules.Least<<min(fails-1, 20), o.rules.Most)
+	return min(o.timing.MinBackoff<<min(fails-1, 20), o.timing.MaxBackoff)
 }
 
-func (o *Order) trial(i int) time.Duration { return o.rules.Trial << o.planes[i].flaps }
+func (o *Selector) probation(i int) time.Duration {
+	return o.timing.Probation << o.controlPlanes[i].flaps
+}
 
-// reach is the last plane that may be connected to.
-func (o *Order) reach(now time.Time) int {
-	if at, ok := o.Listen(); ok {
+// lastEligible is the last plane that may be connected to.
+func (o *Selector) lastEligible(now time.Time) int {
+	if at, ok := o.Active(); ok {
 		return at
 	}
-	if o.known && now.Sub(o.lost) < o.rules.Patience {
-		return max(o.now, 0)
+	if o.hasCache && now.Sub(o.downSince) < o.timing.ResponseTimeout {
+		return max(o.active, 0)
 	}
-	for i := range o.planes {
-		p := &o.planes[i]
-		if p.fails == 0 && !(p.open && now.Sub(p.since) >= o.rules.Patience) {
-			return max(i, o.now)
+	for i := range o.controlPlanes {
+		p := &o.controlPlanes[i]
+		if p.failures == 0 && !(p.open && now.Sub(p.since) >= o.timing.ResponseTimeout) {
+			return max(i, o.active)
 		}
 	}
-	return len(o.planes) - 1
+	return len(o.controlPlanes) - 1
 }
 
-// Step brings the planes up to the time: those to connect to are open from now on, those to drop are not. A plane that is
+// Advance brings the planes up to the time: those to connect to are open from now on, those to drop are not. A plane that is
 // dropped and has not failed needs no Down.
-func (o *Order) Step(now time.Time) (connect, drop []int) {
-	for i := range o.planes {
-		if p := &o.planes[i]; p.open && !p.up && now.Sub(p.since) >= o.rules.Patience {
-			o.Down(now, i)
+func (o *Selector) Advance(now time.Time) (connect, drop []int) {
+	for i := range o.controlPlanes {
+		if p := &o.controlPlanes[i]; p.open && !p.up && now.Sub(p.since) >= o.timing.ResponseTimeout {
+			o.MarkDown(now, i)
 			drop = append(drop, i)
 		}
 	}
-	if at, ok := o.Listen(); ok {
+	if at, ok := o.Active(); ok {
 		for i := range at {
-			if p := &o.planes[i]; p.up && now.Sub(p.since) >= o.trial(i) {
-				o.listen(now, i)
+			if p := &o.controlPlanes[i]; p.up && now.Sub(p.since) >= o.probation(i) {
+				o.activate(now, i)
 				break
 			}
 		}
 	}
-	reach := o.reach(now)
-	for i := range o.planes {
-		p := &o.planes[i]
+	reach := o.lastEligible(now)
+	for i := range o.controlPlanes {
+		p := &o.controlPlanes[i]
 		switch {
-		case i <= reach && !p.open && !now.Before(p.retry):
+		case i <= reach && !p.open && !now.Before(p.retryAt):
 			p.open, p.since = true, now
 			connect = append(connect, i)
 		case i > reach && p.open:
@@ -170,9 +174,9 @@
 	return connect, drop
 }
 
-// Next returns the time at which Step has something to do; zero: none until something is told.
-func (o *Order) Next(now time.Time) (at time.Time) {
-	reach := o.reach(now)
+// NextDeadline returns the time at which Step has something to do; zero: none until something is told.
+func (o *Selector) NextDeadline(now time.Time) (at time.Time) {
+	reach := o.lastEligible(now)
 	sooner := func(t time.Time) {
 		if t.Before(now) { // also one that was never set
 			t = now
@@ -181,18 +185,18 @@
 			at = t
 		}
 	}
-	listen, ok := o.Listen()
-	for i := range o.planes {
-		switch p := &o.planes[i]; {
+	listen, ok := o.Active()
+	for i := range o.controlPlanes {
+		switch p := &o.controlPlanes[i]; {
 		case p.open && !p.up:
-			sooner(p.since.Add(o.rules.Patience))
+			sooner(p.since.Add(o.timing.ResponseTimeout))
 		case p.up && ok && i < listen:
-			sooner(p.since.Add(o.trial(i)))
+			sooner(p.since.Add(o.probation(i)))
 		case !p.open && i <= reach:
-			sooner(p.retry)
+			sooner(p.retryAt)
 		}
 	}
-	if over := o.lost.Add(o.rules.Patience); !ok && o.known && now.Before(over) {
+	if over := o.downSince.Add(o.timing.ResponseTimeout); !ok && o.hasCache && now.Before(over) {
 		sooner(over)
 	}
 	return at
--- a/internal/xds/planes/planes_test.go
+++ b/internal/xds/planes/planes_test.go
@@ -9,11 +9,11 @@
 	"pgregory.net/rapid"
 )
 
-var rules = Rules{Patience: 5 * time.Second, Trial: 10 * time.Second, Least: 500 * time.Millisecond, Most: 30 * time.Second}
+var rules = Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: 500 * time.Millisecond, MaxBackoff: 30 * time.Second}
 
 // world runs an order over planes that are alive or not, in steps of simulated time.
 type world struct {
-	o       *Order
+	o       *Selector
 	now     time.Time
 	alive   []bool
 	open    []bool
@@ -30,7 +30,7 @@
 
 func (w *world) step(d time.Duration) {
 	w.now = w.now.Add(d)
-	connect, drop := w.o.Step(w.now)
+	connect, drop := w.o.Advance(w.now)
 	for _, i := range drop {
 		w.open[i] = false
 	}
@@ -43,13 +43,13 @@
 	for i := range w.open {
 		switch {
 		case w.open[i] && w.alive[i]:
-			w.o.Up(w.now, i)
+			w.o.MarkUp(w.now, i)
 		case w.open[i]:
 			w.open[i] = false
-			w.o.Down(w.now, i)
+			w.o.MarkDown(w.now, i)
 		}
 	}
-	if at, ok := w.o.Listen(); ok && at != w.last {
+	if at, ok := w.o.Active(); ok && at != w.last {
 		w.last = at
 		w.changes++
 	}
@@ -63,7 +63,7 @@
 
 func (w *world) listens(t *testing.T, want int) {
 	t.Helper()
-	if at, ok := w.o.Listen(); ok != (want >= 0) || ok && at != want {
+	if at, ok := w.o.Active(); ok != (want >= 0) || ok && at != want {
 		t.Errorf("listens to %d, %v; want %d", at, ok, want)
 	}
 }
@@ -74,7 +74,7 @@
 	w.alive = []bool{true, true, true}
 	w.run(time.Second)
 	w.listens(t, 0)
-	w.o.Known()
+	w.o.SetCached()
 	w.alive[0] = false
 	w.run(4 * time.Second)
 	w.listens(t, -1)
@@ -106,7 +106,7 @@
 	w := newWorld(2, 3)
 	w.alive = []bool{true, true}
 	w.run(time.Second)
-	w.o.Known()
+	w.o.SetCached()
 	for range 60 { // an hour of it: up for 40 s, down for 20
 		w.alive[0] = true
 		w.run(40 * time.Second)
@@ -163,10 +163,10 @@
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			w.alive[rapid.IntRange(0, n-1).Draw(t, "plane")] = rapid.Bool().Draw(t, "alive")
 			if rapid.Bool().Draw(t, "known") {
-				w.o.Known()
+				w.o.SetCached()
 			}
 			w.step(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
-			if at, ok := w.o.Listen(); ok && (!w.open[at] || !w.alive[at]) {
+			if at, ok := w.o.Active(); ok && (!w.open[at] || !w.alive[at]) {
 				t.Fatalf("listens to %d, which is not up", at)
 			}
 		}
@@ -175,7 +175,7 @@
 		}
 		spins := 0
 		for range 500 { // by Next alone
-			at := w.o.Next(w.now)
+			at := w.o.NextDeadline(w.now)
 			if at.IsZero() {
 				break
 			}
@@ -186,7 +186,7 @@
 			}
 			w.step(at.Sub(w.now))
 		}
-		if at, ok := w.o.Listen(); !ok || at != slices.Index(w.alive, true) {
+		if at, ok := w.o.Active(); !ok || at != slices.Index(w.alive, true) {
 			t.Fatalf("listens to %d, %v; alive are %v", at, ok, w.alive)
 		}
 	})
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -55,10 +55,10 @@
 }
 
 func options(v ads.Variant, addresses ...string) planes.Options {
-	o := planes.Options{Variant: v, Node: planes.Node{ID: "test"}, Hold: time.Hour, Missing: 300 * time.Millisecond, Quiet: 10 * time.Second, MaxMessage: 1 << 20,
-		Rules: planes.Rules{Patience: 300 * time.Millisecond, Trial: 100 * time.Millisecond, Least: time.Millisecond, Most: 20 * time.Millisecond}}
+	o := planes.Options{Variant: v, Node: planes.Node{ID: "test"}, DeferTime: time.Hour, ResourceTimeout: 300 * time.Millisecond, KeepaliveTime: 10 * time.Second, MaxMessageBytes: 1 << 20,
+		Selection: planes.Timing{ResponseTimeout: 300 * time.Millisecond, Probation: 100 * time.Millisecond, MinBackoff: time.Millisecond, MaxBackoff: 20 * time.Millisecond}}
 	for i, a := range addresses {
-		o.Planes = append(o.Planes, planes.Plane{Name: fmt.Sprint("p", i), Address: a, Plain: true})
+		o.ControlPlanes = append(o.ControlPlanes, planes.ControlPlane{Name: fmt.Sprint("p", i), Address: a, Insecure: true})
 	}
 	return o
 }
@@ -221,7 +221,7 @@
 	p := plane(t)
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
 	o := options(ads.Delta, p.Addr())
-	o.Hold = 200 * time.Millisecond
+	o.DeferTime = 200 * time.Millisecond
 	c, _ := start(t, o)
 	a := follow(t, c, "a")
 	a.sees("1")
@@ -251,7 +251,7 @@
 		t.Cleanup(end)
 		got, once := make(chan struct{}), sync.Once{}
 		p.Script(func(s *controlplane.Stream) error {
-			err := s.Send(envoy.SetType, "1", "early", nil, set("a", 9)) // nobody has asked for it
+			err := s.Send(envoy.EndpointsType, "1", "early", nil, set("a", 9)) // nobody has asked for it
 			if err == nil {
 				err = s.Send("type.googleapis.com/envoy.config.listener.v3.Listener", "1", "strange", nil)
 			}
@@ -278,11 +278,11 @@
 				switch {
 				case r.Type == envoy.ClusterType && r.Nonce == "":
 					err = s.Send(r.Type, "1", "c1", []string{"none"}, controlplane.Cluster("a"), controlplane.Cluster("lost"))
-				case r.Type == envoy.SetType && n == 0:
+				case r.Type == envoy.EndpointsType && n == 0:
 					n++
 					err = s.Send(r.Type, "1", "s1", nil, set("a", 1))
 					if err == nil { // in one message gone and there, with its set told before it
-						err = s.Send(envoy.SetType, "2", "s2", nil, set("a", 2))
+						err = s.Send(envoy.EndpointsType, "2", "s2", nil, set("a", 2))
 					}
 					if err == nil {
 						err = s.Send(envoy.ClusterType, "2", "c2", []string{"a", "none"}, controlplane.Cluster("lost"), again("a"))
@@ -330,7 +330,7 @@
 		p := plane(t)
 		put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("b"), set("b", 2))
 		o := options(v, p.Addr())
-		o.All = true
+		o.Wildcard = true
 		c, _ := start(t, o)
 		lbtest.Until(t, "both are told", func() bool { return len(c.Dump().Resources) == 2 })
 		if r := p.Asked()[0]; len(r.Names) != 0 {
@@ -340,7 +340,7 @@
 		put(t, p, "2", controlplane.Cluster("b"), set("b", 3))
 		lbtest.Until(t, "one is gone", func() bool { return c.Dump().Resources[0].State == "removed" })
 		for _, r := range p.Asked() {
-			if r.Type == envoy.SetType && slices.Contains(r.Names, "a") {
+			if r.Type == envoy.EndpointsType && slices.Contains(r.Names, "a") {
 				t.Errorf("the endpoints of a cluster that nobody uses are asked for: %+v", r)
 			}
 		}
@@ -431,7 +431,7 @@
 	p := plane(t)
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("unused"), set("unused", 7))
 	o := options(ads.Delta, p.Addr())
-	o.State = filepath.Join(t.TempDir(), "state")
+	o.StateFile = filepath.Join(t.TempDir(), "state")
 	c, _ := start(t, o)
 	a := follow(t, c, "a")
 	a.sees("1")
@@ -451,14 +451,14 @@
 	a.sees("3")
 	c.Close()
 	a.stop()
-	text, err := os.ReadFile(o.State)
+	text, err := os.ReadFile(o.StateFile)
 	if err != nil {
 		t.Fatal(err)
 	}
 	p.Hang(true)
 	text[len(text)-3] ^= 4
 	for _, torn := range [][]byte{text, text[:len(text)/2], text[:10], {}} {
-		if err := os.WriteFile(o.State, torn, 0o600); err != nil {
+		if err := os.WriteFile(o.StateFile, torn, 0o600); err != nil {
 			t.Fatal(err)
 		}
 		c, log := start(t, o)
@@ -485,7 +485,7 @@
 	path, sets := filepath.Join(folder, "clusters.json"), filepath.Join(folder, "sets.json")
 	one := func(name string, port int) string {
 		return fmt.Sprintf(`{"@type": %q, "cluster_name": %q, "endpoints": [{"lb_endpoints": [{"endpoint": {"address": {"socket_address":
-			{"address": "127.0.0.1", "port_value": %d}}}}]}]}`, envoy.SetType, name, port)
+			{"address": "127.0.0.1", "port_value": %d}}}}]}]}`, envoy.EndpointsType, name, port)
 	}
 	clusters := fmt.Sprintf(`{"@type": %q, "name": "a", %s}, {"@type": %q, "name": "b", "type": "EDS", "eds_cluster_config": {"service_name": "s",
 		"eds_config": {"path_config_source": {"path": %q}}}}`, envoy.ClusterType, `"type": "EDS", "eds_cluster_config": {"eds_config": {"ads": {}}}`, envoy.ClusterType, sets)
@@ -495,13 +495,13 @@
 	write(t, path, file(1))
 	write(t, sets, `{"resources": [`+one("s", 11)+`]}`)
 	o := options(ads.Delta)
-	o.Planes = []planes.Plane{{Name: "file", File: path}}
+	o.ControlPlanes = []planes.ControlPlane{{Name: "file", File: path}}
 	c, log := start(t, o)
 	a, b := follow(t, c, "a"), follow(t, c, "b")
 	a.sees("1")
 	b.sees("11")
 	write(t, path, `{"resources": [`)
-	write(t, sets, `{"resources": [`+one("s", 12)+`, {"@type": "`+envoy.SetType+`", "cluster_name": "other", "endpoints": [{"priority": 3}]}]}`)
+	write(t, sets, `{"resources": [`+one("s", 12)+`, {"@type": "`+envoy.EndpointsType+`", "cluster_name": "other", "endpoints": [{"priority": 3}]}]}`)
 	b.sees("12")
 	lbtest.Until(t, "both faults are logged", func() bool { return log.Has("clusters.json") && log.Has("priorities have a gap") })
 	write(t, path, file(2))
@@ -515,7 +515,7 @@
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	o.Planes[0].File = pipe
+	o.ControlPlanes[0].File = pipe
 	_, log = start(t, o)
 	lbtest.Until(t, "it is turned down", func() bool { return log.Has("no regular file") })
 }
@@ -554,8 +554,8 @@
 		}})))
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
 	o := options(ads.Delta, p.Addr(), p.Addr())
-	o.Planes[0].Plain, o.Planes[0].TLS, o.Planes[0].Host = false, issue("first", "ours"), "somebody else"
-	o.Planes[1].Plain, o.Planes[1].TLS, o.Planes[1].Host = false, o.Planes[0].TLS, "plane"
+	o.ControlPlanes[0].Insecure, o.ControlPlanes[0].TLS, o.ControlPlanes[0].ServerName = false, issue("first", "ours"), "somebody else"
+	o.ControlPlanes[1].Insecure, o.ControlPlanes[1].TLS, o.ControlPlanes[1].ServerName = false, o.ControlPlanes[0].TLS, "plane"
 	c, log := start(t, o)
 	a := follow(t, c, "a")
 	a.sees("1")
@@ -587,7 +587,7 @@
 				err = s.Send(r.Type, "1", "c1", nil, controlplane.Cluster("a"))
 			case r.Type == envoy.ClusterType && n == 1:
 				err = s.Send(r.Type, "2", "c2", nil, &anypb.Any{TypeUrl: envoy.ClusterType, Value: []byte{0xff}}, &anypb.Any{TypeUrl: "x"})
-			case r.Type == envoy.SetType:
+			case r.Type == envoy.EndpointsType:
 				err = s.Send(r.Type, "1", "s1", nil, set("a", 1))
 				n = -1 << 30
 			}
