--- a/bench/xds/main.go
+++ b/bench/xds/main.go
@@ -34,8 +34,8 @@
 	"silvertrail/internal/testkit/standin"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/selection"
 )
 
 type commands struct {
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	g, err := gateway.Start(file, slog.New(slog.DiscardHandler), gateway.WithDiscovery(func(o planes.Options, l *slog.Logger) gateway.Discovery { return xds.Start(o, l) }))
+	g, err := gateway.Start(file, slog.New(slog.DiscardHandler), gateway.WithDiscovery(func(o selection.Options, l *slog.Logger) gateway.Discovery { return xds.Start(o, l) }))
 	if err != nil {
 		return nil, nil, 0, err
 	}
@@ -310,8 +310,8 @@
 		return err
 	}
 	begun := time.Now()
-	c := xds.Start(planes.Options{Variant: v, ControlPlanes: []planes.ControlPlane{{Name: "p", Address: strings.TrimSpace(addr), Insecure: true}}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second,
-		KeepaliveTime: 30 * time.Second, MaxMessageBytes: maxMessage, Selection: planes.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Second, MaxBackoff: 30 * time.Second}},
+	c := xds.Start(selection.Options{Variant: v, ControlPlanes: []selection.ControlPlane{{Name: "p", Address: strings.TrimSpace(addr), Insecure: true}}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second,
+		KeepaliveTime: 30 * time.Second, MaxMessageBytes: maxMessage, Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Second, MaxBackoff: 30 * time.Second}},
 		slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	defer c.Close()
 	ctx, stop := context.WithCancel(context.Background())
@@ -322,9 +322,9 @@
 	for i := range clusters {
 		all.Go(func() {
 			was := false
-			c.Follow(ctx, fmt.Sprint("c", i), func(v known.ClusterView) {
-				if v.State == known.Ready {
-					known.AssignTraffic(v.Cluster, v.Set, v.Stale, known.AllPriorities)
+			c.Follow(ctx, fmt.Sprint("c", i), func(v cache.ClusterView) {
+				if v.State == cache.Ready {
+					cache.AssignTraffic(v.Cluster, v.Set, v.Stale, cache.AllPriorities)
 					heard.Add(1)
 					if !was {
 						was = true
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -18,7 +18,7 @@
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/controlplane/records"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // withXDS builds the program that has control machines in it.
@@ -225,7 +225,7 @@
 // version returns what a gateway has in force.
 func (x *spread) version(gateway int) (v records.Version) {
 	a := asked{Control: x.gateways[gateway].socket()}
-	var d known.Dump
+	var d cache.Dump
 	if a.ask("/xds", &d) != nil {
 		return v
 	}
@@ -240,7 +240,7 @@
 // home tells whether a gateway listens to the machine that stands first in its file.
 func (x *spread) home(gateway int) bool {
 	a := asked{Control: x.gateways[gateway].socket()}
-	var d known.Dump
+	var d cache.Dump
 	return a.ask("/xds", &d) == nil && len(d.ControlPlanes) > 0 && d.ControlPlanes[0].Active
 }
 
--- a/cmd/silvertrail/xds.go
+++ b/cmd/silvertrail/xds.go
@@ -7,7 +7,7 @@
 	"text/tabwriter"
 	"time"
 
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // xdsCommands ask a running instance about its control planes, on the control socket that its configuration names. Those that need
@@ -20,7 +20,7 @@
 type xdsDump struct{ asked }
 
 func (c *xdsDump) Run() error {
-	var d known.Dump
+	var d cache.Dump
 	if err := c.ask("/xds", &d); err != nil || c.JSON {
 		return err
 	}
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -23,8 +23,8 @@
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/selection"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -77,21 +77,21 @@
 type receiver struct {
 	client *xds.Client
 	mu     sync.Mutex
-	view   known.ClusterView
+	view   cache.ClusterView
 }
 
 func follow(t testing.TB, node, cluster string, addresses ...string) *receiver {
 	t.Helper()
-	o := planes.Options{Variant: ads.Delta, Node: planes.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
-		MaxMessageBytes: 16 << 20, Selection: planes.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Millisecond, MaxBackoff: 50 * time.Millisecond}}
+	o := selection.Options{Variant: ads.Delta, Node: selection.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
+		MaxMessageBytes: 16 << 20, Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Millisecond, MaxBackoff: 50 * time.Millisecond}}
 	for _, a := range addresses {
-		o.ControlPlanes = append(o.ControlPlanes, planes.ControlPlane{Name: a, Address: a, Insecure: true})
+		o.ControlPlanes = append(o.ControlPlanes, selection.ControlPlane{Name: a, Address: a, Insecure: true})
 	}
 	r := &receiver{client: xds.Start(o, slog.New(slog.DiscardHandler))}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() {
-		r.client.Follow(ctx, cluster, func(v known.ClusterView) {
+		r.client.Follow(ctx, cluster, func(v cache.ClusterView) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.view = v
@@ -109,7 +109,7 @@
 func (r *receiver) sees() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.view.State != known.Ready {
+	if r.view.State != cache.Ready {
 		return r.view.State.String()
 	}
 	return strings.TrimPrefix(r.view.Set.Localities[0].Endpoints[0].Address, "127.0.0.1:")
@@ -241,8 +241,8 @@
 func TestPeers(t *testing.T) {
 	l := lbtest.Listen(t)
 	o := api.Options{Name: "a", Listen: l.Addr().String(), InitialSync: time.Minute}
-	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: planes.ControlPlane{Address: o.Listen, Insecure: true}}}})
-	o.Peers = []api.Peer{{Name: "b", Plane: planes.ControlPlane{Address: b.Addr(), Insecure: true}}}
+	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: selection.ControlPlane{Address: o.Listen, Insecure: true}}}})
+	o.Peers = []api.Peer{{Name: "b", Plane: selection.ControlPlane{Address: b.Addr(), Insecure: true}}}
 	l.Close()
 	a := begin(t, o)
 	lbtest.Until(t, "a has heard b", func() bool { return a.Status().Peers[0].Synced })
@@ -272,7 +272,7 @@
 // for that, it does.
 func TestInitialSync(t *testing.T) {
 	l := lbtest.Listen(t)
-	peers := []api.Peer{{Name: "b", Plane: planes.ControlPlane{Address: l.Addr().String(), Insecure: true}}}
+	peers := []api.Peer{{Name: "b", Plane: selection.ControlPlane{Address: l.Addr().String(), Insecure: true}}}
 	s := begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Hour})
 	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); !errors.Is(err, ErrInitialSync) {
 		t.Error(err)
--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -14,8 +14,8 @@
 	"silvertrail/internal/controlplane/distribution"
 	"silvertrail/internal/controlplane/records"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/known"
 )
 
 const (
@@ -133,7 +133,7 @@
 }
 
 // requiredSet returns the endpoint set that a cluster requires from its control plane.
-func requiredSet(c *known.Cluster) string {
+func requiredSet(c *cache.Cluster) string {
 	if c == nil || c.EndpointsFile != "" {
 		return ""
 	}
--- a/internal/gateway/cluster/xds.go
+++ b/internal/gateway/cluster/xds.go
@@ -9,20 +9,20 @@
 	"sync"
 
 	"silvertrail/internal/base/endpointlist"
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // Discovery tells of clusters in xDS form.
 type Discovery interface {
 	// Follow tells how a cluster stands, and again with each change, until ctx ends. Of changes that come faster than say
 	// returns only the last is told.
-	Follow(ctx context.Context, resource string, say func(known.ClusterView))
+	Follow(ctx context.Context, resource string, say func(cache.ClusterView))
 }
 
 // XDS is a cluster in xDS form.
 type XDS struct {
 	Resource string
-	Level    int      // of failover; known.AllLevels: all, as the health of each has it
+	Level    int      // of failover; cache.AllLevels: all, as the health of each has it
 	Zones    []string // that there are
 	Zone     string   // of endpoints in another one
 	Part     string   // of a locality, that names its zone: "region", "zone" or "sub_zone"
@@ -38,41 +38,41 @@
 	}
 	names := &lookups{x: x, log: log}
 	defer names.stop()
-	d.Follow(ctx, x.Resource, func(v known.ClusterView) {
+	d.Follow(ctx, x.Resource, func(v cache.ClusterView) {
 		switch v.State {
-		case known.Pending: // what was said before stands
+		case cache.Pending: // what was said before stands
 			return
-		case known.Missing:
+		case cache.Missing:
 			log.Warn("xds: what it said last stands", "resource", x.Resource, "why", v.Reason)
 			say(lost, nil)
 			return
-		case known.Removed:
+		case cache.Removed:
 			names.stop()
 			say(whole, nil)
 			return
 		}
 		bound(bounds{v.Cluster.ConnectTimeout, v.Cluster.MaxConnections, v.Cluster.MaxRequests, v.Set.DropFraction()})
-		members := known.AssignTraffic(v.Cluster, v.Set, v.Stale, x.Level)
-		if v.Cluster.Resolution == known.NoResolution {
+		members := cache.AssignTraffic(v.Cluster, v.Set, v.Stale, x.Level)
+		if v.Cluster.Resolution == cache.NoResolution {
 			names.stop()
 			say(whole, x.entries(members))
 			return
 		}
-		names.follow(ctx, members, v.Cluster.Resolution == known.LogicalDNS, say)
+		names.follow(ctx, members, v.Cluster.Resolution == cache.LogicalDNS, say)
 	})
 }
 
 // uses are a member's use in the words of a list.
-var uses = [...]string{known.Used: ready, known.Standby: standby, known.Unused: draining}
+var uses = [...]string{cache.Used: ready, cache.Standby: standby, cache.Unused: draining}
 
-func (x *XDS) entries(members []known.AssignedEndpoint) (out []endpointlist.Endpoint) {
+func (x *XDS) entries(members []cache.AssignedEndpoint) (out []endpointlist.Endpoint) {
 	for i := range members {
 		out = append(out, x.entry(&members[i]))
 	}
 	return out
 }
 
-func (x *XDS) entry(m *known.AssignedEndpoint) endpointlist.Endpoint {
+func (x *XDS) entry(m *cache.AssignedEndpoint) endpointlist.Endpoint {
 	zone := map[string]string{"region": m.Locality.Region, "zone": m.Locality.Zone, "sub_zone": m.Locality.SubZone}[x.Part]
 	if !slices.Contains(x.Zones, zone) {
 		zone = x.Zone
@@ -87,7 +87,7 @@
 	log *slog.Logger
 
 	mu    sync.Mutex
-	names []known.AssignedEndpoint // that are followed
+	names []cache.AssignedEndpoint // that are followed
 	end   context.CancelFunc
 	turn  int
 	found map[string][]endpointlist.Endpoint // by name and port; nil: nothing found yet
@@ -95,9 +95,9 @@
 }
 
 // follow starts to look the members' names up, in place of those before. A change of their weights or states alone asks no name server.
-func (l *lookups) follow(ctx context.Context, members []known.AssignedEndpoint, one bool, say tell) {
+func (l *lookups) follow(ctx context.Context, members []cache.AssignedEndpoint, one bool, say tell) {
 	l.mu.Lock()
-	same := l.end != nil && slices.EqualFunc(l.names, members, func(a, b known.AssignedEndpoint) bool { return a.Address == b.Address })
+	same := l.end != nil && slices.EqualFunc(l.names, members, func(a, b cache.AssignedEndpoint) bool { return a.Address == b.Address })
 	l.mu.Unlock()
 	if !same {
 		l.stop()
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -26,7 +26,7 @@
 	"silvertrail/internal/gateway/route"
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/sites/peering"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/selection"
 	"silvertrail/lbpolicy"
 )
 
@@ -38,13 +38,13 @@
 	Listeners    []Listener
 	Clusters     []cluster.Config
 	Routes       *route.Table
-	Fleet        *fleet.Options   // nil: this instance is alone
-	Link         *peering.Options // nil: no other salas
-	XDS          *planes.Options  // nil: no control planes
-	ControlPlane *api.Options     // nil: this instance is none
-	Ledger       *ledger.Options  // nil: keyed requests are not recorded
-	Meaning      Meaning          // where the fleet tells versions
-	Control      string           // a socket's path, on which the running process tells of itself; empty: none
+	Fleet        *fleet.Options     // nil: this instance is alone
+	Link         *peering.Options   // nil: no other salas
+	XDS          *selection.Options // nil: no control planes
+	ControlPlane *api.Options       // nil: this instance is none
+	Ledger       *ledger.Options    // nil: keyed requests are not recorded
+	Meaning      Meaning            // where the fleet tells versions
+	Control      string             // a socket's path, on which the running process tells of itself; empty: none
 }
 
 // Process is what concerns the whole program.
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -12,8 +12,8 @@
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/gateway/cluster"
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/selection"
 )
 
 const (
@@ -22,7 +22,7 @@
 )
 
 // xdsBlock reads the block that names the control planes, or returns nil where there is none.
-func (p *parser) xdsBlock(blocks hcl.Blocks) *planes.Options {
+func (p *parser) xdsBlock(blocks hcl.Blocks) *selection.Options {
 	if len(blocks) == 0 {
 		return nil
 	}
@@ -32,11 +32,11 @@
 	b := blocks[0]
 	s := p.open("xds", b.DefRange, b.Body, []string{"node", "node_cluster", "region", "zone", "sub_zone", "variant", "all", "hold", "missing", "patience",
 		"trial", "backoff", "backoff_most", "quiet", "max_message", "state", "bootstrap"}, map[string]int{"plane": 1})
-	o := &planes.Options{Wildcard: s.flag("all"),
+	o := &selection.Options{Wildcard: s.flag("all"),
 		DeferTime:       s.duration("hold", 30*time.Second, 0, time.Hour),
 		ResourceTimeout: s.duration("missing", 15*time.Second, 100*time.Millisecond, time.Hour),
 		KeepaliveTime:   s.duration("quiet", 5*time.Minute, 10*time.Second, time.Hour),
-		Selection: planes.Timing{ResponseTimeout: s.duration("patience", 5*time.Second, 50*time.Millisecond, time.Hour),
+		Selection: selection.Timing{ResponseTimeout: s.duration("patience", 5*time.Second, 50*time.Millisecond, time.Hour),
 			Probation:  s.duration("trial", 10*time.Second, 0, time.Hour),
 			MinBackoff: s.duration("backoff", 500*time.Millisecond, time.Millisecond, time.Minute)},
 		MaxMessageBytes: int(s.size("max_message", 16<<20, 64<<10, 1<<30)), StateFile: p.path(s, "state")}
@@ -54,7 +54,7 @@
 	}
 	for _, inner := range s.blocks {
 		if pl, ok := p.plane(inner); ok {
-			if slices.ContainsFunc(o.ControlPlanes, func(is planes.ControlPlane) bool { return is.Name == pl.Name }) {
+			if slices.ContainsFunc(o.ControlPlanes, func(is selection.ControlPlane) bool { return is.Name == pl.Name }) {
 				p.fault(inner.LabelRanges[0], "Named twice", "A plane named %q is there already.", pl.Name)
 			}
 			o.ControlPlanes = append(o.ControlPlanes, pl)
@@ -70,7 +70,7 @@
 }
 
 // bootstrap reads the planes and the node of a bootstrap file. Those of the block come after them.
-func (p *parser) bootstrap(s *scope, o *planes.Options) {
+func (p *parser) bootstrap(s *scope, o *selection.Options) {
 	path := p.path(s, "bootstrap")
 	info, err := os.Stat(path)
 	var text []byte
@@ -81,7 +81,7 @@
 		s.fault(s.where("bootstrap"), "No bootstrap file", "%s.", err)
 		return
 	}
-	b, err := planes.Parse(text, filepath.Dir(path))
+	b, err := selection.Parse(text, filepath.Dir(path))
 	if err != nil {
 		s.fault(s.where("bootstrap"), "Unusable bootstrap file", "%s: %s.", path, err)
 		return
@@ -89,9 +89,9 @@
 	o.ControlPlanes, o.Node = b.ControlPlanes, b.Node
 }
 
-func (p *parser) plane(b *hcl.Block) (planes.ControlPlane, bool) {
+func (p *parser) plane(b *hcl.Block) (selection.ControlPlane, bool) {
 	s := p.open("plane "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "file", "plain", "certificate", "key", "authority", "host"}, nil)
-	out := planes.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.flag("plain"), ServerName: s.text("host", ""),
+	out := selection.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.flag("plain"), ServerName: s.text("host", ""),
 		TLS: certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}}
 	secured := []string{"certificate", "key", "authority", "host"}
 	without := func(why string, names ...string) {
@@ -131,7 +131,7 @@
 		}
 		twice = true
 		e := p.open("xds of "+s.what, b.DefRange, b.Body, []string{"resource", "level", "part", "zone", "server"}, nil)
-		x := &cluster.XDS{Resource: e.text("resource", c.Name), Level: known.AllPriorities, Zones: zones, Zone: p.zone(e, zones),
+		x := &cluster.XDS{Resource: e.text("resource", c.Name), Level: cache.AllPriorities, Zones: zones, Zone: p.zone(e, zones),
 			Part: e.word("part", "zone", "region", "zone", "sub_zone"), Server: e.text("server", "")}
 		if e.has("level") {
 			x.Level = e.whole("level", 0, 0, 127)
--- a/internal/gateway/conf/xds_test.go
+++ b/internal/gateway/conf/xds_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 const bootstrap = `{"xds_servers": [{"server_uri": "dns:///plane.example:443", "channel_creds": [{"type": "google_default"},
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	if o = f.XDS; len(o.ControlPlanes) != 3 || o.ControlPlanes[0].Address != "plane.example:443" || o.ControlPlanes[0].TLS.Authority != filepath.Join(dir, "ca.pem") || o.Node.ID != "n1" || o.Node.Zone != "z9" ||
-		f.Clusters[0].Sources[0].XDS.Level != known.AllPriorities {
+		f.Clusters[0].Sources[0].XDS.Level != cache.AllPriorities {
 		t.Errorf("%+v", o)
 	}
 	for old, want := range map[string]struct{ with, fault string }{
--- a/internal/testkit/hollow/member.go
+++ b/internal/testkit/hollow/member.go
@@ -9,8 +9,8 @@
 
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/selection"
 )
 
 // Member is the control part of one sidecar: it follows its clusters, and makes no calls.
@@ -29,22 +29,22 @@
 }
 
 // Options are those of the program where its file tells nothing, with planes at some addresses.
-func Options(node string, variant ads.Variant, addresses ...string) planes.Options {
-	o := planes.Options{Variant: variant, Node: planes.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute, MaxMessageBytes: 16 << 20,
-		Selection: planes.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: 500 * time.Millisecond, MaxBackoff: 30 * time.Second}}
+func Options(node string, variant ads.Variant, addresses ...string) selection.Options {
+	o := selection.Options{Variant: variant, Node: selection.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute, MaxMessageBytes: 16 << 20,
+		Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: 500 * time.Millisecond, MaxBackoff: 30 * time.Second}}
 	for _, a := range addresses {
-		o.ControlPlanes = append(o.ControlPlanes, planes.ControlPlane{Name: a, Address: a, Insecure: true})
+		o.ControlPlanes = append(o.ControlPlanes, selection.ControlPlane{Name: a, Address: a, Insecure: true})
 	}
 	return o
 }
 
 // Start has a member follow clusters.
-func Start(number int, o planes.Options, clusters []string) *Member {
+func Start(number int, o selection.Options, clusters []string) *Member {
 	m := &Member{Number: number, at: map[string]int{}, changed: make(chan struct{}), times: map[int]time.Time{}, client: xds.Start(o, slog.New(slog.DiscardHandler))}
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	for _, name := range clusters {
-		m.wait.Go(func() { m.client.Follow(ctx, name, func(v known.ClusterView) { m.take(name, v) }) })
+		m.wait.Go(func() { m.client.Follow(ctx, name, func(v cache.ClusterView) { m.take(name, v) }) })
 	}
 	return m
 }
@@ -57,11 +57,11 @@
 }
 
 // take notes what is in force of a cluster, from its list of members as a balancer would make it.
-func (m *Member) take(name string, v known.ClusterView) {
+func (m *Member) take(name string, v cache.ClusterView) {
 	now := time.Now()
 	generation := 0
-	if v.State == known.Ready {
-		for _, e := range known.AssignTraffic(v.Cluster, v.Set, v.Stale, known.AllPriorities) {
+	if v.State == cache.Ready {
+		for _, e := range cache.AssignTraffic(v.Cluster, v.Set, v.Stale, cache.AllPriorities) {
 			generation = max(generation, int(e.Weight))
 		}
 	}
--- a/internal/xds/known/format_test.go
+++ b/internal/xds/cache/format_test.go
@@ -1,4 +1,4 @@
-package known
+package cache
 
 import (
 	"encoding/json"
--- a/internal/xds/known/kinds.go
+++ b/internal/xds/cache/kinds.go
@@ -1,9 +1,9 @@
-// Package known keeps what control planes have said, decides what of it is in force, and makes of it the members that a
+// Package cache keeps what control planes have said, decides what of it is in force, and makes of it the members that a
 // cluster is to use. It has no clock and does no I/O.
 //
 // What is newer is for package age; this package joins clusters to their endpoint sets, whichever comes first, holds off what
 // age holds off, keeps the last good resource where a bad one comes, and tells of each resource where it comes from.
-package known
+package cache
 
 import (
 	"time"
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -15,101 +15,101 @@
 
 	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/selection"
 )
 
 // Client follows control planes. All its methods may be called from any goroutine.
 type Client struct {
 	log *slog.Logger
 
-	mu        sync.Mutex
-	o         planes.Options
-	store     *known.Cache
-	order     *planes.Selector
-	conns     []*conn                // by plane; nil: not connected to
-	streams   updateorder.Stream     // that there have been
-	followers map[string][]*follower // by cluster
-	files     map[string]*setFile    // that hold endpoint sets
-	timer     *time.Timer
-	warned    map[string]bool // what was logged once and is not again
-	using     bool            // the clusters in use are about to be told
-	turn      int             // of the planes; what those of an earlier one still say is passed over
-	ended     bool
-	saver     *saver
-	stop      context.CancelFunc
-	ctx       context.Context
-	wait      sync.WaitGroup
+	mu           sync.Mutex
+	options      selection.Options
+	cache        *cache.Cache
+	selector     *selection.Selector
+	conns        []*conn                   // by plane; nil: not connected to
+	streamCount  updateorder.Stream        // that there have been
+	followers    map[string][]*follower    // by cluster
+	files        map[string]*endpointsFile // that hold endpoint sets
+	timer        *time.Timer
+	warned       map[string]bool // what was logged once and is not again
+	usagePending bool            // the clusters in use are about to be told
+	generation   int             // of the planes; what those of an earlier one still say is passed over
+	closed       bool
+	stateWriter  *stateWriter
+	stop         context.CancelFunc
+	ctx          context.Context
+	tasks        sync.WaitGroup
 }
 
 // follower is somebody who follows a cluster.
 type follower struct {
-	view known.ClusterView
-	told bool
-	news chan struct{} // holds a token when there is a view that was not told
+	view     cache.ClusterView
+	notified bool
+	updates  chan struct{} // holds a token when there is a view that was not told
 }
 
-const mostWarnings = 1000 // different ones that are logged
+const maxWarnings = 1000 // different ones that are logged
 
 // Start connects to the control planes for as long as it runs. It waits for nobody.
-func Start(o planes.Options, log *slog.Logger) *Client {
-	c := &Client{log: log, followers: map[string][]*follower{}, files: map[string]*setFile{}, warned: map[string]bool{},
-		store: known.New(known.Options{DeferTime: o.DeferTime, ResourceTimeout: o.ResourceTimeout, Wildcard: o.Wildcard})}
+func Start(o selection.Options, log *slog.Logger) *Client {
+	c := &Client{log: log, followers: map[string][]*follower{}, files: map[string]*endpointsFile{}, warned: map[string]bool{},
+		cache: cache.New(cache.Options{DeferTime: o.DeferTime, ResourceTimeout: o.ResourceTimeout, Wildcard: o.Wildcard})}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.saver = &saver{work: make(chan struct{}, 1)}
-	c.wait.Go(func() { c.save(c.saver) })
+	c.stateWriter = &stateWriter{work: make(chan struct{}, 1)}
+	c.tasks.Go(func() { c.runStateWriter(c.stateWriter) })
 	if o.StateFile != "" {
 		c.restore(o.StateFile)
 	}
-	c.listen(o)
+	c.useControlPlanes(o)
 	return c
 }
 
-// listen begins anew with the planes of the options. The caller holds the lock.
-func (c *Client) listen(o planes.Options) {
+// useControlPlanes begins anew with the planes of the options. The caller holds the lock.
+func (c *Client) useControlPlanes(o selection.Options) {
 	for _, k := range c.conns {
 		if k != nil {
-			k.close()
-			k.end()
+			k.endStream()
+			k.cancelConn()
 		}
 	}
-	c.o, c.turn = o, c.turn+1
+	c.options, c.generation = o, c.generation+1
 	c.conns = make([]*conn, len(o.ControlPlanes))
-	c.order = planes.New(time.Now(), len(o.ControlPlanes), o.Selection, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if len(c.store.Versions(ads.Clusters)) > 0 {
-		c.order.SetCached()
+	c.selector = selection.New(time.Now(), len(o.ControlPlanes), o.Selection, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if len(c.cache.Versions(ads.Clusters)) > 0 {
+		c.selector.SetCached()
 	}
-	c.saver.to(o.StateFile)
-	c.step()
+	c.stateWriter.setPath(o.StateFile)
+	c.advance()
 }
 
 // Update takes other control planes. What is known stands as cached knowledge.
-func (c *Client) Update(o planes.Options) {
+func (c *Client) Update(o selection.Options) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || reflect.DeepEqual(o, c.o) {
+	if c.closed || reflect.DeepEqual(o, c.options) {
 		return
 	}
-	if o.DeferTime != c.o.DeferTime || o.ResourceTimeout != c.o.ResourceTimeout || o.Wildcard != c.o.Wildcard {
+	if o.DeferTime != c.options.DeferTime || o.ResourceTimeout != c.options.ResourceTimeout || o.Wildcard != c.options.Wildcard {
 		c.log.Warn("xds: restart needed for \"hold\", \"missing\" and \"all\"")
 	}
-	c.listen(o)
+	c.useControlPlanes(o)
 }
 
 // Close ends all streams. Followers end with their contexts.
 func (c *Client) Close() {
 	c.mu.Lock()
-	if c.ended {
+	if c.closed {
 		c.mu.Unlock()
 		return
 	}
-	c.ended = true
+	c.closed = true
 	c.stop()
 	for _, k := range c.conns {
 		if k != nil {
-			k.end()
+			k.cancelConn()
 		}
 	}
 	for _, f := range c.files {
@@ -119,15 +119,15 @@
 		c.timer.Stop()
 	}
 	c.mu.Unlock()
-	c.wait.Wait()
+	c.tasks.Wait()
 }
 
 // Follow implements cluster.Discovery.
-func (c *Client) Follow(ctx context.Context, resource string, say func(known.ClusterView)) {
-	f := &follower{news: make(chan struct{}, 1)}
+func (c *Client) Follow(ctx context.Context, resource string, say func(cache.ClusterView)) {
+	f := &follower{updates: make(chan struct{}, 1)}
 	c.mu.Lock()
 	c.followers[resource] = append(c.followers[resource], f)
-	c.use()
+	c.scheduleUsage()
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
@@ -136,13 +136,13 @@
 		if len(c.followers[resource]) == 0 {
 			delete(c.followers, resource)
 		}
-		c.use()
+		c.scheduleUsage()
 	}()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.news:
+		case <-f.updates:
 		}
 		c.mu.Lock()
 		v := f.view
@@ -151,82 +151,82 @@
 	}
 }
 
-// useIn is how long those who come together have to fall together: a configuration has thousands of clusters.
-const useIn = 2 * time.Millisecond
+// usageDelay is how long those who come together have to fall together: a configuration has thousands of clusters.
+const usageDelay = 2 * time.Millisecond
 
-// use has the store told which clusters are in use, soon. The caller holds the lock, as for all that follow.
-func (c *Client) use() {
-	if c.using {
+// scheduleUsage has the store told which clusters are in use, soon. The caller holds the lock, as for all that follow.
+func (c *Client) scheduleUsage() {
+	if c.usagePending {
 		return
 	}
-	c.using = true
-	time.AfterFunc(useIn, func() {
+	c.usagePending = true
+	time.AfterFunc(usageDelay, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.using = false
-		if c.ended {
+		c.usagePending = false
+		if c.closed {
 			return
 		}
-		c.store.SetClustersInUse(time.Now(), slices.Collect(maps.Keys(c.followers)))
+		c.cache.SetClustersInUse(time.Now(), slices.Collect(maps.Keys(c.followers)))
 		for name, of := range c.followers {
-			if slices.ContainsFunc(of, func(f *follower) bool { return !f.told }) {
-				c.tell(name)
+			if slices.ContainsFunc(of, func(f *follower) bool { return !f.notified }) {
+				c.notify(name)
 			}
 		}
-		c.step()
+		c.advance()
 	})
 }
 
-// tell has a cluster's followers hear how it stands.
-func (c *Client) tell(resource string) {
+// notify has a cluster's followers hear how it stands.
+func (c *Client) notify(resource string) {
 	of := c.followers[resource]
 	if len(of) == 0 {
 		return
 	}
-	v := c.store.View(time.Now(), resource)
+	v := c.cache.View(time.Now(), resource)
 	if v.Cluster != nil && v.Cluster.EndpointsFile != "" {
-		c.files[v.Cluster.EndpointsFile].complete(&v)
+		c.files[v.Cluster.EndpointsFile].fillIn(&v)
 	}
 	for _, f := range of {
-		f.view, f.told = v, true
+		f.view, f.notified = v, true
 		select {
-		case f.news <- struct{}{}:
+		case f.updates <- struct{}{}:
 		default: // what was not told yet is passed over: the newest wins
 		}
 	}
 }
 
-// step brings all up to the time: planes are connected to and dropped, subscriptions sent, followers told, the timer set.
-func (c *Client) step() {
-	if c.ended {
+// advance brings all up to the time: planes are connected to and dropped, subscriptions sent, followers told, the timer set.
+func (c *Client) advance() {
+	if c.closed {
 		return
 	}
 	now := time.Now()
-	c.store.Advance(now)
-	connect, drop := c.order.Advance(now)
+	c.cache.Advance(now)
+	connect, drop := c.selector.Advance(now)
 	for _, i := range drop {
 		if k := c.conns[i]; k != nil {
-			k.close()
-			k.end()
+			k.endStream()
+			k.cancelConn()
 			c.conns[i] = nil
-			c.log.Info("xds: control plane let go of", "plane", k.plane.Name, "answered", k.up)
+			c.log.Info("xds: control plane let go of", "plane", k.controlPlane.Name, "answered", k.up)
 		}
 	}
 	for _, i := range connect {
 		c.connect(i)
 	}
-	c.heed()
+	c.activateSelected()
 	for _, k := range c.conns {
 		if k != nil {
 			c.subscribe(k)
 		}
 	}
-	c.watch(c.store.EndpointsFiles())
-	for _, name := range c.store.TakeChanged() {
-		c.tell(name)
+	c.watchFiles(c.cache.EndpointsFiles())
+	for _, name := range c.cache.TakeChanged() {
+		c.notify(name)
 	}
-	next := c.order.NextDeadline(now)
-	if at := c.store.NextDeadline(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+	next := c.selector.NextDeadline(now)
+	if at := c.cache.NextDeadline(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
 		next = at
 	}
 	if c.timer != nil {
@@ -237,17 +237,17 @@
 		c.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.step()
+			c.advance()
 		})
 	}
 }
 
 // subscribe has a connection ask for what is wanted now.
 func (c *Client) subscribe(k *conn) {
-	if k.plane.File != "" {
+	if k.controlPlane.File != "" {
 		var wanted []string
 		for kind := range ads.KindCount {
-			wanted = append(wanted, c.store.Subscriptions(kind)...)
+			wanted = append(wanted, c.cache.Subscriptions(kind)...)
 		}
 		if !slices.Equal(wanted, k.wanted) { // the file is to be taken again
 			k.wanted, k.restart = wanted, true
@@ -259,8 +259,8 @@
 		return
 	}
 	for kind := range ads.KindCount {
-		w := ads.Subscription{Names: c.store.Subscriptions(kind)}
-		if kind == ads.Clusters && c.o.Wildcard {
+		w := ads.Subscription{Names: c.cache.Subscriptions(kind)}
+		if kind == ads.Clusters && c.options.Wildcard {
 			w = ads.Subscription{Wildcard: true}
 		}
 		k.session.Subscribe(kind, w)
@@ -271,7 +271,7 @@
 // warn logs what is passed over of a resource, each kind of it once.
 func (c *Client) warn(text string) {
 	c.mu.Lock()
-	known := c.warned[text] || len(c.warned) >= mostWarnings
+	known := c.warned[text] || len(c.warned) >= maxWarnings
 	if !known {
 		c.warned[text] = true
 	}
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -25,82 +25,82 @@
 	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/selection"
 )
 
 const (
-	window    = 256 << 10 // bytes that a plane may send ahead of what is applied, beside the message in hand
-	maxFaults = 20        // resources that a refusal names
-	faultText = 4 << 10   // bytes of it
-	signIn    = 5 * time.Second
+	receiveWindowBytes  = 256 << 10 // bytes that a plane may send ahead of what is applied, beside the message in hand
+	maxReportedErrors   = 20        // resources that a refusal names
+	maxErrorDetailBytes = 4 << 10   // bytes of it
+	keepaliveTimeout    = 5 * time.Second
 )
 
 // conn is a connection to a control plane, and the stream on it.
 type conn struct {
-	c     *Client
-	n     int // of the plane
-	plane planes.ControlPlane
-	ctx   context.Context
-	end   context.CancelFunc
+	client       *Client
+	index        int // of the plane
+	controlPlane selection.ControlPlane
+	ctx          context.Context
+	cancelConn   context.CancelFunc
 
 	// Under the client's lock:
 
-	session *ads.Session       // nil: there is no stream
-	id      updateorder.Stream // of the stream; zero: it is not listened to
-	up      bool
-	said    bool     // the stream has said something
-	passed  bool     // the stream has said something that was passed over
-	restart bool     // it is to be opened anew
-	wanted  []string // of a file: when it was taken last
-	cancel  context.CancelFunc
-	work    chan struct{} // holds a token when there may be something to send
+	session      *ads.Session       // nil: there is no stream
+	streamID     updateorder.Stream // of the stream; zero: it is not listened to
+	up           bool
+	responded    bool     // the stream has said something
+	skipped      bool     // the stream has said something that was passed over
+	restart      bool     // it is to be opened anew
+	wanted       []string // of a file: when it was taken last
+	cancelStream context.CancelFunc
+	work         chan struct{} // holds a token when there may be something to send
 }
 
 // connect connects to a plane. The caller holds the lock.
 func (c *Client) connect(i int) {
-	k := &conn{c: c, n: i, plane: c.o.ControlPlanes[i], work: make(chan struct{}, 1), cancel: func() {}}
-	k.ctx, k.end = context.WithCancel(c.ctx)
+	k := &conn{client: c, index: i, controlPlane: c.options.ControlPlanes[i], work: make(chan struct{}, 1), cancelStream: func() {}}
+	k.ctx, k.cancelConn = context.WithCancel(c.ctx)
 	c.conns[i] = k
-	o, turn := c.o, c.turn
-	c.wait.Go(func() {
-		defer k.end()
+	o, turn := c.options, c.generation
+	c.tasks.Go(func() {
+		defer k.cancelConn()
 		err := k.run(o)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		k.close()
-		if c.turn != turn || c.conns[i] != k || c.ended {
+		k.endStream()
+		if c.generation != turn || c.conns[i] != k || c.closed {
 			return
 		}
-		c.log.Warn("xds: control plane lost", "plane", k.plane.Name, "error", err)
+		c.log.Warn("xds: control plane lost", "plane", k.controlPlane.Name, "error", err)
 		c.conns[i] = nil
-		c.order.MarkDown(time.Now(), i)
-		c.step()
+		c.selector.MarkDown(time.Now(), i)
+		c.advance()
 	})
 }
 
-// close ends the stream for what is known of it. The caller holds the lock.
-func (k *conn) close() {
-	if k.id != 0 {
-		k.c.store.StreamEnded(k.id)
+// endStream ends the stream for what is known of it. The caller holds the lock.
+func (k *conn) endStream() {
+	if k.streamID != 0 {
+		k.client.cache.StreamEnded(k.streamID)
 	}
-	k.session, k.id = nil, 0
+	k.session, k.streamID = nil, 0
 }
 
-// heed has the plane that is listened to heard, and no other one. The caller holds the lock.
-func (c *Client) heed() {
-	at, ok := c.order.Active()
+// activateSelected has the plane that is listened to heard, and no other one. The caller holds the lock.
+func (c *Client) activateSelected() {
+	at, ok := c.selector.Active()
 	for i, k := range c.conns {
 		switch {
 		case k == nil:
-		case k.id != 0 && (!ok || i != at):
-			c.store.StreamEnded(k.id)
-			k.id, k.passed = 0, true
-		case k.id == 0 && ok && i == at && k.passed: // what it has said so far was passed over: it is to say it again
-			c.log.Info("xds: listening to another control plane", "plane", k.plane.Name)
-			k.passed, k.restart = false, true
-			k.cancel()
+		case k.streamID != 0 && (!ok || i != at):
+			c.cache.StreamEnded(k.streamID)
+			k.streamID, k.skipped = 0, true
+		case k.streamID == 0 && ok && i == at && k.skipped: // what it has said so far was passed over: it is to say it again
+			c.log.Info("xds: listening to another control plane", "plane", k.controlPlane.Name)
+			k.skipped, k.restart = false, true
+			k.cancelStream()
 		}
 	}
 }
@@ -113,18 +113,18 @@
 }
 
 // run keeps the connection until it fails or is ended.
-func (k *conn) run(o planes.Options) error {
-	if k.plane.File != "" {
-		return k.follow(o)
+func (k *conn) run(o selection.Options) error {
+	if k.controlPlane.File != "" {
+		return k.followFile(o)
 	}
-	creds, err := Credentials(k.plane, k.c.log)
+	creds, err := Credentials(k.controlPlane, k.client.log)
 	if err != nil {
 		return err
 	}
-	cc, err := grpc.NewClient("passthrough:///"+k.plane.Address, grpc.WithTransportCredentials(creds),
-		grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
+	cc, err := grpc.NewClient("passthrough:///"+k.controlPlane.Address, grpc.WithTransportCredentials(creds),
+		grpc.WithInitialWindowSize(receiveWindowBytes), grpc.WithInitialConnWindowSize(receiveWindowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(o.MaxMessageBytes)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: o.KeepaliveTime, Timeout: signIn}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: o.KeepaliveTime, Timeout: keepaliveTimeout}),
 		// The planes' order has its own backoff: a connection is tried once.
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: time.Hour, MaxDelay: time.Hour, Multiplier: 1}, MinConnectTimeout: o.Selection.ResponseTimeout}))
 	if err != nil {
@@ -133,11 +133,11 @@
 	defer cc.Close()
 	for {
 		err := k.stream(o, discoveryv3.NewAggregatedDiscoveryServiceClient(cc))
-		k.c.mu.Lock()
+		k.client.mu.Lock()
 		again := k.restart && k.ctx.Err() == nil
 		k.restart = false
-		k.close()
-		k.c.mu.Unlock()
+		k.endStream()
+		k.client.mu.Unlock()
 		if !again {
 			return err
 		}
@@ -145,7 +145,7 @@
 }
 
 // Credentials returns how a control plane is connected to.
-func Credentials(p planes.ControlPlane, log *slog.Logger) (credentials.TransportCredentials, error) {
+func Credentials(p selection.ControlPlane, log *slog.Logger) (credentials.TransportCredentials, error) {
 	if p.Insecure {
 		return insecure.NewCredentials(), nil
 	}
@@ -174,20 +174,20 @@
 	return host
 }
 
-// wire is a stream in one of the two variants.
-type wire interface {
+// transport is a stream in one of the two variants.
+type transport interface {
 	send(r ads.Request, n *corev3.Node) error
-	receive() (*received, error)
+	receive() (*response, error)
 }
 
-// received is a response.
-type received struct {
+// response is a response.
+type response struct {
 	kind      ads.Kind
 	version   string
 	nonce     string
-	whole     bool
+	complete  bool
 	resources []resource
-	gone      []string
+	removed   []string
 }
 
 type resource struct {
@@ -196,41 +196,41 @@
 }
 
 // stream runs one stream to its end.
-func (k *conn) stream(o planes.Options, client discoveryv3.AggregatedDiscoveryServiceClient) error {
-	c := k.c
+func (k *conn) stream(o selection.Options, client discoveryv3.AggregatedDiscoveryServiceClient) error {
+	c := k.client
 	ctx, cancel := context.WithCancel(k.ctx)
 	defer cancel()
-	var w wire
+	var w transport
 	if o.Variant == ads.Delta {
 		s, err := client.DeltaAggregatedResources(ctx)
 		if err != nil {
 			return err
 		}
-		w = delta{s}
+		w = deltaStream{s}
 	} else {
 		s, err := client.StreamAggregatedResources(ctx)
 		if err != nil {
 			return err
 		}
-		w = world{s}
+		w = stateOfTheWorldStream{s}
 	}
 	c.mu.Lock()
 	if k.ctx.Err() != nil {
 		c.mu.Unlock()
 		return k.ctx.Err()
 	}
-	k.cancel = cancel
+	k.cancelStream = cancel
 	k.session = ads.NewSession(o.Variant)
 	for kind := range ads.KindCount {
-		k.session.SetInitialVersions(kind, c.store.Versions(kind))
+		k.session.SetInitialVersions(kind, c.cache.Versions(kind))
 	}
-	k.passed, k.id, k.said = false, 0, false
+	k.skipped, k.streamID, k.responded = false, 0, false
 	// Also where the plane is up already, and its stream was opened anew.
 	mute := time.AfterFunc(o.Selection.ResponseTimeout, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if !k.said && ctx.Err() == nil {
-			c.log.Warn("xds: a stream on which nothing has come", "plane", k.plane.Name)
+		if !k.responded && ctx.Err() == nil {
+			c.log.Warn("xds: a stream on which nothing has come", "plane", k.controlPlane.Name)
 			cancel()
 		}
 	})
@@ -239,7 +239,7 @@
 	c.mu.Unlock()
 	k.wake()
 	sent := make(chan error, 1)
-	c.wait.Go(func() { sent <- k.send(ctx, cancel, w, o.Node) })
+	c.tasks.Go(func() { sent <- k.send(ctx, cancel, w, o.Node) })
 	d := &envoy.Decoder{Warn: c.warn}
 	for {
 		r, err := w.receive()
@@ -248,7 +248,7 @@
 		case r.kind == ads.KindCount:
 			c.warn("a response of a type that is not known here is passed over")
 		default:
-			err = k.take(r, d)
+			err = k.handleResponse(r, d)
 		}
 		if err != nil {
 			cancel()
@@ -261,17 +261,17 @@
 }
 
 // send sends what the session wants sent, until the stream ends.
-func (k *conn) send(ctx context.Context, cancel context.CancelFunc, w wire, n planes.Node) error {
+func (k *conn) send(ctx context.Context, cancel context.CancelFunc, w transport, n selection.Node) error {
 	node := &corev3.Node{Id: n.ID, Cluster: n.Cluster, UserAgentName: "silvertrail",
 		Locality: &corev3.Locality{Region: n.Region, Zone: n.Zone, SubZone: n.SubZone}}
 	for {
-		k.c.mu.Lock()
+		k.client.mu.Lock()
 		var r ads.Request
 		ok := false
 		if k.session != nil {
 			r, ok = k.session.NextRequest()
 		}
-		k.c.mu.Unlock()
+		k.client.mu.Unlock()
 		if !ok {
 			select {
 			case <-ctx.Done():
@@ -288,9 +288,9 @@
 	}
 }
 
-// read checks the resources of a response. The faults are for its refusal.
-func (r *received) read(d *envoy.Decoder) (m known.Response, faults []string) {
-	m = known.Response{Kind: r.kind, Version: r.version, Complete: r.whole && r.kind == ads.Clusters, Removed: r.gone}
+// decode checks the resources of a response. The faults are for its refusal.
+func (r *response) decode(d *envoy.Decoder) (m cache.Response, faults []string) {
+	m = cache.Response{Kind: r.kind, Version: r.version, Complete: r.complete && r.kind == ads.Clusters, Removed: r.removed}
 	at := map[string]bool{}
 	for n, raw := range r.resources {
 		i, err := d.Read(r.kind, raw.version, raw.any)
@@ -312,16 +312,16 @@
 		if name == "" {
 			m.Complete = false // it may be any of those that are missing
 		} else if !at[name] {
-			m.Rejections = append(m.Rejections, known.Rejection{Name: name, Version: raw.version, Reason: bad.Err.Error()})
+			m.Rejections = append(m.Rejections, cache.Rejection{Name: name, Version: raw.version, Reason: bad.Err.Error()})
 		}
 	}
 	return m, faults
 }
 
-// take applies a response. An error ends the stream.
-func (k *conn) take(r *received, d *envoy.Decoder) error {
-	m, faults := r.read(d)
-	c := k.c
+// handleResponse applies a response. An error ends the stream.
+func (k *conn) handleResponse(r *response, d *envoy.Decoder) error {
+	m, faults := r.decode(d)
+	c := k.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if k.session == nil {
@@ -331,100 +331,100 @@
 	if err != nil && !errors.Is(err, ads.ErrNotSubscribed) {
 		return err
 	}
-	fault := k.told(r.version, append(faults, k.apply(m)...))
+	fault := k.rejectionDetail(r.version, append(faults, k.apply(m)...))
 	if err == nil { // what nobody has asked for yet is kept for a while, as that may follow; there is no subscription to answer it on
 		k.session.Answer(r.kind, r.version, fault)
 	}
-	c.step()
+	c.advance()
 	k.wake()
 	return nil
 }
 
 // apply takes what a plane says, where it is listened to. The caller holds the lock.
-func (k *conn) apply(m known.Response) (faults []string) {
-	c, now := k.c, time.Now()
-	k.said = true
+func (k *conn) apply(m cache.Response) (faults []string) {
+	c, now := k.client, time.Now()
+	k.responded = true
 	if !k.up {
 		k.up = true
-		c.order.MarkUp(now, k.n)
+		c.selector.MarkUp(now, k.index)
 	}
-	if at, ok := c.order.Active(); ok && at == k.n && k.id == 0 && !k.passed {
-		c.streams++
-		k.id = c.streams
-		c.store.StreamStarted(now, k.id, k.plane.Name)
-		c.log.Info("xds: control plane heard", "plane", k.plane.Name)
+	if at, ok := c.selector.Active(); ok && at == k.index && k.streamID == 0 && !k.skipped {
+		c.streamCount++
+		k.streamID = c.streamCount
+		c.cache.StreamStarted(now, k.streamID, k.controlPlane.Name)
+		c.log.Info("xds: control plane heard", "plane", k.controlPlane.Name)
 	}
-	if k.id == 0 {
-		k.passed = true
+	if k.streamID == 0 {
+		k.skipped = true
 		return nil
 	}
-	for _, f := range c.store.Apply(now, k.id, m) {
+	for _, f := range c.cache.Apply(now, k.streamID, m) {
 		faults = append(faults, fmt.Sprintf("%s %s: %s", m.Kind, f.Name, f.Reason))
 	}
-	c.order.SetCached()
-	c.saver.wake()
+	c.selector.SetCached()
+	c.stateWriter.wake()
 	return faults
 }
 
-// told logs what a response is turned away for, and returns it for the plane; empty: for nothing.
-func (k *conn) told(version string, faults []string) string {
+// rejectionDetail logs what a response is turned away for, and returns it for the plane; empty: for nothing.
+func (k *conn) rejectionDetail(version string, faults []string) string {
 	if len(faults) == 0 {
 		return ""
 	}
-	fault := strings.Join(faults[:min(len(faults), maxFaults)], "; ")
-	if over := len(faults) - maxFaults; over > 0 {
+	fault := strings.Join(faults[:min(len(faults), maxReportedErrors)], "; ")
+	if over := len(faults) - maxReportedErrors; over > 0 {
 		fault += fmt.Sprintf("; and %d more", over)
 	}
-	fault = strings.ToValidUTF8(fault[:min(len(fault), faultText)], "?")
-	k.c.log.Warn("xds: turned away", "plane", k.plane.Name, "version", version, "fault", fault)
+	fault = strings.ToValidUTF8(fault[:min(len(fault), maxErrorDetailBytes)], "?")
+	k.client.log.Warn("xds: turned away", "plane", k.controlPlane.Name, "version", version, "fault", fault)
 	return fault
 }
 
-func detail(fault string) *status.Status {
+func statusOf(fault string) *status.Status {
 	if fault == "" {
 		return nil
 	}
 	return &status.Status{Code: int32(codes.InvalidArgument), Message: fault}
 }
 
-// world is a stream of the state of the world.
-type world struct {
+// stateOfTheWorldStream is a stream of the state of the world.
+type stateOfTheWorldStream struct {
 	discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesClient
 }
 
-func (s world) send(r ads.Request, n *corev3.Node) error {
+func (s stateOfTheWorldStream) send(r ads.Request, n *corev3.Node) error {
 	return s.Send(&discoveryv3.DiscoveryRequest{Node: n, TypeUrl: envoy.TypeOf(r.Kind), VersionInfo: r.Version, ResponseNonce: r.Nonce,
-		ResourceNames: r.Names, ErrorDetail: detail(r.ErrorDetail)})
+		ResourceNames: r.Names, ErrorDetail: statusOf(r.ErrorDetail)})
 }
 
-func (s world) receive() (*received, error) {
+func (s stateOfTheWorldStream) receive() (*response, error) {
 	m, err := s.Recv()
 	if err != nil {
 		return nil, err
 	}
-	r := &received{kind: envoy.KindOf(m.TypeUrl), version: m.VersionInfo, nonce: m.Nonce, whole: true}
+	r := &response{kind: envoy.KindOf(m.TypeUrl), version: m.VersionInfo, nonce: m.Nonce, complete: true}
 	for _, a := range m.Resources {
 		r.resources = append(r.resources, resource{version: m.VersionInfo, any: a})
 	}
 	return r, nil
 }
 
-// delta is an incremental stream.
-type delta struct {
+// deltaStream is an incremental stream.
+type deltaStream struct {
 	discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesClient
 }
 
-func (s delta) send(r ads.Request, n *corev3.Node) error {
-	return s.Send(&discoveryv3.DeltaDiscoveryRequest{Node: n, TypeUrl: envoy.TypeOf(r.Kind), ResponseNonce: r.Nonce, ErrorDetail: detail(r.ErrorDetail),
+func (s deltaStream) send(r ads.Request, n *corev3.Node) error {
+	return s.Send(&discoveryv3.DeltaDiscoveryRequest{Node: n, TypeUrl: envoy.TypeOf(r.Kind), ResponseNonce: r.Nonce, ErrorDetail: statusOf(r.ErrorDetail),
 		ResourceNamesSubscribe: r.Subscribe, ResourceNamesUnsubscribe: r.Unsubscribe, InitialResourceVersions: r.InitialVersions})
 }
 
-func (s delta) receive() (*received, error) {
+func (s deltaStream) receive() (*response, error) {
 	m, err := s.Recv()
 	if err != nil {
 		return nil, err
 	}
-	r := &received{kind: envoy.KindOf(m.TypeUrl), version: m.SystemVersionInfo, nonce: m.Nonce, gone: m.RemovedResources}
+	r := &response{kind: envoy.KindOf(m.TypeUrl), version: m.SystemVersionInfo, nonce: m.Nonce, removed: m.RemovedResources}
 	for _, a := range m.Resources {
 		r.resources = append(r.resources, resource{a.Name, a.Version, a.Resource})
 	}
--- a/internal/xds/dump.go
+++ b/internal/xds/dump.go
@@ -1,24 +1,24 @@
 package xds
 
-import "silvertrail/internal/xds/known"
+import "silvertrail/internal/xds/cache"
 
 // Dump tells all.
-func (c *Client) Dump() (d known.Dump) {
+func (c *Client) Dump() (d cache.Dump) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, p := range c.o.ControlPlanes {
-		v := known.ControlPlaneStatus{Name: p.Name, State: "down"}
+	for i, p := range c.options.ControlPlanes {
+		v := cache.ControlPlaneStatus{Name: p.Name, State: "down"}
 		if k := c.conns[i]; k != nil {
-			v.State, v.Active = "connecting", k.id != 0
+			v.State, v.Active = "connecting", k.streamID != 0
 			if k.up {
 				v.State = "up"
 			}
 		}
 		d.ControlPlanes = append(d.ControlPlanes, v)
 	}
-	d.Resources = c.store.Status()
+	d.Resources = c.cache.Status()
 	for path, f := range c.files {
-		d.Files = append(d.Files, known.FileStatus{Path: path, Sets: len(f.sets), ReadAt: f.heard, Error: f.fault})
+		d.Files = append(d.Files, cache.FileStatus{Path: path, Sets: len(f.sets), ReadAt: f.readAt, Error: f.lastError})
 	}
 	return d
 }
--- a/internal/xds/envoy/cluster.go
+++ b/internal/xds/envoy/cluster.go
@@ -8,7 +8,7 @@
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // Of the API's documentation, where a field is not told.
@@ -20,8 +20,8 @@
 const maxDNSNames = 256 // of a cluster, looked up one by one
 
 // parseCluster translates a cluster that holds nothing which is not supported.
-func parseCluster(c *clusterv3.Cluster, warned map[string]bool) (*known.Cluster, error) {
-	out := &known.Cluster{ConnectTimeout: defaultConnectTimeout, PanicThreshold: defaultPanicThreshold}
+func parseCluster(c *clusterv3.Cluster, warned map[string]bool) (*cache.Cluster, error) {
+	out := &cache.Cluster{ConnectTimeout: defaultConnectTimeout, PanicThreshold: defaultPanicThreshold}
 	if t := c.ConnectTimeout; t != nil {
 		if out.ConnectTimeout = t.AsDuration(); out.ConnectTimeout <= 0 {
 			return nil, errors.New("connect_timeout: must be positive")
@@ -54,9 +54,9 @@
 		}
 		return out, parseEndpointsSource(c, out)
 	case clusterv3.Cluster_STRICT_DNS:
-		out.Resolution = known.StrictDNS
+		out.Resolution = cache.StrictDNS
 	case clusterv3.Cluster_LOGICAL_DNS:
-		out.Resolution = known.LogicalDNS
+		out.Resolution = cache.LogicalDNS
 	case clusterv3.Cluster_STATIC:
 	default:
 		return nil, fmt.Errorf("type: %s is not supported", c.GetType())
@@ -71,17 +71,17 @@
 	if out.Inline, err = parseEndpointSet(c.LoadAssignment, out.Resolution); err != nil {
 		return nil, fmt.Errorf("load_assignment: %w", err)
 	}
-	if n := countEndpoints(out.Inline); out.Resolution != known.NoResolution && n > maxDNSNames {
+	if n := countEndpoints(out.Inline); out.Resolution != cache.NoResolution && n > maxDNSNames {
 		return nil, fmt.Errorf("load_assignment: %d names, over %d", n, maxDNSNames)
 	}
-	if n := countEndpoints(out.Inline); out.Resolution == known.LogicalDNS && n != 1 {
+	if n := countEndpoints(out.Inline); out.Resolution == cache.LogicalDNS && n != 1 {
 		return nil, fmt.Errorf("load_assignment: LOGICAL_DNS has one endpoint, not %d", n)
 	}
 	return out, nil
 }
 
 // parseEndpointsSource reads where a cluster's endpoint set is found.
-func parseEndpointsSource(c *clusterv3.Cluster, out *known.Cluster) error {
+func parseEndpointsSource(c *clusterv3.Cluster, out *cache.Cluster) error {
 	out.ServiceName = c.GetEdsClusterConfig().GetServiceName()
 	if out.ServiceName == "" {
 		out.ServiceName = c.Name
@@ -102,7 +102,7 @@
 	return nil
 }
 
-func countEndpoints(s *known.EndpointSet) (n int) {
+func countEndpoints(s *cache.EndpointSet) (n int) {
 	for _, l := range s.Localities {
 		n += len(l.Endpoints)
 	}
--- a/internal/xds/envoy/decode.go
+++ b/internal/xds/envoy/decode.go
@@ -17,7 +17,7 @@
 
 	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // The types' names on the wire.
@@ -65,16 +65,16 @@
 type Decoder struct {
 	Warn func(text string) // may be called again with the same text
 
-	cached map[cacheKey]known.Resource
+	cached map[cacheKey]cache.Resource
 	latest [ads.KindCount]map[string]cacheKey // by name
 }
 
 // Read reads a resource. The error is an *Error.
-func (d *Decoder) Read(k ads.Kind, version string, raw *anypb.Any) (known.Resource, error) {
+func (d *Decoder) Read(k ads.Kind, version string, raw *anypb.Any) (cache.Resource, error) {
 	if raw.GetTypeUrl() == wrapperType {
 		var w discoveryv3.Resource
 		if err := proto.Unmarshal(raw.Value, &w); err != nil {
-			return known.Resource{}, &Error{Err: err}
+			return cache.Resource{}, &Error{Err: err}
 		}
 		if w.Version != "" {
 			version = w.Version
@@ -82,17 +82,17 @@
 		raw = w.Resource
 	}
 	if KindOf(raw.GetTypeUrl()) != k {
-		return known.Resource{}, &Error{Err: fmt.Errorf("of type %q among those of %q", raw.GetTypeUrl(), TypeOf(k))}
+		return cache.Resource{}, &Error{Err: fmt.Errorf("of type %q among those of %q", raw.GetTypeUrl(), TypeOf(k))}
 	}
 	key := cacheKey{k, sha256.Sum256(raw.Value)}
 	i, hit := d.cached[key]
 	if !hit {
 		var err error
 		if i, err = d.decode(k, raw.Value); err != nil {
-			return known.Resource{}, err
+			return cache.Resource{}, err
 		}
-		if d.cached == nil || len(d.cached) >= int(ads.KindCount)*known.MaxResources {
-			d.cached, d.latest = map[cacheKey]known.Resource{}, [ads.KindCount]map[string]cacheKey{}
+		if d.cached == nil || len(d.cached) >= int(ads.KindCount)*cache.MaxResources {
+			d.cached, d.latest = map[cacheKey]cache.Resource{}, [ads.KindCount]map[string]cacheKey{}
 		}
 		if d.latest[k] == nil {
 			d.latest[k] = map[string]cacheKey{}
@@ -104,7 +104,7 @@
 	return i, nil
 }
 
-func (d *Decoder) decode(k ads.Kind, raw []byte) (i known.Resource, err error) {
+func (d *Decoder) decode(k ads.Kind, raw []byte) (i cache.Resource, err error) {
 	var m interface {
 		proto.Message
 		Validate() error
@@ -120,7 +120,7 @@
 	if k == ads.Endpoints {
 		i.Name = s.ClusterName
 	}
-	fault := func(err error) (known.Resource, error) { return i, &Error{i.Name, err} }
+	fault := func(err error) (cache.Resource, error) { return i, &Error{i.Name, err} }
 	if i.Name == "" {
 		return fault(errors.New("it has no name"))
 	}
@@ -134,7 +134,7 @@
 	if k == ads.Clusters {
 		i.Cluster, err = parseCluster(c, warned)
 	} else {
-		i.Set, err = parseEndpointSet(s, known.NoResolution)
+		i.Set, err = parseEndpointSet(s, cache.NoResolution)
 	}
 	if err != nil {
 		return fault(err)
--- a/internal/xds/envoy/envoy_test.go
+++ b/internal/xds/envoy/envoy_test.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"silvertrail/internal/xds/ads"
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // The table names each field of the messages that it names, and none that there is not: a later version of the API shows here.
@@ -57,7 +57,7 @@
 	return out
 }
 
-func read(t *testing.T, k ads.Kind, text string) (known.Resource, string, error) {
+func read(t *testing.T, k ads.Kind, text string) (cache.Resource, string, error) {
 	t.Helper()
 	var m protoreflect.ProtoMessage = &clusterv3.Cluster{}
 	if k == ads.Endpoints {
@@ -136,7 +136,7 @@
 		}
 	}
 	i, _, err := read(t, ads.Endpoints, one(at("10.0.0.1", `, "health_status": "TIMEOUT", "load_balancing_weight": 7, "metadata": {"filter_metadata": {"silvertrail": {"group": 3, "since_ms": 99}}}`)))
-	if want := (known.Endpoint{Address: "10.0.0.1:80", Health: known.Unhealthy, Weight: 7, Group: 3, SinceMS: 99}); err != nil || i.Set.Localities[0].Endpoints[0] != want {
+	if want := (cache.Endpoint{Address: "10.0.0.1:80", Health: cache.Unhealthy, Weight: 7, Group: 3, SinceMS: 99}); err != nil || i.Set.Localities[0].Endpoints[0] != want {
 		t.Errorf("%+v, %v", i.Set, err)
 	}
 	for status := range corev3.HealthStatus_name {
@@ -167,7 +167,7 @@
 			t.Errorf("%+v", i)
 		}
 		if i.Set != nil {
-			known.AssignTraffic(&known.Cluster{PanicThreshold: 0.5}, i.Set, false, known.AllPriorities)
+			cache.AssignTraffic(&cache.Cluster{PanicThreshold: 0.5}, i.Set, false, cache.AllPriorities)
 		}
 	})
 }
--- a/internal/xds/envoy/set.go
+++ b/internal/xds/envoy/set.go
@@ -13,7 +13,7 @@
 	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 const (
@@ -23,8 +23,8 @@
 )
 
 // parseEndpointSet translates an endpoint set that holds nothing which is not supported.
-func parseEndpointSet(s *endpointv3.ClusterLoadAssignment, lookup known.Resolution) (*known.EndpointSet, error) {
-	out := &known.EndpointSet{Overprovisioning: defaultOverprovisioning}
+func parseEndpointSet(s *endpointv3.ClusterLoadAssignment, lookup cache.Resolution) (*cache.EndpointSet, error) {
+	out := &cache.EndpointSet{Overprovisioning: defaultOverprovisioning}
 	if p := s.Policy; p != nil {
 		if f := p.OverprovisioningFactor; f != nil {
 			out.Overprovisioning = float64(f.Value) / 100
@@ -36,7 +36,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("policy.drop_overloads[%d]: %w", i, err)
 			}
-			out.DropOverloads = append(out.DropOverloads, known.DropOverload{Category: d.Category, Fraction: part})
+			out.DropOverloads = append(out.DropOverloads, cache.DropOverload{Category: d.Category, Fraction: part})
 		}
 	}
 	places := map[[3]string]map[uint32]bool{}
@@ -56,7 +56,7 @@
 		}
 		places[at][l.Priority], levels[l.Priority] = true, true
 		top = max(top, l.Priority)
-		to := known.Locality{Region: at[0], Zone: at[1], SubZone: at[2], Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
+		to := cache.Locality{Region: at[0], Zone: at[1], SubZone: at[2], Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
 		for j, e := range l.LbEndpoints {
 			here := fmt.Sprintf("endpoints[%d].lb_endpoints[%d]", i, j)
 			one, err := parseEndpoint(e, lookup)
@@ -69,8 +69,8 @@
 			addresses[one.Address] = true
 			to.Endpoints = append(to.Endpoints, one)
 		}
-		if n += len(to.Endpoints); n > known.MaxEndpoints {
-			return nil, fmt.Errorf("over %d endpoints", known.MaxEndpoints)
+		if n += len(to.Endpoints); n > cache.MaxEndpoints {
+			return nil, fmt.Errorf("over %d endpoints", cache.MaxEndpoints)
 		}
 		out.Localities = append(out.Localities, to)
 	}
@@ -80,21 +80,21 @@
 	return out, nil
 }
 
-var healthOf = map[corev3.HealthStatus]known.Health{
-	corev3.HealthStatus_UNKNOWN:   known.Healthy,
-	corev3.HealthStatus_HEALTHY:   known.Healthy,
-	corev3.HealthStatus_DEGRADED:  known.Degraded,
-	corev3.HealthStatus_DRAINING:  known.Draining,
-	corev3.HealthStatus_UNHEALTHY: known.Unhealthy,
-	corev3.HealthStatus_TIMEOUT:   known.Unhealthy,
+var healthOf = map[corev3.HealthStatus]cache.Health{
+	corev3.HealthStatus_UNKNOWN:   cache.Healthy,
+	corev3.HealthStatus_HEALTHY:   cache.Healthy,
+	corev3.HealthStatus_DEGRADED:  cache.Degraded,
+	corev3.HealthStatus_DRAINING:  cache.Draining,
+	corev3.HealthStatus_UNHEALTHY: cache.Unhealthy,
+	corev3.HealthStatus_TIMEOUT:   cache.Unhealthy,
 }
 
-func parseEndpoint(e *endpointv3.LbEndpoint, lookup known.Resolution) (out known.Endpoint, err error) {
+func parseEndpoint(e *endpointv3.LbEndpoint, lookup cache.Resolution) (out cache.Endpoint, err error) {
 	health, is := healthOf[e.HealthStatus]
 	if !is {
 		return out, fmt.Errorf(".health_status: %s is not known", e.HealthStatus)
 	}
-	out = known.Endpoint{Name: e.GetEndpoint().GetObservabilityName(), Health: health, Weight: max(e.LoadBalancingWeight.GetValue(), 1)}
+	out = cache.Endpoint{Name: e.GetEndpoint().GetObservabilityName(), Health: health, Weight: max(e.LoadBalancingWeight.GetValue(), 1)}
 	at := e.GetEndpoint().GetAddress().GetSocketAddress()
 	if at == nil {
 		return out, errors.New(".endpoint.address: missing")
@@ -109,7 +109,7 @@
 	out.Address = net.JoinHostPort(at.Address, strconv.Itoa(int(port)))
 	if ip, err := netip.ParseAddr(at.Address); err == nil {
 		out.Address = netip.AddrPortFrom(ip.Unmap(), uint16(port)).String()
-	} else if lookup == known.NoResolution {
+	} else if lookup == cache.NoResolution {
 		return out, fmt.Errorf(".endpoint.address: %q is no IP address", at.Address)
 	} else if at.Address == "" {
 		return out, errors.New(".endpoint.address: no name")
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -16,9 +16,9 @@
 
 	"silvertrail/internal/base/watchedfile"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/selection"
 )
 
 // The types that a file may hold; a program that is linked with more knows more of them.
@@ -35,10 +35,10 @@
 	return m, protojson.Unmarshal(text, m)
 }
 
-// split makes of a file's response one for each kind.
-func split(m *discoveryv3.DiscoveryResponse) (out [ads.KindCount]*received, err error) {
+// splitByKind makes of a file's response one for each kind.
+func splitByKind(m *discoveryv3.DiscoveryResponse) (out [ads.KindCount]*response, err error) {
 	for k := range ads.KindCount {
-		out[k] = &received{kind: k, version: m.VersionInfo, whole: true}
+		out[k] = &response{kind: k, version: m.VersionInfo, complete: true}
 	}
 	for i, a := range m.Resources {
 		k := envoy.KindOf(a.TypeUrl)
@@ -50,11 +50,11 @@
 	return out, nil
 }
 
-// follow takes a plane that is a file. A content that can't be read changes nothing; a file that is not there is lost.
-func (k *conn) follow(o planes.Options) error {
-	d := &envoy.Decoder{Warn: k.c.warn}
-	file := watchedfile.File{Path: k.plane.File, MaxBytes: o.MaxMessageBytes}
-	var last [ads.KindCount]*received
+// followFile takes a plane that is a file. A content that can't be read changes nothing; a file that is not there is lost.
+func (k *conn) followFile(o selection.Options) error {
+	d := &envoy.Decoder{Warn: k.client.warn}
+	file := watchedfile.File{Path: k.controlPlane.File, MaxBytes: o.MaxMessageBytes}
+	var last [ads.KindCount]*response
 	for {
 		text, changed, err := file.Read()
 		if errors.Is(err, os.ErrNotExist) {
@@ -63,28 +63,28 @@
 		var m *discoveryv3.DiscoveryResponse
 		if changed {
 			if m, err = ParseFile(text); err == nil {
-				last, err = split(m)
+				last, err = splitByKind(m)
 			}
 		}
 		if err != nil {
-			k.c.log.Error("xds: what the file said last stands", "file", k.plane.File, "error", err)
+			k.client.log.Error("xds: what the file said last stands", "file", k.controlPlane.File, "error", err)
 		}
-		k.c.mu.Lock()
-		k.cancel = k.wake
+		k.client.mu.Lock()
+		k.cancelStream = k.wake
 		again := k.restart
 		k.restart = false
 		if (m != nil || again) && err == nil && last[0] != nil && k.ctx.Err() == nil {
 			for _, r := range last {
 				if r.kind == ads.Endpoints { // a stream sends those that are asked for
-					k.c.step()
+					k.client.advance()
 				}
-				message, faults := r.read(d)
+				message, faults := r.decode(d)
 				message.Complete = len(faults) == 0
-				k.told(r.version, append(faults, k.apply(message)...))
+				k.rejectionDetail(r.version, append(faults, k.apply(message)...))
 			}
-			k.c.step()
+			k.client.advance()
 		}
-		k.c.mu.Unlock()
+		k.client.mu.Unlock()
 		select {
 		case <-k.ctx.Done():
 			return k.ctx.Err()
@@ -94,39 +94,39 @@
 	}
 }
 
-// setFile is a file that holds endpoint sets of clusters.
-type setFile struct {
-	stop  context.CancelFunc
-	sets  map[string]*known.EndpointSet
-	heard time.Time
-	fault string
+// endpointsFile is a file that holds endpoint sets of clusters.
+type endpointsFile struct {
+	stop      context.CancelFunc
+	sets      map[string]*cache.EndpointSet
+	readAt    time.Time
+	lastError string
 }
 
-// complete gives a cluster the endpoints that its file holds.
-func (f *setFile) complete(v *known.ClusterView) {
+// fillIn gives a cluster the endpoints that its file holds.
+func (f *endpointsFile) fillIn(v *cache.ClusterView) {
 	switch {
-	case f == nil || f.sets == nil && f.fault == "":
+	case f == nil || f.sets == nil && f.lastError == "":
 	case f.sets[v.Cluster.ServiceName] != nil:
-		v.State, v.Set, v.Reason = known.Ready, f.sets[v.Cluster.ServiceName], ""
-		v.Stale = v.Set.StaleAfter > 0 && time.Since(f.heard) >= v.Set.StaleAfter
+		v.State, v.Set, v.Reason = cache.Ready, f.sets[v.Cluster.ServiceName], ""
+		v.Stale = v.Set.StaleAfter > 0 && time.Since(f.readAt) >= v.Set.StaleAfter
 	case f.sets != nil:
-		v.State, v.Reason = known.Missing, fmt.Sprintf("%s has no endpoints of %q", v.Cluster.EndpointsFile, v.Cluster.ServiceName)
+		v.State, v.Reason = cache.Missing, fmt.Sprintf("%s has no endpoints of %q", v.Cluster.EndpointsFile, v.Cluster.ServiceName)
 	default:
-		v.State, v.Reason = known.Missing, f.fault
+		v.State, v.Reason = cache.Missing, f.lastError
 	}
 }
 
-// watch follows the files that hold endpoint sets now. The caller holds the lock.
-func (c *Client) watch(paths []string) {
+// watchFiles follows the files that hold endpoint sets now. The caller holds the lock.
+func (c *Client) watchFiles(paths []string) {
 	wanted := map[string]bool{}
 	for _, p := range paths {
 		wanted[p] = true
 		if c.files[p] == nil {
 			ctx, stop := context.WithCancel(c.ctx)
-			f := &setFile{stop: stop}
+			f := &endpointsFile{stop: stop}
 			c.files[p] = f
-			most := c.o.MaxMessageBytes
-			c.wait.Go(func() { c.followSets(ctx, p, f, most) })
+			most := c.options.MaxMessageBytes
+			c.tasks.Go(func() { c.followEndpoints(ctx, p, f, most) })
 		}
 	}
 	for p, f := range c.files {
@@ -137,34 +137,34 @@
 	}
 }
 
-func (c *Client) followSets(ctx context.Context, path string, f *setFile, most int) {
+func (c *Client) followEndpoints(ctx context.Context, path string, f *endpointsFile, most int) {
 	d := &envoy.Decoder{Warn: c.warn}
 	file := watchedfile.File{Path: path, MaxBytes: most}
 	for {
 		if text, changed, err := file.Read(); err != nil || changed {
-			sets, faults := readSets(text, err, d)
+			sets, faults := decodeEndpoints(text, err, d)
 			c.mu.Lock()
 			if c.files[path] == f {
-				if fault := strings.Join(faults, "; "); fault != f.fault {
-					f.fault = fault
+				if fault := strings.Join(faults, "; "); fault != f.lastError {
+					f.lastError = fault
 					if fault != "" {
 						c.log.Error("xds: what the file said last stands", slog.String("file", path), slog.String("fault", fault))
 					}
 				}
 				if f.sets == nil && sets != nil {
-					f.sets = map[string]*known.EndpointSet{}
+					f.sets = map[string]*cache.EndpointSet{}
 				}
 				for name, s := range sets {
 					f.sets[name] = s
 				}
 				if sets != nil {
-					f.heard = time.Now()
+					f.readAt = time.Now()
 					if len(faults) == 0 { // it is whole: what it leaves out is gone
 						f.sets = sets
 					}
 				}
 				for name := range c.followers {
-					c.tell(name)
+					c.notify(name)
 				}
 			}
 			c.mu.Unlock()
@@ -177,7 +177,7 @@
 	}
 }
 
-func readSets(text []byte, err error, d *envoy.Decoder) (map[string]*known.EndpointSet, []string) {
+func decodeEndpoints(text []byte, err error, d *envoy.Decoder) (map[string]*cache.EndpointSet, []string) {
 	var m *discoveryv3.DiscoveryResponse
 	if err == nil {
 		m, err = ParseFile(text)
@@ -185,12 +185,12 @@
 	if err != nil {
 		return nil, []string{err.Error()}
 	}
-	r, err := split(m)
+	r, err := splitByKind(m)
 	if err != nil {
 		return nil, []string{err.Error()}
 	}
-	message, faults := r[ads.Endpoints].read(d)
-	sets := map[string]*known.EndpointSet{}
+	message, faults := r[ads.Endpoints].decode(d)
+	sets := map[string]*cache.EndpointSet{}
 	for _, i := range message.Resources {
 		sets[i.Name] = i.Set
 	}
--- a/internal/xds/format_test.go
+++ b/internal/xds/format_test.go
@@ -8,12 +8,12 @@
 
 	"silvertrail/internal/base/statefile"
 	"silvertrail/internal/testkit/golden"
-	"silvertrail/internal/xds/known"
+	"silvertrail/internal/xds/cache"
 )
 
 // The file of the last good state is written as recorded, and a recorded one is read.
 func TestStateFileFormat(t *testing.T) {
-	var state []known.SavedResource
+	var state []cache.SavedResource
 	golden.Fill(&state)
 	path := filepath.Join(t.TempDir(), "state")
 	if err := statefile.Write(path, stateFormat, state); err != nil {
@@ -27,8 +27,8 @@
 	if err := os.WriteFile(path, recorded, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	var read []known.SavedResource
-	if err := statefile.Read(path, stateFormat, maxState, &read); err != nil {
+	var read []cache.SavedResource
+	if err := statefile.Read(path, stateFormat, maxStateBytes, &read); err != nil {
 		t.Fatal(err)
 	}
 	for i := range read {
--- a/internal/xds/planes/planes.go
+++ b/internal/xds/selection/planes.go
@@ -1,4 +1,4 @@
-// Package planes decides which of several control planes is listened to, and when each is connected to. It has no clock and
+// Package selection decides which of several control planes is listened to, and when each is connected to. It has no clock and
 // does no I/O.
 //
 // The planes stand in order: the first one is wanted, the others are for when it is lost. The rules:
@@ -11,7 +11,7 @@
 //     one that comes and goes is not followed to and fro.
 //  4. A plane that has failed is tried again after a backoff that doubles with each failure and is drawn over its whole
 //     width: a crowd that has lost its plane at once comes back spread out. Being up for as long as the backoff ends it.
-package planes
+package selection
 
 import (
 	"math/rand/v2"
--- a/internal/xds/planes/planes_test.go
+++ b/internal/xds/selection/planes_test.go
@@ -1,4 +1,4 @@
-package planes
+package selection
 
 import (
 	"math/rand/v2"
--- a/internal/xds/state.go
+++ b/internal/xds/state.go
@@ -10,50 +10,50 @@
 
 	"silvertrail/internal/base/statefile"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/known"
 )
 
 const (
-	stateFormat = "silvertrail xds state 1"
-	maxState    = 256 << 20
-	saveEvery   = time.Second
+	stateFormat   = "silvertrail xds state 1"
+	maxStateBytes = 256 << 20
+	saveEvery     = time.Second
 )
 
-// saver writes the last good state, some time after it has changed.
-type saver struct {
+// stateWriter writes the last good state, some time after it has changed.
+type stateWriter struct {
 	mu   sync.Mutex
 	path string
 	work chan struct{} // holds a token when there is something to write
 }
 
-func (s *saver) to(path string) {
+func (s *stateWriter) setPath(path string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.path = path
 }
 
-func (s *saver) wake() {
+func (s *stateWriter) wake() {
 	select {
 	case s.work <- struct{}{}:
 	default:
 	}
 }
 
-// save writes the state until the client ends, and then once more where there is something to write.
-func (c *Client) save(s *saver) {
+// runStateWriter writes the state until the client ends, and then once more where there is something to write.
+func (c *Client) runStateWriter(s *stateWriter) {
 	for {
 		select {
 		case <-c.ctx.Done():
 			select {
 			case <-s.work:
-				c.saveNow(s)
+				c.writeState(s)
 			default:
 			}
 			return
 		case <-s.work:
 		}
-		c.saveNow(s)
+		c.writeState(s)
 		select {
 		case <-c.ctx.Done():
 		case <-time.After(saveEvery):
@@ -61,7 +61,7 @@
 	}
 }
 
-func (c *Client) saveNow(s *saver) {
+func (c *Client) writeState(s *stateWriter) {
 	s.mu.Lock()
 	path := s.path
 	s.mu.Unlock()
@@ -69,7 +69,7 @@
 		return
 	}
 	c.mu.Lock()
-	all := c.store.Snapshot()
+	all := c.cache.Snapshot()
 	c.mu.Unlock()
 	if err := statefile.Write(path, stateFormat, all); err != nil {
 		c.log.Error("xds: the last good state could not be written", "error", err)
@@ -79,8 +79,8 @@
 // restore takes the last good state from its file: cached knowledge, as old as it is. One that can't be read is passed over:
 // the control planes tell all of it anew.
 func (c *Client) restore(path string) {
-	var all []known.SavedResource
-	err := statefile.Read(path, stateFormat, maxState, &all)
+	var all []cache.SavedResource
+	err := statefile.Read(path, stateFormat, maxStateBytes, &all)
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
@@ -100,7 +100,7 @@
 			c.log.Warn("xds: a resource of the last good state is passed over", "error", err)
 			continue
 		}
-		c.store.Restore(s, i)
+		c.cache.Restore(s, i)
 		n++
 		if s.ReceivedAt.Before(oldest) {
 			oldest = s.ReceivedAt
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -28,9 +28,9 @@
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/known"
-	"silvertrail/internal/xds/planes"
+	"silvertrail/internal/xds/selection"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -54,16 +54,16 @@
 	}
 }
 
-func options(v ads.Variant, addresses ...string) planes.Options {
-	o := planes.Options{Variant: v, Node: planes.Node{ID: "test"}, DeferTime: time.Hour, ResourceTimeout: 300 * time.Millisecond, KeepaliveTime: 10 * time.Second, MaxMessageBytes: 1 << 20,
-		Selection: planes.Timing{ResponseTimeout: 300 * time.Millisecond, Probation: 100 * time.Millisecond, MinBackoff: time.Millisecond, MaxBackoff: 20 * time.Millisecond}}
+func options(v ads.Variant, addresses ...string) selection.Options {
+	o := selection.Options{Variant: v, Node: selection.Node{ID: "test"}, DeferTime: time.Hour, ResourceTimeout: 300 * time.Millisecond, KeepaliveTime: 10 * time.Second, MaxMessageBytes: 1 << 20,
+		Selection: selection.Timing{ResponseTimeout: 300 * time.Millisecond, Probation: 100 * time.Millisecond, MinBackoff: time.Millisecond, MaxBackoff: 20 * time.Millisecond}}
 	for i, a := range addresses {
-		o.ControlPlanes = append(o.ControlPlanes, planes.ControlPlane{Name: fmt.Sprint("p", i), Address: a, Insecure: true})
+		o.ControlPlanes = append(o.ControlPlanes, selection.ControlPlane{Name: fmt.Sprint("p", i), Address: a, Insecure: true})
 	}
 	return o
 }
 
-func start(t testing.TB, o planes.Options) (*Client, *lbtest.Log) {
+func start(t testing.TB, o selection.Options) (*Client, *lbtest.Log) {
 	t.Helper()
 	log := &lbtest.Log{}
 	c := Start(o, slog.New(slog.NewTextHandler(log, nil)))
@@ -76,7 +76,7 @@
 	t     testing.TB
 	stop  context.CancelFunc
 	mu    sync.Mutex
-	views []known.ClusterView
+	views []cache.ClusterView
 }
 
 func follow(t testing.TB, c *Client, name string) *eye {
@@ -87,7 +87,7 @@
 	t.Cleanup(e.stop)
 	go func() {
 		defer close(done)
-		c.Follow(ctx, name, func(v known.ClusterView) {
+		c.Follow(ctx, name, func(v cache.ClusterView) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.views = append(e.views, v)
@@ -96,11 +96,11 @@
 	return e
 }
 
-func (e *eye) last() known.ClusterView {
+func (e *eye) last() cache.ClusterView {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.views) == 0 {
-		return known.ClusterView{}
+		return cache.ClusterView{}
 	}
 	return e.views[len(e.views)-1]
 }
@@ -115,13 +115,13 @@
 // now tells what it sees.
 func (e *eye) now() string {
 	v := e.last()
-	if v.State != known.Ready {
+	if v.State != cache.Ready {
 		return v.State.String()
 	}
 	var out []string
-	for _, m := range known.AssignTraffic(v.Cluster, v.Set, v.Stale, known.AllPriorities) {
+	for _, m := range cache.AssignTraffic(v.Cluster, v.Set, v.Stale, cache.AllPriorities) {
 		_, port, _ := strings.Cut(m.Address, ":")
-		if m.Health != known.Healthy {
+		if m.Health != cache.Healthy {
 			port += "-" + m.Health.String()
 		}
 		out = append(out, port)
@@ -213,7 +213,7 @@
 }
 
 func held(c *Client, name string) bool {
-	return slices.ContainsFunc(c.Dump().Resources, func(l known.ResourceStatus) bool { return l.Name == name && l.DeferredVersion != "" })
+	return slices.ContainsFunc(c.Dump().Resources, func(l cache.ResourceStatus) bool { return l.Name == name && l.DeferredVersion != "" })
 }
 
 // A rollback that is meant gets through when the hold is over.
@@ -299,7 +299,7 @@
 		lbtest.Until(t, "it has come back", func() bool { return p.Streams() > streams })
 		a.sees("2")
 		lbtest.Until(t, "the missing ones are told", func() bool {
-			return lost.last().State == known.Missing && none.last().State == known.Removed
+			return lost.last().State == cache.Missing && none.last().State == cache.Removed
 		})
 		if why := lost.last().Reason; !strings.Contains(why, "did not come") {
 			t.Error(why)
@@ -310,7 +310,7 @@
 		}
 		a.mu.Lock()
 		for _, view := range a.views {
-			if view.State == known.Removed || view.State == known.Missing {
+			if view.State == cache.Removed || view.State == cache.Missing {
 				t.Errorf("%v: told as %v", v, view.State)
 			}
 		}
@@ -495,7 +495,7 @@
 	write(t, path, file(1))
 	write(t, sets, `{"resources": [`+one("s", 11)+`]}`)
 	o := options(ads.Delta)
-	o.ControlPlanes = []planes.ControlPlane{{Name: "file", File: path}}
+	o.ControlPlanes = []selection.ControlPlane{{Name: "file", File: path}}
 	c, log := start(t, o)
 	a, b := follow(t, c, "a"), follow(t, c, "b")
 	a.sees("1")
@@ -510,7 +510,7 @@
 		t.Error(b.now())
 	}
 	late := follow(t, c, "late")
-	lbtest.Until(t, "it is not there", func() bool { return late.last().State == known.Removed })
+	lbtest.Until(t, "it is not there", func() bool { return late.last().State == cache.Removed })
 	pipe := filepath.Join(folder, "pipe") // which would hold up whoever opens it
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Fatal(err)
