--- a/bench/scale/product.go
+++ b/bench/scale/product.go
@@ -13,7 +13,7 @@
 	"silvertrail/internal/controlplane"
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/testkit/hollow"
-	"silvertrail/internal/xds/selection"
+	"silvertrail/internal/xds/bootstrap"
 )
 
 // own is a control machine of the program's own.
@@ -22,7 +22,7 @@
 func (p *planeProcess) product() (machine, error) {
 	o := api.Options{Name: p.Name, Listen: p.Listen, Insecure: true, StateFile: p.State}
 	for name, address := range p.Peer {
-		o.Peers = append(o.Peers, api.Peer{Name: name, Plane: selection.ControlPlane{Name: name, Address: address, Insecure: true}})
+		o.Peers = append(o.Peers, api.Peer{Name: name, Plane: bootstrap.ControlPlane{Name: name, Address: address, Insecure: true}})
 	}
 	s, err := controlplane.Start(o, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})))
 	if err != nil {
--- a/bench/xds/main.go
+++ b/bench/xds/main.go
@@ -34,6 +34,7 @@
 	"silvertrail/internal/testkit/standin"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/selection"
 )
@@ -143,7 +144,7 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	g, err := gateway.Start(file, slog.New(slog.DiscardHandler), gateway.WithDiscovery(func(o selection.Options, l *slog.Logger) gateway.Discovery { return xds.Start(o, l) }))
+	g, err := gateway.Start(file, slog.New(slog.DiscardHandler), gateway.WithDiscovery(func(o bootstrap.Options, l *slog.Logger) gateway.Discovery { return xds.Start(o, l) }))
 	if err != nil {
 		return nil, nil, 0, err
 	}
@@ -310,7 +311,7 @@
 		return err
 	}
 	begun := time.Now()
-	c := xds.Start(selection.Options{Variant: v, ControlPlanes: []selection.ControlPlane{{Name: "p", Address: strings.TrimSpace(addr), Insecure: true}}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second,
+	c := xds.Start(bootstrap.Options{Variant: v, ControlPlanes: []bootstrap.ControlPlane{{Name: "p", Address: strings.TrimSpace(addr), Insecure: true}}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second,
 		KeepaliveTime: 30 * time.Second, MaxMessageBytes: maxMessage, Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Second, MaxBackoff: 30 * time.Second}},
 		slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	defer c.Close()
--- a/cmd/silvertrail/xds_with.go
+++ b/cmd/silvertrail/xds_with.go
@@ -17,14 +17,14 @@
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/testkit/controlplane"
 	"silvertrail/internal/xds"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/selection"
 )
 
 // parts are the parts that not every program has.
 func parts() []gateway.Option {
 	return []gateway.Option{
-		gateway.WithDiscovery(func(o selection.Options, log *slog.Logger) gateway.Discovery { return xds.Start(o, log) }),
+		gateway.WithDiscovery(func(o bootstrap.Options, log *slog.Logger) gateway.Discovery { return xds.Start(o, log) }),
 		gateway.WithControlPlane(func(o api.Options, log *slog.Logger) (gateway.ControlPlane, error) { return plane.Start(o, log) }),
 	}
 }
--- a/internal/controlplane/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"silvertrail/internal/edge/certs"
-	"silvertrail/internal/xds/selection"
+	"silvertrail/internal/xds/bootstrap"
 )
 
 // Defaults of the options.
@@ -21,7 +21,7 @@
 // Peer is another control-plane server.
 type Peer struct {
 	Name  string // as it identifies itself
-	Plane selection.ControlPlane
+	Plane bootstrap.ControlPlane
 }
 
 // Options configure a control-plane server.
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -23,6 +23,7 @@
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/selection"
 )
@@ -82,10 +83,10 @@
 
 func follow(t testing.TB, node, cluster string, addresses ...string) *receiver {
 	t.Helper()
-	o := selection.Options{Variant: ads.Delta, Node: selection.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
+	o := bootstrap.Options{Variant: ads.Delta, Node: bootstrap.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
 		MaxMessageBytes: 16 << 20, Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Millisecond, MaxBackoff: 50 * time.Millisecond}}
 	for _, a := range addresses {
-		o.ControlPlanes = append(o.ControlPlanes, selection.ControlPlane{Name: a, Address: a, Insecure: true})
+		o.ControlPlanes = append(o.ControlPlanes, bootstrap.ControlPlane{Name: a, Address: a, Insecure: true})
 	}
 	r := &receiver{client: xds.Start(o, slog.New(slog.DiscardHandler))}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -241,8 +242,8 @@
 func TestPeers(t *testing.T) {
 	l := lbtest.Listen(t)
 	o := api.Options{Name: "a", Listen: l.Addr().String(), InitialSync: time.Minute}
-	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: selection.ControlPlane{Address: o.Listen, Insecure: true}}}})
-	o.Peers = []api.Peer{{Name: "b", Plane: selection.ControlPlane{Address: b.Addr(), Insecure: true}}}
+	b := begin(t, api.Options{Name: "b", Peers: []api.Peer{{Name: "a", Plane: bootstrap.ControlPlane{Address: o.Listen, Insecure: true}}}})
+	o.Peers = []api.Peer{{Name: "b", Plane: bootstrap.ControlPlane{Address: b.Addr(), Insecure: true}}}
 	l.Close()
 	a := begin(t, o)
 	lbtest.Until(t, "a has heard b", func() bool { return a.Status().Peers[0].Synced })
@@ -272,7 +273,7 @@
 // for that, it does.
 func TestInitialSync(t *testing.T) {
 	l := lbtest.Listen(t)
-	peers := []api.Peer{{Name: "b", Plane: selection.ControlPlane{Address: l.Addr().String(), Insecure: true}}}
+	peers := []api.Peer{{Name: "b", Plane: bootstrap.ControlPlane{Address: l.Addr().String(), Insecure: true}}}
 	s := begin(t, api.Options{Name: "a", Peers: peers, InitialSync: time.Hour})
 	if _, err := s.PublishResources(packed(t, service("x", 1)...), nil); !errors.Is(err, ErrInitialSync) {
 		t.Error(err)
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -26,7 +26,7 @@
 	"silvertrail/internal/gateway/route"
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/sites/peering"
-	"silvertrail/internal/xds/selection"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/lbpolicy"
 )
 
@@ -40,7 +40,7 @@
 	Routes       *route.Table
 	Fleet        *fleet.Options     // nil: this instance is alone
 	Link         *peering.Options   // nil: no other salas
-	XDS          *selection.Options // nil: no control planes
+	XDS          *bootstrap.Options // nil: no control planes
 	ControlPlane *api.Options       // nil: this instance is none
 	Ledger       *ledger.Options    // nil: keyed requests are not recorded
 	Meaning      Meaning            // where the fleet tells versions
--- a/internal/gateway/conf/controlplane.go
+++ b/internal/gateway/conf/controlplane.go
@@ -9,7 +9,7 @@
 
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/edge/certs"
-	"silvertrail/internal/xds/selection"
+	"silvertrail/internal/xds/bootstrap"
 )
 
 const maxPeers = 16
@@ -57,7 +57,7 @@
 		case slices.ContainsFunc(o.Peers, func(is api.Peer) bool { return is.Name == pl.Name }):
 			p.fault(inner.LabelRanges[0], "Named twice", "A peer named %q is there already.", pl.Name)
 		default:
-			o.Peers = append(o.Peers, api.Peer{Name: pl.Name, Plane: selection.ControlPlane(pl)})
+			o.Peers = append(o.Peers, api.Peer{Name: pl.Name, Plane: bootstrap.ControlPlane(pl)})
 		}
 	}
 	if n := len(o.Peers); n > maxPeers {
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -12,6 +12,7 @@
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/gateway/cluster"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/selection"
 )
@@ -22,7 +23,7 @@
 )
 
 // xdsBlock reads the block that names the control planes, or returns nil where there is none.
-func (p *parser) xdsBlock(blocks hcl.Blocks) *selection.Options {
+func (p *parser) xdsBlock(blocks hcl.Blocks) *bootstrap.Options {
 	if len(blocks) == 0 {
 		return nil
 	}
@@ -32,7 +33,7 @@
 	b := blocks[0]
 	s := p.open("xds", b.DefRange, b.Body, []string{"node", "node_cluster", "region", "zone", "sub_zone", "variant", "all", "hold", "missing", "patience",
 		"trial", "backoff", "backoff_most", "quiet", "max_message", "state", "bootstrap"}, map[string]int{"plane": 1})
-	o := &selection.Options{Wildcard: s.flag("all"),
+	o := &bootstrap.Options{Wildcard: s.flag("all"),
 		DeferTime:       s.duration("hold", 30*time.Second, 0, time.Hour),
 		ResourceTimeout: s.duration("missing", 15*time.Second, 100*time.Millisecond, time.Hour),
 		KeepaliveTime:   s.duration("quiet", 5*time.Minute, 10*time.Second, time.Hour),
@@ -54,7 +55,7 @@
 	}
 	for _, inner := range s.blocks {
 		if pl, ok := p.plane(inner); ok {
-			if slices.ContainsFunc(o.ControlPlanes, func(is selection.ControlPlane) bool { return is.Name == pl.Name }) {
+			if slices.ContainsFunc(o.ControlPlanes, func(is bootstrap.ControlPlane) bool { return is.Name == pl.Name }) {
 				p.fault(inner.LabelRanges[0], "Named twice", "A plane named %q is there already.", pl.Name)
 			}
 			o.ControlPlanes = append(o.ControlPlanes, pl)
@@ -70,7 +71,7 @@
 }
 
 // bootstrap reads the planes and the node of a bootstrap file. Those of the block come after them.
-func (p *parser) bootstrap(s *scope, o *selection.Options) {
+func (p *parser) bootstrap(s *scope, o *bootstrap.Options) {
 	path := p.path(s, "bootstrap")
 	info, err := os.Stat(path)
 	var text []byte
@@ -81,7 +82,7 @@
 		s.fault(s.where("bootstrap"), "No bootstrap file", "%s.", err)
 		return
 	}
-	b, err := selection.Parse(text, filepath.Dir(path))
+	b, err := bootstrap.Parse(text, filepath.Dir(path))
 	if err != nil {
 		s.fault(s.where("bootstrap"), "Unusable bootstrap file", "%s: %s.", path, err)
 		return
@@ -89,9 +90,9 @@
 	o.ControlPlanes, o.Node = b.ControlPlanes, b.Node
 }
 
-func (p *parser) plane(b *hcl.Block) (selection.ControlPlane, bool) {
+func (p *parser) plane(b *hcl.Block) (bootstrap.ControlPlane, bool) {
 	s := p.open("plane "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "file", "plain", "certificate", "key", "authority", "host"}, nil)
-	out := selection.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.flag("plain"), ServerName: s.text("host", ""),
+	out := bootstrap.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.flag("plain"), ServerName: s.text("host", ""),
 		TLS: certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}}
 	secured := []string{"certificate", "key", "authority", "host"}
 	without := func(why string, names ...string) {
--- a/internal/gateway/conf/xds_test.go
+++ b/internal/gateway/conf/xds_test.go
@@ -11,7 +11,7 @@
 	"silvertrail/internal/xds/cache"
 )
 
-const bootstrap = `{"xds_servers": [{"server_uri": "dns:///plane.example:443", "channel_creds": [{"type": "google_default"},
+const bootstrapText = `{"xds_servers": [{"server_uri": "dns:///plane.example:443", "channel_creds": [{"type": "google_default"},
 	{"type": "tls", "config": {"ca_certificate_file": "ca.pem"}}], "server_features": ["xds_v3"]}], "node": {"id": "n1", "locality": {"zone": "z9"}}, "authorities": {}}`
 
 // The sample can be used as it stands, a bootstrap file tells what its planes do, and what is wrong is told.
@@ -22,7 +22,7 @@
 	}
 	dir := t.TempDir()
 	path := filepath.Join(dir, "xds.hcl")
-	if err := os.WriteFile(filepath.Join(dir, "bootstrap.json"), []byte(bootstrap), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, "bootstrap.json"), []byte(bootstrapText), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	f, err := Parse(text, path)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,8 +27,8 @@
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/sites/forwarding"
 	"silvertrail/internal/sites/peering"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
-	"silvertrail/internal/xds/selection"
 )
 
 const ownSockets = 32 // standard streams, listeners, sources, the runtime's own
@@ -40,7 +40,7 @@
 	resources *cluster.Resources
 	fleet     *fleet.Fleet   // nil: this instance is alone
 	ledger    *ledger.Ledger // nil: nothing is recorded
-	discover  func(selection.Options, *slog.Logger) Discovery
+	discover  func(bootstrap.Options, *slog.Logger) Discovery
 	discovery Discovery // nil: no control planes
 	machine   func(api.Options, *slog.Logger) (ControlPlane, error)
 	plane     ControlPlane                      // nil: this instance is no control machine
@@ -91,7 +91,7 @@
 // Discovery follows control planes.
 type Discovery interface {
 	cluster.Discovery
-	Update(o selection.Options)
+	Update(o bootstrap.Options)
 	Dump() cache.Dump
 	Close()
 }
@@ -100,7 +100,7 @@
 type Option func(*Gateway)
 
 // WithDiscovery has the gateway take clusters and endpoints from control planes.
-func WithDiscovery(start func(selection.Options, *slog.Logger) Discovery) Option {
+func WithDiscovery(start func(bootstrap.Options, *slog.Logger) Discovery) Option {
 	return func(g *Gateway) { g.discover = start }
 }
 
--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -21,8 +21,8 @@
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 	"silvertrail/internal/xds"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
-	"silvertrail/internal/xds/selection"
 )
 
 // told is a gateway whose clusters a control plane tells.
@@ -47,7 +47,7 @@
 // run starts the gateway; the control plane must have its state.
 func (x *told) run(text string) {
 	x.t.Helper()
-	discover := WithDiscovery(func(o selection.Options, log *slog.Logger) Discovery { return xds.Start(o, log) })
+	discover := WithDiscovery(func(o bootstrap.Options, log *slog.Logger) Discovery { return xds.Start(o, log) })
 	g, err := Start(parse(x.t, x.text(text)), slog.New(slog.DiscardHandler), discover)
 	if err != nil {
 		x.t.Fatal(err)
--- a/internal/testkit/hollow/member.go
+++ b/internal/testkit/hollow/member.go
@@ -9,6 +9,7 @@
 
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/selection"
 )
@@ -29,17 +30,17 @@
 }
 
 // Options are those of the program where its file tells nothing, with planes at some addresses.
-func Options(node string, variant ads.Variant, addresses ...string) selection.Options {
-	o := selection.Options{Variant: variant, Node: selection.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute, MaxMessageBytes: 16 << 20,
+func Options(node string, variant ads.Variant, addresses ...string) bootstrap.Options {
+	o := bootstrap.Options{Variant: variant, Node: bootstrap.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute, MaxMessageBytes: 16 << 20,
 		Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: 500 * time.Millisecond, MaxBackoff: 30 * time.Second}}
 	for _, a := range addresses {
-		o.ControlPlanes = append(o.ControlPlanes, selection.ControlPlane{Name: a, Address: a, Insecure: true})
+		o.ControlPlanes = append(o.ControlPlanes, bootstrap.ControlPlane{Name: a, Address: a, Insecure: true})
 	}
 	return o
 }
 
 // Start has a member follow clusters.
-func Start(number int, o selection.Options, clusters []string) *Member {
+func Start(number int, o bootstrap.Options, clusters []string) *Member {
 	m := &Member{Number: number, at: map[string]int{}, changed: make(chan struct{}), times: map[int]time.Time{}, client: xds.Start(o, slog.New(slog.DiscardHandler))}
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
--- a/internal/xds/selection/options.go
+++ b/internal/xds/bootstrap/bootstrap.go
@@ -1,4 +1,4 @@
-package selection
+package bootstrap
 
 import (
 	"encoding/json"
@@ -12,6 +12,7 @@
 
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/selection"
 )
 
 // ControlPlane is a control plane: an address, or a file.
@@ -30,7 +31,7 @@
 	Node          Node
 	Variant       ads.Variant
 	Wildcard      bool // all clusters are subscribed to, not only those in use
-	Selection     Timing
+	Selection     selection.Timing
 
 	DeferTime       time.Duration // for which an old word is held off
 	ResourceTimeout time.Duration // after which what was asked for and did not come does not exist
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -15,6 +15,7 @@
 
 	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/selection"
 )
@@ -24,7 +25,7 @@
 	log *slog.Logger
 
 	mu           sync.Mutex
-	options      selection.Options
+	options      bootstrap.Options
 	cache        *cache.Cache
 	selector     *selection.Selector
 	conns        []*conn                   // by plane; nil: not connected to
@@ -52,7 +53,7 @@
 const maxWarnings = 1000 // different ones that are logged
 
 // Start connects to the control planes for as long as it runs. It waits for nobody.
-func Start(o selection.Options, log *slog.Logger) *Client {
+func Start(o bootstrap.Options, log *slog.Logger) *Client {
 	c := &Client{log: log, followers: map[string][]*follower{}, files: map[string]*endpointsFile{}, warned: map[string]bool{},
 		cache: cache.New(cache.Options{DeferTime: o.DeferTime, ResourceTimeout: o.ResourceTimeout, Wildcard: o.Wildcard})}
 	c.ctx, c.stop = context.WithCancel(context.Background())
@@ -68,7 +69,7 @@
 }
 
 // useControlPlanes begins anew with the planes of the options. The caller holds the lock.
-func (c *Client) useControlPlanes(o selection.Options) {
+func (c *Client) useControlPlanes(o bootstrap.Options) {
 	for _, k := range c.conns {
 		if k != nil {
 			k.endStream()
@@ -86,7 +87,7 @@
 }
 
 // Update takes other control planes. What is known stands as cached knowledge.
-func (c *Client) Update(o selection.Options) {
+func (c *Client) Update(o bootstrap.Options) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || reflect.DeepEqual(o, c.options) {
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -25,9 +25,9 @@
 	"silvertrail/internal/base/updateorder"
 	"silvertrail/internal/edge/certs"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/selection"
 )
 
 const (
@@ -41,7 +41,7 @@
 type conn struct {
 	client       *Client
 	index        int // of the plane
-	controlPlane selection.ControlPlane
+	controlPlane bootstrap.ControlPlane
 	ctx          context.Context
 	cancelConn   context.CancelFunc
 
@@ -113,7 +113,7 @@
 }
 
 // run keeps the connection until it fails or is ended.
-func (k *conn) run(o selection.Options) error {
+func (k *conn) run(o bootstrap.Options) error {
 	if k.controlPlane.File != "" {
 		return k.followFile(o)
 	}
@@ -145,7 +145,7 @@
 }
 
 // Credentials returns how a control plane is connected to.
-func Credentials(p selection.ControlPlane, log *slog.Logger) (credentials.TransportCredentials, error) {
+func Credentials(p bootstrap.ControlPlane, log *slog.Logger) (credentials.TransportCredentials, error) {
 	if p.Insecure {
 		return insecure.NewCredentials(), nil
 	}
@@ -196,7 +196,7 @@
 }
 
 // stream runs one stream to its end.
-func (k *conn) stream(o selection.Options, client discoveryv3.AggregatedDiscoveryServiceClient) error {
+func (k *conn) stream(o bootstrap.Options, client discoveryv3.AggregatedDiscoveryServiceClient) error {
 	c := k.client
 	ctx, cancel := context.WithCancel(k.ctx)
 	defer cancel()
@@ -261,7 +261,7 @@
 }
 
 // send sends what the session wants sent, until the stream ends.
-func (k *conn) send(ctx context.Context, cancel context.CancelFunc, w transport, n selection.Node) error {
+func (k *conn) send(ctx context.Context, cancel context.CancelFunc, w transport, n bootstrap.Node) error {
 	node := &corev3.Node{Id: n.ID, Cluster: n.Cluster, UserAgentName: "silvertrail",
 		Locality: &corev3.Locality{Region: n.Region, Zone: n.Zone, SubZone: n.SubZone}}
 	for {
--- a/internal/xds/file.go
+++ b/internal/xds/file.go
@@ -16,9 +16,9 @@
 
 	"silvertrail/internal/base/watchedfile"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
-	"silvertrail/internal/xds/selection"
 )
 
 // The types that a file may hold; a program that is linked with more knows more of them.
@@ -51,7 +51,7 @@
 }
 
 // followFile takes a plane that is a file. A content that can't be read changes nothing; a file that is not there is lost.
-func (k *conn) followFile(o selection.Options) error {
+func (k *conn) followFile(o bootstrap.Options) error {
 	d := &envoy.Decoder{Warn: k.client.warn}
 	file := watchedfile.File{Path: k.controlPlane.File, MaxBytes: o.MaxMessageBytes}
 	var last [ads.KindCount]*response
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -28,6 +28,7 @@
 	"silvertrail/internal/testkit/lbtest"
 	"silvertrail/internal/testkit/standin"
 	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
 	"silvertrail/internal/xds/envoy"
 	"silvertrail/internal/xds/selection"
@@ -54,16 +55,16 @@
 	}
 }
 
-func options(v ads.Variant, addresses ...string) selection.Options {
-	o := selection.Options{Variant: v, Node: selection.Node{ID: "test"}, DeferTime: time.Hour, ResourceTimeout: 300 * time.Millisecond, KeepaliveTime: 10 * time.Second, MaxMessageBytes: 1 << 20,
+func options(v ads.Variant, addresses ...string) bootstrap.Options {
+	o := bootstrap.Options{Variant: v, Node: bootstrap.Node{ID: "test"}, DeferTime: time.Hour, ResourceTimeout: 300 * time.Millisecond, KeepaliveTime: 10 * time.Second, MaxMessageBytes: 1 << 20,
 		Selection: selection.Timing{ResponseTimeout: 300 * time.Millisecond, Probation: 100 * time.Millisecond, MinBackoff: time.Millisecond, MaxBackoff: 20 * time.Millisecond}}
 	for i, a := range addresses {
-		o.ControlPlanes = append(o.ControlPlanes, selection.ControlPlane{Name: fmt.Sprint("p", i), Address: a, Insecure: true})
+		o.ControlPlanes = append(o.ControlPlanes, bootstrap.ControlPlane{Name: fmt.Sprint("p", i), Address: a, Insecure: true})
 	}
 	return o
 }
 
-func start(t testing.TB, o selection.Options) (*Client, *lbtest.Log) {
+func start(t testing.TB, o bootstrap.Options) (*Client, *lbtest.Log) {
 	t.Helper()
 	log := &lbtest.Log{}
 	c := Start(o, slog.New(slog.NewTextHandler(log, nil)))
@@ -495,7 +496,7 @@
 	write(t, path, file(1))
 	write(t, sets, `{"resources": [`+one("s", 11)+`]}`)
 	o := options(ads.Delta)
-	o.ControlPlanes = []selection.ControlPlane{{Name: "file", File: path}}
+	o.ControlPlanes = []bootstrap.ControlPlane{{Name: "file", File: path}}
 	c, log := start(t, o)
 	a, b := follow(t, c, "a"), follow(t, c, "b")
 	a.sees("1")
