--- a/internal/xds/ads/session.go
+++ b/internal/xds/ads/session.go
@@ -1,7 +1,9 @@
-// Package ads is the protocol of one stream to a control plane, without I/O: the aggregated discovery service of xDS, version
-// 3, in its two variants. It keeps what is subscribed to, what was acknowledged and what is to be sent next. Requests are
-// asked for one at a time, so that changes of the subscription and acknowledgements that pile up behind a slow stream fall
-// together, and nothing grows.
+// Package ads implements the client side of one aggregated discovery stream of xDS, version 3, without I/O: in the
+// state-of-the-world and in the incremental variant. A Session holds the subscriptions, what was acknowledged, and what is to be
+// sent next.
+//
+// Requests are pulled one at a time with NextRequest. Changes of a subscription and acknowledgements that accumulate behind a
+// slow stream are therefore combined, and nothing grows without bound.
 //
 // A Session belongs to one stream and ends with it. It is not safe for concurrent use.
 package ads
@@ -15,65 +17,71 @@
 // Kind is a type of resource.
 type Kind uint8
 
-// The kinds, in the order in which they are asked for: an endpoint set is asked for after the cluster that names it (the
-// protocol's make before break).
+// The kinds, in the order in which they are requested: an endpoint set is requested after the cluster that names it
+// (make before break, xDS protocol, "Eventual consistency considerations").
 const (
 	Clusters Kind = iota
 	Endpoints
-	KindCount // their number
+	KindCount // the number of kinds; also returned where a type is unknown
 )
 
+// String returns the kind's name in the control socket's output.
 func (k Kind) String() string { return [...]string{"cluster", "endpoints", "?"}[min(k, KindCount)] }
 
-// Variant is how a stream tells changes.
+// Variant is the protocol variant of a stream.
 type Variant uint8
 
-// The variants.
+// The variants of the xDS transport protocol.
 const (
-	StateOfTheWorld Variant = iota // state of the world: each response holds all (clusters), or all that has changed (endpoint sets)
-	Delta                          // each response holds what has changed and what is gone
+	StateOfTheWorld Variant = iota // a response holds all clusters, or all endpoint sets that have changed
+	Delta                          // a response holds what has changed and what was removed
 )
 
-// Request is what is to be sent.
+// Request is a discovery request that is to be sent.
 type Request struct {
 	Kind        Kind
-	Version     string // Whole: the last one that was accepted
+	Version     string // state of the world: the version accepted last
 	Nonce       string // of the response that is answered; empty: none is
-	ErrorDetail string // the response is turned away, with the reason; what was good of it is in force all the same
+	ErrorDetail string // the reason of a NACK; resources that could be used are in force all the same
 
-	Names                  []string          // Whole: all that is subscribed to; empty with the first: everything
-	Subscribe, Unsubscribe []string          // Delta
-	InitialVersions        map[string]string // Delta, with the first: what is known, by name
+	Names                  []string          // state of the world: the whole subscription; empty in the first request: everything
+	Subscribe, Unsubscribe []string          // incremental
+	InitialVersions        map[string]string // incremental, in the first request: cached versions by name
 }
 
-// Subscription is a subscription.
+// Subscription names the resources of a kind that a client wants.
 type Subscription struct {
 	Wildcard bool // everything that the server has
 	Names    []string
 }
 
-const maxPendingReplies = 256 // responses of a stream that may be unanswered
+// maxPendingReplies bounds the responses of a stream whose acknowledgement has not been sent.
+const maxPendingReplies = 256
 
-// Errors of a stream, which ends with them.
+// Errors of Receive.
 var (
-	ErrNotSubscribed  = errors.New("a response of a type that nobody has asked for")
-	ErrTooManyPending = errors.New("the server takes no acknowledgements, and goes on sending")
+	// ErrNotSubscribed reports a response of a kind that was not requested on the stream.
+	ErrNotSubscribed = errors.New("ads: response of a type without a subscription")
+	// ErrTooManyPending reports a server that goes on sending and does not read acknowledgements.
+	ErrTooManyPending = errors.New("ads: too many responses without a sent acknowledgement")
 )
 
+// reply is an ACK, or a NACK where errorDetail is set.
 type reply struct{ nonce, errorDetail string }
 
+// kindState is the state of one kind on the stream.
 type kindState struct {
-	requested       bool
+	requested       bool // the first request was sent
 	wanted          Subscription
-	subscribed      map[string]bool
-	wildcard        bool
-	accepted        string // accepted last
-	lastNonce       string // received last
+	subscribed      map[string]bool // as sent last
+	wildcard        bool            // as sent last
+	accepted        string          // version accepted last
+	lastNonce       string
 	pending         []reply
 	initialVersions map[string]string
 }
 
-// Session is one stream's state.
+// Session is the state of one stream.
 type Session struct {
 	variant Variant
 	kinds   [KindCount]kindState
@@ -82,47 +90,46 @@
 // NewSession returns the state of a stream that has just been opened.
 func NewSession(v Variant) *Session { return &Session{variant: v} }
 
-// SetInitialVersions tells what is known of a kind from before, each resource with its version. It must come before the kind's first
-// request.
+// SetInitialVersions sets the cached resources of a kind with their versions. It must be called before the kind's first request.
 //
-// A server that finds nothing new has nothing to say, and can't be told from one that hangs. So one version that is known is not
-// told, and the server has to send that resource at least; in the state of the world, which has one version for all, none is.
-func (s *Session) SetInitialVersions(k Kind, initial map[string]string) {
-	s.kinds[k].initialVersions = initial
+// A server that has nothing new sends nothing, and cannot be distinguished from one that hangs. One cached cluster is therefore
+// left out, so that the server has to send it. In the state of the world, which has one version for all, no version is sent.
+func (s *Session) SetInitialVersions(k Kind, versions map[string]string) {
+	s.kinds[k].initialVersions = versions
 }
 
 // Subscribe sets what is wanted of a kind from now on.
-func (s *Session) Subscribe(k Kind, w Subscription) { s.kinds[k].wanted = w }
+func (s *Session) Subscribe(k Kind, wanted Subscription) { s.kinds[k].wanted = wanted }
 
-// Receive takes a response. It must be answered by Judge. An error ends the stream, but for ErrUnasked: that response has no
-// answer.
+// Receive records a response, which must be answered with Answer. An error ends the stream, except ErrNotSubscribed: that
+// response has no answer.
 func (s *Session) Receive(k Kind, nonce string) error {
 	if k >= KindCount || !s.kinds[k].requested {
 		return ErrNotSubscribed
 	}
-	is := &s.kinds[k]
-	if len(is.pending) >= maxPendingReplies {
+	state := &s.kinds[k]
+	if len(state.pending) >= maxPendingReplies {
 		return ErrTooManyPending
 	}
-	is.lastNonce = nonce
+	state.lastNonce = nonce
 	return nil
 }
 
-// Answer answers the response that was received last: it is accepted, or turned away with a reason.
-func (s *Session) Answer(k Kind, version, fault string) {
-	is := &s.kinds[k]
-	if fault == "" {
-		is.accepted = version
+// Answer acknowledges the response received last, or rejects it where errorDetail is not empty.
+func (s *Session) Answer(k Kind, version, errorDetail string) {
+	state := &s.kinds[k]
+	if errorDetail == "" {
+		state.accepted = version
 	}
-	r := reply{is.lastNonce, fault}
-	if s.variant == StateOfTheWorld { // one answer, to the newest, says all
-		is.pending = append(is.pending[:0], r)
+	r := reply{state.lastNonce, errorDetail}
+	if s.variant == StateOfTheWorld { // an answer to the newest response answers all before it
+		state.pending = append(state.pending[:0], r)
 		return
 	}
-	is.pending = append(is.pending, r)
+	state.pending = append(state.pending, r)
 }
 
-// NextRequest returns what is to be sent next; ok is false where nothing is.
+// NextRequest returns the next request to send; ok is false where there is none.
 func (s *Session) NextRequest() (r Request, ok bool) {
 	for k := range KindCount {
 		if r, ok = s.nextOf(k); ok {
@@ -132,66 +139,101 @@
 	return r, false
 }
 
+// nextOf returns the next request of a kind.
 func (s *Session) nextOf(k Kind) (r Request, ok bool) {
-	is := &s.kinds[k]
+	state := &s.kinds[k]
 	r.Kind = k
-	first := !is.requested
-	if first && !is.wanted.Wildcard && len(is.wanted.Names) == 0 {
-		return r, false // an empty first request asks for everything
-	}
-	wanted := make(map[string]bool, len(is.wanted.Names))
-	if !is.wanted.Wildcard {
-		for _, n := range is.wanted.Names {
-			wanted[n] = true
-		}
+	first := !state.requested
+	if first && !state.wanted.Wildcard && len(state.wanted.Names) == 0 {
+		return r, false // an empty first request would subscribe to everything
 	}
-	changed := is.wildcard != is.wanted.Wildcard || !maps.Equal(wanted, is.subscribed)
-	if !first && !changed && len(is.pending) == 0 {
+	names := state.wantedNames()
+	changed := state.wildcard != state.wanted.Wildcard || !maps.Equal(names, state.subscribed)
+	if !first && !changed && len(state.pending) == 0 {
 		return r, false
 	}
-	if len(is.pending) > 0 {
-		r.Nonce, r.ErrorDetail = is.pending[0].nonce, is.pending[0].errorDetail
-		is.pending = is.pending[1:]
-	} else if s.variant == StateOfTheWorld {
-		r.Nonce = is.lastNonce
-	}
+	s.addReply(&r, state)
 	if s.variant == StateOfTheWorld {
-		r.Version = is.accepted
-		r.Names = slices.Sorted(maps.Keys(wanted))
-		if is.wanted.Wildcard && !first && !is.wildcard { // once names were told, "everything" must be
-			r.Names = []string{"*"}
-		}
+		state.addNames(&r, names, first)
 	} else {
-		for _, n := range slices.Sorted(maps.Keys(wanted)) {
-			if !is.subscribed[n] {
-				r.Subscribe = append(r.Subscribe, n)
-			}
+		state.addDelta(&r, names, first)
+	}
+	state.requested = true
+	state.subscribed = names
+	state.wildcard = state.wanted.Wildcard
+	state.initialVersions = nil
+	return r, true
+}
+
+// wantedNames returns the names wanted, none with a wildcard.
+func (state *kindState) wantedNames() map[string]bool {
+	names := make(map[string]bool, len(state.wanted.Names))
+	if state.wanted.Wildcard {
+		return names
+	}
+	for _, n := range state.wanted.Names {
+		names[n] = true
+	}
+	return names
+}
+
+// addReply adds the oldest pending reply to a request. In the state of the world each request names the last response.
+func (s *Session) addReply(r *Request, state *kindState) {
+	switch {
+	case len(state.pending) > 0:
+		r.Nonce, r.ErrorDetail = state.pending[0].nonce, state.pending[0].errorDetail
+		state.pending = state.pending[1:]
+	case s.variant == StateOfTheWorld:
+		r.Nonce = state.lastNonce
+	}
+}
+
+// addNames adds the whole subscription, for the state of the world.
+func (state *kindState) addNames(r *Request, names map[string]bool, first bool) {
+	r.Version = state.accepted
+	r.Names = slices.Sorted(maps.Keys(names))
+	if state.wanted.Wildcard && !first && !state.wildcard { // after names were sent, the wildcard must be explicit
+		r.Names = []string{"*"}
+	}
+}
+
+// addDelta adds what has changed of the subscription, for the incremental variant.
+func (state *kindState) addDelta(r *Request, names map[string]bool, first bool) {
+	for _, n := range slices.Sorted(maps.Keys(names)) {
+		if !state.subscribed[n] {
+			r.Subscribe = append(r.Subscribe, n)
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(state.subscribed)) {
+		if !names[n] {
+			r.Unsubscribe = append(r.Unsubscribe, n)
 		}
-		for _, n := range slices.Sorted(maps.Keys(is.subscribed)) {
-			if !wanted[n] {
-				r.Unsubscribe = append(r.Unsubscribe, n)
-			}
+	}
+	switch {
+	case first:
+		r.InitialVersions = state.initialFor(r.Kind, names)
+	case state.wanted.Wildcard && !state.wildcard:
+		r.Subscribe = append(r.Subscribe, "*")
+	case !state.wanted.Wildcard && state.wildcard:
+		r.Unsubscribe = append(r.Unsubscribe, "*")
+	}
+}
+
+// initialFor returns the cached versions to send with the first request: those of wanted resources, without the first cluster
+// (see SetInitialVersions).
+func (state *kindState) initialFor(k Kind, names map[string]bool) map[string]string {
+	out := map[string]string{}
+	leaveOut := k == Clusters // a cluster is the smallest resource
+	for _, n := range slices.Sorted(maps.Keys(state.initialVersions)) {
+		version := state.initialVersions[n]
+		if version == "" || !names[n] && !state.wanted.Wildcard {
+			continue
 		}
-		switch {
-		case first:
-			r.InitialVersions = map[string]string{}
-			spared := k != Clusters // a cluster says least
-			for _, n := range slices.Sorted(maps.Keys(is.initialVersions)) {
-				v := is.initialVersions[n]
-				switch {
-				case v == "" || !wanted[n] && !is.wanted.Wildcard:
-				case !spared:
-					spared = true
-				default:
-					r.InitialVersions[n] = v
-				}
-			}
-		case is.wanted.Wildcard && !is.wildcard:
-			r.Subscribe = append(r.Subscribe, "*")
-		case !is.wanted.Wildcard && is.wildcard:
-			r.Unsubscribe = append(r.Unsubscribe, "*")
+		if leaveOut {
+			leaveOut = false
+			continue
 		}
+		out[n] = version
 	}
-	is.requested, is.subscribed, is.wildcard, is.initialVersions = true, wanted, is.wanted.Wildcard, nil
-	return r, true
+	return out
 }
--- a/internal/xds/ads/session_test.go
+++ b/internal/xds/ads/session_test.go
@@ -1,14 +1,15 @@
 package ads
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
 )
 
-// story plays events on a session and compares what is sent with what is told.
-func story(t *testing.T, v Variant, lines ...string) {
+// runScript plays events on a session and compares the requests with those that the script expects.
+func runScript(t *testing.T, v Variant, lines ...string) {
 	t.Helper()
 	s := NewSession(v)
 	kinds := map[string]Kind{"cds": Clusters, "eds": Endpoints}
@@ -22,16 +23,16 @@
 				w = Subscription{Wildcard: true}
 			}
 			s.Subscribe(k, w)
-		case "know":
+		case "cached":
 			s.SetInitialVersions(k, map[string]string{f[2]: "v1", f[3]: "v2"})
-		case "get":
+		case "receive":
 			if err := s.Receive(k, f[2]); err != nil {
 				t.Fatalf("line %d: %v", i, err)
 			}
 			s.Answer(k, f[3], strings.Join(f[4:], " "))
-		case "unasked":
+		case "reject":
 			if s.Receive(k, "n") == nil {
-				t.Fatalf("line %d: taken", i)
+				t.Fatalf("line %d: accepted", i)
 			}
 		case "sent":
 			r, ok := s.NextRequest()
@@ -46,26 +47,26 @@
 	}
 }
 
-// A request is {kind, version, nonce, fault, names, subscribe, unsubscribe, initial}.
-func TestWhole(t *testing.T) {
-	story(t, StateOfTheWorld,
+// A request is printed as {kind version nonce error-detail [names] [subscribe] [unsubscribe] map[initial versions]}.
+func TestStateOfTheWorld(t *testing.T) {
+	runScript(t, StateOfTheWorld,
 		"sent nothing",
-		"unasked eds",
+		"reject eds",
 		"want cds b a",
 		"want eds s",
-		"know cds a b",
-		"sent {cluster    [a b] [] [] map[]}", // no version: the server says what it has
+		"cached cds a b",
+		"sent {cluster    [a b] [] [] map[]}", // no version: the server sends all that it has
 		"sent {endpoints    [s] [] [] map[]}",
 		"sent nothing",
-		"get cds n1 7",
-		"get cds n2 8 bad",
-		"get cds n3 9",
-		"sent {cluster 9 n3  [a b] [] [] map[]}", // one answer, to the newest
-		"get cds n4 10 bad",
+		"receive cds n1 7",
+		"receive cds n2 8 bad",
+		"receive cds n3 9",
+		"sent {cluster 9 n3  [a b] [] [] map[]}", // one answer, to the newest response
+		"receive cds n4 10 bad",
 		"want cds b",
 		"sent {cluster 9 n4 bad [b] [] [] map[]}",
 		"want eds",
-		"sent {endpoints    [] [] [] map[]}", // none any more
+		"sent {endpoints    [] [] [] map[]}", // no names are left
 		"want cds *",
 		"sent {cluster 9 n4  [*] [] [] map[]}",
 		"sent nothing",
@@ -73,17 +74,17 @@
 }
 
 func TestDelta(t *testing.T) {
-	story(t, Delta,
+	runScript(t, Delta,
 		"want cds a b c",
 		"want eds s",
-		"know cds a b",
-		"know eds s x",
-		"sent {cluster    [] [a b c] [] map[b:v2]}", // a's is not told, so that the server has something to say
+		"cached cds a b",
+		"cached eds s x",
+		"sent {cluster    [] [a b c] [] map[b:v2]}", // the version of a is left out, so that the server has to send it
 		"sent {endpoints    [] [s] [] map[s:v1]}",
-		"get cds n1 1",
-		"get cds n2 2 bad",
+		"receive cds n1 1",
+		"receive cds n2 2 bad",
 		"want cds b d",
-		"sent {cluster  n1  [] [d] [a c] map[]}", // each response has its answer
+		"sent {cluster  n1  [] [d] [a c] map[]}", // each response gets its own answer
 		"sent {cluster  n2 bad [] [] [] map[]}",
 		"want cds *",
 		"sent {cluster    [] [*] [b d] map[]}",
@@ -100,7 +101,7 @@
 		}
 		s.Answer(Clusters, "", "")
 	}
-	if s.Receive(Clusters, "more") != ErrTooManyPending {
-		t.Error("a server that takes no answers is listened to for ever")
+	if !errors.Is(s.Receive(Clusters, "more"), ErrTooManyPending) {
+		t.Error("a server that does not read acknowledgements is not bounded")
 	}
 }
