--- /dev/null
+++ b/internal/xds/cache/apply.go
@@ -0,0 +1,137 @@
+package cache
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"silvertrail/internal/base/updateorder"
+	"silvertrail/internal/xds/ads"
+)
+
+// resourcePrefix is what the names of a kind's resources begin with in the update order.
+func resourcePrefix(k ads.Kind) string { return k.String() + "/" }
+
+func updateOf(k ads.Kind, r Resource) updateorder.Update {
+	return updateorder.Update{Resource: resourcePrefix(k) + r.Name, Version: r.Version, Digest: r.Digest}
+}
+
+// Apply applies a response of an active stream. It returns the resources for which there is no capacity.
+func (c *Cache) Apply(now time.Time, stream updateorder.Stream, response Response) (rejected []Rejection) {
+	named := make(map[string]bool, len(response.Resources)+len(response.Rejections))
+	for _, r := range response.Resources {
+		named[r.Name] = true
+		e := c.entry(response.Kind, r.Name)
+		if e == nil {
+			rejected = append(rejected, Rejection{r.Name, r.Version, fmt.Sprintf("over %d resources of a kind", MaxResources)})
+			continue
+		}
+		e.rejection = Rejection{}
+		c.applyUpdate(now, stream, response.Kind, e, r)
+	}
+	for _, r := range response.Rejections {
+		named[r.Name] = true
+		if e := c.entry(response.Kind, r.Name); e != nil {
+			e.rejection = r
+			e.rejectedAt = now
+			e.requestedAt = time.Time{}
+			c.markChanged(response.Kind, r.Name)
+		}
+	}
+	for _, name := range c.removedBy(response, named) {
+		if e := c.entries[response.Kind][name]; e != nil && !named[name] {
+			e.rejection = Rejection{}
+			e.requestedAt = time.Time{}
+			c.applyUpdate(now, stream, response.Kind, e, Resource{Name: name, Version: response.Version})
+		}
+	}
+	c.updateSubscriptions(now)
+	return rejected
+}
+
+// removedBy returns what a response removes: the resources that it says so of and, where it is complete, those that it does not
+// name.
+func (c *Cache) removedBy(response Response, named map[string]bool) []string {
+	removed := response.Removed
+	if !response.Complete {
+		return removed
+	}
+	for name, e := range c.entries[response.Kind] {
+		if !named[name] && (e.isPresent() || e.rejection.Reason != "" || c.inUse[name]) {
+			removed = append(removed, name)
+		}
+	}
+	return removed
+}
+
+// applyUpdate puts an update in force, or defers it, as its order has it.
+func (c *Cache) applyUpdate(now time.Time, stream updateorder.Stream, k ads.Kind, e *entry, r Resource) {
+	source := c.streams[stream]
+	switch c.order.Receive(now, stream, updateOf(k, r)) {
+	case updateorder.Apply:
+		c.accept(now, k, e, r, source)
+	case updateorder.Unchanged:
+		if e.deferred != nil || e.staleAfter() > 0 || e.receivedAt.IsZero() { // a stale set is fresh again
+			c.markChanged(k, r.Name)
+		}
+		e.deferred = nil
+		e.receivedAt = now
+		e.source = source
+		if !e.isPresent() && r.Digest != updateorder.Absent { // it was deleted while it was unused
+			c.accept(now, k, e, r, source)
+		}
+		e.resource.Version = r.Version
+	case updateorder.Defer:
+		e.requestedAt = time.Time{}
+		e.deferred = &r
+		e.deferredSource = source
+		c.markChanged(k, r.Name)
+	}
+}
+
+// applyDeferred puts deferred updates in force that are due.
+func (c *Cache) applyDeferred(now time.Time) {
+	if due := c.order.NextDue(); due.IsZero() || due.After(now) {
+		return
+	}
+	for _, update := range c.order.ApplyDue(now) {
+		for k := range ads.KindCount {
+			name, ok := strings.CutPrefix(update.Resource, resourcePrefix(k))
+			e := c.entries[k][name]
+			if !ok || e == nil {
+				continue
+			}
+			if e.deferred != nil && e.deferred.Digest == update.Digest {
+				c.accept(now, k, e, *e.deferred, e.deferredSource)
+			}
+		}
+	}
+}
+
+// accept puts a resource in force.
+func (c *Cache) accept(now time.Time, k ads.Kind, e *entry, r Resource, source string) {
+	e.resource = r
+	e.source = source
+	e.receivedAt = now
+	e.deferred = nil
+	e.requestedAt = time.Time{}
+	c.markChanged(k, r.Name)
+	if k == ads.Clusters {
+		c.updateSubscriptions(now)
+	}
+}
+
+// markChanged notes the clusters in use whose view depends on a resource.
+func (c *Cache) markChanged(k ads.Kind, name string) {
+	if k == ads.Clusters {
+		if c.inUse[name] {
+			c.changed[name] = true
+		}
+		return
+	}
+	for n := range c.inUse {
+		if cluster := c.cluster(n); cluster != nil && cluster.ServiceName == name {
+			c.changed[n] = true
+		}
+	}
+}
--- a/internal/xds/cache/store_test.go
+++ b/internal/xds/cache/cache_test.go
@@ -13,8 +13,9 @@
 
 const hold = 30 * time.Second
 
-// state is what a control plane serves at a time: two clusters, either of which may be gone, whose endpoint sets tell the number of the state.
-func say(s *Cache, now time.Time, stream updateorder.Stream, n int, whole, setsFirst bool) {
+// applyState applies a numbered state of a control plane: two clusters, either of which may be removed, whose endpoint sets hold the
+// number as an address.
+func applyState(s *Cache, now time.Time, stream updateorder.Stream, n int, whole, setsFirst bool) {
 	item := func(k ads.Kind, name string, of int) Resource {
 		i := Resource{Name: name, Version: fmt.Sprint(n), Digest: updateorder.Digest{1, byte(of), byte(of >> 8), byte(k), name[0]}, Raw: []byte{1}}
 		if k == ads.Clusters {
@@ -27,11 +28,11 @@
 	c := Response{Kind: ads.Clusters, Version: fmt.Sprint(n), Complete: whole}
 	e := Response{Kind: ads.Endpoints, Version: fmt.Sprint(n)}
 	for j, name := range []string{"a", "b"} {
-		if gone(n, j) {
+		if isRemovedIn(n, j) {
 			c.Removed = append(c.Removed, name)
 			continue
 		}
-		c.Resources = append(c.Resources, item(ads.Clusters, name, (n+1-j)/5)) // another one each time that it has been gone
+		c.Resources = append(c.Resources, item(ads.Clusters, name, (n+1-j)/5)) // another content each time that it was removed
 		e.Resources = append(e.Resources, item(ads.Endpoints, name+"-set", n))
 	}
 	if whole {
@@ -44,9 +45,9 @@
 	s.Apply(now, stream, e)
 }
 
-func gone(n, cluster int) bool { return n%5 == 3+cluster }
+func isRemovedIn(n, cluster int) bool { return n%5 == 3+cluster }
 
-func sees(s *Cache, now time.Time, j int) string {
+func addressOf(s *Cache, now time.Time, j int) string {
 	v := s.View(now, []string{"a", "b"}[j])
 	if v.State != Ready {
 		return v.State.String()
@@ -54,69 +55,69 @@
 	return v.Set.Localities[0].Endpoints[0].Address
 }
 
-// A plane whose states are numbered, and whose servers lag: whatever streams break, return with older states and catch up, what is in
-// force is the newest state that was said, until a server has stood on an older one for the hold; and it ends in what the last server
-// describes.
+// A control plane whose states are numbered, and whose servers lag: whatever streams break, return with older states and catch up, the
+// newest state that was received is in force until a server has stayed on an older one for the defer time; and in the end the state of
+// the last server is.
 func TestInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(Options{DeferTime: hold, ResourceTimeout: time.Hour})
 		now := time.Unix(1_800_000_000, 0)
 		s.SetClustersInUse(now, []string{"a", "b"})
-		stream, head, at := updateorder.Stream(1), 0, 0 // of the plane, and of the server that is listened to
-		force := 0
+		stream, newest, at := updateorder.Stream(1), 0, 0 // of the control plane, and of the active server
+		inForce := 0
 		s.StreamStarted(now, stream, "p")
-		say(s, now, stream, 0, true, false)
+		applyState(s, now, stream, 0, true, false)
 		check := func() {
 			s.Advance(now)
 			for j := range 2 {
-				want := fmt.Sprint(force)
-				if gone(force, j) {
+				want := fmt.Sprint(inForce)
+				if isRemovedIn(inForce, j) {
 					want = Removed.String()
 				}
-				if got := sees(s, now, j); got != want {
-					t.Fatalf("cluster %d is %s, want %s; the server is at %d of %d", j, got, want, at, head)
+				if got := addressOf(s, now, j); got != want {
+					t.Fatalf("cluster %d is %s, want %s; the server is at %d of %d", j, got, want, at, newest)
 				}
 			}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"news", "catch up", "break", "repeat"}).Draw(t, "event") {
-			case "news": // a server that lags catches up first: an old state that nobody has met would pass for news
-				for at < head {
+			switch rapid.SampledFrom([]string{"new state", "catch up", "break", "repeat"}).Draw(t, "event") {
+			case "new state": // a server that lags catches up first: an old state that was never received would be taken as new
+				for at < newest {
 					at++
-					say(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
+					applyState(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
 				}
-				head++
-				at = head
-				say(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
-				force = head
+				newest++
+				at = newest
+				applyState(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
+				inForce = newest
 			case "catch up":
-				if at < head {
+				if at < newest {
 					at++
 				}
-				say(s, now, stream, at, true, true)
+				applyState(s, now, stream, at, true, true)
 			case "break":
 				s.StreamEnded(stream)
 				stream++
-				at = max(head-rapid.IntRange(0, 6).Draw(t, "lag"), 0)
+				at = max(newest-rapid.IntRange(0, 6).Draw(t, "lag"), 0)
 				s.StreamStarted(now, stream, "p")
-				say(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
+				applyState(s, now, stream, at, rapid.Bool().Draw(t, "whole"), rapid.Bool().Draw(t, "sets first"))
 				now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "s")) * time.Second)
 			case "repeat":
-				say(s, now, stream, at, true, false)
+				applyState(s, now, stream, at, true, false)
 			}
-			if at < force && at == head {
+			if at < inForce && at == newest {
 				t.Fatal("the test's own fault")
 			}
-			// What has stood for the hold counts. A server that was met for less has proved nothing.
+			// A state counts once a server has stayed on it for the defer time.
 			if next := s.NextDeadline(now); !next.IsZero() && next.Before(now) {
 				t.Fatalf("due at %v, which is over", next)
 			}
-			if at < head && rapid.IntRange(0, 9).Draw(t, "stands") == 0 {
+			if at < newest && rapid.IntRange(0, 9).Draw(t, "stands") == 0 {
 				now = now.Add(hold)
 				s.Advance(now)
-				force, head = at, at                  // a rollback that is meant: the states after it have never been
-				say(s, now, stream, at, false, false) // sets of clusters that are there again are asked for
+				inForce, newest = at, at                     // an intended rollback: the states after it never existed
+				applyState(s, now, stream, at, false, false) // endpoint sets of clusters that are present again are subscribed to
 				check()
 				return
 			}
@@ -124,17 +125,17 @@
 		}
 		s.StreamEnded(stream)
 		s.StreamStarted(now, stream+1, "p")
-		say(s, now, stream+1, at, true, false)
+		applyState(s, now, stream+1, at, true, false)
 		now = now.Add(hold)
 		s.Advance(now)
-		say(s, now, stream+1, at, false, false)
-		force = at
+		applyState(s, now, stream+1, at, false, false)
+		inForce = at
 		check()
 	})
 }
 
-// Envoy's documentation gives these loads for two levels at an overprovisioning of 1.4.
-func TestLevels(t *testing.T) {
+// Envoy's documentation gives these loads for two priorities at an overprovisioning factor of 1.4.
+func TestPriorityLoad(t *testing.T) {
 	for _, c := range []struct {
 		healthy0, degraded0, healthy1 int // of 100 each
 		load0, degr0, load1           float64
@@ -173,14 +174,15 @@
 	}
 }
 
-// A panic uses all that does not drain; without a threshold there is none; a stale set is all unwell; a level alone; weights of localities.
-func TestUses(t *testing.T) {
+// A panic uses all endpoints that are not draining; there is none without a threshold; a stale set is unhealthy; one priority alone;
+// locality weights.
+func TestAssignTraffic(t *testing.T) {
 	one := func(address string, h Health, weight uint32) Endpoint {
 		return Endpoint{Address: address, Health: h, Weight: weight}
 	}
 	set := &EndpointSet{Overprovisioning: 1.4, Localities: []Locality{{Weight: 1, Endpoints: []Endpoint{one("1", Unhealthy, 1), one("2", Draining, 1), one("3", Unhealthy, 1)}},
 		{Priority: 1, Weight: 3, Endpoints: []Endpoint{one("4", Healthy, 1), one("5", Healthy, 2)}}}}
-	ill := &EndpointSet{Overprovisioning: 1.4, Localities: set.Localities[:1]}
+	unhealthy := &EndpointSet{Overprovisioning: 1.4, Localities: set.Localities[:1]}
 	flat := &EndpointSet{Overprovisioning: 1.4, Localities: []Locality{{Weight: 1, Endpoints: []Endpoint{one("1", Healthy, 1)}}, {Weight: 3, Zone: "z", Endpoints: []Endpoint{one("2", Healthy, 1), one("3", Healthy, 2)}}}}
 	for _, c := range []struct {
 		cluster Cluster
@@ -194,7 +196,7 @@
 		{Cluster{PanicThreshold: 0}, set, false, 0, ""},
 		{Cluster{PanicThreshold: 0.5}, set, false, 1, "4=0.50 5=1.00"},
 		{Cluster{PanicThreshold: 0.5}, set, true, AllPriorities, "1=0.75 3=0.75 4=0.50 5=1.00"},
-		{Cluster{PanicThreshold: 0.5}, ill, false, AllPriorities, "1=1.00 3=1.00"},
+		{Cluster{PanicThreshold: 0.5}, unhealthy, false, AllPriorities, "1=1.00 3=1.00"},
 		{Cluster{PanicThreshold: 0.5, LocalityWeighted: true}, flat, false, AllPriorities, "1=0.50 2=0.50 3=1.00"},
 		{Cluster{PanicThreshold: 0.5}, flat, false, AllPriorities, "1=0.50 2=0.50 3=1.00"},
 	} {
@@ -213,9 +215,9 @@
 	}
 }
 
-// A set that is older than it may be is stale until its plane says it again, the same or another; one that is let go of and wanted again
-// soon is there without a word, and later it is asked for; what is turned away is told, and what was before stands.
-func TestAges(t *testing.T) {
+// A set that is too old is stale until its control plane sends it again, the same or another; one that is in use again within the
+// retention is present without a response, and later it is requested; a rejection is reported, and the resource before it stays.
+func TestStaleAndUnused(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	s := New(Options{DeferTime: hold, ResourceTimeout: time.Second})
 	s.SetClustersInUse(now, []string{"a"})
@@ -245,7 +247,7 @@
 	if c := s.TakeChanged(); len(c) != 1 {
 		t.Errorf("changed %v", c)
 	}
-	s.Apply(now, 1, set(1, 5*time.Second)) // the same, said again
+	s.Apply(now, 1, set(1, 5*time.Second)) // the same, sent again
 	view(Ready, false)
 	if c := s.TakeChanged(); len(c) != 1 {
 		t.Errorf("changed %v", c)
--- a/internal/xds/cache/format_test.go
+++ b/internal/xds/cache/format_test.go
@@ -7,7 +7,7 @@
 	"silvertrail/internal/testkit/golden"
 )
 
-// What the control socket tells of control planes and resources.
+// The control socket reports control planes and resources in the recorded form.
 func TestDumpFormat(t *testing.T) {
 	var d Dump
 	golden.Fill(&d)
--- /dev/null
+++ b/internal/xds/cache/snapshot.go
@@ -0,0 +1,45 @@
+package cache
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"silvertrail/internal/base/updateorder"
+	"silvertrail/internal/xds/ads"
+)
+
+// SavedResource is a resource in force, as the state file holds it.
+type SavedResource struct {
+	Kind       ads.Kind  `codec:"Kind"`
+	Version    string    `codec:"Version"`
+	Raw        []byte    `codec:"Raw"`
+	Source     string    `codec:"From"`
+	ReceivedAt time.Time `codec:"Heard"`
+}
+
+// Snapshot returns all resources that are in force and in use, in a stable order.
+func (c *Cache) Snapshot() (out []SavedResource) {
+	for k := range ads.KindCount {
+		inUse := c.subscribed(k)
+		for _, name := range slices.Sorted(maps.Keys(c.entries[k])) {
+			e := c.entries[k][name]
+			if e.isPresent() && inUse[name] && len(e.resource.Raw) > 0 {
+				out = append(out, SavedResource{k, e.resource.Version, e.resource.Raw, e.source, e.receivedAt})
+			}
+		}
+	}
+	return out
+}
+
+// Restore puts a resource in force that was saved before a restart. It keeps its age and is replaced by whatever a control plane
+// sends. It must be called before any stream starts.
+func (c *Cache) Restore(saved SavedResource, resource Resource) {
+	e := c.entry(saved.Kind, resource.Name)
+	if e == nil {
+		return
+	}
+	resource.Version = saved.Version
+	c.order.Receive(saved.ReceivedAt, updateorder.Stream(0), updateOf(saved.Kind, resource))
+	c.accept(saved.ReceivedAt, saved.Kind, e, resource, saved.Source+", from the file of the last state")
+}
