--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -120,7 +120,7 @@
 
 // parseContent parses and checks a resource by the same rules as the sidecars that receive it.
 func parseContent(k ads.Kind, a *anypb.Any) (records.Content, error) {
-	item, err := (&envoy.Decoder{}).Read(k, "", a)
+	item, err := (&envoy.Decoder{}).Decode(k, "", a)
 	var invalid *envoy.Error
 	if errors.As(err, &invalid) && invalid.Name != "" {
 		return records.Content{}, fmt.Errorf("%s: %w", records.Key{Kind: k, Name: invalid.Name}, invalid.Err)
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -293,7 +293,7 @@
 	m = cache.Response{Kind: r.kind, Version: r.version, Complete: r.complete && r.kind == ads.Clusters, Removed: r.removed}
 	at := map[string]bool{}
 	for n, raw := range r.resources {
-		i, err := d.Read(r.kind, raw.version, raw.any)
+		i, err := d.Decode(r.kind, raw.version, raw.any)
 		if err == nil && raw.name != "" && i.Name != raw.name {
 			err = &envoy.Error{Name: raw.name, Err: fmt.Errorf("the resource calls itself %q", i.Name)}
 		}
--- a/internal/xds/envoy/decode.go
+++ b/internal/xds/envoy/decode.go
@@ -1,5 +1,5 @@
-// Package envoy reads clusters and endpoint sets in the form of Envoy's API, version 3, into checked types of ours. What of that
-// form is supported stands in Table; what is set and is not supported is turned away or warned of, never quietly taken.
+// Package envoy decodes clusters and endpoint sets of Envoy's API, version 3, into checked types. Table lists what of the API is
+// supported; a field that is set and not supported is rejected or logged, never ignored silently.
 package envoy
 
 import (
@@ -20,14 +20,14 @@
 	"silvertrail/internal/xds/cache"
 )
 
-// The types' names on the wire.
+// The type URLs of resources.
 const (
 	ClusterType   = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 	EndpointsType = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 	wrapperType   = "type.googleapis.com/envoy.service.discovery.v3.Resource"
 )
 
-// TypeOf returns a kind's name on the wire.
+// TypeOf returns the type URL of a kind.
 func TypeOf(k ads.Kind) string { return [...]string{ClusterType, EndpointsType}[k] }
 
 // KindOf returns the kind of a type; ads.Kinds where it is none of ours.
@@ -41,9 +41,9 @@
 	return ads.KindCount
 }
 
-// Error is a resource that can't be used.
+// Error is a resource that cannot be used.
 type Error struct {
-	Name string // as far as it could be read
+	Name string // empty where it could not be read
 	Err  error
 }
 
@@ -61,95 +61,125 @@
 	raw  [sha256.Size]byte
 }
 
-// Decoder reads resources. It knows each again by its bytes, as it was read last. It is not safe for concurrent use.
+// Decoder decodes resources. The result for the bytes of a resource is cached until the resource changes. It is not safe for concurrent
+// use.
 type Decoder struct {
-	Warn func(text string) // may be called again with the same text
+	Warn func(text string) // may be called several times with the same text
 
 	cached map[cacheKey]cache.Resource
 	latest [ads.KindCount]map[string]cacheKey // by name
 }
 
-// Read reads a resource. The error is an *Error.
-func (d *Decoder) Read(k ads.Kind, version string, raw *anypb.Any) (cache.Resource, error) {
+// Decode decodes a resource. The error is an *Error.
+func (d *Decoder) Decode(k ads.Kind, version string, raw *anypb.Any) (cache.Resource, error) {
 	if raw.GetTypeUrl() == wrapperType {
-		var w discoveryv3.Resource
-		if err := proto.Unmarshal(raw.Value, &w); err != nil {
+		var wrapper discoveryv3.Resource
+		if err := proto.Unmarshal(raw.Value, &wrapper); err != nil {
 			return cache.Resource{}, &Error{Err: err}
 		}
-		if w.Version != "" {
-			version = w.Version
+		if wrapper.Version != "" {
+			version = wrapper.Version
 		}
-		raw = w.Resource
+		raw = wrapper.Resource
 	}
 	if KindOf(raw.GetTypeUrl()) != k {
 		return cache.Resource{}, &Error{Err: fmt.Errorf("of type %q among those of %q", raw.GetTypeUrl(), TypeOf(k))}
 	}
 	key := cacheKey{k, sha256.Sum256(raw.Value)}
-	i, hit := d.cached[key]
+	resource, hit := d.cached[key]
 	if !hit {
 		var err error
-		if i, err = d.decode(k, raw.Value); err != nil {
+		if resource, err = d.decode(k, raw.Value); err != nil {
 			return cache.Resource{}, err
 		}
-		if d.cached == nil || len(d.cached) >= int(ads.KindCount)*cache.MaxResources {
-			d.cached, d.latest = map[cacheKey]cache.Resource{}, [ads.KindCount]map[string]cacheKey{}
-		}
-		if d.latest[k] == nil {
-			d.latest[k] = map[string]cacheKey{}
-		}
-		delete(d.cached, d.latest[k][i.Name])
-		d.cached[key], d.latest[k][i.Name] = i, key
+		d.store(key, resource)
 	}
-	i.Version = version
-	return i, nil
+	resource.Version = version
+	return resource, nil
 }
 
-func (d *Decoder) decode(k ads.Kind, raw []byte) (i cache.Resource, err error) {
-	var m interface {
-		proto.Message
-		Validate() error
-	}
-	c, s := &clusterv3.Cluster{}, &endpointv3.ClusterLoadAssignment{}
-	if m = c; k == ads.Endpoints {
+// store caches a resource in place of the one with its name.
+func (d *Decoder) store(key cacheKey, resource cache.Resource) {
+	if d.cached == nil || len(d.cached) >= int(ads.KindCount)*cache.MaxResources {
+		d.cached = map[cacheKey]cache.Resource{}
+		d.latest = [ads.KindCount]map[string]cacheKey{}
+	}
+	if d.latest[key.kind] == nil {
+		d.latest[key.kind] = map[string]cacheKey{}
+	}
+	delete(d.cached, d.latest[key.kind][resource.Name])
+	d.cached[key] = resource
+	d.latest[key.kind][resource.Name] = key
+}
+
+// message is a resource that can be validated by the rules of its API.
+type message interface {
+	proto.Message
+	Validate() error
+}
+
+func (d *Decoder) decode(k ads.Kind, raw []byte) (cache.Resource, error) {
+	resource := cache.Resource{Raw: raw}
+	warnings := map[string]bool{}
+	var m message
+	var err error
+	if k == ads.Clusters {
+		c := &clusterv3.Cluster{}
+		m = c
+		if err = proto.Unmarshal(raw, c); err != nil {
+			return resource, &Error{Err: err}
+		}
+		resource.Name = c.Name
+		if err = validate(c.Name, c, warnings); err == nil {
+			resource.Cluster, err = parseCluster(c, warnings)
+		}
+	} else {
+		s := &endpointv3.ClusterLoadAssignment{}
 		m = s
+		if err = proto.Unmarshal(raw, s); err != nil {
+			return resource, &Error{Err: err}
+		}
+		resource.Name = s.ClusterName
+		if err = validate(s.ClusterName, s, warnings); err == nil {
+			resource.Set, err = parseEndpointSet(s, cache.NoResolution)
+		}
 	}
-	if err := proto.Unmarshal(raw, m); err != nil {
-		return i, &Error{Err: err}
+	if err != nil {
+		return resource, &Error{resource.Name, err}
 	}
-	i.Name, i.Raw = c.Name, raw
-	if k == ads.Endpoints {
-		i.Name = s.ClusterName
+	d.warn(warnings)
+	if resource.Digest, err = digest(m); err != nil {
+		return resource, &Error{resource.Name, err}
 	}
-	fault := func(err error) (cache.Resource, error) { return i, &Error{i.Name, err} }
-	if i.Name == "" {
-		return fault(errors.New("it has no name"))
+	return resource, nil
+}
+
+// validate checks what all resources have in common: a name, the rules of the API, and that all fields are supported.
+func validate(name string, m message, warnings map[string]bool) error {
+	if name == "" {
+		return errors.New("it has no name")
 	}
 	if err := m.Validate(); err != nil {
-		return fault(err)
-	}
-	warned := map[string]bool{}
-	if err := checkFields(m.ProtoReflect(), string(m.ProtoReflect().Descriptor().Name()), warned); err != nil {
-		return fault(err)
-	}
-	if k == ads.Clusters {
-		i.Cluster, err = parseCluster(c, warned)
-	} else {
-		i.Set, err = parseEndpointSet(s, cache.NoResolution)
+		return err
 	}
-	if err != nil {
-		return fault(err)
+	return checkFields(m.ProtoReflect(), string(m.ProtoReflect().Descriptor().Name()), warnings)
+}
+
+func (d *Decoder) warn(warnings map[string]bool) {
+	if d.Warn == nil {
+		return
 	}
-	if d.Warn != nil {
-		for _, w := range slices.Sorted(maps.Keys(warned)) {
-			d.Warn(w)
-		}
+	for _, text := range slices.Sorted(maps.Keys(warnings)) {
+		d.Warn(text)
 	}
-	// Of the content and not of its bytes: maps are written in any order.
+}
+
+// digest returns a digest of a message's content. The received bytes do not serve: the order of maps in them is not defined.
+func digest(m proto.Message) (updateorder.Digest, error) {
 	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
-		return fault(err)
+		return updateorder.Digest{}, err
 	}
 	sum := sha256.Sum256(text)
-	i.Digest = updateorder.Digest(sum[:16])
-	return i, nil
+	return updateorder.Digest(sum[:16]), nil
 }
--- a/internal/xds/envoy/envoy_test.go
+++ b/internal/xds/envoy/envoy_test.go
@@ -17,7 +17,7 @@
 	"silvertrail/internal/xds/cache"
 )
 
-// The table names each field of the messages that it names, and none that there is not: a later version of the API shows here.
+// The table names each field of the messages that it names, and none that does not exist: a new version of the API fails here.
 func TestTable(t *testing.T) {
 	seen := map[protoreflect.FullName]bool{}
 	for _, f := range Table {
@@ -57,7 +57,7 @@
 	return out
 }
 
-func read(t *testing.T, k ads.Kind, text string) (cache.Resource, string, error) {
+func decode(t *testing.T, k ads.Kind, text string) (cache.Resource, string, error) {
 	t.Helper()
 	var m protoreflect.ProtoMessage = &clusterv3.Cluster{}
 	if k == ads.Endpoints {
@@ -72,8 +72,8 @@
 	}
 	var warned strings.Builder
 	d := Decoder{Warn: func(text string) { warned.WriteString(text + "\n") }}
-	i, err := d.Read(k, "7", a)
-	if again, _ := d.Read(k, "8", a); err == nil && (again.Digest != i.Digest || again.Version != "8") {
+	i, err := d.Decode(k, "7", a)
+	if again, _ := d.Decode(k, "8", a); err == nil && (again.Digest != i.Digest || again.Version != "8") {
 		t.Errorf("read again: %+v", again)
 	}
 	return i, warned.String(), err
@@ -81,7 +81,7 @@
 
 const eds = `"type": "EDS", "eds_cluster_config": {"eds_config": {"ads": {}}}`
 
-// What can't be used is turned away with a text that names the place; what is passed over is warned of.
+// What cannot be used is rejected with the path of the field; what is ignored is logged.
 func TestClusters(t *testing.T) {
 	for _, c := range []struct{ text, fault, warning string }{
 		{`{"name": "c", ` + eds + `}`, "", ""},
@@ -98,12 +98,12 @@
 		{`{"name": "c", "type": "LOGICAL_DNS", "load_assignment": {"cluster_name": "c"}}`, "LOGICAL_DNS has one endpoint", ""},
 		{`{"name": "", ` + eds + `}`, "no name", ""},
 	} {
-		i, warned, err := read(t, ads.Clusters, c.text)
+		i, warned, err := decode(t, ads.Clusters, c.text)
 		if (err == nil) != (c.fault == "") || err != nil && !strings.Contains(err.Error(), c.fault) || !strings.Contains(warned, c.warning) || c.warning == "" && warned != "" {
 			t.Errorf("%s:\n%+v, %v, warned %q; want %q, %q", c.text, i, err, warned, c.fault, c.warning)
 		}
 	}
-	i, _, err := read(t, ads.Clusters, `{"name": "c", `+eds+`, "connect_timeout": "0.25s", "common_lb_config": {"healthy_panic_threshold": {"value": 20},
+	i, _, err := decode(t, ads.Clusters, `{"name": "c", `+eds+`, "connect_timeout": "0.25s", "common_lb_config": {"healthy_panic_threshold": {"value": 20},
 		"locality_weighted_lb_config": {}}, "circuit_breakers": {"thresholds": [{"max_connections": 5, "max_requests": 9}]}}`)
 	if c := i.Cluster; err != nil || c.ServiceName != "c" || c.ConnectTimeout.Milliseconds() != 250 || c.PanicThreshold != 0.2 || !c.LocalityWeighted || c.MaxConnections != 5 || c.MaxRequests != 9 {
 		t.Errorf("%+v, %v", i.Cluster, err)
@@ -130,12 +130,12 @@
 		{`{"cluster_name": "c", "policy": {"drop_overloads": [{"category": "x"}]}}`, "drop_overloads[0]"},
 		{`{"cluster_name": "c", "policy": {"drop_overloads": [{"category": "x", "drop_percentage": {"numerator": 5}}]}}`, ""},
 	} {
-		i, _, err := read(t, ads.Endpoints, c.text)
+		i, _, err := decode(t, ads.Endpoints, c.text)
 		if (err == nil) != (c.fault == "") || err != nil && !strings.Contains(err.Error(), c.fault) {
 			t.Errorf("%s:\n%+v, %v; want %q", c.text, i.Set, err, c.fault)
 		}
 	}
-	i, _, err := read(t, ads.Endpoints, one(at("10.0.0.1", `, "health_status": "TIMEOUT", "load_balancing_weight": 7, "metadata": {"filter_metadata": {"silvertrail": {"group": 3, "since_ms": 99}}}`)))
+	i, _, err := decode(t, ads.Endpoints, one(at("10.0.0.1", `, "health_status": "TIMEOUT", "load_balancing_weight": 7, "metadata": {"filter_metadata": {"silvertrail": {"group": 3, "since_ms": 99}}}`)))
 	if want := (cache.Endpoint{Address: "10.0.0.1:80", Health: cache.Unhealthy, Weight: 7, Group: 3, SinceMS: 99}); err != nil || i.Set.Localities[0].Endpoints[0] != want {
 		t.Errorf("%+v, %v", i.Set, err)
 	}
@@ -146,8 +146,8 @@
 	}
 }
 
-// Whatever bytes come, there is an item or an error with a name, and never a panic.
-func FuzzRead(f *testing.F) {
+// Any bytes give a resource or an error with a name, never a panic.
+func FuzzDecode(f *testing.F) {
 	for _, m := range []protoreflect.ProtoMessage{&clusterv3.Cluster{Name: "c"}, &endpointv3.ClusterLoadAssignment{ClusterName: "c", Endpoints: []*endpointv3.LocalityLbEndpoints{{
 		LbEndpoints: []*endpointv3.LbEndpoint{{}}}}}} {
 		a, err := anypb.New(m)
@@ -162,7 +162,7 @@
 			k = ads.Clusters
 		}
 		var d Decoder
-		i, err := d.Read(k, "", &anypb.Any{TypeUrl: TypeOf(k), Value: raw})
+		i, err := d.Decode(k, "", &anypb.Any{TypeUrl: TypeOf(k), Value: raw})
 		if err == nil && (i.Name == "" || i.Cluster == nil && i.Set == nil) {
 			t.Errorf("%+v", i)
 		}
--- a/internal/xds/envoy/fields.go
+++ b/internal/xds/envoy/fields.go
@@ -7,29 +7,32 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
-// Support is what becomes of a field that a control plane sets.
+// Support says what happens with a field that a control plane sets.
 type Support uint8
 
-// The supports. What the table does not name is turned away.
+// The kinds of support. A field that the table does not name is rejected.
 const (
-	Rejected  Support = iota // the resource is turned away
-	Warned                   // passed over, and the log says so
-	Supported                // it means here what it means there
-	Ignored                  // passed over: it is for others
+	Rejected  Support = iota // the resource is rejected
+	Warned                   // ignored, with a log message
+	Supported                // it has the meaning that Envoy documents
+	Ignored                  // ignored: it does not concern this program
 )
 
+// String returns the word that the command "xds fields" prints.
 func (s Support) String() string { return [...]string{"refused", "warned", "used", "harmless"}[s] }
 
-// Field is a line of the table.
+// Field is a row of the table.
 type Field struct {
 	Name    string // without the common prefix
 	Support Support
 	Note    string
 }
 
+// prefix is common to the names of all fields.
 const prefix = "envoy.config."
 
-// Table is what is supported, in the order of the messages. Fields of messages that are not reached are not in it.
+// Table lists the fields of the API with their support, in the order of the messages. Fields of messages below an unsupported field are
+// not in it.
 var Table = []Field{
 	{"cluster.v3.Cluster.name", Supported, ""},
 	{"cluster.v3.Cluster.type", Supported, "EDS, STATIC, STRICT_DNS, LOGICAL_DNS; ORIGINAL_DST is refused"},
@@ -167,6 +170,7 @@
 	{"core.v3.Metadata.typed_filter_metadata", Ignored, ""},
 }
 
+// byName holds the table by full field name.
 var byName = func() map[protoreflect.FullName]Field {
 	out := make(map[protoreflect.FullName]Field, len(Table))
 	for _, f := range Table {
@@ -175,50 +179,53 @@
 	return out
 }()
 
-// isFullySupported are the messages of which every field is used.
+// isFullySupported reports whether all fields of a message are supported: durations, percentages, wrapped numbers, structs.
 func isFullySupported(name protoreflect.FullName) bool {
-	return !strings.HasPrefix(string(name), "envoy.config.") // durations, percentages, wrapped numbers, structs
+	return !strings.HasPrefix(string(name), prefix)
 }
 
-// checkFields walks all that is set in a message: what is refused makes an error that names the place, what is warned of is
-// returned.
-func checkFields(m protoreflect.Message, at string, warned map[string]bool) (fault error) {
+// checkFields walks all fields that are set in a message. It returns an error with the path of a field that is rejected, and adds
+// warnings for those that are ignored.
+func checkFields(m protoreflect.Message, path string, warnings map[string]bool) (err error) {
 	if n := len(m.GetUnknown()); n > 0 {
-		warned[fmt.Sprintf("%s: %d bytes of fields that are not known here", at, n)] = true
+		warnings[fmt.Sprintf("%s: %d bytes of fields that are not known here", path, n)] = true
 	}
 	m.Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
-		here := at + "." + string(f.Name())
-		is := byName[f.FullName()]
-		switch is.Support {
+		fieldPath := path + "." + string(f.Name())
+		field := byName[f.FullName()]
+		switch field.Support {
 		case Rejected:
-			fault = fmt.Errorf("%s: not supported%s", here, note(is.Note))
-			return false
+			err = fmt.Errorf("%s: not supported%s", fieldPath, noteSuffix(field.Note))
 		case Warned:
-			warned[string(f.FullName())+": passed over"+note(is.Note)] = true
-			return true
+			warnings[string(f.FullName())+": passed over"+noteSuffix(field.Note)] = true
+		case Supported:
+			err = checkValue(f, v, fieldPath, warnings)
 		case Ignored:
-			return true
 		}
-		if f.Kind() != protoreflect.MessageKind || f.IsMap() || isFullySupported(f.Message().FullName()) {
-			return true
-		}
-		if !f.IsList() {
-			fault = checkFields(v.Message(), here, warned)
-			return fault == nil
-		}
-		for i := range v.List().Len() {
-			if fault = checkFields(v.List().Get(i).Message(), fmt.Sprintf("%s[%d]", here, i), warned); fault != nil {
-				return false
-			}
-		}
-		return true
+		return err == nil
 	})
-	return fault
+	return err
+}
+
+// checkValue checks the messages in a field.
+func checkValue(f protoreflect.FieldDescriptor, v protoreflect.Value, path string, warnings map[string]bool) error {
+	if f.Kind() != protoreflect.MessageKind || f.IsMap() || isFullySupported(f.Message().FullName()) {
+		return nil
+	}
+	if !f.IsList() {
+		return checkFields(v.Message(), path, warnings)
+	}
+	for i := range v.List().Len() {
+		if err := checkFields(v.List().Get(i).Message(), fmt.Sprintf("%s[%d]", path, i), warnings); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func note(text string) string {
-	if text == "" {
+func noteSuffix(note string) string {
+	if note == "" {
 		return ""
 	}
-	return ": " + text
+	return ": " + note
 }
--- a/internal/xds/envoy/set.go
+++ b/internal/xds/envoy/set.go
@@ -17,69 +17,97 @@
 )
 
 const (
-	defaultOverprovisioning = 1.4 // where it is not told
-	maxPriorities           = 128 // as the API has it
+	defaultOverprovisioning = 1.4 // of Envoy's API
+	maxPriorities           = 128 // of Envoy's API
 	metadataName            = "silvertrail"
 )
 
-// parseEndpointSet translates an endpoint set that holds nothing which is not supported.
-func parseEndpointSet(s *endpointv3.ClusterLoadAssignment, lookup cache.Resolution) (*cache.EndpointSet, error) {
+// parseEndpointSet translates an endpoint set whose fields are all supported.
+func parseEndpointSet(s *endpointv3.ClusterLoadAssignment, resolution cache.Resolution) (*cache.EndpointSet, error) {
 	out := &cache.EndpointSet{Overprovisioning: defaultOverprovisioning}
-	if p := s.Policy; p != nil {
-		if f := p.OverprovisioningFactor; f != nil {
-			out.Overprovisioning = float64(f.Value) / 100
-		}
-		out.StaleAfter = p.EndpointStaleAfter.AsDuration()
-		out.WeightedHealth = p.WeightedPriorityHealth
-		for i, d := range p.DropOverloads {
-			part, err := parseFraction(d.DropPercentage)
-			if err != nil {
-				return nil, fmt.Errorf("policy.drop_overloads[%d]: %w", i, err)
-			}
-			out.DropOverloads = append(out.DropOverloads, cache.DropOverload{Category: d.Category, Fraction: part})
-		}
+	if err := parsePolicy(s.Policy, out); err != nil {
+		return nil, err
 	}
-	places := map[[3]string]map[uint32]bool{}
-	levels := map[uint32]bool{}
-	addresses := map[string]bool{}
-	n, top := 0, uint32(0)
+	parser := setParser{resolution: resolution, localities: map[localityKey]bool{}, priorities: map[uint32]bool{}, addresses: map[string]bool{}}
 	for i, l := range s.Endpoints {
-		at := [3]string{l.GetLocality().GetRegion(), l.GetLocality().GetZone(), l.GetLocality().GetSubZone()}
-		if places[at] == nil {
-			places[at] = map[uint32]bool{}
+		locality, err := parser.parseLocality(i, l)
+		if err != nil {
+			return nil, err
 		}
-		switch {
-		case l.Priority >= maxPriorities:
-			return nil, fmt.Errorf("endpoints[%d].priority: %d is over %d", i, l.Priority, maxPriorities-1)
-		case places[at][l.Priority]:
-			return nil, fmt.Errorf("endpoints[%d].locality: told twice at priority %d", i, l.Priority)
+		out.Localities = append(out.Localities, locality)
+	}
+	if len(s.Endpoints) > 0 && len(parser.priorities) != int(parser.maxPriority)+1 {
+		return nil, errors.New("endpoints: priorities have a gap")
+	}
+	return out, nil
+}
+
+func parsePolicy(p *endpointv3.ClusterLoadAssignment_Policy, out *cache.EndpointSet) error {
+	if p == nil {
+		return nil
+	}
+	if f := p.OverprovisioningFactor; f != nil {
+		out.Overprovisioning = float64(f.Value) / 100
+	}
+	out.StaleAfter = p.EndpointStaleAfter.AsDuration()
+	out.WeightedHealth = p.WeightedPriorityHealth
+	for i, d := range p.DropOverloads {
+		fraction, err := parseFraction(d.DropPercentage)
+		if err != nil {
+			return fmt.Errorf("policy.drop_overloads[%d]: %w", i, err)
 		}
-		places[at][l.Priority], levels[l.Priority] = true, true
-		top = max(top, l.Priority)
-		to := cache.Locality{Region: at[0], Zone: at[1], SubZone: at[2], Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
-		for j, e := range l.LbEndpoints {
-			here := fmt.Sprintf("endpoints[%d].lb_endpoints[%d]", i, j)
-			one, err := parseEndpoint(e, lookup)
-			if err != nil {
-				return nil, fmt.Errorf("%s%w", here, err)
-			}
-			if addresses[one.Address] {
-				return nil, fmt.Errorf("%s: %s is told twice", here, one.Address)
-			}
-			addresses[one.Address] = true
-			to.Endpoints = append(to.Endpoints, one)
+		out.DropOverloads = append(out.DropOverloads, cache.DropOverload{Category: d.Category, Fraction: fraction})
+	}
+	return nil
+}
+
+// localityKey identifies a locality of a set: it may stand once at each priority.
+type localityKey struct {
+	region, zone, subZone string
+	priority              uint32
+}
+
+// setParser checks what has to be unique or bounded over all localities of a set.
+type setParser struct {
+	resolution  cache.Resolution
+	localities  map[localityKey]bool
+	priorities  map[uint32]bool
+	addresses   map[string]bool
+	count       int
+	maxPriority uint32
+}
+
+func (p *setParser) parseLocality(i int, l *endpointv3.LocalityLbEndpoints) (cache.Locality, error) {
+	key := localityKey{l.GetLocality().GetRegion(), l.GetLocality().GetZone(), l.GetLocality().GetSubZone(), l.Priority}
+	out := cache.Locality{Region: key.region, Zone: key.zone, SubZone: key.subZone, Priority: int(l.Priority), Weight: l.LoadBalancingWeight.GetValue()}
+	switch {
+	case l.Priority >= maxPriorities:
+		return out, fmt.Errorf("endpoints[%d].priority: %d is over %d", i, l.Priority, maxPriorities-1)
+	case p.localities[key]:
+		return out, fmt.Errorf("endpoints[%d].locality: told twice at priority %d", i, l.Priority)
+	}
+	p.localities[key] = true
+	p.priorities[l.Priority] = true
+	p.maxPriority = max(p.maxPriority, l.Priority)
+	for j, e := range l.LbEndpoints {
+		path := fmt.Sprintf("endpoints[%d].lb_endpoints[%d]", i, j)
+		endpoint, err := parseEndpoint(e, p.resolution)
+		if err != nil {
+			return out, fmt.Errorf("%s%w", path, err)
 		}
-		if n += len(to.Endpoints); n > cache.MaxEndpoints {
-			return nil, fmt.Errorf("over %d endpoints", cache.MaxEndpoints)
+		if p.addresses[endpoint.Address] {
+			return out, fmt.Errorf("%s: %s is told twice", path, endpoint.Address)
 		}
-		out.Localities = append(out.Localities, to)
+		p.addresses[endpoint.Address] = true
+		out.Endpoints = append(out.Endpoints, endpoint)
 	}
-	if len(s.Endpoints) > 0 && len(levels) != int(top)+1 {
-		return nil, errors.New("endpoints: priorities have a gap")
+	if p.count += len(out.Endpoints); p.count > cache.MaxEndpoints {
+		return out, fmt.Errorf("over %d endpoints", cache.MaxEndpoints)
 	}
 	return out, nil
 }
 
+// healthOf translates the health statuses of Envoy's API.
 var healthOf = map[corev3.HealthStatus]cache.Health{
 	corev3.HealthStatus_UNKNOWN:   cache.Healthy,
 	corev3.HealthStatus_HEALTHY:   cache.Healthy,
@@ -89,54 +117,81 @@
 	corev3.HealthStatus_TIMEOUT:   cache.Unhealthy,
 }
 
-func parseEndpoint(e *endpointv3.LbEndpoint, lookup cache.Resolution) (out cache.Endpoint, err error) {
-	health, is := healthOf[e.HealthStatus]
-	if !is {
-		return out, fmt.Errorf(".health_status: %s is not known", e.HealthStatus)
-	}
-	out = cache.Endpoint{Name: e.GetEndpoint().GetObservabilityName(), Health: health, Weight: max(e.LoadBalancingWeight.GetValue(), 1)}
-	at := e.GetEndpoint().GetAddress().GetSocketAddress()
-	if at == nil {
-		return out, errors.New(".endpoint.address: missing")
-	}
-	if at.Protocol != corev3.SocketAddress_TCP {
-		return out, fmt.Errorf(".endpoint.address: %s is not supported", at.Protocol)
-	}
-	port := at.GetPortValue()
-	if port == 0 || port > 65535 {
-		return out, fmt.Errorf(".endpoint.address: port %d", port)
-	}
-	out.Address = net.JoinHostPort(at.Address, strconv.Itoa(int(port)))
-	if ip, err := netip.ParseAddr(at.Address); err == nil {
-		out.Address = netip.AddrPortFrom(ip.Unmap(), uint16(port)).String()
-	} else if lookup == cache.NoResolution {
-		return out, fmt.Errorf(".endpoint.address: %q is no IP address", at.Address)
-	} else if at.Address == "" {
-		return out, errors.New(".endpoint.address: no name")
-	}
-	ours := e.GetMetadata().GetFilterMetadata()[metadataName].GetFields()
-	for name, v := range ours {
-		_, number := v.GetKind().(*structpb.Value_NumberValue)
+// parseEndpoint translates an endpoint. An error begins with the path of the field below the endpoint.
+func parseEndpoint(e *endpointv3.LbEndpoint, resolution cache.Resolution) (cache.Endpoint, error) {
+	health, ok := healthOf[e.HealthStatus]
+	if !ok {
+		return cache.Endpoint{}, fmt.Errorf(".health_status: %s is not known", e.HealthStatus)
+	}
+	out := cache.Endpoint{Name: e.GetEndpoint().GetObservabilityName(), Health: health, Weight: max(e.LoadBalancingWeight.GetValue(), 1)}
+	var err error
+	if out.Address, err = parseAddress(e.GetEndpoint().GetAddress().GetSocketAddress(), resolution); err != nil {
+		return out, fmt.Errorf(".endpoint.address: %w", err)
+	}
+	if err := parseMetadata(e, &out); err != nil {
+		return out, fmt.Errorf(".metadata: %w", err)
+	}
+	return out, nil
+}
+
+// parseAddress returns an IP address and port in one form, or a name and port where names are resolved.
+func parseAddress(address *corev3.SocketAddress, resolution cache.Resolution) (string, error) {
+	if address == nil {
+		return "", errors.New("missing")
+	}
+	if address.Protocol != corev3.SocketAddress_TCP {
+		return "", fmt.Errorf("%s is not supported", address.Protocol)
+	}
+	port := address.GetPortValue()
+	if port == 0 || port > math.MaxUint16 {
+		return "", fmt.Errorf("port %d", port)
+	}
+	if ip, err := netip.ParseAddr(address.Address); err == nil {
+		return netip.AddrPortFrom(ip.Unmap(), uint16(port)).String(), nil
+	}
+	if resolution == cache.NoResolution {
+		return "", fmt.Errorf("%q is no IP address", address.Address)
+	}
+	if address.Address == "" {
+		return "", errors.New("no name")
+	}
+	return net.JoinHostPort(address.Address, strconv.Itoa(int(port))), nil
+}
+
+// Bounds of the numbers in this project's metadata.
+const (
+	maxGroup   = 1 << 30
+	maxSinceMS = 1<<53 - 1 // the largest whole number that each float64 up to it holds
+)
+
+// parseMetadata reads this project's metadata: the group of an endpoint and its start.
+func parseMetadata(e *endpointv3.LbEndpoint, out *cache.Endpoint) error {
+	for name, v := range e.GetMetadata().GetFilterMetadata()[metadataName].GetFields() {
+		_, isNumber := v.GetKind().(*structpb.Value_NumberValue)
 		n := v.GetNumberValue()
 		switch {
-		case !number || n < 0 || n != math.Trunc(n):
-			return out, fmt.Errorf(".metadata: %q is no whole number", name)
-		case name == "group" && n <= 1<<30:
+		case !isNumber || n < 0 || n != math.Trunc(n):
+			return fmt.Errorf("%q is no whole number", name)
+		case name == "group" && n <= maxGroup:
 			out.Group = int(n)
-		case name == "since_ms" && n < 1<<53:
+		case name == "since_ms" && n <= maxSinceMS:
 			out.SinceMS = int64(n)
 		default:
-			return out, fmt.Errorf(".metadata: %q is none of group, since_ms, or out of range", name)
+			return fmt.Errorf("%q is none of group, since_ms, or out of range", name)
 		}
 	}
-	return out, nil
+	return nil
 }
 
+// parseFraction returns a fractional percentage as a fraction. Over 100 % is taken as 100 %, as in Envoy.
 func parseFraction(p *typev3.FractionalPercent) (float64, error) {
-	of := map[typev3.FractionalPercent_DenominatorType]float64{typev3.FractionalPercent_HUNDRED: 100,
-		typev3.FractionalPercent_TEN_THOUSAND: 10_000, typev3.FractionalPercent_MILLION: 1_000_000}[p.GetDenominator()]
-	if p == nil || of == 0 {
+	denominator := map[typev3.FractionalPercent_DenominatorType]float64{
+		typev3.FractionalPercent_HUNDRED:      100,
+		typev3.FractionalPercent_TEN_THOUSAND: 10_000,
+		typev3.FractionalPercent_MILLION:      1_000_000,
+	}[p.GetDenominator()]
+	if p == nil || denominator == 0 {
 		return 0, errors.New("drop_percentage: missing")
 	}
-	return min(float64(p.Numerator)/of, 1), nil // over 100 % is taken for it, as in Envoy
+	return min(float64(p.Numerator)/denominator, 1), nil
 }
--- a/internal/xds/state.go
+++ b/internal/xds/state.go
@@ -95,7 +95,7 @@
 		if s.Kind >= ads.KindCount {
 			continue
 		}
-		i, err := d.Read(s.Kind, s.Version, &anypb.Any{TypeUrl: envoy.TypeOf(s.Kind), Value: s.Raw})
+		i, err := d.Decode(s.Kind, s.Version, &anypb.Any{TypeUrl: envoy.TypeOf(s.Kind), Value: s.Raw})
 		if err != nil { // of another version of this program
 			c.log.Warn("xds: a resource of the last good state is passed over", "error", err)
 			continue
