Split the xDS client by concern: streams, responses, followers, files, state

Log messages say what happened in xDS's terms, with the component as an attribute: control plane up, down, selected, disconnected; response rejected.

--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -1,12 +1,15 @@
-// Package xds takes clusters and endpoints from control planes, over gRPC and from files. It is the host of ads (the protocol
-// of a stream), planes (which control plane is listened to) and known (what is in force): it translates between them and
-// sockets, files and the clock, and decides nothing. docs/XDS.md tells the rules.
+// Package xds takes clusters and endpoints from control planes, over gRPC and from files.
+//
+// It runs package ads (the protocol of a stream), selection (which control plane is active) and cache (which resources are in force)
+// on sockets, files and the clock, and decides nothing itself. docs/XDS.md states the rules.
+//
+// A Client owns one goroutine for each control plane that is connected to, one that sends on its stream, one for each file that is
+// followed, and one that writes the state file. Close waits for all of them.
 package xds
 
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -22,45 +25,44 @@
 
 // Client follows control planes. All its methods may be called from any goroutine.
 type Client struct {
-	log *slog.Logger
+	log         *slog.Logger
+	stateWriter *stateWriter
+	ctx         context.Context
+	stop        context.CancelFunc
+	tasks       sync.WaitGroup
 
-	mu           sync.Mutex
+	mu           sync.Mutex // of all that follows
 	options      bootstrap.Options
 	cache        *cache.Cache
 	selector     *selection.Selector
-	conns        []*conn                   // by plane; nil: not connected to
-	streamCount  updateorder.Stream        // that there have been
-	followers    map[string][]*follower    // by cluster
-	files        map[string]*endpointsFile // that hold endpoint sets
+	conns        []*conn            // by control plane; nil: not connected
+	streamCount  updateorder.Stream // streams that were active so far
+	followers    map[string][]*follower
+	files        map[string]*endpointsFile // by path
 	timer        *time.Timer
-	warned       map[string]bool // what was logged once and is not again
-	usagePending bool            // the clusters in use are about to be told
-	generation   int             // of the planes; what those of an earlier one still say is passed over
+	warned       map[string]bool // texts that were logged
+	usagePending bool            // the clusters in use are about to be updated
+	generation   int             // of the options; what earlier connections still report is ignored
 	closed       bool
-	stateWriter  *stateWriter
-	stop         context.CancelFunc
-	ctx          context.Context
-	tasks        sync.WaitGroup
 }
 
-// follower is somebody who follows a cluster.
-type follower struct {
-	view     cache.ClusterView
-	notified bool
-	updates  chan struct{} // holds a token when there is a view that was not told
-}
-
-const maxWarnings = 1000 // different ones that are logged
+// maxWarnings bounds the different warnings that are logged.
+const maxWarnings = 1000
 
-// Start connects to the control planes for as long as it runs. It waits for nobody.
+// Start connects to the control planes until Close. It does not wait for a connection.
 func Start(o bootstrap.Options, log *slog.Logger) *Client {
-	c := &Client{log: log, followers: map[string][]*follower{}, files: map[string]*endpointsFile{}, warned: map[string]bool{},
-		cache: cache.New(cache.Options{DeferTime: o.DeferTime, ResourceTimeout: o.ResourceTimeout, Wildcard: o.Wildcard})}
+	c := &Client{
+		log:         log.With("component", "xds"),
+		stateWriter: newStateWriter(),
+		followers:   map[string][]*follower{},
+		files:       map[string]*endpointsFile{},
+		warned:      map[string]bool{},
+		cache:       cache.New(cache.Options{DeferTime: o.DeferTime, ResourceTimeout: o.ResourceTimeout, Wildcard: o.Wildcard}),
+	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stateWriter = &stateWriter{work: make(chan struct{}, 1)}
-	c.tasks.Go(func() { c.runStateWriter(c.stateWriter) })
+	c.tasks.Go(c.runStateWriter)
 	if o.StateFile != "" {
 		c.restore(o.StateFile)
 	}
@@ -68,7 +70,7 @@
 	return c
 }
 
-// useControlPlanes begins anew with the planes of the options. The caller holds the lock.
+// useControlPlanes starts over with the control planes of the options. The caller holds the lock.
 func (c *Client) useControlPlanes(o bootstrap.Options) {
 	for _, k := range c.conns {
 		if k != nil {
@@ -76,9 +78,11 @@
 			k.cancelConn()
 		}
 	}
-	c.options, c.generation = o, c.generation+1
+	c.options = o
+	c.generation++
 	c.conns = make([]*conn, len(o.ControlPlanes))
-	c.selector = selection.New(time.Now(), len(o.ControlPlanes), o.Selection, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	c.selector = selection.New(time.Now(), len(o.ControlPlanes), o.Selection, rng)
 	if len(c.cache.Versions(ads.Clusters)) > 0 {
 		c.selector.SetCached()
 	}
@@ -86,7 +90,7 @@
 	c.advance()
 }
 
-// Update takes other control planes. What is known stands as cached knowledge.
+// Update uses other control planes. Cached resources stay in force.
 func (c *Client) Update(o bootstrap.Options) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,12 +98,12 @@
 		return
 	}
 	if o.DeferTime != c.options.DeferTime || o.ResourceTimeout != c.options.ResourceTimeout || o.Wildcard != c.options.Wildcard {
-		c.log.Warn("xds: restart needed for \"hold\", \"missing\" and \"all\"")
+		c.log.Warn("restart needed for some settings", "settings", []string{"hold", "missing", "all"})
 	}
 	c.useControlPlanes(o)
 }
 
-// Close ends all streams. Followers end with their contexts.
+// Close ends all streams and waits for the client's goroutines. Followers end with their contexts.
 func (c *Client) Close() {
 	c.mu.Lock()
 	if c.closed {
@@ -123,95 +127,16 @@
 	c.tasks.Wait()
 }
 
-// Follow implements cluster.Discovery.
-func (c *Client) Follow(ctx context.Context, resource string, say func(cache.ClusterView)) {
-	f := &follower{updates: make(chan struct{}, 1)}
-	c.mu.Lock()
-	c.followers[resource] = append(c.followers[resource], f)
-	c.scheduleUsage()
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.followers[resource] = slices.DeleteFunc(c.followers[resource], func(o *follower) bool { return o == f })
-		if len(c.followers[resource]) == 0 {
-			delete(c.followers, resource)
-		}
-		c.scheduleUsage()
-	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.updates:
-		}
-		c.mu.Lock()
-		v := f.view
-		c.mu.Unlock()
-		say(v)
-	}
-}
-
-// usageDelay is how long those who come together have to fall together: a configuration has thousands of clusters.
-const usageDelay = 2 * time.Millisecond
-
-// scheduleUsage has the store told which clusters are in use, soon. The caller holds the lock, as for all that follow.
-func (c *Client) scheduleUsage() {
-	if c.usagePending {
-		return
-	}
-	c.usagePending = true
-	time.AfterFunc(usageDelay, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.usagePending = false
-		if c.closed {
-			return
-		}
-		c.cache.SetClustersInUse(time.Now(), slices.Collect(maps.Keys(c.followers)))
-		for name, of := range c.followers {
-			if slices.ContainsFunc(of, func(f *follower) bool { return !f.notified }) {
-				c.notify(name)
-			}
-		}
-		c.advance()
-	})
-}
-
-// notify has a cluster's followers hear how it stands.
-func (c *Client) notify(resource string) {
-	of := c.followers[resource]
-	if len(of) == 0 {
-		return
-	}
-	v := c.cache.View(time.Now(), resource)
-	if v.Cluster != nil && v.Cluster.EndpointsFile != "" {
-		c.files[v.Cluster.EndpointsFile].fillIn(&v)
-	}
-	for _, f := range of {
-		f.view, f.notified = v, true
-		select {
-		case f.updates <- struct{}{}:
-		default: // what was not told yet is passed over: the newest wins
-		}
-	}
-}
-
-// advance brings all up to the time: planes are connected to and dropped, subscriptions sent, followers told, the timer set.
+// advance brings everything up to the time: connections, subscriptions, followers and the timer. The caller holds the lock.
 func (c *Client) advance() {
 	if c.closed {
 		return
 	}
 	now := time.Now()
 	c.cache.Advance(now)
-	connect, drop := c.selector.Advance(now)
-	for _, i := range drop {
-		if k := c.conns[i]; k != nil {
-			k.endStream()
-			k.cancelConn()
-			c.conns[i] = nil
-			c.log.Info("xds: control plane let go of", "plane", k.controlPlane.Name, "answered", k.up)
-		}
+	connect, disconnect := c.selector.Advance(now)
+	for _, i := range disconnect {
+		c.disconnect(i)
 	}
 	for _, i := range connect {
 		c.connect(i)
@@ -226,32 +151,39 @@
 	for _, name := range c.cache.TakeChanged() {
 		c.notify(name)
 	}
-	next := c.selector.NextDeadline(now)
-	if at := c.cache.NextDeadline(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
-		next = at
-	}
+	c.setTimer(now)
+}
+
+// setTimer has advance called at the next deadline. The caller holds the lock.
+func (c *Client) setTimer(now time.Time) {
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
 	}
-	if !next.IsZero() {
-		c.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.advance()
-		})
+	next := c.selector.NextDeadline(now)
+	if at := c.cache.NextDeadline(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
+	if next.IsZero() {
+		return
 	}
+	c.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.advance()
+	})
 }
 
-// subscribe has a connection ask for what is wanted now.
+// subscribe sets what a connection subscribes to. The caller holds the lock.
 func (c *Client) subscribe(k *conn) {
 	if k.controlPlane.File != "" {
-		var wanted []string
+		var names []string
 		for kind := range ads.KindCount {
-			wanted = append(wanted, c.cache.Subscriptions(kind)...)
+			names = append(names, c.cache.Subscriptions(kind)...)
 		}
-		if !slices.Equal(wanted, k.wanted) { // the file is to be taken again
-			k.wanted, k.restart = wanted, true
+		if !slices.Equal(names, k.wanted) { // the file is applied again
+			k.wanted = names
+			k.restart = true
 			k.wake()
 		}
 		return
@@ -260,24 +192,24 @@
 		return
 	}
 	for kind := range ads.KindCount {
-		w := ads.Subscription{Names: c.cache.Subscriptions(kind)}
+		wanted := ads.Subscription{Names: c.cache.Subscriptions(kind)}
 		if kind == ads.Clusters && c.options.Wildcard {
-			w = ads.Subscription{Wildcard: true}
+			wanted = ads.Subscription{Wildcard: true}
 		}
-		k.session.Subscribe(kind, w)
+		k.session.Subscribe(kind, wanted)
 	}
 	k.wake()
 }
 
-// warn logs what is passed over of a resource, each kind of it once.
+// warn logs a warning about a resource, each text once.
 func (c *Client) warn(text string) {
 	c.mu.Lock()
-	known := c.warned[text] || len(c.warned) >= maxWarnings
-	if !known {
+	isNew := !c.warned[text] && len(c.warned) < maxWarnings
+	if isNew {
 		c.warned[text] = true
 	}
 	c.mu.Unlock()
-	if !known {
-		c.log.Warn("xds: " + text)
+	if isNew {
+		c.log.Warn("unsupported content of a resource", "detail", text)
 	}
 }
--- /dev/null
+++ b/internal/xds/endpointsfile.go
@@ -0,0 +1,132 @@
+package xds
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"silvertrail/internal/base/watchedfile"
+	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/envoy"
+)
+
+// endpointsFile is a file that holds endpoint sets of clusters. Its fields are under the client's lock.
+type endpointsFile struct {
+	stop      context.CancelFunc
+	sets      map[string]*cache.EndpointSet // nil: the file could not be read yet
+	readAt    time.Time
+	lastError string
+}
+
+// fillIn adds the endpoints that the file holds for a cluster to its view. The file may be nil.
+func (f *endpointsFile) fillIn(v *cache.ClusterView) {
+	if f == nil || f.sets == nil && f.lastError == "" {
+		return
+	}
+	set := f.sets[v.Cluster.ServiceName]
+	switch {
+	case set != nil:
+		v.State = cache.Ready
+		v.Set = set
+		v.Reason = ""
+		v.Stale = set.StaleAfter > 0 && time.Since(f.readAt) >= set.StaleAfter
+	case f.sets != nil:
+		v.State = cache.Missing
+		v.Reason = fmt.Sprintf("%s has no endpoints of %q", v.Cluster.EndpointsFile, v.Cluster.ServiceName)
+	default:
+		v.State = cache.Missing
+		v.Reason = f.lastError
+	}
+}
+
+// watchFiles follows the files that hold endpoint sets, and no others. The caller holds the lock.
+func (c *Client) watchFiles(paths []string) {
+	wanted := map[string]bool{}
+	for _, path := range paths {
+		wanted[path] = true
+		if c.files[path] != nil {
+			continue
+		}
+		ctx, stop := context.WithCancel(c.ctx)
+		f := &endpointsFile{stop: stop}
+		c.files[path] = f
+		maxBytes := c.options.MaxMessageBytes
+		c.tasks.Go(func() { c.followEndpoints(ctx, path, f, maxBytes) })
+	}
+	for path, f := range c.files {
+		if !wanted[path] {
+			f.stop()
+			delete(c.files, path)
+		}
+	}
+}
+
+// followEndpoints reads a file each time that it has changed, until the context ends.
+func (c *Client) followEndpoints(ctx context.Context, path string, f *endpointsFile, maxBytes int) {
+	d := &envoy.Decoder{Warn: c.warn}
+	file := watchedfile.File{Path: path, MaxBytes: maxBytes}
+	for {
+		if text, changed, err := file.Read(); err != nil || changed {
+			sets, errorTexts := decodeEndpoints(text, err, d)
+			c.updateEndpoints(path, f, sets, errorTexts)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(filePollInterval):
+		}
+	}
+}
+
+// updateEndpoints takes over what was read of a file: with errors the sets that could be read, beside those from before.
+func (c *Client) updateEndpoints(path string, f *endpointsFile, sets map[string]*cache.EndpointSet, errorTexts []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.files[path] != f {
+		return
+	}
+	if text := strings.Join(errorTexts, "; "); text != f.lastError {
+		f.lastError = text
+		if text != "" {
+			c.log.Error("file not applied, its last content stays in force", "file", path, "error", text)
+		}
+	}
+	if sets != nil {
+		f.readAt = time.Now()
+		if len(errorTexts) == 0 {
+			f.sets = sets
+		} else {
+			if f.sets == nil {
+				f.sets = map[string]*cache.EndpointSet{}
+			}
+			maps.Copy(f.sets, sets)
+		}
+	}
+	for name := range c.followers {
+		c.notify(name)
+	}
+}
+
+// decodeEndpoints decodes a file's endpoint sets. They are nil where the file cannot be read at all.
+func decodeEndpoints(text []byte, err error, d *envoy.Decoder) (map[string]*cache.EndpointSet, []string) {
+	if err != nil {
+		return nil, []string{err.Error()}
+	}
+	m, err := ParseFile(text)
+	if err != nil {
+		return nil, []string{err.Error()}
+	}
+	byKind, err := splitByKind(m)
+	if err != nil {
+		return nil, []string{err.Error()}
+	}
+	decoded, errorTexts := byKind[ads.Endpoints].decode(d)
+	sets := map[string]*cache.EndpointSet{}
+	for _, r := range decoded.Resources {
+		sets[r.Name] = r.Set
+	}
+	return sets, errorTexts
+}
--- /dev/null
+++ b/internal/xds/response.go
@@ -0,0 +1,120 @@
+package xds
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"silvertrail/internal/xds/ads"
+	"silvertrail/internal/xds/cache"
+	"silvertrail/internal/xds/envoy"
+)
+
+// Bounds of the error detail of a NACK.
+const (
+	maxReportedErrors   = 20
+	maxErrorDetailBytes = 4 << 10
+)
+
+// decode decodes the resources of a response. The errors are for the error detail.
+func (r *response) decode(d *envoy.Decoder) (out cache.Response, errorTexts []string) {
+	out = cache.Response{Kind: r.kind, Version: r.version, Complete: r.complete && r.kind == ads.Clusters, Removed: r.removed}
+	decoded := map[string]bool{}
+	for n, raw := range r.resources {
+		decodedResource, err := raw.decode(d, r.kind, decoded)
+		if err == nil {
+			decoded[decodedResource.Name] = true
+			out.Resources = append(out.Resources, decodedResource)
+			continue
+		}
+		var invalid *envoy.Error
+		errors.As(err, &invalid)
+		name := cmp.Or(invalid.Name, raw.name)
+		errorTexts = append(errorTexts, fmt.Sprintf("%s %s: %v", r.kind, cmp.Or(name, fmt.Sprintf("number %d", n)), invalid.Err))
+		if name == "" {
+			out.Complete = false // it may be any of the resources that are not in the response
+		} else if !decoded[name] {
+			out.Rejections = append(out.Rejections, cache.Rejection{Name: name, Version: raw.version, Reason: invalid.Err.Error()})
+		}
+	}
+	return out, errorTexts
+}
+
+// decode decodes a resource. The error is an *envoy.Error.
+func (raw resource) decode(d *envoy.Decoder, k ads.Kind, decoded map[string]bool) (cache.Resource, error) {
+	out, err := d.Decode(k, raw.version, raw.any)
+	switch {
+	case err != nil:
+		return out, err
+	case raw.name != "" && out.Name != raw.name:
+		return out, &envoy.Error{Name: raw.name, Err: fmt.Errorf("the resource calls itself %q", out.Name)}
+	case decoded[out.Name]:
+		return out, &envoy.Error{Name: out.Name, Err: errors.New("told twice")}
+	}
+	return out, nil
+}
+
+// handleResponse applies and answers a response. An error ends the stream.
+func (k *conn) handleResponse(r *response, d *envoy.Decoder) error {
+	decoded, errorTexts := r.decode(d)
+	c := k.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.session == nil {
+		return errStreamEnded
+	}
+	err := k.session.Receive(r.kind, r.nonce)
+	if err != nil && !errors.Is(err, ads.ErrNotSubscribed) {
+		return err
+	}
+	errorDetail := k.rejectionDetail(r.version, append(errorTexts, k.apply(decoded)...))
+	if err == nil { // without a subscription the response has no answer, but is cached: its subscription may follow
+		k.session.Answer(r.kind, r.version, errorDetail)
+	}
+	c.advance()
+	k.wake()
+	return nil
+}
+
+// apply applies a response where the stream is the active one. It returns why resources were rejected. The caller holds the lock.
+func (k *conn) apply(decoded cache.Response) (errorTexts []string) {
+	c := k.client
+	now := time.Now()
+	k.responded = true
+	if !k.up {
+		k.up = true
+		c.selector.MarkUp(now, k.index)
+	}
+	if active, ok := c.selector.Active(); ok && active == k.index && k.streamID == 0 && !k.skipped {
+		c.streamCount++
+		k.streamID = c.streamCount
+		c.cache.StreamStarted(now, k.streamID, k.controlPlane.Name)
+		c.log.Info("control plane up", "control_plane", k.controlPlane.Name)
+	}
+	if k.streamID == 0 {
+		k.skipped = true
+		return nil
+	}
+	for _, r := range c.cache.Apply(now, k.streamID, decoded) {
+		errorTexts = append(errorTexts, fmt.Sprintf("%s %s: %s", decoded.Kind, r.Name, r.Reason))
+	}
+	c.selector.SetCached()
+	c.stateWriter.wake()
+	return errorTexts
+}
+
+// rejectionDetail logs and returns the error detail of a response, empty where nothing of it was rejected.
+func (k *conn) rejectionDetail(version string, errorTexts []string) string {
+	if len(errorTexts) == 0 {
+		return ""
+	}
+	detail := strings.Join(errorTexts[:min(len(errorTexts), maxReportedErrors)], "; ")
+	if more := len(errorTexts) - maxReportedErrors; more > 0 {
+		detail += fmt.Sprintf("; and %d more", more)
+	}
+	detail = strings.ToValidUTF8(detail[:min(len(detail), maxErrorDetailBytes)], "?")
+	k.client.log.Warn("response rejected", "control_plane", k.controlPlane.Name, "version", version, "detail", detail)
+	return detail
+}
--- a/internal/xds/state.go
+++ b/internal/xds/state.go
@@ -17,94 +17,100 @@
 const (
 	stateFormat   = "silvertrail xds state 1"
 	maxStateBytes = 256 << 20
-	saveEvery     = time.Second
+	writeInterval = time.Second // least time between two writes of the state file
 )
 
-// stateWriter writes the last good state, some time after it has changed.
+// stateWriter says where the last good state is written, and when it has changed.
 type stateWriter struct {
-	mu   sync.Mutex
-	path string
-	work chan struct{} // holds a token when there is something to write
+	mu      sync.Mutex
+	path    string
+	pending chan struct{} // holds a token while there is something to write
 }
 
-func (s *stateWriter) setPath(path string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.path = path
+func newStateWriter() *stateWriter { return &stateWriter{pending: make(chan struct{}, 1)} }
+
+func (w *stateWriter) setPath(path string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.path = path
+}
+
+func (w *stateWriter) currentPath() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.path
 }
 
-func (s *stateWriter) wake() {
+func (w *stateWriter) wake() {
 	select {
-	case s.work <- struct{}{}:
+	case w.pending <- struct{}{}:
 	default:
 	}
 }
 
-// runStateWriter writes the state until the client ends, and then once more where there is something to write.
-func (c *Client) runStateWriter(s *stateWriter) {
+// runStateWriter writes the state until the client is closed, and then once more where it has changed.
+func (c *Client) runStateWriter() {
 	for {
 		select {
 		case <-c.ctx.Done():
 			select {
-			case <-s.work:
-				c.writeState(s)
+			case <-c.stateWriter.pending:
+				c.writeState()
 			default:
 			}
 			return
-		case <-s.work:
+		case <-c.stateWriter.pending:
 		}
-		c.writeState(s)
+		c.writeState()
 		select {
 		case <-c.ctx.Done():
-		case <-time.After(saveEvery):
+		case <-time.After(writeInterval):
 		}
 	}
 }
 
-func (c *Client) writeState(s *stateWriter) {
-	s.mu.Lock()
-	path := s.path
-	s.mu.Unlock()
+func (c *Client) writeState() {
+	path := c.stateWriter.currentPath()
 	if path == "" {
 		return
 	}
 	c.mu.Lock()
-	all := c.cache.Snapshot()
+	saved := c.cache.Snapshot()
 	c.mu.Unlock()
-	if err := statefile.Write(path, stateFormat, all); err != nil {
-		c.log.Error("xds: the last good state could not be written", "error", err)
+	if err := statefile.Write(path, stateFormat, saved); err != nil {
+		c.log.Error("last good state not written", "error", err)
 	}
 }
 
-// restore takes the last good state from its file: cached knowledge, as old as it is. One that can't be read is passed over:
-// the control planes tell all of it anew.
+// restore puts the last good state in force. A file that cannot be read is ignored, as control planes send everything again. The
+// caller holds the lock.
 func (c *Client) restore(path string) {
-	var all []cache.SavedResource
-	err := statefile.Read(path, stateFormat, maxStateBytes, &all)
+	var saved []cache.SavedResource
+	err := statefile.Read(path, stateFormat, maxStateBytes, &saved)
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
 	if err != nil {
-		c.log.Error("xds: the file of the last good state is passed over", "file", path, "error", err)
+		c.log.Error("file of the last good state ignored", "file", path, "error", err)
 		return
 	}
 	d := &envoy.Decoder{}
 	oldest := time.Now()
-	n := 0
-	for _, s := range all {
+	restored := 0
+	for _, s := range saved {
 		if s.Kind >= ads.KindCount {
 			continue
 		}
-		i, err := d.Decode(s.Kind, s.Version, &anypb.Any{TypeUrl: envoy.TypeOf(s.Kind), Value: s.Raw})
-		if err != nil { // of another version of this program
-			c.log.Warn("xds: a resource of the last good state is passed over", "error", err)
+		resource, err := d.Decode(s.Kind, s.Version, &anypb.Any{TypeUrl: envoy.TypeOf(s.Kind), Value: s.Raw})
+		if err != nil { // written by another version of this program
+			c.log.Warn("resource of the last good state ignored", "error", err)
 			continue
 		}
-		c.cache.Restore(s, i)
-		n++
+		c.cache.Restore(s, resource)
+		restored++
 		if s.ReceivedAt.Before(oldest) {
 			oldest = s.ReceivedAt
 		}
 	}
-	c.log.Info("xds: last good state", "file", path, "resources", n, "oldest", time.Since(oldest).Round(time.Second))
+	c.log.Info("last good state restored", "file", path, "resources", restored, "oldest", time.Since(oldest).Round(time.Second))
 }
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -72,17 +72,18 @@
 	return c, log
 }
 
-// eye follows a cluster.
-type eye struct {
+// viewRecorder follows a cluster and records its views.
+type viewRecorder struct {
 	t     testing.TB
 	stop  context.CancelFunc
 	mu    sync.Mutex
 	views []cache.ClusterView
 }
 
-func follow(t testing.TB, c *Client, name string) *eye {
+func follow(t testing.TB, c *Client, name string) *viewRecorder {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	e := &eye{t: t}
+	e := &viewRecorder{t: t}
 	done := make(chan struct{})
 	e.stop = sync.OnceFunc(func() { stop(); <-done })
 	t.Cleanup(e.stop)
@@ -97,25 +98,25 @@
 	return e
 }
 
-func (e *eye) last() cache.ClusterView {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.views) == 0 {
+func (r *viewRecorder) last() cache.ClusterView {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.views) == 0 {
 		return cache.ClusterView{}
 	}
-	return e.views[len(e.views)-1]
+	return r.views[len(r.views)-1]
 }
 
-// sees waits until the cluster is ready with these endpoints, told by their ports and health.
-func (e *eye) sees(want ...string) {
-	e.t.Helper()
+// expectEndpoints waits until the cluster is ready with these endpoints, given by port and health.
+func (r *viewRecorder) expectEndpoints(want ...string) {
+	r.t.Helper()
 	got := ""
-	lbtest.Until(e.t, fmt.Sprint("sees ", want), func() bool { got = e.now(); return got == strings.Join(want, " ") })
+	lbtest.Until(r.t, fmt.Sprint("endpoints are ", want), func() bool { got = r.summary(); return got == strings.Join(want, " ") })
 }
 
-// now tells what it sees.
-func (e *eye) now() string {
-	v := e.last()
+// summary returns the state, or the endpoints of a cluster that is ready.
+func (r *viewRecorder) summary() string {
+	v := r.last()
 	if v.State != cache.Ready {
 		return v.State.String()
 	}
@@ -142,33 +143,33 @@
 	return controlplane.Set(name, "z", all...)
 }
 
-// One bad resource is turned away by name, and the good ones of its response are in force; what was before a bad one stays.
+// An invalid resource is rejected by name, and the valid ones of its response are in force; the version before an invalid one stays.
 func TestBadResource(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
 		put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("b"), set("b", 2))
 		c, _ := start(t, options(v, p.Addr()))
 		a, b := follow(t, c, "a"), follow(t, c, "b")
-		a.sees("1")
-		b.sees("2")
+		a.expectEndpoints("1")
+		b.expectEndpoints("2")
 		bad := controlplane.Cluster("b")
 		bad.LbPolicy = clusterv3.Cluster_RING_HASH
 		put(t, p, "2", controlplane.Cluster("a"), set("a", 1, 3), bad, set("b", 2, 4))
-		a.sees("1", "3")
-		b.sees("2", "4") // the cluster before, with its endpoints of now
-		lbtest.Until(t, "the refusal has come", func() bool {
+		a.expectEndpoints("1", "3")
+		b.expectEndpoints("2", "4") // the cluster from before, with its current endpoints
+		lbtest.Until(t, "the NACK has come", func() bool {
 			return slices.ContainsFunc(p.Asked(), func(r controlplane.Asked) bool {
 				return r.Type == envoy.ClusterType && strings.Contains(r.Fault, "cluster b: lb_policy: RING_HASH") && (v == ads.Delta || r.Version == "1")
 			})
 		})
 		put(t, p, "3", controlplane.Cluster("a"), set("a", 5), controlplane.Cluster("b"), set("b", 6))
-		a.sees("5")
-		b.sees("6")
+		a.expectEndpoints("5")
+		b.expectEndpoints("6")
 		d := c.Dump()
 		if d.ControlPlanes[0].State != "up" || !d.ControlPlanes[0].Active || len(d.Resources) != 4 || d.Resources[1].RejectionReason != "" || d.Resources[0].Source != "p0" {
 			t.Errorf("%+v", d)
 		}
-		for i, r := range p.Asked() { // what was acknowledged is what was sent
+		for i, r := range p.Asked() { // no request acknowledges what was not sent
 			if i > 0 && r.Fault == "" && r.Nonce == "" && r.Version != "" {
 				t.Errorf("a version without a nonce: %+v", r)
 			}
@@ -176,28 +177,28 @@
 	}
 }
 
-// A stream that breaks and returns with an older state changes nothing, also under another version or with a nonce that it used before, until the
-// hold is over; news on it count at once; a removal and a drain are not undone.
-func TestOlderReturns(t *testing.T) {
+// A stream that breaks and returns with an older state changes nothing for the defer time, also under another version or with a nonce that
+// was used before; new states on it count at once; a removal and a drain are not undone.
+func TestOlderStateAfterReconnect(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
 		old := []proto.Message{controlplane.Cluster("a"), set("a", 1, 2), controlplane.Cluster("b"), set("b", 9)}
 		put(t, p, "1", old...)
 		c, _ := start(t, options(v, p.Addr()))
 		a, b := follow(t, c, "a"), follow(t, c, "b")
-		a.sees("1", "2")
-		b.sees("9")
+		a.expectEndpoints("1", "2")
+		b.expectEndpoints("9")
 		put(t, p, "2", controlplane.Cluster("a"), controlplane.Set("a", "z", at(1, corev3.HealthStatus_DRAINING), at(3)), controlplane.Cluster("b"), set("b", 9))
-		a.sees("1-draining", "3")
+		a.expectEndpoints("1-draining", "3")
 		streams := p.Streams()
 		before := len(p.Asked())
-		p.Hang(true) // else the stream that there is would say it
+		p.Hang(true) // else the open stream would send it
 		put(t, p, "1", old...)
 		p.Cut()
-		lbtest.Until(t, "it has come back", func() bool { return p.Streams() > streams })
+		lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 		p.Hang(false)
-		lbtest.Until(t, "the old set is held off", func() bool { return held(c, "a") })
-		if got := a.now(); got != "1-draining 3" {
+		lbtest.Until(t, "the old set is deferred", func() bool { return isDeferred(c, "a") })
+		if got := a.summary(); got != "1-draining 3" {
 			t.Errorf("%v: after the old state: %s", v, got)
 		}
 		for _, r := range p.Asked()[before:] {
@@ -208,16 +209,16 @@
 				t.Errorf("%+v", r)
 			}
 		}
-		put(t, p, "3", controlplane.Cluster("a"), set("a", 1, 2, 4), controlplane.Cluster("b"), set("b", 9)) // never seen: news
-		a.sees("1", "2", "4")
+		put(t, p, "3", controlplane.Cluster("a"), set("a", 1, 2, 4), controlplane.Cluster("b"), set("b", 9)) // never received before: new
+		a.expectEndpoints("1", "2", "4")
 	}
 }
 
-func held(c *Client, name string) bool {
+func isDeferred(c *Client, name string) bool {
 	return slices.ContainsFunc(c.Dump().Resources, func(l cache.ResourceStatus) bool { return l.Name == name && l.DeferredVersion != "" })
 }
 
-// A rollback that is meant gets through when the hold is over.
+// An intended rollback is in force after the defer time.
 func TestRollback(t *testing.T) {
 	p := plane(t)
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
@@ -225,16 +226,16 @@
 	o.DeferTime = 200 * time.Millisecond
 	c, _ := start(t, o)
 	a := follow(t, c, "a")
-	a.sees("1")
+	a.expectEndpoints("1")
 	put(t, p, "2", controlplane.Cluster("a"), set("a", 2))
-	a.sees("2")
+	a.expectEndpoints("2")
 	p.Hang(true)
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
 	streams := p.Streams()
 	p.Cut()
-	lbtest.Until(t, "it has come back", func() bool { return p.Streams() > streams })
+	lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 	p.Hang(false)
-	a.sees("1")
+	a.expectEndpoints("1")
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.views) > 8 {
@@ -242,9 +243,9 @@
 	}
 }
 
-// What comes in a wrong order, or not at all: endpoints before their cluster; a cluster whose endpoints never come; one that nobody
-// knows; one that is removed and added in one message.
-func TestOrder(t *testing.T) {
+// Responses in a wrong order, or missing: endpoints before their cluster; a cluster whose endpoints never come; an unknown cluster; one
+// that is removed and added in one response.
+func TestResponseOrder(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
 		ended := make(chan struct{})
@@ -252,7 +253,7 @@
 		t.Cleanup(end)
 		got, once := make(chan struct{}), sync.Once{}
 		p.Script(func(s *controlplane.Stream) error {
-			err := s.Send(envoy.EndpointsType, "1", "early", nil, set("a", 9)) // nobody has asked for it
+			err := s.Send(envoy.EndpointsType, "1", "early", nil, set("a", 9)) // without a subscription
 			if err == nil {
 				err = s.Send("type.googleapis.com/envoy.config.listener.v3.Listener", "1", "strange", nil)
 			}
@@ -267,8 +268,8 @@
 		})
 		c, log := start(t, options(v, p.Addr()))
 		a, lost, none := follow(t, c, "a"), follow(t, c, "lost"), follow(t, c, "none")
-		a.sees("9")
-		lbtest.Until(t, "a type that is not known is told", func() bool { return log.Has("not known here") })
+		a.expectEndpoints("9")
+		lbtest.Until(t, "an unknown type is logged", func() bool { return log.Has("not known here") })
 		streams := p.Streams()
 		p.Script(func(s *controlplane.Stream) error {
 			for n := 0; ; {
@@ -282,7 +283,7 @@
 				case r.Type == envoy.EndpointsType && n == 0:
 					n++
 					err = s.Send(r.Type, "1", "s1", nil, set("a", 1))
-					if err == nil { // in one message gone and there, with its set told before it
+					if err == nil { // removed and present in one response, with its set sent before it
 						err = s.Send(envoy.EndpointsType, "2", "s2", nil, set("a", 2))
 					}
 					if err == nil {
@@ -297,22 +298,22 @@
 			}
 		})
 		end()
-		lbtest.Until(t, "it has come back", func() bool { return p.Streams() > streams })
-		a.sees("2")
-		lbtest.Until(t, "the missing ones are told", func() bool {
+		lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
+		a.expectEndpoints("2")
+		lbtest.Until(t, "the missing ones are reported", func() bool {
 			return lost.last().State == cache.Missing && none.last().State == cache.Removed
 		})
 		if why := lost.last().Reason; !strings.Contains(why, "did not come") {
 			t.Error(why)
 		}
 		<-got
-		if a.now() != "2" {
-			t.Error(a.now())
+		if a.summary() != "2" {
+			t.Error(a.summary())
 		}
 		a.mu.Lock()
 		for _, view := range a.views {
 			if view.State == cache.Removed || view.State == cache.Missing {
-				t.Errorf("%v: told as %v", v, view.State)
+				t.Errorf("%v: reported as %v", v, view.State)
 			}
 		}
 		a.mu.Unlock()
@@ -325,31 +326,31 @@
 	return c
 }
 
-// Where all clusters are subscribed to, one that is used later, long after it was told, is there at once.
-func TestAll(t *testing.T) {
+// With a wildcard subscription a cluster that is used long after it was received is present at once.
+func TestWildcard(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
 		put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("b"), set("b", 2))
 		o := options(v, p.Addr())
 		o.Wildcard = true
 		c, _ := start(t, o)
-		lbtest.Until(t, "both are told", func() bool { return len(c.Dump().Resources) == 2 })
+		lbtest.Until(t, "both were received", func() bool { return len(c.Dump().Resources) == 2 })
 		if r := p.Asked()[0]; len(r.Names) != 0 {
 			t.Errorf("%+v", r)
 		}
-		follow(t, c, "b").sees("2")
+		follow(t, c, "b").expectEndpoints("2")
 		put(t, p, "2", controlplane.Cluster("b"), set("b", 3))
-		lbtest.Until(t, "one is gone", func() bool { return c.Dump().Resources[0].State == "removed" })
+		lbtest.Until(t, "one is removed", func() bool { return c.Dump().Resources[0].State == "removed" })
 		for _, r := range p.Asked() {
 			if r.Type == envoy.EndpointsType && slices.Contains(r.Names, "a") {
-				t.Errorf("the endpoints of a cluster that nobody uses are asked for: %+v", r)
+				t.Errorf("the endpoints of an unused cluster are subscribed to: %+v", r)
 			}
 		}
 	}
 }
 
-// A message that is cut off in the middle changes nothing, and the rest comes over the next stream.
-func TestHalfMessage(t *testing.T) {
+// A response that is cut off changes nothing, and comes again over the next stream.
+func TestTruncatedResponse(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
 		path, err := standin.NewPath(p.Addr())
@@ -360,7 +361,7 @@
 		put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
 		c, _ := start(t, options(v, path.Addr))
 		a := follow(t, c, "a")
-		a.sees("1")
+		a.expectEndpoints("1")
 		var ports []int
 		for i := range 500 {
 			ports = append(ports, 1000+i)
@@ -368,18 +369,18 @@
 		streams := p.Streams()
 		path.CutAfter(standin.Back, 2000)
 		put(t, p, "2", controlplane.Cluster("a"), set("a", ports...))
-		lbtest.Until(t, "it has come back", func() bool { return p.Streams() > streams })
-		if got := a.now(); got != "1" && strings.Count(got, " ") != 499 {
-			t.Errorf("half: %s", got)
+		lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
+		if got := a.summary(); got != "1" && strings.Count(got, " ") != 499 {
+			t.Errorf("after a truncated response: %s", got)
 		}
 		path.CutAfter(standin.Back, -1)
-		lbtest.Until(t, "all are there", func() bool { return strings.Count(a.now(), " ") == 499 })
+		lbtest.Until(t, "all are present", func() bool { return strings.Count(a.summary(), " ") == 499 })
 	}
 }
 
-// A plane that hangs after its handshake, and one that sends more than is taken, are left for the next one; the first is returned to when it has stood its
-// trial.
-func TestNextPlane(t *testing.T) {
+// A control plane that hangs after its handshake, and one whose message is too large, are replaced by the next; the first is active again
+// after its probation.
+func TestFallback(t *testing.T) {
 	for _, v := range variants {
 		first, second := plane(t, grpc.MaxSendMsgSize(256<<20)), plane(t)
 		first.Hang(true)
@@ -387,9 +388,9 @@
 		put(t, second, "1", controlplane.Cluster("a"), set("a", 2))
 		c, _ := start(t, options(v, first.Addr(), second.Addr()))
 		a := follow(t, c, "a")
-		a.sees("2")
+		a.expectEndpoints("2")
 		first.Hang(false)
-		a.sees("1")
+		a.expectEndpoints("1")
 		first.Script(func(s *controlplane.Stream) error {
 			if _, err := s.Receive(); err != nil {
 				return err
@@ -400,56 +401,56 @@
 		})
 		first.Cut()
 		put(t, second, "2", controlplane.Cluster("a"), set("a", 3))
-		a.sees("3")
+		a.expectEndpoints("3")
 		first.Script(nil)
 		put(t, first, "2", controlplane.Cluster("a"), set("a", 4))
-		a.sees("4")
+		a.expectEndpoints("4")
 	}
 }
 
-// Updates that come faster than they are applied fall together, and streams that are cut all the time lose nothing: the last state is reached.
-func TestFast(t *testing.T) {
+// Updates that come faster than they are applied are combined, and streams that break all the time lose nothing: the last state is reached.
+func TestFastUpdates(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
 		put(t, p, "0", controlplane.Cluster("a"), set("a", 1))
 		c, _ := start(t, options(v, p.Addr()))
 		a := follow(t, c, "a")
-		a.sees("1")
+		a.expectEndpoints("1")
 		for i := range 1000 {
 			put(t, p, fmt.Sprint(i), controlplane.Cluster("a"), set("a", i+2))
 			if i%100 == 99 {
 				streams := p.Streams()
 				p.Cut()
-				lbtest.Until(t, "it has come back", func() bool { return p.Streams() > streams })
+				lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 			}
 		}
-		a.sees("1001")
+		a.expectEndpoints("1001")
 	}
 }
 
-// The last good state outlives the process, as old as it is, and gives way to what a plane says. A file that is torn is passed over.
-func TestLastState(t *testing.T) {
+// The last good state survives a restart with its age, and is replaced by what a control plane sends. A damaged file is ignored.
+func TestStateFile(t *testing.T) {
 	p := plane(t)
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("unused"), set("unused", 7))
 	o := options(ads.Delta, p.Addr())
 	o.StateFile = filepath.Join(t.TempDir(), "state")
 	c, _ := start(t, o)
 	a := follow(t, c, "a")
-	a.sees("1")
+	a.expectEndpoints("1")
 	put(t, p, "2", controlplane.Cluster("a"), set("a", 2))
-	a.sees("2")
+	a.expectEndpoints("2")
 	c.Close()
 	a.stop()
 	p.Hang(true)
 	c, _ = start(t, o)
 	a = follow(t, c, "a")
-	a.sees("2")
+	a.expectEndpoints("2")
 	if d := c.Dump(); len(d.Resources) != 2 || !strings.Contains(d.Resources[0].Source, "last state") || time.Since(d.Resources[0].ReceivedAt) > lbtest.Wait {
 		t.Errorf("%+v", d.Resources)
 	}
 	put(t, p, "3", controlplane.Cluster("a"), set("a", 3))
 	p.Hang(false)
-	a.sees("3")
+	a.expectEndpoints("3")
 	c.Close()
 	a.stop()
 	text, err := os.ReadFile(o.StateFile)
@@ -458,13 +459,13 @@
 	}
 	p.Hang(true)
 	text[len(text)-3] ^= 4
-	for _, torn := range [][]byte{text, text[:len(text)/2], text[:10], {}} {
-		if err := os.WriteFile(o.StateFile, torn, 0o600); err != nil {
+	for _, damaged := range [][]byte{text, text[:len(text)/2], text[:10], {}} {
+		if err := os.WriteFile(o.StateFile, damaged, 0o600); err != nil {
 			t.Fatal(err)
 		}
 		c, log := start(t, o)
-		if !log.Has("is passed over") || len(c.Dump().Resources) != 0 {
-			t.Errorf("%d bytes: %s", len(torn), log)
+		if !log.Has("file of the last good state ignored") || len(c.Dump().Resources) != 0 {
+			t.Errorf("%d bytes: %s", len(damaged), log)
 		}
 		c.Close()
 	}
@@ -480,7 +481,7 @@
 	}
 }
 
-// A plane that is a file, and endpoints that are in a file: each is replaced whole, and one that can't be read changes nothing.
+// Control planes and endpoint sets in files: each is replaced atomically, and one that cannot be read changes nothing.
 func TestFiles(t *testing.T) {
 	folder := t.TempDir()
 	path, sets := filepath.Join(folder, "clusters.json"), filepath.Join(folder, "sets.json")
@@ -499,29 +500,30 @@
 	o.ControlPlanes = []bootstrap.ControlPlane{{Name: "file", File: path}}
 	c, log := start(t, o)
 	a, b := follow(t, c, "a"), follow(t, c, "b")
-	a.sees("1")
-	b.sees("11")
+	a.expectEndpoints("1")
+	b.expectEndpoints("11")
 	write(t, path, `{"resources": [`)
 	write(t, sets, `{"resources": [`+one("s", 12)+`, {"@type": "`+envoy.EndpointsType+`", "cluster_name": "other", "endpoints": [{"priority": 3}]}]}`)
-	b.sees("12")
+	b.expectEndpoints("12")
 	lbtest.Until(t, "both faults are logged", func() bool { return log.Has("clusters.json") && log.Has("priorities have a gap") })
 	write(t, path, file(2))
-	a.sees("2")
-	if b.now() != "12" {
-		t.Error(b.now())
+	a.expectEndpoints("2")
+	if b.summary() != "12" {
+		t.Error(b.summary())
 	}
 	late := follow(t, c, "late")
-	lbtest.Until(t, "it is not there", func() bool { return late.last().State == cache.Removed })
-	pipe := filepath.Join(folder, "pipe") // which would hold up whoever opens it
+	lbtest.Until(t, "it is removed", func() bool { return late.last().State == cache.Removed })
+	pipe := filepath.Join(folder, "pipe") // opening it would block
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	o.ControlPlanes[0].File = pipe
 	_, log = start(t, o)
-	lbtest.Until(t, "it is turned down", func() bool { return log.Has("no regular file") })
+	lbtest.Until(t, "it is rejected", func() bool { return log.Has("no regular file") })
 }
 
-// Mutual TLS with certificates that are replaced: the next connection shows the new one, and a plane that is not whom it should be is not believed.
+// Mutual TLS with a certificate that is replaced: the next connection presents the new one, and a control plane with a wrong name is not
+// trusted.
 func TestTLS(t *testing.T) {
 	folder := t.TempDir()
 	authority, err := standin.NewAuthority(folder, "authority")
@@ -559,23 +561,23 @@
 	o.ControlPlanes[1].Insecure, o.ControlPlanes[1].TLS, o.ControlPlanes[1].ServerName = false, o.ControlPlanes[0].TLS, "plane"
 	c, log := start(t, o)
 	a := follow(t, c, "a")
-	a.sees("1")
+	a.expectEndpoints("1")
 	if !log.Has("somebody else") {
 		t.Error(log)
 	}
 	issue("second", "ours")
 	p.Cut()
-	lbtest.Until(t, "the new certificate is shown", func() bool {
+	lbtest.Until(t, "the new certificate is presented", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return slices.Contains(shown, "second")
 	})
 	put(t, p, "2", controlplane.Cluster("a"), set("a", 2))
-	a.sees("2")
+	a.expectEndpoints("2")
 }
 
-// A whole response with something unreadable in it removes nothing.
-func TestUnreadable(t *testing.T) {
+// A complete response with an unreadable resource removes nothing.
+func TestUnreadableResource(t *testing.T) {
 	p := plane(t)
 	p.Script(func(s *controlplane.Stream) error {
 		for n := 0; ; {
@@ -599,9 +601,9 @@
 	})
 	c, log := start(t, options(ads.StateOfTheWorld, p.Addr()))
 	a := follow(t, c, "a")
-	a.sees("1")
-	lbtest.Until(t, "it is turned away", func() bool { return log.Has("cluster number 0") && log.Has("cluster number 1") })
-	if a.now() != "1" {
-		t.Error(a.now())
+	a.expectEndpoints("1")
+	lbtest.Until(t, "it is rejected", func() bool { return log.Has("cluster number 0") && log.Has("cluster number 1") })
+	if a.summary() != "1" {
+		t.Error(a.summary())
 	}
 }
