--- a/internal/gateway/conf/routes.go
+++ b/internal/gateway/conf/routes.go
@@ -43,7 +43,7 @@
 	s := p.open("route "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"cluster", "class", "timeout", "max_attempts", "failover", "cross",
 		"split_by", "rewrite", "set_headers", "remove_headers"}, map[string]int{"match": 0, "to": 1, "respond": 0, "redirect": 0})
 	r := route.Rule{Name: b.Labels[0], Class: s.text("class", ""), MaxAttempts: s.whole("max_attempts", 0, 1, 10),
-		Failover: s.text("failover", ""), Set: s.table("set_headers"), Remove: texts(s.list("remove_headers")),
+		Failover: s.text("failover", ""), SetHeaders: s.table("set_headers"), RemoveHeaders: texts(s.list("remove_headers")),
 		Timeout: s.duration("timeout", 0, time.Millisecond, time.Hour)}
 	if s.has("class") {
 		p.known("class", located{r.Class, s.where("class")})
@@ -53,7 +53,7 @@
 		p.known("cluster", located{name, s.where("cluster")})
 		r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: 1})
 	}
-	r.Cross = p.cross(s, f)
+	r.ForwardSites = p.cross(s, f)
 	if s.has("rewrite") {
 		to := s.text("rewrite", "/")
 		r.Rewrite = &to
@@ -89,8 +89,8 @@
 		len(r.Targets) == 1 && r.Targets[0].Cluster == r.Failover {
 		s.fault(s.where("failover"), "Failover to itself", "%s goes to cluster %q alone anyway.", s.what, r.Failover)
 	}
-	p.headers(s, "set_headers", r.Set)
-	for _, name := range r.Remove {
+	p.headers(s, "set_headers", r.SetHeaders)
+	for _, name := range r.RemoveHeaders {
 		p.header(s, "remove_headers", name)
 	}
 	return r
@@ -158,10 +158,10 @@
 	}
 	m.Methods = p.methods(s.list("methods"))
 	for name, value := range s.table("headers") {
-		m.Headers = append(m.Headers, route.Value{Name: name, Value: value, Any: value == "*"})
+		m.Headers = append(m.Headers, route.Value{Name: name, Value: value, AnyValue: value == "*"})
 	}
 	for name, value := range s.table("query") {
-		m.Query = append(m.Query, route.Value{Name: name, Value: value, Any: value == "*"})
+		m.Query = append(m.Query, route.Value{Name: name, Value: value, AnyValue: value == "*"})
 	}
 	m.Class, m.Tenant = s.text("class", ""), s.text("tenant", "")
 	if s.has("class") {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -249,10 +249,10 @@
 		h["X-Forwarded-Host"] = []string{r.Host}
 		h["X-Forwarded-Proto"] = []string{"http"}
 	}
-	for _, name := range x.rule.Remove {
+	for _, name := range x.rule.RemoveHeaders {
 		delete(h, name)
 	}
-	for name, value := range x.rule.Set {
+	for name, value := range x.rule.SetHeaders {
 		h[name] = []string{value}
 	}
 	x.up.Header = h
@@ -298,10 +298,10 @@
 		return reply
 	}
 	defer func() { x.gone = ctx.Err() != nil }()
-	if len(x.rule.Cross) == 0 {
+	if len(x.rule.ForwardSites) == 0 {
 		return x.here(ctx)
 	}
-	way := &forwarding.Route{LocalSite: x.gateway.sala, Effect: x.class.Effect, AllowedSites: x.rule.Cross, MaxAttempts: x.q.MaxAttempts}
+	way := &forwarding.Route{LocalSite: x.gateway.sala, Effect: x.class.Effect, AllowedSites: x.rule.ForwardSites, MaxAttempts: x.q.MaxAttempts}
 	if x.passing != nil {
 		way.VisitedSites = x.passing.VisitedSites
 	}
--- a/internal/gateway/route/path.go
+++ b/internal/gateway/route/path.go
@@ -17,23 +17,23 @@
 
 // Class of each byte in a path.
 const (
-	plain   = iota + 1 // stands as it is (RFC 3986, 3.3 pchar)
-	encoded            // is written as %XX
+	literalByte = iota + 1 // stands as it is (RFC 3986, 3.3 pchar)
+	encodedByte            // is written as %XX
 )
 
 var pathBytes = func() (t [256]uint8) {
 	for c := range t {
 		switch {
-		case unreserved(byte(c)) || strings.IndexByte("!$&'()*+,;=:@", byte(c)) >= 0:
-			t[c] = plain
+		case isUnreserved(byte(c)) || strings.IndexByte("!$&'()*+,;=:@", byte(c)) >= 0:
+			t[c] = literalByte
 		case c >= 0x80 || strings.IndexByte("\"<>^`{|}", byte(c)) >= 0:
-			t[c] = encoded
+			t[c] = encodedByte
 		}
 	}
 	return t
 }()
 
-func unreserved(c byte) bool {
+func isUnreserved(c byte) bool {
 	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '.' || c == '_' || c == '~'
 }
 
@@ -55,7 +55,7 @@
 	}
 	for i := 0; i < len(raw); i++ {
 		c := raw[i]
-		if pathBytes[c] == plain && (c != '.' || raw[i-1] != '/') || c == '/' && (i == 0 || raw[i-1] != '/') {
+		if pathBytes[c] == literalByte && (c != '.' || raw[i-1] != '/') || c == '/' && (i == 0 || raw[i-1] != '/') {
 			continue
 		}
 		return rewritePath(raw)
@@ -92,7 +92,7 @@
 				out = append(out, '/')
 			}
 			continue
-		case dotted(text):
+		case isDotSegmentWithParameters(text):
 			return "", errParam
 		}
 		starts = append(starts, at)
@@ -103,8 +103,8 @@
 	return string(out), nil
 }
 
-// dotted tells of a segment that is a dot segment to peers that cut parameters off first.
-func dotted(segment string) bool {
+// isDotSegmentWithParameters tells of a segment that is a dot segment to peers that cut parameters off first.
+func isDotSegmentWithParameters(segment string) bool {
 	for _, mark := range []string{";", "%3B"} {
 		if base, _, cut := strings.Cut(segment, mark); cut && (base == "." || base == "..") {
 			return true
@@ -130,7 +130,7 @@
 			return nil, fmt.Errorf("path: byte %#02x", c)
 		case !escaped && c == '#':
 			return nil, errFragment
-		case unreserved(c) || !escaped && pathBytes[c] == plain:
+		case isUnreserved(c) || !escaped && pathBytes[c] == literalByte:
 			out = append(out, c)
 		default:
 			out = append(out, '%', digits[c>>4], digits[c&15])
@@ -158,7 +158,7 @@
 	switch i := strings.LastIndexByte(host, ':'); {
 	case strings.HasPrefix(host, "["):
 		end := strings.IndexByte(host, ']')
-		if end < 0 || end+1 < len(host) && (host[end+1] != ':' || !port(host[end+2:])) {
+		if end < 0 || end+1 < len(host) && (host[end+1] != ':' || !isPort(host[end+2:])) {
 			return "", fmt.Errorf("host: %.60q", raw)
 		}
 		ip, err := netip.ParseAddr(host[1:end])
@@ -167,7 +167,7 @@
 		}
 		return ip.String(), nil
 	case i >= 0:
-		if !port(host[i+1:]) {
+		if !isPort(host[i+1:]) {
 			return "", fmt.Errorf("host: port of %.60q", raw)
 		}
 		host = host[:i]
@@ -206,8 +206,8 @@
 	return host, nil
 }
 
-// port tells whether text is a port, or empty, which stands for none (RFC 3986, 3.2.3).
-func port(text string) bool {
+// isPort tells whether text is a port, or empty, which stands for none (RFC 3986, 3.2.3).
+func isPort(text string) bool {
 	n := 0
 	for i := 0; i < len(text); i++ {
 		if text[i] < '0' || text[i] > '9' {
--- a/internal/gateway/route/rule.go
+++ b/internal/gateway/route/rule.go
@@ -49,9 +49,9 @@
 
 // Value is a header or a query parameter to match.
 type Value struct {
-	Name  string
-	Value string
-	Any   bool // whatever its value
+	Name     string
+	Value    string
+	AnyValue bool // whatever its value
 }
 
 // Match is a conjunction; what is left empty matches anything.
@@ -110,18 +110,18 @@
 	Respond  *Response
 	Redirect *Redirect
 
-	Class       string        // of all its requests; empty: told by the caller
-	Timeout     time.Duration // 0: the class's deadline
-	MaxAttempts int           // 0: the cluster's
-	Failover    string        // cluster for what never ran in its own
-	Cross       []string      // salas that may have what the own one can't serve
-	SplitBy     SplitKind
-	SplitHeader string
-	Rewrite     *string // in place of the matched prefix, or of the whole exact path
-	Set         map[string]string
-	Remove      []string
+	Class         string        // of all its requests; empty: told by the caller
+	Timeout       time.Duration // 0: the class's deadline
+	MaxAttempts   int           // 0: the cluster's
+	Failover      string        // cluster for what never ran in its own
+	ForwardSites  []string      // salas that may have what the own one can't serve
+	SplitBy       SplitKind
+	SplitHeader   string
+	Rewrite       *string // in place of the matched prefix, or of the whole exact path
+	SetHeaders    map[string]string
+	RemoveHeaders []string
 
-	total uint64
+	totalWeight uint64
 }
 
 // Pick returns the cluster that a split gives a key: the same for the same key, whichever process asks, and the same
@@ -130,7 +130,7 @@
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Cluster
 	}
-	at, _ := bits.Mul64(hash(key), r.total)
+	at, _ := bits.Mul64(hash(key), r.totalWeight)
 	for i := range r.Targets {
 		w := uint64(r.Targets[i].Weight)
 		if at < w {
@@ -180,9 +180,9 @@
 	}
 	if len(r.Targets) > 0 {
 		for _, t := range r.Targets {
-			r.total += uint64(t.Weight)
+			r.totalWeight += uint64(t.Weight)
 		}
-		if r.total == 0 {
+		if r.totalWeight == 0 {
 			return errors.New("its weights are all 0")
 		}
 	}
@@ -197,10 +197,10 @@
 			}
 		}
 	}
-	r.Set = canonical(r.Set)
-	r.Remove = slices.Clone(r.Remove)
-	for i, name := range r.Remove {
-		r.Remove[i] = textproto.CanonicalMIMEHeaderKey(name)
+	r.SetHeaders = canonical(r.SetHeaders)
+	r.RemoveHeaders = slices.Clone(r.RemoveHeaders)
+	for i, name := range r.RemoveHeaders {
+		r.RemoveHeaders[i] = textproto.CanonicalMIMEHeaderKey(name)
 	}
 	r.Matches = slices.Clone(r.Matches)
 	if len(r.Matches) == 0 {
@@ -269,7 +269,7 @@
 func (p *Path) check() error {
 	if p.Kind == Template {
 		for segment := range strings.SplitSeq(strings.TrimPrefix(p.Pattern, "/"), "/") {
-			if variable(segment) {
+			if isVariable(segment) {
 				continue
 			}
 			if strings.ContainsAny(segment, "{}") {
@@ -295,7 +295,7 @@
 	return nil
 }
 
-func variable(segment string) bool {
+func isVariable(segment string) bool {
 	return len(segment) > 2 && segment[0] == '{' && segment[len(segment)-1] == '}' && !strings.ContainsAny(segment[1:len(segment)-1], "{}")
 }
 
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -12,19 +12,19 @@
 
 // Table holds the compiled rules. It never changes.
 type Table struct {
-	listeners map[string]*hosts
+	listeners map[string]*hostTable
 	rules     int
 }
 
-// hosts is what one listener knows.
-type hosts struct {
-	exact  map[string]*paths
-	suffix map[string]*paths // by what follows "*."
-	any    *paths
+// hostTable is what one listener knows.
+type hostTable struct {
+	exact  map[string]*pathTable
+	suffix map[string]*pathTable // by what follows "*."
+	any    *pathTable
 }
 
-// paths is what one host knows. Exact paths are found by one look-up; the other kinds by walking segments.
-type paths struct {
+// pathTable is what one host knows. Exact paths are found by one look-up; the other kinds by walking segments.
+type pathTable struct {
 	exact     map[string][]*entry
 	templates *node
 	prefixes  *node
@@ -39,14 +39,14 @@
 
 // entry is one match of a rule.
 type entry struct {
-	rule  *Rule
-	match *Match
-	index int
-	named bool // names its listener
+	rule          *Rule
+	match         *Match
+	index         int
+	namesListener bool // names its listener
 }
 
-// Found is what a look-up finds.
-type Found struct {
+// MatchedRule is what a look-up finds.
+type MatchedRule struct {
 	Rule *Rule
 	Path Path // of the match that was found
 }
@@ -64,9 +64,9 @@
 // Compile builds a table for the named listeners. It takes rules over: the caller must not change them later. The
 // errors are all that it finds; with any there is no table.
 func Compile(listeners []string, rules []Rule) (*Table, []*Error) {
-	t := &Table{listeners: make(map[string]*hosts, len(listeners)), rules: len(rules)}
+	t := &Table{listeners: make(map[string]*hostTable, len(listeners)), rules: len(rules)}
 	for _, name := range listeners {
-		t.listeners[name] = &hosts{exact: map[string]*paths{}, suffix: map[string]*paths{}}
+		t.listeners[name] = &hostTable{exact: map[string]*pathTable{}, suffix: map[string]*pathTable{}}
 	}
 	var errs []*Error
 	names := make(map[string]bool, len(rules))
@@ -103,9 +103,9 @@
 
 func (t *Table) add(r *Rule, j int, all []string) error {
 	m := &r.Matches[j]
-	e := &entry{rule: r, match: m, index: j, named: len(m.Listeners) > 0}
+	e := &entry{rule: r, match: m, index: j, namesListener: len(m.Listeners) > 0}
 	on := all
-	if e.named {
+	if e.namesListener {
 		on = slices.Compact(slices.Sorted(slices.Values(m.Listeners)))
 	}
 	for _, listener := range on {
@@ -120,10 +120,10 @@
 	return nil
 }
 
-func (h *hosts) of(name string) *paths {
+func (h *hostTable) of(name string) *pathTable {
 	if name == "*" {
 		if h.any == nil {
-			h.any = &paths{}
+			h.any = &pathTable{}
 		}
 		return h.any
 	}
@@ -132,12 +132,12 @@
 		by, key = h.suffix, suffix
 	}
 	if by[key] == nil {
-		by[key] = &paths{}
+		by[key] = &pathTable{}
 	}
 	return by[key]
 }
 
-func (p *paths) add(e *entry) {
+func (p *pathTable) add(e *entry) {
 	pattern := e.match.Path.Pattern
 	switch e.match.Path.Kind {
 	case Exact:
@@ -149,7 +149,7 @@
 		if p.templates == nil {
 			p.templates = &node{}
 		}
-		p.templates.grow(pattern[1:], true, e)
+		p.templates.insert(pattern[1:], true, e)
 	default:
 		if p.prefixes == nil {
 			p.prefixes = &node{}
@@ -158,15 +158,15 @@
 			p.prefixes.entries = append(p.prefixes.entries, e)
 			return
 		}
-		p.prefixes.grow(pattern[1:], false, e)
+		p.prefixes.insert(pattern[1:], false, e)
 	}
 }
 
-func (n *node) grow(path string, variables bool, e *entry) {
+func (n *node) insert(path string, variables bool, e *entry) {
 	for more := true; more; {
 		var segment string
 		segment, path, more = strings.Cut(path, "/")
-		if variables && variable(segment) {
+		if variables && isVariable(segment) {
 			if n.variable == nil {
 				n.variable = &node{}
 			}
@@ -187,9 +187,9 @@
 }
 
 // sort brings the entries of each place into their order and reports those that are alike.
-func (h *hosts) sort() (errs []*Error) {
-	all := make([]*paths, 0, len(h.exact)+len(h.suffix)+1)
-	for _, by := range []map[string]*paths{h.exact, h.suffix} {
+func (h *hostTable) sort() (errs []*Error) {
+	all := make([]*pathTable, 0, len(h.exact)+len(h.suffix)+1)
+	for _, by := range []map[string]*pathTable{h.exact, h.suffix} {
 		for _, p := range by {
 			all = append(all, p)
 		}
@@ -199,7 +199,7 @@
 	}
 	for _, p := range all {
 		for _, entries := range p.exact {
-			errs = append(errs, order(entries)...)
+			errs = append(errs, sortEntries(entries)...)
 		}
 		errs = append(errs, p.templates.sort()...)
 		errs = append(errs, p.prefixes.sort()...)
@@ -211,15 +211,15 @@
 	if n == nil {
 		return nil
 	}
-	errs = append(order(n.entries), n.variable.sort()...)
+	errs = append(sortEntries(n.entries), n.variable.sort()...)
 	for _, next := range n.literal {
 		errs = append(errs, next.sort()...)
 	}
 	return errs
 }
 
-// order sorts entries that have host and path in common, best first.
-func order(entries []*entry) (errs []*Error) {
+// sortEntries sorts entries that have host and path in common, best first.
+func sortEntries(entries []*entry) (errs []*Error) {
 	slices.SortFunc(entries, func(a, b *entry) int {
 		return cmp.Or(a.compare(b), cmp.Compare(a.rule.Name, b.rule.Name), cmp.Compare(a.index, b.index))
 	})
@@ -242,7 +242,7 @@
 // criteria is all that a match looks at beside host and path.
 func (e *entry) criteria() string {
 	m := e.match
-	return fmt.Sprintf("%q %q %q %q %q %t", m.Methods, quoted(m.Headers), quoted(m.Query), m.Class, m.Tenant, e.named)
+	return fmt.Sprintf("%q %q %q %q %q %t", m.Methods, quoted(m.Headers), quoted(m.Query), m.Class, m.Tenant, e.namesListener)
 }
 
 func flag(b bool) int {
@@ -261,12 +261,12 @@
 		len(b.Query)-len(a.Query),
 		flag(b.Class != "")-flag(a.Class != ""),
 		flag(b.Tenant != "")-flag(a.Tenant != ""),
-		flag(o.named)-flag(e.named),
+		flag(o.namesListener)-flag(e.namesListener),
 	)
 }
 
 // Find returns the best rule for a request; ok is false where none matches.
-func (t *Table) Find(q *Request) (f Found, ok bool) {
+func (t *Table) Find(q *Request) (f MatchedRule, ok bool) {
 	h := t.listeners[q.Listener]
 	if h == nil {
 		return f, false
@@ -288,72 +288,72 @@
 	if e == nil {
 		return f, false
 	}
-	return Found{e.rule, e.match.Path}, true
+	return MatchedRule{e.rule, e.match.Path}, true
 }
 
-func (p *paths) find(q *Request) *entry {
+func (p *pathTable) find(q *Request) *entry {
 	if p == nil {
 		return nil
 	}
 	if p.exact != nil {
-		if e := first(p.exact[q.Path], q); e != nil {
+		if e := firstMatch(p.exact[q.Path], q); e != nil {
 			return e
 		}
 	}
 	rest := q.Path[1:]
 	if p.templates != nil {
-		if e := p.templates.template(rest, true, q); e != nil {
+		if e := p.templates.findTemplate(rest, true, q); e != nil {
 			return e
 		}
 	}
 	if p.prefixes != nil {
-		return p.prefixes.prefix(rest, len(rest) > 0, q)
+		return p.prefixes.findPrefix(rest, len(rest) > 0, q)
 	}
 	return nil
 }
 
-// template looks for entries that match all segments. A literal is tried before a variable. Each node has one way to
+// findTemplate looks for entries that match all segments. A literal is tried before a variable. Each node has one way to
 // it, so that a look-up visits none twice.
-func (n *node) template(rest string, more bool, q *Request) *entry {
+func (n *node) findTemplate(rest string, more bool, q *Request) *entry {
 	if !more {
-		return first(n.entries, q)
+		return firstMatch(n.entries, q)
 	}
 	segment, rest, more := strings.Cut(rest, "/")
 	if next := n.literal[segment]; next != nil {
-		if e := next.template(rest, more, q); e != nil {
+		if e := next.findTemplate(rest, more, q); e != nil {
 			return e
 		}
 	}
 	if n.variable != nil && segment != "" {
-		return n.variable.template(rest, more, q)
+		return n.variable.findTemplate(rest, more, q)
 	}
 	return nil
 }
 
-// prefix looks for the entries that match most segments.
-func (n *node) prefix(rest string, more bool, q *Request) *entry {
+// findPrefix looks for the entries that match most segments.
+func (n *node) findPrefix(rest string, more bool, q *Request) *entry {
 	if more && n.literal != nil {
 		segment, rest, more := strings.Cut(rest, "/")
 		if next := n.literal[segment]; next != nil {
-			if e := next.prefix(rest, more, q); e != nil {
+			if e := next.findPrefix(rest, more, q); e != nil {
 				return e
 			}
 		}
 	}
-	return first(n.entries, q)
+	return firstMatch(n.entries, q)
 }
 
-func first(entries []*entry, q *Request) *entry {
+func firstMatch(entries []*entry, q *Request) *entry {
 	for _, e := range entries {
-		if e.match.fits(q) {
+		if e.match.matches(q) {
 			return e
 		}
 	}
 	return nil
 }
 
-// fits looks at all but listener, host and path.
-func (m *Match) fits(q *Request) bool {
+// matches looks at all but listener, host and path.
+func (m *Match) matches(q *Request) bool {
 	if len(m.Methods) > 0 && !slices.Contains(m.Methods, q.Method) ||
 		m.Class != "" && m.Class != q.Class || m.Tenant != "" && m.Tenant != q.Tenant {
 		return false
@@ -361,14 +361,14 @@
 	for i := range m.Headers {
 		want := &m.Headers[i]
 		values := q.Header[want.Name]
-		if len(values) == 0 || !want.Any && (len(values) > 1 || values[0] != want.Value) {
+		if len(values) == 0 || !want.AnyValue && (len(values) > 1 || values[0] != want.Value) {
 			return false
 		}
 	}
 	for i := range m.Query {
 		want := &m.Query[i]
 		value, there := parameter(q.Query, want.Name)
-		if !there || !want.Any && value != want.Value {
+		if !there || !want.AnyValue && value != want.Value {
 			return false
 		}
 	}
@@ -401,7 +401,7 @@
 
 func quoted(values []Value) (out []string) {
 	for _, v := range values {
-		out = append(out, v.Name, v.Value, strconv.FormatBool(v.Any))
+		out = append(out, v.Name, v.Value, strconv.FormatBool(v.AnyValue))
 	}
 	return out
 }
--- a/internal/gateway/route/table_test.go
+++ b/internal/gateway/route/table_test.go
@@ -49,13 +49,13 @@
 		return false
 	}
 	for _, v := range m.Headers {
-		if is := q.Header.Values(v.Name); len(is) == 0 || !v.Any && (len(is) > 1 || is[0] != v.Value) {
+		if is := q.Header.Values(v.Name); len(is) == 0 || !v.AnyValue && (len(is) > 1 || is[0] != v.Value) {
 			return false
 		}
 	}
 	query, _ := url.ParseQuery(q.Query)
 	for _, v := range m.Query {
-		if !query.Has(v.Name) || !v.Any && query.Get(v.Name) != v.Value {
+		if !query.Has(v.Name) || !v.AnyValue && query.Get(v.Name) != v.Value {
 			return false
 		}
 	}
