--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -24,11 +24,11 @@
 	class := func(e lbpolicy.Effect) lbpolicy.Class {
 		return lbpolicy.Class{LatencyObjective: 5 * time.Second, Deadline: lbtest.Wait, PriorityWeight: 1, Effect: e, Window: time.Minute}
 	}
-	c.Core = Core{Zones: []string{"a"}, ConnectTimeout: lbtest.Wait, Idle: lbtest.Wait, Decide: lbpolicy.Settings{Balancers: 1,
+	c.Core = Core{Zones: []string{"a"}, ConnectTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, Policy: lbpolicy.Settings{Balancers: 1,
 		Classes: []lbpolicy.Class{class(lbpolicy.Idempotent), class(lbpolicy.KeyedIdempotent)}, MaxAttempts: 3, MayCancel: true, MayHedge: true,
 		ConnIdleTimeout: lbtest.Wait, OverloadMultiple: 2.5, OverloadWindow: time.Second}}
-	if c.Most == 0 {
-		c.Most = 1
+	if c.MaxFraction == 0 {
+		c.MaxFraction = 1
 	}
 	cl, err := New(c, NewResources(64, 64, 1<<20), 7, quiet)
 	if err != nil {
@@ -36,7 +36,7 @@
 	}
 	t.Cleanup(cl.Close)
 	select {
-	case <-cl.Settled():
+	case <-cl.Initialized():
 	case <-time.After(lbtest.Wait):
 		t.Fatal("never settled")
 	}
@@ -159,7 +159,7 @@
 	next := c.config
 	path := filepath.Join(t.TempDir(), "list.json") // not there yet
 	next.Sources = []Source{{File: &File{Path: path, Poll: time.Millisecond, Zone: "a"}}, static()}
-	if !c.Fits(next) {
+	if !c.CanUpdate(next) {
 		t.Fatal("other sources need no other balancer")
 	}
 	c.Update(next, NewResources(64, 64, 1<<20))
@@ -167,14 +167,14 @@
 		t.Fatalf("between the sources: %+v", a)
 	}
 	writeFile(t, path, `{"endpoints": [{"name": "at-`+one.Addr+`", "address": "`+one.Addr+`"}]}`)
-	<-c.Settled()
+	<-c.Initialized()
 	lbtest.Until(t, "a member", func() bool { return len(c.Members()) == 1 })
 	if a := get(t, c, "after"); a.Response == nil || conns.Load() != 1 {
 		t.Errorf("after: %+v, %d connections", a, conns.Load())
 	}
 	other := next
-	other.Idle++
-	if c.Fits(other) {
+	other.IdleTimeout++
+	if c.CanUpdate(other) {
 		t.Error("another core fits")
 	}
 	c.Close()
@@ -187,7 +187,7 @@
 func TestBusy(t *testing.T) {
 	t.Parallel()
 	e := lbtest.NewEndpoint(t, nil)
-	c := start(t, Config{Name: "c", Most: 1.0 / 64, Sources: []Source{static(e.Addr)}})
+	c := start(t, Config{Name: "c", MaxFraction: 1.0 / 64, Sources: []Source{static(e.Addr)}})
 	first := make(chan engine.Result, 1)
 	go func() { first <- get(t, c, "first") }()
 	held := <-e.Got
@@ -198,5 +198,5 @@
 	if a := <-first; a.Response == nil {
 		t.Errorf("the first: %+v", a)
 	}
-	lbtest.Until(t, "room", func() bool { return c.calls.Used() == 0 })
+	lbtest.Until(t, "room", func() bool { return c.requests.Used() == 0 })
 }
--- a/internal/gateway/cluster/dns.go
+++ b/internal/gateway/cluster/dns.go
@@ -46,21 +46,21 @@
 
 // run asks again when the shortest TTL of the last answer is over. An answer of no addresses (also NXDOMAIN) is empty;
 // one that fails, is refused, or does not come, is out of reach.
-func (d *DNS) run(ctx context.Context, say tell, log *slog.Logger) {
+func (d *DNS) run(ctx context.Context, say reportFunc, log *slog.Logger) {
 	backoff := d.units(dnsBackoff)
 	for {
-		entries, ttl, err := d.lookUp(ctx)
+		entries, ttl, err := d.resolve(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		wait := spread(min(max(ttl, d.units(minTTL)), d.units(maxTTL)))
+		wait := jitter(min(max(ttl, d.units(minTTL)), d.units(maxTTL)))
 		if err != nil {
 			log.Warn("name server: what it said last stands", "name", d.Name, "error", err)
-			say(lost, nil)
-			wait, backoff = spread(backoff), min(2*backoff, d.units(maxBackoff))
+			say(unreachable, nil)
+			wait, backoff = jitter(backoff), min(2*backoff, d.units(maxBackoff))
 		} else {
 			backoff = d.units(dnsBackoff)
-			say(whole, entries)
+			say(fullList, entries)
 		}
 		if !sleep(ctx, wait) {
 			return
@@ -68,8 +68,8 @@
 	}
 }
 
-// lookUp returns the members and the shortest TTL.
-func (d *DNS) lookUp(ctx context.Context) ([]endpointlist.Endpoint, time.Duration, error) {
+// resolve returns the members and the shortest TTL.
+func (d *DNS) resolve(ctx context.Context) ([]endpointlist.Endpoint, time.Duration, error) {
 	name := dns.Fqdn(d.Name)
 	if !d.SRV {
 		addrs, ttl, err := d.addresses(ctx, name)
@@ -78,7 +78,7 @@
 		}
 		return d.members(addrs, d.Port), ttl, nil
 	}
-	m, err := d.ask(ctx, name, dns.TypeSRV)
+	m, err := d.query(ctx, name, dns.TypeSRV)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -102,7 +102,7 @@
 	}
 	var out []endpointlist.Endpoint
 	for _, srv := range targets {
-		addrs, least := glue(m.Extra, srv.Target)
+		addrs, least := addressesOf(m.Extra, srv.Target)
 		if len(addrs) == 0 {
 			if addrs, least, err = d.addresses(ctx, srv.Target); err != nil {
 				return nil, 0, err
@@ -125,11 +125,11 @@
 func (d *DNS) addresses(ctx context.Context, name string) (out []netip.Addr, ttl time.Duration, err error) {
 	ttl = d.units(maxTTL)
 	for _, kind := range []uint16{dns.TypeA, dns.TypeAAAA} {
-		m, err := d.ask(ctx, name, kind)
+		m, err := d.query(ctx, name, kind)
 		if err != nil {
 			return nil, 0, err
 		}
-		addrs, least := glue(m.Answer, name)
+		addrs, least := addressesOf(m.Answer, name)
 		out = append(out, addrs...)
 		if len(addrs) > 0 {
 			ttl = min(ttl, least)
@@ -141,8 +141,8 @@
 	return out, ttl, nil
 }
 
-// glue returns the addresses of a name among records, by way of its aliases.
-func glue(records []dns.RR, name string) (out []netip.Addr, ttl time.Duration) {
+// addressesOf returns the addresses of a name among records, by way of its aliases.
+func addressesOf(records []dns.RR, name string) (out []netip.Addr, ttl time.Duration) {
 	ttl = time.Duration(math.MaxInt64)
 	for range 8 { // aliases in a row
 		alias := ""
@@ -187,8 +187,8 @@
 	return d.units(emptyTTL)
 }
 
-// ask asks one question, over TCP where the answer over UDP is cut short. What is cut short there too is no answer.
-func (d *DNS) ask(ctx context.Context, name string, kind uint16) (*dns.Msg, error) {
+// query asks one question, over TCP where the answer over UDP is cut short. What is cut short there too is no answer.
+func (d *DNS) query(ctx context.Context, name string, kind uint16) (*dns.Msg, error) {
 	q := new(dns.Msg)
 	q.SetQuestion(name, kind)
 	q.SetEdns0(1232, false)
--- a/internal/gateway/cluster/dns_test.go
+++ b/internal/gateway/cluster/dns_test.go
@@ -76,7 +76,7 @@
 			t.Parallel()
 			s := nameServer(t, c.answer)
 			d := &DNS{Name: "p.test", SRV: c.srv, Port: 7, Zone: "a", Server: s.Addr}
-			entries, ttl, err := d.lookUp(t.Context())
+			entries, ttl, err := d.resolve(t.Context())
 			var got []string
 			for _, e := range entries {
 				got = append(got, e.Address)
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-s.Asked(); cancel() }()
 	d := &DNS{Name: "p.test", Port: 7, Server: s.Addr}
-	if _, _, err := d.lookUp(ctx); err == nil {
+	if _, _, err := d.resolve(ctx); err == nil {
 		t.Error("an answer out of nothing")
 	}
 }
--- a/internal/gateway/cluster/merge.go
+++ b/internal/gateway/cluster/merge.go
@@ -15,28 +15,28 @@
 )
 
 // The kinds of word that a source has.
-type word uint8
+type updateKind uint8
 
 const (
-	whole   word = iota // all that the source lists
-	changes             // entries that changed
-	lost                // it is out of reach
+	fullList       updateKind = iota // all that the source lists
+	changedEntries                   // entries that changed
+	unreachable                      // it is out of reach
 )
 
-// trait is how a source's words are to be taken.
-type trait struct {
+// sourceTraits is how a source's words are to be taken.
+type sourceTraits struct {
 	// partial: what it leaves out may still be there (a name server rotates and cuts its answers). Else leaving out
 	// what it listed means gone.
 	partial bool
-	// deliberate: an empty list is meant (a configuration that was just loaded).
-	deliberate bool
+	// trustsEmpty: an empty list is meant (a configuration that was just loaded).
+	trustsEmpty bool
 }
 
 const (
 	maxMembers = 10_000 // of a cluster; a source may hold twice as many entries, and as many departures
-	// goneFor is how long "gone" from one source stands against another that goes on listing the endpoint: long past
+	// departureRetention is how long "gone" from one source stands against another that goes on listing the endpoint: long past
 	// any cache between the two, and not for ever, as the teller may have lost sight of it only.
-	goneFor = 5 * time.Minute
+	departureRetention = 5 * time.Minute
 )
 
 const (
@@ -65,20 +65,20 @@
 //
 // A merger has no clock and does no I/O. It is not safe for concurrent use.
 type merger struct {
-	hold    time.Duration
-	sources []told
-	dropped int  // members over maxMembers at the last merge
-	before  bool // there were members before the sources were followed: a first list that is empty is one after one that was not
+	emptyHold  time.Duration
+	sources    []sourceState
+	truncated  int  // members over maxMembers at the last merge
+	hadMembers bool // there were members before the sources were followed: a first list that is empty is one after one that was not
 }
 
-// told is what one source has said last.
-type told struct {
-	trait
-	heard   bool // has told a list
-	spoke   bool // or that it is out of reach
-	entries map[string]endpointlist.Endpoint
-	gone    map[string]departure
-	empty   time.Time // since when it lists nothing, held back; zero: not
+// sourceState is what one source has said last.
+type sourceState struct {
+	sourceTraits
+	hasList     bool // has told a list
+	hasReported bool // or that it is out of reach
+	entries     map[string]endpointlist.Endpoint
+	departures  map[string]departure
+	emptySince  time.Time // since when it lists nothing, held back; zero: not
 }
 
 // departure is a word of "gone".
@@ -87,50 +87,50 @@
 	address string
 }
 
-func newMerger(hold time.Duration, traits ...trait) *merger {
-	m := &merger{hold: hold}
+func newMerger(hold time.Duration, traits ...sourceTraits) *merger {
+	m := &merger{emptyHold: hold}
 	for _, t := range traits {
-		m.sources = append(m.sources, told{trait: t, entries: map[string]endpointlist.Endpoint{}, gone: map[string]departure{}})
+		m.sources = append(m.sources, sourceState{sourceTraits: t, entries: map[string]endpointlist.Endpoint{}, departures: map[string]departure{}})
 	}
 	return m
 }
 
-// key is what a source knows an entry by.
-func key(e endpointlist.Endpoint) string { return cmp.Or(e.Name, e.Address) }
+// entryKey is what a source knows an entry by.
+func entryKey(e endpointlist.Endpoint) string { return cmp.Or(e.Name, e.Address) }
 
-// take takes a source's word.
-func (m *merger) take(now time.Time, source int, w word, entries []endpointlist.Endpoint) {
+// apply takes a source's word.
+func (m *merger) apply(now time.Time, source int, w updateKind, entries []endpointlist.Endpoint) {
 	s := &m.sources[source]
-	s.spoke = true
+	s.hasReported = true
 	m.expire(now)
 	switch w {
-	case lost:
+	case unreachable:
 		return
-	case whole:
-		if len(entries) == 0 && !s.deliberate && (len(s.entries) > 0 || !s.heard && m.before) {
-			if s.empty.IsZero() {
-				s.empty = now
+	case fullList:
+		if len(entries) == 0 && !s.trustsEmpty && (len(s.entries) > 0 || !s.hasList && m.hadMembers) {
+			if s.emptySince.IsZero() {
+				s.emptySince = now
 			}
 			m.expire(now)
 			return
 		}
-		s.heard = true
+		s.hasList = true
 		named := make(map[string]bool, len(entries))
 		for _, e := range entries {
-			named[key(e)] = true
+			named[entryKey(e)] = true
 		}
 		for k := range s.entries {
 			if !named[k] {
-				s.drop(k, now)
+				s.remove(k, now)
 			}
 		}
 	}
 	for _, e := range entries {
-		k := key(e)
+		k := entryKey(e)
 		switch e.Status {
 		case gone:
 			if k != "" {
-				s.depart(k, departure{now, cmp.Or(s.entries[k].Address, e.Address)})
+				s.recordDeparture(k, departure{now, cmp.Or(s.entries[k].Address, e.Address)})
 			}
 			delete(s.entries, k)
 		case ready, draining, standby:
@@ -138,30 +138,30 @@
 				continue
 			}
 			if was, listed := s.entries[k]; listed && was.Address != e.Address && !s.partial {
-				s.depart("@"+was.Address, departure{now, was.Address}) // it has moved
+				s.recordDeparture("@"+was.Address, departure{now, was.Address}) // it has moved
 			} else if !listed && len(s.entries) >= 2*maxMembers {
 				continue
 			}
 			s.entries[k] = e
-			delete(s.gone, k)
+			delete(s.departures, k)
 		}
 	}
 	if len(s.entries) > 0 {
-		s.empty = time.Time{}
+		s.emptySince = time.Time{}
 	}
 }
 
-func (s *told) drop(k string, now time.Time) {
+func (s *sourceState) remove(k string, now time.Time) {
 	if !s.partial {
-		s.depart(k, departure{now, s.entries[k].Address})
+		s.recordDeparture(k, departure{now, s.entries[k].Address})
 	}
 	delete(s.entries, k)
 }
 
-// depart keeps a word of "gone", within the bound: past it the word counts for its own source alone.
-func (s *told) depart(k string, d departure) {
-	if len(s.gone) < 2*maxMembers {
-		s.gone[k] = d
+// recordDeparture keeps a word of "gone", within the bound: past it the word counts for its own source alone.
+func (s *sourceState) recordDeparture(k string, d departure) {
+	if len(s.departures) < 2*maxMembers {
+		s.departures[k] = d
 	}
 }
 
@@ -169,25 +169,25 @@
 func (m *merger) expire(now time.Time) {
 	for i := range m.sources {
 		s := &m.sources[i]
-		if !s.empty.IsZero() && now.Sub(s.empty) >= m.hold {
+		if !s.emptySince.IsZero() && now.Sub(s.emptySince) >= m.emptyHold {
 			for k := range s.entries {
-				s.drop(k, now)
+				s.remove(k, now)
 			}
-			s.empty, s.heard = time.Time{}, true
+			s.emptySince, s.hasList = time.Time{}, true
 		}
-		maps.DeleteFunc(s.gone, func(_ string, g departure) bool { return now.Sub(g.at) >= goneFor })
+		maps.DeleteFunc(s.departures, func(_ string, g departure) bool { return now.Sub(g.at) >= departureRetention })
 	}
 }
 
-// next returns the time at which expire has something to do; zero: none.
-func (m *merger) next() (at time.Time) {
+// nextDeadline returns the time at which expire has something to do; zero: none.
+func (m *merger) nextDeadline() (at time.Time) {
 	for i := range m.sources {
 		s := &m.sources[i]
-		if !s.empty.IsZero() {
-			at = sooner(at, s.empty.Add(m.hold))
+		if !s.emptySince.IsZero() {
+			at = sooner(at, s.emptySince.Add(m.emptyHold))
 		}
-		for _, g := range s.gone {
-			at = sooner(at, g.at.Add(goneFor))
+		for _, g := range s.departures {
+			at = sooner(at, g.at.Add(departureRetention))
 		}
 	}
 	return at
@@ -200,14 +200,14 @@
 	return a
 }
 
-// spoken tells whether each source has had a word, if only that it is out of reach.
-func (m *merger) spoken() bool {
-	return !slices.ContainsFunc(m.sources, func(s told) bool { return !s.spoke })
+// allReported tells whether each source has had a word, if only that it is out of reach.
+func (m *merger) allReported() bool {
+	return !slices.ContainsFunc(m.sources, func(s sourceState) bool { return !s.hasReported })
 }
 
-// complete tells whether each source has told a list.
-func (m *merger) complete() bool {
-	return !slices.ContainsFunc(m.sources, func(s told) bool { return !s.heard })
+// allListed tells whether each source has told a list.
+func (m *merger) allListed() bool {
+	return !slices.ContainsFunc(m.sources, func(s sourceState) bool { return !s.hasList })
 }
 
 // members returns the merged list, by name.
@@ -223,9 +223,9 @@
 				words[e.Address] = append(words[e.Address], e)
 			}
 			if e.Status == draining {
-				drained.tell("@"+e.Address, e.SinceMS)
+				drained.add("@"+e.Address, e.SinceMS)
 				if e.Name != "" {
-					drained.tell(e.Name, e.SinceMS)
+					drained.add(e.Name, e.SinceMS)
 				}
 			}
 		}
@@ -233,11 +233,11 @@
 	list := make(map[string]endpointlist.Endpoint, len(words))
 	departed := m.departures()
 	for _, address := range slices.Sorted(maps.Keys(words)) {
-		e := fold(address, words[address])
-		if departed.hold(e) {
+		e := mergeEntries(address, words[address])
+		if departed.covers(e) {
 			continue
 		}
-		if drained.hold("@"+e.Address, e.SinceMS) || drained.hold(e.Name, e.SinceMS) {
+		if drained.covers("@"+e.Address, e.SinceMS) || drained.covers(e.Name, e.SinceMS) {
 			e.Status = draining
 		}
 		if _, taken := list[e.Name]; taken { // sources that differ in where it is
@@ -247,40 +247,40 @@
 	}
 	out := slices.SortedFunc(maps.Values(list), func(a, b endpointlist.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	over := max(len(out)-maxMembers, 0)
-	m.dropped = over
+	m.truncated = over
 	return out[:len(out)-over]
 }
 
 // drains are the words of "draining", by name and by address with "@" before it: the latest start of which it was told.
 type drains map[string]int64
 
-func (d drains) tell(of string, since int64) {
+func (d drains) add(of string, since int64) {
 	if since <= 0 { // of whatever start
 		since = math.MaxInt64
 	}
 	d[of] = max(d[of], since)
 }
 
-func (d drains) hold(of string, since int64) bool {
+func (d drains) covers(of string, since int64) bool {
 	until, told := d[of]
 	return told && until >= since
 }
 
-// departures are the words of "gone" that hold, of each source: by name and by address.
-type departures []struct {
+// activeDepartures are the words of "gone" that hold, of each source: by name and by address.
+type activeDepartures []struct {
 	names, addresses map[string]departure
 	listed           map[string]bool // addresses that the source lists: another process may stand there now
 }
 
-func (m *merger) departures() departures {
-	out := make(departures, len(m.sources))
+func (m *merger) departures() activeDepartures {
+	out := make(activeDepartures, len(m.sources))
 	for i := range m.sources {
 		s, d := &m.sources[i], &out[i]
-		if len(s.gone) == 0 {
+		if len(s.departures) == 0 {
 			continue
 		}
-		d.names, d.addresses, d.listed = s.gone, make(map[string]departure, len(s.gone)), make(map[string]bool, len(s.entries))
-		for _, g := range s.gone {
+		d.names, d.addresses, d.listed = s.departures, make(map[string]departure, len(s.departures)), make(map[string]bool, len(s.entries))
+		for _, g := range s.departures {
 			if g.at.After(d.addresses[g.address].at) {
 				d.addresses[g.address] = g
 			}
@@ -292,8 +292,8 @@
 	return out
 }
 
-// hold tells of a member that a source has said to be gone, and does not list again.
-func (d departures) hold(e endpointlist.Endpoint) bool {
+// covers tells of a member that a source has said to be gone, and does not list again.
+func (d activeDepartures) covers(e endpointlist.Endpoint) bool {
 	for i := range d {
 		if d[i].listed[e.Address] {
 			continue
@@ -307,8 +307,8 @@
 	return false
 }
 
-// fold makes one member of all that is said of an address.
-func fold(address string, words []endpointlist.Endpoint) endpointlist.Endpoint {
+// mergeEntries makes one member of all that is said of an address.
+func mergeEntries(address string, words []endpointlist.Endpoint) endpointlist.Endpoint {
 	out := endpointlist.Endpoint{Address: address, Status: ready}
 	for _, e := range words {
 		out.Zone = cmp.Or(out.Zone, e.Zone)
--- a/internal/gateway/cluster/merge_test.go
+++ b/internal/gateway/cluster/merge_test.go
@@ -36,163 +36,163 @@
 }
 
 func TestDrainHolds(t *testing.T) {
-	m := newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", ready)})
-	m.take(t0, 1, whole, []endpointlist.Endpoint{named("1", draining), named("2", ready)})
+	m := newMerger(time.Minute, sourceTraits{}, sourceTraits{})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready), named("2", ready)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{named("1", draining), named("2", ready)})
 	wants(t, m, t0, "1 draining", "2 ready")
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", ready)}) // once more: no news
-	m.take(t0, 1, lost, nil)
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready), named("2", ready)}) // once more: no news
+	m.apply(t0, 1, unreachable, nil)
 	wants(t, m, t0.Add(time.Hour), "1 draining", "2 ready")
-	m.take(t0, 1, changes, []endpointlist.Endpoint{named("1", ready)})
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{named("1", ready)})
 	wants(t, m, t0, "1 ready", "2 ready")
 
 	// A later process at the same name is not the one that drained.
-	m.take(t0, 1, changes, []endpointlist.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: draining, SinceMS: 100}})
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: draining, SinceMS: 100}})
 	wants(t, m, t0, "1 draining", "2 ready")
-	m.take(t0, 0, changes, []endpointlist.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: ready, SinceMS: 200}})
+	m.apply(t0, 0, changedEntries, []endpointlist.Endpoint{{Name: "1", Address: "10.0.0.1:1", Status: ready, SinceMS: 200}})
 	wants(t, m, t0, "1 ready", "2 ready")
 }
 
 // What a source has on standby is there for the others' words alone, and neither gone nor draining for them; a first list that is empty
 // after a reload is held as any other.
 func TestStandbyAndReload(t *testing.T) {
-	m := newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", standby)})
-	m.take(t0, 1, whole, []endpointlist.Endpoint{named("3", ready)})
+	m := newMerger(time.Minute, sourceTraits{}, sourceTraits{})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready), named("2", standby)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{named("3", ready)})
 	wants(t, m, t0, "1 ready", "3 ready")
-	m.take(t0, 1, whole, []endpointlist.Endpoint{named("1", ready), named("2", ready)})
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", standby), named("2", standby)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{named("1", ready), named("2", ready)})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", standby), named("2", standby)})
 	wants(t, m, t0, "1 ready", "2 ready")
-	m = newMerger(time.Minute, trait{})
-	m.before = true
-	m.take(t0, 0, whole, nil)
-	if m.complete() || !m.spoken() || !m.next().Equal(t0.Add(time.Minute)) {
+	m = newMerger(time.Minute, sourceTraits{})
+	m.hadMembers = true
+	m.apply(t0, 0, fullList, nil)
+	if m.allListed() || !m.allReported() || !m.nextDeadline().Equal(t0.Add(time.Minute)) {
 		t.Error("an empty list after a reload was taken at once")
 	}
-	if m.members(t0.Add(time.Minute)); !m.complete() {
+	if m.members(t0.Add(time.Minute)); !m.allListed() {
 		t.Error("an empty list was never taken")
 	}
 }
 
 func TestGone(t *testing.T) {
-	m := newMerger(time.Minute, trait{}, trait{}, trait{partial: true})
+	m := newMerger(time.Minute, sourceTraits{}, sourceTraits{}, sourceTraits{partial: true})
 	all := []endpointlist.Endpoint{named("1", ready), named("2", ready)}
-	m.take(t0, 0, whole, all)
-	m.take(t0, 1, whole, all)
-	m.take(t0, 1, changes, []endpointlist.Endpoint{named("1", gone)})
-	wants(t, m, t0, "2 ready") // in so many words
-	m.take(t0, 1, whole, nil)  // held back: empty
+	m.apply(t0, 0, fullList, all)
+	m.apply(t0, 1, fullList, all)
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{named("1", gone)})
+	wants(t, m, t0, "2 ready")    // in so many words
+	m.apply(t0, 1, fullList, nil) // held back: empty
 	wants(t, m, t0, "2 ready")
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)}) // by leaving out
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready)}) // by leaving out
 	wants(t, m, t0)
-	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("2", ready), nameless("3", ready)})
+	m.apply(t0, 2, fullList, []endpointlist.Endpoint{nameless("2", ready), nameless("3", ready)})
 	wants(t, m, t0, "10.0.0.3:1 ready") // another source's word does not bring it back, and 3 is new
-	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("3", ready), nameless("4", ready)})
-	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("4", ready)}) // a name server leaves out what is there
-	m.take(t0, 2, whole, []endpointlist.Endpoint{nameless("3", ready), nameless("4", ready)})
+	m.apply(t0, 2, fullList, []endpointlist.Endpoint{nameless("3", ready), nameless("4", ready)})
+	m.apply(t0, 2, fullList, []endpointlist.Endpoint{nameless("4", ready)}) // a name server leaves out what is there
+	m.apply(t0, 2, fullList, []endpointlist.Endpoint{nameless("3", ready), nameless("4", ready)})
 	wants(t, m, t0, "10.0.0.3:1 ready", "10.0.0.4:1 ready")
-	m.take(t0, 0, changes, []endpointlist.Endpoint{named("2", ready)}) // the teller lists it again
+	m.apply(t0, 0, changedEntries, []endpointlist.Endpoint{named("2", ready)}) // the teller lists it again
 	if got := m.members(t0); len(got) != 3 || got[2].Name != "2" {
 		t.Errorf("members %q", shown(got))
 	}
 	// What one source goes on listing is back when the other's word is old.
-	m = newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, all)
-	m.take(t0, 1, whole, all)
-	m.take(t0, 1, changes, []endpointlist.Endpoint{named("1", gone)})
-	wants(t, m, t0.Add(goneFor-time.Second), "2 ready")
-	if at := m.next(); !at.Equal(t0.Add(goneFor)) {
+	m = newMerger(time.Minute, sourceTraits{}, sourceTraits{})
+	m.apply(t0, 0, fullList, all)
+	m.apply(t0, 1, fullList, all)
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{named("1", gone)})
+	wants(t, m, t0.Add(departureRetention-time.Second), "2 ready")
+	if at := m.nextDeadline(); !at.Equal(t0.Add(departureRetention)) {
 		t.Errorf("next %v", at)
 	}
-	wants(t, m, t0.Add(goneFor), "1 ready", "2 ready")
+	wants(t, m, t0.Add(departureRetention), "1 ready", "2 ready")
 	// And at once where it has started since.
-	m.take(t0, 1, changes, []endpointlist.Endpoint{named("2", gone)})
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{named("2", gone)})
 	later := named("2", ready)
 	later.SinceMS = t0.Add(time.Second).UnixMilli()
-	m.take(t0, 0, changes, []endpointlist.Endpoint{later})
+	m.apply(t0, 0, changedEntries, []endpointlist.Endpoint{later})
 	wants(t, m, t0, "1 ready", "2 ready")
 }
 
 func TestEmptyIsHeld(t *testing.T) {
-	m := newMerger(30*time.Second, trait{}, trait{deliberate: true})
-	m.take(t0, 0, whole, nil) // from the start: nothing to hold
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready), named("2", draining)})
-	m.take(t0.Add(time.Second), 0, whole, nil)
-	m.take(t0.Add(20*time.Second), 0, whole, nil) // does not begin the wait anew
+	m := newMerger(30*time.Second, sourceTraits{}, sourceTraits{trustsEmpty: true})
+	m.apply(t0, 0, fullList, nil) // from the start: nothing to hold
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready), named("2", draining)})
+	m.apply(t0.Add(time.Second), 0, fullList, nil)
+	m.apply(t0.Add(20*time.Second), 0, fullList, nil) // does not begin the wait anew
 	wants(t, m, t0.Add(30*time.Second), "1 ready", "2 draining")
-	if at := m.next(); !at.Equal(t0.Add(31 * time.Second)) {
+	if at := m.nextDeadline(); !at.Equal(t0.Add(31 * time.Second)) {
 		t.Errorf("next %v", at)
 	}
 	wants(t, m, t0.Add(31*time.Second))
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)})
-	m.take(t0, 0, whole, nil)
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)}) // it was a fault
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready)})
+	m.apply(t0, 0, fullList, nil)
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready)}) // it was a fault
 	wants(t, m, t0.Add(time.Hour), "1 ready")
-	m.take(t0, 1, whole, []endpointlist.Endpoint{named("7", ready)})
-	m.take(t0, 1, whole, nil) // a configuration means it
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{named("7", ready)})
+	m.apply(t0, 1, fullList, nil) // a configuration means it
 	wants(t, m, t0, "1 ready")
 }
 
 func TestNames(t *testing.T) {
-	m := newMerger(time.Minute, trait{partial: true}, trait{})
-	m.take(t0, 0, whole, []endpointlist.Endpoint{nameless("1", ready)})
+	m := newMerger(time.Minute, sourceTraits{partial: true}, sourceTraits{})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{nameless("1", ready)})
 	wants(t, m, t0, "10.0.0.1:1 ready")
 	first := named("1", ready)
 	first.Group, first.Zone = 4, "b"
-	m.take(t0, 1, whole, []endpointlist.Endpoint{first})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{first})
 	if got := m.members(t0); len(got) != 1 || got[0] != first {
 		t.Errorf("members %+v", got)
 	}
 	// Gone, told by name, goes for the address too: nobody else knows it under another name.
-	m.take(t0, 1, changes, []endpointlist.Endpoint{{Name: "1", Status: gone}})
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{{Name: "1", Status: gone}})
 	wants(t, m, t0)
-	m.take(t0, 0, whole, []endpointlist.Endpoint{nameless("1", ready)}) // gone stands against the other's word
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{nameless("1", ready)}) // gone stands against the other's word
 	wants(t, m, t0)
-	m.take(t0, 0, whole, []endpointlist.Endpoint{nameless("2", draining)}) // told of an address: goes for who is there
-	m.take(t0, 1, changes, []endpointlist.Endpoint{named("2", ready)})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{nameless("2", draining)}) // told of an address: goes for who is there
+	m.apply(t0, 1, changedEntries, []endpointlist.Endpoint{named("2", ready)})
 	wants(t, m, t0, "2 draining")
 }
 
 // Names that differ do not make two members of one address, and don't hide a drain; another process at the address of
 // one that has gone is no dead one.
 func TestOneAddress(t *testing.T) {
-	m := newMerger(time.Minute, trait{}, trait{})
+	m := newMerger(time.Minute, sourceTraits{}, sourceTraits{})
 	at := func(name, status string, since int64) endpointlist.Endpoint {
 		return endpointlist.Endpoint{Name: name, Address: "10.0.0.9:1", Status: status, SinceMS: since}
 	}
-	m.take(t0, 0, whole, []endpointlist.Endpoint{at("ours", ready, 0)})
-	m.take(t0, 1, whole, []endpointlist.Endpoint{at("theirs", draining, 0)})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{at("ours", ready, 0)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{at("theirs", draining, 0)})
 	wants(t, m, t0, "ours draining")
-	m.take(t0, 1, whole, []endpointlist.Endpoint{at("next", ready, 50)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{at("next", ready, 50)})
 	wants(t, m, t0, "next ready")
-	m.take(t0, 1, whole, []endpointlist.Endpoint{at("old", draining, 50), at("new", ready, 60)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{at("old", draining, 50), at("new", ready, 60)})
 	wants(t, m, t0, "new ready")
-	m.take(t0, 1, whole, []endpointlist.Endpoint{{Name: "elsewhere", Address: "10.0.0.8:1", Status: ready}})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{{Name: "elsewhere", Address: "10.0.0.8:1", Status: ready}})
 	wants(t, m, t0, "elsewhere ready")
 	// A name at two addresses: as sources differ, both count, and a drain goes for both.
-	m = newMerger(time.Minute, trait{}, trait{})
-	m.take(t0, 0, whole, []endpointlist.Endpoint{named("1", ready)})
-	m.take(t0, 1, whole, []endpointlist.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: ready}})
+	m = newMerger(time.Minute, sourceTraits{}, sourceTraits{})
+	m.apply(t0, 0, fullList, []endpointlist.Endpoint{named("1", ready)})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: ready}})
 	wants(t, m, t0, "1 ready", "1@10.0.1.1:1 ready")
-	m.take(t0, 1, whole, []endpointlist.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: draining}})
+	m.apply(t0, 1, fullList, []endpointlist.Endpoint{{Name: "1", Address: "10.0.1.1:1", Status: draining}})
 	wants(t, m, t0, "1 draining", "1@10.0.1.1:1 draining")
 }
 
 func TestMemberBound(t *testing.T) {
-	m := newMerger(time.Minute, trait{})
+	m := newMerger(time.Minute, sourceTraits{})
 	var many []endpointlist.Endpoint
 	for i := range maxMembers + 5 {
 		many = append(many, endpointlist.Endpoint{Name: fmt.Sprintf("%06d", i), Address: fmt.Sprint(i), Status: ready})
 	}
-	m.take(t0, 0, whole, many)
-	if n := len(m.members(t0)); n != maxMembers || m.dropped != 5 {
-		t.Errorf("%d members, %d left out", n, m.dropped)
+	m.apply(t0, 0, fullList, many)
+	if n := len(m.members(t0)); n != maxMembers || m.truncated != 5 {
+		t.Errorf("%d members, %d left out", n, m.truncated)
 	}
 }
 
 // What one source makes a merger hold is bounded, whatever it tells.
 func TestSourceBound(t *testing.T) {
-	m := newMerger(time.Minute, trait{})
+	m := newMerger(time.Minute, sourceTraits{})
 	for i := range 5 {
 		var list []endpointlist.Endpoint
 		for j := range maxMembers {
@@ -200,10 +200,10 @@
 			list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("in", n), Address: fmt.Sprint(n), Status: ready},
 				endpointlist.Endpoint{Name: fmt.Sprint("out", n), Status: gone})
 		}
-		m.take(t0, 0, changes, list)
+		m.apply(t0, 0, changedEntries, list)
 	}
-	if s := m.sources[0]; len(s.entries) != 2*maxMembers || len(s.gone) != 2*maxMembers {
-		t.Errorf("%d entries, %d departures", len(s.entries), len(s.gone))
+	if s := m.sources[0]; len(s.entries) != 2*maxMembers || len(s.departures) != 2*maxMembers {
+		t.Errorf("%d entries, %d departures", len(s.entries), len(s.departures))
 	}
 }
 
@@ -213,7 +213,7 @@
 	d := rand.New(rand.NewPCG(4, 2))
 	for round := range 300 {
 		const sources = 3
-		traits := []trait{{}, {partial: d.IntN(2) == 0}, {deliberate: d.IntN(2) == 0}}
+		traits := []sourceTraits{{}, {partial: d.IntN(2) == 0}, {trustsEmpty: d.IntN(2) == 0}}
 		m := newMerger(10*time.Second, traits...)
 		last := make([]map[string]string, sources) // status by name, as told last
 		for i := range last {
@@ -226,13 +226,13 @@
 			before := shown(m.members(now))
 			switch d.IntN(4) {
 			case 0:
-				m.take(now, i, lost, nil)
+				m.apply(now, i, unreachable, nil)
 				if after := shown(m.members(now)); !slices.Equal(before, after) {
 					t.Fatalf("out of reach changed %q to %q", before, after)
 				}
 			case 1:
 				e := named(fmt.Sprint(d.IntN(6)), []string{ready, draining, gone}[d.IntN(3)])
-				m.take(now, i, changes, []endpointlist.Endpoint{e})
+				m.apply(now, i, changedEntries, []endpointlist.Endpoint{e})
 				last[i][e.Name] = e.Status
 			default:
 				var list []endpointlist.Endpoint
@@ -241,7 +241,7 @@
 						list = append(list, named(fmt.Sprint(n), []string{ready, ready, draining}[d.IntN(3)]))
 					}
 				}
-				m.take(now, i, whole, list)
+				m.apply(now, i, fullList, list)
 				if len(list) == 0 {
 					continue // may be held back; the next word settles it
 				}
@@ -262,7 +262,7 @@
 				for j := range last {
 					status := last[j][e.Name]
 					listed = listed || status == ready || status == draining
-					if e.Status == ready && (status == draining || status == gone && now.Sub(t0) < goneFor) {
+					if e.Status == ready && (status == draining || status == gone && now.Sub(t0) < departureRetention) {
 						t.Fatalf("round %d step %d: %s is ready, source %d said %s", round, step, e.Name, j, status)
 					}
 				}
--- a/internal/gateway/cluster/source.go
+++ b/internal/gateway/cluster/source.go
@@ -17,8 +17,8 @@
 	"silvertrail/lbpolicy"
 )
 
-// tell takes a source's words, one at a time.
-type tell func(w word, entries []endpointlist.Endpoint)
+// reportFunc takes a source's words, one at a time.
+type reportFunc func(w updateKind, entries []endpointlist.Endpoint)
 
 // Source follows one list of members until its context ends. Just one of its fields is set. It is comparable by
 // reflect.DeepEqual, by which a reload tells whether it has changed.
@@ -30,14 +30,14 @@
 	XDS      *XDS
 }
 
-func (s Source) trait() trait {
-	return trait{partial: s.DNS != nil, deliberate: s.Static != nil}
+func (s Source) traits() sourceTraits {
+	return sourceTraits{partial: s.DNS != nil, trustsEmpty: s.Static != nil}
 }
 
-func (s Source) run(ctx context.Context, say tell, d Discovery, bound func(bounds), log *slog.Logger) {
+func (s Source) run(ctx context.Context, say reportFunc, d Discovery, bound func(sourceLimits), log *slog.Logger) {
 	switch {
 	case s.Static != nil:
-		say(whole, s.Static.Endpoints)
+		say(fullList, s.Static.Endpoints)
 	case s.File != nil:
 		s.File.run(ctx, say, log)
 	case s.DNS != nil:
@@ -62,7 +62,7 @@
 const maxFile = 4 << 20
 
 // run reads the file when it has changed. One that can't be read or used is out of reach: what it said last stands.
-func (f *File) run(ctx context.Context, say tell, log *slog.Logger) {
+func (f *File) run(ctx context.Context, say reportFunc, log *slog.Logger) {
 	file := watchedfile.File{Path: f.Path, MaxBytes: maxFile}
 	failed := ""
 	for {
@@ -70,7 +70,7 @@
 		if changed {
 			var entries []endpointlist.Endpoint
 			if entries, err = ParseFile(text, f.Zone); err == nil {
-				say(whole, entries)
+				say(fullList, entries)
 				failed = ""
 			} else {
 				err = fmt.Errorf("%s: %w", f.Path, err)
@@ -79,7 +79,7 @@
 		if err != nil && err.Error() != failed { // a fault is told once
 			failed = err.Error()
 			log.Warn("cluster file: what it said last stands", "error", err)
-			say(lost, nil)
+			say(unreachable, nil)
 		}
 		if !sleep(ctx, f.Poll) {
 			return
@@ -106,7 +106,7 @@
 	for i, r := range *raw.Endpoints {
 		e := r.Endpoint
 		e.Weight = r.Weight
-		if err := Check(&e, zone); err != nil {
+		if err := NormaliseEndpoint(&e, zone); err != nil {
 			return nil, fmt.Errorf("endpoints[%d]: %w", i, err)
 		}
 		if e.Weight < 0 || e.Weight > 1 {
@@ -117,8 +117,8 @@
 	return out, nil
 }
 
-// Check brings an entry that somebody wrote into its form, or tells what is wrong with it.
-func Check(e *endpointlist.Endpoint, zone string) error {
+// NormaliseEndpoint brings an entry that somebody wrote into its form, or tells what is wrong with it.
+func NormaliseEndpoint(e *endpointlist.Endpoint, zone string) error {
 	if _, err := netip.ParseAddrPort(e.Address); err != nil {
 		return fmt.Errorf("address %q is no IP address and port", e.Address)
 	}
@@ -137,15 +137,15 @@
 // Registry is the platform's discovery, which pushes changes.
 type Registry struct{ Address string }
 
-func (r *Registry) run(ctx context.Context, say tell, log *slog.Logger) {
+func (r *Registry) run(ctx context.Context, say reportFunc, log *slog.Logger) {
 	discovery.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
 		switch kind {
 		case lbpolicy.Full, lbpolicy.Cached:
-			say(whole, entries)
+			say(fullList, entries)
 		case lbpolicy.Delta:
-			say(changes, entries)
+			say(changedEntries, entries)
 		default:
-			say(lost, nil)
+			say(unreachable, nil)
 		}
 	}, log).Run(ctx)
 }
@@ -162,5 +162,5 @@
 	}
 }
 
-// spread draws a time about d, so that many processes don't ask in step.
-func spread(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
+// jitter draws a time about d, so that many processes don't ask in step.
+func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
--- a/internal/gateway/conf/clusters.go
+++ b/internal/gateway/conf/clusters.go
@@ -28,18 +28,18 @@
 	settings.OverloadMultiple = s.number("fall_multiple", 2.5, 1, 100)
 	settings.OverloadWindow = s.duration("fall_window", 2*time.Second, 100*time.Millisecond, time.Minute)
 	settings.CrossZonePrice = s.number("crossing_price", 0.01, 0, 1)
-	c.Idle = s.duration("idle", 5*time.Second, 50*time.Millisecond, time.Hour)
-	settings.ConnIdleTimeout = c.Idle
+	c.IdleTimeout = s.duration("idle", 5*time.Second, 50*time.Millisecond, time.Hour)
+	settings.ConnIdleTimeout = c.IdleTimeout
 	c.ConnectTimeout = s.duration("connect_timeout", time.Second, time.Millisecond, time.Minute)
 	for _, l := range s.list("load_report") {
-		c.Report = append(c.Report, l.text)
+		c.ReportFields = append(c.ReportFields, l.text)
 		settings.ReportFields = append(settings.ReportFields, lbpolicy.Fields[l.text])
 	}
-	c.Decide, c.Zones = settings, zones
-	c.Reserve = s.share("reserve", 0.5/float64(max(n, 1)))
-	c.Most = s.share("most", max(0.5, 1/float64(max(n, 1))))
-	if c.Reserve > c.Most {
-		s.fault(s.where("reserve"), "Reserve over the most", "%s reserves %.0f%% and may take %.0f%%.", s.what, c.Reserve*100, c.Most*100)
+	c.Policy, c.Zones = settings, zones
+	c.ReserveFraction = s.share("reserve", 0.5/float64(max(n, 1)))
+	c.MaxFraction = s.share("most", max(0.5, 1/float64(max(n, 1))))
+	if c.ReserveFraction > c.MaxFraction {
+		s.fault(s.where("reserve"), "Reserve over the most", "%s reserves %.0f%% and may take %.0f%%.", s.what, c.ReserveFraction*100, c.MaxFraction*100)
 	}
 	c.EmptyHold = s.duration("empty_hold", 30*time.Second, 0, time.Hour)
 	p.sources(s, &c, zones)
@@ -60,7 +60,7 @@
 			entry := endpointlist.Endpoint{Name: b.Labels[0], Address: e.text("address", ""), Zone: p.zone(e, zones),
 				Group: e.whole("group", 0, 0, 1<<30), Status: e.word("status", "ready", "ready", "draining"),
 				Weight: e.number("weight", 0, 0.001, 1)} // 0: another source may tell it
-			if err := cluster.Check(&entry, zones[0]); err != nil && e.has("address") {
+			if err := cluster.NormaliseEndpoint(&entry, zones[0]); err != nil && e.has("address") {
 				e.fault(e.where("address"), "Not an address", "%s.", err)
 			}
 			if static == nil {
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -272,7 +272,7 @@
 	reserved := 0.0
 	for _, b := range by["cluster"] {
 		c := p.cluster(b, settings, f.Process.Zones, len(by["cluster"]))
-		reserved += c.Reserve
+		reserved += c.ReserveFraction
 		f.Clusters = append(f.Clusters, c)
 	}
 	if reserved > 1+1e-9 {
--- a/internal/gateway/conf/conf_test.go
+++ b/internal/gateway/conf/conf_test.go
@@ -46,8 +46,8 @@
 		t.Errorf("%+v", f)
 	}
 	c := f.Clusters[0]
-	if c.Name != "portal" || len(c.Sources) != 2 || c.Reserve != 0.3 || c.Most != 0.6 || c.Decide.SlowStart != 20*time.Second ||
-		c.Decide.Balancers != 3 || c.ConnectTimeout != 250*time.Millisecond || len(c.Decide.ReportFields) != 1 {
+	if c.Name != "portal" || len(c.Sources) != 2 || c.ReserveFraction != 0.3 || c.MaxFraction != 0.6 || c.Policy.SlowStart != 20*time.Second ||
+		c.Policy.Balancers != 3 || c.ConnectTimeout != 250*time.Millisecond || len(c.Policy.ReportFields) != 1 {
 		t.Errorf("%+v", c)
 	}
 	reserva := f.Classes[1]
@@ -63,7 +63,7 @@
 func TestDefaults(t *testing.T) {
 	f := parse(t, base)
 	c := f.Clusters[0]
-	if f.Process.Sockets != 1024 || c.Decide.MaxAttempts != 3 || c.Most != 1 || c.Reserve != 0.5 || f.Listeners[0].Connections != 512 ||
+	if f.Process.Sockets != 1024 || c.Policy.MaxAttempts != 3 || c.MaxFraction != 1 || c.ReserveFraction != 0.5 || f.Listeners[0].Connections != 512 ||
 		c.Sources[0].Static.Endpoints[0].Zone != "local" {
 		t.Errorf("%+v", f)
 	}
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -132,10 +132,10 @@
 		}
 		twice = true
 		e := p.open("xds of "+s.what, b.DefRange, b.Body, []string{"resource", "level", "part", "zone", "server"}, nil)
-		x := &cluster.XDS{Resource: e.text("resource", c.Name), Level: cache.AllPriorities, Zones: zones, Zone: p.zone(e, zones),
-			Part: e.word("part", "zone", "region", "zone", "sub_zone"), Server: e.text("server", "")}
+		x := &cluster.XDS{Resource: e.text("resource", c.Name), Priority: cache.AllPriorities, Zones: zones, Zone: p.zone(e, zones),
+			ZoneField: e.word("part", "zone", "region", "zone", "sub_zone"), Server: e.text("server", "")}
 		if e.has("level") {
-			x.Level = e.whole("level", 0, 0, 127)
+			x.Priority = e.whole("level", 0, 0, 127)
 		}
 		if x.Server == "" {
 			x.Server, _ = cluster.SystemServer() // clusters of names alone need one
--- a/internal/gateway/conf/xds_test.go
+++ b/internal/gateway/conf/xds_test.go
@@ -34,7 +34,7 @@
 		o.Node.ID != "portal-1" || o.StateFile != filepath.Join(dir, "silvertrail.xds") {
 		t.Errorf("%+v", o)
 	}
-	if a, b := f.Clusters[0].Sources[0].XDS, f.Clusters[1].Sources[0].XDS; a.Resource != "portal" || a.Level != 0 || b.Level != 1 || a.Part != "zone" {
+	if a, b := f.Clusters[0].Sources[0].XDS, f.Clusters[1].Sources[0].XDS; a.Resource != "portal" || a.Priority != 0 || b.Priority != 1 || a.ZoneField != "zone" {
 		t.Errorf("%+v, %+v", a, b)
 	}
 	f, err = Parse([]byte(strings.NewReplacer("level    = 0 ", "#", `node    = "portal-1"`, `bootstrap = "bootstrap.json"`).Replace(string(text))), path)
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	if o = f.XDS; len(o.ControlPlanes) != 3 || o.ControlPlanes[0].Address != "plane.example:443" || o.ControlPlanes[0].TLS.Authority != filepath.Join(dir, "ca.pem") || o.Node.ID != "n1" || o.Node.Zone != "z9" ||
-		f.Clusters[0].Sources[0].XDS.Level != cache.AllPriorities {
+		f.Clusters[0].Sources[0].XDS.Priority != cache.AllPriorities {
 		t.Errorf("%+v", o)
 	}
 	for old, want := range map[string]struct{ with, fault string }{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 func Start(file *conf.File, log *slog.Logger, options ...Option) (*Gateway, error) {
 	g := &Gateway{log: log, keys: idempotency.New(file.Process.Keys), fronts: map[string]*front{},
 		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
-	g.resources.Scarce = g.short
+	g.resources.OnExhausted = g.short
 	g.shortages.Interval = time.Second
 	for _, o := range options {
 		o(g)
@@ -183,7 +183,7 @@
 
 func (s *state) share(quota fleet.Quota) {
 	for _, c := range s.clusters {
-		c.Fleet(quota.Instances, quota.Index)
+		c.SetBalancers(quota.Instances, quota.Index)
 	}
 }
 
@@ -260,7 +260,7 @@
 	now := time.Now()
 	by := now.Add(s.file.Process.Stop)
 	for _, c := range s.clusters {
-		c.End(by)
+		c.ShutDownBy(by)
 	}
 	for _, f := range g.fronts {
 		g.retire.Go(func() { f.End(now.Add(s.file.Process.Stop/2), by) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -492,18 +492,18 @@
 			io.Copy(io.Discard, c)
 		})
 	}
-	lbtest.Until(t, "the hung cluster has what it may have", func() bool { return g.state.Load().clusters["hung"].Held() > 0 })
+	lbtest.Until(t, "the hung cluster has what it may have", func() bool { return g.state.Load().clusters["hung"].InFlight() > 0 })
 	for i := range 100 {
 		if status, body, _ := ask(t, g, "GET", "/fine"); status != 200 || body != "healthy GET /fine" {
 			t.Fatalf("request %d of the healthy cluster: %d %s", i, status, body)
 		}
-		if n := g.resources.Calls.Used(); n > 40 {
+		if n := g.resources.Requests.Used(); n > 40 {
 			t.Fatalf("%d calls in work", n)
 		}
 	}
 	cancel()
 	crowd.Wait()
-	lbtest.Until(t, "nothing is in work", func() bool { return g.resources.Calls.Used() == 0 })
+	lbtest.Until(t, "nothing is in work", func() bool { return g.resources.Requests.Used() == 0 })
 }
 
 // A reload that fails in any part changes nothing.
@@ -574,7 +574,7 @@
 	if err := g.Reload(parse(t, text("new", moving.Addr))); err != nil {
 		t.Fatal(err)
 	}
-	if old.clusters["old"].Held() != 1 || old.refs.Load() != 1 {
+	if old.clusters["old"].InFlight() != 1 || old.refs.Load() != 1 {
 		t.Error("the old state has let go of its request")
 	}
 	later := make(chan answer, 1)
@@ -722,7 +722,7 @@
 	cancel()
 	<-ran
 	lbtest.Until(t, "the last state is let go", func() bool { return states.refs.Load() == 0 })
-	if g.resources.Calls.Used() != 0 || g.resources.Bodies.Used() != 0 {
+	if g.resources.Requests.Used() != 0 || g.resources.Bodies.Used() != 0 {
 		t.Error("calls or bodies are held at the end")
 	}
 }
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -206,7 +206,7 @@
 				}
 				return !t.Failed()
 			})
-			lbtest.Until(t, "no key is in work", func() bool { return g.resources.Calls.Used() == 0 })
+			lbtest.Until(t, "no key is in work", func() bool { return g.resources.Requests.Used() == 0 })
 		})
 	}
 }
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -65,7 +65,7 @@
 
 func (p *troubled) held() (n int) {
 	for _, g := range p.all {
-		n += g.state.Load().clusters["c"].Held()
+		n += g.state.Load().clusters["c"].InFlight()
 	}
 	return n
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -55,7 +55,7 @@
 	}
 	for _, c := range file.Clusters {
 		if old != nil {
-			if is := old.clusters[c.Name]; is != nil && is.Fits(c) {
+			if is := old.clusters[c.Name]; is != nil && is.CanUpdate(c) {
 				next.clusters[c.Name] = is
 				continue
 			}
@@ -70,7 +70,7 @@
 		next.clusters[c.Name] = s
 	}
 	for _, s := range fresh {
-		<-s.Settled()
+		<-s.Initialized()
 	}
 	if old != nil && (old.file.Link == nil) != (file.Link == nil) {
 		undo()
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -647,7 +647,7 @@
 	lbtest.Until(t, "the end has come to the gateway", func() bool { return closedFrom(t, p.addr(0), c.LocalAddr().String()) })
 	close(fail)
 	g := p.all[0]
-	lbtest.Until(t, "nothing is held", func() bool { return g.state.Load().clusters["c"].Held() == 0 && (*g.open.Load())[0].Conns() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return g.state.Load().clusters["c"].InFlight() == 0 && (*g.open.Load())[0].Conns() == 0 })
 	for _, sala := range p.nodos[1:] {
 		for _, n := range sala {
 			if n.Requests() > 0 {
