--- a/internal/gateway/acting.go
+++ b/internal/gateway/acting.go
@@ -23,9 +23,9 @@
 	}
 	s := g.acquire()
 	defer g.release(s)
-	m := s.file.Meaning
+	m := s.file.Fingerprint
 	out := []version.Entry{{Kind: version.Configuration, Hash: m.Shared, Description: fmt.Sprintf("%d classes, %d clusters, %d routes", len(s.file.Classes),
-		len(s.file.Clusters), s.file.Routes.Len())}, {Kind: version.Local, Hash: m.Own}}
+		len(s.file.Clusters), s.file.Routes.Len())}, {Kind: version.Local, Hash: m.Local}}
 	if why := g.refused.Load(); why != nil {
 		out = append(out, version.Entry{Kind: version.Rejected, Hash: version.HashOf([]byte(*why)), Description: *why})
 	}
--- a/internal/gateway/binder.go
+++ b/internal/gateway/binder.go
@@ -30,7 +30,7 @@
 }
 
 func newBinder(f *fleet.Fleet, id idempotency.KeyID, c *conf.Class, deadline time.Time) *binder {
-	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: ownership.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Keep}}
+	return &binder{fleet: f, deadline: deadline, stride: strideOf(0), ask: ownership.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Retention}}
 }
 
 // resume returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
--- a/internal/gateway/conf/clients.go
+++ b/internal/gateway/conf/clients.go
@@ -26,20 +26,20 @@
 	Required bool // callers must show a certificate
 }
 
-// clients reads the groups of callers, all but their places, which listeners give.
-func (p *parser) clients(blocks hcl.Blocks) []admission.Group {
+// clientGroups reads the groups of callers, all but their places, which listeners give.
+func (p *parser) clientGroups(blocks hcl.Blocks) []admission.Group {
 	groups := []admission.Group{{Name: admission.Others}}
 	networks, names := map[netip.Prefix]string{}, map[string]string{}
 	for _, b := range blocks {
 		s := p.open("clients "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"networks", "file", "certificates", "deny", "per_address", "rate", "burst", "weight"}, nil)
-		g := admission.Group{Name: b.Labels[0], Deny: s.flag("deny"), Weight: s.number("weight", 1, 0.01, 1e6)}
+		g := admission.Group{Name: b.Labels[0], Deny: s.boolean("deny"), Weight: s.number("weight", 1, 0.01, 1e6)}
 		if g.Name == admission.Others {
-			p.fault(b.LabelRanges[0], "Name taken", "%q are those who are of no clients block.", g.Name)
+			p.report(b.LabelRanges[0], "Name taken", "%q are those who are of no clients block.", g.Name)
 		}
-		p.pace(s, &g)
+		p.sourceLimits(s, &g)
 		add := func(at hcl.Range, n netip.Prefix) {
 			if of, taken := networks[n]; taken && of != g.Name {
-				p.fault(at, "Of two groups", "%s is of clients %q already.", n, of)
+				p.report(at, "Of two groups", "%s is of clients %q already.", n, of)
 			}
 			networks[n] = g.Name
 			g.Networks = append(g.Networks, n)
@@ -47,14 +47,14 @@
 		for _, l := range s.list("networks") {
 			found, err := parseNetwork(l.text)
 			if err != nil {
-				p.fault(l.at, "Not a network", "%s.", err)
+				p.report(l.at, "Not a network", "%s.", err)
 			}
 			for _, n := range found {
 				add(l.at, n)
 			}
 		}
-		if s.told("file") {
-			for _, l := range p.networksOf(s) {
+		if s.isValid("file") {
+			for _, l := range p.networksFile(s) {
 				add(l.at, l.network)
 			}
 		}
@@ -63,20 +63,20 @@
 			of, taken := names[name]
 			switch {
 			case strings.TrimPrefix(name, "*.") == "" || strings.Contains(strings.TrimPrefix(name, "*."), "*"):
-				p.fault(l.at, "Unusable name", "%q is no name of a certificate: write \"host.example\", or \"*.example\" for all that end so.", l.text)
+				p.report(l.at, "Unusable name", "%q is no name of a certificate: write \"host.example\", or \"*.example\" for all that end so.", l.text)
 				continue
 			case taken:
-				p.fault(l.at, "Of two groups", "%q is of clients %q already.", l.text, of)
+				p.report(l.at, "Of two groups", "%q is of clients %q already.", l.text, of)
 			}
 			names[name] = g.Name
 			g.Names = append(g.Names, name)
 		}
 		if len(g.Networks)+len(g.Names) == 0 && !s.has("file") && !s.has("networks") && !s.has("certificates") {
-			s.fault(s.at, "Nobody", "%s needs \"networks\", a \"file\" of them, or \"certificates\".", s.what)
+			s.report(s.at, "Nobody", "%s needs \"networks\", a \"file\" of them, or \"certificates\".", s.name)
 		}
 		for _, name := range []string{"per_address", "rate", "burst", "weight"} {
 			if g.Deny && s.has(name) {
-				s.fault(s.where(name), "Without a meaning", "%q goes without \"deny\" alone.", name)
+				s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"deny\" alone.", name)
 			}
 		}
 		groups = append(groups, g)
@@ -84,13 +84,13 @@
 	return groups
 }
 
-// pace reads what one address of a group may do.
-func (p *parser) pace(s *scope, g *admission.Group) {
-	g.Source = s.whole("per_address", 0, 1, 1<<20)
+// sourceLimits reads what one address of a group may do.
+func (p *parser) sourceLimits(s *block, g *admission.Group) {
+	g.Source = s.integer("per_address", 0, 1, 1<<20)
 	g.Rate = s.number("rate", 0, 0.001, 1e6)
-	g.Burst = s.whole("burst", max(int(math.Ceil(g.Rate)), 1), 1, 1<<20)
+	g.Burst = s.integer("burst", max(int(math.Ceil(g.Rate)), 1), 1, 1<<20)
 	if s.has("burst") && !s.has("rate") {
-		s.fault(s.where("burst"), "Without a meaning", "\"burst\" goes with \"rate\" alone.")
+		s.report(s.rangeOf("burst"), "Without a meaning", "\"burst\" goes with \"rate\" alone.")
 	}
 }
 
@@ -111,25 +111,25 @@
 	return nil, fmt.Errorf("%q is no network: write \"10.0.0.0/8\", \"192.0.2.7\", or \"192.0.2.7-192.0.2.20\"", text)
 }
 
-const maxNetworks = 16 << 20 // bytes of a file
+const maxNetworksFileBytes = 16 << 20 // bytes of a file
 
-type placed struct {
+type locatedNetwork struct {
 	network netip.Prefix
 	at      hcl.Range
 }
 
-// networksOf reads a file of networks, one a line; what follows "#" is a remark.
-func (p *parser) networksOf(s *scope) (out []placed) {
+// networksFile reads a file of networks, one a line; what follows "#" is a remark.
+func (p *parser) networksFile(s *block) (out []locatedNetwork) {
 	path := p.path(s, "file")
 	f, err := os.Open(path)
 	if err != nil {
-		s.fault(s.where("file"), "Unreadable", "%s.", err)
+		s.report(s.rangeOf("file"), "Unreadable", "%s.", err)
 		return nil
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxNetworks+1))
-	if err != nil || len(text) > maxNetworks {
-		s.fault(s.where("file"), "Unreadable", "%s: over %d bytes, or unreadable: %v.", path, maxNetworks, err)
+	text, err := io.ReadAll(io.LimitReader(f, maxNetworksFileBytes+1))
+	if err != nil || len(text) > maxNetworksFileBytes {
+		s.report(s.rangeOf("file"), "Unreadable", "%s: over %d bytes, or unreadable: %v.", path, maxNetworksFileBytes, err)
 		return nil
 	}
 	lines := bufio.NewScanner(bytes.NewReader(text))
@@ -142,25 +142,25 @@
 		}
 		found, err := parseNetwork(what)
 		if err != nil {
-			p.fault(at, "Not a network", "%s.", err)
+			p.report(at, "Not a network", "%s.", err)
 		}
 		for _, network := range found {
-			out = append(out, placed{network, at})
+			out = append(out, locatedNetwork{network, at})
 		}
 	}
 	if err := lines.Err(); err != nil {
-		s.fault(s.where("file"), "Unreadable", "%s: %s.", path, err)
+		s.report(s.rangeOf("file"), "Unreadable", "%s: %s.", path, err)
 	}
 	return out
 }
 
 // admission reads what a listener grants to whom.
-func (p *parser) admission(s *scope, l *Listener, groups []admission.Group) {
-	l.Admission = admission.Policy{Places: l.Connections, Groups: slices.Clone(groups), Grace: s.duration("grace", 300*time.Millisecond, time.Millisecond, time.Minute),
-		Factor: s.number("free_factor", 8, 0, 1e6), Guard: s.duration("guard", 2*time.Second, 0, time.Hour), Bits4: s.whole("bits_ipv4", 32, 8, 32), Bits6: s.whole("bits_ipv6", 64, 16, 128)}
+func (p *parser) admission(s *block, l *Listener, groups []admission.Group) {
+	l.Admission = admission.Policy{Places: l.MaxConns, Groups: slices.Clone(groups), Grace: s.duration("grace", 300*time.Millisecond, time.Millisecond, time.Minute),
+		Factor: s.number("free_factor", 8, 0, 1e6), Guard: s.duration("guard", 2*time.Second, 0, time.Hour), Bits4: s.integer("bits_ipv4", 32, 8, 32), Bits6: s.integer("bits_ipv6", 64, 16, 128)}
 	l.Admission.Patience = s.duration("patience", 200*time.Millisecond, 0, 10*time.Second)
-	l.Admission.Line = max(l.Connections/8, 1)
-	p.pace(s, &l.Admission.Groups[0])
+	l.Admission.Line = max(l.MaxConns/8, 1)
+	p.sourceLimits(s, &l.Admission.Groups[0])
 	sum := 0
 	seen := map[string]bool{}
 	for _, b := range s.blocks {
@@ -169,34 +169,34 @@
 			r := p.open("reserve "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"places", "most"}, nil)
 			n := slices.IndexFunc(l.Admission.Groups, func(g admission.Group) bool { return g.Name == b.Labels[0] })
 			if n < 1 {
-				p.known("clients", located{b.Labels[0], b.LabelRanges[0]})
+				p.requireDefined("clients", located{b.Labels[0], b.LabelRanges[0]})
 				continue
 			}
 			g := &l.Admission.Groups[n]
-			g.Reserve, g.Most = r.whole("places", 0, 0, 1<<20), r.whole("most", 0, 1, 1<<20)
+			g.Reserve, g.Most = r.integer("places", 0, 0, 1<<20), r.integer("most", 0, 1, 1<<20)
 			switch {
 			case seen[g.Name]:
-				p.fault(b.DefRange, "Twice", "%s reserves for %q already.", s.what, g.Name)
+				p.report(b.DefRange, "Twice", "%s reserves for %q already.", s.name, g.Name)
 			case g.Deny:
-				p.fault(b.DefRange, "Without a meaning", "Clients %q are denied.", g.Name)
+				p.report(b.DefRange, "Without a meaning", "Clients %q are denied.", g.Name)
 			case g.Most > 0 && g.Most < g.Reserve:
-				r.fault(r.where("most"), "Less than the reserve", "%d places are reserved and %d may be taken.", g.Reserve, g.Most)
+				r.report(r.rangeOf("most"), "Less than the reserve", "%d places are reserved and %d may be taken.", g.Reserve, g.Most)
 			}
 			seen[g.Name] = true
 			sum += g.Reserve
 		case "tls":
-			t := p.open("tls of "+s.what, b.DefRange, b.Body, []string{"certificate", "key", "authority", "required"}, nil)
-			t.need("certificate", "key")
+			t := p.open("tls of "+s.name, b.DefRange, b.Body, []string{"certificate", "key", "authority", "required"}, nil)
+			t.require("certificate", "key")
 			if l.TLS != nil {
-				p.fault(b.DefRange, "Twice", "There is one tls block at most.")
+				p.report(b.DefRange, "Twice", "There is one tls block at most.")
 			}
-			l.TLS = &TLS{certs.Files{Certificate: p.path(t, "certificate"), Key: p.path(t, "key"), Authority: p.path(t, "authority")}, t.flag("required")}
+			l.TLS = &TLS{certs.Files{Certificate: p.path(t, "certificate"), Key: p.path(t, "key"), Authority: p.path(t, "authority")}, t.boolean("required")}
 			if l.TLS.Required && !t.has("authority") {
-				t.fault(t.where("required"), "No authority", "\"required\" needs an \"authority\" that signs callers' certificates.")
+				t.report(t.rangeOf("required"), "No authority", "\"required\" needs an \"authority\" that signs callers' certificates.")
 			}
 		}
 	}
-	if sum > l.Connections {
-		s.fault(s.at, "Reserves over the whole", "%s has %d connections; %d are reserved.", s.what, l.Connections, sum)
+	if sum > l.MaxConns {
+		s.report(s.at, "Reserves over the whole", "%s has %d connections; %d are reserved.", s.name, l.MaxConns, sum)
 	}
 }
--- a/internal/gateway/conf/clusters.go
+++ b/internal/gateway/conf/clusters.go
@@ -19,10 +19,10 @@
 		"warm_up", "start_capacity", "fall_multiple", "fall_window", "crossing_price", "load_report", "reserve", "most", "empty_hold"},
 		map[string]int{"endpoint": 1, "file": 0, "dns": 0, "registry": 0, "xds": 0})
 	c := cluster.Config{Name: b.Labels[0]}
-	settings.MaxAttempts = s.whole("max_attempts", 3, 1, 10)
+	settings.MaxAttempts = s.integer("max_attempts", 3, 1, 10)
 	settings.MayCancel, settings.SendsRetryAfter = true, true
 	settings.MaxRetryAfter = 5 * time.Second
-	settings.MayHedge = !s.has("hedge") || s.flag("hedge")
+	settings.MayHedge = !s.has("hedge") || s.boolean("hedge")
 	settings.InitialCapacity = s.number("start_capacity", 0.2, 0, 1)
 	settings.SlowStart = s.duration("warm_up", 0, 0, time.Hour)
 	settings.OverloadMultiple = s.number("fall_multiple", 2.5, 1, 100)
@@ -36,69 +36,69 @@
 		settings.ReportFields = append(settings.ReportFields, lbpolicy.Fields[l.text])
 	}
 	c.Policy, c.Zones = settings, zones
-	c.ReserveFraction = s.share("reserve", 0.5/float64(max(n, 1)))
-	c.MaxFraction = s.share("most", max(0.5, 1/float64(max(n, 1))))
+	c.ReserveFraction = s.percentage("reserve", 0.5/float64(max(n, 1)))
+	c.MaxFraction = s.percentage("most", max(0.5, 1/float64(max(n, 1))))
 	if c.ReserveFraction > c.MaxFraction {
-		s.fault(s.where("reserve"), "Reserve over the most", "%s reserves %.0f%% and may take %.0f%%.", s.what, c.ReserveFraction*100, c.MaxFraction*100)
+		s.report(s.rangeOf("reserve"), "Reserve over the most", "%s reserves %.0f%% and may take %.0f%%.", s.name, c.ReserveFraction*100, c.MaxFraction*100)
 	}
 	c.EmptyHold = s.duration("empty_hold", 30*time.Second, 0, time.Hour)
 	p.sources(s, &c, zones)
 	p.xdsSource(s, &c, zones)
 	if len(c.Sources) == 0 {
-		s.fault(s.at, "No source", "%s needs an endpoint, file, dns, registry or xds block.", s.what)
+		s.report(s.at, "No source", "%s needs an endpoint, file, dns, registry or xds block.", s.name)
 	}
 	return c
 }
 
-func (p *parser) sources(s *scope, c *cluster.Config, zones []string) {
+func (p *parser) sources(s *block, c *cluster.Config, zones []string) {
 	var static *cluster.Static
 	for _, b := range s.blocks {
 		switch b.Type {
 		case "endpoint":
 			e := p.open("endpoint "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "zone", "group", "status", "weight"}, nil)
-			e.need("address")
+			e.require("address")
 			entry := endpointlist.Endpoint{Name: b.Labels[0], Address: e.text("address", ""), Zone: p.zone(e, zones),
-				Group: e.whole("group", 0, 0, 1<<30), Status: e.word("status", "ready", "ready", "draining"),
+				Group: e.integer("group", 0, 0, 1<<30), Status: e.oneOf("status", "ready", "ready", "draining"),
 				Weight: e.number("weight", 0, 0.001, 1)} // 0: another source may tell it
 			if err := cluster.NormaliseEndpoint(&entry, zones[0]); err != nil && e.has("address") {
-				e.fault(e.where("address"), "Not an address", "%s.", err)
+				e.report(e.rangeOf("address"), "Not an address", "%s.", err)
 			}
 			if static == nil {
 				static = &cluster.Static{}
 				c.Sources = append(c.Sources, cluster.Source{Static: static})
 			}
 			if slices.ContainsFunc(static.Endpoints, func(o endpointlist.Endpoint) bool { return o.Name == entry.Name }) {
-				p.fault(b.LabelRanges[0], "Named twice", "%s has an endpoint named %q already.", s.what, entry.Name)
+				p.report(b.LabelRanges[0], "Named twice", "%s has an endpoint named %q already.", s.name, entry.Name)
 			}
 			static.Endpoints = append(static.Endpoints, entry)
 		case "file":
-			e := p.open("a file of "+s.what, b.DefRange, b.Body, []string{"path", "poll", "zone"}, nil)
-			e.need("path")
+			e := p.open("a file of "+s.name, b.DefRange, b.Body, []string{"path", "poll", "zone"}, nil)
+			e.require("path")
 			c.Sources = append(c.Sources, cluster.Source{File: &cluster.File{Path: p.path(e, "path"),
 				Poll: e.duration("poll", 200*time.Millisecond, 10*time.Millisecond, time.Hour), Zone: p.zone(e, zones)}})
 		case "dns":
-			e := p.open("dns of "+s.what, b.DefRange, b.Body, []string{"name", "type", "port", "zone", "server"}, nil)
-			e.need("name")
-			d := &cluster.DNS{Name: e.text("name", ""), SRV: e.word("type", "A", "A", "SRV") == "SRV",
-				Port: uint16(e.whole("port", 0, 1, 65535)), Zone: p.zone(e, zones), Server: e.text("server", "")}
+			e := p.open("dns of "+s.name, b.DefRange, b.Body, []string{"name", "type", "port", "zone", "server"}, nil)
+			e.require("name")
+			d := &cluster.DNS{Name: e.text("name", ""), SRV: e.oneOf("type", "A", "A", "SRV") == "SRV",
+				Port: uint16(e.integer("port", 0, 1, 65535)), Zone: p.zone(e, zones), Server: e.text("server", "")}
 			if d.SRV == e.has("port") {
-				e.fault(e.where("port"), "Port", "Type \"A\" needs a \"port\"; \"SRV\" brings its own.")
+				e.report(e.rangeOf("port"), "Port", "Type \"A\" needs a \"port\"; \"SRV\" brings its own.")
 			}
 			if !e.has("server") {
 				var err error
 				if d.Server, err = cluster.SystemServer(); err != nil {
-					e.fault(e.at, "No name server", "No \"server\" is told, and the system has none: %s.", err)
+					e.report(e.at, "No name server", "No \"server\" is told, and the system has none: %s.", err)
 				}
 			} else if _, port, err := net.SplitHostPort(d.Server); err != nil || port == "" {
-				e.fault(e.where("server"), "Not an address", "%q is no address and port.", d.Server)
+				e.report(e.rangeOf("server"), "Not an address", "%q is no address and port.", d.Server)
 			}
 			c.Sources = append(c.Sources, cluster.Source{DNS: d})
 		case "registry":
-			e := p.open("a registry of "+s.what, b.DefRange, b.Body, []string{"address"}, nil)
-			e.need("address")
+			e := p.open("a registry of "+s.name, b.DefRange, b.Body, []string{"address"}, nil)
+			e.require("address")
 			addr := e.text("address", "")
 			if _, err := netip.ParseAddrPort(addr); err != nil && e.has("address") {
-				e.fault(e.where("address"), "Not an address", "%q is no IP address and port.", addr)
+				e.report(e.rangeOf("address"), "Not an address", "%q is no IP address and port.", addr)
 			}
 			c.Sources = append(c.Sources, cluster.Source{Registry: &cluster.Registry{Address: addr}})
 		}
@@ -106,10 +106,10 @@
 }
 
 // zone reads a zone, which is the first one where none is told.
-func (p *parser) zone(s *scope, zones []string) string {
+func (p *parser) zone(s *block, zones []string) string {
 	name := s.text("zone", zones[0])
 	if s.has("zone") {
-		p.known("zone", located{name, s.where("zone")})
+		p.requireDefined("zone", located{name, s.rangeOf("zone")})
 	}
 	return name
 }
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -43,7 +43,7 @@
 	XDS          *bootstrap.Options // nil: no control planes
 	ControlPlane *api.Options       // nil: this instance is none
 	Ledger       *ledger.Options    // nil: keyed requests are not recorded
-	Meaning      Meaning            // where the fleet tells versions
+	Fingerprint  Fingerprint        // where the fleet tells versions
 	Control      string             // a socket's path, on which the running process tells of itself; empty: none
 }
 
@@ -51,11 +51,11 @@
 type Process struct {
 	Zones        []string
 	Sockets      int // descriptors
-	Calls        int64
+	MaxRequests  int64
 	BodyMemory   int64
-	Stop         time.Duration // from SIGTERM to the last answer
+	ShutdownTime time.Duration // from SIGTERM to the last answer
 	DefaultClass string        // of requests that name none, on routes that give none
-	Keys         int           // of keyed requests, that are remembered at most
+	MaxKeys      int           // of keyed requests, that are remembered at most
 }
 
 // Class is a class of requests.
@@ -66,30 +66,30 @@
 
 	// Of keyed classes:
 
-	Keep         time.Duration // for which a key is known after its window, so that no repeat of it is taken for new
-	CheckRepeats bool          // a key that comes with another target or body is turned away
-	Concurrent   Concurrent
-	Unrecorded   bool // its requests are served where the ledger can't record them
+	Retention       time.Duration // for which a key is known after its window, so that no repeat of it is taken for new
+	CheckRepeats    bool          // a key that comes with another target or body is turned away
+	Concurrent      ConcurrentPolicy
+	ServeUnrecorded bool // its requests are served where the ledger can't record them
 }
 
-// Concurrent is what becomes of a request while another one with its key is in work.
-type Concurrent uint8
+// ConcurrentPolicy is what becomes of a request while another one with its key is in work.
+type ConcurrentPolicy uint8
 
 // It is sent to the group of endpoints that drops it as a repeat, or is turned away with 409.
 const (
-	Send Concurrent = iota
-	Conflict
+	ForwardConcurrent ConcurrentPolicy = iota
+	RejectConcurrent
 )
 
 // Listener is an address on which callers connect.
 type Listener struct {
-	Name        string
-	Address     string
-	Connections int
-	// Trusted takes X-Forwarded-For from its callers and adds to it; else what they say of it is dropped.
-	Trusted   bool
-	Admission admission.Policy
-	TLS       *TLS // nil: plain connections
+	Name     string
+	Address  string
+	MaxConns int
+	// TrustsForwarded takes X-Forwarded-For from its callers and adds to it; else what they say of it is dropped.
+	TrustsForwarded bool
+	Admission       admission.Policy
+	TLS             *TLS // nil: plain connections
 }
 
 // Error is all that is wrong with a file.
@@ -120,7 +120,7 @@
 	return b.String()
 }
 
-const maxFile = 64 << 20
+const maxFileBytes = 64 << 20
 
 // Load reads a file. An *Error tells what is wrong with what it says.
 func Load(path string) (*File, error) {
@@ -128,8 +128,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	if info.Size() > maxFile {
-		return nil, fmt.Errorf("config: %s: over %d bytes", path, maxFile)
+	if info.Size() > maxFileBytes {
+		return nil, fmt.Errorf("config: %s: over %d bytes", path, maxFileBytes)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -155,7 +155,7 @@
 	}
 	if f.Fleet != nil && f.Fleet.Versions {
 		var err error
-		if f.Meaning, err = meaningOf(parsed.Body.(*hclsyntax.Body)); err != nil {
+		if f.Fingerprint, err = fingerprintOf(parsed.Body.(*hclsyntax.Body)); err != nil {
 			return nil, err
 		}
 	}
@@ -163,7 +163,7 @@
 }
 
 type parser struct {
-	reader
+	blockReader
 	folder string
 	names  map[string]map[string]hcl.Range // by kind
 }
@@ -177,9 +177,9 @@
 	first, twice := p.names[b.Type][name]
 	switch {
 	case name == "" || len(name) > 100 || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f }):
-		p.fault(b.LabelRanges[0], "Unusable name", "The name of a %s has 1 to 100 characters and no spaces.", b.Type)
+		p.report(b.LabelRanges[0], "Unusable name", "The name of a %s has 1 to 100 characters and no spaces.", b.Type)
 	case twice:
-		p.fault(b.LabelRanges[0], "Named twice", "A %s named %q stands on line %d already.", b.Type, name, first.Start.Line)
+		p.report(b.LabelRanges[0], "Named twice", "A %s named %q stands on line %d already.", b.Type, name, first.Start.Line)
 	default:
 		p.names[b.Type][name] = b.LabelRanges[0]
 	}
@@ -200,16 +200,16 @@
 	for _, b := range by["class"] {
 		f.Classes = append(f.Classes, p.class(b))
 	}
-	var process *scope
+	var process *block
 	f.Process, process = p.process(by["process"])
 	f.ControlPlane = p.controlPlaneBlock(by["control_plane"])
 	// A control machine needs no callers.
 	serves := f.ControlPlane == nil || len(by["listener"])+len(by["route"])+len(by["cluster"])+len(by["class"]) > 0
 	if len(f.Classes) == 0 && serves {
-		p.fault(body.MissingItemRange(), "No class", "At least one class is needed: what requests are worth and how long they may take.")
+		p.report(body.MissingItemRange(), "No class", "At least one class is needed: what requests are worth and how long they may take.")
 	}
 	if name := f.Process.DefaultClass; name != "" {
-		p.known("class", located{name, process.where("default_class")})
+		p.requireDefined("class", located{name, process.rangeOf("default_class")})
 	}
 	f.Fleet = p.fleetBlock(by["fleet"], f)
 	f.Link = p.linkBlock(by["link"], f)
@@ -219,7 +219,7 @@
 	if f.Fleet != nil && f.Link == nil { // with a link the fleet spans salas, and the numbers are this sala's
 		for _, name := range []string{"fleet", "member"} {
 			if process.has(name) {
-				process.fault(process.where(name), "Told twice", "%q goes without a fleet block alone: with one the members are counted.", name)
+				process.report(process.rangeOf(name), "Told twice", "%q goes without a fleet block alone: with one the members are counted.", name)
 			}
 		}
 	}
@@ -232,7 +232,7 @@
 		f.Tenants = append(f.Tenants, b.Labels[0])
 		settings.Tenants = append(settings.Tenants, lbpolicy.Tenant{QuotaPerSecond: s.number("rate", 0, 0, 1e9)})
 	}
-	groups := p.clients(by["clients"])
+	groups := p.clientGroups(by["clients"])
 	proven := false
 	for _, b := range by["listener"] {
 		l := p.listener(b, f.Process.Sockets/2/len(by["listener"]), groups)
@@ -241,33 +241,33 @@
 	}
 	for i, g := range groups[1:] {
 		if len(g.Names) > 0 && !proven && len(f.Listeners) > 0 {
-			p.fault(by["clients"][i].DefRange, "Never shown", "Clients %q are known by certificates, but no listener has a tls block with an authority.", g.Name)
+			p.report(by["clients"][i].DefRange, "Never shown", "Clients %q are known by certificates, but no listener has a tls block with an authority.", g.Name)
 		}
 	}
 	if len(f.Listeners) == 0 && serves {
-		p.fault(body.MissingItemRange(), "No listener", "At least one listener is needed.")
+		p.report(body.MissingItemRange(), "No listener", "At least one listener is needed.")
 	}
 	sum := 0
 	addresses := map[string]string{}
 	for i, l := range f.Listeners {
-		sum += l.Connections
+		sum += l.MaxConns
 		other, taken := addresses[l.Address]
 		if taken {
-			p.fault(by["listener"][i].DefRange, "Address taken", "Listener %q already listens on %s.", other, l.Address)
+			p.report(by["listener"][i].DefRange, "Address taken", "Listener %q already listens on %s.", other, l.Address)
 		}
 		if _, port, _ := net.SplitHostPort(l.Address); port != "0" { // 0: the system picks one for each
 			addresses[l.Address] = l.Name
 		}
 	}
 	if most := f.Process.Sockets / 2; sum > most {
-		p.fault(by["listener"][len(by["listener"])-1].DefRange, "Too many connections", "The listeners take %d connections; half of \"sockets\" is %d.", sum, most)
+		p.report(by["listener"][len(by["listener"])-1].DefRange, "Too many connections", "The listeners take %d connections; half of \"sockets\" is %d.", sum, most)
 	}
-	settings.Balancers = process.whole("fleet", 1, 1, 10000)
+	settings.Balancers = process.integer("fleet", 1, 1, 10000)
 	most := settings.Balancers - 1
-	if !process.told("fleet") && process.has("fleet") {
+	if !process.isValid("fleet") && process.has("fleet") {
 		most = 9999
 	}
-	settings.Index = process.whole("member", 0, 0, most)
+	settings.Index = process.integer("member", 0, 0, most)
 	settings.Zone = max(slices.Index(f.Process.Zones, process.text("zone", "")), 0)
 	reserved := 0.0
 	for _, b := range by["cluster"] {
@@ -276,12 +276,12 @@
 		f.Clusters = append(f.Clusters, c)
 	}
 	if reserved > 1+1e-9 {
-		p.fault(by["cluster"][0].DefRange, "Reserves over the whole", "The clusters' reserves add up to %.0f%%.", reserved*100)
+		p.report(by["cluster"][0].DefRange, "Reserves over the whole", "The clusters' reserves add up to %.0f%%.", reserved*100)
 	}
 	if f.XDS == nil {
 		for i, c := range f.Clusters {
 			if slices.ContainsFunc(c.Sources, func(s cluster.Source) bool { return s.XDS != nil }) {
-				p.fault(by["cluster"][i].DefRange, "No control plane", "Cluster %q has an xds block, but the file has none that names control planes.", c.Name)
+				p.report(by["cluster"][i].DefRange, "No control plane", "Cluster %q has an xds block, but the file has none that names control planes.", c.Name)
 			}
 		}
 	}
@@ -289,12 +289,12 @@
 	return f
 }
 
-// known checks a name against those that there are of a kind.
-func (p *parser) known(kind string, l located) bool {
+// requireDefined checks a name against those that there are of a kind.
+func (p *parser) requireDefined(kind string, l located) bool {
 	if _, is := p.names[kind][l.text]; is {
 		return true
 	}
-	p.fault(l.at, "Unknown "+kind, "There is no %s named %q.%s", kind, l.text, suggestion(l.text, p.all(kind)))
+	p.report(l.at, "Unknown "+kind, "There is no %s named %q.%s", kind, l.text, suggestion(l.text, p.all(kind)))
 	return false
 }
 
@@ -305,43 +305,43 @@
 	return names
 }
 
-// once reports the blocks of a kind beyond the first.
-func (p *parser) once(blocks hcl.Blocks) {
+// atMostOne reports the blocks of a kind beyond the first.
+func (p *parser) atMostOne(blocks hcl.Blocks) {
 	for _, b := range blocks[min(len(blocks), 1):] {
-		p.fault(b.DefRange, "Twice", "There is one %s block at most.", b.Type)
+		p.report(b.DefRange, "Twice", "There is one %s block at most.", b.Type)
 	}
 }
 
 func quote(name string) string { return fmt.Sprintf("%q", name) }
 
-func (p *parser) process(blocks hcl.Blocks) (out Process, s *scope) {
-	s = &scope{reader: &p.reader, what: "process"}
+func (p *parser) process(blocks hcl.Blocks) (out Process, s *block) {
+	s = &block{blockReader: &p.blockReader, name: "process"}
 	if len(blocks) > 0 {
 		s = p.open("process", blocks[0].DefRange, blocks[0].Body, []string{"zones", "zone", "sockets", "calls", "body_memory", "stop",
 			"default_class", "fleet", "member", "keys", "control"}, nil)
 	}
-	p.once(blocks)
-	out.Zones = texts(s.list("zones"))
+	p.atMostOne(blocks)
+	out.Zones = stringsOf(s.list("zones"))
 	named := len(out.Zones) > 0
 	if !named {
 		out.Zones = []string{s.text("zone", "local")}
 	}
 	p.names["zone"] = map[string]hcl.Range{}
 	for _, z := range out.Zones {
-		p.names["zone"][z] = s.where("zones")
+		p.names["zone"][z] = s.rangeOf("zones")
 	}
 	switch {
 	case named && s.has("zone"):
-		p.known("zone", located{s.text("zone", ""), s.where("zone")})
+		p.requireDefined("zone", located{s.text("zone", ""), s.rangeOf("zone")})
 	case named:
-		s.need("zone")
+		s.require("zone")
 	}
-	out.Sockets = s.whole("sockets", 1024, 64, 1<<20)
-	out.Calls = int64(s.whole("calls", 4096, 1, 1<<20))
+	out.Sockets = s.integer("sockets", 1024, 64, 1<<20)
+	out.MaxRequests = int64(s.integer("calls", 4096, 1, 1<<20))
 	out.BodyMemory = s.size("body_memory", 32<<20, 64<<10, 1<<40)
-	out.Stop = s.duration("stop", 5*time.Second, 100*time.Millisecond, time.Hour)
+	out.ShutdownTime = s.duration("stop", 5*time.Second, 100*time.Millisecond, time.Hour)
 	out.DefaultClass = s.text("default_class", "")
-	out.Keys = s.whole("keys", 1<<16, 16, 1<<24)
+	out.MaxKeys = s.integer("keys", 1<<16, 16, 1<<24)
 	return out, s
 }
 
@@ -358,35 +358,35 @@
 func (p *parser) class(b *hcl.Block) Class {
 	s := p.open("class "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"aim", "deadline", "worth", "effect", "scope", "window", "methods",
 		"keep", "check_repeats", "concurrent", "unrecorded"}, nil)
-	s.need("aim", "deadline", "effect")
+	s.require("aim", "deadline", "effect")
 	c := Class{Name: b.Labels[0]}
 	c.Deadline = s.duration("deadline", time.Second, time.Millisecond, time.Hour)
-	if s.told("deadline") {
+	if s.isValid("deadline") {
 		c.LatencyObjective = s.duration("aim", c.Deadline, time.Millisecond, c.Deadline)
 	} else { // what is unreadable is told once, not again by what is measured against it
 		c.LatencyObjective = s.duration("aim", c.Deadline, time.Millisecond, time.Hour)
 	}
 	c.PriorityWeight = s.number("worth", 1, 0, 1e6)
-	c.Effect = effects[s.word("effect", "unsafe", "safe", "keyed", "unsafe")]
-	c.Scope = scopes[s.word("scope", "all", "all", "zone", "cell")]
+	c.Effect = effects[s.oneOf("effect", "unsafe", "safe", "keyed", "unsafe")]
+	c.Scope = scopes[s.oneOf("scope", "all", "all", "zone", "cell")]
 	c.Window = s.duration("window", 0, 0, 24*time.Hour)
-	c.Keep = s.duration("keep", c.Window, 0, 24*time.Hour)
-	c.CheckRepeats = s.flag("check_repeats")
-	if s.word("concurrent", "send", "send", "conflict") == "conflict" {
-		c.Concurrent = Conflict
+	c.Retention = s.duration("keep", c.Window, 0, 24*time.Hour)
+	c.CheckRepeats = s.boolean("check_repeats")
+	if s.oneOf("concurrent", "send", "send", "conflict") == "conflict" {
+		c.Concurrent = RejectConcurrent
 	}
-	c.Unrecorded = s.word("unrecorded", "refuse", "refuse", "serve") == "serve"
+	c.ServeUnrecorded = s.oneOf("unrecorded", "refuse", "refuse", "serve") == "serve"
 	c.Methods = methods[c.Effect]
 	if s.has("methods") {
 		c.Methods = p.methods(s.list("methods"))
 	}
 	for _, name := range []string{"scope", "window", "keep", "check_repeats", "concurrent", "unrecorded"} {
 		if s.has(name) && c.Effect != lbpolicy.KeyedIdempotent {
-			s.fault(s.where(name), "Without a meaning", "%q goes with effect = \"keyed\" alone.", name)
+			s.report(s.rangeOf(name), "Without a meaning", "%q goes with effect = \"keyed\" alone.", name)
 		}
 	}
 	if c.Effect == lbpolicy.KeyedIdempotent {
-		s.need("window")
+		s.require("window")
 	}
 	return c
 }
@@ -394,20 +394,20 @@
 func (p *parser) methods(list []located) []string {
 	for _, l := range list {
 		if l.text == "" || strings.ContainsFunc(l.text, func(r rune) bool { return r < 'A' || r > 'Z' }) || l.text == "CONNECT" || l.text == "TRACE" {
-			p.fault(l.at, "Unusable method", "%q is no method that is passed on.", l.text)
+			p.report(l.at, "Unusable method", "%q is no method that is passed on.", l.text)
 		}
 	}
-	return texts(list)
+	return stringsOf(list)
 }
 
 func (p *parser) listener(b *hcl.Block, connections int, groups []admission.Group) Listener {
 	s := p.open("listener "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "connections", "trusted", "per_address", "rate", "burst",
 		"guard", "grace", "bits_ipv4", "bits_ipv6", "free_factor", "patience"}, map[string]int{"reserve": 1, "tls": 0})
-	s.need("address")
-	l := Listener{Name: b.Labels[0], Address: s.text("address", "127.0.0.1:0"), Trusted: s.flag("trusted"),
-		Connections: s.whole("connections", connections, 1, 1<<20)}
+	s.require("address")
+	l := Listener{Name: b.Labels[0], Address: s.text("address", "127.0.0.1:0"), TrustsForwarded: s.boolean("trusted"),
+		MaxConns: s.integer("connections", connections, 1, 1<<20)}
 	if _, err := netip.ParseAddrPort(l.Address); err != nil {
-		s.fault(s.where("address"), "Not an address", "%q is no IP address and port, such as \"127.0.0.1:8080\".", l.Address)
+		s.report(s.rangeOf("address"), "Not an address", "%q is no IP address and port, such as \"127.0.0.1:8080\".", l.Address)
 	}
 	p.admission(s, &l, groups)
 	return l
--- a/internal/gateway/conf/conf_test.go
+++ b/internal/gateway/conf/conf_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(f.Clusters) != 3 || f.Routes.Len() != 5 || len(f.Listeners) != 2 || f.Process.Stop != 5*time.Second {
+	if len(f.Clusters) != 3 || f.Routes.Len() != 5 || len(f.Listeners) != 2 || f.Process.ShutdownTime != 5*time.Second {
 		t.Errorf("%+v", f)
 	}
 	c := f.Clusters[0]
@@ -63,7 +63,7 @@
 func TestDefaults(t *testing.T) {
 	f := parse(t, base)
 	c := f.Clusters[0]
-	if f.Process.Sockets != 1024 || c.Policy.MaxAttempts != 3 || c.MaxFraction != 1 || c.ReserveFraction != 0.5 || f.Listeners[0].Connections != 512 ||
+	if f.Process.Sockets != 1024 || c.Policy.MaxAttempts != 3 || c.MaxFraction != 1 || c.ReserveFraction != 0.5 || f.Listeners[0].MaxConns != 512 ||
 		c.Sources[0].Static.Endpoints[0].Zone != "local" {
 		t.Errorf("%+v", f)
 	}
--- a/internal/gateway/conf/controlplane.go
+++ b/internal/gateway/conf/controlplane.go
@@ -19,55 +19,55 @@
 	if len(blocks) == 0 {
 		return nil
 	}
-	p.once(blocks)
+	p.atMostOne(blocks)
 	b := blocks[0]
 	s := p.open("control_plane", b.DefRange, b.Body, []string{"name", "listen", "plain", "certificate", "key", "authority", "state", "pace", "subscribers", "settle"},
 		map[string]int{"peer": 1})
-	s.need("name", "listen", "state")
-	o := &api.Options{Name: s.text("name", ""), Listen: s.text("listen", ""), Insecure: s.flag("plain"),
+	s.require("name", "listen", "state")
+	o := &api.Options{Name: s.text("name", ""), Listen: s.text("listen", ""), Insecure: s.boolean("plain"),
 		TLS:            certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")},
 		StateFile:      p.path(s, "state"),
 		BytesPerSecond: s.size("pace", api.DefaultBytesPerSecond, 64<<10, 10<<30),
-		MaxSubscribers: s.whole("subscribers", api.DefaultSubscribers, 1, 100_000),
+		MaxSubscribers: s.integer("subscribers", api.DefaultSubscribers, 1, 100_000),
 		InitialSync:    s.duration("settle", api.DefaultInitialSync, time.Millisecond, time.Hour)}
-	if s.told("name") && !usable(o.Name) {
-		s.fault(s.where("name"), "Unusable name", "The name of a control machine has 1 to 100 letters, digits, dots, dashes and underscores.")
+	if s.isValid("name") && !isUsableName(o.Name) {
+		s.report(s.rangeOf("name"), "Unusable name", "The name of a control machine has 1 to 100 letters, digits, dots, dashes and underscores.")
 	}
-	if _, err := netip.ParseAddrPort(o.Listen); s.told("listen") && err != nil {
-		s.fault(s.where("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:18000\".", o.Listen)
+	if _, err := netip.ParseAddrPort(o.Listen); s.isValid("listen") && err != nil {
+		s.report(s.rangeOf("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:18000\".", o.Listen)
 	}
 	switch {
 	case o.Insecure:
 		for _, name := range []string{"certificate", "key", "authority"} {
 			if s.has(name) {
-				s.fault(s.where(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
+				s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
 			}
 		}
 	case !s.has("certificate") || !s.has("key"):
-		s.fault(s.at, "No certificate", "control_plane needs a \"certificate\" and its \"key\", or plain = true.")
+		s.report(s.at, "No certificate", "control_plane needs a \"certificate\" and its \"key\", or plain = true.")
 	}
 	for _, inner := range s.blocks {
-		pl, ok := p.plane(inner)
+		pl, ok := p.controlPlane(inner)
 		switch {
 		case !ok:
 		case pl.File != "":
-			p.fault(inner.DefRange, "Not a control machine", "Peer %q is a file; it needs an \"address\".", pl.Name)
+			p.report(inner.DefRange, "Not a control machine", "Peer %q is a file; it needs an \"address\".", pl.Name)
 		case pl.Name == o.Name:
-			p.fault(inner.LabelRanges[0], "Its own peer", "%q is this control machine.", pl.Name)
+			p.report(inner.LabelRanges[0], "Its own peer", "%q is this control machine.", pl.Name)
 		case slices.ContainsFunc(o.Peers, func(is api.Peer) bool { return is.Name == pl.Name }):
-			p.fault(inner.LabelRanges[0], "Named twice", "A peer named %q is there already.", pl.Name)
+			p.report(inner.LabelRanges[0], "Named twice", "A peer named %q is there already.", pl.Name)
 		default:
 			o.Peers = append(o.Peers, api.Peer{Name: pl.Name, Plane: bootstrap.ControlPlane(pl)})
 		}
 	}
 	if n := len(o.Peers); n > maxPeers {
-		s.fault(s.at, "Out of range", "There are %d peers; %d are the most.", n, maxPeers)
+		s.report(s.at, "Out of range", "There are %d peers; %d are the most.", n, maxPeers)
 	}
 	return o
 }
 
-// usable tells whether a name can be part of a version.
-func usable(name string) bool {
+// isUsableName tells whether a name can be part of a version.
+func isUsableName(name string) bool {
 	for _, r := range name {
 		if (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '.' && r != '-' && r != '_' {
 			return false
--- a/internal/gateway/conf/fleet.go
+++ b/internal/gateway/conf/fleet.go
@@ -25,43 +25,43 @@
 	if len(blocks) == 0 {
 		return nil
 	}
-	p.once(blocks)
+	p.atMostOne(blocks)
 	b := blocks[0]
 	s := p.open("fleet "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"name", "listen", "advertise", "seeds", "keyring", "voters",
 		"members", "new", "views", "versions", "taking"}, nil)
-	s.need("name", "listen", "keyring")
+	s.require("name", "listen", "keyring")
 	o := &fleet.Options{FleetName: b.Labels[0], Name: s.text("name", ""), Listen: s.text("listen", ""), Advertise: s.text("advertise", ""),
-		MaxMembers: s.whole("members", 128, 1, 10000), MaxKeys: f.Process.Keys, NewFleet: s.flag("new"), Views: s.flag("views"),
-		Versions: s.flag("versions"), RolloutTimeout: s.duration("taking", 10*time.Second, time.Second, time.Hour)}
+		MaxMembers: s.integer("members", 128, 1, 10000), MaxKeys: f.Process.MaxKeys, NewFleet: s.boolean("new"), Views: s.boolean("views"),
+		Versions: s.boolean("versions"), RolloutTimeout: s.duration("taking", 10*time.Second, time.Second, time.Hour)}
 	if o.Versions && !o.Views {
-		s.fault(s.where("versions"), "Views needed", "\"versions\" goes with \"views = true\" alone: who is in has to be agreed on.")
+		s.report(s.rangeOf("versions"), "Views needed", "\"versions\" goes with \"views = true\" alone: who is in has to be agreed on.")
 	}
 	for _, name := range []string{"listen", "advertise"} {
 		if _, err := netip.ParseAddrPort(s.text(name, "")); err != nil && s.has(name) {
-			s.fault(s.where(name), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7946\".", s.text(name, ""))
+			s.report(s.rangeOf(name), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7946\".", s.text(name, ""))
 		}
 	}
 	for _, l := range s.list("seeds") {
 		if host, port, err := net.SplitHostPort(l.text); err != nil || host == "" || port == "" {
-			p.fault(l.at, "Not an address", "%q is no address and port.", l.text)
+			p.report(l.at, "Not an address", "%q is no address and port.", l.text)
 		}
 		o.Seeds = append(o.Seeds, l.text)
 	}
 	seen := map[string]bool{}
 	for _, l := range s.list("voters") {
 		if seen[l.text] || l.text == "" {
-			p.fault(l.at, "Named twice", "%q is empty or a voter already.", l.text)
+			p.report(l.at, "Named twice", "%q is empty or a voter already.", l.text)
 		}
 		seen[l.text] = true
 		o.Voters = append(o.Voters, l.text)
 	}
 	if n := len(o.Voters); n > 9 {
-		s.fault(s.where("voters"), "Too many voters", "%d voters are asked for each keyed request; 9 is the most, 3 or 5 are usual.", n)
+		s.report(s.rangeOf("voters"), "Too many voters", "%d voters are asked for each keyed request; 9 is the most, 3 or 5 are usual.", n)
 	}
 	for _, c := range f.Classes {
 		if c.Effect == lbpolicy.KeyedIdempotent {
 			o.MaxDeadline = max(o.MaxDeadline, c.Deadline)
-			o.KeyRetention = max(o.KeyRetention, 2*c.Deadline+c.Window+c.Keep)
+			o.KeyRetention = max(o.KeyRetention, 2*c.Deadline+c.Window+c.Retention)
 		}
 	}
 	o.MaxDeadline, o.KeyRetention = max(o.MaxDeadline, time.Second), max(o.KeyRetention, time.Second)
@@ -72,7 +72,7 @@
 		}
 		var err error
 		if o.Keyring, err = readKeyring(path); err != nil {
-			s.fault(s.where("keyring"), "Unusable keyring", "%s.", err)
+			s.report(s.rangeOf("keyring"), "Unusable keyring", "%s.", err)
 		}
 	}
 	return o
--- a/internal/gateway/conf/ledger_test.go
+++ b/internal/gateway/conf/ledger_test.go
@@ -19,7 +19,7 @@
 	o := f.Ledger
 	if o == nil || filepath.Base(o.Dir) != "ledger" || o.Commit != (commit.Config{Mode: commit.GroupCommit, MaxGroupDelay: 3 * time.Millisecond,
 		SlowDiskTime: 100 * time.Millisecond, SegmentBytes: 64 << 20, MaxPendingBytes: 4 << 20}) || o.Retention != (commit.Retention{MaxAge: 720 * time.Hour, MaxBytes: 4 << 30,
-		MinAge: 125 * time.Second}) || o.Secret != nil || o.IgnoreLosses || f.Classes[0].Unrecorded {
+		MinAge: 125 * time.Second}) || o.Secret != nil || o.IgnoreLosses || f.Classes[0].ServeUnrecorded {
 		t.Errorf("%+v", o)
 	}
 	if parse(t, base).Ledger != nil {
@@ -57,7 +57,7 @@
 		}
 	}
 	f, err := Parse([]byte(base+keyed+"ledger {\n path = \"l\"\n names = \"hashed\"\n secret = \"good\"\n}\n"), filepath.Join(folder, "test.hcl"))
-	if err != nil || len(f.Ledger.Secret) != 34 || !f.Classes[1].Unrecorded {
+	if err != nil || len(f.Ledger.Secret) != 34 || !f.Classes[1].ServeUnrecorded {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/gateway/conf/link.go
+++ b/internal/gateway/conf/link.go
@@ -17,95 +17,95 @@
 // LinkListener is the listener by whose name routes match requests that other salas send.
 const LinkListener = "link"
 
-const maxGates = 16 // of one sala
+const maxGatewaysPerSite = 16 // of one sala
 
 // linkBlock reads the link block, or returns nil where there is none.
 func (p *parser) linkBlock(blocks hcl.Blocks, f *File) *peering.Options {
 	if len(blocks) == 0 {
 		return nil
 	}
-	p.once(blocks)
+	p.atMostOne(blocks)
 	b := blocks[0]
 	s := p.open("link "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"listen", "certificate", "key", "authority", "plain", "heartbeat",
 		"silence", "calls", "connections"}, map[string]int{"peer": 1})
-	s.need("listen")
-	o := &peering.Options{Site: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), MaxInFlight: s.whole("calls", 1024, 1, 1<<16), Connections: s.whole("connections", 2, 1, 8),
+	s.require("listen")
+	o := &peering.Options{Site: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), MaxInFlight: s.integer("calls", 1024, 1, 1<<16), Connections: s.integer("connections", 2, 1, 8),
 		HeartbeatInterval: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
 		HeartbeatTimeout:  s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
-	p.sala(o.Site, b.LabelRanges[0])
+	p.checkSiteName(o.Site, b.LabelRanges[0])
 	at, err := netip.ParseAddrPort(o.Listen)
 	if err != nil && s.has("listen") {
-		s.fault(s.where("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7950\".", o.Listen)
+		s.report(s.rangeOf("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7950\".", o.Listen)
 	}
 	files := []string{"certificate", "key", "authority"}
-	if s.flag("plain") {
+	if s.boolean("plain") {
 		if err == nil && !at.Addr().IsLoopback() {
-			s.fault(s.where("plain"), "Not on loopback", "A plain link is for loopback alone; %s is not.", o.Listen)
+			s.report(s.rangeOf("plain"), "Not on loopback", "A plain link is for loopback alone; %s is not.", o.Listen)
 		}
 		for _, name := range files {
 			if s.has(name) {
-				s.fault(s.where(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
+				s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
 			}
 		}
 	} else {
-		s.need(files...)
+		s.require(files...)
 		o.Identity = &peering.Identity{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}
 	}
 	for _, inner := range s.blocks {
 		n := p.open("peer "+quote(inner.Labels[0]), inner.DefRange, inner.Body, []string{"address", "addresses"}, nil)
 		peer := peering.Peer{Name: inner.Labels[0]}
-		p.sala(peer.Name, inner.LabelRanges[0])
+		p.checkSiteName(peer.Name, inner.LabelRanges[0])
 		at := n.list("addresses")
 		switch {
 		case n.has("address") && n.has("addresses"):
-			n.fault(n.where("address"), "Told twice", "\"addresses\" goes without \"address\".")
-		case n.has("addresses") && len(at) == 0 && n.told("addresses"):
-			n.fault(n.where("addresses"), "No address", "%s needs one address at least.", n.what)
+			n.report(n.rangeOf("address"), "Told twice", "\"addresses\" goes without \"address\".")
+		case n.has("addresses") && len(at) == 0 && n.isValid("addresses"):
+			n.report(n.rangeOf("addresses"), "No address", "%s needs one address at least.", n.name)
 		case !n.has("addresses"):
-			n.need("address")
-			at = []located{{n.text("address", ""), n.where("address")}}
+			n.require("address")
+			at = []located{{n.text("address", ""), n.rangeOf("address")}}
 		}
-		if len(at) > maxGates {
-			n.fault(n.where("addresses"), "Out of range", "%s has %d gateways; %d are the most.", n.what, len(at), maxGates)
+		if len(at) > maxGatewaysPerSite {
+			n.report(n.rangeOf("addresses"), "Out of range", "%s has %d gateways; %d are the most.", n.name, len(at), maxGatewaysPerSite)
 		}
 		for _, a := range at {
 			if host, port, err := net.SplitHostPort(a.text); (n.has("address") || n.has("addresses")) && (err != nil || host == "" || port == "") {
-				p.fault(a.at, "Not an address", "%q is no address and port.", a.text)
+				p.report(a.at, "Not an address", "%q is no address and port.", a.text)
 			}
 			if slices.Contains(peer.Addresses, a.text) {
-				p.fault(a.at, "Named twice", "%q is named already.", a.text)
+				p.report(a.at, "Named twice", "%q is named already.", a.text)
 			}
 			peer.Addresses = append(peer.Addresses, a.text)
 		}
 		if peer.Name == o.Site || slices.ContainsFunc(o.Peers, func(o peering.Peer) bool { return o.Name == peer.Name }) {
-			p.fault(inner.LabelRanges[0], "Named twice", "%q is this sala, or a peer already.", peer.Name)
+			p.report(inner.LabelRanges[0], "Named twice", "%q is this sala, or a peer already.", peer.Name)
 		}
 		o.Peers = append(o.Peers, peer)
 	}
 	if len(o.Peers) == 0 {
-		s.fault(s.at, "No peer", "%s needs a peer block for each other sala.", s.what)
+		s.report(s.at, "No peer", "%s needs a peer block for each other sala.", s.name)
 	}
 	for _, c := range f.Classes {
 		o.PriorityWeights = append(o.PriorityWeights, c.PriorityWeight)
 	}
 	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == lbpolicy.KeyedIdempotent }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
-		s.fault(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
+		s.report(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
 			"repeat through another sala could take effect a second time.", f.Classes[i].Name)
 	}
 	return o
 }
 
-// sala checks the name of a sala, which is a certificate's too, and part of the name of a place.
-func (p *parser) sala(name string, at hcl.Range) {
+// checkSiteName checks the name of a sala, which is a certificate's too, and part of the name of a place.
+func (p *parser) checkSiteName(name string, at hcl.Range) {
 	if name == "" || len(name) > 63 || strings.ContainsFunc(name, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-'
 	}) {
-		p.fault(at, "Unusable name", "The name of a sala has 1 to 63 of a to z, 0 to 9 and \"-\".")
+		p.report(at, "Unusable name", "The name of a sala has 1 to 63 of a to z, 0 to 9 and \"-\".")
 	}
 }
 
 // path reads a file's path, which is taken from the configuration's folder.
-func (p *parser) path(s *scope, name string) string {
+func (p *parser) path(s *block, name string) string {
 	path := s.text(name, "")
 	if path != "" && !filepath.IsAbs(path) {
 		path = filepath.Join(p.folder, path)
@@ -113,20 +113,20 @@
 	return path
 }
 
-// cross reads the salas that a route's requests may cross to.
-func (p *parser) cross(s *scope, f *File) (out []string) {
+// forwardSites reads the salas that a route's requests may cross to.
+func (p *parser) forwardSites(s *block, f *File) (out []string) {
 	for _, l := range s.list("cross") {
 		switch {
 		case f.Link == nil:
-			p.fault(l.at, "No link", "%s crosses to %q, but there is no link block.", s.what, l.text)
+			p.report(l.at, "No link", "%s crosses to %q, but there is no link block.", s.name, l.text)
 		case !slices.ContainsFunc(f.Link.Peers, func(o peering.Peer) bool { return o.Name == l.text }):
 			var names []string
 			for _, o := range f.Link.Peers {
 				names = append(names, o.Name)
 			}
-			p.fault(l.at, "Unknown sala", "The link has no peer named %q.%s", l.text, suggestion(l.text, names))
+			p.report(l.at, "Unknown sala", "The link has no peer named %q.%s", l.text, suggestion(l.text, names))
 		case slices.Contains(out, l.text):
-			p.fault(l.at, "Named twice", "%q is named already.", l.text)
+			p.report(l.at, "Named twice", "%q is named already.", l.text)
 		}
 		out = append(out, l.text)
 	}
--- a/internal/gateway/conf/meaning.go
+++ b/internal/gateway/conf/meaning.go
@@ -11,25 +11,25 @@
 	"silvertrail/internal/fleet/version"
 )
 
-// Meaning stands for what a file says, however it is laid out: comments, spacing, the order of attributes and that of blocks at
+// Fingerprint stands for what a file says, however it is laid out: comments, spacing, the order of attributes and that of blocks at
 // the top change nothing.
-type Meaning struct {
+type Fingerprint struct {
 	Shared version.Hash // what all instances of a fleet are meant to have in common: classes, tenants, clients, clusters, routes
-	Own    version.Hash // the rest, which each has for itself: names, addresses, files
+	Local  version.Hash // the rest, which each has for itself: names, addresses, files
 }
 
-// shared are the blocks that instances have in common.
-var shared = []string{"class", "tenant", "clients", "cluster", "route"}
+// sharedBlocks are the blocks that instances have in common.
+var sharedBlocks = []string{"class", "tenant", "clients", "cluster", "route"}
 
-// meaningOf reads a body that the parser has taken.
-func meaningOf(body *hclsyntax.Body) (m Meaning, err error) {
+// fingerprintOf reads a body that the parser has taken.
+func fingerprintOf(body *hclsyntax.Body) (m Fingerprint, err error) {
 	var common, own []string
 	for _, b := range body.Blocks {
 		var text strings.Builder
 		if err := writeBlock(&text, b); err != nil {
 			return m, err
 		}
-		if slices.Contains(shared, b.Type) {
+		if slices.Contains(sharedBlocks, b.Type) {
 			common = append(common, text.String())
 		} else {
 			own = append(own, text.String())
@@ -38,7 +38,7 @@
 	slices.Sort(common)
 	slices.Sort(own)
 	m.Shared = version.HashOf([]byte(strings.Join(common, "")))
-	m.Own = version.HashOf([]byte(strings.Join(own, "")))
+	m.Local = version.HashOf([]byte(strings.Join(own, "")))
 	return m, nil
 }
 
--- a/internal/gateway/conf/reader.go
+++ b/internal/gateway/conf/reader.go
@@ -14,18 +14,18 @@
 	"github.com/zclconf/go-cty/cty/convert"
 )
 
-// reader collects all that is wrong with a file, in the order in which it is met.
-type reader struct{ diags hcl.Diagnostics }
+// blockReader collects all that is wrong with a file, in the order in which it is met.
+type blockReader struct{ diags hcl.Diagnostics }
 
-func (r *reader) fault(at hcl.Range, summary, detail string, args ...any) {
+func (r *blockReader) report(at hcl.Range, summary, detail string, args ...any) {
 	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: summary, Detail: fmt.Sprintf(detail, args...),
 		Subject: at.Ptr()})
 }
 
-// scope is one block in hand.
-type scope struct {
-	*reader
-	what   string // for errors
+// block is one block in hand.
+type block struct {
+	*blockReader
+	name   string // for errors
 	at     hcl.Range
 	attrs  hcl.Attributes
 	blocks hcl.Blocks
@@ -33,7 +33,7 @@
 
 // open reads a body that may hold the named attributes, and blocks with as many labels as told. What else it holds is
 // an error that tells the nearest known name.
-func (r *reader) open(what string, at hcl.Range, body hcl.Body, attrs []string, blocks map[string]int) *scope {
+func (r *blockReader) open(what string, at hcl.Range, body hcl.Body, attrs []string, blocks map[string]int) *block {
 	var schema hcl.BodySchema
 	for _, name := range attrs {
 		schema.Attributes = append(schema.Attributes, hcl.AttributeSchema{Name: name})
@@ -57,7 +57,7 @@
 		}
 	}
 	r.diags = append(r.diags, diags...)
-	s := &scope{reader: r, what: what, at: at}
+	s := &block{blockReader: r, name: what, at: at}
 	if content != nil {
 		s.attrs, s.blocks = content.Attributes, content.Blocks
 	}
@@ -74,8 +74,8 @@
 	}
 }
 
-// nearest returns the known name that is nearest to one that is not known, or "" where none is near.
-func nearest(name string, known []string) string {
+// nearestName returns the known name that is nearest to one that is not known, or "" where none is near.
+func nearestName(name string, known []string) string {
 	best, most := "", max(1, (len(name)+1)/2)+1
 	slices.Sort(known)
 	for _, k := range known {
@@ -87,14 +87,14 @@
 }
 
 func suggestion(name string, known []string) string {
-	if n := nearest(name, known); n != "" {
+	if n := nearestName(name, known); n != "" {
 		return fmt.Sprintf(" Did you mean %q?", n)
 	}
 	return ""
 }
 
 // value evaluates an attribute and brings it to a type; ok is false where it is not there or has been reported.
-func (s *scope) value(name string, to cty.Type, kind string) (cty.Value, hcl.Range, bool) {
+func (s *block) value(name string, to cty.Type, kind string) (cty.Value, hcl.Range, bool) {
 	a := s.attrs[name]
 	if a == nil {
 		return cty.NilVal, s.at, false
@@ -106,41 +106,41 @@
 	}
 	got, err := convert.Convert(v, to)
 	if err != nil || got.IsNull() || !got.IsWhollyKnown() || to == cty.String && v.Type() != cty.String || to == cty.Number && v.Type() != cty.Number {
-		s.fault(a.Expr.Range(), "Wrong kind of value", "%q in %s must be %s.", name, s.what, kind)
+		s.report(a.Expr.Range(), "Wrong kind of value", "%q in %s must be %s.", name, s.name, kind)
 		return cty.NilVal, a.Expr.Range(), false
 	}
 	return got, a.Expr.Range(), true
 }
 
 // has tells whether an attribute is there.
-func (s *scope) has(name string) bool { return s.attrs[name] != nil }
+func (s *block) has(name string) bool { return s.attrs[name] != nil }
 
-// told tells whether an attribute is there and nothing was found wrong with it so far.
-func (s *scope) told(name string) bool {
+// isValid tells whether an attribute is there and nothing was found wrong with it so far.
+func (s *block) isValid(name string) bool {
 	a := s.attrs[name]
 	return a != nil && !slices.ContainsFunc(s.diags, func(d *hcl.Diagnostic) bool {
 		return d.Subject != nil && a.Expr.Range().Overlaps(*d.Subject)
 	})
 }
 
-// where returns an attribute's place, or the block's where it is not there.
-func (s *scope) where(name string) hcl.Range {
+// rangeOf returns an attribute's place, or the block's where it is not there.
+func (s *block) rangeOf(name string) hcl.Range {
 	if a := s.attrs[name]; a != nil {
 		return a.Expr.Range()
 	}
 	return s.at
 }
 
-// need reports an attribute that is missing.
-func (s *scope) need(names ...string) {
+// require reports an attribute that is missing.
+func (s *block) require(names ...string) {
 	for _, name := range names {
 		if !s.has(name) {
-			s.fault(s.at, "Missing value", "%s needs %q.", s.what, name)
+			s.report(s.at, "Missing value", "%s needs %q.", s.name, name)
 		}
 	}
 }
 
-func (s *scope) text(name, otherwise string) string {
+func (s *block) text(name, otherwise string) string {
 	v, _, ok := s.value(name, cty.String, "a text in quotes")
 	if !ok {
 		return otherwise
@@ -148,53 +148,53 @@
 	return v.AsString()
 }
 
-// word is a text out of a few.
-func (s *scope) word(name, otherwise string, known ...string) string {
+// oneOf is a text out of a few.
+func (s *block) oneOf(name, otherwise string, known ...string) string {
 	text := s.text(name, otherwise)
 	if s.has(name) && !slices.Contains(known, text) {
-		s.fault(s.where(name), "Unknown word", "%q in %s is none of %s.%s", text, s.what, strings.Join(known, ", "), suggestion(text, slices.Clone(known)))
+		s.report(s.rangeOf(name), "Unknown word", "%q in %s is none of %s.%s", text, s.name, strings.Join(known, ", "), suggestion(text, slices.Clone(known)))
 		return otherwise
 	}
 	return text
 }
 
-func (s *scope) flag(name string) bool {
+func (s *block) boolean(name string) bool {
 	v, _, ok := s.value(name, cty.Bool, "true or false")
 	return ok && v.True()
 }
 
-func (s *scope) number(name string, otherwise, least, most float64) float64 {
+func (s *block) number(name string, otherwise, least, most float64) float64 {
 	v, at, ok := s.value(name, cty.Number, "a number")
 	if !ok {
 		return otherwise
 	}
 	f, _ := v.AsBigFloat().Float64()
 	if !(f >= least && f <= most) {
-		s.fault(at, "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.what, f, least, most)
+		s.report(at, "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.name, f, least, most)
 		return otherwise
 	}
 	return f
 }
 
-func (s *scope) whole(name string, otherwise, least, most int) int {
+func (s *block) integer(name string, otherwise, least, most int) int {
 	f := s.number(name, float64(otherwise), float64(least), float64(most))
 	if f != math.Trunc(f) {
-		s.fault(s.where(name), "Not a whole number", "%q in %s is %v.", name, s.what, f)
+		s.report(s.rangeOf(name), "Not a whole number", "%q in %s is %v.", name, s.name, f)
 		return otherwise
 	}
 	return int(f)
 }
 
-// measured reads the text of a figure with its unit; ok is false where it is not there or has been reported. A bare
+// quantity reads the text of a figure with its unit; ok is false where it is not there or has been reported. A bare
 // number is an error: nobody can tell its unit.
-func (s *scope) measured(name, what, examples string) (text string, at hcl.Range, ok bool) {
+func (s *block) quantity(name, what, examples string) (text string, at hcl.Range, ok bool) {
 	a := s.attrs[name]
 	if a == nil {
 		return "", s.at, false
 	}
 	v, diags := a.Expr.Value(nil)
 	if !diags.HasErrors() && v.Type() == cty.Number {
-		s.fault(a.Expr.Range(), "A "+what+" without a unit", "%q in %s needs a unit: %s.", name, s.what, examples)
+		s.report(a.Expr.Range(), "A "+what+" without a unit", "%q in %s needs a unit: %s.", name, s.name, examples)
 		return "", a.Expr.Range(), false
 	}
 	before := len(s.diags)
@@ -203,17 +203,17 @@
 }
 
 // duration reads a time with its unit, "250ms".
-func (s *scope) duration(name string, otherwise, least, most time.Duration) time.Duration {
-	text, at, ok := s.measured(name, "time", `"250ms", "2.5s", "1m"`)
+func (s *block) duration(name string, otherwise, least, most time.Duration) time.Duration {
+	text, at, ok := s.quantity(name, "time", `"250ms", "2.5s", "1m"`)
 	if !ok {
 		return otherwise
 	}
 	d, err := time.ParseDuration(text)
 	switch {
 	case err != nil:
-		s.fault(at, "Not a time", "%q in %s is no time: write \"250ms\", \"2.5s\", \"1m\".", text, s.what)
+		s.report(at, "Not a time", "%q in %s is no time: write \"250ms\", \"2.5s\", \"1m\".", text, s.name)
 	case d < least || d > most:
-		s.fault(at, "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.what, d, least, most)
+		s.report(at, "Out of range", "%q in %s is %v; it must be from %v to %v.", name, s.name, d, least, most)
 	default:
 		return d
 	}
@@ -242,25 +242,25 @@
 }
 
 // size reads a number of bytes with its unit.
-func (s *scope) size(name string, otherwise, least, most int64) int64 {
-	text, at, ok := s.measured(name, "size", `"64KiB", "32MiB"`)
+func (s *block) size(name string, otherwise, least, most int64) int64 {
+	text, at, ok := s.quantity(name, "size", `"64KiB", "32MiB"`)
 	if !ok {
 		return otherwise
 	}
 	n, err := parseSize(text)
 	switch {
 	case err != nil:
-		s.fault(at, "Not a size", "%s.", err)
+		s.report(at, "Not a size", "%s.", err)
 	case n < least || n > most:
-		s.fault(at, "Out of range", "%q in %s is %d bytes; it must be from %d to %d.", name, s.what, n, least, most)
+		s.report(at, "Out of range", "%q in %s is %d bytes; it must be from %d to %d.", name, s.name, n, least, most)
 	default:
 		return n
 	}
 	return otherwise
 }
 
-// share reads "25%".
-func (s *scope) share(name string, otherwise float64) float64 {
+// percentage reads "25%".
+func (s *block) percentage(name string, otherwise float64) float64 {
 	if !s.has(name) {
 		return otherwise
 	}
@@ -268,7 +268,7 @@
 	figure, is := strings.CutSuffix(text, "%")
 	f, err := strconv.ParseFloat(figure, 64)
 	if !is || err != nil || !(f >= 0 && f <= 100) {
-		s.fault(s.where(name), "Not a share", "%q in %s must be a share from \"0%%\" to \"100%%\".", name, s.what)
+		s.report(s.rangeOf(name), "Not a share", "%q in %s must be a share from \"0%%\" to \"100%%\".", name, s.name)
 		return otherwise
 	}
 	return f / 100
@@ -281,20 +281,20 @@
 }
 
 // list reads a list of texts, with the place of each.
-func (s *scope) list(name string) (out []located) {
+func (s *block) list(name string) (out []located) {
 	a := s.attrs[name]
 	if a == nil {
 		return nil
 	}
 	exprs, diags := hcl.ExprList(a.Expr)
 	if diags.HasErrors() {
-		s.fault(a.Expr.Range(), "Wrong kind of value", "%q in %s must be a list of texts: [\"a\", \"b\"].", name, s.what)
+		s.report(a.Expr.Range(), "Wrong kind of value", "%q in %s must be a list of texts: [\"a\", \"b\"].", name, s.name)
 		return nil
 	}
 	for _, e := range exprs {
 		v, diags := e.Value(nil)
 		if diags.HasErrors() || v.Type() != cty.String || v.IsNull() {
-			s.fault(e.Range(), "Wrong kind of value", "%q in %s must be a list of texts: [\"a\", \"b\"].", name, s.what)
+			s.report(e.Range(), "Wrong kind of value", "%q in %s must be a list of texts: [\"a\", \"b\"].", name, s.name)
 			continue
 		}
 		out = append(out, located{v.AsString(), e.Range()})
@@ -302,15 +302,15 @@
 	return out
 }
 
-func texts(list []located) (out []string) {
+func stringsOf(list []located) (out []string) {
 	for _, l := range list {
 		out = append(out, l.text)
 	}
 	return out
 }
 
-// table reads names and texts.
-func (s *scope) table(name string) map[string]string {
+// stringMap reads names and texts.
+func (s *block) stringMap(name string) map[string]string {
 	v, _, ok := s.value(name, cty.Map(cty.String), "names and texts: { \"X-Name\" = \"value\" }")
 	if !ok {
 		return nil
@@ -318,7 +318,7 @@
 	out := map[string]string{}
 	for k, e := range v.AsValueMap() {
 		if e.IsNull() {
-			s.fault(s.where(name), "Wrong kind of value", "%q of %q in %s must be a text.", k, name, s.what)
+			s.report(s.rangeOf(name), "Wrong kind of value", "%q of %q in %s must be a text.", k, name, s.name)
 			continue
 		}
 		out[k] = e.AsString()
--- a/internal/gateway/conf/routes.go
+++ b/internal/gateway/conf/routes.go
@@ -27,14 +27,14 @@
 	listeners := p.all("listener")
 	if f.Link != nil {
 		if _, taken := p.names["listener"][LinkListener]; taken {
-			p.fault(p.names["listener"][LinkListener], "Name taken", "%q is what routes call requests that come from other salas.", LinkListener)
+			p.report(p.names["listener"][LinkListener], "Name taken", "%q is what routes call requests that come from other salas.", LinkListener)
 		} else {
 			listeners = append(listeners, LinkListener)
 		}
 	}
 	table, errs := route.Compile(listeners, rules)
 	for _, err := range errs {
-		p.fault(places[err.Rule], "Unusable route", "Route %q: %s.", err.Rule, err.Err)
+		p.report(places[err.Rule], "Unusable route", "Route %q: %s.", err.Rule, err.Err)
 	}
 	return table
 }
@@ -42,18 +42,18 @@
 func (p *parser) route(b *hcl.Block, f *File) route.Rule {
 	s := p.open("route "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"cluster", "class", "timeout", "max_attempts", "failover", "cross",
 		"split_by", "rewrite", "set_headers", "remove_headers"}, map[string]int{"match": 0, "to": 1, "respond": 0, "redirect": 0})
-	r := route.Rule{Name: b.Labels[0], Class: s.text("class", ""), MaxAttempts: s.whole("max_attempts", 0, 1, 10),
-		Failover: s.text("failover", ""), SetHeaders: s.table("set_headers"), RemoveHeaders: texts(s.list("remove_headers")),
+	r := route.Rule{Name: b.Labels[0], Class: s.text("class", ""), MaxAttempts: s.integer("max_attempts", 0, 1, 10),
+		Failover: s.text("failover", ""), SetHeaders: s.stringMap("set_headers"), RemoveHeaders: stringsOf(s.list("remove_headers")),
 		Timeout: s.duration("timeout", 0, time.Millisecond, time.Hour)}
 	if s.has("class") {
-		p.known("class", located{r.Class, s.where("class")})
+		p.requireDefined("class", located{r.Class, s.rangeOf("class")})
 	}
 	if s.has("cluster") {
 		name := s.text("cluster", "")
-		p.known("cluster", located{name, s.where("cluster")})
+		p.requireDefined("cluster", located{name, s.rangeOf("cluster")})
 		r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: 1})
 	}
-	r.ForwardSites = p.cross(s, f)
+	r.ForwardSites = p.forwardSites(s, f)
 	if s.has("rewrite") {
 		to := s.text("rewrite", "/")
 		r.Rewrite = &to
@@ -66,28 +66,28 @@
 		case "to":
 			t := p.open("to", inner.DefRange, inner.Body, []string{"weight"}, nil)
 			name := inner.Labels[0]
-			if p.known("cluster", located{name, inner.LabelRanges[0]}) &&
+			if p.requireDefined("cluster", located{name, inner.LabelRanges[0]}) &&
 				slices.ContainsFunc(r.Targets, func(o route.Target) bool { return o.Cluster == name }) {
-				p.fault(inner.LabelRanges[0], "Named twice", "%s goes to cluster %q already.", s.what, name)
+				p.report(inner.LabelRanges[0], "Named twice", "%s goes to cluster %q already.", s.name, name)
 			}
-			r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: uint32(t.whole("weight", 1, 0, 1_000_000))})
+			r.Targets = append(r.Targets, route.Target{Cluster: name, Weight: uint32(t.integer("weight", 1, 0, 1_000_000))})
 		case "respond":
 			a := p.open("respond", inner.DefRange, inner.Body, []string{"status", "body", "headers"}, nil)
-			a.need("status")
-			r.Respond = &route.Response{Status: a.whole("status", 404, 200, 599), Body: a.text("body", ""), Header: a.table("headers")}
+			a.require("status")
+			r.Respond = &route.Response{Status: a.integer("status", 404, 200, 599), Body: a.text("body", ""), Header: a.stringMap("headers")}
 			p.headers(a, "headers", r.Respond.Header)
 		case "redirect":
 			a := p.open("redirect", inner.DefRange, inner.Body, []string{"status", "scheme", "host", "path"}, nil)
-			r.Redirect = &route.Redirect{Status: a.whole("status", http.StatusFound, 301, 308), Scheme: a.word("scheme", "", "http", "https"),
+			r.Redirect = &route.Redirect{Status: a.integer("status", http.StatusFound, 301, 308), Scheme: a.oneOf("scheme", "", "http", "https"),
 				Host: a.text("host", ""), Path: a.text("path", "")}
 			if !slices.Contains([]int{301, 302, 303, 307, 308}, r.Redirect.Status) {
-				a.fault(a.where("status"), "Not a redirect", "%d is none of 301, 302, 303, 307, 308.", r.Redirect.Status)
+				a.report(a.rangeOf("status"), "Not a redirect", "%d is none of 301, 302, 303, 307, 308.", r.Redirect.Status)
 			}
 		}
 	}
-	if r.Failover != "" && p.known("cluster", located{r.Failover, s.where("failover")}) &&
+	if r.Failover != "" && p.requireDefined("cluster", located{r.Failover, s.rangeOf("failover")}) &&
 		len(r.Targets) == 1 && r.Targets[0].Cluster == r.Failover {
-		s.fault(s.where("failover"), "Failover to itself", "%s goes to cluster %q alone anyway.", s.what, r.Failover)
+		s.report(s.rangeOf("failover"), "Failover to itself", "%s goes to cluster %q alone anyway.", s.name, r.Failover)
 	}
 	p.headers(s, "set_headers", r.SetHeaders)
 	for _, name := range r.RemoveHeaders {
@@ -96,30 +96,30 @@
 	return r
 }
 
-// own are the headers that the program itself goes by and writes; a route must not speak in their place.
-var own = []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", "X-Request-Id", "Idempotency-Key", "X-Timeout-Ms"}
+// protectedHeaders are the headers that the program itself goes by and writes; a route must not speak in their place.
+var protectedHeaders = []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", "X-Request-Id", "Idempotency-Key", "X-Timeout-Ms"}
 
-func (p *parser) header(s *scope, attr, name string) {
+func (p *parser) header(s *block, attr, name string) {
 	canonical := http.CanonicalHeaderKey(name)
-	if slices.Contains(own, canonical) {
-		s.fault(s.where(attr), "Not a route's to change", "%q in %s is written by the program itself.", name, s.what)
+	if slices.Contains(protectedHeaders, canonical) {
+		s.report(s.rangeOf(attr), "Not a route's to change", "%q in %s is written by the program itself.", name, s.name)
 	}
 	if name == "" || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r) }) {
-		s.fault(s.where(attr), "Not a header", "%q in %s is no header's name.", name, s.what)
+		s.report(s.rangeOf(attr), "Not a header", "%q in %s is no header's name.", name, s.name)
 	}
 }
 
 // headers checks headers that are to be written.
-func (p *parser) headers(s *scope, attr string, h map[string]string) {
+func (p *parser) headers(s *block, attr string, h map[string]string) {
 	for _, name := range slices.Sorted(maps.Keys(h)) {
 		p.header(s, attr, name)
 		if strings.ContainsFunc(h[name], func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
-			s.fault(s.where(attr), "Not a header's value", "The value of %q in %s holds a control character.", name, s.what)
+			s.report(s.rangeOf(attr), "Not a header's value", "The value of %q in %s holds a control character.", name, s.name)
 		}
 	}
 }
 
-func (p *parser) splitBy(s *scope) (route.SplitKind, string) {
+func (p *parser) splitBy(s *block) (route.SplitKind, string) {
 	text := s.text("split_by", "request")
 	if name, is := strings.CutPrefix(text, "header:"); is && name != "" {
 		return route.SplitHeader, http.CanonicalHeaderKey(name)
@@ -128,7 +128,7 @@
 		"client": route.SplitClient}
 	kind, known := kinds[text]
 	if !known {
-		s.fault(s.where("split_by"), "Unknown word", "%q in %s is none of request, tenant, path, client, header:NAME.", text, s.what)
+		s.report(s.rangeOf("split_by"), "Unknown word", "%q in %s is none of request, tenant, path, client, header:NAME.", text, s.name)
 	}
 	return kind, ""
 }
@@ -138,37 +138,37 @@
 		"class", "tenant"}, nil)
 	for _, l := range s.list("listeners") {
 		if l.text != LinkListener || !linked {
-			p.known("listener", l)
+			p.requireDefined("listener", l)
 		}
 		m.Listeners = append(m.Listeners, l.text)
 	}
-	m.Hosts = texts(s.list("hosts"))
+	m.Hosts = stringsOf(s.list("hosts"))
 	paths := 0
 	for name, kind := range map[string]route.PathKind{"path": route.Exact, "prefix": route.Prefix, "template": route.Template} {
 		if s.has(name) {
 			paths++
 			m.Path = route.Path{Kind: kind, Pattern: s.text(name, "/")}
 			if m.Path.Pattern == "" {
-				s.fault(s.where(name), "Empty path", "A path begins with a slash.")
+				s.report(s.rangeOf(name), "Empty path", "A path begins with a slash.")
 			}
 		}
 	}
 	if paths > 1 {
-		s.fault(s.at, "Several paths", "A match has one of path, prefix and template.")
+		s.report(s.at, "Several paths", "A match has one of path, prefix and template.")
 	}
 	m.Methods = p.methods(s.list("methods"))
-	for name, value := range s.table("headers") {
+	for name, value := range s.stringMap("headers") {
 		m.Headers = append(m.Headers, route.Value{Name: name, Value: value, AnyValue: value == "*"})
 	}
-	for name, value := range s.table("query") {
+	for name, value := range s.stringMap("query") {
 		m.Query = append(m.Query, route.Value{Name: name, Value: value, AnyValue: value == "*"})
 	}
 	m.Class, m.Tenant = s.text("class", ""), s.text("tenant", "")
 	if s.has("class") {
-		p.known("class", located{m.Class, s.where("class")})
+		p.requireDefined("class", located{m.Class, s.rangeOf("class")})
 	}
 	if s.has("tenant") {
-		p.known("tenant", located{m.Tenant, s.where("tenant")})
+		p.requireDefined("tenant", located{m.Tenant, s.rangeOf("tenant")})
 	}
 	return m
 }
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	maxPlanes    = 16
-	maxBootstrap = 1 << 20
+	maxControlPlanes  = 16
+	maxBootstrapBytes = 1 << 20
 )
 
 // xdsBlock reads the block that names the control planes, or returns nil where there is none.
@@ -28,12 +28,12 @@
 		return nil
 	}
 	for _, b := range blocks[1:] {
-		p.fault(b.DefRange, "Twice", "There is one xds block at most at the top of a file.")
+		p.report(b.DefRange, "Twice", "There is one xds block at most at the top of a file.")
 	}
 	b := blocks[0]
 	s := p.open("xds", b.DefRange, b.Body, []string{"node", "node_cluster", "region", "zone", "sub_zone", "variant", "all", "hold", "missing", "patience",
 		"trial", "backoff", "backoff_most", "quiet", "max_message", "state", "bootstrap"}, map[string]int{"plane": 1})
-	o := &bootstrap.Options{Wildcard: s.flag("all"),
+	o := &bootstrap.Options{Wildcard: s.boolean("all"),
 		DeferTime:       s.duration("hold", 30*time.Second, 0, time.Hour),
 		ResourceTimeout: s.duration("missing", 15*time.Second, 100*time.Millisecond, time.Hour),
 		KeepaliveTime:   s.duration("quiet", 5*time.Minute, 10*time.Second, time.Hour),
@@ -42,7 +42,7 @@
 			MinBackoff: s.duration("backoff", 500*time.Millisecond, time.Millisecond, time.Minute)},
 		MaxMessageBytes: int(s.size("max_message", 16<<20, 64<<10, 1<<30)), StateFile: p.path(s, "state")}
 	o.Selection.MaxBackoff = s.duration("backoff_most", max(30*time.Second, o.Selection.MinBackoff), o.Selection.MinBackoff, time.Hour)
-	o.Variant = map[string]ads.Variant{"delta": ads.Delta, "whole": ads.StateOfTheWorld}[s.word("variant", "delta", "delta", "whole")]
+	o.Variant = map[string]ads.Variant{"delta": ads.Delta, "whole": ads.StateOfTheWorld}[s.oneOf("variant", "delta", "delta", "whole")]
 	if s.has("bootstrap") {
 		p.bootstrap(s, o)
 	}
@@ -54,51 +54,51 @@
 		*to = s.text(name, *to)
 	}
 	for _, inner := range s.blocks {
-		if pl, ok := p.plane(inner); ok {
+		if pl, ok := p.controlPlane(inner); ok {
 			if slices.ContainsFunc(o.ControlPlanes, func(is bootstrap.ControlPlane) bool { return is.Name == pl.Name }) {
-				p.fault(inner.LabelRanges[0], "Named twice", "A plane named %q is there already.", pl.Name)
+				p.report(inner.LabelRanges[0], "Named twice", "A plane named %q is there already.", pl.Name)
 			}
 			o.ControlPlanes = append(o.ControlPlanes, pl)
 		}
 	}
 	switch {
 	case len(s.blocks) == 0 && !s.has("bootstrap"):
-		s.fault(s.at, "No control plane", "xds needs a plane block for each control plane, the first one first, or a bootstrap file.")
-	case len(o.ControlPlanes) > maxPlanes:
-		s.fault(s.at, "Out of range", "There are %d control planes; %d are the most.", len(o.ControlPlanes), maxPlanes)
+		s.report(s.at, "No control plane", "xds needs a plane block for each control plane, the first one first, or a bootstrap file.")
+	case len(o.ControlPlanes) > maxControlPlanes:
+		s.report(s.at, "Out of range", "There are %d control planes; %d are the most.", len(o.ControlPlanes), maxControlPlanes)
 	}
 	return o
 }
 
 // bootstrap reads the planes and the node of a bootstrap file. Those of the block come after them.
-func (p *parser) bootstrap(s *scope, o *bootstrap.Options) {
+func (p *parser) bootstrap(s *block, o *bootstrap.Options) {
 	path := p.path(s, "bootstrap")
 	info, err := os.Stat(path)
 	var text []byte
-	if err == nil && info.Size() <= maxBootstrap {
+	if err == nil && info.Size() <= maxBootstrapBytes {
 		text, err = os.ReadFile(path)
 	}
 	if err != nil {
-		s.fault(s.where("bootstrap"), "No bootstrap file", "%s.", err)
+		s.report(s.rangeOf("bootstrap"), "No bootstrap file", "%s.", err)
 		return
 	}
 	b, err := bootstrap.Parse(text, filepath.Dir(path))
 	if err != nil {
-		s.fault(s.where("bootstrap"), "Unusable bootstrap file", "%s: %s.", path, err)
+		s.report(s.rangeOf("bootstrap"), "Unusable bootstrap file", "%s: %s.", path, err)
 		return
 	}
 	o.ControlPlanes, o.Node = b.ControlPlanes, b.Node
 }
 
-func (p *parser) plane(b *hcl.Block) (bootstrap.ControlPlane, bool) {
+func (p *parser) controlPlane(b *hcl.Block) (bootstrap.ControlPlane, bool) {
 	s := p.open("plane "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "file", "plain", "certificate", "key", "authority", "host"}, nil)
-	out := bootstrap.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.flag("plain"), ServerName: s.text("host", ""),
+	out := bootstrap.ControlPlane{Name: b.Labels[0], Address: s.text("address", ""), File: p.path(s, "file"), Insecure: s.boolean("plain"), ServerName: s.text("host", ""),
 		TLS: certs.Files{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}}
 	secured := []string{"certificate", "key", "authority", "host"}
 	without := func(why string, names ...string) {
 		for _, name := range names {
 			if s.has(name) {
-				s.fault(s.where(name), "Without a meaning", "%q goes without %q alone.", name, why)
+				s.report(s.rangeOf(name), "Without a meaning", "%q goes without %q alone.", name, why)
 			}
 		}
 	}
@@ -107,40 +107,40 @@
 		without("file", append(secured, "address", "plain")...)
 		return out, out.File != ""
 	case !s.has("address"):
-		s.fault(s.at, "No address", "%s needs an \"address\" or a \"file\".", s.what)
+		s.report(s.at, "No address", "%s needs an \"address\" or a \"file\".", s.name)
 		return out, false
 	case out.Insecure:
 		without("plain", secured...)
 	case (out.TLS.Certificate == "") != (out.TLS.Key == ""):
-		s.fault(s.at, "Half a certificate", "\"certificate\" and \"key\" go together.")
+		s.report(s.at, "Half a certificate", "\"certificate\" and \"key\" go together.")
 	}
-	if host, port, err := net.SplitHostPort(out.Address); s.told("address") && (err != nil || host == "" || port == "") {
-		s.fault(s.where("address"), "Not an address", "%q is no address and port.", out.Address)
+	if host, port, err := net.SplitHostPort(out.Address); s.isValid("address") && (err != nil || host == "" || port == "") {
+		s.report(s.rangeOf("address"), "Not an address", "%q is no address and port.", out.Address)
 	}
 	return out, true
 }
 
 // xdsSource reads the block of a cluster that is told in xDS form.
-func (p *parser) xdsSource(s *scope, c *cluster.Config, zones []string) {
+func (p *parser) xdsSource(s *block, c *cluster.Config, zones []string) {
 	twice := false
 	for _, b := range s.blocks {
 		if b.Type != "xds" {
 			continue
 		}
 		if twice {
-			p.fault(b.DefRange, "Twice", "%s has one xds block at most.", s.what)
+			p.report(b.DefRange, "Twice", "%s has one xds block at most.", s.name)
 		}
 		twice = true
-		e := p.open("xds of "+s.what, b.DefRange, b.Body, []string{"resource", "level", "part", "zone", "server"}, nil)
+		e := p.open("xds of "+s.name, b.DefRange, b.Body, []string{"resource", "level", "part", "zone", "server"}, nil)
 		x := &cluster.XDS{Resource: e.text("resource", c.Name), Priority: cache.AllPriorities, Zones: zones, Zone: p.zone(e, zones),
-			ZoneField: e.word("part", "zone", "region", "zone", "sub_zone"), Server: e.text("server", "")}
+			ZoneField: e.oneOf("part", "zone", "region", "zone", "sub_zone"), Server: e.text("server", "")}
 		if e.has("level") {
-			x.Priority = e.whole("level", 0, 0, 127)
+			x.Priority = e.integer("level", 0, 0, 127)
 		}
 		if x.Server == "" {
 			x.Server, _ = cluster.SystemServer() // clusters of names alone need one
 		} else if _, port, err := net.SplitHostPort(x.Server); err != nil || port == "" {
-			e.fault(e.where("server"), "Not an address", "%q is no address and port.", x.Server)
+			e.report(e.rangeOf("server"), "Not an address", "%q is no address and port.", x.Server)
 		}
 		c.Sources = append(c.Sources, cluster.Source{XDS: x})
 	}
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -225,7 +225,7 @@
 	}
 	s := g.acquire()
 	ro := &router{gateway: g.Gateway}
-	ro.listener.Store(&conf.Listener{Name: conf.LinkListener, Trusted: true})
+	ro.listener.Store(&conf.Listener{Name: conf.LinkListener, TrustsForwarded: true})
 	h := http.Header(c.Header)
 	if h == nil {
 		h = http.Header{}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -242,7 +242,7 @@
 		h["X-Request-Id"] = []string{fmt.Sprintf("%016x", rand.Uint64())}
 	}
 	client, _, _ := net.SplitHostPort(r.RemoteAddr)
-	if before := h["X-Forwarded-For"]; l.Trusted && len(before) > 0 {
+	if before := h["X-Forwarded-For"]; l.TrustsForwarded && len(before) > 0 {
 		h["X-Forwarded-For"] = []string{strings.Join(before, ", ") + ", " + client}
 	} else {
 		h["X-Forwarded-For"] = []string{client}
@@ -376,7 +376,7 @@
 			x.binder = newBinder(f, x.id, x.class, x.deadline)
 		}
 	}
-	if hold.InProgress && x.class.Concurrent == conf.Conflict {
+	if hold.InProgress && x.class.Concurrent == conf.RejectConcurrent {
 		x.turned = problem(http.StatusConflict, "A request with the key is in work.")
 		x.turned.Header.Set("Retry-After", "1")
 		return a, false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,8 +109,8 @@
 
 // Start runs a configuration.
 func Start(file *conf.File, log *slog.Logger, options ...Option) (*Gateway, error) {
-	g := &Gateway{log: log, keys: idempotency.New(file.Process.Keys), fronts: map[string]*front{},
-		resources: cluster.NewResources(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)}
+	g := &Gateway{log: log, keys: idempotency.New(file.Process.MaxKeys), fronts: map[string]*front{},
+		resources: cluster.NewResources(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory)}
 	g.resources.OnExhausted = g.short
 	g.shortages.Interval = time.Second
 	for _, o := range options {
@@ -258,16 +258,16 @@
 	g.draining.Store(true) // other salas hear it with the next heartbeat
 	s := g.state.Load()
 	now := time.Now()
-	by := now.Add(s.file.Process.Stop)
+	by := now.Add(s.file.Process.ShutdownTime)
 	for _, c := range s.clusters {
 		c.ShutDownBy(by)
 	}
 	for _, f := range g.fronts {
-		g.retire.Go(func() { f.End(now.Add(s.file.Process.Stop/2), by) })
+		g.retire.Go(func() { f.End(now.Add(s.file.Process.ShutdownTime/2), by) })
 	}
 	if l := g.linked.Load(); l != nil {
 		g.retire.Go(func() {
-			time.Sleep(time.Until(now.Add(s.file.Process.Stop / 2)))
+			time.Sleep(time.Until(now.Add(s.file.Process.ShutdownTime / 2)))
 			l.Drain(by)
 		})
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -25,7 +25,7 @@
 
 // terms are what the request's class promises of its keys.
 func (x *exchange) terms() idempotency.Terms {
-	return idempotency.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Keep}
+	return idempotency.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Retention}
 }
 
 // recall takes into the history what former processes have recorded of the request's key. Where records are lost that could
@@ -57,7 +57,7 @@
 		return a, true
 	}
 	r := ledger.Request{ID: x.up.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.id, Fingerprint: print,
-		TimeLeft: x.q.TimeLeft, Unrecorded: x.class.Unrecorded}
+		TimeLeft: x.q.TimeLeft, Unrecorded: x.class.ServeUnrecorded}
 	if x.passing != nil && len(x.passing.VisitedSites) > 0 {
 		r.FromSite = x.passing.VisitedSites[len(x.passing.VisitedSites)-1]
 	}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -99,8 +99,8 @@
 		return err
 	}
 	// Nothing fails from here on.
-	g.resources.Resize(endpointConns(file), file.Process.Calls, file.Process.BodyMemory)
-	g.keys.Resize(file.Process.Keys)
+	g.resources.Resize(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory)
+	g.keys.Resize(file.Process.MaxKeys)
 	for _, c := range file.Clusters {
 		s := next.clusters[c.Name]
 		s.states.Add(1)
@@ -185,7 +185,7 @@
 		if !named[at] {
 			delete(g.fronts, at)
 			now := time.Now()
-			g.retire.Go(func() { f.End(now, now.Add(file.Process.Stop)) })
+			g.retire.Go(func() { f.End(now, now.Add(file.Process.ShutdownTime)) })
 		}
 	}
 	open := slices.Collect(maps.Values(g.fronts))
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -114,13 +114,13 @@
 			return fmt.Errorf("no listener is named %q", listener)
 		}
 		for _, name := range m.Hosts {
-			h.of(name).add(e)
+			h.pathsFor(name).add(e)
 		}
 	}
 	return nil
 }
 
-func (h *hostTable) of(name string) *pathTable {
+func (h *hostTable) pathsFor(name string) *pathTable {
 	if name == "*" {
 		if h.any == nil {
 			h.any = &pathTable{}
