--- a/bench/ledger/main.go
+++ b/bench/ledger/main.go
@@ -175,7 +175,7 @@
 			off = mid
 		}
 		joined := "-"
-		if l, ok := v.g.Recorded(); ok && l.Syncs > 0 {
+		if l, ok := v.g.LedgerStatus(); ok && l.Syncs > 0 {
 			joined = fmt.Sprintf("%.1f", float64(l.SyncedRecords)/float64(l.Syncs))
 		}
 		fmt.Fprintf(w, "%s\t%.0f, %.0f, %.0f\t%.2f\t%v\t%v\t%s\n", v.name, mid, v.rate[0], v.rate[len(v.rate)-1], mid/off,
--- a/cmd/silvertrail/connections.go
+++ b/cmd/silvertrail/connections.go
@@ -24,7 +24,7 @@
 }
 
 func (c *connectionStatus) Run() error {
-	var views []gateway.DoorView
+	var views []gateway.ListenerStatus
 	if err := c.ask(fmt.Sprintf("/connections?sources=%d", c.Sources), &views); err != nil || c.JSON {
 		return err
 	}
@@ -65,12 +65,12 @@
 }
 
 func (c *connectionWho) Run() error {
-	var views []gateway.DoorView
+	var views []gateway.ListenerStatus
 	if err := c.ask("/connections?sources=0&address="+url.QueryEscape(c.Address), &views); err != nil || c.JSON {
 		return err
 	}
 	for _, v := range views {
-		s := v.Who
+		s := v.Source
 		fmt.Printf("listener %s: %s counts as %s, of group %s\n", v.Listener, c.Address, s.Source, s.Group)
 		if s.Denied {
 			fmt.Println("  denied")
--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -88,7 +88,7 @@
 type fleetMembers struct{ asked }
 
 func (c *fleetMembers) Run() error {
-	var v gateway.FleetView
+	var v gateway.FleetStatus
 	if err := c.ask("/fleet/members", &v); err != nil || c.JSON {
 		return err
 	}
@@ -214,16 +214,16 @@
 
 func (c *fleetKey) Run() error {
 	q := url.Values{"class": {c.Class}, "tenant": {c.Tenant}, "key": {c.Key}}
-	var v gateway.KeyView
+	var v gateway.KeyStatus
 	if err := c.ask("/fleet/key?"+q.Encode(), &v); err != nil || c.JSON {
 		return err
 	}
-	fmt.Println("this instance's own attempts:", v.Here)
+	fmt.Println("this instance's own attempts:", v.Local)
 	if v.Voter != nil {
 		fmt.Println("agreed to by its voter:      ", *v.Voter)
 	}
-	if v.Silent != "" {
-		fmt.Println("its voter was started lately and is silent for another", v.Silent)
+	if v.VoterAbstains != "" {
+		fmt.Println("its voter was started lately and is silent for another", v.VoterAbstains)
 	}
 	return nil
 }
--- a/cmd/silvertrail/fleet_test.go
+++ b/cmd/silvertrail/fleet_test.go
@@ -265,7 +265,7 @@
 }
 
 // members asks an instance for its view of the fleet.
-func (i *instance) members() (v gateway.FleetView, err error) {
+func (i *instance) members() (v gateway.FleetStatus, err error) {
 	err = i.control("/fleet/members", &v)
 	return v, err
 }
--- a/cmd/silvertrail/link.go
+++ b/cmd/silvertrail/link.go
@@ -29,21 +29,21 @@
 	if c.Reconcile {
 		path += "?reconcile=1"
 	}
-	var v gateway.LinkView
+	var v gateway.LinkStatus
 	if err := c.ask(path, &v); err != nil || c.JSON {
 		return err
 	}
 	printSala(v)
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "\nTO\tADDRESS\tSTATE\tSINCE\tROUND TRIP\tWINDOW\tIN FLIGHT\tUNSETTLED\tFAULT")
-	for _, s := range v.Salas {
+	for _, s := range v.Sites {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%.0f\t%d\t%d\t%s\n", s.Name, s.Address, s.State, s.Since.Format(time.DateTime), s.RoundTrip, s.ConcurrencyLimit, s.InFlight, s.Unsettled, s.LastError)
 		for _, g := range s.Gateways {
 			fmt.Fprintf(w, "\t%s\t%s\t%s\t\t\t\t%d\t%s\n", g.Address, g.State, g.Since.Format(time.DateTime), g.Unsettled, g.LastError)
 		}
 	}
 	fmt.Fprintln(w, "\nDIRECTION\tSALA\tCLASS\tTENANT\tREASON\tOUTCOME\tCOUNT")
-	for _, s := range v.Salas {
+	for _, s := range v.Sites {
 		for direction, sums := range map[string][]accounting.Counter{"sent": s.Sent, "received": s.Received} {
 			for _, n := range sums {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", direction, s.Name, n.Class, n.Tenant, n.Reason, n.Outcome, n.Count)
@@ -51,11 +51,11 @@
 		}
 	}
 	w.Flush()
-	if !v.Compared {
+	if !v.Reconciled {
 		return nil
 	}
 	differ := 0
-	for _, s := range v.Salas {
+	for _, s := range v.Sites {
 		fmt.Printf("compared with %s: %d sessions, %d differences\n", s.Name, s.SessionsCompared, len(s.Differences))
 		for _, d := range s.Differences {
 			differ++
@@ -68,9 +68,9 @@
 	return nil
 }
 
-func printSala(v gateway.LinkView) {
-	fmt.Printf("sala %s: %s", v.Sala, v.State)
-	if v.Leaving {
+func printSala(v gateway.LinkStatus) {
+	fmt.Printf("sala %s: %s", v.Site, v.State)
+	if v.DrainingOwn {
 		fmt.Print(", its own requests go to other salas first")
 	}
 	fmt.Println()
@@ -90,7 +90,7 @@
 	case c.Off:
 		mode = "off"
 	}
-	var v gateway.LinkView
+	var v gateway.LinkStatus
 	if err := c.request(http.MethodPost, "/link/drain?mode="+mode, nil, &v); err != nil || c.JSON {
 		return err
 	}
@@ -106,18 +106,18 @@
 
 func (c *linkLookup) Run() error {
 	q := url.Values{"tenant": {c.Tenant}, "key": {c.Key}}
-	var v []gateway.FoundView
+	var v []gateway.KeyLookup
 	if err := c.ask("/link/lookup?"+q.Encode(), &v); err != nil || c.JSON {
 		return err
 	}
 	for _, f := range v {
 		switch {
 		case f.Error != "":
-			fmt.Printf("%s: %s\n", f.Sala, f.Error)
+			fmt.Printf("%s: %s\n", f.Site, f.Error)
 		case !f.Known:
-			fmt.Printf("%s: knows nothing of it\n", f.Sala)
+			fmt.Printf("%s: knows nothing of it\n", f.Site)
 		default:
-			fmt.Printf("%s: may have run at %s, zone %s, cell %d; repeats are sent there for another %v\n", f.Sala, f.Cluster, f.Zone, f.Cell,
+			fmt.Printf("%s: may have run at %s, zone %s, cell %d; repeats are sent there for another %v\n", f.Site, f.Cluster, f.Zone, f.Cell,
 				(time.Duration(f.RetryWindow) * time.Microsecond).Round(time.Millisecond))
 		}
 	}
--- a/cmd/silvertrail/link_test.go
+++ b/cmd/silvertrail/link_test.go
@@ -140,7 +140,7 @@
 	if _, err := said(t, "link", "drain", "--config", there, "--off", "--all"); err == nil {
 		t.Error("off and all at once")
 	}
-	norte.End()
+	norte.Shutdown()
 	if _, err := said(t, "link", "status", "--config", there); err == nil {
 		t.Error("an instance that has ended answered")
 	}
--- a/internal/demo/salas.go
+++ b/internal/demo/salas.go
@@ -86,7 +86,7 @@
 	<-ctx.Done()
 	var ends sync.WaitGroup
 	for _, g := range all {
-		ends.Go(g.End)
+		ends.Go(g.Shutdown)
 	}
 	ends.Wait()
 	fmt.Fprintln(o.Out, "ended")
--- a/internal/gateway/acting.go
+++ b/internal/gateway/acting.go
@@ -9,15 +9,15 @@
 	"silvertrail/internal/fleet/version"
 )
 
-// listed is a cluster's list as it was hashed last.
-type listed struct {
-	cluster  *shared
+// listVersion is a cluster's list as it was hashed last.
+type listVersion struct {
+	cluster  *sharedCluster
 	revision uint64
 	entry    version.Entry
 }
 
-// acting tells what this process decides by, for the fleet to tell the others. The fleet calls it, one call at a time.
-func (g *Gateway) acting() []version.Entry {
+// appliedVersions tells what this process decides by, for the fleet to tell the others. The fleet calls it, one call at a time.
+func (g *Gateway) appliedVersions() []version.Entry {
 	if g.state.Load() == nil {
 		return nil // it decides nothing yet
 	}
@@ -26,25 +26,25 @@
 	m := s.file.Fingerprint
 	out := []version.Entry{{Kind: version.Configuration, Hash: m.Shared, Description: fmt.Sprintf("%d classes, %d clusters, %d routes", len(s.file.Classes),
 		len(s.file.Clusters), s.file.Routes.Len())}, {Kind: version.Local, Hash: m.Local}}
-	if why := g.refused.Load(); why != nil {
+	if why := g.reloadError.Load(); why != nil {
 		out = append(out, version.Entry{Kind: version.Rejected, Hash: version.HashOf([]byte(*why)), Description: *why})
 	}
-	if g.lists == nil {
-		g.lists = map[string]listed{}
+	if g.listVersions == nil {
+		g.listVersions = map[string]listVersion{}
 	}
 	for name, c := range s.clusters {
-		l := g.lists[name]
+		l := g.listVersions[name]
 		if revision := c.Revision(); l.cluster != c || l.revision != revision {
-			l = listed{c, revision, listEntry(name, c.Members())}
-			g.lists[name] = l
+			l = listVersion{c, revision, listEntry(name, c.Members())}
+			g.listVersions[name] = l
 		}
 		if l.revision > 0 { // else no source has said anything
 			out = append(out, l.entry)
 		}
 	}
-	for name := range g.lists {
+	for name := range g.listVersions {
 		if s.clusters[name] == nil {
-			delete(g.lists, name)
+			delete(g.listVersions, name)
 		}
 	}
 	if g.discovery != nil {
@@ -71,13 +71,13 @@
 	return version.Entry{Kind: version.List, Name: name, Hash: version.HashOf([]byte(strings.Join(lines, ""))), Description: fmt.Sprintf("%d members, %d ready", len(members), ready)}
 }
 
-// refuse notes whether the last file that was to be taken up was turned away, and why.
-func (g *Gateway) refuse(err error) {
+// setReloadError notes whether the last file that was to be taken up was turned away, and why.
+func (g *Gateway) setReloadError(err error) {
 	if err == nil {
-		g.refused.Store(nil)
+		g.reloadError.Store(nil)
 		return
 	}
 	why, _, _ := strings.Cut(err.Error(), "\n")
 	why = why[:min(len(why), 200)]
-	g.refused.Store(&why)
+	g.reloadError.Store(&why)
 }
--- a/internal/gateway/control_link.go
+++ b/internal/gateway/control_link.go
@@ -9,42 +9,42 @@
 	"silvertrail/internal/sites/peering"
 )
 
-const askIn = 5 * time.Second // for the other salas' answers
+const siteQueryTimeout = 5 * time.Second // for the other salas' answers
 
-// LinkView is what a gateway tells of its links.
-type LinkView struct {
-	Sala     string               `json:"sala"`
-	State    string               `json:"state"`
-	Leaving  bool                 `json:"leaving,omitempty"` // its own callers' requests go to other salas first
-	Salas    []peering.SiteStatus `json:"salas"`
-	Compared bool                 `json:"compared,omitempty"` // with the other ends' counts
+// LinkStatus is what a gateway tells of its links.
+type LinkStatus struct {
+	Site        string               `json:"sala"`
+	State       string               `json:"state"`
+	DrainingOwn bool                 `json:"leaving,omitempty"` // its own callers' requests go to other salas first
+	Sites       []peering.SiteStatus `json:"salas"`
+	Reconciled  bool                 `json:"compared,omitempty"` // with the other ends' counts
 }
 
-// links returns the running links, or tells that there are none.
-func (g *Gateway) links(w http.ResponseWriter) *peering.Transport {
-	l := g.linked.Load()
+// requireTransport returns the running links, or tells that there are none.
+func (g *Gateway) requireTransport(w http.ResponseWriter) *peering.Transport {
+	l := g.transport.Load()
 	if l == nil {
 		http.Error(w, "this instance has no link to other salas", http.StatusNotFound)
 	}
 	return l
 }
 
-func (g *Gateway) tellLinks(w http.ResponseWriter, r *http.Request) {
-	l := g.links(w)
+func (g *Gateway) handleLinks(w http.ResponseWriter, r *http.Request) {
+	l := g.requireTransport(w)
 	if l == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), askIn)
+	ctx, cancel := context.WithTimeout(r.Context(), siteQueryTimeout)
 	defer cancel()
 	reconcile := r.URL.Query().Get("reconcile") != ""
-	tell(w, LinkView{Sala: g.sala, State: salaServer{g}.State().String(), Leaving: g.leaving.Load(), Compared: reconcile,
-		Salas: l.Status(ctx, reconcile)})
+	writeJSON(w, LinkStatus{Site: g.site, State: siteServer{g}.State().String(), DrainingOwn: g.drainingOwn.Load(), Reconciled: reconcile,
+		Sites: l.Status(ctx, reconcile)})
 }
 
-// takeDrain has this sala take nothing more from others (mode "in"), and send its own callers' requests to others first
+// handleDrain has this sala take nothing more from others (mode "in"), and send its own callers' requests to others first
 // ("all"), or go back to serving ("off").
-func (g *Gateway) takeDrain(w http.ResponseWriter, r *http.Request) {
-	if g.links(w) == nil {
+func (g *Gateway) handleDrain(w http.ResponseWriter, r *http.Request) {
+	if g.requireTransport(w) == nil {
 		return
 	}
 	mode := r.URL.Query().Get("mode")
@@ -55,10 +55,10 @@
 		return
 	}
 	g.mu.Lock()
-	ended := g.ended
+	ended := g.closed
 	if !ended {
 		g.draining.Store(mode != "off")
-		g.leaving.Store(mode == "all")
+		g.drainingOwn.Store(mode == "all")
 	}
 	g.mu.Unlock()
 	if ended {
@@ -66,33 +66,33 @@
 		return
 	}
 	g.log.Info("drain of the sala", "mode", mode)
-	tell(w, LinkView{Sala: g.sala, State: salaServer{g}.State().String(), Leaving: g.leaving.Load()})
+	writeJSON(w, LinkStatus{Site: g.site, State: siteServer{g}.State().String(), DrainingOwn: g.drainingOwn.Load()})
 }
 
-// FoundView is what one sala knows of a key.
-type FoundView struct {
-	Sala string `json:"sala"`
+// KeyLookup is what one sala knows of a key.
+type KeyLookup struct {
+	Site string `json:"sala"`
 	peering.KeyLocation
 	Error string `json:"error,omitempty"`
 }
 
-// tellLookup asks all salas what became of a key.
-func (g *Gateway) tellLookup(w http.ResponseWriter, r *http.Request) {
-	l := g.links(w)
+// handleLookup asks all salas what became of a key.
+func (g *Gateway) handleLookup(w http.ResponseWriter, r *http.Request) {
+	l := g.requireTransport(w)
 	if l == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), askIn)
+	ctx, cancel := context.WithTimeout(r.Context(), siteQueryTimeout)
 	defer cancel()
 	id := idempotency.KeyIDOf(r.URL.Query().Get("tenant"), r.URL.Query().Get("key"))
-	out := []FoundView{{Sala: g.sala, KeyLocation: salaServer{g}.Lookup(id)}}
+	out := []KeyLookup{{Site: g.site, KeyLocation: siteServer{g}.Lookup(id)}}
 	for _, s := range l.Status(ctx, false) {
 		f, err := l.Lookup(ctx, s.Name, id)
-		v := FoundView{Sala: s.Name, KeyLocation: f}
+		v := KeyLookup{Site: s.Name, KeyLocation: f}
 		if err != nil {
 			v.Error = err.Error()
 		}
 		out = append(out, v)
 	}
-	tell(w, out)
+	writeJSON(w, out)
 }
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -18,25 +18,25 @@
 	"silvertrail/lbpolicy"
 )
 
-// settleIn is how long a request waits to hear what became of a crossing that was cut off, at the most; half of the time
+// maxSettleTime is how long a request waits to hear what became of a crossing that was cut off, at the most; half of the time
 // that is left to it where that is less.
-const settleIn = time.Second
+const maxSettleTime = time.Second
 
-// refusedBack is when a caller is told to come back, at the least, whom another sala has refused without a time of its own:
+// minRejectedRetryAfter is when a caller is told to come back, at the least, whom another sala has refused without a time of its own:
 // the time that was too short there is longer for one who comes to it anew.
-const refusedBack = 100 * time.Millisecond
+const minRejectedRetryAfter = 100 * time.Millisecond
 
-// over gives a request to other salas, as the decisions of package forwarding say, until one has served it or none may have
+// forward gives a request to other salas, as the decisions of package forwarding say, until one has served it or none may have
 // it. What comes in is how its own sala has ended it.
-func (x *exchange) over(ctx context.Context, way *forwarding.Route, a engine.Result) engine.Result {
-	l := x.gateway.linked.Load()
+func (x *exchange) forward(ctx context.Context, way *forwarding.Route, a engine.Result) engine.Result {
+	l := x.gateway.transport.Load()
 	if l == nil {
 		return a
 	}
 	attempts := a.Attempts
 	for !engine.IsDisconnected(ctx) && a.Response == nil {
-		so := forwarding.Progress{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, NewAttempts: attempts, OwnerSite: x.holder(),
-			Rejected: a.Rejected, Transit: x.passing != nil}
+		so := forwarding.Progress{Now: time.Now(), Deadline: x.deadline, MayHaveRun: a.MayHaveRun, NewAttempts: attempts, OwnerSite: x.ownerSite(),
+			Rejected: a.Rejected, Transit: x.forwarded != nil}
 		r, why, ok := way.Next(so)
 		if !ok {
 			return a
@@ -50,11 +50,11 @@
 			return a
 		}
 		way.MarkForwarded(to)
-		b := x.carry(ctx, l, to, why, way)
+		b := x.forwardTo(ctx, l, to, why, way)
 		b.MayHaveRun = b.MayHaveRun || a.MayHaveRun && b.Response == nil
 		b.Rejected = b.Rejected && !b.MayHaveRun
 		if b.Rejected { // until both can be asked again
-			b.RetryAfter = max(b.RetryAfter, refusedBack)
+			b.RetryAfter = max(b.RetryAfter, minRejectedRetryAfter)
 			if a.Rejected {
 				b.RetryAfter = max(b.RetryAfter, a.RetryAfter)
 			}
@@ -68,33 +68,33 @@
 	return a
 }
 
-// carry gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
+// forwardTo gives the request to one other sala. Its key is held to that sala from before the first byte until it is known
 // that nothing has run there.
-func (x *exchange) carry(ctx context.Context, l *peering.Transport, to string, why accounting.Reason, way *forwarding.Route) (a engine.Result) {
+func (x *exchange) forwardTo(ctx context.Context, l *peering.Transport, to string, why accounting.Reason, way *forwarding.Route) (a engine.Result) {
 	var try *idempotency.Attempt
 	ran := false // an attempt of this request, before this one
-	if x.hold != nil {
-		ran = x.hold.MayHaveRun()
+	if x.keyRequest != nil {
+		ran = x.keyRequest.MayHaveRun()
 		var err error
-		if try, err = x.hold.Send(time.Now(), idempotency.Place{Cluster: forwarding.QualifyCluster(to, ""), Zone: to}, x.terms()); err != nil {
+		if try, err = x.keyRequest.Send(time.Now(), idempotency.Place{Cluster: forwarding.QualifyCluster(to, ""), Zone: to}, x.terms()); err != nil {
 			l.RecordResult(to, x.class.PriorityWeight, forwarding.NotSent, 0)
 			return engine.Result{MayHaveRun: true}
 		}
 	}
 	var record *ledger.Attempt
-	if x.entry != nil {
-		record = x.entry.Attempt(salaNodo(to), x.terms())
+	if x.record != nil {
+		record = x.record.Attempt(siteEndpointName(to), x.terms())
 		if err := record.Intent(ctx, idempotency.Place{Cluster: forwarding.QualifyCluster(to, ""), Zone: to}); err != nil { // nothing goes out
 			record.Ended(lbpolicy.NotSent, 0)
 			try.End(time.Now(), true)
 			l.RecordResult(to, x.class.PriorityWeight, forwarding.NotSent, 0)
-			return engine.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedBack(err)}
+			return engine.Result{Rejected: !ran, MayHaveRun: ran, RetryAfter: unrecordedRetryAfter(err)}
 		}
 	}
 	c := &peering.Request{TimeLeft: time.Until(x.deadline).Microseconds(), Class: x.class.Name, PriorityWeight: x.class.PriorityWeight, Effect: uint8(x.class.Effect),
-		Tenant: x.tenant, Key: x.key, AttemptsLeft: way.AttemptsLeft(), VisitedSites: append(append([]string{}, way.VisitedSites...), x.gateway.sala), Reason: why,
-		KeyMayHaveRun: x.holder() == to && why == accounting.KeyOwned, IsRetry: x.q.Retry, Method: x.up.Method, Target: x.asked, Host: x.up.Host, Header: x.up.Header, Body: x.up.Body}
-	c.ClaimAttempt, c.ClaimRound = x.votes(c.KeyMayHaveRun, ran)
+		Tenant: x.tenant, Key: x.key, AttemptsLeft: way.AttemptsLeft(), VisitedSites: append(append([]string{}, way.VisitedSites...), x.gateway.site), Reason: why,
+		KeyMayHaveRun: x.ownerSite() == to && why == accounting.KeyOwned, IsRetry: x.policyRequest.Retry, Method: x.outgoing.Method, Target: x.originalTarget, Host: x.outgoing.Host, Header: x.outgoing.Header, Body: x.outgoing.Body}
+	c.ClaimAttempt, c.ClaimRound = x.claimNumbers(c.KeyMayHaveRun, ran)
 	c.IsDisconnected = func() bool { return engine.IsDisconnected(ctx) }
 	waiting, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
@@ -104,7 +104,7 @@
 	}
 	outcome := is.Outcome
 	if outcome == accounting.Pending && x.class.Effect != lbpolicy.Idempotent && ctx.Err() == nil {
-		settling, cancel := context.WithTimeout(ctx, min(settleIn, max(time.Until(x.deadline)/2, 0)))
+		settling, cancel := context.WithTimeout(ctx, min(maxSettleTime, max(time.Until(x.deadline)/2, 0)))
 		outcome = l.Settle(settling, is)
 		cancel()
 	}
@@ -112,9 +112,9 @@
 		try.End(time.Now(), outcome.ProvesNothingRan())
 	}
 	if record != nil {
-		record.Ended(crossed(outcome, is.Response))
+		record.Ended(forwardVerdict(outcome, is.Response))
 	}
-	a = x.answer(is.Response, outcome)
+	a = x.forwardedResult(is.Response, outcome)
 	result := forwarding.Failed
 	switch {
 	case !is.Sent:
@@ -133,8 +133,8 @@
 	return a
 }
 
-// answer translates what another sala has said.
-func (x *exchange) answer(said *peering.Response, outcome accounting.Outcome) (a engine.Result) {
+// forwardedResult translates what another sala has said.
+func (x *exchange) forwardedResult(said *peering.Response, outcome accounting.Outcome) (a engine.Result) {
 	a.MayHaveRun = !outcome.ProvesNothingRan()
 	if said == nil {
 		return a
@@ -147,44 +147,44 @@
 		a.Rejected, a.RetryAfter = true, time.Duration(said.RetryAfter)*time.Microsecond
 	}
 	if said.Place.Cluster != "" && a.Response == nil { // it knows who holds the key
-		x.told = idempotency.KeyState{Known: true, Place: said.Place, RetryUntil: x.deadline}
+		x.remoteKeyState = idempotency.KeyState{Known: true, Place: said.Place, RetryUntil: x.deadline}
 	}
 	return a
 }
 
-// votes returns the numbers under which the voters know the request, for the sala that goes on with it. Where the key may
+// claimNumbers returns the numbers under which the voters know the request, for the sala that goes on with it. Where the key may
 // have run there already, the request begins anew for them: another turn would say that the earlier ones never ran.
-func (x *exchange) votes(past, ran bool) (ownership.AttemptID, uint32) {
-	if x.binder == nil {
+func (x *exchange) claimNumbers(past, ran bool) (ownership.AttemptID, uint32) {
+	if x.claimer == nil {
 		return ownership.AttemptID{}, 0
 	}
 	if past {
-		if x.binder.resumed {
+		if x.claimer.resumed {
 			return ownership.AttemptID{}, 0 // the sala asks in its own name
 		}
-		x.binder.end(ran)
-		x.binder = newBinder(x.gateway.fleet, x.id, x.class, x.deadline)
+		x.claimer.release(ran)
+		x.claimer = newKeyClaimer(x.gateway.fleet, x.keyID, x.class, x.deadline)
 	}
-	return x.binder.carry()
+	return x.claimer.delegate()
 }
 
-// holder returns the sala that holds the request's key, by this process's history, the voters, and the other salas' word.
-func (x *exchange) holder() string {
-	if x.hold == nil {
+// ownerSite returns the sala that holds the request's key, by this process's history, the voters, and the other salas' word.
+func (x *exchange) ownerSite() string {
+	if x.keyRequest == nil {
 		return ""
 	}
-	pasts := []idempotency.KeyState{x.hold.KeyState(x.class.Scope), x.told}
-	if x.binder != nil {
-		pasts = append(pasts, x.binder.KeyState())
+	pasts := []idempotency.KeyState{x.keyRequest.KeyState(x.class.Scope), x.remoteKeyState}
+	if x.claimer != nil {
+		pasts = append(pasts, x.claimer.KeyState())
 	}
 	return forwarding.OwnerSite(pasts...)
 }
 
-// salaServer serves what crosses to this sala. It implements peering.Server.
-type salaServer struct{ *Gateway }
+// siteServer serves what crosses to this sala. It implements peering.Server.
+type siteServer struct{ *Gateway }
 
 // State implements peering.Server.
-func (g salaServer) State() forwarding.State {
+func (g siteServer) State() forwarding.State {
 	switch {
 	case g.draining.Load():
 		return forwarding.Draining
@@ -196,20 +196,20 @@
 
 // strained tells whether this sala refuses so much that the others should know.
 func (g *Gateway) strained() bool {
-	g.strainMu.Lock()
-	defer g.strainMu.Unlock()
-	return g.strain.IsShedding(time.Now())
+	g.saturationMu.Lock()
+	defer g.saturationMu.Unlock()
+	return g.saturation.IsShedding(time.Now())
 }
 
-// note counts a request that this sala's own decisions have ended.
-func (g *Gateway) note(refused bool) {
-	g.strainMu.Lock()
-	defer g.strainMu.Unlock()
-	g.strain.Record(time.Now(), refused)
+// recordSaturation counts a request that this sala's own decisions have ended.
+func (g *Gateway) recordSaturation(refused bool) {
+	g.saturationMu.Lock()
+	defer g.saturationMu.Unlock()
+	g.saturation.Record(time.Now(), refused)
 }
 
 // Lookup implements peering.Server.
-func (g salaServer) Lookup(id idempotency.KeyID) (f peering.KeyLocation) {
+func (g siteServer) Lookup(id idempotency.KeyID) (f peering.KeyLocation) {
 	now := time.Now()
 	p := g.keys.KeyState(now, id, lbpolicy.ScopeAll)
 	if !p.Known {
@@ -219,7 +219,7 @@
 }
 
 // ServeRequest implements peering.Server: the call is routed and decided on as one of this sala's own callers would be, in its own class.
-func (g salaServer) ServeRequest(ctx context.Context, from string, c *peering.Request) *peering.Response {
+func (g siteServer) ServeRequest(ctx context.Context, from string, c *peering.Request) *peering.Response {
 	never := func(why string) *peering.Response {
 		return &peering.Response{Outcome: accounting.NeverRan, Detail: why}
 	}
@@ -245,32 +245,32 @@
 		if reply.Status == http.StatusNotFound || reply.Close {
 			return never(http.StatusText(reply.Status))
 		}
-		return served(reply.Status, reply.Header, reply.Body)
+		return servedResponse(reply.Status, reply.Header, reply.Body)
 	}
 	defer x.End()
 	if x.class.Name != c.Class || uint8(x.class.Effect) != c.Effect {
 		return never("the route's class here is " + x.class.Name + ", or has another effect")
 	}
-	x.passing = c
-	x.q.TimeLeft, x.q.Retry = min(x.q.TimeLeft, time.Duration(c.TimeLeft)*time.Microsecond), c.IsRetry
-	if c.AttemptsLeft > 0 && (x.q.MaxAttempts == 0 || c.AttemptsLeft < x.q.MaxAttempts) {
-		x.q.MaxAttempts = c.AttemptsLeft
+	x.forwarded = c
+	x.policyRequest.TimeLeft, x.policyRequest.Retry = min(x.policyRequest.TimeLeft, time.Duration(c.TimeLeft)*time.Microsecond), c.IsRetry
+	if c.AttemptsLeft > 0 && (x.policyRequest.MaxAttempts == 0 || c.AttemptsLeft < x.policyRequest.MaxAttempts) {
+		x.policyRequest.MaxAttempts = c.AttemptsLeft
 	}
 	begun := time.Now()
 	if !x.hasBodyRoom(ctx, c.Body) {
-		return &peering.Response{Outcome: accounting.Rejected, RetryAfter: keysRetry.Microseconds()}
+		return &peering.Response{Outcome: accounting.Rejected, RetryAfter: keysFullRetryAfter.Microseconds()}
 	}
 	defer x.Bodies().Release(int64(len(c.Body)))
-	x.q.TimeLeft -= time.Since(begun)
+	x.policyRequest.TimeLeft -= time.Since(begun)
 	a := x.Do(ctx, c.Body)
 	out := x.outcome(ctx, a)
-	x.finalOver(out)
+	x.recordForwardedReply(out)
 	out.Attempts = a.Attempts
 	return out
 }
 
 func (x *exchange) hasBodyRoom(ctx context.Context, body []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, x.q.TimeLeft/2)
+	ctx, cancel := context.WithTimeout(ctx, x.policyRequest.TimeLeft/2)
 	defer cancel()
 	return x.Bodies().Acquire(ctx, int64(len(body))) == nil
 }
@@ -278,22 +278,22 @@
 // outcome says what became of a call that another sala has sent.
 func (x *exchange) outcome(ctx context.Context, a engine.Result) *peering.Response {
 	if a.Response != nil {
-		return served(a.Response.Status, a.Response.Header, a.Response.Body)
+		return servedResponse(a.Response.Status, a.Response.Header, a.Response.Body)
 	}
-	if x.turned != nil {
-		return served(x.turned.Status, x.turned.Header, x.turned.Body)
+	if x.rejection != nil {
+		return servedResponse(x.rejection.Status, x.rejection.Header, x.rejection.Body)
 	}
 	out := &peering.Response{Outcome: accounting.NeverRan}
 	past := idempotency.KeyState{}
-	if x.hold != nil {
-		past = x.past()
+	if x.keyRequest != nil {
+		past = x.keyState()
 		if past.Known {
 			out.Place = past.Place
-			out.Place.Cluster = forwarding.QualifyCluster(x.holder(), "")
+			out.Place.Cluster = forwarding.QualifyCluster(x.ownerSite(), "")
 		}
 	}
 	switch {
-	case a.MayHaveRun || ctx.Err() != nil || x.hold != nil && x.hold.MayHaveRun(): // whose caller has gone, told nothing of what is out
+	case a.MayHaveRun || ctx.Err() != nil || x.keyRequest != nil && x.keyRequest.MayHaveRun(): // whose caller has gone, told nothing of what is out
 		out.Outcome = accounting.MayHaveRun
 	case a.Rejected && failover.MayReject(time.Now(), past, x.class.Scope):
 		out.Outcome, out.RetryAfter = accounting.Rejected, a.RetryAfter.Microseconds()
@@ -301,13 +301,13 @@
 	return out
 }
 
-func served(status int, h http.Header, body []byte) *peering.Response {
+func servedResponse(status int, h http.Header, body []byte) *peering.Response {
 	return &peering.Response{Outcome: accounting.Served, Status: status, Header: h, Body: body}
 }
 
 // Links tells how the links to other salas stand; nothing where there are none.
 func (g *Gateway) Links(ctx context.Context) []peering.SiteStatus {
-	l := g.linked.Load()
+	l := g.transport.Load()
 	if l == nil {
 		return nil
 	}
@@ -324,7 +324,7 @@
 
 // LinkAddr returns the address on which other salas connect, or "" where there is no link.
 func (g *Gateway) LinkAddr() string {
-	l := g.linked.Load()
+	l := g.transport.Load()
 	if l == nil {
 		return ""
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -28,9 +28,9 @@
 )
 
 const (
-	maxID     = 128
-	maxKey    = 256
-	keysRetry = time.Second // when a caller is told to come back that met a full table of keys
+	maxRequestIDBytes  = 128
+	maxKeyBytes        = 256
+	keysFullRetryAfter = time.Second // when a caller is told to come back that met a full table of keys
 )
 
 // router reads the requests of one listener.
@@ -41,26 +41,26 @@
 
 // exchange is one request under one state.
 type exchange struct {
-	gateway *Gateway
-	state   *state
-	rule    *route.Rule
-	class   *conf.Class
-	up      upstream.Request
-	q       lbpolicy.Request
-	key     string // idempotency key of a keyed request
-	tenant  string
-	to      string               // cluster that the rule names, or its split
-	asked   string               // path and query before the rule's rewrite
-	passing *peering.Request     // the request came from another sala; nil: from a caller
-	told    idempotency.KeyState // of the key, by another sala
+	gateway        *Gateway
+	state          *state
+	rule           *route.Rule
+	class          *conf.Class
+	outgoing       upstream.Request
+	policyRequest  lbpolicy.Request
+	key            string // idempotency key of a keyed request
+	tenant         string
+	clusterName    string               // cluster that the rule names, or its split
+	originalTarget string               // path and query before the rule's rewrite
+	forwarded      *peering.Request     // the request came from another sala; nil: from a caller
+	remoteKeyState idempotency.KeyState // of the key, by another sala
 
-	id       idempotency.KeyID    // of the key
-	hold     *idempotency.Request // on the key, once the request is whole
-	binder   *binder              // of the key over the fleet; nil: this process alone
-	entry    *ledger.Entry        // nil: nothing is recorded
-	gone     bool                 // the caller had, when its request ended
-	turned   *frontend.Reply      // the answer to a repeat that goes nowhere
-	deadline time.Time
+	keyID        idempotency.KeyID    // of the key
+	keyRequest   *idempotency.Request // on the key, once the request is whole
+	claimer      *keyClaimer          // of the key over the fleet; nil: this process alone
+	record       *ledger.Entry        // nil: nothing is recorded
+	disconnected bool                 // the caller had, when its request ended
+	rejection    *frontend.Reply      // the answer to a repeat that goes nowhere
+	deadline     time.Time
 }
 
 // Route implements frontend.Router.
@@ -74,27 +74,27 @@
 	return x, nil
 }
 
-// bad turns a request away that can be read in two ways, or in none.
-func bad(status int) *frontend.Reply { return &frontend.Reply{Status: status, Close: true} }
+// rejectAndClose turns a request away that can be read in two ways, or in none.
+func rejectAndClose(status int) *frontend.Reply { return &frontend.Reply{Status: status, Close: true} }
 
 func (ro *router) route(s *state, r *http.Request) (*exchange, *frontend.Reply) {
 	listener := ro.listener.Load()
-	path, query, ok := target(r)
+	path, query, ok := requestTarget(r)
 	if !ok {
-		return nil, bad(http.StatusBadRequest)
+		return nil, rejectAndClose(http.StatusBadRequest)
 	}
 	path, err := route.NormalisePath(path)
 	if err != nil {
-		return nil, bad(http.StatusBadRequest)
+		return nil, rejectAndClose(http.StatusBadRequest)
 	}
 	name, err := route.NormaliseHost(r.Host)
 	if err != nil {
-		return nil, bad(http.StatusBadRequest)
+		return nil, rejectAndClose(http.StatusBadRequest)
 	}
 	class, oneClass := frontend.Single(r.Header, "X-Priority-Class")
 	tenant, oneTenant := frontend.Single(r.Header, "X-Tenant-Id")
 	if !oneClass || !oneTenant {
-		return nil, bad(http.StatusBadRequest)
+		return nil, rejectAndClose(http.StatusBadRequest)
 	}
 	found, ok := s.file.Routes.Find(&route.Request{Listener: listener.Name, Host: name, Path: path, Method: r.Method, Class: class,
 		Tenant: tenant, Header: r.Header, Query: query})
@@ -104,29 +104,29 @@
 	rule := found.Rule
 	switch {
 	case rule.Respond != nil:
-		return nil, respond(rule.Respond)
+		return nil, routeResponse(rule.Respond)
 	case rule.Redirect != nil:
-		return nil, redirect(rule.Redirect, r, path, query)
+		return nil, redirectReply(rule.Redirect, r, path, query)
 	}
 	x := &exchange{gateway: ro.gateway, state: s, rule: rule, tenant: tenant}
-	if reply := x.read(r, class); reply != nil {
+	if reply := x.parseRequest(r, class); reply != nil {
 		return nil, reply
 	}
 	sent := rule.Path(path, found.Path)
-	x.asked = path
+	x.originalTarget = path
 	if query != "" {
 		sent += "?" + query
-		x.asked += "?" + query
+		x.originalTarget += "?" + query
 	}
-	x.up.Method, x.up.Target, x.up.Host = r.Method, sent, r.Host
-	x.headers(r, listener)
-	x.to = rule.Pick(splitKey(rule, r, x, path))
+	x.outgoing.Method, x.outgoing.Target, x.outgoing.Host = r.Method, sent, r.Host
+	x.setHeaders(r, listener)
+	x.clusterName = rule.Pick(splitKeyOf(rule, r, x, path))
 	return x, nil
 }
 
-// target returns path and raw query as they were written. The absolute form is taken too (RFC 9112, 3.2.2); its host is
+// requestTarget returns path and raw query as they were written. The absolute form is taken too (RFC 9112, 3.2.2); its host is
 // r.Host already.
-func target(r *http.Request) (path, query string, ok bool) {
+func requestTarget(r *http.Request) (path, query string, ok bool) {
 	text := r.RequestURI
 	if !strings.HasPrefix(text, "/") {
 		scheme, rest, absolute := strings.Cut(text, "://")
@@ -148,7 +148,7 @@
 	return path, query, !strings.ContainsFunc(query, func(c rune) bool { return c <= ' ' || c == 0x7f || c == '#' })
 }
 
-func respond(a *route.Response) *frontend.Reply {
+func routeResponse(a *route.Response) *frontend.Reply {
 	h := http.Header{}
 	for name, value := range a.Header {
 		h.Set(name, value)
@@ -159,7 +159,7 @@
 	return &frontend.Reply{Status: a.Status, Header: h, Body: []byte(a.Body)}
 }
 
-func redirect(d *route.Redirect, r *http.Request, path, query string) *frontend.Reply {
+func redirectReply(d *route.Redirect, r *http.Request, path, query string) *frontend.Reply {
 	scheme, host := d.Scheme, d.Host
 	if scheme == "" {
 		scheme = "http"
@@ -177,8 +177,8 @@
 	return &frontend.Reply{Status: d.Status, Header: http.Header{"Location": {to}}}
 }
 
-// read finds a request's class, time, key and id.
-func (x *exchange) read(r *http.Request, told string) *frontend.Reply {
+// parseRequest finds a request's class, time, key and id.
+func (x *exchange) parseRequest(r *http.Request, told string) *frontend.Reply {
 	name := x.rule.Class
 	if name == "" {
 		name = told
@@ -188,7 +188,7 @@
 	}
 	number, known := x.state.classes[name]
 	if !known {
-		return bad(http.StatusBadRequest)
+		return rejectAndClose(http.StatusBadRequest)
 	}
 	x.class = &x.state.file.Classes[number]
 	if !slices.Contains(x.class.Methods, r.Method) {
@@ -196,19 +196,19 @@
 			Header: http.Header{"Allow": {strings.Join(x.class.Methods, ", ")}}}
 	}
 	if x.class.Effect == lbpolicy.Idempotent && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
-		return bad(http.StatusBadRequest) // RFC 9110, 9.3.1: a body there has no meaning, and hides requests
+		return rejectAndClose(http.StatusBadRequest) // RFC 9110, 9.3.1: a body there has no meaning, and hides requests
 	}
 	key, oneKey := frontend.Single(r.Header, "Idempotency-Key")
 	id, oneID := frontend.Single(r.Header, "X-Request-Id")
 	timeout, oneTimeout := frontend.Single(r.Header, "X-Timeout-Ms")
-	if !oneKey || !oneID || !oneTimeout || len(key) > maxKey || len(id) > maxID {
-		return bad(http.StatusBadRequest)
+	if !oneKey || !oneID || !oneTimeout || len(key) > maxKeyBytes || len(id) > maxRequestIDBytes {
+		return rejectAndClose(http.StatusBadRequest)
 	}
 	if x.class.Effect == lbpolicy.KeyedIdempotent {
 		if key == "" {
-			return bad(http.StatusBadRequest)
+			return rejectAndClose(http.StatusBadRequest)
 		}
-		x.key, x.id = key, idempotency.KeyIDOf(x.tenant, key)
+		x.key, x.keyID = key, idempotency.KeyIDOf(x.tenant, key)
 	}
 	left := x.class.Deadline
 	if x.rule.Timeout > 0 {
@@ -217,7 +217,7 @@
 	if timeout != "" {
 		ms, err := strconv.ParseUint(timeout, 10, 63)
 		if err != nil {
-			return bad(http.StatusBadRequest)
+			return rejectAndClose(http.StatusBadRequest)
 		}
 		left = min(left, time.Duration(min(ms, uint64(left.Milliseconds())+1))*time.Millisecond)
 	}
@@ -225,13 +225,13 @@
 	if !isTenant {
 		tenant = -1 // to the decisions it has no share of its own
 	}
-	x.q = lbpolicy.Request{Class: number, Tenant: tenant, TimeLeft: left, Retry: r.Header.Get("X-Retried") == "1",
+	x.policyRequest = lbpolicy.Request{Class: number, Tenant: tenant, TimeLeft: left, Retry: r.Header.Get("X-Retried") == "1",
 		MaxAttempts: x.rule.MaxAttempts}
 	return nil
 }
 
-// headers makes the headers that go on.
-func (x *exchange) headers(r *http.Request, l *conf.Listener) {
+// setHeaders makes the headers that go on.
+func (x *exchange) setHeaders(r *http.Request, l *conf.Listener) {
 	h := frontend.EndToEnd(r.Header)
 	for _, name := range []string{"X-Request-Id", "Idempotency-Key"} { // a Connection header must not strip these
 		if v, told := r.Header[name]; told {
@@ -255,12 +255,12 @@
 	for name, value := range x.rule.SetHeaders {
 		h[name] = []string{value}
 	}
-	x.up.Header = h
+	x.outgoing.Header = h
 }
 
-// splitKey is what a split goes by. A keyed request goes by its key whatever the route says, so that its repeat comes
+// splitKeyOf is what a split goes by. A keyed request goes by its key whatever the route says, so that its repeat comes
 // to the same cluster.
-func splitKey(rule *route.Rule, r *http.Request, x *exchange, path string) string {
+func splitKeyOf(rule *route.Rule, r *http.Request, x *exchange, path string) string {
 	if len(rule.Targets) == 1 {
 		return ""
 	}
@@ -279,36 +279,36 @@
 		text, _, _ = net.SplitHostPort(r.RemoteAddr)
 	}
 	if text == "" {
-		text = x.up.Header.Get("X-Request-Id")
+		text = x.outgoing.Header.Get("X-Request-Id")
 	}
 	return text
 }
 
 // Bodies implements frontend.Exchange: the memory is that of the cluster that the rule names first, or of the split's.
 func (x *exchange) Bodies() frontend.Budget {
-	return x.state.clusters[x.to].Bodies()
+	return x.state.clusters[x.clusterName].Bodies()
 }
 
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
 	now := time.Now()
-	x.deadline = now.Add(x.q.TimeLeft)
-	x.up.Body = body
-	if reply, ok := x.begin(now, body); !ok {
+	x.deadline = now.Add(x.policyRequest.TimeLeft)
+	x.outgoing.Body = body
+	if reply, ok := x.beginKeyed(now, body); !ok {
 		return reply
 	}
-	defer func() { x.gone = ctx.Err() != nil }()
+	defer func() { x.disconnected = ctx.Err() != nil }()
 	if len(x.rule.ForwardSites) == 0 {
-		return x.here(ctx)
+		return x.doLocally(ctx)
 	}
-	way := &forwarding.Route{LocalSite: x.gateway.sala, Effect: x.class.Effect, AllowedSites: x.rule.ForwardSites, MaxAttempts: x.q.MaxAttempts}
-	if x.passing != nil {
-		way.VisitedSites = x.passing.VisitedSites
+	way := &forwarding.Route{LocalSite: x.gateway.site, Effect: x.class.Effect, AllowedSites: x.rule.ForwardSites, MaxAttempts: x.policyRequest.MaxAttempts}
+	if x.forwarded != nil {
+		way.VisitedSites = x.forwarded.VisitedSites
 	}
-	holder := x.holder()
-	away := holder != "" && holder != x.gateway.sala
-	if away || x.gateway.leaving.Load() && x.passing == nil && holder == "" {
-		a := x.over(ctx, way, engine.Result{})
+	holder := x.ownerSite()
+	away := holder != "" && holder != x.gateway.site
+	if away || x.gateway.drainingOwn.Load() && x.forwarded == nil && holder == "" {
+		a := x.forward(ctx, way, engine.Result{})
 		if away && a.Response == nil { // whatever was heard: it may have run there
 			a.MayHaveRun, a.Rejected = true, false
 		}
@@ -316,19 +316,19 @@
 			return a
 		}
 	}
-	return x.over(ctx, way, x.here(ctx))
+	return x.forward(ctx, way, x.doLocally(ctx))
 }
 
-// here gives the request to this sala's own clusters.
-func (x *exchange) here(ctx context.Context) engine.Result {
-	plan := failover.New(failover.Request{Cluster: x.to, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.q.MaxAttempts,
+// doLocally gives the request to this sala's own clusters.
+func (x *exchange) doLocally(ctx context.Context) engine.Result {
+	plan := failover.New(failover.Request{Cluster: x.clusterName, Failover: x.rule.Failover, Effect: x.class.Effect, MaxAttempts: x.policyRequest.MaxAttempts,
 		Deadline: x.deadline})
-	to := plan.First(x.local())
+	to := plan.First(x.localKeyState())
 	var last *upstream.Response
 	for {
-		a, here := x.try(ctx, to, plan)
-		if here && x.gateway.sala != "" { // for the other salas to hear
-			x.gateway.note(a.Rejected)
+		a, here := x.tryCluster(ctx, to, plan)
+		if here && x.gateway.site != "" { // for the other salas to hear
+			x.gateway.recordSaturation(a.Rejected)
 		}
 		if a.Response == nil && a.LastResponse == nil {
 			a.LastResponse = last
@@ -338,122 +338,122 @@
 		}
 		last = a.LastResponse
 		var again bool
-		to, again = plan.Next(time.Now(), failover.Result{Served: a.Response != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.local())
+		to, again = plan.Next(time.Now(), failover.Result{Served: a.Response != nil, MayHaveRun: a.MayHaveRun, Attempts: a.Attempts}, x.localKeyState())
 		if !again {
 			return a
 		}
 	}
 }
 
-// begin takes hold of a keyed request's key. Where it can't be had the answer is final.
-func (x *exchange) begin(now time.Time, body []byte) (a engine.Result, ok bool) {
+// beginKeyed takes hold of a keyed request's key. Where it can't be had the answer is final.
+func (x *exchange) beginKeyed(now time.Time, body []byte) (a engine.Result, ok bool) {
 	if x.key == "" {
 		return a, true
 	}
 	var print idempotency.Fingerprint
 	if x.class.CheckRepeats {
-		print = idempotency.FingerprintOf(x.up.Method, x.up.Target, body)
+		print = idempotency.FingerprintOf(x.outgoing.Method, x.outgoing.Target, body)
 	}
-	if a, ok := x.recall(now, print); !ok {
+	if a, ok := x.mergeRecoveredKey(now, print); !ok {
 		return a, false
 	}
-	hold, err := x.gateway.keys.Begin(now, x.id, print)
+	hold, err := x.gateway.keys.Begin(now, x.keyID, print)
 	switch {
 	case errors.Is(err, idempotency.ErrTooManyKeys): // nothing was sent
-		return engine.Result{Rejected: true, RetryAfter: keysRetry}, false
+		return engine.Result{Rejected: true, RetryAfter: keysFullRetryAfter}, false
 	case errors.Is(err, idempotency.ErrKeyReused):
-		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
+		x.rejection = problemReply(http.StatusUnprocessableEntity, keyReusedTitle)
 		return a, false
 	}
-	x.hold = hold
-	if a, ok := x.take(print); !ok {
+	x.keyRequest = hold
+	if a, ok := x.beginRecord(print); !ok {
 		return a, false
 	}
-	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.NeedsFleetClaim(x.class.Scope, x.gateway.sala != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
-		if c := x.passing; c != nil && c.ClaimAttempt != (ownership.AttemptID{}) {
-			x.binder = resume(f, x.id, x.class, x.deadline, c.ClaimAttempt, c.ClaimRound, len(c.VisitedSites))
+	if f := x.gateway.fleet; f != nil && f.HasVoters() && failover.NeedsFleetClaim(x.class.Scope, x.gateway.site != "" || x.rule.Failover != "" || len(x.rule.Targets) > 1) {
+		if c := x.forwarded; c != nil && c.ClaimAttempt != (ownership.AttemptID{}) {
+			x.claimer = resumeKeyClaimer(f, x.keyID, x.class, x.deadline, c.ClaimAttempt, c.ClaimRound, len(c.VisitedSites))
 		} else {
-			x.binder = newBinder(f, x.id, x.class, x.deadline)
+			x.claimer = newKeyClaimer(f, x.keyID, x.class, x.deadline)
 		}
 	}
 	if hold.InProgress && x.class.Concurrent == conf.RejectConcurrent {
-		x.turned = problem(http.StatusConflict, "A request with the key is in work.")
-		x.turned.Header.Set("Retry-After", "1")
+		x.rejection = problemReply(http.StatusConflict, "A request with the key is in work.")
+		x.rejection.Header.Set("Retry-After", "1")
 		return a, false
 	}
 	return a, true
 }
 
-const otherRequest = "The key belongs to another request."
+const keyReusedTitle = "The key belongs to another request."
 
-// problem is an answer to a repeat that goes nowhere (draft-ietf-httpapi-idempotency-key-header, 2.7; RFC 9457).
-func problem(status int, title string) *frontend.Reply {
+// problemReply is an answer to a repeat that goes nowhere (draft-ietf-httpapi-idempotency-key-header, 2.7; RFC 9457).
+func problemReply(status int, title string) *frontend.Reply {
 	return &frontend.Reply{Status: status, Header: http.Header{"Content-Type": {"application/problem+json"}},
 		Body: fmt.Appendf(nil, `{"status":%d,"title":%q}`, status, title)}
 }
 
-// past is what is known of the request's key.
-func (x *exchange) past() idempotency.KeyState {
-	if x.hold == nil {
+// keyState is what is known of the request's key.
+func (x *exchange) keyState() idempotency.KeyState {
+	if x.keyRequest == nil {
 		return idempotency.KeyState{}
 	}
-	p := x.hold.KeyState(x.class.Scope)
-	if x.binder != nil {
-		p = p.Merge(x.binder.KeyState(), x.class.Scope)
+	p := x.keyRequest.KeyState(x.class.Scope)
+	if x.claimer != nil {
+		p = p.Merge(x.claimer.KeyState(), x.class.Scope)
 	}
-	if x.told.Known {
-		p = p.Merge(x.told, x.class.Scope)
+	if x.remoteKeyState.Known {
+		p = p.Merge(x.remoteKeyState, x.class.Scope)
 	}
 	return p
 }
 
-// local is what is known of the request's key, for a choice among this sala's clusters.
-func (x *exchange) local() idempotency.KeyState {
-	p := x.past()
-	if sala, cluster := forwarding.SplitCluster(p.Place.Cluster); sala == x.gateway.sala {
+// localKeyState is what is known of the request's key, for a choice among this sala's clusters.
+func (x *exchange) localKeyState() idempotency.KeyState {
+	p := x.keyState()
+	if sala, cluster := forwarding.SplitCluster(p.Place.Cluster); sala == x.gateway.site {
 		p.Place.Cluster = cluster
 	}
 	return p
 }
 
-// try gives the request to one cluster; here is false where its caller has gone.
-func (x *exchange) try(ctx context.Context, to string, plan *failover.Plan) (a engine.Result, here bool) {
+// tryCluster gives the request to one cluster; here is false where its caller has gone.
+func (x *exchange) tryCluster(ctx context.Context, to string, plan *failover.Plan) (a engine.Result, here bool) {
 	c := x.state.clusters[to]
 	if c == nil { // the key may have run at a cluster that is gone: nothing can be promised
 		return engine.Result{MayHaveRun: true}, true
 	}
-	x.q.TimeLeft, x.q.MaxAttempts = time.Until(x.deadline), plan.AttemptsLeft()
+	x.policyRequest.TimeLeft, x.policyRequest.MaxAttempts = time.Until(x.deadline), plan.AttemptsLeft()
 	var key *engine.Key
-	if x.hold != nil {
-		key = &engine.Key{History: x.hold, Cluster: forwarding.QualifyCluster(x.gateway.sala, to),
+	if x.keyRequest != nil {
+		key = &engine.Key{History: x.keyRequest, Cluster: forwarding.QualifyCluster(x.gateway.site, to),
 			Terms: x.terms()}
-		if x.binder != nil {
-			key.Claimer = x.binder
+		if x.claimer != nil {
+			key.Claimer = x.claimer
 		}
-		if x.entry != nil {
-			key.Recorder = recorder{x.entry, key.Terms}
+		if x.record != nil {
+			key.Recorder = attemptRecorder{x.record, key.Terms}
 		}
 	}
-	return c.Do(ctx, x.up, x.q, key)
+	return c.Do(ctx, x.outgoing, x.policyRequest, key)
 }
 
 // Reply implements frontend.Exchange. The answer is in the ledger before its first byte goes out.
 func (x *exchange) Reply(a engine.Result) *frontend.Reply {
-	r := x.reply(a)
-	x.final(a, r)
+	r := x.ownReply(a)
+	x.recordReply(a, r)
 	return r
 }
 
-// reply finds an answer's wording: what an endpoint said of a failure is passed on, but for 503 and 429, which would
+// ownReply finds an answer's wording: what an endpoint said of a failure is passed on, but for 503 and 429, which would
 // promise that a repeat is harmless. Neither is a request refused whose key may have run, whoever refuses it.
-func (x *exchange) reply(a engine.Result) *frontend.Reply {
+func (x *exchange) ownReply(a engine.Result) *frontend.Reply {
 	switch {
-	case x.turned != nil:
-		return x.turned
+	case x.rejection != nil:
+		return x.rejection
 	case a.Rejected && x.key != "":
-		now, past := time.Now(), x.past()
-		if x.hold == nil {
-			past = x.gateway.keys.KeyState(now, x.id, x.class.Scope)
+		now, past := time.Now(), x.keyState()
+		if x.keyRequest == nil {
+			past = x.gateway.keys.KeyState(now, x.keyID, x.class.Scope)
 		}
 		if !failover.MayReject(now, past, x.class.Scope) {
 			return &frontend.Reply{Status: http.StatusBadGateway}
@@ -473,11 +473,11 @@
 
 // End implements frontend.Exchange.
 func (x *exchange) End() {
-	if x.hold != nil {
-		if x.binder != nil {
-			x.binder.end(x.hold.MayHaveRun())
+	if x.keyRequest != nil {
+		if x.claimer != nil {
+			x.claimer.release(x.keyRequest.MayHaveRun())
 		}
-		x.hold.End()
+		x.keyRequest.End()
 	}
 	x.gateway.release(x.state)
 }
--- a/internal/gateway/format_test.go
+++ b/internal/gateway/format_test.go
@@ -17,7 +17,7 @@
 // What the control socket tells.
 func TestControlFormat(t *testing.T) {
 	for name, value := range map[string]any{
-		"fleet": &FleetView{}, "key": &KeyView{}, "link": &LinkView{}, "lookup": &[]FoundView{}, "connections": &[]DoorView{}, "publication": &Publication{},
+		"fleet": &FleetStatus{}, "key": &KeyStatus{}, "link": &LinkStatus{}, "lookup": &[]KeyLookup{}, "connections": &[]ListenerStatus{}, "publication": &Publication{},
 	} {
 		golden.Fill(value)
 		text, err := json.MarshalIndent(value, "", " ")
--- a/internal/gateway/gates_test.go
+++ b/internal/gateway/gates_test.go
@@ -117,7 +117,7 @@
 		}
 		return true
 	})
-	if other.linked.Load() == nil {
+	if other.transport.Load() == nil {
 		t.Error("the second has no link")
 	}
 	total := int64(crowd.callers * crowd.keys)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,43 +31,43 @@
 	"silvertrail/internal/xds/cache"
 )
 
-const ownSockets = 32 // standard streams, listeners, sources, the runtime's own
+const reservedSockets = 32 // standard streams, listeners, sources, the runtime's own
 
 // Gateway runs a configuration. All its methods may be called from any goroutine.
 type Gateway struct {
-	log       *slog.Logger
-	keys      *idempotency.Table
-	resources *cluster.Resources
-	fleet     *fleet.Fleet   // nil: this instance is alone
-	ledger    *ledger.Ledger // nil: nothing is recorded
-	discover  func(bootstrap.Options, *slog.Logger) Discovery
-	discovery Discovery // nil: no control planes
-	machine   func(api.Options, *slog.Logger) (ControlPlane, error)
-	plane     ControlPlane                      // nil: this instance is no control machine
-	linked    atomic.Pointer[peering.Transport] // nil: no other salas
-	sala      string                            // this one's name; empty: there is no link
-	strainMu  sync.Mutex
-	strain    forwarding.Saturation
-	draining  atomic.Bool // nothing new is taken from other salas
-	leaving   atomic.Bool // and what is this sala's own goes to others first
-	quota     atomic.Pointer[fleet.Quota]
-	state     atomic.Pointer[state]
+	log             *slog.Logger
+	keys            *idempotency.Table
+	resources       *cluster.Resources
+	fleet           *fleet.Fleet   // nil: this instance is alone
+	ledger          *ledger.Ledger // nil: nothing is recorded
+	newDiscovery    func(bootstrap.Options, *slog.Logger) Discovery
+	discovery       Discovery // nil: no control planes
+	newControlPlane func(api.Options, *slog.Logger) (ControlPlane, error)
+	controlPlane    ControlPlane                      // nil: this instance is no control machine
+	transport       atomic.Pointer[peering.Transport] // nil: no other salas
+	site            string                            // this one's name; empty: there is no link
+	saturationMu    sync.Mutex
+	saturation      forwarding.Saturation
+	draining        atomic.Bool // nothing new is taken from other salas
+	drainingOwn     atomic.Bool // and what is this sala's own goes to others first
+	quota           atomic.Pointer[fleet.Quota]
+	state           atomic.Pointer[state]
 
-	mu     sync.Mutex // one reload, or the end, at a time
-	fronts map[string]*front
-	open   atomic.Pointer[[]*front] // the same, for those who can't wait for a reload
-	ended  bool
-	retire sync.WaitGroup // fronts that are ending
+	mu            sync.Mutex // one reload, or the end, at a time
+	listeners     map[string]*boundListener
+	openListeners atomic.Pointer[[]*boundListener] // the same, for those who can't wait for a reload
+	closed        bool
+	retiring      sync.WaitGroup // fronts that are ending
 
-	control *control
-	refused atomic.Pointer[string] // why the last file was turned away; nil: it was not
-	lists   map[string]listed      // of acting alone
+	control      *controlSocket
+	reloadError  atomic.Pointer[string] // why the last file was turned away; nil: it was not
+	listVersions map[string]listVersion // of acting alone
 
-	shortages rate.Sometimes // are logged
+	exhaustionLog rate.Sometimes // are logged
 }
 
-// front is a listener in use.
-type front struct {
+// boundListener is a listener in use.
+type boundListener struct {
 	*frontend.Server
 	listener net.Listener
 	router   *router
@@ -78,14 +78,14 @@
 	file     *conf.File
 	classes  map[string]int
 	tenants  map[string]int
-	clusters map[string]*shared
+	clusters map[string]*sharedCluster
 	refs     atomic.Int64 // one for being in force, one for each request
 }
 
-// shared is a cluster and the number of states that know it.
-type shared struct {
+// sharedCluster is a cluster and the number of states that know it.
+type sharedCluster struct {
 	*cluster.Cluster
-	states atomic.Int64
+	refs atomic.Int64
 }
 
 // Discovery follows control planes.
@@ -101,7 +101,7 @@
 
 // WithDiscovery has the gateway take clusters and endpoints from control planes.
 func WithDiscovery(start func(bootstrap.Options, *slog.Logger) Discovery) Option {
-	return func(g *Gateway) { g.discover = start }
+	return func(g *Gateway) { g.newDiscovery = start }
 }
 
 // ErrNoDiscovery says that a configuration needs what this program was built without.
@@ -109,10 +109,10 @@
 
 // Start runs a configuration.
 func Start(file *conf.File, log *slog.Logger, options ...Option) (*Gateway, error) {
-	g := &Gateway{log: log, keys: idempotency.New(file.Process.MaxKeys), fronts: map[string]*front{},
+	g := &Gateway{log: log, keys: idempotency.New(file.Process.MaxKeys), listeners: map[string]*boundListener{},
 		resources: cluster.NewResources(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory)}
-	g.resources.OnExhausted = g.short
-	g.shortages.Interval = time.Second
+	g.resources.OnExhausted = g.freeDescriptors
+	g.exhaustionLog.Interval = time.Second
 	for _, o := range options {
 		o(g)
 	}
@@ -131,20 +131,20 @@
 		}
 	}
 	if file.XDS != nil {
-		if g.discover == nil {
+		if g.newDiscovery == nil {
 			g.Close()
 			return nil, ErrNoDiscovery
 		}
-		g.discovery = g.discover(*file.XDS, log)
+		g.discovery = g.newDiscovery(*file.XDS, log)
 		g.resources.Discovery = g.discovery
 	}
 	if file.Fleet != nil {
 		o := *file.Fleet
 		o.Log = log
 		if file.Link == nil { // else it spans salas, whose endpoints are not shared
-			o.OnQuotaChange = g.share
+			o.OnQuotaChange = g.setQuota
 		}
-		o.AppliedVersions = g.acting
+		o.AppliedVersions = g.appliedVersions
 		var err error
 		if g.fleet, err = fleet.Start(o); err != nil {
 			g.Close()
@@ -152,15 +152,15 @@
 		}
 	}
 	if file.Link != nil {
-		g.sala = file.Link.Site
+		g.site = file.Link.Site
 	}
 	err := g.Reload(file)
 	if err == nil && file.Link != nil { // calls come from now on: there must be a state
 		o := *file.Link
-		o.Handler, o.Logger = salaServer{g}, log
+		o.Handler, o.Logger = siteServer{g}, log
 		var l *peering.Transport
 		if l, err = peering.Start(o); err == nil {
-			g.linked.Store(l)
+			g.transport.Store(l)
 		}
 	}
 	if err == nil {
@@ -173,22 +173,22 @@
 	return g, nil
 }
 
-// share tells all clusters what part of the whole is this instance's.
-func (g *Gateway) share(quota fleet.Quota) {
+// setQuota tells all clusters what part of the whole is this instance's.
+func (g *Gateway) setQuota(quota fleet.Quota) {
 	g.quota.Store(&quota)
 	if s := g.state.Load(); s != nil {
-		s.share(quota)
+		s.applyQuota(quota)
 	}
 }
 
-func (s *state) share(quota fleet.Quota) {
+func (s *state) applyQuota(quota fleet.Quota) {
 	for _, c := range s.clusters {
 		c.SetBalancers(quota.Instances, quota.Index)
 	}
 }
 
-// refleet takes up what a file says of the fleet. An error means that nothing has changed.
-func (g *Gateway) refleet(file *conf.File) error {
+// updateFleet takes up what a file says of the fleet. An error means that nothing has changed.
+func (g *Gateway) updateFleet(file *conf.File) error {
 	switch {
 	case (g.fleet == nil) != (file.Fleet == nil):
 		return errors.New("gateway: a fleet begins and ends with the process: restart it")
@@ -199,7 +199,9 @@
 }
 
 // endpointConns is what is left of the descriptors when callers have their half.
-func endpointConns(file *conf.File) int64 { return int64(max(file.Process.Sockets/2-ownSockets, 8)) }
+func endpointConns(file *conf.File) int64 {
+	return int64(max(file.Process.Sockets/2-reservedSockets, 8))
+}
 
 // acquire returns the state in force, held for a request.
 func (g *Gateway) acquire() *state {
@@ -217,7 +219,7 @@
 		return
 	}
 	for _, c := range s.clusters {
-		if c.states.Add(-1) == 0 {
+		if c.refs.Add(-1) == 0 {
 			c.Close()
 		}
 	}
@@ -227,7 +229,7 @@
 func (g *Gateway) Addr(name string) net.Addr {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, f := range g.fronts {
+	for _, f := range g.listeners {
 		if f.router.listener.Load().Name == name {
 			return f.listener.Addr()
 		}
@@ -246,15 +248,15 @@
 	return out
 }
 
-// End ends the program's work: callers are served on for half of the time to stop, connections are closed after the
+// Shutdown ends the program's work: callers are served on for half of the time to stop, connections are closed after the
 // answers that they wait for, and all has its answer when the time is over.
-func (g *Gateway) End() {
+func (g *Gateway) Shutdown() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
+	if g.closed {
 		return
 	}
-	g.ended = true
+	g.closed = true
 	g.draining.Store(true) // other salas hear it with the next heartbeat
 	s := g.state.Load()
 	now := time.Now()
@@ -262,27 +264,27 @@
 	for _, c := range s.clusters {
 		c.ShutDownBy(by)
 	}
-	for _, f := range g.fronts {
-		g.retire.Go(func() { f.End(now.Add(s.file.Process.ShutdownTime/2), by) })
+	for _, f := range g.listeners {
+		g.retiring.Go(func() { f.End(now.Add(s.file.Process.ShutdownTime/2), by) })
 	}
-	if l := g.linked.Load(); l != nil {
-		g.retire.Go(func() {
+	if l := g.transport.Load(); l != nil {
+		g.retiring.Go(func() {
 			time.Sleep(time.Until(now.Add(s.file.Process.ShutdownTime / 2)))
 			l.Drain(by)
 		})
 	}
-	g.retire.Wait()
-	if l := g.linked.Load(); l != nil {
+	g.retiring.Wait()
+	if l := g.transport.Load(); l != nil {
 		l.Close()
 	}
 	if g.fleet != nil { // the last: until now its votes count
-		g.fleet.Leave(leaveIn)
+		g.fleet.Leave(leaveTimeout)
 	}
 	if g.discovery != nil {
 		g.discovery.Close()
 	}
-	if g.plane != nil {
-		g.plane.Close()
+	if g.controlPlane != nil {
+		g.controlPlane.Close()
 	}
 	g.closeControl()
 	if g.ledger != nil { // after the last answer
@@ -291,18 +293,18 @@
 	g.release(s)
 }
 
-// leaveIn is how long the others have to hear that this instance goes.
-const leaveIn = 2 * time.Second
+// leaveTimeout is how long the others have to hear that this instance goes.
+const leaveTimeout = 2 * time.Second
 
 // Close ends everything at once: for tests and for a second signal.
 func (g *Gateway) Close() {
 	g.mu.Lock()
-	fronts := slices.Collect(maps.Values(g.fronts))
+	fronts := slices.Collect(maps.Values(g.listeners))
 	g.mu.Unlock()
 	for _, f := range fronts {
 		f.Close()
 	}
-	if l := g.linked.Load(); l != nil {
+	if l := g.transport.Load(); l != nil {
 		l.Close()
 	}
 	if g.fleet != nil {
@@ -311,8 +313,8 @@
 	if g.discovery != nil {
 		g.discovery.Close()
 	}
-	if g.plane != nil {
-		g.plane.Close()
+	if g.controlPlane != nil {
+		g.controlPlane.Close()
 	}
 	g.closeControl()
 	if g.ledger != nil {
@@ -326,14 +328,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			g.End()
+			g.Shutdown()
 			return
 		case <-reload:
 			file, err := conf.Load(path)
 			if err == nil {
 				err = g.Reload(file)
 			}
-			g.refuse(err)
+			g.setReloadError(err)
 			if err != nil {
 				g.log.Error("reload: the configuration in force is kept", "error", err)
 			}
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -130,7 +130,7 @@
 		if status := post(addr, "k", lbtest.Wait); status != 200 {
 			t.Errorf("a key that is known: %d", status)
 		}
-		if v, _ := g.Recorded(); v.UncertainUntil.Before(time.Now()) || v.Losses == 0 {
+		if v, _ := g.LedgerStatus(); v.UncertainUntil.Before(time.Now()) || v.Losses == 0 {
 			t.Errorf("%+v", v)
 		}
 	})
@@ -247,7 +247,7 @@
 		p.seeds = append(p.seeds, addr)
 		p.all[i] = g
 		for j := range 3 {
-			p.paths[j][i].Point(g.linked.Load().Addr())
+			p.paths[j][i].Point(g.transport.Load().Addr())
 		}
 	}
 	p.linked()
@@ -277,7 +277,7 @@
 		key := fmt.Sprint("k", i)
 		s, r := sent[key], got[key]
 		if s == nil || r == nil || s.Verdict() != requesthistory.Served || r.Verdict() != requesthistory.Served || r.FromSite != "centro" || r.ID != s.ID ||
-			len(s.PossiblyExecuted()) != 1 || s.PossiblyExecuted()[0].Endpoint != salaNodo(s.PossiblyExecuted()[0].Zone) {
+			len(s.PossiblyExecuted()) != 1 || s.PossiblyExecuted()[0].Endpoint != siteEndpointName(s.PossiblyExecuted()[0].Zone) {
 			t.Errorf("%s: %+v\n%+v", key, s, r)
 		}
 	}
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -98,7 +98,7 @@
 		c.Send("GET /look HTTP/1.1\r\nHost: x\r\n\r\n")
 		p.await(func(sala int) bool { return sala != 0 })
 		leave(c, tcp)
-		lbtest.Until(t, how+": nothing is held in any sala", func() bool { return p.held() == 0 && (*p.all[0].open.Load())[0].Conns() == 0 })
+		lbtest.Until(t, how+": nothing is held in any sala", func() bool { return p.held() == 0 && (*p.all[0].openListeners.Load())[0].Conns() == 0 })
 		p.fail()
 		if n := p.requests(1) + p.requests(2) - before; n != 1 {
 			t.Errorf("%s: %d attempts", how, n)
@@ -121,7 +121,7 @@
 		leave(c, tcp)
 		lbtest.Until(t, how+": the end has come to the gateway", func() bool { return closedFrom(t, p.addr(0), tcp.LocalAddr().String()) })
 		p.fail()
-		lbtest.Until(t, how+": nothing is held in any sala", func() bool { return p.held() == 0 && (*p.all[0].open.Load())[0].Conns() == 0 })
+		lbtest.Until(t, how+": nothing is held in any sala", func() bool { return p.held() == 0 && (*p.all[0].openListeners.Load())[0].Conns() == 0 })
 		if n, m := p.requests(0)-home, p.requests(1)+p.requests(2)-away; n != 1 || m != 0 {
 			t.Errorf("%s: %d attempts at home, %d elsewhere", how, n, m)
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,8 +15,8 @@
 	"silvertrail/internal/fleet/membership"
 )
 
-// label writes a label's value as the text format has it.
-var label = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+// labelEscaper writes a label's value as the text format has it.
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
 // gauge is one value of a metric, with its labels.
 type gauge struct {
@@ -30,7 +30,7 @@
 		if i == 0 {
 			open = "{"
 		}
-		name += fmt.Sprintf(`%s%s="%s"`, open, labels[i], label.Replace(labels[i+1]))
+		name += fmt.Sprintf(`%s%s="%s"`, open, labels[i], labelEscaper.Replace(labels[i+1]))
 	}
 	if len(labels) > 0 {
 		name += "}"
@@ -38,7 +38,7 @@
 	return gauge{name, value}
 }
 
-func one(is bool) float64 {
+func boolGauge(is bool) float64 {
 	if is {
 		return 1
 	}
@@ -54,7 +54,7 @@
 			gaugeOf("silvertrail_fleet_member_loss_ratio", m.LossRatio, "member", m.Name))
 	}
 	if v, told := f.Versions(); told {
-		out = append(out, gaugeOf("silvertrail_fleet_in_step", one(v.AllCurrent)))
+		out = append(out, gaugeOf("silvertrail_fleet_in_step", boolGauge(v.AllCurrent)))
 		for _, m := range v.Members {
 			out = append(out, gaugeOf("silvertrail_fleet_version_state", 1, "member", m.Member, "state", m.State.String()),
 				gaugeOf("silvertrail_fleet_version_age_seconds", m.Age.Seconds(), "member", m.Member))
@@ -68,7 +68,7 @@
 		return out
 	}
 	out = append(out, gaugeOf("silvertrail_fleet_view", float64(r.Number)), gaugeOf("silvertrail_fleet_view_members", float64(len(r.Members))),
-		gaugeOf("silvertrail_fleet_confirmed", one(r.HasQuorum)), gaugeOf("silvertrail_fleet_isolated", one(r.Isolated || r.Number == 0)))
+		gaugeOf("silvertrail_fleet_confirmed", boolGauge(r.HasQuorum)), gaugeOf("silvertrail_fleet_isolated", boolGauge(r.Isolated || r.Number == 0)))
 	kinds := map[membership.DiagnosisKind]int{}
 	for _, x := range r.Diagnoses {
 		kinds[x.Kind]++
@@ -92,7 +92,7 @@
 	}
 }
 
-func (g *Gateway) tellMetrics(w http.ResponseWriter, _ *http.Request) {
+func (g *Gateway) handleMetrics(w http.ResponseWriter, _ *http.Request) {
 	var text bytes.Buffer
 	if g.fleet != nil {
 		writeGauges(&text, fleetGauges(g.fleet))
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -15,34 +15,36 @@
 	"silvertrail/lbpolicy"
 )
 
-// recorder gives a request's attempts to the ledger. It implements engine.Recorder.
-type recorder struct {
+// attemptRecorder gives a request's attempts to the ledger. It implements engine.Recorder.
+type attemptRecorder struct {
 	entry *ledger.Entry
 	terms idempotency.Terms
 }
 
-func (r recorder) Attempt(endpoint string) engine.Record { return r.entry.Attempt(endpoint, r.terms) }
+func (r attemptRecorder) Attempt(endpoint string) engine.Record {
+	return r.entry.Attempt(endpoint, r.terms)
+}
 
 // terms are what the request's class promises of its keys.
 func (x *exchange) terms() idempotency.Terms {
 	return idempotency.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Retention}
 }
 
-// recall takes into the history what former processes have recorded of the request's key. Where records are lost that could
+// mergeRecoveredKey takes into the history what former processes have recorded of the request's key. Where records are lost that could
 // have told of it, nothing can be promised.
-func (x *exchange) recall(now time.Time, print idempotency.Fingerprint) (a engine.Result, ok bool) {
+func (x *exchange) mergeRecoveredKey(now time.Time, print idempotency.Fingerprint) (a engine.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
 		return a, true
 	}
-	k, was, found := l.RecoveredKey(now, x.id)
+	k, was, found := l.RecoveredKey(now, x.keyID)
 	switch {
 	case !found:
 		if l.IsUncertain(now) {
 			return engine.Result{MayHaveRun: true}, false
 		}
 	case print != idempotency.Fingerprint{} && was != idempotency.Fingerprint{} && l.MaskFingerprint(print) != was:
-		x.turned = problem(http.StatusUnprocessableEntity, otherRequest)
+		x.rejection = problemReply(http.StatusUnprocessableEntity, keyReusedTitle)
 		return a, false
 	default:
 		x.gateway.keys.Merge(now, k)
@@ -50,44 +52,44 @@
 	return a, true
 }
 
-// take has the request recorded. Where it can't be nothing is sent, and its caller is told so at once.
-func (x *exchange) take(print idempotency.Fingerprint) (a engine.Result, ok bool) {
+// beginRecord has the request recorded. Where it can't be nothing is sent, and its caller is told so at once.
+func (x *exchange) beginRecord(print idempotency.Fingerprint) (a engine.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
 		return a, true
 	}
-	r := ledger.Request{ID: x.up.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.id, Fingerprint: print,
-		TimeLeft: x.q.TimeLeft, Unrecorded: x.class.ServeUnrecorded}
-	if x.passing != nil && len(x.passing.VisitedSites) > 0 {
-		r.FromSite = x.passing.VisitedSites[len(x.passing.VisitedSites)-1]
+	r := ledger.Request{ID: x.outgoing.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.keyID, Fingerprint: print,
+		TimeLeft: x.policyRequest.TimeLeft, Unrecorded: x.class.ServeUnrecorded}
+	if x.forwarded != nil && len(x.forwarded.VisitedSites) > 0 {
+		r.FromSite = x.forwarded.VisitedSites[len(x.forwarded.VisitedSites)-1]
 	}
 	e, err := l.Begin(r)
 	if err != nil {
-		return engine.Result{Rejected: true, RetryAfter: unrecordedBack(err)}, false
+		return engine.Result{Rejected: true, RetryAfter: unrecordedRetryAfter(err)}, false
 	}
-	x.entry = e
+	x.record = e
 	return a, true
 }
 
-// unrecordedBack is when a caller is told to come back whose request can't be recorded.
-func unrecordedBack(err error) time.Duration {
+// unrecordedRetryAfter is when a caller is told to come back whose request can't be recorded.
+func unrecordedRetryAfter(err error) time.Duration {
 	var u *ledger.UnavailableError
 	if errors.As(err, &u) {
 		return max(u.RetryAfter, 100*time.Millisecond)
 	}
-	return keysRetry
+	return keysFullRetryAfter
 }
 
-// final has the answer to a caller recorded.
-func (x *exchange) final(a engine.Result, own *frontend.Reply) {
-	if x.entry == nil {
+// recordReply has the answer to a caller recorded.
+func (x *exchange) recordReply(a engine.Result, own *frontend.Reply) {
+	if x.record == nil {
 		return
 	}
 	ending, status := segment.Failed, http.StatusBadGateway
 	switch {
-	case x.turned != nil:
-		ending, status = segment.KeyConflict, x.turned.Status
-	case x.gone && a.Response == nil:
+	case x.rejection != nil:
+		ending, status = segment.KeyConflict, x.rejection.Status
+	case x.disconnected && a.Response == nil:
 		ending, status = segment.Disconnected, 0
 	case own != nil:
 		status = own.Status
@@ -96,33 +98,33 @@
 	case a.Rejected:
 		ending, status = segment.Rejected, http.StatusServiceUnavailable
 	}
-	x.entry.Finish(ending, status)
+	x.record.Finish(ending, status)
 }
 
-// finalOver has the answer to another sala recorded.
-func (x *exchange) finalOver(out *peering.Response) {
-	if x.entry == nil {
+// recordForwardedReply has the answer to another sala recorded.
+func (x *exchange) recordForwardedReply(out *peering.Response) {
+	if x.record == nil {
 		return
 	}
 	ending := segment.Failed
 	switch {
-	case x.turned != nil:
+	case x.rejection != nil:
 		ending = segment.KeyConflict
 	case out.Outcome == accounting.Served:
 		ending = segment.Served
 	case out.Outcome == accounting.Rejected:
 		ending = segment.Rejected
-	case x.gone:
+	case x.disconnected:
 		ending = segment.Disconnected
 	}
-	x.entry.Finish(ending, out.Status)
+	x.record.Finish(ending, out.Status)
 }
 
-// salaNodo is what the ledger calls another sala's gateway.
-func salaNodo(sala string) string { return "sala " + sala }
+// siteEndpointName is what the ledger calls another sala's gateway.
+func siteEndpointName(sala string) string { return "sala " + sala }
 
-// crossed tells how an attempt that went to another sala has ended, in the words of attempts.
-func crossed(o accounting.Outcome, said *peering.Response) (lbpolicy.Verdict, int) {
+// forwardVerdict tells how an attempt that went to another sala has ended, in the words of attempts.
+func forwardVerdict(o accounting.Outcome, said *peering.Response) (lbpolicy.Verdict, int) {
 	status := 0
 	if said != nil {
 		status = said.Status
@@ -136,19 +138,19 @@
 	return lbpolicy.Timeout, 0
 }
 
-// Recorded tells how the ledger stands; ok is false where there is none.
-func (g *Gateway) Recorded() (v ledger.View, ok bool) {
+// LedgerStatus tells how the ledger stands; ok is false where there is none.
+func (g *Gateway) LedgerStatus() (v ledger.View, ok bool) {
 	if g.ledger == nil {
 		return v, false
 	}
 	return g.ledger.Status(), true
 }
 
-func (g *Gateway) tellLedger(w http.ResponseWriter, _ *http.Request) {
-	v, ok := g.Recorded()
+func (g *Gateway) handleLedger(w http.ResponseWriter, _ *http.Request) {
+	v, ok := g.LedgerStatus()
 	if !ok {
 		http.Error(w, "this instance keeps no ledger", http.StatusNotFound)
 		return
 	}
-	tell(w, v)
+	writeJSON(w, v)
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -24,19 +24,19 @@
 func (g *Gateway) Reload(file *conf.File) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
+	if g.closed {
 		return errors.New("gateway: has ended")
 	}
 	old := g.state.Load()
-	secure, err := g.secure(file)
+	secure, err := g.loadTLS(file)
 	if err != nil {
 		return err
 	}
-	opened, err := g.bind(file)
+	opened, err := g.bindListeners(file)
 	if err != nil {
 		return err
 	}
-	next := &state{file: file, classes: map[string]int{}, tenants: map[string]int{}, clusters: map[string]*shared{}}
+	next := &state{file: file, classes: map[string]int{}, tenants: map[string]int{}, clusters: map[string]*sharedCluster{}}
 	next.refs.Store(1)
 	for i, c := range file.Classes {
 		next.classes[c.Name] = i
@@ -44,7 +44,7 @@
 	for i, name := range file.Tenants {
 		next.tenants[name] = i
 	}
-	var fresh []*shared
+	var fresh []*sharedCluster
 	undo := func() {
 		for _, l := range opened {
 			l.Close()
@@ -65,7 +65,7 @@
 			undo()
 			return err
 		}
-		s := &shared{Cluster: made}
+		s := &sharedCluster{Cluster: made}
 		fresh = append(fresh, s)
 		next.clusters[c.Name] = s
 	}
@@ -94,7 +94,7 @@
 			return err
 		}
 	}
-	if err := g.refleet(file); err != nil {
+	if err := g.updateFleet(file); err != nil {
 		undo()
 		return err
 	}
@@ -103,14 +103,14 @@
 	g.keys.Resize(file.Process.MaxKeys)
 	for _, c := range file.Clusters {
 		s := next.clusters[c.Name]
-		s.states.Add(1)
+		s.refs.Add(1)
 		s.Update(c, g.resources)
 	}
 	g.state.Store(next)
 	if quota := g.quota.Load(); quota != nil { // after the state is there: a change in between reaches it twice, and not never
-		next.share(*quota)
+		next.applyQuota(*quota)
 	}
-	if l := g.linked.Load(); l != nil {
+	if l := g.transport.Load(); l != nil {
 		l.Update(*file.Link)
 	}
 	if g.ledger != nil {
@@ -119,7 +119,7 @@
 	if g.discovery != nil {
 		g.discovery.Update(*file.XDS)
 	}
-	g.serve(file, opened, secure)
+	g.applyListeners(file, opened, secure)
 	if old != nil {
 		g.release(old)
 	}
@@ -128,19 +128,19 @@
 	return nil
 }
 
-// place is what a listener is known by over reloads: its address, and its name too where the system picks the port.
-func place(l conf.Listener) string {
+// listenerKey is what a listener is known by over reloads: its address, and its name too where the system picks the port.
+func listenerKey(l conf.Listener) string {
 	if _, port, _ := net.SplitHostPort(l.Address); port == "0" {
 		return l.Name + "@" + l.Address
 	}
 	return l.Address
 }
 
-// bind binds the listeners that are new, all or none.
-func (g *Gateway) bind(file *conf.File) (map[string]net.Listener, error) {
+// bindListeners binds the listeners that are new, all or none.
+func (g *Gateway) bindListeners(file *conf.File) (map[string]net.Listener, error) {
 	opened := map[string]net.Listener{}
 	for _, l := range file.Listeners {
-		if g.fronts[place(l)] != nil {
+		if g.listeners[listenerKey(l)] != nil {
 			continue
 		}
 		nl, err := net.Listen("tcp", l.Address)
@@ -150,59 +150,59 @@
 			}
 			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
-		opened[place(l)] = nl
+		opened[listenerKey(l)] = nl
 	}
 	return opened, nil
 }
 
-// serve starts the new listeners' fronts, and ends those of listeners that the file no longer names.
-func (g *Gateway) serve(file *conf.File, opened map[string]net.Listener, secure map[string]*frontend.Secure) {
+// applyListeners starts the new listeners' fronts, and ends those of listeners that the file no longer names.
+func (g *Gateway) applyListeners(file *conf.File, opened map[string]net.Listener, secure map[string]*frontend.Secure) {
 	named := map[string]bool{}
 	for _, l := range file.Listeners {
-		at := place(l)
+		at := listenerKey(l)
 		named[at] = true
-		f := g.fronts[at]
+		f := g.listeners[at]
 		if f != nil {
 			f.router.listener.Store(&l)
 			f.Secure(secure[at])
 			f.Admit(l.Admission)
 			continue
 		}
-		f = &front{listener: opened[at], router: &router{gateway: g}}
+		f = &boundListener{listener: opened[at], router: &router{gateway: g}}
 		f.router.listener.Store(&l)
 		f.Server = frontend.New(f.router, f.listener, l.Admission, slog.NewLogLogger(g.log.Handler(), slog.LevelWarn))
 		f.Secure(secure[at])
-		f.OnShort(func() { g.shorten(f) })
+		f.OnShort(func() { g.freeDescriptorsExcept(f) })
 		f.Ready()
-		g.fronts[at] = f
+		g.listeners[at] = f
 		go func() {
 			if err := f.Serve(); err != nil {
 				g.log.Error("listener ended", "listener", l.Name, "error", err)
 			}
 		}()
 	}
-	for at, f := range g.fronts {
+	for at, f := range g.listeners {
 		if !named[at] {
-			delete(g.fronts, at)
+			delete(g.listeners, at)
 			now := time.Now()
-			g.retire.Go(func() { f.End(now, now.Add(file.Process.ShutdownTime)) })
+			g.retiring.Go(func() { f.End(now, now.Add(file.Process.ShutdownTime)) })
 		}
 	}
-	open := slices.Collect(maps.Values(g.fronts))
-	g.open.Store(&open)
+	open := slices.Collect(maps.Values(g.listeners))
+	g.openListeners.Store(&open)
 }
 
-// secure reads the certificates of the file's listeners. One that is in use already goes on, and with it what callers
+// loadTLS reads the certificates of the file's listeners. One that is in use already goes on, and with it what callers
 // have to come back by.
-func (g *Gateway) secure(file *conf.File) (map[string]*frontend.Secure, error) {
+func (g *Gateway) loadTLS(file *conf.File) (map[string]*frontend.Secure, error) {
 	out := map[string]*frontend.Secure{}
 	for _, l := range file.Listeners {
 		if l.TLS == nil {
 			continue
 		}
-		if f := g.fronts[place(l)]; f != nil {
+		if f := g.listeners[listenerKey(l)]; f != nil {
 			if s := f.Secured(); s != nil && s.Is(l.TLS.Files, l.TLS.Required) {
-				out[place(l)] = s
+				out[listenerKey(l)] = s
 				continue
 			}
 		}
@@ -210,7 +210,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
-		out[place(l)] = s
+		out[listenerKey(l)] = s
 	}
 	return out, nil
 }
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -196,14 +196,14 @@
 	p.all[i] = g
 	p.mu.Unlock()
 	for j := range 3 {
-		p.paths[j][i].Point(g.linked.Load().Addr())
+		p.paths[j][i].Point(g.transport.Load().Addr())
 	}
 }
 
 func (p *province) status(i int, reconcile bool) []peering.SiteStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
-	return p.all[i].linked.Load().Status(ctx, reconcile)
+	return p.all[i].transport.Load().Status(ctx, reconcile)
 }
 
 // linked waits until every gateway has all others.
@@ -647,7 +647,9 @@
 	lbtest.Until(t, "the end has come to the gateway", func() bool { return closedFrom(t, p.addr(0), c.LocalAddr().String()) })
 	close(fail)
 	g := p.all[0]
-	lbtest.Until(t, "nothing is held", func() bool { return g.state.Load().clusters["c"].InFlight() == 0 && (*g.open.Load())[0].Conns() == 0 })
+	lbtest.Until(t, "nothing is held", func() bool {
+		return g.state.Load().clusters["c"].InFlight() == 0 && (*g.openListeners.Load())[0].Conns() == 0
+	})
 	for _, sala := range p.nodos[1:] {
 		for _, n := range sala {
 			if n.Requests() > 0 {
@@ -762,7 +764,7 @@
 			}
 		})
 	}
-	p.all[0].End()
+	p.all[0].Shutdown()
 	crowd.Wait()
 	p.start(0, false)
 	p.linked()
@@ -778,7 +780,7 @@
 func drain(t *testing.T, g *Gateway, mode string) {
 	t.Helper()
 	w := httptest.NewRecorder()
-	g.takeDrain(w, httptest.NewRequest("POST", "/link/drain?mode="+mode, nil))
+	g.handleDrain(w, httptest.NewRequest("POST", "/link/drain?mode="+mode, nil))
 	if w.Code != 200 {
 		t.Fatal(w.Body)
 	}
