--- a/bench/admission/main.go
+++ b/bench/admission/main.go
@@ -109,7 +109,7 @@
 			start func() (string, func(), error)
 		}{
 			{"groups", product(func(*conf.File) {})},
-			{"places alone", product(func(f *conf.File) { f.Listeners[0].Admission = admission.Plain(b.Places) })},
+			{"places alone", product(func(f *conf.File) { f.Listeners[0].Admission = admission.SingleGroup(b.Places) })},
 			{"ReverseProxy", func() (string, func(), error) { return b.reverse(n.Addr) }},
 		} {
 			addr, stop, err := f.start()
--- a/cmd/silvertrail/connections.go
+++ b/cmd/silvertrail/connections.go
@@ -30,29 +30,29 @@
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	for _, v := range views {
-		fmt.Fprintf(w, "listener %s on %s: %d of %d places held", v.Listener, v.Address, v.Held, v.Places)
-		if v.Places < v.Most {
-			fmt.Fprintf(w, " (of %d; descriptors ran out)", v.Most)
+		fmt.Fprintf(w, "listener %s on %s: %d of %d places held", v.Listener, v.Address, v.InUse, v.Capacity)
+		if v.Capacity < v.MaxCapacity {
+			fmt.Fprintf(w, " (of %d; descriptors ran out)", v.MaxCapacity)
 		}
-		if v.Proving > 0 {
-			fmt.Fprintf(w, ", %d show their certificates", v.Proving)
+		if v.Identifying > 0 {
+			fmt.Fprintf(w, ", %d show their certificates", v.Identifying)
 		}
-		if v.Lined > 0 {
-			fmt.Fprintf(w, ", %d in line", v.Lined)
+		if v.Waiting > 0 {
+			fmt.Fprintf(w, ", %d in line", v.Waiting)
 		}
 		fmt.Fprintln(w, "\nGROUP\tHELD\tAT WORK\tRESERVED\tSOURCES\tTAKEN\tRECOGNISED\tENDED IDLE\tREFUSED")
 		for _, g := range v.Groups {
 			var refused []string
-			for _, why := range slices.Sorted(maps.Keys(g.Refused)) {
-				refused = append(refused, fmt.Sprintf("%d %s", g.Refused[why], why))
+			for _, why := range slices.Sorted(maps.Keys(g.Rejected)) {
+				refused = append(refused, fmt.Sprintf("%d %s", g.Rejected[why], why))
 			}
-			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", g.Name, g.Held, g.Working, g.Reserve, g.Sources, g.Taken, g.Recognised, g.Evicted, strings.Join(refused, ", "))
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", g.Name, g.InUse, g.Active, g.Reserve, g.Sources, g.Admitted, g.Identified, g.Evicted, strings.Join(refused, ", "))
 		}
 		if len(v.Sources) > 0 {
 			fmt.Fprintln(w, "SOURCE\tGROUP\tHELD")
 		}
 		for _, s := range v.Sources {
-			fmt.Fprintf(w, "%s\t%s\t%d\n", s.Source, s.Group, s.Held)
+			fmt.Fprintf(w, "%s\t%s\t%d\n", s.Source, s.Group, s.InUse)
 		}
 		fmt.Fprintln(w)
 	}
@@ -76,14 +76,14 @@
 			fmt.Println("  denied")
 			continue
 		}
-		fmt.Printf("  holds %d", s.Held)
-		if s.Most > 0 {
-			fmt.Printf(" of %d", s.Most)
+		fmt.Printf("  holds %d", s.InUse)
+		if s.MaxConns > 0 {
+			fmt.Printf(" of %d", s.MaxConns)
 		}
 		if s.Rate > 0 {
 			fmt.Printf("; may open %.0f now, %g a second", max(s.Tokens, 0), s.Rate)
 		}
-		fmt.Printf("; free are %d places of its group and %d of all\n", s.Reserved, s.Common)
+		fmt.Printf("; free are %d places of its group and %d of all\n", s.ReservedFree, s.UnreservedFree)
 	}
 	return nil
 }
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	self.Socket = listener.(syscall.Conn)
-	server := frontend.New(router, listener, admission.Plain(self.ClientConns()),
+	server := frontend.New(router, listener, admission.SingleGroup(self.ClientConns()),
 		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
 	var takes atomic.Bool
 	if c.Admin != "" {
--- a/internal/edge/admission/model_test.go
+++ b/internal/edge/admission/model_test.go
@@ -15,7 +15,7 @@
 // package's promises, against whatever happens in whatever order.
 type model struct {
 	t       *rapid.T
-	d       *Door
+	d       *Controller
 	p       Policy
 	now     time.Time
 	conns   []*Conn // that hold a place or prove themselves
@@ -28,30 +28,30 @@
 	netip.MustParseAddr("2001:db8::ffff:2"), netip.MustParseAddr("2001:db8:0:1::1"), netip.MustParseAddr("10.9.0.1")}
 
 func policy(t *rapid.T) Policy {
-	p := Policy{Bits4: 32, Bits6: 64, Grace: 300 * time.Millisecond, Guard: time.Duration(rapid.IntRange(0, 2).Draw(t, "guard")) * time.Second,
-		Groups: []Group{{Name: Others, Source: rapid.SampledFrom([]int{0, 0, 3}).Draw(t, "source")},
-			{Name: "known", Networks: []netip.Prefix{netip.MustParsePrefix("10.1.0.0/16")}, Names: []string{"known", "*.known"},
+	p := Policy{IPv4Bits: 32, IPv6Bits: 64, RequestGrace: 300 * time.Millisecond, IdleProtection: time.Duration(rapid.IntRange(0, 2).Draw(t, "guard")) * time.Second,
+		Groups: []Group{{Name: Others, MaxPerSource: rapid.SampledFrom([]int{0, 0, 3}).Draw(t, "source")},
+			{Name: "known", Networks: []netip.Prefix{netip.MustParsePrefix("10.1.0.0/16")}, CertificateNames: []string{"known", "*.known"},
 				Reserve: rapid.IntRange(0, 4).Draw(t, "reserve")},
 			{Name: "shared", Networks: []netip.Prefix{netip.MustParsePrefix("10.2.0.1/32")}, Weight: 8, Reserve: rapid.IntRange(0, 2).Draw(t, "shared"),
-				Most: rapid.SampledFrom([]int{0, 3}).Draw(t, "most")},
-			{Name: "bad", Networks: []netip.Prefix{netip.MustParsePrefix("10.9.0.0/16")}, Names: []string{"bad"}, Deny: rapid.Bool().Draw(t, "deny")}}}
+				MaxConns: rapid.SampledFrom([]int{0, 3}).Draw(t, "most")},
+			{Name: "bad", Networks: []netip.Prefix{netip.MustParsePrefix("10.9.0.0/16")}, CertificateNames: []string{"bad"}, Deny: rapid.Bool().Draw(t, "deny")}}}
 	if rapid.IntRange(0, 3).Draw(t, "rated") == 0 {
 		p.Groups[0].Rate, p.Groups[0].Burst = 5, 3
 	}
 	if rapid.Bool().Draw(t, "line") {
-		p.Patience, p.Line = 200*time.Millisecond, 2
+		p.MaxWait, p.MaxWaiting = 200*time.Millisecond, 2
 	}
-	p.Factor = rapid.SampledFrom([]float64{0, 0.5, 2}).Draw(t, "factor")
-	p.Places = rapid.IntRange(6, 12).Draw(t, "places")
-	if p.Groups[2].Most > 0 {
-		p.Groups[2].Reserve = min(p.Groups[2].Reserve, p.Groups[2].Most)
+	p.FreeFactor = rapid.SampledFrom([]float64{0, 0.5, 2}).Draw(t, "factor")
+	p.Capacity = rapid.IntRange(6, 12).Draw(t, "places")
+	if p.Groups[2].MaxConns > 0 {
+		p.Groups[2].Reserve = min(p.Groups[2].Reserve, p.Groups[2].MaxConns)
 	}
 	return p
 }
 
 // of returns a connection's group by the policy's words alone.
 func (m *model) of(c *Conn) string {
-	for _, n := range c.names {
+	for _, n := range c.certificateNames {
 		switch strings.ToLower(n) {
 		case "known", "a.known":
 			return "known"
@@ -135,7 +135,7 @@
 
 func (m *model) look(name string, a netip.Addr) before {
 	b := before{held: m.held(name, netip.Prefix{}), source: m.held(name, src(a)), common: m.common(), idle: map[*Conn]float64{}, state: map[*Conn]state{}, group: map[*Conn]string{}}
-	m.d.ripen(m.now)
+	m.d.expireGrace(m.now)
 	for _, c := range m.conns {
 		b.state[c] = c.state
 		if c.source != nil {
@@ -151,7 +151,7 @@
 	}
 	b.young = true
 	for c, load := range b.idle {
-		if load == most && !c.silent && m.now.Sub(c.since) < restGrace {
+		if load == most && !c.neverUsed && m.now.Sub(c.since) < idleGrace {
 			b.young = false
 		}
 	}
@@ -161,7 +161,7 @@
 // judge checks a verdict on one who wants a place in a group against the promises.
 func (m *model) judge(b before, name string, a netip.Addr, v Verdict) {
 	g := m.group(name)
-	if v.Evict != nil && b.state[v.Evict] != idle && b.state[v.Evict] != proving {
+	if v.Evict != nil && b.state[v.Evict] != idle && b.state[v.Evict] != identifying {
 		m.t.Fatalf("ended one that is in state %d", b.state[v.Evict])
 	}
 	if v.Evict != nil && b.state[v.Evict] == idle {
@@ -169,48 +169,48 @@
 			m.t.Fatalf("group %s ended one of %s, which holds no more than its reserve", name, m.of(v.Evict))
 		}
 	}
-	capped := g.Source > 0 && b.source >= g.Source || g.Most > 0 && b.held >= g.Most
+	capped := g.MaxPerSource > 0 && b.source >= g.MaxPerSource || g.MaxConns > 0 && b.held >= g.MaxConns
 	switch {
-	case v.Refused && (v.Reason == TooFast || v.Reason == Denied):
+	case v.Rejected && (v.Reason == RateExceeded || v.Reason == Denied):
 		return
-	case !v.Refused && !v.Prove && !v.Line && v.Evict == nil && capped:
+	case !v.Rejected && !v.MustIdentify && !v.Waiting && v.Evict == nil && capped:
 		m.t.Fatalf("%s was let in beyond its bound", name)
-	case !v.Refused && !v.Prove && !v.Line && v.Evict == nil && !m.short && b.held >= g.Reserve && m.p.Factor > 0 &&
-		float64(b.source+1)/g.weight() > m.p.Factor*float64(m.p.Places-m.reserved()-b.common):
+	case !v.Rejected && !v.MustIdentify && !v.Waiting && v.Evict == nil && !m.short && b.held >= g.Reserve && m.p.FreeFactor > 0 &&
+		float64(b.source+1)/g.weight() > m.p.FreeFactor*float64(m.p.Capacity-m.reserved()-b.common):
 		m.t.Fatalf("a source of %s with %d places had one more, beyond its share", name, b.source)
 	case v.Evict != nil && b.state[v.Evict] == idle && !capped:
 		own := float64(b.source+1) / g.weight()
 		mine := src(v.Evict.addr) == src(a) && b.group[v.Evict] == name // whose source may be beyond its share
 		for c, load := range b.idle {
-			if load > b.idle[v.Evict] && m.p.Guard == 0 && !mine {
+			if load > b.idle[v.Evict] && m.p.IdleProtection == 0 && !mine {
 				m.t.Fatalf("one of load %v ended and one of %v (%v) did not", b.idle[v.Evict], load, c.addr)
 			}
 		}
-		if b.idle[v.Evict] < own && m.p.Guard > 0 && !mine &&
-			m.now.Sub(v.Evict.since) < m.p.Guard && !v.Evict.silent {
+		if b.idle[v.Evict] < own && m.p.IdleProtection > 0 && !mine &&
+			m.now.Sub(v.Evict.since) < m.p.IdleProtection && !v.Evict.neverUsed {
 			m.t.Fatalf("a source of load %v took from one of %v within its guard", own, b.idle[v.Evict])
 		}
-	case v.Line && (b.source > 0 || capped):
+	case v.Waiting && (b.source > 0 || capped):
 		m.t.Fatalf("a source of %s with %d places got in line", name, b.source)
-	case (v.Refused || v.Line) && !capped:
+	case (v.Rejected || v.Waiting) && !capped:
 		if b.held < g.Reserve {
 			m.t.Fatalf("%s was refused (%v) with %d of %d reserved places in use", name, v.Reason, b.held, g.Reserve)
 		}
-		free, own := m.p.Places-m.reserved()-b.common, float64(b.source+1)/g.weight()
-		if b.held >= g.Reserve && free > 0 && m.p.Factor > 0 && own > m.p.Factor*float64(free) {
-			if v.Reason != TooMany && v.Reason != Unproven && !m.short {
+		free, own := m.p.Capacity-m.reserved()-b.common, float64(b.source+1)/g.weight()
+		if b.held >= g.Reserve && free > 0 && m.p.FreeFactor > 0 && own > m.p.FreeFactor*float64(free) {
+			if v.Reason != SourceFull && v.Reason != Unidentified && !m.short {
 				m.t.Fatalf("a source beyond its share was refused as %v", v.Reason)
 			}
 			return
 		}
-		if m.short && m.p.Factor > 0 && (v.Reason == TooMany || v.Reason == Unproven) { // fewer are free than the policy says
+		if m.short && m.p.FreeFactor > 0 && (v.Reason == SourceFull || v.Reason == Unidentified) { // fewer are free than the policy says
 			return
 		}
 		if !m.short && free > 0 {
-			m.t.Fatalf("%s was refused (%v) where %d of %d were in use", name, v.Reason, b.common, m.p.Places-m.reserved())
+			m.t.Fatalf("%s was refused (%v) where %d of %d were in use", name, v.Reason, b.common, m.p.Capacity-m.reserved())
 		}
 		for c, load := range b.idle {
-			if (load >= float64(b.source+1)/g.weight() || m.p.Guard == 0) && (m.p.Guard == 0 || b.young) {
+			if (load >= float64(b.source+1)/g.weight() || m.p.IdleProtection == 0) && (m.p.IdleProtection == 0 || b.young) {
 				m.t.Fatalf("%s was refused though %v of load %v was idle", name, c.addr, load)
 			}
 		}
@@ -223,34 +223,34 @@
 	if len(d.conns) != len(m.conns) {
 		m.t.Fatalf("the door knows %d connections, there are %d", len(d.conns), len(m.conns))
 	}
-	if d.held != m.held("", netip.Prefix{}) || d.common != m.common() {
-		m.t.Fatalf("held %d, common %d; counted %d, %d", d.held, d.common, m.held("", netip.Prefix{}), m.common())
+	if d.inUse != m.held("", netip.Prefix{}) || d.unreservedInUse != m.common() {
+		m.t.Fatalf("held %d, common %d; counted %d, %d", d.inUse, d.unreservedInUse, m.held("", netip.Prefix{}), m.common())
 	}
-	if !m.lowered && (d.held > m.p.Places || m.common() > m.p.Places-m.reserved()) {
-		m.t.Fatalf("%d held, %d common, of %d places", d.held, m.common(), m.p.Places)
+	if !m.lowered && (d.inUse > m.p.Capacity || m.common() > m.p.Capacity-m.reserved()) {
+		m.t.Fatalf("%d held, %d common, of %d places", d.inUse, m.common(), m.p.Capacity)
 	}
 	provers, inLine := 0, 0
 	for _, c := range m.conns {
-		if c.state == proving {
+		if c.state == identifying {
 			provers++
 			continue
 		}
-		if c.state == lined {
+		if c.state == waiting {
 			inLine++
-			if c.source != nil || c.waits == nil || m.held(c.waits.group.Name, src(c.addr)) != c.waits.held {
+			if c.source != nil || c.waitingSource == nil || m.held(c.waitingSource.group.Name, src(c.addr)) != c.waitingSource.inUse {
 				m.t.Fatal("one in line holds a place, or waits for nobody's")
 			}
 			continue
 		}
 		if want := m.of(c); c.source.group.Name != want && !(want == "known" && m.byAddr(c.addr) != "known") && want != "bad" {
-			m.t.Fatalf("%v with %v is of %s", c.addr, c.names, c.source.group.Name)
+			m.t.Fatalf("%v with %v is of %s", c.addr, c.certificateNames, c.source.group.Name)
 		}
 	}
-	if provers != d.provers || provers > m.p.Proving() && !m.lowered {
-		m.t.Fatalf("%d prove themselves, %d counted, %d may", provers, d.provers, m.p.Proving())
+	if provers != d.identifyingCount || provers > m.p.MaxIdentifying() && !m.lowered {
+		m.t.Fatalf("%d prove themselves, %d counted, %d may", provers, d.identifyingCount, m.p.MaxIdentifying())
 	}
-	if inLine != d.lined || inLine > m.p.Line && !m.lowered {
-		m.t.Fatalf("%d in line, %d counted, %d may", inLine, d.lined, m.p.Line)
+	if inLine != d.waitingCount || inLine > m.p.MaxWaiting && !m.lowered {
+		m.t.Fatalf("%d in line, %d counted, %d may", inLine, d.waitingCount, m.p.MaxWaiting)
 	}
 	for k, s := range d.sources {
 		n, idles := 0, 0
@@ -262,21 +262,21 @@
 				}
 			}
 		}
-		for _, c := range []*Conn{s.idle.silent.first, s.idle.rested.first} {
+		for _, c := range []*Conn{s.idle.neverUsed.first, s.idle.used.first} {
 			for ; c != nil; c = c.links[ofSource].next {
 				idles--
-				if next := c.links[ofSource].next; next != nil && (next.since.Before(c.since) || next.silent != c.silent) {
+				if next := c.links[ofSource].next; next != nil && (next.since.Before(c.since) || next.neverUsed != c.neverUsed) {
 					m.t.Fatal("idle connections out of order")
 				}
 			}
 		}
-		if n != s.held || idles != 0 || (s.at >= 0) != (s.idle.first() != nil) || n == 0 && s.rate == nil && s.lined == 0 {
-			m.t.Fatalf("source %v: held %d, counted %d; %d more idle than listed, in heap at %d", k, s.held, n, idles, s.at)
+		if n != s.inUse || idles != 0 || (s.heapIndex >= 0) != (s.idle.first() != nil) || n == 0 && s.rate == nil && s.waiting == 0 {
+			m.t.Fatalf("source %v: held %d, counted %d; %d more idle than listed, in heap at %d", k, s.inUse, n, idles, s.heapIndex)
 		}
 	}
 	for _, g := range d.groups {
 		for _, s := range g.heaviest {
-			if s.load() > g.heaviest[0].load() {
+			if s.weightedLoad() > g.heaviest[0].weightedLoad() {
 				m.t.Fatal("the heaviest source is not the first")
 			}
 		}
@@ -286,33 +286,33 @@
 // next gives places to those in line, in their order, and only where a newcomer in their stead would have had one.
 func (m *model) next() {
 	for {
-		first := m.d.line.first
+		first := m.d.waiting.first
 		if first == nil {
 			return
 		}
 		for _, c := range m.conns {
-			if c.state == lined && c.since.Before(first.since) {
+			if c.state == waiting && c.since.Before(first.since) {
 				m.t.Fatal("the line is out of order")
 			}
 		}
-		name := first.waits.group.Name
+		name := first.waitingSource.group.Name
 		b := m.look(name, first.addr)
-		held := m.d.held
-		taken, evicted := m.d.Next(m.now)
+		held := m.d.inUse
+		taken, evicted := m.d.AdmitWaiting(m.now)
 		for _, c := range evicted {
 			if b.state[c] != idle {
 				m.t.Fatalf("ended one in state %d for the line", b.state[c])
 			}
 			m.ended(c)
 		}
-		if m.d.held != held+len(taken)-len(evicted) {
+		if m.d.inUse != held+len(taken)-len(evicted) {
 			m.t.Fatal("more was given than there was")
 		}
 		if len(taken) == 0 {
 			if m.group(name).Deny {
 				return
 			}
-			m.judge(b, name, first.addr, Verdict{Refused: true, Reason: TooMany})
+			m.judge(b, name, first.addr, Verdict{Rejected: true, Reason: SourceFull})
 			return
 		}
 		if taken[0] != first {
@@ -349,11 +349,11 @@
 			a := rapid.SampledFrom(addrs).Draw(t, "addr")
 			name := m.byAddr(a)
 			b := m.look(name, a)
-			v := m.d.Arrive(m.now, a, rapid.Bool().Draw(t, "provable"), nil)
-			if v.Refused == (v.Conn != nil) || v.Refused && v.Reason != Denied && v.After <= 0 || m.group(name).Deny != (v.Refused && v.Reason == Denied) {
+			v := m.d.Admit(m.now, a, rapid.Bool().Draw(t, "provable"), nil)
+			if v.Rejected == (v.Conn != nil) || v.Rejected && v.Reason != Denied && v.RetryAfter <= 0 || m.group(name).Deny != (v.Rejected && v.Reason == Denied) {
 				t.Fatalf("%+v", v)
 			}
-			if !v.Prove {
+			if !v.MustIdentify {
 				m.judge(b, name, a, v)
 			}
 			taken(v)
@@ -364,8 +364,8 @@
 				m.check()
 			},
 			"expire": func(t *rapid.T) {
-				c := pick(lined)
-				if v := m.d.Expire(m.now, c); !v.Refused || v.After <= 0 {
+				c := pick(waiting)
+				if v := m.d.ExpireWait(m.now, c); !v.Rejected || v.RetryAfter <= 0 {
 					t.Fatalf("%+v", v)
 				}
 				m.ended(c)
@@ -374,23 +374,23 @@
 			"arrive2": arrive,
 			"arrive3": arrive,
 			"recognise": func(t *rapid.T) {
-				c := pick(proving, fresh, shaking, idle)
-				if c.names != nil {
+				c := pick(identifying, awaitingRequest, handshaking, idle)
+				if c.certificateNames != nil {
 					t.Skip("shown already")
 				}
 				names := rapid.SampledFrom([][]string{nil, {"other"}, {"known"}, {"x", "A.known"}, {"bad"}}).Draw(t, "names")
 				was := c.state
 				to := m.byAddr(c.addr)
-				if len(names) > 0 && m.d.members != nil {
-					if n, ok := m.d.members.named(names); ok {
+				if len(names) > 0 && m.d.groupIndex != nil {
+					if n, ok := m.d.groupIndex.ofNames(names); ok {
 						to = m.p.Groups[n].Name
 					}
 				}
 				b := m.look(to, c.addr)
-				v := m.d.Recognise(m.now, c, names)
-				if v.Refused {
+				v := m.d.Identify(m.now, c, names)
+				if v.Rejected {
 					m.ended(c)
-					if was != proving && v.Reason != Denied {
+					if was != identifying && v.Reason != Denied {
 						t.Fatalf("one that held a place was refused: %v", v.Reason)
 					}
 					if !m.group(to).Deny {
@@ -402,28 +402,28 @@
 					t.Fatal("ended itself")
 				}
 				taken(v)
-				if c.state != fresh && (was == shaking || was == proving) {
+				if c.state != awaitingRequest && (was == handshaking || was == identifying) {
 					t.Fatalf("after its handshake it is in state %d", c.state)
 				}
 			},
 			"work": func(*rapid.T) {
-				if c := pick(fresh, idle); !m.d.Work(c) {
+				if c := pick(awaitingRequest, idle); !m.d.StartRequest(c) {
 					t.Fatal("not there")
 				}
 			},
 			"rest": func(*rapid.T) {
-				c := pick(working)
+				c := pick(active)
 				denied := c.source.group.Deny // since it got in
-				if stays := m.d.Rest(m.now, c); !stays {
+				if stays := m.d.EndRequest(m.now, c); !stays {
 					m.ended(c)
 				} else if denied {
 					t.Fatal("one that is kept out stays")
 				}
 			},
 			"leave": func(*rapid.T) {
-				c := pick(fresh, shaking, idle, working, proving, lined)
-				m.d.Leave(m.now, c)
-				m.d.Leave(m.now, c) // also twice
+				c := pick(awaitingRequest, handshaking, idle, active, identifying, waiting)
+				m.d.Remove(m.now, c)
+				m.d.Remove(m.now, c) // also twice
 				m.ended(c)
 			},
 			"time": func(t *rapid.T) {
@@ -431,7 +431,7 @@
 			},
 			"short": func(*rapid.T) {
 				b := m.look("", netip.Addr{})
-				for _, c := range m.d.Short(m.now) {
+				for _, c := range m.d.ReduceCapacity(m.now) {
 					if b.state[c] != idle {
 						t.Fatal("ended one at work")
 					}
@@ -441,7 +441,7 @@
 			},
 			"update": func(t *rapid.T) {
 				m.p = policy(t)
-				m.d.ripen(m.now)
+				m.d.expireGrace(m.now)
 				b := m.look("", netip.Addr{})
 				m.short, m.lowered = true, true
 				for _, c := range m.d.Update(m.now, m.p) {
@@ -453,12 +453,12 @@
 			},
 		})
 		for _, c := range slices.Clone(m.conns) { // nothing is left behind
-			m.d.Leave(m.now, c)
+			m.d.Remove(m.now, c)
 		}
 		m.conns = nil
 		m.check()
 		for _, g := range m.d.groups {
-			if g.held+g.working != 0 || g.idle.first() != nil || len(g.heaviest) != 0 {
+			if g.inUse+g.active != 0 || g.idle.first() != nil || len(g.heaviest) != 0 {
 				t.Fatalf("%s holds something", g.Name)
 			}
 		}
@@ -469,18 +469,18 @@
 func TestHandshakeGrace(t *testing.T) {
 	begun := time.Unix(1e9, 0)
 	at := func(after time.Duration) time.Time { return begun.Add(after) }
-	d := New(Policy{Places: 1, Groups: []Group{{Name: Others}}, Bits4: 32, Bits6: 64, Grace: grace, Guard: time.Second}, begun)
-	slow := d.Arrive(begun, addrs[0], true, nil).Conn
-	if v := d.Arrive(at(900*time.Millisecond), addrs[1], true, nil); !v.Refused {
+	d := New(Policy{Capacity: 1, Groups: []Group{{Name: Others}}, IPv4Bits: 32, IPv6Bits: 64, RequestGrace: defaultRequestGrace, IdleProtection: time.Second}, begun)
+	slow := d.Admit(begun, addrs[0], true, nil).Conn
+	if v := d.Admit(at(900*time.Millisecond), addrs[1], true, nil); !v.Rejected {
 		t.Errorf("it ended in its handshake: %+v", v)
 	}
-	if v := d.Recognise(at(950*time.Millisecond), slow, nil); v.Conn != slow {
+	if v := d.Identify(at(950*time.Millisecond), slow, nil); v.Conn != slow {
 		t.Errorf("%+v", v)
 	}
-	if v := d.Arrive(at(1200*time.Millisecond), addrs[1], true, nil); !v.Refused {
+	if v := d.Admit(at(1200*time.Millisecond), addrs[1], true, nil); !v.Rejected {
 		t.Errorf("it ended in its grace: %+v", v)
 	}
-	if v := d.Arrive(at(1300*time.Millisecond), addrs[1], true, nil); v.Evict != slow {
+	if v := d.Admit(at(1300*time.Millisecond), addrs[1], true, nil); v.Evict != slow {
 		t.Errorf("it keeps others out: %+v", v)
 	}
 }
@@ -488,51 +488,51 @@
 // What is remembered of sources that hold nothing is bounded, and goes when its rate has nothing more to remember.
 func TestSourcesForgotten(t *testing.T) {
 	now := time.Unix(1e9, 0)
-	p := Policy{Places: 4, Groups: []Group{{Name: Others, Rate: 1, Burst: 2}}, Bits4: 32, Bits6: 64}
+	p := Policy{Capacity: 4, Groups: []Group{{Name: Others, Rate: 1, Burst: 2}}, IPv4Bits: 32, IPv6Bits: 64}
 	d := New(p, now)
-	for i := range mostEmpty + 100 {
-		v := d.Arrive(now, netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), false, nil)
-		d.Leave(now, v.Conn)
+	for i := range maxUnusedSources + 100 {
+		v := d.Admit(now, netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), false, nil)
+		d.Remove(now, v.Conn)
 	}
-	if len(d.sources) != mostEmpty {
+	if len(d.sources) != maxUnusedSources {
 		t.Errorf("%d sources", len(d.sources))
 	}
 	now = now.Add(2 * time.Second)
-	v := d.Arrive(now, netip.MustParseAddr("10.0.0.1"), false, nil)
-	d.Leave(now, v.Conn)
-	if len(d.sources) != 1 || d.empties != 1 {
-		t.Errorf("%d sources, %d empty", len(d.sources), d.empties)
+	v := d.Admit(now, netip.MustParseAddr("10.0.0.1"), false, nil)
+	d.Remove(now, v.Conn)
+	if len(d.sources) != 1 || d.unusedCount != 1 {
+		t.Errorf("%d sources, %d empty", len(d.sources), d.unusedCount)
 	}
 }
 
 func BenchmarkDoor(b *testing.B) {
 	for _, sources := range []int{1, 1000, 100000} {
-		p := Policy{Places: sources, Groups: []Group{{Name: Others}}, Bits4: 32, Bits6: 64, Guard: time.Second}
+		p := Policy{Capacity: sources, Groups: []Group{{Name: Others}}, IPv4Bits: 32, IPv6Bits: 64, IdleProtection: time.Second}
 		now := time.Unix(1e9, 0)
 		d := New(p, now)
 		var conns []*Conn
 		for i := range sources {
-			c := d.Arrive(now, netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), false, nil).Conn
-			d.Work(c)
-			d.Rest(now, c)
+			c := d.Admit(now, netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), false, nil).Conn
+			d.StartRequest(c)
+			d.EndRequest(now, c)
 			conns = append(conns, c)
 		}
 		b.Run(fmt.Sprintf("request/%d", sources), func(b *testing.B) {
 			for i := range b.N {
 				now = now.Add(time.Microsecond)
-				d.Work(conns[i%sources])
-				d.Rest(now, conns[i%sources])
+				d.StartRequest(conns[i%sources])
+				d.EndRequest(now, conns[i%sources])
 			}
 		})
 		b.Run(fmt.Sprintf("newcomer/%d", sources), func(b *testing.B) { // each ends an idle one
 			for i := range b.N {
-				now = now.Add(2 * restGrace)
-				v := d.Arrive(now, netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)}), false, nil)
+				now = now.Add(2 * idleGrace)
+				v := d.Admit(now, netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)}), false, nil)
 				if v.Conn == nil {
 					b.Fatal(v)
 				}
-				d.Work(v.Conn)
-				d.Rest(now, v.Conn)
+				d.StartRequest(v.Conn)
+				d.EndRequest(now, v.Conn)
 			}
 		})
 	}
--- a/internal/edge/admission/policy.go
+++ b/internal/edge/admission/policy.go
@@ -18,23 +18,23 @@
 
 // Policy is what a listener grants. Group 0 is that of all who are of no other. The reserves fit into the places.
 type Policy struct {
-	Places int // connections at most
-	Groups []Group
+	Capacity int // connections at most
+	Groups   []Group
 	// Bits of an address that make its source: hosts of one IPv6 network have as many addresses as they like.
-	Bits4, Bits6 int
-	// Factor bounds what one source holds to so many times the common places that are free, by its weight, so that the first
+	IPv4Bits, IPv6Bits int
+	// FreeFactor bounds what one source holds to so many times the common places that are free, by its weight, so that the first
 	// connections of others find one (dynamic thresholds: Choudhury and Hahne, 1998); 0: no bound.
-	Factor float64
-	// Guard is for how long an idle connection is safe from newcomers whose source holds more than its own.
-	Guard time.Duration
-	// Grace is for how long a new connection may bring no request before it counts as idle.
-	Grace time.Duration
-	// Patience is for how long a newcomer whose source holds nothing may wait in line for a place; 0: not at all.
-	Patience time.Duration
-	// Line bounds how many wait in line.
-	Line int
-	// Wait has newcomers wait for a place; without it they are refused at once.
-	Wait bool
+	FreeFactor float64
+	// IdleProtection is for how long an idle connection is safe from newcomers whose source holds more than its own.
+	IdleProtection time.Duration
+	// RequestGrace is for how long a new connection may bring no request before it counts as idle.
+	RequestGrace time.Duration
+	// MaxWait is for how long a newcomer whose source holds nothing may wait in line for a place; 0: not at all.
+	MaxWait time.Duration
+	// MaxWaiting bounds how many wait in line.
+	MaxWaiting int
+	// BlockWhenFull has newcomers wait for a place; without it they are refused at once.
+	BlockWhenFull bool
 }
 
 // Group is a kind of callers.
@@ -42,15 +42,15 @@
 	Name string
 	// Networks and Names (of certificates: "host.example", or "*.example" for what ends so) say who is of the group. The
 	// longest network counts, then the first name.
-	Networks []netip.Prefix
-	Names    []string
-	Reserve  int     // places that nobody else takes
-	Most     int     // places; 0: no bound but the listener's
-	Source   int     // places of one source; 0: no bound
-	Rate     float64 // new connections a second of one source; 0: no bound
-	Burst    int
-	Weight   float64 // a source of weight 50 gives way like fifty; 0: 1
-	Deny     bool
+	Networks         []netip.Prefix
+	CertificateNames []string
+	Reserve          int     // places that nobody else takes
+	MaxConns         int     // places; 0: no bound but the listener's
+	MaxPerSource     int     // places of one source; 0: no bound
+	Rate             float64 // new connections a second of one source; 0: no bound
+	Burst            int
+	Weight           float64 // a source of weight 50 gives way like fifty; 0: 1
+	Deny             bool
 }
 
 func (g *Group) weight() float64 {
@@ -60,52 +60,52 @@
 	return 1
 }
 
-// Plain is a policy without groups: places for all, for which newcomers wait.
-func Plain(places int) Policy {
-	return Policy{Places: places, Groups: []Group{{Name: Others}}, Bits4: 32, Bits6: 64, Grace: grace, Wait: true}
+// SingleGroup is a policy without groups: places for all, for which newcomers wait.
+func SingleGroup(places int) Policy {
+	return Policy{Capacity: places, Groups: []Group{{Name: Others}}, IPv4Bits: 32, IPv6Bits: 64, RequestGrace: defaultRequestGrace, BlockWhenFull: true}
 }
 
 // Others names the group of all who are of no other.
 const Others = "others"
 
-// grace is how long a connection that has brought no request yet is left alone where room is short.
-const grace = 300 * time.Millisecond
+// defaultRequestGrace is how long a connection that has brought no request yet is left alone where room is short.
+const defaultRequestGrace = 300 * time.Millisecond
 
-// members finds an address's group. It never changes.
-type members struct {
+// groupIndex finds an address's group. It never changes.
+type groupIndex struct {
 	networks bart.Table[int]
-	names    []name
+	patterns []namePattern
 }
 
-type name struct {
+type namePattern struct {
 	text  string // lower case; with a dot in front where it is a suffix
 	group int
 }
 
-func newMembers(groups []Group) *members {
-	m := &members{}
+func newGroupIndex(groups []Group) *groupIndex {
+	m := &groupIndex{}
 	for i, g := range groups {
 		for _, n := range g.Networks {
 			m.networks.Insert(n.Masked(), i)
 		}
-		for _, n := range g.Names {
-			m.names = append(m.names, name{strings.ToLower(strings.TrimPrefix(n, "*")), i})
+		for _, n := range g.CertificateNames {
+			m.patterns = append(m.patterns, namePattern{strings.ToLower(strings.TrimPrefix(n, "*")), i})
 		}
 	}
 	return m
 }
 
-// of returns the group of an address, 0 where no network holds it.
-func (m *members) of(a netip.Addr) int {
+// ofAddress returns the group of an address, 0 where no network holds it.
+func (m *groupIndex) ofAddress(a netip.Addr) int {
 	if g, ok := m.networks.Lookup(a.Unmap().WithZone("")); ok {
 		return g
 	}
 	return 0
 }
 
-// named returns the first group that has one of a certificate's names.
-func (m *members) named(names []string) (group int, ok bool) {
-	for _, n := range m.names {
+// ofNames returns the first group that has one of a certificate's names.
+func (m *groupIndex) ofNames(names []string) (group int, ok bool) {
+	for _, n := range m.patterns {
 		if slices.ContainsFunc(names, func(is string) bool {
 			is = strings.ToLower(is)
 			if n.text[0] == '.' {
@@ -119,11 +119,11 @@
 	return 0, false
 }
 
-// group returns the group of an address, or that of a certificate's names, which count more; named tells that they did.
-func (d *Door) group(a netip.Addr, names []string) (g *group, named bool) {
-	n, named := d.members.named(names)
+// groupOf returns the group of an address, or that of a certificate's names, which count more; named tells that they did.
+func (d *Controller) groupOf(a netip.Addr, names []string) (g *group, named bool) {
+	n, named := d.groupIndex.ofNames(names)
 	if !named {
-		n = d.members.of(a)
+		n = d.groupIndex.ofAddress(a)
 	}
 	return d.groups[n], named
 }
@@ -133,12 +133,12 @@
 
 // The reasons.
 const (
-	Denied   Reason = iota // its group is kept out
-	TooFast                // its source opens connections faster than its rate
-	TooMany                // its source holds as many as it may
-	GroupAll               // its group holds as many as it may
-	Full                   // no place that it could have
-	Unproven               // it was let in to show a certificate and is of no group with room
+	Denied       Reason = iota // its group is kept out
+	RateExceeded               // its source opens connections faster than its rate
+	SourceFull                 // its source holds as many as it may
+	GroupFull                  // its group holds as many as it may
+	ListenerFull               // no place that it could have
+	Unidentified               // it was let in to show a certificate and is of no group with room
 	reasons
 )
 
--- a/internal/edge/admission/prove.go
+++ b/internal/edge/admission/prove.go
@@ -5,107 +5,107 @@
 	"time"
 )
 
-// Proving is how many connections may show their certificates at a time beyond the places.
-func (p *Policy) Proving() int {
+// MaxIdentifying is how many connections may show their certificates at a time beyond the places.
+func (p *Policy) MaxIdentifying() int {
 	n := 0
 	for _, g := range p.Groups {
-		if len(g.Names) > 0 {
+		if len(g.CertificateNames) > 0 {
 			n += max(g.Reserve, 1)
 		}
 	}
-	return min(n, mostProving)
+	return min(n, maxIdentifying)
 }
 
 const (
-	mostProving = 256
-	// proofGrace is how long a newcomer has to show its certificate before another may take its turn.
-	proofGrace = 250 * time.Millisecond
+	maxIdentifying = 256
+	// identificationGrace is how long a newcomer has to show its certificate before another may take its turn.
+	identificationGrace = 250 * time.Millisecond
 )
 
-// prove lets a connection in to show its certificate. Where too many do, the one ends that came first of those whose
+// admitForIdentification lets a connection in to show its certificate. Where too many do, the one ends that came first of those whose
 // source has most of them, or the first of all if its time was enough.
-func (d *Door) prove(now time.Time, c *Conn, evict **Conn) bool {
-	most := d.policy.Proving()
+func (d *Controller) admitForIdentification(now time.Time, c *Conn, evict **Conn) bool {
+	most := d.policy.MaxIdentifying()
 	if most == 0 {
 		return false
 	}
-	if d.provers >= most {
+	if d.identifyingCount >= most {
 		of := map[netip.Prefix]int{}
-		for o := d.proving.first; o != nil; o = o.links[ofSource].next {
-			of[d.prefix(o.addr)]++
+		for o := d.identifying.first; o != nil; o = o.links[ofSource].next {
+			of[d.prefixOf(o.addr)]++
 		}
-		own := of[d.prefix(c.addr)] + 1
-		first := d.proving.first
-		for o := d.proving.first; o != nil; o = o.links[ofSource].next {
-			if of[d.prefix(o.addr)] > of[d.prefix(first.addr)] {
+		own := of[d.prefixOf(c.addr)] + 1
+		first := d.identifying.first
+		for o := d.identifying.first; o != nil; o = o.links[ofSource].next {
+			if of[d.prefixOf(o.addr)] > of[d.prefixOf(first.addr)] {
 				first = o
 			}
 		}
-		if of[d.prefix(first.addr)] <= own {
-			if first = d.proving.first; now.Sub(first.since) < proofGrace {
+		if of[d.prefixOf(first.addr)] <= own {
+			if first = d.identifying.first; now.Sub(first.since) < identificationGrace {
 				return false
 			}
 		}
 		*evict = first
-		d.drop(now, first)
+		d.remove(now, first)
 	}
-	c.state, c.since = proving, now
+	c.state, c.since = identifying, now
 	d.conns[c] = struct{}{}
-	d.proving.push(c, ofSource)
-	d.provers++
+	d.identifying.push(c, ofSource)
+	d.identifyingCount++
 	return true
 }
 
-// Recognise tells the names of a connection's certificate, which has been verified; none: it has shown none. Where it is
+// Identify tells the names of a connection's certificate, which has been verified; none: it has shown none. Where it is
 // refused it is to be ended, with an answer. One that holds a place keeps it.
-func (d *Door) Recognise(now time.Time, c *Conn, names []string) Verdict {
-	d.ripen(now)
-	if c.state == gone {
-		return Verdict{Refused: true, Reason: Unproven, After: ownRetry}
+func (d *Controller) Identify(now time.Time, c *Conn, names []string) Verdict {
+	d.expireGrace(now)
+	if c.state == closed {
+		return Verdict{Rejected: true, Reason: Unidentified, RetryAfter: sourceRetryAfter}
 	}
-	g, known := d.group(c.addr, names)
-	if c.state != proving && !known {
-		d.shaken(now, c)
+	g, known := d.groupOf(c.addr, names)
+	if c.state != identifying && !known {
+		d.finishHandshake(now, c)
 		return Verdict{Conn: c}
 	}
-	c.names = names
+	c.certificateNames = names
 	if g.Deny {
-		g.counts.Refused[Denied]++
-		d.drop(now, c)
-		return Verdict{Refused: true, Reason: Denied}
+		g.counts.Rejected[Denied]++
+		d.remove(now, c)
+		return Verdict{Rejected: true, Reason: Denied}
 	}
 	held := c.source != nil
 	if held && c.source.group == g {
-		d.shaken(now, c)
+		d.finishHandshake(now, c)
 		return Verdict{Conn: c}
 	}
 	s := d.source(c.addr, g)
-	evict, why, ok := d.place(now, g, s)
+	evict, why, ok := d.allocate(now, g, s)
 	if !ok {
-		d.unheld(s, now)
+		d.keepIfUnused(s, now)
 		if held {
-			d.shaken(now, c)
+			d.finishHandshake(now, c)
 			return Verdict{Conn: c}
 		}
 		if !known {
-			why = Unproven
+			why = Unidentified
 		}
-		g.counts.Refused[why]++
-		d.drop(now, c)
-		return Verdict{Refused: true, Reason: why, After: retry(why)}
+		g.counts.Rejected[why]++
+		d.remove(now, c)
+		return Verdict{Rejected: true, Reason: why, RetryAfter: retryAfter(why)}
 	}
 	if evict == c { // its own place, as it brought no request in its grace
-		evict, c.state = nil, fresh
+		evict, c.state = nil, awaitingRequest
 		d.conns[c] = struct{}{}
 	}
-	d.leave(now, c)
-	d.enter(c, g)
-	d.begin(now, c, false)
+	d.vacate(now, c)
+	d.occupy(c, g)
+	d.awaitRequest(now, c, false)
 	if known {
-		g.counts.Recognised++
+		g.counts.Identified++
 	}
 	if !held {
-		g.counts.Taken++
+		g.counts.Admitted++
 	}
 	return Verdict{Conn: c, Evict: evict}
 }
--- a/internal/edge/admission/shortage.go
+++ b/internal/edge/admission/shortage.go
@@ -4,44 +4,44 @@
 	"time"
 )
 
-// Short tells that the process had no descriptor for a connection. For a while there are fewer places: a sixteenth of those
+// ReduceCapacity tells that the process had no descriptor for a connection. For a while there are fewer places: a sixteenth of those
 // in use is given back for connections to endpoints and for what else the process must open. It returns the idle
 // connections that end for that.
 //
 // It guards against a bound on connections that is higher than what the system grants. It could hurt by ending kept
 // connections that would have been used again: their callers connect anew.
-func (d *Door) Short(now time.Time) []*Conn {
-	d.ripen(now)
-	if d.ceiling >= d.policy.Places || now.Sub(d.shortAt) >= shortEvery {
-		d.ceiling, d.shortAt = max(d.held-max(d.held/16, 1), 1), now
+func (d *Controller) ReduceCapacity(now time.Time) []*Conn {
+	d.expireGrace(now)
+	if d.reducedCapacity >= d.policy.Capacity || now.Sub(d.reducedAt) >= reduceInterval {
+		d.reducedCapacity, d.reducedAt = max(d.inUse-max(d.inUse/16, 1), 1), now
 	}
 	return d.trim(now)
 }
 
 const (
-	shortEvery   = 100 * time.Millisecond // the places fall once; what is freed takes a moment to be felt
-	recoverEvery = 250 * time.Millisecond // after a shortage a
-	recoverPart  = 32                     // thirty-second of the places comes back so often
+	reduceInterval  = 100 * time.Millisecond // the places fall once; what is freed takes a moment to be felt
+	recoverInterval = 250 * time.Millisecond // after a shortage a
+	recoverDivisor  = 32                     // thirty-second of the places comes back so often
 )
 
-// places returns how many there are now.
-func (d *Door) places(now time.Time) int {
-	if d.ceiling >= d.policy.Places {
-		return d.policy.Places
+// capacity returns how many there are now.
+func (d *Controller) capacity(now time.Time) int {
+	if d.reducedCapacity >= d.policy.Capacity {
+		return d.policy.Capacity
 	}
-	back := int(now.Sub(d.shortAt)/recoverEvery) * max(d.policy.Places/recoverPart, 1)
-	return min(d.ceiling+back, d.policy.Places)
+	back := int(now.Sub(d.reducedAt)/recoverInterval) * max(d.policy.Capacity/recoverDivisor, 1)
+	return min(d.reducedCapacity+back, d.policy.Capacity)
 }
 
-// commonPlaces returns how many places are nobody's.
-func (d *Door) commonPlaces(now time.Time) int { return max(d.places(now)-d.reserved, 0) }
+// unreservedCapacity returns how many places are nobody's.
+func (d *Controller) unreservedCapacity(now time.Time) int { return max(d.capacity(now)-d.reserved, 0) }
 
 // trim ends idle connections until no more are held than there are places for.
-func (d *Door) trim(now time.Time) (evict []*Conn) {
-	for d.held > d.places(now) || d.common > d.commonPlaces(now) {
-		c := d.yield(now, nil, func(g *group) bool { return g.common() > 0 })
-		if c == nil && d.held > d.policy.Places {
-			c = d.yield(now, nil, func(*group) bool { return true })
+func (d *Controller) trim(now time.Time) (evict []*Conn) {
+	for d.inUse > d.capacity(now) || d.unreservedInUse > d.unreservedCapacity(now) {
+		c := d.evictionCandidate(now, nil, func(g *group) bool { return g.unreservedInUse() > 0 })
+		if c == nil && d.inUse > d.policy.Capacity {
+			c = d.evictionCandidate(now, nil, func(*group) bool { return true })
 		}
 		if c == nil {
 			return evict
--- a/internal/edge/admission/source.go
+++ b/internal/edge/admission/source.go
@@ -11,26 +11,26 @@
 // source is what the connections of one address, or prefix, in one group have in common. It is kept while it holds a
 // connection or its rate has something to remember.
 type source struct {
-	key   key
-	group *group
-	held  int
-	lined int // wait in line
-	idle  queue
-	at    int // in its group's heap of sources with idle connections; -1: in none
-	rate  *rate.Limiter
+	key       sourceKey
+	group     *group
+	inUse     int
+	waiting   int // wait in line
+	idle      idleQueue
+	heapIndex int // in its group's heap of sources with idle connections; -1: in none
+	rate      *rate.Limiter
 
 	// Of sources that hold nothing, in the order in which that came to be.
 	prev, next *source
-	empty      bool
+	unused     bool
 }
 
-type key struct {
+type sourceKey struct {
 	prefix netip.Prefix
 	group  string
 }
 
-// load is what a source holds, as its group weighs it.
-func (s *source) load() float64 { return float64(s.held) / s.group.weight() }
+// weightedLoad is what a source holds, as its group weighs it.
+func (s *source) weightedLoad() float64 { return float64(s.inUse) / s.group.weight() }
 
 // The lists that a connection is on while it is idle.
 const (
@@ -68,28 +68,28 @@
 
 type link struct{ prev, next *Conn }
 
-// queue are idle connections in the order in which they end: those that have never brought a request, then the others,
+// idleQueue are idle connections in the order in which they end: those that have never brought a request, then the others,
 // each by when they became idle.
-type queue struct{ silent, rested list }
+type idleQueue struct{ neverUsed, used list }
 
-func (q *queue) first() *Conn {
-	if q.silent.first != nil {
-		return q.silent.first
+func (q *idleQueue) first() *Conn {
+	if q.neverUsed.first != nil {
+		return q.neverUsed.first
 	}
-	return q.rested.first
+	return q.used.first
 }
 
-func (q *queue) of(c *Conn) *list {
-	if c.silent {
-		return &q.silent
+func (q *idleQueue) listOf(c *Conn) *list {
+	if c.neverUsed {
+		return &q.neverUsed
 	}
-	return &q.rested
+	return &q.used
 }
 
-// sooner tells whether one of two connections ends before the other, where nothing else tells them apart.
-func (c *Conn) sooner(than *Conn) bool {
-	if c.silent != than.silent {
-		return c.silent
+// endsBefore tells whether one of two connections ends before the other, where nothing else tells them apart.
+func (c *Conn) endsBefore(than *Conn) bool {
+	if c.neverUsed != than.neverUsed {
+		return c.neverUsed
 	}
 	return c.since.Before(than.since)
 }
@@ -97,130 +97,130 @@
 // group is a group and what it holds.
 type group struct {
 	Group
-	held, working int
-	idle          queue
-	heaviest      heaviest // sources with idle connections
+	inUse, active int
+	idle          idleQueue
+	heaviest      sourceHeap // sources with idle connections
 	counts        Counts
 }
 
-// common is how many of the places that are nobody's the group holds.
-func (g *group) common() int { return max(g.held-g.Reserve, 0) }
+// unreservedInUse is how many of the places that are nobody's the group holds.
+func (g *group) unreservedInUse() int { return max(g.inUse-g.Reserve, 0) }
 
-// heaviest is a heap of sources, the one that holds most first, then the one whose connection ends sooner.
-type heaviest []*source
+// sourceHeap is a heap of sources, the one that holds most first, then the one whose connection ends sooner.
+type sourceHeap []*source
 
-func (h heaviest) Len() int { return len(h) }
-func (h heaviest) Less(i, j int) bool {
-	if a, b := h[i].load(), h[j].load(); a != b {
+func (h sourceHeap) Len() int { return len(h) }
+func (h sourceHeap) Less(i, j int) bool {
+	if a, b := h[i].weightedLoad(), h[j].weightedLoad(); a != b {
 		return a > b
 	}
-	return h[i].idle.first().sooner(h[j].idle.first())
+	return h[i].idle.first().endsBefore(h[j].idle.first())
 }
-func (h heaviest) Swap(i, j int) {
+func (h sourceHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
+	h[i].heapIndex, h[j].heapIndex = i, j
 }
-func (h *heaviest) Push(x any) {
+func (h *sourceHeap) Push(x any) {
 	s := x.(*source)
-	s.at = len(*h)
+	s.heapIndex = len(*h)
 	*h = append(*h, s)
 }
-func (h *heaviest) Pop() any {
+func (h *sourceHeap) Pop() any {
 	old := *h
 	s := old[len(old)-1]
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
-	s.at = -1
+	s.heapIndex = -1
 	return s
 }
 
-// weigh puts a source in its place among those of its group, after what it holds has changed.
-func (s *source) weigh() {
+// updateHeap puts a source in its place among those of its group, after what it holds has changed.
+func (s *source) updateHeap() {
 	h := &s.group.heaviest
 	switch {
-	case s.idle.first() == nil && s.at >= 0:
-		heap.Remove(h, s.at)
-	case s.idle.first() != nil && s.at < 0:
+	case s.idle.first() == nil && s.heapIndex >= 0:
+		heap.Remove(h, s.heapIndex)
+	case s.idle.first() != nil && s.heapIndex < 0:
 		heap.Push(h, s)
-	case s.at >= 0:
-		heap.Fix(h, s.at)
+	case s.heapIndex >= 0:
+		heap.Fix(h, s.heapIndex)
 	}
 }
 
-// prefix returns an address's source.
-func (d *Door) prefix(a netip.Addr) netip.Prefix {
+// prefixOf returns an address's source.
+func (d *Controller) prefixOf(a netip.Addr) netip.Prefix {
 	a = a.Unmap().WithZone("")
-	bits := d.policy.Bits4
+	bits := d.policy.IPv4Bits
 	if a.Is6() {
-		bits = d.policy.Bits6
+		bits = d.policy.IPv6Bits
 	}
 	p, _ := a.Prefix(bits)
 	return p
 }
 
 // source finds the source of an address in a group, or begins it.
-func (d *Door) source(a netip.Addr, g *group) *source {
-	k := key{d.prefix(a), g.Name}
+func (d *Controller) source(a netip.Addr, g *group) *source {
+	k := sourceKey{d.prefixOf(a), g.Name}
 	s := d.sources[k]
 	if s == nil {
-		s = &source{key: k, group: g, at: -1}
+		s = &source{key: k, group: g, heapIndex: -1}
 		d.sources[k] = s
 	}
 	s.group = g
 	return s
 }
 
-// unheld keeps a source that holds nothing for as long as its rate remembers something, and within a bound: those that have
+// keepIfUnused keeps a source that holds nothing for as long as its rate remembers something, and within a bound: those that have
 // been so longest go first.
-func (d *Door) unheld(s *source, now time.Time) {
-	if s.held+s.lined > 0 {
-		d.unempty(s)
+func (d *Controller) keepIfUnused(s *source, now time.Time) {
+	if s.inUse+s.waiting > 0 {
+		d.removeUnused(s)
 		return
 	}
 	if s.rate == nil {
-		d.unempty(s)
+		d.removeUnused(s)
 		delete(d.sources, s.key)
 		return
 	}
-	if !s.empty {
-		s.empty, s.prev, s.next = true, d.lastEmpty, nil
-		if d.lastEmpty != nil {
-			d.lastEmpty.next = s
+	if !s.unused {
+		s.unused, s.prev, s.next = true, d.lastUnused, nil
+		if d.lastUnused != nil {
+			d.lastUnused.next = s
 		} else {
-			d.firstEmpty = s
+			d.firstUnused = s
 		}
-		d.lastEmpty = s
-		d.empties++
+		d.lastUnused = s
+		d.unusedCount++
 	}
-	for o := d.firstEmpty; o != nil && (d.empties > mostEmpty || o.rate.TokensAt(now) >= float64(o.rate.Burst())); o = d.firstEmpty {
-		d.unempty(o)
+	for o := d.firstUnused; o != nil && (d.unusedCount > maxUnusedSources || o.rate.TokensAt(now) >= float64(o.rate.Burst())); o = d.firstUnused {
+		d.removeUnused(o)
 		delete(d.sources, o.key)
 	}
 }
 
-// mostEmpty bounds the sources that are remembered for their rate alone.
-const mostEmpty = 1 << 14
+// maxUnusedSources bounds the sources that are remembered for their rate alone.
+const maxUnusedSources = 1 << 14
 
-func (d *Door) unempty(s *source) {
-	if !s.empty {
+func (d *Controller) removeUnused(s *source) {
+	if !s.unused {
 		return
 	}
 	if s.prev != nil {
 		s.prev.next = s.next
 	} else {
-		d.firstEmpty = s.next
+		d.firstUnused = s.next
 	}
 	if s.next != nil {
 		s.next.prev = s.prev
 	} else {
-		d.lastEmpty = s.prev
+		d.lastUnused = s.prev
 	}
-	s.empty, s.prev, s.next = false, nil, nil
-	d.empties--
+	s.unused, s.prev, s.next = false, nil, nil
+	d.unusedCount--
 }
 
-// hurry takes one of the source's new connections a second; it returns how long it has none to give.
-func (s *source) hurry(now time.Time) time.Duration {
+// takeRateToken takes one of the source's new connections a second; it returns how long it has none to give.
+func (s *source) takeRateToken(now time.Time) time.Duration {
 	g := s.group
 	if g.Rate <= 0 {
 		return 0
--- a/internal/edge/admission/view.go
+++ b/internal/edge/admission/view.go
@@ -9,63 +9,63 @@
 
 // Counts are what a group has met with since the process began.
 type Counts struct {
-	Taken      uint64
-	Refused    [reasons]uint64
+	Admitted   uint64
+	Rejected   [reasons]uint64
 	Evicted    uint64 // idle connections ended in favour of others
-	Recognised uint64 // by a certificate
+	Identified uint64 // by a certificate
 }
 
-// View is what a door tells of itself.
-type View struct {
-	Places  int         `json:"places"` // now
-	Most    int         `json:"most"`   // as configured; more than places after descriptors ran out
-	Held    int         `json:"held"`
-	Proving int         `json:"proving,omitempty"`
-	Lined   int         `json:"in_line,omitempty"`
-	Groups  []GroupView `json:"groups"`
-	Sources []SourceOf  `json:"sources"` // those that hold most
+// Status is what a door tells of itself.
+type Status struct {
+	Capacity    int            `json:"places"` // now
+	MaxCapacity int            `json:"most"`   // as configured; more than places after descriptors ran out
+	InUse       int            `json:"held"`
+	Identifying int            `json:"proving,omitempty"`
+	Waiting     int            `json:"in_line,omitempty"`
+	Groups      []GroupStatus  `json:"groups"`
+	Sources     []SourceStatus `json:"sources"` // those that hold most
 }
 
-// GroupView is a group of a view.
-type GroupView struct {
+// GroupStatus is a group of a view.
+type GroupStatus struct {
 	Name       string            `json:"name"`
-	Held       int               `json:"held"`
-	Working    int               `json:"working"`
+	InUse      int               `json:"held"`
+	Active     int               `json:"working"`
 	Reserve    int               `json:"reserve,omitempty"`
 	Sources    int               `json:"sources"`
-	Taken      uint64            `json:"taken"`
-	Recognised uint64            `json:"recognised,omitempty"`
+	Admitted   uint64            `json:"taken"`
+	Identified uint64            `json:"recognised,omitempty"`
 	Evicted    uint64            `json:"evicted,omitempty"`
-	Refused    map[string]uint64 `json:"refused,omitempty"` // by reason
+	Rejected   map[string]uint64 `json:"refused,omitempty"` // by reason
 }
 
-// SourceOf is a source of a view.
-type SourceOf struct {
+// SourceStatus is a source of a view.
+type SourceStatus struct {
 	Source string `json:"source"`
 	Group  string `json:"group"`
-	Held   int    `json:"held"`
+	InUse  int    `json:"held"`
 }
 
-// Look tells how the door stands, with so many of its sources.
-func (d *Door) Look(now time.Time, sources int) View {
-	v := View{Places: d.places(now), Most: d.policy.Places, Held: d.held, Proving: d.provers, Lined: d.lined}
+// Status tells how the door stands, with so many of its sources.
+func (d *Controller) Status(now time.Time, sources int) Status {
+	v := Status{Capacity: d.capacity(now), MaxCapacity: d.policy.Capacity, InUse: d.inUse, Identifying: d.identifyingCount, Waiting: d.waitingCount}
 	of := map[*group]int{}
 	for _, s := range d.sources {
-		if s.held > 0 {
+		if s.inUse > 0 {
 			of[s.group]++
-			v.Sources = append(v.Sources, SourceOf{s.key.prefix.String(), s.group.Name, s.held})
+			v.Sources = append(v.Sources, SourceStatus{s.key.prefix.String(), s.group.Name, s.inUse})
 		}
 	}
-	slices.SortFunc(v.Sources, func(a, b SourceOf) int {
-		return cmp.Or(b.Held-a.Held, cmp.Compare(a.Source, b.Source), cmp.Compare(a.Group, b.Group))
+	slices.SortFunc(v.Sources, func(a, b SourceStatus) int {
+		return cmp.Or(b.InUse-a.InUse, cmp.Compare(a.Source, b.Source), cmp.Compare(a.Group, b.Group))
 	})
 	v.Sources = v.Sources[:min(len(v.Sources), sources)]
 	for _, g := range d.groups {
-		gv := GroupView{Name: g.Name, Held: g.held, Working: g.working, Reserve: g.Reserve, Sources: of[g], Taken: g.counts.Taken,
-			Recognised: g.counts.Recognised, Evicted: g.counts.Evicted, Refused: map[string]uint64{}}
-		for r, n := range g.counts.Refused {
+		gv := GroupStatus{Name: g.Name, InUse: g.inUse, Active: g.active, Reserve: g.Reserve, Sources: of[g], Admitted: g.counts.Admitted,
+			Identified: g.counts.Identified, Evicted: g.counts.Evicted, Rejected: map[string]uint64{}}
+		for r, n := range g.counts.Rejected {
 			if n > 0 {
-				gv.Refused[Reason(r).String()] = n
+				gv.Rejected[Reason(r).String()] = n
 			}
 		}
 		v.Groups = append(v.Groups, gv)
@@ -73,29 +73,29 @@
 	return v
 }
 
-// Standing is how an address stands with a door.
-type Standing struct {
-	Group    string  `json:"group"`
-	Source   string  `json:"source"`
-	Held     int     `json:"held"` // by its source
-	Most     int     `json:"most,omitempty"`
-	Rate     float64 `json:"rate,omitempty"`
-	Tokens   float64 `json:"tokens,omitempty"` // connections that it may open at once, by its rate
-	Reserved int     `json:"reserved_left"`    // places of its group that nobody else takes
-	Common   int     `json:"common_left"`
-	Denied   bool    `json:"denied,omitempty"`
+// AddressStatus is how an address stands with a door.
+type AddressStatus struct {
+	Group          string  `json:"group"`
+	Source         string  `json:"source"`
+	InUse          int     `json:"held"` // by its source
+	MaxConns       int     `json:"most,omitempty"`
+	Rate           float64 `json:"rate,omitempty"`
+	Tokens         float64 `json:"tokens,omitempty"` // connections that it may open at once, by its rate
+	ReservedFree   int     `json:"reserved_left"`    // places of its group that nobody else takes
+	UnreservedFree int     `json:"common_left"`
+	Denied         bool    `json:"denied,omitempty"`
 }
 
-// Who tells how an address stands, and changes nothing.
-func (d *Door) Who(now time.Time, a netip.Addr) Standing {
-	g, _ := d.group(a, nil)
-	at := Standing{Group: g.Name, Source: d.prefix(a).String(), Most: g.Source, Rate: g.Rate, Denied: g.Deny,
-		Reserved: max(g.Reserve-g.held, 0), Common: max(d.commonPlaces(now)-d.common, 0)}
+// AddressStatus tells how an address stands, and changes nothing.
+func (d *Controller) AddressStatus(now time.Time, a netip.Addr) AddressStatus {
+	g, _ := d.groupOf(a, nil)
+	at := AddressStatus{Group: g.Name, Source: d.prefixOf(a).String(), MaxConns: g.MaxPerSource, Rate: g.Rate, Denied: g.Deny,
+		ReservedFree: max(g.Reserve-g.inUse, 0), UnreservedFree: max(d.unreservedCapacity(now)-d.unreservedInUse, 0)}
 	if g.Rate > 0 {
 		at.Tokens = float64(max(g.Burst, 1))
 	}
-	if s := d.sources[key{d.prefix(a), g.Name}]; s != nil {
-		at.Held = s.held
+	if s := d.sources[sourceKey{d.prefixOf(a), g.Name}]; s != nil {
+		at.InUse = s.inUse
 		if s.rate != nil {
 			at.Tokens = s.rate.TokensAt(now)
 		}
@@ -103,14 +103,14 @@
 	return at
 }
 
-// Held returns how many connections hold a place or wait for one in line.
-func (d *Door) Held() int { return d.held + d.lined }
+// Count returns how many connections hold a place or wait for one in line.
+func (d *Controller) Count() int { return d.inUse + d.waitingCount }
 
-// Lined returns how many connections wait in line.
-func (d *Door) Lined() int { return d.lined }
+// Waiting returns how many connections wait in line.
+func (d *Controller) Waiting() int { return d.waitingCount }
 
-// All returns all connections.
-func (d *Door) All() []*Conn {
+// Conns returns all connections.
+func (d *Controller) Conns() []*Conn {
 	out := make([]*Conn, 0, len(d.conns))
 	for c := range d.conns {
 		out = append(out, c)
@@ -118,20 +118,20 @@
 	return out
 }
 
-// Idle returns the connections that carry no request: for an end in which they go first.
-func (d *Door) Idle(now time.Time) (out []*Conn) {
-	d.ripen(now)
+// IdleConns returns the connections that carry no request: for an end in which they go first.
+func (d *Controller) IdleConns(now time.Time) (out []*Conn) {
+	d.expireGrace(now)
 	for c := range d.conns {
-		if c.state == idle || c.state == proving {
+		if c.state == idle || c.state == identifying {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// byTime returns all connections, those first that have stood longest as they are.
-func (d *Door) byTime() []*Conn {
-	all := d.All()
+// connsByAge returns all connections, those first that have stood longest as they are.
+func (d *Controller) connsByAge() []*Conn {
+	all := d.Conns()
 	slices.SortFunc(all, func(a, b *Conn) int { return a.since.Compare(b.since) })
 	return all
 }
--- a/internal/edge/frontend/conns.go
+++ b/internal/edge/frontend/conns.go
@@ -24,7 +24,7 @@
 	onShort  atomic.Pointer[func()]
 
 	mu      sync.Mutex
-	door    *admission.Door
+	door    *admission.Controller
 	waiting int  // taken from the system and not let in yet
 	ticking bool // the line is looked at from time to time
 
@@ -55,7 +55,7 @@
 // short frees descriptors.
 func (l *callerConns) short() int {
 	l.mu.Lock()
-	over := l.door.Short(time.Now())
+	over := l.door.ReduceCapacity(time.Now())
 	l.mu.Unlock()
 	end(over)
 	return len(over)
@@ -64,7 +64,7 @@
 // end closes connections that the door has ended.
 func end(over []*admission.Conn) {
 	for _, c := range over {
-		c.Host.(*callerConn).Close()
+		c.Owner.(*callerConn).Close()
 	}
 }
 
@@ -73,14 +73,14 @@
 
 // next gives what has come free to those who wait in line. The caller holds the lock; what it returns is called without.
 func (l *callerConns) next() func() {
-	taken, evicted := l.door.Next(time.Now())
+	taken, evicted := l.door.AdmitWaiting(time.Now())
 	if len(taken)+len(evicted) == 0 {
 		return func() {}
 	}
 	return func() {
 		end(evicted)
 		for _, c := range taken {
-			go l.serve(c.Host.(*callerConn))
+			go l.serve(c.Owner.(*callerConn))
 		}
 	}
 }
@@ -89,7 +89,7 @@
 func (l *callerConns) tick() {
 	l.mu.Lock()
 	next := l.next()
-	if l.ticking = l.door.Lined() > 0; l.ticking {
+	if l.ticking = l.door.Waiting() > 0; l.ticking {
 		time.AfterFunc(waitStep, l.tick)
 	}
 	l.mu.Unlock()
@@ -99,9 +99,9 @@
 // expire ends a connection's wait in line.
 func (l *callerConns) expire(c *callerConn) {
 	l.mu.Lock()
-	v := l.door.Expire(time.Now(), c.place)
+	v := l.door.ExpireWait(time.Now(), c.place)
 	l.mu.Unlock()
-	if v.Refused {
+	if v.Rejected {
 		l.refuse(c, v)
 	}
 }
@@ -151,14 +151,14 @@
 	waits := false
 	for {
 		l.mu.Lock()
-		v := l.door.Arrive(time.Now(), c.from, c.secure != nil, c)
-		c.place, c.proving = v.Conn, v.Prove
-		if v.Line && !l.ticking {
+		v := l.door.Admit(time.Now(), c.from, c.secure != nil, c)
+		c.place, c.proving = v.Conn, v.MustIdentify
+		if v.Waiting && !l.ticking {
 			l.ticking = true
 			time.AfterFunc(waitStep, l.tick)
 		}
-		if v.Wait != waits {
-			waits = v.Wait
+		if v.AskAgain != waits {
+			waits = v.AskAgain
 			if waits {
 				l.waiting++
 			} else {
@@ -170,19 +170,19 @@
 			end([]*admission.Conn{v.Evict})
 		}
 		switch {
-		case v.Wait && !l.lobby.over():
+		case v.AskAgain && !l.lobby.over():
 			time.Sleep(waitStep)
-		case v.Wait:
+		case v.AskAgain:
 			l.mu.Lock()
 			l.waiting--
 			l.mu.Unlock()
 			c.Close()
 			return false
-		case v.Refused:
+		case v.Rejected:
 			l.refuse(c, v)
 			return false
-		case v.Line:
-			time.AfterFunc(v.After, func() { l.expire(c) })
+		case v.Waiting:
+			time.AfterFunc(v.RetryAfter, func() { l.expire(c) })
 			return false
 		default:
 			return true
@@ -195,7 +195,7 @@
 	next := func() {}
 	c.conns.mu.Lock()
 	if c.place != nil {
-		c.conns.door.Leave(time.Now(), c.place)
+		c.conns.door.Remove(time.Now(), c.place)
 		next = c.conns.next()
 	}
 	c.conns.mu.Unlock()
@@ -208,7 +208,7 @@
 // closeAll closes all connections.
 func (l *callerConns) closeAll() {
 	l.mu.Lock()
-	all := l.door.All()
+	all := l.door.Conns()
 	l.mu.Unlock()
 	end(all)
 	l.lobby.close()
@@ -219,13 +219,13 @@
 func (c *callerConn) claim() bool {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	return c.conns.door.Work(c.place)
+	return c.conns.door.StartRequest(c.place)
 }
 
 // rest marks the connection as idle. It returns false where it must end.
 func (c *callerConn) rest() bool {
 	c.conns.mu.Lock()
-	stays := c.conns.door.Rest(time.Now(), c.place)
+	stays := c.conns.door.EndRequest(time.Now(), c.place)
 	next := c.conns.next()
 	c.conns.mu.Unlock()
 	next()
@@ -238,10 +238,10 @@
 	l.mu.Lock()
 	now := time.Now()
 	var over []*admission.Conn
-	for _, c := range l.door.Idle(now) {
-		if len(over) < most && !c.Host.(*callerConn).speaks() {
+	for _, c := range l.door.IdleConns(now) {
+		if len(over) < most && !c.Owner.(*callerConn).speaks() {
 			over = append(over, c)
-			l.door.Leave(now, c)
+			l.door.Remove(now, c)
 		}
 	}
 	l.mu.Unlock()
@@ -279,20 +279,20 @@
 func (l *callerConns) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Held() + l.waiting
+	return l.door.Count() + l.waiting
 }
 
 // look tells how the door stands.
-func (l *callerConns) look(sources int) admission.View {
+func (l *callerConns) look(sources int) admission.Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Look(time.Now(), sources)
+	return l.door.Status(time.Now(), sources)
 }
 
-func (l *callerConns) who(a netip.Addr) admission.Standing {
+func (l *callerConns) who(a netip.Addr) admission.AddressStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Who(time.Now(), a)
+	return l.door.AddressStatus(time.Now(), a)
 }
 
 // lobby holds refused connections until their callers have read why, or a short time is over. It is bounded: when it is
@@ -351,11 +351,11 @@
 	switch v.Reason {
 	case admission.Denied:
 		r.Status = http.StatusForbidden
-	case admission.TooFast, admission.TooMany: // by what it does itself (RFC 6585, 4)
+	case admission.RateExceeded, admission.SourceFull: // by what it does itself (RFC 6585, 4)
 		r.Status = http.StatusTooManyRequests
 	}
-	if v.After > 0 {
-		r.Header.Set("Retry-After", strconv.FormatFloat(max(v.After.Seconds(), 0.001), 'f', 3, 64))
+	if v.RetryAfter > 0 {
+		r.Header.Set("Retry-After", strconv.FormatFloat(max(v.RetryAfter.Seconds(), 0.001), 'f', 3, 64))
 	}
 	return r
 }
--- a/internal/edge/frontend/frontend.go
+++ b/internal/edge/frontend/frontend.go
@@ -135,10 +135,10 @@
 func (s *Server) Short() int { return s.conns.short() }
 
 // Door tells how the connections stand, with so many of the sources that hold most.
-func (s *Server) Door(sources int) admission.View { return s.conns.look(sources) }
+func (s *Server) Door(sources int) admission.Status { return s.conns.look(sources) }
 
 // Who tells how an address stands.
-func (s *Server) Who(a netip.Addr) admission.Standing { return s.conns.who(a) }
+func (s *Server) Who(a netip.Addr) admission.AddressStatus { return s.conns.who(a) }
 
 // Retire has another process take the connections that come, with the same listening socket, which stays open here. Those
 // that stand are served on; each answer asks its caller to come back on a new one.
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -42,7 +42,7 @@
 		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
-	s := frontend.New(sidecar.NewRouter(c, h, &counters.Set{}, 1<<20), l, admission.Plain(maxConns), log.New(io.Discard, "", 0))
+	s := frontend.New(sidecar.NewRouter(c, h, &counters.Set{}, 1<<20), l, admission.SingleGroup(maxConns), log.New(io.Discard, "", 0))
 	s.Ready()
 	go s.Serve()
 	t.Cleanup(func() { s.Close() })
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -141,7 +141,7 @@
 		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: e.Addr, Zone: "a", Status: "ready"})
 	}
 	d.host.UpdateEndpoints(lbpolicy.Full, list)
-	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &counters.Set{}, bodies), d.listener, admission.Plain(maxConns), log.New(io.Discard, "", 0))
+	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &counters.Set{}, bodies), d.listener, admission.SingleGroup(maxConns), log.New(io.Discard, "", 0))
 	if secure {
 		dir := t.TempDir()
 		a, err := standin.NewAuthority(dir, "authority")
--- a/internal/edge/frontend/secure.go
+++ b/internal/edge/frontend/secure.go
@@ -79,12 +79,12 @@
 	}
 	l := c.conns
 	l.mu.Lock()
-	v := l.door.Recognise(time.Now(), c.place, names)
+	v := l.door.Identify(time.Now(), c.place, names)
 	l.mu.Unlock()
 	if v.Evict != nil {
 		end([]*admission.Conn{v.Evict})
 	}
-	if v.Refused {
+	if v.Rejected {
 		c.turnAwayWith(refusal(v))
 		c.linger()
 		return false
--- a/internal/gateway/conf/clients.go
+++ b/internal/gateway/conf/clients.go
@@ -69,9 +69,9 @@
 				p.report(l.at, "Of two groups", "%q is of clients %q already.", l.text, of)
 			}
 			names[name] = g.Name
-			g.Names = append(g.Names, name)
+			g.CertificateNames = append(g.CertificateNames, name)
 		}
-		if len(g.Networks)+len(g.Names) == 0 && !s.has("file") && !s.has("networks") && !s.has("certificates") {
+		if len(g.Networks)+len(g.CertificateNames) == 0 && !s.has("file") && !s.has("networks") && !s.has("certificates") {
 			s.report(s.at, "Nobody", "%s needs \"networks\", a \"file\" of them, or \"certificates\".", s.name)
 		}
 		for _, name := range []string{"per_address", "rate", "burst", "weight"} {
@@ -86,7 +86,7 @@
 
 // sourceLimits reads what one address of a group may do.
 func (p *parser) sourceLimits(s *block, g *admission.Group) {
-	g.Source = s.integer("per_address", 0, 1, 1<<20)
+	g.MaxPerSource = s.integer("per_address", 0, 1, 1<<20)
 	g.Rate = s.number("rate", 0, 0.001, 1e6)
 	g.Burst = s.integer("burst", max(int(math.Ceil(g.Rate)), 1), 1, 1<<20)
 	if s.has("burst") && !s.has("rate") {
@@ -156,10 +156,10 @@
 
 // admission reads what a listener grants to whom.
 func (p *parser) admission(s *block, l *Listener, groups []admission.Group) {
-	l.Admission = admission.Policy{Places: l.MaxConns, Groups: slices.Clone(groups), Grace: s.duration("grace", 300*time.Millisecond, time.Millisecond, time.Minute),
-		Factor: s.number("free_factor", 8, 0, 1e6), Guard: s.duration("guard", 2*time.Second, 0, time.Hour), Bits4: s.integer("bits_ipv4", 32, 8, 32), Bits6: s.integer("bits_ipv6", 64, 16, 128)}
-	l.Admission.Patience = s.duration("patience", 200*time.Millisecond, 0, 10*time.Second)
-	l.Admission.Line = max(l.MaxConns/8, 1)
+	l.Admission = admission.Policy{Capacity: l.MaxConns, Groups: slices.Clone(groups), RequestGrace: s.duration("grace", 300*time.Millisecond, time.Millisecond, time.Minute),
+		FreeFactor: s.number("free_factor", 8, 0, 1e6), IdleProtection: s.duration("guard", 2*time.Second, 0, time.Hour), IPv4Bits: s.integer("bits_ipv4", 32, 8, 32), IPv6Bits: s.integer("bits_ipv6", 64, 16, 128)}
+	l.Admission.MaxWait = s.duration("patience", 200*time.Millisecond, 0, 10*time.Second)
+	l.Admission.MaxWaiting = max(l.MaxConns/8, 1)
 	p.sourceLimits(s, &l.Admission.Groups[0])
 	sum := 0
 	seen := map[string]bool{}
@@ -173,14 +173,14 @@
 				continue
 			}
 			g := &l.Admission.Groups[n]
-			g.Reserve, g.Most = r.integer("places", 0, 0, 1<<20), r.integer("most", 0, 1, 1<<20)
+			g.Reserve, g.MaxConns = r.integer("places", 0, 0, 1<<20), r.integer("most", 0, 1, 1<<20)
 			switch {
 			case seen[g.Name]:
 				p.report(b.DefRange, "Twice", "%s reserves for %q already.", s.name, g.Name)
 			case g.Deny:
 				p.report(b.DefRange, "Without a meaning", "Clients %q are denied.", g.Name)
-			case g.Most > 0 && g.Most < g.Reserve:
-				r.report(r.rangeOf("most"), "Less than the reserve", "%d places are reserved and %d may be taken.", g.Reserve, g.Most)
+			case g.MaxConns > 0 && g.MaxConns < g.Reserve:
+				r.report(r.rangeOf("most"), "Less than the reserve", "%d places are reserved and %d may be taken.", g.Reserve, g.MaxConns)
 			}
 			seen[g.Name] = true
 			sum += g.Reserve
--- a/internal/gateway/conf/clients_test.go
+++ b/internal/gateway/conf/clients_test.go
@@ -78,13 +78,13 @@
 	}
 	l := f.Listeners[0]
 	p := l.Admission
-	if p.Places != 100 || p.Bits4 != 32 || p.Bits6 != 56 || p.Factor != 8 || p.Guard != 3*time.Second || p.Wait || l.TLS.Files.Key != filepath.Join(folder, "gate.key") {
+	if p.Capacity != 100 || p.IPv4Bits != 32 || p.IPv6Bits != 56 || p.FreeFactor != 8 || p.IdleProtection != 3*time.Second || p.BlockWhenFull || l.TLS.Files.Key != filepath.Join(folder, "gate.key") {
 		t.Errorf("%+v %+v", p, l.TLS)
 	}
-	if g := p.Groups[0]; g.Name != admission.Others || g.Source != 40 || g.Rate != 20 || g.Burst != 60 {
+	if g := p.Groups[0]; g.Name != admission.Others || g.MaxPerSource != 40 || g.Rate != 20 || g.Burst != 60 {
 		t.Errorf("%+v", g)
 	}
-	if g := p.Groups[1]; g.Reserve != 30 || g.Most != 60 || g.Source != 30 || len(g.Names) != 2 {
+	if g := p.Groups[1]; g.Reserve != 30 || g.MaxConns != 60 || g.MaxPerSource != 30 || len(g.CertificateNames) != 2 {
 		t.Errorf("%+v", g)
 	}
 	if g := p.Groups[2]; g.Weight != 50 || g.Burst != 3 {
@@ -95,7 +95,7 @@
 	for addr, want := range map[string]string{"10.20.1.1": "secretarias", "10.20.9.1": "ciber", "192.0.2.7": "secretarias", "192.0.2.8": "others",
 		"198.51.100.12": "secretarias", "198.51.100.13": "others", "2001:db8:5:1::2": "secretarias", "10.30.0.200": "secretarias", "10.30.1.2": "secretarias",
 		"10.30.1.3": "others", "::ffff:203.0.113.4": "echados"} {
-		if got := d.Who(time.Unix(0, 0), netip.MustParseAddr(addr)).Group; got != want {
+		if got := d.AddressStatus(time.Unix(0, 0), netip.MustParseAddr(addr)).Group; got != want {
 			t.Errorf("%s is of %s, not %s", addr, got, want)
 		}
 	}
--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -240,7 +240,7 @@
 		f.Listeners = append(f.Listeners, l)
 	}
 	for i, g := range groups[1:] {
-		if len(g.Names) > 0 && !proven && len(f.Listeners) > 0 {
+		if len(g.CertificateNames) > 0 && !proven && len(f.Listeners) > 0 {
 			p.report(by["clients"][i].DefRange, "Never shown", "Clients %q are known by certificates, but no listener has a tls block with an authority.", g.Name)
 		}
 	}
--- a/internal/gateway/doors.go
+++ b/internal/gateway/doors.go
@@ -33,9 +33,9 @@
 	Listener string `json:"listener"`
 	Address  string `json:"address"`
 	TLS      bool   `json:"tls"`
-	admission.View
+	admission.Status
 	// Source is how an address stands that was asked for.
-	Source *admission.Standing `json:"who,omitempty"`
+	Source *admission.AddressStatus `json:"who,omitempty"`
 }
 
 // maxListedSources bounds how many sources are told of.
@@ -68,7 +68,7 @@
 func (g *Gateway) listenerStatus(sources int, who netip.Addr) []ListenerStatus {
 	var out []ListenerStatus
 	for _, f := range *g.openListeners.Load() {
-		v := ListenerStatus{Listener: f.router.listener.Load().Name, Address: f.listener.Addr().String(), TLS: f.Secured() != nil, View: f.Door(sources)}
+		v := ListenerStatus{Listener: f.router.listener.Load().Name, Address: f.listener.Addr().String(), TLS: f.Secured() != nil, Status: f.Door(sources)}
 		if who.IsValid() {
 			at := f.Who(who)
 			v.Source = &at
--- a/internal/gateway/doors_test.go
+++ b/internal/gateway/doors_test.go
@@ -145,7 +145,7 @@
 	}
 	lbtest.Until(t, "the flood has its share of what is not reserved", func() bool {
 		v := g.listenerStatus(0, netip.Addr{})[0]
-		return v.Groups[0].Held >= 12 && len(v.Groups[0].Refused) > 0
+		return v.Groups[0].InUse >= 12 && len(v.Groups[0].Rejected) > 0
 	})
 	for i := range 3 {
 		callers.Go(func() {
@@ -208,7 +208,7 @@
 		t.Errorf("%d served, %d refused", served, refused)
 	}
 	t.Logf("%d served, %d refused, %d whole requests in the flood", served, refused, sent.Load())
-	lbtest.Until(t, "nothing is held", func() bool { v := g.listenerStatus(0, netip.Addr{})[0]; return v.Held == 0 && v.Proving == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { v := g.listenerStatus(0, netip.Addr{})[0]; return v.InUse == 0 && v.Identifying == 0 })
 }
 
 // A newcomer to a full listener waits in line for the place that comes free next, as soon as that may be taken from one who
@@ -246,7 +246,7 @@
 	send("127.0.0.3")
 	<-e.Got
 	lined := send("127.0.0.4")
-	lbtest.Until(t, "one is in line", func() bool { return g.listenerStatus(0, netip.Addr{})[0].Lined == 1 })
+	lbtest.Until(t, "one is in line", func() bool { return g.listenerStatus(0, netip.Addr{})[0].Waiting == 1 })
 	if status, after := lbtest.Reply(send("127.0.0.5")); status != 503 || after <= 0 {
 		t.Errorf("one who finds the line full got %d, %v", status, after)
 	}
@@ -406,7 +406,7 @@
 			t.Errorf("a stranger that was in work got %d", status)
 		}
 	}
-	if v := g.listenerStatus(0, netip.Addr{})[0]; v.Groups[1].Recognised != 5 || v.Groups[0].Refused["not known by its certificate"] != 3 {
+	if v := g.listenerStatus(0, netip.Addr{})[0]; v.Groups[1].Identified != 5 || v.Groups[0].Rejected["not known by its certificate"] != 3 {
 		t.Errorf("%+v", v)
 	}
 	if len(got) > 0 {
@@ -470,7 +470,7 @@
 	}
 
 	tickets := tls.NewLRUClientSessionCache(8)
-	recognised := func() uint64 { return g.listenerStatus(0, netip.Addr{})[0].Groups[1].Recognised }
+	recognised := func() uint64 { return g.listenerStatus(0, netip.Addr{})[0].Groups[1].Identified }
 	visit := func(want int) {
 		t.Helper()
 		c, err := over(t, g, folder, "s1", tickets)
@@ -538,5 +538,5 @@
 	if _, err := a.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the endpoint was not told: %v", err)
 	}
-	lbtest.Until(t, "nothing is held", func() bool { return g.listenerStatus(0, netip.Addr{})[0].Held == 0 })
+	lbtest.Until(t, "nothing is held", func() bool { return g.listenerStatus(0, netip.Addr{})[0].InUse == 0 })
 }
--- a/internal/platform/sidecar/counters_test.go
+++ b/internal/platform/sidecar/counters_test.go
@@ -68,7 +68,7 @@
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
 	router := NewRouter(c, h, board, 4<<20)
-	server := frontend.New(router, l, admission.Plain(64), log.New(io.Discard, "", 0))
+	server := frontend.New(router, l, admission.SingleGroup(64), log.New(io.Discard, "", 0))
 	go server.Serve()
 	t.Cleanup(func() { server.Close() })
 
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -58,7 +58,7 @@
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	l := lbtest.Listen(t)
-	server := frontend.New(NewRouter(c, h, &counters.Set{}, 1<<20), l, admission.Plain(64), log.New(io.Discard, "", 0))
+	server := frontend.New(NewRouter(c, h, &counters.Set{}, 1<<20), l, admission.SingleGroup(64), log.New(io.Discard, "", 0))
 	go server.Serve()
 	t.Cleanup(func() { server.Close() })
 	drain := func(which int) {
