--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -176,7 +176,7 @@
 		}
 	}
 	if !stopped { // callers come before it is ready, too: what it has taken by then is answered like any other
-		server.Ready()
+		server.SetReady()
 		takes.Store(true)
 		log.Info("ready", "listen", c.Listen, "tier", c.Policy.Tier)
 		select {
@@ -193,7 +193,7 @@
 	if upgrade != nil && upgrade.IsRetired() { // others take what comes: there is time to let go
 		serveUntil = now.Add(rest - waneSpare)
 	}
-	server.End(serveUntil, now.Add(rest))
+	server.Shutdown(serveUntil, now.Add(rest))
 	log.Info("ended", "held", h.InFlight())
 	return nil
 }
--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -27,9 +27,9 @@
 	return true
 }
 
-// Sent implements upstream.RequestStream. It starts the request's own time, and the wait for the endpoint.
-func (u *uploadBody) Sent() {
-	u.RequestStream.Sent()
+// MarkForwarded implements upstream.RequestStream. It starts the request's own time, and the wait for the endpoint.
+func (u *uploadBody) MarkForwarded() {
+	u.RequestStream.MarkForwarded()
 	u.engine.event(func(now time.Duration) { u.engine.bodyReceived(now, u.call, u.attempt) })
 }
 
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -29,8 +29,8 @@
 	IsComplete() bool
 	// Stop fails a Read in progress and those that follow.
 	Stop()
-	// Sent is called when the last byte was written to the endpoint.
-	Sent()
+	// MarkForwarded is called when the last byte was written to the endpoint.
+	MarkForwarded()
 }
 
 // ResponseStream is the part of a response's body that is not buffered. It is used by one goroutine, and must be closed.
--- a/internal/balancer/upstream/write.go
+++ b/internal/balancer/upstream/write.go
@@ -145,7 +145,7 @@
 		return false, err
 	}
 	w.state.CompareAndSwap(streaming, completed)
-	w.stream.Sent()
+	w.stream.MarkForwarded()
 	return true, nil
 }
 
--- a/internal/edge/certs/certs.go
+++ b/internal/edge/certs/certs.go
@@ -18,44 +18,44 @@
 	Certificate, Key, Authority string
 }
 
-// Proof is what files said last.
-type Proof struct {
+// Reloader is what files said last.
+type Reloader struct {
 	files Files
 	log   *slog.Logger
 
-	mu     sync.Mutex
-	times  [3]time.Time
-	pair   tls.Certificate
-	roots  *x509.CertPool
-	nth    int
-	failed string
+	mu          sync.Mutex
+	modTimes    [3]time.Time
+	certificate tls.Certificate
+	roots       *x509.CertPool
+	generation  int
+	lastError   string
 }
 
 // Open reads files for the first time.
-func Open(files Files, log *slog.Logger) (*Proof, error) {
-	p := &Proof{files: files, log: log}
-	p.times = p.stat()
+func Open(files Files, log *slog.Logger) (*Reloader, error) {
+	p := &Reloader{files: files, log: log}
+	p.modTimes = p.statFiles()
 	return p, p.read()
 }
 
-func (p *Proof) read() error {
+func (p *Reloader) read() error {
 	pair, err := tls.LoadX509KeyPair(p.files.Certificate, p.files.Key)
 	if err != nil {
 		return fmt.Errorf("certificate: %w", err)
 	}
 	var roots *x509.CertPool
 	if p.files.Authority != "" {
-		if roots, err = Authority(p.files.Authority); err != nil {
+		if roots, err = LoadAuthority(p.files.Authority); err != nil {
 			return err
 		}
 	}
-	p.pair, p.roots = pair, roots
-	p.nth++
+	p.certificate, p.roots = pair, roots
+	p.generation++
 	return nil
 }
 
-// Authority reads the authorities of a file.
-func Authority(path string) (*x509.CertPool, error) {
+// LoadAuthority reads the authorities of a file.
+func LoadAuthority(path string) (*x509.CertPool, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("authority: %w", err)
@@ -67,7 +67,7 @@
 	return roots, nil
 }
 
-func (p *Proof) stat() (times [3]time.Time) {
+func (p *Reloader) statFiles() (times [3]time.Time) {
 	for i, path := range []string{p.files.Certificate, p.files.Key, p.files.Authority} {
 		if info, err := os.Stat(path); err == nil {
 			times[i] = info.ModTime()
@@ -78,18 +78,18 @@
 
 // Current returns what the files say now, and a number that changes with it. Files that can't be used change nothing, which
 // is logged once.
-func (p *Proof) Current() (pair tls.Certificate, roots *x509.CertPool, nth int) {
+func (p *Reloader) Current() (pair tls.Certificate, roots *x509.CertPool, nth int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if times := p.stat(); times != p.times {
+	if times := p.statFiles(); times != p.modTimes {
 		err := p.read()
 		switch {
 		case err == nil:
-			p.times, p.failed = times, "" // a pair that is half replaced is read again
-		case err.Error() != p.failed:
-			p.failed = err.Error()
+			p.modTimes, p.lastError = times, "" // a pair that is half replaced is read again
+		case err.Error() != p.lastError:
+			p.lastError = err.Error()
 			p.log.Error("the certificate in use is kept", "file", p.files.Certificate, "error", err)
 		}
 	}
-	return p.pair, p.roots, p.nth
+	return p.certificate, p.roots, p.generation
 }
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -12,44 +12,44 @@
 )
 
 const (
-	maxBody   = 64 << 10 // held whole, and can be sent again
-	smallBody = 4 << 10  // within what each connection may take anyway
-	// wholeIn is how long a head may take from its connection's beginning, and a body that is held whole from its head's
+	maxBufferedBody   = 64 << 10 // held whole, and can be sent again
+	maxUnreservedBody = 4 << 10  // within what each connection may take anyway
+	// messageTimeout is how long a head may take from its connection's beginning, and a body that is held whole from its head's
 	// end. Bad clients send at full speed and are owed an answer or a close 3 s after connecting; slow good ones get both
 	// times.
-	wholeIn = 2600 * time.Millisecond
-	// bodyRate is how many bytes a second a larger body must bring on average, beyond wholeIn: half of what the slowest
+	messageTimeout = 2600 * time.Millisecond
+	// minBodyBytesPerSecond is how many bytes a second a larger body must bring on average, beyond wholeIn: half of what the slowest
 	// callers are said to bring. Only time in which the front waited for the caller counts.
-	bodyRate = 32 << 10
+	minBodyBytesPerSecond = 32 << 10
 )
 
 var (
-	errTooLarge = errors.New("body too large")
-	errNoMemory = errors.New("no memory for the body")
-	errBody     = errors.New("the caller's body can't be read")
-	errStopped  = errors.New("the body is not read any more")
+	errTooLarge     = errors.New("body too large")
+	errNoBodyMemory = errors.New("no memory for the body")
+	errBadBody      = errors.New("the caller's body can't be read")
+	errBodyStopped  = errors.New("the body is not read any more")
 )
 
-// Streamer is an exchange that takes bodies of more than 64 KiB as they come.
-type Streamer interface {
+// StreamingExchange is an exchange that takes bodies of more than 64 KiB as they come.
+type StreamingExchange interface {
 	Exchange
-	// Most is how many bytes a body may have.
-	Most() int64
+	// MaxBodyBytes is how many bytes a body may have.
+	MaxBodyBytes() int64
 	// Stream is Do for a request whose body is held up to a point and comes as it is read beyond that.
-	Stream(ctx context.Context, held []byte, rest *Rest) engine.Result
+	Stream(ctx context.Context, held []byte, rest *BodyStream) engine.Result
 }
 
 // body is a request's body and what it holds of the memory that all bodies share.
 type body struct {
-	bytes  []byte
-	rest   *Rest // what comes behind them; nil: nothing does
-	budget Budget
-	held   int64
+	bytes    []byte
+	stream   *BodyStream // what comes behind them; nil: nothing does
+	budget   Budget
+	reserved int64
 }
 
 func (b *body) release() {
-	b.budget.Release(b.held)
-	b.bytes, b.held = nil, 0
+	b.budget.Release(b.reserved)
+	b.bytes, b.reserved = nil, 0
 }
 
 // reserve takes memory before it is filled. To wait costs the caller nothing: its time runs from its last byte.
@@ -57,15 +57,15 @@
 	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	if b.budget.Acquire(ctx, n) != nil {
-		return errNoMemory
+		return errNoBodyMemory
 	}
-	b.held += n
+	b.reserved += n
 	return nil
 }
 
 // read takes the body in, whole, or its first 64 KiB where it has more and may have. Many large bodies at once wait for
 // each other rather than for the memory limit, where the budget lets them.
-func (b *body) read(c *callerConn, most int64) error {
+func (b *body) read(c *clientConn, most int64) error {
 	size := c.request.ContentLength
 	switch {
 	case size == 0:
@@ -73,34 +73,34 @@
 	case size > most:
 		return errTooLarge
 	}
-	room := int64(maxBody)
+	room := int64(maxBufferedBody)
 	if size > 0 {
 		room = min(room, size)
 	}
-	if room > smallBody {
-		if err := b.reserve(c.ctx, room, time.Now().Add(wholeIn)); err != nil {
+	if room > maxUnreservedBody {
+		if err := b.reserve(c.ctx, room, time.Now().Add(messageTimeout)); err != nil {
 			return err
 		}
 	}
-	if c.expects { // and holds the body back until it is asked for (RFC 9110, 10.1.1)
-		c.expects = false
-		if len(c.in) == 0 {
-			if err := c.continues(); err != nil {
+	if c.expectsContinue { // and holds the body back until it is asked for (RFC 9110, 10.1.1)
+		c.expectsContinue = false
+		if len(c.input) == 0 {
+			if err := c.writeContinue(); err != nil {
 				return err
 			}
 		}
 	}
-	rest := &Rest{conn: c, length: size, left: size, most: most, patience: wholeIn}
+	rest := &BodyStream{conn: c, length: size, remaining: size, maxBytes: most, timeLeft: messageTimeout}
 	if size < 0 {
-		rest.chunks = &chunked.Decoder{}
+		rest.chunkDecoder = &chunked.Decoder{}
 	}
 	b.bytes = make([]byte, 0, min(room, 2<<10))
 	if size > 0 {
 		b.bytes = make([]byte, 0, room)
 	}
-	for !rest.over() && int64(len(b.bytes)) < room {
+	for !rest.isOver() && int64(len(b.bytes)) < room {
 		if len(b.bytes) == cap(b.bytes) {
-			grown := make([]byte, len(b.bytes), min(2*cap(b.bytes), maxBody))
+			grown := make([]byte, len(b.bytes), min(2*cap(b.bytes), maxBufferedBody))
 			copy(grown, b.bytes)
 			b.bytes = grown
 		}
@@ -110,76 +110,76 @@
 			return err
 		}
 	}
-	if !rest.over() && size < 0 { // whether a byte more comes, or the end
+	if !rest.isOver() && size < 0 { // whether a byte more comes, or the end
 		var one [1]byte
 		n, err := rest.Read(one[:])
 		if b.bytes = append(b.bytes, one[:n]...); err != nil {
 			return err
 		}
 	}
-	if rest.over() && len(b.bytes) <= maxBody {
+	if rest.isOver() && len(b.bytes) <= maxBufferedBody {
 		return nil
 	}
-	if most <= maxBody { // there is more than may be
+	if most <= maxBufferedBody { // there is more than may be
 		return errTooLarge
 	}
-	rest.patience += time.Duration(len(b.bytes)) * time.Second / bodyRate
-	b.rest = rest
+	rest.timeLeft += time.Duration(len(b.bytes)) * time.Second / minBodyBytesPerSecond
+	b.stream = rest
 	return nil
 }
 
-// Rest is what comes of a body behind what is held of it. Whoever takes it first reads it; nobody can read it again.
-type Rest struct {
-	conn   *callerConn
-	length int64 // of the whole body; -1: not told
-	most   int64
+// BodyStream is what comes of a body behind what is held of it. Whoever takes it first reads it; nobody can read it again.
+type BodyStream struct {
+	conn     *clientConn
+	length   int64 // of the whole body; -1: not told
+	maxBytes int64
 
-	mu       sync.Mutex // held while it is read
-	left     int64      // of a told length
-	chunks   *chunked.Decoder
-	got      int64
-	patience time.Duration // for the caller, in which the front may yet wait for it
-	err      error
+	mu           sync.Mutex // held while it is read
+	remaining    int64      // of a told length
+	chunkDecoder *chunked.Decoder
+	received     int64
+	timeLeft     time.Duration // for the caller, in which the front may yet wait for it
+	err          error
 
-	stop    sync.Mutex // over what follows
-	taken   bool
-	stopped bool
-	watched bool // its caller is watched: nothing is read of it any more
+	stateMu  sync.Mutex // over what follows
+	acquired bool
+	stopped  bool
+	watched  bool // its caller is watched: nothing is read of it any more
 }
 
 // Length returns the length of the whole body, -1 where it is not told.
-func (r *Rest) Length() int64 { return r.length }
+func (r *BodyStream) Length() int64 { return r.length }
 
 // Acquire tells whether nobody else has taken the rest before.
-func (r *Rest) Acquire() bool {
-	r.stop.Lock()
-	defer r.stop.Unlock()
-	if r.taken || r.stopped {
+func (r *BodyStream) Acquire() bool {
+	r.stateMu.Lock()
+	defer r.stateMu.Unlock()
+	if r.acquired || r.stopped {
 		return false
 	}
-	r.taken = true
+	r.acquired = true
 	return true
 }
 
-// over tells that the body has come whole.
-func (r *Rest) over() bool {
-	if r.chunks != nil {
-		return r.chunks.IsComplete()
+// isOver tells that the body has come whole.
+func (r *BodyStream) isOver() bool {
+	if r.chunkDecoder != nil {
+		return r.chunkDecoder.IsComplete()
 	}
-	return r.left == 0
+	return r.remaining == 0
 }
 
 // Read reads what comes next. At the body's end n is 0 or more with Over true; errors are the caller's, or those of a rest
 // that is not read any more.
-func (r *Rest) Read(p []byte) (n int, err error) {
+func (r *BodyStream) Read(p []byte) (n int, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.err != nil {
 		return 0, r.err
 	}
 	n, err = r.read(p)
-	r.got += int64(n)
-	if err == nil && r.got > r.most {
+	r.received += int64(n)
+	if err == nil && r.received > r.maxBytes {
 		err = errTooLarge
 	}
 	r.err = err
@@ -187,109 +187,109 @@
 }
 
 // IsComplete tells that the body has come whole.
-func (r *Rest) IsComplete() bool {
+func (r *BodyStream) IsComplete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.err == nil && r.over()
+	return r.err == nil && r.isOver()
 }
 
-func (r *Rest) read(p []byte) (n int, err error) {
+func (r *BodyStream) read(p []byte) (n int, err error) {
 	c := r.conn
-	for n == 0 && !r.over() && len(p) > 0 {
-		if len(c.in) == 0 {
+	for n == 0 && !r.isOver() && len(p) > 0 {
+		if len(c.input) == 0 {
 			if err := r.fill(); err != nil {
 				return 0, err
 			}
 		}
-		if r.chunks == nil {
-			n = copy(p[:min(int64(len(p)), r.left)], c.in)
-			c.in = c.in[n:]
-			r.left -= int64(n)
+		if r.chunkDecoder == nil {
+			n = copy(p[:min(int64(len(p)), r.remaining)], c.input)
+			c.input = c.input[n:]
+			r.remaining -= int64(n)
 			continue
 		}
-		data, used, err := r.chunks.Feed(c.in[:min(len(c.in), len(p))])
+		data, used, err := r.chunkDecoder.Feed(c.input[:min(len(c.input), len(p))])
 		n = copy(p, data)
-		c.in = c.in[used:]
+		c.input = c.input[used:]
 		if err != nil {
-			return n, errBody
+			return n, errBadBody
 		}
 	}
 	return n, nil
 }
 
 // fill waits for the caller. Large bodies are read through the connection's own buffer, in pieces of its size.
-func (r *Rest) fill() error {
+func (r *BodyStream) fill() error {
 	c := r.conn
-	if cap(c.buf) < bodyBuffer {
-		c.buf = make([]byte, bodyBuffer)
+	if cap(c.buffer) < bodyBufferBytes {
+		c.buffer = make([]byte, bodyBufferBytes)
 	}
 	began := time.Now()
-	r.stop.Lock()
+	r.stateMu.Lock()
 	if r.stopped {
-		r.stop.Unlock()
-		return errStopped
+		r.stateMu.Unlock()
+		return errBodyStopped
 	}
-	if r.taken && c.left() { // what stands here yet would go on for nobody
-		r.stop.Unlock()
-		return errBody
+	if r.acquired && c.isDisconnected() { // what stands here yet would go on for nobody
+		r.stateMu.Unlock()
+		return errBadBody
 	}
-	c.readBy(began.Add(min(r.patience, wholeIn)))
-	r.stop.Unlock()
-	n, err := c.Conn.Read(c.buf[:cap(c.buf)])
-	c.in = c.buf[:n]
-	r.patience += time.Duration(n)*time.Second/bodyRate - time.Since(began)
+	c.setReadDeadline(began.Add(min(r.timeLeft, messageTimeout)))
+	r.stateMu.Unlock()
+	n, err := c.Conn.Read(c.buffer[:cap(c.buffer)])
+	c.input = c.buffer[:n]
+	r.timeLeft += time.Duration(n)*time.Second/minBodyBytesPerSecond - time.Since(began)
 	if n > 0 {
 		return nil
 	}
-	r.stop.Lock()
-	defer r.stop.Unlock()
+	r.stateMu.Lock()
+	defer r.stateMu.Unlock()
 	switch {
 	case r.stopped:
-		return errStopped
+		return errBodyStopped
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return os.ErrDeadlineExceeded
 	}
-	return errBody
+	return errBadBody
 }
 
-// Sent tells that the body has been passed on whole: from now on its caller is watched, as that of any request in work.
-func (r *Rest) Sent() {
+// MarkForwarded tells that the body has been passed on whole: from now on its caller is watched, as that of any request in work.
+func (r *BodyStream) MarkForwarded() {
 	r.mu.Lock() // nothing is being read
 	defer r.mu.Unlock()
-	r.stop.Lock()
-	defer r.stop.Unlock()
+	r.stateMu.Lock()
+	defer r.stateMu.Unlock()
 	if !r.stopped && r.err == nil && !r.watched {
 		r.watched = true
-		r.conn.watch()
+		r.conn.startWatch()
 	}
 }
 
 // Stop ends the reading; where one is in progress it fails. It guards a connection from being read by two.
-func (r *Rest) Stop() {
-	r.stop.Lock()
+func (r *BodyStream) Stop() {
+	r.stateMu.Lock()
 	was := r.stopped
 	r.stopped = true
 	watched := r.watched && !was
 	r.conn.Conn.SetReadDeadline(time.Unix(1, 0))
-	r.stop.Unlock()
+	r.stateMu.Unlock()
 	if watched {
-		r.conn.unwatch()
+		r.conn.stopWatch()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.conn.till = time.Time{}
+	r.conn.readDeadline = time.Time{}
 	r.conn.Conn.SetReadDeadline(time.Time{})
 }
 
-// fault tells what is wrong on the caller's side; nil: nothing.
-func (r *Rest) fault() error {
+// clientError tells what is wrong on the caller's side; nil: nothing.
+func (r *BodyStream) clientError() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if errors.Is(r.err, errStopped) {
+	if errors.Is(r.err, errBodyStopped) {
 		return nil
 	}
 	return r.err
 }
 
-// bodyBuffer is what a large body is read by.
-const bodyBuffer = 16 << 10
+// bodyBufferBytes is what a large body is read by.
+const bodyBufferBytes = 16 << 10
--- a/internal/edge/frontend/conns.go
+++ b/internal/edge/frontend/conns.go
@@ -17,172 +17,172 @@
 	"silvertrail/internal/edge/admission"
 )
 
-// callerConns hosts the door of a listener: it takes connections, and ends those that the door says.
-type callerConns struct {
-	listener net.Listener
-	secure   atomic.Pointer[Secure] // nil: plain connections
-	onShort  atomic.Pointer[func()]
+// acceptor hosts the door of a listener: it takes connections, and ends those that the door says.
+type acceptor struct {
+	listener    net.Listener
+	tlsConfig   atomic.Pointer[TLSConfig] // nil: plain connections
+	onExhausted atomic.Pointer[func()]
 
-	mu      sync.Mutex
-	door    *admission.Controller
-	waiting int  // taken from the system and not let in yet
-	ticking bool // the line is looked at from time to time
+	mu         sync.Mutex
+	controller *admission.Controller
+	undecided  int  // taken from the system and not let in yet
+	ticking    bool // the line is looked at from time to time
 
-	serve func(*callerConn) // those that come in from the line
+	serve func(*clientConn) // those that come in from the line
 
 	// A descriptor that is given up so that a connection can be taken, if only to be refused, when there is no other. Of
 	// the accepting goroutine alone.
-	spare *os.File
-	bare  atomic.Bool // it is given up
+	spareDescriptor *os.File
+	spareUsed       atomic.Bool // it is given up
 
-	lobby lobby
+	lingering lingeringConns
 }
 
-func newCallerConns(l net.Listener, p admission.Policy, serve func(*callerConn)) *callerConns {
-	return &callerConns{listener: l, door: admission.New(p, time.Now()), serve: serve}
+func newAcceptor(l net.Listener, p admission.Policy, serve func(*clientConn)) *acceptor {
+	return &acceptor{listener: l, controller: admission.New(p, time.Now()), serve: serve}
 }
 
-// admit puts another policy in force.
-func (l *callerConns) admit(p admission.Policy) {
+// setPolicy puts another policy in force.
+func (l *acceptor) setPolicy(p admission.Policy) {
 	l.mu.Lock()
-	over := l.door.Update(time.Now(), p)
-	next := l.next()
+	over := l.controller.Update(time.Now(), p)
+	next := l.admitWaiting()
 	l.mu.Unlock()
-	end(over)
+	closeEvicted(over)
 	next()
 }
 
-// short frees descriptors.
-func (l *callerConns) short() int {
+// freeDescriptors frees descriptors.
+func (l *acceptor) freeDescriptors() int {
 	l.mu.Lock()
-	over := l.door.ReduceCapacity(time.Now())
+	over := l.controller.ReduceCapacity(time.Now())
 	l.mu.Unlock()
-	end(over)
+	closeEvicted(over)
 	return len(over)
 }
 
-// end closes connections that the door has ended.
-func end(over []*admission.Conn) {
+// closeEvicted closes connections that the door has ended.
+func closeEvicted(over []*admission.Conn) {
 	for _, c := range over {
-		c.Owner.(*callerConn).Close()
+		c.Owner.(*clientConn).Close()
 	}
 }
 
-// waitStep is how often a connection that waits for a place asks again: places come free by time, too.
-const waitStep = 5 * time.Millisecond
+// admitInterval is how often a connection that waits for a place asks again: places come free by time, too.
+const admitInterval = 5 * time.Millisecond
 
-// next gives what has come free to those who wait in line. The caller holds the lock; what it returns is called without.
-func (l *callerConns) next() func() {
-	taken, evicted := l.door.AdmitWaiting(time.Now())
+// admitWaiting gives what has come free to those who wait in line. The caller holds the lock; what it returns is called without.
+func (l *acceptor) admitWaiting() func() {
+	taken, evicted := l.controller.AdmitWaiting(time.Now())
 	if len(taken)+len(evicted) == 0 {
 		return func() {}
 	}
 	return func() {
-		end(evicted)
+		closeEvicted(evicted)
 		for _, c := range taken {
-			go l.serve(c.Owner.(*callerConn))
+			go l.serve(c.Owner.(*clientConn))
 		}
 	}
 }
 
 // tick gives places that have come free by time alone, for as long as somebody waits in line.
-func (l *callerConns) tick() {
+func (l *acceptor) tick() {
 	l.mu.Lock()
-	next := l.next()
-	if l.ticking = l.door.Waiting() > 0; l.ticking {
-		time.AfterFunc(waitStep, l.tick)
+	next := l.admitWaiting()
+	if l.ticking = l.controller.Waiting() > 0; l.ticking {
+		time.AfterFunc(admitInterval, l.tick)
 	}
 	l.mu.Unlock()
 	next()
 }
 
-// expire ends a connection's wait in line.
-func (l *callerConns) expire(c *callerConn) {
+// expireWait ends a connection's wait in line.
+func (l *acceptor) expireWait(c *clientConn) {
 	l.mu.Lock()
-	v := l.door.ExpireWait(time.Now(), c.place)
+	v := l.controller.ExpireWait(time.Now(), c.slot)
 	l.mu.Unlock()
 	if v.Rejected {
-		l.refuse(c, v)
+		l.reject(c, v)
 	}
 }
 
 // accept returns the next connection that is let in. Those that are refused are answered and ended.
-func (l *callerConns) accept() (*callerConn, error) {
+func (l *acceptor) accept() (*clientConn, error) {
 	for {
-		nc, err := l.take()
+		nc, err := l.acceptOne()
 		if err != nil {
 			return nil, err
 		}
-		c, err := newCallerConn(nc, l)
+		c, err := newClientConn(nc, l)
 		if err != nil {
 			return nil, err
 		}
-		if l.letIn(c) {
+		if l.admit(c) {
 			return c, nil
 		}
 	}
 }
 
-// take takes a connection from the system. Where there is no descriptor for it idle connections end first; where there are
+// acceptOne takes a connection from the system. Where there is no descriptor for it idle connections end first; where there are
 // none the spare one is given up.
-func (l *callerConns) take() (net.Conn, error) {
-	if l.spare == nil {
-		l.spare, _ = os.Open(os.DevNull) // next time, where there is none
-		l.bare.Store(l.spare == nil)
+func (l *acceptor) acceptOne() (net.Conn, error) {
+	if l.spareDescriptor == nil {
+		l.spareDescriptor, _ = os.Open(os.DevNull) // next time, where there is none
+		l.spareUsed.Store(l.spareDescriptor == nil)
 	}
 	nc, err := l.listener.Accept()
 	if !exhaustion.Is(err) {
 		return nc, err
 	}
-	if l.short(); l.onShort.Load() != nil {
-		(*l.onShort.Load())()
+	if l.freeDescriptors(); l.onExhausted.Load() != nil {
+		(*l.onExhausted.Load())()
 	}
-	if nc, err = l.listener.Accept(); !exhaustion.Is(err) || l.spare == nil {
+	if nc, err = l.listener.Accept(); !exhaustion.Is(err) || l.spareDescriptor == nil {
 		return nc, err
 	}
-	l.spare.Close()
-	l.spare = nil
-	l.bare.Store(true)
+	l.spareDescriptor.Close()
+	l.spareDescriptor = nil
+	l.spareUsed.Store(true)
 	return l.listener.Accept()
 }
 
-// letIn gives a connection to the door. Where it returns false the connection has been refused.
-func (l *callerConns) letIn(c *callerConn) bool {
+// admit gives a connection to the door. Where it returns false the connection has been refused.
+func (l *acceptor) admit(c *clientConn) bool {
 	waits := false
 	for {
 		l.mu.Lock()
-		v := l.door.Admit(time.Now(), c.from, c.secure != nil, c)
-		c.place, c.proving = v.Conn, v.MustIdentify
+		v := l.controller.Admit(time.Now(), c.remoteIP, c.tlsConfig != nil, c)
+		c.slot, c.mustIdentify = v.Conn, v.MustIdentify
 		if v.Waiting && !l.ticking {
 			l.ticking = true
-			time.AfterFunc(waitStep, l.tick)
+			time.AfterFunc(admitInterval, l.tick)
 		}
 		if v.AskAgain != waits {
 			waits = v.AskAgain
 			if waits {
-				l.waiting++
+				l.undecided++
 			} else {
-				l.waiting--
+				l.undecided--
 			}
 		}
 		l.mu.Unlock()
 		if v.Evict != nil {
-			end([]*admission.Conn{v.Evict})
+			closeEvicted([]*admission.Conn{v.Evict})
 		}
 		switch {
-		case v.AskAgain && !l.lobby.over():
-			time.Sleep(waitStep)
+		case v.AskAgain && !l.lingering.isClosed():
+			time.Sleep(admitInterval)
 		case v.AskAgain:
 			l.mu.Lock()
-			l.waiting--
+			l.undecided--
 			l.mu.Unlock()
 			c.Close()
 			return false
 		case v.Rejected:
-			l.refuse(c, v)
+			l.reject(c, v)
 			return false
 		case v.Waiting:
-			time.AfterFunc(v.RetryAfter, func() { l.expire(c) })
+			time.AfterFunc(v.RetryAfter, func() { l.expireWait(c) })
 			return false
 		default:
 			return true
@@ -191,14 +191,14 @@
 }
 
 // Close ends the connection and gives its place back.
-func (c *callerConn) Close() error {
+func (c *clientConn) Close() error {
 	next := func() {}
-	c.conns.mu.Lock()
-	if c.place != nil {
-		c.conns.door.Remove(time.Now(), c.place)
-		next = c.conns.next()
+	c.acceptor.mu.Lock()
+	if c.slot != nil {
+		c.acceptor.controller.Remove(time.Now(), c.slot)
+		next = c.acceptor.admitWaiting()
 	}
-	c.conns.mu.Unlock()
+	c.acceptor.mu.Unlock()
 	err := c.socket.Close()
 	c.cancel()
 	next()
@@ -206,50 +206,50 @@
 }
 
 // closeAll closes all connections.
-func (l *callerConns) closeAll() {
+func (l *acceptor) closeAll() {
 	l.mu.Lock()
-	all := l.door.Conns()
+	all := l.controller.Conns()
 	l.mu.Unlock()
-	end(all)
-	l.lobby.close()
+	closeEvicted(all)
+	l.lingering.close()
 }
 
-// claim marks the connection as at work. It returns false where the connection was closed as idle just before its
+// startRequest marks the connection as at work. It returns false where the connection was closed as idle just before its
 // request was read: the caller sends that request again elsewhere, so that it must not be sent on from here.
-func (c *callerConn) claim() bool {
-	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	return c.conns.door.StartRequest(c.place)
+func (c *clientConn) startRequest() bool {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	return c.acceptor.controller.StartRequest(c.slot)
 }
 
-// rest marks the connection as idle. It returns false where it must end.
-func (c *callerConn) rest() bool {
-	c.conns.mu.Lock()
-	stays := c.conns.door.EndRequest(time.Now(), c.place)
-	next := c.conns.next()
-	c.conns.mu.Unlock()
+// endRequest marks the connection as idle. It returns false where it must end.
+func (c *clientConn) endRequest() bool {
+	c.acceptor.mu.Lock()
+	stays := c.acceptor.controller.EndRequest(time.Now(), c.slot)
+	next := c.acceptor.admitWaiting()
+	c.acceptor.mu.Unlock()
 	next()
 	return stays
 }
 
 // closeIdle closes connections that carry no request, so many at the most, but for new ones that are still to bring one and
 // for those on which a part of one has come, read or not: closing would lose it.
-func (l *callerConns) closeIdle(most int) {
+func (l *acceptor) closeIdle(most int) {
 	l.mu.Lock()
 	now := time.Now()
 	var over []*admission.Conn
-	for _, c := range l.door.IdleConns(now) {
-		if len(over) < most && !c.Owner.(*callerConn).speaks() {
+	for _, c := range l.controller.IdleConns(now) {
+		if len(over) < most && !c.Owner.(*clientConn).hasInput() {
 			over = append(over, c)
-			l.door.Remove(now, c)
+			l.controller.Remove(now, c)
 		}
 	}
 	l.mu.Unlock()
-	end(over)
+	closeEvicted(over)
 }
 
-// queued tells whether the system has connections that nobody has taken yet.
-func (l *callerConns) queued() (queued bool) {
+// hasPending tells whether the system has connections that nobody has taken yet.
+func (l *acceptor) hasPending() (queued bool) {
 	listener, ok := l.listener.(syscall.Conn)
 	if !ok {
 		return false
@@ -266,52 +266,52 @@
 	return queued
 }
 
-// speaks tells whether something stands unread on a connection, or a part of a head has been read.
-func (c *callerConn) speaks() (more bool) {
-	if c.begun.Load() {
+// hasInput tells whether something stands unread on a connection, or a part of a head has been read.
+func (c *clientConn) hasInput() (more bool) {
+	if c.headStarted.Load() {
 		return true
 	}
-	c.raw.Control(func(fd uintptr) { more, _ = peek(fd) })
+	c.rawConn.Control(func(fd uintptr) { more, _ = peek(fd) })
 	return more
 }
 
 // count returns the number of connections that are open or wait for a place.
-func (l *callerConns) count() int {
+func (l *acceptor) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Count() + l.waiting
+	return l.controller.Count() + l.undecided
 }
 
-// look tells how the door stands.
-func (l *callerConns) look(sources int) admission.Status {
+// status tells how the door stands.
+func (l *acceptor) status(sources int) admission.Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.Status(time.Now(), sources)
+	return l.controller.Status(time.Now(), sources)
 }
 
-func (l *callerConns) who(a netip.Addr) admission.AddressStatus {
+func (l *acceptor) addressStatus(a netip.Addr) admission.AddressStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.door.AddressStatus(time.Now(), a)
+	return l.controller.AddressStatus(time.Now(), a)
 }
 
-// lobby holds refused connections until their callers have read why, or a short time is over. It is bounded: when it is
+// lingeringConns holds refused connections until their callers have read why, or a short time is over. It is bounded: when it is
 // full the one that has stood longest goes.
-type lobby struct {
-	mu    sync.Mutex
-	conns []*callerConn
-	ended bool
+type lingeringConns struct {
+	mu     sync.Mutex
+	conns  []*clientConn
+	closed bool
 }
 
-const mostLobby = 64
+const maxLingering = 64
 
-func (l *lobby) enter(c *callerConn) bool {
+func (l *lingeringConns) add(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ended {
+	if l.closed {
 		return false
 	}
-	if len(l.conns) == mostLobby {
+	if len(l.conns) == maxLingering {
 		l.conns[0].socket.Close()
 		l.conns = append(l.conns[:0], l.conns[1:]...)
 	}
@@ -319,13 +319,13 @@
 	return true
 }
 
-func (l *lobby) over() bool {
+func (l *lingeringConns) isClosed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ended
+	return l.closed
 }
 
-func (l *lobby) leave(c *callerConn) {
+func (l *lingeringConns) remove(c *clientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, o := range l.conns {
@@ -336,17 +336,17 @@
 	}
 }
 
-func (l *lobby) close() {
+func (l *lingeringConns) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended = true
+	l.closed = true
 	for _, c := range l.conns {
 		c.socket.Close()
 	}
 }
 
-// refusal is the answer to a caller who is not let in. All of these promise that nothing took effect.
-func refusal(v admission.Verdict) *Reply {
+// rejectionReply is the answer to a caller who is not let in. All of these promise that nothing took effect.
+func rejectionReply(v admission.Verdict) *Reply {
 	r := &Reply{Status: http.StatusServiceUnavailable, Header: http.Header{}, Close: true}
 	switch v.Reason {
 	case admission.Denied:
@@ -360,24 +360,24 @@
 	return r
 }
 
-// alert is what a caller reads who is refused before its TLS has begun: a fatal alert, internal_error (RFC 8446, 6.2).
-var alert = []byte{21, 3, 1, 0, 2, 2, 80}
+// internalErrorAlert is what a caller reads who is refused before its TLS has begun: a fatal alert, internal_error (RFC 8446, 6.2).
+var internalErrorAlert = []byte{21, 3, 1, 0, 2, 2, 80}
 
-// refuse answers a connection that is not let in, before it has said anything, and sees it out. The answer fits into what
+// reject answers a connection that is not let in, before it has said anything, and sees it out. The answer fits into what
 // the system keeps for a new connection: it does not wait.
-func (l *callerConns) refuse(c *callerConn, v admission.Verdict) {
-	if c.secure != nil {
-		c.socket.SetWriteDeadline(time.Now().Add(waitStep))
-		c.socket.Write(alert)
+func (l *acceptor) reject(c *clientConn, v admission.Verdict) {
+	if c.tlsConfig != nil {
+		c.socket.SetWriteDeadline(time.Now().Add(admitInterval))
+		c.socket.Write(internalErrorAlert)
 	} else {
-		c.turnAwayWith(refusal(v))
+		c.rejectWith(rejectionReply(v))
 	}
-	if l.bare.Load() || !l.lobby.enter(c) { // no descriptor is held for it where they are short
+	if l.spareUsed.Load() || !l.lingering.add(c) { // no descriptor is held for it where they are short
 		c.Close()
 		return
 	}
 	go func() {
-		defer l.lobby.leave(c)
+		defer l.lingering.remove(c)
 		defer c.Close()
 		c.linger()
 	}()
--- a/internal/edge/frontend/end_test.go
+++ b/internal/edge/frontend/end_test.go
@@ -45,7 +45,7 @@
 			by := time.Now().Add(lbtest.Wait)
 			d.host.ShutDownBy(by)
 			ended := make(chan struct{})
-			go func() { d.End(time.Now(), by); close(ended) }()
+			go func() { d.Shutdown(time.Now(), by); close(ended) }()
 			if rest := idle.Ended(); rest != "" { // what stands idle has been closed
 				t.Errorf("before the end came %q", rest)
 			}
--- a/internal/edge/frontend/frontend.go
+++ b/internal/edge/frontend/frontend.go
@@ -23,10 +23,10 @@
 )
 
 const (
-	idleTimeout  = 8 * time.Second // callers keep connections; 2 s is what they may count on
-	writeTimeout = 3 * time.Second // a caller that reads nothing holds up no more
-	renewal      = time.Second     // a deadline that has more left than its time less this is left as it is
-	maxHead      = 16 << 10
+	idleTimeout   = 8 * time.Second // callers keep connections; 2 s is what they may count on
+	writeTimeout  = 3 * time.Second // a caller that reads nothing holds up no more
+	deadlineSlack = time.Second     // a deadline that has more left than its time less this is left as it is
+	maxHeadBytes  = 16 << 10
 )
 
 // Budget is memory that request bodies share. Acquire waits for n bytes until ctx ends; *semaphore.Weighted is one.
@@ -45,14 +45,14 @@
 
 // Exchange is one request on its way.
 type Exchange interface {
-	Bodies() Budget
+	BodyBudget() Budget
 	// Do gives the request, now whole, its one final answer. Where ctx ends the caller has gone: what comes back then
 	// is read by nobody unless it is a reply.
 	Do(ctx context.Context, body []byte) engine.Result
 	// Reply gives the answer in place of the front's own wording; nil where the front's is right.
 	Reply(a engine.Result) *Reply
-	// End follows every exchange, also one whose body never came.
-	End()
+	// Close follows every exchange, also one whose body never came.
+	Close()
 }
 
 // Reply is an answer of the program's own.
@@ -69,82 +69,84 @@
 // It reads messages itself rather than through package net/http: what is read in one way there and in another by an
 // endpoint is refused here, and each request costs one look at its head.
 type Server struct {
-	router   Router
-	health   string // path of the readiness check
-	conns    *callerConns
-	errors   *log.Logger
-	ready    atomic.Bool
-	ending   atomic.Bool   // not ready any more
-	closing  atomic.Bool   // connections end
-	retired  atomic.Bool   // another process takes the connections that come
-	accepts  chan struct{} // told when this one takes them again, or ends
-	requests atomic.Int64  // in work
+	router       Router
+	healthPath   string // path of the readiness check
+	acceptor     *acceptor
+	errorLog     *log.Logger
+	ready        atomic.Bool
+	shuttingDown atomic.Bool   // not ready any more
+	closing      atomic.Bool   // connections end
+	retired      atomic.Bool   // another process takes the connections that come
+	acceptWake   chan struct{} // told when this one takes them again, or ends
+	inFlight     atomic.Int64  // in work
 }
 
 // New returns a server on l that takes the connections that the policy admits.
 func New(router Router, l net.Listener, p admission.Policy, errorLog *log.Logger) *Server {
-	s := &Server{router: router, health: "/health/ready", errors: errorLog, accepts: make(chan struct{}, 1)}
-	s.conns = newCallerConns(l, p, s.serve)
+	s := &Server{router: router, healthPath: "/health/ready", errorLog: errorLog, acceptWake: make(chan struct{}, 1)}
+	s.acceptor = newAcceptor(l, p, s.serve)
 	return s
 }
 
 const (
-	acceptWait    = 5 * time.Millisecond  // after a connection that could not be taken, doubled up to
-	acceptPause   = 80 * time.Millisecond // callers wait meanwhile, and places come free
-	acceptWaitMax = time.Second
+	acceptBackoff    = 5 * time.Millisecond  // after a connection that could not be taken, doubled up to
+	maxAcceptSleep   = 80 * time.Millisecond // callers wait meanwhile, and places come free
+	maxAcceptBackoff = time.Second
 )
 
 // Serve takes connections until End closes the listener.
 func (s *Server) Serve() error {
-	wait := acceptWait
+	wait := acceptBackoff
 	for {
-		c, err := s.conns.accept()
+		c, err := s.acceptor.accept()
 		switch {
 		case err == nil:
-			wait = acceptWait
+			wait = acceptBackoff
 			go s.serve(c)
 		case s.closing.Load():
 			return nil
 		case s.retired.Load() && errors.Is(err, os.ErrDeadlineExceeded):
-			<-s.accepts
+			<-s.acceptWake
 		case errors.Is(err, net.ErrClosed):
 			return err
 		default: // descriptors or memory are short for the moment: what is open is served on
-			if wait > acceptWaitMax/2 || wait == acceptWait { // at the beginning, then from time to time
-				s.errors.Printf("accept: %v", err)
+			if wait > maxAcceptBackoff/2 || wait == acceptBackoff { // at the beginning, then from time to time
+				s.errorLog.Printf("accept: %v", err)
 			}
-			time.Sleep(min(wait, acceptPause))
-			wait = min(2*wait, acceptWaitMax)
+			time.Sleep(min(wait, maxAcceptSleep))
+			wait = min(2*wait, maxAcceptBackoff)
 		}
 	}
 }
 
-// Admit changes which connections are taken.
-func (s *Server) Admit(p admission.Policy) { s.conns.admit(p) }
+// SetPolicy changes which connections are taken.
+func (s *Server) SetPolicy(p admission.Policy) { s.acceptor.setPolicy(p) }
 
-// Secure has connections that come from now on speak TLS; nil: plain ones.
-func (s *Server) Secure(by *Secure) { s.conns.secure.Store(by) }
+// SetTLS has connections that come from now on speak TLS; nil: plain ones.
+func (s *Server) SetTLS(by *TLSConfig) { s.acceptor.tlsConfig.Store(by) }
 
-// Secured returns how connections are made secure, or nil.
-func (s *Server) Secured() *Secure { return s.conns.secure.Load() }
+// TLS returns how connections are made secure, or nil.
+func (s *Server) TLS() *TLSConfig { return s.acceptor.tlsConfig.Load() }
 
-// OnShort has f called where the process has no descriptor for a connection.
-func (s *Server) OnShort(f func()) { s.conns.onShort.Store(&f) }
+// OnExhausted has f called where the process has no descriptor for a connection.
+func (s *Server) OnExhausted(f func()) { s.acceptor.onExhausted.Store(&f) }
 
-// Short closes idle connections where the process has run out of descriptors, and returns how many.
-func (s *Server) Short() int { return s.conns.short() }
+// FreeDescriptors closes idle connections where the process has run out of descriptors, and returns how many.
+func (s *Server) FreeDescriptors() int { return s.acceptor.freeDescriptors() }
 
-// Door tells how the connections stand, with so many of the sources that hold most.
-func (s *Server) Door(sources int) admission.Status { return s.conns.look(sources) }
+// Status tells how the connections stand, with so many of the sources that hold most.
+func (s *Server) Status(sources int) admission.Status { return s.acceptor.status(sources) }
 
-// Who tells how an address stands.
-func (s *Server) Who(a netip.Addr) admission.AddressStatus { return s.conns.who(a) }
+// AddressStatus tells how an address stands.
+func (s *Server) AddressStatus(a netip.Addr) admission.AddressStatus {
+	return s.acceptor.addressStatus(a)
+}
 
 // Retire has another process take the connections that come, with the same listening socket, which stays open here. Those
 // that stand are served on; each answer asks its caller to come back on a new one.
 func (s *Server) Retire() {
 	s.retired.Store(true)
-	if l, ok := s.conns.listener.(interface{ SetDeadline(time.Time) error }); ok {
+	if l, ok := s.acceptor.listener.(interface{ SetDeadline(time.Time) error }); ok {
 		l.SetDeadline(time.Unix(1, 0))
 	}
 }
@@ -154,36 +156,36 @@
 	if !s.retired.Load() {
 		return
 	}
-	if l, ok := s.conns.listener.(interface{ SetDeadline(time.Time) error }); ok {
+	if l, ok := s.acceptor.listener.(interface{ SetDeadline(time.Time) error }); ok {
 		l.SetDeadline(time.Time{})
 	}
 	s.retired.Store(false)
-	s.again()
+	s.wakeAccept()
 }
 
-func (s *Server) again() {
+func (s *Server) wakeAccept() {
 	select {
-	case s.accepts <- struct{}{}:
+	case s.acceptWake <- struct{}{}:
 	default:
 	}
 }
 
-// Ready lets the readiness check pass.
-func (s *Server) Ready() { s.ready.Store(true) }
+// SetReady lets the readiness check pass.
+func (s *Server) SetReady() { s.ready.Store(true) }
 
 // Close ends everything at once.
 func (s *Server) Close() error {
 	s.closing.Store(true)
-	err := s.conns.listener.Close()
-	s.again()
-	s.conns.closeAll()
+	err := s.acceptor.listener.Close()
+	s.wakeAccept()
+	s.acceptor.closeAll()
 	return err
 }
 
 // Conns returns the number of callers' connections.
-func (s *Server) Conns() int { return s.conns.count() }
+func (s *Server) Conns() int { return s.acceptor.count() }
 
-// End finishes what is held and returns when all is answered, or at the time by, which the hosts must have been told
+// Shutdown finishes what is held and returns when all is answered, or at the time by, which the hosts must have been told
 // beforehand. From now on the readiness check fails.
 // Until the time given first, callers are served as ever, on the connections that they have and on new ones; then
 // connections are closed, each after the answer that it waits for. The listener is closed once none waits to be taken: the
@@ -192,60 +194,60 @@
 // It guards against a planned restart that shuts callers out while nobody else has taken over: others may be starting
 // just then too, and who deals out connections notices late. It could hurt where others stand ready: what is taken
 // shortly before the end has less time here than elsewhere, so that the decisions refuse what is too short.
-func (s *Server) End(serveUntil, by time.Time) {
-	s.ending.Store(true)
+func (s *Server) Shutdown(serveUntil, by time.Time) {
+	s.shuttingDown.Store(true)
 	if s.retired.Load() {
-		s.wane(serveUntil)
+		s.drainIdle(serveUntil)
 	} else {
 		time.Sleep(time.Until(serveUntil))
 	}
 	s.closing.Store(true)
-	for !s.retired.Load() && s.conns.queued() && time.Now().Before(by) { // the system has taken them for this process
-		s.conns.closeIdle(math.MaxInt)
-		time.Sleep(queueStep)
+	for !s.retired.Load() && s.acceptor.hasPending() && time.Now().Before(by) { // the system has taken them for this process
+		s.acceptor.closeIdle(math.MaxInt)
+		time.Sleep(pendingInterval)
 	}
-	s.conns.listener.Close()
-	s.again()
-	for time.Now().Before(by.Add(flush)) {
-		s.conns.closeIdle(math.MaxInt)
-		if s.requests.Load() == 0 && s.conns.count() == 0 {
+	s.acceptor.listener.Close()
+	s.wakeAccept()
+	for time.Now().Before(by.Add(flushTime)) {
+		s.acceptor.closeIdle(math.MaxInt)
+		if s.inFlight.Load() == 0 && s.acceptor.count() == 0 {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// wane closes the connections that stand idle at an even pace until the given time: their callers come back to the process
+// drainIdle closes the connections that stand idle at an even pace until the given time: their callers come back to the process
 // that has taken over, and not all at once.
-func (s *Server) wane(until time.Time) {
+func (s *Server) drainIdle(until time.Time) {
 	for {
 		left := time.Until(until)
-		if left <= 0 || s.requests.Load() == 0 && s.conns.count() == 0 {
+		if left <= 0 || s.inFlight.Load() == 0 && s.acceptor.count() == 0 {
 			return
 		}
-		s.conns.closeIdle(int(math.Ceil(float64(s.conns.count()) * float64(waneStep) / float64(max(left, waneStep)))))
-		time.Sleep(min(waneStep, left))
+		s.acceptor.closeIdle(int(math.Ceil(float64(s.acceptor.count()) * float64(drainInterval) / float64(max(left, drainInterval)))))
+		time.Sleep(min(drainInterval, left))
 	}
 }
 
-// waneStep is how often some connections are closed.
-const waneStep = 50 * time.Millisecond
+// drainInterval is how often some connections are closed.
+const drainInterval = 50 * time.Millisecond
 
-// queueStep is how often it is looked whether connections still wait to be taken.
-const queueStep = 5 * time.Millisecond
+// pendingInterval is how often it is looked whether connections still wait to be taken.
+const pendingInterval = 5 * time.Millisecond
 
-// flush is what the last answers take to be written.
-const flush = 100 * time.Millisecond
+// flushTime is what the last answers take to be written.
+const flushTime = 100 * time.Millisecond
 
 // serve serves one connection to its end.
-func (s *Server) serve(c *callerConn) {
+func (s *Server) serve(c *clientConn) {
 	defer c.Close()
 	defer func() {
 		if p := recover(); p != nil { // one request's fault ends one connection
-			s.errors.Printf("serving %s: %v\n%s", c.addr, p, debug.Stack())
+			s.errorLog.Printf("serving %s: %v\n%s", c.remoteAddr, p, debug.Stack())
 		}
 	}()
-	if c.secure != nil && !c.handshake() {
+	if c.tlsConfig != nil && !c.handshake() {
 		return
 	}
 	for {
@@ -253,135 +255,135 @@
 		if err != nil {
 			return
 		}
-		if !c.claim() { // closed as idle: the caller sends the request again elsewhere
+		if !c.startRequest() { // closed as idle: the caller sends the request again elsewhere
 			return
 		}
-		s.request(c, status)
-		if c.ends || s.closing.Load() {
+		s.serveRequest(c, status)
+		if c.closeAfter || s.closing.Load() {
 			c.linger()
 			return
 		}
-		if !c.rest() {
+		if !c.endRequest() {
 			return
 		}
 	}
 }
 
-// request serves the request whose head has been read, or turns it away where the status is not 0.
-func (s *Server) request(c *callerConn, status int) {
-	s.requests.Add(1)
-	defer s.requests.Add(-1)
+// serveRequest serves the request whose head has been read, or turns it away where the status is not 0.
+func (s *Server) serveRequest(c *clientConn, status int) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
 	if status != 0 {
-		c.turnAway(status)
+		c.reject(status)
 		return
 	}
 	r := &c.request
 	if s.closing.Load() || s.retired.Load() {
-		c.ends = true
+		c.closeAfter = true
 	}
-	if r.ContentLength == 0 && c.behind() {
-		c.turnAway(http.StatusBadRequest)
+	if r.ContentLength == 0 && c.hasInvalidInput() {
+		c.reject(http.StatusBadRequest)
 		return
 	}
-	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == s.health && r.ContentLength == 0 {
-		c.write(&Reply{Status: s.readiness()})
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == s.healthPath && r.ContentLength == 0 {
+		c.writeReply(&Reply{Status: s.readiness()})
 		return
 	}
 	x, local := s.router.Route(r)
 	if local != nil {
-		if c.skip(); local.Close {
-			c.unread()
+		if c.skipBody(); local.Close {
+			c.abandonInput()
 		}
-		c.write(local)
+		c.writeReply(local)
 		return
 	}
-	defer x.End()
-	b := &body{budget: x.Bodies()}
+	defer x.Close()
+	b := &body{budget: x.BodyBudget()}
 	defer b.release()
-	streamer, streams := x.(Streamer)
-	most := int64(maxBody)
+	streamer, streams := x.(StreamingExchange)
+	most := int64(maxBufferedBody)
 	if streams {
-		most = streamer.Most()
+		most = streamer.MaxBodyBytes()
 	}
 	err := b.read(c, most)
 	switch {
 	case errors.Is(err, errTooLarge):
-		c.turnAway(http.StatusRequestEntityTooLarge)
+		c.reject(http.StatusRequestEntityTooLarge)
 		return
-	case errors.Is(err, errNoMemory): // nothing was sent: a refusal like any other
-		c.unread()
-		c.final(x, engine.Result{Rejected: true, RetryAfter: memoryRetry})
+	case errors.Is(err, errNoBodyMemory): // nothing was sent: a refusal like any other
+		c.abandonInput()
+		c.respond(x, engine.Result{Rejected: true, RetryAfter: memoryRetryAfter})
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.turnAway(http.StatusRequestTimeout)
+		c.reject(http.StatusRequestTimeout)
 		return
-	case err != nil, b.rest == nil && c.behind(): // broken off, unreadable, or more than its length told
-		c.turnAway(http.StatusBadRequest)
+	case err != nil, b.stream == nil && c.hasInvalidInput(): // broken off, unreadable, or more than its length told
+		c.reject(http.StatusBadRequest)
 		return
 	}
-	if b.rest != nil {
-		s.stream(c, streamer, b)
+	if b.stream != nil {
+		s.serveStream(c, streamer, b)
 		return
 	}
-	if c.secure != nil {
-		c.caughtUp()
+	if c.tlsConfig != nil {
+		c.readPendingTLS()
 	}
-	c.watch()
+	c.startWatch()
 	a := x.Do(c.ctx, b.bytes)
-	c.unwatch()
+	c.stopWatch()
 	if c.ctx.Err() != nil {
-		c.ends = true
+		c.closeAfter = true
 	}
-	c.final(x, a)
+	c.respond(x, a)
 }
 
-// stream serves a request whose body is passed on as it comes. While it comes its reader notices the caller's end, then the
+// serveStream serves a request whose body is passed on as it comes. While it comes its reader notices the caller's end, then the
 // watch does.
-func (s *Server) stream(c *callerConn, x Streamer, b *body) {
-	a := x.Stream(c.ctx, b.bytes, b.rest)
-	b.rest.Stop()
+func (s *Server) serveStream(c *clientConn, x StreamingExchange, b *body) {
+	a := x.Stream(c.ctx, b.bytes, b.stream)
+	b.stream.Stop()
 	if c.ctx.Err() != nil {
-		c.ends = true
+		c.closeAfter = true
 	}
-	if fault := b.rest.fault(); fault != nil && a.Response == nil {
+	if fault := b.stream.clientError(); fault != nil && a.Response == nil {
 		x.Reply(engine.Result{}) // a failure, whatever the decisions made of it
 		switch {
 		case errors.Is(fault, errTooLarge):
-			c.turnAway(http.StatusRequestEntityTooLarge)
+			c.reject(http.StatusRequestEntityTooLarge)
 		case errors.Is(fault, os.ErrDeadlineExceeded):
-			c.turnAway(http.StatusRequestTimeout)
+			c.reject(http.StatusRequestTimeout)
 		default:
-			c.turnAway(http.StatusBadRequest)
+			c.reject(http.StatusBadRequest)
 		}
 		return
 	}
-	if !b.rest.IsComplete() || c.behind() {
-		c.unread()
+	if !b.stream.IsComplete() || c.hasInvalidInput() {
+		c.abandonInput()
 	}
-	c.final(x, a)
+	c.respond(x, a)
 }
 
-// memoryRetry is when a caller is told to come back for whose body there was no memory.
-const memoryRetry = time.Second
+// memoryRetryAfter is when a caller is told to come back for whose body there was no memory.
+const memoryRetryAfter = time.Second
 
-// final gives the caller its answer, in the exchange's words where it has some.
-func (c *callerConn) final(x Exchange, a engine.Result) {
+// respond gives the caller its answer, in the exchange's words where it has some.
+func (c *clientConn) respond(x Exchange, a engine.Result) {
 	own := x.Reply(a)
 	if own == nil {
-		c.answer(a)
+		c.writeResult(a)
 		return
 	}
 	if a.Response != nil && a.Response.Stream != nil {
 		a.Response.Stream.Close()
 	}
 	if own.Close {
-		c.unread()
+		c.abandonInput()
 	}
-	c.write(own)
+	c.writeReply(own)
 }
 
 func (s *Server) readiness() int {
-	if s.ready.Load() && !s.ending.Load() {
+	if s.ready.Load() && !s.shuttingDown.Load() {
 		return http.StatusOK
 	}
 	return http.StatusServiceUnavailable
@@ -400,9 +402,9 @@
 	return true, false
 }
 
-// ended tells whether a connection's end has come, by FIN or reset, also behind bytes that nobody has read: those hide
+// isPeerClosed tells whether a connection's end has come, by FIN or reset, also behind bytes that nobody has read: those hide
 // it from a look at what stands there.
-func ended(fd uintptr) bool {
+func isPeerClosed(fd uintptr) bool {
 	more, end := peek(fd)
 	if !more {
 		return end
--- a/internal/edge/frontend/frontend_test.go
+++ b/internal/edge/frontend/frontend_test.go
@@ -43,7 +43,7 @@
 	}
 	h.UpdateEndpoints(lbpolicy.Full, list)
 	s := frontend.New(sidecar.NewRouter(c, h, &counters.Set{}, 1<<20), l, admission.SingleGroup(maxConns), log.New(io.Discard, "", 0))
-	s.Ready()
+	s.SetReady()
 	go s.Serve()
 	t.Cleanup(func() { s.Close() })
 	return s, l.Addr().String()
@@ -203,7 +203,7 @@
 	}
 	ask(kept, "before")
 	ended := make(chan struct{})
-	go s.End(time.Now().Add(10*lbtest.Wait), time.Now().Add(20*lbtest.Wait))
+	go s.Shutdown(time.Now().Add(10*lbtest.Wait), time.Now().Add(20*lbtest.Wait))
 	lbtest.Until(t, "not ready", func() bool {
 		c := lbtest.Dial(t, addr)
 		defer c.Close()
@@ -218,7 +218,7 @@
 	last := lbtest.Dial(t, addr)
 	last.Send(lbtest.Get("last"))
 	held := <-e.Got
-	go func() { s.End(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
+	go func() { s.Shutdown(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
 	if rest := kept.Ended(); rest != "" {
 		t.Errorf("before the end came %q", rest)
 	}
@@ -245,7 +245,7 @@
 		queued = append(queued, c)
 	}
 	ended := make(chan struct{})
-	go func() { s.End(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
+	go func() { s.Shutdown(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
 	time.Sleep(100 * time.Millisecond) // what closes at once has closed; less does no harm
 	held.OK()
 	if status, _ := first.Answer(); status != 200 {
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -152,14 +152,14 @@
 		if err := a.Issue(files.Certificate, files.Key, "door", time.Now().Add(time.Hour)); err != nil {
 			t.Fatal(err)
 		}
-		by, err := frontend.NewSecure(files, false, quiet)
+		by, err := frontend.NewTLSConfig(files, false, quiet)
 		if err != nil {
 			t.Fatal(err)
 		}
-		d.Secure(by)
+		d.SetTLS(by)
 		d.secure = &tls.Config{InsecureSkipVerify: true} // the stand-in's own
 	}
-	d.Ready()
+	d.SetReady()
 	go d.Serve()
 	t.Cleanup(func() { d.Server.Close() })
 	return d
@@ -297,7 +297,7 @@
 		c, goOn := dialling(t, d, lbtest.Get("left"), late)
 		by := time.Now().Add(lbtest.Wait)
 		d.host.ShutDownBy(by)
-		go d.End(time.Now(), by)
+		go d.Shutdown(time.Now(), by)
 		return c, goOn
 	}},
 	"memory for its body": {bodies: 64 << 10, wait: func(t *testing.T, d *door) (*caller, func()) {
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// hop tells of the headers that hold for one connection only (RFC 9110, 7.6.1).
-func hop(name string) bool {
+// isHopByHop tells of the headers that hold for one connection only (RFC 9110, 7.6.1).
+func isHopByHop(name string) bool {
 	switch name {
 	case "Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 		"Proxy-Authenticate", "Proxy-Authorization":
@@ -15,8 +15,8 @@
 	return false
 }
 
-// names tells whether Connection headers name a header.
-func names(connection []string, header string) bool {
+// isNominated tells whether Connection headers name a header.
+func isNominated(connection []string, header string) bool {
 	for _, line := range connection {
 		for name := range strings.SplitSeq(line, ",") {
 			if strings.EqualFold(strings.TrimSpace(name), header) {
@@ -32,15 +32,15 @@
 	out := make(http.Header, len(h)+4)
 	connection := h["Connection"]
 	for name, values := range h {
-		if !hop(name) && (len(connection) == 0 || !names(connection, name)) {
+		if !isHopByHop(name) && (len(connection) == 0 || !isNominated(connection, name)) {
 			out[name] = values
 		}
 	}
 	return out
 }
 
-// Single returns the value of a header that may stand once at most. The name is in canonical form.
-func Single(h http.Header, name string) (value string, ok bool) {
+// SingleValue returns the value of a header that may stand once at most. The name is in canonical form.
+func SingleValue(h http.Header, name string) (value string, ok bool) {
 	values := h[name]
 	if len(values) == 1 {
 		value = values[0]
--- a/internal/edge/frontend/secure.go
+++ b/internal/edge/frontend/secure.go
@@ -13,39 +13,39 @@
 	"silvertrail/internal/edge/certs"
 )
 
-// Secure has a listener's connections speak TLS, by files that may be replaced at any time.
-type Secure struct {
-	files    certs.Files
-	required bool
-	proof    *certs.Proof
-
-	mu     sync.Mutex
-	nth    int
-	config *tls.Config // as of nth; kept, as callers come back with its tickets
+// TLSConfig has a listener's connections speak TLS, by files that may be replaced at any time.
+type TLSConfig struct {
+	files        certs.Files
+	required     bool
+	certificates *certs.Reloader
+
+	mu         sync.Mutex
+	generation int
+	config     *tls.Config // as of nth; kept, as callers come back with its tickets
 }
 
-// NewSecure reads the files. Callers may show a certificate where there is an authority, and must where it is required.
-func NewSecure(files certs.Files, required bool, log *slog.Logger) (*Secure, error) {
+// NewTLSConfig reads the files. Callers may show a certificate where there is an authority, and must where it is required.
+func NewTLSConfig(files certs.Files, required bool, log *slog.Logger) (*TLSConfig, error) {
 	proof, err := certs.Open(files, log)
 	if err != nil {
 		return nil, err
 	}
-	return &Secure{files: files, required: required, proof: proof}, nil
+	return &TLSConfig{files: files, required: required, certificates: proof}, nil
 }
 
-// Is tells whether it was made of the same.
-func (s *Secure) Is(files certs.Files, required bool) bool {
+// IsFor tells whether it was made of the same.
+func (s *TLSConfig) IsFor(files certs.Files, required bool) bool {
 	return s.files == files && s.required == required
 }
 
 // current returns what a connection is taken with now. A new certificate or authority begins a new configuration: the
 // tickets of the old one are worth nothing to it, so that nobody comes in by an authority that is no longer believed.
-func (s *Secure) current() *tls.Config {
-	pair, roots, nth := s.proof.Current()
+func (s *TLSConfig) current() *tls.Config {
+	pair, roots, nth := s.certificates.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config == nil || s.nth != nth {
-		s.nth = nth
+	if s.config == nil || s.generation != nth {
+		s.generation = nth
 		s.config = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"}}
 		if roots != nil {
 			s.config.ClientCAs, s.config.ClientAuth = roots, tls.VerifyClientCertIfGiven
@@ -57,43 +57,43 @@
 	return s.config
 }
 
-// proveIn is how long a caller has to show its certificate who was let in for that alone.
-const proveIn = time.Second
+// identificationTimeout is how long a caller has to show its certificate who was let in for that alone.
+const identificationTimeout = time.Second
 
 // handshake begins TLS, and tells the door who the caller is. It returns false where the connection has ended or is refused.
-func (c *callerConn) handshake() bool {
-	within := wholeIn
-	if c.proving {
-		within = proveIn
+func (c *clientConn) handshake() bool {
+	within := messageTimeout
+	if c.mustIdentify {
+		within = identificationTimeout
 	}
-	c.readBy(time.Now().Add(within))
-	c.socket.SetWriteDeadline(c.till)
-	conn := tls.Server(c.socket, c.secure.current())
+	c.setReadDeadline(time.Now().Add(within))
+	c.socket.SetWriteDeadline(c.readDeadline)
+	conn := tls.Server(c.socket, c.tlsConfig.current())
 	if conn.HandshakeContext(c.ctx) != nil {
 		return false
 	}
 	c.Conn = conn
 	var names []string
 	if chains := conn.ConnectionState().VerifiedChains; len(chains) > 0 {
-		names = namesOf(chains[0][0])
+		names = certificateNames(chains[0][0])
 	}
-	l := c.conns
+	l := c.acceptor
 	l.mu.Lock()
-	v := l.door.Identify(time.Now(), c.place, names)
+	v := l.controller.Identify(time.Now(), c.slot, names)
 	l.mu.Unlock()
 	if v.Evict != nil {
-		end([]*admission.Conn{v.Evict})
+		closeEvicted([]*admission.Conn{v.Evict})
 	}
 	if v.Rejected {
-		c.turnAwayWith(refusal(v))
+		c.rejectWith(rejectionReply(v))
 		c.linger()
 		return false
 	}
 	return true
 }
 
-// namesOf returns what a certificate calls its owner: DNS names and URIs, or its common name where it has none of these.
-func namesOf(c *x509.Certificate) (names []string) {
+// certificateNames returns what a certificate calls its owner: DNS names and URIs, or its common name where it has none of these.
+func certificateNames(c *x509.Certificate) (names []string) {
 	names = append(names, c.DNSNames...)
 	for _, u := range c.URIs {
 		names = append(names, u.String())
@@ -104,16 +104,16 @@
 	return names
 }
 
-// mostAhead is what is read ahead of a caller's next request while one is in work: what its head may have.
-const mostAhead = maxHead
+// maxPipelinedBytes is what is read ahead of a caller's next request while one is in work: what its head may have.
+const maxPipelinedBytes = maxHeadBytes
 
-// standIn is how long the rest of a TLS record is waited for whose beginning stands there.
-const standIn = 2 * time.Millisecond
+// tlsRecordTimeout is how long the rest of a TLS record is waited for whose beginning stands there.
+const tlsRecordTimeout = 2 * time.Millisecond
 
-// lookSecure watches a connection under TLS: only what is read tells a caller's next request from its end. What it reads of
+// watchTLS watches a connection under TLS: only what is read tells a caller's next request from its end. What it reads of
 // a next request is kept, up to a bound; beyond that the socket's end alone is looked for.
-func (c *callerConn) lookSecure() {
-	for len(c.ahead) < mostAhead {
+func (c *clientConn) watchTLS() {
+	for len(c.pipelined) < maxPipelinedBytes {
 		if err := c.readAhead(); errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		} else if err != nil {
@@ -121,26 +121,26 @@
 			return
 		}
 	}
-	c.awaitEnd()
+	c.awaitDisconnect()
 }
 
 // readAhead reads what comes next behind the request in work, and keeps it.
-func (c *callerConn) readAhead() error {
-	pooled := buffers.Get().(*[]byte)
-	defer buffers.Put(pooled)
-	b := (*pooled)[:readBuffer]
+func (c *clientConn) readAhead() error {
+	pooled := bufferPool.Get().(*[]byte)
+	defer bufferPool.Put(pooled)
+	b := (*pooled)[:readBufferBytes]
 	n, err := c.Conn.Read(b)
-	c.ahead = append(c.ahead, b[:n]...)
+	c.pipelined = append(c.pipelined, b[:n]...)
 	return err
 }
 
-// caughtUp looks under TLS for an end that came while nothing was read, up to the same bound: the request may have waited
+// readPendingTLS looks under TLS for an end that came while nothing was read, up to the same bound: the request may have waited
 // for its turn, or for memory, for longer than it will be in work. What is there is read; nothing is waited for, but the
 // rest of a record. Nothing else reads meanwhile.
-func (c *callerConn) caughtUp() {
+func (c *clientConn) readPendingTLS() {
 	held := time.Unix(1, 0) // by this deadline what TLS has read of the socket is to be had, and nothing more
 	by := held
-	for len(c.ahead) < mostAhead {
+	for len(c.pipelined) < maxPipelinedBytes {
 		c.Conn.SetReadDeadline(by)
 		switch err := c.readAhead(); {
 		case err == nil:
@@ -148,18 +148,18 @@
 			continue
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.cancel()
-		case by.Equal(held) && c.stands():
-			by = time.Now().Add(standIn)
+		case by.Equal(held) && c.hasUnreadBytes():
+			by = time.Now().Add(tlsRecordTimeout)
 			continue
 		}
 		break
 	}
-	c.till = time.Time{}
-	c.Conn.SetReadDeadline(c.till)
+	c.readDeadline = time.Time{}
+	c.Conn.SetReadDeadline(c.readDeadline)
 }
 
-// stands tells whether something stands on the socket, which nobody has read.
-func (c *callerConn) stands() (more bool) {
-	c.raw.Control(func(fd uintptr) { more, _ = peek(fd) })
+// hasUnreadBytes tells whether something stands on the socket, which nobody has read.
+func (c *clientConn) hasUnreadBytes() (more bool) {
+	c.rawConn.Control(func(fd uintptr) { more, _ = peek(fd) })
 	return more
 }
--- a/internal/edge/frontend/write.go
+++ b/internal/edge/frontend/write.go
@@ -14,51 +14,51 @@
 )
 
 const (
-	joined     = 4 << 10 // a body of at most this size is copied behind its head
-	keptBuffer = 16 << 10
+	maxJoinedBody   = 4 << 10 // a body of at most this size is copied behind its head
+	maxPooledBuffer = 16 << 10
 )
 
-var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
+var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
-// answer gives the caller its final answer.
-func (c *callerConn) answer(a engine.Result) {
+// writeResult gives the caller its final answer.
+func (c *clientConn) writeResult(a engine.Result) {
 	switch {
 	case a.Response != nil:
 		if a.Response.Stream != nil {
-			c.pass(a.Response)
+			c.writeStream(a.Response)
 			return
 		}
-		c.put(a.Response.Status, a.Response.Header, a.Response.Body, true)
+		c.writeResponse(a.Response.Status, a.Response.Header, a.Response.Body, true)
 	case a.Rejected:
 		r := &Reply{Status: http.StatusServiceUnavailable}
 		if a.RetryAfter > 0 {
 			r.Header = http.Header{"Retry-After": {strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}}
 		}
-		c.write(r)
+		c.writeReply(r)
 	default: // never 429 or 503: those promise that trying again is harmless
-		c.write(&Reply{Status: http.StatusBadGateway})
+		c.writeReply(&Reply{Status: http.StatusBadGateway})
 	}
 }
 
-// write gives an answer of the program's own.
-func (c *callerConn) write(r *Reply) { c.put(r.Status, r.Header, r.Body, false) }
+// writeReply gives an answer of the program's own.
+func (c *clientConn) writeReply(r *Reply) { c.writeResponse(r.Status, r.Header, r.Body, false) }
 
-// put writes an answer with its end-to-end headers. Passed tells that it is an endpoint's, whose answer to HEAD may tell
+// writeResponse writes an answer with its end-to-end headers. Passed tells that it is an endpoint's, whose answer to HEAD may tell
 // the length of a body that does not come.
 //
 // An answer that can't be written whole ends the connection, so that the caller can tell.
-func (c *callerConn) put(status int, h http.Header, body []byte, passed bool) {
-	c.begin(status, h, body, passed, int64(len(body)))
+func (c *clientConn) writeResponse(status int, h http.Header, body []byte, passed bool) {
+	c.writeHead(status, h, body, passed, int64(len(body)))
 }
 
-// begin writes an answer's head, with what there is of its body: size bytes in all, or as many as come where it is -1.
-func (c *callerConn) begin(status int, h http.Header, body []byte, passed bool, size int64) {
+// writeHead writes an answer's head, with what there is of its body: size bytes in all, or as many as come where it is -1.
+func (c *clientConn) writeHead(status int, h http.Header, body []byte, passed bool, size int64) {
 	now := time.Now()
-	if c.writeTo.Sub(now) < writeTimeout-renewal {
-		c.writeTo = now.Add(writeTimeout)
-		c.Conn.SetWriteDeadline(c.writeTo)
+	if c.writeDeadline.Sub(now) < writeTimeout-deadlineSlack {
+		c.writeDeadline = now.Add(writeTimeout)
+		c.Conn.SetWriteDeadline(c.writeDeadline)
 	}
-	pooled := buffers.Get().(*[]byte)
+	pooled := bufferPool.Get().(*[]byte)
 	b := (*pooled)[:0]
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
@@ -72,7 +72,7 @@
 		nominated = h["Connection"]
 	}
 	for name, values := range h {
-		if hop(name) || name == "Date" && !passed || len(nominated) > 0 && names(nominated, name) ||
+		if isHopByHop(name) || name == "Date" && !passed || len(nominated) > 0 && isNominated(nominated, name) ||
 			name == "Content-Length" && !(passed && bodiless && status != http.StatusNoContent) {
 			continue
 		}
@@ -96,10 +96,10 @@
 	}
 	if _, dated := h["Date"]; !dated || !passed {
 		b = append(b, "Date: "...)
-		b = append(b, date(now)...)
+		b = append(b, formatDate(now)...)
 		b = append(b, "\r\n"...)
 	}
-	if c.ends {
+	if c.closeAfter {
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "\r\n"...)
@@ -107,7 +107,7 @@
 		body = nil
 	}
 	var err error
-	if len(body) <= joined {
+	if len(body) <= maxJoinedBody {
 		b = append(b, body...)
 		_, err = c.Conn.Write(b)
 	} else {
@@ -115,11 +115,11 @@
 		_, err = message.WriteTo(c.Conn)
 	}
 	if err != nil {
-		c.ends, c.spoilt, c.broken = true, false, true
+		c.closeAfter, c.lingers, c.writeFailed = true, false, true
 	}
-	if cap(b) <= keptBuffer {
+	if cap(b) <= maxPooledBuffer {
 		*pooled = b[:0]
-		buffers.Put(pooled)
+		bufferPool.Put(pooled)
 	}
 }
 
@@ -138,24 +138,24 @@
 	return b
 }
 
-func (c *callerConn) continues() error {
+func (c *clientConn) writeContinue() error {
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
 }
 
-// dated is a date in the form of RFC 9110, 5.6.7, and its second.
-type dated struct {
+// cachedDate is a date in the form of RFC 9110, 5.6.7, and its second.
+type cachedDate struct {
 	unix int64
 	text string
 }
 
-var lastDate atomic.Pointer[dated]
+var lastDate atomic.Pointer[cachedDate]
 
-func date(now time.Time) string {
+func formatDate(now time.Time) string {
 	if d := lastDate.Load(); d != nil && d.unix == now.Unix() {
 		return d.text
 	}
-	d := &dated{now.Unix(), now.UTC().Format(http.TimeFormat)}
+	d := &cachedDate{now.Unix(), now.UTC().Format(http.TimeFormat)}
 	lastDate.Store(d)
 	return d.text
 }
--- a/internal/gateway/cross.go
+++ b/internal/gateway/cross.go
@@ -247,7 +247,7 @@
 		}
 		return servedResponse(reply.Status, reply.Header, reply.Body)
 	}
-	defer x.End()
+	defer x.Close()
 	if x.class.Name != c.Class || uint8(x.class.Effect) != c.Effect {
 		return never("the route's class here is " + x.class.Name + ", or has another effect")
 	}
@@ -260,7 +260,7 @@
 	if !x.hasBodyRoom(ctx, c.Body) {
 		return &peering.Response{Outcome: accounting.Rejected, RetryAfter: keysFullRetryAfter.Microseconds()}
 	}
-	defer x.Bodies().Release(int64(len(c.Body)))
+	defer x.BodyBudget().Release(int64(len(c.Body)))
 	x.policyRequest.TimeLeft -= time.Since(begun)
 	a := x.Do(ctx, c.Body)
 	out := x.outcome(ctx, a)
@@ -272,7 +272,7 @@
 func (x *exchange) hasBodyRoom(ctx context.Context, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, x.policyRequest.TimeLeft/2)
 	defer cancel()
-	return x.Bodies().Acquire(ctx, int64(len(body))) == nil
+	return x.BodyBudget().Acquire(ctx, int64(len(body))) == nil
 }
 
 // outcome says what became of a call that another sala has sent.
--- a/internal/gateway/doors.go
+++ b/internal/gateway/doors.go
@@ -19,7 +19,7 @@
 	if open := g.openListeners.Load(); open != nil {
 		for _, f := range *open {
 			if f != but {
-				n += f.Short()
+				n += f.FreeDescriptors()
 			}
 		}
 	}
@@ -68,9 +68,9 @@
 func (g *Gateway) listenerStatus(sources int, who netip.Addr) []ListenerStatus {
 	var out []ListenerStatus
 	for _, f := range *g.openListeners.Load() {
-		v := ListenerStatus{Listener: f.router.listener.Load().Name, Address: f.listener.Addr().String(), TLS: f.Secured() != nil, Status: f.Door(sources)}
+		v := ListenerStatus{Listener: f.router.listener.Load().Name, Address: f.listener.Addr().String(), TLS: f.TLS() != nil, Status: f.Status(sources)}
 		if who.IsValid() {
-			at := f.Who(who)
+			at := f.AddressStatus(who)
 			v.Source = &at
 		}
 		out = append(out, v)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -91,8 +91,8 @@
 	if err != nil {
 		return nil, rejectAndClose(http.StatusBadRequest)
 	}
-	class, oneClass := frontend.Single(r.Header, "X-Priority-Class")
-	tenant, oneTenant := frontend.Single(r.Header, "X-Tenant-Id")
+	class, oneClass := frontend.SingleValue(r.Header, "X-Priority-Class")
+	tenant, oneTenant := frontend.SingleValue(r.Header, "X-Tenant-Id")
 	if !oneClass || !oneTenant {
 		return nil, rejectAndClose(http.StatusBadRequest)
 	}
@@ -198,9 +198,9 @@
 	if x.class.Effect == lbpolicy.Idempotent && r.ContentLength != 0 && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		return rejectAndClose(http.StatusBadRequest) // RFC 9110, 9.3.1: a body there has no meaning, and hides requests
 	}
-	key, oneKey := frontend.Single(r.Header, "Idempotency-Key")
-	id, oneID := frontend.Single(r.Header, "X-Request-Id")
-	timeout, oneTimeout := frontend.Single(r.Header, "X-Timeout-Ms")
+	key, oneKey := frontend.SingleValue(r.Header, "Idempotency-Key")
+	id, oneID := frontend.SingleValue(r.Header, "X-Request-Id")
+	timeout, oneTimeout := frontend.SingleValue(r.Header, "X-Timeout-Ms")
 	if !oneKey || !oneID || !oneTimeout || len(key) > maxKeyBytes || len(id) > maxRequestIDBytes {
 		return rejectAndClose(http.StatusBadRequest)
 	}
@@ -284,8 +284,8 @@
 	return text
 }
 
-// Bodies implements frontend.Exchange: the memory is that of the cluster that the rule names first, or of the split's.
-func (x *exchange) Bodies() frontend.Budget {
+// BodyBudget implements frontend.Exchange: the memory is that of the cluster that the rule names first, or of the split's.
+func (x *exchange) BodyBudget() frontend.Budget {
 	return x.state.clusters[x.clusterName].Bodies()
 }
 
@@ -471,8 +471,8 @@
 	return nil
 }
 
-// End implements frontend.Exchange.
-func (x *exchange) End() {
+// Close implements frontend.Exchange.
+func (x *exchange) Close() {
 	if x.keyRequest != nil {
 		if x.claimer != nil {
 			x.claimer.release(x.keyRequest.MayHaveRun())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,7 +265,7 @@
 		c.ShutDownBy(by)
 	}
 	for _, f := range g.listeners {
-		g.retiring.Go(func() { f.End(now.Add(s.file.Process.ShutdownTime/2), by) })
+		g.retiring.Go(func() { f.Shutdown(now.Add(s.file.Process.ShutdownTime/2), by) })
 	}
 	if l := g.transport.Load(); l != nil {
 		g.retiring.Go(func() {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -156,7 +156,7 @@
 }
 
 // applyListeners starts the new listeners' fronts, and ends those of listeners that the file no longer names.
-func (g *Gateway) applyListeners(file *conf.File, opened map[string]net.Listener, secure map[string]*frontend.Secure) {
+func (g *Gateway) applyListeners(file *conf.File, opened map[string]net.Listener, secure map[string]*frontend.TLSConfig) {
 	named := map[string]bool{}
 	for _, l := range file.Listeners {
 		at := listenerKey(l)
@@ -164,16 +164,16 @@
 		f := g.listeners[at]
 		if f != nil {
 			f.router.listener.Store(&l)
-			f.Secure(secure[at])
-			f.Admit(l.Admission)
+			f.SetTLS(secure[at])
+			f.SetPolicy(l.Admission)
 			continue
 		}
 		f = &boundListener{listener: opened[at], router: &router{gateway: g}}
 		f.router.listener.Store(&l)
 		f.Server = frontend.New(f.router, f.listener, l.Admission, slog.NewLogLogger(g.log.Handler(), slog.LevelWarn))
-		f.Secure(secure[at])
-		f.OnShort(func() { g.freeDescriptorsExcept(f) })
-		f.Ready()
+		f.SetTLS(secure[at])
+		f.OnExhausted(func() { g.freeDescriptorsExcept(f) })
+		f.SetReady()
 		g.listeners[at] = f
 		go func() {
 			if err := f.Serve(); err != nil {
@@ -185,7 +185,7 @@
 		if !named[at] {
 			delete(g.listeners, at)
 			now := time.Now()
-			g.retiring.Go(func() { f.End(now, now.Add(file.Process.ShutdownTime)) })
+			g.retiring.Go(func() { f.Shutdown(now, now.Add(file.Process.ShutdownTime)) })
 		}
 	}
 	open := slices.Collect(maps.Values(g.listeners))
@@ -194,19 +194,19 @@
 
 // loadTLS reads the certificates of the file's listeners. One that is in use already goes on, and with it what callers
 // have to come back by.
-func (g *Gateway) loadTLS(file *conf.File) (map[string]*frontend.Secure, error) {
-	out := map[string]*frontend.Secure{}
+func (g *Gateway) loadTLS(file *conf.File) (map[string]*frontend.TLSConfig, error) {
+	out := map[string]*frontend.TLSConfig{}
 	for _, l := range file.Listeners {
 		if l.TLS == nil {
 			continue
 		}
 		if f := g.listeners[listenerKey(l)]; f != nil {
-			if s := f.Secured(); s != nil && s.Is(l.TLS.Files, l.TLS.Required) {
+			if s := f.TLS(); s != nil && s.IsFor(l.TLS.Files, l.TLS.Required) {
 				out[listenerKey(l)] = s
 				continue
 			}
 		}
-		s, err := frontend.NewSecure(l.TLS.Files, l.TLS.Required, g.log)
+		s, err := frontend.NewTLSConfig(l.TLS.Files, l.TLS.Required, g.log)
 		if err != nil {
 			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
--- a/internal/platform/sidecar/exchange.go
+++ b/internal/platform/sidecar/exchange.go
@@ -40,8 +40,8 @@
 // class returns the request's class.
 func (x *exchange) class() *lbpolicy.Class { return &x.config.Policy.Classes[x.request.Class] }
 
-// Bodies implements frontend.Exchange.
-func (x *exchange) Bodies() frontend.Budget { return x.router.bodies }
+// BodyBudget implements frontend.Exchange.
+func (x *exchange) BodyBudget() frontend.Budget { return x.router.bodies }
 
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
@@ -81,11 +81,11 @@
 	return key, nil
 }
 
-// Most implements frontend.Streamer.
-func (x *exchange) Most() int64 { return MaxBodyBytes }
+// MaxBodyBytes implements frontend.Streamer.
+func (x *exchange) MaxBodyBytes() int64 { return MaxBodyBytes }
 
 // Stream implements frontend.Streamer.
-func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.Rest) engine.Result {
+func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.BodyStream) engine.Result {
 	x.upstream.Stream = rest
 	return x.Do(ctx, held)
 }
@@ -134,8 +134,8 @@
 	return failover.MayReject(now, x.router.keys.KeyState(now, x.keyID, scope), scope)
 }
 
-// End implements frontend.Exchange.
-func (x *exchange) End() {
+// Close implements frontend.Exchange.
+func (x *exchange) Close() {
 	if x.response != nil && x.response.Stream != nil && !x.response.Stream.IsDelivered() { // it broke off, or the client has disconnected
 		x.outcome = counters.Errored
 	}
--- a/internal/platform/sidecar/parse.go
+++ b/internal/platform/sidecar/parse.go
@@ -74,11 +74,11 @@
 // requestIDOf returns a request's ID. It returns false for an invalid one, or if a header of the protocol is repeated.
 func requestIDOf(r *http.Request) (id string, ok bool) {
 	for _, name := range []string{headerClass, headerKey, headerTenant, headerTimeout} {
-		if _, isSingle := frontend.Single(r.Header, name); !isSingle {
+		if _, isSingle := frontend.SingleValue(r.Header, name); !isSingle {
 			return "", false
 		}
 	}
-	id, isSingle := frontend.Single(r.Header, headerRequestID)
+	id, isSingle := frontend.SingleValue(r.Header, headerRequestID)
 	return id, isSingle && id != "" && len(id) <= maxRequestIDBytes
 }
 
--- a/internal/platform/sidecar/takeover.go
+++ b/internal/platform/sidecar/takeover.go
@@ -59,7 +59,7 @@
 	debug.SetMemoryLimit(budget.HeapBytes)
 	t.Client.SetMaxConns(budget.EndpointConns)
 	if t.frontend != nil {
-		t.frontend.Admit(admission.SingleGroup(budget.ClientConns))
+		t.frontend.SetPolicy(admission.SingleGroup(budget.ClientConns))
 	}
 	t.Router.reserveBodies(half, t.Budget.BodyBytes)
 	t.isHalved = half
--- a/internal/sites/peering/credentials.go
+++ b/internal/sites/peering/credentials.go
@@ -14,7 +14,7 @@
 type Identity = certs.Files
 
 // credentials are the current contents of an Identity's files. Files that are replaced are read for the next connection.
-type credentials struct{ *certs.Proof }
+type credentials struct{ *certs.Reloader }
 
 func newCredentials(files Identity, log *slog.Logger) (*credentials, error) {
 	proof, err := certs.Open(files, log)
--- a/internal/xds/credentials.go
+++ b/internal/xds/credentials.go
@@ -23,7 +23,7 @@
 		return credentials.NewTLS(config), nil
 	}
 	if p.TLS.Certificate == "" {
-		roots, err := certs.Authority(p.TLS.Authority)
+		roots, err := certs.LoadAuthority(p.TLS.Authority)
 		config.RootCAs = roots
 		return credentials.NewTLS(config), err
 	}
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -542,7 +542,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	roots, err := certs.Authority(authority.File)
+	roots, err := certs.LoadAuthority(authority.File)
 	if err != nil {
 		t.Fatal(err)
 	}
