--- a/internal/edge/admission/allocation.go
+++ b/internal/edge/admission/allocation.go
@@ -1,54 +1,56 @@
 package admission
 
-import (
-	"time"
-)
+import "time"
 
-// allocate finds a place for one more connection of a source, at the cost of an idle one where that is right.
-func (d *Controller) allocate(now time.Time, g *group, s *source) (evict *Conn, why Reason, ok bool) {
+// allocate finds a slot for one more connection of a source. Where it takes the slot of an idle connection, that one is evicted and
+// returned. Without a slot ok is false, for the reason.
+func (ctl *Controller) allocate(now time.Time, g *group, s *source) (evicted *Conn, reason Reason, ok bool) {
 	switch {
-	case g.Deny: // since it got in line
+	case g.Deny: // since it began to wait
 		return nil, Denied, false
 	case g.MaxPerSource > 0 && s.inUse >= g.MaxPerSource:
-		evict, why = s.idle.first(), SourceFull
+		evicted = s.idle.first()
+		reason = SourceFull
 	case g.MaxConns > 0 && g.inUse >= g.MaxConns:
-		evict, why = d.evictionCandidate(now, s, func(o *group) bool { return o == g }), GroupFull
-	case g.inUse < g.Reserve: // also where a new policy has fewer places than are held
+		evicted = ctl.evictionCandidate(now, s, func(o *group) bool { return o == g })
+		reason = GroupFull
+	case g.inUse < g.Reserve: // also where a new policy has a smaller capacity than is in use
 		return nil, 0, true
-	case d.unreservedInUse < d.unreservedCapacity(now):
-		if d.withinFairShare(s, d.unreservedCapacity(now)-d.unreservedInUse) {
+	case ctl.unreservedInUse < ctl.unreservedCapacity(now):
+		if ctl.withinFairShare(s, ctl.unreservedCapacity(now)-ctl.unreservedInUse) {
 			return nil, 0, true
 		}
-		evict, why = s.idle.first(), SourceFull
+		evicted = s.idle.first()
+		reason = SourceFull
 	default:
-		evict, why = d.evictionCandidate(now, s, func(o *group) bool { return o == g || o.unreservedInUse() > 0 }), ListenerFull
+		evicted = ctl.evictionCandidate(now, s, func(o *group) bool { return o == g || o.unreservedInUse() > 0 })
+		reason = ListenerFull
 	}
-	if evict == nil {
-		return nil, why, false
+	if evicted == nil {
+		return nil, reason, false
 	}
-	d.evict(now, evict)
-	return evict, 0, true
+	ctl.evict(now, evicted)
+	return evicted, 0, true
 }
 
-// withinFairShare tells whether a source may have one of the places that are free.
+// withinFairShare reports whether a source may take one of the free slots (dynamic thresholds: Choudhury and Hahne, 1998).
 //
-// It guards against a source that takes each place the moment that it comes free, as one that asks without pause does. It
-// could hurt where all callers come from one address: a part of the places, one in nine with a factor of 8, is never used.
-func (d *Controller) withinFairShare(s *source, free int) bool {
-	return d.policy.FreeFactor <= 0 || float64(s.inUse+1)/s.group.weight() <= d.policy.FreeFactor*float64(free)
+// Without it a source that connects in a loop takes each slot the moment it is free. Where all clients have one address, a part of the
+// capacity is never used: one in nine with a factor of 8.
+func (ctl *Controller) withinFairShare(s *source, free int) bool {
+	return ctl.policy.FreeFactor <= 0 || float64(s.inUse+1)/s.group.weight() <= ctl.policy.FreeFactor*float64(free)
 }
 
-// evictionCandidate returns the idle connection that ends in favour of a newcomer, or nil. It is the heaviest source's that has been
-// idle longest, one that never brought a request before others. A source that holds more than that one after the newcomer
-// gives one of its own, and may take from others only what their guard no longer keeps.
+// evictionCandidate returns the idle connection to close for a new one, or nil. It is one of the source with the highest weighted load:
+// first those that never carried a request, then the one that has been idle longest. A source whose load with the new connection is
+// higher closes one of its own, and takes from others only what is idle for longer than IdleProtection.
 //
-// It guards against callers who keep others out by the number of their connections; many behind one address are told from
-// them by their group's weight. It could hurt many behind an address that nobody has named, in a shortage only: their idle
-// connections end before those of others.
-func (d *Controller) evictionCandidate(now time.Time, s *source, from func(*group) bool) *Conn {
+// So no source keeps others out by the number of its connections. Clients behind one address get a group with a higher weight; without
+// one their idle connections are closed before those of others while the capacity is used up.
+func (ctl *Controller) evictionCandidate(now time.Time, s *source, from func(*group) bool) *Conn {
 	var heaviest *source
 	var oldest *Conn
-	for _, g := range d.groups {
+	for _, g := range ctl.groups {
 		if !from(g) || len(g.heaviest) == 0 {
 			continue
 		}
@@ -63,9 +65,9 @@
 	switch {
 	case heaviest == nil:
 		return nil
-	case d.policy.BlockWhenFull: // all stand in one line, whoever they are
+	case ctl.policy.BlockWhenFull: // sources are not distinguished
 		return oldest
-	case s == nil || d.policy.IdleProtection == 0:
+	case s == nil || ctl.policy.IdleProtection == 0:
 		return heaviest.idle.first()
 	case heaviest.weightedLoad() >= float64(s.inUse+1)/s.group.weight():
 		if c := heaviest.idle.first(); c.neverUsed || now.Sub(c.since) >= idleGrace {
@@ -74,12 +76,12 @@
 		return nil
 	case s.idle.first() != nil:
 		return s.idle.first()
-	case oldest.neverUsed || now.Sub(oldest.since) >= d.policy.IdleProtection:
+	case oldest.neverUsed || now.Sub(oldest.since) >= ctl.policy.IdleProtection:
 		return oldest
 	}
 	return nil
 }
 
-// idleGrace is how long a connection has been idle at the least: its caller may be sending the next request just now, and would
-// not know whether it was taken.
+// idleGrace protects a connection that has just become idle: its client may be sending the next request, and could not know whether it
+// was accepted.
 const idleGrace = 20 * time.Millisecond
--- a/internal/edge/admission/controller.go
+++ b/internal/edge/admission/controller.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Controller keeps the connections of one listener. It is not safe for use by several goroutines at once, and the times that it
-// is told never go back.
+// Controller holds the connections of one listener. It is not safe for concurrent use, and the times passed to it must not decrease.
 type Controller struct {
 	policy     Policy
 	groupIndex *groupIndex
@@ -14,65 +13,69 @@
 	sources    map[sourceKey]*source
 	conns      map[*Conn]struct{}
 
-	inUse            int  // places in use
-	unreservedInUse  int  // of them those beyond their groups' reserves
+	inUse            int  // connections that hold a slot
+	unreservedInUse  int  // of them those beyond the reserves of their groups
 	reserved         int  // of all groups
-	awaitingRequest  list // connections that have brought no request, the oldest first; their grace is not over
-	handshaking      list // likewise, of those that may still show a certificate
-	identifying      list // let in beyond the places to show a certificate, the oldest first
+	awaitingRequest  list // connections without a request whose grace is not over, the oldest first
+	handshaking      list // the same, of connections whose handshake is not over
+	identifying      list // admitted beyond the capacity to present a certificate, the oldest first
 	identifyingCount int
-	waiting          list // wait for a place, the oldest first
+	waiting          list // connections that wait for a slot, the oldest first
 	waitingCount     int
 
-	// After descriptors ran out the places are fewer for a while.
+	// After descriptors ran out the capacity is reduced for a while.
+
 	reducedCapacity int
 	reducedAt       time.Time
 
+	// Sources without a connection, in the order in which they became so.
+
 	firstUnused, lastUnused *source
 	unusedCount             int
 }
 
-// Conn is a connection as the door knows it.
+// Conn is a connection's state in a Controller.
 type Conn struct {
-	Owner any // the host's
+	Owner any // the caller's value, not used here
 
 	addr             netip.Addr
-	certificateNames []string // of its certificate
-	canIdentify      bool     // it begins with a handshake
-	source           *source  // nil: it holds no place
-	waitingSource    *source  // whose place it waits for, while it does
+	certificateNames []string
+	canIdentify      bool    // it begins with a TLS handshake
+	source           *source // nil: it holds no slot
+	waitingSource    *source // whose slot it waits for; nil: it does not wait
 	state            state
-	neverUsed        bool // idle, and has never brought a request
+	neverUsed        bool // idle, and has never carried a request
 	since            time.Time
-	links            [2]link // while idle; a fresh or proving one uses the first
+	links            [2]link // by list kind
 }
 
+// state is the state of a connection.
 type state uint8
 
 const (
-	closed          state = iota // has left, or been told to
-	identifying                  // shows its certificate
-	waiting                      // waits for a place
-	handshaking                  // has a place, and its handshake is not over
-	awaitingRequest              // has brought no request yet
+	closed          state = iota // has ended, or was evicted
+	identifying                  // without a slot, presents its certificate
+	waiting                      // waits for a slot
+	handshaking                  // holds a slot, and its handshake is not over
+	awaitingRequest              // has carried no request yet
 	idle
 	active // a request's head has been read
 )
 
-// Verdict is what becomes of a newcomer. At most one of Conn, Refused and Wait is set.
+// Verdict is the decision on a connection. Exactly one of Conn, Rejected and AskAgain is set.
 type Verdict struct {
-	Conn         *Conn // it is taken
-	Waiting      bool  // and has no place yet: Next tells when it has, Expire ends its wait, due after After
-	MustIdentify bool  // and must show a certificate soon, or go
-	Evict        *Conn // this one ends in its favour
+	Conn         *Conn // it is admitted
+	Waiting      bool  // it has no slot yet: AdmitWaiting gives it one, ExpireWait ends its wait after RetryAfter
+	MustIdentify bool  // it must present a certificate soon
+	Evict        *Conn // the connection that is closed for its slot
 	Rejected     bool
 	Reason       Reason
-	RetryAfter   time.Duration // when it may come back; 0: never
-	AskAgain     bool          // ask again when something has changed
+	RetryAfter   time.Duration // 0: the client need not try again
+	AskAgain     bool          // the caller asks again later
 }
 
-// When a caller is told to come back for whom there was no place: connections come and go all the time; one whose source has
-// its part already, or must be known first, waits for its own.
+// Retry-After of a rejected connection. Slots of a full listener become free all the time; those of a source that holds its share
+// become free by its own connections alone.
 const (
 	fullRetryAfter   = 250 * time.Millisecond
 	sourceRetryAfter = time.Second
@@ -85,139 +88,147 @@
 	return sourceRetryAfter
 }
 
-// New returns a door with no connections.
+// New returns a controller without connections.
 func New(p Policy, now time.Time) *Controller {
-	d := &Controller{sources: map[sourceKey]*source{}, conns: map[*Conn]struct{}{}}
-	d.Update(now, p)
-	return d
+	ctl := &Controller{sources: map[sourceKey]*source{}, conns: map[*Conn]struct{}{}}
+	ctl.Update(now, p)
+	return ctl
 }
 
-// Admit decides on a connection that has come. Provable tells that it can show a certificate before it is served.
-func (d *Controller) Admit(now time.Time, a netip.Addr, provable bool, host any) Verdict {
-	d.expireGrace(now)
-	g, _ := d.groupOf(a, nil)
+// Admit decides on a new connection from an address. A connection that canIdentify begins with a TLS handshake, which may bring a
+// certificate. The owner is kept in Conn.Owner.
+func (ctl *Controller) Admit(now time.Time, address netip.Addr, canIdentify bool, owner any) Verdict {
+	ctl.expireGrace(now)
+	g, _ := ctl.groupOf(address, nil)
 	if g.Deny {
 		g.counts.Rejected[Denied]++
 		return Verdict{Rejected: true, Reason: Denied}
 	}
-	s := d.source(a, g)
+	s := ctl.source(address, g)
 	if wait := s.takeRateToken(now); wait > 0 {
-		d.keepIfUnused(s, now)
+		ctl.keepIfUnused(s, now)
 		g.counts.Rejected[RateExceeded]++
 		return Verdict{Rejected: true, Reason: RateExceeded, RetryAfter: wait}
 	}
-	c := &Conn{Owner: host, addr: a, canIdentify: provable}
-	evict, why, ok := d.allocate(now, g, s)
+	c := &Conn{Owner: owner, addr: address, canIdentify: canIdentify}
+	evict, reason, ok := ctl.allocate(now, g, s)
 	switch {
 	case ok:
-		d.conns[c] = struct{}{}
-		d.occupy(c, g)
-		d.awaitRequest(now, c, provable)
+		ctl.conns[c] = struct{}{}
+		ctl.occupy(c, g)
+		ctl.awaitRequest(now, c, canIdentify)
 		g.counts.Admitted++
 		return Verdict{Conn: c, Evict: evict}
-	case provable && d.admitForIdentification(now, c, &evict):
-		d.keepIfUnused(s, now)
+	case canIdentify && ctl.admitForIdentification(now, c, &evict):
+		ctl.keepIfUnused(s, now)
 		return Verdict{Conn: c, MustIdentify: true, Evict: evict}
-	case why == ListenerFull && d.enqueue(now, c, s):
-		return Verdict{Conn: c, Waiting: true, RetryAfter: d.policy.MaxWait}
+	case reason == ListenerFull && ctl.enqueue(now, c, s):
+		return Verdict{Conn: c, Waiting: true, RetryAfter: ctl.policy.MaxWait}
 	}
-	d.keepIfUnused(s, now)
-	if d.policy.BlockWhenFull && why == ListenerFull {
+	ctl.keepIfUnused(s, now)
+	if ctl.policy.BlockWhenFull && reason == ListenerFull {
 		return Verdict{AskAgain: true}
 	}
-	g.counts.Rejected[why]++
-	return Verdict{Rejected: true, Reason: why, RetryAfter: retryAfter(why)}
+	g.counts.Rejected[reason]++
+	return Verdict{Rejected: true, Reason: reason, RetryAfter: retryAfter(reason)}
 }
 
-// awaitRequest has a connection that has a place bring a request within its grace, after its handshake where it has one to come.
-func (d *Controller) awaitRequest(now time.Time, c *Conn, handshake bool) {
-	c.state, c.neverUsed, c.since = awaitingRequest, false, now
+// awaitRequest starts the grace of a connection with a slot: for its handshake, or for its first request.
+func (ctl *Controller) awaitRequest(now time.Time, c *Conn, handshake bool) {
+	c.state = awaitingRequest
+	c.neverUsed = false
+	c.since = now
 	if handshake {
 		c.state = handshaking
 	}
-	d.link(c)
+	ctl.link(c)
 }
 
-// finishHandshake tells that a connection's handshake is over. It may have taken longer than its grace.
-func (d *Controller) finishHandshake(now time.Time, c *Conn) {
+// finishHandshake starts the grace for the first request. The handshake may have taken longer than its own grace.
+func (ctl *Controller) finishHandshake(now time.Time, c *Conn) {
 	if c.state == handshaking || c.state == idle && c.neverUsed {
-		d.unlink(c)
-		d.awaitRequest(now, c, false)
+		ctl.unlink(c)
+		ctl.awaitRequest(now, c, false)
 	}
 }
 
-// StartRequest tells that a request's head has been read. It returns false where the connection was told to end just before: what
-// it brought must not be served.
-func (d *Controller) StartRequest(c *Conn) bool {
+// StartRequest records that a request's head was read. It returns false where the connection was evicted just before: the request must
+// not be served.
+func (ctl *Controller) StartRequest(c *Conn) bool {
 	if c.state == closed {
 		return false
 	}
 	if c.state != active && c.source != nil {
-		d.unlink(c)
+		ctl.unlink(c)
 		c.source.group.active++
 		c.state = active
 	}
 	return true
 }
 
-// EndRequest tells that a connection carries no request any more. It returns false where it must end now, as its place is gone.
-func (d *Controller) EndRequest(now time.Time, c *Conn) bool {
+// EndRequest records that a connection carries no request any more. It returns false where it must be closed.
+func (ctl *Controller) EndRequest(now time.Time, c *Conn) bool {
 	if c.state == closed || c.source == nil {
 		return false
 	}
 	if c.state == active {
 		c.source.group.active--
 	} else {
-		d.unlink(c)
+		ctl.unlink(c)
 	}
-	c.state, c.neverUsed, c.since = idle, false, now
-	d.link(c)
-	if c.source.group.Deny || c.source.group.unreservedInUse() > 0 && d.unreservedInUse > d.unreservedCapacity(now) || d.inUse > d.policy.Capacity {
-		d.evict(now, c)
+	c.state = idle
+	c.neverUsed = false
+	c.since = now
+	ctl.link(c)
+	g := c.source.group
+	overUnreserved := g.unreservedInUse() > 0 && ctl.unreservedInUse > ctl.unreservedCapacity(now)
+	if g.Deny || overUnreserved || ctl.inUse > ctl.policy.Capacity {
+		ctl.evict(now, c)
 		return false
 	}
 	return true
 }
 
-// Remove tells that a connection has ended.
-func (d *Controller) Remove(now time.Time, c *Conn) { d.remove(now, c) }
+// Remove records that a connection has ended.
+func (ctl *Controller) Remove(now time.Time, c *Conn) { ctl.remove(now, c) }
 
-func (d *Controller) evict(now time.Time, c *Conn) {
+// evict closes an idle connection for the slot of another.
+func (ctl *Controller) evict(now time.Time, c *Conn) {
 	c.source.group.counts.Evicted++
-	d.remove(now, c)
+	ctl.remove(now, c)
 }
 
-// remove takes a connection out of all accounts.
-func (d *Controller) remove(now time.Time, c *Conn) {
-	d.vacate(now, c)
+// remove removes a connection from all counts and lists.
+func (ctl *Controller) remove(now time.Time, c *Conn) {
+	ctl.vacate(now, c)
 	c.state = closed
-	delete(d.conns, c)
+	delete(ctl.conns, c)
 }
 
-// occupy gives a connection a place in a group. It is on no list yet.
-func (d *Controller) occupy(c *Conn, g *group) {
-	c.source = d.source(c.addr, g)
-	d.removeUnused(c.source)
+// occupy gives a connection a slot of a group. It is on no list yet.
+func (ctl *Controller) occupy(c *Conn, g *group) {
+	c.source = ctl.source(c.addr, g)
+	ctl.removeUnused(c.source)
 	c.source.inUse++
 	if g.inUse >= g.Reserve {
-		d.unreservedInUse++
+		ctl.unreservedInUse++
 	}
 	g.inUse++
-	d.inUse++
+	ctl.inUse++
 	if c.state == active {
 		g.active++
 	}
 	c.source.updateHeap()
 }
 
-// vacate takes a connection's place back, and takes it off its lists.
-func (d *Controller) vacate(now time.Time, c *Conn) {
+// vacate frees a connection's slot, and removes it from its lists.
+func (ctl *Controller) vacate(now time.Time, c *Conn) {
 	if c.state == identifying {
-		d.identifying.remove(c, ofSource)
-		d.identifyingCount--
+		ctl.identifying.remove(c, ofSource)
+		ctl.identifyingCount--
 	}
 	if c.state == waiting {
-		d.dequeue(now, c)
+		ctl.dequeue(now, c)
 	}
 	s := c.source
 	if s == nil {
@@ -226,26 +237,26 @@
 	if c.state == active {
 		s.group.active--
 	} else {
-		d.unlink(c)
+		ctl.unlink(c)
 	}
 	c.source = nil
 	s.inUse--
 	s.group.inUse--
 	if s.group.inUse >= s.group.Reserve {
-		d.unreservedInUse--
+		ctl.unreservedInUse--
 	}
-	d.inUse--
+	ctl.inUse--
 	s.updateHeap()
-	d.keepIfUnused(s, now)
+	ctl.keepIfUnused(s, now)
 }
 
-// link puts a connection that has entered on the lists of its state.
-func (d *Controller) link(c *Conn) {
+// link puts a connection on the lists of its state.
+func (ctl *Controller) link(c *Conn) {
 	switch c.state {
 	case awaitingRequest:
-		d.awaitingRequest.push(c, ofSource)
+		ctl.awaitingRequest.push(c, ofSource)
 	case handshaking:
-		d.handshaking.push(c, ofSource)
+		ctl.handshaking.push(c, ofSource)
 	case idle:
 		c.source.idle.listOf(c).push(c, ofSource)
 		c.source.group.idle.listOf(c).push(c, ofGroup)
@@ -253,13 +264,13 @@
 	}
 }
 
-// unlink takes it off them.
-func (d *Controller) unlink(c *Conn) {
+// unlink removes a connection from the lists of its state.
+func (ctl *Controller) unlink(c *Conn) {
 	switch c.state {
 	case awaitingRequest:
-		d.awaitingRequest.remove(c, ofSource)
+		ctl.awaitingRequest.remove(c, ofSource)
 	case handshaking:
-		d.handshaking.remove(c, ofSource)
+		ctl.handshaking.remove(c, ofSource)
 	case idle:
 		c.source.idle.listOf(c).remove(c, ofSource)
 		c.source.group.idle.listOf(c).remove(c, ofGroup)
@@ -267,21 +278,24 @@
 	}
 }
 
-// handshakeGrace is how long a handshake may take before its connection counts as idle: some round trips on a long way.
+// handshakeGrace is how long a handshake may take before its connection counts as idle: some round trips over a long distance.
 const handshakeGrace = time.Second
 
-// expireGrace counts those as idle that have brought no request in their grace.
-func (d *Controller) expireGrace(now time.Time) {
-	for c := d.handshaking.first; c != nil && now.Sub(c.since) > handshakeGrace; c = d.handshaking.first {
-		d.markIdle(now, &d.handshaking, c)
+// expireGrace makes connections idle that have carried no request within their grace.
+func (ctl *Controller) expireGrace(now time.Time) {
+	for c := ctl.handshaking.first; c != nil && now.Sub(c.since) > handshakeGrace; c = ctl.handshaking.first {
+		ctl.markIdle(now, &ctl.handshaking, c)
 	}
-	for c := d.awaitingRequest.first; c != nil && now.Sub(c.since) > d.policy.RequestGrace; c = d.awaitingRequest.first {
-		d.markIdle(now, &d.awaitingRequest, c)
+	for c := ctl.awaitingRequest.first; c != nil && now.Sub(c.since) > ctl.policy.RequestGrace; c = ctl.awaitingRequest.first {
+		ctl.markIdle(now, &ctl.awaitingRequest, c)
 	}
 }
 
-func (d *Controller) markIdle(now time.Time, from *list, c *Conn) {
+// markIdle moves a connection whose grace is over to the idle ones.
+func (ctl *Controller) markIdle(now time.Time, from *list, c *Conn) {
 	from.remove(c, ofSource)
-	c.state, c.neverUsed, c.since = idle, true, now
-	d.link(c)
+	c.state = idle
+	c.neverUsed = true
+	c.since = now
+	ctl.link(c)
 }
--- a/internal/edge/admission/exhaustion.go
+++ b/internal/edge/admission/exhaustion.go
@@ -10,12 +10,12 @@
 //
 // It guards against a bound on connections that is higher than what the system grants. It could hurt by ending kept
 // connections that would have been used again: their callers connect anew.
-func (d *Controller) ReduceCapacity(now time.Time) []*Conn {
-	d.expireGrace(now)
-	if d.reducedCapacity >= d.policy.Capacity || now.Sub(d.reducedAt) >= reduceInterval {
-		d.reducedCapacity, d.reducedAt = max(d.inUse-max(d.inUse/16, 1), 1), now
+func (ctl *Controller) ReduceCapacity(now time.Time) []*Conn {
+	ctl.expireGrace(now)
+	if ctl.reducedCapacity >= ctl.policy.Capacity || now.Sub(ctl.reducedAt) >= reduceInterval {
+		ctl.reducedCapacity, ctl.reducedAt = max(ctl.inUse-max(ctl.inUse/16, 1), 1), now
 	}
-	return d.trim(now)
+	return ctl.trim(now)
 }
 
 const (
@@ -25,28 +25,30 @@
 )
 
 // capacity returns how many there are now.
-func (d *Controller) capacity(now time.Time) int {
-	if d.reducedCapacity >= d.policy.Capacity {
-		return d.policy.Capacity
+func (ctl *Controller) capacity(now time.Time) int {
+	if ctl.reducedCapacity >= ctl.policy.Capacity {
+		return ctl.policy.Capacity
 	}
-	back := int(now.Sub(d.reducedAt)/recoverInterval) * max(d.policy.Capacity/recoverDivisor, 1)
-	return min(d.reducedCapacity+back, d.policy.Capacity)
+	back := int(now.Sub(ctl.reducedAt)/recoverInterval) * max(ctl.policy.Capacity/recoverDivisor, 1)
+	return min(ctl.reducedCapacity+back, ctl.policy.Capacity)
 }
 
 // unreservedCapacity returns how many places are nobody's.
-func (d *Controller) unreservedCapacity(now time.Time) int { return max(d.capacity(now)-d.reserved, 0) }
+func (ctl *Controller) unreservedCapacity(now time.Time) int {
+	return max(ctl.capacity(now)-ctl.reserved, 0)
+}
 
 // trim ends idle connections until no more are held than there are places for.
-func (d *Controller) trim(now time.Time) (evict []*Conn) {
-	for d.inUse > d.capacity(now) || d.unreservedInUse > d.unreservedCapacity(now) {
-		c := d.evictionCandidate(now, nil, func(g *group) bool { return g.unreservedInUse() > 0 })
-		if c == nil && d.inUse > d.policy.Capacity {
-			c = d.evictionCandidate(now, nil, func(*group) bool { return true })
+func (ctl *Controller) trim(now time.Time) (evict []*Conn) {
+	for ctl.inUse > ctl.capacity(now) || ctl.unreservedInUse > ctl.unreservedCapacity(now) {
+		c := ctl.evictionCandidate(now, nil, func(g *group) bool { return g.unreservedInUse() > 0 })
+		if c == nil && ctl.inUse > ctl.policy.Capacity {
+			c = ctl.evictionCandidate(now, nil, func(*group) bool { return true })
 		}
 		if c == nil {
 			return evict
 		}
-		d.evict(now, c)
+		ctl.evict(now, c)
 		evict = append(evict, c)
 	}
 	return evict
--- a/internal/edge/admission/policy.go
+++ b/internal/edge/admission/policy.go
@@ -120,12 +120,12 @@
 }
 
 // groupOf returns the group of an address, or that of a certificate's names, which count more; named tells that they did.
-func (d *Controller) groupOf(a netip.Addr, names []string) (g *group, named bool) {
-	n, named := d.groupIndex.ofNames(names)
+func (ctl *Controller) groupOf(a netip.Addr, names []string) (g *group, named bool) {
+	n, named := ctl.groupIndex.ofNames(names)
 	if !named {
-		n = d.groupIndex.ofAddress(a)
+		n = ctl.groupIndex.ofAddress(a)
 	}
-	return d.groups[n], named
+	return ctl.groups[n], named
 }
 
 // Reason says why a connection was refused.
--- a/internal/edge/admission/source.go
+++ b/internal/edge/admission/source.go
@@ -148,23 +148,23 @@
 }
 
 // prefixOf returns an address's source.
-func (d *Controller) prefixOf(a netip.Addr) netip.Prefix {
+func (ctl *Controller) prefixOf(a netip.Addr) netip.Prefix {
 	a = a.Unmap().WithZone("")
-	bits := d.policy.IPv4Bits
+	bits := ctl.policy.IPv4Bits
 	if a.Is6() {
-		bits = d.policy.IPv6Bits
+		bits = ctl.policy.IPv6Bits
 	}
 	p, _ := a.Prefix(bits)
 	return p
 }
 
 // source finds the source of an address in a group, or begins it.
-func (d *Controller) source(a netip.Addr, g *group) *source {
-	k := sourceKey{d.prefixOf(a), g.Name}
-	s := d.sources[k]
+func (ctl *Controller) source(a netip.Addr, g *group) *source {
+	k := sourceKey{ctl.prefixOf(a), g.Name}
+	s := ctl.sources[k]
 	if s == nil {
 		s = &source{key: k, group: g, heapIndex: -1}
-		d.sources[k] = s
+		ctl.sources[k] = s
 	}
 	s.group = g
 	return s
@@ -172,51 +172,51 @@
 
 // keepIfUnused keeps a source that holds nothing for as long as its rate remembers something, and within a bound: those that have
 // been so longest go first.
-func (d *Controller) keepIfUnused(s *source, now time.Time) {
+func (ctl *Controller) keepIfUnused(s *source, now time.Time) {
 	if s.inUse+s.waiting > 0 {
-		d.removeUnused(s)
+		ctl.removeUnused(s)
 		return
 	}
 	if s.rate == nil {
-		d.removeUnused(s)
-		delete(d.sources, s.key)
+		ctl.removeUnused(s)
+		delete(ctl.sources, s.key)
 		return
 	}
 	if !s.unused {
-		s.unused, s.prev, s.next = true, d.lastUnused, nil
-		if d.lastUnused != nil {
-			d.lastUnused.next = s
+		s.unused, s.prev, s.next = true, ctl.lastUnused, nil
+		if ctl.lastUnused != nil {
+			ctl.lastUnused.next = s
 		} else {
-			d.firstUnused = s
+			ctl.firstUnused = s
 		}
-		d.lastUnused = s
-		d.unusedCount++
+		ctl.lastUnused = s
+		ctl.unusedCount++
 	}
-	for o := d.firstUnused; o != nil && (d.unusedCount > maxUnusedSources || o.rate.TokensAt(now) >= float64(o.rate.Burst())); o = d.firstUnused {
-		d.removeUnused(o)
-		delete(d.sources, o.key)
+	for o := ctl.firstUnused; o != nil && (ctl.unusedCount > maxUnusedSources || o.rate.TokensAt(now) >= float64(o.rate.Burst())); o = ctl.firstUnused {
+		ctl.removeUnused(o)
+		delete(ctl.sources, o.key)
 	}
 }
 
 // maxUnusedSources bounds the sources that are remembered for their rate alone.
 const maxUnusedSources = 1 << 14
 
-func (d *Controller) removeUnused(s *source) {
+func (ctl *Controller) removeUnused(s *source) {
 	if !s.unused {
 		return
 	}
 	if s.prev != nil {
 		s.prev.next = s.next
 	} else {
-		d.firstUnused = s.next
+		ctl.firstUnused = s.next
 	}
 	if s.next != nil {
 		s.next.prev = s.prev
 	} else {
-		d.lastUnused = s.prev
+		ctl.lastUnused = s.prev
 	}
 	s.unused, s.prev, s.next = false, nil, nil
-	d.unusedCount--
+	ctl.unusedCount--
 }
 
 // takeRateToken takes one of the source's new connections a second; it returns how long it has none to give.
--- a/internal/edge/admission/status.go
+++ b/internal/edge/admission/status.go
@@ -47,10 +47,10 @@
 }
 
 // Status tells how the door stands, with so many of its sources.
-func (d *Controller) Status(now time.Time, sources int) Status {
-	v := Status{Capacity: d.capacity(now), MaxCapacity: d.policy.Capacity, InUse: d.inUse, Identifying: d.identifyingCount, Waiting: d.waitingCount}
+func (ctl *Controller) Status(now time.Time, sources int) Status {
+	v := Status{Capacity: ctl.capacity(now), MaxCapacity: ctl.policy.Capacity, InUse: ctl.inUse, Identifying: ctl.identifyingCount, Waiting: ctl.waitingCount}
 	of := map[*group]int{}
-	for _, s := range d.sources {
+	for _, s := range ctl.sources {
 		if s.inUse > 0 {
 			of[s.group]++
 			v.Sources = append(v.Sources, SourceStatus{s.key.prefix.String(), s.group.Name, s.inUse})
@@ -60,7 +60,7 @@
 		return cmp.Or(b.InUse-a.InUse, cmp.Compare(a.Source, b.Source), cmp.Compare(a.Group, b.Group))
 	})
 	v.Sources = v.Sources[:min(len(v.Sources), sources)]
-	for _, g := range d.groups {
+	for _, g := range ctl.groups {
 		gv := GroupStatus{Name: g.Name, InUse: g.inUse, Active: g.active, Reserve: g.Reserve, Sources: of[g], Admitted: g.counts.Admitted,
 			Identified: g.counts.Identified, Evicted: g.counts.Evicted, Rejected: map[string]uint64{}}
 		for r, n := range g.counts.Rejected {
@@ -87,14 +87,14 @@
 }
 
 // AddressStatus tells how an address stands, and changes nothing.
-func (d *Controller) AddressStatus(now time.Time, a netip.Addr) AddressStatus {
-	g, _ := d.groupOf(a, nil)
-	at := AddressStatus{Group: g.Name, Source: d.prefixOf(a).String(), MaxConns: g.MaxPerSource, Rate: g.Rate, Denied: g.Deny,
-		ReservedFree: max(g.Reserve-g.inUse, 0), UnreservedFree: max(d.unreservedCapacity(now)-d.unreservedInUse, 0)}
+func (ctl *Controller) AddressStatus(now time.Time, a netip.Addr) AddressStatus {
+	g, _ := ctl.groupOf(a, nil)
+	at := AddressStatus{Group: g.Name, Source: ctl.prefixOf(a).String(), MaxConns: g.MaxPerSource, Rate: g.Rate, Denied: g.Deny,
+		ReservedFree: max(g.Reserve-g.inUse, 0), UnreservedFree: max(ctl.unreservedCapacity(now)-ctl.unreservedInUse, 0)}
 	if g.Rate > 0 {
 		at.Tokens = float64(max(g.Burst, 1))
 	}
-	if s := d.sources[sourceKey{d.prefixOf(a), g.Name}]; s != nil {
+	if s := ctl.sources[sourceKey{ctl.prefixOf(a), g.Name}]; s != nil {
 		at.InUse = s.inUse
 		if s.rate != nil {
 			at.Tokens = s.rate.TokensAt(now)
@@ -104,24 +104,24 @@
 }
 
 // Count returns how many connections hold a place or wait for one in line.
-func (d *Controller) Count() int { return d.inUse + d.waitingCount }
+func (ctl *Controller) Count() int { return ctl.inUse + ctl.waitingCount }
 
 // Waiting returns how many connections wait in line.
-func (d *Controller) Waiting() int { return d.waitingCount }
+func (ctl *Controller) Waiting() int { return ctl.waitingCount }
 
 // Conns returns all connections.
-func (d *Controller) Conns() []*Conn {
-	out := make([]*Conn, 0, len(d.conns))
-	for c := range d.conns {
+func (ctl *Controller) Conns() []*Conn {
+	out := make([]*Conn, 0, len(ctl.conns))
+	for c := range ctl.conns {
 		out = append(out, c)
 	}
 	return out
 }
 
 // IdleConns returns the connections that carry no request: for an end in which they go first.
-func (d *Controller) IdleConns(now time.Time) (out []*Conn) {
-	d.expireGrace(now)
-	for c := range d.conns {
+func (ctl *Controller) IdleConns(now time.Time) (out []*Conn) {
+	ctl.expireGrace(now)
+	for c := range ctl.conns {
 		if c.state == idle || c.state == identifying {
 			out = append(out, c)
 		}
@@ -130,8 +130,8 @@
 }
 
 // connsByAge returns all connections, those first that have stood longest as they are.
-func (d *Controller) connsByAge() []*Conn {
-	all := d.Conns()
+func (ctl *Controller) connsByAge() []*Conn {
+	all := ctl.Conns()
 	slices.SortFunc(all, func(a, b *Conn) int { return a.since.Compare(b.since) })
 	return all
 }
--- a/internal/edge/admission/update.go
+++ b/internal/edge/admission/update.go
@@ -7,10 +7,10 @@
 
 // Update puts another policy in force. Connections are of the groups that it says; those over its bounds are returned, as
 // far as they are idle, and are to be ended.
-func (d *Controller) Update(now time.Time, p Policy) (evict []*Conn) {
-	old := d.groups
-	d.policy, d.groupIndex, d.groups, d.reserved = p, newGroupIndex(p.Groups), nil, 0
-	d.reducedCapacity = p.Capacity
+func (ctl *Controller) Update(now time.Time, p Policy) (evict []*Conn) {
+	old := ctl.groups
+	ctl.policy, ctl.groupIndex, ctl.groups, ctl.reserved = p, newGroupIndex(p.Groups), nil, 0
+	ctl.reducedCapacity = p.Capacity
 	for _, g := range p.Groups {
 		is := &group{Group: g}
 		for _, o := range old {
@@ -18,37 +18,37 @@
 				is.counts = o.counts
 			}
 		}
-		d.groups = append(d.groups, is)
-		d.reserved += g.Reserve
+		ctl.groups = append(ctl.groups, is)
+		ctl.reserved += g.Reserve
 	}
-	all := d.connsByAge()
+	all := ctl.connsByAge()
 	all = slices.DeleteFunc(all, func(c *Conn) bool { return c.source == nil && c.waitingSource == nil })
 	for _, c := range all {
-		d.vacate(now, c)
+		ctl.vacate(now, c)
 	}
-	for _, s := range d.sources { // they hold nothing now
-		i := slices.IndexFunc(d.groups, func(g *group) bool { return g.Name == s.key.group })
-		if i < 0 || d.groups[i].Rate <= 0 { // nothing to remember
-			d.removeUnused(s)
-			delete(d.sources, s.key)
+	for _, s := range ctl.sources { // they hold nothing now
+		i := slices.IndexFunc(ctl.groups, func(g *group) bool { return g.Name == s.key.group })
+		if i < 0 || ctl.groups[i].Rate <= 0 { // nothing to remember
+			ctl.removeUnused(s)
+			delete(ctl.sources, s.key)
 			continue
 		}
-		s.group = d.groups[i]
+		s.group = ctl.groups[i]
 	}
 	for _, c := range all {
-		g, _ := d.groupOf(c.addr, c.certificateNames)
+		g, _ := ctl.groupOf(c.addr, c.certificateNames)
 		if c.state == waiting {
-			d.pushWaiting(c, d.source(c.addr, g))
+			ctl.pushWaiting(c, ctl.source(c.addr, g))
 			continue
 		}
-		d.occupy(c, g)
-		d.link(c)
+		ctl.occupy(c, g)
+		ctl.link(c)
 	}
-	evict = d.trim(now)
-	for _, g := range d.groups {
+	evict = ctl.trim(now)
+	for _, g := range ctl.groups {
 		for g.Deny && g.idle.first() != nil { // those at work end when they rest
 			c := g.idle.first()
-			d.evict(now, c)
+			ctl.evict(now, c)
 			evict = append(evict, c)
 		}
 	}
