--- a/internal/edge/admission/exhaustion.go
+++ b/internal/edge/admission/exhaustion.go
@@ -1,30 +1,29 @@
 package admission
 
-import (
-	"time"
-)
+import "time"
 
-// ReduceCapacity tells that the process had no descriptor for a connection. For a while there are fewer places: a sixteenth of those
-// in use is given back for connections to endpoints and for what else the process must open. It returns the idle
-// connections that end for that.
+// ReduceCapacity records that the process had no descriptor for a connection. For a while the capacity is fifteen sixteenths of the
+// slots in use, so that descriptors are free for connections to endpoints and for other files. It returns the idle connections that are
+// evicted for that.
 //
-// It guards against a bound on connections that is higher than what the system grants. It could hurt by ending kept
-// connections that would have been used again: their callers connect anew.
+// So a configured capacity above the system's limit does no lasting harm. Clients of the evicted connections connect again.
 func (ctl *Controller) ReduceCapacity(now time.Time) []*Conn {
 	ctl.expireGrace(now)
 	if ctl.reducedCapacity >= ctl.policy.Capacity || now.Sub(ctl.reducedAt) >= reduceInterval {
-		ctl.reducedCapacity, ctl.reducedAt = max(ctl.inUse-max(ctl.inUse/16, 1), 1), now
+		ctl.reducedCapacity = max(ctl.inUse-max(ctl.inUse/reduceDivisor, 1), 1)
+		ctl.reducedAt = now
 	}
 	return ctl.trim(now)
 }
 
 const (
-	reduceInterval  = 100 * time.Millisecond // the places fall once; what is freed takes a moment to be felt
-	recoverInterval = 250 * time.Millisecond // after a shortage a
-	recoverDivisor  = 32                     // thirty-second of the places comes back so often
+	reduceDivisor   = 16                     // each reduction takes this part of the slots in use
+	reduceInterval  = 100 * time.Millisecond // at most one reduction in this time: freed descriptors take effect after a moment
+	recoverInterval = 250 * time.Millisecond // after a reduction, the time in which one part of the capacity returns
+	recoverDivisor  = 32                     // the number of these parts
 )
 
-// capacity returns how many there are now.
+// capacity returns the current number of slots.
 func (ctl *Controller) capacity(now time.Time) int {
 	if ctl.reducedCapacity >= ctl.policy.Capacity {
 		return ctl.policy.Capacity
@@ -33,12 +32,12 @@
 	return min(ctl.reducedCapacity+back, ctl.policy.Capacity)
 }
 
-// unreservedCapacity returns how many places are nobody's.
+// unreservedCapacity returns the current number of slots that no group reserves.
 func (ctl *Controller) unreservedCapacity(now time.Time) int {
 	return max(ctl.capacity(now)-ctl.reserved, 0)
 }
 
-// trim ends idle connections until no more are held than there are places for.
+// trim evicts idle connections until the slots in use fit into the capacity.
 func (ctl *Controller) trim(now time.Time) (evict []*Conn) {
 	for ctl.inUse > ctl.capacity(now) || ctl.unreservedInUse > ctl.unreservedCapacity(now) {
 		c := ctl.evictionCandidate(now, nil, func(g *group) bool { return g.unreservedInUse() > 0 })
--- a/internal/edge/admission/identification.go
+++ b/internal/edge/admission/identification.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// MaxIdentifying is how many connections may show their certificates at a time beyond the places.
+// MaxIdentifying returns how many connections may present their certificates at a time beyond the capacity.
 func (p *Policy) MaxIdentifying() int {
 	n := 0
 	for _, g := range p.Groups {
@@ -18,12 +18,12 @@
 
 const (
 	maxIdentifying = 256
-	// identificationGrace is how long a newcomer has to show its certificate before another may take its turn.
+	// identificationGrace is how long a connection has to present its certificate before another may replace it.
 	identificationGrace = 250 * time.Millisecond
 )
 
-// admitForIdentification lets a connection in to show its certificate. Where too many do, the one ends that came first of those whose
-// source has most of them, or the first of all if its time was enough.
+// admitForIdentification admits a connection to present its certificate. Where too many do, one of them is evicted: the oldest of the
+// source with the most of them, or the oldest of all once its grace is over.
 func (ctl *Controller) admitForIdentification(now time.Time, c *Conn, evict **Conn) bool {
 	most := ctl.policy.MaxIdentifying()
 	if most == 0 {
@@ -56,8 +56,8 @@
 	return true
 }
 
-// Identify tells the names of a connection's certificate, which has been verified; none: it has shown none. Where it is
-// refused it is to be ended, with an answer. One that holds a place keeps it.
+// Identify records the names of a connection's verified certificate; none: it has presented none. A rejected connection is to be
+// answered and closed. One that holds a slot keeps it.
 func (ctl *Controller) Identify(now time.Time, c *Conn, names []string) Verdict {
 	ctl.expireGrace(now)
 	if c.state == closed {
@@ -94,7 +94,7 @@
 		ctl.remove(now, c)
 		return Verdict{Rejected: true, Reason: why, RetryAfter: retryAfter(why)}
 	}
-	if evict == c { // its own place, as it brought no request in its grace
+	if evict == c { // its own slot, as it carried no request within its grace
 		evict, c.state = nil, awaitingRequest
 		ctl.conns[c] = struct{}{}
 	}
--- a/internal/edge/admission/model_test.go
+++ b/internal/edge/admission/model_test.go
@@ -468,7 +468,7 @@
 // A handshake has a second, and a request its own grace after it, before the connection ends for others.
 func TestHandshakeGrace(t *testing.T) {
 	begun := time.Unix(1e9, 0)
-	at := func(after time.Duration) time.Time { return begun.Add(after) }
+	at := begun.Add
 	d := New(Policy{Capacity: 1, Groups: []Group{{Name: Others}}, IPv4Bits: 32, IPv6Bits: 64, RequestGrace: defaultRequestGrace, IdleProtection: time.Second}, begun)
 	slow := d.Admit(begun, addrs[0], true, nil).Conn
 	if v := d.Admit(at(900*time.Millisecond), addrs[1], true, nil); !v.Rejected {
--- a/internal/edge/admission/policy.go
+++ b/internal/edge/admission/policy.go
@@ -1,10 +1,10 @@
-// Package admission decides which callers' connections a listener takes, which it refuses, and which of those that stand
-// idle end so that others get in. It does no I/O and has no clock: its host tells it what happens and when.
+// Package admission decides which client connections a listener admits and rejects, and which idle connections it closes in favour of
+// new ones. It does no I/O and has no clock: the caller reports events with their time.
 //
-// A connection counts for its source, an address or a prefix of them, and each source is of one group: one that the
-// policy names by networks or certificates, or that of all others. Groups may have places that nobody else takes. What
-// is left is common: while there is room everyone has it; when there is none, the source that holds most gives way first,
-// by its connections that carry no request. One that carries a request is never ended.
+// A connection belongs to a source, which is an address or a prefix, and each source to one group: one that the policy defines by
+// networks or certificate names, or the group of all others. A group may have reserved slots. The other slots are shared: while some
+// are free any source may take them; when none is, idle connections of the source with the highest weighted load are closed first. A
+// connection that carries a request is never closed.
 package admission
 
 import (
@@ -16,40 +16,40 @@
 	"github.com/gaissmai/bart"
 )
 
-// Policy is what a listener grants. Group 0 is that of all who are of no other. The reserves fit into the places.
+// Policy holds the limits of a listener. Group 0 is that of clients of no other group. The reserves must fit into the capacity.
 type Policy struct {
-	Capacity int // connections at most
+	Capacity int // most connections
 	Groups   []Group
-	// Bits of an address that make its source: hosts of one IPv6 network have as many addresses as they like.
+	// IPv4Bits and IPv6Bits are the lengths of the prefix that is a source: a host of an IPv6 network may use many addresses.
 	IPv4Bits, IPv6Bits int
-	// FreeFactor bounds what one source holds to so many times the common places that are free, by its weight, so that the first
-	// connections of others find one (dynamic thresholds: Choudhury and Hahne, 1998); 0: no bound.
+	// FreeFactor bounds the slots of a source, by its weight, to this multiple of the free unreserved slots, so that the first
+	// connections of other sources find one (dynamic thresholds: Choudhury and Hahne, 1998); 0: no bound.
 	FreeFactor float64
-	// IdleProtection is for how long an idle connection is safe from newcomers whose source holds more than its own.
+	// IdleProtection is how long an idle connection is protected from new connections of sources with a higher load.
 	IdleProtection time.Duration
-	// RequestGrace is for how long a new connection may bring no request before it counts as idle.
+	// RequestGrace is how long a new connection may carry no request before it counts as idle.
 	RequestGrace time.Duration
-	// MaxWait is for how long a newcomer whose source holds nothing may wait in line for a place; 0: not at all.
+	// MaxWait is how long a new connection of a source without one may wait for a slot; 0: not at all.
 	MaxWait time.Duration
-	// MaxWaiting bounds how many wait in line.
+	// MaxWaiting bounds the connections that wait.
 	MaxWaiting int
-	// BlockWhenFull has newcomers wait for a place; without it they are refused at once.
+	// BlockWhenFull has new connections wait in the accept queue; without it they are rejected at once.
 	BlockWhenFull bool
 }
 
-// Group is a kind of callers.
+// Group is a group of clients.
 type Group struct {
 	Name string
-	// Networks and Names (of certificates: "host.example", or "*.example" for what ends so) say who is of the group. The
-	// longest network counts, then the first name.
+	// Networks and CertificateNames ("host.example", or the suffix "*.example") define the members. The longest matching network
+	// counts; a matching name counts more, the first in order.
 	Networks         []netip.Prefix
 	CertificateNames []string
-	Reserve          int     // places that nobody else takes
-	MaxConns         int     // places; 0: no bound but the listener's
-	MaxPerSource     int     // places of one source; 0: no bound
-	Rate             float64 // new connections a second of one source; 0: no bound
+	Reserve          int     // reserved slots
+	MaxConns         int     // 0: the listener's capacity
+	MaxPerSource     int     // 0: no bound
+	Rate             float64 // new connections a second of a source; 0: no bound
 	Burst            int
-	Weight           float64 // a source of weight 50 gives way like fifty; 0: 1
+	Weight           float64 // divides the load of a source; 0: 1
 	Deny             bool
 }
 
@@ -60,25 +60,25 @@
 	return 1
 }
 
-// SingleGroup is a policy without groups: places for all, for which newcomers wait.
-func SingleGroup(places int) Policy {
-	return Policy{Capacity: places, Groups: []Group{{Name: Others}}, IPv4Bits: 32, IPv6Bits: 64, RequestGrace: defaultRequestGrace, BlockWhenFull: true}
+// SingleGroup returns a policy with one group, in which new connections wait in the accept queue while all slots are in use.
+func SingleGroup(capacity int) Policy {
+	return Policy{Capacity: capacity, Groups: []Group{{Name: Others}}, IPv4Bits: 32, IPv6Bits: 64, RequestGrace: defaultRequestGrace, BlockWhenFull: true}
 }
 
-// Others names the group of all who are of no other.
+// Others is the name of the group of all clients of no other group.
 const Others = "others"
 
-// defaultRequestGrace is how long a connection that has brought no request yet is left alone where room is short.
+// defaultRequestGrace is the RequestGrace of SingleGroup.
 const defaultRequestGrace = 300 * time.Millisecond
 
-// groupIndex finds an address's group. It never changes.
+// groupIndex finds the group of an address or certificate. It is immutable.
 type groupIndex struct {
 	networks bart.Table[int]
 	patterns []namePattern
 }
 
 type namePattern struct {
-	text  string // lower case; with a dot in front where it is a suffix
+	text  string // lower case; a suffix begins with a dot
 	group int
 }
 
@@ -95,7 +95,7 @@
 	return m
 }
 
-// ofAddress returns the group of an address, 0 where no network holds it.
+// ofAddress returns the group of an address, 0 where no network contains it.
 func (m *groupIndex) ofAddress(a netip.Addr) int {
 	if g, ok := m.networks.Lookup(a.Unmap().WithZone("")); ok {
 		return g
@@ -103,7 +103,7 @@
 	return 0
 }
 
-// ofNames returns the first group that has one of a certificate's names.
+// ofNames returns the first group that one of a certificate's names belongs to.
 func (m *groupIndex) ofNames(names []string) (group int, ok bool) {
 	for _, n := range m.patterns {
 		if slices.ContainsFunc(names, func(is string) bool {
@@ -119,29 +119,30 @@
 	return 0, false
 }
 
-// groupOf returns the group of an address, or that of a certificate's names, which count more; named tells that they did.
-func (ctl *Controller) groupOf(a netip.Addr, names []string) (g *group, named bool) {
-	n, named := ctl.groupIndex.ofNames(names)
-	if !named {
+// groupOf returns the group of a certificate's names, or else of the address; byName reports the first case.
+func (ctl *Controller) groupOf(a netip.Addr, names []string) (g *group, byName bool) {
+	n, byName := ctl.groupIndex.ofNames(names)
+	if !byName {
 		n = ctl.groupIndex.ofAddress(a)
 	}
-	return ctl.groups[n], named
+	return ctl.groups[n], byName
 }
 
-// Reason says why a connection was refused.
+// Reason says why a connection was rejected.
 type Reason uint8
 
 // The reasons.
 const (
-	Denied       Reason = iota // its group is kept out
-	RateExceeded               // its source opens connections faster than its rate
-	SourceFull                 // its source holds as many as it may
-	GroupFull                  // its group holds as many as it may
-	ListenerFull               // no place that it could have
-	Unidentified               // it was let in to show a certificate and is of no group with room
+	Denied       Reason = iota // its group is denied
+	RateExceeded               // its source exceeds its rate of new connections
+	SourceFull                 // its source holds as many slots as it may
+	GroupFull                  // its group holds as many slots as it may
+	ListenerFull               // there is no slot that it may take
+	Unidentified               // it was admitted to present a certificate, and belongs to no group with a free slot
 	reasons
 )
 
+// String returns the reason in the words of the control socket.
 func (r Reason) String() string {
 	return [...]string{"denied", "too fast", "too many of one source", "group full", "listener full", "not known by its certificate"}[r]
 }
--- a/internal/edge/admission/source.go
+++ b/internal/edge/admission/source.go
@@ -8,37 +8,38 @@
 	"golang.org/x/time/rate"
 )
 
-// source is what the connections of one address, or prefix, in one group have in common. It is kept while it holds a
-// connection or its rate has something to remember.
+// source is the state of the connections of one prefix in one group. It exists while it holds a connection, or while its rate limiter
+// is not full.
 type source struct {
 	key       sourceKey
 	group     *group
 	inUse     int
-	waiting   int // wait in line
+	waiting   int // connections that wait for a slot
 	idle      idleQueue
-	heapIndex int // in its group's heap of sources with idle connections; -1: in none
+	heapIndex int // in its group's heap; -1: it has no idle connection
 	rate      *rate.Limiter
 
-	// Of sources that hold nothing, in the order in which that came to be.
+	// The list of unused sources, in the order in which they became so.
 	prev, next *source
 	unused     bool
 }
 
+// sourceKey identifies a source.
 type sourceKey struct {
 	prefix netip.Prefix
 	group  string
 }
 
-// weightedLoad is what a source holds, as its group weighs it.
+// weightedLoad returns the slots of a source, divided by the weight of its group.
 func (s *source) weightedLoad() float64 { return float64(s.inUse) / s.group.weight() }
 
-// The lists that a connection is on while it is idle.
+// The kinds of list that a connection may be on at a time.
 const (
 	ofSource = iota
 	ofGroup
 )
 
-// list is a list of connections, each of which may be on one list of each kind.
+// list is a doubly linked list of connections, each of which may be on one list of each kind.
 type list struct{ first, last *Conn }
 
 func (l *list) push(c *Conn, kind int) {
@@ -68,8 +69,8 @@
 
 type link struct{ prev, next *Conn }
 
-// idleQueue are idle connections in the order in which they end: those that have never brought a request, then the others,
-// each by when they became idle.
+// idleQueue holds idle connections in the order of eviction: those that never carried a request, then the others, each by the time at
+// which they became idle.
 type idleQueue struct{ neverUsed, used list }
 
 func (q *idleQueue) first() *Conn {
@@ -86,7 +87,7 @@
 	return &q.used
 }
 
-// endsBefore tells whether one of two connections ends before the other, where nothing else tells them apart.
+// endsBefore reports whether one of two idle connections is evicted before the other, all else being equal.
 func (c *Conn) endsBefore(than *Conn) bool {
 	if c.neverUsed != than.neverUsed {
 		return c.neverUsed
@@ -94,7 +95,7 @@
 	return c.since.Before(than.since)
 }
 
-// group is a group and what it holds.
+// group is the state of a group.
 type group struct {
 	Group
 	inUse, active int
@@ -103,10 +104,10 @@
 	counts        Counts
 }
 
-// unreservedInUse is how many of the places that are nobody's the group holds.
+// unreservedInUse returns how many unreserved slots the group holds.
 func (g *group) unreservedInUse() int { return max(g.inUse-g.Reserve, 0) }
 
-// sourceHeap is a heap of sources, the one that holds most first, then the one whose connection ends sooner.
+// sourceHeap is a heap of sources with idle connections: the highest weighted load first, then the order of eviction.
 type sourceHeap []*source
 
 func (h sourceHeap) Len() int { return len(h) }
@@ -134,7 +135,7 @@
 	return s
 }
 
-// updateHeap puts a source in its place among those of its group, after what it holds has changed.
+// updateHeap restores the order of the group's heap after a change of the source.
 func (s *source) updateHeap() {
 	h := &s.group.heaviest
 	switch {
@@ -147,7 +148,7 @@
 	}
 }
 
-// prefixOf returns an address's source.
+// prefixOf returns the prefix of an address that is a source.
 func (ctl *Controller) prefixOf(a netip.Addr) netip.Prefix {
 	a = a.Unmap().WithZone("")
 	bits := ctl.policy.IPv4Bits
@@ -158,7 +159,7 @@
 	return p
 }
 
-// source finds the source of an address in a group, or begins it.
+// source returns the source of an address in a group, created if needed.
 func (ctl *Controller) source(a netip.Addr, g *group) *source {
 	k := sourceKey{ctl.prefixOf(a), g.Name}
 	s := ctl.sources[k]
@@ -170,8 +171,8 @@
 	return s
 }
 
-// keepIfUnused keeps a source that holds nothing for as long as its rate remembers something, and within a bound: those that have
-// been so longest go first.
+// keepIfUnused keeps a source without connections until its rate limiter is full, and deletes it where it has none. Beyond the bound
+// those go first that have been unused longest.
 func (ctl *Controller) keepIfUnused(s *source, now time.Time) {
 	if s.inUse+s.waiting > 0 {
 		ctl.removeUnused(s)
@@ -183,7 +184,9 @@
 		return
 	}
 	if !s.unused {
-		s.unused, s.prev, s.next = true, ctl.lastUnused, nil
+		s.unused = true
+		s.prev = ctl.lastUnused
+		s.next = nil
 		if ctl.lastUnused != nil {
 			ctl.lastUnused.next = s
 		} else {
@@ -198,9 +201,10 @@
 	}
 }
 
-// maxUnusedSources bounds the sources that are remembered for their rate alone.
+// maxUnusedSources bounds the sources that are kept for their rate limiter alone.
 const maxUnusedSources = 1 << 14
 
+// removeUnused takes a source off the list of unused ones.
 func (ctl *Controller) removeUnused(s *source) {
 	if !s.unused {
 		return
@@ -215,11 +219,14 @@
 	} else {
 		ctl.lastUnused = s.prev
 	}
-	s.unused, s.prev, s.next = false, nil, nil
+	s.unused = false
+	s.prev = nil
+	s.next = nil
 	ctl.unusedCount--
 }
 
-// takeRateToken takes one of the source's new connections a second; it returns how long it has none to give.
+// takeRateToken takes a token of the source's rate limiter for a new connection. It returns the time until there is one, zero where it
+// took one.
 func (s *source) takeRateToken(now time.Time) time.Duration {
 	g := s.group
 	if g.Rate <= 0 {
--- a/internal/edge/admission/status.go
+++ b/internal/edge/admission/status.go
@@ -7,26 +7,26 @@
 	"time"
 )
 
-// Counts are what a group has met with since the process began.
+// Counts are the counters of a group since the start of the process.
 type Counts struct {
 	Admitted   uint64
 	Rejected   [reasons]uint64
-	Evicted    uint64 // idle connections ended in favour of others
+	Evicted    uint64 // idle connections closed in favour of others
 	Identified uint64 // by a certificate
 }
 
-// Status is what a door tells of itself.
+// Status is the state of a listener's connections, as the control socket reports it.
 type Status struct {
-	Capacity    int            `json:"places"` // now
-	MaxCapacity int            `json:"most"`   // as configured; more than places after descriptors ran out
+	Capacity    int            `json:"places"` // current
+	MaxCapacity int            `json:"most"`   // configured; more than Capacity after descriptors were exhausted
 	InUse       int            `json:"held"`
 	Identifying int            `json:"proving,omitempty"`
 	Waiting     int            `json:"in_line,omitempty"`
 	Groups      []GroupStatus  `json:"groups"`
-	Sources     []SourceStatus `json:"sources"` // those that hold most
+	Sources     []SourceStatus `json:"sources"` // those with the most connections
 }
 
-// GroupStatus is a group of a view.
+// GroupStatus is the state of a group.
 type GroupStatus struct {
 	Name       string            `json:"name"`
 	InUse      int               `json:"held"`
@@ -39,14 +39,14 @@
 	Rejected   map[string]uint64 `json:"refused,omitempty"` // by reason
 }
 
-// SourceStatus is a source of a view.
+// SourceStatus is the state of a source.
 type SourceStatus struct {
 	Source string `json:"source"`
 	Group  string `json:"group"`
 	InUse  int    `json:"held"`
 }
 
-// Status tells how the door stands, with so many of its sources.
+// Status returns the state of the connections, with at most the given number of sources.
 func (ctl *Controller) Status(now time.Time, sources int) Status {
 	v := Status{Capacity: ctl.capacity(now), MaxCapacity: ctl.policy.Capacity, InUse: ctl.inUse, Identifying: ctl.identifyingCount, Waiting: ctl.waitingCount}
 	of := map[*group]int{}
@@ -73,20 +73,20 @@
 	return v
 }
 
-// AddressStatus is how an address stands with a door.
+// AddressStatus is the state of an address, as the control socket reports it.
 type AddressStatus struct {
 	Group          string  `json:"group"`
 	Source         string  `json:"source"`
-	InUse          int     `json:"held"` // by its source
+	InUse          int     `json:"held"` // of its source
 	MaxConns       int     `json:"most,omitempty"`
 	Rate           float64 `json:"rate,omitempty"`
-	Tokens         float64 `json:"tokens,omitempty"` // connections that it may open at once, by its rate
-	ReservedFree   int     `json:"reserved_left"`    // places of its group that nobody else takes
+	Tokens         float64 `json:"tokens,omitempty"` // connections that it may open at once within its rate
+	ReservedFree   int     `json:"reserved_left"`    // free reserved slots of its group
 	UnreservedFree int     `json:"common_left"`
 	Denied         bool    `json:"denied,omitempty"`
 }
 
-// AddressStatus tells how an address stands, and changes nothing.
+// AddressStatus returns the state of an address, and changes nothing.
 func (ctl *Controller) AddressStatus(now time.Time, a netip.Addr) AddressStatus {
 	g, _ := ctl.groupOf(a, nil)
 	at := AddressStatus{Group: g.Name, Source: ctl.prefixOf(a).String(), MaxConns: g.MaxPerSource, Rate: g.Rate, Denied: g.Deny,
@@ -103,10 +103,10 @@
 	return at
 }
 
-// Count returns how many connections hold a place or wait for one in line.
+// Count returns the number of connections that hold a slot or wait for one.
 func (ctl *Controller) Count() int { return ctl.inUse + ctl.waitingCount }
 
-// Waiting returns how many connections wait in line.
+// Waiting returns the number of connections that wait for a slot.
 func (ctl *Controller) Waiting() int { return ctl.waitingCount }
 
 // Conns returns all connections.
@@ -118,7 +118,7 @@
 	return out
 }
 
-// IdleConns returns the connections that carry no request: for an end in which they go first.
+// IdleConns returns the connections that carry no request, for a graceful shutdown.
 func (ctl *Controller) IdleConns(now time.Time) (out []*Conn) {
 	ctl.expireGrace(now)
 	for c := range ctl.conns {
@@ -129,7 +129,7 @@
 	return out
 }
 
-// connsByAge returns all connections, those first that have stood longest as they are.
+// connsByAge returns all connections, ordered by the time of their last change of state.
 func (ctl *Controller) connsByAge() []*Conn {
 	all := ctl.Conns()
 	slices.SortFunc(all, func(a, b *Conn) int { return a.since.Compare(b.since) })
--- a/internal/edge/admission/update.go
+++ b/internal/edge/admission/update.go
@@ -5,11 +5,14 @@
 	"time"
 )
 
-// Update puts another policy in force. Connections are of the groups that it says; those over its bounds are returned, as
-// far as they are idle, and are to be ended.
+// Update puts another policy in force, and assigns all connections to its groups. It returns the idle connections over its limits,
+// which the caller closes.
 func (ctl *Controller) Update(now time.Time, p Policy) (evict []*Conn) {
 	old := ctl.groups
-	ctl.policy, ctl.groupIndex, ctl.groups, ctl.reserved = p, newGroupIndex(p.Groups), nil, 0
+	ctl.policy = p
+	ctl.groupIndex = newGroupIndex(p.Groups)
+	ctl.groups = nil
+	ctl.reserved = 0
 	ctl.reducedCapacity = p.Capacity
 	for _, g := range p.Groups {
 		is := &group{Group: g}
@@ -26,9 +29,9 @@
 	for _, c := range all {
 		ctl.vacate(now, c)
 	}
-	for _, s := range ctl.sources { // they hold nothing now
+	for _, s := range ctl.sources { // they have no connections now
 		i := slices.IndexFunc(ctl.groups, func(g *group) bool { return g.Name == s.key.group })
-		if i < 0 || ctl.groups[i].Rate <= 0 { // nothing to remember
+		if i < 0 || ctl.groups[i].Rate <= 0 { // without a rate limiter
 			ctl.removeUnused(s)
 			delete(ctl.sources, s.key)
 			continue
@@ -46,7 +49,7 @@
 	}
 	evict = ctl.trim(now)
 	for _, g := range ctl.groups {
-		for g.Deny && g.idle.first() != nil { // those at work end when they rest
+		for g.Deny && g.idle.first() != nil { // active connections are closed after their requests
 			c := g.idle.first()
 			ctl.evict(now, c)
 			evict = append(evict, c)
