Split the clients' frontend: heads, bodies, watch, admission, shutdown, TLS, responses

The server, its connections and their accepting were files of 300 to 400 lines with several jobs. The order of what is written and decided is as before.

--- a/internal/edge/frontend/acceptor.go
+++ b/internal/edge/frontend/acceptor.go
@@ -2,10 +2,8 @@
 
 import (
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,172 +15,157 @@
 	"silvertrail/internal/edge/admission"
 )
 
-// acceptor hosts the door of a listener: it takes connections, and ends those that the door says.
+// acceptor accepts a listener's connections and runs the admission controller on them.
 type acceptor struct {
 	listener    net.Listener
-	tlsConfig   atomic.Pointer[TLSConfig] // nil: plain connections
+	tlsConfig   atomic.Pointer[TLSConfig] // nil: no TLS
 	onExhausted atomic.Pointer[func()]
+	serve       func(*clientConn) // for connections that are admitted after a wait
 
 	mu         sync.Mutex
 	controller *admission.Controller
-	undecided  int  // taken from the system and not let in yet
-	ticking    bool // the line is looked at from time to time
+	undecided  int  // connections that were accepted and wait in admit
+	ticking    bool // tick is scheduled
 
-	serve func(*clientConn) // those that come in from the line
-
-	// A descriptor that is given up so that a connection can be taken, if only to be refused, when there is no other. Of
-	// the accepting goroutine alone.
+	// spareDescriptor is given up so that a connection can be accepted, if only to be rejected, while there is no other descriptor. It
+	// belongs to the accepting goroutine.
 	spareDescriptor *os.File
-	spareUsed       atomic.Bool // it is given up
+	spareUsed       atomic.Bool
 
 	lingering lingeringConns
 }
 
+// admitInterval is how often connections that wait for a slot are considered: slots become free by time, too.
+const admitInterval = 5 * time.Millisecond
+
 func newAcceptor(l net.Listener, p admission.Policy, serve func(*clientConn)) *acceptor {
 	return &acceptor{listener: l, controller: admission.New(p, time.Now()), serve: serve}
 }
 
-// setPolicy puts another policy in force.
-func (l *acceptor) setPolicy(p admission.Policy) {
-	l.mu.Lock()
-	over := l.controller.Update(time.Now(), p)
-	next := l.admitWaiting()
-	l.mu.Unlock()
-	closeEvicted(over)
-	next()
+// setPolicy puts another admission policy in force.
+func (a *acceptor) setPolicy(p admission.Policy) {
+	a.mu.Lock()
+	evicted := a.controller.Update(time.Now(), p)
+	admitWaiting := a.admitWaiting()
+	a.mu.Unlock()
+	closeEvicted(evicted)
+	admitWaiting()
 }
 
-// freeDescriptors frees descriptors.
-func (l *acceptor) freeDescriptors() int {
-	l.mu.Lock()
-	over := l.controller.ReduceCapacity(time.Now())
-	l.mu.Unlock()
-	closeEvicted(over)
-	return len(over)
+// freeDescriptors closes idle connections after descriptors were exhausted, and returns how many.
+func (a *acceptor) freeDescriptors() int {
+	a.mu.Lock()
+	evicted := a.controller.ReduceCapacity(time.Now())
+	a.mu.Unlock()
+	closeEvicted(evicted)
+	return len(evicted)
 }
 
-// closeEvicted closes connections that the door has ended.
-func closeEvicted(over []*admission.Conn) {
-	for _, c := range over {
+// closeEvicted closes connections that the controller has evicted. The lock must not be held.
+func closeEvicted(evicted []*admission.Conn) {
+	for _, c := range evicted {
 		c.Owner.(*clientConn).Close()
 	}
 }
 
-// admitInterval is how often a connection that waits for a place asks again: places come free by time, too.
-const admitInterval = 5 * time.Millisecond
-
-// admitWaiting gives what has come free to those who wait in line. The caller holds the lock; what it returns is called without.
-func (l *acceptor) admitWaiting() func() {
-	taken, evicted := l.controller.AdmitWaiting(time.Now())
-	if len(taken)+len(evicted) == 0 {
+// admitWaiting gives free slots to waiting connections. The caller holds the lock, and calls the result without it.
+func (a *acceptor) admitWaiting() func() {
+	admitted, evicted := a.controller.AdmitWaiting(time.Now())
+	if len(admitted)+len(evicted) == 0 {
 		return func() {}
 	}
 	return func() {
 		closeEvicted(evicted)
-		for _, c := range taken {
-			go l.serve(c.Owner.(*clientConn))
+		for _, c := range admitted {
+			go a.serve(c.Owner.(*clientConn))
 		}
 	}
 }
 
-// tick gives places that have come free by time alone, for as long as somebody waits in line.
-func (l *acceptor) tick() {
-	l.mu.Lock()
-	next := l.admitWaiting()
-	if l.ticking = l.controller.Waiting() > 0; l.ticking {
-		time.AfterFunc(admitInterval, l.tick)
+// tick gives slots that became free by time alone to waiting connections, as long as there are any.
+func (a *acceptor) tick() {
+	a.mu.Lock()
+	admitWaiting := a.admitWaiting()
+	a.ticking = a.controller.Waiting() > 0
+	if a.ticking {
+		time.AfterFunc(admitInterval, a.tick)
 	}
-	l.mu.Unlock()
-	next()
+	a.mu.Unlock()
+	admitWaiting()
 }
 
-// expireWait ends a connection's wait in line.
-func (l *acceptor) expireWait(c *clientConn) {
-	l.mu.Lock()
-	v := l.controller.ExpireWait(time.Now(), c.slot)
-	l.mu.Unlock()
+// expireWait rejects a connection that has waited for too long.
+func (a *acceptor) expireWait(c *clientConn) {
+	a.mu.Lock()
+	v := a.controller.ExpireWait(time.Now(), c.slot)
+	a.mu.Unlock()
 	if v.Rejected {
-		l.reject(c, v)
+		a.reject(c, v)
 	}
 }
 
-// accept returns the next connection that is let in. Those that are refused are answered and ended.
-func (l *acceptor) accept() (*clientConn, error) {
+// accept returns the next connection that is admitted. Those that are rejected are answered and closed.
+func (a *acceptor) accept() (*clientConn, error) {
 	for {
-		nc, err := l.acceptOne()
+		nc, err := a.acceptOne()
 		if err != nil {
 			return nil, err
 		}
-		c, err := newClientConn(nc, l)
+		c, err := newClientConn(nc, a)
 		if err != nil {
 			return nil, err
 		}
-		if l.admit(c) {
+		if a.admit(c) {
 			return c, nil
 		}
 	}
 }
 
-// acceptOne takes a connection from the system. Where there is no descriptor for it idle connections end first; where there are
-// none the spare one is given up.
-func (l *acceptor) acceptOne() (net.Conn, error) {
-	if l.spareDescriptor == nil {
-		l.spareDescriptor, _ = os.Open(os.DevNull) // next time, where there is none
-		l.spareUsed.Store(l.spareDescriptor == nil)
+// acceptOne accepts a connection. Without a descriptor for it, idle connections are closed, then the spare descriptor is given up.
+func (a *acceptor) acceptOne() (net.Conn, error) {
+	if a.spareDescriptor == nil {
+		a.spareDescriptor, _ = os.Open(os.DevNull) // where it fails the next call tries again
+		a.spareUsed.Store(a.spareDescriptor == nil)
 	}
-	nc, err := l.listener.Accept()
+	nc, err := a.listener.Accept()
 	if !exhaustion.Is(err) {
 		return nc, err
 	}
-	if l.freeDescriptors(); l.onExhausted.Load() != nil {
-		(*l.onExhausted.Load())()
+	a.freeDescriptors()
+	if onExhausted := a.onExhausted.Load(); onExhausted != nil {
+		(*onExhausted)()
 	}
-	if nc, err = l.listener.Accept(); !exhaustion.Is(err) || l.spareDescriptor == nil {
+	if nc, err = a.listener.Accept(); !exhaustion.Is(err) || a.spareDescriptor == nil {
 		return nc, err
 	}
-	l.spareDescriptor.Close()
-	l.spareDescriptor = nil
-	l.spareUsed.Store(true)
-	return l.listener.Accept()
+	a.spareDescriptor.Close()
+	a.spareDescriptor = nil
+	a.spareUsed.Store(true)
+	return a.listener.Accept()
 }
 
-// admit gives a connection to the door. Where it returns false the connection has been refused.
-func (l *acceptor) admit(c *clientConn) bool {
-	waits := false
+// admit passes a connection to the controller. It returns false where the connection was rejected, or waits for a slot.
+func (a *acceptor) admit(c *clientConn) bool {
+	isUndecided := false
 	for {
-		l.mu.Lock()
-		v := l.controller.Admit(time.Now(), c.remoteIP, c.tlsConfig != nil, c)
-		c.slot, c.mustIdentify = v.Conn, v.MustIdentify
-		if v.Waiting && !l.ticking {
-			l.ticking = true
-			time.AfterFunc(admitInterval, l.tick)
-		}
-		if v.AskAgain != waits {
-			waits = v.AskAgain
-			if waits {
-				l.undecided++
-			} else {
-				l.undecided--
-			}
-		}
-		l.mu.Unlock()
+		v := a.decide(c, &isUndecided)
 		if v.Evict != nil {
 			closeEvicted([]*admission.Conn{v.Evict})
 		}
 		switch {
-		case v.AskAgain && !l.lingering.isClosed():
+		case v.AskAgain && !a.lingering.isClosed():
 			time.Sleep(admitInterval)
 		case v.AskAgain:
-			l.mu.Lock()
-			l.undecided--
-			l.mu.Unlock()
+			a.mu.Lock()
+			a.undecided--
+			a.mu.Unlock()
 			c.Close()
 			return false
 		case v.Rejected:
-			l.reject(c, v)
+			a.reject(c, v)
 			return false
 		case v.Waiting:
-			time.AfterFunc(v.RetryAfter, func() { l.expireWait(c) })
+			time.AfterFunc(v.RetryAfter, func() { a.expireWait(c) })
 			return false
 		default:
 			return true
@@ -190,67 +173,55 @@
 	}
 }
 
-// Close ends the connection and gives its place back.
-func (c *clientConn) Close() error {
-	next := func() {}
-	c.acceptor.mu.Lock()
-	if c.slot != nil {
-		c.acceptor.controller.Remove(time.Now(), c.slot)
-		next = c.acceptor.admitWaiting()
+// decide asks the controller for a decision, and counts the connections that have none yet.
+func (a *acceptor) decide(c *clientConn, isUndecided *bool) admission.Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := a.controller.Admit(time.Now(), c.remoteIP, c.tlsConfig != nil, c)
+	c.slot = v.Conn
+	c.mustIdentify = v.MustIdentify
+	if v.Waiting && !a.ticking {
+		a.ticking = true
+		time.AfterFunc(admitInterval, a.tick)
+	}
+	switch {
+	case v.AskAgain && !*isUndecided:
+		a.undecided++
+	case !v.AskAgain && *isUndecided:
+		a.undecided--
 	}
-	c.acceptor.mu.Unlock()
-	err := c.socket.Close()
-	c.cancel()
-	next()
-	return err
+	*isUndecided = v.AskAgain
+	return v
 }
 
 // closeAll closes all connections.
-func (l *acceptor) closeAll() {
-	l.mu.Lock()
-	all := l.controller.Conns()
-	l.mu.Unlock()
+func (a *acceptor) closeAll() {
+	a.mu.Lock()
+	all := a.controller.Conns()
+	a.mu.Unlock()
 	closeEvicted(all)
-	l.lingering.close()
+	a.lingering.close()
 }
 
-// startRequest marks the connection as at work. It returns false where the connection was closed as idle just before its
-// request was read: the caller sends that request again elsewhere, so that it must not be sent on from here.
-func (c *clientConn) startRequest() bool {
-	c.acceptor.mu.Lock()
-	defer c.acceptor.mu.Unlock()
-	return c.acceptor.controller.StartRequest(c.slot)
-}
-
-// endRequest marks the connection as idle. It returns false where it must end.
-func (c *clientConn) endRequest() bool {
-	c.acceptor.mu.Lock()
-	stays := c.acceptor.controller.EndRequest(time.Now(), c.slot)
-	next := c.acceptor.admitWaiting()
-	c.acceptor.mu.Unlock()
-	next()
-	return stays
-}
-
-// closeIdle closes connections that carry no request, so many at the most, but for new ones that are still to bring one and
-// for those on which a part of one has come, read or not: closing would lose it.
-func (l *acceptor) closeIdle(most int) {
-	l.mu.Lock()
+// closeIdle closes up to limit connections that carry no request, except new ones before their first request, and those with input, which
+// may be a part of a request.
+func (a *acceptor) closeIdle(limit int) {
+	a.mu.Lock()
 	now := time.Now()
-	var over []*admission.Conn
-	for _, c := range l.controller.IdleConns(now) {
-		if len(over) < most && !c.Owner.(*clientConn).hasInput() {
-			over = append(over, c)
-			l.controller.Remove(now, c)
+	var idle []*admission.Conn
+	for _, c := range a.controller.IdleConns(now) {
+		if len(idle) < limit && !c.Owner.(*clientConn).hasInput() {
+			idle = append(idle, c)
+			a.controller.Remove(now, c)
 		}
 	}
-	l.mu.Unlock()
-	closeEvicted(over)
+	a.mu.Unlock()
+	closeEvicted(idle)
 }
 
-// hasPending tells whether the system has connections that nobody has taken yet.
-func (l *acceptor) hasPending() (queued bool) {
-	listener, ok := l.listener.(syscall.Conn)
+// hasPending reports whether connections are in the accept queue.
+func (a *acceptor) hasPending() bool {
+	listener, ok := a.listener.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -258,127 +229,31 @@
 	if err != nil {
 		return false
 	}
-	raw.Control(func(fd uintptr) {
+	pending := false
+	// Control fails on a closed listener alone, which has none.
+	_ = raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		n, err := unix.Poll(p, 0)
-		queued = err == nil && n == 1 && p[0].Revents&unix.POLLIN != 0
+		pending = err == nil && n == 1 && p[0].Revents&unix.POLLIN != 0
 	})
-	return queued
-}
-
-// hasInput tells whether something stands unread on a connection, or a part of a head has been read.
-func (c *clientConn) hasInput() (more bool) {
-	if c.headStarted.Load() {
-		return true
-	}
-	c.rawConn.Control(func(fd uintptr) { more, _ = peek(fd) })
-	return more
-}
-
-// count returns the number of connections that are open or wait for a place.
-func (l *acceptor) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.controller.Count() + l.undecided
-}
-
-// status tells how the door stands.
-func (l *acceptor) status(sources int) admission.Status {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.controller.Status(time.Now(), sources)
+	return pending
 }
 
-func (l *acceptor) addressStatus(a netip.Addr) admission.AddressStatus {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.controller.AddressStatus(time.Now(), a)
+// count returns the number of connections that are open or wait for a slot.
+func (a *acceptor) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Count() + a.undecided
 }
 
-// lingeringConns holds refused connections until their callers have read why, or a short time is over. It is bounded: when it is
-// full the one that has stood longest goes.
-type lingeringConns struct {
-	mu     sync.Mutex
-	conns  []*clientConn
-	closed bool
+func (a *acceptor) status(sources int) admission.Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Status(time.Now(), sources)
 }
 
-const maxLingering = 64
-
-func (l *lingeringConns) add(c *clientConn) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return false
-	}
-	if len(l.conns) == maxLingering {
-		l.conns[0].socket.Close()
-		l.conns = append(l.conns[:0], l.conns[1:]...)
-	}
-	l.conns = append(l.conns, c)
-	return true
-}
-
-func (l *lingeringConns) isClosed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.closed
-}
-
-func (l *lingeringConns) remove(c *clientConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i, o := range l.conns {
-		if o == c {
-			l.conns = append(l.conns[:i], l.conns[i+1:]...)
-			return
-		}
-	}
-}
-
-func (l *lingeringConns) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closed = true
-	for _, c := range l.conns {
-		c.socket.Close()
-	}
-}
-
-// rejectionReply is the answer to a caller who is not let in. All of these promise that nothing took effect.
-func rejectionReply(v admission.Verdict) *Reply {
-	r := &Reply{Status: http.StatusServiceUnavailable, Header: http.Header{}, Close: true}
-	switch v.Reason {
-	case admission.Denied:
-		r.Status = http.StatusForbidden
-	case admission.RateExceeded, admission.SourceFull: // by what it does itself (RFC 6585, 4)
-		r.Status = http.StatusTooManyRequests
-	}
-	if v.RetryAfter > 0 {
-		r.Header.Set("Retry-After", strconv.FormatFloat(max(v.RetryAfter.Seconds(), 0.001), 'f', 3, 64))
-	}
-	return r
-}
-
-// internalErrorAlert is what a caller reads who is refused before its TLS has begun: a fatal alert, internal_error (RFC 8446, 6.2).
-var internalErrorAlert = []byte{21, 3, 1, 0, 2, 2, 80}
-
-// reject answers a connection that is not let in, before it has said anything, and sees it out. The answer fits into what
-// the system keeps for a new connection: it does not wait.
-func (l *acceptor) reject(c *clientConn, v admission.Verdict) {
-	if c.tlsConfig != nil {
-		c.socket.SetWriteDeadline(time.Now().Add(admitInterval))
-		c.socket.Write(internalErrorAlert)
-	} else {
-		c.rejectWith(rejectionReply(v))
-	}
-	if l.spareUsed.Load() || !l.lingering.add(c) { // no descriptor is held for it where they are short
-		c.Close()
-		return
-	}
-	go func() {
-		defer l.lingering.remove(c)
-		defer c.Close()
-		c.linger()
-	}()
+func (a *acceptor) addressStatus(address netip.Addr) admission.AddressStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.AddressStatus(time.Now(), address)
 }
--- a/internal/edge/frontend/header.go
+++ b/internal/edge/frontend/header.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// isHopByHop tells of the headers that hold for one connection only (RFC 9110, 7.6.1).
+// isHopByHop reports whether a header concerns one connection alone (RFC 9110, 7.6.1).
 func isHopByHop(name string) bool {
 	switch name {
 	case "Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
@@ -15,7 +15,7 @@
 	return false
 }
 
-// isNominated tells whether Connection headers name a header.
+// isNominated reports whether the Connection header names a header.
 func isNominated(connection []string, header string) bool {
 	for _, line := range connection {
 		for name := range strings.SplitSeq(line, ",") {
@@ -27,7 +27,7 @@
 	return false
 }
 
-// EndToEnd returns the headers that are passed on. The values are shared with h, the map is not.
+// EndToEnd returns the headers that are forwarded. The values are shared with h, the map is not.
 func EndToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h)+4)
 	connection := h["Connection"]
@@ -39,7 +39,8 @@
 	return out
 }
 
-// SingleValue returns the value of a header that may stand once at most. The name is in canonical form.
+// SingleValue returns the value of a header that may occur once at most; ok is false where it occurs more often. The name is in canonical
+// form.
 func SingleValue(h http.Header, name string) (value string, ok bool) {
 	values := h[name]
 	if len(values) == 1 {
--- /dev/null
+++ b/internal/edge/frontend/requesthead.go
@@ -0,0 +1,154 @@
+package frontend
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"silvertrail/internal/base/httphead"
+)
+
+const (
+	idleTimeout   = 8 * time.Second // of a connection between two requests; clients may count on 2 s
+	deadlineSlack = time.Second     // a deadline is not set again while it is off by less
+	maxHeadBytes  = 16 << 10
+)
+
+// readHead reads the next request's head into c.request. The status is not 0 where the request must be rejected; an error is the
+// connection's, or a timeout.
+func (c *clientConn) readHead() (status int, err error) {
+	hasHeadDeadline := c.startHead()
+	for {
+		end := httphead.End(c.input)
+		if end > maxHeadBytes || end < 0 && len(c.input) > maxHeadBytes {
+			return http.StatusRequestHeaderFieldsTooLarge, nil
+		}
+		if end >= 0 {
+			status := c.parseHead(c.input[:end])
+			c.input = c.input[end:]
+			return status, nil
+		}
+		c.growInput()
+		n, err := c.Conn.Read(c.input[len(c.input):cap(c.input)])
+		c.input = c.input[:len(c.input)+n]
+		if n == 0 && err != nil {
+			return 0, err
+		}
+		c.headStarted.Store(true)
+		if !hasHeadDeadline && httphead.End(c.input) < 0 { // the rest has the time of a head, not of an idle connection
+			hasHeadDeadline = true
+			c.setReadDeadline(time.Now().Add(messageTimeout))
+		}
+	}
+}
+
+// startHead prepares the state and the deadline for the next head. It reports whether the deadline is already that of a head: of the
+// first one, and of one that has begun.
+func (c *clientConn) startHead() bool {
+	now := time.Now()
+	started := len(c.input) > 0
+	isFirst := c.requestCount == 0
+	switch {
+	case isFirst || started:
+		c.setReadDeadline(now.Add(messageTimeout))
+	case c.readDeadline.Sub(now) < idleTimeout-deadlineSlack:
+		c.setReadDeadline(now.Add(idleTimeout))
+	}
+	c.requestCount++
+	c.request = http.Request{}
+	if !started {
+		if cap(c.buffer) == 0 || cap(c.buffer) > maxKeptReadBuffer {
+			c.buffer = make([]byte, readBufferBytes)
+		}
+		c.input = c.buffer[:0]
+	}
+	c.headStarted.Store(started)
+	return isFirst || started
+}
+
+// growInput makes room for more input, also where used input was cut off at its front.
+func (c *clientConn) growInput() {
+	if len(c.input) < cap(c.input) {
+		return
+	}
+	c.buffer = make([]byte, max(2*len(c.input), readBufferBytes))
+	c.input = c.buffer[:copy(c.buffer, c.input)]
+}
+
+// parseHead fills c.request. The status is not 0 where the request must be rejected.
+func (c *clientConn) parseHead(text []byte) (status int) {
+	head, err := httphead.Parse(text)
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	method, target, proto, status := parseRequestLine(head.StartLine)
+	if status != 0 {
+		return status
+	}
+	hosts := head.Header["Host"]
+	if len(hosts) > 1 || len(hosts) == 0 && proto == "HTTP/1.1" || len(hosts) == 1 && strings.ContainsFunc(hosts[0], isUnprintable) {
+		return http.StatusBadRequest
+	}
+	c.request = http.Request{Method: method, RequestURI: target, Proto: proto, Header: head.Header, RemoteAddr: c.remoteAddr}
+	r := &c.request
+	if len(hosts) == 1 {
+		r.Host = hosts[0]
+		delete(head.Header, "Host")
+	}
+	if host, ok := targetHost(target); ok {
+		r.Host = host
+	}
+	switch {
+	case head.Chunked:
+		r.ContentLength = -1
+		r.TransferEncoding = chunkedCoding
+	case head.ContentLength > 0:
+		r.ContentLength = head.ContentLength
+	}
+	c.closeAfter = proto == "HTTP/1.0" || head.IsClose()
+	return c.parseExpect(head.Header["Expect"])
+}
+
+// parseRequestLine splits a request line (RFC 9112, 3). The status is not 0 where the request must be rejected.
+func parseRequestLine(line string) (method, target, proto string, status int) {
+	method, rest, ok := strings.Cut(line, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	switch {
+	case !ok || !ok2 || !httphead.IsToken(method) || target == "" || strings.ContainsFunc(target, isUnprintable):
+		return "", "", "", http.StatusBadRequest
+	case proto == "HTTP/1.1" || proto == "HTTP/1.0":
+		return method, target, proto, 0
+	case strings.HasPrefix(proto, "HTTP/") && !strings.Contains(proto, " "):
+		return "", "", "", http.StatusHTTPVersionNotSupported
+	}
+	return "", "", "", http.StatusBadRequest
+}
+
+// targetHost returns the host of a target in absolute form, which replaces the Host header (RFC 9112, 3.2.2).
+func targetHost(target string) (host string, ok bool) {
+	_, host, ok = strings.Cut(target, "://")
+	if !ok || target[0] == '/' {
+		return "", false
+	}
+	if i := strings.IndexAny(host, "/?"); i >= 0 {
+		host = host[:i]
+	}
+	return host, true
+}
+
+// parseExpect records the expectation 100-continue. The status is not 0 for any other one.
+func (c *clientConn) parseExpect(values []string) (status int) {
+	c.expectsContinue = false
+	if len(values) == 0 {
+		return 0
+	}
+	if len(values) > 1 || !strings.EqualFold(values[0], "100-continue") {
+		return http.StatusExpectationFailed
+	}
+	c.expectsContinue = true
+	return 0
+}
+
+var chunkedCoding = []string{"chunked"}
+
+func isUnprintable(r rune) bool { return r <= ' ' || r >= 0x7f }
--- a/internal/edge/frontend/response.go
+++ b/internal/edge/frontend/response.go
@@ -14,20 +14,20 @@
 )
 
 const (
-	maxJoinedBody   = 4 << 10 // a body of at most this size is copied behind its head
+	writeTimeout    = 3 * time.Second // for which a client may read nothing of a buffered response
+	maxJoinedBody   = 4 << 10         // a body up to this size is copied behind its head
 	maxPooledBuffer = 16 << 10
 )
 
+// bufferPool holds buffers for heads, and for what is read ahead under TLS.
 var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
 
-// writeResult gives the caller its final answer.
+// writeResult writes the response to a result.
 func (c *clientConn) writeResult(a engine.Result) {
 	switch {
+	case a.Response != nil && a.Response.Stream != nil:
+		c.writeStream(a.Response)
 	case a.Response != nil:
-		if a.Response.Stream != nil {
-			c.writeStream(a.Response)
-			return
-		}
 		c.writeResponse(a.Response.Status, a.Response.Header, a.Response.Body, true)
 	case a.Rejected:
 		r := &Reply{Status: http.StatusServiceUnavailable}
@@ -35,45 +35,98 @@
 			r.Header = http.Header{"Retry-After": {strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}}
 		}
 		c.writeReply(r)
-	default: // never 429 or 503: those promise that trying again is harmless
+	default: // never 429 or 503: those promise that a retry is harmless
 		c.writeReply(&Reply{Status: http.StatusBadGateway})
 	}
 }
 
-// writeReply gives an answer of the program's own.
+// writeReply writes a response of this program's own.
 func (c *clientConn) writeReply(r *Reply) { c.writeResponse(r.Status, r.Header, r.Body, false) }
 
-// writeResponse writes an answer with its end-to-end headers. Passed tells that it is an endpoint's, whose answer to HEAD may tell
-// the length of a body that does not come.
+// writeResponse writes a response with its end-to-end headers. One that is forwarded is an endpoint's, whose response to HEAD may give the
+// length of the body that GET would have.
 //
-// An answer that can't be written whole ends the connection, so that the caller can tell.
-func (c *clientConn) writeResponse(status int, h http.Header, body []byte, passed bool) {
-	c.writeHead(status, h, body, passed, int64(len(body)))
+// A response that cannot be written completely ends the connection, so that the client can detect it.
+func (c *clientConn) writeResponse(status int, h http.Header, body []byte, forwarded bool) {
+	c.writeHead(responseHead{status: status, header: h, forwarded: forwarded, size: int64(len(body))}, body)
+}
+
+// responseHead is the head of a response.
+type responseHead struct {
+	status    int
+	header    http.Header
+	forwarded bool
+	size      int64 // of the body; -1: not known
 }
 
-// writeHead writes an answer's head, with what there is of its body: size bytes in all, or as many as come where it is -1.
-func (c *clientConn) writeHead(status int, h http.Header, body []byte, passed bool, size int64) {
+// writeHead writes a response's head, with the part of the body that there is already.
+func (c *clientConn) writeHead(head responseHead, body []byte) {
 	now := time.Now()
 	if c.writeDeadline.Sub(now) < writeTimeout-deadlineSlack {
 		c.writeDeadline = now.Add(writeTimeout)
 		c.Conn.SetWriteDeadline(c.writeDeadline)
 	}
 	pooled := bufferPool.Get().(*[]byte)
-	b := (*pooled)[:0]
+	b := c.appendHead((*pooled)[:0], head, now)
+	if c.isBodiless(head.status) {
+		body = nil
+	}
+	var err error
+	if len(body) <= maxJoinedBody {
+		b = append(b, body...)
+		_, err = c.Conn.Write(b)
+	} else {
+		message := net.Buffers{b, body}
+		_, err = message.WriteTo(c.Conn)
+	}
+	if err != nil {
+		c.closeAfter = true
+		c.lingers = false
+		c.writeFailed = true
+	}
+	if cap(b) <= maxPooledBuffer {
+		*pooled = b[:0]
+		bufferPool.Put(pooled)
+	}
+}
+
+// isBodiless reports whether a response has no body, whatever its headers say (RFC 9112, 6.3).
+func (c *clientConn) isBodiless(status int) bool {
+	return c.request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// appendHead appends a response's head.
+func (c *clientConn) appendHead(b []byte, head responseHead, now time.Time) []byte {
 	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(status), 10)
+	b = strconv.AppendInt(b, int64(head.status), 10)
 	b = append(b, ' ')
-	b = append(b, http.StatusText(status)...)
+	b = append(b, http.StatusText(head.status)...)
 	b = append(b, "\r\n"...)
-	head := c.request.Method == http.MethodHead
-	bodiless := head || status == http.StatusNoContent || status == http.StatusNotModified
+	b = c.appendHeader(b, head)
+	b = c.appendLength(b, head)
+	if _, dated := head.header["Date"]; !dated || !head.forwarded {
+		b = append(b, "Date: "...)
+		b = append(b, formatDate(now)...)
+		b = append(b, "\r\n"...)
+	}
+	if c.closeAfter {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// appendHeader appends the end-to-end headers, except those that are written here.
+func (c *clientConn) appendHeader(b []byte, head responseHead) []byte {
 	var nominated []string
-	if passed {
-		nominated = h["Connection"]
+	if head.forwarded {
+		nominated = head.header["Connection"]
 	}
-	for name, values := range h {
-		if isHopByHop(name) || name == "Date" && !passed || len(nominated) > 0 && isNominated(nominated, name) ||
-			name == "Content-Length" && !(passed && bodiless && status != http.StatusNoContent) {
+	keepsLength := head.forwarded && c.isBodiless(head.status) && head.status != http.StatusNoContent
+	for name, values := range head.header {
+		switch {
+		case isHopByHop(name) || len(nominated) > 0 && isNominated(nominated, name):
+			continue
+		case name == "Date" && !head.forwarded || name == "Content-Length" && !keepsLength:
 			continue
 		}
 		for _, v := range values {
@@ -83,47 +136,28 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if !bodiless || head && !passed {
-		switch {
-		case size >= 0:
-			b = append(b, "Content-Length: "...)
-			b = strconv.AppendInt(b, size, 10)
-			b = append(b, "\r\n"...)
-		case c.request.Proto == "HTTP/1.0": // it ends with the connection
-		default:
-			b = append(b, "Transfer-Encoding: chunked\r\n"...)
-		}
+	return b
+}
+
+// appendLength appends the header that delimits the body.
+func (c *clientConn) appendLength(b []byte, head responseHead) []byte {
+	isOwnToHead := c.request.Method == http.MethodHead && !head.forwarded
+	if c.isBodiless(head.status) && !isOwnToHead {
+		return b
 	}
-	if _, dated := h["Date"]; !dated || !passed {
-		b = append(b, "Date: "...)
-		b = append(b, formatDate(now)...)
+	switch {
+	case head.size >= 0:
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, head.size, 10)
 		b = append(b, "\r\n"...)
+	case c.request.Proto == "HTTP/1.0": // the body ends with the connection
+	default:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
 	}
-	if c.closeAfter {
-		b = append(b, "Connection: close\r\n"...)
-	}
-	b = append(b, "\r\n"...)
-	if bodiless {
-		body = nil
-	}
-	var err error
-	if len(body) <= maxJoinedBody {
-		b = append(b, body...)
-		_, err = c.Conn.Write(b)
-	} else {
-		message := net.Buffers{b, body}
-		_, err = message.WriteTo(c.Conn)
-	}
-	if err != nil {
-		c.closeAfter, c.lingers, c.writeFailed = true, false, true
-	}
-	if cap(b) <= maxPooledBuffer {
-		*pooled = b[:0]
-		bufferPool.Put(pooled)
-	}
+	return b
 }
 
-// appendValue writes a header's value. A line end in it would begin a line of its own.
+// appendValue appends a header's value. Line ends, which would begin another header, become spaces.
 func appendValue(b []byte, v string) []byte {
 	if strings.IndexByte(v, '\r') < 0 && strings.IndexByte(v, '\n') < 0 {
 		return append(b, v...)
@@ -151,6 +185,7 @@
 
 var lastDate atomic.Pointer[cachedDate]
 
+// formatDate returns the value of the Date header, formatted once a second.
 func formatDate(now time.Time) string {
 	if d := lastDate.Load(); d != nil && d.unix == now.Unix() {
 		return d.text
--- a/internal/edge/frontend/tls.go
+++ b/internal/edge/frontend/tls.go
@@ -13,7 +13,7 @@
 	"silvertrail/internal/edge/certs"
 )
 
-// TLSConfig has a listener's connections speak TLS, by files that may be replaced at any time.
+// TLSConfig has a listener's connections use TLS, with certificate files that may be replaced at any time.
 type TLSConfig struct {
 	files        certs.Files
 	required     bool
@@ -21,52 +21,55 @@
 
 	mu         sync.Mutex
 	generation int
-	config     *tls.Config // as of nth; kept, as callers come back with its tickets
+	config     *tls.Config // of the generation; kept for the sake of its session tickets
 }
 
-// NewTLSConfig reads the files. Callers may show a certificate where there is an authority, and must where it is required.
+// NewTLSConfig reads the files. With an authority clients may present a certificate, and must where it is required.
 func NewTLSConfig(files certs.Files, required bool, log *slog.Logger) (*TLSConfig, error) {
-	proof, err := certs.Open(files, log)
+	reloader, err := certs.Open(files, log)
 	if err != nil {
 		return nil, err
 	}
-	return &TLSConfig{files: files, required: required, certificates: proof}, nil
+	return &TLSConfig{files: files, required: required, certificates: reloader}, nil
 }
 
-// IsFor tells whether it was made of the same.
-func (s *TLSConfig) IsFor(files certs.Files, required bool) bool {
-	return s.files == files && s.required == required
+// IsFor reports whether the configuration is that of the given files.
+func (t *TLSConfig) IsFor(files certs.Files, required bool) bool {
+	return t.files == files && t.required == required
 }
 
-// current returns what a connection is taken with now. A new certificate or authority begins a new configuration: the
-// tickets of the old one are worth nothing to it, so that nobody comes in by an authority that is no longer believed.
-func (s *TLSConfig) current() *tls.Config {
-	pair, roots, nth := s.certificates.Current()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.config == nil || s.generation != nth {
-		s.generation = nth
-		s.config = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}, NextProtos: []string{"http/1.1"}}
-		if roots != nil {
-			s.config.ClientCAs, s.config.ClientAuth = roots, tls.VerifyClientCertIfGiven
-			if s.required {
-				s.config.ClientAuth = tls.RequireAndVerifyClientCert
-			}
+// current returns the configuration for a new connection. A new certificate or authority begins a new one, in which the session tickets
+// of the old one are not valid: nobody resumes a session under an authority that is not trusted any more.
+func (t *TLSConfig) current() *tls.Config {
+	certificate, roots, generation := t.certificates.Current()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.config != nil && t.generation == generation {
+		return t.config
+	}
+	t.generation = generation
+	t.config = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}}
+	if roots != nil {
+		t.config.ClientCAs = roots
+		t.config.ClientAuth = tls.VerifyClientCertIfGiven
+		if t.required {
+			t.config.ClientAuth = tls.RequireAndVerifyClientCert
 		}
 	}
-	return s.config
+	return t.config
 }
 
-// identificationTimeout is how long a caller has to show its certificate who was let in for that alone.
+// identificationTimeout bounds the handshake of a connection that was admitted to present a certificate.
 const identificationTimeout = time.Second
 
-// handshake begins TLS, and tells the door who the caller is. It returns false where the connection has ended or is refused.
+// handshake makes the TLS handshake, and reports the client's certificate to the admission controller. It returns false where the
+// connection has ended, or was rejected.
 func (c *clientConn) handshake() bool {
-	within := messageTimeout
+	timeout := messageTimeout
 	if c.mustIdentify {
-		within = identificationTimeout
+		timeout = identificationTimeout
 	}
-	c.setReadDeadline(time.Now().Add(within))
+	c.setReadDeadline(time.Now().Add(timeout))
 	c.socket.SetWriteDeadline(c.readDeadline)
 	conn := tls.Server(c.socket, c.tlsConfig.current())
 	if conn.HandshakeContext(c.ctx) != nil {
@@ -77,10 +80,10 @@
 	if chains := conn.ConnectionState().VerifiedChains; len(chains) > 0 {
 		names = certificateNames(chains[0][0])
 	}
-	l := c.acceptor
-	l.mu.Lock()
-	v := l.controller.Identify(time.Now(), c.slot, names)
-	l.mu.Unlock()
+	a := c.acceptor
+	a.mu.Lock()
+	v := a.controller.Identify(time.Now(), c.slot, names)
+	a.mu.Unlock()
 	if v.Evict != nil {
 		closeEvicted([]*admission.Conn{v.Evict})
 	}
@@ -92,7 +95,7 @@
 	return true
 }
 
-// certificateNames returns what a certificate calls its owner: DNS names and URIs, or its common name where it has none of these.
+// certificateNames returns the DNS names and URIs of a certificate, or its common name where it has neither.
 func certificateNames(c *x509.Certificate) (names []string) {
 	names = append(names, c.DNSNames...)
 	for _, u := range c.URIs {
@@ -104,19 +107,21 @@
 	return names
 }
 
-// maxPipelinedBytes is what is read ahead of a caller's next request while one is in work: what its head may have.
+// maxPipelinedBytes bounds the input that is read while a request is in flight: a head.
 const maxPipelinedBytes = maxHeadBytes
 
-// tlsRecordTimeout is how long the rest of a TLS record is waited for whose beginning stands there.
+// tlsRecordTimeout is how long the rest of a TLS record is awaited whose beginning was received.
 const tlsRecordTimeout = 2 * time.Millisecond
 
-// watchTLS watches a connection under TLS: only what is read tells a caller's next request from its end. What it reads of
-// a next request is kept, up to a bound; beyond that the socket's end alone is looked for.
+// watchTLS watches a connection under TLS, where reading alone distinguishes a next request from a disconnect. What it reads is kept, up
+// to a bound; beyond that only the end of the socket is noticed.
 func (c *clientConn) watchTLS() {
 	for len(c.pipelined) < maxPipelinedBytes {
-		if err := c.readAhead(); errors.Is(err, os.ErrDeadlineExceeded) {
+		err := c.readPipelined()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return
-		} else if err != nil {
+		}
+		if err != nil {
 			c.cancel()
 			return
 		}
@@ -124,8 +129,8 @@
 	c.awaitDisconnect()
 }
 
-// readAhead reads what comes next behind the request in work, and keeps it.
-func (c *clientConn) readAhead() error {
+// readPipelined reads what comes behind the request in flight, and keeps it.
+func (c *clientConn) readPipelined() error {
 	pooled := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(pooled)
 	b := (*pooled)[:readBufferBytes]
@@ -134,32 +139,25 @@
 	return err
 }
 
-// readPendingTLS looks under TLS for an end that came while nothing was read, up to the same bound: the request may have waited
-// for its turn, or for memory, for longer than it will be in work. What is there is read; nothing is waited for, but the
-// rest of a record. Nothing else reads meanwhile.
+// readPendingTLS notices a disconnect that came under TLS while nothing was read, up to the same bound: the request may have waited for
+// memory for longer than it will be in flight. It reads what was received, and waits for nothing but the rest of a record. Nothing else
+// reads meanwhile.
 func (c *clientConn) readPendingTLS() {
-	held := time.Unix(1, 0) // by this deadline what TLS has read of the socket is to be had, and nothing more
-	by := held
+	defer c.clearReadDeadline()
+	deadline := pastDeadline // returns what TLS has decrypted already, and nothing more
 	for len(c.pipelined) < maxPipelinedBytes {
-		c.Conn.SetReadDeadline(by)
-		switch err := c.readAhead(); {
+		c.Conn.SetReadDeadline(deadline)
+		err := c.readPipelined()
+		switch {
 		case err == nil:
-			by = held
-			continue
+			deadline = pastDeadline
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.cancel()
-		case by.Equal(held) && c.hasUnreadBytes():
-			by = time.Now().Add(tlsRecordTimeout)
-			continue
+			return
+		case deadline.Equal(pastDeadline) && c.hasUnreadBytes():
+			deadline = time.Now().Add(tlsRecordTimeout)
+		default:
+			return
 		}
-		break
 	}
-	c.readDeadline = time.Time{}
-	c.Conn.SetReadDeadline(c.readDeadline)
-}
-
-// hasUnreadBytes tells whether something stands on the socket, which nobody has read.
-func (c *clientConn) hasUnreadBytes() (more bool) {
-	c.rawConn.Control(func(fd uintptr) { more, _ = peek(fd) })
-	return more
 }
