--- a/internal/edge/admission/model_test.go
+++ b/internal/edge/admission/model_test.go
@@ -283,7 +283,7 @@
 	}
 }
 
-// next gives places to those in line, in their order, and only where a newcomer in their stead would have had one.
+// next gives places to those waiting, in their order, and only where a newcomer in their stead would have had one.
 func (m *model) next() {
 	for {
 		first := m.d.waiting.first
--- a/internal/edge/certs/certs.go
+++ b/internal/edge/certs/certs.go
@@ -1,5 +1,5 @@
-// Package certs keeps the certificate that an end of TLS shows, and the authorities that it believes, as their files say
-// now: they may be replaced at any time.
+// Package certs loads the certificate that one side of a TLS connection presents, and the authorities that it trusts, and reloads them
+// when their files have changed.
 package certs
 
 import (
@@ -12,13 +12,15 @@
 	"time"
 )
 
-// Files are a certificate with its key, and the authority that signs those of the other ends; empty: there is none. They
-// are read again when they have changed, for the connections that are made from then on.
+// Files are the paths of a certificate, its key, and the authority that signs the certificates of the other side; an empty path: there is
+// none.
 type Files struct {
 	Certificate, Key, Authority string
 }
 
-// Reloader is what files said last.
+func (f Files) paths() [3]string { return [3]string{f.Certificate, f.Key, f.Authority} }
+
+// Reloader holds the content of the files. Its methods may be called from any goroutine.
 type Reloader struct {
 	files Files
 	log   *slog.Logger
@@ -31,30 +33,31 @@
 	lastError   string
 }
 
-// Open reads files for the first time.
+// Open loads the files.
 func Open(files Files, log *slog.Logger) (*Reloader, error) {
-	p := &Reloader{files: files, log: log}
-	p.modTimes = p.statFiles()
-	return p, p.read()
+	r := &Reloader{files: files, log: log}
+	r.modTimes = r.statFiles()
+	return r, r.load()
 }
 
-func (p *Reloader) read() error {
-	pair, err := tls.LoadX509KeyPair(p.files.Certificate, p.files.Key)
+func (r *Reloader) load() error {
+	certificate, err := tls.LoadX509KeyPair(r.files.Certificate, r.files.Key)
 	if err != nil {
 		return fmt.Errorf("certificate: %w", err)
 	}
 	var roots *x509.CertPool
-	if p.files.Authority != "" {
-		if roots, err = LoadAuthority(p.files.Authority); err != nil {
+	if r.files.Authority != "" {
+		if roots, err = LoadAuthority(r.files.Authority); err != nil {
 			return err
 		}
 	}
-	p.certificate, p.roots = pair, roots
-	p.generation++
+	r.certificate = certificate
+	r.roots = roots
+	r.generation++
 	return nil
 }
 
-// LoadAuthority reads the authorities of a file.
+// LoadAuthority loads the certificates of a file of authorities.
 func LoadAuthority(path string) (*x509.CertPool, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -67,29 +70,30 @@
 	return roots, nil
 }
 
-func (p *Reloader) statFiles() (times [3]time.Time) {
-	for i, path := range []string{p.files.Certificate, p.files.Key, p.files.Authority} {
+func (r *Reloader) statFiles() (modTimes [3]time.Time) {
+	for i, path := range r.files.paths() {
 		if info, err := os.Stat(path); err == nil {
-			times[i] = info.ModTime()
+			modTimes[i] = info.ModTime()
 		}
 	}
-	return times
+	return modTimes
 }
 
-// Current returns what the files say now, and a number that changes with it. Files that can't be used change nothing, which
-// is logged once.
-func (p *Reloader) Current() (pair tls.Certificate, roots *x509.CertPool, nth int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if times := p.statFiles(); times != p.modTimes {
-		err := p.read()
+// Current returns the certificate and the authorities, with a number that changes with them. It reloads files that have changed. Files
+// that cannot be loaded change nothing, which is logged once.
+func (r *Reloader) Current() (certificate tls.Certificate, roots *x509.CertPool, generation int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if modTimes := r.statFiles(); modTimes != r.modTimes {
+		err := r.load()
 		switch {
-		case err == nil:
-			p.modTimes, p.lastError = times, "" // a pair that is half replaced is read again
-		case err.Error() != p.lastError:
-			p.lastError = err.Error()
-			p.log.Error("the certificate in use is kept", "file", p.files.Certificate, "error", err)
+		case err == nil: // until then a pair of which one file was replaced is tried again
+			r.modTimes = modTimes
+			r.lastError = ""
+		case err.Error() != r.lastError:
+			r.lastError = err.Error()
+			r.log.Error("certificate not reloaded, the one in use is kept", "file", r.files.Certificate, "error", err)
 		}
 	}
-	return p.certificate, p.roots, p.generation
+	return r.certificate, r.roots, r.generation
 }
--- a/internal/edge/frontend/end_test.go
+++ b/internal/edge/frontend/end_test.go
@@ -8,8 +8,8 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// readAll waits until the sidecar has read all that a caller has written.
-func (c *caller) readAll(t *testing.T, size int64) {
+// readAll waits until the sidecar has read all that a client has written.
+func (c *testClient) readAll(t *testing.T, size int64) {
 	t.Helper()
 	lbtest.Until(t, "it is read", func() bool { return c.here.read.Load() >= size })
 }
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/left_test.go
@@ -49,7 +49,7 @@
 	return n, err
 }
 
-// over tells whether the caller's end has come to the sidecar's socket, whatever stands before it.
+// over tells whether the client's end has come to the sidecar's socket, whatever stands before it.
 func (c *taken) over() (over bool) {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -82,14 +82,14 @@
 	return t, nil
 }
 
-// door is a sidecar whose sockets the test holds up.
-type door struct {
+// testServer is a sidecar whose sockets the test holds up.
+type testServer struct {
 	*frontend.Server
 	*listener
 	host   *engine.Engine
 	client *upstream.Client
 	addr   string
-	secure *tls.Config // of callers; nil: plain
+	secure *tls.Config // of clients; nil: plain
 
 	dial atomic.Pointer[func(context.Context) error] // before each connection to an endpoint
 
@@ -97,16 +97,16 @@
 	came []string // requests' ids, at the endpoints
 }
 
-func (d *door) got() []string {
+func (d *testServer) got() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Clone(d.came)
 }
 
 // open starts one; serve, where it is not nil, answers in place of the endpoints' 200.
-func open(t *testing.T, maxConns int, bodies int64, secure bool, serve func(*lbtest.Arrival)) *door {
+func open(t *testing.T, maxConns int, bodies int64, secure bool, serve func(*lbtest.Arrival)) *testServer {
 	t.Helper()
-	d := &door{listener: &listener{Listener: lbtest.Listen(t), taken: make(chan *taken, 64)}}
+	d := &testServer{listener: &listener{Listener: lbtest.Listen(t), taken: make(chan *taken, 64)}}
 	d.addr = d.Addr().String()
 	c, err := config.Load(lbtest.WriteConfig(t, "", d.addr, "127.0.0.1:1"))
 	if err != nil {
@@ -165,16 +165,16 @@
 	return d
 }
 
-// caller is one, and its connection as the sidecar has it.
-type caller struct {
+// testClient is one, and its connection as the sidecar has it.
+type testClient struct {
 	*lbtest.Client
 	tcp  *net.TCPConn
 	here *taken
 }
 
-func (d *door) call(t *testing.T, text string) *caller {
+func (d *testServer) call(t *testing.T, text string) *testClient {
 	t.Helper()
-	c := &caller{Client: lbtest.Dial(t, d.addr)}
+	c := &testClient{Client: lbtest.Dial(t, d.addr)}
 	c.tcp = c.Client.Conn.(*net.TCPConn)
 	select {
 	case c.here = <-d.taken:
@@ -188,28 +188,29 @@
 	return c
 }
 
-// Ways in which a caller leaves. What it wrote before its end stands unread before that end.
-var ways = map[string]func(*caller){
-	"closes":                   func(c *caller) { c.Close() },
-	"closes behind a request":  func(c *caller) { c.Send(lbtest.Get("behind")); c.Close() },
-	"closes behind many":       func(c *caller) { c.Send(strings.Repeat(lbtest.Get("behind"), 100)); c.Close() },
-	"resets":                   func(c *caller) { c.tcp.SetLinger(0); c.tcp.Close() },
-	"resets behind a request":  func(c *caller) { c.Send(lbtest.Get("behind")); c.tcp.SetLinger(0); c.tcp.Close() },
-	"ends its side":            func(c *caller) { c.tcp.CloseWrite() },
-	"ends it behind a request": func(c *caller) { c.Send(lbtest.Get("behind")); c.tcp.CloseWrite() },
+// Ways in which a client leaves. What it wrote before its end stands unread before that end.
+var ways = map[string]func(*testClient){
+	"closes":                   func(c *testClient) { c.Close() },
+	"closes behind a request":  func(c *testClient) { c.Send(lbtest.Get("behind")); c.Close() },
+	"closes behind many":       func(c *testClient) { c.Send(strings.Repeat(lbtest.Get("behind"), 100)); c.Close() },
+	"resets":                   func(c *testClient) { c.tcp.SetLinger(0); c.tcp.Close() },
+	"resets behind a request":  func(c *testClient) { c.Send(lbtest.Get("behind")); c.tcp.SetLinger(0); c.tcp.Close() },
+	"ends its side":            func(c *testClient) { c.tcp.CloseWrite() },
+	"ends it behind a request": func(c *testClient) { c.Send(lbtest.Get("behind")); c.tcp.CloseWrite() },
 }
 
-// place is where a request waits. It has that of a caller wait there; when go on is called the wait is over.
+// place is where a request waits. It has that of a client wait there; when go on is called the wait is over.
 type place struct {
 	conns  int
 	bodies int64
-	begun  int                   // attempts that have come to an endpoint before its caller leaves
+	begun  int                   // attempts that have come to an endpoint before its client leaves
 	serve  func(*lbtest.Arrival) // in place of the endpoints' 200
-	wait   func(t *testing.T, d *door) (c *caller, goOn func())
+	wait   func(t *testing.T, d *testServer) (c *testClient, release func())
 }
 
-// dialling has connections to endpoints wait in the given way until goOn is called.
-func dialling(t *testing.T, d *door, text string, during func(ctx context.Context, gate chan struct{}) error) (c *caller, goOn func()) {
+// delayDial has connections to endpoints wait in the given way until release is called.
+func delayDial(t *testing.T, d *testServer, text string, during func(ctx context.Context, gate chan struct{}) error) (c *testClient, release func()) {
+	t.Helper()
 	gate, began := make(chan struct{}), make(chan struct{}, 64)
 	before := func(ctx context.Context) error {
 		began <- struct{}{}
@@ -221,9 +222,10 @@
 	return c, func() { close(gate) }
 }
 
-// diallingAgain has the first connection go as the test says, and all others wait until goOn is called. It returns once the
+// delaySecondDial has the first connection go as the test says, and all others wait until release is called. It returns once the
 // second one has begun.
-func diallingAgain(t *testing.T, d *door, text string, first func(ctx context.Context) error) (c *caller, goOn func()) {
+func delaySecondDial(t *testing.T, d *testServer, text string, first func(ctx context.Context) error) (c *testClient, release func()) {
+	t.Helper()
 	gate, began := make(chan struct{}), make(chan struct{}, 64)
 	var n atomic.Int64
 	before := func(ctx context.Context) error {
@@ -243,10 +245,11 @@
 	return c, func() { close(gate) }
 }
 
-func comesUp(context.Context) error { return nil }
+func dialSucceeds(context.Context) error { return nil }
 
-// atOnce has a caller's next bytes held once the front has read them, until goOn is called.
-func atOnce(t *testing.T, c *caller, text string) (goOn func()) {
+// atOnce has a client's next bytes held once the front has read them, until release is called.
+func atOnce(t *testing.T, c *testClient, text string) (release func()) {
+	t.Helper()
 	gate := make(chan struct{})
 	c.here.hold.Store(&gate)
 	c.Send(text)
@@ -263,14 +266,16 @@
 }
 
 var places = map[string]place{
-	"a head that is read late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+	"a head that is read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
 		gate := make(chan struct{})
 		d.hold.Store(&gate)
 		c := d.call(t, lbtest.Get("left"))
 		d.hold.Store(nil)
 		return c, func() { close(gate) }
 	}},
-	"the next request of a kept connection, read late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+	"the next request of a kept connection, read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
 		c := d.call(t, lbtest.Get("first"))
 		if status, _ := c.Answer(); status != 200 {
 			t.Fatal(status)
@@ -280,11 +285,13 @@
 		c.Send(lbtest.Get("left"))
 		return c, func() { close(gate) }
 	}},
-	"a dial that comes up late": {wait: func(t *testing.T, d *door) (*caller, func()) {
-		return dialling(t, d, lbtest.Get("left"), late)
+	"a dial that comes up late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delayDial(t, d, lbtest.Get("left"), late)
 	}},
-	"a descriptor": {wait: func(t *testing.T, d *door) (*caller, func()) {
-		return dialling(t, d, lbtest.Get("left"), func(ctx context.Context, gate chan struct{}) error {
+	"a descriptor": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delayDial(t, d, lbtest.Get("left"), func(ctx context.Context, gate chan struct{}) error {
 			select {
 			case <-gate:
 				return nil
@@ -293,76 +300,88 @@
 			}
 		})
 	}},
-	"a dial while the process ends": {wait: func(t *testing.T, d *door) (*caller, func()) {
-		c, goOn := dialling(t, d, lbtest.Get("left"), late)
+	"a dial while the process ends": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		c, release := delayDial(t, d, lbtest.Get("left"), late)
 		by := time.Now().Add(lbtest.Wait)
 		d.host.ShutDownBy(by)
 		go d.Shutdown(time.Now(), by)
-		return c, goOn
+		return c, release
 	}},
-	"memory for its body": {bodies: 64 << 10, wait: func(t *testing.T, d *door) (*caller, func()) {
+	"memory for its body": {bodies: 64 << 10, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
 		body := strings.Repeat("x", 40<<10)
-		first, goOn := dialling(t, d, lbtest.Post("first", body), late) // it has the memory
+		first, release := delayDial(t, d, lbtest.Post("first", body), late) // it has the memory
 		c := d.call(t, lbtest.Post("left", body))
 		return c, func() {
-			goOn()
+			release()
 			if status, _ := first.Answer(); status != 200 {
 				t.Error("the one before it: ", status)
 			}
 			first.Close()
 		}
 	}},
-	"a slow body, whose end is read late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+	"a slow body, whose end is read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
 		text := lbtest.Post("left", strings.Repeat("x", 2000))
 		c := d.call(t, text[:len(text)-1000])
 		lbtest.Until(t, "its beginning is read", func() bool { return c.here.read.Load() == int64(len(text)-1000) })
 		return c, atOnce(t, c, text[len(text)-1000:])
 	}},
-	"a dial, of an HTTP/1.0 caller": {wait: func(t *testing.T, d *door) (*caller, func()) {
-		return dialling(t, d, strings.Replace(lbtest.Get("left"), "HTTP/1.1", "HTTP/1.0", 1), late)
+	"a dial, of an HTTP/1.0 caller": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delayDial(t, d, strings.Replace(lbtest.Get("left"), "HTTP/1.1", "HTTP/1.0", 1), late)
 	}},
-	"a head of HTTP/1.0 that is read late": {wait: func(t *testing.T, d *door) (*caller, func()) {
+	"a head of HTTP/1.0 that is read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
 		gate := make(chan struct{})
 		d.hold.Store(&gate)
 		c := d.call(t, strings.Replace(lbtest.Get("left"), "HTTP/1.1", "HTTP/1.0", 1))
 		d.hold.Store(nil)
 		return c, func() { close(gate) }
 	}},
-	"a second dial, while the first hangs": {wait: func(t *testing.T, d *door) (*caller, func()) {
-		return diallingAgain(t, d, lbtest.Get("left"), func(ctx context.Context) error {
+	"a second dial, while the first hangs": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delaySecondDial(t, d, lbtest.Get("left"), func(ctx context.Context) error {
 			<-ctx.Done()
 			return ctx.Err()
 		})
 	}},
-	"the first dial, while the second hangs": {wait: func(t *testing.T, d *door) (*caller, func()) {
+	"the first dial, while the second hangs": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
 		gate := make(chan struct{})
-		c, end := diallingAgain(t, d, lbtest.Get("left"), func(ctx context.Context) error { return late(ctx, gate) })
+		c, end := delaySecondDial(t, d, lbtest.Get("left"), func(ctx context.Context) error { return late(ctx, gate) })
 		t.Cleanup(end)
 		return c, func() { close(gate) }
 	}},
-	"a retry's dial, after one that failed": {wait: func(t *testing.T, d *door) (*caller, func()) {
-		return diallingAgain(t, d, lbtest.Get("left"), func(context.Context) error {
+	"a retry's dial, after one that failed": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delaySecondDial(t, d, lbtest.Get("left"), func(context.Context) error {
 			return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 		})
 	}},
 	"a retry's dial, after an endpoint that failed": {begun: 1, serve: func(a *lbtest.Arrival) {
 		a.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
-	}, wait: func(t *testing.T, d *door) (*caller, func()) {
-		return diallingAgain(t, d, lbtest.Get("left"), comesUp)
+	}, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delaySecondDial(t, d, lbtest.Get("left"), dialSucceeds)
 	}},
 	"a keyed request's retry": {begun: 1, serve: func(a *lbtest.Arrival) {
 		a.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
-	}, wait: func(t *testing.T, d *door) (*caller, func()) {
-		return diallingAgain(t, d, lbtest.Post("left", "x"), comesUp)
+	}, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delaySecondDial(t, d, lbtest.Post("left", "x"), dialSucceeds)
 	}},
-	"a second copy, or the attempt after one that is silent": {begun: 1, serve: func(*lbtest.Arrival) {}, wait: func(t *testing.T, d *door) (*caller, func()) {
-		return diallingAgain(t, d, lbtest.Get("left"), comesUp)
+	"a second copy, or the attempt after one that is silent": {begun: 1, serve: func(*lbtest.Arrival) {}, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		return delaySecondDial(t, d, lbtest.Get("left"), dialSucceeds)
 	}},
-	"a place in line at the door": {conns: 1, wait: func(t *testing.T, d *door) (*caller, func()) {
-		first, goOn := dialling(t, d, lbtest.Get("first"), late)
+	"a slot of the listener": {conns: 1, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
+		t.Helper()
+		first, release := delayDial(t, d, lbtest.Get("first"), late)
 		c := d.call(t, lbtest.Get("left"))
 		return c, func() {
-			goOn()
+			release()
 			if status, _ := first.Answer(); status != 200 {
 				t.Error("the one before it: ", status)
 			}
@@ -371,7 +390,7 @@
 	}},
 }
 
-// Nothing of a request goes out once its caller has left, wherever it waited and however the caller left, and its caller's
+// Nothing of a request goes out once its client has left, wherever it waited and however the client left, and its client's
 // end leaves nothing behind. Here the end stands on the sidecar's socket before the wait is over, every time.
 func TestLeftWhileWaiting(t *testing.T) {
 	t.Parallel()
@@ -387,10 +406,10 @@
 					bodies = p.bodies
 				}
 				d := open(t, conns, bodies, false, p.serve)
-				c, goOn := p.wait(t, d)
+				c, release := p.wait(t, d)
 				leave(c)
 				lbtest.Until(t, "the end has come", c.here.over)
-				goOn()
+				release()
 				if strings.HasPrefix(how, "ends") { // it still reads: one answer, which promises nothing
 					if status, _ := c.Answer(); status < 400 || status == 429 || status == 503 {
 						t.Errorf("answered %d", status)
@@ -409,7 +428,7 @@
 }
 
 // gone waits until nobody is there, and holds what came to the endpoints against what must not have.
-func gone(t *testing.T, d *door, not ...string) {
+func gone(t *testing.T, d *testServer, not ...string) {
 	t.Helper()
 	lbtest.Until(t, "no connection and no call is held", func() bool { return d.Conns() == 0 && d.host.InFlight() == 0 })
 	for _, id := range d.got() {
@@ -427,11 +446,11 @@
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
 			d := open(t, 8, 1<<20, true, nil)
-			c, goOn := dialling(t, d, lbtest.Get("left"), late)
+			c, release := delayDial(t, d, lbtest.Get("left"), late)
 			c.Send(text)
 			c.Close()
 			lbtest.Until(t, "the end has come", c.here.over)
-			goOn()
+			release()
 			gone(t, d, "left", "behind")
 		})
 	}
@@ -441,12 +460,12 @@
 			t.Parallel()
 			d := open(t, 8, 1<<20, true, nil)
 			gaveUp := make(chan struct{}, 64)
-			c, goOn := dialling(t, d, lbtest.Get("left"), func(ctx context.Context, gate chan struct{}) error {
+			c, release := delayDial(t, d, lbtest.Get("left"), func(ctx context.Context, gate chan struct{}) error {
 				<-ctx.Done() // its attempt is given up: the watch has read the end
 				gaveUp <- struct{}{}
 				return ctx.Err()
 			})
-			defer goOn()
+			defer release()
 			c.Send(text)
 			c.Conn.(*tls.Conn).CloseWrite()
 			select {
@@ -465,8 +484,8 @@
 	}
 }
 
-// sent waits until all that a caller has written stands at the other end.
-func (c *caller) sent(t *testing.T) {
+// sent waits until all that a client has written stands at the other end.
+func (c *testClient) sent(t *testing.T) {
 	t.Helper()
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
@@ -481,7 +500,7 @@
 	})
 }
 
-// Under TLS a request is not begun either whose caller's close_notify, with no FIN, came while nobody read: the watch, which
+// Under TLS a request is not begun either whose client's close_notify, with no FIN, came while nobody read: the watch, which
 // reads it, begins later.
 func TestLeftUnderTLSBeforeItBegins(t *testing.T) {
 	t.Parallel()
@@ -495,11 +514,11 @@
 			if status, _ := c.Answer(); status != 200 {
 				t.Fatal(status)
 			}
-			goOn := atOnce(t, c, lbtest.Get("left"))
+			release := atOnce(t, c, lbtest.Get("left"))
 			c.Send(text)
 			c.Conn.(*tls.Conn).CloseWrite()
 			c.sent(t)
-			goOn()
+			release()
 			if status, _ := c.Answer(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
@@ -509,12 +528,12 @@
 			t.Parallel()
 			d := open(t, 8, 64<<10, true, nil)
 			body := strings.Repeat("x", 40<<10)
-			first, goOn := dialling(t, d, lbtest.Post("first", body), late) // it has the memory
+			first, release := delayDial(t, d, lbtest.Post("first", body), late) // it has the memory
 			c := d.call(t, lbtest.Post("left", body))
 			c.Send(text)
 			c.Conn.(*tls.Conn).CloseWrite()
 			c.sent(t)
-			goOn()
+			release()
 			if status, _ := first.Answer(); status != 200 {
 				t.Error("the one before it: ", status)
 			}
@@ -527,7 +546,7 @@
 	}
 }
 
-// Callers that stay are served all the same whose next requests stand there already under TLS, in whole and in part.
+// Clients that stay are served all the same whose next requests stand there already under TLS, in whole and in part.
 func TestAheadUnderTLS(t *testing.T) {
 	t.Parallel()
 	for _, n := range []int{1, 20, 400} { // the last are more than is looked at
@@ -540,9 +559,9 @@
 		for i := range n {
 			text.WriteString(lbtest.Get(fmt.Sprint("n", i)))
 		}
-		goOn := atOnce(t, first, text.String())
+		release := atOnce(t, first, text.String())
 		first.sent(t)
-		goOn()
+		release()
 		for i := range n {
 			if status, body := first.Answer(); status != 200 || body != fmt.Sprint("answer to n", i) {
 				t.Fatalf("%d of %d: %d %q", i, n, status, body)
@@ -553,7 +572,7 @@
 	}
 }
 
-// A retry is not sent for a caller that has left behind bytes that nobody read: its first attempt fails only then.
+// A retry is not sent for a client that has left behind bytes that nobody read: its first attempt fails only then.
 func TestLeftBeforeRetry(t *testing.T) {
 	t.Parallel()
 	for how, leave := range ways {
@@ -577,13 +596,13 @@
 	}
 }
 
-// A large body ends with its caller: what of it stands on the socket before the end is not passed on. Here all of it does.
+// A large body ends with its client: what of it stands on the socket before the end is not passed on. Here all of it does.
 func TestLeftWithinBody(t *testing.T) {
 	t.Parallel()
 	const size, first = 100_000, 70_000 // more than is held whole, less than what a socket holds
 	d := open(t, 8, 1<<20, false, nil)
 	began := make(chan struct{}, 64)
-	before := func(context.Context) error {
+	before := func(context.Context) error { //nolint:unparam // the type is that of a dial that may fail
 		began <- struct{}{}
 		return nil
 	}
--- a/internal/edge/frontend/protocol_test.go
+++ b/internal/edge/frontend/protocol_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// A caller that goes is noticed while its request is in work: the attempt is given up and nothing is held. One that
+// A client that goes is noticed while its request is in flight: the attempt is given up and nothing is held. One that
 // stays is not disturbed by the watch, and its next request is read whole.
 func TestCallerGoes(t *testing.T) {
 	e := lbtest.NewEndpoint(t, nil)
--- a/internal/edge/frontend/server_test.go
+++ b/internal/edge/frontend/server_test.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// Connections that say nothing never keep a caller out, however many.
+// Connections that say nothing never keep a client out, however many.
 func TestSilentCrowd(t *testing.T) {
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	_, addr := serve(t, e.Addr, 4)
@@ -183,7 +183,7 @@
 	}
 }
 
-// A process that is asked to end serves callers on, on kept connections and new ones, until it is time to close them.
+// A process that is asked to end serves clients on, on kept connections and new ones, until it is time to close them.
 func TestEnd(t *testing.T) {
 	e := lbtest.NewEndpoint(t, nil)
 	s, addr := serve(t, e.Addr, 8)
--- a/internal/edge/frontend/stream_test.go
+++ b/internal/edge/frontend/stream_test.go
@@ -98,7 +98,7 @@
 	io.WriteString(c, "0\r\nX-Trailer: t\r\n\r\n")
 }
 
-// Bodies and answers pass whole, whatever their size and framing, many at a time, with callers that read slowly, and what
+// Bodies and answers pass whole, whatever their size and framing, many at a time, with clients that read slowly, and what
 // stands behind them on the connection is served too.
 func TestLargeBothWays(t *testing.T) {
 	var arrived atomic.Int64
@@ -125,7 +125,7 @@
 				for n := range 2 { // on the same connection
 					go post(c, fmt.Sprintf("%d-%t-%d", size, chunks, n), size, chunks, lines...)
 					r, err := http.ReadResponse(br, nil)
-					if err != nil || r.StatusCode != 200 || r.Close {
+					if err != nil || r.StatusCode != http.StatusOK || r.Close {
 						t.Errorf("%d bytes, chunks %t: %v %v", size, chunks, r, err)
 						return
 					}
@@ -219,7 +219,7 @@
 	}
 }
 
-// An endpoint that answers before the body is over is heard, while the caller still sends.
+// An endpoint that answers before the body is over is heard, while the client still sends.
 func TestAnsweredEarly(t *testing.T) {
 	e := raw(t, func(c net.Conn, r *http.Request) { io.WriteString(c, lbtest.OK("early")) })
 	_, addr := serve(t, e, 8)
@@ -278,7 +278,7 @@
 		_, addr := serve(t, dies+" "+dies, 8)
 		c := lbtest.Dial(t, addr)
 		go post(c, "once", 30<<20, false, "X-Want: 2")
-		// What has not come whole has not run: its caller may try again.
+		// What has not come whole has not run: its client may try again.
 		if status, _ := c.Answer(); status != 503 && status != 0 {
 			t.Errorf("status %d", status)
 		}
@@ -306,7 +306,7 @@
 	}
 }
 
-// A caller that goes after its large body was passed on whole is noticed: the endpoint's connection ends, and so does the work.
+// A client that goes after its large body was passed on whole is noticed: the endpoint's connection ends, and so does the work.
 func TestLeavesAfterLargeBody(t *testing.T) {
 	got, ended := make(chan struct{}), make(chan struct{})
 	e := raw(t, func(c net.Conn, r *http.Request) {
