--- a/internal/edge/certs/certs.go
+++ b/internal/edge/certs/certs.go
@@ -92,7 +92,7 @@
 			r.lastError = ""
 		case err.Error() != r.lastError:
 			r.lastError = err.Error()
-			r.log.Error("certificate not reloaded, the one in use is kept", "file", r.files.Certificate, "error", err)
+			r.log.Error("reload failed, the certificate in use is kept", "file", r.files.Certificate, "error", err)
 		}
 	}
 	return r.certificate, r.roots, r.generation
