--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -1,3 +1,8 @@
+// Package cluster runs one cluster: it merges the endpoint lists of several sources, and runs the load-balancing policy over the
+// members.
+//
+// merge.go states the rules of the merge. Which member gets a request is decided by package lbpolicy alone. A Cluster runs one goroutine
+// for each source, and those of its engine; Close ends them.
 package cluster
 
 import (
@@ -17,19 +22,19 @@
 	"silvertrail/lbpolicy"
 )
 
-// Config is what a cluster is told.
+// Config configures a cluster.
 type Config struct {
 	Name string
 	Core
 	Sources         []Source
-	ReserveFraction float64 // of each of the process's resources, the part that is this cluster's alone
-	MaxFraction     float64 // and the most that it may take
-	// EmptyHold is how long an empty list after one that was not is taken for a fault.
+	ReserveFraction float64 // of each of the process's resources, reserved for this cluster
+	MaxFraction     float64 // of each of the process's resources, the most that it may take
+	// EmptyHold is how long an empty list after one that was not empty is taken for a fault.
 	EmptyHold time.Duration
 }
 
-// Core is what a running balancer rests on. A change of it makes a new one, which has to learn anew; all the rest of a
-// Config can change under a balancer that runs on.
+// Core is the part of a Config that needs a new balancer when it changes, which has to learn anew. The rest can change under a running
+// one.
 type Core struct {
 	Policy         lbpolicy.Settings
 	Zones          []string
@@ -38,14 +43,14 @@
 	IdleTimeout    time.Duration
 }
 
-// Resources are what the process's clusters share.
+// Resources are shared by all clusters of the process.
 type Resources struct {
 	Connections, Requests, Bodies *quota.Pool
-	// Totals of the three, by which a cluster's parts are measured.
+	// The totals of the three, of which a Config's fractions are taken.
 	MaxConnections, MaxRequests, MaxBodies int64
-	// OnExhausted is called where the process has no descriptor for a connection to an endpoint; nil: nobody gives any back.
+	// OnExhausted is called when the process has no descriptor for a connection to an endpoint; it may be nil.
 	OnExhausted func()
-	// Discovery tells of clusters in xDS form; nil: no cluster has such a source.
+	// Discovery follows the clusters of control planes; nil: there are none.
 	Discovery Discovery
 }
 
@@ -54,7 +59,7 @@
 	return &Resources{quota.NewPool(connections), quota.NewPool(calls), quota.NewPool(bodies), connections, calls, bodies, nil, nil}
 }
 
-// Resize changes the totals; clusters take their parts of them at their next Update.
+// Resize changes the totals; clusters take their parts with their next Update.
 func (r *Resources) Resize(connections, calls, bodies int64) {
 	r.Connections.Resize(connections)
 	r.Requests.Resize(calls)
@@ -62,13 +67,13 @@
 	r.MaxConnections, r.MaxRequests, r.MaxBodies = connections, calls, bodies
 }
 
-// initialListTimeout is how long the sources have for their first words.
+// initialListTimeout is how long the sources have for their first lists.
 const initialListTimeout = 2 * time.Second
 
-// busyRetryAfter is when a caller is told to come back that met a cluster's bound on calls in work.
+// busyRetryAfter is the Retry-After of a request that meets the bound on requests in flight.
 const busyRetryAfter = time.Second
 
-// Cluster is a running cluster: its sources, its members, its balancer and its connections. Close ends it.
+// Cluster is a running cluster: its sources, members, policy engine and connections. Its methods may be called from any goroutine.
 type Cluster struct {
 	log       *slog.Logger
 	resources *Resources
@@ -81,14 +86,14 @@
 	mu           sync.Mutex
 	config       Config
 	merger       *merger
-	generation   int // of Follow; what sources of an earlier one still say is passed over
+	generation   int // of the sources; what earlier ones still report is ignored
 	members      []endpointlist.Endpoint
 	timer        *time.Timer
 	stop         context.CancelFunc
 	initialized  chan struct{}
 	closed       bool
-	sourceLimits sourceLimits  // told by a source
-	hasReady     atomic.Bool   // there is a member that may be sent something
+	sourceLimits sourceLimits  // from a source
+	hasReady     atomic.Bool   // there is a member for new requests
 	revision     atomic.Uint64 // of members
 }
 
@@ -110,19 +115,19 @@
 	return cl, nil
 }
 
-// portion returns a cluster's reserve and cap of a total. A cap is at least one unit.
+// portion returns a cluster's reserve and limit of a total. The limit is at least one unit.
 func portion(c Config, total int64) (reserve, most int64) {
 	return int64(c.ReserveFraction * float64(total)), max(int64(c.MaxFraction*float64(total)), 1)
 }
 
-// CanUpdate tells whether the running balancer can go on under another configuration.
+// CanUpdate reports whether Update can take up a configuration.
 func (c *Cluster) CanUpdate(next Config) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.config.Name == next.Name && reflect.DeepEqual(c.config.Core, next.Core)
 }
 
-// Update takes up a configuration that fits. The balancer keeps its connections and all that it has learnt.
+// Update takes up a configuration for which CanUpdate is true. The balancer keeps its connections and its state.
 func (c *Cluster) Update(next Config, r *Resources) {
 	c.mu.Lock()
 	old := c.config
@@ -139,14 +144,14 @@
 	c.applyLimits()
 }
 
-// sourceLimits are what a source tells of a whole cluster. Each holds within what the configuration says.
+// sourceLimits are limits that a source gives a cluster. Each applies within that of the configuration.
 type sourceLimits struct {
-	connectTimeout        time.Duration // zero: not told, as of the others
+	connectTimeout        time.Duration // zero: not given, as the others
 	connections, requests int
-	dropFraction          float64 // part of the traffic that is to be refused
+	dropFraction          float64 // of the traffic, to reject
 }
 
-// setSourceLimits takes a source's bounds.
+// setSourceLimits takes over a source's limits.
 func (c *Cluster) setSourceLimits(turn int, b sourceLimits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,8 +162,7 @@
 	c.applyLimits()
 }
 
-// applyLimits sets the shares, the connect time and the part that is refused as the configuration and the sources have them. The
-// caller holds the lock.
+// applyLimits applies the limits of the configuration and the source. The caller holds the lock.
 func (c *Cluster) applyLimits() {
 	resize := func(s *quota.Allocation, total int64, told int) {
 		reserve, most := portion(c.config, total)
@@ -177,8 +181,8 @@
 	c.engine.SetDropFraction(c.sourceLimits.dropFraction)
 }
 
-// followSources starts a configuration's sources in place of those before. Until each has told a list the members from before
-// stay too: a source that takes its time, or is out of reach, must not empty the cluster.
+// followSources starts a configuration's sources in place of those before. The members from before stay until each source has sent a
+// list: a source that is slow or unreachable must not empty the cluster.
 func (c *Cluster) followSources(next Config) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,7 +216,7 @@
 	})
 }
 
-// markInitialized tells that the sources have had their time. The caller holds the lock.
+// markInitialized closes the channel of Initialized. The caller holds the lock.
 func (c *Cluster) markInitialized() {
 	select {
 	case <-c.initialized:
@@ -221,14 +225,14 @@
 	}
 }
 
-// Initialized is closed once the sources have had their first words, or time for them.
+// Initialized returns a channel that is closed once each source has reported, or had the time to.
 func (c *Cluster) Initialized() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.initialized
 }
 
-// receive takes a source's word.
+// receive applies a source's update.
 func (c *Cluster) receive(turn, source int, w updateKind, entries []endpointlist.Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,7 +247,7 @@
 	}
 }
 
-// publish hands the merged list to the host where it has changed. The caller holds the lock.
+// publish passes the merged list to the engine where it has changed. The caller holds the lock.
 func (c *Cluster) publish(now time.Time) {
 	if c.closed {
 		return
@@ -253,7 +257,7 @@
 		list = c.appendPrevious(list)
 	}
 	if c.merger.truncated > 0 {
-		c.log.Warn("cluster: members over the bound are left out", "most", maxMembers, "left_out", c.merger.truncated)
+		c.log.Warn("members over the bound are left out", "max_members", maxMembers, "left_out", c.merger.truncated)
 	}
 	if !slices.Equal(list, c.members) {
 		c.members = list
@@ -277,8 +281,7 @@
 	}
 }
 
-// appendPrevious adds the members from before to a list that is not complete yet, as they were, but for those that a source has
-// already said to be gone.
+// appendPrevious adds the members from before to a list that lacks some sources, except those that a source has reported as departed.
 func (c *Cluster) appendPrevious(list []endpointlist.Endpoint) []endpointlist.Endpoint {
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
@@ -303,20 +306,20 @@
 	return slices.Clone(c.members)
 }
 
-// Bodies is the cluster's part of the memory for request bodies.
+// Bodies returns the cluster's part of the memory for request bodies.
 func (c *Cluster) Bodies() *quota.Allocation { return c.bodies }
 
-// SetBalancers tells how many instances share the endpoints now, and which of them this one is.
-func (c *Cluster) SetBalancers(instances, place int) { c.engine.SetBalancers(instances, place) }
+// SetBalancers sets how many instances share the endpoints, and which of them this one is.
+func (c *Cluster) SetBalancers(instances, index int) { c.engine.SetBalancers(instances, index) }
 
-// InFlight returns the number of calls that wait for their answer or an attempt's end.
+// InFlight returns the number of requests without a response, or with an attempt that has not ended.
 func (c *Cluster) InFlight() int { return c.engine.InFlight() }
 
-// ShutDownBy sets the time at which all that is held, and all that still comes, must have its answer.
+// ShutDownBy sets the time by which all requests, also those still to come, must have their responses.
 func (c *Cluster) ShutDownBy(at time.Time) { c.engine.ShutDownBy(at) }
 
-// Do hands a request to the cluster's decisions and waits for its answer; ok is false where the caller has gone. Over
-// the bound on calls in work it is refused at once: nothing of it ran. The key is nil where the request has none.
+// Do passes a request to the engine and waits for its result; ok is false where the client has disconnected. Over the bound on requests in
+// flight it is rejected at once: nothing of it ran. The key is nil where the request has none.
 func (c *Cluster) Do(ctx context.Context, r upstream.Request, q lbpolicy.Request, key *engine.Key) (a engine.Result, ok bool) {
 	if !c.requests.TryAcquire(1) {
 		return engine.Result{Rejected: true, RetryAfter: busyRetryAfter}, true
@@ -328,7 +331,7 @@
 	return a, ok
 }
 
-// Close ends the sources and takes all members off the list; what is out ends by itself.
+// Close ends the sources and removes all members. Attempts in flight end by themselves.
 func (c *Cluster) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/cluster/dns.go
+++ b/internal/gateway/cluster/dns.go
@@ -19,7 +19,7 @@
 	"github.com/miekg/dns"
 )
 
-// DNS is a name whose addresses are the members.
+// DNS is a name whose addresses are endpoints.
 type DNS struct {
 	Name   string // fully qualified or not; no search list is applied
 	SRV    bool   // ask for SRV, which brings ports; else for A and AAAA
@@ -27,26 +27,27 @@
 	Zone   string
 	Server string // address and port of the name server
 
-	unit time.Duration // of all times that follow; 0: a second
+	unit time.Duration // of the times below; 0: a second. Tests use a shorter one
 }
 
 // Times, in units of a second.
 const (
 	dnsTimeout = 2   // for one question and its answer, each over UDP and TCP
-	minTTL     = 1   // TTL 0 means "don't keep"; a name server is still not asked for each request
-	emptyTTL   = 5   // of an answer that tells no TTL
-	maxTTL     = 300 // a change is noticed within it, whatever the answer allows
+	minTTL     = 1   // TTL 0 forbids caching; a name server is still not asked for each request
+	emptyTTL   = 5   // of a response without a TTL
+	maxTTL     = 300 // a change is noticed within this time, whatever the TTL
 	dnsBackoff = 1   // after the first failure, doubled up to maxBackoff
 	maxBackoff = 5
 )
 
-const maxTargets = 64 // of an SRV answer, names looked up further
+// maxTargets bounds the names of an SRV response, each of which may be resolved by itself.
+const maxTargets = 64
 
 func (d *DNS) units(n time.Duration) time.Duration { return n * cmp.Or(d.unit, time.Second) }
 
-// run asks again when the shortest TTL of the last answer is over. An answer of no addresses (also NXDOMAIN) is empty;
-// one that fails, is refused, or does not come, is out of reach.
-func (d *DNS) run(ctx context.Context, say reportFunc, log *slog.Logger) {
+// run resolves the name each time that the shortest TTL has expired, until ctx ends. A response without addresses (also NXDOMAIN) is an
+// empty list; without a usable response the source is unreachable.
+func (d *DNS) run(ctx context.Context, report reportFunc, log *slog.Logger) {
 	backoff := d.units(dnsBackoff)
 	for {
 		entries, ttl, err := d.resolve(ctx)
@@ -55,12 +56,12 @@
 		}
 		wait := jitter(min(max(ttl, d.units(minTTL)), d.units(maxTTL)))
 		if err != nil {
-			log.Warn("name server: what it said last stands", "name", d.Name, "error", err)
-			say(unreachable, nil)
+			log.Warn("name not resolved, the last list is kept", "name", d.Name, "error", err)
+			report(unreachable, nil)
 			wait, backoff = jitter(backoff), min(2*backoff, d.units(maxBackoff))
 		} else {
 			backoff = d.units(dnsBackoff)
-			say(fullList, entries)
+			report(fullList, entries)
 		}
 		if !sleep(ctx, wait) {
 			return
@@ -68,7 +69,7 @@
 	}
 }
 
-// resolve returns the members and the shortest TTL.
+// resolve returns the endpoints and the shortest TTL.
 func (d *DNS) resolve(ctx context.Context) ([]endpointlist.Endpoint, time.Duration, error) {
 	name := dns.Fqdn(d.Name)
 	if !d.SRV {
@@ -85,7 +86,7 @@
 	ttl := d.units(maxTTL)
 	var targets []*dns.SRV
 	for _, rr := range m.Answer {
-		// A target of "." says that the service is decidedly not there (RFC 2782).
+		// A target of "." says that the service is not available (RFC 2782).
 		if srv, ok := rr.(*dns.SRV); ok && srv.Target != "." {
 			targets = append(targets, srv)
 			ttl = min(ttl, seconds(srv.Hdr.Ttl))
@@ -94,7 +95,7 @@
 	if len(targets) == 0 {
 		return nil, min(ttl, d.negativeTTL(m)), nil
 	}
-	// The lowest priority is the one in use; weights are not: the pick is for the decisions, by latency and load.
+	// The lowest priority is used. Weights are not: the policy picks by latency and load.
 	best := slices.MinFunc(targets, func(a, b *dns.SRV) int { return int(a.Priority) - int(b.Priority) }).Priority
 	targets = slices.DeleteFunc(targets, func(s *dns.SRV) bool { return s.Priority != best })
 	if len(targets) > maxTargets {
@@ -121,7 +122,7 @@
 	return out
 }
 
-// addresses asks for A and AAAA. Either may be empty; where one fails both do, or half of the members would go.
+// addresses queries A and AAAA. Either may be empty; where one fails both do, as else half of the members would be lost.
 func (d *DNS) addresses(ctx context.Context, name string) (out []netip.Addr, ttl time.Duration, err error) {
 	ttl = d.units(maxTTL)
 	for _, kind := range []uint16{dns.TypeA, dns.TypeAAAA} {
@@ -141,10 +142,13 @@
 	return out, ttl, nil
 }
 
-// addressesOf returns the addresses of a name among records, by way of its aliases.
+// maxAliases bounds a chain of aliases.
+const maxAliases = 8
+
+// addressesOf returns the addresses of a name among records, following its aliases, and their shortest TTL.
 func addressesOf(records []dns.RR, name string) (out []netip.Addr, ttl time.Duration) {
 	ttl = time.Duration(math.MaxInt64)
-	for range 8 { // aliases in a row
+	for range maxAliases {
 		alias := ""
 		for _, rr := range records {
 			h := rr.Header()
@@ -177,7 +181,7 @@
 
 func seconds(ttl uint32) time.Duration { return time.Duration(ttl) * time.Second }
 
-// negativeTTL is how long "there is none" may be kept (RFC 2308, 5).
+// negativeTTL returns how long a negative response may be cached (RFC 2308, 5).
 func (d *DNS) negativeTTL(m *dns.Msg) time.Duration {
 	for _, rr := range m.Ns {
 		if soa, ok := rr.(*dns.SOA); ok {
@@ -187,7 +191,7 @@
 	return d.units(emptyTTL)
 }
 
-// query asks one question, over TCP where the answer over UDP is cut short. What is cut short there too is no answer.
+// query asks one question, over TCP where the response over UDP is truncated. One that is truncated there, too, is an error.
 func (d *DNS) query(ctx context.Context, name string, kind uint16) (*dns.Msg, error) {
 	q := new(dns.Msg)
 	q.SetQuestion(name, kind)
@@ -210,7 +214,7 @@
 	return nil, fmt.Errorf("%s %s: cut short", name, dns.TypeToString[kind])
 }
 
-// SystemServer returns the first name server that the system is told to ask.
+// SystemServer returns the first name server of the system's configuration.
 func SystemServer() (string, error) {
 	c, err := dns.ClientConfigFromFile("/etc/resolv.conf")
 	if err != nil {
--- a/internal/gateway/cluster/source.go
+++ b/internal/gateway/cluster/source.go
@@ -17,11 +17,10 @@
 	"silvertrail/lbpolicy"
 )
 
-// reportFunc takes a source's words, one at a time.
+// reportFunc takes a source's updates, one at a time.
 type reportFunc func(w updateKind, entries []endpointlist.Endpoint)
 
-// Source follows one list of members until its context ends. Just one of its fields is set. It is comparable by
-// reflect.DeepEqual, by which a reload tells whether it has changed.
+// Source is a source of endpoints. Exactly one of its fields is set. A reload compares sources with reflect.DeepEqual.
 type Source struct {
 	Static   *Static
 	File     *File
@@ -34,18 +33,19 @@
 	return sourceTraits{partial: s.DNS != nil, trustsEmpty: s.Static != nil}
 }
 
-func (s Source) run(ctx context.Context, say reportFunc, d Discovery, bound func(sourceLimits), log *slog.Logger) {
+// run reports the source's updates until ctx ends.
+func (s Source) run(ctx context.Context, report reportFunc, d Discovery, setLimits func(sourceLimits), log *slog.Logger) {
 	switch {
 	case s.Static != nil:
-		say(fullList, s.Static.Endpoints)
+		report(fullList, s.Static.Endpoints)
 	case s.File != nil:
-		s.File.run(ctx, say, log)
+		s.File.run(ctx, report, log)
 	case s.DNS != nil:
-		s.DNS.run(ctx, say, log)
+		s.DNS.run(ctx, report, log)
 	case s.Registry != nil:
-		s.Registry.run(ctx, say, log)
+		s.Registry.run(ctx, report, log)
 	case s.XDS != nil:
-		s.XDS.run(ctx, say, d, bound, log)
+		s.XDS.run(ctx, report, d, setLimits, log)
 	}
 }
 
@@ -55,31 +55,32 @@
 // File is a list in a file that is replaced atomically (written beside and renamed).
 type File struct {
 	Path string
-	Poll time.Duration // how often its change is looked for
-	Zone string        // of entries that name none
+	Poll time.Duration // interval between two checks for a change
+	Zone string        // of entries without one
 }
 
-const maxFile = 4 << 20
+// maxFileBytes bounds a file of endpoints.
+const maxFileBytes = 4 << 20
 
-// run reads the file when it has changed. One that can't be read or used is out of reach: what it said last stands.
-func (f *File) run(ctx context.Context, say reportFunc, log *slog.Logger) {
-	file := watchedfile.File{Path: f.Path, MaxBytes: maxFile}
+// run reads the file each time that it has changed, until ctx ends. With a file that cannot be used the last list stays.
+func (f *File) run(ctx context.Context, report reportFunc, log *slog.Logger) {
+	file := watchedfile.File{Path: f.Path, MaxBytes: maxFileBytes}
 	failed := ""
 	for {
 		text, changed, err := file.Read()
 		if changed {
 			var entries []endpointlist.Endpoint
 			if entries, err = ParseFile(text, f.Zone); err == nil {
-				say(fullList, entries)
+				report(fullList, entries)
 				failed = ""
 			} else {
 				err = fmt.Errorf("%s: %w", f.Path, err)
 			}
 		}
-		if err != nil && err.Error() != failed { // a fault is told once
+		if err != nil && err.Error() != failed { // an error is logged once
 			failed = err.Error()
-			log.Warn("cluster file: what it said last stands", "error", err)
-			say(unreachable, nil)
+			log.Warn("file of endpoints not applied, its last list is kept", "error", err)
+			report(unreachable, nil)
 		}
 		if !sleep(ctx, f.Poll) {
 			return
@@ -88,7 +89,7 @@
 }
 
 // ParseFile reads a file of endpoints: {"endpoints": [{"name", "address", "zone", "group", "status", "since_ms", "weight"}]}, all
-// but the address optional. Unlike a list that a peer sends it is wholly good or wholly refused: somebody wrote it.
+// optional but the address. One invalid entry makes the file invalid.
 func ParseFile(text []byte, zone string) ([]endpointlist.Endpoint, error) {
 	var raw struct {
 		Endpoints *[]struct {
@@ -117,7 +118,7 @@
 	return out, nil
 }
 
-// NormaliseEndpoint brings an entry that somebody wrote into its form, or tells what is wrong with it.
+// NormaliseEndpoint adds the defaults of an entry, or returns what is wrong with it.
 func NormaliseEndpoint(e *endpointlist.Endpoint, zone string) error {
 	if _, err := netip.ParseAddrPort(e.Address); err != nil {
 		return fmt.Errorf("address %q is no IP address and port", e.Address)
@@ -137,20 +138,20 @@
 // Registry is the platform's discovery, which pushes changes.
 type Registry struct{ Address string }
 
-func (r *Registry) run(ctx context.Context, say reportFunc, log *slog.Logger) {
+func (r *Registry) run(ctx context.Context, report reportFunc, log *slog.Logger) {
 	discovery.New(r.Address, 0, 0, func(kind lbpolicy.ListKind, entries []endpointlist.Endpoint) {
 		switch kind {
 		case lbpolicy.Full, lbpolicy.Cached:
-			say(fullList, entries)
+			report(fullList, entries)
 		case lbpolicy.Delta:
-			say(changedEntries, entries)
+			report(changedEntries, entries)
 		default:
-			say(unreachable, nil)
+			report(unreachable, nil)
 		}
 	}, log).Run(ctx)
 }
 
-// sleep waits and tells whether ctx still holds.
+// sleep waits, and returns false where ctx has ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -162,5 +163,5 @@
 	}
 }
 
-// jitter draws a time about d, so that many processes don't ask in step.
+// jitter returns a random time around d, so that many processes do not ask at the same time.
 func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
