--- a/internal/gateway/conf/clients.go
+++ b/internal/gateway/conf/clients.go
@@ -20,71 +20,91 @@
 	"silvertrail/internal/edge/certs"
 )
 
-// TLS is how a listener's connections are made secure.
+// TLS holds the certificate settings of a listener.
 type TLS struct {
 	Files    certs.Files
-	Required bool // callers must show a certificate
+	Required bool // clients must present a certificate
 }
 
-// clientGroups reads the groups of callers, all but their places, which listeners give.
+// groupNames records which group each network and certificate name belongs to, over all clients blocks.
+type groupNames struct {
+	networks     map[netip.Prefix]string
+	certificates map[string]string
+}
+
+// clientGroups reads the clients blocks. Group 0 is that of all other clients. What a listener reserves for a group is read with the
+// listener.
 func (p *parser) clientGroups(blocks hcl.Blocks) []admission.Group {
 	groups := []admission.Group{{Name: admission.Others}}
-	networks, names := map[netip.Prefix]string{}, map[string]string{}
+	taken := groupNames{networks: map[netip.Prefix]string{}, certificates: map[string]string{}}
 	for _, b := range blocks {
-		s := p.open("clients "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"networks", "file", "certificates", "deny", "per_address", "rate", "burst", "weight"}, nil)
-		g := admission.Group{Name: b.Labels[0], Deny: s.boolean("deny"), Weight: s.number("weight", 1, 0.01, 1e6)}
-		if g.Name == admission.Others {
-			p.report(b.LabelRanges[0], "Name taken", "%q are those who are of no clients block.", g.Name)
-		}
-		p.sourceLimits(s, &g)
-		add := func(at hcl.Range, n netip.Prefix) {
-			if of, taken := networks[n]; taken && of != g.Name {
-				p.report(at, "Of two groups", "%s is of clients %q already.", n, of)
-			}
-			networks[n] = g.Name
-			g.Networks = append(g.Networks, n)
+		groups = append(groups, p.clientGroup(b, taken))
+	}
+	return groups
+}
+
+func (p *parser) clientGroup(b *hcl.Block, taken groupNames) admission.Group {
+	s := p.open("clients "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"networks", "file", "certificates", "deny", "per_address", "rate", "burst", "weight"}, nil)
+	g := admission.Group{Name: b.Labels[0], Deny: s.boolean("deny"), Weight: s.number("weight", 1, 0.01, 1e6)}
+	if g.Name == admission.Others {
+		p.report(b.LabelRanges[0], "Name taken", "%q are those who are of no clients block.", g.Name)
+	}
+	p.sourceLimits(s, &g)
+	p.groupNetworks(s, &g, taken)
+	p.groupCertificates(s, &g, taken)
+	if len(g.Networks)+len(g.CertificateNames) == 0 && !s.has("file") && !s.has("networks") && !s.has("certificates") {
+		s.report(s.at, "Nobody", "%s needs \"networks\", a \"file\" of them, or \"certificates\".", s.name)
+	}
+	for _, name := range []string{"per_address", "rate", "burst", "weight"} {
+		if g.Deny && s.has(name) {
+			s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"deny\" alone.", name)
 		}
-		for _, l := range s.list("networks") {
-			found, err := parseNetwork(l.text)
-			if err != nil {
-				p.report(l.at, "Not a network", "%s.", err)
-			}
-			for _, n := range found {
-				add(l.at, n)
-			}
+	}
+	return g
+}
+
+// groupNetworks reads the networks of a group, from the list and from the file.
+func (p *parser) groupNetworks(s *block, g *admission.Group, taken groupNames) {
+	var networks []locatedNetwork
+	for _, l := range s.list("networks") {
+		prefixes, err := parseNetwork(l.text)
+		if err != nil {
+			p.report(l.at, "Not a network", "%s.", err)
 		}
-		if s.isValid("file") {
-			for _, l := range p.networksFile(s) {
-				add(l.at, l.network)
-			}
+		for _, prefix := range prefixes {
+			networks = append(networks, locatedNetwork{prefix, l.at})
 		}
-		for _, l := range s.list("certificates") {
-			name := strings.ToLower(l.text)
-			of, taken := names[name]
-			switch {
-			case strings.TrimPrefix(name, "*.") == "" || strings.Contains(strings.TrimPrefix(name, "*."), "*"):
-				p.report(l.at, "Unusable name", "%q is no name of a certificate: write \"host.example\", or \"*.example\" for all that end so.", l.text)
-				continue
-			case taken:
-				p.report(l.at, "Of two groups", "%q is of clients %q already.", l.text, of)
-			}
-			names[name] = g.Name
-			g.CertificateNames = append(g.CertificateNames, name)
+	}
+	if s.isValid("file") {
+		networks = append(networks, p.networksFile(s)...)
+	}
+	for _, n := range networks {
+		if other, ok := taken.networks[n.network]; ok && other != g.Name {
+			p.report(n.at, "Of two groups", "%s is of clients %q already.", n.network, other)
 		}
-		if len(g.Networks)+len(g.CertificateNames) == 0 && !s.has("file") && !s.has("networks") && !s.has("certificates") {
-			s.report(s.at, "Nobody", "%s needs \"networks\", a \"file\" of them, or \"certificates\".", s.name)
+		taken.networks[n.network] = g.Name
+		g.Networks = append(g.Networks, n.network)
+	}
+}
+
+// groupCertificates reads the certificate names of a group.
+func (p *parser) groupCertificates(s *block, g *admission.Group, taken groupNames) {
+	for _, l := range s.list("certificates") {
+		name := strings.ToLower(l.text)
+		base := strings.TrimPrefix(name, "*.")
+		if base == "" || strings.Contains(base, "*") {
+			p.report(l.at, "Unusable name", "%q is no name of a certificate: write \"host.example\", or \"*.example\" for all that end so.", l.text)
+			continue
 		}
-		for _, name := range []string{"per_address", "rate", "burst", "weight"} {
-			if g.Deny && s.has(name) {
-				s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"deny\" alone.", name)
-			}
+		if other, ok := taken.certificates[name]; ok {
+			p.report(l.at, "Of two groups", "%q is of clients %q already.", l.text, other)
 		}
-		groups = append(groups, g)
+		taken.certificates[name] = g.Name
+		g.CertificateNames = append(g.CertificateNames, name)
 	}
-	return groups
 }
 
-// sourceLimits reads what one address of a group may do.
+// sourceLimits reads the limits of one source of a group.
 func (p *parser) sourceLimits(s *block, g *admission.Group) {
 	g.MaxPerSource = s.integer("per_address", 0, 1, 1<<20)
 	g.Rate = s.number("rate", 0, 0.001, 1e6)
@@ -111,14 +131,15 @@
 	return nil, fmt.Errorf("%q is no network: write \"10.0.0.0/8\", \"192.0.2.7\", or \"192.0.2.7-192.0.2.20\"", text)
 }
 
-const maxNetworksFileBytes = 16 << 20 // bytes of a file
+const maxNetworksFileBytes = 16 << 20
 
+// locatedNetwork is a network and its place in a file.
 type locatedNetwork struct {
 	network netip.Prefix
 	at      hcl.Range
 }
 
-// networksFile reads a file of networks, one a line; what follows "#" is a remark.
+// networksFile reads a file of networks, one a line; what follows "#" is a comment.
 func (p *parser) networksFile(s *block) (out []locatedNetwork) {
 	path := p.path(s, "file")
 	f, err := os.Open(path)
@@ -154,49 +175,68 @@
 	return out
 }
 
-// admission reads what a listener grants to whom.
+// admission reads a listener's admission policy, and its tls block.
 func (p *parser) admission(s *block, l *Listener, groups []admission.Group) {
-	l.Admission = admission.Policy{Capacity: l.MaxConns, Groups: slices.Clone(groups), RequestGrace: s.duration("grace", 300*time.Millisecond, time.Millisecond, time.Minute),
-		FreeFactor: s.number("free_factor", 8, 0, 1e6), IdleProtection: s.duration("guard", 2*time.Second, 0, time.Hour), IPv4Bits: s.integer("bits_ipv4", 32, 8, 32), IPv6Bits: s.integer("bits_ipv6", 64, 16, 128)}
-	l.Admission.MaxWait = s.duration("patience", 200*time.Millisecond, 0, 10*time.Second)
-	l.Admission.MaxWaiting = max(l.MaxConns/8, 1)
+	l.Admission = admission.Policy{
+		Capacity:       l.MaxConns,
+		Groups:         slices.Clone(groups),
+		RequestGrace:   s.duration("grace", 300*time.Millisecond, time.Millisecond, time.Minute),
+		FreeFactor:     s.number("free_factor", 8, 0, 1e6),
+		IdleProtection: s.duration("guard", 2*time.Second, 0, time.Hour),
+		IPv4Bits:       s.integer("bits_ipv4", 32, 8, 32),
+		IPv6Bits:       s.integer("bits_ipv6", 64, 16, 128),
+		MaxWait:        s.duration("patience", 200*time.Millisecond, 0, 10*time.Second),
+		MaxWaiting:     max(l.MaxConns/8, 1),
+	}
 	p.sourceLimits(s, &l.Admission.Groups[0])
-	sum := 0
 	seen := map[string]bool{}
+	reserved := 0
 	for _, b := range s.blocks {
 		switch b.Type {
 		case "reserve":
-			r := p.open("reserve "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"places", "most"}, nil)
-			n := slices.IndexFunc(l.Admission.Groups, func(g admission.Group) bool { return g.Name == b.Labels[0] })
-			if n < 1 {
-				p.requireDefined("clients", located{b.Labels[0], b.LabelRanges[0]})
-				continue
-			}
-			g := &l.Admission.Groups[n]
-			g.Reserve, g.MaxConns = r.integer("places", 0, 0, 1<<20), r.integer("most", 0, 1, 1<<20)
-			switch {
-			case seen[g.Name]:
-				p.report(b.DefRange, "Twice", "%s reserves for %q already.", s.name, g.Name)
-			case g.Deny:
-				p.report(b.DefRange, "Without a meaning", "Clients %q are denied.", g.Name)
-			case g.MaxConns > 0 && g.MaxConns < g.Reserve:
-				r.report(r.rangeOf("most"), "Less than the reserve", "%d places are reserved and %d may be taken.", g.Reserve, g.MaxConns)
-			}
-			seen[g.Name] = true
-			sum += g.Reserve
+			reserved += p.reserve(b, s, l, seen)
 		case "tls":
-			t := p.open("tls of "+s.name, b.DefRange, b.Body, []string{"certificate", "key", "authority", "required"}, nil)
-			t.require("certificate", "key")
-			if l.TLS != nil {
-				p.report(b.DefRange, "Twice", "There is one tls block at most.")
-			}
-			l.TLS = &TLS{certs.Files{Certificate: p.path(t, "certificate"), Key: p.path(t, "key"), Authority: p.path(t, "authority")}, t.boolean("required")}
-			if l.TLS.Required && !t.has("authority") {
-				t.report(t.rangeOf("required"), "No authority", "\"required\" needs an \"authority\" that signs callers' certificates.")
-			}
+			p.tls(b, s, l)
 		}
 	}
-	if sum > l.MaxConns {
-		s.report(s.at, "Reserves over the whole", "%s has %d connections; %d are reserved.", s.name, l.MaxConns, sum)
+	if reserved > l.MaxConns {
+		s.report(s.at, "Reserves over the whole", "%s has %d connections; %d are reserved.", s.name, l.MaxConns, reserved)
+	}
+}
+
+// reserve reads what a listener reserves for a group, and returns the number of slots. Groups that were read before are in seen.
+func (p *parser) reserve(b *hcl.Block, s *block, l *Listener, seen map[string]bool) int {
+	r := p.open("reserve "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"places", "most"}, nil)
+	n := slices.IndexFunc(l.Admission.Groups, func(g admission.Group) bool { return g.Name == b.Labels[0] })
+	if n < 1 {
+		p.requireDefined("clients", located{b.Labels[0], b.LabelRanges[0]})
+		return 0
+	}
+	g := &l.Admission.Groups[n]
+	g.Reserve = r.integer("places", 0, 0, 1<<20)
+	g.MaxConns = r.integer("most", 0, 1, 1<<20)
+	switch {
+	case seen[g.Name]:
+		p.report(b.DefRange, "Twice", "%s reserves for %q already.", s.name, g.Name)
+	case g.Deny:
+		p.report(b.DefRange, "Without a meaning", "Clients %q are denied.", g.Name)
+	case g.MaxConns > 0 && g.MaxConns < g.Reserve:
+		r.report(r.rangeOf("most"), "Less than the reserve", "%d places are reserved and %d may be taken.", g.Reserve, g.MaxConns)
+	}
+	seen[g.Name] = true
+	return g.Reserve
+}
+
+// tls reads a listener's tls block.
+func (p *parser) tls(b *hcl.Block, s *block, l *Listener) {
+	t := p.open("tls of "+s.name, b.DefRange, b.Body, []string{"certificate", "key", "authority", "required"}, nil)
+	t.require("certificate", "key")
+	if l.TLS != nil {
+		p.report(b.DefRange, "Twice", "There is one tls block at most.")
+	}
+	files := certs.Files{Certificate: p.path(t, "certificate"), Key: p.path(t, "key"), Authority: p.path(t, "authority")}
+	l.TLS = &TLS{Files: files, Required: t.boolean("required")}
+	if l.TLS.Required && !t.has("authority") {
+		t.report(t.rangeOf("required"), "No authority", "\"required\" needs an \"authority\" that signs callers' certificates.")
 	}
 }
--- a/internal/gateway/conf/clusters.go
+++ b/internal/gateway/conf/clusters.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -13,7 +14,7 @@
 	"silvertrail/lbpolicy"
 )
 
-// cluster reads a cluster's block.
+// cluster reads a cluster block.
 func (p *parser) cluster(b *hcl.Block, settings lbpolicy.Settings, zones []string, n int) cluster.Config {
 	s := p.open("cluster "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"connect_timeout", "idle", "max_attempts", "hedge",
 		"warm_up", "start_capacity", "fall_multiple", "fall_window", "crossing_price", "load_report", "reserve", "most", "empty_hold"},
@@ -50,19 +51,13 @@
 	return c
 }
 
+// sources reads the sources of a cluster's endpoints, except its xds block. All endpoint blocks are one source.
 func (p *parser) sources(s *block, c *cluster.Config, zones []string) {
 	var static *cluster.Static
 	for _, b := range s.blocks {
 		switch b.Type {
 		case "endpoint":
-			e := p.open("endpoint "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "zone", "group", "status", "weight"}, nil)
-			e.require("address")
-			entry := endpointlist.Endpoint{Name: b.Labels[0], Address: e.text("address", ""), Zone: p.zone(e, zones),
-				Group: e.integer("group", 0, 0, 1<<30), Status: e.oneOf("status", "ready", "ready", "draining"),
-				Weight: e.number("weight", 0, 0.001, 1)} // 0: another source may tell it
-			if err := cluster.NormaliseEndpoint(&entry, zones[0]); err != nil && e.has("address") {
-				e.report(e.rangeOf("address"), "Not an address", "%s.", err)
-			}
+			entry := p.endpoint(b, zones)
 			if static == nil {
 				static = &cluster.Static{}
 				c.Sources = append(c.Sources, cluster.Source{Static: static})
@@ -72,40 +67,77 @@
 			}
 			static.Endpoints = append(static.Endpoints, entry)
 		case "file":
-			e := p.open("a file of "+s.name, b.DefRange, b.Body, []string{"path", "poll", "zone"}, nil)
-			e.require("path")
-			c.Sources = append(c.Sources, cluster.Source{File: &cluster.File{Path: p.path(e, "path"),
-				Poll: e.duration("poll", 200*time.Millisecond, 10*time.Millisecond, time.Hour), Zone: p.zone(e, zones)}})
+			c.Sources = append(c.Sources, cluster.Source{File: p.fileSource(b, s, zones)})
 		case "dns":
-			e := p.open("dns of "+s.name, b.DefRange, b.Body, []string{"name", "type", "port", "zone", "server"}, nil)
-			e.require("name")
-			d := &cluster.DNS{Name: e.text("name", ""), SRV: e.oneOf("type", "A", "A", "SRV") == "SRV",
-				Port: uint16(e.integer("port", 0, 1, 65535)), Zone: p.zone(e, zones), Server: e.text("server", "")}
-			if d.SRV == e.has("port") {
-				e.report(e.rangeOf("port"), "Port", "Type \"A\" needs a \"port\"; \"SRV\" brings its own.")
-			}
-			if !e.has("server") {
-				var err error
-				if d.Server, err = cluster.SystemServer(); err != nil {
-					e.report(e.at, "No name server", "No \"server\" is told, and the system has none: %s.", err)
-				}
-			} else if _, port, err := net.SplitHostPort(d.Server); err != nil || port == "" {
-				e.report(e.rangeOf("server"), "Not an address", "%q is no address and port.", d.Server)
-			}
-			c.Sources = append(c.Sources, cluster.Source{DNS: d})
+			c.Sources = append(c.Sources, cluster.Source{DNS: p.dnsSource(b, s, zones)})
 		case "registry":
-			e := p.open("a registry of "+s.name, b.DefRange, b.Body, []string{"address"}, nil)
-			e.require("address")
-			addr := e.text("address", "")
-			if _, err := netip.ParseAddrPort(addr); err != nil && e.has("address") {
-				e.report(e.rangeOf("address"), "Not an address", "%q is no IP address and port.", addr)
-			}
-			c.Sources = append(c.Sources, cluster.Source{Registry: &cluster.Registry{Address: addr}})
+			c.Sources = append(c.Sources, cluster.Source{Registry: p.registrySource(b, s)})
+		}
+	}
+}
+
+func (p *parser) endpoint(b *hcl.Block, zones []string) endpointlist.Endpoint {
+	e := p.open("endpoint "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "zone", "group", "status", "weight"}, nil)
+	e.require("address")
+	entry := endpointlist.Endpoint{
+		Name:    b.Labels[0],
+		Address: e.text("address", ""),
+		Zone:    p.zone(e, zones),
+		Group:   e.integer("group", 0, 0, 1<<30),
+		Status:  e.oneOf("status", "ready", "ready", "draining"),
+		Weight:  e.number("weight", 0, 0.001, 1), // 0: another source may give it
+	}
+	if err := cluster.NormaliseEndpoint(&entry, zones[0]); err != nil && e.has("address") {
+		e.report(e.rangeOf("address"), "Not an address", "%s.", err)
+	}
+	return entry
+}
+
+func (p *parser) fileSource(b *hcl.Block, s *block, zones []string) *cluster.File {
+	e := p.open("a file of "+s.name, b.DefRange, b.Body, []string{"path", "poll", "zone"}, nil)
+	e.require("path")
+	return &cluster.File{
+		Path: p.path(e, "path"),
+		Poll: e.duration("poll", 200*time.Millisecond, 10*time.Millisecond, time.Hour),
+		Zone: p.zone(e, zones),
+	}
+}
+
+func (p *parser) dnsSource(b *hcl.Block, s *block, zones []string) *cluster.DNS {
+	e := p.open("dns of "+s.name, b.DefRange, b.Body, []string{"name", "type", "port", "zone", "server"}, nil)
+	e.require("name")
+	d := &cluster.DNS{
+		Name:   e.text("name", ""),
+		SRV:    e.oneOf("type", "A", "A", "SRV") == "SRV",
+		Port:   uint16(e.integer("port", 0, 1, math.MaxUint16)),
+		Zone:   p.zone(e, zones),
+		Server: e.text("server", ""),
+	}
+	if d.SRV == e.has("port") {
+		e.report(e.rangeOf("port"), "Port", "Type \"A\" needs a \"port\"; \"SRV\" brings its own.")
+	}
+	if !e.has("server") {
+		var err error
+		if d.Server, err = cluster.SystemServer(); err != nil {
+			e.report(e.at, "No name server", "No \"server\" is told, and the system has none: %s.", err)
 		}
+	} else if _, port, err := net.SplitHostPort(d.Server); err != nil || port == "" {
+		e.report(e.rangeOf("server"), "Not an address", "%q is no address and port.", d.Server)
+	}
+	return d
+}
+
+func (p *parser) registrySource(b *hcl.Block, s *block) *cluster.Registry {
+	e := p.open("a registry of "+s.name, b.DefRange, b.Body, []string{"address"}, nil)
+	e.require("address")
+	address := e.text("address", "")
+	if _, err := netip.ParseAddrPort(address); err != nil && e.has("address") {
+		e.report(e.rangeOf("address"), "Not an address", "%q is no IP address and port.", address)
 	}
+	return &cluster.Registry{Address: address}
 }
 
-// zone reads a zone, which is the first one where none is told.
+// zone reads a zone; the default is the first one.
 func (p *parser) zone(s *block, zones []string) string {
 	name := s.text("zone", zones[0])
 	if s.has("zone") {
--- a/internal/gateway/conf/controlplane.go
+++ b/internal/gateway/conf/controlplane.go
@@ -12,9 +12,10 @@
 	"silvertrail/internal/xds/bootstrap"
 )
 
+// maxPeers bounds the peers of a control-plane server.
 const maxPeers = 16
 
-// controlPlaneBlock reads the block that makes this process a control machine, or returns nil where there is none.
+// controlPlaneBlock reads the block that makes this process a control-plane server, or returns nil where there is none.
 func (p *parser) controlPlaneBlock(blocks hcl.Blocks) *api.Options {
 	if len(blocks) == 0 {
 		return nil
@@ -66,7 +67,7 @@
 	return o
 }
 
-// isUsableName tells whether a name can be part of a version.
+// isUsableName reports whether a name can be part of a version.
 func isUsableName(name string) bool {
 	for _, r := range name {
 		if (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '.' && r != '-' && r != '_' {
--- a/internal/gateway/conf/fingerprint.go
+++ b/internal/gateway/conf/fingerprint.go
@@ -11,17 +11,16 @@
 	"silvertrail/internal/fleet/version"
 )
 
-// Fingerprint stands for what a file says, however it is laid out: comments, spacing, the order of attributes and that of blocks at
-// the top change nothing.
+// Fingerprint identifies the content of a file. Comments, spacing, the order of attributes and that of top-level blocks do not change it.
 type Fingerprint struct {
-	Shared version.Hash // what all instances of a fleet are meant to have in common: classes, tenants, clients, clusters, routes
-	Local  version.Hash // the rest, which each has for itself: names, addresses, files
+	Shared version.Hash // of what all instances of a fleet should have in common
+	Local  version.Hash // of the rest: names, addresses, files
 }
 
-// sharedBlocks are the blocks that instances have in common.
+// sharedBlocks are the types of the blocks that all instances of a fleet should have in common.
 var sharedBlocks = []string{"class", "tenant", "clients", "cluster", "route"}
 
-// fingerprintOf reads a body that the parser has taken.
+// fingerprintOf returns the fingerprint of a body that was parsed without an error.
 func fingerprintOf(body *hclsyntax.Body) (m Fingerprint, err error) {
 	var common, own []string
 	for _, b := range body.Blocks {
@@ -42,7 +41,7 @@
 	return m, nil
 }
 
-// writeBlock writes a block in one form: attributes by name and by their values, then the blocks in it as they come.
+// writeBlock writes a block in canonical form: attributes ordered by name with their values, then the inner blocks in their order.
 func writeBlock(w *strings.Builder, b *hclsyntax.Block) error {
 	fmt.Fprintf(w, "%s %q {\n", b.Type, b.Labels)
 	names := make([]string, 0, len(b.Body.Attributes))
--- a/internal/gateway/conf/fleet.go
+++ b/internal/gateway/conf/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,9 @@
 // keyBytes is the length of a fleet's keys (AES-256).
 const keyBytes = 32
 
+// maxVoters bounds the voters, each of which is asked for each request with an idempotency key.
+const maxVoters = 9
+
 // fleetBlock reads the fleet block, or returns nil where there is none.
 func (p *parser) fleetBlock(blocks hcl.Blocks, f *File) *fleet.Options {
 	if len(blocks) == 0 {
@@ -30,9 +34,18 @@
 	s := p.open("fleet "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"name", "listen", "advertise", "seeds", "keyring", "voters",
 		"members", "new", "views", "versions", "taking"}, nil)
 	s.require("name", "listen", "keyring")
-	o := &fleet.Options{FleetName: b.Labels[0], Name: s.text("name", ""), Listen: s.text("listen", ""), Advertise: s.text("advertise", ""),
-		MaxMembers: s.integer("members", 128, 1, 10000), MaxKeys: f.Process.MaxKeys, NewFleet: s.boolean("new"), Views: s.boolean("views"),
-		Versions: s.boolean("versions"), RolloutTimeout: s.duration("taking", 10*time.Second, time.Second, time.Hour)}
+	o := &fleet.Options{
+		FleetName:      b.Labels[0],
+		Name:           s.text("name", ""),
+		Listen:         s.text("listen", ""),
+		Advertise:      s.text("advertise", ""),
+		MaxMembers:     s.integer("members", 128, 1, maxFleetSize),
+		MaxKeys:        f.Process.MaxKeys,
+		NewFleet:       s.boolean("new"),
+		Views:          s.boolean("views"),
+		Versions:       s.boolean("versions"),
+		RolloutTimeout: s.duration("taking", 10*time.Second, time.Second, time.Hour),
+	}
 	if o.Versions && !o.Views {
 		s.report(s.rangeOf("versions"), "Views needed", "\"versions\" goes with \"views = true\" alone: who is in has to be agreed on.")
 	}
@@ -41,41 +54,51 @@
 			s.report(s.rangeOf(name), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7946\".", s.text(name, ""))
 		}
 	}
+	o.Seeds = p.seeds(s)
+	o.Voters = p.voters(s)
+	setKeyTimes(o, f.Classes)
+	if s.has("keyring") {
+		var err error
+		if o.Keyring, err = readKeyring(p.path(s, "keyring")); err != nil {
+			s.report(s.rangeOf("keyring"), "Unusable keyring", "%s.", err)
+		}
+	}
+	return o
+}
+
+func (p *parser) seeds(s *block) (seeds []string) {
 	for _, l := range s.list("seeds") {
 		if host, port, err := net.SplitHostPort(l.text); err != nil || host == "" || port == "" {
 			p.report(l.at, "Not an address", "%q is no address and port.", l.text)
 		}
-		o.Seeds = append(o.Seeds, l.text)
+		seeds = append(seeds, l.text)
 	}
-	seen := map[string]bool{}
+	return seeds
+}
+
+func (p *parser) voters(s *block) (voters []string) {
 	for _, l := range s.list("voters") {
-		if seen[l.text] || l.text == "" {
+		if l.text == "" || slices.Contains(voters, l.text) {
 			p.report(l.at, "Named twice", "%q is empty or a voter already.", l.text)
 		}
-		seen[l.text] = true
-		o.Voters = append(o.Voters, l.text)
+		voters = append(voters, l.text)
 	}
-	if n := len(o.Voters); n > 9 {
+	if n := len(voters); n > maxVoters {
 		s.report(s.rangeOf("voters"), "Too many voters", "%d voters are asked for each keyed request; 9 is the most, 3 or 5 are usual.", n)
 	}
-	for _, c := range f.Classes {
+	return voters
+}
+
+// setKeyTimes sets how long requests with idempotency keys may take, and how long their keys are remembered.
+func setKeyTimes(o *fleet.Options, classes []Class) {
+	o.MaxDeadline = time.Second
+	o.KeyRetention = time.Second
+	for _, c := range classes {
 		if c.Effect == lbpolicy.KeyedIdempotent {
 			o.MaxDeadline = max(o.MaxDeadline, c.Deadline)
 			o.KeyRetention = max(o.KeyRetention, 2*c.Deadline+c.Window+c.Retention)
 		}
 	}
-	o.MaxDeadline, o.KeyRetention = max(o.MaxDeadline, time.Second), max(o.KeyRetention, time.Second)
-	if s.has("keyring") {
-		path := s.text("keyring", "")
-		if !filepath.IsAbs(path) {
-			path = filepath.Join(p.folder, path)
-		}
-		var err error
-		if o.Keyring, err = readKeyring(path); err != nil {
-			s.report(s.rangeOf("keyring"), "Unusable keyring", "%s.", err)
-		}
-	}
-	return o
 }
 
 // NewKey returns a new key as a keyring holds it.
--- a/internal/gateway/conf/ledger.go
+++ b/internal/gateway/conf/ledger.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	minSecretBytes = 16 // bytes
+	minSecretBytes = 16
 	maxSecretBytes = 4 << 10
 )
 
--- a/internal/gateway/conf/link.go
+++ b/internal/gateway/conf/link.go
@@ -14,10 +14,11 @@
 	"silvertrail/lbpolicy"
 )
 
-// LinkListener is the listener by whose name routes match requests that other salas send.
+// LinkListener is the name by which routes match requests that other sites forward.
 const LinkListener = "link"
 
-const maxGatewaysPerSite = 16 // of one sala
+// maxGatewaysPerSite bounds the addresses of a peer.
+const maxGatewaysPerSite = 16
 
 // linkBlock reads the link block, or returns nil where there is none.
 func (p *parser) linkBlock(blocks hcl.Blocks, f *File) *peering.Options {
@@ -29,54 +30,18 @@
 	s := p.open("link "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"listen", "certificate", "key", "authority", "plain", "heartbeat",
 		"silence", "calls", "connections"}, map[string]int{"peer": 1})
 	s.require("listen")
-	o := &peering.Options{Site: b.Labels[0], Listen: s.text("listen", "127.0.0.1:0"), MaxInFlight: s.integer("calls", 1024, 1, 1<<16), Connections: s.integer("connections", 2, 1, 8),
+	o := &peering.Options{
+		Site:              b.Labels[0],
+		Listen:            s.text("listen", "127.0.0.1:0"),
+		MaxInFlight:       s.integer("calls", 1024, 1, 1<<16),
+		Connections:       s.integer("connections", 2, 1, 8),
 		HeartbeatInterval: s.duration("heartbeat", 100*time.Millisecond, 10*time.Millisecond, time.Minute),
-		HeartbeatTimeout:  s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute)}
-	p.checkSiteName(o.Site, b.LabelRanges[0])
-	at, err := netip.ParseAddrPort(o.Listen)
-	if err != nil && s.has("listen") {
-		s.report(s.rangeOf("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7950\".", o.Listen)
-	}
-	files := []string{"certificate", "key", "authority"}
-	if s.boolean("plain") {
-		if err == nil && !at.Addr().IsLoopback() {
-			s.report(s.rangeOf("plain"), "Not on loopback", "A plain link is for loopback alone; %s is not.", o.Listen)
-		}
-		for _, name := range files {
-			if s.has(name) {
-				s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
-			}
-		}
-	} else {
-		s.require(files...)
-		o.Identity = &peering.Identity{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}
+		HeartbeatTimeout:  s.duration("silence", 300*time.Millisecond, 20*time.Millisecond, time.Minute),
 	}
+	p.checkSiteName(o.Site, b.LabelRanges[0])
+	p.linkIdentity(s, o)
 	for _, inner := range s.blocks {
-		n := p.open("peer "+quote(inner.Labels[0]), inner.DefRange, inner.Body, []string{"address", "addresses"}, nil)
-		peer := peering.Peer{Name: inner.Labels[0]}
-		p.checkSiteName(peer.Name, inner.LabelRanges[0])
-		at := n.list("addresses")
-		switch {
-		case n.has("address") && n.has("addresses"):
-			n.report(n.rangeOf("address"), "Told twice", "\"addresses\" goes without \"address\".")
-		case n.has("addresses") && len(at) == 0 && n.isValid("addresses"):
-			n.report(n.rangeOf("addresses"), "No address", "%s needs one address at least.", n.name)
-		case !n.has("addresses"):
-			n.require("address")
-			at = []located{{n.text("address", ""), n.rangeOf("address")}}
-		}
-		if len(at) > maxGatewaysPerSite {
-			n.report(n.rangeOf("addresses"), "Out of range", "%s has %d gateways; %d are the most.", n.name, len(at), maxGatewaysPerSite)
-		}
-		for _, a := range at {
-			if host, port, err := net.SplitHostPort(a.text); (n.has("address") || n.has("addresses")) && (err != nil || host == "" || port == "") {
-				p.report(a.at, "Not an address", "%q is no address and port.", a.text)
-			}
-			if slices.Contains(peer.Addresses, a.text) {
-				p.report(a.at, "Named twice", "%q is named already.", a.text)
-			}
-			peer.Addresses = append(peer.Addresses, a.text)
-		}
+		peer := p.peer(inner)
 		if peer.Name == o.Site || slices.ContainsFunc(o.Peers, func(o peering.Peer) bool { return o.Name == peer.Name }) {
 			p.report(inner.LabelRanges[0], "Named twice", "%q is this sala, or a peer already.", peer.Name)
 		}
@@ -88,14 +53,77 @@
 	for _, c := range f.Classes {
 		o.PriorityWeights = append(o.PriorityWeights, c.PriorityWeight)
 	}
-	if i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == lbpolicy.KeyedIdempotent }); i >= 0 && (f.Fleet == nil || len(f.Fleet.Voters) == 0) {
-		s.report(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
-			"repeat through another sala could take effect a second time.", f.Classes[i].Name)
-	}
+	p.requireVoters(s, f)
 	return o
 }
 
-// checkSiteName checks the name of a sala, which is a certificate's too, and part of the name of a place.
+// linkIdentity reads the listen address and the certificate files, which a link on loopback may go without.
+func (p *parser) linkIdentity(s *block, o *peering.Options) {
+	listen, err := netip.ParseAddrPort(o.Listen)
+	if err != nil && s.has("listen") {
+		s.report(s.rangeOf("listen"), "Not an address", "%q is no IP address and port, such as \"10.0.0.5:7950\".", o.Listen)
+	}
+	files := []string{"certificate", "key", "authority"}
+	if !s.boolean("plain") {
+		s.require(files...)
+		o.Identity = &peering.Identity{Certificate: p.path(s, "certificate"), Key: p.path(s, "key"), Authority: p.path(s, "authority")}
+		return
+	}
+	if err == nil && !listen.Addr().IsLoopback() {
+		s.report(s.rangeOf("plain"), "Not on loopback", "A plain link is for loopback alone; %s is not.", o.Listen)
+	}
+	for _, name := range files {
+		if s.has(name) {
+			s.report(s.rangeOf(name), "Without a meaning", "%q goes without \"plain\" alone.", name)
+		}
+	}
+}
+
+// peer reads a peer block: another site, with one address or several.
+func (p *parser) peer(b *hcl.Block) peering.Peer {
+	n := p.open("peer "+quote(b.Labels[0]), b.DefRange, b.Body, []string{"address", "addresses"}, nil)
+	peer := peering.Peer{Name: b.Labels[0]}
+	p.checkSiteName(peer.Name, b.LabelRanges[0])
+	addresses := n.list("addresses")
+	switch {
+	case n.has("address") && n.has("addresses"):
+		n.report(n.rangeOf("address"), "Told twice", "\"addresses\" goes without \"address\".")
+	case n.has("addresses") && len(addresses) == 0 && n.isValid("addresses"):
+		n.report(n.rangeOf("addresses"), "No address", "%s needs one address at least.", n.name)
+	case !n.has("addresses"):
+		n.require("address")
+		addresses = []located{{n.text("address", ""), n.rangeOf("address")}}
+	}
+	if len(addresses) > maxGatewaysPerSite {
+		n.report(n.rangeOf("addresses"), "Out of range", "%s has %d gateways; %d are the most.", n.name, len(addresses), maxGatewaysPerSite)
+	}
+	isGiven := n.has("address") || n.has("addresses")
+	for _, a := range addresses {
+		if host, port, err := net.SplitHostPort(a.text); isGiven && (err != nil || host == "" || port == "") {
+			p.report(a.at, "Not an address", "%q is no address and port.", a.text)
+		}
+		if slices.Contains(peer.Addresses, a.text) {
+			p.report(a.at, "Named twice", "%q is named already.", a.text)
+		}
+		peer.Addresses = append(peer.Addresses, a.text)
+	}
+	return peer
+}
+
+// requireVoters reports a class with idempotency keys without voters: a retry through another site could take effect a second time.
+func (p *parser) requireVoters(s *block, f *File) {
+	if f.Fleet != nil && len(f.Fleet.Voters) > 0 {
+		return
+	}
+	i := slices.IndexFunc(f.Classes, func(c Class) bool { return c.Effect == lbpolicy.KeyedIdempotent })
+	if i < 0 {
+		return
+	}
+	s.report(s.at, "Keys without voters", "Class %q is keyed: with a link its keys need a fleet block whose voters stand in all salas, or a "+
+		"repeat through another sala could take effect a second time.", f.Classes[i].Name)
+}
+
+// checkSiteName checks the name of a site, which is also that of its certificate and part of a qualified cluster name.
 func (p *parser) checkSiteName(name string, at hcl.Range) {
 	if name == "" || len(name) > 63 || strings.ContainsFunc(name, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-'
@@ -104,7 +132,7 @@
 	}
 }
 
-// path reads a file's path, which is taken from the configuration's folder.
+// path reads a path. A relative one is resolved against the folder of the configuration file.
 func (p *parser) path(s *block, name string) string {
 	path := s.text(name, "")
 	if path != "" && !filepath.IsAbs(path) {
@@ -113,7 +141,7 @@
 	return path
 }
 
-// forwardSites reads the salas that a route's requests may cross to.
+// forwardSites reads the sites that a route's requests may be forwarded to.
 func (p *parser) forwardSites(s *block, f *File) (out []string) {
 	for _, l := range s.list("cross") {
 		switch {
--- a/internal/gateway/conf/reader.go
+++ b/internal/gateway/conf/reader.go
@@ -14,7 +14,7 @@
 	"github.com/zclconf/go-cty/cty/convert"
 )
 
-// blockReader collects all that is wrong with a file, in the order in which it is met.
+// blockReader reads blocks and collects the errors of a file.
 type blockReader struct{ diags hcl.Diagnostics }
 
 func (r *blockReader) report(at hcl.Range, summary, detail string, args ...any) {
@@ -22,7 +22,7 @@
 		Subject: at.Ptr()})
 }
 
-// block is one block in hand.
+// block is a block that was opened.
 type block struct {
 	*blockReader
 	name   string // for errors
@@ -31,8 +31,8 @@
 	blocks hcl.Blocks
 }
 
-// open reads a body that may hold the named attributes, and blocks with as many labels as told. What else it holds is
-// an error that tells the nearest known name.
+// open reads a body that may hold the named attributes, and blocks with the given number of labels. Anything else is an error, which
+// suggests the nearest name.
 func (r *blockReader) open(what string, at hcl.Range, body hcl.Body, attrs []string, blocks map[string]int) *block {
 	var schema hcl.BodySchema
 	for _, name := range attrs {
@@ -47,7 +47,7 @@
 	}
 	content, diags := body.Content(&schema)
 	for _, d := range diags {
-		// The library suggests names that are very near. One that is a little further off is still help.
+		// The library suggests very similar names alone. A less similar one still helps.
 		if d.Subject != nil && !strings.Contains(d.Detail, "Did you mean") && strings.HasPrefix(d.Summary, "Unsupported") {
 			known := append(slices.Clone(attrs), slices.Collect(keys(blocks))...)
 			if _, name, quoted := strings.Cut(d.Detail, `"`); quoted {
@@ -74,7 +74,7 @@
 	}
 }
 
-// nearestName returns the known name that is nearest to one that is not known, or "" where none is near.
+// nearestName returns the known name with the least edit distance, or "" where none is similar.
 func nearestName(name string, known []string) string {
 	best, most := "", max(1, (len(name)+1)/2)+1
 	slices.Sort(known)
@@ -93,7 +93,7 @@
 	return ""
 }
 
-// value evaluates an attribute and brings it to a type; ok is false where it is not there or has been reported.
+// value evaluates an attribute and converts it to a type; ok is false where it is missing, or an error was reported.
 func (s *block) value(name string, to cty.Type, kind string) (cty.Value, hcl.Range, bool) {
 	a := s.attrs[name]
 	if a == nil {
@@ -112,10 +112,10 @@
 	return got, a.Expr.Range(), true
 }
 
-// has tells whether an attribute is there.
+// has reports whether the block has an attribute.
 func (s *block) has(name string) bool { return s.attrs[name] != nil }
 
-// isValid tells whether an attribute is there and nothing was found wrong with it so far.
+// isValid reports whether the block has an attribute without an error so far.
 func (s *block) isValid(name string) bool {
 	a := s.attrs[name]
 	return a != nil && !slices.ContainsFunc(s.diags, func(d *hcl.Diagnostic) bool {
@@ -123,7 +123,7 @@
 	})
 }
 
-// rangeOf returns an attribute's place, or the block's where it is not there.
+// rangeOf returns the range of an attribute, or of the block where it is missing.
 func (s *block) rangeOf(name string) hcl.Range {
 	if a := s.attrs[name]; a != nil {
 		return a.Expr.Range()
@@ -131,7 +131,7 @@
 	return s.at
 }
 
-// require reports an attribute that is missing.
+// require reports missing attributes.
 func (s *block) require(names ...string) {
 	for _, name := range names {
 		if !s.has(name) {
@@ -148,7 +148,7 @@
 	return v.AsString()
 }
 
-// oneOf is a text out of a few.
+// oneOf reads a text that must be one of the known ones.
 func (s *block) oneOf(name, otherwise string, known ...string) string {
 	text := s.text(name, otherwise)
 	if s.has(name) && !slices.Contains(known, text) {
@@ -185,8 +185,8 @@
 	return int(f)
 }
 
-// quantity reads the text of a figure with its unit; ok is false where it is not there or has been reported. A bare
-// number is an error: nobody can tell its unit.
+// quantity reads the text of a number with its unit; ok is false where it is missing, or an error was reported. A number without a unit is
+// an error.
 func (s *block) quantity(name, what, examples string) (text string, at hcl.Range, ok bool) {
 	a := s.attrs[name]
 	if a == nil {
@@ -202,7 +202,7 @@
 	return text, a.Expr.Range(), len(s.diags) == before
 }
 
-// duration reads a time with its unit, "250ms".
+// duration reads a duration such as "250ms".
 func (s *block) duration(name string, otherwise, least, most time.Duration) time.Duration {
 	text, at, ok := s.quantity(name, "time", `"250ms", "2.5s", "1m"`)
 	if !ok {
@@ -225,7 +225,7 @@
 	of   int64
 }{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"kB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1}}
 
-// parseSize reads "64KiB".
+// parseSize parses a size such as "64KiB".
 func parseSize(text string) (int64, error) {
 	for _, u := range sizes {
 		figure, is := strings.CutSuffix(text, u.unit)
@@ -241,7 +241,7 @@
 	return 0, fmt.Errorf("%q is no size: write \"64KiB\", \"32MiB\", \"1.5GB\"", text)
 }
 
-// size reads a number of bytes with its unit.
+// size reads a size such as "64KiB", in bytes.
 func (s *block) size(name string, otherwise, least, most int64) int64 {
 	text, at, ok := s.quantity(name, "size", `"64KiB", "32MiB"`)
 	if !ok {
@@ -259,7 +259,7 @@
 	return otherwise
 }
 
-// percentage reads "25%".
+// percentage reads a percentage such as "25%" as a fraction.
 func (s *block) percentage(name string, otherwise float64) float64 {
 	if !s.has(name) {
 		return otherwise
@@ -274,13 +274,13 @@
 	return f / 100
 }
 
-// located is a text and its place.
+// located is a text with its range.
 type located struct {
 	text string
 	at   hcl.Range
 }
 
-// list reads a list of texts, with the place of each.
+// list reads a list of texts.
 func (s *block) list(name string) (out []located) {
 	a := s.attrs[name]
 	if a == nil {
@@ -309,7 +309,7 @@
 	return out
 }
 
-// stringMap reads names and texts.
+// stringMap reads a map of texts.
 func (s *block) stringMap(name string) map[string]string {
 	v, _, ok := s.value(name, cty.Map(cty.String), "names and texts: { \"X-Name\" = \"value\" }")
 	if !ok {
--- a/internal/gateway/conf/routes.go
+++ b/internal/gateway/conf/routes.go
@@ -18,13 +18,13 @@
 	for _, b := range blocks {
 		before := len(p.diags)
 		r := p.route(b, f)
-		// What is wrong already is not compiled: it would be told again, in other words.
+		// A rule with an error is not compiled: the error would be reported again, in other words.
 		if _, twice := places[r.Name]; len(p.diags) == before && !twice {
 			rules = append(rules, r)
 			places[r.Name] = b.DefRange
 		}
 	}
-	listeners := p.all("listener")
+	listeners := p.definedNames("listener")
 	if f.Link != nil {
 		if _, taken := p.names["listener"][LinkListener]; taken {
 			p.report(p.names["listener"][LinkListener], "Name taken", "%q is what routes call requests that come from other salas.", LinkListener)
@@ -96,7 +96,7 @@
 	return r
 }
 
-// protectedHeaders are the headers that the program itself goes by and writes; a route must not speak in their place.
+// protectedHeaders are used and written by the program itself; a route must not change them.
 var protectedHeaders = []string{"Host", "Content-Length", "Transfer-Encoding", "Connection", "X-Request-Id", "Idempotency-Key", "X-Timeout-Ms"}
 
 func (p *parser) header(s *block, attr, name string) {
@@ -109,7 +109,7 @@
 	}
 }
 
-// headers checks headers that are to be written.
+// headers checks the headers that a route sets.
 func (p *parser) headers(s *block, attr string, h map[string]string) {
 	for _, name := range slices.Sorted(maps.Keys(h)) {
 		p.header(s, attr, name)
--- a/internal/gateway/conf/xds.go
+++ b/internal/gateway/conf/xds.go
@@ -70,7 +70,7 @@
 	return o
 }
 
-// bootstrap reads the planes and the node of a bootstrap file. Those of the block come after them.
+// bootstrap reads the control planes and the node of a bootstrap file. The control planes of the block come after them.
 func (p *parser) bootstrap(s *block, o *bootstrap.Options) {
 	path := p.path(s, "bootstrap")
 	info, err := os.Stat(path)
@@ -120,7 +120,7 @@
 	return out, true
 }
 
-// xdsSource reads the block of a cluster that is told in xDS form.
+// xdsSource reads a cluster's xds block.
 func (p *parser) xdsSource(s *block, c *cluster.Config, zones []string) {
 	twice := false
 	for _, b := range s.blocks {
@@ -138,7 +138,7 @@
 			x.Priority = e.integer("level", 0, 0, 127)
 		}
 		if x.Server == "" {
-			x.Server, _ = cluster.SystemServer() // clusters of names alone need one
+			x.Server, _ = cluster.SystemServer() // needed for clusters of names alone
 		} else if _, port, err := net.SplitHostPort(x.Server); err != nil || port == "" {
 			e.report(e.rangeOf("server"), "Not an address", "%q is no address and port.", x.Server)
 		}
