--- a/internal/gateway/appliedversions.go
+++ b/internal/gateway/appliedversions.go
@@ -9,17 +9,17 @@
 	"silvertrail/internal/fleet/version"
 )
 
-// listVersion is a cluster's list as it was hashed last.
+// listVersion is the version of a cluster's members, hashed once for each revision.
 type listVersion struct {
 	cluster  *sharedCluster
 	revision uint64
 	entry    version.Entry
 }
 
-// appliedVersions tells what this process decides by, for the fleet to tell the others. The fleet calls it, one call at a time.
+// appliedVersions returns the versions of what this process acts on, for the other members. The fleet calls it, one call at a time.
 func (g *Gateway) appliedVersions() []version.Entry {
 	if g.state.Load() == nil {
-		return nil // it decides nothing yet
+		return nil // nothing is in force yet
 	}
 	s := g.acquire()
 	defer g.release(s)
@@ -38,7 +38,7 @@
 			l = listVersion{c, revision, listEntry(name, c.Members())}
 			g.listVersions[name] = l
 		}
-		if l.revision > 0 { // else no source has said anything
+		if l.revision > 0 { // else no source has reported yet
 			out = append(out, l.entry)
 		}
 	}
@@ -57,7 +57,7 @@
 	return out
 }
 
-// listEntry is the version of a cluster's members: the same at two instances that may send to the same ones.
+// listEntry returns the version of a cluster's members: the same at two instances whose members are the same.
 func listEntry(name string, members []endpointlist.Endpoint) version.Entry {
 	lines := make([]string, len(members))
 	ready := 0
@@ -71,13 +71,16 @@
 	return version.Entry{Kind: version.List, Name: name, Hash: version.HashOf([]byte(strings.Join(lines, ""))), Description: fmt.Sprintf("%d members, %d ready", len(members), ready)}
 }
 
-// setReloadError notes whether the last file that was to be taken up was turned away, and why.
+// maxReloadErrorBytes bounds the text of a reload error that the fleet's members see.
+const maxReloadErrorBytes = 200
+
+// setReloadError records the result of the last reload.
 func (g *Gateway) setReloadError(err error) {
 	if err == nil {
 		g.reloadError.Store(nil)
 		return
 	}
 	why, _, _ := strings.Cut(err.Error(), "\n")
-	why = why[:min(len(why), 200)]
+	why = why[:min(len(why), maxReloadErrorBytes)]
 	g.reloadError.Store(&why)
 }
--- a/internal/gateway/conf/conf_test.go
+++ b/internal/gateway/conf/conf_test.go
@@ -54,7 +54,7 @@
 	if reserva.Effect != lbpolicy.KeyedIdempotent || reserva.Scope != lbpolicy.ScopeZone || reserva.Window != 7500*time.Millisecond || reserva.PriorityWeight != 10 {
 		t.Errorf("%+v", reserva)
 	}
-	found, ok := f.Routes.Find(&route.Request{Listener: "public", Host: "a.inscripciones.example", Path: "/schools/9/seats", Method: "GET"}) //nolint:misspell // the misspelling is the test
+	found, ok := f.Routes.Find(&route.Request{Listener: "public", Host: "a.inscripciones.example", Path: "/schools/9/seats", Method: "GET"})
 	if !ok || found.Rule.Name != "seats" || found.Rule.Timeout != 1500*time.Millisecond || found.Rule.Failover != "portal-sur" {
 		t.Errorf("%+v", found)
 	}
--- a/internal/gateway/conf/controlplane.go
+++ b/internal/gateway/conf/controlplane.go
@@ -9,7 +9,6 @@
 
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/edge/certs"
-	"silvertrail/internal/xds/bootstrap"
 )
 
 // maxPeers bounds the peers of a control-plane server.
@@ -58,7 +57,7 @@
 		case slices.ContainsFunc(o.Peers, func(is api.Peer) bool { return is.Name == pl.Name }):
 			p.report(inner.LabelRanges[0], "Named twice", "A peer named %q is there already.", pl.Name)
 		default:
-			o.Peers = append(o.Peers, api.Peer{Name: pl.Name, Plane: bootstrap.ControlPlane(pl)})
+			o.Peers = append(o.Peers, api.Peer{Name: pl.Name, Plane: pl})
 		}
 	}
 	if n := len(o.Peers); n > maxPeers {
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -10,25 +10,25 @@
 	"silvertrail/internal/edge/admission"
 )
 
-// freeDescriptors has all listeners give back descriptors: the process has none for a connection to an endpoint.
+// freeDescriptors closes idle connections of all listeners: the process has no descriptor for a connection to an endpoint.
 func (g *Gateway) freeDescriptors() { g.freeDescriptorsExcept(nil) }
 
-// freeDescriptorsExcept has all listeners but one give back descriptors.
-func (g *Gateway) freeDescriptorsExcept(but *boundListener) {
+// freeDescriptorsExcept closes idle connections of all listeners but one.
+func (g *Gateway) freeDescriptorsExcept(except *boundListener) {
 	n := 0
 	if open := g.openListeners.Load(); open != nil {
 		for _, f := range *open {
-			if f != but {
+			if f != except {
 				n += f.FreeDescriptors()
 			}
 		}
 	}
 	g.exhaustionLog.Do(func() {
-		g.log.Warn("out of descriptors: connections are taken up more slowly; raise the system's limit, or lower sockets", "ended_idle", n)
+		g.log.Warn("descriptors exhausted, capacity reduced: raise the system's limit, or lower sockets", "closed_idle", n)
 	})
 }
 
-// ListenerStatus is how the connections of a listener stand.
+// ListenerStatus is the state of a listener's connections, as the control socket reports it.
 type ListenerStatus struct {
 	Listener string `json:"listener"`
 	Address  string `json:"address"`
@@ -38,13 +38,16 @@
 	Source *admission.AddressStatus `json:"who,omitempty"`
 }
 
-// maxListedSources bounds how many sources are told of.
-const maxListedSources = 1000
+// Bounds of the sources that are listed.
+const (
+	defaultListedSources = 10
+	maxListedSources     = 1000
+)
 
-// handleConnections tells how all listeners' connections stand, and how an address stands where one is named.
+// handleConnections reports the state of all listeners' connections, and of an address where one is named.
 func (g *Gateway) handleConnections(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	sources := 10
+	sources := defaultListedSources
 	if text := q.Get("sources"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 0 || n > maxListedSources {
@@ -64,7 +67,7 @@
 	writeJSON(w, g.listenerStatus(sources, who))
 }
 
-// listenerStatus tells how all listeners stand.
+// listenerStatus returns the state of all listeners, ordered by name.
 func (g *Gateway) listenerStatus(sources int, who netip.Addr) []ListenerStatus {
 	var out []ListenerStatus
 	for _, f := range *g.openListeners.Load() {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -14,8 +14,7 @@
 	"silvertrail/lbpolicy"
 )
 
-// controlSocket is the socket on which the running process tells of itself to those who run it: a file that its owner alone can
-// open. It answers questions, and changes whether this sala takes what others send.
+// controlSocket is the Unix socket for operators, which its owner alone can open. It reports state, drains links, and publishes resources.
 type controlSocket struct {
 	server *http.Server
 	path   string
@@ -29,7 +28,7 @@
 		c.Close()
 		return fmt.Errorf("gateway: control: another process listens on %s", path)
 	}
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // one that a dead process has left
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) { // left by a process that was killed
 		return fmt.Errorf("gateway: control: %w", err)
 	}
 	l, err := net.Listen("unix", path)
@@ -55,19 +54,19 @@
 	mux.HandleFunc("GET /control-plane", g.handleControlPlane)
 	mux.HandleFunc("POST /control-plane/publish", g.handlePublication)
 	g.control = &controlSocket{server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, MaxHeaderBytes: 16 << 10}, path: path}
-	go g.control.server.Serve(l)
+	go func() { _ = g.control.server.Serve(l) }() // returns when the server is closed
 	return nil
 }
 
 func (g *Gateway) closeControl() {
 	if g.control != nil {
-		g.control.server.Close()
+		_ = g.control.server.Close() // the process ends, or the listener is closed already
 	}
 }
 
-func writeJSON(w http.ResponseWriter, what any) {
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(what)
+	json.NewEncoder(w).Encode(value)
 }
 
 func (g *Gateway) handleDiscovery(w http.ResponseWriter, _ *http.Request) {
@@ -78,7 +77,7 @@
 	writeJSON(w, g.discovery.Dump())
 }
 
-// FleetStatus is what an instance tells of its fleet.
+// FleetStatus is the state of the fleet, as the control socket reports it.
 type FleetStatus struct {
 	Instances int            `json:"instances"`
 	Place     int            `json:"place"`
@@ -122,15 +121,15 @@
 	writeJSON(w, v)
 }
 
-// KeyStatus is what an instance tells of a key.
+// KeyStatus is what an instance knows of a key, as the control socket reports it.
 type KeyStatus struct {
-	Local KeyLocation  `json:"here"`            // of attempts that this instance has made
-	Voter *KeyLocation `json:"voter,omitempty"` // of what its voter has agreed to
-	// VoterAbstains is for how long the voter, which has been started lately, says nothing.
+	Local KeyLocation  `json:"here"`            // from this instance's own attempts
+	Voter *KeyLocation `json:"voter,omitempty"` // from the claims that its voter has accepted
+	// VoterAbstains is how long the voter, which was started recently, still abstains.
 	VoterAbstains string `json:"silent,omitempty"`
 }
 
-// KeyLocation is where a key may have run, or runs.
+// KeyLocation is the group that owns a key.
 type KeyLocation struct {
 	Known         bool      `json:"known"`
 	Cluster       string    `json:"cluster,omitempty"`
@@ -138,9 +137,10 @@
 	Cell          int       `json:"cell,omitempty"`
 	SeveralGroups bool      `json:"split,omitempty"`
 	RetryUntil    time.Time `json:"until,omitzero"`
-	Expired       bool      `json:"over,omitempty"` // its window: repeats fail
+	Expired       bool      `json:"over,omitempty"` // after its window: retries fail
 }
 
+// String returns the location in the words of the command "fleet key".
 func (k KeyLocation) String() string {
 	switch {
 	case !k.Known:
--- a/internal/gateway/controlplane.go
+++ b/internal/gateway/controlplane.go
@@ -10,20 +10,23 @@
 	"silvertrail/internal/controlplane/api"
 )
 
-// ControlPlane tells sidecars what is published on it.
+// ControlPlane is a control-plane server, which sends published resources to subscribers.
 type ControlPlane interface {
+	// Addr returns the address for subscribers.
 	Addr() string
+	// Publish publishes a response in protobuf JSON, and removes resources.
 	Publish(text []byte, remove []string) (api.Published, error)
+	// Status returns the state of subscribers and peers.
 	Status() api.Status
 	Close()
 }
 
-// WithControlPlane has the gateway be a control machine where its configuration says so.
+// WithControlPlane has the gateway run a control-plane server where its configuration has one.
 func WithControlPlane(start func(api.Options, *slog.Logger) (ControlPlane, error)) Option {
 	return func(g *Gateway) { g.newControlPlane = start }
 }
 
-// ErrNoControlPlane says that a configuration needs what this program was built without.
+// ErrNoControlPlane reports a configuration that needs a part which this program was built without.
 var ErrNoControlPlane = errors.New("gateway: the control_plane block: this program was built without it, for less memory (build it with -tags xds)")
 
 func (g *Gateway) startControlPlane(o api.Options) (err error) {
@@ -31,13 +34,13 @@
 		return ErrNoControlPlane
 	}
 	plane, err := g.newControlPlane(o, g.log)
-	if err == nil { // else it is no nil to compare with
+	if err == nil { // a nil pointer in the interface would not be nil
 		g.controlPlane = plane
 	}
 	return err
 }
 
-// ControlPlane returns the address on which sidecars are served; empty: this instance is no control machine.
+// ControlPlane returns the address of the control-plane server; empty: there is none.
 func (g *Gateway) ControlPlane() string {
 	if g.controlPlane == nil {
 		return ""
@@ -45,13 +48,13 @@
 	return g.controlPlane.Addr()
 }
 
-// Publication is what is to be published.
+// Publication is a request to publish resources, and to remove some.
 type Publication struct {
 	Text   string   `json:"text"`   // a response in protobuf JSON; empty: none
 	Remove []string `json:"remove"` // "cluster/NAME" or "endpoints/NAME"
 }
 
-const maxPublicationBytes = 64 << 20 // bytes
+const maxPublicationBytes = 64 << 20
 
 func (g *Gateway) handleControlPlane(w http.ResponseWriter, _ *http.Request) {
 	if g.controlPlane == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,8 +1,8 @@
-// Package gateway is the product: listeners, routes and clusters in one process, under one configuration file that can
-// be replaced while requests are in work.
+// Package gateway is the product: listeners, routes and clusters in one process, under one configuration file that can be replaced while
+// requests are in flight.
 //
-// A request is served from its head to its last byte under the state that it met. A reload makes a new state beside the
-// one in force, all or nothing; the old one goes when its last request has ended.
+// A request is served under the configuration that it was routed with. A reload makes a new state beside the one in force, or fails and
+// changes nothing; the old state is released with its last request.
 package gateway
 
 import (
@@ -31,39 +31,43 @@
 	"silvertrail/internal/xds/cache"
 )
 
-const reservedSockets = 32 // standard streams, listeners, sources, the runtime's own
+const (
+	reservedSockets = 32              // standard streams, listeners, sources, the runtime's own
+	minEndpointConn = 8               // descriptors for connections to endpoints
+	leaveTimeout    = 2 * time.Second // for the fleet's members to learn that this one leaves
+)
 
 // Gateway runs a configuration. All its methods may be called from any goroutine.
 type Gateway struct {
 	log             *slog.Logger
 	keys            *idempotency.Table
 	resources       *cluster.Resources
-	fleet           *fleet.Fleet   // nil: this instance is alone
+	fleet           *fleet.Fleet   // nil: no fleet
 	ledger          *ledger.Ledger // nil: nothing is recorded
 	newDiscovery    func(bootstrap.Options, *slog.Logger) Discovery
 	discovery       Discovery // nil: no control planes
 	newControlPlane func(api.Options, *slog.Logger) (ControlPlane, error)
-	controlPlane    ControlPlane                      // nil: this instance is no control machine
-	transport       atomic.Pointer[peering.Transport] // nil: no other salas
-	site            string                            // this one's name; empty: there is no link
-	saturationMu    sync.Mutex
-	saturation      forwarding.Saturation
-	draining        atomic.Bool // nothing new is taken from other salas
-	drainingOwn     atomic.Bool // and what is this sala's own goes to others first
+	controlPlane    ControlPlane // nil: this instance is no control-plane server
+	control         *controlSocket
+	transport       atomic.Pointer[peering.Transport] // nil: no other sites
+	site            string                            // this one's name; empty: there are no links
+	draining        atomic.Bool                       // no request is accepted from other sites
+	drainingOwn     atomic.Bool                       // this site's own requests are forwarded to other sites first
 	quota           atomic.Pointer[fleet.Quota]
 	state           atomic.Pointer[state]
+	reloadError     atomic.Pointer[string] // of the last reload; nil: it succeeded
+	exhaustionLog   rate.Sometimes
+
+	saturationMu sync.Mutex
+	saturation   forwarding.Saturation
 
-	mu            sync.Mutex // one reload, or the end, at a time
+	mu            sync.Mutex // one reload, or the shutdown, at a time
 	listeners     map[string]*boundListener
-	openListeners atomic.Pointer[[]*boundListener] // the same, for those who can't wait for a reload
+	openListeners atomic.Pointer[[]*boundListener] // the same, for readers that must not wait for a reload
 	closed        bool
-	retiring      sync.WaitGroup // fronts that are ending
-
-	control      *controlSocket
-	reloadError  atomic.Pointer[string] // why the last file was turned away; nil: it was not
-	listVersions map[string]listVersion // of acting alone
+	retiring      sync.WaitGroup // listeners that are shutting down
 
-	exhaustionLog rate.Sometimes // are logged
+	listVersions map[string]listVersion // of appliedVersions alone
 }
 
 // boundListener is a listener in use.
@@ -73,16 +77,16 @@
 	router   *router
 }
 
-// state is what a request is served under. It never changes.
+// state is what a request is served under. It is immutable.
 type state struct {
 	file     *conf.File
 	classes  map[string]int
 	tenants  map[string]int
 	clusters map[string]*sharedCluster
-	refs     atomic.Int64 // one for being in force, one for each request
+	refs     atomic.Int64 // one while it is in force, one for each request
 }
 
-// sharedCluster is a cluster and the number of states that know it.
+// sharedCluster is a cluster with the number of states that use it.
 type sharedCluster struct {
 	*cluster.Cluster
 	refs atomic.Int64
@@ -91,12 +95,14 @@
 // Discovery follows control planes.
 type Discovery interface {
 	cluster.Discovery
+	// Update uses other control planes.
 	Update(o bootstrap.Options)
+	// Dump returns the state of the control planes and of their resources.
 	Dump() cache.Dump
 	Close()
 }
 
-// Option is something that not every program of the product has.
+// Option adds a part that not every program has.
 type Option func(*Gateway)
 
 // WithDiscovery has the gateway take clusters and endpoints from control planes.
@@ -104,76 +110,104 @@
 	return func(g *Gateway) { g.newDiscovery = start }
 }
 
-// ErrNoDiscovery says that a configuration needs what this program was built without.
+// ErrNoDiscovery reports a configuration that needs a part which this program was built without.
 var ErrNoDiscovery = errors.New("gateway: the xds block: this program was built without it, for less memory (build it with -tags xds)")
 
 // Start runs a configuration.
 func Start(file *conf.File, log *slog.Logger, options ...Option) (*Gateway, error) {
-	g := &Gateway{log: log, keys: idempotency.New(file.Process.MaxKeys), listeners: map[string]*boundListener{},
-		resources: cluster.NewResources(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory)}
+	g := &Gateway{
+		log:       log,
+		keys:      idempotency.New(file.Process.MaxKeys),
+		listeners: map[string]*boundListener{},
+		resources: cluster.NewResources(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory),
+	}
 	g.resources.OnExhausted = g.freeDescriptors
 	g.exhaustionLog.Interval = time.Second
 	for _, o := range options {
 		o(g)
 	}
-	if file.Ledger != nil { // the first: it takes its directory, and reads it, before anything is promised
-		o := *file.Ledger
-		o.Log = log
-		var err error
-		if g.ledger, err = ledger.Start(o); err != nil {
-			return nil, err
-		}
+	// The ledger is first: it locks its directory, and reads it, before anything is promised.
+	if err := g.startLedger(file); err != nil {
+		return nil, err
 	}
+	if err := g.startParts(file); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Gateway) startLedger(file *conf.File) error {
+	if file.Ledger == nil {
+		return nil
+	}
+	o := *file.Ledger
+	o.Log = g.log
+	var err error
+	g.ledger, err = ledger.Start(o)
+	return err
+}
+
+// startParts starts everything but the ledger. After an error Close ends what was started.
+func (g *Gateway) startParts(file *conf.File) error {
 	if file.ControlPlane != nil {
 		if err := g.startControlPlane(*file.ControlPlane); err != nil {
-			g.Close()
-			return nil, err
+			return err
 		}
 	}
 	if file.XDS != nil {
 		if g.newDiscovery == nil {
-			g.Close()
-			return nil, ErrNoDiscovery
+			return ErrNoDiscovery
 		}
-		g.discovery = g.newDiscovery(*file.XDS, log)
+		g.discovery = g.newDiscovery(*file.XDS, g.log)
 		g.resources.Discovery = g.discovery
 	}
-	if file.Fleet != nil {
-		o := *file.Fleet
-		o.Log = log
-		if file.Link == nil { // else it spans salas, whose endpoints are not shared
-			o.OnQuotaChange = g.setQuota
-		}
-		o.AppliedVersions = g.appliedVersions
-		var err error
-		if g.fleet, err = fleet.Start(o); err != nil {
-			g.Close()
-			return nil, err
-		}
+	if err := g.startFleet(file); err != nil {
+		return err
 	}
 	if file.Link != nil {
 		g.site = file.Link.Site
 	}
-	err := g.Reload(file)
-	if err == nil && file.Link != nil { // calls come from now on: there must be a state
-		o := *file.Link
-		o.Handler, o.Logger = siteServer{g}, log
-		var l *peering.Transport
-		if l, err = peering.Start(o); err == nil {
-			g.transport.Store(l)
-		}
+	if err := g.Reload(file); err != nil {
+		return err
 	}
-	if err == nil {
-		err = g.openControl(file.Control)
+	// Requests of other sites come from now on: there must be a state.
+	if err := g.startTransport(file); err != nil {
+		return err
 	}
-	if err != nil {
-		g.Close()
-		return nil, err
+	return g.openControl(file.Control)
+}
+
+func (g *Gateway) startFleet(file *conf.File) error {
+	if file.Fleet == nil {
+		return nil
 	}
-	return g, nil
+	o := *file.Fleet
+	o.Log = g.log
+	if file.Link == nil { // with links the fleet spans sites, whose endpoints are not shared
+		o.OnQuotaChange = g.setQuota
+	}
+	o.AppliedVersions = g.appliedVersions
+	var err error
+	g.fleet, err = fleet.Start(o)
+	return err
+}
+
+func (g *Gateway) startTransport(file *conf.File) error {
+	if file.Link == nil {
+		return nil
+	}
+	o := *file.Link
+	o.Handler = siteServer{g}
+	o.Logger = g.log
+	transport, err := peering.Start(o)
+	if err == nil {
+		g.transport.Store(transport)
+	}
+	return err
 }
 
-// setQuota tells all clusters what part of the whole is this instance's.
+// setQuota sets this instance's part of the whole fleet's limits for all clusters.
 func (g *Gateway) setQuota(quota fleet.Quota) {
 	g.quota.Store(&quota)
 	if s := g.state.Load(); s != nil {
@@ -187,23 +221,12 @@
 	}
 }
 
-// updateFleet takes up what a file says of the fleet. An error means that nothing has changed.
-func (g *Gateway) updateFleet(file *conf.File) error {
-	switch {
-	case (g.fleet == nil) != (file.Fleet == nil):
-		return errors.New("gateway: a fleet begins and ends with the process: restart it")
-	case g.fleet == nil:
-		return nil
-	}
-	return g.fleet.Update(*file.Fleet)
-}
-
-// endpointConns is what is left of the descriptors when callers have their half.
+// endpointConns returns the descriptors that are left for connections to endpoints when clients have half of all.
 func endpointConns(file *conf.File) int64 {
-	return int64(max(file.Process.Sockets/2-reservedSockets, 8))
+	return int64(max(file.Process.Sockets/2-reservedSockets, minEndpointConn))
 }
 
-// acquire returns the state in force, held for a request.
+// acquire returns the state in force with a reference for a request.
 func (g *Gateway) acquire() *state {
 	for {
 		s := g.state.Load()
@@ -213,7 +236,7 @@
 	}
 }
 
-// release lets go of a state. With its last holder go the clusters that no other state knows.
+// release drops a reference. With the last one the clusters are closed that no other state uses.
 func (g *Gateway) release(s *state) {
 	if s.refs.Add(-1) > 0 {
 		return
@@ -225,7 +248,7 @@
 	}
 }
 
-// Addr returns the address of a listener, or nil.
+// Addr returns the address of a listener, or nil where there is none.
 func (g *Gateway) Addr(name string) net.Addr {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -237,7 +260,7 @@
 	return nil
 }
 
-// Members returns how many members each cluster has.
+// Members returns the number of members of each cluster.
 func (g *Gateway) Members() map[string]int {
 	s := g.acquire()
 	defer g.release(s)
@@ -248,8 +271,8 @@
 	return out
 }
 
-// Shutdown ends the program's work: callers are served on for half of the time to stop, connections are closed after the
-// answers that they wait for, and all has its answer when the time is over.
+// Shutdown shuts down gracefully: clients are served on for half of the shutdown time, then connections are closed after the responses that
+// they wait for. When the time is over each request has its response.
 func (g *Gateway) Shutdown() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -257,27 +280,28 @@
 		return
 	}
 	g.closed = true
-	g.draining.Store(true) // other salas hear it with the next heartbeat
+	g.draining.Store(true) // other sites learn it with the next heartbeat
 	s := g.state.Load()
 	now := time.Now()
-	by := now.Add(s.file.Process.ShutdownTime)
+	deadline := now.Add(s.file.Process.ShutdownTime)
+	serveUntil := now.Add(s.file.Process.ShutdownTime / 2)
 	for _, c := range s.clusters {
-		c.ShutDownBy(by)
+		c.ShutDownBy(deadline)
 	}
 	for _, f := range g.listeners {
-		g.retiring.Go(func() { f.Shutdown(now.Add(s.file.Process.ShutdownTime/2), by) })
+		g.retiring.Go(func() { f.Shutdown(serveUntil, deadline) })
 	}
 	if l := g.transport.Load(); l != nil {
 		g.retiring.Go(func() {
-			time.Sleep(time.Until(now.Add(s.file.Process.ShutdownTime / 2)))
-			l.Drain(by)
+			time.Sleep(time.Until(serveUntil))
+			l.Drain(deadline)
 		})
 	}
 	g.retiring.Wait()
 	if l := g.transport.Load(); l != nil {
 		l.Close()
 	}
-	if g.fleet != nil { // the last: until now its votes count
+	if g.fleet != nil { // after the requests, whose keys need its votes
 		g.fleet.Leave(leaveTimeout)
 	}
 	if g.discovery != nil {
@@ -287,22 +311,19 @@
 		g.controlPlane.Close()
 	}
 	g.closeControl()
-	if g.ledger != nil { // after the last answer
+	if g.ledger != nil { // after the last response
 		g.ledger.Close()
 	}
 	g.release(s)
 }
 
-// leaveTimeout is how long the others have to hear that this instance goes.
-const leaveTimeout = 2 * time.Second
-
-// Close ends everything at once: for tests and for a second signal.
+// Close ends everything at once.
 func (g *Gateway) Close() {
 	g.mu.Lock()
 	fronts := slices.Collect(maps.Values(g.listeners))
 	g.mu.Unlock()
 	for _, f := range fronts {
-		f.Close()
+		_ = f.Close() // closes a listener that may be closed already
 	}
 	if l := g.transport.Load(); l != nil {
 		l.Close()
@@ -322,8 +343,8 @@
 	}
 }
 
-// Run serves until ctx ends, then ends. Each value on reload has the file read again: one that can't be used changes
-// nothing, and the log says why.
+// Run serves until ctx ends, and then shuts down. Each value on reload has the file read again. With an unusable file the configuration in
+// force stays, which is logged.
 func (g *Gateway) Run(ctx context.Context, path string, reload <-chan struct{}) {
 	for {
 		select {
@@ -337,8 +358,16 @@
 			}
 			g.setReloadError(err)
 			if err != nil {
-				g.log.Error("reload: the configuration in force is kept", "error", err)
+				g.log.Error("reload failed, the configuration in force is kept", "error", err)
 			}
 		}
 	}
 }
+
+// FleetAddr returns the address on which other members of the fleet reach this one, or "" without a fleet.
+func (g *Gateway) FleetAddr() string {
+	if g.fleet == nil {
+		return ""
+	}
+	return g.fleet.Addr()
+}
--- a/internal/gateway/keyclaimer.go
+++ b/internal/gateway/keyclaimer.go
@@ -12,101 +12,123 @@
 	"silvertrail/internal/gateway/conf"
 )
 
-// keyClaimer binds one request's key over the fleet. It implements host.Binder.
+// keyClaimer claims the key of one request from the fleet's voters. It implements engine.Claimer.
 type keyClaimer struct {
 	fleet    *fleet.Fleet
-	proposal ownership.Proposal
 	deadline time.Time
 
-	mu       sync.Mutex // one ask at a time
+	mu       sync.Mutex // one claim at a time
+	proposal ownership.Proposal
 	proposed bool
-	// resumed: another sala has begun the request and tells the voters of its end.
+	// resumed: another site has begun the request, and reports its end to the voters.
 	resumed        bool
-	reservedRounds uint32 // of turns that are another sala's when the request is carried to it
-	ended          bool   // the request is: no ask of it may follow its end
+	reservedRounds uint32 // for another site that the request is forwarded to
+	ended          bool   // no claim may follow the request's end
 	ownership      ownership.State
-	keyStateMu     sync.Mutex // of past
-	keyState       idempotency.KeyState
+
+	keyStateMu sync.Mutex
+	keyState   idempotency.KeyState
 }
 
 func newKeyClaimer(f *fleet.Fleet, id idempotency.KeyID, c *conf.Class, deadline time.Time) *keyClaimer {
-	return &keyClaimer{fleet: f, deadline: deadline, reservedRounds: reservedRoundsAfter(0), proposal: ownership.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Retention}}
+	return &keyClaimer{
+		fleet:          f,
+		deadline:       deadline,
+		reservedRounds: reservedRoundsAfter(0),
+		proposal:       ownership.Proposal{Attempt: f.NextAttemptID(), Key: id, Scope: c.Scope, Window: c.Window, Retention: c.Retention},
+	}
 }
 
-// resumeKeyClaimer returns the binder of a request that another sala has begun, under the numbers that the voters know it by. Its end
-// is the other sala's to tell.
-func resumeKeyClaimer(f *fleet.Fleet, id idempotency.KeyID, c *conf.Class, deadline time.Time, try ownership.AttemptID, turn uint32, been int) *keyClaimer {
+// resumeKeyClaimer returns the claimer of a request that another site has begun, under the numbers by which the voters know it. The other
+// site reports its end.
+func resumeKeyClaimer(f *fleet.Fleet, id idempotency.KeyID, c *conf.Class, deadline time.Time, attempt ownership.AttemptID, round uint32, visitedSites int) *keyClaimer {
 	b := newKeyClaimer(f, id, c, deadline)
-	b.reservedRounds = reservedRoundsAfter(been)
-	b.proposal.Attempt, b.proposal.Round, b.proposed, b.resumed = try, turn, true, true
+	b.reservedRounds = reservedRoundsAfter(visitedSites)
+	b.proposal.Attempt = attempt
+	b.proposal.Round = round
+	b.proposed = true
+	b.resumed = true
 	return b
 }
 
-// reservedRoundsAfter returns how many turns another sala has to itself, for a request that has been to so many: its answer may be lost,
-// and with it the last turn that it asked for. Each has room for 64 of its own and of those that it carries the request
-// to, at least. Past the fourth sala there is none: what it is carried to asks in its own name.
-func reservedRoundsAfter(been int) uint32 {
-	if been > 3 {
+const (
+	maxResumedSites   = 3  // the numbers of a request are passed on to so many sites
+	roundBits         = 24 // log2 of the rounds that the first site reserves for the next
+	roundBitsPerVisit = 6  // each further site reserves 64 times fewer
+)
+
+// reservedRoundsAfter returns how many rounds a site reserves for another one that a request is forwarded to, after so many visited sites:
+// the other site's response may be lost, and with it the last round that it proposed. Each site has at least 64 rounds for itself and for
+// those that it forwards the request to. Beyond the bound none are reserved: a further site claims in its own name.
+func reservedRoundsAfter(visitedSites int) uint32 {
+	if visitedSites > maxResumedSites {
 		return 0
 	}
-	return 1 << (24 - 6*been)
+	return 1 << (roundBits - roundBitsPerVisit*visitedSites)
 }
 
-// delegate returns the numbers under which another sala may go on with the request, all of whose attempts here never ran. The
-// turns that it may ask for are not asked for here any more.
+// delegate returns the numbers under which another site may go on with the request, none of whose attempts here ran. Its reserved rounds
+// are not proposed here any more.
 func (b *keyClaimer) delegate() (ownership.AttemptID, uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	turn := b.proposal.Round
-	if b.reservedRounds == 0 || turn > math.MaxUint32-b.reservedRounds {
+	round := b.proposal.Round
+	if b.reservedRounds == 0 || round > math.MaxUint32-b.reservedRounds {
 		return ownership.AttemptID{}, 0
 	}
-	b.proposed, b.ownership = true, ownership.Pending
+	b.proposed = true
+	b.ownership = ownership.Pending
 	b.proposal.Round += b.reservedRounds
-	return b.proposal.Attempt, turn
+	return b.proposal.Attempt, round
 }
 
+// KeyState implements engine.Claimer.
 func (b *keyClaimer) KeyState() idempotency.KeyState {
 	b.keyStateMu.Lock()
 	defer b.keyStateMu.Unlock()
 	return b.keyState
 }
 
-// IsActive implements host.Binder.
+// IsActive implements engine.Claimer.
 func (b *keyClaimer) IsActive() bool { return true }
 
-// Claim implements host.Binder. An attempt in the group that the key is bound to already needs no further ask. One in
-// another group is asked for only where all attempts before it never ran: the history has seen to that.
-func (b *keyClaimer) Claim(ctx context.Context, to idempotency.Place) {
+// Claim implements engine.Claimer. An attempt in the group that owns the key needs no further claim. One in another group claims only where
+// no attempt before it ran: the request's idempotency history ensures that.
+func (b *keyClaimer) Claim(ctx context.Context, place idempotency.Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended || ctx.Err() != nil || b.ownership == ownership.Claimed && b.KeyState().Allows(to, b.proposal.Scope) {
+	isOwned := b.ownership == ownership.Claimed && b.KeyState().Allows(place, b.proposal.Scope)
+	if b.ended || ctx.Err() != nil || isOwned {
 		return
 	}
 	if b.proposed {
 		b.proposal.Round++
 	}
-	b.proposed, b.proposal.Place, b.proposal.TTL = true, to, time.Until(b.deadline)
-	var past idempotency.KeyState
-	if b.ownership = ownership.Unknown; b.proposal.TTL > 0 {
-		b.ownership, past = b.fleet.ClaimKey(ctx, b.proposal)
+	b.proposed = true
+	b.proposal.Place = place
+	b.proposal.TTL = time.Until(b.deadline)
+	b.ownership = ownership.Unknown
+	state := unknownOwner
+	if b.proposal.TTL > 0 {
+		b.ownership, state = b.fleet.ClaimKey(ctx, b.proposal)
 	}
-	if b.ownership == ownership.Unknown { // it may be bound to any group
-		past = unknownOwner
+	if b.ownership == ownership.Unknown { // any group may own it
+		state = unknownOwner
 	}
 	b.keyStateMu.Lock()
 	defer b.keyStateMu.Unlock()
-	b.keyState = past
+	b.keyState = state
 }
 
-// unknownOwner is what is known of a key where nothing can be known: nothing can be sent anywhere.
+// unknownOwner is the state of a key of which nothing can be known: nothing may be sent anywhere.
 var unknownOwner = idempotency.KeyState{Known: true, SeveralGroups: true}
 
-// release tells the voters that the request is over.
+// release reports the end of the request to the voters.
 func (b *keyClaimer) release(mayHaveRun bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended = true; b.proposed && !b.resumed {
+	b.ended = true
+	if b.proposed && !b.resumed {
 		b.fleet.Release(ownership.Release{Attempt: b.proposal.Attempt, NeverRan: !mayHaveRun})
 	}
 }
--- a/internal/gateway/ledgerrecord.go
+++ b/internal/gateway/ledgerrecord.go
@@ -15,7 +15,7 @@
 	"silvertrail/lbpolicy"
 )
 
-// attemptRecorder gives a request's attempts to the ledger. It implements engine.Recorder.
+// attemptRecorder records a request's attempts in the ledger. It implements engine.Recorder.
 type attemptRecorder struct {
 	entry *ledger.Entry
 	terms idempotency.Terms
@@ -25,40 +25,40 @@
 	return r.entry.Attempt(endpoint, r.terms)
 }
 
-// terms are what the request's class promises of its keys.
+// terms returns what the request's class promises of its keys.
 func (x *exchange) terms() idempotency.Terms {
 	return idempotency.Terms{Scope: x.class.Scope, Window: x.class.Window, Retention: x.class.Retention}
 }
 
-// mergeRecoveredKey takes into the history what former processes have recorded of the request's key. Where records are lost that could
-// have told of it, nothing can be promised.
-func (x *exchange) mergeRecoveredKey(now time.Time, print idempotency.Fingerprint) (a engine.Result, ok bool) {
+// mergeRecoveredKey merges what former processes have recorded of the request's key into the table of keys. Where records were lost that
+// may have been of the key, nothing can be promised.
+func (x *exchange) mergeRecoveredKey(now time.Time, fingerprint idempotency.Fingerprint) (result engine.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
-		return a, true
+		return result, true
 	}
-	k, was, found := l.RecoveredKey(now, x.keyID)
+	state, recorded, found := l.RecoveredKey(now, x.keyID)
 	switch {
 	case !found:
 		if l.IsUncertain(now) {
 			return engine.Result{MayHaveRun: true}, false
 		}
-	case print != idempotency.Fingerprint{} && was != idempotency.Fingerprint{} && l.MaskFingerprint(print) != was:
+	case fingerprint != idempotency.Fingerprint{} && recorded != idempotency.Fingerprint{} && l.MaskFingerprint(fingerprint) != recorded:
 		x.rejection = problemReply(http.StatusUnprocessableEntity, keyReusedTitle)
-		return a, false
+		return result, false
 	default:
-		x.gateway.keys.Merge(now, k)
+		x.gateway.keys.Merge(now, state)
 	}
-	return a, true
+	return result, true
 }
 
-// beginRecord has the request recorded. Where it can't be nothing is sent, and its caller is told so at once.
-func (x *exchange) beginRecord(print idempotency.Fingerprint) (a engine.Result, ok bool) {
+// beginRecord records the request. Where that fails the request is rejected at once, and nothing is sent.
+func (x *exchange) beginRecord(fingerprint idempotency.Fingerprint) (result engine.Result, ok bool) {
 	l := x.gateway.ledger
 	if l == nil {
-		return a, true
+		return result, true
 	}
-	r := ledger.Request{ID: x.outgoing.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.keyID, Fingerprint: print,
+	r := ledger.Request{ID: x.outgoing.Header.Get("X-Request-Id"), Class: x.class.Name, Tenant: x.tenant, Key: x.key, KeyID: x.keyID, Fingerprint: fingerprint,
 		TimeLeft: x.policyRequest.TimeLeft, Unrecorded: x.class.ServeUnrecorded}
 	if x.forwarded != nil && len(x.forwarded.VisitedSites) > 0 {
 		r.FromSite = x.forwarded.VisitedSites[len(x.forwarded.VisitedSites)-1]
@@ -68,19 +68,22 @@
 		return engine.Result{Rejected: true, RetryAfter: unrecordedRetryAfter(err)}, false
 	}
 	x.record = e
-	return a, true
+	return result, true
 }
 
-// unrecordedRetryAfter is when a caller is told to come back whose request can't be recorded.
+// minUnrecordedRetryAfter is the least Retry-After of a request that cannot be recorded.
+const minUnrecordedRetryAfter = 100 * time.Millisecond
+
+// unrecordedRetryAfter returns the Retry-After of a request that cannot be recorded.
 func unrecordedRetryAfter(err error) time.Duration {
 	var u *ledger.UnavailableError
 	if errors.As(err, &u) {
-		return max(u.RetryAfter, 100*time.Millisecond)
+		return max(u.RetryAfter, minUnrecordedRetryAfter)
 	}
 	return keysFullRetryAfter
 }
 
-// recordReply has the answer to a caller recorded.
+// recordReply records the response to a client.
 func (x *exchange) recordReply(a engine.Result, own *frontend.Reply) {
 	if x.record == nil {
 		return
@@ -101,7 +104,7 @@
 	x.record.Finish(ending, status)
 }
 
-// recordForwardedReply has the answer to another sala recorded.
+// recordForwardedReply records the response to another site.
 func (x *exchange) recordForwardedReply(out *peering.Response) {
 	if x.record == nil {
 		return
@@ -120,14 +123,14 @@
 	x.record.Finish(ending, out.Status)
 }
 
-// siteEndpointName is what the ledger calls another sala's gateway.
-func siteEndpointName(sala string) string { return "sala " + sala }
+// siteEndpointName returns the name of another site's gateway in the ledger.
+func siteEndpointName(site string) string { return "sala " + site }
 
-// forwardVerdict tells how an attempt that went to another sala has ended, in the words of attempts.
-func forwardVerdict(o accounting.Outcome, said *peering.Response) (lbpolicy.Verdict, int) {
+// forwardVerdict translates the outcome of a forwarded request into the verdict and status of an attempt.
+func forwardVerdict(o accounting.Outcome, response *peering.Response) (lbpolicy.Verdict, int) {
 	status := 0
-	if said != nil {
-		status = said.Status
+	if response != nil {
+		status = response.Status
 	}
 	switch {
 	case o == accounting.Served:
@@ -138,7 +141,7 @@
 	return lbpolicy.Timeout, 0
 }
 
-// LedgerStatus tells how the ledger stands; ok is false where there is none.
+// LedgerStatus returns the state of the ledger; ok is false where there is none.
 func (g *Gateway) LedgerStatus() (v ledger.View, ok bool) {
 	if g.ledger == nil {
 		return v, false
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,10 +15,10 @@
 	"silvertrail/internal/fleet/membership"
 )
 
-// labelEscaper writes a label's value as the text format has it.
+// labelEscaper escapes the value of a label (Prometheus text format).
 var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
-// gauge is one value of a metric, with its labels.
+// gauge is a value with the name and labels of its metric.
 type gauge struct {
 	name  string
 	value float64
@@ -45,7 +45,7 @@
 	return 0
 }
 
-// fleetGauges is what this instance believes of its fleet at this moment. OPERATING.md tells what each of them is.
+// fleetGauges returns the metrics of the fleet as this instance sees it. OPERATING.md describes them.
 func fleetGauges(f *fleet.Fleet) (out []gauge) {
 	out = append(out, gaugeOf("silvertrail_fleet_share_instances", float64(f.Quota().Instances)))
 	for _, m := range f.Members() {
@@ -79,7 +79,7 @@
 	return out
 }
 
-// writeGauges writes values in the text format of Prometheus, those of one metric together.
+// writeGauges writes gauges in the Prometheus text format, grouped by metric.
 func writeGauges(w io.Writer, of []gauge) {
 	slices.SortFunc(of, func(a, b gauge) int { return cmp.Compare(a.name, b.name) })
 	last := ""
@@ -98,5 +98,5 @@
 		writeGauges(&text, fleetGauges(g.fleet))
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	w.Write(text.Bytes())
+	_, _ = w.Write(text.Bytes()) // a client that has disconnected needs no metrics
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -2,116 +2,184 @@
 
 import (
 	"errors"
-	"fmt"
-	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"reflect"
-	"slices"
-	"time"
 
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/gateway/cluster"
 	"silvertrail/internal/gateway/conf"
 )
 
+// Errors of a reload that would need a restart.
+var (
+	errClosed            = errors.New("gateway: has ended")
+	errLinkRestart       = errors.New("gateway: a link begins and ends with the process: restart it")
+	errDiscoveryRestart  = errors.New("gateway: control planes begin and end with the process: restart it")
+	errControlRestart    = errors.New("gateway: control_plane: what it says holds from the start of the process: restart it")
+	errLedgerRestart     = errors.New("gateway: a ledger begins and ends with the process: restart it")
+	errMembershipRestart = errors.New("gateway: a fleet begins and ends with the process: restart it")
+)
+
 // Reload puts a configuration in force. An error means that nothing has changed.
 //
-// What is new is made first (listeners bound, balancers started, their sources heard), then the states change places,
-// then what is no longer named ends: connections of callers after the answers that they wait for, clusters with the
-// last request that knows them.
+// First everything new is made: listeners are bound, clusters started, and their first lists awaited. Then the states are exchanged. Then
+// what is not used any more ends: connections after the responses that they wait for, clusters with their last requests.
 func (g *Gateway) Reload(file *conf.File) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed {
-		return errors.New("gateway: has ended")
+		return errClosed
 	}
-	old := g.state.Load()
-	secure, err := g.loadTLS(file)
-	if err != nil {
+	r := &reload{gateway: g, file: file, old: g.state.Load()}
+	if err := r.prepare(); err != nil {
+		r.undo()
 		return err
 	}
-	opened, err := g.bindListeners(file)
-	if err != nil {
+	r.commit()
+	g.log.Info("configuration in force", "listeners", len(file.Listeners), "clusters", len(file.Clusters),
+		"routes", file.Routes.Len(), "new_clusters", len(r.created))
+	return nil
+}
+
+// reload is a configuration that is being put in force.
+type reload struct {
+	gateway *Gateway
+	file    *conf.File
+	old     *state // nil at the start
+	next    *state
+	tls     map[string]*frontend.TLSConfig // by listenerKey
+	bound   map[string]net.Listener        // by listenerKey
+	created []*sharedCluster
+}
+
+// prepare makes everything that is new. After an error undo releases it.
+func (r *reload) prepare() error {
+	var err error
+	if r.tls, err = r.gateway.loadTLS(r.file); err != nil {
 		return err
 	}
-	next := &state{file: file, classes: map[string]int{}, tenants: map[string]int{}, clusters: map[string]*sharedCluster{}}
-	next.refs.Store(1)
-	for i, c := range file.Classes {
-		next.classes[c.Name] = i
+	if r.bound, err = r.gateway.bindListeners(r.file); err != nil {
+		return err
 	}
-	for i, name := range file.Tenants {
-		next.tenants[name] = i
+	r.next = newState(r.file)
+	if err := r.makeClusters(); err != nil {
+		return err
 	}
-	var fresh []*sharedCluster
-	undo := func() {
-		for _, l := range opened {
-			l.Close()
-		}
-		for _, s := range fresh {
-			s.Close()
+	if err := r.checkRestart(); err != nil {
+		return err
+	}
+	if g := r.gateway; g.ledger != nil {
+		if err := g.ledger.CheckUpdate(*r.file.Ledger); err != nil {
+			return err
 		}
 	}
-	for _, c := range file.Clusters {
-		if old != nil {
-			if is := old.clusters[c.Name]; is != nil && is.CanUpdate(c) {
-				next.clusters[c.Name] = is
-				continue
-			}
+	return r.updateFleet()
+}
+
+func newState(file *conf.File) *state {
+	s := &state{file: file, classes: map[string]int{}, tenants: map[string]int{}, clusters: map[string]*sharedCluster{}}
+	s.refs.Store(1)
+	for i, c := range file.Classes {
+		s.classes[c.Name] = i
+	}
+	for i, name := range file.Tenants {
+		s.tenants[name] = i
+	}
+	return s
+}
+
+// makeClusters starts the clusters that no running one can serve, and waits for their first lists.
+func (r *reload) makeClusters() error {
+	for _, c := range r.file.Clusters {
+		if running := r.runningCluster(c); running != nil {
+			r.next.clusters[c.Name] = running
+			continue
 		}
-		made, err := cluster.New(c, g.resources, rand.Uint64(), g.log)
+		made, err := cluster.New(c, r.gateway.resources, rand.Uint64(), r.gateway.log)
 		if err != nil {
-			undo()
 			return err
 		}
-		s := &sharedCluster{Cluster: made}
-		fresh = append(fresh, s)
-		next.clusters[c.Name] = s
-	}
-	for _, s := range fresh {
-		<-s.Initialized()
+		shared := &sharedCluster{Cluster: made}
+		r.created = append(r.created, shared)
+		r.next.clusters[c.Name] = shared
 	}
-	if old != nil && (old.file.Link == nil) != (file.Link == nil) {
-		undo()
-		return errors.New("gateway: a link begins and ends with the process: restart it")
+	for _, shared := range r.created {
+		<-shared.Initialized()
 	}
-	if old != nil && (old.file.XDS == nil) != (file.XDS == nil) {
-		undo()
-		return errors.New("gateway: control planes begin and end with the process: restart it")
+	return nil
+}
+
+// runningCluster returns the running cluster that can take up a configuration, or nil.
+func (r *reload) runningCluster(c cluster.Config) *sharedCluster {
+	if r.old == nil {
+		return nil
 	}
-	if old != nil && !reflect.DeepEqual(old.file.ControlPlane, file.ControlPlane) {
-		undo()
-		return errors.New("gateway: control_plane: what it says holds from the start of the process: restart it")
+	running := r.old.clusters[c.Name]
+	if running == nil || !running.CanUpdate(c) {
+		return nil
 	}
-	if old != nil && (old.file.Ledger == nil) != (file.Ledger == nil) {
-		undo()
-		return errors.New("gateway: a ledger begins and ends with the process: restart it")
+	return running
+}
+
+// checkRestart returns an error for a change that needs a restart.
+func (r *reload) checkRestart() error {
+	if r.old == nil {
+		return nil
+	}
+	before, after := r.old.file, r.file
+	switch {
+	case (before.Link == nil) != (after.Link == nil):
+		return errLinkRestart
+	case (before.XDS == nil) != (after.XDS == nil):
+		return errDiscoveryRestart
+	case !reflect.DeepEqual(before.ControlPlane, after.ControlPlane):
+		return errControlRestart
+	case (before.Ledger == nil) != (after.Ledger == nil):
+		return errLedgerRestart
 	}
-	if g.ledger != nil {
-		if err := g.ledger.CheckUpdate(*file.Ledger); err != nil {
-			undo()
-			return err
-		}
+	return nil
+}
+
+// updateFleet takes up the settings of the fleet, as the last step that may fail. An error means that nothing has changed.
+func (r *reload) updateFleet() error {
+	f := r.gateway.fleet
+	switch {
+	case (f == nil) != (r.file.Fleet == nil):
+		return errMembershipRestart
+	case f == nil:
+		return nil
+	}
+	return f.Update(*r.file.Fleet)
+}
+
+// undo releases what was made.
+func (r *reload) undo() {
+	for _, l := range r.bound {
+		l.Close()
 	}
-	if err := g.updateFleet(file); err != nil {
-		undo()
-		return err
+	for _, shared := range r.created {
+		shared.Close()
 	}
-	// Nothing fails from here on.
+}
+
+// commit exchanges the states. Nothing in it can fail.
+func (r *reload) commit() {
+	g, file := r.gateway, r.file
 	g.resources.Resize(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory)
 	g.keys.Resize(file.Process.MaxKeys)
 	for _, c := range file.Clusters {
-		s := next.clusters[c.Name]
-		s.refs.Add(1)
-		s.Update(c, g.resources)
+		shared := r.next.clusters[c.Name]
+		shared.refs.Add(1)
+		shared.Update(c, g.resources)
 	}
-	g.state.Store(next)
-	if quota := g.quota.Load(); quota != nil { // after the state is there: a change in between reaches it twice, and not never
-		next.applyQuota(*quota)
+	g.state.Store(r.next)
+	// After the state is stored: a change in between is applied twice, not missed.
+	if quota := g.quota.Load(); quota != nil {
+		r.next.applyQuota(*quota)
 	}
-	if l := g.transport.Load(); l != nil {
-		l.Update(*file.Link)
+	if transport := g.transport.Load(); transport != nil {
+		transport.Update(*file.Link)
 	}
 	if g.ledger != nil {
 		g.ledger.Update(*file.Ledger)
@@ -119,98 +187,8 @@
 	if g.discovery != nil {
 		g.discovery.Update(*file.XDS)
 	}
-	g.applyListeners(file, opened, secure)
-	if old != nil {
-		g.release(old)
-	}
-	g.log.Info("configuration in force", "listeners", len(file.Listeners), "clusters", len(file.Clusters),
-		"routes", file.Routes.Len(), "new_clusters", len(fresh))
-	return nil
-}
-
-// listenerKey is what a listener is known by over reloads: its address, and its name too where the system picks the port.
-func listenerKey(l conf.Listener) string {
-	if _, port, _ := net.SplitHostPort(l.Address); port == "0" {
-		return l.Name + "@" + l.Address
-	}
-	return l.Address
-}
-
-// bindListeners binds the listeners that are new, all or none.
-func (g *Gateway) bindListeners(file *conf.File) (map[string]net.Listener, error) {
-	opened := map[string]net.Listener{}
-	for _, l := range file.Listeners {
-		if g.listeners[listenerKey(l)] != nil {
-			continue
-		}
-		nl, err := net.Listen("tcp", l.Address)
-		if err != nil {
-			for _, o := range opened {
-				o.Close()
-			}
-			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
-		}
-		opened[listenerKey(l)] = nl
-	}
-	return opened, nil
-}
-
-// applyListeners starts the new listeners' fronts, and ends those of listeners that the file no longer names.
-func (g *Gateway) applyListeners(file *conf.File, opened map[string]net.Listener, secure map[string]*frontend.TLSConfig) {
-	named := map[string]bool{}
-	for _, l := range file.Listeners {
-		at := listenerKey(l)
-		named[at] = true
-		f := g.listeners[at]
-		if f != nil {
-			f.router.listener.Store(&l)
-			f.SetTLS(secure[at])
-			f.SetPolicy(l.Admission)
-			continue
-		}
-		f = &boundListener{listener: opened[at], router: &router{gateway: g}}
-		f.router.listener.Store(&l)
-		f.Server = frontend.New(f.router, f.listener, l.Admission, slog.NewLogLogger(g.log.Handler(), slog.LevelWarn))
-		f.SetTLS(secure[at])
-		f.OnExhausted(func() { g.freeDescriptorsExcept(f) })
-		f.SetReady()
-		g.listeners[at] = f
-		go func() {
-			if err := f.Serve(); err != nil {
-				g.log.Error("listener ended", "listener", l.Name, "error", err)
-			}
-		}()
-	}
-	for at, f := range g.listeners {
-		if !named[at] {
-			delete(g.listeners, at)
-			now := time.Now()
-			g.retiring.Go(func() { f.Shutdown(now, now.Add(file.Process.ShutdownTime)) })
-		}
-	}
-	open := slices.Collect(maps.Values(g.listeners))
-	g.openListeners.Store(&open)
-}
-
-// loadTLS reads the certificates of the file's listeners. One that is in use already goes on, and with it what callers
-// have to come back by.
-func (g *Gateway) loadTLS(file *conf.File) (map[string]*frontend.TLSConfig, error) {
-	out := map[string]*frontend.TLSConfig{}
-	for _, l := range file.Listeners {
-		if l.TLS == nil {
-			continue
-		}
-		if f := g.listeners[listenerKey(l)]; f != nil {
-			if s := f.TLS(); s != nil && s.IsFor(l.TLS.Files, l.TLS.Required) {
-				out[listenerKey(l)] = s
-				continue
-			}
-		}
-		s, err := frontend.NewTLSConfig(l.TLS.Files, l.TLS.Required, g.log)
-		if err != nil {
-			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
-		}
-		out[listenerKey(l)] = s
+	g.applyListeners(file, r.bound, r.tls)
+	if r.old != nil {
+		g.release(r.old)
 	}
-	return out, nil
 }
--- a/internal/gateway/sitecontrol.go
+++ b/internal/gateway/sitecontrol.go
@@ -9,18 +9,19 @@
 	"silvertrail/internal/sites/peering"
 )
 
-const siteQueryTimeout = 5 * time.Second // for the other salas' answers
+// siteQueryTimeout bounds a query of other sites.
+const siteQueryTimeout = 5 * time.Second
 
-// LinkStatus is what a gateway tells of its links.
+// LinkStatus is the state of the links to other sites, as the control socket reports it.
 type LinkStatus struct {
 	Site        string               `json:"sala"`
 	State       string               `json:"state"`
-	DrainingOwn bool                 `json:"leaving,omitempty"` // its own callers' requests go to other salas first
+	DrainingOwn bool                 `json:"leaving,omitempty"` // its own clients' requests are forwarded first
 	Sites       []peering.SiteStatus `json:"salas"`
-	Reconciled  bool                 `json:"compared,omitempty"` // with the other ends' counts
+	Reconciled  bool                 `json:"compared,omitempty"` // with the other sites' counters
 }
 
-// requireTransport returns the running links, or tells that there are none.
+// requireTransport returns the links, or responds that there are none.
 func (g *Gateway) requireTransport(w http.ResponseWriter) *peering.Transport {
 	l := g.transport.Load()
 	if l == nil {
@@ -41,8 +42,8 @@
 		Sites: l.Status(ctx, reconcile)})
 }
 
-// handleDrain has this sala take nothing more from others (mode "in"), and send its own callers' requests to others first
-// ("all"), or go back to serving ("off").
+// handleDrain has this site accept no requests from others (mode "in"), and also forward its own clients' requests first ("all"), or ends
+// both ("off").
 func (g *Gateway) handleDrain(w http.ResponseWriter, r *http.Request) {
 	if g.requireTransport(w) == nil {
 		return
@@ -65,18 +66,18 @@
 		http.Error(w, "the instance is ending", http.StatusConflict)
 		return
 	}
-	g.log.Info("drain of the sala", "mode", mode)
+	g.log.Info("site drain changed", "mode", mode)
 	writeJSON(w, LinkStatus{Site: g.site, State: siteServer{g}.State().String(), DrainingOwn: g.drainingOwn.Load()})
 }
 
-// KeyLookup is what one sala knows of a key.
+// KeyLookup is what one site knows of a key.
 type KeyLookup struct {
 	Site string `json:"sala"`
 	peering.KeyLocation
 	Error string `json:"error,omitempty"`
 }
 
-// handleLookup asks all salas what became of a key.
+// handleLookup asks all sites for a key.
 func (g *Gateway) handleLookup(w http.ResponseWriter, r *http.Request) {
 	l := g.requireTransport(w)
 	if l == nil {
