Split the checks of routes and hosts; a test of a released state checks its cluster

The test asked for 'len(members) >= 0', which cannot fail: it now asks that no state uses the cluster any more.

--- a/internal/gateway/doors_test.go
+++ b/internal/gateway/doors_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -535,7 +536,7 @@
 	a = <-got
 	c.Close()
 	a.SetReadDeadline(time.Now().Add(8 * time.Second)) // before the request's own deadline
-	if _, err := a.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := a.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the endpoint was not told: %v", err)
 	}
 	lbtest.Until(t, "nothing is held", func() bool { return g.listenerStatus(0, netip.Addr{})[0].InUse == 0 })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -118,6 +118,7 @@
 
 // says returns an endpoint that answers with its name and what it was sent.
 func says(t *testing.T, name string) *lbtest.Endpoint {
+	t.Helper()
 	return lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
 		a.Write([]byte(lbtest.OK(name + " " + a.Request.Method + " " + a.Request.RequestURI)))
 	})
@@ -590,7 +591,7 @@
 	if a := <-got; a.status != 200 || a.body != "answer to held" {
 		t.Errorf("begun before the reload: %+v", a)
 	}
-	lbtest.Until(t, "the old state is let go", func() bool { return old.refs.Load() == 0 && len(old.clusters["old"].Members()) >= 0 })
+	lbtest.Until(t, "the old state is let go", func() bool { return old.refs.Load() == 0 && old.clusters["old"].refs.Load() == 0 })
 	ask(t, g, "GET", "/kept")
 	if n := conns.Load(); n != 1 {
 		t.Errorf("the unchanged cluster made %d connections", n)
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -213,6 +213,7 @@
 
 // held runs one sala's nodo whose answers are left out until let go, so that the first try of a key is still in work.
 func heldSalas(t *testing.T, window time.Duration) (s *salas, hold *atomic.Bool) {
+	t.Helper()
 	hold = &atomic.Bool{}
 	return newSalas(t, window, func(int) standin.Trouble {
 		if hold.Load() {
--- a/internal/gateway/route/path.go
+++ b/internal/gateway/route/path.go
@@ -3,11 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 )
 
-// Errors of the normalisers. Each means that the request could be read in two ways, or in none.
+// Errors of the normalisers. Each means that the request is malformed, or ambiguous.
 var (
 	errNoSlash  = errors.New("path: does not begin with a slash")
 	errAbove    = errors.New("path: climbs over its root")
@@ -15,10 +16,10 @@
 	errFragment = errors.New("path: holds a fragment")
 )
 
-// Class of each byte in a path.
+// Classes of the bytes of a path. Others are rejected.
 const (
-	literalByte = iota + 1 // stands as it is (RFC 3986, 3.3 pchar)
-	encodedByte            // is written as %XX
+	literalByte = iota + 1 // kept as it is (RFC 3986, 3.3 pchar)
+	encodedByte            // written as %XX
 )
 
 var pathBytes = func() (t [256]uint8) {
@@ -37,18 +38,18 @@
 	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '.' || c == '_' || c == '~'
 }
 
-// NormalisePath returns the one form of a path (the request target up to its question mark) in which it is matched
-// and sent on, so that no writing of a path reaches an endpoint by a route that it was not matched against:
+// NormalisePath returns the canonical form of a path (the request target up to its question mark), in which it is matched and forwarded. So
+// no spelling of a path reaches an endpoint through a route that it was not matched against:
 //
 //   - %XX of an unreserved character is decoded, other hexadecimal digits are upper case (RFC 3986, 6.2.2)
 //   - bytes that must not stand in a path (beyond ASCII, quotes, braces) are encoded
 //   - empty segments go ("//" is "/"), then dot segments ("." and "..", also encoded) are resolved; a slash at the
 //     end stays
 //
-// What peers read differently is an error: %2F, %5C and a backslash, control characters and spaces, %XX of one, half an
+// What implementations read differently is an error: %2F, %5C and a backslash, control characters and spaces, %XX of one, an incomplete
 // encoding, a path that climbs over its root, a fragment, dot segments with parameters ("..;x").
 //
-// It allocates nothing where the path is in that form. The function is its own fixed point.
+// It allocates nothing for a path in canonical form, which it returns unchanged.
 func NormalisePath(raw string) (string, error) {
 	if raw == "" || raw[0] != '/' {
 		return "", errNoSlash
@@ -103,7 +104,7 @@
 	return string(out), nil
 }
 
-// isDotSegmentWithParameters tells of a segment that is a dot segment to peers that cut parameters off first.
+// isDotSegmentWithParameters reports whether a segment is a dot segment to implementations that remove parameters first.
 func isDotSegmentWithParameters(segment string) bool {
 	for _, mark := range []string{";", "%3B"} {
 		if base, _, cut := strings.Cut(segment, mark); cut && (base == "." || base == "..") {
@@ -151,21 +152,18 @@
 	return -1
 }
 
-// NormaliseHost returns the form in which a Host header is matched: lower case, with no port and no dot at its end.
-// An IPv6 address loses its brackets. It allocates nothing for a name in lower case.
+const (
+	maxHostLength  = 253 // RFC 1035, 2.3.4, without the dot at the end
+	maxLabelLength = 63
+)
+
+// NormaliseHost returns the form in which a Host header is matched: lower case, without port and without a dot at its end. An IPv6 address
+// loses its brackets. It allocates nothing for a name in lower case.
 func NormaliseHost(raw string) (string, error) {
 	host := raw
 	switch i := strings.LastIndexByte(host, ':'); {
 	case strings.HasPrefix(host, "["):
-		end := strings.IndexByte(host, ']')
-		if end < 0 || end+1 < len(host) && (host[end+1] != ':' || !isPort(host[end+2:])) {
-			return "", fmt.Errorf("host: %.60q", raw)
-		}
-		ip, err := netip.ParseAddr(host[1:end])
-		if err != nil || !ip.Is6() || ip.Zone() != "" {
-			return "", fmt.Errorf("host: %.60q", raw)
-		}
-		return ip.String(), nil
+		return normaliseIPv6(raw)
 	case i >= 0:
 		if !isPort(host[i+1:]) {
 			return "", fmt.Errorf("host: port of %.60q", raw)
@@ -178,42 +176,64 @@
 	if strings.HasSuffix(host, ".") {
 		return "", fmt.Errorf("host: an empty label in %.60q", raw)
 	}
-	if len(host) > 253 {
+	if len(host) > maxHostLength {
 		return "", errors.New("host: over 253 bytes")
 	}
-	upper := false
-	label := 0
+	hasUpper, err := checkLabels(host, raw)
+	if err != nil {
+		return "", err
+	}
+	if hasUpper {
+		host = strings.ToLower(host)
+	}
+	return host, nil
+}
+
+// normaliseIPv6 returns the canonical form of an IPv6 address in brackets, with or without a port.
+func normaliseIPv6(raw string) (string, error) {
+	end := strings.IndexByte(raw, ']')
+	if end < 0 || end+1 < len(raw) && (raw[end+1] != ':' || !isPort(raw[end+2:])) {
+		return "", fmt.Errorf("host: %.60q", raw)
+	}
+	ip, err := netip.ParseAddr(raw[1:end])
+	if err != nil || !ip.Is6() || ip.Zone() != "" {
+		return "", fmt.Errorf("host: %.60q", raw)
+	}
+	return ip.String(), nil
+}
+
+// checkLabels checks the characters and the lengths of a name's labels, and reports whether it has upper-case letters.
+func checkLabels(host, raw string) (hasUpper bool, err error) {
+	length := 0
 	for i := 0; i < len(host); i++ {
 		switch c := host[i]; {
 		case c == '.':
-			if label == 0 {
-				return "", fmt.Errorf("host: an empty label in %.60q", raw)
+			if length == 0 {
+				return false, fmt.Errorf("host: an empty label in %.60q", raw)
 			}
-			label = -1
+			length = 0
+			continue
 		case 'A' <= c && c <= 'Z':
-			upper = true
+			hasUpper = true
 		case 'a' <= c && c <= 'z' || '0' <= c && c <= '9' || c == '-' || c == '_':
 		default:
-			return "", fmt.Errorf("host: byte %#02x", c)
+			return false, fmt.Errorf("host: byte %#02x", c)
 		}
-		if label++; label > 63 {
-			return "", fmt.Errorf("host: a label of over 63 bytes in %.60q", raw)
+		if length++; length > maxLabelLength {
+			return false, fmt.Errorf("host: a label of over 63 bytes in %.60q", raw)
 		}
 	}
-	if upper {
-		host = strings.ToLower(host)
-	}
-	return host, nil
+	return hasUpper, nil
 }
 
-// isPort tells whether text is a port, or empty, which stands for none (RFC 3986, 3.2.3).
+// isPort reports whether text is a port, or empty, which stands for none (RFC 3986, 3.2.3).
 func isPort(text string) bool {
 	n := 0
 	for i := 0; i < len(text); i++ {
 		if text[i] < '0' || text[i] > '9' {
 			return false
 		}
-		if n = n*10 + int(text[i]-'0'); n > 65535 {
+		if n = n*10 + int(text[i]-'0'); n > math.MaxUint16 {
 			return false
 		}
 	}
--- a/internal/gateway/route/rule.go
+++ b/internal/gateway/route/rule.go
@@ -1,11 +1,10 @@
-// Package route finds the rule for a request. A Table is compiled once, never changes and is shared by all
-// goroutines; a look-up does no I/O and, on the usual path, allocates nothing.
+// Package route finds the rule for a request. A Table is compiled once, is immutable and may be used by any goroutine; a look-up does no
+// I/O and usually allocates nothing.
 //
 // # Precedence
 //
-// Of all rules that match a request the best one counts, wherever it stands in the file. The order is that of the
-// Kubernetes Gateway API (HTTPRouteRule), with templates between exact paths and prefixes, and is total. Better is, in
-// this order:
+// Of all rules that match a request the best one is used, whatever their order in the file. The precedence is that of the Kubernetes Gateway
+// API (HTTPRouteRule), with templates between exact paths and prefixes, and is total. Better is, in this order:
 //
 //  1. a host named exactly, then the longer suffix ("*.a.example" before "*.example"), then any host
 //  2. an exact path, then a template, then the longer prefix. Of two templates: at the first segment in which they
@@ -16,7 +15,7 @@
 //  6. a class named, 7. a tenant named, 8. a listener named
 //  9. the rule's name in byte order, then the earlier of its matches
 //
-// Two matches that are alike in all but their rules' names are an error of Compile: the second would never be found.
+// Two matches that differ in the names of their rules alone are an error of Compile: the second would never be found.
 package route
 
 import (
@@ -34,7 +33,7 @@
 // PathKind is how a path is matched.
 type PathKind uint8
 
-// The kinds, the better ones later.
+// The kinds of path, in increasing precedence.
 const (
 	Prefix   PathKind = iota // whole segments: "/a" matches "/a" and "/a/b", not "/ab"
 	Template                 // as many segments; "{name}" matches one that is not empty
@@ -54,46 +53,45 @@
 	AnyValue bool // whatever its value
 }
 
-// Match is a conjunction; what is left empty matches anything.
+// Match is a conjunction of conditions; an empty one matches anything.
 type Match struct {
 	Listeners []string
 	Hosts     []string // "name", "*.suffix" (one label more or several) or "*"
 	Path      Path
 	Methods   []string
-	// A header that stands several times matches by Any alone: peers differ in which one counts.
+	// A header that occurs several times matches with AnyValue alone: implementations differ in which one they use.
 	Headers []Value
-	Query   []Value // of parameters that stand several times the first counts
+	Query   []Value // the first value of a parameter counts
 	Class   string
 	Tenant  string
 }
 
-// Target is a cluster and its part of a route's requests.
+// Target is a cluster with its weight in a split.
 type Target struct {
 	Cluster string
 	Weight  uint32
 }
 
-// SplitKind is what a split goes by.
+// SplitKind says which key a split uses.
 type SplitKind uint8
 
-// The kinds. Keyed requests always go by their idempotency key, whatever the route says: a repeat must come to the
-// same cluster.
+// The kinds of split. Requests with an idempotency key are always split by that key: a retry must go to the same cluster.
 const (
-	SplitRequest SplitKind = iota // the request's id: each one anew
+	SplitRequest SplitKind = iota // the request's ID
 	SplitHeader
 	SplitTenant
 	SplitPath
-	SplitClient // the caller's address
+	SplitClient // the client's address
 )
 
-// Response is an answer that the route gives itself.
+// Response is a response that a route gives itself.
 type Response struct {
 	Status int
 	Body   string
 	Header map[string]string
 }
 
-// Redirect sends the caller elsewhere. What is empty stays as it was asked for.
+// Redirect redirects the client. An empty field keeps that of the request.
 type Redirect struct {
 	Status int
 	Scheme string
@@ -101,7 +99,7 @@
 	Path   string // in place of the whole path
 }
 
-// Rule is a route. Just one of Targets, Respond and Redirect is set.
+// Rule is a route. Exactly one of Targets, Respond and Redirect is set.
 type Rule struct {
 	Name    string
 	Matches []Match // one must match; none matches all requests
@@ -110,11 +108,11 @@
 	Respond  *Response
 	Redirect *Redirect
 
-	Class         string        // of all its requests; empty: told by the caller
+	Class         string        // of all its requests; empty: that of the request's header
 	Timeout       time.Duration // 0: the class's deadline
 	MaxAttempts   int           // 0: the cluster's
-	Failover      string        // cluster for what never ran in its own
-	ForwardSites  []string      // salas that may have what the own one can't serve
+	Failover      string        // cluster for requests that did not run in their own
+	ForwardSites  []string      // sites for requests that this one cannot serve
 	SplitBy       SplitKind
 	SplitHeader   string
 	Rewrite       *string // in place of the matched prefix, or of the whole exact path
@@ -124,8 +122,8 @@
 	totalWeight uint64
 }
 
-// Pick returns the cluster that a split gives a key: the same for the same key, whichever process asks, and the same
-// after a change of weights for all keys but the share that has to move.
+// Pick returns the cluster that a split picks for a key. It is the same in all processes, and after a change of weights it changes for the
+// necessary fraction of the keys alone.
 func (r *Rule) Pick(key string) string {
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Cluster
@@ -152,7 +150,7 @@
 	return h ^ h>>31
 }
 
-// Path returns the path that a request of this rule is sent with. Matched is the match's path.
+// Path returns the path with which a request of this rule is forwarded. Matched is the path of the match.
 func (r *Rule) Path(path string, matched Path) string {
 	if r.Rewrite == nil {
 		return path
@@ -167,35 +165,13 @@
 	return "/"
 }
 
-// check reports what is wrong with a rule by itself, and brings its words into the form that is matched.
+// check reports what is wrong with a rule by itself, and normalises its texts.
 func (r *Rule) check() error {
-	set := 0
-	for _, is := range []bool{len(r.Targets) > 0, r.Respond != nil, r.Redirect != nil} {
-		if is {
-			set++
-		}
-	}
-	if set != 1 {
-		return errors.New("wants clusters, an answer or a redirect, and just one of them")
-	}
-	if len(r.Targets) > 0 {
-		for _, t := range r.Targets {
-			r.totalWeight += uint64(t.Weight)
-		}
-		if r.totalWeight == 0 {
-			return errors.New("its weights are all 0")
-		}
+	if err := r.checkAction(); err != nil {
+		return err
 	}
-	if r.Rewrite != nil {
-		normal, err := NormalisePath(*r.Rewrite)
-		if err != nil || normal != *r.Rewrite {
-			return fmt.Errorf("rewrite %q is not in normal form", *r.Rewrite)
-		}
-		for _, m := range r.Matches {
-			if m.Path.Kind == Template {
-				return errors.New("a template can't be rewritten")
-			}
-		}
+	if err := r.checkRewrite(); err != nil {
+		return err
 	}
 	r.SetHeaders = canonical(r.SetHeaders)
 	r.RemoveHeaders = slices.Clone(r.RemoveHeaders)
@@ -214,6 +190,45 @@
 	return nil
 }
 
+// checkAction checks that a rule has exactly one of targets, response and redirect.
+func (r *Rule) checkAction() error {
+	actions := 0
+	for _, isSet := range []bool{len(r.Targets) > 0, r.Respond != nil, r.Redirect != nil} {
+		if isSet {
+			actions++
+		}
+	}
+	if actions != 1 {
+		return errors.New("wants clusters, an answer or a redirect, and just one of them")
+	}
+	if len(r.Targets) == 0 {
+		return nil
+	}
+	for _, t := range r.Targets {
+		r.totalWeight += uint64(t.Weight)
+	}
+	if r.totalWeight == 0 {
+		return errors.New("its weights are all 0")
+	}
+	return nil
+}
+
+func (r *Rule) checkRewrite() error {
+	if r.Rewrite == nil {
+		return nil
+	}
+	normal, err := NormalisePath(*r.Rewrite)
+	if err != nil || normal != *r.Rewrite {
+		return fmt.Errorf("rewrite %q is not in normal form", *r.Rewrite)
+	}
+	for _, m := range r.Matches {
+		if m.Path.Kind == Template {
+			return errors.New("a template can't be rewritten")
+		}
+	}
+	return nil
+}
+
 func canonical(h map[string]string) map[string]string {
 	out := maps.Clone(h)
 	for name, value := range h {
@@ -223,6 +238,7 @@
 	return out
 }
 
+// check reports what is wrong with a match, and normalises its texts.
 func (m *Match) check() error {
 	if m.Path.Pattern == "" {
 		m.Path = Path{Prefix, "/"}
@@ -230,17 +246,35 @@
 	if err := m.Path.check(); err != nil {
 		return err
 	}
+	if err := m.checkHosts(); err != nil {
+		return err
+	}
+	m.Headers = slices.Clone(m.Headers)
+	m.Query = slices.Clone(m.Query)
+	for i := range m.Headers {
+		m.Headers[i].Name = textproto.CanonicalMIMEHeaderKey(m.Headers[i].Name)
+	}
+	for _, values := range [][]Value{m.Headers, m.Query} {
+		if err := checkValues(values); err != nil {
+			return err
+		}
+	}
+	m.Methods = slices.Compact(slices.Sorted(slices.Values(m.Methods)))
+	return nil
+}
+
+func (m *Match) checkHosts() error {
 	m.Hosts = slices.Clone(m.Hosts)
 	for i, h := range m.Hosts {
 		if h == "*" {
 			continue
 		}
-		name, wild := strings.CutPrefix(h, "*.")
+		name, isSuffix := strings.CutPrefix(h, "*.")
 		normal, err := NormaliseHost(name)
 		if err != nil || name == "" || strings.ContainsRune(name, ':') && !strings.HasPrefix(name, "[") {
 			return fmt.Errorf("host %q is no name, \"*.suffix\" or \"*\"", h)
 		}
-		if wild {
+		if isSuffix {
 			normal = "*." + normal
 		}
 		m.Hosts[i] = normal
@@ -250,22 +284,21 @@
 	}
 	slices.Sort(m.Hosts)
 	m.Hosts = slices.Compact(m.Hosts)
-	m.Headers, m.Query = slices.Clone(m.Headers), slices.Clone(m.Query)
-	for i := range m.Headers {
-		m.Headers[i].Name = textproto.CanonicalMIMEHeaderKey(m.Headers[i].Name)
-	}
-	for _, list := range [][]Value{m.Headers, m.Query} {
-		slices.SortFunc(list, func(a, b Value) int { return strings.Compare(a.Name, b.Name) })
-		for i := range list {
-			if list[i].Name == "" || i > 0 && list[i].Name == list[i-1].Name {
-				return fmt.Errorf("header or parameter %q: empty, or named twice", list[i].Name)
-			}
+	return nil
+}
+
+// checkValues orders values by name, each of which may occur once.
+func checkValues(values []Value) error {
+	slices.SortFunc(values, func(a, b Value) int { return strings.Compare(a.Name, b.Name) })
+	for i := range values {
+		if values[i].Name == "" || i > 0 && values[i].Name == values[i-1].Name {
+			return fmt.Errorf("header or parameter %q: empty, or named twice", values[i].Name)
 		}
 	}
-	m.Methods = slices.Compact(slices.Sorted(slices.Values(m.Methods)))
 	return nil
 }
 
+// check reports what is wrong with a path, and normalises a prefix.
 func (p *Path) check() error {
 	if p.Kind == Template {
 		for segment := range strings.SplitSeq(strings.TrimPrefix(p.Pattern, "/"), "/") {
@@ -299,7 +332,7 @@
 	return len(segment) > 2 && segment[0] == '{' && segment[len(segment)-1] == '}' && !strings.ContainsAny(segment[1:len(segment)-1], "{}")
 }
 
-// Request is what a look-up goes by. Host and Path are in normal form.
+// Request holds what rules match. Host and Path are in canonical form.
 type Request struct {
 	Listener, Host, Path, Method string
 	Class, Tenant                string
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -10,31 +10,31 @@
 	"strings"
 )
 
-// Table holds the compiled rules. It never changes.
+// Table holds the compiled rules. It is immutable.
 type Table struct {
 	listeners map[string]*hostTable
 	rules     int
 }
 
-// hostTable is what one listener knows.
+// hostTable holds the rules of one listener.
 type hostTable struct {
 	exact  map[string]*pathTable
 	suffix map[string]*pathTable // by what follows "*."
 	any    *pathTable
 }
 
-// pathTable is what one host knows. Exact paths are found by one look-up; the other kinds by walking segments.
+// pathTable holds the rules of one host. Exact paths are found by one look-up, the other kinds by walking the segments.
 type pathTable struct {
 	exact     map[string][]*entry
 	templates *node
 	prefixes  *node
 }
 
-// node stands for a path so far.
+// node is a node of a trie of path segments.
 type node struct {
 	literal  map[string]*node
 	variable *node
-	entries  []*entry // that end here, best first
+	entries  []*entry // whose path ends here, best first
 }
 
 // entry is one match of a rule.
@@ -45,10 +45,10 @@
 	namesListener bool // names its listener
 }
 
-// MatchedRule is what a look-up finds.
+// MatchedRule is the result of a look-up.
 type MatchedRule struct {
 	Rule *Rule
-	Path Path // of the match that was found
+	Path Path // of the match
 }
 
 // Error is what is wrong with one rule.
@@ -61,8 +61,8 @@
 
 func (e *Error) Unwrap() error { return e.Err }
 
-// Compile builds a table for the named listeners. It takes rules over: the caller must not change them later. The
-// errors are all that it finds; with any there is no table.
+// Compile builds a table for the named listeners. The caller must not change the rules afterwards. It reports all errors; with any there is
+// no table.
 func Compile(listeners []string, rules []Rule) (*Table, []*Error) {
 	t := &Table{listeners: make(map[string]*hostTable, len(listeners)), rules: len(rules)}
 	for _, name := range listeners {
@@ -186,7 +186,7 @@
 	n.entries = append(n.entries, e)
 }
 
-// sort brings the entries of each place into their order and reports those that are alike.
+// sort orders the entries of each path, and reports those that are alike.
 func (h *hostTable) sort() (errs []*Error) {
 	all := make([]*pathTable, 0, len(h.exact)+len(h.suffix)+1)
 	for _, by := range []map[string]*pathTable{h.exact, h.suffix} {
@@ -218,7 +218,7 @@
 	return errs
 }
 
-// sortEntries sorts entries that have host and path in common, best first.
+// sortEntries sorts entries with the same host and path, best first.
 func sortEntries(entries []*entry) (errs []*Error) {
 	slices.SortFunc(entries, func(a, b *entry) int {
 		return cmp.Or(a.compare(b), cmp.Compare(a.rule.Name, b.rule.Name), cmp.Compare(a.index, b.index))
@@ -239,7 +239,7 @@
 	return errs
 }
 
-// criteria is all that a match looks at beside host and path.
+// criteria returns all conditions of a match except host and path.
 func (e *entry) criteria() string {
 	m := e.match
 	return fmt.Sprintf("%q %q %q %q %q %t", m.Methods, quoted(m.Headers), quoted(m.Query), m.Class, m.Tenant, e.namesListener)
@@ -312,8 +312,8 @@
 	return nil
 }
 
-// findTemplate looks for entries that match all segments. A literal is tried before a variable. Each node has one way to
-// it, so that a look-up visits none twice.
+// findTemplate finds an entry that matches all segments. A literal is tried before a variable. Each node has one parent, so that a look-up
+// visits none twice.
 func (n *node) findTemplate(rest string, more bool, q *Request) *entry {
 	if !more {
 		return firstMatch(n.entries, q)
@@ -330,7 +330,7 @@
 	return nil
 }
 
-// findPrefix looks for the entries that match most segments.
+// findPrefix finds an entry that matches the most segments.
 func (n *node) findPrefix(rest string, more bool, q *Request) *entry {
 	if more && n.literal != nil {
 		segment, rest, more := strings.Cut(rest, "/")
@@ -352,7 +352,7 @@
 	return nil
 }
 
-// matches looks at all but listener, host and path.
+// matches checks all conditions except listener, host and path.
 func (m *Match) matches(q *Request) bool {
 	if len(m.Methods) > 0 && !slices.Contains(m.Methods, q.Method) ||
 		m.Class != "" && m.Class != q.Class || m.Tenant != "" && m.Tenant != q.Tenant {
--- a/internal/gateway/salas_test.go
+++ b/internal/gateway/salas_test.go
@@ -780,7 +780,7 @@
 func drain(t *testing.T, g *Gateway, mode string) {
 	t.Helper()
 	w := httptest.NewRecorder()
-	g.handleDrain(w, httptest.NewRequest("POST", "/link/drain?mode="+mode, nil))
+	g.handleDrain(w, httptest.NewRequest(http.MethodPost, "/link/drain?mode="+mode, nil))
 	if w.Code != 200 {
 		t.Fatal(w.Body)
 	}
--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -89,6 +89,7 @@
 }
 
 func nodos(t *testing.T, n int, work time.Duration) (out []*standin.Nodo) {
+	t.Helper()
 	for i := range n {
 		nodo, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Work: work})
 		if err != nil {
