--- a/bench/admission/main.go
+++ b/bench/admission/main.go
@@ -82,7 +82,7 @@
 `
 
 func (b *bench) run() error {
-	n, err := standin.NewNodo(standin.NodoOptions{Name: "n", Slots: 64, Queue: 1024, Work: 2 * time.Millisecond})
+	n, err := standin.NewEndpoint(standin.EndpointOptions{Name: "n", Slots: 64, Queue: 1024, Work: 2 * time.Millisecond})
 	if err != nil {
 		return err
 	}
--- a/bench/capacity/calls.go
+++ b/bench/capacity/calls.go
@@ -218,7 +218,7 @@
 		sent, packets = sent+b, packets+n
 	}
 	for _, w := range ways {
-		sent += w.Bytes(standin.There) + w.Bytes(standin.Back)
+		sent += w.Bytes(standin.ToServer) + w.Bytes(standin.ToClient)
 	}
 	return sent, packets, nil
 }
@@ -231,7 +231,7 @@
 	defer os.RemoveAll(folder)
 	var nodos []string
 	for i := range 2 {
-		n, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i)})
+		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i)})
 		if err != nil {
 			return err
 		}
--- a/bench/capacity/plane.go
+++ b/bench/capacity/plane.go
@@ -90,7 +90,7 @@
 				set = append(set, controlplane.Endpoint(fmt.Sprintf("127.1.%d.%d:9000", j/250, j%250+1), health, 0))
 			}
 			name := fmt.Sprint("c", i)
-			all = append(all, controlplane.Cluster(name), controlplane.Set(name, "", set...))
+			all = append(all, controlplane.Cluster(name), controlplane.EndpointSet(name, "", set...))
 		}
 		return p.Put(fmt.Sprint(version), all...)
 	}
--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -156,7 +156,7 @@
 func (o *options) keys() error {
 	var nodos []any
 	for i := range 2 {
-		n, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i)})
+		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i)})
 		if err != nil {
 			return err
 		}
--- a/bench/ledger/main.go
+++ b/bench/ledger/main.go
@@ -125,7 +125,7 @@
 	defer os.RemoveAll(folder)
 	var nodos []any
 	for i := range 2 {
-		n, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Work: o.Work})
+		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: o.Work})
 		if err != nil {
 			return err
 		}
--- a/bench/salas/chain.go
+++ b/bench/salas/chain.go
@@ -31,7 +31,7 @@
 	}
 	t := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: secure.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"}, ForceAttemptHTTP2: true}
 	if path != nil {
-		path.Point(next.Host)
+		path.SetTarget(next.Host)
 		next.Host = path.Addr
 		t.DisableKeepAlives, t.ForceAttemptHTTP2 = true, false
 	}
--- a/bench/salas/lost.go
+++ b/bench/salas/lost.go
@@ -48,7 +48,7 @@
 }
 
 func (o *lost) play(way string, seed uint64, best float64) error {
-	s, err := start(standin.NodoOptions{Work: workEach, Slots: slots, Queue: o.Queue}, 2, false, way == "crossing")
+	s, err := start(standin.EndpointOptions{Work: workEach, Slots: slots, Queue: o.Queue}, 2, false, way == "crossing")
 	if err != nil {
 		return err
 	}
--- a/bench/salas/main.go
+++ b/bench/salas/main.go
@@ -43,7 +43,7 @@
 // salas are three salas with a gateway and nodos each, and paths between the gateways.
 type salas struct {
 	folder string
-	nodos  [3][]*standin.Nodo
+	nodos  [3][]*standin.Endpoint
 	paths  [3][3]*standin.Path
 	all    [3]*gateway.Gateway
 }
@@ -64,7 +64,7 @@
 `
 
 // start starts them. In a sala that is empty from the start nothing can be served.
-func start(o standin.NodoOptions, nodos int, empty, cross bool) (*salas, error) {
+func start(o standin.EndpointOptions, nodos int, empty, cross bool) (*salas, error) {
 	s := &salas{}
 	var err error
 	if s.folder, err = os.MkdirTemp("", "silvertrail-salas-"); err != nil {
@@ -77,7 +77,7 @@
 	for i, sala := range names {
 		for j := range nodos {
 			o.Name = fmt.Sprintf("%s-%d", sala, j)
-			n, err := standin.NewNodo(o)
+			n, err := standin.NewEndpoint(o)
 			if err != nil {
 				return nil, err
 			}
@@ -101,7 +101,7 @@
 			return nil, err
 		}
 		for j := range names {
-			s.paths[j][i].Point(s.all[i].LinkAddr())
+			s.paths[j][i].SetTarget(s.all[i].LinkAddr())
 		}
 	}
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
@@ -254,7 +254,7 @@
 }
 
 func (o *hop) Run() error {
-	s, err := start(standin.NodoOptions{}, 2, true, true)
+	s, err := start(standin.EndpointOptions{}, 2, true, true)
 	if err != nil {
 		return err
 	}
@@ -304,7 +304,7 @@
 }
 
 func (o *loss) Run() error {
-	s, err := start(standin.NodoOptions{}, 2, true, true)
+	s, err := start(standin.EndpointOptions{}, 2, true, true)
 	if err != nil {
 		return err
 	}
@@ -321,7 +321,7 @@
 	defer stop()
 	for _, part := range []float64{0, o.Loss} {
 		for _, p := range append([]*standin.Path{path}, s.paths[0][:]...) {
-			p.Slow(o.Delay, part, 0)
+			p.Shape(o.Delay, part, 0)
 		}
 		c := client(o.Callers)
 		load(s.url(0)+"/low", o.Callers, time.Second, c) // the windows have grown by then
@@ -343,7 +343,7 @@
 // bytes are those that have gone over the first sala's links.
 func (s *salas) bytes() (n int64) {
 	for _, p := range s.paths[0][1:] {
-		n += p.Bytes(standin.There) + p.Bytes(standin.Back)
+		n += p.Bytes(standin.ToServer) + p.Bytes(standin.ToClient)
 	}
 	return n
 }
@@ -353,7 +353,7 @@
 }
 
 func (o *cut) Run() error {
-	s, err := start(standin.NodoOptions{}, 1, true, true)
+	s, err := start(standin.EndpointOptions{}, 1, true, true)
 	if err != nil {
 		return err
 	}
@@ -385,8 +385,8 @@
 		}
 		other := s.nodos[3-in][0]
 		path := s.paths[0][in]
-		path.Hold(standin.There, true)
-		path.Hold(standin.Back, true)
+		path.Block(standin.ToServer, true)
+		path.Block(standin.ToClient, true)
 		begun, n := time.Now(), other.Requests()
 		for other.Requests() == n && time.Since(begun) < 10*time.Second {
 			time.Sleep(100 * time.Microsecond)
@@ -396,8 +396,8 @@
 			time.Sleep(100 * time.Microsecond)
 		}
 		noticed = append(noticed, time.Since(begun))
-		path.Hold(standin.There, false)
-		path.Hold(standin.Back, false)
+		path.Block(standin.ToServer, false)
+		path.Block(standin.ToClient, false)
 	}
 	for what, all := range map[string][]time.Duration{"the first request elsewhere": took, "nothing more is sent there": noticed} {
 		slices.Sort(all)
--- a/bench/scale/plane.go
+++ b/bench/scale/plane.go
@@ -50,7 +50,7 @@
 // standIn listens once it has something to tell: one that comes back empty would tell all that nothing is there.
 type standIn struct {
 	listen string
-	plane  *controlplane.Plane
+	plane  *controlplane.Server
 }
 
 func (s *standIn) put(state *hollow.State) error {
--- a/bench/xds/main.go
+++ b/bench/xds/main.go
@@ -87,13 +87,13 @@
 		return nil, nil, 0, err
 	}
 	defer plane.Close()
-	var nodos [2]*standin.Nodo
+	var nodos [2]*standin.Endpoint
 	var came [2]atomic.Int64 // when the last request came, in microseconds
 	begun := time.Now()
 	for i := range nodos {
-		if nodos[i], err = standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Trouble: func(*http.Request) standin.Trouble {
+		if nodos[i], err = standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Fault: func(*http.Request) standin.Fault {
 			came[i].Store(time.Since(begun).Microseconds())
-			return standin.None
+			return standin.NoFault
 		}}); err != nil {
 			return nil, nil, 0, err
 		}
@@ -110,7 +110,7 @@
 		rest = append(rest, controlplane.Endpoint(fmt.Sprintf("127.1.%d.%d:9", i/250, i%250+1), corev3.HealthStatus_DRAINING, 0))
 	}
 	put := func(on int) error {
-		return plane.Put(fmt.Sprint(time.Now().UnixNano()), controlplane.Cluster("c"), controlplane.Set("c", "", append([]*endpointv3.LbEndpoint{
+		return plane.Put(fmt.Sprint(time.Now().UnixNano()), controlplane.Cluster("c"), controlplane.EndpointSet("c", "", append([]*endpointv3.LbEndpoint{
 			controlplane.Endpoint(nodos[0].Addr, health(on == 0), 0), controlplane.Endpoint(nodos[1].Addr, health(on == 1), 0)}, rest...)...))
 	}
 	if err := put(0); err != nil {
@@ -233,7 +233,7 @@
 			}
 		}
 		port++
-		sets[i] = controlplane.Set(fmt.Sprint("c", i), "", es...)
+		sets[i] = controlplane.EndpointSet(fmt.Sprint("c", i), "", es...)
 	}
 	for i := range sets {
 		change(i)
--- a/cmd/silvertrail/connections_test.go
+++ b/cmd/silvertrail/connections_test.go
@@ -81,7 +81,7 @@
 
 	ask := func(c net.Conn, id string) int {
 		fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\nContent-Length: 2\r\n\r\nok", id, id)
-		status, after := lbtest.Reply(bufio.NewReader(c))
+		status, after := lbtest.ReadResponse(bufio.NewReader(c))
 		if (status == 503 || status == 429) && after <= 0 {
 			t.Errorf("%s: %d without a time to come back", id, status)
 		}
@@ -220,7 +220,7 @@
 			defer c.Close()
 			go func() {
 				io.WriteString(c, "POST /half HTTP/1.1\r\nHost: x\r\nIdempotency-Key: half\r\nContent-Length: 200\r\n\r\nhalf")
-				status, _ := lbtest.Reply(bufio.NewReader(c))
+				status, _ := lbtest.ReadResponse(bufio.NewReader(c))
 				codes <- status
 			}()
 		}
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -248,7 +248,7 @@
 func (x *spread) reach(what string, v records.Version, gateways ...int) {
 	x.t.Helper()
 	for _, g := range gateways {
-		if !lbtest.Before(func() bool { return x.version(g).Compare(v) >= 0 }) {
+		if !lbtest.Eventually(func() bool { return x.version(g).Compare(v) >= 0 }) {
 			x.t.Fatalf("%s: gateway %d has %s, not %s", what, g, x.version(g), v)
 		}
 	}
@@ -257,7 +257,7 @@
 // step waits until both machines and all gateways have the same, and nobody is behind.
 func (x *spread) step(what string) {
 	x.t.Helper()
-	if !lbtest.Before(func() bool {
+	if !lbtest.Eventually(func() bool {
 		var counters []uint64
 		for i := range x.machines {
 			v, err := x.status(i)
--- a/cmd/silvertrail/fleet_test.go
+++ b/cmd/silvertrail/fleet_test.go
@@ -134,14 +134,14 @@
 const fleetOf = 5
 
 // newFleet writes the configurations of a fleet in front of nodos in two salas.
-func newFleet(t *testing.T, nodos []*standin.Nodo) []*instance {
+func newFleet(t *testing.T, nodos []*standin.Endpoint) []*instance {
 	t.Helper()
 	return newFleetBehind(t, nodos, "", nil)
 }
 
 // newFleetBehind has each instance reached at an address that reached returns for the one that it listens on, and more in
 // its fleet block.
-func newFleetBehind(t *testing.T, nodos []*standin.Nodo, more string, reached func(at []string) []string) (all []*instance) {
+func newFleetBehind(t *testing.T, nodos []*standin.Endpoint, more string, reached func(at []string) []string) (all []*instance) {
 	t.Helper()
 	dir := t.TempDir()
 	key, err := conf.NewKey()
@@ -309,15 +309,15 @@
 
 // salasOf starts four nodos of two salas, each of which remembers keys in common. trouble is asked what becomes of the
 // answer to the n-th request that is worked through with a key.
-func salasOf(t *testing.T, trouble func(nodo int, n int64) standin.Trouble) (nodos []*standin.Nodo, groups [2]*standin.Group) {
+func salasOf(t *testing.T, trouble func(nodo int, n int64) standin.Fault) (nodos []*standin.Endpoint, groups [2]*standin.Group) {
 	t.Helper()
 	groups = [2]*standin.Group{standin.NewGroup("north", 10*time.Minute), standin.NewGroup("south", 10*time.Minute)}
 	var worked atomic.Int64
 	for i := range 4 {
-		n, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Group: groups[i/2], Work: time.Millisecond,
-			Trouble: func(r *http.Request) standin.Trouble {
+		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Group: groups[i/2], Work: time.Millisecond,
+			Fault: func(r *http.Request) standin.Fault {
 				if r.Method != http.MethodPost {
-					return standin.None
+					return standin.NoFault
 				}
 				return trouble(i, worked.Add(1))
 			}})
@@ -349,14 +349,14 @@
 // leave answers out; one instance is killed and comes back, another is paused and returns: no key takes effect in two
 // salas, nor twice in one, and classes that need no history are served all the time.
 func TestFleetUnderTrouble(t *testing.T) {
-	nodos, groups := salasOf(t, func(nodo int, n int64) standin.Trouble {
+	nodos, groups := salasOf(t, func(nodo int, n int64) standin.Fault {
 		switch n % int64(8+4*nodo) {
 		case 0:
-			return standin.Silent
+			return standin.NoResponse
 		case 4:
-			return standin.Reset
+			return standin.ConnectionReset
 		}
-		return standin.None
+		return standin.NoFault
 	})
 	all := newFleet(t, nodos)
 	sees(t, all, fleetOf)
--- a/cmd/silvertrail/idle_test.go
+++ b/cmd/silvertrail/idle_test.go
@@ -152,7 +152,7 @@
 		for range 5 {
 			c := lbtest.Dial(t, s.addr)
 			c.Send(lbtest.Head("POST", "once", id, "Content-Length: 0"))
-			status, body := c.Answer()
+			status, body := c.Response()
 			c.Close()
 			if status == 0 {
 				unread.Add(1)
@@ -192,18 +192,18 @@
 		}
 	}
 	lbtest.Until(t, "idle callers fill the descriptors", func() bool { return held(old) >= full })
-	d.Be(down)
+	d.SetState(down)
 	ask()
 	operate(old)
 
 	next := start()
-	lbtest.Until(t, "the process before gives way", func() bool { return old.log.Has("successor takes over") }) // its log comes by a pipe
+	lbtest.Until(t, "the process before gives way", func() bool { return old.log.Contains("successor takes over") }) // its log comes by a pipe
 	ask()
 	operate(old)
 	operate(next)
 
 	d.Set(standin.Entries(few+1, after.Addr))
-	d.Be(standin.Answers)
+	d.SetState(standin.Answers)
 	back := time.Now()
 	for _, r := range []*running{next, old} {
 		lbtest.Until(t, "discovery's list is asked for", func() bool { return r.figures().Size == few+1 })
@@ -214,15 +214,15 @@
 	ask()
 	operate(next)
 	for _, why := range []string{"predecessor makes no offer", "predecessor not reachable", "predecessor does not retire"} {
-		if next.log.Has(why) {
+		if next.log.Contains(why) {
 			t.Errorf("the upgrade: %s", next.log.String())
 		}
 	}
 	for _, r := range []*running{old, next} { // what is left for others is never taken
-		if r.log.Has("too many open files") {
+		if r.log.Contains("too many open files") {
 			t.Errorf("descriptors ran out: %s", r.log.String())
 		}
-		if r.log.Has("the system grants fewer") != (told > granted) {
+		if r.log.Contains("the system grants fewer") != (told > granted) {
 			t.Errorf("of what the system grants: %s", r.log.String())
 		}
 	}
--- a/cmd/silvertrail/ledger_test.go
+++ b/cmd/silvertrail/ledger_test.go
@@ -36,8 +36,8 @@
 	text := ""
 	for n := range 4 {
 		name := fmt.Sprint("n", n)
-		nodo, err := standin.NewNodo(standin.NodoOptions{Name: name, Group: groups[n/2], Work: 2 * time.Millisecond,
-			Trouble: func(r *http.Request) standin.Trouble {
+		nodo, err := standin.NewEndpoint(standin.EndpointOptions{Name: name, Group: groups[n/2], Work: 2 * time.Millisecond,
+			Fault: func(r *http.Request) standin.Fault {
 				id := r.Header.Get("X-Request-Id")
 				w.mu.Lock()
 				defer w.mu.Unlock()
@@ -47,11 +47,11 @@
 				w.reached[id][name]++
 				switch worked.Add(1) % 17 {
 				case 0:
-					return standin.Silent
+					return standin.NoResponse
 				case 7:
-					return standin.Reset
+					return standin.ConnectionReset
 				}
-				return standin.None
+				return standin.NoFault
 			}})
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/silvertrail/left_test.go
+++ b/cmd/silvertrail/left_test.go
@@ -90,7 +90,7 @@
 	ask := func(c *leaver, id string) {
 		t.Helper()
 		c.Send(lbtest.Get(id))
-		if status, body := c.Answer(); status != 200 || body != "answer to "+id {
+		if status, body := c.Response(); status != 200 || body != "answer to "+id {
 			t.Errorf("%s: %d %q", id, status, body)
 		}
 	}
--- a/cmd/silvertrail/main_test.go
+++ b/cmd/silvertrail/main_test.go
@@ -70,7 +70,7 @@
 		c := lbtest.Dial(t, addr)
 		defer c.Close()
 		c.Send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n")
-		s, _ := c.Answer()
+		s, _ := c.Response()
 		return s
 	}
 	write("/old")
--- a/cmd/silvertrail/overlap_test.go
+++ b/cmd/silvertrail/overlap_test.go
@@ -32,7 +32,7 @@
 	}
 	for i, r := range all {
 		lbtest.Until(t, "all bans are known", func() bool { return r.figures().Unhealthy == 3 })
-		if i < 2 && !r.log.Has("successor takes over") {
+		if i < 2 && !r.log.Contains("successor takes over") {
 			t.Errorf("process %d has not given way", i)
 		}
 	}
@@ -61,7 +61,7 @@
 		defer c.Close()
 		n++
 		c.Send(lbtest.Head("GET", "other", fmt.Sprint("x", n)))
-		status, _ := c.Answer()
+		status, _ := c.Response()
 		return status == 200
 	})
 	if f := all[2].figures(); f.Answered["other"] != 1 {
@@ -81,7 +81,7 @@
 	old := s.start()
 	old.cmd.Process.Signal(syscall.SIGSTOP)
 	next := s.start()
-	if !next.log.Has("predecessor makes no offer") {
+	if !next.log.Contains("predecessor makes no offer") {
 		t.Error(next.log.String())
 	}
 	old.cmd.Process.Kill()
@@ -92,7 +92,7 @@
 	lbtest.Until(t, "the third says yes", func() bool { status, _ := third.call(http.MethodGet, "/ops/readiness"); return status == 200 })
 	c := lbtest.Dial(t, s.addr)
 	c.Send(lbtest.Get("one"))
-	if status, _ := c.Answer(); status != 200 {
+	if status, _ := c.Response(); status != 200 {
 		t.Errorf("status %d", status)
 	}
 	third.leave()
--- a/cmd/silvertrail/ready_test.go
+++ b/cmd/silvertrail/ready_test.go
@@ -145,7 +145,7 @@
 			entries := standin.Entries(longList, e.Addr)
 			d := newDiscovery(t, c.o, entries[:longList-1])
 			d.Set(entries) // version 2, one endpoint more than is known
-			d.Be(c.state)
+			d.SetState(c.state)
 			known := `{"known": ` + string(standin.ListText(1, entries[:longList-1])) + `, "name"`
 			var all []*sidecars
 			for n, p := range ports(t, restarted) {
@@ -198,7 +198,7 @@
 			for n, s := range all {
 				c := lbtest.Dial(t, s.addr)
 				c.Send(lbtest.Get(fmt.Sprint("first-", n)))
-				if status, body := c.Answer(); status != 200 || body != fmt.Sprint("answer to first-", n) {
+				if status, body := c.Response(); status != 200 || body != fmt.Sprint("answer to first-", n) {
 					t.Errorf("process %d, once it is ready: %d %q", n, status, body)
 				}
 				c.Close()
--- a/cmd/silvertrail/settings_test.go
+++ b/cmd/silvertrail/settings_test.go
@@ -68,7 +68,7 @@
 			for i := 0; !stop.Load(); i++ {
 				id := fmt.Sprintf("load-%d-%d", n, i)
 				c.Send(lbtest.Get(id))
-				if status, body := c.Answer(); status != 200 || body != "answer to "+id {
+				if status, body := c.Response(); status != 200 || body != "answer to "+id {
 					t.Errorf("%s: %d %q", id, status, body)
 					return
 				}
@@ -83,7 +83,7 @@
 		c := lbtest.Dial(t, s.addr)
 		defer c.Close()
 		c.Send(text(fmt.Sprint("ask-", asked)))
-		status, _ := c.Answer()
+		status, _ := c.Response()
 		return status
 	}
 	get := func(class string) func(string) string {
@@ -151,7 +151,7 @@
 		defer c.Close()
 		asked++
 		c.Send(text(fmt.Sprint("count-", asked)))
-		if status, _ := c.Answer(); status != 503 {
+		if status, _ := c.Response(); status != 503 {
 			t.Errorf("turned away by all: %d", status)
 		}
 		return arrivals.Load() - before
@@ -187,18 +187,18 @@
 	r := s.start()
 	c := lbtest.Dial(t, s.addr)
 	c.Send(lbtest.Get("held"))
-	a := <-e.Got
+	a := <-e.Arrivals
 	r.change(s, strings.Replace(strings.Replace(string(good), `"name": "read"`, `"name": "other"`, 1), `"deadline": 10`, `"deadline": 0.1`, 1))
 	if f := r.figures(); f.Loaded != 1 || f.Current != 1 {
 		t.Fatalf("%+v", f)
 	}
 	short := lbtest.Dial(t, s.addr)
 	short.Send(lbtest.Head("GET", "other", "short"))
-	if status, _ := short.Answer(); status == 200 || status == 0 {
+	if status, _ := short.Response(); status == 200 || status == 0 {
 		t.Errorf("past the new deadline: %d", status)
 	}
 	a.OK()
-	if status, body := c.Answer(); status != 200 || body != "answer to held" {
+	if status, body := c.Response(); status != 200 || body != "answer to held" {
 		t.Errorf("in work as its class went: %d %q", status, body)
 	}
 	if f := r.figures(); f.Answered["read"] != 1 || f.Answered["other"] != 0 || f.Current != 0 {
--- a/cmd/silvertrail/sidecar_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -34,7 +34,7 @@
 		c := lbtest.Dial(t, addr)
 		defer c.Close()
 		c.Send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-		status, _ := c.Answer()
+		status, _ := c.Response()
 		return status == 200
 	})
 	return path, addr, ended
@@ -70,7 +70,7 @@
 
 	held := lbtest.Dial(t, addr)
 	held.Send(lbtest.Get("held"))
-	arrival := <-first.Got
+	arrival := <-first.Arrivals
 
 	if err := os.WriteFile(path, []byte(`{"listen": `), 0o600); err != nil {
 		t.Fatal(err)
@@ -85,7 +85,7 @@
 	<-after.Asked() // its list is in use: it is asked for what has changed since
 	caller := lbtest.Dial(t, addr)
 	caller.Send(lbtest.Get("after"))
-	if status, body := caller.Answer(); status != 200 || body != "answer to after" {
+	if status, body := caller.Response(); status != 200 || body != "answer to after" {
 		t.Errorf("after the reload: %d %q", status, body)
 	}
 
@@ -94,11 +94,11 @@
 		c := lbtest.Dial(t, addr)
 		defer c.Close()
 		c.Send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-		status, _ := c.Answer()
+		status, _ := c.Response()
 		return status == 503
 	})
 	arrival.OK()
-	if status, body := held.Answer(); status != 200 || body != "answer to held" {
+	if status, body := held.Response(); status != 200 || body != "answer to held" {
 		t.Errorf("what was held at SIGTERM got %d %q", status, body)
 	}
 	await(t, ended)
@@ -132,7 +132,7 @@
 	})
 	c := lbtest.Dial(t, addr)
 	c.Send(lbtest.Get("early"))
-	a := <-e.Got
+	a := <-e.Arrivals
 	raise(t, syscall.SIGTERM)
 	select {
 	case err := <-ended: // the process would be gone with it
@@ -140,7 +140,7 @@
 	case <-time.After(100 * time.Millisecond): // what ends at once has ended; less does no harm
 	}
 	a.OK()
-	if status, body := c.Answer(); status != 200 || body != "answer to early" {
+	if status, body := c.Response(); status != 200 || body != "answer to early" {
 		t.Errorf("%d %q", status, body)
 	}
 	await(t, ended)
--- a/cmd/silvertrail/upgrade_test.go
+++ b/cmd/silvertrail/upgrade_test.go
@@ -175,7 +175,7 @@
 					c.Send(lbtest.Get(id))
 				}
 				asked.Add(1)
-				status, body, closes := c.AnswerTo()
+				status, body, closes := c.ResponseClosing()
 				switch {
 				case status == 0:
 					doors.Add(1)
@@ -252,7 +252,7 @@
 		t.Helper()
 		n++
 		c.Send(lbtest.Get(fmt.Sprint("r", n)))
-		if status, _ := c.Answer(); status != want {
+		if status, _ := c.Response(); status != want {
 			t.Errorf("request %d: %d, not %d", n, status, want)
 		}
 	}
@@ -295,7 +295,7 @@
 		defer c.Close()
 		n++
 		c.Send(lbtest.Get(fmt.Sprint("r", n)))
-		c.Answer()
+		c.Response()
 		return got[0].Load() > before
 	})
 	old.leave()
@@ -349,7 +349,7 @@
 			continue
 		}
 		c.Send(lbtest.Get(fmt.Sprint("warm-", i)))
-		if status, _ := c.Answer(); status != 200 {
+		if status, _ := c.Response(); status != 200 {
 			t.Fatalf("status %d", status)
 		}
 	}
@@ -361,17 +361,17 @@
 	for i := range keys {
 		c := lbtest.Dial(t, s.addr)
 		c.Send(post(fmt.Sprint("again-", i), fmt.Sprint("held-", i)))
-		if status, _ := c.Answer(); status != 200 && status != 502 {
+		if status, _ := c.Response(); status != 200 && status != 502 {
 			t.Errorf("a repeat at the new process: %d", status)
 		}
 		c.Send(post(fmt.Sprint("new-", i), fmt.Sprint("new-", i)))
-		if status, _ := c.Answer(); status != 200 {
+		if status, _ := c.Response(); status != 200 {
 			t.Errorf("a new key: %d", status)
 		}
 		c.Close()
 		c = kept[keys+i]
 		c.Send(post(fmt.Sprint("back-", i), fmt.Sprint("new-", i)))
-		if status, _ := c.Answer(); status != 200 && status != 502 {
+		if status, _ := c.Response(); status != 200 && status != 502 {
 			t.Errorf("a repeat at the old process: %d", status)
 		}
 	}
@@ -379,7 +379,7 @@
 		a.OK()
 	}
 	for i := range keys {
-		if status, _ := kept[i].Answer(); status != 200 {
+		if status, _ := kept[i].Response(); status != 200 {
 			t.Errorf("in work over the upgrade: %d", status)
 		}
 	}
@@ -406,7 +406,7 @@
 		c := lbtest.Dial(t, s.addr)
 		defer c.Close()
 		c.Send(lbtest.Get(id))
-		if status, body := c.Answer(); status != 200 || body != "answer to "+id {
+		if status, body := c.Response(); status != 200 || body != "answer to "+id {
 			t.Errorf("%s: %d %q", id, status, body)
 		}
 	}
@@ -420,7 +420,7 @@
 	ask("replaced")
 	dies.cmd.Process.Kill()
 	<-dies.ended
-	lbtest.Until(t, "the old process takes clients again", func() bool { return old.log.Has("accepting clients again") })
+	lbtest.Until(t, "the old process takes clients again", func() bool { return old.log.Contains("accepting clients again") })
 	ask("back")
 	next := s.start() // the path is the dead one's: this one starts without state
 	ask("after")
@@ -437,17 +437,17 @@
 	old := s.start()
 	c := lbtest.Dial(t, s.addr)
 	c.Send(lbtest.Get("held"))
-	a := <-e.Got
+	a := <-e.Arrivals
 	next := s.start()
 	old.cmd.Process.Signal(syscall.SIGTERM)
 	other := lbtest.Dial(t, s.addr)
 	other.Send(lbtest.Get("other"))
-	(<-e.Got).OK()
-	if status, _ := other.Answer(); status != 200 {
+	(<-e.Arrivals).OK()
+	if status, _ := other.Response(); status != 200 {
 		t.Errorf("a new caller: %d", status)
 	}
 	a.OK()
-	if status, body := c.Answer(); status != 200 || body != "answer to held" {
+	if status, body := c.Response(); status != 200 || body != "answer to held" {
 		t.Errorf("held: %d %q", status, body)
 	}
 	if err := <-old.ended; err != nil {
--- a/cmd/silvertrail/versions_test.go
+++ b/cmd/silvertrail/versions_test.go
@@ -48,7 +48,7 @@
 	f.t.Helper()
 	var last fleet.VersionsView
 	for _, i := range at {
-		ok := lbtest.Before(func() bool {
+		ok := lbtest.Eventually(func() bool {
 			v, err := f.all[i].versions()
 			last = v
 			return err == nil && want(v)
--- a/cmd/silvertrail/viewed_test.go
+++ b/cmd/silvertrail/viewed_test.go
@@ -59,11 +59,11 @@
 	fleetsAtOnce <- struct{}{}
 	t.Cleanup(func() { <-fleetsAtOnce })
 	f := &viewed{t: t, stop: make(chan struct{}), asleep: map[int][]span{}}
-	nodos, groups := salasOf(t, func(_ int, n int64) standin.Trouble {
+	nodos, groups := salasOf(t, func(_ int, n int64) standin.Fault {
 		if n%40 == 0 {
-			return standin.Reset
+			return standin.ConnectionReset
 		}
-		return standin.None
+		return standin.NoFault
 	})
 	f.groups = groups
 	f.all = newFleetBehind(t, nodos, "  views = true"+more, func(at []string) []string {
--- a/cmd/silvertrail/views_test.go
+++ b/cmd/silvertrail/views_test.go
@@ -81,7 +81,7 @@
 	f := newViewed(t, "")
 	for _, loss := range []float64{0.1, 0.3, 0.6} {
 		f.trouble(fmt.Sprintf("loss of %.0f %%", 100*loss), nil, func() {
-			f.relays.Trouble(loss, 0.1, 30*time.Millisecond)
+			f.relays.SetFaults(loss, 0.1, 30*time.Millisecond)
 			time.Sleep(lasting(time.Minute, 4*time.Second))
 		})
 	}
--- a/internal/balancer/engine/engine_test.go
+++ b/internal/balancer/engine/engine_test.go
@@ -59,7 +59,7 @@
 	h := newHost(t)
 	h.UpdateEndpoints(lbpolicy.Full, []endpointlist.Endpoint{entry(e.Addr, "ready")})
 	held := get(h, "one", 2*time.Second)
-	<-e.Got
+	<-e.Arrivals
 	h.event(func(time.Duration) { panic("a fault") })
 	h.mu.Lock()
 	h.balancer = nil // every decision from now on fails
@@ -158,14 +158,14 @@
 	for range 2 {
 		c := get(h, "hurried", 700*time.Millisecond) // the decisions start from a latency of 1.25 s
 		select {
-		case held := <-e.Got:
+		case held := <-e.Arrivals:
 			answer(t, c)
 			held.Close()
 		case <-time.After(lbtest.Wait):
 			t.Fatalf("not sent: %s", log.String())
 		}
 	}
-	if log.Has("silent") {
+	if log.Contains("silent") {
 		t.Errorf("put out for callers in a hurry: %s", log.String())
 	}
 	for range 12 {
@@ -173,7 +173,7 @@
 	}
 	lbtest.Until(t, "a silent server out", func() bool {
 		get(h, "another", time.Millisecond) // decisions come with events
-		return log.Has("silent")
+		return log.Contains("silent")
 	})
 }
 
--- a/internal/balancer/upstream/dial_test.go
+++ b/internal/balancer/upstream/dial_test.go
@@ -172,7 +172,7 @@
 func TestLateSecondAnswer(t *testing.T) {
 	t.Parallel()
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
-		if a.Nth > 0 {
+		if a.Index > 0 {
 			a.Write([]byte(lbtest.OK("answer to one"))) // once more, behind the request that it does not belong to
 		}
 		a.OK()
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -88,7 +88,7 @@
 			a.Write([]byte(text))
 			return
 		}
-		second = a.Nth
+		second = a.Index
 		a.OK()
 	})
 	c := newClient(lbtest.Wait)
@@ -196,7 +196,7 @@
 	const stands = 300 * time.Millisecond
 	var lost atomic.Bool
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
-		if a.Nth > 0 && lost.Load() {
+		if a.Index > 0 && lost.Load() {
 			a.Conn.(*net.TCPConn).SetLinger(0)
 			a.Close()
 			return
@@ -262,7 +262,7 @@
 	var held sync.WaitGroup
 	for range 2 {
 		held.Go(func() { a.Pool(hung.Addr).Do(ctx, request("held"), yes) })
-		<-hung.Got
+		<-hung.Arrivals
 	}
 	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != lbpolicy.NotSent {
 		t.Errorf("over its cap: verdict %d", v)
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -50,7 +50,7 @@
 }
 
 func set(name string, port int) proto.Message {
-	return standin.Set(name, "z", standin.Endpoint(fmt.Sprint("127.0.0.1:", port), corev3.HealthStatus_HEALTHY, 1))
+	return standin.EndpointSet(name, "z", standin.Endpoint(fmt.Sprint("127.0.0.1:", port), corev3.HealthStatus_HEALTHY, 1))
 }
 
 func publish(t testing.TB, s *Server, remove []string, all ...proto.Message) api.Published {
@@ -118,7 +118,7 @@
 
 func (r *receiver) await(t testing.TB, want string) {
 	t.Helper()
-	if !lbtest.Before(func() bool { return r.sees() == want }) {
+	if !lbtest.Eventually(func() bool { return r.sees() == want }) {
 		t.Fatalf("it sees %s, not %s", r.sees(), want)
 	}
 }
@@ -175,7 +175,7 @@
 	r.await(t, "1")
 	badCluster, badSet := standin.Cluster("b"), set("c", 1)
 	badCluster.LbPolicy = clusterv3.Cluster_RING_HASH
-	twice := standin.Set("d", "z", standin.Endpoint("127.0.0.1:1", 0, 1), standin.Endpoint("127.0.0.1:1", 0, 1))
+	twice := standin.EndpointSet("d", "z", standin.Endpoint("127.0.0.1:1", 0, 1), standin.Endpoint("127.0.0.1:1", 0, 1))
 	_, err := s.PublishResources(append(packed(t, set("a", 2), badCluster, twice, badSet), &anypb.Any{TypeUrl: "x"}), []string{"clusters/a", "endpoints/a"})
 	for _, want := range []string{"resources[1]: cluster/b: lb_policy", "resources[2]: endpoints/d: endpoints[0].lb_endpoints[1]", `resources[4]: of type "x"`,
 		`remove: "clusters/a"`, "endpoints/a: told twice"} {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -90,7 +90,7 @@
 // startNodos starts the salas' nodos and writes their lists into a folder. Stop ends those that were started, also where
 // there is an error.
 func startNodos(folder string) (lists map[string][]endpointlist.Endpoint, stop func(), err error) {
-	var nodos []*standin.Nodo
+	var nodos []*standin.Endpoint
 	stop = func() {
 		for _, n := range nodos {
 			n.Close()
@@ -100,12 +100,12 @@
 	for _, sala := range salas {
 		group := standin.NewGroup(sala, time.Minute)
 		for i := range perSala {
-			no := standin.NodoOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Sala: sala, Slots: 8, Queue: 32, Work: work,
+			no := standin.EndpointOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Site: sala, Slots: 8, Queue: 32, Work: work,
 				Group: group}
 			if sala == "sala-norte" && i == 0 {
 				no.Work = slowWork
 			}
-			n, err := standin.NewNodo(no)
+			n, err := standin.NewEndpoint(no)
 			if err != nil {
 				return nil, stop, err
 			}
--- a/internal/edge/certs/certs_test.go
+++ b/internal/edge/certs/certs_test.go
@@ -60,7 +60,7 @@
 	touch(files.Authority)
 	shows("second", 2)
 	shows("second", 2)
-	if !log.Has("holds no certificate") {
+	if !log.Contains("holds no certificate") {
 		t.Error(log.String())
 	}
 	said := log.String()
--- a/internal/edge/frontend/left_test.go
+++ b/internal/edge/frontend/disconnect_test.go
@@ -182,7 +182,7 @@
 		t.Fatal("the connection is not taken")
 	}
 	if d.secure != nil {
-		c.Client = lbtest.Over(t, tls.Client(c.tcp, d.secure))
+		c.Client = lbtest.NewClient(t, tls.Client(c.tcp, d.secure))
 	}
 	c.Send(text)
 	return c
@@ -277,7 +277,7 @@
 	"the next request of a kept connection, read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
 		c := d.call(t, lbtest.Get("first"))
-		if status, _ := c.Answer(); status != 200 {
+		if status, _ := c.Response(); status != 200 {
 			t.Fatal(status)
 		}
 		gate := make(chan struct{})
@@ -315,7 +315,7 @@
 		c := d.call(t, lbtest.Post("left", body))
 		return c, func() {
 			release()
-			if status, _ := first.Answer(); status != 200 {
+			if status, _ := first.Response(); status != 200 {
 				t.Error("the one before it: ", status)
 			}
 			first.Close()
@@ -382,7 +382,7 @@
 		c := d.call(t, lbtest.Get("left"))
 		return c, func() {
 			release()
-			if status, _ := first.Answer(); status != 200 {
+			if status, _ := first.Response(); status != 200 {
 				t.Error("the one before it: ", status)
 			}
 			first.Close()
@@ -411,10 +411,10 @@
 				lbtest.Until(t, "the end has come", c.here.over)
 				release()
 				if strings.HasPrefix(how, "ends") { // it still reads: one answer, which promises nothing
-					if status, _ := c.Answer(); status < 400 || status == 429 || status == 503 {
+					if status, _ := c.Response(); status < 400 || status == 429 || status == 503 {
 						t.Errorf("answered %d", status)
 					}
-					if rest := c.Ended(); rest != "" {
+					if rest := c.AwaitClose(); rest != "" {
 						t.Errorf("and then %q", rest)
 					}
 				}
@@ -473,7 +473,7 @@
 			case <-time.After(lbtest.Wait):
 				t.Fatal("the end was not noticed")
 			}
-			if status, _ := c.Answer(); status != 502 {
+			if status, _ := c.Response(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
 			gone(t, d, "left", "behind")
@@ -511,7 +511,7 @@
 			t.Parallel()
 			d := open(t, 8, 1<<20, true, nil)
 			c := d.call(t, lbtest.Get("first"))
-			if status, _ := c.Answer(); status != 200 {
+			if status, _ := c.Response(); status != 200 {
 				t.Fatal(status)
 			}
 			release := atOnce(t, c, lbtest.Get("left"))
@@ -519,7 +519,7 @@
 			c.Conn.(*tls.Conn).CloseWrite()
 			c.sent(t)
 			release()
-			if status, _ := c.Answer(); status != 502 {
+			if status, _ := c.Response(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
 			gone(t, d, "left", "behind")
@@ -534,11 +534,11 @@
 			c.Conn.(*tls.Conn).CloseWrite()
 			c.sent(t)
 			release()
-			if status, _ := first.Answer(); status != 200 {
+			if status, _ := first.Response(); status != 200 {
 				t.Error("the one before it: ", status)
 			}
 			first.Close()
-			if status, _ := c.Answer(); status != 502 {
+			if status, _ := c.Response(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
 			gone(t, d, "left", "behind")
@@ -552,7 +552,7 @@
 	for _, n := range []int{1, 20, 400} { // the last are more than is looked at
 		d := open(t, 8, 1<<20, true, nil)
 		first := d.call(t, lbtest.Get("first"))
-		if status, _ := first.Answer(); status != 200 {
+		if status, _ := first.Response(); status != 200 {
 			t.Fatal(status)
 		}
 		var text strings.Builder
@@ -563,7 +563,7 @@
 		first.sent(t)
 		release()
 		for i := range n {
-			if status, body := first.Answer(); status != 200 || body != fmt.Sprint("answer to n", i) {
+			if status, body := first.Response(); status != 200 || body != fmt.Sprint("answer to n", i) {
 				t.Fatalf("%d of %d: %d %q", i, n, status, body)
 			}
 		}
--- a/internal/edge/frontend/protocol_test.go
+++ b/internal/edge/frontend/protocol_test.go
@@ -37,7 +37,7 @@
 			conn := lbtest.Dial(t, addr)
 			conn.Send(c.text)
 			if c.ends {
-				if got := conn.Ended(); !strings.HasPrefix(got, c.want) || strings.Count(got, "HTTP/1.1 ") != 1 || !strings.Contains(got, "\r\nConnection: close") {
+				if got := conn.AwaitClose(); !strings.HasPrefix(got, c.want) || strings.Count(got, "HTTP/1.1 ") != 1 || !strings.Contains(got, "\r\nConnection: close") {
 					t.Errorf("got %q, want %q and the end", got, c.want)
 				}
 				return
@@ -47,7 +47,7 @@
 				t.Fatalf("got %q, %v", got, err)
 			}
 			conn.Send("ok")
-			if status, _ := conn.Answer(); status != 200 {
+			if status, _ := conn.Response(); status != 200 {
 				t.Errorf("status %d", status)
 			}
 		})
@@ -76,7 +76,7 @@
 			}
 		}()
 		for i := range 20 {
-			if status, body := c.Answer(); status != 200 || body != fmt.Sprintf("answer to c%d-%d", cut, i) {
+			if status, body := c.Response(); status != 200 || body != fmt.Sprintf("answer to c%d-%d", cut, i) {
 				t.Fatalf("cuts of %d, request %d: %d %q", cut, i, status, body)
 			}
 		}
@@ -90,9 +90,9 @@
 	s, addr := serve(t, e.Addr, 8)
 	goes, stays := lbtest.Dial(t, addr), lbtest.Dial(t, addr)
 	goes.Send(lbtest.Get("goes"))
-	left := <-e.Got
+	left := <-e.Arrivals
 	stays.Send(lbtest.Get("stays"))
-	held := <-e.Got
+	held := <-e.Arrivals
 	time.Sleep(100 * time.Millisecond) // the watch has begun; less does no harm
 	stays.Send(lbtest.Get("next"))     // comes while the watch looks on
 	goes.Close()
@@ -101,11 +101,11 @@
 		t.Error("the attempt of a caller that has gone is still out")
 	}
 	held.OK()
-	if status, body := stays.Answer(); status != 200 || body != "answer to stays" {
+	if status, body := stays.Response(); status != 200 || body != "answer to stays" {
 		t.Errorf("%d %q", status, body)
 	}
-	(<-e.Got).OK()
-	if status, body := stays.Answer(); status != 200 || body != "answer to next" {
+	(<-e.Arrivals).OK()
+	if status, body := stays.Response(); status != 200 || body != "answer to next" {
 		t.Errorf("%d %q", status, body)
 	}
 	lbtest.Until(t, "one connection", func() bool { return s.Conns() == 1 })
--- a/internal/edge/frontend/server_test.go
+++ b/internal/edge/frontend/server_test.go
@@ -93,24 +93,24 @@
 				t.Parallel()
 				c := lbtest.Dial(t, addr)
 				go c.Send(text)
-				status, _ := c.Answer()
+				status, _ := c.Response()
 				if status != 0 && status < 400 || status == 503 || status == 429 {
 					t.Errorf("status %d", status)
 				}
-				c.Ended()
+				c.AwaitClose()
 			})
 		}
 	})
 	lbtest.Until(t, "no connection is kept", func() bool { return s.Conns() == 0 })
 	select {
-	case a := <-e.Got:
+	case a := <-e.Arrivals:
 		t.Errorf("%s came to the endpoint", a.Request.Header.Get("X-Request-Id"))
 	default:
 	}
 	c := lbtest.Dial(t, addr)
 	c.Send(lbtest.Get("good"))
-	(<-e.Got).OK()
-	if status, body := c.Answer(); status != 200 || body != "answer to good" {
+	(<-e.Arrivals).OK()
+	if status, body := c.Response(); status != 200 || body != "answer to good" {
 		t.Errorf("a good caller: %d %q", status, body)
 	}
 }
@@ -133,7 +133,7 @@
 		c.Send([]string{lbtest.Get(id), lbtest.Post(id, large),
 			strings.Replace(lbtest.Get(id), "/read", "/read?a=%20b", 1), lbtest.Post(id, "two"),
 			lbtest.Head("POST", "write", id, "Idempotency-Key: k", "Transfer-Encoding: chunked") + "6\r\nchunks\r\n0\r\n\r\n"}[i])
-		if status, body := c.Answer(); status != 200 || body != want {
+		if status, body := c.Response(); status != 200 || body != want {
 			t.Fatalf("request %d: %d %.60q", i, status, body)
 		}
 	}
@@ -145,22 +145,22 @@
 	_, addr := serve(t, e.Addr, 8)
 	owner := lbtest.Dial(t, addr)
 	owner.Send(lbtest.Get("one"))
-	a := <-e.Got
+	a := <-e.Arrivals
 	for range 2 {
 		thief := lbtest.Dial(t, addr)
 		thief.Send(lbtest.Get("one"))
-		if status, _ := thief.Answer(); status != 409 {
+		if status, _ := thief.Response(); status != 409 {
 			t.Errorf("status %d", status)
 		}
 		if a != nil {
 			a.OK()
-			if status, body := owner.Answer(); status != 200 || body != "answer to one" {
+			if status, body := owner.Response(); status != 200 || body != "answer to one" {
 				t.Errorf("the owner: %d %q", status, body)
 			}
 		}
 		a = nil
 	}
-	if len(e.Got) > 0 {
+	if len(e.Arrivals) > 0 {
 		t.Error("passed on")
 	}
 }
@@ -178,7 +178,7 @@
 	}
 	c := lbtest.Dial(t, addr)
 	c.Send(lbtest.Get("one"))
-	if status, _ := c.Answer(); status != 200 {
+	if status, _ := c.Response(); status != 200 {
 		t.Errorf("status %d", status)
 	}
 }
@@ -192,12 +192,12 @@
 		t.Helper()
 		c.Send(lbtest.Get(id))
 		select {
-		case a := <-e.Got:
+		case a := <-e.Arrivals:
 			a.OK()
 		case <-time.After(lbtest.Wait):
 			t.Fatal("not passed on: " + id)
 		}
-		if status, body := c.Answer(); status != 200 || body != "answer to "+id {
+		if status, body := c.Response(); status != 200 || body != "answer to "+id {
 			t.Errorf("%s: %d %q", id, status, body)
 		}
 	}
@@ -208,7 +208,7 @@
 		c := lbtest.Dial(t, addr)
 		defer c.Close()
 		c.Send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-		status, _ := c.Answer()
+		status, _ := c.Response()
 		return status == 503
 	})
 	ask(kept, "first")
@@ -217,13 +217,13 @@
 
 	last := lbtest.Dial(t, addr)
 	last.Send(lbtest.Get("last"))
-	held := <-e.Got
+	held := <-e.Arrivals
 	go func() { s.Shutdown(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
-	if rest := kept.Ended(); rest != "" {
+	if rest := kept.AwaitClose(); rest != "" {
 		t.Errorf("before the end came %q", rest)
 	}
 	held.OK()
-	if status, body := last.Answer(); status != 200 || body != "answer to last" {
+	if status, body := last.Response(); status != 200 || body != "answer to last" {
 		t.Errorf("held at the end: %d %q", status, body)
 	}
 	<-ended
@@ -237,7 +237,7 @@
 	s, addr := serve(t, e.Addr, 1)
 	first := lbtest.Dial(t, addr)
 	first.Send(lbtest.Get("first"))
-	held := <-e.Got
+	held := <-e.Arrivals
 	var queued []*lbtest.Client
 	for _, id := range []string{"second", "third", "fourth"} { // one waits for its place, the others to be taken
 		c := lbtest.Dial(t, addr)
@@ -248,17 +248,17 @@
 	go func() { s.Shutdown(time.Now(), time.Now().Add(lbtest.Wait)); close(ended) }()
 	time.Sleep(100 * time.Millisecond) // what closes at once has closed; less does no harm
 	held.OK()
-	if status, _ := first.Answer(); status != 200 {
+	if status, _ := first.Response(); status != 200 {
 		t.Errorf("first: %d", status)
 	}
 	for _, c := range queued {
 		select {
-		case a := <-e.Got:
+		case a := <-e.Arrivals:
 			a.OK()
 		case <-time.After(lbtest.Wait):
 			t.Fatal("not passed on")
 		}
-		if status, _ := c.Answer(); status != 200 {
+		if status, _ := c.Response(); status != 200 {
 			t.Errorf("one that waited: %d", status)
 		}
 	}
--- a/internal/edge/frontend/end_test.go
+++ b/internal/edge/frontend/shutdown_test.go
@@ -27,7 +27,7 @@
 			if kept {
 				before = lbtest.Get("before")
 				c.Send(before)
-				if status, _ := c.Answer(); status != 200 {
+				if status, _ := c.Response(); status != 200 {
 					t.Fatal(status)
 				}
 			}
@@ -39,18 +39,18 @@
 			}
 			idle := d.call(t, "")
 			idle.Send(lbtest.Get("idle"))
-			if status, _ := idle.Answer(); status != 200 {
+			if status, _ := idle.Response(); status != 200 {
 				t.Fatal(status)
 			}
 			by := time.Now().Add(lbtest.Wait)
 			d.host.ShutDownBy(by)
 			ended := make(chan struct{})
 			go func() { d.Shutdown(time.Now(), by); close(ended) }()
-			if rest := idle.Ended(); rest != "" { // what stands idle has been closed
+			if rest := idle.AwaitClose(); rest != "" { // what stands idle has been closed
 				t.Errorf("before the end came %q", rest)
 			}
 			c.Send(text[30:])
-			if status, body := c.Answer(); status != 200 || body != "answer to slow" {
+			if status, body := c.Response(); status != 200 || body != "answer to slow" {
 				t.Errorf("%d %q", status, body)
 			}
 			<-ended
@@ -67,12 +67,12 @@
 	c := d.call(t, lbtest.Get("held"))
 	<-arrived
 	d.host.ShutDownBy(time.Now())
-	if status, _ := c.Answer(); status < 500 {
+	if status, _ := c.Response(); status < 500 {
 		t.Errorf("held: %d", status)
 	}
 	for _, text := range []string{lbtest.Get("late"), lbtest.Post("late-2", "x")} {
 		c.Send(text)
-		if status, _ := c.Answer(); status != 503 {
+		if status, _ := c.Response(); status != 503 {
 			t.Errorf("one that came after the end: %d, want a refusal, as nothing of it went out", status)
 		}
 	}
--- a/internal/edge/frontend/stream_test.go
+++ b/internal/edge/frontend/stream_test.go
@@ -225,7 +225,7 @@
 	_, addr := serve(t, e, 8)
 	c := lbtest.Dial(t, addr)
 	c.Send(lbtest.Head("POST", "write", "a", "Idempotency-Key: k", "Content-Length: 1000000") + strings.Repeat("x", 200<<10))
-	if status, body := c.Answer(); status != 200 || body != "early" {
+	if status, body := c.Response(); status != 200 || body != "early" {
 		t.Errorf("%d %q", status, body)
 	}
 }
@@ -245,7 +245,7 @@
 			}
 			io.Copy(c, &pattern{size: 200_000})
 			c.Conn.(*net.TCPConn).CloseWrite()
-			if status, _ := c.Answer(); status == 200 || status == 429 || status == 503 {
+			if status, _ := c.Response(); status == 200 || status == 429 || status == 503 {
 				t.Errorf("%s: %d", framing, status)
 			}
 		}
@@ -261,7 +261,7 @@
 		for i := range 4 {
 			c := lbtest.Dial(t, addr)
 			go post(c, fmt.Sprint("retried-", i), 300_000, false, "X-Want: 2")
-			if status, _ := c.Answer(); status != 200 {
+			if status, _ := c.Response(); status != 200 {
 				t.Errorf("status %d", status)
 			}
 		}
@@ -279,7 +279,7 @@
 		c := lbtest.Dial(t, addr)
 		go post(c, "once", 30<<20, false, "X-Want: 2")
 		// What has not come whole has not run: its client may try again.
-		if status, _ := c.Answer(); status != 503 && status != 0 {
+		if status, _ := c.Response(); status != 503 && status != 0 {
 			t.Errorf("status %d", status)
 		}
 		if took.Load() != 1 {
@@ -301,7 +301,7 @@
 	_, addr := serve(t, e, 8)
 	c := lbtest.Dial(t, addr)
 	c.Send(lbtest.Get("one"))
-	if status, body := c.Answer(); status != 200 || body != strings.Repeat("y", pieces*4) {
+	if status, body := c.Response(); status != 200 || body != strings.Repeat("y", pieces*4) {
 		t.Errorf("%d %q", status, body)
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -76,7 +76,7 @@
 func newCrew(t *testing.T, n, voters int) *crew {
 	t.Helper()
 	c := &crew{t: t, links: lbtest.NewLinks()}
-	t.Cleanup(c.links.End)
+	t.Cleanup(c.links.Close)
 	var names []string
 	for i := range voters {
 		names = append(names, name(i))
@@ -147,7 +147,7 @@
 // zones.
 func TestKeyIsOwnedByOneGroup(t *testing.T) {
 	c := newCrew(t, 5, 5)
-	c.links.Unsound()
+	c.links.Distort()
 	type bound struct {
 		zone       string
 		from, till time.Time
@@ -267,7 +267,7 @@
 // over by time.
 func TestVoterRecovery(t *testing.T) {
 	c := &crew{t: t, links: lbtest.NewLinks(), change: func(o *Options) { o.KeyRetention = time.Hour }}
-	t.Cleanup(c.links.End)
+	t.Cleanup(c.links.Close)
 	for i := range 3 {
 		c.all = append(c.all, c.start(i, true, name(0), name(1), name(2)))
 	}
--- a/internal/fleet/views_test.go
+++ b/internal/fleet/views_test.go
@@ -16,7 +16,7 @@
 func viewing(t *testing.T, n int) ([]*Fleet, *lbtest.Links) {
 	t.Helper()
 	links := lbtest.NewLinks()
-	t.Cleanup(links.End)
+	t.Cleanup(links.Close)
 	var sockets []*Transport
 	var seeds, voters []string
 	for i := range n {
--- a/internal/gateway/cluster/cluster_test.go
+++ b/internal/gateway/cluster/cluster_test.go
@@ -149,7 +149,7 @@
 	t.Parallel()
 	var conns atomic.Int64
 	one := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
-		if a.Nth == 0 {
+		if a.Index == 0 {
 			conns.Add(1)
 		}
 		a.OK()
@@ -190,7 +190,7 @@
 	c := start(t, Config{Name: "c", MaxFraction: 1.0 / 64, Sources: []Source{static(e.Addr)}})
 	first := make(chan engine.Result, 1)
 	go func() { first <- get(t, c, "first") }()
-	held := <-e.Got
+	held := <-e.Arrivals
 	if a := get(t, c, "second"); !a.Rejected || a.RetryAfter == 0 || a.MayHaveRun {
 		t.Errorf("over the bound: %+v", a)
 	}
--- a/internal/gateway/cluster/dns_test.go
+++ b/internal/gateway/cluster/dns_test.go
@@ -109,7 +109,7 @@
 		s.Set(answer)
 		for range 4 { // A and AAAA of the next round at the least
 			select {
-			case <-s.Asked():
+			case <-s.Queries():
 			case <-time.After(lbtest.Wait):
 				t.Fatalf("%s: not asked again", name)
 			}
@@ -129,7 +129,7 @@
 	t.Parallel()
 	s := nameServer(t, func(dns.Question, bool) *standin.Response { return nil })
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() { <-s.Asked(); cancel() }()
+	go func() { <-s.Queries(); cancel() }()
 	d := &DNS{Name: "p.test", Port: 7, Server: s.Addr}
 	if _, _, err := d.resolve(ctx); err == nil {
 		t.Error("an answer out of nothing")
--- a/internal/gateway/doors_test.go
+++ b/internal/gateway/connections_test.go
@@ -27,7 +27,7 @@
 // answered sends a request and reads its answer; status 0: the connection ended without one.
 func answered(c net.Conn, text string) (status int, after time.Duration) {
 	io.WriteString(c, text)
-	return lbtest.Reply(bufio.NewReader(c))
+	return lbtest.ReadResponse(bufio.NewReader(c))
 }
 
 // counted counts effects by path.
@@ -133,7 +133,7 @@
 					for k := 0; running(); k++ {
 						id := fmt.Sprintf("kept-%d-%d-%d", i, n, k)
 						io.WriteString(c, keyed(id))
-						status, _ := lbtest.Reply(from)
+						status, _ := lbtest.ReadResponse(from)
 						statuses.Store(id, status)
 						if status != 200 {
 							break
@@ -243,32 +243,32 @@
 		return bufio.NewReader(c)
 	}
 	first := send("127.0.0.2")
-	held := <-e.Got
+	held := <-e.Arrivals
 	send("127.0.0.3")
-	<-e.Got
+	<-e.Arrivals
 	lined := send("127.0.0.4")
 	lbtest.Until(t, "one is in line", func() bool { return g.listenerStatus(0, netip.Addr{})[0].Waiting == 1 })
-	if status, after := lbtest.Reply(send("127.0.0.5")); status != 503 || after <= 0 {
+	if status, after := lbtest.ReadResponse(send("127.0.0.5")); status != 503 || after <= 0 {
 		t.Errorf("one who finds the line full got %d, %v", status, after)
 	}
 	held.OK()
-	if status, _ := lbtest.Reply(first); status != 200 {
+	if status, _ := lbtest.ReadResponse(first); status != 200 {
 		t.Errorf("the first got %d", status)
 	}
-	(<-e.Got).OK() // the first keeps its connection, idle
-	if status, _ := lbtest.Reply(lined); status != 200 {
+	(<-e.Arrivals).OK() // the first keeps its connection, idle
+	if status, _ := lbtest.ReadResponse(lined); status != 200 {
 		t.Errorf("the one in line got %d", status)
 	}
 	if err := g.Reload(parse(t, config("30ms"))); err != nil {
 		t.Fatal(err)
 	}
 	send("127.0.0.6") // in place of the one that was in line, which is idle
-	<-e.Got
-	if status, after := lbtest.Reply(send("127.0.0.7")); status != 503 || after <= 0 {
+	<-e.Arrivals
+	if status, after := lbtest.ReadResponse(send("127.0.0.7")); status != 503 || after <= 0 {
 		t.Errorf("one whose patience is over got %d, %v", status, after)
 	}
-	if len(e.Got) > 0 {
-		t.Errorf("%s was passed on", (<-e.Got).Request.URL)
+	if len(e.Arrivals) > 0 {
+		t.Errorf("%s was passed on", (<-e.Arrivals).Request.URL)
 	}
 }
 
@@ -304,7 +304,7 @@
   cluster = "one"
 }
 `)
-	return g, folder, good, e.Got
+	return g, folder, good, e.Arrivals
 }
 
 func issue(t *testing.T, by *standin.Authority, folder, file, name string, until time.Time) {
@@ -403,7 +403,7 @@
 	}
 	for i, a := range held {
 		a.OK()
-		if status, _ := lbtest.Reply(bufio.NewReader(strangers[i])); status != 200 {
+		if status, _ := lbtest.ReadResponse(bufio.NewReader(strangers[i])); status != 200 {
 			t.Errorf("a stranger that was in work got %d", status)
 		}
 	}
@@ -525,11 +525,11 @@
 	time.Sleep(50 * time.Millisecond) // so that the watch reads it: it passes without, too
 	a.OK()
 	from := bufio.NewReader(c)
-	if status, _ := lbtest.Reply(from); status != 200 {
+	if status, _ := lbtest.ReadResponse(from); status != 200 {
 		t.Errorf("first: %d", status)
 	}
 	(<-got).OK()
-	if status, _ := lbtest.Reply(from); status != 200 {
+	if status, _ := lbtest.ReadResponse(from); status != 200 {
 		t.Errorf("second: %d", status)
 	}
 	io.WriteString(c, keyed("third"))
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/disconnect_test.go
@@ -36,13 +36,13 @@
 func newTroubled(t *testing.T) *troubled {
 	t.Helper()
 	p := &troubled{gate: make(chan struct{}), arrived: make(chan int, 64)}
-	p.province = newProvinceWith(t, "20s", standin.NodoOptions{}, func(sala, _ int) standin.Trouble {
+	p.province = newProvinceWith(t, "20s", standin.EndpointOptions{}, func(sala, _ int) standin.Fault {
 		p.mu.Lock()
 		gate := p.gate
 		p.mu.Unlock()
 		p.arrived <- sala
 		<-gate
-		return standin.Reset
+		return standin.ConnectionReset
 	})
 	t.Cleanup(func() { p.fail() })
 	return p
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -19,7 +19,7 @@
 func gateways(t *testing.T, n int, s *salas) (all []*Gateway, links *lbtest.Links) {
 	t.Helper()
 	links = lbtest.NewLinks()
-	t.Cleanup(links.End)
+	t.Cleanup(links.Close)
 	var voters, seeds []string
 	for i := range n {
 		voters = append(voters, fmt.Sprint("i", i))
@@ -59,17 +59,17 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			s := newSalas(t, time.Minute, func(nodo int) standin.Trouble {
+			s := newSalas(t, time.Minute, func(nodo int) standin.Fault {
 				switch n.Add(1) % int64(8+4*nodo) {
 				case 0:
-					return standin.Silent
+					return standin.NoResponse
 				case 4:
-					return standin.Reset
+					return standin.ConnectionReset
 				}
-				return standin.None
+				return standin.NoFault
 			})
 			all, links := gateways(t, 5, s)
-			links.Unsound()
+			links.Distort()
 			links.Sever(cut[0], cut[1])
 			if name != "one way" {
 				links.Sever(cut[1], cut[0])
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -246,7 +246,7 @@
 		"example": "404", "portal.example.org": "404", "portal..example": "400", "a@portal.example": "400", "portal.example:x": "400"} {
 		c := lbtest.Dial(t, g.Addr("l").String())
 		c.Send("GET / HTTP/1.1\r\nHost: " + host + "\r\nConnection: close\r\n\r\n")
-		status, body := c.Answer()
+		status, body := c.Response()
 		if got := body; got != want && fmt.Sprint(status) != want {
 			t.Errorf("%s: %d %q, want %s", host, status, body, want)
 		}
@@ -538,7 +538,7 @@
 	t.Parallel()
 	var conns atomic.Int64
 	kept := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
-		if a.Nth == 0 {
+		if a.Index == 0 {
 			conns.Add(1)
 		}
 		a.OK()
@@ -570,7 +570,7 @@
 		status, body, _ := ask(t, g, "POST", "/", "Idempotency-Key: held", "X-Request-Id: held")
 		got <- answer{status, body}
 	}()
-	held := <-moving.Got
+	held := <-moving.Arrivals
 	old := g.state.Load()
 	if err := g.Reload(parse(t, text("new", moving.Addr))); err != nil {
 		t.Fatal(err)
@@ -583,7 +583,7 @@
 		status, body, _ := ask(t, g, "POST", "/", "Idempotency-Key: later", "X-Request-Id: later")
 		later <- answer{status, body}
 	}()
-	(<-moving.Got).OK() // by the new cluster
+	(<-moving.Arrivals).OK() // by the new cluster
 	if a := <-later; a.status != 200 || a.body != "answer to later" {
 		t.Errorf("after the reload: %+v", a)
 	}
@@ -628,9 +628,9 @@
 // has one answer, and no write takes effect twice.
 func TestReloadStorm(t *testing.T) {
 	t.Parallel()
-	var nodos []*standin.Nodo
+	var nodos []*standin.Endpoint
 	for i := range 4 {
-		n, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond})
+		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -684,7 +684,7 @@
 					c.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nIdempotency-Key: " + id + "\r\nX-Request-Id: " + id + "\r\n\r\n")
 				}
 				c.SetDeadline(time.Now().Add(lbtest.Wait))
-				if status, body := c.Answer(); status != 200 || !strings.Contains(body, `"id":"`+id+`"`) {
+				if status, body := c.Response(); status != 200 || !strings.Contains(body, `"id":"`+id+`"`) {
 					bad.Add(1)
 					t.Errorf("%s: %d %s", id, status, body)
 					return
@@ -737,7 +737,7 @@
 	old := g.Addr("old").String()
 	caller := lbtest.Dial(t, old)
 	caller.Send("GET / HTTP/1.1\r\nHost: x\r\nX-Request-Id: held\r\n\r\n")
-	held := <-e.Got
+	held := <-e.Arrivals
 	if err := g.Reload(parse(t, listener("l", "127.0.0.1:0")+listener("new", "127.0.0.1:0")+rest)); err != nil {
 		t.Fatal(err)
 	}
@@ -754,10 +754,10 @@
 		c.Close()
 	}
 	held.OK()
-	if status, body := caller.Answer(); status != 200 || body != "answer to held" {
+	if status, body := caller.Response(); status != 200 || body != "answer to held" {
 		t.Errorf("%d %s", status, body)
 	}
-	caller.Ended()
+	caller.AwaitClose()
 }
 
 // With no more keys to be remembered nothing is sent: a refusal, which tells when to come back. Keys that are remembered
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -22,18 +22,18 @@
 // salas are two groups of two nodos each, which share their memories of keys within a group.
 type salas struct {
 	groups [2]*standin.Group
-	nodos  [4]*standin.Nodo
+	nodos  [4]*standin.Endpoint
 }
 
-func newSalas(t *testing.T, window time.Duration, trouble func(nodo int) standin.Trouble) *salas {
+func newSalas(t *testing.T, window time.Duration, trouble func(nodo int) standin.Fault) *salas {
 	t.Helper()
 	s := &salas{groups: [2]*standin.Group{standin.NewGroup("north", window), standin.NewGroup("south", window)}}
 	for i := range s.nodos {
-		o := standin.NodoOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond, Group: s.groups[i/2]}
+		o := standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond, Group: s.groups[i/2]}
 		if trouble != nil {
-			o.Trouble = func(*http.Request) standin.Trouble { return trouble(i) }
+			o.Fault = func(*http.Request) standin.Fault { return trouble(i) }
 		}
-		n, err := standin.NewNodo(o)
+		n, err := standin.NewEndpoint(o)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -159,14 +159,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			s := newSalas(t, time.Minute, func(nodo int) standin.Trouble {
+			s := newSalas(t, time.Minute, func(nodo int) standin.Fault {
 				switch n.Add(1) % int64(6+12*nodo) { // of the first nodo a third, of the next ones less
 				case 0:
-					return standin.Silent
+					return standin.NoResponse
 				case 3:
-					return standin.Reset
+					return standin.ConnectionReset
 				}
-				return standin.None
+				return standin.NoFault
 			})
 			const deadline = 500 * time.Millisecond
 			text := func(i int) string {
@@ -215,11 +215,11 @@
 func heldSalas(t *testing.T, window time.Duration) (s *salas, hold *atomic.Bool) {
 	t.Helper()
 	hold = &atomic.Bool{}
-	return newSalas(t, window, func(int) standin.Trouble {
+	return newSalas(t, window, func(int) standin.Fault {
 		if hold.Load() {
-			return standin.Silent
+			return standin.NoResponse
 		}
-		return standin.None
+		return standin.NoFault
 	}), hold
 }
 
@@ -342,7 +342,7 @@
 	for key, want := range map[string]int{"new": 503, "ran": 502} {
 		c := lbtest.Dial(t, g.Addr("l").String())
 		c.Send("POST /seat HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\nIdempotency-Key: " + key + "\r\n\r\n" + strings.Repeat("x", 60000))
-		text := c.Ended()
+		text := c.AwaitClose()
 		if !strings.HasPrefix(text, fmt.Sprint("HTTP/1.1 ", want)) || strings.Contains(text, "Retry-After: 1") != (want == 503) {
 			t.Errorf("%s: %s", key, text)
 		}
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -235,7 +235,7 @@
 // from it.
 func TestLedgerOverSalas(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, standin.NodoOptions{Work: time.Millisecond}, nil)
+	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, nil)
 	dirs := [3]string{}
 	for i := range 3 {
 		dirs[i] = filepath.Join(p.folder, "ledger-"+salaNames[i])
@@ -247,7 +247,7 @@
 		p.seeds = append(p.seeds, addr)
 		p.all[i] = g
 		for j := range 3 {
-			p.paths[j][i].Point(g.transport.Load().Addr())
+			p.paths[j][i].SetTarget(g.transport.Load().Addr())
 		}
 	}
 	p.linked()
--- a/internal/gateway/gates_test.go
+++ b/internal/gateway/sitegateways_test.go
@@ -31,11 +31,11 @@
 func TestTwoGatewaysOfASala(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	p := newProvince(t, standin.NodoOptions{Work: time.Millisecond}, func(int, int) standin.Trouble {
+	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, func(int, int) standin.Fault {
 		if n.Add(1)%50 == 0 {
-			return standin.Silent
+			return standin.NoResponse
 		}
-		return standin.None
+		return standin.NoFault
 	})
 	other, path := p.second(1)
 	text := strings.Replace(p.text(0), fmt.Sprintf("address = %q\n }", p.paths[0][1].Addr), fmt.Sprintf("addresses = [%q, %q]\n }", p.paths[0][1].Addr, path.Addr), 1)
@@ -88,11 +88,11 @@
 	served("the first drains")
 	drain(t, p.all[1], "off")
 	both()
-	path.Hold(standin.There, true)
-	path.Hold(standin.Back, true)
+	path.Block(standin.ToServer, true)
+	path.Block(standin.ToClient, true)
 	served("the second is cut off silently")
-	path.Hold(standin.There, false)
-	path.Hold(standin.Back, false)
+	path.Block(standin.ToServer, false)
+	path.Block(standin.ToClient, false)
 	both()
 	p.all[1].Close()
 	served("the first is killed")
--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -29,7 +29,7 @@
 type told struct {
 	t       *testing.T
 	g       *Gateway
-	plane   *controlplane.Plane
+	plane   *controlplane.Server
 	n       int
 	variant string
 }
@@ -88,10 +88,10 @@
 	})
 }
 
-func nodos(t *testing.T, n int, work time.Duration) (out []*standin.Nodo) {
+func nodos(t *testing.T, n int, work time.Duration) (out []*standin.Endpoint) {
 	t.Helper()
 	for i := range n {
-		nodo, err := standin.NewNodo(standin.NodoOptions{Name: fmt.Sprint("n", i), Work: work})
+		nodo, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: work})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -144,17 +144,17 @@
 			x.variant = variant
 			n := nodos(t, 3, 2*time.Millisecond)
 			holds := lbtest.NewEndpoint(t, nil)
-			x.put(controlplane.Cluster("c"), controlplane.Set("c", "", healthy(holds.Addr)))
+			x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", healthy(holds.Addr)))
 			x.run(clusterC)
 			answer := make(chan int, 1)
 			go func() {
 				status, _, _ := ask(t, x.g, "GET", "/held")
 				answer <- status
 			}()
-			held := <-holds.Got
+			held := <-holds.Arrivals
 			// Weights that differ, so that all are drawn: of equals the quickest would do for so few callers.
 			all := func(place string) *endpointv3.ClusterLoadAssignment {
-				return controlplane.Set("c", place, controlplane.Endpoint(n[0].Addr, corev3.HealthStatus_HEALTHY, 3),
+				return controlplane.EndpointSet("c", place, controlplane.Endpoint(n[0].Addr, corev3.HealthStatus_HEALTHY, 3),
 					controlplane.Endpoint(n[1].Addr, corev3.HealthStatus_HEALTHY, 2), controlplane.Endpoint(n[2].Addr, corev3.HealthStatus_HEALTHY, 2))
 			}
 			x.put(controlplane.Cluster("c"), all(""))
@@ -163,9 +163,9 @@
 			lbtest.Until(t, "all are used", func() bool { return min(n[0].Requests(), n[1].Requests(), n[2].Requests()) > 5 })
 			for round := range 6 { // the first one drains and comes back, and the second goes, again and again
 				drain := controlplane.Endpoint(n[0].Addr, corev3.HealthStatus_DRAINING, 0)
-				x.put(controlplane.Cluster("c"), controlplane.Set("c", "", drain, healthy(n[2].Addr)))
+				x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", drain, healthy(n[2].Addr)))
 				if round%2 == 1 {
-					x.plane.Cut()
+					x.plane.ResetStreams()
 				}
 				lbtest.Until(t, "it is told", func() bool {
 					m := x.g.state.Load().clusters["c"].Members()
@@ -199,7 +199,7 @@
 	x := newTold(t)
 	n := nodos(t, 2, 0)
 	as := func(h corev3.HealthStatus) *endpointv3.ClusterLoadAssignment {
-		return controlplane.Set("c", "", controlplane.Endpoint(n[0].Addr, h, 0), controlplane.Endpoint(n[1].Addr, h, 0))
+		return controlplane.EndpointSet("c", "", controlplane.Endpoint(n[0].Addr, h, 0), controlplane.Endpoint(n[1].Addr, h, 0))
 	}
 	x.put(controlplane.Cluster("c"), as(corev3.HealthStatus_HEALTHY))
 	x.run(clusterC)
@@ -215,7 +215,7 @@
 		if err := x.g.Reload(parse(t, x.text(strings.Replace(clusterC, "xds", fmt.Sprintf("empty_hold = \"%ds\"\n xds", 20+i), 1)))); err != nil {
 			t.Fatal(err)
 		}
-		x.put(controlplane.Cluster("c"), controlplane.Set("c", fmt.Sprint(i), healthy(n[i%2].Addr)))
+		x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", fmt.Sprint(i), healthy(n[i%2].Addr)))
 		x.sees("c", n[i%2].Addr)
 	}
 	x.put(controlplane.Cluster("c"), as(corev3.HealthStatus_DRAINING))
@@ -229,7 +229,7 @@
 	}
 	x.put(controlplane.Cluster("c"), as(corev3.HealthStatus_UNHEALTHY))
 	expect(200)
-	x.put(controlplane.Cluster("c"), controlplane.Set("c", ""))
+	x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", ""))
 	lbtest.Until(t, "it is heard", func() bool {
 		return slices.ContainsFunc(x.g.discovery.Dump().Resources, func(l cache.ResourceStatus) bool {
 			return l.Kind == "endpoints" && l.Name == "c" && l.Endpoints == 0
@@ -249,7 +249,7 @@
 		t.Fatal(err)
 	}
 	expect(503)
-	x.put(controlplane.Cluster("c"), controlplane.Set("c", "", healthy(n[1].Addr)))
+	x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", healthy(n[1].Addr)))
 	expect(200)
 	if err := x.g.Reload(parse(t, listener("l", "127.0.0.1:0")+pool("c", "", n[0].Addr)+"route \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")); err == nil {
 		t.Error("the control planes went with a reload")
@@ -264,7 +264,7 @@
 	weight := func(i int, w uint32) *endpointv3.LbEndpoint {
 		return controlplane.Endpoint(n[i].Addr, corev3.HealthStatus_HEALTHY, w)
 	}
-	x.put(controlplane.Cluster("c"), controlplane.Set("c", "", weight(0, 60), weight(1, 20)))
+	x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", weight(0, 60), weight(1, 20)))
 	x.run("cluster \"c\" {\n xds {}\n}\ncluster \"first\" {\n xds {\n resource = \"c\"\n level = 0\n }\n}\ncluster \"next\" {\n xds {\n resource = \"c\"\n level = 1\n }\n}\n" +
 		"route \"f\" {\n match {\n prefix = \"/f\"\n }\n class = \"read\"\n cluster = \"first\"\n failover = \"next\"\n}\nroute \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")
 	ask200 := func(n int, path string) {
@@ -279,7 +279,7 @@
 	if a, b := n[0].Requests(), n[1].Requests(); a < 2*b || a > 5*b {
 		t.Errorf("weights 60 and 20 got %d and %d", a, b)
 	}
-	levels := controlplane.Set("c", "", weight(0, 1))
+	levels := controlplane.EndpointSet("c", "", weight(0, 1))
 	levels.Endpoints = append(levels.Endpoints, &endpointv3.LocalityLbEndpoints{Priority: 1, LbEndpoints: []*endpointv3.LbEndpoint{weight(2, 1)}})
 	x.put(controlplane.Cluster("c"), levels)
 	x.sees("first", n[0].Addr)
@@ -334,14 +334,14 @@
 	at := controlplane.Endpoint("127.0.0.1:1", corev3.HealthStatus_HEALTHY, 0)
 	sa := at.GetEndpoint().Address.GetSocketAddress()
 	sa.Address, sa.PortSpecifier = "nodo.example", &corev3.SocketAddress_PortValue{PortValue: number}
-	c := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STRICT_DNS}, LoadAssignment: controlplane.Set("c", "", at)}
+	c := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STRICT_DNS}, LoadAssignment: controlplane.EndpointSet("c", "", at)}
 	x.put(c)
 	x.run(strings.Replace(clusterC, "xds {}", fmt.Sprintf("xds {\n server = %q\n }", d.Addr), 1))
 	x.sees("c", n[0].Addr)
 	if status, _, _ := ask(t, x.g, "GET", "/"); status != 200 {
 		t.Error(status)
 	}
-	fixed := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, LoadAssignment: controlplane.Set("c", "", healthy("127.0.0.2:7"))}
+	fixed := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, LoadAssignment: controlplane.EndpointSet("c", "", healthy("127.0.0.2:7"))}
 	x.put(fixed)
 	x.sees("c", "127.0.0.2:7")
 }
@@ -351,11 +351,11 @@
 func TestXDSKeysAcrossMoves(t *testing.T) {
 	t.Parallel()
 	var count atomic.Int64
-	s := newSalas(t, time.Minute, func(nodo int) standin.Trouble {
+	s := newSalas(t, time.Minute, func(nodo int) standin.Fault {
 		if nodo%2 == 0 && count.Add(1)%4 == 0 { // not of those that move: they would be put out
-			return standin.Silent
+			return standin.NoResponse
 		}
-		return standin.None
+		return standin.NoFault
 	})
 	x := newTold(t)
 	at := func(i int, name string) *endpointv3.LbEndpoint {
@@ -364,9 +364,9 @@
 		return e
 	}
 	// "m" is the process at n1 in the north, or the one at n3 in the south.
-	north := controlplane.Set("c", "north", at(0, "n0"), at(1, "m"))
+	north := controlplane.EndpointSet("c", "north", at(0, "n0"), at(1, "m"))
 	north.Endpoints = append(north.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: "south"}, LbEndpoints: []*endpointv3.LbEndpoint{at(2, "n2")}})
-	south := controlplane.Set("c", "north", at(0, "n0"))
+	south := controlplane.EndpointSet("c", "north", at(0, "n0"))
 	south.Endpoints = append(south.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: "south"}, LbEndpoints: []*endpointv3.LbEndpoint{at(2, "n2"), at(3, "m")}})
 	x.put(controlplane.Cluster("c"), north)
 	x.run(keyedClass("500ms", "60s") + twoSalas + "cluster \"c\" {\n xds {}\n}\nroute \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
@@ -387,7 +387,7 @@
 				lbtest.Until(t, "it is used where it has moved to", func() bool { return to.Requests() > before })
 			}
 			if moves%7 == 6 {
-				x.plane.Cut()
+				x.plane.ResetStreams()
 			}
 		}
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -220,7 +220,7 @@
 	}
 	defer l.Close()
 	if lies {
-		d.Lie()
+		d.IgnoreSyncs()
 	}
 	w := &truth{all: map[string]*seen{}}
 	stop := make(chan struct{})
@@ -231,9 +231,9 @@
 	lbtest.Until(t, "requests", func() bool { return l.Status().Requests > uint64(most) })
 	after, was = w.snapshot(func() *standin.Disk {
 		if machine {
-			return d.Lost(r)
+			return d.AfterPowerLoss(r)
 		}
-		return d.Killed()
+		return d.AfterKill()
 	})
 	close(stop)
 	crowd.Wait()
@@ -311,10 +311,10 @@
 	var moments []moment
 	var mu sync.Mutex // what writes and what syncs change the disk beside each other
 	r := rand.New(rand.NewPCG(9, 9))
-	d.Watch(func(d *standin.Disk) {
+	d.OnChange(func(d *standin.Disk) {
 		mu.Lock()
 		defer mu.Unlock()
-		for _, take := range []func() *standin.Disk{d.Killed, func() *standin.Disk { return d.Lost(r) }} {
+		for _, take := range []func() *standin.Disk{d.AfterKill, func() *standin.Disk { return d.AfterPowerLoss(r) }} {
 			after, was := w.snapshot(take)
 			moments = append(moments, moment{after, was, len(moments)%2 == 0})
 		}
@@ -330,7 +330,7 @@
 	close(stop)
 	<-ended
 	l.Close()
-	d.Watch(nil)
+	d.OnChange(nil)
 	if len(moments) < 100 || l.Status().Segments < 4 {
 		t.Fatalf("%d moments, %d segments", len(moments), l.Status().Segments)
 	}
@@ -345,17 +345,17 @@
 			continue
 		}
 		var twice []*standin.Disk
-		m.disk.Watch(func(d *standin.Disk) {
+		m.disk.OnChange(func(d *standin.Disk) {
 			mu.Lock()
 			defer mu.Unlock()
-			twice = append(twice, d.Killed(), d.Lost(r))
+			twice = append(twice, d.AfterKill(), d.AfterPowerLoss(r))
 		})
 		next, err := Start(options(m.disk))
 		if err != nil {
 			t.Fatalf("%d: %v", i, err)
 		}
 		next.Close()
-		m.disk.Watch(nil)
+		m.disk.OnChange(nil)
 		for j, d := range twice {
 			is, report := read(t, d)
 			if faults := against(is, m.was, m.kill); len(faults) > 0 || !report.IsSound() {
@@ -400,7 +400,7 @@
 		whole := d.Bytes(name)
 		for i := range whole {
 			for what, b := range map[string][]byte{"cut": whole[:i], "flipped": append(append(append([]byte{}, whole[:i]...), whole[i]^1<<(i%8)), whole[i+1:]...)} {
-				after := d.Killed()
+				after := d.AfterKill()
 				after.Change(name, func([]byte) []byte { return b })
 				is, _ := read(t, after)
 				for id, q := range is {
@@ -560,7 +560,7 @@
 		}, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := d.Killed()
+			d := d.AfterKill()
 			c.change(d)
 			is, report := read(t, d)
 			lost := uint64(0)
@@ -611,7 +611,7 @@
 	if err := e.Attempt("n1", terms).Intent(context.Background(), idempotency.Place{Cluster: "c", Zone: "north"}); err != nil {
 		t.Fatal(err)
 	}
-	killed := d.Killed()
+	killed := d.AfterKill()
 	l.Close()
 	id := idempotency.KeyIDOf("school", "key a")
 	for name, c := range map[string]struct {
--- a/internal/platform/sidecar/router_test.go
+++ b/internal/platform/sidecar/router_test.go
@@ -71,7 +71,7 @@
 		caller := lbtest.Dial(t, l.Addr().String())
 		defer caller.Close()
 		caller.Send(lbtest.Head("POST", "write", id, "Idempotency-Key: "+key, "Content-Length: 0"))
-		status, _ := caller.Answer()
+		status, _ := caller.Response()
 		return status
 	}
 	for i := range 40 {
--- a/internal/sites/peering/transport_test.go
+++ b/internal/sites/peering/transport_test.go
@@ -156,7 +156,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := start(t, c.site, newFakeHandler(nil), c.id, &log, Peer{c.to, []string{b.Addr()}})
 			lbtest.Until(t, "the reason is reported", func() bool {
-				return log.Has(c.says) || strings.Contains(l.Status(t.Context(), false)[0].LastError, c.says)
+				return log.Contains(c.says) || strings.Contains(l.Status(t.Context(), false)[0].LastError, c.says)
 			})
 			if isConnected(l, c.to) {
 				t.Error("connected")
@@ -178,7 +178,7 @@
 		lbtest.Until(t, "connected again", func() bool { n := a.gatewaysInOrder("b")[0].pickSession(); return n != nil && n != s })
 	}
 	reconnect()
-	lbtest.Until(t, "the log says so", func() bool { return log.Has("certificate in use is kept") })
+	lbtest.Until(t, "the log says so", func() bool { return log.Contains("certificate in use is kept") })
 	both, err := os.ReadFile(good.File)
 	if err != nil {
 		t.Fatal(err)
@@ -206,7 +206,7 @@
 // TestHeartbeatTimeout holds up a connection in one direction or both: it is noticed, what was in flight is settled once the
 // connection is back, and both ends count the same.
 func TestHeartbeatTimeout(t *testing.T) {
-	for name, held := range map[string][]standin.Direction{"there": {standin.There}, "back": {standin.Back}, "both": {standin.There, standin.Back}} {
+	for name, held := range map[string][]standin.Direction{"there": {standin.ToServer}, "back": {standin.ToClient}, "both": {standin.ToServer, standin.ToClient}} {
 		t.Run(name, func(t *testing.T) {
 			b := newFakeHandler(nil)
 			a, path, _ := connectTwoSites(t, b)
@@ -214,7 +214,7 @@
 				t.Fatalf("%+v", x)
 			}
 			for _, d := range held {
-				path.Hold(d, true)
+				path.Block(d, true)
 			}
 			x := forwardTo(a, "b", 10) // ends with the session, long before its own time
 			if !x.Sent || x.Outcome != accounting.Pending {
@@ -225,7 +225,7 @@
 				t.Error("sent without a connection")
 			}
 			for _, d := range held {
-				path.Hold(d, false)
+				path.Block(d, false)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
 			defer cancel()
@@ -259,9 +259,9 @@
 	reported := map[accounting.Outcome]int{}
 	for i := range 60 {
 		awaitConnected(t, a)
-		d := standin.There
+		d := standin.ToServer
 		if i%2 == 1 {
-			d = standin.Back
+			d = standin.ToClient
 		}
 		path.CutAfter(d, int64(i/2*90))
 		c := newRequest(2000)
@@ -298,7 +298,7 @@
 	go func() { out <- forwardTo(a, "b", 1) }()
 	lbtest.Until(t, "the request is in flight", func() bool { return b.came.Load() == 1 })
 	fresh := start(t, "b", newFakeHandler(nil), nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
-	path.Point(fresh.Addr())
+	path.SetTarget(fresh.Addr())
 	old.Close()
 	x := <-out
 	ctx, cancel := context.WithTimeout(t.Context(), lbtest.Wait)
@@ -340,7 +340,7 @@
 // TestSmallRequestBesideLargeOnes sends large bodies over a narrow path: they do not hold up a small request after them.
 func TestSmallRequestBesideLargeOnes(t *testing.T) {
 	a, path, _ := connectTwoSites(t, newFakeHandler(nil))
-	path.Slow(0, 0, 8<<20)
+	path.Shape(0, 0, 8<<20)
 	var large atomic.Int64
 	var all sync.WaitGroup
 	for range 60 {
@@ -351,7 +351,7 @@
 			large.Add(1)
 		})
 	}
-	lbtest.Until(t, "the large ones are in transit", func() bool { return path.Bytes(standin.There) > 100<<10 })
+	lbtest.Until(t, "the large ones are in transit", func() bool { return path.Bytes(standin.ToServer) > 100<<10 })
 	if x := forwardTo(a, "b", 10); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
--- a/internal/testkit/controlplane/make.go
+++ b/internal/testkit/controlplane/make.go
@@ -48,14 +48,14 @@
 	return e
 }
 
-// Set makes an endpoint set of one place.
-func Set(name, zone string, endpoints ...*endpointv3.LbEndpoint) *endpointv3.ClusterLoadAssignment {
+// EndpointSet makes an endpoint set of one place.
+func EndpointSet(name, zone string, endpoints ...*endpointv3.LbEndpoint) *endpointv3.ClusterLoadAssignment {
 	return &endpointv3.ClusterLoadAssignment{ClusterName: name, Endpoints: []*endpointv3.LocalityLbEndpoints{
 		{Locality: &corev3.Locality{Zone: zone}, LbEndpoints: endpoints}}}
 }
 
 // Load reads a response in protobuf JSON, and serves its resources.
-func (p *Plane) Load(path string) error {
+func (p *Server) Load(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
--- a/internal/testkit/controlplane/plane.go
+++ b/internal/testkit/controlplane/plane.go
@@ -21,27 +21,27 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-// Asked is a request that has come.
-type Asked struct {
-	Type, Version, Nonce, Fault string
-	Names                       []string // state of the world; incremental: those subscribed to with it
-	Unsubscribed                []string
-	Initial                     map[string]string
-	Node                        string
+// Request is a request that has come.
+type Request struct {
+	Type, Version, Nonce, ErrorDetail string
+	Names                             []string // state of the world; incremental: those subscribed to with it
+	Unsubscribed                      []string
+	InitialVersions                   map[string]string
+	Node                              string
 }
 
 // Stream is a stream as a script has it.
 type Stream struct {
-	Delta bool
-	world discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer
-	delta discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer
-	plane *Plane
+	Delta           bool
+	stateOfTheWorld discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer
+	delta           discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer
+	server          *Server
 }
 
-const maxAsked = 10_000 // requests that are kept
+const maxRequests = 10_000 // requests that are kept
 
-// Plane is a control plane. All its methods may be called from any goroutine.
-type Plane struct {
+// Server is a control plane. All its methods may be called from any goroutine.
+type Server struct {
 	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
 	server *grpc.Server
 	addr   string
@@ -53,18 +53,18 @@
 	cut       chan struct{}
 	hang      bool
 	script    func(*Stream) error
-	asked     []Asked
+	requests  []Request
 	streams   int
 	nonces    int
 }
 
 // Start listens on an address and serves nothing yet.
-func Start(address string, options ...grpc.ServerOption) (*Plane, error) {
+func Start(address string, options ...grpc.ServerOption) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &Plane{server: grpc.NewServer(append(options, grpc.WaitForHandlers(true))...), addr: l.Addr().String(), resources: map[string]map[string]*anypb.Any{},
+	p := &Server{server: grpc.NewServer(append(options, grpc.WaitForHandlers(true))...), addr: l.Addr().String(), resources: map[string]map[string]*anypb.Any{},
 		changed: make(chan struct{}), cut: make(chan struct{})}
 	discoveryv3.RegisterAggregatedDiscoveryServiceServer(p.server, p)
 	go p.server.Serve(l)
@@ -72,13 +72,13 @@
 }
 
 // Addr is where it listens.
-func (p *Plane) Addr() string { return p.addr }
+func (p *Server) Addr() string { return p.addr }
 
 // Close ends all streams and stops listening.
-func (p *Plane) Close() { p.server.Stop() }
+func (p *Server) Close() { p.server.Stop() }
 
 // Put replaces all that it serves.
-func (p *Plane) Put(version string, resources ...proto.Message) error {
+func (p *Server) Put(version string, resources ...proto.Message) error {
 	all := map[string]map[string]*anypb.Any{}
 	for _, m := range resources {
 		a, name, err := pack(m)
@@ -98,8 +98,8 @@
 	return nil
 }
 
-// Cut ends all streams that there are.
-func (p *Plane) Cut() {
+// ResetStreams ends all streams that there are.
+func (p *Server) ResetStreams() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(p.cut)
@@ -107,7 +107,7 @@
 }
 
 // Hang has it answer nothing from now on, or again.
-func (p *Plane) Hang(on bool) {
+func (p *Server) Hang(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hang = on
@@ -116,57 +116,57 @@
 }
 
 // Script has the streams from now on served by a function; nil: by the plane itself.
-func (p *Plane) Script(f func(*Stream) error) {
+func (p *Server) Script(f func(*Stream) error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.script = f
 }
 
-// Asked returns all requests that have come.
-func (p *Plane) Asked() []Asked {
+// Requests returns all requests that have come.
+func (p *Server) Requests() []Request {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.asked)
+	return slices.Clone(p.requests)
 }
 
 // Streams returns how many streams there have been.
-func (p *Plane) Streams() int {
+func (p *Server) Streams() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.streams
 }
 
 // StreamAggregatedResources implements the service.
-func (p *Plane) StreamAggregatedResources(s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
-	return p.serve(&Stream{world: s, plane: p})
+func (p *Server) StreamAggregatedResources(s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	return p.serve(&Stream{stateOfTheWorld: s, server: p})
 }
 
 // DeltaAggregatedResources implements the service.
-func (p *Plane) DeltaAggregatedResources(s discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
-	return p.serve(&Stream{Delta: true, delta: s, plane: p})
+func (p *Server) DeltaAggregatedResources(s discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
+	return p.serve(&Stream{Delta: true, delta: s, server: p})
 }
 
 // Receive waits for a request.
-func (s *Stream) Receive() (a Asked, err error) {
+func (s *Stream) Receive() (a Request, err error) {
 	if s.Delta {
 		r, err := s.delta.Recv()
 		if err != nil {
 			return a, err
 		}
-		a = Asked{Type: r.TypeUrl, Nonce: r.ResponseNonce, Fault: r.GetErrorDetail().GetMessage(), Names: r.ResourceNamesSubscribe,
-			Unsubscribed: r.ResourceNamesUnsubscribe, Initial: r.InitialResourceVersions, Node: r.GetNode().GetId()}
+		a = Request{Type: r.TypeUrl, Nonce: r.ResponseNonce, ErrorDetail: r.GetErrorDetail().GetMessage(), Names: r.ResourceNamesSubscribe,
+			Unsubscribed: r.ResourceNamesUnsubscribe, InitialVersions: r.InitialResourceVersions, Node: r.GetNode().GetId()}
 	} else {
-		r, err := s.world.Recv()
+		r, err := s.stateOfTheWorld.Recv()
 		if err != nil {
 			return a, err
 		}
-		a = Asked{Type: r.TypeUrl, Version: r.VersionInfo, Nonce: r.ResponseNonce, Fault: r.GetErrorDetail().GetMessage(), Names: r.ResourceNames,
+		a = Request{Type: r.TypeUrl, Version: r.VersionInfo, Nonce: r.ResponseNonce, ErrorDetail: r.GetErrorDetail().GetMessage(), Names: r.ResourceNames,
 			Node: r.GetNode().GetId()}
 	}
-	s.plane.mu.Lock()
-	defer s.plane.mu.Unlock()
-	if s.plane.asked = append(s.plane.asked, a); len(s.plane.asked) > maxAsked {
-		s.plane.asked = slices.Delete(s.plane.asked, 0, maxAsked/2)
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	if s.server.requests = append(s.server.requests, a); len(s.server.requests) > maxRequests {
+		s.server.requests = slices.Delete(s.server.requests, 0, maxRequests/2)
 	}
 	return a, nil
 }
@@ -191,7 +191,7 @@
 
 func (s *Stream) send(url, version, nonce string, gone, names []string, all []*anypb.Any) error {
 	if !s.Delta {
-		return s.world.Send(&discoveryv3.DiscoveryResponse{TypeUrl: url, VersionInfo: version, Nonce: nonce, Resources: all})
+		return s.stateOfTheWorld.Send(&discoveryv3.DiscoveryResponse{TypeUrl: url, VersionInfo: version, Nonce: nonce, Resources: all})
 	}
 	m := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: url, SystemVersionInfo: version, Nonce: nonce, RemovedResources: gone}
 	for i, a := range all {
@@ -202,15 +202,15 @@
 
 // subscription is what a stream has asked for of a type, and what it has been sent.
 type subscription struct {
-	names map[string]bool
-	all   bool
-	nonce string
-	sent  map[string]string // by name; empty: told to be gone
-	begun bool
-	owed  bool // an answer, whatever has changed
+	names     map[string]bool
+	wildcard  bool
+	nonce     string
+	sent      map[string]string // by name; empty: told to be gone
+	requested bool
+	pending   bool // an answer, whatever has changed
 }
 
-func (p *Plane) serve(s *Stream) error {
+func (p *Server) serve(s *Stream) error {
 	p.mu.Lock()
 	p.streams++
 	script, cut := p.script, p.cut
@@ -218,7 +218,7 @@
 	if script != nil {
 		return script(s)
 	}
-	requests := make(chan Asked)
+	requests := make(chan Request)
 	failed := make(chan error, 1)
 	done := make(chan struct{})
 	defer close(done)
@@ -255,7 +255,7 @@
 				sub = &subscription{names: map[string]bool{}, sent: map[string]string{}}
 				of[a.Type] = sub
 			}
-			sub.take(a, s.Delta)
+			sub.apply(a, s.Delta)
 		case <-changed:
 		case err := <-failed:
 			return err
@@ -265,22 +265,22 @@
 	}
 }
 
-func (sub *subscription) take(a Asked, delta bool) {
+func (sub *subscription) apply(a Request, delta bool) {
 	if a.Nonce != "" && a.Nonce != sub.nonce && !delta {
 		return // an answer to an older response: the newer one's is under way
 	}
-	first := !sub.begun
-	sub.begun = true
+	first := !sub.requested
+	sub.requested = true
 	if delta {
-		for n, v := range a.Initial {
+		for n, v := range a.InitialVersions {
 			sub.sent[n] = v
 		}
 		for _, n := range a.Names {
 			if n == "*" {
-				sub.all = true
+				sub.wildcard = true
 			} else if !sub.names[n] {
 				sub.names[n] = true
-				if _, told := a.Initial[n]; !told {
+				if _, told := a.InitialVersions[n]; !told {
 					delete(sub.sent, n) // it wants it anew
 				}
 			}
@@ -289,21 +289,21 @@
 			delete(sub.names, n)
 			delete(sub.sent, n)
 		}
-		sub.all = sub.all || first && len(a.Names) == 0
-		sub.owed = sub.owed || first && sub.all
+		sub.wildcard = sub.wildcard || first && len(a.Names) == 0
+		sub.pending = sub.pending || first && sub.wildcard
 		return
 	}
 	next := map[string]bool{}
 	for _, n := range a.Names {
 		next[n] = true
 	}
-	sub.all = next["*"] || first && len(next) == 0 || sub.all && len(next) == 0
-	sub.owed = sub.owed || first || !maps.Equal(next, sub.names)
+	sub.wildcard = next["*"] || first && len(next) == 0 || sub.wildcard && len(next) == 0
+	sub.pending = sub.pending || first || !maps.Equal(next, sub.names)
 	sub.names = next
 }
 
 // answer sends a subscription what it is owed.
-func (p *Plane) answer(s *Stream, url string, sub *subscription) error {
+func (p *Server) answer(s *Stream, url string, sub *subscription) error {
 	p.mu.Lock()
 	if p.hang {
 		p.mu.Unlock()
@@ -314,7 +314,7 @@
 	differs := false
 	for _, n := range slices.Sorted(maps.Keys(p.resources[url])) {
 		a := p.resources[url][n]
-		if !sub.all && !sub.names[n] {
+		if !sub.wildcard && !sub.names[n] {
 			continue
 		}
 		same := sub.sent[n] == digest(a)
@@ -333,15 +333,15 @@
 			gone = append(gone, n)
 		}
 	}
-	if !sub.owed && !differs && len(gone) == 0 {
+	if !sub.pending && !differs && len(gone) == 0 {
 		p.mu.Unlock()
 		return nil
 	}
-	if !s.Delta && !sub.owed && !differs && url == envoy.EndpointsType { // a set that is gone is not told in this variant
+	if !s.Delta && !sub.pending && !differs && url == envoy.EndpointsType { // a set that is gone is not told in this variant
 		p.mu.Unlock()
 		return nil
 	}
-	sub.owed = false
+	sub.pending = false
 	p.nonces++
 	sub.nonce = fmt.Sprint("n", p.nonces)
 	version := p.version
--- a/internal/testkit/controlplane/plane_test.go
+++ b/internal/testkit/controlplane/plane_test.go
@@ -16,7 +16,7 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-func dial(t *testing.T, p *Plane) discoveryv3.AggregatedDiscoveryServiceClient {
+func dial(t *testing.T, p *Server) discoveryv3.AggregatedDiscoveryServiceClient {
 	t.Helper()
 	cc, err := grpc.NewClient("passthrough:///"+p.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
@@ -68,7 +68,7 @@
 		t.Fatal(err)
 	}
 	gets("none", "portal") // what has changed, of what is asked for
-	if err := p.Put("3", Cluster("none"), Set("s", "z", Endpoint("127.0.0.1:1", corev3.HealthStatus_DRAINING, 3))); err != nil {
+	if err := p.Put("3", Cluster("none"), EndpointSet("s", "z", Endpoint("127.0.0.1:1", corev3.HealthStatus_DRAINING, 3))); err != nil {
 		t.Fatal(err)
 	}
 	gets("-portal")
@@ -95,16 +95,16 @@
 	nonce := hears("3", 1)
 	ask("older", "none", "portal") // of a response that there is a newer one to
 	ask(nonce)
-	lbtest.Until(t, "all requests have come", func() bool { return len(p.Asked()) == 4 }) // the next response crosses none of them
+	lbtest.Until(t, "all requests have come", func() bool { return len(p.Requests()) == 4 }) // the next response crosses none of them
 	if err := p.Put("4", Cluster("none"), Cluster("portal")); err != nil {
 		t.Fatal(err)
 	}
 	hears("4", 2)
-	p.Cut()
+	p.ResetStreams()
 	if _, err := world.Recv(); err == nil {
 		t.Error("a stream outlived its cut")
 	}
-	if asked := p.Asked(); len(asked) != 4 || fmt.Sprint(asked[0].Names) != "[none portal]" || p.Streams() != 2 {
+	if asked := p.Requests(); len(asked) != 4 || fmt.Sprint(asked[0].Names) != "[none portal]" || p.Streams() != 2 {
 		t.Errorf("%d streams, asked %+v", p.Streams(), asked)
 	}
 }
--- a/internal/testkit/hollow/state.go
+++ b/internal/testkit/hollow/state.go
@@ -120,7 +120,7 @@
 func (s *State) Set(name string) *endpointv3.ClusterLoadAssignment {
 	weight := uint32(s.Version(name))
 	if name == Everywhere {
-		return controlplane.Set(name, "zone-0", controlplane.Endpoint(s.At, corev3.HealthStatus_HEALTHY, weight))
+		return controlplane.EndpointSet(name, "zone-0", controlplane.Endpoint(s.At, corev3.HealthStatus_HEALTHY, weight))
 	}
 	var i int
 	fmt.Sscanf(name, "service-%d", &i)
--- a/internal/testkit/lbtest/lbtest.go
+++ b/internal/testkit/lbtest/lbtest.go
@@ -127,8 +127,8 @@
 
 // Endpoint is a server that reads whole requests and hands each to the test's script.
 type Endpoint struct {
-	Addr string
-	Got  chan *Arrival // each request, where no script is given
+	Addr     string
+	Arrivals chan *Arrival // each request, where no script is given
 }
 
 // Arrival is a request that has come whole, and the connection on which an answer goes back.
@@ -136,7 +136,7 @@
 	net.Conn
 	Request *http.Request
 	Body    string
-	Nth     int // on its connection, from 0
+	Index   int // on its connection, from 0
 }
 
 // OK answers 200 with a body that names the request.
@@ -152,9 +152,9 @@
 func NewEndpoint(t testing.TB, serve func(*Arrival)) *Endpoint {
 	t.Helper()
 	l := Listen(t)
-	e := &Endpoint{Addr: l.Addr().String(), Got: make(chan *Arrival, 64)}
+	e := &Endpoint{Addr: l.Addr().String(), Arrivals: make(chan *Arrival, 64)}
 	if serve == nil {
-		serve = func(a *Arrival) { e.Got <- a }
+		serve = func(a *Arrival) { e.Arrivals <- a }
 	}
 	go func() {
 		for {
@@ -174,7 +174,7 @@
 					if err != nil {
 						return
 					}
-					serve(&Arrival{Conn: c, Request: r, Body: string(body), Nth: n})
+					serve(&Arrival{Conn: c, Request: r, Body: string(body), Index: n})
 				}
 			}()
 		}
@@ -230,8 +230,8 @@
 	return c, err
 }
 
-// Reply reads one answer, and when its caller may come back where it says so. Status 0 is a connection that ended with none.
-func Reply(from *bufio.Reader) (status int, after time.Duration) {
+// ReadResponse reads one answer, and when its caller may come back where it says so. Status 0 is a connection that ended with none.
+func ReadResponse(from *bufio.Reader) (status int, after time.Duration) {
 	r, err := http.ReadResponse(from, nil)
 	if err != nil {
 		return 0, 0
@@ -261,8 +261,8 @@
 	return l.text.String()
 }
 
-// Has tells whether a text stands in it.
-func (l *Log) Has(text string) bool { return strings.Contains(l.String(), text) }
+// Contains tells whether a text stands in it.
+func (l *Log) Contains(text string) bool { return strings.Contains(l.String(), text) }
 
 // TryDial connects, or returns nil where nobody listens.
 func TryDial(addr string) net.Conn {
@@ -276,8 +276,8 @@
 // Send writes text as it is. An error is not told: the other side may have closed, which Answer shows.
 func (c *Client) Send(text string) { io.WriteString(c, text) }
 
-// Answer reads one answer. Status 0 is a connection that ended with none.
-func (c *Client) Answer() (status int, body string) {
+// Response reads one answer. Status 0 is a connection that ended with none.
+func (c *Client) Response() (status int, body string) {
 	c.t.Helper()
 	r, err := http.ReadResponse(c.br, nil)
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
@@ -293,8 +293,8 @@
 	return r.StatusCode, string(text)
 }
 
-// AnswerTo is Answer, and tells whether the answer asks to come back on another connection.
-func (c *Client) AnswerTo() (status int, body string, closes bool) {
+// ResponseClosing is Answer, and tells whether the answer asks to come back on another connection.
+func (c *Client) ResponseClosing() (status int, body string, closes bool) {
 	c.t.Helper()
 	r, err := http.ReadResponse(c.br, nil)
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
@@ -310,8 +310,8 @@
 	return r.StatusCode, string(text), r.Close
 }
 
-// Ended waits for the connection's end and tells what came before it.
-func (c *Client) Ended() string {
+// AwaitClose waits for the connection's end and tells what came before it.
+func (c *Client) AwaitClose() string {
 	c.t.Helper()
 	text, err := io.ReadAll(c.br)
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
@@ -323,13 +323,13 @@
 // Until waits for a condition.
 func Until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
-	if !Before(ok) {
+	if !Eventually(ok) {
 		t.Fatal("never: " + what)
 	}
 }
 
-// Before waits as Until does, and tells whether it came about.
-func Before(ok func() bool) bool {
+// Eventually waits as Until does, and tells whether it came about.
+func Eventually(ok func() bool) bool {
 	for end := time.Now().Add(Wait); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
 			return false
@@ -338,8 +338,8 @@
 	return true
 }
 
-// Over is a caller on a connection that is there already.
-func Over(t testing.TB, c net.Conn) *Client {
+// NewClient is a caller on a connection that is there already.
+func NewClient(t testing.TB, c net.Conn) *Client {
 	c.SetDeadline(time.Now().Add(Wait))
 	return &Client{Conn: c, br: bufio.NewReader(c), t: t}
 }
--- a/internal/testkit/lbtest/lbtest_test.go
+++ b/internal/testkit/lbtest/lbtest_test.go
@@ -11,12 +11,12 @@
 	c := Dial(t, e.Addr)
 	c.Send(Post("one", "body") + Get("two"))
 	for _, id := range []string{"one", "two"} {
-		a := <-e.Got
+		a := <-e.Arrivals
 		if a.Request.Header.Get("X-Request-Id") != id || (a.Body == "body") != (id == "one") {
 			t.Errorf("%s came as %v %q", id, a.Request.Header, a.Body)
 		}
 		a.OK()
-		if status, body := c.Answer(); status != 200 || body != "answer to "+id {
+		if status, body := c.Response(); status != 200 || body != "answer to "+id {
 			t.Errorf("%d %q", status, body)
 		}
 	}
--- a/internal/testkit/lbtest/links.go
+++ b/internal/testkit/lbtest/links.go
@@ -14,19 +14,19 @@
 // Links is the state of the ways between instances: what is sent over real sockets is cut, doubled, held up and overtaken
 // here, by sender and receiver.
 type Links struct {
-	mu      sync.Mutex
-	names   map[string]int // by address
-	cut     map[[2]int]bool
-	slow    time.Duration // for each stream to open
-	unsound bool          // packets come twice, late and out of order
-	drawn   *rand.Rand
-	late    sync.WaitGroup
-	over    bool
+	mu        sync.Mutex
+	names     map[string]int // by address
+	cut       map[[2]int]bool
+	slow      time.Duration // for each stream to open
+	distorted bool          // packets come twice, late and out of order
+	rng       *rand.Rand
+	delayed   sync.WaitGroup
+	closed    bool
 }
 
 // NewLinks returns ways that are all open.
 func NewLinks() *Links {
-	return &Links{names: map[string]int{}, cut: map[[2]int]bool{}, drawn: rand.New(rand.NewPCG(21, 4))}
+	return &Links{names: map[string]int{}, cut: map[[2]int]bool{}, rng: rand.New(rand.NewPCG(21, 4))}
 }
 
 // Sever cuts all ways from one set of instances to another, in that direction.
@@ -47,38 +47,38 @@
 	clear(l.cut)
 }
 
-func (l *Links) way(from int, to string) (cut bool, delay time.Duration, twice bool) {
+func (l *Links) link(from int, to string) (cut bool, delay time.Duration, twice bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.unsound {
-		delay = time.Duration(l.drawn.IntN(30)) * time.Millisecond
-		twice = l.drawn.IntN(5) == 0
+	if l.distorted {
+		delay = time.Duration(l.rng.IntN(30)) * time.Millisecond
+		twice = l.rng.IntN(5) == 0
 	}
 	return l.cut[[2]int{from, l.names[to]}], delay, twice
 }
 
-// later has a packet go out by itself, unless the links are gone.
-func (l *Links) later(f func()) {
+// sendLater has a packet go out by itself, unless the links are gone.
+func (l *Links) sendLater(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.over {
-		l.late.Go(f)
+	if !l.closed {
+		l.delayed.Go(f)
 	}
 }
 
-// End waits for what is still on its way.
-func (l *Links) End() {
+// Close waits for what is still on its way.
+func (l *Links) Close() {
 	l.mu.Lock()
-	l.over = true
+	l.closed = true
 	l.mu.Unlock()
-	l.late.Wait()
+	l.delayed.Wait()
 }
 
-// Unsound has packets come twice, late and out of order from now on.
-func (l *Links) Unsound() {
+// Distort has packets come twice, late and out of order from now on.
+func (l *Links) Distort() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unsound = true
+	l.distorted = true
 }
 
 // Slow has each stream take so long to open from now on.
@@ -104,13 +104,13 @@
 }
 
 func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
-	cut, delay, twice := t.links.way(t.me, addr)
+	cut, delay, twice := t.links.link(t.me, addr)
 	switch {
 	case cut:
 		return time.Now(), nil // lost on its way
 	case delay > 0:
 		text := bytes.Clone(b)
-		t.links.later(func() {
+		t.links.sendLater(func() {
 			time.Sleep(delay)
 			t.NodeAwareTransport.WriteTo(text, addr)
 			if twice {
--- a/internal/testkit/lbtest/relay.go
+++ b/internal/testkit/lbtest/relay.go
@@ -15,22 +15,22 @@
 // direction and pair. Who sends a packet or dials a stream is known by the address that it comes from, as each process
 // listens on one of its own: a stream is closed while the way of its bytes is cut in either direction.
 type Relays struct {
-	t       testing.TB
-	behind  []netip.AddrPort // of the processes
-	sockets []*net.UDPConn
-	streams []*net.TCPListener
-	wait    sync.WaitGroup
-	mu      sync.Mutex
-	cut     map[[2]int]bool
-	loss    float64
-	doubled float64
-	late    time.Duration // at the most
-	rng     *rand.Rand
-	conns   map[net.Conn][2]int // who dials, and to whom
-	over    bool
-	passed  int // packets
-	stopped int
-	timers  sync.WaitGroup
+	t          testing.TB
+	targets    []netip.AddrPort // of the processes
+	sockets    []*net.UDPConn
+	streams    []*net.TCPListener
+	tasks      sync.WaitGroup
+	mu         sync.Mutex
+	cut        map[[2]int]bool
+	loss       float64
+	duplicated float64
+	maxDelay   time.Duration // at the most
+	rng        *rand.Rand
+	conns      map[net.Conn][2]int // who dials, and to whom
+	closed     bool
+	passed     int // packets
+	stopped    int
+	timers     sync.WaitGroup
 }
 
 // NewRelays starts a relay before each of the addresses, no two of which may be of one IP address.
@@ -38,7 +38,7 @@
 	t.Helper()
 	r := &Relays{t: t, cut: map[[2]int]bool{}, rng: rand.New(rand.NewPCG(36, 2)), conns: map[net.Conn][2]int{}}
 	for _, b := range behind {
-		r.behind = append(r.behind, netip.MustParseAddrPort(b))
+		r.targets = append(r.targets, netip.MustParseAddrPort(b))
 		var tcp *net.TCPListener
 		var udp *net.UDPConn
 		for range 10 { // a port that is free for both
@@ -57,8 +57,8 @@
 		r.sockets, r.streams = append(r.sockets, udp), append(r.streams, tcp)
 	}
 	for i := range behind {
-		r.wait.Go(func() { r.packets(i) })
-		r.wait.Go(func() { r.accept(i) })
+		r.tasks.Go(func() { r.packets(i) })
+		r.tasks.Go(func() { r.accept(i) })
 	}
 	t.Cleanup(r.close)
 	return r
@@ -74,7 +74,7 @@
 
 func (r *Relays) close() {
 	r.mu.Lock()
-	r.over = true
+	r.closed = true
 	for c := range r.conns {
 		c.Close()
 	}
@@ -83,7 +83,7 @@
 		r.sockets[i].Close()
 		r.streams[i].Close()
 	}
-	r.wait.Wait()
+	r.tasks.Wait()
 	r.timers.Wait()
 }
 
@@ -117,14 +117,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.cut)
-	r.loss, r.doubled, r.late = 0, 0, 0
+	r.loss, r.duplicated, r.maxDelay = 0, 0, 0
 }
 
-// Trouble loses and doubles such parts of all packets, and has them come up to so late, and so out of order.
-func (r *Relays) Trouble(loss, doubled float64, late time.Duration) {
+// SetFaults loses and doubles such parts of all packets, and has them come up to so late, and so out of order.
+func (r *Relays) SetFaults(loss, doubled float64, late time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.loss, r.doubled, r.late = loss, doubled, late
+	r.loss, r.duplicated, r.maxDelay = loss, doubled, late
 }
 
 // severed tells whether a stream can't stand. The caller holds the lock.
@@ -132,26 +132,26 @@
 
 // sender returns who has an address; -1: nobody.
 func (r *Relays) sender(ip netip.Addr) int {
-	return slices.IndexFunc(r.behind, func(b netip.AddrPort) bool { return b.Addr() == ip.Unmap() })
+	return slices.IndexFunc(r.targets, func(b netip.AddrPort) bool { return b.Addr() == ip.Unmap() })
 }
 
-// fate draws what becomes of a packet: when its copies go on.
-func (r *Relays) fate(from, to int) (copies []time.Duration) {
+// schedule draws what becomes of a packet: when its copies go on.
+func (r *Relays) schedule(from, to int) (copies []time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 1
-	if r.rng.Float64() < r.doubled {
+	if r.rng.Float64() < r.duplicated {
 		n = 2
 	}
 	for range n {
-		if r.over || r.cut[[2]int{from, to}] || r.rng.Float64() < r.loss {
+		if r.closed || r.cut[[2]int{from, to}] || r.rng.Float64() < r.loss {
 			r.stopped++
 			continue
 		}
 		r.passed++
 		d := time.Duration(0)
-		if r.late > 0 {
-			d = time.Duration(r.rng.Int64N(int64(r.late)))
+		if r.maxDelay > 0 {
+			d = time.Duration(r.rng.Int64N(int64(r.maxDelay)))
 		}
 		copies = append(copies, d)
 	}
@@ -164,23 +164,23 @@
 		n, from, err := r.sockets[to].ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			r.mu.Lock()
-			over := r.over
+			over := r.closed
 			r.mu.Unlock()
 			if over {
 				return
 			}
 			continue // a process that is not there, told by ICMP
 		}
-		for _, d := range r.fate(r.sender(from.Addr()), to) {
+		for _, d := range r.schedule(r.sender(from.Addr()), to) {
 			if d == 0 {
-				r.sockets[to].WriteToUDPAddrPort(buffer[:n], r.behind[to])
+				r.sockets[to].WriteToUDPAddrPort(buffer[:n], r.targets[to])
 				continue
 			}
 			text := append([]byte(nil), buffer[:n]...)
 			r.timers.Add(1)
 			time.AfterFunc(d, func() {
 				defer r.timers.Done()
-				r.sockets[to].WriteToUDPAddrPort(text, r.behind[to])
+				r.sockets[to].WriteToUDPAddrPort(text, r.targets[to])
 			})
 		}
 	}
@@ -192,20 +192,20 @@
 		if err != nil {
 			return
 		}
-		r.wait.Go(func() { r.stream(c, to) })
+		r.tasks.Go(func() { r.stream(c, to) })
 	}
 }
 
 func (r *Relays) stream(c net.Conn, to int) {
 	defer c.Close()
-	far, err := net.DialTimeout("tcp", r.behind[to].String(), Wait)
+	far, err := net.DialTimeout("tcp", r.targets[to].String(), Wait)
 	if err != nil {
 		return
 	}
 	defer far.Close()
 	way := [2]int{r.sender(c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()), to}
 	r.mu.Lock()
-	stopped := r.over || r.severed(way)
+	stopped := r.closed || r.severed(way)
 	if !stopped {
 		r.conns[c], r.conns[far] = way, way
 	}
--- a/internal/testkit/standin/discovery.go
+++ b/internal/testkit/standin/discovery.go
@@ -55,12 +55,12 @@
 type Discovery struct {
 	Addr string
 
-	o      DiscoveryOptions
-	server *http.Server
-	turn   chan struct{} // whose turn it is
-	line   atomic.Int64  // those that wait for it, and the one whose it is
-	calls  atomic.Int64
-	away   atomic.Int64
+	o        DiscoveryOptions
+	server   *http.Server
+	turn     chan struct{} // whose turn it is
+	line     atomic.Int64  // those that wait for it, and the one whose it is
+	calls    atomic.Int64
+	rejected atomic.Int64
 
 	mu      sync.Mutex
 	state   DiscoveryState
@@ -103,8 +103,8 @@
 	return text
 }
 
-// Be changes how calls are taken. One that was taken in while it was mute is never answered.
-func (d *Discovery) Be(s DiscoveryState) {
+// SetState changes how calls are taken. One that was taken in while it was mute is never answered.
+func (d *Discovery) SetState(s DiscoveryState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.state = s
@@ -117,7 +117,7 @@
 }
 
 // Calls returns how many calls have come, and how many of them were turned away for want of room.
-func (d *Discovery) Calls() (all, turnedAway int64) { return d.calls.Load(), d.away.Load() }
+func (d *Discovery) Calls() (all, turnedAway int64) { return d.calls.Load(), d.rejected.Load() }
 
 func (d *Discovery) now() (DiscoveryState, int64, []byte, <-chan struct{}) {
 	d.mu.Lock()
@@ -125,8 +125,8 @@
 	return d.state, d.index, d.list, d.changed
 }
 
-func (d *Discovery) turnAway(w http.ResponseWriter) {
-	d.away.Add(1)
+func (d *Discovery) reject(w http.ResponseWriter) {
+	d.rejected.Add(1)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -136,7 +136,7 @@
 	if state, _, _, _ := d.now(); state == Answers && d.o.Work > 0 {
 		if d.line.Add(1) > int64(d.o.Queue)+1 {
 			d.line.Add(-1)
-			d.turnAway(w)
+			d.reject(w)
 			return
 		}
 		d.turn <- struct{}{} // each ends in its time
@@ -157,7 +157,7 @@
 		case state == Refuses:
 			panic(http.ErrAbortHandler)
 		case state == TurnsAway:
-			d.turnAway(w)
+			d.reject(w)
 			return
 		case late != nil:
 			select {
--- a/internal/testkit/standin/disk.go
+++ b/internal/testkit/standin/disk.go
@@ -23,7 +23,7 @@
 	free  int64 // bytes that are left; below 0: any number
 	// What the next calls meet.
 	failWrite, failSync, failCreate error
-	lies                            bool
+	ignoresSyncs                    bool
 	hang                            chan struct{}
 	syncs                           int
 	watch                           func(*Disk)
@@ -48,15 +48,15 @@
 	d.failWrite, d.failSync, d.failCreate = write, sync, create
 }
 
-// Room sets how many bytes are left.
-func (d *Disk) Room(free int64) {
+// SetFree sets how many bytes are left.
+func (d *Disk) SetFree(free int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.free = free
 }
 
-// Lie has fsyncs return without making anything safe.
-func (d *Disk) Lie() { d.lies = true }
+// IgnoreSyncs has fsyncs return without making anything safe.
+func (d *Disk) IgnoreSyncs() { d.ignoresSyncs = true }
 
 // Hang has all that changes or looks at files wait until the function that it returns is called.
 func (d *Disk) Hang() (release func()) {
@@ -72,8 +72,8 @@
 	})
 }
 
-// Watch has f called after each change, before whoever made it goes on. It must not change the disk.
-func (d *Disk) Watch(f func(*Disk)) {
+// OnChange has f called after each change, before whoever made it goes on. It must not change the disk.
+func (d *Disk) OnChange(f func(*Disk)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watch = f
@@ -99,12 +99,12 @@
 	}
 }
 
-// Killed returns the directory as it is when the process is killed now: all that was written is there.
-func (d *Disk) Killed() *Disk { return d.after(nil) }
+// AfterKill returns the directory as it is when the process is killed now: all that was written is there.
+func (d *Disk) AfterKill() *Disk { return d.after(nil) }
 
-// Lost returns the directory as it may be when the machine is lost now: of what was written and not made safe any sectors
+// AfterPowerLoss returns the directory as it may be when the machine is lost now: of what was written and not made safe any sectors
 // may be there, and any not.
-func (d *Disk) Lost(r *rand.Rand) *Disk { return d.after(r) }
+func (d *Disk) AfterPowerLoss(r *rand.Rand) *Disk { return d.after(r) }
 
 func (d *Disk) after(r *rand.Rand) *Disk {
 	d.mu.Lock()
@@ -241,7 +241,7 @@
 		return d.failSync
 	}
 	for _, f := range d.files {
-		f.named = f.named || !d.lies
+		f.named = f.named || !d.ignoresSyncs
 	}
 	return nil
 }
@@ -282,7 +282,7 @@
 		copy(b, f.safe)
 		f.now = b
 		return f.disk.failSync
-	case !f.disk.lies:
+	case !f.disk.ignoresSyncs:
 		f.safe = slices.Clone(f.now)
 	}
 	f.disk.syncs++
--- a/internal/testkit/standin/dns.go
+++ b/internal/testkit/standin/dns.go
@@ -68,8 +68,8 @@
 	s.answer = answer
 }
 
-// Asked returns a channel that gets a value soon after a question has come.
-func (s *NameServer) Asked() <-chan struct{} { return s.asked }
+// Queries returns a channel that gets a value soon after a question has come.
+func (s *NameServer) Queries() <-chan struct{} { return s.asked }
 
 func (s *NameServer) serve(w dns.ResponseWriter, q *dns.Msg, tcp bool) {
 	s.mu.Lock()
--- a/internal/testkit/standin/nodo.go
+++ b/internal/testkit/standin/nodo.go
@@ -14,26 +14,26 @@
 	"time"
 )
 
-// NodoOptions describe a nodo.
-type NodoOptions struct {
-	Name, Sala string
+// EndpointOptions describe a nodo.
+type EndpointOptions struct {
+	Name, Site string
 	Slots      int           // requests at work at once; 0: any number
 	Queue      int           // requests that wait; beyond that they are turned away
 	Work       time.Duration // for each request
 	// Group is whom the nodo shares its memory of keys with; nil: it has none, and each request with a key takes effect.
 	Group *Group
-	// Trouble is asked for each request that has been worked through; nil: none.
-	Trouble func(*http.Request) Trouble
+	// Fault is asked for each request that has been worked through; nil: none.
+	Fault func(*http.Request) Fault
 }
 
-// Trouble is what becomes of an answer whose request has taken effect.
-type Trouble uint8
+// Fault is what becomes of an answer whose request has taken effect.
+type Fault uint8
 
 // The troubles.
 const (
-	None   Trouble = iota
-	Silent         // it never comes
-	Reset          // the connection is reset in its place
+	NoFault         Fault = iota
+	NoResponse            // it never comes
+	ConnectionReset       // the connection is reset in its place
 )
 
 // Group is a set of nodos that drop repeats of a key that came to any of them.
@@ -51,8 +51,8 @@
 	return &Group{Name: name, Window: window, seen: map[string]time.Time{}, effects: map[string]int{}}
 }
 
-// take notes a request with a key. It takes effect unless the key is remembered.
-func (g *Group) take(key string, now time.Time) {
+// record notes a request with a key. It takes effect unless the key is remembered.
+func (g *Group) record(key string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if at, seen := g.seen[key]; seen && now.Sub(at) < g.Window {
@@ -69,31 +69,31 @@
 	return maps.Clone(g.effects)
 }
 
-// Nodo is a server that works through requests in slots, turns away what it has no room for, and counts effects by key.
-type Nodo struct {
-	Addr string
-	o    NodoOptions
+// Endpoint is a server that works through requests in slots, turns away what it has no room for, and counts effects by key.
+type Endpoint struct {
+	Addr    string
+	options EndpointOptions
 
 	server   *http.Server
 	slots    chan struct{}
 	waiting  atomic.Int64
 	draining atomic.Bool
-	hung     atomic.Bool
+	hanging  atomic.Bool
 	requests atomic.Int64
 	done     chan struct{}
 
-	mu      sync.Mutex
-	effects map[string]int // by idempotency key
-	late    int            // requests that began after it was told to drain
+	mu                    sync.Mutex
+	effects               map[string]int // by idempotency key
+	requestsWhileDraining int            // requests that began after it was told to drain
 }
 
-// NewNodo starts a nodo on a free loopback port. Close ends it.
-func NewNodo(o NodoOptions) (*Nodo, error) {
+// NewEndpoint starts a nodo on a free loopback port. Close ends it.
+func NewEndpoint(o EndpointOptions) (*Endpoint, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("standin: %w", err)
 	}
-	n := &Nodo{Addr: l.Addr().String(), o: o, effects: map[string]int{}, done: make(chan struct{})}
+	n := &Endpoint{Addr: l.Addr().String(), options: o, effects: map[string]int{}, done: make(chan struct{})}
 	if o.Slots > 0 {
 		n.slots = make(chan struct{}, o.Slots)
 	}
@@ -103,7 +103,7 @@
 }
 
 // Close ends the nodo and all that it holds.
-func (n *Nodo) Close() {
+func (n *Endpoint) Close() {
 	select {
 	case <-n.done:
 	default:
@@ -113,35 +113,35 @@
 }
 
 // Drain has the nodo count what still comes, and turn it away.
-func (n *Nodo) Drain() { n.draining.Store(true) }
+func (n *Endpoint) Drain() { n.draining.Store(true) }
 
 // Hang has the nodo take requests and answer none.
-func (n *Nodo) Hang(on bool) { n.hung.Store(on) }
+func (n *Endpoint) Hang(on bool) { n.hanging.Store(on) }
 
 // Requests returns the number of requests that have come.
-func (n *Nodo) Requests() int64 { return n.requests.Load() }
+func (n *Endpoint) Requests() int64 { return n.requests.Load() }
 
-// Late returns the number of requests that came after Drain.
-func (n *Nodo) Late() int {
+// RequestsWhileDraining returns the number of requests that came after Drain.
+func (n *Endpoint) RequestsWhileDraining() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.late
+	return n.requestsWhileDraining
 }
 
 // Effects returns how often each key came to the nodo and was worked through.
-func (n *Nodo) Effects() map[string]int {
+func (n *Endpoint) Effects() map[string]int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return maps.Clone(n.effects)
 }
 
-func (n *Nodo) turnAway(w http.ResponseWriter) {
+func (n *Endpoint) reject(w http.ResponseWriter) {
 	w.Header().Set("X-Not-Processed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// leaveOut holds a request until its caller has gone, and answers nothing.
-func (n *Nodo) leaveOut(r *http.Request) {
+// holdUntilDisconnect holds a request until its caller has gone, and answers nothing.
+func (n *Endpoint) holdUntilDisconnect(r *http.Request) {
 	select {
 	case <-r.Context().Done():
 	case <-n.done:
@@ -149,29 +149,29 @@
 	panic(http.ErrAbortHandler) // a handler that returns has answered 200
 }
 
-func (n *Nodo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (n *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 	if err != nil {
 		return
 	}
 	n.requests.Add(1)
-	if n.hung.Load() {
-		n.leaveOut(r)
+	if n.hanging.Load() {
+		n.holdUntilDisconnect(r)
 	}
 	if n.draining.Load() {
 		n.mu.Lock()
-		n.late++
+		n.requestsWhileDraining++
 		n.mu.Unlock()
-		n.turnAway(w)
+		n.reject(w)
 		return
 	}
 	if n.slots != nil {
 		select {
 		case n.slots <- struct{}{}:
 		default:
-			if n.waiting.Add(1) > int64(n.o.Queue) {
+			if n.waiting.Add(1) > int64(n.options.Queue) {
 				n.waiting.Add(-1)
-				n.turnAway(w)
+				n.reject(w)
 				return
 			}
 			n.slots <- struct{}{} // those at work end in their time
@@ -179,27 +179,27 @@
 		}
 		defer func() { <-n.slots }()
 	}
-	if n.o.Work > 0 {
-		time.Sleep(n.o.Work)
+	if n.options.Work > 0 {
+		time.Sleep(n.options.Work)
 	}
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
-		if n.o.Group != nil {
-			n.o.Group.take(key, time.Now())
+		if n.options.Group != nil {
+			n.options.Group.record(key, time.Now())
 		}
 		n.mu.Lock()
 		n.effects[key]++
 		n.mu.Unlock()
 	}
-	if n.o.Trouble != nil {
-		switch n.o.Trouble(r) {
-		case Silent:
-			n.leaveOut(r)
-		case Reset:
+	if n.options.Fault != nil {
+		switch n.options.Fault(r) {
+		case NoResponse:
+			n.holdUntilDisconnect(r)
+		case ConnectionReset:
 			panic(http.ErrAbortHandler)
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Nodo", n.o.Name)
-	json.NewEncoder(w).Encode(map[string]any{"nodo": n.o.Name, "sala": n.o.Sala, "method": r.Method, "path": r.URL.RequestURI(),
+	w.Header().Set("X-Nodo", n.options.Name)
+	json.NewEncoder(w).Encode(map[string]any{"nodo": n.options.Name, "sala": n.options.Site, "method": r.Method, "path": r.URL.RequestURI(),
 		"id": r.Header.Get("X-Request-Id"), "body": string(body)})
 }
--- a/internal/testkit/standin/path.go
+++ b/internal/testkit/standin/path.go
@@ -17,12 +17,12 @@
 	done     chan struct{}
 	wait     sync.WaitGroup
 
-	mu    sync.Mutex
-	ways  [2]way
-	conns map[*pair]bool
-	drawn *rand.Rand
-	moved chan struct{} // closed, and made anew, where something has changed
-	bytes [2]int64
+	mu         sync.Mutex
+	directions [2]directionState
+	conns      map[*pair]bool
+	drawn      *rand.Rand
+	moved      chan struct{} // closed, and made anew, where something has changed
+	bytes      [2]int64
 }
 
 // Direction is that of bytes on a path.
@@ -30,20 +30,20 @@
 
 // The directions: from who connects to who is connected to, and back.
 const (
-	There Direction = iota
-	Back
+	ToServer Direction = iota
+	ToClient
 )
 
 // Trouble of one direction.
-type way struct {
+type directionState struct {
 	delay     time.Duration
 	bandwidth int // bytes a second; 0: any
 	loss      float64
-	held      bool  // what comes waits
+	blocked   bool  // what comes waits
 	cutAfter  int64 // bytes that still pass before all connections are reset; -1: any number
 }
 
-const lostFor = 200 * time.Millisecond // TCP's least time before it sends again what was lost
+const retransmitTimeout = 200 * time.Millisecond // TCP's least time before it sends again what was lost
 
 // NewPath opens a path to an address.
 func NewPath(to string) (*Path, error) {
@@ -53,7 +53,7 @@
 	}
 	p := &Path{Addr: l.Addr().String(), listener: l, to: to, done: make(chan struct{}), conns: map[*pair]bool{}, moved: make(chan struct{}),
 		drawn: rand.New(rand.NewPCG(12, 30))}
-	p.ways[There].cutAfter, p.ways[Back].cutAfter = -1, -1
+	p.directions[ToServer].cutAfter, p.directions[ToClient].cutAfter = -1, -1
 	p.wait.Go(p.accept)
 	return p, nil
 }
@@ -74,23 +74,25 @@
 	p.moved = make(chan struct{})
 }
 
-// Point has connections that are made from now on go to another address.
-func (p *Path) Point(to string) { p.change(func() { p.to = to }) }
+// SetTarget has connections that are made from now on go to another address.
+func (p *Path) SetTarget(to string) { p.change(func() { p.to = to }) }
 
-// Slow sets the delay of both directions, the part of what is sent that is lost on its way, and the bytes a second.
-func (p *Path) Slow(delay time.Duration, loss float64, bandwidth int) {
+// Shape sets the delay of both directions, the part of what is sent that is lost on its way, and the bytes a second.
+func (p *Path) Shape(delay time.Duration, loss float64, bandwidth int) {
 	p.change(func() {
-		for i := range p.ways {
-			p.ways[i].delay, p.ways[i].loss, p.ways[i].bandwidth = delay, loss, bandwidth
+		for i := range p.directions {
+			p.directions[i].delay, p.directions[i].loss, p.directions[i].bandwidth = delay, loss, bandwidth
 		}
 	})
 }
 
-// Hold holds up all that comes in a direction, or lets it go on. Nobody is told.
-func (p *Path) Hold(d Direction, on bool) { p.change(func() { p.ways[d].held = on }) }
+// Block holds up all that comes in a direction, or lets it go on. Nobody is told.
+func (p *Path) Block(d Direction, on bool) { p.change(func() { p.directions[d].blocked = on }) }
 
 // CutAfter resets all connections when so many more bytes have gone in a direction.
-func (p *Path) CutAfter(d Direction, bytes int64) { p.change(func() { p.ways[d].cutAfter = bytes }) }
+func (p *Path) CutAfter(d Direction, bytes int64) {
+	p.change(func() { p.directions[d].cutAfter = bytes })
+}
 
 // Reset resets all connections.
 func (p *Path) Reset() {
@@ -144,8 +146,8 @@
 			default:
 			}
 			var both sync.WaitGroup
-			both.Go(func() { p.pump(c, There) })
-			both.Go(func() { p.pump(c, Back) })
+			both.Go(func() { p.pump(c, ToServer) })
+			both.Go(func() { p.pump(c, ToClient) })
 			both.Wait()
 			c.reset()
 			p.mu.Lock()
@@ -171,9 +173,9 @@
 			n, err := from.Read(text)
 			if n > 0 {
 				p.mu.Lock()
-				due := time.Now().Add(p.ways[d].delay)
-				if p.ways[d].loss > 0 && p.drawn.Float64() < p.ways[d].loss {
-					due = due.Add(lostFor)
+				due := time.Now().Add(p.directions[d].delay)
+				if p.directions[d].loss > 0 && p.drawn.Float64() < p.directions[d].loss {
+					due = due.Add(retransmitTimeout)
 				}
 				p.mu.Unlock()
 				queue <- chunk{text[:n], due}
@@ -215,8 +217,8 @@
 func (p *Path) pass(d Direction, n int) (int, bool) {
 	for {
 		p.mu.Lock()
-		w, moved := &p.ways[d], p.moved
-		if w.held {
+		w, moved := &p.directions[d], p.moved
+		if w.blocked {
 			p.mu.Unlock()
 			select {
 			case <-moved:
--- a/internal/testkit/standin/standin_test.go
+++ b/internal/testkit/standin/standin_test.go
@@ -11,9 +11,9 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-func nodo(t *testing.T, o NodoOptions) (*Nodo, func(key string) int) {
+func nodo(t *testing.T, o EndpointOptions) (*Endpoint, func(key string) int) {
 	t.Helper()
-	n, err := NewNodo(o)
+	n, err := NewEndpoint(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,7 +40,7 @@
 
 // A nodo counts what took effect, and turns away unseen what it has no room for and what comes as it drains.
 func TestNodo(t *testing.T) {
-	n, ask := nodo(t, NodoOptions{Name: "a", Slots: 1, Work: time.Millisecond})
+	n, ask := nodo(t, EndpointOptions{Name: "a", Slots: 1, Work: time.Millisecond})
 	for _, key := range []string{"k", "k", "l"} {
 		if s := ask(key); s != 200 {
 			t.Errorf("%s: %d", key, s)
@@ -52,8 +52,8 @@
 	}
 	<-n.slots
 	n.Drain()
-	if s := ask("late"); s != 503 || n.Late() != 1 {
-		t.Errorf("draining: %d, %d came late", s, n.Late())
+	if s := ask("late"); s != 503 || n.RequestsWhileDraining() != 1 {
+		t.Errorf("draining: %d, %d came late", s, n.RequestsWhileDraining())
 	}
 	if e := n.Effects(); len(e) != 2 || e["k"] != 2 || e["l"] != 1 || n.Requests() != 5 {
 		t.Errorf("effects %v of %d requests", e, n.Requests())
@@ -62,7 +62,7 @@
 
 // One that hangs answers nothing until it is closed.
 func TestHang(t *testing.T) {
-	n, ask := nodo(t, NodoOptions{Name: "a"})
+	n, ask := nodo(t, EndpointOptions{Name: "a"})
 	n.Hang(true)
 	ended := make(chan int, 1)
 	go func() { ended <- ask("k") }()
@@ -80,7 +80,7 @@
 
 // A queue takes as many as it is told, and they are served in their time.
 func TestQueue(t *testing.T) {
-	n, ask := nodo(t, NodoOptions{Name: "a", Slots: 1, Queue: 1})
+	n, ask := nodo(t, EndpointOptions{Name: "a", Slots: 1, Queue: 1})
 	n.slots <- struct{}{}
 	waits := make(chan int, 1)
 	go func() { waits <- ask("waits") }()
@@ -114,7 +114,7 @@
 		}
 	}
 	select {
-	case <-s.Asked():
+	case <-s.Queries():
 	default:
 		t.Error("nobody was told of the question")
 	}
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -38,7 +38,7 @@
 
 var variants = []ads.Variant{ads.StateOfTheWorld, ads.Delta}
 
-func plane(t testing.TB, options ...grpc.ServerOption) *controlplane.Plane {
+func plane(t testing.TB, options ...grpc.ServerOption) *controlplane.Server {
 	t.Helper()
 	p, err := controlplane.Start("127.0.0.1:0", options...)
 	if err != nil {
@@ -48,7 +48,7 @@
 	return p
 }
 
-func put(t testing.TB, p *controlplane.Plane, version string, resources ...proto.Message) {
+func put(t testing.TB, p *controlplane.Server, version string, resources ...proto.Message) {
 	t.Helper()
 	if err := p.Put(version, resources...); err != nil {
 		t.Fatal(err)
@@ -140,7 +140,7 @@
 	for _, p := range ports {
 		all = append(all, at(p))
 	}
-	return controlplane.Set(name, "z", all...)
+	return controlplane.EndpointSet(name, "z", all...)
 }
 
 // An invalid resource is rejected by name, and the valid ones of its response are in force; the version before an invalid one stays.
@@ -158,8 +158,8 @@
 		a.expectEndpoints("1", "3")
 		b.expectEndpoints("2", "4") // the cluster from before, with its current endpoints
 		lbtest.Until(t, "the NACK has come", func() bool {
-			return slices.ContainsFunc(p.Asked(), func(r controlplane.Asked) bool {
-				return r.Type == envoy.ClusterType && strings.Contains(r.Fault, "cluster b: lb_policy: RING_HASH") && (v == ads.Delta || r.Version == "1")
+			return slices.ContainsFunc(p.Requests(), func(r controlplane.Request) bool {
+				return r.Type == envoy.ClusterType && strings.Contains(r.ErrorDetail, "cluster b: lb_policy: RING_HASH") && (v == ads.Delta || r.Version == "1")
 			})
 		})
 		put(t, p, "3", controlplane.Cluster("a"), set("a", 5), controlplane.Cluster("b"), set("b", 6))
@@ -169,8 +169,8 @@
 		if d.ControlPlanes[0].State != "up" || !d.ControlPlanes[0].Active || len(d.Resources) != 4 || d.Resources[1].RejectionReason != "" || d.Resources[0].Source != "p0" {
 			t.Errorf("%+v", d)
 		}
-		for i, r := range p.Asked() { // no request acknowledges what was not sent
-			if i > 0 && r.Fault == "" && r.Nonce == "" && r.Version != "" {
+		for i, r := range p.Requests() { // no request acknowledges what was not sent
+			if i > 0 && r.ErrorDetail == "" && r.Nonce == "" && r.Version != "" {
 				t.Errorf("a version without a nonce: %+v", r)
 			}
 		}
@@ -188,20 +188,20 @@
 		a, b := follow(t, c, "a"), follow(t, c, "b")
 		a.expectEndpoints("1", "2")
 		b.expectEndpoints("9")
-		put(t, p, "2", controlplane.Cluster("a"), controlplane.Set("a", "z", at(1, corev3.HealthStatus_DRAINING), at(3)), controlplane.Cluster("b"), set("b", 9))
+		put(t, p, "2", controlplane.Cluster("a"), controlplane.EndpointSet("a", "z", at(1, corev3.HealthStatus_DRAINING), at(3)), controlplane.Cluster("b"), set("b", 9))
 		a.expectEndpoints("1-draining", "3")
 		streams := p.Streams()
-		before := len(p.Asked())
+		before := len(p.Requests())
 		p.Hang(true) // else the open stream would send it
 		put(t, p, "1", old...)
-		p.Cut()
+		p.ResetStreams()
 		lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 		p.Hang(false)
 		lbtest.Until(t, "the old set is deferred", func() bool { return isDeferred(c, "a") })
 		if got := a.summary(); got != "1-draining 3" {
 			t.Errorf("%v: after the old state: %s", v, got)
 		}
-		for _, r := range p.Asked()[before:] {
+		for _, r := range p.Requests()[before:] {
 			if r.Nonce != "" {
 				break
 			}
@@ -232,7 +232,7 @@
 	p.Hang(true)
 	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
 	streams := p.Streams()
-	p.Cut()
+	p.ResetStreams()
 	lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 	p.Hang(false)
 	a.expectEndpoints("1")
@@ -269,7 +269,7 @@
 		c, log := start(t, options(v, p.Addr()))
 		a, lost, none := follow(t, c, "a"), follow(t, c, "lost"), follow(t, c, "none")
 		a.expectEndpoints("9")
-		lbtest.Until(t, "an unknown type is logged", func() bool { return log.Has("not known here") })
+		lbtest.Until(t, "an unknown type is logged", func() bool { return log.Contains("not known here") })
 		streams := p.Streams()
 		p.Script(func(s *controlplane.Stream) error {
 			for n := 0; ; {
@@ -335,13 +335,13 @@
 		o.Wildcard = true
 		c, _ := start(t, o)
 		lbtest.Until(t, "both were received", func() bool { return len(c.Dump().Resources) == 2 })
-		if r := p.Asked()[0]; len(r.Names) != 0 {
+		if r := p.Requests()[0]; len(r.Names) != 0 {
 			t.Errorf("%+v", r)
 		}
 		follow(t, c, "b").expectEndpoints("2")
 		put(t, p, "2", controlplane.Cluster("b"), set("b", 3))
 		lbtest.Until(t, "one is removed", func() bool { return c.Dump().Resources[0].State == "removed" })
-		for _, r := range p.Asked() {
+		for _, r := range p.Requests() {
 			if r.Type == envoy.EndpointsType && slices.Contains(r.Names, "a") {
 				t.Errorf("the endpoints of an unused cluster are subscribed to: %+v", r)
 			}
@@ -367,13 +367,13 @@
 			ports = append(ports, 1000+i)
 		}
 		streams := p.Streams()
-		path.CutAfter(standin.Back, 2000)
+		path.CutAfter(standin.ToClient, 2000)
 		put(t, p, "2", controlplane.Cluster("a"), set("a", ports...))
 		lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 		if got := a.summary(); got != "1" && strings.Count(got, " ") != 499 {
 			t.Errorf("after a truncated response: %s", got)
 		}
-		path.CutAfter(standin.Back, -1)
+		path.CutAfter(standin.ToClient, -1)
 		lbtest.Until(t, "all are present", func() bool { return strings.Count(a.summary(), " ") == 499 })
 	}
 }
@@ -399,7 +399,7 @@
 			huge.AltStatName = strings.Repeat("x", 100<<20)
 			return s.Send(envoy.ClusterType, "2", "n", nil, huge)
 		})
-		first.Cut()
+		first.ResetStreams()
 		put(t, second, "2", controlplane.Cluster("a"), set("a", 3))
 		a.expectEndpoints("3")
 		first.Script(nil)
@@ -420,7 +420,7 @@
 			put(t, p, fmt.Sprint(i), controlplane.Cluster("a"), set("a", i+2))
 			if i%100 == 99 {
 				streams := p.Streams()
-				p.Cut()
+				p.ResetStreams()
 				lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 			}
 		}
@@ -464,7 +464,7 @@
 			t.Fatal(err)
 		}
 		c, log := start(t, o)
-		if !log.Has("file of the last good state ignored") || len(c.Dump().Resources) != 0 {
+		if !log.Contains("file of the last good state ignored") || len(c.Dump().Resources) != 0 {
 			t.Errorf("%d bytes: %s", len(damaged), log)
 		}
 		c.Close()
@@ -505,7 +505,7 @@
 	write(t, path, `{"resources": [`)
 	write(t, sets, `{"resources": [`+one("s", 12)+`, {"@type": "`+envoy.EndpointsType+`", "cluster_name": "other", "endpoints": [{"priority": 3}]}]}`)
 	b.expectEndpoints("12")
-	lbtest.Until(t, "both faults are logged", func() bool { return log.Has("clusters.json") && log.Has("priorities have a gap") })
+	lbtest.Until(t, "both faults are logged", func() bool { return log.Contains("clusters.json") && log.Contains("priorities have a gap") })
 	write(t, path, file(2))
 	a.expectEndpoints("2")
 	if b.summary() != "12" {
@@ -519,7 +519,7 @@
 	}
 	o.ControlPlanes[0].File = pipe
 	_, log = start(t, o)
-	lbtest.Until(t, "it is rejected", func() bool { return log.Has("no regular file") })
+	lbtest.Until(t, "it is rejected", func() bool { return log.Contains("no regular file") })
 }
 
 // Mutual TLS with a certificate that is replaced: the next connection presents the new one, and a control plane with a wrong name is not
@@ -562,11 +562,11 @@
 	c, log := start(t, o)
 	a := follow(t, c, "a")
 	a.expectEndpoints("1")
-	if !log.Has("somebody else") {
+	if !log.Contains("somebody else") {
 		t.Error(log)
 	}
 	issue("second", "ours")
-	p.Cut()
+	p.ResetStreams()
 	lbtest.Until(t, "the new certificate is presented", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
@@ -602,7 +602,7 @@
 	c, log := start(t, options(ads.StateOfTheWorld, p.Addr()))
 	a := follow(t, c, "a")
 	a.expectEndpoints("1")
-	lbtest.Until(t, "it is rejected", func() bool { return log.Has("cluster number 0") && log.Has("cluster number 1") })
+	lbtest.Until(t, "it is rejected", func() bool { return log.Contains("cluster number 0") && log.Contains("cluster number 1") })
 	if a.summary() != "1" {
 		t.Error(a.summary())
 	}
