--- a/bench/admission/main.go
+++ b/bench/admission/main.go
@@ -29,7 +29,7 @@
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 type bench struct {
@@ -82,7 +82,7 @@
 `
 
 func (b *bench) run() error {
-	n, err := standin.NewEndpoint(standin.EndpointOptions{Name: "n", Slots: 64, Queue: 1024, Work: 2 * time.Millisecond})
+	n, err := fake.NewEndpoint(fake.EndpointOptions{Name: "n", Slots: 64, Queue: 1024, Work: 2 * time.Millisecond})
 	if err != nil {
 		return err
 	}
--- a/bench/capacity/calls.go
+++ b/bench/capacity/calls.go
@@ -21,7 +21,7 @@
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/ledger"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 // instance is the product with packets that are counted: each line that comes in is answered by their bytes and number.
@@ -149,7 +149,7 @@
 `
 
 // texts writes the configurations of a variant: the first instance is asked.
-func (o *calls) texts(folder, variant string, nodos []string) (texts []string, ways []*standin.Path, err error) {
+func (o *calls) texts(folder, variant string, nodos []string) (texts []string, ways []*fake.Path, err error) {
 	one := fmt.Sprintf(base, nodos[0], nodos[1], "ready", "") + keyed
 	control := fmt.Sprintf("process {\n control = %q\n}\n", filepath.Join(folder, "control"))
 	kind, size, _ := strings.Cut(variant, "-")
@@ -181,7 +181,7 @@
 		}
 		return texts, nil, nil
 	case "link":
-		authority, err := standin.NewAuthority(folder, "salas")
+		authority, err := fake.NewAuthority(folder, "salas")
 		if err != nil {
 			return nil, nil, err
 		}
@@ -191,7 +191,7 @@
 			if err := authority.Issue(file(sala+".pem"), file(sala+".key"), sala, time.Now().Add(time.Hour)); err != nil {
 				return nil, nil, err
 			}
-			way, err := standin.NewPath(at[1-i])
+			way, err := fake.NewPath(at[1-i])
 			if err != nil {
 				return nil, nil, err
 			}
@@ -206,7 +206,7 @@
 }
 
 // counts are what instances have sent so far, by packets and over links.
-func counts(all []*process, outs []*bufio.Reader, ways []*standin.Path) (sent, packets int64, err error) {
+func counts(all []*process, outs []*bufio.Reader, ways []*fake.Path) (sent, packets int64, err error) {
 	for i, p := range all {
 		var b, n int64
 		fmt.Fprintln(p.in)
@@ -218,7 +218,7 @@
 		sent, packets = sent+b, packets+n
 	}
 	for _, w := range ways {
-		sent += w.Bytes(standin.ToServer) + w.Bytes(standin.ToClient)
+		sent += w.Bytes(fake.ToServer) + w.Bytes(fake.ToClient)
 	}
 	return sent, packets, nil
 }
@@ -231,7 +231,7 @@
 	defer os.RemoveAll(folder)
 	var nodos []string
 	for i := range 2 {
-		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i)})
+		n, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i)})
 		if err != nil {
 			return err
 		}
--- a/bench/capacity/plane.go
+++ b/bench/capacity/plane.go
@@ -15,7 +15,7 @@
 	"google.golang.org/grpc/stats"
 	"google.golang.org/protobuf/proto"
 
-	"silvertrail/internal/testkit/controlplane"
+	"silvertrail/internal/testkit/xdsserver"
 )
 
 type plane struct {
@@ -73,7 +73,7 @@
 	}
 	defer os.RemoveAll(folder)
 	counts := &payloads{}
-	p, err := controlplane.Start("127.0.0.1:0", grpc.StatsHandler(counts))
+	p, err := xdsserver.Start("127.0.0.1:0", grpc.StatsHandler(counts))
 	if err != nil {
 		return err
 	}
@@ -87,10 +87,10 @@
 				if j == i && version > 0 && (version-1)%n == i {
 					health = corev3.HealthStatus_DRAINING
 				}
-				set = append(set, controlplane.Endpoint(fmt.Sprintf("127.1.%d.%d:9000", j/250, j%250+1), health, 0))
+				set = append(set, xdsserver.Endpoint(fmt.Sprintf("127.1.%d.%d:9000", j/250, j%250+1), health, 0))
 			}
 			name := fmt.Sprint("c", i)
-			all = append(all, controlplane.Cluster(name), controlplane.EndpointSet(name, "", set...))
+			all = append(all, xdsserver.Cluster(name), xdsserver.EndpointSet(name, "", set...))
 		}
 		return p.Put(fmt.Sprint(version), all...)
 	}
--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -26,7 +26,7 @@
 	"silvertrail/internal/fleet"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 type options struct {
@@ -156,7 +156,7 @@
 func (o *options) keys() error {
 	var nodos []any
 	for i := range 2 {
-		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i)})
+		n, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i)})
 		if err != nil {
 			return err
 		}
--- a/bench/ledger/main.go
+++ b/bench/ledger/main.go
@@ -33,7 +33,7 @@
 	"silvertrail/internal/ledger/commit"
 	"silvertrail/internal/ledger/disk"
 	"silvertrail/internal/ledger/segment"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 type commands struct {
@@ -125,7 +125,7 @@
 	defer os.RemoveAll(folder)
 	var nodos []any
 	for i := range 2 {
-		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: o.Work})
+		n, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i), Work: o.Work})
 		if err != nil {
 			return err
 		}
--- a/bench/salas/chain.go
+++ b/bench/salas/chain.go
@@ -7,12 +7,12 @@
 	"net/http/httputil"
 	"net/url"
 
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 // chain runs two of httputil.ReverseProxy: far before an address, and near before far, over HTTP/2 with TLS; where there is a
 // path between them, over that and with a connection for each request.
-func chain(to string, path *standin.Path) (far, near string, stop func(), err error) {
+func chain(to string, path *fake.Path) (far, near string, stop func(), err error) {
 	at, err := url.Parse(to)
 	if err != nil {
 		return "", "", nil, err
--- a/bench/salas/lost.go
+++ b/bench/salas/lost.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 // lost is the experiment: callers ask all three salas at a rate, whatever becomes of their requests; at one moment the first
@@ -48,7 +48,7 @@
 }
 
 func (o *lost) play(way string, seed uint64, best float64) error {
-	s, err := start(standin.EndpointOptions{Work: workEach, Slots: slots, Queue: o.Queue}, 2, false, way == "crossing")
+	s, err := start(fake.EndpointOptions{Work: workEach, Slots: slots, Queue: o.Queue}, 2, false, way == "crossing")
 	if err != nil {
 		return err
 	}
--- a/bench/salas/main.go
+++ b/bench/salas/main.go
@@ -23,7 +23,7 @@
 
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 func main() {
@@ -43,8 +43,8 @@
 // salas are three salas with a gateway and nodos each, and paths between the gateways.
 type salas struct {
 	folder string
-	nodos  [3][]*standin.Endpoint
-	paths  [3][3]*standin.Path
+	nodos  [3][]*fake.Endpoint
+	paths  [3][3]*fake.Path
 	all    [3]*gateway.Gateway
 }
 
@@ -64,20 +64,20 @@
 `
 
 // start starts them. In a sala that is empty from the start nothing can be served.
-func start(o standin.EndpointOptions, nodos int, empty, cross bool) (*salas, error) {
+func start(o fake.EndpointOptions, nodos int, empty, cross bool) (*salas, error) {
 	s := &salas{}
 	var err error
 	if s.folder, err = os.MkdirTemp("", "silvertrail-salas-"); err != nil {
 		return nil, err
 	}
-	authority, err := standin.NewAuthority(s.folder, "salas")
+	authority, err := fake.NewAuthority(s.folder, "salas")
 	if err != nil {
 		return nil, err
 	}
 	for i, sala := range names {
 		for j := range nodos {
 			o.Name = fmt.Sprintf("%s-%d", sala, j)
-			n, err := standin.NewEndpoint(o)
+			n, err := fake.NewEndpoint(o)
 			if err != nil {
 				return nil, err
 			}
@@ -87,7 +87,7 @@
 			return nil, err
 		}
 		for j := range names {
-			if s.paths[i][j], err = standin.NewPath("127.0.0.1:1"); err != nil {
+			if s.paths[i][j], err = fake.NewPath("127.0.0.1:1"); err != nil {
 				return nil, err
 			}
 		}
@@ -254,7 +254,7 @@
 }
 
 func (o *hop) Run() error {
-	s, err := start(standin.EndpointOptions{}, 2, true, true)
+	s, err := start(fake.EndpointOptions{}, 2, true, true)
 	if err != nil {
 		return err
 	}
@@ -304,12 +304,12 @@
 }
 
 func (o *loss) Run() error {
-	s, err := start(standin.EndpointOptions{}, 2, true, true)
+	s, err := start(fake.EndpointOptions{}, 2, true, true)
 	if err != nil {
 		return err
 	}
 	defer s.close()
-	path, err := standin.NewPath("127.0.0.1:1")
+	path, err := fake.NewPath("127.0.0.1:1")
 	if err != nil {
 		return err
 	}
@@ -320,7 +320,7 @@
 	}
 	defer stop()
 	for _, part := range []float64{0, o.Loss} {
-		for _, p := range append([]*standin.Path{path}, s.paths[0][:]...) {
+		for _, p := range append([]*fake.Path{path}, s.paths[0][:]...) {
 			p.Shape(o.Delay, part, 0)
 		}
 		c := client(o.Callers)
@@ -343,7 +343,7 @@
 // bytes are those that have gone over the first sala's links.
 func (s *salas) bytes() (n int64) {
 	for _, p := range s.paths[0][1:] {
-		n += p.Bytes(standin.ToServer) + p.Bytes(standin.ToClient)
+		n += p.Bytes(fake.ToServer) + p.Bytes(fake.ToClient)
 	}
 	return n
 }
@@ -353,7 +353,7 @@
 }
 
 func (o *cut) Run() error {
-	s, err := start(standin.EndpointOptions{}, 1, true, true)
+	s, err := start(fake.EndpointOptions{}, 1, true, true)
 	if err != nil {
 		return err
 	}
@@ -385,8 +385,8 @@
 		}
 		other := s.nodos[3-in][0]
 		path := s.paths[0][in]
-		path.Block(standin.ToServer, true)
-		path.Block(standin.ToClient, true)
+		path.Block(fake.ToServer, true)
+		path.Block(fake.ToClient, true)
 		begun, n := time.Now(), other.Requests()
 		for other.Requests() == n && time.Since(begun) < 10*time.Second {
 			time.Sleep(100 * time.Microsecond)
@@ -396,8 +396,8 @@
 			time.Sleep(100 * time.Microsecond)
 		}
 		noticed = append(noticed, time.Since(begun))
-		path.Block(standin.ToServer, false)
-		path.Block(standin.ToClient, false)
+		path.Block(fake.ToServer, false)
+		path.Block(fake.ToClient, false)
 	}
 	for what, all := range map[string][]time.Duration{"the first request elsewhere": took, "nothing more is sent there": noticed} {
 		slices.Sort(all)
--- a/bench/scale/plane.go
+++ b/bench/scale/plane.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/grpc"
 
-	"silvertrail/internal/testkit/controlplane"
 	"silvertrail/internal/testkit/hollow"
+	"silvertrail/internal/testkit/xdsserver"
 )
 
 const maxMessage = 16 << 20
@@ -50,14 +50,14 @@
 // standIn listens once it has something to tell: one that comes back empty would tell all that nothing is there.
 type standIn struct {
 	listen string
-	plane  *controlplane.Server
+	plane  *xdsserver.Server
 }
 
 func (s *standIn) put(state *hollow.State) error {
 	first := s.plane == nil
 	if first {
 		var err error
-		if s.plane, err = controlplane.Start(s.listen, grpc.MaxSendMsgSize(maxMessage)); err != nil {
+		if s.plane, err = xdsserver.Start(s.listen, grpc.MaxSendMsgSize(maxMessage)); err != nil {
 			return err
 		}
 		s.plane.Hang(true)
--- a/bench/xds/main.go
+++ b/bench/xds/main.go
@@ -30,8 +30,8 @@
 
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/testkit/controlplane"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
+	"silvertrail/internal/testkit/xdsserver"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/bootstrap"
@@ -82,18 +82,18 @@
 
 func (f *follow) play(variant string, size int) (first, last *hdrhistogram.Histogram, failed int64, err error) {
 	first, last = hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
-	plane, err := controlplane.Start("127.0.0.1:0", grpc.MaxSendMsgSize(maxMessage))
+	plane, err := xdsserver.Start("127.0.0.1:0", grpc.MaxSendMsgSize(maxMessage))
 	if err != nil {
 		return nil, nil, 0, err
 	}
 	defer plane.Close()
-	var nodos [2]*standin.Endpoint
+	var nodos [2]*fake.Endpoint
 	var came [2]atomic.Int64 // when the last request came, in microseconds
 	begun := time.Now()
 	for i := range nodos {
-		if nodos[i], err = standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Fault: func(*http.Request) standin.Fault {
+		if nodos[i], err = fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i), Fault: func(*http.Request) fake.Fault {
 			came[i].Store(time.Since(begun).Microseconds())
-			return standin.NoFault
+			return fake.NoFault
 		}}); err != nil {
 			return nil, nil, 0, err
 		}
@@ -107,11 +107,11 @@
 	}
 	var rest []*endpointv3.LbEndpoint
 	for i := range size - 2 {
-		rest = append(rest, controlplane.Endpoint(fmt.Sprintf("127.1.%d.%d:9", i/250, i%250+1), corev3.HealthStatus_DRAINING, 0))
+		rest = append(rest, xdsserver.Endpoint(fmt.Sprintf("127.1.%d.%d:9", i/250, i%250+1), corev3.HealthStatus_DRAINING, 0))
 	}
 	put := func(on int) error {
-		return plane.Put(fmt.Sprint(time.Now().UnixNano()), controlplane.Cluster("c"), controlplane.EndpointSet("c", "", append([]*endpointv3.LbEndpoint{
-			controlplane.Endpoint(nodos[0].Addr, health(on == 0), 0), controlplane.Endpoint(nodos[1].Addr, health(on == 1), 0)}, rest...)...))
+		return plane.Put(fmt.Sprint(time.Now().UnixNano()), xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", append([]*endpointv3.LbEndpoint{
+			xdsserver.Endpoint(nodos[0].Addr, health(on == 0), 0), xdsserver.Endpoint(nodos[1].Addr, health(on == 1), 0)}, rest...)...))
 	}
 	if err := put(0); err != nil {
 		return nil, nil, 0, err
@@ -207,7 +207,7 @@
 
 // Run serves clusters of as many endpoints each, of which 1 % change each second, until its input ends.
 func (s *serve) Run() error {
-	p, err := controlplane.Start("127.0.0.1:0", grpc.MaxSendMsgSize(maxMessage))
+	p, err := xdsserver.Start("127.0.0.1:0", grpc.MaxSendMsgSize(maxMessage))
 	if err != nil {
 		return err
 	}
@@ -222,18 +222,18 @@
 		}
 		changed := max(s.Each/100, 1)
 		for j := range s.Each {
-			e := controlplane.Endpoint(fmt.Sprintf("127.%d.%d.%d:%d", 1+i/250, i%250, j%250+1, 1000+j/250), corev3.HealthStatus_HEALTHY, 0)
+			e := xdsserver.Endpoint(fmt.Sprintf("127.%d.%d.%d:%d", 1+i/250, i%250, j%250+1, 1000+j/250), corev3.HealthStatus_HEALTHY, 0)
 			if j < len(es) {
 				e = es[j]
 			} else {
 				es = append(es, e)
 			}
 			if j < changed {
-				es[j] = controlplane.Endpoint(fmt.Sprintf("127.%d.%d.%d:%d", 1+i/250, i%250, j%250+1, 20000+port%40000), corev3.HealthStatus_HEALTHY, 0)
+				es[j] = xdsserver.Endpoint(fmt.Sprintf("127.%d.%d.%d:%d", 1+i/250, i%250, j%250+1, 20000+port%40000), corev3.HealthStatus_HEALTHY, 0)
 			}
 		}
 		port++
-		sets[i] = controlplane.EndpointSet(fmt.Sprint("c", i), "", es...)
+		sets[i] = xdsserver.EndpointSet(fmt.Sprint("c", i), "", es...)
 	}
 	for i := range sets {
 		change(i)
@@ -241,7 +241,7 @@
 	put := func() error {
 		all = all[:0]
 		for i := range sets {
-			all = append(all, controlplane.Cluster(fmt.Sprint("c", i)), sets[i])
+			all = append(all, xdsserver.Cluster(fmt.Sprint("c", i)), sets[i])
 		}
 		return p.Put(fmt.Sprint(port), all...)
 	}
--- a/cmd/silvertrail/fleet_test.go
+++ b/cmd/silvertrail/fleet_test.go
@@ -22,8 +22,8 @@
 
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 var long = flag.Bool("long", false, "play the full size of what is scaled down by default")
@@ -134,14 +134,14 @@
 const fleetOf = 5
 
 // newFleet writes the configurations of a fleet in front of nodos in two salas.
-func newFleet(t *testing.T, nodos []*standin.Endpoint) []*instance {
+func newFleet(t *testing.T, nodos []*fake.Endpoint) []*instance {
 	t.Helper()
 	return newFleetBehind(t, nodos, "", nil)
 }
 
 // newFleetBehind has each instance reached at an address that reached returns for the one that it listens on, and more in
 // its fleet block.
-func newFleetBehind(t *testing.T, nodos []*standin.Endpoint, more string, reached func(at []string) []string) (all []*instance) {
+func newFleetBehind(t *testing.T, nodos []*fake.Endpoint, more string, reached func(at []string) []string) (all []*instance) {
 	t.Helper()
 	dir := t.TempDir()
 	key, err := conf.NewKey()
@@ -309,15 +309,15 @@
 
 // salasOf starts four nodos of two salas, each of which remembers keys in common. trouble is asked what becomes of the
 // answer to the n-th request that is worked through with a key.
-func salasOf(t *testing.T, trouble func(nodo int, n int64) standin.Fault) (nodos []*standin.Endpoint, groups [2]*standin.Group) {
+func salasOf(t *testing.T, trouble func(nodo int, n int64) fake.Fault) (nodos []*fake.Endpoint, groups [2]*fake.Group) {
 	t.Helper()
-	groups = [2]*standin.Group{standin.NewGroup("north", 10*time.Minute), standin.NewGroup("south", 10*time.Minute)}
+	groups = [2]*fake.Group{fake.NewGroup("north", 10*time.Minute), fake.NewGroup("south", 10*time.Minute)}
 	var worked atomic.Int64
 	for i := range 4 {
-		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Group: groups[i/2], Work: time.Millisecond,
-			Fault: func(r *http.Request) standin.Fault {
+		n, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i), Group: groups[i/2], Work: time.Millisecond,
+			Fault: func(r *http.Request) fake.Fault {
 				if r.Method != http.MethodPost {
-					return standin.NoFault
+					return fake.NoFault
 				}
 				return trouble(i, worked.Add(1))
 			}})
@@ -331,7 +331,7 @@
 }
 
 // onceEach holds that no key took effect in two salas, nor twice in one, and returns how many did.
-func onceEach(t *testing.T, groups [2]*standin.Group) int {
+func onceEach(t *testing.T, groups [2]*fake.Group) int {
 	t.Helper()
 	keys := groups[0].Effects()
 	for key, n := range groups[1].Effects() {
@@ -349,14 +349,14 @@
 // leave answers out; one instance is killed and comes back, another is paused and returns: no key takes effect in two
 // salas, nor twice in one, and classes that need no history are served all the time.
 func TestFleetUnderTrouble(t *testing.T) {
-	nodos, groups := salasOf(t, func(nodo int, n int64) standin.Fault {
+	nodos, groups := salasOf(t, func(nodo int, n int64) fake.Fault {
 		switch n % int64(8+4*nodo) {
 		case 0:
-			return standin.NoResponse
+			return fake.NoResponse
 		case 4:
-			return standin.ConnectionReset
+			return fake.ConnectionReset
 		}
-		return standin.NoFault
+		return fake.NoFault
 	})
 	all := newFleet(t, nodos)
 	sees(t, all, fleetOf)
--- a/cmd/silvertrail/idle_test.go
+++ b/cmd/silvertrail/idle_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 const (
@@ -91,15 +91,15 @@
 	for _, c := range []struct {
 		name  string
 		asked bool
-		down  standin.DiscoveryState
+		down  fake.DiscoveryState
 		told  int // descriptors, by the file
 	}{
-		{"pushed, silent", false, standin.Mute, granted},
-		{"pushed, refused", false, standin.Refuses, granted},
-		{"asked, silent", true, standin.Mute, granted},
-		{"asked, refused", true, standin.Refuses, granted},
-		{"pushed, silent, fewer than told", false, standin.Mute, 4 * granted},
-		{"asked, refused, fewer than told", true, standin.Refuses, 4 * granted},
+		{"pushed, silent", false, fake.Mute, granted},
+		{"pushed, refused", false, fake.Refuses, granted},
+		{"asked, silent", true, fake.Mute, granted},
+		{"asked, refused", true, fake.Refuses, granted},
+		{"pushed, silent, fewer than told", false, fake.Mute, 4 * granted},
+		{"asked, refused, fewer than told", true, fake.Refuses, 4 * granted},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -108,7 +108,7 @@
 	}
 }
 
-func testIdleCallers(t *testing.T, asked bool, down standin.DiscoveryState, told int) {
+func testIdleCallers(t *testing.T, asked bool, down fake.DiscoveryState, told int) {
 	seen := &effects{of: map[string]int{}}
 	release := make(chan struct{})
 	var arrived, renewed atomic.Int64
@@ -125,7 +125,7 @@
 		a.OK()
 	})
 	const few = 8
-	d := newDiscovery(t, standin.DiscoveryOptions{}, standin.Entries(few, before.Addr))
+	d := newDiscovery(t, fake.DiscoveryOptions{}, fake.Entries(few, before.Addr))
 	s := newSidecars(t, d.Addr)
 	// Endpoints' connections stay through the test, too; what is asked takes effect once or not at all.
 	s.rewrite(`"classes": [`, `"classes": [{"name": "once", "deadline": 10, "goal_time": 5, "effect": "single_shot", "worth": 1},`,
@@ -202,8 +202,8 @@
 	operate(old)
 	operate(next)
 
-	d.Set(standin.Entries(few+1, after.Addr))
-	d.SetState(standin.Answers)
+	d.Set(fake.Entries(few+1, after.Addr))
+	d.SetState(fake.Answers)
 	back := time.Now()
 	for _, r := range []*running{next, old} {
 		lbtest.Until(t, "discovery's list is asked for", func() bool { return r.figures().Size == few+1 })
--- a/cmd/silvertrail/ledger_test.go
+++ b/cmd/silvertrail/ledger_test.go
@@ -16,8 +16,8 @@
 
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/ledger/requesthistory"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // witnesses are what nodos and callers have seen of requests, by their ids.
@@ -28,16 +28,16 @@
 }
 
 // seats are two salas of nodos whose answers are now and then left out, and a process in front of them that is killed.
-func seats(t *testing.T, ledgerBlock string) (i *instance, groups [2]*standin.Group, w *witnesses) {
+func seats(t *testing.T, ledgerBlock string) (i *instance, groups [2]*fake.Group, w *witnesses) {
 	t.Helper()
 	w = &witnesses{reached: map[string]map[string]int{}, answered: map[string]int{}}
-	groups = [2]*standin.Group{standin.NewGroup("north", time.Minute), standin.NewGroup("south", time.Minute)}
+	groups = [2]*fake.Group{fake.NewGroup("north", time.Minute), fake.NewGroup("south", time.Minute)}
 	var worked atomic.Int64
 	text := ""
 	for n := range 4 {
 		name := fmt.Sprint("n", n)
-		nodo, err := standin.NewEndpoint(standin.EndpointOptions{Name: name, Group: groups[n/2], Work: 2 * time.Millisecond,
-			Fault: func(r *http.Request) standin.Fault {
+		nodo, err := fake.NewEndpoint(fake.EndpointOptions{Name: name, Group: groups[n/2], Work: 2 * time.Millisecond,
+			Fault: func(r *http.Request) fake.Fault {
 				id := r.Header.Get("X-Request-Id")
 				w.mu.Lock()
 				defer w.mu.Unlock()
@@ -47,11 +47,11 @@
 				w.reached[id][name]++
 				switch worked.Add(1) % 17 {
 				case 0:
-					return standin.NoResponse
+					return fake.NoResponse
 				case 7:
-					return standin.ConnectionReset
+					return fake.ConnectionReset
 				}
-				return standin.NoFault
+				return fake.NoFault
 			}})
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/silvertrail/ready_test.go
+++ b/cmd/silvertrail/ready_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 const (
@@ -61,9 +61,9 @@
 }
 
 // newDiscovery starts a stand-in that ends with the test.
-func newDiscovery(t *testing.T, o standin.DiscoveryOptions, entries []standin.DiscoveryEntry) *standin.Discovery {
+func newDiscovery(t *testing.T, o fake.DiscoveryOptions, entries []fake.DiscoveryEntry) *fake.Discovery {
 	t.Helper()
-	d, err := standin.NewDiscovery(o, entries)
+	d, err := fake.NewDiscovery(o, entries)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,32 +121,32 @@
 		name  string
 		asked bool
 		more  bool // played with -long alone
-		o     standin.DiscoveryOptions
-		state standin.DiscoveryState
+		o     fake.DiscoveryOptions
+		state fake.DiscoveryState
 	}
 	for _, c := range []trouble{
-		{name: "asked, slow", asked: true, o: standin.DiscoveryOptions{Delay: 2 * time.Second}},
-		{name: "asked, silent", asked: true, state: standin.Mute},
-		{name: "asked, full", asked: true, o: standin.DiscoveryOptions{Work: 50 * time.Millisecond, Queue: 4}},
-		{name: "pushed, silent", state: standin.Mute},
+		{name: "asked, slow", asked: true, o: fake.DiscoveryOptions{Delay: 2 * time.Second}},
+		{name: "asked, silent", asked: true, state: fake.Mute},
+		{name: "asked, full", asked: true, o: fake.DiscoveryOptions{Work: 50 * time.Millisecond, Queue: 4}},
+		{name: "pushed, silent", state: fake.Mute},
 		// As far as the moment of readiness goes these are like one of the above.
 		{name: "asked, well", asked: true, more: true},
-		{name: "asked, refuses", asked: true, state: standin.Refuses, more: true},
-		{name: "asked, turns away", asked: true, state: standin.TurnsAway, more: true},
+		{name: "asked, refuses", asked: true, state: fake.Refuses, more: true},
+		{name: "asked, turns away", asked: true, state: fake.TurnsAway, more: true},
 		{name: "pushed, well", more: true},
-		{name: "pushed, slow", o: standin.DiscoveryOptions{Delay: 2 * time.Second}, more: true},
-		{name: "pushed, refuses", state: standin.Refuses, more: true},
+		{name: "pushed, slow", o: fake.DiscoveryOptions{Delay: 2 * time.Second}, more: true},
+		{name: "pushed, refuses", state: fake.Refuses, more: true},
 	} {
 		if c.more && !*long {
 			continue
 		}
 		t.Run(c.name, func(t *testing.T) {
 			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
-			entries := standin.Entries(longList, e.Addr)
+			entries := fake.Entries(longList, e.Addr)
 			d := newDiscovery(t, c.o, entries[:longList-1])
 			d.Set(entries) // version 2, one endpoint more than is known
 			d.SetState(c.state)
-			known := `{"known": ` + string(standin.ListText(1, entries[:longList-1])) + `, "name"`
+			known := `{"known": ` + string(fake.ListText(1, entries[:longList-1])) + `, "name"`
 			var all []*sidecars
 			for n, p := range ports(t, restarted) {
 				s := newSidecars(t, d.Addr)
@@ -203,7 +203,7 @@
 				}
 				c.Close()
 			}
-			if c.state == standin.Answers && (c.o.Work == 0 || *long) {
+			if c.state == fake.Answers && (c.o.Work == 0 || *long) {
 				times = times[:0]
 				for _, r := range processes {
 					lbtest.Until(t, "a process has discovery's list", func() bool { return r.figures().Size == longList })
--- a/cmd/silvertrail/viewed_test.go
+++ b/cmd/silvertrail/viewed_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"silvertrail/internal/fleet"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // reach asks an instance which view it acts in and whom it hears.
@@ -28,7 +28,7 @@
 	t      *testing.T
 	all    []*instance
 	relays *lbtest.Relays
-	groups [2]*standin.Group
+	groups [2]*fake.Group
 	before int // the view that all were in last
 
 	callers sync.WaitGroup
@@ -59,11 +59,11 @@
 	fleetsAtOnce <- struct{}{}
 	t.Cleanup(func() { <-fleetsAtOnce })
 	f := &viewed{t: t, stop: make(chan struct{}), asleep: map[int][]span{}}
-	nodos, groups := salasOf(t, func(_ int, n int64) standin.Fault {
+	nodos, groups := salasOf(t, func(_ int, n int64) fake.Fault {
 		if n%40 == 0 {
-			return standin.ConnectionReset
+			return fake.ConnectionReset
 		}
-		return standin.NoFault
+		return fake.NoFault
 	})
 	f.groups = groups
 	f.all = newFleetBehind(t, nodos, "  views = true"+more, func(at []string) []string {
--- a/cmd/silvertrail/xds_with.go
+++ b/cmd/silvertrail/xds_with.go
@@ -15,7 +15,7 @@
 	plane "silvertrail/internal/controlplane"
 	"silvertrail/internal/controlplane/api"
 	"silvertrail/internal/gateway"
-	"silvertrail/internal/testkit/controlplane"
+	"silvertrail/internal/testkit/xdsserver"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/envoy"
@@ -53,7 +53,7 @@
 func (c *xdsServe) Run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	p, err := controlplane.Start(c.Listen)
+	p, err := xdsserver.Start(c.Listen)
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -19,8 +19,8 @@
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"silvertrail/internal/controlplane/api"
-	standin "silvertrail/internal/testkit/controlplane"
 	"silvertrail/internal/testkit/lbtest"
+	"silvertrail/internal/testkit/xdsserver"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/bootstrap"
@@ -46,11 +46,11 @@
 
 // service is a cluster and its endpoint set.
 func service(name string, port int) []proto.Message {
-	return []proto.Message{standin.Cluster(name), set(name, port)}
+	return []proto.Message{xdsserver.Cluster(name), set(name, port)}
 }
 
 func set(name string, port int) proto.Message {
-	return standin.EndpointSet(name, "z", standin.Endpoint(fmt.Sprint("127.0.0.1:", port), corev3.HealthStatus_HEALTHY, 1))
+	return xdsserver.EndpointSet(name, "z", xdsserver.Endpoint(fmt.Sprint("127.0.0.1:", port), corev3.HealthStatus_HEALTHY, 1))
 }
 
 func publish(t testing.TB, s *Server, remove []string, all ...proto.Message) api.Published {
@@ -173,9 +173,9 @@
 	publish(t, s, nil, service("a", 1)...)
 	r := follow(t, "r", "a", s.Addr())
 	r.await(t, "1")
-	badCluster, badSet := standin.Cluster("b"), set("c", 1)
+	badCluster, badSet := xdsserver.Cluster("b"), set("c", 1)
 	badCluster.LbPolicy = clusterv3.Cluster_RING_HASH
-	twice := standin.EndpointSet("d", "z", standin.Endpoint("127.0.0.1:1", 0, 1), standin.Endpoint("127.0.0.1:1", 0, 1))
+	twice := xdsserver.EndpointSet("d", "z", xdsserver.Endpoint("127.0.0.1:1", 0, 1), xdsserver.Endpoint("127.0.0.1:1", 0, 1))
 	_, err := s.PublishResources(append(packed(t, set("a", 2), badCluster, twice, badSet), &anypb.Any{TypeUrl: "x"}), []string{"clusters/a", "endpoints/a"})
 	for _, want := range []string{"resources[1]: cluster/b: lb_policy", "resources[2]: endpoints/d: endpoints[0].lb_endpoints[1]", `resources[4]: of type "x"`,
 		`remove: "clusters/a"`, "endpoints/a: told twice"} {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,7 +15,7 @@
 	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 var salas = []string{"sala-centro", "sala-norte", "sala-sur"}
@@ -90,7 +90,7 @@
 // startNodos starts the salas' nodos and writes their lists into a folder. Stop ends those that were started, also where
 // there is an error.
 func startNodos(folder string) (lists map[string][]endpointlist.Endpoint, stop func(), err error) {
-	var nodos []*standin.Endpoint
+	var nodos []*fake.Endpoint
 	stop = func() {
 		for _, n := range nodos {
 			n.Close()
@@ -98,14 +98,14 @@
 	}
 	lists = map[string][]endpointlist.Endpoint{}
 	for _, sala := range salas {
-		group := standin.NewGroup(sala, time.Minute)
+		group := fake.NewGroup(sala, time.Minute)
 		for i := range perSala {
-			no := standin.EndpointOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Site: sala, Slots: 8, Queue: 32, Work: work,
+			no := fake.EndpointOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Site: sala, Slots: 8, Queue: 32, Work: work,
 				Group: group}
 			if sala == "sala-norte" && i == 0 {
 				no.Work = slowWork
 			}
-			n, err := standin.NewEndpoint(no)
+			n, err := fake.NewEndpoint(no)
 			if err != nil {
 				return nil, stop, err
 			}
--- a/internal/demo/salas.go
+++ b/internal/demo/salas.go
@@ -12,7 +12,7 @@
 	"silvertrail/internal/base/endpointlist"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/fake"
 )
 
 // RunSalas runs three salas with a gateway each, linked and in one fleet, until ctx ends. The first one loses its nodos
@@ -30,7 +30,7 @@
 	if err := os.WriteFile(filepath.Join(folder, "fleet.keys"), []byte(key), 0o600); err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
-	authority, err := standin.NewAuthority(folder, "salas")
+	authority, err := fake.NewAuthority(folder, "salas")
 	if err != nil {
 		return err
 	}
--- a/internal/edge/certs/certs_test.go
+++ b/internal/edge/certs/certs_test.go
@@ -8,14 +8,14 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // Files that change hold from then on; those that can't be used change nothing, which is logged once for each fault.
 func TestFilesChange(t *testing.T) {
 	folder := t.TempDir()
-	authority, err := standin.NewAuthority(folder, "authority")
+	authority, err := fake.NewAuthority(folder, "authority")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/frontend/disconnect_test.go
+++ b/internal/edge/frontend/disconnect_test.go
@@ -28,8 +28,8 @@
 	"silvertrail/internal/platform/config"
 	"silvertrail/internal/platform/counters"
 	"silvertrail/internal/platform/sidecar"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 	"silvertrail/lbpolicy"
 )
 
@@ -144,7 +144,7 @@
 	d.Server = frontend.New(sidecar.NewRouter(c, d.host, &counters.Set{}, bodies), d.listener, admission.SingleGroup(maxConns), log.New(io.Discard, "", 0))
 	if secure {
 		dir := t.TempDir()
-		a, err := standin.NewAuthority(dir, "authority")
+		a, err := fake.NewAuthority(dir, "authority")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/cluster/dns_test.go
+++ b/internal/gateway/cluster/dns_test.go
@@ -10,15 +10,15 @@
 
 	"github.com/miekg/dns"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
 
-func nameServer(t *testing.T, answer func(q dns.Question, tcp bool) *standin.Response) *standin.NameServer {
+func nameServer(t *testing.T, answer func(q dns.Question, tcp bool) *fake.Response) *fake.NameServer {
 	t.Helper()
-	s, err := standin.NewNameServer(answer)
+	s, err := fake.NewNameServer(answer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,46 +26,46 @@
 	return s
 }
 
-func records(lines ...string) func(dns.Question, bool) *standin.Response {
-	return func(dns.Question, bool) *standin.Response { return &standin.Response{Records: lines} }
+func records(lines ...string) func(dns.Question, bool) *fake.Response {
+	return func(dns.Question, bool) *fake.Response { return &fake.Response{Records: lines} }
 }
 
 func TestLookUp(t *testing.T) {
 	for name, c := range map[string]struct {
 		srv    bool
-		answer func(q dns.Question, tcp bool) *standin.Response
+		answer func(q dns.Question, tcp bool) *fake.Response
 		want   string // addresses, or what the error says
 		ttl    time.Duration
 	}{
 		"A and AAAA": {answer: records("p.test. 30 IN A 127.0.0.1", "P.test. 20 IN AAAA ::1", "other.test. 1 IN A 127.0.0.9"),
 			want: "127.0.0.1:7 [::1]:7", ttl: 20 * time.Second},
-		"alias": {answer: func(q dns.Question, _ bool) *standin.Response {
+		"alias": {answer: func(q dns.Question, _ bool) *fake.Response {
 			if q.Qtype != dns.TypeA {
-				return &standin.Response{}
+				return &fake.Response{}
 			}
-			return &standin.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}}
+			return &fake.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}}
 		}, want: "127.0.0.3:7", ttl: 9 * time.Second},
-		"no such name": {answer: func(dns.Question, bool) *standin.Response { return &standin.Response{Rcode: dns.RcodeNameError} },
+		"no such name": {answer: func(dns.Question, bool) *fake.Response { return &fake.Response{Rcode: dns.RcodeNameError} },
 			want: "", ttl: 5 * time.Second},
 		"TTL 0":          {answer: records("p.test. 0 IN A 127.0.0.1"), want: "127.0.0.1:7", ttl: 0},
-		"server failure": {answer: func(dns.Question, bool) *standin.Response { return &standin.Response{Rcode: dns.RcodeServerFailure} }, want: "SERVFAIL"},
-		"half a failure": {answer: func(q dns.Question, _ bool) *standin.Response {
+		"server failure": {answer: func(dns.Question, bool) *fake.Response { return &fake.Response{Rcode: dns.RcodeServerFailure} }, want: "SERVFAIL"},
+		"half a failure": {answer: func(q dns.Question, _ bool) *fake.Response {
 			if q.Qtype == dns.TypeAAAA {
-				return &standin.Response{Rcode: dns.RcodeServerFailure}
+				return &fake.Response{Rcode: dns.RcodeServerFailure}
 			}
-			return &standin.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}}
+			return &fake.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}}
 		}, want: "AAAA: SERVFAIL"},
-		"cut short, whole over TCP": {answer: func(_ dns.Question, tcp bool) *standin.Response {
+		"cut short, whole over TCP": {answer: func(_ dns.Question, tcp bool) *fake.Response {
 			if !tcp {
-				return &standin.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}, Truncated: true}
+				return &fake.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}, Truncated: true}
 			}
-			return &standin.Response{Records: []string{"p.test. 9 IN A 127.0.0.3", "p.test. 9 IN A 127.0.0.4"}}
+			return &fake.Response{Records: []string{"p.test. 9 IN A 127.0.0.3", "p.test. 9 IN A 127.0.0.4"}}
 		}, want: "127.0.0.3:7 127.0.0.4:7", ttl: 9 * time.Second},
-		"cut short for good": {answer: func(dns.Question, bool) *standin.Response {
-			return &standin.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}, Truncated: true}
+		"cut short for good": {answer: func(dns.Question, bool) *fake.Response {
+			return &fake.Response{Records: []string{"p.test. 9 IN A 127.0.0.3"}, Truncated: true}
 		}, want: "cut short"},
-		"SRV with glue, lowest priority": {srv: true, answer: func(q dns.Question, _ bool) *standin.Response {
-			return &standin.Response{Records: []string{"p.test. 8 IN SRV 1 0 80 a.test.", "p.test. 8 IN SRV 1 9 81 a.test.", "p.test. 8 IN SRV 2 0 82 b.test."},
+		"SRV with glue, lowest priority": {srv: true, answer: func(q dns.Question, _ bool) *fake.Response {
+			return &fake.Response{Records: []string{"p.test. 8 IN SRV 1 0 80 a.test.", "p.test. 8 IN SRV 1 9 81 a.test.", "p.test. 8 IN SRV 2 0 82 b.test."},
 				Extra: []string{"a.test. 6 IN A 127.0.0.5", "b.test. 1 IN A 127.0.0.6"}}
 		}, want: "127.0.0.5:80 127.0.0.5:81", ttl: 6 * time.Second},
 		"SRV without glue": {srv: true, answer: records("p.test. 8 IN SRV 1 0 80 a.test.", "a.test. 4 IN A 127.0.0.5"),
@@ -101,10 +101,10 @@
 	s := nameServer(t, records("p.test. 0 IN A 127.0.0.1", "p.test. 0 IN A 127.0.0.2"))
 	c := start(t, Config{Name: "p", EmptyHold: time.Hour, Sources: []Source{{DNS: &DNS{Name: "p.test", Port: 7, Zone: "a", Server: s.Addr, unit: 20 * time.Millisecond}}}})
 	lbtest.Until(t, "two members", func() bool { return len(c.Members()) == 2 })
-	for name, answer := range map[string]func(dns.Question, bool) *standin.Response{
-		"empty":     func(dns.Question, bool) *standin.Response { return &standin.Response{} },
-		"none":      func(dns.Question, bool) *standin.Response { return nil },
-		"cut short": func(dns.Question, bool) *standin.Response { return &standin.Response{Truncated: true} },
+	for name, answer := range map[string]func(dns.Question, bool) *fake.Response{
+		"empty":     func(dns.Question, bool) *fake.Response { return &fake.Response{} },
+		"none":      func(dns.Question, bool) *fake.Response { return nil },
+		"cut short": func(dns.Question, bool) *fake.Response { return &fake.Response{Truncated: true} },
 	} {
 		s.Set(answer)
 		for range 4 { // A and AAAA of the next round at the least
@@ -127,7 +127,7 @@
 
 func TestSilentNameServer(t *testing.T) {
 	t.Parallel()
-	s := nameServer(t, func(dns.Question, bool) *standin.Response { return nil })
+	s := nameServer(t, func(dns.Question, bool) *fake.Response { return nil })
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-s.Queries(); cancel() }()
 	d := &DNS{Name: "p.test", Port: 7, Server: s.Addr}
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 func keyed(id string) string {
@@ -273,10 +273,10 @@
 }
 
 // secured runs a gateway under TLS with an authority for its callers, before an endpoint that holds what it gets.
-func secured(t *testing.T) (g *Gateway, folder string, good *standin.Authority, got chan *lbtest.Arrival) {
+func secured(t *testing.T) (g *Gateway, folder string, good *fake.Authority, got chan *lbtest.Arrival) {
 	t.Helper()
 	folder = t.TempDir()
-	good, err := standin.NewAuthority(folder, "good")
+	good, err := fake.NewAuthority(folder, "good")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -307,7 +307,7 @@
 	return g, folder, good, e.Arrivals
 }
 
-func issue(t *testing.T, by *standin.Authority, folder, file, name string, until time.Time) {
+func issue(t *testing.T, by *fake.Authority, folder, file, name string, until time.Time) {
 	t.Helper()
 	if err := by.Issue(filepath.Join(folder, file+".pem"), filepath.Join(folder, file+".key"), name, until); err != nil {
 		t.Fatal(err)
@@ -347,7 +347,7 @@
 	g, folder, good, got := secured(t)
 	issue(t, good, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
 	issue(t, good, folder, "old", "old.secretarias.example", time.Now().Add(-time.Minute))
-	other, err := standin.NewAuthority(folder, "other")
+	other, err := fake.NewAuthority(folder, "other")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -489,7 +489,7 @@
 	if recognised() != 2 {
 		t.Errorf("%d recognised", recognised())
 	}
-	next, err := standin.NewAuthority(folder, "next")
+	next, err := fake.NewAuthority(folder, "next")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/disconnect_test.go
+++ b/internal/gateway/disconnect_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // Ways in which a caller leaves, with what stands unread before its end.
@@ -36,13 +36,13 @@
 func newTroubled(t *testing.T) *troubled {
 	t.Helper()
 	p := &troubled{gate: make(chan struct{}), arrived: make(chan int, 64)}
-	p.province = newProvinceWith(t, "20s", standin.EndpointOptions{}, func(sala, _ int) standin.Fault {
+	p.province = newProvinceWith(t, "20s", fake.EndpointOptions{}, func(sala, _ int) fake.Fault {
 		p.mu.Lock()
 		gate := p.gate
 		p.mu.Unlock()
 		p.arrived <- sala
 		<-gate
-		return standin.ConnectionReset
+		return fake.ConnectionReset
 	})
 	t.Cleanup(func() { p.fail() })
 	return p
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"silvertrail/internal/fleet"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // gateways runs n instances of one fleet before two salas, all of them voters, with links between them that can be cut.
@@ -59,14 +59,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			s := newSalas(t, time.Minute, func(nodo int) standin.Fault {
+			s := newSalas(t, time.Minute, func(nodo int) fake.Fault {
 				switch n.Add(1) % int64(8+4*nodo) {
 				case 0:
-					return standin.NoResponse
+					return fake.NoResponse
 				case 4:
-					return standin.ConnectionReset
+					return fake.ConnectionReset
 				}
-				return standin.NoFault
+				return fake.NoFault
 			})
 			all, links := gateways(t, 5, s)
 			links.Distort()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"silvertrail/internal/gateway/conf"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 const classes = `
@@ -628,9 +628,9 @@
 // has one answer, and no write takes effect twice.
 func TestReloadStorm(t *testing.T) {
 	t.Parallel()
-	var nodos []*standin.Endpoint
+	var nodos []*fake.Endpoint
 	for i := range 4 {
-		n, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond})
+		n, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -13,27 +13,27 @@
 	"testing"
 	"time"
 
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 var long = flag.Bool("long", false, "play the full size of what is scaled down by default")
 
 // salas are two groups of two nodos each, which share their memories of keys within a group.
 type salas struct {
-	groups [2]*standin.Group
-	nodos  [4]*standin.Endpoint
+	groups [2]*fake.Group
+	nodos  [4]*fake.Endpoint
 }
 
-func newSalas(t *testing.T, window time.Duration, trouble func(nodo int) standin.Fault) *salas {
+func newSalas(t *testing.T, window time.Duration, trouble func(nodo int) fake.Fault) *salas {
 	t.Helper()
-	s := &salas{groups: [2]*standin.Group{standin.NewGroup("north", window), standin.NewGroup("south", window)}}
+	s := &salas{groups: [2]*fake.Group{fake.NewGroup("north", window), fake.NewGroup("south", window)}}
 	for i := range s.nodos {
-		o := standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond, Group: s.groups[i/2]}
+		o := fake.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond, Group: s.groups[i/2]}
 		if trouble != nil {
-			o.Fault = func(*http.Request) standin.Fault { return trouble(i) }
+			o.Fault = func(*http.Request) fake.Fault { return trouble(i) }
 		}
-		n, err := standin.NewEndpoint(o)
+		n, err := fake.NewEndpoint(o)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -159,14 +159,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			s := newSalas(t, time.Minute, func(nodo int) standin.Fault {
+			s := newSalas(t, time.Minute, func(nodo int) fake.Fault {
 				switch n.Add(1) % int64(6+12*nodo) { // of the first nodo a third, of the next ones less
 				case 0:
-					return standin.NoResponse
+					return fake.NoResponse
 				case 3:
-					return standin.ConnectionReset
+					return fake.ConnectionReset
 				}
-				return standin.NoFault
+				return fake.NoFault
 			})
 			const deadline = 500 * time.Millisecond
 			text := func(i int) string {
@@ -215,11 +215,11 @@
 func heldSalas(t *testing.T, window time.Duration) (s *salas, hold *atomic.Bool) {
 	t.Helper()
 	hold = &atomic.Bool{}
-	return newSalas(t, window, func(int) standin.Fault {
+	return newSalas(t, window, func(int) fake.Fault {
 		if hold.Load() {
-			return standin.NoResponse
+			return fake.NoResponse
 		}
-		return standin.NoFault
+		return fake.NoFault
 	}), hold
 }
 
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -13,8 +13,8 @@
 
 	"silvertrail/internal/ledger"
 	"silvertrail/internal/ledger/requesthistory"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 func ledgerAt(dir, more string) string {
@@ -147,7 +147,7 @@
 func TestDiskFullInABurst(t *testing.T) {
 	t.Parallel()
 	s := newSalas(t, time.Minute, nil)
-	d := standin.NewDisk(-1)
+	d := fake.NewDisk(-1)
 	file := parse(t, keyedClass("2s", "60s")+"class \"loose\" {\n aim = \"2s\"\n deadline = \"2s\"\n effect = \"keyed\"\n window = \"60s\"\n unrecorded = \"serve\"\n}\n"+
 		twoSalas+listener("l", "127.0.0.1:0")+ledgerAt("none", "patience = \"50ms\"")+s.cluster("c", "")+seatRoute+
 		"route \"loose\" {\n match {\n prefix = \"/loose\"\n }\n class = \"loose\"\n cluster = \"c\"\n}\n"+
@@ -235,7 +235,7 @@
 // from it.
 func TestLedgerOverSalas(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, nil)
+	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
 	dirs := [3]string{}
 	for i := range 3 {
 		dirs[i] = filepath.Join(p.folder, "ledger-"+salaNames[i])
--- a/internal/gateway/sitegateways_test.go
+++ b/internal/gateway/sitegateways_test.go
@@ -8,17 +8,17 @@
 	"time"
 
 	"silvertrail/internal/gateway/conf"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // second starts another gateway of a sala under the sala's own name, a member of the fleet that is no voter, and returns it
 // with the path on which the first sala reaches it.
-func (p *province) second(i int) (*Gateway, *standin.Path) {
+func (p *province) second(i int) (*Gateway, *fake.Path) {
 	p.t.Helper()
 	text := strings.Replace(p.text(i), fmt.Sprintf("fleet \"f\" {\n name = %q", salaNames[i]), fmt.Sprintf("fleet \"f\" {\n name = %q", salaNames[i]+"-2"), 1)
 	g, _ := p.launch(text, true)
-	path, err := standin.NewPath(g.LinkAddr())
+	path, err := fake.NewPath(g.LinkAddr())
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -31,11 +31,11 @@
 func TestTwoGatewaysOfASala(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, func(int, int) standin.Fault {
+	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, func(int, int) fake.Fault {
 		if n.Add(1)%50 == 0 {
-			return standin.NoResponse
+			return fake.NoResponse
 		}
-		return standin.NoFault
+		return fake.NoFault
 	})
 	other, path := p.second(1)
 	text := strings.Replace(p.text(0), fmt.Sprintf("address = %q\n }", p.paths[0][1].Addr), fmt.Sprintf("addresses = [%q, %q]\n }", p.paths[0][1].Addr, path.Addr), 1)
@@ -88,11 +88,11 @@
 	served("the first drains")
 	drain(t, p.all[1], "off")
 	both()
-	path.Block(standin.ToServer, true)
-	path.Block(standin.ToClient, true)
+	path.Block(fake.ToServer, true)
+	path.Block(fake.ToClient, true)
 	served("the second is cut off silently")
-	path.Block(standin.ToServer, false)
-	path.Block(standin.ToClient, false)
+	path.Block(fake.ToServer, false)
+	path.Block(fake.ToClient, false)
 	both()
 	p.all[1].Close()
 	served("the first is killed")
--- a/internal/gateway/sites_test.go
+++ b/internal/gateway/sites_test.go
@@ -20,8 +20,8 @@
 	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/sites/accounting"
 	"silvertrail/internal/sites/peering"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 var salaNames = []string{"centro", "norte", "sur"}
@@ -31,9 +31,9 @@
 	t        *testing.T
 	deadline string // of all classes
 	folder   string
-	groups   [3]*standin.Group
-	nodos    [3][2]*standin.Endpoint
-	paths    [3][3]*standin.Path // from, to
+	groups   [3]*fake.Group
+	nodos    [3][2]*fake.Endpoint
+	paths    [3][3]*fake.Path // from, to
 	all      [3]*Gateway
 	seeds    []string
 	mu       sync.Mutex // of all
@@ -66,15 +66,15 @@
 `
 
 // newProvince starts it. Trouble is asked for each request that a nodo has worked through.
-func newProvince(t *testing.T, o standin.EndpointOptions, trouble func(sala, nodo int) standin.Fault) *province {
+func newProvince(t *testing.T, o fake.EndpointOptions, trouble func(sala, nodo int) fake.Fault) *province {
 	t.Helper()
 	return newProvinceWith(t, "800ms", o, trouble)
 }
 
-func newProvinceWith(t *testing.T, deadline string, o standin.EndpointOptions, trouble func(sala, nodo int) standin.Fault) *province {
+func newProvinceWith(t *testing.T, deadline string, o fake.EndpointOptions, trouble func(sala, nodo int) fake.Fault) *province {
 	t.Helper()
 	p := &province{t: t, deadline: deadline, folder: t.TempDir()}
-	authority, err := standin.NewAuthority(p.folder, "salas")
+	authority, err := fake.NewAuthority(p.folder, "salas")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 	}
 	p.write("fleet.keys", key+"\n")
 	for i, sala := range salaNames {
-		p.groups[i] = standin.NewGroup(sala, time.Minute)
+		p.groups[i] = fake.NewGroup(sala, time.Minute)
 		if err := authority.Issue(filepath.Join(p.folder, sala+".pem"), filepath.Join(p.folder, sala+".key"), sala, time.Now().Add(time.Hour)); err != nil {
 			t.Fatal(err)
 		}
@@ -92,9 +92,9 @@
 			o := o
 			o.Name, o.Site, o.Group = fmt.Sprintf("%s-%d", sala, j), sala, p.groups[i]
 			if trouble != nil {
-				o.Fault = func(*http.Request) standin.Fault { return trouble(i, j) }
+				o.Fault = func(*http.Request) fake.Fault { return trouble(i, j) }
 			}
-			n, err := standin.NewEndpoint(o)
+			n, err := fake.NewEndpoint(o)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -105,7 +105,7 @@
 	}
 	for i := range 3 {
 		for j := range 3 {
-			path, err := standin.NewPath("127.0.0.1:1")
+			path, err := fake.NewPath("127.0.0.1:1")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -285,7 +285,7 @@
 // may have had no answer in time.
 func TestSalaLost(t *testing.T) {
 	t.Parallel()
-	p := newProvinceWith(t, "10s", standin.EndpointOptions{Work: 2 * time.Millisecond}, nil) // a busy machine is no trouble of salas
+	p := newProvinceWith(t, "10s", fake.EndpointOptions{Work: 2 * time.Millisecond}, nil) // a busy machine is no trouble of salas
 	for _, target := range []string{"/look", "/seat", "/note"} {
 		method, target, line := callsWith(target, "first"+target)
 		if status, body, _ := askAt(t, p.addr(0), method, target, line); status != 200 || len(p.sent(0)) != 0 {
@@ -367,12 +367,12 @@
 				if !reset {
 					deadline = "800ms"
 				}
-				p := newProvinceWith(t, deadline, standin.EndpointOptions{}, nil)
+				p := newProvinceWith(t, deadline, fake.EndpointOptions{}, nil)
 				p.members(0, "gone", "gone")
 				lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
 				hold := func(on bool) {
 					for j := 1; j < 3; j++ {
-						p.paths[0][j].Block(standin.ToClient, on)
+						p.paths[0][j].Block(fake.ToClient, on)
 					}
 				}
 				ran := func() (n int) {
@@ -435,14 +435,14 @@
 func TestSalasUnderCuts(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, func(sala, nodo int) standin.Fault {
+	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, func(sala, nodo int) fake.Fault {
 		switch n.Add(1) % 40 {
 		case 0:
-			return standin.NoResponse
+			return fake.NoResponse
 		case 20:
-			return standin.ConnectionReset
+			return fake.ConnectionReset
 		}
-		return standin.NoFault
+		return fake.NoFault
 	})
 	crowd := &repeating{callers: 24, keys: 25, deadline: 800 * time.Millisecond}
 	if *long {
@@ -490,15 +490,15 @@
 		case 0:
 			path.Reset()
 		case 1:
-			path.CutAfter(standin.ToServer, int64(draw(3000)))
+			path.CutAfter(fake.ToServer, int64(draw(3000)))
 		case 2:
-			path.CutAfter(standin.ToClient, int64(draw(2000)))
+			path.CutAfter(fake.ToClient, int64(draw(2000)))
 		case 3:
-			path.Block(standin.ToServer, true)
-			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Block(standin.ToServer, false) })
+			path.Block(fake.ToServer, true)
+			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Block(fake.ToServer, false) })
 		case 4:
-			path.Block(standin.ToClient, true)
-			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Block(standin.ToClient, false) })
+			path.Block(fake.ToClient, true)
+			time.AfterFunc(time.Duration(100+draw(500))*time.Millisecond, func() { path.Block(fake.ToClient, false) })
 		case 5: // its own go elsewhere first, and come back where that fails
 			drain(t, p.all[i], []string{"all", "off"}[draw(2)])
 		}
@@ -507,10 +507,10 @@
 		drain(t, p.all[i], "off")
 		p.members(i, "ready", "ready")
 		for j := range 3 {
-			p.paths[i][j].CutAfter(standin.ToServer, -1)
-			p.paths[i][j].CutAfter(standin.ToClient, -1)
-			p.paths[i][j].Block(standin.ToServer, false)
-			p.paths[i][j].Block(standin.ToClient, false)
+			p.paths[i][j].CutAfter(fake.ToServer, -1)
+			p.paths[i][j].CutAfter(fake.ToClient, -1)
+			p.paths[i][j].Block(fake.ToServer, false)
+			p.paths[i][j].Block(fake.ToClient, false)
 		}
 	}
 	if keys := p.twice(); len(keys) > 0 {
@@ -541,7 +541,7 @@
 // count the same.
 func TestCrossingCut(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, nil)
+	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
 	p.members(0, "gone", "gone")
 	lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
 	arrivals := func(key string) (n int) {
@@ -575,30 +575,30 @@
 		path := p.paths[0][used]
 		switch {
 		case point == 0 && !silent:
-			path.CutAfter(standin.ToServer, int64(100+30*i))
+			path.CutAfter(fake.ToServer, int64(100+30*i))
 		case point == 1 && !silent:
-			path.CutAfter(standin.ToClient, 1)
+			path.CutAfter(fake.ToClient, 1)
 		case point == 2 && !silent:
-			path.CutAfter(standin.ToClient, int64(60+7*i))
+			path.CutAfter(fake.ToClient, int64(60+7*i))
 		case point == 3 && !silent:
 			time.AfterFunc(time.Duration(i%7)*time.Millisecond, path.Reset)
 		case point == 0:
-			path.Block(standin.ToServer, true)
+			path.Block(fake.ToServer, true)
 		case point == 1:
-			path.Block(standin.ToClient, true)
+			path.Block(fake.ToClient, true)
 		default:
-			path.Block(standin.ToServer, true)
-			path.Block(standin.ToClient, true)
+			path.Block(fake.ToServer, true)
+			path.Block(fake.ToClient, true)
 		}
 		method, header := "POST", "Idempotency-Key: "+key
 		if class == "look" {
 			method, header = "GET", "X-Other: x"
 		}
 		status, _, _ := askAt(t, p.addr(0), method, "/"+class, header)
-		path.CutAfter(standin.ToServer, -1)
-		path.CutAfter(standin.ToClient, -1)
-		path.Block(standin.ToServer, false)
-		path.Block(standin.ToClient, false)
+		path.CutAfter(fake.ToServer, -1)
+		path.CutAfter(fake.ToClient, -1)
+		path.Block(fake.ToServer, false)
+		path.Block(fake.ToClient, false)
 		if answers[class] == nil {
 			answers[class] = map[int]int{}
 		}
@@ -631,13 +631,13 @@
 func TestLeftBeforeCrossing(t *testing.T) {
 	t.Parallel()
 	arrived, fail := make(chan struct{}, 8), make(chan struct{})
-	p := newProvinceWith(t, "20s", standin.EndpointOptions{Work: time.Millisecond}, func(sala, _ int) standin.Fault {
+	p := newProvinceWith(t, "20s", fake.EndpointOptions{Work: time.Millisecond}, func(sala, _ int) fake.Fault {
 		if sala == 0 {
 			arrived <- struct{}{}
 			<-fail
-			return standin.ConnectionReset
+			return fake.ConnectionReset
 		}
-		return standin.NoFault
+		return fake.NoFault
 	})
 	c := lbtest.Dial(t, p.addr(0))
 	c.Send("GET /look HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -679,7 +679,7 @@
 // and worth goes first.
 func TestCascade(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, standin.EndpointOptions{Work: 80 * time.Millisecond, Slots: 2, Queue: 4}, nil) // 50 requests a second a sala
+	p := newProvince(t, fake.EndpointOptions{Work: 80 * time.Millisecond, Slots: 2, Queue: 4}, nil) // 50 requests a second a sala
 	p.members(0, "gone", "gone")
 	p.members(2, "gone", "gone")
 	lbtest.Until(t, "only one sala has nodos", func() bool {
@@ -724,7 +724,7 @@
 // there, back, or when the gateway ends.
 func TestEvacuation(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, standin.EndpointOptions{Work: time.Millisecond}, nil)
+	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
 	homes := func(sala int) (n int64) { return p.nodos[sala][0].Requests() + p.nodos[sala][1].Requests() }
 	serve := func(n int, what string) {
 		t.Helper()
--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -17,9 +17,9 @@
 	"github.com/miekg/dns"
 	"google.golang.org/protobuf/proto"
 
-	"silvertrail/internal/testkit/controlplane"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/xdsserver"
 	"silvertrail/internal/xds"
 	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
@@ -29,14 +29,14 @@
 type told struct {
 	t       *testing.T
 	g       *Gateway
-	plane   *controlplane.Server
+	plane   *xdsserver.Server
 	n       int
 	variant string
 }
 
 func newTold(t *testing.T) *told {
 	t.Helper()
-	p, err := controlplane.Start("127.0.0.1:0")
+	p, err := xdsserver.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,10 +88,10 @@
 	})
 }
 
-func nodos(t *testing.T, n int, work time.Duration) (out []*standin.Endpoint) {
+func nodos(t *testing.T, n int, work time.Duration) (out []*fake.Endpoint) {
 	t.Helper()
 	for i := range n {
-		nodo, err := standin.NewEndpoint(standin.EndpointOptions{Name: fmt.Sprint("n", i), Work: work})
+		nodo, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i), Work: work})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -102,7 +102,7 @@
 }
 
 func healthy(addr string) *endpointv3.LbEndpoint {
-	return controlplane.Endpoint(addr, corev3.HealthStatus_HEALTHY, 0)
+	return xdsserver.Endpoint(addr, corev3.HealthStatus_HEALTHY, 0)
 }
 
 // traffic asks without end from several callers, until it is stopped; then it tells how many got each status.
@@ -144,7 +144,7 @@
 			x.variant = variant
 			n := nodos(t, 3, 2*time.Millisecond)
 			holds := lbtest.NewEndpoint(t, nil)
-			x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", healthy(holds.Addr)))
+			x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", healthy(holds.Addr)))
 			x.run(clusterC)
 			answer := make(chan int, 1)
 			go func() {
@@ -154,16 +154,16 @@
 			held := <-holds.Arrivals
 			// Weights that differ, so that all are drawn: of equals the quickest would do for so few callers.
 			all := func(place string) *endpointv3.ClusterLoadAssignment {
-				return controlplane.EndpointSet("c", place, controlplane.Endpoint(n[0].Addr, corev3.HealthStatus_HEALTHY, 3),
-					controlplane.Endpoint(n[1].Addr, corev3.HealthStatus_HEALTHY, 2), controlplane.Endpoint(n[2].Addr, corev3.HealthStatus_HEALTHY, 2))
+				return xdsserver.EndpointSet("c", place, xdsserver.Endpoint(n[0].Addr, corev3.HealthStatus_HEALTHY, 3),
+					xdsserver.Endpoint(n[1].Addr, corev3.HealthStatus_HEALTHY, 2), xdsserver.Endpoint(n[2].Addr, corev3.HealthStatus_HEALTHY, 2))
 			}
-			x.put(controlplane.Cluster("c"), all(""))
+			x.put(xdsserver.Cluster("c"), all(""))
 			lbtest.Until(t, "it is gone", func() bool { return x.g.Members()["c"] == 3 })
 			stop := x.traffic(8)
 			lbtest.Until(t, "all are used", func() bool { return min(n[0].Requests(), n[1].Requests(), n[2].Requests()) > 5 })
 			for round := range 6 { // the first one drains and comes back, and the second goes, again and again
-				drain := controlplane.Endpoint(n[0].Addr, corev3.HealthStatus_DRAINING, 0)
-				x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", drain, healthy(n[2].Addr)))
+				drain := xdsserver.Endpoint(n[0].Addr, corev3.HealthStatus_DRAINING, 0)
+				x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", drain, healthy(n[2].Addr)))
 				if round%2 == 1 {
 					x.plane.ResetStreams()
 				}
@@ -178,7 +178,7 @@
 				if a, b := n[0].Requests()-at[0], n[1].Requests()-at[1]; a > 8 || b > 8 {
 					t.Errorf("round %d: %d and %d new requests to a nodo that drains and one that is gone", round, a, b)
 				}
-				x.put(controlplane.Cluster("c"), all(fmt.Sprint(round)))
+				x.put(xdsserver.Cluster("c"), all(fmt.Sprint(round)))
 				lbtest.Until(t, "all are back", func() bool { return n[0].Requests() > at[0]+8 && n[1].Requests() > at[1]+8 })
 			}
 			held.OK()
@@ -199,9 +199,9 @@
 	x := newTold(t)
 	n := nodos(t, 2, 0)
 	as := func(h corev3.HealthStatus) *endpointv3.ClusterLoadAssignment {
-		return controlplane.EndpointSet("c", "", controlplane.Endpoint(n[0].Addr, h, 0), controlplane.Endpoint(n[1].Addr, h, 0))
+		return xdsserver.EndpointSet("c", "", xdsserver.Endpoint(n[0].Addr, h, 0), xdsserver.Endpoint(n[1].Addr, h, 0))
 	}
-	x.put(controlplane.Cluster("c"), as(corev3.HealthStatus_HEALTHY))
+	x.put(xdsserver.Cluster("c"), as(corev3.HealthStatus_HEALTHY))
 	x.run(clusterC)
 	expect := func(want int) {
 		t.Helper()
@@ -215,10 +215,10 @@
 		if err := x.g.Reload(parse(t, x.text(strings.Replace(clusterC, "xds", fmt.Sprintf("empty_hold = \"%ds\"\n xds", 20+i), 1)))); err != nil {
 			t.Fatal(err)
 		}
-		x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", fmt.Sprint(i), healthy(n[i%2].Addr)))
+		x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", fmt.Sprint(i), healthy(n[i%2].Addr)))
 		x.sees("c", n[i%2].Addr)
 	}
-	x.put(controlplane.Cluster("c"), as(corev3.HealthStatus_DRAINING))
+	x.put(xdsserver.Cluster("c"), as(corev3.HealthStatus_DRAINING))
 	expect(503)
 	before := n[0].Requests() + n[1].Requests()
 	for range 20 {
@@ -227,9 +227,9 @@
 	if now := n[0].Requests() + n[1].Requests(); now != before {
 		t.Errorf("%d requests to nodos that drain", now-before)
 	}
-	x.put(controlplane.Cluster("c"), as(corev3.HealthStatus_UNHEALTHY))
+	x.put(xdsserver.Cluster("c"), as(corev3.HealthStatus_UNHEALTHY))
 	expect(200)
-	x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", ""))
+	x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", ""))
 	lbtest.Until(t, "it is heard", func() bool {
 		return slices.ContainsFunc(x.g.discovery.Dump().Resources, func(l cache.ResourceStatus) bool {
 			return l.Kind == "endpoints" && l.Name == "c" && l.Endpoints == 0
@@ -249,7 +249,7 @@
 		t.Fatal(err)
 	}
 	expect(503)
-	x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", healthy(n[1].Addr)))
+	x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", healthy(n[1].Addr)))
 	expect(200)
 	if err := x.g.Reload(parse(t, listener("l", "127.0.0.1:0")+pool("c", "", n[0].Addr)+"route \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")); err == nil {
 		t.Error("the control planes went with a reload")
@@ -262,9 +262,9 @@
 	x := newTold(t)
 	n := nodos(t, 3, time.Millisecond)
 	weight := func(i int, w uint32) *endpointv3.LbEndpoint {
-		return controlplane.Endpoint(n[i].Addr, corev3.HealthStatus_HEALTHY, w)
+		return xdsserver.Endpoint(n[i].Addr, corev3.HealthStatus_HEALTHY, w)
 	}
-	x.put(controlplane.Cluster("c"), controlplane.EndpointSet("c", "", weight(0, 60), weight(1, 20)))
+	x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", weight(0, 60), weight(1, 20)))
 	x.run("cluster \"c\" {\n xds {}\n}\ncluster \"first\" {\n xds {\n resource = \"c\"\n level = 0\n }\n}\ncluster \"next\" {\n xds {\n resource = \"c\"\n level = 1\n }\n}\n" +
 		"route \"f\" {\n match {\n prefix = \"/f\"\n }\n class = \"read\"\n cluster = \"first\"\n failover = \"next\"\n}\nroute \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")
 	ask200 := func(n int, path string) {
@@ -279,9 +279,9 @@
 	if a, b := n[0].Requests(), n[1].Requests(); a < 2*b || a > 5*b {
 		t.Errorf("weights 60 and 20 got %d and %d", a, b)
 	}
-	levels := controlplane.EndpointSet("c", "", weight(0, 1))
+	levels := xdsserver.EndpointSet("c", "", weight(0, 1))
 	levels.Endpoints = append(levels.Endpoints, &endpointv3.LocalityLbEndpoints{Priority: 1, LbEndpoints: []*endpointv3.LbEndpoint{weight(2, 1)}})
-	x.put(controlplane.Cluster("c"), levels)
+	x.put(xdsserver.Cluster("c"), levels)
 	x.sees("first", n[0].Addr)
 	x.sees("next", n[2].Addr)
 	before := n[2].Requests()
@@ -291,7 +291,7 @@
 	}
 	ill := proto.Clone(levels).(*endpointv3.ClusterLoadAssignment)
 	ill.Endpoints[0].LbEndpoints[0].HealthStatus = corev3.HealthStatus_UNHEALTHY
-	x.put(controlplane.Cluster("c"), ill)
+	x.put(xdsserver.Cluster("c"), ill)
 	x.sees("c", n[0].Addr+" draining", n[2].Addr)
 	before = n[2].Requests()
 	ask200(20, "/")
@@ -299,13 +299,13 @@
 		t.Error("the second level was not used while the first is ill")
 	}
 	n[0].Close() // the rule's failover needs no word of the control plane
-	x.put(controlplane.Cluster("c"), levels)
+	x.put(xdsserver.Cluster("c"), levels)
 	x.sees("first", n[0].Addr)
 	ask200(20, "/f")
 	dropped := proto.Clone(levels).(*endpointv3.ClusterLoadAssignment)
 	dropped.Policy = &endpointv3.ClusterLoadAssignment_Policy{DropOverloads: []*endpointv3.ClusterLoadAssignment_Policy_DropOverload{
 		{Category: "all", DropPercentage: &typev3.FractionalPercent{Numerator: 100}}}}
-	x.put(controlplane.Cluster("c"), dropped)
+	x.put(xdsserver.Cluster("c"), dropped)
 	lbtest.Until(t, "all is dropped", func() bool {
 		status, _, header := ask(t, x.g, "GET", "/")
 		return status == 503 && header.Get("Retry-After") != ""
@@ -320,8 +320,8 @@
 	port := n[0].Addr[strings.LastIndexByte(n[0].Addr, ':')+1:]
 	var number uint32
 	fmt.Sscan(port, &number)
-	d, err := standin.NewNameServer(func(q dns.Question, _ bool) *standin.Response {
-		m := &standin.Response{}
+	d, err := fake.NewNameServer(func(q dns.Question, _ bool) *fake.Response {
+		m := &fake.Response{}
 		if q.Name == "nodo.example." && q.Qtype == dns.TypeA {
 			m.Records = []string{"nodo.example. 30 IN A 127.0.0.1"}
 		}
@@ -331,17 +331,17 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
-	at := controlplane.Endpoint("127.0.0.1:1", corev3.HealthStatus_HEALTHY, 0)
+	at := xdsserver.Endpoint("127.0.0.1:1", corev3.HealthStatus_HEALTHY, 0)
 	sa := at.GetEndpoint().Address.GetSocketAddress()
 	sa.Address, sa.PortSpecifier = "nodo.example", &corev3.SocketAddress_PortValue{PortValue: number}
-	c := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STRICT_DNS}, LoadAssignment: controlplane.EndpointSet("c", "", at)}
+	c := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STRICT_DNS}, LoadAssignment: xdsserver.EndpointSet("c", "", at)}
 	x.put(c)
 	x.run(strings.Replace(clusterC, "xds {}", fmt.Sprintf("xds {\n server = %q\n }", d.Addr), 1))
 	x.sees("c", n[0].Addr)
 	if status, _, _ := ask(t, x.g, "GET", "/"); status != 200 {
 		t.Error(status)
 	}
-	fixed := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, LoadAssignment: controlplane.EndpointSet("c", "", healthy("127.0.0.2:7"))}
+	fixed := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, LoadAssignment: xdsserver.EndpointSet("c", "", healthy("127.0.0.2:7"))}
 	x.put(fixed)
 	x.sees("c", "127.0.0.2:7")
 }
@@ -351,24 +351,24 @@
 func TestXDSKeysAcrossMoves(t *testing.T) {
 	t.Parallel()
 	var count atomic.Int64
-	s := newSalas(t, time.Minute, func(nodo int) standin.Fault {
+	s := newSalas(t, time.Minute, func(nodo int) fake.Fault {
 		if nodo%2 == 0 && count.Add(1)%4 == 0 { // not of those that move: they would be put out
-			return standin.NoResponse
+			return fake.NoResponse
 		}
-		return standin.NoFault
+		return fake.NoFault
 	})
 	x := newTold(t)
 	at := func(i int, name string) *endpointv3.LbEndpoint {
-		e := controlplane.Endpoint(s.nodos[i].Addr, corev3.HealthStatus_HEALTHY, uint32(2+i)) // that differ: all are drawn
+		e := xdsserver.Endpoint(s.nodos[i].Addr, corev3.HealthStatus_HEALTHY, uint32(2+i)) // that differ: all are drawn
 		e.GetEndpoint().ObservabilityName = name
 		return e
 	}
 	// "m" is the process at n1 in the north, or the one at n3 in the south.
-	north := controlplane.EndpointSet("c", "north", at(0, "n0"), at(1, "m"))
+	north := xdsserver.EndpointSet("c", "north", at(0, "n0"), at(1, "m"))
 	north.Endpoints = append(north.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: "south"}, LbEndpoints: []*endpointv3.LbEndpoint{at(2, "n2")}})
-	south := controlplane.EndpointSet("c", "north", at(0, "n0"))
+	south := xdsserver.EndpointSet("c", "north", at(0, "n0"))
 	south.Endpoints = append(south.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: "south"}, LbEndpoints: []*endpointv3.LbEndpoint{at(2, "n2"), at(3, "m")}})
-	x.put(controlplane.Cluster("c"), north)
+	x.put(xdsserver.Cluster("c"), north)
 	x.run(keyedClass("500ms", "60s") + twoSalas + "cluster \"c\" {\n xds {}\n}\nroute \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
 	addr := x.g.Addr("l").String()
 	crowd := &repeating{callers: 32, keys: 25, deadline: 500 * time.Millisecond}
@@ -382,7 +382,7 @@
 		case <-time.After(40 * time.Millisecond):
 			to := s.nodos[3-moves%2*2]
 			before := to.Requests()
-			x.put(controlplane.Cluster("c"), []*endpointv3.ClusterLoadAssignment{south, north}[moves%2])
+			x.put(xdsserver.Cluster("c"), []*endpointv3.ClusterLoadAssignment{south, north}[moves%2])
 			if moves < 6 { // the first ones stand until the place that was moved to is used
 				lbtest.Until(t, "it is used where it has moved to", func() bool { return to.Requests() > before })
 			}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -19,8 +19,8 @@
 	"silvertrail/internal/ledger/disk"
 	"silvertrail/internal/ledger/requesthistory"
 	"silvertrail/internal/ledger/segment"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 	"silvertrail/lbpolicy"
 )
 
@@ -137,7 +137,7 @@
 }
 
 // snapshot takes a copy of the disk and of the truth at one moment.
-func (w *truth) snapshot(take func() *standin.Disk) (*standin.Disk, map[string]seen) {
+func (w *truth) snapshot(take func() *fake.Disk) (*fake.Disk, map[string]seen) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	out := map[string]seen{}
@@ -209,9 +209,9 @@
 }
 
 // crashed plays a burst of so many callers and requests up to a crash, and returns what is left and what was seen.
-func crashed(t *testing.T, r *rand.Rand, mode commit.Mode, callers, most int, lies, machine bool) (after *standin.Disk, was map[string]seen) {
+func crashed(t *testing.T, r *rand.Rand, mode commit.Mode, callers, most int, lies, machine bool) (after *fake.Disk, was map[string]seen) {
 	t.Helper()
-	d := standin.NewDisk(-1)
+	d := fake.NewDisk(-1)
 	o := options(d)
 	o.Commit.Mode = mode
 	l, err := Start(o)
@@ -229,7 +229,7 @@
 		crowd.Go(func() { w.burst(l, i, stop) })
 	}
 	lbtest.Until(t, "requests", func() bool { return l.Status().Requests > uint64(most) })
-	after, was = w.snapshot(func() *standin.Disk {
+	after, was = w.snapshot(func() *fake.Disk {
 		if machine {
 			return d.AfterPowerLoss(r)
 		}
@@ -299,22 +299,22 @@
 // The process is killed, or the machine lost, after every single change of the disk, and the process after it again after every
 // change that it makes as it starts: each time the account agrees with what was seen, and a third process starts.
 func TestCrashAtEachStep(t *testing.T) {
-	d := standin.NewDisk(-1)
+	d := fake.NewDisk(-1)
 	o := options(d)
 	o.Commit.SegmentBytes = 700 // a few requests
 	w := &truth{all: map[string]*seen{}}
 	type moment struct {
-		disk *standin.Disk
+		disk *fake.Disk
 		was  map[string]seen
 		kill bool
 	}
 	var moments []moment
 	var mu sync.Mutex // what writes and what syncs change the disk beside each other
 	r := rand.New(rand.NewPCG(9, 9))
-	d.OnChange(func(d *standin.Disk) {
+	d.OnChange(func(d *fake.Disk) {
 		mu.Lock()
 		defer mu.Unlock()
-		for _, take := range []func() *standin.Disk{d.AfterKill, func() *standin.Disk { return d.AfterPowerLoss(r) }} {
+		for _, take := range []func() *fake.Disk{d.AfterKill, func() *fake.Disk { return d.AfterPowerLoss(r) }} {
 			after, was := w.snapshot(take)
 			moments = append(moments, moment{after, was, len(moments)%2 == 0})
 		}
@@ -344,8 +344,8 @@
 		if i%5 != 0 {
 			continue
 		}
-		var twice []*standin.Disk
-		m.disk.OnChange(func(d *standin.Disk) {
+		var twice []*fake.Disk
+		m.disk.OnChange(func(d *fake.Disk) {
 			mu.Lock()
 			defer mu.Unlock()
 			twice = append(twice, d.AfterKill(), d.AfterPowerLoss(r))
@@ -375,7 +375,7 @@
 // A log of a few requests, cut at every byte or with a bit flipped in every byte: nothing is called served that was not, nothing
 // is said not to have run that may have, and the reader never fails.
 func TestCutAndFlipped(t *testing.T) {
-	d := standin.NewDisk(-1)
+	d := fake.NewDisk(-1)
 	o := options(d)
 	o.Commit.SegmentBytes = 1024
 	l, err := Start(o)
@@ -434,26 +434,26 @@
 	ctx := context.Background()
 	for _, c := range []struct {
 		name string
-		on   func(*standin.Disk) (off func())
+		on   func(*fake.Disk) (off func())
 	}{
-		{"full", func(d *standin.Disk) func() {
+		{"full", func(d *fake.Disk) func() {
 			d.Fail(nil, nil, io.ErrShortWrite)
 			d.Fail(errors.New("no space left"), nil, errors.New("no space left"))
 			return func() { d.Fail(nil, nil, nil) }
 		}},
-		{"fsync fails", func(d *standin.Disk) func() {
+		{"fsync fails", func(d *fake.Disk) func() {
 			d.Fail(nil, errors.New("input/output error"), nil)
 			return func() { d.Fail(nil, nil, nil) }
 		}},
-		{"read-only", func(d *standin.Disk) func() {
+		{"read-only", func(d *fake.Disk) func() {
 			e := errors.New("read-only file system")
 			d.Fail(e, e, e)
 			return func() { d.Fail(nil, nil, nil) }
 		}},
-		{"hangs", func(d *standin.Disk) func() { return d.Hang() }},
+		{"hangs", func(d *fake.Disk) func() { return d.Hang() }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := standin.NewDisk(-1)
+			d := fake.NewDisk(-1)
 			o := options(d)
 			o.Commit.SlowDiskTime = 20 * time.Millisecond
 			l := start(t, o)
@@ -515,7 +515,7 @@
 // Segments that are missing, doubled, of another format or of another ledger, and pages that are spoilt: all that is sound
 // is told, what is lost is counted, and keys of which records may be lost are held back for as long as they count.
 func TestDamagedLog(t *testing.T) {
-	d := standin.NewDisk(-1)
+	d := fake.NewDisk(-1)
 	l, err := Start(options(d))
 	if err != nil {
 		t.Fatal(err)
@@ -539,23 +539,23 @@
 	}
 	mid := report.Files[1]
 	for name, c := range map[string]struct {
-		change func(*standin.Disk)
+		change func(*fake.Disk)
 		lost   uint64 // records
 		note   bool
 	}{
-		"missing": {func(d *standin.Disk) { d.Remove(mid.Name) }, mid.Records, false},
-		"doubled": {func(d *standin.Disk) {
+		"missing": {func(d *fake.Disk) { d.Remove(mid.Name) }, mid.Records, false},
+		"doubled": {func(d *fake.Disk) {
 			b := d.Bytes(mid.Name)
 			d.Change("00000000000000f0.seg", func([]byte) []byte { return b })
 		}, 0, true},
-		"newer": {func(d *standin.Disk) {
+		"newer": {func(d *fake.Disk) {
 			d.Change(mid.Name, func(b []byte) []byte {
 				n := len(segment.AppendHeader(nil, 0, &mid.Header)) / 2
 				b[8], b[n+8] = 9, 9
 				return b
 			})
 		}, mid.Records, true},
-		"a spoilt page": {func(d *standin.Disk) {
+		"a spoilt page": {func(d *fake.Disk) {
 			d.Change(mid.Name, func(b []byte) []byte { copy(b[4096:8192], make([]byte, 4096)); return b })
 		}, 1, false},
 	} {
@@ -596,7 +596,7 @@
 // The window of a key is counted over restarts by the machine's clock where that tells, and by the time of day with its
 // error where it does not; a time of day that has gone back ends the window and not the memory.
 func TestRecallAndClocks(t *testing.T) {
-	d := standin.NewDisk(-1)
+	d := fake.NewDisk(-1)
 	o := options(d)
 	since := time.Hour
 	o.SinceBoot = func() time.Duration { return since }
@@ -646,7 +646,7 @@
 		})
 	}
 	// Hashed names are found again by who has the secret, and stand nowhere in the log.
-	h := standin.NewDisk(-1)
+	h := fake.NewDisk(-1)
 	o = options(h)
 	o.Secret = []byte("a secret of the school's, 32 byte")
 	l, err = Start(o)
--- a/internal/sites/peering/disconnect_test.go
+++ b/internal/sites/peering/disconnect_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 // TestClientDisconnectsBeforeSending has a client disconnect before its request is sent: it does not arrive at the other
@@ -61,7 +61,7 @@
 				return &Response{Outcome: accounting.NeverRan}
 			})
 			from, path, _ := connectTwoSites(t, far)
-			path.Block(standin.ToServer, heldUp)
+			path.Block(fake.ToServer, heldUp)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			sent, over := make(chan struct{}), make(chan ForwardResult, 1)
@@ -82,7 +82,7 @@
 			if x := <-over; x.Response != nil {
 				t.Errorf("answered %+v", x.Response)
 			}
-			path.Block(standin.ToServer, false)
+			path.Block(fake.ToServer, false)
 			lbtest.Until(t, "site b is connected", func() bool { return isConnected(from, "b") })
 			awaitReconciled(t, from) // the request is not served any more
 			if far.came.Load() > 0 && len(ended) == 0 {
--- a/internal/sites/peering/transport_test.go
+++ b/internal/sites/peering/transport_test.go
@@ -24,8 +24,8 @@
 	"silvertrail/internal/balancer/idempotency"
 	"silvertrail/internal/sites/accounting"
 	"silvertrail/internal/sites/forwarding"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -67,10 +67,10 @@
 }
 
 // connectTwoSites connects site a to site b over a path.
-func connectTwoSites(t testing.TB, b Handler) (from *Transport, path *standin.Path, to *Transport) {
+func connectTwoSites(t testing.TB, b Handler) (from *Transport, path *fake.Path, to *Transport) {
 	t.Helper()
 	to = start(t, "b", b, nil, io.Discard, Peer{"a", []string{"127.0.0.1:1"}})
-	path, err := standin.NewPath(to.Addr())
+	path, err := fake.NewPath(to.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,11 +121,11 @@
 // site. Files that are replaced while in use apply to the next connection, and unusable ones change nothing.
 func TestIdentity(t *testing.T) {
 	folder := t.TempDir()
-	good, err := standin.NewAuthority(folder, "good")
+	good, err := fake.NewAuthority(folder, "good")
 	if err != nil {
 		t.Fatal(err)
 	}
-	other, err := standin.NewAuthority(folder, "other")
+	other, err := fake.NewAuthority(folder, "other")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,7 +133,7 @@
 		return &Identity{Certificate: filepath.Join(folder, name+".pem"), Key: filepath.Join(folder, name+".key"), Authority: good.File}
 	}
 	hour := time.Now().Add(time.Hour)
-	issue := func(by *standin.Authority, file, name string, until time.Time) *Identity {
+	issue := func(by *fake.Authority, file, name string, until time.Time) *Identity {
 		if err := by.Issue(files(file).Certificate, files(file).Key, name, until); err != nil {
 			t.Fatal(err)
 		}
@@ -206,7 +206,7 @@
 // TestHeartbeatTimeout holds up a connection in one direction or both: it is noticed, what was in flight is settled once the
 // connection is back, and both ends count the same.
 func TestHeartbeatTimeout(t *testing.T) {
-	for name, held := range map[string][]standin.Direction{"there": {standin.ToServer}, "back": {standin.ToClient}, "both": {standin.ToServer, standin.ToClient}} {
+	for name, held := range map[string][]fake.Direction{"there": {fake.ToServer}, "back": {fake.ToClient}, "both": {fake.ToServer, fake.ToClient}} {
 		t.Run(name, func(t *testing.T) {
 			b := newFakeHandler(nil)
 			a, path, _ := connectTwoSites(t, b)
@@ -259,9 +259,9 @@
 	reported := map[accounting.Outcome]int{}
 	for i := range 60 {
 		awaitConnected(t, a)
-		d := standin.ToServer
+		d := fake.ToServer
 		if i%2 == 1 {
-			d = standin.ToClient
+			d = fake.ToClient
 		}
 		path.CutAfter(d, int64(i/2*90))
 		c := newRequest(2000)
@@ -351,7 +351,7 @@
 			large.Add(1)
 		})
 	}
-	lbtest.Until(t, "the large ones are in transit", func() bool { return path.Bytes(standin.ToServer) > 100<<10 })
+	lbtest.Until(t, "the large ones are in transit", func() bool { return path.Bytes(fake.ToServer) > 100<<10 })
 	if x := forwardTo(a, "b", 10); x.Outcome != accounting.Served {
 		t.Errorf("%+v", x)
 	}
--- a/internal/testkit/standin/authority.go
+++ b/internal/testkit/fake/authority.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"crypto/ecdsa"
--- a/internal/testkit/standin/discovery.go
+++ b/internal/testkit/fake/discovery.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"encoding/json"
@@ -73,7 +73,7 @@
 func NewDiscovery(o DiscoveryOptions, entries []DiscoveryEntry) (*Discovery, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("standin: %w", err)
+		return nil, fmt.Errorf("fake: %w", err)
 	}
 	d := &Discovery{Addr: l.Addr().String(), o: o, turn: make(chan struct{}, 1), changed: make(chan struct{})}
 	d.Set(entries)
--- a/internal/testkit/standin/dns.go
+++ b/internal/testkit/fake/dns.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"fmt"
@@ -31,7 +31,7 @@
 	for range 16 { // a port that is free on both
 		p, err := net.ListenPacket("udp", "127.0.0.1:0")
 		if err != nil {
-			return nil, fmt.Errorf("standin: %w", err)
+			return nil, fmt.Errorf("fake: %w", err)
 		}
 		l, err := net.Listen("tcp", p.LocalAddr().String())
 		if err != nil {
@@ -51,7 +51,7 @@
 		}
 		return s, nil
 	}
-	return nil, fmt.Errorf("standin: no port is free over UDP and TCP")
+	return nil, fmt.Errorf("fake: no port is free over UDP and TCP")
 }
 
 // Close ends the server.
--- a/internal/testkit/standin/nodo.go
+++ b/internal/testkit/fake/endpoint.go
@@ -1,6 +1,6 @@
-// Package standin holds stand-ins for what stands round the program: nodos and a name server, on loopback, for its demo,
+// Package fake holds stand-ins for what stands round the program: nodos and a name server, on loopback, for its demo,
 // tests and measurements.
-package standin
+package fake
 
 import (
 	"encoding/json"
@@ -91,7 +91,7 @@
 func NewEndpoint(o EndpointOptions) (*Endpoint, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("standin: %w", err)
+		return nil, fmt.Errorf("fake: %w", err)
 	}
 	n := &Endpoint{Addr: l.Addr().String(), options: o, effects: map[string]int{}, done: make(chan struct{})}
 	if o.Slots > 0 {
--- a/internal/testkit/standin/path.go
+++ b/internal/testkit/fake/network.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"math/rand/v2"
--- a/internal/testkit/hollow/state.go
+++ b/internal/testkit/hollow/state.go
@@ -10,7 +10,7 @@
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	"google.golang.org/protobuf/proto"
 
-	"silvertrail/internal/testkit/controlplane"
+	"silvertrail/internal/testkit/xdsserver"
 )
 
 // Everywhere is the cluster that each member needs: a change of it concerns all of them.
@@ -120,14 +120,14 @@
 func (s *State) Set(name string) *endpointv3.ClusterLoadAssignment {
 	weight := uint32(s.Version(name))
 	if name == Everywhere {
-		return controlplane.EndpointSet(name, "zone-0", controlplane.Endpoint(s.At, corev3.HealthStatus_HEALTHY, weight))
+		return xdsserver.EndpointSet(name, "zone-0", xdsserver.Endpoint(s.At, corev3.HealthStatus_HEALTHY, weight))
 	}
 	var i int
 	fmt.Sscanf(name, "service-%d", &i)
 	by := make([][]*endpointv3.LbEndpoint, Zones)
 	for m := i; m < s.Members; m += s.Services() {
 		if z := Zone(m); z != 0 || !s.Lost {
-			by[z] = append(by[z], controlplane.Endpoint(Address(m), corev3.HealthStatus_HEALTHY, weight))
+			by[z] = append(by[z], xdsserver.Endpoint(Address(m), corev3.HealthStatus_HEALTHY, weight))
 		}
 	}
 	set := &endpointv3.ClusterLoadAssignment{ClusterName: name}
@@ -143,7 +143,7 @@
 func (s *State) Resources() []proto.Message {
 	var out []proto.Message
 	for _, name := range s.All() {
-		out = append(out, controlplane.Cluster(name), s.Set(name))
+		out = append(out, xdsserver.Cluster(name), s.Set(name))
 	}
 	return out
 }
--- a/internal/testkit/controlplane/plane.go
+++ b/internal/testkit/xdsserver/plane.go
@@ -1,6 +1,6 @@
-// Package controlplane is a stand-in control plane that speaks the aggregated discovery service of xDS, version 3, in both
+// Package xdsserver is a stand-in control plane that speaks the aggregated discovery service of xDS, version 3, in both
 // variants, on loopback: for tests, and for the command that serves a file. It does what is asked of it, sound or not.
-package controlplane
+package xdsserver
 
 import (
 	"crypto/sha256"
--- a/internal/testkit/controlplane/plane_test.go
+++ b/internal/testkit/xdsserver/plane_test.go
@@ -1,4 +1,4 @@
-package controlplane
+package xdsserver
 
 import (
 	"context"
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -24,9 +24,9 @@
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"silvertrail/internal/edge/certs"
-	"silvertrail/internal/testkit/controlplane"
+	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
-	"silvertrail/internal/testkit/standin"
+	"silvertrail/internal/testkit/xdsserver"
 	"silvertrail/internal/xds/ads"
 	"silvertrail/internal/xds/bootstrap"
 	"silvertrail/internal/xds/cache"
@@ -38,9 +38,9 @@
 
 var variants = []ads.Variant{ads.StateOfTheWorld, ads.Delta}
 
-func plane(t testing.TB, options ...grpc.ServerOption) *controlplane.Server {
+func plane(t testing.TB, options ...grpc.ServerOption) *xdsserver.Server {
 	t.Helper()
-	p, err := controlplane.Start("127.0.0.1:0", options...)
+	p, err := xdsserver.Start("127.0.0.1:0", options...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +48,7 @@
 	return p
 }
 
-func put(t testing.TB, p *controlplane.Server, version string, resources ...proto.Message) {
+func put(t testing.TB, p *xdsserver.Server, version string, resources ...proto.Message) {
 	t.Helper()
 	if err := p.Put(version, resources...); err != nil {
 		t.Fatal(err)
@@ -132,7 +132,7 @@
 }
 
 func at(port int, health ...corev3.HealthStatus) *endpointv3.LbEndpoint {
-	return controlplane.Endpoint(fmt.Sprintf("127.0.0.1:%d", port), append(health, corev3.HealthStatus_HEALTHY)[0], 0)
+	return xdsserver.Endpoint(fmt.Sprintf("127.0.0.1:%d", port), append(health, corev3.HealthStatus_HEALTHY)[0], 0)
 }
 
 func set(name string, ports ...int) *endpointv3.ClusterLoadAssignment {
@@ -140,29 +140,29 @@
 	for _, p := range ports {
 		all = append(all, at(p))
 	}
-	return controlplane.EndpointSet(name, "z", all...)
+	return xdsserver.EndpointSet(name, "z", all...)
 }
 
 // An invalid resource is rejected by name, and the valid ones of its response are in force; the version before an invalid one stays.
 func TestBadResource(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
-		put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("b"), set("b", 2))
+		put(t, p, "1", xdsserver.Cluster("a"), set("a", 1), xdsserver.Cluster("b"), set("b", 2))
 		c, _ := start(t, options(v, p.Addr()))
 		a, b := follow(t, c, "a"), follow(t, c, "b")
 		a.expectEndpoints("1")
 		b.expectEndpoints("2")
-		bad := controlplane.Cluster("b")
+		bad := xdsserver.Cluster("b")
 		bad.LbPolicy = clusterv3.Cluster_RING_HASH
-		put(t, p, "2", controlplane.Cluster("a"), set("a", 1, 3), bad, set("b", 2, 4))
+		put(t, p, "2", xdsserver.Cluster("a"), set("a", 1, 3), bad, set("b", 2, 4))
 		a.expectEndpoints("1", "3")
 		b.expectEndpoints("2", "4") // the cluster from before, with its current endpoints
 		lbtest.Until(t, "the NACK has come", func() bool {
-			return slices.ContainsFunc(p.Requests(), func(r controlplane.Request) bool {
+			return slices.ContainsFunc(p.Requests(), func(r xdsserver.Request) bool {
 				return r.Type == envoy.ClusterType && strings.Contains(r.ErrorDetail, "cluster b: lb_policy: RING_HASH") && (v == ads.Delta || r.Version == "1")
 			})
 		})
-		put(t, p, "3", controlplane.Cluster("a"), set("a", 5), controlplane.Cluster("b"), set("b", 6))
+		put(t, p, "3", xdsserver.Cluster("a"), set("a", 5), xdsserver.Cluster("b"), set("b", 6))
 		a.expectEndpoints("5")
 		b.expectEndpoints("6")
 		d := c.Dump()
@@ -182,13 +182,13 @@
 func TestOlderStateAfterReconnect(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
-		old := []proto.Message{controlplane.Cluster("a"), set("a", 1, 2), controlplane.Cluster("b"), set("b", 9)}
+		old := []proto.Message{xdsserver.Cluster("a"), set("a", 1, 2), xdsserver.Cluster("b"), set("b", 9)}
 		put(t, p, "1", old...)
 		c, _ := start(t, options(v, p.Addr()))
 		a, b := follow(t, c, "a"), follow(t, c, "b")
 		a.expectEndpoints("1", "2")
 		b.expectEndpoints("9")
-		put(t, p, "2", controlplane.Cluster("a"), controlplane.EndpointSet("a", "z", at(1, corev3.HealthStatus_DRAINING), at(3)), controlplane.Cluster("b"), set("b", 9))
+		put(t, p, "2", xdsserver.Cluster("a"), xdsserver.EndpointSet("a", "z", at(1, corev3.HealthStatus_DRAINING), at(3)), xdsserver.Cluster("b"), set("b", 9))
 		a.expectEndpoints("1-draining", "3")
 		streams := p.Streams()
 		before := len(p.Requests())
@@ -209,7 +209,7 @@
 				t.Errorf("%+v", r)
 			}
 		}
-		put(t, p, "3", controlplane.Cluster("a"), set("a", 1, 2, 4), controlplane.Cluster("b"), set("b", 9)) // never received before: new
+		put(t, p, "3", xdsserver.Cluster("a"), set("a", 1, 2, 4), xdsserver.Cluster("b"), set("b", 9)) // never received before: new
 		a.expectEndpoints("1", "2", "4")
 	}
 }
@@ -221,16 +221,16 @@
 // An intended rollback is in force after the defer time.
 func TestRollback(t *testing.T) {
 	p := plane(t)
-	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
+	put(t, p, "1", xdsserver.Cluster("a"), set("a", 1))
 	o := options(ads.Delta, p.Addr())
 	o.DeferTime = 200 * time.Millisecond
 	c, _ := start(t, o)
 	a := follow(t, c, "a")
 	a.expectEndpoints("1")
-	put(t, p, "2", controlplane.Cluster("a"), set("a", 2))
+	put(t, p, "2", xdsserver.Cluster("a"), set("a", 2))
 	a.expectEndpoints("2")
 	p.Hang(true)
-	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
+	put(t, p, "1", xdsserver.Cluster("a"), set("a", 1))
 	streams := p.Streams()
 	p.ResetStreams()
 	lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
@@ -252,7 +252,7 @@
 		end := sync.OnceFunc(func() { close(ended) })
 		t.Cleanup(end)
 		got, once := make(chan struct{}), sync.Once{}
-		p.Script(func(s *controlplane.Stream) error {
+		p.Script(func(s *xdsserver.Stream) error {
 			err := s.Send(envoy.EndpointsType, "1", "early", nil, set("a", 9)) // without a subscription
 			if err == nil {
 				err = s.Send("type.googleapis.com/envoy.config.listener.v3.Listener", "1", "strange", nil)
@@ -261,7 +261,7 @@
 				_, err = s.Receive()
 			}
 			if err == nil {
-				err = s.Send(envoy.ClusterType, "1", "c0", nil, controlplane.Cluster("a"))
+				err = s.Send(envoy.ClusterType, "1", "c0", nil, xdsserver.Cluster("a"))
 			}
 			<-ended
 			return err
@@ -271,7 +271,7 @@
 		a.expectEndpoints("9")
 		lbtest.Until(t, "an unknown type is logged", func() bool { return log.Contains("not known here") })
 		streams := p.Streams()
-		p.Script(func(s *controlplane.Stream) error {
+		p.Script(func(s *xdsserver.Stream) error {
 			for n := 0; ; {
 				r, err := s.Receive()
 				if err != nil {
@@ -279,7 +279,7 @@
 				}
 				switch {
 				case r.Type == envoy.ClusterType && r.Nonce == "":
-					err = s.Send(r.Type, "1", "c1", []string{"none"}, controlplane.Cluster("a"), controlplane.Cluster("lost"))
+					err = s.Send(r.Type, "1", "c1", []string{"none"}, xdsserver.Cluster("a"), xdsserver.Cluster("lost"))
 				case r.Type == envoy.EndpointsType && n == 0:
 					n++
 					err = s.Send(r.Type, "1", "s1", nil, set("a", 1))
@@ -287,7 +287,7 @@
 						err = s.Send(envoy.EndpointsType, "2", "s2", nil, set("a", 2))
 					}
 					if err == nil {
-						err = s.Send(envoy.ClusterType, "2", "c2", []string{"a", "none"}, controlplane.Cluster("lost"), again("a"))
+						err = s.Send(envoy.ClusterType, "2", "c2", []string{"a", "none"}, xdsserver.Cluster("lost"), again("a"))
 					}
 				case r.Nonce == "c2":
 					once.Do(func() { close(got) })
@@ -321,7 +321,7 @@
 }
 
 func again(name string) *clusterv3.Cluster {
-	c := controlplane.Cluster(name)
+	c := xdsserver.Cluster(name)
 	c.AltStatName = "again"
 	return c
 }
@@ -330,7 +330,7 @@
 func TestWildcard(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
-		put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("b"), set("b", 2))
+		put(t, p, "1", xdsserver.Cluster("a"), set("a", 1), xdsserver.Cluster("b"), set("b", 2))
 		o := options(v, p.Addr())
 		o.Wildcard = true
 		c, _ := start(t, o)
@@ -339,7 +339,7 @@
 			t.Errorf("%+v", r)
 		}
 		follow(t, c, "b").expectEndpoints("2")
-		put(t, p, "2", controlplane.Cluster("b"), set("b", 3))
+		put(t, p, "2", xdsserver.Cluster("b"), set("b", 3))
 		lbtest.Until(t, "one is removed", func() bool { return c.Dump().Resources[0].State == "removed" })
 		for _, r := range p.Requests() {
 			if r.Type == envoy.EndpointsType && slices.Contains(r.Names, "a") {
@@ -353,12 +353,12 @@
 func TestTruncatedResponse(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
-		path, err := standin.NewPath(p.Addr())
+		path, err := fake.NewPath(p.Addr())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(path.Close)
-		put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
+		put(t, p, "1", xdsserver.Cluster("a"), set("a", 1))
 		c, _ := start(t, options(v, path.Addr))
 		a := follow(t, c, "a")
 		a.expectEndpoints("1")
@@ -367,13 +367,13 @@
 			ports = append(ports, 1000+i)
 		}
 		streams := p.Streams()
-		path.CutAfter(standin.ToClient, 2000)
-		put(t, p, "2", controlplane.Cluster("a"), set("a", ports...))
+		path.CutAfter(fake.ToClient, 2000)
+		put(t, p, "2", xdsserver.Cluster("a"), set("a", ports...))
 		lbtest.Until(t, "the stream is open again", func() bool { return p.Streams() > streams })
 		if got := a.summary(); got != "1" && strings.Count(got, " ") != 499 {
 			t.Errorf("after a truncated response: %s", got)
 		}
-		path.CutAfter(standin.ToClient, -1)
+		path.CutAfter(fake.ToClient, -1)
 		lbtest.Until(t, "all are present", func() bool { return strings.Count(a.summary(), " ") == 499 })
 	}
 }
@@ -384,26 +384,26 @@
 	for _, v := range variants {
 		first, second := plane(t, grpc.MaxSendMsgSize(256<<20)), plane(t)
 		first.Hang(true)
-		put(t, first, "1", controlplane.Cluster("a"), set("a", 1))
-		put(t, second, "1", controlplane.Cluster("a"), set("a", 2))
+		put(t, first, "1", xdsserver.Cluster("a"), set("a", 1))
+		put(t, second, "1", xdsserver.Cluster("a"), set("a", 2))
 		c, _ := start(t, options(v, first.Addr(), second.Addr()))
 		a := follow(t, c, "a")
 		a.expectEndpoints("2")
 		first.Hang(false)
 		a.expectEndpoints("1")
-		first.Script(func(s *controlplane.Stream) error {
+		first.Script(func(s *xdsserver.Stream) error {
 			if _, err := s.Receive(); err != nil {
 				return err
 			}
-			huge := controlplane.Cluster("a")
+			huge := xdsserver.Cluster("a")
 			huge.AltStatName = strings.Repeat("x", 100<<20)
 			return s.Send(envoy.ClusterType, "2", "n", nil, huge)
 		})
 		first.ResetStreams()
-		put(t, second, "2", controlplane.Cluster("a"), set("a", 3))
+		put(t, second, "2", xdsserver.Cluster("a"), set("a", 3))
 		a.expectEndpoints("3")
 		first.Script(nil)
-		put(t, first, "2", controlplane.Cluster("a"), set("a", 4))
+		put(t, first, "2", xdsserver.Cluster("a"), set("a", 4))
 		a.expectEndpoints("4")
 	}
 }
@@ -412,12 +412,12 @@
 func TestFastUpdates(t *testing.T) {
 	for _, v := range variants {
 		p := plane(t)
-		put(t, p, "0", controlplane.Cluster("a"), set("a", 1))
+		put(t, p, "0", xdsserver.Cluster("a"), set("a", 1))
 		c, _ := start(t, options(v, p.Addr()))
 		a := follow(t, c, "a")
 		a.expectEndpoints("1")
 		for i := range 1000 {
-			put(t, p, fmt.Sprint(i), controlplane.Cluster("a"), set("a", i+2))
+			put(t, p, fmt.Sprint(i), xdsserver.Cluster("a"), set("a", i+2))
 			if i%100 == 99 {
 				streams := p.Streams()
 				p.ResetStreams()
@@ -431,13 +431,13 @@
 // The last good state survives a restart with its age, and is replaced by what a control plane sends. A damaged file is ignored.
 func TestStateFile(t *testing.T) {
 	p := plane(t)
-	put(t, p, "1", controlplane.Cluster("a"), set("a", 1), controlplane.Cluster("unused"), set("unused", 7))
+	put(t, p, "1", xdsserver.Cluster("a"), set("a", 1), xdsserver.Cluster("unused"), set("unused", 7))
 	o := options(ads.Delta, p.Addr())
 	o.StateFile = filepath.Join(t.TempDir(), "state")
 	c, _ := start(t, o)
 	a := follow(t, c, "a")
 	a.expectEndpoints("1")
-	put(t, p, "2", controlplane.Cluster("a"), set("a", 2))
+	put(t, p, "2", xdsserver.Cluster("a"), set("a", 2))
 	a.expectEndpoints("2")
 	c.Close()
 	a.stop()
@@ -448,7 +448,7 @@
 	if d := c.Dump(); len(d.Resources) != 2 || !strings.Contains(d.Resources[0].Source, "last state") || time.Since(d.Resources[0].ReceivedAt) > lbtest.Wait {
 		t.Errorf("%+v", d.Resources)
 	}
-	put(t, p, "3", controlplane.Cluster("a"), set("a", 3))
+	put(t, p, "3", xdsserver.Cluster("a"), set("a", 3))
 	p.Hang(false)
 	a.expectEndpoints("3")
 	c.Close()
@@ -526,7 +526,7 @@
 // trusted.
 func TestTLS(t *testing.T) {
 	folder := t.TempDir()
-	authority, err := standin.NewAuthority(folder, "authority")
+	authority, err := fake.NewAuthority(folder, "authority")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -555,7 +555,7 @@
 			shown = append(shown, s.PeerCertificates[0].DNSNames[0])
 			return nil
 		}})))
-	put(t, p, "1", controlplane.Cluster("a"), set("a", 1))
+	put(t, p, "1", xdsserver.Cluster("a"), set("a", 1))
 	o := options(ads.Delta, p.Addr(), p.Addr())
 	o.ControlPlanes[0].Insecure, o.ControlPlanes[0].TLS, o.ControlPlanes[0].ServerName = false, issue("first", "ours"), "somebody else"
 	o.ControlPlanes[1].Insecure, o.ControlPlanes[1].TLS, o.ControlPlanes[1].ServerName = false, o.ControlPlanes[0].TLS, "plane"
@@ -572,14 +572,14 @@
 		defer mu.Unlock()
 		return slices.Contains(shown, "second")
 	})
-	put(t, p, "2", controlplane.Cluster("a"), set("a", 2))
+	put(t, p, "2", xdsserver.Cluster("a"), set("a", 2))
 	a.expectEndpoints("2")
 }
 
 // A complete response with an unreadable resource removes nothing.
 func TestUnreadableResource(t *testing.T) {
 	p := plane(t)
-	p.Script(func(s *controlplane.Stream) error {
+	p.Script(func(s *xdsserver.Stream) error {
 		for n := 0; ; {
 			r, err := s.Receive()
 			if err != nil {
@@ -587,7 +587,7 @@
 			}
 			switch {
 			case r.Type == envoy.ClusterType && n == 0:
-				err = s.Send(r.Type, "1", "c1", nil, controlplane.Cluster("a"))
+				err = s.Send(r.Type, "1", "c1", nil, xdsserver.Cluster("a"))
 			case r.Type == envoy.ClusterType && n == 1:
 				err = s.Send(r.Type, "2", "c2", nil, &anypb.Any{TypeUrl: envoy.ClusterType, Value: []byte{0xff}}, &anypb.Any{TypeUrl: "x"})
 			case r.Type == envoy.EndpointsType:
