--- a/cmd/silvertrail/connections.go
+++ b/cmd/silvertrail/connections.go
@@ -14,18 +14,18 @@
 
 // connectionCommands ask a running instance about its callers' connections, on the control socket that its configuration names.
 type connectionCommands struct {
-	Status connectionStatus `cmd:"" help:"Tell how many connections each group of clients holds, who holds most, and what was refused."`
-	Who    connectionWho    `cmd:"" help:"Tell of which group an address is, and whether it would get in now."`
+	Status connectionStatus  `cmd:"" help:"Tell how many connections each group of clients holds, who holds most, and what was refused."`
+	Who    connectionAddress `cmd:"" help:"Tell of which group an address is, and whether it would get in now."`
 }
 
 type connectionStatus struct {
-	asked
+	instance
 	Sources int `default:"10" help:"How many of the sources that hold most are told."`
 }
 
 func (c *connectionStatus) Run() error {
 	var views []gateway.ListenerStatus
-	if err := c.ask(fmt.Sprintf("/connections?sources=%d", c.Sources), &views); err != nil || c.JSON {
+	if err := c.get(fmt.Sprintf("/connections?sources=%d", c.Sources), &views); err != nil || c.JSON {
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
@@ -59,14 +59,14 @@
 	return w.Flush()
 }
 
-type connectionWho struct {
-	asked
+type connectionAddress struct {
+	instance
 	Address string `arg:"" help:"An IP address."`
 }
 
-func (c *connectionWho) Run() error {
+func (c *connectionAddress) Run() error {
 	var views []gateway.ListenerStatus
-	if err := c.ask("/connections?sources=0&address="+url.QueryEscape(c.Address), &views); err != nil || c.JSON {
+	if err := c.get("/connections?sources=0&address="+url.QueryEscape(c.Address), &views); err != nil || c.JSON {
 		return err
 	}
 	for _, v := range views {
--- a/cmd/silvertrail/control.go
+++ b/cmd/silvertrail/control.go
@@ -21,7 +21,7 @@
 }
 
 type controlPublish struct {
-	asked
+	instance
 	File   string   `arg:"" optional:"" help:"A DiscoveryResponse in protobuf JSON; - reads it from standard input."`
 	Remove []string `sep:"none" placeholder:"cluster/NAME" help:"What is to be removed: cluster/NAME or endpoints/NAME. May be told again and again."`
 }
@@ -64,24 +64,24 @@
 }
 
 type controlStatus struct {
-	asked
+	instance
 	All bool `help:"List all subscribers, also those that have all."`
 }
 
-// errBehind says that not everything is in force everywhere.
-var errBehind = errors.New("not all is in force at all who asked for it")
+// errSubscribersBehind says that not everything is in force everywhere.
+var errSubscribersBehind = errors.New("not all is in force at all who asked for it")
 
 func (c *controlStatus) Run() error {
 	var v api.Status
 	if c.JSON {
-		return c.ask("/control-plane", nil)
+		return c.get("/control-plane", nil)
 	}
-	if err := c.ask("/control-plane", &v); err != nil {
+	if err := c.get("/control-plane", &v); err != nil {
 		return err
 	}
 	c.print(os.Stdout, v)
 	if !v.Ready || len(v.Versions)+len(v.Rejections) > 0 {
-		return errBehind
+		return errSubscribersBehind
 	}
 	return nil
 }
@@ -104,7 +104,7 @@
 	if len(v.Peers) > 0 {
 		fmt.Fprintln(w, "\nPEER\tSTATE\tHEARD\tALL HEARD\tFOLLOWS\tBEHIND\tFAULT")
 		for _, p := range v.Peers {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%s\n", p.Name, p.State, since(p.LastMessage), p.Synced, p.Subscribed, p.Behind, p.Fault)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%d\t%s\n", p.Name, p.State, ago(p.LastMessage), p.Synced, p.Subscribed, p.Behind, p.Fault)
 		}
 	}
 	if len(v.Versions) > 0 {
@@ -122,14 +122,14 @@
 			fmt.Fprintln(w, "\nSUBSCRIBER\tADDRESS\tSINCE\tRESOURCES\tBEHIND\tREFUSED\tAHEAD\tIN FLIGHT\tMESSAGES\tBYTES")
 			head = true
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\t%d\t%d\n", s.Node, s.Address, since(s.Since), s.Subscribed, s.Behind, s.Rejected, s.Ahead, s.InFlight, s.Messages, s.Bytes)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\t%d\t%d\n", s.Node, s.Address, ago(s.Since), s.Subscribed, s.Behind, s.Rejected, s.Ahead, s.InFlight, s.Messages, s.Bytes)
 	}
 	w.Flush()
 	for _, r := range v.Rejections {
-		fmt.Fprintf(out, "refused by %s, %s: %s %s, version %s: %s\n", r.Node, since(r.At), r.Kind, r.Name, r.Version, r.Reason)
+		fmt.Fprintf(out, "refused by %s, %s: %s %s, version %s: %s\n", r.Node, ago(r.At), r.Kind, r.Name, r.Version, r.Reason)
 	}
 	for _, x := range v.Conflicts {
-		fmt.Fprintf(out, "made apart, %s: %s %s: %s holds, %s is lost: publish what of it is still wanted\n", since(x.At), x.Kind, x.Name, x.Winner, x.Loser)
+		fmt.Fprintf(out, "made apart, %s: %s %s: %s holds, %s is lost: publish what of it is still wanted\n", ago(x.At), x.Kind, x.Name, x.Winner, x.Loser)
 	}
 	for _, name := range v.Dangling {
 		fmt.Fprintf(out, "cluster %s needs endpoints that are not there: publish them, or remove it\n", name)
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -218,15 +218,15 @@
 }
 
 func (x *spread) status(machine int) (v api.Status, err error) {
-	a := asked{Control: x.machines[machine].socket()}
-	return v, a.ask("/control-plane", &v)
+	a := instance{Control: x.machines[machine].socket()}
+	return v, a.get("/control-plane", &v)
 }
 
 // version returns what a gateway has in force.
 func (x *spread) version(gateway int) (v records.Version) {
-	a := asked{Control: x.gateways[gateway].socket()}
+	a := instance{Control: x.gateways[gateway].socket()}
 	var d cache.Dump
-	if a.ask("/xds", &d) != nil {
+	if a.get("/xds", &d) != nil {
 		return v
 	}
 	for _, r := range d.Resources {
@@ -239,9 +239,9 @@
 
 // home tells whether a gateway listens to the machine that stands first in its file.
 func (x *spread) home(gateway int) bool {
-	a := asked{Control: x.gateways[gateway].socket()}
+	a := instance{Control: x.gateways[gateway].socket()}
 	var d cache.Dump
-	return a.ask("/xds", &d) == nil && len(d.ControlPlanes) > 0 && d.ControlPlanes[0].Active
+	return a.get("/xds", &d) == nil && len(d.ControlPlanes) > 0 && d.ControlPlanes[0].Active
 }
 
 // reach waits until a gateway has a version in force, or a newer one.
--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -30,20 +30,20 @@
 	Keygen   fleetKeygen   `cmd:"" help:"Print a new key for a keyring."`
 }
 
-type asked struct {
+type instance struct {
 	Config  string `xor:"at" required:"" type:"existingfile" placeholder:"FILE" help:"The running instance's configuration."`
 	Control string `xor:"at" required:"" type:"path" placeholder:"SOCKET" help:"Its control socket, where its configuration can't be read now."`
 	JSON    bool   `help:"Print what the instance says as it says it."`
 }
 
 // socket returns where the running instance is asked.
-func (a *asked) socket() (string, error) {
+func (a *instance) socket() (string, error) {
 	if a.Control != "" {
 		return a.Control, nil
 	}
 	file, err := conf.Load(a.Config)
 	if err != nil {
-		return "", told(err)
+		return "", configError(err)
 	}
 	if file.Control == "" {
 		return "", fmt.Errorf("%s names no control socket: add control = \"silvertrail.sock\" to its process block", a.Config)
@@ -51,10 +51,10 @@
 	return file.Control, nil
 }
 
-// ask asks the running instance; what it says goes into out, or to standard output as it is.
-func (a *asked) ask(path string, out any) error { return a.request(http.MethodGet, path, nil, out) }
+// get asks the running instance; what it says goes into out, or to standard output as it is.
+func (a *instance) get(path string, out any) error { return a.request(http.MethodGet, path, nil, out) }
 
-func (a *asked) request(method, path string, body io.Reader, out any) error {
+func (a *instance) request(method, path string, body io.Reader, out any) error {
 	socket, err := a.socket()
 	if err != nil {
 		return err
@@ -85,11 +85,11 @@
 	return json.Unmarshal(text, out)
 }
 
-type fleetMembers struct{ asked }
+type fleetMembers struct{ instance }
 
 func (c *fleetMembers) Run() error {
 	var v gateway.FleetStatus
-	if err := c.ask("/fleet/members", &v); err != nil || c.JSON {
+	if err := c.get("/fleet/members", &v); err != nil || c.JSON {
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
@@ -109,11 +109,11 @@
 	return nil
 }
 
-type fleetReach struct{ asked }
+type fleetReach struct{ instance }
 
 func (c *fleetReach) Run() error {
 	var v fleet.ReachabilityView
-	if err := c.ask("/fleet/reach", &v); err != nil || c.JSON {
+	if err := c.get("/fleet/reach", &v); err != nil || c.JSON {
 		return err
 	}
 	if v.Number == 0 {
@@ -143,14 +143,14 @@
 	return nil
 }
 
-type fleetVersions struct{ asked }
+type fleetVersions struct{ instance }
 
 // Run fails where not all members are in step, with --json too.
 func (c *fleetVersions) Run() error {
 	var v fleet.VersionsView
 	whole := c.JSON
 	c.JSON = false
-	if err := c.ask("/fleet/versions", &v); err != nil {
+	if err := c.get("/fleet/versions", &v); err != nil {
 		return err
 	}
 	if whole {
@@ -160,7 +160,7 @@
 			return err
 		}
 	} else {
-		tellVersions(os.Stdout, v)
+		printVersions(os.Stdout, v)
 	}
 	if !v.AllCurrent {
 		return errors.New("not all members are in step")
@@ -168,7 +168,7 @@
 	return nil
 }
 
-func tellVersions(out io.Writer, v fleet.VersionsView) {
+func printVersions(out io.Writer, v fleet.VersionsView) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tSTATE\tSINCE\tHEARD\tCONFIGURATION\tVECTOR")
 	for _, m := range v.Members {
@@ -206,7 +206,7 @@
 }
 
 type fleetKey struct {
-	asked
+	instance
 	Class  string `arg:"" help:"The class."`
 	Tenant string `arg:"" help:"The tenant, or \"\" for none."`
 	Key    string `arg:"" help:"The Idempotency-Key."`
@@ -215,7 +215,7 @@
 func (c *fleetKey) Run() error {
 	q := url.Values{"class": {c.Class}, "tenant": {c.Tenant}, "key": {c.Key}}
 	var v gateway.KeyStatus
-	if err := c.ask("/fleet/key?"+q.Encode(), &v); err != nil || c.JSON {
+	if err := c.get("/fleet/key?"+q.Encode(), &v); err != nil || c.JSON {
 		return err
 	}
 	fmt.Println("this instance's own attempts:", v.Local)
--- a/cmd/silvertrail/fleet_test.go
+++ b/cmd/silvertrail/fleet_test.go
@@ -43,7 +43,7 @@
 				os.Exit(1)
 			}
 		}
-		if err := start(os.Args[1:]); err != nil {
+		if err := run(os.Args[1:]); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
--- a/cmd/silvertrail/format_test.go
+++ b/cmd/silvertrail/format_test.go
@@ -25,7 +25,7 @@
 		v.Members = append(v.Members, m)
 	}
 	var out bytes.Buffer
-	tellVersions(&out, v)
+	printVersions(&out, v)
 	golden.Text(t, "fleet-versions.txt", out.Bytes())
 }
 
--- a/cmd/silvertrail/ledger.go
+++ b/cmd/silvertrail/ledger.go
@@ -68,9 +68,9 @@
 	}
 	for _, l := range r.Incarnations {
 		fmt.Printf("process %016x on %s, mode %s, began %s, last record %s: %s\n", l.Process, l.Host, l.Mode, l.StartedAt.Format(time.DateTime),
-			l.Time(l.LastRecord).Format(time.DateTime), ended(l))
+			l.Time(l.LastRecord).Format(time.DateTime), describeEnd(l))
 	}
-	tellLosses(r)
+	printLosses(r)
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "CLASS\tWHAT BECAME OF IT\tREQUESTS")
 	for _, class := range slices.Sorted(maps.Keys(counts)) {
@@ -94,7 +94,7 @@
 	return nil
 }
 
-func ended(l *requesthistory.Incarnation) string {
+func describeEnd(l *requesthistory.Incarnation) string {
 	switch {
 	case l.Running:
 		return "it runs"
@@ -104,7 +104,7 @@
 	return "it was killed, or the machine was lost"
 }
 
-func tellLosses(r *ledger.Report) {
+func printLosses(r *ledger.Report) {
 	for _, l := range r.Losses {
 		if l.Torn {
 			fmt.Printf("torn: records %d to %d were being written as the process ended, and nothing went out under them\n", l.From, l.To)
@@ -119,23 +119,23 @@
 	}
 }
 
-// chosen are the requests that are wanted.
-type chosen struct {
-	Key     string        `help:"With this idempotency key."`
-	ID      string        `name:"id" help:"With this request id."`
-	Tenant  string        `help:"Of this tenant."`
-	Class   string        `help:"Of this class."`
-	Nodo    string        `help:"With an attempt at this nodo."`
-	Verdict []string      `help:"With one of these verdicts: open, served, ran, refused, never_ran, may_have_run, unclear."`
-	From    time.Time     `format:"2006-01-02T15:04:05Z07:00" help:"Taken at or after, as 2026-03-01T08:00:00-03:00."`
-	To      time.Time     `format:"2006-01-02T15:04:05Z07:00" help:"Taken before."`
-	Last    time.Duration `help:"Taken in the last so much time."`
-	plain   bool
-	Secret  string `type:"existingfile" help:"The file of the secret under which names are hashed."`
+// requestFilter are the requests that are wanted.
+type requestFilter struct {
+	Key         string        `help:"With this idempotency key."`
+	ID          string        `name:"id" help:"With this request id."`
+	Tenant      string        `help:"Of this tenant."`
+	Class       string        `help:"Of this class."`
+	Nodo        string        `help:"With an attempt at this nodo."`
+	Verdict     []string      `help:"With one of these verdicts: open, served, ran, refused, never_ran, may_have_run, unclear."`
+	From        time.Time     `format:"2006-01-02T15:04:05Z07:00" help:"Taken at or after, as 2026-03-01T08:00:00-03:00."`
+	To          time.Time     `format:"2006-01-02T15:04:05Z07:00" help:"Taken before."`
+	Last        time.Duration `help:"Taken in the last so much time."`
+	byPlainName bool
+	Secret      string `type:"existingfile" help:"The file of the secret under which names are hashed."`
 }
 
-// filter returns what tells which requests are wanted.
-func (c *chosen) filter() (func(*requesthistory.Request) bool, error) {
+// matcher returns what tells which requests are wanted.
+func (c *requestFilter) matcher() (func(*requesthistory.Request) bool, error) {
 	for _, v := range c.Verdict {
 		known := false
 		for w := requesthistory.InProgress; w <= requesthistory.Unclear; w++ {
@@ -154,7 +154,7 @@
 		secret = bytes.TrimSpace(text)
 	}
 	if secret == nil && (c.Key != "" || c.Tenant != "") {
-		c.plain = true
+		c.byPlainName = true
 	}
 	since := c.From
 	if c.Last > 0 {
@@ -180,15 +180,15 @@
 
 type ledgerSearch struct {
 	ledgerDir
-	chosen
+	requestFilter
 	Most int `default:"1000" help:"How many are told."`
 }
 
-// errNoneFound has the command exit with 1, for scripts.
-var errNoneFound = errors.New("no request fits")
+// errNoMatch has the command exit with 1, for scripts.
+var errNoMatch = errors.New("no request fits")
 
 func (c *ledgerSearch) Run() error {
-	fits, err := c.filter()
+	fits, err := c.matcher()
 	if err != nil {
 		return err
 	}
@@ -204,26 +204,26 @@
 	if err != nil {
 		return err
 	}
-	tellLosses(r)
-	if c.plain && slices.ContainsFunc(r.Incarnations, func(l *requesthistory.Incarnation) bool { return l.Hashed }) {
+	printLosses(r)
+	if c.byPlainName && slices.ContainsFunc(r.Incarnations, func(l *requesthistory.Incarnation) bool { return l.Hashed }) {
 		fmt.Fprintln(os.Stderr, "Names in this ledger are hashed: they are found by --secret FILE alone.")
 	}
 	if found > c.Most {
 		fmt.Printf("and %d more (--most)\n", found-c.Most)
 	}
 	if found == 0 {
-		return errNoneFound
+		return errNoMatch
 	}
 	return nil
 }
 
 type ledgerExport struct {
 	ledgerDir
-	chosen
+	requestFilter
 }
 
 func (c *ledgerExport) Run() error {
-	fits, err := c.filter()
+	fits, err := c.matcher()
 	if err != nil {
 		return err
 	}
@@ -239,7 +239,7 @@
 
 type ledgerVerify struct{ ledgerDir }
 
-var errUnsound = errors.New("the ledger is not whole")
+var errDamaged = errors.New("the ledger is not whole")
 
 func (c *ledgerVerify) Run() error {
 	r, err := c.read(func(*requesthistory.Request) {})
@@ -260,20 +260,20 @@
 			fmt.Printf("  %v\n", d)
 		}
 	}
-	tellLosses(r)
+	printLosses(r)
 	fmt.Printf("%d records in %d segments of ledger %016x\n", r.Records, len(r.Files), r.LedgerID)
 	if !r.IsSound() {
-		return errUnsound
+		return errDamaged
 	}
 	fmt.Println("All that was written is there.")
 	return nil
 }
 
-type ledgerStatus struct{ asked }
+type ledgerStatus struct{ instance }
 
 func (c *ledgerStatus) Run() error {
 	var v ledger.View
-	if err := c.ask("/ledger", &v); err != nil || c.JSON {
+	if err := c.get("/ledger", &v); err != nil || c.JSON {
 		return err
 	}
 	state := "requests are recorded"
--- a/cmd/silvertrail/ledger_test.go
+++ b/cmd/silvertrail/ledger_test.go
@@ -223,7 +223,7 @@
 	if _, err := said(t, "ledger", "search", dir, "--key", "none"); err == nil {
 		t.Error("a search that finds nothing succeeds")
 	}
-	if err := start([]string{"serve", "--config", i.config}); err == nil || !strings.Contains(err.Error(), "holds it") {
+	if err := run([]string{"serve", "--config", i.config}); err == nil || !strings.Contains(err.Error(), "holds it") {
 		t.Errorf("a second process on the directory: %v", err)
 	}
 	i.kill()
--- a/cmd/silvertrail/link.go
+++ b/cmd/silvertrail/link.go
@@ -20,7 +20,7 @@
 }
 
 type linkStatus struct {
-	asked
+	instance
 	Reconcile bool `help:"Ask the other ends for their counts, and name all in which they differ."`
 }
 
@@ -30,10 +30,10 @@
 		path += "?reconcile=1"
 	}
 	var v gateway.LinkStatus
-	if err := c.ask(path, &v); err != nil || c.JSON {
+	if err := c.get(path, &v); err != nil || c.JSON {
 		return err
 	}
-	printSala(v)
+	printSite(v)
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "\nTO\tADDRESS\tSTATE\tSINCE\tROUND TRIP\tWINDOW\tIN FLIGHT\tUNSETTLED\tFAULT")
 	for _, s := range v.Sites {
@@ -68,7 +68,7 @@
 	return nil
 }
 
-func printSala(v gateway.LinkStatus) {
+func printSite(v gateway.LinkStatus) {
 	fmt.Printf("sala %s: %s", v.Site, v.State)
 	if v.DrainingOwn {
 		fmt.Print(", its own requests go to other salas first")
@@ -77,7 +77,7 @@
 }
 
 type linkDrain struct {
-	asked
+	instance
 	All bool `xor:"mode" help:"Send this sala's own requests to other salas first, too."`
 	Off bool `xor:"mode" help:"Serve again as ever."`
 }
@@ -94,12 +94,12 @@
 	if err := c.request(http.MethodPost, "/link/drain?mode="+mode, nil, &v); err != nil || c.JSON {
 		return err
 	}
-	printSala(v)
+	printSite(v)
 	return nil
 }
 
 type linkLookup struct {
-	asked
+	instance
 	Tenant string `arg:"" help:"The tenant, or \"\" for none."`
 	Key    string `arg:"" help:"The Idempotency-Key."`
 }
@@ -107,7 +107,7 @@
 func (c *linkLookup) Run() error {
 	q := url.Values{"tenant": {c.Tenant}, "key": {c.Key}}
 	var v []gateway.KeyLookup
-	if err := c.ask("/link/lookup?"+q.Encode(), &v); err != nil || c.JSON {
+	if err := c.get("/link/lookup?"+q.Encode(), &v); err != nil || c.JSON {
 		return err
 	}
 	for _, f := range v {
--- a/cmd/silvertrail/link_test.go
+++ b/cmd/silvertrail/link_test.go
@@ -86,7 +86,7 @@
 		all, _ := io.ReadAll(r)
 		text <- string(all)
 	}()
-	err = start(args)
+	err = run(args)
 	os.Stdout = before
 	w.Close()
 	return <-text, err
--- a/cmd/silvertrail/log.go
+++ b/cmd/silvertrail/log.go
@@ -10,12 +10,12 @@
 const (
 	linesPerSecond = 20
 	lineBurst      = 100
-	lineQueue      = 256
+	maxQueuedLines = 256
 )
 
 // newLog returns a logger that never waits: lines beyond the rate, or that nobody reads, are dropped.
 func newLog(w io.Writer) *slog.Logger {
-	q := queue{lines: make(chan []byte, lineQueue), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
+	q := lineQueue{lines: make(chan []byte, maxQueuedLines), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
 	go func() {
 		for line := range q.lines {
 			w.Write(line)
@@ -24,12 +24,12 @@
 	return slog.New(slog.NewTextHandler(q, nil))
 }
 
-type queue struct {
+type lineQueue struct {
 	lines chan []byte
 	limit *rate.Limiter
 }
 
-func (q queue) Write(line []byte) (int, error) {
+func (q lineQueue) Write(line []byte) (int, error) {
 	if q.limit.Allow() {
 		select {
 		case q.lines <- append([]byte(nil), line...):
--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -19,13 +19,13 @@
 )
 
 func main() {
-	if err := start(os.Args[1:]); err != nil {
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "silvertrail:", err)
 		os.Exit(1)
 	}
 }
 
-func start(args []string) error {
+func run(args []string) error {
 	if len(args) == 0 && os.Getenv("LB_CONFIG") != "" {
 		return sidecar()
 	}
@@ -48,27 +48,27 @@
 little. With no command and LB_CONFIG set it is the sidecar of the platform, which that file describes.`
 
 type commands struct {
-	Serve       serve              `cmd:"" help:"Run a configuration. SIGHUP reads it again, SIGTERM or Ctrl-C ends the work in hand and then the program."`
-	Check       check              `cmd:"" help:"Tell all that is wrong with a configuration, and whether it can be used."`
+	Serve       serveCommand       `cmd:"" help:"Run a configuration. SIGHUP reads it again, SIGTERM or Ctrl-C ends the work in hand and then the program."`
+	Check       checkCommand       `cmd:"" help:"Tell all that is wrong with a configuration, and whether it can be used."`
 	Fleet       fleetCommands      `cmd:"" help:"Ask a running instance about its fleet."`
 	Link        linkCommands       `cmd:"" help:"Ask a running gateway about its links to other salas, or drain it."`
 	Connections connectionCommands `cmd:"" help:"Ask a running instance about its callers' connections."`
 	XDS         xdsCommands        `cmd:"" name:"xds" help:"Ask a running instance what its control planes have told it."`
 	Control     controlCommands    `cmd:"" help:"Publish clusters and endpoint sets on a control machine, and see who has them."`
 	Ledger      ledgerCommands     `cmd:"" help:"Tell what became of keyed requests, also after a crash."`
-	Demo        show               `cmd:"" help:"Run the gateway with stand-in nodos in three salas on loopback, until Ctrl-C."`
+	Demo        demoCommand        `cmd:"" help:"Run the gateway with stand-in nodos in three salas on loopback, until Ctrl-C."`
 }
 
 // gcPercent has the collector run less often than by default: what lives long is small, and each run is felt in the 99th
 // percentile. GOGC and GOMEMLIMIT hold where they are set.
 const gcPercent = 400
 
-type serve struct {
+type serveCommand struct {
 	Config string `required:"" type:"existingfile" placeholder:"FILE" help:"The configuration."`
 }
 
 // Run serves until a signal. A second one ends at once.
-func (c *serve) Run() error {
+func (c *serveCommand) Run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	hangup := make(chan os.Signal, 1)
@@ -76,9 +76,9 @@
 	defer signal.Stop(hangup)
 	file, err := conf.Load(c.Config)
 	if err != nil {
-		return told(err)
+		return configError(err)
 	}
-	g, err := gateway.Start(file, newLog(os.Stderr), parts()...)
+	g, err := gateway.Start(file, newLog(os.Stderr), optionalParts()...)
 	if err != nil {
 		return err
 	}
@@ -105,22 +105,22 @@
 	return nil
 }
 
-type check struct {
+type checkCommand struct {
 	File string `arg:"" help:"The configuration."`
 }
 
-func (c *check) Run() error {
+func (c *checkCommand) Run() error {
 	file, err := conf.Load(c.File)
 	if err != nil {
-		return told(err)
+		return configError(err)
 	}
 	fmt.Printf("%s can be used: %d listeners, %d classes, %d clusters, %d routes\n", c.File, len(file.Listeners), len(file.Classes),
 		len(file.Clusters), file.Routes.Len())
 	return nil
 }
 
-// told prints a file's faults with their lines.
-func told(err error) error {
+// configError prints a file's faults with their lines.
+func configError(err error) error {
 	var faults *conf.Error
 	if errors.As(err, &faults) {
 		fmt.Fprint(os.Stderr, faults.Text())
@@ -129,12 +129,12 @@
 	return err
 }
 
-type show struct {
+type demoCommand struct {
 	Listen string `default:"127.0.0.1:8480" help:"Address of the front; port 0 takes a free one."`
 	Salas  bool   `help:"Three gateways, one for each sala, that are linked; the first sala loses its nodos."`
 }
 
-func (c *show) Run() error {
+func (c *demoCommand) Run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	run := demo.Run
--- a/cmd/silvertrail/main_test.go
+++ b/cmd/silvertrail/main_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestCheck(t *testing.T) {
-	if err := start([]string{"check", "../../deploy/silvertrail.hcl"}); err != nil {
+	if err := run([]string{"check", "../../deploy/silvertrail.hcl"}); err != nil {
 		t.Error(err)
 	}
 	path := filepath.Join(t.TempDir(), "bad.hcl")
@@ -22,7 +22,7 @@
 	for want, args := range map[string][]string{
 		"faults": {"check", path}, "no such file": {"check", path + "x"}, "unexpected argument": {"chekc", path}, "--config": {"serve"},
 	} {
-		if err := start(args); err == nil || !strings.Contains(err.Error(), want) {
+		if err := run(args); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v: %v", args, err)
 		}
 	}
@@ -75,7 +75,7 @@
 	}
 	write("/old")
 	ended := make(chan error, 1)
-	go func() { ended <- start([]string{"serve", "--config", path}) }()
+	go func() { ended <- run([]string{"serve", "--config", path}) }()
 	lbtest.Until(t, "listening", func() bool {
 		c := lbtest.TryDial(addr)
 		if c != nil {
--- a/cmd/silvertrail/versions_test.go
+++ b/cmd/silvertrail/versions_test.go
@@ -55,7 +55,7 @@
 		})
 		if !ok {
 			var lines strings.Builder
-			tellVersions(&lines, last)
+			printVersions(&lines, last)
 			f.t.Fatalf("never at i%d: %s\n%s", i, what, lines.String())
 		}
 	}
--- a/cmd/silvertrail/xds.go
+++ b/cmd/silvertrail/xds.go
@@ -14,14 +14,14 @@
 // the control planes' message types stand in the program that is built with the tag xds alone.
 type xdsCommands struct {
 	Dump xdsDump `cmd:"" help:"Tell each cluster and endpoint set: version, source, age, whether it is in force and why not."`
-	xdsLinked
+	xdsTaggedCommands
 }
 
-type xdsDump struct{ asked }
+type xdsDump struct{ instance }
 
 func (c *xdsDump) Run() error {
 	var d cache.Dump
-	if err := c.ask("/xds", &d); err != nil || c.JSON {
+	if err := c.get("/xds", &d); err != nil || c.JSON {
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
@@ -31,26 +31,26 @@
 	}
 	fmt.Fprintln(w, "\nKIND\tNAME\tSTATE\tVERSION\tFROM\tHEARD\tENDPOINTS\tUSED")
 	for _, l := range d.Resources {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%v\n", l.Kind, l.Name, l.State, l.Version, l.Source, since(l.ReceivedAt), l.Endpoints, l.InUse)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%v\n", l.Kind, l.Name, l.State, l.Version, l.Source, ago(l.ReceivedAt), l.Endpoints, l.InUse)
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
 	for _, l := range d.Resources {
 		if l.RejectionReason != "" {
-			fmt.Printf("%s %s, version %q, %s: %s\n", l.Kind, l.Name, l.RejectedVersion, since(l.RejectedAt), strings.TrimSpace(l.RejectionReason))
+			fmt.Printf("%s %s, version %q, %s: %s\n", l.Kind, l.Name, l.RejectedVersion, ago(l.RejectedAt), strings.TrimSpace(l.RejectionReason))
 		}
 		if l.DeferredVersion != "" {
 			fmt.Printf("%s %s: version %q is held off: it was replaced before\n", l.Kind, l.Name, l.DeferredVersion)
 		}
 	}
 	for _, f := range d.Files {
-		fmt.Printf("file %s: %d endpoint sets, %s %s\n", f.Path, f.Sets, since(f.ReadAt), f.Error)
+		fmt.Printf("file %s: %d endpoint sets, %s %s\n", f.Path, f.Sets, ago(f.ReadAt), f.Error)
 	}
 	return nil
 }
 
-func since(t time.Time) string {
+func ago(t time.Time) string {
 	if t.IsZero() {
 		return "never"
 	}
--- a/cmd/silvertrail/xds_with.go
+++ b/cmd/silvertrail/xds_with.go
@@ -21,15 +21,15 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-// parts are the parts that not every program has.
-func parts() []gateway.Option {
+// optionalParts are the parts that not every program has.
+func optionalParts() []gateway.Option {
 	return []gateway.Option{
 		gateway.WithDiscovery(func(o bootstrap.Options, log *slog.Logger) gateway.Discovery { return xds.Start(o, log) }),
 		gateway.WithControlPlane(func(o api.Options, log *slog.Logger) (gateway.ControlPlane, error) { return plane.Start(o, log) }),
 	}
 }
 
-type xdsLinked struct {
+type xdsTaggedCommands struct {
 	Fields xdsFields `cmd:"" help:"Print which fields of clusters and endpoint sets are supported."`
 	Serve  xdsServe  `cmd:"" help:"Serve a file of clusters and endpoint sets as a control plane, for trials on loopback."`
 }
--- a/cmd/silvertrail/xds_without.go
+++ b/cmd/silvertrail/xds_without.go
@@ -4,7 +4,7 @@
 
 import "silvertrail/internal/gateway"
 
-type xdsLinked struct{}
+type xdsTaggedCommands struct{}
 
-// parts are the parts that not every program has.
-func parts() []gateway.Option { return nil }
+// optionalParts are the parts that not every program has.
+func optionalParts() []gateway.Option { return nil }
