--- a/cmd/silvertrail/connections.go
+++ b/cmd/silvertrail/connections.go
@@ -19,7 +19,7 @@
 }
 
 type connectionStatus struct {
-	instance
+	runningInstance
 	Sources int `default:"10" help:"How many of the sources that hold most are told."`
 }
 
@@ -60,7 +60,7 @@
 }
 
 type connectionAddress struct {
-	instance
+	runningInstance
 	Address string `arg:"" help:"An IP address."`
 }
 
--- a/cmd/silvertrail/control.go
+++ b/cmd/silvertrail/control.go
@@ -21,7 +21,7 @@
 }
 
 type controlPublish struct {
-	instance
+	runningInstance
 	File   string   `arg:"" optional:"" help:"A DiscoveryResponse in protobuf JSON; - reads it from standard input."`
 	Remove []string `sep:"none" placeholder:"cluster/NAME" help:"What is to be removed: cluster/NAME or endpoints/NAME. May be told again and again."`
 }
@@ -64,7 +64,7 @@
 }
 
 type controlStatus struct {
-	instance
+	runningInstance
 	All bool `help:"List all subscribers, also those that have all."`
 }
 
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -218,13 +218,13 @@
 }
 
 func (x *spread) status(machine int) (v api.Status, err error) {
-	a := instance{Control: x.machines[machine].socket()}
+	a := runningInstance{Control: x.machines[machine].socket()}
 	return v, a.get("/control-plane", &v)
 }
 
 // version returns what a gateway has in force.
 func (x *spread) version(gateway int) (v records.Version) {
-	a := instance{Control: x.gateways[gateway].socket()}
+	a := runningInstance{Control: x.gateways[gateway].socket()}
 	var d cache.Dump
 	if a.get("/xds", &d) != nil {
 		return v
@@ -239,7 +239,7 @@
 
 // home tells whether a gateway listens to the machine that stands first in its file.
 func (x *spread) home(gateway int) bool {
-	a := instance{Control: x.gateways[gateway].socket()}
+	a := runningInstance{Control: x.gateways[gateway].socket()}
 	var d cache.Dump
 	return a.get("/xds", &d) == nil && len(d.ControlPlanes) > 0 && d.ControlPlanes[0].Active
 }
--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -30,14 +30,14 @@
 	Keygen   fleetKeygen   `cmd:"" help:"Print a new key for a keyring."`
 }
 
-type instance struct {
+type runningInstance struct {
 	Config  string `xor:"at" required:"" type:"existingfile" placeholder:"FILE" help:"The running instance's configuration."`
 	Control string `xor:"at" required:"" type:"path" placeholder:"SOCKET" help:"Its control socket, where its configuration can't be read now."`
 	JSON    bool   `help:"Print what the instance says as it says it."`
 }
 
 // socket returns where the running instance is asked.
-func (a *instance) socket() (string, error) {
+func (a *runningInstance) socket() (string, error) {
 	if a.Control != "" {
 		return a.Control, nil
 	}
@@ -52,9 +52,11 @@
 }
 
 // get asks the running instance; what it says goes into out, or to standard output as it is.
-func (a *instance) get(path string, out any) error { return a.request(http.MethodGet, path, nil, out) }
+func (a *runningInstance) get(path string, out any) error {
+	return a.request(http.MethodGet, path, nil, out)
+}
 
-func (a *instance) request(method, path string, body io.Reader, out any) error {
+func (a *runningInstance) request(method, path string, body io.Reader, out any) error {
 	socket, err := a.socket()
 	if err != nil {
 		return err
@@ -85,7 +87,7 @@
 	return json.Unmarshal(text, out)
 }
 
-type fleetMembers struct{ instance }
+type fleetMembers struct{ runningInstance }
 
 func (c *fleetMembers) Run() error {
 	var v gateway.FleetStatus
@@ -109,7 +111,7 @@
 	return nil
 }
 
-type fleetReach struct{ instance }
+type fleetReach struct{ runningInstance }
 
 func (c *fleetReach) Run() error {
 	var v fleet.ReachabilityView
@@ -143,7 +145,7 @@
 	return nil
 }
 
-type fleetVersions struct{ instance }
+type fleetVersions struct{ runningInstance }
 
 // Run fails where not all members are in step, with --json too.
 func (c *fleetVersions) Run() error {
@@ -206,7 +208,7 @@
 }
 
 type fleetKey struct {
-	instance
+	runningInstance
 	Class  string `arg:"" help:"The class."`
 	Tenant string `arg:"" help:"The tenant, or \"\" for none."`
 	Key    string `arg:"" help:"The Idempotency-Key."`
--- a/cmd/silvertrail/ledger.go
+++ b/cmd/silvertrail/ledger.go
@@ -269,7 +269,7 @@
 	return nil
 }
 
-type ledgerStatus struct{ instance }
+type ledgerStatus struct{ runningInstance }
 
 func (c *ledgerStatus) Run() error {
 	var v ledger.View
--- a/cmd/silvertrail/link.go
+++ b/cmd/silvertrail/link.go
@@ -20,7 +20,7 @@
 }
 
 type linkStatus struct {
-	instance
+	runningInstance
 	Reconcile bool `help:"Ask the other ends for their counts, and name all in which they differ."`
 }
 
@@ -77,7 +77,7 @@
 }
 
 type linkDrain struct {
-	instance
+	runningInstance
 	All bool `xor:"mode" help:"Send this sala's own requests to other salas first, too."`
 	Off bool `xor:"mode" help:"Serve again as ever."`
 }
@@ -99,7 +99,7 @@
 }
 
 type linkLookup struct {
-	instance
+	runningInstance
 	Tenant string `arg:"" help:"The tenant, or \"\" for none."`
 	Key    string `arg:"" help:"The Idempotency-Key."`
 }
--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -27,7 +27,7 @@
 
 func run(args []string) error {
 	if len(args) == 0 && os.Getenv("LB_CONFIG") != "" {
-		return sidecar()
+		return runSidecar()
 	}
 	if len(args) == 0 {
 		args = []string{"--help"}
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -33,251 +33,351 @@
 )
 
 const (
-	ownSockets = 32   // listener, discovery, standard streams, the runtime's own
-	heapPart   = 0.75 // of the memory limit, for the runtime's; the rest is headroom
-	bodyPart   = 0.35 // for request bodies
-	idlePart   = 0.6  // of the time after which endpoints close an idle connection
-	firstList  = time.Second
+	reservedSockets = 32   // listener, discovery, standard streams, the runtime's own
+	heapFraction    = 0.75 // of the memory limit, for the Go runtime
+	bodyFraction    = 0.35 // of the memory limit, for request bodies
+	idleFraction    = 0.6  // of the time after which endpoints close an idle connection
 
-	// SIGKILL comes no sooner than the longest deadline, of which at most longest counts, and killIn after SIGTERM.
-	longest = 3 * time.Second
-	killIn  = 700 * time.Millisecond
-	spare   = 400 * time.Millisecond
+	firstListTimeout = time.Second
 
-	// A process that has been replaced has closed its callers' idle connections this long before its end.
-	waneSpare = 800 * time.Millisecond
+	// The platform sends SIGKILL killDelay after the longest deadline, of which at most maxGraceDeadline counts. The process ends
+	// killMargin before that.
+	maxGraceDeadline = 3 * time.Second
+	killDelay        = 700 * time.Millisecond
+	killMargin       = 400 * time.Millisecond
 
-	// Second answers come some milliseconds behind the first (the platform's STANDING page).
-	settle = 20 * time.Millisecond
+	// A process that was replaced has closed its clients' idle connections drainMargin before its end.
+	drainMargin = 800 * time.Millisecond
 
-	acceptOn = 500 * time.Millisecond // new connections go on coming this long after SIGTERM
+	// settleTime is how long a connection to an endpoint is not used again after a response: a second one may come some
+	// milliseconds later (the platform's STANDING page).
+	settleTime = 20 * time.Millisecond
+
+	// New connections come for acceptTime after SIGTERM.
+	acceptTime = 500 * time.Millisecond
 )
 
-// sidecar is the platform's sidecar: one tier, one listener, one balancer, told all by the file that LB_CONFIG names.
-func sidecar() error {
-	path := os.Getenv("LB_CONFIG")
-	// Both from the first moment: a signal that finds no handler ends the process.
+// sidecarProcess is the platform's sidecar: one tier, one listener, one engine, configured by the file that LB_CONFIG names.
+type sidecarProcess struct {
+	path      string
+	started   *config.Config                // at the start of the process
+	current   atomic.Pointer[config.Config] // in force
+	log       *slog.Logger
+	counters  *counters.Set
+	budget    platform.Budget
+	client    *upstream.Client
+	engine    *engine.Engine
+	router    *platform.Router
+	discovery *discovery.Client
+	firstList chan struct{} // holds a token after the first list
+	takeover  *platform.Takeover
+	handover  *handover.Process // nil: no process can replace another
+	server    *frontend.Server
+	accepts   atomic.Bool // new clients, as the operators' interface reports it
+	serveErr  chan error
+}
+
+// runSidecar runs the sidecar until SIGTERM.
+func runSidecar() error {
+	// Both from the first moment: a signal without a handler ends the process.
 	stop, hangup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(stop)
 	defer signal.Stop(hangup)
+	path := os.Getenv("LB_CONFIG")
 	c, err := config.Load(path)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)))
-	debug.SetMemoryLimit(int64(heapPart * float64(c.Limits.MemoryMB<<20)))
-	log := newLog(os.Stderr).With("name", c.Name)
+	debug.SetMemoryLimit(memoryBytes(c, heapFraction))
+	s, err := newSidecarProcess(path, c, newLog(os.Stderr).With("name", c.Name))
+	if err != nil {
+		return err
+	}
+	return s.run(stop, hangup)
+}
+
+// memoryBytes returns a fraction of the memory limit.
+func memoryBytes(c *config.Config, fraction float64) int64 {
+	return int64(fraction * float64(c.Limits.MemoryMB<<20))
+}
 
+// newSidecarProcess makes the parts of the process, without a listener.
+func newSidecarProcess(path string, c *config.Config, log *slog.Logger) (*sidecarProcess, error) {
+	s := &sidecarProcess{path: path, started: c, log: log, counters: &counters.Set{}, firstList: make(chan struct{}, 1), serveErr: make(chan error, 1)}
+	s.current.Store(c)
+	s.budget = budgetOf(c, log)
+	s.client = upstream.NewClient(upstream.Options{
+		DialTimeout:    c.DialTimeout,
+		IdleTimeout:    idleTimeout(c),
+		SettleTime:     settleTime,
+		HedgeDials:     true,
+		MaxConns:       s.budget.EndpointConns,
+		MaxStreamBytes: platform.MaxBodyBytes,
+		OnSent:         func() { s.counters.AttemptsSent.Add(1) },
+	})
+	var err error
+	s.engine, err = engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Client: s.client,
+		Watch: func() { s.discovery.Watch() }, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	s.router = platform.NewRouter(c, s.engine, s.counters, s.budget.BodyBytes)
+	s.initDiscovery(c)
+	s.takeover = &platform.Takeover{Listen: c.Listen, Engine: s.engine, Router: s.router, Client: s.client, Budget: s.budget}
+	return s, nil
+}
+
+// budgetOf divides the process's limits.
+func budgetOf(c *config.Config, log *slog.Logger) platform.Budget {
 	descriptors := platform.Descriptors(c.Limits.Sockets)
 	if descriptors < c.Limits.Sockets {
-		log.Warn("config: limits.sockets: the system grants fewer", "told", c.Limits.Sockets, "used", descriptors)
+		log.Warn("the system grants fewer descriptors than limits.sockets", "configured", c.Limits.Sockets, "used", descriptors)
 	}
-	sockets := descriptors - ownSockets
-	room := platform.Budget{ClientConns: sockets / 2, EndpointConns: sockets / 2,
-		HeapBytes: int64(heapPart * float64(c.Limits.MemoryMB<<20)), BodyBytes: int64(bodyPart * float64(c.Limits.MemoryMB<<20))}
-	board := &counters.Set{}
-	client := upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, OnSent: func() { board.AttemptsSent.Add(1) },
-		IdleTimeout: idleOf(c), SettleTime: settle, HedgeDials: true, MaxConns: room.EndpointConns, MaxStreamBytes: platform.MaxBodyBytes})
-	var discoveryClient *discovery.Client
-	h, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Client: client,
-		Watch: func() { discoveryClient.Watch() }, Log: log})
-	if err != nil {
-		return err
+	sockets := descriptors - reservedSockets
+	return platform.Budget{
+		ClientConns:   sockets / 2,
+		EndpointConns: sockets / 2,
+		HeapBytes:     memoryBytes(c, heapFraction),
+		BodyBytes:     memoryBytes(c, bodyFraction),
 	}
-	router := platform.NewRouter(c, h, board, room.BodyBytes)
-	known, err := endpointlist.Parse(c.CachedList)
+}
+
+// initDiscovery makes the discovery client, and uses the list that the configuration has cached.
+func (s *sidecarProcess) initDiscovery(c *config.Config) {
+	cached, err := endpointlist.Parse(c.CachedList)
 	if err != nil && c.CachedList != nil {
-		log.Warn("config: known: " + err.Error())
+		s.log.Warn("cached endpoint list ignored", "error", err)
 	}
-	listed := make(chan struct{}, 1)
-	discoveryClient = discovery.New(c.Discovery, mustAskIn(c.Policy), known.Index, func(kind lbpolicy.ListKind, e []endpointlist.Endpoint) {
-		h.UpdateEndpoints(kind, e)
-		select {
-		case listed <- struct{}{}:
-		default:
-		}
-	}, log)
-	discoveryClient.SharedBy(c.Policy.Balancers)
-	h.UpdateEndpoints(lbpolicy.Cached, known.Entries)
+	s.discovery = discovery.New(c.Discovery, maxPollInterval(c.Policy), cached.Index, s.updateEndpoints, s.log)
+	s.discovery.SharedBy(c.Policy.Balancers)
+	s.engine.UpdateEndpoints(lbpolicy.Cached, cached.Entries)
+}
+
+// updateEndpoints takes over a list of the discovery.
+func (s *sidecarProcess) updateEndpoints(kind lbpolicy.ListKind, endpoints []endpointlist.Endpoint) {
+	s.engine.UpdateEndpoints(kind, endpoints)
+	select {
+	case s.firstList <- struct{}{}:
+	default:
+	}
+}
 
-	self := &platform.Takeover{Listen: c.Listen, Engine: h, Router: router, Client: client, Budget: room}
-	upgrade, listener, err := take(c, self, log)
+// run serves until a signal on stop. Each one on hangup reloads the configuration.
+func (s *sidecarProcess) run(stop, hangup <-chan os.Signal) error {
+	listener, err := s.listen()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	self.Socket = listener.(syscall.Conn)
-	server := frontend.New(router, listener, admission.SingleGroup(self.ClientConns()),
-		slog.NewLogLogger(log.Handler(), slog.LevelWarn))
-	var takes atomic.Bool
-	if c.Admin != "" {
-		l, err := net.Listen("tcp", c.Admin)
-		if err != nil {
-			return fmt.Errorf("admin: %w", err)
-		}
-		calls := &platform.Operations{Engine: h, Counters: board, AcceptsClients: takes.Load}
-		if upgrade != nil {
-			router.SetHandover(upgrade)
-			calls.NotifyEjection = upgrade.NotifyEjection
-			defer upgrade.Close()
-		}
-		ops := admin.New(l, calls, slog.NewLogLogger(log.Handler(), slog.LevelWarn))
-		defer ops.Close()
-		go func() {
-			if err := ops.Serve(); err != nil {
-				log.Error("no calls of operators from now on", "error", err)
-			}
-		}()
+	s.takeover.Socket = listener.(syscall.Conn)
+	s.server = frontend.New(s.router, listener, admission.SingleGroup(s.takeover.ClientConns()),
+		slog.NewLogLogger(s.log.Handler(), slog.LevelWarn))
+	closeAdmin, err := s.serveAdmin()
+	if err != nil {
+		return err
 	}
-	go discoveryClient.Run(ctx)
-	var inForce atomic.Pointer[config.Config]
-	inForce.Store(c)
-	go func() {
-		for {
-			select {
-			case <-hangup:
-				inForce.Store(reload(path, inForce.Load(), router, client, discoveryClient, board, log))
-			case <-ctx.Done():
-				return
-			}
+	defer closeAdmin()
+	go s.discovery.Run(ctx)
+	go s.reloadOn(ctx, hangup)
+	isSuccessor := s.handover != nil && !s.handover.IsFirst()
+	if !isSuccessor {
+		go s.serve()
+	}
+	stopped, err := s.awaitFirstList(stop)
+	if err != nil {
+		return err
+	}
+	if stopped && isSuccessor {
+		return nil // nothing was taken over yet
+	}
+	if !stopped {
+		s.completeTakeover(isSuccessor)
+		if err := s.serveUntil(stop); err != nil {
+			return err
 		}
-	}()
-	failed := make(chan error, 1)
-	serve := func() { failed <- server.Serve() }
-	if upgrade == nil || upgrade.IsFirst() {
-		go serve()
 	}
+	s.shutDown()
+	return nil
+}
 
-	// Ready once the list is that of now and not of some time ago, if discovery answers.
-	stopped := false
+func (s *sidecarProcess) serve() { s.serveErr <- s.server.Serve() }
+
+// awaitFirstList waits until the list is current, if discovery responds in time. It reports a signal on stop.
+func (s *sidecarProcess) awaitFirstList(stop <-chan os.Signal) (stopped bool, err error) {
 	select {
-	case <-listed:
-	case <-time.After(firstList):
-	case err := <-failed:
-		return err
+	case <-s.firstList:
+	case <-time.After(firstListTimeout):
+	case err := <-s.serveErr:
+		return false, err
 	case <-stop:
-		if stopped = true; upgrade != nil && !upgrade.IsFirst() {
-			return nil // it has taken nothing yet
-		}
+		return true, nil
 	}
-	if upgrade != nil && !stopped {
-		if !upgrade.IsFirst() {
-			if t := upgrade.TakeOver(); t != nil {
-				self.ApplyState(t)
-			}
-			go serve()
-		}
-		self.SetFrontend(server)
-		if err := upgrade.Listen(); err != nil {
-			log.Warn("the next process will start without this one's state", "error", err)
-		}
+	return false, nil
+}
+
+// completeTakeover takes over from the predecessor, if there is one, and waits for a successor.
+func (s *sidecarProcess) completeTakeover(isSuccessor bool) {
+	if s.handover == nil {
+		return
 	}
-	if !stopped { // callers come before it is ready, too: what it has taken by then is answered like any other
-		server.SetReady()
-		takes.Store(true)
-		log.Info("ready", "listen", c.Listen, "tier", c.Policy.Tier)
-		select {
-		case err := <-failed:
-			return err
-		case <-stop:
+	if isSuccessor {
+		if state := s.handover.TakeOver(); state != nil {
+			s.takeover.ApplyState(state)
 		}
+		go s.serve()
+	}
+	s.takeover.SetFrontend(s.server)
+	if err := s.handover.Listen(); err != nil {
+		s.log.Warn("the next process will start without this one's state", "error", err)
 	}
-	takes.Store(false)
-	rest := restOf(c, inForce.Load())
+}
+
+// serveUntil reports that the process is ready, and waits for a signal. Clients that came before were served, too.
+func (s *sidecarProcess) serveUntil(stop <-chan os.Signal) error {
+	s.server.SetReady()
+	s.accepts.Store(true)
+	s.log.Info("ready", "listen", s.started.Listen, "tier", s.started.Policy.Tier)
+	select {
+	case err := <-s.serveErr:
+		return err
+	case <-stop:
+		return nil
+	}
+}
+
+// shutDown shuts down gracefully.
+func (s *sidecarProcess) shutDown() {
+	s.accepts.Store(false)
+	grace := gracePeriod(s.started, s.current.Load())
 	now := time.Now()
-	h.ShutDownBy(now.Add(rest))
-	serveUntil := now.Add(max(rest/2, acceptOn))
-	if upgrade != nil && upgrade.IsRetired() { // others take what comes: there is time to let go
-		serveUntil = now.Add(rest - waneSpare)
+	s.engine.ShutDownBy(now.Add(grace))
+	serveUntil := now.Add(max(grace/2, acceptTime))
+	if s.handover != nil && s.handover.IsRetired() { // a successor accepts new connections: there is time to drain
+		serveUntil = now.Add(grace - drainMargin)
 	}
-	server.Shutdown(serveUntil, now.Add(rest))
-	log.Info("ended", "held", h.InFlight())
-	return nil
+	s.server.Shutdown(serveUntil, now.Add(grace))
+	s.log.Info("ended", "held", s.engine.InFlight())
+}
+
+// serveAdmin serves the operators' interface where the configuration has one. The result closes it, and the hand-over.
+func (s *sidecarProcess) serveAdmin() (closeAdmin func(), err error) {
+	if s.started.Admin == "" {
+		return func() {}, nil
+	}
+	l, err := net.Listen("tcp", s.started.Admin)
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	operations := &platform.Operations{Engine: s.engine, Counters: s.counters, AcceptsClients: s.accepts.Load}
+	if s.handover != nil {
+		s.router.SetHandover(s.handover)
+		operations.NotifyEjection = s.handover.NotifyEjection
+	}
+	server := admin.New(l, operations, slog.NewLogLogger(s.log.Handler(), slog.LevelWarn))
+	go func() {
+		if err := server.Serve(); err != nil {
+			s.log.Error("operators' interface ended", "error", err)
+		}
+	}()
+	return func() {
+		server.Close()
+		if s.handover != nil {
+			s.handover.Close()
+		}
+	}, nil
 }
 
-// restOf is for how long a process that is asked to end may work on. The platform ends it by force some time after the
-// longest deadline; whose, where the settings have changed since the start, its pages don't say: the shorter one is safe
-// with both. It cuts requests of longer ones, which get a failure then.
-func restOf(start, inForce *config.Config) time.Duration {
-	return min(start.MaxDeadline(), inForce.MaxDeadline(), longest) + killIn - spare
+// gracePeriod returns how long a process may work after SIGTERM. The platform's pages do not say whose longest deadline counts where the
+// settings have changed since the start: the shorter one is safe. Requests with a later deadline fail then.
+func gracePeriod(started, current *config.Config) time.Duration {
+	return min(started.MaxDeadline(), current.MaxDeadline(), maxGraceDeadline) + killDelay - killMargin
 }
 
-// mustAskIn returns how long discovery may be left unasked, and zero where lists are pushed.
-func mustAskIn(s lbpolicy.Settings) time.Duration {
+// maxPollInterval returns the longest time between two polls of discovery, zero where lists are pushed.
+func maxPollInterval(s lbpolicy.Settings) time.Duration {
 	if !s.PollDiscovery {
 		return 0
 	}
 	return cmp.Or(s.MaxPollInterval, discoverypoll.MaxWait) // without an obligation the longest wait bounds nothing
 }
 
-// reload takes up the configuration as the file has it now, whole or not at all: settings and discovery's address are
-// read and checked before either is in force. The address, name and limits of the process wait for a restart. It returns
-// the configuration in force.
-func reload(path string, running *config.Config, router *platform.Router, client *upstream.Client, discoveryClient *discovery.Client,
-	board *counters.Set, log *slog.Logger) *config.Config {
-	next, err := running.Next(path)
+// reloadOn reloads the configuration with each signal on hangup.
+func (s *sidecarProcess) reloadOn(ctx context.Context, hangup <-chan os.Signal) {
+	for {
+		select {
+		case <-hangup:
+			s.reload()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload puts the configuration of the file in force, as a whole or not at all. Address, name and limits of the process need a restart.
+func (s *sidecarProcess) reload() {
+	running := s.current.Load()
+	next, err := running.Next(s.path)
 	if err == nil {
-		err = router.Configure(next)
+		err = s.router.Configure(next)
 	}
 	if err != nil {
-		board.ConfigsRejected.Add(1)
-		log.Warn("reload: the running configuration is kept", "error", err)
-		return running
+		s.counters.ConfigsRejected.Add(1)
+		s.log.Warn("reload failed, the running configuration is kept", "error", err)
+		return
 	}
-	client.SetDialTimeout(next.DialTimeout)
-	client.SetIdleTimeout(idleOf(next))
-	discoveryClient.SetAddress(next.Discovery)
-	board.ConfigsApplied.Add(1)
-	later := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
+	s.client.SetDialTimeout(next.DialTimeout)
+	s.client.SetIdleTimeout(idleTimeout(next))
+	s.discovery.SetAddress(next.Discovery)
+	s.counters.ConfigsApplied.Add(1)
+	needsRestart := next.Listen != running.Listen || next.Name != running.Name || next.Limits != running.Limits ||
 		next.Admin != running.Admin || next.Policy.PollDiscovery != running.Policy.PollDiscovery
-	log.Info("reload: taken", "discovery", next.Discovery, "classes", len(next.Classes), "restart_needed_for_the_rest", later)
-	return next
+	s.log.Info("configuration reloaded", "discovery", next.Discovery, "classes", len(next.Classes), "restart_needed_for_the_rest", needsRestart)
+	s.current.Store(next)
 }
 
-// take takes the clients' address: from the process before this one, with its state, where there is one. Where operators
-// have no address of their own nobody replaces processes, and the process is nil.
-func take(c *config.Config, self *platform.Takeover, log *slog.Logger) (*handover.Process, net.Listener, error) {
-	if c.Admin == "" {
-		l, err := listen(c)
-		return nil, l, err
-	}
-	dir := os.Getenv("TMPDIR") // of this deployment alone; /tmp is everybody's
-	if dir == "" {
-		l, err := listen(c)
-		return nil, l, err
+// listen returns the listener for clients: the predecessor's, with its state, or a new one. Without an address for operators, or a
+// directory of this deployment, no process can replace another.
+func (s *sidecarProcess) listen() (net.Listener, error) {
+	dir := os.Getenv("TMPDIR") // of this deployment alone; /tmp is shared
+	if s.started.Admin == "" || dir == "" {
+		return listenForClients(s.started)
 	}
-	p, offer, l := handover.Start(handover.Path(dir, c.Listen), self, log)
+	process, offer, listener := handover.Start(handover.Path(dir, s.started.Listen), s.takeover, s.log)
+	s.handover = process
 	if offer != nil {
-		self.ApplyOffer(offer)
-		self.ApplyBudget(true)
-		return p, l, nil
+		s.takeover.ApplyOffer(offer)
+		s.takeover.ApplyBudget(true)
+		return listener, nil
 	}
-	l, err := listen(c)
-	return p, l, err
+	return listenForClients(s.started)
 }
 
-// idleOf is for how long a connection to an endpoint may have stood idle to be used again.
-func idleOf(c *config.Config) time.Duration {
-	return time.Duration(idlePart * float64(c.Policy.ConnIdleTimeout))
+// idleTimeout returns how long a connection to an endpoint may have been idle to be used again.
+func idleTimeout(c *config.Config) time.Duration {
+	return time.Duration(idleFraction * float64(c.Policy.ConnIdleTimeout))
 }
 
-// listen takes the clients' address. Where operators have an address of their own another process may take it too, as
-// one does that is to replace this one.
-func listen(c *config.Config) (net.Listener, error) {
+// listenForClients listens on the clients' address. With an address for operators another process may listen on it, too, as a successor
+// does.
+func listenForClients(c *config.Config) (net.Listener, error) {
 	var lc net.ListenConfig
 	if c.Admin != "" {
-		lc.Control = func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			if e := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-			}); e != nil {
-				return e
-			}
-			return err
-		}
+		lc.Control = setReusePort
 	}
 	return lc.Listen(context.Background(), "tcp", c.Listen)
 }
+
+func setReusePort(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- a/cmd/silvertrail/sidecar_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -22,7 +22,7 @@
 	path = lbtest.WriteConfig(t, "", addr, discovery)
 	t.Setenv("LB_CONFIG", path)
 	ended = make(chan error, 1)
-	go func() { ended <- sidecar() }()
+	go func() { ended <- runSidecar() }()
 	lbtest.Until(t, "listening", func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -122,7 +122,7 @@
 	}
 	t.Setenv("LB_CONFIG", path)
 	ended := make(chan error, 1)
-	go func() { ended <- sidecar() }()
+	go func() { ended <- runSidecar() }()
 	lbtest.Until(t, "listening", func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -158,7 +158,7 @@
 		{5 * s, s, 1300 * time.Millisecond},
 		{s, 2 * s, 1300 * time.Millisecond},
 	} {
-		if got := restOf(of(c.start), of(c.inForce)); got != c.want {
+		if got := gracePeriod(of(c.start), of(c.inForce)); got != c.want {
 			t.Errorf("%v, then %v: %v, want %v", c.start, c.inForce, got, c.want)
 		}
 	}
--- a/cmd/silvertrail/xds.go
+++ b/cmd/silvertrail/xds.go
@@ -17,7 +17,7 @@
 	xdsTaggedCommands
 }
 
-type xdsDump struct{ instance }
+type xdsDump struct{ runningInstance }
 
 func (c *xdsDump) Run() error {
 	var d cache.Dump
