A test waits until a process that it suspends has stopped

SIGSTOP is delivered some time after it is sent, and the process served them in between. Ruled out: retries and hedges, by a trace of both in the policy (none concerned the requests in question). Its checks are unchanged.

--- a/cmd/silvertrail/left_test.go
+++ b/cmd/silvertrail/left_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -52,8 +53,42 @@
 	})
 }
 
-func (r *running) stop() { r.cmd.Process.Signal(syscall.SIGSTOP) }
-func (r *running) goOn() { r.cmd.Process.Signal(syscall.SIGCONT) }
+// suspend stops a process, and waits until each of its threads is stopped: the signal is delivered some time after it was sent, and
+// until then the process goes on.
+func (r *running) suspend() {
+	r.t.Helper()
+	if err := r.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		r.t.Fatal(err)
+	}
+	lbtest.Until(r.t, "the process is suspended", func() bool { return isSuspended(r.cmd.Process.Pid) })
+}
+
+// isSuspended reports whether all threads of a process are stopped (proc(5), /proc/pid/task/tid/stat).
+func isSuspended(pid int) bool {
+	tasks := fmt.Sprintf("/proc/%d/task", pid)
+	threads, err := os.ReadDir(tasks)
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		text, err := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+		if err != nil {
+			return false
+		}
+		_, state, ok := strings.Cut(string(text), ") ") // behind the command in parentheses
+		if !ok || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *running) resume() {
+	r.t.Helper()
+	if err := r.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		r.t.Fatal(err)
+	}
+}
 
 // idle waits until a process has no request in work.
 func (r *running) idle(what string) {
@@ -111,21 +146,21 @@
 	}
 
 	// In the queue of the listener as the hand-over begins.
-	old.stop()
+	old.suspend()
 	for how := range waysToLeave {
 		c := newLeaver(t, s.addr)
 		c.Send(lbtest.Get("left-queued-" + how))
 		c.leaves(t, how)
 	}
 	next := s.begin()
-	old.goOn()
+	old.resume()
 	lbtest.Until(t, "a process says yes: "+next.log.String(), func() bool {
 		status, _ := next.call("GET", "/ops/readiness")
 		return status == 200
 	})
 
 	// At the old one, which waits for the new one's word on a key.
-	next.stop()
+	next.suspend()
 	for how := range waysToLeave {
 		kept["bind-"+how].Send(lbtest.Post("left-bind-"+how, "x"))
 	}
@@ -133,10 +168,10 @@
 	for how := range waysToLeave {
 		kept["bind-"+how].leaves(t, how)
 	}
-	next.goOn()
+	next.resume()
 
 	// At the old one: the next request of a kept connection, and the attempt after one that was out all the time.
-	old.stop()
+	old.suspend()
 	for how := range waysToLeave {
 		kept["next-"+how].Send(lbtest.Get("left-next-" + how))
 		kept["key-"+how].Send(lbtest.Post("left-key-"+how, "x"))
@@ -147,12 +182,12 @@
 	for _, a := range waiting {
 		a.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
 	}
-	old.goOn()
+	old.resume()
 	old.idle("the old process")
 	ask(stays, "stays") // at the old one still
 
 	// In the queue of the new one.
-	next.stop()
+	next.suspend()
 	for how := range waysToLeave {
 		c := newLeaver(t, s.addr)
 		c.Send(lbtest.Get("left-new-" + how))
@@ -161,7 +196,7 @@
 		c.Send(lbtest.Post("left-newkey-"+how, "x"))
 		c.leaves(t, how)
 	}
-	next.goOn()
+	next.resume()
 	ask(newLeaver(t, s.addr), "last") // behind them in the queue
 	next.idle("the new process")
 
