--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -25,7 +25,7 @@
 // run answers batches until input ends between two frames.
 func run(in io.Reader, out io.Writer) error {
 	d := wire.NewDecoder(bufio.NewReaderSize(in, 1<<16))
-	l := &link{instances: map[uint32]*lbpolicy.Balancer{}}
+	l := &adapter{instances: map[uint32]*lbpolicy.Balancer{}}
 	for {
 		now, body, err := d.Next()
 		if errors.Is(err, io.EOF) {
@@ -44,15 +44,15 @@
 	}
 }
 
-// link keeps one balancer an instance and hands it its events.
-type link struct {
+// adapter keeps one balancer an instance and hands it its events.
+type adapter struct {
 	now       time.Duration
 	reply     wire.Reply
 	instances map[uint32]*lbpolicy.Balancer
 }
 
-// with runs f on an instance's balancer; a panic in it becomes an exception of that instance.
-func (l *link) with(inst uint32, f func(*lbpolicy.Balancer)) {
+// withBalancer runs f on an instance's balancer; a panic in it becomes an exception of that instance.
+func (l *adapter) withBalancer(inst uint32, f func(*lbpolicy.Balancer)) {
 	b := l.instances[inst]
 	if b == nil {
 		return
@@ -66,7 +66,7 @@
 	f(b)
 }
 
-func (l *link) Open(inst uint32, seed uint64, text []byte) {
+func (l *adapter) Open(inst uint32, seed uint64, text []byte) {
 	delete(l.instances, inst)
 	s, err := settings.Parse(text)
 	if err == nil {
@@ -78,28 +78,28 @@
 	}
 }
 
-func (l *link) Halt(inst uint32) { delete(l.instances, inst) }
+func (l *adapter) Halt(inst uint32) { delete(l.instances, inst) }
 
-func (l *link) Members(inst uint32, kind lbpolicy.ListKind, entries []lbpolicy.Server) {
-	l.with(inst, func(b *lbpolicy.Balancer) { b.UpdateEndpoints(l.now, kind, entries) })
+func (l *adapter) UpdateEndpoints(inst uint32, kind lbpolicy.ListKind, entries []lbpolicy.Server) {
+	l.withBalancer(inst, func(b *lbpolicy.Balancer) { b.UpdateEndpoints(l.now, kind, entries) })
 }
 
-func (l *link) Request(inst uint32, r lbpolicy.Request) {
-	l.with(inst, func(b *lbpolicy.Balancer) { b.Request(l.now, r) })
+func (l *adapter) Request(inst uint32, r lbpolicy.Request) {
+	l.withBalancer(inst, func(b *lbpolicy.Balancer) { b.Request(l.now, r) })
 }
 
-func (l *link) Started(inst uint32, id lbpolicy.RequestID) {
-	l.with(inst, func(b *lbpolicy.Balancer) { b.ResponseStarted(l.now, id) })
+func (l *adapter) ResponseStarted(inst uint32, id lbpolicy.RequestID) {
+	l.withBalancer(inst, func(b *lbpolicy.Balancer) { b.ResponseStarted(l.now, id) })
 }
 
-func (l *link) Outcome(inst uint32, o lbpolicy.Outcome) {
-	l.with(inst, func(b *lbpolicy.Balancer) { b.Outcome(l.now, o) })
+func (l *adapter) Outcome(inst uint32, o lbpolicy.Outcome) {
+	l.withBalancer(inst, func(b *lbpolicy.Balancer) { b.Outcome(l.now, o) })
 }
 
-func (l *link) Gone(inst uint32, id lbpolicy.RequestID) {
-	l.with(inst, func(b *lbpolicy.Balancer) { b.ClientDisconnected(l.now, id) })
+func (l *adapter) ClientDisconnected(inst uint32, id lbpolicy.RequestID) {
+	l.withBalancer(inst, func(b *lbpolicy.Balancer) { b.ClientDisconnected(l.now, id) })
 }
 
-func (l *link) Timer(inst uint32, token uint64) {
-	l.with(inst, func(b *lbpolicy.Balancer) { b.Timer(l.now, token) })
+func (l *adapter) Timer(inst uint32, token uint64) {
+	l.withBalancer(inst, func(b *lbpolicy.Balancer) { b.Timer(l.now, token) })
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -12,21 +12,27 @@
 	"silvertrail/lbpolicy"
 )
 
-// note writes down what a Handler is told.
-type note struct{ strings.Builder }
+// eventRecorder writes down what a Handler is told.
+type eventRecorder struct{ strings.Builder }
 
-func (n *note) Open(i uint32, seed uint64, s []byte) { fmt.Fprintf(n, "open %d %d %s;", i, seed, s) }
-func (n *note) Halt(i uint32)                        { fmt.Fprintf(n, "halt %d;", i) }
-func (n *note) Members(i uint32, k lbpolicy.ListKind, e []lbpolicy.Server) {
+func (n *eventRecorder) Open(i uint32, seed uint64, s []byte) {
+	fmt.Fprintf(n, "open %d %d %s;", i, seed, s)
+}
+func (n *eventRecorder) Halt(i uint32) { fmt.Fprintf(n, "halt %d;", i) }
+func (n *eventRecorder) UpdateEndpoints(i uint32, k lbpolicy.ListKind, e []lbpolicy.Server) {
 	fmt.Fprintf(n, "members %d %d %v;", i, k, e)
 }
-func (n *note) Request(i uint32, r lbpolicy.Request) {
+func (n *eventRecorder) Request(i uint32, r lbpolicy.Request) {
 	fmt.Fprintf(n, "request %d {%d %d %d %v %t};", i, r.ID, r.Class, r.Tenant, r.TimeLeft, r.Retry)
 }
-func (n *note) Started(i uint32, id lbpolicy.RequestID) { fmt.Fprintf(n, "started %d %d;", i, id) }
-func (n *note) Outcome(i uint32, o lbpolicy.Outcome)    { fmt.Fprintf(n, "outcome %d %v;", i, o) }
-func (n *note) Gone(i uint32, id lbpolicy.RequestID)    { fmt.Fprintf(n, "gone %d %d;", i, id) }
-func (n *note) Timer(i uint32, token uint64)            { fmt.Fprintf(n, "timer %d %d;", i, token) }
+func (n *eventRecorder) ResponseStarted(i uint32, id lbpolicy.RequestID) {
+	fmt.Fprintf(n, "started %d %d;", i, id)
+}
+func (n *eventRecorder) Outcome(i uint32, o lbpolicy.Outcome) { fmt.Fprintf(n, "outcome %d %v;", i, o) }
+func (n *eventRecorder) ClientDisconnected(i uint32, id lbpolicy.RequestID) {
+	fmt.Fprintf(n, "gone %d %d;", i, id)
+}
+func (n *eventRecorder) Timer(i uint32, token uint64) { fmt.Fprintf(n, "timer %d %d;", i, token) }
 func unhex(t testing.TB, s string) []byte {
 	t.Helper()
 	b, err := hex.DecodeString(strings.Join(strings.Fields(s), ""))
@@ -43,7 +49,7 @@
 }
 
 func decode(b []byte) (string, error) {
-	d, n := NewDecoder(bytes.NewReader(b)), &note{}
+	d, n := NewDecoder(bytes.NewReader(b)), &eventRecorder{}
 	for {
 		_, body, err := d.Next()
 		if err == io.EOF {
