--- a/cmd/benchlink/main_test.go
+++ b/internal/simulator/adapter_test.go
@@ -1,4 +1,4 @@
-package main
+package simulator
 
 import (
 	"bytes"
@@ -36,7 +36,7 @@
 		batch(1, open(1, profile), open(2, `{"classes": []}`)),
 		batch(2, inbound(1, 5), inbound(2, 6)),
 	}, nil)
-	if err := run(bytes.NewReader(in), &out); err != nil {
+	if err := Run(bytes.NewReader(in), &out); err != nil {
 		t.Fatal(err)
 	}
 	if !bytes.Contains(out.Bytes(), []byte("Classes: none")) {
@@ -50,10 +50,10 @@
 
 func TestInputEnds(t *testing.T) {
 	whole := batch(1, open(1, profile))
-	if err := run(bytes.NewReader(whole), &bytes.Buffer{}); err != nil {
+	if err := Run(bytes.NewReader(whole), &bytes.Buffer{}); err != nil {
 		t.Errorf("end between frames: %v", err)
 	}
-	err := run(bytes.NewReader(whole[:len(whole)-3]), &bytes.Buffer{})
+	err := Run(bytes.NewReader(whole[:len(whole)-3]), &bytes.Buffer{})
 	if err == nil || !strings.Contains(err.Error(), "cut off") || strings.Contains(err.Error(), "\n") {
 		t.Errorf("end within a frame: %v", err)
 	}
--- a/wire/wire.go
+++ b/internal/simulator/decoder.go
@@ -1,6 +1,6 @@
-// Package wire reads and writes the simulator's frames and settings. It
-// translates into the types of package lbpolicy and decides nothing.
-package wire
+// Package simulator adapts the load-balancing policy to the platform's simulator: batches of events on standard input, one reply with
+// actions for each on standard output (the platform's WIRE page). It translates and decides nothing.
+package simulator
 
 import (
 	"encoding/binary"
@@ -12,7 +12,7 @@
 	"silvertrail/lbpolicy"
 )
 
-// Event codes.
+// Codes of events.
 const (
 	eventOpen = iota + 1
 	eventMembership
@@ -27,25 +27,11 @@
 	eventList
 )
 
-// Action codes.
-const (
-	actionFault = iota + 1
-	actionReject
-	actionCloseIdle
-	actionSend
-	actionProbe
-	actionLog
-	actionCancel
-	actionWatch
-	actionTellPeer
-	actionSetTimer
-	actionFetchList
-	actionFail
-)
-
+// eventNames are the names of the events on the WIRE page, by code.
 var eventNames = [...]string{"", "OPEN_INSTANCE", "MEMBERSHIP", "INBOUND", "ACK_FIRST", "OUTCOME",
 	"CLIENT_GONE", "WAKEUP", "PONG", "INBOX", "HALT", "POOL"}
 
+// verdicts translates the codes of outcomes.
 var verdicts = map[uint8]lbpolicy.Verdict{0: lbpolicy.OK, 5: lbpolicy.Error, 11: lbpolicy.ServerFull,
 	110: lbpolicy.Timeout, 111: lbpolicy.ConnectFailed, 104: lbpolicy.Reset, 125: lbpolicy.Cancelled, 114: lbpolicy.NotSent}
 
@@ -69,11 +55,11 @@
 	Timer(inst uint32, token uint64)
 }
 
-// Decoder reads batches. Lists named by POOL records live in it, as they belong to the process.
+// Decoder reads batches. It holds the lists of POOL records, which all instances share.
 type Decoder struct {
 	in       io.Reader
 	frame    []byte
-	position int64 // stream position of the frame in hand
+	position int64 // of the current frame in the stream
 	lists    [maxLists][]lbpolicy.Server
 }
 
@@ -126,7 +112,7 @@
 	return nil
 }
 
-// readRecord decodes one record; it calls h only when the record is whole.
+// readRecord decodes one record; it calls h only when the record is complete.
 func (d *Decoder) readRecord(code uint16, r *reader, h Handler) {
 	if code == eventList {
 		d.readList(r)
@@ -147,9 +133,9 @@
 		d.readMembership(inst, r, h)
 	case eventRequest:
 		q := lbpolicy.Request{ID: lbpolicy.RequestID(r.u64()), Class: int(r.u8()), Tenant: int(r.u32())}
-		r.u64() // the key of the request decides nothing
+		r.u64() // the key of the request is not used
 		q.TimeLeft = seconds(r.f64())
-		r.f64() // neither does the cost hint
+		r.f64() // nor is the cost hint
 		q.Retry = r.u8()&2 != 0
 		if r.err == nil {
 			h.Request(inst, q)
@@ -169,10 +155,10 @@
 		if token := r.u64(); r.err == nil {
 			h.Timer(inst, token)
 		}
-	case eventProbeAnswered: // no probes are sent; the record is only read
+	case eventProbeAnswered: // no probes are sent; the record is skipped
 		r.bytes(4 + 1 + 8)
 		r.bytes(4 * int(r.u8()))
-	case eventPeerMessage: // nothing is told to peers; the record is only read
+	case eventPeerMessage: // nothing is sent to peers; the record is skipped
 		r.bytes(2)
 		r.bytes(int(r.u16()))
 	}
@@ -193,16 +179,16 @@
 	for i := range entries {
 		entries[i] = lbpolicy.Server{Zone: int(r.u8()), StartedAt: seconds(r.f64()), Cell: int(r.u16()),
 			ID: lbpolicy.ServerID(r.u32())}
-		r.u8() // the kind of machine decides nothing
+		r.u8() // the kind of machine is not used
 		entries[i].State = lbpolicy.State(r.u8())
-		r.f32() // nor does its size: latency tells more
+		r.f32() // nor is its size: latency says more
 	}
 	d.lists[n] = entries
 }
 
 func (d *Decoder) readMembership(inst uint32, r *reader, h Handler) {
 	kind, buf := r.u8(), r.u8()
-	r.u64() // deltas come in order and without gaps: the version decides nothing
+	r.u64() // deltas come in order and without gaps: the version is not used
 	if r.err == nil && kind > uint8(lbpolicy.Failed) {
 		r.err = fmt.Errorf("unknown list kind %d", kind)
 	}
@@ -242,7 +228,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(math.Round(s*1e6)) * time.Microsecond }
 
-// reader takes fields off a body; after the first that is cut off every field is zero.
+// reader reads the fields of a frame's body. After one that is truncated every field is zero.
 type reader struct {
 	buffer []byte
 	offset int
@@ -267,93 +253,3 @@
 func (r *reader) u64() uint64  { return binary.LittleEndian.Uint64(r.bytes(8)) }
 func (r *reader) f32() float32 { return math.Float32frombits(r.u32()) }
 func (r *reader) f64() float64 { return math.Float64frombits(r.u64()) }
-
-// Reply collects the actions that answer one batch.
-type Reply struct {
-	buffer []byte
-	count  uint32
-}
-
-// Reset empties the reply for the next batch.
-func (p *Reply) Reset() {
-	p.buffer, p.count = append(p.buffer[:0], make([]byte, replyHeaderBytes)...), 0
-}
-
-// Bytes returns the finished frame.
-func (p *Reply) Bytes() []byte {
-	binary.LittleEndian.PutUint32(p.buffer, uint32(len(p.buffer)))
-	binary.LittleEndian.PutUint32(p.buffer[4:], p.count)
-	return p.buffer
-}
-
-func (p *Reply) u32(v uint32) { p.buffer = binary.LittleEndian.AppendUint32(p.buffer, v) }
-func (p *Reply) u64(v uint64) { p.buffer = binary.LittleEndian.AppendUint64(p.buffer, v) }
-func (p *Reply) time(d time.Duration) {
-	p.u64(math.Float64bits(d.Seconds()))
-}
-
-func (p *Reply) begin(code uint16, inst uint32) {
-	p.count++
-	p.buffer = binary.LittleEndian.AppendUint16(p.buffer, code)
-	p.u32(inst)
-}
-
-func (p *Reply) text(code uint16, inst uint32, text string) {
-	text = text[:min(len(text), math.MaxUint16)]
-	p.begin(code, inst)
-	p.buffer = binary.LittleEndian.AppendUint16(p.buffer, uint16(len(text)))
-	p.buffer = append(p.buffer, text...)
-}
-
-// Exception reports that an instance's decisions have failed.
-func (p *Reply) Exception(inst uint32, text string) { p.text(actionFault, inst, text) }
-
-// Host returns the lbpolicy.Host that writes an instance's actions into the reply.
-func (p *Reply) Host(inst uint32) lbpolicy.Host { return host{p, inst} }
-
-type host struct {
-	*Reply
-	instance uint32
-}
-
-func (h host) Send(id lbpolicy.RequestID, s lbpolicy.ServerID) {
-	h.begin(actionSend, h.instance)
-	h.u64(uint64(id))
-	h.u32(uint32(s))
-	h.time(0) // until the client gives up
-}
-
-func (h host) Reject(id lbpolicy.RequestID, retryAfter time.Duration) {
-	h.begin(actionReject, h.instance)
-	h.u64(uint64(id))
-	h.time(retryAfter)
-}
-
-func (h host) Fail(id lbpolicy.RequestID) {
-	h.begin(actionFail, h.instance)
-	h.u64(uint64(id))
-}
-
-func (h host) Cancel(id lbpolicy.RequestID, attempt int) {
-	h.begin(actionCancel, h.instance)
-	h.u64(uint64(id))
-	h.buffer = append(h.buffer, uint8(attempt))
-}
-
-func (h host) CloseIdle(s lbpolicy.ServerID) {
-	h.begin(actionCloseIdle, h.instance)
-	h.u32(uint32(s))
-}
-
-func (h host) Watch() {
-	h.begin(actionWatch, h.instance)
-	h.buffer = append(h.buffer, 1)
-}
-
-func (h host) SetTimer(at time.Duration, token uint64) {
-	h.begin(actionSetTimer, h.instance)
-	h.time(at)
-	h.u64(token)
-}
-
-func (h host) Log(text string) { h.text(actionLog, h.instance, text) }
--- a/wire/wire_test.go
+++ b/internal/simulator/decoder_test.go
@@ -1,4 +1,4 @@
-package wire
+package simulator
 
 import (
 	"bytes"
--- /dev/null
+++ b/internal/simulator/reply.go
@@ -0,0 +1,115 @@
+package simulator
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"silvertrail/lbpolicy"
+)
+
+// Codes of actions.
+const (
+	actionFault = iota + 1
+	actionReject
+	actionCloseIdle
+	actionSend
+	actionProbe
+	actionLog
+	actionCancel
+	actionWatch
+	actionTellPeer
+	actionSetTimer
+	actionFetchList
+	actionFail
+)
+
+// Reply collects the actions that answer one batch.
+type Reply struct {
+	buffer []byte
+	count  uint32
+}
+
+// Reset empties the reply for the next batch.
+func (p *Reply) Reset() {
+	p.buffer, p.count = append(p.buffer[:0], make([]byte, replyHeaderBytes)...), 0
+}
+
+// Bytes returns the finished frame.
+func (p *Reply) Bytes() []byte {
+	binary.LittleEndian.PutUint32(p.buffer, uint32(len(p.buffer)))
+	binary.LittleEndian.PutUint32(p.buffer[4:], p.count)
+	return p.buffer
+}
+
+func (p *Reply) u32(v uint32) { p.buffer = binary.LittleEndian.AppendUint32(p.buffer, v) }
+func (p *Reply) u64(v uint64) { p.buffer = binary.LittleEndian.AppendUint64(p.buffer, v) }
+func (p *Reply) time(d time.Duration) {
+	p.u64(math.Float64bits(d.Seconds()))
+}
+
+func (p *Reply) begin(code uint16, inst uint32) {
+	p.count++
+	p.buffer = binary.LittleEndian.AppendUint16(p.buffer, code)
+	p.u32(inst)
+}
+
+func (p *Reply) text(code uint16, inst uint32, text string) {
+	text = text[:min(len(text), math.MaxUint16)]
+	p.begin(code, inst)
+	p.buffer = binary.LittleEndian.AppendUint16(p.buffer, uint16(len(text)))
+	p.buffer = append(p.buffer, text...)
+}
+
+// Exception reports that an instance's policy has failed.
+func (p *Reply) Exception(inst uint32, text string) { p.text(actionFault, inst, text) }
+
+// Host returns the lbpolicy.Host that writes an instance's actions into the reply.
+func (p *Reply) Host(inst uint32) lbpolicy.Host { return host{p, inst} }
+
+type host struct {
+	*Reply
+	instance uint32
+}
+
+func (h host) Send(id lbpolicy.RequestID, s lbpolicy.ServerID) {
+	h.begin(actionSend, h.instance)
+	h.u64(uint64(id))
+	h.u32(uint32(s))
+	h.time(0) // no limit but the client's
+}
+
+func (h host) Reject(id lbpolicy.RequestID, retryAfter time.Duration) {
+	h.begin(actionReject, h.instance)
+	h.u64(uint64(id))
+	h.time(retryAfter)
+}
+
+func (h host) Fail(id lbpolicy.RequestID) {
+	h.begin(actionFail, h.instance)
+	h.u64(uint64(id))
+}
+
+func (h host) Cancel(id lbpolicy.RequestID, attempt int) {
+	h.begin(actionCancel, h.instance)
+	h.u64(uint64(id))
+	h.buffer = append(h.buffer, uint8(attempt))
+}
+
+func (h host) CloseIdle(s lbpolicy.ServerID) {
+	h.begin(actionCloseIdle, h.instance)
+	h.u32(uint32(s))
+}
+
+func (h host) Watch() {
+	h.begin(actionWatch, h.instance)
+	h.buffer = append(h.buffer, 1)
+}
+
+func (h host) SetTimer(at time.Duration, token uint64) {
+	h.begin(actionSetTimer, h.instance)
+	h.time(at)
+	h.u64(token)
+}
+
+func (h host) Log(text string) { h.text(actionLog, h.instance, text) }
