--- a/internal/testkit/fake/disk.go
+++ b/internal/testkit/fake/disk.go
@@ -13,15 +13,16 @@
 	"silvertrail/internal/ledger/disk"
 )
 
+// sector is the unit that a disk writes atomically.
 const sector = 512
 
-// Disk is a directory whose loss can be played: it knows of each file what an fsync has made safe and what has been written
-// since. It implements disk.Disk.
+// Disk is a directory in memory that simulates crashes: it knows of each file what an fsync has made safe, and what was written since. It
+// implements disk.Disk.
 type Disk struct {
 	mu    sync.Mutex
 	files map[string]*simFile
 	free  int64 // bytes that are left; below 0: any number
-	// What the next calls meet.
+	// Faults of the next calls.
 	failWrite, failSync, failCreate error
 	ignoresSyncs                    bool
 	hang                            chan struct{}
@@ -29,6 +30,7 @@
 	watch                           func(*Disk)
 }
 
+// simFile is a file of a Disk.
 type simFile struct {
 	disk  *Disk
 	name  string
@@ -38,7 +40,7 @@
 	named bool // its name is safe
 }
 
-// NewDisk returns an empty directory with room for so many bytes; below 0: any number.
+// NewDisk returns an empty directory with free bytes; below 0: without a limit.
 func NewDisk(free int64) *Disk { return &Disk{files: map[string]*simFile{}, free: free} }
 
 // Fail has writes, fsyncs and new files fail from now on; nil: no more.
@@ -116,24 +118,31 @@
 			if !f.named && r.IntN(2) == 0 {
 				continue
 			}
-			if f.safe == nil { // not even its length is
-				b = b[:r.IntN(len(b)+1)]
-			}
-			for from := 0; from < len(b); from += sector {
-				to := min(from+sector, len(b))
-				if r.IntN(2) == 0 {
-					clear(b[from:to])
-					if from < len(f.safe) {
-						copy(b[from:to], f.safe[from:])
-					}
-				}
-			}
+			b = f.afterPowerLoss(b, r)
 		}
 		out.files[name] = &simFile{disk: out, name: name, safe: slices.Clone(b), now: b, named: true}
 	}
 	return out
 }
 
+// afterPowerLoss returns the bytes of a file, of which any sectors may be as they were at the last fsync.
+func (f *simFile) afterPowerLoss(b []byte, r *rand.Rand) []byte {
+	if f.safe == nil { // not even its length is safe
+		b = b[:r.IntN(len(b)+1)]
+	}
+	for from := 0; from < len(b); from += sector {
+		to := min(from+sector, len(b))
+		if r.IntN(2) != 0 {
+			continue
+		}
+		clear(b[from:to])
+		if from < len(f.safe) {
+			copy(b[from:to], f.safe[from:])
+		}
+	}
+	return b
+}
+
 // Change has f change a file's bytes as they are.
 func (d *Disk) Change(name string, f func([]byte) []byte) {
 	d.mu.Lock()
--- a/internal/testkit/fake/endpoint.go
+++ b/internal/testkit/fake/endpoint.go
@@ -1,5 +1,5 @@
-// Package fake holds stand-ins for what stands round the program: nodos and a name server, on loopback, for its demo,
-// tests and measurements.
+// Package fake holds fakes of the systems around the program, on loopback: endpoints, discovery, name server, network, disk, certificate
+// authority. The demo, tests and benchmarks use them.
 package fake
 
 import (
@@ -14,44 +14,44 @@
 	"time"
 )
 
-// EndpointOptions describe a nodo.
+// EndpointOptions configure an endpoint.
 type EndpointOptions struct {
 	Name, Site string
-	Slots      int           // requests at work at once; 0: any number
-	Queue      int           // requests that wait; beyond that they are turned away
-	Work       time.Duration // for each request
-	// Group is whom the nodo shares its memory of keys with; nil: it has none, and each request with a key takes effect.
+	Slots      int           // requests in progress at once; 0: without a limit
+	Queue      int           // requests that wait; others are rejected
+	Work       time.Duration // time for each request
+	// Group is the group that the endpoint shares its memory of keys with; nil: each request with a key takes effect.
 	Group *Group
 	// Fault is asked for each request that has been worked through; nil: none.
 	Fault func(*http.Request) Fault
 }
 
-// Fault is what becomes of an answer whose request has taken effect.
+// Fault is a fault of the response to a request that has taken effect.
 type Fault uint8
 
-// The troubles.
+// The faults.
 const (
 	NoFault         Fault = iota
-	NoResponse            // it never comes
-	ConnectionReset       // the connection is reset in its place
+	NoResponse            // it is never sent
+	ConnectionReset       // the connection is reset instead
 )
 
-// Group is a set of nodos that drop repeats of a key that came to any of them.
+// Group is a set of endpoints that deduplicate requests by their idempotency keys.
 type Group struct {
 	Name   string
-	Window time.Duration // for which a key is remembered, from the first request on
+	Window time.Duration // for which a key is remembered from its first request on
 
 	mu      sync.Mutex
 	seen    map[string]time.Time
 	effects map[string]int
 }
 
-// NewGroup returns a group that remembers nothing yet.
+// NewGroup returns a group without keys.
 func NewGroup(name string, window time.Duration) *Group {
 	return &Group{Name: name, Window: window, seen: map[string]time.Time{}, effects: map[string]int{}}
 }
 
-// record notes a request with a key. It takes effect unless the key is remembered.
+// record records a request with a key. It takes effect unless the key is remembered.
 func (g *Group) record(key string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -69,7 +69,7 @@
 	return maps.Clone(g.effects)
 }
 
-// Endpoint is a server that works through requests in slots, turns away what it has no room for, and counts effects by key.
+// Endpoint is a server with bounded concurrency. It rejects requests beyond its capacity, and counts effects by key.
 type Endpoint struct {
 	Addr    string
 	options EndpointOptions
@@ -84,10 +84,10 @@
 
 	mu                    sync.Mutex
 	effects               map[string]int // by idempotency key
-	requestsWhileDraining int            // requests that began after it was told to drain
+	requestsWhileDraining int            // since Drain
 }
 
-// NewEndpoint starts a nodo on a free loopback port. Close ends it.
+// NewEndpoint starts an endpoint on a free loopback port. Close ends it.
 func NewEndpoint(o EndpointOptions) (*Endpoint, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -102,7 +102,7 @@
 	return n, nil
 }
 
-// Close ends the nodo and all that it holds.
+// Close ends the endpoint and its requests.
 func (n *Endpoint) Close() {
 	select {
 	case <-n.done:
@@ -112,23 +112,23 @@
 	n.server.Close()
 }
 
-// Drain has the nodo count what still comes, and turn it away.
+// Drain has the endpoint count and reject further requests.
 func (n *Endpoint) Drain() { n.draining.Store(true) }
 
-// Hang has the nodo take requests and answer none.
+// Hang has the endpoint accept requests and send no responses.
 func (n *Endpoint) Hang(on bool) { n.hanging.Store(on) }
 
-// Requests returns the number of requests that have come.
+// Requests returns the number of requests that were received.
 func (n *Endpoint) Requests() int64 { return n.requests.Load() }
 
-// RequestsWhileDraining returns the number of requests that came after Drain.
+// RequestsWhileDraining returns the number of requests since Drain.
 func (n *Endpoint) RequestsWhileDraining() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.requestsWhileDraining
 }
 
-// Effects returns how often each key came to the nodo and was worked through.
+// Effects returns how often a request with each key was completed.
 func (n *Endpoint) Effects() map[string]int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -140,15 +140,16 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// holdUntilDisconnect holds a request until its caller has gone, and answers nothing.
+// holdUntilDisconnect sends no response, and waits for the client's disconnect.
 func (n *Endpoint) holdUntilDisconnect(r *http.Request) {
 	select {
 	case <-r.Context().Done():
 	case <-n.done:
 	}
-	panic(http.ErrAbortHandler) // a handler that returns has answered 200
+	panic(http.ErrAbortHandler) // a handler that returns sends 200
 }
 
+// ServeHTTP implements http.Handler.
 func (n *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 	if err != nil {
@@ -174,7 +175,7 @@
 				n.reject(w)
 				return
 			}
-			n.slots <- struct{}{} // those at work end in their time
+			n.slots <- struct{}{} // requests in progress end in their time
 			n.waiting.Add(-1)
 		}
 		defer func() { <-n.slots }()
--- a/internal/testkit/fake/network.go
+++ b/internal/testkit/fake/network.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Path stands between two programs as a network would, for TCP connections: it delays, holds up, narrows, loses (which TCP
-// shows as a hold-up of all that follows) and breaks what goes over it, in each direction by itself.
+// Path is a network path for TCP connections between two programs: it delays, blocks, limits, loses (which TCP shows as a delay of all that
+// follows) and breaks what goes over it, in each direction by itself.
 type Path struct {
 	Addr string
 
@@ -28,13 +28,13 @@
 // Direction is that of bytes on a path.
 type Direction int
 
-// The directions: from who connects to who is connected to, and back.
+// The directions: from the client to the server, and back.
 const (
 	ToServer Direction = iota
 	ToClient
 )
 
-// Trouble of one direction.
+// directionState holds the faults of one direction.
 type directionState struct {
 	delay     time.Duration
 	bandwidth int // bytes a second; 0: any
@@ -43,7 +43,7 @@
 	cutAfter  int64 // bytes that still pass before all connections are reset; -1: any number
 }
 
-const retransmitTimeout = 200 * time.Millisecond // TCP's least time before it sends again what was lost
+const retransmitTimeout = 200 * time.Millisecond // TCP's least time before a retransmission
 
 // NewPath opens a path to an address.
 func NewPath(to string) (*Path, error) {
@@ -77,7 +77,7 @@
 // SetTarget has connections that are made from now on go to another address.
 func (p *Path) SetTarget(to string) { p.change(func() { p.to = to }) }
 
-// Shape sets the delay of both directions, the part of what is sent that is lost on its way, and the bytes a second.
+// Shape sets the delay, the loss fraction and the bytes a second of both directions.
 func (p *Path) Shape(delay time.Duration, loss float64, bandwidth int) {
 	p.change(func() {
 		for i := range p.directions {
@@ -86,10 +86,10 @@
 	})
 }
 
-// Block holds up all that comes in a direction, or lets it go on. Nobody is told.
+// Block blocks a direction, or unblocks it, without an error for either side.
 func (p *Path) Block(d Direction, on bool) { p.change(func() { p.directions[d].blocked = on }) }
 
-// CutAfter resets all connections when so many more bytes have gone in a direction.
+// CutAfter resets all connections when so many more bytes have passed in a direction.
 func (p *Path) CutAfter(d Direction, bytes int64) {
 	p.change(func() { p.directions[d].cutAfter = bytes })
 }
@@ -103,7 +103,7 @@
 	}
 }
 
-// Bytes returns how many bytes have gone in a direction.
+// Bytes returns how many bytes have passed in a direction.
 func (p *Path) Bytes(d Direction) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,60 +157,85 @@
 	}
 }
 
-// pump carries one direction's bytes, until one side ends.
+// chunk is what was read at once, and when it goes on.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+}
+
+const (
+	chunkBytes = 16 << 10
+	maxChunks  = 256 // on their way in a direction
+	// resetDelay keeps a reset from taking back what was written just before.
+	resetDelay = time.Millisecond
+)
+
+// pump carries one direction's bytes until one side ends.
 func (p *Path) pump(c *pair, d Direction) {
 	from, to := c.ends[d], c.ends[1-d]
-	type chunk struct {
-		text []byte
-		due  time.Time
-	}
-	queue := make(chan chunk, 256)
+	chunks := make(chan chunk, maxChunks)
 	var reader sync.WaitGroup
-	reader.Go(func() {
-		defer close(queue)
-		for {
-			text := make([]byte, 16<<10)
-			n, err := from.Read(text)
-			if n > 0 {
-				p.mu.Lock()
-				due := time.Now().Add(p.directions[d].delay)
-				if p.directions[d].loss > 0 && p.drawn.Float64() < p.directions[d].loss {
-					due = due.Add(retransmitTimeout)
-				}
-				p.mu.Unlock()
-				queue <- chunk{text[:n], due}
-			}
-			if err != nil {
-				return
-			}
-		}
-	})
+	reader.Go(func() { p.read(from, d, chunks) })
 	defer reader.Wait()
 	defer func() {
 		c.reset()
-		for range queue { // the reader ends by the reset
+		for range chunks { // the reader ends with the reset
 		}
 	}()
-	for k := range queue {
+	for k := range chunks {
 		time.Sleep(time.Until(k.due))
-		for len(k.text) > 0 {
-			n, ok := p.pass(d, len(k.text))
-			if n > 0 {
-				if _, err := to.Write(k.text[:n]); err != nil {
-					return
-				}
-				k.text = k.text[n:]
+		if !p.write(to, d, k.bytes) {
+			return
+		}
+	}
+	to.CloseWrite()
+}
+
+// read reads chunks until the connection ends.
+func (p *Path) read(from *net.TCPConn, d Direction, chunks chan<- chunk) {
+	defer close(chunks)
+	for {
+		bytes := make([]byte, chunkBytes)
+		n, err := from.Read(bytes)
+		if n > 0 {
+			chunks <- chunk{bytes[:n], p.arrival(d)}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// arrival returns when bytes that are sent now arrive.
+func (p *Path) arrival(d Direction) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := time.Now().Add(p.directions[d].delay)
+	if loss := p.directions[d].loss; loss > 0 && p.drawn.Float64() < loss {
+		due = due.Add(retransmitTimeout)
+	}
+	return due
+}
+
+// write writes bytes as the direction lets them pass. It returns false where the connections ended.
+func (p *Path) write(to *net.TCPConn, d Direction, bytes []byte) bool {
+	for len(bytes) > 0 {
+		n, ok := p.pass(d, len(bytes))
+		if n > 0 {
+			if _, err := to.Write(bytes[:n]); err != nil {
+				return false
 			}
-			if !ok {
-				if n > 0 {
-					time.Sleep(time.Millisecond) // a reset would take back what was just written
-				}
-				p.Reset()
-				return
+			bytes = bytes[n:]
+		}
+		if !ok {
+			if n > 0 {
+				time.Sleep(resetDelay)
 			}
+			p.Reset()
+			return false
 		}
 	}
-	to.CloseWrite()
+	return true
 }
 
 // pass waits until bytes may go on, and returns how many; ok is false where the connections break after them.
--- a/internal/testkit/xdsserver/make.go
+++ b/internal/testkit/xdsserver/resources.go
@@ -48,13 +48,13 @@
 	return e
 }
 
-// EndpointSet makes an endpoint set of one place.
+// EndpointSet makes an endpoint set with one locality.
 func EndpointSet(name, zone string, endpoints ...*endpointv3.LbEndpoint) *endpointv3.ClusterLoadAssignment {
 	return &endpointv3.ClusterLoadAssignment{ClusterName: name, Endpoints: []*endpointv3.LocalityLbEndpoints{
 		{Locality: &corev3.Locality{Zone: zone}, LbEndpoints: endpoints}}}
 }
 
-// Load reads a response in protobuf JSON, and serves its resources.
+// Load reads a discovery response in protobuf JSON, and serves its resources.
 func (p *Server) Load(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/testkit/xdsserver/plane.go
+++ b/internal/testkit/xdsserver/server.go
@@ -1,5 +1,5 @@
-// Package xdsserver is a stand-in control plane that speaks the aggregated discovery service of xDS, version 3, in both
-// variants, on loopback: for tests, and for the command that serves a file. It does what is asked of it, sound or not.
+// Package xdsserver is a control plane for tests, and for the command that serves a file: the aggregated discovery service of xDS, version
+// 3, in both variants, on loopback. A script may have it break the protocol.
 package xdsserver
 
 import (
@@ -21,7 +21,7 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-// Request is a request that has come.
+// Request is a discovery request that was received.
 type Request struct {
 	Type, Version, Nonce, ErrorDetail string
 	Names                             []string // state of the world; incremental: those subscribed to with it
@@ -30,7 +30,7 @@
 	Node                              string
 }
 
-// Stream is a stream as a script has it.
+// Stream is a stream, for a script.
 type Stream struct {
 	Delta           bool
 	stateOfTheWorld discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer
@@ -40,7 +40,7 @@
 
 const maxRequests = 10_000 // requests that are kept
 
-// Server is a control plane. All its methods may be called from any goroutine.
+// Server is the control plane. All its methods may be called from any goroutine.
 type Server struct {
 	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
 	server *grpc.Server
@@ -58,7 +58,7 @@
 	nonces    int
 }
 
-// Start listens on an address and serves nothing yet.
+// Start listens on an address, and serves no resources yet.
 func Start(address string, options ...grpc.ServerOption) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -71,13 +71,13 @@
 	return p, nil
 }
 
-// Addr is where it listens.
+// Addr returns the address.
 func (p *Server) Addr() string { return p.addr }
 
 // Close ends all streams and stops listening.
 func (p *Server) Close() { p.server.Stop() }
 
-// Put replaces all that it serves.
+// Put replaces all resources.
 func (p *Server) Put(version string, resources ...proto.Message) error {
 	all := map[string]map[string]*anypb.Any{}
 	for _, m := range resources {
@@ -98,7 +98,7 @@
 	return nil
 }
 
-// ResetStreams ends all streams that there are.
+// ResetStreams ends all open streams.
 func (p *Server) ResetStreams() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,7 +106,7 @@
 	p.cut = make(chan struct{})
 }
 
-// Hang has it answer nothing from now on, or again.
+// Hang has the server send no responses, or send them again.
 func (p *Server) Hang(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,21 +115,21 @@
 	p.changed = make(chan struct{})
 }
 
-// Script has the streams from now on served by a function; nil: by the plane itself.
+// Script has new streams served by a function; nil: by the server itself.
 func (p *Server) Script(f func(*Stream) error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.script = f
 }
 
-// Requests returns all requests that have come.
+// Requests returns the requests that were received, except the oldest beyond a bound.
 func (p *Server) Requests() []Request {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.requests)
 }
 
-// Streams returns how many streams there have been.
+// Streams returns the number of streams so far.
 func (p *Server) Streams() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -171,7 +171,7 @@
 	return a, nil
 }
 
-// Send sends a response as it is told. Gone is for the incremental variant alone. Resources may be of any type.
+// Send sends a response. Removed resources are for the incremental variant alone. Resources may be of any type.
 func (s *Stream) Send(url, version, nonce string, gone []string, resources ...proto.Message) error {
 	var all []*anypb.Any
 	var names []string
@@ -200,16 +200,17 @@
 	return s.delta.Send(m)
 }
 
-// subscription is what a stream has asked for of a type, and what it has been sent.
+// subscription is the state of a stream for one type of resource.
 type subscription struct {
 	names     map[string]bool
 	wildcard  bool
 	nonce     string
-	sent      map[string]string // by name; empty: told to be gone
+	sent      map[string]string // versions by name; empty: reported as removed
 	requested bool
-	pending   bool // an answer, whatever has changed
+	pending   bool // a response, whatever has changed
 }
 
+// serve serves a stream until it ends or is reset.
 func (p *Server) serve(s *Stream) error {
 	p.mu.Lock()
 	p.streams++
@@ -218,44 +219,25 @@
 	if script != nil {
 		return script(s)
 	}
-	requests := make(chan Request)
-	failed := make(chan error, 1)
 	done := make(chan struct{})
 	defer close(done)
-	go func() {
-		for {
-			a, err := s.Receive()
-			if err != nil {
-				failed <- err
-				return
-			}
-			select {
-			case requests <- a:
-			case <-done:
-				return
-			}
-		}
-	}()
-	of := map[string]*subscription{}
+	requests, failed := receiveRequests(s, done)
+	subscriptions := map[string]*subscription{}
 	for {
 		p.mu.Lock()
 		changed := p.changed
 		p.mu.Unlock()
-		for _, url := range []string{envoy.ClusterType, envoy.EndpointsType} {
-			if sub := of[url]; sub != nil {
-				if err := p.answer(s, url, sub); err != nil {
-					return err
-				}
-			}
+		if err := p.answerAll(s, subscriptions); err != nil {
+			return err
 		}
 		select {
-		case a := <-requests:
-			sub := of[a.Type]
+		case request := <-requests:
+			sub := subscriptions[request.Type]
 			if sub == nil {
 				sub = &subscription{names: map[string]bool{}, sent: map[string]string{}}
-				of[a.Type] = sub
+				subscriptions[request.Type] = sub
 			}
-			sub.apply(a, s.Delta)
+			sub.apply(request, s.Delta)
 		case <-changed:
 		case err := <-failed:
 			return err
@@ -265,36 +247,52 @@
 	}
 }
 
-func (sub *subscription) apply(a Request, delta bool) {
-	if a.Nonce != "" && a.Nonce != sub.nonce && !delta {
-		return // an answer to an older response: the newer one's is under way
+// receiveRequests receives a stream's requests until it ends, or done is closed.
+func receiveRequests(s *Stream, done <-chan struct{}) (<-chan Request, <-chan error) {
+	requests := make(chan Request)
+	failed := make(chan error, 1)
+	go func() {
+		for {
+			request, err := s.Receive()
+			if err != nil {
+				failed <- err
+				return
+			}
+			select {
+			case requests <- request:
+			case <-done:
+				return
+			}
+		}
+	}()
+	return requests, failed
+}
+
+// answerAll sends what is pending, clusters first.
+func (p *Server) answerAll(s *Stream, subscriptions map[string]*subscription) error {
+	for _, url := range []string{envoy.ClusterType, envoy.EndpointsType} {
+		if sub := subscriptions[url]; sub != nil {
+			if err := p.answer(s, url, sub); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// apply applies a request to the subscription.
+func (sub *subscription) apply(request Request, delta bool) {
+	if request.Nonce != "" && request.Nonce != sub.nonce && !delta {
+		return // answers an older response: the answer to the newer one is on its way
 	}
 	first := !sub.requested
 	sub.requested = true
 	if delta {
-		for n, v := range a.InitialVersions {
-			sub.sent[n] = v
-		}
-		for _, n := range a.Names {
-			if n == "*" {
-				sub.wildcard = true
-			} else if !sub.names[n] {
-				sub.names[n] = true
-				if _, told := a.InitialVersions[n]; !told {
-					delete(sub.sent, n) // it wants it anew
-				}
-			}
-		}
-		for _, n := range a.Unsubscribed {
-			delete(sub.names, n)
-			delete(sub.sent, n)
-		}
-		sub.wildcard = sub.wildcard || first && len(a.Names) == 0
-		sub.pending = sub.pending || first && sub.wildcard
+		sub.applyDelta(request, first)
 		return
 	}
 	next := map[string]bool{}
-	for _, n := range a.Names {
+	for _, n := range request.Names {
 		next[n] = true
 	}
 	sub.wildcard = next["*"] || first && len(next) == 0 || sub.wildcard && len(next) == 0
@@ -302,57 +300,97 @@
 	sub.names = next
 }
 
-// answer sends a subscription what it is owed.
+func (sub *subscription) applyDelta(request Request, first bool) {
+	maps.Copy(sub.sent, request.InitialVersions)
+	for _, n := range request.Names {
+		switch {
+		case n == "*":
+			sub.wildcard = true
+		case !sub.names[n]:
+			sub.names[n] = true
+			if _, cached := request.InitialVersions[n]; !cached {
+				delete(sub.sent, n) // the client wants it again
+			}
+		}
+	}
+	for _, n := range request.Unsubscribed {
+		delete(sub.names, n)
+		delete(sub.sent, n)
+	}
+	sub.wildcard = sub.wildcard || first && len(request.Names) == 0
+	sub.pending = sub.pending || first && sub.wildcard
+}
+
+// answer sends a subscription what has changed, or what is pending.
 func (p *Server) answer(s *Stream, url string, sub *subscription) error {
+	r, ok := p.responseFor(s, url, sub)
+	if !ok {
+		return nil
+	}
+	for i, n := range r.names {
+		sub.sent[n] = digest(r.resources[i])
+	}
+	for _, n := range r.removed {
+		sub.sent[n] = ""
+	}
+	return s.send(url, r.version, sub.nonce, r.removed, r.names, r.resources)
+}
+
+// response is a response that is to be sent.
+type response struct {
+	version   string
+	names     []string
+	resources []*anypb.Any
+	removed   []string
+}
+
+// responseFor returns the next response to a subscription; ok is false where there is none.
+func (p *Server) responseFor(s *Stream, url string, sub *subscription) (r response, ok bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.hang {
-		p.mu.Unlock()
-		return nil
+		return r, false
 	}
-	var names, gone []string
-	var all []*anypb.Any
-	differs := false
+	changed := false
 	for _, n := range slices.Sorted(maps.Keys(p.resources[url])) {
 		a := p.resources[url][n]
 		if !sub.wildcard && !sub.names[n] {
 			continue
 		}
-		same := sub.sent[n] == digest(a)
-		differs = differs || !same
-		if !same || !s.Delta {
-			names, all = append(names, n), append(all, a)
+		isSame := sub.sent[n] == digest(a)
+		changed = changed || !isSame
+		if !isSame || !s.Delta {
+			r.names = append(r.names, n)
+			r.resources = append(r.resources, a)
 		}
 	}
-	for n := range sub.names {
-		if _, told := sub.sent[n]; p.resources[url][n] == nil && n != "*" && !told {
-			gone = append(gone, n)
-		}
-	}
-	for n, v := range sub.sent {
-		if v != "" && p.resources[url][n] == nil {
-			gone = append(gone, n)
+	r.removed = p.removedFrom(url, sub)
+	if !sub.pending && !changed {
+		// In the state of the world a removed endpoint set is not reported.
+		if len(r.removed) == 0 || !s.Delta && url == envoy.EndpointsType {
+			return r, false
 		}
 	}
-	if !sub.pending && !differs && len(gone) == 0 {
-		p.mu.Unlock()
-		return nil
-	}
-	if !s.Delta && !sub.pending && !differs && url == envoy.EndpointsType { // a set that is gone is not told in this variant
-		p.mu.Unlock()
-		return nil
-	}
 	sub.pending = false
 	p.nonces++
 	sub.nonce = fmt.Sprint("n", p.nonces)
-	version := p.version
-	p.mu.Unlock()
-	for i, n := range names {
-		sub.sent[n] = digest(all[i])
+	r.version = p.version
+	return r, true
+}
+
+// removedFrom returns what a subscription names, or was sent, and is not served. The caller holds the lock.
+func (p *Server) removedFrom(url string, sub *subscription) (removed []string) {
+	for n := range sub.names {
+		if _, sent := sub.sent[n]; p.resources[url][n] == nil && n != "*" && !sent {
+			removed = append(removed, n)
+		}
 	}
-	for _, n := range gone {
-		sub.sent[n] = ""
+	for n, v := range sub.sent {
+		if v != "" && p.resources[url][n] == nil {
+			removed = append(removed, n)
+		}
 	}
-	return s.send(url, version, sub.nonce, gone, names, all)
+	return removed
 }
 
 func digest(a *anypb.Any) string {
