--- a/cmd/silvertrail/connections.go
+++ b/cmd/silvertrail/connections.go
@@ -12,7 +12,7 @@
 	"silvertrail/internal/gateway"
 )
 
-// connectionCommands ask a running instance about its callers' connections, on the control socket that its configuration names.
+// connectionCommands query a running instance's client connections over its control socket.
 type connectionCommands struct {
 	Status connectionStatus  `cmd:"" help:"Tell how many connections each group of clients holds, who holds most, and what was refused."`
 	Who    connectionAddress `cmd:"" help:"Tell of which group an address is, and whether it would get in now."`
--- a/cmd/silvertrail/connections_test.go
+++ b/cmd/silvertrail/connections_test.go
@@ -176,13 +176,13 @@
 	served, refused, lost := 0, 0, 0
 	for id, status := range statuses {
 		n := effects["/"+id]
-		switch {
-		case status == 200:
+		switch status {
+		case 200:
 			served++
 			if n != 1 {
 				t.Errorf("%s was answered and took effect %d times", id, n)
 			}
-		case status == 503 || status == 429:
+		case 503, 429:
 			refused++
 			if n != 0 {
 				t.Errorf("%s was refused and took effect", id)
--- a/cmd/silvertrail/control.go
+++ b/cmd/silvertrail/control.go
@@ -14,7 +14,7 @@
 	"silvertrail/internal/gateway"
 )
 
-// controlCommands ask a running control machine, on the control socket that its configuration names.
+// controlCommands query a running control-plane server over its control socket.
 type controlCommands struct {
 	Publish controlPublish `cmd:"" help:"Publish clusters and endpoint sets: those that a file holds are new or changed, those that it does not name stay."`
 	Status  controlStatus  `cmd:"" help:"Tell who has what: subscribers, versions that are not in force everywhere, refusals, other control machines, conflicts. Exit status 1: somebody is behind, or something was refused."`
@@ -26,7 +26,8 @@
 	Remove []string `sep:"none" placeholder:"cluster/NAME" help:"What is to be removed: cluster/NAME or endpoints/NAME. May be told again and again."`
 }
 
-const maxPublished = 48 << 20 // bytes; as JSON in JSON they are some more
+// maxPublished bounds a file that is published, in bytes: less than the control socket accepts, as the file is quoted as JSON.
+const maxPublished = 48 << 20
 
 func (c *controlPublish) Run() error {
 	p := gateway.Publication{Remove: c.Remove}
@@ -68,7 +69,7 @@
 	All bool `help:"List all subscribers, also those that have all."`
 }
 
-// errSubscribersBehind says that not everything is in force everywhere.
+// errSubscribersBehind makes the command exit with status 1.
 var errSubscribersBehind = errors.New("not all is in force at all who asked for it")
 
 func (c *controlStatus) Run() error {
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -88,6 +88,7 @@
 const machinesOf, gatewaysOf = 2, 3
 
 func newSpread(t *testing.T) *spread {
+	t.Helper()
 	x := &spread{t: t, folder: t.TempDir(), resting: make([]atomic.Bool, gatewaysOf), newest: make([]records.Version, gatewaysOf)}
 	for i := range x.nodos {
 		x.nodos[i] = lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
--- a/cmd/silvertrail/fleet.go
+++ b/cmd/silvertrail/fleet.go
@@ -21,7 +21,7 @@
 	"silvertrail/internal/gateway/conf"
 )
 
-// fleetCommands ask a running instance, on the control socket that its configuration names.
+// fleetCommands query a running instance over its control socket.
 type fleetCommands struct {
 	Members  fleetMembers  `cmd:"" help:"List the members as a running instance sees them."`
 	Reach    fleetReach    `cmd:"" help:"Tell which view a running instance acts in, who does not hear whom, and what that is taken for."`
@@ -30,13 +30,14 @@
 	Keygen   fleetKeygen   `cmd:"" help:"Print a new key for a keyring."`
 }
 
+// runningInstance has the flags that name a running instance.
 type runningInstance struct {
 	Config  string `xor:"at" required:"" type:"existingfile" placeholder:"FILE" help:"The running instance's configuration."`
 	Control string `xor:"at" required:"" type:"path" placeholder:"SOCKET" help:"Its control socket, where its configuration can't be read now."`
 	JSON    bool   `help:"Print what the instance says as it says it."`
 }
 
-// socket returns where the running instance is asked.
+// socket returns the path of the control socket.
 func (a *runningInstance) socket() (string, error) {
 	if a.Control != "" {
 		return a.Control, nil
@@ -51,7 +52,7 @@
 	return file.Control, nil
 }
 
-// get asks the running instance; what it says goes into out, or to standard output as it is.
+// get queries the instance. The response is decoded into out, or with --json copied to standard output.
 func (a *runningInstance) get(path string, out any) error {
 	return a.request(http.MethodGet, path, nil, out)
 }
@@ -147,15 +148,15 @@
 
 type fleetVersions struct{ runningInstance }
 
-// Run fails where not all members are in step, with --json too.
+// Run fails where not all members are current, also with --json.
 func (c *fleetVersions) Run() error {
 	var v fleet.VersionsView
-	whole := c.JSON
+	isJSON := c.JSON
 	c.JSON = false
 	if err := c.get("/fleet/versions", &v); err != nil {
 		return err
 	}
-	if whole {
+	if isJSON {
 		e := json.NewEncoder(os.Stdout)
 		e.SetIndent("", "  ")
 		if err := e.Encode(v); err != nil {
@@ -170,6 +171,7 @@
 	return nil
 }
 
+// printVersions prints the applied versions of all members.
 func printVersions(out io.Writer, v fleet.VersionsView) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tSTATE\tSINCE\tHEARD\tCONFIGURATION\tVECTOR")
--- a/cmd/silvertrail/fleet_test.go
+++ b/cmd/silvertrail/fleet_test.go
@@ -116,6 +116,7 @@
 
 // ports returns ports that are free on all addresses.
 func ports(t *testing.T, n int) (out []int) {
+	t.Helper()
 	for tries := 0; len(out) < n; tries++ {
 		if tries > 1000 {
 			t.Fatal("no free ports")
--- a/cmd/silvertrail/idle_test.go
+++ b/cmd/silvertrail/idle_test.go
@@ -27,6 +27,7 @@
 // crowd has callers hold connections and bring nothing: a third say nothing, a third stop within a head, a third ask once and
 // rest. One whose connection ends comes again at once, until the test's end.
 func crowd(t *testing.T, addr string, n int) {
+	t.Helper()
 	var stop atomic.Bool
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -109,6 +110,7 @@
 }
 
 func testIdleCallers(t *testing.T, asked bool, down fake.DiscoveryState, told int) {
+	t.Helper()
 	seen := &effects{of: map[string]int{}}
 	release := make(chan struct{})
 	var arrived, renewed atomic.Int64
--- a/cmd/silvertrail/ledger.go
+++ b/cmd/silvertrail/ledger.go
@@ -15,7 +15,7 @@
 	"silvertrail/internal/ledger/requesthistory"
 )
 
-// ledgerCommands read a ledger's directory, of a process that runs or has ended, or a copy of it.
+// ledgerCommands read the directory of a ledger that is in use or not, or a copy of it.
 type ledgerCommands struct {
 	Show   ledgerShow   `cmd:"" help:"Tell what became of all requests in a ledger, and of each one that has no clear end."`
 	Search ledgerSearch `cmd:"" help:"Tell of requests by key, id, tenant, nodo, time or verdict."`
@@ -94,6 +94,7 @@
 	return nil
 }
 
+// describeEnd says how a process ended.
 func describeEnd(l *requesthistory.Incarnation) string {
 	switch {
 	case l.Running:
@@ -104,6 +105,7 @@
 	return "it was killed, or the machine was lost"
 }
 
+// printLosses prints the records that are missing.
 func printLosses(r *ledger.Report) {
 	for _, l := range r.Losses {
 		if l.Torn {
@@ -119,7 +121,7 @@
 	}
 }
 
-// requestFilter are the requests that are wanted.
+// requestFilter holds the conditions of a search.
 type requestFilter struct {
 	Key         string        `help:"With this idempotency key."`
 	ID          string        `name:"id" help:"With this request id."`
@@ -134,48 +136,76 @@
 	Secret      string `type:"existingfile" help:"The file of the secret under which names are hashed."`
 }
 
-// matcher returns what tells which requests are wanted.
+// matcher returns a function that reports whether a request matches the filter.
 func (c *requestFilter) matcher() (func(*requesthistory.Request) bool, error) {
 	for _, v := range c.Verdict {
-		known := false
-		for w := requesthistory.InProgress; w <= requesthistory.Unclear; w++ {
-			known = known || w.Name() == v
-		}
-		if !known {
+		if !isVerdict(v) {
 			return nil, fmt.Errorf("--verdict: %q is none", v)
 		}
 	}
-	var secret []byte
-	if c.Secret != "" {
-		text, err := os.ReadFile(c.Secret)
-		if err != nil {
-			return nil, fmt.Errorf("--secret: %w", err)
-		}
-		secret = bytes.TrimSpace(text)
-	}
-	if secret == nil && (c.Key != "" || c.Tenant != "") {
-		c.byPlainName = true
+	secret, err := c.readSecret()
+	if err != nil {
+		return nil, err
 	}
+	c.byPlainName = secret == nil && (c.Key != "" || c.Tenant != "")
 	since := c.From
 	if c.Last > 0 {
 		since = time.Now().Add(-c.Last)
 	}
-	is := func(q *requesthistory.Request, kind, want, got string) bool {
-		if want == "" {
+	return func(q *requesthistory.Request) bool {
+		return c.matchesNames(q, secret) && c.matchesHistory(q) && c.matchesTime(q.Incarnation.Time(q.ReceivedAt), since)
+	}, nil
+}
+
+// isVerdict reports whether a word is the name of a verdict.
+func isVerdict(name string) bool {
+	for v := requesthistory.InProgress; v <= requesthistory.Unclear; v++ {
+		if v.Name() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// readSecret returns the secret under which names are hashed, nil where none is given.
+func (c *requestFilter) readSecret() ([]byte, error) {
+	if c.Secret == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(c.Secret)
+	if err != nil {
+		return nil, fmt.Errorf("--secret: %w", err)
+	}
+	return bytes.TrimSpace(text), nil
+}
+
+// matchesNames compares the names, hashed where the process that wrote the record has hashed them.
+func (c *requestFilter) matchesNames(q *requesthistory.Request, secret []byte) bool {
+	matches := func(kind, wanted, recorded string) bool {
+		if wanted == "" {
 			return true
 		}
 		if q.Incarnation.Hashed && secret != nil {
-			want = ledger.HashName(secret, kind, want)
+			wanted = ledger.HashName(secret, kind, wanted)
 		}
-		return want == got
+		return wanted == recorded
 	}
-	return func(q *requesthistory.Request) bool {
-		taken := q.Incarnation.Time(q.ReceivedAt)
-		return is(q, "key", c.Key, q.Key) && is(q, "tenant", c.Tenant, q.Tenant) && (c.ID == "" || c.ID == q.ID) && (c.Class == "" || c.Class == q.Class) &&
-			(c.Nodo == "" || slices.ContainsFunc(q.Attempts, func(a requesthistory.Attempt) bool { return a.Endpoint == c.Nodo })) &&
-			(len(c.Verdict) == 0 || slices.Contains(c.Verdict, q.Verdict().Name())) &&
-			(since.IsZero() || !taken.Before(since)) && (c.To.IsZero() || taken.Before(c.To))
-	}, nil
+	return matches("key", c.Key, q.Key) && matches("tenant", c.Tenant, q.Tenant) &&
+		(c.ID == "" || c.ID == q.ID) && (c.Class == "" || c.Class == q.Class)
+}
+
+// matchesHistory compares the attempts and the verdict.
+func (c *requestFilter) matchesHistory(q *requesthistory.Request) bool {
+	isAtEndpoint := func(a requesthistory.Attempt) bool { return a.Endpoint == c.Nodo }
+	if c.Nodo != "" && !slices.ContainsFunc(q.Attempts, isAtEndpoint) {
+		return false
+	}
+	return len(c.Verdict) == 0 || slices.Contains(c.Verdict, q.Verdict().Name())
+}
+
+// matchesTime compares the time at which a request was received.
+func (c *requestFilter) matchesTime(received, since time.Time) bool {
+	return (since.IsZero() || !received.Before(since)) && (c.To.IsZero() || received.Before(c.To))
 }
 
 type ledgerSearch struct {
@@ -184,7 +214,7 @@
 	Most int `default:"1000" help:"How many are told."`
 }
 
-// errNoMatch has the command exit with 1, for scripts.
+// errNoMatch makes the command exit with status 1, for scripts.
 var errNoMatch = errors.New("no request fits")
 
 func (c *ledgerSearch) Run() error {
@@ -239,6 +269,7 @@
 
 type ledgerVerify struct{ ledgerDir }
 
+// errDamaged makes the command exit with status 1.
 var errDamaged = errors.New("the ledger is not whole")
 
 func (c *ledgerVerify) Run() error {
--- a/cmd/silvertrail/link.go
+++ b/cmd/silvertrail/link.go
@@ -12,7 +12,7 @@
 	"silvertrail/internal/sites/accounting"
 )
 
-// linkCommands ask a running gateway, on the control socket that its configuration names.
+// linkCommands query a running gateway's links over its control socket.
 type linkCommands struct {
 	Status linkStatus `cmd:"" help:"Tell how the links to other salas stand, and count what crossed."`
 	Drain  linkDrain  `cmd:"" help:"Take nothing more from other salas; with --all also send this sala's own requests to them first."`
--- a/cmd/silvertrail/link_test.go
+++ b/cmd/silvertrail/link_test.go
@@ -113,7 +113,7 @@
 			t.Fatal(err)
 		}
 		a.Body.Close()
-		if a.StatusCode != 200 {
+		if a.StatusCode != http.StatusOK {
 			t.Errorf("over the link: %d", a.StatusCode)
 		}
 	}
--- a/cmd/silvertrail/log.go
+++ b/cmd/silvertrail/log.go
@@ -7,28 +7,32 @@
 	"golang.org/x/time/rate"
 )
 
+// Bounds of the log: lines beyond them are dropped.
 const (
 	linesPerSecond = 20
 	lineBurst      = 100
 	maxQueuedLines = 256
 )
 
-// newLog returns a logger that never waits: lines beyond the rate, or that nobody reads, are dropped.
+// newLog returns a logger that never blocks: lines beyond the rate, or that nobody reads, are dropped. Its goroutine writes the lines until
+// the process ends.
 func newLog(w io.Writer) *slog.Logger {
 	q := lineQueue{lines: make(chan []byte, maxQueuedLines), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
 	go func() {
 		for line := range q.lines {
-			w.Write(line)
+			_, _ = w.Write(line) // a line that cannot be written is dropped
 		}
 	}()
 	return slog.New(slog.NewTextHandler(q, nil))
 }
 
+// lineQueue queues lines for the writing goroutine.
 type lineQueue struct {
 	lines chan []byte
 	limit *rate.Limiter
 }
 
+// Write implements io.Writer.
 func (q lineQueue) Write(line []byte) (int, error) {
 	if q.limit.Allow() {
 		select {
--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -59,15 +59,15 @@
 	Demo        demoCommand        `cmd:"" help:"Run the gateway with stand-in nodos in three salas on loopback, until Ctrl-C."`
 }
 
-// gcPercent has the collector run less often than by default: what lives long is small, and each run is felt in the 99th
-// percentile. GOGC and GOMEMLIMIT hold where they are set.
+// gcPercent makes garbage collections rarer than by default: the live heap is small, and each collection raises the 99th percentile. GOGC
+// takes precedence.
 const gcPercent = 400
 
 type serveCommand struct {
 	Config string `required:"" type:"existingfile" placeholder:"FILE" help:"The configuration."`
 }
 
-// Run serves until a signal. A second one ends at once.
+// Run serves until SIGTERM or SIGINT. A second signal ends the process at once.
 func (c *serveCommand) Run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
@@ -90,7 +90,7 @@
 		for range hangup {
 			select {
 			case reload <- struct{}{}:
-			default: // one that waits reads the file as it is then
+			default: // a reload is pending already
 			}
 		}
 	}()
@@ -100,7 +100,7 @@
 	for _, l := range file.Listeners {
 		fmt.Printf("listener %s on %s\n", l.Name, g.Addr(l.Name))
 	}
-	context.AfterFunc(ctx, cancel) // from now on a signal ends the process
+	context.AfterFunc(ctx, cancel) // a second signal ends the process
 	g.Run(ctx, c.Config, reload)
 	return nil
 }
@@ -119,7 +119,7 @@
 	return nil
 }
 
-// configError prints a file's faults with their lines.
+// configError prints the errors of a file with their lines.
 func configError(err error) error {
 	var faults *conf.Error
 	if errors.As(err, &faults) {
@@ -139,7 +139,7 @@
 	defer cancel()
 	run := demo.Run
 	if c.Salas {
-		run = demo.RunSalas
+		run = demo.RunSites
 	}
 	return run(ctx, demo.Options{Listen: c.Listen, Out: os.Stdout, Log: newLog(os.Stderr)})
 }
--- a/cmd/silvertrail/settings_test.go
+++ b/cmd/silvertrail/settings_test.go
@@ -114,7 +114,7 @@
 	}
 	n := 0
 	for name, text := range broken {
-		r.change(s, strings.ReplaceAll(text, `"name": "read"`, `"name": "read"`))
+		r.change(s, text)
 		n++
 		if f := r.figures(); f.Invalid != n || f.Loaded != 0 {
 			t.Errorf("%s was taken: %+v", name, f)
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -284,7 +284,7 @@
 		}
 	}()
 	return func() {
-		server.Close()
+		_ = server.Close() // the process ends
 		if s.handover != nil {
 			s.handover.Close()
 		}
--- a/cmd/silvertrail/viewed_test.go
+++ b/cmd/silvertrail/viewed_test.go
@@ -190,9 +190,9 @@
 }
 
 // throttled gives a process a core for so much of every tenth of a second.
-func (f *viewed) throttled(i int, part float64, for_ time.Duration) {
+func (f *viewed) throttled(i int, part float64, duration time.Duration) {
 	const slice = 100 * time.Millisecond
-	for end := time.Now().Add(for_); time.Now().Before(end); {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
 		f.all[i].signal(syscall.SIGSTOP)
 		time.Sleep(time.Duration(float64(slice) * (1 - part)))
 		f.all[i].signal(syscall.SIGCONT)
--- a/cmd/silvertrail/xds.go
+++ b/cmd/silvertrail/xds.go
@@ -10,8 +10,8 @@
 	"silvertrail/internal/xds/cache"
 )
 
-// xdsCommands ask a running instance about its control planes, on the control socket that its configuration names. Those that need
-// the control planes' message types stand in the program that is built with the tag xds alone.
+// xdsCommands query a running instance's control planes over its control socket. Those that need the message types of control planes are in
+// the program that is built with the tag xds alone.
 type xdsCommands struct {
 	Dump xdsDump `cmd:"" help:"Tell each cluster and endpoint set: version, source, age, whether it is in force and why not."`
 	xdsTaggedCommands
@@ -50,6 +50,7 @@
 	return nil
 }
 
+// ago returns the time since t for people.
 func ago(t time.Time) string {
 	if t.IsZero() {
 		return "never"
--- a/cmd/silvertrail/xds_with.go
+++ b/cmd/silvertrail/xds_with.go
@@ -21,7 +21,7 @@
 	"silvertrail/internal/xds/envoy"
 )
 
-// optionalParts are the parts that not every program has.
+// optionalParts returns the parts that not every program has.
 func optionalParts() []gateway.Option {
 	return []gateway.Option{
 		gateway.WithDiscovery(func(o bootstrap.Options, log *slog.Logger) gateway.Discovery { return xds.Start(o, log) }),
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,4 +1,4 @@
-// Package demo runs the product with stand-in nodos in three salas, for a first look and for tests.
+// Package demo runs the gateway with fake endpoints in three sites, for a first look and for tests.
 package demo
 
 import (
@@ -18,26 +18,26 @@
 	"silvertrail/internal/testkit/fake"
 )
 
-var salas = []string{"sala-centro", "sala-norte", "sala-sur"}
+var sites = []string{"sala-centro", "sala-norte", "sala-sur"}
 
 const (
-	perSala    = 3
-	work       = 20 * time.Millisecond
-	slowWork   = 400 * time.Millisecond
-	drainAfter = 5 * time.Second
+	endpointsPerSite = 3
+	workTime         = 20 * time.Millisecond
+	slowWorkTime     = 400 * time.Millisecond
+	drainAfter       = 5 * time.Second
 )
 
-// Options say how the demo runs.
+// Options configure the demo.
 type Options struct {
-	Listen     string        // address of the front
-	DrainAfter time.Duration // when a nodo is told to drain; 0: some seconds
+	Listen     string        // address of the first listener
+	DrainAfter time.Duration // after which an endpoint drains; 0: some seconds
 	Out        io.Writer
 	Log        *slog.Logger
 }
 
 // Run runs the demo until ctx ends.
 func Run(ctx context.Context, o Options) error {
-	folder, lists, stop, err := stage()
+	folder, lists, stop, err := prepare()
 	defer stop()
 	if err != nil {
 		return err
@@ -74,22 +74,20 @@
 	return nil
 }
 
-// stage starts the salas' nodos, with a folder that holds their lists. Stop ends those that were started and takes the folder
-// away, also where there is an error.
-func stage() (folder string, lists map[string][]endpointlist.Endpoint, stop func(), err error) {
+// prepare starts the endpoints, with a folder that holds their lists. Stop ends the endpoints and removes the folder, also after an error.
+func prepare() (folder string, lists map[string][]endpointlist.Endpoint, stop func(), err error) {
 	if folder, err = os.MkdirTemp("", "silvertrail-demo-"); err != nil {
 		return "", nil, func() {}, fmt.Errorf("demo: %w", err)
 	}
-	lists, end, err := startNodos(folder)
+	lists, end, err := startEndpoints(folder)
 	return folder, lists, func() {
 		end()
-		os.RemoveAll(folder)
+		_ = os.RemoveAll(folder) // a temporary folder that cannot be removed is left to the system
 	}, err
 }
 
-// startNodos starts the salas' nodos and writes their lists into a folder. Stop ends those that were started, also where
-// there is an error.
-func startNodos(folder string) (lists map[string][]endpointlist.Endpoint, stop func(), err error) {
+// startEndpoints starts the endpoints, and writes the lists of each site into the folder. Stop ends the endpoints, also after an error.
+func startEndpoints(folder string) (lists map[string][]endpointlist.Endpoint, stop func(), err error) {
 	var nodos []*fake.Endpoint
 	stop = func() {
 		for _, n := range nodos {
@@ -97,13 +95,13 @@
 		}
 	}
 	lists = map[string][]endpointlist.Endpoint{}
-	for _, sala := range salas {
+	for _, sala := range sites {
 		group := fake.NewGroup(sala, time.Minute)
-		for i := range perSala {
-			no := fake.EndpointOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Site: sala, Slots: 8, Queue: 32, Work: work,
+		for i := range endpointsPerSite {
+			no := fake.EndpointOptions{Name: fmt.Sprintf("%s-%d", strings.TrimPrefix(sala, "sala-"), i+1), Site: sala, Slots: 8, Queue: 32, Work: workTime,
 				Group: group}
 			if sala == "sala-norte" && i == 0 {
-				no.Work = slowWork
+				no.Work = slowWorkTime
 			}
 			n, err := fake.NewEndpoint(no)
 			if err != nil {
@@ -120,7 +118,7 @@
 }
 
 func addresses(lists map[string][]endpointlist.Endpoint) (out []string) {
-	for _, sala := range salas {
+	for _, sala := range sites {
 		for _, e := range lists[sala] {
 			out = append(out, fmt.Sprintf("%-9s %s  %s", e.Name, e.Address, sala))
 		}
@@ -128,7 +126,7 @@
 	return out
 }
 
-// writeList replaces a sala's list atomically.
+// writeList replaces a site's list atomically.
 func writeList(folder, sala string, list []endpointlist.Endpoint) error {
 	text, err := json.Marshal(map[string]any{"endpoints": list})
 	if err == nil {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -76,7 +76,7 @@
 	out := &lbtest.Log{}
 	ended := make(chan error, 1)
 	go func() {
-		ended <- RunSalas(ctx, Options{Listen: "127.0.0.1:0", DrainAfter: 500 * time.Millisecond, Out: out, Log: slog.New(slog.DiscardHandler)})
+		ended <- RunSites(ctx, Options{Listen: "127.0.0.1:0", DrainAfter: 500 * time.Millisecond, Out: out, Log: slog.New(slog.DiscardHandler)})
 	}()
 	front := regexp.MustCompile(`sala-centro +(http://\S+)`)
 	lbtest.Until(t, "a front", func() bool { return front.MatchString(out.String()) })
@@ -84,7 +84,7 @@
 	client := &http.Client{Timeout: lbtest.Wait}
 	defer client.CloseIdleConnections()
 	served := func(key string) (sala string) {
-		r, err := http.NewRequestWithContext(ctx, "POST", url+"/reserva/seat-7", nil)
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/reserva/seat-7", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -98,7 +98,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if a.StatusCode != 200 {
+		if a.StatusCode != http.StatusOK {
 			return ""
 		}
 		_, sala, _ = strings.Cut(string(text), `"sala":"`)
--- a/internal/demo/salas.go
+++ b/internal/demo/sites.go
@@ -15,14 +15,42 @@
 	"silvertrail/internal/testkit/fake"
 )
 
-// RunSalas runs three salas with a gateway each, linked and in one fleet, until ctx ends. The first one loses its nodos
-// after a while, and has them back later.
-func RunSalas(ctx context.Context, o Options) error {
-	folder, lists, stop, err := stage()
+// RunSites runs three sites with a gateway each, linked and in one fleet, until ctx ends. The first site loses its endpoints after a
+// while, and has them back later.
+func RunSites(ctx context.Context, o Options) error {
+	folder, lists, stop, err := prepare()
 	defer stop()
 	if err != nil {
 		return err
 	}
+	if err := writeCredentials(folder); err != nil {
+		return err
+	}
+	f := &siteFleet{options: o, folder: folder}
+	defer f.close()
+	if err := f.start(); err != nil {
+		return err
+	}
+	f.printGuide()
+	if o.DrainAfter == 0 {
+		o.DrainAfter = drainAfter
+	}
+	lose := time.AfterFunc(o.DrainAfter, func() {
+		setStatus(o, folder, lists, "gone", "sala-centro has lost its nodos: what its callers ask goes to the others")
+	})
+	defer lose.Stop()
+	back := time.AfterFunc(4*o.DrainAfter, func() {
+		setStatus(o, folder, lists, "ready", "sala-centro has its nodos back")
+	})
+	defer back.Stop()
+	<-ctx.Done()
+	f.shutDown()
+	fmt.Fprintln(o.Out, "ended")
+	return nil
+}
+
+// writeCredentials writes the fleet's keyring, an authority, and a certificate for each site.
+func writeCredentials(folder string) error {
 	key, err := conf.NewKey()
 	if err != nil {
 		return err
@@ -34,31 +62,41 @@
 	if err != nil {
 		return err
 	}
-	// The gateways learn each other's addresses by a reload, as the system picks the ports.
-	var all []*gateway.Gateway
-	links := []string{"127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"}
-	seeds := ""
-	files := make([]string, len(salas))
-	for i, sala := range salas {
-		if err := authority.Issue(filepath.Join(folder, sala+".pem"), filepath.Join(folder, sala+".key"), sala, time.Now().Add(24*time.Hour)); err != nil {
+	for _, site := range sites {
+		path := filepath.Join(folder, site)
+		if err := authority.Issue(path+".pem", path+".key", site, time.Now().Add(24*time.Hour)); err != nil {
 			return err
 		}
-		files[i] = filepath.Join(folder, sala+".hcl")
-		file, err := writeSala(files[i], i, o.Listen, links, seeds)
+	}
+	return nil
+}
+
+// siteFleet is the gateways of all sites.
+type siteFleet struct {
+	options  Options
+	folder   string
+	gateways []*gateway.Gateway
+}
+
+// start starts the gateways. They learn each other's addresses by a reload, as the system picks the ports.
+func (f *siteFleet) start() error {
+	links := []string{"127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"}
+	seeds := ""
+	for i, site := range sites {
+		file, err := writeSiteConfig(f.configPath(i), i, f.options.Listen, links, seeds)
 		if err != nil {
 			return err
 		}
-		g, err := gateway.Start(file, o.Log.With("gateway", sala))
+		g, err := gateway.Start(file, f.options.Log.With("gateway", site))
 		if err != nil {
 			return err
 		}
-		defer g.Close()
-		all = append(all, g)
+		f.gateways = append(f.gateways, g)
 		links[i] = g.LinkAddr()
 		seeds = fmt.Sprintf("%q", g.FleetAddr())
 	}
-	for i, g := range all {
-		file, err := writeSala(files[i], i, o.Listen, links, seeds)
+	for i, g := range f.gateways {
+		file, err := writeSiteConfig(f.configPath(i), i, f.options.Listen, links, seeds)
 		if err != nil {
 			return err
 		}
@@ -66,66 +104,69 @@
 			return err
 		}
 	}
-	var fronts, status []string
-	for i, g := range all {
-		fronts = append(fronts, fmt.Sprintf("%-11s  http://%s", salas[i], g.Addr("public")))
-		status = append(status, fmt.Sprintf("silvertrail link status --config %s", files[i]))
+	return nil
+}
+
+func (f *siteFleet) configPath(i int) string { return filepath.Join(f.folder, sites[i]+".hcl") }
+
+func (f *siteFleet) printGuide() {
+	var listeners, commands []string
+	for i, g := range f.gateways {
+		listeners = append(listeners, fmt.Sprintf("%-11s  http://%s", sites[i], g.Addr("public")))
+		commands = append(commands, fmt.Sprintf("silvertrail link status --config %s", f.configPath(i)))
 	}
-	fmt.Fprintf(o.Out, guideSalas, strings.Join(fronts, "\n  "), all[0].Addr("public"), strings.Join(status, "\n  "))
-	if o.DrainAfter == 0 {
-		o.DrainAfter = drainAfter
+	fmt.Fprintf(f.options.Out, siteGuide, strings.Join(listeners, "\n  "), f.gateways[0].Addr("public"), strings.Join(commands, "\n  "))
+}
+
+// shutDown shuts all gateways down gracefully.
+func (f *siteFleet) shutDown() {
+	var shutdowns sync.WaitGroup
+	for _, g := range f.gateways {
+		shutdowns.Go(g.Shutdown)
 	}
-	lose := time.AfterFunc(o.DrainAfter, func() {
-		tellNodos(o, folder, lists, "gone", "sala-centro has lost its nodos: what its callers ask goes to the others")
-	})
-	defer lose.Stop()
-	back := time.AfterFunc(4*o.DrainAfter, func() {
-		tellNodos(o, folder, lists, "ready", "sala-centro has its nodos back")
-	})
-	defer back.Stop()
-	<-ctx.Done()
-	var ends sync.WaitGroup
-	for _, g := range all {
-		ends.Go(g.Shutdown)
+	shutdowns.Wait()
+}
+
+func (f *siteFleet) close() {
+	for _, g := range f.gateways {
+		g.Close()
 	}
-	ends.Wait()
-	fmt.Fprintln(o.Out, "ended")
-	return nil
 }
 
-func tellNodos(o Options, folder string, lists map[string][]endpointlist.Endpoint, status, line string) {
-	list := lists[salas[0]]
+// setStatus sets the status of the first site's endpoints.
+func setStatus(o Options, folder string, lists map[string][]endpointlist.Endpoint, status, line string) {
+	list := lists[sites[0]]
 	for i := range list {
 		list[i].Status = status
 	}
-	if err := writeList(folder, salas[0], list); err != nil {
+	if err := writeList(folder, sites[0], list); err != nil {
 		o.Log.Error("demo: nodos", "error", err)
 		return
 	}
 	fmt.Fprintln(o.Out, line)
 }
 
-// writeSala writes a sala's configuration and reads it.
-func writeSala(path string, i int, listen string, links []string, seeds string) (*conf.File, error) {
-	me := salas[i]
-	if i > 0 { // only the first front may be where the caller wants it
+// writeSiteConfig writes and reads a site's configuration.
+func writeSiteConfig(path string, i int, listen string, links []string, seeds string) (*conf.File, error) {
+	me := sites[i]
+	if i > 0 { // the configured address is that of the first site alone
 		listen = "127.0.0.1:0"
 	}
 	var peers, others []string
-	for j, other := range salas {
+	for j, other := range sites {
 		if j != i {
 			peers = append(peers, fmt.Sprintf("  peer %q {\n    address = %q\n  }", other, links[j]))
 			others = append(others, fmt.Sprintf("%q", other))
 		}
 	}
-	text := fmt.Sprintf(configSala, me, listen, strings.Join(peers, "\n"), strings.Join(others, ", "), seeds)
+	text := fmt.Sprintf(siteConfig, me, listen, strings.Join(peers, "\n"), strings.Join(others, ", "), seeds)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("demo: %w", err)
 	}
 	return conf.Load(path)
 }
 
-const guideSalas = `silvertrail demo --salas
+const siteGuide = `silvertrail demo --salas
 
   fronts
   %[1]s
@@ -143,7 +184,7 @@
 
 `
 
-const configSala = `
+const siteConfig = `
 process {
   zones   = [%[1]q]
   zone    = %[1]q
--- a/internal/simulator/decoder_test.go
+++ b/internal/simulator/decoder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -44,6 +45,7 @@
 
 // frame puts a batch header before records.
 func frame(t testing.TB, records string) []byte {
+	t.Helper()
 	body := unhex(t, records)
 	return append(unhex(t, fmt.Sprintf("%02x%02x0000 508d976e12d32040", (len(body)+12)&255, (len(body)+12)>>8)), body...)
 }
@@ -52,7 +54,7 @@
 	d, n := NewDecoder(bytes.NewReader(b)), &eventRecorder{}
 	for {
 		_, body, err := d.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return n.String(), nil
 		} else if err != nil {
 			return n.String(), err
--- a/internal/testkit/fake/fake_test.go
+++ b/internal/testkit/fake/fake_test.go
@@ -20,7 +20,7 @@
 	t.Cleanup(n.Close)
 	client := &http.Client{Timeout: lbtest.Wait, Transport: &http.Transport{DisableKeepAlives: true}}
 	return n, func(key string) int {
-		r, err := http.NewRequest("POST", "http://"+n.Addr+"/reserva/1", strings.NewReader("x"))
+		r, err := http.NewRequest(http.MethodPost, "http://"+n.Addr+"/reserva/1", strings.NewReader("x"))
 		if err != nil {
 			t.Error(err)
 			return 0
--- a/internal/testkit/lbtest/lbtest.go
+++ b/internal/testkit/lbtest/lbtest.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -280,7 +281,7 @@
 func (c *Client) Response() (status int, body string) {
 	c.t.Helper()
 	r, err := http.ReadResponse(c.br, nil)
-	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+	if isTimeout(err) {
 		c.t.Fatal("neither an answer nor a close")
 	}
 	if err != nil {
@@ -297,7 +298,7 @@
 func (c *Client) ResponseClosing() (status int, body string, closes bool) {
 	c.t.Helper()
 	r, err := http.ReadResponse(c.br, nil)
-	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+	if isTimeout(err) {
 		c.t.Error("neither an answer nor a close")
 	}
 	if err != nil {
@@ -310,11 +311,17 @@
 	return r.StatusCode, string(text), r.Close
 }
 
+// isTimeout reports whether an error is a time-out.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // AwaitClose waits for the connection's end and tells what came before it.
 func (c *Client) AwaitClose() string {
 	c.t.Helper()
 	text, err := io.ReadAll(c.br)
-	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+	if isTimeout(err) {
 		c.t.Fatal("the connection is still open")
 	}
 	return strings.TrimSpace(string(text))
@@ -340,6 +347,7 @@
 
 // NewClient is a caller on a connection that is there already.
 func NewClient(t testing.TB, c net.Conn) *Client {
+	t.Helper()
 	c.SetDeadline(time.Now().Add(Wait))
 	return &Client{Conn: c, br: bufio.NewReader(c), t: t}
 }
