--- a/internal/balancer/engine/endpoints.go
+++ b/internal/balancer/engine/endpoints.go
@@ -156,7 +156,7 @@
 func (e *Engine) ListedHashes() []uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Clone(e.everListed.order)
+	return e.everListed.latest.Hashes()
 }
 
 // AddListedHashes adds the names that were listed in another process.
--- a/internal/balancer/engine/nameset.go
+++ b/internal/balancer/engine/nameset.go
@@ -1,6 +1,10 @@
 package engine
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+
+	"silvertrail/internal/base/hashring"
+)
 
 // maxListedNames is how many names are remembered, which takes some 1 MB: three hours of two new ones per second.
 const maxListedNames = 1 << 15
@@ -9,11 +13,12 @@
 // probability of 1 in 5 x 10^14. All processes have the same hashes, which are handed over.
 type nameSet struct {
 	present map[uint64]struct{}
-	order   []uint64 // a ring of the latest
-	next    int
+	latest  *hashring.Ring
 }
 
-func newNameSet() *nameSet { return &nameSet{present: map[uint64]struct{}{}} }
+func newNameSet() *nameSet {
+	return &nameSet{present: map[uint64]struct{}{}, latest: hashring.New(maxListedNames)}
+}
 
 func hashName(name string) uint64 {
 	sum := fnv.New64a()
@@ -28,13 +33,9 @@
 		return
 	}
 	s.present[hash] = struct{}{}
-	if len(s.order) < maxListedNames {
-		s.order = append(s.order, hash)
-		return
+	if evicted, ok := s.latest.Add(hash); ok {
+		delete(s.present, evicted)
 	}
-	delete(s.present, s.order[s.next])
-	s.order[s.next] = hash
-	s.next = (s.next + 1) % maxListedNames
 }
 
 func (s *nameSet) has(name string) bool {
--- a/internal/platform/sidecar/ids.go
+++ b/internal/platform/sidecar/ids.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"sync"
 
+	"silvertrail/internal/base/hashring"
 	"silvertrail/internal/platform/handover"
 )
 
@@ -19,15 +20,14 @@
 //
 // It holds hashes, so that its size does not depend on what clients send. IDs in flight are bounded by the connections.
 type requestIDs struct {
-	mu        sync.Mutex
-	key       []byte // of the hashes, so that no client can find IDs that collide
-	hashes    map[uint64]struct{}
-	endedRing []uint64 // ring buffer of the latest
-	ringNext  int
+	mu     sync.Mutex
+	key    []byte // of the hashes, so that no client can find IDs that collide
+	hashes map[uint64]struct{}
+	ended  *hashring.Ring
 }
 
 func newRequestIDs() *requestIDs {
-	r := &requestIDs{key: make([]byte, 16), hashes: map[uint64]struct{}{}}
+	r := &requestIDs{key: make([]byte, 16), hashes: map[uint64]struct{}{}, ended: hashring.New(maxEndedIDs)}
 	_, _ = rand.Read(r.key) // never fails
 	return r
 }
@@ -86,13 +86,9 @@
 	r.addEnded(key)
 }
 
-// addEnded adds a hash to the ring buffer, and forgets the oldest one.
+// addEnded records a hash of an ended request, and forgets the oldest one.
 func (r *requestIDs) addEnded(key uint64) {
-	if len(r.endedRing) < maxEndedIDs {
-		r.endedRing = append(r.endedRing, key)
-		return
+	if evicted, ok := r.ended.Add(key); ok {
+		delete(r.hashes, evicted)
 	}
-	delete(r.hashes, r.endedRing[r.ringNext])
-	r.endedRing[r.ringNext] = key
-	r.ringNext = (r.ringNext + 1) % maxEndedIDs
 }
--- a/internal/sites/forwarding/table.go
+++ b/internal/sites/forwarding/table.go
@@ -9,6 +9,14 @@
 // roundTripSmoothing is the part of a new round trip in the moving average: one in this many.
 const roundTripSmoothing = 8
 
+// AverageRoundTrip adds a round trip to a moving average, which is zero before the first one.
+func AverageRoundTrip(average, roundTrip time.Duration) time.Duration {
+	if average == 0 {
+		return roundTrip
+	}
+	return average + (roundTrip-average)/roundTripSmoothing
+}
+
 // Table holds what is known of all other sites. It is not safe for concurrent use.
 type Table struct {
 	weights    []float64 // priority weights of all classes, ascending, each once
@@ -76,10 +84,7 @@
 		c.resetLimits(len(t.weights))
 	}
 	c.State = state
-	if c.RoundTrip == 0 {
-		c.RoundTrip = roundTrip
-	}
-	c.RoundTrip += (roundTrip - c.RoundTrip) / roundTripSmoothing
+	c.RoundTrip = AverageRoundTrip(c.RoundTrip, roundTrip)
 }
 
 // MarkDisconnected records that no gateway of a site can be reached.
--- a/internal/sites/peering/gateway.go
+++ b/internal/sites/peering/gateway.go
@@ -180,6 +180,11 @@
 func (g *gateway) allSessions() []*session {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.allSessionsLocked()
+}
+
+// allSessionsLocked is allSessions for a caller that holds the lock.
+func (g *gateway) allSessionsLocked() []*session {
 	return append(slices.Clone(g.endedSessions), g.sessions...)
 }
 
@@ -189,7 +194,7 @@
 	defer g.mu.Unlock()
 	status := GatewayStatus{Address: g.address, Since: g.since, Sessions: g.sessionCount, LastError: g.lastError}
 	sent := g.retiredCounters
-	for _, s := range append(slices.Clone(g.endedSessions), g.sessions...) {
+	for _, s := range g.allSessionsLocked() {
 		sent = accounting.Merge(sent, s.counters())
 		status.Unsettled += s.inFlight()
 	}
--- a/internal/sites/peering/session.go
+++ b/internal/sites/peering/session.go
@@ -16,11 +16,11 @@
 	"golang.org/x/net/http2"
 
 	"silvertrail/internal/sites/accounting"
+	"silvertrail/internal/sites/forwarding"
 )
 
 const (
-	roundTripSmoothing = 8 // one part in this many of a new round trip goes into the moving average
-	maxErrorBytes      = 1024
+	maxErrorBytes = 1024
 )
 
 // The reasons for which a session ends.
@@ -210,10 +210,7 @@
 	}
 	roundTrip := time.Since(started)
 	s.mu.Lock()
-	if s.roundTrip == 0 {
-		s.roundTrip = roundTrip
-	}
-	s.roundTrip += (roundTrip - s.roundTrip) / roundTripSmoothing
+	s.roundTrip = forwarding.AverageRoundTrip(s.roundTrip, roundTrip)
 	s.mu.Unlock()
 	t.markConnected(s.gateway, response.State, roundTrip)
 	return nil
