--- a/bench/scale/children.go
+++ b/bench/scale/children.go
@@ -17,7 +17,7 @@
 type hollowProcess struct {
 	mu      sync.Mutex
 	members map[int]*hollow.Member
-	joined  map[int]*hollow.Joined
+	joined  map[int]*hollow.FleetMember
 	sent    hollow.Sent
 }
 
@@ -26,7 +26,7 @@
 
 func (h *hollowProcess) Run() error {
 	debug.SetGCPercent(gcPercent)
-	h.members, h.joined = map[int]*hollow.Member{}, map[int]*hollow.Joined{}
+	h.members, h.joined = map[int]*hollow.Member{}, map[int]*hollow.FleetMember{}
 	return obey(h.do)
 }
 
@@ -60,7 +60,7 @@
 			if !o.Who.has(i) {
 				continue
 			}
-			if at, ok := m.InForce(ctx, o.Generation); ok {
+			if at, ok := m.AwaitGeneration(ctx, o.Generation); ok {
 				r.Times = append(r.Times, at.UnixNano())
 			} else {
 				r.Missing++
@@ -72,7 +72,7 @@
 		defer cancel()
 		for i, m := range h.members {
 			needs := needs(i, o)
-			if behind := m.InStep(ctx, o.State, needs); behind != "" {
+			if behind := m.AwaitState(ctx, o.State, needs); behind != "" {
 				r.Missing++
 				r.Behind = fmt.Sprintf("member %d in %s", i, behind)
 			}
@@ -92,7 +92,7 @@
 func (h *hollowProcess) fleet(o order) (r reply, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(o.WithinMS)*time.Millisecond)
 	defer cancel()
-	each := func(look func(*hollow.Joined) (time.Time, bool)) {
+	each := func(look func(*hollow.FleetMember) (time.Time, bool)) {
 		var wait sync.WaitGroup
 		for _, j := range h.joined {
 			wait.Go(func() {
@@ -123,13 +123,13 @@
 			}
 		}
 	case "met":
-		each(func(j *hollow.Joined) (time.Time, bool) { return j.Sees(ctx, o.Generation) })
+		each(func(j *hollow.FleetMember) (time.Time, bool) { return j.AwaitView(ctx, o.Generation) })
 	case "act":
 		for _, j := range h.joined {
-			j.Act(o.Generation)
+			j.SetGeneration(o.Generation)
 		}
 	case "known":
-		each(func(j *hollow.Joined) (time.Time, bool) { return j.Knows(ctx, o.To, o.Generation) })
+		each(func(j *hollow.FleetMember) (time.Time, bool) { return j.AwaitGeneration(ctx, o.To, o.Generation) })
 	case "lose":
 		for i := o.From; i < o.To; i++ {
 			h.joined[i].Close()
@@ -144,7 +144,7 @@
 }
 
 func went(m *hollow.Member) int {
-	_, n := m.Held()
+	_, n := m.Generations()
 	return n
 }
 
--- a/bench/scale/fleet.go
+++ b/bench/scale/fleet.go
@@ -263,7 +263,7 @@
 		s = syscall.SIGSTOP
 	}
 	for _, w := range f.heldWays {
-		w.Hold(on)
+		w.Block(on)
 	}
 	for _, r := range f.reals {
 		if hollow.Paused(r.number) {
--- a/cmd/silvertrail/connections_test.go
+++ b/cmd/silvertrail/connections_test.go
@@ -14,8 +14,8 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// few is how many descriptors the process of the test below may have: less than its file says.
-const few = 72
+// fewDescriptors is how many descriptors the process of the test below may have: less than its file says.
+const fewDescriptors = 72
 
 // fewConfig writes a configuration that says more descriptors than there are.
 func fewConfig(t *testing.T, endpoint string) string {
@@ -75,7 +75,7 @@
 		a.OK()
 	})
 	path := fewConfig(t, e.Addr)
-	i := &instance{t: t, config: path, descriptors: few}
+	i := &instance{t: t, config: path, descriptors: fewDescriptors}
 	i.run()
 	t.Cleanup(i.kill)
 
@@ -113,7 +113,7 @@
 	}
 
 	// Idle ones fill the descriptors: more than there can be.
-	for n := range 2 * few {
+	for n := range 2 * fewDescriptors {
 		c, err := lbtest.DialFrom("127.0.0.2", i.addr)
 		if err != nil {
 			t.Fatal(err)
@@ -124,15 +124,15 @@
 	}
 	// Requests in work take their places, two descriptors each.
 	var work sync.WaitGroup
-	for n := range few / 6 {
+	for n := range fewDescriptors / 6 {
 		work.Go(func() {
 			id := fmt.Sprint("held-", n)
 			note(id, visit("127.0.0.4", id))
 		})
 	}
-	lbtest.Until(t, "requests are in work", func() bool { return arrived("/held-") >= few/8 })
+	lbtest.Until(t, "requests are in work", func() bool { return arrived("/held-") >= fewDescriptors/8 })
 	// A crowd that holds on, silent, from many addresses, while known clients come.
-	for n := range 2 * few {
+	for n := range 2 * fewDescriptors {
 		c, err := lbtest.DialFrom(fmt.Sprintf("127.0.2.%d", n+1), i.addr)
 		if err != nil {
 			t.Fatal(err)
@@ -147,21 +147,21 @@
 		}
 	}
 	var crowd sync.WaitGroup
-	for n := range 2 * few {
+	for n := range 2 * fewDescriptors {
 		crowd.Go(func() {
 			id := fmt.Sprint("crowd-", n)
 			note(id, visit("127.0.0.5", id))
 		})
 	}
 	crowd.Wait()
-	out, err := said(t, "connections", "status", "--config", path)
+	out, err := runCommand(t, "connections", "status", "--config", path)
 	if err != nil || !strings.Contains(out, "descriptors ran out") {
 		t.Errorf("status: %s %v", out, err)
 	}
 	close(hold)
 	work.Wait()
 	lbtest.Until(t, "all places are back", func() bool {
-		out, err := said(t, "connections", "status", "--config", path)
+		out, err := runCommand(t, "connections", "status", "--config", path)
 		return err == nil && !strings.Contains(out, "descriptors ran out")
 	})
 	tries := 0
@@ -169,7 +169,7 @@
 		tries++
 		return visit("127.0.0.6", fmt.Sprint("after-", tries)) == 200
 	})
-	if out, err := said(t, "connections", "who", "--config", path, "127.0.0.3"); err != nil || !strings.Contains(out, "of group secretarias") {
+	if out, err := runCommand(t, "connections", "who", "--config", path, "127.0.0.3"); err != nil || !strings.Contains(out, "of group secretarias") {
 		t.Errorf("who: %s %v", out, err)
 	}
 
@@ -194,7 +194,7 @@
 			}
 		}
 	}
-	if arrived("/held-") == 0 || served < few {
+	if arrived("/held-") == 0 || served < fewDescriptors {
 		t.Errorf("%d served", served)
 	}
 	t.Logf("%d served, %d refused, %d ended before they had an answer", served, refused, lost)
@@ -207,12 +207,12 @@
 // first of them has had its time.
 func TestNothingIdle(t *testing.T) {
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
-	i := &instance{t: t, config: fewConfig(t, e.Addr), descriptors: few}
+	i := &instance{t: t, config: fewConfig(t, e.Addr), descriptors: fewDescriptors}
 	i.run()
 	t.Cleanup(i.kill)
 	lbtest.Until(t, "refusals come before the bodies' time is over", func() bool {
-		codes := make(chan int, 2*few)
-		for range 2 * few {
+		codes := make(chan int, 2*fewDescriptors)
+		for range 2 * fewDescriptors {
 			c, err := lbtest.DialFrom("127.0.0.8", i.addr)
 			if err != nil {
 				t.Fatal(err)
@@ -225,7 +225,7 @@
 			}()
 		}
 		early, late := 0, false
-		for range 2 * few {
+		for range 2 * fewDescriptors {
 			switch <-codes {
 			case 503:
 				if !late {
@@ -235,6 +235,6 @@
 				late = true
 			}
 		}
-		return early >= few/2
+		return early >= fewDescriptors/2
 	})
 }
--- a/cmd/silvertrail/control_test.go
+++ b/cmd/silvertrail/control_test.go
@@ -31,8 +31,8 @@
 	return path
 }
 
-// served is a process of that program that serves a configuration.
-type served struct {
+// serverProcess is a process of that program that serves a configuration.
+type serverProcess struct {
 	t               *testing.T
 	program, config string
 	log             lbtest.Log
@@ -40,7 +40,7 @@
 }
 
 // run starts it and waits for its address.
-func (s *served) run() {
+func (s *serverProcess) run() {
 	s.t.Helper()
 	s.cmd = exec.Command(s.program, "serve", "--config", s.config)
 	s.cmd.Stderr = &s.log
@@ -57,21 +57,21 @@
 	go io.Copy(io.Discard, out)
 }
 
-func (s *served) kill() {
+func (s *serverProcess) kill() {
 	s.cmd.Process.Signal(syscall.SIGCONT)
 	s.cmd.Process.Kill()
 	s.cmd.Wait()
 }
 
-func (s *served) socket() string { return strings.TrimSuffix(s.config, ".hcl") + ".sock" }
+func (s *serverProcess) socket() string { return strings.TrimSuffix(s.config, ".hcl") + ".sock" }
 
-// spread is two control machines, whose ways to one another can be cut, and gateways that follow them, under callers.
-type spread struct {
+// controlFleet is two control machines, whose ways to one another can be cut, and gateways that follow them, under callers.
+type controlFleet struct {
 	t         *testing.T
 	folder    string
 	relays    *lbtest.Relays
-	machines  []*served
-	gateways  []*served
+	machines  []*serverProcess
+	gateways  []*serverProcess
 	addresses []string // of the gateways
 	nodos     [2]*lbtest.Endpoint
 	weight    int // makes each content a new one
@@ -87,9 +87,9 @@
 
 const machinesOf, gatewaysOf = 2, 3
 
-func newSpread(t *testing.T) *spread {
+func newControlFleet(t *testing.T) *controlFleet {
 	t.Helper()
-	x := &spread{t: t, folder: t.TempDir(), resting: make([]atomic.Bool, gatewaysOf), newest: make([]records.Version, gatewaysOf)}
+	x := &controlFleet{t: t, folder: t.TempDir(), resting: make([]atomic.Bool, gatewaysOf), newest: make([]records.Version, gatewaysOf)}
 	for i := range x.nodos {
 		x.nodos[i] = lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	}
@@ -158,7 +158,7 @@
 `, i, i, first, second, x.addresses[i])))
 	}
 	t.Cleanup(func() {
-		x.rest()
+		x.awaitQuiet()
 		for _, s := range append(x.machines, x.gateways...) {
 			if s.cmd != nil {
 				s.kill()
@@ -171,16 +171,16 @@
 	return x
 }
 
-func (x *spread) process(program, name, text string) *served {
+func (x *controlFleet) process(program, name, text string) *serverProcess {
 	path := filepath.Join(x.folder, name+".hcl")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		x.t.Fatal(err)
 	}
-	return &served{t: x.t, program: program, config: path}
+	return &serverProcess{t: x.t, program: program, config: path}
 }
 
 // file writes the cluster with a content that there was not before, and returns the file.
-func (x *spread) file() string {
+func (x *controlFleet) file() string {
 	x.weight++
 	set := func(name, address string) string {
 		host, port, _ := strings.Cut(address, ":")
@@ -199,7 +199,7 @@
 }
 
 // publish publishes a new content on a machine, and returns its version.
-func (x *spread) publish(machine int) records.Version {
+func (x *controlFleet) publish(machine int) records.Version {
 	x.t.Helper()
 	v, err := x.tryPublish(machine)
 	if err != nil {
@@ -208,7 +208,7 @@
 	return v
 }
 
-func (x *spread) tryPublish(machine int) (records.Version, error) {
+func (x *controlFleet) tryPublish(machine int) (records.Version, error) {
 	out, err := exec.Command(x.machines[machine].program, "control", "publish", "--json", "--control", x.machines[machine].socket(), x.file()).Output()
 	if err != nil {
 		return records.Version{}, err
@@ -218,13 +218,13 @@
 	return records.ParseVersion(text)
 }
 
-func (x *spread) status(machine int) (v api.Status, err error) {
+func (x *controlFleet) status(machine int) (v api.Status, err error) {
 	a := runningInstance{Control: x.machines[machine].socket()}
 	return v, a.get("/control-plane", &v)
 }
 
 // version returns what a gateway has in force.
-func (x *spread) version(gateway int) (v records.Version) {
+func (x *controlFleet) version(gateway int) (v records.Version) {
 	a := runningInstance{Control: x.gateways[gateway].socket()}
 	var d cache.Dump
 	if a.get("/xds", &d) != nil {
@@ -238,15 +238,15 @@
 	return v
 }
 
-// home tells whether a gateway listens to the machine that stands first in its file.
-func (x *spread) home(gateway int) bool {
+// isAtHome tells whether a gateway listens to the machine that stands first in its file.
+func (x *controlFleet) isAtHome(gateway int) bool {
 	a := runningInstance{Control: x.gateways[gateway].socket()}
 	var d cache.Dump
 	return a.get("/xds", &d) == nil && len(d.ControlPlanes) > 0 && d.ControlPlanes[0].Active
 }
 
 // reach waits until a gateway has a version in force, or a newer one.
-func (x *spread) reach(what string, v records.Version, gateways ...int) {
+func (x *controlFleet) reach(what string, v records.Version, gateways ...int) {
 	x.t.Helper()
 	for _, g := range gateways {
 		if !lbtest.Eventually(func() bool { return x.version(g).Compare(v) >= 0 }) {
@@ -256,7 +256,7 @@
 }
 
 // step waits until both machines and all gateways have the same, and nobody is behind.
-func (x *spread) step(what string) {
+func (x *controlFleet) step(what string) {
 	x.t.Helper()
 	if !lbtest.Eventually(func() bool {
 		var counters []uint64
@@ -287,7 +287,7 @@
 }
 
 // call has each gateway called, and what it has in force looked at, until rest.
-func (x *spread) call() {
+func (x *controlFleet) call() {
 	for i := range x.gateways {
 		x.done.Go(func() {
 			c := http.Client{Timeout: lbtest.Wait}
@@ -324,13 +324,13 @@
 }
 
 // pause has a gateway's callers rest, or go on.
-func (x *spread) pause(gateway int, on bool) {
+func (x *controlFleet) pause(gateway int, on bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.resting[gateway].Store(on)
 }
 
-func (x *spread) rest() {
+func (x *controlFleet) awaitQuiet() {
 	x.stop.Store(true)
 	x.done.Wait()
 }
@@ -339,7 +339,7 @@
 // begin anew, a receiver is paused, another begins anew from nothing, and the senders are cut from one another with changes on
 // both sides: nobody goes back, the last good one holds meanwhile, and all are in step in the end.
 func TestControlMachines(t *testing.T) {
-	x := newSpread(t)
+	x := newControlFleet(t)
 	for _, m := range x.machines {
 		m.run()
 	}
@@ -453,7 +453,7 @@
 
 	// The machines are cut from one another, and both go on.
 	for i := range x.gateways {
-		lbtest.Until(t, "each gateway is back at its first machine", func() bool { return x.home(i) })
+		lbtest.Until(t, "each gateway is back at its first machine", func() bool { return x.isAtHome(i) })
 	}
 	x.relays.Sever([]int{-1}, []int{0, 1}, true)
 	lbtest.Until(t, "they have lost one another", func() bool {
@@ -508,7 +508,7 @@
 	if err != nil || !strings.Contains(string(out), "made apart") || !strings.Contains(string(out), "serves receivers: 2 clusters, 2 endpoint sets") {
 		t.Errorf("%v: %s", err, out)
 	}
-	x.rest()
+	x.awaitQuiet()
 	if len(x.broken) > 0 || x.answers.Load() < 100 {
 		t.Errorf("%d calls; broken: %q", x.answers.Load(), x.broken[:min(len(x.broken), 20)])
 	}
--- a/cmd/silvertrail/fleet_test.go
+++ b/cmd/silvertrail/fleet_test.go
@@ -237,15 +237,15 @@
 
 // control asks an instance on its control socket.
 func (i *instance) control(path string, out any) error {
-	text, err := i.told(path)
+	text, err := i.query(path)
 	if err != nil {
 		return err
 	}
 	return json.Unmarshal(text, out)
 }
 
-// told returns what an instance says on its control socket.
-func (i *instance) told(path string) ([]byte, error) {
+// query returns what an instance says on its control socket.
+func (i *instance) query(path string) ([]byte, error) {
 	file, err := conf.Load(i.config)
 	if err != nil {
 		return nil, err
@@ -271,7 +271,7 @@
 	return v, err
 }
 
-func sees(t *testing.T, all []*instance, n int) {
+func awaitMembers(t *testing.T, all []*instance, n int) {
 	t.Helper()
 	for _, i := range all {
 		lbtest.Until(t, fmt.Sprintf("%s sees %d", i.config, n), func() bool {
@@ -308,9 +308,9 @@
 	return status
 }
 
-// salasOf starts four nodos of two salas, each of which remembers keys in common. trouble is asked what becomes of the
+// newZones starts four nodos of two salas, each of which remembers keys in common. trouble is asked what becomes of the
 // answer to the n-th request that is worked through with a key.
-func salasOf(t *testing.T, trouble func(nodo int, n int64) fake.Fault) (nodos []*fake.Endpoint, groups [2]*fake.Group) {
+func newZones(t *testing.T, trouble func(nodo int, n int64) fake.Fault) (nodos []*fake.Endpoint, groups [2]*fake.Group) {
 	t.Helper()
 	groups = [2]*fake.Group{fake.NewGroup("north", 10*time.Minute), fake.NewGroup("south", 10*time.Minute)}
 	var worked atomic.Int64
@@ -331,8 +331,8 @@
 	return nodos, groups
 }
 
-// onceEach holds that no key took effect in two salas, nor twice in one, and returns how many did.
-func onceEach(t *testing.T, groups [2]*fake.Group) int {
+// countEffects holds that no key took effect in two salas, nor twice in one, and returns how many did.
+func countEffects(t *testing.T, groups [2]*fake.Group) int {
 	t.Helper()
 	keys := groups[0].Effects()
 	for key, n := range groups[1].Effects() {
@@ -350,7 +350,7 @@
 // leave answers out; one instance is killed and comes back, another is paused and returns: no key takes effect in two
 // salas, nor twice in one, and classes that need no history are served all the time.
 func TestFleetUnderTrouble(t *testing.T) {
-	nodos, groups := salasOf(t, func(nodo int, n int64) fake.Fault {
+	nodos, groups := newZones(t, func(nodo int, n int64) fake.Fault {
 		switch n % int64(8+4*nodo) {
 		case 0:
 			return fake.NoResponse
@@ -360,7 +360,7 @@
 		return fake.NoFault
 	})
 	all := newFleet(t, nodos)
-	sees(t, all, fleetOf)
+	awaitMembers(t, all, fleetOf)
 	pause, requests := 2*time.Second, 60
 	if *long {
 		pause, requests = 10*time.Second, 400
@@ -404,7 +404,7 @@
 	time.Sleep(pause)
 	all[1].signal(syscall.SIGCONT)
 	<-done
-	took := onceEach(t, groups)
+	took := countEffects(t, groups)
 	var told strings.Builder
 	for status := range answers {
 		if n, m := answers[status].Load(), looks[status].Load(); n+m > 0 {
@@ -416,5 +416,5 @@
 	if repeats.Load() < 50 || answers[200].Load() < int64(32*requests)/2 || looks[200].Load() < int64(32*requests)/4*95/100 {
 		t.Error("tests little, or serves little")
 	}
-	sees(t, all, fleetOf)
+	awaitMembers(t, all, fleetOf)
 }
--- a/cmd/silvertrail/idle_test.go
+++ b/cmd/silvertrail/idle_test.go
@@ -24,9 +24,9 @@
 	full = (granted-32)/2 + granted/4
 )
 
-// crowd has callers hold connections and bring nothing: a third say nothing, a third stop within a head, a third ask once and
+// openConnections has callers hold connections and bring nothing: a third say nothing, a third stop within a head, a third ask once and
 // rest. One whose connection ends comes again at once, until the test's end.
-func crowd(t *testing.T, addr string, n int) {
+func openConnections(t *testing.T, addr string, n int) {
 	t.Helper()
 	var stop atomic.Bool
 	var all sync.WaitGroup
@@ -133,7 +133,7 @@
 	s.rewrite(`"classes": [`, `"classes": [{"name": "once", "deadline": 10, "goal_time": 5, "effect": "single_shot", "worth": 1},`,
 		`"sockets": 256`, fmt.Sprintf(`"sockets": %d`, told), `"conn_idle": 5`, `"conn_idle": 100`)
 	if asked {
-		s.rewrite(asks...)
+		s.rewrite(discoveryModes...)
 	}
 	start := func() *running {
 		r := s.beginWith(fmt.Sprintf("127.0.0.1:%d", ports(t, 1)[0]), fmt.Sprintf("%s=%d", runWith, granted))
@@ -143,7 +143,7 @@
 		return r
 	}
 	old := start()
-	lbtest.Until(t, "discovery's list", func() bool { return old.figures().Size == few })
+	lbtest.Until(t, "discovery's list", func() bool { return old.stats().Size == few })
 
 	// ask makes a request as a new caller does: once more where its connection was closed unread.
 	var n atomic.Int64
@@ -176,7 +176,7 @@
 		if status, why := r.call(http.MethodGet, "/ops/readiness"); status != 200 {
 			t.Errorf("readiness: %d %s", status, why)
 		}
-		r.figures()
+		r.stats()
 		t.Logf("operators answered in %v, %d descriptors", time.Since(began).Round(time.Millisecond), held(r))
 	}
 
@@ -187,7 +187,7 @@
 	lbtest.Until(t, "requests are in work", func() bool { return arrived.Load() >= granted/4 })
 	close(release)
 	work.Wait()
-	crowd(t, s.addr, idlers)
+	openConnections(t, s.addr, idlers)
 	for range 20 { // at the operators' address, too
 		if c := lbtest.TryDial(old.admin); c != nil {
 			defer c.Close()
@@ -208,11 +208,11 @@
 	d.SetState(fake.Answers)
 	back := time.Now()
 	for _, r := range []*running{next, old} {
-		lbtest.Until(t, "discovery's list is asked for", func() bool { return r.figures().Size == few+1 })
+		lbtest.Until(t, "discovery's list is asked for", func() bool { return r.stats().Size == few+1 })
 		t.Logf("list in force %v after the return", time.Since(back).Round(time.Millisecond))
 	}
 	ask()
-	old.leave()
+	old.terminate()
 	ask()
 	operate(next)
 	for _, why := range []string{"predecessor makes no offer", "predecessor not reachable", "predecessor does not retire"} {
--- a/cmd/silvertrail/ledger_test.go
+++ b/cmd/silvertrail/ledger_test.go
@@ -211,7 +211,7 @@
 	}
 	says := func(want string, args ...string) string {
 		t.Helper()
-		out, err := said(t, args...)
+		out, err := runCommand(t, args...)
 		if err != nil || !strings.Contains(out, want) {
 			t.Errorf("%v: %v\n%s", args, err, out)
 		}
@@ -220,7 +220,7 @@
 	says("it runs", "ledger", "show", dir)
 	says("mode group: requests are recorded", "ledger", "status", "--config", i.config)
 	says(served+": SERVED", "ledger", "search", dir, "--key", "seat-"+served[2:], "--tenant", "school")
-	if _, err := said(t, "ledger", "search", dir, "--key", "none"); err == nil {
+	if _, err := runCommand(t, "ledger", "search", dir, "--key", "none"); err == nil {
 		t.Error("a search that finds nothing succeeds")
 	}
 	if err := run([]string{"serve", "--config", i.config}); err == nil || !strings.Contains(err.Error(), "holds it") {
@@ -245,7 +245,7 @@
 	if err := os.WriteFile(files[0], text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if out, err := said(t, "ledger", "verify", dir); err == nil || !strings.Contains(out, "LOST: records") {
+	if out, err := runCommand(t, "ledger", "verify", dir); err == nil || !strings.Contains(out, "LOST: records") {
 		t.Errorf("a damaged one: %v\n%s", err, out)
 	}
 	i.run() // and the program starts all the same
--- a/cmd/silvertrail/left_test.go
+++ b/cmd/silvertrail/left_test.go
@@ -14,32 +14,32 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// leaver is a caller who is about to go.
-type leaver struct {
+// disconnectingClient is a caller who is about to go.
+type disconnectingClient struct {
 	*lbtest.Client
 	tcp  *net.TCPConn
 	addr string
 }
 
-func newLeaver(t *testing.T, addr string) *leaver {
+func newDisconnectingClient(t *testing.T, addr string) *disconnectingClient {
 	t.Helper()
 	c := lbtest.Dial(t, addr)
-	return &leaver{c, c.Conn.(*net.TCPConn), addr}
+	return &disconnectingClient{c, c.Conn.(*net.TCPConn), addr}
 }
 
-var waysToLeave = map[string]func(*leaver){
-	"closes":                   func(c *leaver) { c.Close() },
-	"closes-behind-a-request":  func(c *leaver) { c.Send(lbtest.Get("behind-closes")); c.Close() },
-	"resets":                   func(c *leaver) { c.tcp.SetLinger(0); c.tcp.Close() },
-	"resets-behind-a-request":  func(c *leaver) { c.Send(lbtest.Get("behind-resets")); c.tcp.SetLinger(0); c.tcp.Close() },
-	"ends-its-side":            func(c *leaver) { c.tcp.CloseWrite() },
-	"ends-it-behind-a-request": func(c *leaver) { c.Send(lbtest.Get("behind-ends")); c.tcp.CloseWrite() },
+var waysToDisconnect = map[string]func(*disconnectingClient){
+	"closes":                   func(c *disconnectingClient) { c.Close() },
+	"closes-behind-a-request":  func(c *disconnectingClient) { c.Send(lbtest.Get("behind-closes")); c.Close() },
+	"resets":                   func(c *disconnectingClient) { c.tcp.SetLinger(0); c.tcp.Close() },
+	"resets-behind-a-request":  func(c *disconnectingClient) { c.Send(lbtest.Get("behind-resets")); c.tcp.SetLinger(0); c.tcp.Close() },
+	"ends-its-side":            func(c *disconnectingClient) { c.tcp.CloseWrite() },
+	"ends-it-behind-a-request": func(c *disconnectingClient) { c.Send(lbtest.Get("behind-ends")); c.tcp.CloseWrite() },
 }
 
-// leaves has the caller go, and waits until its end stands on the other side's socket, taken or not: it is established no more.
-func (c *leaver) leaves(t *testing.T, how string) {
+// disconnect has the caller go, and waits until its end stands on the other side's socket, taken or not: it is established no more.
+func (c *disconnectingClient) disconnect(t *testing.T, how string) {
 	t.Helper()
-	waysToLeave[how](c)
+	waysToDisconnect[how](c)
 	port := func(a string) string {
 		_, p, _ := strings.Cut(a, ":")
 		var n int
@@ -90,10 +90,10 @@
 	}
 }
 
-// idle waits until a process has no request in work.
-func (r *running) idle(what string) {
+// awaitIdle waits until a process has no request in work.
+func (r *running) awaitIdle(what string) {
 	r.t.Helper()
-	lbtest.Until(r.t, what+": nothing is held", func() bool { return r.figures().Current == 0 })
+	lbtest.Until(r.t, what+": nothing is held", func() bool { return r.stats().Current == 0 })
 }
 
 // Nothing of a request goes out whose caller has left while processes replace each other: neither by the one that hands over
@@ -121,8 +121,8 @@
 	}
 	s := newSidecars(t, lbtest.NewDiscovery(t, 1, addrs...).Addr)
 	old := s.start()
-	stays := newLeaver(t, s.addr)
-	ask := func(c *leaver, id string) {
+	stays := newDisconnectingClient(t, s.addr)
+	ask := func(c *disconnectingClient, id string) {
 		t.Helper()
 		c.Send(lbtest.Get(id))
 		if status, body := c.Response(); status != 200 || body != "answer to "+id {
@@ -130,11 +130,11 @@
 		}
 	}
 	ask(stays, "first")
-	kept := map[string]*leaver{}
+	kept := map[string]*disconnectingClient{}
 	var waiting []*lbtest.Arrival
-	for how := range waysToLeave {
+	for how := range waysToDisconnect {
 		for _, what := range []string{"next-", "key-", "bind-", "held-"} {
-			c := newLeaver(t, s.addr)
+			c := newDisconnectingClient(t, s.addr)
 			kept[what+how] = c
 			if what != "held-" {
 				ask(c, "warm-"+what+how)
@@ -147,10 +147,10 @@
 
 	// In the queue of the listener as the hand-over begins.
 	old.suspend()
-	for how := range waysToLeave {
-		c := newLeaver(t, s.addr)
+	for how := range waysToDisconnect {
+		c := newDisconnectingClient(t, s.addr)
 		c.Send(lbtest.Get("left-queued-" + how))
-		c.leaves(t, how)
+		c.disconnect(t, how)
 	}
 	next := s.begin()
 	old.resume()
@@ -161,44 +161,44 @@
 
 	// At the old one, which waits for the new one's word on a key.
 	next.suspend()
-	for how := range waysToLeave {
+	for how := range waysToDisconnect {
 		kept["bind-"+how].Send(lbtest.Post("left-bind-"+how, "x"))
 	}
-	lbtest.Until(t, "they are in work, or answered", func() bool { return old.figures().Current >= len(waysToLeave)+len(waiting) })
-	for how := range waysToLeave {
-		kept["bind-"+how].leaves(t, how)
+	lbtest.Until(t, "they are in work, or answered", func() bool { return old.stats().Current >= len(waysToDisconnect)+len(waiting) })
+	for how := range waysToDisconnect {
+		kept["bind-"+how].disconnect(t, how)
 	}
 	next.resume()
 
 	// At the old one: the next request of a kept connection, and the attempt after one that was out all the time.
 	old.suspend()
-	for how := range waysToLeave {
+	for how := range waysToDisconnect {
 		kept["next-"+how].Send(lbtest.Get("left-next-" + how))
 		kept["key-"+how].Send(lbtest.Post("left-key-"+how, "x"))
 		for _, what := range []string{"next-", "key-", "held-"} {
-			kept[what+how].leaves(t, how)
+			kept[what+how].disconnect(t, how)
 		}
 	}
 	for _, a := range waiting {
 		a.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
 	}
 	old.resume()
-	old.idle("the old process")
+	old.awaitIdle("the old process")
 	ask(stays, "stays") // at the old one still
 
 	// In the queue of the new one.
 	next.suspend()
-	for how := range waysToLeave {
-		c := newLeaver(t, s.addr)
+	for how := range waysToDisconnect {
+		c := newDisconnectingClient(t, s.addr)
 		c.Send(lbtest.Get("left-new-" + how))
-		c.leaves(t, how)
-		c = newLeaver(t, s.addr)
+		c.disconnect(t, how)
+		c = newDisconnectingClient(t, s.addr)
 		c.Send(lbtest.Post("left-newkey-"+how, "x"))
-		c.leaves(t, how)
+		c.disconnect(t, how)
 	}
 	next.resume()
-	ask(newLeaver(t, s.addr), "last") // behind them in the queue
-	next.idle("the new process")
+	ask(newDisconnectingClient(t, s.addr), "last") // behind them in the queue
+	next.awaitIdle("the new process")
 
 	mu.Lock()
 	defer mu.Unlock()
@@ -209,9 +209,9 @@
 			t.Errorf("%s came to an endpoint", id)
 		}
 	}
-	if len(count) < 4*len(waysToLeave)+3 {
+	if len(count) < 4*len(waysToDisconnect)+3 {
 		t.Errorf("tests little: %v", count)
 	}
-	old.leave()
-	next.leave()
+	old.terminate()
+	next.terminate()
 }
--- a/cmd/silvertrail/link_test.go
+++ b/cmd/silvertrail/link_test.go
@@ -15,8 +15,8 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// linked runs a gateway of a sala with one nodo or none, linked to another sala.
-func linked(t *testing.T, folder, sala, other, listen, to, nodo string) (g *gateway.Gateway, path string) {
+// startLinked runs a gateway of a sala with one nodo or none, linked to another sala.
+func startLinked(t *testing.T, folder, sala, other, listen, to, nodo string) (g *gateway.Gateway, path string) {
 	t.Helper()
 	path = filepath.Join(folder, sala+".hcl")
 	status := "ready"
@@ -72,8 +72,8 @@
 	return g, path
 }
 
-// said runs a command and returns what it prints.
-func said(t *testing.T, args ...string) (string, error) {
+// runCommand runs a command and returns what it prints.
+func runCommand(t *testing.T, args ...string) (string, error) {
 	t.Helper()
 	r, w, err := os.Pipe()
 	if err != nil {
@@ -96,11 +96,11 @@
 func TestLinkCommands(t *testing.T) {
 	folder := t.TempDir()
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
-	norte, there := linked(t, folder, "norte", "centro", "127.0.0.1:0", "127.0.0.1:1", e.Addr)
-	centro, here := linked(t, folder, "centro", "norte", "127.0.0.1:0", norte.LinkAddr(), "")
+	norte, there := startLinked(t, folder, "norte", "centro", "127.0.0.1:0", "127.0.0.1:1", e.Addr)
+	centro, here := startLinked(t, folder, "centro", "norte", "127.0.0.1:0", norte.LinkAddr(), "")
 	status := func(path string, args ...string) string {
 		t.Helper()
-		out, err := said(t, append([]string{"link", "status", "--config", path}, args...)...)
+		out, err := runCommand(t, append([]string{"link", "status", "--config", path}, args...)...)
 		if err != nil {
 			t.Errorf("%v: %v", args, err)
 		}
@@ -127,21 +127,21 @@
 	if out := status(here, "--json"); !strings.HasPrefix(out, `{"sala":"centro"`) {
 		t.Error(out)
 	}
-	if out, err := said(t, "link", "lookup", "--config", here, "", "key"); err != nil || strings.Count(out, "knows nothing of it") != 2 {
+	if out, err := runCommand(t, "link", "lookup", "--config", here, "", "key"); err != nil || strings.Count(out, "knows nothing of it") != 2 {
 		t.Error(out, err)
 	}
-	if out, err := said(t, "link", "drain", "--config", there); err != nil || !strings.Contains(out, "sala norte: draining") {
+	if out, err := runCommand(t, "link", "drain", "--config", there); err != nil || !strings.Contains(out, "sala norte: draining") {
 		t.Error(out, err)
 	}
 	lbtest.Until(t, "the drain is known here", func() bool { return strings.Contains(status(here), " draining ") })
-	if out, err := said(t, "link", "drain", "--config", there, "--off"); err != nil || !strings.Contains(out, "sala norte: open") {
+	if out, err := runCommand(t, "link", "drain", "--config", there, "--off"); err != nil || !strings.Contains(out, "sala norte: open") {
 		t.Error(out, err)
 	}
-	if _, err := said(t, "link", "drain", "--config", there, "--off", "--all"); err == nil {
+	if _, err := runCommand(t, "link", "drain", "--config", there, "--off", "--all"); err == nil {
 		t.Error("off and all at once")
 	}
 	norte.Shutdown()
-	if _, err := said(t, "link", "status", "--config", there); err == nil {
+	if _, err := runCommand(t, "link", "status", "--config", there); err == nil {
 		t.Error("an instance that has ended answered")
 	}
 }
--- a/cmd/silvertrail/overlap_test.go
+++ b/cmd/silvertrail/overlap_test.go
@@ -28,17 +28,17 @@
 	}
 	id := func(n string) string { return "/ops/endpoints/down/s-" + d.Addr + "-" + n }
 	for i, r := range all {
-		r.yes(id(string(rune('0' + i))))
+		r.put(id(string(rune('0' + i))))
 	}
 	for i, r := range all {
-		lbtest.Until(t, "all bans are known", func() bool { return r.figures().Unhealthy == 3 })
+		lbtest.Until(t, "all bans are known", func() bool { return r.stats().Unhealthy == 3 })
 		if i < 2 && !r.log.Contains("successor takes over") {
 			t.Errorf("process %d has not given way", i)
 		}
 	}
-	all[2].yes(strings.Replace(id("1"), "down", "up", 1))
+	all[2].put(strings.Replace(id("1"), "down", "up", 1))
 	for _, r := range all {
-		lbtest.Until(t, "the end of a ban is known", func() bool { return r.figures().Unhealthy == 2 })
+		lbtest.Until(t, "the end of a ban is known", func() bool { return r.stats().Unhealthy == 2 })
 	}
 	if status, _ := all[0].call(http.MethodPut, id("9")); status != 404 {
 		t.Errorf("an id that was never listed: %d", status)
@@ -47,12 +47,12 @@
 	// SIGHUP at each while all run; a broken file at one changes nothing there.
 	for _, r := range all {
 		r.change(s, strings.Replace(string(good), `"name": "read"`, `"name": "other"`, 1))
-		if f := r.figures(); f.Loaded != 1 {
+		if f := r.stats(); f.Loaded != 1 {
 			t.Errorf("%+v", f)
 		}
 	}
 	all[1].change(s, "{")
-	if f := all[1].figures(); f.Loaded != 1 || f.Invalid != 1 || f.Unhealthy != 2 {
+	if f := all[1].stats(); f.Loaded != 1 || f.Invalid != 1 || f.Unhealthy != 2 {
 		t.Errorf("%+v", f)
 	}
 	n := 0
@@ -64,11 +64,11 @@
 		status, _ := c.Response()
 		return status == 200
 	})
-	if f := all[2].figures(); f.Answered["other"] != 1 {
+	if f := all[2].stats(); f.Answered["other"] != 1 {
 		t.Errorf("%+v", f)
 	}
 	for _, r := range all {
-		r.leave()
+		r.terminate()
 	}
 }
 
@@ -95,5 +95,5 @@
 	if status, _ := c.Response(); status != 200 {
 		t.Errorf("status %d", status)
 	}
-	third.leave()
+	third.terminate()
 }
--- a/cmd/silvertrail/ready_test.go
+++ b/cmd/silvertrail/ready_test.go
@@ -25,8 +25,8 @@
 	memoryMB  = 64               // of each process, by its file
 )
 
-// asks changes a configuration to one whose discovery answers only when it is asked.
-var asks = []string{`"registry_mode": "pushed"`, `"registry_mode": "on_request"`, `"obligations": {`, `"obligations": {"must_ask_in": 10, `}
+// discoveryModes changes a configuration to one whose discovery answers only when it is asked.
+var discoveryModes = []string{`"registry_mode": "pushed"`, `"registry_mode": "on_request"`, `"obligations": {`, `"obligations": {"must_ask_in": 10, `}
 
 // rewrite replaces texts of the configuration, in pairs.
 func (s *sidecars) rewrite(pairs ...string) {
@@ -71,8 +71,8 @@
 	return d
 }
 
-// passes tells whether a sidecar's readiness check does.
-func passes(addr string) bool {
+// isAccepting tells whether a sidecar's readiness check does.
+func isAccepting(addr string) bool {
 	c, err := http.NewRequest(http.MethodGet, "http://"+addr+"/health/ready", nil)
 	if err != nil {
 		return false
@@ -101,8 +101,8 @@
 	return kb >> 10
 }
 
-// raced tells whether this program is built to look for races, which takes memory of its own.
-func raced() bool {
+// isRaceBuild tells whether this program is built to look for races, which takes memory of its own.
+func isRaceBuild() bool {
 	info, ok := debug.ReadBuildInfo()
 	return ok && slices.ContainsFunc(info.Settings, func(s debug.BuildSetting) bool { return s.Key == "-race" && s.Value == "true" })
 }
@@ -153,7 +153,7 @@
 				s.rewrite(`"balancers": 1, "me": 0`, fmt.Sprintf(`"balancers": %d, "me": %d`, restarted, n),
 					`"listen": "`+s.addr, fmt.Sprintf(`"listen": "127.0.0.1:%d`, p), `{"name": "n0"`, known+`: "n0"`)
 				if s.addr = fmt.Sprintf("127.0.0.1:%d", p); c.asked {
-					s.rewrite(asks...)
+					s.rewrite(discoveryModes...)
 				}
 				all = append(all, s)
 			}
@@ -172,7 +172,7 @@
 				started := time.Now()
 				waits.Go(func() {
 					for end := started.Add(lbtest.Wait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-						if passes(s.addr) {
+						if isAccepting(s.addr) {
 							ready <- outcome{n, time.Since(started).Round(time.Millisecond)}
 							return
 						}
@@ -206,7 +206,7 @@
 			if c.state == fake.Answers && (c.o.Work == 0 || *long) {
 				times = times[:0]
 				for _, r := range processes {
-					lbtest.Until(t, "a process has discovery's list", func() bool { return r.figures().Size == longList })
+					lbtest.Until(t, "a process has discovery's list", func() bool { return r.stats().Size == longList })
 					times = append(times, time.Since(began))
 				}
 				t.Logf("discovery's list: last %v after the first one's start", slices.Max(times).Round(10*time.Millisecond))
@@ -216,7 +216,7 @@
 				memory = append(memory, peak(t, r.cmd.Process.Pid))
 			}
 			calls, away := d.Calls()
-			if most := slices.Max(memory); most > memoryMB && !raced() {
+			if most := slices.Max(memory); most > memoryMB && !isRaceBuild() {
 				t.Errorf("%d MB where %d are allowed", most, memoryMB)
 			}
 			t.Logf("most memory: %s MB; %d calls to discovery, %d turned away", medianAndLast(memory), calls, away)
--- a/cmd/silvertrail/settings_test.go
+++ b/cmd/silvertrail/settings_test.go
@@ -16,7 +16,7 @@
 // change writes the configuration with some text replaced, and has the process read it.
 func (r *running) change(s *sidecars, text string) {
 	r.t.Helper()
-	before := r.figures()
+	before := r.stats()
 	// Replaced in one step: a file that is read half written would be a broken one.
 	if err := os.WriteFile(s.config+".new", []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
@@ -26,7 +26,7 @@
 	}
 	r.cmd.Process.Signal(syscall.SIGHUP)
 	lbtest.Until(r.t, "the file is taken or turned down", func() bool {
-		f := r.figures()
+		f := r.stats()
 		return f.Loaded+f.Invalid == before.Loaded+before.Invalid+1
 	})
 }
@@ -116,7 +116,7 @@
 	for name, text := range broken {
 		r.change(s, text)
 		n++
-		if f := r.figures(); f.Invalid != n || f.Loaded != 0 {
+		if f := r.stats(); f.Invalid != n || f.Loaded != 0 {
 			t.Errorf("%s was taken: %+v", name, f)
 		}
 		if a, b := ask(get("read")), ask(post("write")); a != 200 || b != 200 {
@@ -129,7 +129,7 @@
 	// A class comes in front of the others, and one becomes stricter.
 	third := `"classes": [{"name": "late", "deadline": 5, "goal_time": 2, "effect": "single_shot", "worth": 5},`
 	r.change(s, with(`"classes": [`, third, `"free"`, `"guarded", "key_scope": "zone", "window": 9`))
-	if f := r.figures(); f.Loaded != 1 {
+	if f := r.stats(); f.Loaded != 1 {
 		t.Fatalf("%+v: %s", f, r.log.String())
 	}
 	for name, c := range map[string]struct{ got, want int }{
@@ -168,11 +168,11 @@
 	if a, b := ask(get("read")), ask(get("other")); a != 404 || b != 200 {
 		t.Errorf("one that has gone: %d; one that came: %d", a, b)
 	}
-	f := r.figures()
+	f := r.stats()
 	if f.Answered["read"] == 0 || f.Answered["late"] != 1 || f.Answered["other"] != 1 || f.Deferred["write"] != 2 || f.Current != 0 {
 		t.Errorf("%+v", f)
 	}
-	r.leave()
+	r.terminate()
 }
 
 // A request that is in work while settings change keeps its class: its answer counts for it, and its deadline stands.
@@ -189,7 +189,7 @@
 	c.Send(lbtest.Get("held"))
 	a := <-e.Arrivals
 	r.change(s, strings.Replace(strings.Replace(string(good), `"name": "read"`, `"name": "other"`, 1), `"deadline": 10`, `"deadline": 0.1`, 1))
-	if f := r.figures(); f.Loaded != 1 || f.Current != 1 {
+	if f := r.stats(); f.Loaded != 1 || f.Current != 1 {
 		t.Fatalf("%+v", f)
 	}
 	short := lbtest.Dial(t, s.addr)
@@ -201,8 +201,8 @@
 	if status, body := c.Response(); status != 200 || body != "answer to held" {
 		t.Errorf("in work as its class went: %d %q", status, body)
 	}
-	if f := r.figures(); f.Answered["read"] != 1 || f.Answered["other"] != 0 || f.Current != 0 {
+	if f := r.stats(); f.Answered["read"] != 1 || f.Answered["other"] != 0 || f.Current != 0 {
 		t.Errorf("%+v", f)
 	}
-	r.leave()
+	r.terminate()
 }
--- a/cmd/silvertrail/upgrade_test.go
+++ b/cmd/silvertrail/upgrade_test.go
@@ -89,14 +89,14 @@
 	return a.StatusCode, string(text)
 }
 
-func (r *running) yes(path string) {
+func (r *running) put(path string) {
 	r.t.Helper()
 	if status, why := r.call(http.MethodPut, path); status != 200 {
 		r.t.Fatalf("%s: %d %s", path, status, why)
 	}
 }
 
-type figuresSeen struct {
+type sidecarStats struct {
 	Answered, Deferred, Errored map[string]int
 	Sends, Current              int
 	Size                        int `json:"cluster_size"`
@@ -105,7 +105,7 @@
 	Invalid                     int `json:"conf_invalid"`
 }
 
-func (r *running) figures() (f figuresSeen) {
+func (r *running) stats() (f sidecarStats) {
 	r.t.Helper()
 	status, text := r.call(http.MethodGet, "/ops/stats")
 	if err := json.Unmarshal([]byte(text), &f); status != 200 || err != nil {
@@ -114,8 +114,8 @@
 	return f
 }
 
-// leave ends a process as a planned end does, and waits for it.
-func (r *running) leave() {
+// terminate ends a process as a planned end does, and waits for it.
+func (r *running) terminate() {
 	r.t.Helper()
 	r.cmd.Process.Signal(syscall.SIGTERM)
 	select {
@@ -197,17 +197,17 @@
 	for range 5 {
 		next := s.start()
 		asking := asked.Load()
-		lbtest.Until(t, "requests come to the new process", func() bool { return asked.Load() > asking+20 && next.figures().Answered["read"] > 5 })
-		f := now.figures()
-		lbtest.Until(t, "the old process holds nothing", func() bool { f = now.figures(); return f.Current == 0 })
+		lbtest.Until(t, "requests come to the new process", func() bool { return asked.Load() > asking+20 && next.stats().Answered["read"] > 5 })
+		f := now.stats()
+		lbtest.Until(t, "the old process holds nothing", func() bool { f = now.stats(); return f.Current == 0 })
 		answered += f.Answered["read"] + f.Answered["write"]
 		sends += f.Sends
-		now.leave()
+		now.terminate()
 		now = next
 	}
 	stop.Store(true)
 	callers.Wait()
-	f := now.figures()
+	f := now.stats()
 	answered += f.Answered["read"] + f.Answered["write"]
 	sends += f.Sends
 	mu.Lock()
@@ -260,11 +260,11 @@
 	for range 10 {
 		ask(kept, 200)
 	}
-	old.yes("/ops/endpoints/down/" + id(0))
+	old.put("/ops/endpoints/down/" + id(0))
 	if status, _ := old.call(http.MethodPut, "/ops/endpoints/down/never-listed"); status != 404 {
 		t.Errorf("an id that was never listed: %d", status)
 	}
-	if f := old.figures(); f.Size != 2 || f.Unhealthy != 1 {
+	if f := old.stats(); f.Size != 2 || f.Unhealthy != 1 {
 		t.Errorf("%+v", f)
 	}
 	before := got[0].Load()
@@ -278,18 +278,18 @@
 			c.Close()
 		}
 	}
-	if f := next.figures(); f.Unhealthy != 1 || f.Answered["read"] != 15 {
+	if f := next.stats(); f.Unhealthy != 1 || f.Answered["read"] != 15 {
 		t.Errorf("the new process: %+v", f)
 	}
 	if got[0].Load() != before {
 		t.Error("a banned endpoint was sent to")
 	}
 	// Both are down by the word at the new process: the old one has nobody left to send to.
-	next.yes("/ops/endpoints/down/" + id(1))
+	next.put("/ops/endpoints/down/" + id(1))
 	ask(kept, 503) // its answer asks to come back elsewhere
 	ask(lbtest.Dial(t, s.addr), 503)
 	// And the other way round.
-	old.yes("/ops/endpoints/up/" + id(0))
+	old.put("/ops/endpoints/up/" + id(0))
 	lbtest.Until(t, "an endpoint that was put back is used", func() bool {
 		c := lbtest.Dial(t, s.addr)
 		defer c.Close()
@@ -298,8 +298,8 @@
 		c.Response()
 		return got[0].Load() > before
 	})
-	old.leave()
-	next.leave()
+	old.terminate()
+	next.terminate()
 }
 
 // A key that runs in the old process is held to its zone in the new one, and the other way round: both are one sidecar.
@@ -390,8 +390,8 @@
 			t.Errorf("%s came to %v", key, in)
 		}
 	}
-	old.leave()
-	next.leave()
+	old.terminate()
+	next.terminate()
 }
 
 // A process that dies before its yes leaves the one before it as it was; so does one that is killed just after: the old one
@@ -424,9 +424,9 @@
 	ask("back")
 	next := s.start() // the path is the dead one's: this one starts without state
 	ask("after")
-	old.leave()
+	old.terminate()
 	ask("alone")
-	next.leave()
+	next.terminate()
 }
 
 // SIGTERM right at the yes, with callers' connections and requests in work.
@@ -453,5 +453,5 @@
 	if err := <-old.ended; err != nil {
 		t.Error(err)
 	}
-	next.leave()
+	next.terminate()
 }
--- a/cmd/silvertrail/versions_test.go
+++ b/cmd/silvertrail/versions_test.go
@@ -22,7 +22,7 @@
 }
 
 // file changes an instance's file: what all have in common is made the n-th version of it.
-func (f *viewed) file(i, n int) {
+func (f *viewFleet) file(i, n int) {
 	f.t.Helper()
 	text, err := os.ReadFile(f.all[i].config)
 	if err != nil {
@@ -36,15 +36,15 @@
 }
 
 // take has some instances read their file again as the n-th version.
-func (f *viewed) take(n int, who ...int) {
+func (f *viewFleet) take(n int, who ...int) {
 	for _, i := range who {
 		f.file(i, n)
 		f.all[i].signal(syscall.SIGHUP)
 	}
 }
 
-// stand waits until some instances say how all stand.
-func (f *viewed) stand(what string, at []int, want func(v fleet.VersionsView) bool) {
+// awaitVersions waits until some instances say how all stand.
+func (f *viewFleet) awaitVersions(what string, at []int, want func(v fleet.VersionsView) bool) {
 	f.t.Helper()
 	var last fleet.VersionsView
 	for _, i := range at {
@@ -109,22 +109,22 @@
 // step once it is mended.
 func TestVersions(t *testing.T) {
 	t.Parallel()
-	f := newViewed(t, "\n  versions = true\n  taking = \"2s\"")
-	f.stand("all in step", all(), inStep(fleetOf, 1))
+	f := newViewFleet(t, "\n  versions = true\n  taking = \"2s\"")
+	f.awaitVersions("all in step", all(), inStep(fleetOf, 1))
 	if code, out := f.all[0].command("fleet", "versions"); code != 0 || !strings.Contains(out, "i0 *") {
 		t.Errorf("status %d: %s", code, out)
 	}
 	f.take(2, all(3)...)
-	f.stand("i3 was not told", all(), stands("i3", versionlag.Lagging, 1))
+	f.awaitVersions("i3 was not told", all(), stands("i3", versionlag.Lagging, 1))
 	if code, out := f.all[3].command("fleet", "versions"); code != 1 || !strings.Contains(out, "i3: configuration is") || !strings.Contains(out, "behind by 1") {
 		t.Errorf("status %d: %s", code, out)
 	}
 	f.measures(0, `silvertrail_fleet_version_state{member="i3",state="behind"} 1`, "silvertrail_fleet_in_step 0")
 	f.take(3, all(3)...)
-	f.stand("i3 was not told twice", all(), stands("i3", versionlag.Lagging, 2))
+	f.awaitVersions("i3 was not told twice", all(), stands("i3", versionlag.Lagging, 2))
 	from := time.Now()
 	f.take(3, 3)
-	f.stand("all in step", all(), inStep(fleetOf, 3))
+	f.awaitVersions("all in step", all(), inStep(fleetOf, 3))
 	t.Logf("the last one took it up, and all knew, after %v", time.Since(from).Round(10*time.Millisecond))
 
 	f.file(2, 0)
@@ -137,7 +137,7 @@
 	}
 	f.all[2].signal(syscall.SIGHUP)
 	f.take(4, all(2)...)
-	f.stand("i2 has a broken file, and says so", all(2), func(v fleet.VersionsView) bool {
+	f.awaitVersions("i2 has a broken file, and says so", all(2), func(v fleet.VersionsView) bool {
 		why, told := v.Members[2].Vector.Find(version.Rejected, "")
 		return stands("i2", versionlag.Lagging, 1)(v) && told && strings.Contains(why.Description, "i2.hcl")
 	})
@@ -149,7 +149,7 @@
 		t.Errorf("by the socket: status %d: %s", code, out)
 	}
 	f.take(4, 2)
-	f.stand("all in step", all(), func(v fleet.VersionsView) bool {
+	f.awaitVersions("all in step", all(), func(v fleet.VersionsView) bool {
 		_, told := v.Members[2].Vector.Find(version.Rejected, "")
 		return inStep(fleetOf, 4)(v) && !told
 	})
@@ -157,42 +157,42 @@
 	f.pause(1, true)
 	f.take(5, all(1)...)
 	f.one(all(1))
-	f.stand("all that run are in step", all(1), inStep(fleetOf-1, 5))
+	f.awaitVersions("all that run are in step", all(1), inStep(fleetOf-1, 5))
 	f.pause(1, false)
-	f.stand("i1 slept", all(), stands("i1", versionlag.Lagging, 1))
+	f.awaitVersions("i1 slept", all(), stands("i1", versionlag.Lagging, 1))
 	f.take(5, 1)
-	f.stand("all in step", all(), inStep(fleetOf, 5))
+	f.awaitVersions("all in step", all(), inStep(fleetOf, 5))
 
 	f.kill(4)
 	f.take(6, all(4)...)
 	f.one(all(4))
-	f.again(4)
-	f.stand("i4 comes back with the file that it had", all(), stands("i4", versionlag.Lagging, 1))
+	f.restart(4)
+	f.awaitVersions("i4 comes back with the file that it had", all(), stands("i4", versionlag.Lagging, 1))
 	f.take(6, 4)
-	f.stand("all in step", all(), inStep(fleetOf, 6))
+	f.awaitVersions("all in step", all(), inStep(fleetOf, 6))
 
 	f.take(7, 0)
-	f.stand("i0 is alone with a new file", all(), stands("i0", versionlag.Ahead, 0))
+	f.awaitVersions("i0 is alone with a new file", all(), stands("i0", versionlag.Ahead, 0))
 	f.take(7, all(0)...)
-	f.stand("all in step", all(), inStep(fleetOf, 7))
+	f.awaitVersions("all in step", all(), inStep(fleetOf, 7))
 
 	f.relays.Sever([]int{4}, all(4), true)
 	f.relays.Sever(all(4), []int{4}, true)
 	f.until("knows that it is cut off", []int{4}, isolated)
 	f.one(all(4))
 	f.take(8, all(4)...)
-	f.stand("all of the larger part are in step", all(4), inStep(fleetOf-1, 8))
+	f.awaitVersions("all of the larger part are in step", all(4), inStep(fleetOf-1, 8))
 	f.take(9, 4)
-	f.stand("the one cut off has what it was given", []int{4}, func(v fleet.VersionsView) bool {
+	f.awaitVersions("the one cut off has what it was given", []int{4}, func(v fleet.VersionsView) bool {
 		e, ok := v.Members[4].Vector.Find(version.Configuration, "")
 		return ok && e.Number == 8
 	})
 	f.relays.Heal()
 	f.one(all())
-	f.stand("a fork, which makes no side right", all(), func(v fleet.VersionsView) bool {
+	f.awaitVersions("a fork, which makes no side right", all(), func(v fleet.VersionsView) bool {
 		return len(v.Members) == fleetOf && !slices.ContainsFunc(v.Members, func(m fleet.MemberVersionsView) bool { return m.State != versionlag.Forked })
 	})
 	f.take(8, 4)
-	f.stand("all in step", all(), inStep(fleetOf, 8))
+	f.awaitVersions("all in step", all(), inStep(fleetOf, 8))
 	f.end()
 }
--- a/cmd/silvertrail/viewed_test.go
+++ b/cmd/silvertrail/viewed_test.go
@@ -22,9 +22,9 @@
 	return v, err
 }
 
-// viewed is a fleet of processes behind relays that goes by views, with callers whose keyed requests are repeated through
+// viewFleet is a fleet of processes behind relays that goes by views, with callers whose keyed requests are repeated through
 // another instance, and give up early, and nodos of two salas of which some leave answers out.
-type viewed struct {
+type viewFleet struct {
 	t      *testing.T
 	all    []*instance
 	relays *lbtest.Relays
@@ -53,13 +53,13 @@
 // fleetsAtOnce bounds the processes that are measured by what they notice in time.
 var fleetsAtOnce = make(chan struct{}, 2)
 
-// newViewed starts such a fleet; more goes into each fleet block.
-func newViewed(t *testing.T, more string) *viewed {
+// newViewFleet starts such a fleet; more goes into each fleet block.
+func newViewFleet(t *testing.T, more string) *viewFleet {
 	t.Helper()
 	fleetsAtOnce <- struct{}{}
 	t.Cleanup(func() { <-fleetsAtOnce })
-	f := &viewed{t: t, stop: make(chan struct{}), asleep: map[int][]span{}}
-	nodos, groups := salasOf(t, func(_ int, n int64) fake.Fault {
+	f := &viewFleet{t: t, stop: make(chan struct{}), asleep: map[int][]span{}}
+	nodos, groups := newZones(t, func(_ int, n int64) fake.Fault {
 		if n%40 == 0 {
 			return fake.ConnectionReset
 		}
@@ -77,7 +77,7 @@
 	return f
 }
 
-func (f *viewed) call(caller int) {
+func (f *viewFleet) call(caller int) {
 	d := rand.New(rand.NewPCG(uint64(caller), 36))
 	ask := func(at int, key string, patience time.Duration, early bool) int {
 		a := answered{at: time.Now(), where: at, keyed: key != "", early: early}
@@ -115,7 +115,7 @@
 }
 
 // until waits until some instances say so.
-func (f *viewed) until(what string, of []int, is func(v fleet.ReachabilityView) bool) {
+func (f *viewFleet) until(what string, of []int, is func(v fleet.ReachabilityView) bool) {
 	f.t.Helper()
 	for _, i := range of {
 		lbtest.Until(f.t, fmt.Sprint(what, ": i", i), func() bool {
@@ -126,7 +126,7 @@
 }
 
 // one waits until some instances are in one view of them alone, and returns its number.
-func (f *viewed) one(of []int) int {
+func (f *viewFleet) one(of []int) int {
 	f.t.Helper()
 	var number uint64
 	f.until("in one view", of, func(v fleet.ReachabilityView) bool { return len(v.Members) == len(of) && v.HasQuorum })
@@ -145,11 +145,11 @@
 }
 
 // measures waits until an instance's metrics have these lines.
-func (f *viewed) measures(i int, lines ...string) {
+func (f *viewFleet) measures(i int, lines ...string) {
 	f.t.Helper()
 	for _, line := range lines {
 		lbtest.Until(f.t, line, func() bool {
-			text, err := f.all[i].told("/metrics")
+			text, err := f.all[i].query("/metrics")
 			return err == nil && slices.Contains(strings.Split(string(text), "\n"), line)
 		})
 	}
@@ -158,28 +158,28 @@
 func isolated(v fleet.ReachabilityView) bool { return v.Isolated || v.Number == 0 }
 
 // pause stops a process by a signal, or lets it go on.
-func (f *viewed) pause(i int, on bool) {
+func (f *viewFleet) pause(i int, on bool) {
 	if on {
-		f.sleeps(i, true)
+		f.setAsleep(i, true)
 		f.all[i].signal(syscall.SIGSTOP)
 		return
 	}
 	f.all[i].signal(syscall.SIGCONT)
-	f.sleeps(i, false)
+	f.setAsleep(i, false)
 }
 
-func (f *viewed) kill(i int) {
+func (f *viewFleet) kill(i int) {
 	f.all[i].kill()
-	f.sleeps(i, true)
+	f.setAsleep(i, true)
 }
 
-// again starts a process that was killed.
-func (f *viewed) again(i int) {
-	f.sleeps(i, false)
+// restart starts a process that was killed.
+func (f *viewFleet) restart(i int) {
+	f.setAsleep(i, false)
 	f.all[i].run()
 }
 
-func (f *viewed) sleeps(i int, on bool) {
+func (f *viewFleet) setAsleep(i int, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if on {
@@ -189,8 +189,8 @@
 	}
 }
 
-// throttled gives a process a core for so much of every tenth of a second.
-func (f *viewed) throttled(i int, part float64, duration time.Duration) {
+// throttle gives a process a core for so much of every tenth of a second.
+func (f *viewFleet) throttle(i int, part float64, duration time.Duration) {
 	const slice = 100 * time.Millisecond
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		f.all[i].signal(syscall.SIGSTOP)
@@ -200,8 +200,8 @@
 	}
 }
 
-// word is a line of a process's log by which it says what it acts on.
-type word struct {
+// diagnosisReport is a line of a process's log by which it says what it acts on.
+type diagnosisReport struct {
 	at      time.Time
 	safe    int // 1: takes as good as nothing from now on; -1: takes its part
 	number  int // of the view that it takes up
@@ -215,8 +215,8 @@
 	outLine  = regexp.MustCompile(`^time=(\S+) .*msg="removed from the view"`)
 )
 
-// words reads what the processes' own logs say, by process and in order.
-func (f *viewed) words() (out [fleetOf][]word) {
+// reports reads what the processes' own logs say, by process and in order.
+func (f *viewFleet) reports() (out [fleetOf][]diagnosisReport) {
 	f.t.Helper()
 	when := func(text string) time.Time {
 		at, err := time.Parse(time.RFC3339Nano, text)
@@ -228,13 +228,13 @@
 	for i, in := range f.all {
 		for _, line := range strings.Split(in.log.String(), "\n") {
 			if m := viewLine.FindStringSubmatch(line); m != nil {
-				w := word{at: when(m[1]), lineage: m[3], is: m[4] + " " + m[5]}
+				w := diagnosisReport{at: when(m[1]), lineage: m[3], is: m[4] + " " + m[5]}
 				fmt.Sscan(m[2], &w.number)
 				out[i] = append(out[i], w)
 			} else if m := safeLine.FindStringSubmatch(line); m != nil {
-				out[i] = append(out[i], word{at: when(m[1]), safe: map[string]int{"true": 1, "false": -1}[m[2]]})
+				out[i] = append(out[i], diagnosisReport{at: when(m[1]), safe: map[string]int{"true": 1, "false": -1}[m[2]]})
 			} else if m := outLine.FindStringSubmatch(line); m != nil {
-				out[i] = append(out[i], word{at: when(m[1]), safe: 1})
+				out[i] = append(out[i], diagnosisReport{at: when(m[1]), safe: 1})
 			}
 		}
 	}
@@ -244,10 +244,10 @@
 // believed holds what all processes believed, by their own logs, against one another: no two had different views of one
 // number; no view that was made after one and up to another is without any but some; and none that a view was without
 // took its part for over 5 s of its own running time after that view was first held anywhere.
-func (f *viewed) believed(name string, after, upTo int, but []int) {
+func (f *viewFleet) believed(name string, after, upTo int, but []int) {
 	f.t.Helper()
-	words := f.words()
-	views, first := map[string]string{}, map[string]word{}
+	words := f.reports()
+	views, first := map[string]string{}, map[string]diagnosisReport{}
 	for _, of := range words {
 		for _, w := range of {
 			if w.number == 0 {
@@ -283,7 +283,7 @@
 
 // tookPart returns for how long a process that a view is without took its part after that view was first held, in a view
 // before it. Time in which it did not run does not count.
-func (f *viewed) tookPart(i int, words []word, out word) (sum time.Duration) {
+func (f *viewFleet) tookPart(i int, words []diagnosisReport, out diagnosisReport) (sum time.Duration) {
 	safe, number := true, 0
 	add := func(from, to time.Time) {
 		if from.Before(out.at) {
@@ -332,24 +332,24 @@
 	return out
 }
 
-// trouble plays one that some members may rightly be out by, and waits until all are in one view again.
-func (f *viewed) trouble(name string, about []int, do func()) {
+// withFault plays one that some members may rightly be out by, and waits until all are in one view again.
+func (f *viewFleet) withFault(name string, about []int, do func()) {
 	f.t.Helper()
 	from := time.Now()
 	do()
 	f.relays.Heal()
 	at := f.one(all())
 	f.believed(name, f.before, at, about)
-	f.t.Logf("%s: views %d to %d, %v; %s", name, f.before, at, time.Since(from).Round(100*time.Millisecond), f.became(from, time.Now(), nil))
+	f.t.Logf("%s: views %d to %d, %v; %s", name, f.before, at, time.Since(from).Round(100*time.Millisecond), f.diagnosed(from, time.Now(), nil))
 	if len(about) == 0 && at != f.before {
 		f.t.Errorf("%s: the view has changed", name)
 	}
 	f.before = at
 }
 
-// became counts what became of the requests that were made in a time at other instances than some: failed (by another
+// diagnosed counts what became of the requests that were made in a time at other instances than some: failed (by another
 // answer than 200), late (after their deadline), of those whose callers waited.
-func (f *viewed) became(from, to time.Time, but []int) string {
+func (f *viewFleet) diagnosed(from, to time.Time, but []int) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var n, failed, late [2]int
@@ -373,7 +373,7 @@
 }
 
 // end has the callers end, and holds what took effect at the nodos against what they asked.
-func (f *viewed) end() {
+func (f *viewFleet) end() {
 	f.t.Helper()
 	served := func() (keyed, safe int) {
 		f.mu.Lock()
@@ -394,7 +394,7 @@
 	})
 	close(f.stop)
 	f.callers.Wait()
-	took := onceEach(f.t, f.groups)
+	took := countEffects(f.t, f.groups)
 	var codes [600][2]int
 	for _, a := range f.asked {
 		if a.keyed {
--- a/internal/edge/frontend/disconnect_test.go
+++ b/internal/edge/frontend/disconnect_test.go
@@ -33,14 +33,14 @@
 	"silvertrail/lbpolicy"
 )
 
-// taken is a connection as the sidecar has it. What is read of it can be held back.
-type taken struct {
+// countingConn is a connection as the sidecar has it. What is read of it can be held back.
+type countingConn struct {
 	*net.TCPConn
 	hold atomic.Pointer[chan struct{}] // what has been read waits for its end; nil: nothing waits
 	read atomic.Int64                  // bytes
 }
 
-func (c *taken) Read(b []byte) (int, error) {
+func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if hold := c.hold.Load(); hold != nil && n > 0 {
 		<-*hold
@@ -50,7 +50,7 @@
 }
 
 // over tells whether the client's end has come to the sidecar's socket, whatever stands before it.
-func (c *taken) over() (over bool) {
+func (c *countingConn) over() (over bool) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return true
@@ -68,7 +68,7 @@
 type listener struct {
 	net.Listener
 	hold  atomic.Pointer[chan struct{}] // of connections that come from now on
-	taken chan *taken
+	taken chan *countingConn
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &taken{TCPConn: c.(*net.TCPConn)}
+	t := &countingConn{TCPConn: c.(*net.TCPConn)}
 	t.hold.Store(l.hold.Load())
 	l.taken <- t
 	return t, nil
@@ -106,7 +106,7 @@
 // open starts one; serve, where it is not nil, answers in place of the endpoints' 200.
 func open(t *testing.T, maxConns int, bodies int64, secure bool, serve func(*lbtest.Arrival)) *testServer {
 	t.Helper()
-	d := &testServer{listener: &listener{Listener: lbtest.Listen(t), taken: make(chan *taken, 64)}}
+	d := &testServer{listener: &listener{Listener: lbtest.Listen(t), taken: make(chan *countingConn, 64)}}
 	d.addr = d.Addr().String()
 	c, err := config.Load(lbtest.WriteConfig(t, "", d.addr, "127.0.0.1:1"))
 	if err != nil {
@@ -169,7 +169,7 @@
 type testClient struct {
 	*lbtest.Client
 	tcp  *net.TCPConn
-	here *taken
+	here *countingConn
 }
 
 func (d *testServer) call(t *testing.T, text string) *testClient {
@@ -189,7 +189,7 @@
 }
 
 // Ways in which a client leaves. What it wrote before its end stands unread before that end.
-var ways = map[string]func(*testClient){
+var waysToDisconnect = map[string]func(*testClient){
 	"closes":                   func(c *testClient) { c.Close() },
 	"closes behind a request":  func(c *testClient) { c.Send(lbtest.Get("behind")); c.Close() },
 	"closes behind many":       func(c *testClient) { c.Send(strings.Repeat(lbtest.Get("behind"), 100)); c.Close() },
@@ -199,8 +199,8 @@
 	"ends it behind a request": func(c *testClient) { c.Send(lbtest.Get("behind")); c.tcp.CloseWrite() },
 }
 
-// place is where a request waits. It has that of a client wait there; when go on is called the wait is over.
-type place struct {
+// waitingPlace is where a request waits. It has that of a client wait there; when go on is called the wait is over.
+type waitingPlace struct {
 	conns  int
 	bodies int64
 	begun  int                   // attempts that have come to an endpoint before its client leaves
@@ -233,7 +233,7 @@
 			return first(ctx)
 		}
 		began <- struct{}{}
-		return late(ctx, gate)
+		return waitFor(ctx, gate)
 	}
 	d.dial.Store(&before)
 	c = d.call(t, text)
@@ -247,8 +247,8 @@
 
 func dialSucceeds(context.Context) error { return nil }
 
-// atOnce has a client's next bytes held once the front has read them, until release is called.
-func atOnce(t *testing.T, c *testClient, text string) (release func()) {
+// holdNextRead has a client's next bytes held once the front has read them, until release is called.
+func holdNextRead(t *testing.T, c *testClient, text string) (release func()) {
 	t.Helper()
 	gate := make(chan struct{})
 	c.here.hold.Store(&gate)
@@ -256,7 +256,7 @@
 	return func() { close(gate) }
 }
 
-func late(ctx context.Context, gate chan struct{}) error {
+func waitFor(ctx context.Context, gate chan struct{}) error {
 	select {
 	case <-gate:
 		return nil
@@ -265,7 +265,7 @@
 	}
 }
 
-var places = map[string]place{
+var waitingPlaces = map[string]waitingPlace{
 	"a head that is read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
 		gate := make(chan struct{})
@@ -287,7 +287,7 @@
 	}},
 	"a dial that comes up late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
-		return delayDial(t, d, lbtest.Get("left"), late)
+		return delayDial(t, d, lbtest.Get("left"), waitFor)
 	}},
 	"a descriptor": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
@@ -302,7 +302,7 @@
 	}},
 	"a dial while the process ends": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
-		c, release := delayDial(t, d, lbtest.Get("left"), late)
+		c, release := delayDial(t, d, lbtest.Get("left"), waitFor)
 		by := time.Now().Add(lbtest.Wait)
 		d.host.ShutDownBy(by)
 		go d.Shutdown(time.Now(), by)
@@ -311,7 +311,7 @@
 	"memory for its body": {bodies: 64 << 10, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
 		body := strings.Repeat("x", 40<<10)
-		first, release := delayDial(t, d, lbtest.Post("first", body), late) // it has the memory
+		first, release := delayDial(t, d, lbtest.Post("first", body), waitFor) // it has the memory
 		c := d.call(t, lbtest.Post("left", body))
 		return c, func() {
 			release()
@@ -326,11 +326,11 @@
 		text := lbtest.Post("left", strings.Repeat("x", 2000))
 		c := d.call(t, text[:len(text)-1000])
 		lbtest.Until(t, "its beginning is read", func() bool { return c.here.read.Load() == int64(len(text)-1000) })
-		return c, atOnce(t, c, text[len(text)-1000:])
+		return c, holdNextRead(t, c, text[len(text)-1000:])
 	}},
 	"a dial, of an HTTP/1.0 caller": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
-		return delayDial(t, d, strings.Replace(lbtest.Get("left"), "HTTP/1.1", "HTTP/1.0", 1), late)
+		return delayDial(t, d, strings.Replace(lbtest.Get("left"), "HTTP/1.1", "HTTP/1.0", 1), waitFor)
 	}},
 	"a head of HTTP/1.0 that is read late": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
@@ -350,7 +350,7 @@
 	"the first dial, while the second hangs": {wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
 		gate := make(chan struct{})
-		c, end := delaySecondDial(t, d, lbtest.Get("left"), func(ctx context.Context) error { return late(ctx, gate) })
+		c, end := delaySecondDial(t, d, lbtest.Get("left"), func(ctx context.Context) error { return waitFor(ctx, gate) })
 		t.Cleanup(end)
 		return c, func() { close(gate) }
 	}},
@@ -378,7 +378,7 @@
 	}},
 	"a slot of the listener": {conns: 1, wait: func(t *testing.T, d *testServer) (*testClient, func()) {
 		t.Helper()
-		first, release := delayDial(t, d, lbtest.Get("first"), late)
+		first, release := delayDial(t, d, lbtest.Get("first"), waitFor)
 		c := d.call(t, lbtest.Get("left"))
 		return c, func() {
 			release()
@@ -394,8 +394,8 @@
 // end leaves nothing behind. Here the end stands on the sidecar's socket before the wait is over, every time.
 func TestLeftWhileWaiting(t *testing.T) {
 	t.Parallel()
-	for name, p := range places {
-		for how, leave := range ways {
+	for name, p := range waitingPlaces {
+		for how, leave := range waysToDisconnect {
 			t.Run(name+"/"+how, func(t *testing.T) {
 				t.Parallel()
 				conns, bodies := 8, int64(1<<20)
@@ -418,7 +418,7 @@
 						t.Errorf("and then %q", rest)
 					}
 				}
-				gone(t, d, "behind")
+				expectReleased(t, d, "behind")
 				if got := d.got(); slices.Contains(got[:min(p.begun, len(got))], "behind") || slices.Contains(got[min(p.begun, len(got)):], "left") {
 					t.Errorf("endpoints got %q, of the one that left at most %d", got, p.begun)
 				}
@@ -427,8 +427,8 @@
 	}
 }
 
-// gone waits until nobody is there, and holds what came to the endpoints against what must not have.
-func gone(t *testing.T, d *testServer, not ...string) {
+// expectReleased waits until nobody is there, and holds what came to the endpoints against what must not have.
+func expectReleased(t *testing.T, d *testServer, not ...string) {
 	t.Helper()
 	lbtest.Until(t, "no connection and no call is held", func() bool { return d.Conns() == 0 && d.host.InFlight() == 0 })
 	for _, id := range d.got() {
@@ -446,12 +446,12 @@
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
 			d := open(t, 8, 1<<20, true, nil)
-			c, release := delayDial(t, d, lbtest.Get("left"), late)
+			c, release := delayDial(t, d, lbtest.Get("left"), waitFor)
 			c.Send(text)
 			c.Close()
 			lbtest.Until(t, "the end has come", c.here.over)
 			release()
-			gone(t, d, "left", "behind")
+			expectReleased(t, d, "left", "behind")
 		})
 	}
 	for how, text := range map[string]string{"notifies alone": "", "notifies behind a request": behind,
@@ -476,7 +476,7 @@
 			if status, _ := c.Response(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
-			gone(t, d, "left", "behind")
+			expectReleased(t, d, "left", "behind")
 			if n := len(gaveUp); n > 0 {
 				t.Errorf("%d more attempts were made for it", n)
 			}
@@ -514,7 +514,7 @@
 			if status, _ := c.Response(); status != 200 {
 				t.Fatal(status)
 			}
-			release := atOnce(t, c, lbtest.Get("left"))
+			release := holdNextRead(t, c, lbtest.Get("left"))
 			c.Send(text)
 			c.Conn.(*tls.Conn).CloseWrite()
 			c.sent(t)
@@ -522,13 +522,13 @@
 			if status, _ := c.Response(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
-			gone(t, d, "left", "behind")
+			expectReleased(t, d, "left", "behind")
 		})
 		t.Run("memory for its body/"+how, func(t *testing.T) {
 			t.Parallel()
 			d := open(t, 8, 64<<10, true, nil)
 			body := strings.Repeat("x", 40<<10)
-			first, release := delayDial(t, d, lbtest.Post("first", body), late) // it has the memory
+			first, release := delayDial(t, d, lbtest.Post("first", body), waitFor) // it has the memory
 			c := d.call(t, lbtest.Post("left", body))
 			c.Send(text)
 			c.Conn.(*tls.Conn).CloseWrite()
@@ -541,7 +541,7 @@
 			if status, _ := c.Response(); status != 502 {
 				t.Errorf("answered %d", status)
 			}
-			gone(t, d, "left", "behind")
+			expectReleased(t, d, "left", "behind")
 		})
 	}
 }
@@ -559,7 +559,7 @@
 		for i := range n {
 			text.WriteString(lbtest.Get(fmt.Sprint("n", i)))
 		}
-		release := atOnce(t, first, text.String())
+		release := holdNextRead(t, first, text.String())
 		first.sent(t)
 		release()
 		for i := range n {
@@ -568,14 +568,14 @@
 			}
 		}
 		first.Close()
-		gone(t, d)
+		expectReleased(t, d)
 	}
 }
 
 // A retry is not sent for a client that has left behind bytes that nobody read: its first attempt fails only then.
 func TestLeftBeforeRetry(t *testing.T) {
 	t.Parallel()
-	for how, leave := range ways {
+	for how, leave := range waysToDisconnect {
 		if !strings.Contains(how, "behind") {
 			continue // the first attempt is given up within 20 ms, or its failure comes first
 		}
@@ -588,7 +588,7 @@
 			leave(c)
 			lbtest.Until(t, "the end has come", c.here.over)
 			first.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
-			gone(t, d, "behind")
+			expectReleased(t, d, "behind")
 			if got := d.got(); len(got) != 1 {
 				t.Errorf("endpoints got %q", got)
 			}
@@ -616,5 +616,5 @@
 	c.Close()
 	lbtest.Until(t, "the end has come", c.here.over)
 	close(gate)
-	gone(t, d, "left") // endpoints take a request down once its body is whole
+	expectReleased(t, d, "left") // endpoints take a request down once its body is whole
 }
--- a/internal/edge/frontend/stream_test.go
+++ b/internal/edge/frontend/stream_test.go
@@ -32,8 +32,8 @@
 	return n, nil
 }
 
-// same tells whether a body is a pattern of a size.
-func same(r io.Reader, size int) error {
+// checkPattern tells whether a body is a pattern of a size.
+func checkPattern(r io.Reader, size int) error {
 	var got, want [32 << 10]byte
 	p := &pattern{size: size}
 	total := 0
@@ -52,15 +52,15 @@
 	}
 }
 
-// large is an endpoint that checks bodies and answers with as many bytes as X-Want says, in chunks where X-Chunks does.
-func large(t *testing.T, arrived *atomic.Int64) string {
+// startLargeEndpoint is an endpoint that checks bodies and answers with as many bytes as X-Want says, in chunks where X-Chunks does.
+func startLargeEndpoint(t *testing.T, arrived *atomic.Int64) string {
 	t.Helper()
 	l := lbtest.Listen(t)
 	s := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var size, want int
 		fmt.Sscan(r.Header.Get("X-Size"), &size)
 		fmt.Sscan(r.Header.Get("X-Want"), &want)
-		if err := same(r.Body, size); err != nil {
+		if err := checkPattern(r.Body, size); err != nil {
 			if size >= 0 && r.Header.Get("X-Breaks") == "" {
 				t.Errorf("at the endpoint: %v", err)
 			}
@@ -102,7 +102,7 @@
 // stands behind them on the connection is served too.
 func TestLargeBothWays(t *testing.T) {
 	var arrived atomic.Int64
-	_, addr := serve(t, large(t, &arrived), 64)
+	_, addr := serve(t, startLargeEndpoint(t, &arrived), 64)
 	var all sync.WaitGroup
 	sizes := []int{64<<10 - 1, 64 << 10, 64<<10 + 1, 100_000, 1 << 20, 5 << 20, 32 << 20}
 	asked := int64(0)
@@ -131,9 +131,9 @@
 					}
 					var body io.Reader = r.Body
 					if i == 2 {
-						body = slowly{r.Body}
+						body = slowReader{r.Body}
 					}
-					if err := same(body, sizes[len(sizes)-1-i]); err != nil {
+					if err := checkPattern(body, sizes[len(sizes)-1-i]); err != nil {
 						t.Errorf("%d bytes, chunks %t: %v", size, chunks, err)
 						return
 					}
@@ -147,15 +147,15 @@
 	}
 }
 
-type slowly struct{ io.Reader }
+type slowReader struct{ io.Reader }
 
-func (s slowly) Read(p []byte) (int, error) {
+func (s slowReader) Read(p []byte) (int, error) {
 	time.Sleep(time.Millisecond)
 	return s.Reader.Read(p[:min(len(p), 8<<10)])
 }
 
-// raw is an endpoint whose every byte is the test's: each connection's reader stands behind the first request's head.
-func raw(t *testing.T, serve func(c net.Conn, r *http.Request)) string {
+// startRawEndpoint is an endpoint whose every byte is the test's: each connection's reader stands behind the first request's head.
+func startRawEndpoint(t *testing.T, serve func(c net.Conn, r *http.Request)) string {
 	t.Helper()
 	l := lbtest.Listen(t)
 	go func() {
@@ -188,7 +188,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			arrived.Store(0)
-			e := raw(t, func(conn net.Conn, r *http.Request) {
+			e := startRawEndpoint(t, func(conn net.Conn, r *http.Request) {
 				arrived.Add(1)
 				text := half
 				if strings.Contains(c.head, "chunked") {
@@ -221,7 +221,7 @@
 
 // An endpoint that answers before the body is over is heard, while the client still sends.
 func TestAnsweredEarly(t *testing.T) {
-	e := raw(t, func(c net.Conn, r *http.Request) { io.WriteString(c, lbtest.OK("early")) })
+	e := startRawEndpoint(t, func(c net.Conn, r *http.Request) { io.WriteString(c, lbtest.OK("early")) })
 	_, addr := serve(t, e, 8)
 	c := lbtest.Dial(t, addr)
 	c.Send(lbtest.Head("POST", "write", "a", "Idempotency-Key: k", "Content-Length: 1000000") + strings.Repeat("x", 200<<10))
@@ -234,7 +234,7 @@
 // at most; one of which nothing is gone yet goes to the next.
 func TestBodiesAndAttempts(t *testing.T) {
 	var arrived atomic.Int64
-	good := large(t, &arrived)
+	good := startLargeEndpoint(t, &arrived)
 	t.Run("broken by its caller", func(t *testing.T) {
 		_, addr := serve(t, good, 8)
 		for _, framing := range []string{"Content-Length: 1000000", "Transfer-Encoding: chunked"} {
@@ -269,7 +269,7 @@
 	t.Run("one dies with half of it", func(t *testing.T) {
 		arrived.Store(0)
 		var took atomic.Int64
-		dies := raw(t, func(c net.Conn, r *http.Request) {
+		dies := startRawEndpoint(t, func(c net.Conn, r *http.Request) {
 			io.CopyN(io.Discard, r.Body, 150_000)
 			took.Add(1)
 			c.(*net.TCPConn).SetLinger(0)
@@ -291,7 +291,7 @@
 // An answer in small pieces is passed on whole, though it takes longer in all than an endpoint may be silent.
 func TestSlowPieces(t *testing.T) {
 	const pieces = 12
-	e := raw(t, func(c net.Conn, r *http.Request) {
+	e := startRawEndpoint(t, func(c net.Conn, r *http.Request) {
 		text := lbtest.OK(strings.Repeat("y", pieces*4))
 		for i := range pieces {
 			io.WriteString(c, text[i*len(text)/pieces:(i+1)*len(text)/pieces])
@@ -309,7 +309,7 @@
 // A client that goes after its large body was passed on whole is noticed: the endpoint's connection ends, and so does the work.
 func TestLeavesAfterLargeBody(t *testing.T) {
 	got, ended := make(chan struct{}), make(chan struct{})
-	e := raw(t, func(c net.Conn, r *http.Request) {
+	e := startRawEndpoint(t, func(c net.Conn, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		close(got)
 		io.Copy(io.Discard, c) // until the sidecar ends it
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -24,8 +24,8 @@
 	return fmt.Sprintf("POST /w/%s HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\nContent-Length: 2\r\n\r\nok", id, id)
 }
 
-// answered sends a request and reads its answer; status 0: the connection ended without one.
-func answered(c net.Conn, text string) (status int, after time.Duration) {
+// awaitResponse sends a request and reads its answer; status 0: the connection ended without one.
+func awaitResponse(c net.Conn, text string) (status int, after time.Duration) {
 	io.WriteString(c, text)
 	return lbtest.ReadResponse(bufio.NewReader(c))
 }
@@ -90,7 +90,7 @@
 			return 0, 0
 		}
 		defer c.Close()
-		status, after = answered(c, keyed(id))
+		status, after = awaitResponse(c, keyed(id))
 		statuses.Store(id, status)
 		return status, after
 	}
@@ -272,15 +272,15 @@
 	}
 }
 
-// secured runs a gateway under TLS with an authority for its callers, before an endpoint that holds what it gets.
-func secured(t *testing.T) (g *Gateway, folder string, good *fake.Authority, got chan *lbtest.Arrival) {
+// startSecured runs a gateway under TLS with an authority for its callers, before an endpoint that holds what it gets.
+func startSecured(t *testing.T) (g *Gateway, folder string, good *fake.Authority, got chan *lbtest.Arrival) {
 	t.Helper()
 	folder = t.TempDir()
 	good, err := fake.NewAuthority(folder, "good")
 	if err != nil {
 		t.Fatal(err)
 	}
-	issue(t, good, folder, "server", "gate.example", time.Now().Add(time.Hour))
+	issueCertificate(t, good, folder, "server", "gate.example", time.Now().Add(time.Hour))
 	e := lbtest.NewEndpoint(t, nil)
 	g = run(t, fmt.Sprintf(`
 clients "secretarias" {
@@ -307,15 +307,15 @@
 	return g, folder, good, e.Arrivals
 }
 
-func issue(t *testing.T, by *fake.Authority, folder, file, name string, until time.Time) {
+func issueCertificate(t *testing.T, by *fake.Authority, folder, file, name string, until time.Time) {
 	t.Helper()
 	if err := by.Issue(filepath.Join(folder, file+".pem"), filepath.Join(folder, file+".key"), name, until); err != nil {
 		t.Fatal(err)
 	}
 }
 
-// over connects under TLS, with the certificate of a file where it is named.
-func over(t *testing.T, g *Gateway, folder, file string, tickets tls.ClientSessionCache) (*tls.Conn, error) {
+// dialTLS connects under TLS, with the certificate of a file where it is named.
+func dialTLS(t *testing.T, g *Gateway, folder, file string, tickets tls.ClientSessionCache) (*tls.Conn, error) {
 	t.Helper()
 	roots := x509.NewCertPool()
 	for _, name := range []string{"good.pem", "next.pem"} {
@@ -344,19 +344,19 @@
 // that nobody here has signed, does not. Nothing of what is refused takes effect.
 func TestCertificateAdmits(t *testing.T) {
 	t.Parallel()
-	g, folder, good, got := secured(t)
-	issue(t, good, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
-	issue(t, good, folder, "old", "old.secretarias.example", time.Now().Add(-time.Minute))
+	g, folder, good, got := startSecured(t)
+	issueCertificate(t, good, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
+	issueCertificate(t, good, folder, "old", "old.secretarias.example", time.Now().Add(-time.Minute))
 	other, err := fake.NewAuthority(folder, "other")
 	if err != nil {
 		t.Fatal(err)
 	}
-	issue(t, other, folder, "false", "s1.secretarias.example", time.Now().Add(time.Hour))
+	issueCertificate(t, other, folder, "false", "s1.secretarias.example", time.Now().Add(time.Hour))
 
 	var held []*lbtest.Arrival
 	var strangers []*tls.Conn
 	for i := range 4 {
-		c, err := over(t, g, folder, "", nil)
+		c, err := dialTLS(t, g, folder, "", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -365,25 +365,25 @@
 		strangers = append(strangers, c)
 	}
 	for range 3 { // a stranger more is told so, after its handshake
-		c, err := over(t, g, folder, "", nil)
+		c, err := dialTLS(t, g, folder, "", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if status, after := answered(c, keyed("too-many")); status != 503 || after <= 0 {
+		if status, after := awaitResponse(c, keyed("too-many")); status != 503 || after <= 0 {
 			t.Errorf("a stranger too many got %d, %v", status, after)
 		}
 	}
 	for _, file := range []string{"false", "old"} {
-		c, err := over(t, g, folder, file, nil)
+		c, err := dialTLS(t, g, folder, file, nil)
 		if err == nil {
-			if status, _ := answered(c, keyed("false")); status != 0 {
+			if status, _ := awaitResponse(c, keyed("false")); status != 0 {
 				t.Errorf("with certificate %s: %d", file, status)
 			}
 		}
 	}
 	tickets := tls.NewLRUClientSessionCache(8)
 	for i := range 5 { // the second and later ones by tickets: the certificate counts all the same
-		c, err := over(t, g, folder, "s1", tickets)
+		c, err := dialTLS(t, g, folder, "s1", tickets)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -392,7 +392,7 @@
 		}
 		done := make(chan int)
 		go func() {
-			status, _ := answered(c, keyed(fmt.Sprint("secretary-", i)))
+			status, _ := awaitResponse(c, keyed(fmt.Sprint("secretary-", i)))
 			done <- status
 		}()
 		(<-got).OK()
@@ -419,7 +419,7 @@
 // nothing; with another authority neither the old certificates nor tickets got by them count.
 func TestKeysChange(t *testing.T) {
 	t.Parallel()
-	g, folder, good, got := secured(t)
+	g, folder, good, got := startSecured(t)
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
@@ -432,13 +432,13 @@
 			}
 		}
 	}()
-	issue(t, good, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
-	first, err := over(t, g, folder, "", nil)
+	issueCertificate(t, good, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
+	first, err := dialTLS(t, g, folder, "", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	serial := func() string {
-		c, err := over(t, g, folder, "", nil)
+		c, err := dialTLS(t, g, folder, "", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -461,12 +461,12 @@
 	if serial() != was {
 		t.Error("a torn file was taken")
 	}
-	issue(t, good, folder, "server", "gate.example", time.Now().Add(time.Hour))
+	issueCertificate(t, good, folder, "server", "gate.example", time.Now().Add(time.Hour))
 	later("server.pem", "server.key")
 	if serial() == was {
 		t.Error("the new certificate is not shown")
 	}
-	if status, _ := answered(first, keyed("kept")); status != 200 {
+	if status, _ := awaitResponse(first, keyed("kept")); status != 200 {
 		t.Errorf("on the connection made before: %d", status)
 	}
 
@@ -474,10 +474,10 @@
 	recognised := func() uint64 { return g.listenerStatus(0, netip.Addr{})[0].Groups[1].Identified }
 	visit := func(want int) {
 		t.Helper()
-		c, err := over(t, g, folder, "s1", tickets)
+		c, err := dialTLS(t, g, folder, "s1", tickets)
 		status := 0
 		if err == nil {
-			status, _ = answered(c, keyed(fmt.Sprint("visit-", time.Now().UnixNano())))
+			status, _ = awaitResponse(c, keyed(fmt.Sprint("visit-", time.Now().UnixNano())))
 			c.Close()
 		}
 		if status != want {
@@ -500,10 +500,10 @@
 	if err := os.WriteFile(good.File, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	issue(t, next, folder, "server", "gate.example", time.Now().Add(time.Hour))
+	issueCertificate(t, next, folder, "server", "gate.example", time.Now().Add(time.Hour))
 	later("good.pem", "server.pem", "server.key")
 	visit(0) // its certificate is of the authority that went, and so is its ticket
-	issue(t, next, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
+	issueCertificate(t, next, folder, "s1", "s1.secretarias.example", time.Now().Add(time.Hour))
 	visit(200)
 	if recognised() != 3 {
 		t.Errorf("%d recognised", recognised())
@@ -514,8 +514,8 @@
 // taken for one.
 func TestGoneUnderTLS(t *testing.T) {
 	t.Parallel()
-	g, folder, _, got := secured(t)
-	c, err := over(t, g, folder, "", nil)
+	g, folder, _, got := startSecured(t)
+	c, err := dialTLS(t, g, folder, "", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -16,7 +16,7 @@
 )
 
 // gateways runs n instances of one fleet before two salas, all of them voters, with links between them that can be cut.
-func gateways(t *testing.T, n int, s *salas) (all []*Gateway, links *lbtest.Links) {
+func gateways(t *testing.T, n int, s *twoZones) (all []*Gateway, links *lbtest.Links) {
 	t.Helper()
 	links = lbtest.NewLinks()
 	t.Cleanup(links.Close)
@@ -25,7 +25,7 @@
 		voters = append(voters, fmt.Sprint("i", i))
 	}
 	for i := range n {
-		file := parse(t, keyedClass("500ms", "60s")+twoSalas+listener("l", "127.0.0.1:0")+s.cluster("c", "")+
+		file := parse(t, keyedClass("500ms", "60s")+twoZonesProcess+listener("l", "127.0.0.1:0")+s.cluster("c", "")+
 			"route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\nroute \"read\" {\n match {\n methods = [\"GET\"]\n }\n class = \"read\"\n cluster = \"c\"\n}\n")
 		sockets, err := fleet.Listen("127.0.0.1:0")
 		if err != nil {
@@ -59,7 +59,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			s := newSalas(t, time.Minute, func(nodo int) fake.Fault {
+			s := newTwoZones(t, time.Minute, func(nodo int) fake.Fault {
 				switch n.Add(1) % int64(8+4*nodo) {
 				case 0:
 					return fake.NoResponse
@@ -76,7 +76,7 @@
 			}
 			var mu sync.Mutex
 			d := rand.New(rand.NewPCG(1, 1))
-			crowd := &repeating{callers: 24, keys: 12, deadline: 500 * time.Millisecond}
+			crowd := &retryingClients{callers: 24, keys: 12, deadline: 500 * time.Millisecond}
 			if *long {
 				crowd.keys = 200
 			}
@@ -93,12 +93,12 @@
 			if status, _, _ := askAt(t, all[4].Addr("l").String(), "GET", "/read"); status != 200 {
 				t.Errorf("a class that needs no history: %d", status)
 			}
-			if keys := s.twice(); len(keys) > 0 {
+			if keys := s.duplicates(); len(keys) > 0 {
 				t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
 			}
-			t.Logf("%s; %d keys took effect of %d", crowd.text(), s.effects(), crowd.runs*crowd.callers*crowd.keys)
+			t.Logf("%s; %d keys took effect of %d", crowd.summary(), s.effects(), crowd.runs*crowd.callers*crowd.keys)
 			if !enough() {
-				t.Errorf("tests little: %s", crowd.text())
+				t.Errorf("tests little: %s", crowd.summary())
 			}
 		})
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -116,8 +116,8 @@
 	return status, body, header
 }
 
-// says returns an endpoint that answers with its name and what it was sent.
-func says(t *testing.T, name string) *lbtest.Endpoint {
+// newEchoEndpoint returns an endpoint that answers with its name and what it was sent.
+func newEchoEndpoint(t *testing.T, name string) *lbtest.Endpoint {
 	t.Helper()
 	return lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
 		a.Write([]byte(lbtest.OK(name + " " + a.Request.Method + " " + a.Request.RequestURI)))
@@ -126,7 +126,7 @@
 
 func TestRoutes(t *testing.T) {
 	t.Parallel()
-	one, two := says(t, "one"), says(t, "two")
+	one, two := newEchoEndpoint(t, "one"), newEchoEndpoint(t, "two")
 	g := run(t, listener("l", "127.0.0.1:0")+pool("one", "", one.Addr)+pool("two", "", two.Addr)+`
 route "all" {
   class   = "read"
@@ -211,7 +211,7 @@
 // Each writing of a host is matched in one form.
 func TestHosts(t *testing.T) {
 	t.Parallel()
-	e := says(t, "e")
+	e := newEchoEndpoint(t, "e")
 	g := run(t, listener("l", "127.0.0.1:0")+pool("c", "", e.Addr)+`
 route "exact" {
   match {
@@ -412,7 +412,7 @@
 // All writes of one key go to one side of a split, whatever the route splits by; a safe request that failed goes over.
 func TestSplitAndFailover(t *testing.T) {
 	t.Parallel()
-	one, two := says(t, "one"), says(t, "two")
+	one, two := newEchoEndpoint(t, "one"), newEchoEndpoint(t, "two")
 	broken := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.Close() })
 	g := run(t, listener("l", "127.0.0.1:0")+pool("one", "", one.Addr)+pool("two", "", two.Addr)+pool("broken", "", broken.Addr)+`
 route "w" {
@@ -459,7 +459,7 @@
 func TestHungCluster(t *testing.T) {
 	t.Parallel()
 	hung := lbtest.NewEndpoint(t, func(*lbtest.Arrival) {})
-	healthy := says(t, "healthy")
+	healthy := newEchoEndpoint(t, "healthy")
 	g := run(t, `
 process {
   sockets = 512
@@ -510,7 +510,7 @@
 // A reload that fails in any part changes nothing.
 func TestReloadFails(t *testing.T) {
 	t.Parallel()
-	one := says(t, "one")
+	one := newEchoEndpoint(t, "one")
 	g := run(t, listener("l", "127.0.0.1:0")+pool("c", "", one.Addr)+"route \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")
 	before := g.Addr("l").String()
 	taken := lbtest.Listen(t)
@@ -601,7 +601,7 @@
 // Two clusters may share an address; what drains in one is served in the other.
 func TestSharedAddress(t *testing.T) {
 	t.Parallel()
-	e := says(t, "e")
+	e := newEchoEndpoint(t, "e")
 	drained := strings.Replace(pool("a", "", e.Addr), "address", "status = \"draining\"\n address", 1)
 	g := run(t, listener("l", "127.0.0.1:0")+drained+pool("b", "", e.Addr)+`
 route "a" {
@@ -764,7 +764,7 @@
 // are served on.
 func TestKeysFull(t *testing.T) {
 	t.Parallel()
-	e := says(t, "e")
+	e := newEchoEndpoint(t, "e")
 	g := run(t, "process {\n keys = 16\n}\n"+listener("l", "127.0.0.1:0")+pool("c", "", e.Addr)+"route \"r\" {\n class = \"write\"\n cluster = \"c\"\n}\n")
 	for i := range 16 {
 		if status, _, _ := ask(t, g, "POST", "/", fmt.Sprint("Idempotency-Key: ", i)); status != 200 {
--- a/internal/gateway/keys_test.go
+++ b/internal/gateway/keys_test.go
@@ -19,15 +19,15 @@
 
 var long = flag.Bool("long", false, "play the full size of what is scaled down by default")
 
-// salas are two groups of two nodos each, which share their memories of keys within a group.
-type salas struct {
+// twoZones are two groups of two nodos each, which share their memories of keys within a group.
+type twoZones struct {
 	groups [2]*fake.Group
 	nodos  [4]*fake.Endpoint
 }
 
-func newSalas(t *testing.T, window time.Duration, trouble func(nodo int) fake.Fault) *salas {
+func newTwoZones(t *testing.T, window time.Duration, trouble func(nodo int) fake.Fault) *twoZones {
 	t.Helper()
-	s := &salas{groups: [2]*fake.Group{fake.NewGroup("north", window), fake.NewGroup("south", window)}}
+	s := &twoZones{groups: [2]*fake.Group{fake.NewGroup("north", window), fake.NewGroup("south", window)}}
 	for i := range s.nodos {
 		o := fake.EndpointOptions{Name: fmt.Sprint("n", i), Work: time.Millisecond, Group: s.groups[i/2]}
 		if trouble != nil {
@@ -44,7 +44,7 @@
 }
 
 // cluster writes the nodos as a cluster of two zones.
-func (s *salas) cluster(name, more string) string {
+func (s *twoZones) cluster(name, more string) string {
 	text := fmt.Sprintf("cluster %q {\n%s\n", name, more)
 	for i, n := range s.nodos {
 		text += fmt.Sprintf("endpoint \"n%d\" {\n  address = %q\n  zone = %q\n}\n", i, n.Addr, s.groups[i/2].Name)
@@ -52,8 +52,8 @@
 	return text + "}\n"
 }
 
-// twice returns the keys that took effect more than once, in one sala or in two.
-func (s *salas) twice() (keys []string) {
+// duplicates returns the keys that took effect more than once, in one sala or in two.
+func (s *twoZones) duplicates() (keys []string) {
 	north, south := s.groups[0].Effects(), s.groups[1].Effects()
 	for key, n := range north {
 		if n+south[key] > 1 {
@@ -63,9 +63,9 @@
 	return keys
 }
 
-func (s *salas) effects() int { return len(s.groups[0].Effects()) + len(s.groups[1].Effects()) }
+func (s *twoZones) effects() int { return len(s.groups[0].Effects()) + len(s.groups[1].Effects()) }
 
-const twoSalas = "process {\n zones = [\"north\", \"south\"]\n zone = \"north\"\n sockets = 2048\n}\n"
+const twoZonesProcess = "process {\n zones = [\"north\", \"south\"]\n zone = \"north\"\n sockets = 2048\n}\n"
 
 // keyedClass is a class whose endpoints of one zone drop repeats.
 func keyedClass(deadline, window string, more ...string) string {
@@ -90,8 +90,8 @@
 	return status
 }
 
-// repeating is a crowd of callers that repeat with the same key after a failure, and now and then give up early.
-type repeating struct {
+// retryingClients is a crowd of callers that repeat with the same key after a failure, and now and then give up early.
+type retryingClients struct {
 	callers, keys  int
 	runs           int // so far: each has keys of its own
 	deadline       time.Duration
@@ -101,7 +101,7 @@
 	served         sync.Map
 }
 
-func (r *repeating) run(addr func() string) {
+func (r *retryingClients) run(addr func() string) {
 	r.runs++
 	var crowd sync.WaitGroup
 	for caller := range r.callers {
@@ -139,7 +139,7 @@
 	crowd.Wait()
 }
 
-func (r *repeating) text() string {
+func (r *retryingClients) summary() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d asked, %d repeats", r.asked.Load(), r.repeats.Load())
 	for status := range r.answers {
@@ -159,7 +159,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			s := newSalas(t, time.Minute, func(nodo int) fake.Fault {
+			s := newTwoZones(t, time.Minute, func(nodo int) fake.Fault {
 				switch n.Add(1) % int64(6+12*nodo) { // of the first nodo a third, of the next ones less
 				case 0:
 					return fake.NoResponse
@@ -170,13 +170,13 @@
 			})
 			const deadline = 500 * time.Millisecond
 			text := func(i int) string {
-				return keyedClass("500ms", "60s") + twoSalas + listener("l", "127.0.0.1:0") +
+				return keyedClass("500ms", "60s") + twoZonesProcess + listener("l", "127.0.0.1:0") +
 					s.cluster("c", fmt.Sprintf("idle = \"%ds\"\nreserve = \"10%%\"", 4+i%3)) +
 					s.cluster("d", "reserve = \"10%\"") + fmt.Sprintf("route \"r%d\" {\n class = \"seat\"\n failover = \"d\"\n cluster = \"c\"\n}\n", i)
 			}
 			g := run(t, text(0))
 			addr := g.Addr("l").String()
-			crowd := &repeating{callers: 48, keys: 50, deadline: deadline}
+			crowd := &retryingClients{callers: 48, keys: 50, deadline: deadline}
 			if *long {
 				crowd.keys = 500
 			}
@@ -193,13 +193,13 @@
 				}
 			}
 			<-done
-			if keys := s.twice(); len(keys) > 0 {
+			if keys := s.duplicates(); len(keys) > 0 {
 				t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
 			}
 			if crowd.repeats.Load() < 40 || crowd.answers[200].Load() < int64(crowd.callers*crowd.keys*8/10) {
-				t.Errorf("tests little: %s", crowd.text())
+				t.Errorf("tests little: %s", crowd.summary())
 			}
-			t.Logf("%s; %d effects", crowd.text(), s.effects())
+			t.Logf("%s; %d effects", crowd.summary(), s.effects())
 			crowd.served.Range(func(key, _ any) bool {
 				if s.groups[0].Effects()[key.(string)]+s.groups[1].Effects()[key.(string)] == 0 {
 					t.Errorf("%v was served and took no effect", key)
@@ -212,10 +212,10 @@
 }
 
 // held runs one sala's nodo whose answers are left out until let go, so that the first try of a key is still in work.
-func heldSalas(t *testing.T, window time.Duration) (s *salas, hold *atomic.Bool) {
+func newSilentZones(t *testing.T, window time.Duration) (s *twoZones, hold *atomic.Bool) {
 	t.Helper()
 	hold = &atomic.Bool{}
-	return newSalas(t, window, func(int) fake.Fault {
+	return newTwoZones(t, window, func(int) fake.Fault {
 		if hold.Load() {
 			return fake.NoResponse
 		}
@@ -227,10 +227,10 @@
 // sent nowhere; other keys are served.
 func TestGroupGone(t *testing.T) {
 	t.Parallel()
-	s, hold := heldSalas(t, time.Minute)
+	s, hold := newSilentZones(t, time.Minute)
 	class := keyedClass("300ms", "60s")
 	text := func(zones [4]string) string {
-		out := class + twoSalas + listener("l", "127.0.0.1:0") + "cluster \"c\" {\n"
+		out := class + twoZonesProcess + listener("l", "127.0.0.1:0") + "cluster \"c\" {\n"
 		for i, n := range s.nodos {
 			status, zone, _ := strings.Cut(zones[i], " ")
 			out += fmt.Sprintf("endpoint \"n%d\" {\n address = %q\n status = %q\n zone = %q\n}\n", i, n.Addr, status, zone)
@@ -273,7 +273,7 @@
 	if status := post(addr, "k", lbtest.Wait); status != 502 {
 		t.Errorf("its endpoints are of another zone: %d", status)
 	}
-	if keys := s.twice(); len(keys) > 0 {
+	if keys := s.duplicates(); len(keys) > 0 {
 		t.Errorf("twice: %v", keys)
 	}
 }
@@ -281,9 +281,9 @@
 // When the window is over a repeat fails and is not taken for a new request; when the key is no longer kept it is new.
 func TestWindowOver(t *testing.T) {
 	t.Parallel()
-	s := newSalas(t, 400*time.Millisecond, nil)
+	s := newTwoZones(t, 400*time.Millisecond, nil)
 	for keep, want := range map[string]int{"60s": 502, "0s": 200} {
-		g := run(t, keyedClass("300ms", "400ms", fmt.Sprintf("keep = %q", keep))+twoSalas+listener("l", "127.0.0.1:0")+s.cluster("c", "")+
+		g := run(t, keyedClass("300ms", "400ms", fmt.Sprintf("keep = %q", keep))+twoZonesProcess+listener("l", "127.0.0.1:0")+s.cluster("c", "")+
 			"route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
 		addr := g.Addr("l").String()
 		key := "kept for " + keep
@@ -300,8 +300,8 @@
 // What a repeat gets that comes while the first try is in work, and the same key with another body.
 func TestRepeats(t *testing.T) {
 	t.Parallel()
-	s, hold := heldSalas(t, time.Minute)
-	g := run(t, keyedClass("2s", "60s", "concurrent = \"conflict\"", "check_repeats = true")+twoSalas+listener("l", "127.0.0.1:0")+
+	s, hold := newSilentZones(t, time.Minute)
+	g := run(t, keyedClass("2s", "60s", "concurrent = \"conflict\"", "check_repeats = true")+twoZonesProcess+listener("l", "127.0.0.1:0")+
 		s.cluster("c", "hedge = false")+"route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
 	hold.Store(true)
 	first := make(chan int)
@@ -322,7 +322,7 @@
 	if status, _, _ := ask(t, g, "POST", "/seat", lines...); status != 200 {
 		t.Errorf("its repeat: %d", status)
 	}
-	if keys := s.twice(); len(keys) > 0 || s.effects() != 1 {
+	if keys := s.duplicates(); len(keys) > 0 || s.effects() != 1 {
 		t.Errorf("effects: %v", keys)
 	}
 }
@@ -330,8 +330,8 @@
 // A refusal for want of body memory tells when to come back, but is none for a key that may have run.
 func TestMemoryRefusal(t *testing.T) {
 	t.Parallel()
-	s := newSalas(t, time.Minute, nil)
-	g := run(t, keyedClass("2s", "60s")+strings.Replace(twoSalas, "sockets", "body_memory = \"64KiB\"\n sockets", 1)+listener("l", "127.0.0.1:0")+
+	s := newTwoZones(t, time.Minute, nil)
+	g := run(t, keyedClass("2s", "60s")+strings.Replace(twoZonesProcess, "sockets", "body_memory = \"64KiB\"\n sockets", 1)+listener("l", "127.0.0.1:0")+
 		s.cluster("c", "")+"route \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
 	if status := post(g.Addr("l").String(), "ran", lbtest.Wait); status != 200 {
 		t.Fatal(status)
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -38,10 +38,10 @@
 // away. Where records are lost, keys of which nothing is known fail until all that is lost would be forgotten.
 func TestKeysOverRestart(t *testing.T) {
 	t.Parallel()
-	s, hold := heldSalas(t, time.Minute)
+	s, hold := newSilentZones(t, time.Minute)
 	dir := filepath.Join(t.TempDir(), "ledger")
 	text := func(window, keep, zone, more string) string {
-		out := keyedClass("1s", window, fmt.Sprintf("keep = %q", keep), "check_repeats = true") + twoSalas + listener("l", "127.0.0.1:0") + ledgerAt(dir, more)
+		out := keyedClass("1s", window, fmt.Sprintf("keep = %q", keep), "check_repeats = true") + twoZonesProcess + listener("l", "127.0.0.1:0") + ledgerAt(dir, more)
 		if zone == "" {
 			return out + s.cluster("c", "") + seatRoute
 		}
@@ -104,7 +104,7 @@
 			t.Errorf("past its window: %d", status)
 		}
 	})
-	if keys := s.twice(); len(keys) > 0 {
+	if keys := s.duplicates(); len(keys) > 0 {
 		t.Errorf("twice: %v", keys)
 	}
 	if is := accounts(t, dir); is["other"].Verdict() != requesthistory.Served {
@@ -146,10 +146,10 @@
 // the burst takes effect that the ledger does not tell of.
 func TestDiskFullInABurst(t *testing.T) {
 	t.Parallel()
-	s := newSalas(t, time.Minute, nil)
+	s := newTwoZones(t, time.Minute, nil)
 	d := fake.NewDisk(-1)
 	file := parse(t, keyedClass("2s", "60s")+"class \"loose\" {\n aim = \"2s\"\n deadline = \"2s\"\n effect = \"keyed\"\n window = \"60s\"\n unrecorded = \"serve\"\n}\n"+
-		twoSalas+listener("l", "127.0.0.1:0")+ledgerAt("none", "patience = \"50ms\"")+s.cluster("c", "")+seatRoute+
+		twoZonesProcess+listener("l", "127.0.0.1:0")+ledgerAt("none", "patience = \"50ms\"")+s.cluster("c", "")+seatRoute+
 		"route \"loose\" {\n match {\n prefix = \"/loose\"\n }\n class = \"loose\"\n cluster = \"c\"\n}\n"+
 		"route \"safe\" {\n match {\n prefix = \"/safe\"\n }\n class = \"read\"\n cluster = \"c\"\n}\n")
 	file.Ledger.Disk = d
@@ -235,26 +235,26 @@
 // from it.
 func TestLedgerOverSalas(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
+	p := newSiteFleet(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
 	dirs := [3]string{}
 	for i := range 3 {
-		dirs[i] = filepath.Join(p.folder, "ledger-"+salaNames[i])
+		dirs[i] = filepath.Join(p.folder, "ledger-"+siteNames[i])
 		p.all[i].Close()
 	}
 	p.seeds = nil
 	for i := range 3 {
-		g, addr := p.launch(p.text(i)+ledgerAt(dirs[i], ""), true)
+		g, addr := p.launch(p.configText(i)+ledgerAt(dirs[i], ""), true)
 		p.seeds = append(p.seeds, addr)
 		p.all[i] = g
 		for j := range 3 {
 			p.paths[j][i].SetTarget(g.transport.Load().Addr())
 		}
 	}
-	p.linked()
+	p.awaitLinks()
 	for _, g := range p.all {
 		lbtest.Until(t, "all voters are members", func() bool { return len(g.fleet.Members()) == 3 })
 	}
-	p.members(0, "draining", "draining")
+	p.setStatuses(0, "draining", "draining")
 	tries := 0
 	lbtest.Until(t, "no nodo is left", func() bool {
 		tries++
@@ -281,7 +281,7 @@
 			t.Errorf("%s: %+v\n%+v", key, s, r)
 		}
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Errorf("twice: %v", keys)
 	}
 }
--- a/internal/gateway/sitegateways_test.go
+++ b/internal/gateway/sitegateways_test.go
@@ -12,11 +12,11 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// second starts another gateway of a sala under the sala's own name, a member of the fleet that is no voter, and returns it
+// startSecond starts another gateway of a sala under the sala's own name, a member of the fleet that is no voter, and returns it
 // with the path on which the first sala reaches it.
-func (p *province) second(i int) (*Gateway, *fake.Path) {
+func (p *siteFleet) startSecond(i int) (*Gateway, *fake.Path) {
 	p.t.Helper()
-	text := strings.Replace(p.text(i), fmt.Sprintf("fleet \"f\" {\n name = %q", salaNames[i]), fmt.Sprintf("fleet \"f\" {\n name = %q", salaNames[i]+"-2"), 1)
+	text := strings.Replace(p.configText(i), fmt.Sprintf("fleet \"f\" {\n name = %q", siteNames[i]), fmt.Sprintf("fleet \"f\" {\n name = %q", siteNames[i]+"-2"), 1)
 	g, _ := p.launch(text, true)
 	path, err := fake.NewPath(g.LinkAddr())
 	if err != nil {
@@ -31,14 +31,14 @@
 func TestTwoGatewaysOfASala(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, func(int, int) fake.Fault {
+	p := newSiteFleet(t, fake.EndpointOptions{Work: time.Millisecond}, func(int, int) fake.Fault {
 		if n.Add(1)%50 == 0 {
 			return fake.NoResponse
 		}
 		return fake.NoFault
 	})
-	other, path := p.second(1)
-	text := strings.Replace(p.text(0), fmt.Sprintf("address = %q\n }", p.paths[0][1].Addr), fmt.Sprintf("addresses = [%q, %q]\n }", p.paths[0][1].Addr, path.Addr), 1)
+	other, path := p.startSecond(1)
+	text := strings.Replace(p.configText(0), fmt.Sprintf("address = %q\n }", p.paths[0][1].Addr), fmt.Sprintf("addresses = [%q, %q]\n }", p.paths[0][1].Addr, path.Addr), 1)
 	text = strings.ReplaceAll(text, `cross = ["norte", "sur"]`, `cross = ["norte"]`)
 	file, err := conf.Parse([]byte(text), "test.hcl")
 	if err != nil {
@@ -47,7 +47,7 @@
 	if err := p.all[0].Reload(file); err != nil {
 		t.Fatal(err)
 	}
-	p.members(0, "gone", "gone")
+	p.setStatuses(0, "gone", "gone")
 	states := func() (first, second string) {
 		for _, s := range p.status(0, false) {
 			if s.Name == "norte" && len(s.Gateways) == 2 {
@@ -63,7 +63,7 @@
 	both()
 	lbtest.Until(t, "the sala has lost its nodos", func() bool { return p.all[0].Members()["c"] == 0 })
 
-	crowd := &repeating{callers: 16, keys: 40, deadline: 800 * time.Millisecond, patient: true}
+	crowd := &retryingClients{callers: 16, keys: 40, deadline: 800 * time.Millisecond, patient: true}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -102,7 +102,7 @@
 	path.Reset()
 	<-done
 
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
 	}
 	if n := len(p.groups[0].Effects()); n > 0 { // norte may pass on to sur what it refuses
@@ -121,7 +121,7 @@
 		t.Error("the second has no link")
 	}
 	total := int64(crowd.callers * crowd.keys)
-	t.Logf("%s; %d keys took effect", crowd.text(), len(p.groups[1].Effects()))
+	t.Logf("%s; %d keys took effect", crowd.summary(), len(p.groups[1].Effects()))
 	keys := int64(0)
 	crowd.served.Range(func(any, any) bool { keys++; return true })
 	if keys < total*9/10 {
--- a/internal/gateway/sites_test.go
+++ b/internal/gateway/sites_test.go
@@ -24,10 +24,10 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-var salaNames = []string{"centro", "norte", "sur"}
+var siteNames = []string{"centro", "norte", "sur"}
 
-// province is three salas with a gateway, two nodos and a group each, linked by paths that can be troubled.
-type province struct {
+// siteFleet is three salas with a gateway, two nodos and a group each, linked by paths that can be troubled.
+type siteFleet struct {
 	t        *testing.T
 	deadline string // of all classes
 	folder   string
@@ -39,12 +39,12 @@
 	mu       sync.Mutex // of all
 }
 
-// crossClasses are one keyed, one safe and one unsafe class with a deadline.
-func crossClasses(deadline string) string {
-	return strings.ReplaceAll(crossClassesText, "DEADLINE", deadline)
+// forwardClasses are one keyed, one safe and one unsafe class with a deadline.
+func forwardClasses(deadline string) string {
+	return strings.ReplaceAll(forwardClassesText, "DEADLINE", deadline)
 }
 
-const crossClassesText = `
+const forwardClassesText = `
 class "seat" {
   aim = "800ms"
   deadline = "DEADLINE"
@@ -65,15 +65,15 @@
 }
 `
 
-// newProvince starts it. Trouble is asked for each request that a nodo has worked through.
-func newProvince(t *testing.T, o fake.EndpointOptions, trouble func(sala, nodo int) fake.Fault) *province {
+// newSiteFleet starts it. Trouble is asked for each request that a nodo has worked through.
+func newSiteFleet(t *testing.T, o fake.EndpointOptions, trouble func(sala, nodo int) fake.Fault) *siteFleet {
 	t.Helper()
-	return newProvinceWith(t, "800ms", o, trouble)
+	return newSiteFleetWith(t, "800ms", o, trouble)
 }
 
-func newProvinceWith(t *testing.T, deadline string, o fake.EndpointOptions, trouble func(sala, nodo int) fake.Fault) *province {
+func newSiteFleetWith(t *testing.T, deadline string, o fake.EndpointOptions, trouble func(sala, nodo int) fake.Fault) *siteFleet {
 	t.Helper()
-	p := &province{t: t, deadline: deadline, folder: t.TempDir()}
+	p := &siteFleet{t: t, deadline: deadline, folder: t.TempDir()}
 	authority, err := fake.NewAuthority(p.folder, "salas")
 	if err != nil {
 		t.Fatal(err)
@@ -83,7 +83,7 @@
 		t.Fatal(err)
 	}
 	p.write("fleet.keys", key+"\n")
-	for i, sala := range salaNames {
+	for i, sala := range siteNames {
 		p.groups[i] = fake.NewGroup(sala, time.Minute)
 		if err := authority.Issue(filepath.Join(p.folder, sala+".pem"), filepath.Join(p.folder, sala+".key"), sala, time.Now().Add(time.Hour)); err != nil {
 			t.Fatal(err)
@@ -101,7 +101,7 @@
 			t.Cleanup(n.Close)
 			p.nodos[i][j] = n
 		}
-		p.members(i, "ready", "ready")
+		p.setStatuses(i, "ready", "ready")
 	}
 	for i := range 3 {
 		for j := range 3 {
@@ -116,14 +116,14 @@
 	for i := range 3 {
 		p.start(i, true)
 	}
-	p.linked()
+	p.awaitLinks()
 	for _, g := range p.all {
 		lbtest.Until(t, "all voters are members", func() bool { return len(g.fleet.Members()) == 3 })
 	}
 	return p
 }
 
-func (p *province) write(name, text string) {
+func (p *siteFleet) write(name, text string) {
 	path := filepath.Join(p.folder, name)
 	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
 		p.t.Error(err)
@@ -133,27 +133,27 @@
 	}
 }
 
-// members writes a sala's list of nodos.
-func (p *province) members(i int, status ...string) {
+// setStatuses writes a sala's list of nodos.
+func (p *siteFleet) setStatuses(i int, status ...string) {
 	text := ""
 	for j, n := range p.nodos[i] {
 		if j > 0 {
 			text += ","
 		}
-		text += fmt.Sprintf(`{"name": "%s-%d", "address": %q, "zone": %q, "status": %q}`, salaNames[i], j, n.Addr, salaNames[i], status[j])
+		text += fmt.Sprintf(`{"name": "%s-%d", "address": %q, "zone": %q, "status": %q}`, siteNames[i], j, n.Addr, siteNames[i], status[j])
 	}
-	p.write(salaNames[i]+".json", `{"endpoints": [`+text+`]}`)
+	p.write(siteNames[i]+".json", `{"endpoints": [`+text+`]}`)
 }
 
-func (p *province) text(i int) string {
-	me := salaNames[i]
-	text := crossClasses(p.deadline) + fmt.Sprintf("process {\n zones = [%q]\n zone = %q\n sockets = 2048\n stop = \"1s\"\n}\n", me, me) + listener("l", "127.0.0.1:0") +
+func (p *siteFleet) configText(i int) string {
+	me := siteNames[i]
+	text := forwardClasses(p.deadline) + fmt.Sprintf("process {\n zones = [%q]\n zone = %q\n sockets = 2048\n stop = \"1s\"\n}\n", me, me) + listener("l", "127.0.0.1:0") +
 		fmt.Sprintf("fleet \"f\" {\n name = %q\n listen = \"127.0.0.1:0\"\n keyring = %q\n voters = [\"centro\", \"norte\", \"sur\"]\n}\n", me, filepath.Join(p.folder, "fleet.keys")) +
 		fmt.Sprintf("cluster \"c\" {\n empty_hold = \"0s\"\n file {\n path = %q\n poll = \"10ms\"\n }\n}\n", filepath.Join(p.folder, me+".json")) +
 		fmt.Sprintf("link %q {\n listen = \"127.0.0.1:0\"\n certificate = %q\n key = %q\n authority = %q\n", me, filepath.Join(p.folder, me+".pem"),
 			filepath.Join(p.folder, me+".key"), filepath.Join(p.folder, "salas.pem"))
 	var others []string
-	for j, other := range salaNames {
+	for j, other := range siteNames {
 		if j != i {
 			text += fmt.Sprintf(" peer %q {\n address = %q\n }\n", other, p.paths[i][j].Addr)
 			others = append(others, other)
@@ -167,7 +167,7 @@
 }
 
 // launch starts a gateway, and returns it with its address in the fleet.
-func (p *province) launch(text string, fresh bool) (*Gateway, string) {
+func (p *siteFleet) launch(text string, fresh bool) (*Gateway, string) {
 	p.t.Helper()
 	file, err := conf.Parse([]byte(text), "test.hcl")
 	if err != nil {
@@ -188,9 +188,9 @@
 }
 
 // start starts a sala's gateway, the first time or again.
-func (p *province) start(i int, fresh bool) {
+func (p *siteFleet) start(i int, fresh bool) {
 	p.t.Helper()
-	g, addr := p.launch(p.text(i), fresh)
+	g, addr := p.launch(p.configText(i), fresh)
 	p.seeds = append(p.seeds, addr)
 	p.mu.Lock()
 	p.all[i] = g
@@ -200,14 +200,14 @@
 	}
 }
 
-func (p *province) status(i int, reconcile bool) []peering.SiteStatus {
+func (p *siteFleet) status(i int, reconcile bool) []peering.SiteStatus {
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
 	return p.all[i].transport.Load().Status(ctx, reconcile)
 }
 
-// linked waits until every gateway has all others.
-func (p *province) linked() {
+// awaitLinks waits until every gateway has all others.
+func (p *siteFleet) awaitLinks() {
 	p.t.Helper()
 	lbtest.Until(p.t, "all salas are linked", func() bool {
 		for i := range 3 {
@@ -221,14 +221,14 @@
 	})
 }
 
-func (p *province) addr(i int) string {
+func (p *siteFleet) addr(i int) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.all[i].Addr("l").String()
 }
 
-// twice returns the keys that took effect more than once, in one sala or in several.
-func (p *province) twice() (keys []string) {
+// duplicates returns the keys that took effect more than once, in one sala or in several.
+func (p *siteFleet) duplicates() (keys []string) {
 	sum := map[string]int{}
 	for _, g := range p.groups {
 		for key, n := range g.Effects() {
@@ -243,8 +243,8 @@
 	return keys
 }
 
-// agreed waits until all crossings are settled and both ends of every link count the same.
-func (p *province) agreed() {
+// awaitAgreement waits until all crossings are settled and both ends of every link count the same.
+func (p *siteFleet) awaitAgreement() {
 	p.t.Helper()
 	var last []peering.SiteStatus
 	lbtest.Until(p.t, "both ends of all links count the same", func() bool {
@@ -260,8 +260,8 @@
 	})
 }
 
-// sent counts a gateway's crossings by outcome.
-func (p *province) sent(i int) (out map[accounting.Outcome]uint64) {
+// sentOutcomes counts a gateway's crossings by outcome.
+func (p *siteFleet) sentOutcomes(i int) (out map[accounting.Outcome]uint64) {
 	out = map[accounting.Outcome]uint64{}
 	for _, s := range p.status(i, false) {
 		for _, c := range s.Sent {
@@ -285,14 +285,14 @@
 // may have had no answer in time.
 func TestSalaLost(t *testing.T) {
 	t.Parallel()
-	p := newProvinceWith(t, "10s", fake.EndpointOptions{Work: 2 * time.Millisecond}, nil) // a busy machine is no trouble of salas
+	p := newSiteFleetWith(t, "10s", fake.EndpointOptions{Work: 2 * time.Millisecond}, nil) // a busy machine is no trouble of salas
 	for _, target := range []string{"/look", "/seat", "/note"} {
 		method, target, line := callsWith(target, "first"+target)
-		if status, body, _ := askAt(t, p.addr(0), method, target, line); status != 200 || len(p.sent(0)) != 0 {
-			t.Fatalf("at home: %d %s, %v", status, body, p.sent(0))
+		if status, body, _ := askAt(t, p.addr(0), method, target, line); status != 200 || len(p.sentOutcomes(0)) != 0 {
+			t.Fatalf("at home: %d %s, %v", status, body, p.sentOutcomes(0))
 		}
 	}
-	p.members(0, "gone", "gone")
+	p.setStatuses(0, "gone", "gone")
 	lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
 	var served, refused, failed atomic.Int64
 	var crowd sync.WaitGroup
@@ -318,14 +318,14 @@
 		})
 	}
 	crowd.Wait()
-	p.agreed()
-	t.Logf("%d served, %d refused, %d failed, sent %v", served.Load(), refused.Load(), failed.Load(), p.sent(0))
+	p.awaitAgreement()
+	t.Logf("%d served, %d refused, %d failed, sent %v", served.Load(), refused.Load(), failed.Load(), p.sentOutcomes(0))
 	// More crossings than answers: what was cut off and found to have been served, and a key that was sent once more to the sala
 	// that holds it.
-	if n := int64(p.sent(0)[accounting.Served]); served.Load() < 160 || n < served.Load() || failed.Load() == 0 && n > served.Load() {
-		t.Errorf("%d served, %d failed, %v", served.Load(), failed.Load(), p.sent(0))
+	if n := int64(p.sentOutcomes(0)[accounting.Served]); served.Load() < 160 || n < served.Load() || failed.Load() == 0 && n > served.Load() {
+		t.Errorf("%d served, %d failed, %v", served.Load(), failed.Load(), p.sentOutcomes(0))
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Error(keys)
 	}
 	// A key that ran at home before is nobody else's, here or through another sala.
@@ -334,9 +334,9 @@
 			t.Errorf("a key that is held by a sala without nodos, through sala %d: %d", i, status)
 		}
 	}
-	p.members(0, "ready", "ready")
+	p.setStatuses(0, "ready", "ready")
 	lbtest.Until(t, "the sala has nodos", func() bool { return p.all[0].Members()["c"] == 2 })
-	before := p.sent(0)[accounting.Served]
+	before := p.sentOutcomes(0)[accounting.Served]
 	for i := range 10 {
 		if status, _, _ := askAt(t, p.addr(0), "GET", "/look"); status != 200 {
 			t.Errorf("back at home: %d", status)
@@ -346,10 +346,10 @@
 			t.Errorf("a repeat: %d", status)
 		}
 	}
-	if now := p.sent(0)[accounting.Served]; now > before+20 {
+	if now := p.sentOutcomes(0)[accounting.Served]; now > before+20 {
 		t.Errorf("%d crossings more with the own nodos back", now-before)
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Error(keys)
 	}
 }
@@ -367,8 +367,8 @@
 				if !reset {
 					deadline = "800ms"
 				}
-				p := newProvinceWith(t, deadline, fake.EndpointOptions{}, nil)
-				p.members(0, "gone", "gone")
+				p := newSiteFleetWith(t, deadline, fake.EndpointOptions{}, nil)
+				p.setStatuses(0, "gone", "gone")
 				lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
 				hold := func(on bool) {
 					for j := 1; j < 3; j++ {
@@ -405,15 +405,15 @@
 					status = <-answered // its time is up
 					hold(false)
 				}
-				p.linked()
-				p.agreed()
-				t.Logf("%d, %d effects, %v", status, ran(), p.sent(0))
+				p.awaitLinks()
+				p.awaitAgreement()
+				t.Logf("%d, %d effects, %v", status, ran(), p.sentOutcomes(0))
 				if target != "/look" && ran() != 1 {
 					t.Errorf("%s is in effect %d times", target, ran())
 				}
 				// What is keyed is sent to its sala once more, which remembers it: two crossings, one effect. Of a call that is cut
 				// off the other sala may say no more than that it may have run.
-				sent := p.sent(0)
+				sent := p.sentOutcomes(0)
 				most := ran()
 				if target == "/seat" && reset {
 					most++
@@ -435,7 +435,7 @@
 func TestSalasUnderCuts(t *testing.T) {
 	t.Parallel()
 	var n atomic.Int64
-	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, func(sala, nodo int) fake.Fault {
+	p := newSiteFleet(t, fake.EndpointOptions{Work: time.Millisecond}, func(sala, nodo int) fake.Fault {
 		switch n.Add(1) % 40 {
 		case 0:
 			return fake.NoResponse
@@ -444,7 +444,7 @@
 		}
 		return fake.NoFault
 	})
-	crowd := &repeating{callers: 24, keys: 25, deadline: 800 * time.Millisecond}
+	crowd := &retryingClients{callers: 24, keys: 25, deadline: 800 * time.Millisecond}
 	if *long {
 		crowd.keys = 250
 	}
@@ -458,7 +458,7 @@
 	}
 	served := func() (n uint64) {
 		for i := range 3 {
-			n += p.sent(i)[accounting.Served]
+			n += p.sentOutcomes(i)[accounting.Served]
 		}
 		return n
 	}
@@ -481,8 +481,8 @@
 			p.start(i, false)
 		}
 		if troubles%8 == 0 {
-			p.members(sala, "gone", "gone")
-			p.members((sala+2)%3, "ready", "ready")
+			p.setStatuses(sala, "gone", "gone")
+			p.setStatuses((sala+2)%3, "ready", "ready")
 		}
 		i, j := draw(3), draw(3)
 		path := p.paths[i][j]
@@ -505,7 +505,7 @@
 	}
 	for i := range 3 {
 		drain(t, p.all[i], "off")
-		p.members(i, "ready", "ready")
+		p.setStatuses(i, "ready", "ready")
 		for j := range 3 {
 			p.paths[i][j].CutAfter(fake.ToServer, -1)
 			p.paths[i][j].CutAfter(fake.ToClient, -1)
@@ -513,18 +513,18 @@
 			p.paths[i][j].Block(fake.ToClient, false)
 		}
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
 	}
-	p.linked()
-	p.agreed()
+	p.awaitLinks()
+	p.awaitAgreement()
 	sent := map[accounting.Outcome]uint64{}
 	for i := range 3 {
-		for o, n := range p.sent(i) {
+		for o, n := range p.sentOutcomes(i) {
 			sent[o] += n
 		}
 	}
-	t.Logf("%s; %d troubles; crossings %v", crowd.text(), troubles, sent)
+	t.Logf("%s; %d troubles; crossings %v", crowd.summary(), troubles, sent)
 	if crowd.answers[200].Load() < int64(crowd.callers*crowd.keys/2) || sent[accounting.Served] < 20 {
 		t.Errorf("tests little")
 	}
@@ -541,8 +541,8 @@
 // count the same.
 func TestCrossingCut(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
-	p.members(0, "gone", "gone")
+	p := newSiteFleet(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
+	p.setStatuses(0, "gone", "gone")
 	lbtest.Until(t, "the sala has no nodos", func() bool { return p.all[0].Members()["c"] == 0 })
 	arrivals := func(key string) (n int) {
 		for _, sala := range p.nodos {
@@ -615,12 +615,12 @@
 			t.Errorf("%s was refused as harmless and came %d times", key, n)
 		}
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Error(keys)
 	}
-	p.linked()
-	p.agreed()
-	t.Logf("answers %v, sent %v", answers, p.sent(0))
+	p.awaitLinks()
+	p.awaitAgreement()
+	t.Logf("answers %v, sent %v", answers, p.sentOutcomes(0))
 	if answers["look"][200] < 12 || answers["seat"][200] < 6 || answers["note"][200] < 2 {
 		t.Error("tests little")
 	}
@@ -631,7 +631,7 @@
 func TestLeftBeforeCrossing(t *testing.T) {
 	t.Parallel()
 	arrived, fail := make(chan struct{}, 8), make(chan struct{})
-	p := newProvinceWith(t, "20s", fake.EndpointOptions{Work: time.Millisecond}, func(sala, _ int) fake.Fault {
+	p := newSiteFleetWith(t, "20s", fake.EndpointOptions{Work: time.Millisecond}, func(sala, _ int) fake.Fault {
 		if sala == 0 {
 			arrived <- struct{}{}
 			<-fail
@@ -644,7 +644,7 @@
 	<-arrived
 	c.Send("GET /look HTTP/1.1\r\nHost: behind\r\n\r\n")
 	c.Close()
-	lbtest.Until(t, "the end has come to the gateway", func() bool { return closedFrom(t, p.addr(0), c.LocalAddr().String()) })
+	lbtest.Until(t, "the end has come to the gateway", func() bool { return isClosedFrom(t, p.addr(0), c.LocalAddr().String()) })
 	close(fail)
 	g := p.all[0]
 	lbtest.Until(t, "nothing is held", func() bool {
@@ -659,9 +659,9 @@
 	}
 }
 
-// closedFrom tells whether a loopback connection's end has come to the socket at local, by what the system says of it: it is
+// isClosedFrom tells whether a loopback connection's end has come to the socket at local, by what the system says of it: it is
 // established no more.
-func closedFrom(t *testing.T, local, remote string) bool {
+func isClosedFrom(t *testing.T, local, remote string) bool {
 	t.Helper()
 	text, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
@@ -679,9 +679,9 @@
 // and worth goes first.
 func TestCascade(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, fake.EndpointOptions{Work: 80 * time.Millisecond, Slots: 2, Queue: 4}, nil) // 50 requests a second a sala
-	p.members(0, "gone", "gone")
-	p.members(2, "gone", "gone")
+	p := newSiteFleet(t, fake.EndpointOptions{Work: 80 * time.Millisecond, Slots: 2, Queue: 4}, nil) // 50 requests a second a sala
+	p.setStatuses(0, "gone", "gone")
+	p.setStatuses(2, "gone", "gone")
 	lbtest.Until(t, "only one sala has nodos", func() bool {
 		return p.all[0].Members()["c"] == 0 && p.all[2].Members()["c"] == 0
 	})
@@ -707,24 +707,24 @@
 		}
 	}
 	crowd.Wait()
-	t.Logf("own: look %v, seat %v; crossing: look %v, seat %v; sent %v", counts[1][0], counts[1][1], counts[0][0], counts[0][1], p.sent(0))
+	t.Logf("own: look %v, seat %v; crossing: look %v, seat %v; sent %v", counts[1][0], counts[1][1], counts[0][0], counts[0][1], p.sentOutcomes(0))
 	if own := counts[1][0][200] + counts[1][1][200]; own < 80 {
 		t.Errorf("the sala that took over served %d of its own 120", own)
 	}
 	if counts[0][1][200] < counts[0][0][200] || counts[0][1][200] < 10 {
 		t.Error("worth did not go first over the link")
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Error(keys)
 	}
-	p.agreed()
+	p.awaitAgreement()
 }
 
 // A planned evacuation: the sala's own requests go to the others first, theirs don't come, and nothing is lost on the way
 // there, back, or when the gateway ends.
 func TestEvacuation(t *testing.T) {
 	t.Parallel()
-	p := newProvince(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
+	p := newSiteFleet(t, fake.EndpointOptions{Work: time.Millisecond}, nil)
 	homes := func(sala int) (n int64) { return p.nodos[sala][0].Requests() + p.nodos[sala][1].Requests() }
 	serve := func(n int, what string) {
 		t.Helper()
@@ -744,8 +744,8 @@
 	if homes(0) != 20 {
 		t.Errorf("%d at home, of 10 new and 10 held there", homes(0))
 	}
-	p.members(1, "gone", "gone")
-	p.members(2, "gone", "gone")
+	p.setStatuses(1, "gone", "gone")
+	p.setStatuses(2, "gone", "gone")
 	lbtest.Until(t, "the others have none", func() bool { return p.all[1].Members()["c"] == 0 && p.all[2].Members()["c"] == 0 })
 	lbtest.Until(t, "the others know that it drains", func() bool { return p.status(1, false)[0].State == "draining" })
 	if status, _, _ := askAt(t, p.addr(1), "GET", "/look"); status == 200 {
@@ -767,11 +767,11 @@
 	p.all[0].Shutdown()
 	crowd.Wait()
 	p.start(0, false)
-	p.linked()
+	p.awaitLinks()
 	if status, _, _ := askAt(t, p.addr(1), "GET", "/look"); status != 200 {
 		t.Errorf("through the one that was started again: %d", status)
 	}
-	if keys := p.twice(); len(keys) > 0 {
+	if keys := p.duplicates(); len(keys) > 0 {
 		t.Error(keys)
 	}
 }
--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -25,8 +25,8 @@
 	"silvertrail/internal/xds/cache"
 )
 
-// told is a gateway whose clusters a control plane tells.
-type told struct {
+// xdsGateway is a gateway whose clusters a control plane tells.
+type xdsGateway struct {
 	t       *testing.T
 	g       *Gateway
 	plane   *xdsserver.Server
@@ -34,21 +34,21 @@
 	variant string
 }
 
-func newTold(t *testing.T) *told {
+func newXDSGateway(t *testing.T) *xdsGateway {
 	t.Helper()
 	p, err := xdsserver.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Close)
-	return &told{t: t, plane: p, variant: "delta"}
+	return &xdsGateway{t: t, plane: p, variant: "delta"}
 }
 
 // run starts the gateway; the control plane must have its state.
-func (x *told) run(text string) {
+func (x *xdsGateway) run(text string) {
 	x.t.Helper()
 	discover := WithDiscovery(func(o bootstrap.Options, log *slog.Logger) Discovery { return xds.Start(o, log) })
-	g, err := Start(parse(x.t, x.text(text)), slog.New(slog.DiscardHandler), discover)
+	g, err := Start(parse(x.t, x.configText(text)), slog.New(slog.DiscardHandler), discover)
 	if err != nil {
 		x.t.Fatal(err)
 	}
@@ -56,14 +56,14 @@
 	x.g = g
 }
 
-func (x *told) text(more string) string {
+func (x *xdsGateway) configText(more string) string {
 	return fmt.Sprintf("xds {\n backoff = \"1ms\"\n backoff_most = \"20ms\"\n variant = %q\n plane \"p\" {\n address = %q\n plain = true\n }\n}\n", x.variant, x.plane.Addr()) +
 		listener("l", "127.0.0.1:0") + more
 }
 
 const clusterC = "cluster \"c\" {\n xds {}\n}\nroute \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n"
 
-func (x *told) put(resources ...proto.Message) {
+func (x *xdsGateway) publish(resources ...proto.Message) {
 	x.t.Helper()
 	x.n++
 	if err := x.plane.Put(fmt.Sprint(x.n), resources...); err != nil {
@@ -71,8 +71,8 @@
 	}
 }
 
-// sees waits until the cluster's members are as told: their ports, with their states but for ready.
-func (x *told) sees(cluster string, want ...string) {
+// awaitMembers waits until the cluster's members are as told: their ports, with their states but for ready.
+func (x *xdsGateway) awaitMembers(cluster string, want ...string) {
 	x.t.Helper()
 	lbtest.Until(x.t, fmt.Sprint(cluster, " has ", want), func() bool {
 		var got []string
@@ -88,7 +88,7 @@
 	})
 }
 
-func nodos(t *testing.T, n int, work time.Duration) (out []*fake.Endpoint) {
+func newEndpoints(t *testing.T, n int, work time.Duration) (out []*fake.Endpoint) {
 	t.Helper()
 	for i := range n {
 		nodo, err := fake.NewEndpoint(fake.EndpointOptions{Name: fmt.Sprint("n", i), Work: work})
@@ -105,8 +105,8 @@
 	return xdsserver.Endpoint(addr, corev3.HealthStatus_HEALTHY, 0)
 }
 
-// traffic asks without end from several callers, until it is stopped; then it tells how many got each status.
-func (x *told) traffic(callers int) (stop func() map[int]int) {
+// startTraffic asks without end from several callers, until it is stopped; then it tells how many got each status.
+func (x *xdsGateway) startTraffic(callers int) (stop func() map[int]int) {
 	var mu sync.Mutex
 	got := map[int]int{}
 	var over atomic.Bool
@@ -140,11 +140,11 @@
 	for _, variant := range []string{"delta", "whole"} {
 		t.Run(variant, func(t *testing.T) {
 			t.Parallel()
-			x := newTold(t)
+			x := newXDSGateway(t)
 			x.variant = variant
-			n := nodos(t, 3, 2*time.Millisecond)
+			n := newEndpoints(t, 3, 2*time.Millisecond)
 			holds := lbtest.NewEndpoint(t, nil)
-			x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", healthy(holds.Addr)))
+			x.publish(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", healthy(holds.Addr)))
 			x.run(clusterC)
 			answer := make(chan int, 1)
 			go func() {
@@ -157,13 +157,13 @@
 				return xdsserver.EndpointSet("c", place, xdsserver.Endpoint(n[0].Addr, corev3.HealthStatus_HEALTHY, 3),
 					xdsserver.Endpoint(n[1].Addr, corev3.HealthStatus_HEALTHY, 2), xdsserver.Endpoint(n[2].Addr, corev3.HealthStatus_HEALTHY, 2))
 			}
-			x.put(xdsserver.Cluster("c"), all(""))
+			x.publish(xdsserver.Cluster("c"), all(""))
 			lbtest.Until(t, "it is gone", func() bool { return x.g.Members()["c"] == 3 })
-			stop := x.traffic(8)
+			stop := x.startTraffic(8)
 			lbtest.Until(t, "all are used", func() bool { return min(n[0].Requests(), n[1].Requests(), n[2].Requests()) > 5 })
 			for round := range 6 { // the first one drains and comes back, and the second goes, again and again
 				drain := xdsserver.Endpoint(n[0].Addr, corev3.HealthStatus_DRAINING, 0)
-				x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", drain, healthy(n[2].Addr)))
+				x.publish(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", drain, healthy(n[2].Addr)))
 				if round%2 == 1 {
 					x.plane.ResetStreams()
 				}
@@ -178,7 +178,7 @@
 				if a, b := n[0].Requests()-at[0], n[1].Requests()-at[1]; a > 8 || b > 8 {
 					t.Errorf("round %d: %d and %d new requests to a nodo that drains and one that is gone", round, a, b)
 				}
-				x.put(xdsserver.Cluster("c"), all(fmt.Sprint(round)))
+				x.publish(xdsserver.Cluster("c"), all(fmt.Sprint(round)))
 				lbtest.Until(t, "all are back", func() bool { return n[0].Requests() > at[0]+8 && n[1].Requests() > at[1]+8 })
 			}
 			held.OK()
@@ -196,12 +196,12 @@
 // hold), the cluster itself removed and added, with reloads that name it on.
 func TestXDSAllAtOnce(t *testing.T) {
 	t.Parallel()
-	x := newTold(t)
-	n := nodos(t, 2, 0)
+	x := newXDSGateway(t)
+	n := newEndpoints(t, 2, 0)
 	as := func(h corev3.HealthStatus) *endpointv3.ClusterLoadAssignment {
 		return xdsserver.EndpointSet("c", "", xdsserver.Endpoint(n[0].Addr, h, 0), xdsserver.Endpoint(n[1].Addr, h, 0))
 	}
-	x.put(xdsserver.Cluster("c"), as(corev3.HealthStatus_HEALTHY))
+	x.publish(xdsserver.Cluster("c"), as(corev3.HealthStatus_HEALTHY))
 	x.run(clusterC)
 	expect := func(want int) {
 		t.Helper()
@@ -212,13 +212,13 @@
 	}
 	expect(200)
 	for i := range 4 { // the sources are followed anew, by a subscription that may never have ended
-		if err := x.g.Reload(parse(t, x.text(strings.Replace(clusterC, "xds", fmt.Sprintf("empty_hold = \"%ds\"\n xds", 20+i), 1)))); err != nil {
+		if err := x.g.Reload(parse(t, x.configText(strings.Replace(clusterC, "xds", fmt.Sprintf("empty_hold = \"%ds\"\n xds", 20+i), 1)))); err != nil {
 			t.Fatal(err)
 		}
-		x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", fmt.Sprint(i), healthy(n[i%2].Addr)))
-		x.sees("c", n[i%2].Addr)
+		x.publish(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", fmt.Sprint(i), healthy(n[i%2].Addr)))
+		x.awaitMembers("c", n[i%2].Addr)
 	}
-	x.put(xdsserver.Cluster("c"), as(corev3.HealthStatus_DRAINING))
+	x.publish(xdsserver.Cluster("c"), as(corev3.HealthStatus_DRAINING))
 	expect(503)
 	before := n[0].Requests() + n[1].Requests()
 	for range 20 {
@@ -227,9 +227,9 @@
 	if now := n[0].Requests() + n[1].Requests(); now != before {
 		t.Errorf("%d requests to nodos that drain", now-before)
 	}
-	x.put(xdsserver.Cluster("c"), as(corev3.HealthStatus_UNHEALTHY))
+	x.publish(xdsserver.Cluster("c"), as(corev3.HealthStatus_UNHEALTHY))
 	expect(200)
-	x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", ""))
+	x.publish(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", ""))
 	lbtest.Until(t, "it is heard", func() bool {
 		return slices.ContainsFunc(x.g.discovery.Dump().Resources, func(l cache.ResourceStatus) bool {
 			return l.Kind == "endpoints" && l.Name == "c" && l.Endpoints == 0
@@ -238,18 +238,18 @@
 	for range 20 {
 		expect(200)
 	}
-	x.put()
+	x.publish()
 	for i := range 3 {
-		if err := x.g.Reload(parse(t, x.text(strings.Replace(clusterC, "\"r\"", fmt.Sprintf("\"r%d\"", i), 1)))); err != nil {
+		if err := x.g.Reload(parse(t, x.configText(strings.Replace(clusterC, "\"r\"", fmt.Sprintf("\"r%d\"", i), 1)))); err != nil {
 			t.Fatal(err)
 		}
 		expect(200) // its members before are kept for the hold
 	}
-	if err := x.g.Reload(parse(t, x.text(strings.Replace(clusterC, "xds", "empty_hold = \"0s\"\n xds", 1)))); err != nil {
+	if err := x.g.Reload(parse(t, x.configText(strings.Replace(clusterC, "xds", "empty_hold = \"0s\"\n xds", 1)))); err != nil {
 		t.Fatal(err)
 	}
 	expect(503)
-	x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", healthy(n[1].Addr)))
+	x.publish(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", healthy(n[1].Addr)))
 	expect(200)
 	if err := x.g.Reload(parse(t, listener("l", "127.0.0.1:0")+pool("c", "", n[0].Addr)+"route \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")); err == nil {
 		t.Error("the control planes went with a reload")
@@ -259,12 +259,12 @@
 // What a cluster tells of itself: parts by weight, parts to drop, a bound on calls, levels of failover by health and by a rule.
 func TestXDSPolicy(t *testing.T) {
 	t.Parallel()
-	x := newTold(t)
-	n := nodos(t, 3, time.Millisecond)
+	x := newXDSGateway(t)
+	n := newEndpoints(t, 3, time.Millisecond)
 	weight := func(i int, w uint32) *endpointv3.LbEndpoint {
 		return xdsserver.Endpoint(n[i].Addr, corev3.HealthStatus_HEALTHY, w)
 	}
-	x.put(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", weight(0, 60), weight(1, 20)))
+	x.publish(xdsserver.Cluster("c"), xdsserver.EndpointSet("c", "", weight(0, 60), weight(1, 20)))
 	x.run("cluster \"c\" {\n xds {}\n}\ncluster \"first\" {\n xds {\n resource = \"c\"\n level = 0\n }\n}\ncluster \"next\" {\n xds {\n resource = \"c\"\n level = 1\n }\n}\n" +
 		"route \"f\" {\n match {\n prefix = \"/f\"\n }\n class = \"read\"\n cluster = \"first\"\n failover = \"next\"\n}\nroute \"r\" {\n class = \"read\"\n cluster = \"c\"\n}\n")
 	ask200 := func(n int, path string) {
@@ -281,9 +281,9 @@
 	}
 	levels := xdsserver.EndpointSet("c", "", weight(0, 1))
 	levels.Endpoints = append(levels.Endpoints, &endpointv3.LocalityLbEndpoints{Priority: 1, LbEndpoints: []*endpointv3.LbEndpoint{weight(2, 1)}})
-	x.put(xdsserver.Cluster("c"), levels)
-	x.sees("first", n[0].Addr)
-	x.sees("next", n[2].Addr)
+	x.publish(xdsserver.Cluster("c"), levels)
+	x.awaitMembers("first", n[0].Addr)
+	x.awaitMembers("next", n[2].Addr)
 	before := n[2].Requests()
 	ask200(20, "/")
 	if n[2].Requests() != before {
@@ -291,21 +291,21 @@
 	}
 	ill := proto.Clone(levels).(*endpointv3.ClusterLoadAssignment)
 	ill.Endpoints[0].LbEndpoints[0].HealthStatus = corev3.HealthStatus_UNHEALTHY
-	x.put(xdsserver.Cluster("c"), ill)
-	x.sees("c", n[0].Addr+" draining", n[2].Addr)
+	x.publish(xdsserver.Cluster("c"), ill)
+	x.awaitMembers("c", n[0].Addr+" draining", n[2].Addr)
 	before = n[2].Requests()
 	ask200(20, "/")
 	if n[2].Requests() != before+20 {
 		t.Error("the second level was not used while the first is ill")
 	}
 	n[0].Close() // the rule's failover needs no word of the control plane
-	x.put(xdsserver.Cluster("c"), levels)
-	x.sees("first", n[0].Addr)
+	x.publish(xdsserver.Cluster("c"), levels)
+	x.awaitMembers("first", n[0].Addr)
 	ask200(20, "/f")
 	dropped := proto.Clone(levels).(*endpointv3.ClusterLoadAssignment)
 	dropped.Policy = &endpointv3.ClusterLoadAssignment_Policy{DropOverloads: []*endpointv3.ClusterLoadAssignment_Policy_DropOverload{
 		{Category: "all", DropPercentage: &typev3.FractionalPercent{Numerator: 100}}}}
-	x.put(xdsserver.Cluster("c"), dropped)
+	x.publish(xdsserver.Cluster("c"), dropped)
 	lbtest.Until(t, "all is dropped", func() bool {
 		status, _, header := ask(t, x.g, "GET", "/")
 		return status == 503 && header.Get("Retry-After") != ""
@@ -315,8 +315,8 @@
 // Names in place of addresses are looked up.
 func TestXDSNames(t *testing.T) {
 	t.Parallel()
-	x := newTold(t)
-	n := nodos(t, 1, 0)
+	x := newXDSGateway(t)
+	n := newEndpoints(t, 1, 0)
 	port := n[0].Addr[strings.LastIndexByte(n[0].Addr, ':')+1:]
 	var number uint32
 	fmt.Sscan(port, &number)
@@ -335,15 +335,15 @@
 	sa := at.GetEndpoint().Address.GetSocketAddress()
 	sa.Address, sa.PortSpecifier = "nodo.example", &corev3.SocketAddress_PortValue{PortValue: number}
 	c := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STRICT_DNS}, LoadAssignment: xdsserver.EndpointSet("c", "", at)}
-	x.put(c)
+	x.publish(c)
 	x.run(strings.Replace(clusterC, "xds {}", fmt.Sprintf("xds {\n server = %q\n }", d.Addr), 1))
-	x.sees("c", n[0].Addr)
+	x.awaitMembers("c", n[0].Addr)
 	if status, _, _ := ask(t, x.g, "GET", "/"); status != 200 {
 		t.Error(status)
 	}
 	fixed := &clusterv3.Cluster{Name: "c", ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_STATIC}, LoadAssignment: xdsserver.EndpointSet("c", "", healthy("127.0.0.2:7"))}
-	x.put(fixed)
-	x.sees("c", "127.0.0.2:7")
+	x.publish(fixed)
+	x.awaitMembers("c", "127.0.0.2:7")
 }
 
 // Keys across updates that move a nodo's name from one sala to the other and back, with callers that repeat and give up early: none takes effect
@@ -351,13 +351,13 @@
 func TestXDSKeysAcrossMoves(t *testing.T) {
 	t.Parallel()
 	var count atomic.Int64
-	s := newSalas(t, time.Minute, func(nodo int) fake.Fault {
+	s := newTwoZones(t, time.Minute, func(nodo int) fake.Fault {
 		if nodo%2 == 0 && count.Add(1)%4 == 0 { // not of those that move: they would be put out
 			return fake.NoResponse
 		}
 		return fake.NoFault
 	})
-	x := newTold(t)
+	x := newXDSGateway(t)
 	at := func(i int, name string) *endpointv3.LbEndpoint {
 		e := xdsserver.Endpoint(s.nodos[i].Addr, corev3.HealthStatus_HEALTHY, uint32(2+i)) // that differ: all are drawn
 		e.GetEndpoint().ObservabilityName = name
@@ -368,10 +368,10 @@
 	north.Endpoints = append(north.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: "south"}, LbEndpoints: []*endpointv3.LbEndpoint{at(2, "n2")}})
 	south := xdsserver.EndpointSet("c", "north", at(0, "n0"))
 	south.Endpoints = append(south.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: "south"}, LbEndpoints: []*endpointv3.LbEndpoint{at(2, "n2"), at(3, "m")}})
-	x.put(xdsserver.Cluster("c"), north)
-	x.run(keyedClass("500ms", "60s") + twoSalas + "cluster \"c\" {\n xds {}\n}\nroute \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
+	x.publish(xdsserver.Cluster("c"), north)
+	x.run(keyedClass("500ms", "60s") + twoZonesProcess + "cluster \"c\" {\n xds {}\n}\nroute \"r\" {\n class = \"seat\"\n cluster = \"c\"\n}\n")
 	addr := x.g.Addr("l").String()
-	crowd := &repeating{callers: 32, keys: 25, deadline: 500 * time.Millisecond}
+	crowd := &retryingClients{callers: 32, keys: 25, deadline: 500 * time.Millisecond}
 	done := make(chan struct{})
 	go func() { crowd.run(func() string { return addr }); close(done) }()
 	moves := 0
@@ -382,7 +382,7 @@
 		case <-time.After(40 * time.Millisecond):
 			to := s.nodos[3-moves%2*2]
 			before := to.Requests()
-			x.put(xdsserver.Cluster("c"), []*endpointv3.ClusterLoadAssignment{south, north}[moves%2])
+			x.publish(xdsserver.Cluster("c"), []*endpointv3.ClusterLoadAssignment{south, north}[moves%2])
 			if moves < 6 { // the first ones stand until the place that was moved to is used
 				lbtest.Until(t, "it is used where it has moved to", func() bool { return to.Requests() > before })
 			}
@@ -391,11 +391,11 @@
 			}
 		}
 	}
-	if keys := s.twice(); len(keys) > 0 {
+	if keys := s.duplicates(); len(keys) > 0 {
 		t.Errorf("%d keys took effect twice: %v", len(keys), keys[:min(len(keys), 5)])
 	}
 	if crowd.repeats.Load() < 20 || crowd.answers[200].Load() < int64(crowd.callers*crowd.keys/2) || moves < 10 {
-		t.Errorf("tests little: %s; %d moves", crowd.text(), moves)
+		t.Errorf("tests little: %s; %d moves", crowd.summary(), moves)
 	}
-	t.Logf("%s; %d moves, %d effects, %d and %d requests at the ones that move", crowd.text(), moves, s.effects(), s.nodos[1].Requests(), s.nodos[3].Requests())
+	t.Logf("%s; %d moves, %d effects, %d and %d requests at the ones that move", crowd.summary(), moves, s.effects(), s.nodos[1].Requests(), s.nodos[3].Requests())
 }
--- a/internal/testkit/hollow/hollow_test.go
+++ b/internal/testkit/hollow/hollow_test.go
@@ -30,10 +30,10 @@
 	text = append(text, frame(0, 1, append(message(0), message(7)...))...)
 	text = append(text, frame(0, 3, message(1))...)
 	for size := 1; size < len(text); size++ {
-		f := &frames{skip: len(preface)}
+		f := &messageCounter{skip: len(preface)}
 		got := 0
 		for chunk := range slices.Chunk(text, size) {
-			got += f.take(chunk)
+			got += f.count(chunk)
 		}
 		if got != 4 {
 			t.Fatalf("in pieces of %d: %d messages, want 4", size, got)
--- a/internal/testkit/hollow/member.go
+++ b/internal/testkit/hollow/member.go
@@ -20,13 +20,13 @@
 
 	client *xds.Client
 	stop   context.CancelFunc
-	wait   sync.WaitGroup
+	tasks  sync.WaitGroup
 
-	mu      sync.Mutex
-	at      map[string]int // generation in force, by cluster
-	went    int            // times that a cluster went back to an older generation
-	changed chan struct{}
-	times   map[int]time.Time // when a generation was in force for all members' cluster
+	mu           sync.Mutex
+	generations  map[string]int // generation in force, by cluster
+	rollbacks    int            // times that a cluster went back to an older generation
+	changed      chan struct{}
+	inForceSince map[int]time.Time // when a generation was in force for all members' cluster
 }
 
 // Options are those of the program where its file tells nothing, with planes at some addresses.
@@ -41,11 +41,11 @@
 
 // Start has a member follow clusters.
 func Start(number int, o bootstrap.Options, clusters []string) *Member {
-	m := &Member{Number: number, at: map[string]int{}, changed: make(chan struct{}), times: map[int]time.Time{}, client: xds.Start(o, slog.New(slog.DiscardHandler))}
+	m := &Member{Number: number, generations: map[string]int{}, changed: make(chan struct{}), inForceSince: map[int]time.Time{}, client: xds.Start(o, slog.New(slog.DiscardHandler))}
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	for _, name := range clusters {
-		m.wait.Go(func() { m.client.Follow(ctx, name, func(v cache.ClusterView) { m.take(name, v) }) })
+		m.tasks.Go(func() { m.client.Follow(ctx, name, func(v cache.ClusterView) { m.update(name, v) }) })
 	}
 	return m
 }
@@ -53,12 +53,12 @@
 // Close ends the member.
 func (m *Member) Close() {
 	m.stop()
-	m.wait.Wait()
+	m.tasks.Wait()
 	m.client.Close()
 }
 
-// take notes what is in force of a cluster, from its list of members as a balancer would make it.
-func (m *Member) take(name string, v cache.ClusterView) {
+// update notes what is in force of a cluster, from its list of members as a balancer would make it.
+func (m *Member) update(name string, v cache.ClusterView) {
 	now := time.Now()
 	generation := 0
 	if v.State == cache.Ready {
@@ -68,28 +68,28 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	was := m.at[name]
+	was := m.generations[name]
 	switch {
 	case generation == was || generation == 0: // an empty set, as while a zone is lost, has none
 		return
 	case generation < was:
-		m.went++
+		m.rollbacks++
 	}
-	m.at[name] = generation
+	m.generations[name] = generation
 	if name == Everywhere {
-		if _, seen := m.times[generation]; !seen {
-			m.times[generation] = now
+		if _, seen := m.inForceSince[generation]; !seen {
+			m.inForceSince[generation] = now
 		}
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
-// InForce waits until a generation is in force, and tells since when.
-func (m *Member) InForce(ctx context.Context, generation int) (at time.Time, ok bool) {
+// AwaitGeneration waits until a generation is in force, and tells since when.
+func (m *Member) AwaitGeneration(ctx context.Context, generation int) (at time.Time, ok bool) {
 	for {
 		m.mu.Lock()
-		for g, t := range m.times {
+		for g, t := range m.inForceSince {
 			if g >= generation && (!ok || t.Before(at)) {
 				at, ok = t, true
 			}
@@ -107,25 +107,27 @@
 	}
 }
 
-// Held returns the clusters in force with their generations, and how often one went back to an older one.
-func (m *Member) Held() (at map[string]int, went int) {
+// Generations returns the clusters in force with their generations, and how often one went back to an older one.
+func (m *Member) Generations() (at map[string]int, went int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	at = make(map[string]int, len(m.at))
-	for name, g := range m.at {
+	at = make(map[string]int, len(m.generations))
+	for name, g := range m.generations {
 		at[name] = g
 	}
-	return at, m.went
+	return at, m.rollbacks
 }
 
 // Resources is how many clusters and sets the member holds.
 func (m *Member) Resources() int { return len(m.client.Dump().Resources) }
 
-// InStep waits until a member holds the generations of a state for all its clusters, and names one that it does not hold.
-func (m *Member) InStep(ctx context.Context, s *State, clusters []string) (behind string) {
+// AwaitState waits until a member holds the generations of a state for all its clusters, and names one that it does not hold.
+func (m *Member) AwaitState(ctx context.Context, s *State, clusters []string) (behind string) {
 	for {
 		m.mu.Lock()
-		i := slices.IndexFunc(clusters, func(name string) bool { return m.at[name] != s.Version(name) && len(s.Set(name).Endpoints) > 0 })
+		i := slices.IndexFunc(clusters, func(name string) bool {
+			return m.generations[name] != s.Version(name) && len(s.Set(name).Endpoints) > 0
+		})
 		changed := m.changed
 		m.mu.Unlock()
 		if i < 0 {
--- a/internal/testkit/hollow/relay.go
+++ b/internal/testkit/hollow/relay.go
@@ -31,15 +31,15 @@
 	Addr string
 
 	listener net.Listener
-	wait     sync.WaitGroup
+	tasks    sync.WaitGroup
 
 	bytes, messages, opened atomic.Int64
 
-	mu    sync.Mutex
-	to    string
-	held  chan struct{} // closed where it is not held up
-	conns map[net.Conn]bool
-	over  bool
+	mu        sync.Mutex
+	to        string
+	unblocked chan struct{} // closed where it is not held up
+	conns     map[net.Conn]bool
+	closed    bool
 }
 
 const dialWait = 5 * time.Second
@@ -50,31 +50,31 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Addr: l.Addr().String(), listener: l, to: to, held: make(chan struct{}), conns: map[net.Conn]bool{}}
-	close(r.held)
-	r.wait.Go(r.accept)
+	r := &Relay{Addr: l.Addr().String(), listener: l, to: to, unblocked: make(chan struct{}), conns: map[net.Conn]bool{}}
+	close(r.unblocked)
+	r.tasks.Go(r.accept)
 	return r, nil
 }
 
-// Point leads new connections to another address.
-func (r *Relay) Point(to string) {
+// SetTarget leads new connections to another address.
+func (r *Relay) SetTarget(to string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.to = to
 }
 
-// Hold holds the way up, or lets it go on.
-func (r *Relay) Hold(on bool) {
+// Block holds the way up, or lets it go on.
+func (r *Relay) Block(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	select {
-	case <-r.held:
+	case <-r.unblocked:
 		if on {
-			r.held = make(chan struct{})
+			r.unblocked = make(chan struct{})
 		}
 	default:
 		if !on {
-			close(r.held)
+			close(r.unblocked)
 		}
 	}
 }
@@ -86,15 +86,15 @@
 
 // Close ends all connections, and the way.
 func (r *Relay) Close() {
-	r.Hold(false)
+	r.Block(false)
 	r.listener.Close()
 	r.mu.Lock()
-	r.over = true
+	r.closed = true
 	for c := range r.conns {
 		c.Close()
 	}
 	r.mu.Unlock()
-	r.wait.Wait()
+	r.tasks.Wait()
 }
 
 func (r *Relay) accept() {
@@ -103,7 +103,7 @@
 		if err != nil {
 			return
 		}
-		r.wait.Go(func() { r.serve(c) })
+		r.tasks.Go(func() { r.serve(c) })
 	}
 }
 
@@ -118,7 +118,7 @@
 	}
 	defer far.Close()
 	r.mu.Lock()
-	if r.over {
+	if r.closed {
 		r.mu.Unlock()
 		return
 	}
@@ -134,14 +134,14 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.carry(far, near, &frames{skip: len(preface)})
+		r.carry(far, near, &messageCounter{skip: len(preface)})
 	}()
-	r.carry(near, far, &frames{})
+	r.carry(near, far, &messageCounter{})
 	<-done
 }
 
 // carry passes bytes on until one side ends, and then ends both.
-func (r *Relay) carry(to, from net.Conn, f *frames) {
+func (r *Relay) carry(to, from net.Conn, f *messageCounter) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 4<<10)
@@ -149,11 +149,11 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			r.mu.Lock()
-			held := r.held
+			held := r.unblocked
 			r.mu.Unlock()
 			<-held
 			r.bytes.Add(int64(n))
-			r.messages.Add(int64(f.take(buffer[:n])))
+			r.messages.Add(int64(f.count(buffer[:n])))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -166,9 +166,9 @@
 
 const preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" // RFC 9113, section 3.4
 
-// frames counts the gRPC messages in the bytes of one direction of an HTTP/2 connection. It takes the streams of a connection to
+// messageCounter counts the gRPC messages in the bytes of one direction of an HTTP/2 connection. It takes the streams of a connection to
 // come one after the other, as the control planes' clients open them.
-type frames struct {
+type messageCounter struct {
 	skip int // bytes that are passed over
 	data int // bytes of a DATA frame that are left
 	head [9]byte
@@ -182,8 +182,8 @@
 
 const dataFrame = 0 // RFC 9113, section 6.1
 
-// take takes the next bytes, and returns how many messages began in them.
-func (f *frames) take(b []byte) (begun int) {
+// count takes the next bytes, and returns how many messages began in them.
+func (f *messageCounter) count(b []byte) (begun int) {
 	for len(b) > 0 {
 		if f.skip > 0 {
 			n := min(f.skip, len(b))
@@ -215,7 +215,7 @@
 	return begun
 }
 
-func (f *frames) message(b []byte) (begun int) {
+func (f *messageCounter) message(b []byte) (begun int) {
 	for len(b) > 0 {
 		if f.left > 0 {
 			n := min(f.left, len(b))
