--- a/internal/gateway/conf/conf.go
+++ b/internal/gateway/conf/conf.go
@@ -83,7 +83,7 @@
 	Name     string
 	Address  string
 	MaxConns int
-	// TrustsForwarded takes X-Forwarded-For from its callers and adds to it; else what they say of it is dropped.
+	// TrustsForwarded has the X-Forwarded-For header of clients extended; otherwise it is replaced.
 	TrustsForwarded bool
 	Admission       admission.Policy
 	TLS             *TLS // nil: no TLS
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -34,7 +34,7 @@
 	Address  string `json:"address"`
 	TLS      bool   `json:"tls"`
 	admission.Status
-	// Source is how an address stands that was asked for.
+	// Source is the state of the address that the query names.
 	Source *admission.AddressStatus `json:"who,omitempty"`
 }
 
--- a/internal/gateway/route/path.go
+++ b/internal/gateway/route/path.go
@@ -42,7 +42,7 @@
 // no spelling of a path reaches an endpoint through a route that it was not matched against:
 //
 //   - %XX of an unreserved character is decoded, other hexadecimal digits are upper case (RFC 3986, 6.2.2)
-//   - bytes that must not stand in a path (beyond ASCII, quotes, braces) are encoded
+//   - bytes that are not allowed in a path (beyond ASCII, quotes, braces) are encoded
 //   - empty segments go ("//" is "/"), then dot segments ("." and "..", also encoded) are resolved; a slash at the
 //     end stays
 //
