A request's time counts from when it reached the machine, not from when it was read

Callers' requests that had waited unread for 0.2 to 0.6 s were forwarded with the whole time that their client had given them, where 0.15 s of slack are allowed: in the accept queue in each crowd, behind another request, for memory for a body, over a pause.

Cause: the time left counted from time.Now() at the read. Evidence: tcpi_last_data_recv has 300 ms for a connection that waited 300 ms before its accept. Ruled out: one source that holds up others while the accepting goroutine sleeps in admit; with the policy under which it does, nobody else would get in (TestBlockedConnectionHoldsUpNobody), so that goroutine stays as it is.

Now receivingSocket owns "received at": it asks the system (TCP_INFO) for the age of the last byte where no read has left the socket empty within 50 ms, which covers each reason for the wait and asks nothing on a busy kept connection. The sidecar, the gateway and streamed bodies count from it; deadline, retries, hedged requests, claims of keys and the time told follow from that one deadline. A request whose time is over when it is read is rejected by the policy at once.

Seen before the fix: TestTimeCountsFromReceipt fails in all its seven plays ("came with 4.999s where 4.598s were left"), TestPauseKeepsTimeouts on a new connection, a kept one and with a body ("2.999s where 2.398s were left").

--- a/cmd/silvertrail/pause_test.go
+++ b/cmd/silvertrail/pause_test.go
@@ -258,3 +258,82 @@
 	}
 	sidecar.terminate()
 }
+
+// The time that an endpoint is told counts from when a request reached the machine, also where the process stood still before it read the
+// request: on a connection that had carried one, on a new one in the accept queue, and with a body. One whose time is over by then is
+// answered at once, and not forwarded.
+func TestPauseKeepsTimeouts(t *testing.T) {
+	t.Parallel()
+	const (
+		pause   = 600 * time.Millisecond
+		timeout = 3 * time.Second
+		slack   = 150 * time.Millisecond // the platform's STANDING page
+	)
+	var mu sync.Mutex
+	told := map[string]time.Duration{}
+	arrivedAt := map[string]time.Time{}
+	endpoint := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+		id := a.Request.Header.Get("X-Request-Id")
+		ms, err := strconv.Atoi(a.Request.Header.Get("X-Timeout-Ms"))
+		if err != nil {
+			t.Error(err)
+		}
+		mu.Lock()
+		told[id] = time.Duration(ms) * time.Millisecond
+		arrivedAt[id] = time.Now()
+		mu.Unlock()
+		a.OK()
+	})
+	sidecars := newSidecars(t, lbtest.NewDiscovery(t, 1, endpoint.Addr).Addr)
+	sidecar := sidecars.start()
+	clients := map[string]*lbtest.Client{}
+	for _, id := range []string{"kept", "kept body", "kept over", "new", "new over"} {
+		clients[id] = lbtest.Dial(t, sidecars.addr)
+		if strings.HasPrefix(id, "kept") {
+			clients[id].Send(lbtest.Get("first of " + id))
+			if status, _ := clients[id].Response(); status != 200 {
+				t.Fatalf("first of %s: %d", id, status)
+			}
+		}
+	}
+	sidecar.suspend()
+	sentAt := map[string]time.Time{}
+	for id, c := range clients {
+		limit := timeout
+		if strings.HasSuffix(id, "over") {
+			limit = pause / 2
+		}
+		header := fmt.Sprintf("X-Timeout-Ms: %d", limit.Milliseconds())
+		sentAt[id] = time.Now()
+		if strings.HasSuffix(id, "body") {
+			c.Send(lbtest.Post(id, "ab", header))
+			continue
+		}
+		c.Send(lbtest.Get(id, header))
+	}
+	time.Sleep(pause)
+	sidecar.resume()
+	for id, c := range clients {
+		want := 200
+		if strings.HasSuffix(id, "over") {
+			want = 503
+		}
+		if status, _ := c.Response(); status != want {
+			t.Errorf("%s: %d, not %d", id, status, want)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, at := range sentAt {
+		left := timeout - arrivedAt[id].Sub(at)
+		switch {
+		case strings.HasSuffix(id, "over"):
+			if _, came := told[id]; came {
+				t.Errorf("%s came to the endpoint", id)
+			}
+		case told[id] > left+slack:
+			t.Errorf("%s came with %v where %v were left", id, told[id], left)
+		}
+	}
+	sidecar.terminate()
+}
--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -30,15 +30,16 @@
 // MarkForwarded implements upstream.RequestStream. It starts the request's own time, and the wait for the endpoint.
 func (u *uploadBody) MarkForwarded() {
 	u.RequestStream.MarkForwarded()
-	u.engine.event(func(now time.Duration) { u.engine.bodyReceived(now, u.call, u.attempt) })
+	receivedAt := u.ReceivedAt()
+	u.engine.event(func(now time.Duration) { u.engine.bodyReceived(now, u.call, u.attempt, receivedAt) })
 }
 
-// bodyReceived sets the deadline of a call whose body has arrived.
-func (e *Engine) bodyReceived(now time.Duration, c *Call, a *attempt) {
+// bodyReceived sets the deadline of a call whose body has arrived, and is forwarded.
+func (e *Engine) bodyReceived(now time.Duration, c *Call, a *attempt, receivedAt time.Time) {
 	if c.timeLeft == 0 {
 		return
 	}
-	left := e.limitToShutdown(c.timeLeft)
+	left := e.limitToShutdown(c.timeLeft - time.Since(receivedAt))
 	c.timeLeft = 0
 	c.request.Deadline = time.Now().Add(left)
 	if !c.done {
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -29,6 +29,8 @@
 	IsComplete() bool
 	// Stop fails a Read in progress and those that follow.
 	Stop()
+	// ReceivedAt returns when the last byte reached this machine, once all was read.
+	ReceivedAt() time.Time
 	// MarkForwarded is called when the last byte was written to the endpoint.
 	MarkForwarded()
 }
--- /dev/null
+++ b/internal/edge/admission/block_test.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Where new connections wait in the accept queue, one that is asked to come again holds up nobody who would get in: no other source would,
+// so that the accepting goroutine may wait with it.
+func TestBlockedConnectionHoldsUpNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1e9, 0)
+		controller := New(SingleGroup(rapid.IntRange(1, 4).Draw(t, "capacity")), now)
+		var admitted []*Conn
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if len(admitted) > 0 && rapid.Bool().Draw(t, "changes") {
+				change(t, controller, now, rapid.SampledFrom(admitted).Draw(t, "conn"))
+				continue
+			}
+			v := controller.Admit(now, rapid.SampledFrom(addrs).Draw(t, "address"), rapid.Bool().Draw(t, "TLS"), nil)
+			if v.Conn != nil {
+				admitted = append(admitted, v.Conn)
+				continue
+			}
+			for _, address := range addrs {
+				if other := controller.Admit(now, address, rapid.Bool().Draw(t, "other TLS"), nil); !other.AskAgain {
+					t.Fatalf("%+v for one, %+v for %v", v, other, address)
+				}
+			}
+		}
+	})
+}
+
+// change has a connection begin a request, end one, or close.
+func change(t *rapid.T, controller *Controller, now time.Time, c *Conn) {
+	switch {
+	case c.state == closed:
+	case rapid.IntRange(0, 3).Draw(t, "change") == 0:
+		controller.Remove(now, c)
+	case c.state == active:
+		controller.EndRequest(now, c)
+	default:
+		controller.StartRequest(c)
+	}
+}
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -33,7 +33,8 @@
 	Exchange
 	// MaxBodyBytes returns the largest size of a body.
 	MaxBodyBytes() int64
-	// Stream is Do for a request of whose body the first bytes are buffered, and the rest is read from a stream.
+	// Stream is Do for a request of whose body the first bytes are buffered, and the rest is read from a stream. Its time counts from
+	// rest.ReceivedAt once the body is complete.
 	Stream(ctx context.Context, buffered []byte, rest *BodyStream) engine.Result
 }
 
--- a/internal/edge/frontend/bodystream.go
+++ b/internal/edge/frontend/bodystream.go
@@ -111,9 +111,9 @@
 	if err := s.prepareRead(start); err != nil {
 		return err
 	}
-	n, err := c.Conn.Read(c.buffer[:cap(c.buffer)])
+	n, err := c.reader.Read(c.buffer[:cap(c.buffer)])
 	if n == 0 && s.renewDeadline(err) {
-		n, err = c.Conn.Read(c.buffer[:cap(c.buffer)])
+		n, err = c.reader.Read(c.buffer[:cap(c.buffer)])
 		start = time.Now() // the process stood still, and did not wait for the client
 	}
 	c.input = c.buffer[:n]
@@ -153,6 +153,13 @@
 	return nil
 }
 
+// ReceivedAt returns when the body's last byte reached this machine, once the body is complete.
+func (s *BodyStream) ReceivedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn.received.receivedAt
+}
+
 // MarkForwarded records that the body was forwarded completely: from now on the client is watched for its disconnect, as that of any
 // request in flight.
 func (s *BodyStream) MarkForwarded() {
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -22,8 +22,10 @@
 // (so that the length of the body was wrong), have the request rejected and the connection closed, with nothing behind it read. A client
 // that sends stray line ends between requests is rejected, too.
 type clientConn struct {
-	net.Conn   // what is read and written: the socket, or TLS over it
+	net.Conn   // what is written: the socket, or TLS over it
 	socket     net.Conn
+	received   *receivingSocket // over socket
+	reader     io.Reader        // received, or TLS over it
 	rawConn    syscall.RawConn
 	acceptor   *acceptor
 	tlsConfig  *TLSConfig // nil: no TLS
@@ -76,7 +78,10 @@
 		nc.Close()
 		return nil, err
 	}
-	c := &clientConn{Conn: nc, socket: nc, rawConn: raw, acceptor: a, remoteAddr: nc.RemoteAddr().String(), tlsConfig: a.tlsConfig.Load()}
+	c := &clientConn{Conn: nc, socket: nc, rawConn: raw, acceptor: a,
+		remoteAddr: nc.RemoteAddr().String(), tlsConfig: a.tlsConfig.Load()}
+	c.received = &receivingSocket{Conn: nc, rawConn: raw}
+	c.reader = c.received
 	if address, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.remoteIP = address.AddrPort().Addr().Unmap()
 	}
--- /dev/null
+++ b/internal/edge/frontend/receivetime_test.go
@@ -0,0 +1,137 @@
+package frontend_test
+
+import (
+	"crypto/tls"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"silvertrail/internal/testkit/lbtest"
+)
+
+const (
+	unreadTime   = 400 * time.Millisecond // for which a request waits unread
+	timeoutSlack = 150 * time.Millisecond // of the time that an endpoint is told (the platform's STANDING page)
+	ampleTimeout = 5 * time.Second
+	shortTimeout = unreadTime / 2
+)
+
+// unreadRequest is a way in which a request waits unread, behind a request that an endpoint holds.
+type unreadRequest struct {
+	conns  int
+	bodies int64
+	secure bool
+	body   int  // bytes; 0: a GET
+	queue  bool // on connections of their own; otherwise on that of the held request
+}
+
+// message returns a request with a timeout.
+func (u *unreadRequest) message(id string, timeout time.Duration) string {
+	header := fmt.Sprintf("X-Timeout-Ms: %d", timeout.Milliseconds())
+	if u.body > 0 {
+		return lbtest.Post(id, strings.Repeat("x", u.body), header)
+	}
+	return lbtest.Get(id, header)
+}
+
+// A request's time begins when it reaches the machine. One that waited unread was forwarded with the whole time that its client had given
+// it, 0.2 to 0.3 s too much in each crowd; one whose time is over by then is answered at once, and not forwarded.
+func TestTimeCountsFromReceipt(t *testing.T) {
+	t.Parallel()
+	for name, unread := range map[string]unreadRequest{
+		"in the accept queue":                  {conns: 1, bodies: 1 << 20, queue: true},
+		"with a body in the accept queue":      {conns: 1, bodies: 1 << 20, queue: true, body: 2000},
+		"while there is no memory for a body":  {conns: 64, bodies: 10 << 10, queue: true, body: 8 << 10},
+		"behind another request":               {conns: 64, bodies: 1 << 20},
+		"behind another request, under TLS":    {conns: 64, bodies: 1 << 20, secure: true},
+		"with a body, behind another request":  {conns: 64, bodies: 1 << 20, body: 2000},
+		"with a large body behind another one": {conns: 64, bodies: 1 << 20, body: 20 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			unread.play(t)
+		})
+	}
+}
+
+// play has one request held at its endpoint, and others unread behind it: two with ample time, and one whose time is over when it is read.
+func (u *unreadRequest) play(t *testing.T) {
+	t.Helper()
+	type arrival struct {
+		id      string
+		at      time.Time
+		timeout time.Duration
+	}
+	arrivals := make(chan arrival, 16)
+	held := make(chan *lbtest.Arrival, 1)
+	d := open(t, u.conns, u.bodies, u.secure, func(a *lbtest.Arrival) {
+		at := time.Now()
+		id := a.Request.Header.Get("X-Request-ID")
+		if id == "held" {
+			held <- a
+			return
+		}
+		ms, err := strconv.Atoi(a.Request.Header.Get("X-Timeout-Ms"))
+		if err != nil {
+			t.Error(err)
+		}
+		arrivals <- arrival{id, at, time.Duration(ms) * time.Millisecond}
+		a.OK()
+	})
+	first := u.dial(t, d)
+	first.Send(u.message("held", ampleTimeout))
+	h := <-held
+
+	timeouts := map[string]time.Duration{"ample": ampleTimeout, "short": shortTimeout, "ample too": ampleTimeout}
+	sentAt := map[string]time.Time{}
+	clients := map[string]*lbtest.Client{}
+	order := []string{"ample", "short", "ample too"}
+	for _, id := range order {
+		clients[id] = first
+		if u.queue {
+			clients[id] = lbtest.Dial(t, d.addr)
+		}
+	}
+	for _, id := range order {
+		sentAt[id] = time.Now()
+		clients[id].Send(u.message(id, timeouts[id]))
+	}
+	time.Sleep(unreadTime)
+	h.OK()
+	if status, _ := first.Response(); status != 200 {
+		t.Fatalf("held: %d", status)
+	}
+	if u.queue {
+		first.Close()
+	}
+	for _, id := range order {
+		c := clients[id]
+		want := 200
+		if timeouts[id] < unreadTime {
+			want = 503
+		}
+		if status, _ := c.Response(); status != want {
+			t.Errorf("%s: %d, not %d", id, status, want)
+		}
+		if u.queue {
+			c.Close()
+		}
+	}
+	close(arrivals)
+	for a := range arrivals {
+		if left := timeouts[a.id] - a.at.Sub(sentAt[a.id]); a.timeout > left+timeoutSlack {
+			t.Errorf("%s came with %v where %v were left", a.id, a.timeout, left)
+		}
+	}
+}
+
+func (u *unreadRequest) dial(t *testing.T, d *testServer) *lbtest.Client {
+	t.Helper()
+	c := lbtest.Dial(t, d.addr)
+	if u.secure {
+		return lbtest.NewClient(t, tls.Client(c.Conn, d.secure))
+	}
+	return c
+}
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -87,6 +87,7 @@
 		maxBytes = streaming.MaxBodyBytes()
 	}
 	err := b.read(c, maxBytes)
+	receivedAt := c.received.receivedAt
 	switch {
 	case errors.Is(err, errNoBodyMemory): // nothing was sent: a rejection as any other
 		c.abandonInput()
@@ -98,7 +99,7 @@
 	case c.hasInvalidInput(): // there is more than the length says
 		c.reject(http.StatusBadRequest)
 	default:
-		c.serveBuffered(x, b)
+		c.serveBuffered(x, b, receivedAt)
 	}
 }
 
@@ -114,12 +115,12 @@
 }
 
 // serveBuffered serves a request whose body is buffered, or that has none.
-func (c *clientConn) serveBuffered(x Exchange, b *body) {
+func (c *clientConn) serveBuffered(x Exchange, b *body, receivedAt time.Time) {
 	if c.tlsConfig != nil {
 		c.readPendingTLS()
 	}
 	c.startWatch()
-	a := x.Do(c.ctx, b.bytes)
+	a := x.Do(c.ctx, b.bytes, receivedAt)
 	c.stopWatch()
 	if c.ctx.Err() != nil {
 		c.closeAfter = true
--- a/internal/edge/frontend/requesthead.go
+++ b/internal/edge/frontend/requesthead.go
@@ -34,7 +34,7 @@
 			return status, nil
 		}
 		c.growInput()
-		n, err := c.Conn.Read(c.input[len(c.input):cap(c.input)])
+		n, err := c.reader.Read(c.input[len(c.input):cap(c.input)])
 		c.input = c.input[:len(c.input)+n]
 		if n == 0 && c.renewDeadline(err, !hasHeadDeadline) {
 			continue
--- a/internal/edge/frontend/server.go
+++ b/internal/edge/frontend/server.go
@@ -38,8 +38,9 @@
 type Exchange interface {
 	// BodyBudget returns the memory for the request's body.
 	BodyBudget() Budget
-	// Do returns the request's one final result. Where ctx ends the client has disconnected, and nobody reads the response.
-	Do(ctx context.Context, body []byte) engine.Result
+	// Do returns the request's one final result. Its time counts from receivedAt, when its last byte reached this machine. Where ctx
+	// ends the client has disconnected, and nobody reads the response.
+	Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result
 	// Reply returns the response in place of the server's own; nil where that is right.
 	Reply(a engine.Result) *Reply
 	// Close is called after every exchange, also one whose body was not received.
--- a/internal/edge/frontend/tls.go
+++ b/internal/edge/frontend/tls.go
@@ -71,11 +71,12 @@
 	}
 	c.setReadDeadline(time.Now().Add(timeout))
 	c.socket.SetWriteDeadline(c.readDeadline)
-	conn := tls.Server(c.socket, c.tlsConfig.current())
+	conn := tls.Server(c.received, c.tlsConfig.current())
 	if conn.HandshakeContext(c.ctx) != nil {
 		return false
 	}
 	c.Conn = conn
+	c.reader = conn
 	var names []string
 	if chains := conn.ConnectionState().VerifiedChains; len(chains) > 0 {
 		names = certificateNames(chains[0][0])
@@ -134,7 +135,7 @@
 	pooled := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(pooled)
 	b := (*pooled)[:readBufferBytes]
-	n, err := c.Conn.Read(b)
+	n, err := c.reader.Read(b)
 	c.pipelined = append(c.pipelined, b[:n]...)
 	return err
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -48,9 +48,10 @@
 }
 
 // Do implements frontend.Exchange.
-func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
+func (x *exchange) Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result {
 	now := time.Now()
-	x.deadline = now.Add(x.policyRequest.TimeLeft)
+	x.deadline = receivedAt.Add(x.policyRequest.TimeLeft)
+	x.policyRequest.TimeLeft = x.deadline.Sub(now)
 	x.outgoing.Body = body
 	if result, ok := x.beginKeyed(now, body); !ok {
 		return result
--- a/internal/gateway/siteserver.go
+++ b/internal/gateway/siteserver.go
@@ -56,6 +56,7 @@
 
 // ServeRequest implements peering.Server: the request is routed and served as one of this site's own clients would be, in its own class.
 func (g siteServer) ServeRequest(ctx context.Context, from string, request *peering.Request) *peering.Response {
+	receivedAt := time.Now()
 	s := g.acquire()
 	ro := &router{gateway: g.Gateway}
 	ro.listener.Store(&conf.Listener{Name: conf.LinkListener, TrustsForwarded: true})
@@ -73,13 +74,11 @@
 	}
 	x.forwarded = request
 	x.limitTo(request)
-	start := time.Now()
 	if !x.acquireBodyMemory(ctx, request.Body) {
 		return &peering.Response{Outcome: accounting.Rejected, RetryAfter: keysFullRetryAfter.Microseconds()}
 	}
 	defer x.BodyBudget().Release(int64(len(request.Body)))
-	x.policyRequest.TimeLeft -= time.Since(start)
-	a := x.Do(ctx, request.Body)
+	a := x.Do(ctx, request.Body, receivedAt)
 	response := x.forwardedResponse(ctx, a)
 	x.recordForwardedReply(response)
 	response.Attempts = a.Attempts
--- a/internal/platform/sidecar/exchange.go
+++ b/internal/platform/sidecar/exchange.go
@@ -44,7 +44,12 @@
 func (x *exchange) BodyBudget() frontend.Budget { return x.router.bodies }
 
 // Do implements frontend.Exchange.
-func (x *exchange) Do(ctx context.Context, body []byte) engine.Result {
+func (x *exchange) Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result {
+	x.request.TimeLeft -= time.Since(receivedAt)
+	return x.do(ctx, body)
+}
+
+func (x *exchange) do(ctx context.Context, body []byte) engine.Result {
 	x.isReceived = true
 	x.router.counters.RequestReceived()
 	x.requestHash, x.isStarted = x.router.ids.begin(x.requestID)
@@ -87,7 +92,7 @@
 // Stream implements frontend.Streamer.
 func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.BodyStream) engine.Result {
 	x.upstream.Stream = rest
-	return x.Do(ctx, held)
+	return x.do(ctx, held)
 }
 
 // Reply implements frontend.Exchange.
