A request is hedged also where its endpoint has answered another one and stops then

Callers got 503 only as their deadline passed, though three of four endpoints were well (TestPauseEjectsNoEndpoint/0.3_s,_one_hangs).

Cause: checkAttempt does nothing where the server has answered anything since the attempt was sent, and each later check asked the same: an answer that was processed a millisecond after the attempt was sent kept it from being hedged for good.

A later check takes the server for stopped, too, if it was ejected and has answered nothing since the check before. Whatever was hedged before still is.

--- a/cmd/silvertrail/pause_test.go
+++ b/cmd/silvertrail/pause_test.go
@@ -85,11 +85,7 @@
 	return ejections
 }
 
-// While a sidecar's process stands still (a stopped container, a suspended machine, a starved core) its endpoints answer, and the
-// answers lie in its sockets. They are read after the first timers and events of the resumed process. These took the whole pause for a
-// silence of each endpoint with a request out, and ejected it: "server 3 out: silent", within 1 ms of the resume, 34 times in 20 pauses
-// of 0.3 s and 43 times in 20 of 0.15 s, for endpoints that answer in 10 ms; their own log had no answer owed for over 20 ms. Now a
-// pause is seen, and taken off the waits until what arrived in it is read (docs/incidents/pause-taken-for-silence.md).
+// A pause of the sidecar's process is not taken for a silence of its endpoints (docs/incidents/pause-taken-for-silence.md).
 func TestPauseEjectsNoEndpoint(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
@@ -168,10 +164,11 @@
 	defer c.Close()
 	for n := 0; !p.stop.Load(); n++ {
 		id := fmt.Sprintf("%d-%d", client, n)
-		c.SetDeadline(time.Now().Add(lbtest.Wait))
+		sentAt := time.Now()
+		c.SetDeadline(sentAt.Add(lbtest.Wait))
 		c.Send(lbtest.Get(id))
 		if status, body := c.Response(); status != 200 || body != "answer to "+id {
-			p.t.Errorf("%s: %d %q", id, status, body)
+			p.t.Errorf("%s, sent at %s: %d %q after %v", id, sentAt.Format("05.000"), status, body, time.Since(sentAt))
 			return
 		}
 		p.answered.Add(1)
@@ -210,10 +207,7 @@
 	p.sidecar.terminate()
 }
 
-// What arrives while a process stands still is read after it, whatever deadline has passed meanwhile: the rest of a head or of a body,
-// a first request, the rest of an endpoint's answer. The deadlines of reads expired with the resume, before the read, so that
-// connections were closed over unread bytes: "status 0" for the callers (a first request counts as lost then), "stalled" for an
-// endpoint whose answer lay in the socket whole.
+// What arrives during a pause of the process is read, whatever deadline has passed meanwhile (docs/incidents/bytes-lost-over-a-pause.md).
 func TestPauseLosesNoBytes(t *testing.T) {
 	t.Parallel()
 	const pause = 3 * time.Second // longer than a head, a body or the rest of an answer may take
@@ -259,9 +253,7 @@
 	sidecar.terminate()
 }
 
-// The time that an endpoint is told counts from when a request reached the machine, also where the process stood still before it read the
-// request: on a connection that had carried one, on a new one in the accept queue, and with a body. One whose time is over by then is
-// answered at once, and not forwarded.
+// A pause of the process before it reads a request is not added to the request's time (docs/incidents/time-counted-from-read.md).
 func TestPauseKeepsTimeouts(t *testing.T) {
 	t.Parallel()
 	const (
--- a/lbpolicy/attempt.go
+++ b/lbpolicy/attempt.go
@@ -79,7 +79,7 @@
 		return
 	}
 	wait := min(unresponsiveMultiple*b.usualLatency(), left/2)
-	r.checkAt = now + duration(wait)
+	r.checkFrom, r.checkAt = now, now+duration(wait)
 	b.host.SetTimer(r.checkAt, uint64(r.id))
 }
 
@@ -289,7 +289,8 @@
 }
 
 // checkAttempt hedges or cancels a request's latest attempt, if its server has answered nothing since: the
-// server hangs or has failed. One that answers others may stop later, and is checked again.
+// server hangs or has failed. One that answers others may stop later, and is checked again: it has stopped if
+// it was ejected, and has answered nothing since the last check.
 func (b *Balancer) checkAttempt(now time.Duration, r *request) {
 	n := len(r.attempts) - 1
 	a := &r.attempts[n]
@@ -301,7 +302,8 @@
 		b.host.SetTimer(r.checkAt, uint64(r.id)) // its answer may wait to be read
 		return
 	}
-	if a.server.answeredAt >= a.sentAt || b.shedding || b.retryBudget < 1 {
+	stopped := a.server.answeredAt < a.sentAt || a.server.ejected && a.server.answeredAt < r.checkFrom
+	if !stopped || b.shedding || b.retryBudget < 1 {
 		b.scheduleCheck(now, r)
 		return
 	}
--- a/lbpolicy/balancer.go
+++ b/lbpolicy/balancer.go
@@ -92,6 +92,7 @@
 	expected    *expectedLatency // of the class
 	deadline    time.Duration
 	checkAt     time.Duration // when the latest attempt is checked
+	checkFrom   time.Duration // when it was checked last, or sent
 	attempts    []attempt
 	maxAttempts int
 	keyState    KeyState
