TestOutOfDescriptors: callers that are told to come back do, where all connections are only just idle

Cause: the 144 idle connections are made within 14 ms then, and one that has become idle less than 20 ms ago is not closed for a newcomer (idleGrace). So the program did what its pages say, and the test waited for requests that it had never sent again.

A caller that is refused comes back when it was told to, under a new id.

--- a/cmd/silvertrail/connections_test.go
+++ b/cmd/silvertrail/connections_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"silvertrail/internal/testkit/lbtest"
 )
@@ -18,6 +19,9 @@
 // fewDescriptors is how many descriptors the process of the test below may have: less than its file says.
 const fewDescriptors = 72
 
+// maxVisits bounds how often a caller comes back that is told to.
+const maxVisits = 50
+
 // endpointEjected is the policy's line for an ejection. No endpoint is to blame for the process's own descriptors.
 var endpointEjected = regexp.MustCompile(`server \d+ out: `)
 
@@ -83,18 +87,18 @@
 	i.run()
 	t.Cleanup(i.kill)
 
-	ask := func(c net.Conn, id string) int {
+	ask := func(c net.Conn, id string) (status int, retryAfter time.Duration) {
 		fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\nContent-Length: 2\r\n\r\nok", id, id)
-		status, after := lbtest.ReadResponse(bufio.NewReader(c))
-		if (status == 503 || status == 429) && after <= 0 {
+		status, retryAfter = lbtest.ReadResponse(bufio.NewReader(c))
+		if (status == 503 || status == 429) && retryAfter <= 0 {
 			t.Errorf("%s: %d without a time to come back", id, status)
 		}
-		return status
+		return status, retryAfter
 	}
-	visit := func(addr, id string) int {
+	visit := func(addr, id string) (status int, retryAfter time.Duration) {
 		c, err := lbtest.DialFrom(addr, i.addr)
 		if err != nil {
-			return 0
+			return 0, 0
 		}
 		defer c.Close()
 		return ask(c, id)
@@ -124,14 +128,23 @@
 		}
 		defer c.Close()
 		id := fmt.Sprint("idle-", n)
-		note(id, ask(c, id))
+		status, _ := ask(c, id)
+		note(id, status)
 	}
-	// Requests in work take their places, two descriptors each.
+	// Requests in work take their places, two descriptors each. A connection that has only just become idle is not closed for them:
+	// who is told so comes back when the time that it was told is over.
 	var work sync.WaitGroup
 	for n := range fewDescriptors / 6 {
 		work.Go(func() {
-			id := fmt.Sprint("held-", n)
-			note(id, visit("127.0.0.4", id))
+			for try := range maxVisits {
+				id := fmt.Sprintf("held-%d-%d", n, try)
+				status, retryAfter := visit("127.0.0.4", id)
+				note(id, status)
+				if status != 503 && status != 429 {
+					return
+				}
+				time.Sleep(retryAfter)
+			}
 		})
 	}
 	lbtest.Until(t, "requests are in work", func() bool { return arrived("/held-") >= fewDescriptors/8 })
@@ -145,7 +158,7 @@
 	}
 	for n := range 6 {
 		id := fmt.Sprint("secretary-", n)
-		status := visit("127.0.0.3", id)
+		status, _ := visit("127.0.0.3", id)
 		if note(id, status); status != 200 {
 			t.Errorf("a secretary got %d", status)
 		}
@@ -154,7 +167,8 @@
 	for n := range 2 * fewDescriptors {
 		crowd.Go(func() {
 			id := fmt.Sprint("crowd-", n)
-			note(id, visit("127.0.0.5", id))
+			status, _ := visit("127.0.0.5", id)
+			note(id, status)
 		})
 	}
 	crowd.Wait()
@@ -171,7 +185,8 @@
 	tries := 0
 	lbtest.Until(t, "all is well again", func() bool { // who is still refused comes back, as it is told
 		tries++
-		return visit("127.0.0.6", fmt.Sprint("after-", tries)) == 200
+		status, _ := visit("127.0.0.6", fmt.Sprint("after-", tries))
+		return status == 200
 	})
 	if out, err := runCommand(t, "connections", "who", "--config", path, "127.0.0.3"); err != nil || !strings.Contains(out, "of group secretarias") {
 		t.Errorf("who: %s %v", out, err)
