Tests reserve the addresses of the processes that they start

One of 20 plays of TestLeftOverUpgrade, four copies beside eight busy processes, ended with "connection refused" 0.05 s after its start: its process cannot have been ready by then. Addresses were chosen by a listener that was closed again, so that the system gave one to two plays, and one took the other's process for its own.

loopback.Reserve keeps a socket bound to the address that never listens: others may listen there, and nobody else is given the port. The tests of cmd and the soak use it.

--- a/cmd/silvertrail/main_test.go
+++ b/cmd/silvertrail/main_test.go
@@ -31,9 +31,7 @@
 // The product serves, takes a new file on SIGHUP, keeps its own where that is broken, and ends on SIGTERM.
 func TestServe(t *testing.T) {
 	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
-	l := lbtest.Listen(t)
-	addr := l.Addr().String()
-	l.Close()
+	addr := lbtest.ReserveAddress(t)
 	path := filepath.Join(t.TempDir(), "silvertrail.hcl")
 	write := func(prefix string) {
 		t.Helper()
--- a/cmd/silvertrail/sidecar_test.go
+++ b/cmd/silvertrail/sidecar_test.go
@@ -16,9 +16,7 @@
 // startSidecar runs the sidecar in this process and returns its address and the channel of its end.
 func startSidecar(t *testing.T, discovery string) (path, addr string, ended chan error) {
 	t.Helper()
-	l := lbtest.Listen(t)
-	addr = l.Addr().String()
-	l.Close()
+	addr = lbtest.ReserveAddress(t)
 	path = lbtest.WriteConfig(t, "", addr, discovery)
 	t.Setenv("LB_CONFIG", path)
 	ended = make(chan error, 1)
@@ -108,9 +106,7 @@
 func TestEndBeforeReady(t *testing.T) {
 	e := lbtest.NewEndpoint(t, nil)
 	silent := lbtest.Listen(t) // discovery takes calls and answers none
-	l := lbtest.Listen(t)
-	addr := l.Addr().String()
-	l.Close()
+	addr := lbtest.ReserveAddress(t)
 	path := lbtest.WriteConfig(t, "", addr, silent.Addr().String())
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/cmd/silvertrail/upgrade_test.go
+++ b/cmd/silvertrail/upgrade_test.go
@@ -28,9 +28,7 @@
 
 func newSidecars(t *testing.T, discovery string) *sidecars {
 	t.Helper()
-	l := lbtest.Listen(t)
-	s := &sidecars{t: t, dir: t.TempDir(), addr: l.Addr().String()}
-	l.Close()
+	s := &sidecars{t: t, dir: t.TempDir(), addr: lbtest.ReserveAddress(t)}
 	s.config = lbtest.WriteConfig(t, "", s.addr, discovery)
 	return s
 }
@@ -57,9 +55,7 @@
 
 func (s *sidecars) begin() *running {
 	s.t.Helper()
-	l := lbtest.Listen(s.t)
-	r := &running{t: s.t, admin: l.Addr().String(), ended: make(chan error, 1)}
-	l.Close()
+	r := &running{t: s.t, admin: lbtest.ReserveAddress(s.t), ended: make(chan error, 1)}
 	r.cmd = exec.Command(os.Args[0])
 	r.cmd.Env = append(os.Environ(), runAs+"=1", "LB_CONFIG="+s.config, "LB_ADMIN="+r.admin, "TMPDIR="+s.dir)
 	r.cmd.Stderr = &r.log
--- a/internal/testkit/lbtest/lbtest.go
+++ b/internal/testkit/lbtest/lbtest.go
@@ -17,6 +17,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"silvertrail/internal/testkit/loopback"
 )
 
 // Wait bounds every wait of a test: generous, as it passes only where the test fails.
@@ -56,6 +58,18 @@
 	return l
 }
 
+// ReserveAddress returns a loopback address on which a process that the test starts may listen. It is given to nobody else until the test's
+// end.
+func ReserveAddress(t testing.TB) string {
+	t.Helper()
+	address, release, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	return address
+}
+
 // Discovery answers with the whole list and holds watches until Set or the test's end.
 type Discovery struct {
 	Addr  string
--- a/internal/testkit/soak/process.go
+++ b/internal/testkit/soak/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -34,12 +33,10 @@
 
 // startProcess starts the program beside whatever runs already.
 func (s *Soak) startProcess() (*sidecarProcess, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	admin, err := s.reserveAddress()
 	if err != nil {
 		return nil, err
 	}
-	admin := l.Addr().String()
-	l.Close()
 	output, err := os.Create(filepath.Join(s.options.Dir, fmt.Sprintf("sidecar-%d.log", len(s.log.Processes))))
 	if err != nil {
 		return nil, err
--- a/internal/testkit/soak/soak.go
+++ b/internal/testkit/soak/soak.go
@@ -8,12 +8,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"silvertrail/internal/testkit/loopback"
 )
 
 // Options configure a play.
@@ -37,6 +38,8 @@
 	configMu         sync.Mutex
 	discoveryAddress string
 
+	releaseAddresses []func() // of the goroutine that plays the processes
+
 	errMu sync.Mutex
 	err   error
 }
@@ -56,6 +59,11 @@
 func Run(day Day, o Options) (*Log, error) {
 	s := &Soak{options: o, day: day, log: &Log{}, front: &front{}, discovery: newDiscovery()}
 	defer s.discovery.close()
+	defer func() {
+		for _, release := range s.releaseAddresses {
+			release()
+		}
+	}()
 	if err := s.prepare(); err != nil {
 		return nil, err
 	}
@@ -101,6 +109,16 @@
 	}
 }
 
+// reserveAddress returns an address for a process that lasts until the end of the day.
+func (s *Soak) reserveAddress() (string, error) {
+	address, release, err := loopback.Reserve()
+	if err != nil {
+		return "", err
+	}
+	s.releaseAddresses = append(s.releaseAddresses, release)
+	return address, nil
+}
+
 func (s *Soak) configPath() string { return filepath.Join(s.options.Dir, "config.json") }
 
 // prepare starts the endpoints and discovery, and writes the configuration.
@@ -117,12 +135,9 @@
 	if s.discoveryAddress, err = s.discovery.listen(); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if s.front.address, err = s.reserveAddress(); err != nil {
 		return err
 	}
-	s.front.address = l.Addr().String()
-	l.Close()
 	return s.writeConfig()
 }
 
