Tests ask the system for the one connection whose end they wait for

Cause: some forty steps each read all of /proc/net/tcp until an end stood there, and the program's clocks ran meanwhile: 5 s to a hedged request, 8 s for a resting connection, 10 s of the held requests, 20 s of the client. Which step crossed which clock was not read from the logs.

lbtest.IsEstablished asks for the one socket (sock_diag). The gateway's tests of callers who leave use it, too.

--- a/cmd/silvertrail/left_test.go
+++ b/cmd/silvertrail/left_test.go
@@ -18,14 +18,13 @@
 // disconnectingClient is a caller who is about to go.
 type disconnectingClient struct {
 	*lbtest.Client
-	tcp  *net.TCPConn
-	addr string
+	tcp *net.TCPConn
 }
 
 func newDisconnectingClient(t *testing.T, addr string) *disconnectingClient {
 	t.Helper()
 	c := lbtest.Dial(t, addr)
-	return &disconnectingClient{c, c.Conn.(*net.TCPConn), addr}
+	return &disconnectingClient{c, c.Conn.(*net.TCPConn)}
 }
 
 var waysToDisconnect = map[string]func(*disconnectingClient){
@@ -40,18 +39,10 @@
 // disconnect has the caller go, and waits until its end stands on the other side's socket, taken or not: it is established no more.
 func (c *disconnectingClient) disconnect(t *testing.T, how string) {
 	t.Helper()
+	here, there := c.tcp.LocalAddr(), c.tcp.RemoteAddr()
+	lbtest.Until(t, how+": the connection stands on the other side", func() bool { return lbtest.IsEstablished(there, here) })
 	waysToDisconnect[how](c)
-	port := func(a string) string {
-		_, p, _ := strings.Cut(a, ":")
-		var n int
-		fmt.Sscan(p, &n)
-		return fmt.Sprintf("0100007F:%04X", n)
-	}
-	line := port(c.addr) + " " + port(c.tcp.LocalAddr().String()) + " 01 "
-	lbtest.Until(t, how+": the end has come", func() bool {
-		text, err := os.ReadFile("/proc/net/tcp")
-		return err == nil && !strings.Contains(string(text), line)
-	})
+	lbtest.Until(t, how+": the end has come", func() bool { return !lbtest.IsEstablished(there, here) })
 }
 
 // suspend stops a process, and waits until each of its threads is stopped: the signal is delivered some time after it was sent, and
@@ -105,9 +96,8 @@
 	leaveOverUpgrade(t, 0)
 }
 
-// The same holds where the old process stands still for longer: for a time that the pages have a sidecar bear, and for so long that
-// each timer of a request and of a resting connection is over when it goes on. How long it stands still in the test above depends on
-// how long /proc/net/tcp is to read.
+// The same holds where the old process stands still for a time that the pages have a sidecar bear, and for so long that each timer of a
+// request and of a resting connection is over when it goes on.
 func TestLeftOverUpgradePaused(t *testing.T) {
 	t.Parallel()
 	for _, pause := range []time.Duration{150 * time.Millisecond, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
--- a/internal/gateway/disconnect_test.go
+++ b/internal/gateway/disconnect_test.go
@@ -118,8 +118,12 @@
 		tcp := c.Conn.(*net.TCPConn)
 		c.Send("GET /look HTTP/1.1\r\nHost: x\r\n\r\n")
 		p.awaitArrival(func(sala int) bool { return sala == 0 })
+		here, there := tcp.LocalAddr(), tcp.RemoteAddr()
+		if !lbtest.IsEstablished(there, here) {
+			t.Fatalf("%s: the connection does not stand at the gateway", how)
+		}
 		leave(c, tcp)
-		lbtest.Until(t, how+": the end has come to the gateway", func() bool { return isClosedFrom(t, p.addr(0), tcp.LocalAddr().String()) })
+		lbtest.Until(t, how+": the end has come to the gateway", func() bool { return !lbtest.IsEstablished(there, here) })
 		p.failAll()
 		lbtest.Until(t, how+": nothing is held in any sala", func() bool { return p.inFlight() == 0 && (*p.all[0].openListeners.Load())[0].Conns() == 0 })
 		if n, m := p.requests(0)-home, p.requests(1)+p.requests(2)-away; n != 1 || m != 0 {
--- a/internal/gateway/sites_test.go
+++ b/internal/gateway/sites_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -643,8 +642,12 @@
 	c.Send("GET /look HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-arrived
 	c.Send("GET /look HTTP/1.1\r\nHost: behind\r\n\r\n")
+	here, there := c.LocalAddr(), c.RemoteAddr()
+	if !lbtest.IsEstablished(there, here) {
+		t.Fatal("the connection does not stand at the gateway")
+	}
 	c.Close()
-	lbtest.Until(t, "the end has come to the gateway", func() bool { return isClosedFrom(t, p.addr(0), c.LocalAddr().String()) })
+	lbtest.Until(t, "the end has come to the gateway", func() bool { return !lbtest.IsEstablished(there, here) })
 	close(fail)
 	g := p.all[0]
 	lbtest.Until(t, "nothing is held", func() bool {
@@ -659,22 +662,6 @@
 	}
 }
 
-// isClosedFrom tells whether a loopback connection's end has come to the socket at local, by what the system says of it: it is
-// established no more.
-func isClosedFrom(t *testing.T, local, remote string) bool {
-	t.Helper()
-	text, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		t.Fatal(err)
-	}
-	port := func(addr string) string {
-		_, p, _ := strings.Cut(addr, ":")
-		n, _ := strconv.Atoi(p)
-		return fmt.Sprintf("0100007F:%04X", n)
-	}
-	return !strings.Contains(string(text), port(local)+" "+port(remote)+" 01 ")
-}
-
 // A sala fails while another is nearly full: that one goes on serving its own, what can't be carried is refused at once,
 // and worth goes first.
 func TestCascade(t *testing.T) {
--- a/internal/testkit/lbtest/lbtest_test.go
+++ b/internal/testkit/lbtest/lbtest_test.go
@@ -1,6 +1,7 @@
 package lbtest
 
 import (
+	"net"
 	"net/http"
 	"testing"
 )
@@ -48,3 +49,24 @@
 		t.Error(err)
 	}
 }
+
+// A connection is established on either side until its peer closes it, and not on the listener that shares its address.
+func TestIsEstablished(t *testing.T) {
+	address := ReserveAddress(t)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	here, there := c.LocalAddr(), c.RemoteAddr()
+	if !IsEstablished(here, there) {
+		t.Error("not established here")
+	}
+	Until(t, "it is established there", func() bool { return IsEstablished(there, here) })
+	c.Close()
+	Until(t, "it is not established there", func() bool { return !IsEstablished(there, here) })
+}
