--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -29,8 +29,8 @@
 
 // MarkForwarded implements upstream.RequestStream. It starts the request's own time, and the wait for the endpoint.
 func (u *uploadBody) MarkForwarded() {
+	receivedAt := u.ReceivedAt() // before the client is watched, which may read on
 	u.RequestStream.MarkForwarded()
-	receivedAt := u.ReceivedAt()
 	u.engine.event(func(now time.Duration) { u.engine.bodyReceived(now, u.call, u.attempt, receivedAt) })
 }
 
