Ask the sockets before an endpoint is taken for silent

Callers of a sidecar with too little processor time had healthy endpoints ejected and requests sent twice though the answers had arrived (TestPauseEjectsNoEndpoint beside load).

Cause: silence was measured from this process's own events. Timers run while the goroutine that reads an answer, or that is to write a request, does not run yet. A trace of each ejection had the answer unread in the socket (five of five). Ticks saw pauses of the whole process from 0.1 s on and not a late goroutine.

Fix: before an ejection for silence, a hedge or a cancel the policy asks its host (ServerProgress, WaitsSince): an answer that lies in the socket, or was read and is not decided on, has the verdict wait; a wait counts from the write, or while a dial is unanswered. So the ticks, Paused, unreadPause, catchUp and runningSince are gone, with the log line "process stood still".

TestPauseIsNoSilence keeps its checks; its host answers the questions, and does not tell of the pauses any more.

--- a/internal/balancer/engine/attempt.go
+++ b/internal/balancer/engine/attempt.go
@@ -23,9 +23,13 @@
 	server         *endpoint
 	pool           *upstream.Pool // to the server's address when the attempt was decided on
 	sentAt         time.Duration
+	receipt        upstream.Receipt
 	cancel         context.CancelFunc
 	firstByteSent  bool                 // or about to be
 	ended          bool                 // for the policy
+	isAbandoned    bool                 // ended before its response
+	isReporting    bool                 // the policy is being told of its response
+	isPending      bool                 // for the policy: see setDispatchPending
 	neverRan       bool                 // ended with proof that it never ran
 	closed         chan struct{}        // closed once it uses no connection any more
 	keyAttempt     *idempotency.Attempt // nil: the request has no key
@@ -41,8 +45,9 @@
 	if !a.firstByteSent {
 		v = lbpolicy.NotSent
 	}
+	a.isAbandoned = true
+	e.endAttempt(now, c, a, v, nil) // the policy may ask what has arrived
 	a.cancel()
-	e.endAttempt(now, c, a, v, nil)
 }
 
 // endAttempt ends an attempt for the policy. The first successful response is the call's result.
@@ -73,7 +78,9 @@
 		e.finish(c, Result{Response: response})
 	}
 	e.updateKeyState(now, c)
+	a.isReporting = response != nil
 	e.balancer.Outcome(now, outcome)
+	a.isReporting = false
 	e.release(c)
 }
 
@@ -112,7 +119,7 @@
 	if r.Stream != nil {
 		r.Stream = &uploadBody{RequestStream: r.Stream, engine: e, call: c, attempt: a}
 	}
-	return a.pool.Do(ctx, &r, func() bool { return e.claimDispatch(c, a) })
+	return a.pool.Do(ctx, &r, &a.receipt, func() bool { return e.claimDispatch(c, a) })
 }
 
 // mayStart reports whether an attempt may still be sent. While its connection was established it may have been given up, its
--- a/internal/balancer/engine/call.go
+++ b/internal/balancer/engine/call.go
@@ -72,7 +72,6 @@
 		return
 	}
 	e.calls[c.id] = c
-	e.startTicks()
 	c.deadlineTimer = time.AfterFunc(timeout, func() { e.expire(c) })
 	if c.key != nil {
 		q.KeyState = e.keyState(c)
--- a/internal/balancer/engine/engine.go
+++ b/internal/balancer/engine/engine.go
@@ -33,9 +33,9 @@
 	calls           map[lbpolicy.RequestID]*Call
 	endpoints       map[lbpolicy.ServerID]*endpoint
 	everListed      *nameSet
-	manuallyEjected map[string]lbpolicy.ServerID // by name
-	pauses          pauseDetector
-	shutdownAt      time.Time // when all calls must have their result; zero: not shutting down
+	manuallyEjected map[string]lbpolicy.ServerID    // by name
+	hedges          [len(lbpolicy.HedgeReasons)]int // by reason
+	shutdownAt      time.Time                       // when all calls must have their result; zero: not shutting down
 }
 
 // Options configure an Engine.
@@ -90,9 +90,7 @@
 			e.log.Error("decision failed", "panic", p, "stack", string(debug.Stack()))
 		}
 	}()
-	now := e.clock.now()
-	e.detectPause(now)
-	f(now)
+	f(e.clock.now())
 }
 
 // ShutDownBy sets the time at which all calls, and all that still arrive, must have their result.
--- a/internal/balancer/engine/key.go
+++ b/internal/balancer/engine/key.go
@@ -153,6 +153,7 @@
 	if a.ended || pending && a.intentRecorded {
 		return
 	}
+	a.isPending = pending
 	e.balancer.SetDispatchPending(now, c.id, a.number, pending)
 	if !pending {
 		a.sentAt = now
--- /dev/null
+++ b/internal/balancer/engine/progress.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"time"
+
+	"silvertrail/lbpolicy"
+)
+
+// requestIDHeader carries the client's name of a request.
+const requestIDHeader = "X-Request-Id"
+
+// A goroutine that reads a response can run late: the whole process was paused, or has too little processor time. The policy,
+// whose timers and events may come first, would take that for a silence of the endpoint. So it asks what has arrived before it
+// gives up an endpoint or an attempt.
+
+// ServerProgress implements lbpolicy.Host.
+func (e actions) ServerProgress(id lbpolicy.ServerID) lbpolicy.ServerProgress {
+	var progress lbpolicy.ServerProgress
+	now := e.clock.now()
+	for _, c := range e.calls {
+		for _, a := range c.attempts {
+			if a.server.ID != id {
+				continue
+			}
+			progress.HasUnreadAnswer = progress.HasUnreadAnswer || a.isReporting
+			if a.isOver() {
+				continue
+			}
+			progress.HasUnreadAnswer = progress.HasUnreadAnswer || a.receipt.HasArrived()
+			if since := e.waitsSince(now, a); !a.isPending && (progress.WaitsSince == 0 || since < progress.WaitsSince) {
+				progress.WaitsSince = since
+			}
+		}
+	}
+	return progress
+}
+
+// WaitsSince implements lbpolicy.Host.
+func (e actions) WaitsSince(id lbpolicy.RequestID, number int) time.Duration {
+	c := e.calls[id]
+	if c == nil || number < 0 || number >= len(c.attempts) {
+		return 0
+	}
+	return e.waitsSince(e.clock.now(), c.attempts[number])
+}
+
+// Hedged implements lbpolicy.Host.
+func (e actions) Hedged(h lbpolicy.Hedge) {
+	e.hedges[h.Reason]++
+	c := e.calls[h.Request]
+	if c == nil {
+		return
+	}
+	e.log.Debug("hedged request", "request", c.request.Header.Get(requestIDHeader), "endpoint", c.attempts[h.Attempt].server.name,
+		"reason", lbpolicy.HedgeReasons[h.Reason], "waited", h.Waited, "usual_latency", h.UsualLatency, "count", e.hedges[h.Reason])
+}
+
+// waitsSince returns since when an attempt waits for its endpoint; now if it waits for this process.
+func (e *Engine) waitsSince(now time.Duration, a *attempt) time.Duration {
+	if since, waits := a.receipt.WaitsSince(); waits {
+		return e.clock.fromTime(since)
+	}
+	return now
+}
+
+// isOver reports whether nothing is to come of an attempt. What has arrived for one that was abandoned counts until its connection
+// is closed.
+func (a *attempt) isOver() bool {
+	if !a.ended || !a.isAbandoned {
+		return a.ended
+	}
+	select {
+	case <-a.closed:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,6 +39,11 @@
 	readTimeout   time.Duration // of each read; 0: the read deadline applies
 	maxBody       int64         // of a response
 	earlyResponse chan error    // while a body is streamed: the result of waiting for the response
+	receipt       *Receipt      // of its present attempt
+	readFD        func(fd uintptr) (done bool)
+	readBuffer    []byte // of the read in progress, and its result
+	readBytes     int
+	readErr       error
 }
 
 func newConn(netConn net.Conn, maxBody int64) (*conn, error) {
@@ -45,6 +51,7 @@
 	c.reader = bufio.NewReaderSize(c, readerBytes)
 	var err error
 	c.raw, err = netConn.(syscall.Conn).SyscallConn()
+	c.readFD = c.tryRead
 	return c, err
 }
 
@@ -54,14 +61,51 @@
 	if c.readTimeout > 0 {
 		c.setReadDeadline(time.Now().Add(c.readTimeout))
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.receive(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && timeout.IsLate(c.readDeadline) {
 		c.setReadDeadline(time.Now().Add(minStall))
-		return c.Conn.Read(p)
+		return c.receive(p)
 	}
 	return n, err
 }
 
+// receive waits for bytes and reads them. The receipt of the attempt says so before they are taken from the socket: there is no
+// time in which they are neither there nor here.
+func (c *conn) receive(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	c.readBuffer = p
+	err := c.raw.Read(c.readFD)
+	c.readBuffer = nil
+	switch {
+	case err != nil:
+		return 0, err
+	case c.readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", c.readErr)}
+	case c.readBytes == 0:
+		return 0, io.EOF
+	}
+	return c.readBytes, nil
+}
+
+// tryRead reads what has arrived, and reports whether there was anything or the connection has ended.
+func (c *conn) tryRead(fd uintptr) (done bool) {
+	c.receipt.isReading.Store(true)
+	for {
+		c.readBytes, c.readErr = syscall.Read(int(fd), c.readBuffer)
+		if !errors.Is(c.readErr, syscall.EINTR) {
+			break
+		}
+	}
+	if errors.Is(c.readErr, syscall.EAGAIN) {
+		c.receipt.isReading.Store(false)
+		return false
+	}
+	c.readBytes = max(c.readBytes, 0)
+	return true
+}
+
 // isClean reports whether nothing has arrived on an idle connection: no byte and no end. What has arrived before a request
 // is written is not the response to it. This protects against duplicate, late and unexpected responses, and against
 // connections that the endpoint has closed, but not against what arrives after the check.
--- a/internal/balancer/upstream/dial.go
+++ b/internal/balancer/upstream/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"silvertrail/internal/base/exhaustion"
@@ -53,7 +54,7 @@
 }
 
 // connect returns a new connection, for which a place is reserved. After an error the place is still the caller's.
-func (p *Pool) connect(ctx context.Context) (net.Conn, error) {
+func (p *Pool) connect(ctx context.Context, pending *pendingDial) (net.Conn, error) {
 	dialCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	c := p.client
 	c.mu.Lock()
@@ -62,7 +63,7 @@
 	c.mu.Unlock()
 	defer hedge.Stop()
 	started := time.Now()
-	first := p.startDial(dialCtx)
+	first := p.startDial(dialCtx, pending)
 	var second chan dialResult // nil: not started, or ended
 	var firstErr error
 	for {
@@ -75,7 +76,7 @@
 			second, other = nil, first
 		case <-hedge.C:
 			if p.reserveHedge() {
-				second = p.startDial(dialCtx)
+				second = p.startDial(dialCtx, pending)
 			}
 			continue
 		case <-ctx.Done(): // the attempt was given up
@@ -107,10 +108,10 @@
 }
 
 // startDial dials in a goroutine that ends within the dial timeout.
-func (p *Pool) startDial(ctx context.Context) chan dialResult {
+func (p *Pool) startDial(ctx context.Context, pending *pendingDial) chan dialResult {
 	done := make(chan dialResult, 1)
 	go func() {
-		conn, err := p.dial(ctx)
+		conn, err := p.dial(ctx, pending)
 		done <- dialResult{conn, err}
 	}()
 	return done
@@ -175,12 +176,16 @@
 )
 
 // dial opens a connection. Where there is no descriptor, idle connections are closed for it: a request in progress comes first.
-func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
+func (p *Pool) dial(ctx context.Context, pending *pendingDial) (net.Conn, error) {
 	p.client.mu.Lock()
 	timeout, dial := p.client.DialTimeout, p.client.Dial
 	p.client.mu.Unlock()
 	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+		dialer := net.Dialer{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+			pending.socket.Store(&raw)
+			return nil
+		}}
+		dial = dialer.DialContext
 	}
 	dialOnce := func() (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/balancer/upstream/dial_test.go
+++ b/internal/balancer/upstream/dial_test.go
@@ -48,7 +48,7 @@
 func begin(ctx context.Context, p *Pool, id string) chan result {
 	came := make(chan result, 1)
 	go func() {
-		v, a, _ := p.Do(ctx, request(id), yes)
+		v, a, _ := p.Do(ctx, request(id), &Receipt{}, yes)
 		if a == nil {
 			a = &Response{}
 		}
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -29,12 +29,15 @@
 
 // Do sends the request once. Claim is called just before the first byte is written: if it returns false, nothing is
 // written. The response is not nil only if one was received, with the verdicts OK, Error, Rejected and ServerFull. When Do
-// returns, the attempt's connection is closed or idle, unless the response is streamed.
-func (p *Pool) Do(ctx context.Context, r *Request, claim func() bool) (lbpolicy.Verdict, *Response, error) {
-	c, verdict, err := p.acquire(ctx)
+// returns, the attempt's connection is closed or idle, unless the response is streamed. The receipt tells others meanwhile whether
+// a response has arrived.
+func (p *Pool) Do(ctx context.Context, r *Request, receipt *Receipt, claim func() bool) (lbpolicy.Verdict, *Response, error) {
+	c, verdict, err := p.acquire(ctx, receipt)
 	if c == nil {
 		return verdict, nil, err
 	}
+	c.receipt = receipt
+	receipt.conn.Store(c)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	started := time.Now()
 	o := p.attempt(c, r, claim)
@@ -133,14 +136,14 @@
 }
 
 // acquire returns an idle connection or a new one. Without one, the verdict says why.
-func (p *Pool) acquire(ctx context.Context) (*conn, lbpolicy.Verdict, error) {
+func (p *Pool) acquire(ctx context.Context, receipt *Receipt) (*conn, lbpolicy.Verdict, error) {
 	for {
 		c, ok := p.reserve()
 		if c == nil && !ok { // this says nothing about the endpoint
 			return nil, lbpolicy.NotSent, errors.New("no descriptor to spare")
 		}
 		if c == nil {
-			return p.open(ctx)
+			return p.open(ctx, receipt)
 		}
 		if c.isClean() {
 			return c, lbpolicy.OK, nil
@@ -150,8 +153,11 @@
 }
 
 // open opens a connection for which a place is reserved.
-func (p *Pool) open(ctx context.Context) (*conn, lbpolicy.Verdict, error) {
-	netConn, err := p.connect(ctx)
+func (p *Pool) open(ctx context.Context, receipt *Receipt) (*conn, lbpolicy.Verdict, error) {
+	dial := &pendingDial{startedAt: time.Now()}
+	receipt.dial.Store(dial)
+	defer receipt.dial.Store(nil)
+	netConn, err := p.connect(ctx, dial)
 	var c *conn
 	if err == nil {
 		if c, err = newConn(netConn, p.client.MaxStreamBytes); err != nil {
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
 	defer cancel()
-	v, a, _ := p.Do(ctx, request(id), yes)
+	v, a, _ := p.Do(ctx, request(id), &Receipt{}, yes)
 	if ctx.Err() != nil {
 		t.Fatal("the attempt did not end by itself")
 	}
@@ -244,7 +244,7 @@
 		answer.Store("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n")
 		r := request("head")
 		r.Method = "HEAD"
-		v, a, err := p.Do(t.Context(), r, yes)
+		v, a, err := p.Do(t.Context(), r, &Receipt{}, yes)
 		if v != lbpolicy.OK || len(a.Body) > 0 || a.Header.Get("Content-Length") != "500" {
 			t.Errorf("HEAD: verdict %d, %+v, %v", v, a, err)
 		}
@@ -261,10 +261,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var held sync.WaitGroup
 	for range 2 {
-		held.Go(func() { a.Pool(hung.Addr).Do(ctx, request("held"), yes) })
+		held.Go(func() { a.Pool(hung.Addr).Do(ctx, request("held"), &Receipt{}, yes) })
 		<-hung.Arrivals
 	}
-	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), yes); v != lbpolicy.NotSent {
+	if v, _, _ := a.Pool(hung.Addr).Do(ctx, request("over"), &Receipt{}, yes); v != lbpolicy.NotSent {
 		t.Errorf("over its cap: verdict %d", v)
 	}
 	quick := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
--- a/internal/simulator/reply.go
+++ b/internal/simulator/reply.go
@@ -113,3 +113,14 @@
 }
 
 func (h host) Log(text string) { h.text(actionLog, h.instance, text) }
+
+// ServerProgress implements lbpolicy.Host: the simulator reports outcomes as they come.
+func (h host) ServerProgress(lbpolicy.ServerID) lbpolicy.ServerProgress {
+	return lbpolicy.ServerProgress{}
+}
+
+// WaitsSince implements lbpolicy.Host: the simulator sends attempts as they are decided on.
+func (h host) WaitsSince(lbpolicy.RequestID, int) time.Duration { return 0 }
+
+// Hedged implements lbpolicy.Host.
+func (h host) Hedged(lbpolicy.Hedge) {}
--- a/lbpolicy/api.go
+++ b/lbpolicy/api.go
@@ -182,7 +182,38 @@
 	Load    []float32 // a load report, in the order of Settings.ReportFields; empty: none
 }
 
-// Host carries out a balancer's actions, in order, at the time of the present event.
+// ServerProgress is what a host's connections show of the attempts at a server whose Outcomes are still to come.
+type ServerProgress struct {
+	// HasUnreadAnswer means that an answer has arrived which was not read yet, or whose call of Outcome has not returned.
+	HasUnreadAnswer bool
+	// WaitsSince is the earliest WaitsSince of these attempts, apart from those whose dispatch is pending; zero if there is none.
+	WaitsSince time.Duration
+}
+
+// HedgeReason is why a request got another attempt while one was in flight.
+type HedgeReason uint8
+
+// The reasons.
+const (
+	HedgeSilent  HedgeReason = iota // the server has answered nothing since the attempt was sent
+	HedgeStopped                    // the server has answered since, and was ejected later
+)
+
+// HedgeReasons are the names of the reasons.
+var HedgeReasons = [...]string{HedgeSilent: "silent", HedgeStopped: "stopped"}
+
+// Hedge describes a hedged request.
+type Hedge struct {
+	Request      RequestID
+	Attempt      int // that was in flight
+	Server       ServerID
+	Reason       HedgeReason
+	Waited       time.Duration // since the attempt was decided on
+	UsualLatency time.Duration // of the pool
+}
+
+// Host carries out a balancer's actions, in order, at the time of the present event. It answers questions about attempts in
+// flight before a server or an attempt is given up.
 type Host interface {
 	// Send starts the request's next attempt. It ends at the client's deadline at the latest.
 	Send(RequestID, ServerID)
@@ -198,6 +229,14 @@
 	Watch()
 	// SetTimer requests a Timer event at or after the given time.
 	SetTimer(at time.Duration, token uint64)
+	// ServerProgress tells of the attempts in flight at a server.
+	ServerProgress(ServerID) ServerProgress
+	// WaitsSince returns since when an attempt in flight waits for its server: for a connection, or for the answer since it was
+	// written. It is the present time while the attempt waits for the host, and zero if the host sends attempts as they are
+	// decided on.
+	WaitsSince(id RequestID, attempt int) time.Duration
+	// Hedged tells that the next Send is a hedged request's.
+	Hedged(Hedge)
 	// Log adds a line to the log.
 	Log(string)
 }
--- a/lbpolicy/attempt.go
+++ b/lbpolicy/attempt.go
@@ -273,13 +273,9 @@
 // Timer handles a timer of this balancer. One of an unknown request is ignored.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	b.advance(now)
-	switch token {
-	case discoveryToken:
+	if token == discoveryToken {
 		b.host.Watch()
 		return
-	case catchUpToken:
-		b.checkHealth(now)
-		return
 	}
 	r := b.requests[RequestID(token)]
 	if r == nil || r.done || now < r.checkAt-time.Millisecond { // clocks round
@@ -297,16 +293,14 @@
 	if a.ended {
 		return
 	}
-	if pause := b.unreadPause(now, b.usualLatency()); pause > 0 && a.sentAt < b.runningSince {
-		r.checkAt = now + max(catchUpTime, duration(min(pause, minUnresponsiveWait*b.usualLatency())))
-		b.host.SetTimer(r.checkAt, uint64(r.id)) // its answer may wait to be read
-		return
-	}
 	stopped := a.server.answeredAt < a.sentAt || a.server.ejected && a.server.answeredAt < r.checkFrom
 	if !stopped || b.shedding || b.retryBudget < 1 {
 		b.scheduleCheck(now, r)
 		return
 	}
+	if b.postponeCheck(now, r, n) {
+		return
+	}
 	if !b.settings.MayHedge {
 		if b.settings.MayCancel {
 			b.host.Cancel(r.id, n)
@@ -315,6 +309,29 @@
 	}
 	if s := b.pick(now, r); s != nil {
 		b.retryBudget--
+		b.host.Hedged(b.describeHedge(now, r, n))
 		b.send(now, r, s)
 	}
 }
+
+// Delays of this process that are no server's.
+const (
+	sendDelay        = time.Millisecond      // from the decision to the write, in a process that runs
+	unreadCheckDelay = 10 * time.Millisecond // in which an answer that has arrived is read
+)
+
+// postponeCheck repeats the check of an attempt later, and reports whether it does, if this process is late
+// and not the server: the attempt was sent some time after it was decided on, or an answer waits to be read.
+func (b *Balancer) postponeCheck(now time.Duration, r *request, n int) bool {
+	since, wait := b.host.WaitsSince(r.id, n), r.checkAt-r.checkFrom
+	switch {
+	case since > r.checkFrom+sendDelay && now < since+wait:
+		r.checkFrom, r.checkAt = since, since+wait
+	case b.host.ServerProgress(r.attempts[n].server.ID).HasUnreadAnswer:
+		r.checkAt = now + unreadCheckDelay
+	default:
+		return false
+	}
+	b.host.SetTimer(r.checkAt, uint64(r.id))
+	return true
+}
--- a/lbpolicy/balancer.go
+++ b/lbpolicy/balancer.go
@@ -164,7 +164,4 @@
 	connectionsFullAt time.Duration // when a server that answers last accepted no connection
 	watching          bool
 	pollFailures      int
-
-	runningSince time.Duration // this process, without a pause
-	pauses       float64       // seconds, of those with no time to catch up between them
 }
--- a/lbpolicy/balancer_test.go
+++ b/lbpolicy/balancer_test.go
@@ -28,12 +28,15 @@
 	h.add("send %d %d", id, s)
 	h.sends = append(h.sends, s)
 }
-func (h *recorder) Reject(id RequestID, _ time.Duration) { h.add("refuse %d", id) }
-func (h *recorder) Fail(id RequestID)                    { h.add("fail %d", id) }
-func (h *recorder) Cancel(id RequestID, n int)           { h.add("cancel %d %d", id, n) }
-func (h *recorder) CloseIdle(s ServerID)                 { h.add("close %d", s) }
-func (h *recorder) Watch()                               { h.add("watch") }
-func (h *recorder) Log(text string)                      {}
+func (h *recorder) Reject(id RequestID, _ time.Duration)    { h.add("refuse %d", id) }
+func (h *recorder) Fail(id RequestID)                       { h.add("fail %d", id) }
+func (h *recorder) Cancel(id RequestID, n int)              { h.add("cancel %d %d", id, n) }
+func (h *recorder) CloseIdle(s ServerID)                    { h.add("close %d", s) }
+func (h *recorder) Watch()                                  { h.add("watch") }
+func (h *recorder) Log(text string)                         {}
+func (h *recorder) ServerProgress(ServerID) ServerProgress  { return ServerProgress{} }
+func (h *recorder) WaitsSince(RequestID, int) time.Duration { return 0 }
+func (h *recorder) Hedged(Hedge)                            {}
 func (h *recorder) SetTimer(at time.Duration, token uint64) {
 	if h.timers == nil {
 		h.timers = map[uint64]time.Duration{}
--- a/lbpolicy/discovery.go
+++ b/lbpolicy/discovery.go
@@ -4,11 +4,8 @@
 
 import "time"
 
-// Tokens of timers that are of no request.
-const (
-	discoveryToken = 1 << 63
-	catchUpToken   = 1 << 62
-)
+// discoveryToken is the token of the timer for the next poll, which is of no request.
+const discoveryToken = 1 << 63
 
 const (
 	maxPollFailures   = 5   // after which the backoff grows no more
--- a/lbpolicy/example_test.go
+++ b/lbpolicy/example_test.go
@@ -18,6 +18,11 @@
 func (printer) CloseIdle(lbpolicy.ServerID)                     {}
 func (printer) SetTimer(time.Duration, uint64)                  {}
 func (printer) Log(string)                                      {}
+func (printer) ServerProgress(lbpolicy.ServerID) lbpolicy.ServerProgress {
+	return lbpolicy.ServerProgress{}
+}
+func (printer) WaitsSince(lbpolicy.RequestID, int) time.Duration { return 0 }
+func (printer) Hedged(lbpolicy.Hedge)                            {}
 
 func Example() {
 	settings := lbpolicy.Settings{
--- a/lbpolicy/fleet_slowstart_test.go
+++ b/lbpolicy/fleet_slowstart_test.go
@@ -266,14 +266,17 @@
 	f       *coldFleet
 }
 
-func (h coldHost) Send(_ RequestID, to ServerID)       { h.f.sends[to] = append(h.f.sends[to], h.f.now) }
-func (h coldHost) Reject(RequestID, time.Duration)     {}
-func (h coldHost) Fail(RequestID)                      {}
-func (h coldHost) Cancel(RequestID, int)               {}
-func (h coldHost) CloseIdle(ServerID)                  {}
-func (h coldHost) Watch()                              {}
-func (h coldHost) Log(string)                          {}
-func (h coldHost) SetTimer(at time.Duration, _ uint64) {}
+func (h coldHost) Send(_ RequestID, to ServerID)           { h.f.sends[to] = append(h.f.sends[to], h.f.now) }
+func (h coldHost) Reject(RequestID, time.Duration)         {}
+func (h coldHost) Fail(RequestID)                          {}
+func (h coldHost) Cancel(RequestID, int)                   {}
+func (h coldHost) CloseIdle(ServerID)                      {}
+func (h coldHost) Watch()                                  {}
+func (h coldHost) Log(string)                              {}
+func (h coldHost) ServerProgress(ServerID) ServerProgress  { return ServerProgress{} }
+func (h coldHost) WaitsSince(RequestID, int) time.Duration { return 0 }
+func (h coldHost) Hedged(Hedge)                            {}
+func (h coldHost) SetTimer(at time.Duration, _ uint64)     {}
 
 const coldFull = 10.0 // calls a second of a warm endpoint
 
--- a/lbpolicy/fleet_test.go
+++ b/lbpolicy/fleet_test.go
@@ -344,9 +344,12 @@
 		}
 	})
 }
-func (m *member) CloseIdle(ServerID) {}
-func (m *member) Watch()             {}
-func (m *member) Log(string)         {}
+func (m *member) CloseIdle(ServerID)                      {}
+func (m *member) Watch()                                  {}
+func (m *member) Log(string)                              {}
+func (m *member) ServerProgress(ServerID) ServerProgress  { return ServerProgress{} }
+func (m *member) WaitsSince(RequestID, int) time.Duration { return 0 }
+func (m *member) Hedged(Hedge)                            {}
 func (m *member) SetTimer(at time.Duration, token uint64) {
 	m.after(at-m.now, func() { m.b.Timer(m.now, token) })
 }
--- a/lbpolicy/health.go
+++ b/lbpolicy/health.go
@@ -47,43 +47,18 @@
 // up, say little, and many say as much as one long one. So a server that hangs or has failed is found the
 // sooner the more requests it has, and a healthy one is not ejected for clients in a hurry. Where most of the
 // pool is slow, the usual latency rises with it. A server that answers in batches, later than
-// minUnresponsiveWait allows, would be ejected wrongly.
+// minUnresponsiveWait allows, would be ejected wrongly. This process can be late, too: the verdict waits for
+// an answer that has arrived and was not read, and a server has its least wait from the first write on.
 func (b *Balancer) ejectIfUnresponsive(now time.Duration, s *server) {
 	usual := b.usualLatency() / max(b.capacity(now, s), minCapacity)
-	pause := b.unreadPause(now, usual)
-	waited := s.waited - pause*float64(s.inFlight-s.dispatchPending)
-	unresponsive := waited > unresponsiveMultiple*usual && s.silent-pause > minUnresponsiveWait*usual
-	if unresponsive && s.mayEject(now) {
-		b.eject(now, s, b.describeSilence(now, s))
+	unresponsive := s.waited > unresponsiveMultiple*usual && s.silent > minUnresponsiveWait*usual
+	if !unresponsive || !s.mayEject(now) {
+		return
 	}
-}
-
-// catchUpTime is how long this process takes to read what has arrived in a pause.
-const catchUpTime = 10 * time.Millisecond
-
-// catchUp adds the time for the answers to what was decided on and not yet written as the pause began.
-func catchUp(usual float64) time.Duration {
-	return max(catchUpTime, duration(minUnresponsiveWait*usual))
-}
-
-// Paused records that this process stood still. Servers went on, and what they have answered is read now,
-// after timers and other events for which the pause looks like a silence of the servers.
-func (b *Balancer) Paused(from, until time.Duration) {
-	usual := b.usualLatency()
-	b.pauses = b.unreadPause(from, usual) + (until - from).Seconds()
-	b.runningSince = until
-	if b.pauses > minUnresponsiveWait*usual { // one that hangs since before is found once the rest is read
-		b.host.SetTimer(until+catchUp(usual), catchUpToken)
-	}
-}
-
-// unreadPause returns for how long this process stood still lately, in seconds. It does not count as a wait
-// for servers until what arrived in it has been read, and what was written only after it could be answered.
-func (b *Balancer) unreadPause(now time.Duration, usual float64) float64 {
-	if now-b.runningSince >= catchUp(usual) {
-		return 0
+	progress := b.host.ServerProgress(s.ID)
+	if !progress.HasUnreadAnswer && now-progress.WaitsSince > duration(minUnresponsiveWait*usual) {
+		b.eject(now, s, describeSilence(now, s, progress))
 	}
-	return b.pauses
 }
 
 // mayEject reports whether a server is not ejected, or due a probe.
@@ -130,8 +105,9 @@
 		s.answeredAt = now
 		s.clearWait()
 	case Timeout, Cancelled:
-		probed := s.ejected && now >= s.ejectedUntil && b.unreadPause(now, usual) == 0
-		if probed && o.Latency.Seconds() > usual && s.answeredAt < now-o.Latency { // the probe had its time
+		probed := s.ejected && now >= s.ejectedUntil
+		hadItsTime := o.Latency.Seconds() > usual && s.answeredAt < now-o.Latency
+		if probed && hadItsTime && !b.host.ServerProgress(s.ID).HasUnreadAnswer {
 			b.eject(now, s, "silent")
 		}
 	}
--- a/lbpolicy/pause_test.go
+++ b/lbpolicy/pause_test.go
@@ -25,6 +25,9 @@
 	think      time.Duration // between a client's requests
 	nextID     RequestID
 	attempts   map[RequestID]int
+	inFlight   map[attemptKey]*playedAttempt
+	stallFrom  time.Duration // nothing is read from then on, though the process runs
+	stallTo    time.Duration
 	lastServer ServerID // that got an attempt
 	hedges     int
 	ejected    map[ServerID]time.Duration // when first
@@ -37,6 +40,18 @@
 	readTime   = ms     // after a pause, until the answers that arrived in it are read
 )
 
+type attemptKey struct {
+	request RequestID
+	number  int
+}
+
+// playedAttempt is an attempt in flight.
+type playedAttempt struct {
+	server     ServerID
+	writtenAt  time.Duration // 0: not yet
+	answeredAt time.Duration // when the answer arrives, read or not; 0: it does not
+}
+
 type playedEvent struct {
 	at     time.Duration
 	number int // events at one time keep their order
@@ -59,7 +74,7 @@
 
 func newPausePool(t *testing.T, clients int, think time.Duration) *pausePool {
 	t.Helper()
-	p := &pausePool{t: t, now: sec, think: think, attempts: map[RequestID]int{}, ejected: map[ServerID]time.Duration{}}
+	p := &pausePool{t: t, now: sec, think: think, attempts: map[RequestID]int{}, inFlight: map[attemptKey]*playedAttempt{}, ejected: map[ServerID]time.Duration{}}
 	var err error
 	p.balancer, err = New(testSettings(), 7, p)
 	if err != nil {
@@ -85,12 +100,7 @@
 
 // pause has the process stand still from now on.
 func (p *pausePool) pause(d time.Duration) {
-	from := p.now
 	p.pausedFrom, p.pausedTo = p.now, p.now+d
-	// The host's first event after the pause tells of it.
-	p.lastNumber++
-	resumed := playedEvent{p.pausedTo, 0, func() { p.balancer.Paused(from, p.now) }}
-	defer func() { heap.Push(&p.events, resumed) }()
 	queued := p.events
 	p.events = nil
 	for _, e := range queued {
@@ -128,16 +138,23 @@
 		p.hedges++
 	}
 	p.lastServer = s
+	key := attemptKey{id, attempt}
+	a := &playedAttempt{server: s}
+	p.inFlight[key] = a
 	if s == p.hanging {
 		if p.hangsSince == 0 {
 			p.hangsSince = p.now
 		}
+		p.after(writeTime, func() { a.writtenAt = p.now })
 		return
 	}
 	sentAt := p.now
 	p.after(writeTime, func() {
-		p.arrive(p.now+answerTime, func() {
+		a.writtenAt = p.now
+		a.answeredAt = p.now + answerTime
+		p.arrive(a.answeredAt, func() {
 			p.balancer.Outcome(p.now, Outcome{ID: id, Attempt: attempt, Server: s, Verdict: OK, Latency: p.now - sentAt, Final: true})
+			delete(p.inFlight, key)
 			p.after(p.think, p.ask)
 		})
 	})
@@ -145,6 +162,9 @@
 
 // arrive schedules what comes from outside: in a pause it waits in a socket.
 func (p *pausePool) arrive(at time.Duration, handle func()) {
+	if at >= p.stallFrom && at < p.stallTo {
+		at = p.stallTo
+	}
 	p.at(at, readTime, func() {
 		if p.now == p.pausedTo { // it was on its way as the pause began
 			p.at(p.now+readTime, 0, handle)
@@ -165,10 +185,33 @@
 
 func (p *pausePool) Cancel(id RequestID, attempt int) {
 	p.after(0, func() {
+		delete(p.inFlight, attemptKey{id, attempt})
 		p.balancer.Outcome(p.now, Outcome{ID: id, Attempt: attempt, Verdict: Cancelled, Latency: answerTime})
 	})
 }
 
+func (p *pausePool) ServerProgress(s ServerID) (progress ServerProgress) {
+	for key, a := range p.inFlight {
+		if a.server != s {
+			continue
+		}
+		progress.HasUnreadAnswer = progress.HasUnreadAnswer || a.answeredAt > 0 && a.answeredAt <= p.now
+		if sentAt := p.WaitsSince(key.request, key.number); progress.WaitsSince == 0 || sentAt < progress.WaitsSince {
+			progress.WaitsSince = sentAt
+		}
+	}
+	return progress
+}
+
+func (p *pausePool) WaitsSince(id RequestID, attempt int) time.Duration {
+	if a := p.inFlight[attemptKey{id, attempt}]; a != nil && a.writtenAt > 0 {
+		return a.writtenAt
+	}
+	return p.now
+}
+
+func (p *pausePool) Hedged(Hedge) {}
+
 func (p *pausePool) Log(line string) {
 	var id ServerID
 	if strings.Contains(line, " out: silent") {
@@ -208,6 +251,31 @@
 	}
 }
 
+// Answers that have arrived and are read late, by a process whose timers run, are no silence of their servers
+// (docs/incidents/answers-read-late.md).
+func TestLateReaderIsNoSilence(t *testing.T) {
+	for _, clients := range []int{1, 8} {
+		for _, stall := range []time.Duration{30 * ms, 90 * ms, 150 * ms, 2 * sec} {
+			t.Run(fmt.Sprintf("%d clients, %v", clients, stall), func(t *testing.T) {
+				p := newPausePool(t, clients, 0)
+				p.run(3 * sec)
+				for range 50 {
+					p.run(p.now + 577*ms)
+					p.stallFrom, p.stallTo = p.now, p.now+stall
+					p.run(p.stallTo)
+				}
+				p.run(p.now + sec)
+				if len(p.ejected) > 0 || p.hedges > 0 {
+					t.Errorf("ejected %v, %d hedged requests", p.ejected, p.hedges)
+				}
+				if p.nextID < 100 {
+					t.Errorf("tests little: %d requests", p.nextID)
+				}
+			})
+		}
+	}
+}
+
 // A server that hangs is found as soon as before: its requests have waited unresponsiveMultiple times the usual
 // latency, and servers are checked once a period. That holds where timers are late, and where the process stands
 // still meanwhile, apart from the time that it stands still.
--- a/lbpolicy/report.go
+++ b/lbpolicy/report.go
@@ -24,8 +24,25 @@
 	return manually + outliers
 }
 
-// describeSilence returns for how long a server's requests have waited, and for how long this process has run to read an answer.
-func (b *Balancer) describeSilence(now time.Duration, s *server) string {
-	running := now - max(b.runningSince, b.startedAt)
-	return fmt.Sprintf("silent for %.3f s, %.3f s for all requests, no pause for %.3f s", s.silent, s.waited, running.Seconds())
+// describeSilence tells for how long a server's requests have waited.
+func describeSilence(now time.Duration, s *server, progress ServerProgress) string {
+	first := now - progress.WaitsSince
+	return fmt.Sprintf("silent for %.3f s, %.3f s for all requests, %.3f s for the first one", s.silent, s.waited, first.Seconds())
+}
+
+// describeHedge describes the hedge of a request, before it is sent.
+func (b *Balancer) describeHedge(now time.Duration, r *request, n int) Hedge {
+	a := &r.attempts[n]
+	reason := HedgeSilent
+	if a.server.answeredAt >= a.sentAt {
+		reason = HedgeStopped
+	}
+	return Hedge{
+		Request:      r.id,
+		Attempt:      n,
+		Server:       a.server.ID,
+		Reason:       reason,
+		Waited:       now - a.sentAt,
+		UsualLatency: duration(b.usualLatency()),
+	}
 }
--- a/lbpolicy/rules_test.go
+++ b/lbpolicy/rules_test.go
@@ -108,11 +108,14 @@
 	}
 }
 
-func (w *world) Reject(id RequestID, _ time.Duration) { w.final(id, true) }
-func (w *world) Fail(id RequestID)                    { w.final(id, false) }
-func (w *world) Watch()                               {}
-func (w *world) CloseIdle(ServerID)                   {}
-func (w *world) Log(string)                           {}
+func (w *world) Reject(id RequestID, _ time.Duration)    { w.final(id, true) }
+func (w *world) Fail(id RequestID)                       { w.final(id, false) }
+func (w *world) Watch()                                  {}
+func (w *world) CloseIdle(ServerID)                      {}
+func (w *world) Log(string)                              {}
+func (w *world) ServerProgress(ServerID) ServerProgress  { return ServerProgress{} }
+func (w *world) WaitsSince(RequestID, int) time.Duration { return 0 }
+func (w *world) Hedged(Hedge)                            {}
 func (w *world) Cancel(id RequestID, n int) {
 	w.check(w.cfg.MayCancel && !w.reqs[id].tries[n].ended, "cancelled what is not out", id)
 }
