--- a/cmd/silvertrail/left_test.go
+++ b/cmd/silvertrail/left_test.go
@@ -18,13 +18,14 @@
 // disconnectingClient is a caller who is about to go.
 type disconnectingClient struct {
 	*lbtest.Client
-	tcp *net.TCPConn
+	tcp    *net.TCPConn
+	leftAt time.Time // zero: it is still there
 }
 
 func newDisconnectingClient(t *testing.T, addr string) *disconnectingClient {
 	t.Helper()
 	c := lbtest.Dial(t, addr)
-	return &disconnectingClient{c, c.Conn.(*net.TCPConn)}
+	return &disconnectingClient{Client: c, tcp: c.Conn.(*net.TCPConn)}
 }
 
 var waysToDisconnect = map[string]func(*disconnectingClient){
@@ -41,10 +42,32 @@
 	t.Helper()
 	here, there := c.tcp.LocalAddr(), c.tcp.RemoteAddr()
 	lbtest.Until(t, how+": the connection stands on the other side", func() bool { return lbtest.IsEstablished(there, here) })
+	c.leftAt = time.Now()
 	waysToDisconnect[how](c)
 	lbtest.Until(t, how+": the end has come", func() bool { return !lbtest.IsEstablished(there, here) })
 }
 
+// clockFormat shows times as the log has them, without the date.
+const clockFormat = "15:04:05.000"
+
+// String tells when the caller left.
+func (c *disconnectingClient) String() string {
+	if c == nil || c.leftAt.IsZero() {
+		return "stayed"
+	}
+	return "left at " + c.leftAt.Format(clockFormat)
+}
+
+// logDecisions prints which requests a process hedged and which endpoints it ejected.
+func logDecisions(t *testing.T, name string, r *running) {
+	t.Helper()
+	for line := range strings.Lines(r.log.String()) {
+		if strings.Contains(line, "hedged request") || strings.Contains(line, " out: ") {
+			t.Logf("%s process: %s", name, line)
+		}
+	}
+}
+
 // suspend stops a process, and waits until each of its threads is stopped: the signal is delivered some time after it was sent, and
 // until then the process goes on.
 func (r *running) suspend() {
@@ -114,6 +137,7 @@
 	t.Helper()
 	var mu sync.Mutex
 	var came []string
+	var cameAt []time.Time
 	held := make(chan *lbtest.Arrival, 64)
 	var addrs []string
 	for range 2 {
@@ -122,6 +146,7 @@
 			mu.Lock()
 			again := slices.Contains(came, id)
 			came = append(came, id)
+			cameAt = append(cameAt, time.Now())
 			mu.Unlock()
 			if strings.HasPrefix(id, "held-") && !again {
 				held <- a
@@ -225,6 +250,15 @@
 	if len(count) < 4*len(waysToDisconnect)+3 {
 		t.Errorf("tests little: %v", count)
 	}
+	if t.Failed() {
+		for i, id := range came {
+			if count[id] > 1 || strings.HasPrefix(id, "left-") {
+				t.Logf("%s came at %s, its client %s", id, cameAt[i].Format(clockFormat), kept[id])
+			}
+		}
+		logDecisions(t, "old", old)
+		logDecisions(t, "new", next)
+	}
 	old.terminate()
 	next.terminate()
 }
--- a/cmd/silvertrail/log.go
+++ b/cmd/silvertrail/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"os"
 
 	"golang.org/x/time/rate"
 )
@@ -14,6 +15,20 @@
 	maxQueuedLines = 256
 )
 
+// logLevelVariable is the environment variable with the lowest level that is logged: debug, info, warn or error.
+const logLevelVariable = "LB_LOG_LEVEL"
+
+// logLevel returns the configured level; info if none is, or an unknown one.
+func logLevel() slog.Level {
+	level := slog.LevelInfo
+	if text := os.Getenv(logLevelVariable); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return slog.LevelInfo
+		}
+	}
+	return level
+}
+
 // newLog returns a logger that never blocks: lines beyond the rate, or that nobody reads, are dropped. Its goroutine writes the lines until
 // the process ends.
 func newLog(w io.Writer) *slog.Logger {
@@ -23,7 +38,7 @@
 			_, _ = w.Write(line) // a line that cannot be written is dropped
 		}
 	}()
-	return slog.New(slog.NewTextHandler(q, nil))
+	return slog.New(slog.NewTextHandler(q, &slog.HandlerOptions{Level: logLevel()}))
 }
 
 // lineQueue queues lines for the writing goroutine.
--- a/lbpolicy/hedge_test.go
+++ b/lbpolicy/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // A request whose server has answered another one after it was sent, and stops then, is not left to its deadline
@@ -36,3 +37,47 @@
 		})
 	}
 }
+
+// A balancer that takes over hedges a request no sooner than the one before it, or one that starts without its state.
+func TestSnapshotKeepsHedgeDelay(t *testing.T) {
+	for _, answers := range []int{1, 4, 40} {
+		for _, idle := range []time.Duration{0, sec, 8 * sec} {
+			t.Run(fmt.Sprintf("%d answers, %v before", answers, idle), func(t *testing.T) {
+				before, host := newBalancer(t, testSettings(), ready(2)...)
+				now := 2 * sec
+				for id := range RequestID(answers) {
+					before.Request(now, Request{ID: id, Class: 0, TimeLeft: 3 * sec})
+					before.Outcome(now+ms, Outcome{ID: id, Server: host.sends[id], Verdict: OK, Latency: ms, Final: true})
+					now += 50 * ms
+				}
+				snapshot := before.Snapshot(now)
+				delays := map[string]time.Duration{}
+				for name, restores := range map[string]bool{"after a hand-over": true, "without state": false} {
+					next, nextHost := newBalancer(t, testSettings(), ready(2)...)
+					if restores {
+						next.Restore(now, snapshot)
+					}
+					delays[name] = hedgeDelay(next, nextHost, now, idle)
+				}
+				// Their periods begin at other times, so that one may have followed the latency for one period more.
+				onePeriodMore := 1 - smoothingWeight(before.period.Seconds(), baseLatencyDownTime)
+				want := hedgeDelay(before, host, now, idle)
+				for name, delay := range delays {
+					if delay.Seconds() < onePeriodMore*want.Seconds() {
+						t.Errorf("%s: hedged after %v, not %v", name, delay, want)
+					}
+				}
+			})
+		}
+	}
+}
+
+// hedgeDelay returns how long a request waits for its check. The balancer has an event each 50 ms until it arrives.
+func hedgeDelay(b *Balancer, h *recorder, now, idle time.Duration) time.Duration {
+	const id = 1000
+	for end := now + idle; now < end; now += 50 * ms {
+		b.SetDropFraction(now, 0)
+	}
+	b.Request(now, Request{ID: id, Class: 0, TimeLeft: 3 * sec})
+	return h.timers[id] - now
+}
