--- a/cmd/silvertrail/pause_test.go
+++ b/cmd/silvertrail/pause_test.go
@@ -59,6 +59,20 @@
 	return false
 }
 
+// around tells of the stays that lasted into the half second before a time, or came shortly after it.
+func (l *stayLog) around(at time.Time) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	text := ""
+	for _, s := range l.stays {
+		ended := s.ended.IsZero() || at.Sub(s.ended) < 500*time.Millisecond
+		if ended && s.arrived.Sub(at) < 100*time.Millisecond {
+			text += fmt.Sprintf(" %s arrived %v, ended %v;", s.request, s.arrived.Sub(at).Round(time.Millisecond), s.ended.Sub(at).Round(time.Millisecond))
+		}
+	}
+	return text
+}
+
 // ejection is a line of a sidecar's log.
 type ejection struct {
 	at     time.Time
@@ -186,6 +200,9 @@
 		if !known || !p.endpoints[endpoint].isSlow(e.at) {
 			wrong++
 			p.t.Logf("%v %s", e.at.Format("05.000"), e.line)
+			if known {
+				p.t.Logf("at the endpoint, from the ejection on:%s", p.endpoints[endpoint].around(e.at))
+			}
 		}
 		found = found || endpoint == 0
 	}
