Count a request at a test endpoint from its receipt, not from the read

TestPauseEjectsNoEndpoint takes an ejection for wrong where the endpoint's own log has no answer owed for over 20 ms. The endpoints are goroutines of the test's process, and the log counted from when they read a request. Trace of an ejection that failed a play (15 copies beside 16 busy processes): the sidecar had written the request 137 ms before, nothing lay in its sockets, and the endpoint read it 5 ms before the ejection. It had lain unread at the endpoint for 132 ms: a real silence, as the sidecar sees it.

The stay counts from when the request reached the endpoint's socket (TCP_INFO), less the 4 ms that this is exact to. The bound of 20 ms and all else stand.

--- a/cmd/silvertrail/pause_test.go
+++ b/cmd/silvertrail/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"net"
 	"regexp"
 	"strconv"
 	"strings"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"silvertrail/internal/testkit/lbtest"
 )
 
@@ -34,20 +37,40 @@
 	stays []stay
 }
 
-func (l *stayLog) arrive(request string) (number int) {
+func (l *stayLog) arrive(request string, at time.Time) (number int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stays = append(l.stays, stay{request: request, arrived: time.Now()})
+	l.stays = append(l.stays, stay{request: request, arrived: at})
 	return len(l.stays) - 1
 }
 
+// clockTick is the precision of the system's times of a socket.
+const clockTick = 4 * time.Millisecond
+
+// receivedAt returns when a request reached the endpoint's socket, or up to a clockTick later: the endpoint, which is part of this
+// process, can be late to read it.
+func receivedAt(c net.Conn) time.Time {
+	now := time.Now()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return now // it is closed
+	}
+	var age time.Duration
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return now.Add(-max(age-clockTick, 0))
+}
+
 func (l *stayLog) end(number int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stays[number].ended = time.Now()
 }
 
-// isSlow reports whether the endpoint itself owed an answer for longer than minSilence at a time.
+// isSlow reports whether the endpoint itself owed an answer for longer than minSilence at a time, read or not.
 func (l *stayLog) isSlow(at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -149,7 +172,7 @@
 	for i := range play.endpoints {
 		log := &play.endpoints[i]
 		addresses = append(addresses, lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
-			number := log.arrive(a.Request.Header.Get("X-Request-Id"))
+			number := log.arrive(a.Request.Header.Get("X-Request-Id"), receivedAt(a.Conn))
 			if i == 0 && play.hangs.Load() {
 				return
 			}
