Failing tests: a response that is begun and not finished leaves its request unanswered

The incident's callers got "no answer in time" for requests that had been forwarded.

What was drawn before is drawn as before. Two more faults of the fake program show that the checks bite.

--- a/internal/edge/frontend/stream_test.go
+++ b/internal/edge/frontend/stream_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -330,3 +332,100 @@
 		t.Error("the connection to the endpoint is still open 5 s after the client's disconnect")
 	}
 }
+
+// unfinishedResponses returns handlers that begin a response and do not finish it, by name. Each stops once its connection ends.
+func unfinishedResponses() map[string]func(*lbtest.Arrival) {
+	const interval = 60 * time.Millisecond
+	send := func(head, piece string, count int) func(*lbtest.Arrival) {
+		return func(a *lbtest.Arrival) {
+			defer a.Close()
+			io.WriteString(a, head+"\r\n\r\n")
+			for range count {
+				if _, err := io.WriteString(a, piece); err != nil {
+					return
+				}
+				time.Sleep(interval)
+			}
+			io.Copy(io.Discard, a)
+		}
+	}
+	const endless = 1000 // pieces, which outlast the test
+	const closing, chunks = "HTTP/1.1 200 OK\r\nConnection: close", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+	return map[string]func(*lbtest.Arrival){
+		"no length, stalls":        send(closing, "x", 6),
+		"no length, never ends":    send(closing, "x", endless),
+		"chunked, stalls":          send(chunks, "1\r\nx\r\n", 6),
+		"chunked, never ends":      send(chunks, "1\r\nx\r\n", endless),
+		"chunked, a chunk stalls":  send(chunks+"\r\n\r\n1000", "\r\n"+strings.Repeat("x", 10), 1),
+		"short length, never ends": send("HTTP/1.1 200 OK\r\nContent-Length: 4000", "x", endless),
+	}
+}
+
+// A request is left without its final answer when its endpoint begins a response and does not finish it.
+func TestUnfinishedResponseEndsInTime(t *testing.T) {
+	t.Parallel()
+	const timeout, lateBound = time.Second, 500 * time.Millisecond // STANDING: half a second late at most
+	for name, serve := range unfinishedResponses() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := lbtest.NewEndpoint(t, serve)
+			_, addr := startServer(t, e.Addr, 64)
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, lbtest.Get("unfinished", fmt.Sprint("X-Timeout-Ms: ", timeout.Milliseconds())))
+			c.SetReadDeadline(time.Now().Add(timeout + lateBound))
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatalf("no response in time: %v", err)
+			}
+			_, err = io.Copy(io.Discard, r.Body)
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				t.Error("the response has no end in time")
+			case err == nil && r.StatusCode == http.StatusOK:
+				t.Error("the client takes an unfinished response for a whole one")
+			}
+		})
+	}
+}
+
+// A response of over 64 KiB that its endpoint still sends is not cut off at the deadline, which bounds its first bytes alone.
+func TestLargeResponseOutlastsDeadline(t *testing.T) {
+	t.Parallel()
+	const timeout, size, pieces, interval = time.Second, 240 << 10, 40, 60 * time.Millisecond
+	for name, head := range map[string]string{
+		"length":    fmt.Sprint("Content-Length: ", size),
+		"no length": "Connection: close",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+				io.WriteString(a, "HTTP/1.1 200 OK\r\n"+head+"\r\n\r\n")
+				body := &pattern{size: size}
+				for range pieces {
+					io.CopyN(a, body, size/pieces)
+					time.Sleep(interval)
+				}
+				a.Close()
+			})
+			_, addr := startServer(t, e.Addr, 64)
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, lbtest.Get("large", fmt.Sprint("X-Timeout-Ms: ", timeout.Milliseconds())))
+			c.SetReadDeadline(time.Now().Add(3 * lbtest.Wait))
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := checkPattern(r.Body, size); err != nil || r.StatusCode != http.StatusOK {
+				t.Errorf("status %d: %v", r.StatusCode, err)
+			}
+		})
+	}
+}
--- a/internal/testkit/soak/check.go
+++ b/internal/testkit/soak/check.go
@@ -98,12 +98,15 @@
 	forwarded := len(c.arrivals[r.ID]) > 0
 	switch r.Ending {
 	case Answered:
-		if bound := r.Deadline.Add(lateAnswerBound + c.pausedBeyondGrant(r.SentAt, r.EndedAt)); r.EndedAt.After(bound) {
-			c.add(LateAnswer, "%s sent at %s, answered at %s, due %s", r.ID, c.clock(r.SentAt), c.clock(r.EndedAt), c.clock(r.Deadline))
-		}
+		c.checkEndsInTime(r)
 		if r.WrongAnswer != "" {
 			c.add(ForeignAnswer, "%s sent at %s: %s", r.ID, c.clock(r.SentAt), r.WrongAnswer)
 		}
+	case CutOff: // PROTOCOL: an answer that an endpoint did not finish has failed and is not lost
+		if !c.log.Partial[r.ID] {
+			c.add(NotAnswered, "%s sent at %s, cut off at %s, though no endpoint left its answer unfinished", r.ID, c.clock(r.SentAt), c.clock(r.EndedAt))
+		}
+		c.checkEndsInTime(r)
 	case Unanswered:
 		c.add(NotAnswered, "%s sent at %s, due %s, forwarded %t", r.ID, c.clock(r.SentAt), c.clock(r.Deadline), forwarded)
 	case Closed:
@@ -118,6 +121,14 @@
 	}
 }
 
+// checkEndsInTime checks that an answer, whole or not, ended in time.
+func (c *checker) checkEndsInTime(r Request) {
+	bound := r.Deadline.Add(lateAnswerBound + c.pausedBeyondGrant(r.SentAt, r.EndedAt))
+	if r.EndedAt.After(bound) {
+		c.add(LateAnswer, "%s sent at %s, %s at %s, due %s", r.ID, c.clock(r.SentAt), r.Ending, c.clock(r.EndedAt), c.clock(r.Deadline))
+	}
+}
+
 // pausedBeyondGrant returns for how long a process of the sidecar stood still between two times, where that is longer than
 // what the pages have it bear. Nothing can be asked of it then.
 func (c *checker) pausedBeyondGrant(from, to time.Time) (sum time.Duration) {
@@ -246,7 +257,7 @@
 		c.add(Crashed, "process %d, ended at %s: %s", number, c.clock(p.EndedAt), p.Failure)
 	}
 	if p.Killed {
-		c.add(KilledAtTheEnd, "process %d had SIGTERM at %s and was there %v later", number, c.clock(p.TerminatedAt), killDelay)
+		c.add(KilledAtTheEnd, "process %d had SIGTERM at %s and was there %v later", number, c.clock(p.TerminatedAt), c.log.Day.killDelay())
 	}
 	if p.Failure == "" && (p.ReadyAt.IsZero() || p.ReadyAt.Sub(p.StartedAt) > readyBound) {
 		c.add(NotReady, "process %d started at %s, ready at %s", number, c.clock(p.StartedAt), c.clock(p.ReadyAt))
--- a/internal/testkit/soak/client.go
+++ b/internal/testkit/soak/client.go
@@ -18,7 +18,7 @@
 	clientCount     = 12
 	newcomerCount   = 4 // of them, in a crowd: each request on a new connection
 	maxThinkTime    = 40 * time.Millisecond
-	minTimeout      = 400 * time.Millisecond
+	timeoutDivider  = 5           // divides the longest deadline: no client waits for less
 	answerPatience  = time.Second // beyond the bound of a late answer: then there is none
 	redialDelay     = 20 * time.Millisecond
 	leaveRatio      = 0.06 // of the requests, on a day on which clients leave
@@ -37,15 +37,16 @@
 
 // client is a caller with one connection, which it keeps while it is open.
 type client struct {
-	number  int
-	front   *front
-	log     *Log
-	random  *rand.Rand
-	leaves  bool
-	conn    net.Conn
-	reader  *bufio.Reader
-	unused  bool // no request has gone out on the connection
-	counter int
+	number      int
+	front       *front
+	log         *Log
+	random      *rand.Rand
+	leaves      bool
+	maxDeadline time.Duration // of its requests
+	conn        net.Conn
+	reader      *bufio.Reader
+	unused      bool // no request has gone out on the connection
+	counter     int
 }
 
 // run sends one request after the other until the day ends.
@@ -92,7 +93,8 @@
 	c.counter++
 	r := Request{ID: fmt.Sprintf("c%d-%d", c.number, c.counter), Class: c.drawClass(), NewConnection: c.unused}
 	c.unused = false
-	timeout := minTimeout + time.Duration(c.random.Int64N(int64(maxDeadline-minTimeout)))
+	minTimeout := c.maxDeadline / timeoutDivider
+	timeout := minTimeout + time.Duration(c.random.Int64N(int64(c.maxDeadline-minTimeout)))
 	if r.Class == classKeyed {
 		r.Key = "key-" + r.ID
 	}
@@ -146,8 +148,9 @@
 	}
 	_ = c.conn.SetReadDeadline(patience) // fails on a closed connection, whose read fails
 	response, err := http.ReadResponse(c.reader, nil)
+	begun := err == nil
 	var body []byte
-	if err == nil {
+	if begun {
 		body, err = io.ReadAll(response.Body)
 	}
 	r.EndedAt = time.Now()
@@ -163,6 +166,8 @@
 		r.Ending = Left
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		r.Ending = Unanswered
+	case begun:
+		r.Ending = CutOff
 	default:
 		r.Ending = Closed
 	}
--- a/internal/testkit/soak/day.go
+++ b/internal/testkit/soak/day.go
@@ -25,6 +25,8 @@
 	EndpointFails   Action = "an endpoint answers 500"
 	EndpointResets  Action = "an endpoint resets connections"
 	EndpointDrains  Action = "an endpoint drains, ends, and comes back cold"
+	EndpointStalls  Action = "an endpoint begins its answers and stops"
+	EndpointTrickle Action = "an endpoint's answers have no end"
 	DiscoverySlow   Action = "discovery answers slowly"
 	DiscoverySilent Action = "discovery is silent"
 	DiscoveryMoves  Action = "discovery moves, told by SIGHUP"
@@ -35,19 +37,27 @@
 type Step struct {
 	At       time.Duration
 	Action   Action
-	Endpoint int           // of an action on one
+	Endpoint int           // of an action on one, or allEndpoints
 	Length   time.Duration // of a state that ends
 }
 
+// allEndpoints is the Endpoint of a step that changes the answers of all of them.
+const allEndpoints = -1
+
 // Day is a schedule. The same seed gives the same one.
 type Day struct {
 	Seed         uint64
 	Length       time.Duration
 	Process      []Step // on the sidecar's process; a step that the one before delays follows it
 	Surroundings []Step
-	ClientsLeave bool // some clients close their connection before the answer
+	Answers      []Step        // on the responses of endpoints
+	ClientsLeave bool          // some clients close their connection before the answer
+	MaxDeadline  time.Duration // of all classes
 }
 
+// killDelay is the earliest at which SIGKILL may follow SIGTERM.
+func (d Day) killDelay() time.Duration { return d.MaxDeadline + killDelay }
+
 const (
 	dayLength    = 20 * time.Second
 	quietEnd     = 3 * time.Second // at the end of a day nothing new happens
@@ -57,12 +67,13 @@
 var (
 	processActions  = []Action{Hangups, HangupTerminate, TerminateTwice, TerminateAtReady, Replace, ShortPause, LongPause}
 	endpointActions = []Action{EndpointHangs, EndpointFails, EndpointResets, EndpointDrains}
+	answerActions   = []Action{EndpointStalls, EndpointTrickle, EndpointHangs}
 )
 
 // NewDay draws a day from a seed.
 func NewDay(seed uint64) Day {
 	random := rand.New(rand.NewPCG(seed, 0))
-	d := Day{Seed: seed, Length: dayLength, ClientsLeave: random.IntN(2) == 0}
+	d := Day{Seed: seed, Length: dayLength, ClientsLeave: random.IntN(2) == 0, MaxDeadline: usualDeadline}
 	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
 	for at := time.Second + upTo(time.Second); at < d.Length-quietEnd; at += 300*time.Millisecond + upTo(2*time.Second) {
 		d.Process = append(d.Process, Step{At: at, Action: processActions[random.IntN(len(processActions))]})
@@ -80,5 +91,16 @@
 	if seed%crowdDivider == 0 {
 		d.Surroundings = append(d.Surroundings, Step{At: 2*time.Second + upTo(8*time.Second), Action: Crowd, Length: 4 * time.Second})
 	}
+	if random.IntN(2) == 0 {
+		d.MaxDeadline = shortDeadline
+	}
+	for at := time.Second + upTo(2*time.Second); at < d.Length-quietEnd; at += time.Second + upTo(4*time.Second) {
+		d.Answers = append(d.Answers, Step{
+			At:       at,
+			Action:   answerActions[random.IntN(len(answerActions))],
+			Endpoint: []int{allEndpoints, random.IntN(endpointCount)}[random.IntN(2)],
+			Length:   500*time.Millisecond + upTo(2*time.Second),
+		})
+	}
 	return d
 }
--- a/internal/testkit/soak/endpoint.go
+++ b/internal/testkit/soak/endpoint.go
@@ -37,6 +37,15 @@
 	hangs
 	fails
 	resets
+	stalls   // begins an answer in pieces, and sends no more of it
+	trickles // sends an answer without an end, a byte at a time
+)
+
+// Answers that have no end.
+const (
+	pieceInterval = 90 * time.Millisecond
+	stalledPieces = 4 // over a longer time than an answer that comes slowly is held back
+	smallLength   = 4 << 10
 )
 
 // endpoint is one server of the pool. Its process can end and start anew, with another address.
@@ -148,6 +157,10 @@
 		return false
 	case fails:
 		status, body = "500 Internal Server Error", "failed"
+	case stalls, trickles:
+		e.log.addPartial(id)
+		answerPartly(c, id, mode, changed)
+		return false
 	default:
 		time.Sleep(minWork + time.Duration(hashOf(id))%(maxWork-minWork))
 	}
@@ -155,6 +168,31 @@
 	return err == nil
 }
 
+// answerPartly begins an answer that has no end, and resets the connection when the mode changes. The head says nothing of the
+// length, or that it comes in chunks, or a length.
+func answerPartly(c net.Conn, id string, m mode, changed <-chan struct{}) {
+	_ = c.(*net.TCPConn).SetLinger(0) // fails on a closed connection
+	framing := []string{"Connection: close", "Transfer-Encoding: chunked", fmt.Sprint("Content-Length: ", smallLength)}[hashOf(id)%3]
+	piece := "x"
+	if hashOf(id)%3 == 1 {
+		piece = "1\r\nx\r\n"
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", framing); err != nil {
+		return
+	}
+	for n := 0; m == trickles || n < stalledPieces; n++ {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+		select {
+		case <-changed:
+			return
+		case <-time.After(pieceInterval):
+		}
+	}
+	<-changed
+}
+
 // countRequest counts a request in the rate, and returns the load report. The caller holds the lock.
 func (e *endpoint) countRequest() string {
 	now := time.Now()
--- a/internal/testkit/soak/fake_test.go
+++ b/internal/testkit/soak/fake_test.go
@@ -22,6 +22,8 @@
 	faultCloses      = "closes after it has read"
 	faultSilent      = "never answers"
 	faultLate        = "answers late"
+	faultCuts        = "cuts its answers off"
+	faultHolds       = "holds back the end of its answers"
 	faultForeign     = "answers with another body"
 	faultTwice       = "sends keyed requests to both zones"
 	faultUnsafeTwice = "sends unsafe requests twice"
@@ -93,7 +95,7 @@
 	if fault == faultStays {
 		select {}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline)
+	ctx, cancel := context.WithTimeout(context.Background(), usualDeadline)
 	defer cancel()
 	_ = server.Shutdown(ctx) // what is left ends with the process
 	return nil
@@ -203,8 +205,15 @@
 	if isDue && f.fault == faultForeign {
 		body = "something else"
 	}
+	if isDue && (f.fault == faultCuts || f.fault == faultHolds) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	}
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body)
+	if isDue && f.fault == faultHolds {
+		w.(http.Flusher).Flush()
+		time.Sleep(time.Until(deadline) + lateAnswerBound + 200*time.Millisecond)
+	}
 }
 
 // forward sends a request to an endpoint.
--- a/internal/testkit/soak/log.go
+++ b/internal/testkit/soak/log.go
@@ -14,6 +14,7 @@
 	Closed     Ending = "closed without an answer"
 	Unanswered Ending = "without an answer" // the connection is still open
 	Left       Ending = "left"              // by its client
+	CutOff     Ending = "cut off"           // within its answer, as the client can tell
 )
 
 // Request is a request as its client saw it.
@@ -77,6 +78,7 @@
 
 // Log is all that was seen of a day.
 type Log struct {
+	Day         Day
 	mu          sync.Mutex
 	Requests    []Request
 	Arrivals    []Arrival
@@ -86,6 +88,7 @@
 	Moves       []time.Time
 	Crowds      []Span
 	Processes   []*Process
+	Partial     map[string]bool // requests whose answer an endpoint left unfinished
 	EndedAt     time.Time
 }
 
@@ -101,6 +104,16 @@
 	l.Arrivals = append(l.Arrivals, a)
 }
 
+// addPartial records that an endpoint leaves its answer to a request unfinished.
+func (l *Log) addPartial(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Partial == nil {
+		l.Partial = map[string]bool{}
+	}
+	l.Partial[id] = true
+}
+
 // change changes the log under its lock.
 func (l *Log) change(f func()) {
 	l.mu.Lock()
--- a/internal/testkit/soak/process.go
+++ b/internal/testkit/soak/process.go
@@ -163,7 +163,7 @@
 	select {
 	case <-p.ended:
 		return nil
-	case <-time.After(time.Until(p.record.TerminatedAt.Add(killDelay))):
+	case <-time.After(time.Until(p.record.TerminatedAt.Add(p.log.Day.killDelay()))):
 	}
 	p.log.change(func() { p.record.Killed = true })
 	err := p.signal(syscall.SIGKILL)
--- a/internal/testkit/soak/settings.go
+++ b/internal/testkit/soak/settings.go
@@ -12,11 +12,12 @@
 	classKeyed  = "write" // with an idempotency key, whose repeats the endpoints of a zone drop
 	classUnsafe = "book"  // must not be repeated
 
-	maxDeadline = 2 * time.Second
-	maxSockets  = 256
-	maxMemoryMB = 64
-	// killDelay is the earliest at which SIGKILL may follow SIGTERM (PROTOCOL, "Figures").
-	killDelay = maxDeadline + 700*time.Millisecond
+	usualDeadline = 2 * time.Second
+	shortDeadline = 800 * time.Millisecond
+	maxSockets    = 256
+	maxMemoryMB   = 64
+	// killDelay is the earliest at which SIGKILL may follow SIGTERM, beyond the longest deadline (PROTOCOL, "Figures").
+	killDelay = 700 * time.Millisecond
 )
 
 var zoneNames = []string{"a", "b"}
@@ -25,7 +26,7 @@
 type object = map[string]any
 
 // writeConfig writes the configuration as the platform does: as a whole.
-func writeConfig(path, listen, discovery string) error {
+func writeConfig(path, listen, discovery string, maxDeadline time.Duration) error {
 	class := func(name, effect string, worth int) object {
 		return object{"name": name, "deadline": maxDeadline.Seconds(), "goal_time": 0.5, "effect": effect, "worth": worth,
 			"key_scope": "zone", "window": 10}
--- a/internal/testkit/soak/soak.go
+++ b/internal/testkit/soak/soak.go
@@ -57,7 +57,7 @@
 
 // Run plays a day and returns what was seen. An error means that the day could not be played.
 func Run(day Day, o Options) (*Log, error) {
-	s := &Soak{options: o, day: day, log: &Log{}, front: &front{}, discovery: newDiscovery()}
+	s := &Soak{options: o, day: day, log: &Log{Day: day}, front: &front{}, discovery: newDiscovery()}
 	defer s.discovery.close()
 	defer func() {
 		for _, release := range s.releaseAddresses {
@@ -77,11 +77,13 @@
 	s.start()
 	var clients, lanes sync.WaitGroup
 	for n := range clientCount {
-		c := &client{number: n, front: s.front, log: s.log, leaves: day.ClientsLeave, random: rand.New(rand.NewPCG(day.Seed, uint64(n+1)))}
+		c := &client{number: n, front: s.front, log: s.log, leaves: day.ClientsLeave, maxDeadline: day.MaxDeadline,
+			random: rand.New(rand.NewPCG(day.Seed, uint64(n+1)))}
 		clients.Go(c.run)
 	}
 	lanes.Go(func() { s.play(day.Process, s.processStep) })
 	lanes.Go(func() { s.play(day.Surroundings, s.surroundingsStep) })
+	lanes.Go(func() { s.play(day.Answers, s.surroundingsStep) })
 	lanes.Wait()
 	time.Sleep(time.Until(s.startedAt.Add(day.Length)))
 	s.front.stopped.Store(true)
@@ -144,7 +146,7 @@
 func (s *Soak) writeConfig() error {
 	s.configMu.Lock()
 	defer s.configMu.Unlock()
-	return writeConfig(s.configPath(), s.front.address, s.discoveryAddress)
+	return writeConfig(s.configPath(), s.front.address, s.discoveryAddress, s.day.MaxDeadline)
 }
 
 // list lists an endpoint in discovery; without a status it is removed.
@@ -262,14 +264,22 @@
 	return previous.awaitEnd()
 }
 
+// endpointModes are the modes that actions set.
+var endpointModes = map[Action]mode{
+	EndpointHangs:   hangs,
+	EndpointFails:   fails,
+	EndpointResets:  resets,
+	EndpointStalls:  stalls,
+	EndpointTrickle: trickles,
+}
+
 // surroundingsStep plays an action on endpoints, discovery or clients.
 func (s *Soak) surroundingsStep(step Step) error {
 	switch step.Action {
-	case EndpointHangs, EndpointFails, EndpointResets:
-		e := s.endpoints[step.Endpoint]
-		e.setMode(map[Action]mode{EndpointHangs: hangs, EndpointFails: fails, EndpointResets: resets}[step.Action])
+	case EndpointHangs, EndpointFails, EndpointResets, EndpointStalls, EndpointTrickle:
+		s.setMode(step.Endpoint, endpointModes[step.Action])
 		time.Sleep(step.Length)
-		e.setMode(answers)
+		s.setMode(step.Endpoint, answers)
 		return nil
 	case EndpointDrains:
 		return s.drain(s.endpoints[step.Endpoint])
@@ -290,6 +300,15 @@
 	return fmt.Errorf("soak: unknown action %q", step.Action)
 }
 
+// setMode sets how an endpoint, or all, treat requests.
+func (s *Soak) setMode(endpoint int, m mode) {
+	for _, e := range s.endpoints {
+		if endpoint == allEndpoints || e.number == endpoint {
+			e.setMode(m)
+		}
+	}
+}
+
 // drain has an endpoint drain, end, and come back cold at another address.
 func (s *Soak) drain(e *endpoint) error {
 	from := time.Now()
--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -44,22 +44,45 @@
 		t.Fatal(err)
 	}
 	for _, seed := range ciSeeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			dir := t.TempDir()
-			log, err := Run(NewDay(seed), Options{Program: []string{path}, Dir: dir})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range Check(log) {
-				t.Errorf("%s: %s", v.Kind, v.Text)
-			}
-			if t.Failed() {
-				logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
-				for _, name := range logs {
-					text, _ := os.ReadFile(name) // what is there
-					t.Logf("%s:\n%s", filepath.Base(name), text)
-				}
-			}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playProgram(t, path, NewDay(seed)) })
+	}
+}
+
+// playProgram plays a day with the program, and reports each violation, and the logs if there is one.
+func playProgram(t *testing.T, path string, day Day) {
+	t.Helper()
+	dir := t.TempDir()
+	log, err := Run(day, Options{Program: []string{path}, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range Check(log) {
+		t.Errorf("%s: %s", v.Kind, v.Text)
+	}
+	if !t.Failed() {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, name := range logs {
+		text, _ := os.ReadFile(name) // what is there
+		t.Logf("%s:\n%s", filepath.Base(name), text)
+	}
+}
+
+// A request is left without its final answer when its endpoint begins a response and does not finish it.
+func TestUnfinishedResponseLeavesNoRequestUnanswered(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, action := range []Action{EndpointStalls, EndpointTrickle} {
+		t.Run(string(action), func(t *testing.T) {
+			t.Parallel()
+			playProgram(t, path, Day{
+				Length:      6 * time.Second,
+				MaxDeadline: shortDeadline,
+				Answers:     []Step{{At: 500 * time.Millisecond, Action: action, Endpoint: allEndpoints, Length: 4 * time.Second}},
+			})
 		})
 	}
 }
@@ -69,6 +92,7 @@
 	return Day{
 		Length:       6 * time.Second,
 		ClientsLeave: true,
+		MaxDeadline:  usualDeadline,
 		Process:      []Step{{At: 5 * time.Second, Action: Hangups}},
 		Surroundings: []Step{{At: 500 * time.Millisecond, Action: EndpointDrains, Endpoint: 1}},
 	}
@@ -80,6 +104,8 @@
 		faultCloses:      NotAnswered,
 		faultSilent:      NotAnswered,
 		faultLate:        LateAnswer,
+		faultCuts:        NotAnswered,
+		faultHolds:       LateAnswer,
 		faultForeign:     ForeignAnswer,
 		faultTwice:       SeveralEffects,
 		faultUnsafeTwice: SeveralEffects,
@@ -132,11 +158,11 @@
 		if !reflect.DeepEqual(d, NewDay(seed)) {
 			t.Errorf("seed %d gives two days", seed)
 		}
-		for _, step := range append(d.Process, d.Surroundings...) {
+		for _, step := range slices.Concat(d.Process, d.Surroundings, d.Answers) {
 			seen[step.Action] = true
 		}
 	}
-	if len(seen) != len(processActions)+len(endpointActions)+4 {
+	if len(seen) != len(processActions)+len(endpointActions)+6 {
 		t.Errorf("actions %v", seen)
 	}
 }
