End a streamed response with its request's deadline

Callers saw: no final answer, on a connection that stayed open. The request was forwarded, its endpoint had begun a response of unknown length or in chunks, and then fell silent or never ended. The sidecar passed the first bytes on after 250 ms; from then on each read of the rest had 20 s, and nothing asked for the deadline. For the policy the attempt had ended, so expire found nothing to end either.

Now the engine gives the stream the request's deadline, and a response of up to 64 KiB ends 250 ms after it by a reset, which the client can tell from an end. A response that is declared or has come to over 64 KiB goes on as before, and one of unknown length while it comes at 32 KiB a second (half of the slowest clients' rate), as cutting off what an endpoint still gives loses it, too. The limit is an absolute time: chunks without data do not extend it.

--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -52,8 +52,8 @@
 }
 
 // streamResponse delivers a response whose body is still arriving, and returns once the body has been closed. For the policy, the
-// attempt ends with the first bytes of the response. From then on the client reads the response without a deadline, and the response
-// occupies nothing but a connection of the endpoint.
+// attempt ends with the first bytes of the response. From then on the response occupies nothing but a connection of the endpoint, and
+// the stream itself ends the response if it is not complete soon after the request's deadline.
 func (e *Engine) streamResponse(c *Call, a *attempt, verdict lbpolicy.Verdict, response *upstream.Response) {
 	stream := response.Stream
 	if verdict != lbpolicy.OK { // the body of a failure is not read
@@ -67,6 +67,7 @@
 	e.processEvent(func(now time.Duration) {
 		accepted = !a.ended && !c.done
 		if accepted {
+			stream.SetDeadline(c.request.Deadline)
 			e.endAttempt(now, c, a, verdict, response)
 		}
 	})
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -38,6 +38,7 @@
 	idleFor       time.Duration    // time that it was idle before its present use
 	readDeadline  time.Time        // value set last; zero: none
 	readTimeout   time.Duration    // timeout of each read; 0: the read deadline applies
+	readLimit     time.Time        // latest end of reads with a readTimeout; zero: none
 	maxBody       int64            // limit on a response's body, in bytes
 	earlyResponse chan error       // set while a request body is streamed: receives the result of waiting for the response
 	progress      *AttemptProgress // progress of its present attempt
@@ -56,12 +57,12 @@
 	return c, err
 }
 
-// Read implements net.Conn. If readTimeout is set, the timeout applies to each read, because the whole response may take long. If the
-// deadline has passed while this process was paused, Read waits for up to minStall more, so that bytes that arrived during the
-// pause are still read.
+// Read implements net.Conn. If readTimeout is set, the timeout applies to each read, because the whole response may take long, and
+// all reads end at readLimit. If the deadline has passed while this process was paused, Read waits for up to minStall more, so that
+// bytes that arrived during the pause are still read.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.readTimeout > 0 {
-		c.setReadDeadline(time.Now().Add(c.readTimeout))
+	if c.readTimeout > 0 && !c.startTimedRead(time.Now()) {
+		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.receive(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && timeout.IsLate(c.readDeadline) {
@@ -71,6 +72,16 @@
 	return n, err
 }
 
+// startTimedRead sets the deadline of a read with a readTimeout. It reports false if readLimit has passed.
+func (c *conn) startTimedRead(now time.Time) bool {
+	deadline := now.Add(c.readTimeout)
+	if !c.readLimit.IsZero() && c.readLimit.Before(deadline) {
+		deadline = c.readLimit
+	}
+	c.setReadDeadline(deadline)
+	return deadline.After(now)
+}
+
 // receive waits for bytes and reads them. The progress of the attempt is marked as reading before the bytes are taken from the socket,
 // so that at no time are the bytes missing from both the socket and the attempt's progress.
 func (c *conn) receive(p []byte) (int, error) {
@@ -125,6 +136,7 @@
 // the response have arrived, it cannot: the start of the next response would be unknown.
 func (c *conn) resetAfterStream() bool {
 	c.readTimeout = 0
+	c.readLimit = time.Time{}
 	c.setReadDeadline(time.Time{})
 	return c.reader.Buffered() == 0
 }
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"silvertrail/internal/base/chunked"
@@ -14,11 +15,22 @@
 	// then the response of another attempt can be used instead; from then on the client gets this one.
 	bufferingTime = 250 * time.Millisecond
 	// streamReadTimeout is how long a streamed response may deliver no bytes. It is long, because the request cannot be retried once
-	// its response is streamed.
+	// its response is streamed. The request's deadline ends smaller responses earlier.
 	streamReadTimeout = 20 * time.Second
 	initialBodyBytes  = 2 << 10
+
+	// lateResponseTime is how long after the request's deadline a streamed response may end. A client takes a request for lost half a
+	// second after its deadline (the platform's STANDING page).
+	lateResponseTime = 250 * time.Millisecond
+	// A response of unknown length that still arrives at minLargeBytesPerSecond is taken for one that will exceed maxBufferedBytes. For
+	// those, the deadline bounds the first bytes only (the platform's page on operators' days).
+	minLargeBytesPerSecond = 32 << 10
+	maxLargeGap            = 250 * time.Millisecond // between two arrivals of such a response
 )
 
+// errTooLate means that a streamed response did not end in time.
+var errTooLate = fmt.Errorf("streamed response unfinished after the request's deadline: %w", os.ErrDeadlineExceeded)
+
 // RequestStream is the part of a request's body that has not arrived yet. Only one attempt can acquire it, and no further attempt is
 // possible after that.
 type RequestStream interface {
@@ -44,10 +56,13 @@
 	decoder       *chunked.Decoder
 	maxBytes      int64
 	received      int64
-	reusable      bool // the connection can be reused after the stream
-	complete      bool // the whole body was read
-	bufferingDone bool // the buffered part is complete: delays only affect the client from now on
-	delivered     bool // the client has the whole body
+	startedAt     time.Time // when the body was first read
+	lastArrival   time.Time // when bytes were last received
+	limit         time.Time // of the next read, unless the response is large; zero: none
+	reusable      bool      // the connection can be reused after the stream
+	complete      bool      // the whole body was read
+	bufferingDone bool      // the buffered part is complete: delays only affect the client from now on
+	delivered     bool      // the client has the whole body
 	onRelease     func(*ResponseStream)
 	onClose       func()
 }
@@ -57,14 +72,14 @@
 
 // readBuffered reads the whole of a small body, or the first part of a large or slow body.
 func (s *ResponseStream) readBuffered() ([]byte, error) {
-	started := time.Now()
+	s.startedAt = time.Now()
 	body := make([]byte, 0, s.initialCapacity())
 	for {
 		if s.isAtEnd() {
 			s.complete = true
 			return body, nil
 		}
-		if s.shouldStream(len(body), time.Since(started)) {
+		if s.shouldStream(len(body), time.Since(s.startedAt)) {
 			s.bufferingDone = true
 			return body, nil
 		}
@@ -118,13 +133,16 @@
 	return grown
 }
 
+// SetDeadline sets the deadline of the request. A response that is not large ends lateResponseTime later. SetDeadline must be called
+// before the first Read.
+func (s *ResponseStream) SetDeadline(deadline time.Time) { s.limit = deadline.Add(lateResponseTime) }
+
 // Read reads the next bytes; io.EOF means that the body is complete.
 func (s *ResponseStream) Read(p []byte) (int, error) {
 	if s.complete {
 		return 0, io.EOF
 	}
-	s.conn.readTimeout = streamReadTimeout
-	n, err := s.read(p)
+	n, err := s.readInTime(p)
 	if err == nil && s.received > s.maxBytes {
 		err = fmt.Errorf("%w: body exceeds %d bytes", errMalformed, s.maxBytes)
 	}
@@ -132,6 +150,48 @@
 	return n, err
 }
 
+// readInTime reads the next bytes, as long as the response may go on.
+func (s *ResponseStream) readInTime(p []byte) (int, error) {
+	for {
+		if !s.limitRead(time.Now()) {
+			return 0, errTooLate
+		}
+		n, err := s.read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || s.isLimitAhead(time.Now()) {
+			return n, err
+		}
+	}
+}
+
+// limitRead sets the time limit of the next read. It reports false if the response has to end.
+func (s *ResponseStream) limitRead(now time.Time) bool {
+	s.conn.readTimeout = streamReadTimeout
+	if s.limit.IsZero() || s.isLarge() {
+		s.conn.readLimit = time.Time{}
+		return true
+	}
+	if !s.isLimitAhead(now) && s.seemsLarge(now) {
+		s.limit = now.Add(maxLargeGap)
+	}
+	s.conn.readLimit = s.limit
+	return s.isLimitAhead(now)
+}
+
+func (s *ResponseStream) isLimitAhead(now time.Time) bool {
+	return s.limit.IsZero() || now.Before(s.limit)
+}
+
+// isLarge reports whether the response exceeds the size up to which its last byte is due at the deadline.
+func (s *ResponseStream) isLarge() bool {
+	return s.length > maxBufferedBytes || s.received > maxBufferedBytes
+}
+
+// seemsLarge reports whether a response of unknown length still arrives at the rate of large ones.
+func (s *ResponseStream) seemsLarge(now time.Time) bool {
+	expected := minLargeBytesPerSecond * now.Sub(s.startedAt).Seconds()
+	return float64(s.received) >= expected && now.Sub(s.lastArrival) < maxLargeGap
+}
+
 func (s *ResponseStream) read(p []byte) (n int, err error) {
 	switch {
 	case s.decoder != nil:
@@ -147,6 +207,9 @@
 		n, err = s.conn.reader.Read(p)
 	}
 	s.received += int64(n)
+	if n > 0 {
+		s.lastArrival = time.Now()
+	}
 	return n, err
 }
 
