Answer an overdue request from its connection, whatever holds its exchange up

What callers would see: no final answer on an open connection, as in the incident. The evidence has requests of which each attempt was given up at the deadline, so that the engine had ended them, and still no answer came; a streamed response does not explain these. Not reproduced: the cause of that part is not known. What the code shows is the class of the fault: the engine's timer alone bounded the time of a request. Anything else between the request's last byte and its answer (a lock, a disk behind Reply, an event that panics, a goroutine that waits) had no bound at all.

Now each exchange has an overdueGuard. The serving goroutine claims the right to respond just before it writes; if it has not done so 250 ms after the deadline, the guard writes 502 (which promises nothing), ends the exchange as if the client had left, and the connection closes. Exactly one of the two writes. The timer allows for a pause of the process (base/timeout), so that the engine's own result comes first then.

TestBlockedExchangeLeavesNoRequestUnanswered (blocked in Do, in Reply) failed without the guard: no response within deadline and 0.5 s. TestOverdueRequestGetsOneResponse holds that a late result adds nothing.

--- a/internal/edge/frontend/bodystream.go
+++ b/internal/edge/frontend/bodystream.go
@@ -17,6 +17,7 @@
 	conn     *clientConn
 	length   int64 // of the whole body in bytes; -1 if unknown
 	maxBytes int64
+	timeout  time.Duration // of the request, from its last byte
 
 	mu           sync.Mutex // held during a read; guards the fields down to err
 	remaining    int64      // bytes not read yet, if the length is known
@@ -162,8 +163,8 @@
 	return s.conn.received.receivedAt
 }
 
-// MarkForwarded records that the body was forwarded completely, and starts the watch for a disconnect of the client, as for any other
-// request in flight.
+// MarkForwarded records that the body was forwarded completely. It starts the watch for a disconnect of the client and the guard of the
+// request's deadline, as for any other request in flight.
 func (s *BodyStream) MarkForwarded() {
 	s.mu.Lock() // waits for a read in progress
 	defer s.mu.Unlock()
@@ -172,6 +173,7 @@
 	if !s.stopped && s.err == nil && !s.watched {
 		s.watched = true
 		s.conn.startWatch()
+		s.conn.guard.start(s.conn.received.receivedAt.Add(s.timeout))
 	}
 }
 
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -37,9 +37,10 @@
 	buffer          []byte // backing memory of input
 	input           []byte // bytes read but not consumed yet
 	request         http.Request
-	expectsContinue bool        // the client waits for 100 Continue before it sends the body
-	headStarted     atomic.Bool // a part of the next head was read
-	closeAfter      bool        // the connection is closed after the current response
+	expectsContinue bool          // the client waits for 100 Continue before it sends the body
+	headStarted     atomic.Bool   // a part of the next head was read
+	closeAfter      bool          // the connection is closed after the current response
+	guard           *overdueGuard // of the exchange being served
 	writeFailed     bool
 	lingers         bool // input still in transit is discarded before the close
 	requestCount    int
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -86,6 +86,7 @@
 	if isStreaming {
 		maxBytes = streaming.MaxBodyBytes()
 	}
+	c.guard = &overdueGuard{conn: c}
 	err := b.read(c, maxBytes)
 	receivedAt := c.received.receivedAt
 	switch {
@@ -120,6 +121,7 @@
 		c.readPendingTLS()
 	}
 	c.startWatch()
+	c.guard.start(receivedAt.Add(x.Timeout()))
 	result := x.Do(c.ctx, b.bytes, receivedAt)
 	c.stopWatch()
 	if c.ctx.Err() != nil {
@@ -131,6 +133,7 @@
 // serveStream serves a request whose body is forwarded while it is received. Reads of the body detect a disconnect until the body is
 // forwarded. From then on the watch detects it.
 func (c *clientConn) serveStream(x StreamingExchange, b *body) {
+	b.stream.timeout = x.Timeout()
 	result := x.Stream(c.ctx, b.bytes, b.stream)
 	b.stream.Stop()
 	if c.ctx.Err() != nil {
@@ -147,18 +150,29 @@
 	c.respond(x, result)
 }
 
-// respond writes the final response: the exchange's reply if there is one, otherwise the response to the result.
+// respond writes the final response: the exchange's reply if there is one, otherwise the response to the result. A request that was
+// overdue has its response already, and its connection is closed.
 func (c *clientConn) respond(x Exchange, result engine.Result) {
 	reply := x.Reply(result)
+	if !c.guard.claim() {
+		closeStream(result)
+		c.abandonInput()
+		return
+	}
 	if reply == nil {
 		c.writeResult(result)
 		return
 	}
-	if result.Response != nil && result.Response.Stream != nil {
-		result.Response.Stream.Close()
-	}
+	closeStream(result)
 	if reply.Close {
 		c.abandonInput()
 	}
 	c.writeReply(reply)
 }
+
+// closeStream closes the stream of a response that is not written.
+func closeStream(result engine.Result) {
+	if result.Response != nil && result.Response.Stream != nil {
+		result.Response.Stream.Close()
+	}
+}
--- a/internal/edge/frontend/server.go
+++ b/internal/edge/frontend/server.go
@@ -38,6 +38,8 @@
 type Exchange interface {
 	// BodyBudget returns the budget from which memory for the request's body is reserved.
 	BodyBudget() Budget
+	// Timeout returns how long after its last byte the request must have its response. It is called before Do and Stream.
+	Timeout() time.Duration
 	// Do serves the request and returns its final result. The request's deadline counts from receivedAt, when its last byte reached this
 	// machine. When ctx ends, the client has disconnected and nobody reads the response.
 	Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,9 @@
 	return x.state.clusters[x.clusterName].Bodies()
 }
 
+// Timeout implements frontend.Exchange.
+func (x *exchange) Timeout() time.Duration { return x.policyRequest.TimeLeft }
+
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result {
 	now := time.Now()
--- a/internal/platform/sidecar/exchange.go
+++ b/internal/platform/sidecar/exchange.go
@@ -42,6 +42,9 @@
 // BodyBudget implements frontend.Exchange.
 func (x *exchange) BodyBudget() frontend.Budget { return x.router.bodies }
 
+// Timeout implements frontend.Exchange.
+func (x *exchange) Timeout() time.Duration { return x.request.TimeLeft }
+
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result {
 	x.request.TimeLeft -= time.Since(receivedAt)
