Bound the wait for a body's memory by the request's timeout

What callers saw in the test: no answer on an open connection until 2.6 s after the head, whatever their timeout. A body of over 4 KiB waits for the memory that all bodies share, up to messageTimeout. Its bytes may have come whole meanwhile and lie in the socket, so that the request is taken and its time runs (PROTOCOL: from its last byte), but the engine, which ends requests at their deadline, had not seen it yet.

The wait ends with the request's timeout now, at 2.6 s as before where that is later: 503 with Retry-After, nothing was sent. TestRequestWithoutBodyMemoryIsRejectedInTime failed before: "no final response in time" (0.8 s for a timeout of 0.3 s).

--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -53,8 +53,7 @@
 	b.reserved = 0
 }
 
-// reserve acquires n bytes from the budget before they are filled, and waits for them until the deadline. The wait does not shorten the
-// request's own deadline, which counts from the last byte of the request.
+// reserve acquires n bytes from the budget before they are filled, and waits for them until the deadline.
 func (b *body) reserve(ctx context.Context, n int64, deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -66,8 +65,9 @@
 }
 
 // read reads the whole body, or only its first bytes if it exceeds maxBufferedBody and may be streamed. A body larger than
-// maxUnreservedBody waits until the shared budget has memory for it.
-func (b *body) read(c *clientConn, maxBytes int64) error {
+// maxUnreservedBody waits until the shared budget has memory for it, but not longer than the request's timeout, because the whole
+// request may have been received already.
+func (b *body) read(c *clientConn, maxBytes int64, timeout time.Duration) error {
 	size := c.request.ContentLength
 	switch {
 	case size == 0:
@@ -80,7 +80,7 @@
 		capacity = min(capacity, size)
 	}
 	if capacity > maxUnreservedBody {
-		if err := b.reserve(c.ctx, capacity, time.Now().Add(messageTimeout)); err != nil {
+		if err := b.reserve(c.ctx, capacity, time.Now().Add(min(timeout, messageTimeout))); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/frontend/overdue_test.go
+++ b/internal/edge/frontend/overdue_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,12 +26,13 @@
 
 // fakeExchange serves requests with do, and replies to them with reply.
 type fakeExchange struct {
-	do    func(ctx context.Context) engine.Result
-	reply func() *frontend.Reply
+	do     func(ctx context.Context) engine.Result
+	reply  func() *frontend.Reply
+	bodies int64 // bytes of memory for bodies
 }
 
 func (x *fakeExchange) Route(*http.Request) (frontend.Exchange, *frontend.Reply) { return x, nil }
-func (x *fakeExchange) BodyBudget() frontend.Budget                              { return semaphore.NewWeighted(1 << 20) }
+func (x *fakeExchange) BodyBudget() frontend.Budget                              { return semaphore.NewWeighted(x.bodies) }
 func (x *fakeExchange) Timeout() time.Duration                                   { return exchangeTimeout }
 func (x *fakeExchange) Do(ctx context.Context, _ []byte, _ time.Time) engine.Result {
 	return x.do(ctx)
@@ -103,3 +105,18 @@
 		t.Errorf("%q after the response", rest)
 	}
 }
+
+// A received request is left unanswered while its body waits for memory beyond the deadline.
+func TestRequestWithoutBodyMemoryIsRejectedInTime(t *testing.T) {
+	t.Parallel()
+	c := lbtest.Dial(t, startFakeServer(t, &fakeExchange{reply: noReply, bodies: 1}))
+	c.SetReadDeadline(time.Now().Add(exchangeTimeout + lateResponseBound))
+	c.Send(lbtest.Post("large", strings.Repeat("x", 8<<10)))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no final response in time: %v", err)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want 503 with a time, as nothing was sent", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+}
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -87,7 +87,7 @@
 		maxBytes = streaming.MaxBodyBytes()
 	}
 	c.guard = &overdueGuard{conn: c}
-	err := b.read(c, maxBytes)
+	err := b.read(c, maxBytes, x.Timeout())
 	receivedAt := c.received.receivedAt
 	switch {
 	case errors.Is(err, errNoBodyMemory): // nothing was forwarded, so that a retry is safe
