Let only the first Stop of a request's body touch its connection

What callers would see: a request on a kept connection that loses its read deadline or has its read ended, because the body of the request before is stopped a second time, late. Found while the class of the incident's fault was looked for, by the race detector: streamWriter's awaitResponse, in its own goroutine, stops the body when the response arrives; serveStream stops it, too, and goes on with the connection. The later one set the read deadline to the past and cleared it again, whoever read then, without a lock.

Stop runs once now, and a second caller waits for the first (sync.Once). TestSecondStopOfBodyLeavesConnectionAlone failed before: the deadline of the next request was cleared.

--- a/internal/edge/frontend/bodystream.go
+++ b/internal/edge/frontend/bodystream.go
@@ -30,6 +30,8 @@
 	acquired bool
 	stopped  bool
 	watched  bool // the watch for a disconnect has started, and the body is not read any more
+
+	stopOnce sync.Once
 }
 
 // Length returns the length of the whole body in bytes, or -1 if it is unknown.
@@ -177,10 +179,13 @@
 	}
 }
 
-// Stop ends the reading of the stream. A read in progress fails. After Stop has returned, nothing else reads from the connection.
-func (s *BodyStream) Stop() {
+// Stop ends the reading of the stream. A read in progress fails. After Stop has returned, nothing else reads from the connection. Only
+// the first call has an effect, because the connection may serve another request by the time of a later one.
+func (s *BodyStream) Stop() { s.stopOnce.Do(s.stop) }
+
+func (s *BodyStream) stop() {
 	s.stateMu.Lock()
-	stopWatch := s.watched && !s.stopped
+	stopWatch := s.watched
 	s.stopped = true
 	s.conn.Conn.SetReadDeadline(pastDeadline)
 	s.stateMu.Unlock()
