Answer 502 to a request whose exchange panics

The panic of a serving goroutine ended its connection alone, as it should, but without a word. Found by looking for places at which a request in flight can end without its answer.

The connection now answers 502 (the request may have run) unless its response has begun, and closes. The guard's claim decides between this and an overdue response. TestPanicLeavesNoRequestUnanswered failed before: "status 0, close true; want 502 and a close".

--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -40,7 +40,8 @@
 	expectsContinue bool          // the client waits for 100 Continue before it sends the body
 	headStarted     atomic.Bool   // a part of the next head was read
 	closeAfter      bool          // the connection is closed after the current response
-	guard           *overdueGuard // of the exchange being served
+	guard           *overdueGuard // of the request being served
+	responseStarted bool          // of the request being served
 	writeFailed     bool
 	lingers         bool // input still in transit is discarded before the close
 	requestCount    int
--- a/internal/edge/frontend/overdue.go
+++ b/internal/edge/frontend/overdue.go
@@ -39,11 +39,12 @@
 	}
 }
 
-// claim reports whether the caller may write the response. It returns false if the request was overdue and has its response.
+// claim reports whether the caller may write the response. It returns false if the request has its response already, or the right to
+// write it was claimed before.
 func (g *overdueGuard) claim() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.overdue {
+	if g.overdue || g.claimed {
 		return false
 	}
 	g.claimed = true
--- a/internal/edge/frontend/overdue_test.go
+++ b/internal/edge/frontend/overdue_test.go
@@ -120,3 +120,14 @@
 		t.Errorf("status %d, Retry-After %q; want 503 with a time, as nothing was sent", response.StatusCode, response.Header.Get("Retry-After"))
 	}
 }
+
+// A request that was read is closed without an answer when its exchange panics.
+func TestPanicLeavesNoRequestUnanswered(t *testing.T) {
+	t.Parallel()
+	x := &fakeExchange{reply: noReply, do: func(context.Context) engine.Result { panic("in the exchange") }}
+	c := lbtest.Dial(t, startFakeServer(t, x))
+	c.Send(lbtest.Get("panics"))
+	if status, _, closes := c.ResponseClosing(); status != http.StatusBadGateway || !closes {
+		t.Errorf("status %d, close %t; want 502 and a close", status, closes)
+	}
+}
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -20,6 +20,7 @@
 	defer func() {
 		if p := recover(); p != nil { // a panic while serving a request ends only that connection
 			s.errorLog.Printf("panic while serving %s: %v\n%s", c.remoteAddr, p, debug.Stack())
+			c.failRequest()
 		}
 	}()
 	if c.tlsConfig != nil && !c.handshake() {
@@ -44,10 +45,20 @@
 	}
 }
 
+// failRequest responds to the request in flight, if there is one without a response, after a panic.
+func (c *clientConn) failRequest() {
+	if c.guard != nil && !c.responseStarted && c.guard.claim() {
+		c.reject(http.StatusBadGateway)
+		c.linger()
+	}
+}
+
 // serveRequest serves the request whose head was read. If status is not 0, it rejects the request with that status.
 func (s *Server) serveRequest(c *clientConn, status int) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	c.guard = &overdueGuard{conn: c}
+	c.responseStarted = false
 	if status != 0 {
 		c.reject(status)
 		return
@@ -86,7 +97,6 @@
 	if isStreaming {
 		maxBytes = streaming.MaxBodyBytes()
 	}
-	c.guard = &overdueGuard{conn: c}
 	err := b.read(c, maxBytes, x.Timeout())
 	receivedAt := c.received.receivedAt
 	switch {
--- a/internal/edge/frontend/response.go
+++ b/internal/edge/frontend/response.go
@@ -61,6 +61,7 @@
 
 // writeHead writes a response's head together with the part of the body that is available.
 func (c *clientConn) writeHead(head responseHead, body []byte) {
+	c.responseStarted = true
 	now := time.Now()
 	if c.writeDeadline.Sub(now) < writeTimeout-deadlineSlack {
 		c.writeDeadline = now.Add(writeTimeout)
