Log and count requests that are not answered in time, with their ids

What was missing in the incident's evidence: the sidecar's own log had no id of a request, nothing when a deadline was reached, nothing when an answer was late or cut off, ejections with a hash in place of the endpoint's name, and no word of dropped lines, so that a missing line proved nothing.

- "deadline reached": request, and each attempt with its endpoint, age and state (connecting, no response for, response unread, ended).
- "response not delivered in time": request, class, how late, why (cut off, overdue, not written; at debug: the client left).
From 0.1 s on.
- "attempt failed" has request, attempt and latency; "server N out" has the endpoint's name (Host.LogServer).
- A line after dropped ones has lines_dropped_before.
- /ops/stats gains "deliveries": timed_out, late, cut_off, overdue, not_written, clients_gone.

frontend.Exchange gets Delivered.

--- a/cmd/silvertrail/log.go
+++ b/cmd/silvertrail/log.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
+	"sync/atomic"
 
 	"golang.org/x/time/rate"
 )
 
-// Bounds of the log: lines beyond them are dropped.
+// Bounds of the log: lines beyond them are dropped, and counted.
 const (
 	linesPerSecond = 20
 	lineBurst      = 100
@@ -32,7 +35,7 @@
 // newLog returns a logger that never blocks: lines beyond the rate, or that nobody reads, are dropped. Its goroutine writes the lines until
 // the process ends.
 func newLog(w io.Writer) *slog.Logger {
-	q := lineQueue{lines: make(chan []byte, maxQueuedLines), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
+	q := &lineQueue{lines: make(chan []byte, maxQueuedLines), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
 	go func() {
 		for line := range q.lines {
 			_, _ = w.Write(line) // a line that cannot be written is dropped
@@ -43,17 +46,26 @@
 
 // lineQueue queues lines for the writing goroutine.
 type lineQueue struct {
-	lines chan []byte
-	limit *rate.Limiter
+	lines   chan []byte
+	limit   *rate.Limiter
+	dropped atomic.Int64 // lines since the last one that was queued
 }
 
-// Write implements io.Writer.
-func (q lineQueue) Write(line []byte) (int, error) {
-	if q.limit.Allow() {
-		select {
-		case q.lines <- append([]byte(nil), line...):
-		default:
-		}
+// Write implements io.Writer. A line that follows dropped ones tells their number.
+func (q *lineQueue) Write(line []byte) (int, error) {
+	if !q.limit.Allow() {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
+	queued := append([]byte(nil), line...)
+	dropped := q.dropped.Swap(0)
+	if dropped > 0 {
+		queued = fmt.Appendf(bytes.TrimSuffix(queued, []byte("\n")), " lines_dropped_before=%d\n", dropped)
+	}
+	select {
+	case q.lines <- queued:
+	default:
+		q.dropped.Add(dropped + 1)
 	}
 	return len(line), nil
 }
--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.router = platform.NewRouter(c, s.engine, s.counters, s.budget.BodyBytes)
+	s.router = platform.NewRouter(c, s.engine, s.counters, s.budget.BodyBytes, log)
 	s.initDiscovery(c)
 	s.takeover = &platform.Takeover{Listen: c.Listen, Engine: s.engine, Router: s.router, Client: s.client, Budget: s.budget}
 	return s, nil
--- a/internal/balancer/engine/attempt.go
+++ b/internal/balancer/engine/attempt.go
@@ -102,7 +102,8 @@
 		}
 		c.outOfDescriptors = c.outOfDescriptors || exhaustion.Is(err)
 		if err != nil && !c.done {
-			e.log.Info("attempt failed", "endpoint", a.server.name, "error", err)
+			e.log.Info("attempt failed", "endpoint", a.server.name, "error", err,
+				"request", c.requestID(), "attempt", a.number, "latency", now-a.sentAt)
 		}
 		e.endAttempt(now, c, a, verdict, response)
 	})
@@ -241,3 +242,12 @@
 
 // Log implements lbpolicy.Host.
 func (e actions) Log(line string) { e.log.Info(line) }
+
+// LogServer implements lbpolicy.Host.
+func (e actions) LogServer(id lbpolicy.ServerID, line string) {
+	name := ""
+	if s := e.endpoints[id]; s != nil {
+		name = s.name
+	}
+	e.log.Info(line, "endpoint", name)
+}
--- a/internal/balancer/engine/call.go
+++ b/internal/balancer/engine/call.go
@@ -38,6 +38,8 @@
 	// ClassRemoved means that the settings no longer contain the call's class. Nothing was sent.
 	ClassRemoved bool
 	Attempts     int // number of attempts made
+	// TimedOut means that the call had no response by its deadline.
+	TimedOut bool
 	// OutOfDescriptors means that an attempt failed because this process had no free file descriptor.
 	OutOfDescriptors bool
 	// LastResponse is the last response to a call that failed; nil if none was received.
@@ -130,6 +132,9 @@
 // expire ends the attempts of a call whose deadline has passed.
 func (e *Engine) expire(c *Call) {
 	e.processEvent(func(now time.Duration) {
+		if !c.done {
+			e.log.Info("deadline reached", "request", c.requestID(), "attempts", e.describeAttempts(now, c))
+		}
 		for _, a := range c.attempts {
 			e.abandon(now, c, a, lbpolicy.Timeout)
 		}
@@ -154,6 +159,7 @@
 	c.done = true
 	result.Attempts, result.OutOfDescriptors = len(c.attempts), c.outOfDescriptors
 	if result.Response == nil {
+		result.TimedOut = !time.Now().Before(c.request.Deadline)
 		result.LastResponse = c.lastResponse
 		for _, a := range c.attempts {
 			result.MayHaveRun = result.MayHaveRun || a.firstByteSent && !a.neverRan
--- a/internal/balancer/engine/progress.go
+++ b/internal/balancer/engine/progress.go
@@ -6,9 +6,6 @@
 	"silvertrail/lbpolicy"
 )
 
-// requestIDHeader is the header that carries the client's identifier of a request.
-const requestIDHeader = "X-Request-Id"
-
 // The goroutine that reads a response can run late: the whole process was paused, or has too little CPU time. The policy's timers and
 // other events may be processed first, and the delay would look like an endpoint that does not respond. The policy therefore asks
 // which responses have arrived before it ejects an endpoint or gives up an attempt.
@@ -51,7 +48,7 @@
 	if c == nil {
 		return
 	}
-	e.log.Debug("hedged request", "request", c.request.Header.Get(requestIDHeader), "endpoint", c.attempts[h.Attempt].server.name,
+	e.log.Debug("hedged request", "request", c.requestID(), "endpoint", c.attempts[h.Attempt].server.name,
 		"reason", lbpolicy.HedgeReasons[h.Reason], "waited", h.Waited, "usual_latency", h.UsualLatency, "count", e.hedges[h.Reason])
 }
 
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -42,6 +42,7 @@
 	closeAfter      bool          // the connection is closed after the current response
 	guard           *overdueGuard // of the request being served
 	responseStarted bool          // of the request being served
+	streamError     error         // for which the streamed response was cut off
 	writeFailed     bool
 	lingers         bool // input still in transit is discarded before the close
 	requestCount    int
--- a/internal/edge/frontend/overdue.go
+++ b/internal/edge/frontend/overdue.go
@@ -24,16 +24,18 @@
 type overdueGuard struct {
 	conn *clientConn
 
-	mu      sync.Mutex
-	stop    func() bool // stops the timer; nil: not started
-	claimed bool
-	overdue bool
+	mu       sync.Mutex
+	deadline time.Time   // zero: the request has not been received
+	stop     func() bool // stops the timer; nil: not started
+	claimed  bool
+	overdue  bool
 }
 
 // start starts the timer of a request that has been received.
 func (g *overdueGuard) start(deadline time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.deadline = deadline
 	if !g.claimed {
 		g.stop = timeout.AfterFunc(time.Until(deadline)+overdueGrace, g.respond)
 	}
@@ -54,6 +56,23 @@
 	return true
 }
 
+// isOverdue reports whether the guard has responded.
+func (g *overdueGuard) isOverdue() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.overdue
+}
+
+// sinceDeadline returns the time since the deadline; zero if the request has not been received.
+func (g *overdueGuard) sinceDeadline(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.deadline.IsZero() {
+		return 0
+	}
+	return now.Sub(g.deadline)
+}
+
 // respond writes the failure and ends the exchange, as for a client that has disconnected.
 func (g *overdueGuard) respond() {
 	g.mu.Lock()
--- a/internal/edge/frontend/overdue_test.go
+++ b/internal/edge/frontend/overdue_test.go
@@ -38,6 +38,7 @@
 	return x.do(ctx)
 }
 func (x *fakeExchange) Reply(engine.Result) *frontend.Reply { return x.reply() }
+func (x *fakeExchange) Delivered(frontend.Delivery)         {}
 func (x *fakeExchange) Close()                              {}
 
 // noReply keeps the server's response.
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -59,6 +59,7 @@
 	defer s.inFlight.Add(-1)
 	c.guard = &overdueGuard{conn: c}
 	c.responseStarted = false
+	c.streamError = nil
 	if status != 0 {
 		c.reject(status)
 		return
@@ -86,6 +87,7 @@
 	}
 	defer x.Close()
 	c.serveExchange(x)
+	x.Delivered(c.delivery())
 }
 
 // serveExchange reads the request's body and writes the exchange's result.
--- a/internal/edge/frontend/server.go
+++ b/internal/edge/frontend/server.go
@@ -46,6 +46,8 @@
 	// Reply returns the response to write in place of the one that the server makes from the result. It returns nil to keep the
 	// server's response.
 	Reply(result engine.Result) *Reply
+	// Delivered is called after the response was written, or could not be. It is not called if serving the request panics.
+	Delivered(d Delivery)
 	// Close releases the exchange. The server calls it after every exchange, including one whose body was not received.
 	Close()
 }
--- a/internal/edge/frontend/server_test.go
+++ b/internal/edge/frontend/server_test.go
@@ -42,7 +42,7 @@
 		list = append(list, endpointlist.Endpoint{Name: fmt.Sprint("s", i), Address: address, Zone: "a", Status: "ready"})
 	}
 	e.UpdateEndpoints(lbpolicy.Full, list)
-	s := frontend.New(sidecar.NewRouter(c, e, &counters.Set{}, 1<<20), l, admission.SingleGroup(maxConns), log.New(io.Discard, "", 0))
+	s := frontend.New(sidecar.NewRouter(c, e, &counters.Set{}, 1<<20, quiet), l, admission.SingleGroup(maxConns), log.New(io.Discard, "", 0))
 	s.SetReady()
 	go s.Serve()
 	t.Cleanup(func() { s.Close() })
--- a/internal/edge/frontend/stream.go
+++ b/internal/edge/frontend/stream.go
@@ -54,6 +54,7 @@
 			response.Stream.MarkDelivered()
 			return
 		case err != nil:
+			c.streamError = err
 			c.abort()
 			return
 		}
@@ -78,6 +79,7 @@
 	}
 	message := net.Buffers(parts)
 	if _, err := message.WriteTo(c.Conn); err != nil {
+		c.writeFailed = true
 		c.abort()
 		return false
 	}
--- a/internal/platform/counters/counters.go
+++ b/internal/platform/counters/counters.go
@@ -32,6 +32,7 @@
 	AttemptsSent    atomic.Int64 // attempts whose request was written completely
 	ConfigsApplied  atomic.Int64 // reloads at SIGHUP that succeeded
 	ConfigsRejected atomic.Int64 // reloads at SIGHUP that failed
+	Deliveries      Deliveries
 
 	mu       sync.Mutex
 	classes  map[string]*counts
@@ -92,7 +93,7 @@
 	return s.inFlight
 }
 
-// Snapshot is a copy of the counters. Its JSON encoding is the response of the administration interface.
+// Snapshot is a copy of the counters of outcomes, attempts and reloads.
 type Snapshot struct {
 	Answered         map[string]int64 `json:"answered"`
 	Rejected         map[string]int64 `json:"deferred"`
@@ -127,9 +128,22 @@
 }
 
 // JSON returns the snapshot as JSON on a single line, with a newline at the end.
-func (s Snapshot) JSON() []byte {
-	text, err := json.Marshal(s)
-	if err != nil { // encoding cannot fail, because a Snapshot holds only numbers and strings
+func (s Snapshot) JSON() []byte { return encode(s) }
+
+// Stats are all counters. Their JSON encoding is the response of the administration interface: the fields of the Snapshot, and the
+// deliveries.
+type Stats struct {
+	Snapshot
+	Deliveries DeliverySnapshot `json:"deliveries"`
+}
+
+// JSON returns the counters as JSON on a single line, with a newline at the end.
+func (s Stats) JSON() []byte { return encode(s) }
+
+// encode encodes counters. That cannot fail, because they are numbers and strings.
+func encode(counters any) []byte {
+	text, err := json.Marshal(counters)
+	if err != nil {
 		panic(err)
 	}
 	return append(text, '\n')
--- a/internal/platform/sidecar/exchange.go
+++ b/internal/platform/sidecar/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +18,10 @@
 	"silvertrail/lbpolicy"
 )
 
+// loggedLateness is how long after its deadline a response ends that is logged. The engine ends requests at their deadline, so that
+// their responses are a little late.
+const loggedLateness = 100 * time.Millisecond
+
 // exchange is one request with its response. It implements frontend.Exchange and frontend.StreamingExchange.
 type exchange struct {
 	router      *Router
@@ -101,6 +107,9 @@
 func (x *exchange) Reply(result engine.Result) *frontend.Reply {
 	own := x.ownReply(result)
 	x.isAnswered = true
+	if result.TimedOut {
+		x.router.counters.Deliveries.TimedOut.Add(1)
+	}
 	switch {
 	case own == nil && result.Response != nil:
 		x.outcome, x.response = counters.Answered, result.Response
@@ -143,6 +152,33 @@
 	return failover.MayReject(now, x.router.keys.KeyState(now, x.keyID, scope), scope)
 }
 
+// Delivered implements frontend.Exchange.
+func (x *exchange) Delivered(d frontend.Delivery) {
+	counts := &x.router.counters.Deliveries
+	if d.Late > 0 && !errors.Is(d.Err, frontend.ErrClientGone) {
+		counts.Late.Add(1)
+	}
+	level := slog.LevelInfo
+	switch {
+	case d.Err == nil && d.Late <= loggedLateness:
+		return
+	case d.Err == nil:
+	case errors.Is(d.Err, frontend.ErrClientGone):
+		counts.ClientsGone.Add(1)
+		level = slog.LevelDebug
+	case errors.Is(d.Err, frontend.ErrNotWritten):
+		counts.NotWritten.Add(1)
+	case errors.Is(d.Err, frontend.ErrOverdue):
+		counts.Overdue.Add(1)
+		x.outcome = counters.Errored
+		level = slog.LevelWarn
+	default:
+		counts.CutOff.Add(1)
+	}
+	x.router.log.Log(context.Background(), level, "response not delivered in time", "request", x.requestID, "class", x.class().Name,
+		"late", d.Late.Round(time.Millisecond), "error", d.Err)
+}
+
 // Close implements frontend.Exchange.
 func (x *exchange) Close() {
 	if x.response != nil && x.response.Stream != nil && !x.response.Stream.IsDelivered() { // the response was cut off, or the client has disconnected
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -4,6 +4,7 @@
 package sidecar
 
 import (
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 	config   atomic.Pointer[config.Config] // for requests whose heads have not been read yet
 	engine   *engine.Engine
 	counters *counters.Set
+	log      *slog.Logger
 	bodies   *semaphore.Weighted // memory for request bodies, in bytes
 	ids      *requestIDs
 	keys     *idempotency.Table
@@ -44,10 +46,11 @@
 }
 
 // NewRouter returns a Router that holds at most maxBodies bytes of request bodies.
-func NewRouter(c *config.Config, e *engine.Engine, set *counters.Set, maxBodies int64) *Router {
+func NewRouter(c *config.Config, e *engine.Engine, set *counters.Set, maxBodies int64, log *slog.Logger) *Router {
 	r := &Router{
 		engine:   e,
 		counters: set,
+		log:      log,
 		bodies:   semaphore.NewWeighted(maxBodies),
 		ids:      newRequestIDs(),
 		keys:     idempotency.New(maxKeys),
--- a/internal/simulator/reply.go
+++ b/internal/simulator/reply.go
@@ -116,6 +116,9 @@
 
 func (h host) Log(text string) { h.appendText(actionLog, h.instance, text) }
 
+// LogServer implements lbpolicy.Host. The lines name the server by its ID.
+func (h host) LogServer(_ lbpolicy.ServerID, text string) { h.Log(text) }
+
 // ServerProgress implements lbpolicy.Host. It is always zero, because the simulator reports each outcome as soon as the attempt ends.
 func (h host) ServerProgress(lbpolicy.ServerID) lbpolicy.ServerProgress {
 	return lbpolicy.ServerProgress{}
--- a/lbpolicy/api.go
+++ b/lbpolicy/api.go
@@ -254,4 +254,6 @@
 	RecordHedge(Hedge)
 	// Log adds a line to the log.
 	Log(string)
+	// LogServer adds a line that concerns a server to the log.
+	LogServer(ServerID, string)
 }
--- a/lbpolicy/balancer_test.go
+++ b/lbpolicy/balancer_test.go
@@ -36,6 +36,7 @@
 func (h *recorder) CloseIdle(s ServerID)                      { h.record("close %d", s) }
 func (h *recorder) Watch()                                    { h.record("watch") }
 func (h *recorder) Log(text string)                           {}
+func (h *recorder) LogServer(ServerID, string)                {}
 func (h *recorder) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
 func (h *recorder) WaitingSince(RequestID, int) time.Duration { return 0 }
 func (h *recorder) RecordHedge(Hedge)                         {}
--- a/lbpolicy/example_test.go
+++ b/lbpolicy/example_test.go
@@ -18,6 +18,7 @@
 func (printer) CloseIdle(lbpolicy.ServerID)                     {}
 func (printer) SetTimer(time.Duration, uint64)                  {}
 func (printer) Log(string)                                      {}
+func (printer) LogServer(lbpolicy.ServerID, string)             {}
 func (printer) ServerProgress(lbpolicy.ServerID) lbpolicy.ServerProgress {
 	return lbpolicy.ServerProgress{}
 }
--- a/lbpolicy/fleet_slowstart_test.go
+++ b/lbpolicy/fleet_slowstart_test.go
@@ -283,6 +283,7 @@
 func (h slowStartHost) CloseIdle(ServerID)                        {}
 func (h slowStartHost) Watch()                                    {}
 func (h slowStartHost) Log(string)                                {}
+func (h slowStartHost) LogServer(ServerID, string)                {}
 func (h slowStartHost) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
 func (h slowStartHost) WaitingSince(RequestID, int) time.Duration { return 0 }
 func (h slowStartHost) RecordHedge(Hedge)                         {}
--- a/lbpolicy/health.go
+++ b/lbpolicy/health.go
@@ -67,7 +67,7 @@
 // eject ejects a server, each time in a row for a longer period.
 func (b *Balancer) eject(now time.Duration, s *server, reason string) {
 	if !s.ejected {
-		b.host.Log(fmt.Sprintf("server %d out: %s", s.ID, reason))
+		b.host.LogServer(s.ID, fmt.Sprintf("server %d out: %s", s.ID, reason))
 	}
 	s.ejected = true
 	s.clearWait()
--- a/lbpolicy/pause_test.go
+++ b/lbpolicy/pause_test.go
@@ -212,11 +212,13 @@
 
 func (p *pausePool) RecordHedge(Hedge) {}
 
-func (p *pausePool) Log(line string) {
+func (p *pausePool) Log(string) {}
+
+func (p *pausePool) LogServer(server ServerID, line string) {
 	var id ServerID
 	if strings.Contains(line, " out: silent") {
-		if _, err := fmt.Sscanf(line, "server %d out:", &id); err != nil {
-			p.t.Error(err)
+		if _, err := fmt.Sscanf(line, "server %d out:", &id); err != nil || id != server {
+			p.t.Errorf("server %d: %s: %v", server, line, err)
 		}
 		if _, known := p.ejected[id]; !known {
 			p.ejected[id] = p.now
--- a/lbpolicy/rules_test.go
+++ b/lbpolicy/rules_test.go
@@ -119,6 +119,7 @@
 func (w *randomWorkload) Watch()                                    {}
 func (w *randomWorkload) CloseIdle(ServerID)                        {}
 func (w *randomWorkload) Log(string)                                {}
+func (w *randomWorkload) LogServer(ServerID, string)                {}
 func (w *randomWorkload) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
 func (w *randomWorkload) WaitingSince(RequestID, int) time.Duration { return 0 }
 func (w *randomWorkload) RecordHedge(Hedge)                         {}
