Renew the write deadline before 100 Continue

What callers would see: 408 for a request with Expect: 100-continue on a connection that was kept for more than 3 s after a response. The write deadline of that response still stood, and the interim response was written without a new one. Found while the places that write to a client were gone through for the incident.

writeHead, writeParts and writeContinue use the same extendWriteDeadline now, where two had the lines each for itself.

--- a/internal/edge/frontend/response.go
+++ b/internal/edge/frontend/response.go
@@ -63,10 +63,7 @@
 func (c *clientConn) writeHead(head responseHead, body []byte) {
 	c.responseStarted = true
 	now := time.Now()
-	if c.writeDeadline.Sub(now) < writeTimeout-deadlineSlack {
-		c.writeDeadline = now.Add(writeTimeout)
-		c.Conn.SetWriteDeadline(c.writeDeadline)
-	}
+	c.extendWriteDeadline(now, writeTimeout)
 	pooled := bufferPool.Get().(*[]byte)
 	b := c.appendHead((*pooled)[:0], head, now)
 	if c.isBodiless(head.status) {
@@ -91,6 +88,14 @@
 	}
 }
 
+// extendWriteDeadline gives the next write the timeout, or up to deadlineSlack less.
+func (c *clientConn) extendWriteDeadline(now time.Time, timeout time.Duration) {
+	if c.writeDeadline.Sub(now) < timeout-deadlineSlack {
+		c.writeDeadline = now.Add(timeout)
+		c.Conn.SetWriteDeadline(c.writeDeadline)
+	}
+}
+
 // isBodiless reports whether a response has no body, regardless of its headers (RFC 9112, 6.3).
 func (c *clientConn) isBodiless(status int) bool {
 	return c.request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
@@ -174,6 +179,7 @@
 }
 
 func (c *clientConn) writeContinue() error {
+	c.extendWriteDeadline(time.Now(), writeTimeout)
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
 }
--- a/internal/edge/frontend/stream.go
+++ b/internal/edge/frontend/stream.go
@@ -73,10 +73,7 @@
 // writeParts writes at most about 64 KiB, and aborts the connection if the write fails or takes too long. The timeout is within, or up to
 // deadlineSlack less. It returns false if the connection was aborted.
 func (c *clientConn) writeParts(within time.Duration, parts ...[]byte) bool {
-	if now := time.Now(); c.writeDeadline.Sub(now) < within-deadlineSlack {
-		c.writeDeadline = now.Add(within)
-		c.Conn.SetWriteDeadline(c.writeDeadline)
-	}
+	c.extendWriteDeadline(time.Now(), within)
 	message := net.Buffers(parts)
 	if _, err := message.WriteTo(c.Conn); err != nil {
 		c.writeFailed = true
