--- a/internal/edge/frontend/bodystream_test.go
+++ b/internal/edge/frontend/bodystream_test.go
@@ -8,10 +8,11 @@
 	"silvertrail/internal/testkit/lbtest"
 )
 
-// The next request on a connection loses its read deadline when an earlier request's body is stopped a second time, late.
-func TestSecondStopOfBodyLeavesConnectionAlone(t *testing.T) {
+// acceptConn returns both ends of a connection: the client's, and the server's as it is when it was accepted.
+func acceptConn(t *testing.T) (*lbtest.Client, *clientConn) {
+	t.Helper()
 	l := lbtest.Listen(t)
-	lbtest.Dial(t, l.Addr().String())
+	client := lbtest.Dial(t, l.Addr().String())
 	accepted, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -20,7 +21,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.socket.Close()
+	t.Cleanup(func() { c.socket.Close() })
+	return client, c
+}
+
+// The next request on a connection loses its read deadline when an earlier request's body is stopped a second time, late.
+func TestSecondStopOfBodyLeavesConnectionAlone(t *testing.T) {
+	_, c := acceptConn(t)
 	body := newBodyStream(c, 1, 1)
 	body.Stop()
 	nextRequest := time.Now().Add(lbtest.Wait)
--- a/internal/edge/frontend/delivery.go
+++ b/internal/edge/frontend/delivery.go
@@ -1,10 +1,16 @@
 package frontend
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"time"
 )
 
+// loggedLateness is how long after its deadline a response ends that is logged. Results come at the deadline, so that their responses are
+// a little late.
+const loggedLateness = 100 * time.Millisecond
+
 var (
 	// ErrClientGone means that the client disconnected before its response was written.
 	ErrClientGone = errors.New("client disconnected")
@@ -23,6 +29,21 @@
 	Late time.Duration
 }
 
+// Log logs a delivery that failed or was late. A client that disconnected is logged at debug level.
+func (d Delivery) Log(log *slog.Logger, requestID, class string) {
+	level := slog.LevelInfo
+	switch {
+	case d.Err == nil && d.Late <= loggedLateness:
+		return
+	case errors.Is(d.Err, ErrClientGone):
+		level = slog.LevelDebug
+	case errors.Is(d.Err, ErrOverdue):
+		level = slog.LevelWarn
+	}
+	log.Log(context.Background(), level, "response not delivered in time", "request", requestID, "class", class,
+		"late", d.Late.Round(time.Millisecond), "error", d.Err)
+}
+
 // delivery returns how the response to the current request was delivered.
 func (c *clientConn) delivery() Delivery {
 	d := Delivery{Late: c.guard.sinceDeadline(time.Now())}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -19,9 +18,6 @@
 	"silvertrail/lbpolicy"
 )
 
-// loggedLateness is how long after its deadline a response ends that is logged.
-const loggedLateness = 100 * time.Millisecond
-
 // exchange serves one request under one configuration. It implements frontend.Exchange. One goroutine uses it.
 type exchange struct {
 	gateway        *Gateway
@@ -182,11 +178,7 @@
 
 // Delivered implements frontend.Exchange.
 func (x *exchange) Delivered(d frontend.Delivery) {
-	if d.Err == nil && d.Late <= loggedLateness || errors.Is(d.Err, frontend.ErrClientGone) {
-		return
-	}
-	x.gateway.log.Info("response not delivered in time", "request", x.outgoing.Header.Get("X-Request-Id"), "class", x.class.Name,
-		"late", d.Late.Round(time.Millisecond), "error", d.Err)
+	d.Log(x.gateway.log, x.outgoing.Header.Get("X-Request-Id"), x.class.Name)
 }
 
 // Close implements frontend.Exchange.
--- a/internal/platform/sidecar/exchange.go
+++ b/internal/platform/sidecar/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,10 +17,6 @@
 	"silvertrail/lbpolicy"
 )
 
-// loggedLateness is how long after its deadline a response ends that is logged. The engine ends requests at their deadline, so that
-// their responses are a little late.
-const loggedLateness = 100 * time.Millisecond
-
 // exchange is one request with its response. It implements frontend.Exchange and frontend.StreamingExchange.
 type exchange struct {
 	router      *Router
@@ -158,25 +153,19 @@
 	if d.Late > 0 && !errors.Is(d.Err, frontend.ErrClientGone) {
 		counts.Late.Add(1)
 	}
-	level := slog.LevelInfo
 	switch {
-	case d.Err == nil && d.Late <= loggedLateness:
-		return
 	case d.Err == nil:
 	case errors.Is(d.Err, frontend.ErrClientGone):
 		counts.ClientsGone.Add(1)
-		level = slog.LevelDebug
 	case errors.Is(d.Err, frontend.ErrNotWritten):
 		counts.NotWritten.Add(1)
 	case errors.Is(d.Err, frontend.ErrOverdue):
 		counts.Overdue.Add(1)
 		x.outcome = counters.Errored
-		level = slog.LevelWarn
 	default:
 		counts.CutOff.Add(1)
 	}
-	x.router.log.Log(context.Background(), level, "response not delivered in time", "request", x.requestID, "class", x.class().Name,
-		"late", d.Late.Round(time.Millisecond), "error", d.Err)
+	d.Log(x.router.log, x.requestID, x.class().Name)
 }
 
 // Close implements frontend.Exchange.
