Review: an upload whose endpoint sends 100 Continue ahead is never answered

Change: review/2 starts one sidecar before three endpoints. 24 clients send bodies of 200 kB at 80 kB a second; one of three requests gets a 100 Continue ahead of its 200. The rule is that each has its answer within its time and half a second.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,15 +1,17 @@
-// Command 2 is a case of the review: an endpoint hangs while clients send bodies of some megabytes.
+// Command 2 is a case of the review: some endpoints send a 100 Continue ahead of their answers, while slow clients send bodies of
+// 200 kB.
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"strconv"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"silvertrail/internal/testkit/fake"
@@ -17,35 +19,34 @@
 )
 
 const (
-	endpoints  = 6                // one hangs: 16.7 percent (the site: 7.4 to 18 percent)
-	hang       = 12 * time.Second // the site: 5.3 to 25 s
-	warmUps    = 36               // small requests before the hang
-	waves      = 4                // of uploads, each of all sizes
-	wavePause  = 300 * time.Millisecond
-	minUpload  = 9 << 19 // 4.5 MB; "bodies reach 32 MB"
-	maxUpload  = 10 << 20
-	uploadStep = 1 << 19
-	smallBody  = 1 << 10
+	endpoints   = 3
+	uploads     = 24
+	uploadPause = 100 * time.Millisecond // between the starts of two uploads
+	bodyBytes   = 200_000
+	bytesPerSec = 80_000 // "a body at 64 kB a second" is the slowest of the pages
+	pieces      = 50     // in which a client writes its body
+	aheadOneIn  = 3      // requests: one gets a 100 Continue ahead of its answer
+	work        = 50 * time.Millisecond
+	timeLeft    = 3 * time.Second // of the class's 6 s
+	answerSlack = 500 * time.Millisecond
+	longest     = 20 * time.Second // that a client waits after its last byte, to record when the answer comes
+	idleTime    = 5 * time.Second  // limits.conn_idle of the settings
 )
 
-func main() {
-	if len(os.Args) == 4 && os.Args[1] == "endpoint" {
-		serveEndpoint(os.Args[2], os.Args[3])
-		return
-	}
-	standin.Run(run)
-}
+func main() { standin.Run(run) }
 
 func run(c *standin.Case) (broken bool, err error) {
-	processes, entries, err := startEndpoints(c)
-	defer func() {
-		for _, p := range processes {
-			_ = p.Process.Kill() // also a stopped one ends
-			_ = p.Wait()
+	var entries []fake.DiscoveryEntry
+	var requests atomic.Int64
+	for i := range endpoints {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return false, err
 		}
-	}()
-	if err != nil {
-		return false, err
+		e := &endpoint{c: c, name: fmt.Sprintf("s-%d", i), requests: &requests}
+		go e.accept(l)
+		entries = append(entries, fake.DiscoveryEntry{Name: e.name, Address: l.Addr().String(), Zone: "sala-centro", Type: "one-core", Group: 1,
+			Status: "ready", Weight: 1})
 	}
 	discovery, err := fake.NewDiscovery(fake.DiscoveryOptions{}, entries)
 	if err != nil {
@@ -64,106 +65,130 @@
 	if err := sidecar.AwaitReady(); err != nil {
 		return false, err
 	}
-	inUse, err := warmUp(c, listen)
-	if err != nil {
-		return false, err
-	}
-	if c.Trouble {
-		hung := processes[inUse].Process
-		c.Record.Printf("endpoint %s hangs (SIGSTOP)", entries[inUse].Name)
-		if err := hung.Signal(syscall.SIGSTOP); err != nil {
-			return false, err
-		}
-		resume := time.AfterFunc(hang, func() {
-			c.Record.Printf("endpoint %s goes on (SIGCONT)", entries[inUse].Name)
-			_ = hung.Signal(syscall.SIGCONT) // it is killed at the end in any case
+	var served, lost, failed atomic.Int64
+	var all sync.WaitGroup
+	for range uploads {
+		all.Go(func() {
+			u := send(c, listen)
+			switch {
+			case u.written.IsZero():
+				failed.Add(1)
+			case u.answered.IsZero() || u.answered.After(u.written.Add(timeLeft+answerSlack)):
+				lost.Add(1)
+			case u.status == http.StatusOK:
+				served.Add(1)
+			default:
+				failed.Add(1)
+			}
 		})
-		defer resume.Stop()
+		time.Sleep(uploadPause)
 	}
-	return judge(c, sendWaves(c, listen))
+	all.Wait()
+	c.Summary("%d uploads: %d served in time, %d answered in time with a failure or not sent, %d without an answer %v after their last byte",
+		uploads, served.Load(), failed.Load(), lost.Load(), timeLeft+answerSlack)
+	if served.Load() == 0 {
+		return false, errors.New("no upload was served")
+	}
+	return lost.Load() > 0, nil
 }
 
-// warmUp sends small requests, and returns the endpoint that has served the most of them.
-func warmUp(c *standin.Case, listen string) (inUse int, err error) {
-	served := [endpoints]int{}
-	for range warmUps {
-		u := send(c, listen, smallBody)
-		if u.status != http.StatusOK || u.endpoint < 0 || u.endpoint >= endpoints {
-			return 0, fmt.Errorf("a small request before the hang: %s", u.outcome())
-		}
-		served[u.endpoint]++
-		if served[u.endpoint] > served[inUse] {
-			inUse = u.endpoint
+// endpoint answers the requests of its connections.
+type endpoint struct {
+	c        *standin.Case
+	name     string
+	requests *atomic.Int64 // of all endpoints
+}
+
+func (e *endpoint) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
 		}
+		go e.serve(conn)
 	}
-	return inUse, nil
 }
 
-// startEndpoints starts the endpoints, each as a process.
-func startEndpoints(c *standin.Case) (processes []*exec.Cmd, entries []fake.DiscoveryEntry, err error) {
-	for i := range endpoints {
-		address, err := standin.FreeAddress()
+func (e *endpoint) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		conn.SetReadDeadline(time.Now().Add(idleTime))
+		request, err := http.ReadRequest(reader)
 		if err != nil {
-			return processes, nil, err
+			return
 		}
-		p := exec.Command(os.Args[0], "endpoint", address, strconv.Itoa(i))
-		p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := p.Start(); err != nil {
-			return processes, nil, err
+		conn.SetReadDeadline(time.Time{})
+		id := request.Header.Get("X-Request-Id")
+		if e.requests.Add(1)%aheadOneIn == 0 && e.c.Trouble {
+			e.c.Record.Printf("endpoint %s: sends 100 Continue for %s", e.name, id)
+			if _, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return
+			}
+		}
+		n, err := io.Copy(io.Discard, request.Body)
+		if err != nil {
+			e.c.Record.Printf("endpoint %s: %s ends after %d bytes of its body: %v", e.name, id, n, err)
+			return
 		}
-		processes = append(processes, p)
-		name := fmt.Sprintf("s-%d", i)
-		c.Record.Printf("endpoint %s at %s, process %d", name, address, p.Process.Pid)
-		entries = append(entries, fake.DiscoveryEntry{Name: name, Address: address, Zone: "sala-centro", Type: "one-core", Group: 1, Status: "ready", Weight: 1})
-		if err := awaitEndpoint(address); err != nil {
-			return processes, nil, err
+		e.c.Record.Printf("endpoint %s: runs %s, %d bytes", e.name, id, n)
+		time.Sleep(work)
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id); err != nil {
+			return
 		}
 	}
-	return processes, entries, nil
 }
 
-// sendWaves sends the uploads and returns them once all have ended.
-func sendWaves(c *standin.Case, listen string) []upload {
-	var mu sync.Mutex
-	var uploads []upload
-	var all sync.WaitGroup
-	for range waves {
-		for size := minUpload; size <= maxUpload; size += uploadStep {
-			all.Go(func() {
-				u := send(c, listen, size)
-				mu.Lock()
-				defer mu.Unlock()
-				uploads = append(uploads, u)
-			})
-		}
-		time.Sleep(wavePause)
-	}
-	all.Wait()
-	return uploads
+// upload is one request with its body, and what came of it.
+type upload struct {
+	written  time.Time // when the last byte was written to the connection; zero: never
+	answered time.Time // zero: not within the longest wait
+	status   int
 }
 
-// judge applies the rule to the uploads whose last byte was written: the sidecar has taken these.
-func judge(c *standin.Case, uploads []upload) (broken bool, err error) {
-	taken, served, lost := 0, 0, 0
-	for _, u := range uploads {
-		if u.written.IsZero() {
-			continue
-		}
-		taken++
-		if u.status == http.StatusOK {
-			served++
+// send sends a request on a connection of its own, at an even rate, and waits for its answer.
+func send(c *standin.Case, listen string) (u upload) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	conn, err := net.Dial("tcp", listen)
+	if err != nil {
+		return u
+	}
+	defer conn.Close()
+	began := time.Now()
+	since := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
 		}
-		due := u.written.Add(timeLeft + answerSlack)
-		if u.answered.IsZero() || u.answered.After(due) {
-			lost++
-			c.Summary("request %s, %d bytes: last byte written after %v (%s), %s", u.id, u.size,
-				u.written.Sub(u.began).Round(time.Millisecond), u.reach(), u.outcome())
+		return t.Sub(began).Round(time.Millisecond).String()
+	}
+	answer := make(chan upload, 1)
+	go func() {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			answer <- upload{}
+			return
 		}
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Record.Printf("client %s: status %d, body error %v", id, response.StatusCode, err)
+		answer <- upload{answered: time.Now(), status: response.StatusCode}
+	}()
+	if writeSlowly(conn, id) == nil {
+		u.written = time.Now()
 	}
-	c.Summary("%d uploads: the last byte of %d was written; of these %d were served, %d had no answer %v after it", len(uploads), taken, served,
-		lost, timeLeft+answerSlack)
-	if taken == 0 {
-		return false, errors.New("no upload was taken")
+	conn.SetReadDeadline(time.Now().Add(longest))
+	a := <-answer
+	u.answered, u.status = a.answered, a.status
+	c.Record.Printf("client %s: last byte written after %s, answered after %s", id, since(u.written), since(u.answered))
+	return u
+}
+
+func writeSlowly(conn net.Conn, id string) error {
+	_, err := fmt.Fprintf(conn, "POST /documentos/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: %s\r\nX-Priority-Class: documentos\r\nX-Timeout-Ms: %d\r\n"+
+		"Idempotency-Key: %s%s\r\nContent-Length: %d\r\n\r\n", id, timeLeft.Milliseconds(), id, id, bodyBytes)
+	piece := make([]byte, bodyBytes/pieces)
+	for i := 0; i < pieces && err == nil; i++ {
+		time.Sleep(time.Second * time.Duration(len(piece)) / bytesPerSec)
+		_, err = conn.Write(piece)
 	}
-	return lost > 0, nil
+	return err
 }
