--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -108,13 +108,18 @@
 	return os.WriteFile(path, text, 0o600)
 }
 
-// Sidecar is a process of the program under review.
-type Sidecar struct {
-	Admin   string
+// Process is a process of the program under review.
+type Process struct {
 	command *exec.Cmd
 	ended   chan struct{}
 }
 
+// Sidecar is the program as a sidecar.
+type Sidecar struct {
+	*Process
+	Admin string
+}
+
 // runCommand returns the command of the deploy file that starts a sidecar.
 func runCommand(root string) (string, error) {
 	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
@@ -136,11 +141,26 @@
 	if err := config.Write(path); err != nil {
 		return nil, err
 	}
-	command, err := runCommand(c.Root)
+	admin, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	admin, err := FreeAddress()
+	process, err := c.start(name, "", "LB_CONFIG="+path, "LB_NAME=n0", "LB_LISTEN="+config.Listen,
+		"LB_DISCOVERY="+config.Discovery, "LB_ADMIN="+admin, "TMPDIR="+c.Dir)
+	if err != nil {
+		return nil, err
+	}
+	return &Sidecar{Process: process, Admin: admin}, nil
+}
+
+// StartGateway starts a gateway with a configuration file.
+func (c *Case) StartGateway(path, name string) (*Process, error) {
+	return c.start(name, " serve --config "+path)
+}
+
+// start runs the deploy file's run command with further arguments and variables.
+func (c *Case) start(name, arguments string, environment ...string) (*Process, error) {
+	command, err := runCommand(c.Root)
 	if err != nil {
 		return nil, err
 	}
@@ -149,22 +169,21 @@
 		return nil, err
 	}
 	defer output.Close()
-	s := &Sidecar{Admin: admin, command: exec.Command("/bin/sh", "-c", command), ended: make(chan struct{})}
-	s.command.Dir = c.Root
-	s.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	s.command.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_NAME=n0", "LB_LISTEN="+config.Listen,
-		"LB_DISCOVERY="+config.Discovery, "LB_ADMIN="+admin, "TMPDIR="+c.Dir)
-	s.command.Stdout, s.command.Stderr = output, output
-	if err := s.command.Start(); err != nil {
+	p := &Process{command: exec.Command("/bin/sh", "-c", command+arguments), ended: make(chan struct{})}
+	p.command.Dir = c.Root
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.command.Env = append(os.Environ(), environment...)
+	p.command.Stdout, p.command.Stderr = output, output
+	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
-	c.Record.Printf("%s started, process %d", name, s.command.Process.Pid)
+	c.Record.Printf("%s started, process %d", name, p.command.Process.Pid)
 	go func() {
-		err := s.command.Wait()
+		err := p.command.Wait()
 		c.Record.Printf("%s ended: %v", name, err)
-		close(s.ended)
+		close(p.ended)
 	}()
-	return s, nil
+	return p, nil
 }
 
 // AwaitReady waits until the process says that it takes clients.
@@ -187,9 +206,9 @@
 }
 
 // HasEnded reports whether the process has ended.
-func (s *Sidecar) HasEnded() bool {
+func (p *Process) HasEnded() bool {
 	select {
-	case <-s.ended:
+	case <-p.ended:
 		return true
 	default:
 		return false
@@ -197,8 +216,8 @@
 }
 
 // Signal sends a signal to the process, unless it has ended.
-func (s *Sidecar) Signal(signal syscall.Signal) error {
-	err := s.command.Process.Signal(signal)
+func (p *Process) Signal(signal syscall.Signal) error {
+	err := p.command.Process.Signal(signal)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
 	}
@@ -206,15 +225,15 @@
 }
 
 // Stop ends the process, by SIGKILL if SIGTERM does not.
-func (s *Sidecar) Stop() {
-	if s == nil || s.HasEnded() {
+func (p *Process) Stop() {
+	if p == nil || p.HasEnded() {
 		return
 	}
-	_ = s.Signal(syscall.SIGTERM) // the wait below tells
+	_ = p.Signal(syscall.SIGTERM) // the wait below tells
 	select {
-	case <-s.ended:
+	case <-p.ended:
 	case <-time.After(stopTimeout):
-		_ = s.Signal(syscall.SIGKILL)
-		<-s.ended
+		_ = p.Signal(syscall.SIGKILL)
+		<-p.ended
 	}
 }
