Count and log responses that come before the request's body is complete

Change: /ops/stats has "responses" with the counts "informational" (1xx) and "early" (a response, or the end of the connection, before the body was written completely), and each early one is logged with endpoint, request id and attempt.

The golden file of the earlier fields stays as it was and is still compared; the new field has a new file.

--- a/cmd/silvertrail/sidecar.go
+++ b/cmd/silvertrail/sidecar.go
@@ -110,13 +110,15 @@
 	s.current.Store(c)
 	s.budget = budgetOf(c, log)
 	s.client = upstream.NewClient(upstream.Options{
-		DialTimeout:    c.DialTimeout,
-		IdleTimeout:    idleTimeout(c),
-		SettleTime:     settleTime,
-		HedgeDials:     true,
-		MaxConns:       s.budget.EndpointConns,
-		MaxStreamBytes: platform.MaxBodyBytes,
-		OnSent:         func() { s.counters.AttemptsSent.Add(1) },
+		DialTimeout:     c.DialTimeout,
+		IdleTimeout:     idleTimeout(c),
+		SettleTime:      settleTime,
+		HedgeDials:      true,
+		MaxConns:        s.budget.EndpointConns,
+		MaxStreamBytes:  platform.MaxBodyBytes,
+		OnSent:          func() { s.counters.AttemptsSent.Add(1) },
+		OnInformational: func() { s.counters.Responses.Informational.Add(1) },
+		OnEarlyResponse: func() { s.counters.Responses.Early.Add(1) },
 	})
 	var err error
 	s.engine, err = engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, Client: s.client,
--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -36,6 +36,13 @@
 	u.engine.processEvent(func(now time.Duration) { u.engine.bodyReceived(now, u.call, u.attempt, receivedAt) })
 }
 
+// Stop implements upstream.RequestStream. The endpoint gets no more of the body.
+func (u *uploadBody) Stop() {
+	u.RequestStream.Stop()
+	u.engine.log.Info("response or end of connection before the end of the request body", "endpoint", u.attempt.server.name,
+		"request", u.call.requestID(), "attempt", u.attempt.number)
+}
+
 // bodyReceived sets the deadline of a call whose streamed body has been received and forwarded.
 func (e *Engine) bodyReceived(now time.Duration, c *Call, a *attempt, receivedAt time.Time) {
 	if c.timeLeftAfterBody == 0 {
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -42,14 +42,15 @@
 	maxBody       int64            // limit on a response's body, in bytes
 	earlyResponse chan error       // set while a request body is streamed: receives the result of waiting for the response
 	progress      *AttemptProgress // progress of its present attempt
+	client        *Client
 	readFD        func(fd uintptr) (done bool)
 	readBuffer    []byte // destination of the read in progress; its result is in readBytes and readErr
 	readBytes     int
 	readErr       error
 }
 
-func newConn(netConn net.Conn, maxBody int64) (*conn, error) {
-	c := &conn{Conn: netConn, maxBody: max(maxBody, maxBufferedBytes)}
+func newConn(netConn net.Conn, client *Client) (*conn, error) {
+	c := &conn{Conn: netConn, client: client, maxBody: max(client.MaxStreamBytes, maxBufferedBytes)}
 	c.reader = bufio.NewReaderSize(c, readerBytes)
 	var err error
 	c.raw, err = netConn.(syscall.Conn).SyscallConn()
--- a/internal/balancer/upstream/dial.go
+++ b/internal/balancer/upstream/dial.go
@@ -160,7 +160,7 @@
 		cancel()
 	}
 	if result.err == nil {
-		if c, err := newConn(result.conn, p.client.MaxStreamBytes); err == nil {
+		if c, err := newConn(result.conn, p.client); err == nil {
 			p.release(c, cancel != nil)
 			return
 		}
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -161,7 +161,7 @@
 	netConn, err := p.connect(ctx, dial)
 	var c *conn
 	if err == nil {
-		if c, err = newConn(netConn, p.client.MaxStreamBytes); err != nil {
+		if c, err = newConn(netConn, p.client); err != nil {
 			netConn.Close()
 		}
 	}
--- a/internal/balancer/upstream/read.go
+++ b/internal/balancer/upstream/read.go
@@ -52,6 +52,9 @@
 		if err != nil || response.Status >= 200 || response.Status == http.StatusSwitchingProtocols {
 			return response, reusable, err
 		}
+		if c.client.OnInformational != nil {
+			c.client.OnInformational()
+		}
 	}
 	return nil, false, fmt.Errorf("%w: too many informational (1xx) responses", errMalformed)
 }
--- a/internal/balancer/upstream/write.go
+++ b/internal/balancer/upstream/write.go
@@ -165,6 +165,9 @@
 		_, err := c.reader.Peek(1)
 		if w.state.CompareAndSwap(streaming, responded) {
 			w.stream.Stop()
+			if c.client.OnEarlyResponse != nil {
+				c.client.OnEarlyResponse()
+			}
 			c.SetWriteDeadline(time.Unix(1, 0))
 		}
 		response <- err
--- a/internal/platform/counters/counters.go
+++ b/internal/platform/counters/counters.go
@@ -33,6 +33,7 @@
 	ConfigsApplied  atomic.Int64 // reloads at SIGHUP that succeeded
 	ConfigsRejected atomic.Int64 // reloads at SIGHUP that failed
 	Deliveries      Deliveries
+	Responses       Responses
 
 	mu       sync.Mutex
 	classes  map[string]*counts
@@ -130,11 +131,12 @@
 // JSON returns the snapshot as JSON on a single line, with a newline at the end.
 func (s Snapshot) JSON() []byte { return encode(s) }
 
-// Stats are all counters. Their JSON encoding is the response of the administration interface: the fields of the Snapshot, and the
-// deliveries.
+// Stats are all counters. Their JSON encoding is the response of the administration interface: the fields of the Snapshot, the
+// deliveries, and the responses of endpoints.
 type Stats struct {
 	Snapshot
 	Deliveries DeliverySnapshot `json:"deliveries"`
+	Responses  ResponseSnapshot `json:"responses"`
 }
 
 // JSON returns the counters as JSON on a single line, with a newline at the end.
--- a/internal/platform/counters/format_test.go
+++ b/internal/platform/counters/format_test.go
@@ -1,6 +1,7 @@
 package counters
 
 import (
+	"bytes"
 	"testing"
 
 	"silvertrail/internal/testkit/golden"
@@ -13,9 +14,16 @@
 	golden.Text(t, "stats.json", snapshot.JSON())
 }
 
-// TestStatsFormat compares the JSON of Stats, which adds the deliveries to a Snapshot, with the golden file stats-deliveries.json.
+// TestStatsFormat compares the JSON of Stats with the golden file stats-responses.json. Without the responses, which were added last, it
+// is that of stats-deliveries.json.
 func TestStatsFormat(t *testing.T) {
 	var stats Stats
 	golden.Fill(&stats)
-	golden.Text(t, "stats-deliveries.json", stats.JSON())
+	text := stats.JSON()
+	golden.Text(t, "stats-responses.json", text)
+	before, _, hasResponses := bytes.Cut(text, []byte(`,"responses":`))
+	if !hasResponses {
+		t.Fatalf("no responses in %s", text)
+	}
+	golden.Text(t, "stats-deliveries.json", append(bytes.Clone(before), "}\n"...))
 }
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -27,7 +27,7 @@
 func (o *Operations) Stats() []byte {
 	snapshot := o.Counters.Snapshot()
 	snapshot.ClusterSize, snapshot.ClusterUnhealthy = o.Engine.ClusterSize()
-	return counters.Stats{Snapshot: snapshot, Deliveries: o.Counters.Deliveries.Snapshot()}.JSON()
+	return counters.Stats{Snapshot: snapshot, Deliveries: o.Counters.Deliveries.Snapshot(), Responses: o.Counters.Responses.Snapshot()}.JSON()
 }
 
 // SetEjected implements admin.Operations. It sets the ejection in this process and then notifies the other processes of an
