Go on with an upload after an informational response

What callers saw: uploads of over 64 KiB whose endpoint sent a 100 Continue (or any 1xx) while the body was on its way were never answered, and their connections stayed in use.

Cause: streamWriter.awaitResponse took the first byte from the endpoint for the response. It stopped the reading of the client's body and the writing to the endpoint for good. readResponse then skipped the 1xx and waited for a final response that the endpoint, which waited for the rest of the body, could not give. No deadline ran, as the request's deadline and the guard of overdue answers begin with the last forwarded byte.

Evidence: /ops/stats during the case: informational 8, early 8, current 8, one "early" log line for each unanswered upload and none for another; eight goroutines in awaitFirstByte and none that copies a body. The endpoints never got the rest, while all clients had written their last byte. Ruled out: a full window towards the endpoint (it reads, and no goroutine writes), a client that stopped, a lost answer (no endpoint ran these requests).

Why it works: the writing is now interrupted by the head of a final response, a malformed one, or the end of the connection. Informational responses are read and skipped beside the writing, so that the body goes on and its deadline begins as ever.

--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -32,21 +32,20 @@
 // conn is one connection to an endpoint. It carries one attempt at a time.
 type conn struct {
 	net.Conn
-	raw           syscall.RawConn
-	reader        *bufio.Reader
-	idleSince     time.Time        // when it last became idle; zero: never
-	idleFor       time.Duration    // time that it was idle before its present use
-	readDeadline  time.Time        // value set last; zero: none
-	readTimeout   time.Duration    // timeout of each read; 0: the read deadline applies
-	readLimit     time.Time        // latest end of reads with a readTimeout; zero: none
-	maxBody       int64            // limit on a response's body, in bytes
-	earlyResponse chan error       // set while a request body is streamed: receives the result of waiting for the response
-	progress      *AttemptProgress // progress of its present attempt
-	client        *Client
-	readFD        func(fd uintptr) (done bool)
-	readBuffer    []byte // destination of the read in progress; its result is in readBytes and readErr
-	readBytes     int
-	readErr       error
+	raw          syscall.RawConn
+	reader       *bufio.Reader
+	idleSince    time.Time        // when it last became idle; zero: never
+	idleFor      time.Duration    // time that it was idle before its present use
+	readDeadline time.Time        // value set last; zero: none
+	readTimeout  time.Duration    // timeout of each read; 0: the read deadline applies
+	readLimit    time.Time        // latest end of reads with a readTimeout; zero: none
+	maxBody      int64            // limit on a response's body, in bytes
+	progress     *AttemptProgress // progress of its present attempt
+	client       *Client
+	readFD       func(fd uintptr) (done bool)
+	readBuffer   []byte // destination of the read in progress; its result is in readBytes and readErr
+	readBytes    int
+	readErr      error
 }
 
 func newConn(netConn net.Conn, client *Client) (*conn, error) {
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -15,6 +15,9 @@
 // notProcessedHeader marks the response of an endpoint that has not executed the request.
 const notProcessedHeader = "X-Not-Processed"
 
+// errRequestNotWritten means that the connection broke before the request was written completely.
+var errRequestNotWritten = errors.New("connection broke before the request was written")
+
 // maxConnsDivider limits the connections to one endpoint to a quarter of Options.MaxConns, so that an endpoint that hangs does not
 // hold all connections.
 const maxConnsDivider = 4
@@ -71,25 +74,34 @@
 	if !claim() {
 		return outcome{verdict: lbpolicy.NotSent, reusable: true}
 	}
-	timeout := time.Until(r.Deadline)
 	if r.Stream != nil {
-		timeout = r.TimeLeft
+		return p.upload(c, r)
 	}
-	complete, err := c.writeRequest(r, timeout)
-	switch {
-	case errors.Is(err, errRequestBody):
-		return outcome{verdict: lbpolicy.NotSent, err: err}
-	case !complete && !errors.Is(err, errEarlyResponse):
-		return outcome{verdict: lbpolicy.ConnectFailed, err: errors.New("connection broke before the request was written")}
+	timeout := time.Until(r.Deadline)
+	if !c.writeRequest(r, timeout) {
+		return outcome{verdict: lbpolicy.ConnectFailed, err: errRequestNotWritten}
 	}
-	if complete && p.client.OnSent != nil {
+	p.recordSent()
+	received := receivedResponse{}
+	received.response, received.reusable, received.err = c.readResponse(r.Method == http.MethodHead, timeout)
+	return p.responseOutcome(c, received, true)
+}
+
+// recordSent records that a request was written completely.
+func (p *Pool) recordSent() {
+	if p.client.OnSent != nil {
 		p.client.OnSent()
 	}
-	response, reusable, err := c.readResponse(r.Method == http.MethodHead, timeout)
-	if err != nil {
-		return readErrorOutcome(c, complete, err)
+}
+
+// responseOutcome returns the outcome of an attempt whose response was read. requestComplete reports whether the request was written
+// completely.
+func (p *Pool) responseOutcome(c *conn, received receivedResponse, requestComplete bool) outcome {
+	if received.err != nil {
+		return readErrorOutcome(c, requestComplete, received.err)
 	}
-	o := outcome{verdict: classify(response, p.client.AnyStatus), response: response, reusable: reusable && complete}
+	response := received.response
+	o := outcome{verdict: classify(response, p.client.AnyStatus), response: response, reusable: received.reusable && requestComplete}
 	if o.verdict != lbpolicy.OK {
 		o.err = fmt.Errorf("status %d: %.60q", response.Status, response.Body)
 	}
--- a/internal/balancer/upstream/read.go
+++ b/internal/balancer/upstream/read.go
@@ -30,14 +30,35 @@
 	minStall     = 100 * time.Millisecond
 )
 
+// responseHead is the head of a response.
+type responseHead struct {
+	httphead.Head
+	status   int
+	isHTTP11 bool
+}
+
+// isFinal reports whether no other response follows.
+func (h *responseHead) isFinal() bool {
+	return h.status >= 200 || h.status == http.StatusSwitchingProtocols
+}
+
 // readResponse reads the final response, and reports whether the connection can be reused. An error wraps errMalformed or comes from
 // the connection. bodiless means that no body follows the head, whatever length the head gives, as in a response to HEAD. timeLeft is
 // the time that the request had left when it was written.
 func (c *conn) readResponse(bodiless bool, timeLeft time.Duration) (response *Response, reusable bool, err error) {
+	head, err := c.readFinalHead(timeLeft)
+	if err == nil {
+		response, reusable, err = c.readContent(head, bodiless)
+	}
+	return response, reusable, stallError(err)
+}
+
+// readFinalHead reads the head of the final response. It skips the informational (1xx) responses before it.
+func (c *conn) readFinalHead(timeLeft time.Duration) (*responseHead, error) {
 	timeout := stallTimeout(timeLeft)
 	for range maxInformational {
 		if err := c.awaitFirstByte(); err != nil {
-			return nil, false, err
+			return nil, err
 		}
 		if !c.hasCompleteResponse() {
 			c.setReadDeadline(time.Now().Add(timeout))
@@ -45,29 +66,27 @@
 				c.readTimeout = timeout
 			}
 		}
-		response, reusable, err = c.readOneResponse(bodiless)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			err = fmt.Errorf("%w: stalled before it was complete", errMalformed)
-		}
-		if err != nil || response.Status >= 200 || response.Status == http.StatusSwitchingProtocols {
-			return response, reusable, err
+		head, err := c.readHead()
+		if err != nil || head.isFinal() {
+			return head, err
 		}
 		if c.client.OnInformational != nil {
 			c.client.OnInformational()
 		}
 	}
-	return nil, false, fmt.Errorf("%w: too many informational (1xx) responses", errMalformed)
+	return nil, fmt.Errorf("%w: too many informational (1xx) responses", errMalformed)
+}
+
+// stallError marks an expired deadline as that of a malformed response. Other errors are returned unchanged.
+func stallError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("%w: stalled before it was complete", errMalformed)
+	}
+	return err
 }
 
 // awaitFirstByte waits for a response. It sets no deadline, because the end of the attempt closes the connection.
 func (c *conn) awaitFirstByte() error {
-	if early := c.earlyResponse; early != nil { // streamWriter.awaitResponse already waits for the response
-		err := <-early
-		c.readTimeout = 0
-		c.SetWriteDeadline(time.Time{})
-		c.earlyResponse = nil
-		return err
-	}
 	c.readTimeout = 0
 	c.setReadDeadline(time.Time{})
 	_, err := c.reader.Peek(1)
@@ -102,30 +121,33 @@
 	return length <= len(text)-end
 }
 
-// readOneResponse reads one response of any status, informational or final.
-func (c *conn) readOneResponse(bodiless bool) (response *Response, reusable bool, err error) {
-	text, err := c.readHead()
+// readHead reads and parses the head of a response, informational or final.
+func (c *conn) readHead() (*responseHead, error) {
+	text, err := c.readHeadText()
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	head, err := httphead.Parse(text)
+	parsed, err := httphead.Parse(text)
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: %w", errMalformed, err)
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	status, isHTTP11, err := parseStatusLine(head.StartLine)
-	if err != nil {
-		return nil, false, err
-	}
-	response = &Response{Status: status, Header: head.Header}
-	reusable = isHTTP11 && !head.IsClose() && status != http.StatusSwitchingProtocols
-	if !bodiless && hasBody(status) {
-		isDelimited, err := c.readBody(response, &head, reusable)
+	head := &responseHead{Head: parsed}
+	head.status, head.isHTTP11, err = parseStatusLine(parsed.StartLine)
+	return head, err
+}
+
+// readContent reads what follows the head of a final response.
+func (c *conn) readContent(head *responseHead, bodiless bool) (response *Response, reusable bool, err error) {
+	response = &Response{Status: head.status, Header: head.Header}
+	reusable = head.isHTTP11 && !head.IsClose() && head.status != http.StatusSwitchingProtocols
+	if !bodiless && hasBody(head.status) {
+		isDelimited, err := c.readBody(response, &head.Head, reusable)
 		if err != nil {
 			return response, reusable, err
 		}
 		reusable = reusable && isDelimited
 	}
-	if response.Stream == nil && status >= 200 && c.reader.Buffered() > 0 {
+	if response.Stream == nil && head.status >= 200 && c.reader.Buffered() > 0 {
 		reusable = false // bytes beyond the response have arrived: the start of the next response would be unknown
 	}
 	return response, reusable, nil
@@ -172,8 +194,8 @@
 	return isDelimited, err
 }
 
-// readHead reads the head of a response, including the empty line that ends it.
-func (c *conn) readHead() ([]byte, error) {
+// readHeadText reads the head of a response, including the empty line that ends it.
+func (c *conn) readHeadText() ([]byte, error) {
 	var text []byte
 	for {
 		line, err := c.reader.ReadSlice('\n')
--- /dev/null
+++ b/internal/balancer/upstream/upload.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"silvertrail/lbpolicy"
+)
+
+const (
+	// streamWriteTimeout is how long an endpoint may accept no bytes of a streamed body.
+	streamWriteTimeout = 5 * time.Second
+	streamChunkBytes   = 16 << 10
+	lastChunk          = "0\r\n\r\n"
+)
+
+var (
+	// errRequestBody means that a streamed body could not be read completely from the client, or is read by another attempt. The
+	// endpoint is not at fault.
+	errRequestBody = errors.New("request body incomplete")
+	// errEarlyResponse means that the final response began, or the connection ended, before the body was complete.
+	errEarlyResponse = errors.New("response arrived or connection ended before the request body was complete")
+)
+
+var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamChunkBytes); return &b }}
+
+// The states of an upload.
+const (
+	uploading   int32 = iota
+	interrupted       // the final response began, or the connection ended, before the body was written
+	written           // the body was written, or its writing failed, before a final response began
+)
+
+// upload is an attempt whose request body is still arriving from the client. One goroutine writes the request, and another one reads
+// the response meanwhile: an endpoint that responds before the body is complete gets no more of the body. An informational response
+// is no response in this sense; the body goes on after it (RFC 9110, 15.2).
+type upload struct {
+	conn     *conn
+	request  *Request
+	chunked  bool
+	state    atomic.Int32
+	response chan receivedResponse // gets one value once the response has been read
+}
+
+// receivedResponse is the result of reading a response: see conn.readResponse.
+type receivedResponse struct {
+	response *Response
+	reusable bool
+	err      error
+}
+
+// upload sends a request whose body is still arriving, and returns the outcome of the attempt.
+func (p *Pool) upload(c *conn, r *Request) outcome {
+	u := &upload{conn: c, request: r, chunked: r.Stream.Length() < 0, response: make(chan receivedResponse, 1)}
+	err := u.write()
+	switch {
+	case errors.Is(err, errRequestBody):
+		return outcome{verdict: lbpolicy.NotSent, err: err}
+	case err != nil && !errors.Is(err, errEarlyResponse):
+		return outcome{verdict: lbpolicy.ConnectFailed, err: errRequestNotWritten}
+	}
+	if err == nil {
+		p.recordSent()
+	}
+	received := <-u.response
+	c.SetWriteDeadline(time.Time{})
+	return p.responseOutcome(c, received, err == nil)
+}
+
+// write writes the head, the part of the body that has arrived, and the rest of the body as it arrives.
+func (u *upload) write() error {
+	head := appendHead(make([]byte, 0, requestBufferBytes), u.request, u.request.TimeLeft)
+	u.conn.progress.recordSent()
+	u.extendDeadline()
+	if _, err := u.conn.Conn.Write(head); err != nil {
+		return err
+	}
+	if err := u.writeChunk(u.request.Body); err != nil {
+		return err
+	}
+	if !u.request.Stream.Acquire() { // another attempt reads the rest of the body
+		return fmt.Errorf("%w: the rest is read by another attempt", errRequestBody)
+	}
+	go u.readResponse()
+	err := u.copyBody()
+	if err == nil {
+		err = u.writeLastChunk()
+	}
+	isInterrupted := !u.state.CompareAndSwap(uploading, written)
+	if err != nil {
+		if isInterrupted {
+			return errEarlyResponse
+		}
+		return err
+	}
+	u.request.Stream.MarkForwarded()
+	return nil
+}
+
+// readResponse reads the response while the body is written, and ends the writing once a final response begins or the connection ends.
+// It ends at the latest when the connection is closed.
+func (u *upload) readResponse() {
+	received := receivedResponse{}
+	head, err := u.conn.readFinalHead(u.request.TimeLeft)
+	u.interrupt()
+	if err == nil {
+		received.response, received.reusable, err = u.conn.readContent(head, u.request.Method == http.MethodHead)
+	}
+	received.err = stallError(err)
+	u.response <- received
+}
+
+// interrupt ends the writing, unless it has ended.
+func (u *upload) interrupt() {
+	if !u.state.CompareAndSwap(uploading, interrupted) {
+		return
+	}
+	u.request.Stream.Stop()
+	if onEarlyResponse := u.conn.client.OnEarlyResponse; onEarlyResponse != nil {
+		onEarlyResponse()
+	}
+	u.conn.SetWriteDeadline(time.Unix(1, 0))
+}
+
+// copyBody writes the rest of the body as it arrives.
+func (u *upload) copyBody() error {
+	stream := u.request.Stream
+	pooled := streamBuffers.Get().(*[]byte)
+	defer streamBuffers.Put(pooled)
+	for !stream.IsComplete() {
+		n, readErr := stream.Read(*pooled)
+		if n > 0 {
+			if err := u.writeChunk((*pooled)[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case u.state.Load() == interrupted && !stream.IsComplete():
+			return errEarlyResponse
+		case readErr != nil:
+			return fmt.Errorf("%w: %w", errRequestBody, readErr)
+		}
+	}
+	return nil
+}
+
+func (u *upload) extendDeadline() {
+	u.conn.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
+}
+
+func (u *upload) writeChunk(p []byte) error {
+	u.extendDeadline()
+	message := net.Buffers{p}
+	if u.chunked && len(p) > 0 {
+		size := append(strconv.AppendInt(nil, int64(len(p)), 16), "\r\n"...)
+		message = net.Buffers{size, p, []byte("\r\n")}
+	}
+	_, err := message.WriteTo(u.conn.Conn)
+	return err
+}
+
+func (u *upload) writeLastChunk() error {
+	if !u.chunked {
+		return nil
+	}
+	u.extendDeadline()
+	_, err := u.conn.Conn.Write([]byte(lastChunk))
+	return err
+}
--- a/internal/edge/frontend/server_test.go
+++ b/internal/edge/frontend/server_test.go
@@ -24,6 +24,12 @@
 
 // startServer runs a sidecar without discovery and returns its address. endpoints lists the addresses of its endpoints, separated by spaces.
 func startServer(t *testing.T, endpoints string, maxConns int) (*frontend.Server, string) {
+	t.Helper()
+	return startServerWith(t, endpoints, maxConns, upstream.Options{})
+}
+
+// startServerWith is startServer with the callbacks of o for the connections to endpoints.
+func startServerWith(t *testing.T, endpoints string, maxConns int, o upstream.Options) (*frontend.Server, string) {
 	t.Helper()
 	l := lbtest.Listen(t)
 	c, err := config.Load(lbtest.WriteConfig(t, "", l.Addr().String(), "127.0.0.1:1"))
@@ -31,9 +37,9 @@
 		t.Fatal(err)
 	}
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	o.DialTimeout, o.IdleTimeout, o.MaxConns, o.MaxStreamBytes = c.DialTimeout, time.Second, 64, sidecar.MaxBodyBytes
 	e, err := engine.New(engine.Options{Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, ReportFields: c.ReportFields, PollDiscovery: func() {},
-		Client: upstream.NewClient(upstream.Options{DialTimeout: c.DialTimeout, IdleTimeout: time.Second, MaxConns: 64,
-			MaxStreamBytes: sidecar.MaxBodyBytes}), Log: quiet})
+		Client: upstream.NewClient(o), Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
