Close the connection of an upload that is not complete after its early response

What callers saw: a later request, of any client, was lost: the endpoint took its bytes for the rest of an earlier upload's body, and its client got 503 or 504 at its deadline.

Cause: where an endpoint answers an upload before its body is complete, and the response is streamed (over 64 KiB, or slow), Pool.Do judged by ResponseStream.reusable alone, which readBody sets from the response's head. That the request was written completely counted only for buffered responses (outcome.reusable).

Why it works: the stream of a response to an incomplete request is marked as not reusable before anybody can release it.

--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -101,6 +101,9 @@
 		return readErrorOutcome(c, requestComplete, received.err)
 	}
 	response := received.response
+	if !requestComplete && response.Stream != nil {
+		response.Stream.reusable = false // the endpoint would take the next request for the rest of the body
+	}
 	o := outcome{verdict: classify(response, p.client.AnyStatus), response: response, reusable: received.reusable && requestComplete}
 	if o.verdict != lbpolicy.OK {
 		o.err = fmt.Errorf("status %d: %.60q", response.Status, response.Body)
