Write nothing more of an upload once its response has begun

What callers saw: nothing that was reported.

Cause: the interruption of an upload sets a write deadline in the past. writeChunk set its own deadline before each write, so that bytes which came from the client together with the response took the interruption back.

Evidence: TestNothingIsWrittenAfterEarlyResponse forces that order and failed before, 5 of 5 runs: "1 writes after the response had begun". 20 of 20 runs pass. The wait itself needs full buffers towards the endpoint and was not played.

Why it works: writeParts looks at the state after it has set its deadline. If the state does not show the interruption then, the interruption's deadline comes later and ends the write.

--- a/internal/balancer/upstream/upload.go
+++ b/internal/balancer/upstream/upload.go
@@ -77,8 +77,7 @@
 func (u *upload) write() error {
 	head := appendHead(make([]byte, 0, requestBufferBytes), u.request, u.request.TimeLeft)
 	u.conn.progress.recordSent()
-	u.extendDeadline()
-	if _, err := u.conn.Conn.Write(head); err != nil {
+	if err := u.writeParts(head); err != nil {
 		return err
 	}
 	if err := u.writeChunk(u.request.Body); err != nil {
@@ -154,26 +153,31 @@
 	return nil
 }
 
-func (u *upload) extendDeadline() {
-	u.conn.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
-}
-
+// writeChunk writes a part of the body, in chunked coding if its length is unknown.
 func (u *upload) writeChunk(p []byte) error {
-	u.extendDeadline()
-	message := net.Buffers{p}
-	if u.chunked && len(p) > 0 {
-		size := append(strconv.AppendInt(nil, int64(len(p)), 16), "\r\n"...)
-		message = net.Buffers{size, p, []byte("\r\n")}
+	if !u.chunked || len(p) == 0 {
+		return u.writeParts(p)
 	}
-	_, err := message.WriteTo(u.conn.Conn)
-	return err
+	size := append(strconv.AppendInt(nil, int64(len(p)), 16), "\r\n"...)
+	return u.writeParts(size, p, []byte("\r\n"))
 }
 
+// writeLastChunk writes the end of a body in chunked coding.
 func (u *upload) writeLastChunk() error {
 	if !u.chunked {
 		return nil
 	}
-	u.extendDeadline()
-	_, err := u.conn.Conn.Write([]byte(lastChunk))
+	return u.writeParts([]byte(lastChunk))
+}
+
+// writeParts writes to the endpoint, unless the upload is interrupted. The state is read after the deadline was set: an interruption that
+// it does not show sets its own deadline later.
+func (u *upload) writeParts(parts ...[]byte) error {
+	u.conn.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
+	if u.state.Load() == interrupted {
+		return errEarlyResponse
+	}
+	message := net.Buffers(parts)
+	_, err := message.WriteTo(u.conn.Conn)
 	return err
 }
