Soak: uploads, and endpoints that respond while a body is on its way

Endpoints send 1xx responses within it, or answer before its end: with 500, with 503 and X-Not-Processed, or by an answer that has no end. Endpoints check that bodies are the ones that were sent ("another body", with a fault of the fake sidecar for it).

--- a/internal/testkit/soak/check.go
+++ b/internal/testkit/soak/check.go
@@ -15,6 +15,7 @@
 	NotAnswered     Kind = "no answer"            // PROTOCOL, "The rules on sockets"
 	LateAnswer      Kind = "late answer"          // STANDING, "A request has to get its final answer"
 	ForeignAnswer   Kind = "wrong answer"         // PROTOCOL, "Callers to sidecars"
+	SpoiltBody      Kind = "another body"         // PROTOCOL, "Sidecars to endpoints"
 	SeveralEffects  Kind = "more than one effect" // WIRE, "No effect duplicated"
 	SentToDraining  Kind = "sent to draining"     // WIRE, "Draining done safely"
 	Overloaded      Kind = "slow start"           // STANDING, "A cold endpoint falls"
@@ -71,6 +72,7 @@
 		c.checkAnswer(r)
 		c.checkAttempts(r)
 	}
+	c.checkBodies()
 	c.checkEffects()
 	c.checkDrains()
 	c.checkSlowStart()
--- a/internal/testkit/soak/client.go
+++ b/internal/testkit/soak/client.go
@@ -47,6 +47,9 @@
 	reader      *bufio.Reader
 	unused      bool // no request has gone out on the connection
 	counter     int
+
+	uploads      bool
+	uploadRandom *rand.Rand
 }
 
 // run sends one request after the other until the day ends.
@@ -97,6 +100,7 @@
 	timeout := minTimeout + time.Duration(c.random.Int64N(int64(c.maxDeadline-minTimeout)))
 	if r.Class == classKeyed {
 		r.Key = "key-" + r.ID
+		r.BodyBytes = c.drawUpload()
 	}
 	stay := time.Duration(0)
 	if c.leaves && c.random.Float64() < leaveRatio {
@@ -106,6 +110,12 @@
 		c.disconnect()
 		return
 	}
+	if r.BodyBytes > 0 {
+		if err := c.sendBody(r); err != nil { // the last byte was not written, so that no answer is due
+			c.disconnect()
+			return
+		}
+	}
 	r.SentAt = time.Now()
 	r.Deadline = r.SentAt.Add(timeout)
 	c.await(&r, stay)
@@ -135,7 +145,7 @@
 		text += "Idempotency-Key: " + r.Key + "\r\n"
 	}
 	if method == http.MethodPost {
-		text += "Content-Length: 0\r\n"
+		text += contentLength(r)
 	}
 	return text + "\r\n"
 }
--- a/internal/testkit/soak/day.go
+++ b/internal/testkit/soak/day.go
@@ -27,6 +27,8 @@
 	EndpointDrains  Action = "an endpoint drains, ends, and comes back cold"
 	EndpointStalls  Action = "an endpoint begins its answers and stops"
 	EndpointTrickle Action = "an endpoint's answers have no end"
+	EndpointInforms Action = "an endpoint sends 1xx responses within uploads"
+	EndpointEarly   Action = "an endpoint answers uploads before their end"
 	DiscoverySlow   Action = "discovery answers slowly"
 	DiscoverySilent Action = "discovery is silent"
 	DiscoveryMoves  Action = "discovery moves, told by SIGHUP"
@@ -51,6 +53,8 @@
 	Process      []Step // on the sidecar's process; a step that the one before delays follows it
 	Surroundings []Step
 	Answers      []Step        // on the responses of endpoints
+	Uploads      bool          // some requests have large bodies that arrive slowly
+	UploadSteps  []Step        // on the responses of endpoints to uploads
 	ClientsLeave bool          // some clients close their connection before the answer
 	MaxDeadline  time.Duration // of all classes
 }
@@ -68,6 +72,7 @@
 	processActions  = []Action{Hangups, HangupTerminate, TerminateTwice, TerminateAtReady, Replace, ShortPause, LongPause}
 	endpointActions = []Action{EndpointHangs, EndpointFails, EndpointResets, EndpointDrains}
 	answerActions   = []Action{EndpointStalls, EndpointTrickle, EndpointHangs}
+	uploadActions   = []Action{EndpointInforms, EndpointInforms, EndpointEarly}
 )
 
 // NewDay draws a day from a seed.
@@ -102,5 +107,14 @@
 			Length:   500*time.Millisecond + upTo(2*time.Second),
 		})
 	}
+	d.Uploads = random.IntN(2) == 0
+	for at := time.Second + upTo(2*time.Second); d.Uploads && at < d.Length-quietEnd; at += time.Second + upTo(2*time.Second) {
+		d.UploadSteps = append(d.UploadSteps, Step{
+			At:       at,
+			Action:   uploadActions[random.IntN(len(uploadActions))],
+			Endpoint: []int{allEndpoints, random.IntN(endpointCount)}[random.IntN(2)],
+			Length:   500*time.Millisecond + upTo(2*time.Second),
+		})
+	}
 	return d
 }
--- a/internal/testkit/soak/endpoint.go
+++ b/internal/testkit/soak/endpoint.go
@@ -39,6 +39,8 @@
 	resets
 	stalls   // begins an answer in pieces, and sends no more of it
 	trickles // sends an answer without an end, a byte at a time
+	informs  // sends informational responses while the body of a request is on its way
+	precedes // answers requests before their bodies have come
 )
 
 // Answers that have no end.
@@ -126,7 +128,14 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		mode, changed := e.currentMode()
+		if mode == precedes && r.ContentLength > 0 {
+			if !e.respondEarly(c, r, changed) {
+				return
+			}
+			continue
+		}
+		if !e.receive(c, r, mode) {
 			return
 		}
 		timeout, _ := strconv.Atoi(r.Header.Get("X-Timeout-Ms")) // an invalid one is 0: none
@@ -141,12 +150,17 @@
 	}
 }
 
+// currentMode returns the mode and the channel that is closed when it changes.
+func (e *endpoint) currentMode() (mode, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mode, e.changed
+}
+
 // answer treats a request by the endpoint's mode, and reports whether the connection goes on.
 func (e *endpoint) answer(c net.Conn, id string) bool {
-	e.mu.Lock()
-	mode, changed := e.mode, e.changed
+	mode, changed := e.currentMode()
 	report := e.countRequest()
-	e.mu.Unlock()
 	status, body := "200 OK", answerTo(id)
 	switch mode {
 	case hangs:
@@ -193,8 +207,10 @@
 	<-changed
 }
 
-// countRequest counts a request in the rate, and returns the load report. The caller holds the lock.
+// countRequest counts a request in the rate, and returns the load report.
 func (e *endpoint) countRequest() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := time.Now()
 	e.rate = e.rate*math.Exp(-now.Sub(e.ratedAt).Seconds()/rateTime.Seconds()) + 1/rateTime.Seconds()
 	e.ratedAt = now
--- a/internal/testkit/soak/fake_test.go
+++ b/internal/testkit/soak/fake_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,6 +26,7 @@
 	faultCuts        = "cuts its answers off"
 	faultHolds       = "holds back the end of its answers"
 	faultForeign     = "answers with another body"
+	faultBody        = "sends other bodies"
 	faultTwice       = "sends keyed requests to both zones"
 	faultUnsafeTwice = "sends unsafe requests twice"
 	faultList        = "keeps its first list"
@@ -193,11 +195,18 @@
 	case f.fault == faultLeft:
 		time.Sleep(leftGrace + 200*time.Millisecond)
 	}
+	upload, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if f.fault == faultBody && len(upload) > 0 {
+		upload[len(upload)/2]++
+	}
 	class := r.Header.Get("X-Priority-Class")
 	if class == classUnsafe && f.fault == faultUnsafeTwice || class == classKeyed && f.fault == faultTwice {
-		_, _, _ = f.forward(r, deadline)
+		_, _, _ = f.forward(r, upload, deadline)
 	}
-	status, body, err := f.forward(r, deadline)
+	status, body, err := f.forward(r, upload, deadline)
 	if err != nil {
 		w.WriteHeader(http.StatusBadGateway)
 		return
@@ -217,10 +226,10 @@
 }
 
 // forward sends a request to an endpoint.
-func (f *fakeSidecar) forward(r *http.Request, deadline time.Time) (status int, body string, err error) {
+func (f *fakeSidecar) forward(r *http.Request, upload []byte, deadline time.Time) (status int, body string, err error) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+f.pick().Address+r.URL.Path, nil)
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+f.pick().Address+r.URL.Path, bytes.NewReader(upload))
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/testkit/soak/log.go
+++ b/internal/testkit/soak/log.go
@@ -21,7 +21,8 @@
 type Request struct {
 	ID, Class, Key string
 	NewConnection  bool // it was the first one on its connection
-	SentAt         time.Time
+	BodyBytes      int
+	SentAt         time.Time // its last byte
 	Deadline       time.Time
 	EndedAt        time.Time
 	Ending         Ending
@@ -89,6 +90,7 @@
 	Crowds      []Span
 	Processes   []*Process
 	Partial     map[string]bool // requests whose answer an endpoint left unfinished
+	Spoilt      []string        // requests that came to an endpoint with another body
 	EndedAt     time.Time
 }
 
@@ -114,6 +116,13 @@
 	l.Partial[id] = true
 }
 
+// addSpoilt records that a request came to an endpoint with another body.
+func (l *Log) addSpoilt(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Spoilt = append(l.Spoilt, id)
+}
+
 // change changes the log under its lock.
 func (l *Log) change(f func()) {
 	l.mu.Lock()
--- a/internal/testkit/soak/soak.go
+++ b/internal/testkit/soak/soak.go
@@ -78,12 +78,13 @@
 	var clients, lanes sync.WaitGroup
 	for n := range clientCount {
 		c := &client{number: n, front: s.front, log: s.log, leaves: day.ClientsLeave, maxDeadline: day.MaxDeadline,
-			random: rand.New(rand.NewPCG(day.Seed, uint64(n+1)))}
+			random: rand.New(rand.NewPCG(day.Seed, uint64(n+1))), uploads: day.Uploads, uploadRandom: rand.New(rand.NewPCG(day.Seed, uint64(clientCount+n+1)))}
 		clients.Go(c.run)
 	}
 	lanes.Go(func() { s.play(day.Process, s.processStep) })
 	lanes.Go(func() { s.play(day.Surroundings, s.surroundingsStep) })
 	lanes.Go(func() { s.play(day.Answers, s.surroundingsStep) })
+	lanes.Go(func() { s.play(day.UploadSteps, s.surroundingsStep) })
 	lanes.Wait()
 	time.Sleep(time.Until(s.startedAt.Add(day.Length)))
 	s.front.stopped.Store(true)
@@ -271,12 +272,14 @@
 	EndpointResets:  resets,
 	EndpointStalls:  stalls,
 	EndpointTrickle: trickles,
+	EndpointInforms: informs,
+	EndpointEarly:   precedes,
 }
 
 // surroundingsStep plays an action on endpoints, discovery or clients.
 func (s *Soak) surroundingsStep(step Step) error {
 	switch step.Action {
-	case EndpointHangs, EndpointFails, EndpointResets, EndpointStalls, EndpointTrickle:
+	case EndpointHangs, EndpointFails, EndpointResets, EndpointStalls, EndpointTrickle, EndpointInforms, EndpointEarly:
 		s.setMode(step.Endpoint, endpointModes[step.Action])
 		time.Sleep(step.Length)
 		s.setMode(step.Endpoint, answers)
--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -87,10 +87,31 @@
 	}
 }
 
+// An upload is left without its final answer when its endpoint responds before the body is complete: by an informational response, or by
+// one that it does not finish.
+func TestEarlyResponseLeavesNoUploadUnanswered(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, action := range []Action{EndpointInforms, EndpointEarly} {
+		t.Run(string(action), func(t *testing.T) {
+			t.Parallel()
+			playProgram(t, path, Day{
+				Length:      6 * time.Second,
+				MaxDeadline: shortDeadline,
+				Uploads:     true,
+				UploadSteps: []Step{{At: 500 * time.Millisecond, Action: action, Endpoint: allEndpoints, Length: 4 * time.Second}},
+			})
+		})
+	}
+}
+
 // biteDay is a short day with what the checks need.
 func biteDay() Day {
 	return Day{
 		Length:       6 * time.Second,
+		Uploads:      true,
 		ClientsLeave: true,
 		MaxDeadline:  usualDeadline,
 		Process:      []Step{{At: 5 * time.Second, Action: Hangups}},
@@ -107,6 +128,7 @@
 		faultCuts:        NotAnswered,
 		faultHolds:       LateAnswer,
 		faultForeign:     ForeignAnswer,
+		faultBody:        SpoiltBody,
 		faultTwice:       SeveralEffects,
 		faultUnsafeTwice: SeveralEffects,
 		faultList:        SentToDraining,
@@ -158,11 +180,11 @@
 		if !reflect.DeepEqual(d, NewDay(seed)) {
 			t.Errorf("seed %d gives two days", seed)
 		}
-		for _, step := range slices.Concat(d.Process, d.Surroundings, d.Answers) {
+		for _, step := range slices.Concat(d.Process, d.Surroundings, d.Answers, d.UploadSteps) {
 			seen[step.Action] = true
 		}
 	}
-	if len(seen) != len(processActions)+len(endpointActions)+6 {
+	if len(seen) != len(processActions)+len(endpointActions)+8 {
 		t.Errorf("actions %v", seen)
 	}
 }
