--- a/internal/testkit/lbtest/lbtest.go
+++ b/internal/testkit/lbtest/lbtest.go
@@ -70,7 +70,7 @@
 	return address
 }
 
-// Discovery answers with the whole list and holds watches until Set or the test's end.
+// Discovery responds with the whole list, and holds watches until Set or the end of the test.
 type Discovery struct {
 	Addr  string
 	Zones []string // of the entries in turn; set before Set; none: all are in zone a
@@ -116,7 +116,7 @@
 	d.changed = make(chan struct{})
 }
 
-// Asked returns a channel that gets the query of a call soon after it has come.
+// Asked returns a channel that receives the query of a call soon after the call has arrived.
 func (d *Discovery) Asked() <-chan string { return d.asked }
 
 func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -140,13 +140,13 @@
 	json.NewEncoder(w).Encode(map[string]any{"index": d.index, "snapshot": true, "endpoints": d.entries})
 }
 
-// Endpoint is a server that reads whole requests and hands each to the test's script.
+// Endpoint is a server that reads complete requests and passes each to a function of the test.
 type Endpoint struct {
 	Addr     string
-	Arrivals chan *Arrival // each request, where no script is given
+	Arrivals chan *Arrival // each request, if NewEndpoint got no function
 }
 
-// Arrival is a request that has come whole, and the connection on which an answer goes back.
+// Arrival is a complete request, and the connection for its response.
 type Arrival struct {
 	net.Conn
 	Request *http.Request
@@ -154,16 +154,16 @@
 	Index   int // on its connection, from 0
 }
 
-// OK answers 200 with a body that names the request.
+// OK writes a response with status 200 and a body that names the request.
 func (a *Arrival) OK() { a.Write([]byte(OK("answer to " + a.Request.Header.Get("X-Request-ID")))) }
 
-// OK returns a whole 200 answer.
+// OK returns a complete response with status 200.
 func OK(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// NewEndpoint starts an endpoint. Serve is called for each request, in the order of its connection; nil puts them on
-// Got.
+// NewEndpoint starts an endpoint. It calls serve for each request, in the order of its connection. If serve is nil, the requests are sent
+// to Arrivals.
 func NewEndpoint(t testing.TB, serve func(*Arrival)) *Endpoint {
 	t.Helper()
 	l := Listen(t)
@@ -216,7 +216,7 @@
 	return Head("POST", "write", id, lines...) + body
 }
 
-// Client is a caller's connection.
+// Client is a client with one connection.
 type Client struct {
 	net.Conn
 	br *bufio.Reader
@@ -245,7 +245,7 @@
 	return c, err
 }
 
-// ReadResponse reads one answer, and when its caller may come back where it says so. Status 0 is a connection that ended with none.
+// ReadResponse reads one response and its Retry-After time; zero: it has none. Status 0 means that the connection ended without one.
 func ReadResponse(from *bufio.Reader) (status int, after time.Duration) {
 	r, err := http.ReadResponse(from, nil)
 	if err != nil {
@@ -257,7 +257,7 @@
 	return r.StatusCode, time.Duration(seconds * float64(time.Second))
 }
 
-// Log is a log that a test reads while it is written.
+// Log is a log that can be read while it is written.
 type Log struct {
 	mu   sync.Mutex
 	text strings.Builder
@@ -276,10 +276,10 @@
 	return l.text.String()
 }
 
-// Contains tells whether a text stands in it.
+// Contains reports whether the log contains a text.
 func (l *Log) Contains(text string) bool { return strings.Contains(l.String(), text) }
 
-// TryDial connects, or returns nil where nobody listens.
+// TryDial connects, or returns nil if nothing listens at the address.
 func TryDial(addr string) net.Conn {
 	c, err := net.DialTimeout("tcp", addr, Wait)
 	if err != nil {
@@ -288,10 +288,10 @@
 	return c
 }
 
-// Send writes text as it is. An error is not told: the other side may have closed, which Answer shows.
+// Send writes text unchanged. It ignores errors: the peer may have closed the connection, which Response reports.
 func (c *Client) Send(text string) { io.WriteString(c, text) }
 
-// Response reads one answer. Status 0 is a connection that ended with none.
+// Response reads one response. Status 0 means that the connection ended without one.
 func (c *Client) Response() (status int, body string) {
 	c.t.Helper()
 	r, err := http.ReadResponse(c.br, nil)
@@ -308,7 +308,7 @@
 	return r.StatusCode, string(text)
 }
 
-// ResponseClosing is Answer, and tells whether the answer asks to come back on another connection.
+// ResponseClosing is like Response, and also reports whether the response asks the client to close the connection.
 func (c *Client) ResponseClosing() (status int, body string, closes bool) {
 	c.t.Helper()
 	r, err := http.ReadResponse(c.br, nil)
@@ -331,7 +331,7 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// AwaitClose waits for the connection's end and tells what came before it.
+// AwaitClose waits for the end of the connection and returns the text that arrived before it.
 func (c *Client) AwaitClose() string {
 	c.t.Helper()
 	text, err := io.ReadAll(c.br)
@@ -341,7 +341,7 @@
 	return strings.TrimSpace(string(text))
 }
 
-// Until waits for a condition.
+// Until waits for a condition, and fails the test if it does not come true.
 func Until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	if !Eventually(ok) {
@@ -349,7 +349,7 @@
 	}
 }
 
-// Eventually waits as Until does, and tells whether it came about.
+// Eventually waits as Until does, and reports whether the condition came true.
 func Eventually(ok func() bool) bool {
 	for end := time.Now().Add(Wait); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -359,7 +359,7 @@
 	return true
 }
 
-// NewClient is a caller on a connection that is there already.
+// NewClient returns a client that uses an existing connection.
 func NewClient(t testing.TB, c net.Conn) *Client {
 	t.Helper()
 	c.SetDeadline(time.Now().Add(Wait))
