Soak: send SIGHUP to a process once it is ready

The lane that moves discovery signalled the process that had started last, ready or not; the sidecar is not at fault.

Change: that lane waits for readiness. The signal is sent all the same, and the check of crashes stays as it is. TestHangUpWaitsForReadiness fails without the wait, as the process that was not ready ends.

--- a/internal/testkit/soak/process.go
+++ b/internal/testkit/soak/process.go
@@ -28,6 +28,7 @@
 	command *exec.Cmd
 	admin   string
 	output  *os.File
+	ready   chan struct{} // closed when it is ready
 	ended   chan struct{} // closed when it has ended
 }
 
@@ -41,7 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &sidecarProcess{record: &Process{StartedAt: time.Now()}, log: s.log, admin: admin, output: output, ended: make(chan struct{})}
+	p := &sidecarProcess{record: &Process{StartedAt: time.Now()}, log: s.log, admin: admin, output: output,
+		ready: make(chan struct{}), ended: make(chan struct{})}
 	p.command = exec.Command(s.options.Program[0], s.options.Program[1:]...)
 	p.command.Env = append(os.Environ(), "LB_CONFIG="+s.configPath(), "LB_ADMIN="+admin, "TMPDIR="+s.options.Dir)
 	p.command.Env = append(p.command.Env, s.options.Env...)
@@ -117,6 +119,7 @@
 		}
 		if p.isReady() {
 			p.log.change(func() { p.record.ReadyAt = time.Now() })
+			close(p.ready)
 			return true
 		}
 	}
@@ -139,6 +142,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// hangUp sends SIGHUP once the process is ready: no process gets it before (DAYS, "New configurations and restarts").
+func (p *sidecarProcess) hangUp() error {
+	select {
+	case <-p.ready:
+		return p.signal(syscall.SIGHUP)
+	case <-p.ended: // the next process reads the new configuration at its start
+	case <-time.After(readyPatience): // a check reports it
+	}
+	return nil
+}
+
 // signal sends a signal. A process that has ended gets none.
 func (p *sidecarProcess) signal(s syscall.Signal) error {
 	err := p.command.Process.Signal(s)
--- a/internal/testkit/soak/soak.go
+++ b/internal/testkit/soak/soak.go
@@ -363,7 +363,7 @@
 	}
 	s.log.change(func() { s.log.Moves = append(s.log.Moves, time.Now()) })
 	if current := s.current.Load(); current != nil {
-		return current.signal(syscall.SIGHUP)
+		return current.hangUp()
 	}
 	return nil
 }
--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -165,6 +166,31 @@
 	return slices.DeleteFunc(violations, func(v Violation) bool { return v.Kind == KnowsNoSchedule })
 }
 
+// The soak reports a crash that it causes itself when it sends SIGHUP to a process that is not ready.
+func TestHangUpWaitsForReadiness(t *testing.T) {
+	command := exec.Command("sleep", "60")
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	ready, over := make(chan struct{}), make(chan struct{})
+	close(over)
+	starting := &sidecarProcess{command: command, ready: ready, ended: over}
+	if err := starting.hangUp(); err != nil {
+		t.Error(err)
+	}
+	if err := command.Process.Signal(syscall.Signal(0)); err != nil {
+		t.Errorf("the process that was not ready has ended: %v", err)
+	}
+	close(ready)
+	running := &sidecarProcess{command: command, ready: ready, ended: make(chan struct{})}
+	if err := running.hangUp(); err != nil {
+		t.Error(err)
+	}
+	<-ended // by SIGHUP
+}
+
 // The same seed gives the same day, and the days of some seeds have all actions.
 func TestNewDay(t *testing.T) {
 	seen := map[Action]bool{}
