Count a response as early only if it is one

Cause: the count of early responses included connections that ended before an upload was complete, those that the sidecar closed itself, for a client that had left, among them. Those are logged as failed attempts already.

Change: a final response alone counts. Tests of upstream, frontend and counters passed.

--- a/internal/balancer/upstream/client.go
+++ b/internal/balancer/upstream/client.go
@@ -48,8 +48,8 @@
 	OnExhausted func()
 	// OnSent is called for each request that was written completely. It must not block. nil: no call is made.
 	OnSent func()
-	// OnInformational is called for each informational (1xx) response, and OnEarlyResponse for each final response that begins, or end of a
-	// connection that comes, before the request's body was written completely. They must not block. nil: no call is made.
+	// OnInformational is called for each informational (1xx) response, and OnEarlyResponse for each final response that begins before the
+	// request's body was written completely. They must not block. nil: no call is made.
 	OnInformational, OnEarlyResponse func()
 	// MaxStreamBytes limits the body size of streamed responses. With a limit of up to 64 KiB, no response is streamed: all are
 	// buffered.
--- a/internal/balancer/upstream/upload.go
+++ b/internal/balancer/upstream/upload.go
@@ -120,15 +120,15 @@
 	if !u.state.CompareAndSwap(uploading, interrupted) {
 		return
 	}
-	if hasResponse {
-		u.request.Stream.Abandon()
-	} else {
+	defer u.conn.SetWriteDeadline(time.Unix(1, 0))
+	if !hasResponse {
 		u.request.Stream.Stop()
+		return
 	}
+	u.request.Stream.Abandon()
 	if onEarlyResponse := u.conn.client.OnEarlyResponse; onEarlyResponse != nil {
 		onEarlyResponse()
 	}
-	u.conn.SetWriteDeadline(time.Unix(1, 0))
 }
 
 // copyBody writes the rest of the body as it arrives.
--- a/internal/platform/counters/responses.go
+++ b/internal/platform/counters/responses.go
@@ -5,7 +5,7 @@
 // Responses counts responses of endpoints that are not simply final responses to complete requests.
 type Responses struct {
 	Informational atomic.Int64 // informational (1xx) responses
-	Early         atomic.Int64 // final responses, or ends of the connection, before the request's body was written completely
+	Early         atomic.Int64 // final responses that began before the request's body was written completely
 }
 
 // ResponseSnapshot is a copy of Responses.
