End an upload that begins during the shutdown with the shutdown

What callers saw: nothing that was reported. An upload that comes on an open connection after SIGTERM, and whose endpoint takes no more of it, is closed without an answer as the process ends, though its client may have written its last byte.

Cause: Engine.start gave a streamed request the time maxUploadTime until its last byte is forwarded, whatever the shutdown. ShutDownBy shortens the timers of the calls that it finds; later ones were limited from their last byte on alone.

Not played with processes.

Why it works: the time until the last byte is limited to the shutdown, too, as every other time of a call is.

--- a/internal/balancer/engine/call.go
+++ b/internal/balancer/engine/call.go
@@ -65,7 +65,7 @@
 	policyRequest.TimeLeft = e.limitToShutdown(policyRequest.TimeLeft)
 	timeout := policyRequest.TimeLeft
 	if c.request.Stream != nil { // TimeLeft counts from the last byte; until then the upload is bounded by the progress of both sides
-		c.timeLeftAfterBody, timeout = policyRequest.TimeLeft, maxUploadTime
+		c.timeLeftAfterBody, timeout = policyRequest.TimeLeft, e.limitToShutdown(maxUploadTime)
 		c.request.TimeLeft = policyRequest.TimeLeft
 	}
 	c.request.Deadline = time.Now().Add(timeout)
