Soak: the test of SIGHUP before readiness fails without the wait

Change: the process is stopped, so that signals stay pending, and the test reads the mask of them from /proc.

--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -7,10 +7,13 @@
 	"path/filepath"
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"silvertrail/internal/testkit/lbtest"
 )
 
 // ciSeeds are the days that CI plays, one of them with a crowd.
@@ -172,23 +175,41 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- command.Wait() }()
-	ready, over := make(chan struct{}), make(chan struct{})
+	defer command.Wait()                                            //nolint:errcheck // it ends by a signal
+	defer command.Process.Kill()                                    //nolint:errcheck // it may have ended
+	if err := command.Process.Signal(syscall.SIGSTOP); err != nil { // keeps other signals pending
+		t.Fatal(err)
+	}
+	path := fmt.Sprintf("/proc/%d/status", command.Process.Pid)
+	lbtest.Until(t, "the process is stopped", func() bool { return strings.Contains(readStatus(t, path), "State:\tT") })
+	over := make(chan struct{})
 	close(over)
-	starting := &sidecarProcess{command: command, ready: ready, ended: over}
-	if err := starting.hangUp(); err != nil {
+	p := &sidecarProcess{command: command, ready: make(chan struct{}), ended: over}
+	if err := p.hangUp(); err != nil {
 		t.Error(err)
 	}
-	if err := command.Process.Signal(syscall.Signal(0)); err != nil {
-		t.Errorf("the process that was not ready has ended: %v", err)
+	const noSignal, hangUp = "ShdPnd:\t0000000000000000", "ShdPnd:\t0000000000000001" // proc(5): the mask of pending signals
+	if status := readStatus(t, path); !strings.Contains(status, noSignal) {
+		t.Errorf("a signal is pending before the process is ready:\n%s", status)
 	}
-	close(ready)
-	running := &sidecarProcess{command: command, ready: ready, ended: make(chan struct{})}
-	if err := running.hangUp(); err != nil {
+	close(p.ready)
+	p.ended = make(chan struct{})
+	if err := p.hangUp(); err != nil {
 		t.Error(err)
 	}
-	<-ended // by SIGHUP
+	if status := readStatus(t, path); !strings.Contains(status, hangUp) {
+		t.Errorf("SIGHUP is not pending after the process was ready:\n%s", status)
+	}
+}
+
+// readStatus returns the status of a process (proc(5)).
+func readStatus(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
 }
 
 // The same seed gives the same day, and the days of some seeds have all actions.
