--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -175,8 +175,8 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer command.Wait()                                            //nolint:errcheck // it ends by a signal
-	defer command.Process.Kill()                                    //nolint:errcheck // it may have ended
+	defer command.Wait()
+	defer command.Process.Kill()
 	if err := command.Process.Signal(syscall.SIGSTOP); err != nil { // keeps other signals pending
 		t.Fatal(err)
 	}
