Keep the deadline of an upload until the rest of its body is read

An upload of over 64 KiB whose attempt waits for a connection, for the claim of its key, or for an endpoint that takes not even the first 64 KiB, was answered up to that wait's own time-out after its time: dials up to dial_timeout each, claims 1 s, writes 5 s. Its client may have written the whole body, as the rest fits into the sockets.

Cause: Engine.start gave each streamed request maxUploadTime (2048 s) in place of its deadline, though nothing reads the client's bytes before an attempt acquires the rest of the body.

Why it works: until Acquire a streamed request has its deadline like any other; the time for the upload begins with Acquire (startUpload), limited to the shutdown as before. A slow client does not lose by it: what it still sends is not waited for then.

--- a/internal/balancer/engine/call.go
+++ b/internal/balancer/engine/call.go
@@ -64,9 +64,9 @@
 	c.id, policyRequest.ID = e.lastID, e.lastID
 	policyRequest.TimeLeft = e.limitToShutdown(policyRequest.TimeLeft)
 	timeout := policyRequest.TimeLeft
-	if c.request.Stream != nil { // TimeLeft counts from the last byte; until then the upload is bounded by the progress of both sides
-		c.timeLeftAfterBody, timeout = policyRequest.TimeLeft, e.limitToShutdown(maxUploadTime)
-		c.request.TimeLeft = policyRequest.TimeLeft
+	if c.request.Stream != nil { // TimeLeft counts from the last byte, which may have arrived unread, until the rest is read: see startUpload
+		c.timeLeftAfterBody = timeout
+		c.request.TimeLeft = timeout
 	}
 	c.request.Deadline = time.Now().Add(timeout)
 	if policyRequest.ClassAtArrival != nil && !e.resolveClass(&policyRequest) {
--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -19,16 +19,27 @@
 	attempt *attempt
 }
 
-// Acquire implements upstream.RequestStream. It notifies the policy that the request cannot be replayed, because the body is about to
-// be consumed.
+// Acquire implements upstream.RequestStream.
 func (u *uploadBody) Acquire() bool {
 	if !u.RequestStream.Acquire() {
 		return false
 	}
-	u.engine.processEvent(func(now time.Duration) { u.engine.balancer.MarkNotReplayable(now, u.call.id) })
+	u.engine.processEvent(func(now time.Duration) { u.engine.startUpload(now, u.call) })
 	return true
 }
 
+// startUpload records that the rest of a call's body is about to be read. The request cannot be replayed any more. Until the last byte, the
+// progress of both sides bounds the upload instead of the request's deadline.
+func (e *Engine) startUpload(now time.Duration, c *Call) {
+	e.balancer.MarkNotReplayable(now, c.id)
+	if c.done {
+		return
+	}
+	timeout := e.limitToShutdown(maxUploadTime)
+	c.request.Deadline = time.Now().Add(timeout)
+	c.deadlineTimer.Reset(timeout)
+}
+
 // MarkForwarded implements upstream.RequestStream. From then on, the request's deadline counts and the attempt waits for the endpoint.
 func (u *uploadBody) MarkForwarded() {
 	u.RequestStream.MarkForwarded()
--- a/internal/edge/frontend/upload_test.go
+++ b/internal/edge/frontend/upload_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -151,3 +153,19 @@
 		t.Errorf("response %v, error %v; want 502 in time", response, err)
 	}
 }
+
+// An upload whose rest is not read yet waits for a connection beyond its deadline, though its client may have written it whole.
+func TestUploadWithoutConnectionIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
+	_, address := startServerWith(t, "127.0.0.1:1", 8, upstream.Options{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done() // after the dial's own timeout, which is longer
+		return nil, ctx.Err()
+	}})
+	client := lbtest.Dial(t, address)
+	client.Send(uploadHead("waiting", false) + strings.Repeat("x", uploadedLength))
+	client.SetReadDeadline(time.Now().Add(uploadTimeout + lateResponseBound))
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("response %v, error %v; want 503 in time, as nothing was sent", response, err)
+	}
+}
