Soak: the test of SIGHUP before readiness holds where SIGHUP is ignored

Load is not the cause.

Trace: the printed status has SigIgn. That run had been started by nohup, which ignores SIGHUP; the test's child inherits this, and an ignored signal is never pending. Under nohup the test before fails in each run.

Change: the test catches SIGHUP before it starts the child, so that the child begins with the default.

--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"reflect"
 	"slices"
@@ -171,6 +172,9 @@
 
 // The soak reports a crash that it causes itself when it sends SIGHUP to a process that is not ready.
 func TestHangUpWaitsForReadiness(t *testing.T) {
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP) // a child would inherit that this process ignores it (nohup), and no signal would be pending
+	defer signal.Stop(caught)
 	command := exec.Command("sleep", "60")
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
