--- a/internal/testkit/soak/upload.go
+++ b/internal/testkit/soak/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,11 +28,10 @@
 
 // bodyOf returns the body of a request.
 func bodyOf(id string, size int) []byte {
-	random := rand.New(rand.NewPCG(uint64(hashOf(id)), 0))
+	var seed [32]byte
+	binary.LittleEndian.PutUint32(seed[:], hashOf(id))
 	body := make([]byte, size)
-	for i := range body {
-		body[i] = byte(random.Uint32())
-	}
+	_, _ = rand.NewChaCha8(seed).Read(body) // returns no error
 	return body
 }
 
