Soak: the check of slow start is tested whatever the load that a machine can carry

Need: the fake sidecar sent all requests to the endpoint that had started last.

Change: the fake sidecar sends a burst of 150 requests to an endpoint that has just started, half more than the budget. The old one sent over twice the budget on an idle machine, so that the check has to find a smaller excess now.

--- a/internal/testkit/soak/fake_test.go
+++ b/internal/testkit/soak/fake_test.go
@@ -30,7 +30,7 @@
 	faultTwice       = "sends keyed requests to both zones"
 	faultUnsafeTwice = "sends unsafe requests twice"
 	faultList        = "keeps its first list"
-	faultCold        = "sends all to the endpoint that started last"
+	faultCold        = "sends a burst to an endpoint that has just started"
 	faultLeft        = "sends late, whoever has left"
 	faultTime        = "tells endpoints of more time"
 	faultDescriptors = "opens too many files"
@@ -40,7 +40,10 @@
 	faultStays       = "stays after SIGTERM"
 )
 
-const faultInterval = 25 // requests: each such one meets the fault
+const (
+	faultInterval = 25  // requests: each such one meets the fault
+	coldBurst     = 150 // requests, half more than the budget of the first window
+)
 
 // fakeSidecar is a plain proxy with one fault. It sends each request once, to the endpoints by turns.
 type fakeSidecar struct {
@@ -50,6 +53,7 @@
 
 	mu      sync.Mutex
 	entries []entry
+	started int64 // of the endpoint that started last
 	turn    int
 	kept    []*os.File
 	memory  []byte
@@ -136,12 +140,32 @@
 	defer f.mu.Unlock()
 	f.entries = f.entries[:0]
 	for _, e := range answer.Endpoints {
-		if e.Status == "ready" {
-			f.entries = append(f.entries, e)
+		if e.Status != "ready" {
+			continue
+		}
+		f.entries = append(f.entries, e)
+		if e.StartedAt > f.started {
+			f.started = e.StartedAt
+			f.meetStart(e)
 		}
 	}
 }
 
+// meetStart does what the fault does to an endpoint that has just started.
+func (f *fakeSidecar) meetStart(e entry) {
+	if f.fault != faultCold {
+		return
+	}
+	for range coldBurst {
+		go func() {
+			response, err := f.client.Get("http://" + e.Address)
+			if err == nil {
+				response.Body.Close()
+			}
+		}()
+	}
+}
+
 // exhaust takes what the fault takes.
 func (f *fakeSidecar) exhaust() {
 	switch f.fault {
@@ -166,15 +190,6 @@
 	if len(f.entries) == 0 {
 		return entry{Address: "127.0.0.1:1"}
 	}
-	if f.fault == faultCold {
-		last := f.entries[0]
-		for _, e := range f.entries {
-			if e.StartedAt > last.StartedAt {
-				last = e
-			}
-		}
-		return last
-	}
 	f.turn++
 	return f.entries[f.turn%len(f.entries)]
 }
--- a/internal/testkit/soak/soak_test.go
+++ b/internal/testkit/soak/soak_test.go
@@ -149,6 +149,29 @@
 	}
 }
 
+// The check of slow start lets the whole budget of a window through, and reports one request more, at each age.
+func TestSlowStartBudgetIsExact(t *testing.T) {
+	startedAt := time.Now()
+	for age, budget := range map[time.Duration]int{ // STANDING: twice the capacity of the age, N, and 2√N + 2
+		0:               99,  // N = 80
+		time.Second:     170, // N = 144
+		4 * time.Second: 374, // N = 336
+	} {
+		first := startedAt.Add(age + time.Millisecond)
+		for _, count := range []int{budget, budget + 1} {
+			log := &Log{Starts: []Start{{Endpoint: 1, At: startedAt}}}
+			for n := range count {
+				log.addArrival(Arrival{Endpoint: 1, At: first.Add(overloadWindow * time.Duration(n) / time.Duration(count))})
+			}
+			c := &checker{log: log}
+			c.checkSlowStart()
+			if isReported := len(c.violations) > 0; isReported != (count > budget) {
+				t.Errorf("%d requests from the age of %v, allowed are %d: reported %t", count, age, budget, isReported)
+			}
+		}
+	}
+}
+
 // A program without a fault is not reported.
 func TestChecksReportNoOther(t *testing.T) {
 	for _, v := range playFake(t, faultNone) {
