Read the response of an endpoint that closes before it has read the body

What callers saw: 503, which tells that trying again is harmless, for an upload that its endpoint had served. The endpoint was taken for one that can't be connected.

Cause: the reset that follows the close breaks the writing of the body. Where the writing goroutine noticed that before the reading one had run, the attempt ended as ConnectFailed, which proves that the request never ran, and its response was thrown away. The same held for bodies of up to 64 KiB, for the first 64 KiB of an upload, and for writes that time out while a response lies unread.

Change: after a failed write the response is read, if there is one. An upload waits for its reading goroutine, for at most the time that a response may stall; other requests look whether bytes have arrived. responses.early counts these responses.

Evidence: TestResponseBeforeFailedWriteIsRead delays the reads until a write has failed. Its six cases with a response failed before, with verdict 4 (ConnectFailed); the six without one passed before and pass now. TestUploadServedBeforeCloseIsNotRefused, over sockets: 503 for 7 of 20 uploads before.

Why it works: bytes that came before a reset stay readable, and on a connection that is broken reads end at once.

--- a/internal/balancer/upstream/client.go
+++ b/internal/balancer/upstream/client.go
@@ -115,6 +115,13 @@
 	return c.openConns
 }
 
+// recordEarlyResponse records a final response that began before the request was written completely.
+func (c *Client) recordEarlyResponse() {
+	if c.OnEarlyResponse != nil {
+		c.OnEarlyResponse()
+	}
+}
+
 // Pool returns a new pool of connections to an address.
 func (c *Client) Pool(address string) *Pool {
 	p := &Pool{client: c, address: address}
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"silvertrail/internal/base/socket"
 	"silvertrail/internal/base/timeout"
 )
 
@@ -132,6 +133,9 @@
 	return err == nil && isEmpty && c.reader.Buffered() == 0
 }
 
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *conn) hasUnread() bool { return socket.Unread(c.raw) > 0 }
+
 // resetAfterStream prepares a connection for reuse after a streamed response, and reports whether it can be reused. If bytes beyond
 // the response have arrived, it cannot: the start of the next response would be unknown.
 func (c *conn) resetAfterStream() bool {
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -78,13 +78,19 @@
 		return p.upload(c, r)
 	}
 	timeout := time.Until(r.Deadline)
-	if !c.writeRequest(r, timeout) {
+	written, isComplete := c.writeRequest(r, timeout)
+	switch {
+	case isComplete:
+		p.recordSent()
+	case written == 0 || !c.hasUnread(): // unread bytes are the response of an endpoint that did not need the rest of the request
 		return outcome{verdict: lbpolicy.ConnectFailed, err: errRequestNotWritten}
 	}
-	p.recordSent()
 	received := receivedResponse{}
 	received.response, received.reusable, received.err = c.readResponse(r.Method == http.MethodHead, timeout)
-	return p.responseOutcome(c, received, true)
+	if !isComplete && received.err == nil {
+		p.client.recordEarlyResponse()
+	}
+	return p.responseOutcome(c, received, isComplete)
 }
 
 // recordSent records that a request was written completely.
--- a/internal/balancer/upstream/receipt.go
+++ b/internal/balancer/upstream/receipt.go
@@ -44,7 +44,7 @@
 // HasUnreadResponse reports whether a part of the response has arrived that Do has not returned yet.
 func (p *AttemptProgress) HasUnreadResponse() bool {
 	c := p.conn.Load()
-	return c != nil && (socket.Unread(c.raw) > 0 || p.isReading.Load())
+	return c != nil && (c.hasUnread() || p.isReading.Load())
 }
 
 // recordSent records that the request was written, or that the writing of a large or streamed request begins.
--- a/internal/balancer/upstream/upload.go
+++ b/internal/balancer/upstream/upload.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	request  *Request
 	chunked  bool
 	state    atomic.Int32
+	hasBegun chan struct{}         // closed once a final response has begun or the connection has ended
 	response chan receivedResponse // gets one value once the response has been read
 }
 
@@ -57,7 +59,7 @@
 
 // upload sends a request whose body is still arriving, and returns the outcome of the attempt.
 func (p *Pool) upload(c *conn, r *Request) outcome {
-	u := &upload{conn: c, request: r, chunked: r.Stream.Length() < 0, response: make(chan receivedResponse, 1)}
+	u := &upload{conn: c, request: r, chunked: r.Stream.Length() < 0, hasBegun: make(chan struct{}), response: make(chan receivedResponse, 1)}
 	err := u.write()
 	switch {
 	case errors.Is(err, errRequestBody):
@@ -80,17 +82,23 @@
 	if err := u.writeParts(head); err != nil {
 		return err
 	}
-	if err := u.writeChunk(u.request.Body); err != nil {
+	err := u.writeChunk(u.request.Body)
+	if err != nil && !u.conn.hasUnread() {
 		return err
 	}
 	if !u.request.Stream.Acquire() { // another attempt reads the rest of the body
 		return fmt.Errorf("%w: the rest is read by another attempt", errRequestBody)
 	}
 	go u.readResponse()
-	err := u.copyBody()
+	if err == nil {
+		err = u.copyBody()
+	}
 	if err == nil {
 		err = u.writeLastChunk()
 	}
+	if u.mayHaveResponse(err) {
+		u.awaitResponse()
+	}
 	isInterrupted := !u.state.CompareAndSwap(uploading, written)
 	if err != nil {
 		if isInterrupted {
@@ -102,12 +110,36 @@
 	return nil
 }
 
+// mayHaveResponse reports whether a response may have arrived that the reading has not noticed yet, after a write has failed. An endpoint
+// that closes the connection right after its response breaks the writing, which may be noticed first.
+func (u *upload) mayHaveResponse(err error) bool {
+	switch {
+	case err == nil, errors.Is(err, errRequestBody):
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded): // the connection is open
+		return u.conn.hasUnread()
+	}
+	return true
+}
+
+// awaitResponse waits until a final response has begun or the connection has ended. The time limit is for a connection whose reading goes
+// on.
+func (u *upload) awaitResponse() {
+	timer := time.NewTimer(stallTimeout(u.request.TimeLeft))
+	defer timer.Stop()
+	select {
+	case <-u.hasBegun:
+	case <-timer.C:
+	}
+}
+
 // readResponse reads the response while the body is written, and ends the writing once a final response begins or the connection ends.
 // It ends at the latest when the connection is closed.
 func (u *upload) readResponse() {
 	received := receivedResponse{}
 	head, err := u.conn.readFinalHead(u.request.TimeLeft)
 	u.interrupt(err == nil)
+	close(u.hasBegun)
 	if err == nil {
 		received.response, received.reusable, err = u.conn.readContent(head, u.request.Method == http.MethodHead)
 	}
@@ -126,9 +158,7 @@
 		return
 	}
 	u.request.Stream.Abandon()
-	if onEarlyResponse := u.conn.client.OnEarlyResponse; onEarlyResponse != nil {
-		onEarlyResponse()
-	}
+	u.conn.client.recordEarlyResponse()
 }
 
 // copyBody writes the rest of the body as it arrives.
--- a/internal/balancer/upstream/upload_test.go
+++ b/internal/balancer/upstream/upload_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -96,3 +98,118 @@
 		t.Errorf("%d writes after the response had begun", count)
 	}
 }
+
+// endlessBody is the rest of a body that never ends.
+type endlessBody struct{ lateBody }
+
+func (b *endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+// lateReadConn delays all reads until a write has failed.
+type lateReadConn struct {
+	net.Conn  // not *net.TCPConn, which would write buffers past Write
+	mayRead   chan struct{}
+	closeOnce sync.Once
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *lateReadConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	return &lateRawConn{RawConn: raw, mayRead: c.mayRead}, err
+}
+
+// Write implements net.Conn.
+func (c *lateReadConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.allowReads()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *lateReadConn) Close() error {
+	c.allowReads()
+	return c.Conn.Close()
+}
+
+func (c *lateReadConn) allowReads() { c.closeOnce.Do(func() { close(c.mayRead) }) }
+
+// lateRawConn is the raw connection of a lateReadConn.
+type lateRawConn struct {
+	syscall.RawConn
+	mayRead chan struct{}
+}
+
+// Read implements syscall.RawConn.
+func (c *lateRawConn) Read(f func(fd uintptr) bool) error {
+	<-c.mayRead
+	return c.RawConn.Read(f)
+}
+
+// A request that its endpoint has served is reported as never run when the endpoint does not read its body, and the failure of the write is
+// noticed before the response.
+func TestResponseBeforeFailedWriteIsRead(t *testing.T) {
+	const unbufferedBytes = 16 << 20 // more than sockets buffer
+	for name, c := range map[string]struct {
+		bodyBytes  int
+		isStreamed bool
+	}{
+		"body":                        {bodyBytes: unbufferedBytes},
+		"first part of streamed body": {bodyBytes: unbufferedBytes, isStreamed: true},
+		"rest of streamed body":       {isStreamed: true},
+	} {
+		for _, closes := range []bool{true, false} {
+			for response, want := range map[string]lbpolicy.Verdict{lbtest.OK("early"): lbpolicy.OK, "": lbpolicy.ConnectFailed} {
+				t.Run(fmt.Sprintf("%s, %d bytes in response, closes %t", name, len(response), closes), func(t *testing.T) {
+					t.Parallel()
+					address := startUnreadingEndpoint(t, response, closes)
+					request := newRequest("early")
+					request.Method, request.TimeLeft, request.Body = http.MethodPost, lbtest.Wait, make([]byte, c.bodyBytes)
+					if c.isStreamed {
+						request.Stream = &endlessBody{}
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
+					defer cancel()
+					early := 0
+					client := newLateReadClient(func() { early++ })
+					verdict, got, err := client.Pool(address).Do(ctx, request, &AttemptProgress{}, alwaysClaim)
+					if verdict != want || want == lbpolicy.OK && string(got.Body) != "early" {
+						t.Errorf("verdict %d, want %d; response %v, error %v", verdict, want, got, err)
+					}
+					if early == 1 != (want == lbpolicy.OK) {
+						t.Errorf("%d early responses recorded", early)
+					}
+				})
+			}
+		}
+	}
+}
+
+// startUnreadingEndpoint starts an endpoint that reads one byte of a request, and sends a response.
+func startUnreadingEndpoint(t *testing.T, response string, closes bool) (address string) {
+	t.Helper()
+	endpoint := lbtest.Listen(t)
+	go func() {
+		conn, err := endpoint.Accept()
+		if err != nil {
+			return
+		}
+		io.ReadFull(conn, make([]byte, 1))
+		io.WriteString(conn, response)
+		if closes {
+			conn.Close()
+			return
+		}
+		t.Cleanup(func() { conn.Close() })
+	}()
+	return endpoint.Addr().String()
+}
+
+// newLateReadClient returns a client whose connections are of the type lateReadConn.
+func newLateReadClient(onEarlyResponse func()) *Client {
+	return NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 4, MaxStreamBytes: 1 << 20, OnEarlyResponse: onEarlyResponse,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &lateReadConn{Conn: conn, mayRead: make(chan struct{})}, err
+		}})
+}
--- a/internal/balancer/upstream/write.go
+++ b/internal/balancer/upstream/write.go
@@ -21,13 +21,12 @@
 
 var requestBuffers = sync.Pool{New: func() any { b := make([]byte, 0, requestBufferBytes); return &b }}
 
-// writeRequest writes a request whose body is buffered, and reports whether it was written completely. An endpoint cannot have started
-// a request that it did not receive completely.
-func (c *conn) writeRequest(r *Request, timeout time.Duration) (complete bool) {
+// writeRequest writes a request whose body is buffered. It returns the number of bytes written, and reports whether that is the whole
+// request. An endpoint that does not respond cannot have started a request that it did not receive completely.
+func (c *conn) writeRequest(r *Request, timeout time.Duration) (written int64, isComplete bool) {
 	pooled := requestBuffers.Get().(*[]byte)
 	head := appendHead((*pooled)[:0], r, timeout)
 	size := int64(len(head) + len(r.Body))
-	var written int64
 	if size <= maxSingleWrite {
 		head = append(head, r.Body...)
 		n, _ := c.Conn.Write(head)
@@ -44,7 +43,7 @@
 		*pooled = head[:0]
 		requestBuffers.Put(pooled)
 	}
-	return written == size
+	return written, written == size
 }
 
 // appendHead appends the head of a request. The target is written byte for byte as the client sent it, or as the gateway has
--- a/internal/edge/frontend/earlyresponse_test.go
+++ b/internal/edge/frontend/earlyresponse_test.go
@@ -1,6 +1,7 @@
 package frontend_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -116,3 +117,22 @@
 		t.Errorf("status %d, body %q", status, body)
 	}
 }
+
+// The client of an upload that its endpoint has served is told that it may send it again, when the endpoint closes the connection before it
+// has read the body.
+func TestUploadServedBeforeCloseIsNotRefused(t *testing.T) {
+	t.Parallel()
+	const uploads, length = 20, 2 << 20 // which of response and close is noticed first is a matter of chance in each
+	_, address := startServer(t, startRawEndpoint(t, func(conn net.Conn, _ *http.Request) {
+		io.WriteString(conn, lbtest.OK("early"))
+		conn.Close()
+	}), 8)
+	for n := range uploads {
+		client := lbtest.Dial(t, address)
+		id := fmt.Sprint("served-", n)
+		go io.WriteString(client, lbtest.Head("POST", "write", id, "Idempotency-Key: "+id, fmt.Sprint("Content-Length: ", length))+strings.Repeat("x", length))
+		if status, body := client.Response(); status != http.StatusOK || body != "early" {
+			t.Errorf("upload %d: status %d, body %q", n, status, body)
+		}
+	}
+}
