Take a request whose early response breaks off for one that may have run

What callers saw: 503, which tells that trying again is harmless, for an upload whose endpoint had begun its response before the body was complete, when the connection ended within the response.

Cause: if a request was not written completely, each error of the connection counted as ConnectFailed, which proves that the request never ran. A response that has begun proves the opposite.

Change: an error of the connection within a response wraps errCutOff, and ends the attempt as Reset. An informational response alone does not.

Evidence: TestCutOffEarlyResponseMayHaveRun: nine of twelve cases failed before (verdict 4, ConnectFailed), the three with a 1xx passed before and pass now.

Why it works: what was read of a response is told apart from a connection on which none had begun; complete requests are not affected, as they ended as Reset before.

--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -18,6 +18,9 @@
 // failed.
 var errMalformed = errors.New("malformed response")
 
+// errCutOff means that the connection ended within a response. The request may have run.
+var errCutOff = errors.New("connection ended within the response")
+
 // Response is an endpoint's response.
 type Response struct {
 	Status int
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -122,7 +122,7 @@
 	switch {
 	case errors.Is(err, errMalformed): // the endpoint has responded, so neither its connection nor its process has failed
 		return outcome{verdict: lbpolicy.Error, err: err}
-	case !requestComplete:
+	case !requestComplete && !errors.Is(err, errCutOff):
 		return outcome{verdict: lbpolicy.ConnectFailed, err: err}
 	case !c.idleSince.IsZero():
 		err = fmt.Errorf("connection reused after %v idle: %w", c.idleFor.Round(time.Millisecond), err)
--- a/internal/balancer/upstream/read.go
+++ b/internal/balancer/upstream/read.go
@@ -67,8 +67,11 @@
 			}
 		}
 		head, err := c.readHead()
-		if err != nil || head.isFinal() {
-			return head, err
+		if err != nil {
+			return nil, cutOffError(err)
+		}
+		if head.isFinal() {
+			return head, nil
 		}
 		if c.client.OnInformational != nil {
 			c.client.OnInformational()
@@ -77,6 +80,14 @@
 	return nil, fmt.Errorf("%w: too many informational (1xx) responses", errMalformed)
 }
 
+// cutOffError marks an error of the connection within a response. Other errors are returned unchanged.
+func cutOffError(err error) error {
+	if errors.Is(err, errMalformed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errCutOff, err)
+}
+
 // stallError marks an expired deadline as that of a malformed response. Other errors are returned unchanged.
 func stallError(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -143,7 +154,7 @@
 	if !bodiless && hasBody(head.status) {
 		isDelimited, err := c.readBody(response, &head.Head, reusable)
 		if err != nil {
-			return response, reusable, err
+			return response, reusable, cutOffError(err)
 		}
 		reusable = reusable && isDelimited
 	}
--- a/internal/balancer/upstream/upload_test.go
+++ b/internal/balancer/upstream/upload_test.go
@@ -146,41 +146,76 @@
 	return c.RawConn.Read(f)
 }
 
+// unreadRequests are requests whose endpoint does not read the body.
+func unreadRequests() map[string]func() *Request {
+	const unbufferedBytes = 16 << 20 // more than sockets buffer
+	request := func(bodyBytes int, rest RequestStream) *Request {
+		r := newRequest("unread")
+		r.Method, r.TimeLeft, r.Body, r.Stream = http.MethodPost, lbtest.Wait, make([]byte, bodyBytes), rest
+		return r
+	}
+	return map[string]func() *Request{
+		"body":                        func() *Request { return request(unbufferedBytes, nil) },
+		"first part of streamed body": func() *Request { return request(unbufferedBytes, &endlessBody{}) },
+		"rest of streamed body":       func() *Request { return request(0, &endlessBody{}) },
+	}
+}
+
+// sendUnread sends a request to an endpoint that reads one byte of it and then responds, and closes the connection if closes is true. The
+// response is not read before a write has failed.
+func sendUnread(t *testing.T, request *Request, response string, closes bool) (verdict lbpolicy.Verdict, body string, earlyResponses int) {
+	t.Helper()
+	address := startUnreadingEndpoint(t, response, closes)
+	client := newLateReadClient(func() { earlyResponses++ })
+	ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
+	defer cancel()
+	verdict, got, err := client.Pool(address).Do(ctx, request, &AttemptProgress{}, alwaysClaim)
+	t.Logf("verdict %d, error %v", verdict, err)
+	if got != nil {
+		body = string(got.Body)
+	}
+	return verdict, body, earlyResponses
+}
+
 // A request that its endpoint has served is reported as never run when the endpoint does not read its body, and the failure of the write is
 // noticed before the response.
 func TestResponseBeforeFailedWriteIsRead(t *testing.T) {
-	const unbufferedBytes = 16 << 20 // more than sockets buffer
-	for name, c := range map[string]struct {
-		bodyBytes  int
-		isStreamed bool
-	}{
-		"body":                        {bodyBytes: unbufferedBytes},
-		"first part of streamed body": {bodyBytes: unbufferedBytes, isStreamed: true},
-		"rest of streamed body":       {isStreamed: true},
-	} {
+	for name, request := range unreadRequests() {
 		for _, closes := range []bool{true, false} {
-			for response, want := range map[string]lbpolicy.Verdict{lbtest.OK("early"): lbpolicy.OK, "": lbpolicy.ConnectFailed} {
-				t.Run(fmt.Sprintf("%s, %d bytes in response, closes %t", name, len(response), closes), func(t *testing.T) {
-					t.Parallel()
-					address := startUnreadingEndpoint(t, response, closes)
-					request := newRequest("early")
-					request.Method, request.TimeLeft, request.Body = http.MethodPost, lbtest.Wait, make([]byte, c.bodyBytes)
-					if c.isStreamed {
-						request.Stream = &endlessBody{}
-					}
-					ctx, cancel := context.WithTimeout(context.Background(), lbtest.Wait)
-					defer cancel()
-					early := 0
-					client := newLateReadClient(func() { early++ })
-					verdict, got, err := client.Pool(address).Do(ctx, request, &AttemptProgress{}, alwaysClaim)
-					if verdict != want || want == lbpolicy.OK && string(got.Body) != "early" {
-						t.Errorf("verdict %d, want %d; response %v, error %v", verdict, want, got, err)
-					}
-					if early == 1 != (want == lbpolicy.OK) {
-						t.Errorf("%d early responses recorded", early)
-					}
-				})
-			}
+			t.Run(fmt.Sprintf("%s, closes %t", name, closes), func(t *testing.T) {
+				t.Parallel()
+				verdict, body, early := sendUnread(t, request(), lbtest.OK("early"), closes)
+				if verdict != lbpolicy.OK || body != "early" || early != 1 {
+					t.Errorf("verdict %d, body %q, %d early responses", verdict, body, early)
+				}
+			})
+			t.Run(fmt.Sprintf("%s, closes %t, no response", name, closes), func(t *testing.T) {
+				t.Parallel()
+				verdict, _, early := sendUnread(t, request(), "", closes)
+				if verdict != lbpolicy.ConnectFailed || early != 0 {
+					t.Errorf("verdict %d, %d early responses", verdict, early)
+				}
+			})
+		}
+	}
+}
+
+// A request whose endpoint has begun its response is reported as never run when the connection ends before the response and the body are
+// complete.
+func TestCutOffEarlyResponseMayHaveRun(t *testing.T) {
+	for name, request := range unreadRequests() {
+		for response, want := range map[string]lbpolicy.Verdict{
+			"HTTP/1.1 20": lbpolicy.Reset,
+			"HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\npart":          lbpolicy.Reset,
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n": lbpolicy.Reset,
+			"HTTP/1.1 100 Continue\r\n\r\n":                              lbpolicy.ConnectFailed,
+		} {
+			t.Run(fmt.Sprintf("%s, %q", name, response), func(t *testing.T) {
+				t.Parallel()
+				if verdict, _, _ := sendUnread(t, request(), response, true); verdict != want {
+					t.Errorf("verdict %d, want %d", verdict, want)
+				}
+			})
 		}
 	}
 }
