Engine: set the deadline of a running call in one place

Need: startUpload and startDeadline had the same three lines, with and without the look whether the call is done.

Change: Call.setDeadline. No change in behaviour; the tests of internal/balancer pass.

--- a/internal/balancer/engine/stream.go
+++ b/internal/balancer/engine/stream.go
@@ -35,9 +35,7 @@
 	if c.done {
 		return
 	}
-	timeout := e.limitToShutdown(maxUploadTime)
-	c.request.Deadline = time.Now().Add(timeout)
-	c.deadlineTimer.Reset(timeout)
+	c.setDeadline(e.limitToShutdown(maxUploadTime))
 }
 
 // MarkForwarded implements upstream.RequestStream. From then on, the request's deadline counts and the attempt waits for the endpoint.
@@ -72,11 +70,16 @@
 	}
 	timeLeft := e.limitToShutdown(c.timeLeftAfterBody - time.Since(receivedAt))
 	c.timeLeftAfterBody = 0
+	c.setDeadline(timeLeft)
+	e.balancer.RequestBodyReceived(now, c.id, timeLeft)
+}
+
+// setDeadline replaces the deadline of a call that was started.
+func (c *Call) setDeadline(timeLeft time.Duration) {
 	c.request.Deadline = time.Now().Add(timeLeft)
 	if !c.done {
 		c.deadlineTimer.Reset(timeLeft)
 	}
-	e.balancer.RequestBodyReceived(now, c.id, timeLeft)
 }
 
 // streamResponse delivers a response whose body is still arriving, and returns once the body has been closed. For the policy, the
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -45,7 +45,7 @@
 	readLimit    time.Time        // latest end of reads with a readTimeout; zero: none
 	maxBody      int64            // limit on a response's body, in bytes
 	progress     *AttemptProgress // progress of its present attempt
-	client       *Client
+	client       *Client          // that has opened the connection
 	readFD       func(fd uintptr) (done bool)
 	readBuffer   []byte // destination of the read in progress; its result is in readBytes and readErr
 	readBytes    int
