Leave a response that its endpoint still writes to the request's deadline

What callers saw: 502 or 503 in place of a long response.

Cause: upstream/read.go set a stall timeout of a quarter of the time left, 0.75 s at most, for each read of a response, and for the whole of it where responses are not streamed (the gateway). It takes a pause for a malformed response, whatever its length; the buffered phase (stream.go, readBuffered) did not look at the time while it waited for a first lump.

Excluded: the endpoints and their connections; they went on writing after the close.

Change: the timeout holds for heads alone. A body ends with the request's deadline; one that may be large is streamed after 250 ms, and its head alone before the deadline if the body has not begun. Instead of cutting a stalled response off, the policy is told (Host.ResponseProgress), and hedges it where the class allows; it never cancels one that has begun.

Two cases of TestMalformedResponsesAreErrorsAndValidOnesSucceed asked for an end before the deadline: a body that stops cannot be told from one that is written slowly. TestStalledBodyIsReportedAndEndsAtDeadline replaces them: stall told before the deadline, error at it.

--- a/internal/balancer/engine/progress.go
+++ b/internal/balancer/engine/progress.go
@@ -41,6 +41,15 @@
 	return e.waitsSince(e.clock.now(), c.attempts[number])
 }
 
+// ResponseProgress implements lbpolicy.Host.
+func (e actions) ResponseProgress(id lbpolicy.RequestID, number int) lbpolicy.ResponseProgress {
+	c := e.calls[id]
+	if c == nil || number < 0 || number >= len(c.attempts) {
+		return lbpolicy.ResponseAwaited
+	}
+	return c.attempts[number].progress.ResponseProgress()
+}
+
 // RecordHedge implements lbpolicy.Host.
 func (e actions) RecordHedge(h lbpolicy.Hedge) {
 	e.hedges[h.Reason]++
--- a/internal/balancer/upstream/conn.go
+++ b/internal/balancer/upstream/conn.go
@@ -120,6 +120,9 @@
 		return false
 	}
 	c.readBytes = max(c.readBytes, 0)
+	if c.readBytes > 0 && c.progress.arrivedAt.Load() != 0 {
+		c.progress.recordArrival()
+	}
 	return true
 }
 
--- a/internal/balancer/upstream/pool.go
+++ b/internal/balancer/upstream/pool.go
@@ -86,7 +86,7 @@
 		return outcome{verdict: lbpolicy.ConnectFailed, err: errRequestNotWritten}
 	}
 	received := receivedResponse{}
-	received.response, received.reusable, received.err = c.readResponse(r.Method == http.MethodHead, timeout)
+	received.response, received.reusable, received.err = c.readResponse(r.Method == http.MethodHead, r.Deadline, timeout)
 	if !isComplete && received.err == nil {
 		p.client.recordEarlyResponse()
 	}
--- a/internal/balancer/upstream/read.go
+++ b/internal/balancer/upstream/read.go
@@ -19,11 +19,9 @@
 	maxHeadBytes     = 16 << 10 // of a response's head; request buffers above this size are not pooled
 	maxBufferedBytes = 64 << 10 // of a response's body that is buffered; the protocol's limit
 	maxInformational = 8        // 1xx responses before the final one
-	// maxStall is the longest stall timeout: how long a response that has begun may deliver no bytes. An endpoint has produced the
-	// whole response when it begins to send, so a response that stalls is malformed: a head without an end, a wrong length, or garbage
-	// without a line end. Ending the attempt early leaves time for the next attempt. Where responses are streamed
-	// (Options.MaxStreamBytes), the timeout applies to each read. Otherwise it applies to the whole response, because small responses
-	// of healthy endpoints arrive at once.
+	// maxStall is the longest stall timeout: how long a response that has begun may deliver no bytes. A head that stalls is malformed: it
+	// has no end, or is garbage without a line end. Ending the attempt early leaves time for the next one. A body that stalls may still be
+	// written by its endpoint, so that the attempt goes on, and the policy may hedge it (AttemptProgress.ResponseProgress).
 	maxStall = 750 * time.Millisecond
 	// A request with little time left gets a shorter stall timeout, so that time remains for its next attempt.
 	stallDivider = 4 // divides the time left when the request is written
@@ -33,8 +31,10 @@
 // responseHead is the head of a response.
 type responseHead struct {
 	httphead.Head
-	status   int
-	isHTTP11 bool
+	status      int
+	isHTTP11    bool
+	deadline    time.Time // see ResponseStream
+	headAloneAt time.Time
 }
 
 // isFinal reports whether no other response follows.
@@ -44,10 +44,11 @@
 
 // readResponse reads the final response, and reports whether the connection can be reused. An error wraps errMalformed or comes from
 // the connection. bodiless means that no body follows the head, whatever length the head gives, as in a response to HEAD. timeLeft is
-// the time that the request had left when it was written.
-func (c *conn) readResponse(bodiless bool, timeLeft time.Duration) (response *Response, reusable bool, err error) {
+// the time that the request had left, until its deadline, when it was written.
+func (c *conn) readResponse(bodiless bool, deadline time.Time, timeLeft time.Duration) (response *Response, reusable bool, err error) {
 	head, err := c.readFinalHead(timeLeft)
 	if err == nil {
+		head.deadline, head.headAloneAt = deadline, headAloneTime(time.Now(), deadline, timeLeft)
 		response, reusable, err = c.readContent(head, bodiless)
 	}
 	return response, reusable, stallError(err)
@@ -60,11 +61,10 @@
 		if err := c.awaitFirstByte(); err != nil {
 			return nil, err
 		}
+		c.progress.recordResponse(timeout)
 		if !c.hasCompleteResponse() {
-			c.setReadDeadline(time.Now().Add(timeout))
-			if c.maxBody > maxBufferedBytes {
-				c.readTimeout = timeout
-			}
+			c.readLimit = time.Time{}
+			c.readTimeout = timeout
 		}
 		head, err := c.readHead()
 		if err != nil {
@@ -99,6 +99,7 @@
 // awaitFirstByte waits for a response. It sets no deadline, because the end of the attempt closes the connection.
 func (c *conn) awaitFirstByte() error {
 	c.readTimeout = 0
+	c.readLimit = time.Time{}
 	c.setReadDeadline(time.Time{})
 	_, err := c.reader.Peek(1)
 	return err
@@ -152,7 +153,7 @@
 	response = &Response{Status: head.status, Header: head.Header}
 	reusable = head.isHTTP11 && !head.IsClose() && head.status != http.StatusSwitchingProtocols
 	if !bodiless && hasBody(head.status) {
-		isDelimited, err := c.readBody(response, &head.Head, reusable)
+		isDelimited, err := c.readBody(response, head, reusable)
 		if err != nil {
 			return response, reusable, cutOffError(err)
 		}
@@ -183,17 +184,19 @@
 
 // readBody reads the body of a response, or the first part of a body that is streamed. A body that is not delimited by a length or
 // by chunks ends with the connection.
-func (c *conn) readBody(response *Response, head *httphead.Head, reusable bool) (isDelimited bool, err error) {
+func (c *conn) readBody(response *Response, head *responseHead, reusable bool) (isDelimited bool, err error) {
 	if head.ContentLength > c.maxBody {
 		return true, fmt.Errorf("%w: body of %d bytes exceeds the limit", errMalformed, head.ContentLength)
 	}
 	isDelimited = head.Chunked || head.ContentLength >= 0
 	stream := &ResponseStream{
-		conn:      c,
-		length:    head.ContentLength,
-		remaining: head.ContentLength,
-		maxBytes:  c.maxBody,
-		reusable:  reusable && isDelimited,
+		conn:        c,
+		length:      head.ContentLength,
+		remaining:   head.ContentLength,
+		maxBytes:    c.maxBody,
+		deadline:    head.deadline,
+		headAloneAt: head.headAloneAt,
+		reusable:    reusable && isDelimited,
 	}
 	if head.Chunked {
 		stream.decoder = &chunked.Decoder{}
--- a/internal/balancer/upstream/receipt.go
+++ b/internal/balancer/upstream/receipt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"silvertrail/internal/base/socket"
+	"silvertrail/lbpolicy"
 )
 
 // AttemptProgress tracks the progress of one attempt, whether or not the attempt's goroutine has run in the meantime. It tells since when
@@ -20,6 +21,8 @@
 	isReading atomic.Bool
 	sentAt    time.Time // valid once isSent
 	isSent    atomic.Bool
+	arrivedAt atomic.Int64 // time since processStart at which bytes of the response last arrived; zero: none did
+	stall     atomic.Int64 // time without bytes after which a response that has begun is stalled
 }
 
 // pendingDial is a connection that is being opened.
@@ -47,6 +50,31 @@
 	return c != nil && (c.hasUnread() || p.isReading.Load())
 }
 
+// processStart is the origin of times that are kept in atomic integers.
+var processStart = time.Now()
+
+// ResponseProgress tells whether a response has begun, and whether it has delivered no bytes for its stall timeout.
+func (p *AttemptProgress) ResponseProgress() lbpolicy.ResponseProgress {
+	arrivedAt := p.arrivedAt.Load()
+	silent := int64(time.Since(processStart)) - arrivedAt
+	switch {
+	case arrivedAt == 0:
+		return lbpolicy.ResponseAwaited
+	case silent < p.stall.Load() || p.HasUnreadResponse():
+		return lbpolicy.ResponseArriving
+	}
+	return lbpolicy.ResponseStalled
+}
+
+// recordResponse records that a response has begun, with its stall timeout.
+func (p *AttemptProgress) recordResponse(stall time.Duration) {
+	p.stall.Store(int64(stall))
+	p.recordArrival()
+}
+
+// recordArrival records that bytes of the response have arrived.
+func (p *AttemptProgress) recordArrival() { p.arrivedAt.Store(int64(time.Since(processStart))) }
+
 // recordSent records that the request was written, or that the writing of a large or streamed request begins.
 func (p *AttemptProgress) recordSent() {
 	p.sentAt = time.Now()
--- a/internal/balancer/upstream/upload.go
+++ b/internal/balancer/upstream/upload.go
@@ -141,6 +141,7 @@
 	u.interrupt(err == nil)
 	close(u.hasBegun)
 	if err == nil {
+		head.headAloneAt = time.Now().Add(bufferingTime) // no further attempt can be made
 		received.response, received.reusable, err = u.conn.readContent(head, u.request.Method == http.MethodHead)
 	}
 	received.err = stallError(err)
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -58,11 +59,9 @@
 		"negative content length":         "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok",
 		"endless head":                    "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: pppppppp\r\n", 8<<10),
 		"incomplete head":                 "HTTP/1.1 200 OK\r\nContent-Le",
-		"body shorter than its length":    "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok",
 		"content length of 3 GB":          "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20),
 		"chunk over 64 KiB":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", 0x20000),
 		"invalid chunk size":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n",
-		"missing last chunk":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
 		"endless informational responses": strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100),
 	}
 	valid := map[string]string{
@@ -80,6 +79,55 @@
 	}
 }
 
+// An endpoint may still be writing a body that has stopped, so that the attempt goes on until the request's deadline, and reports the stall
+// to the policy before. A body that stays incomplete is an error then, and its connection is closed.
+func TestStalledBodyIsReportedAndEndsAtDeadline(t *testing.T) {
+	const timeLeft = 2 * time.Second
+	for name, text := range map[string]string{
+		"body shorter than its length": "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok",
+		"missing last chunk":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+				if a.Request.Header.Get("X-Request-Id") == "one" {
+					a.Write([]byte(text))
+					return
+				}
+				a.OK()
+			})
+			c := newClient(lbtest.Wait)
+			p := c.Pool(e.Addr)
+			defer p.Close()
+			r, progress := newRequest("one"), &AttemptProgress{}
+			r.Deadline = time.Now().Add(timeLeft)
+			stalled := make(chan bool, 1)
+			go func() {
+				stalled <- lbtest.Eventually(func() bool {
+					return progress.ResponseProgress() == lbpolicy.ResponseStalled || time.Now().After(r.Deadline)
+				}) &&
+					time.Now().Before(r.Deadline)
+			}()
+			verdict, _, err := p.Do(context.Background(), r, progress, alwaysClaim)
+			if verdict != lbpolicy.Error || !errors.Is(err, errMalformed) {
+				t.Errorf("verdict %d, error %v", verdict, err)
+			}
+			if time.Now().Before(r.Deadline) {
+				t.Error("the attempt ended before its deadline")
+			}
+			if !<-stalled {
+				t.Error("the stall was not reported before the deadline")
+			}
+			if n := c.OpenConns(); n != 0 {
+				t.Errorf("%d connections are open, want none", n)
+			}
+			if v, got := sendRequest(t, p, "two"); v != lbpolicy.OK || got != "answer to two" {
+				t.Errorf("second request: verdict %d, body %q", v, got)
+			}
+		})
+	}
+}
+
 // checkResponse sends a request to an endpoint that writes text, and checks the verdict and the body. It then checks that a second
 // request succeeds, and that it uses another connection if the response was malformed or followed by more bytes.
 func checkResponse(t *testing.T, text string, verdict lbpolicy.Verdict, body string) {
--- a/internal/simulator/reply.go
+++ b/internal/simulator/reply.go
@@ -127,5 +127,10 @@
 // WaitingSince implements lbpolicy.Host. It is always zero, because the simulator sends each attempt at the time of the decision.
 func (h host) WaitingSince(lbpolicy.RequestID, int) time.Duration { return 0 }
 
+// ResponseProgress implements lbpolicy.Host. The responses of the simulator arrive at once.
+func (h host) ResponseProgress(lbpolicy.RequestID, int) lbpolicy.ResponseProgress {
+	return lbpolicy.ResponseAwaited
+}
+
 // RecordHedge implements lbpolicy.Host. The simulator does not count hedged requests.
 func (h host) RecordHedge(lbpolicy.Hedge) {}
--- a/lbpolicy/api.go
+++ b/lbpolicy/api.go
@@ -211,10 +211,11 @@
 const (
 	HedgeSilent  HedgeReason = iota // the server has sent no response since the attempt was sent
 	HedgeStopped                    // the server has responded to other attempts since, but was ejected later
+	HedgeStalled                    // the response has begun and stopped before its end
 )
 
 // HedgeReasons holds the names of the reasons.
-var HedgeReasons = [...]string{HedgeSilent: "silent", HedgeStopped: "stopped"}
+var HedgeReasons = [...]string{HedgeSilent: "silent", HedgeStopped: "stopped", HedgeStalled: "stalled"}
 
 // Hedge describes a hedged request: a further attempt while an earlier one is in flight.
 type Hedge struct {
@@ -226,6 +227,22 @@
 	UsualLatency time.Duration // of the pool
 }
 
+// Delays that the host causes, not a server.
+const (
+	sendDelay        = time.Millisecond      // from the decision to the write, unless the process was paused
+	unreadCheckDelay = 10 * time.Millisecond // time in which a response that has arrived is read
+)
+
+// ResponseProgress tells how much of the response to an attempt in flight has arrived.
+type ResponseProgress uint8
+
+// Values of ResponseProgress.
+const (
+	ResponseAwaited  ResponseProgress = iota // nothing has arrived
+	ResponseArriving                         // it has begun
+	ResponseStalled                          // it has begun, and nothing more has arrived for some time
+)
+
 // Host carries out a balancer's actions, in the order of the calls and at the time of the present event. It
 // also reports the progress of attempts in flight, which the balancer asks for before it ejects a server or
 // gives up an attempt.
@@ -250,6 +267,8 @@
 	// connection, or for the response since the request was written. While the attempt waits for the host, it
 	// returns the present time. A host that sends attempts as soon as they are decided on returns zero.
 	WaitingSince(id RequestID, attempt int) time.Duration
+	// ResponseProgress tells how much of the response to an attempt in flight has arrived.
+	ResponseProgress(id RequestID, attempt int) ResponseProgress
 	// RecordHedge announces that the next Send starts a hedged request.
 	RecordHedge(Hedge)
 	// Log adds a line to the log.
--- a/lbpolicy/attempt.go
+++ b/lbpolicy/attempt.go
@@ -286,17 +286,19 @@
 	b.checkAttempt(now, r)
 }
 
-// checkAttempt hedges or cancels a request's latest attempt if its server hangs or has failed: it has sent no
-// response since the attempt was sent. A server that still responds to others may stop later, so its attempts
-// are checked again. It has stopped if it was ejected and has sent no response since the last check.
+// checkAttempt hedges or cancels a request's latest attempt if its server has sent no response since. One
+// that responds to others is checked again: it has stopped if it was ejected and has been silent since. A
+// response that has begun is hedged once it stalls, not cancelled: its server may still be writing.
 func (b *Balancer) checkAttempt(now time.Duration, r *request) {
 	number := len(r.attempts) - 1
 	a := &r.attempts[number]
 	if a.ended {
 		return
 	}
-	stopped := a.server.lastResponseAt < a.sentAt || a.server.ejected && a.server.lastResponseAt < r.checkFrom
-	if !stopped || b.shedding || b.retryBudget < 1 {
+	progress, responded := b.host.ResponseProgress(r.id, number), a.server.lastResponseAt
+	stopped := responded < a.sentAt || a.server.ejected && responded < r.checkFrom
+	stopped = stopped || progress == ResponseStalled
+	if progress == ResponseArriving || !stopped || b.shedding || b.retryBudget < 1 {
 		b.scheduleCheck(now, r)
 		return
 	}
@@ -304,7 +306,7 @@
 		return
 	}
 	if !b.settings.MayHedge {
-		if b.settings.MayCancel {
+		if b.settings.MayCancel && progress == ResponseAwaited {
 			b.host.Cancel(r.id, number)
 		}
 		return
@@ -316,12 +318,6 @@
 	}
 }
 
-// Delays that this process causes, not a server.
-const (
-	sendDelay        = time.Millisecond      // from the decision to the write, unless the process was paused
-	unreadCheckDelay = 10 * time.Millisecond // time in which a response that has arrived is read
-)
-
 // postponeCheck postpones the check of an attempt, and reports whether it did, if this process is late and
 // not the server: the attempt was sent some time after the decision, or a response waits to be read.
 func (b *Balancer) postponeCheck(now time.Duration, r *request, number int) bool {
--- a/lbpolicy/balancer_test.go
+++ b/lbpolicy/balancer_test.go
@@ -18,6 +18,8 @@
 
 // recorder is a Host that records the balancer's actions in order.
 type recorder struct {
+	responseProgress ResponseProgress // of all attempts
+
 	actions []string
 	sends   []ServerID
 	timers  map[uint64]time.Duration
@@ -30,16 +32,17 @@
 	h.record("send %d %d", id, s)
 	h.sends = append(h.sends, s)
 }
-func (h *recorder) Reject(id RequestID, _ time.Duration)      { h.record("refuse %d", id) }
-func (h *recorder) Fail(id RequestID)                         { h.record("fail %d", id) }
-func (h *recorder) Cancel(id RequestID, n int)                { h.record("cancel %d %d", id, n) }
-func (h *recorder) CloseIdle(s ServerID)                      { h.record("close %d", s) }
-func (h *recorder) Watch()                                    { h.record("watch") }
-func (h *recorder) Log(text string)                           {}
-func (h *recorder) LogServer(ServerID, string)                {}
-func (h *recorder) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
-func (h *recorder) WaitingSince(RequestID, int) time.Duration { return 0 }
-func (h *recorder) RecordHedge(Hedge)                         {}
+func (h *recorder) Reject(id RequestID, _ time.Duration)             { h.record("refuse %d", id) }
+func (h *recorder) Fail(id RequestID)                                { h.record("fail %d", id) }
+func (h *recorder) Cancel(id RequestID, n int)                       { h.record("cancel %d %d", id, n) }
+func (h *recorder) CloseIdle(s ServerID)                             { h.record("close %d", s) }
+func (h *recorder) Watch()                                           { h.record("watch") }
+func (h *recorder) Log(text string)                                  {}
+func (h *recorder) LogServer(ServerID, string)                       {}
+func (h *recorder) ServerProgress(ServerID) ServerProgress           { return ServerProgress{} }
+func (h *recorder) WaitingSince(RequestID, int) time.Duration        { return 0 }
+func (h *recorder) ResponseProgress(RequestID, int) ResponseProgress { return h.responseProgress }
+func (h *recorder) RecordHedge(Hedge)                                {}
 func (h *recorder) SetTimer(at time.Duration, token uint64) {
 	if h.timers == nil {
 		h.timers = map[uint64]time.Duration{}
--- a/lbpolicy/example_test.go
+++ b/lbpolicy/example_test.go
@@ -23,7 +23,10 @@
 	return lbpolicy.ServerProgress{}
 }
 func (printer) WaitingSince(lbpolicy.RequestID, int) time.Duration { return 0 }
-func (printer) RecordHedge(lbpolicy.Hedge)                         {}
+func (printer) ResponseProgress(lbpolicy.RequestID, int) lbpolicy.ResponseProgress {
+	return lbpolicy.ResponseAwaited
+}
+func (printer) RecordHedge(lbpolicy.Hedge) {}
 
 func Example() {
 	settings := lbpolicy.Settings{
--- a/lbpolicy/fleet_slowstart_test.go
+++ b/lbpolicy/fleet_slowstart_test.go
@@ -277,17 +277,18 @@
 func (h slowStartHost) Send(_ RequestID, to ServerID) {
 	h.fleet.sends[to] = append(h.fleet.sends[to], h.fleet.now)
 }
-func (h slowStartHost) Reject(RequestID, time.Duration)           {}
-func (h slowStartHost) Fail(RequestID)                            {}
-func (h slowStartHost) Cancel(RequestID, int)                     {}
-func (h slowStartHost) CloseIdle(ServerID)                        {}
-func (h slowStartHost) Watch()                                    {}
-func (h slowStartHost) Log(string)                                {}
-func (h slowStartHost) LogServer(ServerID, string)                {}
-func (h slowStartHost) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
-func (h slowStartHost) WaitingSince(RequestID, int) time.Duration { return 0 }
-func (h slowStartHost) RecordHedge(Hedge)                         {}
-func (h slowStartHost) SetTimer(at time.Duration, _ uint64)       {}
+func (h slowStartHost) Reject(RequestID, time.Duration)                  {}
+func (h slowStartHost) Fail(RequestID)                                   {}
+func (h slowStartHost) Cancel(RequestID, int)                            {}
+func (h slowStartHost) CloseIdle(ServerID)                               {}
+func (h slowStartHost) Watch()                                           {}
+func (h slowStartHost) Log(string)                                       {}
+func (h slowStartHost) LogServer(ServerID, string)                       {}
+func (h slowStartHost) ServerProgress(ServerID) ServerProgress           { return ServerProgress{} }
+func (h slowStartHost) WaitingSince(RequestID, int) time.Duration        { return 0 }
+func (h slowStartHost) ResponseProgress(RequestID, int) ResponseProgress { return ResponseAwaited }
+func (h slowStartHost) RecordHedge(Hedge)                                {}
+func (h slowStartHost) SetTimer(at time.Duration, _ uint64)              {}
 
 const fullRequestRate = 10.0 // requests per second of a warmed-up endpoint
 
--- a/lbpolicy/fleet_test.go
+++ b/lbpolicy/fleet_test.go
@@ -346,13 +346,14 @@
 		}
 	})
 }
-func (m *member) CloseIdle(ServerID)                        {}
-func (m *member) Watch()                                    {}
-func (m *member) Log(string)                                {}
-func (m *member) LogServer(ServerID, string)                {}
-func (m *member) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
-func (m *member) WaitingSince(RequestID, int) time.Duration { return 0 }
-func (m *member) RecordHedge(Hedge)                         {}
+func (m *member) CloseIdle(ServerID)                               {}
+func (m *member) Watch()                                           {}
+func (m *member) Log(string)                                       {}
+func (m *member) LogServer(ServerID, string)                       {}
+func (m *member) ServerProgress(ServerID) ServerProgress           { return ServerProgress{} }
+func (m *member) WaitingSince(RequestID, int) time.Duration        { return 0 }
+func (m *member) ResponseProgress(RequestID, int) ResponseProgress { return ResponseAwaited }
+func (m *member) RecordHedge(Hedge)                                {}
 func (m *member) SetTimer(at time.Duration, token uint64) {
 	m.schedule(at-m.now, func() { m.balancer.Timer(m.now, token) })
 }
--- a/lbpolicy/hedge_test.go
+++ b/lbpolicy/hedge_test.go
@@ -38,6 +38,30 @@
 	}
 }
 
+// A server that writes a response slowly is left alone while bytes arrive. Once the response stalls, another server is asked as well, and
+// the attempt is never cancelled (docs/incidents/memory-and-slow-peers.md).
+func TestSlowResponseIsNotCancelled(t *testing.T) {
+	for _, hedges := range []bool{true, false} {
+		t.Run(fmt.Sprintf("hedges %t", hedges), func(t *testing.T) {
+			settings := testSettings()
+			settings.MayHedge = hedges
+			b, h := newBalancer(t, settings, readyServers(2)...)
+			const id = 1
+			b.Request(sec, Request{ID: id, Class: 0, TimeLeft: 3 * sec})
+			for _, progress := range []ResponseProgress{ResponseArriving, ResponseArriving, ResponseStalled} {
+				if len(h.sends) != 1 {
+					t.Fatalf("hedged before the response stalled: %v", h.actions)
+				}
+				h.responseProgress = progress
+				b.Timer(h.timers[id], id)
+			}
+			if hedged := len(h.sends) == 2; hedged != hedges || h.count("cancel") > 0 {
+				t.Errorf("hedged %t: actions %v", hedged, h.actions)
+			}
+		})
+	}
+}
+
 // A balancer that restores a snapshot hedges a request no sooner than its predecessor, as does one that starts without the snapshot.
 func TestSnapshotKeepsHedgeDelay(t *testing.T) {
 	for _, answers := range []int{1, 4, 40} {
--- a/lbpolicy/pause_test.go
+++ b/lbpolicy/pause_test.go
@@ -210,7 +210,8 @@
 	return p.now
 }
 
-func (p *pausePool) RecordHedge(Hedge) {}
+func (p *pausePool) ResponseProgress(RequestID, int) ResponseProgress { return ResponseAwaited }
+func (p *pausePool) RecordHedge(Hedge)                                {}
 
 func (p *pausePool) Log(string) {}
 
--- a/lbpolicy/report.go
+++ b/lbpolicy/report.go
@@ -35,7 +35,10 @@
 func (b *Balancer) describeHedge(now time.Duration, r *request, n int) Hedge {
 	a := &r.attempts[n]
 	reason := HedgeSilent
-	if a.server.lastResponseAt >= a.sentAt {
+	switch {
+	case b.host.ResponseProgress(r.id, n) == ResponseStalled:
+		reason = HedgeStalled
+	case a.server.lastResponseAt >= a.sentAt:
 		reason = HedgeStopped
 	}
 	return Hedge{
--- a/lbpolicy/rules_test.go
+++ b/lbpolicy/rules_test.go
@@ -114,15 +114,16 @@
 	}
 }
 
-func (w *randomWorkload) Reject(id RequestID, _ time.Duration)      { w.recordFinalAnswer(id, true) }
-func (w *randomWorkload) Fail(id RequestID)                         { w.recordFinalAnswer(id, false) }
-func (w *randomWorkload) Watch()                                    {}
-func (w *randomWorkload) CloseIdle(ServerID)                        {}
-func (w *randomWorkload) Log(string)                                {}
-func (w *randomWorkload) LogServer(ServerID, string)                {}
-func (w *randomWorkload) ServerProgress(ServerID) ServerProgress    { return ServerProgress{} }
-func (w *randomWorkload) WaitingSince(RequestID, int) time.Duration { return 0 }
-func (w *randomWorkload) RecordHedge(Hedge)                         {}
+func (w *randomWorkload) Reject(id RequestID, _ time.Duration)             { w.recordFinalAnswer(id, true) }
+func (w *randomWorkload) Fail(id RequestID)                                { w.recordFinalAnswer(id, false) }
+func (w *randomWorkload) Watch()                                           {}
+func (w *randomWorkload) CloseIdle(ServerID)                               {}
+func (w *randomWorkload) Log(string)                                       {}
+func (w *randomWorkload) LogServer(ServerID, string)                       {}
+func (w *randomWorkload) ServerProgress(ServerID) ServerProgress           { return ServerProgress{} }
+func (w *randomWorkload) WaitingSince(RequestID, int) time.Duration        { return 0 }
+func (w *randomWorkload) ResponseProgress(RequestID, int) ResponseProgress { return ResponseAwaited }
+func (w *randomWorkload) RecordHedge(Hedge)                                {}
 func (w *randomWorkload) Cancel(id RequestID, n int) {
 	w.check(w.cfg.MayCancel && !w.requests[id].attempts[n].ended, "cancelled an attempt that is not in flight, or without permission to cancel", id)
 }
