Bound the memory for the heads of requests

What callers saw: a process passed its memory limit and was killed while clients sent heads of very many short fields.

Cause: a head of 16 KiB may hold over 3,000 fields, and each takes some 200 bytes once it is parsed and copied for forwarding (httphead.Parse, EndToEnd): some 600 KiB a request, on each of 496 connections.

Excluded: a leak (the memory falls once the clients have gone).

Change: 431 for over 100 fields, before anything is allocated for them. Heads of over 2 KiB or 32 fields share a memory of their own for as long as their request lasts; without room 503 with Retry-After, as nothing was forwarded. The gateway gives it half of body_memory.

--- a/internal/base/httphead/httphead.go
+++ b/internal/base/httphead/httphead.go
@@ -14,6 +14,12 @@
 	"strings"
 )
 
+// MaxFields is the largest number of fields in a head. Many short fields take a multiple of their bytes once they are parsed.
+const MaxFields = 100
+
+// ErrTooManyFields means that a head has more than MaxFields fields.
+var ErrTooManyFields = fmt.Errorf("message head: more than %d fields", MaxFields)
+
 // Head is the head of a message.
 type Head struct {
 	StartLine     string // request line or status line
@@ -45,6 +51,9 @@
 	}
 	start, fields, more := strings.Cut(body, "\r\n")
 	lines := strings.Count(fields, "\r\n") + 1
+	if lines > MaxFields {
+		return Head{}, ErrTooManyFields
+	}
 	h := Head{StartLine: start, Header: make(http.Header, lines), ContentLength: -1}
 	values := make([]string, 0, lines) // most names have a single value: these values share one array
 	if !IsPrintable(start) {
--- a/internal/base/httphead/httphead_test.go
+++ b/internal/base/httphead/httphead_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -49,6 +51,19 @@
 	}
 }
 
+// Heads of many short fields take a multiple of their bytes once they are parsed.
+func TestParseLimitsFields(t *testing.T) {
+	head := func(fields int) []byte {
+		return []byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", fields) + "\r\n")
+	}
+	if h, err := Parse(head(MaxFields)); err != nil || len(h.Header["A"]) != MaxFields {
+		t.Errorf("%d fields: %d values, error %v", MaxFields, len(h.Header["A"]), err)
+	}
+	if _, err := Parse(head(MaxFields + 1)); !errors.Is(err, ErrTooManyFields) {
+		t.Errorf("%d fields: error %v", MaxFields+1, err)
+	}
+}
+
 // FuzzParse checks that net/http parses an accepted head in the same way, so that no other parser sees a different request.
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n",
--- a/internal/edge/frontend/acceptor.go
+++ b/internal/edge/frontend/acceptor.go
@@ -21,6 +21,7 @@
 	tlsConfig   atomic.Pointer[TLSConfig] // nil without TLS
 	onExhausted atomic.Pointer[func()]
 	serve       func(*clientConn) // serves connections that are admitted after a wait
+	heads       *headMemory       // nil: unlimited
 
 	mu            sync.Mutex
 	controller    *admission.Controller
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -11,12 +11,16 @@
 	"silvertrail/internal/balancer/engine"
 )
 
-// memoryRetryAfter is the Retry-After value when there is no memory for a request's body.
-const memoryRetryAfter = time.Second
+// memoryRetryAfter is the Retry-After value when there is no memory for a request's head or body.
+const (
+	memoryRetryAfter        = time.Second
+	memoryRetryAfterSeconds = "1.000"
+)
 
 // serve serves the requests of one connection until the connection ends.
 func (s *Server) serve(c *clientConn) {
 	defer c.Close()
+	defer c.releaseHead()
 	defer func() {
 		if p := recover(); p != nil { // a panic while serving a request ends only that connection
 			s.errorLog.Printf("panic while serving %s: %v\n%s", c.remoteAddr, p, debug.Stack())
@@ -61,7 +65,7 @@
 	c.responseStarted = false
 	c.streamError = nil
 	if status != 0 {
-		c.reject(status)
+		c.rejectWith(headRejection(status))
 		return
 	}
 	r := &c.request
--- a/internal/edge/frontend/requesthead.go
+++ b/internal/edge/frontend/requesthead.go
@@ -31,6 +31,9 @@
 			c.input = c.input[end:]
 			return status, nil
 		}
+		if !c.reserveHead(len(c.input), 0) {
+			return http.StatusServiceUnavailable, nil
+		}
 		c.growInput()
 		n, err := c.reader.Read(c.input[len(c.input):cap(c.input)])
 		c.input = c.input[:len(c.input)+n]
@@ -62,6 +65,7 @@
 	}
 	c.requestCount++
 	c.request = http.Request{}
+	c.releaseHead()
 	if !started {
 		if cap(c.buffer) == 0 || cap(c.buffer) > maxKeptReadBuffer {
 			c.buffer = make([]byte, readBufferBytes)
@@ -100,8 +104,14 @@
 
 // parseHead parses a head into c.request. A status other than 0 means that the request must be rejected with it.
 func (c *clientConn) parseHead(text []byte) (status int) {
+	if !c.reserveFields(text) {
+		return http.StatusServiceUnavailable
+	}
 	head, err := httphead.Parse(text)
-	if err != nil {
+	switch {
+	case errors.Is(err, httphead.ErrTooManyFields):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case err != nil:
 		return http.StatusBadRequest
 	}
 	method, target, proto, status := parseRequestLine(head.StartLine)
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -74,7 +74,7 @@
 			running.SetPolicy(l.Admission)
 			continue
 		}
-		g.listeners[key] = g.serveListener(l, bound[key], tls[key])
+		g.listeners[key] = g.serveListener(l, bound[key], tls[key], file.Process.BodyMemory/headMemoryDivider)
 	}
 	for key, b := range g.listeners {
 		if !named[key] {
@@ -87,12 +87,16 @@
 	g.openListeners.Store(&open)
 }
 
-// serveListener starts to serve a listener.
-func (g *Gateway) serveListener(l conf.Listener, listener net.Listener, tls *frontend.TLSConfig) *boundListener {
+// headMemoryDivider divides the memory for bodies: a listener gets this part beside it for large heads.
+const headMemoryDivider = 2
+
+// serveListener starts to serve a listener, with so much memory for large heads.
+func (g *Gateway) serveListener(l conf.Listener, listener net.Listener, tls *frontend.TLSConfig, headMemory int64) *boundListener {
 	b := &boundListener{listener: listener, router: &router{gateway: g}}
 	b.router.listener.Store(&l)
 	b.Server = frontend.New(b.router, listener, l.Admission, slog.NewLogLogger(g.log.Handler(), slog.LevelWarn))
 	b.SetTLS(tls)
+	b.SetHeadMemory(headMemory)
 	b.OnExhausted(func() { g.freeDescriptorsExcept(b) })
 	b.SetReady()
 	go func() {
