Hold less for peers that are slow: rejected clients, uploads, responses

What callers saw: a process passed its memory limit while clients wrote slowly, stopped half way through a large request or read long answers slowly.

Cause, by heap profiles at the peak (18 MB live): connections that linger after a rejection kept the 16 KiB read buffer of their upload (6.6 MB) and 8 KiB each of io.Discard (3.2 MB); the two buffers of an upload that is forwarded (32 KiB) were not accounted for; of a response up to 64 KiB were held for a client that reads slowly, beside 16 KiB to stream the rest.

Change: a lingering connection frees its buffer and discards with 2 KiB; the budget for bodies counts the buffers; how much of a response is buffered is a setting (upstream.Options.BufferBytes), and the first part's buffer serves for the rest.

TestResponseOverBufferIsStreamed is new.

--- a/internal/balancer/upstream/client.go
+++ b/internal/balancer/upstream/client.go
@@ -54,6 +54,9 @@
 	// MaxStreamBytes limits the body size of streamed responses. With a limit of up to 64 KiB, no response is streamed: all are
 	// buffered.
 	MaxStreamBytes int64
+	// BufferBytes is how much of a response is buffered at most before it is streamed; zero: 64 KiB. It has no effect where no response is
+	// streamed.
+	BufferBytes int64
 	// AnyStatus treats every response that an endpoint means for the client as a success (2xx, 3xx, and 4xx except 408 and 429).
 	// Without AnyStatus, only a response with status 200 is a success.
 	AnyStatus bool
--- a/internal/balancer/upstream/read.go
+++ b/internal/balancer/upstream/read.go
@@ -194,6 +194,7 @@
 		length:      head.ContentLength,
 		remaining:   head.ContentLength,
 		maxBytes:    c.maxBody,
+		bufferBytes: c.bufferBytes(),
 		deadline:    head.deadline,
 		headAloneAt: head.headAloneAt,
 		reusable:    reusable && isDelimited,
@@ -208,6 +209,14 @@
 	return isDelimited, err
 }
 
+// bufferBytes returns how many bytes of a response's body are buffered at most.
+func (c *conn) bufferBytes() int {
+	if c.maxBody <= maxBufferedBytes || c.client.BufferBytes == 0 {
+		return maxBufferedBytes
+	}
+	return int(min(c.client.BufferBytes, maxBufferedBytes))
+}
+
 // readHeadText reads the head of a response, including the empty line that ends it.
 func (c *conn) readHeadText() ([]byte, error) {
 	var text []byte
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -67,6 +67,7 @@
 	remaining     int64 // bytes still to be read, if the length is known
 	decoder       *chunked.Decoder
 	maxBytes      int64
+	bufferBytes   int // most bytes that are buffered
 	received      int64
 	startedAt     time.Time // when the body was first read
 	deadline      time.Time // of the buffered part; zero: the end of the attempt closes the connection
@@ -98,10 +99,10 @@
 			s.bufferingDone = true
 			return body, nil
 		}
-		if len(body) > maxBufferedBytes {
+		if len(body) > maxBufferedBytes { // where no response is streamed
 			return nil, fmt.Errorf("%w: body exceeds %d bytes", errMalformed, maxBufferedBytes)
 		}
-		body = grow(body)
+		body = grow(body, s.bufferBytes)
 		s.awaitUntil(earlier(s.streamedFrom(len(body)), s.deadline))
 		n, err := s.read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -125,7 +126,7 @@
 
 func (s *ResponseStream) initialCapacity() int {
 	if s.length >= 0 {
-		return int(min(s.length, maxBufferedBytes))
+		return int(min(s.length, int64(s.bufferBytes)))
 	}
 	return initialBodyBytes
 }
@@ -140,7 +141,7 @@
 	if s.maxBytes <= maxBufferedBytes {
 		return false
 	}
-	if buffered >= maxBufferedBytes {
+	if buffered >= s.bufferBytes {
 		return true
 	}
 	from := s.streamedFrom(buffered)
@@ -182,12 +183,12 @@
 	return at
 }
 
-// grow doubles the capacity of a full buffer, up to maxBufferedBytes plus one byte.
-func grow(body []byte) []byte {
+// grow doubles the capacity of a full buffer, up to a size plus one byte.
+func grow(body []byte, size int) []byte {
 	if len(body) < cap(body) {
 		return body
 	}
-	grown := make([]byte, len(body), min(2*cap(body), maxBufferedBytes+1))
+	grown := make([]byte, len(body), min(2*cap(body), size+1))
 	copy(grown, body)
 	return grown
 }
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -345,3 +346,35 @@
 		}
 	}
 }
+
+// Responses that are held whole for clients that read slowly take 64 KiB each, whatever the process's memory.
+func TestResponseOverBufferIsStreamed(t *testing.T) {
+	const (
+		size        = 40 << 10
+		bufferBytes = 8 << 10
+	)
+	body := strings.Repeat("0123456789", size/10)
+	for name, head := range map[string]string{"length": fmt.Sprintf("Content-Length: %d", len(body)), "close": "Connection: close"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+				fmt.Fprintf(a, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", head, body)
+				a.Close()
+			})
+			p := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 4, MaxStreamBytes: 1 << 20, BufferBytes: bufferBytes}).Pool(e.Addr)
+			defer p.Close()
+			verdict, response, err := p.Do(t.Context(), newRequest("one"), &AttemptProgress{}, alwaysClaim)
+			if verdict != lbpolicy.OK || err != nil || response.Stream == nil {
+				t.Fatalf("verdict %d, error %v, response %+v", verdict, err, response)
+			}
+			defer response.Stream.Close()
+			if cap(response.Body) > bufferBytes+1 {
+				t.Errorf("%d bytes are buffered, the limit is %d", cap(response.Body), bufferBytes)
+			}
+			rest, err := io.ReadAll(response.Stream)
+			if err != nil || string(response.Body)+string(rest) != body {
+				t.Errorf("%d and %d bytes of %d, error %v", len(response.Body), len(rest), len(body), err)
+			}
+		})
+	}
+}
--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -13,6 +13,8 @@
 	maxBufferedBody   = 64 << 10 // bodies up to this size are buffered completely, so that they can be sent again
 	maxUnreservedBody = 4 << 10  // accounted for in the memory of each connection
 	firstBodyBuffer   = 2 << 10  // initial buffer size for a body of unknown length
+	// streamedBodyBuffers is the memory that forwards a body while it is received: the buffers of both connections.
+	streamedBodyBuffers = 32 << 10
 	// messageTimeout is the maximum time for a head, counted from the start of the connection, and for a buffered body, counted from the
 	// end of its head. Faulty clients send at full speed, and must get a response or a close within 3 s of connecting. Slow valid clients
 	// may use both periods.
@@ -79,8 +81,12 @@
 	if size > 0 {
 		capacity = min(capacity, size)
 	}
+	reserved := capacity
+	if maxBytes > maxBufferedBody && (size < 0 || size > maxBufferedBody) {
+		reserved += streamedBodyBuffers
+	}
 	if capacity > maxUnreservedBody {
-		if err := b.reserve(c.ctx, capacity, time.Now().Add(min(timeout, messageTimeout))); err != nil {
+		if err := b.reserve(c.ctx, reserved, time.Now().Add(min(timeout, messageTimeout))); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -186,9 +186,26 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // if it fails, the reads below fail, too
 	}
+	c.buffer, c.input = nil, nil
 	deadline := time.Now().Add(lingerTimeout)
 	c.setReadDeadline(deadline)
-	if n, _ := io.CopyN(io.Discard, c.Conn, maxLingerBytes); n == maxLingerBytes {
+	if c.discardInput() {
 		time.Sleep(time.Until(deadline))
 	}
 }
+
+// discardInput discards input up to maxLingerBytes, and reports whether there was as much. Many connections may linger at once, so that its
+// buffer is small.
+func (c *clientConn) discardInput() bool {
+	pooled := bufferPool.Get().(*[]byte)
+	defer bufferPool.Put(pooled)
+	buffer := (*pooled)[:cap(*pooled)]
+	for discarded := 0; discarded < maxLingerBytes; {
+		n, err := c.Conn.Read(buffer)
+		discarded += n
+		if err != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/edge/frontend/stream.go
+++ b/internal/edge/frontend/stream.go
@@ -12,6 +12,7 @@
 
 const (
 	streamBufferBytes = 16 << 10
+	minStreamBuffer   = 4 << 10 // a smaller first part of a body gives no buffer for the rest
 	// streamWriteTimeout is how long a client may read nothing of a streamed response. It is longer than writeTimeout, because the
 	// response cannot be requested again.
 	streamWriteTimeout = 10 * time.Second
@@ -34,15 +35,19 @@
 	if c.writeFailed {
 		return
 	}
-	pooled := streamBufferPool.Get().(*[]byte)
-	defer streamBufferPool.Put(pooled)
+	buffer := response.Body[:cap(response.Body)] // of the first part, which is written first
+	if len(buffer) < minStreamBuffer {
+		pooled := streamBufferPool.Get().(*[]byte)
+		defer streamBufferPool.Put(pooled)
+		buffer = *pooled
+	}
 	piece := response.Body
 	for {
 		if len(piece) > 0 && !c.writeChunk(piece, chunked) {
 			return
 		}
-		n, err := response.Stream.Read(*pooled)
-		piece = (*pooled)[:n]
+		n, err := response.Stream.Read(buffer)
+		piece = buffer[:n]
 		switch {
 		case err == io.EOF: //nolint:errorlint // a wrapped EOF means a truncated body
 			if len(piece) > 0 && !c.writeChunk(piece, chunked) {
