Divide the memory that is left beside the program's own pages

Cause: the runtime got three quarters of the limit (24 of 32 MB), whatever the program itself takes, and its pages are 16.6 MB of an idle process; bodies got 35 % of the limit, keys 6 MB at any limit, responses up to 64 KiB a connection.

Change: the heap is the limit less the program's resident pages and 3 MB. Bodies, large heads, responses and keys are parts of the heap (sidecar.NewBudget).

--- a/cmd/silvertrail/main.go
+++ b/cmd/silvertrail/main.go
@@ -13,9 +13,11 @@
 
 	"github.com/alecthomas/kong"
 
+	"silvertrail/internal/base/ratelog"
 	"silvertrail/internal/demo"
 	"silvertrail/internal/gateway"
 	"silvertrail/internal/gateway/conf"
+	"silvertrail/internal/platform/process"
 )
 
 func main() {
@@ -27,7 +29,7 @@
 
 func run(args []string) error {
 	if len(args) == 0 && os.Getenv("LB_CONFIG") != "" {
-		return runSidecar()
+		return process.Run()
 	}
 	if len(args) == 0 {
 		args = []string{"--help"}
@@ -78,7 +80,7 @@
 	if err != nil {
 		return configError(err)
 	}
-	g, err := gateway.Start(file, newLog(os.Stderr), optionalParts()...)
+	g, err := gateway.Start(file, ratelog.New(os.Stderr), optionalParts()...)
 	if err != nil {
 		return err
 	}
@@ -141,5 +143,5 @@
 	if c.Salas {
 		run = demo.RunSites
 	}
-	return run(ctx, demo.Options{Listen: c.Listen, Out: os.Stdout, Log: newLog(os.Stderr)})
+	return run(ctx, demo.Options{Listen: c.Listen, Out: os.Stdout, Log: ratelog.New(os.Stderr)})
 }
--- a/cmd/silvertrail/log.go
+++ b/internal/base/ratelog/ratelog.go
@@ -1,4 +1,6 @@
-package main
+// Package ratelog makes loggers that never block and write a bounded number of lines. Each logger has a goroutine that writes its lines until
+// the process ends.
+package ratelog
 
 import (
 	"bytes"
@@ -18,13 +20,13 @@
 	maxQueuedLines = 256
 )
 
-// logLevelVariable is the environment variable with the lowest level that is logged: debug, info, warn or error.
-const logLevelVariable = "LB_LOG_LEVEL"
+// LevelVariable is the environment variable with the lowest level that is logged: debug, info, warn or error.
+const LevelVariable = "LB_LOG_LEVEL"
 
-// logLevel returns the configured level; info if none is, or an unknown one.
-func logLevel() slog.Level {
+// configuredLevel returns the configured level; info if none is, or an unknown one.
+func configuredLevel() slog.Level {
 	level := slog.LevelInfo
-	if text := os.Getenv(logLevelVariable); text != "" {
+	if text := os.Getenv(LevelVariable); text != "" {
 		if err := level.UnmarshalText([]byte(text)); err != nil {
 			return slog.LevelInfo
 		}
@@ -32,16 +34,15 @@
 	return level
 }
 
-// newLog returns a logger that never blocks: lines beyond the rate, or that nobody reads, are dropped. Its goroutine writes the lines until
-// the process ends.
-func newLog(w io.Writer) *slog.Logger {
+// New returns a logger. It drops lines beyond the rate, and those that w does not take in time.
+func New(w io.Writer) *slog.Logger {
 	q := &lineQueue{lines: make(chan []byte, maxQueuedLines), limit: rate.NewLimiter(linesPerSecond, lineBurst)}
 	go func() {
 		for line := range q.lines {
 			_, _ = w.Write(line) // a line that cannot be written is dropped
 		}
 	}()
-	return slog.New(slog.NewTextHandler(q, &slog.HandlerOptions{Level: logLevel()}))
+	return slog.New(slog.NewTextHandler(q, &slog.HandlerOptions{Level: configuredLevel()}))
 }
 
 // lineQueue queues lines for the writing goroutine.
--- a/cmd/silvertrail/log_test.go
+++ b/internal/base/ratelog/ratelog_test.go
@@ -1,4 +1,4 @@
-package main
+package ratelog
 
 import (
 	"strings"
--- a/cmd/silvertrail/sidecar.go
+++ b/internal/platform/process/process.go
@@ -1,4 +1,6 @@
-package main
+// Package process runs the platform's sidecar as a process: it reads the file that LB_CONFIG names, divides the process's limits, wires the
+// parts, and follows signals until SIGTERM. The parts own their goroutines; one more follows SIGHUP.
+package process
 
 import (
 	"cmp"
@@ -20,6 +22,7 @@
 	"silvertrail/internal/balancer/engine"
 	"silvertrail/internal/balancer/upstream"
 	"silvertrail/internal/base/endpointlist"
+	"silvertrail/internal/base/ratelog"
 	"silvertrail/internal/edge/admission"
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/admin"
@@ -28,15 +31,13 @@
 	"silvertrail/internal/platform/discovery"
 	"silvertrail/internal/platform/discoverypoll"
 	"silvertrail/internal/platform/handover"
-	platform "silvertrail/internal/platform/sidecar"
+	"silvertrail/internal/platform/sidecar"
 	"silvertrail/lbpolicy"
 )
 
 const (
-	reservedSockets = 32   // listener, discovery, standard streams, the runtime's own
-	heapFraction    = 0.75 // of the memory limit, for the Go runtime
-	bodyFraction    = 0.35 // of the memory limit, for request bodies
-	idleFraction    = 0.6  // of the time after which endpoints close an idle connection
+	reservedSockets = 32  // listener, discovery, standard streams, the runtime's own
+	idleFraction    = 0.6 // of the time after which endpoints close an idle connection
 
 	firstListTimeout = time.Second
 
@@ -57,28 +58,28 @@
 	acceptTime = 500 * time.Millisecond
 )
 
-// sidecarProcess is the platform's sidecar: one tier, one listener, one engine, configured by the file that LB_CONFIG names.
-type sidecarProcess struct {
+// process is the platform's sidecar: one tier, one listener, one engine, configured by the file that LB_CONFIG names.
+type process struct {
 	path      string
 	started   *config.Config                // at the start of the process
 	current   atomic.Pointer[config.Config] // in force
 	log       *slog.Logger
 	counters  *counters.Set
-	budget    platform.Budget
+	budget    sidecar.Budget
 	client    *upstream.Client
 	engine    *engine.Engine
-	router    *platform.Router
+	router    *sidecar.Router
 	discovery *discovery.Client
 	firstList chan struct{} // holds a token after the first list
-	takeover  *platform.Takeover
+	takeover  *sidecar.Takeover
 	handover  *handover.Process // nil: no process can replace another
 	server    *frontend.Server
 	accepts   atomic.Bool // new clients, as the operators' interface reports it
 	serveErr  chan error
 }
 
-// runSidecar runs the sidecar until SIGTERM.
-func runSidecar() error {
+// Run runs the sidecar until SIGTERM. An error means that it could not start or serve.
+func Run() error {
 	// Both from the first moment: a signal without a handler ends the process.
 	stop, hangup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
@@ -91,31 +92,27 @@
 		return err
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(c.Limits.Cores)))
-	debug.SetMemoryLimit(memoryBytes(c, heapFraction))
-	s, err := newSidecarProcess(path, c, newLog(os.Stderr).With("name", c.Name))
+	s, err := newProcess(path, c, ratelog.New(os.Stderr).With("name", c.Name))
 	if err != nil {
 		return err
 	}
 	return s.run(stop, hangup)
 }
 
-// memoryBytes returns a fraction of the memory limit.
-func memoryBytes(c *config.Config, fraction float64) int64 {
-	return int64(fraction * float64(c.Limits.MemoryMB<<20))
-}
-
-// newSidecarProcess makes the parts of the process, without a listener.
-func newSidecarProcess(path string, c *config.Config, log *slog.Logger) (*sidecarProcess, error) {
-	s := &sidecarProcess{path: path, started: c, log: log, counters: &counters.Set{}, firstList: make(chan struct{}, 1), serveErr: make(chan error, 1)}
+// newProcess makes the parts of the process, without a listener.
+func newProcess(path string, c *config.Config, log *slog.Logger) (*process, error) {
+	s := &process{path: path, started: c, log: log, counters: &counters.Set{}, firstList: make(chan struct{}, 1), serveErr: make(chan error, 1)}
 	s.current.Store(c)
 	s.budget = budgetOf(c, log)
+	debug.SetMemoryLimit(s.budget.HeapBytes)
 	s.client = upstream.NewClient(upstream.Options{
 		DialTimeout:     c.DialTimeout,
 		IdleTimeout:     idleTimeout(c),
 		SettleTime:      settleTime,
 		HedgeDials:      true,
 		MaxConns:        s.budget.EndpointConns,
-		MaxStreamBytes:  platform.MaxBodyBytes,
+		MaxStreamBytes:  sidecar.MaxBodyBytes,
+		BufferBytes:     s.budget.ResponseBytes,
 		OnSent:          func() { s.counters.AttemptsSent.Add(1) },
 		OnInformational: func() { s.counters.Responses.Informational.Add(1) },
 		OnEarlyResponse: func() { s.counters.Responses.Early.Add(1) },
@@ -126,29 +123,23 @@
 	if err != nil {
 		return nil, err
 	}
-	s.router = platform.NewRouter(c, s.engine, s.counters, s.budget.BodyBytes, log)
+	s.router = sidecar.NewRouter(c, s.engine, s.counters, s.budget, log)
 	s.initDiscovery(c)
-	s.takeover = &platform.Takeover{Listen: c.Listen, Engine: s.engine, Router: s.router, Client: s.client, Budget: s.budget}
+	s.takeover = &sidecar.Takeover{Listen: c.Listen, Engine: s.engine, Router: s.router, Client: s.client, Budget: s.budget}
 	return s, nil
 }
 
 // budgetOf divides the process's limits.
-func budgetOf(c *config.Config, log *slog.Logger) platform.Budget {
-	descriptors := platform.Descriptors(c.Limits.Sockets)
+func budgetOf(c *config.Config, log *slog.Logger) sidecar.Budget {
+	descriptors := sidecar.Descriptors(c.Limits.Sockets)
 	if descriptors < c.Limits.Sockets {
 		log.Warn("the system grants fewer descriptors than limits.sockets", "configured", c.Limits.Sockets, "used", descriptors)
 	}
-	sockets := descriptors - reservedSockets
-	return platform.Budget{
-		ClientConns:   sockets / 2,
-		EndpointConns: sockets / 2,
-		HeapBytes:     memoryBytes(c, heapFraction),
-		BodyBytes:     memoryBytes(c, bodyFraction),
-	}
+	return sidecar.NewBudget(sidecar.HeapBytes(c.Limits.MemoryMB), descriptors-reservedSockets)
 }
 
 // initDiscovery makes the discovery client, and uses the list that the configuration has cached.
-func (s *sidecarProcess) initDiscovery(c *config.Config) {
+func (s *process) initDiscovery(c *config.Config) {
 	cached, err := endpointlist.Parse(c.CachedList)
 	if err != nil && c.CachedList != nil {
 		s.log.Warn("cached endpoint list ignored", "error", err)
@@ -159,7 +150,7 @@
 }
 
 // updateEndpoints takes over a list of the discovery.
-func (s *sidecarProcess) updateEndpoints(kind lbpolicy.ListKind, endpoints []endpointlist.Endpoint) {
+func (s *process) updateEndpoints(kind lbpolicy.ListKind, endpoints []endpointlist.Endpoint) {
 	s.engine.UpdateEndpoints(kind, endpoints)
 	select {
 	case s.firstList <- struct{}{}:
@@ -168,7 +159,7 @@
 }
 
 // run serves until a signal on stop. Each one on hangup reloads the configuration.
-func (s *sidecarProcess) run(stop, hangup <-chan os.Signal) error {
+func (s *process) run(stop, hangup <-chan os.Signal) error {
 	listener, err := s.listen()
 	if err != nil {
 		return err
@@ -178,6 +169,7 @@
 	s.takeover.Socket = listener.(syscall.Conn)
 	s.server = frontend.New(s.router, listener, admission.SingleGroup(s.takeover.ClientConns()),
 		slog.NewLogLogger(s.log.Handler(), slog.LevelWarn))
+	s.server.SetHeadMemory(s.budget.HeadBytes)
 	closeAdmin, err := s.serveAdmin()
 	if err != nil {
 		return err
@@ -206,10 +198,10 @@
 	return nil
 }
 
-func (s *sidecarProcess) serve() { s.serveErr <- s.server.Serve() }
+func (s *process) serve() { s.serveErr <- s.server.Serve() }
 
 // awaitFirstList waits until the list is current, if discovery responds in time. It reports a signal on stop.
-func (s *sidecarProcess) awaitFirstList(stop <-chan os.Signal) (stopped bool, err error) {
+func (s *process) awaitFirstList(stop <-chan os.Signal) (stopped bool, err error) {
 	select {
 	case <-s.firstList:
 	case <-time.After(firstListTimeout):
@@ -222,7 +214,7 @@
 }
 
 // completeTakeover takes over from the predecessor, if there is one, and waits for a successor.
-func (s *sidecarProcess) completeTakeover(isSuccessor bool) {
+func (s *process) completeTakeover(isSuccessor bool) {
 	if s.handover == nil {
 		return
 	}
@@ -239,7 +231,7 @@
 }
 
 // serveUntil reports that the process is ready, and waits for a signal. Clients that came before were served, too.
-func (s *sidecarProcess) serveUntil(stop <-chan os.Signal) error {
+func (s *process) serveUntil(stop <-chan os.Signal) error {
 	s.server.SetReady()
 	s.accepts.Store(true)
 	s.log.Info("ready", "listen", s.started.Listen, "tier", s.started.Policy.Tier)
@@ -252,7 +244,7 @@
 }
 
 // shutDown shuts down gracefully.
-func (s *sidecarProcess) shutDown() {
+func (s *process) shutDown() {
 	s.accepts.Store(false)
 	grace := gracePeriod(s.started, s.current.Load())
 	now := time.Now()
@@ -266,7 +258,7 @@
 }
 
 // serveAdmin serves the operators' interface where the configuration has one. The result closes it, and the hand-over.
-func (s *sidecarProcess) serveAdmin() (closeAdmin func(), err error) {
+func (s *process) serveAdmin() (closeAdmin func(), err error) {
 	if s.started.Admin == "" {
 		return func() {}, nil
 	}
@@ -274,7 +266,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	operations := &platform.Operations{Engine: s.engine, Counters: s.counters, AcceptsClients: s.accepts.Load}
+	operations := &sidecar.Operations{Engine: s.engine, Counters: s.counters, AcceptsClients: s.accepts.Load}
 	if s.handover != nil {
 		s.router.SetHandover(s.handover)
 		operations.NotifyEjection = s.handover.NotifyEjection
@@ -308,7 +300,7 @@
 }
 
 // reloadOn reloads the configuration with each signal on hangup.
-func (s *sidecarProcess) reloadOn(ctx context.Context, hangup <-chan os.Signal) {
+func (s *process) reloadOn(ctx context.Context, hangup <-chan os.Signal) {
 	for {
 		select {
 		case <-hangup:
@@ -320,7 +312,7 @@
 }
 
 // reload puts the configuration of the file in force, as a whole or not at all. Address, name and limits of the process need a restart.
-func (s *sidecarProcess) reload() {
+func (s *process) reload() {
 	running := s.current.Load()
 	next, err := running.Next(s.path)
 	if err == nil {
@@ -343,13 +335,13 @@
 
 // listen returns the listener for clients: the predecessor's, with its state, or a new one. Without an address for operators, or a
 // directory of this deployment, no process can replace another.
-func (s *sidecarProcess) listen() (net.Listener, error) {
+func (s *process) listen() (net.Listener, error) {
 	dir := os.Getenv("TMPDIR") // of this deployment alone; /tmp is shared
 	if s.started.Admin == "" || dir == "" {
 		return listenForClients(s.started)
 	}
-	process, offer, listener := handover.Start(handover.Path(dir, s.started.Listen), s.takeover, s.log)
-	s.handover = process
+	successor, offer, listener := handover.Start(handover.Path(dir, s.started.Listen), s.takeover, s.log)
+	s.handover = successor
 	if offer != nil {
 		s.takeover.ApplyOffer(offer)
 		s.takeover.ApplyBudget(true)
--- a/internal/platform/sidecar/router.go
+++ b/internal/platform/sidecar/router.go
@@ -22,10 +22,15 @@
 )
 
 const (
-	maxKeys        = 1 << 15 // about 6 MB, which cover 10 to 15 s of 2,000 requests per second with keys
+	maxKeys        = 1 << 15 // these cover 10 to 15 s of 2,000 requests per second with keys
+	keyBytes       = 256     // memory of a key, with its entries in the table and in the queue of expiries
+	keyDivider     = 8       // divides the memory for the heap: the part for keys
 	keysRetryAfter = time.Second
 )
 
+// keysFor returns how many keys a heap has room for.
+func keysFor(heapBytes int64) int { return int(min(heapBytes/keyDivider/keyBytes, maxKeys)) }
+
 // MaxBodyBytes is the maximum size of a request body and of a response body.
 const MaxBodyBytes = 32 << 20
 
@@ -45,15 +50,15 @@
 	reserve   *reserve // nil: this process has all of the memory for bodies
 }
 
-// NewRouter returns a Router that holds at most maxBodies bytes of request bodies.
-func NewRouter(c *config.Config, e *engine.Engine, set *counters.Set, maxBodies int64, log *slog.Logger) *Router {
+// NewRouter returns a Router that stays within the memory of a budget.
+func NewRouter(c *config.Config, e *engine.Engine, set *counters.Set, budget Budget, log *slog.Logger) *Router {
 	r := &Router{
 		engine:   e,
 		counters: set,
 		log:      log,
-		bodies:   semaphore.NewWeighted(maxBodies),
+		bodies:   semaphore.NewWeighted(budget.BodyBytes),
 		ids:      newRequestIDs(),
-		keys:     idempotency.New(maxKeys),
+		keys:     idempotency.New(keysFor(budget.HeapBytes)),
 	}
 	r.config.Store(c)
 	set.AddClasses(c.Classes)
--- a/internal/platform/sidecar/takeover.go
+++ b/internal/platform/sidecar/takeover.go
@@ -19,6 +19,30 @@
 type Budget struct {
 	ClientConns, EndpointConns int
 	HeapBytes, BodyBytes       int64
+	HeadBytes                  int64 // for large heads of requests
+	ResponseBytes              int64 // of one response, before it is streamed
+}
+
+// Fractions of the heap. The rest is for connections, goroutines, keys and what the garbage collector has not freed yet.
+const (
+	bodyFraction     = 0.35 // for request bodies
+	headFraction     = 0.08 // for large heads of requests
+	responseFraction = 0.25 // for responses, of all connections to endpoints
+	minResponseBytes = 8 << 10
+)
+
+// NewBudget divides a heap and the sockets for connections.
+func NewBudget(heapBytes int64, sockets int) Budget {
+	part := func(fraction float64) int64 { return int64(fraction * float64(heapBytes)) }
+	conns := max(sockets/2, 1)
+	return Budget{
+		ClientConns:   conns,
+		EndpointConns: conns,
+		HeapBytes:     heapBytes,
+		BodyBytes:     part(bodyFraction),
+		HeadBytes:     part(headFraction),
+		ResponseBytes: max(part(responseFraction)/int64(conns), minResponseBytes),
+	}
 }
 
 // Half returns the budget of each process while there are two.
@@ -28,6 +52,8 @@
 		EndpointConns: max(b.EndpointConns/2, 1),
 		HeapBytes:     b.HeapBytes / 2,
 		BodyBytes:     b.BodyBytes / 2,
+		HeadBytes:     b.HeadBytes,
+		ResponseBytes: b.ResponseBytes,
 	}
 }
 
--- a/internal/testkit/endtoend/memory_test.go
+++ b/internal/testkit/endtoend/memory_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,6 +115,10 @@
 				readSlowly(c, pressureTime/4)
 			}
 		},
+		"large heads": func(c net.Conn, id string) {
+			_, _ = io.WriteString(c, lbtest.Get(id, slices.Repeat([]string{"X-Padding: " + strings.Repeat("p", 160)}, 80)...))
+			readSlowly(c, pressureTime)
+		},
 		"slow heads": func(c net.Conn, id string) {
 			writeSlowly(c, fieldHead(id, 2200), 1<<10, 100*time.Millisecond, pressureTime)
 			readSlowly(c, time.Second)
@@ -121,6 +128,9 @@
 			readSlowly(c, pressureTime)
 		},
 	}
+	names := slices.Sorted(maps.Keys(behaviours))
+	var turn atomic.Int64
+	behaviours["all of them"] = func(c net.Conn, id string) { behaviours[names[int(turn.Add(1))%len(names)]](c, id) }
 	for _, role := range Roles {
 		for name, behave := range behaviours {
 			t.Run(fmt.Sprintf("%s/%s", role, name), func(t *testing.T) { testMemory(t, role, behave) })
