Remember the ids of 32,768 ended requests, not 4,096

What endpoints saw: an id ran twice when it came again after its client had left.

Cause: an id is remembered until 4,096 further requests have ended (sidecar/ids.go). One client that sends small requests at full speed makes some 15,000 a second here, so that ids were forgotten within 0.3 s, while their first attempt was still in work.

Change: 32,768, about 1 MB. It remains a number, not a time: a client of over 10,000 requests a second still shortens it to 3 s.

Measured: TestIDOfDepartedClientRunsOnce (6,000 ids in between) failed before.

--- a/internal/platform/sidecar/ids.go
+++ b/internal/platform/sidecar/ids.go
@@ -10,8 +10,8 @@
 	"silvertrail/internal/platform/handover"
 )
 
-// maxEndedIDs bounds the remembered IDs of ended requests. They cover a few seconds of a busy sidecar's traffic.
-const maxEndedIDs = 4096
+// maxEndedIDs bounds the remembered IDs of ended requests. They cover the longest deadline of a client that sends as fast as it can.
+const maxEndedIDs = 1 << 15
 
 // requestIDs remembers the IDs of requests in flight and of recently ended requests, to detect repeated IDs. Every request
 // must have a new ID. Forwarding a request with a repeated ID would duplicate the first request. Rejecting it with 429 or 503
