Make no further attempt for a client whose close may be hidden

What endpoints saw: a retry 0.4 to 1 s after its client had closed the connection; 0.1 s is allowed.

Cause: the end of a connection waits behind what its client has sent. Where that fills the buffers (8 MiB of further requests behind the one in work) neither the watch (frontend/watch.go, POLLRDHUP) nor the check before an attempt can see it.

Change: with over 32 KiB unread behind a request that is complete, its client may have gone: no further attempt is made for it, so that it is answered. Forwarding to other sites asks the same. A first attempt and a streamed body go on as before.

--- a/internal/balancer/engine/call.go
+++ b/internal/balancer/engine/call.go
@@ -24,7 +24,7 @@
 	lastResponse      *upstream.Response
 	timeLeftAfterBody time.Duration // the time allowed after the last byte of a streamed body; zero when no byte is awaited
 	outOfDescriptors  bool          // an attempt failed because this process had no free file descriptor
-	isDisconnected    func() bool   // nil: the connection of the client cannot be checked
+	client            *clientCheck  // nil: the connection of the client cannot be checked
 }
 
 // Result is the final result of a call. Each call has at most one.
@@ -52,8 +52,8 @@
 	return e.begin(r, policyRequest, key, nil)
 }
 
-func (e *Engine) begin(r upstream.Request, policyRequest lbpolicy.Request, key *Key, isDisconnected func() bool) *Call {
-	c := &Call{request: r, class: policyRequest.Class, key: key, result: make(chan Result, 1), isDisconnected: isDisconnected}
+func (e *Engine) begin(r upstream.Request, policyRequest lbpolicy.Request, key *Key, client *clientCheck) *Call {
+	c := &Call{request: r, class: policyRequest.Class, key: key, result: make(chan Result, 1), client: client}
 	e.processEvent(func(now time.Duration) { e.start(now, c, policyRequest) })
 	return c
 }
@@ -104,7 +104,7 @@
 	if IsDisconnected(ctx) {
 		return Result{}, false
 	}
-	c := e.begin(r, policyRequest, key, func() bool { return IsDisconnected(ctx) })
+	c := e.begin(r, policyRequest, key, newClientCheck(ctx))
 	select {
 	case result = <-c.result:
 		return result, true
--- a/internal/balancer/engine/disconnect.go
+++ b/internal/balancer/engine/disconnect.go
@@ -22,24 +22,56 @@
 	return context.WithValue(ctx, disconnectCheckKey{}, isDisconnected)
 }
 
+type disconnectHiddenKey struct{}
+
+// WithHiddenDisconnectCheck returns a context with a function that reports whether a disconnect of the client might not be detectable: the
+// client has sent so much beyond its request that the end of the connection may wait behind it. The function is called from any goroutine
+// and must not block.
+func WithHiddenDisconnectCheck(ctx context.Context, mayBeHidden func() bool) context.Context {
+	return context.WithValue(ctx, disconnectHiddenKey{}, mayBeHidden)
+}
+
+// MayAttemptAgain reports whether the client of a context is known to wait still, so that another attempt may be made for it.
+func MayAttemptAgain(ctx context.Context) bool {
+	mayBeHidden, _ := ctx.Value(disconnectHiddenKey{}).(func() bool)
+	return !IsDisconnected(ctx) && (mayBeHidden == nil || !mayBeHidden())
+}
+
 // IsDisconnected reports whether the client of a context has disconnected.
 func IsDisconnected(ctx context.Context) bool {
 	isDisconnected, _ := ctx.Value(disconnectCheckKey{}).(func() bool)
 	return ctx.Err() != nil || isDisconnected != nil && isDisconnected()
 }
 
+// clientCheck tells about the connection of a call's client. Its functions may be called from any goroutine and do not block.
+type clientCheck struct {
+	isDisconnected  func() bool
+	mayAttemptAgain func() bool
+}
+
+func newClientCheck(ctx context.Context) *clientCheck {
+	return &clientCheck{
+		isDisconnected:  func() bool { return IsDisconnected(ctx) },
+		mayAttemptAgain: func() bool { return MayAttemptAgain(ctx) },
+	}
+}
+
 // disconnectCheckValidity is how long the result of a check may be used. It is half of the 0.1 s after a disconnect within which an
 // attempt may still begin.
 const disconnectCheckValidity = 50 * time.Millisecond
 
 // checkClientConnected reports whether the client of a call is still connected. If it is not, the policy is notified of that first, so
-// that it makes no further attempt in place of the one that is not sent.
-func (e *Engine) checkClientConnected(c *Call) bool {
-	if c.isDisconnected == nil || !c.isDisconnected() {
+// that it makes no further attempt in place of the one that is not sent. A further attempt needs a client that is known to wait. The input
+// behind the head of a streamed body is the body, which tells nothing.
+func (e *Engine) checkClientConnected(c *Call, a *attempt) bool {
+	if c.client == nil {
 		return true
 	}
-	e.ClientDisconnected(c)
-	return false
+	if c.client.isDisconnected() {
+		e.ClientDisconnected(c)
+		return false
+	}
+	return a.number == 0 || c.request.Stream != nil || c.client.mayAttemptAgain()
 }
 
 // claimDispatch is called just before the first byte of an attempt is sent, and reports whether it may be sent: mayDispatch still
@@ -49,7 +81,7 @@
 func (e *Engine) claimDispatch(c *Call, a *attempt) bool {
 	for {
 		checkedAt := time.Now()
-		if !e.checkClientConnected(c) {
+		if !e.checkClientConnected(c, a) {
 			return false
 		}
 		mayDispatch, outdated := e.tryClaimDispatch(checkedAt, c, a)
--- a/internal/balancer/engine/disconnect_test.go
+++ b/internal/balancer/engine/disconnect_test.go
@@ -67,6 +67,14 @@
 	return idempotency.KeyState{}
 }
 
+// checkOf returns the check of a client whose disconnect is always detected.
+func checkOf(isDisconnected func() bool) *clientCheck {
+	if isDisconnected == nil {
+		return nil
+	}
+	return &clientCheck{isDisconnected: isDisconnected, mayAttemptAgain: func() bool { return true }}
+}
+
 // beginKeyed begins a request with an idempotency key. The function isDisconnected reports whether its client has disconnected.
 func beginKeyed(t *testing.T, engine *Engine, isDisconnected func() bool, claimer Claimer, recorder Recorder) (*Call, *idempotency.Request) {
 	t.Helper()
@@ -76,7 +84,7 @@
 	}
 	key := &Key{Request: keyRequest, Terms: idempotency.Terms{Scope: lbpolicy.ScopeZone, Window: time.Minute, Retention: time.Minute}, Claimer: claimer, Recorder: recorder}
 	r := upstream.Request{Method: "POST", Target: "/write", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}, "Idempotency-Key": {"k"}}}
-	return engine.begin(r, lbpolicy.Request{Class: 1, TimeLeft: lbtest.Wait}, key, isDisconnected), keyRequest
+	return engine.begin(r, lbpolicy.Request{Class: 1, TimeLeft: lbtest.Wait}, key, checkOf(isDisconnected)), keyRequest
 }
 
 // If the client disconnects while the key is being claimed or the intent is being recorded, nothing is sent. The key stays free,
@@ -134,7 +142,7 @@
 		return disconnected.Load()
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	c := engine.begin(r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, isDisconnected)
+	c := engine.begin(r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, checkOf(isDisconnected))
 	g.awaitArrival(t)
 	engine.processEvent(func(now time.Duration) { engine.abandon(now, c, c.attempts[0], lbpolicy.Cancelled) })
 	engine.mu.Lock()
@@ -240,7 +248,7 @@
 		return disconnected.Load()
 	}
 	r := upstream.Request{Method: "GET", Target: "/read", Host: "x", Header: map[string][]string{"X-Request-Id": {"left"}}}
-	engine.begin(r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, isDisconnected)
+	engine.begin(r, lbpolicy.Request{Class: 0, TimeLeft: lbtest.Wait}, nil, checkOf(isDisconnected))
 	g.awaitArrival(t)
 	engine.mu.Lock()
 	close(g.opened)
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -89,7 +89,8 @@
 	if address, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.remoteIP = address.AddrPort().Addr().Unmap()
 	}
-	c.ctx, c.cancel = context.WithCancel(engine.WithDisconnectCheck(context.Background(), c.isDisconnected))
+	checked := engine.WithHiddenDisconnectCheck(engine.WithDisconnectCheck(context.Background(), c.isDisconnected), c.mayHideClose)
+	c.ctx, c.cancel = context.WithCancel(checked)
 	return c, nil
 }
 
--- a/internal/edge/frontend/watch.go
+++ b/internal/edge/frontend/watch.go
@@ -68,6 +68,10 @@
 	return disconnected
 }
 
+// mayHideClose reports whether the peer may have closed the connection unnoticed: so much is unread that the receive window may be full,
+// and the close waits behind what it does not take.
+func (c *clientConn) mayHideClose() bool { return c.unreadBytes() > openWindowBytes }
+
 // stopWatch ends the watch. After it has returned, nothing else reads from the connection.
 func (c *clientConn) stopWatch() {
 	c.watchTimer.Stop()
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -31,7 +31,7 @@
 		return result
 	}
 	attempts := result.Attempts
-	for !engine.IsDisconnected(ctx) && result.Response == nil {
+	for result.Response == nil && !engine.IsDisconnected(ctx) && (attempts == 0 || engine.MayAttemptAgain(ctx)) {
 		progress := forwarding.Progress{
 			Now:         time.Now(),
 			Deadline:    x.deadline,
