Claim the ids that a replaced process still reads at its successor

What endpoints saw: an id ran twice, once at the process that was replaced and once at its successor.

Cause: the successor takes over the ids that the old process knew at that moment. What clients send later on connections that the old process still serves is known to it alone, and what comes to the successor to it alone.

Change: a retired process claims each id at the process that has taken over, through those in between, before it serves the request. The successor tells in its Hello that it accepts such claims, so that processes of the release before and of this one replace each other both ways; the recorded messages are unchanged.

--- a/internal/platform/handover/format_test.go
+++ b/internal/platform/handover/format_test.go
@@ -10,12 +10,15 @@
 
 // TestMessageFormat checks that each message is encoded to the recorded bytes, and that these decode to the same message.
 func TestMessageFormat(t *testing.T) {
-	for _, kind := range []Kind{Hello, TakeOver, Keys, ClaimKey, Eject, Rejection} {
+	for _, kind := range []Kind{Hello, TakeOver, Keys, ClaimKey, ClaimID, Eject, Rejection} {
 		t.Run(string(kind), func(t *testing.T) {
 			m := &Message{}
 			golden.Fill(m)
 			m.Kind = kind
 			m.Claim.Scope = 1
+			if kind != ClaimID { // the messages were recorded before these fields were added
+				m.Accepts, m.RequestIDs = nil, nil
+			}
 			text, err := json.MarshalIndent(m, "", " ")
 			if err != nil {
 				t.Fatal(err)
--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -30,6 +30,7 @@
 
 	mu                    sync.Mutex
 	ejected               map[string]bool
+	ids                   map[uint64]bool
 	retired               bool
 	resumeCount           int
 	predecessorEndedCount int
@@ -37,7 +38,7 @@
 
 func newFakeHost(t *testing.T) *fakeHost {
 	t.Helper()
-	return &fakeHost{t: t, listener: lbtest.Listen(t).(*net.TCPListener), keys: idempotency.New(1 << 16), ejected: map[string]bool{}}
+	return &fakeHost{t: t, listener: lbtest.Listen(t).(*net.TCPListener), keys: idempotency.New(1 << 16), ejected: map[string]bool{}, ids: map[uint64]bool{}}
 }
 
 func (h *fakeHost) Offer() Offer {
@@ -93,6 +94,14 @@
 	}
 }
 
+func (h *fakeHost) ClaimID(hash uint64) (isKnown bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isKnown = h.ids[hash]
+	h.ids[hash] = true
+	return isKnown
+}
+
 // locked returns a function that calls condition with h.mu locked.
 func (h *fakeHost) locked(condition func() bool) func() bool {
 	return func() bool { h.mu.Lock(); defer h.mu.Unlock(); return condition() }
@@ -396,3 +405,26 @@
 		}
 	})
 }
+
+// An ID that a replaced process reads is claimed at the last process that has taken over, through those in between.
+func TestIDIsClaimedAtLastProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	first, _ := startFirstProcess(t, path)
+	const hash = 42
+	if isKnown, err := first.ClaimID(t.Context(), hash); isKnown || err != nil {
+		t.Errorf("without a successor: known %t, error %v", isKnown, err)
+	}
+	second, secondHost, _ := startSuccessor(t, path)
+	if err := second.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	_, thirdHost, _ := startSuccessor(t, path)
+	for _, want := range []bool{false, true} {
+		if isKnown, err := first.ClaimID(t.Context(), hash); isKnown != want || err != nil {
+			t.Errorf("known %t, want %t, error %v", isKnown, want, err)
+		}
+	}
+	if len(secondHost.ids) != 0 || len(thirdHost.ids) != 1 {
+		t.Errorf("%d IDs at the second process, %d at the third", len(secondHost.ids), len(thirdHost.ids))
+	}
+}
--- a/internal/platform/handover/message.go
+++ b/internal/platform/handover/message.go
@@ -41,6 +41,7 @@
 	TakeOver  Kind = "take"  // the successor accepts clients from now on; the response is the predecessor's state at that moment
 	Keys      Kind = "keys"  // key states, split into several messages; they have no response
 	ClaimKey  Kind = "bind"  // the predecessor claims a key for an attempt; the response is the key's state
+	ClaimID   Kind = "id"    // the predecessor claims the ID of a request; the response has the ID if it was in use
 	Eject     Kind = "ban"   // an operator has ejected an endpoint, or ended its ejection, at another process
 	Rejection Kind = "no"    // the request was rejected
 )
@@ -59,6 +60,10 @@
 	Claim    *Claim      `json:"bind,omitempty"`
 	KeyState *KeyState   `json:"past,omitempty"`
 	Ejection *Ejection   `json:"ban,omitempty"`
+
+	// Accepts is a part of Hello: the kinds of requests that the successor accepts beyond those of the version's first processes.
+	Accepts    []Kind   `json:"accepts,omitempty"`
+	RequestIDs []uint64 `json:"ids,omitempty"` // hashes; of ClaimID
 }
 
 // Offer is the state that a successor starts with.
@@ -171,6 +176,8 @@
 		ok = len(m.Keys) <= maxKeysPerMessage
 	case ClaimKey:
 		ok = !m.IsResponse && m.Claim != nil && m.Claim.To.Known && m.Claim.Scope <= lbpolicy.ScopeCell || m.IsResponse && m.KeyState != nil
+	case ClaimID:
+		ok = m.IsResponse && len(m.RequestIDs) <= 1 || len(m.RequestIDs) == 1
 	case Eject:
 		ok = m.IsResponse || m.Ejection != nil && m.Ejection.Endpoint != ""
 	case Rejection:
--- a/internal/platform/handover/predecessor.go
+++ b/internal/platform/handover/predecessor.go
@@ -54,7 +54,7 @@
 func requestOffer(s *session) (*Offer, net.Listener, error) {
 	_ = s.conn.SetDeadline(time.Now().Add(offerTimeout))
 	defer func() { _ = s.conn.SetDeadline(time.Time{}) }()
-	if err := s.send(&Message{Kind: Hello, Version: Version, Seq: 1}); err != nil {
+	if err := s.send(&Message{Kind: Hello, Version: Version, Seq: 1, Accepts: []Kind{ClaimID}}); err != nil {
 		return nil, nil, err
 	}
 	_ = s.conn.SetReadDeadline(time.Now().Add(offerTimeout))
@@ -129,6 +129,16 @@
 			return &Message{Kind: Rejection, Reason: err.Error()}
 		}
 		return &Message{Kind: ClaimKey, KeyState: &state}
+	case ClaimID:
+		isKnown, err := p.claimID(m.RequestIDs[0])
+		if err != nil {
+			return &Message{Kind: Rejection, Reason: err.Error()}
+		}
+		response := &Message{Kind: ClaimID}
+		if isKnown {
+			response.RequestIDs = m.RequestIDs
+		}
+		return response
 	case Eject:
 		p.host.SetEjected(m.Ejection.Endpoint, m.Ejection.Ejected)
 		p.notify(context.Background(), p.currentSuccessor(), *m.Ejection)
@@ -147,3 +157,13 @@
 	}
 	return p.host.ClaimKey(c), nil
 }
+
+// claimID claims the ID of a request of the predecessor, in the same place as claimKey, and reports whether it was in use.
+func (p *Process) claimID(hash uint64) (isKnown bool, err error) {
+	p.claimMu.RLock()
+	defer p.claimMu.RUnlock()
+	if successor := p.currentSuccessor(); successor != nil {
+		return requestIDClaim(context.Background(), successor, hash)
+	}
+	return p.host.ClaimID(hash), nil
+}
--- a/internal/platform/handover/process.go
+++ b/internal/platform/handover/process.go
@@ -38,6 +38,9 @@
 	// ClaimKey records an attempt that another process is about to make, if the state of its key allows the attempt. It
 	// returns the key's state.
 	ClaimKey(Claim) KeyState
+	// ClaimID records the ID of a request that another process is about to serve, by its hash, and reports whether it was known. It may be
+	// called before the state of the other process is known here.
+	ClaimID(hash uint64) (isKnown bool)
 	// SetEjected applies a manual ejection, or the end of one, that an operator requested at another process.
 	SetEjected(id string, ejected bool)
 	// PredecessorEnded is called when the predecessor has ended.
--- a/internal/platform/handover/session.go
+++ b/internal/platform/handover/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 	lastSeq uint64
 	pending map[uint64]chan *Message // requests waiting for a response, by sequence number
 
+	acceptsIDs atomic.Bool // the other process is a successor that accepts ClaimID
+
 	closed    chan struct{}
 	closeOnce sync.Once
 }
--- a/internal/platform/handover/successor.go
+++ b/internal/platform/handover/successor.go
@@ -36,6 +36,31 @@
 	return requestClaim(ctx, successor, c)
 }
 
+// requestIDClaim asks a successor to claim the ID of a request, and reports whether it was in use there. A successor that does not know the
+// request claims nothing.
+func requestIDClaim(ctx context.Context, s *session, hash uint64) (isKnown bool, err error) {
+	if !s.acceptsIDs.Load() {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	response, err := s.call(ctx, &Message{Kind: ClaimID, RequestIDs: []uint64{hash}})
+	if err != nil {
+		return false, err
+	}
+	return len(response.RequestIDs) > 0, nil
+}
+
+// ClaimID claims the ID of a request that this process has read at the successor that has taken over, and reports whether it was in use
+// there. Without a successor it is false.
+func (p *Process) ClaimID(ctx context.Context, hash uint64) (isKnown bool, err error) {
+	successor := p.currentSuccessor()
+	if successor == nil {
+		return false, nil
+	}
+	return requestIDClaim(ctx, successor, hash)
+}
+
 // Listen accepts successors, which may take over from this process. After an error the next process starts without the state
 // of this process.
 func (p *Process) Listen() error {
@@ -128,6 +153,7 @@
 		_ = s.send(&Message{Kind: Rejection, IsResponse: true, Seq: m.Seq, Reason: reason})
 		return false
 	}
+	s.acceptsIDs.Store(slices.Contains(m.Accepts, ClaimID))
 	if err := p.sendOffer(s, m.Seq); err != nil {
 		p.log.Warn("no offer made", "component", "handover", "error", err)
 		return false
--- a/internal/platform/sidecar/exchange.go
+++ b/internal/platform/sidecar/exchange.go
@@ -48,15 +48,15 @@
 
 // Do implements frontend.Exchange.
 func (x *exchange) Do(ctx context.Context, body []byte, receivedAt time.Time) engine.Result {
-	x.request.TimeLeft -= time.Since(receivedAt)
-	return x.do(ctx, body)
+	return x.do(ctx, body, func() { x.request.TimeLeft -= time.Since(receivedAt) })
 }
 
-func (x *exchange) do(ctx context.Context, body []byte) engine.Result {
+// do serves the request. It calls setTimeLeft once nothing more delays the call of the engine.
+func (x *exchange) do(ctx context.Context, body []byte, setTimeLeft func()) engine.Result {
 	x.isReceived = true
 	x.router.counters.RequestReceived()
 	x.requestHash, x.isStarted = x.router.ids.begin(x.requestID)
-	if !x.isStarted {
+	if !x.isStarted || x.isKnownToSuccessor(ctx) {
 		x.isDuplicate = true
 		return engine.Result{}
 	}
@@ -69,10 +69,27 @@
 			return engine.Result{Rejected: true, RetryAfter: keysRetryAfter}
 		}
 	}
+	setTimeLeft()
 	result, _ := x.router.engine.Do(ctx, x.upstream, x.request, key)
 	return result
 }
 
+// isKnownToSuccessor claims the request's ID at the process that has taken over, if there is one, and reports whether it was in use there. A
+// process that does not respond claims nothing: a request that is new is not to fail because of one that repeats its ID.
+func (x *exchange) isKnownToSuccessor(ctx context.Context) bool {
+	process := x.router.handover.Load()
+	if process == nil || !process.IsRetired() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.request.TimeLeft)
+	defer cancel()
+	isKnown, err := process.ClaimID(ctx, x.requestHash)
+	if err != nil {
+		x.router.log.Warn("request ID not claimed at the successor", "request", x.requestID, "error", err)
+	}
+	return isKnown
+}
+
 // beginKey adds the request to the key table under its idempotency key. It fails if the table is full.
 func (x *exchange) beginKey() (*engine.Key, error) {
 	var err error
@@ -95,7 +112,7 @@
 // Stream implements frontend.StreamingExchange.
 func (x *exchange) Stream(ctx context.Context, held []byte, rest *frontend.BodyStream) engine.Result {
 	x.upstream.Stream = rest
-	return x.do(ctx, held)
+	return x.do(ctx, held, func() {}) // the time counts from the last byte
 }
 
 // Reply implements frontend.Exchange.
--- a/internal/platform/sidecar/ids.go
+++ b/internal/platform/sidecar/ids.go
@@ -25,6 +25,7 @@
 	key    []byte // hash key, so that clients cannot construct IDs that collide
 	hashes map[uint64]struct{}
 	ended  *hashring.Ring // hashes of the most recently ended requests
+	own    bool           // an ID of this process was added, with its own hash key
 }
 
 func newRequestIDs() *requestIDs {
@@ -55,25 +56,42 @@
 const maxRestoredIDs = 2 * maxEndedIDs
 
 // restore adds the IDs of another process as IDs of recently ended requests. It does nothing if this process already has IDs
-// or if the hash key has the wrong length.
+// of its own or if the hash key has the wrong length.
 func (r *requestIDs) restore(ids handover.RequestIDs) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.hashes) > 0 || len(ids.Key) != len(r.key) {
+	if r.own || len(ids.Key) != len(r.key) {
 		return
 	}
 	r.key = ids.Key
 	for _, h := range ids.Hashes[:min(len(ids.Hashes), maxRestoredIDs)] {
-		r.hashes[h] = struct{}{}
-		r.addEnded(h)
+		r.addClaimed(h)
 	}
 }
 
+// claim adds the hash of a request of another process, whose hash key this process has or will restore, and reports whether the ID was known.
+func (r *requestIDs) claim(hash uint64) (isKnown bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.addClaimed(hash)
+}
+
+// addClaimed adds a hash as that of an ended request, and reports whether it was new. The caller holds the lock.
+func (r *requestIDs) addClaimed(hash uint64) (isNew bool) {
+	if _, known := r.hashes[hash]; known {
+		return false
+	}
+	r.hashes[hash] = struct{}{}
+	r.addEnded(hash)
+	return true
+}
+
 // begin adds the ID of a request and returns the ID's hash. isNew is false if the ID is already known.
 func (r *requestIDs) begin(id string) (hash uint64, isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	hash = r.hash(id)
+	r.own = true
 	if _, known := r.hashes[hash]; known {
 		return hash, false
 	}
--- a/internal/platform/sidecar/takeover.go
+++ b/internal/platform/sidecar/takeover.go
@@ -184,6 +184,9 @@
 	return handover.NewKeyState(now, state.Merge(to, c.Scope))
 }
 
+// ClaimID implements handover.Host.
+func (t *Takeover) ClaimID(hash uint64) (isKnown bool) { return t.Router.ids.claim(hash) }
+
 // SetEjected implements handover.Host.
 func (t *Takeover) SetEjected(id string, ejected bool) { t.Engine.SetEjectedUnlisted(id, ejected) }
 
