Listen for the next process again once a successor was killed

What callers would see: a keyed request runs at two groups of endpoints. A sidecar is replaced, its successor is killed, and the process that starts next finds the dead successor's socket in the directory, takes itself for the first one, and knows none of the keys of the process that still serves.

Cause: a successor renames its socket over its predecessor's (handover/successor.go, listenAt), and nothing puts that one back when the successor ends without a close. Found in the search for processes that are taken for others.

Change: a process that accepts clients again listens at the path again, unless another process answers there; Close waits for it.

--- a/internal/platform/handover/handover_test.go
+++ b/internal/platform/handover/handover_test.go
@@ -254,6 +254,23 @@
 	}
 }
 
+// A successor that is killed leaves its socket in the place of its predecessor's, so that the next process takes that one, which still serves,
+// for gone, and starts without its keys.
+func TestProcessAfterKilledSuccessorFindsFirst(t *testing.T) {
+	path := Path(t.TempDir(), "127.0.0.1:80")
+	_, firstHost := startFirstProcess(t, path)
+	killed, _, _ := startSuccessor(t, path)
+	killed.listener.Close() // its file stays
+	killed.currentPredecessor().close()
+	lbtest.Until(t, "the first process accepts clients again", firstHost.locked(func() bool { return firstHost.resumeCount == 1 }))
+	key := newClaim("k", "north")
+	firstHost.ClaimKey(key)
+	_, nextHost, state := startSuccessor(t, path)
+	if state.KeyCount != 1 || nextHost.ClaimKey(key).Zone != "north" {
+		t.Errorf("%d keys were handed over", state.KeyCount)
+	}
+}
+
 // TestStartsWithoutOfferOfUnusablePredecessor starts a process where the predecessor's socket is missing, has no listener or
 // is no socket. It also uses predecessors that do not answer, have another version, send no socket, reject the process, or
 // send random or truncated data. Each time the process starts without an offer and can be replaced later.
@@ -414,10 +431,7 @@
 	if isKnown, err := first.ClaimID(t.Context(), hash); isKnown || err != nil {
 		t.Errorf("without a successor: known %t, error %v", isKnown, err)
 	}
-	second, secondHost, _ := startSuccessor(t, path)
-	if err := second.Listen(); err != nil {
-		t.Fatal(err)
-	}
+	_, secondHost, _ := startSuccessor(t, path)
 	_, thirdHost, _ := startSuccessor(t, path)
 	for _, want := range []bool{false, true} {
 		if isKnown, err := first.ClaimID(t.Context(), hash); isKnown != want || err != nil {
--- a/internal/platform/handover/process.go
+++ b/internal/platform/handover/process.go
@@ -58,6 +58,8 @@
 	// claimed before the takeover are therefore sent to the successor, and later keys are claimed at the successor.
 	claimMu sync.RWMutex
 
+	listenMu sync.Mutex // held while listenAgain replaces the listener, so that Close closes the new one
+
 	mu          sync.Mutex
 	listener    *net.UnixListener // nil: Listen has not been called
 	predecessor *session          // nil: there is no predecessor
@@ -123,6 +125,10 @@
 func (p *Process) Close() {
 	p.mu.Lock()
 	p.closed = true
+	p.mu.Unlock()
+	p.listenMu.Lock()
+	defer p.listenMu.Unlock()
+	p.mu.Lock()
 	listener, predecessor, successor := p.listener, p.predecessor, p.successor
 	p.mu.Unlock()
 	if listener != nil {
--- a/internal/platform/handover/successor.go
+++ b/internal/platform/handover/successor.go
@@ -136,10 +136,35 @@
 	p.mu.Unlock()
 	if hadTakenOver && !closed {
 		p.log.Warn("successor disconnected, accepting clients again", "component", "handover")
+		p.listenAgain()
 		p.host.Resume()
 	}
 }
 
+// listenAgain listens at the path again, where a successor that has ended has left its own socket, unless another process listens there.
+// Otherwise the next process would start without the state of this one.
+func (p *Process) listenAgain() {
+	p.listenMu.Lock()
+	defer p.listenMu.Unlock()
+	p.mu.Lock()
+	previous, closed := p.listener, p.closed
+	p.mu.Unlock()
+	if closed {
+		return
+	}
+	if conn, err := dial(p.path); err == nil {
+		_ = conn.Close()
+		return
+	}
+	if err := p.Listen(); err != nil {
+		p.log.Warn("the next process will start without this one's state", "component", "handover", "error", err)
+		return
+	}
+	if previous != nil {
+		_ = previous.Close()
+	}
+}
+
 // handleHello reads the Hello of a process and answers with an offer. It returns false if no session was established.
 func (p *Process) handleHello(s *session) bool {
 	_ = s.conn.SetReadDeadline(time.Now().Add(offerTimeout))
