--- a/internal/testkit/endtoend/config.go
+++ b/internal/testkit/endtoend/config.go
@@ -47,10 +47,10 @@
 }
 
 // writeGatewayFile writes the gateway's configuration, and returns its path. Bodies have the part of the memory that the sidecar gives them.
-func writeGatewayFile(t testing.TB, dir, listen string, limits Limits, endpoints []string) string {
+func writeGatewayFile(t testing.TB, dir, listen, discovery string, limits Limits) string {
 	t.Helper()
 	var text strings.Builder
-	fmt.Fprintf(&text, "process {\n  sockets = %d\n  body_memory = \"%dKiB\"\n  control = \"c.sock\"\n  keys = 16384\n}\n", limits.Sockets, limits.MemoryMB*358)
+	fmt.Fprintf(&text, "process {\n  zones = [\"a\"]\n  zone = \"a\"\n  sockets = %d\n  body_memory = \"%dKiB\"\n  control = \"c.sock\"\n  keys = 16384\n}\n", limits.Sockets, limits.MemoryMB*358)
 	for class, effect := range map[string]string{ClassRead: "safe", ClassWrite: "keyed", ClassOnce: "unsafe"} {
 		window := ""
 		if effect == "keyed" {
@@ -59,11 +59,7 @@
 		fmt.Fprintf(&text, "class %q {\n  aim = %q\n  deadline = %q\n  effect = %q%s\n}\n", class, limits.Deadline/2, limits.Deadline, effect, window)
 		fmt.Fprintf(&text, "route %q {\n  match {\n    prefix = \"/%s\"\n  }\n  class = %q\n  cluster = \"c\"\n}\n", class, class, class)
 	}
-	fmt.Fprintf(&text, "listener \"l\" {\n  address = %q\n}\ncluster \"c\" {\n", listen)
-	for number, address := range endpoints {
-		fmt.Fprintf(&text, "  endpoint \"e%d\" {\n    address = %q\n  }\n", number, address)
-	}
-	text.WriteString("}\n")
+	fmt.Fprintf(&text, "listener \"l\" {\n  address = %q\n}\ncluster \"c\" {\n  registry {\n    address = %q\n  }\n}\n", listen, discovery)
 	return writeFile(t, filepath.Join(dir, "gateway.hcl"), text.String())
 }
 
--- a/internal/testkit/endtoend/program.go
+++ b/internal/testkit/endtoend/program.go
@@ -73,18 +73,23 @@
 	dir         string
 }
 
-// Start starts the program, and returns once it serves.
+// Start starts the program with endpoints that stay, and returns once it serves.
 func Start(t testing.TB, role Role, limits Limits, endpoints ...string) *Process {
+	t.Helper()
+	return StartWithDiscovery(t, role, limits, lbtest.NewDiscovery(t, 1, endpoints...).Addr)
+}
+
+// StartWithDiscovery starts the program with the endpoints that a discovery lists, and returns once it serves.
+func StartWithDiscovery(t testing.TB, role Role, limits Limits, discovery string) *Process {
 	t.Helper()
 	dir := t.TempDir()
 	p := &Process{Addr: lbtest.ReserveAddress(t), role: role, dir: dir}
 	if role == Gateway {
 		// The gateway's file has no limit on memory: an operator sets the runtime's.
 		p.environment = []string{fmt.Sprintf("GOMEMLIMIT=%dMiB", limits.MemoryMB/2)}
-		p.run(t, "serve", "--config", writeGatewayFile(t, dir, p.Addr, limits, endpoints))
+		p.run(t, "serve", "--config", writeGatewayFile(t, dir, p.Addr, discovery, limits))
 	} else {
-		discovery := lbtest.NewDiscovery(t, 1, endpoints...)
-		p.environment = []string{"LB_CONFIG=" + writeSidecarFile(t, dir, p.Addr, discovery.Addr, limits), "TMPDIR=" + dir}
+		p.environment = []string{"LB_CONFIG=" + writeSidecarFile(t, dir, p.Addr, discovery, limits), "TMPDIR=" + dir}
 		p.run(t, adminVariable+lbtest.ReserveAddress(t))
 	}
 	lbtest.Until(t, "the process serves", func() bool { return isReady("http://" + p.Addr + "/health/ready") })
