Count an upload's deadline 0.15 s later where its receipt is uncertain; soak: slow peers

Cause: receiptClock counts from the earliest time at which the client can have written the last byte; behind a slow endpoint that is up to 4 MiB of the body before.

A body of which more than 4 MiB is missing is known not to be complete.

--- a/internal/edge/frontend/bodystream.go
+++ b/internal/edge/frontend/bodystream.go
@@ -140,15 +140,6 @@
 	return errBadBody
 }
 
-// recordReceipt records when the bytes that were just read were written.
-func (s *BodyStream) recordReceipt(bytes int) {
-	if bytes == 0 {
-		return
-	}
-	s.receivedAt = s.receipt.earliest(int64(bytes), s.conn.received.receivedAt)
-	s.receipt.read(time.Now(), bytes, bytes < cap(s.conn.buffer))
-}
-
 // renewDeadline extends the read deadline if it passed while this process was paused, so that another read gets the bytes that arrived
 // during the pause. It reports whether it did.
 func (s *BodyStream) renewDeadline(err error) bool {
@@ -173,7 +164,8 @@
 	return nil
 }
 
-// ReceivedAt returns when the client wrote the body's last byte, once the body is complete: the earliest time at which that can have been.
+// ReceivedAt returns when the client wrote the body's last byte, once the body is complete: at most uncertainTime after the earliest time at
+// which that can have been.
 // After Abandon it returns the earliest time at which the last byte can have arrived.
 func (s *BodyStream) ReceivedAt() time.Time {
 	s.mu.Lock()
--- a/internal/edge/frontend/receiptclock.go
+++ b/internal/edge/frontend/receiptclock.go
@@ -7,12 +7,15 @@
 	openWindowBytes = 32 << 10
 	// maxSendBuffer is the largest amount that a client can have written ahead of the receive window (tcp(7), tcp_wmem).
 	maxSendBuffer = 4 << 20
+	// uncertainTime is how much later than the earliest time a deadline may count, where the arrival of the last byte allows it. An answer
+	// may be late by more (the platform's STANDING page).
+	uncertainTime = 150 * time.Millisecond
 )
 
 // receiptClock bounds the time at which a client has written the last byte of a body. While an endpoint reads slowly, the client's bytes
 // wait in the buffers of both machines, and arrive long after they were written.
 type receiptClock struct {
-	caughtUpAt time.Time // when all that the client had written was read last
+	caughtUpAt time.Time // when the client was last known not to have written the rest
 	backlog    int64     // bytes read since
 	// passedAt is when the last multiple of maxSendBuffer was read, and previousAt when the one before was. A byte that is read later was
 	// written after previousAt, because the client can be ahead by maxSendBuffer only.
@@ -37,8 +40,8 @@
 	return r.caughtUpAt
 }
 
-// read records that bytes were read, and whether that has emptied the socket.
-func (r *receiptClock) read(now time.Time, bytes int, isEmpty bool) {
+// read records that bytes were read, and whether the client is known not to have written the rest.
+func (r *receiptClock) read(now time.Time, bytes int, isRestMissing bool) {
 	before := r.position / maxSendBuffer
 	r.position += int64(bytes)
 	if r.position/maxSendBuffer > before {
@@ -46,7 +49,7 @@
 		r.passedAt = now
 	}
 	r.backlog += int64(bytes)
-	if isEmpty {
+	if isRestMissing {
 		r.caughtUpAt = now
 		r.backlog = 0
 	}
@@ -64,12 +67,30 @@
 	}
 	now := time.Now()
 	unread := int64(s.conn.unreadBytes())
-	pending := int64(len(s.conn.input)) + unread
-	missing := s.remaining - pending
-	isOpen := s.receipt.backlog+unread <= openWindowBytes
-	isBeingWritten := s.chunkDecoder == nil && (isOpen && missing > 0 || missing > maxSendBuffer)
-	if pending == 0 || isBeingWritten {
+	if int64(len(s.conn.input))+unread == 0 || s.isRestMissing(unread) {
 		return now
 	}
 	return s.receipt.earliest(unread, now.Add(-s.conn.received.sinceLastData()))
 }
+
+// isRestMissing reports whether the client is known not to have written the rest of a body of known length, of which bytes are unread.
+func (s *BodyStream) isRestMissing(unread int64) bool {
+	missing := s.remaining - int64(len(s.conn.input)) - unread
+	isOpen := s.receipt.backlog+unread <= openWindowBytes
+	return s.chunkDecoder == nil && (missing > maxSendBuffer || missing > 0 && isOpen)
+}
+
+// recordReceipt records when the bytes that were just read were written.
+func (s *BodyStream) recordReceipt(bytes int) {
+	if bytes == 0 {
+		return
+	}
+	arrivedAt := s.conn.received.receivedAt
+	s.receivedAt = s.receipt.earliest(int64(bytes), arrivedAt).Add(uncertainTime)
+	if s.receivedAt.After(arrivedAt) {
+		s.receivedAt = arrivedAt
+	}
+	isEmpty := bytes < cap(s.conn.buffer)
+	isRestMissing := isEmpty || s.remaining > maxSendBuffer && s.isRestMissing(int64(s.conn.unreadBytes()))
+	s.receipt.read(time.Now(), bytes, isRestMissing)
+}
--- a/internal/testkit/soak/day.go
+++ b/internal/testkit/soak/day.go
@@ -29,6 +29,9 @@
 	EndpointTrickle Action = "an endpoint's answers have no end"
 	EndpointInforms Action = "an endpoint sends 1xx responses within uploads"
 	EndpointEarly   Action = "an endpoint answers uploads before their end"
+	EndpointLumps   Action = "an endpoint writes long answers slowly"
+	EndpointStuck   Action = "an endpoint stops reading uploads"
+	SlowCrowd       Action = "slow clients"
 	DiscoverySlow   Action = "discovery answers slowly"
 	DiscoverySilent Action = "discovery is silent"
 	DiscoveryMoves  Action = "discovery moves, told by SIGHUP"
@@ -55,6 +58,8 @@
 	Answers      []Step        // on the responses of endpoints
 	Uploads      bool          // some requests have large bodies that arrive slowly
 	UploadSteps  []Step        // on the responses of endpoints to uploads
+	Slow         []Step        // on peers that are slow
+	MemoryMB     int64         // of the sidecar; zero: the usual
 	ClientsLeave bool          // some clients close their connection before the answer
 	MaxDeadline  time.Duration // of all classes
 }
@@ -73,6 +78,7 @@
 	endpointActions = []Action{EndpointHangs, EndpointFails, EndpointResets, EndpointDrains}
 	answerActions   = []Action{EndpointStalls, EndpointTrickle, EndpointHangs}
 	uploadActions   = []Action{EndpointInforms, EndpointInforms, EndpointEarly}
+	slowActions     = []Action{EndpointLumps, EndpointLumps, EndpointStuck, SlowCrowd}
 )
 
 // NewDay draws a day from a seed.
@@ -116,5 +122,24 @@
 			Length:   500*time.Millisecond + upTo(2*time.Second),
 		})
 	}
+	if seed%slowDivider == 1 {
+		d.MemoryMB = leastMemoryMB
+	}
+	for at := time.Second + upTo(2*time.Second); seed%slowDivider == 1 && at < d.Length-quietEnd; at += 500*time.Millisecond + upTo(2*time.Second) {
+		d.Slow = append(d.Slow, Step{
+			At:       at,
+			Action:   slowActions[random.IntN(len(slowActions))],
+			Endpoint: []int{allEndpoints, random.IntN(endpointCount)}[random.IntN(2)],
+			Length:   500*time.Millisecond + upTo(2*time.Second),
+		})
+	}
 	return d
 }
+
+// memoryMB returns the memory limit of the sidecar.
+func (d Day) memoryMB() int64 {
+	if d.MemoryMB > 0 {
+		return d.MemoryMB
+	}
+	return maxMemoryMB
+}
--- a/internal/testkit/soak/log.go
+++ b/internal/testkit/soak/log.go
@@ -24,6 +24,8 @@
 	BodyBytes      int
 	SentAt         time.Time // its last byte
 	Deadline       time.Time
+	BegunAt        time.Time // when the head of the answer had come; zero: never
+	AnswerBytes    int       // of the answer's body
 	EndedAt        time.Time
 	Ending         Ending
 	Status         int
@@ -89,8 +91,9 @@
 	Moves       []time.Time
 	Crowds      []Span
 	Processes   []*Process
-	Partial     map[string]bool // requests whose answer an endpoint left unfinished
-	Spoilt      []string        // requests that came to an endpoint with another body
+	Partial     map[string]bool      // requests whose answer an endpoint left unfinished
+	Abandoned   map[string]time.Time // requests whose answer the sidecar stopped reading while an endpoint wrote it
+	Spoilt      []string             // requests that came to an endpoint with another body
 	EndedAt     time.Time
 }
 
@@ -116,6 +119,16 @@
 	l.Partial[id] = true
 }
 
+// addAbandoned records that the sidecar closed the connection on which an endpoint was writing an answer.
+func (l *Log) addAbandoned(id string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Abandoned == nil {
+		l.Abandoned = map[string]time.Time{}
+	}
+	l.Abandoned[id] = at
+}
+
 // addSpoilt records that a request came to an endpoint with another body.
 func (l *Log) addSpoilt(id string) {
 	l.mu.Lock()
--- a/internal/testkit/soak/upload.go
+++ b/internal/testkit/soak/upload.go
@@ -40,7 +40,11 @@
 	if !c.uploads || c.uploadRandom.Float64() >= uploadRatio {
 		return 0
 	}
-	return minUpload + c.uploadRandom.IntN(maxUpload-minUpload)
+	size := minUpload + c.uploadRandom.IntN(maxUpload-minUpload)
+	if c.hugeUploads && c.uploadRandom.Float64() < hugeUploadRatio {
+		return hugeUpload
+	}
+	return size
 }
 
 // sendBody sends the body of a request in pieces. An error means that the connection has ended before.
