Tell in the log and the statistics what is rejected for want of memory

Need: the reports of this incident could not tell what took the memory of the processes that were killed, nor why an upload was given up.

Change: /ops/stats has memory: heads and bodies that were rejected for want of room, heads with too many fields, the heap and its limit. The log has how the memory is divided at the start, and why an upload was not written whole (the endpoint took no more in time, or the connection broke).

--- a/internal/balancer/upstream/upload.go
+++ b/internal/balancer/upstream/upload.go
@@ -65,7 +65,7 @@
 	case errors.Is(err, errRequestBody):
 		return outcome{verdict: lbpolicy.NotSent, err: err}
 	case err != nil && !errors.Is(err, errEarlyResponse):
-		return outcome{verdict: lbpolicy.ConnectFailed, err: errRequestNotWritten}
+		return outcome{verdict: lbpolicy.ConnectFailed, err: fmt.Errorf("%w: %w", errRequestNotWritten, err)}
 	}
 	if err == nil {
 		p.recordSent()
--- a/internal/edge/frontend/acceptor.go
+++ b/internal/edge/frontend/acceptor.go
@@ -22,6 +22,7 @@
 	onExhausted atomic.Pointer[func()]
 	serve       func(*clientConn) // serves connections that are admitted after a wait
 	heads       *headMemory       // nil: unlimited
+	rejections  rejectionCounters
 
 	mu            sync.Mutex
 	controller    *admission.Controller
--- a/internal/edge/frontend/headmemory.go
+++ b/internal/edge/frontend/headmemory.go
@@ -62,11 +62,15 @@
 	}
 }
 
-// headRejection returns the reply to a request whose head cannot be served. Nothing was forwarded, so that a retry is safe.
-func headRejection(status int) *Reply {
-	r := &Reply{Status: status}
-	if status == http.StatusServiceUnavailable {
-		r.Header = http.Header{"Retry-After": {memoryRetryAfterSeconds}}
+// rejectHead responds to a request whose head cannot be served. Nothing was forwarded, so that a retry is safe.
+func (c *clientConn) rejectHead(status int) {
+	reply := &Reply{Status: status}
+	switch status {
+	case http.StatusServiceUnavailable:
+		c.acceptor.rejections.noHeadMemory.Add(1)
+		reply.Header = http.Header{"Retry-After": {memoryRetryAfterSeconds}}
+	case http.StatusRequestHeaderFieldsTooLarge:
+		c.acceptor.rejections.largeHeads.Add(1)
 	}
-	return r
+	c.rejectWith(reply)
 }
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -65,7 +65,7 @@
 	c.responseStarted = false
 	c.streamError = nil
 	if status != 0 {
-		c.rejectWith(headRejection(status))
+		c.rejectHead(status)
 		return
 	}
 	r := &c.request
@@ -107,6 +107,7 @@
 	receivedAt := c.received.receivedAt
 	switch {
 	case errors.Is(err, errNoBodyMemory): // nothing was forwarded, so that a retry is safe
+		c.acceptor.rejections.noBodyMemory.Add(1)
 		c.abandonInput()
 		c.respond(x, engine.Result{Rejected: true, RetryAfter: memoryRetryAfter})
 	case err != nil:
--- a/internal/platform/counters/counters.go
+++ b/internal/platform/counters/counters.go
@@ -137,6 +137,7 @@
 	Snapshot
 	Deliveries DeliverySnapshot `json:"deliveries"`
 	Responses  ResponseSnapshot `json:"responses"`
+	Memory     MemorySnapshot   `json:"memory"`
 }
 
 // JSON returns the counters as JSON on a single line, with a newline at the end.
--- a/internal/platform/process/process.go
+++ b/internal/platform/process/process.go
@@ -105,6 +105,8 @@
 	s.current.Store(c)
 	s.budget = budgetOf(c, log)
 	debug.SetMemoryLimit(s.budget.HeapBytes)
+	log.Info("memory divided", "limit", c.Limits.MemoryMB<<20, "heap", s.budget.HeapBytes, "bodies", s.budget.BodyBytes,
+		"heads", s.budget.HeadBytes, "response", s.budget.ResponseBytes)
 	s.client = upstream.NewClient(upstream.Options{
 		DialTimeout:     c.DialTimeout,
 		IdleTimeout:     idleTimeout(c),
@@ -266,7 +268,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	operations := &sidecar.Operations{Engine: s.engine, Counters: s.counters, AcceptsClients: s.accepts.Load}
+	operations := &sidecar.Operations{Engine: s.engine, Counters: s.counters, Rejections: s.server.Rejections, AcceptsClients: s.accepts.Load}
 	if s.handover != nil {
 		s.router.SetHandover(s.handover)
 		operations.NotifyEjection = s.handover.NotifyEjection
--- a/internal/platform/sidecar/operations.go
+++ b/internal/platform/sidecar/operations.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
+	"runtime/metrics"
 
 	"silvertrail/internal/balancer/engine"
+	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/platform/admin"
 	"silvertrail/internal/platform/counters"
 )
@@ -13,6 +16,8 @@
 type Operations struct {
 	Engine   *engine.Engine
 	Counters *counters.Set
+	// Rejections returns what the clients' listener has rejected.
+	Rejections func() frontend.Rejections
 	// AcceptsClients reports whether this process accepts clients.
 	AcceptsClients func() bool
 	// NotifyEjection notifies the other processes of an upgrade before the operator's call gets its response. It is nil if
@@ -27,7 +32,32 @@
 func (o *Operations) Stats() []byte {
 	snapshot := o.Counters.Snapshot()
 	snapshot.ClusterSize, snapshot.ClusterUnhealthy = o.Engine.ClusterSize()
-	return counters.Stats{Snapshot: snapshot, Deliveries: o.Counters.Deliveries.Snapshot(), Responses: o.Counters.Responses.Snapshot()}.JSON()
+	return counters.Stats{
+		Snapshot:   snapshot,
+		Deliveries: o.Counters.Deliveries.Snapshot(),
+		Responses:  o.Counters.Responses.Snapshot(),
+		Memory:     o.memory(),
+	}.JSON()
+}
+
+// Metrics of the runtime: what it has taken of the memory, and the part that it has returned to the system.
+const (
+	totalMetric    = "/memory/classes/total:bytes"
+	releasedMetric = "/memory/classes/heap/released:bytes"
+)
+
+func (o *Operations) memory() counters.MemorySnapshot {
+	samples := []metrics.Sample{{Name: totalMetric}, {Name: releasedMetric}}
+	metrics.Read(samples)
+	snapshot := counters.MemorySnapshot{
+		HeapLimitBytes: debug.SetMemoryLimit(-1), // a negative limit changes nothing
+		HeapBytes:      int64(samples[0].Value.Uint64() - samples[1].Value.Uint64()),
+	}
+	if o.Rejections != nil {
+		r := o.Rejections()
+		snapshot.HeadsRejected, snapshot.FieldsRejected, snapshot.BodiesRejected = r.NoHeadMemory, r.LargeHeads, r.NoBodyMemory
+	}
+	return snapshot
 }
 
 // SetEjected implements admin.Operations. It sets the ejection in this process and then notifies the other processes of an
