--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -25,8 +25,8 @@
 	// A response of unknown length that still arrives at minLargeBytesPerSecond is taken for one that will exceed maxBufferedBytes. For
 	// those, the deadline bounds the first bytes only (the platform's page on operators' days).
 	minLargeBytesPerSecond = 32 << 10
-	maxLargeGap            = time.Second            // between two arrivals of such a response
-	largeCheckInterval     = 250 * time.Millisecond // at which its rate is checked beyond the deadline
+	maxLargeGap            = 400 * time.Millisecond // between two arrivals of such a response
+	largeCheckInterval     = 50 * time.Millisecond  // at which its rate is checked beyond the deadline
 
 	// A head whose body has not begun is forwarded alone, because the first bytes of a large response are due at the deadline: once the
 	// fraction headAloneDivider of the request's time is left, and headAloneMargin before the deadline at the latest.
--- a/internal/testkit/endtoend/flood_test.go
+++ b/internal/testkit/endtoend/flood_test.go
@@ -17,6 +17,7 @@
 
 const (
 	floodTime    = 2 * time.Second
+	keyFloodTime = 6 * time.Second // in which one client fills the table of keys
 	floodBurst   = 64 // requests in one write
 	otherClients = 8
 	otherPause   = 20 * time.Millisecond
@@ -94,17 +95,30 @@
 func TestFloodOfOneConnection(t *testing.T) {
 	for _, role := range Roles {
 		for name, f := range floods {
-			t.Run(fmt.Sprintf("%s/%s", role, name), func(t *testing.T) { testFlood(t, role, f) })
+			t.Run(fmt.Sprintf("%s/%s", role, name), func(t *testing.T) {
+				testFlood(t, role, f, floodTime, func(id string) string { return lbtest.Get(id) })
+			})
 		}
 	}
 }
 
-func testFlood(t *testing.T, role Role, f flood) {
+// One client that sends ever new idempotency keys fills the table of keys, and the keyed requests of all others are refused.
+func TestFloodOfKeysLeavesOthersServed(t *testing.T) {
+	for _, role := range Roles {
+		t.Run(string(role), func(t *testing.T) {
+			testFlood(t, role, floods["new keys"], keyFloodTime, func(id string) string {
+				return lbtest.Head("POST", ClassWrite, id, "Idempotency-Key: k-"+id, "Content-Length: 0")
+			})
+		})
+	}
+}
+
+func testFlood(t *testing.T, role Role, f flood, length time.Duration, request func(id string) string) {
 	t.Helper()
 	server := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) { a.OK() })
 	limits := LeastLimits()
 	p := Start(t, role, limits, server.Addr, server.Addr)
-	until := time.Now().Add(floodTime)
+	until := time.Now().Add(length)
 	var others sync.WaitGroup
 	var served, refused, slowest atomic.Int64
 	for n := range otherClients {
@@ -113,7 +127,7 @@
 			reader := bufio.NewReader(c)
 			for k := 0; time.Now().Before(until); k++ {
 				sent := time.Now()
-				c.Send(lbtest.Get(fmt.Sprintf("o-%d-%d", n, k)))
+				c.Send(request(fmt.Sprintf("o-%d-%d", n, k)))
 				status, _ := lbtest.ReadResponse(reader)
 				took := time.Since(sent)
 				slowest.Store(max(slowest.Load(), int64(took)))
