Postmortem of slow peers; the heap is what the mapped program leaves

The size of the program's resident pages at the start, by which the heap was limited, differed by 1.8 MB from one start to the next.

--- a/internal/platform/sidecar/memory_test.go
+++ b/internal/platform/sidecar/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -27,3 +28,21 @@
 		}
 	}
 }
+
+// Only readable mappings of files are pages of the program.
+func TestMappedFileBytes(t *testing.T) {
+	for line, want := range map[string]int64{
+		"00400000-00acb000 r-xp 00000000 fe:00 1234 /usr/bin/sidecar":       0x6cb000,
+		"7f0000000000-7f0000010000 ---p 00010000 fe:00 99 /usr/lib/libc.so": 0,
+		"c000000000-c004000000 rw-p 00000000 00:00 0":                       0,
+		"7ffc1000-7ffc3000 rw-p 00000000 00:00 0 [stack]":                   0,
+		"nonsense r-xp 00000000 fe:00 1234 /usr/bin/sidecar":                0,
+	} {
+		if got := mappedFileBytes(strings.Fields(line)); got != want {
+			t.Errorf("%q: %d bytes, want %d", line, got, want)
+		}
+	}
+	if got := programBytes(); got <= 1<<20 {
+		t.Errorf("this program has %d bytes", got)
+	}
+}
--- a/internal/testkit/endtoend/flood_test.go
+++ b/internal/testkit/endtoend/flood_test.go
@@ -18,7 +18,7 @@
 const (
 	floodTime    = 2 * time.Second
 	keyFloodTime = 6 * time.Second // in which one client fills the table of keys
-	floodBurst   = 64 // requests in one write
+	floodBurst   = 64              // requests in one write
 	otherClients = 8
 	otherPause   = 20 * time.Millisecond
 )
