Read what has arrived of a long response before it is taken for stopped

Cause: beyond the deadline a response of unknown length goes on if bytes came within 0.4 s, by this process's own reads: what arrived while it stood still did not count (upstream/stream.go, seemsLarge).

Change: bytes that are unread count as arrived. Also: how long ago an upload may have been complete is asked for before the engine's lock is taken, as it makes system calls.

Measured: TestUnreadBytesOfLongResponseAreNoPause fails without the change (40,960 of 102,400 bytes); 20 runs with -race pass.

--- a/internal/balancer/engine/call.go
+++ b/internal/balancer/engine/call.go
@@ -22,6 +22,7 @@
 	deadlineTimer     *time.Timer
 	checkTimer        *time.Timer // set by the policy
 	lastResponse      *upstream.Response
+	bodyEndedFor      time.Duration // how long ago, at the start, the last byte of a streamed body may have been written
 	timeLeftAfterBody time.Duration // the time allowed after the last byte of a streamed body; zero when no byte is awaited
 	outOfDescriptors  bool          // an attempt failed because this process had no free file descriptor
 	client            *clientCheck  // nil: the connection of the client cannot be checked
@@ -54,6 +55,9 @@
 
 func (e *Engine) begin(r upstream.Request, policyRequest lbpolicy.Request, key *Key, client *clientCheck) *Call {
 	c := &Call{request: r, class: policyRequest.Class, key: key, result: make(chan Result, 1), client: client}
+	if r.Stream != nil { // asked for before the lock is taken, as it makes system calls
+		c.bodyEndedFor = time.Since(r.Stream.EarliestEnd())
+	}
 	e.processEvent(func(now time.Duration) { e.start(now, c, policyRequest) })
 	return c
 }
@@ -67,7 +71,7 @@
 	if c.request.Stream != nil { // TimeLeft counts from the last byte, which may have arrived unread, until the rest is read: see startUpload
 		c.timeLeftAfterBody = timeout
 		c.request.TimeLeft = timeout
-		timeout -= time.Since(c.request.Stream.EarliestEnd())
+		timeout -= c.bodyEndedFor
 		policyRequest.TimeLeft = timeout
 	}
 	c.request.Deadline = time.Now().Add(timeout)
--- a/internal/balancer/upstream/stream.go
+++ b/internal/balancer/upstream/stream.go
@@ -249,7 +249,10 @@
 // seemsLarge reports whether a response of unknown length still arrives at the rate of large ones.
 func (s *ResponseStream) seemsLarge(now time.Time) bool {
 	expected := minLargeBytesPerSecond * now.Sub(s.firstArrival).Seconds()
-	return s.received > 0 && float64(s.received) >= expected && now.Sub(s.lastArrival) < maxLargeGap
+	if s.received == 0 || float64(s.received) < expected {
+		return false
+	}
+	return now.Sub(s.lastArrival) < maxLargeGap || s.conn.hasUnread() // bytes may have arrived while this process was paused
 }
 
 func (s *ResponseStream) read(p []byte) (n int, err error) {
--- a/internal/balancer/upstream/upstream_test.go
+++ b/internal/balancer/upstream/upstream_test.go
@@ -405,3 +405,33 @@
 		t.Errorf("verdict %d", v)
 	}
 }
+
+// A response whose bytes have arrived while this process stood still is taken for one that has stopped, and is cut off.
+func TestUnreadBytesOfLongResponseAreNoPause(t *testing.T) {
+	const (
+		firstPart = 40 << 10
+		wholeSize = 100 << 10
+	)
+	body := strings.Repeat("0123456789", wholeSize/10)
+	rest := make(chan struct{})
+	e := lbtest.NewEndpoint(t, func(a *lbtest.Arrival) {
+		fmt.Fprintf(a, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body[:firstPart])
+		<-rest
+		io.WriteString(a, body[firstPart:])
+		a.Close()
+	})
+	p := NewClient(Options{DialTimeout: lbtest.Wait, IdleTimeout: lbtest.Wait, MaxConns: 4, MaxStreamBytes: 1 << 20}).Pool(e.Addr)
+	defer p.Close()
+	_, response, err := p.Do(t.Context(), newRequest("one"), &AttemptProgress{}, alwaysClaim)
+	if err != nil || response.Stream == nil {
+		t.Fatalf("response %+v, error %v", response, err)
+	}
+	defer response.Stream.Close()
+	close(rest)
+	time.Sleep(maxLargeGap + 50*time.Millisecond) // nothing is read
+	response.Stream.SetDeadline(time.Now().Add(-2 * lateResponseTime))
+	got, err := io.ReadAll(response.Stream)
+	if err != nil || string(response.Body)+string(got) != body {
+		t.Errorf("%d and %d bytes of %d, error %v", len(response.Body), len(got), len(body), err)
+	}
+}
