--- a/review/rig/http.go
+++ b/review/rig/http.go
@@ -123,15 +123,15 @@
 	reply.Sent = time.Now()
 	c.Logf("client: request %s sent whole to %s", id, address)
 	_ = conn.SetReadDeadline(time.Now().Add(wait))
-	reply.Status, reply.Body, reply.Err = readAnswer(conn)
+	reply.Status, reply.Body, reply.Err = readAnswer(bufio.NewReader(conn))
 	reply.At = time.Now()
 	c.Logf("client: %v", reply)
 	return reply
 }
 
 // readAnswer reads one whole final answer.
-func readAnswer(from io.Reader) (status int, body string, err error) {
-	response, err := http.ReadResponse(bufio.NewReader(from), nil)
+func readAnswer(from *bufio.Reader) (status int, body string, err error) {
+	response, err := http.ReadResponse(from, nil)
 	if err != nil {
 		return 0, "", err
 	}
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -110,7 +110,7 @@
 	type object = map[string]any
 	config := object{
 		"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 512},
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 256},
 		"settings": object{
 			"balancers": 1, "me": 0, "tier": 0, "zone": 0, "zones": zones, "classes": classes,
 			"customers": []object{{"name": "colegio-san-lucas", "quota_per_s": 100}},
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -109,13 +109,16 @@
 	fmt.Fprintf(c.record, "--- log of %s\n%s", p.name, text)
 }
 
-// Logf adds a line to the record, with the seconds since the start.
-func (c *Case) Logf(format string, args ...any) {
+// Logf adds a line to the record, with the seconds since the start, and prints it.
+func (c *Case) Logf(format string, args ...any) { fmt.Print(c.Recordf(format, args...)) }
+
+// Recordf adds a line to the record alone, and returns it.
+func (c *Case) Recordf(format string, args ...any) string {
 	line := fmt.Sprintf("%8.3f %s\n", time.Since(c.started).Seconds(), fmt.Sprintf(format, args...))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, _ = c.record.WriteString(line) // a record that cannot be written shows by its absence
-	fmt.Print(line)
+	return line
 }
 
 // Broken records that the rule was broken.
