--- a/review/rig/http.go
+++ b/review/rig/http.go
@@ -79,7 +79,7 @@
 	Status int
 	Body   string
 	Err    error
-	Sent   time.Time // of the last byte
+	Sent   time.Time // of the last byte; zero: it was not written
 	At     time.Time
 }
 
@@ -88,11 +88,14 @@
 
 // String implements fmt.Stringer.
 func (r Reply) String() string {
-	after := r.At.Sub(r.Sent).Round(time.Millisecond)
+	after := "before its end"
+	if !r.Sent.IsZero() {
+		after = "after " + r.At.Sub(r.Sent).Round(time.Millisecond).String()
+	}
 	if r.Answered() {
-		return fmt.Sprintf("request %s: %d %q after %v", r.ID, r.Status, r.Body, after)
+		return fmt.Sprintf("request %s: %d %q %s", r.ID, r.Status, r.Body, after)
 	}
-	return fmt.Sprintf("request %s: no answer after %v: %v", r.ID, after, r.Err)
+	return fmt.Sprintf("request %s: no answer %s: %v", r.ID, after, r.Err)
 }
 
 // Head returns the head of a request with an empty line at its end.
@@ -115,13 +118,15 @@
 		if i > 0 {
 			time.Sleep(pause)
 		}
-		if _, err := io.WriteString(conn, part); err != nil {
+		if _, err = io.WriteString(conn, part); err != nil {
 			c.Logf("client: request %s: write: %v", id, err)
 			break
 		}
 	}
-	reply.Sent = time.Now()
-	c.Logf("client: request %s sent whole to %s", id, address)
+	if err == nil {
+		reply.Sent = time.Now()
+		c.Logf("client: request %s sent whole to %s", id, address)
+	}
 	_ = conn.SetReadDeadline(time.Now().Add(wait))
 	reply.Status, reply.Body, reply.Err = readAnswer(bufio.NewReader(conn))
 	reply.At = time.Now()
