--- a/review/8/main.go
+++ b/review/8/main.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	workTime = 300 * time.Millisecond
 	requests = 4               // as many may cross at once to begin with
 	deadline = 5 * time.Second // as of the classes in deploy/silvertrail-salas.hcl
 	slack    = time.Second     // a request is lost half a second after its time
@@ -74,12 +75,12 @@
 			rig.Hang(w, a)
 			return
 		}
-		rig.Answer(w, a)
+		work(w, a)
 	})
 	if err != nil {
 		return err
 	}
-	server2, err := c.NewServer("norte-2", rig.Answer)
+	server2, err := c.NewServer("norte-2", work)
 	if err != nil {
 		return err
 	}
@@ -122,6 +123,12 @@
 	return errors.New("no request came to the nodo that hangs")
 }
 
+// work answers after the time that a request takes.
+func work(w http.ResponseWriter, a *rig.Arrival) {
+	time.Sleep(workTime)
+	rig.Answer(w, a)
+}
+
 func send(c *rig.Case, address, id string) rig.Reply {
 	return c.Send(address, id, deadline+slack, 0, rig.Head("POST", "/seats/1", id, "X-Timeout-Ms: 5000", "Content-Length: 0"))
 }
