Reject requests whose body is not whole when a listener ends

Callers saw: a request whose body was still coming at the end of a shutdown, or that had come whole and waited for memory for its body, got a close and no answer. Both roles; in the sidecar up to 2.6 s of waiting can lie beyond the end.

Cause: the deadline of a shutdown is given to the engine alone (ShutDownBy). A request reaches the engine with its last byte, so that before it nothing but messageTimeout (2.6 s) ended it, and Server.Shutdown returned 0.1 s after the deadline with the request in work.

Change: Server.Shutdown owns these requests: at the deadline the receipt of bodies ends, and each such request gets 503 with Retry-After, as nothing of it was forwarded. Drain is the part of Shutdown that has no deadline of its own. An upload that fails by its client after the guard has answered gets no second answer.

--- a/internal/edge/frontend/body.go
+++ b/internal/edge/frontend/body.go
@@ -47,6 +47,8 @@
 	stream   *BodyStream // the rest of the body after the buffered bytes; nil if all of it is buffered
 	budget   Budget
 	reserved int64
+	// receiving ends when no body is received any more.
+	receiving context.Context
 }
 
 func (b *body) release() {
@@ -59,6 +61,7 @@
 func (b *body) reserve(ctx context.Context, n int64, deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	defer context.AfterFunc(b.receiving, cancel)()
 	if b.budget.Acquire(ctx, n) != nil {
 		return errNoBodyMemory
 	}
@@ -94,6 +97,7 @@
 		return err
 	}
 	stream := newBodyStream(c, size, maxBytes)
+	defer context.AfterFunc(b.receiving, stream.endReceipt)()
 	if err := b.fill(stream, capacity); err != nil {
 		return err
 	}
--- a/internal/edge/frontend/bodystream.go
+++ b/internal/edge/frontend/bodystream.go
@@ -217,6 +217,15 @@
 	s.conn.Conn.SetReadDeadline(pastDeadline)
 }
 
+// endReceipt makes a read in progress and all later ones fail, unless the stream has been handed over to an exchange, which ends it.
+func (s *BodyStream) endReceipt() {
+	s.stateMu.Lock()
+	defer s.stateMu.Unlock()
+	if !s.acquired {
+		s.stopReading()
+	}
+}
+
 // Stop ends the reading of the stream. A read in progress fails. After Stop has returned, nothing else reads from the connection. Only
 // the first call has an effect, because the connection may serve another request by the time of a later one.
 func (s *BodyStream) Stop() { s.stopOnce.Do(s.stop) }
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -17,6 +17,9 @@
 	memoryRetryAfterSeconds = "1.000"
 )
 
+// shutdownRetryAfter is the Retry-After value of a request whose body is still being received when the server ends.
+const shutdownRetryAfter = time.Second
+
 // serve serves the requests of one connection until the connection ends.
 func (s *Server) serve(c *clientConn) {
 	defer c.Close()
@@ -90,13 +93,13 @@
 		return
 	}
 	defer x.Close()
-	c.serveExchange(x)
+	s.serveExchange(c, x)
 	x.Delivered(c.delivery())
 }
 
 // serveExchange reads the request's body and writes the exchange's result.
-func (c *clientConn) serveExchange(x Exchange) {
-	b := &body{budget: x.BodyBudget()}
+func (s *Server) serveExchange(c *clientConn, x Exchange) {
+	b := &body{budget: x.BodyBudget(), receiving: s.receiving}
 	defer b.release()
 	streaming, isStreaming := x.(StreamingExchange)
 	maxBytes := int64(maxBufferedBody)
@@ -106,10 +109,11 @@
 	err := b.read(c, maxBytes, x.Timeout())
 	receivedAt := c.received.receivedAt
 	switch {
-	case errors.Is(err, errNoBodyMemory): // nothing was forwarded, so that a retry is safe
+	case errors.Is(err, errNoBodyMemory):
 		c.acceptor.rejections.noBodyMemory.Add(1)
-		c.abandonInput()
-		c.respond(x, engine.Result{Rejected: true, RetryAfter: memoryRetryAfter})
+		c.rejectUnforwarded(x, memoryRetryAfter)
+	case errors.Is(err, errBodyStopped):
+		c.rejectUnforwarded(x, shutdownRetryAfter)
 	case err != nil:
 		c.reject(bodyErrorStatus(err))
 	case b.stream != nil:
@@ -121,6 +125,12 @@
 	}
 }
 
+// rejectUnforwarded rejects a request whose body was not received completely. Nothing was forwarded, so that a retry is safe.
+func (c *clientConn) rejectUnforwarded(x Exchange, retryAfter time.Duration) {
+	c.abandonInput()
+	c.respond(x, engine.Result{Rejected: true, RetryAfter: retryAfter})
+}
+
 // bodyErrorStatus returns the response status for an error while reading a body.
 func bodyErrorStatus(err error) int {
 	switch {
@@ -158,7 +168,10 @@
 	}
 	if err := b.stream.clientError(); err != nil && result.Response == nil {
 		x.Reply(engine.Result{}) // records the request as failed
-		c.reject(bodyErrorStatus(err))
+		if c.guard.claim() {
+			c.reject(bodyErrorStatus(err))
+		}
+		c.abandonInput()
 		return
 	}
 	if !b.stream.IsComplete() || c.hasInvalidInput() {
--- a/internal/edge/frontend/server.go
+++ b/internal/edge/frontend/server.go
@@ -78,11 +78,15 @@
 	retired      atomic.Bool   // another process accepts new connections
 	acceptWake   chan struct{} // wakes Serve after Resume, Shutdown and Close; buffers one token
 	inFlight     atomic.Int64  // number of requests in flight
+	// receiving ends when no body is received any more, at the deadline of a shutdown.
+	receiving     context.Context
+	stopReceiving context.CancelFunc
 }
 
 // New returns a server for the connections of l, with p as its admission policy.
 func New(router Router, l net.Listener, p admission.Policy, errorLog *log.Logger) *Server {
 	s := &Server{router: router, errorLog: errorLog, acceptWake: make(chan struct{}, 1)}
+	s.receiving, s.stopReceiving = context.WithCancel(context.Background())
 	s.acceptor = newAcceptor(l, p, s.serve)
 	return s
 }
--- a/internal/edge/frontend/shutdown.go
+++ b/internal/edge/frontend/shutdown.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"math"
 	"time"
 )
@@ -56,13 +57,13 @@
 // responses and all connections are closed, or flushTime after the deadline. The caller must give the deadline to the exchanges
 // beforehand.
 //
-// Until serveUntil, clients are served as before, on existing and on new connections. Then each connection is closed after its current
-// response. The listener is closed once its accept queue is empty, because closing it earlier would make the system reset the queued
-// connections and lose the requests written on them.
+// Until serveUntil, clients are served as before, on existing and on new connections. Then the server drains.
 //
 // Serving until serveUntil avoids rejecting clients during a planned restart while no other process has taken over. Other processes may
 // also be starting, and load balancers detect the failed readiness check late. Requests that are accepted shortly before the deadline have
 // less time here than elsewhere. The policy rejects those that have too little time.
+//
+// At the deadline a request whose body is still being received is rejected.
 func (s *Server) Shutdown(serveUntil, deadline time.Time) {
 	s.shuttingDown.Store(true)
 	if s.retired.Load() {
@@ -70,22 +71,47 @@
 	} else {
 		time.Sleep(time.Until(serveUntil))
 	}
+	if s.drainUntil(deadline) {
+		return
+	}
+	s.stopReceiving()
+	s.drainUntil(deadline.Add(flushTime))
+}
+
+// Drain closes each connection after its current response, and accepts no others. It reports whether all were closed before ctx ended. The
+// readiness check fails from the start.
+//
+// The listener is closed once its accept queue is empty, because closing it earlier would make the system reset the queued connections and
+// lose the requests written on them.
+func (s *Server) Drain(ctx context.Context) (drained bool) {
+	s.shuttingDown.Store(true)
 	s.closing.Store(true)
-	for !s.retired.Load() && s.acceptor.hasPending() && time.Now().Before(deadline) {
+	for !s.retired.Load() && s.acceptor.hasPending() && ctx.Err() == nil {
 		s.acceptor.closeIdle(math.MaxInt)
 		time.Sleep(pendingInterval)
 	}
 	s.acceptor.listener.Close()
 	s.wakeAccept()
-	for time.Now().Before(deadline.Add(flushTime)) {
+	for {
 		s.acceptor.closeIdle(math.MaxInt)
 		if s.isIdle() {
-			return
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(closeInterval):
 		}
-		time.Sleep(closeInterval)
 	}
 }
 
+// drainUntil is Drain with a deadline.
+func (s *Server) drainUntil(deadline time.Time) (drained bool) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return s.Drain(ctx)
+}
+
 // isIdle reports whether there is neither a request in flight nor a connection.
 func (s *Server) isIdle() bool { return s.inFlight.Load() == 0 && s.acceptor.count() == 0 }
 
