Answer requests whose exchange is blocked when a listener ends

Callers saw: a close and no answer at the end of a shutdown where the exchange gave no result (a crossing, a lock, a disk), though without the shutdown the guard of its deadline answers it (502, 250 ms after).

Cause: overdueGuard knows the request's own deadline, which may lie behind the end of the process.

Change: Server.Shutdown gives exchanges 0.1 s after the deadline for their results, then answers each request that has none, as the guard does, and takes up to 0.1 s more for the writes (the sidecar is killed 0.4 s after its deadline at the earliest).

Evidence: TestShutdownRespondsForBlockedExchange failed before ("unexpected EOF") and passes. TestShutdownAddsNoResponse passed before and holds that a response that no exchange wrote is not followed by another.

--- a/internal/edge/frontend/acceptor.go
+++ b/internal/edge/frontend/acceptor.go
@@ -197,6 +197,17 @@
 	return v
 }
 
+// conns returns the connections that are open or wait for a slot.
+func (a *acceptor) conns() []*clientConn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var open []*clientConn
+	for _, c := range a.controller.Conns() {
+		open = append(open, c.Owner.(*clientConn))
+	}
+	return open
+}
+
 // closeAll closes all connections.
 func (a *acceptor) closeAll() {
 	a.mu.Lock()
--- a/internal/edge/frontend/bodystream.go
+++ b/internal/edge/frontend/bodystream.go
@@ -208,7 +208,7 @@
 	}
 	s.watched = true
 	s.conn.startWatch()
-	s.conn.guard.start(s.receivedAt.Add(s.timeout))
+	s.conn.guard.Load().start(s.receivedAt.Add(s.timeout))
 }
 
 // stopReading makes a read in progress and all later ones fail. The caller holds s.stateMu.
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -37,13 +37,13 @@
 	buffer          []byte // backing memory of input
 	input           []byte // bytes read but not consumed yet
 	request         http.Request
-	expectsContinue bool          // the client waits for 100 Continue before it sends the body
-	headStarted     atomic.Bool   // a part of the next head was read
-	reservedHead    int64         // memory reserved for the head of the present request
-	closeAfter      bool          // the connection is closed after the current response
-	guard           *overdueGuard // of the request being served
-	responseStarted bool          // of the request being served
-	streamError     error         // for which the streamed response was cut off
+	expectsContinue bool                         // the client waits for 100 Continue before it sends the body
+	headStarted     atomic.Bool                  // a part of the next head was read
+	reservedHead    int64                        // memory reserved for the head of the present request
+	closeAfter      bool                         // the connection is closed after the current response
+	guard           atomic.Pointer[overdueGuard] // of the request being served; nil: none is
+	responseStarted bool                         // of the request being served
+	streamError     error                        // for which the streamed response was cut off
 	writeFailed     bool
 	lingers         bool // input still in transit is discarded before the close
 	requestCount    int
--- a/internal/edge/frontend/delivery.go
+++ b/internal/edge/frontend/delivery.go
@@ -46,9 +46,10 @@
 
 // delivery returns how the response to the current request was delivered.
 func (c *clientConn) delivery() Delivery {
-	d := Delivery{Late: c.guard.sinceDeadline(time.Now())}
+	guard := c.guard.Load()
+	d := Delivery{Late: guard.sinceDeadline(time.Now())}
 	switch {
-	case c.guard.isOverdue():
+	case guard.isOverdue():
 		d.Err = ErrOverdue
 	case c.streamError != nil:
 		d.Err = c.streamError
--- a/internal/edge/frontend/overdue.go
+++ b/internal/edge/frontend/overdue.go
@@ -73,11 +73,21 @@
 	return now.Sub(g.deadline)
 }
 
+// expire responds at once to a request that has been received, because the server ends.
+func (g *overdueGuard) expire() {
+	g.mu.Lock()
+	isReceived := !g.deadline.IsZero()
+	g.mu.Unlock()
+	if isReceived {
+		g.respond()
+	}
+}
+
 // respond writes the failure and ends the exchange, as for a client that has disconnected.
 func (g *overdueGuard) respond() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.claimed {
+	if g.claimed || g.overdue {
 		return
 	}
 	g.overdue = true
--- a/internal/edge/frontend/request.go
+++ b/internal/edge/frontend/request.go
@@ -54,7 +54,7 @@
 
 // failRequest responds to the request in flight, if there is one without a response, after a panic.
 func (c *clientConn) failRequest() {
-	if c.guard != nil && !c.responseStarted && c.guard.claim() {
+	if guard := c.guard.Load(); guard != nil && !c.responseStarted && guard.claim() {
 		c.reject(http.StatusBadGateway)
 		c.linger()
 	}
@@ -64,7 +64,7 @@
 func (s *Server) serveRequest(c *clientConn, status int) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	c.guard = &overdueGuard{conn: c}
+	c.guard.Store(&overdueGuard{conn: c})
 	c.responseStarted = false
 	c.streamError = nil
 	if status != 0 {
@@ -148,7 +148,7 @@
 		c.readPendingTLS()
 	}
 	c.startWatch()
-	c.guard.start(receivedAt.Add(x.Timeout()))
+	c.guard.Load().start(receivedAt.Add(x.Timeout()))
 	result := x.Do(c.ctx, b.bytes, receivedAt)
 	c.stopWatch()
 	if c.ctx.Err() != nil {
@@ -168,7 +168,7 @@
 	}
 	if err := b.stream.clientError(); err != nil && result.Response == nil {
 		x.Reply(engine.Result{}) // records the request as failed
-		if c.guard.claim() {
+		if c.guard.Load().claim() {
 			c.reject(bodyErrorStatus(err))
 		}
 		c.abandonInput()
@@ -184,7 +184,7 @@
 // overdue has its response already, and its connection is closed.
 func (c *clientConn) respond(x Exchange, result engine.Result) {
 	reply := x.Reply(result)
-	if !c.guard.claim() {
+	if !c.guard.Load().claim() {
 		closeStream(result)
 		c.abandonInput()
 		return
--- a/internal/edge/frontend/shutdown.go
+++ b/internal/edge/frontend/shutdown.go
@@ -10,7 +10,8 @@
 	drainInterval   = 50 * time.Millisecond  // between two batches of idle connections that are closed
 	pendingInterval = 5 * time.Millisecond   // between two checks of the accept queue
 	closeInterval   = 10 * time.Millisecond  // between two checks for open connections and requests in flight
-	flushTime       = 100 * time.Millisecond // after the deadline, to write the last responses
+	resultTime      = 100 * time.Millisecond // after the deadline, for exchanges to return their last results
+	flushTime       = 100 * time.Millisecond // after resultTime, to write the last responses
 )
 
 // Retire stops accepting connections, because another process accepts them on the same listening socket. The socket stays open in this
@@ -54,8 +55,8 @@
 }
 
 // Shutdown shuts the server down gracefully. The readiness check fails from the start. Shutdown returns when all requests have their
-// responses and all connections are closed, or flushTime after the deadline. The caller must give the deadline to the exchanges
-// beforehand.
+// responses and all connections are closed, or resultTime and flushTime after the deadline. The caller must give the deadline to the
+// exchanges beforehand.
 //
 // Until serveUntil, clients are served as before, on existing and on new connections. Then the server drains.
 //
@@ -63,7 +64,8 @@
 // also be starting, and load balancers detect the failed readiness check late. Requests that are accepted shortly before the deadline have
 // less time here than elsewhere. The policy rejects those that have too little time.
 //
-// At the deadline a request whose body is still being received is rejected.
+// At the deadline a request whose body is still being received is rejected. A request whose exchange has no result resultTime later gets a
+// failure from the server itself, whatever the exchange waits for.
 func (s *Server) Shutdown(serveUntil, deadline time.Time) {
 	s.shuttingDown.Store(true)
 	if s.retired.Load() {
@@ -75,7 +77,11 @@
 		return
 	}
 	s.stopReceiving()
-	s.drainUntil(deadline.Add(flushTime))
+	if s.drainUntil(deadline.Add(resultTime)) {
+		return
+	}
+	s.respondOverdue()
+	s.drainUntil(deadline.Add(resultTime + flushTime))
 }
 
 // Drain closes each connection after its current response, and accepts no others. It reports whether all were closed before ctx ended. The
@@ -112,6 +118,15 @@
 	return s.Drain(ctx)
 }
 
+// respondOverdue responds with a failure to each request whose exchange has no result yet.
+func (s *Server) respondOverdue() {
+	for _, c := range s.acceptor.conns() {
+		if guard := c.guard.Load(); guard != nil {
+			guard.expire()
+		}
+	}
+}
+
 // isIdle reports whether there is neither a request in flight nor a connection.
 func (s *Server) isIdle() bool { return s.inFlight.Load() == 0 && s.acceptor.count() == 0 }
 
--- a/internal/edge/frontend/shutdownend_test.go
+++ b/internal/edge/frontend/shutdownend_test.go
@@ -107,3 +107,38 @@
 		})
 	}
 }
+
+// A request whose exchange is blocked beyond the shutdown is left unanswered.
+func TestShutdownRespondsForBlockedExchange(t *testing.T) {
+	t.Parallel()
+	started, released := make(chan struct{}), make(chan struct{})
+	defer close(released)
+	x := slowExchange{&fakeExchange{reply: noReply, do: func(context.Context) engine.Result {
+		close(started)
+		<-released
+		return engine.Result{}
+	}}}
+	server := newEndingServer(t, x)
+	c := lbtest.Dial(t, server.addr)
+	c.Send(lbtest.Get("blocked"))
+	<-started
+	go server.end()
+	if r := response(t, c); r.StatusCode != http.StatusBadGateway || !r.Close {
+		t.Errorf("status %d, close %t; want 502, which promises nothing, and a close", r.StatusCode, r.Close)
+	}
+}
+
+// A response that was written directly, without an exchange, must not be followed by another one when the server ends.
+func TestShutdownAddsNoResponse(t *testing.T) {
+	t.Parallel()
+	server := newEndingServer(t, slowExchange{&fakeExchange{reply: noReply}})
+	c := lbtest.Dial(t, server.addr)
+	c.Send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\nGET /half")
+	if status, _ := c.Response(); status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d of the readiness check, want 503: the server is not ready", status)
+	}
+	go server.end()
+	if rest := c.AwaitClose(); rest != "" {
+		t.Errorf("%q after the response", rest)
+	}
+}
