End forwarded requests with the shutdown of their gateway

The process ends with exit status 0 and closes the connection without an answer. Requests at the site's own endpoints got 502 in time.

Cause: Shutdown gives its deadline to the engines of the own clusters alone (Cluster.ShutDownBy). exchange.forward has no engine: forwardTo waits until the request's own deadline, and settle up to a second more for an outcome that can't come any more once the link is closed. frontend.Server.Shutdown does not wait for either.

Change: shutdownDeadline bounds all that an exchange waits for beside an engine: the forward, its settling, its record in the ledger, the memory for the body of a request from another site, and the choice of a further cluster or site. It holds for requests that began before the shutdown, too, as its end cancels their contexts. The other site is told no more time than that.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,7 +40,7 @@
 	record       *ledger.Entry        // nil: the request is not recorded
 	disconnected bool                 // the client, when the request ended
 	rejection    *frontend.Reply      // of a request whose key forbids it
-	deadline     time.Time
+	deadline     time.Time            // of the request itself; a shutdown may come first: see responseDeadline
 }
 
 // BodyBudget implements frontend.Exchange: the memory is that of the cluster that the rule names, or the split picks.
@@ -67,6 +67,9 @@
 	return x.doAnywhere(ctx)
 }
 
+// responseDeadline returns the time by which the request must have its response: its own deadline, or that of a shutdown.
+func (x *exchange) responseDeadline() time.Time { return x.gateway.shutdown.limit(x.deadline) }
+
 // doAnywhere serves a request that may be forwarded to other sites. Another site that owns the key is first, and all others are where this
 // one drains its own requests.
 func (x *exchange) doAnywhere(ctx context.Context) engine.Result {
@@ -93,7 +96,7 @@
 // doLocally serves the request at this site's own clusters.
 func (x *exchange) doLocally(ctx context.Context) engine.Result {
 	plan := failover.New(failover.Request{Cluster: x.clusterName, Failover: x.rule.Failover, Effect: x.class.Effect,
-		MaxAttempts: x.policyRequest.MaxAttempts, Deadline: x.deadline})
+		MaxAttempts: x.policyRequest.MaxAttempts, Deadline: x.responseDeadline()})
 	name := plan.First(x.localKeyState())
 	var lastResponse *upstream.Response
 	for {
@@ -122,7 +125,7 @@
 	if c == nil { // the key may have run at a cluster that was removed: nothing can be promised
 		return engine.Result{MayHaveRun: true}, true
 	}
-	x.policyRequest.TimeLeft = time.Until(x.deadline)
+	x.policyRequest.TimeLeft = time.Until(x.responseDeadline())
 	x.policyRequest.MaxAttempts = plan.AttemptsLeft()
 	return c.Do(ctx, x.outgoing, x.policyRequest, x.engineKey(name))
 }
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -34,7 +34,7 @@
 	for result.Response == nil && !engine.IsDisconnected(ctx) && (attempts == 0 || engine.MayAttemptAgain(ctx)) {
 		progress := forwarding.Progress{
 			Now:         time.Now(),
-			Deadline:    x.deadline,
+			Deadline:    x.responseDeadline(),
 			MayHaveRun:  result.MayHaveRun,
 			NewAttempts: attempts,
 			OwnerSite:   x.ownerSite(),
@@ -93,14 +93,14 @@
 // nothing has run there.
 func (x *exchange) forwardTo(ctx context.Context, transport *peering.Transport, site string, reason accounting.Reason, route *forwarding.Route) engine.Result {
 	f := &forwardAttempt{exchange: x, transport: transport, site: site, reason: reason}
-	if result, ok := f.begin(ctx); !ok {
+	untilDeadline, cancel := x.gateway.shutdown.withDeadline(ctx, x.deadline)
+	defer cancel()
+	if result, ok := f.begin(untilDeadline); !ok {
 		return result
 	}
 	request := f.request(ctx, route)
-	untilDeadline, cancel := context.WithDeadline(ctx, x.deadline)
-	defer cancel()
 	answer := peering.ForwardResult{Outcome: accounting.NeverRan}
-	if !engine.IsDisconnected(ctx) { // the client may have disconnected while the attempt was recorded
+	if !engine.IsDisconnected(untilDeadline) { // the client may have disconnected, or its time passed, while the attempt was recorded
 		answer = transport.Forward(untilDeadline, site, request)
 	}
 	outcome := f.settle(ctx, answer)
@@ -147,7 +147,7 @@
 func (f *forwardAttempt) request(ctx context.Context, route *forwarding.Route) *peering.Request {
 	x := f.exchange
 	r := &peering.Request{
-		TimeLeft:       time.Until(x.deadline).Microseconds(),
+		TimeLeft:       time.Until(x.responseDeadline()).Microseconds(),
 		Class:          x.class.Name,
 		PriorityWeight: x.class.PriorityWeight,
 		Effect:         uint8(x.class.Effect),
@@ -175,7 +175,8 @@
 	if answer.Outcome != accounting.Pending || x.class.Effect == lbpolicy.Idempotent || ctx.Err() != nil {
 		return answer.Outcome
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxSettleTime, max(time.Until(x.deadline)/2, 0)))
+	timeout := min(maxSettleTime, max(time.Until(x.responseDeadline())/2, 0))
+	ctx, cancel := x.gateway.shutdown.withDeadline(ctx, time.Now().Add(timeout))
 	defer cancel()
 	return f.transport.Settle(ctx, answer)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	site            string                            // this one's name; empty: there are no links
 	draining        atomic.Bool                       // no request is accepted from other sites
 	drainingOwn     atomic.Bool                       // this site's own requests are forwarded to other sites first
+	shutdown        *shutdownDeadline
 	quota           atomic.Pointer[fleet.Quota]
 	state           atomic.Pointer[state]
 	reloadError     atomic.Pointer[string] // of the last reload; nil: it succeeded
@@ -117,6 +118,7 @@
 func Start(file *conf.File, log *slog.Logger, options ...Option) (*Gateway, error) {
 	g := &Gateway{
 		log:       log,
+		shutdown:  newShutdownDeadline(),
 		keys:      idempotency.New(file.Process.MaxKeys),
 		listeners: map[string]*boundListener{},
 		resources: cluster.NewResources(endpointConns(file), file.Process.MaxRequests, file.Process.BodyMemory),
@@ -284,6 +286,7 @@
 	s := g.state.Load()
 	now := time.Now()
 	deadline := now.Add(s.file.Process.ShutdownTime)
+	g.shutdown.set(deadline)
 	serveUntil := now.Add(s.file.Process.ShutdownTime / 2)
 	for _, c := range s.clusters {
 		c.ShutDownBy(deadline)
--- a/internal/gateway/siteserver.go
+++ b/internal/gateway/siteserver.go
@@ -116,7 +116,7 @@
 
 // acquireBodyMemory waits for memory for a body, for half of the request's remaining time.
 func (x *exchange) acquireBodyMemory(ctx context.Context, body []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, x.policyRequest.TimeLeft/2)
+	ctx, cancel := x.gateway.shutdown.withDeadline(ctx, time.Now().Add(x.policyRequest.TimeLeft/2))
 	defer cancel()
 	return x.BodyBudget().Acquire(ctx, int64(len(body))) == nil
 }
