Tell clients when to retry what a gateway's shutdown rejects

Callers saw: 503 without Retry-After for a request of a safe class whose endpoint hangs as its gateway ends. What is given up is to be answered with Retry-After.

Cause: the engine's attempt ends with the shutdown, the policy tries again, the engine sends nothing any more, and the policy rejects the request without a time of its own. Cluster.Do has a time for other rejections of that kind (no descriptor, no ready member).

Change: a cluster that is shutting down has it, too. The sidecar's rejections are as before.

Evidence: TestShutdownAnswersLocalRequests failed before ("a rejection without Retry-After", 1 of 3 requests; the others get 502) and passes.

--- a/internal/gateway/cluster/cluster.go
+++ b/internal/gateway/cluster/cluster.go
@@ -70,8 +70,8 @@
 // initialListTimeout is how long a cluster waits for the first lists of its sources before it counts as initialized.
 const initialListTimeout = 2 * time.Second
 
-// busyRetryAfter is the Retry-After of requests that are rejected at the bound on requests in flight, for lack of file descriptors, or
-// for lack of a ready member.
+// busyRetryAfter is the Retry-After of requests that are rejected at the bound on requests in flight, for lack of file descriptors, for
+// lack of a ready member, or by a shutdown.
 const busyRetryAfter = time.Second
 
 // Cluster is a running cluster: its sources, members, policy engine and connections. Its methods may be called from any goroutine.
@@ -93,8 +93,9 @@
 	stop         context.CancelFunc
 	initialized  chan struct{}
 	closed       bool
-	sourceLimits sourceLimits  // last reported by a source
-	hasReady     atomic.Bool   // at least one member is ready for new requests
+	sourceLimits sourceLimits // last reported by a source
+	hasReady     atomic.Bool  // at least one member is ready for new requests
+	shuttingDown atomic.Bool
 	revision     atomic.Uint64 // number of changes of members
 }
 
@@ -319,7 +320,10 @@
 func (c *Cluster) InFlight() int { return c.engine.InFlight() }
 
 // ShutDownBy sets a deadline for the responses to all requests, including requests that arrive later.
-func (c *Cluster) ShutDownBy(deadline time.Time) { c.engine.ShutDownBy(deadline) }
+func (c *Cluster) ShutDownBy(deadline time.Time) {
+	c.shuttingDown.Store(true)
+	c.engine.ShutDownBy(deadline)
+}
 
 // Do passes a request to the engine and waits for its result. It returns false if the client has disconnected. A request over the bound on
 // requests in flight is rejected at once, and no attempt is made. The key is nil if the request has no idempotency key.
@@ -328,7 +332,9 @@
 		return engine.Result{Rejected: true, RetryAfter: busyRetryAfter}, true
 	}
 	defer c.requests.Release(1)
-	if result, ok = c.engine.Do(ctx, r, q, key); result.Rejected && result.RetryAfter == 0 && (result.OutOfDescriptors || !c.hasReady.Load()) {
+	result, ok = c.engine.Do(ctx, r, q, key)
+	isBusy := result.OutOfDescriptors || !c.hasReady.Load() || c.shuttingDown.Load()
+	if result.Rejected && result.RetryAfter == 0 && isBusy {
 		result.RetryAfter = busyRetryAfter
 	}
 	return result, ok
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"silvertrail/internal/gateway/conf"
 	"silvertrail/internal/testkit/fake"
 	"silvertrail/internal/testkit/lbtest"
 )
@@ -22,27 +24,49 @@
 
 // ending returns a site's gateway to end it.
 func (p *siteFleet) ending(site int) *endingGateway {
-	return &endingGateway{p.all[site], make(chan struct{})}
+	return &endingGateway{Gateway: p.all[site], done: make(chan struct{})}
 }
 
 // endingGateway is a gateway that is ended as its process is by SIGTERM: what has no response by then is cut off.
 type endingGateway struct {
 	*Gateway
 	done chan struct{} // closed when it has ended
+	open int           // connections that were still open then
 }
 
 func startEnding(t *testing.T, text string) *endingGateway {
 	t.Helper()
-	return &endingGateway{run(t, text), make(chan struct{})}
+	g, err := Start(parseAll(t, text), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return &endingGateway{Gateway: g, done: make(chan struct{})}
+}
+
+// parseAll parses a configuration with its classes.
+func parseAll(t *testing.T, text string) *conf.File {
+	t.Helper()
+	file, err := conf.Parse([]byte(text), "test.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
 }
 
-// end begins the end of the process, and returns the time by which all responses are due.
-func (g *endingGateway) end() (due time.Time) {
+// end begins the end of the process, and returns the time by which all responses are due. It looks which of the connections of clients are
+// still open at the end: a process would close them.
+func (g *endingGateway) end(clients ...*lbtest.Client) (due time.Time) {
 	due = time.Now().Add(stopTime + lateResponseBound)
 	go func() {
 		defer close(g.done)
 		g.Shutdown()
 		g.Close()
+		for _, c := range clients {
+			if lbtest.IsEstablished(c.RemoteAddr(), c.LocalAddr()) {
+				g.open++
+			}
+		}
 	}()
 	return due
 }
@@ -142,3 +166,34 @@
 		})
 	}
 }
+
+// endingText is the configuration of a gateway whose endpoints hang. Its classes have the latency objective.
+func endingText(objective, listeners string, hung *lbtest.Endpoint) string {
+	return strings.ReplaceAll(classes, `aim      = "5s"`, fmt.Sprintf("aim = %q", objective)) + "process {\n  " + stopText + "\n}\n" + listeners +
+		pool("c", "", hung.Addr) + routesTo("")
+}
+
+// startHung starts a gateway with an endpoint that hangs, and sends it a request of each class.
+func startHung(t *testing.T, listeners, name string) (g *endingGateway, hung *lbtest.Endpoint, clients []*lbtest.Client) {
+	t.Helper()
+	hung = lbtest.NewEndpoint(t, nil)
+	g = startEnding(t, endingText("5s", listeners, hung))
+	for _, class := range allClasses {
+		c := lbtest.Dial(t, g.Addr(name).String())
+		c.Send(requestOf(class, class))
+		<-hung.Arrivals
+		clients = append(clients, c)
+	}
+	return g, hung, clients
+}
+
+// Requests at the site's own endpoints are left unanswered when the gateway ends, or are rejected without a time for their clients to retry.
+func TestShutdownAnswersLocalRequests(t *testing.T) {
+	t.Parallel()
+	g, _, clients := startHung(t, listener("l", "127.0.0.1:0"), "l")
+	due := g.end(clients...)
+	for _, c := range clients {
+		checkResponse(t, c, due)
+	}
+	<-g.done
+}
