End requests of replaced configurations with the gateway's shutdown

Cause: a reload that changes a class makes the clusters anew, and Shutdown gave its deadline to those of the state in force only. The old ones, whose requests hold them, waited on until the requests' own deadlines.

Change: the gateway keeps a registry of the clusters of all states, from a reload's commit to the release of the last reference, and Shutdown tells all of them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,8 @@
 	shutdown        *shutdownDeadline
 	quota           atomic.Pointer[fleet.Quota]
 	state           atomic.Pointer[state]
-	reloadError     atomic.Pointer[string] // of the last reload; nil: it succeeded
+	clusters        registry[*sharedCluster] // of all states that have requests, or are in force
+	reloadError     atomic.Pointer[string]   // of the last reload; nil: it succeeded
 	exhaustionLog   rate.Sometimes
 
 	saturationMu sync.Mutex
@@ -245,6 +246,7 @@
 	}
 	for _, c := range s.clusters {
 		if c.refs.Add(-1) == 0 {
+			g.clusters.remove(c)
 			c.Close()
 		}
 	}
@@ -288,7 +290,7 @@
 	deadline := now.Add(s.file.Process.ShutdownTime)
 	g.shutdown.set(deadline)
 	serveUntil := now.Add(s.file.Process.ShutdownTime / 2)
-	for _, c := range s.clusters {
+	for _, c := range g.clusters.all() {
 		c.ShutDownBy(deadline)
 	}
 	for _, f := range g.listeners {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -171,6 +171,7 @@
 	for _, c := range file.Clusters {
 		shared := r.next.clusters[c.Name]
 		shared.refs.Add(1)
+		g.clusters.add(shared)
 		shared.Update(c, g.resources)
 	}
 	g.state.Store(r.next)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -197,3 +197,24 @@
 	}
 	<-g.done
 }
+
+// reload puts a configuration in force.
+func (g *endingGateway) reload(t *testing.T, text string) {
+	t.Helper()
+	if err := g.Reload(parseAll(t, text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Requests that began before a reload made their clusters anew are left unanswered when the gateway ends.
+func TestShutdownAnswersRequestsOfReplacedState(t *testing.T) {
+	t.Parallel()
+	l := listener("l", "127.0.0.1:0")
+	g, hung, clients := startHung(t, l, "l")
+	g.reload(t, endingText("4s", l, hung))
+	due := g.end()
+	for _, c := range clients {
+		checkResponse(t, c, due)
+	}
+	<-g.done
+}
