Answer requests of removed listeners before the gateway ends

Callers saw: nothing at a reload alone; but a request on a listener that a reload removed, older than "stop" when the gateway is told to end, got no answer.

Cause: a reload shut the removed listener down with the time of "stop". Where a request had more time than that, Server.Shutdown returned with it in work and the listener was forgotten: Gateway.Shutdown waited for nothing of it.

Change: a removed listener drains without a deadline until its last response, or until the gateway's shutdown begins, which then ends it as all others. Shutdown waits for it, and Close closes it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,8 @@
 	listeners     map[string]*boundListener
 	openListeners atomic.Pointer[[]*boundListener] // the same, for readers that must not wait for a reload
 	closed        bool
-	retiring      sync.WaitGroup // listeners that are shutting down
+	removed       registry[*boundListener] // listeners that a reload removed, until their last requests have ended
+	ending        sync.WaitGroup           // of listeners and links that are draining or shutting down
 
 	listVersions map[string]listVersion // of appliedVersions alone
 }
@@ -294,15 +295,15 @@
 		c.ShutDownBy(deadline)
 	}
 	for _, f := range g.listeners {
-		g.retiring.Go(func() { f.Shutdown(serveUntil, deadline) })
+		g.ending.Go(func() { f.Shutdown(serveUntil, deadline) })
 	}
 	if l := g.transport.Load(); l != nil {
-		g.retiring.Go(func() {
+		g.ending.Go(func() {
 			time.Sleep(time.Until(serveUntil))
 			l.Drain(deadline)
 		})
 	}
-	g.retiring.Wait()
+	g.ending.Wait()
 	if l := g.transport.Load(); l != nil {
 		l.Close()
 	}
@@ -325,7 +326,7 @@
 // Close ends everything at once.
 func (g *Gateway) Close() {
 	g.mu.Lock()
-	fronts := slices.Collect(maps.Values(g.listeners))
+	fronts := append(g.removed.all(), slices.Collect(maps.Values(g.listeners))...)
 	g.mu.Unlock()
 	for _, f := range fronts {
 		_ = f.Close() // closes a listener that may be closed already
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -79,14 +79,24 @@
 	for key, b := range g.listeners {
 		if !named[key] {
 			delete(g.listeners, key)
-			now := time.Now()
-			g.retiring.Go(func() { b.Shutdown(now, now.Add(file.Process.ShutdownTime)) })
+			g.drainRemoved(b)
 		}
 	}
 	open := slices.Collect(maps.Values(g.listeners))
 	g.openListeners.Store(&open)
 }
 
+// drainRemoved ends a listener that a reload has removed, after the responses to its requests. A shutdown ends it earlier.
+func (g *Gateway) drainRemoved(b *boundListener) {
+	g.removed.add(b)
+	g.ending.Go(func() {
+		defer g.removed.remove(b)
+		if !b.Drain(g.shutdown.begun) {
+			b.Shutdown(time.Now(), *g.shutdown.at.Load())
+		}
+	})
+}
+
 // headMemoryDivider divides the memory for bodies: a listener gets this part beside it for large heads.
 const headMemoryDivider = 2
 
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -10,12 +10,15 @@
 // beside its clusters, whose engines have the deadline, too. All its methods may be called from any goroutine.
 type shutdownDeadline struct {
 	at     atomic.Pointer[time.Time] // nil: not shutting down
-	passed context.Context
-	expire context.CancelFunc // ends passed
+	begun  context.Context           // ends when the shutdown begins
+	begin  context.CancelFunc        // ends begun
+	passed context.Context           // ends at the deadline
+	expire context.CancelFunc        // ends passed
 }
 
 func newShutdownDeadline() *shutdownDeadline {
 	s := &shutdownDeadline{}
+	s.begun, s.begin = context.WithCancel(context.Background())
 	s.passed, s.expire = context.WithCancel(context.Background())
 	return s
 }
@@ -23,6 +26,7 @@
 // set begins the shutdown. It is called once.
 func (s *shutdownDeadline) set(at time.Time) {
 	s.at.Store(&at)
+	s.begin()
 	time.AfterFunc(time.Until(at), s.expire)
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -218,3 +218,26 @@
 	}
 	<-g.done
 }
+
+// Requests on a listener that a reload removed are left unanswered when the gateway ends, before the listener has ended or after the time
+// of a shutdown.
+func TestShutdownAnswersRequestsOfRemovedListener(t *testing.T) {
+	t.Parallel()
+	for name, wait := range map[string]time.Duration{"at once": 0, "after the time of a shutdown": stopTime + lateResponseBound} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := listener("l", "127.0.0.1:0")
+			g, hung, clients := startHung(t, l+listener("m", "127.0.0.1:0"), "m")
+			g.reload(t, endingText("5s", l, hung))
+			time.Sleep(wait)
+			due := g.end(clients...)
+			for _, c := range clients {
+				checkResponse(t, c, due)
+			}
+			<-g.done
+			if g.open > 0 {
+				t.Errorf("the gateway ended before %d responses", g.open)
+			}
+		})
+	}
+}
