Write the last responses to other sites before a gateway ends

Callers saw: a client of another site whose request waits here for an endpoint that hangs got 502 up to a second late, as its own gateway settles an outcome that nobody tells any more; the outcome stays unknown to it ("Unsettled" of link status) as this process is gone.

Cause: engines give the last results at the deadline of the shutdown, and the link was closed at that moment: Transport.Drain had the same deadline, and the listeners were idle.

Change: the link has 0.2 s after the deadline for the last responses, as the listeners have.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	reservedSockets = 32              // standard streams, listeners, sources, the runtime's own
 	minEndpointConn = 8               // descriptors for connections to endpoints
 	leaveTimeout    = 2 * time.Second // for the fleet's members to learn that this one leaves
+	// linkFlushTime is how long after the deadline of a shutdown the last responses to other sites may take.
+	linkFlushTime = 200 * time.Millisecond
 )
 
 // Gateway runs a configuration. All its methods may be called from any goroutine.
@@ -300,7 +302,7 @@
 	if l := g.transport.Load(); l != nil {
 		g.ending.Go(func() {
 			time.Sleep(time.Until(serveUntil))
-			l.Drain(deadline)
+			l.Drain(deadline.Add(linkFlushTime))
 		})
 	}
 	g.ending.Wait()
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -241,3 +241,32 @@
 		})
 	}
 }
+
+// A request that another site has forwarded gets no response when the gateway that serves it ends, so that its own gateway never learns its
+// outcome.
+func TestShutdownAnswersRequestsOfOtherSites(t *testing.T) {
+	t.Parallel()
+	for _, class := range []string{"seat", "look", "note"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			s := newHungSites(t)
+			var clients []*lbtest.Client
+			for i := range 3 {
+				clients = append(clients, s.send(class, fmt.Sprint("forwarded-", i)))
+			}
+			norte, sur := s.ending(1), s.ending(2)
+			due := norte.end()
+			sur.end()
+			for _, c := range clients {
+				checkResponse(t, c, due)
+			}
+			<-norte.done
+			<-sur.done
+			for _, site := range s.status(0, false) {
+				if site.Unsettled > 0 {
+					t.Errorf("%d requests without an outcome at %s", site.Unsettled, site.Name)
+				}
+			}
+		})
+	}
+}
