Give a response that waits for the ledger before its request's end

Callers saw: where the disk of the ledger hangs and "patience" is long, the response of an endpoint, which is there, is not given: at the end of the gateway, and at the request's deadline, the listener answers 502 for the blocked exchange (before its commit: nothing at the end).

Cause: Entry.Finish waits for the record of the response up to "patience", whatever the request's time.

Change: Finish takes a context, which the gateway ends with the request's deadline or the shutdown's. The response then goes out as one before its record, which Finish counts already ("answers_before_their_record").

Evidence: TestShutdownGivesResponseThatAwaitsLedger: no answer on, 502 before this commit, 200 now. A request that awaits votes, and one on a link that a reload moved, had their answers before, too.

--- a/internal/gateway/ledgerrecord.go
+++ b/internal/gateway/ledgerrecord.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -101,7 +102,7 @@
 	case a.Rejected:
 		ending, status = segment.Rejected, http.StatusServiceUnavailable
 	}
-	x.record.Finish(ending, status)
+	x.finishRecord(ending, status)
 }
 
 // recordForwardedReply records the response to another site.
@@ -120,7 +121,14 @@
 	case x.disconnected:
 		ending = segment.Disconnected
 	}
-	x.record.Finish(ending, out.Status)
+	x.finishRecord(ending, out.Status)
+}
+
+// finishRecord records the final answer. What it waits for ends with the time in which the answer is due.
+func (x *exchange) finishRecord(ending segment.Ending, status int) {
+	ctx, cancel := x.gateway.shutdown.withDeadline(context.Background(), x.deadline)
+	defer cancel()
+	x.record.Finish(ctx, ending, status)
 }
 
 // siteEndpointName returns the name of another site's gateway in the ledger.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -36,7 +36,12 @@
 
 func startEnding(t *testing.T, text string) *endingGateway {
 	t.Helper()
-	g, err := Start(parseAll(t, text), slog.New(slog.DiscardHandler))
+	return startEndingFile(t, parseAll(t, text))
+}
+
+func startEndingFile(t *testing.T, file *conf.File) *endingGateway {
+	t.Helper()
+	g, err := Start(file, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -270,3 +275,102 @@
 		})
 	}
 }
+
+// A request whose key waits for the votes of a majority that is gone is left unanswered when the gateway ends.
+func TestShutdownAnswersRequestsThatAwaitVotes(t *testing.T) {
+	t.Parallel()
+	p := newSiteFleetWith(t, "4s", fake.EndpointOptions{}, nil)
+	g := p.ending(0)
+	c := lbtest.Dial(t, p.addr(0))
+	p.all[1].Close()
+	p.all[2].Close()
+	c.Send(requestOf("seat", "undecided"))
+	lbtest.Until(t, "the request is in flight", func() bool { return g.state.Load().clusters["c"].InFlight() == 1 })
+	checkResponse(t, c, g.end())
+	<-g.done
+}
+
+// hungLedger is a ledger that waits for its disk longer than any request may.
+const hungLedger = `patience = "30s"`
+
+// A request whose attempt at an own endpoint waits to be recorded on a disk that hangs is left unanswered when the gateway ends.
+func TestShutdownAnswersRequestsThatAwaitLedger(t *testing.T) {
+	t.Parallel()
+	endpoint, disk := lbtest.NewEndpoint(t, nil), fake.NewDisk(-1)
+	file := parseAll(t, endingText("5s", listener("l", "127.0.0.1:0"), endpoint)+ledgerAt("none", hungLedger))
+	file.Ledger.Disk = disk
+	g := startEndingFile(t, file)
+	c := lbtest.Dial(t, g.Addr("l").String())
+	t.Cleanup(disk.Hang())
+	c.Send(requestOf("write", "unrecorded"))
+	lbtest.Until(t, "the request is in flight", func() bool { return g.state.Load().clusters["c"].InFlight() == 1 })
+	checkResponse(t, c, g.end())
+	<-g.done
+	if n := len(endpoint.Arrivals); n > 0 {
+		t.Errorf("%d attempts were sent that the ledger does not have", n)
+	}
+}
+
+// A response that waits to be recorded on a disk that hangs is never given when the gateway ends.
+func TestShutdownGivesResponseThatAwaitsLedger(t *testing.T) {
+	t.Parallel()
+	endpoint, disk := lbtest.NewEndpoint(t, nil), fake.NewDisk(-1)
+	file := parseAll(t, endingText("5s", listener("l", "127.0.0.1:0"), endpoint)+ledgerAt("none", hungLedger+"\n mode = \"each\""))
+	file.Ledger.Disk = disk
+	g := startEndingFile(t, file)
+	c := lbtest.Dial(t, g.Addr("l").String())
+	c.Send(requestOf("write", "served"))
+	arrival := <-endpoint.Arrivals
+	t.Cleanup(disk.Hang())
+	arrival.OK()
+	lbtest.Until(t, "the endpoint has answered", func() bool { return g.state.Load().clusters["c"].InFlight() == 0 })
+	c.SetReadDeadline(g.end())
+	if status, body := c.Response(); status != 200 || body != "answer to served" {
+		t.Errorf("status %d, body %q; want the endpoint's response", status, body)
+	}
+	<-g.done
+}
+
+// A request whose crossing waits to be recorded on a disk that hangs is left unanswered when the gateway ends.
+func TestShutdownAnswersForwardedRequestsThatAwaitLedger(t *testing.T) {
+	t.Parallel()
+	p := newSiteFleetWith(t, "4s", fake.EndpointOptions{}, nil)
+	p.all[0].Close()
+	p.disk = fake.NewDisk(-1)
+	p.setStatuses(0, "gone", "gone")
+	g, _ := p.launch(p.configText(0)+ledgerAt("none", hungLedger), false)
+	p.all[0] = g
+	p.awaitLinks()
+	lbtest.Until(t, "the site has no endpoints", func() bool { return g.Members()["c"] == 0 })
+	lbtest.Until(t, "the voters are known", func() bool { return len(g.fleet.Members()) == 3 })
+	ending := p.ending(0)
+	c := lbtest.Dial(t, p.addr(0))
+	t.Cleanup(p.disk.Hang())
+	c.Send(requestOf("seat", "unrecorded"))
+	lbtest.Until(t, "the request is recorded", func() bool { return g.ledger.Status().Requests > 0 })
+	checkResponse(t, c, ending.end())
+	<-ending.done
+	if n := p.nodos[1][0].Requests() + p.nodos[1][1].Requests() + p.nodos[2][0].Requests() + p.nodos[2][1].Requests(); n > 0 {
+		t.Errorf("%d attempts were sent that the ledger does not have", n)
+	}
+}
+
+// A request that crossed on a link that a reload removed is left unanswered when the gateway ends.
+func TestShutdownAnswersRequestsOfRemovedLink(t *testing.T) {
+	t.Parallel()
+	for _, class := range []string{"seat", "look", "note"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			s := newHungSites(t)
+			c := s.send(class, "crossed")
+			g := s.ending(0)
+			text := s.configText(0)
+			for _, peer := range []int{1, 2} { // other addresses
+				text = strings.ReplaceAll(text, s.paths[0][peer].Addr, lbtest.ReserveAddress(t))
+			}
+			g.reload(t, text)
+			checkResponse(t, c, g.end())
+			<-g.done
+		})
+	}
+}
--- a/internal/gateway/sites_test.go
+++ b/internal/gateway/sites_test.go
@@ -35,6 +35,7 @@
 	paths    [3][3]*fake.Path // from, to
 	all      [3]*Gateway
 	seeds    []string
+	disk     *fake.Disk // of a gateway with a ledger
 	mu       sync.Mutex // of all
 }
 
@@ -172,6 +173,9 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	if file.Ledger != nil {
+		file.Ledger.Disk = p.disk
+	}
 	sockets, err := fleet.Listen("127.0.0.1:0")
 	if err != nil {
 		p.t.Fatal(err)
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -196,12 +196,12 @@
 
 // Finish records the final answer to the request. It must be called before the first byte of the answer is sent to the client.
 // Before an endpoint's successful response is served, Finish waits until the record of that response is durable in mode EachRecord,
-// or written in the other modes. It waits for about SlowDiskTime at most. If the record is not safe by then, or the disk is not
-// usable, the response counts as late. Other answers do not wait.
+// or written in the other modes. It waits for about SlowDiskTime at most, and not beyond the end of ctx. If the record is not safe by
+// then, or the disk is not usable, the response counts as late. Other answers do not wait.
 //
 // Finish never waits for the record of the final answer itself. If the process ends before that record is written, the ledger shows
 // that the request ran, but not whether the client got the answer.
-func (e *Entry) Finish(ending segment.Ending, status int) {
+func (e *Entry) Finish(ctx context.Context, ending segment.Ending, status int) {
 	e.mu.Lock()
 	wasEnded, responseSeq := e.ended, e.responseSeq
 	e.ended = true
@@ -217,7 +217,7 @@
 		return
 	}
 	if reason, _ := l.commit.Ready(time.Now()); ok && reason == "" {
-		if l.await(context.Background(), responseSeq, l.options.Load().Commit.Mode == commit.EachRecord) == nil {
+		if l.await(ctx, responseSeq, l.options.Load().Commit.Mode == commit.EachRecord) == nil {
 			return
 		}
 		l.mu.Lock()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -134,7 +134,7 @@
 			}
 			break
 		}
-		e.Finish(ending, 200)
+		e.Finish(context.Background(), ending, 200)
 		tracker.update(id, func(observed *observation) { observed.ending = ending })
 	}
 }
@@ -399,7 +399,7 @@
 			t.Fatal(err)
 		}
 		a.Ended(outcome, 200)
-		e.Finish(map[lbpolicy.Verdict]segment.Ending{lbpolicy.OK: segment.Served, lbpolicy.Timeout: segment.Failed, lbpolicy.ServerFull: segment.Rejected}[outcome], 200)
+		e.Finish(context.Background(), map[lbpolicy.Verdict]segment.Ending{lbpolicy.OK: segment.Served, lbpolicy.Timeout: segment.Failed, lbpolicy.ServerFull: segment.Rejected}[outcome], 200)
 	}
 	l.Close()
 	names, _ := d.List()
@@ -475,11 +475,11 @@
 				a := e.BeginAttempt("n1", terms)
 				if err := a.Intent(ctx, idempotency.Place{Zone: "z"}); err != nil {
 					a.Ended(lbpolicy.NotSent, 0)
-					e.Finish(segment.Rejected, 503)
+					e.Finish(context.Background(), segment.Rejected, 503)
 					return false
 				}
 				a.Ended(lbpolicy.OK, 200)
-				e.Finish(segment.Served, 200)
+				e.Finish(context.Background(), segment.Served, 200)
 				return true
 			}
 			lbtest.Until(t, "a request is served before the fault", func() bool { return serve("before", false) })
@@ -538,7 +538,7 @@
 			t.Fatal(err)
 		}
 		a.Ended(lbpolicy.OK, 200)
-		e.Finish(segment.Served, 200)
+		e.Finish(context.Background(), segment.Served, 200)
 	}
 	l.Close()
 	original, report := readLog(t, d)
@@ -702,7 +702,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e.Finish(segment.Served, 200)
+		e.Finish(context.Background(), segment.Served, 200)
 	}
 	lbtest.Until(t, "all records are durable", func() bool { v := l.Status(); return v.DurableSeq == v.LastSeq })
 	o.Retention.MaxBytes = 1
