Begin a gateway's shutdown while a reload waits for lists

Callers saw: SIGTERM while a reload waits for the first list of a new cluster, whose source is silent: the gateway goes on as if nothing had come for up to 2 s (ready, open for other sites), and its end comes that much later than "stop" says. Who kills it by "stop" loses requests.

Cause: Run takes signals one after the other, and makeClusters waits for first lists without an end but initialListTimeout.

Change: the wait ends with Run's context. The reload fails, which is logged, and the shutdown begins at once.

Evidence: TestShutdownInterruptsReload: before, none of 3 requests had its answer within 0.5 s of the end that "stop" says; passes now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -351,8 +351,8 @@
 	}
 }
 
-// Run serves until ctx ends, and then shuts down. Each value on reload has the file read again. With an unusable file the configuration in
-// force stays, which is logged.
+// Run serves until ctx ends, and then shuts down. Each value on reload has the file read again. With an unusable file, or where ctx ends
+// first, the configuration in force stays, which is logged.
 func (g *Gateway) Run(ctx context.Context, path string, reload <-chan struct{}) {
 	for {
 		select {
@@ -362,7 +362,7 @@
 		case <-reload:
 			file, err := conf.Load(path)
 			if err == nil {
-				err = g.Reload(file)
+				err = g.reload(ctx, file)
 			}
 			g.setReloadError(err)
 			if err != nil {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"reflect"
@@ -25,14 +27,17 @@
 //
 // First everything new is made: listeners are bound, clusters started, and their first lists awaited. Then the states are exchanged. Then
 // what is not used any more ends: connections after the responses that they wait for, clusters with their last requests.
-func (g *Gateway) Reload(file *conf.File) error {
+func (g *Gateway) Reload(file *conf.File) error { return g.reload(context.Background(), file) }
+
+// reload is Reload. It fails when ctx ends, if the configuration is not in force by then.
+func (g *Gateway) reload(ctx context.Context, file *conf.File) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed {
 		return errClosed
 	}
 	r := &reload{gateway: g, file: file, old: g.state.Load()}
-	if err := r.prepare(); err != nil {
+	if err := r.prepare(ctx); err != nil {
 		r.undo()
 		return err
 	}
@@ -54,7 +59,7 @@
 }
 
 // prepare makes everything that is new. After an error undo releases it.
-func (r *reload) prepare() error {
+func (r *reload) prepare(ctx context.Context) error {
 	var err error
 	if r.tls, err = r.gateway.loadTLS(r.file); err != nil {
 		return err
@@ -63,7 +68,7 @@
 		return err
 	}
 	r.next = newState(r.file)
-	if err := r.makeClusters(); err != nil {
+	if err := r.makeClusters(ctx); err != nil {
 		return err
 	}
 	if err := r.checkRestart(); err != nil {
@@ -90,7 +95,7 @@
 }
 
 // makeClusters starts the clusters that no running one can serve, and waits for their first lists.
-func (r *reload) makeClusters() error {
+func (r *reload) makeClusters(ctx context.Context) error {
 	for _, c := range r.file.Clusters {
 		if running := r.runningCluster(c); running != nil {
 			r.next.clusters[c.Name] = running
@@ -105,7 +110,11 @@
 		r.next.clusters[c.Name] = shared
 	}
 	for _, shared := range r.created {
-		<-shared.Initialized()
+		select {
+		case <-shared.Initialized():
+		case <-ctx.Done():
+			return fmt.Errorf("gateway: waiting for the first lists of clusters: %w", ctx.Err())
+		}
 	}
 	return nil
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -374,3 +378,34 @@
 		})
 	}
 }
+
+// A shutdown that has to wait for a reload, whose new cluster has no list yet, answers later than its time.
+func TestShutdownInterruptsReload(t *testing.T) {
+	t.Parallel()
+	g, hung, clients := startHung(t, listener("l", "127.0.0.1:0"), "l")
+	silent := fmt.Sprintf("cluster \"silent\" {\n  registry {\n    address = %q\n  }\n}\n", lbtest.ReserveAddress(t))
+	path := filepath.Join(t.TempDir(), "gateway.hcl")
+	if err := os.WriteFile(path, []byte(endingText("5s", listener("l", "127.0.0.1:0"), hung)+silent), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(t.Context())
+	reload := make(chan struct{})
+	go func() {
+		g.Run(ctx, path, reload)
+		close(g.done)
+	}()
+	reload <- struct{}{}
+	lbtest.Until(t, "the reload waits", func() bool { return !g.mu.TryLock() || unlock(&g.mu) })
+	terminate()
+	due := time.Now().Add(stopTime + lateResponseBound)
+	for _, c := range clients {
+		checkResponse(t, c, due)
+	}
+	<-g.done
+}
+
+// unlock unlocks a mutex and returns false.
+func unlock(mu *sync.Mutex) bool {
+	mu.Unlock()
+	return false
+}
