Answer connections that wait for a place when a listener ends

Callers saw: a reset at the end of a shutdown on a connection whose request was sent while the listener had no place for it: in the accept queue (both roles), or in the gateway's line ("patience") behind requests that never end.

Cause: at the deadline, when the exchanges give their results and places become free, the listener was closed at once with its queue, and what waited in line was forgotten.

--- a/internal/edge/frontend/acceptor.go
+++ b/internal/edge/frontend/acceptor.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// rejectWaiting rejects all connections that wait for a slot.
+func (a *acceptor) rejectWaiting() {
+	for _, c := range a.conns() {
+		a.expireWait(c)
+	}
+}
+
 // accept returns the next connection that is admitted at once. It responds to rejected connections and closes them.
 func (a *acceptor) accept() (*clientConn, error) {
 	for {
--- a/internal/edge/frontend/shutdown.go
+++ b/internal/edge/frontend/shutdown.go
@@ -64,7 +64,7 @@
 // also be starting, and load balancers detect the failed readiness check late. Requests that are accepted shortly before the deadline have
 // less time here than elsewhere. The policy rejects those that have too little time.
 //
-// At the deadline a request whose body is still being received is rejected. A request whose exchange has no result resultTime later gets a
+// At the deadline a connection that waits for admission is rejected, as is a request whose body is still being received. A request whose exchange has no result resultTime later gets a
 // failure from the server itself, whatever the exchange waits for.
 func (s *Server) Shutdown(serveUntil, deadline time.Time) {
 	s.shuttingDown.Store(true)
@@ -77,11 +77,13 @@
 		return
 	}
 	s.stopReceiving()
+	s.acceptor.rejectWaiting()
 	if s.drainUntil(deadline.Add(resultTime)) {
 		return
 	}
 	s.respondOverdue()
 	s.drainUntil(deadline.Add(resultTime + flushTime))
+	s.closeListener()
 }
 
 // Drain closes each connection after its current response, and accepts no others. It reports whether all were closed before ctx ended. The
@@ -92,12 +94,14 @@
 func (s *Server) Drain(ctx context.Context) (drained bool) {
 	s.shuttingDown.Store(true)
 	s.closing.Store(true)
-	for !s.retired.Load() && s.acceptor.hasPending() && ctx.Err() == nil {
+	for !s.retired.Load() && s.acceptor.hasPending() {
+		if ctx.Err() != nil {
+			return false
+		}
 		s.acceptor.closeIdle(math.MaxInt)
 		time.Sleep(pendingInterval)
 	}
-	s.acceptor.listener.Close()
-	s.wakeAccept()
+	s.closeListener()
 	for {
 		s.acceptor.closeIdle(math.MaxInt)
 		if s.isIdle() {
@@ -111,6 +115,11 @@
 	}
 }
 
+func (s *Server) closeListener() {
+	s.acceptor.listener.Close()
+	s.wakeAccept()
+}
+
 // drainUntil is Drain with a deadline.
 func (s *Server) drainUntil(deadline time.Time) (drained bool) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/edge/frontend/shutdownend_test.go
+++ b/internal/edge/frontend/shutdownend_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net/http"
@@ -26,9 +27,14 @@
 }
 
 func newEndingServer(t *testing.T, router frontend.Router) *endingServer {
+	t.Helper()
+	return newEndingServerWith(t, router, admission.SingleGroup(16))
+}
+
+func newEndingServerWith(t *testing.T, router frontend.Router, policy admission.Policy) *endingServer {
 	t.Helper()
 	l := lbtest.Listen(t)
-	s := &endingServer{frontend.New(router, l, admission.SingleGroup(16), log.New(io.Discard, "", 0)), l.Addr().String()}
+	s := &endingServer{frontend.New(router, l, policy, log.New(io.Discard, "", 0)), l.Addr().String()}
 	go s.Serve()
 	t.Cleanup(func() { s.Close() })
 	return s
@@ -142,3 +148,49 @@
 		t.Errorf("%q after the response", rest)
 	}
 }
+
+// A request on a connection that waits for admission, in the accept queue or for a slot, is left unanswered when the server ends.
+func TestShutdownRejectsConnectionsThatWait(t *testing.T) {
+	t.Parallel()
+	blocking := admission.SingleGroup(1)
+	waiting := admission.SingleGroup(1)
+	waiting.BlockWhenFull = false
+	waiting.MaxWait, waiting.MaxWaiting = lbtest.Wait, 8
+	for name, c := range map[string]struct {
+		policy       admission.Policy
+		freesSlotsBy time.Duration
+	}{"in the accept queue": {blocking, shutdownTime}, "for a slot": {waiting, lbtest.Wait}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engineEnd := make(chan struct{})
+			started := make(chan struct{}, 8)
+			x := slowExchange{&fakeExchange{reply: noReply, do: func(context.Context) engine.Result {
+				started <- struct{}{}
+				<-engineEnd
+				return engine.Result{Rejected: true, RetryAfter: time.Second}
+			}}}
+			server := newEndingServerWith(t, x, c.policy)
+			first := lbtest.Dial(t, server.addr)
+			first.Send(lbtest.Get("first"))
+			<-started
+			var clients []*lbtest.Client
+			for i := range 3 {
+				c, err := lbtest.DialFrom(fmt.Sprint("127.0.0.", i+2), server.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { c.Close() })
+				client := lbtest.NewClient(t, c)
+				client.Send(lbtest.Get(fmt.Sprint("waiting-", i)))
+				clients = append(clients, client)
+			}
+			time.AfterFunc(c.freesSlotsBy, func() { close(engineEnd) })
+			go server.end()
+			for _, c := range clients {
+				if r := response(t, c); r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == "" {
+					t.Errorf("status %d, Retry-After %q; want 503 with a time", r.StatusCode, r.Header.Get("Retry-After"))
+				}
+			}
+		})
+	}
+}
