--- a/internal/gateway/shutdown_soak_test.go
+++ b/internal/gateway/shutdown_soak_test.go
@@ -106,7 +106,7 @@
 		d.reload(site, "800ms", listener("removed", "127.0.0.1:0"))
 		for range 4 {
 			addr := d.all[site].Addr("removed").String()
-			d.clients.Go(func() { d.request(site, addr) })
+			d.clients.Go((&client{day: d, site: site, addr: addr}).request)
 		}
 		time.Sleep(50 * time.Millisecond)
 		d.reload(site, "800ms", "")
@@ -115,33 +115,64 @@
 	}
 }
 
-// request sends a request on a connection of its own, and checks that it gets its answer in time.
-func (d *shutdownDay) request(site int, addr string) {
-	c, err := net.DialTimeout("tcp", addr, lbtest.Wait)
+// client is a client of one gateway, which may keep its connection.
+type client struct {
+	day   *shutdownDay
+	site  int
+	addr  string
+	keeps bool
+	conn  net.Conn // nil: none is open
+	from  *bufio.Reader
+}
+
+// connect opens a connection unless one is kept. It reports whether there is one.
+func (c *client) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	conn, err := net.DialTimeout("tcp", c.addr, lbtest.Wait)
 	if err != nil {
+		return false
+	}
+	c.conn, c.from = conn, bufio.NewReader(conn)
+	return true
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// request sends a request and checks that it gets its answer in time.
+func (c *client) request() {
+	if !c.connect() {
 		return
 	}
-	defer c.Close()
+	d := c.day
 	id := fmt.Sprint("r", d.requests.Add(1))
 	class := []string{"seat", "look", "note"}[d.chance(3)]
-	if sendRequest(c, class, id, d.upTo(400*time.Millisecond)*time.Duration(d.chance(2))) != nil {
+	if sendRequest(c.conn, class, id, d.upTo(400*time.Millisecond)*time.Duration(d.chance(2))) != nil {
+		c.close()
 		return
 	}
 	sent := time.Now()
-	c.SetReadDeadline(sent.Add(d.deadline + lateResponseBound))
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
-	terminated := d.terminated[site].Load()
+	c.conn.SetReadDeadline(sent.Add(d.deadline + lateResponseBound))
+	response, err := http.ReadResponse(c.from, nil)
 	answered := time.Now()
+	terminated := d.terminated[c.site].Load()
 	if err != nil {
+		c.close()
 		if terminated == nil || sent.Before(terminated.Add(d.stop/2-acceptMargin)) {
-			d.t.Errorf("%s of class %s at site %d, sent %v after its SIGTERM: no final answer %v later: %v", id, class, site,
+			d.t.Errorf("%s of class %s at site %d, sent %v after its SIGTERM: no final answer %v later: %v", id, class, c.site,
 				sinceOf(sent, terminated), answered.Sub(sent), err)
 		}
 		return
 	}
 	switch {
 	case terminated != nil && answered.After(terminated.Add(d.stop+lateResponseBound)):
-		d.t.Errorf("%s of class %s at site %d: status %d %v after SIGTERM", id, class, site, response.StatusCode, answered.Sub(*terminated))
+		d.t.Errorf("%s of class %s at site %d: status %d %v after SIGTERM", id, class, c.site, response.StatusCode, answered.Sub(*terminated))
 	case response.StatusCode == http.StatusOK:
 		d.served.Add(1)
 	}
@@ -151,6 +182,22 @@
 	if rest, err := io.ReadAll(io.LimitReader(response.Body, 1<<16)); err != nil {
 		d.t.Errorf("%s: response cut off after %d bytes: %v", id, len(rest), err)
 	}
+	if !c.keeps || response.Close {
+		c.close()
+	}
+}
+
+// disturbLinks resets a link between two sites, or holds up what goes one way on it, on half of the days.
+func (d *shutdownDay) disturbLinks() {
+	path := d.paths[d.chance(2)][d.chance(3)]
+	switch d.chance(6) {
+	case 0:
+		path.Reset()
+	case 1:
+		path.Block(fake.ToServer, true)
+	case 2:
+		path.Block(fake.ToClient, true)
+	}
 }
 
 // sinceOf returns how long after the shutdown began a request was sent; negative: before.
@@ -182,12 +229,14 @@
 	stopClients := make(chan struct{})
 	for i := range 36 {
 		d.clients.Go(func() {
+			c := &client{day: d, site: i % 3, addr: d.addrs[i%3], keeps: i%2 == 0}
+			defer c.close()
 			for {
 				select {
 				case <-stopClients:
 					return
 				case <-time.After(d.upTo(80 * time.Millisecond)):
-					d.request(i%3, d.addrs[i%3])
+					c.request()
 				}
 			}
 		})
@@ -196,6 +245,7 @@
 		time.Sleep(d.upTo(400 * time.Millisecond))
 		d.reloadAtRandom(d.chance(3))
 	}
+	d.disturbLinks()
 	var ending sync.WaitGroup
 	for _, site := range d.ends {
 		ending.Go(func() {
--- a/internal/gateway/sites_test.go
+++ b/internal/gateway/sites_test.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	if file.Ledger != nil {
+	if p.disk != nil {
 		file.Ledger.Disk = p.disk
 	}
 	sockets, err := fleet.Listen("127.0.0.1:0")
