--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,9 +9,7 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,11 +30,8 @@
 )
 
 const (
-	reservedSockets = 32              // standard streams, listeners, sources, the runtime's own
-	minEndpointConn = 8               // descriptors for connections to endpoints
-	leaveTimeout    = 2 * time.Second // for the fleet's members to learn that this one leaves
-	// linkFlushTime is how long after the deadline of a shutdown the last responses to other sites may take.
-	linkFlushTime = 200 * time.Millisecond
+	reservedSockets = 32 // standard streams, listeners, sources, the runtime's own
+	minEndpointConn = 8  // descriptors for connections to endpoints
 )
 
 // Gateway runs a configuration. All its methods may be called from any goroutine.
@@ -278,79 +273,6 @@
 	return out
 }
 
-// Shutdown shuts down gracefully: clients are served on for half of the shutdown time, then connections are closed after the responses that
-// they wait for. When the time is over each request has its response.
-func (g *Gateway) Shutdown() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.closed {
-		return
-	}
-	g.closed = true
-	g.draining.Store(true) // other sites learn it with the next heartbeat
-	s := g.state.Load()
-	now := time.Now()
-	deadline := now.Add(s.file.Process.ShutdownTime)
-	g.shutdown.set(deadline)
-	serveUntil := now.Add(s.file.Process.ShutdownTime / 2)
-	for _, c := range g.clusters.all() {
-		c.ShutDownBy(deadline)
-	}
-	for _, f := range g.listeners {
-		g.ending.Go(func() { f.Shutdown(serveUntil, deadline) })
-	}
-	if l := g.transport.Load(); l != nil {
-		g.ending.Go(func() {
-			time.Sleep(time.Until(serveUntil))
-			l.Drain(deadline.Add(linkFlushTime))
-		})
-	}
-	g.ending.Wait()
-	if l := g.transport.Load(); l != nil {
-		l.Close()
-	}
-	if g.fleet != nil { // after the requests, whose keys need its votes
-		g.fleet.Leave(leaveTimeout)
-	}
-	if g.discovery != nil {
-		g.discovery.Close()
-	}
-	if g.controlPlane != nil {
-		g.controlPlane.Close()
-	}
-	g.closeControl()
-	if g.ledger != nil { // after the last response
-		g.ledger.Close()
-	}
-	g.release(s)
-}
-
-// Close ends everything at once.
-func (g *Gateway) Close() {
-	g.mu.Lock()
-	fronts := append(g.removed.all(), slices.Collect(maps.Values(g.listeners))...)
-	g.mu.Unlock()
-	for _, f := range fronts {
-		_ = f.Close() // closes a listener that may be closed already
-	}
-	if l := g.transport.Load(); l != nil {
-		l.Close()
-	}
-	if g.fleet != nil {
-		g.fleet.Close()
-	}
-	if g.discovery != nil {
-		g.discovery.Close()
-	}
-	if g.controlPlane != nil {
-		g.controlPlane.Close()
-	}
-	g.closeControl()
-	if g.ledger != nil {
-		g.ledger.Close()
-	}
-}
-
 // Run serves until ctx ends, and then shuts down. Each value on reload has the file read again. With an unusable file, or where ctx ends
 // first, the configuration in force stays, which is logged.
 func (g *Gateway) Run(ctx context.Context, path string, reload <-chan struct{}) {
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net"
 	"slices"
-	"time"
 
 	"silvertrail/internal/edge/frontend"
 	"silvertrail/internal/gateway/conf"
@@ -86,17 +85,6 @@
 	g.openListeners.Store(&open)
 }
 
-// drainRemoved ends a listener that a reload has removed, after the responses to its requests. A shutdown ends it earlier.
-func (g *Gateway) drainRemoved(b *boundListener) {
-	g.removed.add(b)
-	g.ending.Go(func() {
-		defer g.removed.remove(b)
-		if !b.Drain(g.shutdown.begun) {
-			b.Shutdown(time.Now(), *g.shutdown.at.Load())
-		}
-	})
-}
-
 // headMemoryDivider divides the memory for bodies: a listener gets this part beside it for large heads.
 const headMemoryDivider = 2
 
--- a/internal/gateway/shutdown_soak_test.go
+++ b/internal/gateway/shutdown_soak_test.go
@@ -172,7 +172,8 @@
 	}
 	switch {
 	case terminated != nil && answered.After(terminated.Add(d.stop+lateResponseBound)):
-		d.t.Errorf("%s of class %s at site %d: status %d %v after SIGTERM", id, class, c.site, response.StatusCode, answered.Sub(*terminated))
+		d.t.Errorf("%s of class %s at site %d, sent %v after its SIGTERM: status %d %v after it", id, class, c.site, sinceOf(sent, terminated),
+			response.StatusCode, answered.Sub(*terminated))
 	case response.StatusCode == http.StatusOK:
 		d.served.Add(1)
 	}
