Serve a request that was just read when idle connections are closed

Callers saw: a reset on a kept connection in the moment of a shutdown (both roles), for a request that the process had read.

Cause: closeIdle takes a connection for idle if nothing is unread on its socket and headStarted is not set. The goroutine that reads takes the bytes off the socket first and sets headStarted later; in between the connection was closed, and the request dropped as one that the client would send again.

Change: the connection is closed by the goroutine that reads: closeIdle makes its read fail, and it goes on if a part of a head has come.

--- a/internal/edge/frontend/acceptor.go
+++ b/internal/edge/frontend/acceptor.go
@@ -224,20 +224,21 @@
 	a.lingering.close()
 }
 
-// closeIdle closes at most limit idle connections. It skips new connections that have not sent a request yet, and connections with unread
-// input, which may be part of a request.
+// closeIdle has at most limit idle connections closed. It skips new connections that have not sent a request yet, and connections with
+// unread input, which may be part of a request. The goroutine that reads from a connection closes it, because nobody else knows whether a
+// request has just been read.
 func (a *acceptor) closeIdle(limit int) {
 	a.mu.Lock()
-	now := time.Now()
-	var idle []*admission.Conn
-	for _, c := range a.controller.IdleConns(now) {
-		if len(idle) < limit && !c.Owner.(*clientConn).hasInput() {
-			idle = append(idle, c)
-			a.controller.Remove(now, c)
+	defer a.mu.Unlock()
+	interrupted := 0
+	for _, idle := range a.controller.IdleConns(time.Now()) {
+		c := idle.Owner.(*clientConn)
+		if interrupted == limit || c.hasInput() {
+			continue
 		}
+		c.interruptIdle()
+		interrupted++
 	}
-	a.mu.Unlock()
-	closeEvicted(idle)
 }
 
 // hasPending reports whether connections are in the accept queue.
--- a/internal/edge/frontend/clientconn.go
+++ b/internal/edge/frontend/clientconn.go
@@ -39,6 +39,7 @@
 	request         http.Request
 	expectsContinue bool                         // the client waits for 100 Continue before it sends the body
 	headStarted     atomic.Bool                  // a part of the next head was read
+	interrupted     atomic.Bool                  // interruptIdle was called
 	reservedHead    int64                        // memory reserved for the head of the present request
 	closeAfter      bool                         // the connection is closed after the current response
 	guard           atomic.Pointer[overdueGuard] // of the request being served; nil: none is
--- a/internal/edge/frontend/disconnect_test.go
+++ b/internal/edge/frontend/disconnect_test.go
@@ -38,11 +38,13 @@
 	*net.TCPConn
 	readGate atomic.Pointer[chan struct{}] // a read that got bytes returns once this channel is closed; nil: no delay
 	read     atomic.Int64                  // number of bytes read
+	held     atomic.Bool                   // a read with bytes has waited for readGate
 }
 
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if hold := c.readGate.Load(); hold != nil && n > 0 {
+		c.held.Store(true)
 		<-*hold
 	}
 	c.read.Add(int64(n))
--- a/internal/edge/frontend/requesthead.go
+++ b/internal/edge/frontend/requesthead.go
@@ -37,7 +37,7 @@
 		c.growInput()
 		n, err := c.reader.Read(c.input[len(c.input):cap(c.input)])
 		c.input = c.input[:len(c.input)+n]
-		if n == 0 && c.renewDeadline(err, !hasHeadDeadline) {
+		if n == 0 && (c.resumeRead(err) || c.renewDeadline(err, !hasHeadDeadline)) {
 			continue
 		}
 		if n == 0 && err != nil {
@@ -76,6 +76,25 @@
 	return isFirst || started
 }
 
+// interruptIdle has a read for the next head fail, so that the connection is closed unless a part of that head has come. It is called from
+// any goroutine.
+func (c *clientConn) interruptIdle() {
+	c.interrupted.Store(true)
+	c.socket.SetReadDeadline(pastDeadline)
+}
+
+// resumeRead restores the read deadline after interruptIdle if a part of the head has come. It reports whether it did.
+func (c *clientConn) resumeRead(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.interrupted.Swap(false) {
+		return false
+	}
+	if len(c.input) == 0 && !c.hasUnreadBytes() {
+		return false
+	}
+	c.Conn.SetReadDeadline(c.readDeadline)
+	return true
+}
+
 // renewDeadline extends the read deadline if it passed while this process was paused, and reports whether it did. Bytes that the client
 // sent during the pause are unread on the socket. A client may also reuse an idle connection, and closing it would lose that request.
 func (c *clientConn) renewDeadline(err error, isIdle bool) bool {
--- a/internal/edge/frontend/shutdown_test.go
+++ b/internal/edge/frontend/shutdown_test.go
@@ -58,6 +58,42 @@
 	}
 }
 
+// A request, or a part of its head, that has just been read from a kept connection when a shutdown closes idle ones is dropped.
+func TestShutdownServesRequestJustRead(t *testing.T) {
+	t.Parallel()
+	text := lbtest.Get("just-read")
+	for name, split := range map[string]int{"whole": len(text), "a part of the head": 30} {
+		for security, useTLS := range map[string]bool{"": false, " over TLS": true} {
+			t.Run(name+security, func(t *testing.T) {
+				t.Parallel()
+				server := startTestServer(t, 8, 1<<20, useTLS, nil)
+				c := server.connectAndSend(t, lbtest.Get("before"))
+				if status, _ := c.Response(); status != 200 {
+					t.Fatal(status)
+				}
+				idle := server.connectAndSend(t, lbtest.Get("idle"))
+				if status, _ := idle.Response(); status != 200 {
+					t.Fatal(status)
+				}
+				gate := make(chan struct{})
+				c.serverConn.readGate.Store(&gate)
+				c.Send(text[:split])
+				lbtest.Until(t, "the sidecar has read the request", c.serverConn.held.Load)
+				deadline := time.Now().Add(lbtest.Wait)
+				server.engine.ShutDownBy(deadline)
+				go server.Shutdown(time.Now(), deadline)
+				idle.AwaitClose() // idle connections have been closed
+				c.serverConn.readGate.Store(nil)
+				close(gate)
+				c.Send(text[split:])
+				if status, body := c.Response(); status != 200 || body != "answer to just-read" {
+					t.Errorf("status %d, body %q", status, body)
+				}
+			})
+		}
+	}
+}
+
 // At the shutdown deadline a request whose endpoint never responds must get an error response at once. Later requests on the connection
 // must each get 503 at once and must not be forwarded.
 func TestRequestsAfterShutdownDeadlineAreRejected(t *testing.T) {
