--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -344,6 +344,9 @@
 	p.setStatuses(0, "gone", "gone")
 	g, _ := p.launch(p.configText(0)+ledgerAt("none", hungLedger), false)
 	p.all[0] = g
+	for from := range p.paths {
+		p.paths[from][0].SetTarget(g.LinkAddr())
+	}
 	p.awaitLinks()
 	lbtest.Until(t, "the site has no endpoints", func() bool { return g.Members()["c"] == 0 })
 	lbtest.Until(t, "the voters are known", func() bool { return len(g.fleet.Members()) == 3 })
