--- a/internal/edge/frontend/shutdown_test.go
+++ b/internal/edge/frontend/shutdown_test.go
@@ -63,8 +63,8 @@
 	t.Parallel()
 	text := lbtest.Get("just-read")
 	for name, split := range map[string]int{"whole": len(text), "a part of the head": 30} {
-		for security, useTLS := range map[string]bool{"": false, " over TLS": true} {
-			t.Run(name+security, func(t *testing.T) {
+		for security, useTLS := range map[string]bool{"unencrypted": false, "over TLS": true} {
+			t.Run(name+" "+security, func(t *testing.T) {
 				t.Parallel()
 				server := startTestServer(t, 8, 1<<20, useTLS, nil)
 				c := server.connectAndSend(t, lbtest.Get("before"))
