Count a withheld xDS update as not applied until it is in force

Seen: a client acknowledged each update that it held off. The control plane then counted it as up to date for up to `hold` (`control status`: nobody behind), while the update was not in force.

Cause: handleResponse answered by the resources that could be read alone; what the order of updates had decided did not reach the session.

Change: a response with a resource that is not in force as it was sent is rejected, with the reason. What only takes endpoints out of use is in force at once and is acknowledged. Once a withheld resource is in force it is acknowledged: in the state of the world by a second answer to the response, in the incremental variant by a request for the resource, whose response is then acknowledged. The control plane sends a resource that is requested again even where its version was rejected; the fake one of the tests did not send it, against the protocol ("the server must still provide those resources").

--- a/internal/controlplane/distribution/subscriber.go
+++ b/internal/controlplane/distribution/subscriber.go
@@ -122,8 +122,9 @@
 			return fmt.Errorf("over %d names of a type", d.limits.MaxNames)
 		}
 		if _, hasVersion := r.InitialVersions[name]; !hasVersion {
-			delete(sub.acknowledged, name) // the subscriber requests the resource again
+			delete(sub.acknowledged, name) // the subscriber requests the resource again, perhaps as it can use it now
 		}
+		delete(sub.nacked, name)
 		delete(sub.sent, name) // the response in flight may be from before the subscriber had unsubscribed
 		setEntry(&sub.names, name, true)
 		d.addToIndex(r.Kind, name, s)
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -84,7 +85,12 @@
 
 func startSidecar(t testing.TB, node, cluster string, addresses ...string) *testSidecar {
 	t.Helper()
-	options := bootstrap.Options{Variant: ads.Delta, Node: bootstrap.Node{ID: node}, DeferTime: 30 * time.Second, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
+	return startSidecarWithDeferTime(t, node, cluster, 30*time.Second, addresses...)
+}
+
+func startSidecarWithDeferTime(t testing.TB, node, cluster string, deferTime time.Duration, addresses ...string) *testSidecar {
+	t.Helper()
+	options := bootstrap.Options{Variant: ads.Delta, Node: bootstrap.Node{ID: node}, DeferTime: deferTime, ResourceTimeout: 15 * time.Second, KeepaliveTime: 5 * time.Minute,
 		MaxMessageBytes: 16 << 20, Selection: selection.Timing{ResponseTimeout: 5 * time.Second, Probation: 10 * time.Second, MinBackoff: time.Millisecond, MaxBackoff: 50 * time.Millisecond}}
 	for _, address := range addresses {
 		options.ControlPlanes = append(options.ControlPlanes, bootstrap.ControlPlane{Name: address, Address: address, Insecure: true})
@@ -117,6 +123,13 @@
 	return strings.TrimPrefix(sidecar.view.Set.Localities[0].Endpoints[0].Address, "127.0.0.1:")
 }
 
+// usesAll reports whether the cluster is ready and all its endpoints are used.
+func (sidecar *testSidecar) usesAll() bool {
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	return sidecar.view.State == cache.Ready && !slices.ContainsFunc(sidecar.view.AssignTraffic(cache.AllPriorities), func(e cache.AssignedEndpoint) bool { return e.Use != cache.Used })
+}
+
 // await waits for a port of the cluster's first endpoint, or for a state of the cluster.
 func (sidecar *testSidecar) await(t testing.TB, want string) {
 	t.Helper()
@@ -240,6 +253,59 @@
 	}
 }
 
+// A sidecar counts as behind while it withholds a publication, as the content was replaced before the server restarted, and as up to date once it
+// has applied it. It acknowledges a publication that only drains at once.
+func TestWithheldPublicationCountsAsBehind(t *testing.T) {
+	options := api.Options{Name: "m", StateFile: filepath.Join(t.TempDir(), "state")}
+	server := startServer(t, options)
+	options.Listen = server.Addr()
+	set := func(health corev3.HealthStatus) proto.Message {
+		return xdsserver.EndpointSet("a", "z", xdsserver.Endpoint("127.0.0.1:1", 0, 1), xdsserver.Endpoint("127.0.0.1:2", health, 1))
+	}
+	sidecars := map[string]*testSidecar{
+		"patient": startSidecarWithDeferTime(t, "patient", "a", time.Hour, server.Addr()),
+		"quick":   startSidecarWithDeferTime(t, "quick", "a", 200*time.Millisecond, server.Addr()),
+	}
+	isUpToDate := func(node string) bool {
+		status := subscriberStatus(server, node)
+		return status.Subscribed == 2 && status.Behind == 0 && status.Rejected == 0 && !status.InFlight
+	}
+	await := func(what, node string, usesBoth bool) {
+		t.Helper()
+		lbtest.Until(t, node+": "+what, func() bool { return sidecars[node].usesAll() == usesBoth && isUpToDate(node) })
+	}
+	awaitAll := func(what string, usesBoth bool) {
+		t.Helper()
+		for node := range sidecars {
+			await(what, node, usesBoth)
+		}
+	}
+	restart := func() {
+		server.Close()
+		server = startServer(t, options)
+	}
+	publish(t, server, nil, xdsserver.Cluster("a"), set(corev3.HealthStatus_HEALTHY))
+	awaitAll("both endpoints are used", true)
+	publish(t, server, nil, set(corev3.HealthStatus_DRAINING))
+	awaitAll("one drains", false)
+	publish(t, server, nil, set(corev3.HealthStatus_HEALTHY))
+	awaitAll("it is back", true)
+	restart()
+	awaitAll("it is back after the restart", true)
+	publish(t, server, nil, set(corev3.HealthStatus_DRAINING))
+	awaitAll("it drains again", false)
+	restart()
+	publish(t, server, nil, set(corev3.HealthStatus_HEALTHY))
+	await("it is back after the defer time", "quick", true)
+	lbtest.Until(t, "the patient sidecar is behind", func() bool {
+		status := subscriberStatus(server, "patient")
+		return status.Behind == 1 && status.Rejected == 1
+	})
+	if sidecars["patient"].usesAll() {
+		t.Error("an endpoint that a withheld publication returns is used")
+	}
+}
+
 // Servers replicate publications and removals to each other, whichever starts first. A server that starts without state receives all
 // records from its peer before it serves sidecars. While a server is down, its sidecars are served by the other one.
 func TestPeersReplicateRecords(t *testing.T) {
--- a/internal/testkit/xdsserver/server.go
+++ b/internal/testkit/xdsserver/server.go
@@ -303,14 +303,13 @@
 func (sub *subscription) applyDelta(request Request, first bool) {
 	maps.Copy(sub.sent, request.InitialVersions)
 	for _, n := range request.Names {
-		switch {
-		case n == "*":
+		if n == "*" {
 			sub.wildcard = true
-		case !sub.names[n]:
-			sub.names[n] = true
-			if _, cached := request.InitialVersions[n]; !cached {
-				delete(sub.sent, n) // the client wants it again
-			}
+			continue
+		}
+		sub.names[n] = true
+		if _, cached := request.InitialVersions[n]; !cached {
+			delete(sub.sent, n) // the client wants it, perhaps again
 		}
 	}
 	for _, n := range request.Unsubscribed {
--- a/internal/xds/ads/session.go
+++ b/internal/xds/ads/session.go
@@ -79,6 +79,7 @@
 	lastNonce       string
 	pending         []reply
 	initialVersions map[string]string
+	resubscribe     map[string]bool // incremental: subscribed names to subscribe to once more
 }
 
 // Session is the state of one stream.
@@ -102,6 +103,18 @@
 // Subscribe replaces the subscription of a kind.
 func (s *Session) Subscribe(k Kind, wanted Subscription) { s.kinds[k].wanted = wanted }
 
+// Resubscribe requests resources once more that the subscription of a kind holds already, so that the server sends them again and they can be
+// acknowledged. It has no effect in the state-of-the-world variant: Answer may be called again there.
+func (s *Session) Resubscribe(k Kind, names []string) {
+	state := &s.kinds[k]
+	if state.resubscribe == nil {
+		state.resubscribe = map[string]bool{}
+	}
+	for _, n := range names {
+		state.resubscribe[n] = true
+	}
+}
+
 // Receive records a response, which must be answered with Answer. The caller must end the stream on an error,
 // except on ErrNotSubscribed: such a response is not answered.
 func (s *Session) Receive(k Kind, nonce string) error {
@@ -150,7 +163,7 @@
 	}
 	names := state.wantedNames()
 	changed := state.wildcard != state.wanted.Wildcard || !maps.Equal(names, state.subscribed)
-	if !first && !changed && len(state.pending) == 0 {
+	if !first && !changed && len(state.pending) == 0 && (len(state.resubscribe) == 0 || s.variant == StateOfTheWorld) {
 		return r, false
 	}
 	s.addReply(&r, state)
@@ -163,6 +176,7 @@
 	state.subscribed = names
 	state.wildcard = state.wanted.Wildcard
 	state.initialVersions = nil
+	state.resubscribe = nil
 	return r, true
 }
 
@@ -202,10 +216,13 @@
 // addDelta adds the changes of the subscription, for the incremental variant.
 func (state *kindState) addDelta(r *Request, names map[string]bool, first bool) {
 	for _, n := range slices.Sorted(maps.Keys(names)) {
-		if !state.subscribed[n] {
+		if !state.subscribed[n] || state.resubscribe[n] {
 			r.Subscribe = append(r.Subscribe, n)
 		}
 	}
+	if state.wanted.Wildcard {
+		r.Subscribe = append(r.Subscribe, slices.Sorted(maps.Keys(state.resubscribe))...)
+	}
 	for _, n := range slices.Sorted(maps.Keys(state.subscribed)) {
 		if !names[n] {
 			r.Unsubscribe = append(r.Unsubscribe, n)
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -144,6 +144,7 @@
 	c.activateSelected()
 	for _, k := range c.conns {
 		if k != nil {
+			k.acknowledgeApplied()
 			c.subscribe(k)
 		}
 	}
--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -42,7 +42,8 @@
 	responded    bool               // a response has been received on the stream
 	skipped      bool               // responses were or may be left unapplied, because the stream is not active
 	restart      bool               // the stream has to be reopened, or the file applied again
-	wanted       []string           // for a file: its latest subscriptions; a change of them applies the file again
+	withheld     [ads.KindCount]withheldResources
+	wanted       []string // for a file: its latest subscriptions; a change of them applies the file again
 	cancelStream context.CancelFunc
 }
 
@@ -201,6 +202,7 @@
 	k.skipped = false
 	k.streamID = 0
 	k.responded = false
+	k.withheld = [ads.KindCount]withheldResources{}
 	c.subscribe(k)
 	return nil
 }
--- a/internal/xds/controlplanefile.go
+++ b/internal/xds/controlplanefile.go
@@ -97,7 +97,8 @@
 		}
 		decoded, errorTexts := r.decode(d)
 		decoded.Complete = len(errorTexts) == 0
-		k.rejectionDetail(r.version, append(errorTexts, k.apply(decoded)...))
+		applied := k.apply(decoded)
+		k.rejectionDetail(r.version, append(errorTexts, applied.rejected...), applied.withheld)
 	}
 	c.advance()
 }
--- a/internal/xds/response.go
+++ b/internal/xds/response.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -69,7 +70,10 @@
 	if err != nil && !errors.Is(err, ads.ErrNotSubscribed) {
 		return err
 	}
-	errorDetail := k.rejectionDetail(r.version, append(errorTexts, k.apply(decoded)...))
+	applied := k.apply(decoded)
+	rejected := slices.Concat(errorTexts, applied.rejected)
+	k.withheld[r.kind].isRejected = len(rejected) > 0
+	errorDetail := k.rejectionDetail(r.version, rejected, applied.withheld)
 	if err == nil { // a response without a subscription is not acknowledged, but is cached as its subscription may follow
 		k.session.Answer(r.kind, r.version, errorDetail)
 	}
@@ -78,8 +82,14 @@
 	return nil
 }
 
-// apply applies a response if the stream is active, and returns the reasons for which resources were rejected. The caller holds the lock.
-func (k *conn) apply(decoded cache.Response) (errorTexts []string) {
+// applyResult holds the error details of the resources of a response that are not in force.
+type applyResult struct {
+	rejected []string
+	withheld []string
+}
+
+// apply applies a response if the stream is active. The caller holds the lock.
+func (k *conn) apply(decoded cache.Response) (result applyResult) {
 	c := k.client
 	now := time.Now()
 	k.responded = true
@@ -95,18 +105,21 @@
 	}
 	if k.streamID == 0 {
 		k.skipped = true
-		return nil
+		return result
 	}
 	for _, r := range c.cache.Apply(now, k.streamID, decoded) {
-		errorTexts = append(errorTexts, fmt.Sprintf("%s %s: %s", decoded.Kind, r.Name, r.Reason))
+		result.rejected = append(result.rejected, fmt.Sprintf("%s %s: %s", decoded.Kind, r.Name, r.Reason))
 	}
+	result.withheld = k.withheld[decoded.Kind].update(decoded, c.cache.Withheld(decoded))
 	c.selector.SetCached()
 	c.stateWriter.wake()
-	return errorTexts
+	return result
 }
 
-// rejectionDetail logs and returns the error detail of a response. It is empty if no resource was rejected.
-func (k *conn) rejectionDetail(version string, errorTexts []string) string {
+// rejectionDetail logs and returns the error detail of a response, with the details of the resources that were rejected and of those that
+// are withheld. It is empty if all resources are in force.
+func (k *conn) rejectionDetail(version string, rejected, withheld []string) string {
+	errorTexts := slices.Concat(rejected, withheld)
 	if len(errorTexts) == 0 {
 		return ""
 	}
@@ -115,6 +128,10 @@
 		detail += fmt.Sprintf("; and %d more", more)
 	}
 	detail = strings.ToValidUTF8(detail[:min(len(detail), maxErrorDetailBytes)], "?")
-	k.client.log.Warn("response rejected", "control_plane", k.controlPlane.Name, "version", version, "detail", detail)
+	message := "response rejected"
+	if len(rejected) == 0 {
+		message = "response withheld"
+	}
+	k.client.log.Warn(message, "control_plane", k.controlPlane.Name, "version", version, "detail", detail)
 	return detail
 }
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -221,6 +221,71 @@
 	return slices.ContainsFunc(c.Dump().Resources, func(r cache.ResourceStatus) bool { return r.Name == name && r.DeferredVersion != "" })
 }
 
+// An older state is not acknowledged before the defer time has passed and it is applied; in the incremental variant its resource is requested
+// once more for that. A drain by an older state is acknowledged at once.
+func TestOlderStateIsAcknowledgedOnceApplied(t *testing.T) {
+	for _, v := range variants {
+		p := startControlPlane(t)
+		both := endpointSet("a", 1, 2)
+		drained := xdsserver.EndpointSet("a", "z", endpointOnPort(1), endpointOnPort(2, corev3.HealthStatus_DRAINING))
+		o := options(v, p.Addr())
+		o.DeferTime = 500 * time.Millisecond
+		putResources(t, p, "1", xdsserver.Cluster("a"), drained)
+		c, _ := start(t, o)
+		a := follow(t, c, "a")
+		a.expectEndpoints("1", "2-draining")
+		putResources(t, p, "2", xdsserver.Cluster("a"), both)
+		a.expectEndpoints("1", "2")
+		newStream := func() {
+			streams := p.Streams()
+			p.ResetStreams()
+			lbtest.Until(t, "the stream is reopened", func() bool { return p.Streams() > streams })
+		}
+		answers := func(isRejection bool) int {
+			n := 0
+			for _, r := range p.Requests() {
+				if r.Type == envoy.EndpointsType && r.Nonce != "" && strings.Contains(r.ErrorDetail, withheldDetail) == isRejection {
+					n++
+				}
+			}
+			return n
+		}
+		newStream()
+		acknowledged := answers(false)
+		putResources(t, p, "1", xdsserver.Cluster("a"), drained)
+		a.expectEndpoints("1", "2-draining")
+		lbtest.Until(t, "the drain is acknowledged", func() bool { return answers(false) > acknowledged })
+		if n := answers(true); n != 0 {
+			t.Errorf("%v: %d responses that drain an endpoint are rejected", v, n)
+		}
+		lbtest.Until(t, "the drain is current", func() bool { return !isDeferred(c, "a") })
+		newStream()
+		putResources(t, p, "2", xdsserver.Cluster("a"), both)
+		a.expectEndpoints("1", "2")
+		lbtest.Until(t, "the older state is rejected, and then acknowledged", func() bool {
+			isRejected := false
+			for _, r := range p.Requests() {
+				if r.Type != envoy.EndpointsType || r.Nonce == "" {
+					continue
+				}
+				if isRejected && r.ErrorDetail == "" {
+					return true
+				}
+				isRejected = isRejected || strings.Contains(r.ErrorDetail, withheldDetail)
+			}
+			return false
+		})
+		if v == ads.StateOfTheWorld {
+			continue
+		}
+		if !slices.ContainsFunc(p.Requests(), func(r xdsserver.Request) bool {
+			return r.Type == envoy.EndpointsType && slices.Equal(r.Names, []string{"a"}) && r.InitialVersions == nil
+		}) {
+			t.Error("the resource was not requested once more")
+		}
+	}
+}
+
 // An intended rollback to an older state is applied after the defer time.
 func TestRollbackIsAppliedAfterDeferTime(t *testing.T) {
 	p := startControlPlane(t)
