Keep the order of xDS updates over a restart of the process

Seen: a process that starts again with its state file meets a control plane with an older state, and takes that state for new: an endpoint that had been drained or removed before the restart is put into use. What a held-off update had drained was not in the file either.

What they had replaced, what was removed, and the candidates beside them ended with the process, so that updateorder had no content to compare with.

Change: the state file (format 2; format 1 is still read) has the history of each resource in use that was replaced: 16 digests and versions at most, the candidates as they were sent, and that it is removed. It is written when a held-off update comes into force, too.

--- a/internal/base/updateorder/updateorder.go
+++ b/internal/base/updateorder/updateorder.go
@@ -61,29 +61,29 @@
 	Digest   Digest
 }
 
-// content is a version and a digest that were current, or may become current.
-type content struct {
-	version string
-	digest  Digest
+// Content identifies a content of a resource, under the version with which a server sent it.
+type Content struct {
+	Version string
+	Digest  Digest
 }
 
 // resource is the state of one resource.
 type resource struct {
-	current content
+	current Content
 	isSet   bool   // whether current is set
 	source  Stream // stream that sent current, or repeated it last
 	// reinstated: current was replaced before and is current again. ambiguous: source only repeated current, which was reinstated
 	// or has candidates beside it, so source may have yet to send contents that were replaced.
 	reinstated, ambiguous bool
-	replaced              []content // the most recently replaced last
+	replaced              []Content // the most recently replaced last
 	deferred              *deferredUpdate
-	unresolved            []content // deferred when their streams ended, the most recent last; none is current
+	unresolved            []Content // deferred when their streams ended, the most recent last; none is current
 }
 
-// deferredUpdate is an update that its server has not confirmed yet: a content that was replaced before, or the current content
+// deferredUpdate is an update that its server has not confirmed yet: a content that was replaced before, or the current Content
 // while contents are unresolved.
 type deferredUpdate struct {
-	content
+	Content
 	source Stream
 	since  time.Time
 }
@@ -110,8 +110,8 @@
 		r = &resource{}
 		o.resources[u.Resource] = r
 	}
-	c := content{u.Version, u.Digest}
-	if r.isSet && c.digest == r.current.digest {
+	c := Content{u.Version, u.Digest}
+	if r.isSet && c.Digest == r.current.Digest {
 		r.confirm(now, s, c, o.holdTime)
 		return Unchanged
 	}
@@ -129,12 +129,12 @@
 
 // confirm records that a stream has sent the current content, under any version. It drops the stream's deferred update. Unresolved
 // contents are dropped only once the stream has stood on the current content for the hold time.
-func (r *resource) confirm(now time.Time, s Stream, c content, holdTime time.Duration) {
+func (r *resource) confirm(now time.Time, s Stream, c Content, holdTime time.Duration) {
 	if r.deferred != nil && r.deferred.source != s {
 		r.endStream(r.deferred.source)
 	}
 	r.ambiguous = (r.reinstated || len(r.unresolved) > 0) && (r.source != s || r.ambiguous)
-	r.current.version = c.version
+	r.current.Version = c.Version
 	r.source = s
 	if len(r.unresolved) == 0 {
 		r.deferred = nil
@@ -148,12 +148,12 @@
 
 // hold makes c the deferred update. A repetition does not restart the hold time: a lagging server that catches up sends several
 // outdated contents.
-func (r *resource) hold(now time.Time, s Stream, c content) {
+func (r *resource) hold(now time.Time, s Stream, c Content) {
 	if r.deferred != nil && r.deferred.source != s {
 		r.endStream(r.deferred.source)
 	}
-	if r.deferred == nil || r.deferred.digest != c.digest {
-		r.deferred = &deferredUpdate{content: c, source: s, since: now}
+	if r.deferred == nil || r.deferred.Digest != c.Digest {
+		r.deferred = &deferredUpdate{Content: c, source: s, since: now}
 	}
 }
 
@@ -169,12 +169,12 @@
 	if r.deferred == nil || r.deferred.source != s {
 		return
 	}
-	last := r.deferred.content
+	last := r.deferred.Content
 	r.deferred = nil
-	if last.digest == r.current.digest {
+	if last.Digest == r.current.Digest {
 		return
 	}
-	r.unresolved = slices.DeleteFunc(r.unresolved, func(c content) bool { return c.digest == last.digest })
+	r.unresolved = slices.DeleteFunc(r.unresolved, func(c Content) bool { return c.Digest == last.Digest })
 	if len(r.unresolved) == maxUnresolved {
 		r.unresolved = slices.Delete(r.unresolved, 0, 1)
 	}
@@ -182,7 +182,7 @@
 }
 
 // isNewer reports whether c, which differs from the current content, is applied without being deferred.
-func (r *resource) isNewer(s Stream, c content) bool {
+func (r *resource) isNewer(s Stream, c Content) bool {
 	switch {
 	case !r.isSet:
 		return true
@@ -194,19 +194,19 @@
 
 // wasReplaced reports whether the digest or the version of c belongs to a content that was replaced before. Different content
 // under a replaced version is not newer.
-func (r *resource) wasReplaced(c content) bool {
-	return slices.ContainsFunc(r.replaced, func(old content) bool {
-		sameVersion := c.version != "" && old.version == c.version && old.version != r.current.version
-		return old.digest == c.digest || sameVersion
+func (r *resource) wasReplaced(c Content) bool {
+	return slices.ContainsFunc(r.replaced, func(old Content) bool {
+		sameVersion := c.Version != "" && old.Version == c.Version && old.Version != r.current.Version
+		return old.Digest == c.Digest || sameVersion
 	})
 }
 
 // apply makes c, which stream s has sent, the current content of the resource.
-func (o *Orderer) apply(name string, r *resource, c content, s Stream) {
-	r.reinstated = slices.ContainsFunc(r.replaced, func(old content) bool { return old.digest == c.digest })
+func (o *Orderer) apply(name string, r *resource, c Content, s Stream) {
+	r.reinstated = slices.ContainsFunc(r.replaced, func(old Content) bool { return old.Digest == c.Digest })
 	if r.isSet {
-		r.replaced = slices.DeleteFunc(r.replaced, func(old content) bool {
-			return old.digest == c.digest || old.digest == r.current.digest
+		r.replaced = slices.DeleteFunc(r.replaced, func(old Content) bool {
+			return old.Digest == c.Digest || old.Digest == r.current.Digest
 		})
 		if len(r.replaced) == maxReplaced {
 			r.replaced = slices.Delete(r.replaced, 0, 1)
@@ -216,7 +216,7 @@
 	r.current, r.isSet = c, true
 	r.source = s
 	r.settle()
-	if c.digest == Absent {
+	if c.Digest == Absent {
 		o.forgetOldestAbsent(name)
 	}
 }
@@ -227,7 +227,7 @@
 	for len(o.absent) > maxAbsent {
 		oldest := o.absent[0]
 		o.absent = o.absent[1:]
-		if r := o.resources[oldest]; r != nil && r.current.digest == Absent && !slices.Contains(o.absent, oldest) {
+		if r := o.resources[oldest]; r != nil && r.current.Digest == Absent && !slices.Contains(o.absent, oldest) {
 			delete(o.resources, oldest)
 		}
 	}
@@ -243,12 +243,12 @@
 			continue
 		}
 		d := r.deferred
-		if d.digest == r.current.digest {
+		if d.Digest == r.current.Digest {
 			r.settle()
 		} else {
-			o.apply(name, r, d.content, d.source)
+			o.apply(name, r, d.Content, d.source)
 		}
-		out = append(out, Update{name, d.version, d.digest})
+		out = append(out, Update{name, d.Version, d.Digest})
 	}
 	return out
 }
@@ -283,20 +283,27 @@
 		return nil
 	}
 	var out []Digest
-	for _, c := range r.unresolved {
-		out = append(out, c.digest)
-	}
-	if d := r.deferred; d != nil && d.digest != r.current.digest && !slices.Contains(out, d.digest) {
-		out = append(out, d.digest)
+	for _, c := range r.candidates() {
+		out = append(out, c.Digest)
 	}
 	return out
 }
 
+func (r *resource) candidates() []Content {
+	out := slices.Clone(r.unresolved)
+	d := r.deferred
+	if d == nil || d.Digest == r.current.Digest {
+		return out
+	}
+	out = slices.DeleteFunc(out, func(c Content) bool { return c.Digest == d.Digest })
+	return append(out, d.Content)
+}
+
 // Current returns a resource's current content; ok is false if the resource is unknown.
 func (o *Orderer) Current(name string) (version string, d Digest, ok bool) {
 	r := o.resources[name]
 	if r == nil {
 		return "", Absent, false
 	}
-	return r.current.version, r.current.digest, true
+	return r.current.Version, r.current.Digest, true
 }
--- a/internal/xds/cache/restriction_test.go
+++ b/internal/xds/cache/restriction_test.go
@@ -47,16 +47,40 @@
 	cache  *Cache
 	now    time.Time
 	stream updateorder.Stream
+	sent   map[string]Resource // by their raw form
 }
 
 func newPlaneClient(t *testing.T) *planeClient {
 	t.Helper()
-	p := &planeClient{T: t, cache: New(Options{DeferTime: deferTime, ResourceTimeout: time.Hour}), now: time.Unix(1_800_000_000, 0)}
+	p := &planeClient{T: t, now: time.Unix(1_800_000_000, 0), sent: map[string]Resource{}}
+	p.start(SavedState{})
+	return p
+}
+
+// start starts with a new cache that is restored from a saved state.
+func (p *planeClient) start(saved SavedState) {
+	p.cache = New(Options{DeferTime: deferTime, ResourceTimeout: time.Hour})
+	for _, s := range saved.Resources {
+		p.cache.Restore(s, p.sent[string(s.Raw)])
+	}
+	for _, history := range saved.Histories {
+		var candidates []Resource
+		for _, content := range history.Candidates {
+			candidates = append(candidates, Resource{Name: history.Name})
+			if len(content.Raw) > 0 {
+				candidates[len(candidates)-1] = p.sent[string(content.Raw)]
+			}
+		}
+		p.cache.RestoreHistory(history, candidates)
+	}
 	p.cache.SetClustersInUse(p.now, []string{"c"})
+	p.stream = 0
 	p.reconnect()
-	return p
 }
 
+// restart ends the process, and starts it again with the state that it has saved.
+func (p *planeClient) restart() { p.start(p.cache.Snapshot()) }
+
 // reconnect ends the stream and starts another one.
 func (p *planeClient) reconnect() {
 	p.cache.StreamEnded(p.stream)
@@ -82,6 +106,11 @@
 		endpoints.Resources = append(endpoints.Resources, Resource{Name: name, Digest: digestOf(*set), Set: set})
 	}
 	for _, response := range []Response{clusters, endpoints} {
+		for i := range response.Resources {
+			r := &response.Resources[i]
+			r.Raw = append([]byte(r.Name), r.Digest[:]...)
+			p.sent[string(r.Raw)] = *r
+		}
 		p.cache.Apply(p.now, p.stream, response)
 		withheld = append(withheld, p.cache.Withheld(response)...)
 	}
@@ -123,8 +152,8 @@
 	return out
 }
 
-// An endpoint leaves, comes back, and leaves again by the same content on a new stream, in each of the ways in which it can leave. It must
-// not be used then, nor when later streams bring the older state back, until one has stood on it for the defer time.
+// An endpoint leaves, comes back, and leaves again by the same content on a new stream or in a new process, in each of the ways in which it can
+// leave. It must not be used then, nor when later streams or processes get the older state, until a stream has stood on it for the defer time.
 func TestEndpointThatLeavesAgainIsNotUsed(t *testing.T) {
 	weighted := func(weightOfB uint32) publication {
 		return publication{&Cluster{ServiceName: "s", LocalityWeighted: true}, map[string]*EndpointSet{"s": {Overprovisioning: 1.4,
@@ -156,7 +185,8 @@
 		"leaves, returns":   {published(listed("a", "b", "c draining")), published(listed("a", "b draining", "c")), []string{"a"}, false},
 		"leaves, is listed": {published(listed("a", "b")), published(listed("a", "b draining", "c")), []string{"a"}, false},
 	} {
-		t.Run(name, func(t *testing.T) {
+		checkLeaving := func(t *testing.T, end func(*planeClient)) {
+			t.Helper()
 			p := newPlaneClient(t)
 			whole := func(state publication) []string { // what is used once the state is in force
 				alone := newPlaneClient(t)
@@ -169,24 +199,26 @@
 			p.uses("out for the first time", whole(c.out)...)
 			p.receive(c.in)
 			p.uses("back", whole(c.in)...)
-			p.reconnect()
+			end(p)
 			if withheld := p.receive(c.out); (len(withheld) == 0) != c.isWhole {
 				t.Errorf("not acknowledged: %v; want an acknowledgement: %v", withheld, c.isWhole)
 			}
 			p.uses("out again on a new stream", c.left...)
-			p.reconnect()
+			end(p)
 			p.uses("after the end of that stream", c.left...)
 			if withheld := p.receive(c.in); len(withheld) == 0 {
 				t.Error("the older state is acknowledged, though not all that it uses is used")
 			}
 			p.uses("the older state on a third stream", c.left...)
-			p.reconnect()
+			end(p)
 			p.receive(c.out)
 			p.uses("out once more", c.left...)
 			p.now = p.now.Add(deferTime)
 			p.uses("after the defer time", whole(c.out)...)
 			p.receive(c.in)
 			p.uses("back on that stream", whole(c.in)...)
-		})
+		}
+		t.Run(name+"/new stream", func(t *testing.T) { checkLeaving(t, (*planeClient).reconnect) })
+		t.Run(name+"/new process", func(t *testing.T) { checkLeaving(t, (*planeClient).restart) })
 	}
 }
--- a/internal/xds/client.go
+++ b/internal/xds/client.go
@@ -149,9 +149,13 @@
 		}
 	}
 	c.watchFiles(c.cache.EndpointsFiles())
-	for _, name := range c.cache.TakeChanged() {
+	changed := c.cache.TakeChanged()
+	for _, name := range changed {
 		c.notify(name)
 	}
+	if len(changed) > 0 {
+		c.stateWriter.wake()
+	}
 	c.setTimer(now)
 }
 
--- a/internal/xds/state.go
+++ b/internal/xds/state.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	stateFormat   = "silvertrail xds state 1"
-	maxStateBytes = 256 << 20
-	writeInterval = time.Second // minimum time between two writes of the state file
+	stateFormat      = "silvertrail xds state 2"
+	firstStateFormat = "silvertrail xds state 1"
+	maxStateBytes    = 256 << 20
+	writeInterval    = time.Second // minimum time between two writes of the state file
 )
 
 // stateWriter holds the path of the state file and the signal that the state has changed.
@@ -84,11 +85,23 @@
 	}
 }
 
+// readState reads a state file. A file of the first format holds the resources alone.
+func readState(path string) (state cache.SavedState, err error) {
+	err = statefile.Read(path, stateFormat, maxStateBytes, &state)
+	if err == nil || errors.Is(err, os.ErrNotExist) {
+		return state, err
+	}
+	var resources []cache.SavedResource
+	if statefile.Read(path, firstStateFormat, maxStateBytes, &resources) == nil {
+		return cache.SavedState{Resources: resources}, nil
+	}
+	return cache.SavedState{}, err
+}
+
 // restore loads the state file into the cache. A file that cannot be read is ignored, as control planes send all resources again. The
 // caller holds the lock.
 func (c *Client) restore(path string) {
-	var saved []cache.SavedResource
-	err := statefile.Read(path, stateFormat, maxStateBytes, &saved)
+	saved, err := readState(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
@@ -99,13 +112,9 @@
 	d := &envoy.Decoder{}
 	oldest := time.Now()
 	restored := 0
-	for _, s := range saved {
-		if s.Kind >= ads.KindCount {
-			continue
-		}
-		resource, err := d.Decode(s.Kind, s.Version, &anypb.Any{TypeUrl: envoy.TypeOf(s.Kind), Value: s.Raw})
-		if err != nil { // the file may come from another version of this program
-			c.log.Warn("resource of the last good state ignored", "error", err)
+	for _, s := range saved.Resources {
+		resource, ok := c.decodeSaved(d, s.Kind, s.Version, s.Raw)
+		if !ok {
 			continue
 		}
 		c.cache.Restore(s, resource)
@@ -114,5 +123,44 @@
 			oldest = s.ReceivedAt
 		}
 	}
+	for _, history := range saved.Histories {
+		c.restoreHistory(d, history)
+	}
 	c.log.Info("last good state restored", "file", path, "resources", restored, "oldest", time.Since(oldest).Round(time.Second))
 }
+
+// decodeSaved decodes a resource of the state file. It returns false for one that cannot be decoded: the file may come from another version of
+// this program.
+func (c *Client) decodeSaved(d *envoy.Decoder, kind ads.Kind, version string, raw []byte) (cache.Resource, bool) {
+	if kind >= ads.KindCount {
+		return cache.Resource{}, false
+	}
+	resource, err := d.Decode(kind, version, &anypb.Any{TypeUrl: envoy.TypeOf(kind), Value: raw})
+	if err != nil {
+		c.log.Warn("resource of the last good state ignored", "error", err)
+		return cache.Resource{}, false
+	}
+	return resource, true
+}
+
+// restoreHistory restores the update order of a resource. The caller holds the lock.
+func (c *Client) restoreHistory(d *envoy.Decoder, saved cache.SavedHistory) {
+	if saved.Kind >= ads.KindCount {
+		return
+	}
+	var candidates []cache.Resource
+	known := saved
+	known.Candidates = nil
+	for _, content := range saved.Candidates {
+		resource := cache.Resource{Name: saved.Name, Version: content.Version}
+		if len(content.Raw) > 0 {
+			var ok bool
+			if resource, ok = c.decodeSaved(d, saved.Kind, content.Version, content.Raw); !ok {
+				continue
+			}
+		}
+		known.Candidates = append(known.Candidates, content)
+		candidates = append(candidates, resource)
+	}
+	c.cache.RestoreHistory(known, candidates)
+}
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -541,6 +541,54 @@
 	}
 }
 
+// A process that starts with a state file knows what was replaced and removed before it ended: an older state puts nothing into use. What was
+// drained by an update that was held off stays out of use.
+func TestOlderStateAfterRestartPutsNothingIntoUse(t *testing.T) {
+	for _, v := range variants {
+		p := startControlPlane(t)
+		clusters := func(names ...string) (out []proto.Message) {
+			for _, name := range names {
+				out = append(out, xdsserver.Cluster(name))
+			}
+			return append(out, endpointSet("gone", 9))
+		}
+		drained := func(port int) proto.Message {
+			return xdsserver.EndpointSet("a", "z", endpointOnPort(3-port), endpointOnPort(port, corev3.HealthStatus_DRAINING))
+		}
+		o := options(v, p.Addr())
+		o.StateFile = filepath.Join(t.TempDir(), "state")
+		putResources(t, p, "1", append(clusters("a", "gone"), drained(1))...)
+		c, _ := start(t, o)
+		a, gone := follow(t, c, "a"), follow(t, c, "gone")
+		a.expectEndpoints("1-draining", "2")
+		gone.expectEndpoints("9")
+		putResources(t, p, "2", append(clusters("a"), drained(2))...)
+		a.expectEndpoints("1", "2-draining")
+		lbtest.Until(t, "the cluster is removed", func() bool { return gone.last().State == cache.Removed })
+		restart := func() {
+			t.Helper()
+			c.Close()
+			a.stop()
+			gone.stop()
+			c, _ = start(t, o)
+			a, gone = follow(t, c, "a"), follow(t, c, "gone")
+		}
+		p.Hang(true)
+		putResources(t, p, "1", append(clusters("a", "gone"), drained(1))...)
+		restart()
+		a.expectEndpoints("1", "2-draining")
+		p.Hang(false)
+		lbtest.Until(t, "the older states are held off", func() bool { return isDeferred(c, "a") && isDeferred(c, "gone") })
+		a.expectEndpoints("1-draining", "2-draining")
+		if state := gone.last().State; state == cache.Ready {
+			t.Errorf("%v: an older state has brought a removed cluster back", v)
+		}
+		p.Hang(true)
+		restart()
+		a.expectEndpoints("1-draining", "2-draining")
+	}
+}
+
 func replaceFile(t testing.TB, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
