Drain endpoints at once where an xDS update adds a name that is not resolved

Seen: a cluster of DNS names gets an update in which one endpoint drains (or is left out) and another name is added. The first one got new requests for as long as the other name was not resolved, without end where its server is silent.

Cause: nameResolver.publish reported a list only once all names of it were resolved, and follow threw away what was resolved before and waited for the goroutines of the names before (miekg/dns ends a read at its deadline alone). Found by asking in which ways an endpoint leaves, after the order of updates.

Change: each name has a lookup of its own, which goes on while the name is listed; an update starts those of new names, and waits for none. Until all are resolved, what the update does not list any more drains.

--- a/internal/gateway/cluster/xds.go
+++ b/internal/gateway/cluster/xds.go
@@ -33,8 +33,8 @@
 		report(unreachable, nil)
 		return
 	}
-	resolver := &nameResolver{source: x, log: log}
-	defer resolver.stop()
+	resolver := newNameResolver(x, log)
+	defer resolver.close()
 	d.Follow(ctx, x.Resource, func(v cache.ClusterView) {
 		switch v.State {
 		case cache.Pending: // the last list stays in use
@@ -44,15 +44,13 @@
 			report(unreachable, nil)
 			return
 		case cache.Removed:
-			resolver.stop()
-			report(fullList, nil)
+			resolver.replace(nil, report)
 			return
 		}
 		setLimits(sourceLimits{v.Cluster.ConnectTimeout, v.Cluster.MaxConnections, v.Cluster.MaxRequests, v.Set.DropFraction()})
 		endpoints := v.AssignTraffic(x.Priority)
 		if v.Cluster.Resolution == cache.NoResolution {
-			resolver.stop()
-			report(fullList, x.entries(endpoints))
+			resolver.replace(x.entries(endpoints), report)
 			return
 		}
 		resolver.follow(ctx, endpoints, v.Cluster.Resolution == cache.LogicalDNS, report)
