Soak of xDS updates that bring earlier states back over new streams and processes

The fake control plane restarts with its state in place of being started anew, as a client that met it before its resources would be told to remove all.

--- a/internal/gateway/xds_test.go
+++ b/internal/gateway/xds_test.go
@@ -32,6 +32,7 @@
 	plane   *xdsserver.Server
 	n       int
 	variant string
+	more    string // of the xds block
 }
 
 func newXDSGateway(t *testing.T) *xdsGateway {
@@ -63,7 +64,7 @@
 }
 
 func (x *xdsGateway) configText(more string) string {
-	return fmt.Sprintf("xds {\n backoff = \"1ms\"\n backoff_most = \"20ms\"\n variant = %q\n plane \"p\" {\n address = %q\n plain = true\n }\n}\n", x.variant, x.plane.Addr()) +
+	return fmt.Sprintf("xds {\n backoff = \"1ms\"\n backoff_most = \"20ms\"\n variant = %q\n%s plane \"p\" {\n address = %q\n plain = true\n }\n}\n", x.variant, x.more, x.plane.Addr()) +
 		listener("l", "127.0.0.1:0") + more
 }
 
--- a/internal/gateway/xds_withdrawal_test.go
+++ b/internal/gateway/xds_withdrawal_test.go
@@ -92,19 +92,11 @@
 	case "reset":
 		w.plane.ResetStreams()
 	case "restart":
-		addr := w.plane.Addr()
-		w.plane.Close()
-		var next *xdsserver.Server
-		lbtest.Until(w.t, "the control plane is started again", func() bool {
-			var err error
-			next, err = xdsserver.Start(addr)
-			return err == nil
-		})
-		w.t.Cleanup(next.Close)
-		next.Hang(true) // without resources it would remove all
-		w.plane, streams = next, 0
+		if err := w.plane.Restart(); err != nil {
+			w.t.Fatal(err)
+		}
 	case "reload":
-		text := strings.Replace(w.configText(clusterC), "backoff = \"1ms\"", fmt.Sprintf("backoff = \"%dms\"", 2+w.n), 1)
+		text := strings.Replace(w.configText(clusterC), "backoff = \"1ms\"", fmt.Sprintf("backoff = \"%dms\"", 2+w.n%10), 1)
 		if err := w.g.Reload(parse(w.t, text)); err != nil {
 			w.t.Fatal(err)
 		}
@@ -140,17 +132,13 @@
 				}
 				w.newStream(end)
 				w.publish(xdsserver.Cluster("c"), out)
-				w.plane.Hang(false)
 				w.awaitStatus("it drains again", "draining", "ready", "draining")
 				w.expectUnused("drained on a new stream", 0)
 
 				w.plane.Hang(true)
 				rejections := w.rejections()
-				w.newStream(end)
-				if end == "restart" {
-					rejections = 0
-				}
 				w.publish(xdsserver.Cluster("c"), in)
+				w.newStream(end)
 				w.plane.Hang(false)
 				w.awaitRejection("the older state is not acknowledged", rejections)
 				w.expectUnused("an older state has come back", 0)
--- a/internal/testkit/xdsserver/server.go
+++ b/internal/testkit/xdsserver/server.go
@@ -43,10 +43,11 @@
 // Server is the control plane. All its methods may be called from any goroutine.
 type Server struct {
 	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
-	server *grpc.Server
-	addr   string
+	options []grpc.ServerOption
+	addr    string
 
 	mu        sync.Mutex
+	server    *grpc.Server
 	version   string
 	resources map[string]map[string]*anypb.Any // by type and name
 	changed   chan struct{}
@@ -60,22 +61,48 @@
 
 // Start listens on an address, and serves no resources yet.
 func Start(address string, options ...grpc.ServerOption) (*Server, error) {
+	p := &Server{options: append(options, grpc.WaitForHandlers(true)), resources: map[string]map[string]*anypb.Any{}, changed: make(chan struct{}), cut: make(chan struct{})}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &Server{server: grpc.NewServer(append(options, grpc.WaitForHandlers(true))...), addr: l.Addr().String(), resources: map[string]map[string]*anypb.Any{},
-		changed: make(chan struct{}), cut: make(chan struct{})}
-	discoveryv3.RegisterAggregatedDiscoveryServiceServer(p.server, p)
-	go p.server.Serve(l)
+	p.addr = l.Addr().String()
+	p.listen(l)
 	return p, nil
 }
 
+// listen serves a listener.
+func (p *Server) listen(l net.Listener) {
+	server := grpc.NewServer(p.options...)
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server = server
+	go server.Serve(l)
+}
+
+// Restart ends all streams and closes all connections, and listens again at the same address, as a control plane that is restarted and has
+// kept its state.
+func (p *Server) Restart() error {
+	p.Close()
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.listen(l)
+	return nil
+}
+
 // Addr returns the address.
 func (p *Server) Addr() string { return p.addr }
 
 // Close ends all streams and stops listening.
-func (p *Server) Close() { p.server.Stop() }
+func (p *Server) Close() {
+	p.mu.Lock()
+	server := p.server
+	p.mu.Unlock()
+	server.Stop()
+}
 
 // Put replaces all resources.
 func (p *Server) Put(version string, resources ...proto.Message) error {
