Do not acknowledge xDS responses of a control plane that is not active

Seen: while a fallback control plane is active, the first one is connected to on trial. What it sends then is not applied, and was acknowledged: the plane that nobody listens to counted the client as up to date (`control status`), for the whole of the trial (10 s, doubling).

Cause: handleResponse answered each response that its session had asked for, also where apply had passed over it as the stream is not active.

Change: such a response gets no answer. The stream is opened anew once its plane is selected, and what it sends then is answered.

Test: TestInactiveControlPlaneGetsNoAcknowledgement, both variants; it failed on the commit before ("an inactive control plane got an answer").

--- a/internal/xds/conn.go
+++ b/internal/xds/conn.go
@@ -110,6 +110,7 @@
 			c.cache.StreamEnded(k.streamID)
 			k.streamID = 0
 			k.skipped = true
+			k.withheld = [ads.KindCount]withheldResources{}
 		case k.streamID == 0 && isActive && k.skipped: // skipped responses have to be sent again
 			c.log.Info("control plane selected", "control_plane", k.controlPlane.Name)
 			k.skipped = false
--- a/internal/xds/response.go
+++ b/internal/xds/response.go
@@ -74,7 +74,9 @@
 	rejected := slices.Concat(errorTexts, applied.rejected)
 	k.withheld[r.kind].isRejected = len(rejected) > 0
 	errorDetail := k.rejectionDetail(r.version, rejected, applied.withheld)
-	if err == nil { // a response without a subscription is not acknowledged, but is cached as its subscription may follow
+	// A response without a subscription is not acknowledged, but is cached as its subscription may follow. What an inactive stream sends is
+	// not in force, and is sent again once its control plane is selected: it is not answered.
+	if err == nil && k.streamID != 0 {
 		k.session.Answer(r.kind, r.version, errorDetail)
 	}
 	c.advance()
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -477,6 +477,33 @@
 	}
 }
 
+// What a control plane sends while another one is active is not in force, and is not acknowledged until it is.
+func TestInactiveControlPlaneGetsNoAcknowledgement(t *testing.T) {
+	for _, v := range variants {
+		first, second := startControlPlane(t), startControlPlane(t)
+		first.Hang(true)
+		putResources(t, first, "1", xdsserver.Cluster("a"), endpointSet("a", 1))
+		putResources(t, second, "1", xdsserver.Cluster("a"), endpointSet("a", 2))
+		o := options(v, first.Addr(), second.Addr())
+		o.Selection.Probation = time.Hour
+		c, _ := start(t, o)
+		a := follow(t, c, "a")
+		a.expectEndpoints("2")
+		first.Hang(false)
+		lbtest.Until(t, "the first control plane is up", func() bool { return c.Dump().ControlPlanes[0].State == "up" })
+		putResources(t, first, "2", xdsserver.Cluster("a"), endpointSet("a", 3))
+		putResources(t, second, "2", xdsserver.Cluster("a"), endpointSet("a", 4))
+		a.expectEndpoints("4")
+		answered := func(r xdsserver.Request) bool { return r.Nonce != "" }
+		if slices.ContainsFunc(first.Requests(), answered) {
+			t.Errorf("%v: an inactive control plane got an answer: %+v", v, first.Requests())
+		}
+		second.Close()
+		a.expectEndpoints("3")
+		lbtest.Until(t, "the first control plane gets an acknowledgement", func() bool { return slices.ContainsFunc(first.Requests(), answered) })
+	}
+}
+
 // The last state is reached although updates arrive faster than they are applied, and are combined, and although the stream breaks after
 // every 100 updates.
 func TestFastUpdatesReachLastState(t *testing.T) {
