Tests read the sidecar's figures once no request is in flight

Change: the four tests that ask for final figures wait until nothing is in flight, and check the same figures then, exactly.

--- a/cmd/silvertrail/overlap_test.go
+++ b/cmd/silvertrail/overlap_test.go
@@ -64,7 +64,7 @@
 		status, _ := c.Response()
 		return status == 200
 	})
-	if f := all[2].stats(); f.Answered["other"] != 1 {
+	if f := all[2].finalStats(); f.Answered["other"] != 1 {
 		t.Errorf("%+v", f)
 	}
 	for _, r := range all {
--- a/cmd/silvertrail/settings_test.go
+++ b/cmd/silvertrail/settings_test.go
@@ -168,7 +168,7 @@
 	if a, b := ask(get("read")), ask(get("other")); a != 404 || b != 200 {
 		t.Errorf("one that has gone: %d; one that came: %d", a, b)
 	}
-	f := r.stats()
+	f := r.finalStats()
 	if f.Answered["read"] == 0 || f.Answered["late"] != 1 || f.Answered["other"] != 1 || f.Deferred["write"] != 2 || f.Current != 0 {
 		t.Errorf("%+v", f)
 	}
@@ -201,7 +201,7 @@
 	if status, body := c.Response(); status != 200 || body != "answer to held" {
 		t.Errorf("in work as its class went: %d %q", status, body)
 	}
-	if f := r.stats(); f.Answered["read"] != 1 || f.Answered["other"] != 0 || f.Current != 0 {
+	if f := r.finalStats(); f.Answered["read"] != 1 || f.Answered["other"] != 0 || f.Current != 0 {
 		t.Errorf("%+v", f)
 	}
 	r.terminate()
--- a/cmd/silvertrail/upgrade_test.go
+++ b/cmd/silvertrail/upgrade_test.go
@@ -122,6 +122,16 @@
 	return f
 }
 
+// finalStats waits until no request is in flight, and returns the figures. A request is counted soon after its client has the response.
+func (r *running) finalStats() (f sidecarStats) {
+	r.t.Helper()
+	lbtest.Until(r.t, "no request is in flight", func() bool {
+		f = r.stats()
+		return f.Current == 0
+	})
+	return f
+}
+
 // terminate ends a process as a planned end does, and waits for it.
 func (r *running) terminate() {
 	r.t.Helper()
@@ -286,7 +296,7 @@
 			c.Close()
 		}
 	}
-	if f := next.stats(); f.Unhealthy != 1 || f.Answered["read"] != 15 {
+	if f := next.finalStats(); f.Unhealthy != 1 || f.Answered["read"] != 15 {
 		t.Errorf("the new process: %+v", f)
 	}
 	if got[0].Load() != before {
