Panic mode takes no endpoint into use for what an older xDS state drains

Seen in a test of the restriction: an endpoint drains while an unhealthy one returns, by an older state on a new stream, with the default panic threshold. The unhealthy one got traffic: the drain left no healthy endpoint, so that panic mode took the current state's unhealthy ones, and the older state had put one into use after all.

Change: an endpoint that the current state does not use is not used by panic mode as long as candidates take others out. Failover to a lower priority stays, as its endpoints are listed for that. The clusters of an endpoint set are found without a copy of each cluster's contents.

Test: "leaves, recovers" of TestEndpointThatLeavesAgainIsNotUsed failed before ("used are [c], want []"); "fails over" passed.

--- a/internal/base/updateorder/updateorder.go
+++ b/internal/base/updateorder/updateorder.go
@@ -80,7 +80,7 @@
 	unresolved            []Content // deferred when their streams ended, the most recent last; none is current
 }
 
-// deferredUpdate is an update that its server has not confirmed yet: a content that was replaced before, or the current Content
+// deferredUpdate is an update that its server has not confirmed yet: a content that was replaced before, or the current content
 // while contents are unresolved.
 type deferredUpdate struct {
 	Content
--- a/internal/xds/cache/apply.go
+++ b/internal/xds/cache/apply.go
@@ -153,7 +153,7 @@
 		return
 	}
 	for n := range c.inUse {
-		for _, cluster := range c.clusters(n) {
+		for cluster := range c.clusters(n) {
 			if cluster.ServiceName == name {
 				c.changed[n] = true
 			}
--- a/internal/xds/cache/cache.go
+++ b/internal/xds/cache/cache.go
@@ -7,6 +7,7 @@
 package cache
 
 import (
+	"iter"
 	"time"
 
 	"silvertrail/internal/base/updateorder"
@@ -131,16 +132,18 @@
 }
 
 // clusters returns the current cluster of a name with its candidates; none if there is no current one.
-func (c *Cache) clusters(name string) (out []*Cluster) {
-	if c.cluster(name) == nil {
-		return nil
-	}
-	for _, resource := range c.entries[ads.Clusters][name].contents() {
-		if resource.Cluster != nil {
-			out = append(out, resource.Cluster)
+func (c *Cache) clusters(name string) iter.Seq[*Cluster] {
+	return func(yield func(*Cluster) bool) {
+		current := c.cluster(name)
+		if current == nil || !yield(current) {
+			return
+		}
+		for _, held := range c.entries[ads.Clusters][name].candidates {
+			if held.resource.Cluster != nil && !yield(held.resource.Cluster) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // Advance applies deferred updates that are due, reports resources that did not arrive within the resource timeout as missing, marks
--- a/internal/xds/cache/restriction.go
+++ b/internal/xds/cache/restriction.go
@@ -17,7 +17,8 @@
 }
 
 // AssignTraffic returns the endpoints of the view with their shares of the traffic, like the function AssignTraffic, as far as all
-// candidates use them too. The state of the view must be Ready.
+// candidates use them too. Endpoints of a lower priority may take the place of those that candidates take out of use; panic mode
+// takes no others into use. The state of the view must be Ready.
 func (v *ClusterView) AssignTraffic(priority int) []AssignedEndpoint {
 	unrestricted := AssignTraffic(v.Cluster, v.Set, v.Stale, priority)
 	if len(v.Candidates) == 0 {
@@ -30,9 +31,17 @@
 	usesBefore := usesByAddress(unrestricted)
 	out := AssignTraffic(v.Cluster, v.Set.drain(uses), v.Stale, priority)
 	for i := range out {
-		if out[i].Use == Used && usesBefore[out[i].Address] == Used && isOnStandby(uses, out[i].Address) {
-			out[i].Use = Standby
-			out[i].TrafficShare = 0
+		e := &out[i]
+		before := usesBefore[e.Address]
+		switch {
+		case e.Use != Used:
+			continue
+		case before == Unused: // panic mode, as the candidates leave too few endpoints
+			e.Use = Unused
+			e.TrafficShare = 0
+		case before == Used && isOnStandby(uses, e.Address):
+			e.Use = Standby
+			e.TrafficShare = 0
 		}
 	}
 	return out
--- a/internal/xds/cache/restriction_test.go
+++ b/internal/xds/cache/restriction_test.go
@@ -160,6 +160,9 @@
 			Localities: []Locality{localityOf(0, "a"), {Zone: "z", Weight: weightOfB, Endpoints: localityOf(0, "b").Endpoints}}}}}
 	}
 	demoted := &EndpointSet{Overprovisioning: 1.4, Localities: []Locality{localityOf(0, "a"), localityOf(1, "b")}}
+	panicking := func(set *EndpointSet) publication {
+		return publication{&Cluster{ServiceName: "s", PanicThreshold: 0.5}, map[string]*EndpointSet{"s": set}}
+	}
 	inline := func(set *EndpointSet) publication { return publication{cluster: &Cluster{Inline: set}} }
 	other := publication{&Cluster{ServiceName: "other"}, map[string]*EndpointSet{"s": listed("a", "b"), "other": listed("a")}}
 	both := publication{&Cluster{ServiceName: "s"}, map[string]*EndpointSet{"s": listed("a", "b"), "other": listed("a")}}
@@ -168,21 +171,24 @@
 		left    []string // used while it is out
 		isWhole bool     // the second departure is in force as it was sent
 	}{
-		"drains":            {published(listed("a", "b")), published(listed("a", "b draining")), []string{"a"}, true},
-		"left out":          {published(listed("a", "b")), published(listed("a")), []string{"a"}, true},
-		"unhealthy":         {published(listed("a", "b")), published(listed("a", "b unhealthy")), []string{"a"}, true},
-		"no weight":         {weighted(1), weighted(0), []string{"a"}, false},
-		"lower priority":    {published(listed("a", "b")), published(demoted), []string{"a"}, false},
-		"inline, drains":    {inline(listed("a", "b")), inline(listed("a", "b draining")), []string{"a"}, true},
-		"inline, left out":  {inline(listed("a", "b")), inline(listed("a")), []string{"a"}, true},
-		"from set to own":   {published(listed("a", "b")), inline(listed("a")), []string{"a"}, false},
-		"another set":       {both, other, []string{"a"}, false},
-		"all drain":         {published(listed("b")), published(listed("b draining")), nil, true},
-		"replaced":          {published(listed("b")), published(listed("c")), nil, false},
-		"empty set":         {published(listed("b")), published(listed()), nil, true},
-		"set removed":       {published(listed("b")), published(nil), nil, true},
-		"cluster removed":   {published(listed("b")), publication{nil, map[string]*EndpointSet{"s": listed("b")}}, nil, true},
-		"leaves, returns":   {published(listed("a", "b", "c draining")), published(listed("a", "b draining", "c")), []string{"a"}, false},
+		"drains":           {published(listed("a", "b")), published(listed("a", "b draining")), []string{"a"}, true},
+		"left out":         {published(listed("a", "b")), published(listed("a")), []string{"a"}, true},
+		"unhealthy":        {published(listed("a", "b")), published(listed("a", "b unhealthy")), []string{"a"}, true},
+		"no weight":        {weighted(1), weighted(0), []string{"a"}, false},
+		"lower priority":   {published(listed("a", "b")), published(demoted), []string{"a"}, false},
+		"inline, drains":   {inline(listed("a", "b")), inline(listed("a", "b draining")), []string{"a"}, true},
+		"inline, left out": {inline(listed("a", "b")), inline(listed("a")), []string{"a"}, true},
+		"from set to own":  {published(listed("a", "b")), inline(listed("a")), []string{"a"}, false},
+		"another set":      {both, other, []string{"a"}, false},
+		"all drain":        {published(listed("b")), published(listed("b draining")), nil, true},
+		"replaced":         {published(listed("b")), published(listed("c")), nil, false},
+		"empty set":        {published(listed("b")), published(listed()), nil, true},
+		"set removed":      {published(listed("b")), published(nil), nil, true},
+		"cluster removed":  {published(listed("b")), publication{nil, map[string]*EndpointSet{"s": listed("b")}}, nil, true},
+		"leaves, returns":  {published(listed("a", "b", "c draining")), published(listed("a", "b draining", "c")), []string{"a"}, false},
+		"leaves, recovers": {panicking(listed("a", "c unhealthy")), panicking(listed("a draining", "c")), nil, false},
+		"fails over": {published(&EndpointSet{Overprovisioning: 1, Localities: []Locality{localityOf(0, "b"), localityOf(1, "z")}}),
+			published(&EndpointSet{Overprovisioning: 1, Localities: []Locality{localityOf(0, "b draining"), localityOf(1, "z")}}), []string{"z"}, true},
 		"leaves, is listed": {published(listed("a", "b")), published(listed("a", "b draining", "c")), []string{"a"}, false},
 	} {
 		checkLeaving := func(t *testing.T, end func(*planeClient)) {
--- a/internal/xds/cache/subscriptions.go
+++ b/internal/xds/cache/subscriptions.go
@@ -59,7 +59,7 @@
 	}
 	out := map[string]bool{}
 	for name := range c.inUse {
-		for _, cluster := range c.clusters(name) {
+		for cluster := range c.clusters(name) {
 			if cluster.ServiceName != "" && cluster.EndpointsFile == "" {
 				out[cluster.ServiceName] = true
 			}
