--- a/internal/xds/ads/session_test.go
+++ b/internal/xds/ads/session_test.go
@@ -23,6 +23,8 @@
 				wanted = Subscription{Wildcard: true}
 			}
 			session.Subscribe(kind, wanted)
+		case "again":
+			session.Resubscribe(kind, fields[2:])
 		case "cached":
 			session.SetInitialVersions(kind, map[string]string{fields[2]: "v1", fields[3]: "v2"})
 		case "receive":
@@ -88,9 +90,14 @@
 		"sent {cluster  n2 bad [] [] [] map[]}",
 		"want cds *",
 		"sent {cluster    [] [*] [b d] map[]}",
+		"again cds x",
+		"sent {cluster    [] [x] [] map[]}", // beside the wildcard
 		"want cds b",
 		"sent {cluster    [] [b] [*] map[]}",
 		"sent nothing",
+		"again cds b gone",
+		"sent {cluster    [] [b] [] map[]}", // what is not wanted any more is not requested
+		"sent nothing",
 	)
 	session := NewSession(Delta)
 	session.Subscribe(Clusters, Subscription{Wildcard: true})
