--- a/internal/gateway/xds_withdrawal_test.go
+++ b/internal/gateway/xds_withdrawal_test.go
@@ -21,6 +21,7 @@
 	*xdsGateway
 	endpoints []*fake.Endpoint
 	callers   int
+	reloads   int
 }
 
 func newWithdrawal(t *testing.T, variant string) *withdrawal {
@@ -96,7 +97,8 @@
 			w.t.Fatal(err)
 		}
 	case "reload":
-		text := strings.Replace(w.configText(clusterC), "backoff = \"1ms\"", fmt.Sprintf("backoff = \"%dms\"", 2+w.n%10), 1)
+		w.reloads++
+		text := strings.Replace(w.configText(clusterC), "backoff = \"1ms\"", fmt.Sprintf("backoff = \"%dms\"", 2+w.reloads%2), 1) // another one than in force
 		if err := w.g.Reload(parse(w.t, text)); err != nil {
 			w.t.Fatal(err)
 		}
