--- a/internal/base/updateorder/updateorder.go
+++ b/internal/base/updateorder/updateorder.go
@@ -3,7 +3,7 @@
 // Versions of xDS resources are opaque. Streams break and reconnect to other servers, or to the same server with an older
 // state. Within one stream a later update is newer, because the server chose to send it later. Across streams and servers,
 // nothing orders two contents, except that a content that was already replaced is most likely outdated if it is sent again.
-// An update with such a content is deferred, and the current content stays current. The deferred update is applied once its
+// An update with such a content is deferred: it does not become current yet. The deferred update is applied once its
 // server confirms it in one of two ways:
 //
 //   - The update has not been superseded, and its stream has not ended, when the hold time is over. An intended rollback takes
